--- /dev/null
+++ b/src/bin/meadowtrail/client.rs
@@ -0,0 +1,256 @@
+//! Connections from clients: commands come in, answers leave in the order of the commands.
+
+use std::collections::VecDeque;
+
+use bytes::{Bytes, BytesMut};
+use cobaltfront::interface::Micros;
+use mio::net::TcpStream;
+
+use crate::net::{fill, Outbox, Read1};
+use crate::resp::{Broken, Budget, Command, CommandReader};
+
+/// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
+const PIPELINE_MOST: usize = 128;
+/// Answers that a client has not read; beyond it no more of its commands are taken.
+const UNSENT_MOST: usize = 256 << 10;
+/// A client may take 2 s to write a command; this much longer and it is not going to.
+const WRITING_MOST: Micros = 10_000_000;
+/// A client that reads nothing of what waits for it for so long has stalled for good.
+const READING_MOST: Micros = 10_000_000;
+/// After the end of sending, how long the client's last bytes are read and thrown away: closing with unread
+/// input would send a reset, which can destroy the answer that is under way.
+const LINGER: Micros = 1_000_000;
+
+/// What stands for a command until its answer has gone out.
+pub enum Slot {
+    /// The request (its place) is being served.
+    Waiting(usize),
+    Ready(Vec<Bytes>),
+    /// A long value passes through from an upstream connection; its first line, until that is written.
+    Stream {
+        request: usize,
+        conn: usize,
+        head: Option<Bytes>,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Closing {
+    No,
+    /// No more commands are read; the connection ends when all answers are out.
+    AfterAnswers,
+    /// Sending has ended; the rest is read and thrown away until then.
+    Lingering(Micros),
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub serial: u64,
+    buf: BytesMut,
+    reader: CommandReader,
+    pub out: Outbox,
+    pub slots: VecDeque<Slot>,
+    /// Number of the first slot.
+    base: u64,
+    /// The kernel may hold bytes that were not read yet.
+    unread: bool,
+    /// The end of the client's bytes is known to be in the kernel; it has been read. The client may still
+    /// wait for answers.
+    closed: bool,
+    ended: bool,
+    closing: Closing,
+    /// Since when a command has been half there; since when answers have waited unread; last sign of life.
+    writing_since: Option<Micros>,
+    stalled_since: Option<Micros>,
+    pub active: Micros,
+    /// It is on the list of those to be served in this round.
+    pub dirty: bool,
+}
+
+/// What came of reading from a client.
+pub enum Input {
+    Command(Command),
+    Nothing,
+    Broken(Broken),
+}
+
+impl Client {
+    pub fn new(stream: TcpStream, serial: u64, now: Micros) -> Client {
+        Client {
+            stream,
+            serial,
+            buf: BytesMut::new(),
+            reader: CommandReader::default(),
+            out: Outbox::default(),
+            slots: VecDeque::new(),
+            base: 0,
+            unread: true,
+            closed: false,
+            ended: false,
+            closing: Closing::No,
+            writing_since: None,
+            stalled_since: None,
+            active: now,
+            dirty: false,
+        }
+    }
+
+    /// There is something to read; `closed` if the client has ended its sending behind it.
+    pub fn readable(&mut self, closed: bool) {
+        self.unread = true;
+        self.closed |= closed;
+    }
+
+    /// The next command. Nothing is taken while too much waits: what is not read holds the client back.
+    pub fn next(&mut self, now: Micros, budget: &mut Budget, scratch: &mut [u8]) -> Input {
+        if let Closing::Lingering(_) = self.closing {
+            self.drop_input(scratch);
+            return Input::Nothing;
+        }
+        loop {
+            if self.closing != Closing::No
+                || self.slots.len() >= PIPELINE_MOST
+                || self.out.len() > UNSENT_MOST
+            {
+                return Input::Nothing;
+            }
+            match self.reader.next(&mut self.buf, budget) {
+                Ok(Some(command)) => {
+                    self.active = now;
+                    self.writing_since = None;
+                    return Input::Command(command);
+                }
+                Err(broken) => return Input::Broken(broken),
+                Ok(None) => {}
+            }
+            if !self.unread {
+                break;
+            }
+            match fill(&mut self.stream, &mut self.buf, scratch) {
+                Read1::More => {}
+                // A short read emptied the socket, but of an end behind it there is no second event.
+                Read1::Some => self.unread = self.closed,
+                Read1::Empty => {
+                    self.unread = false;
+                    break;
+                }
+                Read1::Ended => {
+                    (self.unread, self.ended) = (false, true);
+                    break;
+                }
+            }
+        }
+        if self.midway() {
+            self.writing_since.get_or_insert(now);
+        } else {
+            // Idle connections hold no buffers.
+            self.buf = BytesMut::new();
+        }
+        Input::Nothing
+    }
+
+    fn midway(&self) -> bool {
+        self.reader.midway() || !self.buf.is_empty()
+    }
+
+    /// What its unfinished command holds of the budget.
+    pub fn reserved(&self) -> usize {
+        self.reader.reserved()
+    }
+
+    /// Guards against both a client that has gone and one that has only ended its sending: the end of its
+    /// bytes looks the same. Until a write shows that nobody is there, its requests are still owed answers.
+    pub fn gone(&self) -> bool {
+        matches!(self.stream.take_error(), Ok(Some(_)) | Err(_))
+    }
+
+    /// A new slot's number.
+    pub fn push(&mut self, slot: Slot) -> u64 {
+        self.slots.push_back(slot);
+        self.base + self.slots.len() as u64 - 1
+    }
+
+    pub fn slot(&mut self, number: u64) -> Option<&mut Slot> {
+        self.slots.get_mut(usize::try_from(number.checked_sub(self.base)?).ok()?)
+    }
+
+    /// Moves answers that are next in order on their way out.
+    pub fn advance(&mut self) {
+        while let Some(Slot::Ready(chunks)) = self.slots.front_mut() {
+            std::mem::take(chunks).into_iter().for_each(|chunk| self.out.push(chunk));
+            self.pop();
+        }
+    }
+
+    pub fn pop(&mut self) {
+        self.slots.pop_front();
+        self.base += 1;
+    }
+
+    /// Writes; an error means that the client has gone.
+    pub fn flush(&mut self, now: Micros) -> std::io::Result<()> {
+        let written = self.out.flush(&mut self.stream)?;
+        if self.out.is_empty() {
+            self.stalled_since = None;
+        } else if written > 0 || self.stalled_since.is_none() {
+            self.stalled_since = Some(now);
+        }
+        if written > 0 {
+            self.active = now;
+        }
+        Ok(())
+    }
+
+    /// Ends the connection once its answers are out.
+    pub fn close_after_answers(&mut self) {
+        if self.closing == Closing::No {
+            self.closing = Closing::AfterAnswers;
+        }
+    }
+
+    /// Nothing is owed to it, and it has not begun a command that this node has seen.
+    pub fn idle(&self) -> bool {
+        self.closing == Closing::No && !self.ended && self.settled() && !self.midway()
+    }
+
+    fn settled(&self) -> bool {
+        self.slots.is_empty() && self.out.is_empty()
+    }
+
+    /// Goes on with an ending that has begun; true when the connection can be dropped.
+    pub fn finish(&mut self, now: Micros) -> bool {
+        match self.closing {
+            Closing::Lingering(until) => self.ended || now >= until,
+            _ if !self.settled() => false,
+            _ if self.ended => true,
+            Closing::No => false,
+            Closing::AfterAnswers => {
+                if self.stream.shutdown(std::net::Shutdown::Write).is_err() {
+                    return true;
+                }
+                (self.closing, self.unread) = (Closing::Lingering(now + LINGER), true);
+                false
+            }
+        }
+    }
+
+    fn drop_input(&mut self, scratch: &mut [u8]) {
+        while self.unread {
+            match fill(&mut self.stream, &mut self.buf, scratch) {
+                Read1::More | Read1::Some => self.buf.clear(),
+                Read1::Empty => self.unread = false,
+                Read1::Ended => (self.unread, self.ended) = (false, true),
+            }
+        }
+    }
+
+    /// It has taken far too long to write a command or to read an answer.
+    pub fn stalled(&self, now: Micros) -> bool {
+        let over = |since: Option<Micros>, most| since.is_some_and(|s| now - s >= most);
+        over(self.writing_since, WRITING_MOST) || over(self.stalled_since, READING_MOST)
+    }
+
+    pub fn lingering(&self) -> bool {
+        matches!(self.closing, Closing::Lingering(_))
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/config.rs
@@ -0,0 +1,77 @@
+//! BALANCER_CONFIG: who this node is, its limits, its settings and the last known list.
+
+use std::net::SocketAddr;
+
+use cobaltfront::settings::{self, Bad, Fields, Names};
+use cobaltfront::Settings;
+use serde_json::Value;
+
+use crate::discovery::{self, Answer};
+
+/// What a node is told at its start.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory: usize,
+    pub sockets: usize,
+    pub known: Answer,
+    pub settings: Settings,
+    pub names: Names,
+    /// Servers close connections that stood idle this long, in microseconds.
+    pub server_idle: i64,
+    /// What a probe asks: a load report where reports come with probes, else a mere sign of life.
+    pub probe_load: bool,
+}
+
+/// The least that the node can work with: a few connections on each side, and long values one at a time.
+const SOCKETS_LEAST: i64 = 64;
+const MEMORY_LEAST_MB: i64 = 32;
+/// Used where the settings do not tell how long servers keep idle connections.
+const IDLE_USUAL: i64 = 10_000_000;
+
+pub fn read(path: &str) -> Result<Config, Bad> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
+    parse(&text)
+}
+
+fn parse(text: &str) -> Result<Config, Bad> {
+    let value: Value =
+        serde_json::from_str(text).map_err(|e| Bad::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
+    let f = Fields::of(&value, "BALANCER_CONFIG")?;
+    let address = |name: &str| {
+        let text = f.text(name)?;
+        text.parse().map_err(|_| Bad::new(name, format!("{text:?} is no address and port")))
+    };
+    let seed = f.text("seed")?;
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| Bad::new("seed", "is not 64 bits in hex"))?;
+    let limits = Fields::of(f.get("limits")?, "limits")?;
+    let at_least = |name: &str, least: i64| match limits.int(name)? {
+        n if n >= least => Ok(n as usize),
+        n => Err(Bad::new(name, format!("{n} is below {least}"))),
+    };
+    let object = Fields::of(f.get("settings")?, "settings")?;
+    let (settings, names) = settings::parse(&object)?;
+    settings.validate().map_err(|e| Bad::new("settings", e.to_string()))?;
+    let idle = match object.opt("policy_limits") {
+        Some(limits) => Fields::of(limits, "policy_limits")?.micros_or("conn_idle", IDLE_USUAL)?,
+        None => IDLE_USUAL,
+    };
+    let probe_load = match object.opt("load_report") {
+        Some(report) => Fields::of(report, "load_report")?.opt("how").is_some_and(|how| how != "silent"),
+        None => false,
+    };
+    Ok(Config {
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        seed,
+        memory: at_least("memory_mb", MEMORY_LEAST_MB)? << 20,
+        sockets: at_least("sockets", SOCKETS_LEAST)?,
+        known: discovery::answer(f.get("known")?)?,
+        settings,
+        names,
+        server_idle: idle,
+        probe_load,
+    })
+}
--- /dev/null
+++ b/src/bin/meadowtrail/discovery.rs
@@ -0,0 +1,366 @@
+//! Calls to discovery: the whole list, and the watch on its changes, over HTTP/1.1.
+//!
+//! The module decides when to ask. A watch, once asked for, goes on by itself: its next call follows each
+//! answer at once, since a gap of over 200 ms would begin a new watch. Any failure ends it and is told.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::{Bytes, BytesMut};
+use cobaltfront::interface::{Micros, ServerId, ServerState};
+use cobaltfront::settings::{Bad, Fields, RawEntry};
+use mio::event::Event;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use serde_json::Value;
+
+use crate::net::{fill, Outbox, Read1};
+use crate::timer::{Due, Timers};
+
+/// How long a watch may wait. A call is dear to discovery (it serves all nodes), silence on a dead
+/// connection shows only after the wait: the protocol's own example lies between.
+const WATCH_WAIT_MS: i64 = 20_000;
+/// A call that need not wait counts as told after 6 s; it is given up before that.
+const CALL_MOST: Micros = 5_500_000;
+/// What a watch has to tell counts as told 2 s after its wait.
+const WATCH_MOST: Micros = WATCH_WAIT_MS * 1000 + 2_000_000;
+/// A watch that is answered at once with nothing must not become a busy loop; still inside 200 ms.
+const WATCH_PAUSE: Micros = 100_000;
+/// Pause before a pushed list is asked for again; the agent is on this machine and free.
+const PUSH_PAUSE: Micros = 200_000;
+/// Longest answer: over ten thousand servers.
+const BODY_MOST: usize = 4 << 20;
+const HEAD_MOST: usize = 16 << 10;
+const HEADERS: usize = 64;
+
+/// One list entry and where it is reached from here.
+pub struct Listed {
+    pub entry: RawEntry,
+    pub address: SocketAddr,
+    /// Unix time of its last start in milliseconds; 0: long ago.
+    pub boot_ms: i64,
+}
+
+/// What discovery said.
+pub struct Answer {
+    pub rev: i64,
+    pub all: bool,
+    pub targets: Vec<Listed>,
+}
+
+/// Reads an answer's JSON.
+pub fn answer(value: &Value) -> Result<Answer, Bad> {
+    let f = Fields::of(value, "known")?;
+    let targets = f.array("targets")?.iter().map(listed).collect::<Result<Vec<_>, _>>()?;
+    Ok(Answer { rev: f.int("rev")?, all: f.flag("all")?, targets })
+}
+
+fn listed(value: &Value) -> Result<Listed, Bad> {
+    let f = Fields::of(value, "targets")?;
+    let text = |name| f.opt(name).map(|_| f.text(name).map(str::to_string)).transpose();
+    let state = match f.text("state")? {
+        "in_service" => ServerState::Live,
+        "terminating" => ServerState::Draining,
+        "terminated" => ServerState::Gone,
+        other => return Err(Bad::new("state", format!("{other:?} is no server state"))),
+    };
+    let server: ServerId = f.text("uid")?.into();
+    let endpoint = f.text("endpoint")?;
+    let address = endpoint
+        .parse()
+        .map_err(|_| Bad::new("endpoint", format!("{endpoint:?} is no address and port")))?;
+    let cell = f.opt("pod_group").map(|_| f.int("pod_group")).transpose()?;
+    let entry = RawEntry {
+        server,
+        weight: f.number_or("capacity_hint", 1.0)?,
+        zone: text("az")?,
+        kind: text("model")?,
+        state,
+        started: None,
+        cell: cell.and_then(|n| u32::try_from(n).ok()),
+    };
+    Ok(Listed { entry, address, boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))? })
+}
+
+/// A start in Unix time on the node's clock; none for long ago.
+pub fn started(boot_ms: i64, now: Micros) -> Option<Micros> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
+    // A server's clock may run ahead of this one; a start cannot lie in the future.
+    let age = unix.saturating_sub(boot_ms.saturating_mul(1000)).max(0);
+    (boot_ms > 0).then(|| now - age)
+}
+
+/// News for the node.
+pub enum News {
+    List(Answer),
+    Failed(&'static str),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum What {
+    Whole,
+    Watch,
+}
+
+struct Call {
+    stream: TcpStream,
+    what: What,
+    out: Outbox,
+    buf: BytesMut,
+    serial: u64,
+    began: Micros,
+}
+
+/// The node's side of discovery.
+pub struct Discovery {
+    address: SocketAddr,
+    token: Token,
+    /// Lists are pushed to an agent beside the node: it is watched always, without the module asking.
+    pushed: bool,
+    rev: Option<i64>,
+    watching: bool,
+    whole_wanted: bool,
+    /// An answer was older than the list held: only a whole list is believed next.
+    doubted: bool,
+    not_before: Micros,
+    call: Option<Call>,
+    serial: u64,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, token: Token, pushed: bool, rev: i64) -> Discovery {
+        Discovery {
+            address,
+            token,
+            pushed,
+            rev: Some(rev),
+            watching: pushed,
+            whole_wanted: false,
+            doubted: false,
+            not_before: 0,
+            call: None,
+            serial: 0,
+        }
+    }
+
+    /// Begins or ends the watch, as the module says.
+    pub fn subscribe(&mut self, on: bool) {
+        self.watching = on || self.pushed;
+        if !self.watching && self.call.as_ref().is_some_and(|c| c.what == What::Watch) {
+            self.call = None;
+        }
+    }
+
+    /// Asks for the whole list, once. A watch that waits is ended for it and goes on behind it.
+    pub fn fetch(&mut self) {
+        self.whole_wanted = true;
+        if self.call.as_ref().is_some_and(|c| c.what == What::Watch) {
+            self.call = None;
+        }
+    }
+
+    /// Makes the call that is wanted, unless one is out.
+    pub fn go_on(&mut self, now: Micros, registry: &Registry, timers: &mut Timers) -> Option<News> {
+        if self.call.is_some() || now < self.not_before || !(self.watching || self.whole_wanted) {
+            return None;
+        }
+        let since = self.rev.filter(|_| !self.whole_wanted && !self.doubted);
+        let (what, path, most) = match since {
+            Some(rev) => {
+                let path = format!("/api/targets?since={rev}&timeout_ms={WATCH_WAIT_MS}");
+                (What::Watch, path, WATCH_MOST)
+            }
+            None => (What::Whole, "/api/targets".to_string(), CALL_MOST),
+        };
+        self.serial += 1;
+        let opened = TcpStream::connect(self.address).and_then(|mut stream| {
+            registry.register(&mut stream, self.token, Interest::READABLE | Interest::WRITABLE)?;
+            Ok(stream)
+        });
+        let Ok(stream) = opened else { return Some(self.failed("no connection", now, timers)) };
+        let mut out = Outbox::default();
+        let host = self.address;
+        out.push(Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")));
+        timers.set(now + most, Due::Discovery { serial: self.serial });
+        let serial = self.serial;
+        self.call = Some(Call { stream, what, out, buf: BytesMut::new(), serial, began: now });
+        None
+    }
+
+    /// A call's time is over.
+    pub fn due(&mut self, serial: u64, now: Micros, timers: &mut Timers) -> Option<News> {
+        self.call.as_ref().filter(|c| c.serial == serial)?;
+        Some(self.failed("no answer in time", now, timers))
+    }
+
+    pub fn ready(
+        &mut self,
+        event: &Event,
+        now: Micros,
+        scratch: &mut [u8],
+        timers: &mut Timers,
+    ) -> Option<News> {
+        let call = self.call.as_mut()?;
+        if matches!(call.stream.take_error(), Ok(Some(_)) | Err(_)) {
+            return Some(self.failed("connection broke", now, timers));
+        }
+        if event.is_writable() && !call.out.is_empty() {
+            match call.stream.peer_addr() {
+                Err(e) if e.kind() == ErrorKind::NotConnected => return None,
+                _ => {}
+            }
+            if call.out.flush(&mut call.stream).is_err() {
+                return Some(self.failed("connection broke", now, timers));
+            }
+        }
+        let mut ended = false;
+        loop {
+            match fill(&mut call.stream, &mut call.buf, scratch) {
+                Read1::Ended => ended = true,
+                Read1::Empty => {}
+                _ if call.buf.len() > HEAD_MOST + BODY_MOST => {
+                    return Some(self.failed("answer too long", now, timers));
+                }
+                _ => continue,
+            }
+            break;
+        }
+        match http_body(&call.buf, ended) {
+            Ok(None) => None,
+            Ok(Some(body)) => Some(self.answered(&body, now, timers)),
+            Err(why) => Some(self.failed(why, now, timers)),
+        }
+    }
+
+    fn answered(&mut self, body: &[u8], now: Micros, timers: &mut Timers) -> News {
+        let parsed = serde_json::from_slice(body).ok().and_then(|v: Value| answer(&v).ok());
+        let Some(list) = parsed else { return self.failed("answer is not a list", now, timers) };
+        let Some(call) = self.call.take() else { return News::Failed("no call") };
+        if call.what == What::Whole && !list.all {
+            return self.failed("part of a list where all was asked for", now, timers);
+        }
+        // Guards against an answer from before what is known already: obeying it would bring back servers
+        // that are gone. If the whole list stays behind, discovery has begun to count anew.
+        if self.rev.is_some_and(|held| list.rev < held) && !(list.all && self.doubted) {
+            self.doubted = true;
+            return self.failed("version went back", now, timers);
+        }
+        self.doubted = false;
+        self.rev = Some(list.rev);
+        self.whole_wanted &= !list.all;
+        if list.targets.is_empty() && now - call.began < WATCH_PAUSE {
+            self.pause(now + WATCH_PAUSE, timers);
+        }
+        News::List(list)
+    }
+
+    /// Ends the call and the watch. A pushed list is asked for again by itself.
+    fn failed(&mut self, why: &'static str, now: Micros, timers: &mut Timers) -> News {
+        self.call = None;
+        self.watching = self.pushed;
+        self.whole_wanted = false;
+        if self.pushed {
+            self.pause(now + PUSH_PAUSE, timers);
+        }
+        News::Failed(why)
+    }
+
+    fn pause(&mut self, until: Micros, timers: &mut Timers) {
+        self.not_before = until;
+        self.serial += 1;
+        timers.set(until, Due::Discovery { serial: self.serial });
+    }
+}
+
+fn http_body(buf: &[u8], ended: bool) -> Result<Option<Vec<u8>>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(buf) {
+        Ok(httparse::Status::Complete(start)) => start,
+        Ok(httparse::Status::Partial) if ended => return Err("answer cut off"),
+        Ok(httparse::Status::Partial) if buf.len() <= HEAD_MOST => return Ok(None),
+        _ => return Err("answer is not HTTP"),
+    };
+    if head.code != Some(200) {
+        return Err("status is not 200");
+    }
+    let header = |name: &str| {
+        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+        found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+    };
+    let rest = &buf[start..];
+    if header("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().ends_with("chunked")) {
+        return match chunks(rest)? {
+            None if ended => Err("answer cut off"),
+            body => Ok(body),
+        };
+    }
+    let Some(length) = header("content-length") else {
+        return Ok(ended.then(|| rest.to_vec()));
+    };
+    let length: usize = length.parse().map_err(|_| "bad content-length")?;
+    match rest.get(..length) {
+        _ if length > BODY_MOST => Err("answer too long"),
+        Some(body) => Ok(Some(body.to_vec())),
+        None if ended => Err("answer cut off"),
+        None => Ok(None),
+    }
+}
+
+fn chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
+    let mut body = Vec::new();
+    loop {
+        let (start, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err("bad chunk"),
+        };
+        if size == 0 {
+            return Ok(Some(body));
+        }
+        if size > BODY_MOST as u64 {
+            return Err("answer too long");
+        }
+        let end = start + size as usize;
+        let Some(after) = rest.get(end..end + 2) else { return Ok(None) };
+        if after != b"\r\n" {
+            return Err("bad chunk");
+        }
+        body.extend_from_slice(&rest[start..end]);
+        rest = &rest[end + 2..];
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bodies_by_length_chunks_and_end() {
+        let length = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+        assert_eq!(http_body(length, false), Ok(Some(b"{}".to_vec())));
+        let chunked =
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n";
+        assert_eq!(http_body(chunked, false), Ok(Some(b"{}".to_vec())));
+        let open = b"HTTP/1.1 200 OK\r\n\r\n{}";
+        assert_eq!(http_body(open, false), Ok(None));
+        assert_eq!(http_body(open, true), Ok(Some(b"{}".to_vec())));
+        for cut in 0..length.len() {
+            assert_eq!(http_body(&length[..cut], false), Ok(None));
+            assert!(http_body(&length[..cut], true).is_err());
+        }
+        let failed = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+        assert!(http_body(failed, false).is_err());
+        assert!(http_body(b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", false).is_err());
+    }
+
+    #[test]
+    fn starts_are_put_on_the_clock_of_the_node() {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+        assert_eq!(started(0, 1_000), None);
+        let at = started(unix - 5_000, 60_000_000).unwrap();
+        assert!((54_000_000..=55_001_000).contains(&at), "{at}");
+        assert!(started(unix + 60_000, 7).unwrap() <= 7);
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/main.rs
@@ -0,0 +1,32 @@
+//! The real node around cobaltfront: one process, one thread, one readiness loop.
+
+mod client;
+mod config;
+mod discovery;
+mod net;
+mod node;
+mod resp;
+mod timer;
+mod upstream;
+
+use std::process::ExitCode;
+
+use cobaltfront::settings::Bad;
+
+fn run() -> Result<(), Bad> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
+    let config = config::read(&path)?;
+    let listen = config.listen;
+    let node = node::Node::new(config).map_err(|e| Bad::new("listen", format!("{listen}: {e}")))?;
+    node.run().map_err(|e| Bad::new("poll", e.to_string()))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(bad) => {
+            net::Log::new().line(0, &bad.to_string());
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/node.rs
@@ -0,0 +1,1027 @@
+//! The node: owns the decision module, the open requests and their attempts. It is the only place where
+//! events go into the module and actions come out. What an action brings about at once becomes an event in
+//! the queue, so that the module is never entered twice.
+//!
+//! Peers are not listened to: the module has no message for them.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cobaltfront::interface::{
+    Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
+};
+use cobaltfront::settings::Names;
+use cobaltfront::Balancer;
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use slab::Slab;
+
+use crate::client::{Client, Input, Slot};
+use crate::config::Config;
+use crate::discovery::{self, Answer, Discovery, News};
+use crate::net::{Log, READ_MOST};
+use crate::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
+use crate::timer::{Due, Timers};
+use crate::upstream::{Around, Job, Signal, Upstreams};
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const DISCOVERY: Token = Token(2);
+/// Tokens of connections: clients are even, upstreams odd.
+const FIRST: usize = 4;
+
+/// Descriptors for all but connections: poll, listener, signals, discovery, standard streams and some room.
+const SOCKETS_KEPT: usize = 24;
+/// Part of the rest that upstream connections may take, in percent. A client's connection is mostly idle,
+/// an upstream one carries one attempt.
+const UPSTREAM_PART: usize = 40;
+/// Part of the memory for writes' values that are kept while another attempt may need them (one in eight;
+/// a buffer that grew with a value may be twice its size).
+const VALUES_PART: usize = 8;
+/// Memory for each open request at the most, with its timers, attempts, and words that no budget counts.
+const REQUEST_MEMORY: usize = 12 << 10;
+/// Part of the memory for them.
+const REQUESTS_PART: usize = 4;
+/// Connections accepted in one round, so that a flood of them leaves time for those that are there.
+const ACCEPT_MOST: usize = 64;
+const BACKLOG: i32 = 1024;
+/// A long value's bytes that wait for its client; beyond it the server is held back.
+const STREAM_MOST: usize = READ_MOST;
+/// What the kernel keeps for a client that does not read; by itself it would grow to megabytes for each.
+const SEND_BUFFER: usize = 128 << 10;
+/// How often stalled and idle connections are looked for.
+const SWEEP: Micros = 100_000;
+/// How long connections are still accepted after SIGTERM: they go on coming for 0.4 s.
+const ACCEPT_AFTER_STOP: Micros = 500_000;
+/// A node that was told to stop is killed 0.7 s after the longest deadline at the soonest; it ends before.
+const STOP_SLACK: Micros = 600_000;
+/// Longest wait that a client may ask for; it keeps sums of times far from overflow.
+const BUDGET_MOST: f64 = 3.6e9;
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    /// Its connection while it is out.
+    conn: Option<usize>,
+}
+
+/// A request whose answer is owed, or of which attempts are still out.
+struct Open {
+    id: RequestId,
+    serial: u64,
+    client: usize,
+    client_serial: u64,
+    slot: u64,
+    key: Bytes,
+    fields: Bytes,
+    value: Option<Bytes>,
+    reserved: usize,
+    deadline: Micros,
+    attempts: Vec<Attempt>,
+    out: usize,
+    /// The final answer was given, or the client has left.
+    closed: bool,
+    /// The attempt whose long value is being passed on, and what it took to its first byte.
+    stream: Option<(usize, Micros)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    Running,
+    /// SIGTERM came then.
+    Stopping(Micros),
+    /// The listener is closed; what is held is answered.
+    Draining,
+}
+
+pub struct Node {
+    began: Instant,
+    poll: Poll,
+    listener: Option<TcpListener>,
+    accept_more: bool,
+    signals: Signals,
+    balancer: Balancer,
+    names: Names,
+    max_open: usize,
+    longest: Micros,
+    probe_load: bool,
+    queue: VecDeque<Event>,
+    actions: Vec<Action>,
+    open: Slab<Open>,
+    ids: HashMap<RequestId, usize>,
+    serial: u64,
+    clients: Slab<Client>,
+    clients_most: usize,
+    dirty: Vec<usize>,
+    budget: Budget,
+    upstreams: Upstreams,
+    probes: HashMap<u64, (ServerId, Micros)>,
+    discovery: Discovery,
+    timers: Timers,
+    log: Log,
+    scratch: Vec<u8>,
+    phase: Phase,
+    exit_by: Micros,
+}
+
+fn client_token(key: usize) -> Token {
+    Token(FIRST + 2 * key)
+}
+
+fn upstream_token(key: usize) -> Token {
+    Token(FIRST + 2 * key + 1)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // A restarted node finds its address still held by connections of the one before.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
+impl Node {
+    pub fn new(config: Config) -> io::Result<Node> {
+        let poll = Poll::new()?;
+        let mut listener = listen(config.listen)?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        let set = config.settings;
+        let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+        let (ask, connect_most) = (set.ask, set.connect_timeout);
+        let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
+        let connections = config.sockets - SOCKETS_KEPT;
+        let upstream = connections * UPSTREAM_PART / 100;
+        let mut node = Node {
+            began: Instant::now(),
+            poll,
+            listener: Some(listener),
+            accept_more: true,
+            signals,
+            balancer,
+            names: config.names,
+            max_open: max_open.min(config.memory / REQUESTS_PART / REQUEST_MEMORY),
+            longest,
+            probe_load: config.probe_load,
+            queue: VecDeque::new(),
+            actions: Vec::new(),
+            open: Slab::new(),
+            ids: HashMap::new(),
+            serial: 0,
+            clients: Slab::new(),
+            clients_most: connections - upstream,
+            dirty: Vec::new(),
+            budget: Budget::new(config.memory / VALUES_PART),
+            upstreams: Upstreams::new(upstream, config.server_idle, connect_most),
+            probes: HashMap::new(),
+            discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
+            timers: Timers::default(),
+            log: Log::new(),
+            scratch: vec![0; READ_MOST],
+            phase: Phase::Running,
+            exit_by: Micros::MAX,
+        };
+        node.list(config.known, Some(ListKind::Cached));
+        node.timers.set(SWEEP, Due::Sweep);
+        Ok(node)
+    }
+
+    fn now(&self) -> Micros {
+        self.began.elapsed().as_micros() as Micros
+    }
+
+    /// Serves until a planned stop is over.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            self.work();
+            self.flush_clients();
+            if self.stopped() {
+                return Ok(());
+            }
+            let due = self.timers.next().filter(|_| self.dirty.is_empty());
+            let wait = due.map_or(0, |at| (at - self.now()).max(0));
+            match self.poll.poll(&mut events, Some(Duration::from_micros(wait as u64))) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                done => done?,
+            }
+            // Sockets first: on a starved node what came in time must not be called late.
+            for event in &events {
+                self.ready(event);
+            }
+            self.accept();
+            self.work();
+            let now = self.now();
+            while let Some(due) = self.timers.pop_due(now) {
+                self.due(due, now);
+            }
+        }
+    }
+
+    fn ready(&mut self, event: &mio::event::Event) {
+        let now = self.now();
+        match event.token() {
+            LISTENER => self.accept_more = true,
+            SIGNALS => {
+                if self.signals.pending().next().is_some() && self.phase == Phase::Running {
+                    self.phase = Phase::Stopping(now);
+                    self.exit_by = now + self.longest + STOP_SLACK;
+                    self.log.line(now, "told to stop");
+                }
+            }
+            DISCOVERY => {
+                let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
+                self.news(news, now);
+            }
+            Token(token) if (token - FIRST) % 2 == 0 => {
+                let key = (token - FIRST) / 2;
+                let Some(client) = self.clients.get_mut(key) else { return };
+                if event.is_error() && client.gone() {
+                    return self.drop_client(key);
+                }
+                if event.is_readable() || event.is_read_closed() {
+                    client.readable(event.is_read_closed());
+                }
+                self.mark(key);
+                self.read(key);
+            }
+            Token(token) => {
+                let key = (token - FIRST) / 2;
+                self.with_upstreams(|upstreams, around| upstreams.ready(key, event, around));
+                self.signals();
+            }
+        }
+    }
+
+    fn with_upstreams<T>(&mut self, call: impl FnOnce(&mut Upstreams, &mut Around) -> T) -> T {
+        let now = self.now();
+        let mut around = Around {
+            now,
+            registry: self.poll.registry(),
+            timers: &mut self.timers,
+            scratch: &mut self.scratch,
+            token: upstream_token,
+        };
+        call(&mut self.upstreams, &mut around)
+    }
+
+    /// Lets the module see all that has happened and does what it says.
+    fn work(&mut self) {
+        while let Some(event) = self.queue.pop_front() {
+            let now = self.now();
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, now);
+            }
+            self.actions = actions;
+        }
+        let now = self.now();
+        let news = self.discovery.go_on(now, self.poll.registry(), &mut self.timers);
+        self.news(news, now);
+    }
+
+    fn due(&mut self, due: Due, now: Micros) {
+        match due {
+            Due::Module(token) => self.queue.push_back(Event::Timer(token)),
+            Due::Attempt { request, serial, attempt } => {
+                if self.open.get(request).is_some_and(|o| o.serial == serial) {
+                    self.give_up(request, attempt, Status::Timeout);
+                }
+            }
+            Due::Upstream { conn, serial } => {
+                self.upstreams.due(conn, serial);
+                self.signals();
+            }
+            Due::Discovery { serial } => {
+                let news = self.discovery.due(serial, now, &mut self.timers);
+                self.news(news, now);
+            }
+            Due::Sweep => self.sweep(now),
+        }
+    }
+
+    fn sweep(&mut self, now: Micros) {
+        self.timers.set(now + SWEEP, Due::Sweep);
+        self.upstreams.sweep(now);
+        self.signals();
+        let look: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
+        for key in look {
+            if self.clients[key].stalled(now) {
+                self.drop_client(key);
+            } else if self.clients[key].lingering() {
+                self.mark(key);
+            }
+        }
+    }
+
+    // ---- stopping ----
+
+    /// Goes on with a planned stop: for a while connections are still accepted, since the front goes on
+    /// sending them; then the accept queue is emptied, idle connections end and what is held is answered.
+    fn stopped(&mut self) -> bool {
+        let now = self.now();
+        if let Phase::Stopping(since) = self.phase {
+            if now - since < ACCEPT_AFTER_STOP {
+                return false;
+            }
+            self.accept_more = true;
+            self.accept();
+            if self.accept_more {
+                return false;
+            }
+            self.listener = None;
+            self.phase = Phase::Draining;
+            let all: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
+            for key in all {
+                self.clients[key].readable(false);
+                self.read(key);
+                self.mark(key);
+            }
+            self.work();
+            self.flush_clients();
+        }
+        self.phase == Phase::Draining && (self.clients.is_empty() || now >= self.exit_by)
+    }
+
+    // ---- clients ----
+
+    fn accept(&mut self) {
+        let mut accepted = 0;
+        while self.accept_more && accepted < ACCEPT_MOST {
+            if self.clients.len() >= self.clients_most && !self.evict_client() {
+                return;
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((mut stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
+                    let key = self.clients.vacant_key();
+                    let both = Interest::READABLE | Interest::WRITABLE;
+                    if self.poll.registry().register(&mut stream, client_token(key), both).is_err() {
+                        continue;
+                    }
+                    self.serial += 1;
+                    self.clients.insert(Client::new(stream, self.serial, self.now()));
+                    accepted += 1;
+                    self.mark(key);
+                    self.read(key);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.accept_more = false,
+                // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
+                // that connections wait, so they are asked for again in the next round, at the latest with
+                // the next sweep. An idle upstream connection makes room for one.
+                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                    if !self.upstreams.make_room() {
+                        return;
+                    }
+                }
+                // The client has gone while it waited.
+                Err(_) => accepted += 1,
+            }
+        }
+    }
+
+    /// Closes the client's connection that has been idle the longest.
+    fn evict_client(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, c)| c.idle());
+        let Some(key) = idle.min_by_key(|(_, c)| c.active).map(|(key, _)| key) else { return false };
+        self.drop_client(key);
+        true
+    }
+
+    fn mark(&mut self, key: usize) {
+        if let Some(client) = self.clients.get_mut(key) {
+            if !std::mem::replace(&mut client.dirty, true) {
+                self.dirty.push(key);
+            }
+        }
+    }
+
+    fn read(&mut self, key: usize) {
+        let now = self.now();
+        while let Some(client) = self.clients.get_mut(key) {
+            match client.next(now, &mut self.budget, &mut self.scratch) {
+                Input::Command(command) => self.command(key, command, now),
+                Input::Nothing => return,
+                Input::Broken(broken) => {
+                    let text = format!("-ERR protocol: {}\r\n", broken.0);
+                    client.push(Slot::Ready(vec![text.into()]));
+                    client.close_after_answers();
+                    return self.mark(key);
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, client: usize, command: Command, now: Micros) {
+        let reserved = command.reserved;
+        if let Err(text) = self.try_command(client, command, now) {
+            self.budget.give_back(reserved);
+            if let Some(c) = self.clients.get_mut(client) {
+                c.push(Slot::Ready(vec![text]));
+                self.mark(client);
+            }
+        }
+    }
+
+    /// Takes a request; an error is the answer to what is none, or to one that there is no room for.
+    fn try_command(&mut self, client: usize, command: Command, now: Micros) -> Result<(), Bytes> {
+        let err = |text: &'static str| Bytes::from_static(text.as_bytes());
+        let words = command.words;
+        let name = words.first().cloned().unwrap_or_default();
+        let write = name.eq_ignore_ascii_case(b"C.SET");
+        if name.eq_ignore_ascii_case(b"PING") {
+            return Err(match words.get(1) {
+                None => err("+PONG\r\n"),
+                Some(text) => {
+                    let mut out = Vec::new();
+                    put_bulk(&mut out, text);
+                    out.into()
+                }
+            });
+        }
+        if !write && !name.eq_ignore_ascii_case(b"C.GET") {
+            return Err(err("-ERR unknown command\r\n"));
+        }
+        if words.len() != if write { 5 } else { 4 } {
+            return Err(err("-ERR wrong number of arguments\r\n"));
+        }
+        let text = |bytes: &Bytes| std::str::from_utf8(bytes).map(Arc::<str>::from);
+        let key = text(&words[1]).map_err(|_| err("-ERR key is not text\r\n"))?;
+        let id = text(&words[2]).map_err(|_| err("-ERR id is not text\r\n"))?;
+        let fields = std::str::from_utf8(&words[3]).map_err(|_| err("-ERR fields are not text\r\n"))?;
+        let request = self.request(id.clone(), key, fields, write).map_err(err)?;
+        if self.ids.contains_key(&id) {
+            return Err(err("-ERR id is in use\r\n"));
+        }
+        // Shed before anything is known of it: nothing has run, so trying again is harmless.
+        if command.dropped || self.open.len() >= self.max_open {
+            return Err(err("-BUSY\r\n"));
+        }
+        let Some(c) = self.clients.get_mut(client) else { return Ok(()) };
+        self.serial += 1;
+        let place = self.open.vacant_entry();
+        let (open, slot) = (place.key(), c.push(Slot::Waiting(place.key())));
+        place.insert(Open {
+            id: id.clone(),
+            serial: self.serial,
+            client,
+            client_serial: c.serial,
+            slot,
+            key: words[1].clone(),
+            fields: words[3].clone(),
+            value: words.get(4).cloned(),
+            reserved: command.reserved,
+            deadline: now + request.budget,
+            attempts: Vec::new(),
+            out: 0,
+            closed: false,
+            stream: None,
+        });
+        self.ids.insert(id, open);
+        self.queue.push_back(Event::Request(request));
+        Ok(())
+    }
+
+    fn request(
+        &self,
+        id: RequestId,
+        key: Arc<str>,
+        fields: &str,
+        write: bool,
+    ) -> Result<Request, &'static str> {
+        let mut request = Request {
+            id,
+            class: usize::MAX,
+            tenant: None,
+            key: Some(key),
+            budget: -1,
+            work: None,
+            size: None,
+            retry: false,
+            write,
+        };
+        let number = |text: &str| text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
+            match name {
+                "c" => request.class = self.names.class(value).ok_or("-ERR unknown class\r\n")?,
+                "t" => request.tenant = self.names.tenant(value),
+                "d" => {
+                    let ms = number(value).ok_or("-ERR bad d\r\n")?;
+                    request.budget = (ms * 1000.0).min(BUDGET_MOST) as Micros;
+                }
+                "h" => request.work = number(value),
+                "size" => request.size = number(value),
+                "r" => request.retry = value == "1",
+                _ => {}
+            }
+        }
+        match (request.class, request.budget) {
+            (usize::MAX, _) => Err("-ERR no class\r\n"),
+            (_, -1) => Err("-ERR no d\r\n"),
+            _ => Ok(request),
+        }
+    }
+
+    /// A client has gone: nothing is owed to it any more.
+    fn drop_client(&mut self, key: usize) {
+        let Some(mut client) = self.clients.try_remove(key) else { return };
+        self.budget.give_back(client.reserved());
+        for slot in client.slots.drain(..) {
+            let request = match slot {
+                Slot::Waiting(request) | Slot::Stream { request, .. } => request,
+                Slot::Ready(_) => continue,
+            };
+            let Some(open) = self.open.get(request) else { continue };
+            let (id, stream) = (open.id.clone(), open.stream);
+            self.close(request);
+            if let (Slot::Stream { conn, .. }, Some((attempt, _))) = (slot, stream) {
+                // The module does not withdraw an attempt whose value has begun.
+                let now = self.now();
+                self.upstreams.abandon(conn, now);
+                self.ended(request, attempt, Status::Cancelled, None, None);
+            } else {
+                self.queue.push_back(Event::ClientLeft(id));
+                self.forget(request);
+            }
+        }
+    }
+
+    fn flush_clients(&mut self) {
+        for key in std::mem::take(&mut self.dirty) {
+            let now = self.now();
+            let Some(client) = self.clients.get_mut(key) else { continue };
+            client.dirty = false;
+            client.advance();
+            if client.flush(now).is_err() {
+                self.drop_client(key);
+                continue;
+            }
+            self.pump(key);
+            self.read(key);
+            let Some(client) = self.clients.get_mut(key) else { continue };
+            if self.phase == Phase::Draining && client.idle() {
+                client.close_after_answers();
+            }
+            if client.finish(now) {
+                self.drop_client(key);
+            }
+            // What reading and pumping brought about comes before the next client.
+            self.work();
+        }
+    }
+
+    /// Passes on what has come of a long value, no more than its client takes.
+    fn pump(&mut self, key: usize) {
+        loop {
+            let Some(client) = self.clients.get_mut(key) else { return };
+            let Some(Slot::Stream { conn, head, .. }) = client.slots.front_mut() else { return };
+            if client.out.len() >= STREAM_MOST {
+                return;
+            }
+            let conn = *conn;
+            if let Some(head) = head.take() {
+                client.out.push(head);
+            }
+            let bytes = self.with_upstreams(|upstreams, around| upstreams.pull(conn, around));
+            let now = self.now();
+            let some = bytes.is_some();
+            if let (Some(bytes), Some(client)) = (bytes, self.clients.get_mut(key)) {
+                client.out.push(bytes);
+            }
+            if !some {
+                self.signals();
+            }
+            let Some(client) = self.clients.get_mut(key) else { return };
+            client.advance();
+            if client.flush(now).is_err() {
+                return self.drop_client(key);
+            }
+            if !some {
+                return;
+            }
+        }
+    }
+
+    // ---- the list ----
+
+    fn news(&mut self, news: Option<News>, now: Micros) {
+        match news {
+            Some(News::List(answer)) => self.list(answer, None),
+            Some(News::Failed(why)) => {
+                self.log.line(now, &format!("list: {why}"));
+                self.queue.push_back(Event::ListFailed);
+            }
+            None => {}
+        }
+    }
+
+    fn list(&mut self, answer: Answer, kind: Option<ListKind>) {
+        let now = self.now();
+        let kind = kind.unwrap_or(if answer.all { ListKind::Full } else { ListKind::Delta });
+        if kind != ListKind::Delta {
+            let named = |s: &ServerId| answer.targets.iter().any(|t| t.entry.server == *s);
+            let gone: Vec<ServerId> = self.upstreams.servers().filter(|s| !named(s)).cloned().collect();
+            gone.iter().for_each(|server| self.upstreams.unlisted(server));
+        }
+        let mut entries = Vec::with_capacity(answer.targets.len());
+        for listed in answer.targets {
+            if listed.entry.state == ServerState::Gone {
+                self.upstreams.unlisted(&listed.entry.server);
+            } else {
+                self.upstreams.listed(&listed.entry.server, listed.address);
+            }
+            let mut entry = self.names.entry(&listed.entry);
+            entry.started = discovery::started(listed.boot_ms, now);
+            entries.push(entry);
+        }
+        self.queue.push_back(Event::Servers(kind, entries.into()));
+    }
+
+    // ---- actions ----
+
+    fn act(&mut self, action: Action, now: Micros) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(&request, server, timeout, now),
+            Action::Refuse { request, retry_after } => {
+                let text = match (retry_after + 999) / 1000 {
+                    ms if ms > 0 => format!("-BUSY {ms}\r\n").into(),
+                    _ => Bytes::from_static(b"-BUSY\r\n"),
+                };
+                self.end(&request, text);
+            }
+            Action::Fail { request } => self.end(&request, Bytes::from_static(b"-ERR failed\r\n")),
+            Action::Cancel { request, attempt } => {
+                if let Some(open) = self.ids.get(&request).copied() {
+                    self.give_up(open, attempt, Status::Cancelled);
+                }
+            }
+            Action::Timer { delay, token } => {
+                self.timers.set(now.saturating_add(delay.max(0)), Due::Module(token));
+            }
+            Action::Probe(server) => self.probe(server, now),
+            Action::Close(server) => self.upstreams.close_idle(&server),
+            Action::Subscribe(on) => self.discovery.subscribe(on),
+            Action::FetchList => self.discovery.fetch(),
+            Action::Log(text) => self.log.line(now, &text),
+        }
+    }
+
+    fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
+        let Some(key) = self.ids.get(id).copied() else { return };
+        let open = &mut self.open[key];
+        let (attempt, serial) = (open.attempts.len(), open.serial);
+        let left = open.deadline - now;
+        let wait = timeout.unwrap_or(left).max(left);
+        open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None });
+        open.out += 1;
+        if open.closed || open.stream.is_some() || wait <= 0 {
+            return self.ended(key, attempt, Status::Moot, None, None);
+        }
+        let chunks = forwarded(open, (wait + 999) / 1000);
+        let job = Job::Attempt { request: key, serial, attempt };
+        let started =
+            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &chunks, around));
+        match started {
+            Ok(conn) => {
+                self.open[key].attempts[attempt].conn = Some(conn);
+                self.timers.set(now + wait, Due::Attempt { request: key, serial, attempt });
+            }
+            Err(status) => self.ended(key, attempt, status, None, None),
+        }
+    }
+
+    fn probe(&mut self, server: ServerId, now: Micros) {
+        self.serial += 1;
+        let serial = self.serial;
+        let mut out = Vec::new();
+        let words: &[&[u8]] = if self.probe_load { &[b"INFO", b"load"] } else { &[b"PING"] };
+        put_head(&mut out, b'*', words.len());
+        words.iter().for_each(|word| put_bulk(&mut out, word));
+        self.probes.insert(serial, (server.clone(), now));
+        let (job, chunks) = (Job::Probe { serial }, [Bytes::from(out)]);
+        let started =
+            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &chunks, around));
+        if let Err(status) = started {
+            self.probed(serial, status, None);
+        }
+    }
+
+    fn probed(&mut self, serial: u64, status: Status, load: Option<Load>) {
+        let Some((server, sent)) = self.probes.remove(&serial) else { return };
+        let latency = self.now() - sent;
+        self.queue.push_back(Event::Probed { server, latency, status, load });
+    }
+
+    fn give_up(&mut self, request: usize, attempt: usize, status: Status) {
+        let now = self.now();
+        let Some(open) = self.open.get(request) else { return };
+        let streaming = open.stream.is_some_and(|(a, _)| a == attempt);
+        let Some(conn) = open.attempts.get(attempt).and_then(|a| a.conn).filter(|_| !streaming) else {
+            return;
+        };
+        let may_have_run = self.upstreams.abandon(conn, now);
+        // Its last byte was never written: it cannot have run, and it tells nothing of the server.
+        let moot = status == Status::Timeout && !may_have_run;
+        self.ended(request, attempt, if moot { Status::Moot } else { status }, None, None);
+    }
+
+    /// A final answer that the module words.
+    fn end(&mut self, id: &RequestId, text: Bytes) {
+        let Some(key) = self.ids.get(id).copied().filter(|key| !self.open[*key].closed) else { return };
+        self.answer(key, vec![text]);
+        self.forget(key);
+    }
+
+    /// Gives the final answer: no request gets a second one.
+    fn answer(&mut self, key: usize, chunks: Vec<Bytes>) {
+        self.close(key);
+        let open = &self.open[key];
+        let (client, serial, slot) = (open.client, open.client_serial, open.slot);
+        if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
+            if let Some(slot) = c.slot(slot) {
+                *slot = Slot::Ready(chunks);
+            }
+            self.mark(client);
+        }
+    }
+
+    fn close(&mut self, key: usize) {
+        let open = &mut self.open[key];
+        open.closed = true;
+        // No other attempt can need the value now.
+        open.value = None;
+        self.budget.give_back(std::mem::take(&mut open.reserved));
+    }
+
+    /// Drops a request that is answered and of which nothing is out.
+    fn forget(&mut self, key: usize) {
+        if self.open.get(key).is_some_and(|open| open.closed && open.out == 0) {
+            let open = self.open.remove(key);
+            self.ids.remove(&open.id);
+        }
+    }
+
+    // ---- outcomes ----
+
+    /// An attempt has ended; each does so once.
+    fn ended(
+        &mut self,
+        key: usize,
+        attempt: usize,
+        status: Status,
+        note: Option<Note>,
+        load: Option<Load>,
+    ) {
+        let now = self.now();
+        let open = &mut self.open[key];
+        let a = &mut open.attempts[attempt];
+        a.conn = None;
+        open.out -= 1;
+        let latency = match open.stream {
+            Some((streamed, latency)) if streamed == attempt => latency,
+            _ => now - a.sent,
+        };
+        let server = a.server.clone();
+        let (request, closed) = (open.id.clone(), open.closed);
+        self.queue.push_back(Event::Outcome {
+            request,
+            server,
+            attempt,
+            latency,
+            status,
+            closed,
+            note,
+            load,
+        });
+        self.forget(key);
+    }
+
+    fn signals(&mut self) {
+        while let Some(signal) = self.upstreams.signals.pop_front() {
+            match signal {
+                Signal::Reply(Job::Probe { serial }, reply) => {
+                    let (status, _, load) = verdict(&reply);
+                    let status = if matches!(reply, Reply::One(Part::Simple(_) | Part::Bulk(_))) {
+                        Status::Ok
+                    } else {
+                        status
+                    };
+                    self.probed(serial, status, load);
+                }
+                Signal::Ended(Job::Probe { serial }, status) => self.probed(serial, status, None),
+                Signal::Reply(job, reply) => self.replied(job, reply),
+                Signal::Ended(job, status) => self.broke(job, status),
+                Signal::Begin { job, conn, len } => self.begin(job, conn, len),
+                Signal::Body(job) => {
+                    if let Some((key, _)) = self.find(job) {
+                        self.mark(self.open[key].client);
+                    }
+                }
+                Signal::Odd(server, why) => {
+                    let now = self.now();
+                    self.log.line(now, &format!("server {server}: {why}"));
+                }
+            }
+        }
+    }
+
+    /// The attempt of a job, if it is still out.
+    fn find(&self, job: Job) -> Option<(usize, usize)> {
+        let Job::Attempt { request, serial, attempt } = job else { return None };
+        let open = self.open.get(request).filter(|o| o.serial == serial)?;
+        open.attempts.get(attempt)?.conn?;
+        Some((request, attempt))
+    }
+
+    fn replied(&mut self, job: Job, reply: Reply) {
+        let Some((key, attempt)) = self.find(job) else { return };
+        let streamed = self.open[key].stream.is_some_and(|(a, _)| a == attempt);
+        let (mut status, note, load) = verdict(&reply);
+        if streamed {
+            status = Status::Ok;
+            self.end_stream(key, true);
+        } else if let Reply::Array(mut parts) = reply {
+            if let (Status::Ok, false, Part::Bulk(value)) =
+                (status, self.open[key].closed, parts.swap_remove(0))
+            {
+                let mut head =
+                    Vec::with_capacity(16 + if value.len() <= WORD_MOST { value.len() } else { 0 });
+                let chunks = if value.len() <= WORD_MOST {
+                    put_bulk(&mut head, &value);
+                    vec![head.into()]
+                } else {
+                    put_head(&mut head, b'$', value.len());
+                    vec![head.into(), value, Bytes::from_static(b"\r\n")]
+                };
+                self.answer(key, chunks);
+            }
+        }
+        self.ended(key, attempt, status, note, load);
+    }
+
+    fn broke(&mut self, job: Job, status: Status) {
+        let Some((key, attempt)) = self.find(job) else { return };
+        if self.open[key].stream.is_some_and(|(a, _)| a == attempt) {
+            self.end_stream(key, false);
+            return self.ended(key, attempt, Status::Reset, None, None);
+        }
+        self.ended(key, attempt, status, None, None);
+    }
+
+    /// A long value begins: from now on this attempt is the answer, and the others are of no use.
+    fn begin(&mut self, job: Job, conn: usize, len: usize) {
+        let Some((key, attempt)) = self.find(job) else { return };
+        let now = self.now();
+        let open = &mut self.open[key];
+        open.stream = Some((attempt, now - open.attempts[attempt].sent));
+        let (client, serial, slot) = (open.client, open.client_serial, open.slot);
+        self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
+        for other in (0..self.open[key].attempts.len()).filter(|a| *a != attempt) {
+            self.give_up(key, other, Status::Cancelled);
+        }
+        if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
+            if let Some(slot) = c.slot(slot) {
+                let mut head = Vec::new();
+                put_head(&mut head, b'$', len);
+                *slot = Slot::Stream { request: key, conn, head: Some(head.into()) };
+            }
+            self.mark(client);
+        }
+    }
+
+    /// A long value is whole, or has broken off. A client that was given part of it must see that it is not
+    /// whole: nothing but the end of the connection can tell it so.
+    fn end_stream(&mut self, key: usize, whole: bool) {
+        let open = &self.open[key];
+        let (client, serial, number) = (open.client, open.client_serial, open.slot);
+        let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) else {
+            return self.close(key);
+        };
+        let begun = !matches!(c.slot(number), Some(Slot::Stream { head: Some(_), .. }));
+        if whole {
+            self.answer(key, vec![Bytes::from_static(b"\r\n")]);
+        } else if !begun {
+            self.answer(key, vec![Bytes::from_static(b"-ERR failed\r\n")]);
+        } else {
+            self.answer(key, Vec::new());
+            self.drop_client(client);
+        }
+    }
+}
+
+/// The command as the cache server gets it: all as it came, but for the time that this node will wait.
+fn forwarded(open: &Open, wait_ms: Micros) -> Vec<Bytes> {
+    let mut fields = Vec::with_capacity(open.fields.len() + 8);
+    for field in open.fields.split(|b| *b == b',') {
+        if !fields.is_empty() {
+            fields.push(b',');
+        }
+        if field.starts_with(b"d=") {
+            fields.extend_from_slice(format!("d={wait_ms}").as_bytes());
+        } else {
+            fields.extend_from_slice(field);
+        }
+    }
+    let mut out = Vec::with_capacity(128 + open.key.len() + fields.len());
+    let (words, name): (usize, &[u8]) = if open.value.is_some() { (5, b"C.SET") } else { (4, b"C.GET") };
+    put_head(&mut out, b'*', words);
+    for word in [name, &open.key, open.id.as_bytes(), &fields] {
+        put_bulk(&mut out, word);
+    }
+    match &open.value {
+        None => vec![out.into()],
+        Some(value) if value.len() <= WORD_MOST => {
+            put_bulk(&mut out, value);
+            vec![out.into()]
+        }
+        Some(value) => {
+            put_head(&mut out, b'$', value.len());
+            vec![out.into(), value.clone(), Bytes::from_static(b"\r\n")]
+        }
+    }
+}
+
+/// What a reply says: how the attempt ended, how the read went, the load report.
+fn verdict(reply: &Reply) -> (Status, Option<Note>, Option<Load>) {
+    match reply {
+        Reply::Array(parts) => {
+            let status = if matches!(parts[0], Part::Bulk(_)) { Status::Ok } else { Status::Error };
+            let note = match parts.get(1) {
+                Some(Part::Bulk(word) | Part::Simple(word)) => match &word[..] {
+                    b"hit" => Some(Note::Hit),
+                    b"miss" => Some(Note::Miss),
+                    b"pending" => Some(Note::MissFetching),
+                    _ => None,
+                },
+                _ => None,
+            };
+            (status, note, parts.get(2).and_then(load))
+        }
+        Reply::One(part @ Part::Error(line)) => {
+            let status = if line.starts_with(b"BUSY") { Status::Full } else { Status::Error };
+            (status, None, load(part))
+        }
+        Reply::One(part) => (Status::Error, None, load(part)),
+    }
+}
+
+fn load(part: &Part) -> Option<Load> {
+    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else { return None };
+    let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
+    let mut load = Load::default();
+    let mut any = false;
+    for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        let field = match name {
+            "inflight" | "active" => &mut load.in_flight,
+            "queue" | "waiting" => &mut load.queue,
+            "util" | "cpu" => &mut load.util,
+            "latency_ms" | "avg_ms" => &mut load.service,
+            "qps" | "rps" => &mut load.qps,
+            "eps" | "err_rps" => &mut load.eps,
+            "x0" => &mut load.hits,
+            "x1" => &mut load.fetches,
+            _ => continue,
+        };
+        *field = value;
+        any |= value.is_some();
+    }
+    load.service = load.service.map(|ms| ms * 1000.0);
+    any.then_some(load)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn replies_mean_what_the_protocol_says() {
+        let bulk = |text: &'static str| Part::Bulk(Bytes::from_static(text.as_bytes()));
+        let served = |how: Part| verdict(&Reply::Array(vec![bulk("value"), how, Part::Null]));
+        for (word, note) in [("hit", Note::Hit), ("miss", Note::Miss), ("pending", Note::MissFetching)] {
+            assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
+        }
+        assert_eq!(served(Part::Null), (Status::Ok, None, None));
+        let report = Reply::Array(vec![bulk("value"), Part::Null, bulk("inflight=7,queue=2,util=0.61")]);
+        let load = verdict(&report).2.unwrap();
+        assert_eq!((load.in_flight, load.queue, load.util), (Some(7.0), Some(2.0), Some(0.61)));
+        let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
+        assert_eq!(verdict(&error("ERR failed")), (Status::Error, None, None));
+        let (status, _, load) = verdict(&error("BUSY latency_ms=1.5,x0=nan"));
+        assert_eq!(status, Status::Full);
+        assert_eq!((load.unwrap().service, load.unwrap().hits), (Some(1500.0), None));
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/resp.rs
@@ -0,0 +1,473 @@
+//! RESP2, read as its bytes come. Nothing is allocated for what a peer only claims to send, and nothing is
+//! scanned twice, however the bytes are cut.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest value (PROTOCOL: 4 MiB); a longer claim is broken framing.
+pub const VALUE_MOST: usize = 4 << 20;
+/// Values up to this are passed on whole, longer ones as they come.
+pub const WHOLE_MOST: usize = 64 << 10;
+/// Longest line: a length, a simple string or an error. A server's error with a load report is far shorter.
+const LINE_MOST: usize = 1024;
+/// Most words of a command: C.SET has five; client libraries greet with a few more.
+const WORDS_MOST: usize = 16;
+/// Longest word that is not a value: a name, key, id or list of fields.
+pub const WORD_MOST: usize = 4096;
+/// Most parts of a reply's array; the protocol has three.
+const PARTS_MOST: usize = 8;
+
+/// The bytes are no RESP2, or go beyond a limit: the connection cannot be read on.
+#[derive(Debug, PartialEq)]
+pub struct Broken(pub &'static str);
+
+/// Lets long values into memory, as long as there is room for them. They are counted when announced.
+#[derive(Debug)]
+pub struct Budget {
+    left: usize,
+}
+
+impl Budget {
+    pub fn new(bytes: usize) -> Budget {
+        Budget { left: bytes }
+    }
+
+    pub fn take(&mut self, bytes: usize) -> bool {
+        let fits = bytes <= self.left;
+        fits
+    }
+
+    pub fn give_back(&mut self, bytes: usize) {
+        self.left += bytes;
+    }
+}
+
+/// Takes one line off the buffer, without its end. `seen` remembers how far an incomplete one was scanned.
+fn line(buf: &mut BytesMut, seen: &mut usize) -> Result<Option<BytesMut>, Broken> {
+    let from = seen.saturating_sub(1).min(buf.len());
+    match buf[from..].windows(2).position(|w| w == b"\r\n").map(|at| from + at) {
+        Some(at) if at <= LINE_MOST => {
+            *seen = 0;
+            let line = buf.split_to(at);
+            buf.advance(2);
+            Ok(Some(line))
+        }
+        None if buf.len() < LINE_MOST + 2 => {
+            *seen = buf.len();
+            Ok(None)
+        }
+        _ => Err(Broken("line too long")),
+    }
+}
+
+fn number(digits: &[u8]) -> Result<i64, Broken> {
+    let text = std::str::from_utf8(digits).ok().filter(|t| !t.starts_with('+'));
+    text.and_then(|t| t.parse().ok()).ok_or(Broken("bad length"))
+}
+
+fn bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, Broken> {
+    if buf.len() < len + 2 {
+        return Ok(None);
+    }
+    if &buf[len..len + 2] != b"\r\n" {
+        return Err(Broken("bulk string without its end"));
+    }
+    let bytes = buf.split_to(len).freeze();
+    buf.advance(2);
+    Ok(Some(bytes))
+}
+
+/// A client's command.
+#[derive(Debug, Default, PartialEq)]
+pub struct Command {
+    pub words: Vec<Bytes>,
+    /// Bytes taken from the budget for its value.
+    pub reserved: usize,
+    /// There was no room for its value, which was thrown away.
+    pub dropped: bool,
+}
+
+/// Cuts commands from a client's bytes.
+#[derive(Debug, Default)]
+pub struct CommandReader {
+    seen: usize,
+    left: usize,
+    /// Length of the word that is coming.
+    word: Option<usize>,
+    /// Bytes of a dropped value still to be thrown away.
+    skip: usize,
+    command: Command,
+}
+
+impl CommandReader {
+    /// Whether part of a command has come.
+    pub fn midway(&self) -> bool {
+        self.left > 0
+    }
+
+    /// What the unfinished command holds of the budget.
+    pub fn reserved(&self) -> usize {
+        self.command.reserved
+    }
+
+    pub fn next(&mut self, buf: &mut BytesMut, budget: &mut Budget) -> Result<Option<Command>, Broken> {
+        while self.left == 0 {
+            let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+            let count = match head.split_first() {
+                Some((b'*', digits)) => number(digits)?,
+                _ => return Err(Broken("expected an array")),
+            };
+            if !(0..=WORDS_MOST as i64).contains(&count) {
+                return Err(Broken("bad number of words"));
+            }
+            self.left = count as usize;
+        }
+        loop {
+            if self.skip > 0 {
+                let some = self.skip.min(buf.len());
+                buf.advance(some);
+                self.skip -= some;
+                if self.skip > 0 {
+                    return Ok(None);
+                }
+                self.command.words.push(Bytes::new());
+                self.left -= 1;
+            } else if let Some(len) = self.word {
+                let Some(bytes) = bulk(buf, len)? else { return Ok(None) };
+                self.word = None;
+                self.command.words.push(bytes);
+                self.left -= 1;
+            }
+            if self.left == 0 {
+                return Ok(Some(std::mem::take(&mut self.command)));
+            }
+            let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+            let len = match head.split_first() {
+                Some((b'$', digits)) => number(digits)?,
+                _ => return Err(Broken("expected a bulk string")),
+            };
+            // Only the fifth word, a write's value, may be long.
+            let most = if self.command.words.len() == 4 { VALUE_MOST } else { WORD_MOST };
+            let len = usize::try_from(len).ok().filter(|l| *l <= most).ok_or(Broken("bad length"))?;
+            if len > WORD_MOST && !budget.take(len) {
+                self.command.dropped = true;
+                self.skip = len + 2;
+                continue;
+            }
+            if len > WORD_MOST {
+                self.command.reserved += len;
+            }
+            self.word = Some(len);
+        }
+    }
+}
+
+/// A part of a reply.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    Simple(Bytes),
+    Error(Bytes),
+    Int(i64),
+    Bulk(Bytes),
+    Null,
+}
+
+/// A cache server's reply. The first part of an array whose long value was streamed is `Null`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    One(Part),
+    Array(Vec<Part>),
+}
+
+/// What has come of a reply.
+#[derive(Debug, PartialEq)]
+pub enum Piece {
+    Whole(Reply),
+    /// A long value begins; its bytes follow.
+    Begin(usize),
+    /// Bytes of the long value.
+    Body(Bytes),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Want {
+    Line,
+    Bulk(usize),
+    /// Bytes left of a long value, without its line end.
+    Body(usize),
+    BodyEnd,
+}
+
+/// Cuts replies from a cache server's bytes.
+#[derive(Debug)]
+pub struct ReplyReader {
+    seen: usize,
+    want: Want,
+    /// Parts still to come of the array that is being read.
+    array: Option<usize>,
+    parts: Vec<Part>,
+}
+
+impl Default for ReplyReader {
+    fn default() -> ReplyReader {
+        ReplyReader { seen: 0, want: Want::Line, array: None, parts: Vec::new() }
+    }
+}
+
+impl ReplyReader {
+    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Piece>, Broken> {
+        loop {
+            let part = match self.want {
+                Want::Line => {
+                    let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+                    match self.head(head.freeze())? {
+                        Some(part) => part,
+                        None => match self.want {
+                            Want::Body(len) => return Ok(Some(Piece::Begin(len))),
+                            _ => continue,
+                        },
+                    }
+                }
+                Want::Bulk(len) => {
+                    let Some(bytes) = bulk(buf, len)? else { return Ok(None) };
+                    Part::Bulk(bytes)
+                }
+                Want::Body(left) if buf.is_empty() => {
+                    debug_assert!(left > 0);
+                    return Ok(None);
+                }
+                Want::Body(left) => {
+                    let bytes = buf.split_to(left.min(buf.len())).freeze();
+                    let left = left - bytes.len();
+                    self.want = if left == 0 { Want::BodyEnd } else { Want::Body(left) };
+                    return Ok(Some(Piece::Body(bytes)));
+                }
+                Want::BodyEnd => {
+                    if bulk(buf, 0)?.is_none() {
+                        return Ok(None);
+                    }
+                    Part::Null
+                }
+            };
+            self.want = Want::Line;
+            if let Some(left) = &mut self.array {
+                self.parts.push(part);
+                *left -= 1;
+                if *left == 0 {
+                    self.array = None;
+                    return Ok(Some(Piece::Whole(Reply::Array(std::mem::take(&mut self.parts)))));
+                }
+            } else {
+                return Ok(Some(Piece::Whole(Reply::One(part))));
+            }
+        }
+    }
+
+    /// A line's part, or none where it announces more (`want` and `array` then tell what).
+    fn head(&mut self, head: Bytes) -> Result<Option<Part>, Broken> {
+        let kind = *head.first().ok_or(Broken("empty line"))?;
+        let rest = head.slice(1..);
+        Ok(match kind {
+            b'+' => Some(Part::Simple(rest)),
+            b'-' => Some(Part::Error(rest)),
+            b':' => Some(Part::Int(number(&rest)?)),
+            b'$' => match number(&rest)? {
+                -1 => Some(Part::Null),
+                len if len > WHOLE_MOST as i64 && len <= VALUE_MOST as i64 => {
+                    // Only what a client asked for may be long: the first part.
+                    if self.array.is_none() || !self.parts.is_empty() {
+                        return Err(Broken("long string out of place"));
+                    }
+                    self.want = Want::Body(len as usize);
+                    None
+                }
+                len if (0..=WHOLE_MOST as i64).contains(&len) => {
+                    self.want = Want::Bulk(len as usize);
+                    None
+                }
+                _ => return Err(Broken("bad length")),
+            },
+            b'*' if self.array.is_none() => match number(&rest)? {
+                -1 => Some(Part::Null),
+                count if (1..=PARTS_MOST as i64).contains(&count) => {
+                    self.array = Some(count as usize);
+                    None
+                }
+                _ => return Err(Broken("bad number of parts")),
+            },
+            _ => return Err(Broken("unknown type")),
+        })
+    }
+}
+
+/// Appends a bulk string.
+pub fn put_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
+    put_head(out, b'$', bytes.len());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends a line that announces a length.
+pub fn put_head(out: &mut Vec<u8>, kind: u8, n: usize) {
+    use std::io::Write;
+    out.push(kind);
+    // Writing to a vector cannot fail.
+    let _ = write!(out, "{n}\r\n");
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn commands(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Command>, Option<Broken>) {
+        let (mut reader, mut buf, mut out) = (CommandReader::default(), BytesMut::new(), Vec::new());
+        let mut budget = Budget::new(room);
+        for piece in pieces(input, cuts) {
+            buf.extend_from_slice(piece);
+            loop {
+                match reader.next(&mut buf, &mut budget) {
+                    Ok(Some(command)) => out.push(command),
+                    Ok(None) => break,
+                    Err(broken) => return (out, Some(broken)),
+                }
+            }
+        }
+        (out, None)
+    }
+
+    /// The replies, with a long value's bytes put together as one piece.
+    fn replies(input: &[u8], cuts: &[usize]) -> (Vec<Piece>, Option<Broken>) {
+        let (mut reader, mut buf, mut out) = (ReplyReader::default(), BytesMut::new(), Vec::new());
+        for piece in pieces(input, cuts) {
+            buf.extend_from_slice(piece);
+            loop {
+                match (reader.next(&mut buf), out.last_mut()) {
+                    (Ok(Some(Piece::Body(more))), Some(Piece::Body(bytes))) => {
+                        *bytes = [&bytes[..], &more[..]].concat().into();
+                    }
+                    (Ok(Some(piece)), _) => out.push(piece),
+                    (Ok(None), _) => break,
+                    (Err(broken), _) => return (out, Some(broken)),
+                }
+            }
+        }
+        (out, None)
+    }
+
+    fn pieces<'a>(input: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+        let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
+        at.extend([0, input.len()]);
+        at.sort();
+        at.windows(2).map(|w| &input[w[0]..w[1]]).collect()
+    }
+
+    fn command(words: &[&[u8]]) -> Vec<u8> {
+        let mut out = Vec::new();
+        put_head(&mut out, b'*', words.len());
+        words.iter().for_each(|w| put_bulk(&mut out, w));
+        out
+    }
+
+    #[test]
+    fn commands_are_cut_alike_at_every_byte() {
+        let value = vec![b'v'; 9000];
+        let mut input = command(&[b"C.SET", b"key", b"id", b"c=put", &value]);
+        input.extend(b"*0\r\n");
+        input.extend(command(&[b"PING"]));
+        let (whole, broken) = commands(&input, &[], 1 << 20);
+        assert_eq!((whole.len(), broken), (2, None));
+        assert_eq!(whole[0].words[4], value);
+        assert_eq!(whole[0].reserved, 9000);
+        for cut in 0..input.len() {
+            assert_eq!(commands(&input, &[cut], 1 << 20), (commands(&input, &[], 1 << 20).0, None));
+        }
+    }
+
+    #[test]
+    fn a_value_without_room_is_dropped_and_the_next_command_read() {
+        let mut input = command(&[b"C.SET", b"key", b"id", b"c=put", &[b'v'; 9000]]);
+        input.extend(command(&[b"PING"]));
+        let (got, broken) = commands(&input, &[5000], 8999);
+        assert_eq!(broken, None);
+        assert!(got[0].dropped && got[0].reserved == 0 && got[0].words[4].is_empty());
+        assert_eq!(got[1].words, ["PING"]);
+    }
+
+    #[test]
+    fn what_is_only_claimed_takes_no_memory_and_ends_in_an_error() {
+        let long_line = [b'x'; 2000];
+        let cases: [&[u8]; 9] = [
+            b"*99999999\r\n",
+            b"*-5\r\n",
+            b"*1\r\n$99999999999\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*1\r\n$5000\r\n",
+            b"*1\r\n$+4\r\nPING\r\n",
+            b"*1\r\n$4\r\nPINGxx",
+            b"GET /\r\n",
+            &long_line,
+        ];
+        for input in cases {
+            assert!(commands(input, &[], 1 << 20).1.is_some(), "{input:?}");
+        }
+        let (mut reader, mut buf) = (CommandReader::default(), BytesMut::new());
+        buf.extend_from_slice(b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$4194304\r\nxy");
+        assert_eq!(reader.next(&mut buf, &mut Budget::new(VALUE_MOST)), Ok(None));
+        assert!(buf.capacity() < 4096);
+    }
+
+    proptest! {
+        #[test]
+        fn commands_do_not_depend_on_how_bytes_are_cut(
+            lists in prop::collection::vec(prop::collection::vec(
+                prop::collection::vec(any::<u8>(), 0..40), 1..6), 1..5),
+            cuts in prop::collection::vec(any::<usize>(), 0..20),
+        ) {
+            let mut input = Vec::new();
+            for words in &lists {
+                input.extend(command(&words.iter().map(|w| &w[..]).collect::<Vec<_>>()));
+            }
+            let (got, broken) = commands(&input, &cuts, 0);
+            prop_assert_eq!(broken, None);
+            let words: Vec<Vec<Vec<u8>>> =
+                got.iter().map(|c| c.words.iter().map(|w| w.to_vec()).collect()).collect();
+            prop_assert_eq!(words, lists);
+        }
+
+        #[test]
+        fn replies_do_not_depend_on_how_bytes_are_cut(
+            parts in prop::collection::vec(0usize..6, 1..8),
+            cuts in prop::collection::vec(any::<usize>(), 0..20),
+        ) {
+            let mut input = Vec::new();
+            for part in &parts {
+                match part {
+                    0 => input.extend(b"+PONG\r\n"),
+                    1 => input.extend(b"-BUSY inflight=7\r\n"),
+                    2 => input.extend(b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"),
+                    3 => input.extend(b":12\r\n$-1\r\n"),
+                    4 => {
+                        input.extend(b"*3\r\n");
+                        put_bulk(&mut input, &vec![b'l'; WHOLE_MOST + 7]);
+                        input.extend(b"$4\r\nmiss\r\n$-1\r\n");
+                    }
+                    _ => input.extend(b"*-1\r\n*1\r\n$0\r\n\r\n"),
+                }
+            }
+            let (whole, broken) = replies(&input, &[]);
+            prop_assert_eq!(broken, None);
+            prop_assert_eq!(replies(&input, &cuts), (whole, None));
+        }
+
+        #[test]
+        fn noise_never_panics(
+            input in prop::collection::vec(prop::sample::select(b"*$+-:\r\n0123459x".to_vec()), 0..80),
+            cuts in prop::collection::vec(any::<usize>(), 0..5),
+        ) {
+            let once = commands(&input, &[], 100);
+            prop_assert_eq!(once, commands(&input, &cuts, 100));
+            let once = replies(&input, &[]);
+            prop_assert_eq!(once, replies(&input, &cuts));
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/timer.rs
@@ -0,0 +1,66 @@
+//! Deadlines: what is due when, earliest first.
+//!
+//! A deadline cannot be taken back; whoever set it ignores it when it no longer matters, as the module does
+//! with its timers. Each request sets a bounded number and all pass within its time, which bounds the heap.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use cobaltfront::interface::Micros;
+
+/// What is due. Keys are slab places, serials tell whether the place still holds the same thing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The module's own timer.
+    Module(u64),
+    /// The time-out of an attempt.
+    Attempt { request: usize, serial: u64, attempt: usize },
+    /// A connection that is still being opened, or a probe, has taken too long.
+    Upstream { conn: usize, serial: u64 },
+    /// A list call is over its time, or the next one is due.
+    Discovery { serial: u64 },
+    /// Time for a look at all that waits with no deadline of its own.
+    Sweep,
+}
+
+/// The heap of deadlines; equal times keep the order in which they were set.
+#[derive(Default)]
+pub struct Timers {
+    heap: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    set: u64,
+}
+
+impl Timers {
+    pub fn set(&mut self, at: Micros, due: Due) {
+        self.set += 1;
+        self.heap.push(Reverse((at, self.set, due)));
+    }
+
+    pub fn next(&self) -> Option<Micros> {
+        self.heap.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    pub fn pop_due(&mut self, now: Micros) -> Option<Due> {
+        self.next().filter(|at| *at <= now)?;
+        self.heap.pop().map(|Reverse((.., due))| due)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn due_in_order_of_time_then_of_setting() {
+        let mut timers = Timers::default();
+        for (at, token) in [(30, 1), (10, 2), (10, 3), (40, 4)] {
+            timers.set(at, Due::Module(token));
+        }
+        let mut due = Vec::new();
+        while let Some(d) = timers.pop_due(30) {
+            due.push(d);
+        }
+        assert_eq!(due, [2, 3, 1].map(Due::Module));
+        assert_eq!(timers.next(), Some(40));
+    }
+}
--- /dev/null
+++ b/src/bin/meadowtrail/upstream.rs
@@ -0,0 +1,432 @@
+//! Connections to cache servers, kept in a pool for each server. A connection carries one attempt at a
+//! time: an attempt is given up by closing its connection, which must not take others with it.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use cobaltfront::interface::{Micros, ServerId, Status};
+use mio::event::Event;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+
+use crate::net::{fill, Outbox, Read1};
+use crate::resp::{Part, Piece, Reply, ReplyReader};
+use crate::timer::{Due, Timers};
+
+/// Most connections to one server. A server holds some 250 of all nodes together and queues a few dozen
+/// requests; more than this to one server could only wait there.
+const SERVER_MOST: usize = 64;
+/// Part of the server's idle limit after which a connection is not used again (in percent): the server's
+/// count began earlier than this node's, and a request that crosses the end is reset.
+const IDLE_PART: i64 = 80;
+/// A probe is given up after this; it is answered at once or tells nothing.
+const PROBE_MOST: Micros = 250_000;
+/// A server pauses a long value for 0.1 s at most; silent this much longer, it is gone.
+const BODY_PAUSE_MOST: Micros = 1_500_000;
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Job {
+    Attempt { request: usize, serial: u64, attempt: usize },
+    Probe { serial: u64 },
+}
+
+/// What happened on a connection.
+#[derive(Debug)]
+pub enum Signal {
+    Reply(Job, Reply),
+    Ended(Job, Status),
+    /// A long value begins.
+    Begin {
+        job: Job,
+        conn: usize,
+        len: usize,
+    },
+    /// More of a long value can be pulled.
+    Body(Job),
+    /// A server broke the protocol; for the log.
+    Odd(ServerId, &'static str),
+}
+
+struct Conn {
+    stream: TcpStream,
+    server: ServerId,
+    address: SocketAddr,
+    serial: u64,
+    connecting: bool,
+    job: Option<Job>,
+    out: Outbox,
+    buf: BytesMut,
+    reader: ReplyReader,
+    /// In the middle of a long value: read only as it is passed on.
+    body: bool,
+    /// The kernel may hold bytes that were not read yet; the end of the server's bytes is behind them.
+    unread: bool,
+    closed: bool,
+    idle_since: Micros,
+    /// Since when a long value has been waited for.
+    starved: Option<Micros>,
+}
+
+impl Conn {
+    /// The kernel has all of the job: it may run.
+    fn sent(&self) -> bool {
+        !self.connecting && self.out.is_empty()
+    }
+}
+
+struct Pool {
+    address: SocketAddr,
+    listed: bool,
+    /// Oldest first; the newest is used first, so that the others can age and go.
+    idle: Vec<usize>,
+    open: usize,
+}
+
+/// All connections to cache servers.
+pub struct Upstreams {
+    conns: Slab<Conn>,
+    pools: HashMap<ServerId, Pool>,
+    most: usize,
+    serial: u64,
+    idle_most: Micros,
+    connect_most: Micros,
+    pub signals: VecDeque<Signal>,
+}
+
+/// What a call needs of the node around.
+pub struct Around<'a> {
+    pub now: Micros,
+    pub registry: &'a Registry,
+    pub timers: &'a mut Timers,
+    pub scratch: &'a mut [u8],
+    pub token: fn(usize) -> Token,
+}
+
+impl Upstreams {
+    pub fn new(most: usize, server_idle: Micros, connect_most: Micros) -> Upstreams {
+        Upstreams {
+            conns: Slab::new(),
+            pools: HashMap::new(),
+            most,
+            serial: 0,
+            idle_most: server_idle * IDLE_PART / 100,
+            connect_most,
+            signals: VecDeque::new(),
+        }
+    }
+
+    /// A server is listed; what is open to an address that it has left is not used again.
+    pub fn listed(&mut self, server: &ServerId, address: SocketAddr) {
+        let fresh = || Pool { address, listed: true, idle: Vec::new(), open: 0 };
+        let pool = self.pools.entry(server.clone()).or_insert_with(fresh);
+        pool.listed = true;
+        if pool.address != address {
+            pool.address = address;
+            self.close_idle(server);
+        }
+    }
+
+    /// A server is gone: its attempts end as they will, its idle connections are of no more use.
+    pub fn unlisted(&mut self, server: &ServerId) {
+        if let Some(pool) = self.pools.get_mut(server) {
+            pool.listed = false;
+            self.close_idle(server);
+            self.forget_pool(server);
+        }
+    }
+
+    /// All servers that are listed now.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
+        self.pools.iter().filter(|(_, pool)| pool.listed).map(|(server, _)| server)
+    }
+
+    fn forget_pool(&mut self, server: &ServerId) {
+        if self.pools.get(server).is_some_and(|p| !p.listed && p.open == 0) {
+            self.pools.remove(server);
+        }
+    }
+
+    pub fn close_idle(&mut self, server: &ServerId) {
+        let idle = self.pools.get_mut(server).map(|pool| std::mem::take(&mut pool.idle));
+        idle.into_iter().flatten().for_each(|conn| self.close(conn));
+    }
+
+    /// Starts a job. An error is its end: it never ran.
+    pub fn start(
+        &mut self,
+        job: Job,
+        server: &ServerId,
+        chunks: &[Bytes],
+        around: &mut Around,
+    ) -> Result<usize, Status> {
+        while let Some(conn) = self.pools.get_mut(server).and_then(|pool| pool.idle.pop()) {
+            if self.reusable(conn, around.now) && self.give(conn, job, chunks, around) {
+                return Ok(conn);
+            }
+            // It was stale, which tells nothing of the server: the next one, or a new one, does.
+            self.conns[conn].job = None;
+            self.close(conn);
+        }
+        let conn = self.open(server, around)?;
+        self.give(conn, job, chunks, around);
+        Ok(conn)
+    }
+
+    fn reusable(&self, conn: usize, now: Micros) -> bool {
+        let c = &self.conns[conn];
+        let quiet = matches!(c.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+        now - c.idle_since < self.idle_most && (c.connecting || quiet)
+    }
+
+    fn open(&mut self, server: &ServerId, around: &mut Around) -> Result<usize, Status> {
+        let Some(pool) = self.pools.get(server) else { return Err(Status::Moot) };
+        if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
+            return Err(Status::Moot);
+        }
+        let address = self.pools[server].address;
+        let mut opened = TcpStream::connect(address);
+        if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
+            opened = TcpStream::connect(address);
+        }
+        let mut stream = opened.map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => Status::ConnectFailed,
+            _ => Status::Moot,
+        })?;
+        let _ = stream.set_nodelay(true);
+        self.serial += 1;
+        let place = self.conns.vacant_entry();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        around
+            .registry
+            .register(&mut stream, (around.token)(place.key()), interest)
+            .map_err(|_| Status::Moot)?;
+        let (conn, serial) = (place.key(), self.serial);
+        place.insert(Conn {
+            stream,
+            server: server.clone(),
+            address,
+            serial,
+            connecting: true,
+            job: None,
+            out: Outbox::default(),
+            buf: BytesMut::new(),
+            reader: ReplyReader::default(),
+            body: false,
+            unread: false,
+            closed: false,
+            idle_since: around.now,
+            starved: None,
+        });
+        if let Some(pool) = self.pools.get_mut(server) {
+            pool.open = 1;
+        }
+        around.timers.set(around.now + self.connect_most, Due::Upstream { conn, serial });
+        Ok(conn)
+    }
+
+    /// Hands a job to a connection; false if that turns out to be broken.
+    fn give(&mut self, conn: usize, job: Job, chunks: &[Bytes], around: &mut Around) -> bool {
+        let c = &mut self.conns[conn];
+        c.job = Some(job);
+        chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        if let Job::Probe { .. } = job {
+            around.timers.set(around.now + PROBE_MOST, Due::Upstream { conn, serial: c.serial });
+        }
+        c.connecting || c.out.flush(&mut c.stream).is_ok()
+    }
+
+    /// The node no longer waits for the job of a connection. Tells whether it may have run.
+    pub fn abandon(&mut self, conn: usize, now: Micros) -> bool {
+        let Some(c) = self.conns.get_mut(conn) else { return false };
+        let sent = c.sent();
+        c.job = None;
+        if c.connecting {
+            c.out = Outbox::default();
+            self.rest(conn, now);
+        } else {
+            self.close(conn);
+        }
+        sent
+    }
+
+    fn rest(&mut self, conn: usize, now: Micros) {
+        let c = &mut self.conns[conn];
+        c.idle_since = now;
+        match self.pools.get_mut(&c.server) {
+            Some(pool) if pool.listed && pool.address == c.address => pool.idle.push(conn),
+            _ => self.close(conn),
+        }
+    }
+
+    fn close(&mut self, conn: usize) {
+        let c = self.conns.remove(conn);
+        if let Some(pool) = self.pools.get_mut(&c.server) {
+            pool.open -= 1;
+            pool.idle.retain(|i| *i != conn);
+        }
+        self.forget_pool(&c.server);
+    }
+
+    /// Closes the connection that has been idle the longest.
+    pub fn make_room(&mut self) -> bool {
+        let oldest = self.pools.values().filter_map(|pool| pool.idle.first());
+        let oldest = oldest.min_by_key(|conn| self.conns[**conn].idle_since).copied();
+        oldest.map(|conn| self.close(conn)).is_some()
+    }
+
+    fn fail(&mut self, conn: usize) {
+        let c = &mut self.conns[conn];
+        let status = if c.sent() { Status::Reset } else { Status::ConnectFailed };
+        if let Some(job) = c.job.take() {
+            self.signals.push_back(Signal::Ended(job, status));
+        }
+        self.close(conn);
+    }
+
+    /// The server sent what the protocol does not have: nothing more on this connection can be trusted.
+    fn odd(&mut self, conn: usize, why: &'static str) {
+        let c = &mut self.conns[conn];
+        self.signals.push_back(Signal::Odd(c.server.clone(), why));
+        if let Some(job) = c.job.take() {
+            self.signals.push_back(Signal::Ended(job, Status::Error));
+        }
+        self.close(conn);
+    }
+
+    /// Something happened on a socket.
+    pub fn ready(&mut self, conn: usize, event: &Event, around: &mut Around) {
+        let Some(c) = self.conns.get_mut(conn) else { return };
+        if c.connecting {
+            match (c.stream.take_error(), c.stream.peer_addr()) {
+                (Ok(None), Ok(_)) => c.connecting = false,
+                (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
+                _ => return self.fail(conn),
+            }
+        }
+        let _ = c.out.flush(&mut c.stream);
+        if event.is_readable() || event.is_read_closed() || event.is_error() {
+            c.unread = true;
+            c.closed |= event.is_read_closed() || event.is_error();
+            match (c.body, c.job) {
+                (true, Some(job)) => self.signals.push_back(Signal::Body(job)),
+                _ => self.read(conn, around),
+            }
+        }
+    }
+
+    /// Reads replies until the socket is empty or a long value begins.
+    fn read(&mut self, conn: usize, around: &mut Around) {
+        while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
+            match c.reader.next(&mut c.buf) {
+                Ok(Some(Piece::Whole(reply))) => self.replied(conn, reply, around.now),
+                Ok(Some(Piece::Begin(len))) => {
+                    let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+                    (c.body, c.starved) = (true, None);
+                    self.signals.push_back(Signal::Begin { job, conn, len });
+                }
+                Ok(Some(Piece::Body(_))) => return self.odd(conn, "value out of place"),
+                Ok(None) if !c.unread => {
+                    if c.buf.is_empty() {
+                        // Idle connections hold no buffers.
+                        c.buf = BytesMut::new();
+                    }
+                    return;
+                }
+                Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
+                    Read1::More => {}
+                    // A short read emptied the socket, but of an end behind it there is no second event.
+                    Read1::Some => c.unread = c.closed,
+                    Read1::Empty => c.unread = false,
+                    Read1::Ended => return self.fail(conn),
+                },
+                Err(_) => return self.odd(conn, "broken reply"),
+            }
+        }
+    }
+
+    fn replied(&mut self, conn: usize, reply: Reply, now: Micros) {
+        let c = &mut self.conns[conn];
+        let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+        let known = match (&reply, job) {
+            (Reply::Array(parts), Job::Attempt { .. }) => c.body || matches!(parts[0], Part::Bulk(_)),
+            (Reply::One(Part::Error(line)), _) => !line.starts_with(b"SYNTAX"),
+            (Reply::One(Part::Simple(_) | Part::Bulk(_)), Job::Probe { .. }) => true,
+            _ => false,
+        };
+        if !known {
+            return self.odd(conn, "answer of a wrong kind");
+        }
+        let early = !c.sent();
+        c.job = None;
+        c.body = false;
+        self.signals.push_back(Signal::Reply(job, reply));
+        if early {
+            self.close(conn);
+        } else {
+            self.rest(conn, now);
+        }
+    }
+
+    /// The next bytes of a long value; none: not there yet, or a signal tells how it ended.
+    pub fn pull(&mut self, conn: usize, around: &mut Around) -> Option<Bytes> {
+        loop {
+            let c = self.conns.get_mut(conn).filter(|c| c.body)?;
+            match c.reader.next(&mut c.buf) {
+                Ok(Some(Piece::Body(bytes))) => {
+                    c.starved = None;
+                    return Some(bytes);
+                }
+                Ok(Some(Piece::Whole(reply))) => {
+                    self.replied(conn, reply, around.now);
+                    self.read(conn, around);
+                    return None;
+                }
+                Ok(Some(Piece::Begin(_))) | Err(_) => self.odd(conn, "broken value"),
+                Ok(None) if !c.unread => {
+                    c.starved.get_or_insert(around.now);
+                    return None;
+                }
+                Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
+                    Read1::More => {}
+                    Read1::Some => c.unread = c.closed,
+                    Read1::Empty => c.unread = false,
+                    Read1::Ended => self.fail(conn),
+                },
+            }
+        }
+    }
+
+    /// The time for a connect or a probe is over.
+    pub fn due(&mut self, conn: usize, serial: u64) {
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.serial == serial) else { return };
+        match c.job {
+            _ if c.connecting => self.fail(conn),
+            Some(job @ Job::Probe { .. }) => {
+                self.signals.push_back(Signal::Ended(job, Status::Timeout));
+                self.close(conn);
+            }
+            _ => {}
+        }
+    }
+
+    /// Closes what has stood idle too long, and ends long values that have stopped coming.
+    pub fn sweep(&mut self, now: Micros) {
+        let old = |c: &Conn| c.job.is_none() && now - c.idle_since >= self.idle_most;
+        let stalled = |c: &Conn| c.starved.is_some_and(|since| now - since >= BODY_PAUSE_MOST);
+        let find = |what: &dyn Fn(&Conn) -> bool| -> Vec<usize> {
+            self.conns.iter().filter(|(_, c)| what(c)).map(|(conn, _)| conn).collect()
+        };
+        let (old, stalled) = (find(&old), find(&stalled));
+        old.into_iter().for_each(|conn| self.close(conn));
+        stalled.into_iter().for_each(|conn| self.fail(conn));
+    }
+}
+
+fn out_of_sockets(e: &std::io::Error) -> bool {
+    // EMFILE and ENFILE.
+    matches!(e.raw_os_error(), Some(24 | 23))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! cobaltfront decides for a proxy node which cache server gets each request, when to try again,
+//! when to hedge, when to refuse. It does no I/O: events go in, actions come out.
+//!
+//! [`interface`] holds the types, [`rules`] every decision, [`settings`] how both are told their
+//! settings.
+#![warn(missing_docs)]
+
+pub mod interface;
+pub mod rules;
+pub mod settings;
+
+pub use interface::{Action, Event, Settings, SettingsError};
+pub use rules::Balancer;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1166 @@
+//! Every decision of cobaltfront. Its types are in `src/interface.rs`.
+//!
+//! Map: constants; Server, Line (DEMB: window, cuts, blending, splicing, dealing); Pace (what classes and
+//! kinds of machine take); Held (a request, its attempts, what the rules allow for it); Balancer (events,
+//! routing, health, retries and hedges, refusals, the list).
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::interface::*;
+
+/// Window mass for each squared server: the spread of a cut, sqrt(1/4WS), is then under 1/5 of a range.
+const WINDOW_PER_SQUARE: f64 = 8.0;
+/// Real arrivals kept at most, whatever the window (memory and sorting time at large fleets).
+const WINDOW_KEPT: usize = 4096;
+/// Arrivals between two updates of the cuts (UI), as a part of the window kept, and at least.
+const UPDATE_PART: usize = 32;
+const UPDATE_LEAST: usize = 16;
+/// Blending time of the cuts, as a part of the warm-up time: cuts move slower than caches fill.
+const BLEND_PART: f64 = 0.25;
+/// Arrivals over which a key's share is counted for dealing (a short span sees a new hot key soon, a longer
+/// one, in servers, sees those just over a range), and the fewest sightings that make it hot.
+const HOT_SPAN: f64 = 64.0;
+const WARM_SPAN: f64 = 4.0;
+const HOT_SEEN: f64 = 4.0;
+/// Servers on each side that take over from one that is cold or sick.
+const SPILL: usize = 2;
+/// A cold server is given this part of what its warm-up promises; the rest is slack for chance and misses.
+const COLD_CAUTION: f64 = 0.7;
+/// Retry budget: tokens for each request, and most saved up.
+const RETRY_RATE: f64 = 0.15;
+const RETRY_SAVED: f64 = 10.0;
+/// First pause of a sick server in connection time-outs, and the longest as a part of the warm-up time.
+const SICK_PAUSE: i64 = 10;
+/// Finished requests over which lateness is averaged; lateness at which a node counts as overloaded.
+const LATE_SPAN: f64 = 64.0;
+const LATE_MUCH: f64 = 0.25;
+const LATE_SOME: f64 = 0.2;
+/// Odds against chance at which failures in a row make a server sick, and the least part of attempts taken
+/// to be slow by chance.
+const SICK_ODDS: f64 = 1000.0;
+const SLOW_LEAST: f64 = 0.02;
+/// Samples that outweigh the assumption that all kinds are equally fast.
+const KIND_DOUBT: f64 = 10.0;
+const KIND_MEMORY: f64 = 512.0;
+/// Part of what learned speeds have moved the cuts that the next server gives back.
+const GIVEN_BACK: f64 = 0.3;
+/// Admission: its fall with each failed attempt, its rise with each answer, its floor. In balance about one
+/// attempt in six fails.
+const ADMIT_FALL: f64 = 0.05;
+const ADMIT_RISE: f64 = 0.01;
+const ADMIT_LEAST: f64 = 0.002;
+/// Least part of its range that an overrun server keeps, and the part that counts as sound.
+const PASS_LEAST: f64 = 0.1;
+const PASS_SOUND: f64 = 0.9;
+/// Failures among keys served lately above which failed fetches are taken for a jam.
+const KNOWN_LATE: f64 = 0.1;
+/// Keys remembered as served lately.
+const SERVED_KEPT: usize = 8192;
+/// A zone has a line of its own when crossing for every request not at home costs more than this.
+const CROSSING_DEAR: f64 = 0.05;
+/// And only if it has this many servers: one alone would leave its keys without a neighbour.
+const ZONE_LEAST: usize = 2;
+/// Log lines of an instance.
+const LOG_LINES: u32 = 24;
+
+fn hash(text: &str) -> u64 {
+    let h = text
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    mix(h)
+}
+
+fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
+
+/// A 64-bit hash as a point on the line [0, 1).
+fn point(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Small generator seeded for each instance (splitmix64).
+struct Rng(u64);
+
+impl Rng {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        point(mix(self.0))
+    }
+}
+
+/// A server on the line, or an origin entry.
+struct Server {
+    entry: Entry,
+    order: u64,
+    /// Right edge of its range.
+    edge: f64,
+    /// Evidence of failures since its last answer: logarithm of the odds against chance; end and length of
+    /// its pause when judged sick; a trial is out until.
+    streak: f64,
+    sick_until: Micros,
+    pause: Micros,
+    trial_until: Micros,
+    /// Part of its range that it answers in time: falls with attempts that outlast their patience.
+    pass: f64,
+}
+
+impl Server {
+    fn new(entry: Entry) -> Server {
+        let order = hash(&entry.server);
+        Server { entry, order, edge: 1.0, streak: 0.0, sick_until: 0, pause: 0, trial_until: 0, pass: 1.0 }
+    }
+
+    fn sick(&self) -> bool {
+        self.pause > 0
+    }
+}
+
+/// How often a key was seen over the short and the longer span, and whose turn it is.
+struct Seen {
+    counts: [f64; 2],
+    at: u64,
+    turn: usize,
+}
+
+impl Seen {
+    fn now(&self, spans: [f64; 2], arrivals: u64) -> [f64; 2] {
+        let age = (arrivals - self.at) as f64;
+        [self.counts[0] * (-age / spans[0]).exp(), self.counts[1] * (-age / spans[1]).exp()]
+    }
+}
+
+/// DEMB: the servers in their shared order, the window and the cuts.
+#[derive(Default)]
+struct Line {
+    servers: Vec<Server>,
+    index: HashMap<ServerId, usize>,
+    window: VecDeque<f64>,
+    seen: HashMap<u64, Seen>,
+    arrivals: u64,
+    since_update: usize,
+    updates: f64,
+    updated: Micros,
+}
+
+impl Line {
+    fn window_size(&self) -> f64 {
+        let n = self.servers.len() as f64;
+        (WINDOW_PER_SQUARE * n * n).max(1.0)
+    }
+
+    /// Equal counts by weight over the window: real points, and evenly spread mass for what they have not
+    /// displaced yet. That mass guards against cuts drawn from noise at quiet or restarted nodes.
+    fn current_cuts(&self, weights: &[f64]) -> Vec<f64> {
+        let mut points: Vec<f64> = self.window.iter().copied().collect();
+        points.sort_by(f64::total_cmp);
+        let even = (self.window_size() - points.len() as f64).max(0.0);
+        equal_counts(&points, even, weights)
+    }
+
+    fn update(&mut self, weights: &[f64], alpha: f64) {
+        let cuts = self.current_cuts(weights);
+        for (server, cut) in self.servers.iter_mut().zip(cuts) {
+            server.edge += alpha * (cut - server.edge);
+        }
+        if let Some(last) = self.servers.last_mut() {
+            last.edge = 1.0;
+        }
+        self.since_update = 0;
+    }
+
+    fn arrive(&mut self, at: f64, key: Option<u64>) {
+        let most = WINDOW_KEPT.min(self.window_size() as usize).max(1);
+        while self.window.len() >= most {
+            self.window.pop_front();
+        }
+        self.window.push_back(at);
+        self.arrivals += 1;
+        self.since_update += 1;
+        let Some(key) = key else { return };
+        let (now, spans) = (self.arrivals, self.spans());
+        let fresh = || Seen { counts: [0.0; 2], at: now, turn: (now % 64) as usize };
+        let seen = self.seen.entry(key).or_insert_with(fresh);
+        seen.counts = seen.now(spans, now).map(|c| c + 1.0);
+        seen.at = now;
+        if self.seen.len() > 4 * spans[1] as usize {
+            self.seen.retain(|_, s| ((now - s.at) as f64) < 2.0 * spans[1]);
+        }
+    }
+
+    fn spans(&self) -> [f64; 2] {
+        [HOT_SPAN, (WARM_SPAN * self.servers.len() as f64).max(HOT_SPAN)]
+    }
+
+    fn deal_width(&self, key: u64) -> usize {
+        let Some(seen) = self.seen.get(&key) else { return 1 };
+        let (spans, n) = (self.spans(), self.servers.len() as f64);
+        let counts = seen.now(spans, self.arrivals);
+        let mut width = 1;
+        for (count, span) in counts.into_iter().zip(spans) {
+            if count >= HOT_SEEN {
+                let filled = span * (1.0 - (-(self.arrivals as f64) / span).exp());
+                width = width.max((count / filled.max(HOT_SPAN / 4.0) * n).ceil() as usize);
+            }
+        }
+        width.clamp(1, self.servers.len().max(1))
+    }
+
+    fn home(&self, at: f64) -> usize {
+        self.servers.partition_point(|s| s.edge < at).min(self.servers.len().saturating_sub(1))
+    }
+
+    fn left_edge(&self, i: usize) -> f64 {
+        if i == 0 {
+            0.0
+        } else {
+            self.servers[i - 1].edge
+        }
+    }
+
+    fn join(&mut self, mut server: Server) {
+        let p = self
+            .servers
+            .partition_point(|s| (s.order, &s.entry.server) < (server.order, &server.entry.server));
+        if p < self.servers.len() {
+            let left = self.left_edge(p);
+            server.edge = left + (self.servers[p].edge - left) / 3.0;
+        }
+        if p > 0 {
+            let (start, last) = (self.left_edge(p - 1), p == self.servers.len());
+            let third = (self.servers[p - 1].edge - start) / 3.0;
+            self.servers[p - 1].edge -= if last { 1.5 * third } else { third };
+        }
+        self.servers.insert(p, server);
+    }
+
+    /// A leaver's range goes to its two neighbours.
+    fn leave(&mut self, p: usize) {
+        let left = self.left_edge(p);
+        let gone = self.servers.remove(p);
+        if p > 0 && p < self.servers.len() {
+            self.servers[p - 1].edge = (left + gone.edge) / 2.0;
+        } else if p > 0 {
+            self.servers[p - 1].edge = 1.0;
+        }
+    }
+
+    fn reindex(&mut self) {
+        self.index = self.servers.iter().enumerate().map(|(i, s)| (s.entry.server.clone(), i)).collect();
+    }
+}
+
+fn equal_counts(points: &[f64], even: f64, weights: &[f64]) -> Vec<f64> {
+    let total: f64 = weights.iter().sum();
+    let mass = even + points.len() as f64;
+    let at = |k: usize| points.get(k).copied().unwrap_or(1.0);
+    let before = |k: usize| if k == 0 { 0.0 } else { at(k - 1) };
+    let (mut k, mut share) = (0, 0.0);
+    let mut cuts = Vec::with_capacity(weights.len());
+    for weight in weights {
+        share += weight;
+        let goal = mass * share / total;
+        while k < points.len() && even * at(k) + (k as f64) + 1.0 <= goal + 1e-9 {
+            k += 1;
+        }
+        let over = goal - even * at(k) - k as f64;
+        // The neighbour of a point is another point or an evenly spread one, whichever is nearer.
+        let gap = 1.0 / even.max(1e-9);
+        cuts.push(if over <= 0.0 && even >= 1.0 {
+            ((goal - k as f64) / even).clamp(before(k), at(k))
+        } else if over < 0.5 {
+            (before(k).max(at(k) - gap) + at(k)) / 2.0
+        } else {
+            (at(k) + at(k + 1).min(at(k) + gap)) / 2.0
+        });
+    }
+    if let Some(last) = cuts.last_mut() {
+        *last = 1.0;
+    }
+    cuts
+}
+
+/// What answers take: by class, by kind of machine, by zone.
+#[derive(Default)]
+struct Pace {
+    /// For each class: a high quantile and the mean logarithm of latency.
+    high: Vec<f64>,
+    mean_log: Vec<f64>,
+    count: Vec<f64>,
+    /// For each kind: summed log of latency against what its class or hint let expect, and the count.
+    kinds: Vec<(f64, f64)>,
+    /// For each zone: the least latency seen.
+    floor: Vec<f64>,
+}
+
+fn slot<T: Clone>(list: &mut Vec<T>, at: Option<u16>, fresh: T) -> &mut T {
+    let at = at.map_or(0, |i| usize::from(i) + 1);
+    if list.len() <= at {
+        list.resize(at + 1, fresh);
+    }
+    &mut list[at]
+}
+
+impl Pace {
+    fn learn(&mut self, class: usize, latency: Micros, work: Option<f64>, entry: &Entry, hit: bool) {
+        let latency = (latency as f64).max(1.0);
+        let high = &mut self.high[class];
+        *high *= if latency > *high { 1.05 } else { 0.9973 };
+        if !hit {
+            return;
+        }
+        let floor = slot(&mut self.floor, entry.zone, f64::MAX);
+        *floor = floor.min(latency);
+        let log = (latency - 0.9 * *floor).max(100.0).ln();
+        let count = (self.count[class] + 1.0).min(KIND_MEMORY);
+        self.count[class] = count;
+        self.mean_log[class] += (log - self.mean_log[class]) / count;
+        let expected = work.map_or(self.mean_log[class], |w| w.max(1.0).ln());
+        let kind = slot(&mut self.kinds, entry.kind, (0.0, 0.0));
+        let fade = if kind.1 >= KIND_MEMORY { 1.0 - 1.0 / KIND_MEMORY } else { 1.0 };
+        *kind = (kind.0 * fade + log - expected, kind.1 * fade + 1.0);
+    }
+
+    /// Speed of a kind against all kinds, in steps so that nodes agree.
+    fn speed(&self, kind: Option<u16>) -> f64 {
+        let all = self.kinds.iter().fold((0.0, 0.0), |a, k| (a.0 + k.0, a.1 + k.1));
+        let Some(k) = self.kinds.get(kind.map_or(0, |i| usize::from(i) + 1)) else { return 1.0 };
+        if k.1 == 0.0 {
+            return 1.0;
+        }
+        let log = (all.0 / all.1 - k.0 / k.1) * k.1 / (k.1 + KIND_DOUBT);
+        ((log * 8.0).round() / 8.0).clamp(-1.5, 1.5).exp()
+    }
+}
+
+/// One attempt of a held request.
+struct Attempt {
+    server: ServerId,
+    zone: Option<u16>,
+    cell: Option<u32>,
+    sent: Micros,
+    /// How long an answer of its class may well take; passed with nothing heard.
+    patience: Micros,
+    silent: bool,
+    status: Option<Status>,
+}
+
+impl Attempt {
+    fn pending(&self) -> bool {
+        self.status.is_none()
+    }
+
+    fn may_have_run(&self) -> bool {
+        !self.status.is_some_and(Status::never_ran)
+    }
+}
+
+/// A request that is owed its final answer.
+struct Held {
+    request: Request,
+    at: f64,
+    key: Option<u64>,
+    arrived: Micros,
+    /// No answer after this is worth anything: the module ends it then.
+    end: Micros,
+    attempts: Vec<Attempt>,
+    streaming: bool,
+    /// Not served lately by what this node knows: likely a fetch from the origin.
+    doubtful: bool,
+    /// The cache lacked it (aside): the origin is next.
+    missed: bool,
+}
+
+impl Held {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.pending()).count()
+    }
+
+    /// May another attempt go to this server now? Guards "no effect twice" for all classes.
+    fn may_send(&self, set: &Settings, to: &Entry, now: Micros) -> bool {
+        let class = &set.classes[self.request.class];
+        if self.streaming || self.attempts.len() >= set.max_attempts || now >= self.end {
+            return false;
+        }
+        if self.out() > 0 && !set.second_copies {
+            return false;
+        }
+        let mut ran = self.attempts.iter().filter(|a| a.may_have_run());
+        match class.repeat {
+            Repeat::Free => true,
+            Repeat::Unsafe => ran.next().is_none(),
+            Repeat::Keyed => ran.all(|a| {
+                now + set.tick < a.sent + class.window
+                    && match class.scope {
+                        Scope::All => true,
+                        Scope::Zone => a.zone.is_some() && a.zone == to.zone,
+                        Scope::Cell => a.cell.is_some() && a.cell == to.cell,
+                    }
+            }),
+        }
+    }
+
+    /// May it be refused, which tells the client that another try is harmless?
+    fn may_refuse(&self, set: &Settings) -> bool {
+        let class = &set.classes[self.request.class];
+        match class.repeat {
+            Repeat::Free => true,
+            Repeat::Keyed if class.scope == Scope::All => true,
+            _ => !self.attempts.iter().any(Attempt::may_have_run),
+        }
+    }
+}
+
+/// Where a chosen server stands.
+#[derive(Clone, Copy, PartialEq)]
+enum Place {
+    Line,
+    Far,
+    Origin,
+}
+
+/// Timer purposes, in the two low bits of a token.
+const END: u64 = 0;
+const HEDGE: u64 = 1;
+const LIST: u64 = 2;
+
+/// The decisions of one node.
+pub struct Balancer {
+    set: Settings,
+    rng: Rng,
+    line: Line,
+    /// Servers of other zones, where crossing is dear: second choices only.
+    far: Line,
+    origins: Vec<Server>,
+    pace: Pace,
+    held: BTreeMap<u64, Held>,
+    ids: HashMap<RequestId, u64>,
+    serial: u64,
+    retry_tokens: f64,
+    /// For each tenant: tokens of its quota at this node, and when last filled.
+    quota: Vec<(f64, Micros)>,
+    late: f64,
+    /// Share of attempts at servers that were not answered within their patience.
+    slow: f64,
+    /// Share of doubtful requests let through, and when the last one was; keys served lately, likely still
+    /// kept somewhere.
+    admit: f64,
+    admitted: Micros,
+    served: HashMap<u64, Micros>,
+    /// Share of attempts for keys served lately that failed.
+    known_late: f64,
+    /// Failed list calls in a row; whether an ask is planned.
+    list_failures: u32,
+    list_planned: bool,
+    logged: u32,
+    weights: Vec<f64>,
+}
+
+impl Balancer {
+    /// A node's decisions from its settings, its seed and its clock.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
+        settings.validate()?;
+        let pace = Pace {
+            high: settings.classes.iter().map(|c| c.aim as f64 / 2.0).collect(),
+            mean_log: vec![0.0; settings.classes.len()],
+            count: vec![0.0; settings.classes.len()],
+            ..Pace::default()
+        };
+        Ok(Balancer {
+            rng: Rng(seed),
+            line: Line::default(),
+            far: Line::default(),
+            origins: Vec::new(),
+            pace,
+            held: BTreeMap::new(),
+            ids: HashMap::new(),
+            serial: 0,
+            retry_tokens: RETRY_SAVED / 2.0,
+            quota: vec![(2.0, now); settings.tenants.len()],
+            late: 0.0,
+            slow: SLOW_LEAST,
+            admit: 1.0,
+            admitted: now,
+            served: HashMap::new(),
+            known_late: 0.0,
+            list_failures: 0,
+            list_planned: false,
+            logged: 0,
+            weights: Vec::new(),
+            set: settings,
+        })
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Servers(kind, entries) => self.on_servers(now, kind, &entries, actions),
+            Event::ListFailed => {
+                self.list_failures += 1;
+                self.plan_list(actions);
+            }
+            Event::Request(request) => self.on_request(now, request, actions),
+            Event::Started { request, .. } => {
+                if let Some(held) = self.ids.get(&request).and_then(|serial| self.held.get_mut(serial)) {
+                    held.streaming = true;
+                }
+            }
+            Event::Outcome { request, server, attempt, latency, status, closed, note, load } => {
+                self.on_outcome(
+                    now,
+                    &request,
+                    &server,
+                    (attempt, latency, status, closed, note),
+                    load,
+                    actions,
+                );
+            }
+            Event::ClientLeft(request) => {
+                if let Some(serial) = self.ids.get(&request).copied() {
+                    self.cancel_pending(serial, actions);
+                    self.forget(serial);
+                }
+            }
+            Event::Timer(token) => self.on_timer(now, token, actions),
+            Event::Probed { server, status, .. } => self.judge(now, &server, Some(status), actions),
+            Event::Peer { .. } => {}
+        }
+    }
+
+    // ---- the list ----
+
+    fn on_servers(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
+        let first = self.line.servers.is_empty();
+        if kind != ListKind::Delta {
+            let named: HashMap<&str, ()> = entries.iter().map(|e| (&*e.server, ())).collect();
+            for line in [&mut self.line, &mut self.far] {
+                for p in (0..line.servers.len()).rev() {
+                    if !named.contains_key(&*line.servers[p].entry.server) {
+                        line.leave(p);
+                    }
+                }
+            }
+            self.origins.retain(|s| named.contains_key(&*s.entry.server));
+        }
+        let changed = entries.iter().filter(|e| self.place(e)).count();
+        let changed = changed + self.part_zones();
+        self.line.reindex();
+        self.far.reindex();
+        if changed > 0 || kind != ListKind::Delta {
+            self.weigh();
+            if first || changed * 2 > self.line.servers.len() {
+                self.line.update(&self.weights, 1.0);
+                self.line.updated = now;
+            }
+        }
+        match kind {
+            ListKind::Cached if self.set.ask => self.plan_list(actions),
+            _ => self.list_failures = 0,
+        }
+        let waiting: Vec<u64> =
+            self.held.iter().filter(|(_, h)| h.attempts.is_empty()).map(|(serial, _)| *serial).collect();
+        for serial in waiting {
+            self.send_next(now, serial, actions);
+        }
+    }
+
+    fn place(&mut self, entry: &Entry) -> bool {
+        let live = entry.state == ServerState::Live;
+        if self.set.mode == Mode::Aside && entry.kind.is_some() && entry.kind == self.set.origin_kind {
+            self.origins.retain(|s| s.entry.server != entry.server);
+            if live {
+                self.origins.push(Server::new(entry.clone()));
+                self.origins.sort_by(|a, b| a.entry.server.cmp(&b.entry.server));
+            }
+            return false;
+        }
+        let here = |line: &Line| line.servers.iter().position(|s| s.entry.server == entry.server);
+        let (near, far) = (here(&self.line), here(&self.far));
+        let (line, found) = if far.is_some() { (&mut self.far, far) } else { (&mut self.line, near) };
+        match (found, live) {
+            (Some(p), true) => {
+                let server = &mut line.servers[p];
+                if server.entry.started != entry.started {
+                    (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
+                }
+                server.entry = entry.clone();
+                false
+            }
+            (Some(p), false) => {
+                line.leave(p);
+                near.is_some()
+            }
+            (None, true) => {
+                line.join(Server::new(entry.clone()));
+                true
+            }
+            (None, false) => false,
+        }
+    }
+
+    fn part_zones(&mut self) -> usize {
+        let all = || self.line.servers.iter().chain(&self.far.servers);
+        let zones: std::collections::BTreeSet<_> = all().map(|s| s.entry.zone).collect();
+        let crossing = self.set.price_cross_zone * (1.0 - 1.0 / zones.len().max(1) as f64);
+        let at_home = all().filter(|s| s.entry.zone == self.set.zone).count();
+        let part = self.set.zone.is_some() && crossing > CROSSING_DEAR && at_home >= ZONE_LEAST;
+        let home = self.set.zone;
+        let mut moved = 0;
+        for stays in [true, false] {
+            let (line, far) = (&mut self.line, &mut self.far);
+            let (from, to) = if stays { (line, far) } else { (far, line) };
+            for p in (0..from.servers.len()).rev() {
+                if (!part || from.servers[p].entry.zone == home) != stays {
+                    let entry = from.servers[p].entry.clone();
+                    from.leave(p);
+                    to.join(Server::new(entry));
+                    moved += 1;
+                }
+            }
+        }
+        moved
+    }
+
+    fn plan_list(&mut self, actions: &mut Vec<Action>) {
+        if !self.set.ask || self.list_planned {
+            return;
+        }
+        self.list_planned = true;
+        let most = self.set.ask_within as f64 / 2.0;
+        let spread = (most / 16.0 * 2f64.powi(self.list_failures.min(4) as i32)).min(most);
+        let spread = if self.list_failures == 0 { most } else { spread };
+        let delay = (spread * (0.05 + 0.95 * self.rng.next())) as Micros;
+        actions.push(Action::Timer { delay, token: LIST });
+    }
+
+    fn weigh(&mut self) {
+        let listed = self.set.weights == Weights::Size;
+        let speeds: Vec<f64> = self.line.servers.iter().map(|s| self.pace.speed(s.entry.kind)).collect();
+        let mean = speeds.iter().sum::<f64>() / speeds.len().max(1) as f64;
+        let mut moved = 0.0;
+        self.weights.clear();
+        for (server, speed) in self.line.servers.iter().zip(speeds) {
+            let size = if listed { server.entry.weight.clamp(0.01, 1e6) } else { 1.0 };
+            let part = (speed / mean - GIVEN_BACK * moved).max(0.2);
+            moved += part - 1.0;
+            self.weights.push(size * part);
+        }
+    }
+
+    fn maybe_update(&mut self, now: Micros) {
+        let due = (self.line.window.len() / UPDATE_PART).max(UPDATE_LEAST);
+        if self.line.since_update >= due && !self.line.servers.is_empty() {
+            self.weigh();
+            let tau = (self.set.cold as f64 * BLEND_PART).max(1.0);
+            self.line.updates += 1.0;
+            let alpha =
+                (1.0 - (-((now - self.line.updated) as f64) / tau).exp()).max(1.0 / self.line.updates);
+            self.line.update(&self.weights, alpha);
+            self.line.updated = now;
+        }
+    }
+
+    // ---- requests ----
+
+    fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
+        let class = &self.set.classes[request.class];
+        let key = request.key.as_deref().map(hash);
+        let at = key.map_or_else(|| self.rng.next(), point);
+        let margin = 2 * self.set.tick;
+        let aim = (class.aim as f64 + class.aim_stretch * request.work.unwrap_or(0.0)) as Micros;
+        let useful = if class.late_worth > 0.0 {
+            request.budget
+        } else {
+            aim.min(class.deadline).min(request.budget)
+        };
+        let end = now + useful - margin;
+        self.line.arrive(at, key);
+        self.maybe_update(now);
+        // When much is late anyway, second attempts only add to the load that makes it so.
+        let refill = RETRY_RATE * (1.0 - 4.0 * self.late).max(0.0);
+        self.retry_tokens = (self.retry_tokens + refill).min(RETRY_SAVED);
+        let over = self.over_share(now, request.tenant);
+        // Where servers tell a miss, only what goes to the origin is in doubt.
+        let doubtful = match self.set.mode {
+            Mode::Aside => request.write,
+            Mode::Through => !key.is_some_and(|k| self.served.contains_key(&k)),
+        };
+        let serial = self.serial;
+        self.serial += 1;
+        self.ids.insert(request.id.clone(), serial);
+        let held = Held {
+            request,
+            at,
+            key,
+            arrived: now,
+            end,
+            attempts: Vec::new(),
+            streaming: false,
+            doubtful,
+            missed: false,
+        };
+        self.held.insert(serial, held);
+        let refuse = end <= now || (over && self.late > LATE_MUCH);
+        if refuse || !self.admitted(now, serial) || self.overrun(now, serial) {
+            self.finish(now, serial, actions);
+            return;
+        }
+        actions.push(Action::Timer { delay: end - now, token: serial << 2 | END });
+        self.send_next(now, serial, actions);
+    }
+
+    /// Guards against the jam behind a slow or flooded origin: fetches that fail hold their servers until
+    /// nothing is answered. While attempts fail, keys not served lately, which would be fetched, are let
+    /// through rarely, known keys and writes longer; now and then one goes to see whether it is over.
+    fn admitted(&mut self, now: Micros, serial: u64) -> bool {
+        let Some(held) = self.held.get(&serial) else { return false };
+        let doubt = if held.request.write {
+            0.5
+        } else if held.doubtful {
+            1.0
+        } else {
+            0.1
+        };
+        let trial = held.doubtful && now - self.admitted > self.set.classes[held.request.class].deadline;
+        let through = trial || self.admit >= 1.0 || self.rng.next() < self.admit.powf(doubt);
+        if through && held.doubtful {
+            self.admitted = now;
+        }
+        through
+    }
+
+    /// An attempt for a key not served lately ended: what came of it says how the origin fares.
+    fn doubtful_ended(&mut self, answered: bool) {
+        self.admit = if answered {
+            (self.admit + ADMIT_RISE).min(1.0)
+        } else if self.known_late > KNOWN_LATE || self.set.mode == Mode::Aside {
+            (self.admit * (1.0 - ADMIT_FALL)).max(ADMIT_LEAST)
+        } else {
+            self.admit
+        };
+    }
+
+    /// Takes a token of the tenant's quota at this node; true when there is none.
+    fn over_share(&mut self, now: Micros, tenant: Option<usize>) -> bool {
+        let Some(t) = tenant.filter(|t| *t < self.quota.len()) else { return false };
+        let rate = self.set.tenants[t].quota_per_s / self.set.nodes as f64;
+        let (tokens, filled) = &mut self.quota[t];
+        *tokens = (*tokens + rate * (now - *filled) as f64 / 1e6).min(2.0 + 2.0 * rate);
+        *filled = now;
+        if *tokens < 1.0 {
+            return true;
+        }
+        *tokens -= 1.0;
+        false
+    }
+
+    /// Sends the next attempt of a request if there is a server that it may go to.
+    fn send_next(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) -> bool {
+        let Some(held) = self.held.get(&serial) else { return false };
+        let Some((place, i)) = self.choose(now, held) else { return false };
+        let server = match place {
+            Place::Line => &self.line.servers[i],
+            Place::Far => &self.far.servers[i],
+            Place::Origin => &self.origins[i],
+        };
+        if !held.may_send(&self.set, &server.entry, now) {
+            return false;
+        }
+        let class = &self.set.classes[held.request.class];
+        let left = held.end - now;
+        let more = held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
+        let trial = place == Place::Line && self.line.servers[i].sick();
+        let part = if more && !self.set.second_copies && trial { left / 2 } else { left };
+        let timeout = Some(part.max(self.set.tick));
+        let hedge = self.pace.high[held.request.class] as Micros;
+        let hedge = hedge.clamp(class.aim / 8, class.aim * 5 / 8);
+        let attempt = Attempt {
+            server: server.entry.server.clone(),
+            zone: server.entry.zone,
+            cell: server.entry.cell,
+            sent: now,
+            patience: if place == Place::Origin { left } else { hedge },
+            silent: false,
+            status: None,
+        };
+        let id = held.request.id.clone();
+        actions.push(Action::Send { request: id, server: attempt.server.clone(), timeout });
+        if hedge < left && place != Place::Origin {
+            actions.push(Action::Timer { delay: hedge, token: serial << 2 | HEDGE });
+        }
+        if trial {
+            self.line.servers[i].trial_until = now + class.aim;
+        }
+        let key = held.key;
+        if let Some(seen) = key.and_then(|k| self.line.seen.get_mut(&k)) {
+            seen.turn = seen.turn.wrapping_add(1);
+        }
+        if let Some(held) = self.held.get_mut(&serial) {
+            held.attempts.push(attempt);
+        }
+        true
+    }
+
+    /// Not judged sick, or due for a trial.
+    fn up(&self, now: Micros, i: usize) -> bool {
+        let server = &self.line.servers[i];
+        !server.sick() || (now >= server.sick_until && now >= server.trial_until)
+    }
+
+    /// Part of its range that a server can take now: less while cold, nothing while sick.
+    fn fitness(&self, now: Micros, i: usize) -> f64 {
+        let server = &self.line.servers[i];
+        if !self.up(now, i) {
+            return 0.0;
+        }
+        self.warmth(now, &server.entry) * if server.pass >= PASS_SOUND { 1.0 } else { server.pass }
+    }
+
+    /// How far from the middle of its home's range a point lies: 0 to 1.
+    fn off_middle(&self, at: f64, home: usize) -> f64 {
+        let left = self.line.left_edge(home);
+        let width = (self.line.servers[home].edge - left).max(f64::MIN_POSITIVE);
+        ((at - left) / width - 0.5).abs() * 2.0
+    }
+
+    /// Guards against queues that make every answer late: what an overrun home cannot answer in time and no
+    /// sound neighbour takes is refused at once, the same keys first.
+    /// A cold home that no sound neighbour relieves is spared in any case: it would fall over.
+    fn overrun(&self, now: Micros, serial: u64) -> bool {
+        let Some(held) = self.held.get(&serial) else { return false };
+        let Some((Place::Line, i)) = self.choose(now, held) else { return false };
+        let (pass, warmth) = (self.line.servers[i].pass, self.warmth(now, &self.line.servers[i].entry));
+        let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
+        (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass) || (warmth < 1.0 && off >= 2.0 * warmth)
+    }
+
+    fn warmth(&self, now: Micros, entry: &Entry) -> f64 {
+        let Some(started) = entry.started else { return 1.0 };
+        let age = (now - started).max(0);
+        if age >= self.set.cold {
+            return 1.0;
+        }
+        let grown = self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.cold as f64;
+        COLD_CAUTION * grown
+    }
+
+    /// The server for the next attempt.
+    fn choose(&self, now: Micros, held: &Held) -> Option<(Place, usize)> {
+        let aside = self.set.mode == Mode::Aside;
+        if aside && (held.request.write || held.missed) {
+            let n = self.origins.len();
+            return (n > 0).then(|| (Place::Origin, (held.at * n as f64) as usize % n));
+        }
+        let n = self.line.servers.len();
+        if n == 0 {
+            return self.far_choice(now, held).map(|i| (Place::Far, i));
+        }
+        let home = self.line.home(held.at);
+        if held.attempts.is_empty() {
+            let width = held.key.map_or(1, |k| self.line.deal_width(k));
+            if width > 1 {
+                let turn = held.key.and_then(|k| self.line.seen.get(&k)).map_or(0, |s| s.turn);
+                let start = (home + n - width / 2) % n;
+                for step in 0..width {
+                    let i = (start + (turn + step) % width) % n;
+                    if self.fitness(now, i) >= 1.0 {
+                        return Some((Place::Line, i));
+                    }
+                }
+            }
+            let fit = self.fitness(now, home);
+            if fit >= 1.0 {
+                return Some((Place::Line, home));
+            }
+            let off = self.off_middle(held.at, home);
+            let often = held.key.and_then(|k| self.line.seen.get(&k)).is_some_and(|s| s.counts[1] > 1.5);
+            let cold = self.warmth(now, &self.line.servers[home].entry) < 1.0;
+            if off < fit && !(often && cold) {
+                return Some((Place::Line, home));
+            }
+            let far = (off * SPILL as f64) as usize;
+            let left_half = held.at < (self.line.left_edge(home) + self.line.servers[home].edge) / 2.0;
+            let step = if left_half { n - 1 } else { 1 };
+            let nth = SPILL - 1 - far.min(SPILL - 1);
+            let sound = self.nth(home, step, nth, 4 * SPILL, |i| self.fitness(now, i) >= 1.0);
+            let up = |i: usize| self.up(now, i) && self.warmth(now, &self.line.servers[i].entry) >= 1.0;
+            let best =
+                sound.or_else(|| (often && cold).then(|| self.nth(home, step, nth, n, up)).flatten());
+            return Some((Place::Line, best.unwrap_or(home)));
+        }
+        let tried = |i: usize| held.attempts.iter().any(|a| a.server == self.line.servers[i].entry.server);
+        let mut spare = None;
+        for step in 1..n {
+            for i in [(home + step) % n, (home + n - step) % n] {
+                if tried(i) || !held.may_send(&self.set, &self.line.servers[i].entry, now) {
+                    continue;
+                }
+                if self.fitness(now, i) >= 1.0 {
+                    return Some((Place::Line, i));
+                }
+                if self.warmth(now, &self.line.servers[i].entry) >= 1.0 {
+                    spare = spare.or(Some(i));
+                }
+            }
+        }
+        if let Some(i) = self.far_choice(now, held).filter(|_| spare.is_none()) {
+            return Some((Place::Far, i));
+        }
+        let again = (self.warmth(now, &self.line.servers[home].entry) >= 1.0).then_some(home);
+        spare.or(again).map(|i| (Place::Line, i))
+    }
+
+    /// A warm server of another zone, by the key's point.
+    fn far_choice(&self, now: Micros, held: &Held) -> Option<usize> {
+        let n = self.far.servers.len();
+        let start = (held.at * n as f64) as usize;
+        (0..n).map(|step| (start + step) % n).find(|i| {
+            let server = &self.far.servers[*i];
+            let tried = held.attempts.iter().any(|a| a.server == server.entry.server);
+            let fit = now >= server.sick_until && self.warmth(now, &server.entry) >= 1.0;
+            fit && !tried && held.may_send(&self.set, &server.entry, now)
+        })
+    }
+
+    /// The nth fit server of the `reach` next ones along the line; the last fit one if there are fewer.
+    fn nth<F>(&self, from: usize, step: usize, nth: usize, reach: usize, fit: F) -> Option<usize>
+    where
+        F: Fn(usize) -> bool,
+    {
+        let n = self.line.servers.len();
+        let on = (1..n.min(reach)).map(|k| (from + k * step) % n).filter(|i| fit(*i));
+        on.take(nth + 1).last()
+    }
+
+    // ---- outcomes ----
+
+    fn on_outcome(
+        &mut self,
+        now: Micros,
+        id: &RequestId,
+        server: &ServerId,
+        (attempt, latency, status, closed, note): (usize, Micros, Status, bool, Option<Note>),
+        _load: Option<Load>,
+        actions: &mut Vec<Action>,
+    ) {
+        let hit = note.is_none_or(|n| n == Note::Hit);
+        let serial = self.ids.get(id).copied();
+        self.judge(now, server, Some(status), actions);
+        let Some(serial) = serial else { return };
+        let failed = matches!(status, Status::Error | Status::Timeout);
+        let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
+        if let Some(key) = known.filter(|_| status == Status::Ok || failed) {
+            self.known_late += (f64::from(u8::from(failed)) - self.known_late) / LATE_SPAN;
+            if failed {
+                self.served.remove(&key);
+            }
+        }
+        if let Some(held) =
+            self.held.get(&serial).filter(|h| h.doubtful && (status == Status::Ok || failed))
+        {
+            // A late fetch counts as a failed one: the origin's queue shows before it fails.
+            let late = now - held.arrived > self.set.classes[held.request.class].aim;
+            self.doubtful_ended(!failed && !late);
+        }
+        let Some(held) = self.held.get_mut(&serial) else { return };
+        if let Some(a) = held.attempts.get_mut(attempt) {
+            a.status = Some(status);
+            if !a.silent && matches!(status, Status::Ok | Status::Miss) {
+                self.slow -= self.slow / LATE_SPAN;
+                if let Some(i) = self.line.index.get(server).filter(|_| !held.doubtful) {
+                    let pass = &mut self.line.servers[*i].pass;
+                    *pass = (*pass + ADMIT_RISE).min(1.0);
+                }
+            }
+        }
+        if status == Status::Ok {
+            if let Some(key) = held.key.filter(|_| !held.request.write) {
+                self.served.insert(key, now);
+                if self.served.len() > SERVED_KEPT {
+                    let old = now - self.set.cold / 2;
+                    self.served.retain(|_, at| *at > old);
+                    if self.served.len() > SERVED_KEPT / 2 {
+                        self.served.clear();
+                    }
+                }
+            }
+            if let Some(i) = self.line.index.get(server) {
+                let entry = &self.line.servers[*i].entry;
+                self.pace.learn(held.request.class, latency, held.request.work, entry, hit);
+            }
+        }
+        if closed {
+            let held = &self.held[&serial];
+            let aim = self.set.classes[held.request.class].aim;
+            self.note_end(status != Status::Ok || now - held.arrived > aim);
+            self.cancel_pending(serial, actions);
+            self.forget(serial);
+            return;
+        }
+        if status == Status::Miss {
+            (held.missed, held.doubtful) = (true, true);
+            if !self.admitted(now, serial) {
+                self.finish(now, serial, actions);
+                return;
+            }
+        }
+        let Some(held) = self.held.get_mut(&serial) else { return };
+        if held.streaming || held.out() > 0 {
+            return;
+        }
+        let cost = if status == Status::Miss {
+            0.0
+        } else if matches!(status, Status::Reset | Status::ConnectFailed) {
+            // A connection that breaks tells nothing of the load, and leaves the server less to do.
+            0.25
+        } else if status.never_ran() {
+            0.5
+        } else {
+            1.0
+        };
+        if self.retry_tokens >= cost && self.send_next(now, serial, actions) {
+            self.retry_tokens -= cost;
+        } else {
+            self.finish(now, serial, actions);
+        }
+    }
+
+    fn judge(&mut self, now: Micros, server: &ServerId, status: Option<Status>, actions: &mut Vec<Action>) {
+        let line = if self.far.index.contains_key(server) { &mut self.far } else { &mut self.line };
+        let Some(i) = line.index.get(server).copied() else { return };
+        let least = (SICK_PAUSE * self.set.connect_timeout).max(10 * self.set.tick);
+        let most = (self.set.cold / 2).max(least);
+        let s = &mut line.servers[i];
+        if status == Some(Status::Full) {
+            s.pass = (s.pass * (1.0 - ADMIT_FALL)).max(PASS_LEAST);
+        }
+        s.streak += match status {
+            Some(Status::Ok | Status::Miss) => {
+                (s.streak, s.pause) = (0.0, 0);
+                return;
+            }
+            // Refused: "not to this node", however many other servers did the same.
+            Some(Status::ConnectFailed) => SICK_ODDS.ln(),
+            Some(Status::Reset) => SICK_ODDS.ln() / 2.0,
+            None => -self.slow.max(SLOW_LEAST).ln(),
+            // Late time-outs and errors tell as much of the origin and the load as of the server.
+            Some(_) => return,
+        };
+        if s.streak < SICK_ODDS.ln() - 1e-9 || (s.sick() && now < s.sick_until) {
+            return;
+        }
+        s.pause = (s.pause * 2).clamp(least, most);
+        s.sick_until = now + s.pause;
+        s.trial_until = 0;
+        let why = status.map_or("silence".to_string(), |s| format!("{s:?}"));
+        let text = format!("sick: {} paused {} ms after {why}", s.entry.server, s.pause / 1000);
+        self.log(text, actions);
+    }
+
+    /// Attempts of a request that passed their patience.
+    fn note_silence(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&serial).filter(|h| !h.streaming) else { return };
+        let mut silent = Vec::new();
+        for a in &mut held.attempts {
+            if a.pending() && !a.silent && now >= a.sent + a.patience {
+                a.silent = true;
+                silent.push(a.server.clone());
+            }
+        }
+        let fetch = held.doubtful;
+        for server in silent {
+            if let Some(i) = self.line.index.get(&server).filter(|_| !fetch) {
+                let pass = &mut self.line.servers[*i].pass;
+                *pass = (*pass * (1.0 - ADMIT_FALL)).max(PASS_LEAST);
+            }
+            self.slow += (1.0 - self.slow) / LATE_SPAN;
+            self.judge(now, &server, None, actions);
+        }
+    }
+
+    fn note_end(&mut self, late: bool) {
+        self.late += (f64::from(u8::from(late)) - self.late) / LATE_SPAN;
+    }
+
+    /// Ends a request with a refusal where that is allowed, with a failure otherwise.
+    fn finish(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&serial) else { return };
+        let request = held.request.id.clone();
+        if held.may_refuse(&self.set) {
+            let late = now - held.arrived >= self.set.classes[held.request.class].aim / 2;
+            let retry_after = if late { self.set.max_retry_after } else { 0 };
+            actions.push(Action::Refuse { request, retry_after });
+        } else {
+            actions.push(Action::Fail { request });
+        }
+        let (tried, unanswered, doubtful) = (!held.attempts.is_empty(), held.out() > 0, held.doubtful);
+        if unanswered && doubtful {
+            self.doubtful_ended(false);
+        } else if unanswered {
+            self.known_late += (1.0 - self.known_late) / LATE_SPAN;
+        }
+        if tried {
+            self.note_end(true);
+        }
+        self.cancel_pending(serial, actions);
+        self.forget(serial);
+    }
+
+    fn cancel_pending(&mut self, serial: u64, actions: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&serial) else { return };
+        if !self.set.cancel {
+            return;
+        }
+        for (attempt, a) in held.attempts.iter().enumerate() {
+            if a.pending() {
+                actions.push(Action::Cancel { request: held.request.id.clone(), attempt });
+            }
+        }
+    }
+
+    fn forget(&mut self, serial: u64) {
+        if let Some(held) = self.held.remove(&serial) {
+            self.ids.remove(&held.request.id);
+        }
+    }
+
+    fn on_timer(&mut self, now: Micros, token: u64, actions: &mut Vec<Action>) {
+        let serial = token >> 2;
+        match token & 3 {
+            LIST => {
+                self.list_planned = false;
+                actions.push(Action::Subscribe(true));
+            }
+            HEDGE => {
+                self.note_silence(now, serial, actions);
+                let Some(held) = self.held.get(&serial) else { return };
+                let copies = self.set.second_copies && !held.streaming && !held.missed;
+                if copies
+                    && held.out() == 1
+                    && self.retry_tokens >= 1.0
+                    && self.send_next(now, serial, actions)
+                {
+                    self.retry_tokens -= 1.0;
+                }
+            }
+            _ => {
+                if self.held.get(&serial).is_some_and(|h| !h.streaming) {
+                    self.finish(now, serial, actions);
+                }
+            }
+        }
+    }
+
+    fn log(&mut self, text: String, actions: &mut Vec<Action>) {
+        if self.logged < LOG_LINES {
+            self.logged += 1;
+            actions.push(Action::Log(text));
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "rules_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/rules_tests.rs
@@ -0,0 +1,422 @@
+//! Parts of the module against small hand-worked cases.
+
+use super::*;
+
+fn entry(name: &str) -> Entry {
+    Entry {
+        server: name.into(),
+        weight: 1.0,
+        zone: Some(0),
+        kind: Some(0),
+        state: ServerState::Live,
+        started: None,
+        cell: None,
+    }
+}
+
+fn line(n: usize) -> Line {
+    let mut line = Line::default();
+    for i in 0..n {
+        line.join(Server::new(entry(&format!("s{i}"))));
+    }
+    line.update(&vec![1.0; n], 1.0);
+    line.reindex();
+    line
+}
+
+#[test]
+fn cuts_fall_at_midpoints_of_neighbouring_points() {
+    let points = [0.1, 0.2, 0.4, 0.6, 0.7, 0.9];
+    let cuts = equal_counts(&points, 0.0, &[1.0, 1.0, 1.0]);
+    assert_eq!(cuts.len(), 3);
+    assert!((cuts[0] - 0.3).abs() < 1e-9 && (cuts[1] - 0.65).abs() < 1e-9 && cuts[2] == 1.0, "{cuts:?}");
+}
+
+#[test]
+fn counts_follow_weights() {
+    let points = [0.1, 0.2, 0.4, 0.6, 0.7, 0.9];
+    let cuts = equal_counts(&points, 0.0, &[1.0, 2.0, 3.0]);
+    assert!((cuts[0] - 0.15).abs() < 1e-9 && (cuts[1] - 0.5).abs() < 1e-9, "{cuts:?}");
+}
+
+#[test]
+fn an_empty_window_cuts_evenly() {
+    let cuts = equal_counts(&[], 64.0, &[1.0; 4]);
+    for (cut, want) in cuts.iter().zip([0.25, 0.5, 0.75, 1.0]) {
+        assert!((cut - want).abs() < 1e-9);
+    }
+}
+
+#[test]
+fn real_points_are_weighed_against_the_even_mass() {
+    // 4 points low on the line, 4 even: half of all lies below x where 4 x + 4 = 4.
+    let cuts = equal_counts(&[0.01, 0.02, 0.03, 0.04], 4.0, &[1.0, 1.0]);
+    assert!(cuts[0] > 0.0 && cuts[0] < 0.2, "{cuts:?}");
+}
+
+#[test]
+fn a_heavy_point_fills_ranges_of_its_own() {
+    let cuts = equal_counts(&[0.2, 0.5, 0.5, 0.5, 0.5, 0.8], 0.0, &[1.0; 6]);
+    assert_eq!(&cuts[1..4], &[0.5, 0.5, 0.5]);
+}
+
+#[test]
+fn blending_moves_part_of_the_way() {
+    let mut line = line(2);
+    for _ in 0..16 {
+        line.arrive(0.1, None);
+    }
+    let cut = line.current_cuts(&[1.0, 1.0])[0];
+    line.update(&[1.0, 1.0], 0.25);
+    assert!((line.servers[0].edge - (0.75 * 0.5 + 0.25 * cut)).abs() < 1e-9);
+}
+
+#[test]
+fn a_leaver_goes_to_its_neighbours_and_others_keep_their_ranges() {
+    let mut line = line(5);
+    line.leave(2);
+    let edges: Vec<f64> = line.servers.iter().map(|s| s.edge).collect();
+    for (edge, want) in edges.iter().zip([0.2, 0.5, 0.8, 1.0]) {
+        assert!((edge - want).abs() < 1e-9, "{edges:?}");
+    }
+}
+
+#[test]
+fn a_joiner_splits_its_neighbours_only() {
+    let mut line = line(6);
+    let before: Vec<(ServerId, f64)> =
+        line.servers.iter().map(|s| (s.entry.server.clone(), s.edge)).collect();
+    line.join(Server::new(entry("joiner")));
+    let moved = line
+        .servers
+        .iter()
+        .filter(|s| before.iter().any(|(id, e)| *id == s.entry.server && (e - s.edge).abs() > 1e-9))
+        .count();
+    assert!(moved <= 1);
+    assert!(line.servers.windows(2).all(|w| w[0].edge <= w[1].edge));
+    assert_eq!(line.servers.last().unwrap().edge, 1.0);
+}
+
+#[test]
+fn order_is_the_same_however_the_servers_came() {
+    let mut a = Line::default();
+    let mut b = Line::default();
+    for i in 0..20 {
+        a.join(Server::new(entry(&format!("s{i}"))));
+        b.join(Server::new(entry(&format!("s{}", 19 - i))));
+    }
+    let ids = |l: &Line| l.servers.iter().map(|s| s.entry.server.clone()).collect::<Vec<_>>();
+    assert_eq!(ids(&a), ids(&b));
+}
+
+#[test]
+fn a_key_over_its_share_is_dealt() {
+    let mut line = line(10);
+    let mut rng = Rng(1);
+    for i in 0..400 {
+        let key = if i % 3 == 0 { 77 } else { (rng.next() * 1e9) as u64 };
+        line.arrive(point(key), Some(key));
+    }
+    assert!((3..=5).contains(&line.deal_width(77)), "{}", line.deal_width(77));
+    assert_eq!(line.deal_width(78), 1);
+}
+
+#[test]
+fn quiet_nodes_agree_on_most_homes() {
+    let (mut a, mut b) = (line(40), line(40));
+    let mut rng = Rng(5);
+    for _ in 0..200 {
+        a.arrive(rng.next(), None);
+        b.arrive(rng.next(), None);
+    }
+    a.update(&[1.0; 40], 1.0);
+    b.update(&[1.0; 40], 1.0);
+    let same =
+        (0..1000).filter(|i| a.home(f64::from(*i) / 1000.0) == b.home(f64::from(*i) / 1000.0)).count();
+    assert!(same > 900, "{same}");
+}
+
+fn settings(price_cross_zone: f64) -> Settings {
+    Settings {
+        classes: vec![Class {
+            aim: 150_000,
+            aim_stretch: 0.0,
+            deadline: 600_000,
+            repeat: Repeat::Free,
+            scope: Scope::All,
+            window: 0,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: false,
+        }],
+        tenants: vec![],
+        nodes: 4,
+        zone: Some(0),
+        ask: false,
+        ask_within: 0,
+        mode: Mode::Through,
+        origin_kind: None,
+        origin_fall_multiple: 0.0,
+        weights: Weights::None,
+        by_work: false,
+        over_share_worth: 0.1,
+        tick: 2_000,
+        max_attempts: 4,
+        max_open: 1000,
+        cancel: true,
+        probes: false,
+        second_copies: false,
+        max_retry_after: 0,
+        connect_timeout: 75_000,
+        drain_grace: 500_000,
+        cold_from: 0.2,
+        cold: 10_000_000,
+        fall_multiple: 3.0,
+        fall: 2_000_000,
+        answer_slack: 8_000,
+        price_cross_zone,
+        price_origin: 0.0,
+    }
+}
+
+fn node(price_cross_zone: f64, servers: u16) -> Balancer {
+    let mut node = Balancer::new(settings(price_cross_zone), 1, 0).unwrap();
+    let list = (0..servers).map(|i| Entry { zone: Some(i % 2), ..entry(&format!("s{i}")) }).collect();
+    node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
+    node
+}
+
+fn ask(node: &mut Balancer, now: Micros, n: u32) -> Option<ServerId> {
+    let request = Request {
+        id: format!("r{n}").into(),
+        class: 0,
+        tenant: None,
+        key: Some(format!("k{n}").into()),
+        budget: 600_000,
+        work: None,
+        size: None,
+        retry: false,
+        write: false,
+    };
+    let mut actions = Vec::new();
+    node.handle(now, Event::Request(request), &mut actions);
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(server.clone()),
+        _ => None,
+    })
+}
+
+fn end(node: &mut Balancer, now: Micros, n: u32, server: &ServerId, status: Status) -> Vec<Action> {
+    let mut actions = Vec::new();
+    let event = Event::Outcome {
+        request: format!("r{n}").into(),
+        server: server.clone(),
+        attempt: 0,
+        latency: 1_000,
+        status,
+        closed: status == Status::Ok,
+        note: None,
+        load: None,
+    };
+    node.handle(now, event, &mut actions);
+    actions
+}
+
+#[test]
+fn a_zone_has_its_own_line_only_where_crossing_is_dear() {
+    let zones = |node: &Balancer| node.line.servers.iter().filter(|s| s.entry.zone == Some(1)).count();
+    assert_eq!(zones(&node(0.2, 8)), 0);
+    assert_eq!(zones(&node(0.01, 8)), 4);
+    assert_eq!(zones(&node(0.2, 2)), 1);
+}
+
+#[test]
+fn a_failing_origin_shuts_out_unknown_keys_before_known_ones() {
+    let mut node = node(0.0, 8);
+    node.known_late = 0.5;
+    for n in 0..200 {
+        if let Some(server) = ask(&mut node, i64::from(n) * 1000, n) {
+            end(&mut node, i64::from(n) * 1000, n, &server, Status::Error);
+        }
+    }
+    node.served.extend((1000..1200).map(|n| (hash(&format!("k{n}")), 0)));
+    let unknown = (500..700).filter(|n| ask(&mut node, 300_000, *n).is_some()).count();
+    let known = (1000..1200).filter(|n| ask(&mut node, 300_000, *n).is_some()).count();
+    assert!(unknown < 50 && known > 120, "{unknown} unknown, {known} known of 200");
+}
+
+#[test]
+fn failed_fetches_alone_are_no_jam() {
+    // A lone miss may outlast the aim by itself: while known keys are answered nothing is refused for it.
+    let mut node = node(0.0, 8);
+    for n in 0..200 {
+        let server = ask(&mut node, i64::from(n) * 1000, n).expect("sent");
+        end(&mut node, i64::from(n) * 1000, n, &server, Status::Error);
+    }
+    assert_eq!(node.admit, 1.0);
+}
+
+#[test]
+fn late_fetches_lower_admission_too() {
+    for (took, least, most) in [(100_000, 1.0, 1.0), (400_000, 0.0, 0.5)] {
+        let mut node = node(0.0, 8);
+        node.known_late = 0.5;
+        node.set.classes[0].late_worth = 0.25;
+        for n in 0..100 {
+            let now = i64::from(n) * 1000;
+            if let Some(server) = ask(&mut node, now, n) {
+                end(&mut node, now + took, n, &server, Status::Ok);
+            }
+        }
+        assert!((least..=most).contains(&node.admit), "{} after {took}", node.admit);
+    }
+}
+
+#[test]
+fn a_jam_is_tried_now_and_then_and_failed_keys_are_no_longer_known() {
+    let mut node = node(0.0, 8);
+    (node.admit, node.known_late) = (ADMIT_LEAST, 0.5);
+    let sent = (0..100).filter(|n| ask(&mut node, 700_000 * i64::from(*n), *n).is_some()).count();
+    assert_eq!(sent, 99, "one trial in each longest time");
+    node.admit = 1.0;
+    let server = ask(&mut node, 80_000_000, 500).expect("sent");
+    end(&mut node, 80_001_000, 500, &server, Status::Ok);
+    assert!(node.served.contains_key(&hash("k500")));
+    let event = |n: u32| (n, hash("k500"));
+    let (n, key) = event(501);
+    ask(&mut node, 80_002_000, n);
+    if let Some(held) = node.held.values_mut().last() {
+        held.key = Some(key);
+        held.doubtful = false;
+    }
+    end(&mut node, 80_003_000, n, &server, Status::Error);
+    assert!(!node.served.contains_key(&key));
+}
+
+/// Lets requests pass their patience unanswered at one server; the number it took to make it sick.
+fn silent_until_sick(node: &mut Balancer, known: bool) -> Option<usize> {
+    let target = node.line.servers[3].entry.server.clone();
+    let mut silent = 0;
+    for n in 0..400 {
+        let now = 10_000_000 + i64::from(n) * 1000;
+        if ask(node, now, n) != Some(target.clone()) {
+            continue;
+        }
+        let (serial, held) = node.held.iter_mut().last().unwrap();
+        held.doubtful = !known;
+        let token = *serial << 2 | HEDGE;
+        node.handle(now + 100_000, Event::Timer(token), &mut Vec::new());
+        silent += 1;
+        if node.line.servers[3].sick() {
+            return Some(silent);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_silent_server_is_sick_unless_much_is_slow() {
+    assert!((2..=3).contains(&silent_until_sick(&mut node(0.0, 8), true).expect("sick")));
+    let mut slow = node(0.0, 8);
+    slow.slow = 0.7;
+    assert!(silent_until_sick(&mut slow, true).is_none_or(|n| n > 10));
+}
+
+#[test]
+fn an_overrun_server_spills_to_sound_neighbours_and_refuses_with_none() {
+    let mut node = node(0.0, 8);
+    node.line.servers[3].pass = 0.5;
+    node.line.updates = 1e9; // the cuts stay
+    let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
+    let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
+    let id = node.line.servers[3].entry.server.clone();
+    let stay = mine.iter().filter(|n| ask(&mut node, 1000, **n) == Some(id.clone())).count();
+    let part = stay as f64 / mine.len() as f64;
+    assert!((0.4..0.6).contains(&part), "{part}");
+    for server in &mut node.line.servers {
+        server.pass = 0.5;
+    }
+    for (late, least, most) in [(0.0, 0.99, 1.0), (0.5, 0.4, 0.6)] {
+        node.late = late;
+        let sent = mine.iter().filter(|n| ask(&mut node, 2000, **n + 5000 * (late * 2.0) as u32).is_some());
+        let part = sent.count() as f64 / mine.len() as f64;
+        assert!((least - 0.1..=most + 0.1).contains(&part), "{part} while {late} late");
+    }
+}
+
+#[test]
+fn silence_counts_against_the_pass_for_known_keys_only() {
+    for known in [true, false] {
+        let mut node = node(0.0, 8);
+        silent_until_sick(&mut node, known);
+        assert_eq!(node.line.servers[3].pass < 1.0, known);
+    }
+}
+
+#[test]
+fn a_cold_home_is_spared_when_all_others_are_overrun() {
+    let mut node = node(0.0, 8);
+    node.line.updates = 1e9;
+    for (i, server) in node.line.servers.iter_mut().enumerate() {
+        server.pass = 0.5;
+        server.entry.started = (i == 3).then_some(0);
+    }
+    let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
+    let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
+    let id = node.line.servers[3].entry.server.clone();
+    let sent = mine.iter().filter(|n| ask(&mut node, 1000, **n) == Some(id.clone())).count();
+    assert!(sent as f64 / (mine.len() as f64) < 0.4, "{sent} of {}", mine.len());
+}
+
+#[test]
+fn nodes_that_learned_other_speeds_agree_on_most_homes() {
+    let servers = |node: &mut Balancer| {
+        let list = (0..80).map(|i| Entry { kind: Some(i % 2), ..entry(&format!("s{i}")) }).collect();
+        node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
+    };
+    let (mut a, mut b) = (node(0.0, 0), node(0.0, 0));
+    servers(&mut a);
+    b.pace.kinds = vec![(0.0, 0.0), (-0.125 * 1e6, 1e6), (0.125 * 1e6, 1e6)];
+    servers(&mut b);
+    b.weigh();
+    b.line.update(&b.weights.clone(), 1.0);
+    let at = |i: usize| i as f64 / 4000.0;
+    let same = (0..4000).filter(|i| a.line.home(at(*i)) == b.line.home(at(*i))).count();
+    assert!(same > 3200, "{same} of 4000");
+}
+
+#[test]
+fn second_attempts_fade_when_answers_are_late() {
+    let mut node = node(0.0, 8);
+    (node.late, node.retry_tokens) = (0.5, 0.0);
+    for n in 0..50 {
+        if let Some(server) = ask(&mut node, 1000, n) {
+            let again = end(&mut node, 1000, n, &server, Status::Full);
+            assert!(!again.iter().any(|a| matches!(a, Action::Send { .. })));
+        }
+    }
+}
+
+#[test]
+fn refused_connections_move_keys_even_when_most_servers_refuse() {
+    let mut node = node(0.0, 8);
+    let open = node.line.servers[3].entry.server.clone();
+    for server in node.line.servers.iter().map(|s| s.entry.server.clone()).collect::<Vec<_>>() {
+        if server != open {
+            node.judge(1000, &server, Some(Status::ConnectFailed), &mut Vec::new());
+        }
+    }
+    assert!((0..40).all(|n| ask(&mut node, 2000, n) == Some(open.clone())));
+}
+
+#[test]
+fn a_second_attempt_waits_for_the_first_where_copies_are_not_allowed() {
+    let mut node = node(0.0, 8);
+    ask(&mut node, 1000, 1);
+    let held = node.held.values().next().unwrap();
+    let to = &node.line.servers[0].entry;
+    assert_eq!(held.out(), 1);
+    assert!(!held.may_send(&node.set, to, 1000));
+    let copies = Settings { second_copies: true, ..node.set.clone() };
+    assert!(held.may_send(&copies, to, 1000));
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,307 @@
+//! The settings object of an instance, and the names it uses: one reading for the bench's wire and for a
+//! real node's configuration.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::sync::Arc;
+
+use serde_json::{Map, Value};
+
+use crate::interface::{Class, Entry, Micros, Mode, Repeat, Scope, ServerState, Settings, Tenant, Weights};
+
+/// What is wrong with a line: the field and why.
+#[derive(Debug)]
+pub struct Bad {
+    field: String,
+    why: String,
+    item: Option<usize>,
+}
+
+impl Bad {
+    /// A field and what is wrong with it.
+    pub fn new(field: &str, why: impl Into<String>) -> Bad {
+        Bad { field: field.to_string(), why: why.into(), item: None }
+    }
+
+    /// Names the item of a batch, unless one is named already.
+    pub fn at(mut self, item: usize) -> Bad {
+        self.item.get_or_insert(item);
+        self
+    }
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(item) = self.item {
+            write!(f, "item {item}: ")?;
+        }
+        write!(f, "field {}: {}", self.field, self.why)
+    }
+}
+
+/// Typed access to the fields of an object.
+pub struct Fields<'a>(&'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    /// The fields of a value that has to be an object.
+    pub fn of(value: &'a Value, name: &str) -> Result<Fields<'a>, Bad> {
+        value.as_object().map(Fields).ok_or_else(|| Bad::new(name, "is not an object"))
+    }
+
+    /// The field unless absent or null.
+    pub fn opt(&self, name: &str) -> Option<&'a Value> {
+        self.0.get(name).filter(|v| !v.is_null())
+    }
+
+    /// The field, which has to be there.
+    pub fn get(&self, name: &str) -> Result<&'a Value, Bad> {
+        self.opt(name).ok_or_else(|| Bad::new(name, "is missing"))
+    }
+
+    /// Text.
+    pub fn text(&self, name: &str) -> Result<&'a str, Bad> {
+        self.get(name)?.as_str().ok_or_else(|| Bad::new(name, "is not text"))
+    }
+
+    /// A whole number.
+    pub fn int(&self, name: &str) -> Result<i64, Bad> {
+        self.get(name)?.as_i64().ok_or_else(|| Bad::new(name, "is not a whole number"))
+    }
+
+    /// A whole number of 64 bits, signed or not.
+    pub fn seed(&self, name: &str) -> Result<u64, Bad> {
+        let v = self.get(name)?;
+        v.as_u64()
+            .or_else(|| v.as_i64().map(|n| n as u64))
+            .ok_or_else(|| Bad::new(name, "is not a whole number"))
+    }
+
+    /// A number.
+    pub fn number(&self, name: &str) -> Result<f64, Bad> {
+        self.get(name)?.as_f64().ok_or_else(|| Bad::new(name, "is not a number"))
+    }
+
+    /// A number, or the default where it is absent.
+    pub fn number_or(&self, name: &str, default: f64) -> Result<f64, Bad> {
+        self.opt(name).map_or(Ok(default), |_| self.number(name))
+    }
+
+    /// A number, if there.
+    pub fn opt_number(&self, name: &str) -> Result<Option<f64>, Bad> {
+        self.opt(name).map(|_| self.number(name)).transpose()
+    }
+
+    /// Wire milliseconds to microseconds.
+    pub fn micros(&self, name: &str) -> Result<Micros, Bad> {
+        Ok((self.number(name)? * 1000.0).round() as Micros)
+    }
+
+    /// Wire milliseconds to microseconds, or the default.
+    pub fn micros_or(&self, name: &str, default: Micros) -> Result<Micros, Bad> {
+        self.opt(name).map_or(Ok(default), |_| self.micros(name))
+    }
+
+    /// True or false.
+    pub fn flag(&self, name: &str) -> Result<bool, Bad> {
+        self.get(name)?.as_bool().ok_or_else(|| Bad::new(name, "is not true or false"))
+    }
+
+    /// True or false, or the default where it is absent.
+    pub fn flag_or(&self, name: &str, default: bool) -> Result<bool, Bad> {
+        self.opt(name).map_or(Ok(default), |_| self.flag(name))
+    }
+
+    /// An array.
+    pub fn array(&self, name: &str) -> Result<&'a Vec<Value>, Bad> {
+        self.get(name)?.as_array().ok_or_else(|| Bad::new(name, "is not an array"))
+    }
+}
+
+/// A list entry with its labels still as names.
+pub struct RawEntry {
+    /// Server.
+    pub server: Arc<str>,
+    /// Listed weight.
+    pub weight: f64,
+    /// Zone, if told.
+    pub zone: Option<String>,
+    /// Kind, if told.
+    pub kind: Option<String>,
+    /// State.
+    pub state: ServerState,
+    /// When it last started; none: long ago.
+    pub started: Option<Micros>,
+    /// Cell, if told.
+    pub cell: Option<u32>,
+}
+
+/// Names of one instance, numbered as the settings list them; new labels are added as met.
+pub struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: RefCell<Vec<String>>,
+    kinds: RefCell<Vec<String>>,
+}
+
+fn find(list: &[String], name: &str) -> Option<usize> {
+    list.iter().position(|n| n == name)
+}
+
+fn label(list: &RefCell<Vec<String>>, name: &str) -> u16 {
+    let mut list = list.borrow_mut();
+    let at = find(&list, name).unwrap_or_else(|| {
+        list.push(name.to_string());
+        list.len() - 1
+    });
+    u16::try_from(at).unwrap_or(u16::MAX)
+}
+
+impl Names {
+    /// A class by its name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        find(&self.classes, name)
+    }
+
+    /// A tenant by its name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        find(&self.tenants, name)
+    }
+
+    /// An entry with its labels numbered.
+    pub fn entry(&self, raw: &RawEntry) -> Entry {
+        Entry {
+            server: raw.server.clone(),
+            weight: raw.weight,
+            zone: raw.zone.as_deref().map(|name| label(&self.zones, name)),
+            kind: raw.kind.as_deref().map(|name| label(&self.kinds, name)),
+            state: raw.state,
+            started: raw.started,
+            cell: raw.cell,
+        }
+    }
+}
+
+fn names(f: &Fields, field: &str) -> Result<Vec<String>, Bad> {
+    let Some(value) = f.opt(field) else { return Ok(Vec::new()) };
+    let list = value.as_array().ok_or_else(|| Bad::new(field, "is not an array"))?;
+    list.iter()
+        .map(|v| v.as_str().map(str::to_string).ok_or_else(|| Bad::new(field, "holds something not text")))
+        .collect()
+}
+
+fn class(value: &Value) -> Result<(String, Class), Bad> {
+    let f = Fields::of(value, "classes")?;
+    let repeat = match f.text("repeat")? {
+        "free" => Repeat::Free,
+        "guarded" => Repeat::Keyed,
+        "single_shot" => Repeat::Unsafe,
+        other => return Err(Bad::new("repeat", format!("{other:?} is not known"))),
+    };
+    let keyed = repeat == Repeat::Keyed;
+    let scope = match if keyed { f.text("dedup_scope")? } else { "all" } {
+        "all" => Scope::All,
+        "zone" => Scope::Zone,
+        "cell" => Scope::Cell,
+        other => return Err(Bad::new("dedup_scope", format!("{other:?} is not known"))),
+    };
+    let class = Class {
+        aim: f.micros("aim")?,
+        aim_stretch: f.number_or("aim_stretch", 0.0)?,
+        deadline: f.micros("deadline")?,
+        repeat,
+        scope,
+        window: if keyed { f.micros("window")? } else { f.micros_or("window", 0)? },
+        worth: f.number_or("worth", 1.0)?,
+        late_worth: f.number_or("late_share", 0.0)?,
+        stream: f.flag_or("stream", false)?,
+    };
+    Ok((f.text("name")?.to_string(), class))
+}
+
+/// Settings and names from the wire's object; what a rule depends on must be there.
+pub fn parse(f: &Fields) -> Result<(Settings, Names), Bad> {
+    let (class_names, classes) =
+        f.array("classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?.into_iter().unzip();
+    let mut tenants = Vec::new();
+    let mut tenant_names = Vec::new();
+    if let Some(list) = f.opt("realms") {
+        for value in list.as_array().ok_or_else(|| Bad::new("realms", "is not an array"))? {
+            let t = Fields::of(value, "realms")?;
+            tenant_names.push(t.text("name")?.to_string());
+            tenants.push(Tenant {
+                quota_per_s: t.number_or("quota_per_s", 0.0)?,
+                share: t.number_or("share", 0.0)?,
+            });
+        }
+    }
+    let zones = names(f, "zones")?;
+    let kinds = names(f, "kinds")?;
+    let limits = Fields::of(f.get("policy_limits")?, "policy_limits")?;
+    let rules = Fields::of(f.get("rules")?, "rules")?;
+    let empty = Value::Object(Default::default());
+    let sub = |name| Fields::of(f.opt(name).unwrap_or(&empty), name);
+    let (prices, domain) = (sub("prices")?, sub("domain")?);
+    let ask = match f.text("discovery")? {
+        "push" => false,
+        "ask" => true,
+        other => return Err(Bad::new("discovery", format!("{other:?} is not known"))),
+    };
+    let mode = match domain.opt("mode").map(|_| domain.text("mode")).transpose()? {
+        Some("aside") => Mode::Aside,
+        Some("through") | None => Mode::Through,
+        Some(other) => return Err(Bad::new("domain.mode", format!("{other:?} is not known"))),
+    };
+    let weights = match f.opt("weights").and_then(Value::as_str) {
+        Some("nominal") | Some("rough") => Weights::Size,
+        Some("live") => Weights::Live,
+        _ => Weights::None,
+    };
+    let settings = Settings {
+        classes,
+        tenants,
+        nodes: usize::try_from(f.int("replicas_of_me")?)
+            .map_err(|_| Bad::new("replicas_of_me", "is below zero"))?,
+        zone: match f.opt("zone").and_then(Value::as_str) {
+            Some(name) => find(&zones, name).map(|i| i as u16),
+            None => None,
+        },
+        ask,
+        ask_within: if ask { rules.micros("ask_within")? } else { rules.micros_or("ask_within", 0)? },
+        mode,
+        origin_kind: match domain.opt("origin_kind").map(|_| domain.int("origin_kind")).transpose()? {
+            Some(kind) if kind >= 0 => u16::try_from(kind).ok(),
+            _ => None,
+        },
+        origin_fall_multiple: domain.number_or("origin_fall_multiple", 0.0)?,
+        weights,
+        by_work: f.opt("value_by").and_then(Value::as_str) == Some("work"),
+        over_share_worth: f.number_or("over_share_worth", 1.0)?,
+        tick: f.micros_or("period", 1000)?,
+        max_attempts: usize::try_from(limits.int("try_limit")?).unwrap_or(0),
+        max_open: limits.opt("max_open").and_then(Value::as_u64).unwrap_or(u64::MAX) as usize,
+        cancel: limits.flag_or("cancel", false)?,
+        probes: limits.flag_or("probes", false)?,
+        second_copies: limits.flag("second_copies")?,
+        max_retry_after: if limits.flag_or("retry_after", false)? {
+            limits.micros_or("max_retry_after", 0)?
+        } else {
+            0
+        },
+        connect_timeout: limits.micros_or("connect_timeout", 0)?,
+        drain_grace: rules.micros("stop_sending_within")?,
+        cold_from: rules.number("cold_from")?,
+        cold: rules.micros("cold")?,
+        fall_multiple: rules.number("fall_multiple")?,
+        fall: rules.micros("fall")?,
+        answer_slack: rules.micros("grace_to_answer")?,
+        price_cross_zone: prices.number_or("cross_zone", 0.0)?,
+        price_origin: prices.number_or("origin", 0.0)?,
+    };
+    let names = Names {
+        classes: class_names,
+        tenants: tenant_names,
+        zones: RefCell::new(zones),
+        kinds: RefCell::new(kinds),
+    };
+    Ok((settings, names))
+}
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,125 @@
+//! The adapter on transcripts of the project's own: replies, bad input, splits over processes.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn run(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cobaltfront-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The adapter may end before it has read everything; its verdict is what is tested.
+    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+    child.wait_with_output().unwrap()
+}
+
+fn create(node: u32) -> String {
+    format!(
+        r#"{{"t":"CREATE","node":{node},"random_seed":{node},"options":{{"classes":[{{"name":"get","aim":100.0,"deadline":300.0,"repeat":"free","worth":1.0}}],"discovery":"push","replicas_of_me":2,"policy_limits":{{"try_limit":3,"second_copies":true}},"rules":{{"stop_sending_within":500.0,"cold_from":0.2,"cold":9000.0,"fall_multiple":3.0,"fall":1000.0,"grace_to_answer":8.0}},"novelty":1}}}}"#
+    )
+}
+
+const LIST: &str = r#"{"t":"REGISTER","roster_id":3,"elements":[{"server":"a","mode":"live"},{"server":"b","mode":"live"},{"server":"c","mode":"live"}]}"#;
+
+fn members(node: u32) -> String {
+    format!(r#"{{"t":"MEMBERSHIP","node":{node},"stamp":1,"roster_id":3,"mode":"Persisted"}}"#)
+}
+
+fn request(node: u32, n: u32) -> String {
+    format!(
+        r#"{{"t":"REQUEST","node":{node},"req":"q{n}","tier_class":"get","key":"k{}","time_budget":300.0,"mutates":false}}"#,
+        n % 9
+    )
+}
+
+fn batch(ts: u32, items: &[String]) -> String {
+    format!("{{\"ts\":{ts}.0,\"items\":[{}]}}\n", items.join(","))
+}
+
+fn actions(line: &str) -> Vec<serde_json::Value> {
+    let value: serde_json::Value = serde_json::from_str(line).unwrap();
+    value["do"].as_array().unwrap().clone()
+}
+
+#[test]
+fn a_request_is_sent_and_ended_in_time() {
+    let first = batch(0, &[create(1), LIST.into(), members(1)]);
+    let wake = batch(299, &[r#"{"t":"WAKE","node":1,"ref":0}"#.into()]);
+    let out = run(&(batch(0, &[]) + &first + &batch(1, &[request(1, 0)]) + &wake));
+    assert!(out.status.success(), "{out:?}");
+    let text = String::from_utf8(out.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines[0], r#"{"do":[]}"#);
+    let sent = actions(lines[2]);
+    assert!(sent.iter().any(|a| a["t"] == "ISSUE" && a["req"] == "q0" && a["node"] == 1));
+    assert!(actions(lines[3]).iter().any(|a| a["t"] == "BOUNCE" && a["req"] == "q0"));
+}
+
+#[test]
+fn a_stop_and_a_start_in_one_batch_leave_an_empty_instance() {
+    let first = batch(0, &[create(1), LIST.into(), members(1), request(1, 0)]);
+    let again = batch(5, &[r#"{"t":"KILL","node":1}"#.into(), create(1), LIST.into(), members(1)]);
+    let old = r#"{"t":"OUTCOME","node":1,"req":"q0","spent":1.0,"server":"a","reason":5,"seq_no":0,"last":false}"#;
+    let out = run(&(first + &again + &batch(6, &[old.into()])));
+    assert!(out.status.success());
+    let text = String::from_utf8(out.stdout).unwrap();
+    // The old request is forgotten: its late outcome gets no further attempt and no answer.
+    assert!(actions(text.lines().last().unwrap()).iter().all(|a| a["t"] == "RECORD"));
+}
+
+#[test]
+fn instances_act_alike_in_one_process_and_in_two() {
+    let day = |nodes: &[u32]| {
+        let mut items: Vec<String> = vec![];
+        for n in nodes {
+            items.extend([create(*n), LIST.into(), members(*n)]);
+        }
+        let mut input = batch(0, &items);
+        for i in 0..200 {
+            let items: Vec<String> = nodes.iter().map(|n| request(*n, i * 10 + n)).collect();
+            input += &batch(1 + i, &items);
+        }
+        let text = String::from_utf8(run(&input).stdout).unwrap();
+        text.lines().flat_map(actions).collect::<Vec<_>>()
+    };
+    let both = day(&[1, 2]);
+    for node in [1, 2] {
+        let alone = day(&[node]);
+        let part: Vec<_> = both.iter().filter(|a| a["node"] == node).cloned().collect();
+        assert_eq!(alone, part);
+    }
+}
+
+#[test]
+fn bad_input_is_named_in_one_line_and_ends_the_run() {
+    let start = batch(0, &[create(1), LIST.into(), members(1)]);
+    let cases = [
+        ("nonsense\n".to_string(), "line"),
+        ("{\"items\":[]}\n".to_string(), "ts"),
+        ("{\"ts\":1.0}\n".to_string(), "items"),
+        (batch(1, &[request(7, 0)]), "node"),
+        (batch(1, &[request(1, 0).replace("300.0", "\"x\"")]), "time_budget"),
+        (batch(1, &[members(1).replace(":3,", ":4,")]), "roster_id"),
+        (batch(1, &[create(2).replace("\"cold\":9000.0,", "")]), "cold"),
+        (batch(1, &[create(2).replace("\"replicas_of_me\":2", "\"replicas_of_me\":0")]), "nodes"),
+    ];
+    for (line, field) in cases {
+        let out = run(&(start.clone() + &line));
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(2), "{line}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.contains("input line 2") && said.contains(field), "{said}");
+        assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1);
+    }
+}
+
+#[test]
+fn unknown_events_are_skipped_and_said_once() {
+    let odd = r#"{"t":"NOVELTY","node":9}"#.to_string();
+    let out = run(&(batch(0, &[odd.clone(), odd.clone()]) + &batch(1, &[odd])));
+    assert!(out.status.success());
+    assert_eq!(String::from_utf8(out.stderr).unwrap().lines().count(), 1);
+    assert_eq!(String::from_utf8(out.stdout).unwrap(), "{\"do\":[]}\n{\"do\":[]}\n");
+}
