--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,519 @@
+//! The built node over loopback: each test fails without what it guards.
+
+mod support;
+
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use support::*;
+
+const BUSY: &str = "-BUSY";
+const FAILED: &str = "-ERR failed";
+
+/// One request to one server that does this; the client's answer. `-BUSY` says that it cannot have run.
+fn outcome(serve: impl FnOnce(Peer)) -> String {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    serve(conn);
+    client.line()
+}
+
+#[test]
+fn a_request_goes_on_unchanged_but_for_the_wait_and_the_value_comes_back() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    let fields = b"x=odd,r=1,size=7,h=900,d=15000,t=acme,c=once,k=5c0f";
+    client.send(command(&[b"C.SET", b"k1", b"id-1", fields, b"value"]));
+    let mut conn = accept(&server);
+    let got = conn.command();
+    assert_eq!((&got[..3], &got[4][..]), (&["C.SET".into(), "k1".into(), "id-1".into()][..], "value"));
+    let (before, rest) = got[3].split_once("d=").unwrap();
+    let (wait, after) = rest.split_once(',').unwrap();
+    assert_eq!((before, after), ("x=odd,r=1,size=7,h=900,", "t=acme,c=once,k=5c0f"));
+    assert!((1..=15_000).contains(&wait.parse::<i64>().unwrap()), "{wait}");
+    conn.send(served(b"receipt"));
+    assert_eq!(client.bulk(), b"receipt");
+    // The connection is used again.
+    client.get("id-2");
+    assert_eq!(conn.command()[2], "id-2");
+    conn.send(served(b"two"));
+    assert_eq!(client.bulk(), b"two");
+}
+
+#[test]
+fn error_answers() {
+    assert_eq!(outcome(|mut conn| conn.send("-ERR failed inflight=3,queue=1\r\n")), FAILED);
+    assert_eq!(outcome(|mut conn| conn.send("-BUSY\r\n")), BUSY);
+}
+
+#[test]
+fn a_break_after_the_last_byte_may_have_run() {
+    assert_eq!(outcome(|conn| conn.reset()), FAILED);
+    assert_eq!(outcome(drop), FAILED);
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    drop(server);
+    let mut client = node.client();
+    client.get("r1");
+    assert_eq!(client.line(), BUSY);
+}
+
+#[test]
+fn a_break_before_the_last_byte_never_ran() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    // More than the kernel takes from the node while the server reads nothing.
+    socket2::SockRef::from(&server).set_recv_buffer_size(4096).unwrap();
+    let value = vec![b'v'; 4 << 20];
+    client.send(command(&[b"C.SET", b"k1", b"r1", b"c=once,d=20000", &value]));
+    let mut conn = accept(&server);
+    conn.until(b"C.SET");
+    conn.reset();
+    assert_eq!(client.line(), BUSY);
+}
+
+#[test]
+fn silence_ends_at_the_deadline_and_gives_the_attempt_up() {
+    let server = listener();
+    let mut set = settings();
+    set["classes"][1]["aim"] = json!(300.0);
+    let node = Node::start(set, &[target("s-1", &server)], |_| {});
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    assert_eq!(client.line(), FAILED);
+    assert_eq!(conn.end(), "");
+}
+
+#[test]
+fn nonsense_from_a_server_is_an_error_and_ends_the_connection() {
+    for nonsense in ["$5\r\nvalue\r\n", "+OK\r\n", "*1\r\n$-1\r\n", "-SYNTAX\r\n", "!\r\n", "*9999999\r\n"]
+    {
+        let answer = outcome(|mut conn| {
+            conn.send(nonsense);
+            assert_eq!(conn.end(), "", "{nonsense:?}");
+        });
+        assert_eq!(answer, FAILED, "{nonsense:?}");
+    }
+}
+
+#[test]
+fn an_answer_unasked_ends_the_connection_and_serves_nobody() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send([served(b"one"), served(b"unasked")].concat());
+    assert_eq!(client.bulk(), b"one");
+    assert_eq!(conn.end(), "");
+    exchange(&mut client, &server, "r2");
+}
+
+#[test]
+fn answers_leave_in_the_order_of_commands() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    let mut first = accept(&server);
+    first.command();
+    client.get("r2");
+    client.send(command(&[b"PING"]));
+    let mut second = accept(&server);
+    assert_eq!(second.command()[2], "r2");
+    second.send(served(b"two"));
+    first.send(served(b"one"));
+    assert_eq!((client.bulk(), client.bulk()), (b"one".to_vec(), b"two".to_vec()));
+    assert_eq!(client.line(), "+PONG");
+}
+
+#[test]
+fn bad_commands_are_named_and_the_connection_lives_on() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    let cases: [&[&[u8]]; 8] = [
+        &[b"FLUSHALL"],
+        &[b"C.GET", b"k"],
+        &[b"C.GET", b"k", b"id", b"d=100"],
+        &[b"C.GET", b"k", b"id", b"c=nothing,d=100"],
+        &[b"C.GET", b"k", b"id", b"c=read"],
+        &[b"C.GET", b"k", b"id", b"c=read,d=-1"],
+        &[b"C.GET", b"k", b"id", b"c=read,d=nan"],
+        &[b"C.GET", b"\xff", b"id", b"c=read,d=100"],
+    ];
+    for words in cases {
+        client.send(command(words));
+        assert!(client.line().starts_with("-ERR "), "{words:?}");
+    }
+    client.send(command(&[b"PING"]));
+    assert_eq!(client.line(), "+PONG");
+}
+
+#[test]
+fn broken_framing_is_told_after_the_answers_that_are_owed_and_ends_the_connection() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    // More follows than is read before the end: closing at once would reset the answers away.
+    client.send([&b"*1\r\n$99999999999\r\n"[..], &[b'x'; 200_000]].concat());
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send(served(b"one"));
+    assert_eq!(client.bulk(), b"one");
+    assert!(client.line().starts_with("-ERR protocol"));
+    assert_eq!((client.end().as_str(), client.was_reset), ("", false));
+}
+
+#[test]
+fn a_client_that_has_only_ended_its_sending_is_answered() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send(served(b"one"));
+    assert_eq!(client.bulk(), b"one");
+    assert_eq!(client.end(), "");
+}
+
+#[test]
+fn a_client_that_has_gone_ends_its_attempts() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    client.reset();
+    assert_eq!(conn.end(), "");
+}
+
+#[test]
+fn a_long_value_that_breaks_off_is_seen_to_be_cut() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send([&b"*3\r\n$200000\r\n"[..], &[b'v'; 100_000]].concat());
+    assert_eq!(client.line(), "$200000");
+    conn.reset();
+    assert!(client.end().len() < 200_000);
+}
+
+#[test]
+fn a_stale_pooled_connection_is_not_used() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    let conn = exchange(&mut client, &server, "r1");
+    // The node sleeps through the end of the pooled connection and wakes to a request.
+    node.signal("STOP");
+    client.get("r2");
+    drop(conn);
+    node.signal("CONT");
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send(served(b"two"));
+    assert_eq!(client.bulk(), b"two");
+}
+
+#[test]
+fn an_idle_connection_is_retired_before_the_server_does_it() {
+    let server = listener();
+    let mut set = settings();
+    set["policy_limits"]["conn_idle"] = json!(2000.0);
+    let node = Node::start(set, &[target("s-1", &server)], |_| {});
+    let mut client = node.client();
+    let begun = Instant::now();
+    let mut conn = exchange(&mut client, &server, "r1");
+    assert_eq!(conn.end(), "");
+    assert!(begun.elapsed() > Duration::from_millis(1000), "{:?}", begun.elapsed());
+}
+
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let server = listener();
+    let node = Node::start(settings(), &[target("s-1", &server)], |c| c["limits"]["sockets"] = json!(64));
+    let mut clients: Vec<Peer> = (0..80).map(|_| node.client()).collect();
+    let last = clients.last_mut().unwrap();
+    last.send(command(&[b"PING"]));
+    assert_eq!(last.line(), "+PONG");
+}
+
+#[test]
+fn a_lack_of_descriptors_passes_when_some_are_free_again() {
+    let server = listener();
+    let mut shell = Command::new("sh");
+    shell.args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_meadowtrail")]);
+    let node = Node::start_by(shell, settings(), &[target("s-1", &server)], |_| {});
+    let clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
+    let mut late = node.client();
+    drop(clients);
+    late.send(command(&[b"PING"]));
+    assert_eq!(late.line(), "+PONG");
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let server = listener();
+    let (full, _unread) = UnixStream::pair().unwrap();
+    full.set_nonblocking(true).unwrap();
+    while std::io::Write::write(&mut &full, &[b'x'; 4096]).is_ok() {}
+    while std::io::Write::write(&mut &full, b"x").is_ok() {}
+    full.set_nonblocking(false).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_meadowtrail"));
+    program.stderr(Stdio::from(OwnedFd::from(full)));
+    let node = Node::start_by(program, settings(), &[target("s-1", &server)], |_| {});
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&server);
+    conn.command();
+    conn.send("nonsense\r\n");
+    assert_eq!(client.line(), FAILED);
+}
+
+#[test]
+fn a_command_that_is_never_finished_ends_its_connection() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    client.send("*4\r\n$5\r\nC.G");
+    assert_eq!(client.end(), "");
+}
+
+// ---- discovery ----
+
+fn asking() -> serde_json::Value {
+    let mut set = settings();
+    set["discovery"] = json!("ask");
+    set
+}
+
+#[test]
+fn each_failure_of_discovery_is_asked_again_and_good_news_taken() {
+    let (old, new) = (listener(), listener());
+    let node = Node::start(asking(), &[target("s-1", &old)], |_| {});
+    let watch = |rev: i64| format!("/api/targets?since={rev}&timeout_ms=20000");
+    let bad: [&[u8]; 7] = [
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        b"",
+        b"SSH-2.0-x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"rev\":42",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlist",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 33\r\n\r\n{\"rev\":43,\"all\":true,\"targets\":7}",
+    ];
+    for answer in bad {
+        let (path, mut peer) = node.call();
+        assert_eq!(path, watch(41));
+        peer.send(answer);
+    }
+    // A version that goes back is not believed before a whole list confirms it.
+    let (_, mut peer) = node.call();
+    peer.answer_http(&list(7, false, &[]));
+    let (path, mut peer) = node.call();
+    assert_eq!(path, "/api/targets");
+    let body = list(9, true, &[target("s-2", &new)]).to_string();
+    let (a, b) = body.split_at(20);
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    peer.send(format!("{head}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n", a.len(), b.len()));
+    let (path, _peer) = node.call();
+    assert_eq!(path, watch(9));
+    node.client().get("r1");
+    accept(&new).command();
+}
+
+#[test]
+fn the_watch_goes_on_at_once_and_an_endpoint_may_move() {
+    let (old, new) = (listener(), listener());
+    let node = Node::start(asking(), &[target("s-1", &old)], |_| {});
+    let mut client = node.client();
+    let mut conn = exchange(&mut client, &old, "r1");
+    let (_, mut peer) = node.call();
+    peer.answer_http(&list(42, false, &[target("s-1", &new)]));
+    let (path, _peer) = node.call();
+    assert!(path.contains("since=42&"), "{path}");
+    assert_eq!(conn.end(), "");
+    exchange(&mut client, &new, "r2");
+}
+
+#[test]
+fn a_silent_call_is_given_up() {
+    let server = listener();
+    let node = Node::start(asking(), &[target("s-1", &server)], |_| {});
+    let (_, mut peer) = node.call();
+    peer.answer_http(&list(7, false, &[]));
+    let (path, mut silent) = node.call();
+    assert_eq!(path, "/api/targets");
+    // The protocol counts its news as told after 6 s; the node must have asked again by then.
+    let begun = Instant::now();
+    assert_eq!(silent.end(), "");
+    assert!(begun.elapsed() < Duration::from_secs(15));
+    node.call();
+}
+
+#[test]
+fn a_pushed_list_is_watched_unasked_through_failures() {
+    let server = listener();
+    let node = Node::start(settings(), &[], |_| {});
+    let (_, peer) = node.call();
+    peer.reset();
+    let (_, mut peer) = node.call();
+    peer.answer_http(&list(42, true, &[target("s-1", &server)]));
+    node.client().get("r1");
+    accept(&server).command();
+}
+
+// ---- start and stop ----
+
+#[test]
+fn a_planned_stop_serves_what_is_held_and_what_still_comes() {
+    let server = listener();
+    let mut node = Node::with_server(&server);
+    let (mut holding, mut idle) = (node.client(), node.client());
+    holding.get("r1");
+    let mut first = accept(&server);
+    first.command();
+    node.signal("TERM");
+    // Connections come for up to 0.4 s more; well inside that, one does.
+    let mut late = node.client();
+    late.get("r2");
+    let mut second = accept(&server);
+    second.command();
+    assert_eq!(idle.end(), "");
+    second.send(served(b"two"));
+    first.send(served(b"one"));
+    assert_eq!((holding.bulk(), late.bulk()), (b"one".to_vec(), b"two".to_vec()));
+    assert_eq!((holding.end(), late.end()), (String::new(), String::new()));
+    drop((holding, late, idle));
+    assert!(node.wait().success());
+}
+
+#[test]
+fn a_planned_stop_serves_what_waits_in_the_accept_queue() {
+    let server = listener();
+    let mut node = Node::with_server(&server);
+    node.signal("TERM");
+    node.signal("STOP");
+    let mut queued: Vec<Peer> = (0..100).map(|_| node.client()).collect();
+    queued.iter_mut().for_each(|q| q.send(command(&[b"PING"])));
+    // It sleeps past the time for which it goes on accepting.
+    std::thread::sleep(Duration::from_millis(700));
+    node.signal("CONT");
+    for client in &mut queued {
+        assert_eq!(client.line(), "+PONG");
+        assert_eq!(client.end(), "");
+    }
+    drop(queued);
+    assert!(node.wait().success());
+}
+
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("bad-config.json");
+    let run = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_meadowtrail"));
+        let out = program.env("BALANCER_CONFIG", &file).output().unwrap();
+        assert_eq!(out.status.code(), Some(2), "{text}");
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(said.lines().count(), 1, "{said}");
+        said
+    };
+    let good = json!({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
+        "limits": {"memory_mb": 192, "sockets": 1024}, "known": list(1, true, &[]), "settings": settings()});
+    for (field, value, named) in [
+        ("listen", json!("here"), "listen"),
+        ("discovery", json!(null), "discovery"),
+        ("seed", json!("x"), "seed"),
+        ("limits", json!({"memory_mb": 192, "sockets": 3}), "sockets"),
+        ("known", json!({"rev": 1, "all": true}), "targets"),
+        ("settings", json!({"classes": []}), "policy_limits"),
+    ] {
+        let mut bad = good.clone();
+        bad[field] = value;
+        let said = run(&bad.to_string());
+        assert!(said.contains(&format!("field {named}: ")), "{field}: {said}");
+    }
+    run("not json");
+    let mut program = Command::new(env!("CARGO_BIN_EXE_meadowtrail"));
+    let out = program.env_remove("BALANCER_CONFIG").output().unwrap();
+    assert!(String::from_utf8(out.stderr).unwrap().contains("BALANCER_CONFIG"));
+    // An address that is taken is named too.
+    let taken = listener();
+    let mut config = good.clone();
+    config["listen"] = json!(taken.local_addr().unwrap().to_string());
+    assert!(run(&config.to_string()).contains("listen"));
+    assert!(TcpStream::connect(taken.local_addr().unwrap()).is_ok());
+}
+
+// ---- what rough days taught ----
+
+#[test]
+fn a_single_reset_does_not_move_a_key() {
+    let servers = [listener(), listener()];
+    let targets = [target("s-1", &servers[0]), target("s-2", &servers[1])];
+    let node = Node::start(settings(), &targets, |_| {});
+    let mut client = node.client();
+    client.get("r1");
+    let (home, mut conn) = accept_either(&servers);
+    conn.command();
+    conn.reset();
+    assert_eq!(client.line(), FAILED);
+    client.get("r2");
+    let (again, mut conn) = accept_either(&servers);
+    conn.command();
+    assert_eq!(home, again);
+    // A second one with no answer between looks like a crash: the next goes elsewhere.
+    conn.reset();
+    assert_eq!(client.line(), FAILED);
+    client.get("r3");
+    assert_ne!(accept_either(&servers).0, home);
+}
+
+#[test]
+fn broken_connections_are_retried_as_long_as_they_are_few() {
+    let servers = [listener(), listener()];
+    let targets = [target("s-1", &servers[0]), target("s-2", &servers[1])];
+    let mut set = settings();
+    set["policy_limits"]["try_limit"] = json!(2);
+    let node = Node::start(set, &targets, |_| {});
+    let mut client = node.client();
+    for i in 0..20 {
+        let id = format!("r{i}");
+        client.send(command(&[b"C.GET", b"k1", id.as_bytes(), b"c=read,d=20000"]));
+        let (_, mut conn) = accept_either(&servers);
+        conn.command();
+        conn.reset();
+        let (_, mut conn) = accept_either(&servers);
+        conn.command();
+        conn.send(served(b"value"));
+        assert_eq!(client.bulk(), b"value", "request {i}");
+        // The node has seen the end of this connection before the next request.
+        conn.stream.shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(conn.end(), "");
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,418 @@
+//! The rules, checked from the actions alone under random events from fixed seeds.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use cobaltfront::interface::*;
+use cobaltfront::Balancer;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn class(repeat: Repeat, scope: Scope, late_worth: f64) -> Class {
+    Class {
+        aim: 150_000,
+        aim_stretch: 0.0,
+        deadline: 600_000,
+        repeat,
+        scope,
+        window: 200_000,
+        worth: 1.0,
+        late_worth,
+        stream: false,
+    }
+}
+
+fn settings(second_copies: bool, mode: Mode, ask: bool) -> Settings {
+    Settings {
+        classes: vec![
+            class(Repeat::Free, Scope::All, 0.3),
+            class(Repeat::Keyed, Scope::All, 0.3),
+            class(Repeat::Keyed, Scope::Zone, 0.3),
+            class(Repeat::Keyed, Scope::Cell, 0.0),
+            class(Repeat::Unsafe, Scope::All, 0.3),
+        ],
+        tenants: vec![Tenant { quota_per_s: 20.0, share: 1.0 }],
+        nodes: 2,
+        zone: Some(0),
+        ask,
+        ask_within: 10_000_000,
+        mode,
+        origin_kind: (mode == Mode::Aside).then_some(1),
+        origin_fall_multiple: 0.0,
+        weights: Weights::None,
+        by_work: false,
+        over_share_worth: 0.1,
+        tick: 2_000,
+        max_attempts: 4,
+        max_open: 1000,
+        cancel: true,
+        probes: false,
+        second_copies,
+        max_retry_after: 1_000_000,
+        connect_timeout: 75_000,
+        drain_grace: 500_000,
+        cold_from: 0.2,
+        cold: 10_000_000,
+        fall_multiple: 3.0,
+        fall: 2_000_000,
+        answer_slack: 8_000,
+        price_cross_zone: 0.0,
+        price_origin: 0.0,
+    }
+}
+
+struct Open {
+    class: usize,
+    deadline: Micros,
+    closed: bool,
+    attempts: Vec<(ServerId, Micros, Option<Status>, bool)>,
+}
+
+/// A node around the module that knows only events and actions, and checks the rules.
+struct Node {
+    set: Settings,
+    balancer: Balancer,
+    now: Micros,
+    open: BTreeMap<RequestId, Open>,
+    timers: BTreeMap<(Micros, u64), u64>,
+    serial: u64,
+    listed: HashMap<ServerId, Entry>,
+    told_off: HashMap<ServerId, Micros>,
+    calls: usize,
+}
+
+const STATUSES: [Status; 9] = [
+    Status::Ok,
+    Status::Error,
+    Status::Full,
+    Status::Timeout,
+    Status::ConnectFailed,
+    Status::Reset,
+    Status::Cancelled,
+    Status::Moot,
+    Status::Miss,
+];
+
+impl Node {
+    fn new(set: Settings, seed: u64) -> Node {
+        let balancer = Balancer::new(set.clone(), seed, 0).unwrap();
+        Node {
+            set,
+            balancer,
+            now: 0,
+            open: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            serial: 0,
+            listed: HashMap::new(),
+            told_off: HashMap::new(),
+            calls: 0,
+        }
+    }
+
+    fn entry(&self, i: u32, state: ServerState) -> Entry {
+        Entry {
+            server: format!("srv{i}").into(),
+            weight: 1.0,
+            zone: Some((i % 2) as u16),
+            kind: Some(u16::from(i >= 6)),
+            state,
+            started: (i % 3 == 1).then_some(self.now.max(1)),
+            cell: Some(i % 3),
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
+        if kind != ListKind::Delta {
+            for (id, _) in self.listed.iter().filter(|(id, _)| !entries.iter().any(|e| e.server == **id)) {
+                self.told_off.entry(id.clone()).or_insert(self.now);
+            }
+        }
+        for e in &entries {
+            self.listed.insert(e.server.clone(), e.clone());
+            if e.state == ServerState::Live {
+                self.told_off.remove(&e.server);
+            } else {
+                self.told_off.entry(e.server.clone()).or_insert(self.now);
+            }
+        }
+        self.give(Event::Servers(kind, entries.into()));
+    }
+
+    fn request(&mut self, class: usize, key: u32, budget: Micros) {
+        self.serial += 1;
+        let id: RequestId = format!("r{}", self.serial).into();
+        let open = Open { class, deadline: self.now + budget, closed: false, attempts: vec![] };
+        self.open.insert(id.clone(), open);
+        self.give(Event::Request(Request {
+            id,
+            class,
+            tenant: (key % 2 == 0).then_some(0),
+            key: (key % 5 != 0).then(|| Arc::from(format!("k{}", key % 7))),
+            budget,
+            work: None,
+            size: None,
+            retry: false,
+            write: key % 3 == 0,
+        }));
+    }
+
+    fn outcome(&mut self, pick: u32, status: u32) {
+        let pending: Vec<(RequestId, usize)> = self
+            .open
+            .iter()
+            .flat_map(|(id, o)| {
+                o.attempts.iter().enumerate().filter(|(_, a)| a.2.is_none()).map(|(i, _)| (id.clone(), i))
+            })
+            .collect();
+        if pending.is_empty() {
+            return;
+        }
+        let (id, attempt) = pending[pick as usize % pending.len()].clone();
+        let status = STATUSES[status as usize % STATUSES.len()];
+        let o = self.open.get_mut(&id).unwrap();
+        o.attempts[attempt].2 = Some(status);
+        o.closed |= status == Status::Ok;
+        let (closed, server) = (o.closed, o.attempts[attempt].0.clone());
+        self.give(Event::Outcome {
+            request: id,
+            server,
+            attempt,
+            latency: 5_000,
+            status,
+            closed,
+            note: None,
+            load: None,
+        });
+    }
+
+    fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while let Some((&(due, n), &token)) = self.timers.first_key_value() {
+            if due > until {
+                break;
+            }
+            self.timers.remove(&(due, n));
+            // Batches come a tick apart: the timer is delivered up to one late.
+            self.now = self.now.max(due + self.set.tick);
+            self.give(Event::Timer(token));
+        }
+        self.now = self.now.max(until);
+        for o in self.open.values() {
+            assert!(
+                o.closed || self.now <= o.deadline + self.set.answer_slack + self.set.tick,
+                "unanswered"
+            );
+        }
+    }
+
+    fn give(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Send { request, server, .. } => {
+                let o = self.open.get_mut(&request).expect("send for a request never given");
+                assert!(!o.closed, "send after the end");
+                assert!(o.attempts.len() < self.set.max_attempts, "too many attempts");
+                let to = self.listed.get(&server).expect("server never listed");
+                if let Some(told) = self.told_off.get(&server) {
+                    assert!(now - told <= self.set.drain_grace, "sent to a server that drains or is gone");
+                }
+                let pending = o.attempts.iter().filter(|a| a.2.is_none()).count();
+                assert!(pending == 0 || self.set.second_copies, "two attempts at once");
+                let class = &self.set.classes[o.class];
+                for a in o.attempts.iter().filter(|a| !a.2.is_some_and(Status::never_ran)) {
+                    let from = &self.listed[&a.0];
+                    match class.repeat {
+                        Repeat::Free => {}
+                        Repeat::Unsafe => panic!("unsafe request sent again"),
+                        Repeat::Keyed => {
+                            assert!(now <= a.1 + class.window, "sent again after the window");
+                            match class.scope {
+                                Scope::All => {}
+                                Scope::Zone => assert_eq!(from.zone, to.zone),
+                                Scope::Cell => assert_eq!(from.cell, to.cell),
+                            }
+                        }
+                    }
+                }
+                o.attempts.push((server, now, None, false));
+            }
+            Action::Refuse { request, .. } => {
+                let o = self.open.get_mut(&request).expect("refusal of a request never given");
+                assert!(!o.closed, "two final answers");
+                let class = &self.set.classes[o.class];
+                let ran = o.attempts.iter().any(|a| !a.2.is_some_and(Status::never_ran));
+                let harmless = class.repeat == Repeat::Free
+                    || (class.repeat == Repeat::Keyed && class.scope == Scope::All);
+                assert!(harmless || !ran, "refused what may have run");
+                assert!(now <= o.deadline + self.set.answer_slack, "answered too late");
+                o.closed = true;
+            }
+            Action::Fail { request } => {
+                let o = self.open.get_mut(&request).expect("failure of a request never given");
+                assert!(!o.closed, "two final answers");
+                assert!(now <= o.deadline + self.set.answer_slack, "answered too late");
+                o.closed = true;
+            }
+            Action::Cancel { request, attempt } => {
+                assert!(self.open[&request].attempts.len() > attempt, "cancelled what was never sent");
+            }
+            Action::Timer { delay, token } => {
+                assert!(delay >= 0);
+                self.serial += 1;
+                self.timers.insert((now + delay, self.serial), token);
+            }
+            Action::Subscribe(_) | Action::FetchList => self.calls += 1,
+            Action::Probe(_) => assert!(self.set.probes),
+            Action::Close(_) | Action::Log(_) => {}
+        }
+    }
+
+    fn play(&mut self, ops: &[(u8, u32, u32)]) {
+        for &(op, a, b) in ops {
+            match op % 12 {
+                0..=3 => {
+                    self.request(
+                        (a % 5) as usize,
+                        b,
+                        [600_000, 200_000, 40_000, 3_000][(a / 5 % 4) as usize],
+                    );
+                }
+                4..=7 => self.outcome(a, b),
+                8 => self.pass(i64::from(a % if b % 3 == 0 { 900_000 } else { 60_000 })),
+                9 => {
+                    let state = [ServerState::Live, ServerState::Draining, ServerState::Gone];
+                    let e = self.entry(b % 8, state[(a % 3) as usize]);
+                    self.list(ListKind::Delta, if a % 7 == 0 { vec![] } else { vec![e] });
+                }
+                10 => {
+                    let kind = if a % 2 == 0 { ListKind::Full } else { ListKind::Cached };
+                    let entries = (0..8).filter(|i| b >> i & 1 == 1);
+                    let entries = entries.map(|i| self.entry(i, ServerState::Live)).collect();
+                    self.list(kind, entries);
+                }
+                _ => {
+                    let mut ids: Vec<RequestId> = self.open.keys().cloned().collect();
+                    if a % 3 == 0 && !ids.is_empty() {
+                        let id = ids.swap_remove(b as usize % ids.len());
+                        self.open.get_mut(&id).unwrap().closed = true;
+                        self.give(Event::ClientLeft(id));
+                    } else {
+                        self.give(Event::ListFailed);
+                    }
+                }
+            }
+        }
+        // Nothing else happens: the timers alone must bring every answer in time.
+        self.pass(5_000_000);
+        assert!(self.open.values().all(|o| o.closed), "a request was never answered");
+    }
+}
+
+#[test]
+fn rules_hold_under_random_events() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = prop::collection::vec((any::<u8>(), any::<u32>(), any::<u32>()), 0..250);
+    let case = (any::<bool>(), any::<bool>(), any::<bool>(), any::<u64>(), ops);
+    runner
+        .run(&case, |(copies, aside, ask, seed, ops)| {
+            let mode = if aside { Mode::Aside } else { Mode::Through };
+            Node::new(settings(copies, mode, ask), seed).play(&ops);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn no_servers_known_still_answers() {
+    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    node.request(4, 1, 600_000);
+    node.pass(1_000_000);
+    assert!(node.open.values().all(|o| o.closed && o.attempts.is_empty()));
+}
+
+#[test]
+fn held_requests_go_out_when_a_server_appears() {
+    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    node.request(0, 1, 600_000);
+    let e = node.entry(0, ServerState::Live);
+    node.list(ListKind::Delta, vec![e]);
+    assert!(node.open.values().all(|o| o.attempts.len() == 1));
+}
+
+#[test]
+fn a_miss_beside_the_caches_goes_to_the_origin_and_so_do_writes() {
+    let mut node = Node::new(settings(true, Mode::Aside, false), 1);
+    let list = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
+    node.list(ListKind::Full, list);
+    node.request(0, 1, 600_000);
+    node.outcome(0, 8);
+    node.request(0, 3, 600_000);
+    let sent: Vec<Vec<&str>> =
+        node.open.values().map(|o| o.attempts.iter().map(|a| &*a.0).collect()).collect();
+    let origin = |s: &str| s == "srv6" || s == "srv7";
+    assert!(!origin(sent[0][0]) && origin(sent[0][1]), "{sent:?}");
+    assert!(origin(sent[1][0]), "{sent:?}");
+}
+
+#[test]
+fn a_failed_list_call_is_repeated_inside_ask_within() {
+    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    let e = node.entry(0, ServerState::Live);
+    node.list(ListKind::Cached, vec![e]);
+    node.pass(node.set.ask_within / 2);
+    assert_eq!(node.calls, 1);
+    for _ in 0..6 {
+        let before = node.calls;
+        node.give(Event::ListFailed);
+        node.pass(node.set.ask_within / 2);
+        assert_eq!(node.calls, before + 1);
+    }
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_warm_up_allows() {
+    let mut set = settings(true, Mode::Through, false);
+    set.classes.truncate(1);
+    let mut node = Node::new(set, 3);
+    let mut list: Vec<Entry> = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
+    node.now = 1_000_000;
+    for e in &mut list {
+        e.started = (&*e.server == "srv2").then_some(node.now);
+    }
+    node.list(ListKind::Full, list);
+    let (mut cold, mut all) = (0.0, 0.0);
+    for i in 0..3000 {
+        node.serial += 1;
+        let id: RequestId = format!("q{i}").into();
+        let mut actions = Vec::new();
+        let request = Request {
+            id: id.clone(),
+            class: 0,
+            tenant: None,
+            key: Some(format!("key{i}").into()),
+            budget: 600_000,
+            work: None,
+            size: None,
+            retry: false,
+            write: false,
+        };
+        node.balancer.handle(node.now, Event::Request(request), &mut actions);
+        for action in actions {
+            if let Action::Send { server, .. } = action {
+                all += 1.0;
+                cold += f64::from(u8::from(&*server == "srv2"));
+            }
+        }
+    }
+    assert!(cold > 0.0 && cold < all / 8.0 * node.set.cold_from, "{cold} of {all}");
+}
