Count what is taken from the memory for long values

Checked and ruled out: the command reader counts what it announced, and the node gives it back once on each exit (answer, client gone, command refused). At fault: Budget::take in resp.rs. The loopback test failed before: the second of two 3 MiB writes was taken at 32 MB.

--- a/src/bin/meadowtrail/resp.rs
+++ b/src/bin/meadowtrail/resp.rs
@@ -31,9 +31,12 @@
         Budget { left: bytes }
     }
 
+    /// Guards against memory running out under writes with long values: what is let in counts until it is
+    /// given back.
     pub fn take(&mut self, bytes: usize) -> bool {
-        let fits = bytes <= self.left;
-        fits
+        let left = self.left.checked_sub(bytes);
+        self.left = left.unwrap_or(self.left);
+        left.is_some()
     }
 
     pub fn give_back(&mut self, bytes: usize) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -263,6 +263,28 @@
     assert_eq!(last.line(), "+PONG");
 }
 
+#[test]
+fn values_beyond_the_memory_kept_for_them_are_turned_away_until_some_is_given_back() {
+    let server = listener();
+    let node = Node::start(settings(), &[target("s-1", &server)], |c| c["limits"]["memory_mb"] = json!(32));
+    let value = vec![b'v'; 3 << 20];
+    let set = |id: &[u8]| command(&[b"C.SET", b"k1", id, b"c=once,d=20000", &value]);
+    // The first one's length is announced, and counts, before its bytes have come.
+    let (mut first, mut second) = (node.client(), node.client());
+    let whole = set(b"r1");
+    first.send([&command(&[b"PING"])[..], &whole[..1000]].concat());
+    assert_eq!(first.line(), "+PONG");
+    second.send(set(b"r2"));
+    assert_eq!(second.line(), BUSY);
+    first.send(&whole[1000..]);
+    let mut conn = accept(&server);
+    assert_eq!(conn.command()[2], "r1");
+    conn.send(served(b"one"));
+    assert_eq!(first.bulk(), b"one");
+    second.send(set(b"r3"));
+    assert_eq!(conn.command()[2], "r3");
+}
+
 #[test]
 fn a_lack_of_descriptors_passes_when_some_are_free_again() {
     let server = listener();
