Wait for an attempt no longer than the module says

Seen: reading the send path against the protocol ('d should tell how long the node will wait'): servers were told the client's whole wait (400 ms where the module waits 150 ms), and the attempt's own timer ran as long. Checked and ruled out: the module's time-out (within the request's end), the timers (serial and attempt are checked), give_up (once for each attempt). At fault: Node::send took the longer of time-out and deadline. The test failed before (d=20000 for 5000).

--- a/src/bin/meadowtrail/node.rs
+++ b/src/bin/meadowtrail/node.rs
@@ -684,7 +684,8 @@
         let open = &mut self.open[key];
         let (attempt, serial) = (open.attempts.len(), open.serial);
         let left = open.deadline - now;
-        let wait = timeout.unwrap_or(left).max(left);
+        // Guards against servers at work on what nobody waits for: they are told this time and drop what is over.
+        let wait = timeout.unwrap_or(left).min(left);
         open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None });
         open.out += 1;
         if open.closed || open.stream.is_some() || wait <= 0 {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -100,6 +100,19 @@
     assert_eq!(conn.end(), "");
 }
 
+#[test]
+fn an_attempt_waits_no_longer_than_the_module_says() {
+    let server = listener();
+    let mut set = settings();
+    set["classes"][1]["aim"] = json!(5000.0);
+    let node = Node::start(set, &[target("s-1", &server)], |_| {});
+    node.client().get("r1");
+    let fields = accept(&server).command().swap_remove(3);
+    let wait = fields.split(',').find_map(|field| field.strip_prefix("d="));
+    // The client waits 20 s, the module until the aim.
+    assert!((1..=5000).contains(&wait.unwrap().parse::<i64>().unwrap()), "{fields}");
+}
+
 #[test]
 fn nonsense_from_a_server_is_an_error_and_ends_the_connection() {
     for nonsense in ["$5\r\nvalue\r\n", "+OK\r\n", "*1\r\n$-1\r\n", "-SYNTAX\r\n", "!\r\n", "*9999999\r\n"]
