Read the configuration again on SIGHUP

Checked and ruled out: SIGTERM (told to stop, ends with 0), the configuration (read without fault at each start). At fault: Signals::new in node.rs asked for SIGTERM and SIGINT alone, and there was no way to move discovery. Discovery::move_to drops the call that is out and asks the new address for the whole list, whose versions may begin anew; a file that cannot be used is logged and changes nothing. The test failed before (the node is gone).

--- a/src/bin/meadowtrail/discovery.rs
+++ b/src/bin/meadowtrail/discovery.rs
@@ -160,6 +160,18 @@
         }
     }
 
+    /// Discovery is at another address now. It may count its versions anew, so that one which is held from
+    /// before says nothing there: the whole list is asked for at once, and a watch goes on behind it.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        if address != self.address {
+            self.address = address;
+            self.rev = None;
+            self.not_before = 0;
+            self.call = None;
+            self.whole_wanted = true;
+        }
+    }
+
     /// Makes the call that is wanted, unless one is out.
     pub fn go_on(&mut self, now: Micros, registry: &Registry, timers: &mut Timers) -> Option<News> {
         if self.call.is_some() || now < self.not_before || !(self.watching || self.whole_wanted) {
--- a/src/bin/meadowtrail/main.rs
+++ b/src/bin/meadowtrail/main.rs
@@ -17,7 +17,7 @@
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
     let config = config::read(&path)?;
     let listen = config.listen;
-    let node = node::Node::new(config).map_err(|e| Bad::new("listen", format!("{listen}: {e}")))?;
+    let node = node::Node::new(config, path).map_err(|e| Bad::new("listen", format!("{listen}: {e}")))?;
     node.run().map_err(|e| Bad::new("poll", e.to_string()))
 }
 
--- a/src/bin/meadowtrail/node.rs
+++ b/src/bin/meadowtrail/node.rs
@@ -18,12 +18,12 @@
 use cobaltfront::Balancer;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
 
 use crate::client::{Client, Input, Slot};
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::discovery::{self, Answer, Discovery, News};
 use crate::net::{Log, READ_MOST};
 use crate::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
@@ -102,6 +102,8 @@
 
 pub struct Node {
     began: Instant,
+    /// The file of its configuration, read again on SIGHUP.
+    path: String,
     poll: Poll,
     listener: Option<TcpListener>,
     accept_more: bool,
@@ -150,11 +152,11 @@
 }
 
 impl Node {
-    pub fn new(config: Config) -> io::Result<Node> {
+    pub fn new(config: Config, path: String) -> io::Result<Node> {
         let poll = Poll::new()?;
         let mut listener = listen(config.listen)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
@@ -164,6 +166,7 @@
         let upstream = connections * UPSTREAM_PART / 100;
         let mut node = Node {
             began: Instant::now(),
+            path,
             poll,
             listener: Some(listener),
             accept_more: true,
@@ -232,13 +235,7 @@
         let now = self.now();
         match event.token() {
             LISTENER => self.accept_more = true,
-            SIGNALS => {
-                if self.signals.pending().next().is_some() && self.phase == Phase::Running {
-                    self.phase = Phase::Stopping(now);
-                    self.exit_by = now + self.longest + STOP_SLACK;
-                    self.log.line(now, "told to stop");
-                }
-            }
+            SIGNALS => self.signalled(now),
             DISCOVERY => {
                 let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
                 self.news(news, now);
@@ -325,6 +322,33 @@
         }
     }
 
+    fn signalled(&mut self, now: Micros) {
+        let came: Vec<i32> = self.signals.pending().collect();
+        if came.contains(&SIGHUP) {
+            self.reload(now);
+        }
+        if came.iter().any(|signal| *signal != SIGHUP) && self.phase == Phase::Running {
+            self.phase = Phase::Stopping(now);
+            self.exit_by = now + self.longest + STOP_SLACK;
+            self.log.line(now, "told to stop");
+        }
+    }
+
+    /// Takes up a configuration that has replaced the one before: where discovery is now. All else that it
+    /// tells stands from the start.
+    ///
+    /// Guards against ending on SIGHUP, which is what happens to a process that does not ask for it, and
+    /// against a file that cannot be used: what is held goes on under the old one.
+    fn reload(&mut self, now: Micros) {
+        match config::read(&self.path) {
+            Ok(config) => {
+                self.log.line(now, &format!("reloaded: discovery at {}", config.discovery));
+                self.discovery.move_to(config.discovery);
+            }
+            Err(bad) => self.log.line(now, &format!("not reloaded: {bad}")),
+        }
+    }
+
     // ---- stopping ----
 
     /// Goes on with a planned stop: for a while connections are still accepted, since the front goes on
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -448,6 +448,34 @@
     accept(&server).command();
 }
 
+#[test]
+fn a_new_configuration_moves_the_list_to_its_discovery_and_loses_nothing() {
+    let (old, new, moved) = (listener(), listener(), listener());
+    let node = Node::start(asking(), &[target("s-1", &old)], |_| {});
+    let mut client = node.client();
+    client.get("r1");
+    let mut conn = accept(&old);
+    conn.command();
+    let (_, mut watch) = node.call();
+    // A file that cannot be used changes nothing.
+    let good = node.config();
+    node.reload("{");
+    client.send(command(&[b"PING"]));
+    let mut config: serde_json::Value = serde_json::from_str(&good).unwrap();
+    config["discovery"] = json!(moved.local_addr().unwrap().to_string());
+    node.reload(&config.to_string());
+    // Its versions say nothing of those before.
+    let mut peer = accept(&moved);
+    assert!(peer.line().starts_with("GET /api/targets HTTP"));
+    peer.answer_http(&list(7, true, &[target("s-2", &new)]));
+    assert_eq!(watch.end(), "");
+    let line = accept(&moved).line();
+    assert!(line.starts_with("GET /api/targets?since=7&"), "{line}");
+    conn.send(served(b"one"));
+    assert_eq!((client.bulk(), client.line().as_str()), (b"one".to_vec(), "+PONG"));
+    exchange(&mut client, &new, "r2");
+}
+
 // ---- start and stop ----
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -105,6 +105,19 @@
         assert!(kill.unwrap().success());
     }
 
+    /// Replaces the file of the configuration, whole at each moment, and tells the node.
+    pub fn reload(&self, text: &str) {
+        let next = self.file.with_extension("next");
+        std::fs::write(&next, text).unwrap();
+        std::fs::rename(&next, &self.file).unwrap();
+        self.signal("HUP");
+    }
+
+    /// The text of the node's configuration.
+    pub fn config(&self) -> String {
+        std::fs::read_to_string(&self.file).unwrap()
+    }
+
     /// Waits for the node to end by itself.
     pub fn wait(&mut self) -> ExitStatus {
         let begun = Instant::now();
