Close a kept connection that holds the beginning of an unasked answer

A whole unasked reply ended its connection, part of one stayed in the buffer and the connection went back to the pool: reusable() asks the kernel alone, so the next request's answer was read behind it and failed or, worse, could have been served with a value that was not made for it. Checked and ruled out: whole replies (job is none: odd), bytes that the kernel still holds (peek), answers before the request is out (closed). At fault: Upstreams::read let a connection without a job keep bytes. The test failed before (the connection stays).

--- a/src/bin/meadowtrail/resp.rs
+++ b/src/bin/meadowtrail/resp.rs
@@ -217,6 +217,11 @@
 }
 
 impl ReplyReader {
+    /// Whether part of a reply has been taken off the buffer.
+    pub fn midway(&self) -> bool {
+        self.array.is_some() || self.want != Want::Line
+    }
+
     pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Piece>, Broken> {
         loop {
             let part = match self.want {
--- a/src/bin/meadowtrail/upstream.rs
+++ b/src/bin/meadowtrail/upstream.rs
@@ -330,6 +330,10 @@
                     self.signals.push_back(Signal::Begin { job, conn, len });
                 }
                 Ok(Some(Piece::Body(_))) => return self.odd(conn, "value out of place"),
+                // Guards against an answer that begins with what came unasked behind the one before it.
+                Ok(None) if c.job.is_none() && (c.reader.midway() || !c.buf.is_empty()) => {
+                    return self.odd(conn, "answer to nothing");
+                }
                 Ok(None) if !c.unread => {
                     if c.buf.is_empty() {
                         // Idle connections hold no buffers.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -139,6 +139,22 @@
     exchange(&mut client, &server, "r2");
 }
 
+#[test]
+fn the_beginning_of_an_answer_unasked_is_not_put_before_the_next_one() {
+    for surplus in ["*3\r\n$3\r\nt", "*3\r\n$3\r\n", "*3\r\n", "no"] {
+        let server = listener();
+        let node = Node::with_server(&server);
+        let mut client = node.client();
+        client.get("r1");
+        let mut conn = accept(&server);
+        conn.command();
+        conn.send([&served(b"one"), surplus.as_bytes()].concat());
+        assert_eq!(client.bulk(), b"one");
+        assert_eq!(conn.end(), "", "{surplus:?}");
+        exchange(&mut client, &server, "r2");
+    }
+}
+
 #[test]
 fn answers_leave_in_the_order_of_commands() {
     let server = listener();
