Weigh a broken connection by how many break anyway

Checked and ruled out: the pool (an end that has come is seen before reuse), refused connections (none), the list (no change), silence (already weighed by the share that is slow). At fault: Balancer::judge counted each reset as odds of 31 to 1 against the server, so that two in a row left out a sound one for 750 ms and sent its keys to caches without them.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -444,6 +444,8 @@
     late: f64,
     /// Share of attempts at servers that were not answered within their patience.
     slow: f64,
+    /// Share of attempts at servers whose connection broke.
+    broken: f64,
     /// Share of doubtful requests let through, and when the last one was; keys served lately, likely still
     /// kept somewhere.
     admit: f64,
@@ -481,6 +483,7 @@
             quota: vec![(2.0, now); settings.tenants.len()],
             late: 0.0,
             slow: SLOW_LEAST,
+            broken: 0.0,
             admit: 1.0,
             admitted: now,
             served: HashMap::new(),
@@ -948,6 +951,9 @@
         let hit = note.is_none_or(|n| n == Note::Hit);
         let serial = self.ids.get(id).copied();
         self.judge(now, server, Some(status), actions);
+        if matches!(status, Status::Ok | Status::Error | Status::Reset) {
+            self.broken += (f64::from(u8::from(status == Status::Reset)) - self.broken) / LATE_SPAN;
+        }
         let Some(serial) = serial else { return };
         let failed = matches!(status, Status::Error | Status::Timeout);
         let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
@@ -1043,7 +1049,9 @@
             }
             // Refused: "not to this node", however many other servers did the same.
             Some(Status::ConnectFailed) => SICK_ODDS.ln(),
-            Some(Status::Reset) => SICK_ODDS.ln() / 2.0,
+            // Guards against sound servers left out because kept connections end at all of them: two in a row
+            // look like a crash only where few break.
+            Some(Status::Reset) => (SICK_ODDS.ln() / 2.0).min(-self.broken.ln()),
             None => -self.slow.max(SLOW_LEAST).ln(),
             // Late time-outs and errors tell as much of the origin and the load as of the server.
             Some(_) => return,
--- a/src/rules_tests.rs
+++ b/src/rules_tests.rs
@@ -322,6 +322,26 @@
     assert!(silent_until_sick(&mut slow, true).is_none_or(|n| n > 10));
 }
 
+#[test]
+fn a_server_whose_connections_break_is_sick_unless_many_break_anyway() {
+    let resets_until_sick = |node: &mut Balancer| {
+        let server = node.line.servers[3].entry.server.clone();
+        (1..20).find(|_| {
+            node.judge(1000, &server, Some(Status::Reset), &mut Vec::new());
+            node.line.servers[3].sick()
+        })
+    };
+    assert_eq!(resets_until_sick(&mut node(0.0, 8)), Some(2));
+    let mut node = node(0.0, 8);
+    // One attempt in eight breaks, at all servers alike.
+    for n in 0..800 {
+        if let Some(server) = ask(&mut node, 1000, n) {
+            end(&mut node, 1000, n, &server, if n % 8 == 0 { Status::Reset } else { Status::Ok });
+        }
+    }
+    assert!(resets_until_sick(&mut node).is_some_and(|n| n >= 3));
+}
+
 #[test]
 fn an_overrun_server_spills_to_sound_neighbours_and_refuses_with_none() {
     let mut node = node(0.0, 8);
