Close clients that say nothing, and tell those that do not finish, within 3 s

A client that said nothing was closed only when another needed its descriptor, and one with half a command after 10 s, without a word. Checked and ruled out: broken framing (told at once), half a command and a close (ends), clients that read nothing (10 s, and they read by the documents). At fault: Client::stalled knew no silence, and WRITING_MOST of 10 s disagreed with the documents' 3 s (2 s for a whole command). Both loopback tests failed before. A client that is turned out gets the answers that it is owed first.

--- a/src/bin/meadowtrail/client.rs
+++ b/src/bin/meadowtrail/client.rs
@@ -13,8 +13,10 @@
 const PIPELINE_MOST: usize = 128;
 /// Answers that a client has not read; beyond it no more of its commands are taken.
 const UNSENT_MOST: usize = 256 << 10;
-/// A client may take 2 s to write a command; this much longer and it is not going to.
-const WRITING_MOST: Micros = 10_000_000;
+/// A client may take 2 s to write a command, and one that will not is owed an error within 3 s of connecting.
+const WRITING_MOST: Micros = 2_500_000;
+/// So is one that says nothing; a connection may be closed when it has had no request for 2 s.
+const SILENT_MOST: Micros = 2_500_000;
 /// A client that reads nothing of what waits for it for so long has stalled for good.
 const READING_MOST: Micros = 10_000_000;
 /// After the end of sending, how long the client's last bytes are read and thrown away: closing with unread
@@ -63,6 +65,8 @@
     writing_since: Option<Micros>,
     stalled_since: Option<Micros>,
     pub active: Micros,
+    /// It has given a whole command.
+    heard: bool,
     /// It is on the list of those to be served in this round.
     pub dirty: bool,
 }
@@ -91,6 +95,7 @@
             writing_since: None,
             stalled_since: None,
             active: now,
+            heard: false,
             dirty: false,
         }
     }
@@ -117,6 +122,7 @@
             match self.reader.next(&mut self.buf, budget) {
                 Ok(Some(command)) => {
                     self.active = now;
+                    self.heard = true;
                     self.writing_since = None;
                     return Input::Command(command);
                 }
@@ -244,10 +250,18 @@
         }
     }
 
-    /// It has taken far too long to write a command or to read an answer.
+    /// Reads nothing of what it is owed, or has said nothing since it came.
+    ///
+    /// Guards against clients that connect by hundreds and say nothing: they would hold descriptors until
+    /// these run short, and usual clients would be turned out with them.
     pub fn stalled(&self, now: Micros) -> bool {
-        let over = |since: Option<Micros>, most| since.is_some_and(|s| now - s >= most);
-        over(self.writing_since, WRITING_MOST) || over(self.stalled_since, READING_MOST)
+        let silent = !self.heard && self.idle() && now - self.active >= SILENT_MOST;
+        silent || self.stalled_since.is_some_and(|since| now - since >= READING_MOST)
+    }
+
+    /// It has taken far too long to write a command.
+    pub fn unfinished(&self, now: Micros) -> bool {
+        self.closing == Closing::No && self.writing_since.is_some_and(|since| now - since >= WRITING_MOST)
     }
 
     pub fn lingering(&self) -> bool {
--- a/src/bin/meadowtrail/node.rs
+++ b/src/bin/meadowtrail/node.rs
@@ -316,6 +316,8 @@
         for key in look {
             if self.clients[key].stalled(now) {
                 self.drop_client(key);
+            } else if self.clients[key].unfinished(now) {
+                self.turn_out(key, "command not finished");
             } else if self.clients[key].lingering() {
                 self.mark(key);
             }
@@ -439,16 +441,19 @@
             match client.next(now, &mut self.budget, &mut self.scratch) {
                 Input::Command(command) => self.command(key, command, now),
                 Input::Nothing => return,
-                Input::Broken(broken) => {
-                    let text = format!("-ERR protocol: {}\r\n", broken.0);
-                    client.push(Slot::Ready(vec![text.into()]));
-                    client.close_after_answers();
-                    return self.mark(key);
-                }
+                Input::Broken(broken) => return self.turn_out(key, broken.0),
             }
         }
     }
 
+    /// Ends a client's connection with an error behind the answers that it is owed.
+    fn turn_out(&mut self, key: usize, why: &str) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.push(Slot::Ready(vec![format!("-ERR protocol: {why}\r\n").into()]));
+        client.close_after_answers();
+        self.mark(key);
+    }
+
     fn command(&mut self, client: usize, command: Command, now: Micros) {
         let reserved = command.reserved;
         if let Err(text) = self.try_command(client, command, now) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -377,8 +377,26 @@
     let server = listener();
     let node = Node::with_server(&server);
     let mut client = node.client();
+    let begun = Instant::now();
     client.send("*4\r\n$5\r\nC.G");
-    assert_eq!(client.end(), "");
+    let said = client.end();
+    assert!(said.starts_with("-ERR protocol: ") && said.ends_with("\r\n"), "{said:?}");
+    // It is owed this within 3 s of connecting.
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+}
+
+#[test]
+fn a_client_that_says_nothing_is_closed_and_one_that_has_asked_stays() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut asked = node.client();
+    asked.send(command(&[b"PING"]));
+    assert_eq!(asked.line(), "+PONG");
+    let begun = Instant::now();
+    assert_eq!(node.client().end(), "");
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    asked.send(command(&[b"PING"]));
+    assert_eq!(asked.line(), "+PONG");
 }
 
 // ---- discovery ----
