Keep a server's start where it is when the list is told again

Seen: reading the list path: the module takes another start for another process and forgets what it knows against the server (streak, pause). The node worked each start out from two clocks read anew with every list, so that it moved by microseconds, and each mention of a server that had ever started cleared its sickness. At fault: discovery::started and its call in Node::list.

--- a/src/bin/meadowtrail/discovery.rs
+++ b/src/bin/meadowtrail/discovery.rs
@@ -83,12 +83,18 @@
     Ok(Listed { entry, address, boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))? })
 }
 
-/// A start in Unix time on the node's clock; none for long ago.
-pub fn started(boot_ms: i64, now: Micros) -> Option<Micros> {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
+/// Unix time now.
+pub fn unix_now() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64)
+}
+
+/// A start in Unix time on the node's clock, which began at `began` in Unix time; none for long ago.
+///
+/// Guards against a start that moves: told again, it must be the same to the microsecond, or the server
+/// would be taken for one that has started again. Two clocks read anew each time never agree so well.
+pub fn started(boot_ms: i64, began: Micros, now: Micros) -> Option<Micros> {
     // A server's clock may run ahead of this one; a start cannot lie in the future.
-    let age = unix.saturating_sub(boot_ms.saturating_mul(1000)).max(0);
-    (boot_ms > 0).then(|| now - age)
+    (boot_ms > 0).then(|| boot_ms.saturating_mul(1000).saturating_sub(began).min(now))
 }
 
 /// News for the node.
@@ -369,10 +375,12 @@
 
     #[test]
     fn starts_are_put_on_the_clock_of_the_node() {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
-        assert_eq!(started(0, 1_000), None);
-        let at = started(unix - 5_000, 60_000_000).unwrap();
-        assert!((54_000_000..=55_001_000).contains(&at), "{at}");
-        assert!(started(unix + 60_000, 7).unwrap() <= 7);
+        let began = 1_700_000_000_000_000;
+        assert_eq!(started(0, began, 1_000), None);
+        assert_eq!(started(1_700_000_055_000, began, 60_000_000), Some(55_000_000));
+        assert_eq!(started(1_699_999_999_000, began, 60_000_000), Some(-1_000_000));
+        assert_eq!(started(1_700_000_099_000, began, 7), Some(7));
+        assert!(started(i64::MAX, began, 7).is_some_and(|at| at <= 7));
+        assert!((unix_now() - UNIX_EPOCH.elapsed().unwrap().as_micros() as i64).abs() < 60_000_000);
     }
 }
--- a/src/bin/meadowtrail/node.rs
+++ b/src/bin/meadowtrail/node.rs
@@ -102,6 +102,8 @@
 
 pub struct Node {
     began: Instant,
+    /// The same in Unix time, read once: starts of servers are told in that.
+    began_unix: Micros,
     /// The file of its configuration, read again on SIGHUP.
     path: String,
     poll: Poll,
@@ -166,6 +168,7 @@
         let upstream = connections * UPSTREAM_PART / 100;
         let mut node = Node {
             began: Instant::now(),
+            began_unix: discovery::unix_now(),
             path,
             poll,
             listener: Some(listener),
@@ -673,7 +676,7 @@
                 self.upstreams.listed(&listed.entry.server, listed.address);
             }
             let mut entry = self.names.entry(&listed.entry);
-            entry.started = discovery::started(listed.boot_ms, now);
+            entry.started = discovery::started(listed.boot_ms, self.began_unix, now);
             entries.push(entry);
         }
         self.queue.push_back(Event::Servers(kind, entries.into()));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -648,6 +648,42 @@
     assert_eq!(serve("last", "key", false), home);
 }
 
+#[test]
+fn a_server_that_is_listed_again_and_has_not_started_again_stays_left_out() {
+    let servers = [listener(), listener()];
+    let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap() - Duration::from_secs(60);
+    let boot_ms = since.as_millis() as i64;
+    let mut targets = [target("s-1", &servers[0]), target("s-2", &servers[1])];
+    targets.iter_mut().for_each(|t| t["boot_ms"] = json!(boot_ms));
+    let node = Node::start(settings(), &targets, |_| {});
+    let (_, mut watch) = node.call();
+    let mut client = node.client();
+    let mut home = None;
+    for id in ["r1", "r2"] {
+        client.get(id);
+        let (at, mut conn) = accept_either(&servers);
+        assert_eq!(*home.get_or_insert(at), at);
+        conn.command();
+        conn.reset();
+        assert_eq!(client.line(), FAILED);
+    }
+    watch.answer_http(&list(42, false, &targets));
+    // The next call goes out behind the news.
+    let (_, mut watch) = node.call();
+    client.get("r3");
+    let (at, mut conn) = accept_either(&servers);
+    assert_ne!(Some(at), home);
+    conn.command();
+    conn.send(served(b"three"));
+    assert_eq!(client.bulk(), b"three");
+    // One that has is new: nothing is known against it.
+    targets.iter_mut().for_each(|t| t["boot_ms"] = json!(boot_ms + 20_000));
+    watch.answer_http(&list(43, false, &targets));
+    let _watch = node.call();
+    client.get("r4");
+    assert_eq!(Some(accept_either(&servers).0), home);
+}
+
 #[test]
 fn broken_connections_are_retried_as_long_as_they_are_few() {
     let servers = [listener(), listener()];
