Wait in the tests until a closed listener is free

Seen: with all cores busy, 2 of 9 runs of the loopback tests failed (a refused connection that was told as failed; a node that never sent). A program that another test is starting holds a copy of a closed listener until it runs, so that a connection is accepted and reset, or the node finds its address taken. That reading fits both; it was not traced.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -65,7 +65,7 @@
 fn a_refused_connection_never_ran() {
     let server = listener();
     let node = Node::with_server(&server);
-    drop(server);
+    close(server);
     let mut client = node.client();
     client.get("r1");
     assert_eq!(client.line(), BUSY);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -41,6 +41,17 @@
     })
 }
 
+/// Closes a listener for good: a program that another test is just starting holds a copy until it runs.
+pub fn close(listener: TcpListener) -> SocketAddr {
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let begun = Instant::now();
+    while TcpStream::connect(address).is_ok() {
+        assert!(begun.elapsed() < PATIENCE, "still taken");
+    }
+    address
+}
+
 pub fn target(uid: &str, server: &TcpListener) -> Value {
     json!({"uid": uid, "endpoint": server.local_addr().unwrap().to_string(), "az": "a", "model": "m",
            "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0})
@@ -74,7 +85,7 @@
         known: &[Value],
         edit: impl FnOnce(&mut Value),
     ) -> Node {
-        let address = listener().local_addr().unwrap();
+        let address = close(listener());
         let discovery = listener();
         let mut config = json!({
             "name": "n1", "listen": address.to_string(),
