Split the program into packages by concern, under the product's name

One package held codecs, sockets, decisions and both programs, under inherited names; every later part would have had to grow inside it.

--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,4 +1,4 @@
-//! cobaltfront decides for a proxy node which cache server gets each request, when to try again,
+//! sloewick decides for a proxy node which cache server gets each request, when to try again,
 //! when to hedge, when to refuse. It does no I/O: events go in, actions come out.
 //!
 //! [`interface`] holds the types, [`rules`] every decision, [`settings`] how both are told their
--- a/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of cobaltfront. Its types are in `src/interface.rs`.
+//! Every decision of sloewick. Its types are in `src/interface.rs`.
 //!
 //! Map: constants; Server, Line (DEMB: window, cuts, blending, splicing, dealing); Pace (what classes and
 //! kinds of machine take); Held (a request, its attempts, what the rules allow for it); Balancer (events,
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use cobaltfront::interface::*;
-use cobaltfront::Balancer;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sloewick_decision::interface::*;
+use sloewick_decision::Balancer;
 
 fn class(repeat: Repeat, scope: Scope, late_worth: f64) -> Class {
     Class {
--- a/src/bin/meadowtrail/client.rs
+++ b/crates/node/src/client.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
-use cobaltfront::interface::Micros;
 use mio::net::TcpStream;
+use sloewick_decision::interface::Micros;
 
 use crate::net::{fill, Outbox, Read1};
-use crate::resp::{Broken, Budget, Command, CommandReader};
+use sloewick_wire::resp::{Broken, Budget, Command, CommandReader};
 
 /// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
 const PIPELINE_MOST: usize = 128;
--- a/src/bin/meadowtrail/config.rs
+++ b/crates/node/src/config.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use cobaltfront::settings::{self, Bad, Fields, Names};
-use cobaltfront::Settings;
 use serde_json::Value;
+use sloewick_decision::settings::{self, Bad, Fields, Names};
+use sloewick_decision::Settings;
 
 use crate::discovery::{self, Answer};
 
--- a/src/bin/meadowtrail/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,12 +8,13 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
-use cobaltfront::interface::{Micros, ServerId, ServerState};
-use cobaltfront::settings::{Bad, Fields, RawEntry};
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use serde_json::Value;
+use sloewick_decision::interface::{Micros, ServerId, ServerState};
+use sloewick_decision::settings::{Bad, Fields, RawEntry};
+use sloewick_wire::http;
 
 use crate::net::{fill, Outbox, Read1};
 use crate::timer::{Due, Timers};
@@ -29,10 +30,6 @@
 const WATCH_PAUSE: Micros = 100_000;
 /// Pause before a pushed list is asked for again; the agent is on this machine and free.
 const PUSH_PAUSE: Micros = 200_000;
-/// Longest answer: over ten thousand servers.
-const BODY_MOST: usize = 4 << 20;
-const HEAD_MOST: usize = 16 << 10;
-const HEADERS: usize = 64;
 
 /// One list entry and where it is reached from here.
 pub struct Listed {
@@ -237,14 +234,14 @@
             match fill(&mut call.stream, &mut call.buf, scratch) {
                 Read1::Ended => ended = true,
                 Read1::Empty => {}
-                _ if call.buf.len() > HEAD_MOST + BODY_MOST => {
+                _ if call.buf.len() > http::HEAD_MOST + http::BODY_MOST => {
                     return Some(self.failed("answer too long", now, timers));
                 }
                 _ => continue,
             }
             break;
         }
-        match http_body(&call.buf, ended) {
+        match http::body(&call.buf, ended) {
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
             Err(why) => Some(self.failed(why, now, timers)),
@@ -291,88 +288,10 @@
     }
 }
 
-fn http_body(buf: &[u8], ended: bool) -> Result<Option<Vec<u8>>, &'static str> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(buf) {
-        Ok(httparse::Status::Complete(start)) => start,
-        Ok(httparse::Status::Partial) if ended => return Err("answer cut off"),
-        Ok(httparse::Status::Partial) if buf.len() <= HEAD_MOST => return Ok(None),
-        _ => return Err("answer is not HTTP"),
-    };
-    if head.code != Some(200) {
-        return Err("status is not 200");
-    }
-    let header = |name: &str| {
-        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
-    };
-    let rest = &buf[start..];
-    if header("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().ends_with("chunked")) {
-        return match chunks(rest)? {
-            None if ended => Err("answer cut off"),
-            body => Ok(body),
-        };
-    }
-    let Some(length) = header("content-length") else {
-        return Ok(ended.then(|| rest.to_vec()));
-    };
-    let length: usize = length.parse().map_err(|_| "bad content-length")?;
-    match rest.get(..length) {
-        _ if length > BODY_MOST => Err("answer too long"),
-        Some(body) => Ok(Some(body.to_vec())),
-        None if ended => Err("answer cut off"),
-        None => Ok(None),
-    }
-}
-
-fn chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
-    let mut body = Vec::new();
-    loop {
-        let (start, size) = match httparse::parse_chunk_size(rest) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err("bad chunk"),
-        };
-        if size == 0 {
-            return Ok(Some(body));
-        }
-        if size > BODY_MOST as u64 {
-            return Err("answer too long");
-        }
-        let end = start + size as usize;
-        let Some(after) = rest.get(end..end + 2) else { return Ok(None) };
-        if after != b"\r\n" {
-            return Err("bad chunk");
-        }
-        body.extend_from_slice(&rest[start..end]);
-        rest = &rest[end + 2..];
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    #[test]
-    fn bodies_by_length_chunks_and_end() {
-        let length = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
-        assert_eq!(http_body(length, false), Ok(Some(b"{}".to_vec())));
-        let chunked =
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n";
-        assert_eq!(http_body(chunked, false), Ok(Some(b"{}".to_vec())));
-        let open = b"HTTP/1.1 200 OK\r\n\r\n{}";
-        assert_eq!(http_body(open, false), Ok(None));
-        assert_eq!(http_body(open, true), Ok(Some(b"{}".to_vec())));
-        for cut in 0..length.len() {
-            assert_eq!(http_body(&length[..cut], false), Ok(None));
-            assert!(http_body(&length[..cut], true).is_err());
-        }
-        let failed = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
-        assert!(http_body(failed, false).is_err());
-        assert!(http_body(b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", false).is_err());
-    }
-
     #[test]
     fn starts_are_put_on_the_clock_of_the_node() {
         let began = 1_700_000_000_000_000;
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,13 @@
+//! The running node: fronts, open requests, upstream pools, discovery and timers around the decision module.
+//!
+//! Everything that decides is in `sloewick-decision`; everything here does what that says and tells it what
+//! came of it.
+
+pub mod config;
+pub mod discovery;
+pub mod net;
+pub mod node;
+
+mod client;
+mod timer;
+mod upstream;
--- a/src/bin/meadowtrail/net.rs
+++ b/crates/node/src/net.rs
@@ -102,6 +102,7 @@
 ///
 /// Guards against a reader of the log that stops reading: a line that the pipe has no room for is dropped,
 /// since a write that blocks would hold up every request.
+#[derive(Default)]
 pub struct Log {
     second: i64,
     lines: u32,
@@ -112,7 +113,7 @@
 
 impl Log {
     pub fn new() -> Log {
-        Log { second: 0, lines: 0 }
+        Log::default()
     }
 
     pub fn line(&mut self, now: i64, text: &str) {
--- a/src/bin/meadowtrail/node.rs
+++ b/crates/node/src/node.rs
@@ -11,24 +11,24 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cobaltfront::interface::{
-    Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
-};
-use cobaltfront::settings::Names;
-use cobaltfront::Balancer;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
+use sloewick_decision::interface::{
+    Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
+};
+use sloewick_decision::settings::Names;
+use sloewick_decision::Balancer;
 
 use crate::client::{Client, Input, Slot};
 use crate::config::{self, Config};
 use crate::discovery::{self, Answer, Discovery, News};
 use crate::net::{Log, READ_MOST};
-use crate::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 use crate::timer::{Due, Timers};
 use crate::upstream::{Around, Job, Signal, Upstreams};
+use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
--- a/src/bin/meadowtrail/timer.rs
+++ b/crates/node/src/timer.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use cobaltfront::interface::Micros;
+use sloewick_decision::interface::Micros;
 
 /// What is due. Keys are slab places, serials tell whether the place still holds the same thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/bin/meadowtrail/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -6,15 +6,15 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use cobaltfront::interface::{Micros, ServerId, Status};
 use mio::event::Event;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
+use sloewick_decision::interface::{Micros, ServerId, Status};
 
 use crate::net::{fill, Outbox, Read1};
-use crate::resp::{Part, Piece, Reply, ReplyReader};
 use crate::timer::{Due, Timers};
+use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader};
 
 /// Most connections to one server. A server holds some 250 of all nodes together and queues a few dozen
 /// requests; more than this to one server could only wait there.
--- a/src/bin/cobaltfront-drill/main.rs
+++ b/crates/simhost/src/main.rs
@@ -9,10 +9,10 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use cobaltfront::interface::{Action, Event};
-use cobaltfront::settings::{self, Bad, Fields, Names, RawEntry};
-use cobaltfront::Balancer;
 use serde_json::Value;
+use sloewick_decision::interface::{Action, Event};
+use sloewick_decision::settings::{self, Bad, Fields, Names, RawEntry};
+use sloewick_decision::Balancer;
 
 /// One node: its module and the names it was given.
 struct Instance {
@@ -21,14 +21,14 @@
 }
 
 #[derive(Default)]
-struct Drill {
+struct Host {
     instances: BTreeMap<i64, Instance>,
     registers: BTreeMap<i64, Arc<[RawEntry]>>,
     unknown: BTreeSet<String>,
     actions: Vec<Action>,
 }
 
-impl Drill {
+impl Host {
     /// Handles one batch; the reply is appended to `out`.
     fn batch(&mut self, line: &str, out: &mut String) -> Result<(), Bad> {
         let value: Value =
@@ -121,7 +121,7 @@
     let mut input = std::io::BufReader::with_capacity(1 << 20, stdin.lock());
     let stdout = std::io::stdout();
     let mut output = stdout.lock();
-    let mut drill = Drill::default();
+    let mut host = Host::default();
     let (mut line, mut reply, mut number) = (Vec::new(), String::new(), 0u64);
     loop {
         line.clear();
@@ -137,7 +137,7 @@
         reply.clear();
         let done = std::str::from_utf8(&line)
             .map_err(|e| Bad::new("line", format!("is not UTF-8: {e}")))
-            .and_then(|text| drill.batch(text, &mut reply));
+            .and_then(|text| host.batch(text, &mut reply));
         if let Err(bad) = done {
             eprintln!("input line {number}: {bad}");
             return ExitCode::from(2);
--- a/src/bin/cobaltfront-drill/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -3,9 +3,11 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-use cobaltfront::interface::{Action, Event, ListKind, Load, Micros, Note, Request, ServerState, Status};
-use cobaltfront::settings::{Bad, Fields, Names, RawEntry};
 use serde_json::Value;
+use sloewick_decision::interface::{
+    Action, Event, ListKind, Load, Micros, Note, Request, ServerState, Status,
+};
+use sloewick_decision::settings::{Bad, Fields, Names, RawEntry};
 
 /// Events this adapter understands, besides the register of lists.
 pub const KNOWN: [&str; 10] = [
--- a/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cobaltfront-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sloewick-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/bin/meadowtrail/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -1,17 +1,9 @@
-//! The real node around cobaltfront: one process, one thread, one readiness loop.
-
-mod client;
-mod config;
-mod discovery;
-mod net;
-mod node;
-mod resp;
-mod timer;
-mod upstream;
+//! The sloewick command line.
 
 use std::process::ExitCode;
 
-use cobaltfront::settings::Bad;
+use sloewick_decision::settings::Bad;
+use sloewick_node::{config, net, node};
 
 fn run() -> Result<(), Bad> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
--- a/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -76,7 +76,7 @@
 
     /// A node with these settings and known servers; `edit` may change the rest of its configuration.
     pub fn start(settings: Value, known: &[Value], edit: impl FnOnce(&mut Value)) -> Node {
-        Node::start_by(Command::new(env!("CARGO_BIN_EXE_meadowtrail")), settings, known, edit)
+        Node::start_by(Command::new(env!("CARGO_BIN_EXE_sloewick")), settings, known, edit)
     }
 
     pub fn start_by(
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,5 @@
+//! What sloewick speaks, from bytes to typed messages and back. No sockets, no clock; every reader is
+//! incremental and bounded by the constants beside it, and gives the same messages however bytes are cut.
+
+pub mod http;
+pub mod resp;
