Put sockets, clock and polling behind a Net seam; the node is generic over it

Net and Stream name all that the node asks of the system (listen, accept, connect, read, write, end, poll, now, signals, a log line); Os is their implementation by mio. A turn of the node is now a call of its own (prepare, turn), so that something else than a blocking loop can drive it. Upstream pools are kept in a BTreeMap: with a hash map, which idle connection made room depended on chance.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -3,10 +3,9 @@
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
-use mio::net::TcpStream;
 use sloewick_decision::interface::Micros;
 
-use crate::net::{fill, Outbox, Read1};
+use crate::net::{fill, Outbox, Read1, Stream};
 use sloewick_wire::resp::{Broken, Budget, Command, CommandReader};
 
 /// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
@@ -45,8 +44,8 @@
     Lingering(Micros),
 }
 
-pub struct Client {
-    pub stream: TcpStream,
+pub struct Client<S> {
+    pub stream: S,
     pub serial: u64,
     buf: BytesMut,
     reader: CommandReader,
@@ -78,8 +77,8 @@
     Broken(Broken),
 }
 
-impl Client {
-    pub fn new(stream: TcpStream, serial: u64, now: Micros) -> Client {
+impl<S: Stream> Client<S> {
+    pub fn new(stream: S, serial: u64, now: Micros) -> Client<S> {
         Client {
             stream,
             serial,
@@ -231,7 +230,7 @@
             _ if self.ended => true,
             Closing::No => false,
             Closing::AfterAnswers => {
-                if self.stream.shutdown(std::net::Shutdown::Write).is_err() {
+                if self.stream.end().is_err() {
                     return true;
                 }
                 (self.closing, self.unread) = (Closing::Lingering(now + LINGER), true);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,8 @@
 pub mod discovery;
 pub mod net;
 pub mod node;
+pub mod os;
 
 mod client;
-mod timer;
+pub mod timer;
 mod upstream;
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -1,17 +1,91 @@
-//! What all connections share: reading, queued writing, and the log.
+//! The seam to sockets, clock and polling, and what all connections share above it: reading, queued writing,
+//! and the log.
+//!
+//! Whatever serves over a [`Net`] does so on real sockets ([`crate::os::Os`]) and on a virtual network alike.
+//! Readiness is edge-triggered: an event says that something has come since the last one, and what is not
+//! taken then is not told again.
 
 use std::collections::VecDeque;
-use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use mio::net::TcpStream;
+use sloewick_decision::interface::Micros;
+
+/// Which connection or listener an event is about; chosen by whoever opened it.
+pub type Token = usize;
+/// Events that [`Net`] gives of itself: signals came.
+pub const SIGNALS: Token = 1;
+
+/// What has happened on a connection or listener since the last event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ready {
+    pub token: Token,
+    pub readable: bool,
+    pub writable: bool,
+    /// The peer has ended its sending, or the connection broke.
+    pub read_closed: bool,
+    pub error: bool,
+}
+
+/// What the process was told by signals since it was last asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Take up the configuration anew.
+    pub reload: bool,
+    /// End, with what is held answered.
+    pub stop: bool,
+}
+
+/// A TCP connection that never blocks: where it would, calls fail with [`ErrorKind::WouldBlock`]. Dropping it
+/// closes it.
+pub trait Stream {
+    /// Bytes from the peer; 0: it has ended its sending.
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize>;
+    /// Gives bytes to the kernel; how many it took.
+    fn write(&mut self, chunks: &[IoSlice]) -> io::Result<usize>;
+    /// Nothing has come that was not read, and the peer has not ended its sending.
+    fn quiet(&self) -> bool;
+    /// The error that broke it, once; an error in turn if it is no connection any more.
+    fn take_error(&self) -> io::Result<Option<io::Error>>;
+    /// Whether an opening connection is up. [`ErrorKind::NotConnected`]: not yet.
+    fn connected(&self) -> io::Result<()>;
+    /// Ends this side's sending.
+    fn end(&mut self) -> io::Result<()>;
+    /// Bounds what the kernel keeps for a peer that does not read.
+    fn bound_sending(&mut self, bytes: usize);
+}
+
+/// The only way to sockets, clock and polling.
+pub trait Net {
+    type Stream: Stream;
+    type Listener;
+    /// Time since this process began.
+    fn now(&self) -> Micros;
+    /// Unix time at that beginning, read once.
+    fn began_unix(&self) -> Micros;
+    fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<Self::Listener>;
+    /// The next connection that waits, if `token`'s event said so.
+    fn accept(&mut self, listener: &mut Self::Listener, token: Token) -> io::Result<Self::Stream>;
+    /// Begins to open a connection.
+    fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<Self::Stream>;
+    /// Waits until something happens or the time is over (at once for 0); `ready` is emptied first.
+    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()>;
+    fn told(&mut self) -> Told;
+    /// Writes a line for the operators, or drops it if that would block.
+    fn log(&mut self, line: &str);
+}
+
+/// Whether descriptors have run out.
+pub fn out_of_sockets(e: &io::Error) -> bool {
+    // EMFILE and ENFILE.
+    matches!(e.raw_os_error(), Some(24 | 23))
+}
 
 /// Bytes taken by one read; also the part of a long value that is under way at a time.
 pub const READ_MOST: usize = 64 << 10;
 /// Chunks given to the kernel in one call.
 const CHUNKS: usize = 16;
-/// Longest log line; a pipe that is ready takes this much without blocking (PIPE_BUF is 4,096).
-const LOG_LINE_MOST: usize = 400;
 
 /// What a read brought.
 #[derive(Debug, PartialEq)]
@@ -26,7 +100,7 @@
 }
 
 /// One read into `buf` by way of the shared scratch space, so that idle connections hold no buffer.
-pub fn fill(stream: &mut TcpStream, buf: &mut BytesMut, scratch: &mut [u8]) -> Read1 {
+pub fn fill<S: Stream>(stream: &mut S, buf: &mut BytesMut, scratch: &mut [u8]) -> Read1 {
     loop {
         match stream.read(scratch) {
             Ok(0) => return Read1::Ended,
@@ -65,14 +139,14 @@
     }
 
     /// Writes what the kernel takes now; tells how much.
-    pub fn flush(&mut self, stream: &mut TcpStream) -> io::Result<usize> {
+    pub fn flush<S: Stream>(&mut self, stream: &mut S) -> io::Result<usize> {
         let mut written = 0;
         while self.len > 0 {
             let mut slices = [IoSlice::new(&[]); CHUNKS];
             for (slice, chunk) in slices.iter_mut().zip(&self.chunks) {
                 *slice = IoSlice::new(chunk);
             }
-            match stream.write_vectored(&slices[..self.chunks.len().min(CHUNKS)]) {
+            match stream.write(&slices[..self.chunks.len().min(CHUNKS)]) {
                 Ok(n) => {
                     written += n;
                     self.took(n);
@@ -98,10 +172,7 @@
     }
 }
 
-/// Lines on standard error, a bounded number a second.
-///
-/// Guards against a reader of the log that stops reading: a line that the pipe has no room for is dropped,
-/// since a write that blocks would hold up every request.
+/// Lines for the operators, a bounded number a second.
 #[derive(Default)]
 pub struct Log {
     second: i64,
@@ -112,27 +183,14 @@
 const LOG_LINES_A_SECOND: u32 = 20;
 
 impl Log {
-    pub fn new() -> Log {
-        Log::default()
-    }
-
-    pub fn line(&mut self, now: i64, text: &str) {
-        let second = now / 1_000_000;
+    pub fn line<N: Net>(&mut self, net: &mut N, text: &str) {
+        let second = net.now() / 1_000_000;
         if second != self.second {
             (self.second, self.lines) = (second, 0);
         }
         self.lines += 1;
-        if self.lines > LOG_LINES_A_SECOND {
-            return;
-        }
-        let mut line: String = text.chars().filter(|c| !c.is_control()).take(LOG_LINE_MOST / 4).collect();
-        line.push('\n');
-        let stderr = io::stderr();
-        let mut ready = [rustix::event::PollFd::new(&stderr, rustix::event::PollFlags::OUT)];
-        let at_once = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
-        let polled = rustix::event::poll(&mut ready, Some(&at_once));
-        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT) {
-            let _ = stderr.lock().write_all(line.as_bytes());
+        if self.lines <= LOG_LINES_A_SECOND {
+            net.log(text);
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,33 +6,26 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mio::net::TcpListener;
-use mio::{Events, Interest, Poll, Token};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
 use sloewick_decision::interface::{
     Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
 };
-use sloewick_decision::settings::Names;
+use sloewick_decision::settings::{Bad, Names};
 use sloewick_decision::Balancer;
 
 use crate::client::{Client, Input, Slot};
-use crate::config::{self, Config};
+use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News};
-use crate::net::{Log, READ_MOST};
+use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
 use crate::timer::{Due, Timers};
 use crate::upstream::{Around, Job, Signal, Upstreams};
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
-const LISTENER: Token = Token(0);
-const SIGNALS: Token = Token(1);
-const DISCOVERY: Token = Token(2);
+const LISTENER: Token = 0;
+const DISCOVERY: Token = 2;
 /// Tokens of connections: clients are even, upstreams odd.
 const FIRST: usize = 4;
 
@@ -50,7 +43,6 @@
 const REQUESTS_PART: usize = 4;
 /// Connections accepted in one round, so that a flood of them leaves time for those that are there.
 const ACCEPT_MOST: usize = 64;
-const BACKLOG: i32 = 1024;
 /// A long value's bytes that wait for its client; beyond it the server is held back.
 const STREAM_MOST: usize = READ_MOST;
 /// What the kernel keeps for a client that does not read; by itself it would grow to megabytes for each.
@@ -100,16 +92,16 @@
     Draining,
 }
 
-pub struct Node {
-    began: Instant,
-    /// The same in Unix time, read once: starts of servers are told in that.
-    began_unix: Micros,
-    /// The file of its configuration, read again on SIGHUP.
-    path: String,
-    poll: Poll,
-    listener: Option<TcpListener>,
+/// Where the configuration comes from when it is read again.
+pub type Source = Box<dyn FnMut() -> Result<Config, Bad>>;
+
+pub struct Node<N: Net> {
+    net: N,
+    /// Read again on SIGHUP.
+    source: Source,
+    listener: Option<N::Listener>,
     accept_more: bool,
-    signals: Signals,
+    ready: Vec<Ready>,
     balancer: Balancer,
     names: Names,
     max_open: usize,
@@ -120,13 +112,13 @@
     open: Slab<Open>,
     ids: HashMap<RequestId, usize>,
     serial: u64,
-    clients: Slab<Client>,
+    clients: Slab<Client<N::Stream>>,
     clients_most: usize,
     dirty: Vec<usize>,
     budget: Budget,
-    upstreams: Upstreams,
+    upstreams: Upstreams<N::Stream>,
     probes: HashMap<u64, (ServerId, Micros)>,
-    discovery: Discovery,
+    discovery: Discovery<N::Stream>,
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
@@ -135,31 +127,20 @@
 }
 
 fn client_token(key: usize) -> Token {
-    Token(FIRST + 2 * key)
+    FIRST + 2 * key
 }
 
 fn upstream_token(key: usize) -> Token {
-    Token(FIRST + 2 * key + 1)
-}
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    use socket2::{Domain, Socket, Type};
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    // A restarted node finds its address still held by connections of the one before.
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(TcpListener::from_std(socket.into()))
+    FIRST + 2 * key + 1
 }
 
-impl Node {
-    pub fn new(config: Config, path: String) -> io::Result<Node> {
-        let poll = Poll::new()?;
-        let mut listener = listen(config.listen)?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
-        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+impl<N: Net> Node<N> {
+    /// A node that listens and holds the list that it was told; [`Node::run`] or [`Node::turn`] serve.
+    ///
+    /// # Errors
+    /// Its address cannot be listened on, or its settings do not fit together.
+    pub fn new(config: Config, mut net: N, source: Source) -> io::Result<Node<N>> {
+        let listener = net.listen(config.listen, LISTENER)?;
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let (ask, connect_most) = (set.ask, set.connect_timeout);
@@ -167,13 +148,11 @@
         let connections = config.sockets - SOCKETS_KEPT;
         let upstream = connections * UPSTREAM_PART / 100;
         let mut node = Node {
-            began: Instant::now(),
-            began_unix: discovery::unix_now(),
-            path,
-            poll,
+            net,
+            source,
             listener: Some(listener),
             accept_more: true,
-            signals,
+            ready: Vec::new(),
             balancer,
             names: config.names,
             max_open: max_open.min(config.memory / REQUESTS_PART / REQUEST_MEMORY),
@@ -192,7 +171,7 @@
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
             timers: Timers::default(),
-            log: Log::new(),
+            log: Log::default(),
             scratch: vec![0; READ_MOST],
             phase: Phase::Running,
             exit_by: Micros::MAX,
@@ -203,59 +182,75 @@
     }
 
     fn now(&self) -> Micros {
-        self.began.elapsed().as_micros() as Micros
+        self.net.now()
     }
 
     /// Serves until a planned stop is over.
+    ///
+    /// # Errors
+    /// The system cannot be asked what happens.
     pub fn run(mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(256);
-        loop {
-            self.work();
-            self.flush_clients();
-            if self.stopped() {
-                return Ok(());
-            }
-            let due = self.timers.next().filter(|_| self.dirty.is_empty());
-            let wait = due.map_or(0, |at| (at - self.now()).max(0));
-            match self.poll.poll(&mut events, Some(Duration::from_micros(wait as u64))) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                done => done?,
-            }
-            // Sockets first: on a starved node what came in time must not be called late.
-            for event in &events {
-                self.ready(event);
-            }
-            self.accept();
-            self.work();
-            let now = self.now();
-            while let Some(due) = self.timers.pop_due(now) {
-                self.due(due, now);
-            }
+        while let Some(due) = self.prepare() {
+            let wait = (due - self.now()).max(0);
+            self.turn(wait)?;
         }
+        Ok(())
+    }
+
+    /// Does all that can be done without news; until when there is nothing to do then. None: the node has ended.
+    pub fn prepare(&mut self) -> Option<Micros> {
+        self.work();
+        self.flush_clients();
+        if self.stopped() {
+            return None;
+        }
+        // A sweep is always due.
+        Some(self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0))
+    }
+
+    /// Waits so long for news and takes it up.
+    ///
+    /// # Errors
+    /// The system cannot be asked what happens.
+    pub fn turn(&mut self, wait: Micros) -> io::Result<()> {
+        let mut ready = std::mem::take(&mut self.ready);
+        self.net.poll(&mut ready, wait)?;
+        // Sockets first: on a starved node what came in time must not be called late.
+        for event in &ready {
+            self.ready(event);
+        }
+        self.ready = ready;
+        self.accept();
+        self.work();
+        let now = self.now();
+        while let Some(due) = self.timers.pop_due(now) {
+            self.due(due, now);
+        }
+        Ok(())
     }
 
-    fn ready(&mut self, event: &mio::event::Event) {
+    fn ready(&mut self, event: &Ready) {
         let now = self.now();
-        match event.token() {
+        match event.token {
             LISTENER => self.accept_more = true,
             SIGNALS => self.signalled(now),
             DISCOVERY => {
                 let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
-                self.news(news, now);
+                self.news(news);
             }
-            Token(token) if (token - FIRST) % 2 == 0 => {
+            token if (token - FIRST) % 2 == 0 => {
                 let key = (token - FIRST) / 2;
                 let Some(client) = self.clients.get_mut(key) else { return };
-                if event.is_error() && client.gone() {
+                if event.error && client.gone() {
                     return self.drop_client(key);
                 }
-                if event.is_readable() || event.is_read_closed() {
-                    client.readable(event.is_read_closed());
+                if event.readable || event.read_closed {
+                    client.readable(event.read_closed);
                 }
                 self.mark(key);
                 self.read(key);
             }
-            Token(token) => {
+            token => {
                 let key = (token - FIRST) / 2;
                 self.with_upstreams(|upstreams, around| upstreams.ready(key, event, around));
                 self.signals();
@@ -263,11 +258,14 @@
         }
     }
 
-    fn with_upstreams<T>(&mut self, call: impl FnOnce(&mut Upstreams, &mut Around) -> T) -> T {
+    fn with_upstreams<T>(
+        &mut self,
+        call: impl FnOnce(&mut Upstreams<N::Stream>, &mut Around<N>) -> T,
+    ) -> T {
         let now = self.now();
         let mut around = Around {
             now,
-            registry: self.poll.registry(),
+            net: &mut self.net,
             timers: &mut self.timers,
             scratch: &mut self.scratch,
             token: upstream_token,
@@ -286,9 +284,8 @@
             }
             self.actions = actions;
         }
-        let now = self.now();
-        let news = self.discovery.go_on(now, self.poll.registry(), &mut self.timers);
-        self.news(news, now);
+        let news = self.discovery.go_on(&mut self.net, &mut self.timers);
+        self.news(news);
     }
 
     fn due(&mut self, due: Due, now: Micros) {
@@ -305,7 +302,7 @@
             }
             Due::Discovery { serial } => {
                 let news = self.discovery.due(serial, now, &mut self.timers);
-                self.news(news, now);
+                self.news(news);
             }
             Due::Sweep => self.sweep(now),
         }
@@ -328,14 +325,14 @@
     }
 
     fn signalled(&mut self, now: Micros) {
-        let came: Vec<i32> = self.signals.pending().collect();
-        if came.contains(&SIGHUP) {
-            self.reload(now);
+        let told = self.net.told();
+        if told.reload {
+            self.reload();
         }
-        if came.iter().any(|signal| *signal != SIGHUP) && self.phase == Phase::Running {
+        if told.stop && self.phase == Phase::Running {
             self.phase = Phase::Stopping(now);
             self.exit_by = now + self.longest + STOP_SLACK;
-            self.log.line(now, "told to stop");
+            self.log.line(&mut self.net, "told to stop");
         }
     }
 
@@ -344,13 +341,13 @@
     ///
     /// Guards against ending on SIGHUP, which is what happens to a process that does not ask for it, and
     /// against a file that cannot be used: what is held goes on under the old one.
-    fn reload(&mut self, now: Micros) {
-        match config::read(&self.path) {
+    fn reload(&mut self) {
+        match (self.source)() {
             Ok(config) => {
-                self.log.line(now, &format!("reloaded: discovery at {}", config.discovery));
+                self.log.line(&mut self.net, &format!("reloaded: discovery at {}", config.discovery));
                 self.discovery.move_to(config.discovery);
             }
-            Err(bad) => self.log.line(now, &format!("not reloaded: {bad}")),
+            Err(bad) => self.log.line(&mut self.net, &format!("not reloaded: {bad}")),
         }
     }
 
@@ -391,16 +388,11 @@
             if self.clients.len() >= self.clients_most && !self.evict_client() {
                 return;
             }
-            let Some(listener) = &self.listener else { return };
-            match listener.accept() {
-                Ok((mut stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
-                    let key = self.clients.vacant_key();
-                    let both = Interest::READABLE | Interest::WRITABLE;
-                    if self.poll.registry().register(&mut stream, client_token(key), both).is_err() {
-                        continue;
-                    }
+            let Some(listener) = &mut self.listener else { return };
+            let key = self.clients.vacant_key();
+            match self.net.accept(listener, client_token(key)) {
+                Ok(mut stream) => {
+                    stream.bound_sending(SEND_BUFFER);
                     self.serial += 1;
                     self.clients.insert(Client::new(stream, self.serial, self.now()));
                     accepted += 1;
@@ -411,7 +403,7 @@
                 // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
                 // that connections wait, so they are asked for again in the next round, at the latest with
                 // the next sweep. An idle upstream connection makes room for one.
-                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                Err(e) if out_of_sockets(&e) => {
                     if !self.upstreams.make_room() {
                         return;
                     }
@@ -649,11 +641,11 @@
 
     // ---- the list ----
 
-    fn news(&mut self, news: Option<News>, now: Micros) {
+    fn news(&mut self, news: Option<News>) {
         match news {
             Some(News::List(answer)) => self.list(answer, None),
             Some(News::Failed(why)) => {
-                self.log.line(now, &format!("list: {why}"));
+                self.log.line(&mut self.net, &format!("list: {why}"));
                 self.queue.push_back(Event::ListFailed);
             }
             None => {}
@@ -676,7 +668,7 @@
                 self.upstreams.listed(&listed.entry.server, listed.address);
             }
             let mut entry = self.names.entry(&listed.entry);
-            entry.started = discovery::started(listed.boot_ms, self.began_unix, now);
+            entry.started = discovery::started(listed.boot_ms, self.net.began_unix(), now);
             entries.push(entry);
         }
         self.queue.push_back(Event::Servers(kind, entries.into()));
@@ -707,7 +699,7 @@
             Action::Close(server) => self.upstreams.close_idle(&server),
             Action::Subscribe(on) => self.discovery.subscribe(on),
             Action::FetchList => self.discovery.fetch(),
-            Action::Log(text) => self.log.line(now, &text),
+            Action::Log(text) => self.log.line(&mut self.net, &text),
         }
     }
 
@@ -864,8 +856,7 @@
                     }
                 }
                 Signal::Odd(server, why) => {
-                    let now = self.now();
-                    self.log.line(now, &format!("server {server}: {why}"));
+                    self.log.line(&mut self.net, &format!("server {server}: {why}"));
                 }
             }
         }
--- /dev/null
+++ b/crates/node/src/os.rs
@@ -0,0 +1,169 @@
+//! Real sockets, the system's clocks, signals and standard error, by mio.
+
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use sloewick_decision::interface::Micros;
+
+use crate::net::{Net, Ready, Stream, Token, Told, SIGNALS};
+
+const BACKLOG: i32 = 1024;
+/// Longest log line; a pipe that is ready takes this much without blocking (PIPE_BUF is 4,096).
+const LOG_LINE_MOST: usize = 400;
+/// Events taken by one poll; more wait for the next.
+const EVENTS: usize = 256;
+
+/// The system, for one process or one of its threads.
+pub struct Os {
+    poll: Poll,
+    events: Events,
+    signals: Option<Signals>,
+    began: Instant,
+    began_unix: Micros,
+}
+
+impl Os {
+    /// For a process of its own: SIGHUP, SIGTERM and SIGINT are taken.
+    ///
+    /// # Errors
+    /// The system's, when it has no room for a poll or for the signals.
+    pub fn with_signals() -> io::Result<Os> {
+        let mut os = Os::new()?;
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
+        os.poll.registry().register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
+        os.signals = Some(signals);
+        Ok(os)
+    }
+
+    /// For one of several threads: signals are left to others.
+    ///
+    /// # Errors
+    /// The system's, when it has no room for a poll.
+    pub fn new() -> io::Result<Os> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
+        Ok(Os {
+            poll: Poll::new()?,
+            events: Events::with_capacity(EVENTS),
+            signals: None,
+            began: Instant::now(),
+            began_unix: unix,
+        })
+    }
+}
+
+impl Net for Os {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    fn now(&self) -> Micros {
+        self.began.elapsed().as_micros() as Micros
+    }
+
+    fn began_unix(&self) -> Micros {
+        self.began_unix
+    }
+
+    fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<TcpListener> {
+        use socket2::{Domain, Socket, Type};
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        // A restarted node finds its address still held by connections of the one before.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        Ok(listener)
+    }
+
+    fn accept(&mut self, listener: &mut TcpListener, token: Token) -> io::Result<TcpStream> {
+        let (mut stream, _) = listener.accept()?;
+        let _ = stream.set_nodelay(true);
+        let both = Interest::READABLE | Interest::WRITABLE;
+        // Not as a lack of descriptors: the connection is gone, and those behind it are asked for.
+        let registered = self.poll.registry().register(&mut stream, mio::Token(token), both);
+        registered.map_err(|_| io::Error::from(ErrorKind::ConnectionAborted))?;
+        Ok(stream)
+    }
+
+    fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(to)?;
+        let _ = stream.set_nodelay(true);
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, mio::Token(token), both)?;
+        Ok(stream)
+    }
+
+    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
+        ready.clear();
+        match self.poll.poll(&mut self.events, Some(Duration::from_micros(wait.max(0) as u64))) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
+            done => done?,
+        }
+        ready.extend(self.events.iter().map(|e| Ready {
+            token: e.token().0,
+            readable: e.is_readable(),
+            writable: e.is_writable(),
+            read_closed: e.is_read_closed(),
+            error: e.is_error(),
+        }));
+        Ok(())
+    }
+
+    fn told(&mut self) -> Told {
+        let came = self.signals.iter_mut().flat_map(|s| s.pending());
+        came.fold(Told::default(), |told, signal| match signal {
+            SIGHUP => Told { reload: true, ..told },
+            _ => Told { stop: true, ..told },
+        })
+    }
+
+    /// Guards against a reader of the log that stops reading: a line that the pipe has no room for is
+    /// dropped, since a write that blocks would hold up every request.
+    fn log(&mut self, line: &str) {
+        let mut line: String = line.chars().filter(|c| !c.is_control()).take(LOG_LINE_MOST / 4).collect();
+        line.push('\n');
+        let stderr = io::stderr();
+        let mut ready = [rustix::event::PollFd::new(&stderr, rustix::event::PollFlags::OUT)];
+        let at_once = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let polled = rustix::event::poll(&mut ready, Some(&at_once));
+        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT) {
+            let _ = stderr.lock().write_all(line.as_bytes());
+        }
+    }
+}
+
+impl Stream for TcpStream {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        Read::read(self, into)
+    }
+
+    fn write(&mut self, chunks: &[IoSlice]) -> io::Result<usize> {
+        self.write_vectored(chunks)
+    }
+
+    fn quiet(&self) -> bool {
+        matches!(self.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    fn take_error(&self) -> io::Result<Option<io::Error>> {
+        TcpStream::take_error(self)
+    }
+
+    fn connected(&self) -> io::Result<()> {
+        self.peer_addr().map(|_| ())
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        self.shutdown(Shutdown::Write)
+    }
+
+    fn bound_sending(&mut self, bytes: usize) {
+        let _ = socket2::SockRef::from(&*self).set_send_buffer_size(bytes);
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,18 +1,15 @@
 //! Connections to cache servers, kept in a pool for each server. A connection carries one attempt at a
 //! time: an attempt is given up by closing its connection, which must not take others with it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use mio::event::Event;
-use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
 use slab::Slab;
 use sloewick_decision::interface::{Micros, ServerId, Status};
 
-use crate::net::{fill, Outbox, Read1};
+use crate::net::{fill, out_of_sockets, Net, Outbox, Read1, Ready, Stream, Token};
 use crate::timer::{Due, Timers};
 use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader};
 
@@ -51,8 +48,8 @@
     Odd(ServerId, &'static str),
 }
 
-struct Conn {
-    stream: TcpStream,
+struct Conn<S> {
+    stream: S,
     server: ServerId,
     address: SocketAddr,
     serial: u64,
@@ -71,7 +68,7 @@
     starved: Option<Micros>,
 }
 
-impl Conn {
+impl<S> Conn<S> {
     /// The kernel has all of the job: it may run.
     fn sent(&self) -> bool {
         !self.connecting && self.out.is_empty()
@@ -87,9 +84,10 @@
 }
 
 /// All connections to cache servers.
-pub struct Upstreams {
-    conns: Slab<Conn>,
-    pools: HashMap<ServerId, Pool>,
+pub struct Upstreams<S> {
+    conns: Slab<Conn<S>>,
+    /// In a fixed order: which connection makes room, and which pool is closed first, must not depend on chance.
+    pools: BTreeMap<ServerId, Pool>,
     most: usize,
     serial: u64,
     idle_most: Micros,
@@ -98,19 +96,19 @@
 }
 
 /// What a call needs of the node around.
-pub struct Around<'a> {
+pub struct Around<'a, N> {
     pub now: Micros,
-    pub registry: &'a Registry,
+    pub net: &'a mut N,
     pub timers: &'a mut Timers,
     pub scratch: &'a mut [u8],
     pub token: fn(usize) -> Token,
 }
 
-impl Upstreams {
-    pub fn new(most: usize, server_idle: Micros, connect_most: Micros) -> Upstreams {
+impl<S: Stream> Upstreams<S> {
+    pub fn new(most: usize, server_idle: Micros, connect_most: Micros) -> Upstreams<S> {
         Upstreams {
             conns: Slab::new(),
-            pools: HashMap::new(),
+            pools: BTreeMap::new(),
             most,
             serial: 0,
             idle_most: server_idle * IDLE_PART / 100,
@@ -161,7 +159,7 @@
         job: Job,
         server: &ServerId,
         chunks: &[Bytes],
-        around: &mut Around,
+        around: &mut Around<impl Net<Stream = S>>,
     ) -> Result<usize, Status> {
         while let Some(conn) = self.pools.get_mut(server).and_then(|pool| pool.idle.pop()) {
             if self.reusable(conn, around.now) && self.give(conn, job, chunks, around) {
@@ -178,32 +176,30 @@
 
     fn reusable(&self, conn: usize, now: Micros) -> bool {
         let c = &self.conns[conn];
-        let quiet = matches!(c.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
-        now - c.idle_since < self.idle_most && (c.connecting || quiet)
+        now - c.idle_since < self.idle_most && (c.connecting || c.stream.quiet())
     }
 
-    fn open(&mut self, server: &ServerId, around: &mut Around) -> Result<usize, Status> {
+    fn open(
+        &mut self,
+        server: &ServerId,
+        around: &mut Around<impl Net<Stream = S>>,
+    ) -> Result<usize, Status> {
         let Some(pool) = self.pools.get(server) else { return Err(Status::Moot) };
         if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
             return Err(Status::Moot);
         }
         let address = self.pools[server].address;
-        let mut opened = TcpStream::connect(address);
+        let token = |conns: &Slab<Conn<S>>| (around.token)(conns.vacant_key());
+        let mut opened = around.net.connect(address, token(&self.conns));
         if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
-            opened = TcpStream::connect(address);
+            opened = around.net.connect(address, token(&self.conns));
         }
-        let mut stream = opened.map_err(|e| match e.kind() {
+        let stream = opened.map_err(|e| match e.kind() {
             ErrorKind::ConnectionRefused => Status::ConnectFailed,
             _ => Status::Moot,
         })?;
-        let _ = stream.set_nodelay(true);
         self.serial += 1;
         let place = self.conns.vacant_entry();
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        around
-            .registry
-            .register(&mut stream, (around.token)(place.key()), interest)
-            .map_err(|_| Status::Moot)?;
         let (conn, serial) = (place.key(), self.serial);
         place.insert(Conn {
             stream,
@@ -230,7 +226,13 @@
     }
 
     /// Hands a job to a connection; false if that turns out to be broken.
-    fn give(&mut self, conn: usize, job: Job, chunks: &[Bytes], around: &mut Around) -> bool {
+    fn give(
+        &mut self,
+        conn: usize,
+        job: Job,
+        chunks: &[Bytes],
+        around: &mut Around<impl Net<Stream = S>>,
+    ) -> bool {
         let c = &mut self.conns[conn];
         c.job = Some(job);
         chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
@@ -299,19 +301,19 @@
     }
 
     /// Something happened on a socket.
-    pub fn ready(&mut self, conn: usize, event: &Event, around: &mut Around) {
+    pub fn ready(&mut self, conn: usize, event: &Ready, around: &mut Around<impl Net<Stream = S>>) {
         let Some(c) = self.conns.get_mut(conn) else { return };
         if c.connecting {
-            match (c.stream.take_error(), c.stream.peer_addr()) {
+            match (c.stream.take_error(), c.stream.connected()) {
                 (Ok(None), Ok(_)) => c.connecting = false,
                 (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
                 _ => return self.fail(conn),
             }
         }
         let _ = c.out.flush(&mut c.stream);
-        if event.is_readable() || event.is_read_closed() || event.is_error() {
+        if event.readable || event.read_closed || event.error {
             c.unread = true;
-            c.closed |= event.is_read_closed() || event.is_error();
+            c.closed |= event.read_closed || event.error;
             match (c.body, c.job) {
                 (true, Some(job)) => self.signals.push_back(Signal::Body(job)),
                 _ => self.read(conn, around),
@@ -320,7 +322,7 @@
     }
 
     /// Reads replies until the socket is empty or a long value begins.
-    fn read(&mut self, conn: usize, around: &mut Around) {
+    fn read(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) {
         while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
             match c.reader.next(&mut c.buf) {
                 Ok(Some(Piece::Whole(reply))) => self.replied(conn, reply, around.now),
@@ -377,7 +379,7 @@
     }
 
     /// The next bytes of a long value; none: not there yet, or a signal tells how it ended.
-    pub fn pull(&mut self, conn: usize, around: &mut Around) -> Option<Bytes> {
+    pub fn pull(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) -> Option<Bytes> {
         loop {
             let c = self.conns.get_mut(conn).filter(|c| c.body)?;
             match c.reader.next(&mut c.buf) {
@@ -420,9 +422,9 @@
 
     /// Closes what has stood idle too long, and ends long values that have stopped coming.
     pub fn sweep(&mut self, now: Micros) {
-        let old = |c: &Conn| c.job.is_none() && now - c.idle_since >= self.idle_most;
-        let stalled = |c: &Conn| c.starved.is_some_and(|since| now - since >= BODY_PAUSE_MOST);
-        let find = |what: &dyn Fn(&Conn) -> bool| -> Vec<usize> {
+        let old = |c: &Conn<S>| c.job.is_none() && now - c.idle_since >= self.idle_most;
+        let stalled = |c: &Conn<S>| c.starved.is_some_and(|since| now - since >= BODY_PAUSE_MOST);
+        let find = |what: &dyn Fn(&Conn<S>) -> bool| -> Vec<usize> {
             self.conns.iter().filter(|(_, c)| what(c)).map(|(conn, _)| conn).collect()
         };
         let (old, stalled) = (find(&old), find(&stalled));
@@ -430,8 +432,3 @@
         stalled.into_iter().for_each(|conn| self.fail(conn));
     }
 }
-
-fn out_of_sockets(e: &std::io::Error) -> bool {
-    // EMFILE and ENFILE.
-    matches!(e.raw_os_error(), Some(24 | 23))
-}
