--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -36,7 +36,11 @@
     parse(&text)
 }
 
-fn parse(text: &str) -> Result<Config, Bad> {
+/// A configuration from its text.
+///
+/// # Errors
+/// The first field that is missing, of a wrong kind or beyond its bounds.
+pub fn parse(text: &str) -> Result<Config, Bad> {
     let value: Value =
         serde_json::from_str(text).map_err(|e| Bad::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
     let f = Fields::of(&value, "BALANCER_CONFIG")?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -95,14 +95,26 @@
 /// Where the configuration comes from when it is read again.
 pub type Source = Box<dyn FnMut() -> Result<Config, Bad>>;
 
-pub struct Node<N: Net> {
+/// What decides: events in, actions out, time as an argument, no I/O.
+pub trait Module {
+    /// Takes up an event at this time; what is to be done is added to `actions`.
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Module for Balancer {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+pub struct Node<N: Net, M: Module = Balancer> {
     net: N,
     /// Read again on SIGHUP.
     source: Source,
     listener: Option<N::Listener>,
     accept_more: bool,
     ready: Vec<Ready>,
-    balancer: Balancer,
+    module: M,
     names: Names,
     max_open: usize,
     longest: Micros,
@@ -139,12 +151,28 @@
     ///
     /// # Errors
     /// Its address cannot be listened on, or its settings do not fit together.
-    pub fn new(config: Config, mut net: N, source: Source) -> io::Result<Node<N>> {
+    pub fn new(config: Config, net: N, source: Source) -> io::Result<Node<N>> {
+        Node::with_module(config, net, source, |balancer| balancer)
+    }
+}
+
+impl<N: Net, M: Module> Node<N, M> {
+    /// A node whose decisions pass through what `wrap` makes of the module.
+    ///
+    /// # Errors
+    /// As [`Node::new`].
+    pub fn with_module(
+        config: Config,
+        mut net: N,
+        source: Source,
+        wrap: impl FnOnce(Balancer) -> M,
+    ) -> io::Result<Node<N, M>> {
         let listener = net.listen(config.listen, LISTENER)?;
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let (ask, connect_most) = (set.ask, set.connect_timeout);
         let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
+        let module = wrap(balancer);
         let connections = config.sockets - SOCKETS_KEPT;
         let upstream = connections * UPSTREAM_PART / 100;
         let mut node = Node {
@@ -153,7 +181,7 @@
             listener: Some(listener),
             accept_more: true,
             ready: Vec::new(),
-            balancer,
+            module,
             names: config.names,
             max_open: max_open.min(config.memory / REQUESTS_PART / REQUEST_MEMORY),
             longest,
@@ -278,7 +306,7 @@
         while let Some(event) = self.queue.pop_front() {
             let now = self.now();
             let mut actions = std::mem::take(&mut self.actions);
-            self.balancer.handle(now, event, &mut actions);
+            self.module.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(action, now);
             }
--- /dev/null
+++ b/crates/rig/src/clients.rs
@@ -0,0 +1,676 @@
+//! Stand-ins for clients: a crowd behind a front that deals out connections and notices late that a node has
+//! died, with retries, impatience and hang-ups; and rude clients that send what can't be read.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use sloewick_decision::interface::Micros;
+use sloewick_node::net::Net;
+use sloewick_wire::resp::{put_bulk, put_head, Part, Piece, Reply, ReplyReader};
+
+use crate::facts::{Answer, Id, Tap, What};
+use crate::orders::Orders;
+use crate::port::{Actor, Came, Port};
+use crate::rng::Rng;
+
+/// Connections to one node for requests.
+const CONNS_MOST: usize = 80;
+/// How much longer than its time a client listens, so that a late answer is told from none.
+const LISTEN_ON: Micros = 400_000;
+/// Pause between two looks whether a started node answers PING.
+const PING_AGAIN: Micros = 50_000;
+
+/// A class of requests as clients know it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: String,
+    /// Part of all requests.
+    pub share: f64,
+    pub deadline: Micros,
+    pub write: bool,
+    /// Writes carry an idempotency key, and are retried by it after a failure.
+    pub keyed: bool,
+    /// May be asked again after any failure.
+    pub free: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub nodes: Vec<SocketAddr>,
+    pub classes: Vec<Class>,
+    /// Names and parts of all traffic.
+    pub tenants: Vec<(String, f64)>,
+    /// Requests a second over all nodes.
+    pub rate: f64,
+    pub keys: usize,
+    /// Exponent of the keys' popularity.
+    pub zipf: f64,
+    /// Part of the first tries that are asked again by the client, once.
+    pub retries: f64,
+    pub backoff: Micros,
+    /// Part of the requests whose client leaves before its time is up.
+    pub impatient: f64,
+    /// No first tries after this.
+    pub until: Micros,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    /// So many times the usual rate.
+    Rate(f64),
+    /// So many keys take this part of all requests; none: as usual.
+    Hot { keys: usize, part: f64 },
+    /// The front has noticed that a node is gone.
+    Down(usize),
+    /// A node has been started; it is used once it answers PING.
+    Up(usize),
+    /// Part of the requests whose client leaves early.
+    Impatient(f64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Arrival,
+    GiveUp(u64),
+    Leave(u64),
+    Retry(u64),
+    Ping(usize),
+}
+
+struct Try {
+    id: Id,
+    first: Id,
+    is_first: bool,
+    node: usize,
+    class: usize,
+    tenant: usize,
+    key: usize,
+    idem: Option<Id>,
+    budget: Micros,
+    /// When its first try began.
+    begun_first: Micros,
+    conn: Option<usize>,
+    resent: bool,
+    bytes: Bytes,
+}
+
+struct Conn {
+    node: usize,
+    up: bool,
+    /// Requests answered on it.
+    done: u64,
+    reader: ReplyReader,
+    job: Option<u64>,
+    ping: bool,
+    part: bool,
+}
+
+/// The crowd and the front before it.
+pub struct Crowd<N: Net> {
+    port: Port<N, Due>,
+    set: Settings,
+    orders: Orders<Order>,
+    tap: Tap,
+    rng: Rng,
+    rate: f64,
+    hot: (usize, f64),
+    cumulated: Vec<f64>,
+    up: Vec<bool>,
+    turn: usize,
+    tries: HashMap<u64, Try>,
+    waiting: Vec<VecDeque<u64>>,
+    conns: HashMap<usize, Conn>,
+    idle: Vec<Vec<usize>>,
+    open: Vec<usize>,
+    number: u64,
+    came: Vec<(usize, Came)>,
+}
+
+impl<N: Net> Crowd<N> {
+    pub fn new(net: N, set: Settings, orders: Orders<Order>, tap: Tap) -> Crowd<N> {
+        let mut port = Port::new(net);
+        let nodes = set.nodes.len();
+        let mut sum = 0.0;
+        let cumulated = (1..=set.keys)
+            .map(|rank| {
+                sum += 1.0 / (rank as f64).powf(set.zipf);
+                sum
+            })
+            .collect();
+        port.set(port.now(), Due::Arrival);
+        (0..nodes).for_each(|node| port.set(port.now(), Due::Ping(node)));
+        let rng = Rng::part(set.seed, "clients", 0);
+        Crowd {
+            port,
+            set,
+            orders,
+            tap,
+            rng,
+            rate: 1.0,
+            hot: (0, 0.0),
+            cumulated,
+            up: vec![false; nodes],
+            turn: 0,
+            tries: HashMap::new(),
+            waiting: vec![VecDeque::new(); nodes],
+            conns: HashMap::new(),
+            idle: vec![Vec::new(); nodes],
+            open: vec![0; nodes],
+            number: 0,
+            came: Vec::new(),
+        }
+    }
+
+    fn key(&mut self) -> usize {
+        if self.rng.chance(self.hot.1) {
+            return self.rng.below(self.hot.0.max(1));
+        }
+        let at = self.rng.part_of_one() * self.cumulated.last().copied().unwrap_or(0.0);
+        self.cumulated.partition_point(|sum| *sum < at).min(self.set.keys.saturating_sub(1))
+    }
+
+    fn arrive(&mut self) {
+        let now = self.port.now();
+        let pause = self.rng.spread(1e6 / (self.set.rate * self.rate).max(0.001));
+        if now + (pause as Micros) < self.set.until {
+            self.port.set(now + pause as Micros, Due::Arrival);
+        }
+        let mut at = self.rng.part_of_one();
+        let class = self.set.classes.iter().position(|c| {
+            at -= c.share;
+            at < 0.0
+        });
+        let mut at = self.rng.part_of_one();
+        let tenant = self.set.tenants.iter().position(|(_, share)| {
+            at -= share;
+            at < 0.0
+        });
+        let class = class.unwrap_or(0);
+        let key = self.key();
+        let idem = self.set.classes[class].keyed.then(|| Id::from(format!("{:016x}", self.rng.word())));
+        let budget = self.set.classes[class].deadline as f64 * self.rng.between(0.7, 1.0);
+        let tenant = tenant.unwrap_or(0);
+        self.ask(None, class, tenant, key, idem, budget as Micros);
+    }
+
+    /// Asks for the first time, or again for `first` (its id and when it began).
+    fn ask(
+        &mut self,
+        first: Option<(Id, Micros)>,
+        class: usize,
+        tenant: usize,
+        key: usize,
+        idem: Option<Id>,
+        budget: Micros,
+    ) {
+        let nodes = self.up.len();
+        let node = (1..=nodes).map(|i| (self.turn + i) % nodes).find(|n| self.up[*n]);
+        // Nobody is up: the front has nowhere to send this.
+        let Some(node) = node else { return };
+        self.turn = node;
+        let now = self.port.now();
+        let id = Id::from(format!("{:016x}", self.rng.word()));
+        let c = &self.set.classes[class];
+        let mut fields =
+            format!("c={},t={},d={}", c.name, self.set.tenants[tenant].0, (budget + 999) / 1000);
+        if let Some(idem) = &idem {
+            fields += &format!(",k={idem}");
+        }
+        if first.is_some() {
+            fields += ",r=1";
+        }
+        let name: &[u8] = if c.write { b"C.SET" } else { b"C.GET" };
+        let key_name = format!("logger/{key:05}");
+        let mut out = Vec::with_capacity(160);
+        put_head(&mut out, b'*', if c.write { 5 } else { 4 });
+        for word in [name, key_name.as_bytes(), id.as_bytes(), fields.as_bytes()] {
+            put_bulk(&mut out, word);
+        }
+        if c.write {
+            let length = if self.rng.chance(0.05) { 6_000 } else { 24 };
+            put_bulk(&mut out, &vec![b'w'; length]);
+        }
+        self.number += 1;
+        let number = self.number;
+        let is_first = first.is_none();
+        let (first, begun_first) = first.unwrap_or((id.clone(), now));
+        let (bytes, conn, resent) = (Bytes::from(out), None, false);
+        self.tries.insert(
+            number,
+            Try {
+                id,
+                first,
+                is_first,
+                node,
+                class,
+                tenant,
+                key,
+                idem,
+                budget,
+                begun_first,
+                conn,
+                resent,
+                bytes,
+            },
+        );
+        self.port.set(now + budget + LISTEN_ON, Due::GiveUp(number));
+        if self.rng.chance(self.set.impatient) {
+            let early = self.rng.part_of_one() * budget as f64 * 0.5;
+            self.port.set(now + early as Micros, Due::Leave(number));
+        }
+        self.dispatch(number);
+    }
+
+    /// Sends a try on an idle connection, on a new one, or when one is free.
+    fn dispatch(&mut self, number: u64) {
+        let Some(node) = self.tries.get(&number).map(|t| t.node) else { return };
+        while let Some(conn) = self.idle[node].pop() {
+            if self.port.line(conn).is_some() && self.conns.get(&conn).is_some_and(|c| c.up) {
+                return self.write(conn, number);
+            }
+        }
+        if self.open[node] >= CONNS_MOST {
+            return self.waiting[node].push_back(number);
+        }
+        match self.port.connect(self.set.nodes[node]) {
+            Ok(conn) => {
+                self.open[node] += 1;
+                self.hold(conn, node, Some(number), false);
+            }
+            Err(_) => self.ended(number, false, true),
+        }
+    }
+
+    fn hold(&mut self, conn: usize, node: usize, job: Option<u64>, ping: bool) {
+        let reader = ReplyReader::default();
+        self.conns.insert(conn, Conn { node, up: false, done: 0, reader, job, ping, part: false });
+        if let Some(t) = job.and_then(|n| self.tries.get_mut(&n)) {
+            t.conn = Some(conn);
+        }
+    }
+
+    fn write(&mut self, conn: usize, number: u64) {
+        let Some(t) = self.tries.get_mut(&number) else { return };
+        t.conn = Some(conn);
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.job = Some(number);
+        }
+        let bytes = t.bytes.clone();
+        let what = if t.resent {
+            What::Resent { id: t.id.clone(), node: t.node }
+        } else {
+            What::Asked {
+                id: t.id.clone(),
+                node: t.node,
+                class: t.class,
+                tenant: t.tenant,
+                idem: t.idem.clone(),
+                first: t.first.clone(),
+                budget: t.budget,
+            }
+        };
+        self.tap.tell(self.port.unix(), what);
+        self.port.send(conn, bytes);
+    }
+
+    fn read(&mut self, conn: usize) {
+        loop {
+            let Some(c) = self.conns.get_mut(&conn) else { return };
+            let Some(line) = self.port.line(conn) else { return };
+            match c.reader.next(&mut line.buf) {
+                Ok(Some(Piece::Whole(reply))) => self.replied(conn, reply),
+                Ok(Some(_)) => c.part = true,
+                Ok(None) => {
+                    c.part = c.reader.midway() || !line.buf.is_empty();
+                    return;
+                }
+                Err(broken) => {
+                    let bytes = broken.0.to_string();
+                    self.tap.tell(self.port.unix(), What::Unasked { node: c.node, bytes });
+                    return self.lost(conn);
+                }
+            }
+        }
+    }
+
+    fn replied(&mut self, conn: usize, reply: Reply) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let node = c.node;
+        if std::mem::take(&mut c.ping) {
+            if reply == Reply::One(Part::Simple(Bytes::from_static(b"PONG"))) {
+                self.up[node] = true;
+                self.open[node] += 1;
+                return self.rest(conn);
+            }
+            self.port.close(conn);
+            self.conns.remove(&conn);
+            return self.port.set(self.port.now() + PING_AGAIN, Due::Ping(node));
+        }
+        let Some(number) = c.job.take() else {
+            let bytes = format!("{reply:?}").chars().take(120).collect();
+            self.tap.tell(self.port.unix(), What::Unasked { node, bytes });
+            return;
+        };
+        c.done += 1;
+        let Some(t) = self.tries.remove(&number) else { return };
+        let value = match &reply {
+            Reply::One(Part::Bulk(value)) => Some(value),
+            Reply::Array(parts) => match parts.first() {
+                Some(Part::Bulk(value)) => Some(value),
+                _ => None,
+            },
+            Reply::One(_) => None,
+        };
+        let how = match (value, &reply) {
+            (Some(value), _) if value.starts_with(format!("{}|", t.id).as_bytes()) => Answer::Served,
+            (Some(value), _) => {
+                Answer::Foreign(String::from_utf8_lossy(&value[..value.len().min(60)]).into_owned())
+            }
+            (None, Reply::One(Part::Error(text))) if text.starts_with(b"BUSY") => {
+                let ms = std::str::from_utf8(text).ok().and_then(|t| t.split(' ').nth(1)?.parse().ok());
+                Answer::Busy(ms)
+            }
+            _ => Answer::Failed,
+        };
+        self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how: how.clone() });
+        self.rest(conn);
+        self.again(t, &how);
+    }
+
+    /// A connection is free.
+    fn rest(&mut self, conn: usize) {
+        let Some(node) = self.conns.get(&conn).map(|c| c.node) else { return };
+        match self.waiting[node].pop_front() {
+            Some(number) => self.write(conn, number),
+            None => self.idle[node].push(conn),
+        }
+    }
+
+    /// Asks again where clients do.
+    fn again(&mut self, t: Try, how: &Answer) {
+        let c = &self.set.classes[t.class];
+        let harmless = match how {
+            Answer::Busy(_) => true,
+            Answer::Failed => c.free || c.keyed,
+            _ => false,
+        };
+        if !t.is_first || !harmless || !self.rng.chance(self.set.retries) {
+            return;
+        }
+        let wait = match how {
+            Answer::Busy(Some(ms)) => (*ms as Micros * 1000).min(1_000_000),
+            _ => self.set.backoff,
+        };
+        let now = self.port.now();
+        if now + wait - t.begun_first < c.deadline {
+            self.number += 1;
+            self.port.set(now + wait, Due::Retry(self.number));
+            self.tries.insert(self.number, Try { conn: None, ..t });
+        }
+    }
+
+    /// A connection has ended.
+    fn lost(&mut self, conn: usize) {
+        self.port.close(conn);
+        let Some(c) = self.conns.remove(&conn) else { return };
+        self.idle[c.node].retain(|i| *i != conn);
+        if c.ping {
+            return self.port.set(self.port.now() + PING_AGAIN, Due::Ping(c.node));
+        }
+        self.open[c.node] -= 1;
+        if let Some(number) = c.job {
+            self.ended(number, c.part, c.up);
+        }
+        if self.open[c.node] < CONNS_MOST {
+            if let Some(number) = self.waiting[c.node].pop_front() {
+                self.dispatch(number);
+            }
+        }
+    }
+
+    /// The connection of a try ended with no whole answer. `sent`: the try had been written to it.
+    fn ended(&mut self, number: u64, part: bool, sent: bool) {
+        let Some(t) = self.tries.get_mut(&number) else { return };
+        t.conn = None;
+        if !sent {
+            // It never left: the node is unreachable, and the client is free to ask elsewhere.
+            let Some(t) = self.tries.remove(&number) else { return };
+            return self.again(t, &Answer::Busy(None));
+        }
+        if !part && !t.resent {
+            // A node may close a connection between requests; what crossed that is sent once more.
+            t.resent = true;
+            let nodes = self.up.len();
+            let up = (0..nodes).map(|i| (t.node + i) % nodes).find(|n| self.up[*n]);
+            if let Some(node) = up {
+                t.node = node;
+                return self.dispatch(number);
+            }
+        }
+        let Some(t) = self.tries.remove(&number) else { return };
+        self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how: Answer::Ended { part } });
+        self.again(t, &Answer::Failed);
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Arrival => self.arrive(),
+            Due::GiveUp(number) => {
+                if let Some(t) = self.tries.remove(&number) {
+                    self.waiting[t.node].retain(|n| *n != number);
+                    if let Some(conn) = t.conn {
+                        // No answer at all: its connection can't be used on.
+                        if let Some(c) = self.conns.get_mut(&conn) {
+                            c.job = None;
+                        }
+                        self.lost(conn);
+                    }
+                }
+            }
+            Due::Leave(number) => {
+                let Some(conn) = self.tries.get(&number).and_then(|t| t.conn) else { return };
+                let written = self.conns.get(&conn).is_some_and(|c| c.up);
+                if let Some(t) = self.tries.remove(&number).filter(|_| written) {
+                    self.tap.tell(self.port.unix(), What::Left { id: t.id });
+                }
+                if let Some(c) = self.conns.get_mut(&conn) {
+                    c.job = None;
+                }
+                self.lost(conn);
+            }
+            Due::Retry(number) => {
+                let Some(t) = self.tries.remove(&number) else { return };
+                let left = self.set.classes[t.class].deadline - (self.port.now() - t.begun_first);
+                if left > 0 {
+                    self.ask(Some((t.first, t.begun_first)), t.class, t.tenant, t.key, t.idem, left);
+                }
+            }
+            Due::Ping(node) => match self.port.connect(self.set.nodes[node]) {
+                Ok(conn) => self.hold(conn, node, None, true),
+                Err(_) => self.port.set(self.port.now() + PING_AGAIN, Due::Ping(node)),
+            },
+        }
+    }
+
+    fn connected(&mut self, conn: usize) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.up = true;
+        if c.ping {
+            return self.port.send(conn, Bytes::from_static(b"*1\r\n$4\r\nPING\r\n"));
+        }
+        match c.job.take() {
+            Some(number) => self.write(conn, number),
+            None => self.rest(conn),
+        }
+    }
+}
+
+impl<N: Net> Actor for Crowd<N> {
+    fn turn(&mut self, wait: Micros) -> io::Result<()> {
+        let mut came = std::mem::take(&mut self.came);
+        self.port.poll(wait, &mut came)?;
+        for (conn, what) in &came {
+            match what {
+                Came::Up => self.connected(*conn),
+                Came::Bytes => self.read(*conn),
+                Came::Ended | Came::Broke { .. } => self.lost(*conn),
+                Came::Opened(_) => {}
+            }
+        }
+        self.came = came;
+        while let Some(due) = self.port.pop_due() {
+            self.due(due);
+        }
+        Ok(())
+    }
+
+    fn prepare(&mut self) -> Option<Micros> {
+        while let Some(order) = self.orders.take() {
+            match order {
+                Order::Rate(times) => self.rate = times,
+                Order::Hot { keys, part } => self.hot = (keys, part),
+                Order::Impatient(part) => self.set.impatient = part,
+                Order::Down(node) => self.up[node] = false,
+                Order::Up(node) => self.port.set(self.port.now(), Due::Ping(node)),
+            }
+        }
+        Some(self.port.next_due())
+    }
+}
+
+// ---- rude clients ----
+
+/// What a rude client sends.
+const RUDE: [(&str, &[u8]); 9] = [
+    ("noise", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+    ("negative length", b"*4\r\n$-9\r\n"),
+    ("huge length", b"*4\r\n$99999999999999999999\r\n"),
+    ("a number of words that lies", b"*1000000\r\n"),
+    ("an unknown class", b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr1\r\n$14\r\nc=nothing,d=50\r\n"),
+    (
+        "a deadline that is no number",
+        b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr2\r\n$18\r\nc=trace-read,d=abc\r\n",
+    ),
+    ("no id", b"*2\r\n$5\r\nC.GET\r\n$1\r\nk\r\n"),
+    ("half a command", b"*4\r\n$5\r\nC.GET\r\n$1\r\nk"),
+    ("nothing", b""),
+];
+/// Within this a rude client is owed an error or a close.
+pub const RUDE_OWED: Micros = 3_000_000;
+
+/// Clients that send what can't be read, at a node each in turn.
+pub struct Rude<N: Net> {
+    port: Port<N, RudeDue>,
+    nodes: Vec<SocketAddr>,
+    orders: Orders<f64>,
+    tap: Tap,
+    rng: Rng,
+    rate: f64,
+    ticking: bool,
+    turn: usize,
+    conns: HashMap<usize, RudeConn>,
+    came: Vec<(usize, Came)>,
+}
+
+struct RudeConn {
+    serial: u64,
+    node: usize,
+    what: usize,
+    since: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RudeDue {
+    Next,
+    Owed(usize, u64),
+}
+
+impl<N: Net> Rude<N> {
+    /// `orders`: how many come in a second.
+    pub fn new(net: N, nodes: Vec<SocketAddr>, seed: u64, orders: Orders<f64>, tap: Tap) -> Rude<N> {
+        let (port, rng) = (Port::new(net), Rng::part(seed, "rude", 0));
+        let (rate, ticking, turn) = (0.0, false, 0);
+        Rude { port, nodes, orders, tap, rng, rate, ticking, turn, conns: HashMap::new(), came: Vec::new() }
+    }
+
+    fn next(&mut self) {
+        self.ticking = self.rate > 0.0;
+        if !self.ticking {
+            return;
+        }
+        let pause = self.rng.spread(1e6 / self.rate) as Micros;
+        self.port.set(self.port.now() + pause, RudeDue::Next);
+        self.turn = (self.turn + 1) % self.nodes.len();
+        if let Ok(conn) = self.port.connect(self.nodes[self.turn]) {
+            let serial = self.port.line(conn).map_or(0, |l| l.serial);
+            let (node, what, since) = (self.turn, self.rng.below(RUDE.len()), self.port.now());
+            self.conns.insert(conn, RudeConn { serial, node, what, since });
+        }
+    }
+
+    fn over(&mut self, conn: usize, told: bool, served: bool) {
+        if let Some(c) = self.conns.remove(&conn) {
+            let after = self.port.now() - c.since;
+            self.tap.tell(self.port.unix(), What::RudeEnded { node: c.node, after, told, served });
+        }
+        self.port.close(conn);
+    }
+}
+
+impl<N: Net> Actor for Rude<N> {
+    fn turn(&mut self, wait: Micros) -> io::Result<()> {
+        let mut came = std::mem::take(&mut self.came);
+        self.port.poll(wait, &mut came)?;
+        for (conn, what) in &came {
+            let (now, Some(c)) = (self.port.now(), self.conns.get_mut(conn)) else { continue };
+            match what {
+                Came::Up => {
+                    c.since = now;
+                    let serial = c.serial;
+                    let bytes = Bytes::from_static(RUDE[c.what].1);
+                    self.port.send(*conn, bytes);
+                    self.port.set(now + RUDE_OWED, RudeDue::Owed(*conn, serial));
+                }
+                Came::Bytes => {
+                    let first = self.port.line(*conn).and_then(|l| l.buf.first().copied());
+                    self.over(*conn, first == Some(b'-'), first.is_some_and(|b| b != b'-'));
+                }
+                Came::Ended => self.over(*conn, false, false),
+                Came::Broke { .. } => {
+                    self.conns.remove(conn);
+                }
+                Came::Opened(_) => {}
+            }
+        }
+        self.came = came;
+        while let Some(due) = self.port.pop_due() {
+            match due {
+                RudeDue::Next => self.next(),
+                RudeDue::Owed(conn, serial) => {
+                    if self.conns.get(&conn).is_some_and(|c| c.serial == serial) {
+                        if let Some(c) = self.conns.remove(&conn) {
+                            let what = RUDE[c.what].0.to_string();
+                            self.tap.tell(self.port.unix(), What::RudeLeft { node: c.node, what });
+                        }
+                        self.port.close(conn);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn prepare(&mut self) -> Option<Micros> {
+        while let Some(rate) = self.orders.take() {
+            self.rate = rate;
+            if !self.ticking && rate > 0.0 {
+                self.ticking = true;
+                self.port.set(self.port.now(), RudeDue::Next);
+            }
+        }
+        Some(self.port.next_due())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/discovery.rs
@@ -0,0 +1,301 @@
+//! Stand-in for discovery, from the protocol page: the whole list, a watch on changes, 503, late answers, a
+//! list that is stale. Each node calls it at an address of its own, which is how it knows whom it told what.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+
+use sloewick_decision::interface::Micros;
+use sloewick_node::net::Net;
+
+use crate::facts::{Tap, Told, What};
+use crate::orders::Orders;
+use crate::port::{Actor, Came, Port};
+
+/// Longest request that is read.
+const HEAD_MOST: usize = 8 << 10;
+
+/// One box as it is listed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub number: usize,
+    pub uid: String,
+    pub endpoint: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub told: Told,
+}
+
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// A box's entry changes.
+    Change(Listed),
+    /// All calls fail with 503.
+    Fail(bool),
+    /// Answers are held back so long.
+    Late(Micros),
+    /// Answers tell the list as it stands now until this ends.
+    Stale(bool),
+    /// It counts its versions anew from here.
+    CountFrom(i64),
+    /// Takes no new connection, and closes the open ones after this.
+    Retire(Micros),
+}
+
+/// By uid: when it last changed, and what stands.
+type Entries = BTreeMap<String, (i64, Listed)>;
+
+struct Watch {
+    node: usize,
+    since: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Waited(usize, u64),
+    Answer(usize, u64),
+    Retired,
+}
+
+pub struct Discovery<N: Net> {
+    port: Port<N, Due>,
+    orders: Orders<Order>,
+    tap: Tap,
+    rev: i64,
+    first: i64,
+    entries: Entries,
+    /// What is told while the list is stale.
+    frozen: Option<(i64, Entries)>,
+    nodes: HashMap<usize, usize>,
+    watches: BTreeMap<usize, Watch>,
+    held: HashMap<usize, Option<i64>>,
+    fail: bool,
+    late: Micros,
+    retired: bool,
+    came: Vec<(usize, Came)>,
+}
+
+/// The JSON of a list.
+pub fn list_json<'a>(rev: i64, all: bool, entries: impl Iterator<Item = &'a Listed>) -> serde_json::Value {
+    let entries: Vec<_> = entries
+        .map(|e| {
+            let (state, boot) = match e.told {
+                Told::In { boot } => ("in_service", boot),
+                Told::Draining => ("terminating", 0),
+                Told::Gone => ("terminated", 0),
+            };
+            serde_json::json!({"uid": e.uid, "endpoint": e.endpoint.to_string(), "az": e.zone, "model": e.kind,
+                "pod_group": 0, "state": state, "capacity_hint": 1.0, "boot_ms": boot / 1000})
+        })
+        .collect();
+    serde_json::json!({"rev": rev, "all": all, "targets": entries})
+}
+
+impl<N: Net> Discovery<N> {
+    /// One address for each node, in their order.
+    ///
+    /// # Errors
+    /// An address cannot be listened on.
+    pub fn new(
+        net: N,
+        at: &[SocketAddr],
+        rev: i64,
+        list: &[Listed],
+        orders: Orders<Order>,
+        tap: Tap,
+    ) -> io::Result<Discovery<N>> {
+        let mut port = Port::new(net);
+        for address in at {
+            port.listen(*address)?;
+        }
+        Ok(Discovery {
+            port,
+            orders,
+            tap,
+            rev,
+            first: rev,
+            entries: list.iter().map(|e| (e.uid.clone(), (rev, e.clone()))).collect(),
+            frozen: None,
+            nodes: HashMap::new(),
+            watches: BTreeMap::new(),
+            held: HashMap::new(),
+            fail: false,
+            late: 0,
+            retired: false,
+            came: Vec::new(),
+        })
+    }
+
+    fn read(&mut self, conn: usize) {
+        let Some(line) = self.port.line(conn) else { return };
+        let (serial, buf) = (line.serial, &line.buf);
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(buf) {
+            Ok(httparse::Status::Complete(_)) => {}
+            Ok(httparse::Status::Partial) if buf.len() < HEAD_MOST => return,
+            _ => return self.port.close(conn),
+        }
+        let path = request.path.unwrap_or_default().to_string();
+        line.buf.clear();
+        let query = path.split_once('?').map_or("", |(_, q)| q);
+        let number = |name: &str| -> Option<i64> {
+            query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
+        };
+        if self.fail || !path.starts_with("/api/targets") {
+            return self.reply(conn, "503 Service Unavailable", "");
+        }
+        let since = number("since");
+        let now = self.port.now();
+        if self.late > 0 {
+            self.held.insert(conn, since);
+            return self.port.set(now + self.late, Due::Answer(conn, serial));
+        }
+        match since {
+            Some(since) if since == self.shown().0 => {
+                let wait = number("timeout_ms").unwrap_or(0).clamp(0, 60_000) * 1000;
+                let node = self.nodes.get(&conn).copied().unwrap_or(0);
+                self.watches.insert(conn, Watch { node, since });
+                self.port.set(now + wait, Due::Waited(conn, serial));
+            }
+            since => self.tell(conn, since),
+        }
+    }
+
+    fn shown(&self) -> (i64, &Entries) {
+        match &self.frozen {
+            Some((rev, entries)) => (*rev, entries),
+            None => (self.rev, &self.entries),
+        }
+    }
+
+    /// Answers a call with what has changed since then, or with everything.
+    fn tell(&mut self, conn: usize, since: Option<i64>) {
+        let node = self.nodes.get(&conn).copied().unwrap_or(0);
+        let (rev, entries) = self.shown();
+        let since = since.filter(|since| (self.first..=rev).contains(since));
+        let told: Vec<Listed> = entries
+            .values()
+            .filter(|(at, e)| match since {
+                Some(since) => *at > since,
+                None => e.told != Told::Gone,
+            })
+            .map(|(_, e)| e.clone())
+            .collect();
+        let body = list_json(rev, since.is_none(), told.iter()).to_string();
+        // A whole list also tells who is gone.
+        let gone: Vec<usize> = match since {
+            None => entries.values().filter(|(_, e)| e.told == Told::Gone).map(|(_, e)| e.number).collect(),
+            Some(_) => Vec::new(),
+        };
+        let unix = self.port.unix();
+        for e in &told {
+            self.tap.tell(unix, What::Told { node, at_box: e.number, told: e.told });
+        }
+        for at_box in gone {
+            self.tap.tell(unix, What::Told { node, at_box, told: Told::Gone });
+        }
+        self.reply(conn, "200 OK", &body);
+    }
+
+    fn reply(&mut self, conn: usize, status: &str, body: &str) {
+        let text = format!(
+            "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.port.send(conn, text.into());
+    }
+
+    /// Tells the watches what is new to them.
+    fn changed(&mut self) {
+        let rev = self.shown().0;
+        let due: Vec<usize> =
+            self.watches.iter().filter(|(_, w)| w.since < rev).map(|(conn, _)| *conn).collect();
+        for conn in due {
+            if let Some(watch) = self.watches.remove(&conn) {
+                self.nodes.insert(conn, watch.node);
+                self.tell(conn, Some(watch.since));
+            }
+        }
+    }
+
+    fn forget(&mut self, conn: usize) {
+        self.watches.remove(&conn);
+        self.held.remove(&conn);
+        self.nodes.remove(&conn);
+        self.port.close(conn);
+    }
+}
+
+impl<N: Net> Actor for Discovery<N> {
+    fn turn(&mut self, wait: Micros) -> io::Result<()> {
+        let mut came = std::mem::take(&mut self.came);
+        self.port.poll(wait, &mut came)?;
+        for (conn, what) in &came {
+            match what {
+                Came::Opened(node) => drop(self.nodes.insert(*conn, *node)),
+                Came::Bytes => self.read(*conn),
+                Came::Ended | Came::Broke { .. } => self.forget(*conn),
+                Came::Up => {}
+            }
+        }
+        self.came = came;
+        while let Some(due) = self.port.pop_due() {
+            match due {
+                Due::Waited(conn, serial) => {
+                    let same = self.port.line(conn).is_some_and(|l| l.serial == serial);
+                    if let Some(watch) = self.watches.remove(&conn).filter(|_| same) {
+                        self.tell(conn, Some(watch.since));
+                    }
+                }
+                Due::Answer(conn, serial) => {
+                    let same = self.port.line(conn).is_some_and(|l| l.serial == serial);
+                    if let Some(since) = self.held.remove(&conn).filter(|_| same) {
+                        self.tell(conn, since);
+                    }
+                }
+                Due::Retired => self.port.conns().into_iter().for_each(|conn| self.forget(conn)),
+            }
+        }
+        Ok(())
+    }
+
+    fn prepare(&mut self) -> Option<Micros> {
+        let mut changed = false;
+        while let Some(order) = self.orders.take() {
+            match order {
+                Order::Change(listed) => {
+                    self.rev += 1;
+                    self.entries.insert(listed.uid.clone(), (self.rev, listed));
+                    changed = true;
+                }
+                Order::Fail(fail) => {
+                    self.fail = fail;
+                    if fail {
+                        let all: Vec<usize> = self.watches.keys().copied().collect();
+                        all.into_iter().for_each(|conn| self.forget(conn));
+                    }
+                }
+                Order::Late(late) => self.late = late,
+                Order::Stale(true) => self.frozen = Some((self.rev, self.entries.clone())),
+                Order::Stale(false) => {
+                    self.frozen = None;
+                    changed = true;
+                }
+                Order::CountFrom(rev) => {
+                    (self.rev, self.first) = (rev, rev);
+                    self.entries.values_mut().for_each(|(at, _)| *at = rev);
+                }
+                Order::Retire(after) => {
+                    self.retired = true;
+                    self.port.close_listeners();
+                    self.port.set(self.port.now() + after, Due::Retired);
+                }
+            }
+        }
+        if changed {
+            self.changed();
+        }
+        Some(self.port.next_due())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/facts.rs
@@ -0,0 +1,189 @@
+//! What passed, as the peers of a node saw it. The judge knows nothing else: not a word of it comes from the
+//! node itself.
+
+use std::fmt;
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+
+use sloewick_decision::interface::Micros;
+
+pub type Id = Arc<str>;
+
+/// How a request ended for its client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The value made for this request.
+    Served,
+    /// A value that was not made for this request.
+    Foreign(String),
+    /// Refused, with the wait that was told.
+    Busy(Option<u64>),
+    Failed,
+    /// The connection ended without a whole answer; whether any of it had come.
+    Ended {
+        part: bool,
+    },
+}
+
+/// What became of an attempt in a cache box.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    /// Turned away unseen, and told so.
+    TurnedAway,
+    /// It ran; the answer was good, an error, or spoilt.
+    Ran,
+    /// Begun or waiting when its connection ended or the box stopped: it may have run.
+    Cut,
+}
+
+/// A box's state as discovery tells it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Told {
+    In { boot: Micros },
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// A client's request has left for a node. `first`: the first try of it, whose id this is or names.
+    Asked {
+        id: Id,
+        node: usize,
+        class: usize,
+        tenant: usize,
+        idem: Option<Id>,
+        first: Id,
+        budget: Micros,
+    },
+    /// The same bytes again, on a new connection, since the node had closed the one before unread.
+    Resent {
+        id: Id,
+        node: usize,
+    },
+    Answered {
+        id: Id,
+        how: Answer,
+    },
+    /// Bytes from a node that answer nothing.
+    Unasked {
+        node: usize,
+        bytes: String,
+    },
+    /// A client hung up.
+    Left {
+        id: Id,
+    },
+    /// A box has read an attempt's last byte; its first came then.
+    Attempt {
+        id: Id,
+        attempt: u64,
+        at_box: usize,
+        first_byte: Micros,
+        idem: Option<Id>,
+        work: Micros,
+    },
+    Fate {
+        id: Id,
+        attempt: u64,
+        fate: Fate,
+    },
+    /// A command that a box can't use: no client sent it in this form.
+    Syntax {
+        at_box: usize,
+        bytes: String,
+    },
+    /// A write took effect at the origin.
+    Effect {
+        id: Id,
+        idem: Option<Id>,
+    },
+    /// A repeat of a write was dropped.
+    Dropped {
+        id: Id,
+        idem: Id,
+    },
+    /// Discovery wrote this to a node.
+    Told {
+        node: usize,
+        at_box: usize,
+        told: Told,
+    },
+    BoxStarted {
+        at_box: usize,
+        cold: bool,
+    },
+    /// A cold box was sent too much and fell over; which part of the work came over each node's attempts.
+    Fell {
+        at_box: usize,
+    },
+    BoxEnded {
+        at_box: usize,
+    },
+    NodeStarted {
+        node: usize,
+    },
+    /// The node was told to end.
+    NodeStopping {
+        node: usize,
+    },
+    NodeEnded {
+        node: usize,
+        killed: bool,
+    },
+    /// A read fetched from the origin.
+    Fetch {
+        shared: bool,
+    },
+    /// A fault of the schedule.
+    Fault(String),
+    /// A rude client's connection to a node ended, or it was told an error, so long after its last byte.
+    RudeEnded {
+        node: usize,
+        after: Micros,
+        told: bool,
+        served: bool,
+    },
+    /// A rude client was left with neither.
+    RudeLeft {
+        node: usize,
+        what: String,
+    },
+}
+
+/// A fact and when it was seen, in microseconds since the run began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fact {
+    pub at: Micros,
+    pub what: What,
+}
+
+impl fmt::Display for Fact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:10.6} {:?}", self.at as f64 / 1e6, self.what)
+    }
+}
+
+/// Where a stand-in tells what it saw; the run that holds the other end takes it up after every step.
+#[derive(Clone)]
+pub struct Tap {
+    to: Sender<Fact>,
+    /// Unix time at which the run began.
+    epoch: Micros,
+}
+
+impl Tap {
+    pub fn new(to: Sender<Fact>, epoch: Micros) -> Tap {
+        Tap { to, epoch }
+    }
+
+    /// `unix`: the time of it, by the seer's clock.
+    pub fn tell(&self, unix: Micros, what: What) {
+        // The run may be over; nobody asks any more then.
+        let _ = self.to.send(Fact { at: unix - self.epoch, what });
+    }
+
+    pub fn since_start(&self, unix: Micros) -> Micros {
+        unix - self.epoch
+    }
+}
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,644 @@
+//! A whole fleet on virtual time: nodes, boxes, origin, discovery and clients on one network, a director that
+//! makes them fail, a judge that watches. The same seed and scenario give the same log, byte for byte.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{channel, Receiver};
+
+use sloewick_decision::interface::Micros;
+use sloewick_decision::Balancer;
+use sloewick_node::config;
+use sloewick_node::net::Told as Signals;
+use sloewick_node::node::{Module, Node};
+
+use crate::cachebox::{self, CacheBox};
+use crate::clients::{self, Crowd, Rude};
+use crate::director::{Director, Stage};
+use crate::discovery::{self, Discovery, Listed};
+use crate::facts::{Fact, Tap, Told, What};
+use crate::judge::{Breach, Judge, Rule};
+use crate::orders::Orders;
+use crate::origin::{self, Origin};
+use crate::port::Actor;
+use crate::report::Report;
+use crate::rng::Rng;
+use crate::scenario::Scenario;
+use crate::site;
+use crate::vnet::{Delay, HostId, Shared, VNet, World, EPOCH};
+
+/// Descriptors of a stand-in; enough that only nodes run short.
+const MANY: usize = 100_000;
+/// How long the run goes on after the last request: the longest deadline, and what may follow it.
+const AFTER: Micros = 4_000_000;
+/// How long nodes get to end at the end of the run.
+const ENDING: Micros = 4_000_000;
+
+/// Wraps the module of each node (its number given), for tests that plant defects.
+pub type Wrap = Rc<dyn Fn(usize, Balancer) -> Box<dyn Module>>;
+
+/// Is shown each fact, in order.
+pub type Watch = Box<dyn FnMut(&Fact)>;
+
+/// What is told of a run besides its breaches.
+pub struct Outcome {
+    pub breaches: Vec<Breach>,
+    pub report: Report,
+    /// Of every fact and every byte that was delivered.
+    pub digest: u64,
+    pub facts: u64,
+    /// Virtual time played, in microseconds.
+    pub played: Micros,
+    /// Most descriptors that a node held at once.
+    pub descriptors: usize,
+}
+
+/// What a run may be told.
+pub struct Options {
+    pub watch: Option<Watch>,
+    pub wrap: Option<Wrap>,
+    pub delay: Delay,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { watch: None, wrap: None, delay: Delay { same: 200, cross: 5_000, jitter: 0.2 } }
+    }
+}
+
+struct Boxed(Box<dyn Module>);
+
+impl Module for Boxed {
+    fn handle(
+        &mut self,
+        now: Micros,
+        event: sloewick_decision::Event,
+        actions: &mut Vec<sloewick_decision::Action>,
+    ) {
+        self.0.handle(now, event, actions);
+    }
+}
+
+struct Slot {
+    actor: Option<Box<dyn Actor>>,
+    /// In virtual time.
+    due: Micros,
+    started: Micros,
+    /// Its machine is silent: it does nothing either.
+    frozen: bool,
+}
+
+struct Boxy {
+    host: HostId,
+    orders: Orders<cachebox::Order>,
+}
+
+/// Everything that the director acts on.
+struct Site {
+    world: Shared,
+    scenario: Scenario,
+    seed: u64,
+    tap: Tap,
+    slots: BTreeMap<HostId, Slot>,
+    nodes: Vec<HostId>,
+    node_starts: Vec<u64>,
+    stopping: Vec<bool>,
+    boxes: BTreeMap<usize, Boxy>,
+    discovery: Vec<HostId>,
+    /// How often discovery has moved.
+    moves: usize,
+    discovery_orders: Orders<discovery::Order>,
+    discovery_up: bool,
+    rev: i64,
+    list: Vec<Listed>,
+    /// What each node was last told, for its next start.
+    origin_orders: Orders<origin::Order>,
+    clients_orders: Orders<clients::Order>,
+    rude_orders: Orders<f64>,
+    origin: SocketAddr,
+    touched: Vec<HostId>,
+    moved: Rc<RefCell<Vec<SocketAddr>>>,
+    wrap: Option<Wrap>,
+    clients: HostId,
+    rude: HostId,
+    origin_host: HostId,
+}
+
+fn node_address(node: usize) -> SocketAddr {
+    ([10, 0, 0, node as u8 + 1], 6379).into()
+}
+
+fn box_address(place: usize) -> SocketAddr {
+    ([10, 1, (place / 250) as u8, (place % 250) as u8 + 1], 6379).into()
+}
+
+fn discovery_address(moves: usize, node: usize) -> SocketAddr {
+    ([10, 3, (moves % 250) as u8, node as u8 + 1], 8500).into()
+}
+
+impl Site {
+    fn net(&self, host: HostId) -> VNet {
+        World::net(&self.world, host)
+    }
+
+    fn unix(&self) -> Micros {
+        EPOCH + self.world.borrow().now
+    }
+
+    fn tell(&self, what: What) {
+        self.tap.tell(self.unix(), what);
+    }
+
+    fn place(&mut self, host: HostId, actor: Box<dyn Actor>) {
+        let now = self.world.borrow().now;
+        self.slots.insert(host, Slot { actor: Some(actor), due: now, started: now, frozen: false });
+        self.touched.push(host);
+    }
+
+    fn end(&mut self, host: HostId) {
+        self.world.borrow_mut().kill(host);
+        // Its sockets are closed by the kill; dropping it closes nothing twice.
+        self.slots.remove(&host);
+    }
+
+    fn node_list(&self, node: usize) -> (i64, Vec<Listed>) {
+        // A node comes back with the list as discovery last told it; the stand-in keeps none for each, so it
+        // is the list of now, which is what a node that asked just before it died would hold.
+        let _ = node;
+        (self.rev, self.list.clone())
+    }
+
+    fn run_discovery(&mut self, first_rev: i64) {
+        let at: Vec<SocketAddr> =
+            (0..self.scenario.nodes).map(|n| discovery_address(self.moves, n)).collect();
+        let host = self.world.borrow_mut().host(&format!("discovery-{}", self.moves), 0, MANY);
+        at.iter().for_each(|a| self.world.borrow_mut().address(host, *a));
+        self.discovery_orders = Orders::default();
+        let made = Discovery::new(
+            self.net(host),
+            &at,
+            first_rev,
+            &self.list,
+            self.discovery_orders.clone(),
+            self.tap.clone(),
+        );
+        if let Ok(actor) = made {
+            self.place(host, Box::new(actor));
+        }
+        self.discovery.push(host);
+        self.discovery_up = true;
+    }
+
+    fn wake(&mut self, host: HostId) {
+        self.touched.push(host);
+    }
+}
+
+impl Stage for Site {
+    fn start_box(&mut self, number: usize, place: usize, zone: usize, cold: bool) {
+        let at = box_address(place);
+        let host = self.world.borrow_mut().host(&format!("box-{number}"), zone, MANY);
+        self.world.borrow_mut().address(host, at);
+        let set = site::cache_box(number, at, self.origin, cold, self.seed);
+        let orders = Orders::default();
+        match CacheBox::new(self.net(host), set, orders.clone(), self.tap.clone()) {
+            Ok(actor) => self.place(host, Box::new(actor)),
+            Err(e) => self.say(format!("box {number} does not start: {e}")),
+        }
+        self.boxes.insert(number, Boxy { host, orders });
+    }
+
+    fn kill_box(&mut self, number: usize) {
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        let back = self.slots.get_mut(&host).is_some_and(|s| std::mem::take(&mut s.frozen));
+        if back {
+            self.world.borrow_mut().come_back(host);
+        }
+        self.tell(What::BoxEnded { at_box: number });
+        self.end(host);
+    }
+
+    fn order_box(&mut self, number: usize, order: cachebox::Order) {
+        if let Some((host, orders)) = self.boxes.get(&number).map(|b| (b.host, b.orders.clone())) {
+            orders.give(order);
+            self.wake(host);
+        }
+    }
+
+    fn listed(&self, number: usize, place: usize, zone: usize, told: Told) -> Listed {
+        let told = match told {
+            // Boots are told in Unix time; 0 stands for long ago.
+            Told::In { boot } if boot > 0 => Told::In { boot: EPOCH + boot },
+            other => other,
+        };
+        Listed {
+            number,
+            uid: format!("s-{number:04}"),
+            endpoint: box_address(place),
+            zone: site::ZONES[zone % 2].to_string(),
+            kind: site::KINDS[usize::from(site::slow_kind(number))].to_string(),
+            told,
+        }
+    }
+
+    fn order_discovery(&mut self, order: discovery::Order) {
+        if let discovery::Order::Change(listed) = &order {
+            self.rev += 1;
+            self.list.retain(|l| l.uid != listed.uid);
+            if listed.told != Told::Gone {
+                self.list.push(listed.clone());
+            }
+        }
+        if self.discovery_up {
+            self.discovery_orders.give(order);
+            if let Some(host) = self.discovery.last().copied() {
+                self.wake(host);
+            }
+        }
+    }
+
+    fn order_origin(&mut self, order: origin::Order) {
+        self.origin_orders.give(order);
+        self.wake(self.origin_host);
+    }
+
+    fn order_clients(&mut self, order: clients::Order) {
+        self.clients_orders.give(order);
+        self.wake(self.clients);
+    }
+
+    fn rude(&mut self, rate: f64) {
+        self.rude_orders.give(rate);
+        self.wake(self.rude);
+    }
+
+    fn kill_node(&mut self, node: usize) {
+        if self.slots.contains_key(&self.nodes[node]) {
+            self.tell(What::NodeEnded { node, killed: true });
+            self.end(self.nodes[node]);
+        }
+    }
+
+    fn stop_node(&mut self, node: usize) {
+        self.tell(What::NodeStopping { node });
+        self.stopping[node] = true;
+        self.world.borrow_mut().signal(self.nodes[node], Signals { reload: false, stop: true });
+    }
+
+    fn start_node(&mut self, node: usize) {
+        let host = self.nodes[node];
+        self.end(host);
+        self.world.borrow_mut().revive(host);
+        self.node_starts[node] += 1;
+        self.stopping[node] = false;
+        let mut rng = Rng::part(self.seed, "node", node * 1000 + self.node_starts[node] as usize);
+        let (rev, known) = self.node_list(node);
+        let at = discovery_address(self.moves, node);
+        let text =
+            site::node_config(node, &self.scenario, node_address(node), at, rng.word(), (rev, &known));
+        self.moved.borrow_mut()[node] = at;
+        let (moved, text2) = (self.moved.clone(), text.clone());
+        let source = Box::new(move || {
+            config::parse(&text2).map(|mut config| {
+                config.discovery = moved.borrow()[node];
+                config
+            })
+        });
+        self.tell(What::NodeStarted { node });
+        let config = match config::parse(&text) {
+            Ok(config) => config,
+            Err(bad) => return self.say(format!("node {node}: {bad}")),
+        };
+        let wrap = self.wrap.clone();
+        let made: Result<Box<dyn Actor>, _> = match wrap {
+            Some(wrap) => {
+                Node::with_module(config, self.net(host), source, |balancer| Boxed(wrap(node, balancer)))
+                    .map(|n| Box::new(n) as Box<dyn Actor>)
+            }
+            None => Node::new(config, self.net(host), source).map(|n| Box::new(n) as Box<dyn Actor>),
+        };
+        match made {
+            Ok(actor) => self.place(host, actor),
+            Err(e) => self.say(format!("node {node} does not start: {e}")),
+        }
+    }
+
+    fn move_discovery(&mut self) {
+        if !self.discovery_up {
+            return;
+        }
+        self.discovery_orders.give(discovery::Order::Retire(1_500_000));
+        if let Some(old) = self.discovery.last().copied() {
+            self.wake(old);
+        }
+        self.moves += 1;
+        self.run_discovery(self.rev);
+        for node in 0..self.scenario.nodes {
+            self.moved.borrow_mut()[node] = discovery_address(self.moves, node);
+            if self.slots.contains_key(&self.nodes[node]) {
+                self.world.borrow_mut().signal(self.nodes[node], Signals { reload: true, stop: false });
+            }
+        }
+    }
+
+    fn kill_discovery(&mut self) {
+        self.discovery_up = false;
+        if let Some(host) = self.discovery.last().copied() {
+            self.end(host);
+        }
+    }
+
+    fn start_discovery(&mut self, list: Vec<Listed>, anew: bool) {
+        if self.discovery_up {
+            return;
+        }
+        self.list = list;
+        self.rev = if anew { 1 } else { self.rev + 1 };
+        self.run_discovery(self.rev);
+    }
+
+    fn say(&mut self, text: String) {
+        self.tell(What::Fault(text));
+    }
+
+    fn vanish_box(&mut self, number: usize) {
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        self.world.borrow_mut().vanish(host);
+        if let Some(slot) = self.slots.get_mut(&host) {
+            slot.frozen = true;
+        }
+    }
+
+    fn cut(&mut self, number: usize, from_box: bool, cut: bool) {
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        for node in self.nodes.clone() {
+            let (from, to) = if from_box { (host, node) } else { (node, host) };
+            self.world.borrow_mut().cut(from, to, cut);
+        }
+    }
+
+    fn reset_connections(&mut self, part: f64) {
+        let boxes: Vec<HostId> = self.boxes.values().map(|b| b.host).collect();
+        self.world.borrow_mut().reset_some(&self.nodes, &boxes, part);
+    }
+
+    fn refuse(&mut self, number: usize, refuses: bool) {
+        if let Some(host) = self.boxes.get(&number).map(|b| b.host) {
+            self.world.borrow_mut().set_refuses(host, refuses);
+        }
+    }
+
+    fn partial(&mut self, part: f64) {
+        let mut hosts: Vec<HostId> = self.boxes.values().map(|b| b.host).collect();
+        hosts.extend(&self.nodes);
+        hosts.push(self.clients);
+        hosts.iter().for_each(|host| self.world.borrow_mut().set_partial(*host, part));
+    }
+
+    fn skew(&mut self, node: usize, by: Micros) {
+        self.world.borrow_mut().set_skew(self.nodes[node], by);
+    }
+}
+
+/// A run in progress.
+pub struct Fleet {
+    site: Site,
+    director: Director,
+    pub judge: Judge,
+    pub report: Report,
+    facts: Receiver<Fact>,
+    seen: u64,
+    digest: u64,
+    watch: Option<Watch>,
+    until: Micros,
+}
+
+impl Fleet {
+    pub fn new(scenario: &Scenario, seed: u64, options: Options) -> Fleet {
+        let mut world = World::new(seed, options.delay);
+        let (send, facts) = channel();
+        let tap = Tap::new(send, EPOCH);
+        let origin: SocketAddr = ([10, 2, 0, 1], 7000).into();
+        let origin_host = world.host("origin", 0, MANY);
+        world.address(origin_host, origin);
+        let clients = world.host("clients", 0, MANY);
+        let rude = world.host("rude", 0, MANY);
+        let nodes: Vec<HostId> = (0..scenario.nodes)
+            .map(|n| {
+                let host = world.host(&format!("node-{n}"), n % 2, site::SOCKETS);
+                world.address(host, node_address(n));
+                host
+            })
+            .collect();
+        let until = (scenario.seconds * 1e6) as Micros;
+        let mut site = Site {
+            world: Rc::new(RefCell::new(world)),
+            scenario: scenario.clone(),
+            seed,
+            tap,
+            slots: BTreeMap::new(),
+            node_starts: vec![0; nodes.len()],
+            stopping: vec![false; nodes.len()],
+            moved: Rc::new(RefCell::new((0..nodes.len()).map(|node| discovery_address(0, node)).collect())),
+            nodes,
+            boxes: BTreeMap::new(),
+            discovery: Vec::new(),
+            moves: 0,
+            discovery_orders: Orders::default(),
+            discovery_up: false,
+            rev: 40,
+            list: Vec::new(),
+            origin_orders: Orders::default(),
+            clients_orders: Orders::default(),
+            rude_orders: Orders::default(),
+            origin,
+            touched: Vec::new(),
+            wrap: options.wrap,
+            clients,
+            rude,
+            origin_host,
+        };
+        let set = site::origin(origin, seed, scenario);
+        if let Ok(actor) =
+            Origin::new(site.net(origin_host), set, site.origin_orders.clone(), site.tap.clone())
+        {
+            site.place(origin_host, Box::new(actor));
+        }
+        let mut director = Director::new(scenario, seed);
+        director.raise(&mut site);
+        let addresses: Vec<SocketAddr> = (0..scenario.nodes).map(node_address).collect();
+        let set = site::clients(addresses.clone(), seed, scenario, until);
+        let crowd = Crowd::new(site.net(clients), set, site.clients_orders.clone(), site.tap.clone());
+        site.place(clients, Box::new(crowd));
+        let rude_actor =
+            Rude::new(site.net(rude), addresses, seed, site.rude_orders.clone(), site.tap.clone());
+        site.place(rude, Box::new(rude_actor));
+        Fleet {
+            site,
+            director,
+            judge: Judge::new(site::figures(options.delay.most())),
+            report: site::report(),
+            facts,
+            seen: 0,
+            digest: 0xcbf2_9ce4_8422_2325,
+            watch: options.watch,
+            until,
+        }
+    }
+
+    /// Plays to this time.
+    pub fn play_to(&mut self, end: Micros) {
+        loop {
+            self.settle();
+            let world = self.site.world.borrow();
+            let mut next = world.next_event().unwrap_or(Micros::MAX);
+            let now = world.now;
+            drop(world);
+            for slot in self.site.slots.values().filter(|s| !s.frozen) {
+                next = next.min(slot.due);
+            }
+            next = next.min(self.director.next().unwrap_or(Micros::MAX)).max(now);
+            if next > end {
+                break;
+            }
+            self.site.world.borrow_mut().advance(next);
+            self.director.run(next, &mut self.site);
+            let mut awake = self.site.world.borrow_mut().take_awake();
+            awake.extend(self.site.slots.iter().filter(|(_, s)| s.due <= next).map(|(host, _)| *host));
+            awake.append(&mut self.site.touched);
+            awake.sort_unstable();
+            awake.dedup();
+            for host in awake {
+                self.turn(host);
+            }
+        }
+        self.site.world.borrow_mut().advance(end);
+        self.settle();
+    }
+
+    /// Lets a host act on what has come and on what is due.
+    fn turn(&mut self, host: HostId) {
+        let Some(slot) = self.site.slots.get_mut(&host).filter(|s| !s.frozen) else { return };
+        let (Some(mut actor), started) = (slot.actor.take(), slot.started) else { return };
+        let turned = actor.turn(0);
+        let due = turned.ok().and_then(|()| actor.prepare());
+        match (due, self.site.slots.get_mut(&host)) {
+            (Some(due), Some(slot)) => {
+                slot.due = due.saturating_add(started);
+                slot.actor = Some(actor);
+            }
+            (Some(_), None) => {}
+            (None, _) => {
+                // It has ended by itself.
+                drop(actor);
+                self.site.end(host);
+                if let Some(node) = self.site.nodes.iter().position(|h| *h == host) {
+                    self.site.tell(What::NodeEnded { node, killed: false });
+                    if !self.site.stopping[node] {
+                        let why = format!("node {node} ended unasked");
+                        self.found(Rule::NoneLost, why);
+                    }
+                }
+            }
+        }
+    }
+
+    fn found(&mut self, rule: Rule, why: String) {
+        let at = self.site.world.borrow().now;
+        self.judge.add(Breach { rule, at, id: None, why, around: Vec::new() });
+    }
+
+    fn settle(&mut self) {
+        while let Ok(fact) = self.facts.try_recv() {
+            self.seen += 1;
+            self.judge.see(&fact);
+            self.report.see(&fact);
+            let text = fact.to_string();
+            for byte in text.bytes() {
+                self.digest = (self.digest ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+            }
+            if let Some(watch) = &mut self.watch {
+                watch(&fact);
+            }
+        }
+    }
+
+    /// Lines that the nodes have logged since the last call.
+    pub fn logs(&mut self) -> Vec<String> {
+        let nodes = self.site.nodes.clone();
+        nodes.into_iter().flat_map(|host| self.site.world.borrow_mut().take_log(host)).collect()
+    }
+
+    /// Plays the whole scenario and the planned end of all nodes.
+    pub fn run(mut self) -> Outcome {
+        self.play_to(self.until + AFTER);
+        let now = self.site.world.borrow().now;
+        for node in 0..self.site.nodes.len() {
+            if self.site.slots.contains_key(&self.site.nodes[node]) {
+                self.site.stop_node(node);
+            }
+        }
+        self.play_to(now + ENDING);
+        let now = self.site.world.borrow().now;
+        self.judge.finish(now);
+        let mut descriptors = 0;
+        for node in 0..self.site.nodes.len() {
+            let host = self.site.nodes[node];
+            let (open, peak, most) = self.site.world.borrow().descriptors(host);
+            descriptors = descriptors.max(peak);
+            if self.site.slots.contains_key(&host) {
+                self.found(Rule::GoodManners, format!("node {node} was told to end and has not"));
+            } else if open > 0 {
+                self.found(Rule::GoodManners, format!("node {node} left {open} descriptors open"));
+            }
+            if peak > most {
+                self.found(Rule::GoodManners, format!("node {node} held {peak} of {most} descriptors"));
+            }
+        }
+        let wire = self.site.world.borrow().digest();
+        Outcome {
+            breaches: std::mem::take(&mut self.judge.breaches),
+            report: self.report,
+            digest: self.digest ^ wire.rotate_left(17),
+            facts: self.seen,
+            played: now,
+            descriptors,
+        }
+    }
+}
+
+/// Plays a scenario from a seed.
+pub fn play(scenario: &Scenario, seed: u64, options: Options) -> Outcome {
+    Fleet::new(scenario, seed, options).run()
+}
+
+/// The shortest schedule found that still breaks the rule: faults are left out one by one, then the run is cut
+/// short, as long as the same rule breaks under the same seed.
+pub fn shrink(scenario: &Scenario, seed: u64, rule: Rule, wrap: Option<Wrap>) -> Scenario {
+    let first = |s: &Scenario| {
+        let options = Options { wrap: wrap.clone(), ..Options::default() };
+        let outcome = play(s, seed, options);
+        outcome.breaches.iter().find(|b| b.rule == rule).map(|b| b.at)
+    };
+    let mut best = scenario.clone();
+    let mut i = 0;
+    while i < best.faults.len() {
+        let mut less = best.clone();
+        less.faults.remove(i);
+        if first(&less).is_some() {
+            best = less;
+        } else {
+            i += 1;
+        }
+    }
+    if let Some(at) = first(&best) {
+        let mut less = best.clone();
+        less.seconds = (at as f64 / 1e6).ceil().clamp(1.0, best.seconds);
+        less.faults.retain(|f| f.at < less.seconds);
+        if first(&less).is_some() {
+            best = less;
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/rig/src/port.rs
@@ -0,0 +1,315 @@
+//! What all stand-ins share: connections with their bytes in and out, listeners and timers over a [`Net`].
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use slab::Slab;
+use sloewick_decision::interface::Micros;
+use sloewick_node::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
+
+/// Bytes of one connection that may wait to be taken up; what sends more without end is closed.
+const UNREAD_MOST: usize = 8 << 20;
+const READ_MOST: usize = 64 << 10;
+const FIRST_CONN: usize = 64;
+
+/// Something that lives on a host: a stand-in or a node.
+pub trait Actor {
+    /// Waits at most so long for news and takes it up.
+    ///
+    /// # Errors
+    /// The system cannot be asked what happens.
+    fn turn(&mut self, wait: Micros) -> io::Result<()>;
+    /// Does all that can be done without news; until when there is nothing to do, on this host's clock.
+    /// None: it has ended.
+    fn prepare(&mut self) -> Option<Micros>;
+}
+
+impl<N: Net, M: sloewick_node::node::Module> Actor for sloewick_node::node::Node<N, M> {
+    fn turn(&mut self, wait: Micros) -> io::Result<()> {
+        sloewick_node::node::Node::turn(self, wait)
+    }
+
+    fn prepare(&mut self) -> Option<Micros> {
+        sloewick_node::node::Node::prepare(self)
+    }
+}
+
+/// What came on a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Came {
+    /// Accepted on the listener of this number.
+    Opened(usize),
+    /// A connection that was asked for is up.
+    Up,
+    /// There is more in `buf`.
+    Bytes,
+    /// The peer has ended its sending; what it sent before has been told.
+    Ended,
+    /// It could not be opened, or it broke. It is gone.
+    Broke { refused: bool },
+}
+
+/// A connection.
+pub struct Line<S> {
+    stream: S,
+    pub serial: u64,
+    pub buf: BytesMut,
+    out: Outbox,
+    connecting: bool,
+    ended: bool,
+    /// End it when all is written.
+    closing: bool,
+    /// When the first byte of what is in `buf` came.
+    pub since: Micros,
+}
+
+/// Connections, listeners and timers of one stand-in.
+pub struct Port<N: Net, D: Ord> {
+    pub net: N,
+    listeners: Vec<Option<N::Listener>>,
+    lines: Slab<Line<N::Stream>>,
+    serial: u64,
+    ready: Vec<Ready>,
+    scratch: Vec<u8>,
+    timers: BinaryHeap<Reverse<(Micros, u64, D)>>,
+    set: u64,
+    /// Broken or done: closed before the next round, when what they brought has been looked at.
+    closes: Vec<(usize, u64)>,
+}
+
+impl<N: Net, D: Ord> Port<N, D> {
+    pub fn new(net: N) -> Port<N, D> {
+        Port {
+            net,
+            listeners: Vec::new(),
+            lines: Slab::new(),
+            serial: 0,
+            ready: Vec::new(),
+            scratch: vec![0; READ_MOST],
+            timers: BinaryHeap::new(),
+            set: 0,
+            closes: Vec::new(),
+        }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.net.now()
+    }
+
+    pub fn unix(&self) -> Micros {
+        self.net.began_unix() + self.net.now()
+    }
+
+    /// Listens; the number of the listener (63 at most).
+    ///
+    /// # Errors
+    /// The address is taken, or there are too many.
+    pub fn listen(&mut self, at: SocketAddr) -> io::Result<usize> {
+        // 0 to 3 are the net's own.
+        let number = self.listeners.len();
+        if number + 4 >= FIRST_CONN {
+            return Err(ErrorKind::OutOfMemory.into());
+        }
+        let listener = self.net.listen(at, number + 4)?;
+        self.listeners.push(Some(listener));
+        Ok(number)
+    }
+
+    pub fn close_listeners(&mut self) {
+        self.listeners.iter_mut().for_each(|l| *l = None);
+    }
+
+    /// Begins to open a connection.
+    ///
+    /// # Errors
+    /// No descriptors, or refused at once.
+    pub fn connect(&mut self, to: SocketAddr) -> io::Result<usize> {
+        let stream = self.net.connect(to, FIRST_CONN + self.lines.vacant_key())?;
+        Ok(self.hold(stream, true))
+    }
+
+    fn hold(&mut self, stream: N::Stream, connecting: bool) -> usize {
+        self.serial += 1;
+        let (serial, since) = (self.serial, self.now());
+        let (buf, out) = (BytesMut::new(), Outbox::default());
+        self.lines.insert(Line {
+            stream,
+            serial,
+            buf,
+            out,
+            connecting,
+            ended: false,
+            closing: false,
+            since,
+        })
+    }
+
+    pub fn line(&mut self, conn: usize) -> Option<&mut Line<N::Stream>> {
+        self.lines.get_mut(conn)
+    }
+
+    pub fn len(&self) -> usize {
+        self.lines.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    pub fn conns(&self) -> Vec<usize> {
+        self.lines.iter().map(|(conn, _)| conn).collect()
+    }
+
+    /// Sends, now or when the peer takes it. What breaks is told by an event.
+    pub fn send(&mut self, conn: usize, bytes: Bytes) {
+        if let Some(line) = self.lines.get_mut(conn) {
+            line.out.push(bytes);
+            if !line.connecting {
+                let _ = line.out.flush(&mut line.stream);
+            }
+        }
+    }
+
+    pub fn unsent(&self, conn: usize) -> usize {
+        self.lines.get(conn).map_or(0, |line| line.out.len())
+    }
+
+    pub fn close(&mut self, conn: usize) {
+        self.lines.try_remove(conn);
+    }
+
+    /// Closes a connection once all is written.
+    pub fn close_after(&mut self, conn: usize) {
+        if let Some(line) = self.lines.get_mut(conn) {
+            line.closing = true;
+            if line.out.is_empty() {
+                self.close(conn);
+            }
+        }
+    }
+
+    /// Ends this side's sending only.
+    pub fn end(&mut self, conn: usize) {
+        if let Some(line) = self.lines.get_mut(conn) {
+            let _ = line.stream.end();
+        }
+    }
+
+    pub fn set(&mut self, at: Micros, due: D) {
+        self.set += 1;
+        self.timers.push(Reverse((at, self.set, due)));
+    }
+
+    pub fn next_due(&self) -> Micros {
+        // A stand-in with nothing to do still looks round now and then.
+        self.timers.peek().map_or(self.now() + 500_000, |Reverse((at, ..))| *at)
+    }
+
+    pub fn pop_due(&mut self) -> Option<D> {
+        let now = self.now();
+        if self.timers.peek().is_none_or(|Reverse((at, ..))| *at > now) {
+            return None;
+        }
+        self.timers.pop().map(|Reverse((.., due))| due)
+    }
+
+    /// What has come, connection by connection.
+    ///
+    /// # Errors
+    /// The system cannot be asked.
+    pub fn poll(&mut self, wait: Micros, came: &mut Vec<(usize, Came)>) -> io::Result<()> {
+        came.clear();
+        for (conn, serial) in std::mem::take(&mut self.closes) {
+            if self.lines.get(conn).is_some_and(|line| line.serial == serial) {
+                self.close(conn);
+            }
+        }
+        let mut ready = std::mem::take(&mut self.ready);
+        self.net.poll(&mut ready, wait)?;
+        for event in &ready {
+            match event.token {
+                token if token >= FIRST_CONN => self.came(token - FIRST_CONN, event, came),
+                token if token >= 4 => self.accept(token - 4, token, came),
+                _ => {}
+            }
+        }
+        self.ready = ready;
+        Ok(())
+    }
+
+    fn accept(&mut self, number: usize, token: Token, came: &mut Vec<(usize, Came)>) {
+        loop {
+            let next = FIRST_CONN + self.lines.vacant_key();
+            let Some(Some(listener)) = self.listeners.get_mut(number) else { return };
+            match self.net.accept(listener, next) {
+                Ok(stream) => {
+                    let conn = self.hold(stream, false);
+                    came.push((conn, Came::Opened(number)));
+                    let all =
+                        Ready { token, readable: true, writable: true, read_closed: false, error: false };
+                    self.came(conn, &all, came);
+                }
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn came(&mut self, conn: usize, event: &Ready, came: &mut Vec<(usize, Came)>) {
+        let now = self.net.now();
+        let Some(line) = self.lines.get_mut(conn) else { return };
+        if line.connecting {
+            match (line.stream.take_error(), line.stream.connected()) {
+                (Ok(None), Ok(())) => {
+                    line.connecting = false;
+                    came.push((conn, Came::Up));
+                }
+                (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
+                (error, _) => {
+                    let refused = matches!(&error, Ok(Some(e)) if e.kind() == ErrorKind::ConnectionRefused);
+                    self.close(conn);
+                    return came.push((conn, Came::Broke { refused }));
+                }
+            }
+        }
+        let broken = line.out.flush(&mut line.stream).is_err();
+        if line.closing && line.out.is_empty() {
+            return self.closes.push((conn, line.serial));
+        }
+        let mut some = false;
+        if !(event.readable || event.read_closed || event.error) {
+            return;
+        }
+        loop {
+            if line.buf.is_empty() {
+                line.since = now;
+            }
+            match fill(&mut line.stream, &mut line.buf, &mut self.scratch) {
+                Read1::More | Read1::Some => some = true,
+                Read1::Empty => break,
+                Read1::Ended => {
+                    line.ended = true;
+                    break;
+                }
+            }
+            if line.buf.len() > UNREAD_MOST {
+                line.ended = true;
+                break;
+            }
+        }
+        if some {
+            came.push((conn, Came::Bytes));
+        }
+        if line.ended {
+            let error = matches!(line.stream.take_error(), Ok(Some(_)) | Err(_));
+            came.push((conn, if broken || error { Came::Broke { refused: false } } else { Came::Ended }));
+            if broken || error {
+                // Its bytes may still be looked at in this round.
+                self.closes.push((conn, line.serial));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/report.rs
@@ -0,0 +1,232 @@
+//! Service by class, outcomes, origin load and latencies, from the same facts.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+
+use sloewick_decision::interface::Micros;
+
+use crate::facts::{Answer, Fact, Id, What};
+
+/// A class as the report weighs it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: String,
+    pub aim: Micros,
+    pub worth: f64,
+}
+
+/// What one span of time brought.
+#[derive(Clone, Debug, Default)]
+pub struct Span {
+    /// By class: asked (first tries), and those answered within the aim.
+    pub asked: Vec<u64>,
+    pub in_time: Vec<u64>,
+    pub served: u64,
+    pub busy: u64,
+    pub failed: u64,
+    pub ended: u64,
+    pub left: u64,
+    pub retries: u64,
+    pub attempts: u64,
+    pub fetches: u64,
+    pub shared_fetches: u64,
+    pub effects: u64,
+    pub dropped_repeats: u64,
+    latencies: Vec<Micros>,
+}
+
+impl Span {
+    fn new(classes: usize) -> Span {
+        Span { asked: vec![0; classes], in_time: vec![0; classes], ..Span::default() }
+    }
+
+    /// Time to a served answer below which this part of them stays, in microseconds; 0 for none.
+    pub fn quantile(&mut self, part: f64) -> Micros {
+        self.latencies.sort_unstable();
+        let at = (self.latencies.len() as f64 * part) as usize;
+        self.latencies.get(at.min(self.latencies.len().saturating_sub(1))).copied().unwrap_or(0)
+    }
+
+    /// Worth answered within the aim over worth asked for; 1 when nothing was asked.
+    pub fn service(&self, classes: &[Class]) -> f64 {
+        let sum = |counts: &[u64]| -> f64 {
+            counts.iter().zip(classes).map(|(n, class)| *n as f64 * class.worth).sum()
+        };
+        let asked = sum(&self.asked);
+        if asked == 0.0 {
+            1.0
+        } else {
+            sum(&self.in_time) / asked
+        }
+    }
+
+    /// The part of a class's first tries that was answered within the aim.
+    pub fn of_class(&self, class: usize) -> f64 {
+        if self.asked[class] == 0 {
+            1.0
+        } else {
+            self.in_time[class] as f64 / self.asked[class] as f64
+        }
+    }
+
+    fn add(&mut self, other: &Span) {
+        for class in 0..self.asked.len() {
+            self.asked[class] += other.asked[class];
+            self.in_time[class] += other.in_time[class];
+        }
+        self.served += other.served;
+        self.busy += other.busy;
+        self.failed += other.failed;
+        self.ended += other.ended;
+        self.left += other.left;
+        self.retries += other.retries;
+        self.attempts += other.attempts;
+        self.fetches += other.fetches;
+        self.shared_fetches += other.shared_fetches;
+        self.effects += other.effects;
+        self.dropped_repeats += other.dropped_repeats;
+        self.latencies.extend_from_slice(&other.latencies);
+    }
+}
+
+struct Open {
+    first: Id,
+    asked: Micros,
+    class: usize,
+}
+
+/// Counts by seconds of the run.
+pub struct Report {
+    pub classes: Vec<Class>,
+    /// By second in which the first try was asked.
+    pub seconds: BTreeMap<i64, Span>,
+    open: HashMap<Id, Open>,
+    /// When each first try was asked, and whether it has been answered in time.
+    firsts: HashMap<Id, (Micros, usize, bool)>,
+}
+
+impl Report {
+    pub fn new(classes: Vec<Class>) -> Report {
+        Report { classes, seconds: BTreeMap::new(), open: HashMap::new(), firsts: HashMap::new() }
+    }
+
+    fn second(&mut self, at: Micros) -> &mut Span {
+        let classes = self.classes.len();
+        self.seconds.entry(at / 1_000_000).or_insert_with(|| Span::new(classes))
+    }
+
+    pub fn see(&mut self, fact: &Fact) {
+        let at = fact.at;
+        match &fact.what {
+            What::Asked { id, class, first, .. } => {
+                let span = self.second(at);
+                if id == first {
+                    span.asked[*class] += 1;
+                    self.firsts.insert(id.clone(), (at, *class, false));
+                } else {
+                    span.retries += 1;
+                }
+                self.open.insert(id.clone(), Open { first: first.clone(), asked: at, class: *class });
+            }
+            What::Answered { id, how } => {
+                let Some(open) = self.open.remove(id) else { return };
+                let aim = self.classes[open.class].aim;
+                let span = self.second(at);
+                match how {
+                    Answer::Served => {
+                        span.served += 1;
+                        span.latencies.push(at - open.asked);
+                    }
+                    Answer::Busy(_) => span.busy += 1,
+                    Answer::Ended { .. } => span.ended += 1,
+                    Answer::Failed | Answer::Foreign(_) => span.failed += 1,
+                }
+                if *how == Answer::Served {
+                    if let Some((asked, class, done)) = self.firsts.get_mut(&open.first) {
+                        if !*done && at - *asked <= aim {
+                            *done = true;
+                            let (asked, class) = (*asked, *class);
+                            self.second(asked).in_time[class] += 1;
+                        }
+                    }
+                }
+            }
+            What::Left { id } => {
+                // Whoever leaves is not waited for, and does not count as asked.
+                if let Some(open) = self.open.remove(id).filter(|o| o.first == *id) {
+                    let span = self.second(open.asked);
+                    span.asked[open.class] -= 1;
+                    span.left += 1;
+                }
+            }
+            What::Attempt { .. } => self.second(at).attempts += 1,
+            What::Fetch { shared: false } => self.second(at).fetches += 1,
+            What::Fetch { shared: true } => self.second(at).shared_fetches += 1,
+            What::Effect { .. } => self.second(at).effects += 1,
+            What::Dropped { .. } => self.second(at).dropped_repeats += 1,
+            _ => {}
+        }
+    }
+
+    /// Everything between two times, in seconds.
+    pub fn between(&self, from: i64, to: i64) -> Span {
+        let mut all = Span::new(self.classes.len());
+        self.seconds.range(from..to).for_each(|(_, span)| all.add(span));
+        all
+    }
+
+    pub fn whole(&self) -> Span {
+        self.between(i64::MIN, i64::MAX)
+    }
+
+    /// The lowest service of ten seconds in a row.
+    pub fn worst_ten(&self) -> f64 {
+        let last = self.seconds.keys().next_back().copied().unwrap_or(0);
+        let spans =
+            (0..=(last - 10).max(0)).map(|from| self.between(from, from + 10).service(&self.classes));
+        spans.fold(1.0, f64::min)
+    }
+
+    /// A line for people.
+    pub fn line(&self, span: &mut Span, seconds: f64) -> String {
+        let mut out = String::new();
+        let (p50, p99) = (span.quantile(0.5), span.quantile(0.99));
+        let asked: u64 = span.asked.iter().sum();
+        // Writing to a string cannot fail.
+        let _ =
+            write!(out, "{:6.0} req/s  service {:.3}", asked as f64 / seconds, span.service(&self.classes));
+        for (i, class) in self.classes.iter().enumerate() {
+            let _ = write!(out, "  {} {:.3}", class.name, span.of_class(i));
+        }
+        let _ = write!(
+            out,
+            "  busy {} failed {}  origin {:.0}/s  p50 {:.0} ms p99 {:.0} ms",
+            span.busy,
+            span.failed + span.ended,
+            span.fetches as f64 / seconds,
+            p50 as f64 / 1000.0,
+            p99 as f64 / 1000.0
+        );
+        out
+    }
+
+    /// The same as JSON.
+    pub fn json(&self, span: &mut Span, seconds: f64) -> serde_json::Value {
+        let classes: serde_json::Map<String, serde_json::Value> = self
+            .classes
+            .iter()
+            .enumerate()
+            .map(|(i, c)| {
+                (c.name.clone(), serde_json::json!({"asked": span.asked[i], "in_time": span.in_time[i]}))
+            })
+            .collect();
+        serde_json::json!({
+            "seconds": seconds, "service": span.service(&self.classes), "classes": classes,
+            "served": span.served, "busy": span.busy, "failed": span.failed, "ended": span.ended,
+            "left": span.left, "retries": span.retries, "attempts": span.attempts,
+            "origin_fetches": span.fetches, "shared_fetches": span.shared_fetches,
+            "effects": span.effects, "dropped_repeats": span.dropped_repeats,
+            "p50_ms": span.quantile(0.5) as f64 / 1000.0, "p99_ms": span.quantile(0.99) as f64 / 1000.0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rig/src/rng.rs
@@ -0,0 +1,62 @@
+//! Chance from a seed. The generator is part of what a seed means: it is fixed here, so that a seed noted
+//! today plays the same day with any later library.
+
+/// splitmix64 (Steele, Lea, Flood 2014), one stream for each thing that draws.
+#[derive(Clone, Debug)]
+pub struct Rng(u64);
+
+impl Rng {
+    pub fn new(seed: u64) -> Rng {
+        Rng(seed)
+    }
+
+    /// A stream of its own for a named part: what one part draws does not move what another gets.
+    pub fn part(seed: u64, name: &str, number: usize) -> Rng {
+        let mut rng = Rng(seed ^ 0x9e37_79b9_7f4a_7c15u64.wrapping_mul(number as u64 + 1));
+        for byte in name.bytes() {
+            rng.0 = rng.0.wrapping_mul(0x100_0000_01b3) ^ u64::from(byte);
+            rng.word();
+        }
+        rng
+    }
+
+    pub fn word(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut h = self.0;
+        h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        h ^ (h >> 31)
+    }
+
+    /// From 0 to under 1.
+    pub fn part_of_one(&mut self) -> f64 {
+        (self.word() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// From 0 to under `n`; 0 for 0.
+    pub fn below(&mut self, n: usize) -> usize {
+        if n == 0 {
+            0
+        } else {
+            (self.word() % n as u64) as usize
+        }
+    }
+
+    pub fn between(&mut self, low: f64, high: f64) -> f64 {
+        low + (high - low) * self.part_of_one()
+    }
+
+    pub fn chance(&mut self, p: f64) -> bool {
+        p > 0.0 && self.part_of_one() < p
+    }
+
+    /// Exponential with this mean.
+    pub fn spread(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.part_of_one()).ln()
+    }
+
+    pub fn pick<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
+        let at = self.below(list.len());
+        list.get(at)
+    }
+}
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -1,12 +1,40 @@
 //! The sloewick command line.
 
+mod play;
+
 use std::process::ExitCode;
 
+use clap::{Parser, Subcommand};
 use sloewick_decision::settings::Bad;
 use sloewick_node::net::Net;
 use sloewick_node::node::Node;
 use sloewick_node::{config, os::Os};
 
+/// A gateway before a read cache: takes requests, decides for each where it goes, and gives each exactly one
+/// final answer.
+#[derive(Parser)]
+#[command(version, about, after_help = EXAMPLES)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+const EXAMPLES: &str = "\
+Examples:
+  BALANCER_CONFIG=node.json sloewick run
+  sloewick play rolling-deploy --seed 7
+  sloewick play --list
+
+Exit codes: 0 done, 1 a rule was broken, 2 input that can't be used.";
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a node, configured by the JSON file that BALANCER_CONFIG names
+    Run,
+    /// Play a scenario on virtual time and judge it
+    Play(play::Args),
+}
+
 fn run() -> Result<(), Bad> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
     let config = config::read(&path)?;
@@ -18,13 +46,16 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(bad) => {
-            if let Ok(mut os) = Os::new() {
-                os.log(&bad.to_string());
+    match Cli::parse().command {
+        Command::Run => match run() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(bad) => {
+                if let Ok(mut os) = Os::new() {
+                    os.log(&bad.to_string());
+                }
+                ExitCode::from(2)
             }
-            ExitCode::from(2)
-        }
+        },
+        Command::Play(args) => play::play(&args),
     }
 }
--- a/crates/sloewick/tests/node.rs
+++ b/crates/sloewick/tests/node.rs
@@ -344,7 +344,7 @@
 fn a_lack_of_descriptors_passes_when_some_are_free_again() {
     let server = listener();
     let mut shell = Command::new("sh");
-    shell.args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_sloewick")]);
+    shell.args(["-c", "ulimit -n 32; exec \"$0\" run", env!("CARGO_BIN_EXE_sloewick")]);
     let node = Node::start_by(shell, settings(), &[target("s-1", &server)], |_| {});
     let clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
     let mut late = node.client();
@@ -361,7 +361,7 @@
     while std::io::Write::write(&mut &full, &[b'x'; 4096]).is_ok() {}
     while std::io::Write::write(&mut &full, b"x").is_ok() {}
     full.set_nonblocking(false).unwrap();
-    let mut program = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    let mut program = program();
     program.stderr(Stdio::from(OwnedFd::from(full)));
     let node = Node::start_by(program, settings(), &[target("s-1", &server)], |_| {});
     let mut client = node.client();
@@ -559,7 +559,7 @@
     let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("bad-config.json");
     let run = |text: &str| {
         std::fs::write(&file, text).unwrap();
-        let mut program = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+        let mut program = program();
         let out = program.env("BALANCER_CONFIG", &file).output().unwrap();
         assert_eq!(out.status.code(), Some(2), "{text}");
         let said = String::from_utf8(out.stderr).unwrap();
@@ -582,7 +582,7 @@
         assert!(said.contains(&format!("field {named}: ")), "{field}: {said}");
     }
     run("not json");
-    let mut program = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    let mut program = program();
     let out = program.env_remove("BALANCER_CONFIG").output().unwrap();
     assert!(String::from_utf8(out.stderr).unwrap().contains("BALANCER_CONFIG"));
     // An address that is taken is named too.
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -61,6 +61,13 @@
     json!({"rev": rev, "all": all, "targets": targets})
 }
 
+/// The program as a node.
+pub fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    program.arg("run");
+    program
+}
+
 pub struct Node {
     child: Child,
     pub address: SocketAddr,
@@ -76,7 +83,7 @@
 
     /// A node with these settings and known servers; `edit` may change the rest of its configuration.
     pub fn start(settings: Value, known: &[Value], edit: impl FnOnce(&mut Value)) -> Node {
-        Node::start_by(Command::new(env!("CARGO_BIN_EXE_sloewick")), settings, known, edit)
+        Node::start_by(program(), settings, known, edit)
     }
 
     pub fn start_by(
