--- a/crates/rig/src/facts.rs
+++ b/crates/rig/src/facts.rs
@@ -74,7 +74,7 @@
     Left {
         id: Id,
     },
-    /// A box has read an attempt's last byte; its first came then.
+    /// A box has read an attempt's last byte; its first left the node, or came, then.
     Attempt {
         id: Id,
         attempt: u64,
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -179,7 +179,8 @@
                     first: first.clone(),
                     left: None,
                     answered: None,
-                    excused: false,
+                    // Sent to a node that had died, before the client could see that.
+                    excused: self.node_ended.contains_key(node),
                     attempts: Vec::new(),
                     effects: 0,
                     history: vec![fact.clone()],
--- a/crates/rig/src/port.rs
+++ b/crates/rig/src/port.rs
@@ -37,6 +37,16 @@
     }
 }
 
+/// A net that may know when bytes left their sender.
+pub trait Sight: Net {
+    /// Unix time at which the next bytes of a connection were sent; none where nobody can tell.
+    fn sent(&self, _stream: &Self::Stream) -> Option<Micros> {
+        None
+    }
+}
+
+impl Sight for sloewick_node::os::Os {}
+
 /// What came on a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Came {
@@ -62,12 +72,12 @@
     ended: bool,
     /// End it when all is written.
     closing: bool,
-    /// When the first byte of what is in `buf` came.
+    /// When the first byte of what is in `buf` came, in Unix time; where the net can tell, when it was sent.
     pub since: Micros,
 }
 
 /// Connections, listeners and timers of one stand-in.
-pub struct Port<N: Net, D: Ord> {
+pub struct Port<N: Sight, D: Ord> {
     pub net: N,
     listeners: Vec<Option<N::Listener>>,
     lines: Slab<Line<N::Stream>>,
@@ -80,7 +90,7 @@
     closes: Vec<(usize, u64)>,
 }
 
-impl<N: Net, D: Ord> Port<N, D> {
+impl<N: Sight, D: Ord> Port<N, D> {
     pub fn new(net: N) -> Port<N, D> {
         Port {
             net,
@@ -133,7 +143,7 @@
 
     fn hold(&mut self, stream: N::Stream, connecting: bool) -> usize {
         self.serial += 1;
-        let (serial, since) = (self.serial, self.now());
+        let (serial, since) = (self.serial, self.unix());
         let (buf, out) = (BytesMut::new(), Outbox::default());
         self.lines.insert(Line {
             stream,
@@ -259,7 +269,7 @@
     }
 
     fn came(&mut self, conn: usize, event: &Ready, came: &mut Vec<(usize, Came)>) {
-        let now = self.net.now();
+        let unix = self.unix();
         let Some(line) = self.lines.get_mut(conn) else { return };
         if line.connecting {
             match (line.stream.take_error(), line.stream.connected()) {
@@ -285,7 +295,7 @@
         }
         loop {
             if line.buf.is_empty() {
-                line.since = now;
+                line.since = self.net.sent(&line.stream).unwrap_or(unix);
             }
             match fill(&mut line.stream, &mut line.buf, &mut self.scratch) {
                 Read1::More | Read1::Some => some = true,
