Obey drains of a list whose version went back, and ask for the whole list again at once

Now what such an answer says of drains is obeyed, and the node itself asks for the whole list again after 0.5 s.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -24,6 +24,9 @@
 const WATCH_MOST: Micros = WATCH_WAIT_MS * 1000 + 2_000_000;
 /// A watch that is answered at once with nothing must not become a busy loop; still inside 200 ms.
 const WATCH_PAUSE: Micros = 100_000;
+/// Pause before the whole list is asked for again after an answer in doubt; four of these fit into the time in
+/// which a drain must be obeyed.
+const DOUBT_PAUSE: Micros = 500_000;
 /// Pause before a pushed list is asked for again; the agent is on this machine and free.
 const PUSH_PAUSE: Micros = 200_000;
 
@@ -245,10 +248,15 @@
             return self.failed("part of a list where all was asked for", now, timers);
         }
         // Guards against an answer from before what is known already: obeying it would bring back servers
-        // that are gone. If the whole list stays behind, discovery has begun to count anew.
+        // that are gone. If the whole list stays behind, discovery has begun to count anew. What it says of
+        // drains is obeyed at once, since leaving a server out is safe either way, and the whole list is
+        // asked for again here: the module's pause between calls can be longer than a drain may wait.
         if self.rev.is_some_and(|held| list.rev < held) && !(list.all && self.doubted) {
             self.doubted = true;
-            return self.failed("version went back", now, timers);
+            self.whole_wanted = true;
+            self.pause(now + DOUBT_PAUSE, timers);
+            let targets = list.targets.into_iter().filter(|t| t.entry.state != ServerState::Live).collect();
+            return News::List(Answer { rev: list.rev, all: false, targets });
         }
         self.doubted = false;
         self.rev = Some(list.rev);
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -306,6 +306,7 @@
                 node: t.node,
                 class: t.class,
                 tenant: t.tenant,
+                key: t.key,
                 idem: t.idem.clone(),
                 first: t.first.clone(),
                 budget: t.budget,
@@ -441,10 +442,13 @@
                 // The first time it did leave.
                 let how = Answer::Ended { part: false };
                 self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how });
+                return self.again(t, &Answer::Failed);
             }
             return self.again(t, &Answer::Busy(None));
         }
-        if !part && !t.resent {
+        let c = &self.set.classes[t.class];
+        // What may not be repeated is not: the node may have read it.
+        if !part && !t.resent && (c.free || c.keyed) {
             // A node may close a connection between requests; what crossed that is sent once more.
             t.resent = true;
             let nodes = self.up.len();
--- a/crates/rig/src/facts.rs
+++ b/crates/rig/src/facts.rs
@@ -52,6 +52,7 @@
         node: usize,
         class: usize,
         tenant: usize,
+        key: usize,
         idem: Option<Id>,
         first: Id,
         budget: Micros,
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -306,6 +306,7 @@
         let late = at - r.asked - r.budget - self.figures.slack - 2 * self.figures.way;
         let ran = r.attempts.iter().any(|a| a.fate != Some(Fate::TurnedAway));
         let served = r.attempts.iter().any(|a| a.fate == Some(Fate::Ran));
+        let sent = !r.attempts.is_empty();
         let (class, excused, node) = (r.class, r.excused, r.node);
         if before.is_some() {
             return self.breach(Rule::NoneLost, at, Some(id), "a second final answer".into());
@@ -328,6 +329,9 @@
             // A value that broke off part way may be no fault of the node, and the client can tell.
             Answer::Ended { part: true } if served => {}
             Answer::Ended { .. } if excused || self.node_ended.contains_key(&node) => {}
+            // A connection that the node closes between requests may be crossed by one that it has not read;
+            // only what may be repeated is sent once more, and shows then whether the node had read it.
+            Answer::Ended { part: false } if !sent && self.repeat(class) == Repeat::Unsafe => {}
             Answer::Ended { .. } => {
                 let why = format!("node {node} ended the connection with no whole answer");
                 self.breach(Rule::NoneLost, at, Some(id), why);
