Take a server as gone when one that started later is at its address

Discovery went on naming the dead one for seconds, so that requests for it, a hot key among them, reached the cold newcomer past the bound for cold servers, and it fell over. Of two servers in service at one address the later start has it now.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod os;
 
+mod addresses;
 mod client;
 pub mod timer;
 mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,6 +16,7 @@
 use sloewick_decision::settings::{Bad, Names};
 use sloewick_decision::Balancer;
 
+use crate::addresses::Addresses;
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News};
@@ -131,6 +132,7 @@
     upstreams: Upstreams<N::Stream>,
     probes: HashMap<u64, (ServerId, Micros)>,
     discovery: Discovery<N::Stream>,
+    addresses: Addresses,
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
@@ -198,6 +200,7 @@
             upstreams: Upstreams::new(upstream, config.server_idle, connect_most),
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
+            addresses: Addresses::default(),
             timers: Timers::default(),
             log: Log::default(),
             scratch: vec![0; READ_MOST],
@@ -680,8 +683,9 @@
         }
     }
 
-    fn list(&mut self, answer: Answer, kind: Option<ListKind>) {
+    fn list(&mut self, mut answer: Answer, kind: Option<ListKind>) {
         let now = self.now();
+        self.addresses.settle(&mut answer);
         let kind = kind.unwrap_or(if answer.all { ListKind::Full } else { ListKind::Delta });
         if kind != ListKind::Delta {
             let named = |s: &ServerId| answer.targets.iter().any(|t| t.entry.server == *s);
