--- /dev/null
+++ b/crates/decision/benches/module.rs
@@ -0,0 +1,114 @@
+//! `cargo bench -p sloewick-decision`: what the decision module costs for each request with its outcome, as the
+//! fleet grows.
+
+use std::sync::Arc;
+
+use divan::counter::ItemsCount;
+use divan::Bencher;
+use sloewick_decision::interface::*;
+use sloewick_decision::Balancer;
+
+fn main() {
+    divan::main();
+}
+
+fn settings() -> Settings {
+    let class = |repeat, worth| Class {
+        aim: 150_000,
+        aim_stretch: 0.0,
+        deadline: 400_000,
+        repeat,
+        scope: Scope::All,
+        window: 10_000_000,
+        worth,
+        late_worth: 0.0,
+        stream: false,
+    };
+    Settings {
+        classes: vec![class(Repeat::Free, 1.0), class(Repeat::Keyed, 10.0)],
+        tenants: vec![Tenant { quota_per_s: 1e6, share: 1.0 }],
+        nodes: 4,
+        zone: Some(0),
+        ask: false,
+        ask_within: 0,
+        mode: Mode::Through,
+        origin_kind: None,
+        origin_fall_multiple: 0.0,
+        weights: Weights::None,
+        by_work: false,
+        over_share_worth: 0.05,
+        tick: 2_000,
+        max_attempts: 5,
+        max_open: 100_000,
+        cancel: true,
+        probes: false,
+        second_copies: true,
+        max_retry_after: 1_000_000,
+        connect_timeout: 75_000,
+        drain_grace: 2_000_000,
+        cold_from: 0.13,
+        cold: 24_000_000,
+        fall_multiple: 2.5,
+        fall: 2_000_000,
+        answer_slack: 8_000,
+        price_cross_zone: 0.01,
+        price_origin: 0.0,
+    }
+}
+
+/// One request, its answer, and the timers that have come due.
+#[divan::bench(args = [5, 20, 91, 400])]
+fn request_and_outcome(bencher: Bencher, servers: usize) {
+    let mut balancer = Balancer::new(settings(), 7, 0).expect("settings fit");
+    let entries: Arc<[Entry]> = (0..servers)
+        .map(|n| Entry {
+            server: format!("s-{n}").into(),
+            weight: 1.0,
+            zone: Some((n % 2) as u16),
+            kind: Some(0),
+            state: ServerState::Live,
+            started: None,
+            cell: None,
+        })
+        .collect();
+    let mut actions = Vec::new();
+    balancer.handle(0, Event::Servers(ListKind::Full, entries), &mut actions);
+    let keys: Vec<Arc<str>> = (0..2000).map(|n| format!("logger/{n}").into()).collect();
+    let (mut now, mut n) = (0, 0usize);
+    bencher.counter(ItemsCount::new(1usize)).bench_local(move || {
+        now += 2_500;
+        n += 1;
+        let id: RequestId = format!("{n:016x}").into();
+        // The popular keys come more often.
+        let key = keys[(n * 7919 % 2000) * (n * 104_729 % 2000) / 2000].clone();
+        let request = Request {
+            id: id.clone(),
+            class: usize::from(n % 12 == 0),
+            tenant: Some(0),
+            key: Some(key),
+            budget: 400_000,
+            work: None,
+            size: None,
+            retry: false,
+            write: n % 12 == 0,
+        };
+        actions.clear();
+        balancer.handle(now, Event::Request(request), &mut actions);
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { server, .. } => Some(server.clone()),
+            _ => None,
+        });
+        let Some(server) = sent else { return };
+        let outcome = Event::Outcome {
+            request: id,
+            server,
+            attempt: 0,
+            latency: 20_000,
+            status: Status::Ok,
+            closed: true,
+            note: Some(Note::Hit),
+            load: None,
+        };
+        balancer.handle(now + 1, outcome, &mut actions);
+    });
+}
--- a/crates/rig/tests/defects.rs
+++ b/crates/rig/tests/defects.rs
@@ -325,3 +325,43 @@
         vec![action]
     });
 }
+
+#[test]
+fn a_schedule_is_cut_down_to_what_breaks_the_rule() {
+    let scenario = scenario::parse(
+        r#"
+        name = "much at once"
+        seconds = 14
+        boxes = 8
+        rate = 150
+        [[fault]]
+        kind = "surplus"
+        at = 1
+        for = 2
+        [[fault]]
+        kind = "errors"
+        at = 3
+        part = 0.9
+        for = 4
+        [[fault]]
+        kind = "void"
+        at = 9
+        "#,
+    )
+    .unwrap();
+    // Failures are forgotten: without errors there are none.
+    let say: Say = |_, _, action| match action {
+        Action::Fail { .. } => vec![],
+        other => vec![other],
+    };
+    let wrap: Wrap = Rc::new(move |_, balancer| {
+        Box::new(Planted { balancer, state: State::default(), hear: hear_all, say }) as Box<dyn Module>
+    });
+    let short = fleet::shrink(&scenario, 3, Rule::NoneLost, Some(wrap.clone()));
+    let names: Vec<&str> = short.faults.iter().map(|f| f.name).collect();
+    assert_eq!(names, ["errors"]);
+    assert!(short.seconds < scenario.seconds, "{}", short.seconds);
+    let options = Options { wrap: Some(wrap), ..Options::default() };
+    let outcome = fleet::play(&short, 3, options);
+    assert!(outcome.breaches.iter().any(|b| b.rule == Rule::NoneLost));
+}
--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -6,6 +6,8 @@
 use clap::Args as ClapArgs;
 use sloewick_node::check;
 
+use crate::out;
+
 #[derive(ClapArgs)]
 #[command(after_help = "\
 Examples:
@@ -34,10 +36,10 @@
         let list: Vec<_> = found.iter().map(|f| serde_json::json!({
             "field": f.field, "value": f.value, "why": f.why, "example": f.example, "fatal": f.fatal,
         })).collect();
-        println!("{}", serde_json::json!({"file": name.to_string(), "found": list}));
+        out::line(format!("{}", serde_json::json!({"file": name.to_string(), "found": list})));
     } else {
         for f in &found {
-            println!("{name}: {f}");
+            out::line(format!("{name}: {f}"));
         }
     }
     let fatal = found.iter().filter(|f| f.fatal).count();
@@ -46,7 +48,7 @@
         return ExitCode::from(2);
     }
     if !args.json {
-        println!("{name}: can be used");
+        out::line(format!("{name}: can be used"));
     }
     ExitCode::SUCCESS
 }
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -9,6 +9,8 @@
 use sloewick_rig::demo::Demo;
 use sloewick_rig::scenario::{Fault, Kind, Scenario, Set, FAULTS};
 
+use crate::out;
+
 #[derive(ClapArgs)]
 #[command(after_help = "\
 Examples:
@@ -93,10 +95,10 @@
         }
     };
     if !args.json {
-        println!(
+        out::line(format!(
             "{} nodes, {} boxes, {} requests a second on 127.0.0.1; fault: {}",
             scenario.nodes, scenario.boxes, scenario.rate, scenario.name
-        );
+        ));
     }
     let mut second = 0;
     while second < i64::from(args.seconds) && !interrupted.load(Ordering::Relaxed) {
@@ -104,7 +106,7 @@
         let left = (second * 1_000_000 - demo.now()).max(0);
         let said = demo.go_on(Duration::from_micros(left as u64));
         for text in said.iter().filter(|_| !args.json) {
-            println!("{second:4} s  -- {text}");
+            out::line(format!("{second:4} s  -- {text}"));
         }
         // A request's fate is known a moment later: lines are of the second before.
         let mut span = demo.report.between(second - 2, second - 1);
@@ -112,9 +114,9 @@
             let mut line = demo.report.json(&mut span, 1.0);
             line["second"] = (second - 1).into();
             line["faults"] = said.into();
-            println!("{line}");
+            out::line(format!("{line}"));
         } else if second > 1 {
-            println!("{:4} s  {}", second - 1, demo.report.line(&mut span, 1.0));
+            out::line(format!("{:4} s  {}", second - 1, demo.report.line(&mut span, 1.0)));
         }
     }
     demo.go_on(Duration::from_millis(2500));
@@ -125,19 +127,19 @@
         line["summary"] = true.into();
         line["worst_ten_seconds"] = report.worst_ten().into();
         line["breaches"] = judge.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
-        println!("{line}");
+        out::line(format!("{line}"));
     } else {
-        println!("\nwhole run  {}", report.line(&mut whole, second as f64));
-        println!(
+        out::line(format!("\nwhole run  {}", report.line(&mut whole, second as f64)));
+        out::line(format!(
             "{} attempts, {} client retries, {} writes took effect, {} repeats dropped; worst ten seconds {:.3}",
             whole.attempts,
             whole.retries,
             whole.effects,
             whole.dropped_repeats,
             report.worst_ten()
-        );
-        println!("rules broken: {}", judge.breaches.len());
-        judge.breaches.iter().take(5).for_each(|b| println!("BROKEN {b}"));
+        ));
+        out::line(format!("rules broken: {}", judge.breaches.len()));
+        judge.breaches.iter().take(5).for_each(|b| out::line(format!("BROKEN {b}")));
     }
     ExitCode::from(u8::from(!judge.breaches.is_empty()))
 }
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod out;
 mod play;
 
 use std::process::ExitCode;
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -7,6 +7,8 @@
 use sloewick_rig::fleet::{self, Options, Outcome};
 use sloewick_rig::scenario::{self, Scenario};
 
+use crate::out;
+
 #[derive(ClapArgs)]
 #[command(after_help = "\
 Examples:
@@ -43,17 +45,17 @@
 }
 
 fn list() {
-    println!("scenarios:");
+    out::line("scenarios:");
     for (name, text) in scenario::SHIPPED {
         let about = scenario::parse(text).map(|s| s.about).unwrap_or_default();
-        println!("  {name:20} {about}");
+        out::line(format!("  {name:20} {about}"));
     }
-    println!("  {:20} faults mixed by chance from the seed", "swarm");
-    println!("\nfaults (of [[fault]] tables: kind, at, and):");
+    out::line(format!("  {:20} faults mixed by chance from the seed", "swarm"));
+    out::line("\nfaults (of [[fault]] tables: kind, at, and):");
     for spec in scenario::FAULTS {
-        println!("  {:20} {}", spec.name, spec.about);
+        out::line(format!("  {:20} {}", spec.name, spec.about));
         for (name, kind) in spec.fields {
-            println!("      {name}: {}", scenario::allowed(kind));
+            out::line(format!("      {name}: {}", scenario::allowed(kind)));
         }
     }
 }
@@ -97,12 +99,12 @@
             }
         };
         if args.show {
-            print!("{}", scenario::write(&scenario));
+            out::line(scenario::write(&scenario).trim_end());
             continue;
         }
         let mut options = Options::default();
         if args.log {
-            options.watch = Some(Box::new(|fact| println!("{fact}")));
+            options.watch = Some(Box::new(|fact| out::line(format!("{fact}"))));
         }
         let began = Instant::now();
         let outcome = fleet::play(&scenario, seed, options);
@@ -112,11 +114,11 @@
     }
     if args.runs > 1 {
         let took = begun.elapsed().as_secs_f64();
-        println!(
+        out::line(format!(
             "{} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second",
             args.runs,
             played / took
-        );
+        ));
     }
     ExitCode::from(u8::from(broken > 0))
 }
@@ -132,18 +134,18 @@
         json["digest"] = format!("{:016x}", outcome.digest).into();
         json["worst_ten_seconds"] = report.worst_ten().into();
         json["breaches"] = outcome.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
-        println!("{json}");
+        out::line(format!("{json}"));
     } else if args.runs == 1 || !outcome.breaches.is_empty() {
-        println!(
+        out::line(format!(
             "{} seed {seed}: {} nodes, {} boxes; digest {:016x}; {:.0} fleet-seconds a second",
             scenario.name,
             scenario.nodes,
             scenario.boxes,
             outcome.digest,
             outcome.played as f64 / 1e6 / took
-        );
-        println!("  {}", report.line(&mut whole, seconds));
-        println!(
+        ));
+        out::line(format!("  {}", report.line(&mut whole, seconds)));
+        out::line(format!(
             "  worst ten seconds {:.3}; {} attempts, {} retries, {} effects, {} repeats dropped, {} descriptors at most",
             report.worst_ten(),
             whole.attempts,
@@ -151,7 +153,7 @@
             whole.effects,
             whole.dropped_repeats,
             outcome.descriptors
-        );
+        ));
     }
     for breach in &outcome.breaches {
         eprintln!("BROKEN {breach}");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,4 +2,5 @@
 //! incremental and bounded by the constants beside it, and gives the same messages however bytes are cut.
 
 pub mod http;
+pub mod memcache;
 pub mod resp;
