--- /dev/null
+++ b/crates/memcache/src/routes.rs
@@ -0,0 +1,309 @@
+//! The table that gives a standard client's request what the client does not send: class, tenant, deadline and, for
+//! a write, where its idempotency key comes from.
+//!
+//! It guarantees that nothing becomes repeatable by a guess: a request that no route fits is refused, a write's route
+//! names a class for which its repeats are provided, and a key that can't be made is an error to the client.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use sloewick_decision::interface::{Class, Micros, Repeat};
+
+use crate::ledger::Key;
+
+/// Shortest and longest key that a client may put before a value, in bytes.
+pub const PREFIX: std::ops::RangeInclusive<usize> = 8..=64;
+
+/// What a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    Get,
+    Set,
+}
+
+/// Which keys a route is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pattern {
+    Exactly(Vec<u8>),
+    /// All keys that begin so; nothing: all.
+    Begins(Vec<u8>),
+}
+
+impl Pattern {
+    /// `logger/*` is all that begins with `logger/`; without a star it is one key. Only the last character may be
+    /// a star.
+    ///
+    /// # Errors
+    /// A star elsewhere, or nothing at all.
+    pub fn read(text: &str) -> Result<Pattern, &'static str> {
+        match text.strip_suffix('*') {
+            _ if text.is_empty() => Err("is empty; * stands for all keys"),
+            Some(begin) if begin.contains('*') => Err("has a star that is not its last character"),
+            None if text.contains('*') => Err("has a star that is not its last character"),
+            Some(begin) => Ok(Pattern::Begins(begin.as_bytes().to_vec())),
+            None => Ok(Pattern::Exactly(text.as_bytes().to_vec())),
+        }
+    }
+
+    pub fn fits(&self, key: &[u8]) -> bool {
+        match self {
+            Pattern::Exactly(whole) => whole == key,
+            Pattern::Begins(begin) => key.starts_with(begin),
+        }
+    }
+
+    /// Whether every key that fits the other fits this one.
+    fn covers(&self, other: &Pattern) -> bool {
+        match (self, other) {
+            (Pattern::Begins(begin), Pattern::Begins(more) | Pattern::Exactly(more)) => {
+                more.starts_with(begin)
+            }
+            (Pattern::Exactly(a), Pattern::Exactly(b)) => a == b,
+            (Pattern::Exactly(_), Pattern::Begins(_)) => false,
+        }
+    }
+}
+
+/// Where a write's idempotency key comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyFrom {
+    /// There is none: the write is not repeated.
+    None,
+    /// The digest of class, key and value: the same value for the same key is the same wish.
+    Digest,
+    /// What stands in the value before the first colon; it stays part of the value.
+    Prefix,
+}
+
+/// One line of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub operation: Operation,
+    pub keys: Pattern,
+    /// Index into the settings' classes.
+    pub class: usize,
+    /// Index into the settings' tenants.
+    pub tenant: Option<usize>,
+    /// How long the client is taken to wait.
+    pub deadline: Micros,
+    pub key_from: KeyFrom,
+}
+
+/// Something wrong with a line of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wrong {
+    /// Its place, from 0.
+    pub route: usize,
+    pub field: &'static str,
+    pub why: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "route {}: {}: {}", self.route + 1, self.field, self.why)
+    }
+}
+
+/// The routes, the first that fits counting.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table {
+    routes: Vec<Route>,
+}
+
+impl Table {
+    /// A table that can't make anything repeatable that is not.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn new(routes: Vec<Route>, classes: &[Class], margin: Micros) -> Result<Table, Vec<Wrong>> {
+        let mut wrong = Vec::new();
+        for (i, route) in routes.iter().enumerate() {
+            let mut say = |field, why: &str| wrong.push(Wrong { route: i, field, why: why.to_string() });
+            let Some(class) = classes.get(route.class) else {
+                say("class", "is none of the settings' classes");
+                continue;
+            };
+            match (route.operation, class.repeat, route.key_from) {
+                (Operation::Get, Repeat::Free, KeyFrom::None) => {}
+                (Operation::Get, Repeat::Free, _) => say("key_from", "a read has no idempotency key"),
+                (Operation::Get, ..) => say("class", "a read needs a class that may be repeated freely"),
+                (Operation::Set, Repeat::Free, _) => {
+                    say("class", "a write must not be of a class that may be repeated freely");
+                }
+                (Operation::Set, Repeat::Keyed, KeyFrom::None) => {
+                    say("key_from", "the class is keyed: say where its key comes from");
+                }
+                (Operation::Set, Repeat::Unsafe, KeyFrom::Digest | KeyFrom::Prefix) => {
+                    say("key_from", "the class may not be repeated: boxes drop nothing by this key");
+                }
+                (Operation::Set, Repeat::Keyed, _) if class.window <= margin => {
+                    say("class", "boxes forget its repeats before one could arrive");
+                }
+                (Operation::Set, ..) => {}
+            }
+            if route.deadline <= 0 || route.deadline > class.deadline {
+                say("deadline", "must be above zero and within the class's own");
+            }
+            let earlier = routes[..i]
+                .iter()
+                .position(|r| r.operation == route.operation && r.keys.covers(&route.keys));
+            if let Some(earlier) = earlier {
+                say("keys", &format!("no key comes here: route {} takes them all", earlier + 1));
+            }
+        }
+        if wrong.is_empty() {
+            Ok(Table { routes })
+        } else {
+            Err(wrong)
+        }
+    }
+
+    /// The route of a request; none: it is refused.
+    pub fn find(&self, operation: Operation, key: &[u8]) -> Option<&Route> {
+        self.routes.iter().find(|r| r.operation == operation && r.keys.fits(key))
+    }
+}
+
+impl Route {
+    /// The idempotency key of a write; none where its route has none.
+    ///
+    /// # Errors
+    /// The value does not begin with a key though the route says so.
+    pub fn key(&self, key: &[u8], value: &[u8]) -> Result<Option<Key>, &'static str> {
+        match self.key_from {
+            KeyFrom::None => Ok(None),
+            KeyFrom::Digest => {
+                let mut digest = Sha256::new();
+                // Lengths first, so that no two pairs of key and value run together to one text.
+                digest.update((self.class as u64).to_be_bytes());
+                digest.update((key.len() as u64).to_be_bytes());
+                digest.update(key);
+                digest.update(value);
+                let hex: String = digest.finalize()[..16].iter().map(|b| format!("{b:02x}")).collect();
+                Ok(Some(hex.into()))
+            }
+            KeyFrom::Prefix => {
+                let end = value.iter().take(PREFIX.end() + 1).position(|b| *b == b':');
+                let prefix = end.map(|end| &value[..end]).filter(|p| PREFIX.contains(&p.len()));
+                // It travels in a list of fields: nothing that would end a field may stand in it.
+                let plain = |p: &&[u8]| p.iter().all(|b| b.is_ascii_alphanumeric() || *b == b'-');
+                let text = prefix.filter(plain).and_then(|p| std::str::from_utf8(p).ok());
+                text.map(|text| Some(text.into())).ok_or(
+                    "the value must begin with an idempotency key of 8 to 64 letters, digits or -, and a colon",
+                )
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use sloewick_decision::interface::Scope;
+
+    fn class(repeat: Repeat) -> Class {
+        Class {
+            aim: 100_000,
+            aim_stretch: 0.0,
+            deadline: 400_000,
+            repeat,
+            scope: Scope::All,
+            window: 10_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: false,
+        }
+    }
+
+    fn classes() -> Vec<Class> {
+        [Repeat::Free, Repeat::Keyed, Repeat::Unsafe].map(class).to_vec()
+    }
+
+    fn route(operation: Operation, keys: &str, class: usize, key_from: KeyFrom) -> Route {
+        let keys = Pattern::read(keys).unwrap();
+        Route { operation, keys, class, tenant: None, deadline: 300_000, key_from }
+    }
+
+    fn wrong(routes: &[Route]) -> Vec<(usize, &'static str)> {
+        let found = Table::new(routes.to_vec(), &classes(), 1_000_000).err().unwrap_or_default();
+        found.iter().map(|w| (w.route, w.field)).collect()
+    }
+
+    #[test]
+    fn the_first_route_that_fits_counts_and_nothing_is_guessed() {
+        use Operation::{Get, Set};
+        let routes = vec![
+            route(Get, "logger/7", 0, KeyFrom::None),
+            route(Get, "logger/*", 0, KeyFrom::None),
+            route(Set, "alarm/*", 1, KeyFrom::Digest),
+        ];
+        let table = Table::new(routes.clone(), &classes(), 0).unwrap();
+        assert_eq!(table.find(Get, b"logger/7"), Some(&routes[0]));
+        assert_eq!(table.find(Get, b"logger/70"), Some(&routes[1]));
+        assert_eq!(table.find(Set, b"alarm/7"), Some(&routes[2]));
+        assert_eq!(table.find(Set, b"logger/7"), None);
+        assert_eq!(table.find(Get, b"alarm/7"), None);
+    }
+
+    #[test]
+    fn what_would_make_a_write_repeatable_is_refused() {
+        use Operation::{Get, Set};
+        assert_eq!(wrong(&[route(Set, "*", 0, KeyFrom::None)]), [(0, "class")]);
+        assert_eq!(wrong(&[route(Set, "*", 0, KeyFrom::Digest)]), [(0, "class")]);
+        assert_eq!(wrong(&[route(Set, "*", 1, KeyFrom::None)]), [(0, "key_from")]);
+        assert_eq!(wrong(&[route(Set, "*", 2, KeyFrom::Prefix)]), [(0, "key_from")]);
+        assert_eq!(wrong(&[route(Get, "*", 1, KeyFrom::None)]), [(0, "class")]);
+        assert_eq!(wrong(&[route(Get, "*", 0, KeyFrom::Digest)]), [(0, "key_from")]);
+        assert_eq!(wrong(&[route(Get, "*", 9, KeyFrom::None)]), [(0, "class")]);
+        assert_eq!(wrong(&[route(Set, "*", 2, KeyFrom::None), route(Get, "*", 0, KeyFrom::None)]), []);
+        let mut late = route(Get, "*", 0, KeyFrom::None);
+        late.deadline = 400_001;
+        assert_eq!(wrong(&[late.clone()]), [(0, "deadline")]);
+        late.deadline = 0;
+        assert_eq!(wrong(&[late]), [(0, "deadline")]);
+        let short = Table::new(vec![route(Set, "*", 1, KeyFrom::Digest)], &classes(), 10_000_000);
+        assert_eq!(short.unwrap_err()[0].field, "class");
+    }
+
+    #[test]
+    fn a_route_that_nothing_reaches_is_told() {
+        let get = |keys| route(Operation::Get, keys, 0, KeyFrom::None);
+        assert_eq!(wrong(&[get("logger/*"), get("logger/7")]), [(1, "keys")]);
+        assert_eq!(wrong(&[get("*"), get("a*"), get("b")]), [(1, "keys"), (2, "keys")]);
+        assert_eq!(wrong(&[get("logger/7"), get("logger/*")]), []);
+        for bad in ["", "a*b", "**", "*a"] {
+            assert!(Pattern::read(bad).is_err(), "{bad:?}");
+        }
+    }
+
+    #[test]
+    fn keys_are_made_as_the_route_says() {
+        let digest = route(Operation::Set, "*", 1, KeyFrom::Digest);
+        let key = |k: &[u8], v: &[u8]| digest.key(k, v).unwrap().unwrap();
+        assert_eq!(key(b"a", b"on"), key(b"a", b"on"));
+        assert_eq!(key(b"a", b"on").len(), 32);
+        for (k, v) in [(&b"a"[..], &b"off"[..]), (b"b", b"on"), (b"ao", b"n"), (b"", b"aon")] {
+            assert_ne!(key(b"a", b"on"), key(k, v));
+        }
+        let prefix = route(Operation::Set, "*", 1, KeyFrom::Prefix);
+        assert_eq!(prefix.key(b"a", b"5c0f6e1a-2b:level=7"), Ok(Some("5c0f6e1a-2b".into())));
+        for bad in [&b"level=7"[..], b"short:x", b"has,comma1:x", b"", b":x", &[b'a'; 80]] {
+            assert!(prefix.key(b"a", bad).is_err(), "{bad:?}");
+        }
+        assert_eq!(route(Operation::Set, "*", 2, KeyFrom::None).key(b"a", b"x"), Ok(None));
+    }
+
+    proptest! {
+        #[test]
+        fn a_pattern_that_covers_another_fits_all_that_the_other_fits(
+            a in "[ab]{0,3}\\*?", b in "[ab]{0,3}\\*?", key in "[ab]{0,5}",
+        ) {
+            if let (Ok(a), Ok(b)) = (Pattern::read(&a), Pattern::read(&b)) {
+                if a.covers(&b) && b.fits(key.as_bytes()) {
+                    prop_assert!(a.fits(key.as_bytes()));
+                }
+            }
+        }
+    }
+}
