Count the time that clients go on asking when the demo ends early

After an interrupt the rate of the whole run was divided by too short a time (90 a second shown at 50).

--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -120,16 +120,18 @@
         }
     }
     demo.go_on(Duration::from_millis(2500));
+    // An early end does not stop the clients at once.
+    let asked_for = (demo.now() as f64 / 1e6).min(scenario.seconds);
     let (judge, report) = demo.end();
     let mut whole = report.whole();
     if args.json {
-        let mut line = report.json(&mut whole, second as f64);
+        let mut line = report.json(&mut whole, asked_for);
         line["summary"] = true.into();
         line["worst_ten_seconds"] = report.worst_ten().into();
         line["breaches"] = judge.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
         out::line(format!("{line}"));
     } else {
-        out::line(format!("\nwhole run  {}", report.line(&mut whole, second as f64)));
+        out::line(format!("\nwhole run  {}", report.line(&mut whole, asked_for)));
         out::line(format!(
             "{} attempts, {} client retries, {} writes took effect, {} repeats dropped; worst ten seconds {:.3}",
             whole.attempts,
