Rig: restarted nodes hold their last list; bounds on what judge and report keep

'--log' promised the nodes' lines and showed none. What the judge and the report remember of a request had no end; it has one. A fault later than the end of its scenario was silently not played; it is an error. The list kept by both sites is one Roster; fields and functions that nothing used are gone.

--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -18,7 +18,7 @@
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
 use crate::director::{Director, Stage};
-use crate::discovery::{self, Discovery, Listed};
+use crate::discovery::{self, Discovery, Listed, Roster};
 use crate::facts::{Fact, Tap, Told, What};
 use crate::judge::Judge;
 use crate::orders::Orders;
@@ -108,8 +108,9 @@
     discovery: Option<Served>,
     retired: Vec<Served>,
     discovery_orders: Orders<discovery::Order>,
-    rev: i64,
-    list: Vec<Listed>,
+    roster: Roster,
+    /// What each node held when it last ended: it starts with that.
+    held: Vec<Option<Roster>>,
     said: Vec<String>,
     _rest: Vec<Served>,
 }
@@ -138,7 +139,8 @@
     fn run_discovery(&mut self, rev: i64) {
         let at = self.discovery_at.lock().unwrap_or_else(PoisonError::into_inner).clone();
         self.discovery_orders = Orders::default();
-        let (list, orders, tap) = (self.list.clone(), self.discovery_orders.clone(), self.tap.clone());
+        let (list, orders, tap) =
+            (self.roster.list.clone(), self.discovery_orders.clone(), self.tap.clone());
         let made = Served::start("discovery", move || {
             Ok(Box::new(Discovery::new(Os::new()?, &at, rev, &list, orders, tap)?))
         });
@@ -192,11 +194,7 @@
 
     fn order_discovery(&mut self, order: discovery::Order) {
         if let discovery::Order::Change(listed) = &order {
-            self.rev += 1;
-            self.list.retain(|l| l.uid != listed.uid);
-            if listed.told != Told::Gone {
-                self.list.push(listed.clone());
-            }
+            self.roster.change(listed);
         }
         self.discovery_orders.give(order);
     }
@@ -214,11 +212,13 @@
     }
 
     fn kill_node(&mut self, node: usize) {
+        self.held[node] = Some(self.roster.clone());
         self.tell(What::NodeEnded { node, killed: true });
         self.nodes[node].served = None;
     }
 
     fn stop_node(&mut self, node: usize) {
+        self.held[node] = Some(self.roster.clone());
         self.tell(What::NodeStopping { node });
         if let Some((_, remote)) = &self.nodes[node].served {
             remote.tell(Signals { reload: false, stop: true });
@@ -232,7 +232,8 @@
         let discovery = self.discovery_at.clone();
         let mine = move || discovery.lock().unwrap_or_else(PoisonError::into_inner)[node];
         let address = self.nodes[node].address;
-        let known = (self.rev, &self.list[..]);
+        let known = self.held[node].take().unwrap_or_else(|| self.roster.clone());
+        let known = (known.rev, &known.list[..]);
         let text = site::node_config(node, &self.scenario, address, mine(), rng.word(), known);
         let remote = Arc::new(Remote::default());
         let its = remote.clone();
@@ -261,7 +262,7 @@
             Ok(fresh) => *self.discovery_at.lock().unwrap_or_else(PoisonError::into_inner) = fresh,
             Err(e) => return self.said.push(format!("discovery does not move: {e}")),
         }
-        self.run_discovery(self.rev);
+        self.run_discovery(self.roster.rev);
         for (_, remote) in self.nodes.iter().filter_map(|n| n.served.as_ref()) {
             remote.tell(Signals { reload: true, stop: false });
         }
@@ -272,9 +273,8 @@
     }
 
     fn start_discovery(&mut self, list: Vec<Listed>, anew: bool) {
-        self.list = list;
-        self.rev = if anew { 1 } else { self.rev + 1 };
-        self.run_discovery(self.rev);
+        self.roster.restart(list, anew);
+        self.run_discovery(self.roster.rev);
     }
 
     fn say(&mut self, text: String) {
@@ -326,8 +326,8 @@
             discovery: None,
             retired: Vec::new(),
             discovery_orders: Orders::default(),
-            rev: 40,
-            list: Vec::new(),
+            roster: Roster { rev: 40, list: Vec::new() },
+            held: vec![None; scenario.nodes],
             said: Vec::new(),
             _rest: Vec::new(),
         };
--- a/crates/rig/src/discovery.rs
+++ b/crates/rig/src/discovery.rs
@@ -44,11 +44,6 @@
 /// By uid: when it last changed, and what stands.
 type Entries = BTreeMap<String, (i64, Listed)>;
 
-struct Watch {
-    node: usize,
-    since: i64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     Waited(usize, u64),
@@ -66,14 +61,39 @@
     /// What is told while the list is stale.
     frozen: Option<(i64, Entries)>,
     nodes: HashMap<usize, usize>,
-    watches: BTreeMap<usize, Watch>,
+    /// Versions that waiting calls hold.
+    watches: BTreeMap<usize, i64>,
     held: HashMap<usize, Option<i64>>,
     fail: bool,
     late: Micros,
-    retired: bool,
     came: Vec<(usize, Came)>,
 }
 
+/// The list as it stands, for whoever runs a site: what a discovery that starts is given, and what a node held
+/// when it ended.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    pub rev: i64,
+    pub list: Vec<Listed>,
+}
+
+impl Roster {
+    /// Takes up a change.
+    pub fn change(&mut self, listed: &Listed) {
+        self.rev += 1;
+        self.list.retain(|l| l.uid != listed.uid);
+        if listed.told != Told::Gone {
+            self.list.push(listed.clone());
+        }
+    }
+
+    /// A discovery starts with this list; its versions go on, or are counted anew.
+    pub fn restart(&mut self, list: Vec<Listed>, anew: bool) {
+        self.list = list;
+        self.rev = if anew { 1 } else { self.rev + 1 };
+    }
+}
+
 /// The JSON of a list.
 pub fn list_json<'a>(rev: i64, all: bool, entries: impl Iterator<Item = &'a Listed>) -> serde_json::Value {
     let entries: Vec<_> = entries
@@ -120,7 +140,6 @@
             held: HashMap::new(),
             fail: false,
             late: 0,
-            retired: false,
             came: Vec::new(),
         })
     }
@@ -153,8 +172,7 @@
         match since {
             Some(since) if since == self.shown().0 => {
                 let wait = number("timeout_ms").unwrap_or(0).clamp(0, 60_000) * 1000;
-                let node = self.nodes.get(&conn).copied().unwrap_or(0);
-                self.watches.insert(conn, Watch { node, since });
+                self.watches.insert(conn, since);
                 self.port.set(now + wait, Due::Waited(conn, serial));
             }
             since => self.tell(conn, since),
@@ -209,11 +227,10 @@
     fn changed(&mut self) {
         let rev = self.shown().0;
         let due: Vec<usize> =
-            self.watches.iter().filter(|(_, w)| w.since < rev).map(|(conn, _)| *conn).collect();
+            self.watches.iter().filter(|(_, since)| **since < rev).map(|(conn, _)| *conn).collect();
         for conn in due {
-            if let Some(watch) = self.watches.remove(&conn) {
-                self.nodes.insert(conn, watch.node);
-                self.tell(conn, Some(watch.since));
+            if let Some(since) = self.watches.remove(&conn) {
+                self.tell(conn, Some(since));
             }
         }
     }
@@ -243,8 +260,8 @@
             match due {
                 Due::Waited(conn, serial) => {
                     let same = self.port.line(conn).is_some_and(|l| l.serial == serial);
-                    if let Some(watch) = self.watches.remove(&conn).filter(|_| same) {
-                        self.tell(conn, Some(watch.since));
+                    if let Some(since) = self.watches.remove(&conn).filter(|_| same) {
+                        self.tell(conn, Some(since));
                     }
                 }
                 Due::Answer(conn, serial) => {
@@ -286,7 +303,6 @@
                     self.entries.values_mut().for_each(|(at, _)| *at = rev);
                 }
                 Order::Retire(after) => {
-                    self.retired = true;
                     self.port.close_listeners();
                     self.port.set(self.port.now() + after, Due::Retired);
                 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -16,7 +16,7 @@
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
 use crate::director::{Director, Stage};
-use crate::discovery::{self, Discovery, Listed};
+use crate::discovery::{self, Discovery, Listed, Roster};
 use crate::facts::{Fact, Tap, Told, What};
 use crate::hosts::Hosts;
 use crate::judge::{Breach, Judge, Rule};
@@ -39,8 +39,15 @@
 /// Wraps the module of each node (its number given), for tests that plant defects.
 pub type Wrap = Rc<dyn Fn(usize, Balancer) -> Box<dyn Module>>;
 
-/// Is shown each fact, in order.
-pub type Watch = Box<dyn FnMut(&Fact)>;
+/// What a watcher of a run is shown.
+pub enum Shown<'a> {
+    Fact(&'a Fact),
+    /// A line that a node logged, with time and name; the judge is told nothing of it.
+    Logged(&'a str),
+}
+
+/// Is shown everything, in order.
+pub type Watch = Box<dyn FnMut(Shown)>;
 
 /// What is told of a run besides its breaches.
 pub struct Outcome {
@@ -101,9 +108,9 @@
     moves: usize,
     discovery_orders: Orders<discovery::Order>,
     discovery_up: bool,
-    rev: i64,
-    list: Vec<Listed>,
-    /// What each node was last told, for its next start.
+    roster: Roster,
+    /// What each node held when it last ended: it starts with that.
+    held: Vec<Option<Roster>>,
     origin_orders: Orders<origin::Order>,
     clients_orders: Orders<clients::Order>,
     rude_orders: Orders<f64>,
@@ -136,13 +143,6 @@
         self.tap.tell(self.unix(), what);
     }
 
-    fn node_list(&self, node: usize) -> (i64, Vec<Listed>) {
-        // A node comes back with the list as discovery last told it; the stand-in keeps none for each, so it
-        // is the list of now, which is what a node that asked just before it died would hold.
-        let _ = node;
-        (self.rev, self.list.clone())
-    }
-
     fn run_discovery(&mut self, first_rev: i64) {
         let at: Vec<SocketAddr> =
             (0..self.scenario.nodes).map(|n| discovery_address(self.moves, n)).collect();
@@ -153,7 +153,7 @@
             self.hosts.net(host),
             &at,
             first_rev,
-            &self.list,
+            &self.roster.list,
             self.discovery_orders.clone(),
             self.tap.clone(),
         );
@@ -211,11 +211,7 @@
 
     fn order_discovery(&mut self, order: discovery::Order) {
         if let discovery::Order::Change(listed) = &order {
-            self.rev += 1;
-            self.list.retain(|l| l.uid != listed.uid);
-            if listed.told != Told::Gone {
-                self.list.push(listed.clone());
-            }
+            self.roster.change(listed);
         }
         if self.discovery_up {
             self.discovery_orders.give(order);
@@ -242,12 +238,14 @@
 
     fn kill_node(&mut self, node: usize) {
         if self.hosts.has(self.nodes[node]) {
+            self.held[node] = Some(self.roster.clone());
             self.tell(What::NodeEnded { node, killed: true });
             self.hosts.end(self.nodes[node]);
         }
     }
 
     fn stop_node(&mut self, node: usize) {
+        self.held[node] = Some(self.roster.clone());
         self.tell(What::NodeStopping { node });
         self.stopping[node] = true;
         self.hosts.world.borrow_mut().signal(self.nodes[node], Signals { reload: false, stop: true });
@@ -260,10 +258,16 @@
         self.node_starts[node] += 1;
         self.stopping[node] = false;
         let mut rng = Rng::part(self.seed, "node", node * 1000 + self.node_starts[node] as usize);
-        let (rev, known) = self.node_list(node);
+        let known = self.held[node].take().unwrap_or_else(|| self.roster.clone());
         let at = discovery_address(self.moves, node);
-        let text =
-            site::node_config(node, &self.scenario, node_address(node), at, rng.word(), (rev, &known));
+        let text = site::node_config(
+            node,
+            &self.scenario,
+            node_address(node),
+            at,
+            rng.word(),
+            (known.rev, &known.list),
+        );
         self.moved.borrow_mut()[node] = at;
         let (moved, text2) = (self.moved.clone(), text.clone());
         let source = Box::new(move || {
@@ -300,7 +304,7 @@
             self.hosts.wake(old);
         }
         self.moves += 1;
-        self.run_discovery(self.rev);
+        self.run_discovery(self.roster.rev);
         for node in 0..self.scenario.nodes {
             self.moved.borrow_mut()[node] = discovery_address(self.moves, node);
             if self.hosts.has(self.nodes[node]) {
@@ -323,9 +327,8 @@
         if self.discovery_up {
             return;
         }
-        self.list = list;
-        self.rev = if anew { 1 } else { self.rev + 1 };
-        self.run_discovery(self.rev);
+        self.roster.restart(list, anew);
+        self.run_discovery(self.roster.rev);
     }
 
     fn say(&mut self, text: String) {
@@ -414,8 +417,8 @@
             moves: 0,
             discovery_orders: Orders::default(),
             discovery_up: false,
-            rev: 40,
-            list: Vec::new(),
+            roster: Roster { rev: 40, list: Vec::new() },
+            held: vec![None; scenario.nodes],
             origin_orders: Orders::default(),
             clients_orders: Orders::default(),
             rude_orders: Orders::default(),
@@ -492,7 +495,14 @@
         self.judge.add(Breach { rule, at, id: None, why, around: Vec::new() });
     }
 
+    /// Takes up what the peers saw, and shows what the nodes logged.
     fn settle(&mut self) {
+        for host in self.site.nodes.clone() {
+            let lines = self.site.hosts.world.borrow_mut().take_log(host);
+            if let Some(watch) = &mut self.watch {
+                lines.iter().for_each(|line| watch(Shown::Logged(line)));
+            }
+        }
         while let Ok(fact) = self.facts.try_recv() {
             self.seen += 1;
             self.judge.see(&fact);
@@ -502,17 +512,11 @@
                 self.digest = (self.digest ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
             }
             if let Some(watch) = &mut self.watch {
-                watch(&fact);
+                watch(Shown::Fact(&fact));
             }
         }
     }
 
-    /// Lines that the nodes have logged since the last call.
-    pub fn logs(&mut self) -> Vec<String> {
-        let nodes = self.site.nodes.clone();
-        nodes.into_iter().flat_map(|host| self.site.hosts.world.borrow_mut().take_log(host)).collect()
-    }
-
     /// Plays the whole scenario and the planned end of all nodes.
     pub fn run(mut self) -> Outcome {
         self.play_to(self.until + AFTER);
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -4,7 +4,7 @@
 //! Times are as the peers saw them; where a node can have known less than a peer, the judge allows for the
 //! longest way of the network, so that it never accuses a node of what it could not see.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
 
 use sloewick_decision::interface::Micros;
@@ -83,7 +83,6 @@
     pub way: Micros,
     /// The time over which a cold box's work is summed.
     pub fall: Micros,
-    pub connect_timeout: Micros,
 }
 
 /// Breaches kept; a run that breaks more is broken enough.
@@ -93,10 +92,12 @@
 /// How long a request is remembered after its end, for what may still come of it.
 const REMEMBERED: Micros = 20_000_000;
 
+/// How long an effect is remembered: far beyond the boxes' window, a client's last try and a jammed origin.
+const WISH_REMEMBERED: Micros = 120_000_000;
+
 #[derive(Debug)]
 struct Attempt {
     number: u64,
-    at_box: usize,
     at: Micros,
     fate: Option<Fate>,
 }
@@ -121,9 +122,11 @@
     requests: HashMap<Id, Request>,
     /// When each is to be looked at again, oldest first: is it answered; forget it.
     due: BTreeMap<Micros, Vec<(Id, bool)>>,
+    /// By wish, for as long as a request of it can be about; the oldest first in `effects_seen`.
     effects: HashMap<Id, u32>,
+    effects_seen: VecDeque<(Micros, Id)>,
     told: HashMap<(usize, usize), Micros>,
-    knows_start: HashMap<(usize, usize), ()>,
+    knows_start: HashSet<(usize, usize)>,
     work: HashMap<usize, VecDeque<(Micros, usize, Micros)>>,
     node_ended: HashMap<usize, Micros>,
     pub breaches: Vec<Breach>,
@@ -137,8 +140,9 @@
             requests: HashMap::new(),
             due: BTreeMap::new(),
             effects: HashMap::new(),
+            effects_seen: VecDeque::new(),
             told: HashMap::new(),
-            knows_start: HashMap::new(),
+            knows_start: HashSet::new(),
             work: HashMap::new(),
             node_ended: HashMap::new(),
             breaches: Vec::new(),
@@ -215,7 +219,7 @@
                 match told {
                     Told::In { .. } => {
                         self.told.remove(&key);
-                        self.knows_start.insert(key, ());
+                        self.knows_start.insert(key);
                     }
                     Told::Draining | Told::Gone => {
                         self.told.entry(key).or_insert(at);
@@ -226,7 +230,7 @@
             What::NodeStarted { node } => {
                 self.node_ended.remove(node);
                 self.told.retain(|(n, _), _| n != node);
-                self.knows_start.retain(|(n, _), _| n != node);
+                self.knows_start.retain(|(n, _)| n != node);
             }
             What::NodeEnded { node, killed } => {
                 self.node_ended.insert(*node, at);
@@ -385,7 +389,7 @@
             recent.pop_front();
         }
         if let Some(r) = self.requests.get_mut(id) {
-            r.attempts.push(Attempt { number, at_box, at, fate: None });
+            r.attempts.push(Attempt { number, at, fate: None });
         }
     }
 
@@ -409,8 +413,16 @@
         if refused && self.repeat(class) == Repeat::Unsafe {
             self.breach(Rule::NoEffectTwice, at, Some(id), "took effect though it was refused".into());
         }
+        while self.effects_seen.front().is_some_and(|(seen, _)| at - seen > WISH_REMEMBERED) {
+            if let Some((_, old)) = self.effects_seen.pop_front() {
+                self.effects.remove(&old);
+            }
+        }
         let all = self.effects.entry(wish.clone()).or_default();
         *all += 1;
+        if *all == 1 {
+            self.effects_seen.push_back((at, wish.clone()));
+        }
         if *all > 1 && effects <= 1 {
             let why = format!("{wish} took effect again, by another try");
             self.breach(Rule::NoEffectTwice, at, Some(id), why);
@@ -420,7 +432,7 @@
     fn fell(&mut self, at: Micros, at_box: usize) {
         let recent = self.work.get(&at_box);
         let sum = |told: bool| -> Micros {
-            let from = |node: &usize| !told || self.knows_start.contains_key(&(*node, at_box));
+            let from = |node: &usize| !told || self.knows_start.contains(&(*node, at_box));
             recent.map_or(0, |w| w.iter().filter(|(_, node, _)| from(node)).map(|(.., work)| *work).sum())
         };
         let (all, told) = (sum(false), sum(true));
@@ -434,11 +446,6 @@
             self.breach(Rule::NoColdBoxPushedOver, at, None, why);
         }
     }
-
-    /// Boxes that a request was sent to, for reports.
-    pub fn boxes_of(&self, id: &Id) -> Vec<usize> {
-        self.requests.get(id).map_or(Vec::new(), |r| r.attempts.iter().map(|a| a.at_box).collect())
-    }
 }
 
 fn request_of(what: &What) -> Option<&Id> {
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -1,6 +1,6 @@
 //! Service by class, outcomes, origin load and latencies, from the same facts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt::Write;
 
 use sloewick_decision::interface::Micros;
@@ -89,6 +89,9 @@
     }
 }
 
+/// How long a try is remembered: longer than any client waits for all of its tries.
+const REMEMBERED: Micros = 20_000_000;
+
 struct Open {
     first: Id,
     asked: Micros,
@@ -103,11 +106,19 @@
     open: HashMap<Id, Open>,
     /// When each first try was asked, and whether it has been answered in time.
     firsts: HashMap<Id, (Micros, usize, bool)>,
+    /// Tries in the order in which they were asked, to be forgotten.
+    asked: VecDeque<(Micros, Id)>,
 }
 
 impl Report {
     pub fn new(classes: Vec<Class>) -> Report {
-        Report { classes, seconds: BTreeMap::new(), open: HashMap::new(), firsts: HashMap::new() }
+        Report {
+            classes,
+            seconds: BTreeMap::new(),
+            open: HashMap::new(),
+            firsts: HashMap::new(),
+            asked: VecDeque::new(),
+        }
     }
 
     fn second(&mut self, at: Micros) -> &mut Span {
@@ -117,6 +128,12 @@
 
     pub fn see(&mut self, fact: &Fact) {
         let at = fact.at;
+        while self.asked.front().is_some_and(|(asked, _)| at - asked > REMEMBERED) {
+            if let Some((_, id)) = self.asked.pop_front() {
+                self.open.remove(&id);
+                self.firsts.remove(&id);
+            }
+        }
         match &fact.what {
             What::Asked { id, class, first, .. } => {
                 let span = self.second(at);
@@ -126,6 +143,7 @@
                 } else {
                     span.retries += 1;
                 }
+                self.asked.push_back((at, id.clone()));
                 self.open.insert(id.clone(), Open { first: first.clone(), asked: at, class: *class });
             }
             What::Answered { id, how } => {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -388,6 +388,21 @@
             say(0, format!("field {field} is missing; allowed: {allowed}"));
         }
     }
+    let faults =
+        table.iter().find(|(key, _)| key.get_ref() == "fault").and_then(|(_, v)| v.get_ref().as_array());
+    for item in faults.into_iter().flat_map(|list| list.iter()) {
+        let at = item.get_ref().as_table().and_then(|t| t.iter().find(|(key, _)| key.get_ref() == "at"));
+        if let Some((key, value)) = at.filter(|(_, v)| number(v).is_some_and(|n| n > scenario.seconds)) {
+            if scenario.seconds > 0.0 {
+                let why = format!(
+                    "at is {}; the scenario is over after {} seconds",
+                    shown(value),
+                    scenario.seconds
+                );
+                say(key.span().start, why);
+            }
+        }
+    }
     wrong.sort_by_key(|w| w.line);
     if wrong.is_empty() {
         scenario.faults.sort_by(|a, b| a.at.total_cmp(&b.at));
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -82,7 +82,6 @@
         grace: DRAIN_GRACE + SOCKETS_SLACK,
         way,
         fall: FALL,
-        connect_timeout: CONNECT_TIMEOUT,
     }
 }
 
--- a/crates/rig/src/vnet.rs
+++ b/crates/rig/src/vnet.rs
@@ -8,7 +8,7 @@
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::io::{self, ErrorKind, IoSlice};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -120,7 +120,6 @@
     serial: u64,
     ends: [End; 2],
     to: SocketAddr,
-    accepted: bool,
 }
 
 #[derive(Debug)]
@@ -169,14 +168,13 @@
     addresses: BTreeMap<SocketAddr, HostId>,
     delay: Delay,
     /// Directions that are cut, by host.
-    cuts: BTreeMap<(HostId, HostId), ()>,
+    cuts: BTreeSet<(HostId, HostId)>,
     /// What waits for a cut to heal.
     held: Vec<(HostId, HostId, Event)>,
     rng: Rng,
     awake: Vec<HostId>,
     /// A running digest of everything that passed.
     digest: u64,
-    pub delivered: u64,
 }
 
 pub type Shared = Rc<RefCell<World>>;
@@ -193,12 +191,11 @@
             ports: BTreeMap::new(),
             addresses: BTreeMap::new(),
             delay,
-            cuts: BTreeMap::new(),
+            cuts: BTreeSet::new(),
             held: Vec::new(),
             rng: Rng::part(seed, "network", 0),
             awake: Vec::new(),
             digest: 0xcbf2_9ce4_8422_2325,
-            delivered: 0,
         }
     }
 
@@ -224,15 +221,11 @@
         self.addresses.insert(at, host);
     }
 
-    pub fn name(&self, host: HostId) -> &str {
-        &self.hosts[host].name
-    }
-
     pub fn digest(&self) -> u64 {
         self.digest
     }
 
-    pub fn note(&mut self, bytes: &[u8]) {
+    fn note(&mut self, bytes: &[u8]) {
         for byte in bytes {
             self.digest = (self.digest ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
         }
@@ -285,8 +278,8 @@
     /// Cuts one direction between two hosts, or heals it.
     pub fn cut(&mut self, from: HostId, to: HostId, cut: bool) {
         if cut {
-            self.cuts.insert((from, to), ());
-        } else if self.cuts.remove(&(from, to)).is_some() {
+            self.cuts.insert((from, to));
+        } else if self.cuts.remove(&(from, to)) {
             let (now, held) = (self.now, std::mem::take(&mut self.held));
             let (free, held): (Vec<_>, Vec<_>) = held.into_iter().partition(|h| (h.0, h.1) == (from, to));
             self.held = held;
@@ -429,7 +422,7 @@
             }
             return self.tidy(conn);
         }
-        if self.cuts.contains_key(&(from, to)) {
+        if self.cuts.contains(&(from, to)) {
             return self.held.push((from, to, event));
         }
         match event {
@@ -468,7 +461,6 @@
 
     fn arrive(&mut self, conn: usize, end: usize) {
         let Some((_, parcel)) = self.conns[conn].ends[end].inbound.pop_front() else { return };
-        self.delivered += 1;
         let mark = [conn as u8, end as u8, (self.now & 0xff) as u8, (self.now >> 8 & 0xff) as u8];
         self.note(&mark);
         if let Parcel::Data(bytes, _) = &parcel {
@@ -650,7 +642,6 @@
             w.hosts[self.host].descriptors -= 1;
             return Err(ErrorKind::ConnectionAborted.into());
         };
-        w.conns[conn].accepted = true;
         w.conns[conn].ends[1].token = Some(token);
         let serial = w.conns[conn].serial;
         w.list(conn, 1);
@@ -665,7 +656,7 @@
         // An address of no machine: this one refuses by itself.
         let far = w.addresses.get(&to).copied().unwrap_or(self.host);
         let ends = [End::new(self.host, Some(token)), End::new(far, None)];
-        let conn = w.conns.insert(Conn { serial, ends, to, accepted: false });
+        let conn = w.conns.insert(Conn { serial, ends, to });
         let delay = w.delay(self.host, far);
         let at = w.now + delay;
         w.conns[conn].ends[1].last = at;
--- a/crates/rig/tests/play.rs
+++ b/crates/rig/tests/play.rs
@@ -159,6 +159,10 @@
     let missing = scenario::parse("rate = 3").unwrap_err();
     assert!(missing.iter().any(|w| w.why.starts_with("field name is missing")));
     assert!(missing.iter().any(|w| w.why.starts_with("field seconds is missing")));
+    let late = "name = \"x\"\nseconds = 3\n[[fault]]\nkind = \"void\"\nat = 4\n";
+    let late = scenario::parse(late).unwrap_err();
+    assert_eq!((late.len(), late[0].line), (1, 5), "{late:?}");
+    assert_eq!(late[0].why, "at is 4; the scenario is over after 3 seconds");
     let broken = scenario::parse("name = \"x\"\nseconds = = 3").unwrap_err();
     assert_eq!((broken.len(), broken[0].line), (1, 2));
 }
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use clap::Args as ClapArgs;
-use sloewick_rig::fleet::{self, Options, Outcome};
+use sloewick_rig::fleet::{self, Options, Outcome, Shown};
 use sloewick_rig::scenario::{self, Scenario};
 
 use crate::out;
@@ -104,7 +104,10 @@
         }
         let mut options = Options::default();
         if args.log {
-            options.watch = Some(Box::new(|fact| out::line(format!("{fact}"))));
+            options.watch = Some(Box::new(|shown| match shown {
+                Shown::Fact(fact) => out::line(fact.to_string()),
+                Shown::Logged(line) => out::line(format!("{line} (logged)")),
+            }));
         }
         let began = Instant::now();
         let outcome = fleet::play(&scenario, seed, options);
