Memcached settings file, read with every mistake told; answers' long values pass through

Need: the memcached front and boxes must be set in a file of their own and checked before they run.

Keys may carry their time (stamp), so that a repeat that comes too late is known to be one at any node and after a restart. A keyed route needs a class whose repeats all boxes drop. The ledger's list of ends is bounded by the number of keys. The codec passes a box's long value on as it comes, so that no value is held whole.

--- /dev/null
+++ b/crates/memcache/src/file.rs
@@ -0,0 +1,240 @@
+//! The file that switches the memcached front and boxes on; `docs/memcached.md` describes its fields.
+
+use std::net::SocketAddr;
+
+use sloewick_decision::interface::{Class, Micros, Repeat};
+use sloewick_decision::settings::Names;
+use sloewick_settings::{read, Problem, Reader, Section};
+
+use crate::ledger::Limits;
+use crate::routes::{KeyFrom, Operation, Pattern, Route, Table};
+
+/// Longest value that may be let in: the RESP2 protocol's own limit.
+const VALUE_MOST: u32 = 4 << 20;
+/// What one entry of the ledger takes at the most: its key (64 bytes) thrice, with what holds them.
+pub const ENTRY_MEMORY: usize = 512;
+/// The ledger may take this part of the node's memory (one in sixteen).
+pub const LEDGER_PART: usize = 16;
+
+/// What the file sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct File {
+    /// Where clients that speak the binary protocol are listened for; none: nowhere.
+    pub listen: Option<SocketAddr>,
+    /// Longest value that is let in, in bytes.
+    pub value_most: usize,
+    pub routes: Table,
+    pub ledger: Limits,
+    /// How far a client's clock may be off (keys that carry a time).
+    pub skew: Micros,
+    /// Models of boxes, as the list names them, that speak the binary protocol.
+    pub models: Vec<String>,
+}
+
+const TOP: [&str; 5] = ["listen", "value_most", "ledger", "route", "box"];
+const LEDGER: [&str; 4] = ["entries", "remember_ms", "margin_ms", "clock_skew_ms"];
+const ROUTE: [&str; 6] = ["operation", "keys", "class", "tenant", "deadline_ms", "key_from"];
+
+/// Reads the file. `names` and `classes` are the node's settings, `memory` its memory in bytes.
+///
+/// # Errors
+/// All that is wrong with it.
+pub fn parse(text: &str, names: &Names, classes: &[Class], memory: usize) -> Result<File, Vec<Problem>> {
+    read(text, |r, top| {
+        r.only(top, &TOP);
+        let address = |text: &str| text.parse::<SocketAddr>().ok();
+        let listen = top.has("listen").then(|| {
+            r.meaning(top, "listen", "an address with a port, like \"127.0.0.1:11211\"", None, address)
+        });
+        let value_most = r.whole(top, "value_most", 1..=VALUE_MOST, Some(1 << 20));
+        let ledger = r.section(top, "ledger");
+        let (limits, skew) = ledger_of(r, ledger.unwrap_or(top), ledger.is_some(), classes, memory);
+        let margin = limits.margin;
+        let sections = r.list(top, "route");
+        if listen.is_some() && sections.is_empty() {
+            r.wrong(
+                top,
+                "route",
+                "is missing: without a route every request is refused; allowed: [[route]]",
+            );
+        }
+        let routes: Vec<Option<Route>> = sections.iter().map(|s| route(r, *s, names, classes)).collect();
+        let whole = routes.iter().all(Option::is_some);
+        let table = match Table::new(routes.into_iter().flatten().collect(), classes, margin) {
+            Ok(table) => Some(table),
+            Err(wrong) => {
+                // Their places are true only if none was left out.
+                for w in wrong.into_iter().filter(|_| whole) {
+                    r.wrong(sections[w.route], w.field, w.why);
+                }
+                None
+            }
+        };
+        let mut models = Vec::new();
+        for section in r.list(top, "box") {
+            r.only(section, &["model", "protocol"]);
+            let protocol = r.meaning(section, "protocol", "\"memcached\"", None, |word| {
+                (word == "memcached").then_some(())
+            });
+            let model = r.text(section, "model", "a model of the list's entries");
+            if let (Some(model), Some(())) = (model, protocol) {
+                if models.iter().any(|m| m == model) {
+                    r.wrong(section, "model", "stands there twice");
+                }
+                models.push(model.to_string());
+            }
+        }
+        Some(File {
+            listen: listen.flatten(),
+            value_most: value_most? as usize,
+            routes: table?,
+            ledger: limits,
+            skew,
+            models,
+        })
+    })
+}
+
+fn ledger_of(
+    r: &mut Reader,
+    section: Section,
+    there: bool,
+    classes: &[Class],
+    memory: usize,
+) -> (Limits, Micros) {
+    let room = memory / LEDGER_PART / ENTRY_MEMORY;
+    let usual = 4096.min(room) as u32;
+    // Without a section the usual values hold; the top level has none of these names.
+    if there {
+        r.only(section, &LEDGER);
+    }
+    let ms = |n: Option<u32>| Micros::from(n.unwrap_or_default()) * 1000;
+    let entries = r.whole(section, "entries", 1..=1_000_000, Some(usual)).unwrap_or(usual) as usize;
+    let remember = ms(r.whole(section, "remember_ms", 1..=86_400_000, Some(600_000)));
+    let margin = ms(r.whole(section, "margin_ms", 0..=60_000, Some(1_000)));
+    let skew = ms(r.whole(section, "clock_skew_ms", 0..=60_000, Some(500)));
+    let keyed = classes.iter().filter(|c| c.repeat == Repeat::Keyed);
+    let window = keyed.map(|c| c.window).min().unwrap_or(0);
+    if entries > room {
+        let why = format!(
+            "is {entries}; with {ENTRY_MEMORY} bytes each that is over one part in {LEDGER_PART} of memory_mb; \
+             allowed: up to {room}"
+        );
+        r.wrong(section, "entries", why);
+    }
+    if window > 0 && remember < window {
+        let why = format!(
+            "is {}; boxes drop repeats for {} ms, and a repeat after that must still be known; allowed: no less",
+            remember / 1000,
+            window / 1000
+        );
+        r.wrong(section, "remember_ms", why);
+    }
+    (Limits { entries, receipt: 0, window, margin, remember }, skew)
+}
+
+fn route(r: &mut Reader, section: Section, names: &Names, classes: &[Class]) -> Option<Route> {
+    r.only(section, &ROUTE);
+    let operation = r.meaning(section, "operation", "\"get\" or \"set\"", None, |word| match word {
+        "get" => Some(Operation::Get),
+        "set" => Some(Operation::Set),
+        _ => None,
+    });
+    let keys = r.text(section, "keys", "a key, or the beginning of keys and *").and_then(|text| {
+        Pattern::read(text).map_err(|why| r.wrong(section, "keys", format!("{text:?} {why}"))).ok()
+    });
+    let class_name = r.text(section, "class", "a class of the node's settings");
+    let class = class_name.and_then(|name| {
+        let class = names.class(name);
+        if class.is_none() {
+            r.wrong(section, "class", format!("{name:?} is no class of the node's settings"));
+        }
+        class
+    });
+    let tenant_name =
+        section.has("tenant").then(|| r.text(section, "tenant", "a tenant (realm) of the settings"));
+    let tenant = tenant_name.flatten().and_then(|name| {
+        let tenant = names.tenant(name);
+        if tenant.is_none() {
+            r.wrong(section, "tenant", format!("{name:?} is no tenant (realm) of the node's settings"));
+        }
+        tenant
+    });
+    let longest = class.and_then(|c| classes.get(c)).map_or(3_600_000, |c| c.deadline / 1000);
+    let longest = u32::try_from(longest).unwrap_or(u32::MAX).max(1);
+    let deadline = r.whole(section, "deadline_ms", 1..=longest, Some(longest));
+    let words = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
+    let key_from = r.meaning(section, "key_from", words, Some(KeyFrom::None), |word| match word {
+        "none" => Some(KeyFrom::None),
+        "digest" => Some(KeyFrom::Digest),
+        "prefix" => Some(KeyFrom::Prefix),
+        "stamp" => Some(KeyFrom::Stamp),
+        _ => None,
+    });
+    let mut fields = format!("c={}", class_name?);
+    if let Some(name) = tenant_name.flatten() {
+        fields += &format!(",t={name}");
+    }
+    Some(Route {
+        operation: operation?,
+        keys: keys?,
+        class: class?,
+        tenant,
+        deadline: Micros::from(deadline?) * 1000,
+        key_from: key_from?,
+        fields,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use sloewick_decision::settings::{self, Fields};
+
+    fn parsed(text: &str) -> Result<File, Vec<String>> {
+        let node = include_str!("../../../examples/node.json");
+        let value: serde_json::Value = serde_json::from_str(node).unwrap();
+        let object = Fields::of(&value["settings"], "settings").unwrap();
+        let (set, names) = settings::parse(&object).unwrap();
+        parse(text, &names, &set.classes, 64 << 20)
+            .map_err(|list| list.iter().map(|p| p.to_string()).collect())
+    }
+
+    #[test]
+    fn the_shipped_file_can_be_used() {
+        let file = parsed(include_str!("../../../deploy/memcached.toml")).unwrap();
+        assert!(file.listen.is_some());
+        assert!(file.routes.find(Operation::Get, b"logger/00001").is_some());
+        assert!(file.routes.find(Operation::Set, b"logger/00001").is_none());
+    }
+
+    #[test]
+    fn nothing_but_boxes_needs_no_listener() {
+        let file = parsed("[[box]]\nmodel = \"new\"\nprotocol = \"memcached\"\n").unwrap();
+        assert_eq!((file.listen, file.models), (None, vec!["new".to_string()]));
+    }
+
+    #[test]
+    fn every_mistake_is_told_at_once() {
+        let text = "listen = \"here\"\nvalue_most = 0\n[ledger]\nentries = 90000\nremember_ms = 5\n\
+                    [[route]]\noperation = \"touch\"\nkeys = \"a*b\"\nclass = \"no\"\n\
+                    [[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n\
+                    [[box]]\nmodel = \"m\"\nprotocol = \"text\"\n";
+        let wrong = parsed(text).unwrap_err();
+        let lines = ["1: listen", "2: value_most", "4: ledger.entries", "5: ledger.remember_ms"];
+        let more =
+            ["7: route[0].operation", "8: route[0].keys", "9: route[0].class", "16: box[0].protocol"];
+        let expected: Vec<&str> = lines.into_iter().chain(more).collect();
+        let starts: Vec<String> = wrong
+            .iter()
+            .map(|w| w["line ".len()..].splitn(3, ": ").take(2).collect::<Vec<_>>().join(": "))
+            .collect();
+        assert_eq!(starts, expected);
+        // What a table as a whole may not be is told once each line by itself is right.
+        let wrong =
+            parsed("[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n").unwrap_err();
+        assert_eq!(wrong, ["line 1: route[0].key_from: the class is keyed: say where its key comes from"]);
+        let wrong = parsed("listen = \"127.0.0.1:11211\"").unwrap_err();
+        assert!(wrong[0].contains("every request is refused"), "{wrong:?}");
+    }
+}
--- a/crates/memcache/src/ledger.rs
+++ b/crates/memcache/src/ledger.rs
@@ -95,7 +95,10 @@
 
     /// A request of this key has come. On [`Verdict::New`] and [`Verdict::Repeat`] it is in hand until
     /// [`Ledger::ended`] is told.
-    pub fn ask(&mut self, now: Micros, key: &Key) -> Verdict {
+    ///
+    /// `old`: the key itself tells that it was made so long ago that boxes may have forgotten it. If nothing is known
+    /// of it here, it may have run through another node, or before this one started.
+    pub fn ask(&mut self, now: Micros, key: &Key, old: bool) -> Verdict {
         self.forget(now);
         let until = |since: Micros| since + self.limits.window - self.limits.margin;
         if let Some(entry) = self.entries.get_mut(key) {
@@ -115,6 +118,9 @@
                 },
             };
         }
+        if old {
+            return Verdict::Unknown;
+        }
         if self.entries.len() >= self.limits.entries {
             return Verdict::Full;
         }
@@ -161,6 +167,19 @@
             self.entries.remove(key);
         } else {
             self.ends.push_back((now, key.clone()));
+            self.tidy();
+        }
+    }
+
+    /// Drops ends that later ones of their keys have replaced, when they have become as many as the keys: a client
+    /// that repeats one write without end must not fill the memory.
+    fn tidy(&mut self) {
+        if self.ends.len() > 2 * self.limits.entries {
+            let entries = &self.entries;
+            self.ends.retain(|(at, key)| entries.get(key).is_some_and(|e| e.ended == *at));
+            // Two ends in one instant are one.
+            let mut last = None;
+            self.ends.retain(|end| last.replace(end.clone()).as_ref() != Some(end));
         }
     }
 
@@ -200,62 +219,88 @@
     #[test]
     fn a_repeat_goes_on_within_the_window_and_is_answered_from_what_is_known_after_it() {
         let mut l = Ledger::new(LIMITS);
-        assert_eq!(l.ask(0, &key(1)), Verdict::New);
+        assert_eq!(l.ask(0, &key(1), false), Verdict::New);
         assert!(l.send(100, &key(1)));
-        assert_eq!(l.ask(150, &key(1)), Verdict::InHand);
+        assert_eq!(l.ask(150, &key(1), false), Verdict::InHand);
         l.ended(200, &key(1), served("receipt"));
-        assert_eq!(l.ask(9_099, &key(1)), Verdict::Repeat { until: 9_100 });
+        assert_eq!(l.ask(9_099, &key(1), false), Verdict::Repeat { until: 9_100 });
         assert!(l.send(9_099, &key(1)));
         assert!(!l.send(9_100, &key(1)), "it would arrive too late");
         l.ended(9_200, &key(1), End::MayHaveRun);
-        assert_eq!(l.ask(9_300, &key(1)), Verdict::Served(Bytes::from_static(b"receipt")));
+        assert_eq!(l.ask(9_300, &key(1), false), Verdict::Served(Bytes::from_static(b"receipt")));
     }
 
     #[test]
     fn what_may_have_run_fails_after_the_window() {
         let mut l = Ledger::new(LIMITS);
-        assert_eq!(l.ask(0, &key(1)), Verdict::New);
+        assert_eq!(l.ask(0, &key(1), false), Verdict::New);
         assert!(l.send(100, &key(1)));
         l.ended(300, &key(1), End::MayHaveRun);
-        assert_eq!(l.ask(9_100, &key(1)), Verdict::Unknown);
+        assert_eq!(l.ask(9_100, &key(1), false), Verdict::Unknown);
         // Served with a receipt that is too long to be kept: nothing can be said of it either.
-        assert_eq!(l.ask(0, &key(2)), Verdict::New);
+        assert_eq!(l.ask(0, &key(2), false), Verdict::New);
         assert!(l.send(0, &key(2)));
         l.ended(10, &key(2), served("longer than eight"));
-        assert_eq!(l.ask(20_000, &key(2)), Verdict::Unknown);
+        assert_eq!(l.ask(20_000, &key(2), false), Verdict::Unknown);
     }
 
     #[test]
     fn what_never_ran_is_new_again_and_takes_no_room() {
         let mut l = Ledger::new(LIMITS);
-        assert_eq!(l.ask(0, &key(1)), Verdict::New);
+        assert_eq!(l.ask(0, &key(1), false), Verdict::New);
         assert!(l.send(100, &key(1)));
         l.never_ran(&key(1), false);
         l.ended(200, &key(1), End::NeverRan);
         assert!(l.is_empty());
-        assert_eq!(l.ask(50_000, &key(1)), Verdict::New);
+        assert_eq!(l.ask(50_000, &key(1), false), Verdict::New);
         // One attempt was turned away while another may have run.
         assert!(l.send(50_000, &key(1)));
         assert!(l.send(50_100, &key(1)));
         l.never_ran(&key(1), true);
         l.ended(50_200, &key(1), End::MayHaveRun);
-        assert_eq!(l.ask(90_000, &key(1)), Verdict::Unknown);
+        assert_eq!(l.ask(90_000, &key(1), false), Verdict::Unknown);
     }
 
     #[test]
     fn no_room_is_a_refusal_and_what_is_remembered_stays() {
         let mut l = Ledger::new(LIMITS);
         for n in 0..4 {
-            assert_eq!(l.ask(0, &key(n)), Verdict::New);
+            assert_eq!(l.ask(0, &key(n), false), Verdict::New);
             assert!(l.send(0, &key(n)));
             l.ended(10, &key(n), End::MayHaveRun);
         }
-        assert_eq!(l.ask(50_000, &key(9)), Verdict::Full);
-        assert_eq!(l.ask(50_000, &key(0)), Verdict::Unknown);
-        assert_eq!(l.ask(100_010, &key(9)), Verdict::New);
+        assert_eq!(l.ask(50_000, &key(9), false), Verdict::Full);
+        assert_eq!(l.ask(50_000, &key(0), false), Verdict::Unknown);
+        assert_eq!(l.ask(100_010, &key(9), false), Verdict::New);
         assert_eq!(l.len(), 1);
     }
 
+    #[test]
+    fn an_old_key_of_which_nothing_is_known_is_not_taken_for_new() {
+        let mut l = Ledger::new(LIMITS);
+        assert_eq!(l.ask(0, &key(1), true), Verdict::Unknown);
+        assert!(l.is_empty());
+        assert_eq!(l.ask(0, &key(1), false), Verdict::New);
+        assert!(l.send(0, &key(1)));
+        l.ended(10, &key(1), served("ok"));
+        assert_eq!(l.ask(20_000, &key(1), true), Verdict::Served(Bytes::from_static(b"ok")));
+    }
+
+    #[test]
+    fn a_write_that_is_repeated_without_end_takes_the_room_of_one() {
+        let mut l = Ledger::new(Limits { window: 1_000_000, ..LIMITS });
+        for n in 0..1_000 {
+            // Several in one instant, too.
+            let now = n / 3;
+            assert!(!matches!(l.ask(now, &key(1), false), Verdict::InHand));
+            let _ = l.send(now, &key(1));
+            l.ended(now, &key(1), End::MayHaveRun);
+            assert!(l.ends.len() <= 2 * LIMITS.entries + 1);
+        }
+        assert_eq!(l.ask(333 + LIMITS.remember, &key(2), false), Verdict::New);
+        assert_eq!(l.len(), 1, "it is forgotten all the same");
+    }
+
     proptest! {
         /// Against a model that forgets nothing: within the time that is remembered, nothing takes effect twice at
         /// boxes that drop repeats for exactly the window.
@@ -277,7 +322,7 @@
                 });
                 match what {
                     0..=2 if !in_hand.contains_key(&k) => {
-                        let verdict = ledger.ask(now, &key(k));
+                        let verdict = ledger.ask(now, &key(k), false);
                         if matches!(verdict, Verdict::New | Verdict::Repeat { .. }) {
                             in_hand.insert(k, false);
                         }
--- a/crates/memcache/src/routes.rs
+++ b/crates/memcache/src/routes.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 
 use sha2::{Digest, Sha256};
-use sloewick_decision::interface::{Class, Micros, Repeat};
+use sloewick_decision::interface::{Class, Micros, Repeat, Scope};
 
 use crate::ledger::Key;
 
@@ -73,6 +73,9 @@
     Digest,
     /// What stands in the value before the first colon; it stays part of the value.
     Prefix,
+    /// The same, and it begins with the time of the wish (Unix time in milliseconds) and a hyphen, so that a repeat
+    /// that comes too late is known to be one by any node, also after a restart.
+    Stamp,
 }
 
 /// One line of the table.
@@ -87,6 +90,8 @@
     /// How long the client is taken to wait.
     pub deadline: Micros,
     pub key_from: KeyFrom,
+    /// Class and tenant as the RESP2 protocol writes them.
+    pub fields: String,
 }
 
 /// Something wrong with a line of the table.
@@ -133,12 +138,18 @@
                 (Operation::Set, Repeat::Keyed, KeyFrom::None) => {
                     say("key_from", "the class is keyed: say where its key comes from");
                 }
-                (Operation::Set, Repeat::Unsafe, KeyFrom::Digest | KeyFrom::Prefix) => {
+                (Operation::Set, Repeat::Unsafe, _) if route.key_from != KeyFrom::None => {
                     say("key_from", "the class may not be repeated: boxes drop nothing by this key");
                 }
                 (Operation::Set, Repeat::Keyed, _) if class.window <= margin => {
                     say("class", "boxes forget its repeats before one could arrive");
                 }
+                (Operation::Set, Repeat::Keyed, _) if class.scope != Scope::All => {
+                    say(
+                        "class",
+                        "only part of the boxes drops its repeats: one on another connection may miss it",
+                    );
+                }
                 (Operation::Set, ..) => {}
             }
             if route.deadline <= 0 || route.deadline > class.deadline {
@@ -164,6 +175,14 @@
     }
 }
 
+/// The time that stands in a stamped key, in microseconds of Unix time.
+pub fn stamp(key: &str) -> Option<Micros> {
+    let (ms, rest) = key.split_once('-')?;
+    // Thirteen digits until the year 2286; anything else is some other number.
+    let plain = ms.len() == 13 && ms.bytes().all(|b| b.is_ascii_digit()) && !rest.is_empty();
+    ms.parse::<Micros>().ok().filter(|_| plain).map(|ms| ms * 1000)
+}
+
 impl Route {
     /// The idempotency key of a write; none where its route has none.
     ///
@@ -182,12 +201,17 @@
                 let hex: String = digest.finalize()[..16].iter().map(|b| format!("{b:02x}")).collect();
                 Ok(Some(hex.into()))
             }
-            KeyFrom::Prefix => {
+            KeyFrom::Prefix | KeyFrom::Stamp => {
                 let end = value.iter().take(PREFIX.end() + 1).position(|b| *b == b':');
                 let prefix = end.map(|end| &value[..end]).filter(|p| PREFIX.contains(&p.len()));
                 // It travels in a list of fields: nothing that would end a field may stand in it.
                 let plain = |p: &&[u8]| p.iter().all(|b| b.is_ascii_alphanumeric() || *b == b'-');
                 let text = prefix.filter(plain).and_then(|p| std::str::from_utf8(p).ok());
+                if self.key_from == KeyFrom::Stamp && text.is_some_and(|text| stamp(text).is_none()) {
+                    return Err(
+                        "the idempotency key must begin with Unix time in milliseconds and a hyphen",
+                    );
+                }
                 text.map(|text| Some(text.into())).ok_or(
                     "the value must begin with an idempotency key of 8 to 64 letters, digits or -, and a colon",
                 )
@@ -200,7 +224,6 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
-    use sloewick_decision::interface::Scope;
 
     fn class(repeat: Repeat) -> Class {
         Class {
@@ -222,7 +245,8 @@
 
     fn route(operation: Operation, keys: &str, class: usize, key_from: KeyFrom) -> Route {
         let keys = Pattern::read(keys).unwrap();
-        Route { operation, keys, class, tenant: None, deadline: 300_000, key_from }
+        let fields = String::new();
+        Route { operation, keys, class, tenant: None, deadline: 300_000, key_from, fields }
     }
 
     fn wrong(routes: &[Route]) -> Vec<(usize, &'static str)> {
@@ -264,6 +288,9 @@
         assert_eq!(wrong(&[late]), [(0, "deadline")]);
         let short = Table::new(vec![route(Set, "*", 1, KeyFrom::Digest)], &classes(), 10_000_000);
         assert_eq!(short.unwrap_err()[0].field, "class");
+        let part = Class { scope: Scope::Zone, ..class(Repeat::Keyed) };
+        let part = Table::new(vec![route(Set, "*", 0, KeyFrom::Digest)], &[part], 0);
+        assert_eq!(part.unwrap_err()[0].field, "class");
     }
 
     #[test]
@@ -292,6 +319,14 @@
             assert!(prefix.key(b"a", bad).is_err(), "{bad:?}");
         }
         assert_eq!(route(Operation::Set, "*", 2, KeyFrom::None).key(b"a", b"x"), Ok(None));
+        let stamped = route(Operation::Set, "*", 1, KeyFrom::Stamp);
+        let key = stamped.key(b"a", b"1796116800123-7f:on").unwrap().unwrap();
+        assert_eq!((&*key, stamp(&key)), ("1796116800123-7f", Some(1_796_116_800_123_000)));
+        for bad in
+            [&b"1796116800-7f3a:on"[..], b"1796116800123:on", b"1796116800123-:on", b"+796116800123-7:on"]
+        {
+            assert!(stamped.key(b"a", bad).is_err(), "{bad:?}");
+        }
     }
 
     proptest! {
--- a/crates/wire/src/memcache.rs
+++ b/crates/wire/src/memcache.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::resp::Budget;
+use crate::resp::{Budget, WHOLE_MOST};
 
 /// Bytes of a header.
 pub const HEADER: usize = 24;
@@ -420,24 +420,45 @@
     }
 }
 
-/// Cuts answers from a cache box's bytes.
+/// What has come of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// An answer; the value of one that was streamed is empty.
+    Whole(Response),
+    /// An answer whose long value (of so many bytes) follows.
+    Begin(Response, usize),
+    /// Bytes of the long value.
+    Body(Bytes),
+}
+
+/// Cuts answers from a cache box's bytes. Values beyond [`WHOLE_MOST`] are passed on as they come.
 #[derive(Debug, Default)]
 pub struct ResponseReader {
     coming: Option<Head>,
+    /// The answer whose long value is coming, and the bytes left of it.
+    body: Option<(Response, usize)>,
 }
 
 impl ResponseReader {
     /// Whether part of an answer has been taken off the buffer.
     pub fn midway(&self) -> bool {
-        self.coming.is_some()
+        self.coming.is_some() || self.body.is_some()
     }
 
-    /// The next answer, none while it is still coming.
+    /// The next piece, none while it is still coming.
     ///
     /// # Errors
     /// Another magic, a data type that is not raw bytes, a body shorter than its parts, or one longer than
     /// `body_most`.
-    pub fn next(&mut self, buf: &mut BytesMut, body_most: usize) -> Result<Option<Response>, Broken> {
+    pub fn next(&mut self, buf: &mut BytesMut, body_most: usize) -> Result<Option<Piece>, Broken> {
+        if let Some((_, left)) = &mut self.body {
+            if *left > 0 {
+                let bytes = buf.split_to((*left).min(buf.len())).freeze();
+                *left -= bytes.len();
+                return Ok((!bytes.is_empty()).then_some(Piece::Body(bytes)));
+            }
+            return Ok(self.body.take().map(|(response, _)| Piece::Whole(response)));
+        }
         let h = match self.coming {
             Some(h) => h,
             None => {
@@ -462,13 +483,16 @@
                 h
             }
         };
-        if buf.len() < h.body {
+        let value = h.body - h.key - h.extras;
+        let long = value > WHOLE_MOST;
+        let wanted = if long { h.key + h.extras } else { h.body };
+        if buf.len() < wanted {
             return Ok(None);
         }
         self.coming = None;
-        let mut bytes = buf.split_to(h.body).freeze();
+        let mut bytes = buf.split_to(wanted).freeze();
         let (extras, key) = (bytes.split_to(h.extras), bytes.split_to(h.key));
-        Ok(Some(Response {
+        let response = Response {
             opcode: h.opcode,
             status: h.status,
             opaque: h.opaque,
@@ -476,12 +500,17 @@
             extras,
             key,
             value: bytes,
-        }))
+        };
+        if long {
+            self.body = Some((response.clone(), value));
+            return Ok(Some(Piece::Begin(response, value)));
+        }
+        Ok(Some(Piece::Whole(response)))
     }
 }
 
 fn put(out: &mut Vec<u8>, h: Head, extras: &[u8], key: &[u8], value: &[u8]) {
-    out.reserve(HEADER + h.body);
+    out.reserve(HEADER + h.key + h.extras + value.len());
     out.extend_from_slice(&[h.magic, h.opcode]);
     out.extend_from_slice(&(h.key as u16).to_be_bytes());
     out.extend_from_slice(&[h.extras as u8, h.data_type]);
@@ -512,6 +541,12 @@
 
 /// Appends an answer.
 pub fn put_response(out: &mut Vec<u8>, r: &Response) {
+    put_response_head(out, r, r.value.len());
+    out.extend_from_slice(&r.value);
+}
+
+/// Appends the head of an answer whose value, of `len` bytes, is written behind it.
+pub fn put_response_head(out: &mut Vec<u8>, r: &Response, len: usize) {
     let h = Head {
         magic: RESPONSE,
         opcode: r.opcode,
@@ -519,11 +554,11 @@
         extras: r.extras.len(),
         data_type: 0,
         status: r.status,
-        body: r.extras.len() + r.key.len() + r.value.len(),
+        body: r.extras.len() + r.key.len() + len,
         opaque: r.opaque,
         cas: r.cas,
     };
-    put(out, h, &r.extras, &r.key, &r.value);
+    put(out, h, &r.extras, &r.key, &[]);
 }
 
 /// Appends an answer that holds nothing but a status and its text.
@@ -570,11 +605,19 @@
 
     fn responses(input: &[u8], cuts: &[usize]) -> (Vec<Response>, Option<Broken>) {
         let (mut reader, mut buf, mut out) = (ResponseReader::default(), BytesMut::new(), Vec::new());
+        let mut body = Vec::new();
         for piece in pieces(input, cuts) {
             buf.extend_from_slice(piece);
             loop {
-                match reader.next(&mut buf, MOST) {
-                    Ok(Some(response)) => out.push(response),
+                match reader.next(&mut buf, MOST * 4) {
+                    // A long value is put together again.
+                    Ok(Some(Piece::Whole(response))) if body.is_empty() => out.push(response),
+                    Ok(Some(Piece::Whole(mut response))) => {
+                        response.value = std::mem::take(&mut body).into();
+                        out.push(response);
+                    }
+                    Ok(Some(Piece::Begin(..))) => assert!(body.is_empty()),
+                    Ok(Some(Piece::Body(bytes))) => body.extend_from_slice(&bytes),
                     Ok(None) => break,
                     Err(broken) => return (out, Some(broken)),
                 }
@@ -616,6 +659,32 @@
         );
     }
 
+    #[test]
+    fn a_long_value_passes_through_as_it_comes() {
+        let value = Bytes::from(vec![b'v'; WHOLE_MOST + 1]);
+        let long = Response {
+            opcode: Opcode::GetK as u8,
+            status: 0,
+            opaque: 3,
+            cas: 5,
+            extras: Bytes::from_static(&[0; 4]),
+            key: Bytes::from_static(b"k"),
+            value,
+        };
+        let mut input = Vec::new();
+        put_response(&mut input, &long);
+        put_status(&mut input, Opcode::Noop as u8, 4, Status::Ok);
+        for cuts in [&[][..], &[10, 24, 27, 29, 30, 5_000, input.len() - 24], &[28]] {
+            let (got, broken) = responses(&input, cuts);
+            assert_eq!((got.len(), broken), (2, None));
+            assert_eq!((&got[0], got[1].opaque), (&long, 4));
+        }
+        let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&input[..]));
+        let begin = reader.next(&mut buf, MOST * 4).unwrap().unwrap();
+        assert!(matches!(begin, Piece::Begin(r, len) if r.opaque == 3 && len == WHOLE_MOST + 1));
+        assert!(reader.midway());
+    }
+
     fn lying(key: u16, extras: u8, body: u32) -> Vec<u8> {
         let mut out = vec![REQUEST, Opcode::Set as u8];
         out.extend(key.to_be_bytes());
