--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -5,8 +5,10 @@
 use bytes::{Bytes, BytesMut};
 use sloewick_decision::interface::Micros;
 
+use crate::front::Protocol;
 use crate::net::{fill, Outbox, Read1, Stream};
-use sloewick_wire::resp::{Broken, Budget, Command, CommandReader};
+use sloewick_wire::memcache::{self, RequestReader};
+use sloewick_wire::resp::{Budget, Command, CommandReader};
 
 /// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
 const PIPELINE_MOST: usize = 128;
@@ -44,11 +46,18 @@
     Lingering(Micros),
 }
 
+/// Cuts what a client sends, in its protocol.
+enum Reader {
+    Resp(CommandReader),
+    /// With the longest value that is let in.
+    Memcached(Box<RequestReader>, usize),
+}
+
 pub struct Client<S> {
     pub stream: S,
     pub serial: u64,
     buf: BytesMut,
-    reader: CommandReader,
+    reader: Reader,
     pub out: Outbox,
     pub slots: VecDeque<Slot>,
     /// Number of the first slot.
@@ -73,17 +82,24 @@
 /// What came of reading from a client.
 pub enum Input {
     Command(Command),
+    Request(memcache::Request),
     Nothing,
-    Broken(Broken),
+    /// What comes can't be read on; the answer to what could still be told apart.
+    Broken(&'static str, Option<(u8, u32, memcache::Status)>),
 }
 
 impl<S: Stream> Client<S> {
-    pub fn new(stream: S, serial: u64, now: Micros) -> Client<S> {
+    /// `value_most`: longest value of a memcached client.
+    pub fn new(stream: S, serial: u64, now: Micros, protocol: Protocol, value_most: usize) -> Client<S> {
+        let reader = match protocol {
+            Protocol::Resp => Reader::Resp(CommandReader::default()),
+            Protocol::Memcached => Reader::Memcached(Box::default(), value_most),
+        };
         Client {
             stream,
             serial,
             buf: BytesMut::new(),
-            reader: CommandReader::default(),
+            reader,
             out: Outbox::default(),
             slots: VecDeque::new(),
             base: 0,
@@ -118,15 +134,21 @@
             {
                 return Input::Nothing;
             }
-            match self.reader.next(&mut self.buf, budget) {
-                Ok(Some(command)) => {
-                    self.active = now;
-                    self.heard = true;
-                    self.writing_since = None;
-                    return Input::Command(command);
-                }
-                Err(broken) => return Input::Broken(broken),
-                Ok(None) => {}
+            let input = match &mut self.reader {
+                Reader::Resp(reader) => match reader.next(&mut self.buf, budget) {
+                    Ok(command) => command.map(Input::Command),
+                    Err(broken) => return Input::Broken(broken.0, None),
+                },
+                Reader::Memcached(reader, most) => match reader.next(&mut self.buf, budget, *most) {
+                    Ok(request) => request.map(Input::Request),
+                    Err(broken) => return Input::Broken(broken.why, broken.answer),
+                },
+            };
+            if let Some(input) = input {
+                self.active = now;
+                self.heard = true;
+                self.writing_since = None;
+                return input;
             }
             if !self.unread {
                 break;
@@ -155,12 +177,26 @@
     }
 
     fn midway(&self) -> bool {
-        self.reader.midway() || !self.buf.is_empty()
+        let reading = match &self.reader {
+            Reader::Resp(reader) => reader.midway(),
+            Reader::Memcached(reader, _) => reader.midway(),
+        };
+        reading || !self.buf.is_empty()
     }
 
     /// What its unfinished command holds of the budget.
     pub fn reserved(&self) -> usize {
-        self.reader.reserved()
+        match &self.reader {
+            Reader::Resp(reader) => reader.reserved(),
+            Reader::Memcached(reader, _) => reader.reserved(),
+        }
+    }
+
+    pub fn protocol(&self) -> Protocol {
+        match self.reader {
+            Reader::Resp(_) => Protocol::Resp,
+            Reader::Memcached(..) => Protocol::Memcached,
+        }
     }
 
     /// Guards against both a client that has gone and one that has only ended its sending: the end of its
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,8 @@
 use serde_json::Value;
 use sloewick_decision::settings::{self, Bad, Fields, Names};
 use sloewick_decision::Settings;
+use sloewick_memcache::file::{self, File};
+use sloewick_settings::Problem;
 
 use crate::discovery::{self, Answer};
 
@@ -22,6 +24,8 @@
     pub server_idle: i64,
     /// What a probe asks: a load report where reports come with probes, else a mere sign of life.
     pub probe_load: bool,
+    /// The memcached front and boxes, where they are switched on.
+    pub memcached: Option<File>,
 }
 
 /// The least that the node can work with: a few connections on each side, and long values one at a time.
@@ -36,6 +40,16 @@
     parse(&text)
 }
 
+/// Switches the memcached front and boxes on, as this text says.
+///
+/// # Errors
+/// All that is wrong with it.
+pub fn memcached(config: &mut Config, text: &str) -> Result<(), Vec<Problem>> {
+    let file = file::parse(text, &config.names, &config.settings.classes, config.memory)?;
+    config.memcached = Some(file);
+    Ok(())
+}
+
 /// A configuration from its text.
 ///
 /// # Errors
@@ -77,5 +91,6 @@
         names,
         server_idle: idle,
         probe_load,
+        memcached: None,
     })
 }
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,180 @@
+//! What a client's protocol makes of a final answer. The node decides what the answer is; here it is worded.
+
+use bytes::Bytes;
+use sloewick_decision::interface::Micros;
+use sloewick_wire::memcache::{self, Opcode, Response, Status};
+use sloewick_wire::resp::{put_bulk, put_head, WORD_MOST};
+
+/// The protocol that a peer speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    Resp,
+    Memcached,
+}
+
+/// What is kept of a request for wording its answer.
+#[derive(Clone, Copy, Debug)]
+pub enum Asked {
+    Resp,
+    Memcached { opcode: Opcode, opaque: u32 },
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    /// The value, or a write's receipt.
+    Value(Bytes),
+    /// Served: there is no value of this key.
+    NoValue,
+    /// Refused; when to come back (0: no advice).
+    Busy(Micros),
+    Failed,
+}
+
+/// Items carry no flags here: a read-through box makes its values itself.
+const NO_FLAGS: &[u8] = &[0; 4];
+
+fn bytes(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+impl Asked {
+    /// The answer's bytes; nothing where the protocol has the client hear nothing.
+    pub fn answer(self, key: &Bytes, end: Final) -> Vec<Bytes> {
+        match (self, end) {
+            (Asked::Resp, Final::Value(value)) if value.len() <= WORD_MOST => {
+                let mut out = Vec::with_capacity(16 + value.len());
+                put_bulk(&mut out, &value);
+                vec![out.into()]
+            }
+            (Asked::Resp, Final::Value(value)) => {
+                vec![self.head(key, value.len()), value, bytes("\r\n")]
+            }
+            (Asked::Resp, Final::NoValue) => vec![bytes("$-1\r\n")],
+            (Asked::Resp, Final::Busy(retry_after)) => vec![match millis(retry_after) {
+                0 => bytes("-BUSY\r\n"),
+                ms => format!("-BUSY {ms}\r\n").into(),
+            }],
+            (Asked::Resp, Final::Failed) => vec![bytes("-ERR failed\r\n")],
+            (Asked::Memcached { opcode, opaque }, Final::Value(value)) => {
+                if opcode.silent_on(Status::Ok) {
+                    Vec::new()
+                } else if !reads(opcode) {
+                    let mut out = Vec::new();
+                    memcache::put_status(&mut out, opcode as u8, opaque, Status::Ok);
+                    vec![out.into()]
+                } else if value.len() <= WORD_MOST {
+                    let mut out = Vec::with_capacity(memcache::HEADER + 4 + key.len() + value.len());
+                    memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), value.len());
+                    out.extend_from_slice(&value);
+                    vec![out.into()]
+                } else {
+                    vec![self.head(key, value.len()), value]
+                }
+            }
+            (Asked::Memcached { .. }, Final::NoValue) => self.status(Status::KeyNotFound, None),
+            (Asked::Memcached { .. }, Final::Busy(retry_after)) => match millis(retry_after) {
+                0 => self.status(Status::Busy, Some("busy; nothing has run; try again")),
+                ms => self
+                    .status(Status::Busy, Some(&format!("busy; nothing has run; try again after {ms} ms"))),
+            },
+            (Asked::Memcached { .. }, Final::Failed) => {
+                self.status(Status::InternalError, Some("failed; a write may have taken effect"))
+            }
+        }
+    }
+
+    /// A memcached status with its own text, or another one.
+    pub fn status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
+        let Asked::Memcached { opcode, opaque } = self else { return Vec::new() };
+        if opcode.silent_on(status) {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        memcache::put_text(&mut out, opcode as u8, opaque, status, text.unwrap_or(status.text()));
+        vec![out.into()]
+    }
+
+    /// What precedes a long value.
+    pub fn head(self, key: &Bytes, len: usize) -> Bytes {
+        let mut out = Vec::new();
+        match self {
+            Asked::Resp => put_head(&mut out, b'$', len),
+            Asked::Memcached { opcode, opaque } => {
+                memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), len);
+            }
+        }
+        out.into()
+    }
+
+    /// What follows a long value.
+    pub fn tail(self) -> Vec<Bytes> {
+        match self {
+            Asked::Resp => vec![bytes("\r\n")],
+            Asked::Memcached { .. } => Vec::new(),
+        }
+    }
+}
+
+fn millis(time: Micros) -> Micros {
+    (time.max(0) + 999) / 1000
+}
+
+fn reads(opcode: Opcode) -> bool {
+    matches!(opcode.loud(), Opcode::Get | Opcode::GetK)
+}
+
+fn read_head(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
+    let key = if opcode.loud() == Opcode::GetK { key.clone() } else { Bytes::new() };
+    let (extras, value) = (Bytes::from_static(NO_FLAGS), Bytes::new());
+    Response { opcode: opcode as u8, status: Status::Ok as u16, opaque, cas: 0, extras, key, value }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::BytesMut;
+    use sloewick_wire::memcache::{Piece, ResponseReader};
+
+    fn told(opcode: Opcode, end: Final) -> Option<(u16, Vec<u8>, Vec<u8>)> {
+        let asked = Asked::Memcached { opcode, opaque: 77 };
+        let chunks = asked.answer(&Bytes::from_static(b"k"), end);
+        let mut buf = BytesMut::new();
+        chunks.iter().for_each(|chunk| buf.extend_from_slice(chunk));
+        let piece = ResponseReader::default().next(&mut buf, 1 << 20).unwrap()?;
+        let Piece::Whole(r) = piece else { panic!("a long value") };
+        assert_eq!((r.opcode, r.opaque, buf.len()), (opcode as u8, 77, 0));
+        Some((r.status, r.key.to_vec(), r.value.to_vec()))
+    }
+
+    #[test]
+    fn answers_are_worded_as_the_specification_has_it() {
+        let value = || Final::Value(Bytes::from_static(b"v"));
+        assert_eq!(told(Opcode::Get, value()), Some((0, vec![], b"v".to_vec())));
+        assert_eq!(told(Opcode::GetQ, value()), Some((0, vec![], b"v".to_vec())));
+        assert_eq!(told(Opcode::GetKQ, value()), Some((0, b"k".to_vec(), b"v".to_vec())));
+        assert_eq!(told(Opcode::Set, value()), Some((0, vec![], vec![])), "a receipt is not passed on");
+        assert_eq!(told(Opcode::SetQ, value()), None);
+        assert_eq!(told(Opcode::Get, Final::NoValue).map(|t| t.0), Some(1));
+        assert_eq!(told(Opcode::GetKQ, Final::NoValue), None);
+        for opcode in [Opcode::GetQ, Opcode::SetQ, Opcode::Get, Opcode::Set] {
+            assert_eq!(told(opcode, Final::Failed).map(|t| t.0), Some(0x84), "an error speaks");
+            let (status, _, text) = told(opcode, Final::Busy(119_001)).unwrap();
+            assert_eq!(status, 0x85);
+            assert_eq!(text, b"busy; nothing has run; try again after 120 ms");
+            let (_, _, text) = told(opcode, Final::Busy(0)).unwrap();
+            assert_eq!(text, b"busy; nothing has run; try again");
+        }
+    }
+
+    #[test]
+    fn resp2_answers_are_worded_as_the_protocol_has_it() {
+        let told = |end: Final| -> Vec<u8> { Asked::Resp.answer(&Bytes::new(), end).concat() };
+        assert_eq!(told(Final::Value(Bytes::from_static(b"v"))), b"$1\r\nv\r\n");
+        assert_eq!(told(Final::Value(vec![b'v'; 5_000].into())).len(), 7 + 5_000 + 2);
+        assert_eq!(told(Final::NoValue), b"$-1\r\n");
+        assert_eq!(told(Final::Busy(1)), b"-BUSY 1\r\n");
+        assert_eq!(told(Final::Busy(0)), b"-BUSY\r\n");
+        assert_eq!(told(Final::Failed), b"-ERR failed\r\n");
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,5 +12,6 @@
 
 mod addresses;
 mod client;
+mod front;
 pub mod timer;
 mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,13 +20,23 @@
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News};
+use crate::front::{Asked, Final, Protocol};
 use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
 use crate::timer::{Due, Timers};
-use crate::upstream::{Around, Job, Signal, Upstreams};
+use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
+use sloewick_memcache::outcomes::{outcome, Outcome};
+use sloewick_memcache::routes::Operation;
+use sloewick_wire::memcache::{self, KEY_MOST};
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
+mod memcached;
+
+use memcached::{Keyed, Memcached};
+
 const LISTENER: Token = 0;
 const DISCOVERY: Token = 2;
+/// The listener for memcached clients.
+const MEMCACHED: Token = 3;
 /// Tokens of connections: clients are even, upstreams odd.
 const FIRST: usize = 4;
 
@@ -62,6 +72,8 @@
     sent: Micros,
     /// Its connection while it is out.
     conn: Option<usize>,
+    /// The ledger counts it as one that may run.
+    counted: bool,
 }
 
 /// A request whose answer is owed, or of which attempts are still out.
@@ -71,8 +83,13 @@
     client: usize,
     client_serial: u64,
     slot: u64,
+    asked: Asked,
+    /// A write that the ledger keeps.
+    keyed: Option<Keyed>,
     key: Bytes,
     fields: Bytes,
+    write: bool,
+    /// Until the request is closed.
     value: Option<Bytes>,
     reserved: usize,
     deadline: Micros,
@@ -84,6 +101,16 @@
     stream: Option<(usize, Micros)>,
 }
 
+/// What a front keeps of a request for serving it.
+struct Taken {
+    asked: Asked,
+    keyed: Option<Keyed>,
+    key: Bytes,
+    fields: Bytes,
+    value: Option<Bytes>,
+    reserved: usize,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Running,
@@ -108,12 +135,20 @@
     }
 }
 
+/// A listener and what is spoken there.
+struct Door<L> {
+    listener: L,
+    protocol: Protocol,
+    /// Connections may wait.
+    more: bool,
+}
+
 pub struct Node<N: Net, M: Module = Balancer> {
     net: N,
     /// Read again on SIGHUP.
     source: Source,
-    listener: Option<N::Listener>,
-    accept_more: bool,
+    doors: Vec<Door<N::Listener>>,
+    memcached: Option<Memcached>,
     ready: Vec<Ready>,
     module: M,
     names: Names,
@@ -170,6 +205,13 @@
         wrap: impl FnOnce(Balancer) -> M,
     ) -> io::Result<Node<N, M>> {
         let listener = net.listen(config.listen, LISTENER)?;
+        let mut doors = vec![Door { listener, protocol: Protocol::Resp, more: true }];
+        if let Some(at) = config.memcached.as_ref().and_then(|file| file.listen) {
+            let listener = net
+                .listen(at, MEMCACHED)
+                .map_err(|e| io::Error::new(e.kind(), format!("memcached {at}: {e}")))?;
+            doors.push(Door { listener, protocol: Protocol::Memcached, more: true });
+        }
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let (ask, connect_most) = (set.ask, set.connect_timeout);
@@ -177,11 +219,14 @@
         let module = wrap(balancer);
         let connections = config.sockets - SOCKETS_KEPT;
         let upstream = connections * UPSTREAM_PART / 100;
+        // No two starts of any two nodes may give one id.
+        let run = config.seed ^ net.began_unix() as u64;
+        let memcached = config.memcached.map(|file| Memcached::new(file, run));
         let mut node = Node {
             net,
             source,
-            listener: Some(listener),
-            accept_more: true,
+            doors,
+            memcached,
             ready: Vec::new(),
             module,
             names: config.names,
@@ -263,7 +308,10 @@
     fn ready(&mut self, event: &Ready) {
         let now = self.now();
         match event.token {
-            LISTENER => self.accept_more = true,
+            LISTENER | MEMCACHED => {
+                let at = usize::from(event.token == MEMCACHED);
+                self.doors.get_mut(at).into_iter().for_each(|door| door.more = true);
+            }
             SIGNALS => self.signalled(now),
             DISCOVERY => {
                 let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
@@ -348,7 +396,7 @@
             if self.clients[key].stalled(now) {
                 self.drop_client(key);
             } else if self.clients[key].unfinished(now) {
-                self.turn_out(key, "command not finished");
+                self.turn_out(key, "command not finished", None);
             } else if self.clients[key].lingering() {
                 self.mark(key);
             }
@@ -392,12 +440,12 @@
             if now - since < ACCEPT_AFTER_STOP {
                 return false;
             }
-            self.accept_more = true;
+            self.doors.iter_mut().for_each(|door| door.more = true);
             self.accept();
-            if self.accept_more {
+            if self.doors.iter().any(|door| door.more) {
                 return false;
             }
-            self.listener = None;
+            self.doors.clear();
             self.phase = Phase::Draining;
             let all: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
             for key in all {
@@ -414,23 +462,31 @@
     // ---- clients ----
 
     fn accept(&mut self) {
+        for at in 0..self.doors.len() {
+            self.accept_at(at);
+        }
+    }
+
+    fn accept_at(&mut self, at: usize) {
         let mut accepted = 0;
-        while self.accept_more && accepted < ACCEPT_MOST {
+        while self.doors[at].more && accepted < ACCEPT_MOST {
             if self.clients.len() >= self.clients_most && !self.evict_client() {
                 return;
             }
-            let Some(listener) = &mut self.listener else { return };
-            let key = self.clients.vacant_key();
-            match self.net.accept(listener, client_token(key)) {
+            let door = &mut self.doors[at];
+            let (key, protocol) = (self.clients.vacant_key(), door.protocol);
+            match self.net.accept(&mut door.listener, client_token(key)) {
                 Ok(mut stream) => {
                     stream.bound_sending(SEND_BUFFER);
                     self.serial += 1;
-                    self.clients.insert(Client::new(stream, self.serial, self.now()));
+                    let value_most = self.memcached.as_ref().map_or(0, |m| m.file.value_most);
+                    let client = Client::new(stream, self.serial, self.now(), protocol, value_most);
+                    self.clients.insert(client);
                     accepted += 1;
                     self.mark(key);
                     self.read(key);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.accept_more = false,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.doors[at].more = false,
                 // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
                 // that connections wait, so they are asked for again in the next round, at the latest with
                 // the next sweep. An idle upstream connection makes room for one.
@@ -466,16 +522,26 @@
         while let Some(client) = self.clients.get_mut(key) {
             match client.next(now, &mut self.budget, &mut self.scratch) {
                 Input::Command(command) => self.command(key, command, now),
+                Input::Request(request) => self.memcached(key, request, now),
                 Input::Nothing => return,
-                Input::Broken(broken) => return self.turn_out(key, broken.0),
+                Input::Broken(why, answer) => return self.turn_out(key, why, answer),
             }
         }
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
-    fn turn_out(&mut self, key: usize, why: &str) {
+    fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcache::Status)>) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        client.push(Slot::Ready(vec![format!("-ERR protocol: {why}\r\n").into()]));
+        let mut out = Vec::new();
+        match (client.protocol(), answer) {
+            (Protocol::Resp, _) => out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes()),
+            (_, Some((opcode, opaque, status))) => {
+                memcache::put_text(&mut out, opcode, opaque, status, why);
+            }
+            // No request can be told apart: there is nothing that an answer could belong to.
+            (_, None) => {}
+        }
+        client.push(Slot::Ready(vec![out.into()]));
         client.close_after_answers();
         self.mark(key);
     }
@@ -525,29 +591,45 @@
         if command.dropped || self.open.len() >= self.max_open {
             return Err(err("-BUSY\r\n"));
         }
-        let Some(c) = self.clients.get_mut(client) else { return Ok(()) };
+        let taken = Taken {
+            asked: Asked::Resp,
+            keyed: None,
+            key: words[1].clone(),
+            fields: words[3].clone(),
+            value: words.get(4).cloned(),
+            reserved: command.reserved,
+        };
+        self.take(client, request, taken, now);
+        Ok(())
+    }
+
+    /// Takes a request: from now on one final answer is owed to it.
+    fn take(&mut self, client: usize, request: Request, taken: Taken, now: Micros) {
+        let Some(c) = self.clients.get_mut(client) else { return };
         self.serial += 1;
         let place = self.open.vacant_entry();
         let (open, slot) = (place.key(), c.push(Slot::Waiting(place.key())));
         place.insert(Open {
-            id: id.clone(),
+            id: request.id.clone(),
             serial: self.serial,
             client,
             client_serial: c.serial,
             slot,
-            key: words[1].clone(),
-            fields: words[3].clone(),
-            value: words.get(4).cloned(),
-            reserved: command.reserved,
+            asked: taken.asked,
+            keyed: taken.keyed,
+            key: taken.key,
+            fields: taken.fields,
+            write: request.write,
+            value: taken.value,
+            reserved: taken.reserved,
             deadline: now + request.budget,
             attempts: Vec::new(),
             out: 0,
             closed: false,
             stream: None,
         });
-        self.ids.insert(id, open);
+        self.ids.insert(request.id.clone(), open);
         self.queue.push_back(Event::Request(request));
-        Ok(())
     }
 
     fn request(
@@ -697,7 +779,10 @@
             if listed.entry.state == ServerState::Gone {
                 self.upstreams.unlisted(&listed.entry.server);
             } else {
-                self.upstreams.listed(&listed.entry.server, listed.address);
+                let speaks = |m: &Memcached| m.speaks(listed.entry.kind.as_deref());
+                let memcached = self.memcached.as_ref().is_some_and(speaks);
+                let protocol = if memcached { Protocol::Memcached } else { Protocol::Resp };
+                self.upstreams.listed(&listed.entry.server, listed.address, protocol);
             }
             let mut entry = self.names.entry(&listed.entry);
             entry.started = discovery::started(listed.boot_ms, self.net.began_unix(), now);
@@ -711,14 +796,8 @@
     fn act(&mut self, action: Action, now: Micros) {
         match action {
             Action::Send { request, server, timeout } => self.send(&request, server, timeout, now),
-            Action::Refuse { request, retry_after } => {
-                let text = match (retry_after + 999) / 1000 {
-                    ms if ms > 0 => format!("-BUSY {ms}\r\n").into(),
-                    _ => Bytes::from_static(b"-BUSY\r\n"),
-                };
-                self.end(&request, text);
-            }
-            Action::Fail { request } => self.end(&request, Bytes::from_static(b"-ERR failed\r\n")),
+            Action::Refuse { request, retry_after } => self.end(&request, Final::Busy(retry_after)),
+            Action::Fail { request } => self.end(&request, Final::Failed),
             Action::Cancel { request, attempt } => {
                 if let Some(open) = self.ids.get(&request).copied() {
                     self.give_up(open, attempt, Status::Cancelled);
@@ -737,20 +816,28 @@
 
     fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
         let Some(key) = self.ids.get(id).copied() else { return };
+        let protocol = self.upstreams.protocol(&server);
         let open = &mut self.open[key];
         let (attempt, serial) = (open.attempts.len(), open.serial);
         let left = open.deadline - now;
         // Guards against servers at work on what nobody waits for: they are told this time and drop what is over.
         let wait = timeout.unwrap_or(left).min(left);
-        open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None });
+        open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None, counted: false });
         open.out += 1;
-        if open.closed || open.stream.is_some() || wait <= 0 {
+        // A box of the other protocol has no room for a longer key.
+        let fits = protocol == Protocol::Resp || open.key.len() <= KEY_MOST;
+        if open.closed || open.stream.is_some() || wait <= 0 || !fits || !self.may_leave(key, attempt, now)
+        {
             return self.ended(key, attempt, Status::Moot, None, None);
         }
-        let chunks = forwarded(open, (wait + 999) / 1000);
+        let open = &self.open[key];
+        let written = match protocol {
+            Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
+            Protocol::Memcached => memcached::forwarded(open),
+        };
         let job = Job::Attempt { request: key, serial, attempt };
         let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &chunks, around));
+            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         match started {
             Ok(conn) => {
                 self.open[key].attempts[attempt].conn = Some(conn);
@@ -763,14 +850,20 @@
     fn probe(&mut self, server: ServerId, now: Micros) {
         self.serial += 1;
         let serial = self.serial;
-        let mut out = Vec::new();
-        let words: &[&[u8]] = if self.probe_load { &[b"INFO", b"load"] } else { &[b"PING"] };
-        put_head(&mut out, b'*', words.len());
-        words.iter().for_each(|word| put_bulk(&mut out, word));
+        let written = match self.upstreams.protocol(&server) {
+            Protocol::Memcached => memcached::probe(serial),
+            Protocol::Resp => {
+                let mut out = Vec::new();
+                let words: &[&[u8]] = if self.probe_load { &[b"INFO", b"load"] } else { &[b"PING"] };
+                put_head(&mut out, b'*', words.len());
+                words.iter().for_each(|word| put_bulk(&mut out, word));
+                Written { chunks: vec![out.into()], tag: (0, 0) }
+            }
+        };
         self.probes.insert(serial, (server.clone(), now));
-        let (job, chunks) = (Job::Probe { serial }, [Bytes::from(out)]);
+        let job = Job::Probe { serial };
         let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &chunks, around));
+            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         if let Err(status) = started {
             self.probed(serial, status, None);
         }
@@ -795,15 +888,21 @@
         self.ended(request, attempt, if moot { Status::Moot } else { status }, None, None);
     }
 
-    /// A final answer that the module words.
-    fn end(&mut self, id: &RequestId, text: Bytes) {
+    /// A final answer that the module decides on.
+    fn end(&mut self, id: &RequestId, end: Final) {
         let Some(key) = self.ids.get(id).copied().filter(|key| !self.open[*key].closed) else { return };
-        self.answer(key, vec![text]);
+        self.answer(key, end);
         self.forget(key);
     }
 
+    fn answer(&mut self, key: usize, end: Final) {
+        let open = &self.open[key];
+        let chunks = open.asked.answer(&open.key, end);
+        self.ready_answer(key, chunks);
+    }
+
     /// Gives the final answer: no request gets a second one.
-    fn answer(&mut self, key: usize, chunks: Vec<Bytes>) {
+    fn ready_answer(&mut self, key: usize, chunks: Vec<Bytes>) {
         self.close(key);
         let open = &self.open[key];
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
@@ -828,6 +927,9 @@
         if self.open.get(key).is_some_and(|open| open.closed && open.out == 0) {
             let open = self.open.remove(key);
             self.ids.remove(&open.id);
+            if let Some(keyed) = open.keyed {
+                self.written(keyed);
+            }
         }
     }
 
@@ -847,6 +949,11 @@
         let a = &mut open.attempts[attempt];
         a.conn = None;
         open.out -= 1;
+        if std::mem::take(&mut a.counted) {
+            self.settle(key, status);
+        }
+        let open = &self.open[key];
+        let a = &open.attempts[attempt];
         let latency = match open.stream {
             Some((streamed, latency)) if streamed == attempt => latency,
             _ => now - a.sent,
@@ -869,12 +976,11 @@
     fn signals(&mut self) {
         while let Some(signal) = self.upstreams.signals.pop_front() {
             match signal {
-                Signal::Reply(Job::Probe { serial }, reply) => {
-                    let (status, _, load) = verdict(&reply);
-                    let status = if matches!(reply, Reply::One(Part::Simple(_) | Part::Bulk(_))) {
-                        Status::Ok
-                    } else {
-                        status
+                Signal::Reply(Job::Probe { serial }, said) => {
+                    let (status, _, load) = verdict(&said, false);
+                    let status = match said {
+                        Said::Resp(Reply::One(Part::Simple(_) | Part::Bulk(_))) => Status::Ok,
+                        _ => status,
                     };
                     self.probed(serial, status, load);
                 }
@@ -902,28 +1008,16 @@
         Some((request, attempt))
     }
 
-    fn replied(&mut self, job: Job, reply: Reply) {
+    fn replied(&mut self, job: Job, said: Said) {
         let Some((key, attempt)) = self.find(job) else { return };
-        let streamed = self.open[key].stream.is_some_and(|(a, _)| a == attempt);
-        let (mut status, note, load) = verdict(&reply);
+        let open = &self.open[key];
+        let streamed = open.stream.is_some_and(|(a, _)| a == attempt);
+        let (mut status, note, load) = verdict(&said, open.write);
         if streamed {
             status = Status::Ok;
             self.end_stream(key, true);
-        } else if let Reply::Array(mut parts) = reply {
-            if let (Status::Ok, false, Part::Bulk(value)) =
-                (status, self.open[key].closed, parts.swap_remove(0))
-            {
-                let mut head =
-                    Vec::with_capacity(16 + if value.len() <= WORD_MOST { value.len() } else { 0 });
-                let chunks = if value.len() <= WORD_MOST {
-                    put_bulk(&mut head, &value);
-                    vec![head.into()]
-                } else {
-                    put_head(&mut head, b'$', value.len());
-                    vec![head.into(), value, Bytes::from_static(b"\r\n")]
-                };
-                self.answer(key, chunks);
-            }
+        } else if status == Status::Ok && !open.closed {
+            self.answer(key, value(said));
         }
         self.ended(key, attempt, status, note, load);
     }
@@ -944,15 +1038,14 @@
         let open = &mut self.open[key];
         open.stream = Some((attempt, now - open.attempts[attempt].sent));
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
+        let head = open.asked.head(&open.key, len);
         self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
         for other in (0..self.open[key].attempts.len()).filter(|a| *a != attempt) {
             self.give_up(key, other, Status::Cancelled);
         }
         if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
             if let Some(slot) = c.slot(slot) {
-                let mut head = Vec::new();
-                put_head(&mut head, b'$', len);
-                *slot = Slot::Stream { request: key, conn, head: Some(head.into()) };
+                *slot = Slot::Stream { request: key, conn, head: Some(head) };
             }
             self.mark(client);
         }
@@ -968,11 +1061,12 @@
         };
         let begun = !matches!(c.slot(number), Some(Slot::Stream { head: Some(_), .. }));
         if whole {
-            self.answer(key, vec![Bytes::from_static(b"\r\n")]);
+            let tail = self.open[key].asked.tail();
+            self.ready_answer(key, tail);
         } else if !begun {
-            self.answer(key, vec![Bytes::from_static(b"-ERR failed\r\n")]);
+            self.answer(key, Final::Failed);
         } else {
-            self.answer(key, Vec::new());
+            self.ready_answer(key, Vec::new());
             self.drop_client(client);
         }
     }
@@ -1010,8 +1104,19 @@
     }
 }
 
-/// What a reply says: how the attempt ended, how the read went, the load report.
-fn verdict(reply: &Reply) -> (Status, Option<Note>, Option<Load>) {
+/// What an answer says: how the attempt ended, how the read went, the load report.
+fn verdict(said: &Said, write: bool) -> (Status, Option<Note>, Option<Load>) {
+    let reply = match said {
+        Said::Resp(reply) => reply,
+        Said::Memcached(response) => {
+            let operation = if write { Operation::Set } else { Operation::Get };
+            return match outcome(operation, response.status) {
+                Outcome::Served => (Status::Ok, None, None),
+                Outcome::NoValue => (Status::Ok, Some(Note::Miss), None),
+                Outcome::Not(status) => (status, None, None),
+            };
+        }
+    };
     match reply {
         Reply::Array(parts) => {
             let status = if matches!(parts[0], Part::Bulk(_)) { Status::Ok } else { Status::Error };
@@ -1034,6 +1139,21 @@
     }
 }
 
+/// The answer of an attempt that was served.
+fn value(said: Said) -> Final {
+    match said {
+        Said::Resp(Reply::Array(mut parts)) => match parts.swap_remove(0) {
+            Part::Bulk(value) => Final::Value(value),
+            _ => Final::NoValue,
+        },
+        Said::Resp(Reply::One(_)) => Final::Failed,
+        Said::Memcached(response) if response.status == memcache::Status::KeyNotFound as u16 => {
+            Final::NoValue
+        }
+        Said::Memcached(response) => Final::Value(response.value),
+    }
+}
+
 fn load(part: &Part) -> Option<Load> {
     let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else { return None };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
@@ -1066,17 +1186,18 @@
     #[test]
     fn replies_mean_what_the_protocol_says() {
         let bulk = |text: &'static str| Part::Bulk(Bytes::from_static(text.as_bytes()));
-        let served = |how: Part| verdict(&Reply::Array(vec![bulk("value"), how, Part::Null]));
+        let verdict = |reply| verdict(&Said::Resp(reply), false);
+        let served = |how: Part| verdict(Reply::Array(vec![bulk("value"), how, Part::Null]));
         for (word, note) in [("hit", Note::Hit), ("miss", Note::Miss), ("pending", Note::MissFetching)] {
             assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
         }
         assert_eq!(served(Part::Null), (Status::Ok, None, None));
         let report = Reply::Array(vec![bulk("value"), Part::Null, bulk("inflight=7,queue=2,util=0.61")]);
-        let load = verdict(&report).2.unwrap();
+        let load = verdict(report).2.unwrap();
         assert_eq!((load.in_flight, load.queue, load.util), (Some(7.0), Some(2.0), Some(0.61)));
         let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
-        assert_eq!(verdict(&error("ERR failed")), (Status::Error, None, None));
-        let (status, _, load) = verdict(&error("BUSY latency_ms=1.5,x0=nan"));
+        assert_eq!(verdict(error("ERR failed")), (Status::Error, None, None));
+        let (status, _, load) = verdict(error("BUSY latency_ms=1.5,x0=nan"));
         assert_eq!(status, Status::Full);
         assert_eq!((load.unwrap().service, load.unwrap().hits), (Some(1500.0), None));
     }
--- /dev/null
+++ b/crates/node/src/node/memcached.rs
@@ -0,0 +1,313 @@
+//! The memcached side of the node: requests of clients that speak the binary protocol, the ledger of their keyed
+//! writes, and what boxes that speak it are sent.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sloewick_decision::interface::{Micros, Request, Status as Ended};
+use sloewick_memcache::file::File;
+use sloewick_memcache::ledger::{End, Key, Ledger, Verdict};
+use sloewick_memcache::routes::{self, Operation};
+use sloewick_wire::memcache::{self, put_request, Opcode, Status, HEADER};
+use sloewick_wire::resp::WORD_MOST;
+
+use super::{Module, Node, Open, Taken};
+use crate::client::Slot;
+use crate::front::{Asked, Final};
+use crate::net::Net;
+use crate::upstream::Written;
+
+/// What the node holds for it.
+pub(super) struct Memcached {
+    pub(super) file: File,
+    ledger: Ledger,
+    /// Begins the ids that this start of the node gives.
+    run: u64,
+}
+
+/// A write that the ledger keeps.
+pub(super) struct Keyed {
+    key: Key,
+    /// An earlier request of the key may have run.
+    before: bool,
+    /// Attempts of this one that may have run, or are out.
+    may_have_run: usize,
+    served: bool,
+}
+
+impl Memcached {
+    pub(super) fn new(file: File, run: u64) -> Memcached {
+        let ledger = Ledger::new(file.ledger);
+        Memcached { file, ledger, run }
+    }
+
+    /// Whether boxes of a model speak the binary protocol.
+    pub(super) fn speaks(&self, model: Option<&str>) -> bool {
+        model.is_some_and(|model| self.file.models.iter().any(|m| m == model))
+    }
+}
+
+/// A request that is answered without being taken.
+enum Refused {
+    Status(Status, &'static str),
+    End(Final),
+}
+
+impl<N: Net, M: Module> Node<N, M> {
+    /// Takes up what a memcached client sent.
+    pub(super) fn memcached(&mut self, client: usize, request: memcache::Request, now: Micros) {
+        let reserved = request.reserved;
+        let Some(opcode) = Opcode::from_code(request.opcode) else {
+            let mut out = Vec::new();
+            memcache::put_status(&mut out, request.opcode, request.opaque, Status::UnknownCommand);
+            return self.say(client, vec![out.into()], reserved);
+        };
+        let asked = Asked::Memcached { opcode, opaque: request.opaque };
+        let chunks = match (request.fault, opcode.loud()) {
+            (Some(Status::OutOfMemory), _) => {
+                // Shed before anything is known of it: nothing has run, so trying again is harmless.
+                asked.answer(&request.key, Final::Busy(0))
+            }
+            (Some(status), _) => asked.status(status, None),
+            (None, Opcode::Get | Opcode::GetK | Opcode::Set) => {
+                let key = request.key.clone();
+                match self.route(client, asked, request, now) {
+                    Ok(()) => return,
+                    Err(Refused::Status(status, why)) => asked.status(status, Some(why)),
+                    Err(Refused::End(end)) => asked.answer(&key, end),
+                }
+            }
+            (None, Opcode::Noop) => asked.status(Status::Ok, None),
+            (None, Opcode::Version) => asked.status(Status::Ok, Some(env!("CARGO_PKG_VERSION"))),
+            (None, Opcode::Stat) => self.stat(opcode, request.opaque, &request.key),
+            (None, Opcode::Quit) => {
+                self.say(client, asked.status(Status::Ok, None), reserved);
+                if let Some(c) = self.clients.get_mut(client) {
+                    c.close_after_answers();
+                }
+                return;
+            }
+            _ => asked.status(Status::UnknownCommand, None),
+        };
+        self.say(client, chunks, reserved);
+    }
+
+    /// Answers a request that was not taken, in its turn.
+    fn say(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
+        self.budget.give_back(reserved);
+        if let Some(c) = self.clients.get_mut(client) {
+            c.push(Slot::Ready(chunks));
+            self.mark(client);
+        }
+    }
+
+    /// A few statistics; none under any name but the general one.
+    fn stat(&self, opcode: Opcode, opaque: u32, name: &Bytes) -> Vec<Bytes> {
+        let mut out = Vec::new();
+        let mut put = |key: &'static str, value: String| {
+            let (extras, key, value) = (Bytes::new(), Bytes::from_static(key.as_bytes()), value.into());
+            let (opcode, status) = (opcode as u8, Status::Ok as u16);
+            memcache::put_response(
+                &mut out,
+                &memcache::Response { opcode, status, opaque, cas: 0, extras, key, value },
+            );
+        };
+        if name.is_empty() {
+            put("version", env!("CARGO_PKG_VERSION").to_string());
+            put("curr_connections", self.clients.len().to_string());
+            put("open_requests", self.open.len().to_string());
+            put("ledger_keys", self.memcached.as_ref().map_or(0, |m| m.ledger.len()).to_string());
+        }
+        // An empty one ends the list.
+        put("", String::new());
+        vec![out.into()]
+    }
+
+    /// Gives a request what its route says and takes it.
+    fn route(
+        &mut self,
+        client: usize,
+        asked: Asked,
+        request: memcache::Request,
+        now: Micros,
+    ) -> Result<(), Refused> {
+        let unix = self.net.began_unix() + now;
+        let full = self.open.len() >= self.max_open;
+        let Some(m) = &mut self.memcached else { return Err(Refused::End(Final::Failed)) };
+        let write = matches!(asked, Asked::Memcached { opcode, .. } if opcode.loud() == Opcode::Set);
+        let operation = if write { Operation::Set } else { Operation::Get };
+        let bad = |why| Err(Refused::Status(Status::InvalidArguments, why));
+        let Ok(key) = std::str::from_utf8(&request.key).map(Arc::<str>::from) else {
+            return bad("the key is not text");
+        };
+        let Some(route) = m.file.routes.find(operation, &request.key) else {
+            return Err(Refused::Status(
+                Status::NotSupported,
+                "no route is set for this key and operation",
+            ));
+        };
+        if write {
+            // Only a value is kept: what is lost without a word would come back as something else.
+            if request.cas != 0 {
+                return Err(Refused::Status(Status::NotSupported, "CAS is not kept here; allowed: 0"));
+            }
+            if request.extras.iter().any(|b| *b != 0) {
+                let why = "flags and expiration are not kept here; allowed: 0";
+                return Err(Refused::Status(Status::NotSupported, why));
+            }
+        }
+        let idem = match write.then(|| route.key(&request.key, &request.value)).transpose() {
+            Ok(idem) => idem.flatten(),
+            Err(why) => return bad(why),
+        };
+        if full {
+            return Err(Refused::End(Final::Busy(0)));
+        }
+        let mut keyed = None;
+        if let Some(idem) = &idem {
+            let limits = m.file.ledger;
+            let age = routes::stamp(idem).filter(|_| route.key_from == routes::KeyFrom::Stamp);
+            let age = age.map_or(0, |made| unix - made);
+            if age < -m.file.skew {
+                return bad("the idempotency key's time lies in the future");
+            }
+            let old = age + m.file.skew >= limits.window - limits.margin;
+            keyed = Some(Keyed {
+                key: idem.clone(),
+                before: match m.ledger.ask(now, idem, old) {
+                    Verdict::New => false,
+                    Verdict::Repeat { .. } => true,
+                    Verdict::Served(receipt) => return Err(Refused::End(Final::Value(receipt))),
+                    Verdict::Unknown => return Err(Refused::End(Final::Failed)),
+                    Verdict::InHand | Verdict::Full => return Err(Refused::End(Final::Busy(0))),
+                },
+                may_have_run: 0,
+                served: false,
+            });
+        }
+        self.serial += 1;
+        let Asked::Memcached { opaque, .. } = asked else { return Err(Refused::End(Final::Failed)) };
+        let id = format!("m{:x}.{:x}-{opaque:08x}", m.run, self.serial);
+        let mut fields = route.fields.clone() + ",d=0";
+        if let Some(idem) = &idem {
+            fields += &format!(",k={idem}");
+        }
+        let decide = Request {
+            id: id.into(),
+            class: route.class,
+            tenant: route.tenant,
+            key: Some(key),
+            budget: route.deadline,
+            work: None,
+            size: None,
+            retry: keyed.as_ref().is_some_and(|k| k.before),
+            write,
+        };
+        let taken = Taken {
+            asked,
+            keyed,
+            key: request.key,
+            fields: fields.into(),
+            value: write.then_some(request.value),
+            reserved: request.reserved,
+        };
+        self.take(client, decide, taken, now);
+        Ok(())
+    }
+
+    // ---- the ledger ----
+
+    /// Counts an attempt of a keyed write as one that may run; false: boxes may have forgotten an earlier one.
+    pub(super) fn may_leave(&mut self, request: usize, attempt: usize, now: Micros) -> bool {
+        let open = &mut self.open[request];
+        let (Some(keyed), Some(m)) = (&mut open.keyed, &mut self.memcached) else { return true };
+        let may = m.ledger.send(now, &keyed.key);
+        open.attempts[attempt].counted = may;
+        keyed.may_have_run += usize::from(may);
+        may
+    }
+
+    /// An attempt that was counted has ended.
+    pub(super) fn settle(&mut self, request: usize, status: Ended) {
+        let (Some(keyed), Some(m)) = (&mut self.open[request].keyed, &mut self.memcached) else { return };
+        if status.never_ran() {
+            keyed.may_have_run -= 1;
+            m.ledger.never_ran(&keyed.key, keyed.before || keyed.may_have_run > 0);
+        }
+        // Known even where the client has had its answer: a repeat is told so.
+        keyed.served |= status == Ended::Ok;
+    }
+
+    /// A keyed write has ended, with nothing of it out.
+    pub(super) fn written(&mut self, keyed: Keyed) {
+        let now = self.net.now();
+        let Some(m) = &mut self.memcached else { return };
+        let end = match keyed.served {
+            true => End::Served(Bytes::new()),
+            false if keyed.may_have_run > 0 || keyed.before => End::MayHaveRun,
+            false => End::NeverRan,
+        };
+        m.ledger.ended(now, &keyed.key, end);
+    }
+}
+
+// ---- boxes ----
+
+/// The opaque of what a box is sent: the client's own, or one made of the request's id.
+fn opaque(open: &Open) -> u32 {
+    match open.asked {
+        Asked::Memcached { opaque, .. } => opaque,
+        // FNV-1a, 32 bits: an engineer can find the request in a box's log.
+        Asked::Resp => fnv(open.id.as_bytes()),
+    }
+}
+
+/// FNV-1a of 32 bits.
+pub fn fnv(bytes: &[u8]) -> u32 {
+    bytes.iter().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193))
+}
+
+/// The request as a box that speaks the binary protocol gets it. A write's value goes behind its idempotency key (a
+/// hyphen where it has none) and a colon: the protocol has no field for it, and the box must have it to drop repeats.
+pub(super) fn forwarded(open: &Open) -> Written {
+    let opaque = opaque(open);
+    let Some(value) = &open.value else {
+        let opcode = Opcode::Get as u8;
+        let mut out = Vec::with_capacity(HEADER + open.key.len());
+        let key = open.key.clone();
+        put_request(&mut out, &memcache::Request { opcode, opaque, key, ..memcache::Request::default() });
+        return Written { chunks: vec![out.into()], tag: (opcode, opaque) };
+    };
+    let mut fields = open.fields.split(|b| *b == b',');
+    let idem = fields.find_map(|field| field.strip_prefix(b"k=")).unwrap_or(b"-");
+    let opcode = Opcode::Set as u8;
+    let request = memcache::Request {
+        opcode,
+        opaque,
+        extras: Bytes::from_static(&[0; 8]),
+        key: open.key.clone(),
+        ..memcache::Request::default()
+    };
+    let mut out = Vec::with_capacity(HEADER + 8 + open.key.len() + idem.len() + 1);
+    let more = idem.len() + 1 + value.len();
+    memcache::put_request_head(&mut out, &request, more);
+    out.extend_from_slice(idem);
+    out.push(b':');
+    let mut chunks = vec![Bytes::from(out)];
+    if value.len() <= WORD_MOST {
+        let mut whole = Vec::from(std::mem::take(&mut chunks[0]));
+        whole.extend_from_slice(value);
+        chunks[0] = whole.into();
+    } else {
+        chunks.push(value.clone());
+    }
+    Written { chunks, tag: (opcode, opaque) }
+}
+
+/// A sign of life.
+pub(super) fn probe(serial: u64) -> Written {
+    let (opcode, opaque) = (Opcode::Noop as u8, serial as u32);
+    let mut out = Vec::new();
+    put_request(&mut out, &memcache::Request { opcode, opaque, ..memcache::Request::default() });
+    Written { chunks: vec![out.into()], tag: (opcode, opaque) }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -9,9 +9,11 @@
 use slab::Slab;
 use sloewick_decision::interface::{Micros, ServerId, Status};
 
+use crate::front::Protocol;
 use crate::net::{fill, out_of_sockets, Net, Outbox, Read1, Ready, Stream, Token};
 use crate::timer::{Due, Timers};
-use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader};
+use sloewick_wire::memcache::{self, Opcode, Response, ResponseReader};
+use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader, VALUE_MOST};
 
 /// Most connections to one server. A server holds some 250 of all nodes together and queues a few dozen
 /// requests; more than this to one server could only wait there.
@@ -21,6 +23,8 @@
 const IDLE_PART: i64 = 80;
 /// A probe is given up after this; it is answered at once or tells nothing.
 const PROBE_MOST: Micros = 250_000;
+/// Longest body of a memcached answer: a value with its key and flags.
+const BODY_MOST: usize = VALUE_MOST + 1024;
 /// A server pauses a long value for 0.1 s at most; silent this much longer, it is gone.
 const BODY_PAUSE_MOST: Micros = 1_500_000;
 
@@ -31,10 +35,23 @@
     Probe { serial: u64 },
 }
 
+/// An answer, in its server's protocol.
+#[derive(Debug)]
+pub enum Said {
+    Resp(Reply),
+    Memcached(Response),
+}
+
+/// What a job writes, and how an answer to it is told from one to something else (memcached: opcode, opaque).
+pub struct Written {
+    pub chunks: Vec<Bytes>,
+    pub tag: (u8, u32),
+}
+
 /// What happened on a connection.
 #[derive(Debug)]
 pub enum Signal {
-    Reply(Job, Reply),
+    Reply(Job, Said),
     Ended(Job, Status),
     /// A long value begins.
     Begin {
@@ -48,6 +65,63 @@
     Odd(ServerId, &'static str),
 }
 
+/// What has come of an answer, in either protocol.
+enum Came {
+    Whole(Said),
+    /// A long value begins; it answers this (memcached).
+    Begin(usize, Option<(u8, u32)>),
+    Body(Bytes),
+}
+
+/// Cuts what a server sends, in its protocol.
+enum Reader {
+    Resp(ReplyReader),
+    Memcached(ResponseReader),
+}
+
+impl Reader {
+    fn new(protocol: Protocol) -> Reader {
+        match protocol {
+            Protocol::Resp => Reader::Resp(ReplyReader::default()),
+            Protocol::Memcached => Reader::Memcached(ResponseReader::default()),
+        }
+    }
+
+    fn protocol(&self) -> Protocol {
+        match self {
+            Reader::Resp(_) => Protocol::Resp,
+            Reader::Memcached(_) => Protocol::Memcached,
+        }
+    }
+
+    fn midway(&self) -> bool {
+        match self {
+            Reader::Resp(reader) => reader.midway(),
+            Reader::Memcached(reader) => reader.midway(),
+        }
+    }
+
+    fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Came>, ()> {
+        Ok(match self {
+            Reader::Resp(reader) => reader.next(buf).map_err(|_| ())?.map(|piece| match piece {
+                Piece::Whole(reply) => Came::Whole(Said::Resp(reply)),
+                Piece::Begin(len) => Came::Begin(len, None),
+                Piece::Body(bytes) => Came::Body(bytes),
+            }),
+            Reader::Memcached(reader) => {
+                let Some(piece) = reader.next(buf, BODY_MOST).map_err(|_| ())? else { return Ok(None) };
+                Some(match piece {
+                    memcache::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
+                    // Only what a client asked for may be long.
+                    memcache::Piece::Begin(r, _) if r.status != 0 => return Err(()),
+                    memcache::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
+                    memcache::Piece::Body(bytes) => Came::Body(bytes),
+                })
+            }
+        })
+    }
+}
+
 struct Conn<S> {
     stream: S,
     server: ServerId,
@@ -55,9 +129,11 @@
     serial: u64,
     connecting: bool,
     job: Option<Job>,
+    /// What an answer to the job carries (memcached).
+    tag: (u8, u32),
     out: Outbox,
     buf: BytesMut,
-    reader: ReplyReader,
+    reader: Reader,
     /// In the middle of a long value: read only as it is passed on.
     body: bool,
     /// The kernel may hold bytes that were not read yet; the end of the server's bytes is behind them.
@@ -77,6 +153,7 @@
 
 struct Pool {
     address: SocketAddr,
+    protocol: Protocol,
     listed: bool,
     /// Oldest first; the newest is used first, so that the others can age and go.
     idle: Vec<usize>,
@@ -118,16 +195,21 @@
     }
 
     /// A server is listed; what is open to an address that it has left is not used again.
-    pub fn listed(&mut self, server: &ServerId, address: SocketAddr) {
-        let fresh = || Pool { address, listed: true, idle: Vec::new(), open: 0 };
+    pub fn listed(&mut self, server: &ServerId, address: SocketAddr, protocol: Protocol) {
+        let fresh = || Pool { address, protocol, listed: true, idle: Vec::new(), open: 0 };
         let pool = self.pools.entry(server.clone()).or_insert_with(fresh);
         pool.listed = true;
-        if pool.address != address {
-            pool.address = address;
+        if (pool.address, pool.protocol) != (address, protocol) {
+            (pool.address, pool.protocol) = (address, protocol);
             self.close_idle(server);
         }
     }
 
+    /// What a server speaks.
+    pub fn protocol(&self, server: &ServerId) -> Protocol {
+        self.pools.get(server).map_or(Protocol::Resp, |pool| pool.protocol)
+    }
+
     /// A server is gone: its attempts end as they will, its idle connections are of no more use.
     pub fn unlisted(&mut self, server: &ServerId) {
         if let Some(pool) = self.pools.get_mut(server) {
@@ -158,11 +240,11 @@
         &mut self,
         job: Job,
         server: &ServerId,
-        chunks: &[Bytes],
+        written: &Written,
         around: &mut Around<impl Net<Stream = S>>,
     ) -> Result<usize, Status> {
         while let Some(conn) = self.pools.get_mut(server).and_then(|pool| pool.idle.pop()) {
-            if self.reusable(conn, around.now) && self.give(conn, job, chunks, around) {
+            if self.reusable(conn, around.now) && self.give(conn, job, written, around) {
                 return Ok(conn);
             }
             // It was stale, which tells nothing of the server: the next one, or a new one, does.
@@ -170,7 +252,7 @@
             self.close(conn);
         }
         let conn = self.open(server, around)?;
-        self.give(conn, job, chunks, around);
+        self.give(conn, job, written, around);
         Ok(conn)
     }
 
@@ -188,7 +270,7 @@
         if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
             return Err(Status::Moot);
         }
-        let address = self.pools[server].address;
+        let Pool { address, protocol, .. } = self.pools[server];
         let token = |conns: &Slab<Conn<S>>| (around.token)(conns.vacant_key());
         let mut opened = around.net.connect(address, token(&self.conns));
         if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
@@ -208,9 +290,10 @@
             serial,
             connecting: true,
             job: None,
+            tag: (0, 0),
             out: Outbox::default(),
             buf: BytesMut::new(),
-            reader: ReplyReader::default(),
+            reader: Reader::new(protocol),
             body: false,
             unread: false,
             closed: false,
@@ -230,12 +313,13 @@
         &mut self,
         conn: usize,
         job: Job,
-        chunks: &[Bytes],
+        written: &Written,
         around: &mut Around<impl Net<Stream = S>>,
     ) -> bool {
         let c = &mut self.conns[conn];
         c.job = Some(job);
-        chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        c.tag = written.tag;
+        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
         if let Job::Probe { .. } = job {
             around.timers.set(around.now + PROBE_MOST, Due::Upstream { conn, serial: c.serial });
         }
@@ -260,7 +344,11 @@
         let c = &mut self.conns[conn];
         c.idle_since = now;
         match self.pools.get_mut(&c.server) {
-            Some(pool) if pool.listed && pool.address == c.address => pool.idle.push(conn),
+            Some(pool)
+                if pool.listed && pool.address == c.address && pool.protocol == c.reader.protocol() =>
+            {
+                pool.idle.push(conn);
+            }
             _ => self.close(conn),
         }
     }
@@ -325,13 +413,16 @@
     fn read(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) {
         while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
             match c.reader.next(&mut c.buf) {
-                Ok(Some(Piece::Whole(reply))) => self.replied(conn, reply, around.now),
-                Ok(Some(Piece::Begin(len))) => {
+                Ok(Some(Came::Whole(said))) => self.replied(conn, said, around.now),
+                Ok(Some(Came::Begin(len, tag))) => {
                     let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+                    if tag.is_some_and(|tag| tag != c.tag || tag.0 != Opcode::Get as u8) {
+                        return self.odd(conn, "answer to another request");
+                    }
                     (c.body, c.starved) = (true, None);
                     self.signals.push_back(Signal::Begin { job, conn, len });
                 }
-                Ok(Some(Piece::Body(_))) => return self.odd(conn, "value out of place"),
+                Ok(Some(Came::Body(_))) => return self.odd(conn, "value out of place"),
                 // Guards against an answer that begins with what came unasked behind the one before it.
                 Ok(None) if c.job.is_none() && (c.reader.midway() || !c.buf.is_empty()) => {
                     return self.odd(conn, "answer to nothing");
@@ -350,27 +441,30 @@
                     Read1::Empty => c.unread = false,
                     Read1::Ended => return self.fail(conn),
                 },
-                Err(_) => return self.odd(conn, "broken reply"),
+                Err(()) => return self.odd(conn, "broken reply"),
             }
         }
     }
 
-    fn replied(&mut self, conn: usize, reply: Reply, now: Micros) {
+    fn replied(&mut self, conn: usize, said: Said, now: Micros) {
         let c = &mut self.conns[conn];
         let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
-        let known = match (&reply, job) {
-            (Reply::Array(parts), Job::Attempt { .. }) => c.body || matches!(parts[0], Part::Bulk(_)),
-            (Reply::One(Part::Error(line)), _) => !line.starts_with(b"SYNTAX"),
-            (Reply::One(Part::Simple(_) | Part::Bulk(_)), Job::Probe { .. }) => true,
+        let known = match (&said, job) {
+            (Said::Resp(Reply::Array(parts)), Job::Attempt { .. }) => {
+                c.body || matches!(parts[0], Part::Bulk(_))
+            }
+            (Said::Resp(Reply::One(Part::Error(line))), _) => !line.starts_with(b"SYNTAX"),
+            (Said::Resp(Reply::One(Part::Simple(_) | Part::Bulk(_))), Job::Probe { .. }) => true,
+            (Said::Memcached(response), _) => (response.opcode, response.opaque) == c.tag,
             _ => false,
         };
         if !known {
-            return self.odd(conn, "answer of a wrong kind");
+            return self.odd(conn, "answer of a wrong kind, or to another request");
         }
         let early = !c.sent();
         c.job = None;
         c.body = false;
-        self.signals.push_back(Signal::Reply(job, reply));
+        self.signals.push_back(Signal::Reply(job, said));
         if early {
             self.close(conn);
         } else {
@@ -383,16 +477,16 @@
         loop {
             let c = self.conns.get_mut(conn).filter(|c| c.body)?;
             match c.reader.next(&mut c.buf) {
-                Ok(Some(Piece::Body(bytes))) => {
+                Ok(Some(Came::Body(bytes))) => {
                     c.starved = None;
                     return Some(bytes);
                 }
-                Ok(Some(Piece::Whole(reply))) => {
-                    self.replied(conn, reply, around.now);
+                Ok(Some(Came::Whole(said))) => {
+                    self.replied(conn, said, around.now);
                     self.read(conn, around);
                     return None;
                 }
-                Ok(Some(Piece::Begin(_))) | Err(_) => self.odd(conn, "broken value"),
+                Ok(Some(Came::Begin(..))) | Err(()) => self.odd(conn, "broken value"),
                 Ok(None) if !c.unread => {
                     c.starved.get_or_insert(around.now);
                     return None;
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -5,6 +5,7 @@
 mod out;
 mod play;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -27,6 +28,7 @@
   sloewick demo --fault slow-origin
   sloewick check node.json
   BALANCER_CONFIG=node.json sloewick run
+  BALANCER_CONFIG=node.json sloewick run --memcached deploy/memcached.toml
   sloewick play rolling-deploy --seed 7
   sloewick play --list
 
@@ -35,7 +37,7 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run a node, configured by the JSON file that BALANCER_CONFIG names
-    Run,
+    Run(RunArgs),
     /// Read a configuration and judge it
     Check(check::Args),
     /// Run a whole stand-in fleet on loopback and watch it
@@ -44,9 +46,25 @@
     Play(play::Args),
 }
 
-fn run() -> Result<(), Bad> {
+#[derive(clap::Args)]
+struct RunArgs {
+    /// Switch the memcached front and boxes on, as this TOML file says (see docs/memcached.md)
+    #[arg(long, value_name = "FILE")]
+    memcached: Option<PathBuf>,
+}
+
+fn run(args: &RunArgs) -> Result<(), Bad> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
-    let config = config::read(&path)?;
+    let mut config = config::read(&path)?;
+    if let Some(file) = &args.memcached {
+        let name = file.display();
+        let text =
+            std::fs::read_to_string(file).map_err(|e| Bad::new("--memcached", format!("{name}: {e}")))?;
+        config::memcached(&mut config, &text).map_err(|problems| {
+            let all: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
+            Bad::new("--memcached", format!("{name}: {}", all.join("; ")))
+        })?;
+    }
     let listen = config.listen;
     let os = Os::with_signals().map_err(|e| Bad::new("signals", e.to_string()))?;
     let node = Node::new(config, os, Box::new(move || config::read(&path)));
@@ -56,7 +74,7 @@
 
 fn main() -> ExitCode {
     match Cli::parse().command {
-        Command::Run => match run() {
+        Command::Run(args) => match run(&args) {
             Ok(()) => ExitCode::SUCCESS,
             Err(bad) => {
                 if let Ok(mut os) = Os::new() {
--- a/crates/wire/src/memcache.rs
+++ b/crates/wire/src/memcache.rs
@@ -509,8 +509,8 @@
     }
 }
 
-fn put(out: &mut Vec<u8>, h: Head, extras: &[u8], key: &[u8], value: &[u8]) {
-    out.reserve(HEADER + h.key + h.extras + value.len());
+fn put(out: &mut Vec<u8>, h: Head, extras: &[u8], key: &[u8]) {
+    out.reserve(HEADER + h.key + h.extras);
     out.extend_from_slice(&[h.magic, h.opcode]);
     out.extend_from_slice(&(h.key as u16).to_be_bytes());
     out.extend_from_slice(&[h.extras as u8, h.data_type]);
@@ -520,11 +520,11 @@
     out.extend_from_slice(&h.cas.to_be_bytes());
     out.extend_from_slice(extras);
     out.extend_from_slice(key);
-    out.extend_from_slice(value);
 }
 
-/// Appends a request. Its key, extras and value must keep the protocol's lengths.
-pub fn put_request(out: &mut Vec<u8>, r: &Request) {
+/// Appends a request up to its value, of `len` bytes, which is written behind it. Its key and extras must keep the
+/// protocol's lengths.
+pub fn put_request_head(out: &mut Vec<u8>, r: &Request, len: usize) {
     let h = Head {
         magic: REQUEST,
         opcode: r.opcode,
@@ -532,11 +532,17 @@
         extras: r.extras.len(),
         data_type: 0,
         status: r.vbucket,
-        body: r.extras.len() + r.key.len() + r.value.len(),
+        body: r.extras.len() + r.key.len() + len,
         opaque: r.opaque,
         cas: r.cas,
     };
-    put(out, h, &r.extras, &r.key, &r.value);
+    put(out, h, &r.extras, &r.key);
+}
+
+/// Appends a request.
+pub fn put_request(out: &mut Vec<u8>, r: &Request) {
+    put_request_head(out, r, r.value.len());
+    out.extend_from_slice(&r.value);
 }
 
 /// Appends an answer.
@@ -558,7 +564,7 @@
         opaque: r.opaque,
         cas: r.cas,
     };
-    put(out, h, &r.extras, &r.key, &[]);
+    put(out, h, &r.extras, &r.key);
 }
 
 /// Appends an answer that holds nothing but a status and its text.
