Test the memcached front and boxes between scripted peers on virtual time

Need: quiet semantics, order, keyed repeats at 9 s and 11 s, spoilt connections, long values and broken framing are promises of the memcached side and were untested in the node.

--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -15,6 +15,11 @@
 pub const ZONES: [&str; 2] = ["ops-center", "eastside-plant"];
 pub const KINDS: [&str; 2] = ["std-box", "slow-box"];
 
+/// The same boxes when they speak the memcached binary protocol.
+pub const KINDS_MEMCACHED: [&str; 2] = ["mc-std-box", "mc-slow-box"];
+/// What keys begin with, by class, where a request's class is told by its key.
+pub const KEYS: [&str; 3] = ["logger", "alarm", "ack"];
+
 /// A class: share of the requests, aim, deadline, worth, and how it may be repeated.
 pub struct Class {
     pub name: &'static str,
@@ -144,6 +149,27 @@
     .to_string()
 }
 
+/// The file that switches the memcached front (none: not listened for) and boxes on. A key's first part says what it
+/// is for, its second whose it is.
+pub fn memcached_file(listen: Option<SocketAddr>) -> String {
+    let mut text = listen.map_or(String::new(), |at| format!("listen = \"{at}\"\n"));
+    for (n, (tenant, _)) in TENANTS.iter().enumerate() {
+        for (c, class) in CLASSES.iter().enumerate() {
+            let operation = if class.write { "set" } else { "get" };
+            let key_from = if matches!(class.repeat, Repeat::Keyed(_)) { "digest" } else { "none" };
+            text += &format!(
+                "[[route]]\noperation = \"{operation}\"\nkeys = \"{}/{n}/*\"\nclass = \"{}\"\n\
+                 tenant = \"{tenant}\"\nkey_from = \"{key_from}\"\n",
+                KEYS[c], class.name
+            );
+        }
+    }
+    for model in KINDS_MEMCACHED {
+        text += &format!("[[box]]\nmodel = \"{model}\"\nprotocol = \"memcached\"\n");
+    }
+    text
+}
+
 /// A box: the odd ones are of the slower kind.
 pub fn cache_box(
     number: usize,
--- a/crates/rig/tests/support/mod.rs
+++ b/crates/rig/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,6 +49,8 @@
 #[derive(Default)]
 pub struct Script {
     pub seen: Vec<(Micros, usize, Seen)>,
+    /// The bytes of each connection, whole.
+    pub raw: BTreeMap<usize, Vec<u8>>,
     pub connect: Vec<SocketAddr>,
     pub send: Vec<(usize, Vec<u8>)>,
     pub close: Vec<usize>,
@@ -76,6 +79,7 @@
                 Came::Bytes => {
                     let Some(line) = self.port.line(*conn) else { continue };
                     let bytes = line.buf.split();
+                    self.script.borrow_mut().raw.entry(*conn).or_default().extend_from_slice(&bytes);
                     Seen::Bytes(String::from_utf8_lossy(&bytes).into_owned())
                 }
             };
@@ -223,10 +227,26 @@
     at: SocketAddr,
     discovery: SocketAddr,
     known: &[Listed],
+) {
+    start_node_with(hosts, host, at, discovery, known, None);
+}
+
+/// The same, with a file for memcached; it may listen on port 11211 of the node's host.
+pub fn start_node_with(
+    hosts: &mut Hosts,
+    host: HostId,
+    at: SocketAddr,
+    discovery: SocketAddr,
+    known: &[Listed],
+    memcached: Option<&str>,
 ) {
     hosts.world.borrow_mut().address(host, at);
     let text = site::node_config(0, &calm(), at, discovery, 7, (41, known));
-    let config = config::parse(&text).unwrap();
+    let mut config = config::parse(&text).unwrap();
+    if let Some(file) = memcached {
+        hosts.world.borrow_mut().address(host, SocketAddr::new(at.ip(), 11211));
+        config::memcached(&mut config, file).unwrap();
+    }
     let source = Box::new(move || config::parse(&text));
     let node = Node::new(config, hosts.net(host), source).unwrap();
     hosts.place(host, Box::new(node));
