Ledger tells from its sends what may have run; tests of turned-away repeats

Change: Ledger::ended takes the receipt only. Tests: another attempt near the end of the boxes' window, turned-away writes with and without an earlier one that may have run, a listener that closes in a planned stop.

--- a/crates/memcache/src/ledger.rs
+++ b/crates/memcache/src/ledger.rs
@@ -50,17 +50,6 @@
     Full,
 }
 
-/// How a request of a key ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum End {
-    /// Served with this receipt.
-    Served(Bytes),
-    /// All its attempts are known not to have run.
-    NeverRan,
-    /// An attempt of it may have run.
-    MayHaveRun,
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     /// Since when something of it may have run.
@@ -145,23 +134,17 @@
         }
     }
 
-    /// The request in hand has ended.
-    pub fn ended(&mut self, now: Micros, key: &Key, end: End) {
+    /// The request in hand has ended; its receipt, if it was served. Whether it may have run is known from its sends.
+    pub fn ended(&mut self, now: Micros, key: &Key, served: Option<Bytes>) {
         let Some(entry) = self.entries.get_mut(key) else { return };
         entry.in_hand = false;
         entry.ended = now;
-        match end {
-            End::Served(receipt) => {
-                entry.ran_since.get_or_insert(now);
-                let kept = (receipt.len() <= self.limits.receipt).then_some(receipt);
-                // What was served once stays so, with the receipt that is known.
-                let known = entry.served.take().flatten();
-                entry.served = Some(kept.or(known));
-            }
-            End::MayHaveRun => {
-                entry.ran_since.get_or_insert(now);
-            }
-            End::NeverRan => {}
+        if let Some(receipt) = served {
+            entry.ran_since.get_or_insert(now);
+            let kept = (receipt.len() <= self.limits.receipt).then_some(receipt);
+            // What was served once stays so, with the receipt that is known.
+            let known = entry.served.take().flatten();
+            entry.served = Some(kept.or(known));
         }
         if entry.ran_since.is_none() {
             self.entries.remove(key);
@@ -212,8 +195,8 @@
         format!("k{n}").into()
     }
 
-    fn served(text: &'static str) -> End {
-        End::Served(Bytes::from_static(text.as_bytes()))
+    fn served(text: &'static str) -> Option<Bytes> {
+        Some(Bytes::from_static(text.as_bytes()))
     }
 
     #[test]
@@ -226,7 +209,7 @@
         assert_eq!(l.ask(9_099, &key(1), false), Verdict::Repeat { until: 9_100 });
         assert!(l.send(9_099, &key(1)));
         assert!(!l.send(9_100, &key(1)), "it would arrive too late");
-        l.ended(9_200, &key(1), End::MayHaveRun);
+        l.ended(9_200, &key(1), None);
         assert_eq!(l.ask(9_300, &key(1), false), Verdict::Served(Bytes::from_static(b"receipt")));
     }
 
@@ -235,7 +218,7 @@
         let mut l = Ledger::new(LIMITS);
         assert_eq!(l.ask(0, &key(1), false), Verdict::New);
         assert!(l.send(100, &key(1)));
-        l.ended(300, &key(1), End::MayHaveRun);
+        l.ended(300, &key(1), None);
         assert_eq!(l.ask(9_100, &key(1), false), Verdict::Unknown);
         // Served with a receipt that is too long to be kept: nothing can be said of it either.
         assert_eq!(l.ask(0, &key(2), false), Verdict::New);
@@ -250,14 +233,14 @@
         assert_eq!(l.ask(0, &key(1), false), Verdict::New);
         assert!(l.send(100, &key(1)));
         l.never_ran(&key(1), false);
-        l.ended(200, &key(1), End::NeverRan);
+        l.ended(200, &key(1), None);
         assert!(l.is_empty());
         assert_eq!(l.ask(50_000, &key(1), false), Verdict::New);
         // One attempt was turned away while another may have run.
         assert!(l.send(50_000, &key(1)));
         assert!(l.send(50_100, &key(1)));
         l.never_ran(&key(1), true);
-        l.ended(50_200, &key(1), End::MayHaveRun);
+        l.ended(50_200, &key(1), None);
         assert_eq!(l.ask(90_000, &key(1), false), Verdict::Unknown);
     }
 
@@ -267,7 +250,7 @@
         for n in 0..4 {
             assert_eq!(l.ask(0, &key(n), false), Verdict::New);
             assert!(l.send(0, &key(n)));
-            l.ended(10, &key(n), End::MayHaveRun);
+            l.ended(10, &key(n), None);
         }
         assert_eq!(l.ask(50_000, &key(9), false), Verdict::Full);
         assert_eq!(l.ask(50_000, &key(0), false), Verdict::Unknown);
@@ -294,7 +277,7 @@
             let now = n / 3;
             assert!(!matches!(l.ask(now, &key(1), false), Verdict::InHand));
             let _ = l.send(now, &key(1));
-            l.ended(now, &key(1), End::MayHaveRun);
+            l.ended(now, &key(1), None);
             assert!(l.ends.len() <= 2 * LIMITS.entries + 1);
         }
         assert_eq!(l.ask(333 + LIMITS.remember, &key(2), false), Verdict::New);
@@ -340,12 +323,7 @@
                     }
                     _ => {
                         if let Some(sent) = in_hand.remove(&k) {
-                            let ran = boxes.contains_key(&k);
-                            let end = match (sent, lost) {
-                                (true, false) => served("ok"),
-                                (false, _) if !ran => End::NeverRan,
-                                _ => End::MayHaveRun,
-                            };
+                            let end = if sent && !lost { served("ok") } else { None };
                             ledger.ended(now, &key(k), end);
                             last.insert(k, now);
                         }
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use sloewick_decision::interface::{Micros, Request, Status as Ended};
 use sloewick_memcache::file::File;
-use sloewick_memcache::ledger::{End, Key, Ledger, Verdict};
+use sloewick_memcache::ledger::{Key, Ledger, Verdict};
 use sloewick_memcache::routes::{self, Operation};
 use sloewick_wire::memcache::{self, put_request, Opcode, Status, HEADER};
 use sloewick_wire::resp::WORD_MOST;
@@ -242,12 +242,7 @@
     pub(super) fn written(&mut self, keyed: Keyed) {
         let now = self.net.now();
         let Some(m) = &mut self.memcached else { return };
-        let end = match keyed.served {
-            true => End::Served(Bytes::new()),
-            false if keyed.may_have_run > 0 || keyed.before => End::MayHaveRun,
-            false => End::NeverRan,
-        };
-        m.ledger.ended(now, &keyed.key, end);
+        m.ledger.ended(now, &keyed.key, keyed.served.then(Bytes::new));
     }
 }
 
--- a/crates/rig/tests/memcached.rs
+++ b/crates/rig/tests/memcached.rs
@@ -338,6 +338,82 @@
     assert_ne!(s.last_key(), Some(key));
 }
 
+#[test]
+fn another_attempt_does_not_leave_when_boxes_may_have_forgotten_the_first() {
+    let mut s = scene(false);
+    s.say(0, request(Opcode::Set, 1, "alarm/0/1", "high"));
+    s.answer(0, served("ok"));
+    // Asked again just before the end of what may be sent, and broken off just after it.
+    s.hosts.play_to(9 * SECOND - 100 * WAY);
+    let before = s.at_box();
+    s.say(0, request(Opcode::Set, 2, "alarm/0/1", "high"));
+    let sent = s.at_box();
+    assert!(sent > before);
+    s.after(150 * WAY);
+    let conn = s.cache.script.borrow().raw.len() - 1;
+    s.cache.close(&mut s.hosts, conn);
+    s.after(3 * SECOND);
+    assert_eq!(s.at_box(), sent);
+    // It is answered all the same: nothing more has run, and a repeat is told what is known.
+    assert_eq!(told(&s.client, 0).len(), 2);
+    let other = s.connect(0);
+    s.say(other, request(Opcode::Set, 3, "alarm/0/1", "high"));
+    assert_eq!(told(&s.client, other)[0].1, 0);
+}
+
+/// The box answers every attempt so until the client has an answer; its status.
+fn until_answered(s: &mut Scene, conn: usize, answer: Option<&str>) -> u16 {
+    let before = told(&s.client, conn).len();
+    let mut done = s.at_box();
+    for _ in 0..400 {
+        if let Some(answer) = told(&s.client, conn).get(before) {
+            return answer.1;
+        }
+        if s.at_box() > done {
+            done = s.at_box();
+            let last = s
+                .cache
+                .script
+                .borrow()
+                .seen
+                .iter()
+                .rev()
+                .find(|e| matches!(e.2, Seen::Bytes(_)))
+                .unwrap()
+                .1;
+            match answer {
+                Some(text) => s.cache.send(&mut s.hosts, last, text),
+                None => s.cache.close(&mut s.hosts, last),
+            }
+        }
+        s.after(5 * WAY);
+    }
+    panic!("no answer");
+}
+
+#[test]
+fn what_was_turned_away_is_new_again_unless_an_earlier_one_may_have_run() {
+    for broke_before in [false, true] {
+        let mut s = scene(false);
+        let set = |opaque| request(Opcode::Set, opaque, "alarm/0/1", "high");
+        if broke_before {
+            s.client.send(&mut s.hosts, 0, set(1));
+            until_answered(&mut s, 0, None);
+            s.hosts.play_to(5 * SECOND);
+        }
+        s.client.send(&mut s.hosts, 0, set(2));
+        assert_eq!(until_answered(&mut s, 0, Some("-BUSY\r\n")), 0x85);
+        s.hosts.play_to(12 * SECOND);
+        let before = s.at_box();
+        let other = s.connect(0);
+        s.say(other, set(3));
+        assert_eq!(s.at_box() > before, !broke_before);
+        if broke_before {
+            assert_eq!(told(&s.client, other)[0].1, 0x84);
+        }
+    }
+}
+
 #[test]
 fn through_another_node_a_repeat_carries_the_same_key_and_after_the_window_it_is_new() {
     let mut s = scene(false);
@@ -589,12 +665,20 @@
 #[test]
 fn a_planned_stop_answers_what_is_held() {
     let mut s = scene(true);
-    s.say(0, request(Opcode::Get, 1, "logger/0/1", ""));
+    s.say(0, request(Opcode::Set, 1, "ack/0/1", "x"));
     let host = s.nodes[0];
     s.hosts.world.borrow_mut().signal(host, sloewick_node::net::Told { reload: false, stop: true });
     s.hosts.wake(host);
-    s.after(100 * WAY);
-    s.answer(0, response(Opcode::Get, 0, 1, b"v"));
+    s.after(450 * WAY);
+    // The listener is still there for a while, then closed; what has come is still held then.
+    let late = s.connect(0);
+    s.say(late, request(Opcode::Set, 2, "ack/0/1", "x"));
+    s.after(200 * WAY);
+    s.client.connect(&mut s.hosts, mc_port(100));
+    s.after(10 * WAY);
+    assert_eq!(s.client.seen().last(), Some(&(2, Seen::Broke { refused: true })));
+    s.answer(1, response(Opcode::Set, 0, 2, b""));
+    assert_eq!(told(&s.client, late), [(2, 0, String::new(), String::new())]);
     s.after(3 * SECOND);
     assert_eq!(told(&s.client, 0).len(), 1);
     assert!(s.client.saw(&Seen::Ended));
