--- a/crates/rig/src/cachebox.rs
+++ b/crates/rig/src/cachebox.rs
@@ -8,11 +8,12 @@
 
 use bytes::Bytes;
 use sloewick_decision::interface::Micros;
+use sloewick_wire::memcache::{self, Opcode, RequestReader, Status};
 use sloewick_wire::resp::{
     put_bulk, put_head, Budget, Command, CommandReader, Part, Piece, Reply, ReplyReader,
 };
 
-use crate::facts::{Fate, Id, Tap, What};
+use crate::facts::{short, Fate, Id, Tap, What};
 use crate::orders::Orders;
 use crate::port::{Actor, Came, Port, Sight};
 use crate::rng::Rng;
@@ -29,6 +30,8 @@
     pub number: usize,
     pub at: SocketAddr,
     pub origin: SocketAddr,
+    /// It speaks the memcached binary protocol.
+    pub memcached: bool,
     /// Standard cores' work done in a microsecond, when warm.
     pub speed: f64,
     /// Mean work of a read and of a write, on a standard core.
@@ -88,10 +91,52 @@
     idem: Option<Id>,
     work: Micros,
     over: Micros,
+    /// Memcached: what goes back with the answer.
+    opaque: Option<u32>,
+}
+
+/// What a node sent, in either protocol.
+struct Asked {
+    id: Id,
+    key: Id,
+    write: bool,
+    idem: Option<Id>,
+    /// How long the node waits.
+    wait: Micros,
+    opaque: Option<u32>,
+}
+
+/// How an attempt that is not served is answered.
+#[derive(Clone, Copy)]
+enum Told {
+    Busy,
+    Failed,
+}
+
+/// Cuts what a node sends.
+enum Reader {
+    Resp(CommandReader),
+    Memcached(Box<RequestReader>),
+}
+
+enum Input {
+    Command(Command),
+    Request(memcache::Request),
+}
+
+/// How long a box works on what tells no time: longer than any node waits.
+const WAIT_MOST: Micros = 2_500_000;
+
+/// A request's name: of a client that gave none, what its node made ends with the client's opaque.
+fn name(id: &str) -> Id {
+    match id.strip_prefix('m').and_then(|rest| rest.rsplit_once('-')) {
+        Some((_, opaque)) => format!("#{opaque}").into(),
+        None => id.into(),
+    }
 }
 
 enum Peer {
-    Node { reader: CommandReader, busy: bool, useless: bool, active: Micros },
+    Node { reader: Reader, busy: bool, useless: bool, active: Micros },
     Origin,
 }
 
@@ -131,6 +176,26 @@
     came: Vec<(usize, Came)>,
 }
 
+/// A served answer of the binary protocol; a write's has no value.
+fn put_answer(out: &mut Vec<u8>, job: &Job, opaque: u32, value: Vec<u8>) {
+    let (opcode, flags, value) = match job.write {
+        true => (Opcode::Set, &[][..], Vec::new()),
+        false => (Opcode::Get, &[0; 4][..], value),
+    };
+    memcache::put_response(
+        out,
+        &memcache::Response {
+            opcode: opcode as u8,
+            status: Status::Ok as u16,
+            opaque,
+            cas: 0,
+            extras: Bytes::from_static(flags),
+            key: Bytes::new(),
+            value: value.into(),
+        },
+    );
+}
+
 fn hash(text: &str, salt: u64) -> u64 {
     let mut rng = Rng::part(salt, text, 0);
     rng.word()
@@ -214,28 +279,67 @@
             }
             let Some(line) = self.port.line(conn) else { return };
             let first_byte = line.since;
-            let next = reader.next(&mut line.buf, &mut Budget::new(VALUES_MOST));
+            let mut budget = Budget::new(VALUES_MOST);
+            let next = match reader {
+                Reader::Resp(reader) => match reader.next(&mut line.buf, &mut budget) {
+                    Ok(command) => Ok(command.map(Input::Command)),
+                    Err(broken) => Err(broken.0),
+                },
+                Reader::Memcached(reader) => match reader.next(&mut line.buf, &mut budget, VALUES_MOST) {
+                    Ok(request) => Ok(request.map(Input::Request)),
+                    Err(broken) => Err(broken.why),
+                },
+            };
             if !line.buf.is_empty() {
                 line.since = unix;
             }
             match next {
-                Ok(Some(command)) => {
+                Ok(Some(input)) => {
                     *active = now;
-                    self.command(conn, command, first_byte);
+                    match input {
+                        Input::Command(command) => self.command(conn, &command, first_byte),
+                        Input::Request(request) => self.request(conn, &request, first_byte),
+                    }
                 }
                 Ok(None) => return,
                 Err(broken) => {
-                    self.tap.tell(
-                        self.port.unix(),
-                        What::Syntax { at_box: self.set.number, bytes: broken.0.to_string() },
-                    );
+                    self.odd(broken.to_string());
                     return self.close(conn);
                 }
             }
         }
     }
 
-    fn command(&mut self, conn: usize, command: Command, first_byte: Micros) {
+    /// A node sent what no client asks for.
+    fn odd(&self, bytes: String) {
+        self.tap.tell(self.port.unix(), What::Syntax { at_box: self.set.number, bytes });
+    }
+
+    fn request(&mut self, conn: usize, r: &memcache::Request, first_byte: Micros) {
+        let key = std::str::from_utf8(&r.key).unwrap_or_default();
+        let plain = r.fault.is_none() && r.cas == 0 && r.extras.iter().all(|b| *b == 0);
+        let (write, idem) = match Opcode::from_code(r.opcode).filter(|_| plain) {
+            Some(Opcode::Get) => (false, None),
+            Some(Opcode::Noop) => {
+                let mut out = Vec::new();
+                memcache::put_status(&mut out, r.opcode, r.opaque, Status::Ok);
+                return self.port.send(conn, out.into());
+            }
+            Some(Opcode::Set) => {
+                let end = r.value.iter().position(|b| *b == b':');
+                match end.and_then(|end| std::str::from_utf8(&r.value[..end]).ok()) {
+                    Some(idem) => (true, Some(Id::from(idem)).filter(|idem| &**idem != "-")),
+                    None => return self.odd("a value without a key before it".to_string()),
+                }
+            }
+            _ => return self.odd(format!("{r:?}").chars().take(200).collect()),
+        };
+        let (id, opaque) = (short(r.opaque), Some(r.opaque));
+        let asked = Asked { id, key: key.into(), write, idem, wait: WAIT_MOST, opaque };
+        self.take(conn, asked, first_byte);
+    }
+
+    fn command(&mut self, conn: usize, command: &Command, first_byte: Micros) {
         let words = &command.words;
         let text = |i: usize| words.get(i).and_then(|w| std::str::from_utf8(w).ok()).unwrap_or_default();
         match text(0) {
@@ -248,11 +352,23 @@
         let wait = fields.get("d").and_then(|d| d.parse::<f64>().ok()).filter(|d| *d >= 0.0);
         let known = (write && words.len() == 5) || (text(0) == "C.GET" && words.len() == 4);
         let (Some(wait), true, true) = (wait, known, fields.contains_key("c")) else {
-            let bytes = words.iter().map(|w| String::from_utf8_lossy(w)).collect::<Vec<_>>().join(" ");
-            self.tap.tell(self.port.unix(), What::Syntax { at_box: self.set.number, bytes });
+            self.odd(words.iter().map(|w| String::from_utf8_lossy(w)).collect::<Vec<_>>().join(" "));
             self.port.send(conn, Bytes::from_static(b"-SYNTAX\r\n"));
             return;
         };
+        let asked = Asked {
+            id: name(text(2)),
+            key: text(1).into(),
+            write,
+            idem: fields.get("k").map(|k| Id::from(*k)),
+            wait: (wait * 1000.0) as Micros,
+            opaque: None,
+        };
+        self.take(conn, asked, first_byte);
+    }
+
+    fn take(&mut self, conn: usize, asked: Asked, first_byte: Micros) {
+        let write = asked.write;
         self.attempts += 1;
         let (now, unix) = (self.port.now(), self.port.unix());
         let mean = if write { self.set.write_work } else { self.set.read_work } as f64;
@@ -261,12 +377,13 @@
             conn,
             serial: self.port.line(conn).map_or(0, |l| l.serial),
             attempt: self.attempts,
-            id: text(2).into(),
-            key: text(1).into(),
+            id: asked.id,
+            key: asked.key,
             write,
-            idem: fields.get("k").map(|k| Id::from(*k)),
+            idem: asked.idem,
             work,
-            over: now + (wait * 1000.0) as Micros,
+            over: now + asked.wait,
+            opaque: asked.opaque,
         };
         self.tap.tell(
             unix,
@@ -296,7 +413,26 @@
 
     fn turn_away(&mut self, job: Job) {
         self.fate(&job, Fate::TurnedAway);
-        self.answer(job.conn, job.serial, Bytes::from_static(b"-BUSY\r\n"));
+        self.not_served(&job, Told::Busy);
+    }
+
+    fn not_served(&mut self, job: &Job, told: Told) {
+        let bytes = match (job.opaque, told) {
+            (None, Told::Busy) => Bytes::from_static(b"-BUSY\r\n"),
+            (None, Told::Failed) => Bytes::from_static(b"-ERR failed\r\n"),
+            (Some(opaque), told) => {
+                let failed = [Status::OutOfMemory, Status::InternalError, Status::TemporaryFailure];
+                let status = match told {
+                    Told::Busy => Status::Busy,
+                    Told::Failed => failed[self.rng.below(failed.len())],
+                };
+                let opcode = if job.write { Opcode::Set } else { Opcode::Get };
+                let mut out = Vec::new();
+                memcache::put_status(&mut out, opcode as u8, opaque, status);
+                out.into()
+            }
+        };
+        self.answer(job.conn, job.serial, bytes);
     }
 
     fn fate(&self, job: &Job, fate: Fate) {
@@ -410,7 +546,7 @@
     fn ask(&mut self, job: Job, write: bool) {
         let Some(origin) = self.origin.filter(|_| self.origin_up) else {
             self.fate(&job, Fate::Ran);
-            return self.answer(job.conn, job.serial, Bytes::from_static(b"-ERR failed\r\n"));
+            return self.not_served(&job, Told::Failed);
         };
         self.call += 1;
         let tag = self.call.to_string();
@@ -452,7 +588,7 @@
                 let Some(version) = number(1) else {
                     self.fetched(&job);
                     self.fate(&job, Fate::Ran);
-                    return self.answer(job.conn, job.serial, Bytes::from_static(b"-ERR failed\r\n"));
+                    return self.not_served(&job, Told::Failed);
                 };
                 if !job.write {
                     if self.kept.len() < KEYS_MOST {
@@ -484,26 +620,33 @@
     fn finish(&mut self, job: Job, how: &str) {
         self.fate(&job, Fate::Ran);
         if self.rng.chance(self.errors) {
-            return self.answer(job.conn, job.serial, Bytes::from_static(b"-ERR failed\r\n"));
+            return self.not_served(&job, Told::Failed);
         }
         let length =
             if self.rng.chance(0.02) { 1000 + self.rng.below(20_000) } else { 20 + self.rng.below(200) };
         let mut value = format!("{}|{}|", job.id, job.key).into_bytes();
         value.resize(value.len() + length, b'.');
         let mut out = Vec::with_capacity(value.len() + 48);
-        put_head(&mut out, b'*', 3);
-        put_bulk(&mut out, &value);
-        if how.is_empty() {
-            out.extend_from_slice(b"$-1\r\n");
+        if let Some(opaque) = job.opaque {
+            put_answer(&mut out, &job, opaque, value);
         } else {
-            put_bulk(&mut out, how.as_bytes());
+            put_head(&mut out, b'*', 3);
+            put_bulk(&mut out, &value);
+            if how.is_empty() {
+                out.extend_from_slice(b"$-1\r\n");
+            } else {
+                put_bulk(&mut out, how.as_bytes());
+            }
+            out.extend_from_slice(b"$-1\r\n");
         }
-        out.extend_from_slice(b"$-1\r\n");
         if self.rng.chance(self.spoil) {
             return self.spoilt(&job, out);
         }
         if self.rng.chance(self.surplus) {
-            let more: &[u8] = if self.rng.chance(0.5) {
+            let more: &[u8] = if job.opaque.is_some() && self.rng.chance(0.5) {
+                // An answer to no request.
+                b"\x81\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x09\xff\xff\xff\xff\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00wrong"
+            } else if job.opaque.is_none() && self.rng.chance(0.5) {
                 b"*3\r\n$5\r\nwrong\r\n$3\r\nhit\r\n$-1\r\n"
             } else {
                 b"\x00\x7f$*"
@@ -516,6 +659,7 @@
     /// An answer that cannot be read, in one of several ways; the connection is of no further use.
     fn spoilt(&mut self, job: &Job, whole: Vec<u8>) {
         let out: Vec<u8> = match self.rng.below(6) {
+            kind if job.opaque.is_some() => self.spoilt_memcached(job, kind, whole),
             0 => b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n".to_vec(),
             1 => vec![b'x'; 700],
             2 => b"*3\r\n$-7\r\n".to_vec(),
@@ -535,6 +679,32 @@
         }
     }
 
+    fn spoilt_memcached(&mut self, job: &Job, kind: usize, mut whole: Vec<u8>) -> Vec<u8> {
+        match kind {
+            0 => b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n".to_vec(),
+            // Another's opaque, another opcode, a key beyond its body.
+            1 => {
+                whole[12] ^= 0x80;
+                whole
+            }
+            2 => {
+                whole[1] = Opcode::Delete as u8;
+                whole
+            }
+            3 => {
+                whole[2..4].copy_from_slice(&[0xff, 0xff]);
+                whole
+            }
+            4 => whole[..whole.len() / 2].to_vec(),
+            _ => {
+                // A body of 4 GB.
+                self.port.set(self.port.now() + 10_000, Due::Trickle(job.conn, job.serial));
+                whole[8..12].copy_from_slice(&[0xff; 4]);
+                whole
+            }
+        }
+    }
+
     fn answer(&mut self, conn: usize, serial: u64, bytes: Bytes) {
         if self.port.line(conn).is_none_or(|l| l.serial != serial) {
             return;
@@ -575,7 +745,12 @@
             // Over its cap it lets go at once.
             return self.port.close(conn);
         }
-        let (reader, active) = (CommandReader::default(), self.port.now());
+        let active = self.port.now();
+        let reader = if self.set.memcached {
+            Reader::Memcached(Box::default())
+        } else {
+            Reader::Resp(CommandReader::default())
+        };
         self.peers.insert(conn, Peer::Node { reader, busy: false, useless: false, active });
         self.greetings += 1;
         self.start();
@@ -603,7 +778,7 @@
         for (_, job) in calls {
             self.fetched(&job);
             self.fate(&job, Fate::Ran);
-            self.answer(job.conn, job.serial, Bytes::from_static(b"-ERR failed\r\n"));
+            self.not_served(&job, Told::Failed);
         }
         self.port.set(self.port.now() + ORIGIN_AGAIN, Due::Origin);
     }
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -1,18 +1,20 @@
 //! Stand-ins for clients: a crowd behind a front that deals out connections and notices late that a node has
 //! died, with retries, impatience and hang-ups; and rude clients that send what can't be read.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use sloewick_decision::interface::Micros;
+use sloewick_wire::memcache::{self, Opcode, ResponseReader, Status};
 use sloewick_wire::resp::{put_bulk, put_head, Part, Piece, Reply, ReplyReader};
 
-use crate::facts::{Answer, Id, Tap, What};
+use crate::facts::{opaque_of, short, Answer, Id, Tap, What};
 use crate::orders::Orders;
 use crate::port::{Actor, Came, Port, Sight};
 use crate::rng::Rng;
+use crate::site::{Clients, KEYS};
 
 /// Connections to one node for requests.
 const CONNS_MOST: usize = 80;
@@ -38,6 +40,9 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub nodes: Vec<SocketAddr>,
+    /// Where the same nodes listen for the binary protocol.
+    pub memcached: Vec<SocketAddr>,
+    pub speech: Clients,
     pub classes: Vec<Class>,
     /// Names and parts of all traffic.
     pub tenants: Vec<(String, f64)>,
@@ -84,6 +89,7 @@
     first: Id,
     is_first: bool,
     node: usize,
+    memcached: bool,
     class: usize,
     tenant: usize,
     key: usize,
@@ -96,12 +102,18 @@
     bytes: Bytes,
 }
 
+/// Cuts what a node sends, in the protocol of the connection.
+enum Reader {
+    Resp(ReplyReader),
+    Memcached(ResponseReader),
+}
+
 struct Conn {
     node: usize,
     up: bool,
     /// Requests answered on it.
     done: u64,
-    reader: ReplyReader,
+    reader: Reader,
     job: Option<u64>,
     ping: bool,
     part: bool,
@@ -124,8 +136,11 @@
     tries: HashMap<u64, Try>,
     waiting: Vec<VecDeque<u64>>,
     conns: HashMap<usize, Conn>,
+    /// By door: a node's RESP2 listener, then its memcached one.
     idle: Vec<Vec<usize>>,
     open: Vec<usize>,
+    /// Opaques in use, where 32 bits are all that some peer knows a request by.
+    opaques: HashSet<u32>,
     number: u64,
     came: Vec<(usize, Came)>,
 }
@@ -157,10 +172,11 @@
             up: vec![false; nodes],
             turn: 0,
             tries: HashMap::new(),
-            waiting: vec![VecDeque::new(); nodes],
+            waiting: vec![VecDeque::new(); 2 * nodes],
             conns: HashMap::new(),
-            idle: vec![Vec::new(); nodes],
-            open: vec![0; nodes],
+            idle: vec![Vec::new(); 2 * nodes],
+            open: vec![0; 2 * nodes],
+            opaques: HashSet::new(),
             number: 0,
             came: Vec::new(),
         }
@@ -194,10 +210,15 @@
         let key = self.key();
         let idem = self.set.classes[class].keyed.then(|| Id::from(format!("{:016x}", self.rng.word())));
         let budget = self.set.classes[class].deadline as f64 * self.rng.between(0.7, 1.0);
-        let tenant = tenant.unwrap_or(0);
+        let tenant = if self.by_key() { key % self.set.tenants.len() } else { tenant.unwrap_or(0) };
         self.ask(None, class, tenant, key, idem, budget as Micros);
     }
 
+    /// What a request is follows from its key alone.
+    fn by_key(&self) -> bool {
+        self.set.speech != Clients::Resp
+    }
+
     /// Asks for the first time, or again for `first` (its id and when it began).
     fn ask(
         &mut self,
@@ -214,29 +235,66 @@
         let Some(node) = node else { return };
         self.turn = node;
         let now = self.port.now();
-        let id = Id::from(format!("{:016x}", self.rng.word()));
+        self.number += 1;
+        let number = self.number;
+        let memcached = match self.set.speech {
+            Clients::Resp | Clients::RespByKey => false,
+            Clients::Memcached => true,
+            Clients::Both => number % 2 == 0,
+        };
+        let mut id = Id::from(format!("{:016x}", self.rng.word()));
+        if memcached {
+            id = short(number as u32);
+        }
+        if self.by_key() {
+            // No two requests may look alike to a box that sees 32 bits.
+            while !self.opaques.insert(if memcached { number as u32 } else { opaque_of(&id) }) && !memcached
+            {
+                id = Id::from(format!("{:016x}", self.rng.word()));
+            }
+        }
         let c = &self.set.classes[class];
+        // Nobody tells a node how much of a wait is left where the key tells all: it begins anew.
+        let budget = if self.by_key() { c.deadline } else { budget };
         let mut fields =
             format!("c={},t={},d={}", c.name, self.set.tenants[tenant].0, (budget + 999) / 1000);
         if let Some(idem) = &idem {
             fields += &format!(",k={idem}");
         }
-        if first.is_some() {
+        if first.is_some() && !self.by_key() {
             fields += ",r=1";
         }
         let name: &[u8] = if c.write { b"C.SET" } else { b"C.GET" };
-        let key_name = format!("logger/{key:05}");
+        let key_name = if self.by_key() {
+            format!("{}/{tenant}/{key:05}", KEYS[class])
+        } else {
+            format!("logger/{key:05}")
+        };
+        let length = if c.write && self.rng.chance(0.05) { 6_000 } else { 24 };
+        // A wish tells itself from others by its value where nothing else does.
+        let wish = idem.clone().filter(|_| self.by_key()).unwrap_or_default();
+        let mut value = wish.as_bytes().to_vec();
+        value.resize(length, b'w');
         let mut out = Vec::with_capacity(160);
-        put_head(&mut out, b'*', if c.write { 5 } else { 4 });
-        for word in [name, key_name.as_bytes(), id.as_bytes(), fields.as_bytes()] {
-            put_bulk(&mut out, word);
-        }
-        if c.write {
-            let length = if self.rng.chance(0.05) { 6_000 } else { 24 };
-            put_bulk(&mut out, &vec![b'w'; length]);
+        if memcached {
+            let opcode = if c.write { Opcode::Set } else { Opcode::Get };
+            let extras = if c.write { Bytes::from_static(&[0; 8]) } else { Bytes::new() };
+            let value = if c.write { Bytes::from(value) } else { Bytes::new() };
+            let key = Bytes::from(key_name);
+            let (opcode, opaque) = (opcode as u8, number as u32);
+            memcache::put_request(
+                &mut out,
+                &memcache::Request { opcode, opaque, extras, key, value, ..memcache::Request::default() },
+            );
+        } else {
+            put_head(&mut out, b'*', if c.write { 5 } else { 4 });
+            for word in [name, key_name.as_bytes(), id.as_bytes(), fields.as_bytes()] {
+                put_bulk(&mut out, word);
+            }
+            if c.write {
+                put_bulk(&mut out, &value);
+            }
         }
-        self.number += 1;
-        let number = self.number;
         let is_first = first.is_none();
         let (first, begun_first) = first.unwrap_or((id.clone(), now));
         let (bytes, conn, resent) = (Bytes::from(out), None, false);
@@ -247,6 +305,7 @@
                 first,
                 is_first,
                 node,
+                memcached,
                 class,
                 tenant,
                 key,
@@ -268,26 +327,45 @@
 
     /// Sends a try on an idle connection, on a new one, or when one is free.
     fn dispatch(&mut self, number: u64) {
-        let Some(node) = self.tries.get(&number).map(|t| t.node) else { return };
-        while let Some(conn) = self.idle[node].pop() {
+        let Some((node, memcached)) = self.tries.get(&number).map(|t| (t.node, t.memcached)) else {
+            return;
+        };
+        let door = self.door(node, memcached);
+        while let Some(conn) = self.idle[door].pop() {
             if self.port.line(conn).is_some() && self.conns.get(&conn).is_some_and(|c| c.up) {
                 return self.write(conn, number);
             }
         }
-        if self.open[node] >= CONNS_MOST {
-            return self.waiting[node].push_back(number);
+        if self.open[door] >= CONNS_MOST {
+            return self.waiting[door].push_back(number);
         }
-        match self.port.connect(self.set.nodes[node]) {
+        let to = if memcached { self.set.memcached[node] } else { self.set.nodes[node] };
+        match self.port.connect(to) {
             Ok(conn) => {
-                self.open[node] += 1;
+                self.open[door] += 1;
                 self.hold(conn, node, Some(number), false);
             }
             Err(_) => self.ended(number, false, true),
         }
     }
 
+    fn door(&self, node: usize, memcached: bool) -> usize {
+        node + if memcached { self.up.len() } else { 0 }
+    }
+
+    /// The door that a connection goes to.
+    fn door_of(&self, conn: usize) -> Option<usize> {
+        let c = self.conns.get(&conn)?;
+        Some(self.door(c.node, matches!(c.reader, Reader::Memcached(_))))
+    }
+
     fn hold(&mut self, conn: usize, node: usize, job: Option<u64>, ping: bool) {
-        let reader = ReplyReader::default();
+        let memcached = job.and_then(|n| self.tries.get(&n)).is_some_and(|t| t.memcached);
+        let reader = if memcached {
+            Reader::Memcached(ResponseReader::default())
+        } else {
+            Reader::Resp(ReplyReader::default())
+        };
         self.conns.insert(conn, Conn { node, up: false, done: 0, reader, job, ping, part: false });
         if let Some(t) = job.and_then(|n| self.tries.get_mut(&n)) {
             t.conn = Some(conn);
@@ -323,15 +401,33 @@
         loop {
             let Some(c) = self.conns.get_mut(&conn) else { return };
             let Some(line) = self.port.line(conn) else { return };
-            match c.reader.next(&mut line.buf) {
-                Ok(Some(Piece::Whole(reply))) => self.replied(conn, reply),
-                Ok(Some(_)) => c.part = true,
+            let next = match &mut c.reader {
+                Reader::Resp(reader) => match reader.next(&mut line.buf) {
+                    Ok(Some(Piece::Whole(reply))) => Ok(Some(Some(Said::Resp(reply)))),
+                    Ok(Some(_)) => Ok(Some(None)),
+                    Ok(None) => Ok(None),
+                    Err(broken) => Err(broken.0),
+                },
+                Reader::Memcached(reader) => match reader.next(&mut line.buf, BODY_MOST) {
+                    Ok(Some(memcache::Piece::Whole(response))) => Ok(Some(Some(Said::Memcached(response)))),
+                    Ok(Some(_)) => Ok(Some(None)),
+                    Ok(None) => Ok(None),
+                    Err(broken) => Err(broken.why),
+                },
+            };
+            match next {
+                Ok(Some(Some(said))) => self.replied(conn, said),
+                Ok(Some(None)) => c.part = true,
                 Ok(None) => {
-                    c.part = c.reader.midway() || !line.buf.is_empty();
+                    let midway = match &c.reader {
+                        Reader::Resp(reader) => reader.midway(),
+                        Reader::Memcached(reader) => reader.midway(),
+                    };
+                    c.part = midway || !line.buf.is_empty();
                     return;
                 }
                 Err(broken) => {
-                    let bytes = broken.0.to_string();
+                    let bytes = broken.to_string();
                     self.tap.tell(self.port.unix(), What::Unasked { node: c.node, bytes });
                     return self.lost(conn);
                 }
@@ -339,12 +435,18 @@
         }
     }
 
-    fn replied(&mut self, conn: usize, reply: Reply) {
+    fn replied(&mut self, conn: usize, said: Said) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
         let node = c.node;
         if std::mem::take(&mut c.ping) {
-            if reply == Reply::One(Part::Simple(Bytes::from_static(b"PONG"))) {
+            if matches!(&said, Said::Resp(Reply::One(Part::Simple(text))) if text == "PONG") {
                 self.up[node] = true;
+                if self.by_key() {
+                    // Pings go to the RESP2 door; no protocol is to have a connection before the other.
+                    self.port.close(conn);
+                    self.conns.remove(&conn);
+                    return;
+                }
                 self.open[node] += 1;
                 return self.rest(conn);
             }
@@ -353,30 +455,16 @@
             return self.port.set(self.port.now() + PING_AGAIN, Due::Ping(node));
         }
         let Some(number) = c.job.take() else {
-            let bytes = format!("{reply:?}").chars().take(120).collect();
+            let bytes = format!("{said:?}").chars().take(120).collect();
             self.tap.tell(self.port.unix(), What::Unasked { node, bytes });
             return;
         };
         c.done += 1;
         let Some(t) = self.tries.remove(&number) else { return };
-        let value = match &reply {
-            Reply::One(Part::Bulk(value)) => Some(value),
-            Reply::Array(parts) => match parts.first() {
-                Some(Part::Bulk(value)) => Some(value),
-                _ => None,
-            },
-            Reply::One(_) => None,
-        };
-        let how = match (value, &reply) {
-            (Some(value), _) if value.starts_with(format!("{}|", t.id).as_bytes()) => Answer::Served,
-            (Some(value), _) => {
-                Answer::Foreign(String::from_utf8_lossy(&value[..value.len().min(60)]).into_owned())
-            }
-            (None, Reply::One(Part::Error(text))) if text.starts_with(b"BUSY") => {
-                let ms = std::str::from_utf8(text).ok().and_then(|t| t.split(' ').nth(1)?.parse().ok());
-                Answer::Busy(ms)
-            }
-            _ => Answer::Failed,
+        let write = self.set.classes[t.class].write;
+        let how = match said {
+            Said::Resp(reply) => resp_answer(&reply, &t.id, write),
+            Said::Memcached(response) => memcached_answer(&response, &t.id, number as u32, write),
         };
         self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how: how.clone() });
         self.rest(conn);
@@ -385,10 +473,10 @@
 
     /// A connection is free.
     fn rest(&mut self, conn: usize) {
-        let Some(node) = self.conns.get(&conn).map(|c| c.node) else { return };
-        match self.waiting[node].pop_front() {
+        let Some(door) = self.door_of(conn) else { return };
+        match self.waiting[door].pop_front() {
             Some(number) => self.write(conn, number),
-            None => self.idle[node].push(conn),
+            None => self.idle[door].push(conn),
         }
     }
 
@@ -418,17 +506,18 @@
     /// A connection has ended.
     fn lost(&mut self, conn: usize) {
         self.port.close(conn);
+        let Some(door) = self.door_of(conn) else { return };
         let Some(c) = self.conns.remove(&conn) else { return };
-        self.idle[c.node].retain(|i| *i != conn);
+        self.idle[door].retain(|i| *i != conn);
         if c.ping {
             return self.port.set(self.port.now() + PING_AGAIN, Due::Ping(c.node));
         }
-        self.open[c.node] -= 1;
+        self.open[door] -= 1;
         if let Some(number) = c.job {
             self.ended(number, c.part, c.up);
         }
-        if self.open[c.node] < CONNS_MOST {
-            if let Some(number) = self.waiting[c.node].pop_front() {
+        if self.open[door] < CONNS_MOST {
+            if let Some(number) = self.waiting[door].pop_front() {
                 self.dispatch(number);
             }
         }
@@ -471,7 +560,8 @@
             Due::Arrival => self.arrive(),
             Due::GiveUp(number) => {
                 if let Some(t) = self.tries.remove(&number) {
-                    self.waiting[t.node].retain(|n| *n != number);
+                    let door = self.door(t.node, t.memcached);
+                    self.waiting[door].retain(|n| *n != number);
                     if let Some(conn) = t.conn {
                         // No answer at all: its connection can't be used on.
                         if let Some(c) = self.conns.get_mut(&conn) {
@@ -519,6 +609,63 @@
     }
 }
 
+/// Longest body of an answer.
+const BODY_MOST: usize = 5 << 20;
+
+#[derive(Debug)]
+enum Said {
+    Resp(Reply),
+    Memcached(memcache::Response),
+}
+
+/// What a value says: it was made for this request, or for another.
+fn made_for(value: &Bytes, id: &Id) -> Answer {
+    let made = |id: &str| value.starts_with(format!("{id}|").as_bytes());
+    if made(id) || made(&short(opaque_of(id))) {
+        Answer::Served
+    } else {
+        Answer::Foreign(String::from_utf8_lossy(&value[..value.len().min(60)]).into_owned())
+    }
+}
+
+fn resp_answer(reply: &Reply, id: &Id, write: bool) -> Answer {
+    let value = match reply {
+        Reply::One(Part::Bulk(value)) => Some(value),
+        Reply::Array(parts) => match parts.first() {
+            Some(Part::Bulk(value)) => Some(value),
+            _ => None,
+        },
+        Reply::One(_) => None,
+    };
+    match (value, reply) {
+        // A box of the binary protocol gives no receipt.
+        (Some(value), _) if value.is_empty() && write => Answer::Served,
+        (Some(value), _) => made_for(value, id),
+        (None, Reply::One(Part::Error(text))) if text.starts_with(b"BUSY") => {
+            let ms = std::str::from_utf8(text).ok().and_then(|t| t.split(' ').nth(1)?.parse().ok());
+            Answer::Busy(ms)
+        }
+        _ => Answer::Failed,
+    }
+}
+
+fn memcached_answer(r: &memcache::Response, id: &Id, opaque: u32, write: bool) -> Answer {
+    if r.opaque != opaque {
+        return Answer::Foreign(format!("opaque {:08x} for {opaque:08x}", r.opaque));
+    }
+    match Status::from_code(r.status) {
+        Some(Status::Ok) if write => Answer::Served,
+        Some(Status::Ok) => made_for(&r.value, id),
+        Some(Status::Busy) => {
+            let text = std::str::from_utf8(&r.value).unwrap_or_default();
+            let ms =
+                text.rsplit_once(" after ").and_then(|(_, rest)| rest.strip_suffix(" ms")?.parse().ok());
+            Answer::Busy(ms)
+        }
+        _ => Answer::Failed,
+    }
+}
+
 impl<N: Sight> Actor for Crowd<N> {
     fn turn(&mut self, wait: Micros) -> io::Result<()> {
         let mut came = std::mem::take(&mut self.came);
@@ -569,6 +716,16 @@
     ("half a command", b"*4\r\n$5\r\nC.GET\r\n$1\r\nk"),
     ("nothing", b""),
 ];
+/// What one sends to the listener for the binary protocol.
+const RUDE_MEMCACHED: [(&str, &[u8]); 7] = [
+    ("noise", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+    ("RESP2", b"*1\r\n$4\r\nPING\r\n"),
+    ("a body shorter than its key", b"\x80\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00k"),
+    ("a body of 4 GB", b"\x80\x01\x00\x01\x08\x00\x00\x00\xff\xff\xff\xff\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00"),
+    ("a key that no route fits", b"\x80\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00k"),
+    ("half a header", b"\x80\x00\x00\x01\x00"),
+    ("nothing", b""),
+];
 /// Within this a rude client is owed an error or a close.
 pub const RUDE_OWED: Micros = 3_000_000;
 
@@ -576,6 +733,8 @@
 pub struct Rude<N: Sight> {
     port: Port<N, RudeDue>,
     nodes: Vec<SocketAddr>,
+    /// Every second one goes there, where there is such a listener.
+    memcached: Vec<SocketAddr>,
     orders: Orders<f64>,
     tap: Tap,
     rng: Rng,
@@ -589,7 +748,8 @@
 struct RudeConn {
     serial: u64,
     node: usize,
-    what: usize,
+    memcached: bool,
+    what: (&'static str, &'static [u8]),
     since: Micros,
 }
 
@@ -601,10 +761,18 @@
 
 impl<N: Sight> Rude<N> {
     /// `orders`: how many come in a second.
-    pub fn new(net: N, nodes: Vec<SocketAddr>, seed: u64, orders: Orders<f64>, tap: Tap) -> Rude<N> {
+    pub fn new(
+        net: N,
+        nodes: Vec<SocketAddr>,
+        memcached: Vec<SocketAddr>,
+        seed: u64,
+        orders: Orders<f64>,
+        tap: Tap,
+    ) -> Rude<N> {
         let (port, rng) = (Port::new(net), Rng::part(seed, "rude", 0));
         let (rate, ticking, turn) = (0.0, false, 0);
-        Rude { port, nodes, orders, tap, rng, rate, ticking, turn, conns: HashMap::new(), came: Vec::new() }
+        let (conns, came) = (HashMap::new(), Vec::new());
+        Rude { port, nodes, memcached, orders, tap, rng, rate, ticking, turn, conns, came }
     }
 
     fn next(&mut self) {
@@ -614,11 +782,15 @@
         }
         let pause = self.rng.spread(1e6 / self.rate) as Micros;
         self.port.set(self.port.now() + pause, RudeDue::Next);
-        self.turn = (self.turn + 1) % self.nodes.len();
-        if let Ok(conn) = self.port.connect(self.nodes[self.turn]) {
+        self.turn = (self.turn + 1) % (self.nodes.len() + self.memcached.len());
+        let memcached = self.turn >= self.nodes.len();
+        let node = self.turn % self.nodes.len();
+        let to = if memcached { self.memcached[node] } else { self.nodes[node] };
+        if let Ok(conn) = self.port.connect(to) {
             let serial = self.port.line(conn).map_or(0, |l| l.serial);
-            let (node, what, since) = (self.turn, self.rng.below(RUDE.len()), self.port.now());
-            self.conns.insert(conn, RudeConn { serial, node, what, since });
+            let all: &[_] = if memcached { &RUDE_MEMCACHED } else { &RUDE };
+            let (what, since) = (all[self.rng.below(all.len())], self.port.now());
+            self.conns.insert(conn, RudeConn { serial, node, memcached, what, since });
         }
     }
 
@@ -641,13 +813,20 @@
                 Came::Up => {
                     c.since = now;
                     let serial = c.serial;
-                    let bytes = Bytes::from_static(RUDE[c.what].1);
+                    let bytes = Bytes::from_static(c.what.1);
                     self.port.send(*conn, bytes);
                     self.port.set(now + RUDE_OWED, RudeDue::Owed(*conn, serial));
                 }
                 Came::Bytes => {
-                    let first = self.port.line(*conn).and_then(|l| l.buf.first().copied());
-                    self.over(*conn, first == Some(b'-'), first.is_some_and(|b| b != b'-'));
+                    let memcached = c.memcached;
+                    let Some(line) = self.port.line(*conn) else { continue };
+                    let told = if memcached {
+                        // A status other than success.
+                        line.buf.len() >= 8 && line.buf[0] == 0x81 && line.buf[6..8] != [0, 0]
+                    } else {
+                        line.buf.first() == Some(&b'-')
+                    };
+                    self.over(*conn, told, !told);
                 }
                 Came::Ended => self.over(*conn, false, false),
                 Came::Broke { .. } => {
@@ -663,7 +842,7 @@
                 RudeDue::Owed(conn, serial) => {
                     if self.conns.get(&conn).is_some_and(|c| c.serial == serial) {
                         if let Some(c) = self.conns.remove(&conn) {
-                            let what = RUDE[c.what].0.to_string();
+                            let what = c.what.0.to_string();
                             self.tap.tell(self.port.unix(), What::RudeLeft { node: c.node, what });
                         }
                         self.port.close(conn);
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -19,7 +19,7 @@
 use crate::clients::{self, Crowd, Rude};
 use crate::director::{Director, Stage};
 use crate::discovery::{self, Discovery, Listed, Roster};
-use crate::facts::{Fact, Tap, Told, What};
+use crate::facts::{Fact, Names, Tap, Told, What};
 use crate::judge::Judge;
 use crate::orders::Orders;
 use crate::origin::{self, Origin};
@@ -27,7 +27,7 @@
 use crate::report::Report;
 use crate::rng::Rng;
 use crate::scenario::Scenario;
-use crate::site;
+use crate::site::{self, Clients, Speech};
 
 /// How soon a stand-in looks for orders.
 const LOOK: Micros = 20_000;
@@ -83,6 +83,7 @@
 
 struct NodeThread {
     address: SocketAddr,
+    memcached: SocketAddr,
     starts: usize,
     served: Option<(Served, Arc<Remote>)>,
 }
@@ -94,6 +95,7 @@
 
 struct Threads {
     scenario: Scenario,
+    speech: Speech,
     seed: u64,
     tap: Tap,
     epoch: Micros,
@@ -155,7 +157,8 @@
     fn start_box(&mut self, number: usize, place: usize, _zone: usize, cold: bool) {
         let orders = Orders::default();
         let Some(at) = self.place(place) else { return };
-        let set = site::cache_box(number, at, self.origin, cold, self.seed);
+        let memcached = self.speech.box_speaks_memcached(number, &self.scenario);
+        let set = site::cache_box(number, at, self.origin, cold, memcached, self.seed);
         let (its_orders, tap) = (orders.clone(), self.tap.clone());
         let served = Served::start(&format!("box-{number}"), move || {
             Ok(Box::new(CacheBox::new(Os::new()?, set, its_orders, tap)?))
@@ -187,7 +190,7 @@
             uid: format!("s-{number:04}"),
             endpoint: self.places.get(place).copied().unwrap_or(self.origin),
             zone: site::ZONES[zone % 2].to_string(),
-            kind: site::KINDS[usize::from(site::slow_kind(number))].to_string(),
+            kind: self.speech.model(number, &self.scenario).to_string(),
             told,
         }
     }
@@ -237,9 +240,11 @@
         let text = site::node_config(node, &self.scenario, address, mine(), rng.word(), known);
         let remote = Arc::new(Remote::default());
         let its = remote.clone();
+        let (speech, memcached) = (self.speech, self.nodes[node].memcached);
         self.tell(What::NodeStarted { node });
         let served = Served::start(&format!("node-{node}"), move || {
-            let config = config::parse(&text).map_err(|e| io::Error::other(e.to_string()))?;
+            let mut config = config::parse(&text).map_err(|e| io::Error::other(e.to_string()))?;
+            speech.configure(&mut config, memcached).map_err(io::Error::other)?;
             let source = Box::new(move || {
                 config::parse(&text).map(|mut config| {
                     config.discovery = mine();
@@ -289,6 +294,9 @@
     director: Director,
     pub judge: Judge,
     pub report: Report,
+    names: Names,
+    /// Nodes listen for the binary protocol.
+    pub memcached: bool,
     facts: Receiver<Fact>,
     began: Instant,
 }
@@ -298,23 +306,31 @@
     ///
     /// # Errors
     /// No addresses, threads or descriptors are to be had.
-    pub fn start(scenario: &Scenario, seed: u64) -> io::Result<Demo> {
+    pub fn start(scenario: &Scenario, seed: u64, speech: Speech) -> io::Result<Demo> {
         let (send, facts) = channel();
         let epoch = unix();
         let tap = Tap::new(send, epoch);
         let origin = free()?;
         let addresses = (0..scenario.nodes).map(|_| free()).collect::<io::Result<Vec<_>>>()?;
+        let memcached = (0..scenario.nodes).map(|_| free()).collect::<io::Result<Vec<_>>>()?;
         let discovery_at = (0..scenario.nodes).map(|_| free()).collect::<io::Result<Vec<_>>>()?;
         let (origin_orders, clients_orders, rude_orders) =
             (Orders::default(), Orders::default(), Orders::default());
         let mut threads = Threads {
             scenario: scenario.clone(),
+            speech,
             seed,
             tap: tap.clone(),
             epoch,
             nodes: addresses
                 .iter()
-                .map(|address| NodeThread { address: *address, starts: 0, served: None })
+                .zip(&memcached)
+                .map(|(address, memcached)| NodeThread {
+                    address: *address,
+                    memcached: *memcached,
+                    starts: 0,
+                    served: None,
+                })
                 .collect(),
             boxes: Vec::new(),
             places: Vec::new(),
@@ -342,13 +358,17 @@
             return Err(io::Error::other(why));
         }
         let until = (scenario.seconds * 1e6) as Micros;
-        let (set, its) = (site::clients(addresses.clone(), seed, scenario, until), tap.clone());
+        let front = matches!(speech.clients, Clients::Memcached | Clients::Both);
+        let memcached = if front { memcached } else { Vec::new() };
+        let set =
+            site::clients(addresses.clone(), memcached.clone(), speech.clients, seed, scenario, until);
+        let its = tap.clone();
         let served = Served::start("clients", move || {
             Ok(Box::new(Crowd::new(Os::new()?, set, clients_orders, its)))
         })?;
         threads._rest.push(served);
         let served = Served::start("rude", move || {
-            Ok(Box::new(Rude::new(Os::new()?, addresses, seed, rude_orders, tap)))
+            Ok(Box::new(Rude::new(Os::new()?, addresses, memcached, seed, rude_orders, tap)))
         })?;
         threads._rest.push(served);
         Ok(Demo {
@@ -356,6 +376,8 @@
             director,
             judge: Judge::new(site::figures(WAY)),
             report: site::report(),
+            names: Names::default(),
+            memcached: front,
             facts,
             began: Instant::now(),
         })
@@ -373,19 +395,25 @@
             let now = self.now();
             self.director.run(now, &mut self.threads);
             match self.facts.recv_timeout(Duration::from_millis(5)) {
-                Ok(fact) => self.see(&fact),
+                Ok(fact) => self.see(fact),
                 Err(_) => continue,
             }
             while let Ok(fact) = self.facts.try_recv() {
-                self.see(&fact);
+                self.see(fact);
             }
         }
         std::mem::take(&mut self.threads.said)
     }
 
-    fn see(&mut self, fact: &Fact) {
-        self.judge.see(fact);
-        self.report.see(fact);
+    /// Where the nodes listen for RESP2 and for the binary protocol.
+    pub fn listening(&self) -> Vec<(SocketAddr, SocketAddr)> {
+        self.threads.nodes.iter().map(|n| (n.address, n.memcached)).collect()
+    }
+
+    fn see(&mut self, fact: Fact) {
+        let fact = self.names.see(fact);
+        self.judge.see(&fact);
+        self.report.see(&fact);
     }
 
     /// Ends everything; whatever is still owed then counts.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::clients::{self, Crowd, Rude};
 use crate::director::{Director, Stage};
 use crate::discovery::{self, Discovery, Listed, Roster};
-use crate::facts::{Fact, Tap, Told, What};
+use crate::facts::{Fact, Names, Tap, Told, What};
 use crate::hosts::Hosts;
 use crate::judge::{Breach, Judge, Rule};
 use crate::orders::Orders;
@@ -26,7 +26,7 @@
 use crate::report::Report;
 use crate::rng::Rng;
 use crate::scenario::Scenario;
-use crate::site;
+use crate::site::{self, Speech};
 use crate::vnet::{Delay, HostId, World, EPOCH};
 
 /// Descriptors of a stand-in; enough that only nodes run short.
@@ -67,11 +67,13 @@
     pub watch: Option<Watch>,
     pub wrap: Option<Wrap>,
     pub delay: Delay,
+    pub speech: Speech,
 }
 
 impl Default for Options {
     fn default() -> Options {
-        Options { watch: None, wrap: None, delay: Delay { same: 200, cross: 5_000, jitter: 0.2 } }
+        let delay = Delay { same: 200, cross: 5_000, jitter: 0.2 };
+        Options { watch: None, wrap: None, delay, speech: Speech::default() }
     }
 }
 
@@ -97,6 +99,7 @@
 struct Site {
     hosts: Hosts,
     scenario: Scenario,
+    speech: Speech,
     seed: u64,
     tap: Tap,
     nodes: Vec<HostId>,
@@ -126,6 +129,11 @@
     ([10, 0, 0, node as u8 + 1], 6379).into()
 }
 
+/// Where a node listens for the binary protocol.
+fn memcached_address(node: usize) -> SocketAddr {
+    SocketAddr::new(node_address(node).ip(), 11211)
+}
+
 fn box_address(place: usize) -> SocketAddr {
     ([10, 1, (place / 250) as u8, (place % 250) as u8 + 1], 6379).into()
 }
@@ -170,7 +178,8 @@
         let at = box_address(place);
         let host = self.hosts.world.borrow_mut().host(&format!("box-{number}"), zone, MANY);
         self.hosts.world.borrow_mut().address(host, at);
-        let set = site::cache_box(number, at, self.origin, cold, self.seed);
+        let memcached = self.speech.box_speaks_memcached(number, &self.scenario);
+        let set = site::cache_box(number, at, self.origin, cold, memcached, self.seed);
         let orders = Orders::default();
         match CacheBox::new(self.hosts.net(host), set, orders.clone(), self.tap.clone()) {
             Ok(actor) => self.hosts.place(host, Box::new(actor)),
@@ -204,7 +213,7 @@
             uid: format!("s-{number:04}"),
             endpoint: box_address(place),
             zone: site::ZONES[zone % 2].to_string(),
-            kind: site::KINDS[usize::from(site::slow_kind(number))].to_string(),
+            kind: self.speech.model(number, &self.scenario).to_string(),
             told,
         }
     }
@@ -277,10 +286,13 @@
             })
         });
         self.tell(What::NodeStarted { node });
-        let config = match config::parse(&text) {
+        let mut config = match config::parse(&text) {
             Ok(config) => config,
             Err(bad) => return self.say(format!("node {node}: {bad}")),
         };
+        if let Err(why) = self.speech.configure(&mut config, memcached_address(node)) {
+            return self.say(format!("node {node}: {why}"));
+        }
         let wrap = self.wrap.clone();
         let made: Result<Box<dyn Actor>, _> = match wrap {
             Some(wrap) => Node::with_module(config, self.hosts.net(host), source, |balancer| {
@@ -377,6 +389,7 @@
     pub judge: Judge,
     pub report: Report,
     facts: Receiver<Fact>,
+    names: Names,
     seen: u64,
     digest: u64,
     watch: Option<Watch>,
@@ -399,6 +412,7 @@
             .map(|n| {
                 let host = world.host(&format!("node-{n}"), n % 2, site::SOCKETS);
                 world.address(host, node_address(n));
+                world.address(host, memcached_address(n));
                 host
             })
             .collect();
@@ -406,6 +420,7 @@
         let mut site = Site {
             hosts: Hosts::new(world),
             scenario: scenario.clone(),
+            speech: options.speech,
             seed,
             tap,
             node_starts: vec![0; nodes.len()],
@@ -437,11 +452,24 @@
         let mut director = Director::new(scenario, seed);
         director.raise(&mut site);
         let addresses: Vec<SocketAddr> = (0..scenario.nodes).map(node_address).collect();
-        let set = site::clients(addresses.clone(), seed, scenario, until);
+        let memcached: Vec<SocketAddr> = match options.speech.clients {
+            site::Clients::Memcached | site::Clients::Both => {
+                (0..scenario.nodes).map(memcached_address).collect()
+            }
+            _ => Vec::new(),
+        };
+        let speech = options.speech.clients;
+        let set = site::clients(addresses.clone(), memcached.clone(), speech, seed, scenario, until);
         let crowd = Crowd::new(site.hosts.net(clients), set, site.clients_orders.clone(), site.tap.clone());
         site.hosts.place(clients, Box::new(crowd));
-        let rude_actor =
-            Rude::new(site.hosts.net(rude), addresses, seed, site.rude_orders.clone(), site.tap.clone());
+        let rude_actor = Rude::new(
+            site.hosts.net(rude),
+            addresses,
+            memcached,
+            seed,
+            site.rude_orders.clone(),
+            site.tap.clone(),
+        );
         site.hosts.place(rude, Box::new(rude_actor));
         Fleet {
             site,
@@ -449,6 +477,7 @@
             judge: Judge::new(site::figures(options.delay.most())),
             report: site::report(),
             facts,
+            names: Names::default(),
             seen: 0,
             digest: 0xcbf2_9ce4_8422_2325,
             watch: options.watch,
@@ -505,6 +534,7 @@
         }
         while let Ok(fact) = self.facts.try_recv() {
             self.seen += 1;
+            let fact = self.names.see(fact);
             self.judge.see(&fact);
             self.report.see(&fact);
             let text = fact.to_string();
@@ -563,9 +593,9 @@
 
 /// The shortest schedule found that still breaks the rule: faults are left out one by one, then the run is cut
 /// short, as long as the same rule breaks under the same seed.
-pub fn shrink(scenario: &Scenario, seed: u64, rule: Rule, wrap: Option<Wrap>) -> Scenario {
+pub fn shrink(scenario: &Scenario, seed: u64, rule: Rule, wrap: Option<Wrap>, speech: Speech) -> Scenario {
     let first = |s: &Scenario| {
-        let options = Options { wrap: wrap.clone(), ..Options::default() };
+        let options = Options { wrap: wrap.clone(), speech, ..Options::default() };
         let outcome = play(s, seed, options);
         outcome.breaches.iter().find(|b| b.rule == rule).map(|b| b.at)
     };
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{json, Value};
 use sloewick_decision::interface::Micros;
+use sloewick_node::config::Config;
 
 use crate::discovery::{list_json, Listed};
 use crate::judge::{Figures, Repeat};
@@ -79,6 +80,74 @@
 pub const MEMORY_MB: usize = 64;
 pub const SOCKETS: usize = 512;
 
+/// What clients speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Clients {
+    /// RESP2, and what a request is stands in its fields.
+    #[default]
+    Resp,
+    /// RESP2, and what a request is follows from its key, as for the binary protocol.
+    RespByKey,
+    /// The memcached binary protocol.
+    Memcached,
+    /// The two before, in turn.
+    Both,
+}
+
+/// What boxes speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Boxes {
+    #[default]
+    Resp,
+    Memcached,
+    /// Every second one the binary protocol.
+    Mixed,
+    /// Those that are started later the binary protocol.
+    Later,
+}
+
+/// Who speaks what.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Speech {
+    pub clients: Clients,
+    pub boxes: Boxes,
+}
+
+impl Speech {
+    pub fn box_speaks_memcached(self, number: usize, scenario: &Scenario) -> bool {
+        match self.boxes {
+            Boxes::Resp => false,
+            Boxes::Memcached => true,
+            Boxes::Mixed => number % 2 == 1,
+            Boxes::Later => number >= scenario.boxes,
+        }
+    }
+
+    /// A box's model, as the list has it.
+    pub fn model(self, number: usize, scenario: &Scenario) -> &'static str {
+        let slow = usize::from(slow_kind(number));
+        if self.box_speaks_memcached(number, scenario) {
+            KINDS_MEMCACHED[slow]
+        } else {
+            KINDS[slow]
+        }
+    }
+
+    /// Gives a node's configuration the file that all this needs, where it needs one.
+    ///
+    /// # Errors
+    /// Never with the site's own figures.
+    pub fn configure(self, config: &mut Config, listen: SocketAddr) -> Result<(), String> {
+        if self == Speech::default() {
+            return Ok(());
+        }
+        let front = matches!(self.clients, Clients::Memcached | Clients::Both);
+        let file = memcached_file(front.then_some(listen));
+        sloewick_node::config::memcached(config, &file)
+            .map_err(|problems| problems.iter().map(|p| p.to_string()).collect::<Vec<_>>().join("; "))
+    }
+}
+
 /// The figures that the judge goes by; `way`: the longest way over the network.
 pub fn figures(way: Micros) -> Figures {
     Figures {
@@ -176,6 +245,7 @@
     at: SocketAddr,
     origin: SocketAddr,
     cold: bool,
+    memcached: bool,
     seed: u64,
 ) -> cachebox::Settings {
     let mut rng = crate::rng::Rng::part(seed, "speed", number);
@@ -184,6 +254,7 @@
         number,
         at,
         origin,
+        memcached,
         speed,
         read_work: 14_000,
         write_work: 26_000,
@@ -219,9 +290,19 @@
     }
 }
 
-pub fn clients(nodes: Vec<SocketAddr>, seed: u64, scenario: &Scenario, until: Micros) -> clients::Settings {
+/// `memcached`: where the nodes listen for the binary protocol.
+pub fn clients(
+    nodes: Vec<SocketAddr>,
+    memcached: Vec<SocketAddr>,
+    speech: Clients,
+    seed: u64,
+    scenario: &Scenario,
+    until: Micros,
+) -> clients::Settings {
     clients::Settings {
         nodes,
+        memcached,
+        speech,
         classes: CLASSES
             .iter()
             .map(|c| clients::Class {
--- a/crates/rig/tests/defects.rs
+++ b/crates/rig/tests/defects.rs
@@ -13,6 +13,7 @@
 use sloewick_rig::fleet::{self, Options, Wrap};
 use sloewick_rig::judge::Rule;
 use sloewick_rig::scenario::{self, Scenario};
+use sloewick_rig::site::Speech;
 use sloewick_rig::site::CLASSES;
 
 const SEEDS: u64 = 50;
@@ -357,7 +358,7 @@
     let wrap: Wrap = Rc::new(move |_, balancer| {
         Box::new(Planted { balancer, state: State::default(), hear: hear_all, say }) as Box<dyn Module>
     });
-    let short = fleet::shrink(&scenario, 3, Rule::NoneLost, Some(wrap.clone()));
+    let short = fleet::shrink(&scenario, 3, Rule::NoneLost, Some(wrap.clone()), Speech::default());
     let names: Vec<&str> = short.faults.iter().map(|f| f.name).collect();
     assert_eq!(names, ["errors"]);
     assert!(short.seconds < scenario.seconds, "{}", short.seconds);
--- a/crates/rig/tests/standins.rs
+++ b/crates/rig/tests/standins.rs
@@ -10,6 +10,7 @@
 use sloewick_rig::hosts::Hosts;
 use sloewick_rig::orders::Orders;
 use sloewick_rig::origin::{self, Origin};
+use sloewick_rig::site::Clients;
 use sloewick_rig::{clients, site};
 use support::*;
 
@@ -27,7 +28,7 @@
 fn store(edit: impl FnOnce(&mut cachebox::Settings, &mut origin::Settings)) -> Store {
     let mut hosts = hosts();
     let (tap, facts) = tap();
-    let mut set = site::cache_box(0, address(1, 80), address(2, 80), false, 1);
+    let mut set = site::cache_box(0, address(1, 80), address(2, 80), false, false, 1);
     set.kept_before = 0.0;
     set.speed = 1.0;
     let mut origin_set = site::origin(address(2, 80), 1, &calm());
@@ -375,7 +376,7 @@
     let orders = Orders::default();
     let mut scenario = calm();
     scenario.rate = 50.0;
-    let mut set = site::clients(vec![address(5, 80)], 3, &scenario, 10_000_000);
+    let mut set = site::clients(vec![address(5, 80)], Vec::new(), Clients::Resp, 3, &scenario, 10_000_000);
     set.retries = 1.0;
     let crowd = clients::Crowd::new(hosts.net(host), set, orders.clone(), tap);
     hosts.place(host, Box::new(crowd));
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -10,6 +10,7 @@
 use sloewick_rig::scenario::{Fault, Kind, Scenario, Set, FAULTS};
 
 use crate::out;
+use crate::speech::SpeechArgs;
 
 #[derive(ClapArgs)]
 #[command(after_help = "\
@@ -17,6 +18,7 @@
   sloewick demo
   sloewick demo --seconds 20 --rate 200 --fault slow-origin
   sloewick demo --fault deploy --json
+  sloewick demo --front memcached --cache mixed
 
 All traffic stays on 127.0.0.1. `sloewick play --list` describes the faults.")]
 pub struct Args {
@@ -38,6 +40,8 @@
     /// The seed of all that is drawn by chance (real sockets and clocks add chance of their own)
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    #[command(flatten)]
+    speech: SpeechArgs,
     /// Print lines of JSON
     #[arg(long)]
     json: bool,
@@ -87,7 +91,7 @@
         // Without it an interrupt ends the process at once, which leaves nothing behind either.
         let _ = signal_hook::flag::register(signal, interrupted.clone());
     }
-    let mut demo = match Demo::start(&scenario, args.seed) {
+    let mut demo = match Demo::start(&scenario, args.seed, args.speech.speech()) {
         Ok(demo) => demo,
         Err(e) => {
             eprintln!("the fleet does not start: {e}");
@@ -99,6 +103,11 @@
             "{} nodes, {} boxes, {} requests a second on 127.0.0.1; fault: {}",
             scenario.nodes, scenario.boxes, scenario.rate, scenario.name
         ));
+        if demo.memcached {
+            for (node, (_, memcached)) in demo.listening().iter().enumerate() {
+                out::line(format!("node {node} listens for memcached clients at {memcached}"));
+            }
+        }
     }
     let mut second = 0;
     while second < i64::from(args.seconds) && !interrupted.load(Ordering::Relaxed) {
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod out;
 mod play;
+mod speech;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -8,6 +8,7 @@
 use sloewick_rig::scenario::{self, Scenario};
 
 use crate::out;
+use crate::speech::SpeechArgs;
 
 #[derive(ClapArgs)]
 #[command(after_help = "\
@@ -16,6 +17,7 @@
   sloewick play swarm --seed 1 --runs 100
   sloewick play swarm --seed 4711 --log
   sloewick play my-evening.toml --shrink
+  sloewick play rolling-deploy --front memcached --cache later
 
 A scenario is the name of a shipped one (--list), `swarm` (faults mixed by chance from the seed), or a TOML file.")]
 pub struct Args {
@@ -27,6 +29,8 @@
     /// How many seeds to play, one after another from --seed
     #[arg(long, default_value_t = 1)]
     runs: u64,
+    #[command(flatten)]
+    speech: SpeechArgs,
     /// Print every fact that the peers saw, and what the nodes logged
     #[arg(long)]
     log: bool,
@@ -102,7 +106,7 @@
             out::line(scenario::write(&scenario).trim_end());
             continue;
         }
-        let mut options = Options::default();
+        let mut options = Options { speech: args.speech.speech(), ..Options::default() };
         if args.log {
             options.watch = Some(Box::new(|shown| match shown {
                 Shown::Fact(fact) => out::line(fact.to_string()),
@@ -162,10 +166,11 @@
         eprintln!("BROKEN {breach}");
     }
     if let Some(breach) = outcome.breaches.first() {
-        eprintln!("replay: sloewick play {name} --seed {seed} --log");
+        let words = args.speech.words();
+        eprintln!("replay: sloewick play {name} --seed {seed}{words} --log");
         if args.shrink {
-            let less = fleet::shrink(scenario, seed, breach.rule, None);
-            eprintln!("shortest schedule found (save it and play it with --seed {seed}):");
+            let less = fleet::shrink(scenario, seed, breach.rule, None, args.speech.speech());
+            eprintln!("shortest schedule found (save it and play it with --seed {seed}{words}):");
             eprint!("{}", scenario::write(&less));
         }
     }
