--- a/crates/rig/src/cachebox.rs
+++ b/crates/rig/src/cachebox.rs
@@ -280,6 +280,7 @@
             let Some(line) = self.port.line(conn) else { return };
             let first_byte = line.since;
             let mut budget = Budget::new(VALUES_MOST);
+            let first = line.buf.first().copied();
             let next = match reader {
                 Reader::Resp(reader) => match reader.next(&mut line.buf, &mut budget) {
                     Ok(command) => Ok(command.map(Input::Command)),
@@ -303,7 +304,13 @@
                 }
                 Ok(None) => return,
                 Err(broken) => {
-                    self.odd(broken.to_string());
+                    // Whoever had the address before may have spoken the other protocol.
+                    if first == Some(if self.set.memcached { b'*' } else { 0x80 }) {
+                        let at_box = self.set.number;
+                        self.tap.tell(self.port.unix(), What::OtherProtocol { at_box });
+                    } else {
+                        self.odd(broken.to_string());
+                    }
                     return self.close(conn);
                 }
             }
--- a/crates/rig/src/facts.rs
+++ b/crates/rig/src/facts.rs
@@ -95,6 +95,10 @@
         at_box: usize,
         bytes: String,
     },
+    /// A box was spoken to in the protocol that it does not speak.
+    OtherProtocol {
+        at_box: usize,
+    },
     /// A write took effect at the origin.
     Effect {
         id: Id,
