Number what boxes are sent: a client's constant opaque must not match a stale answer

Cause: boxes of the binary protocol were sent the client's own opaque. A common client library uses 0 for every request, and then a surplus answer that comes after the next request was sent carries the right opaque: one client would get another's value.

Change: the upper half of an opaque counts what the node sends, the lower half stays the client's (or is made of the id), so that a request can be found in a box's log.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -830,10 +830,11 @@
         {
             return self.ended(key, attempt, Status::Moot, None, None);
         }
+        let sent = if protocol == Protocol::Memcached { self.count_sent() } else { 0 };
         let open = &self.open[key];
         let written = match protocol {
             Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
-            Protocol::Memcached => memcached::forwarded(open),
+            Protocol::Memcached => memcached::forwarded(open, sent),
         };
         let job = Job::Attempt { request: key, serial, attempt };
         let started =
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached.rs
@@ -23,6 +23,8 @@
     ledger: Ledger,
     /// Begins the ids that this start of the node gives.
     run: u64,
+    /// Counts what boxes are sent.
+    sent: u16,
 }
 
 /// A write that the ledger keeps.
@@ -38,7 +40,7 @@
 impl Memcached {
     pub(super) fn new(file: File, run: u64) -> Memcached {
         let ledger = Ledger::new(file.ledger);
-        Memcached { file, ledger, run }
+        Memcached { file, ledger, run, sent: 0 }
     }
 
     /// Whether boxes of a model speak the binary protocol.
@@ -215,6 +217,14 @@
         Ok(())
     }
 
+    /// The number of what is sent to a box now.
+    pub(super) fn count_sent(&mut self) -> u16 {
+        self.memcached.as_mut().map_or(0, |m| {
+            m.sent = m.sent.wrapping_add(1);
+            m.sent
+        })
+    }
+
     // ---- the ledger ----
 
     /// Counts an attempt of a keyed write as one that may run; false: boxes may have forgotten an earlier one.
@@ -248,13 +258,15 @@
 
 // ---- boxes ----
 
-/// The opaque of what a box is sent: the client's own, or one made of the request's id.
-fn opaque(open: &Open) -> u32 {
-    match open.asked {
+/// The opaque of what a box is sent. Its upper half counts what this node sends, so that an answer to something earlier
+/// is told apart whatever a client makes of its own opaques (some are always 0). Its lower half is that of the client's
+/// own, or of what is made of the request's id, so that the request can be found in a box's log.
+fn opaque(open: &Open, sent: u16) -> u32 {
+    let lower = match open.asked {
         Asked::Memcached { opaque, .. } => opaque,
-        // FNV-1a, 32 bits: an engineer can find the request in a box's log.
         Asked::Resp => fnv(open.id.as_bytes()),
-    }
+    };
+    u32::from(sent) << 16 | (lower & 0xffff)
 }
 
 /// FNV-1a of 32 bits.
@@ -264,8 +276,8 @@
 
 /// The request as a box that speaks the binary protocol gets it. A write's value goes behind its idempotency key (a
 /// hyphen where it has none) and a colon: the protocol has no field for it, and the box must have it to drop repeats.
-pub(super) fn forwarded(open: &Open) -> Written {
-    let opaque = opaque(open);
+pub(super) fn forwarded(open: &Open, sent: u16) -> Written {
+    let opaque = opaque(open, sent);
     let Some(value) = &open.value else {
         let opcode = Opcode::Get as u8;
         let mut out = Vec::with_capacity(HEADER + open.key.len());
--- a/crates/rig/src/cachebox.rs
+++ b/crates/rig/src/cachebox.rs
@@ -130,7 +130,7 @@
 /// A request's name: of a client that gave none, what its node made ends with the client's opaque.
 fn name(id: &str) -> Id {
     match id.strip_prefix('m').and_then(|rest| rest.rsplit_once('-')) {
-        Some((_, opaque)) => format!("#{opaque}").into(),
+        Some((_, opaque)) => short(u32::from_str_radix(opaque, 16).unwrap_or(0)),
         None => id.into(),
     }
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -458,7 +458,7 @@
             }
             _ => Vec::new(),
         };
-        let speech = options.speech.clients;
+        let speech = options.speech;
         let set = site::clients(addresses.clone(), memcached.clone(), speech, seed, scenario, until);
         let crowd = Crowd::new(site.hosts.net(clients), set, site.clients_orders.clone(), site.tap.clone());
         site.hosts.place(clients, Box::new(crowd));
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -294,7 +294,7 @@
 pub fn clients(
     nodes: Vec<SocketAddr>,
     memcached: Vec<SocketAddr>,
-    speech: Clients,
+    speech: Speech,
     seed: u64,
     scenario: &Scenario,
     until: Micros,
@@ -302,7 +302,8 @@
     clients::Settings {
         nodes,
         memcached,
-        speech,
+        speech: speech.clients,
+        short_names: speech != Speech::default(),
         classes: CLASSES
             .iter()
             .map(|c| clients::Class {
