--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -42,6 +42,9 @@
     seed: u64,
     #[command(flatten)]
     speech: SpeechArgs,
+    /// Others may ask the nodes, too: requests that are not of the fleet's own clients are not judged
+    #[arg(long)]
+    visitors: bool,
     /// Print lines of JSON
     #[arg(long)]
     json: bool,
@@ -98,6 +101,7 @@
             return ExitCode::from(1);
         }
     };
+    demo.judge.visitors = args.visitors;
     if !args.json {
         out::line(format!(
             "{} nodes, {} boxes, {} requests a second on 127.0.0.1; fault: {}",
--- a/crates/sloewick/tests/cli.rs
+++ b/crates/sloewick/tests/cli.rs
@@ -136,3 +136,40 @@
     assert!(text(&bad.stderr).contains("allowed: crash-boxes"), "{}", text(&bad.stderr));
     assert_eq!(sloewick(&["demo", "--seconds", "0"]).status.code(), Some(2));
 }
+
+#[test]
+fn a_memcached_file_is_judged_beside_the_configuration_and_run_refuses_a_bad_one() {
+    let node = file("mc-node.json", &example());
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/memcached.toml");
+    let out = sloewick(&["check", node.to_str().unwrap(), "--memcached", shipped]);
+    assert!(out.status.success(), "{}{}", text(&out.stdout), text(&out.stderr));
+    let bad = "listen = \"127.0.0.1:6379\"\n[[route]]\noperation = \"set\"\nkeys = \"*\"\nclass = \"trace-read\"\n";
+    let path = file("mc-bad.toml", bad);
+    let out = sloewick(&["check", node.to_str().unwrap(), "--memcached", path.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(text(&out.stdout).contains("line 5: route[0].class: a write must not be of a class"));
+    let path = file("mc-same.toml", "listen = \"127.0.0.1:6379\"\n[[route]]\noperation = \"get\"\nkeys = \"*\"\nclass = \"trace-read\"\n");
+    let out = sloewick(&["check", node.to_str().unwrap(), "--memcached", path.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(text(&out.stdout).contains("is the address of the node's own listener"));
+    // A node does not start with what check refuses.
+    let mut run = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    let bad = file("mc-bad2.toml", "listn = \"127.0.0.1:0\"\n");
+    run.args(["run", "--memcached", bad.to_str().unwrap()]).env("BALANCER_CONFIG", &node);
+    let out = run.output().unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(
+        text(&out.stderr).contains("line 1: listn: is no known field; listen?"),
+        "{}",
+        text(&out.stderr)
+    );
+}
+
+#[test]
+fn fleets_that_speak_memcached_are_played() {
+    let args = ["play", "calm", "--front", "both", "--cache", "mixed", "--seed", "4"];
+    let out = sloewick(&args);
+    assert!(out.status.success(), "{}{}", text(&out.stdout), text(&out.stderr));
+    assert!(text(&out.stdout).contains("service 0.9"), "{}", text(&out.stdout));
+    assert_eq!(sloewick(&["play", "calm", "--front", "text"]).status.code(), Some(2));
+}
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! The built node over loopback against scripted peers. Every wait ends with what is waited for, or after
 //! `PATIENCE` with a failed test.
+#![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/wire/benches/codecs.rs
+++ b/crates/wire/benches/codecs.rs
@@ -4,6 +4,7 @@
 use divan::counter::BytesCount;
 use divan::{black_box, Bencher};
 use sloewick_wire::http;
+use sloewick_wire::memcache::{self, Opcode, RequestReader, ResponseReader};
 use sloewick_wire::resp::{put_bulk, put_head, Budget, CommandReader, ReplyReader};
 
 fn main() {
@@ -43,6 +44,51 @@
     });
 }
 
+/// A packet of this many bytes in all.
+fn get(len: usize) -> Vec<u8> {
+    let mut out = Vec::new();
+    let key = vec![b'k'; len - memcache::HEADER].into();
+    let opcode = Opcode::Get as u8;
+    memcache::put_request(&mut out, &memcache::Request { opcode, opaque: 7, key, ..Default::default() });
+    out
+}
+
+/// Sixteen at once, as they come from a pipeline: what copying them in costs is not counted.
+#[divan::bench(args = [40, 100, 200])]
+fn read_16_memcached_gets(bencher: Bencher, len: usize) {
+    let bytes = get(len).repeat(16);
+    let input = || (RequestReader::default(), BytesMut::from(&bytes[..]), Budget::new(0));
+    bencher.counter(BytesCount::from(bytes.len())).with_inputs(input).bench_local_refs(
+        |(reader, buf, budget)| {
+            for _ in 0..16 {
+                let request = reader.next(buf, budget, 1 << 20);
+                assert!(black_box(request).is_ok_and(|r| r.is_some_and(|r| r.fault.is_none())));
+            }
+        },
+    );
+}
+
+#[divan::bench(args = [200, 20_000])]
+fn read_a_memcached_answer(bencher: Bencher, value: usize) {
+    let mut bytes = Vec::new();
+    memcache::put_response(
+        &mut bytes,
+        &memcache::Response {
+            opcode: Opcode::Get as u8,
+            status: 0,
+            opaque: 7,
+            cas: 0,
+            extras: vec![0; 4].into(),
+            key: Default::default(),
+            value: vec![b'v'; value].into(),
+        },
+    );
+    bencher.counter(BytesCount::from(bytes.len())).bench_local(|| {
+        let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&bytes[..]));
+        assert!(reader.next(&mut buf, 1 << 20).is_ok_and(|piece| piece.is_some()));
+    });
+}
+
 #[divan::bench]
 fn write_a_command(bencher: Bencher) {
     bencher.bench_local(|| black_box(command(24)));
