--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -50,7 +50,7 @@
 enum Reader {
     Resp(CommandReader),
     /// With the longest value that is let in.
-    Memcached(Box<RequestReader>, usize),
+    Memcached(RequestReader, usize),
 }
 
 pub struct Client<S> {
@@ -93,7 +93,7 @@
     pub fn new(stream: S, serial: u64, now: Micros, protocol: Protocol, value_most: usize) -> Client<S> {
         let reader = match protocol {
             Protocol::Resp => Reader::Resp(CommandReader::default()),
-            Protocol::Memcached => Reader::Memcached(Box::default(), value_most),
+            Protocol::Memcached => Reader::Memcached(RequestReader::default(), value_most),
         };
         Client {
             stream,
--- a/crates/rig/src/cachebox.rs
+++ b/crates/rig/src/cachebox.rs
@@ -116,7 +116,7 @@
 /// Cuts what a node sends.
 enum Reader {
     Resp(CommandReader),
-    Memcached(Box<RequestReader>),
+    Memcached(RequestReader),
 }
 
 enum Input {
@@ -754,7 +754,7 @@
         }
         let active = self.port.now();
         let reader = if self.set.memcached {
-            Reader::Memcached(Box::default())
+            Reader::Memcached(RequestReader::default())
         } else {
             Reader::Resp(CommandReader::default())
         };
--- a/crates/wire/src/memcache.rs
+++ b/crates/wire/src/memcache.rs
@@ -103,7 +103,16 @@
     ];
 
     pub fn from_code(code: u8) -> Option<Opcode> {
-        Opcode::ALL.into_iter().find(|o| *o as u8 == code)
+        // By place in a table: a request is not to cost more the later its opcode was added.
+        const TABLE: [Option<Opcode>; 64] = {
+            let (mut table, mut i) = ([None; 64], 0);
+            while i < Opcode::ALL.len() {
+                table[Opcode::ALL[i] as usize] = Some(Opcode::ALL[i]);
+                i += 1;
+            }
+            table
+        };
+        TABLE.get(usize::from(code)).copied().flatten()
     }
 
     /// The opcode that does the same and speaks of every outcome; itself where it does.
@@ -312,6 +321,17 @@
 }
 
 impl Head {
+    /// The request without its body.
+    fn request(&self) -> Request {
+        Request {
+            opcode: self.opcode,
+            vbucket: self.status,
+            opaque: self.opaque,
+            cas: self.cas,
+            ..Request::default()
+        }
+    }
+
     fn broken(&self, why: &'static str, status: Option<Status>) -> Broken {
         Broken { why, answer: status.map(|status| (self.opcode, self.opaque, status)) }
     }
@@ -320,10 +340,10 @@
 /// Cuts requests from a client's bytes.
 #[derive(Debug, Default)]
 pub struct RequestReader {
-    /// The request whose body is coming, its bytes, and the key's and extras' lengths.
-    coming: Option<(Request, usize, usize, usize)>,
-    /// Bytes of a body that is thrown away, and the request that it belongs to.
-    skip: Option<(usize, Request)>,
+    /// The request whose body is coming, and what it holds of the budget.
+    coming: Option<(Head, usize)>,
+    /// Bytes of a body that is thrown away, the request that it belongs to, and why.
+    skip: Option<(usize, Head, Status)>,
 }
 
 impl RequestReader {
@@ -334,7 +354,7 @@
 
     /// What the unfinished request holds of the budget.
     pub fn reserved(&self) -> usize {
-        self.coming.as_ref().map_or(0, |(request, ..)| request.reserved)
+        self.coming.map_or(0, |(_, reserved)| reserved)
     }
 
     /// The next request, none while it is still coming. `value_most`: longest value that is let in.
@@ -347,72 +367,78 @@
         budget: &mut Budget,
         value_most: usize,
     ) -> Result<Option<Request>, Broken> {
-        if self.coming.is_none() && self.skip.is_none() {
-            if buf.first().is_some_and(|magic| *magic != REQUEST) {
-                return Err(Broken { why: "magic is not 0x80", answer: None });
-            }
-            if buf.len() < HEADER {
-                return Ok(None);
-            }
-            let h = head(&buf[..HEADER]);
-            if h.key + h.extras > h.body {
-                return Err(
-                    h.broken("key and extras are longer than the body", Some(Status::InvalidArguments))
-                );
-            }
-            let value = h.body - h.key - h.extras;
-            if h.body > SKIP_MOST {
-                return Err(h.broken("body is too long", Some(Status::ValueTooLarge)));
-            }
-            buf.advance(HEADER);
-            let mut request = Request {
-                opcode: h.opcode,
-                vbucket: h.status,
-                opaque: h.opaque,
-                cas: h.cas,
-                ..Request::default()
-            };
-            request.fault = if h.data_type != 0 || h.key > KEY_MOST || h.extras > EXTRAS_MOST {
-                Some(Status::InvalidArguments)
-            } else if value > value_most {
-                Some(Status::ValueTooLarge)
-            } else if value > VALUE_FREE && !budget.take(value) {
-                Some(Status::OutOfMemory)
-            } else {
-                None
-            };
-            if request.fault.is_some() {
-                self.skip = Some((h.body, request));
-            } else {
-                if value > VALUE_FREE {
-                    request.reserved = value;
-                }
-                self.coming = Some((request, h.body, h.key, h.extras));
-            }
-        }
-        if let Some((left, request)) = &mut self.skip {
+        if let Some((left, head, why)) = &mut self.skip {
             let some = (*left).min(buf.len());
             buf.advance(some);
             *left -= some;
             if *left > 0 {
                 return Ok(None);
             }
-            let request = std::mem::take(request);
+            let request = Request { fault: Some(*why), ..head.request() };
             self.skip = None;
             return Ok(Some(request));
         }
-        let Some((_, body, ..)) = self.coming else { return Ok(None) };
-        if buf.len() < body {
+        let (h, reserved) = match self.coming {
+            Some(coming) => coming,
+            None => {
+                if buf.first().is_some_and(|magic| *magic != REQUEST) {
+                    return Err(Broken { why: "magic is not 0x80", answer: None });
+                }
+                if buf.len() < HEADER {
+                    return Ok(None);
+                }
+                let h = head(&buf[..HEADER]);
+                if h.key + h.extras > h.body {
+                    return Err(h.broken(
+                        "key and extras are longer than the body",
+                        Some(Status::InvalidArguments),
+                    ));
+                }
+                let value = h.body - h.key - h.extras;
+                if h.body > SKIP_MOST {
+                    return Err(h.broken("body is too long", Some(Status::ValueTooLarge)));
+                }
+                buf.advance(HEADER);
+                let fault = if h.data_type != 0 || h.key > KEY_MOST || h.extras > EXTRAS_MOST {
+                    Some(Status::InvalidArguments)
+                } else if value > value_most {
+                    Some(Status::ValueTooLarge)
+                } else if value > VALUE_FREE && !budget.take(value) {
+                    Some(Status::OutOfMemory)
+                } else {
+                    None
+                };
+                if let Some(why) = fault {
+                    self.skip = Some((h.body, h, why));
+                    return self.next(buf, budget, value_most);
+                }
+                (h, if value > VALUE_FREE { value } else { 0 })
+            }
+        };
+        if buf.len() < h.body {
+            self.coming = Some((h, reserved));
             return Ok(None);
         }
-        let Some((mut request, body, key, extras)) = self.coming.take() else { return Ok(None) };
-        let mut bytes = buf.split_to(body).freeze();
-        request.extras = bytes.split_to(extras);
-        request.key = bytes.split_to(key);
-        request.value = bytes;
+        self.coming = None;
+        let mut request = Request { reserved, ..h.request() };
+        if h.body > 0 {
+            let mut bytes = buf.split_to(h.body).freeze();
+            // Each part that shares the bytes is counted: those that are not there need not be.
+            if h.extras > 0 {
+                request.extras = bytes.split_to(h.extras);
+            }
+            if h.key > 0 && h.key < bytes.len() {
+                request.key = bytes.split_to(h.key);
+                request.value = bytes;
+            } else if h.key > 0 {
+                request.key = bytes;
+            } else {
+                request.value = bytes;
+            }
+        }
         if let Some(opcode) = Opcode::from_code(request.opcode) {
             let (e, k, v) = opcode.shape();
-            if !(e.fits(extras) && k.fits(key) && v.fits(request.value.len())) {
+            if !(e.fits(h.extras) && k.fits(h.key) && v.fits(request.value.len())) {
                 request.fault = Some(Status::InvalidArguments);
             }
         }
