Don't send a memcached box an idempotency key that it could not tell apart

Cause: a RESP2 client's idempotency key stands before the value and a colon. One with a colon would have been cut there (another key, another value), one that is a hyphen or empty would have looked like none, and its repeat would take effect.

Change: such a write is not sent to a memcached box; nor is a key of over 250 bytes, as before.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,7 @@
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
 use sloewick_memcache::outcomes::{outcome, Outcome};
 use sloewick_memcache::routes::Operation;
-use sloewick_wire::memcache::{self, KEY_MOST};
+use sloewick_wire::memcache;
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
 mod memcached;
@@ -824,8 +824,7 @@
         let wait = timeout.unwrap_or(left).min(left);
         open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None, counted: false });
         open.out += 1;
-        // A box of the other protocol has no room for a longer key.
-        let fits = protocol == Protocol::Resp || open.key.len() <= KEY_MOST;
+        let fits = protocol == Protocol::Resp || memcached::fits(open);
         if open.closed || open.stream.is_some() || wait <= 0 || !fits || !self.may_leave(key, attempt, now)
         {
             return self.ended(key, attempt, Status::Moot, None, None);
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached.rs
@@ -8,7 +8,7 @@
 use sloewick_memcache::file::File;
 use sloewick_memcache::ledger::{Key, Ledger, Verdict};
 use sloewick_memcache::routes::{self, Operation};
-use sloewick_wire::memcache::{self, put_request, Opcode, Status, HEADER};
+use sloewick_wire::memcache::{self, put_request, Opcode, Status, HEADER, KEY_MOST};
 use sloewick_wire::resp::WORD_MOST;
 
 use super::{Module, Node, Open, Taken};
@@ -274,6 +274,18 @@
     bytes.iter().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193))
 }
 
+/// Whether a box that speaks the binary protocol can be sent this: its key is short enough, and an idempotency key that
+/// stands before the value does not end early or look like none, which would let a repeat take effect.
+pub(super) fn fits(open: &Open) -> bool {
+    let idem = idempotency_key(open);
+    open.key.len() <= KEY_MOST
+        && idem.is_none_or(|idem| !idem.is_empty() && idem != b"-" && !idem.contains(&b':'))
+}
+
+fn idempotency_key(open: &Open) -> Option<&[u8]> {
+    open.fields.split(|b| *b == b',').find_map(|field| field.strip_prefix(b"k="))
+}
+
 /// The request as a box that speaks the binary protocol gets it. A write's value goes behind its idempotency key (a
 /// hyphen where it has none) and a colon: the protocol has no field for it, and the box must have it to drop repeats.
 pub(super) fn forwarded(open: &Open, sent: u16) -> Written {
@@ -285,8 +297,7 @@
         put_request(&mut out, &memcache::Request { opcode, opaque, key, ..memcache::Request::default() });
         return Written { chunks: vec![out.into()], tag: (opcode, opaque) };
     };
-    let mut fields = open.fields.split(|b| *b == b',');
-    let idem = fields.find_map(|field| field.strip_prefix(b"k=")).unwrap_or(b"-");
+    let idem = idempotency_key(open).unwrap_or(b"-");
     let opcode = Opcode::Set as u8;
     let request = memcache::Request {
         opcode,
--- a/crates/rig/tests/memcached.rs
+++ b/crates/rig/tests/memcached.rs
@@ -537,6 +537,24 @@
     assert_eq!(asked(&s.cache, 0).len(), 2);
 }
 
+#[test]
+fn what_a_memcached_box_could_not_tell_apart_is_not_sent_there() {
+    let mut s = scene(true);
+    s.client.connect(&mut s.hosts, resp_port(100));
+    s.after(10 * WAY);
+    // Cut at the first colon the key would be another's; a hyphen says that there is none.
+    for (n, key) in ["a:b", "-", ""].into_iter().enumerate() {
+        s.say(1, set(&format!("r{n}"), "alarm-set", 500, Some(key)).into_bytes());
+        s.after(SECOND);
+        assert_eq!(s.client.text().matches("-BUSY").count(), n + 1, "{:?}", s.client.text());
+    }
+    let long = format!("logger/{}", "x".repeat(250));
+    s.say(1, command(&["C.GET", &long, "r9", "c=trace-read,t=distribution,d=300"]).into_bytes());
+    s.after(SECOND);
+    assert_eq!(s.client.text().matches("-BUSY").count(), 4);
+    assert_eq!(s.at_box(), 0);
+}
+
 #[test]
 fn a_read_without_a_value_is_an_answer_in_both_protocols() {
     let mut s = scene(true);
