--- a/crates/memcache/src/ledger.rs
+++ b/crates/memcache/src/ledger.rs
@@ -118,6 +118,13 @@
         Verdict::New
     }
 
+    /// What is known of a key that is out, has been served or may have run, with its receipt if there is one; none:
+    /// nothing of it is known to have run.
+    pub fn known(&self, key: &Key) -> Option<Option<Bytes>> {
+        let entry = self.entries.get(key)?;
+        (entry.in_hand || entry.ran_since.is_some()).then(|| entry.served.clone().flatten())
+    }
+
     /// An attempt of the key leaves now and may run. False: it must not leave, the boxes may have forgotten it.
     #[must_use]
     pub fn send(&mut self, now: Micros, key: &Key) -> bool {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,5 +2,6 @@
 //! incremental and bounded by the constants beside it, and gives the same messages however bytes are cut.
 
 pub mod http;
+pub mod link;
 pub mod memcache;
 pub mod resp;
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,464 @@
+//! The framing of the link between two sites, version 1; `docs/gateway-link.md` is its specification.
+//!
+//! Many requests share a connection: no frame is longer than [`BODY_MOST`], so that none holds the others up for long.
+//! The reader is incremental and bounded, and the same bytes give the same messages however they are cut.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+/// Bytes before a frame's body.
+pub const HEADER: usize = 8;
+/// Longest body.
+pub const BODY_MOST: usize = 16 << 10;
+/// The version that is spoken here.
+pub const VERSION: u16 = 1;
+/// Most nodes that a HELLO names.
+pub const NODES_MOST: usize = 512;
+
+/// The bytes can't be read on: the connection is of no more use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken(pub &'static str);
+
+/// How a request that crossed ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Ended {
+    /// Served: so many bytes of value follow in BODY frames.
+    Served = 0,
+    /// Served: there is no value.
+    NoValue = 1,
+    /// Refused: nothing of it has run.
+    Refused = 2,
+    /// Failed: no promise.
+    Failed = 3,
+    /// It came too late, or by a lease of another start: nothing of it has run.
+    Late = 4,
+}
+
+/// What an arbiter says of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Claimed {
+    Here = 0,
+    Served = 1,
+    Crossed = 2,
+    CantTell = 3,
+}
+
+/// A request as it crosses.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Request {
+    /// The lease by which it may begin.
+    pub epoch: u64,
+    pub lease: u64,
+    /// What the far side may use, from arrival, in microseconds.
+    pub left: u32,
+    pub write: bool,
+    /// Marked by its client as a repeat.
+    pub retry: bool,
+    pub class: Bytes,
+    pub tenant: Bytes,
+    /// Its idempotency key; empty: none.
+    pub idem: Bytes,
+    pub id: Bytes,
+    pub key: Bytes,
+    /// Bytes of a write's value, which follow in BODY frames.
+    pub value: u32,
+}
+
+/// What an end says of itself first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hello {
+    pub version: u16,
+    /// This start of the node: no other start of any node has it.
+    pub epoch: u64,
+    /// How long its leases are good, in milliseconds.
+    pub life: u16,
+    pub site: Bytes,
+    pub node: Bytes,
+    /// The nodes of its site, and the number of that list.
+    pub list: u64,
+    pub nodes: Vec<Bytes>,
+}
+
+/// A message of the link.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    Hello(Hello),
+    Request(Request),
+    /// The answer's beginning; when to come back, in milliseconds (refusals); bytes of value that follow.
+    Head {
+        ended: Ended,
+        retry_after: u32,
+        value: u32,
+    },
+    Body(Bytes),
+    Cancel,
+    /// So many more bytes of BODY may be sent, for this request or (request 0) on this connection.
+    Credit(u32),
+    /// Comes back as it is, with `echo` set.
+    Beat {
+        echo: bool,
+        sent: u64,
+    },
+    Lease {
+        epoch: u64,
+        number: u64,
+    },
+    Claim(Bytes),
+    Claimed {
+        claimed: Claimed,
+        receipt: Bytes,
+    },
+    /// No new requests: this end stops.
+    GoAway,
+}
+
+impl Message {
+    fn kind(&self) -> u8 {
+        match self {
+            Message::Hello(_) => 1,
+            Message::Request(_) => 2,
+            Message::Head { .. } => 3,
+            Message::Body(_) => 4,
+            Message::Cancel => 5,
+            Message::Credit(_) => 6,
+            Message::Beat { .. } => 7,
+            Message::Lease { .. } => 8,
+            Message::Claim(_) => 9,
+            Message::Claimed { .. } => 10,
+            Message::GoAway => 11,
+        }
+    }
+}
+
+/// Appends a short text: its length in one byte. Longer ones are cut, which no caller lets happen.
+fn put_short(out: &mut Vec<u8>, text: &[u8]) {
+    let text = &text[..text.len().min(255)];
+    out.put_u8(text.len() as u8);
+    out.put_slice(text);
+}
+
+/// Appends a message. `request`: the one that it belongs to, 0 for the link itself. A BODY must not exceed
+/// [`BODY_MOST`].
+pub fn put(out: &mut Vec<u8>, request: u32, message: &Message) {
+    let begin = out.len();
+    out.put_u8(message.kind());
+    out.put_u8(0);
+    out.put_u16(0);
+    out.put_u32(request);
+    match message {
+        Message::Hello(h) => {
+            out.put_u16(h.version);
+            out.put_u64(h.epoch);
+            out.put_u16(h.life);
+            put_short(out, &h.site);
+            put_short(out, &h.node);
+            out.put_u64(h.list);
+            out.put_u16(h.nodes.len() as u16);
+            h.nodes.iter().for_each(|node| put_short(out, node));
+        }
+        Message::Request(r) => {
+            out.put_u64(r.epoch);
+            out.put_u64(r.lease);
+            out.put_u32(r.left);
+            out.put_u8(u8::from(r.write) | u8::from(r.retry) << 1);
+            [&r.class, &r.tenant, &r.idem, &r.id].into_iter().for_each(|text| put_short(out, text));
+            out.put_u16(r.key.len() as u16);
+            out.put_slice(&r.key);
+            out.put_u32(r.value);
+        }
+        Message::Head { ended, retry_after, value } => {
+            out.put_u8(*ended as u8);
+            out.put_u32(*retry_after);
+            out.put_u32(*value);
+        }
+        Message::Body(bytes) | Message::Claim(bytes) => out.put_slice(bytes),
+        Message::Cancel | Message::GoAway => {}
+        Message::Credit(bytes) => out.put_u32(*bytes),
+        Message::Beat { echo, sent } => {
+            out.put_u8(u8::from(*echo));
+            out.put_u64(*sent);
+        }
+        Message::Lease { epoch, number } => {
+            out.put_u64(*epoch);
+            out.put_u64(*number);
+        }
+        Message::Claimed { claimed, receipt } => {
+            out.put_u8(*claimed as u8);
+            out.put_slice(receipt);
+        }
+    }
+    let len = out.len() - begin - HEADER;
+    debug_assert!(len <= BODY_MOST, "a body of {len} bytes");
+    out[begin + 2..begin + 4].copy_from_slice(&(len as u16).to_be_bytes());
+}
+
+/// Takes parts off a body.
+struct Parts(Bytes);
+
+impl Parts {
+    fn has(&self, n: usize) -> Result<(), Broken> {
+        if self.0.len() < n {
+            return Err(Broken("a body is shorter than its parts"));
+        }
+        Ok(())
+    }
+
+    fn u8(&mut self) -> Result<u8, Broken> {
+        self.has(1).map(|()| self.0.get_u8())
+    }
+
+    fn u16(&mut self) -> Result<u16, Broken> {
+        self.has(2).map(|()| self.0.get_u16())
+    }
+
+    fn u32(&mut self) -> Result<u32, Broken> {
+        self.has(4).map(|()| self.0.get_u32())
+    }
+
+    fn u64(&mut self) -> Result<u64, Broken> {
+        self.has(8).map(|()| self.0.get_u64())
+    }
+
+    fn take(&mut self, n: usize) -> Result<Bytes, Broken> {
+        self.has(n).map(|()| self.0.split_to(n))
+    }
+
+    fn short(&mut self) -> Result<Bytes, Broken> {
+        let len = self.u8()?;
+        self.take(usize::from(len))
+    }
+
+    fn rest(&mut self) -> Bytes {
+        std::mem::take(&mut self.0)
+    }
+}
+
+fn message(kind: u8, body: Bytes) -> Result<Message, Broken> {
+    let mut p = Parts(body);
+    let message = match kind {
+        1 => {
+            let (version, epoch, life) = (p.u16()?, p.u64()?, p.u16()?);
+            let (site, node, list) = (p.short()?, p.short()?, p.u64()?);
+            let count = usize::from(p.u16()?);
+            if count > NODES_MOST {
+                return Err(Broken("too many nodes"));
+            }
+            let nodes = (0..count).map(|_| p.short()).collect::<Result<_, _>>()?;
+            Message::Hello(Hello { version, epoch, life, site, node, list, nodes })
+        }
+        2 => {
+            let (epoch, lease, left, flags) = (p.u64()?, p.u64()?, p.u32()?, p.u8()?);
+            if flags > 3 {
+                return Err(Broken("unknown flags"));
+            }
+            let (class, tenant, idem, id) = (p.short()?, p.short()?, p.short()?, p.short()?);
+            let len = usize::from(p.u16()?);
+            let (key, value) = (p.take(len)?, p.u32()?);
+            let (write, retry) = (flags & 1 > 0, flags & 2 > 0);
+            Message::Request(Request {
+                epoch,
+                lease,
+                left,
+                write,
+                retry,
+                class,
+                tenant,
+                idem,
+                id,
+                key,
+                value,
+            })
+        }
+        3 => {
+            let ended = match p.u8()? {
+                0 => Ended::Served,
+                1 => Ended::NoValue,
+                2 => Ended::Refused,
+                3 => Ended::Failed,
+                4 => Ended::Late,
+                _ => return Err(Broken("unknown end")),
+            };
+            Message::Head { ended, retry_after: p.u32()?, value: p.u32()? }
+        }
+        4 => Message::Body(p.rest()),
+        5 => Message::Cancel,
+        6 => Message::Credit(p.u32()?),
+        7 => {
+            let echo = p.u8()?;
+            if echo > 1 {
+                return Err(Broken("unknown flags"));
+            }
+            Message::Beat { echo: echo == 1, sent: p.u64()? }
+        }
+        8 => Message::Lease { epoch: p.u64()?, number: p.u64()? },
+        9 => Message::Claim(p.rest()),
+        10 => {
+            let claimed = match p.u8()? {
+                0 => Claimed::Here,
+                1 => Claimed::Served,
+                2 => Claimed::Crossed,
+                3 => Claimed::CantTell,
+                _ => return Err(Broken("unknown claim")),
+            };
+            Message::Claimed { claimed, receipt: p.rest() }
+        }
+        11 => Message::GoAway,
+        _ => return Err(Broken("unknown kind of frame")),
+    };
+    if !p.0.is_empty() {
+        return Err(Broken("a body is longer than its parts"));
+    }
+    Ok(message)
+}
+
+/// The next message and the request that it belongs to, none while it is still coming. It holds nothing between calls.
+///
+/// # Errors
+/// A frame that version 1 does not have.
+pub fn next(buf: &mut BytesMut) -> Result<Option<(u32, Message)>, Broken> {
+    if buf.len() < HEADER {
+        return Ok(None);
+    }
+    let (kind, flags) = (buf[0], buf[1]);
+    let len = usize::from(u16::from_be_bytes([buf[2], buf[3]]));
+    let request = u32::from_be_bytes([buf[4], buf[5], buf[6], buf[7]]);
+    if flags != 0 || len > BODY_MOST {
+        return Err(Broken(if flags != 0 { "unknown flags" } else { "a body is too long" }));
+    }
+    if buf.len() < HEADER + len {
+        return Ok(None);
+    }
+    buf.advance(HEADER);
+    message(kind, buf.split_to(len).freeze()).map(|message| Some((request, message)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn read(input: &[u8], cuts: &[usize]) -> (Vec<(u32, Message)>, Option<Broken>) {
+        let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
+        at.extend([0, input.len()]);
+        at.sort_unstable();
+        let (mut buf, mut out) = (BytesMut::new(), Vec::new());
+        for piece in at.windows(2) {
+            buf.extend_from_slice(&input[piece[0]..piece[1]]);
+            loop {
+                match next(&mut buf) {
+                    Ok(Some(message)) => out.push(message),
+                    Ok(None) => break,
+                    Err(broken) => return (out, Some(broken)),
+                }
+            }
+        }
+        (out, None)
+    }
+
+    fn text(most: usize) -> impl Strategy<Value = Bytes> {
+        prop::collection::vec(any::<u8>(), 0..most).prop_map(Bytes::from)
+    }
+
+    fn any_message() -> impl Strategy<Value = Message> {
+        let hello =
+            (any::<(u16, u64, u16, u64)>(), text(256), text(256), prop::collection::vec(text(40), 0..5))
+                .prop_map(|((version, epoch, life, list), site, node, nodes)| {
+                    Message::Hello(Hello { version, epoch, life, site, node, list, nodes })
+                });
+        let request =
+            (any::<(u64, u64, u32, bool, bool, u32)>(), text(256), text(256), text(256), text(600))
+                .prop_map(|((epoch, lease, left, write, retry, value), class, tenant, idem, key)| {
+                    let id = class.clone();
+                    Message::Request(Request {
+                        epoch,
+                        lease,
+                        left,
+                        write,
+                        retry,
+                        class,
+                        tenant,
+                        idem,
+                        id,
+                        key,
+                        value,
+                    })
+                });
+        let ends = [Ended::Served, Ended::NoValue, Ended::Refused, Ended::Failed, Ended::Late];
+        let claims = [Claimed::Here, Claimed::Served, Claimed::Crossed, Claimed::CantTell];
+        prop_oneof![
+            hello,
+            request,
+            (prop::sample::select(ends.to_vec()), any::<(u32, u32)>())
+                .prop_map(|(ended, (retry_after, value))| Message::Head { ended, retry_after, value }),
+            text(3_000).prop_map(Message::Body),
+            Just(Message::Cancel),
+            any::<u32>().prop_map(Message::Credit),
+            any::<(bool, u64)>().prop_map(|(echo, sent)| Message::Beat { echo, sent }),
+            any::<(u64, u64)>().prop_map(|(epoch, number)| Message::Lease { epoch, number }),
+            text(256).prop_map(Message::Claim),
+            (prop::sample::select(claims.to_vec()), text(300))
+                .prop_map(|(claimed, receipt)| Message::Claimed { claimed, receipt }),
+            Just(Message::GoAway),
+        ]
+    }
+
+    #[test]
+    fn frames_are_as_the_specification_shows_them() {
+        let mut out = Vec::new();
+        put(&mut out, 0, &Message::Beat { echo: true, sent: 0x0102 });
+        assert_eq!(out, b"\x07\x00\x00\x09\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x01\x02");
+        out.clear();
+        put(&mut out, 9, &Message::Head { ended: Ended::Refused, retry_after: 120, value: 0 });
+        assert_eq!(out, b"\x03\x00\x00\x09\x00\x00\x00\x09\x02\x00\x00\x00\x78\x00\x00\x00\x00");
+    }
+
+    #[test]
+    fn what_version_1_does_not_have_is_broken() {
+        let cases: [(&[u8], &str); 9] = [
+            (b"\x00\x00\x00\x00\x00\x00\x00\x00", "unknown kind of frame"),
+            (b"\x0c\x00\x00\x00\x00\x00\x00\x00", "unknown kind of frame"),
+            (b"\x05\x01\x00\x00\x00\x00\x00\x00", "unknown flags"),
+            (b"\x04\x00\x40\x01\x00\x00\x00\x00", "a body is too long"),
+            (b"\x05\x00\x00\x01\x00\x00\x00\x00x", "a body is longer than its parts"),
+            (b"\x06\x00\x00\x03\x00\x00\x00\x00abc", "a body is shorter than its parts"),
+            (b"\x03\x00\x00\x09\x00\x00\x00\x00\x09abcdefgh", "unknown end"),
+            (b"\x0a\x00\x00\x01\x00\x00\x00\x00\x04", "unknown claim"),
+            (b"*4\r\n$5\r\nC.GET\r\n", "unknown kind of frame"),
+        ];
+        for (input, why) in cases {
+            // The last one is RESP2: its first four bytes claim a body, which is waited for or refused.
+            let (got, broken) = read(input, &[3, 5]);
+            assert!(got.is_empty());
+            if input[0] != b'*' {
+                assert_eq!(broken, Some(Broken(why)), "{input:?}");
+            } else {
+                assert!(broken.is_some(), "{input:?}");
+            }
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn messages_come_back_as_they_were_however_they_are_cut(
+            list in prop::collection::vec((any::<u32>(), any_message()), 1..8),
+            cuts in prop::collection::vec(any::<usize>(), 0..20),
+        ) {
+            let mut input = Vec::new();
+            list.iter().for_each(|(request, message)| put(&mut input, *request, message));
+            prop_assert_eq!(read(&input, &cuts), (list, None));
+        }
+
+        #[test]
+        fn noise_never_panics_and_is_cut_alike(
+            mut input in prop::collection::vec(any::<u8>(), 0..200),
+            kind in 0u8..13,
+            cuts in prop::collection::vec(any::<usize>(), 0..5),
+        ) {
+            if input.len() > 4 {
+                input[..3].copy_from_slice(&[kind, 0, 0]);
+            }
+            prop_assert_eq!(read(&input, &[]), read(&input, &cuts));
+        }
+    }
+}
