Test the probe of a memcached box

Need: a Noop as a sign of life was in the node without a test; the decision module asks for no probes at present.

Change: a module that probes, a scripted box.

--- a/crates/rig/tests/memcached.rs
+++ b/crates/rig/tests/memcached.rs
@@ -3,9 +3,15 @@
 
 mod support;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use sloewick_decision::interface::Status as Ended;
+use sloewick_decision::{Action, Event};
+use sloewick_node::config;
+use sloewick_node::node::{Module, Node};
 use sloewick_rig::discovery::Listed;
 use sloewick_rig::hosts::Hosts;
 use sloewick_rig::site;
@@ -726,3 +732,42 @@
     assert!(s.client.saw(&Seen::Ended));
     assert!(!s.hosts.has(host));
 }
+
+/// A module that probes what it is told of, and keeps what came of it.
+struct Prober(Rc<RefCell<Vec<Ended>>>);
+
+impl Module for Prober {
+    fn handle(&mut self, _now: i64, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Servers(_, list) => actions.extend(list.iter().map(|e| Action::Probe(e.server.clone()))),
+            Event::Probed { status, .. } => self.0.borrow_mut().push(status),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_memcached_box_is_probed_by_a_noop() {
+    for (status, expected) in [(0, Ended::Ok), (0x85, Ended::Full), (0x84, Ended::Error)] {
+        let mut hosts = hosts();
+        let cache = Peer::new(&mut hosts, "box", Some(address(1, 80)));
+        let mut known = listed(0, address(1, 80));
+        known.kind = site::KINDS_MEMCACHED[0].to_string();
+        let text = site::node_config(0, &calm(), address(9, 80), address(2, 80), 7, (41, &[known]));
+        let mut config = config::parse(&text).unwrap();
+        config::memcached(&mut config, &site::memcached_file(None)).unwrap();
+        let host = hosts.world.borrow_mut().host("node", 0, site::SOCKETS);
+        hosts.world.borrow_mut().address(host, address(9, 80));
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let module = Prober(seen.clone());
+        let source = Box::new(move || config::parse(&text));
+        let node = Node::with_module(config, hosts.net(host), source, |_| module).unwrap();
+        hosts.place(host, Box::new(node));
+        hosts.play_to(20 * WAY);
+        let got = asked(&cache, 0);
+        assert_eq!((got.len(), got[0].0), (1, Opcode::Noop as u8));
+        cache.send(&mut hosts, 0, response(Opcode::Noop, status, got[0].1, b""));
+        hosts.play_to(40 * WAY);
+        assert_eq!(*seen.borrow(), [expected]);
+    }
+}
