--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -6,12 +6,12 @@
 mod play;
 mod speech;
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 use sloewick_decision::settings::Bad;
-use sloewick_node::net::Net;
 use sloewick_node::node::Node;
 use sloewick_node::{config, os::Os};
 
@@ -78,9 +78,8 @@
         Command::Run(args) => match run(&args) {
             Ok(()) => ExitCode::SUCCESS,
             Err(bad) => {
-                if let Ok(mut os) = Os::new() {
-                    os.log(&bad.to_string());
-                }
+                // Not as a line of the log: that is cut short, and here the end says what to do.
+                let _ = writeln!(std::io::stderr(), "{bad}");
                 ExitCode::from(2)
             }
         },
--- a/crates/sloewick/tests/cli.rs
+++ b/crates/sloewick/tests/cli.rs
@@ -154,7 +154,8 @@
     assert!(text(&out.stdout).contains("is the address of the node's own listener"));
     // A node does not start with what check refuses.
     let mut run = Command::new(env!("CARGO_BIN_EXE_sloewick"));
-    let bad = file("mc-bad2.toml", "listn = \"127.0.0.1:0\"\n");
+    // A long path must not push the reason out of the message.
+    let bad = file(&format!("mc-bad2-{}.toml", "long".repeat(40)), "listn = \"127.0.0.1:0\"\n");
     run.args(["run", "--memcached", bad.to_str().unwrap()]).env("BALANCER_CONFIG", &node);
     let out = run.output().unwrap();
     assert_eq!(out.status.code(), Some(2));
