--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -532,6 +532,13 @@
         }
     }
 
+    /// Whether a server that a list has named gets nothing now: it is sick, or it drains.
+    pub fn avoids(&self, now: Micros, server: &ServerId) -> bool {
+        let near = self.line.index.get(server).map(|i| self.up(now, *i));
+        let far = self.far.index.get(server).map(|i| now >= self.far.servers[*i].sick_until);
+        near.or(far).is_none_or(|up| !up) && !self.origins.iter().any(|s| s.entry.server == *server)
+    }
+
     // ---- the list ----
 
     fn on_servers(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -157,6 +157,11 @@
 }
 
 impl Names {
+    /// The name of a class by its place.
+    pub fn class_name(&self, class: usize) -> &str {
+        self.classes.get(class).map_or("", |name| name)
+    }
+
     /// A class by its name.
     pub fn class(&self, name: &str) -> Option<usize> {
         find(&self.classes, name)
--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -104,6 +104,7 @@
 const TOP: &[Rule] = &[
     ("listen", Want::Address, false),
     ("discovery", Want::Address, false),
+    ("ops", Want::Address, true),
     ("seed", Want::Seed, false),
     ("limits", Want::Object, false),
     ("known", Want::Object, false),
@@ -288,6 +289,14 @@
             c.add("discovery", Some(discovery), why, "\"10.2.0.1:8500\"".into(), true);
         }
     }
+    for name in ["listen", "discovery"] {
+        if let (Some(ops), Some(other)) = (at(&["ops"]), at(&[name])) {
+            if ops == other && Want::Address.fits(ops) {
+                let why = format!("is the address that {name} has");
+                c.add("ops", Some(ops), why, "\"127.0.0.1:15000\"".into(), true);
+            }
+        }
+    }
     if !c.found.iter().any(|f| f.fatal) {
         // What the node itself would refuse, in its words.
         if let Err(bad) = config::parse(text) {
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -73,8 +73,9 @@
     writing_since: Option<Micros>,
     stalled_since: Option<Micros>,
     pub active: Micros,
-    /// It has given a whole command.
-    heard: bool,
+    came: Micros,
+    /// When it last gave a whole command.
+    asked: Option<Micros>,
     /// It is on the list of those to be served in this round.
     pub dirty: bool,
 }
@@ -110,7 +111,8 @@
             writing_since: None,
             stalled_since: None,
             active: now,
-            heard: false,
+            came: now,
+            asked: None,
             dirty: false,
         }
     }
@@ -146,7 +148,7 @@
             };
             if let Some(input) = input {
                 self.active = now;
-                self.heard = true;
+                self.asked = Some(now);
                 self.writing_since = None;
                 return input;
             }
@@ -254,6 +256,22 @@
         self.closing == Closing::No && !self.ended && self.settled() && !self.midway()
     }
 
+    /// Nothing is owed to it, and nothing of it waits in the kernel either. Guards against ending a connection
+    /// on which the next command has come already.
+    pub fn quiet(&self) -> bool {
+        self.idle() && self.stream.quiet()
+    }
+
+    /// When it was accepted, and when it last gave a whole command.
+    pub fn times(&self) -> (Micros, Option<Micros>) {
+        (self.came, self.asked)
+    }
+
+    /// Commands whose answers have not left whole.
+    pub fn owed(&self) -> usize {
+        self.slots.len() + usize::from(!self.out.is_empty())
+    }
+
     fn settled(&self) -> bool {
         self.slots.is_empty() && self.out.is_empty()
     }
@@ -290,7 +308,7 @@
     /// Guards against clients that connect by hundreds and say nothing: they would hold descriptors until
     /// these run short, and usual clients would be turned out with them.
     pub fn stalled(&self, now: Micros) -> bool {
-        let silent = !self.heard && self.idle() && now - self.active >= SILENT_MOST;
+        let silent = self.asked.is_none() && self.idle() && now - self.active >= SILENT_MOST;
         silent || self.stalled_since.is_some_and(|since| now - since >= READING_MOST)
     }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -14,6 +14,11 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub ops: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket where the platform holds it; the node listens itself
+    /// without one. Not a field of the configuration: it belongs to the process, as BALANCER_ACCEPT_FD tells.
+    pub accept_fd: Option<i32>,
     pub seed: u64,
     pub memory: usize,
     pub sockets: usize,
@@ -50,6 +55,25 @@
     Ok(())
 }
 
+/// What the process's surroundings say beside the file: `BALANCER_OPS` where the file has no `ops`, and
+/// `BALANCER_ACCEPT_FD`.
+///
+/// # Errors
+/// The variable that is no address, or no descriptor beyond the standard streams.
+pub fn surroundings(config: &mut Config, var: impl Fn(&str) -> Option<String>) -> Result<(), Bad> {
+    if let (None, Some(text)) = (config.ops, var("BALANCER_OPS")) {
+        let ops = text.parse();
+        config.ops =
+            Some(ops.map_err(|_| Bad::new("BALANCER_OPS", format!("{text:?} is no address and port")))?);
+    }
+    if let Some(text) = var("BALANCER_ACCEPT_FD") {
+        let fd = text.parse().ok().filter(|fd| *fd > 2);
+        let bad = || Bad::new("BALANCER_ACCEPT_FD", format!("{text:?} is no descriptor above 2"));
+        config.accept_fd = Some(fd.ok_or_else(bad)?);
+    }
+    Ok(())
+}
+
 /// A configuration from its text.
 ///
 /// # Errors
@@ -83,6 +107,8 @@
     Ok(Config {
         listen: address("listen")?,
         discovery: address("discovery")?,
+        ops: f.opt("ops").map(|_| address("ops")).transpose()?,
+        accept_fd: None,
         seed,
         memory: at_least("memory_mb", MEMORY_LEAST_MB)? << 20,
         sockets: at_least("sockets", SOCKETS_LEAST)?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,9 @@
 
 mod addresses;
 mod client;
+mod figures;
 mod front;
+mod lifecycle;
+mod ops;
 pub mod timer;
 mod upstream;
--- /dev/null
+++ b/crates/node/src/lifecycle.rs
@@ -0,0 +1,208 @@
+//! Whether the node takes clients, and when it lets go of those that it has. No I/O; time is an argument.
+//!
+//! Guaranteed: a node that is told to leave lets go of each connection right behind an answer, or after a
+//! bounded quiet time if nothing is asked on it; one that stops ends by a stated time whatever its clients do;
+//! a stop is never taken back, an evacuation can be.
+
+use sloewick_decision::interface::Micros;
+
+/// How long connections are still accepted after SIGTERM where nobody else listens: they go on coming for 0.4 s.
+const ACCEPT_AFTER_STOP: Micros = 500_000;
+/// A node that was told to stop is killed 0.7 s after the longest deadline at the soonest; it ends before.
+const STOP_SLACK: Micros = 600_000;
+/// While evacuating, how long a connection may ask for nothing; 4 s after the call none may be left.
+const QUIET_EVACUATING: Micros = 2_000_000;
+/// While stopping: what is asked last must still be answered before the end.
+const QUIET_STOPPING: Micros = 1_000_000;
+/// A connection that came while the node was leaving has so long to ask for something.
+const QUIET_NEW: Micros = 500_000;
+/// A node that inherits its listener is not needed at once: so long it waits for a list from discovery before
+/// it says that it is ready. 6 s after the start it has to have said so.
+const LIST_WAIT: Micros = 4_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Serving,
+    /// Operators sent the clients away, then.
+    Evacuating(Micros),
+    /// SIGTERM came then.
+    Stopping(Micros),
+    /// The same, and no connection is accepted any more.
+    Closed(Micros),
+}
+
+/// What is to be done about connections that wait to be accepted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Accept {
+    Go,
+    /// Those that wait are the last ones; then the listener is closed.
+    Last,
+    No,
+}
+
+/// The state of a node towards its clients and its operators.
+#[derive(Debug)]
+pub struct Lifecycle {
+    phase: Phase,
+    /// The clients' listener is held by the platform, and another process may accept from it.
+    shared: bool,
+    /// A list came from discovery.
+    told: bool,
+    /// A list is there at all.
+    listed: bool,
+    exit_by: Micros,
+}
+
+impl Lifecycle {
+    /// `shared`: the clients' listener was inherited. `listed`: the configuration brought a list.
+    pub fn new(shared: bool, listed: bool) -> Lifecycle {
+        Lifecycle { phase: Phase::Serving, shared, told: false, listed, exit_by: Micros::MAX }
+    }
+
+    /// Discovery has told a list.
+    pub fn told(&mut self) {
+        (self.told, self.listed) = (true, true);
+    }
+
+    /// What PING says: no only while the clients are sent away. A front that hears it sends no more; at a
+    /// planned stop it is the platform that tells the front.
+    pub fn says_yes(&self) -> bool {
+        !matches!(self.phase, Phase::Evacuating(_))
+    }
+
+    /// Whether this process is ready to serve.
+    pub fn ready(&self, now: Micros) -> bool {
+        let fresh = if self.shared { self.told || now >= LIST_WAIT } else { true };
+        self.phase == Phase::Serving && self.listed && fresh
+    }
+
+    /// Sends the clients away; false once the node stops.
+    pub fn evacuate(&mut self, now: Micros) -> bool {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Evacuating(now);
+        }
+        matches!(self.phase, Phase::Evacuating(_))
+    }
+
+    /// Back to work; false once the node stops.
+    pub fn rejoin(&mut self) -> bool {
+        if let Phase::Evacuating(_) = self.phase {
+            self.phase = Phase::Serving;
+        }
+        self.phase == Phase::Serving
+    }
+
+    /// Begins a planned stop; true the first time. `longest`: the longest deadline.
+    pub fn stop(&mut self, now: Micros, longest: Micros) -> bool {
+        if matches!(self.phase, Phase::Stopping(_) | Phase::Closed(_)) {
+            return false;
+        }
+        self.phase = Phase::Stopping(now);
+        self.exit_by = now + longest + STOP_SLACK;
+        true
+    }
+
+    /// What to do about connections that wait on a listener; `shared` tells whether it is the inherited one.
+    pub fn accepts(&self, now: Micros, inherited: bool) -> Accept {
+        match self.phase {
+            Phase::Serving | Phase::Evacuating(_) => Accept::Go,
+            // What waits there is the other process's.
+            Phase::Stopping(_) | Phase::Closed(_) if inherited => Accept::No,
+            Phase::Stopping(since) if now - since < ACCEPT_AFTER_STOP => Accept::Go,
+            Phase::Stopping(_) => Accept::Last,
+            Phase::Closed(_) => Accept::No,
+        }
+    }
+
+    /// All listeners are closed.
+    pub fn closed(&mut self) {
+        if let Phase::Stopping(since) = self.phase {
+            self.phase = Phase::Closed(since);
+        }
+    }
+
+    /// Whether a connection on which nothing is owed is ended now. `came`: when it was accepted; `asked`: when
+    /// the last command came on it.
+    pub fn lets_go(&self, now: Micros, came: Micros, asked: Option<Micros>) -> bool {
+        let (since, quiet) = match self.phase {
+            Phase::Serving => return false,
+            Phase::Evacuating(since) => (since, QUIET_EVACUATING),
+            Phase::Stopping(since) | Phase::Closed(since) => (since, QUIET_STOPPING),
+        };
+        asked.is_some_and(|at| at >= since) || now >= (since + quiet).max(came + QUIET_NEW)
+    }
+
+    /// Whether clients are being let go, so that connections have to be looked at.
+    pub fn leaving(&self) -> bool {
+        self.phase != Phase::Serving
+    }
+
+    /// Whether the process ends now; `held`: whether there are clients still.
+    pub fn over(&self, now: Micros, held: bool) -> bool {
+        matches!(self.phase, Phase::Closed(_)) && (!held || now >= self.exit_by)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    #[test]
+    fn a_node_with_a_listener_of_its_own_is_ready_with_a_list_and_accepts_for_a_while_when_it_stops() {
+        let mut life = Lifecycle::new(false, false);
+        assert!(!life.ready(0), "nowhere to send a request");
+        life.told();
+        assert!(life.ready(0) && life.says_yes());
+        assert!(life.stop(10 * S, 2 * S) && !life.stop(11 * S, 2 * S));
+        assert!(!life.ready(10 * S) && life.says_yes());
+        assert_eq!(life.accepts(10 * S + 499_999, false), Accept::Go);
+        assert_eq!(life.accepts(10 * S + 500_000, false), Accept::Last);
+        assert!(!life.over(10 * S + 500_000, false), "its listener is open");
+        life.closed();
+        assert_eq!(life.accepts(11 * S, false), Accept::No);
+        assert!(life.over(11 * S, false) && !life.over(11 * S, true));
+        assert!(!life.over(12 * S + 599_999, true) && life.over(12 * S + 600_000, true));
+    }
+
+    #[test]
+    fn a_process_that_inherits_waits_for_discovery_and_leaves_the_queue_to_the_other_one() {
+        let mut life = Lifecycle::new(true, true);
+        assert!(!life.ready(0) && !life.ready(LIST_WAIT - 1));
+        assert!(life.ready(LIST_WAIT), "its last list has to do");
+        life.told();
+        assert!(life.ready(0));
+        assert_eq!(life.accepts(0, true), Accept::Go);
+        life.stop(S, 2 * S);
+        assert_eq!((life.accepts(S, true), life.accepts(S, false)), (Accept::No, Accept::Go));
+        let mut blind = Lifecycle::new(true, false);
+        assert!(!blind.ready(60 * S), "no list at all");
+        blind.told();
+        assert!(blind.ready(60 * S));
+    }
+
+    #[test]
+    fn an_evacuation_lets_go_behind_answers_and_of_all_the_others_within_its_time() {
+        let mut life = Lifecycle::new(false, true);
+        assert!(!life.lets_go(99 * S, 0, Some(98 * S)), "serving");
+        assert!(life.evacuate(10 * S) && !life.ready(10 * S) && !life.says_yes() && life.leaving());
+        assert!(life.evacuate(11 * S), "told twice: the first call counts");
+        assert_eq!(life.accepts(12 * S, true), Accept::Go, "connections still come and are answered");
+        assert!(life.lets_go(10 * S, 0, Some(10 * S)), "asked since, answered: now");
+        assert!(!life.lets_go(12 * S - 1, 0, Some(10 * S - 1)), "its client may be about to write");
+        assert!(life.lets_go(12 * S, 0, Some(10 * S - 1)) && life.lets_go(12 * S, 0, None));
+        assert!(!life.lets_go(12 * S, 12 * S, None) && life.lets_go(13 * S, 12 * S, None));
+        assert!(life.rejoin() && life.ready(13 * S) && !life.lets_go(99 * S, 0, None));
+        assert!(life.rejoin());
+    }
+
+    #[test]
+    fn a_stop_ends_an_evacuation_and_is_not_taken_back() {
+        let mut life = Lifecycle::new(false, true);
+        life.evacuate(S);
+        assert!(life.stop(2 * S, S));
+        assert!(!life.rejoin() && !life.evacuate(2 * S));
+        assert!(!life.lets_go(3 * S - 1, 0, None) && life.lets_go(3 * S, 0, None));
+    }
+}
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -65,6 +65,13 @@
     /// Unix time at that beginning, read once.
     fn began_unix(&self) -> Micros;
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<Self::Listener>;
+    /// Listens on a socket that this process was started with, by its descriptor.
+    ///
+    /// # Errors
+    /// It is none, or does not listen; [`ErrorKind::Unsupported`] where processes inherit nothing.
+    fn inherit(&mut self, _fd: i32, _token: Token) -> io::Result<Self::Listener> {
+        Err(ErrorKind::Unsupported.into())
+    }
     /// The next connection that waits, if `token`'s event said so.
     fn accept(&mut self, listener: &mut Self::Listener, token: Token) -> io::Result<Self::Stream>;
     /// Begins to open a connection.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,8 +20,11 @@
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News};
+use crate::figures::Figures;
 use crate::front::{Asked, Final, Protocol};
+use crate::lifecycle::{Accept, Lifecycle};
 use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
+use crate::ops::{Ops, CALLERS};
 use crate::timer::{Due, Timers};
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
 use sloewick_memcache::outcomes::{outcome, Outcome};
@@ -30,6 +33,7 @@
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
 mod memcached;
+mod operating;
 
 use memcached::{Keyed, Memcached};
 
@@ -37,11 +41,19 @@
 const DISCOVERY: Token = 2;
 /// The listener for memcached clients.
 const MEMCACHED: Token = 3;
+/// The operators' listener, and the first of their connections.
+const OPS: Token = 4;
+const CALLER: Token = 5;
 /// Tokens of connections: clients are even, upstreams odd.
-const FIRST: usize = 4;
+const FIRST: usize = 32;
+const _: () = assert!(CALLER + CALLERS <= FIRST && FIRST % 2 == 0);
 
 /// Descriptors for all but connections: poll, listener, signals, discovery, standard streams and some room.
 const SOCKETS_KEPT: usize = 24;
+/// Descriptors for the operators' listener and callers.
+const SOCKETS_OPS: usize = CALLERS + 1;
+/// An inherited listener is served by two processes during an upgrade, under the limits of one.
+const PROCESSES: usize = 2;
 /// Part of the rest that upstream connections may take, in percent. A client's connection is mostly idle,
 /// an upstream one carries one attempt.
 const UPSTREAM_PART: usize = 40;
@@ -60,10 +72,6 @@
 const SEND_BUFFER: usize = 128 << 10;
 /// How often stalled and idle connections are looked for.
 const SWEEP: Micros = 100_000;
-/// How long connections are still accepted after SIGTERM: they go on coming for 0.4 s.
-const ACCEPT_AFTER_STOP: Micros = 500_000;
-/// A node that was told to stop is killed 0.7 s after the longest deadline at the soonest; it ends before.
-const STOP_SLACK: Micros = 600_000;
 /// Longest wait that a client may ask for; it keeps sums of times far from overflow.
 const BUDGET_MOST: f64 = 3.6e9;
 
@@ -80,6 +88,7 @@
 struct Open {
     id: RequestId,
     serial: u64,
+    class: usize,
     client: usize,
     client_serial: u64,
     slot: u64,
@@ -111,15 +120,6 @@
     reserved: usize,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    Running,
-    /// SIGTERM came then.
-    Stopping(Micros),
-    /// The listener is closed; what is held is answered.
-    Draining,
-}
-
 /// Where the configuration comes from when it is read again.
 pub type Source = Box<dyn FnMut() -> Result<Config, Bad>>;
 
@@ -127,17 +127,29 @@
 pub trait Module {
     /// Takes up an event at this time; what is to be done is added to `actions`.
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+
+    /// Whether a listed server gets nothing now. A module that does not tell avoids none.
+    fn avoids(&self, _now: Micros, _server: &ServerId) -> bool {
+        false
+    }
 }
 
 impl Module for Balancer {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
+
+    fn avoids(&self, now: Micros, server: &ServerId) -> bool {
+        Balancer::avoids(self, now, server)
+    }
 }
 
 /// A listener and what is spoken there.
 struct Door<L> {
     listener: L,
+    token: Token,
+    /// The platform holds the socket; another process may accept from it.
+    inherited: bool,
     protocol: Protocol,
     /// Connections may wait.
     more: bool,
@@ -148,6 +160,8 @@
     /// Read again on SIGHUP.
     source: Source,
     doors: Vec<Door<N::Listener>>,
+    ops: Option<Ops<N>>,
+    figures: Figures,
     memcached: Option<Memcached>,
     ready: Vec<Ready>,
     module: M,
@@ -171,8 +185,7 @@
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
-    phase: Phase,
-    exit_by: Micros,
+    life: Lifecycle,
 }
 
 fn client_token(key: usize) -> Token {
@@ -204,21 +217,45 @@
         source: Source,
         wrap: impl FnOnce(Balancer) -> M,
     ) -> io::Result<Node<N, M>> {
-        let listener = net.listen(config.listen, LISTENER)?;
-        let mut doors = vec![Door { listener, protocol: Protocol::Resp, more: true }];
+        let shared = config.accept_fd.is_some();
+        let listener = match config.accept_fd {
+            Some(fd) => net
+                .inherit(fd, LISTENER)
+                .map_err(|e| io::Error::new(e.kind(), format!("inherited descriptor {fd}: {e}")))?,
+            None => net.listen(config.listen, LISTENER)?,
+        };
+        let door = |listener, token, protocol, inherited| Door {
+            listener,
+            token,
+            inherited,
+            protocol,
+            more: true,
+        };
+        let mut doors = vec![door(listener, LISTENER, Protocol::Resp, shared)];
         if let Some(at) = config.memcached.as_ref().and_then(|file| file.listen) {
             let listener = net
                 .listen(at, MEMCACHED)
                 .map_err(|e| io::Error::new(e.kind(), format!("memcached {at}: {e}")))?;
-            doors.push(Door { listener, protocol: Protocol::Memcached, more: true });
+            doors.push(door(listener, MEMCACHED, Protocol::Memcached, false));
         }
+        let ops = match config.ops {
+            Some(at) => {
+                let listener =
+                    net.listen(at, OPS).map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
+                Some(Ops::new(listener, |key| CALLER + key))
+            }
+            None => None,
+        };
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
-        let (ask, connect_most) = (set.ask, set.connect_timeout);
+        let (ask, connect_most, classes) = (set.ask, set.connect_timeout, set.classes.len());
         let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
-        let connections = config.sockets - SOCKETS_KEPT;
+        let kept = SOCKETS_KEPT + if ops.is_some() { SOCKETS_OPS } else { 0 };
+        let connections = config.sockets - kept;
+        let processes = if shared { PROCESSES } else { 1 };
         let upstream = connections * UPSTREAM_PART / 100;
+        let memory = config.memory / processes;
         // No two starts of any two nodes may give one id.
         let run = config.seed ^ net.began_unix() as u64;
         let memcached = config.memcached.map(|file| Memcached::new(file, run));
@@ -226,11 +263,13 @@
             net,
             source,
             doors,
+            ops,
+            figures: Figures::new(classes),
             memcached,
             ready: Vec::new(),
             module,
             names: config.names,
-            max_open: max_open.min(config.memory / REQUESTS_PART / REQUEST_MEMORY),
+            max_open: max_open.min(memory / REQUESTS_PART / REQUEST_MEMORY),
             longest,
             probe_load: config.probe_load,
             queue: VecDeque::new(),
@@ -241,16 +280,15 @@
             clients: Slab::new(),
             clients_most: connections - upstream,
             dirty: Vec::new(),
-            budget: Budget::new(config.memory / VALUES_PART),
-            upstreams: Upstreams::new(upstream, config.server_idle, connect_most),
+            budget: Budget::new(memory / VALUES_PART),
+            upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most),
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
             addresses: Addresses::default(),
             timers: Timers::default(),
             log: Log::default(),
             scratch: vec![0; READ_MOST],
-            phase: Phase::Running,
-            exit_by: Micros::MAX,
+            life: Lifecycle::new(shared, !config.known.targets.is_empty()),
         };
         node.list(config.known, Some(ListKind::Cached));
         node.timers.set(SWEEP, Due::Sweep);
@@ -296,6 +334,7 @@
             self.ready(event);
         }
         self.ready = ready;
+        self.accept_callers();
         self.accept();
         self.work();
         let now = self.now();
@@ -309,9 +348,10 @@
         let now = self.now();
         match event.token {
             LISTENER | MEMCACHED => {
-                let at = usize::from(event.token == MEMCACHED);
-                self.doors.get_mut(at).into_iter().for_each(|door| door.more = true);
+                let door = self.doors.iter_mut().find(|door| door.token == event.token);
+                door.into_iter().for_each(|door| door.more = true);
             }
+            OPS..FIRST => self.called(event, now),
             SIGNALS => self.signalled(now),
             DISCOVERY => {
                 let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
@@ -392,7 +432,11 @@
         self.upstreams.sweep(now);
         self.signals();
         let look: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
+        if let Some(ops) = &mut self.ops {
+            ops.sweep(now);
+        }
         for key in look {
+            self.let_go(key, now);
             if self.clients[key].stalled(now) {
                 self.drop_client(key);
             } else if self.clients[key].unfinished(now) {
@@ -408,9 +452,7 @@
         if told.reload {
             self.reload();
         }
-        if told.stop && self.phase == Phase::Running {
-            self.phase = Phase::Stopping(now);
-            self.exit_by = now + self.longest + STOP_SLACK;
+        if told.stop && self.life.stop(now, self.longest) {
             self.log.line(&mut self.net, "told to stop");
         }
     }
@@ -436,27 +478,19 @@
     /// sending them; then the accept queue is emptied, idle connections end and what is held is answered.
     fn stopped(&mut self) -> bool {
         let now = self.now();
-        if let Phase::Stopping(since) = self.phase {
-            if now - since < ACCEPT_AFTER_STOP {
-                return false;
-            }
+        self.doors.retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
+        if self.doors.iter().any(|door| self.life.accepts(now, door.inherited) == Accept::Last) {
             self.doors.iter_mut().for_each(|door| door.more = true);
             self.accept();
             if self.doors.iter().any(|door| door.more) {
                 return false;
             }
             self.doors.clear();
-            self.phase = Phase::Draining;
-            let all: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
-            for key in all {
-                self.clients[key].readable(false);
-                self.read(key);
-                self.mark(key);
-            }
-            self.work();
-            self.flush_clients();
         }
-        self.phase == Phase::Draining && (self.clients.is_empty() || now >= self.exit_by)
+        if self.doors.is_empty() {
+            self.life.closed();
+        }
+        self.life.over(now, !self.clients.is_empty())
     }
 
     // ---- clients ----
@@ -565,6 +599,7 @@
         let write = name.eq_ignore_ascii_case(b"C.SET");
         if name.eq_ignore_ascii_case(b"PING") {
             return Err(match words.get(1) {
+                None if !self.life.says_yes() => err("-ERR leaving\r\n"),
                 None => err("+PONG\r\n"),
                 Some(text) => {
                     let mut out = Vec::new();
@@ -589,6 +624,7 @@
         }
         // Shed before anything is known of it: nothing has run, so trying again is harmless.
         if command.dropped || self.open.len() >= self.max_open {
+            self.figures.count(request.class, &Final::Busy(0));
             return Err(err("-BUSY\r\n"));
         }
         let taken = Taken {
@@ -612,6 +648,7 @@
         place.insert(Open {
             id: request.id.clone(),
             serial: self.serial,
+            class: request.class,
             client,
             client_serial: c.serial,
             slot,
@@ -708,10 +745,10 @@
             }
             self.pump(key);
             self.read(key);
-            let Some(client) = self.clients.get_mut(key) else { continue };
-            if self.phase == Phase::Draining && client.idle() {
-                client.close_after_answers();
+            if self.life.leaving() {
+                self.let_go(key, now);
             }
+            let Some(client) = self.clients.get_mut(key) else { continue };
             if client.finish(now) {
                 self.drop_client(key);
             }
@@ -767,6 +804,9 @@
 
     fn list(&mut self, mut answer: Answer, kind: Option<ListKind>) {
         let now = self.now();
+        if kind.is_none() {
+            self.life.told();
+        }
         self.addresses.settle(&mut answer);
         let kind = kind.unwrap_or(if answer.all { ListKind::Full } else { ListKind::Delta });
         if kind != ListKind::Delta {
@@ -897,6 +937,7 @@
 
     fn answer(&mut self, key: usize, end: Final) {
         let open = &self.open[key];
+        self.figures.count(open.class, &end);
         let chunks = open.asked.answer(&open.key, end);
         self.ready_answer(key, chunks);
     }
@@ -1061,11 +1102,13 @@
         };
         let begun = !matches!(c.slot(number), Some(Slot::Stream { head: Some(_), .. }));
         if whole {
+            self.figures.count(self.open[key].class, &Final::NoValue);
             let tail = self.open[key].asked.tail();
             self.ready_answer(key, tail);
         } else if !begun {
             self.answer(key, Final::Failed);
         } else {
+            self.figures.count(self.open[key].class, &Final::Failed);
             self.ready_answer(key, Vec::new());
             self.drop_client(client);
         }
--- /dev/null
+++ b/crates/node/src/node/operating.rs
@@ -0,0 +1,72 @@
+//! What operators ask of the node: calls, figures, and letting clients go when it leaves.
+
+use sloewick_decision::interface::Micros;
+
+use super::{Module, Node, CALLER, OPS};
+use crate::figures::Held;
+use crate::net::{Net, Ready};
+use crate::ops::{Answer, Call};
+
+impl<N: Net, M: Module> Node<N, M> {
+    pub(super) fn accept_callers(&mut self) {
+        let now = self.now();
+        if let Some(ops) = &mut self.ops {
+            ops.accept(&mut self.net, now);
+        }
+    }
+
+    /// Something happened on the operators' listener or on one of their connections.
+    pub(super) fn called(&mut self, event: &Ready, now: Micros) {
+        let Some(mut ops) = self.ops.take() else { return };
+        match event.token {
+            OPS => ops.waiting(),
+            token => {
+                let mut scratch = std::mem::take(&mut self.scratch);
+                ops.ready(token - CALLER, event, now, &mut scratch, |call| self.answer_call(call, now));
+                self.scratch = scratch;
+            }
+        }
+        self.ops = Some(ops);
+    }
+
+    fn answer_call(&mut self, call: Call, now: Micros) -> Answer {
+        let yes = |text: &str| (200, text.to_string());
+        match call {
+            Call::Ready if self.life.ready(now) => yes("ready\n"),
+            Call::Ready => (503, "not ready\n".to_string()),
+            Call::Telemetry => {
+                let held = self.held(now);
+                (200, self.figures.text(|class| self.names.class_name(class), held))
+            }
+            Call::Evacuate if self.life.evacuate(now) => {
+                self.log.line(&mut self.net, "told to send clients away");
+                yes("evacuating\n")
+            }
+            Call::Rejoin if self.life.rejoin() => {
+                self.log.line(&mut self.net, "told to take clients");
+                yes("serving\n")
+            }
+            Call::Evacuate | Call::Rejoin => (409, "this process is stopping\n".to_string()),
+        }
+    }
+
+    fn held(&self, now: Micros) -> Held {
+        let avoided = self.upstreams.servers().filter(|server| self.module.avoids(now, server));
+        Held {
+            sends: self.upstreams.sends,
+            current: self.clients.iter().map(|(_, client)| client.owed()).sum(),
+            cluster_size: self.upstreams.servers().count(),
+            cluster_unhealthy: avoided.count(),
+        }
+    }
+
+    /// Ends a connection on which nothing is owed, when the node is leaving and it is time for this one.
+    pub(super) fn let_go(&mut self, key: usize, now: Micros) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let (came, asked) = client.times();
+        if self.life.lets_go(now, came, asked) && client.quiet() {
+            client.close_after_answers();
+            self.mark(key);
+        }
+    }
+}
--- a/crates/node/src/os.rs
+++ b/crates/node/src/os.rs
@@ -111,6 +111,20 @@
         Ok(listener)
     }
 
+    fn inherit(&mut self, fd: i32, token: Token) -> io::Result<TcpListener> {
+        // SAFETY: the number is only duplicated, and the descriptor is not closed meanwhile: whoever started
+        // this process opened it, and nothing here owns it. One that is not open gives EBADF.
+        let held = unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) }.try_clone_to_owned()?;
+        let socket = socket2::Socket::from(held);
+        if !rustix::net::sockopt::socket_acceptconn(&socket)? {
+            return Err(io::Error::new(ErrorKind::InvalidInput, "is no listening socket"));
+        }
+        socket.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        Ok(listener)
+    }
+
     fn accept(&mut self, listener: &mut TcpListener, token: Token) -> io::Result<TcpStream> {
         let (mut stream, _) = listener.accept()?;
         let _ = stream.set_nodelay(true);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -142,6 +142,8 @@
     idle_since: Micros,
     /// Since when a long value has been waited for.
     starved: Option<Micros>,
+    /// The job is an attempt that was not counted as written whole yet.
+    uncounted: bool,
 }
 
 impl<S> Conn<S> {
@@ -170,6 +172,8 @@
     idle_most: Micros,
     connect_most: Micros,
     pub signals: VecDeque<Signal>,
+    /// Attempts written whole.
+    pub sends: u64,
 }
 
 /// What a call needs of the node around.
@@ -191,6 +195,7 @@
             idle_most: server_idle * IDLE_PART / 100,
             connect_most,
             signals: VecDeque::new(),
+            sends: 0,
         }
     }
 
@@ -299,6 +304,7 @@
             closed: false,
             idle_since: around.now,
             starved: None,
+            uncounted: false,
         });
         if let Some(pool) = self.pools.get_mut(server) {
             // Guards against a count that close() takes below zero: past it, a server counts as full for good.
@@ -323,7 +329,18 @@
         if let Job::Probe { .. } = job {
             around.timers.set(around.now + PROBE_MOST, Due::Upstream { conn, serial: c.serial });
         }
-        c.connecting || c.out.flush(&mut c.stream).is_ok()
+        c.uncounted = matches!(job, Job::Attempt { .. });
+        let good = c.connecting || c.out.flush(&mut c.stream).is_ok();
+        self.count(conn);
+        good
+    }
+
+    fn count(&mut self, conn: usize) {
+        let c = &mut self.conns[conn];
+        if c.uncounted && c.job.is_some() && c.sent() {
+            c.uncounted = false;
+            self.sends += 1;
+        }
     }
 
     /// The node no longer waits for the job of a connection. Tells whether it may have run.
@@ -399,6 +416,8 @@
             }
         }
         let _ = c.out.flush(&mut c.stream);
+        self.count(conn);
+        let c = &mut self.conns[conn];
         if event.readable || event.read_closed || event.error {
             c.unread = true;
             c.closed |= event.read_closed || event.error;
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -88,6 +88,10 @@
     ) {
         self.0.handle(now, event, actions);
     }
+
+    fn avoids(&self, now: Micros, server: &sloewick_decision::interface::ServerId) -> bool {
+        self.0.avoids(now, server)
+    }
 }
 
 struct Boxy {
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -66,6 +66,7 @@
             Bad::new("--memcached", format!("{name}: {}", all.join("; ")))
         })?;
     }
+    config::surroundings(&mut config, |name| std::env::var(name).ok())?;
     let listen = config.listen;
     let os = Os::with_signals().map_err(|e| Bad::new("signals", e.to_string()))?;
     let node = Node::new(config, os, Box::new(move || config::read(&path)));
--- /dev/null
+++ b/crates/sloewick/tests/operating.rs
@@ -0,0 +1,240 @@
+//! Operating the built node over loopback: calls, figures, draining, and a second process beside the first.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use support::*;
+
+/// A node with an address for operators, and that address.
+fn node(server: &TcpListener) -> (Node, SocketAddr) {
+    let ops = close(listener());
+    let edit = |config: &mut serde_json::Value| config["ops"] = json!(ops.to_string());
+    (Node::start(settings(), &[target("s-1", server)], edit), ops)
+}
+
+/// The program with the clients' socket as descriptor 3, as the platform starts it at upgrades.
+fn heir(socket: &TcpListener) -> Command {
+    let mut shell = Command::new("/bin/sh");
+    let program = env!("CARGO_BIN_EXE_sloewick");
+    shell.args(["-c", &format!("exec 3<&0 </dev/null; exec {program} run")]);
+    shell.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().unwrap())));
+    shell.env("BALANCER_ACCEPT_FD", "3");
+    shell
+}
+
+/// A call's status and text.
+fn call(ops: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let begun = Instant::now();
+    let mut stream = loop {
+        match TcpStream::connect(ops) {
+            Ok(stream) => break stream,
+            Err(_) => std::thread::sleep(Duration::from_millis(2)),
+        }
+        assert!(begun.elapsed() < PATIENCE, "nobody takes calls");
+    };
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_string())
+}
+
+fn ready(ops: SocketAddr) -> bool {
+    call(ops, "GET", "/api/ready").0 == 200
+}
+
+fn figure(ops: SocketAddr, name: &str) -> u64 {
+    let text = call(ops, "GET", "/api/telemetry").1;
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name}=")));
+    line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn calls_are_answered_and_what_is_none_is_told() {
+    let server = listener();
+    let (_node, ops) = node(&server);
+    assert!(ready(ops));
+    assert_eq!(call(ops, "GET", "/api/evacuate").0, 405);
+    assert_eq!(call(ops, "GET", "/api/nothing").0, 404);
+    assert_eq!(
+        call(ops, "GET", "/").1,
+        "no such call; there are /api/ready, /api/telemetry, /api/evacuate, /api/rejoin\n"
+    );
+    let mut odd = TcpStream::connect(ops).unwrap();
+    odd.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    let mut text = String::new();
+    odd.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
+    let mut long = TcpStream::connect(ops).unwrap();
+    let _ = long.write_all(format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(20_000)).as_bytes());
+    let mut text = String::new();
+    let _ = long.read_to_string(&mut text);
+    assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
+}
+
+#[test]
+fn callers_that_do_not_finish_keep_nobody_waiting_and_are_ended() {
+    let server = listener();
+    let (_node, ops) = node(&server);
+    let mut rude: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(ops).unwrap()).collect();
+    for stream in &mut rude {
+        let _ = stream.write_all(b"GET /api/rea");
+    }
+    assert!(ready(ops));
+    for mut stream in rude {
+        // Ended by the node, whether to make room or because its time is over.
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.is_empty());
+    }
+}
+
+#[test]
+fn figures_count_each_answer_and_attempt_once() {
+    let server = listener();
+    let (node, ops) = node(&server);
+    let text = call(ops, "GET", "/api/telemetry").1;
+    let zeros = "answered.read=0\ndeferred.read=0\nerrored.read=0\nanswered.once=0\ndeferred.once=0\n\
+                 errored.once=0\nsends=0\ncurrent=0\ncluster_size=1\ncluster_unhealthy=0\n";
+    assert_eq!(text, zeros);
+    let mut client = node.client();
+    let mut conn = exchange(&mut client, &server, "r1");
+    client.get("r2");
+    assert_eq!(conn.command()[2], "r2");
+    until("the request counts as held", || figure(ops, "current") == 1);
+    conn.send("-ERR failed\r\n");
+    assert_eq!(client.line(), "-ERR failed");
+    client.get("r3");
+    assert_eq!(conn.command()[2], "r3");
+    conn.send("-BUSY\r\n");
+    assert_eq!(client.line(), "-BUSY");
+    let name = |name: &str| figure(ops, name);
+    assert_eq!((name("answered.once"), name("errored.once"), name("deferred.once")), (1, 1, 1));
+    assert_eq!((name("sends"), name("current"), name("answered.read")), (3, 0, 0));
+    // A server that takes no connections is avoided.
+    let conn_of = close(server);
+    client.get("r4");
+    drop(conn);
+    client.line();
+    client.get("r5");
+    client.line();
+    until(&format!("{conn_of} is avoided"), || figure(ops, "cluster_unhealthy") == 1);
+    assert_eq!(figure(ops, "cluster_size"), 1);
+}
+
+#[test]
+fn an_evacuated_node_says_no_lets_its_clients_go_and_comes_back() {
+    let server = listener();
+    let (node, ops) = node(&server);
+    let mut used = node.client();
+    let mut conn = exchange(&mut used, &server, "r1");
+    let mut held = node.client();
+    held.get("r2");
+    assert_eq!(conn.command()[2], "r2");
+    let mut slow = conn;
+    let mut idle = node.client();
+    let begun = Instant::now();
+    assert_eq!(call(ops, "POST", "/api/evacuate").0, 200);
+    assert!(!ready(ops));
+    // A front that asks hears no, and new connections are served still.
+    let mut front = node.client();
+    front.send(command(&[b"PING"]));
+    assert_eq!(front.line(), "-ERR leaving");
+    assert_eq!(front.end(), "", "the connection ends behind the answer");
+    exchange(&mut used, &server, "r3");
+    assert_eq!(used.end(), "");
+    let lasted = begun.elapsed();
+    assert!(lasted < Duration::from_millis(1500), "behind the answer, not by time: {lasted:?}");
+    assert_eq!(idle.end(), "");
+    assert!(begun.elapsed() > Duration::from_millis(1500), "its client had time to write");
+    // What is owed is still answered.
+    slow.send(served(b"two"));
+    assert_eq!(held.bulk(), b"two");
+    assert_eq!(held.end(), "");
+    assert_eq!(call(ops, "POST", "/api/rejoin").0, 200);
+    assert!(ready(ops));
+    let mut back = node.client();
+    back.send(command(&[b"PING"]));
+    assert_eq!(back.line(), "+PONG");
+    back.get("r4");
+    assert_eq!(slow.command()[2], "r4");
+    slow.send(served(b"four"));
+    assert_eq!(back.bulk(), b"four");
+}
+
+#[test]
+fn a_second_process_takes_over_the_inherited_socket_and_loses_nothing() {
+    let server = listener();
+    let socket = listener();
+    let address = socket.local_addr().unwrap();
+    let mut nodes = Vec::new();
+    let mut all_ops = Vec::new();
+    for _ in 0..2 {
+        let ops = close(listener());
+        let mut set = settings();
+        set["classes"][0]["deadline"] = json!(2000.0);
+        set["classes"][1]["deadline"] = json!(2000.0);
+        let edit = |config: &mut serde_json::Value| {
+            config["listen"] = json!(address.to_string());
+            config["ops"] = json!(ops.to_string());
+        };
+        let node = Node::start_by(heir(&socket), set, &[target("s-1", &server)], edit);
+        // Its list from discovery makes it ready; the one it was started with alone does not, yet.
+        assert!(!ready(ops));
+        node.call().1.answer_http(&list(42, true, &[target("s-1", &server)]));
+        until("the process is ready", || ready(ops));
+        nodes.push(node);
+        all_ops.push(ops);
+        if nodes.len() == 1 {
+            // The first one is alone so far: this client is its own.
+            let mut client = Peer::new(TcpStream::connect(address).unwrap());
+            let conn = exchange(&mut client, &server, "r1");
+            drop((client, conn));
+        }
+    }
+    let mut old = nodes.remove(0);
+    let mut kept: Vec<Peer> = (0..8).map(|_| Peer::new(TcpStream::connect(address).unwrap())).collect();
+    until("all are accepted", || figure(all_ops[0], "answered.once") == 1);
+    old.signal("TERM");
+    until("the old one says no", || TcpStream::connect(all_ops[0]).is_err() || !ready(all_ops[0]));
+    // Old connections are served, whichever process has them, and so are new ones, by the new process.
+    for (i, client) in kept.iter_mut().enumerate() {
+        exchange(client, &server, &format!("kept-{i}"));
+    }
+    assert!(old.wait().success(), "it ends once its clients have been let go");
+    for i in 0..8 {
+        let mut client = Peer::new(TcpStream::connect(address).unwrap());
+        exchange(&mut client, &server, &format!("new-{i}"));
+    }
+    assert!(figure(all_ops[1], "answered.once") >= 8);
+    assert!(ready(all_ops[1]));
+}
+
+#[test]
+fn a_descriptor_or_an_address_that_can_not_be_used_is_told() {
+    let run = |name: &str, value: &str| {
+        let node = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/node.json");
+        let out = program().env("BALANCER_CONFIG", node).env(name, value).output().unwrap();
+        assert_eq!(out.status.code(), Some(2), "{name}={value}");
+        String::from_utf8(out.stderr).unwrap()
+    };
+    assert!(run("BALANCER_ACCEPT_FD", "three").contains("\"three\" is no descriptor above 2"));
+    assert!(run("BALANCER_ACCEPT_FD", "1").contains("is no descriptor above 2"));
+    assert!(run("BALANCER_ACCEPT_FD", "987").contains("inherited descriptor 987: Bad file descriptor"));
+    assert!(run("BALANCER_OPS", "here").contains("\"here\" is no address and port"));
+}
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -102,7 +102,9 @@
             "known": list(41, true, known), "settings": settings,
         });
         edit(&mut config);
-        let name = address.to_string().replace([':', '.'], "-");
+        let address: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+        let name = format!("{}-{}", config["discovery"].as_str().unwrap(), address);
+        let name = name.replace([':', '.'], "-");
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
         std::fs::write(&file, config.to_string()).unwrap();
         let child = command.env("BALANCER_CONFIG", &file).spawn().unwrap();
@@ -213,7 +215,7 @@
 }
 
 impl Peer {
-    fn new(stream: TcpStream) -> Peer {
+    pub fn new(stream: TcpStream) -> Peer {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_write_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -1,5 +1,5 @@
-//! The part of HTTP/1.1 (RFC 9112) that a call to discovery needs: one answer on a connection, its body by
-//! length, by chunks or by the end of the connection.
+//! The parts of HTTP/1.1 (RFC 9112) that the node needs: for a call to discovery one answer on a connection, its
+//! body by length, by chunks or by the end of the connection; for operators one call on a connection.
 
 /// Longest body: over ten thousand servers.
 pub const BODY_MOST: usize = 4 << 20;
@@ -70,6 +70,60 @@
     }
 }
 
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    pub method: String,
+    pub path: String,
+}
+
+/// Why bytes are no request that can be served.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refused {
+    Unreadable,
+    TooLong,
+}
+
+/// The head of a request; none while it is still coming. `ended`: no more bytes will come. A body is left
+/// where it is.
+///
+/// # Errors
+/// The bytes are no head of HTTP/1.0 or 1.1, cannot become one, or are longer than [`HEAD_MOST`].
+pub fn request(buf: &[u8], ended: bool) -> Result<Option<Head>, Refused> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    match head.parse(buf) {
+        Ok(httparse::Status::Complete(len)) if len > HEAD_MOST => Err(Refused::TooLong),
+        Ok(httparse::Status::Complete(_)) => {
+            let text = |t: Option<&str>| t.unwrap_or_default().to_string();
+            Ok(Some(Head { method: text(head.method), path: text(head.path) }))
+        }
+        Ok(httparse::Status::Partial) if buf.len() > HEAD_MOST => Err(Refused::TooLong),
+        Ok(httparse::Status::Partial) if !ended => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Refused::TooLong),
+        _ => Err(Refused::Unreadable),
+    }
+}
+
+/// A whole answer with a text, after which the connection ends.
+pub fn answer(status: u16, text: &str) -> String {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Other",
+    };
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n{text}",
+        text.len()
+    )
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -92,4 +146,22 @@
         assert!(body(failed, false).is_err());
         assert!(body(b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", false).is_err());
     }
+    #[test]
+    fn a_call_is_read_whole_from_any_split_and_told_from_what_is_none() {
+        let call = b"POST /api/evacuate HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+        let head = Head { method: "POST".to_string(), path: "/api/evacuate".to_string() };
+        assert_eq!(request(call, false), Ok(Some(head)));
+        for cut in 0..call.len() - 2 {
+            assert_eq!(request(&call[..cut], false), Ok(None), "{cut}");
+            assert_eq!(request(&call[..cut], true), Err(Refused::Unreadable), "{cut}");
+        }
+        assert_eq!(request(b"*1\r\n$4\r\nPING\r\n", false), Err(Refused::Unreadable));
+        let long = format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(HEAD_MOST));
+        assert_eq!(request(long.as_bytes(), false), Err(Refused::TooLong));
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(HEADERS + 1));
+        assert_eq!(request(many.as_bytes(), false), Err(Refused::TooLong));
+        let said = answer(503, "no\n");
+        assert!(said.starts_with("HTTP/1.1 503 Service Unavailable\r\n"), "{said}");
+        assert!(said.ends_with("Content-Length: 3\r\nConnection: close\r\n\r\nno\n"), "{said}");
+    }
 }
