Weigh second attempts by what comes of them; a few failing servers are no jam

Counts of why: the retry budget was empty (it falls with lateness, which a few bad servers bring about), and failures of known keys at those two were taken for a jam behind the origin, which shuts out doubtful keys everywhere.

Now the budget follows the share of second attempts that are answered; an error that came within half the patience costs as little as it took and tells nothing of the origin; and failures of known keys count at the server in the middle.

--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -26,9 +26,17 @@
 const SPILL: usize = 2;
 /// A cold server is given this part of what its warm-up promises; the rest is slack for chance and misses.
 const COLD_CAUTION: f64 = 0.7;
-/// Retry budget: tokens for each request, and most saved up.
-const RETRY_RATE: f64 = 0.15;
+/// Retry budget: tokens for each request, and most saved up; share of second attempts answered in time at
+/// which it is whole, and at which it is least; that least part.
+const RETRY_RATE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
+const AGAIN_GOOD: f64 = 0.9;
+const AGAIN_BAD: f64 = 0.5;
+const WORTH_LEAST: f64 = 0.1;
+/// Part of the patience within which an error is the server's own: nothing has waited for the origin.
+const QUICK_PART: f64 = 0.5;
+/// Least cost of a second attempt.
+const COST_LEAST: f64 = 0.1;
 /// First pause of a sick server in connection time-outs, and the longest as a part of the warm-up time.
 const SICK_PAUSE: i64 = 10;
 /// Finished requests over which lateness is averaged; lateness at which a node counts as overloaded.
@@ -54,6 +62,8 @@
 const PASS_SOUND: f64 = 0.9;
 /// Failures among keys served lately above which failed fetches are taken for a jam.
 const KNOWN_LATE: f64 = 0.1;
+/// Attempts over which a server's failures are averaged.
+const FAIL_SPAN: f64 = 16.0;
 /// Keys remembered as served lately.
 const SERVED_KEPT: usize = 8192;
 /// A zone has a line of its own when crossing for every request not at home costs more than this.
@@ -105,12 +115,24 @@
     trial_until: Micros,
     /// Part of its range that it answers in time: falls with attempts that outlast their patience.
     pass: f64,
+    /// Share of its attempts for keys served lately that failed or were given up.
+    failing: f64,
 }
 
 impl Server {
     fn new(entry: Entry) -> Server {
         let order = hash(&entry.server);
-        Server { entry, order, edge: 1.0, streak: 0.0, sick_until: 0, pause: 0, trial_until: 0, pass: 1.0 }
+        Server {
+            entry,
+            order,
+            edge: 1.0,
+            streak: 0.0,
+            sick_until: 0,
+            pause: 0,
+            trial_until: 0,
+            pass: 1.0,
+            failing: 0.0,
+        }
     }
 
     fn sick(&self) -> bool {
@@ -442,6 +464,8 @@
     /// For each tenant: tokens of its quota at this node, and when last filled.
     quota: Vec<(f64, Micros)>,
     late: f64,
+    /// Share of second attempts that were answered in time.
+    again: f64,
     /// Share of attempts at servers that were not answered within their patience.
     slow: f64,
     /// Share of attempts at servers whose connection broke.
@@ -451,8 +475,6 @@
     admit: f64,
     admitted: Micros,
     served: HashMap<u64, Micros>,
-    /// Share of attempts for keys served lately that failed.
-    known_late: f64,
     /// Failed list calls in a row; whether an ask is planned.
     list_failures: u32,
     list_planned: bool,
@@ -482,12 +504,12 @@
             retry_tokens: RETRY_SAVED / 2.0,
             quota: vec![(2.0, now); settings.tenants.len()],
             late: 0.0,
+            again: 1.0,
             slow: SLOW_LEAST,
             broken: 0.0,
             admit: 1.0,
             admitted: now,
             served: HashMap::new(),
-            known_late: 0.0,
             list_failures: 0,
             list_planned: false,
             logged: 0,
@@ -688,8 +710,10 @@
         let end = now + useful - margin;
         self.line.arrive(at, key);
         self.maybe_update(now);
-        // When much is late anyway, second attempts only add to the load that makes it so.
-        let refill = RETRY_RATE * (1.0 - 4.0 * self.late).max(0.0);
+        // Where second attempts are not answered either, they only add to the load that makes it so. A few go
+        // all the same, or nobody would learn that they are answered again.
+        let worth = ((self.again - AGAIN_BAD) / (AGAIN_GOOD - AGAIN_BAD)).clamp(WORTH_LEAST, 1.0);
+        let refill = RETRY_RATE * worth * (1.0 - 2.0 * self.late).max(0.0);
         self.retry_tokens = (self.retry_tokens + refill).min(RETRY_SAVED);
         let over = self.over_share(now, request.tenant);
         // Where servers tell a miss, only what goes to the origin is in doubt.
@@ -745,13 +769,31 @@
     fn doubtful_ended(&mut self, answered: bool) {
         self.admit = if answered {
             (self.admit + ADMIT_RISE).min(1.0)
-        } else if self.known_late > KNOWN_LATE || self.set.mode == Mode::Aside {
+        } else if self.known_late() > KNOWN_LATE || self.set.mode == Mode::Aside {
             (self.admit * (1.0 - ADMIT_FALL)).max(ADMIT_LEAST)
         } else {
             self.admit
         };
     }
 
+    /// Share of attempts for keys served lately that fail at the server in the middle. A jam behind the
+    /// origin holds all servers; a few that are slow or broken are no jam.
+    fn known_late(&self) -> f64 {
+        let mut all: Vec<f64> = self.line.servers.iter().map(|s| s.failing).collect();
+        let middle = all.len() / 2;
+        if all.is_empty() {
+            return 0.0;
+        }
+        *all.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
+    fn note_known(&mut self, server: &ServerId, failed: bool) {
+        if let Some(i) = self.line.index.get(server) {
+            let failing = &mut self.line.servers[*i].failing;
+            *failing += (f64::from(u8::from(failed)) - *failing) / FAIL_SPAN;
+        }
+    }
+
     /// Takes a token of the tenant's quota at this node; true when there is none.
     fn over_share(&mut self, now: Micros, tenant: Option<usize>) -> bool {
         let Some(t) = tenant.filter(|t| *t < self.quota.len()) else { return false };
@@ -963,10 +1005,14 @@
         }
         let Some(serial) = serial else { return };
         let failed = matches!(status, Status::Error | Status::Timeout);
+        let patience =
+            self.held.get(&serial).and_then(|h| h.attempts.get(attempt)).map_or(0, |a| a.patience);
+        let took = (latency as f64 / patience.max(1) as f64).clamp(COST_LEAST, 1.0);
+        let quick = status == Status::Error && took < QUICK_PART;
         let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
         if let Some(key) = known.filter(|_| status == Status::Ok || failed) {
-            self.known_late += (f64::from(u8::from(failed)) - self.known_late) / LATE_SPAN;
-            if failed {
+            self.note_known(server, failed && !quick);
+            if failed && !quick {
                 self.served.remove(&key);
             }
         }
@@ -975,7 +1021,9 @@
         {
             // A late fetch counts as a failed one: the origin's queue shows before it fails.
             let late = now - held.arrived > self.set.classes[held.request.class].aim;
-            self.doubtful_ended(!failed && !late);
+            if !quick {
+                self.doubtful_ended(!failed && !late);
+            }
         }
         let Some(held) = self.held.get_mut(&serial) else { return };
         if let Some(a) = held.attempts.get_mut(attempt) {
@@ -1004,6 +1052,10 @@
                 self.pace.learn(held.request.class, latency, held.request.work, entry, hit);
             }
         }
+        if attempt > 0 && (status == Status::Ok || failed || status == Status::Full) {
+            let good = status == Status::Ok && now < held.end;
+            self.again += (f64::from(u8::from(good)) - self.again) / LATE_SPAN;
+        }
         if closed {
             let held = &self.held[&serial];
             let aim = self.set.classes[held.request.class].aim;
@@ -1028,6 +1080,9 @@
         } else if matches!(status, Status::Reset | Status::ConnectFailed) {
             // A connection that breaks tells nothing of the load, and leaves the server less to do.
             0.25
+        } else if status == Status::Error {
+            // The sooner it failed, the less it took.
+            took
         } else if status.never_ran() {
             0.5
         } else {
@@ -1111,10 +1166,15 @@
             actions.push(Action::Fail { request });
         }
         let (tried, unanswered, doubtful) = (!held.attempts.is_empty(), held.out() > 0, held.doubtful);
+        if held.attempts.iter().skip(1).any(Attempt::pending) {
+            self.again -= self.again / LATE_SPAN;
+        }
         if unanswered && doubtful {
             self.doubtful_ended(false);
         } else if unanswered {
-            self.known_late += (1.0 - self.known_late) / LATE_SPAN;
+            let pending = self.held[&serial].attempts.iter().filter(|a| a.pending());
+            let servers: Vec<ServerId> = pending.map(|a| a.server.clone()).collect();
+            servers.iter().for_each(|server| self.note_known(server, true));
         }
         if tried {
             self.note_end(true);
