--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1102,6 +1102,7 @@
         };
         let begun = !matches!(c.slot(number), Some(Slot::Stream { head: Some(_), .. }));
         if whole {
+            // Served; the value itself has been passed on.
             self.figures.count(self.open[key].class, &Final::NoValue);
             let tail = self.open[key].asked.tail();
             self.ready_answer(key, tail);
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -15,6 +15,8 @@
 /// Time for a call, and for reading its answer.
 const CALL_MOST: Micros = 3_000_000;
 const READING_MOST: Micros = 1_000_000;
+/// Reads from one caller for one event; each brings up to [`crate::net::READ_MOST`] bytes.
+const READS_MOST: usize = 8;
 
 /// What operators may ask for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -102,16 +104,17 @@
     ) {
         let Some(caller) = self.callers.get_mut(key) else { return };
         let mut ended = event.error;
-        loop {
+        // Guards against a caller that writes without end: what is beyond this is left in the kernel, where it
+        // holds up nobody, until the caller's time is over.
+        for _ in 0..READS_MOST {
             match fill(&mut caller.stream, &mut caller.buf, scratch) {
                 Read1::Ended => ended = true,
                 Read1::Empty => {}
-                _ if caller.buf.len() > http::HEAD_MOST || caller.answered.is_some() => {
-                    if caller.answered.is_some() {
-                        caller.buf.clear();
-                        continue;
-                    }
+                _ if caller.answered.is_some() => {
+                    caller.buf.clear();
+                    continue;
                 }
+                _ if caller.buf.len() > http::HEAD_MOST => {}
                 _ => continue,
             }
             break;
