--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,11 +1,12 @@
 //! sloewick decides for a proxy node which cache server gets each request, when to try again,
 //! when to hedge, when to refuse. It does no I/O: events go in, actions come out.
 //!
-//! [`interface`] holds the types, [`rules`] every decision, [`settings`] how both are told their
-//! settings.
+//! [`interface`] holds the types, [`rules`] every decision, [`outliers`] which servers fail by
+//! themselves, [`settings`] how all are told their settings.
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod outliers;
 pub mod rules;
 pub mod settings;
 
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::interface::*;
+use crate::outliers::{rendezvous, Outliers, TRIAL};
 
 /// Window mass for each squared server: the spread of a cut, sqrt(1/4WS), is then under 1/5 of a range.
 const WINDOW_PER_SQUARE: f64 = 8.0;
@@ -457,6 +458,8 @@
     far: Line,
     origins: Vec<Server>,
     pace: Pace,
+    /// Who fails by itself, and what it keeps of its keys.
+    outliers: Outliers,
     held: BTreeMap<u64, Held>,
     ids: HashMap<RequestId, u64>,
     serial: u64,
@@ -498,6 +501,7 @@
             far: Line::default(),
             origins: Vec::new(),
             pace,
+            outliers: Outliers::default(),
             held: BTreeMap::new(),
             ids: HashMap::new(),
             serial: 0,
@@ -575,6 +579,7 @@
                 }
             }
             self.origins.retain(|s| named.contains_key(&*s.entry.server));
+            self.outliers.retain(|id| named.contains_key(id));
         }
         let changed = entries.iter().filter(|e| self.place(e)).count();
         let changed = changed + self.part_zones();
@@ -616,6 +621,7 @@
                 let server = &mut line.servers[p];
                 if server.entry.started != entry.started {
                     (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
+                    self.outliers.restarted(&entry.server);
                 }
                 server.entry = entry.clone();
                 false
@@ -867,7 +873,8 @@
         if !self.up(now, i) {
             return 0.0;
         }
-        self.warmth(now, &server.entry) * if server.pass >= PASS_SOUND { 1.0 } else { server.pass }
+        let pass = if server.pass >= PASS_SOUND { 1.0 } else { server.pass };
+        self.warmth(now, &server.entry) * pass * self.outliers.kept(&server.entry.server)
     }
 
     /// How far from the middle of its home's range a point lies: 0 to 1.
@@ -910,6 +917,16 @@
             return self.far_choice(now, held).map(|i| (Place::Far, i));
         }
         let home = self.line.home(held.at);
+        let kept = self.outliers.kept(&self.line.servers[home].entry.server);
+        if kept < 1.0 {
+            let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
+            let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home].entry) >= 1.0;
+            let keeps = self.off_middle(held.at, home) < kept || drawn < TRIAL;
+            let stays = held.attempts.is_empty() && ready && keeps;
+            if let Some(i) = if stays { Some(home) } else { self.second_home(now, held) } {
+                return Some((Place::Line, i));
+            }
+        }
         if held.attempts.is_empty() {
             let width = held.key.map_or(1, |k| self.line.deal_width(k));
             if width > 1 {
@@ -964,6 +981,23 @@
         spare.or(again).map(|i| (Place::Line, i))
     }
 
+    /// Where the keys of a server that fails by itself go: to a sound one each, the same at every node.
+    fn second_home(&self, now: Micros, held: &Held) -> Option<usize> {
+        let fit = |i: &usize| {
+            let server = &self.line.servers[*i];
+            self.up(now, *i)
+                && self.warmth(now, &server.entry) >= 1.0
+                && self.outliers.kept(&server.entry.server) >= 1.0
+                && !held.attempts.iter().any(|a| a.server == server.entry.server)
+                && held.may_send(&self.set, &server.entry, now)
+        };
+        let worth = |i: &usize| {
+            let mixed = mix(held.at.to_bits() ^ self.line.servers[*i].order);
+            rendezvous(mixed, self.weights.get(*i).map_or(1.0, |w| w * self.line.servers[*i].pass))
+        };
+        (0..self.line.servers.len()).filter(fit).max_by(|a, b| worth(a).total_cmp(&worth(b)))
+    }
+
     /// A warm server of another zone, by the key's point.
     fn far_choice(&self, now: Micros, held: &Held) -> Option<usize> {
         let n = self.far.servers.len();
@@ -1009,6 +1043,9 @@
             self.held.get(&serial).and_then(|h| h.attempts.get(attempt)).map_or(0, |a| a.patience);
         let took = (latency as f64 / patience.max(1) as f64).clamp(COST_LEAST, 1.0);
         let quick = status == Status::Error && took < QUICK_PART;
+        if quick || matches!(status, Status::Ok | Status::Miss) {
+            self.outliers.note(now, server, quick, self.line.servers.len());
+        }
         let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
         if let Some(key) = known.filter(|_| status == Status::Ok || failed) {
             self.note_known(server, failed && !quick);
--- /dev/null
+++ b/crates/decision/tests/support/mod.rs
@@ -0,0 +1,242 @@
+//! A node's decisions before a fleet of servers that do as they are told, on virtual time.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use sloewick_decision::interface::*;
+use sloewick_decision::Balancer;
+
+/// Time between two requests.
+const EVERY: Micros = 4_000;
+/// Keys asked for, evenly.
+const KEYS: u64 = 400;
+
+enum Due {
+    Timer(u64),
+    Outcome(RequestId, usize, ServerId, Status, Micros),
+}
+
+pub struct Fleet {
+    balancer: Balancer,
+    now: Micros,
+    due: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+    asked: u64,
+    /// Attempts so far and key of each open request.
+    open: HashMap<RequestId, (usize, u64)>,
+    first: Vec<u32>,
+    second: Vec<u32>,
+    /// Keys whose first attempt went to each server.
+    pub first_keys: Vec<HashSet<u64>>,
+    /// Who answered a key last.
+    pub served_by: HashMap<u64, usize>,
+    served: u64,
+    ended: u64,
+}
+
+impl Fleet {
+    pub fn new(servers: usize, seed: u64) -> Fleet {
+        let mut balancer = Balancer::new(settings(), seed, 0).unwrap();
+        let entries: Vec<Entry> = (0..servers).map(|i| entry(i, None)).collect();
+        balancer.handle(0, Event::Servers(ListKind::Full, entries.into()), &mut Vec::new());
+        Fleet {
+            balancer,
+            now: 0,
+            due: BTreeMap::new(),
+            serial: 0,
+            asked: seed << 32,
+            open: HashMap::new(),
+            first: vec![0; servers],
+            second: vec![0; servers],
+            first_keys: vec![HashSet::new(); servers],
+            served_by: HashMap::new(),
+            served: 0,
+            ended: 0,
+        }
+    }
+
+    /// Another process runs now where this server was, warm already.
+    pub fn restart(&mut self, server: usize) {
+        let entries = [entry(server, Some(self.now - 60_000_000))];
+        let news = Event::Servers(ListKind::Delta, entries.into());
+        self.balancer.handle(self.now, news, &mut Vec::new());
+    }
+
+    /// Asks for some seconds; `answer` tells what an attempt at a server comes to, and after how long.
+    pub fn run(&mut self, seconds: i64, mut answer: impl FnMut(usize, u64) -> (Status, Micros)) {
+        let end = self.now + seconds * 1_000_000;
+        let mut next = self.now;
+        while next < end {
+            match self.due.first_key_value().map(|(at, _)| *at) {
+                Some(at) if at.0 <= next => {
+                    let due = self.due.remove(&at).unwrap();
+                    self.now = at.0;
+                    self.happen(due, &mut answer);
+                }
+                _ => {
+                    self.now = next;
+                    next += EVERY;
+                    self.ask(&mut answer);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+        self.asked += 1;
+        let key = self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        let key = key % KEYS;
+        let id: RequestId = format!("r{}", self.asked).into();
+        self.open.insert(id.clone(), (0, key));
+        let request = Request {
+            id,
+            class: 0,
+            tenant: None,
+            key: Some(format!("k{key}").into()),
+            budget: 400_000,
+            work: None,
+            size: None,
+            retry: false,
+            write: false,
+        };
+        self.give(Event::Request(request), answer);
+    }
+
+    fn happen(&mut self, due: Due, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+        match due {
+            Due::Timer(token) => self.give(Event::Timer(token), answer),
+            Due::Outcome(request, attempt, server, status, latency) => {
+                let open = self.open.get(&request).copied();
+                let closed = status == Status::Ok && open.is_some();
+                if let Some((_, key)) = open.filter(|_| closed) {
+                    self.served_by.insert(key, number(&server));
+                    self.open.remove(&request);
+                    (self.served, self.ended) = (self.served + 1, self.ended + 1);
+                }
+                self.give(
+                    Event::Outcome {
+                        request,
+                        server,
+                        attempt,
+                        latency,
+                        status,
+                        closed,
+                        note: None,
+                        load: None,
+                    },
+                    answer,
+                );
+            }
+        }
+    }
+
+    fn give(&mut self, event: Event, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.serial += 1;
+            match action {
+                Action::Send { request, server, .. } => {
+                    let open = self.open.get_mut(&request).expect("only open requests are sent");
+                    let (attempt, which) = (open.0, number(&server));
+                    open.0 += 1;
+                    let counts = if attempt == 0 { &mut self.first } else { &mut self.second };
+                    counts[which] += 1;
+                    if attempt == 0 {
+                        self.first_keys[which].insert(open.1);
+                    }
+                    let (status, latency) = answer(which, self.serial);
+                    let due = Due::Outcome(request, attempt, server, status, latency);
+                    self.due.insert((self.now + latency, self.serial), due);
+                }
+                Action::Timer { delay, token } => {
+                    self.due.insert((self.now + delay, self.serial), Due::Timer(token));
+                }
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    self.open.remove(&request);
+                    self.ended += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// First attempts at each server since the last call.
+    pub fn first_attempts(&mut self) -> Vec<u32> {
+        let none = vec![0; self.first.len()];
+        std::mem::replace(&mut self.first, none)
+    }
+
+    /// Later attempts at each server since the last call.
+    pub fn second_attempts(&mut self) -> Vec<u32> {
+        let none = vec![0; self.second.len()];
+        std::mem::replace(&mut self.second, none)
+    }
+
+    /// Requests served, and all that ended, since `clear_ends`.
+    pub fn ends(&self) -> (u64, u64) {
+        (self.served, self.ended)
+    }
+
+    pub fn clear_ends(&mut self) {
+        (self.served, self.ended) = (0, 0);
+    }
+}
+
+fn entry(i: usize, started: Option<Micros>) -> Entry {
+    Entry {
+        server: format!("srv{i}").into(),
+        weight: 1.0,
+        zone: Some(0),
+        kind: Some(0),
+        state: ServerState::Live,
+        started,
+        cell: None,
+    }
+}
+
+fn number(server: &ServerId) -> usize {
+    server.trim_start_matches("srv").parse().expect("servers are named by number")
+}
+
+fn settings() -> Settings {
+    Settings {
+        classes: vec![Class {
+            aim: 150_000,
+            aim_stretch: 0.0,
+            deadline: 400_000,
+            repeat: Repeat::Free,
+            scope: Scope::All,
+            window: 10_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: false,
+        }],
+        tenants: Vec::new(),
+        nodes: 2,
+        zone: Some(0),
+        ask: true,
+        ask_within: 10_000_000,
+        mode: Mode::Through,
+        origin_kind: None,
+        origin_fall_multiple: 0.0,
+        weights: Weights::None,
+        by_work: false,
+        over_share_worth: 0.05,
+        tick: 1_000,
+        max_attempts: 5,
+        max_open: 1000,
+        cancel: true,
+        probes: false,
+        second_copies: true,
+        max_retry_after: 1_000_000,
+        connect_timeout: 75_000,
+        drain_grace: 2_000_000,
+        cold_from: 0.13,
+        cold: 24_000_000,
+        fall_multiple: 2.5,
+        fall: 2_000_000,
+        answer_slack: 8_000,
+        price_cross_zone: 0.0,
+        price_origin: 0.0,
+    }
+}
