--- a/crates/sloewick/tests/operating.rs
+++ b/crates/sloewick/tests/operating.rs
@@ -177,6 +177,48 @@
     assert_eq!(back.bulk(), b"four");
 }
 
+#[test]
+fn a_rejoin_right_after_each_of_twenty_evacuations_leaves_a_node_that_serves() {
+    let server = listener();
+    let (node, ops) = node(&server);
+    let mut first = node.client();
+    let mut conn = exchange(&mut first, &server, "r0");
+    drop(first);
+    for round in 0..20 {
+        let mut held = node.client();
+        held.get(&format!("held-{round}"));
+        assert_eq!(conn.command()[2], format!("held-{round}"));
+        assert_eq!(call(ops, "POST", "/api/evacuate").0, 200);
+        std::thread::sleep(Duration::from_millis(10));
+        assert_eq!(call(ops, "POST", "/api/rejoin").0, 200);
+        assert!(ready(ops), "round {round}");
+        // What was out meanwhile is answered on a connection that stays.
+        conn.send(served(b"held"));
+        assert_eq!(held.bulk(), b"held");
+        held.send(command(&[b"PING"]));
+        assert_eq!(held.line(), "+PONG", "round {round}");
+    }
+    assert_eq!((figure(ops, "answered.once"), figure(ops, "current")), (21, 0));
+}
+
+#[test]
+fn a_stop_during_an_evacuation_answers_what_is_held_and_ends() {
+    let server = listener();
+    let (mut node, ops) = node(&server);
+    let mut held = node.client();
+    held.get("r1");
+    let mut conn = accept(&server);
+    assert_eq!(conn.command()[2], "r1");
+    assert_eq!(call(ops, "POST", "/api/evacuate").0, 200);
+    node.signal("TERM");
+    until("the stop has begun", || call(ops, "POST", "/api/evacuate").0 == 409);
+    assert_eq!(call(ops, "POST", "/api/rejoin").0, 409);
+    conn.send(served(b"one"));
+    assert_eq!(held.bulk(), b"one");
+    assert_eq!(held.end(), "");
+    assert!(node.wait().success());
+}
+
 #[test]
 fn a_second_process_takes_over_the_inherited_socket_and_loses_nothing() {
     let server = listener();
