Deal a hot key while its home is cut; keep records of listed servers alone

The count of notes had no end.

Change: dealing comes first and passes by cut servers; records are dropped whenever the list changes, and outcomes of servers that are not on the line are not noted; the count saturates; a success at a server with no record costs a look-up and no more.

--- a/crates/decision/src/outliers.rs
+++ b/crates/decision/src/outliers.rs
@@ -2,7 +2,7 @@
 //!
 //! Guarantees: no server is cut for what the server in the middle does too; at most `CUT_MOST` of the servers
 //! are cut at a time, the worst first; a server that is cut keeps at least `TRIAL` of its first attempts, and
-//! what is held against it fades with time. No clock and no chance of its own: time and draws are arguments.
+//! what is held against it fades with time. Records are kept for listed servers alone (`retain`). No clock and no chance of its own: time and draws are arguments.
 
 use std::collections::HashMap;
 
@@ -11,7 +11,8 @@
 /// Attempts over which a server's failures are averaged, and the time in which they are forgotten to 1/e.
 const SPAN: f64 = 12.0;
 const FADE: f64 = 20e6;
-/// Failing share at which a server begins to lose keys: this, or so much above what the one in the middle has.
+/// Failing share above which a server loses keys: the least, and so many times that of the server in the
+/// middle, and so much over that.
 const BAR_LEAST: f64 = 0.25;
 const BAR_TIMES: f64 = 2.0;
 const BAR_OVER: f64 = 0.15;
@@ -60,12 +61,15 @@
 
     /// An attempt at a server ended by the server's own doing: answered, or not.
     pub fn note(&mut self, now: Micros, server: &ServerId, failed: bool, servers: usize) {
+        self.notes = self.notes.saturating_add(1);
+        if !failed && !self.records.contains_key(server) {
+            return;
+        }
         let fresh = || Record { failing: 0.0, noted: now };
         let record = self.records.entry(server.clone()).or_insert_with(fresh);
         let before = record.failing(now);
         record.failing = before + (f64::from(u8::from(failed)) - before) / SPAN;
         record.noted = now;
-        self.notes += 1;
         if failed && self.notes >= LOOK_EVERY || self.cut.contains_key(server) {
             self.look(now, servers);
         }
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -580,12 +580,12 @@
                 }
             }
             self.origins.retain(|s| named.contains_key(&*s.entry.server));
-            self.outliers.retain(|id| named.contains_key(id));
         }
         let changed = entries.iter().filter(|e| self.place(e)).count();
         let changed = changed + self.part_zones();
         self.line.reindex();
         self.far.reindex();
+        self.outliers.retain(|id| self.line.index.contains_key(id));
         if changed > 0 || kind != ListKind::Delta {
             self.weigh();
             if first || changed * 2 > self.line.servers.len() {
@@ -921,18 +921,8 @@
             return self.far_choice(now, held).map(|i| (Place::Far, i));
         }
         let home = self.line.home(held.at);
-        let up =
-            |i: usize| self.up(now, i) && self.outliers.kept(&self.line.servers[i].entry.server) >= 1.0;
-        let kept = self.outliers.kept(&self.line.servers[home].entry.server);
-        if kept < 1.0 {
-            let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
-            let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home].entry) >= 1.0;
-            let keeps = self.off_middle(held.at, home) < kept || drawn < TRIAL;
-            let stays = held.attempts.is_empty() && ready && keeps;
-            if let Some(i) = if stays { Some(home) } else { self.second_home(now, held, up) } {
-                return Some((Place::Line, i));
-            }
-        }
+        let kept = |i: usize| self.outliers.kept(&self.line.servers[i].entry.server);
+        let up = |i: usize| self.up(now, i) && kept(i) >= 1.0;
         if held.attempts.is_empty() {
             let width = held.key.map_or(1, |k| self.line.deal_width(k));
             if width > 1 {
@@ -945,6 +935,14 @@
                     }
                 }
             }
+            if kept(home) < 1.0 {
+                let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
+                let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home].entry) >= 1.0;
+                let stays = ready && (self.off_middle(held.at, home) < kept(home) || drawn < TRIAL);
+                if let Some(i) = if stays { Some(home) } else { self.second_home(now, held, up) } {
+                    return Some((Place::Line, i));
+                }
+            }
             let fit = self.fitness(now, home);
             let out = self.line.servers[home].out;
             if f64::from(out) > 1.0 + 2.0 * self.held.len() as f64 / n as f64 && !held.doubtful {
@@ -973,7 +971,8 @@
         near.map(|i| (Place::Line, i)).or_else(far).or(again)
     }
 
-    /// A key's second home: a warm server that is fit and not tried yet, the same at every node.
+    /// A key's second home: a warm server that is fit and not tried yet. Nodes differ in it only as far as
+    /// they differ in weights and in whom they hold to be fit.
     fn second_home(&self, now: Micros, held: &Held, fit: impl Fn(usize) -> bool) -> Option<usize> {
         let server = |i: usize| &self.line.servers[i];
         let may = |i: &usize| {
@@ -1023,7 +1022,8 @@
             self.held.get(&serial).and_then(|h| h.attempts.get(attempt)).map_or(0, |a| a.patience);
         let took = (latency as f64 / patience.max(1) as f64).clamp(COST_LEAST, 1.0);
         let quick = status == Status::Error && took < QUICK_PART;
-        if quick || matches!(status, Status::Ok | Status::Miss) {
+        let own = quick || matches!(status, Status::Ok | Status::Miss);
+        if own && self.line.index.contains_key(server) {
             self.outliers.note(now, server, quick, self.line.servers.len());
         }
         let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outliers.rs
@@ -134,6 +134,37 @@
     }
 }
 
+#[test]
+fn a_hot_key_is_dealt_also_while_its_home_is_cut() {
+    let hot = 77;
+    let mut fleet = Fleet::new(SERVERS, 7);
+    fleet.run(2, |_, n| sound(n));
+    let home = fleet.burst(&[hot])[0];
+    let mut bad = |server: usize, n| if server == home { (Status::Error, 5_000) } else { sound(n) };
+    fleet.run(3, &mut bad);
+    fleet.hot = Some(hot);
+    fleet.run(2, &mut bad);
+    fleet.first_attempts();
+    fleet.run(5, &mut bad);
+    let first = fleet.first_attempts();
+    let (most, all): (u32, u32) = (*first.iter().max().unwrap(), first.iter().sum());
+    assert!(most * 4 < all, "one server has {most} of {all}: {first:?}");
+    assert!(first[home] * 25 < all, "it is not dealt to the one that fails: {first:?}");
+}
+
+#[test]
+fn nothing_is_kept_of_a_server_that_the_list_tells_is_gone() {
+    let mut fleet = Fleet::new(SERVERS, 7);
+    fleet.run(5, |_, n| sound(n));
+    let calm = fleet.first_attempts();
+    fleet.run(5, failing(1));
+    fleet.leave_and_return(0);
+    fleet.first_attempts();
+    fleet.run(1, |_, n| sound(n));
+    let back = fleet.first_attempts();
+    assert!(back[0] * 5 * 2 > calm[0], "{} in a second, {} in five in calm", back[0], calm[0]);
+}
+
 #[test]
 fn second_attempts_pass_by_servers_that_fail() {
     // All but the first two are slow, so that second attempts go out.
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -29,6 +29,8 @@
     pub first_keys: Vec<HashSet<u64>>,
     /// Where the last second attempt for a key went.
     pub second_to: HashMap<u64, usize>,
+    /// A key that every second request asks for.
+    pub hot: Option<u64>,
     /// Who answered a key last.
     pub served_by: HashMap<u64, usize>,
     served: u64,
@@ -51,6 +53,7 @@
             second: vec![0; servers],
             first_keys: vec![HashSet::new(); servers],
             second_to: HashMap::new(),
+            hot: None,
             served_by: HashMap::new(),
             served: 0,
             ended: 0,
@@ -59,8 +62,17 @@
 
     /// Another process runs now where this server was, warm already.
     pub fn restart(&mut self, server: usize) {
-        let entries = [entry(server, Some(self.now - 60_000_000))];
-        let news = Event::Servers(ListKind::Delta, entries.into());
+        self.news(entry(server, Some(self.now - 60_000_000)));
+    }
+
+    /// The list tells that this server is gone, and then that it is there as before.
+    pub fn leave_and_return(&mut self, server: usize) {
+        self.news(Entry { state: ServerState::Gone, ..entry(server, None) });
+        self.news(entry(server, None));
+    }
+
+    fn news(&mut self, entry: Entry) {
+        let news = Event::Servers(ListKind::Delta, [entry].into());
         self.balancer.handle(self.now, news, &mut Vec::new());
     }
 
@@ -87,7 +99,8 @@
     fn ask(&mut self, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
         self.asked += 1;
         let key = (self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % KEYS;
-        self.ask_key(key, answer);
+        let hot = self.hot.filter(|_| self.asked % 2 == 0);
+        self.ask_key(hot.unwrap_or(key), answer);
     }
 
     /// Asks for keys all at once, each answered after 20 ms; where the first attempt for each went.
