--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outliers.rs
@@ -122,7 +122,7 @@
         fleet.run(5, |_, n| sound(n));
         let calm = fleet.first_attempts();
         let half = move |server: usize, n: u64| {
-            if server < bad && n % one_in == 0 {
+            if server < bad && n.is_multiple_of(one_in) {
                 (Status::Error, 5_000)
             } else {
                 sound(n)
@@ -227,7 +227,7 @@
     // Every fourth answer is late everywhere, so that nobody is sound; at the first two all are.
     let answer = |server: usize, n: u64| {
         let (status, soon) = sound(n);
-        (status, if server < 2 || n % 4 == 0 { 120_000 } else { soon })
+        (status, if server < 2 || n.is_multiple_of(4) { 120_000 } else { soon })
     };
     let mut fleet = Fleet::new(SERVERS, 7);
     fleet.run(5, |_, n| sound(n));
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -146,13 +146,13 @@
         self.give(Event::Request(Request {
             id,
             class,
-            tenant: (key % 2 == 0).then_some(0),
-            key: (key % 5 != 0).then(|| Arc::from(format!("k{}", key % 7))),
+            tenant: key.is_multiple_of(2).then_some(0),
+            key: (!key.is_multiple_of(5)).then(|| Arc::from(format!("k{}", key % 7))),
             budget,
             work: None,
             size: None,
             retry: false,
-            write: key % 3 == 0,
+            write: key.is_multiple_of(3),
         }));
     }
 
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -133,10 +133,11 @@
     fn ask(&mut self, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
         self.asked += 1;
         let key = (self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % KEYS;
-        let hot = self.hot.filter(|_| self.asked % 2 == 0);
+        let hot = self.hot.filter(|_| self.asked.is_multiple_of(2));
         let part = key as f64 / KEYS as f64;
         let key = if self.skewed { (part * part * KEYS as f64) as u64 } else { key };
-        let key = if self.fresh.is_some() && self.asked % 3 == 0 { KEYS + self.asked } else { key };
+        let key =
+            if self.fresh.is_some() && self.asked.is_multiple_of(3) { KEYS + self.asked } else { key };
         self.ask_key(hot.unwrap_or(key), answer);
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -48,7 +48,7 @@
 const CALLER: Token = 5;
 /// Tokens of connections: clients are even, upstreams odd.
 const FIRST: usize = 32;
-const _: () = assert!(CALLER + CALLERS <= FIRST && FIRST % 2 == 0);
+const _: () = assert!(CALLER + CALLERS <= FIRST && FIRST.is_multiple_of(2));
 
 /// Descriptors for all but connections: poll, listener, signals, discovery, standard streams and some room.
 const SOCKETS_KEPT: usize = 24;
@@ -392,7 +392,7 @@
                 let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
                 self.news(news);
             }
-            token if (token - FIRST) % 2 == 0 => {
+            token if (token - FIRST).is_multiple_of(2) => {
                 let key = (token - FIRST) / 2;
                 let Some(client) = self.clients.get_mut(key) else { return };
                 if event.error && client.gone() {
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -246,7 +246,9 @@
         let memcached = match self.set.speech {
             Clients::Resp | Clients::RespByKey => false,
             Clients::Memcached => true,
-            Clients::Both => first.as_ref().map_or(self.number % 2 == 0, |(.., memcached)| *memcached),
+            Clients::Both => {
+                first.as_ref().map_or(self.number.is_multiple_of(2), |(.., memcached)| *memcached)
+            }
         };
         let mut word = self.rng.word();
         let mut id = Id::from(format!("{word:016x}"));
--- a/crates/rig/tests/defects.rs
+++ b/crates/rig/tests/defects.rs
@@ -82,7 +82,7 @@
 
 fn every(state: &mut State, n: u64) -> bool {
     state.count += 1;
-    state.count % n == 0
+    state.count.is_multiple_of(n)
 }
 
 fn unsafe_class(state: &State, id: &RequestId) -> bool {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -137,7 +137,7 @@
 
 fn hex(text: &str) -> Result<Arc<[u8]>, Bad> {
     let bad = || Bad::new("payload", "is not hex digits");
-    if text.len() % 2 != 0 || !text.is_ascii() {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return Err(bad());
     }
     (0..text.len() / 2)
