Runs of play go side by side on all cores, with progress and a summary on Ctrl-C

Change: runs.rs gives out seeds to threads (--jobs, all cores without it), tells results in the order of the seeds, keeps no more than 16 a thread ahead of the first that is not told, ends all if one panics. Progress on standard error where that is a terminal, by indicatif (the usual crate for it, MIT, kept up). The first interrupt begins no more runs and tells what was seen and from which seed to go on (exit code 130, or 1 with a broken rule); the second ends at once.

Same output with 1 and 5 threads. Tried on a terminal.

--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod out;
 mod play;
+mod runs;
 mod speech;
 
 use std::io::Write;
@@ -33,7 +34,7 @@
   sloewick play rolling-deploy --seed 7
   sloewick play --list
 
-Exit codes: 0 done, 1 a rule was broken, 2 input that can't be used.";
+Exit codes: 0 done, 1 a rule was broken, 2 input that can't be used, 130 interrupted.";
 
 #[derive(Subcommand)]
 enum Command {
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -8,8 +8,12 @@
 use sloewick_rig::scenario::{self, Scenario};
 
 use crate::out;
+use crate::runs;
 use crate::speech::SpeechArgs;
 
+/// Exit code where an interrupt ended the runs and no rule was broken: as of a shell's Ctrl-C.
+const INTERRUPTED: u8 = 130;
+
 #[derive(ClapArgs)]
 #[command(after_help = "\
 Examples:
@@ -26,9 +30,12 @@
     /// The seed that all chance comes from
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// How many seeds to play, one after another from --seed
-    #[arg(long, default_value_t = 1)]
+    /// How many seeds to play, one after another from --seed; Ctrl-C ends early and tells what was seen
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..))]
     runs: u64,
+    /// Runs at a time; without it one for each core
+    #[arg(long, value_parser = clap::builder::RangedU64ValueParser::<usize>::new().range(1..=1024))]
+    jobs: Option<usize>,
     #[command(flatten)]
     speech: SpeechArgs,
     /// Print every fact that the peers saw, and what the nodes logged
@@ -92,45 +99,105 @@
         eprintln!("no scenario; --list names the shipped ones");
         return ExitCode::from(2);
     };
+    if args.show {
+        return show(args, name);
+    }
+    // A scenario that can't be read is told before anything is played; a swarm's differs with each seed.
+    let read = match find(name, args.seed) {
+        Ok(scenario) => scenario,
+        Err(why) => {
+            eprintln!("{why}");
+            return ExitCode::from(2);
+        }
+    };
     let begun = Instant::now();
-    let (mut played, mut broken) = (0.0, 0);
+    let runs = args.runs.min(u64::MAX - args.seed);
+    let run = |n: u64| {
+        let seed = args.seed + n;
+        let swarm = (name == "swarm").then(|| scenario::swarm(seed));
+        one(args, name, seed, swarm.as_ref().unwrap_or(&read))
+    };
+    // Facts are printed as they come: one run at a time.
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    let jobs = if args.log { 1 } else { args.jobs.unwrap_or(cores) };
+    let stop = if args.runs > 1 { runs::interrupted() } else { Default::default() };
+    let (mut played, mut broken) = (0.0, 0u64);
+    let told = runs::all(runs, jobs, &stop, run, |run: Run| {
+        run.out.iter().for_each(out::line);
+        run.err.iter().for_each(|line| eprintln!("{line}"));
+        played += run.played;
+        broken += u64::from(run.broken);
+        run.broken
+    });
+    if args.runs > 1 {
+        let took = begun.elapsed().as_secs_f64();
+        let summary = format!(
+            "{told} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second",
+            played / took
+        );
+        if told < runs {
+            let next = args.seed + told;
+            out::line(format!(
+                "interrupted: {summary}; {} of {runs} not played, from seed {next}",
+                runs - told
+            ));
+        } else {
+            out::line(summary);
+        }
+    }
+    match (broken, told < runs) {
+        (0, false) => ExitCode::SUCCESS,
+        (0, true) => ExitCode::from(INTERRUPTED),
+        _ => ExitCode::from(1),
+    }
+}
+
+fn show(args: &Args, name: &str) -> ExitCode {
     for seed in args.seed..args.seed.saturating_add(args.runs) {
-        let scenario = match find(name, seed) {
-            Ok(scenario) => scenario,
+        match find(name, seed) {
+            Ok(scenario) => out::line(scenario::write(&scenario).trim_end()),
             Err(why) => {
                 eprintln!("{why}");
                 return ExitCode::from(2);
             }
-        };
-        if args.show {
-            out::line(scenario::write(&scenario).trim_end());
-            continue;
-        }
-        let mut options = Options { speech: args.speech.speech(), ..Options::default() };
-        if args.log {
-            options.watch = Some(Box::new(|shown| match shown {
-                Shown::Fact(fact) => out::line(fact.to_string()),
-                Shown::Logged(line) => out::line(format!("{line} (logged)")),
-            }));
         }
-        let began = Instant::now();
-        let outcome = fleet::play(&scenario, seed, options);
-        played += outcome.played as f64 / 1e6;
-        broken += u64::from(!outcome.breaches.is_empty());
-        tell(args, name, seed, &scenario, outcome, began.elapsed().as_secs_f64());
     }
-    if args.runs > 1 {
-        let took = begun.elapsed().as_secs_f64();
-        out::line(format!(
-            "{} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second",
-            args.runs,
-            played / took
-        ));
+    ExitCode::SUCCESS
+}
+
+/// What a run came to: its lines, how much was played, whether a rule broke.
+struct Run {
+    out: Vec<String>,
+    err: Vec<String>,
+    played: f64,
+    broken: bool,
+}
+
+fn one(args: &Args, name: &str, seed: u64, scenario: &Scenario) -> Run {
+    let mut options = Options { speech: args.speech.speech(), ..Options::default() };
+    if args.log {
+        options.watch = Some(Box::new(|shown| match shown {
+            Shown::Fact(fact) => out::line(fact.to_string()),
+            Shown::Logged(line) => out::line(format!("{line} (logged)")),
+        }));
     }
-    ExitCode::from(u8::from(broken > 0))
+    let began = Instant::now();
+    let outcome = fleet::play(scenario, seed, options);
+    let played = outcome.played as f64 / 1e6;
+    let broken = !outcome.breaches.is_empty();
+    let (out, err) = tell(args, name, seed, scenario, outcome, began.elapsed().as_secs_f64());
+    Run { out, err, played, broken }
 }
 
-fn tell(args: &Args, name: &str, seed: u64, scenario: &Scenario, outcome: Outcome, took: f64) {
+fn tell(
+    args: &Args,
+    name: &str,
+    seed: u64,
+    scenario: &Scenario,
+    outcome: Outcome,
+    took: f64,
+) -> (Vec<String>, Vec<String>) {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
     let seconds = scenario.seconds;
     let report = &outcome.report;
     let mut whole = report.whole();
@@ -141,9 +208,9 @@
         json["digest"] = format!("{:016x}", outcome.digest).into();
         json["worst_ten_seconds"] = report.worst_ten().into();
         json["breaches"] = outcome.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
-        out::line(format!("{json}"));
+        out.push(format!("{json}"));
     } else if args.runs == 1 || !outcome.breaches.is_empty() {
-        out::line(format!(
+        out.push(format!(
             "{} seed {seed}: {} nodes, {} boxes; digest {:016x}; {:.0} fleet-seconds a second",
             scenario.name,
             scenario.nodes,
@@ -151,8 +218,8 @@
             outcome.digest,
             outcome.played as f64 / 1e6 / took
         ));
-        out::line(format!("  {}", report.line(&mut whole, seconds)));
-        out::line(format!(
+        out.push(format!("  {}", report.line(&mut whole, seconds)));
+        out.push(format!(
             "  worst ten seconds {:.3}; {} attempts, {} retries, {} effects, {} repeats dropped, {} descriptors at most",
             report.worst_ten(),
             whole.attempts,
@@ -163,15 +230,16 @@
         ));
     }
     for breach in &outcome.breaches {
-        eprintln!("BROKEN {breach}");
+        err.push(format!("BROKEN {breach}"));
     }
     if let Some(breach) = outcome.breaches.first() {
         let words = args.speech.words();
-        eprintln!("replay: sloewick play {name} --seed {seed}{words} --log");
+        err.push(format!("replay: sloewick play {name} --seed {seed}{words} --log"));
         if args.shrink {
             let less = fleet::shrink(scenario, seed, breach.rule, None, args.speech.speech());
-            eprintln!("shortest schedule found (save it and play it with --seed {seed}{words}):");
-            eprint!("{}", scenario::write(&less));
+            err.push(format!("shortest schedule found (save it and play it with --seed {seed}{words}):"));
+            err.push(scenario::write(&less).trim_end().to_string());
         }
     }
+    (out, err)
 }
--- a/crates/sloewick/tests/cli.rs
+++ b/crates/sloewick/tests/cli.rs
@@ -1,7 +1,8 @@
 //! The command line as a user meets it: what it prints, and what it says to input that can't be used.
 
+use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn sloewick(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_sloewick")).args(args).output().unwrap()
@@ -115,6 +116,46 @@
     assert!(first == play());
 }
 
+/// Runs on several threads say the same, in the order of their seeds.
+#[test]
+fn many_runs_are_told_in_order_however_many_go_side_by_side() {
+    let path = file("many.toml", "name = \"many\"\nseconds = 2\nboxes = 4\nnodes = 1\nrate = 40\n");
+    let play = |jobs: &str| {
+        let out = sloewick(&["play", path.to_str().unwrap(), "--runs", "12", "--jobs", jobs, "--json"]);
+        assert!(out.status.success(), "{}", text(&out.stderr));
+        let (out, err) = (text(&out.stdout), text(&out.stderr));
+        assert_eq!(err, "", "no progress where nobody looks");
+        let (runs, summary) = out.trim_end().rsplit_once('\n').unwrap();
+        assert!(summary.starts_with("12 runs, 0 with a broken rule; "), "{summary}");
+        runs.to_string()
+    };
+    let one = play("1");
+    let seeds: Vec<u64> = one
+        .lines()
+        .map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap()["seed"].as_u64().unwrap())
+        .collect();
+    assert_eq!(seeds, (1..=12).collect::<Vec<_>>());
+    assert!(one == play("5"));
+    assert_eq!(sloewick(&["play", "swarm", "--jobs", "0"]).status.code(), Some(2));
+}
+
+/// An interrupt ends the runs, and what was seen is told.
+#[test]
+fn an_interrupt_tells_what_was_played() {
+    let mut play = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    play.args(["play", "swarm", "--runs", "1000000", "--json"]).stdout(Stdio::piped());
+    let mut child = play.spawn().unwrap();
+    let mut out = BufReader::new(child.stdout.take().unwrap());
+    let mut line = String::new();
+    out.read_line(&mut line).unwrap();
+    assert!(line.contains("\"seed\":1"), "{line}");
+    let kill = Command::new("kill").args(["-INT", &child.id().to_string()]).status().unwrap();
+    assert!(kill.success());
+    let last = out.lines().map_while(Result::ok).last().unwrap();
+    assert!(last.starts_with("interrupted: ") && last.contains(" not played, from seed "), "{last}");
+    assert_eq!(child.wait().unwrap().code(), Some(130));
+}
+
 #[test]
 fn shown_scenarios_can_be_played_again() {
     let shown = text(&sloewick(&["play", "swarm", "--seed", "9", "--show"]).stdout);
