A handed-over memory is bounded in every number; an evacuated process keeps telling

Cause, found on reading the change again: a sealed file with huge counts or times could make sums overflow; what was learned with a server that the list no longer names was booked under servers without a kind; an evacuated process stopped telling, so that one upgraded after 10 s began anew; a node that had no room for the keeper's thread did not start.

Change: checked() bounds counts, logarithms and times; only listed servers bring their kind and zone; Lifecycle::tells; without the thread the node says so and serves.

--- a/crates/decision/src/rules/memory.rs
+++ b/crates/decision/src/rules/memory.rs
@@ -20,6 +20,10 @@
 const NAME_MOST: usize = 1024;
 /// Two readings of one start differ by less: each process reads the clocks for itself.
 const SAME_START: Micros = 1_000_000;
+/// Counts beyond this are none that a node reaches; below it sums stay far from overflow, and times do as well.
+const COUNT_MOST: u64 = 1 << 53;
+/// Largest logarithm of a time, and of a ratio of two, that is believed.
+const LOG_MOST: f64 = 100.0;
 /// Longest pause or time left that is believed.
 const LONG: Micros = 3_600_000_000;
 
@@ -80,13 +84,17 @@
     pub fn checked(self) -> Option<Memory> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let least = |x: f64| x.is_finite() && x >= 0.0;
-        let all = |list: &[f64]| list.len() <= CLASSES_MOST && list.iter().all(|x| x.is_finite());
+        let counted = |n: u64| n <= COUNT_MOST;
+        let all = |list: &[f64], most: f64| {
+            list.len() <= CLASSES_MOST && list.iter().all(|x| (-most..=most).contains(x))
+        };
         let time = |t: Micros| (0..=LONG).contains(&t);
         let server = |s: &Known| {
-            let started = s.started_ago.is_none_or(|ago| ago > -LONG);
+            let started = s.started_ago.is_none_or(|ago| (-LONG..COUNT_MOST as Micros).contains(&ago));
             let named = !s.server.is_empty() && s.server.len() <= NAME_MOST;
             let shares = part(s.edge) && part(s.pass) && part(s.failing) && part(s.outlier);
-            let kind = s.kind.0.is_finite() && (0.0..=2.0 * KIND_MEMORY).contains(&s.kind.1);
+            let kind = (0.0..=KIND_MEMORY + 1.0).contains(&s.kind.1)
+                && s.kind.0.abs() <= LOG_MOST * (KIND_MEMORY + 1.0);
             let times = time(s.sick_for) && time(s.pause) && least(s.zone_least);
             named && started && shares && least(s.streak) && kind && times
         };
@@ -97,8 +105,15 @@
             && self.window.len() <= WINDOW_KEPT
             && self.window.iter().copied().all(part)
             && self.seen.len() <= SEEN_MOST
-            && self.seen.iter().all(|s| s.counts.into_iter().all(least) && s.ago <= self.arrivals)
-            && [&pace.high, &pace.mean_log, &pace.count].into_iter().all(|list| all(list))
+            && counted(self.arrivals)
+            && self
+                .seen
+                .iter()
+                .all(|s| s.counts.into_iter().all(least) && s.ago <= self.arrivals && counted(s.turn))
+            && all(&pace.high, LONG as f64)
+            && all(&pace.mean_log, LOG_MOST)
+            && all(&pace.count, KIND_MEMORY)
+            && pace.high.iter().chain(&pace.count).copied().all(least)
             && least(self.updates)
             && [self.late, self.again, self.slow, self.broken, self.admit].into_iter().all(part)
             && least(self.retry_tokens);
@@ -200,10 +215,13 @@
                 started,
                 cell: None,
             };
-            let mut server = Server::new(live(&id).cloned().unwrap_or_else(gone));
+            let listed = live(&id);
+            if let Some(entry) = listed {
+                *slot(&mut self.pace.kinds, entry.kind, (0.0, 0.0)) = known.kind;
+                *slot(&mut self.pace.floor, entry.zone, f64::MAX) = known.zone_least;
+            }
+            let mut server = Server::new(listed.cloned().unwrap_or_else(gone));
             server.edge = known.edge;
-            *slot(&mut self.pace.kinds, server.entry.kind, (0.0, 0.0)) = known.kind;
-            *slot(&mut self.pace.floor, server.entry.zone, f64::MAX) = known.zone_least;
             let same = match (server.entry.started, started) {
                 (Some(told), Some(before)) => (told - before).abs() < SAME_START,
                 (told, before) => told == before,
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -520,3 +520,19 @@
     let copies = Settings { second_copies: true, ..node.set.clone() };
     assert!(held.may_send(&copies, to, 1000));
 }
+
+#[test]
+fn what_was_learned_with_a_server_that_is_gone_is_held_against_no_other_kind() {
+    let mut old = node(0.0, 4);
+    let gone = old.line.servers[1].entry.server.clone();
+    old.pace.kinds = vec![(0.0, 0.0), (50.0, 10.0)];
+    let memory = old.remember(0);
+    let mut next = Balancer::new(settings(0.0), 9, 0).unwrap();
+    next.recall(0, 0, memory);
+    let left: Vec<Entry> = old.line.servers.iter().map(|s| s.entry.clone()).collect();
+    let left: Vec<Entry> = left.into_iter().filter(|e| e.server != gone).collect();
+    next.handle(0, Event::Servers(ListKind::Full, left.into()), &mut Vec::new());
+    // Those without a kind are in the first place: nobody has none.
+    assert_eq!(next.pace.kinds[0], (0.0, 0.0));
+    assert_eq!(next.pace.kinds[1], (50.0, 10.0));
+}
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -72,8 +72,17 @@
 
     /// Whether this process is ready to serve.
     pub fn ready(&self, now: Micros) -> bool {
-        let fresh = if self.shared { self.told || now >= LIST_WAIT } else { true };
-        self.phase == Phase::Serving && self.listed && fresh
+        self.phase == Phase::Serving && self.informed(now)
+    }
+
+    /// Whether what this process knows is worth telling to the next one. Sent away from, it still is; one that stops has
+    /// been succeeded.
+    pub fn tells(&self, now: Micros) -> bool {
+        matches!(self.phase, Phase::Serving | Phase::Evacuating(_)) && self.informed(now)
+    }
+
+    fn informed(&self, now: Micros) -> bool {
+        self.listed && (!self.shared || self.told || now >= LIST_WAIT)
     }
 
     /// Sends the clients away; false once the node stops.
@@ -169,12 +178,14 @@
     #[test]
     fn a_process_that_inherits_waits_for_discovery_and_leaves_the_queue_to_the_other_one() {
         let mut life = Lifecycle::new(true, true);
-        assert!(!life.ready(0) && !life.ready(LIST_WAIT - 1));
+        assert!(!life.ready(0) && !life.ready(LIST_WAIT - 1) && !life.tells(LIST_WAIT - 1));
         assert!(life.ready(LIST_WAIT), "its last list has to do");
         life.told();
         assert!(life.ready(0));
         assert_eq!(life.accepts(0, true), Accept::Go);
+        assert!(life.tells(0) && life.evacuate(S) && life.tells(S) && !life.ready(S));
         life.stop(S, 2 * S);
+        assert!(!life.tells(S), "the next one is there");
         assert_eq!((life.accepts(S, true), life.accepts(S, false)), (Accept::No, Accept::Go));
         let mut blind = Lifecycle::new(true, false);
         assert!(!blind.ready(60 * S), "no list at all");
--- a/crates/node/src/node/handover.rs
+++ b/crates/node/src/node/handover.rs
@@ -64,11 +64,10 @@
         self.log.line(&mut self.net, &line);
     }
 
-    /// Keeps what the next process needs, when it is time. A process that is not ready knows too little, and
-    /// one that stops is not asked any more.
+    /// Keeps what the next process needs, when it is time and there is something to tell.
     pub(super) fn hand_over(&mut self, now: Micros) {
         let Some(handover) = self.handover.as_mut().filter(|h| now >= h.next) else { return };
-        if !self.life.ready(now) {
+        if !self.life.tells(now) {
             return;
         }
         handover.next = now + EVERY;
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -71,7 +71,10 @@
     let listen = config.listen;
     let mut os = Os::with_signals().map_err(|e| Bad::new("signals", e.to_string()))?;
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
-        os.keep_in(folder.as_ref()).map_err(|e| Bad::new("TMPDIR", e.to_string()))?;
+        // The next process learns anew then; this one serves all the same.
+        if let Err(e) = os.keep_in(folder.as_ref()) {
+            let _ = writeln!(std::io::stderr(), "handover: not kept: {e}");
+        }
     }
     let node = Node::new(config, os, Box::new(move || config::read(&path)));
     let node = node.map_err(|e| Bad::new("listen", format!("{listen}: {e}")))?;
