--- a/crates/node/src/node/operating.rs
+++ b/crates/node/src/node/operating.rs
@@ -80,7 +80,9 @@
         for server in now.difference(&self.outliers) {
             self.log.line(&mut self.net, &format!("outlier: {server} has lost most of its keys"));
         }
-        for server in self.outliers.difference(&now) {
+        for server in
+            self.outliers.difference(&now).filter(|gone| self.upstreams.servers().any(|s| s == *gone))
+        {
             self.log.line(&mut self.net, &format!("outlier: {server} has all of its keys again"));
         }
         self.outliers = now;
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -111,7 +111,7 @@
         }
     };
     let begun = Instant::now();
-    let runs = args.runs.min(u64::MAX - args.seed);
+    let runs = args.runs.min((u64::MAX - args.seed).saturating_add(1));
     let run = |n: u64| {
         let seed = args.seed + n;
         let swarm = (name == "swarm").then(|| scenario::swarm(seed));
