A trace of the node: a line for each event, and which decision ended a request

The module tells which decision gave the last final answer. To make room in the policy file, what answers take (pace) is a module of its own; moved as it was.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod interface;
 pub mod outliers;
+mod pace;
 pub mod rules;
 pub mod settings;
 
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -8,6 +8,7 @@
 
 use crate::interface::*;
 use crate::outliers::{rendezvous, Outliers, TRIAL};
+use crate::pace::Pace;
 
 pub mod memory;
 mod status;
@@ -49,9 +50,6 @@
 /// to be slow by chance.
 const SICK_ODDS: f64 = 1000.0;
 const SLOW_LEAST: f64 = 0.02;
-/// Samples that outweigh the assumption that all kinds are equally fast.
-const KIND_DOUBT: f64 = 10.0;
-const KIND_MEMORY: f64 = 512.0;
 /// Part of what learned speeds have moved the cuts that the next server gives back.
 const GIVEN_BACK: f64 = 0.3;
 /// Admission: its fall with each failed attempt, its rise with each answer, its floor. In balance about one
@@ -309,59 +307,6 @@
     cuts
 }
 
-/// What answers take: by class, by kind of machine, by zone.
-#[derive(Default)]
-struct Pace {
-    /// For each class: a high quantile and the mean logarithm of latency.
-    high: Vec<f64>,
-    mean_log: Vec<f64>,
-    count: Vec<f64>,
-    /// For each kind: summed log of latency against what its class or hint let expect, and the count.
-    kinds: Vec<(f64, f64)>,
-    /// For each zone: the least latency seen.
-    floor: Vec<f64>,
-}
-
-fn slot<T: Clone>(list: &mut Vec<T>, at: Option<u16>, fresh: T) -> &mut T {
-    let at = at.map_or(0, |i| usize::from(i) + 1);
-    if list.len() <= at {
-        list.resize(at + 1, fresh);
-    }
-    &mut list[at]
-}
-
-impl Pace {
-    fn learn(&mut self, class: usize, latency: Micros, work: Option<f64>, entry: &Entry, hit: bool) {
-        let latency = (latency as f64).max(1.0);
-        let high = &mut self.high[class];
-        *high *= if latency > *high { 1.05 } else { 0.9973 };
-        if !hit {
-            return;
-        }
-        let floor = slot(&mut self.floor, entry.zone, f64::MAX);
-        *floor = floor.min(latency);
-        let log = (latency - 0.9 * *floor).max(100.0).ln();
-        let count = (self.count[class] + 1.0).min(KIND_MEMORY);
-        self.count[class] = count;
-        self.mean_log[class] += (log - self.mean_log[class]) / count;
-        let expected = work.map_or(self.mean_log[class], |w| w.max(1.0).ln());
-        let kind = slot(&mut self.kinds, entry.kind, (0.0, 0.0));
-        let fade = if kind.1 >= KIND_MEMORY { 1.0 - 1.0 / KIND_MEMORY } else { 1.0 };
-        *kind = (kind.0 * fade + log - expected, kind.1 * fade + 1.0);
-    }
-
-    /// Speed of a kind against all kinds, in steps so that nodes agree.
-    fn speed(&self, kind: Option<u16>) -> f64 {
-        let all = self.kinds.iter().fold((0.0, 0.0), |a, k| (a.0 + k.0, a.1 + k.1));
-        let Some(k) = self.kinds.get(kind.map_or(0, |i| usize::from(i) + 1)) else { return 1.0 };
-        if k.1 == 0.0 {
-            return 1.0;
-        }
-        let log = (all.0 / all.1 - k.0 / k.1) * k.1 / (k.1 + KIND_DOUBT);
-        ((log * 8.0).round() / 8.0).clamp(-1.5, 1.5).exp()
-    }
-}
-
 /// One attempt of a held request.
 struct Attempt {
     server: ServerId,
@@ -489,18 +434,15 @@
     weights: Vec<f64>,
     /// What an earlier process learned, and when, until a list tells which servers are there.
     recalled: Option<(Micros, memory::Memory)>,
+    /// Which decision gave the last final answer.
+    why: &'static str,
 }
 
 impl Balancer {
     /// A node's decisions from its settings, its seed and its clock.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
         settings.validate()?;
-        let pace = Pace {
-            high: settings.classes.iter().map(|c| c.aim as f64 / 2.0).collect(),
-            mean_log: vec![0.0; settings.classes.len()],
-            count: vec![0.0; settings.classes.len()],
-            ..Pace::default()
-        };
+        let pace = Pace::new(settings.classes.iter().map(|c| c.aim));
         Ok(Balancer {
             rng: Rng(seed),
             line: Line::default(),
@@ -525,6 +467,7 @@
             logged: 0,
             weights: Vec::new(),
             recalled: None,
+            why: "none",
             set: settings,
         })
     }
@@ -750,10 +693,19 @@
             missed: false,
         };
         self.held.insert(serial, held);
-        let refuse = end <= now || (over && self.late > LATE_MUCH);
-        if refuse || !self.admitted(now, serial) || self.overrun(now, serial) {
-            self.finish(now, serial, actions);
-            return;
+        let why = if end <= now {
+            "short"
+        } else if over && self.late > LATE_MUCH {
+            "share"
+        } else if !self.admitted(now, serial) {
+            "admission"
+        } else if self.overrun(now, serial) {
+            "overrun"
+        } else {
+            ""
+        };
+        if !why.is_empty() {
+            return self.finish(now, serial, why, actions);
         }
         actions.push(Action::Timer { delay: end - now, token: serial << 2 | END });
         self.send_next(now, serial, actions);
@@ -1095,7 +1047,7 @@
         if status == Status::Miss {
             (held.missed, held.doubtful) = (true, true);
             if !self.admitted(now, serial) {
-                self.finish(now, serial, actions);
+                self.finish(now, serial, "admission", actions);
                 return;
             }
         }
@@ -1116,10 +1068,12 @@
         } else {
             1.0
         };
-        if self.retry_tokens >= cost && self.send_next(now, serial, actions) {
+        if self.retry_tokens < cost {
+            self.finish(now, serial, "budget", actions);
+        } else if self.send_next(now, serial, actions) {
             self.retry_tokens -= cost;
         } else {
-            self.finish(now, serial, actions);
+            self.finish(now, serial, "nowhere", actions);
         }
     }
 
@@ -1184,8 +1138,9 @@
     }
 
     /// Ends a request with a refusal where that is allowed, with a failure otherwise.
-    fn finish(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
+    fn finish(&mut self, now: Micros, serial: u64, why: &'static str, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&serial) else { return };
+        self.why = why;
         let request = held.request.id.clone();
         if held.may_refuse(&self.set) {
             let late = now - held.arrived >= self.set.classes[held.request.class].aim / 2;
@@ -1256,7 +1211,7 @@
             }
             _ => {
                 if self.held.get(&serial).is_some_and(|h| !h.streaming) {
-                    self.finish(now, serial, actions);
+                    self.finish(now, serial, "time", actions);
                 }
             }
         }
--- a/crates/decision/src/rules/memory.rs
+++ b/crates/decision/src/rules/memory.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{slot, Balancer, Line, Seen, Server, KIND_MEMORY, RETRY_SAVED, WINDOW_KEPT};
+use super::{Balancer, Line, Seen, Server, RETRY_SAVED, WINDOW_KEPT};
 use crate::interface::{Entry, ListKind, Micros, ServerId, ServerState};
+use crate::pace::{slot, KIND_MEMORY};
 
 /// Servers, hot keys and classes at the most; more than any fleet that one node can hold connections to.
 const SERVERS_MOST: usize = 4096;
--- a/crates/decision/src/rules/status.rs
+++ b/crates/decision/src/rules/status.rs
@@ -4,6 +4,11 @@
 use crate::interface::ServerId;
 
 impl Balancer {
+    /// Which decision gave the last final answer, in a word for the trace.
+    pub fn why(&self) -> &'static str {
+        self.why
+    }
+
     /// Part of the first attempts for its keys that a listed server keeps: below 1 while it fails or is slow by
     /// itself, by what this node sees (see [`crate::outliers`]).
     pub fn kept(&self, server: &ServerId) -> f64 {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -31,6 +31,8 @@
     pub probe_load: bool,
     /// The memcached front and boxes, where they are switched on.
     pub memcached: Option<File>,
+    /// A line for each event goes to the log. Not a field of the configuration: the command line says so.
+    pub trace: bool,
 }
 
 /// The least that the node can work with: a few connections on each side, and long values one at a time.
@@ -109,6 +111,7 @@
         discovery: address("discovery")?,
         ops: f.opt("ops").map(|_| address("ops")).transpose()?,
         accept_fd: None,
+        trace: false,
         seed,
         memory: at_least("memory_mb", MEMORY_LEAST_MB)? << 20,
         sockets: at_least("sockets", SOCKETS_LEAST)?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,4 +17,5 @@
 mod lifecycle;
 mod ops;
 pub mod timer;
+mod trace;
 mod upstream;
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -91,6 +91,8 @@
     fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<Self::Stream>;
     /// Waits until something happens or the time is over (at once for 0); `ready` is emptied first.
     fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()>;
+    /// A line of the trace. Where none is kept it goes nowhere.
+    fn trace(&mut self, _line: &str) {}
     fn told(&mut self) -> Told;
     /// What a process of this node kept for the next one; none where nothing is kept.
     ///
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,7 @@
 use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
 use crate::ops::{Ops, CALLERS};
 use crate::timer::{Due, Timers};
+use crate::trace::Trace;
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
 use sloewick_memcache::outcomes::{outcome, Outcome};
 use sloewick_memcache::routes::Operation;
@@ -140,6 +141,11 @@
         1.0
     }
 
+    /// Which decision gave the last final answer. A module that does not tell gives none.
+    fn why(&self) -> &'static str {
+        "untold"
+    }
+
     /// What the next process of this node is told. A module that does not tell leaves it to learn all anew.
     fn remember(&self, _now: Micros) -> Option<Memory> {
         None
@@ -162,6 +168,10 @@
         Balancer::kept(self, server)
     }
 
+    fn why(&self) -> &'static str {
+        Balancer::why(self)
+    }
+
     fn remember(&self, now: Micros) -> Option<Memory> {
         Some(Balancer::remember(self, now))
     }
@@ -217,6 +227,7 @@
     outliers: BTreeSet<ServerId>,
     /// Where two processes may serve side by side: what the next one is told.
     handover: Option<Handover>,
+    trace: Trace,
 }
 
 fn client_token(key: usize) -> Token {
@@ -313,7 +324,7 @@
             clients_most: connections - upstream,
             dirty: Vec::new(),
             budget: Budget::new(memory / VALUES_PART),
-            upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most),
+            upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most, config.trace),
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
             addresses: Addresses::default(),
@@ -323,6 +334,7 @@
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
             handover,
+            trace: Trace::new(config.trace),
         };
         node.take_over();
         node.list(config.known, Some(ListKind::Cached));
@@ -432,12 +444,17 @@
         while let Some(event) = self.queue.pop_front() {
             let now = self.now();
             let mut actions = std::mem::take(&mut self.actions);
+            self.trace.event(&mut self.net, &event);
             self.module.handle(now, event, &mut actions);
             for action in actions.drain(..) {
+                self.trace.action(&mut self.net, &action, self.module.why());
                 self.act(action, now);
             }
             self.actions = actions;
         }
+        for (server, step) in self.upstreams.steps.iter_mut().flat_map(|steps| steps.drain(..)) {
+            self.trace.step(&mut self.net, &server, step);
+        }
         let news = self.discovery.go_on(&mut self.net, &mut self.timers);
         self.news(news);
     }
--- a/crates/node/src/os.rs
+++ b/crates/node/src/os.rs
@@ -19,6 +19,8 @@
 const BACKLOG: i32 = 1024;
 /// Longest log line; a pipe that is ready takes this much without blocking (PIPE_BUF is 4,096).
 const LOG_LINE_MOST: usize = 400;
+/// Longest line of a trace; ids are at most this long together.
+const TRACE_LINE_MOST: usize = 400;
 /// Events taken by one poll; more wait for the next.
 const EVENTS: usize = 256;
 /// The file that holds a snapshot, and its bytes at the most.
@@ -212,10 +214,21 @@
     /// Guards against a reader of the log that stops reading: a line that the pipe has no room for is
     /// dropped, since a write that blocks would hold up every request.
     fn log(&mut self, line: &str) {
+        self.put_line(line, LOG_LINE_MOST / 4);
+    }
+
+    fn trace(&mut self, line: &str) {
+        self.put_line(line, TRACE_LINE_MOST);
+    }
+}
+
+impl Os {
+    /// A line to standard error, unless that would wait.
+    fn put_line(&mut self, line: &str, most: usize) {
         if self.remote.is_some() {
             return;
         }
-        let mut line: String = line.chars().filter(|c| !c.is_control()).take(LOG_LINE_MOST / 4).collect();
+        let mut line: String = line.chars().filter(|c| !c.is_control()).take(most).collect();
         line.push('\n');
         let stderr = io::stderr();
         let mut ready = [rustix::event::PollFd::new(&stderr, rustix::event::PollFlags::OUT)];
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -12,6 +12,7 @@
 use crate::front::Protocol;
 use crate::net::{fill, out_of_sockets, Net, Outbox, Read1, Ready, Stream, Token};
 use crate::timer::{Due, Timers};
+use crate::trace::Step;
 use sloewick_wire::memcache::{self, Opcode, Response, ResponseReader};
 use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader, VALUE_MOST};
 
@@ -139,6 +140,7 @@
     /// The kernel may hold bytes that were not read yet; the end of the server's bytes is behind them.
     unread: bool,
     closed: bool,
+    opened: Micros,
     idle_since: Micros,
     /// Since when a long value has been waited for.
     starved: Option<Micros>,
@@ -174,6 +176,8 @@
     pub signals: VecDeque<Signal>,
     /// Attempts written whole.
     pub sends: u64,
+    /// What became of connections, for the trace; none where it is off. Emptied in each round.
+    pub steps: Option<Vec<(ServerId, Step)>>,
 }
 
 /// What a call needs of the node around.
@@ -186,7 +190,7 @@
 }
 
 impl<S: Stream> Upstreams<S> {
-    pub fn new(most: usize, server_idle: Micros, connect_most: Micros) -> Upstreams<S> {
+    pub fn new(most: usize, server_idle: Micros, connect_most: Micros, traced: bool) -> Upstreams<S> {
         Upstreams {
             conns: Slab::new(),
             pools: BTreeMap::new(),
@@ -196,6 +200,7 @@
             connect_most,
             signals: VecDeque::new(),
             sends: 0,
+            steps: traced.then(Vec::new),
         }
     }
 
@@ -237,7 +242,7 @@
 
     pub fn close_idle(&mut self, server: &ServerId) {
         let idle = self.pools.get_mut(server).map(|pool| std::mem::take(&mut pool.idle));
-        idle.into_iter().flatten().for_each(|conn| self.close(conn));
+        idle.into_iter().flatten().for_each(|conn| self.close(conn, Step::Spare));
     }
 
     /// Starts a job. An error is its end: it never ran.
@@ -254,7 +259,7 @@
             }
             // It was stale, which tells nothing of the server: the next one, or a new one, does.
             self.conns[conn].job = None;
-            self.close(conn);
+            self.close(conn, Step::Broke);
         }
         let conn = self.open(server, around)?;
         self.give(conn, job, written, around);
@@ -302,6 +307,7 @@
             body: false,
             unread: false,
             closed: false,
+            opened: around.now,
             idle_since: around.now,
             starved: None,
             uncounted: false,
@@ -310,6 +316,7 @@
             // Guards against a count that close() takes below zero: past it, a server counts as full for good.
             pool.open += 1;
         }
+        self.step(conn, Step::Open);
         around.timers.set(around.now + self.connect_most, Due::Upstream { conn, serial });
         Ok(conn)
     }
@@ -352,7 +359,7 @@
             c.out = Outbox::default();
             self.rest(conn, now);
         } else {
-            self.close(conn);
+            self.close(conn, Step::GivenUp);
         }
         sent
     }
@@ -366,11 +373,18 @@
             {
                 pool.idle.push(conn);
             }
-            _ => self.close(conn),
+            _ => self.close(conn, Step::Spare),
         }
     }
 
-    fn close(&mut self, conn: usize) {
+    fn step(&mut self, conn: usize, step: Step) {
+        if let Some(steps) = &mut self.steps {
+            steps.push((self.conns[conn].server.clone(), step));
+        }
+    }
+
+    fn close(&mut self, conn: usize, step: Step) {
+        self.step(conn, step);
         let c = self.conns.remove(conn);
         if let Some(pool) = self.pools.get_mut(&c.server) {
             pool.open -= 1;
@@ -383,16 +397,17 @@
     pub fn make_room(&mut self) -> bool {
         let oldest = self.pools.values().filter_map(|pool| pool.idle.first());
         let oldest = oldest.min_by_key(|conn| self.conns[**conn].idle_since).copied();
-        oldest.map(|conn| self.close(conn)).is_some()
+        oldest.map(|conn| self.close(conn, Step::Spare)).is_some()
     }
 
     fn fail(&mut self, conn: usize) {
         let c = &mut self.conns[conn];
         let status = if c.sent() { Status::Reset } else { Status::ConnectFailed };
+        let step = if c.connecting { Step::Refused } else { Step::Broke };
         if let Some(job) = c.job.take() {
             self.signals.push_back(Signal::Ended(job, status));
         }
-        self.close(conn);
+        self.close(conn, step);
     }
 
     /// The server sent what the protocol does not have: nothing more on this connection can be trusted.
@@ -402,7 +417,7 @@
         if let Some(job) = c.job.take() {
             self.signals.push_back(Signal::Ended(job, Status::Error));
         }
-        self.close(conn);
+        self.close(conn, Step::Broke);
     }
 
     /// Something happened on a socket.
@@ -410,11 +425,16 @@
         let Some(c) = self.conns.get_mut(conn) else { return };
         if c.connecting {
             match (c.stream.take_error(), c.stream.connected()) {
-                (Ok(None), Ok(_)) => c.connecting = false,
+                (Ok(None), Ok(_)) => {
+                    c.connecting = false;
+                    let took = around.now - c.opened;
+                    self.step(conn, Step::Up(took));
+                }
                 (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
                 _ => return self.fail(conn),
             }
         }
+        let c = &mut self.conns[conn];
         let _ = c.out.flush(&mut c.stream);
         self.count(conn);
         let c = &mut self.conns[conn];
@@ -485,7 +505,7 @@
         c.body = false;
         self.signals.push_back(Signal::Reply(job, said));
         if early {
-            self.close(conn);
+            self.close(conn, Step::Broke);
         } else {
             self.rest(conn, now);
         }
@@ -527,7 +547,7 @@
             _ if c.connecting => self.fail(conn),
             Some(job @ Job::Probe { .. }) => {
                 self.signals.push_back(Signal::Ended(job, Status::Timeout));
-                self.close(conn);
+                self.close(conn, Step::GivenUp);
             }
             _ => {}
         }
@@ -541,7 +561,7 @@
             self.conns.iter().filter(|(_, c)| what(c)).map(|(conn, _)| conn).collect()
         };
         let (old, stalled) = (find(&old), find(&stalled));
-        old.into_iter().for_each(|conn| self.close(conn));
+        old.into_iter().for_each(|conn| self.close(conn, Step::Idle));
         stalled.into_iter().for_each(|conn| self.fail(conn));
     }
 }
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -53,6 +53,9 @@
     /// Switch the memcached front and boxes on, as this TOML file says (see docs/memcached.md)
     #[arg(long, value_name = "FILE")]
     memcached: Option<PathBuf>,
+    /// Write a line for each event to standard error, for `sloewick trace` (see docs/fleet-size.md)
+    #[arg(long)]
+    trace: bool,
 }
 
 fn run(args: &RunArgs) -> Result<(), Bad> {
@@ -68,6 +71,7 @@
         })?;
     }
     config::surroundings(&mut config, |name| std::env::var(name).ok())?;
+    config.trace = args.trace;
     let listen = config.listen;
     let mut os = Os::with_signals().map_err(|e| Bad::new("signals", e.to_string()))?;
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
