A cold server is given as much of what it can do as the warm ones are

Checked and ruled out: the origin (misses answered in 50 to 100 ms at the cold servers), admission (no refusal by it), the retry budget (1,732 refusals, all while the zone was away). To blame: rules.rs, warmth(): a cold server's part was 0.7 times its own warmth, whatever the rest could take. Now its part is its warmth beside the fleet's mean, at most 0.7 of the multiple at which it falls over.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,6 +10,7 @@
 mod pace;
 pub mod rules;
 pub mod settings;
+mod warmth;
 
 pub use interface::{Action, Event, Settings, SettingsError};
 pub use rules::memory::Memory;
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -9,6 +9,7 @@
 use crate::interface::*;
 use crate::outliers::{rendezvous, Outliers, TRIAL};
 use crate::pace::Pace;
+use crate::warmth::Fleet;
 
 pub mod memory;
 mod status;
@@ -27,8 +28,6 @@
 const HOT_SPAN: f64 = 64.0;
 const WARM_SPAN: f64 = 4.0;
 const HOT_SEEN: f64 = 4.0;
-/// A cold server is given this part of what its warm-up promises; the rest is slack for chance and misses.
-const COLD_CAUTION: f64 = 0.7;
 /// Retry budget: tokens for each request, and most saved up; share of second attempts answered in time at
 /// which it is whole, and at which it is least; that least part.
 const RETRY_RATE: f64 = 0.2;
@@ -409,6 +408,7 @@
     pace: Pace,
     /// Who fails by itself, and what it keeps of its keys.
     outliers: Outliers,
+    fleet: Fleet,
     held: BTreeMap<u64, Held>,
     ids: HashMap<RequestId, u64>,
     serial: u64,
@@ -450,6 +450,7 @@
             origins: Vec::new(),
             pace,
             outliers: Outliers::default(),
+            fleet: Fleet::new(&settings),
             held: BTreeMap::new(),
             ids: HashMap::new(),
             serial: 0,
@@ -665,6 +666,11 @@
             aim.min(class.deadline).min(request.budget)
         };
         let end = now + useful - margin;
+        if self.fleet.look_due(now) {
+            let working = self.line.servers.iter().filter(|s| !s.sick());
+            let grown: Vec<f64> = working.map(|s| self.fleet.grown(s.entry.started, now)).collect();
+            self.fleet.look(now, grown.into_iter());
+        }
         self.line.arrive(at, key);
         self.maybe_update(now);
         // Where second attempts are not answered either, they only add to the load that makes it so. A few go
@@ -853,19 +859,15 @@
     fn overrun(&self, now: Micros, serial: u64) -> bool {
         let Some(held) = self.held.get(&serial) else { return false };
         let Some((Place::Line, i)) = self.choose(now, held) else { return false };
-        let (pass, warmth) = (self.line.servers[i].pass, self.warmth(now, &self.line.servers[i].entry));
+        let (pass, entry) = (self.line.servers[i].pass, &self.line.servers[i].entry);
+        let spared = self.fleet.spared(self.fleet.grown(entry.started, now));
         let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
-        (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass) || (warmth < 1.0 && off >= 2.0 * warmth)
+        (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass) || off >= spared
     }
 
+    /// Part of its range that a server can take as far as it is warm.
     fn warmth(&self, now: Micros, entry: &Entry) -> f64 {
-        let Some(started) = entry.started else { return 1.0 };
-        let age = (now - started).max(0);
-        if age >= self.set.cold {
-            return 1.0;
-        }
-        let grown = self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.cold as f64;
-        COLD_CAUTION * grown
+        self.fleet.part(self.fleet.grown(entry.started, now))
     }
 
     /// The server for the next attempt.
--- /dev/null
+++ b/crates/decision/src/warmth.rs
@@ -0,0 +1,122 @@
+//! What a server that has just started is given of its range, beside the others of its fleet.
+//!
+//! Guarantees: a cold server's part is never above `FALL_PART` of the multiple at which it falls over, counted
+//! from the least capacity that its settings allow it; a warm one keeps all. No clock: time is an argument.
+
+use crate::interface::{Micros, Settings};
+
+/// Part of the multiple at which a cold server falls over that it is given at most. The rest is slack for chance
+/// and for misses, which take more work than hits.
+const FALL_PART: f64 = 0.7;
+/// Multiple of what a cold server can do that it is given when nobody relieves it.
+const UNRELIEVED: f64 = 1.4;
+/// How long a look at the fleet holds; warm-ups take seconds.
+const LOOK: Micros = 100_000;
+
+/// How servers warm up here, and how warm the fleet is as a whole.
+pub struct Fleet {
+    cold: Micros,
+    cold_from: f64,
+    most: f64,
+    mean: f64,
+    looked: Option<Micros>,
+}
+
+impl Fleet {
+    /// A fleet of servers that are all warm.
+    pub fn new(set: &Settings) -> Fleet {
+        let most = (FALL_PART * set.fall_multiple).max(1.0);
+        Fleet { cold: set.cold, cold_from: set.cold_from, most, mean: 1.0, looked: None }
+    }
+
+    /// The least part of its capacity that a server has so long after its start: 1 once it is warm.
+    pub fn grown(&self, started: Option<Micros>, now: Micros) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = (now - started).max(0);
+        if age >= self.cold {
+            return 1.0;
+        }
+        self.cold_from + (1.0 - self.cold_from) * age as f64 / self.cold as f64
+    }
+
+    /// Whether the last look is too long ago.
+    pub fn look_due(&self, now: Micros) -> bool {
+        !self.looked.is_some_and(|at| (0..LOOK).contains(&(now - at)))
+    }
+
+    /// Looks at how much of their capacity all servers have that take work.
+    pub fn look(&mut self, now: Micros, grown: impl Iterator<Item = f64>) {
+        self.looked = Some(now);
+        let (sum, n) = grown.fold((0.0, 0u32), |(sum, n), g| (sum + g, n + 1));
+        self.mean = if n == 0 { 1.0 } else { sum / f64::from(n) };
+    }
+
+    /// Part of its range for a server of this warmth. What cold servers don't take, the warm ones get on top of
+    /// their own: where most of a fleet is cold at once, a part that is the server's warmth alone leaves all
+    /// requests to the few that are warm. So each is given as much of what it can do as all the others are.
+    pub fn part(&self, grown: f64) -> f64 {
+        if grown >= 1.0 {
+            return 1.0;
+        }
+        (grown * (1.0 / self.mean).clamp(1.0, self.most)).min(1.0)
+    }
+
+    /// Part of its range beyond which a server of this warmth is spared, also where nobody relieves it; it would
+    /// fall over. No bound for a warm one.
+    pub fn spared(&self, grown: f64) -> f64 {
+        if grown >= 1.0 {
+            return f64::INFINITY;
+        }
+        self.part(grown).max(UNRELIEVED * grown)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet(mean: f64) -> Fleet {
+        Fleet { cold: 24_000_000, cold_from: 0.13, most: FALL_PART * 2.5, mean, looked: None }
+    }
+
+    fn part_beside(cold: usize, warm: usize) -> f64 {
+        let mut fleet = fleet(1.0);
+        let grown = fleet.grown(Some(0), 6_000_000);
+        fleet.look(6_000_000, [vec![grown; cold], vec![1.0; warm]].concat().into_iter());
+        fleet.part(grown)
+    }
+
+    // Guards against the few warm servers of a fleet being left with all requests while most are cold.
+    #[test]
+    fn cold_servers_take_as_much_of_what_they_can_as_the_warm_ones() {
+        let (alone, half, most) = (part_beside(1, 59), part_beside(36, 24), part_beside(57, 3));
+        let able = 0.13 + 0.87 / 4.0;
+        assert!((alone / able - 1.0).abs() < 0.02, "{alone} beside {able}");
+        let mean = (36.0 * able + 24.0) / 60.0;
+        assert!((half - able / mean).abs() < 1e-9);
+        assert!(most > half && most <= 0.7 * 2.5 * able + 1e-9);
+    }
+
+    #[test]
+    fn parts_keep_below_the_fall_and_within_one() {
+        for mean in 1..=20 {
+            let fleet = fleet(f64::from(mean) / 20.0);
+            for age in 0..48 {
+                let grown = fleet.grown(Some(0), age * 500_000);
+                let part = fleet.part(grown);
+                assert!(part <= 1.0 && part >= grown && (grown >= 1.0 || part <= 0.7 * 2.5 * grown + 1e-9));
+            }
+        }
+        assert_eq!((fleet(1.0).grown(None, 0), fleet(1.0).grown(Some(0), 24_000_000)), (1.0, 1.0));
+    }
+
+    #[test]
+    fn an_empty_fleet_and_a_single_server_are_no_special_case() {
+        let mut fleet = fleet(1.0);
+        fleet.look(0, std::iter::empty());
+        assert_eq!(fleet.part(0.5), 0.5);
+        assert!(!fleet.look_due(LOOK - 1) && fleet.look_due(LOOK));
+        fleet.look(10 * LOOK, std::iter::once(0.13));
+        assert!(fleet.part(0.13) <= 0.7 * 2.5 * 0.13 + 1e-9);
+    }
+}
