A lost zone is known after the third of its servers, and asked again by a probe

Checked: a node sends a server a request in four seconds; a sick server's first pauses are 0.75, 1.5 and 3 s, so each request for its range is a trial. Ruled out: the list (it tells nothing of silence before 12.8 s), connections run short (none refused by a live server). To blame: rules.rs, judge() and up(): evidence was kept for each server alone. Now servers share their zone's fate: three different ones not reached in a row, none reached between, and the zone is lost; one of its servers is probed after pauses of 0.5 to 2 s, spread by the node's seed.

--- /dev/null
+++ b/crates/decision/src/fates.rs
@@ -0,0 +1,179 @@
+//! Servers that share a fate: a zone that is lost takes all of its servers with it at once.
+//!
+//! A node with few requests meets each server once in some seconds; finding out one by one that a whole zone is
+//! away costs it a request and a wait for each, and again at the end of each one's pause. Here it is known after the third.
+//!
+//! Guarantees: no zone counts as lost while one of its servers answers; it takes `SERVERS_LEAST` different servers in a
+//! row of which none was reached; the last zone is never lost. While one is lost, one of its servers is asked
+//! again after a pause that doubles up to `PAUSE_MOST`, whatever the traffic. No clock: time is an argument.
+
+use crate::interface::{Micros, ServerId};
+
+/// Different servers that must fail in a row.
+const SERVERS_LEAST: usize = 3;
+/// Odds against chance at which a zone is lost, as a logarithm: one in a thousand.
+const LOST: f64 = 6.9;
+/// What a connection that does not come up says (it does one time in ten at most), and what silence says.
+pub const UNREACHED: f64 = 2.31;
+pub const SILENT: f64 = 1.2;
+/// First and longest pause between two looks at a lost zone.
+const PAUSE: Micros = 500_000;
+const PAUSE_MOST: Micros = 2_000_000;
+
+#[derive(Default)]
+struct Fate {
+    /// It has servers in the list.
+    listed: bool,
+    /// Servers that were not reached since one was, at most `SERVERS_LEAST`.
+    unreached: Vec<ServerId>,
+    against: f64,
+    /// The pause after the next look, while it is lost.
+    pause: Option<Micros>,
+    next: Micros,
+}
+
+/// The zones, by label; servers without one share the first place.
+#[derive(Default)]
+pub struct Fates {
+    zones: Vec<Fate>,
+}
+
+fn place(zone: Option<u16>) -> usize {
+    zone.map_or(0, |z| usize::from(z) + 1)
+}
+
+impl Fates {
+    /// The zones that have listed servers now.
+    pub fn list(&mut self, zones: impl Iterator<Item = Option<u16>>) {
+        self.zones.iter_mut().for_each(|fate| fate.listed = false);
+        for zone in zones {
+            self.fate(zone).listed = true;
+        }
+    }
+
+    fn fate(&mut self, zone: Option<u16>) -> &mut Fate {
+        let at = place(zone);
+        if self.zones.len() <= at {
+            self.zones.resize_with(at + 1, Fate::default);
+        }
+        &mut self.zones[at]
+    }
+
+    /// Whether this zone is lost, and another is not.
+    pub fn lost(&self, zone: Option<u16>) -> bool {
+        self.zones.get(place(zone)).is_some_and(|fate| fate.pause.is_some())
+            && self.zones.iter().any(|fate| fate.listed && fate.pause.is_none())
+    }
+
+    /// A server of the zone was reached, whatever it said. True: the zone was lost.
+    pub fn reached(&mut self, zone: Option<u16>) -> bool {
+        let fate = self.fate(zone);
+        fate.unreached.clear();
+        fate.against = 0.0;
+        fate.pause.take().is_some()
+    }
+
+    /// A server of the zone was not reached, which says so much. True: the zone is lost from now on.
+    pub fn unreached(&mut self, now: Micros, zone: Option<u16>, server: &ServerId, says: f64) -> bool {
+        let fate = self.fate(zone);
+        if fate.pause.is_some() {
+            return false;
+        }
+        if !fate.unreached.contains(server) && fate.unreached.len() < SERVERS_LEAST {
+            fate.unreached.push(server.clone());
+        }
+        fate.against += says;
+        if fate.unreached.len() < SERVERS_LEAST || fate.against < LOST {
+            return false;
+        }
+        (fate.pause, fate.next) = (Some(PAUSE), now + PAUSE);
+        true
+    }
+
+    /// Whether a lost zone is due to be looked at; if so, the next look is later. `drawn`, from 0 to 1, spreads
+    /// the looks of many nodes.
+    pub fn look(&mut self, now: Micros, zone: Option<u16>, drawn: f64) -> bool {
+        let fate = self.fate(zone);
+        let Some(pause) = fate.pause.filter(|_| now >= fate.next) else { return false };
+        fate.pause = Some((pause * 2).min(PAUSE_MOST));
+        fate.next = now + (pause as f64 * (0.5 + drawn)) as Micros;
+        true
+    }
+
+    /// Until the next look at a lost zone.
+    pub fn wait(&self, now: Micros, zone: Option<u16>) -> Option<Micros> {
+        let fate = self.zones.get(place(zone)).filter(|fate| fate.pause.is_some())?;
+        Some((fate.next - now).max(0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(n: usize) -> ServerId {
+        format!("s{n}").into()
+    }
+
+    fn two() -> Fates {
+        let mut fates = Fates::default();
+        fates.list([Some(0), Some(1)].into_iter());
+        fates
+    }
+
+    #[test]
+    fn three_servers_in_a_row_lose_a_zone_and_one_answer_brings_it_back() {
+        let mut fates = two();
+        assert!(!fates.unreached(0, Some(1), &id(1), UNREACHED));
+        assert!(!fates.unreached(0, Some(1), &id(2), UNREACHED));
+        assert!(
+            fates.unreached(0, Some(1), &id(3), UNREACHED) && fates.lost(Some(1)) && !fates.lost(Some(0))
+        );
+        assert!(fates.reached(Some(1)) && !fates.lost(Some(1)));
+    }
+
+    #[test]
+    fn one_server_is_no_zone_and_an_answer_between_clears_it() {
+        let mut fates = two();
+        for _ in 0..50 {
+            assert!(!fates.unreached(0, Some(1), &id(1), UNREACHED));
+        }
+        for n in 0..50 {
+            assert!(!fates.unreached(0, Some(0), &id(n), UNREACHED));
+            assert!(!fates.unreached(0, Some(0), &id(n + 1), UNREACHED));
+            assert!(!fates.reached(Some(0)));
+        }
+    }
+
+    #[test]
+    fn the_last_zone_is_never_lost() {
+        let mut fates = Fates::default();
+        fates.list([None].into_iter());
+        for n in 0..9 {
+            fates.unreached(0, None, &id(n), UNREACHED);
+        }
+        assert!(!fates.lost(None));
+        let mut fates = two();
+        for zone in 0..2 {
+            (0..9).for_each(|n| {
+                fates.unreached(0, Some(zone), &id(n), UNREACHED);
+            });
+        }
+        assert!(!fates.lost(Some(0)) && !fates.lost(Some(1)));
+    }
+
+    #[test]
+    fn looks_come_rarely_and_never_end() {
+        let mut fates = two();
+        (0..3).for_each(|n| {
+            fates.unreached(0, Some(1), &id(n), UNREACHED);
+        });
+        let (mut looks, mut now) = (0, 0);
+        while now < 60_000_000 {
+            now += fates.wait(now, Some(1)).unwrap().max(1);
+            looks += u32::from(fates.look(now, Some(1), 0.5));
+        }
+        assert!((30..=35).contains(&looks), "{looks} looks in a minute");
+        assert_eq!(fates.wait(now, Some(0)), None);
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,6 +5,8 @@
 //! themselves, [`rules::memory`] what the next process of a node is told, [`settings`] how all are told their settings.
 #![warn(missing_docs)]
 
+mod draw;
+mod fates;
 pub mod interface;
 pub mod outliers;
 mod pace;
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use crate::draw::{hash, mix, point, Rng};
+use crate::fates::Fates;
 use crate::interface::*;
 use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
 use crate::pace::Pace;
@@ -13,6 +15,7 @@
 
 pub mod memory;
 mod status;
+mod zones;
 
 /// Window mass for each squared server: the spread of a cut, sqrt(1/4WS), is then under 1/5 of a range.
 const WINDOW_PER_SQUARE: f64 = 8.0;
@@ -72,34 +75,6 @@
 /// Log lines of an instance.
 const LOG_LINES: u32 = 24;
 
-fn hash(text: &str) -> u64 {
-    let h = text
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    mix(h)
-}
-
-fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    h ^ (h >> 31)
-}
-
-/// A 64-bit hash as a point on the line [0, 1).
-fn point(hash: u64) -> f64 {
-    (hash >> 11) as f64 / (1u64 << 53) as f64
-}
-
-/// Small generator seeded for each instance (splitmix64).
-struct Rng(u64);
-
-impl Rng {
-    fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        point(mix(self.0))
-    }
-}
-
 /// A server on the line, or an origin entry.
 struct Server {
     entry: Entry,
@@ -404,6 +379,7 @@
 const END: u64 = 0;
 const HEDGE: u64 = 1;
 const LIST: u64 = 2;
+const ZONE: u64 = 3;
 
 /// The decisions of one node.
 pub struct Balancer {
@@ -417,6 +393,8 @@
     /// Who fails by itself, and what it keeps of its keys.
     outliers: Outliers,
     fleet: Fleet,
+    /// Which zones are lost.
+    fates: Fates,
     held: BTreeMap<u64, Held>,
     ids: HashMap<RequestId, u64>,
     serial: u64,
@@ -459,6 +437,7 @@
             pace,
             outliers: Outliers::default(),
             fleet: Fleet::new(&settings),
+            fates: Fates::default(),
             held: BTreeMap::new(),
             ids: HashMap::new(),
             serial: 0,
@@ -545,6 +524,7 @@
         self.line.reindex();
         self.far.reindex();
         self.outliers.retain(|id| self.line.index.contains_key(id));
+        self.fates.list(self.line.servers.iter().chain(&self.far.servers).map(|s| s.entry.zone));
         if changed > 0 || kind != ListKind::Delta {
             self.weigh();
             if first || changed * 2 > self.line.servers.len() {
@@ -582,6 +562,7 @@
                 if server.entry.started != entry.started {
                     (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
                     self.outliers.restarted(&entry.server);
+                    self.fates.reached(entry.zone);
                 }
                 server.entry = entry.clone();
                 false
@@ -841,7 +822,8 @@
     /// Not judged sick, or due for a trial.
     fn up(&self, now: Micros, i: usize) -> bool {
         let server = &self.line.servers[i];
-        !server.sick() || (now >= server.sick_until && now >= server.trial_until)
+        let sound = !server.sick() || (now >= server.sick_until && now >= server.trial_until);
+        sound && !self.fates.lost(server.entry.zone)
     }
 
     /// Part of its range that a server can take now: less while cold, nothing while sick.
@@ -964,7 +946,9 @@
             let server = &self.far.servers[*i];
             let tried = held.attempts.iter().any(|a| a.server == server.entry.server);
             let fit = now >= server.sick_until && self.warmth(now, &server.entry) >= 1.0;
-            fit && !tried && held.may_send(&self.set, &server.entry, now)
+            fit && !tried
+                && !self.fates.lost(server.entry.zone)
+                && held.may_send(&self.set, &server.entry, now)
         })
     }
 
@@ -1089,6 +1073,7 @@
     }
 
     fn judge(&mut self, now: Micros, server: &ServerId, status: Option<Status>, actions: &mut Vec<Action>) {
+        self.note_fate(now, server, status, actions);
         let line = if self.far.index.contains_key(server) { &mut self.far } else { &mut self.line };
         let Some(i) = line.index.get(server).copied() else { return };
         let least = (SICK_PAUSE * self.set.connect_timeout).max(10 * self.set.tick);
@@ -1210,6 +1195,9 @@
                 self.list_planned = false;
                 actions.push(Action::Subscribe(true));
             }
+            ZONE => {
+                self.look_at(now, serial.checked_sub(1).and_then(|z| u16::try_from(z).ok()), actions);
+            }
             HEDGE => {
                 self.note_silence(now, serial, actions);
                 let Some(held) = self.held.get(&serial) else { return };
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -536,3 +536,38 @@
     assert_eq!(next.pace.kinds[0], (0.0, 0.0));
     assert_eq!(next.pace.kinds[1], (50.0, 10.0));
 }
+
+/// A lost zone took a request and a wait for each of its servers, and again after each one's pause.
+#[test]
+fn a_lost_zone_gets_nothing_after_three_of_its_servers_and_one_look_brings_it_back() {
+    let mut node = node(0.0, 40);
+    node.set.probes = true;
+    let odd = |server: &ServerId| server[1..].parse::<u32>().unwrap() % 2 == 1;
+    let (mut tried, mut actions) = (std::collections::HashSet::new(), Vec::new());
+    for n in 0..200 {
+        let now = i64::from(n) * 1000;
+        let Some(server) = ask(&mut node, now, n).filter(odd) else { continue };
+        tried.insert(server.clone());
+        node.judge(now, &server, Some(Status::ConnectFailed), &mut actions);
+    }
+    assert_eq!(tried.len(), 3, "{tried:?}");
+    let timer = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
+            _ => None,
+        })
+    };
+    let (token, delay) = timer(&actions).unwrap();
+    actions.clear();
+    node.handle(200_000 + delay, Event::Timer(token), &mut actions);
+    let asked = actions.iter().find_map(|a| match a {
+        Action::Probe(server) => Some(server.clone()),
+        _ => None,
+    });
+    let asked = asked.filter(odd).expect("a server of the lost zone is asked");
+    assert!(timer(&actions).is_some(), "and again later");
+    let probed = Event::Probed { server: asked, latency: 1000, status: Status::Ok, load: None };
+    node.handle(2_000_000, probed, &mut actions);
+    let again = (1000..1200).filter_map(|n| ask(&mut node, 2_000_000, n)).filter(odd).count();
+    assert!(again > 60, "{again} of 200 go to the zone that answers again");
+}
