A popular key stays at a cold home within the part that it takes

Seen: after a zone's return and through a replacement the cold servers still got 40 to 60% of what their part allowed, and only misses; the warm ones timed out on what was sent on to them. Checked: within the part that a cold home keeps, keys seen more than once in four arrivals a server went to a warm second home. To blame: rules.rs, choose(), `often && cold`. One popular key costs a cold server one miss and then hits, the cheapest work it can have; the guard against a rush is the part itself and the deal of hot keys.

--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -906,13 +906,10 @@
                 return Some((Place::Line, home));
             }
             let off = self.off_middle(held.at, home);
-            let often = held.key.and_then(|k| self.line.seen.get(&k)).is_some_and(|s| s.counts[1] > 1.5);
-            let cold = self.warmth(now, &self.line.servers[home].entry) < 1.0;
-            if off < fit && !(often && cold) {
+            if off < fit {
                 return Some((Place::Line, home));
             }
-            let sound = self.second_home(now, held, |i| self.fitness(now, i) >= 1.0);
-            let best = sound.or_else(|| (often && cold).then(|| self.second_home(now, held, up)).flatten());
+            let best = self.second_home(now, held, |i| self.fitness(now, i) >= 1.0);
             return Some((Place::Line, best.unwrap_or(home)));
         }
         let near = self.second_home(now, held, up).or_else(|| self.second_home(now, held, |_| true));
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -571,3 +571,29 @@
     let again = (1000..1200).filter_map(|n| ask(&mut node, 2_000_000, n)).filter(odd).count();
     assert!(again > 60, "{again} of 200 go to the zone that answers again");
 }
+
+/// A popular key was sent on from a cold home, which was left with the keys that nobody keeps: all misses.
+#[test]
+fn a_popular_key_stays_at_a_cold_home_within_its_part() {
+    let mut node = node(0.0, 8);
+    node.line.updates = 1e9;
+    node.line.servers[3].entry.started = Some(0);
+    let now = 4_000_000;
+    let kept = |n: &u32| {
+        let at = point(hash(&format!("k{n}")));
+        node.line.home(at) == 3 && node.line.left_edge(3) < at && node.off_middle(at, 3) < 0.2
+    };
+    let key = (0..2000).find(kept).unwrap();
+    let id = node.line.servers[3].entry.server.clone();
+    // Often enough to be popular, too rarely beside others to be dealt.
+    for n in 0..3 {
+        let other = 10_000 + 7 * n;
+        (0..6).for_each(|i| {
+            ask(&mut node, now, other + i);
+        });
+        assert_eq!(ask(&mut node, now, key), Some(id.clone()), "the {n}th time");
+        node.ids.clear();
+        node.held.clear();
+        node.line.servers.iter_mut().for_each(|s| s.out = 0);
+    }
+}
