sloewick trace: counts the traces of a fleet's nodes together, second by second

Need: a hundred nodes' logs have to be read as one to see what each does that hurts when all do it. The command reads a folder of logs, bounded in memory, and prints counts by second, ratios and the worst servers, also as JSON; what can't be read is counted, other input ends with 2 and the reason.

--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -6,6 +6,7 @@
 mod play;
 mod runs;
 mod speech;
+mod trace;
 
 use std::io::Write;
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
   BALANCER_CONFIG=node.json sloewick run --memcached deploy/memcached.toml
   sloewick play rolling-deploy --seed 7
   sloewick play --list
+  sloewick trace logs
 
 Exit codes: 0 done, 1 a rule was broken, 2 input that can't be used, 130 interrupted.";
 
@@ -46,6 +48,8 @@
     Demo(demo::Args),
     /// Play a scenario on virtual time and judge it
     Play(play::Args),
+    /// Count the traces of a fleet's nodes together
+    Trace(trace::Args),
 }
 
 #[derive(clap::Args)]
@@ -98,5 +102,6 @@
         Command::Check(args) => check::check(&args),
         Command::Demo(args) => demo::demo(&args),
         Command::Play(args) => play::play(&args),
+        Command::Trace(args) => trace::trace(&args),
     }
 }
--- a/crates/sloewick/tests/cli.rs
+++ b/crates/sloewick/tests/cli.rs
@@ -24,7 +24,13 @@
 
 #[test]
 fn help_has_examples_and_the_version_is_told() {
-    for args in [vec!["--help"], vec!["demo", "--help"], vec!["play", "--help"], vec!["check", "--help"]] {
+    for args in [
+        vec!["--help"],
+        vec!["demo", "--help"],
+        vec!["play", "--help"],
+        vec!["check", "--help"],
+        vec!["trace", "--help"],
+    ] {
         let out = sloewick(&args);
         assert!(out.status.success() && text(&out.stdout).contains("Examples:"), "{args:?}");
     }
@@ -32,6 +38,29 @@
     assert_eq!(sloewick(&["fly"]).status.code(), Some(2));
 }
 
+#[test]
+fn traces_of_a_folder_are_counted_and_other_input_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().to_str().unwrap();
+    let none = sloewick(&["trace", path]);
+    assert_eq!(none.status.code(), Some(2));
+    assert!(text(&none.stderr).contains("no line of a trace in 0 files"), "{}", text(&none.stderr));
+    for node in ["n0.log", "n1.log"] {
+        let lines = "trace t=5 request id=a class=0 write=0\ntrace t=9 end id=a how=refused why=budget\n";
+        std::fs::write(folder.path().join(node), lines).unwrap();
+    }
+    std::fs::write(folder.path().join("noise"), vec![0xff; 100_000]).unwrap();
+    let out = sloewick(&["trace", path, "--json"]);
+    let counted: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!(counted["all"]["ended, refused by budget"], 2);
+    assert!(text(&sloewick(&["trace", path]).stdout).contains("requests refused, of all: 1.000"));
+    for wrong in [vec!["trace", "/nowhere/at/all"], vec!["trace", path, "--from", "3", "--to", "2"]] {
+        let out = sloewick(&wrong);
+        assert_eq!(out.status.code(), Some(2), "{wrong:?}");
+        assert!(!out.stderr.is_empty());
+    }
+}
+
 #[test]
 fn the_example_configuration_can_be_used() {
     let path = file("good.json", &example());
--- a/crates/sloewick/tests/node.rs
+++ b/crates/sloewick/tests/node.rs
@@ -49,6 +49,27 @@
     assert_eq!(client.bulk(), b"two");
 }
 
+/// The lines that `sloewick trace` counts; without them it would count nothing and say so of every fleet.
+#[test]
+fn a_trace_tells_a_requests_way_and_none_is_written_unasked() {
+    for traced in [true, false] {
+        let server = listener();
+        let mut command = program();
+        command.args(traced.then_some("--trace")).stderr(Stdio::piped());
+        let mut node = Node::start_by(command, settings(), &[target("s-1", &server)], |_| {});
+        let mut client = node.client();
+        drop(exchange(&mut client, &server, "id-1"));
+        drop(client);
+        let said = node.last_words();
+        assert_eq!(said.contains("trace t="), traced, "{said}");
+        for part in
+            ["request id=id-1", "send id=id-1 server=s-1", "step=Up", "outcome id=id-1 n=0 server=s-1"]
+        {
+            assert_eq!(said.contains(part), traced, "{part}: {said}");
+        }
+    }
+}
+
 #[test]
 fn error_answers() {
     assert_eq!(outcome(|mut conn| conn.send("-ERR failed inflight=3,queue=1\r\n")), FAILED);
