--- a/crates/decision/src/fates.rs
+++ b/crates/decision/src/fates.rs
@@ -145,6 +145,19 @@
         }
     }
 
+    #[test]
+    fn an_answer_clears_both_who_failed_and_what_it_said() {
+        let mut fates = two();
+        fates.unreached(0, Some(1), &id(1), UNREACHED);
+        fates.unreached(0, Some(1), &id(2), UNREACHED);
+        fates.reached(Some(1));
+        for _ in 0..9 {
+            assert!(!fates.unreached(0, Some(1), &id(3), UNREACHED));
+        }
+        fates.reached(Some(1));
+        assert!((0..3).all(|n| !fates.unreached(0, Some(1), &id(n), SILENT)), "silence says less");
+    }
+
     #[test]
     fn the_last_zone_is_never_lost() {
         let mut fates = Fates::default();
@@ -176,4 +189,33 @@
         assert!((30..=35).contains(&looks), "{looks} looks in a minute");
         assert_eq!(fates.wait(now, Some(0)), None);
     }
+
+    /// One sound server in a bad zone brings it back whenever it is the one that is asked; the others must not
+    /// cost a request each time they are met.
+    #[test]
+    fn a_zone_with_one_sound_server_costs_few_requests() {
+        const SERVERS: usize = 36;
+        let (mut fates, mut rng) = (two(), crate::draw::Rng(7));
+        let (mut met, mut failed) = (0, 0);
+        for step in 0..600 {
+            let now = step * 100_000;
+            let mut draw = || (rng.next() * SERVERS as f64) as usize;
+            let (probed, asked) = (draw(), draw());
+            let looks = fates.look(now, Some(1), 0.5);
+            if looks && probed == 0 {
+                fates.reached(Some(1));
+            }
+            if fates.lost(Some(1)) {
+                continue;
+            }
+            met += 1;
+            if asked == 0 {
+                fates.reached(Some(1));
+            } else {
+                failed += 1;
+                fates.unreached(now, Some(1), &id(asked), UNREACHED);
+            }
+        }
+        assert!(met > 0 && failed < 60, "{failed} of 600 requests were lost to the zone");
+    }
 }
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -597,3 +597,25 @@
         node.line.servers.iter_mut().for_each(|s| s.out = 0);
     }
 }
+
+/// What is learned over many servers and zones must not break the smallest fleet.
+#[test]
+fn the_only_server_is_tried_again_after_each_pause_and_has_all_requests_once_it_answers() {
+    for started in [None, Some(0)] {
+        let mut node = node(0.0, 1);
+        node.line.servers[0].entry.started = started;
+        let (mut now, mut tried, mut actions) = (0, 0, Vec::new());
+        for n in 0..300 {
+            now += 100_000;
+            if let Some(server) = ask(&mut node, now, n) {
+                tried += 1;
+                node.judge(now, &server, Some(Status::ConnectFailed), &mut actions);
+            }
+        }
+        assert!(tried >= 3, "{tried} trials in 30 s");
+        let server = node.line.servers[0].entry.server.clone();
+        node.judge(now, &server, Some(Status::Ok), &mut actions);
+        let served = (300..400).filter_map(|n| ask(&mut node, now + 20_000_000, n)).count();
+        assert_eq!(served, 100);
+    }
+}
--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outliers.rs
@@ -323,8 +323,9 @@
 fn what_is_held_against_a_server_fades() {
     let mut outliers = Outliers::default();
     told(&mut outliers, 0, true, 24);
-    let minute = 60_000_000;
-    outliers.note(minute, &id(0), Asked::Known, false, SERVERS);
+    assert!(outliers.kept(&id(0)) < 1.0);
+    // Others' answers only; its own are not needed.
+    (0..8).for_each(|_| outliers.note(60_000_000, &id(1), Asked::Known, false, SERVERS));
     assert_eq!(outliers.kept(&id(0)), 1.0);
 }
 
