One timer for the look at a lost zone, however often it comes and goes

Seen on reading: each time that a zone was lost again before its last look was due, one more timer began and went on while it was lost; nothing bounded their number. To blame: rules/zones.rs, plan_look(). Now a zone has one timer. The test asserts that no second one is given.

--- a/crates/decision/src/fates.rs
+++ b/crates/decision/src/fates.rs
@@ -30,6 +30,8 @@
     /// The pause after the next look, while it is lost.
     pause: Option<Micros>,
     next: Micros,
+    /// A timer for the next look runs. Guards against one more for each time that a zone comes and goes.
+    planned: bool,
 }
 
 /// The zones, by label; servers without one share the first place.
@@ -100,11 +102,19 @@
         true
     }
 
-    /// Until the next look at a lost zone.
-    pub fn wait(&self, now: Micros, zone: Option<u16>) -> Option<Micros> {
-        let fate = self.zones.get(place(zone)).filter(|fate| fate.pause.is_some())?;
+    /// Until the next look at a lost zone, if no timer for it runs; one does from now on.
+    pub fn plan(&mut self, now: Micros, zone: Option<u16>) -> Option<Micros> {
+        let fate = self.fate(zone);
+        if fate.pause.is_none() || std::mem::replace(&mut fate.planned, true) {
+            return None;
+        }
         Some((fate.next - now).max(0))
     }
+
+    /// The timer for a look has come.
+    pub fn planned_is_due(&mut self, zone: Option<u16>) {
+        self.fate(zone).planned = false;
+    }
 }
 
 #[cfg(test)]
@@ -183,11 +193,13 @@
         });
         let (mut looks, mut now) = (0, 0);
         while now < 60_000_000 {
-            now += fates.wait(now, Some(1)).unwrap().max(1);
+            now += fates.plan(now, Some(1)).unwrap().max(1);
+            assert_eq!(fates.plan(now, Some(1)), None, "one timer at a time");
+            fates.planned_is_due(Some(1));
             looks += u32::from(fates.look(now, Some(1), 0.5));
         }
         assert!((30..=35).contains(&looks), "{looks} looks in a minute");
-        assert_eq!(fates.wait(now, Some(0)), None);
+        assert_eq!(fates.plan(now, Some(0)), None);
     }
 
     /// One sound server in a bad zone brings it back whenever it is the one that is asked; the others must not
--- a/crates/decision/src/rules/zones.rs
+++ b/crates/decision/src/rules/zones.rs
@@ -37,7 +37,7 @@
     }
 
     fn plan_look(&mut self, now: Micros, zone: Option<u16>, actions: &mut Vec<Action>) {
-        if let Some(delay) = self.fates.wait(now, zone) {
+        if let Some(delay) = self.fates.plan(now, zone) {
             let token = zone.map_or(0, |z| u64::from(z) + 1) << 2 | ZONE;
             actions.push(Action::Timer { delay: delay.max(self.set.tick), token });
         }
@@ -46,6 +46,7 @@
     /// Looks whether a lost zone is back: one of its servers is asked, where that is allowed; else the next
     /// request for it finds out.
     pub(super) fn look_at(&mut self, now: Micros, zone: Option<u16>, actions: &mut Vec<Action>) {
+        self.fates.planned_is_due(zone);
         let drawn = self.rng.next();
         if self.fates.look(now, zone, drawn) {
             let all = self.line.servers.iter().chain(&self.far.servers);
