A cold server is bounded by a right of each node, whatever the popularity of its keys

Fault: rules.rs, choose, `if off < fit`: a part of the range bounds load only if no key in it is popular, and a node that saw a key once can't tell. 300 nodes send it once each.

Now each node has a right to first attempts at a cold server within the time to a fall: the settings' multiple, of what an average server gets from this node. Below one it is the share of the keys that the node sends there, drawn by node and key; so the sum over all nodes is bounded. Dealt turns are held to it as well.

The price is what cold servers no longer take.

--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -93,6 +93,8 @@
     failing: f64,
     /// Attempts of this node that are out at it.
     out: u32,
+    /// Until when the first attempts sent to it while cold use up this node's right to them.
+    used: Micros,
 }
 
 impl Server {
@@ -109,6 +111,7 @@
             pass: 1.0,
             failing: 0.0,
             out: 0,
+            used: 0,
         }
     }
 
@@ -385,6 +388,8 @@
 pub struct Balancer {
     set: Settings,
     rng: Rng,
+    /// Parts the keys of a cold server in another way at each node.
+    salt: u64,
     line: Line,
     /// Servers of other zones, where crossing is dear: second choices only.
     far: Line,
@@ -431,6 +436,7 @@
         let pace = Pace::new(settings.classes.iter().map(|c| c.aim));
         Ok(Balancer {
             rng: Rng(seed),
+            salt: mix(seed),
             line: Line::default(),
             far: Line::default(),
             origins: Vec::new(),
@@ -661,6 +667,7 @@
             self.fleet.look(now, grown.into_iter());
         }
         self.line.arrive(at, key);
+        self.fleet.arrived(now);
         self.maybe_update(now);
         // Where second attempts are not answered either, they only add to the load that makes it so. A few go
         // all the same, or nobody would learn that they are answered again.
@@ -804,7 +811,10 @@
             actions.push(Action::Timer { delay: hedge, token: serial << 2 | HEDGE });
         }
         if place == Place::Line {
-            self.line.servers[i].out += 1;
+            let right = self.right(now, i);
+            let server = &mut self.line.servers[i];
+            server.out += 1;
+            server.used = server.used.max(now) + self.fleet.spacing(right);
         }
         if trial {
             self.line.servers[i].trial_until = now + class.aim;
@@ -850,9 +860,33 @@
         let Some(held) = self.held.get(&serial) else { return false };
         let Some((Place::Line, i)) = self.choose(now, held) else { return false };
         let (pass, entry) = (self.line.servers[i].pass, &self.line.servers[i].entry);
-        let spared = self.fleet.spared(self.fleet.grown(entry.started, now));
+        let grown = self.fleet.grown(entry.started, now);
         let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
-        (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass) || off >= spared
+        (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass)
+            || (grown < 1.0 && !self.bears(now, held, i, self.fleet.spared(grown)))
+    }
+
+    /// This node's right to first attempts at a server, while that one is cold.
+    fn right(&self, now: Micros, i: usize) -> f64 {
+        let grown = self.fleet.grown(self.line.servers[i].entry.started, now);
+        self.fleet.right(grown, now, self.line.servers.len())
+    }
+
+    /// Whether a request is in the part of its range that a server is given. A warm one, or one that this
+    /// node sends many, is given the middle of its range: nodes agree on that. Guards a cold one at quiet
+    /// nodes against a key that is popular at all of them and known to none yet: each gives it others, and few.
+    fn bears(&self, now: Micros, held: &Held, i: usize, part: f64) -> bool {
+        let server = &self.line.servers[i];
+        if self.fleet.grown(server.entry.started, now) >= 1.0 {
+            return part >= 1.0 || self.off_middle(held.at, i) < part;
+        }
+        let right = self.right(now, i);
+        let place = if right < 1.0 {
+            point(mix(held.at.to_bits() ^ self.salt))
+        } else {
+            self.off_middle(held.at, i)
+        };
+        place < part.min(right) && self.fleet.room(server.used, right, now)
     }
 
     /// Part of its range that a server can take as far as it is warm.
@@ -881,7 +915,7 @@
                 let start = (home + n - width / 2) % n;
                 for step in 0..width {
                     let i = (start + (turn + step) % width) % n;
-                    if self.fitness(now, i) >= 1.0 {
+                    if self.fitness(now, i) >= 1.0 && self.bears(now, held, i, 1.0) {
                         return Some((Place::Line, i));
                     }
                 }
@@ -902,11 +936,7 @@
                     return Some((Place::Line, i));
                 }
             }
-            if fit >= 1.0 {
-                return Some((Place::Line, home));
-            }
-            let off = self.off_middle(held.at, home);
-            if off < fit {
+            if self.bears(now, held, home, fit) {
                 return Some((Place::Line, home));
             }
             let best = self.second_home(now, held, |i| self.fitness(now, i) >= 1.0);
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -1,7 +1,10 @@
 //! What a server that has just started is given of its range, beside the others of its fleet.
 //!
 //! Guarantees: a cold server's part is never above `FALL_PART` of the multiple at which it falls over, counted
-//! from the least capacity that its settings allow it; a warm one keeps all. No clock: time is an argument.
+//! from the least capacity that its settings allow it; a warm one keeps all. And whatever the popularity of its keys:
+//! within the time in which it would fall over, all nodes together send it first attempts for at most the multiple at
+//! which it falls over, counted from what an average server of the fleet is sent (`right`, `spacing`). No clock: time
+//! is an argument.
 
 use crate::interface::{Micros, Settings};
 
@@ -12,6 +15,9 @@
 const UNRELIEVED: f64 = 1.4;
 /// How long a look at the fleet holds; warm-ups take seconds.
 const LOOK: Micros = 100_000;
+/// Part of the time to a fall over which a node that has just begun is taken to have run, at least: its first
+/// arrivals come by chance.
+const BEGUN_LEAST: f64 = 0.125;
 
 /// How servers warm up here, and how warm the fleet is as a whole.
 pub struct Fleet {
@@ -20,13 +26,70 @@
     most: f64,
     mean: f64,
     looked: Option<Micros>,
+    fall: Micros,
+    fall_multiple: f64,
+    /// Arrivals at this node, each fading over `fall`; when the last one was, and the first.
+    recent: f64,
+    last: Micros,
+    first: Option<Micros>,
 }
 
 impl Fleet {
     /// A fleet of servers that are all warm.
     pub fn new(set: &Settings) -> Fleet {
         let most = (FALL_PART * set.fall_multiple).max(1.0);
-        Fleet { cold: set.cold, cold_from: set.cold_from, most, mean: 1.0, looked: None }
+        Fleet {
+            cold: set.cold,
+            cold_from: set.cold_from,
+            most,
+            mean: 1.0,
+            looked: None,
+            fall: set.fall.max(1),
+            fall_multiple: set.fall_multiple.max(1.0),
+            recent: 0.0,
+            last: 0,
+            first: None,
+        }
+    }
+
+    /// A request came to this node.
+    pub fn arrived(&mut self, now: Micros) {
+        self.first.get_or_insert(now);
+        self.recent = self.recent * self.faded(now - self.last) + 1.0;
+        self.last = now;
+    }
+
+    fn faded(&self, age: Micros) -> f64 {
+        (-(age.max(0) as f64) / self.fall as f64).exp()
+    }
+
+    /// First attempts that this node may send a server of this warmth within the time to a fall: the multiple at
+    /// which it falls over, of what an average server is sent by this node. Each node's part follows from its own
+    /// traffic, so that the parts of all nodes add up to the fleet's.
+    ///
+    /// At a quiet node it is below one, and the node can't tell a popular key from others: the first request for it
+    /// may come at all nodes at once. Then it is the share of the keys that the node sends there at all.
+    pub fn right(&self, grown: f64, now: Micros, servers: usize) -> f64 {
+        let ran = self.first.map_or(0, |first| now - first);
+        let seen = (1.0 - self.faded(ran)).max(BEGUN_LEAST);
+        let mean = self.recent * self.faded(now - self.last) / seen / servers.max(1) as f64;
+        let right = self.fall_multiple * grown * mean;
+        // Once from each node for a popular key, and the usual for all others.
+        if right < 1.0 {
+            right / (1.0 + mean)
+        } else {
+            right
+        }
+    }
+
+    /// The time between two first attempts by which a node keeps to its right.
+    pub fn spacing(&self, right: f64) -> Micros {
+        (self.fall as f64 / right.max(1.0)) as Micros
+    }
+
+    /// Whether one more attempt is within the right, after others that use it up until `used`.
+    pub fn room(&self, used: Micros, right: f64, now: Micros) -> bool {
+        used.max(now) + self.spacing(right) <= now + self.fall
     }
 
     /// The least part of its capacity that a server has so long after its start: 1 once it is warm.
@@ -76,7 +139,18 @@
     use super::*;
 
     fn fleet(mean: f64) -> Fleet {
-        Fleet { cold: 24_000_000, cold_from: 0.13, most: FALL_PART * 2.5, mean, looked: None }
+        Fleet {
+            cold: 24_000_000,
+            cold_from: 0.13,
+            most: FALL_PART * 2.5,
+            mean,
+            looked: None,
+            fall: 2_000_000,
+            fall_multiple: 2.5,
+            recent: 0.0,
+            last: 0,
+            first: None,
+        }
     }
 
     fn part_beside(cold: usize, warm: usize) -> f64 {
