--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -874,7 +874,7 @@
 
     /// Whether a request is in the part of its range that a server is given. A warm one, or one that this
     /// node sends many, is given the middle of its range: nodes agree on that. Guards a cold one at quiet
-    /// nodes against a key that is popular at all of them and known to none yet: each gives it others, and few.
+    /// nodes against a key that is popular at all of them and known to none yet: each gives it others.
     fn bears(&self, now: Micros, held: &Held, i: usize, part: f64) -> bool {
         let server = &self.line.servers[i];
         if self.fleet.grown(server.entry.started, now) >= 1.0 {
