In a jam behind the origin fetches are left to their servers, so that caches fill

The loop, cut alone: a read that is given up at its aim (150 ms) has its connection closed, which drops the fetch (rules.rs, `let timeout = Some(part.max(self.set.tick))` and `cancel_pending`).

In a jam a read for a key not served lately is left to its server until its client's time is up, while its own answer is given at once, and no fetch and no write is asked for twice.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,6 +8,7 @@
 mod draw;
 mod fates;
 pub mod interface;
+mod origin;
 pub mod outliers;
 mod pace;
 pub mod rules;
--- /dev/null
+++ b/crates/decision/src/origin.rs
@@ -0,0 +1,93 @@
+//! What a node believes of the origin behind its servers, and what it lets through to it.
+//!
+//! Two beliefs, of different things. A *jam*: hardly any fetch is answered in time ([`sloewick_overload::Jam`], pooled over
+//! all servers, so that a node with little traffic has it within a second). And *failing servers*: keys that were served
+//! lately fail at the server in the middle, whatever the reason. In a jam fetches are left to their servers and nothing
+//! is asked twice; while servers fail, keys not served lately are let through rarely, known keys and writes longer.
+//!
+//! Guarantees: an unknown key is let through once in a deadline at least, so that the end of it is seen. No clock and no
+//! chance of its own.
+
+use sloewick_overload::{Jam, Sign};
+
+use crate::interface::{Micros, Mode, Note, Status};
+use crate::outliers::Asked;
+
+/// Admission: its fall with each failed attempt, its rise with each answer, its floor. In balance about one
+/// attempt in six fails.
+pub(crate) const FALL: f64 = 0.05;
+pub(crate) const RISE: f64 = 0.01;
+pub(crate) const LEAST: f64 = 0.002;
+/// Failures among keys served lately above which failed fetches are taken for the origin's.
+const KNOWN_LATE: f64 = 0.1;
+
+pub(crate) struct Origin {
+    mode: Mode,
+    jam: Jam,
+    /// Share of doubtful requests let through, and when the last one was.
+    pub admit: f64,
+    admitted: Micros,
+}
+
+impl Origin {
+    pub fn new(mode: Mode, now: Micros) -> Origin {
+        Origin { mode, jam: Jam::new(now), admit: 1.0, admitted: now }
+    }
+
+    /// Whether a request of this kind is one for the origin, and the origin jams.
+    pub fn jams(&self, now: Micros, asked: Asked) -> bool {
+        asked != Asked::Known && self.jam.on(now)
+    }
+
+    /// An attempt ended so, or was given up without an outcome.
+    pub fn ended(&mut self, now: Micros, asked: Asked, status: Option<Status>, note: Option<Note>) {
+        let sign = match (status, asked, note) {
+            // Beside the caches the origin is asked by the node itself, and a fetch fills no cache by itself.
+            _ if self.mode == Mode::Aside => return,
+            (Some(Status::Ok), Asked::Write, _) => Sign::Written,
+            (Some(Status::Ok), _, Some(Note::Hit)) => Sign::Hit,
+            (Some(Status::Ok), _, Some(_)) => Sign::Fetched,
+            (Some(Status::Ok), _, None) => Sign::Answered,
+            (None | Some(Status::Timeout | Status::Full | Status::Error), Asked::Write, _) => {
+                Sign::Unwritten
+            }
+            (None | Some(Status::Timeout | Status::Full | Status::Error), Asked::Doubtful, _) => {
+                Sign::Unfetched
+            }
+            _ => return,
+        };
+        self.jam.note(now, sign);
+    }
+
+    /// Whether a request is let through. `drawn`: from 0 to 1.
+    pub fn admits(
+        &mut self,
+        now: Micros,
+        asked: Asked,
+        deadline: Micros,
+        drawn: impl FnOnce() -> f64,
+    ) -> bool {
+        let doubt = match asked {
+            Asked::Write => 0.5,
+            Asked::Doubtful => 1.0,
+            Asked::Known => 0.1,
+        };
+        let doubtful = asked == Asked::Doubtful;
+        let trial = doubtful && now - self.admitted > deadline;
+        let through = trial || self.admit >= 1.0 || drawn() < self.admit.powf(doubt);
+        if through && doubtful {
+            self.admitted = now;
+        }
+        through
+    }
+
+    /// A request for a key not served lately ended. `known_late`: share of attempts for keys served lately that fail
+    /// at the server in the middle. A few servers that are slow or broken are not the origin.
+    pub fn fetch_ended(&mut self, answered: bool, known_late: impl FnOnce() -> f64) {
+        if answered {
+            self.admit = (self.admit + RISE).min(1.0);
+        } else if self.mode == Mode::Aside || known_late() > KNOWN_LATE {
+            self.admit = (self.admit * (1.0 - FALL)).max(LEAST);
+        }
+    }
+}
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -9,6 +9,7 @@
 use crate::draw::{hash, mix, point, Rng};
 use crate::fates::Fates;
 use crate::interface::*;
+use crate::origin::{Origin, FALL, RISE};
 use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
 use crate::pace::Pace;
 use crate::warmth::Fleet;
@@ -54,16 +55,9 @@
 const SLOW_LEAST: f64 = 0.02;
 /// Part of what learned speeds have moved the cuts that the next server gives back.
 const GIVEN_BACK: f64 = 0.3;
-/// Admission: its fall with each failed attempt, its rise with each answer, its floor. In balance about one
-/// attempt in six fails.
-const ADMIT_FALL: f64 = 0.05;
-const ADMIT_RISE: f64 = 0.01;
-const ADMIT_LEAST: f64 = 0.002;
 /// Least part of its range that an overrun server keeps, and the part that counts as sound.
 const PASS_LEAST: f64 = 0.1;
 const PASS_SOUND: f64 = 0.9;
-/// Failures among keys served lately above which failed fetches are taken for a jam.
-const KNOWN_LATE: f64 = 0.1;
 /// Attempts over which a server's failures are averaged.
 const FAIL_SPAN: f64 = 16.0;
 /// Keys remembered as served lately.
@@ -284,6 +278,17 @@
     cuts
 }
 
+/// Share of attempts for keys served lately that fail at the server in the middle. A jam behind the
+/// origin holds all servers; a few that are slow or broken are no jam.
+fn known_late(servers: &[Server]) -> f64 {
+    let mut all: Vec<f64> = servers.iter().map(|s| s.failing).collect();
+    let middle = all.len() / 2;
+    if all.is_empty() {
+        return 0.0;
+    }
+    *all.select_nth_unstable_by(middle, f64::total_cmp).1
+}
+
 /// One attempt of a held request.
 struct Attempt {
     server: ServerId,
@@ -293,6 +298,8 @@
     /// How long an answer of its class may well take; passed with nothing heard.
     patience: Micros,
     silent: bool,
+    /// Left to its server when its request ends: a fetch that is dropped fills no cache.
+    stays: bool,
     status: Option<Status>,
 }
 
@@ -400,6 +407,7 @@
     fleet: Fleet,
     /// Which zones are lost.
     fates: Fates,
+    origin: Origin,
     held: BTreeMap<u64, Held>,
     ids: HashMap<RequestId, u64>,
     serial: u64,
@@ -413,10 +421,7 @@
     slow: f64,
     /// Share of attempts at servers whose connection broke.
     broken: f64,
-    /// Share of doubtful requests let through, and when the last one was; keys served lately, likely still
-    /// kept somewhere.
-    admit: f64,
-    admitted: Micros,
+    /// Keys served lately, likely still kept somewhere.
     served: HashMap<u64, Micros>,
     /// Failed list calls in a row; whether an ask is planned.
     list_failures: u32,
@@ -444,6 +449,7 @@
             outliers: Outliers::default(),
             fleet: Fleet::new(&settings),
             fates: Fates::default(),
+            origin: Origin::new(settings.mode, now),
             held: BTreeMap::new(),
             ids: HashMap::new(),
             serial: 0,
@@ -453,8 +459,6 @@
             again: 1.0,
             slow: SLOW_LEAST,
             broken: 0.0,
-            admit: 1.0,
-            admitted: now,
             served: HashMap::new(),
             list_failures: 0,
             list_planned: false,
@@ -492,7 +496,7 @@
             }
             Event::ClientLeft(request) => {
                 if let Some(serial) = self.ids.get(&request).copied() {
-                    self.cancel_pending(serial, actions);
+                    self.cancel_pending(serial, false, actions);
                     self.forget(serial);
                 }
             }
@@ -718,41 +722,14 @@
     /// through rarely, known keys and writes longer; now and then one goes to see whether it is over.
     fn admitted(&mut self, now: Micros, serial: u64) -> bool {
         let Some(held) = self.held.get(&serial) else { return false };
-        let doubt = if held.request.write {
-            0.5
-        } else if held.doubtful {
-            1.0
-        } else {
-            0.1
-        };
-        let trial = held.doubtful && now - self.admitted > self.set.classes[held.request.class].deadline;
-        let through = trial || self.admit >= 1.0 || self.rng.next() < self.admit.powf(doubt);
-        if through && held.doubtful {
-            self.admitted = now;
-        }
-        through
+        let deadline = self.set.classes[held.request.class].deadline;
+        self.origin.admits(now, held.asked(), deadline, || self.rng.next())
     }
 
     /// An attempt for a key not served lately ended: what came of it says how the origin fares.
     fn doubtful_ended(&mut self, answered: bool) {
-        self.admit = if answered {
-            (self.admit + ADMIT_RISE).min(1.0)
-        } else if self.known_late() > KNOWN_LATE || self.set.mode == Mode::Aside {
-            (self.admit * (1.0 - ADMIT_FALL)).max(ADMIT_LEAST)
-        } else {
-            self.admit
-        };
-    }
-
-    /// Share of attempts for keys served lately that fail at the server in the middle. A jam behind the
-    /// origin holds all servers; a few that are slow or broken are no jam.
-    fn known_late(&self) -> f64 {
-        let mut all: Vec<f64> = self.line.servers.iter().map(|s| s.failing).collect();
-        let middle = all.len() / 2;
-        if all.is_empty() {
-            return 0.0;
-        }
-        *all.select_nth_unstable_by(middle, f64::total_cmp).1
+        let servers = &self.line.servers;
+        self.origin.fetch_ended(answered, || known_late(servers));
     }
 
     fn note_known(&mut self, server: &ServerId, failed: bool) {
@@ -793,7 +770,10 @@
         let more = held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
         let trial = place == Place::Line && self.line.servers[i].sick();
         let part = if more && !self.set.second_copies && trial { left / 2 } else { left };
-        let timeout = Some(part.max(self.set.tick));
+        // Given up with its request, a fetch would be dropped: in a jam no cache would ever be filled again.
+        let stays = !held.request.write && self.origin.jams(now, held.asked());
+        let longest = class.deadline.min(held.request.budget) - (now - held.arrived);
+        let timeout = Some(if stays { part.max(longest) } else { part }.max(self.set.tick));
         let hedge = self.pace.high[held.request.class] as Micros;
         let hedge = hedge.clamp(class.aim / 8, class.aim * 5 / 8);
         let attempt = Attempt {
@@ -803,6 +783,7 @@
             sent: now,
             patience: if place == Place::Origin { left } else { hedge },
             silent: false,
+            stays,
             status: None,
         };
         let id = held.request.id.clone();
@@ -1025,6 +1006,10 @@
             }
         }
         let Some(held) = self.held.get_mut(&serial) else { return };
+        if !quick {
+            self.origin.ended(now, held.asked(), Some(status), note);
+        }
+        let jammed = self.origin.jams(now, held.asked());
         if let Some(a) = held.attempts.get_mut(attempt) {
             if let Some(i) = self.line.index.get(server).filter(|_| a.pending()) {
                 self.line.servers[*i].out = self.line.servers[*i].out.saturating_sub(1);
@@ -1034,7 +1019,7 @@
                 self.slow -= self.slow / LATE_SPAN;
                 if let Some(i) = self.line.index.get(server).filter(|_| !held.doubtful) {
                     let pass = &mut self.line.servers[*i].pass;
-                    *pass = (*pass + ADMIT_RISE).min(1.0);
+                    *pass = (*pass + RISE).min(1.0);
                 }
             }
         }
@@ -1062,7 +1047,7 @@
             let held = &self.held[&serial];
             let aim = self.set.classes[held.request.class].aim;
             self.note_end(status != Status::Ok || now - held.arrived > aim);
-            self.cancel_pending(serial, actions);
+            self.cancel_pending(serial, false, actions);
             self.forget(serial);
             return;
         }
@@ -1090,7 +1075,10 @@
         } else {
             1.0
         };
-        if self.retry_tokens < cost {
+        if jammed && matches!(status, Status::Timeout | Status::Full | Status::Error) && !quick {
+            // Another attempt would be another fetch, or the same write at the origin once more.
+            self.finish(now, serial, "jam", actions);
+        } else if self.retry_tokens < cost {
             self.finish(now, serial, "budget", actions);
         } else if self.send_next(now, serial, actions) {
             self.retry_tokens -= cost;
@@ -1107,7 +1095,7 @@
         let most = (self.set.cold / 2).max(least);
         let s = &mut line.servers[i];
         if status == Some(Status::Full) {
-            s.pass = (s.pass * (1.0 - ADMIT_FALL)).max(PASS_LEAST);
+            s.pass = (s.pass * (1.0 - FALL)).max(PASS_LEAST);
         }
         s.streak += match status {
             Some(Status::Ok | Status::Miss) => {
@@ -1149,7 +1137,7 @@
             if let Some(i) = self.line.index.get(&server) {
                 if !fetch {
                     let pass = &mut self.line.servers[*i].pass;
-                    *pass = (*pass * (1.0 - ADMIT_FALL)).max(PASS_LEAST);
+                    *pass = (*pass * (1.0 - FALL)).max(PASS_LEAST);
                 }
                 self.outliers.note(now, &server, asked, true, self.line.servers.len());
             }
@@ -1174,7 +1162,8 @@
         } else {
             actions.push(Action::Fail { request });
         }
-        let (tried, unanswered, doubtful) = (!held.attempts.is_empty(), held.out() > 0, held.doubtful);
+        let (tried, out, asked) = (!held.attempts.is_empty(), held.out(), held.asked());
+        let (unanswered, doubtful) = (out > 0, held.doubtful);
         if held.attempts.iter().skip(1).any(Attempt::pending) {
             self.again -= self.again / LATE_SPAN;
         }
@@ -1188,17 +1177,18 @@
         if tried {
             self.note_end(true);
         }
-        self.cancel_pending(serial, actions);
+        (0..out).for_each(|_| self.origin.ended(now, asked, None, None));
+        self.cancel_pending(serial, self.origin.jams(now, asked), actions);
         self.forget(serial);
     }
 
-    fn cancel_pending(&mut self, serial: u64, actions: &mut Vec<Action>) {
+    fn cancel_pending(&mut self, serial: u64, leave: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&serial) else { return };
         if !self.set.cancel {
             return;
         }
         for (attempt, a) in held.attempts.iter().enumerate() {
-            if a.pending() {
+            if a.pending() && !(leave && a.stays) {
                 actions.push(Action::Cancel { request: held.request.id.clone(), attempt });
             }
         }
@@ -1228,7 +1218,8 @@
             HEDGE => {
                 self.note_silence(now, serial, actions);
                 let Some(held) = self.held.get(&serial) else { return };
-                let copies = self.set.second_copies && !held.streaming && !held.missed;
+                let jammed = self.origin.jams(now, held.asked());
+                let copies = self.set.second_copies && !held.streaming && !held.missed && !jammed;
                 if copies
                     && held.out() == 1
                     && self.retry_tokens >= 1.0
--- a/crates/decision/src/rules/memory.rs
+++ b/crates/decision/src/rules/memory.rs
@@ -174,7 +174,7 @@
             again: self.again,
             slow: self.slow,
             broken: self.broken,
-            admit: self.admit,
+            admit: self.origin.admit,
             retry_tokens: self.retry_tokens,
         }
     }
@@ -189,7 +189,7 @@
         }
         (self.late, self.again, self.slow, self.broken) =
             (memory.late, memory.again, memory.slow.max(super::SLOW_LEAST), memory.broken);
-        self.admit = memory.admit.max(super::ADMIT_LEAST);
+        self.origin.admit = memory.admit.max(crate::origin::LEAST);
         self.retry_tokens = memory.retry_tokens.min(RETRY_SAVED);
         let at = now - age;
         self.recalled = Some((at, memory));
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -258,7 +258,7 @@
         let server = ask(&mut node, i64::from(n) * 1000, n).expect("sent");
         end(&mut node, i64::from(n) * 1000, n, &server, Status::Error);
     }
-    assert_eq!(node.admit, 1.0);
+    assert_eq!(node.origin.admit, 1.0);
 }
 
 #[test]
@@ -273,7 +273,7 @@
                 end(&mut node, now + took, n, &server, Status::Ok);
             }
         }
-        assert!((least..=most).contains(&node.admit), "{} after {took}", node.admit);
+        assert!((least..=most).contains(&node.origin.admit), "{} after {took}", node.origin.admit);
     }
 }
 
@@ -281,10 +281,10 @@
 fn a_jam_is_tried_now_and_then_and_failed_keys_are_no_longer_known() {
     let mut node = node(0.0, 8);
     all_fail(&mut node, 0.5);
-    node.admit = ADMIT_LEAST;
+    node.origin.admit = crate::origin::LEAST;
     let sent = (0..100).filter(|n| ask(&mut node, 700_000 * i64::from(*n), *n).is_some()).count();
     assert_eq!(sent, 99, "one trial in each longest time");
-    node.admit = 1.0;
+    node.origin.admit = 1.0;
     let server = ask(&mut node, 80_000_000, 500).expect("sent");
     end(&mut node, 80_001_000, 500, &server, Status::Ok);
     assert!(node.served.contains_key(&hash("k500")));
@@ -307,7 +307,77 @@
         for n in 0..100 {
             node.doubtful_ended(n % 4 != 0);
         }
-        assert_eq!(node.admit < 0.9, jam, "{bad} of 8: {}", node.admit);
+        assert_eq!(node.origin.admit < 0.9, jam, "{bad} of 8: {}", node.origin.admit);
+    }
+}
+
+/// The actions of a request for a key that nobody knows, and of its end without an answer.
+fn unanswered(node: &mut Balancer, now: Micros, n: u32) -> (Vec<Action>, Vec<Action>) {
+    let (mut sent, mut ended) = (Vec::new(), Vec::new());
+    let request = Request {
+        id: format!("r{n}").into(),
+        class: 0,
+        tenant: None,
+        key: Some(format!("k{n}").into()),
+        budget: 500_000,
+        work: None,
+        size: None,
+        retry: false,
+        write: false,
+    };
+    node.handle(now, Event::Request(request), &mut sent);
+    let token = (node.serial - 1) << 2 | END;
+    node.handle(now + 146_000, Event::Timer(token), &mut ended);
+    (sent, ended)
+}
+
+// Guards against the jam that outlives its cause: a fetch that is given up with its request is dropped by the
+// server, no cache is filled, and every request stays a fetch.
+#[test]
+fn in_a_jam_a_fetch_is_left_to_its_server_when_its_request_ends() {
+    let mut node = node(0.0, 8);
+    let cancels = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+    let refused =
+        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => *timeout,
+            _ => None,
+        })
+    };
+    let (sent, ended) = unanswered(&mut node, 0, 0);
+    assert!(cancels(&ended) && refused(&ended) == 1 && timeout(&sent).unwrap() < 150_000);
+    let jam_at = (1..100).find(|n| {
+        unanswered(&mut node, 150_000 * i64::from(*n), *n);
+        node.origin.jams(150_000 * i64::from(*n) + 146_000, Asked::Doubtful)
+    });
+    assert!(jam_at.is_some_and(|n| n > 3), "a jam after {jam_at:?} requests without an answer");
+    let now = 20_000_000;
+    (200..220).for_each(|n| {
+        unanswered(&mut node, now - 200_000, n);
+    });
+    let (sent, ended) = unanswered(&mut node, now, 300);
+    assert_eq!((cancels(&ended), refused(&ended)), (false, 1), "answered at once, and its fetch goes on");
+    // The client's whole wait, which is shorter here than the class's.
+    assert_eq!(timeout(&sent), Some(500_000));
+    assert!(node.held.is_empty() && node.line.servers.iter().all(|s| s.out == 0));
+}
+
+#[test]
+fn in_a_jam_no_fetch_is_asked_for_twice_and_answered_fetches_end_it() {
+    for jam in [false, true] {
+        let mut node = node(0.0, 8);
+        if jam {
+            (0..30).for_each(|_| node.origin.ended(0, Asked::Doubtful, None, None));
+        }
+        let server = ask(&mut node, 1000, 1).expect("sent");
+        let actions = end(&mut node, 100_000, 1, &server, Status::Timeout);
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), !jam);
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Refuse { .. })), jam);
+        (0..3).for_each(|_| {
+            node.origin.ended(100_000, Asked::Doubtful, Some(Status::Ok), Some(Note::Miss));
+        });
+        assert!(!node.origin.jams(100_000, Asked::Doubtful));
     }
 }
 
@@ -332,7 +402,7 @@
         let mut actions = Vec::new();
         node.handle(latency, event, &mut actions);
         assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), again, "after {latency} us");
-        assert_eq!(node.admit >= 1.0, again, "{} after {latency} us", node.admit);
+        assert_eq!(node.origin.admit >= 1.0, again, "{} after {latency} us", node.origin.admit);
     }
 }
 
@@ -348,6 +418,8 @@
     };
     let whole = refill(&mut node);
     for n in 0..200 {
+        // Served lately: what fails is no fetch, which would not be asked for twice.
+        node.served.insert(hash(&format!("k{n}")), 1000);
         let server = ask(&mut node, 1000, n).expect("sent");
         node.retry_tokens = RETRY_SAVED;
         end(&mut node, 1000, n, &server, Status::Full);
