--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -1009,7 +1009,8 @@
             }
         }
         let Some(held) = self.held.get_mut(&serial) else { return };
-        if !quick {
+        // What fails for one request, however often it is tried, is one failure.
+        if !quick && (attempt == 0 || status == Status::Ok) {
             self.origin.ended(now, held.asked(), Some(status), note);
         }
         let jammed = self.origin.jams(now, held.asked());
@@ -1171,8 +1172,9 @@
         } else {
             actions.push(Action::Fail { request });
         }
-        let (tried, out, asked) = (!held.attempts.is_empty(), held.out(), held.asked());
-        let (unanswered, doubtful) = (out > 0, held.doubtful);
+        let (tried, unanswered) = (!held.attempts.is_empty(), held.out() > 0);
+        let (asked, doubtful) = (held.asked(), held.doubtful);
+        let first = held.attempts.first().is_some_and(Attempt::pending);
         if held.attempts.iter().skip(1).any(Attempt::pending) {
             self.again -= self.again / LATE_SPAN;
         }
@@ -1186,7 +1188,9 @@
         if tried {
             self.note_end(true);
         }
-        (0..out).for_each(|_| self.origin.ended(now, asked, None, None));
+        if first {
+            self.origin.ended(now, asked, None, None);
+        }
         self.cancel_pending(serial, self.origin.jams(now, asked), actions);
         self.forget(serial);
     }
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -372,6 +372,33 @@
     assert!(node.held.is_empty() && node.line.servers.iter().all(|s| s.out == 0));
 }
 
+// Guards a node with hardly any traffic: one write that is turned away wherever it goes is no jam.
+#[test]
+fn one_request_that_fails_at_many_servers_is_no_jam() {
+    let mut node = node(0.0, 8);
+    for n in 0..3 {
+        node.retry_tokens = RETRY_SAVED;
+        ask(&mut node, 1000, n).expect("sent");
+        for attempt in 0..4 {
+            let Some(held) = node.held.values().last() else { break };
+            let server = held.attempts[attempt].server.clone();
+            let event = Event::Outcome {
+                request: format!("r{n}").into(),
+                server,
+                attempt,
+                latency: 1_000,
+                status: Status::Full,
+                closed: false,
+                note: None,
+                load: None,
+            };
+            node.held.values_mut().last().expect("held").request.write = true;
+            node.handle(2_000, event, &mut Vec::new());
+        }
+    }
+    assert!(!node.origin.jams(2_000, Asked::Write));
+}
+
 #[test]
 fn in_a_jam_no_fetch_is_asked_for_twice_and_answered_fetches_end_it() {
     for jam in [false, true] {
--- a/crates/lab/tests/jam.rs
+++ b/crates/lab/tests/jam.rs
@@ -68,14 +68,15 @@
     }
 }
 
-// Guards against the collapse under a load that never lets go: it was a twentieth of the load's worth before.
+// Guards against the collapse under a load that never lets go: with a share that never falls below a fifth it was
+// 0.08 of the peak, without any 0.38, with known keys let through always 0.4.
 #[test]
 fn a_load_that_the_origin_cannot_bear_is_served_in_part() {
-    let peak = 2_500;
+    let peak = 2_550;
     for seed in 1..=2 {
-        let (_, seconds) = played(seed, 40, Site { rate: 2_000.0, ..Site::default() });
-        let served = seconds[10..].iter().map(|s| s.worth_served).sum::<u32>() / 30;
-        assert!(served > peak / 3, "{served} a second of {peak}, seed {seed}");
+        let (_, seconds) = played(seed, 50, Site { rate: 3_000.0, ..Site::default() });
+        let served = seconds[20..].iter().map(|s| s.worth_served).sum::<u32>() / 30;
+        assert!(served > peak / 2, "{served} a second of {peak}, seed {seed}");
     }
 }
 
