Demo and tests start nodes as processes, with cut links and nodes that stand still

Change: Demo takes what nodes run as; a process is `sloewick run` with a configuration file, and faults are signals to it (SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP). Boxes can be cut off one way or both, vanish and refuse connections on real sockets. New fault pause-nodes, on the virtual network too; the judge excuses what a node was asked while it stood still, and counts news of drains as told from its waking on. tempfile (folders that go with their value) and rustix (signals) are libraries that the workspace used already.

--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -30,6 +30,9 @@
     /// Tells a node to end as planned.
     fn stop_node(&mut self, node: usize);
     fn start_node(&mut self, node: usize);
+    /// A node's process does nothing until it goes on.
+    fn pause_node(&mut self, node: usize);
+    fn resume_node(&mut self, node: usize);
     /// Discovery is at another address from now on; the nodes' configuration says so.
     fn move_discovery(&mut self);
     fn kill_discovery(&mut self);
@@ -37,11 +40,12 @@
     fn start_discovery(&mut self, list: Vec<Listed>, anew: bool);
     fn say(&mut self, text: String);
 
+    fn vanish_box(&mut self, number: usize);
+    fn cut(&mut self, number: usize, from_box: bool, cut: bool);
+    fn refuse(&mut self, number: usize, refuses: bool);
+
     // What only a virtual network can do.
-    fn vanish_box(&mut self, _number: usize) {}
-    fn cut(&mut self, _number: usize, _from_box: bool, _cut: bool) {}
     fn reset_connections(&mut self, _part: f64) {}
-    fn refuse(&mut self, _number: usize, _refuses: bool) {}
     fn partial(&mut self, _part: f64) {}
     fn skew(&mut self, _node: usize, _by: Micros) {}
 }
@@ -297,6 +301,16 @@
                     });
                 }
             }
+            "pause-nodes" => {
+                for node in self.pick_nodes(part) {
+                    self.nodes_up[node] = false;
+                    stage.pause_node(node);
+                    self.after(lasts, move |d, s| {
+                        d.nodes_up[node] = true;
+                        s.resume_node(node);
+                    });
+                }
+            }
             "skew" => {
                 let by = micros(fault.number("by"));
                 if let Some(node) = self.pick_nodes(0.25).first().copied() {
--- a/crates/rig/src/facts.rs
+++ b/crates/rig/src/facts.rs
@@ -137,6 +137,13 @@
         node: usize,
         killed: bool,
     },
+    /// The node's process was stopped where it stood; it goes on.
+    NodePaused {
+        node: usize,
+    },
+    NodeResumed {
+        node: usize,
+    },
     /// A read fetched from the origin.
     Fetch {
         shared: bool,
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -355,6 +355,16 @@
         self.tell(What::Fault(text));
     }
 
+    fn pause_node(&mut self, node: usize) {
+        self.tell(What::NodePaused { node });
+        self.hosts.pause(self.nodes[node]);
+    }
+
+    fn resume_node(&mut self, node: usize) {
+        self.tell(What::NodeResumed { node });
+        self.hosts.resume(self.nodes[node]);
+    }
+
     fn vanish_box(&mut self, number: usize) {
         let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
         self.hosts.vanish(host);
@@ -561,6 +571,9 @@
         self.ending = true;
         let now = self.site.hosts.world.borrow().now;
         for node in 0..self.site.nodes.len() {
+            if self.judge.paused(node) {
+                self.site.resume_node(node);
+            }
             if self.site.hosts.has(self.site.nodes[node]) {
                 self.site.stop_node(node);
             }
--- a/crates/rig/src/hosts.rs
+++ b/crates/rig/src/hosts.rs
@@ -70,6 +70,20 @@
         }
     }
 
+    /// A process does nothing from now on; what is sent to it waits.
+    pub fn pause(&mut self, host: HostId) {
+        if let Some(slot) = self.slots.get_mut(&host) {
+            slot.frozen = true;
+        }
+    }
+
+    pub fn resume(&mut self, host: HostId) {
+        if let Some(slot) = self.slots.get_mut(&host) {
+            slot.frozen = false;
+            self.wake(host);
+        }
+    }
+
     /// A machine that had fallen silent is back; whether it was.
     pub fn come_back(&mut self, host: HostId) -> bool {
         let back = self.slots.get_mut(&host).is_some_and(|s| std::mem::take(&mut s.frozen));
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod orders;
 pub mod origin;
 pub mod port;
+mod process;
 pub mod report;
 pub mod rng;
 pub mod scenario;
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -57,7 +57,7 @@
         name: "vanish-boxes",
         about: "machines fall silent; their connections stay open; the same box is back, cold, later",
         fields: &[("count", count(1.0)), ("back", seconds(8.0))],
-        real: false,
+        real: true,
     },
     Spec {
         name: "reborn-boxes",
@@ -119,6 +119,12 @@
         fields: &[("part", part(1.0)), ("over", seconds(10.0))],
         real: true,
     },
+    Spec {
+        name: "pause-nodes",
+        about: "a part of the nodes is stopped where it stands (SIGSTOP) and goes on later, with what it believed",
+        fields: &[("part", part(0.5)), ("for", seconds(3.0))],
+        real: true,
+    },
     Spec {
         name: "slow-origin",
         about: "the origin crawls",
@@ -202,7 +208,7 @@
             ("for", seconds(6.0)),
             ("way", Kind::Word(&["from-boxes", "to-boxes", "both"])),
         ],
-        real: false,
+        real: true,
     },
     Spec {
         name: "resets",
@@ -214,7 +220,7 @@
         name: "refuse-boxes",
         about: "boxes refuse new connections and serve those they have",
         fields: &[("count", count(2.0)), ("for", seconds(6.0))],
-        real: false,
+        real: true,
     },
     Spec {
         name: "partial",
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use clap::Args as ClapArgs;
-use sloewick_rig::demo::Demo;
+use sloewick_rig::demo::{Demo, Nodes};
 use sloewick_rig::scenario::{Fault, Kind, Scenario, Set, FAULTS};
 
 use crate::out;
@@ -18,6 +18,7 @@
   sloewick demo
   sloewick demo --seconds 20 --rate 200 --fault slow-origin
   sloewick demo --fault deploy --json
+  sloewick demo --processes --nodes 6 --fault pause-nodes
   sloewick demo --front memcached --cache mixed
 
 All traffic stays on 127.0.0.1. `sloewick play --list` describes the faults.")]
@@ -42,6 +43,9 @@
     seed: u64,
     #[command(flatten)]
     speech: SpeechArgs,
+    /// Start each node as a process of its own, so that faults are signals to it
+    #[arg(long)]
+    processes: bool,
     /// Others may ask the nodes, too: requests that are not of the fleet's own clients are not judged
     #[arg(long)]
     visitors: bool,
@@ -94,7 +98,15 @@
         // Without it an interrupt ends the process at once, which leaves nothing behind either.
         let _ = signal_hook::flag::register(signal, interrupted.clone());
     }
-    let mut demo = match Demo::start(&scenario, args.seed, args.speech.speech()) {
+    let nodes = match std::env::current_exe() {
+        Ok(program) if args.processes => Nodes::Processes(program),
+        Err(e) if args.processes => {
+            eprintln!("--processes: this program can't be found: {e}");
+            return ExitCode::from(2);
+        }
+        _ => Nodes::Threads,
+    };
+    let mut demo = match Demo::start(&scenario, args.seed, args.speech.speech(), nodes) {
         Ok(demo) => demo,
         Err(e) => {
             eprintln!("the fleet does not start: {e}");
