--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -206,6 +206,19 @@
         self.tell_later(number, Told::Gone, SILENT_NOTICE);
     }
 
+    /// A machine falls silent. When it is back, what was open is reset, and the same box starts cold.
+    fn vanish(&mut self, number: usize, back: f64, stage: &mut dyn Stage) {
+        stage.vanish_box(number);
+        self.boxes[number].leaving = true;
+        self.boxes[number].alive = false;
+        self.tell_later(number, Told::Gone, SILENT_NOTICE);
+        self.after(back, move |d, s| {
+            let (place, zone) = (d.boxes[number].place, d.boxes[number].zone);
+            s.kill_box(number);
+            d.succeed(Some(place), zone, s);
+        });
+    }
+
     // ---- faults ----
 
     fn begin(&mut self, fault: &Fault, stage: &mut dyn Stage) {
@@ -230,18 +243,22 @@
                 }
             }
             "vanish-boxes" => {
-                let back = fault.number("back");
                 for number in self.pick(count) {
-                    stage.vanish_box(number);
-                    self.boxes[number].leaving = true;
-                    self.boxes[number].alive = false;
-                    self.tell_later(number, Told::Gone, SILENT_NOTICE);
-                    self.after(back, move |d, s| {
-                        // The machine is back: what was open is reset, and the same box starts cold.
-                        let (place, zone) = (d.boxes[number].place, d.boxes[number].zone);
-                        s.kill_box(number);
-                        d.succeed(Some(place), zone, s);
-                    });
+                    self.vanish(number, fault.number("back"), stage);
+                }
+            }
+            "lose-zone" => {
+                let zone = self.rng.below(2);
+                let whole = |m: &Member| m.zone == zone && m.alive && !m.leaving;
+                let lost: Vec<usize> = (0..self.boxes.len()).filter(|i| whole(&self.boxes[*i])).collect();
+                for number in lost {
+                    self.vanish(number, fault.number("back"), stage);
+                }
+            }
+            "bad-boxes" => {
+                for number in self.pick(count) {
+                    stage.order_box(number, cachebox::Order::Errors(part));
+                    self.after(lasts, move |_, s| s.order_box(number, cachebox::Order::Errors(0.0)));
                 }
             }
             "stall-boxes" => {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -65,6 +65,18 @@
         fields: &[("count", count(1.0))],
         real: true,
     },
+    Spec {
+        name: "lose-zone",
+        about: "all boxes of a zone fall silent; they are back, cold, later",
+        fields: &[("back", seconds(6.0))],
+        real: true,
+    },
+    Spec {
+        name: "bad-boxes",
+        about: "some boxes end a part of their attempts in an error after it has run",
+        fields: &[("count", count(1.0)), ("part", part(0.7)), ("for", seconds(10.0))],
+        real: true,
+    },
     Spec {
         name: "stall-boxes",
         about: "cache boxes do nothing for a while; what waits there is done later",
