A test that no second copy is sent where there may be a jam

Need: the rule that second copies end before a jam is sure stood without a test of its own.

Change: the module's test, with two failed writes and with none.

Result: green; red with `jams` in place of `may_jam` in rules.rs.

--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -399,6 +399,23 @@
     assert!(!node.origin.jams(2_000, Asked::Write));
 }
 
+// Guards the seconds before a jam is sure: second copies were a fifth of what reached the origin then.
+#[test]
+fn where_there_may_be_a_jam_no_second_copy_is_sent() {
+    for may in [false, true] {
+        let mut node = node(0.0, 8);
+        node.set.second_copies = true;
+        if may {
+            (0..2).for_each(|_| node.origin.ended(0, Asked::Write, None, None));
+        }
+        assert!(!node.origin.jams(0, Asked::Write), "two failures are none");
+        ask(&mut node, 1000, 1).expect("sent");
+        let mut actions = Vec::new();
+        node.handle(100_000, Event::Timer((node.serial - 1) << 2 | HEDGE), &mut actions);
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), !may);
+    }
+}
+
 #[test]
 fn in_a_jam_no_fetch_is_asked_for_twice_and_answered_fetches_end_it() {
     for jam in [false, true] {
