--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -147,6 +147,8 @@
 struct BoxThread {
     orders: Orders<cachebox::Order>,
     cut: Cut,
+    /// Its machine is silent for good: no cut that ends gives it its ways back.
+    vanished: bool,
     served: Option<Served>,
 }
 
@@ -251,7 +253,7 @@
             Ok(Box::new(CacheBox::new(Os::new()?, set, its_orders, tap)?))
         });
         let served = served.map_err(|e| self.said.push(format!("box {number} does not start: {e}"))).ok();
-        self.boxes.push(BoxThread { orders, cut: Cut::default(), served });
+        self.boxes.push(BoxThread { orders, cut: Cut::default(), vanished: false, served });
     }
 
     fn kill_box(&mut self, number: usize) {
@@ -329,10 +331,11 @@
     fn vanish_box(&mut self, number: usize) {
         self.order_box(number, cachebox::Order::Stall(Micros::MAX / 2));
         self.order_box(number, cachebox::Order::Cut(Cut { inwards: true, outwards: true }));
+        self.boxes.iter_mut().skip(number).take(1).for_each(|b| b.vanished = true);
     }
 
     fn cut(&mut self, number: usize, from_box: bool, cut: bool) {
-        let Some(b) = self.boxes.get_mut(number) else { return };
+        let Some(b) = self.boxes.get_mut(number).filter(|b| !b.vanished) else { return };
         *(if from_box { &mut b.cut.outwards } else { &mut b.cut.inwards }) = cut;
         b.orders.give(cachebox::Order::Cut(b.cut));
     }
@@ -570,7 +573,9 @@
     pub fn end(mut self) -> (Judge, Report) {
         for node in 0..self.threads.nodes.len() {
             if matches!(self.threads.nodes[node].served, Some(Running::Process(_))) {
-                self.threads.resume_node(node);
+                if self.judge.paused(node) {
+                    self.threads.resume_node(node);
+                }
                 self.threads.stop_node(node);
             }
         }
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -21,7 +21,7 @@
   sloewick demo --processes --nodes 6 --fault pause-nodes
   sloewick demo --front memcached --cache mixed
 
-All traffic stays on 127.0.0.1. `sloewick play --list` describes the faults.")]
+All traffic stays on loopback: 127.0.0.1, or another address of 127.0.0.0/8 with --processes. `sloewick play --list` describes the faults.")]
 pub struct Args {
     /// How long clients ask, in seconds
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u32).range(3..=3600))]
@@ -116,7 +116,7 @@
     demo.judge.visitors = args.visitors;
     if !args.json {
         out::line(format!(
-            "{} nodes, {} boxes, {} requests a second on 127.0.0.1; fault: {}",
+            "{} nodes, {} boxes, {} requests a second on loopback; fault: {}",
             scenario.nodes, scenario.boxes, scenario.rate, scenario.name
         ));
         if demo.memcached {
