A silent watch is given up half a second after its wait and asked for again by itself

Cause: a watch that has fallen silent counts as told 2 s after its wait, and discovery.rs gave it up at that same instant (WATCH_MOST = wait + 2 s); then failed() ended the watch and left it to the module to ask again, which pauses up to a sixteenth of ask_within (0.6 s) first: a pause meant for calls that discovery turns away.

Now: a watch is given up 0.5 s after its wait, a call that need not wait after 4 s; both are made again at once, and until what they should have told has to be obeyed, failed ones are repeated here with growing pauses. The same after SIGHUP. Each node has a wait of its own between 12 and 20 s, by its number, so that silence at all nodes does not bring all of their calls at once. A pushed list, which costs nothing, is watched for half of the grace at a time, since what the agent has counts as told at once. The pause after an answer in doubt follows from the grace (it was 0.5 s, four of which do not fit into 0.5 s).

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -27,6 +27,8 @@
     pub names: Names,
     /// Servers close connections that stood idle this long, in microseconds.
     pub server_idle: i64,
+    /// This node's turn in what all nodes spread over time by their numbers, from 0 to 1.
+    pub turn: f64,
     /// What a probe asks: a load report where reports come with probes, else a mere sign of life.
     pub probe_load: bool,
     /// The memcached front and boxes, where they are switched on.
@@ -76,6 +78,13 @@
     Ok(())
 }
 
+/// Turns of neighbouring numbers lie far apart, and any number of nodes shares the time evenly. Without a number it is drawn.
+fn turn(settings: &Fields, seed: u64) -> Result<f64, Bad> {
+    const GOLDEN: f64 = 0.618_033_988_749_894_9;
+    let number = settings.opt("me").map(|_| settings.int("me")).transpose()?;
+    Ok((number.map_or((seed >> 40) as f64, |n| n as f64) * GOLDEN).rem_euclid(1.0))
+}
+
 /// A configuration from its text.
 ///
 /// # Errors
@@ -119,6 +128,7 @@
         settings,
         names,
         server_idle: idle,
+        turn: turn(&object, seed)?,
         probe_load,
         memcached: None,
     })
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -15,20 +15,60 @@
 use crate::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
 use crate::timer::{Due, Timers};
 
-/// How long a watch may wait. A call is dear to discovery (it serves all nodes), silence on a dead
-/// connection shows only after the wait: the protocol's own example lies between.
-const WATCH_WAIT_MS: i64 = 20_000;
-/// A call that need not wait counts as told after 6 s; it is given up before that.
-const CALL_MOST: Micros = 5_500_000;
-/// What a watch has to tell counts as told 2 s after its wait.
-const WATCH_MOST: Micros = WATCH_WAIT_MS * 1000 + 2_000_000;
-/// A watch that is answered at once with nothing must not become a busy loop; still inside 200 ms.
+/// How long a watch may wait at one service for all nodes, at the least and at the most. A call is dear to it, and silence
+/// shows only after the wait. Each node has a wait of its own between the two: silence that begins at all of them at once
+/// must not bring all of their calls at once. The protocol's own example is the longest; the shortest leaves as much time
+/// as such a service needs to take one call from each node (8 s at the most that any site has told).
+const WATCH_LEAST: Micros = 12_000_000;
+const WATCH_MOST: Micros = 20_000_000;
+/// How much later than its wait a watch's answer may come. What it has to tell counts as told 2 s after the wait.
+const WATCH_LATE: Micros = 500_000;
+/// And how much later after the wait, or after a call fell silent, what it has to tell counts as told.
+const TOLD_BEHIND_WAIT: Micros = 2_000_000;
+const TOLD_SILENT: Micros = 6_000_000;
+/// A call that need not wait is given up after this, with time to ask again before it counts as told.
+const CALL_MOST: Micros = 4_000_000;
+/// After a new address came, what is to be told there counts as told so much later.
+const TOLD_MOVED: Micros = 4_000_000;
+/// A watch that is answered at once with nothing must not become a busy loop; still inside the 200 ms in which a watch
+/// goes on.
 const WATCH_PAUSE: Micros = 100_000;
-/// Pause before the whole list is asked for again after an answer in doubt; four of these fit into the time in
-/// which a drain must be obeyed.
-const DOUBT_PAUSE: Micros = 500_000;
-/// Pause before a pushed list is asked for again; the agent is on this machine and free.
-const PUSH_PAUSE: Micros = 200_000;
+/// Longest pause before a list is asked for again where an answer is owed by a stated time: after an answer in doubt, while
+/// a pushed list does not come, while what counts as told could not be heard. Four fit into the grace, in which what a list
+/// tells must be obeyed, where that is shorter.
+const AGAIN_MOST: Micros = 200_000;
+/// Waits of a watch at an agent beside the node, which answers at no cost: half of the grace, within these.
+const PUSHED_LEAST: Micros = 100_000;
+const PUSHED_MOST: Micros = 2_000_000;
+
+/// The times of a node's calls, from its settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// How long a watch waits, in whole milliseconds.
+    wait: Micros,
+    /// How long after that it is given up.
+    late: Micros,
+    /// Pause before a list is asked for again where an answer is owed by a stated time.
+    again: Micros,
+    /// In which what is told must be obeyed.
+    grace: Micros,
+}
+
+impl Times {
+    /// `ask`: one service for all nodes; otherwise an agent beside each. `turn`: this node's part of what is spread over all
+    /// nodes, from 0 to 1.
+    pub fn new(ask: bool, grace: Micros, turn: f64) -> Times {
+        let again = (grace / 4).clamp(20_000, AGAIN_MOST);
+        if ask {
+            let spread = (WATCH_MOST - WATCH_LEAST) as f64 * (1.0 - turn.clamp(0.0, 1.0));
+            let wait = (WATCH_LEAST + spread as Micros) / 1000 * 1000;
+            return Times { wait, late: WATCH_LATE, again, grace };
+        }
+        // Nothing that the agent has may go unheard for longer than the grace: it counts as told at once.
+        let wait = (grace / 2).clamp(PUSHED_LEAST, PUSHED_MOST) / 1000 * 1000;
+        Times { wait, late: again, again, grace }
+    }
+}
 
 /// One list entry and where it is reached from here.
 pub struct Listed {
@@ -121,12 +161,18 @@
     /// An answer was older than the list held: only a whole list is believed next.
     doubted: bool,
     not_before: Micros,
+    /// Until then an answer is owed to the node itself, whatever the module plans: something that it has not heard counts
+    /// as told.
+    owed_by: Option<Micros>,
+    /// Calls that have failed since.
+    failed: u32,
+    times: Times,
     call: Option<Call<S>>,
     serial: u64,
 }
 
 impl<S: Stream> Discovery<S> {
-    pub fn new(address: SocketAddr, token: Token, pushed: bool, rev: i64) -> Discovery<S> {
+    pub fn new(address: SocketAddr, token: Token, pushed: bool, rev: i64, times: Times) -> Discovery<S> {
         Discovery {
             address,
             token,
@@ -136,6 +182,9 @@
             whole_wanted: false,
             doubted: false,
             not_before: 0,
+            owed_by: None,
+            failed: 0,
+            times,
             call: None,
             serial: 0,
         }
@@ -159,16 +208,22 @@
 
     /// Discovery is at another address now. It may count its versions anew, so that one which is held from
     /// before says nothing there: the whole list is asked for at once, and a watch goes on behind it.
-    pub fn move_to(&mut self, address: SocketAddr) {
+    pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
         if address != self.address {
             self.address = address;
             self.rev = None;
             self.not_before = 0;
             self.call = None;
             self.whole_wanted = true;
+            self.owe(now + TOLD_MOVED);
         }
     }
 
+    /// Something counts as told then, heard or not: until it has been obeyed, failed calls are made again by themselves.
+    fn owe(&mut self, told: Micros) {
+        (self.owed_by, self.failed) = (Some(told + self.times.grace), 0);
+    }
+
     /// Makes the call that is wanted, unless one is out.
     pub fn go_on(&mut self, net: &mut impl Net<Stream = S>, timers: &mut Timers) -> Option<News> {
         let now = net.now();
@@ -178,8 +233,9 @@
         let since = self.rev.filter(|_| !self.whole_wanted && !self.doubted);
         let (what, path, most) = match since {
             Some(rev) => {
-                let path = format!("/api/targets?since={rev}&timeout_ms={WATCH_WAIT_MS}");
-                (What::Watch, path, WATCH_MOST)
+                let Times { wait, late, .. } = self.times;
+                let path = format!("/api/targets?since={rev}&timeout_ms={}", wait / 1000);
+                (What::Watch, path, wait + late)
             }
             None => (What::Whole, "/api/targets".to_string(), CALL_MOST),
         };
@@ -197,7 +253,13 @@
 
     /// A call's time is over.
     pub fn due(&mut self, serial: u64, now: Micros, timers: &mut Timers) -> Option<News> {
-        self.call.as_ref().filter(|c| c.serial == serial)?;
+        let call = self.call.as_ref().filter(|c| c.serial == serial)?;
+        // Silence, unlike a failure, is no excuse: what the call should have told counts as told. It is made again at once.
+        let told = match call.what {
+            What::Watch => call.began + self.times.wait + TOLD_BEHIND_WAIT,
+            What::Whole => call.began + TOLD_SILENT,
+        };
+        self.owe(told);
         Some(self.failed("no answer in time", now, timers))
     }
 
@@ -254,11 +316,12 @@
         if self.rev.is_some_and(|held| list.rev < held) && !(list.all && self.doubted) {
             self.doubted = true;
             self.whole_wanted = true;
-            self.pause(now + DOUBT_PAUSE, timers);
+            self.pause(now + self.times.again, timers);
             let targets = list.targets.into_iter().filter(|t| t.entry.state != ServerState::Live).collect();
             return News::List(Answer { rev: list.rev, all: false, targets });
         }
         self.doubted = false;
+        self.owed_by = None;
         self.rev = Some(list.rev);
         self.whole_wanted &= !list.all;
         if list.targets.is_empty() && now - call.began < WATCH_PAUSE {
@@ -267,14 +330,20 @@
         News::List(list)
     }
 
-    /// Ends the call and the watch. A pushed list is asked for again by itself.
+    /// Ends the call, and the watch unless an answer is owed by a stated time: then, and where lists are pushed, it is
+    /// asked for again here. Where discovery turns callers away, each pause is twice the one before.
     fn failed(&mut self, why: &'static str, now: Micros, timers: &mut Timers) -> News {
         self.call = None;
-        self.watching = self.pushed;
-        self.whole_wanted = false;
+        self.owed_by = self.owed_by.filter(|by| now < *by);
+        let owed = self.owed_by.is_some();
+        self.watching = self.pushed || owed;
+        self.whole_wanted &= owed;
         if self.pushed {
-            self.pause(now + PUSH_PAUSE, timers);
+            self.pause(now + self.times.again, timers);
+        } else if owed && self.failed > 0 {
+            self.pause(now + (self.times.again << self.failed.min(5)) / 2, timers);
         }
+        self.failed = self.failed.saturating_add(1);
         News::Failed(why)
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::addresses::Addresses;
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
-use crate::discovery::{self, Answer, Discovery, News};
+use crate::discovery::{self, Answer, Discovery, News, Times};
 use crate::figures::Figures;
 use crate::front::{Asked, Final, Protocol};
 use crate::lifecycle::{Accept, Lifecycle};
@@ -302,6 +302,7 @@
         let set = config.settings;
         let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let (ask, connect_most, classes) = (set.ask, set.connect_timeout, set.classes.len());
+        let times = Times::new(ask, set.drain_grace, config.turn);
         let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
         let kept = SOCKETS_KEPT + if ops.is_some() { SOCKETS_OPS } else { 0 };
@@ -337,7 +338,7 @@
             budget: Budget::new(memory / VALUES_PART),
             upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most, config.trace),
             probes: HashMap::new(),
-            discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev),
+            discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev, times),
             addresses: Addresses::default(),
             timers: Timers::default(),
             log: Log::default(),
@@ -533,7 +534,8 @@
         match (self.source)() {
             Ok(config) => {
                 self.log.line(&mut self.net, &format!("reloaded: discovery at {}", config.discovery));
-                self.discovery.move_to(config.discovery);
+                let now = self.now();
+                self.discovery.move_to(config.discovery, now);
             }
             Err(bad) => self.log.line(&mut self.net, &format!("not reloaded: {bad}")),
         }
