A cold server's bound holds in every window, and is lower for a slow kind

Balancer::send_next kept the right as a bucket that fills at its rate, so that one left alone for 2 s was sent its right at once and once more within the same 2 s.

Now the first attempts of the last time to a fall are counted, and the right is multiplied by the kind's learned speed beside the average one, where that is less.

--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -87,8 +87,8 @@
     failing: f64,
     /// Attempts of this node that are out at it.
     out: u32,
-    /// Until when the first attempts sent to it while cold use up this node's right to them.
-    used: Micros,
+    /// When it was sent first attempts while cold, within the time to a fall: they use up this node's right.
+    used: VecDeque<Micros>,
 }
 
 impl Server {
@@ -105,7 +105,7 @@
             pass: 1.0,
             failing: 0.0,
             out: 0,
-            used: 0,
+            used: VecDeque::new(),
         }
     }
 
@@ -795,10 +795,9 @@
             actions.push(Action::Timer { delay: hedge, token: serial << 2 | HEDGE });
         }
         if place == Place::Line {
-            let right = self.right(now, i);
             let server = &mut self.line.servers[i];
             server.out += 1;
-            server.used = server.used.max(now) + self.fleet.spacing(right);
+            self.fleet.use_up(&mut server.used, server.entry.started, now);
         }
         if trial {
             self.line.servers[i].trial_until = now + class.aim;
@@ -853,7 +852,10 @@
     /// This node's right to first attempts at a server, while that one is cold.
     fn right(&self, now: Micros, i: usize) -> f64 {
         let grown = self.fleet.grown(self.line.servers[i].entry.started, now);
-        self.fleet.right(grown, now, self.line.servers.len())
+        // Of a kind that is slower than the average one, it can do less by as much.
+        let mean = self.weights.iter().sum::<f64>() / self.weights.len().max(1) as f64;
+        let able = self.weights.get(i).map_or(1.0, |weight| (weight / mean).min(1.0));
+        self.fleet.right(grown * able, now, self.line.servers.len())
     }
 
     /// Whether a request is in the part of its range that a server is given. A warm one, or one that this
@@ -870,7 +872,7 @@
         } else {
             self.off_middle(held.at, i)
         };
-        place < part.min(right) && self.fleet.room(server.used, right, now)
+        place < part.min(right) && self.fleet.room(&server.used, right, now)
     }
 
     /// Part of its range that a server can take as far as it is warm.
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -4,10 +4,12 @@
 //! from the least capacity that its settings allow it; a warm one keeps all. And whatever the popularity of its keys:
 //! within the time in which it would fall over, the first attempts that all nodes together send it come, on average
 //! over the nodes' draws, to the multiple at which it falls over at most, counted from what an average server of the
-//! fleet is sent (`right`, `room`). No clock: time is an argument.
+//! fleet is sent, in any such window (`right`, `room`). No clock: time is an argument.
 //!
-//! Not guaranteed: a server much slower than the average one of its fleet is counted as an average one, and servers
-//! that are cold and yet take all of their range (`part` of 1) are second homes without a bound.
+//! Not guaranteed: a server much slower than the others of its kind is counted as one of them, and servers that are
+//! cold and yet take all of their range (`part` of 1) are second homes without a bound.
+
+use std::collections::VecDeque;
 
 use crate::interface::{Micros, Settings};
 
@@ -88,14 +90,23 @@
         }
     }
 
-    /// The time between two first attempts by which a node keeps to its right.
-    pub fn spacing(&self, right: f64) -> Micros {
-        (self.fall as f64 / right.max(1.0)) as Micros
+    /// Notes a first attempt to a server, as long as it is cold.
+    ///
+    /// Guards against a bound that holds on average only: what is not used up of one second may not be sent on top of the
+    /// next one's. At most the right of the last times to a fall is kept.
+    pub fn use_up(&self, used: &mut VecDeque<Micros>, started: Option<Micros>, now: Micros) {
+        while used.front().is_some_and(|at| *at + self.fall <= now) {
+            used.pop_front();
+        }
+        if self.grown(started, now) < 1.0 {
+            used.push_back(now);
+        }
     }
 
-    /// Whether one more attempt is within the right, after others that use it up until `used`.
-    pub fn room(&self, used: Micros, right: f64, now: Micros) -> bool {
-        used.max(now) + self.spacing(right) <= now + self.fall
+    /// Whether one more attempt is within the right, after those of the last time to a fall.
+    pub fn room(&self, used: &VecDeque<Micros>, right: f64, now: Micros) -> bool {
+        let lately = used.iter().rev().take_while(|at| **at + self.fall > now).count();
+        lately as f64 + 1.0 <= right.max(1.0)
     }
 
     /// The least part of its capacity that a server has so long after its start: 1 once it is warm.
@@ -190,6 +201,31 @@
         assert_eq!((fleet(1.0).grown(None, 0), fleet(1.0).grown(Some(0), 24_000_000)), (1.0, 1.0));
     }
 
+    // Seen to fail with a bucket that fills at the rate of the right: it lets twice the right go within a window.
+    #[test]
+    fn no_window_of_the_time_to_a_fall_holds_more_than_the_right() {
+        let (fleet, right) = (fleet(1.0), 7.0);
+        for pause in [0, 100_000, 900_000, 1_999_999, 2_000_000, 5_000_000] {
+            let (mut used, mut sent) = (VecDeque::new(), Vec::new());
+            // Idle for a while, then asked all the time.
+            for now in (0..10_000_000).step_by(50_000).skip_while(|now| *now < pause) {
+                if fleet.room(&used, right, now) {
+                    fleet.use_up(&mut used, Some(now), now);
+                    sent.push(now);
+                }
+            }
+            for from in &sent {
+                let within = sent.iter().filter(|at| (*from..from + fleet.fall).contains(at)).count();
+                assert!(within as f64 <= right, "{within} from {from}");
+            }
+            assert!(sent.len() as f64 >= (right * (10_000_000 - pause) as f64 / fleet.fall as f64).floor());
+            assert!(used.len() as f64 <= right);
+        }
+        let mut used = VecDeque::new();
+        (0..1_000).for_each(|now| fleet.use_up(&mut used, None, now));
+        assert!(used.is_empty(), "a warm one uses up nothing");
+    }
+
     #[test]
     fn an_empty_fleet_and_a_single_server_are_no_special_case() {
         let mut fleet = fleet(1.0);
