Nothing is sent unasked for a client that left, on a late connection or past a stop

- A client that has left: client.rs took the end of its bytes for a half-closed connection and sent on, also on connections that came up later, between attempts and for commands still unread.
Now its requests get Event::NoMore 0.1 s after the end is known (at once, if this process stood still meanwhile): what is unsent is taken back and refused, which shows who is there; what is out is answered if it comes.
The test of a client that has only ended its sending stays as it was.
- A send that waits for its connection was written when that came up, whatever had changed.
It is asked for again then, behind all news of the same round (Balancer::goes): request over, client left, server draining, gone or started anew, memory of the group over; and is worded anew.
- A planned stop: exit_by followed the longest deadline, SIGKILL counts 3 s of it at most.
From 0.4 s behind that whatever is open has its final answer, what still comes is refused, and connections end; the process ends before the kill also where connections wait and there is no room.
- evict_client, stalled and unfinished ended connections on which a command waited in the kernel.
- Behind a long value that has begun nothing is taken: if it breaks off, its connection ends and nobody could be answered.
- A second answer some milliseconds late was given to the next client: a RESP2 connection rests for 30 ms after an answer, and where there is no room for another one the longest rested is taken.
An answer before the last byte of its request is no answer.

Held and Attempt move to rules/held.rs unchanged but for the new field.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -369,6 +369,9 @@
     },
     /// The client left; nothing is owed.
     ClientLeft(RequestId),
+    /// Nothing more may be sent for this request: its client seems to have left, or the node is about to end. What is out
+    /// may still answer it, and its final answer is owed as ever.
+    NoMore(RequestId),
     /// A timer set earlier is due.
     Timer(u64),
     /// A probe ended.
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -13,7 +13,9 @@
 use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
 use crate::pace::Pace;
 use crate::warmth::Fleet;
+use held::{Attempt, Held};
 
+mod held;
 pub mod memory;
 mod status;
 mod zones;
@@ -289,94 +291,6 @@
     *all.select_nth_unstable_by(middle, f64::total_cmp).1
 }
 
-/// One attempt of a held request.
-struct Attempt {
-    server: ServerId,
-    zone: Option<u16>,
-    cell: Option<u32>,
-    sent: Micros,
-    /// How long an answer of its class may well take; passed with nothing heard.
-    patience: Micros,
-    silent: bool,
-    /// Left to its server when its request ends: a fetch that is dropped fills no cache.
-    stays: bool,
-    status: Option<Status>,
-}
-
-impl Attempt {
-    fn pending(&self) -> bool {
-        self.status.is_none()
-    }
-
-    fn may_have_run(&self) -> bool {
-        !self.status.is_some_and(Status::never_ran)
-    }
-}
-
-/// A request that is owed its final answer.
-struct Held {
-    request: Request,
-    at: f64,
-    key: Option<u64>,
-    arrived: Micros,
-    /// No answer after this is worth anything: the module ends it then.
-    end: Micros,
-    attempts: Vec<Attempt>,
-    streaming: bool,
-    /// Not served lately by what this node knows: likely a fetch from the origin.
-    doubtful: bool,
-    /// The cache lacked it (aside): the origin is next.
-    missed: bool,
-}
-
-impl Held {
-    fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.pending()).count()
-    }
-
-    fn asked(&self) -> Asked {
-        match (self.request.write, self.doubtful) {
-            (true, _) => Asked::Write,
-            (false, true) => Asked::Doubtful,
-            (false, false) => Asked::Known,
-        }
-    }
-
-    /// May another attempt go to this server now? Guards "no effect twice" for all classes.
-    fn may_send(&self, set: &Settings, to: &Entry, now: Micros) -> bool {
-        let class = &set.classes[self.request.class];
-        if self.streaming || self.attempts.len() >= set.max_attempts || now >= self.end {
-            return false;
-        }
-        if self.out() > 0 && !set.second_copies {
-            return false;
-        }
-        let mut ran = self.attempts.iter().filter(|a| a.may_have_run());
-        match class.repeat {
-            Repeat::Free => true,
-            Repeat::Unsafe => ran.next().is_none(),
-            Repeat::Keyed => ran.all(|a| {
-                now + set.tick < a.sent + class.window
-                    && match class.scope {
-                        Scope::All => true,
-                        Scope::Zone => a.zone.is_some() && a.zone == to.zone,
-                        Scope::Cell => a.cell.is_some() && a.cell == to.cell,
-                    }
-            }),
-        }
-    }
-
-    /// May it be refused, which tells the client that another try is harmless?
-    fn may_refuse(&self, set: &Settings) -> bool {
-        let class = &set.classes[self.request.class];
-        match class.repeat {
-            Repeat::Free => true,
-            Repeat::Keyed if class.scope == Scope::All => true,
-            _ => !self.attempts.iter().any(Attempt::may_have_run),
-        }
-    }
-}
-
 /// Where a chosen server stands.
 #[derive(Clone, Copy, PartialEq)]
 enum Place {
@@ -494,6 +408,7 @@
                     actions,
                 );
             }
+            Event::NoMore(request) => self.on_no_more(now, &request, actions),
             Event::ClientLeft(request) => {
                 if let Some(serial) = self.ids.get(&request).copied() {
                     self.cancel_pending(serial, false, actions);
@@ -695,6 +610,7 @@
             end,
             attempts: Vec::new(),
             streaming: false,
+            no_more: false,
             doubtful,
             missed: false,
         };
@@ -1152,6 +1068,16 @@
         }
     }
 
+    /// Nothing more is sent for a request; with nothing out it has its final answer at once.
+    fn on_no_more(&mut self, now: Micros, id: &RequestId, actions: &mut Vec<Action>) {
+        let Some(serial) = self.ids.get(id).copied() else { return };
+        let Some(held) = self.held.get_mut(&serial) else { return };
+        held.no_more = true;
+        if !held.streaming && held.out() == 0 {
+            self.finish(now, serial, "no more", actions);
+        }
+    }
+
     fn note_end(&mut self, late: bool) {
         self.late += (f64::from(u8::from(late)) - self.late) / LATE_SPAN;
     }
@@ -1187,7 +1113,8 @@
             let servers: Vec<ServerId> = pending.map(|a| a.server.clone()).collect();
             servers.iter().for_each(|server| self.note_known(server, true));
         }
-        if tried {
+        // What its client left, or the node's end cut short, tells nothing of the load.
+        if tried && !self.held[&serial].no_more {
             self.note_end(true);
         }
         if first {
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -20,6 +20,9 @@
 const SILENT_MOST: Micros = 2_500_000;
 /// A client that reads nothing of what waits for it for so long has stalled for good.
 const READING_MOST: Micros = 10_000_000;
+/// How long the end of a client's bytes is taken for that of its sending alone. What waits then is not sent on any more:
+/// 0.3 s after a client has left nothing may be, and a starved node needs some of them to get there.
+pub const LEFT_MOST: Micros = 100_000;
 /// After the end of sending, how long the client's last bytes are read and thrown away: closing with unread
 /// input would send a reset, which can destroy the answer that is under way.
 const LINGER: Micros = 1_000_000;
@@ -68,6 +71,10 @@
     /// wait for answers.
     closed: bool,
     ended: bool,
+    /// Since when the end of the client's bytes is known, at the earliest that it can have come.
+    left: Option<Micros>,
+    /// Somebody will look again when it has been known for long enough.
+    left_told: bool,
     closing: Closing,
     /// Since when a command has been half there; since when answers have waited unread; last sign of life.
     writing_since: Option<Micros>,
@@ -107,6 +114,8 @@
             unread: true,
             closed: false,
             ended: false,
+            left: None,
+            left_told: false,
             closing: Closing::No,
             writing_since: None,
             stalled_since: None,
@@ -117,10 +126,35 @@
         }
     }
 
-    /// There is something to read; `closed` if the client has ended its sending behind it.
-    pub fn readable(&mut self, closed: bool) {
+    /// There is something to read; `closed` if the client has ended its sending behind it, at `since` at the earliest.
+    pub fn readable(&mut self, closed: bool, since: Micros) {
         self.unread = true;
         self.closed |= closed;
+        if closed {
+            self.left.get_or_insert(since);
+        }
+    }
+
+    /// Whether the end of the client's bytes has become known since this was asked last, and since when it stands.
+    pub fn newly_left(&mut self) -> Option<Micros> {
+        let left = self.left.filter(|_| !self.left_told)?;
+        self.left_told = true;
+        Some(left)
+    }
+
+    /// Whether what has not been sent for this client is not to be sent any more: it has closed its connection, or has
+    /// ended its sending and has been waited for long enough. Which of the two shows only when something is written to it.
+    pub fn unheard(&self, now: Micros) -> bool {
+        self.left.is_some_and(|left| now - left >= LEFT_MOST)
+    }
+
+    /// Its requests that have no answer yet.
+    pub fn waiting(&self) -> Vec<usize> {
+        let waits = |slot: &Slot| match slot {
+            Slot::Waiting(request) => Some(*request),
+            _ => None,
+        };
+        self.slots.iter().filter_map(waits).collect()
     }
 
     /// The next command. Nothing is taken while too much waits: what is not read holds the client back.
@@ -130,7 +164,11 @@
             return Input::Nothing;
         }
         loop {
+            // Behind a long value that has begun nothing is taken: if it breaks off, the connection must end, and what was
+            // taken behind it could not be answered.
+            let streams = matches!(self.slots.front(), Some(Slot::Stream { head: None, .. }));
             if self.closing != Closing::No
+                || streams
                 || self.slots.len() >= PIPELINE_MOST
                 || self.out.len() > UNSENT_MOST
             {
@@ -165,6 +203,7 @@
                 }
                 Read1::Ended => {
                     (self.unread, self.ended) = (false, true);
+                    self.left.get_or_insert(now);
                     break;
                 }
             }
@@ -309,14 +348,16 @@
     ///
     /// Guards against clients that connect by hundreds and say nothing: they would hold descriptors until
     /// these run short, and usual clients would be turned out with them.
+    /// One whose command waits in the kernel, unread as yet, has said something.
     pub fn stalled(&self, now: Micros) -> bool {
-        let silent = self.asked.is_none() && self.idle() && now - self.active >= SILENT_MOST;
+        let silent = self.asked.is_none() && now - self.active >= SILENT_MOST && self.quiet();
         silent || self.stalled_since.is_some_and(|since| now - since >= READING_MOST)
     }
 
-    /// It has taken far too long to write a command.
+    /// It has taken far too long to write a command, and nothing more of it waits in the kernel.
     pub fn unfinished(&self, now: Micros) -> bool {
-        self.closing == Closing::No && self.writing_since.is_some_and(|since| now - since >= WRITING_MOST)
+        let long = self.writing_since.is_some_and(|since| now - since >= WRITING_MOST);
+        self.closing == Closing::No && long && self.stream.quiet()
     }
 
     pub fn lingering(&self) -> bool {
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -8,11 +8,15 @@
 
 /// How long connections are still accepted after SIGTERM where nobody else listens: they go on coming for 0.4 s.
 const ACCEPT_AFTER_STOP: Micros = 500_000;
-/// A node that was told to stop is killed 0.7 s after the longest deadline at the soonest; it ends before.
+/// A node that was told to stop is killed 0.7 s after the longest deadline at the soonest, of which 3 s count at most.
+const LONGEST_COUNTED: Micros = 3_000_000;
+/// It ends before.
 const STOP_SLACK: Micros = 600_000;
+/// And whatever is open by then has its final answer so long after that deadline: the rest is for writing it out.
+const ANSWER_SLACK: Micros = 400_000;
 /// While evacuating, how long a connection may ask for nothing; 4 s after the call none may be left.
 const QUIET_EVACUATING: Micros = 2_000_000;
-/// While stopping: what is asked last must still be answered before the end.
+/// While stopping; what is asked last has the time that is left until the last answers.
 const QUIET_STOPPING: Micros = 1_000_000;
 /// A connection that came while the node was leaving has so long to ask for something.
 const QUIET_NEW: Micros = 500_000;
@@ -50,13 +54,22 @@
     told: bool,
     /// A list is there at all.
     listed: bool,
+    /// When, after a planned stop began, all that is open gets its final answer, and the process ends.
+    answer_by: Micros,
     exit_by: Micros,
 }
 
 impl Lifecycle {
     /// `shared`: the clients' listener was inherited. `listed`: the configuration brought a list.
     pub fn new(shared: bool, listed: bool) -> Lifecycle {
-        Lifecycle { phase: Phase::Serving, shared, told: false, listed, exit_by: Micros::MAX }
+        Lifecycle {
+            phase: Phase::Serving,
+            shared,
+            told: false,
+            listed,
+            answer_by: Micros::MAX,
+            exit_by: Micros::MAX,
+        }
     }
 
     /// Discovery has told a list.
@@ -107,10 +120,16 @@
             return false;
         }
         self.phase = Phase::Stopping(now);
-        self.exit_by = now + longest + STOP_SLACK;
+        let counted = longest.clamp(0, LONGEST_COUNTED);
+        (self.answer_by, self.exit_by) = (now + counted + ANSWER_SLACK, now + counted + STOP_SLACK);
         true
     }
 
+    /// From when on nothing is taken any more, and nothing may be open; never, while the node is not told to stop.
+    pub fn answer_by(&self) -> Micros {
+        self.answer_by
+    }
+
     /// What to do about connections that wait on a listener; `shared` tells whether it is the inherited one.
     pub fn accepts(&self, now: Micros, inherited: bool) -> Accept {
         match self.phase {
@@ -136,6 +155,7 @@
         let (since, quiet) = match self.phase {
             Phase::Serving => return false,
             Phase::Evacuating(since) => (since, QUIET_EVACUATING),
+            Phase::Stopping(_) | Phase::Closed(_) if now >= self.answer_by => return true,
             Phase::Stopping(since) | Phase::Closed(since) => (since, QUIET_STOPPING),
         };
         asked.is_some_and(|at| at >= since) || now >= (since + quiet).max(came + QUIET_NEW)
@@ -148,7 +168,8 @@
 
     /// Whether the process ends now; `held`: whether there are clients still.
     pub fn over(&self, now: Micros, held: bool) -> bool {
-        matches!(self.phase, Phase::Closed(_)) && (!held || now >= self.exit_by)
+        // Also with connections that wait and for which there is no room: the kill that follows answers nobody.
+        now >= self.exit_by || matches!(self.phase, Phase::Closed(_)) && !held
     }
 }
 
@@ -208,6 +229,22 @@
         assert!(life.rejoin());
     }
 
+    // Seen to fail: with deadlines of 20 s the process meant to end after 20.6 s, and was killed after 3.7 s.
+    #[test]
+    fn the_last_answers_are_given_and_the_process_ends_before_the_kill_whatever_the_deadlines() {
+        for (longest, kill) in [(0, 700_000), (400_000, 1_100_000), (3 * S, 3_700_000), (20 * S, 3_700_000)]
+        {
+            let mut life = Lifecycle::new(false, true);
+            assert_eq!(life.answer_by(), Micros::MAX, "nothing is cut short while it serves");
+            life.stop(10 * S, longest);
+            let by = life.answer_by();
+            // Whatever was taken before, with the longest deadline that counts, has its whole time.
+            assert!(by > 10 * S + longest.min(3 * S) && by < 10 * S + kill - 200_000);
+            assert!(life.lets_go(by, by, None), "also a connection that has just come");
+            assert!(!life.over(by, true) && life.over(10 * S + kill - 100_000, true));
+        }
+    }
+
     #[test]
     fn a_stop_ends_an_evacuation_and_is_not_taken_back() {
         let mut life = Lifecycle::new(false, true);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use sloewick_decision::{Balancer, Memory};
 
 use crate::addresses::Addresses;
-use crate::client::{Client, Input, Slot};
+use crate::client::{Client, Input, Slot, LEFT_MOST};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News, Times};
 use crate::figures::Figures;
@@ -81,6 +81,8 @@
 struct Attempt {
     server: ServerId,
     sent: Micros,
+    /// When it is given up.
+    until: Micros,
     /// Its connection while it is out.
     conn: Option<usize>,
     /// The ledger counts it as one that may run.
@@ -109,6 +111,8 @@
     out: usize,
     /// The final answer was given, or the client has left.
     closed: bool,
+    /// Nothing more is sent for it.
+    no_more: bool,
     /// The attempt whose long value is being passed on, and what it took to its first byte.
     stream: Option<(usize, Micros)>,
 }
@@ -151,6 +155,11 @@
         "untold"
     }
 
+    /// Whether an attempt that has waited for its connection is to be written now. A module that does not tell lets all go.
+    fn goes(&self, _now: Micros, _request: &RequestId, _attempt: usize) -> bool {
+        true
+    }
+
     /// What the next process of this node is told. A module that does not tell leaves it to learn all anew.
     fn remember(&self, _now: Micros) -> Option<Memory> {
         None
@@ -181,6 +190,10 @@
         Balancer::why(self)
     }
 
+    fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+        Balancer::goes(self, now, request, attempt)
+    }
+
     fn remember(&self, now: Micros) -> Option<Memory> {
         Some(Balancer::remember(self, now))
     }
@@ -231,6 +244,8 @@
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
+    /// How much later than it wanted this process went on after its last wait: what is news then may be that old.
+    overslept: Micros,
     life: Lifecycle,
     /// Servers that were logged as outliers.
     outliers: BTreeSet<ServerId>,
@@ -343,6 +358,7 @@
             timers: Timers::default(),
             log: Log::default(),
             scratch: vec![0; READ_MOST],
+            overslept: 0,
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
             jam: false,
@@ -388,7 +404,9 @@
     /// The system cannot be asked what happens.
     pub fn turn(&mut self, wait: Micros) -> io::Result<()> {
         let mut ready = std::mem::take(&mut self.ready);
+        let wake = self.now() + wait;
         self.net.poll(&mut ready, wait)?;
+        self.overslept = (self.now() - wake).max(0);
         // Sockets first: on a starved node what came in time must not be called late.
         for event in &ready {
             self.ready(event);
@@ -397,6 +415,7 @@
         self.accept_callers();
         self.accept();
         self.work();
+        self.go_up();
         let now = self.now();
         while let Some(due) = self.timers.pop_due(now) {
             self.due(due, now);
@@ -424,7 +443,7 @@
                     return self.drop_client(key);
                 }
                 if event.readable || event.read_closed {
-                    client.readable(event.read_closed);
+                    client.readable(event.read_closed, now - self.overslept);
                 }
                 self.mark(key);
                 self.read(key);
@@ -480,6 +499,12 @@
                     self.give_up(request, attempt, Status::Timeout);
                 }
             }
+            Due::Left { client, serial } => {
+                if self.clients.get(client).is_some_and(|c| c.serial == serial) {
+                    self.unheard(client);
+                }
+            }
+            Due::LastAnswers => self.last_answers(),
             Due::Upstream { conn, serial } => {
                 self.upstreams.due(conn, serial);
                 self.signals();
@@ -521,10 +546,22 @@
             self.reload();
         }
         if told.stop && self.life.stop(now, self.longest) {
+            self.timers.set(self.life.answer_by(), Due::LastAnswers);
             self.log.line(&mut self.net, "told to stop");
         }
     }
 
+    /// The end of a planned stop is near: whatever is open gets its final answer now, so that it is written out before.
+    fn last_answers(&mut self) {
+        let open: Vec<usize> = self.open.iter().filter(|(_, o)| !o.closed).map(|(key, _)| key).collect();
+        for key in open {
+            self.no_more(key);
+            let attempts =
+                self.open.get(key).filter(|o| o.stream.is_none()).map_or(0, |o| o.attempts.len());
+            (0..attempts).for_each(|attempt| self.give_up(key, attempt, Status::Cancelled));
+        }
+    }
+
     /// Takes up a configuration that has replaced the one before: where discovery is now. All else that it
     /// tells stands from the start.
     ///
@@ -604,10 +641,14 @@
         }
     }
 
-    /// Closes the client's connection that has been idle the longest.
+    /// Closes the client's connection that has been idle the longest, and on which nothing waits to be read.
     fn evict_client(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, c)| c.idle());
-        let Some(key) = idle.min_by_key(|(_, c)| c.active).map(|(key, _)| key) else { return false };
+        let mut idle: Vec<(Micros, usize)> =
+            self.clients.iter().filter(|(_, c)| c.idle()).map(|(key, c)| (c.active, key)).collect();
+        idle.sort_unstable();
+        let Some((_, key)) = idle.into_iter().find(|(_, key)| self.clients[*key].quiet()) else {
+            return false;
+        };
         self.drop_client(key);
         true
     }
@@ -626,12 +667,57 @@
             match client.next(now, &mut self.budget, &mut self.scratch) {
                 Input::Command(command) => self.command(key, command, now),
                 Input::Request(request) => self.memcached(key, request, now),
-                Input::Nothing => return,
-                Input::Broken(why, answer) => return self.turn_out(key, why, answer),
+                Input::Nothing => break,
+                Input::Broken(why, answer) => {
+                    self.turn_out(key, why, answer);
+                    break;
+                }
+            }
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if let Some(left) = client.newly_left() {
+            let serial = client.serial;
+            self.timers.set(left + LEFT_MOST, Due::Left { client: key, serial });
+        }
+    }
+
+    /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
+    /// still listens has its final answer by that; the write shows whether anyone is there.
+    fn unheard(&mut self, client: usize) {
+        let waiting = self.clients.get(client).map(Client::waiting).unwrap_or_default();
+        waiting.into_iter().for_each(|request| self.no_more(request));
+    }
+
+    /// Nothing more is sent for a request; what is out may still answer it.
+    fn no_more(&mut self, key: usize) {
+        let Some(open) = self.open.get_mut(key).filter(|o| !o.closed && o.stream.is_none()) else { return };
+        if std::mem::replace(&mut open.no_more, true) {
+            return;
+        }
+        // Before the outcomes: the module must not send it to another server for them.
+        self.queue.push_back(Event::NoMore(open.id.clone()));
+        self.unsend(key);
+    }
+
+    /// Gives up the attempts of a request of which nothing has been written.
+    fn unsend(&mut self, key: usize) {
+        let attempts = self.open.get(key).map_or(0, |open| open.attempts.len());
+        for attempt in 0..attempts {
+            let conn = self.open.get(key).and_then(|open| open.attempts[attempt].conn);
+            if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
+                self.give_up(key, attempt, Status::Moot);
             }
         }
     }
 
+    /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
+    /// there to hear of it, or the node is about to end. Nothing has run, so trying again is harmless.
+    fn turns_away(&self, client: usize, now: Micros) -> bool {
+        self.open.len() >= self.max_open
+            || now >= self.life.answer_by()
+            || self.clients.get(client).is_some_and(|c| c.unheard(now))
+    }
+
     /// Ends a client's connection with an error behind the answers that it is owed.
     fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcache::Status)>) {
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -691,8 +777,7 @@
         if self.ids.contains_key(&id) {
             return Err(err("-ERR id is in use\r\n"));
         }
-        // Shed before anything is known of it: nothing has run, so trying again is harmless.
-        if command.dropped || self.open.len() >= self.max_open {
+        if command.dropped || self.turns_away(client, now) {
             self.figures.count(request.class, &Final::Busy(0));
             return Err(err("-BUSY\r\n"));
         }
@@ -709,7 +794,9 @@
     }
 
     /// Takes a request: from now on one final answer is owed to it.
-    fn take(&mut self, client: usize, request: Request, taken: Taken, now: Micros) {
+    fn take(&mut self, client: usize, mut request: Request, taken: Taken, now: Micros) {
+        // A node that stops has no more time than that.
+        request.budget = request.budget.min(self.life.answer_by().saturating_sub(now));
         let Some(c) = self.clients.get_mut(client) else { return };
         self.serial += 1;
         let place = self.open.vacant_entry();
@@ -732,6 +819,7 @@
             attempts: Vec::new(),
             out: 0,
             closed: false,
+            no_more: false,
             stream: None,
         });
         self.ids.insert(request.id.clone(), open);
@@ -797,6 +885,7 @@
                 self.ended(request, attempt, Status::Cancelled, None, None);
             } else {
                 self.queue.push_back(Event::ClientLeft(id));
+                self.unsend(request);
                 self.forget(request);
             }
         }
@@ -931,19 +1020,21 @@
         let left = open.deadline - now;
         // Guards against servers at work on what nobody waits for: they are told this time and drop what is over.
         let wait = timeout.unwrap_or(left).min(left);
-        open.attempts.push(Attempt { server: server.clone(), sent: now, conn: None, counted: false });
+        let until = now + wait;
+        open.attempts.push(Attempt {
+            server: server.clone(),
+            sent: now,
+            until,
+            conn: None,
+            counted: false,
+        });
         open.out += 1;
         let fits = protocol == Protocol::Resp || memcached::fits(open);
-        if open.closed || open.stream.is_some() || wait <= 0 || !fits || !self.may_leave(key, attempt, now)
-        {
+        let over = open.closed || open.no_more || open.stream.is_some() || wait <= 0;
+        if over || !fits || !self.may_leave(key, attempt, now) {
             return self.ended(key, attempt, Status::Moot, None, None);
         }
-        let sent = if protocol == Protocol::Memcached { self.count_sent() } else { 0 };
-        let open = &self.open[key];
-        let written = match protocol {
-            Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
-            Protocol::Memcached => memcached::forwarded(open, sent),
-        };
+        let written = self.worded(key, protocol, wait);
         let job = Job::Attempt { request: key, serial, attempt };
         let started =
             self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
@@ -956,6 +1047,37 @@
         }
     }
 
+    /// A request as its server gets it.
+    fn worded(&mut self, key: usize, protocol: Protocol, wait: Micros) -> Written {
+        let sent = if protocol == Protocol::Memcached { self.count_sent() } else { 0 };
+        let open = &self.open[key];
+        match protocol {
+            Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
+            Protocol::Memcached => memcached::forwarded(open, sent),
+        }
+    }
+
+    /// Writes what has waited for its connection, or gives it up: meanwhile its client may have left, the request have
+    /// ended, its server drain. Asked when all that came in this round has been taken up.
+    fn go_up(&mut self) {
+        while let Some((conn, job)) = self.upstreams.came_up() {
+            let now = self.now();
+            let Some((key, attempt)) = self.find(job) else { continue };
+            let open = &self.open[key];
+            let (left, server) =
+                (open.attempts[attempt].until - now, open.attempts[attempt].server.clone());
+            let client = self.clients.get(open.client).filter(|c| c.serial == open.client_serial);
+            let heard = client.is_some_and(|c| !c.unheard(now));
+            let over = open.closed || open.no_more || left <= 0 || !heard;
+            if over || !self.module.goes(now, &open.id, attempt) {
+                self.give_up(key, attempt, Status::Moot);
+                continue;
+            }
+            let written = self.worded(key, self.upstreams.protocol(&server), left);
+            self.upstreams.go(conn, &written);
+        }
+    }
+
     fn probe(&mut self, server: ServerId, now: Micros) {
         self.serial += 1;
         let serial = self.serial;
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached.rs
@@ -135,7 +135,7 @@
         now: Micros,
     ) -> Result<(), Refused> {
         let unix = self.net.began_unix() + now;
-        let full = self.open.len() >= self.max_open;
+        let full = self.turns_away(client, now);
         let Some(m) = &mut self.memcached else { return Err(Refused::End(Final::Failed)) };
         let write = opcode.loud() == Opcode::Set;
         let operation = if write { Operation::Set } else { Operation::Get };
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timer.rs
@@ -17,6 +17,10 @@
     Attempt { request: usize, serial: u64, attempt: usize },
     /// A connection that is still being opened, or a probe, has taken too long.
     Upstream { conn: usize, serial: u64 },
+    /// A client has not been heard for long enough.
+    Left { client: usize, serial: u64 },
+    /// A planned stop: what is open gets its final answer now.
+    LastAnswers,
     /// A list call is over its time, or the next one is due.
     Discovery { serial: u64 },
     /// Time for a look at all that waits with no deadline of its own.
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -59,6 +59,7 @@
             Event::Servers(kind, entries) => format!("list kind={kind:?} entries={}", entries.len()),
             Event::ListFailed => "list kind=Failed entries=0".to_string(),
             Event::ClientLeft(id) => format!("left id={id}"),
+            Event::NoMore(id) => format!("no-more id={id}"),
             Event::Probed { server, status, .. } => format!("probed server={server} how={status:?}"),
             Event::Started { .. } | Event::Timer(_) | Event::Peer { .. } => return,
         };
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -24,6 +24,9 @@
 const IDLE_PART: i64 = 80;
 /// A probe is given up after this; it is answered at once or tells nothing.
 const PROBE_MOST: Micros = 250_000;
+/// How long a connection rests after an answer: a spoilt second one may come some milliseconds later, and says nothing of
+/// what it answers. No setting tells how late; connections across zones vary by some milliseconds themselves.
+const REST: Micros = 30_000;
 /// Longest body of a memcached answer: a value with its key and flags.
 const BODY_MOST: usize = VALUE_MOST + 1024;
 /// A server pauses a long value for 0.1 s at most; silent this much longer, it is gone.
@@ -129,6 +132,8 @@
     address: SocketAddr,
     serial: u64,
     connecting: bool,
+    /// It has come up, and its job is written when the node has been asked once more.
+    held: bool,
     job: Option<Job>,
     /// What an answer to the job carries (memcached).
     tag: (u8, u32),
@@ -142,6 +147,8 @@
     closed: bool,
     opened: Micros,
     idle_since: Micros,
+    /// When the last answer came that says nothing of what it answers.
+    answered: Option<Micros>,
     /// Since when a long value has been waited for.
     starved: Option<Micros>,
     /// The job is an attempt that was not counted as written whole yet.
@@ -151,7 +158,17 @@
 impl<S> Conn<S> {
     /// The kernel has all of the job: it may run.
     fn sent(&self) -> bool {
-        !self.connecting && self.out.is_empty()
+        !self.connecting && !self.held && self.out.is_empty()
+    }
+
+    /// Nothing of the job has been written.
+    fn waits(&self) -> bool {
+        self.connecting || self.held
+    }
+
+    /// A second answer to what it carried last could still come, and would be taken for the next one's.
+    fn rests(&self, now: Micros) -> bool {
+        self.answered.is_some_and(|at| now - at < REST)
     }
 }
 
@@ -174,6 +191,8 @@
     idle_most: Micros,
     connect_most: Micros,
     pub signals: VecDeque<Signal>,
+    /// Connections that have come up with a job, and their serials.
+    up: VecDeque<(usize, u64)>,
     /// Attempts written whole.
     pub sends: u64,
     /// What became of connections, for the trace; none where it is off. Emptied in each round.
@@ -199,6 +218,7 @@
             idle_most: server_idle * IDLE_PART / 100,
             connect_most,
             signals: VecDeque::new(),
+            up: VecDeque::new(),
             sends: 0,
             steps: traced.then(Vec::new),
         }
@@ -253,7 +273,7 @@
         written: &Written,
         around: &mut Around<impl Net<Stream = S>>,
     ) -> Result<usize, Status> {
-        while let Some(conn) = self.pools.get_mut(server).and_then(|pool| pool.idle.pop()) {
+        while let Some(conn) = self.idle(server, around.now) {
             if self.reusable(conn, around.now) && self.give(conn, job, written, around) {
                 return Ok(conn);
             }
@@ -261,9 +281,38 @@
             self.conns[conn].job = None;
             self.close(conn, Step::Broke);
         }
-        let conn = self.open(server, around)?;
-        self.give(conn, job, written, around);
-        Ok(conn)
+        match self.open(server, around) {
+            Ok(conn) => {
+                self.give(conn, job, written, around);
+                Ok(conn)
+            }
+            Err(Status::Moot) => self.rested_most(server).map_or(Err(Status::Moot), |conn| {
+                let good = self.reusable(conn, around.now) && self.give(conn, job, written, around);
+                if !good {
+                    self.conns[conn].job = None;
+                    self.close(conn, Step::Broke);
+                }
+                good.then_some(conn).ok_or(Status::Moot)
+            }),
+            Err(status) => Err(status),
+        }
+    }
+
+    /// Takes the connection out of a pool whose answer is the longest ago: with no room for another one, it has rested for as
+    /// long as that many connections last.
+    fn rested_most(&mut self, server: &ServerId) -> Option<usize> {
+        let conns = &self.conns;
+        let pool = self.pools.get_mut(server).filter(|pool| pool.open >= SERVER_MOST)?;
+        let at = (0..pool.idle.len()).min_by_key(|at| conns[pool.idle[*at]].answered)?;
+        Some(pool.idle.remove(at))
+    }
+
+    /// Takes the newest idle connection out of a pool that does not rest.
+    fn idle(&mut self, server: &ServerId, now: Micros) -> Option<usize> {
+        let conns = &self.conns;
+        let pool = self.pools.get_mut(server)?;
+        let at = pool.idle.iter().rposition(|conn| !conns[*conn].rests(now))?;
+        Some(pool.idle.remove(at))
     }
 
     fn reusable(&self, conn: usize, now: Micros) -> bool {
@@ -299,6 +348,7 @@
             address,
             serial,
             connecting: true,
+            held: false,
             job: None,
             tag: (0, 0),
             out: Outbox::default(),
@@ -309,6 +359,7 @@
             closed: false,
             opened: around.now,
             idle_since: around.now,
+            answered: None,
             starved: None,
             uncounted: false,
         });
@@ -355,8 +406,8 @@
         let Some(c) = self.conns.get_mut(conn) else { return false };
         let sent = c.sent();
         c.job = None;
-        if c.connecting {
-            c.out = Outbox::default();
+        if c.waits() {
+            (c.out, c.held) = (Outbox::default(), false);
             self.rest(conn, now);
         } else {
             self.close(conn, Step::GivenUp);
@@ -427,6 +478,10 @@
             match (c.stream.take_error(), c.stream.connected()) {
                 (Ok(None), Ok(_)) => {
                     c.connecting = false;
+                    if let Some(Job::Attempt { .. }) = c.job {
+                        c.held = true;
+                        self.up.push_back((conn, c.serial));
+                    }
                     let took = around.now - c.opened;
                     self.step(conn, Step::Up(took));
                 }
@@ -435,7 +490,9 @@
             }
         }
         let c = &mut self.conns[conn];
-        let _ = c.out.flush(&mut c.stream);
+        if !c.held {
+            let _ = c.out.flush(&mut c.stream);
+        }
         self.count(conn);
         let c = &mut self.conns[conn];
         if event.readable || event.read_closed || event.error {
@@ -448,6 +505,32 @@
         }
     }
 
+    /// A connection that has come up for an attempt, of which nothing is written before [`Upstreams::go`].
+    pub fn came_up(&mut self) -> Option<(usize, Job)> {
+        while let Some((conn, serial)) = self.up.pop_front() {
+            let up = self.conns.get(conn).filter(|c| c.serial == serial && c.held);
+            if let Some(job) = up.and_then(|c| c.job) {
+                return Some((conn, job));
+            }
+        }
+        None
+    }
+
+    /// Writes the job of a connection that has come up, as it is worded now.
+    pub fn go(&mut self, conn: usize, written: &Written) {
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else { return };
+        (c.held, c.out, c.tag) = (false, Outbox::default(), written.tag);
+        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        // If it is broken, an event says so.
+        let _ = c.out.flush(&mut c.stream);
+        self.count(conn);
+    }
+
+    /// Whether nothing of a connection's job has been written.
+    pub fn waits(&self, conn: usize) -> bool {
+        self.conns.get(conn).is_some_and(Conn::waits)
+    }
+
     /// Reads replies until the socket is empty or a long value begins.
     fn read(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) {
         while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
@@ -455,6 +538,9 @@
                 Ok(Some(Came::Whole(said))) => self.replied(conn, said, around.now),
                 Ok(Some(Came::Begin(len, tag))) => {
                     let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+                    if !c.sent() {
+                        return self.odd(conn, "answer before its request");
+                    }
                     if tag.is_some_and(|tag| tag != c.tag || tag.0 != Opcode::Get as u8) {
                         return self.odd(conn, "answer to another request");
                     }
@@ -501,8 +587,13 @@
             return self.odd(conn, "answer of a wrong kind, or to another request");
         }
         let early = !c.sent();
+        // A value before the last byte of its request is another request's.
+        if early && matches!(said, Said::Resp(Reply::Array(_))) {
+            return self.odd(conn, "answer before its request");
+        }
         c.job = None;
         c.body = false;
+        c.answered = matches!(said, Said::Resp(_)).then_some(now);
         self.signals.push_back(Signal::Reply(job, said));
         if early {
             self.close(conn, Step::Broke);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -96,6 +96,10 @@
     fn kept(&self, server: &sloewick_decision::interface::ServerId) -> f64 {
         self.0.kept(server)
     }
+
+    fn goes(&self, now: Micros, request: &sloewick_decision::interface::RequestId, attempt: usize) -> bool {
+        self.0.goes(now, request, attempt)
+    }
 }
 
 struct Boxy {
--- a/crates/rig/tests/defects.rs
+++ b/crates/rig/tests/defects.rs
@@ -70,6 +70,10 @@
             actions.extend((self.say)(&mut self.state, now, action));
         }
     }
+
+    fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+        self.balancer.goes(now, request, attempt)
+    }
 }
 
 fn hear_all(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -126,6 +126,17 @@
         assert!(kill.unwrap().success());
     }
 
+    /// Stops the process, and comes back when it stands still: what is done from now on is found by it all at once.
+    pub fn stand_still(&self) {
+        self.signal("STOP");
+        let begun = Instant::now();
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        while !state().rsplit_once(')').unwrap().1.starts_with(" T") {
+            assert!(begun.elapsed() < PATIENCE, "it goes on");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Replaces the file of the configuration, whole at each moment, and tells the node.
     pub fn reload(&self, text: &str) {
         let next = self.file.with_extension("next");
@@ -148,6 +159,11 @@
         text
     }
 
+    /// What it writes on standard error, if that was piped.
+    pub fn stderr(&mut self) -> std::process::ChildStderr {
+        self.child.stderr.take().unwrap()
+    }
+
     /// Waits for the node to end by itself.
     pub fn wait(&mut self) -> ExitStatus {
         let begun = Instant::now();
@@ -215,6 +231,56 @@
     conn
 }
 
+/// The next connection with news: one of these, which were open before, or a new one, which is added to them. Which of
+/// them the node uses again, and when, is not what such a test is about.
+pub fn any<'a>(conns: &'a mut Vec<Peer>, server: &TcpListener) -> &'a mut Peer {
+    let begun = Instant::now();
+    loop {
+        server.set_nonblocking(true).unwrap();
+        while let Ok((stream, _)) = server.accept() {
+            stream.set_nonblocking(false).unwrap();
+            conns.push(Peer::new(stream));
+        }
+        if let Some(at) = conns.iter().position(Peer::has_some) {
+            return &mut conns[at];
+        }
+        assert!(begun.elapsed() < PATIENCE, "nothing came");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Asks until a request comes on a connection that is open already, which is used again when it has rested after its
+/// last answer; that request's id. All others are served.
+pub fn asked_again(client: &mut Peer, server: &TcpListener, conn: &mut Peer, id: &str) -> String {
+    let begun = Instant::now();
+    let mut others = Vec::new();
+    for n in 0.. {
+        assert!(begun.elapsed() < PATIENCE, "the connection is not used again");
+        let id = format!("{id}-{n}");
+        client.get(&id);
+        let other = loop {
+            if conn.has_some() {
+                break None;
+            }
+            server.set_nonblocking(true).unwrap();
+            if let Ok((stream, _)) = server.accept() {
+                stream.set_nonblocking(false).unwrap();
+                break Some(Peer::new(stream));
+            }
+            assert!(begun.elapsed() < PATIENCE, "{id} did not come");
+        };
+        let Some(mut other) = other else {
+            assert_eq!(conn.command()[2], id);
+            return id;
+        };
+        assert_eq!(other.command()[2], id);
+        other.send(served(b"other"));
+        assert_eq!(client.bulk(), b"other");
+        others.push(other);
+    }
+    unreachable!()
+}
+
 /// The other end of a connection with the node: a client, a cache server or discovery.
 pub struct Peer {
     pub stream: TcpStream,
@@ -271,6 +337,14 @@
         }
     }
 
+    /// Whether bytes wait here, or the end of the other side's sending.
+    pub fn has_some(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let waits = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false).unwrap();
+        !self.buf.is_empty() || waits.is_ok()
+    }
+
     /// What has come; if that is nothing, the next bytes.
     pub fn some(&mut self) -> Vec<u8> {
         assert!(!self.buf.is_empty() || self.more(), "the connection ended");
