run refuses settings that can be read and mean nothing, in one line with what is allowed

A time of 0 or of 1e300 ms, a share of 7 or a word where true or false belongs went into the node, since run asked only for what it could not read and check alone knew the ranges. A deployment that does not tell its connection time-out had one of 0, under which every connection was given up at once: 250 ms stand in for it. Zones and kinds that lists make up are numbered up to 4,096 and share a number beyond, where they cost memory and time without an end.

--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -147,13 +147,19 @@
     list.iter().position(|n| n == name)
 }
 
+/// Labels kept beside those that the settings list. No fleet has as many zones or kinds of machine; what lists make up
+/// beyond that shares one number, so that it costs neither memory nor time.
+const LABELS_MOST: usize = 4096;
+
 fn label(list: &RefCell<Vec<String>>, name: &str) -> u16 {
     let mut list = list.borrow_mut();
-    let at = find(&list, name).unwrap_or_else(|| {
-        list.push(name.to_string());
-        list.len() - 1
+    let at = find(&list, name).or_else(|| {
+        (list.len() < LABELS_MOST).then(|| {
+            list.push(name.to_string());
+            list.len() - 1
+        })
     });
-    u16::try_from(at).unwrap_or(u16::MAX)
+    at.and_then(|at| u16::try_from(at).ok()).unwrap_or(u16::MAX)
 }
 
 impl Names {
@@ -223,6 +229,9 @@
     Ok((f.text("name")?.to_string(), class))
 }
 
+/// Used where the settings do not tell by when a connection is given up: what deployments have that leave it out.
+const CONNECT_USUAL: Micros = 250_000;
+
 /// Settings and names from the wire's object; what a rule depends on must be there.
 pub fn parse(f: &Fields) -> Result<(Settings, Names), Bad> {
     let (class_names, classes) =
@@ -292,7 +301,7 @@
         } else {
             0
         },
-        connect_timeout: limits.micros_or("connect_timeout", 0)?,
+        connect_timeout: limits.micros_or("connect_timeout", CONNECT_USUAL)?,
         drain_grace: rules.micros("stop_sending_within")?,
         cold_from: rules.number("cold_from")?,
         cold: rules.micros("cold")?,
--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -153,7 +153,7 @@
     ("probes", Want::Flag, true),
     ("retry_after", Want::Flag, true),
     ("max_retry_after", ANY, true),
-    ("connect_timeout", ANY, true),
+    ("connect_timeout", Want::Positive, true),
     ("conn_idle", Want::Positive, true),
     ("max_open", Want::Whole(1), true),
 ];
--- a/crates/sloewick/tests/node.rs
+++ b/crates/sloewick/tests/node.rs
@@ -607,6 +607,25 @@
         let said = run(&bad.to_string());
         assert!(said.contains(&format!("field {named}: ")), "{field}: {said}");
     }
+    // What can be read but means nothing is named as well, with what is allowed.
+    for (path, value, allowed) in [
+        ("/settings/classes/0/aim", json!(0.0), "above 0"),
+        ("/settings/classes/1/deadline", json!(-5.0), "above 0"),
+        ("/settings/classes/1/repeat", json!("twice"), "repeat"),
+        ("/settings/policy_limits/connect_timeout", json!(0.0), "above 0"),
+        ("/settings/policy_limits/try_limit", json!(0), "whole number from 1"),
+        ("/settings/policy_limits/second_copies", json!("no"), "neither true nor false"),
+        ("/settings/rules/cold_from", json!(7.0), "to 1"),
+        ("/settings/rules/stop_sending_within", json!(1e300), "from 0 to 3000000000"),
+        ("/settings/rules/fall", json!(null), "missing"),
+        ("/limits/memory_mb", json!(0), "below 32"),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).unwrap() = value;
+        let said = run(&bad.to_string());
+        let field = path.rsplit_once('/').unwrap().1;
+        assert!(said.contains(field) && said.contains(allowed), "{path}: {said}");
+    }
     run("not json");
     let mut program = program();
     let out = program.env_remove("BALANCER_CONFIG").output().unwrap();
