--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -65,6 +65,7 @@
     class: usize,
     deadline: Micros,
     closed: bool,
+    no_more: bool,
     attempts: Vec<(ServerId, Micros, Option<Status>, bool)>,
 }
 
@@ -141,7 +142,8 @@
     fn request(&mut self, class: usize, key: u32, budget: Micros) {
         self.serial += 1;
         let id: RequestId = format!("r{}", self.serial).into();
-        let open = Open { class, deadline: self.now + budget, closed: false, attempts: vec![] };
+        let open =
+            Open { class, deadline: self.now + budget, closed: false, no_more: false, attempts: vec![] };
         self.open.insert(id.clone(), open);
         self.give(Event::Request(Request {
             id,
@@ -219,6 +221,7 @@
             Action::Send { request, server, .. } => {
                 let o = self.open.get_mut(&request).expect("send for a request never given");
                 assert!(!o.closed, "send after the end");
+                assert!(!o.no_more, "sent on though its client has left");
                 assert!(o.attempts.len() < self.set.max_attempts, "too many attempts");
                 let to = self.listed.get(&server).expect("server never listed");
                 if let Some(told) = self.told_off.get(&server) {
@@ -280,7 +283,7 @@
             match op % 12 {
                 0..=3 => {
                     self.request(
-                        (a % 5) as usize,
+                        a as usize % self.set.classes.len(),
                         b,
                         [600_000, 200_000, 40_000, 3_000][(a / 5 % 4) as usize],
                     );
@@ -300,7 +303,14 @@
                 }
                 _ => {
                     let mut ids: Vec<RequestId> = self.open.keys().cloned().collect();
-                    if a % 3 == 0 && !ids.is_empty() {
+                    if a % 3 == 1 && !ids.is_empty() {
+                        let id = ids.swap_remove(b as usize % ids.len());
+                        self.open.get_mut(&id).unwrap().no_more = true;
+                        self.give(Event::NoMore(id.clone()));
+                        let o = &self.open[&id];
+                        let out = o.attempts.iter().any(|a| a.2.is_none());
+                        assert!(o.closed || out, "nothing is out, and it has no answer");
+                    } else if a % 3 == 0 && !ids.is_empty() {
                         let id = ids.swap_remove(b as usize % ids.len());
                         self.open.get_mut(&id).unwrap().closed = true;
                         self.give(Event::ClientLeft(id));
@@ -332,6 +342,69 @@
         .unwrap();
 }
 
+/// Settings that no deployment has and any could: names, effects, groups, times from milliseconds to a minute, with and
+/// without zones, tenants, second copies, cancelling.
+fn drawn() -> impl Strategy<Value = serde_json::Value> {
+    let times = || prop_oneof![1.0..50.0, 50.0..2_000.0, 2_000.0..60_000.0];
+    let word = |words: &'static [&'static str]| prop::sample::select(words);
+    let class = (
+        "[a-z\u{e9} _./-]{1,12}",
+        (times(), times(), times()),
+        word(&["free", "guarded", "single_shot"]),
+        word(&["all", "zone", "cell"]),
+        (0.0..20.0, 0.0..1.0, any::<bool>()),
+    );
+    let class = class.prop_map(|(name, (aim, deadline, window), repeat, scope, (worth, late, stream))| {
+        serde_json::json!({"name": name, "aim": aim, "deadline": deadline, "window": window, "repeat": repeat,
+            "dedup_scope": scope, "worth": worth, "late_share": late, "stream": stream})
+    });
+    let realm = ("[a-z]{1,6}", 0.0..500.0, 0.0..1.0).prop_map(
+        |(name, quota, share)| serde_json::json!({"name": name, "quota_per_s": quota, "share": share}),
+    );
+    let limits = (1..7u32, any::<bool>(), any::<bool>(), any::<bool>(), 1.0..1_000.0, 0.0..3_000.0);
+    let rules = (0.0..3_000.0, 0.01..1.0, 0.0..60_000.0, 0.0..5.0, 0.0..5_000.0, 1.0..20_000.0);
+    let rest = (
+        word(&["push", "ask"]),
+        word(&["silent", "nominal", "rough", "live"]),
+        word(&["through", "aside"]),
+        prop::option::of(word(&["z0", "nowhere"])),
+        (1..600u32, 1.0..10.0, 0.0..0.3),
+    );
+    let lists = (prop::collection::vec(class, 1..6), prop::collection::vec(realm, 0..4));
+    (lists, limits, rules, rest).prop_map(|((classes, realms), limits, rules, rest)| {
+        let (discovery, weights, mode, zone, (nodes, period, crossing)) = rest;
+        let (tries, copies, cancel, retry, connect, after) = limits;
+        let (grace, from, cold, multiple, fall, within) = rules;
+        serde_json::json!({
+            "classes": classes, "realms": realms, "discovery": discovery, "weights": weights, "zone": zone,
+            "zones": ["z0", "z1"], "kinds": ["m0", "m1"], "replicas_of_me": nodes, "period": period,
+            "domain": {"mode": mode, "origin_kind": if mode == "aside" { 1 } else { -1 }},
+            "prices": {"cross_zone": crossing},
+            "policy_limits": {"try_limit": tries, "second_copies": copies, "cancel": cancel, "retry_after": retry,
+                "max_retry_after": after, "connect_timeout": connect},
+            "rules": {"stop_sending_within": grace, "cold_from": from, "cold": cold, "fall_multiple": multiple,
+                "fall": fall, "ask_within": within, "grace_to_answer": 4.0 * period},
+        })
+    })
+}
+
+#[test]
+fn rules_hold_on_any_customers_settings() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[17; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = prop::collection::vec((any::<u8>(), any::<u32>(), any::<u32>()), 0..200);
+    runner
+        .run(&(drawn(), any::<u64>(), ops), |(value, seed, ops)| {
+            let fields = sloewick_decision::settings::Fields::of(&value, "settings").unwrap();
+            let (set, _) = sloewick_decision::settings::parse(&fields).unwrap();
+            set.validate().unwrap();
+            Node::new(set, seed).play(&ops);
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn no_servers_known_still_answers() {
     let mut node = Node::new(settings(true, Mode::Through, true), 1);
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -18,7 +18,8 @@
 const WRITING_MOST: Micros = 2_500_000;
 /// So is one that says nothing; a connection may be closed when it has had no request for 2 s.
 const SILENT_MOST: Micros = 2_500_000;
-/// A client that reads nothing of what waits for it for so long has stalled for good.
+/// A client that reads nothing of what waits for it for so long has stalled for good. It follows from no setting: the time
+/// of its requests is over by their own deadlines, and this bounds the memory that their answers hold.
 const READING_MOST: Micros = 10_000_000;
 /// How long the end of a client's bytes is taken for that of its sending alone. What waits then is not sent on any more:
 /// 0.3 s after a client has left nothing may be, and a starved node needs some of them to get there.
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -14,6 +14,7 @@
 const STOP_SLACK: Micros = 600_000;
 /// And whatever is open by then has its final answer so long after that deadline: the rest is for writing it out.
 const ANSWER_SLACK: Micros = 400_000;
+/// The times of evacuating and of getting ready are those of the page on daily operation, the same for every customer.
 /// While evacuating, how long a connection may ask for nothing; 4 s after the call none may be left.
 const QUIET_EVACUATING: Micros = 2_000_000;
 /// While stopping; what is asked last has the time that is left until the last answers.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -16,20 +16,21 @@
 use sloewick_wire::memcache::{self, Opcode, Response, ResponseReader};
 use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader, VALUE_MOST};
 
-/// Most connections to one server. A server holds some 250 of all nodes together and queues a few dozen
-/// requests; more than this to one server could only wait there.
+/// Most connections to one server. How many a server holds of all nodes together is told by no setting; a single node that
+/// has so many requests out at one server has found it full or hanging, and more could only wait there.
 const SERVER_MOST: usize = 64;
 /// Part of the server's idle limit after which a connection is not used again (in percent): the server's
 /// count began earlier than this node's, and a request that crosses the end is reset.
 const IDLE_PART: i64 = 80;
-/// A probe is given up after this; it is answered at once or tells nothing.
+/// A probe is given up after this; it is answered at once or tells nothing. How long servers work on one is told by no
+/// setting, and the module sends them only to a lost zone.
 const PROBE_MOST: Micros = 250_000;
 /// How long a connection rests after an answer: a spoilt second one may come some milliseconds later, and says nothing of
 /// what it answers. No setting tells how late; connections across zones vary by some milliseconds themselves.
 const REST: Micros = 30_000;
 /// Longest body of a memcached answer: a value with its key and flags.
 const BODY_MOST: usize = VALUE_MOST + 1024;
-/// A server pauses a long value for 0.1 s at most; silent this much longer, it is gone.
+/// The page on long values has a server pause one for 0.1 s at most, whatever the customer; silent this much longer, it is gone.
 const BODY_PAUSE_MOST: Micros = 1_500_000;
 
 /// What a connection is used for.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -19,7 +19,7 @@
 use crate::discovery::{self, Discovery, Listed, Roster};
 use crate::facts::{Fact, Names, Tap, Told, What};
 use crate::hosts::Hosts;
-use crate::judge::{Breach, Judge, Rule};
+use crate::judge::{Breach, Judge, Left, Rule};
 use crate::orders::Orders;
 use crate::origin::{self, Origin};
 use crate::port::Actor;
@@ -60,6 +60,8 @@
     pub played: Micros,
     /// Most descriptors that a node held at once.
     pub descriptors: usize,
+    /// Requests whose client left, and what was sent on for them later than may be.
+    pub left: Left,
 }
 
 /// What a run may be told.
@@ -607,6 +609,7 @@
             facts: self.seen,
             played: now,
             descriptors,
+            left: self.judge.left,
         }
     }
 }
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -15,7 +15,7 @@
 /// The rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
-    /// One final answer, in time, made for this request; nothing sent for it afterwards.
+    /// One final answer, in time, made for this request; nothing sent for it afterwards, nor once its client has left.
     NoneLost,
     /// No effect twice, and no refusal of what may have run.
     NoEffectTwice,
@@ -93,6 +93,11 @@
 /// How long a request is remembered after its end, for what may still come of it.
 const REMEMBERED: Micros = 20_000_000;
 
+/// How long after its client has left nothing of a request may be sent on any more, and what every time limit is longer on
+/// sockets.
+const LEFT_MOST: Micros = 300_000;
+const SOCKET_SLACK: Micros = 50_000;
+
 /// How long an effect is remembered: far beyond the boxes' window, a client's last try and a jammed origin.
 const WISH_REMEMBERED: Micros = 120_000_000;
 
@@ -144,6 +149,14 @@
     resumed: HashMap<usize, Micros>,
     pub breaches: Vec<Breach>,
     pub checked: u64,
+    pub left: Left,
+}
+
+/// Requests whose client left before their answer, and how many of those were sent on later than may be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Left {
+    pub requests: u64,
+    pub sent_on: u64,
 }
 
 impl Judge {
@@ -166,6 +179,7 @@
             resumed: HashMap::new(),
             breaches: Vec::new(),
             checked: 0,
+            left: Left::default(),
         }
     }
 
@@ -224,8 +238,11 @@
             }
             What::Resent { id, node } => self.resent(at, id, *node),
             What::Left { id } => {
-                if let Some(r) = self.requests.get_mut(id) {
-                    r.left.get_or_insert(at);
+                if let Some(r) =
+                    self.requests.get_mut(id).filter(|r| r.left.is_none() && r.answered.is_none())
+                {
+                    r.left = Some(at);
+                    self.left.requests += 1;
                 }
             }
             What::Answered { id, how } => self.answered(at, id, how),
@@ -431,9 +448,17 @@
         let earlier = r.attempts.iter().find(|a| a.fate != Some(Fate::TurnedAway)).map(|a| a.at);
         let over = r.answered.as_ref().is_some_and(|(answered, _)| sent > *answered);
         let repeat = self.repeat(r.class);
+        // A node that stood still meanwhile learns of it when it goes on.
+        let knew = r.left.map(|left| left.max(self.resumed.get(&node).copied().unwrap_or(left)));
+        let behind = knew.map_or(0, |left| sent - way - left);
         if over {
             self.breach(Rule::NoneLost, at, Some(id), "sent on after its final answer".into());
         }
+        if behind > LEFT_MOST + SOCKET_SLACK {
+            self.left.sent_on += 1;
+            let why = format!("sent on {} ms after its client had left", behind / 1000);
+            self.breach(Rule::NoneLost, at, Some(id), why);
+        }
         match (repeat, earlier) {
             (Repeat::Unsafe, Some(_)) => {
                 let why = "another attempt of what may have run and may not be repeated".to_string();
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -263,3 +263,28 @@
     );
     assert!(text.contains("0.012000 Attempt") && text.contains("at_box: 0"), "{text}");
 }
+
+#[test]
+fn what_is_sent_on_for_a_client_that_has_left_is_found() {
+    let history = |ms: i64| {
+        let left = What::Left { id: id("a") };
+        vec![(0, asked("a", READ)), attempt("a", 1, 0, 5), (100, left), attempt("a", 2, 1, ms)]
+    };
+    // 0.3 s, 50 ms longer on sockets; what had begun to leave the node before is no fault.
+    assert_eq!(rules(&history(440)), []);
+    assert_eq!(rules(&history(470)), [Rule::NoneLost]);
+    // A node that stood still learns of it when it goes on.
+    let still = [
+        (0, asked("a", READ)),
+        (50, What::NodePaused { node: 0 }),
+        (100, What::Left { id: id("a") }),
+        (900, What::NodeResumed { node: 0 }),
+        attempt("a", 1, 0, 910),
+    ];
+    assert_eq!(rules(&still), []);
+    let mut judge = Judge::new(site::figures(WAY));
+    for (ms, what) in history(470) {
+        judge.see(&Fact { at: ms * 1000, what });
+    }
+    assert_eq!((judge.left.requests, judge.left.sent_on), (1, 1));
+}
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -5,6 +5,7 @@
 
 use clap::Args as ClapArgs;
 use sloewick_rig::fleet::{self, Options, Outcome, Shown};
+use sloewick_rig::judge::Left;
 use sloewick_rig::scenario::{self, Scenario};
 
 use crate::out;
@@ -121,19 +122,24 @@
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
     let jobs = if args.log { 1 } else { args.jobs.unwrap_or(cores) };
     let stop = if args.runs > 1 { runs::interrupted() } else { Default::default() };
-    let (mut played, mut broken) = (0.0, 0u64);
+    let (mut played, mut broken, mut left) = (0.0, 0u64, Left::default());
     let told = runs::all(runs, jobs, &stop, run, |run: Run| {
         run.out.iter().for_each(out::line);
         run.err.iter().for_each(|line| eprintln!("{line}"));
         played += run.played;
         broken += u64::from(run.broken);
+        left.requests += run.left.requests;
+        left.sent_on += run.left.sent_on;
         run.broken
     });
     if args.runs > 1 {
         let took = begun.elapsed().as_secs_f64();
         let summary = format!(
-            "{told} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second",
-            played / took
+            "{told} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second; \
+             {} requests whose client left, {} of them sent on later",
+            played / took,
+            left.requests,
+            left.sent_on
         );
         if told < runs {
             let next = args.seed + told;
@@ -171,6 +177,7 @@
     err: Vec<String>,
     played: f64,
     broken: bool,
+    left: Left,
 }
 
 fn one(args: &Args, name: &str, seed: u64, scenario: &Scenario) -> Run {
@@ -185,8 +192,9 @@
     let outcome = fleet::play(scenario, seed, options);
     let played = outcome.played as f64 / 1e6;
     let broken = !outcome.breaches.is_empty();
+    let left = outcome.left;
     let (out, err) = tell(args, name, seed, scenario, outcome, began.elapsed().as_secs_f64());
-    Run { out, err, played, broken }
+    Run { out, err, played, broken, left }
 }
 
 fn tell(
@@ -206,6 +214,8 @@
         json["scenario"] = scenario.name.clone().into();
         json["seed"] = seed.into();
         json["digest"] = format!("{:016x}", outcome.digest).into();
+        json["left"] = outcome.left.requests.into();
+        json["left_sent_on"] = outcome.left.sent_on.into();
         json["worst_ten_seconds"] = report.worst_ten().into();
         json["breaches"] = outcome.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
         out.push(format!("{json}"));
--- a/crates/sloewick/tests/endings.rs
+++ b/crates/sloewick/tests/endings.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::{ChildStderr, Stdio};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -15,13 +16,31 @@
 const FAILED: &str = "-ERR failed";
 
 /// What the node traces, read as it comes.
-struct Trace(std::io::Lines<BufReader<ChildStderr>>);
+struct Trace(Receiver<String>);
 
 impl Trace {
+    fn new(stderr: ChildStderr) -> Trace {
+        let (to, from) = channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                // The test may be over.
+                let _ = to.send(line);
+            }
+        });
+        Trace(from)
+    }
+
     /// Waits for a line that holds this.
     fn until(&mut self, part: &str) {
-        let line = self.0.by_ref().map(|line| line.unwrap()).find(|line| line.contains(part));
-        assert!(line.is_some(), "the node ended without {part:?}");
+        let begun = Instant::now();
+        while let Some(left) = PATIENCE.checked_sub(begun.elapsed()) {
+            match self.0.recv_timeout(left) {
+                Ok(line) if line.contains(part) => return,
+                Ok(_) => {}
+                Err(_) => break,
+            }
+        }
+        panic!("the node does not say {part:?}");
     }
 }
 
@@ -37,8 +56,8 @@
     let mut program = program();
     program.arg("--trace").stderr(Stdio::piped());
     let mut node = Node::start_by(program, settings, known, edit);
-    let lines = BufReader::new(node.stderr()).lines();
-    (node, Trace(lines))
+    let trace = Trace::new(node.stderr());
+    (node, trace)
 }
 
 fn get(class: &str, id: &str) -> Vec<u8> {
