A pushed list that fell silent is asked for again at once, not after a further pause

Seen as a flaky run of its own test beside other builds: asked again 400.1 ms after the call where the grace is 400 ms. Cause: half of the grace for the wait, a quarter until it is given up, and failed() put a pause of a quarter on top, which is meant for an agent that turns the call away. Now the first failure is followed by a call at once.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -321,7 +321,7 @@
             return News::List(Answer { rev: list.rev, all: false, targets });
         }
         self.doubted = false;
-        self.owed_by = None;
+        (self.owed_by, self.failed) = (None, 0);
         self.rev = Some(list.rev);
         self.whole_wanted &= !list.all;
         if list.targets.is_empty() && now - call.began < WATCH_PAUSE {
@@ -338,7 +338,8 @@
         let owed = self.owed_by.is_some();
         self.watching = self.pushed || owed;
         self.whole_wanted &= owed;
-        if self.pushed {
+        // The first one is made again at once: after silence, as much time as may pass has passed.
+        if self.pushed && self.failed > 0 {
             self.pause(now + self.times.again, timers);
         } else if owed && self.failed > 0 {
             self.pause(now + (self.times.again << self.failed.min(5)) / 2, timers);
