--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -333,6 +333,8 @@
                 self.was_reset = true;
                 false
             }
+            // A read with a time-out is not taken up again by itself.
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => self.more(),
             Err(e) => panic!("nothing came: {e}"),
         }
     }
