What waits for its connection is not written to where its server was before

Read again: a send that waits was worded in the protocol that its server speaks now, and written to the address that it had; where a list moves the server meanwhile, whoever is there now would be sent it. Such a connection is asked about like an idle one (Upstreams::current, which rest() had in itself).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1058,7 +1058,7 @@
     }
 
     /// Writes what has waited for its connection, or gives it up: meanwhile its client may have left, the request have
-    /// ended, its server drain. Asked when all that came in this round has been taken up.
+    /// ended, its server drain or move. Asked when all that came in this round has been taken up.
     fn go_up(&mut self) {
         while let Some((conn, job)) = self.upstreams.came_up() {
             let now = self.now();
@@ -1069,7 +1069,7 @@
             let client = self.clients.get(open.client).filter(|c| c.serial == open.client_serial);
             let heard = client.is_some_and(|c| !c.unheard(now));
             let over = open.closed || open.no_more || left <= 0 || !heard;
-            if over || !self.module.goes(now, &open.id, attempt) {
+            if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
                 self.give_up(key, attempt, Status::Moot);
                 continue;
             }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -417,18 +417,24 @@
     }
 
     fn rest(&mut self, conn: usize, now: Micros) {
+        if !self.current(conn) {
+            return self.close(conn, Step::Spare);
+        }
         let c = &mut self.conns[conn];
         c.idle_since = now;
-        match self.pools.get_mut(&c.server) {
-            Some(pool)
-                if pool.listed && pool.address == c.address && pool.protocol == c.reader.protocol() =>
-            {
-                pool.idle.push(conn);
-            }
-            _ => self.close(conn, Step::Spare),
+        if let Some(pool) = self.pools.get_mut(&c.server) {
+            pool.idle.push(conn);
         }
     }
 
+    /// Whether a connection still goes to where its server is listed, in the protocol that is spoken there.
+    pub fn current(&self, conn: usize) -> bool {
+        let c = &self.conns[conn];
+        self.pools
+            .get(&c.server)
+            .is_some_and(|p| p.listed && p.address == c.address && p.protocol == c.reader.protocol())
+    }
+
     fn step(&mut self, conn: usize, step: Step) {
         if let Some(steps) = &mut self.steps {
             steps.push((self.conns[conn].server.clone(), step));
--- a/crates/sloewick/tests/endings.rs
+++ b/crates/sloewick/tests/endings.rs
@@ -275,6 +275,24 @@
     }
 }
 
+#[test]
+fn what_waits_for_its_connection_is_not_sent_to_where_its_server_was() {
+    let (mut old, new) = (Shut::new(), listener());
+    let (node, mut trace) = traced(settings(), &[target("s-1", &old.listener)]);
+    let mut client = node.client();
+    client.get("r1");
+    trace.until("step=Open");
+    let (_, mut watch) = node.call();
+    watch.answer_http(&list(42, false, &[target("s-1", &new)]));
+    trace.until("list kind=Delta");
+    old.open();
+    // It has not run, and one attempt is all that the settings allow.
+    assert_eq!(client.line(), BUSY);
+    assert_eq!(accept(&old.listener).end(), "", "written to whoever is there now");
+    client.get("r2");
+    assert_eq!(accept(&new).command()[2], "r2");
+}
+
 #[test]
 fn what_waits_for_its_connection_tells_the_server_the_time_that_is_left() {
     let mut server = Shut::new();
