--- a/crates/sloewick/tests/endings.rs
+++ b/crates/sloewick/tests/endings.rs
@@ -186,7 +186,7 @@
 fn commands_that_wait_behind_others_are_not_sent_for_a_client_that_has_left() {
     // More commands than the node takes at once, and few connections: most wait, in the node or in the kernel.
     const COMMANDS: usize = 300;
-    for how in [Leaves::Closes, Leaves::HalfCloses] {
+    for how in ALL {
         let server = listener();
         let (node, mut trace) =
             traced_with(settings(), &[target("s-1", &server)], |c| c["limits"]["sockets"] = json!(64));
