An answer of discovery that is reset is no list unless it has told where it ends

A read error and an end of sending were both Read1::Ended, so a list of no stated length whose connection was reset between the look for an error and the read counted as whole. Read1::Broke tells them apart; discovery takes a reset as a failed call, and takes an answer by length or chunks that is whole although a reset came behind it (before, the call failed and its news was heard one call later). Clients, servers, operators' calls and the rig treat both as before.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -202,7 +202,7 @@
                     self.unread = false;
                     break;
                 }
-                Read1::Ended => {
+                Read1::Ended | Read1::Broke => {
                     (self.unread, self.ended) = (false, true);
                     self.left.get_or_insert(now);
                     break;
@@ -340,7 +340,7 @@
             match fill(&mut self.stream, &mut self.buf, scratch) {
                 Read1::More | Read1::Some => self.buf.clear(),
                 Read1::Empty => self.unread = false,
-                Read1::Ended => (self.unread, self.ended) = (false, true),
+                Read1::Ended | Read1::Broke => (self.unread, self.ended) = (false, true),
             }
         }
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -271,22 +271,18 @@
         timers: &mut Timers,
     ) -> Option<News> {
         let call = self.call.as_mut()?;
-        if matches!(call.stream.take_error(), Ok(Some(_)) | Err(_)) {
-            return Some(self.failed("connection broke", now, timers));
-        }
-        if event.writable && !call.out.is_empty() {
+        let mut broke = matches!(call.stream.take_error(), Ok(Some(_)) | Err(_));
+        if !broke && event.writable && !call.out.is_empty() {
             match call.stream.connected() {
                 Err(e) if e.kind() == ErrorKind::NotConnected => return None,
-                _ => {}
-            }
-            if call.out.flush(&mut call.stream).is_err() {
-                return Some(self.failed("connection broke", now, timers));
+                _ => broke = call.out.flush(&mut call.stream).is_err(),
             }
         }
         let mut ended = false;
         loop {
             match fill(&mut call.stream, &mut call.buf, scratch) {
                 Read1::Ended => ended = true,
+                Read1::Broke => broke = true,
                 Read1::Empty => {}
                 _ if call.buf.len() > http::HEAD_MOST + http::BODY_MOST => {
                     return Some(self.failed("answer too long", now, timers));
@@ -295,7 +291,9 @@
             }
             break;
         }
-        match http::body(&call.buf, ended) {
+        // Guards against a cut list: a reset is no end, so that only an answer which tells where it ends can be whole.
+        match http::body(&call.buf, ended && !broke) {
+            Ok(None) if broke => Some(self.failed("connection broke", now, timers)),
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
             Err(why) => Some(self.failed(why, now, timers)),
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -128,8 +128,10 @@
     /// Bytes, and the socket is empty.
     Some,
     Empty,
-    /// The peer has ended its sending, or the connection broke.
+    /// The peer has ended its sending.
     Ended,
+    /// The connection broke: what came before may be cut anywhere.
+    Broke,
 }
 
 /// One read into `buf` by way of the shared scratch space, so that idle connections hold no buffer.
@@ -143,7 +145,7 @@
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Read1::Empty,
-            Err(_) => return Read1::Ended,
+            Err(_) => return Read1::Broke,
         }
     }
 }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -108,7 +108,7 @@
         // holds up nobody, until the caller's time is over.
         for _ in 0..READS_MOST {
             match fill(&mut caller.stream, &mut caller.buf, scratch) {
-                Read1::Ended => ended = true,
+                Read1::Ended | Read1::Broke => ended = true,
                 Read1::Empty => {}
                 _ if caller.answered.is_some() => {
                     caller.buf.clear();
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -571,7 +571,7 @@
                     // A short read emptied the socket, but of an end behind it there is no second event.
                     Read1::Some => c.unread = c.closed,
                     Read1::Empty => c.unread = false,
-                    Read1::Ended => return self.fail(conn),
+                    Read1::Ended | Read1::Broke => return self.fail(conn),
                 },
                 Err(()) => return self.odd(conn, "broken reply"),
             }
@@ -632,7 +632,7 @@
                     Read1::More => {}
                     Read1::Some => c.unread = c.closed,
                     Read1::Empty => c.unread = false,
-                    Read1::Ended => self.fail(conn),
+                    Read1::Ended | Read1::Broke => self.fail(conn),
                 },
             }
         }
--- a/crates/rig/src/port.rs
+++ b/crates/rig/src/port.rs
@@ -351,7 +351,7 @@
             match fill(&mut line.stream, &mut line.buf, &mut self.scratch) {
                 Read1::More | Read1::Some => some = true,
                 Read1::Empty => break,
-                Read1::Ended => {
+                Read1::Ended | Read1::Broke => {
                     line.ended = true;
                     break;
                 }
