--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -21,9 +21,10 @@
 /// A client that reads nothing of what waits for it for so long has stalled for good. It follows from no setting: the time
 /// of its requests is over by their own deadlines, and this bounds the memory that their answers hold.
 const READING_MOST: Micros = 10_000_000;
-/// How long the end of a client's bytes is taken for that of its sending alone. What waits then is not sent on any more:
-/// 0.3 s after a client has left nothing may be, and a starved node needs some of them to get there.
-pub const LEFT_MOST: Micros = 100_000;
+/// How long the end of a client's bytes is taken for that of its sending alone: what came with it is sent, also where a
+/// connection has to be opened first. What waits then is not sent on any more: 0.1 s after a client has closed nothing may
+/// be, and a starved node knows of it late and is slow in sending.
+pub const HALF_CLOSED_MOST: Micros = 20_000;
 /// After the end of sending, how long the client's last bytes are read and thrown away: closing with unread
 /// input would send a reset, which can destroy the answer that is under way.
 const LINGER: Micros = 1_000_000;
@@ -73,9 +74,9 @@
     closed: bool,
     ended: bool,
     /// Since when the end of the client's bytes is known, at the earliest that it can have come.
-    left: Option<Micros>,
+    end_since: Option<Micros>,
     /// Somebody will look again when it has been known for long enough.
-    left_told: bool,
+    end_told: bool,
     closing: Closing,
     /// Since when a command has been half there; since when answers have waited unread; last sign of life.
     writing_since: Option<Micros>,
@@ -115,8 +116,8 @@
             unread: true,
             closed: false,
             ended: false,
-            left: None,
-            left_told: false,
+            end_since: None,
+            end_told: false,
             closing: Closing::No,
             writing_since: None,
             stalled_since: None,
@@ -130,23 +131,28 @@
     /// There is something to read; `closed` if the client has ended its sending behind it, at `since` at the earliest.
     pub fn readable(&mut self, closed: bool, since: Micros) {
         self.unread = true;
-        self.closed |= closed;
         if closed {
-            self.left.get_or_insert(since);
+            self.ends(since);
         }
     }
 
+    /// The end of the client's bytes is in the kernel, and has come at `since` at the earliest.
+    pub fn ends(&mut self, since: Micros) {
+        self.closed = true;
+        self.end_since = Some(self.end_since.map_or(since, |known| known.min(since)));
+    }
+
     /// Whether the end of the client's bytes has become known since this was asked last, and since when it stands.
-    pub fn newly_left(&mut self) -> Option<Micros> {
-        let left = self.left.filter(|_| !self.left_told)?;
-        self.left_told = true;
-        Some(left)
+    pub fn newly_ended(&mut self) -> Option<Micros> {
+        let since = self.end_since.filter(|_| !self.end_told)?;
+        self.end_told = true;
+        Some(since)
     }
 
     /// Whether what has not been sent for this client is not to be sent any more: it has closed its connection, or has
     /// ended its sending and has been waited for long enough. Which of the two shows only when something is written to it.
-    pub fn unheard(&self, now: Micros) -> bool {
-        self.left.is_some_and(|left| now - left >= LEFT_MOST)
+    pub fn abandoned(&self, now: Micros) -> bool {
+        self.end_since.is_some_and(|since| now - since >= HALF_CLOSED_MOST)
     }
 
     /// Its requests that have no answer yet.
@@ -204,7 +210,7 @@
                 }
                 Read1::Ended => {
                     (self.unread, self.ended) = (false, true);
-                    self.left.get_or_insert(now);
+                    self.end_since.get_or_insert(now);
                     break;
                 }
             }
@@ -291,6 +297,13 @@
         }
     }
 
+    /// Ends the connection behind what is on its way out already: what could not be answered on it any more.
+    pub fn cut(&mut self) -> VecDeque<Slot> {
+        self.base += self.slots.len() as u64;
+        self.close_after_answers();
+        std::mem::take(&mut self.slots)
+    }
+
     /// Nothing is owed to it, and it has not begun a command that this node has seen.
     pub fn idle(&self) -> bool {
         self.closing == Closing::No && !self.ended && self.settled() && !self.midway()
@@ -365,3 +378,7 @@
         matches!(self.closing, Closing::Lingering(_))
     }
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use sloewick_decision::{Balancer, Memory};
 
 use crate::addresses::Addresses;
-use crate::client::{Client, Input, Slot, LEFT_MOST};
+use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News, Times};
 use crate::figures::Figures;
@@ -33,10 +33,12 @@
 use sloewick_wire::memcache;
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
+mod disconnects;
 mod handover;
 mod memcached;
 mod operating;
 
+use disconnects::{Sight, WAIT_OPEN};
 use handover::Handover;
 use memcached::{Keyed, Memcached};
 
@@ -73,6 +75,9 @@
 const STREAM_MOST: usize = READ_MOST;
 /// What the kernel keeps for a client that does not read; by itself it would grow to megabytes for each.
 const SEND_BUFFER: usize = 128 << 10;
+/// A long value that has begun may go on up to its request's deadline, or for the longest deadline, and for so long after
+/// that: later it counts as lost. Guards against one that goes on by drops without end.
+const VALUE_SLACK: Micros = 500_000;
 /// How often stalled and idle connections are looked for.
 const SWEEP: Micros = 100_000;
 /// Longest wait that a client may ask for; it keeps sums of times far from overflow.
@@ -244,8 +249,8 @@
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
-    /// How much later than it wanted this process went on after its last wait: what is news then may be that old.
-    overslept: Micros,
+    /// When sockets were last asked for news.
+    sight: Sight,
     life: Lifecycle,
     /// Servers that were logged as outliers.
     outliers: BTreeSet<ServerId>,
@@ -358,7 +363,7 @@
             timers: Timers::default(),
             log: Log::default(),
             scratch: vec![0; READ_MOST],
-            overslept: 0,
+            sight: Sight::default(),
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
             jam: false,
@@ -382,7 +387,7 @@
     pub fn run(mut self) -> io::Result<()> {
         while let Some(due) = self.prepare() {
             let wait = (due - self.now()).max(0);
-            self.turn(wait)?;
+            self.turn(if self.open.is_empty() { wait } else { wait.min(WAIT_OPEN) })?;
         }
         Ok(())
     }
@@ -395,7 +400,8 @@
             return None;
         }
         // A sweep is always due.
-        Some(self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0))
+        let due = self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0);
+        Some(self.sight.rests(self.net.now(), due))
     }
 
     /// Waits so long for news and takes it up.
@@ -404,9 +410,7 @@
     /// The system cannot be asked what happens.
     pub fn turn(&mut self, wait: Micros) -> io::Result<()> {
         let mut ready = std::mem::take(&mut self.ready);
-        let wake = self.now() + wait;
-        self.net.poll(&mut ready, wait)?;
-        self.overslept = (self.now() - wake).max(0);
+        self.poll(&mut ready, wait)?;
         // Sockets first: on a starved node what came in time must not be called late.
         for event in &ready {
             self.ready(event);
@@ -443,7 +447,7 @@
                     return self.drop_client(key);
                 }
                 if event.readable || event.read_closed {
-                    client.readable(event.read_closed, now - self.overslept);
+                    client.readable(event.read_closed, self.sight.since());
                 }
                 self.mark(key);
                 self.read(key);
@@ -496,12 +500,13 @@
             Due::Module(token) => self.queue.push_back(Event::Timer(token)),
             Due::Attempt { request, serial, attempt } => {
                 if self.open.get(request).is_some_and(|o| o.serial == serial) {
+                    self.cut_value(request, attempt, now);
                     self.give_up(request, attempt, Status::Timeout);
                 }
             }
             Due::Left { client, serial } => {
                 if self.clients.get(client).is_some_and(|c| c.serial == serial) {
-                    self.unheard(client);
+                    self.abandon(client);
                 }
             }
             Due::LastAnswers => self.last_answers(),
@@ -530,11 +535,12 @@
         }
         for key in look {
             self.let_go(key, now);
-            if self.clients[key].stalled(now) {
+            let Some(client) = self.clients.get(key) else { continue };
+            if client.stalled(now) {
                 self.drop_client(key);
-            } else if self.clients[key].unfinished(now) {
+            } else if client.unfinished(now) {
                 self.turn_out(key, "command not finished", None);
-            } else if self.clients[key].lingering() {
+            } else if client.lingering() {
                 self.mark(key);
             }
         }
@@ -586,12 +592,17 @@
         let now = self.now();
         self.doors.retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
         if self.doors.iter().any(|door| self.life.accepts(now, door.inherited) == Accept::Last) {
-            self.doors.iter_mut().for_each(|door| door.more = true);
-            self.accept();
-            if self.doors.iter().any(|door| door.more) {
+            // Each closes right behind its last look: what comes up between the two is reset by the system.
+            for at in (0..self.doors.len()).rev() {
+                self.doors[at].more = true;
+                self.accept_at(at);
+                if !self.doors[at].more {
+                    self.doors.remove(at);
+                }
+            }
+            if !self.doors.is_empty() {
                 return false;
             }
-            self.doors.clear();
         }
         if self.doors.is_empty() {
             self.life.closed();
@@ -674,40 +685,7 @@
                 }
             }
         }
-        let Some(client) = self.clients.get_mut(key) else { return };
-        if let Some(left) = client.newly_left() {
-            let serial = client.serial;
-            self.timers.set(left + LEFT_MOST, Due::Left { client: key, serial });
-        }
-    }
-
-    /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
-    /// still listens has its final answer by that; the write shows whether anyone is there.
-    fn unheard(&mut self, client: usize) {
-        let waiting = self.clients.get(client).map(Client::waiting).unwrap_or_default();
-        waiting.into_iter().for_each(|request| self.no_more(request));
-    }
-
-    /// Nothing more is sent for a request; what is out may still answer it.
-    fn no_more(&mut self, key: usize) {
-        let Some(open) = self.open.get_mut(key).filter(|o| !o.closed && o.stream.is_none()) else { return };
-        if std::mem::replace(&mut open.no_more, true) {
-            return;
-        }
-        // Before the outcomes: the module must not send it to another server for them.
-        self.queue.push_back(Event::NoMore(open.id.clone()));
-        self.unsend(key);
-    }
-
-    /// Gives up the attempts of a request of which nothing has been written.
-    fn unsend(&mut self, key: usize) {
-        let attempts = self.open.get(key).map_or(0, |open| open.attempts.len());
-        for attempt in 0..attempts {
-            let conn = self.open.get(key).and_then(|open| open.attempts[attempt].conn);
-            if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
-                self.give_up(key, attempt, Status::Moot);
-            }
-        }
+        self.watch_end(key);
     }
 
     /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
@@ -715,7 +693,7 @@
     fn turns_away(&self, client: usize, now: Micros) -> bool {
         self.open.len() >= self.max_open
             || now >= self.life.answer_by()
-            || self.clients.get(client).is_some_and(|c| c.unheard(now))
+            || self.clients.get(client).is_some_and(|c| c.abandoned(now))
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
@@ -870,7 +848,12 @@
     fn drop_client(&mut self, key: usize) {
         let Some(mut client) = self.clients.try_remove(key) else { return };
         self.budget.give_back(client.reserved());
-        for slot in client.slots.drain(..) {
+        self.disown(client.cut());
+    }
+
+    /// Nothing is owed to the requests of these places any more.
+    fn disown(&mut self, slots: VecDeque<Slot>) {
+        for slot in slots {
             let request = match slot {
                 Slot::Waiting(request) | Slot::Stream { request, .. } => request,
                 Slot::Ready(_) => continue,
@@ -1014,6 +997,8 @@
 
     fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
         let Some(key) = self.ids.get(id).copied() else { return };
+        // First: what the look brings may change where the server is.
+        let heard = self.hears(self.open[key].client, self.open[key].client_serial);
         let protocol = self.upstreams.protocol(&server);
         let open = &mut self.open[key];
         let (attempt, serial) = (open.attempts.len(), open.serial);
@@ -1031,7 +1016,11 @@
         open.out += 1;
         let fits = protocol == Protocol::Resp || memcached::fits(open);
         let over = open.closed || open.no_more || open.stream.is_some() || wait <= 0;
-        if over || !fits || !self.may_leave(key, attempt, now) {
+        if !heard {
+            // Before the outcome, or the module would send it to another server.
+            self.no_more(key);
+        }
+        if over || !heard || !fits || !self.may_leave(key, attempt, now) {
             return self.ended(key, attempt, Status::Moot, None, None);
         }
         let written = self.worded(key, protocol, wait);
@@ -1063,11 +1052,11 @@
         while let Some((conn, job)) = self.upstreams.came_up() {
             let now = self.now();
             let Some((key, attempt)) = self.find(job) else { continue };
+            let (client, serial) = (self.open[key].client, self.open[key].client_serial);
+            let heard = self.hears(client, serial);
             let open = &self.open[key];
             let (left, server) =
                 (open.attempts[attempt].until - now, open.attempts[attempt].server.clone());
-            let client = self.clients.get(open.client).filter(|c| c.serial == open.client_serial);
-            let heard = client.is_some_and(|c| !c.unheard(now));
             let over = open.closed || open.no_more || left <= 0 || !heard;
             if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
                 self.give_up(key, attempt, Status::Moot);
@@ -1269,6 +1258,9 @@
         let now = self.now();
         let open = &mut self.open[key];
         open.stream = Some((attempt, now - open.attempts[attempt].sent));
+        let until = open.deadline.max(now + self.longest) + VALUE_SLACK;
+        open.attempts[attempt].until = until;
+        self.timers.set(until, Due::Attempt { request: key, serial: open.serial, attempt });
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         let head = open.asked.head(&open.key, len);
         self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
@@ -1283,6 +1275,19 @@
         }
     }
 
+    /// A long value that has begun and is still not whole when its time is over is broken off.
+    fn cut_value(&mut self, key: usize, attempt: usize, now: Micros) {
+        let Some(open) = self.open.get(key).filter(|o| o.stream.is_some_and(|(a, _)| a == attempt)) else {
+            return;
+        };
+        let Attempt { until, conn: Some(conn), .. } = open.attempts[attempt] else { return };
+        if now >= until {
+            self.upstreams.abandon(conn, now);
+            self.end_stream(key, false);
+            self.ended(key, attempt, Status::Reset, None, None);
+        }
+    }
+
     /// A long value is whole, or has broken off. A client that was given part of it must see that it is not
     /// whole: nothing but the end of the connection can tell it so.
     fn end_stream(&mut self, key: usize, whole: bool) {
@@ -1302,7 +1307,9 @@
         } else {
             self.figures.count(self.open[key].class, &Final::Failed);
             self.ready_answer(key, Vec::new());
-            self.drop_client(client);
+            // Not closed at once: over commands that wait unread that would be a reset, and answers under way go with it.
+            let slots = self.clients.get_mut(client).map(Client::cut).unwrap_or_default();
+            self.disown(slots);
         }
     }
 }
--- a/crates/node/src/node/operating.rs
+++ b/crates/node/src/node/operating.rs
@@ -105,6 +105,10 @@
         let (came, asked) = client.times();
         if self.life.lets_go(now, came, asked) && client.quiet() {
             client.close_after_answers();
+            // At once: what comes between the look and the end of sending would be read and not be answered.
+            if client.finish(now) {
+                return self.drop_client(key);
+            }
             self.mark(key);
         }
     }
--- /dev/null
+++ b/crates/node/tests/nodelay.rs
@@ -0,0 +1,34 @@
+//! No small write is held back by the system: it would be lost with a connection that is reset behind it.
+
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+use sloewick_node::net::Net;
+use sloewick_node::os::Os;
+
+#[test]
+fn connections_that_are_accepted_and_opened_hold_back_no_small_writes() {
+    let there = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut os = Os::new().unwrap();
+    let opened = os.connect(there.local_addr().unwrap(), 1).unwrap();
+    assert!(opened.nodelay().unwrap(), "opened");
+    let begun = Instant::now();
+    let (mut listener, address) = loop {
+        // A port that was free a moment ago may have been taken.
+        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        match os.listen(free, 2) {
+            Ok(listener) => break (listener, free),
+            Err(e) => assert!(begun.elapsed() < Duration::from_secs(30), "{e}"),
+        }
+    };
+    let _client = std::net::TcpStream::connect(address).unwrap();
+    let accepted = loop {
+        match os.accept(&mut listener, 3) {
+            Ok(accepted) => break accepted,
+            Err(e) => {
+                assert!(e.kind() == ErrorKind::WouldBlock && begun.elapsed() < Duration::from_secs(30))
+            }
+        }
+    };
+    assert!(accepted.nodelay().unwrap(), "accepted");
+}
