A busy node's part of a quota follows its traffic; lateness by a fetch is no load

Two causes in rules.rs: a node's part of a quota was an even one (quota_per_s by the number of nodes), whatever part of the traffic the node sees; and an answer that had to be fetched and came after its aim counted as lateness (note_end), which is what a node refuses by.

Change: quota.rs, without I/O: a tenant has the even part, or its quota's part among all quotas of what comes to the node, whichever is more. What was fetched counts for lateness only when it came in time. No constant was changed.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -11,6 +11,7 @@
 mod origin;
 pub mod outliers;
 mod pace;
+mod quota;
 pub mod rules;
 pub mod settings;
 mod warmth;
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -12,6 +12,7 @@
 use crate::origin::{Origin, FALL, RISE};
 use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
 use crate::pace::Pace;
+use crate::quota::Quotas;
 use crate::warmth::Fleet;
 use held::{Attempt, Held};
 
@@ -326,8 +327,7 @@
     ids: HashMap<RequestId, u64>,
     serial: u64,
     retry_tokens: f64,
-    /// For each tenant: tokens of its quota at this node, and when last filled.
-    quota: Vec<(f64, Micros)>,
+    quotas: Quotas,
     late: f64,
     /// Share of second attempts that were answered in time.
     again: f64,
@@ -368,7 +368,7 @@
             ids: HashMap::new(),
             serial: 0,
             retry_tokens: RETRY_SAVED / 2.0,
-            quota: vec![(2.0, now); settings.tenants.len()],
+            quotas: Quotas::new(&settings, now),
             late: 0.0,
             again: 1.0,
             slow: SLOW_LEAST,
@@ -593,7 +593,7 @@
         let worth = ((self.again - AGAIN_BAD) / (AGAIN_GOOD - AGAIN_BAD)).clamp(WORTH_LEAST, 1.0);
         let refill = RETRY_RATE * worth * (1.0 - 2.0 * self.late).max(0.0);
         self.retry_tokens = (self.retry_tokens + refill).min(RETRY_SAVED);
-        let over = self.over_share(now, request.tenant);
+        let over = self.quotas.over(now, request.tenant, self.line.arrivals);
         // Where servers tell a miss, only what goes to the origin is in doubt.
         let doubtful = match self.set.mode {
             Mode::Aside => request.write,
@@ -658,20 +658,6 @@
         }
     }
 
-    /// Takes a token of the tenant's quota at this node; true when there is none.
-    fn over_share(&mut self, now: Micros, tenant: Option<usize>) -> bool {
-        let Some(t) = tenant.filter(|t| *t < self.quota.len()) else { return false };
-        let rate = self.set.tenants[t].quota_per_s / self.set.nodes as f64;
-        let (tokens, filled) = &mut self.quota[t];
-        *tokens = (*tokens + rate * (now - *filled) as f64 / 1e6).min(2.0 + 2.0 * rate);
-        *filled = now;
-        if *tokens < 1.0 {
-            return true;
-        }
-        *tokens -= 1.0;
-        false
-    }
-
     /// Sends the next attempt of a request if there is a server that it may go to.
     fn send_next(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) -> bool {
         let Some(held) = self.held.get(&serial) else { return false };
@@ -968,7 +954,10 @@
         if closed {
             let held = &self.held[&serial];
             let aim = self.set.classes[held.request.class].aim;
-            self.note_end(status != Status::Ok || now - held.arrived > aim);
+            // What was fetched is late by the origin's time, however little the servers have to do.
+            if hit || now - held.arrived <= aim {
+                self.note_end(status != Status::Ok || now - held.arrived > aim);
+            }
             self.cancel_pending(serial, false, actions);
             self.forget(serial);
             return;
