Cold servers: turns by server, slot and number bound the sum over all nodes

Need: a cold server falls when all processes together send it more than N + 2 x root of N + 2. `room` let every node send one within the time to a fall whatever its right, and the share of keys drawn by each node bounds the sum for one popular key only: with several in a cold server's range, each quiet node sends its one.

Change: a node's number is in the settings (`me`). Below one request within the time to a fall, a node sends its one only in slots in which it is its turn: places on a circle by number (golden section), the server's place by a hash of server and slot, slots counted from the server's start; who gets a new turn waits until the slot before can't be in the window. `room` lets no one send beyond that, and the part of a right above its whole part goes by turns too. Servers of a zone that was lost count as started when it is let in again, until the list tells of a start or 6 s have passed.

--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -28,6 +28,7 @@
         classes: vec![class(Repeat::Free, 1.0), class(Repeat::Keyed, 10.0)],
         tenants: vec![Tenant { quota_per_s: 1e6, share: 1.0 }],
         nodes: 4,
+        number: None,
         zone: Some(0),
         ask: false,
         ask_within: 0,
--- a/crates/decision/src/fates.rs
+++ b/crates/decision/src/fates.rs
@@ -19,6 +19,9 @@
 /// First and longest pause between two looks at a lost zone.
 const PAUSE: Micros = 500_000;
 const PAUSE_MOST: Micros = 2_000_000;
+/// By when the list has told of a start: a change counts as told by then. Until then the servers of a zone that was lost are
+/// taken to have started when they are let in again.
+pub const RESTART_TOLD: Micros = 6_000_000;
 
 #[derive(Default)]
 struct Fate {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -94,6 +94,8 @@
     pub tenants: Vec<Tenant>,
     /// Nodes that share the traffic, this one included.
     pub nodes: usize,
+    /// This node's number among them, from 0. None: not told, its place among them is drawn.
+    pub number: Option<u64>,
     /// This node's zone, if known.
     pub zone: Option<u16>,
     /// True where the list must be asked for, false where changes arrive unasked.
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -89,8 +89,10 @@
     failing: f64,
     /// Attempts of this node that are out at it.
     out: u32,
-    /// When it was sent first attempts while cold, within the time to a fall: they use up this node's right.
+    /// When it was sent attempts while cold, within the time to a fall: they use up this node's quota.
     used: VecDeque<Micros>,
+    /// When its zone was let in again after it was lost.
+    back: Option<Micros>,
 }
 
 impl Server {
@@ -108,6 +110,7 @@
             failing: 0.0,
             out: 0,
             used: VecDeque::new(),
+            back: None,
         }
     }
 
@@ -309,8 +312,6 @@
 pub struct Balancer {
     set: Settings,
     rng: Rng,
-    /// Parts the keys of a cold server in another way at each node.
-    salt: u64,
     line: Line,
     /// Servers of other zones, where crossing is dear: second choices only.
     far: Line,
@@ -355,13 +356,12 @@
         let pace = Pace::new(settings.classes.iter().map(|c| c.aim));
         Ok(Balancer {
             rng: Rng(seed),
-            salt: mix(seed),
             line: Line::default(),
             far: Line::default(),
             origins: Vec::new(),
             pace,
             outliers: Outliers::default(),
-            fleet: Fleet::new(&settings),
+            fleet: Fleet::new(&settings, seed),
             fates: Fates::default(),
             origin: Origin::new(settings.mode, now),
             held: BTreeMap::new(),
@@ -486,6 +486,7 @@
                 let server = &mut line.servers[p];
                 if server.entry.started != entry.started {
                     (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
+                    server.back = None;
                     self.outliers.restarted(&entry.server);
                     self.fates.reached(entry.zone);
                 }
@@ -582,7 +583,7 @@
         let end = now + useful - margin;
         if self.fleet.look_due(now) {
             let working = self.line.servers.iter().filter(|s| !s.sick());
-            let grown: Vec<f64> = working.map(|s| self.fleet.grown(s.entry.started, now)).collect();
+            let grown: Vec<f64> = working.map(|s| self.fleet.grown(s.started(now), now)).collect();
             self.fleet.look(now, grown.into_iter());
         }
         self.line.arrive(at, key);
@@ -713,7 +714,8 @@
         if place == Place::Line {
             let server = &mut self.line.servers[i];
             server.out += 1;
-            self.fleet.use_up(&mut server.used, server.entry.started, now);
+            let started = server.started(now);
+            self.fleet.use_up(&mut server.used, started, now);
         }
         if trial {
             self.line.servers[i].trial_until = now + class.aim;
@@ -742,7 +744,7 @@
             return 0.0;
         }
         let pass = if server.pass >= PASS_SOUND { 1.0 } else { server.pass };
-        self.warmth(now, &server.entry) * pass * self.outliers.kept(&server.entry.server)
+        self.warmth(now, server) * pass * self.outliers.kept(&server.entry.server)
     }
 
     /// How far from the middle of its home's range a point lies: 0 to 1.
@@ -758,8 +760,8 @@
     fn overrun(&self, now: Micros, serial: u64) -> bool {
         let Some(held) = self.held.get(&serial) else { return false };
         let Some((Place::Line, i)) = self.choose(now, held) else { return false };
-        let (pass, entry) = (self.line.servers[i].pass, &self.line.servers[i].entry);
-        let grown = self.fleet.grown(entry.started, now);
+        let server = &self.line.servers[i];
+        let (pass, grown) = (server.pass, self.fleet.grown(server.started(now), now));
         let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
         (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass)
             || (grown < 1.0 && !self.bears(now, held, i, self.fleet.spared(grown)))
@@ -767,33 +769,31 @@
 
     /// This node's right to first attempts at a server, while that one is cold.
     fn right(&self, now: Micros, i: usize) -> f64 {
-        let grown = self.fleet.grown(self.line.servers[i].entry.started, now);
+        let grown = self.fleet.grown(self.line.servers[i].started(now), now);
         // Of a kind that is slower than the average one, it can do less by as much.
         let mean = self.weights.iter().sum::<f64>() / self.weights.len().max(1) as f64;
         let able = self.weights.get(i).map_or(1.0, |weight| (weight / mean).min(1.0));
         self.fleet.right(grown * able, now, self.line.servers.len())
     }
 
-    /// Whether a request is in the part of its range that a server is given. A warm one, or one that this
-    /// node sends many, is given the middle of its range: nodes agree on that. Guards a cold one at quiet
-    /// nodes against a key that is popular at all of them and known to none yet: each gives it others.
+    /// Whether a request is in the part of its range that a server is given. Nodes agree on the middle of the
+    /// range; for a cold one that each sends less than one request, on who sends it one, whatever its key.
     fn bears(&self, now: Micros, held: &Held, i: usize, part: f64) -> bool {
         let server = &self.line.servers[i];
-        if self.fleet.grown(server.entry.started, now) >= 1.0 {
+        let started = server.started(now);
+        if self.fleet.grown(started, now) >= 1.0 {
             return part >= 1.0 || self.off_middle(held.at, i) < part;
         }
         let right = self.right(now, i);
-        let place = if right < 1.0 {
-            point(mix(held.at.to_bits() ^ self.salt))
-        } else {
-            self.off_middle(held.at, i)
-        };
-        place < part.min(right) && self.fleet.room(&server.used, right, now)
+        let (place, right) =
+            if right < 1.0 { (0.0, right.min(part)) } else { (self.off_middle(held.at, i), right) };
+        let quota = self.fleet.quota(right, server.order, started, now);
+        place < part && self.fleet.room(&server.used, quota, now)
     }
 
     /// Part of its range that a server can take as far as it is warm.
-    fn warmth(&self, now: Micros, entry: &Entry) -> f64 {
-        self.fleet.part(self.fleet.grown(entry.started, now))
+    fn warmth(&self, now: Micros, server: &Server) -> f64 {
+        self.fleet.part(self.fleet.grown(server.started(now), now))
     }
 
     /// The server for the next attempt.
@@ -824,7 +824,7 @@
             }
             if kept(home) < 1.0 {
                 let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
-                let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home].entry) >= 1.0;
+                let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home]) >= 1.0;
                 let stays = ready && (self.off_middle(held.at, home) < kept(home) || drawn < TRIAL);
                 if let Some(i) = if stays { Some(home) } else { self.second_home(now, held, up) } {
                     return Some((Place::Line, i));
@@ -846,8 +846,7 @@
         }
         let near = self.second_home(now, held, up).or_else(|| self.second_home(now, held, |_| true));
         let far = || self.far_choice(now, held).map(|i| (Place::Far, i));
-        let again =
-            (self.warmth(now, &self.line.servers[home].entry) >= 1.0).then_some((Place::Line, home));
+        let again = (self.warmth(now, &self.line.servers[home]) >= 1.0).then_some((Place::Line, home));
         near.map(|i| (Place::Line, i)).or_else(far).or(again)
     }
 
@@ -858,7 +857,7 @@
         let may = |i: &usize| {
             let entry = &server(*i).entry;
             let tried = held.attempts.iter().any(|a| a.server == entry.server);
-            fit(*i) && !tried && self.warmth(now, entry) >= 1.0 && held.may_send(&self.set, entry, now)
+            fit(*i) && !tried && self.warmth(now, server(*i)) >= 1.0 && held.may_send(&self.set, entry, now)
         };
         let worth = |i: &usize| {
             let weight = self.weights.get(*i).map_or(1.0, |w| w * server(*i).pass);
@@ -874,7 +873,7 @@
         (0..n).map(|step| (start + step) % n).find(|i| {
             let server = &self.far.servers[*i];
             let tried = held.attempts.iter().any(|a| a.server == server.entry.server);
-            let fit = now >= server.sick_until && self.warmth(now, &server.entry) >= 1.0;
+            let fit = now >= server.sick_until && self.warmth(now, server) >= 1.0;
             fit && !tried
                 && !self.fates.lost(server.entry.zone)
                 && held.may_send(&self.set, &server.entry, now)
--- a/crates/decision/src/rules/zones.rs
+++ b/crates/decision/src/rules/zones.rs
@@ -1,9 +1,17 @@
 //! What a node does about a lost zone: it notes who is reached, and asks a lost zone again.
 
 use super::{Balancer, Server, ZONE};
-use crate::fates::{SILENT, UNREACHED};
+use crate::fates::{RESTART_TOLD, SILENT, UNREACHED};
 use crate::interface::{Action, Micros, ServerId, Status};
 
+impl Server {
+    /// When it started, as far as is known: a zone that was lost and is let in again has most likely lost what it kept, and
+    /// the list can't have told yet. Guards against cold servers that are taken for the ones that were there before.
+    pub(super) fn started(&self, now: Micros) -> Option<Micros> {
+        self.entry.started.max(self.back.filter(|at| now < *at + RESTART_TOLD))
+    }
+}
+
 impl Balancer {
     /// What an outcome, or silence, says of the server's zone.
     pub(super) fn note_fate(
@@ -22,8 +30,9 @@
             Some(Status::Ok | Status::Miss | Status::Error | Status::Full) => {
                 if self.fates.reached(zone) {
                     // What was held against them was the zone's.
-                    let back = line.servers.iter_mut().filter(|s| s.entry.zone == zone);
-                    back.for_each(|s| (s.streak, s.pause) = (0.0, 0));
+                    for s in line.servers.iter_mut().filter(|s| s.entry.zone == zone) {
+                        (s.streak, s.pause, s.back) = (0.0, 0, Some(now));
+                    }
                     self.log(format!("zone {zone:?} answers again"), actions);
                 }
                 false
@@ -55,6 +64,8 @@
                 Some(s) if self.set.probes => actions.push(Action::Probe(s.entry.server.clone())),
                 _ => {
                     self.fates.reached(zone);
+                    let all = self.line.servers.iter_mut().chain(&mut self.far.servers);
+                    all.filter(|s| s.entry.zone == zone).for_each(|s| s.back = Some(now));
                 }
             }
         }
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -275,6 +275,7 @@
         tenants,
         nodes: usize::try_from(f.int("replicas_of_me")?)
             .map_err(|_| Bad::new("replicas_of_me", "is below zero"))?,
+        number: f.opt("me").map(|_| f.int("me")).transpose()?.and_then(|n| u64::try_from(n).ok()),
         zone: match f.opt("zone").and_then(Value::as_str) {
             Some(name) => find(&zones, name).map(|i| i as u16),
             None => None,
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -1,16 +1,18 @@
 //! What a server that has just started is given of its range, beside the others of its fleet.
 //!
 //! Guarantees: a cold server's part is never above `FALL_PART` of the multiple at which it falls over, counted
-//! from the least capacity that its settings allow it; a warm one keeps all. And whatever the popularity of its keys:
-//! within the time in which it would fall over, the first attempts that all nodes together send it come, on average
-//! over the nodes' draws, to the multiple at which it falls over at most, counted from what an average server of the
-//! fleet is sent, in any such window (`right`, `room`). No clock: time is an argument.
+//! from the least capacity that its settings allow it; a warm one keeps all. And whatever the popularity of its keys and
+//! however many nodes there are: within any window of the time in which it would fall over, the first attempts that all
+//! nodes together send it come to the multiple at which it falls over at most, counted from what an average server of the fleet
+//! is sent, give or take what `quota` says (`right`, `quota`, `room`). No clock: time is an argument.
 //!
 //! Not guaranteed: a server much slower than the others of its kind is counted as one of them, and servers that are
-//! cold and yet take all of their range (`part` of 1) are second homes without a bound.
+//! cold and yet take all of their range (`part` of 1) are second homes without a bound. The law of the sum, and what it comes to
+//! by number of nodes: `docs/design/cold-servers.md`.
 
 use std::collections::VecDeque;
 
+use crate::draw::{mix, point};
 use crate::interface::{Micros, Settings};
 
 /// Part of the multiple at which a cold server falls over that it is given at most. The rest is slack for chance
@@ -23,6 +25,11 @@
 /// Part of the time to a fall over which a node that has just begun is taken to have run, at least: its first
 /// arrivals come by chance.
 const BEGUN_LEAST: f64 = 0.125;
+/// Length of a slot, in times to a fall. Longer ones waste less at their changes; in shorter ones a server whose nodes have no
+/// request for it waits less for others.
+const SLOT_FALLS: i64 = 6;
+/// Places of neighbouring numbers lie far apart, and those of any number of nodes spread evenly.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 
 /// How servers warm up here, and how warm the fleet is as a whole.
 pub struct Fleet {
@@ -37,11 +44,13 @@
     recent: f64,
     last: Micros,
     first: Option<Micros>,
+    /// This node's place among all nodes, from 0 to 1.
+    place: f64,
 }
 
 impl Fleet {
     /// A fleet of servers that are all warm.
-    pub fn new(set: &Settings) -> Fleet {
+    pub fn new(set: &Settings, seed: u64) -> Fleet {
         let most = (FALL_PART * set.fall_multiple).max(1.0);
         Fleet {
             cold: set.cold,
@@ -54,6 +63,7 @@
             recent: 0.0,
             last: 0,
             first: None,
+            place: set.number.map_or(point(mix(seed)), |number| (number as f64 * GOLDEN).fract()),
         }
     }
 
@@ -68,26 +78,34 @@
         (-(age.max(0) as f64) / self.fall as f64).exp()
     }
 
-    /// First attempts that this node may send a server of this warmth within the time to a fall: the multiple at
-    /// which it falls over, of what an average server is sent by this node. Each node's part follows from its own
-    /// traffic, so that the parts of all nodes add up to the fleet's.
-    ///
-    /// At a quiet node it is below one, and the node can't tell a popular key from others: the first request for it
-    /// may come at all nodes at once. Then it is the share of the keys that the node sends there at all.
+    /// First attempts that this node may send a server of this warmth within the time to a fall, on average over the
+    /// slots: the multiple at which it falls over, of what an average server is sent by this node. Each node's part follows
+    /// from its own traffic, so that the parts of all nodes add up to the fleet's. At a quiet node it is below one.
     pub fn right(&self, grown: f64, now: Micros, servers: usize) -> f64 {
         let begun = self.faded(self.first.map_or(0, |first| now - first));
         let seen = (1.0 - begun).max(BEGUN_LEAST);
         // Neither the arrival that asks nor the one that began the count tells how many come: at a node that has
         // just started they would be most of what it counts. One at least, or a quiet node would send none.
         let others = (self.recent * self.faded(now - self.last) - 1.0 - begun).max(1.0);
-        let mean = others / seen / servers.max(1) as f64;
-        let right = self.fall_multiple * grown * mean;
-        // Once from each node for a popular key, and the usual for all others.
-        if right < 1.0 {
-            right / (1.0 + mean)
-        } else {
-            right
-        }
+        self.fall_multiple * grown * others / seen / servers.max(1) as f64
+    }
+
+    /// First attempts that this node may send a server (its `order`, when it started) within the time to a fall: the whole
+    /// part of its right, and one more in the slots in which it is its turn.
+    ///
+    /// Guards against the sum of what is left over: if each of n nodes may always send one, n is the bound, however small
+    /// their rights. Whose turn it is follows from the server, the slot and the nodes' numbers: at each time a server has its
+    /// place on a circle on which the places of all nodes are spread evenly, and it is the turn of those that lie behind
+    /// it by less than their right. So with equal rights their sum is met to within two, where draws would scatter about
+    /// it by its root. No two slots meet in a window: who gets its turn with a new slot waits for as long as the ones before
+    /// may have sent.
+    pub fn quota(&self, right: f64, order: u64, started: Option<Micros>, now: Micros) -> f64 {
+        let age = started.map_or(0, |started| (now - started).max(0));
+        let (slot, since) = (age / (SLOT_FALLS * self.fall), age % (SLOT_FALLS * self.fall));
+        let left = right.fract();
+        let turn = |slot: i64| (self.place + point(mix(order ^ mix(slot as u64)))).fract() < left;
+        let turn = turn(slot) && (since >= self.fall || slot == 0 || turn(slot - 1));
+        right.floor() + f64::from(u8::from(turn))
     }
 
     /// Notes a first attempt to a server, as long as it is cold.
@@ -103,10 +121,10 @@
         }
     }
 
-    /// Whether one more attempt is within the right, after those of the last time to a fall.
-    pub fn room(&self, used: &VecDeque<Micros>, right: f64, now: Micros) -> bool {
+    /// Whether one more attempt is within the quota, after those of the last time to a fall.
+    pub fn room(&self, used: &VecDeque<Micros>, quota: f64, now: Micros) -> bool {
         let lately = used.iter().rev().take_while(|at| **at + self.fall > now).count();
-        lately as f64 + 1.0 <= right.max(1.0)
+        lately as f64 + 1.0 <= quota
     }
 
     /// The least part of its capacity that a server has so long after its start: 1 once it is warm.
--- a/crates/decision/src/warmth_tests.rs
+++ b/crates/decision/src/warmth_tests.rs
@@ -12,6 +12,7 @@
         recent: 0.0,
         last: 0,
         first: None,
+        place: 0.0,
     }
 }
 
@@ -80,3 +81,57 @@
     fleet.look(10 * LOOK, std::iter::once(0.13));
     assert!(fleet.part(0.13) <= 0.7 * 2.5 * 0.13 + 1e-9);
 }
+
+/// Nodes of one fleet, by their numbers, and which of them may send how many to a server in some slot.
+fn nodes(number: u64) -> Vec<Fleet> {
+    let place = |n: u64| (n as f64 * GOLDEN).fract();
+    (0..number).map(|n| Fleet { place: place(n), ..fleet(1.0) }).collect()
+}
+
+// Guards against draws in place of the circle, by which the sum scatters by its root.
+#[test]
+fn the_quotas_of_any_number_of_nodes_add_up_to_their_rights() {
+    for number in [3, 20, 30, 100, 300] {
+        let nodes = nodes(number);
+        for right in [0.003, 0.05, 0.3, 0.9, 1.0, 1.4, 2.7] {
+            for case in 0..40 {
+                let (order, slot) = (mix(case), case as i64 % 4);
+                let now = slot * SLOT_FALLS * 2_000_000 + 2_000_000;
+                let sum: f64 = nodes.iter().map(|node| node.quota(right, order, Some(0), now)).sum();
+                let off = sum - right * number as f64;
+                assert!(off.abs() <= 2.0, "{sum} of {right} at each of {number}, slot {slot} of {case}");
+            }
+        }
+    }
+}
+
+// Seen to fail where each node may send one, whatever its right. Guards against two slots that meet in a window, too.
+#[test]
+fn nodes_that_always_have_a_request_send_their_rights_in_any_window_and_no_more() {
+    let (nodes, right, step) = (nodes(300), 0.1, 250_000);
+    for order in (0..6).map(mix) {
+        let mut used = vec![VecDeque::new(); nodes.len()];
+        let mut sent = Vec::new();
+        for now in (0..23_000_000).step_by(step) {
+            for (node, used) in nodes.iter().zip(&mut used) {
+                if node.room(used, node.quota(right, order, Some(0), now), now) {
+                    node.use_up(used, Some(0), now);
+                    sent.push(now);
+                }
+            }
+        }
+        for from in (0..21_000_000).step_by(step) {
+            let within = sent.iter().filter(|at| (from..from + 2_000_000).contains(*at)).count();
+            assert!(within <= 32, "{within} within the time to a fall, from {from}");
+        }
+        assert!(sent.len() > 250, "{} in 23 s", sent.len());
+    }
+}
+
+#[test]
+fn every_node_gets_its_turn_at_some_server_and_no_node_at_all() {
+    for node in nodes(30) {
+        let turns = (0..300).filter(|n| node.quota(0.2, mix(*n), Some(0), 0) > 0.0).count();
+        assert!((30..=90).contains(&turns), "{turns} of 300 servers");
+    }
+}
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -33,6 +33,7 @@
         ],
         tenants: vec![Tenant { quota_per_s: 20.0, share: 1.0 }],
         nodes: 2,
+        number: None,
         zone: Some(0),
         ask,
         ask_within: 10_000_000,
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -298,6 +298,7 @@
         }],
         tenants: Vec::new(),
         nodes: 2,
+        number: None,
         zone: Some(0),
         ask: true,
         ask_within: 10_000_000,
