--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -253,8 +253,8 @@
     let broken = [Rule::DrainsKept];
     let drains = (1_000, had(Told::Draining));
     // 6 s and the grace of 2.05 s.
-    assert_eq!(sent(&[drains.clone()], 9_050), []);
-    assert_eq!(sent(&[drains.clone()], 9_060), broken);
+    assert_eq!(sent(std::slice::from_ref(&drains), 9_050), []);
+    assert_eq!(sent(std::slice::from_ref(&drains), 9_060), broken);
     assert_eq!(sent(&[(1_000, had(Told::In { boot: 0 }))], 20_000), []);
     // That it is gone later is no news, and that it is told in service again is.
     assert_eq!(sent(&[drains.clone(), (5_000, had(Told::Gone))], 9_060), broken);
