Doors: accepting, evicting and the shares of descriptors in a room of their own

node.rs holds too much for what comes next: who is let in, whose connection makes room, and how the descriptors are shared out stand together in node/doors.rs now. Code and constants as they were; the sums over the limit are a type of their own, and the unused import goes.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
 //! Peers are not listened to: the module has no message for them.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -23,7 +23,7 @@
 use crate::figures::Figures;
 use crate::front::{Asked, Final, Protocol};
 use crate::lifecycle::{Accept, Lifecycle};
-use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
+use crate::net::{Log, Net, Ready, Token, READ_MOST, SIGNALS};
 use crate::ops::{Ops, CALLERS};
 use crate::timer::{Due, Timers};
 use crate::trace::Trace;
@@ -33,10 +33,12 @@
 use sloewick_wire::memcache;
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
+mod doors;
 mod handover;
 mod memcached;
 mod operating;
 
+use doors::{Door, Shares, PROCESSES};
 use handover::Handover;
 use memcached::{Keyed, Memcached};
 
@@ -51,15 +53,6 @@
 const FIRST: usize = 32;
 const _: () = assert!(CALLER + CALLERS <= FIRST && FIRST.is_multiple_of(2));
 
-/// Descriptors for all but connections: poll, listener, signals, discovery, standard streams and some room.
-const SOCKETS_KEPT: usize = 24;
-/// Descriptors for the operators' listener and callers.
-const SOCKETS_OPS: usize = CALLERS + 1;
-/// An inherited listener is served by two processes during an upgrade, under the limits of one.
-const PROCESSES: usize = 2;
-/// Part of the rest that upstream connections may take, in percent. A client's connection is mostly idle,
-/// an upstream one carries one attempt.
-const UPSTREAM_PART: usize = 40;
 /// Part of the memory for writes' values that are kept while another attempt may need them (one in eight;
 /// a buffer that grew with a value may be twice its size).
 const VALUES_PART: usize = 8;
@@ -67,12 +60,8 @@
 const REQUEST_MEMORY: usize = 12 << 10;
 /// Part of the memory for them.
 const REQUESTS_PART: usize = 4;
-/// Connections accepted in one round, so that a flood of them leaves time for those that are there.
-const ACCEPT_MOST: usize = 64;
 /// A long value's bytes that wait for its client; beyond it the server is held back.
 const STREAM_MOST: usize = READ_MOST;
-/// What the kernel keeps for a client that does not read; by itself it would grow to megabytes for each.
-const SEND_BUFFER: usize = 128 << 10;
 /// How often stalled and idle connections are looked for.
 const SWEEP: Micros = 100_000;
 /// Longest wait that a client may ask for; it keeps sums of times far from overflow.
@@ -203,17 +192,6 @@
     }
 }
 
-/// A listener and what is spoken there.
-struct Door<L> {
-    listener: L,
-    token: Token,
-    /// The platform holds the socket; another process may accept from it.
-    inherited: bool,
-    protocol: Protocol,
-    /// Connections may wait.
-    more: bool,
-}
-
 pub struct Node<N: Net, M: Module = Balancer> {
     net: N,
     /// Read again on SIGHUP.
@@ -320,10 +298,8 @@
         let times = Times::new(ask, set.drain_grace, config.turn);
         let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
-        let kept = SOCKETS_KEPT + if ops.is_some() { SOCKETS_OPS } else { 0 };
-        let connections = config.sockets - kept;
+        let shares = Shares::of(config.sockets, ops.is_some());
         let processes = if shared { PROCESSES } else { 1 };
-        let upstream = connections * UPSTREAM_PART / 100;
         let memory = config.memory / processes;
         // No two starts of any two nodes may give one id.
         let run = config.seed ^ net.began_unix() as u64;
@@ -348,10 +324,15 @@
             ids: HashMap::new(),
             serial: 0,
             clients: Slab::new(),
-            clients_most: connections - upstream,
+            clients_most: shares.clients,
             dirty: Vec::new(),
             budget: Budget::new(memory / VALUES_PART),
-            upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most, config.trace),
+            upstreams: Upstreams::new(
+                shares.upstream / processes,
+                config.server_idle,
+                connect_most,
+                config.trace,
+            ),
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev, times),
             addresses: Addresses::default(),
@@ -601,58 +582,6 @@
 
     // ---- clients ----
 
-    fn accept(&mut self) {
-        for at in 0..self.doors.len() {
-            self.accept_at(at);
-        }
-    }
-
-    fn accept_at(&mut self, at: usize) {
-        let mut accepted = 0;
-        while self.doors[at].more && accepted < ACCEPT_MOST {
-            if self.clients.len() >= self.clients_most && !self.evict_client() {
-                return;
-            }
-            let door = &mut self.doors[at];
-            let (key, protocol) = (self.clients.vacant_key(), door.protocol);
-            match self.net.accept(&mut door.listener, client_token(key)) {
-                Ok(mut stream) => {
-                    stream.bound_sending(SEND_BUFFER);
-                    self.serial += 1;
-                    let value_most = self.memcached.as_ref().map_or(0, |m| m.file.value_most);
-                    let client = Client::new(stream, self.serial, self.now(), protocol, value_most);
-                    self.clients.insert(client);
-                    accepted += 1;
-                    self.mark(key);
-                    self.read(key);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.doors[at].more = false,
-                // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
-                // that connections wait, so they are asked for again in the next round, at the latest with
-                // the next sweep. An idle upstream connection makes room for one.
-                Err(e) if out_of_sockets(&e) => {
-                    if !self.upstreams.make_room() {
-                        return;
-                    }
-                }
-                // The client has gone while it waited.
-                Err(_) => accepted += 1,
-            }
-        }
-    }
-
-    /// Closes the client's connection that has been idle the longest, and on which nothing waits to be read.
-    fn evict_client(&mut self) -> bool {
-        let mut idle: Vec<(Micros, usize)> =
-            self.clients.iter().filter(|(_, c)| c.idle()).map(|(key, c)| (c.active, key)).collect();
-        idle.sort_unstable();
-        let Some((_, key)) = idle.into_iter().find(|(_, key)| self.clients[*key].quiet()) else {
-            return false;
-        };
-        self.drop_client(key);
-        true
-    }
-
     fn mark(&mut self, key: usize) {
         if let Some(client) = self.clients.get_mut(key) {
             if !std::mem::replace(&mut client.dirty, true) {
