A restarted process waits for the address that the one before is about to leave

A process that started while the one before still listened ended at once with 'Address already in use' (code 2): a listener is held for 0.5 s after SIGTERM, and SO_REUSEADDR does not help against one that listens. os.rs now tries again for up to 5 s, longer than a process ends after SIGTERM, and half of what a restart may take.

--- a/crates/node/src/os.rs
+++ b/crates/node/src/os.rs
@@ -17,6 +17,10 @@
 use crate::net::{Keeping, Net, Ready, Stream, Token, Told, SIGNALS};
 
 const BACKLOG: i32 = 1024;
+/// How long an address that is taken is waited for, and how often it is looked at. The process before may be ending still:
+/// it lets go of its listener 0.5 s after it was told to, or by its end after 3.6 s at the latest.
+const ADDRESS_MOST: Duration = Duration::from_secs(5);
+const ADDRESS_AGAIN: Duration = Duration::from_millis(20);
 /// Longest log line; a pipe that is ready takes this much without blocking (PIPE_BUF is 4,096).
 const LOG_LINE_MOST: usize = 400;
 /// Longest line of a trace; ids are at most this long together.
@@ -105,6 +109,17 @@
     }
 }
 
+fn listening(at: SocketAddr) -> io::Result<socket2::Socket> {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    // A restarted node finds its address still held by connections of the one before.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket)
+}
+
 impl Net for Os {
     type Stream = TcpStream;
     type Listener = TcpListener;
@@ -118,13 +133,16 @@
     }
 
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<TcpListener> {
-        use socket2::{Domain, Socket, Type};
-        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
-        // A restarted node finds its address still held by connections of the one before.
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&at.into())?;
-        socket.listen(BACKLOG)?;
+        let begun = Instant::now();
+        let socket = loop {
+            match listening(at) {
+                // Guards against a restart that fails for good because the process before has a little to do yet.
+                Err(e) if e.kind() == ErrorKind::AddrInUse && begun.elapsed() < ADDRESS_MOST => {
+                    std::thread::sleep(ADDRESS_AGAIN);
+                }
+                done => break done?,
+            }
+        };
         let mut listener = TcpListener::from_std(socket.into());
         self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
         Ok(listener)
