New clients without a place are refused with an answer; half commands make room

When all places for clients were taken, a new connection waited unaccepted or turned out another one that had been let in a moment before, its request still on its way: it was closed with no answer. Half commands held their places for 2.5 s, and were never asked to make room.

Over the places a client is let in to hear -BUSY for all that it asks; then the node shuts down writing, reads out and closes. Room is made by whoever has gone longest without a whole command: a resting one is closed, one that never asked (after 0.1 s) or has sent half a command (after 0.25 s) is refused; never one with unread bytes. In client.rs a field and half_since(), in node.rs two calls.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -84,6 +84,8 @@
     came: Micros,
     /// When it last gave a whole command.
     asked: Option<Micros>,
+    /// It has one of the places for clients. Without one it is let in for a refusal.
+    pub placed: bool,
     /// It is on the list of those to be served in this round.
     pub dirty: bool,
 }
@@ -123,6 +125,7 @@
             active: now,
             came: now,
             asked: None,
+            placed: true,
             dirty: false,
         }
     }
@@ -302,6 +305,11 @@
         self.idle() && self.stream.quiet()
     }
 
+    /// Since when a command has been half there, unless the connection is ending.
+    pub fn half_since(&self) -> Option<Micros> {
+        self.writing_since.filter(|_| self.closing == Closing::No && !self.ended)
+    }
+
     /// When it was accepted, and when it last gave a whole command.
     pub fn times(&self) -> (Micros, Option<Micros>) {
         (self.came, self.asked)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -608,6 +608,7 @@
             let serial = client.serial;
             self.timers.set(left + LEFT_MOST, Due::Left { client: key, serial });
         }
+        self.end_refused(key, now);
     }
 
     /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
@@ -641,10 +642,11 @@
 
     /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
     /// there to hear of it, or the node is about to end. Nothing has run, so trying again is harmless.
-    fn turns_away(&self, client: usize, now: Micros) -> bool {
+    fn turns_away(&mut self, client: usize, now: Micros) -> bool {
         self.open.len() >= self.max_open
             || now >= self.life.answer_by()
             || self.clients.get(client).is_some_and(|c| c.unheard(now))
+            || !self.has_place(client, now)
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
