--- a/crates/sloewick/tests/descriptors.rs
+++ b/crates/sloewick/tests/descriptors.rs
@@ -169,11 +169,11 @@
             let mut client = node.client();
             client.send(get(&format!("new-{n}-{tries}")));
             let line = client.line();
-            for at in 0..halves.len() {
-                if halves[at].has_some() {
+            for ended in &mut halves {
+                if ended.has_some() {
                     // A refusal, not the error that ends it when nobody needs its place.
-                    assert_eq!(halves[at].end(), format!("{BUSY}\r\n"));
-                    halves[at] = half();
+                    assert_eq!(ended.end(), format!("{BUSY}\r\n"));
+                    *ended = half();
                 }
             }
             if line == BUSY {
