--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -271,22 +271,18 @@
         timers: &mut Timers,
     ) -> Option<News> {
         let call = self.call.as_mut()?;
-        if matches!(call.stream.take_error(), Ok(Some(_)) | Err(_)) {
-            return Some(self.failed("connection broke", now, timers));
-        }
-        if event.writable && !call.out.is_empty() {
+        let mut broke = matches!(call.stream.take_error(), Ok(Some(_)) | Err(_));
+        if !broke && event.writable && !call.out.is_empty() {
             match call.stream.connected() {
                 Err(e) if e.kind() == ErrorKind::NotConnected => return None,
-                _ => {}
-            }
-            if call.out.flush(&mut call.stream).is_err() {
-                return Some(self.failed("connection broke", now, timers));
+                _ => broke = call.out.flush(&mut call.stream).is_err(),
             }
         }
         let mut ended = false;
         loop {
             match fill(&mut call.stream, &mut call.buf, scratch) {
                 Read1::Ended => ended = true,
+                Read1::Broke => broke = true,
                 Read1::Empty => {}
                 _ if call.buf.len() > http::HEAD_MOST + http::BODY_MOST => {
                     return Some(self.failed("answer too long", now, timers));
@@ -295,7 +291,9 @@
             }
             break;
         }
-        match http::body(&call.buf, ended) {
+        // Guards against a cut list: a reset is no end, so that only an answer which tells where it ends can be whole.
+        match http::body(&call.buf, ended && !broke) {
+            Ok(None) if broke => Some(self.failed("connection broke", now, timers)),
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
             Err(why) => Some(self.failed(why, now, timers)),
@@ -356,38 +354,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn starts_are_put_on_the_clock_of_the_node() {
-        let began = 1_700_000_000_000_000;
-        assert_eq!(started(0, began, 1_000), None);
-        assert_eq!(started(1_700_000_055_000, began, 60_000_000), Some(55_000_000));
-        assert_eq!(started(1_699_999_999_000, began, 60_000_000), Some(-1_000_000));
-        assert_eq!(started(1_700_000_099_000, began, 7), Some(7));
-        assert!(started(i64::MAX, began, 7).is_some_and(|at| at <= 7));
-    }
-
-    // Guards against a cut answer that drops the servers which it no longer names: wherever the connection ends, it
-    // is no list, whether its length was told or its end is the connection's.
-    #[test]
-    fn an_answer_that_is_cut_at_any_byte_is_no_list() {
-        let target = |uid| {
-            format!(r#"{{"uid":"{uid}","endpoint":"10.1.0.18:6379","state":"in_service","boot_ms":0}}"#)
-        };
-        let text = format!(r#"{{"rev":41,"all":true,"targets":[{},{}]}}"#, target("s-1"), target("s-2"));
-        let length = format!("Content-Length: {}\r\n", text.len());
-        for told in ["", &length] {
-            let whole = format!("HTTP/1.1 200 OK\r\n{told}Connection: close\r\n\r\n{text}").into_bytes();
-            let list = |bytes: &[u8]| {
-                let body = http::body(bytes, true).ok().flatten()?;
-                answer(&serde_json::from_slice(&body).ok()?).ok()
-            };
-            assert_eq!(list(&whole).map(|list| list.targets.len()), Some(2), "{told}");
-            for cut in 0..whole.len() {
-                assert!(list(&whole[..cut]).is_none(), "{told} cut at {cut}");
-            }
-        }
-    }
-}
+#[path = "discovery_tests.rs"]
+mod tests;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
 //! Peers are not listened to: the module has no message for them.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -17,13 +17,13 @@
 use sloewick_decision::{Balancer, Memory};
 
 use crate::addresses::Addresses;
-use crate::client::{Client, Input, Slot, LEFT_MOST};
+use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News, Times};
 use crate::figures::Figures;
 use crate::front::{Asked, Final, Protocol};
 use crate::lifecycle::{Accept, Lifecycle};
-use crate::net::{out_of_sockets, Log, Net, Ready, Stream, Token, READ_MOST, SIGNALS};
+use crate::net::{Log, Net, Ready, Token, READ_MOST, SIGNALS};
 use crate::ops::{Ops, CALLERS};
 use crate::timer::{Due, Timers};
 use crate::trace::Trace;
@@ -33,10 +33,14 @@
 use sloewick_wire::memcache;
 use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
 
+mod disconnects;
+mod doors;
 mod handover;
 mod memcached;
 mod operating;
 
+use disconnects::{Sight, WAIT_OPEN};
+use doors::{Door, Shares, PROCESSES};
 use handover::Handover;
 use memcached::{Keyed, Memcached};
 
@@ -51,15 +55,6 @@
 const FIRST: usize = 32;
 const _: () = assert!(CALLER + CALLERS <= FIRST && FIRST.is_multiple_of(2));
 
-/// Descriptors for all but connections: poll, listener, signals, discovery, standard streams and some room.
-const SOCKETS_KEPT: usize = 24;
-/// Descriptors for the operators' listener and callers.
-const SOCKETS_OPS: usize = CALLERS + 1;
-/// An inherited listener is served by two processes during an upgrade, under the limits of one.
-const PROCESSES: usize = 2;
-/// Part of the rest that upstream connections may take, in percent. A client's connection is mostly idle,
-/// an upstream one carries one attempt.
-const UPSTREAM_PART: usize = 40;
 /// Part of the memory for writes' values that are kept while another attempt may need them (one in eight;
 /// a buffer that grew with a value may be twice its size).
 const VALUES_PART: usize = 8;
@@ -67,12 +62,11 @@
 const REQUEST_MEMORY: usize = 12 << 10;
 /// Part of the memory for them.
 const REQUESTS_PART: usize = 4;
-/// Connections accepted in one round, so that a flood of them leaves time for those that are there.
-const ACCEPT_MOST: usize = 64;
 /// A long value's bytes that wait for its client; beyond it the server is held back.
 const STREAM_MOST: usize = READ_MOST;
-/// What the kernel keeps for a client that does not read; by itself it would grow to megabytes for each.
-const SEND_BUFFER: usize = 128 << 10;
+/// A long value that has begun may go on up to its request's deadline, or for the longest deadline, and for so long after
+/// that: later it counts as lost. Guards against one that goes on by drops without end.
+const VALUE_SLACK: Micros = 500_000;
 /// How often stalled and idle connections are looked for.
 const SWEEP: Micros = 100_000;
 /// Longest wait that a client may ask for; it keeps sums of times far from overflow.
@@ -203,17 +197,6 @@
     }
 }
 
-/// A listener and what is spoken there.
-struct Door<L> {
-    listener: L,
-    token: Token,
-    /// The platform holds the socket; another process may accept from it.
-    inherited: bool,
-    protocol: Protocol,
-    /// Connections may wait.
-    more: bool,
-}
-
 pub struct Node<N: Net, M: Module = Balancer> {
     net: N,
     /// Read again on SIGHUP.
@@ -244,8 +227,8 @@
     timers: Timers,
     log: Log,
     scratch: Vec<u8>,
-    /// How much later than it wanted this process went on after its last wait: what is news then may be that old.
-    overslept: Micros,
+    /// When sockets were last asked for news.
+    sight: Sight,
     life: Lifecycle,
     /// Servers that were logged as outliers.
     outliers: BTreeSet<ServerId>,
@@ -320,10 +303,8 @@
         let times = Times::new(ask, set.drain_grace, config.turn);
         let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
-        let kept = SOCKETS_KEPT + if ops.is_some() { SOCKETS_OPS } else { 0 };
-        let connections = config.sockets - kept;
+        let shares = Shares::of(config.sockets, ops.is_some());
         let processes = if shared { PROCESSES } else { 1 };
-        let upstream = connections * UPSTREAM_PART / 100;
         let memory = config.memory / processes;
         // No two starts of any two nodes may give one id.
         let run = config.seed ^ net.began_unix() as u64;
@@ -348,17 +329,22 @@
             ids: HashMap::new(),
             serial: 0,
             clients: Slab::new(),
-            clients_most: connections - upstream,
+            clients_most: shares.clients,
             dirty: Vec::new(),
             budget: Budget::new(memory / VALUES_PART),
-            upstreams: Upstreams::new(upstream / processes, config.server_idle, connect_most, config.trace),
+            upstreams: Upstreams::new(
+                shares.upstream / processes,
+                config.server_idle,
+                connect_most,
+                config.trace,
+            ),
             probes: HashMap::new(),
             discovery: Discovery::new(config.discovery, DISCOVERY, !ask, config.known.rev, times),
             addresses: Addresses::default(),
             timers: Timers::default(),
             log: Log::default(),
             scratch: vec![0; READ_MOST],
-            overslept: 0,
+            sight: Sight::default(),
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
             jam: false,
@@ -382,7 +368,7 @@
     pub fn run(mut self) -> io::Result<()> {
         while let Some(due) = self.prepare() {
             let wait = (due - self.now()).max(0);
-            self.turn(wait)?;
+            self.turn(if self.open.is_empty() { wait } else { wait.min(WAIT_OPEN) })?;
         }
         Ok(())
     }
@@ -395,7 +381,8 @@
             return None;
         }
         // A sweep is always due.
-        Some(self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0))
+        let due = self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0);
+        Some(self.sight.rests(self.net.now(), due))
     }
 
     /// Waits so long for news and takes it up.
@@ -404,9 +391,7 @@
     /// The system cannot be asked what happens.
     pub fn turn(&mut self, wait: Micros) -> io::Result<()> {
         let mut ready = std::mem::take(&mut self.ready);
-        let wake = self.now() + wait;
-        self.net.poll(&mut ready, wait)?;
-        self.overslept = (self.now() - wake).max(0);
+        self.poll(&mut ready, wait)?;
         // Sockets first: on a starved node what came in time must not be called late.
         for event in &ready {
             self.ready(event);
@@ -443,7 +428,7 @@
                     return self.drop_client(key);
                 }
                 if event.readable || event.read_closed {
-                    client.readable(event.read_closed, now - self.overslept);
+                    client.readable(event.read_closed, self.sight.since());
                 }
                 self.mark(key);
                 self.read(key);
@@ -496,12 +481,13 @@
             Due::Module(token) => self.queue.push_back(Event::Timer(token)),
             Due::Attempt { request, serial, attempt } => {
                 if self.open.get(request).is_some_and(|o| o.serial == serial) {
+                    self.cut_value(request, attempt, now);
                     self.give_up(request, attempt, Status::Timeout);
                 }
             }
             Due::Left { client, serial } => {
                 if self.clients.get(client).is_some_and(|c| c.serial == serial) {
-                    self.unheard(client);
+                    self.abandon(client);
                 }
             }
             Due::LastAnswers => self.last_answers(),
@@ -530,11 +516,12 @@
         }
         for key in look {
             self.let_go(key, now);
-            if self.clients[key].stalled(now) {
+            let Some(client) = self.clients.get(key) else { continue };
+            if client.stalled(now) {
                 self.drop_client(key);
-            } else if self.clients[key].unfinished(now) {
+            } else if client.unfinished(now) {
                 self.turn_out(key, "command not finished", None);
-            } else if self.clients[key].lingering() {
+            } else if client.lingering() {
                 self.mark(key);
             }
         }
@@ -586,12 +573,17 @@
         let now = self.now();
         self.doors.retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
         if self.doors.iter().any(|door| self.life.accepts(now, door.inherited) == Accept::Last) {
-            self.doors.iter_mut().for_each(|door| door.more = true);
-            self.accept();
-            if self.doors.iter().any(|door| door.more) {
+            // Each closes right behind its last look: what comes up between the two is reset by the system.
+            for at in (0..self.doors.len()).rev() {
+                self.doors[at].more = true;
+                self.accept_at(at);
+                if !self.doors[at].more {
+                    self.doors.remove(at);
+                }
+            }
+            if !self.doors.is_empty() {
                 return false;
             }
-            self.doors.clear();
         }
         if self.doors.is_empty() {
             self.life.closed();
@@ -601,58 +593,6 @@
 
     // ---- clients ----
 
-    fn accept(&mut self) {
-        for at in 0..self.doors.len() {
-            self.accept_at(at);
-        }
-    }
-
-    fn accept_at(&mut self, at: usize) {
-        let mut accepted = 0;
-        while self.doors[at].more && accepted < ACCEPT_MOST {
-            if self.clients.len() >= self.clients_most && !self.evict_client() {
-                return;
-            }
-            let door = &mut self.doors[at];
-            let (key, protocol) = (self.clients.vacant_key(), door.protocol);
-            match self.net.accept(&mut door.listener, client_token(key)) {
-                Ok(mut stream) => {
-                    stream.bound_sending(SEND_BUFFER);
-                    self.serial += 1;
-                    let value_most = self.memcached.as_ref().map_or(0, |m| m.file.value_most);
-                    let client = Client::new(stream, self.serial, self.now(), protocol, value_most);
-                    self.clients.insert(client);
-                    accepted += 1;
-                    self.mark(key);
-                    self.read(key);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.doors[at].more = false,
-                // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
-                // that connections wait, so they are asked for again in the next round, at the latest with
-                // the next sweep. An idle upstream connection makes room for one.
-                Err(e) if out_of_sockets(&e) => {
-                    if !self.upstreams.make_room() {
-                        return;
-                    }
-                }
-                // The client has gone while it waited.
-                Err(_) => accepted += 1,
-            }
-        }
-    }
-
-    /// Closes the client's connection that has been idle the longest, and on which nothing waits to be read.
-    fn evict_client(&mut self) -> bool {
-        let mut idle: Vec<(Micros, usize)> =
-            self.clients.iter().filter(|(_, c)| c.idle()).map(|(key, c)| (c.active, key)).collect();
-        idle.sort_unstable();
-        let Some((_, key)) = idle.into_iter().find(|(_, key)| self.clients[*key].quiet()) else {
-            return false;
-        };
-        self.drop_client(key);
-        true
-    }
-
     fn mark(&mut self, key: usize) {
         if let Some(client) = self.clients.get_mut(key) {
             if !std::mem::replace(&mut client.dirty, true) {
@@ -674,48 +614,17 @@
                 }
             }
         }
-        let Some(client) = self.clients.get_mut(key) else { return };
-        if let Some(left) = client.newly_left() {
-            let serial = client.serial;
-            self.timers.set(left + LEFT_MOST, Due::Left { client: key, serial });
-        }
-    }
-
-    /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
-    /// still listens has its final answer by that; the write shows whether anyone is there.
-    fn unheard(&mut self, client: usize) {
-        let waiting = self.clients.get(client).map(Client::waiting).unwrap_or_default();
-        waiting.into_iter().for_each(|request| self.no_more(request));
-    }
-
-    /// Nothing more is sent for a request; what is out may still answer it.
-    fn no_more(&mut self, key: usize) {
-        let Some(open) = self.open.get_mut(key).filter(|o| !o.closed && o.stream.is_none()) else { return };
-        if std::mem::replace(&mut open.no_more, true) {
-            return;
-        }
-        // Before the outcomes: the module must not send it to another server for them.
-        self.queue.push_back(Event::NoMore(open.id.clone()));
-        self.unsend(key);
-    }
-
-    /// Gives up the attempts of a request of which nothing has been written.
-    fn unsend(&mut self, key: usize) {
-        let attempts = self.open.get(key).map_or(0, |open| open.attempts.len());
-        for attempt in 0..attempts {
-            let conn = self.open.get(key).and_then(|open| open.attempts[attempt].conn);
-            if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
-                self.give_up(key, attempt, Status::Moot);
-            }
-        }
+        self.watch_end(key);
+        self.end_refused(key, now);
     }
 
     /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
     /// there to hear of it, or the node is about to end. Nothing has run, so trying again is harmless.
-    fn turns_away(&self, client: usize, now: Micros) -> bool {
+    fn turns_away(&mut self, client: usize, now: Micros) -> bool {
         self.open.len() >= self.max_open
             || now >= self.life.answer_by()
-            || self.clients.get(client).is_some_and(|c| c.unheard(now))
+            || self.clients.get(client).is_some_and(|c| c.abandoned(now))
+            || !self.has_place(client, now)
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
@@ -870,7 +779,12 @@
     fn drop_client(&mut self, key: usize) {
         let Some(mut client) = self.clients.try_remove(key) else { return };
         self.budget.give_back(client.reserved());
-        for slot in client.slots.drain(..) {
+        self.disown(client.cut());
+    }
+
+    /// Nothing is owed to the requests of these places any more.
+    fn disown(&mut self, slots: VecDeque<Slot>) {
+        for slot in slots {
             let request = match slot {
                 Slot::Waiting(request) | Slot::Stream { request, .. } => request,
                 Slot::Ready(_) => continue,
@@ -1014,6 +928,8 @@
 
     fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
         let Some(key) = self.ids.get(id).copied() else { return };
+        // First: what the look brings may change where the server is.
+        let heard = self.hears(self.open[key].client, self.open[key].client_serial);
         let protocol = self.upstreams.protocol(&server);
         let open = &mut self.open[key];
         let (attempt, serial) = (open.attempts.len(), open.serial);
@@ -1031,7 +947,11 @@
         open.out += 1;
         let fits = protocol == Protocol::Resp || memcached::fits(open);
         let over = open.closed || open.no_more || open.stream.is_some() || wait <= 0;
-        if over || !fits || !self.may_leave(key, attempt, now) {
+        if !heard {
+            // Before the outcome, or the module would send it to another server.
+            self.no_more(key);
+        }
+        if over || !heard || !fits || !self.may_leave(key, attempt, now) {
             return self.ended(key, attempt, Status::Moot, None, None);
         }
         let written = self.worded(key, protocol, wait);
@@ -1063,11 +983,11 @@
         while let Some((conn, job)) = self.upstreams.came_up() {
             let now = self.now();
             let Some((key, attempt)) = self.find(job) else { continue };
+            let (client, serial) = (self.open[key].client, self.open[key].client_serial);
+            let heard = self.hears(client, serial);
             let open = &self.open[key];
             let (left, server) =
                 (open.attempts[attempt].until - now, open.attempts[attempt].server.clone());
-            let client = self.clients.get(open.client).filter(|c| c.serial == open.client_serial);
-            let heard = client.is_some_and(|c| !c.unheard(now));
             let over = open.closed || open.no_more || left <= 0 || !heard;
             if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
                 self.give_up(key, attempt, Status::Moot);
@@ -1269,6 +1189,9 @@
         let now = self.now();
         let open = &mut self.open[key];
         open.stream = Some((attempt, now - open.attempts[attempt].sent));
+        let until = open.deadline.max(now + self.longest) + VALUE_SLACK;
+        open.attempts[attempt].until = until;
+        self.timers.set(until, Due::Attempt { request: key, serial: open.serial, attempt });
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         let head = open.asked.head(&open.key, len);
         self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
@@ -1283,6 +1206,19 @@
         }
     }
 
+    /// A long value that has begun and is still not whole when its time is over is broken off.
+    fn cut_value(&mut self, key: usize, attempt: usize, now: Micros) {
+        let Some(open) = self.open.get(key).filter(|o| o.stream.is_some_and(|(a, _)| a == attempt)) else {
+            return;
+        };
+        let Attempt { until, conn: Some(conn), .. } = open.attempts[attempt] else { return };
+        if now >= until {
+            self.upstreams.abandon(conn, now);
+            self.end_stream(key, false);
+            self.ended(key, attempt, Status::Reset, None, None);
+        }
+    }
+
     /// A long value is whole, or has broken off. A client that was given part of it must see that it is not
     /// whole: nothing but the end of the connection can tell it so.
     fn end_stream(&mut self, key: usize, whole: bool) {
@@ -1302,7 +1238,9 @@
         } else {
             self.figures.count(self.open[key].class, &Final::Failed);
             self.ready_answer(key, Vec::new());
-            self.drop_client(client);
+            // Not closed at once: over commands that wait unread that would be a reset, and answers under way go with it.
+            let slots = self.clients.get_mut(client).map(Client::cut).unwrap_or_default();
+            self.disown(slots);
         }
     }
 }
@@ -1415,25 +1353,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn replies_mean_what_the_protocol_says() {
-        let bulk = |text: &'static str| Part::Bulk(Bytes::from_static(text.as_bytes()));
-        let verdict = |reply| verdict(&Said::Resp(reply), false);
-        let served = |how: Part| verdict(Reply::Array(vec![bulk("value"), how, Part::Null]));
-        for (word, note) in [("hit", Note::Hit), ("miss", Note::Miss), ("pending", Note::MissFetching)] {
-            assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
-        }
-        assert_eq!(served(Part::Null), (Status::Ok, None, None));
-        let report = Reply::Array(vec![bulk("value"), Part::Null, bulk("inflight=7,queue=2,util=0.61")]);
-        let load = verdict(report).2.unwrap();
-        assert_eq!((load.in_flight, load.queue, load.util), (Some(7.0), Some(2.0), Some(0.61)));
-        let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
-        assert_eq!(verdict(error("ERR failed")), (Status::Error, None, None));
-        let (status, _, load) = verdict(error("BUSY latency_ms=1.5,x0=nan"));
-        assert_eq!(status, Status::Full);
-        assert_eq!((load.unwrap().service, load.unwrap().hits), (Some(1500.0), None));
-    }
-}
+#[path = "node_tests.rs"]
+mod tests;
