--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -3,6 +3,9 @@
 //! Guarantees: a tenant is never beyond its share while it asks for no more than an even part of its quota, nor while
 //! its part of what comes to this node is no more than its quota is of all quotas. The second guards against a node that
 //! sees many times what the others do: an even part of the quotas would call most of what it gets beyond its share.
+//!
+//! Not guaranteed: where all tenants ask for more than their quotas in the same measure, or there is one alone, none is
+//! beyond its share here; what servers can't bear is refused by other decisions.
 
 use crate::interface::{Micros, Settings};
 
