--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -26,7 +26,10 @@
     };
     Settings {
         classes: vec![class(Repeat::Free, 1.0), class(Repeat::Keyed, 10.0)],
-        tenants: vec![Tenant { quota_per_s: 1e6, share: 1.0 }],
+        tenants: vec![Tenant {
+            quota_per_s: 1e6,
+            share: 1.0,
+        }],
         nodes: 4,
         number: None,
         zone: Some(0),
@@ -122,7 +125,9 @@
 #[divan::bench(args = [5, 20, 91, 400])]
 fn request_and_outcome(bencher: Bencher, servers: usize) {
     let (mut balancer, mut serve) = (listed(servers), serve());
-    bencher.counter(ItemsCount::new(1usize)).bench_local(move || serve(&mut balancer));
+    bencher
+        .counter(ItemsCount::new(1usize))
+        .bench_local(move || serve(&mut balancer));
 }
 
 /// What the next process is told, once a second, by a node with a full window.
--- a/crates/decision/src/draw.rs
+++ b/crates/decision/src/draw.rs
@@ -2,9 +2,9 @@
 
 /// A name as 64 bits.
 pub fn hash(text: &str) -> u64 {
-    let h = text
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    let h = text.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)
+    });
     mix(h)
 }
 
--- a/crates/decision/src/fates.rs
+++ b/crates/decision/src/fates.rs
@@ -66,8 +66,13 @@
 
     /// Whether this zone is lost, and another is not.
     pub fn lost(&self, zone: Option<u16>) -> bool {
-        self.zones.get(place(zone)).is_some_and(|fate| fate.pause.is_some())
-            && self.zones.iter().any(|fate| fate.listed && fate.pause.is_none())
+        self.zones
+            .get(place(zone))
+            .is_some_and(|fate| fate.pause.is_some())
+            && self
+                .zones
+                .iter()
+                .any(|fate| fate.listed && fate.pause.is_none())
     }
 
     /// A server of the zone was reached, whatever it said. True: the zone was lost.
@@ -79,7 +84,13 @@
     }
 
     /// A server of the zone was not reached, which says so much. True: the zone is lost from now on.
-    pub fn unreached(&mut self, now: Micros, zone: Option<u16>, server: &ServerId, says: f64) -> bool {
+    pub fn unreached(
+        &mut self,
+        now: Micros,
+        zone: Option<u16>,
+        server: &ServerId,
+        says: f64,
+    ) -> bool {
         let fate = self.fate(zone);
         if fate.pause.is_some() {
             return false;
@@ -99,7 +110,9 @@
     /// the looks of many nodes.
     pub fn look(&mut self, now: Micros, zone: Option<u16>, drawn: f64) -> bool {
         let fate = self.fate(zone);
-        let Some(pause) = fate.pause.filter(|_| now >= fate.next) else { return false };
+        let Some(pause) = fate.pause.filter(|_| now >= fate.next) else {
+            return false;
+        };
         fate.pause = Some((pause * 2).min(PAUSE_MOST));
         fate.next = now + (pause as f64 * (0.5 + drawn)) as Micros;
         true
--- a/crates/decision/src/fates_tests.rs
+++ b/crates/decision/src/fates_tests.rs
@@ -15,7 +15,11 @@
     let mut fates = two();
     assert!(!fates.unreached(0, Some(1), &id(1), UNREACHED));
     assert!(!fates.unreached(0, Some(1), &id(2), UNREACHED));
-    assert!(fates.unreached(0, Some(1), &id(3), UNREACHED) && fates.lost(Some(1)) && !fates.lost(Some(0)));
+    assert!(
+        fates.unreached(0, Some(1), &id(3), UNREACHED)
+            && fates.lost(Some(1))
+            && !fates.lost(Some(0))
+    );
     assert!(fates.reached(Some(1)) && !fates.lost(Some(1)));
 }
 
@@ -42,7 +46,10 @@
         assert!(!fates.unreached(0, Some(1), &id(3), UNREACHED));
     }
     fates.reached(Some(1));
-    assert!((0..3).all(|n| !fates.unreached(0, Some(1), &id(n), SILENT)), "silence says less");
+    assert!(
+        (0..3).all(|n| !fates.unreached(0, Some(1), &id(n), SILENT)),
+        "silence says less"
+    );
 }
 
 #[test]
@@ -105,5 +112,8 @@
             fates.unreached(now, Some(1), &id(asked), UNREACHED);
         }
     }
-    assert!(met > 0 && failed < 60, "{failed} of 600 requests were lost to the zone");
+    assert!(
+        met > 0 && failed < 60,
+        "{failed} of 600 requests were lost to the zone"
+    );
 }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -180,7 +180,10 @@
                 return err("classes", "a keyed class needs a window above zero");
             }
             if !(class.worth >= 0.0 && class.late_worth >= 0.0 && class.aim_stretch >= 0.0) {
-                return err("classes", "worth, late worth and stretch must not be negative");
+                return err(
+                    "classes",
+                    "worth, late worth and stretch must not be negative",
+                );
             }
         }
         if self.nodes == 0 {
@@ -193,12 +196,16 @@
             return err("tick, answer_slack, drain_grace", "must not be negative");
         }
         if self.ask && self.ask_within <= 0 {
-            return err("ask_within", "must be above zero where the list is asked for");
+            return err(
+                "ask_within",
+                "must be above zero where the list is asked for",
+            );
         }
         if !(self.cold_from > 0.0 && self.cold_from <= 1.0) {
             return err("cold_from", "must be above zero and at most one");
         }
-        if self.cold < 0 || self.fall < 0 || self.fall_multiple.is_nan() || self.fall_multiple < 0.0 {
+        if self.cold < 0 || self.fall < 0 || self.fall_multiple.is_nan() || self.fall_multiple < 0.0
+        {
             return err("cold, fall, fall_multiple", "must not be negative");
         }
         if self.mode == Mode::Aside && self.origin_kind.is_none() {
@@ -275,7 +282,10 @@
 impl Status {
     /// Whether this end proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
+        matches!(
+            self,
+            Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss
+        )
     }
 }
 
--- a/crates/decision/src/origin.rs
+++ b/crates/decision/src/origin.rs
@@ -61,7 +61,8 @@
         if asked == Asked::Known
             && status.is_none_or(|s| matches!(s, Status::Ok | Status::Timeout | Status::Full))
         {
-            self.known += (f64::from(u8::from(status == Some(Status::Ok))) - self.known) / KNOWN_SPAN;
+            self.known +=
+                (f64::from(u8::from(status == Some(Status::Ok))) - self.known) / KNOWN_SPAN;
         }
         let came = match (status, note) {
             // Beside the caches the origin is asked by the node itself, and a fetch fills no cache by itself.
@@ -85,7 +86,11 @@
     /// only keep its queue so long that nothing is answered in time. `drawn`: from 0 to 1.
     pub fn sheds(&mut self, now: Micros, asked: Asked, drawn: impl FnOnce() -> f64) -> bool {
         let open = self.opening.share(now, self.jam.on(now));
-        let share = if asked == Asked::Known { open.max(self.known) } else { open };
+        let share = if asked == Asked::Known {
+            open.max(self.known)
+        } else {
+            open
+        };
         open < 1.0 && drawn() >= share
     }
 
--- a/crates/decision/src/outliers.rs
+++ b/crates/decision/src/outliers.rs
@@ -60,7 +60,10 @@
 
 impl Share {
     fn new(share: f64) -> Share {
-        Share { share, count: BEGIN }
+        Share {
+            share,
+            count: BEGIN,
+        }
     }
 
     fn note(&mut self, failed: f64, weight: f64) {
@@ -128,7 +131,10 @@
 
     /// Probability that a server is bad, as far as its own outcomes say beside a fleet of which nothing is known.
     pub fn share(&self, now: Micros, server: &str) -> f64 {
-        let against = self.records.get(server).map_or(0.0, |record| record.against(now));
+        let against = self
+            .records
+            .get(server)
+            .map_or(0.0, |record| record.against(now));
         if against > 0.0 {
             probability(odds(PRIOR_BAD / PRIOR_ALL) + against)
         } else {
@@ -141,23 +147,39 @@
         if share > 0.0 {
             let against = odds(share.clamp(1e-9, 1.0 - 1e-9)) - odds(PRIOR_BAD / PRIOR_ALL);
             let against = against.clamp(0.0, ODDS_MOST - ODDS_LEAST);
-            self.records.insert(server.clone(), Record { against, noted: at });
+            self.records
+                .insert(server.clone(), Record { against, noted: at });
             self.notes = LOOK_EVERY;
         }
     }
 
     /// An attempt at a server ended by the server's own doing: answered, or not.
-    pub fn note(&mut self, now: Micros, server: &ServerId, asked: Asked, failed: bool, servers: usize) {
+    pub fn note(
+        &mut self,
+        now: Micros,
+        server: &ServerId,
+        asked: Asked,
+        failed: bool,
+        servers: usize,
+    ) {
         self.notes = self.notes.saturating_add(1);
-        let fresh = || Record { against: 0.0, noted: now };
+        let fresh = || Record {
+            against: 0.0,
+            noted: now,
+        };
         let record = self.records.entry(server.clone()).or_insert_with(fresh);
         let before = record.against(now);
         let (sound, bad) = &mut self.shares[asked as usize];
         // A share at bad servers that is no higher than at sound ones tells nothing.
-        let (low, high) =
-            (sound.share.clamp(0.01, 0.98), bad.share.clamp(0.02, 0.99).max(sound.share + 0.01));
-        let tells =
-            if failed { (high / low).ln().min(ONE_MOST) } else { ((1.0 - high) / (1.0 - low)).ln() };
+        let (low, high) = (
+            sound.share.clamp(0.01, 0.98),
+            bad.share.clamp(0.02, 0.99).max(sound.share + 0.01),
+        );
+        let tells = if failed {
+            (high / low).ln().min(ONE_MOST)
+        } else {
+            ((1.0 - high) / (1.0 - low)).ln()
+        };
         record.against = (before + tells).clamp(ODDS_LEAST - self.prior, ODDS_MOST - self.prior);
         record.noted = now;
         let is_bad = probability(self.prior + before);
@@ -173,18 +195,26 @@
     fn look(&mut self, now: Micros, servers: usize) {
         self.notes = 0;
         self.cut.clear();
-        let against = self.records.iter().map(|(id, record)| (record.against(now), id));
+        let against = self
+            .records
+            .iter()
+            .map(|(id, record)| (record.against(now), id));
         let mut all: Vec<(f64, &ServerId)> = against.collect();
         all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
         let suspect = |against: f64| probability(self.prior + against);
-        let bad: f64 = all.iter().filter(|(against, _)| *against > 0.0).map(|(a, _)| suspect(*a)).sum();
+        let bad: f64 = all
+            .iter()
+            .filter(|(against, _)| *against > 0.0)
+            .map(|(a, _)| suspect(*a))
+            .sum();
         let most = (servers as f64 * CUT_MOST) as usize;
         // What half of them do is no outlier's.
         if all.iter().filter(|(against, _)| *against > 0.0).count() * 2 < servers {
             for (against, id) in all.into_iter().take(most) {
                 let over = suspect(against) - BAR;
                 if over > 0.0 && against > 0.0 {
-                    self.cut.insert(id.clone(), (1.0 - over / RAMP).clamp(0.0, 1.0));
+                    self.cut
+                        .insert(id.clone(), (1.0 - over / RAMP).clamp(0.0, 1.0));
                 }
             }
         }
--- a/crates/decision/src/pace.rs
+++ b/crates/decision/src/pace.rs
@@ -34,10 +34,22 @@
     pub fn new(aims: impl Iterator<Item = Micros>) -> Pace {
         let high: Vec<f64> = aims.map(|aim| aim as f64 / 2.0).collect();
         let none = vec![0.0; high.len()];
-        Pace { high, mean_log: none.clone(), count: none, ..Pace::default() }
+        Pace {
+            high,
+            mean_log: none.clone(),
+            count: none,
+            ..Pace::default()
+        }
     }
 
-    pub fn learn(&mut self, class: usize, latency: Micros, work: Option<f64>, entry: &Entry, hit: bool) {
+    pub fn learn(
+        &mut self,
+        class: usize,
+        latency: Micros,
+        work: Option<f64>,
+        entry: &Entry,
+        hit: bool,
+    ) {
         let latency = (latency as f64).max(1.0);
         let high = &mut self.high[class];
         *high *= if latency > *high { 1.05 } else { 0.9973 };
@@ -52,14 +64,23 @@
         self.mean_log[class] += (log - self.mean_log[class]) / count;
         let expected = work.map_or(self.mean_log[class], |w| w.max(1.0).ln());
         let kind = slot(&mut self.kinds, entry.kind, (0.0, 0.0));
-        let fade = if kind.1 >= KIND_MEMORY { 1.0 - 1.0 / KIND_MEMORY } else { 1.0 };
+        let fade = if kind.1 >= KIND_MEMORY {
+            1.0 - 1.0 / KIND_MEMORY
+        } else {
+            1.0
+        };
         *kind = (kind.0 * fade + log - expected, kind.1 * fade + 1.0);
     }
 
     /// Speed of a kind against all kinds, in steps so that nodes agree.
     pub fn speed(&self, kind: Option<u16>) -> f64 {
-        let all = self.kinds.iter().fold((0.0, 0.0), |a, k| (a.0 + k.0, a.1 + k.1));
-        let Some(k) = self.kinds.get(kind.map_or(0, |i| usize::from(i) + 1)) else { return 1.0 };
+        let all = self
+            .kinds
+            .iter()
+            .fold((0.0, 0.0), |a, k| (a.0 + k.0, a.1 + k.1));
+        let Some(k) = self.kinds.get(kind.map_or(0, |i| usize::from(i) + 1)) else {
+            return 1.0;
+        };
         if k.1 == 0.0 {
             return 1.0;
         }
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -42,7 +42,9 @@
 
     /// Takes a token of the tenant's; true when there is none. `arrivals`: at this node so far, of all tenants.
     pub fn over(&mut self, now: Micros, tenant: Option<usize>, arrivals: u64) -> bool {
-        let Some(quota) = tenant.and_then(|t| self.0.get_mut(t)) else { return false };
+        let Some(quota) = tenant.and_then(|t| self.0.get_mut(t)) else {
+            return false;
+        };
         let by_time = quota.rate * (now - quota.filled) as f64 / 1e6;
         let by_part = quota.part * arrivals.saturating_sub(quota.arrivals) as f64;
         quota.tokens = (quota.tokens + by_time.max(by_part)).min(SAVED + SAVED * quota.rate);
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/rules.rs
@@ -130,7 +130,10 @@
 impl Seen {
     fn now(&self, spans: [f64; 2], arrivals: u64) -> [f64; 2] {
         let age = (arrivals - self.at) as f64;
-        [self.counts[0] * (-age / spans[0]).exp(), self.counts[1] * (-age / spans[1]).exp()]
+        [
+            self.counts[0] * (-age / spans[0]).exp(),
+            self.counts[1] * (-age / spans[1]).exp(),
+        ]
     }
 }
 
@@ -183,21 +186,31 @@
         self.since_update += 1;
         let Some(key) = key else { return };
         let (now, spans) = (self.arrivals, self.spans());
-        let fresh = || Seen { counts: [0.0; 2], at: now, turn: (now % 64) as usize };
+        let fresh = || Seen {
+            counts: [0.0; 2],
+            at: now,
+            turn: (now % 64) as usize,
+        };
         let seen = self.seen.entry(key).or_insert_with(fresh);
         seen.counts = seen.now(spans, now).map(|c| c + 1.0);
         seen.at = now;
         if self.seen.len() > 4 * spans[1] as usize {
-            self.seen.retain(|_, s| ((now - s.at) as f64) < 2.0 * spans[1]);
+            self.seen
+                .retain(|_, s| ((now - s.at) as f64) < 2.0 * spans[1]);
         }
     }
 
     fn spans(&self) -> [f64; 2] {
-        [HOT_SPAN, (WARM_SPAN * self.servers.len() as f64).max(HOT_SPAN)]
+        [
+            HOT_SPAN,
+            (WARM_SPAN * self.servers.len() as f64).max(HOT_SPAN),
+        ]
     }
 
     fn deal_width(&self, key: u64) -> usize {
-        let Some(seen) = self.seen.get(&key) else { return 1 };
+        let Some(seen) = self.seen.get(&key) else {
+            return 1;
+        };
         let (spans, n) = (self.spans(), self.servers.len() as f64);
         let counts = seen.now(spans, self.arrivals);
         let mut width = 1;
@@ -211,7 +224,9 @@
     }
 
     fn home(&self, at: f64) -> usize {
-        self.servers.partition_point(|s| s.edge < at).min(self.servers.len().saturating_sub(1))
+        self.servers
+            .partition_point(|s| s.edge < at)
+            .min(self.servers.len().saturating_sub(1))
     }
 
     fn left_edge(&self, i: usize) -> f64 {
@@ -250,7 +265,12 @@
     }
 
     fn reindex(&mut self) {
-        self.index = self.servers.iter().enumerate().map(|(i, s)| (s.entry.server.clone(), i)).collect();
+        self.index = self
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(i, s)| (s.entry.server.clone(), i))
+            .collect();
     }
 }
 
@@ -394,11 +414,24 @@
             }
             Event::Request(request) => self.on_request(now, request, actions),
             Event::Started { request, .. } => {
-                if let Some(held) = self.ids.get(&request).and_then(|serial| self.held.get_mut(serial)) {
+                if let Some(held) = self
+                    .ids
+                    .get(&request)
+                    .and_then(|serial| self.held.get_mut(serial))
+                {
                     held.streaming = true;
                 }
             }
-            Event::Outcome { request, server, attempt, latency, status, closed, note, load } => {
+            Event::Outcome {
+                request,
+                server,
+                attempt,
+                latency,
+                status,
+                closed,
+                note,
+                load,
+            } => {
                 self.on_outcome(
                     now,
                     &request,
@@ -424,13 +457,23 @@
     /// Whether a server that a list has named gets nothing now: it is sick, or it drains.
     pub fn avoids(&self, now: Micros, server: &ServerId) -> bool {
         let near = self.line.index.get(server).map(|i| self.up(now, *i));
-        let far = self.far.index.get(server).map(|i| now >= self.far.servers[*i].sick_until);
+        let far = self
+            .far
+            .index
+            .get(server)
+            .map(|i| now >= self.far.servers[*i].sick_until);
         near.or(far).is_none_or(|up| !up) && !self.origins.iter().any(|s| s.entry.server == *server)
     }
 
     // ---- the list ----
 
-    fn on_servers(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
+    fn on_servers(
+        &mut self,
+        now: Micros,
+        kind: ListKind,
+        entries: &[Entry],
+        actions: &mut Vec<Action>,
+    ) {
         self.lay_out(kind, entries);
         let first = self.line.servers.is_empty();
         if kind != ListKind::Delta {
@@ -442,14 +485,21 @@
                     }
                 }
             }
-            self.origins.retain(|s| named.contains_key(&*s.entry.server));
+            self.origins
+                .retain(|s| named.contains_key(&*s.entry.server));
         }
         let changed = entries.iter().filter(|e| self.place(e)).count();
         let changed = changed + self.part_zones();
         self.line.reindex();
         self.far.reindex();
         self.outliers.retain(|id| self.line.index.contains_key(id));
-        self.fates.list(self.line.servers.iter().chain(&self.far.servers).map(|s| s.entry.zone));
+        self.fates.list(
+            self.line
+                .servers
+                .iter()
+                .chain(&self.far.servers)
+                .map(|s| s.entry.zone),
+        );
         if changed > 0 || kind != ListKind::Delta {
             self.weigh();
             if first || changed * 2 > self.line.servers.len() {
@@ -461,8 +511,12 @@
             ListKind::Cached if self.set.ask => self.plan_list(actions),
             _ => self.list_failures = 0,
         }
-        let waiting: Vec<u64> =
-            self.held.iter().filter(|(_, h)| h.attempts.is_empty()).map(|(serial, _)| *serial).collect();
+        let waiting: Vec<u64> = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.attempts.is_empty())
+            .map(|(serial, _)| *serial)
+            .collect();
         for serial in waiting {
             self.send_next(now, serial, actions);
         }
@@ -470,17 +524,29 @@
 
     fn place(&mut self, entry: &Entry) -> bool {
         let live = entry.state == ServerState::Live;
-        if self.set.mode == Mode::Aside && entry.kind.is_some() && entry.kind == self.set.origin_kind {
+        if self.set.mode == Mode::Aside
+            && entry.kind.is_some()
+            && entry.kind == self.set.origin_kind
+        {
             self.origins.retain(|s| s.entry.server != entry.server);
             if live {
                 self.origins.push(Server::new(entry.clone()));
-                self.origins.sort_by(|a, b| a.entry.server.cmp(&b.entry.server));
+                self.origins
+                    .sort_by(|a, b| a.entry.server.cmp(&b.entry.server));
             }
             return false;
         }
-        let here = |line: &Line| line.servers.iter().position(|s| s.entry.server == entry.server);
+        let here = |line: &Line| {
+            line.servers
+                .iter()
+                .position(|s| s.entry.server == entry.server)
+        };
         let (near, far) = (here(&self.line), here(&self.far));
-        let (line, found) = if far.is_some() { (&mut self.far, far) } else { (&mut self.line, near) };
+        let (line, found) = if far.is_some() {
+            (&mut self.far, far)
+        } else {
+            (&mut self.line, near)
+        };
         match (found, live) {
             (Some(p), true) => {
                 let server = &mut line.servers[p];
@@ -535,19 +601,32 @@
         self.list_planned = true;
         let most = self.set.ask_within as f64 / 2.0;
         let spread = (most / 16.0 * 2f64.powi(self.list_failures.min(4) as i32)).min(most);
-        let spread = if self.list_failures == 0 { most } else { spread };
+        let spread = if self.list_failures == 0 {
+            most
+        } else {
+            spread
+        };
         let delay = (spread * (0.05 + 0.95 * self.rng.next())) as Micros;
         actions.push(Action::Timer { delay, token: LIST });
     }
 
     fn weigh(&mut self) {
         let listed = self.set.weights == Weights::Size;
-        let speeds: Vec<f64> = self.line.servers.iter().map(|s| self.pace.speed(s.entry.kind)).collect();
+        let speeds: Vec<f64> = self
+            .line
+            .servers
+            .iter()
+            .map(|s| self.pace.speed(s.entry.kind))
+            .collect();
         let mean = speeds.iter().sum::<f64>() / speeds.len().max(1) as f64;
         let mut moved = 0.0;
         self.weights.clear();
         for (server, speed) in self.line.servers.iter().zip(speeds) {
-            let size = if listed { server.entry.weight.clamp(0.01, 1e6) } else { 1.0 };
+            let size = if listed {
+                server.entry.weight.clamp(0.01, 1e6)
+            } else {
+                1.0
+            };
             let part = (speed / mean - GIVEN_BACK * moved).max(0.2);
             moved += part - 1.0;
             self.weights.push(size * part);
@@ -560,8 +639,8 @@
             self.weigh();
             let tau = (self.set.cold as f64 * BLEND_PART).max(1.0);
             self.line.updates += 1.0;
-            let alpha =
-                (1.0 - (-((now - self.line.updated) as f64) / tau).exp()).max(1.0 / self.line.updates);
+            let alpha = (1.0 - (-((now - self.line.updated) as f64) / tau).exp())
+                .max(1.0 / self.line.updates);
             self.line.update(&self.weights, alpha);
             self.line.updated = now;
         }
@@ -583,7 +662,9 @@
         let end = now + useful - margin;
         if self.fleet.look_due(now) {
             let working = self.line.servers.iter().filter(|s| !s.sick());
-            let grown: Vec<f64> = working.map(|s| self.fleet.grown(s.started(now), now)).collect();
+            let grown: Vec<f64> = working
+                .map(|s| self.fleet.grown(s.started(now), now))
+                .collect();
             self.fleet.look(now, grown.into_iter());
         }
         self.line.arrive(at, key);
@@ -633,7 +714,10 @@
         if !why.is_empty() {
             return self.finish(now, serial, why, actions);
         }
-        actions.push(Action::Timer { delay: end - now, token: serial << 2 | END });
+        actions.push(Action::Timer {
+            delay: end - now,
+            token: serial << 2 | END,
+        });
         self.send_next(now, serial, actions);
     }
 
@@ -641,9 +725,12 @@
     /// nothing is answered. While attempts fail, keys not served lately, which would be fetched, are let
     /// through rarely, known keys and writes longer; now and then one goes to see whether it is over.
     fn admitted(&mut self, now: Micros, serial: u64) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
         let deadline = self.set.classes[held.request.class].deadline;
-        self.origin.admits(now, held.asked(), deadline, || self.rng.next())
+        self.origin
+            .admits(now, held.asked(), deadline, || self.rng.next())
     }
 
     /// An attempt for a key not served lately ended: what came of it says how the origin fares.
@@ -661,8 +748,12 @@
 
     /// Sends the next attempt of a request if there is a server that it may go to.
     fn send_next(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
-        let Some((place, i)) = self.choose(now, held) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
+        let Some((place, i)) = self.choose(now, held) else {
+            return false;
+        };
         let server = match place {
             Place::Line => &self.line.servers[i],
             Place::Far => &self.far.servers[i],
@@ -673,9 +764,14 @@
         }
         let class = &self.set.classes[held.request.class];
         let left = held.end - now;
-        let more = held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
+        let more =
+            held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
         let trial = place == Place::Line && self.line.servers[i].sick();
-        let part = if more && !self.set.second_copies && trial { left / 2 } else { left };
+        let part = if more && !self.set.second_copies && trial {
+            left / 2
+        } else {
+            left
+        };
         // Given up with its request, a fetch would be dropped: in a jam no cache would ever be filled again.
         let stays = !held.request.write && self.origin.jams(now, held.asked());
         let longest = class.deadline.min(held.request.budget) - (now - held.arrived);
@@ -693,9 +789,16 @@
             status: None,
         };
         let id = held.request.id.clone();
-        actions.push(Action::Send { request: id, server: attempt.server.clone(), timeout });
+        actions.push(Action::Send {
+            request: id,
+            server: attempt.server.clone(),
+            timeout,
+        });
         if hedge < left && place != Place::Origin {
-            actions.push(Action::Timer { delay: hedge, token: serial << 2 | HEDGE });
+            actions.push(Action::Timer {
+                delay: hedge,
+                token: serial << 2 | HEDGE,
+            });
         }
         if place == Place::Line {
             let server = &mut self.line.servers[i];
@@ -729,7 +832,11 @@
         if !self.up(now, i) {
             return 0.0;
         }
-        let pass = if server.pass >= PASS_SOUND { 1.0 } else { server.pass };
+        let pass = if server.pass >= PASS_SOUND {
+            1.0
+        } else {
+            server.pass
+        };
         self.warmth(now, server) * pass * self.outliers.kept(&server.entry.server)
     }
 
@@ -744,11 +851,19 @@
     /// sound neighbour takes is refused at once, the same keys first.
     /// A cold home that no sound neighbour relieves is spared in any case: it would fall over.
     fn overrun(&self, now: Micros, serial: u64) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
-        let Some((Place::Line, i)) = self.choose(now, held) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
+        let Some((Place::Line, i)) = self.choose(now, held) else {
+            return false;
+        };
         let server = &self.line.servers[i];
         let (pass, grown) = (server.pass, self.fleet.grown(server.started(now), now));
-        let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
+        let off = if i == self.line.home(held.at) {
+            self.off_middle(held.at, i)
+        } else {
+            0.0
+        };
         (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass)
             || (grown < 1.0 && !self.bears(now, held, i, self.fleet.spared(grown)))
     }
@@ -758,7 +873,10 @@
         let grown = self.fleet.grown(self.line.servers[i].started(now), now);
         // Of a kind that is slower than the average one, it can do less by as much.
         let mean = self.weights.iter().sum::<f64>() / self.weights.len().max(1) as f64;
-        let able = self.weights.get(i).map_or(1.0, |weight| (weight / mean).min(1.0));
+        let able = self
+            .weights
+            .get(i)
+            .map_or(1.0, |weight| (weight / mean).min(1.0));
         self.fleet.right(grown * able, now, self.line.servers.len())
     }
 
@@ -771,8 +889,11 @@
             return part >= 1.0 || self.off_middle(held.at, i) < part;
         }
         let right = self.right(now, i);
-        let (place, right) =
-            if right < 1.0 { (0.0, right.min(part)) } else { (self.off_middle(held.at, i), right) };
+        let (place, right) = if right < 1.0 {
+            (0.0, right.min(part))
+        } else {
+            (self.off_middle(held.at, i), right)
+        };
         let quota = self.fleet.quota(right, server.order, started, now);
         place < part && self.fleet.room(&server.used, quota, now)
     }
@@ -799,7 +920,10 @@
         if held.attempts.is_empty() {
             let width = held.key.map_or(1, |k| self.line.deal_width(k));
             if width > 1 {
-                let turn = held.key.and_then(|k| self.line.seen.get(&k)).map_or(0, |s| s.turn);
+                let turn = held
+                    .key
+                    .and_then(|k| self.line.seen.get(&k))
+                    .map_or(0, |s| s.turn);
                 let start = (home + n - width / 2) % n;
                 for step in 0..width {
                     let i = (start + (turn + step) % width) % n;
@@ -812,7 +936,11 @@
                 let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
                 let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home]) >= 1.0;
                 let stays = ready && (self.off_middle(held.at, home) < kept(home) || drawn < TRIAL);
-                if let Some(i) = if stays { Some(home) } else { self.second_home(now, held, up) } {
+                if let Some(i) = if stays {
+                    Some(home)
+                } else {
+                    self.second_home(now, held, up)
+                } {
                     return Some((Place::Line, i));
                 }
             }
@@ -830,9 +958,12 @@
             let best = self.second_home(now, held, |i| self.fitness(now, i) >= 1.0);
             return Some((Place::Line, best.unwrap_or(home)));
         }
-        let near = self.second_home(now, held, up).or_else(|| self.second_home(now, held, |_| true));
+        let near = self
+            .second_home(now, held, up)
+            .or_else(|| self.second_home(now, held, |_| true));
         let far = || self.far_choice(now, held).map(|i| (Place::Far, i));
-        let again = (self.warmth(now, &self.line.servers[home]) >= 1.0).then_some((Place::Line, home));
+        let again =
+            (self.warmth(now, &self.line.servers[home]) >= 1.0).then_some((Place::Line, home));
         near.map(|i| (Place::Line, i)).or_else(far).or(again)
     }
 
@@ -843,13 +974,18 @@
         let may = |i: &usize| {
             let entry = &server(*i).entry;
             let tried = held.attempts.iter().any(|a| a.server == entry.server);
-            fit(*i) && !tried && self.warmth(now, server(*i)) >= 1.0 && held.may_send(&self.set, entry, now)
+            fit(*i)
+                && !tried
+                && self.warmth(now, server(*i)) >= 1.0
+                && held.may_send(&self.set, entry, now)
         };
         let worth = |i: &usize| {
             let weight = self.weights.get(*i).map_or(1.0, |w| w * server(*i).pass);
             rendezvous(mix(held.at.to_bits() ^ server(*i).order), weight)
         };
-        (0..self.line.servers.len()).filter(may).max_by(|a, b| worth(a).total_cmp(&worth(b)))
+        (0..self.line.servers.len())
+            .filter(may)
+            .max_by(|a, b| worth(a).total_cmp(&worth(b)))
     }
 
     /// A warm server of another zone, by the key's point.
@@ -858,7 +994,10 @@
         let start = (held.at * n as f64) as usize;
         (0..n).map(|step| (start + step) % n).find(|i| {
             let server = &self.far.servers[*i];
-            let tried = held.attempts.iter().any(|a| a.server == server.entry.server);
+            let tried = held
+                .attempts
+                .iter()
+                .any(|a| a.server == server.entry.server);
             let fit = now >= server.sick_until && self.warmth(now, server) >= 1.0;
             fit && !tried
                 && !self.fates.lost(server.entry.zone)
@@ -885,25 +1024,35 @@
         }
         let Some(serial) = serial else { return };
         let failed = matches!(status, Status::Error | Status::Timeout);
-        let patience =
-            self.held.get(&serial).and_then(|h| h.attempts.get(attempt)).map_or(0, |a| a.patience);
+        let patience = self
+            .held
+            .get(&serial)
+            .and_then(|h| h.attempts.get(attempt))
+            .map_or(0, |a| a.patience);
         let took = (latency as f64 / patience.max(1) as f64).clamp(COST_LEAST, 1.0);
         let quick = status == Status::Error && took < QUICK_PART;
         // What was silent too long is held against the server already.
         let own = quick || matches!(status, Status::Ok | Status::Miss) && latency < patience;
         let asked = self.held.get(&serial).map_or(Asked::Doubtful, Held::asked);
         if own && self.line.index.contains_key(server) {
-            self.outliers.note(now, server, asked, quick, self.line.servers.len());
+            self.outliers
+                .note(now, server, asked, quick, self.line.servers.len());
         }
-        let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
+        let known = self
+            .held
+            .get(&serial)
+            .filter(|h| !h.doubtful)
+            .and_then(|h| h.key);
         if let Some(key) = known.filter(|_| status == Status::Ok || failed) {
             self.note_known(server, failed && !quick);
             if failed && !quick {
                 self.served.remove(&key);
             }
         }
-        if let Some(held) =
-            self.held.get(&serial).filter(|h| h.doubtful && (status == Status::Ok || failed))
+        if let Some(held) = self
+            .held
+            .get(&serial)
+            .filter(|h| h.doubtful && (status == Status::Ok || failed))
         {
             // A late fetch counts as a failed one: the origin's queue shows before it fails.
             let late = now - held.arrived > self.set.classes[held.request.class].aim;
@@ -911,7 +1060,9 @@
                 self.doubtful_ended(!failed && !late);
             }
         }
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         // What fails for one request, however often it is tried, is one failure.
         if !quick && (attempt == 0 || status == Status::Ok) {
             self.origin.ended(now, held.asked(), Some(status), note);
@@ -943,7 +1094,8 @@
             }
             if let Some(i) = self.line.index.get(server) {
                 let entry = &self.line.servers[*i].entry;
-                self.pace.learn(held.request.class, latency, held.request.work, entry, hit);
+                self.pace
+                    .learn(held.request.class, latency, held.request.work, entry, hit);
             }
         }
         if attempt > 0 && (status == Status::Ok || failed || status == Status::Full) {
@@ -968,7 +1120,9 @@
                 return;
             }
         }
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         if held.streaming || held.out() > 0 {
             return;
         }
@@ -997,10 +1151,22 @@
         }
     }
 
-    fn judge(&mut self, now: Micros, server: &ServerId, status: Option<Status>, actions: &mut Vec<Action>) {
+    fn judge(
+        &mut self,
+        now: Micros,
+        server: &ServerId,
+        status: Option<Status>,
+        actions: &mut Vec<Action>,
+    ) {
         self.note_fate(now, server, status, actions);
-        let line = if self.far.index.contains_key(server) { &mut self.far } else { &mut self.line };
-        let Some(i) = line.index.get(server).copied() else { return };
+        let line = if self.far.index.contains_key(server) {
+            &mut self.far
+        } else {
+            &mut self.line
+        };
+        let Some(i) = line.index.get(server).copied() else {
+            return;
+        };
         let least = (SICK_PAUSE * self.set.connect_timeout).max(10 * self.set.tick);
         let most = (self.set.cold / 2).max(least);
         let s = &mut line.servers[i];
@@ -1028,13 +1194,19 @@
         s.sick_until = now + s.pause;
         s.trial_until = 0;
         let why = status.map_or("silence".to_string(), |s| format!("{s:?}"));
-        let text = format!("sick: {} paused {} ms after {why}", s.entry.server, s.pause / 1000);
+        let text = format!(
+            "sick: {} paused {} ms after {why}",
+            s.entry.server,
+            s.pause / 1000
+        );
         self.log(text, actions);
     }
 
     /// Attempts of a request that passed their patience.
     fn note_silence(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&serial).filter(|h| !h.streaming) else { return };
+        let Some(held) = self.held.get_mut(&serial).filter(|h| !h.streaming) else {
+            return;
+        };
         let mut silent = Vec::new();
         for a in &mut held.attempts {
             if a.pending() && !a.silent && now >= a.sent + a.patience {
@@ -1049,7 +1221,8 @@
                     let pass = &mut self.line.servers[*i].pass;
                     *pass = (*pass * (1.0 - FALL)).max(PASS_LEAST);
                 }
-                self.outliers.note(now, &server, asked, true, self.line.servers.len());
+                self.outliers
+                    .note(now, &server, asked, true, self.line.servers.len());
             }
             self.slow += (1.0 - self.slow) / LATE_SPAN;
             self.judge(now, &server, None, actions);
@@ -1058,8 +1231,12 @@
 
     /// Nothing more is sent for a request; with nothing out it has its final answer at once.
     fn on_no_more(&mut self, now: Micros, id: &RequestId, actions: &mut Vec<Action>) {
-        let Some(serial) = self.ids.get(id).copied() else { return };
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(serial) = self.ids.get(id).copied() else {
+            return;
+        };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         held.no_more = true;
         if !held.streaming && held.out() == 0 {
             self.finish(now, serial, "no more", actions);
@@ -1072,7 +1249,9 @@
 
     /// Ends a request with a refusal where that is allowed, with a failure otherwise.
     fn finish(&mut self, now: Micros, serial: u64, why: &'static str, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get(&serial) else { return };
+        let Some(held) = self.held.get(&serial) else {
+            return;
+        };
         self.why = why;
         let request = held.request.id.clone();
         if held.may_refuse(&self.set) {
@@ -1084,7 +1263,10 @@
                 _ if late => wait,
                 _ => 0,
             };
-            actions.push(Action::Refuse { request, retry_after });
+            actions.push(Action::Refuse {
+                request,
+                retry_after,
+            });
         } else {
             actions.push(Action::Fail { request });
         }
@@ -1099,7 +1281,9 @@
         } else if unanswered {
             let pending = self.held[&serial].attempts.iter().filter(|a| a.pending());
             let servers: Vec<ServerId> = pending.map(|a| a.server.clone()).collect();
-            servers.iter().for_each(|server| self.note_known(server, true));
+            servers
+                .iter()
+                .for_each(|server| self.note_known(server, true));
         }
         // What its client left, or the node's end cut short, tells nothing of the load.
         if tried && !self.held[&serial].no_more {
@@ -1113,13 +1297,18 @@
     }
 
     fn cancel_pending(&mut self, serial: u64, leave: bool, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get(&serial) else { return };
+        let Some(held) = self.held.get(&serial) else {
+            return;
+        };
         if !self.set.cancel {
             return;
         }
         for (attempt, a) in held.attempts.iter().enumerate() {
             if a.pending() && !(leave && a.stays) {
-                actions.push(Action::Cancel { request: held.request.id.clone(), attempt });
+                actions.push(Action::Cancel {
+                    request: held.request.id.clone(),
+                    attempt,
+                });
             }
         }
     }
@@ -1143,11 +1332,17 @@
                 actions.push(Action::Subscribe(true));
             }
             ZONE => {
-                self.look_at(now, serial.checked_sub(1).and_then(|z| u16::try_from(z).ok()), actions);
+                self.look_at(
+                    now,
+                    serial.checked_sub(1).and_then(|z| u16::try_from(z).ok()),
+                    actions,
+                );
             }
             HEDGE => {
                 self.note_silence(now, serial, actions);
-                let Some(held) = self.held.get(&serial) else { return };
+                let Some(held) = self.held.get(&serial) else {
+                    return;
+                };
                 let jammed = self.origin.may_jam(now);
                 let copies = self.set.second_copies && !held.streaming && !held.missed && !jammed;
                 if copies
--- a/crates/decision/src/rules/held.rs
+++ b/crates/decision/src/rules/held.rs
@@ -4,7 +4,9 @@
 //! permits it beside every other attempt that may have run; a refusal only where another try is harmless.
 
 use super::Balancer;
-use crate::interface::{Entry, Micros, Repeat, Request, RequestId, Scope, ServerId, Settings, Status};
+use crate::interface::{
+    Entry, Micros, Repeat, Request, RequestId, Scope, ServerId, Settings, Status,
+};
 use crate::outliers::Asked;
 
 /// One attempt of a held request.
@@ -77,7 +79,11 @@
         if self.streaming || self.no_more || now >= self.end {
             return false;
         }
-        let others = self.attempts.iter().enumerate().filter(|(n, _)| *n != attempt);
+        let others = self
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(n, _)| *n != attempt);
         let mut ran = others.map(|(_, a)| a).filter(|a| a.may_have_run());
         match class.repeat {
             Repeat::Free => true,
@@ -109,10 +115,16 @@
     /// no more: the request may be over, its server drain, be gone or have started anew, the memory of the group that
     /// drops its repeats be over.
     pub fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
-        let Some(held) = self.ids.get(request).and_then(|serial| self.held.get(serial)) else {
+        let Some(held) = self
+            .ids
+            .get(request)
+            .and_then(|serial| self.held.get(serial))
+        else {
+            return false;
+        };
+        let Some(a) = held.attempts.get(attempt).filter(|a| a.pending()) else {
             return false;
         };
-        let Some(a) = held.attempts.get(attempt).filter(|a| a.pending()) else { return false };
         let near = [&self.line, &self.far]
             .into_iter()
             .find_map(|line| Some(&line.servers[*line.index.get(&a.server)?]));
--- a/crates/decision/src/rules/memory.rs
+++ b/crates/decision/src/rules/memory.rs
@@ -91,7 +91,9 @@
         };
         let time = |t: Micros| (0..=LONG).contains(&t);
         let server = |s: &Known| {
-            let started = s.started_ago.is_none_or(|ago| (-LONG..COUNT_MOST as Micros).contains(&ago));
+            let started = s
+                .started_ago
+                .is_none_or(|ago| (-LONG..COUNT_MOST as Micros).contains(&ago));
             let named = !s.server.is_empty() && s.server.len() <= NAME_MOST;
             let shares = part(s.edge) && part(s.pass) && part(s.failing) && part(s.outlier);
             let kind = (0.0..=KIND_MEMORY + 1.0).contains(&s.kind.1)
@@ -102,28 +104,35 @@
         let pace = &self.pace;
         let sound = self.servers.len() <= SERVERS_MOST
             && self.servers.iter().all(server)
-            && self.servers.windows(2).all(|two| two[0].edge <= two[1].edge)
+            && self
+                .servers
+                .windows(2)
+                .all(|two| two[0].edge <= two[1].edge)
             && self.window.len() <= WINDOW_KEPT
             && self.window.iter().copied().all(part)
             && self.seen.len() <= SEEN_MOST
             && counted(self.arrivals)
-            && self
-                .seen
-                .iter()
-                .all(|s| s.counts.into_iter().all(least) && s.ago <= self.arrivals && counted(s.turn))
+            && self.seen.iter().all(|s| {
+                s.counts.into_iter().all(least) && s.ago <= self.arrivals && counted(s.turn)
+            })
             && all(&pace.high, LONG as f64)
             && all(&pace.mean_log, LOG_MOST)
             && all(&pace.count, KIND_MEMORY)
             && pace.high.iter().chain(&pace.count).copied().all(least)
             && least(self.updates)
-            && [self.late, self.again, self.slow, self.broken, self.admit].into_iter().all(part)
+            && [self.late, self.again, self.slow, self.broken, self.admit]
+                .into_iter()
+                .all(part)
             && least(self.retry_tokens);
         sound.then_some(self)
     }
 
     /// Share of quick errors and silence that is held against a server.
     pub fn held_against(&self, server: &str) -> f64 {
-        self.servers.iter().find(|s| s.server == server).map_or(0.0, |s| s.outlier)
+        self.servers
+            .iter()
+            .find(|s| s.server == server)
+            .map_or(0.0, |s| s.outlier)
     }
 
     /// How many servers and positions it holds, for the log.
@@ -146,8 +155,18 @@
             pass: s.pass,
             failing: s.failing,
             outlier: self.outliers.share(now, &s.entry.server),
-            kind: self.pace.kinds.get(label(s.entry.kind)).copied().unwrap_or_default(),
-            zone_least: self.pace.floor.get(label(s.entry.zone)).copied().unwrap_or(f64::MAX),
+            kind: self
+                .pace
+                .kinds
+                .get(label(s.entry.kind))
+                .copied()
+                .unwrap_or_default(),
+            zone_least: self
+                .pace
+                .floor
+                .get(label(s.entry.zone))
+                .copied()
+                .unwrap_or(f64::MAX),
         };
         let arrivals = self.line.arrivals;
         let key = |(key, s): (&u64, &Seen)| SeenKey {
@@ -184,11 +203,19 @@
     pub fn recall(&mut self, now: Micros, age: Micros, memory: Memory) {
         let classes = self.set.classes.len();
         let pace = memory.pace.clone();
-        if [&pace.high, &pace.mean_log, &pace.count].into_iter().all(|list| list.len() == classes) {
-            (self.pace.high, self.pace.mean_log, self.pace.count) = (pace.high, pace.mean_log, pace.count);
+        if [&pace.high, &pace.mean_log, &pace.count]
+            .into_iter()
+            .all(|list| list.len() == classes)
+        {
+            (self.pace.high, self.pace.mean_log, self.pace.count) =
+                (pace.high, pace.mean_log, pace.count);
         }
-        (self.late, self.again, self.slow, self.broken) =
-            (memory.late, memory.again, memory.slow.max(super::SLOW_LEAST), memory.broken);
+        (self.late, self.again, self.slow, self.broken) = (
+            memory.late,
+            memory.again,
+            memory.slow.max(super::SLOW_LEAST),
+            memory.broken,
+        );
         self.origin.admit = memory.admit.max(crate::origin::LEAST);
         self.retry_tokens = memory.retry_tokens.min(RETRY_SAVED);
         let at = now - age;
@@ -197,7 +224,11 @@
 
     /// Lays the servers out as they were remembered, for a first list to change.
     pub(super) fn lay_out(&mut self, kind: ListKind, entries: &[Entry]) {
-        let live = |name: &str| entries.iter().find(|e| &*e.server == name && e.state == ServerState::Live);
+        let live = |name: &str| {
+            entries
+                .iter()
+                .find(|e| &*e.server == name && e.state == ServerState::Live)
+        };
         let named = |memory: &Memory| memory.servers.iter().any(|s| live(&s.server).is_some());
         let first = kind != ListKind::Delta && self.line.servers.is_empty();
         let Some((at, memory)) = self.recalled.take_if(|(_, memory)| first && named(memory)) else {
@@ -235,8 +266,13 @@
             }
             self.line.servers.push(server);
         }
-        let by_order = |a: &Server, b: &Server| (a.order, &a.entry.server).cmp(&(b.order, &b.entry.server));
-        if !self.line.servers.is_sorted_by(|a, b| by_order(a, b).is_lt()) {
+        let by_order =
+            |a: &Server, b: &Server| (a.order, &a.entry.server).cmp(&(b.order, &b.entry.server));
+        if !self
+            .line
+            .servers
+            .is_sorted_by(|a, b| by_order(a, b).is_lt())
+        {
             // Not laid out by this program: nothing of the placement holds.
             self.line = Line::default();
             return;
@@ -251,7 +287,14 @@
         self.line.window = memory.window.into_iter().skip(skipped).collect();
         (self.line.arrivals, self.line.updates) = (memory.arrivals, memory.updates);
         let seen = |s: SeenKey| {
-            (s.key, Seen { counts: s.counts, at: memory.arrivals - s.ago, turn: s.turn as usize })
+            (
+                s.key,
+                Seen {
+                    counts: s.counts,
+                    at: memory.arrivals - s.ago,
+                    turn: s.turn as usize,
+                },
+            )
         };
         self.line.seen = memory.seen.into_iter().map(seen).collect();
         self.line.updated = at;
--- a/crates/decision/src/rules/zones.rs
+++ b/crates/decision/src/rules/zones.rs
@@ -8,7 +8,9 @@
     /// When it started, as far as is known: a zone that was lost and is let in again has most likely lost what it kept, and
     /// the list can't have told yet. Guards against cold servers that are taken for the ones that were there before.
     pub(super) fn started(&self, now: Micros) -> Option<Micros> {
-        self.entry.started.max(self.back.filter(|at| now < *at + RESTART_TOLD))
+        self.entry
+            .started
+            .max(self.back.filter(|at| now < *at + RESTART_TOLD))
     }
 }
 
@@ -21,8 +23,14 @@
         status: Option<Status>,
         actions: &mut Vec<Action>,
     ) {
-        let line = if self.far.index.contains_key(server) { &mut self.far } else { &mut self.line };
-        let Some(i) = line.index.get(server) else { return };
+        let line = if self.far.index.contains_key(server) {
+            &mut self.far
+        } else {
+            &mut self.line
+        };
+        let Some(i) = line.index.get(server) else {
+            return;
+        };
         let zone = line.servers[*i].entry.zone;
         // Where no other zone is left, its servers are sent on to as before: none of them has been away.
         let back = self.fates.lost(zone).then_some(now);
@@ -50,7 +58,10 @@
     fn plan_look(&mut self, now: Micros, zone: Option<u16>, actions: &mut Vec<Action>) {
         if let Some(delay) = self.fates.plan(now, zone) {
             let token = zone.map_or(0, |z| u64::from(z) + 1) << 2 | ZONE;
-            actions.push(Action::Timer { delay: delay.max(self.set.tick), token });
+            actions.push(Action::Timer {
+                delay: delay.max(self.set.tick),
+                token,
+            });
         }
     }
 
@@ -68,7 +79,8 @@
                     let back = self.fates.lost(zone).then_some(now);
                     self.fates.reached(zone);
                     let all = self.line.servers.iter_mut().chain(&mut self.far.servers);
-                    all.filter(|s| s.entry.zone == zone).for_each(|s| s.back = back.or(s.back));
+                    all.filter(|s| s.entry.zone == zone)
+                        .for_each(|s| s.back = back.or(s.back));
                 }
             }
         }
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/rules_tests.rs
@@ -30,14 +30,20 @@
     let points = [0.1, 0.2, 0.4, 0.6, 0.7, 0.9];
     let cuts = equal_counts(&points, 0.0, &[1.0, 1.0, 1.0]);
     assert_eq!(cuts.len(), 3);
-    assert!((cuts[0] - 0.3).abs() < 1e-9 && (cuts[1] - 0.65).abs() < 1e-9 && cuts[2] == 1.0, "{cuts:?}");
+    assert!(
+        (cuts[0] - 0.3).abs() < 1e-9 && (cuts[1] - 0.65).abs() < 1e-9 && cuts[2] == 1.0,
+        "{cuts:?}"
+    );
 }
 
 #[test]
 fn counts_follow_weights() {
     let points = [0.1, 0.2, 0.4, 0.6, 0.7, 0.9];
     let cuts = equal_counts(&points, 0.0, &[1.0, 2.0, 3.0]);
-    assert!((cuts[0] - 0.15).abs() < 1e-9 && (cuts[1] - 0.5).abs() < 1e-9, "{cuts:?}");
+    assert!(
+        (cuts[0] - 0.15).abs() < 1e-9 && (cuts[1] - 0.5).abs() < 1e-9,
+        "{cuts:?}"
+    );
 }
 
 #[test]
@@ -85,13 +91,20 @@
 #[test]
 fn a_joiner_splits_its_neighbours_only() {
     let mut line = line(6);
-    let before: Vec<(ServerId, f64)> =
-        line.servers.iter().map(|s| (s.entry.server.clone(), s.edge)).collect();
+    let before: Vec<(ServerId, f64)> = line
+        .servers
+        .iter()
+        .map(|s| (s.entry.server.clone(), s.edge))
+        .collect();
     line.join(Server::new(entry("joiner")));
     let moved = line
         .servers
         .iter()
-        .filter(|s| before.iter().any(|(id, e)| *id == s.entry.server && (e - s.edge).abs() > 1e-9))
+        .filter(|s| {
+            before
+                .iter()
+                .any(|(id, e)| *id == s.entry.server && (e - s.edge).abs() > 1e-9)
+        })
         .count();
     assert!(moved <= 1);
     assert!(line.servers.windows(2).all(|w| w[0].edge <= w[1].edge));
@@ -106,7 +119,12 @@
         a.join(Server::new(entry(&format!("s{i}"))));
         b.join(Server::new(entry(&format!("s{}", 19 - i))));
     }
-    let ids = |l: &Line| l.servers.iter().map(|s| s.entry.server.clone()).collect::<Vec<_>>();
+    let ids = |l: &Line| {
+        l.servers
+            .iter()
+            .map(|s| s.entry.server.clone())
+            .collect::<Vec<_>>()
+    };
     assert_eq!(ids(&a), ids(&b));
 }
 
@@ -115,10 +133,18 @@
     let mut line = line(10);
     let mut rng = Rng(1);
     for i in 0..400 {
-        let key = if i % 3 == 0 { 77 } else { (rng.next() * 1e9) as u64 };
+        let key = if i % 3 == 0 {
+            77
+        } else {
+            (rng.next() * 1e9) as u64
+        };
         line.arrive(point(key), Some(key));
     }
-    assert!((3..=5).contains(&line.deal_width(77)), "{}", line.deal_width(77));
+    assert!(
+        (3..=5).contains(&line.deal_width(77)),
+        "{}",
+        line.deal_width(77)
+    );
     assert_eq!(line.deal_width(78), 1);
 }
 
@@ -132,8 +158,9 @@
     }
     a.update(&[1.0; 40], 1.0);
     b.update(&[1.0; 40], 1.0);
-    let same =
-        (0..1000).filter(|i| a.home(f64::from(*i) / 1000.0) == b.home(f64::from(*i) / 1000.0)).count();
+    let same = (0..1000)
+        .filter(|i| a.home(f64::from(*i) / 1000.0) == b.home(f64::from(*i) / 1000.0))
+        .count();
     assert!(same > 900, "{same}");
 }
 
@@ -183,7 +210,12 @@
 
 fn node(price_cross_zone: f64, servers: u16) -> Balancer {
     let mut node = Balancer::new(settings(price_cross_zone), 1, 0).unwrap();
-    let list = (0..servers).map(|i| Entry { zone: Some(i % 2), ..entry(&format!("s{i}")) }).collect();
+    let list = (0..servers)
+        .map(|i| Entry {
+            zone: Some(i % 2),
+            ..entry(&format!("s{i}"))
+        })
+        .collect();
     node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
     node
 }
@@ -215,7 +247,11 @@
         server: server.clone(),
         attempt: 0,
         // What fails for the origin's sake has waited for it.
-        latency: if status == Status::Error { 100_000 } else { 1_000 },
+        latency: if status == Status::Error {
+            100_000
+        } else {
+            1_000
+        },
         status,
         closed: status == Status::Ok,
         note: None,
@@ -231,7 +267,13 @@
 
 #[test]
 fn a_zone_has_its_own_line_only_where_crossing_is_dear() {
-    let zones = |node: &Balancer| node.line.servers.iter().filter(|s| s.entry.zone == Some(1)).count();
+    let zones = |node: &Balancer| {
+        node.line
+            .servers
+            .iter()
+            .filter(|s| s.entry.zone == Some(1))
+            .count()
+    };
     assert_eq!(zones(&node(0.2, 8)), 0);
     assert_eq!(zones(&node(0.01, 8)), 4);
     assert_eq!(zones(&node(0.2, 2)), 1);
@@ -246,10 +288,18 @@
             end(&mut node, i64::from(n) * 1000, n, &server, Status::Error);
         }
     }
-    node.served.extend((1000..1200).map(|n| (hash(&format!("k{n}")), 0)));
-    let unknown = (500..700).filter(|n| ask(&mut node, 300_000, *n).is_some()).count();
-    let known = (1000..1200).filter(|n| ask(&mut node, 300_000, *n).is_some()).count();
-    assert!(unknown < 50 && known > 120, "{unknown} unknown, {known} known of 200");
+    node.served
+        .extend((1000..1200).map(|n| (hash(&format!("k{n}")), 0)));
+    let unknown = (500..700)
+        .filter(|n| ask(&mut node, 300_000, *n).is_some())
+        .count();
+    let known = (1000..1200)
+        .filter(|n| ask(&mut node, 300_000, *n).is_some())
+        .count();
+    assert!(
+        unknown < 50 && known > 120,
+        "{unknown} unknown, {known} known of 200"
+    );
 }
 
 #[test]
@@ -279,7 +329,11 @@
                 end(&mut node, now + took, n, &server, Status::Ok);
             }
         }
-        assert!((least..=most).contains(&node.origin.admit), "{} after {took}", node.origin.admit);
+        assert!(
+            (least..=most).contains(&node.origin.admit),
+            "{} after {took}",
+            node.origin.admit
+        );
     }
 }
 
@@ -288,7 +342,9 @@
     let mut node = node(0.0, 8);
     all_fail(&mut node, 0.5);
     node.origin.admit = crate::origin::LEAST;
-    let sent = (0..100).filter(|n| ask(&mut node, 700_000 * i64::from(*n), *n).is_some()).count();
+    let sent = (0..100)
+        .filter(|n| ask(&mut node, 700_000 * i64::from(*n), *n).is_some())
+        .count();
     assert_eq!(sent, 99, "one trial in each longest time");
     node.origin.admit = 1.0;
     let server = ask(&mut node, 80_000_000, 500).expect("sent");
@@ -309,11 +365,20 @@
 fn failures_of_a_few_servers_are_no_jam_and_those_of_all_are() {
     for (bad, jam) in [(2, false), (8, true)] {
         let mut node = node(0.0, 8);
-        node.line.servers.iter_mut().take(bad).for_each(|s| s.failing = 0.9);
+        node.line
+            .servers
+            .iter_mut()
+            .take(bad)
+            .for_each(|s| s.failing = 0.9);
         for n in 0..100 {
             node.doubtful_ended(n % 4 != 0);
         }
-        assert_eq!(node.origin.admit < 0.9, jam, "{bad} of 8: {}", node.origin.admit);
+        assert_eq!(
+            node.origin.admit < 0.9,
+            jam,
+            "{bad} of 8: {}",
+            node.origin.admit
+        );
     }
 }
 
@@ -343,8 +408,12 @@
 fn in_a_jam_a_fetch_is_left_to_its_server_when_its_request_ends() {
     let mut node = node(0.0, 8);
     let cancels = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
-    let refused =
-        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    let refused = |actions: &[Action]| {
+        actions
+            .iter()
+            .filter(|a| matches!(a, Action::Refuse { .. }))
+            .count()
+    };
     let timeout = |actions: &[Action]| {
         actions.iter().find_map(|a| match a {
             Action::Send { timeout, .. } => *timeout,
@@ -355,20 +424,34 @@
     assert!(cancels(&ended) && refused(&ended) == 1 && timeout(&sent).unwrap() < 150_000);
     let jam_at = (1..100).find(|n| {
         unanswered(&mut node, 150_000 * i64::from(*n), *n);
-        node.origin.jams(150_000 * i64::from(*n) + 146_000, Asked::Doubtful)
+        node.origin
+            .jams(150_000 * i64::from(*n) + 146_000, Asked::Doubtful)
     });
-    assert!(jam_at.is_some_and(|n| n > 3), "a jam after {jam_at:?} requests without an answer");
+    assert!(
+        jam_at.is_some_and(|n| n > 3),
+        "a jam after {jam_at:?} requests without an answer"
+    );
     // Most are given up at once now, with the time to come back, and a part is let through.
     let now = 20_000_000;
     (200..220).for_each(|n| {
         unanswered(&mut node, now - 200_000, n);
     });
     let all: Vec<_> = (300..400).map(|n| unanswered(&mut node, now, n)).collect();
-    let (through, shed): (Vec<_>, Vec<_>) = all.into_iter().partition(|(sent, _)| timeout(sent).is_some());
-    assert!((10..60).contains(&through.len()), "{} of 100 let through", through.len());
+    let (through, shed): (Vec<_>, Vec<_>) = all
+        .into_iter()
+        .partition(|(sent, _)| timeout(sent).is_some());
+    assert!(
+        (10..60).contains(&through.len()),
+        "{} of 100 let through",
+        through.len()
+    );
     assert!(shed.iter().all(|(sent, _)| refused(sent) == 1));
     let (sent, ended) = &through[0];
-    assert_eq!((cancels(ended), refused(ended)), (false, 1), "answered at once, and its fetch goes on");
+    assert_eq!(
+        (cancels(ended), refused(ended)),
+        (false, 1),
+        "answered at once, and its fetch goes on"
+    );
     // The client's whole wait, which is shorter here than the class's.
     assert_eq!(timeout(sent), Some(500_000));
     assert!(node.held.is_empty() && node.line.servers.iter().all(|s| s.out == 0));
@@ -382,7 +465,9 @@
         node.retry_tokens = RETRY_SAVED;
         ask(&mut node, 1000, n).expect("sent");
         for attempt in 0..4 {
-            let Some(held) = node.held.values().last() else { break };
+            let Some(held) = node.held.values().last() else {
+                break;
+            };
             let server = held.attempts[attempt].server.clone();
             let event = Event::Outcome {
                 request: format!("r{n}").into(),
@@ -413,8 +498,15 @@
         assert!(!node.origin.jams(0, Asked::Write), "two failures are none");
         ask(&mut node, 1000, 1).expect("sent");
         let mut actions = Vec::new();
-        node.handle(100_000, Event::Timer((node.serial - 1) << 2 | HEDGE), &mut actions);
-        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), !may);
+        node.handle(
+            100_000,
+            Event::Timer((node.serial - 1) << 2 | HEDGE),
+            &mut actions,
+        );
+        assert_eq!(
+            actions.iter().any(|a| matches!(a, Action::Send { .. })),
+            !may
+        );
     }
 }
 
@@ -427,10 +519,17 @@
         }
         let server = ask(&mut node, 1000, 1).expect("sent");
         let actions = end(&mut node, 100_000, 1, &server, Status::Timeout);
-        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), !jam);
-        assert_eq!(actions.iter().any(|a| matches!(a, Action::Refuse { .. })), jam);
+        assert_eq!(
+            actions.iter().any(|a| matches!(a, Action::Send { .. })),
+            !jam
+        );
+        assert_eq!(
+            actions.iter().any(|a| matches!(a, Action::Refuse { .. })),
+            jam
+        );
         (0..3).for_each(|_| {
-            node.origin.ended(100_000, Asked::Doubtful, Some(Status::Ok), Some(Note::Miss));
+            node.origin
+                .ended(100_000, Asked::Doubtful, Some(Status::Ok), Some(Note::Miss));
         });
         assert!(!node.origin.jams(100_000, Asked::Doubtful));
     }
@@ -456,8 +555,17 @@
         };
         let mut actions = Vec::new();
         node.handle(latency, event, &mut actions);
-        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { .. })), again, "after {latency} us");
-        assert_eq!(node.origin.admit >= 1.0, again, "{} after {latency} us", node.origin.admit);
+        assert_eq!(
+            actions.iter().any(|a| matches!(a, Action::Send { .. })),
+            again,
+            "after {latency} us"
+        );
+        assert_eq!(
+            node.origin.admit >= 1.0,
+            again,
+            "{} after {latency} us",
+            node.origin.admit
+        );
     }
 }
 
@@ -478,7 +586,12 @@
         let server = ask(&mut node, 1000, n).expect("sent");
         node.retry_tokens = RETRY_SAVED;
         end(&mut node, 1000, n, &server, Status::Full);
-        let second = node.held.values().last().map(|h| h.attempts[1].server.clone()).expect("sent again");
+        let second = node
+            .held
+            .values()
+            .last()
+            .map(|h| h.attempts[1].server.clone())
+            .expect("sent again");
         let event = Event::Outcome {
             request: format!("r{n}").into(),
             server: second,
@@ -543,7 +656,17 @@
     // One attempt in eight breaks, at all servers alike.
     for n in 0..800 {
         if let Some(server) = ask(&mut node, 1000, n) {
-            end(&mut node, 1000, n, &server, if n % 8 == 0 { Status::Reset } else { Status::Ok });
+            end(
+                &mut node,
+                1000,
+                n,
+                &server,
+                if n % 8 == 0 {
+                    Status::Reset
+                } else {
+                    Status::Ok
+                },
+            );
         }
     }
     assert!(resets_until_sick(&mut node).is_some_and(|n| n >= 3));
@@ -557,7 +680,10 @@
     let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
     let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
     let id = node.line.servers[3].entry.server.clone();
-    let stay = mine.iter().filter(|n| ask(&mut node, 1000, **n) == Some(id.clone())).count();
+    let stay = mine
+        .iter()
+        .filter(|n| ask(&mut node, 1000, **n) == Some(id.clone()))
+        .count();
     let part = stay as f64 / mine.len() as f64;
     assert!((0.4..0.6).contains(&part), "{part}");
     for server in &mut node.line.servers {
@@ -565,9 +691,14 @@
     }
     for (late, least, most) in [(0.0, 0.99, 1.0), (0.5, 0.4, 0.6)] {
         node.late = late;
-        let sent = mine.iter().filter(|n| ask(&mut node, 2000, **n + 5000 * (late * 2.0) as u32).is_some());
+        let sent = mine
+            .iter()
+            .filter(|n| ask(&mut node, 2000, **n + 5000 * (late * 2.0) as u32).is_some());
         let part = sent.count() as f64 / mine.len() as f64;
-        assert!((least - 0.1..=most + 0.1).contains(&part), "{part} while {late} late");
+        assert!(
+            (least - 0.1..=most + 0.1).contains(&part),
+            "{part} while {late} late"
+        );
     }
 }
 
@@ -591,14 +722,26 @@
     let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
     let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
     let id = node.line.servers[3].entry.server.clone();
-    let sent = mine.iter().filter(|n| ask(&mut node, 1000, **n) == Some(id.clone())).count();
-    assert!(sent as f64 / (mine.len() as f64) < 0.4, "{sent} of {}", mine.len());
+    let sent = mine
+        .iter()
+        .filter(|n| ask(&mut node, 1000, **n) == Some(id.clone()))
+        .count();
+    assert!(
+        sent as f64 / (mine.len() as f64) < 0.4,
+        "{sent} of {}",
+        mine.len()
+    );
 }
 
 #[test]
 fn nodes_that_learned_other_speeds_agree_on_most_homes() {
     let servers = |node: &mut Balancer| {
-        let list = (0..80).map(|i| Entry { kind: Some(i % 2), ..entry(&format!("s{i}")) }).collect();
+        let list = (0..80)
+            .map(|i| Entry {
+                kind: Some(i % 2),
+                ..entry(&format!("s{i}"))
+            })
+            .collect();
         node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
     };
     let (mut a, mut b) = (node(0.0, 0), node(0.0, 0));
@@ -608,7 +751,9 @@
     b.weigh();
     b.line.update(&b.weights.clone(), 1.0);
     let at = |i: usize| i as f64 / 4000.0;
-    let same = (0..4000).filter(|i| a.line.home(at(*i)) == b.line.home(at(*i))).count();
+    let same = (0..4000)
+        .filter(|i| a.line.home(at(*i)) == b.line.home(at(*i)))
+        .count();
     assert!(same > 3200, "{same} of 4000");
 }
 
@@ -628,7 +773,13 @@
 fn refused_connections_move_keys_even_when_most_servers_refuse() {
     let mut node = node(0.0, 8);
     let open = node.line.servers[3].entry.server.clone();
-    for server in node.line.servers.iter().map(|s| s.entry.server.clone()).collect::<Vec<_>>() {
+    for server in node
+        .line
+        .servers
+        .iter()
+        .map(|s| s.entry.server.clone())
+        .collect::<Vec<_>>()
+    {
         if server != open {
             node.judge(1000, &server, Some(Status::ConnectFailed), &mut Vec::new());
         }
@@ -644,7 +795,10 @@
     let to = &node.line.servers[0].entry;
     assert_eq!(held.out(), 1);
     assert!(!held.may_send(&node.set, to, 1000));
-    let copies = Settings { second_copies: true, ..node.set.clone() };
+    let copies = Settings {
+        second_copies: true,
+        ..node.set.clone()
+    };
     assert!(held.may_send(&copies, to, 1000));
 }
 
@@ -658,7 +812,11 @@
     next.recall(0, 0, memory);
     let left: Vec<Entry> = old.line.servers.iter().map(|s| s.entry.clone()).collect();
     let left: Vec<Entry> = left.into_iter().filter(|e| e.server != gone).collect();
-    next.handle(0, Event::Servers(ListKind::Full, left.into()), &mut Vec::new());
+    next.handle(
+        0,
+        Event::Servers(ListKind::Full, left.into()),
+        &mut Vec::new(),
+    );
     // Those without a kind are in the first place: nobody has none.
     assert_eq!(next.pace.kinds[0], (0.0, 0.0));
     assert_eq!(next.pace.kinds[1], (50.0, 10.0));
@@ -673,7 +831,9 @@
     let (mut tried, mut actions) = (std::collections::HashSet::new(), Vec::new());
     for n in 0..200 {
         let now = i64::from(n) * 1000;
-        let Some(server) = ask(&mut node, now, n).filter(odd) else { continue };
+        let Some(server) = ask(&mut node, now, n).filter(odd) else {
+            continue;
+        };
         tried.insert(server.clone());
         node.judge(now, &server, Some(Status::ConnectFailed), &mut actions);
     }
@@ -691,14 +851,27 @@
         Action::Probe(server) => Some(server.clone()),
         _ => None,
     });
-    let asked = asked.filter(odd).expect("a server of the lost zone is asked");
+    let asked = asked
+        .filter(odd)
+        .expect("a server of the lost zone is asked");
     assert!(timer(&actions).is_some(), "and again later");
-    let probed = Event::Probed { server: asked, latency: 1000, status: Status::Ok, load: None };
+    let probed = Event::Probed {
+        server: asked,
+        latency: 1000,
+        status: Status::Ok,
+        load: None,
+    };
     node.handle(2_000_000, probed, &mut actions);
     // Whether it kept what it held, the list has told by then.
     let now = 2_000_000 + RESTART_TOLD;
-    let again = (1000..1200).filter_map(|n| ask(&mut node, now, n)).filter(odd).count();
-    assert!(again > 60, "{again} of 200 go to the zone that answers again");
+    let again = (1000..1200)
+        .filter_map(|n| ask(&mut node, now, n))
+        .filter(odd)
+        .count();
+    assert!(
+        again > 60,
+        "{again} of 200 go to the zone that answers again"
+    );
 }
 
 /// Another process runs at the address of each lost server; nodes sent on as to the one that was there before, until the
@@ -712,10 +885,16 @@
         let mut actions = Vec::new();
         for n in 0..200 {
             let now = i64::from(n) * 1000;
-            let Some(server) = ask(&mut node, now, n).filter(odd) else { continue };
+            let Some(server) = ask(&mut node, now, n).filter(odd) else {
+                continue;
+            };
             node.judge(now, &server, Some(Status::ConnectFailed), &mut actions);
         }
-        assert!(node.fates.lost(Some(1)), "and not the other: {}", !node.fates.lost(Some(0)));
+        assert!(
+            node.fates.lost(Some(1)),
+            "and not the other: {}",
+            !node.fates.lost(Some(0))
+        );
         let timer = actions.iter().find_map(|a| match a {
             Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
             _ => None,
@@ -724,27 +903,47 @@
         let now = 200_000 + delay;
         actions.clear();
         node.handle(now, Event::Timer(token), &mut actions);
-        if let Some(Action::Probe(server)) = actions.iter().find(|a| matches!(a, Action::Probe(_))).cloned()
+        if let Some(Action::Probe(server)) = actions
+            .iter()
+            .find(|a| matches!(a, Action::Probe(_)))
+            .cloned()
         {
             node.handle(
                 now,
-                Event::Probed { server, latency: 1000, status: Status::Ok, load: None },
+                Event::Probed {
+                    server,
+                    latency: 1000,
+                    status: Status::Ok,
+                    load: None,
+                },
                 &mut actions,
             );
         }
         assert!(!node.fates.lost(Some(1)));
         let mut sent = std::collections::HashMap::new();
-        for server in (1000..3000).filter_map(|n| ask(&mut node, now, n)).filter(odd) {
+        for server in (1000..3000)
+            .filter_map(|n| ask(&mut node, now, n))
+            .filter(odd)
+        {
             *sent.entry(server).or_insert(0.0) += 1.0;
         }
         let (set, all) = (&node.set, f64::from(2000 + 200));
         let budget = set.fall_multiple * set.cold_from * all / 40.0;
         let most = sent.values().copied().fold(0.0, f64::max);
-        assert!(!sent.is_empty() && most <= budget + 1.0, "{most} at once, {budget} allowed");
+        assert!(
+            !sent.is_empty() && most <= budget + 1.0,
+            "{most} at once, {budget} allowed"
+        );
         // Told of no start, it kept what it held.
         let later = now + RESTART_TOLD;
-        let again = (4000..4200).filter_map(|n| ask(&mut node, later, n)).filter(odd).count();
-        assert!(again > 60, "{again} of 200 go to the zone that answers again");
+        let again = (4000..4200)
+            .filter_map(|n| ask(&mut node, later, n))
+            .filter(odd)
+            .count();
+        assert!(
+            again > 60,
+            "{again} of 200 go to the zone that answers again"
+        );
     }
 }
 
@@ -791,7 +990,9 @@
         assert!(tried >= 3, "{tried} trials in 30 s");
         let server = node.line.servers[0].entry.server.clone();
         node.judge(now, &server, Some(Status::Ok), &mut actions);
-        let served = (300..400).filter_map(|n| ask(&mut node, now + 20_000_000, n)).count();
+        let served = (300..400)
+            .filter_map(|n| ask(&mut node, now + 20_000_000, n))
+            .count();
         assert_eq!(served, 100);
     }
 }
@@ -800,20 +1001,39 @@
 /// 6 s (0.88 of a day served, then 0.70, where a fifth of the servers vanished).
 #[test]
 fn where_no_other_zone_is_left_none_counts_as_just_started_when_it_answers() {
-    for (probes, zone) in [(true, None), (true, Some(0)), (false, None), (false, Some(0))] {
+    for (probes, zone) in [
+        (true, None),
+        (true, Some(0)),
+        (false, None),
+        (false, Some(0)),
+    ] {
         let mut node = node(0.0, 0);
         node.set.probes = probes;
-        let list = (0..40).map(|i| Entry { zone, ..entry(&format!("s{i}")) }).collect();
+        let list = (0..40)
+            .map(|i| Entry {
+                zone,
+                ..entry(&format!("s{i}"))
+            })
+            .collect();
         node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
         let (mut silent, mut actions) = (std::collections::HashSet::new(), Vec::new());
         for n in 0..40 {
-            let Some(server) = ask(&mut node, i64::from(n) * 1000, n).filter(|_| silent.len() < 8) else {
+            let Some(server) = ask(&mut node, i64::from(n) * 1000, n).filter(|_| silent.len() < 8)
+            else {
                 break;
             };
             silent.insert(server.clone());
-            node.judge(i64::from(n) * 1000, &server, Some(Status::ConnectFailed), &mut actions);
+            node.judge(
+                i64::from(n) * 1000,
+                &server,
+                Some(Status::ConnectFailed),
+                &mut actions,
+            );
         }
-        assert!(silent.len() >= 3, "as many as make a zone count as lost: {silent:?}");
+        assert!(
+            silent.len() >= 3,
+            "as many as make a zone count as lost: {silent:?}"
+        );
         let timers = |actions: &[Action]| -> Vec<(u64, Micros)> {
             let of_zone = |a: &Action| match a {
                 Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
@@ -826,9 +1046,27 @@
         for (token, delay) in planned {
             node.handle(40_000 + delay, Event::Timer(token), &mut actions);
         }
-        let other = node.line.servers.iter().map(|s| s.entry.server.clone()).find(|s| !silent.contains(s));
-        node.judge(3_000_000, &other.expect("one that is reached"), Some(Status::Ok), &mut actions);
-        let cold = node.line.servers.iter().filter(|s| s.started(3_000_000).is_some()).count();
-        assert_eq!(cold, 0, "servers that count as just started; probes {probes}, zone {zone:?}");
+        let other = node
+            .line
+            .servers
+            .iter()
+            .map(|s| s.entry.server.clone())
+            .find(|s| !silent.contains(s));
+        node.judge(
+            3_000_000,
+            &other.expect("one that is reached"),
+            Some(Status::Ok),
+            &mut actions,
+        );
+        let cold = node
+            .line
+            .servers
+            .iter()
+            .filter(|s| s.started(3_000_000).is_some())
+            .count();
+        assert_eq!(
+            cold, 0,
+            "servers that count as just started; probes {probes}, zone {zone:?}"
+        );
     }
 }
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -7,7 +7,9 @@
 
 use serde_json::{Map, Value};
 
-use crate::interface::{Class, Entry, Micros, Mode, Repeat, Scope, ServerState, Settings, Tenant, Weights};
+use crate::interface::{
+    Class, Entry, Micros, Mode, Repeat, Scope, ServerState, Settings, Tenant, Weights,
+};
 
 /// What is wrong with a line: the field and why.
 #[derive(Debug)]
@@ -20,7 +22,11 @@
 impl Bad {
     /// A field and what is wrong with it.
     pub fn new(field: &str, why: impl Into<String>) -> Bad {
-        Bad { field: field.to_string(), why: why.into(), item: None }
+        Bad {
+            field: field.to_string(),
+            why: why.into(),
+            item: None,
+        }
     }
 
     /// Names the item of a batch, unless one is named already.
@@ -45,7 +51,10 @@
 impl<'a> Fields<'a> {
     /// The fields of a value that has to be an object.
     pub fn of(value: &'a Value, name: &str) -> Result<Fields<'a>, Bad> {
-        value.as_object().map(Fields).ok_or_else(|| Bad::new(name, "is not an object"))
+        value
+            .as_object()
+            .map(Fields)
+            .ok_or_else(|| Bad::new(name, "is not an object"))
     }
 
     /// The field unless absent or null.
@@ -60,12 +69,16 @@
 
     /// Text.
     pub fn text(&self, name: &str) -> Result<&'a str, Bad> {
-        self.get(name)?.as_str().ok_or_else(|| Bad::new(name, "is not text"))
+        self.get(name)?
+            .as_str()
+            .ok_or_else(|| Bad::new(name, "is not text"))
     }
 
     /// A whole number.
     pub fn int(&self, name: &str) -> Result<i64, Bad> {
-        self.get(name)?.as_i64().ok_or_else(|| Bad::new(name, "is not a whole number"))
+        self.get(name)?
+            .as_i64()
+            .ok_or_else(|| Bad::new(name, "is not a whole number"))
     }
 
     /// A whole number of 64 bits, signed or not.
@@ -78,7 +91,9 @@
 
     /// A number.
     pub fn number(&self, name: &str) -> Result<f64, Bad> {
-        self.get(name)?.as_f64().ok_or_else(|| Bad::new(name, "is not a number"))
+        self.get(name)?
+            .as_f64()
+            .ok_or_else(|| Bad::new(name, "is not a number"))
     }
 
     /// A number, or the default where it is absent.
@@ -103,7 +118,9 @@
 
     /// True or false.
     pub fn flag(&self, name: &str) -> Result<bool, Bad> {
-        self.get(name)?.as_bool().ok_or_else(|| Bad::new(name, "is not true or false"))
+        self.get(name)?
+            .as_bool()
+            .ok_or_else(|| Bad::new(name, "is not true or false"))
     }
 
     /// True or false, or the default where it is absent.
@@ -113,7 +130,9 @@
 
     /// An array.
     pub fn array(&self, name: &str) -> Result<&'a Vec<Value>, Bad> {
-        self.get(name)?.as_array().ok_or_else(|| Bad::new(name, "is not an array"))
+        self.get(name)?
+            .as_array()
+            .ok_or_else(|| Bad::new(name, "is not an array"))
     }
 }
 
@@ -193,10 +212,18 @@
 }
 
 fn names(f: &Fields, field: &str) -> Result<Vec<String>, Bad> {
-    let Some(value) = f.opt(field) else { return Ok(Vec::new()) };
-    let list = value.as_array().ok_or_else(|| Bad::new(field, "is not an array"))?;
+    let Some(value) = f.opt(field) else {
+        return Ok(Vec::new());
+    };
+    let list = value
+        .as_array()
+        .ok_or_else(|| Bad::new(field, "is not an array"))?;
     list.iter()
-        .map(|v| v.as_str().map(str::to_string).ok_or_else(|| Bad::new(field, "holds something not text")))
+        .map(|v| {
+            v.as_str()
+                .map(str::to_string)
+                .ok_or_else(|| Bad::new(field, "holds something not text"))
+        })
         .collect()
 }
 
@@ -221,7 +248,11 @@
         deadline: f.micros("deadline")?,
         repeat,
         scope,
-        window: if keyed { f.micros("window")? } else { f.micros_or("window", 0)? },
+        window: if keyed {
+            f.micros("window")?
+        } else {
+            f.micros_or("window", 0)?
+        },
         worth: f.number_or("worth", 1.0)?,
         late_worth: f.number_or("late_share", 0.0)?,
         stream: f.flag_or("stream", false)?,
@@ -234,12 +265,20 @@
 
 /// Settings and names from the wire's object; what a rule depends on must be there.
 pub fn parse(f: &Fields) -> Result<(Settings, Names), Bad> {
-    let (class_names, classes) =
-        f.array("classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?.into_iter().unzip();
+    let (class_names, classes) = f
+        .array("classes")?
+        .iter()
+        .map(class)
+        .collect::<Result<Vec<_>, _>>()?
+        .into_iter()
+        .unzip();
     let mut tenants = Vec::new();
     let mut tenant_names = Vec::new();
     if let Some(list) = f.opt("realms") {
-        for value in list.as_array().ok_or_else(|| Bad::new("realms", "is not an array"))? {
+        for value in list
+            .as_array()
+            .ok_or_else(|| Bad::new("realms", "is not an array"))?
+        {
             let t = Fields::of(value, "realms")?;
             tenant_names.push(t.text("name")?.to_string());
             tenants.push(Tenant {
@@ -260,7 +299,11 @@
         "ask" => true,
         other => return Err(Bad::new("discovery", format!("{other:?} is not known"))),
     };
-    let mode = match domain.opt("mode").map(|_| domain.text("mode")).transpose()? {
+    let mode = match domain
+        .opt("mode")
+        .map(|_| domain.text("mode"))
+        .transpose()?
+    {
         Some("aside") => Mode::Aside,
         Some("through") | None => Mode::Through,
         Some(other) => return Err(Bad::new("domain.mode", format!("{other:?} is not known"))),
@@ -275,15 +318,27 @@
         tenants,
         nodes: usize::try_from(f.int("replicas_of_me")?)
             .map_err(|_| Bad::new("replicas_of_me", "is below zero"))?,
-        number: f.opt("me").map(|_| f.int("me")).transpose()?.and_then(|n| u64::try_from(n).ok()),
+        number: f
+            .opt("me")
+            .map(|_| f.int("me"))
+            .transpose()?
+            .and_then(|n| u64::try_from(n).ok()),
         zone: match f.opt("zone").and_then(Value::as_str) {
             Some(name) => find(&zones, name).map(|i| i as u16),
             None => None,
         },
         ask,
-        ask_within: if ask { rules.micros("ask_within")? } else { rules.micros_or("ask_within", 0)? },
+        ask_within: if ask {
+            rules.micros("ask_within")?
+        } else {
+            rules.micros_or("ask_within", 0)?
+        },
         mode,
-        origin_kind: match domain.opt("origin_kind").map(|_| domain.int("origin_kind")).transpose()? {
+        origin_kind: match domain
+            .opt("origin_kind")
+            .map(|_| domain.int("origin_kind"))
+            .transpose()?
+        {
             Some(kind) if kind >= 0 => u16::try_from(kind).ok(),
             _ => None,
         },
@@ -293,7 +348,10 @@
         over_share_worth: f.number_or("over_share_worth", 1.0)?,
         tick: f.micros_or("period", 1000)?,
         max_attempts: usize::try_from(limits.int("try_limit")?).unwrap_or(0),
-        max_open: limits.opt("max_open").and_then(Value::as_u64).unwrap_or(u64::MAX) as usize,
+        max_open: limits
+            .opt("max_open")
+            .and_then(Value::as_u64)
+            .unwrap_or(u64::MAX) as usize,
         cancel: limits.flag_or("cancel", false)?,
         probes: limits.flag_or("probes", false)?,
         second_copies: limits.flag("second_copies")?,
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/warmth.rs
@@ -63,7 +63,9 @@
             recent: 0.0,
             last: 0,
             first: None,
-            place: set.number.map_or(point(mix(seed)), |number| (number as f64 * GOLDEN).fract()),
+            place: set
+                .number
+                .map_or(point(mix(seed)), |number| (number as f64 * GOLDEN).fract()),
         }
     }
 
@@ -101,7 +103,10 @@
     /// may have sent.
     pub fn quota(&self, right: f64, order: u64, started: Option<Micros>, now: Micros) -> f64 {
         let age = started.map_or(0, |started| (now - started).max(0));
-        let (slot, since) = (age / (SLOT_FALLS * self.fall), age % (SLOT_FALLS * self.fall));
+        let (slot, since) = (
+            age / (SLOT_FALLS * self.fall),
+            age % (SLOT_FALLS * self.fall),
+        );
         let left = right.fract();
         let turn = |slot: i64| (self.place + point(mix(order ^ mix(slot as u64)))).fract() < left;
         let turn = turn(slot) && (since >= self.fall || slot == 0 || turn(slot - 1));
@@ -123,7 +128,11 @@
 
     /// Whether one more attempt is within the quota, after those of the last time to a fall.
     pub fn room(&self, used: &VecDeque<Micros>, quota: f64, now: Micros) -> bool {
-        let lately = used.iter().rev().take_while(|at| **at + self.fall > now).count();
+        let lately = used
+            .iter()
+            .rev()
+            .take_while(|at| **at + self.fall > now)
+            .count();
         lately as f64 + 1.0 <= quota
     }
 
@@ -139,7 +148,9 @@
 
     /// Whether the last look is too long ago.
     pub fn look_due(&self, now: Micros) -> bool {
-        !self.looked.is_some_and(|at| (0..LOOK).contains(&(now - at)))
+        !self
+            .looked
+            .is_some_and(|at| (0..LOOK).contains(&(now - at)))
     }
 
     /// Looks at how much of their capacity all servers have that take work.
--- a/crates/decision/src/warmth_tests.rs
+++ b/crates/decision/src/warmth_tests.rs
@@ -19,7 +19,10 @@
 fn part_beside(cold: usize, warm: usize) -> f64 {
     let mut fleet = fleet(1.0);
     let grown = fleet.grown(Some(0), 6_000_000);
-    fleet.look(6_000_000, [vec![grown; cold], vec![1.0; warm]].concat().into_iter());
+    fleet.look(
+        6_000_000,
+        [vec![grown; cold], vec![1.0; warm]].concat().into_iter(),
+    );
     fleet.part(grown)
 }
 
@@ -41,10 +44,18 @@
         for age in 0..48 {
             let grown = fleet.grown(Some(0), age * 500_000);
             let part = fleet.part(grown);
-            assert!(part <= 1.0 && part >= grown && (grown >= 1.0 || part <= 0.7 * 2.5 * grown + 1e-9));
+            assert!(
+                part <= 1.0 && part >= grown && (grown >= 1.0 || part <= 0.7 * 2.5 * grown + 1e-9)
+            );
         }
     }
-    assert_eq!((fleet(1.0).grown(None, 0), fleet(1.0).grown(Some(0), 24_000_000)), (1.0, 1.0));
+    assert_eq!(
+        (
+            fleet(1.0).grown(None, 0),
+            fleet(1.0).grown(Some(0), 24_000_000)
+        ),
+        (1.0, 1.0)
+    );
 }
 
 // Seen to fail with a bucket that fills at the rate of the right: it lets twice the right go within a window.
@@ -54,17 +65,25 @@
     for pause in [0, 100_000, 900_000, 1_999_999, 2_000_000, 5_000_000] {
         let (mut used, mut sent) = (VecDeque::new(), Vec::new());
         // Idle for a while, then asked all the time.
-        for now in (0..10_000_000).step_by(50_000).skip_while(|now| *now < pause) {
+        for now in (0..10_000_000)
+            .step_by(50_000)
+            .skip_while(|now| *now < pause)
+        {
             if fleet.room(&used, right, now) {
                 fleet.use_up(&mut used, Some(now), now);
                 sent.push(now);
             }
         }
         for from in &sent {
-            let within = sent.iter().filter(|at| (*from..from + fleet.fall).contains(at)).count();
+            let within = sent
+                .iter()
+                .filter(|at| (*from..from + fleet.fall).contains(at))
+                .count();
             assert!(within as f64 <= right, "{within} from {from}");
         }
-        assert!(sent.len() as f64 >= (right * (10_000_000 - pause) as f64 / fleet.fall as f64).floor());
+        assert!(
+            sent.len() as f64 >= (right * (10_000_000 - pause) as f64 / fleet.fall as f64).floor()
+        );
         assert!(used.len() as f64 <= right);
     }
     let mut used = VecDeque::new();
@@ -85,7 +104,12 @@
 /// Nodes of one fleet, by their numbers, and which of them may send how many to a server in some slot.
 fn nodes(number: u64) -> Vec<Fleet> {
     let place = |n: u64| (n as f64 * GOLDEN).fract();
-    (0..number).map(|n| Fleet { place: place(n), ..fleet(1.0) }).collect()
+    (0..number)
+        .map(|n| Fleet {
+            place: place(n),
+            ..fleet(1.0)
+        })
+        .collect()
 }
 
 // Guards against draws in place of the circle, by which the sum scatters by its root.
@@ -97,9 +121,15 @@
             for case in 0..40 {
                 let (order, slot) = (mix(case), case as i64 % 4);
                 let now = slot * SLOT_FALLS * 2_000_000 + 2_000_000;
-                let sum: f64 = nodes.iter().map(|node| node.quota(right, order, Some(0), now)).sum();
+                let sum: f64 = nodes
+                    .iter()
+                    .map(|node| node.quota(right, order, Some(0), now))
+                    .sum();
                 let off = sum - right * number as f64;
-                assert!(off.abs() <= 2.0, "{sum} of {right} at each of {number}, slot {slot} of {case}");
+                assert!(
+                    off.abs() <= 2.0,
+                    "{sum} of {right} at each of {number}, slot {slot} of {case}"
+                );
             }
         }
     }
@@ -121,8 +151,14 @@
             }
         }
         for from in (0..21_000_000).step_by(step) {
-            let within = sent.iter().filter(|at| (from..from + 2_000_000).contains(*at)).count();
-            assert!(within <= 32, "{within} within the time to a fall, from {from}");
+            let within = sent
+                .iter()
+                .filter(|at| (from..from + 2_000_000).contains(*at))
+                .count();
+            assert!(
+                within <= 32,
+                "{within} within the time to a fall, from {from}"
+            );
         }
         assert!(sent.len() > 250, "{} in 23 s", sent.len());
     }
@@ -131,7 +167,9 @@
 #[test]
 fn every_node_gets_its_turn_at_some_server_and_no_node_at_all() {
     for node in nodes(30) {
-        let turns = (0..300).filter(|n| node.quota(0.2, mix(*n), Some(0), 0) > 0.0).count();
+        let turns = (0..300)
+            .filter(|n| node.quota(0.2, mix(*n), Some(0), 0) > 0.0)
+            .count();
         assert!((30..=90).contains(&turns), "{turns} of 300 servers");
     }
 }
--- a/crates/decision/tests/cold.rs
+++ b/crates/decision/tests/cold.rs
@@ -15,7 +15,11 @@
 const POPULAR: u64 = 6;
 
 fn settings() -> Settings {
-    Settings { nodes: NODES as usize, ask: false, ..support::settings() }
+    Settings {
+        nodes: NODES as usize,
+        ask: false,
+        ..support::settings()
+    }
 }
 
 fn node(seed: u64, cold: Option<(&str, Micros)>) -> Balancer {
@@ -25,13 +29,23 @@
 fn one_of(nodes: u64, servers: usize, seed: u64, cold: Option<(&str, Micros)>) -> Balancer {
     let entry = |i: usize| {
         let warm = support::entry(i, None);
-        let started = cold.filter(|(name, _)| *name == &*warm.server).map(|(_, at)| at);
+        let started = cold
+            .filter(|(name, _)| *name == &*warm.server)
+            .map(|(_, at)| at);
         Entry { started, ..warm }
     };
-    let set = Settings { nodes: nodes as usize, number: Some(seed), ..settings() };
+    let set = Settings {
+        nodes: nodes as usize,
+        number: Some(seed),
+        ..settings()
+    };
     let mut node = Balancer::new(set, seed, 0).unwrap();
     let list: Vec<Entry> = (0..servers).map(entry).collect();
-    node.handle(0, Event::Servers(ListKind::Full, list.into()), &mut Vec::new());
+    node.handle(
+        0,
+        Event::Servers(ListKind::Full, list.into()),
+        &mut Vec::new(),
+    );
     node
 }
 
@@ -94,14 +108,24 @@
 // home, cold or not; 300 nodes do so at once.
 #[test]
 fn a_key_popular_at_all_nodes_does_not_push_its_cold_home_over() {
-    for (ran, age) in [(0, 2_000_000), (0, 5_000_000), (4_000_000, 2_000_000), (4_000_000, 5_000_000)] {
+    for (ran, age) in [
+        (0, 2_000_000),
+        (0, 5_000_000),
+        (4_000_000, 2_000_000),
+        (4_000_000, 5_000_000),
+    ] {
         let set = settings();
         let warmed = (age + set.fall / 2) as f64 / set.cold as f64;
         let grown = set.cold_from + (1.0 - set.cold_from) * warmed;
         // Servers have a quarter to spare over what an average one is sent.
         let bound = set.fall_multiple * grown * 1.25;
-        let most = (0..8).map(|n| sent(&format!("popular{n}"), ran, age)).fold(0.0, f64::max);
-        assert!(most < bound, "{most} of an average server's load, bound {bound}; ran {ran}, age {age}");
+        let most = (0..8)
+            .map(|n| sent(&format!("popular{n}"), ran, age))
+            .fold(0.0, f64::max);
+        assert!(
+            most < bound,
+            "{most} of an average server's load, bound {bound}; ran {ran}, age {age}"
+        );
     }
 }
 
@@ -139,14 +163,23 @@
     /// When all nodes together sent to the server, for some seconds after the keys became popular.
     fn sent(&self, seconds: i64) -> Vec<Micros> {
         let mut warm = one_of(self.nodes, self.servers, 0, None);
-        let homes =
-            (0..).map(|n| (format!("popular{n}"), n)).map(|(key, n)| (ask(&mut warm, 0, n, &key), key));
+        let homes = (0..)
+            .map(|n| (format!("popular{n}"), n))
+            .map(|(key, n)| (ask(&mut warm, 0, n, &key), key));
         let cold: ServerId = "srv1".into();
-        let keys: Vec<String> =
-            homes.filter(|(to, _)| *to == Some(cold.clone())).map(|(_, k)| k).take(12).collect();
+        let keys: Vec<String> = homes
+            .filter(|(to, _)| *to == Some(cold.clone()))
+            .map(|(_, k)| k)
+            .take(12)
+            .collect();
         let mut sent = Vec::new();
         for number in 0..self.nodes {
-            let mut node = one_of(self.nodes, self.servers, number, Some((&cold, self.ran - self.age)));
+            let mut node = one_of(
+                self.nodes,
+                self.servers,
+                number,
+                Some((&cold, self.ran - self.age)),
+            );
             let (mut now, mut n) = ((number as Micros * self.every) / self.nodes as Micros, 0u64);
             while now < self.ran + seconds * 1_000_000 {
                 n += 1;
@@ -167,19 +200,27 @@
     /// The most sent within the time to a fall, beside what is allowed: the budget and what is put down to chance.
     fn most(&self, seconds: i64) -> (usize, f64) {
         let (sent, fall) = (self.sent(seconds), settings().fall);
-        let within = |end: &Micros| sent.iter().filter(|at| (end - fall + 1..=*end).contains(*at)).count();
+        let within = |end: &Micros| {
+            sent.iter()
+                .filter(|at| (end - fall + 1..=*end).contains(*at))
+                .count()
+        };
         let over = |end: &Micros| {
             let budget = self.budget(*end);
             (within(end), budget + 2.0 * budget.sqrt() + 2.0)
         };
         let all = sent.iter().map(over);
-        all.max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1))).unwrap_or((0, 0.0))
+        all.max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1)))
+            .unwrap_or((0, 0.0))
     }
 }
 
 fn holds(case: Case) {
     let (sum, allowed) = case.most(5);
-    assert!((sum as f64) <= allowed, "{sum} within the time to a fall, {allowed:.1} allowed: {case:?}");
+    assert!(
+        (sum as f64) <= allowed,
+        "{sum} within the time to a fall, {allowed:.1} allowed: {case:?}"
+    );
 }
 
 // Seen to fail: each node may send one, whatever its right, so that thirty send thirty.
@@ -187,7 +228,14 @@
 fn thirty_nodes_with_a_request_each_in_the_time_to_a_fall() {
     for (every, popular) in [(2_000_000, 1), (1_000_000, 2), (200_000, 2)] {
         for (ran, age) in [(0, 500_000), (8_000_000, 500_000), (8_000_000, 7_000_000)] {
-            holds(Case { nodes: 30, servers: 40, every, popular, ran, age });
+            holds(Case {
+                nodes: 30,
+                servers: 40,
+                every,
+                popular,
+                ran,
+                age,
+            });
         }
     }
 }
@@ -195,34 +243,79 @@
 #[test]
 fn three_hundred_nodes() {
     for popular in [2, 6] {
-        let case = Case { nodes: 300, servers: 150, every: EVERY, popular, ran: 4_000_000, age: 1_000_000 };
+        let case = Case {
+            nodes: 300,
+            servers: 150,
+            every: EVERY,
+            popular,
+            ran: 4_000_000,
+            age: 1_000_000,
+        };
         holds(case);
-        holds(Case { age: 11_000_000, ..case });
+        holds(Case {
+            age: 11_000_000,
+            ..case
+        });
     }
 }
 
 #[test]
 fn nodes_that_all_have_just_started() {
-    for (nodes, servers, every) in
-        [(300, 150, EVERY), (100, 40, 200_000), (30, 40, 200_000), (20, 10, 50_000)]
-    {
-        holds(Case { nodes, servers, every, popular: 2, ran: 0, age: 2_000_000 });
+    for (nodes, servers, every) in [
+        (300, 150, EVERY),
+        (100, 40, 200_000),
+        (30, 40, 200_000),
+        (20, 10, 50_000),
+    ] {
+        holds(Case {
+            nodes,
+            servers,
+            every,
+            popular: 2,
+            ran: 0,
+            age: 2_000_000,
+        });
     }
 }
 
 #[test]
 fn twenty_nodes_with_some_requests_each() {
-    for (every, age) in [(100_000, 1_000_000), (50_000, 4_000_000), (20_000, 1_000_000)] {
-        holds(Case { nodes: 20, servers: 10, every, popular: 2, ran: 4_000_000, age });
+    for (every, age) in [
+        (100_000, 1_000_000),
+        (50_000, 4_000_000),
+        (20_000, 1_000_000),
+    ] {
+        holds(Case {
+            nodes: 20,
+            servers: 10,
+            every,
+            popular: 2,
+            ran: 4_000_000,
+            age,
+        });
     }
 }
 
 // Guards against a bound that leaves a cold server without work at nodes that could fill it.
 #[test]
 fn three_busy_nodes_still_fill_it() {
-    let case = Case { nodes: 3, servers: 10, every: 5_000, popular: 10, ran: 4_000_000, age: 2_000_000 };
+    let case = Case {
+        nodes: 3,
+        servers: 10,
+        every: 5_000,
+        popular: 10,
+        ran: 4_000_000,
+        age: 2_000_000,
+    };
     holds(case);
-    let sent = case.sent(4).into_iter().filter(|at| *at >= case.ran + 2_000_000).count();
+    let sent = case
+        .sent(4)
+        .into_iter()
+        .filter(|at| *at >= case.ran + 2_000_000)
+        .count();
     let able = case.budget(case.ran + 3_000_000) / settings().fall_multiple;
-    assert!(sent as f64 > 0.8 * able, "{sent} sent, {able:.0} are what it bears");
+    assert!(
+        sent as f64 > 0.8 * able,
+        "{sent} sent, {able:.0} are what it bears"
+    );
 }
--- a/crates/decision/tests/memory.rs
+++ b/crates/decision/tests/memory.rs
@@ -11,7 +11,10 @@
 const SERVERS: usize = 12;
 
 fn sound(n: u64) -> (Status, Micros) {
-    (Status::Ok, 5_000 + (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as i64 % 20_000)
+    (
+        Status::Ok,
+        5_000 + (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as i64 % 20_000,
+    )
 }
 
 fn all() -> Vec<(usize, Option<Micros>)> {
@@ -28,7 +31,11 @@
 }
 
 /// Requests of the next five seconds whose key has another first server than before.
-fn moved(mut fleet: Fleet, told: Option<(Micros, Memory)>, list: &[(usize, Option<Micros>)]) -> u32 {
+fn moved(
+    mut fleet: Fleet,
+    told: Option<(Micros, Memory)>,
+    list: &[(usize, Option<Micros>)],
+) -> u32 {
     fleet.next_process(told);
     fleet.list(list);
     fleet.run(5, |_, n| sound(n));
@@ -46,14 +53,26 @@
         println!(
             "seed {seed}: of 1250 requests {calm} moved in calm, {with} when told, {without} when not"
         );
-        assert!(with <= calm + 20, "seed {seed}: {with} moved, {calm} in calm");
-        assert!(without >= calm + 40, "seed {seed}: {without} moved when not told: what would be gained?");
+        assert!(
+            with <= calm + 20,
+            "seed {seed}: {with} moved, {calm} in calm"
+        );
+        assert!(
+            without >= calm + 40,
+            "seed {seed}: {without} moved when not told: what would be gained?"
+        );
     }
 }
 
 #[test]
 fn what_is_held_against_a_server_goes_over_unless_it_has_started_since() {
-    let fail = |server: usize, n| if server == 0 { (Status::Error, 5_000) } else { sound(n) };
+    let fail = |server: usize, n| {
+        if server == 0 {
+            (Status::Error, 5_000)
+        } else {
+            sound(n)
+        }
+    };
     for (started, held) in [(None, true), (Some(1), false)] {
         let mut fleet = settled(7);
         fleet.run(5, fail);
@@ -64,7 +83,11 @@
         let mut list = all();
         list[0].1 = started;
         fleet.list(&list);
-        assert_eq!(fleet.memory().held_against("srv0") > 0.3, held, "started: {started:?}");
+        assert_eq!(
+            fleet.memory().held_against("srv0") > 0.3,
+            held,
+            "started: {started:?}"
+        );
     }
 }
 
@@ -73,13 +96,19 @@
     let mut fleet = settled(7);
     let told = Some((500_000, fleet.memory()));
     fleet.next_process(told);
-    let some: Vec<_> = all().into_iter().filter(|(i, _)| ![3, 11].contains(i)).collect();
+    let some: Vec<_> = all()
+        .into_iter()
+        .filter(|(i, _)| ![3, 11].contains(i))
+        .collect();
     fleet.list(&some);
     fleet.first_attempts();
     fleet.run(5, |_, n| sound(n));
     let first = fleet.first_attempts();
     assert_eq!((first[3], first[11]), (0, 0));
-    assert!((0..SERVERS).all(|i| [3, 11].contains(&i) || first[i] > 20), "{first:?}");
+    assert!(
+        (0..SERVERS).all(|i| [3, 11].contains(&i) || first[i] > 20),
+        "{first:?}"
+    );
     // And the other way round: told of ten, the list names twelve.
     let told = Some((500_000, fleet.memory()));
     fleet.next_process(told);
--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outliers.rs
@@ -18,12 +18,21 @@
 
 /// An answer within 5 to 25 ms.
 fn sound(n: u64) -> (Status, Micros) {
-    (Status::Ok, 5_000 + (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as i64 % 20_000)
+    (
+        Status::Ok,
+        5_000 + (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as i64 % 20_000,
+    )
 }
 
 /// Fails every attempt at the servers before `bad`, after 5 ms.
 fn failing(bad: usize) -> impl FnMut(usize, u64) -> (Status, Micros) {
-    move |server, n| if server < bad { (Status::Error, 5_000) } else { sound(n) }
+    move |server, n| {
+        if server < bad {
+            (Status::Error, 5_000)
+        } else {
+            sound(n)
+        }
+    }
 }
 
 #[test]
@@ -70,7 +79,12 @@
     fleet.first_attempts();
     fleet.run(5, &mut every_second);
     let cut = fleet.first_attempts();
-    assert!(cut[3] * 2 < calm[3], "{} first attempts, {} in calm", cut[3], calm[3]);
+    assert!(
+        cut[3] * 2 < calm[3],
+        "{} first attempts, {} in calm",
+        cut[3],
+        calm[3]
+    );
 }
 
 #[test]
@@ -97,7 +111,11 @@
     let (a, b) = (homes(1), homes(2));
     let both: Vec<_> = a.keys().filter(|k| b.contains_key(*k)).collect();
     let same = both.iter().filter(|k| a[**k] == b[**k]).count();
-    assert!(both.len() > 100 && same * 100 >= both.len() * 90, "{same} of {}", both.len());
+    assert!(
+        both.len() > 100 && same * 100 >= both.len() * 90,
+        "{same} of {}",
+        both.len()
+    );
 }
 
 #[test]
@@ -111,7 +129,12 @@
     fleet.run(5, |_, n| sound(n));
     let back = fleet.first_attempts();
     for bad in 0..2 {
-        assert!(back[bad] * 10 >= calm[bad] * 8, "server {bad}: {} of {}", back[bad], calm[bad]);
+        assert!(
+            back[bad] * 10 >= calm[bad] * 8,
+            "server {bad}: {} of {}",
+            back[bad],
+            calm[bad]
+        );
     }
 }
 
@@ -131,7 +154,10 @@
         fleet.run(5, half);
         let now = fleet.first_attempts();
         let (before, after): (u32, u32) = (calm[..bad].iter().sum(), now[..bad].iter().sum());
-        assert!(after * 10 >= before * 8, "{bad} servers, one in {one_in}: {after} of {before}");
+        assert!(
+            after * 10 >= before * 8,
+            "{bad} servers, one in {one_in}: {after} of {before}"
+        );
     }
 }
 
@@ -141,7 +167,13 @@
     let mut fleet = Fleet::new(SERVERS, 7);
     fleet.run(2, |_, n| sound(n));
     let home = fleet.burst(&[hot])[0];
-    let mut bad = |server: usize, n| if server == home { (Status::Error, 5_000) } else { sound(n) };
+    let mut bad = |server: usize, n| {
+        if server == home {
+            (Status::Error, 5_000)
+        } else {
+            sound(n)
+        }
+    };
     fleet.run(3, &mut bad);
     fleet.hot = Some(hot);
     fleet.run(2, &mut bad);
@@ -150,7 +182,10 @@
     let first = fleet.first_attempts();
     let (most, all): (u32, u32) = (*first.iter().max().unwrap(), first.iter().sum());
     assert!(most * 4 < all, "one server has {most} of {all}: {first:?}");
-    assert!(first[home] * 25 < all, "it is not dealt to the one that fails: {first:?}");
+    assert!(
+        first[home] * 25 < all,
+        "it is not dealt to the one that fails: {first:?}"
+    );
 }
 
 #[test]
@@ -163,7 +198,12 @@
     fleet.first_attempts();
     fleet.run(1, |_, n| sound(n));
     let back = fleet.first_attempts();
-    assert!(back[0] * 5 * 2 > calm[0], "{} in a second, {} in five in calm", back[0], calm[0]);
+    assert!(
+        back[0] * 5 * 2 > calm[0],
+        "{} in a second, {} in five in calm",
+        back[0],
+        calm[0]
+    );
 }
 
 #[test]
@@ -195,12 +235,23 @@
     fleet.first_attempts();
     fleet.run(1, |_, n| sound(n));
     let back = fleet.first_attempts();
-    assert!(back[0] * 5 * 2 > calm[0], "{} in a second, {} in five in calm", back[0], calm[0]);
+    assert!(
+        back[0] * 5 * 2 > calm[0],
+        "{} in a second, {} in five in calm",
+        back[0],
+        calm[0]
+    );
 }
 
 /// Answers late at the servers before `slow`: 120 ms, with an aim of 150 ms.
 fn slow(slow: usize) -> impl FnMut(usize, u64) -> (Status, Micros) {
-    move |server, n| if server < slow { (Status::Ok, 120_000) } else { sound(n) }
+    move |server, n| {
+        if server < slow {
+            (Status::Ok, 120_000)
+        } else {
+            sound(n)
+        }
+    }
 }
 
 #[test]
@@ -227,7 +278,14 @@
     // Every fourth answer is late everywhere, so that nobody is sound; at the first two all are.
     let answer = |server: usize, n: u64| {
         let (status, soon) = sound(n);
-        (status, if server < 2 || n.is_multiple_of(4) { 120_000 } else { soon })
+        (
+            status,
+            if server < 2 || n.is_multiple_of(4) {
+                120_000
+            } else {
+                soon
+            },
+        )
     };
     let mut fleet = Fleet::new(SERVERS, 7);
     fleet.run(5, |_, n| sound(n));
@@ -260,7 +318,11 @@
     let (a, b) = (second(1), second(2));
     let both: Vec<_> = a.keys().filter(|k| b.contains_key(*k)).collect();
     let same = both.iter().filter(|k| a[**k] == b[**k]).count();
-    assert!(both.len() > 50 && same * 2 > both.len(), "{same} of {}", both.len());
+    assert!(
+        both.len() > 50 && same * 2 > both.len(),
+        "{same} of {}",
+        both.len()
+    );
 }
 
 #[test]
@@ -277,17 +339,28 @@
         homes.push((fleet.burst(&[key])[0], key));
         fleet.run(1, |_, _| (Status::Ok, 1_000));
     }
-    let of = |home| homes.iter().filter(move |(h, _)| *h == home).map(|(_, key)| *key);
+    let of = |home| {
+        homes
+            .iter()
+            .filter(move |(h, _)| *h == home)
+            .map(|(_, key)| *key)
+    };
     let home = (0..SERVERS).max_by_key(|home| of(*home).count()).unwrap();
     let keys: Vec<u64> = of(home).take(10).collect();
     assert_eq!(keys.len(), 10);
     let mut fleet = calm();
     let at_home = |went: Vec<usize>| went.into_iter().filter(|to| *to == home).count();
     let unknown = at_home(fleet.burst(&keys));
-    assert!(unknown >= 8, "{unknown} of ten keys that nobody was served yet stayed at home");
+    assert!(
+        unknown >= 8,
+        "{unknown} of ten keys that nobody was served yet stayed at home"
+    );
     fleet.run(1, |_, n| sound(n));
     let known = at_home(fleet.burst(&keys));
-    assert!((1..=5).contains(&known), "{known} of ten known keys at once stayed at home");
+    assert!(
+        (1..=5).contains(&known),
+        "{known} of ten known keys at once stayed at home"
+    );
 }
 
 fn told(outliers: &mut Outliers, server: usize, failed: bool, times: usize) {
@@ -338,17 +411,25 @@
     };
     let home = |key: u64, weights: &[f64]| {
         let worth = |s: &usize| rendezvous(mixed(key, *s as u64), weights[*s]);
-        (0..weights.len()).max_by(|a, b| worth(a).total_cmp(&worth(b))).unwrap()
+        (0..weights.len())
+            .max_by(|a, b| worth(a).total_cmp(&worth(b)))
+            .unwrap()
     };
     let (even, less) = ([1.0, 1.0, 1.0, 1.0], [1.0, 0.5, 1.0, 1.0]);
     let mut counts = [0; 4];
     for key in 0..8000 {
         let (before, after) = (home(key, &even), home(key, &less));
-        assert!(before == after || before == 1, "a key of {before} moved to {after}");
+        assert!(
+            before == after || before == 1,
+            "a key of {before} moved to {after}"
+        );
         counts[after] += 1;
     }
     let share = f64::from(counts[1]) / 8000.0;
-    assert!((share - 0.5 / 3.5).abs() < 0.03, "half a weight has {share:.3} of the keys");
+    assert!(
+        (share - 0.5 / 3.5).abs() < 0.03,
+        "half a weight has {share:.3} of the keys"
+    );
 }
 
 /// At a quiet node a slow server has few attempts out, so it is not taken for a busy one: its silence counts.
@@ -396,7 +477,10 @@
         fleet.run(1, |_, n| sound(n));
         cut += fleet.outliers().len();
     }
-    assert!(cut <= SERVERS, "{cut} cuts in ten looks at {SERVERS} servers");
+    assert!(
+        cut <= SERVERS,
+        "{cut} cuts in ten looks at {SERVERS} servers"
+    );
     let now: u32 = fleet.first_attempts().iter().sum();
     assert!(now * 10 >= calm * 9, "{now} first attempts, {calm} in calm");
 }
@@ -411,12 +495,21 @@
     fleet.fresh = Some((0, 25_000));
     fleet.run(20, |_, n| sound(n));
     fleet.first_attempts();
-    let bad = |server: usize, n| if server < MANY / 5 { (Status::Ok, 3_000_000) } else { sound(n) };
+    let bad = |server: usize, n| {
+        if server < MANY / 5 {
+            (Status::Ok, 3_000_000)
+        } else {
+            sound(n)
+        }
+    };
     fleet.run(20, bad);
     fleet.first_attempts();
     fleet.run(20, bad);
     let first = fleet.first_attempts();
     let (at_bad, all): (u32, u32) = (first[..MANY / 5].iter().sum(), first.iter().sum());
     // One in five, if nothing were learned.
-    assert!(at_bad * 7 < all, "{at_bad} of {all} first attempts at servers that answer nothing");
+    assert!(
+        at_bad * 7 < all,
+        "{at_bad} of {all} first attempts at servers that answer nothing"
+    );
 }
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -31,7 +31,10 @@
             class(Repeat::Keyed, Scope::Cell, 0.0),
             class(Repeat::Unsafe, Scope::All, 0.3),
         ],
-        tenants: vec![Tenant { quota_per_s: 20.0, share: 1.0 }],
+        tenants: vec![Tenant {
+            quota_per_s: 20.0,
+            share: 1.0,
+        }],
         nodes: 2,
         number: None,
         zone: Some(0),
@@ -125,7 +128,11 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
         if kind != ListKind::Delta {
-            for (id, _) in self.listed.iter().filter(|(id, _)| !entries.iter().any(|e| e.server == **id)) {
+            for (id, _) in self
+                .listed
+                .iter()
+                .filter(|(id, _)| !entries.iter().any(|e| e.server == **id))
+            {
                 self.told_off.entry(id.clone()).or_insert(self.now);
             }
         }
@@ -143,8 +150,13 @@
     fn request(&mut self, class: usize, key: u32, budget: Micros) {
         self.serial += 1;
         let id: RequestId = format!("r{}", self.serial).into();
-        let open =
-            Open { class, deadline: self.now + budget, closed: false, no_more: false, attempts: vec![] };
+        let open = Open {
+            class,
+            deadline: self.now + budget,
+            closed: false,
+            no_more: false,
+            attempts: vec![],
+        };
         self.open.insert(id.clone(), open);
         self.give(Event::Request(Request {
             id,
@@ -164,7 +176,11 @@
             .open
             .iter()
             .flat_map(|(id, o)| {
-                o.attempts.iter().enumerate().filter(|(_, a)| a.2.is_none()).map(|(i, _)| (id.clone(), i))
+                o.attempts
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, a)| a.2.is_none())
+                    .map(|(i, _)| (id.clone(), i))
             })
             .collect();
         if pending.is_empty() {
@@ -219,19 +235,37 @@
     fn check(&mut self, action: Action) {
         let now = self.now;
         match action {
-            Action::Send { request, server, .. } => {
-                let o = self.open.get_mut(&request).expect("send for a request never given");
+            Action::Send {
+                request, server, ..
+            } => {
+                let o = self
+                    .open
+                    .get_mut(&request)
+                    .expect("send for a request never given");
                 assert!(!o.closed, "send after the end");
                 assert!(!o.no_more, "sent on though its client has left");
-                assert!(o.attempts.len() < self.set.max_attempts, "too many attempts");
+                assert!(
+                    o.attempts.len() < self.set.max_attempts,
+                    "too many attempts"
+                );
                 let to = self.listed.get(&server).expect("server never listed");
                 if let Some(told) = self.told_off.get(&server) {
-                    assert!(now - told <= self.set.drain_grace, "sent to a server that drains or is gone");
+                    assert!(
+                        now - told <= self.set.drain_grace,
+                        "sent to a server that drains or is gone"
+                    );
                 }
                 let pending = o.attempts.iter().filter(|a| a.2.is_none()).count();
-                assert!(pending == 0 || self.set.second_copies, "two attempts at once");
+                assert!(
+                    pending == 0 || self.set.second_copies,
+                    "two attempts at once"
+                );
                 let class = &self.set.classes[o.class];
-                for a in o.attempts.iter().filter(|a| !a.2.is_some_and(Status::never_ran)) {
+                for a in o
+                    .attempts
+                    .iter()
+                    .filter(|a| !a.2.is_some_and(Status::never_ran))
+                {
                     let from = &self.listed[&a.0];
                     match class.repeat {
                         Repeat::Free => {}
@@ -249,24 +283,42 @@
                 o.attempts.push((server, now, None, false));
             }
             Action::Refuse { request, .. } => {
-                let o = self.open.get_mut(&request).expect("refusal of a request never given");
+                let o = self
+                    .open
+                    .get_mut(&request)
+                    .expect("refusal of a request never given");
                 assert!(!o.closed, "two final answers");
                 let class = &self.set.classes[o.class];
-                let ran = o.attempts.iter().any(|a| !a.2.is_some_and(Status::never_ran));
+                let ran = o
+                    .attempts
+                    .iter()
+                    .any(|a| !a.2.is_some_and(Status::never_ran));
                 let harmless = class.repeat == Repeat::Free
                     || (class.repeat == Repeat::Keyed && class.scope == Scope::All);
                 assert!(harmless || !ran, "refused what may have run");
-                assert!(now <= o.deadline + self.set.answer_slack, "answered too late");
+                assert!(
+                    now <= o.deadline + self.set.answer_slack,
+                    "answered too late"
+                );
                 o.closed = true;
             }
             Action::Fail { request } => {
-                let o = self.open.get_mut(&request).expect("failure of a request never given");
+                let o = self
+                    .open
+                    .get_mut(&request)
+                    .expect("failure of a request never given");
                 assert!(!o.closed, "two final answers");
-                assert!(now <= o.deadline + self.set.answer_slack, "answered too late");
+                assert!(
+                    now <= o.deadline + self.set.answer_slack,
+                    "answered too late"
+                );
                 o.closed = true;
             }
             Action::Cancel { request, attempt } => {
-                assert!(self.open[&request].attempts.len() > attempt, "cancelled what was never sent");
+                assert!(
+                    self.open[&request].attempts.len() > attempt,
+                    "cancelled what was never sent"
+                );
             }
             Action::Timer { delay, token } => {
                 assert!(delay >= 0);
@@ -297,7 +349,11 @@
                     self.list(ListKind::Delta, if a % 7 == 0 { vec![] } else { vec![e] });
                 }
                 10 => {
-                    let kind = if a % 2 == 0 { ListKind::Full } else { ListKind::Cached };
+                    let kind = if a % 2 == 0 {
+                        ListKind::Full
+                    } else {
+                        ListKind::Cached
+                    };
                     let entries = (0..8).filter(|i| b >> i & 1 == 1);
                     let entries = entries.map(|i| self.entry(i, ServerState::Live)).collect();
                     self.list(kind, entries);
@@ -323,17 +379,30 @@
         }
         // Nothing else happens: the timers alone must bring every answer in time.
         self.pass(5_000_000);
-        assert!(self.open.values().all(|o| o.closed), "a request was never answered");
+        assert!(
+            self.open.values().all(|o| o.closed),
+            "a request was never answered"
+        );
     }
 }
 
 #[test]
 fn rules_hold_under_random_events() {
-    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ops = prop::collection::vec((any::<u8>(), any::<u32>(), any::<u32>()), 0..250);
-    let case = (any::<bool>(), any::<bool>(), any::<bool>(), any::<u64>(), ops);
+    let case = (
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+        any::<u64>(),
+        ops,
+    );
     runner
         .run(&case, |(copies, aside, ask, seed, ops)| {
             let mode = if aside { Mode::Aside } else { Mode::Through };
@@ -362,8 +431,22 @@
     let realm = ("[a-z]{1,6}", 0.0..500.0, 0.0..1.0).prop_map(
         |(name, quota, share)| serde_json::json!({"name": name, "quota_per_s": quota, "share": share}),
     );
-    let limits = (1..7u32, any::<bool>(), any::<bool>(), any::<bool>(), 1.0..1_000.0, 0.0..3_000.0);
-    let rules = (0.0..3_000.0, 0.01..1.0, 0.0..60_000.0, 0.0..5.0, 0.0..5_000.0, 1.0..20_000.0);
+    let limits = (
+        1..7u32,
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+        1.0..1_000.0,
+        0.0..3_000.0,
+    );
+    let rules = (
+        0.0..3_000.0,
+        0.01..1.0,
+        0.0..60_000.0,
+        0.0..5.0,
+        0.0..5_000.0,
+        1.0..20_000.0,
+    );
     let rest = (
         word(&["push", "ask"]),
         word(&["silent", "nominal", "rough", "live"]),
@@ -371,7 +454,10 @@
         prop::option::of(word(&["z0", "nowhere"])),
         (1..600u32, 1.0..10.0, 0.0..0.3),
     );
-    let lists = (prop::collection::vec(class, 1..6), prop::collection::vec(realm, 0..4));
+    let lists = (
+        prop::collection::vec(class, 1..6),
+        prop::collection::vec(realm, 0..4),
+    );
     (lists, limits, rules, rest).prop_map(|((classes, realms), limits, rules, rest)| {
         let (discovery, weights, mode, zone, (nodes, period, crossing)) = rest;
         let (tries, copies, cancel, retry, connect, after) = limits;
@@ -391,7 +477,11 @@
 
 #[test]
 fn rules_hold_on_any_customers_settings() {
-    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[17; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ops = prop::collection::vec((any::<u8>(), any::<u32>(), any::<u32>()), 0..200);
@@ -411,7 +501,10 @@
     let mut node = Node::new(settings(true, Mode::Through, true), 1);
     node.request(4, 1, 600_000);
     node.pass(1_000_000);
-    assert!(node.open.values().all(|o| o.closed && o.attempts.is_empty()));
+    assert!(node
+        .open
+        .values()
+        .all(|o| o.closed && o.attempts.is_empty()));
 }
 
 #[test]
@@ -431,8 +524,11 @@
     node.request(0, 1, 600_000);
     node.outcome(0, 8);
     node.request(0, 3, 600_000);
-    let sent: Vec<Vec<&str>> =
-        node.open.values().map(|o| o.attempts.iter().map(|a| &*a.0).collect()).collect();
+    let sent: Vec<Vec<&str>> = node
+        .open
+        .values()
+        .map(|o| o.attempts.iter().map(|a| &*a.0).collect())
+        .collect();
     let origin = |s: &str| s == "srv6" || s == "srv7";
     assert!(!origin(sent[0][0]) && origin(sent[0][1]), "{sent:?}");
     assert!(origin(sent[1][0]), "{sent:?}");
@@ -480,7 +576,8 @@
             retry: false,
             write: false,
         };
-        node.balancer.handle(node.now, Event::Request(request), &mut actions);
+        node.balancer
+            .handle(node.now, Event::Request(request), &mut actions);
         for action in actions {
             if let Action::Send { server, .. } = action {
                 all += 1.0;
--- a/crates/decision/tests/share.rs
+++ b/crates/decision/tests/share.rs
@@ -11,12 +11,22 @@
 const QUOTAS: [f64; 2] = [60.0, 40.0];
 
 fn node() -> Balancer {
-    let tenant = |quota_per_s| Tenant { quota_per_s, share: 0.5 };
-    let set =
-        Settings { nodes: NODES, tenants: QUOTAS.into_iter().map(tenant).collect(), ..support::settings() };
+    let tenant = |quota_per_s| Tenant {
+        quota_per_s,
+        share: 0.5,
+    };
+    let set = Settings {
+        nodes: NODES,
+        tenants: QUOTAS.into_iter().map(tenant).collect(),
+        ..support::settings()
+    };
     let mut node = Balancer::new(set, 7, 0).unwrap();
     let list: Vec<Entry> = (0..12).map(|i| support::entry(i, None)).collect();
-    node.handle(0, Event::Servers(ListKind::Full, list.into()), &mut Vec::new());
+    node.handle(
+        0,
+        Event::Servers(ListKind::Full, list.into()),
+        &mut Vec::new(),
+    );
     node
 }
 
@@ -87,7 +97,10 @@
     let counts = refused(50, Note::Hit, |n| usize::from(n % 10 >= 1));
     let (asked, refused) = counts[1];
     let kept = f64::from(asked - refused) / f64::from(counts[0].0 + asked);
-    assert!(refused > 0 && (0.35..0.5).contains(&kept), "{counts:?}: {kept} of all, 0.4 are its part");
+    assert!(
+        refused > 0 && (0.35..0.5).contains(&kept),
+        "{counts:?}: {kept} of all, 0.4 are its part"
+    );
     assert_eq!(counts[0].1, 0, "{counts:?}");
 }
 
@@ -99,5 +112,9 @@
     let (asked, hits) = refused(50, Note::Hit, flood)[1];
     assert!(hits > asked / 4, "late hits: {hits} of {asked}");
     assert_eq!(refused(50, Note::Miss, flood)[1].1, 0, "late fetches");
-    assert_eq!(refused(50, Note::MissFetching, flood)[1].1, 0, "late joined fetches");
+    assert_eq!(
+        refused(50, Note::MissFetching, flood)[1].1,
+        0,
+        "late joined fetches"
+    );
 }
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -48,7 +48,11 @@
     pub fn new(servers: usize, seed: u64) -> Fleet {
         let mut balancer = Balancer::new(settings(), seed, 0).unwrap();
         let entries: Vec<Entry> = (0..servers).map(|i| entry(i, None)).collect();
-        balancer.handle(0, Event::Servers(ListKind::Full, entries.into()), &mut Vec::new());
+        balancer.handle(
+            0,
+            Event::Servers(ListKind::Full, entries.into()),
+            &mut Vec::new(),
+        );
         Fleet {
             balancer,
             now: 0,
@@ -89,7 +93,10 @@
 
     /// The list names these servers, with when each last started.
     pub fn list(&mut self, servers: &[(usize, Option<Micros>)]) {
-        let entries: Vec<Entry> = servers.iter().map(|(i, started)| entry(*i, *started)).collect();
+        let entries: Vec<Entry> = servers
+            .iter()
+            .map(|(i, started)| entry(*i, *started))
+            .collect();
         let news = Event::Servers(ListKind::Full, entries.into());
         self.balancer.handle(self.now, news, &mut Vec::new());
     }
@@ -101,7 +108,10 @@
 
     /// The list tells that this server is gone, and then that it is there as before.
     pub fn leave_and_return(&mut self, server: usize) {
-        self.news(Entry { state: ServerState::Gone, ..entry(server, None) });
+        self.news(Entry {
+            state: ServerState::Gone,
+            ..entry(server, None)
+        });
         self.news(entry(server, None));
     }
 
@@ -135,9 +145,16 @@
         let key = (self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % KEYS;
         let hot = self.hot.filter(|_| self.asked.is_multiple_of(2));
         let part = key as f64 / KEYS as f64;
-        let key = if self.skewed { (part * part * KEYS as f64) as u64 } else { key };
-        let key =
-            if self.fresh.is_some() && self.asked.is_multiple_of(3) { KEYS + self.asked } else { key };
+        let key = if self.skewed {
+            (part * part * KEYS as f64) as u64
+        } else {
+            key
+        };
+        let key = if self.fresh.is_some() && self.asked.is_multiple_of(3) {
+            KEYS + self.asked
+        } else {
+            key
+        };
         self.ask_key(hot.unwrap_or(key), answer);
     }
 
@@ -205,11 +222,20 @@
         for action in actions {
             self.serial += 1;
             match action {
-                Action::Send { request, server, .. } => {
-                    let open = self.open.get_mut(&request).expect("only open requests are sent");
+                Action::Send {
+                    request, server, ..
+                } => {
+                    let open = self
+                        .open
+                        .get_mut(&request)
+                        .expect("only open requests are sent");
                     let (attempt, which) = (open.0, number(&server));
                     open.0 += 1;
-                    let counts = if attempt == 0 { &mut self.first } else { &mut self.second };
+                    let counts = if attempt == 0 {
+                        &mut self.first
+                    } else {
+                        &mut self.second
+                    };
                     counts[which] += 1;
                     if attempt == 0 {
                         self.first_keys[which].insert(open.1);
@@ -228,7 +254,8 @@
                     self.due.insert((self.now + latency, self.serial), due);
                 }
                 Action::Timer { delay, token } => {
-                    self.due.insert((self.now + delay, self.serial), Due::Timer(token));
+                    self.due
+                        .insert((self.now + delay, self.serial), Due::Timer(token));
                 }
                 Action::Refuse { request, .. } | Action::Fail { request } => {
                     self.open.remove(&request);
@@ -280,7 +307,10 @@
 }
 
 fn number(server: &ServerId) -> usize {
-    server.trim_start_matches("srv").parse().expect("servers are named by number")
+    server
+        .trim_start_matches("srv")
+        .parse()
+        .expect("servers are named by number")
 }
 
 pub fn settings() -> Settings {
--- a/crates/gateway/src/breaker.rs
+++ b/crates/gateway/src/breaker.rs
@@ -54,7 +54,11 @@
 
 impl Breaker {
     pub fn new(limits: Limits) -> Breaker {
-        Breaker { limits, state: State::Closed { failures: 0 }, tokens: limits.budget }
+        Breaker {
+            limits,
+            state: State::Closed { failures: 0 },
+            tokens: limits.budget,
+        }
     }
 
     /// Whether a request may cross now; if so it counts as out until [`Breaker::ended`].
@@ -89,14 +93,24 @@
             (State::Trial { pause }, Crossing::Withdrawn) => State::Open { until: now, pause },
             (State::Trial { pause }, _) => {
                 let pause = (pause * 2).min(self.limits.pause_most);
-                State::Open { until: now + pause, pause }
+                State::Open {
+                    until: now + pause,
+                    pause,
+                }
             }
             (State::Closed { .. }, Crossing::Served) => State::Closed { failures: 0 },
-            (State::Closed { failures }, Crossing::Failed) if failures + 1 >= self.limits.failures => {
+            (State::Closed { failures }, Crossing::Failed)
+                if failures + 1 >= self.limits.failures =>
+            {
                 let pause = self.limits.pause;
-                State::Open { until: now + pause, pause }
+                State::Open {
+                    until: now + pause,
+                    pause,
+                }
             }
-            (State::Closed { failures }, Crossing::Failed) => State::Closed { failures: failures + 1 },
+            (State::Closed { failures }, Crossing::Failed) => State::Closed {
+                failures: failures + 1,
+            },
             // What was out when it opened comes in late: it changes nothing.
             (state, _) => state,
         };
@@ -118,7 +132,11 @@
 
 impl Homecoming {
     pub fn new(from: f64, over: Micros) -> Homecoming {
-        Homecoming { from, over, since: None }
+        Homecoming {
+            from,
+            over,
+            since: None,
+        }
     }
 
     /// The local fleet can't serve.
--- a/crates/gateway/src/breaker_tests.rs
+++ b/crates/gateway/src/breaker_tests.rs
@@ -1,6 +1,12 @@
 use super::*;
 
-const LIMITS: Limits = Limits { failures: 3, pause: 1_000, pause_most: 4_000, budget: 10.0, earned: 0.1 };
+const LIMITS: Limits = Limits {
+    failures: 3,
+    pause: 1_000,
+    pause_most: 4_000,
+    budget: 10.0,
+    earned: 0.1,
+};
 
 fn crossed(b: &mut Breaker, now: Micros, how: Crossing) {
     assert!(b.cross(now));
@@ -10,7 +16,13 @@
 #[test]
 fn it_opens_after_failures_in_a_row_and_lets_one_trial_through() {
     let mut b = Breaker::new(LIMITS);
-    for how in [Crossing::Failed, Crossing::Failed, Crossing::Served, Crossing::Failed, Crossing::Failed] {
+    for how in [
+        Crossing::Failed,
+        Crossing::Failed,
+        Crossing::Served,
+        Crossing::Failed,
+        Crossing::Failed,
+    ] {
         crossed(&mut b, 0, how);
         assert!(!b.open());
     }
@@ -23,7 +35,10 @@
     b.ended(3_100, Crossing::Refused);
     assert!(!b.cross(7_000) && b.cross(7_100));
     b.ended(7_100, Crossing::Failed);
-    assert!(!b.cross(11_000) && b.cross(11_100), "no longer than the longest");
+    assert!(
+        !b.cross(11_000) && b.cross(11_100),
+        "no longer than the longest"
+    );
     b.ended(11_100, Crossing::Withdrawn);
     assert!(b.cross(11_101), "which told nothing");
     b.ended(11_200, Crossing::Served);
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -68,7 +68,13 @@
     /// An arbiter that starts now.
     pub fn new(now: Micros, limits: Limits) -> Arbiter {
         let ledger = Ledger::new(limits.ledger);
-        Arbiter { limits, since: now, ledger, barred: HashMap::new(), bars: VecDeque::new() }
+        Arbiter {
+            limits,
+            since: now,
+            ledger,
+            barred: HashMap::new(),
+            bars: VecDeque::new(),
+        }
     }
 
     /// The set of arbiters has changed: some keys were another's until now.
@@ -107,7 +113,8 @@
         self.bars.push_back((until, key.clone()));
         if self.bars.len() > 2 * self.limits.barred {
             let barred = &self.barred;
-            self.bars.retain(|(until, key)| barred.get(key) == Some(until));
+            self.bars
+                .retain(|(until, key)| barred.get(key) == Some(until));
         }
         Claim::Here
     }
@@ -139,8 +146,9 @@
     let weigh = |node: &str| {
         // FNV-1a of 64 bits, finished as splitmix64 does: neighbouring names must not weigh alike.
         let bytes = node.bytes().chain([0]).chain(key.bytes());
-        let mut x =
-            bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        let mut x = bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
+            (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+        });
         x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         x ^ (x >> 31)
--- a/crates/gateway/src/claims_tests.rs
+++ b/crates/gateway/src/claims_tests.rs
@@ -8,7 +8,13 @@
     wish: WISH,
     life: LIFE,
     barred: 8,
-    ledger: ledger::Limits { entries: 8, receipt: 16, window: 10_000, margin: 1_000, remember: 60_000 },
+    ledger: ledger::Limits {
+        entries: 8,
+        receipt: 16,
+        window: 10_000,
+        margin: 1_000,
+        remember: 60_000,
+    },
 };
 
 fn key(n: usize) -> Key {
@@ -23,7 +29,11 @@
 fn a_claim_bars_the_key_for_as_long_as_the_wish_can_be_about() {
     let mut a = old();
     assert_eq!(a.claim(0, &key(1)), Claim::Here);
-    assert_eq!(a.run(WISH + LIFE - 1, &key(1)), Run::Refuse, "its first try was delivered late");
+    assert_eq!(
+        a.run(WISH + LIFE - 1, &key(1)),
+        Run::Refuse,
+        "its first try was delivered late"
+    );
     assert_eq!(a.claim(100, &key(1)), Claim::Here, "another node's claim");
     assert_eq!(a.run(100 + WISH + LIFE, &key(1)), Run::Begin);
 }
@@ -37,8 +47,12 @@
     a.ledger().ended(50, &key(1), None);
     assert_eq!(a.claim(60, &key(1)), Claim::Crossed, "it may have run");
     assert_eq!(a.run(70, &key(1)), Run::Again { until: 9_002 });
-    a.ledger().ended(80, &key(1), Some(Bytes::from_static(b"receipt")));
-    assert_eq!(a.claim(90, &key(1)), Claim::Served(Bytes::from_static(b"receipt")));
+    a.ledger()
+        .ended(80, &key(1), Some(Bytes::from_static(b"receipt")));
+    assert_eq!(
+        a.claim(90, &key(1)),
+        Claim::Served(Bytes::from_static(b"receipt"))
+    );
     // Turned away: nothing has run.
     assert_eq!(a.run(100, &key(2)), Run::Begin);
     assert!(a.ledger().send(101, &key(2)));
@@ -77,7 +91,10 @@
             assert_eq!(of(n, &nodes), of(n, &fewer));
         }
     }
-    assert!(counts.values().all(|n| (850..1_150).contains(n)), "{counts:?}");
+    assert!(
+        counts.values().all(|n| (850..1_150).contains(n)),
+        "{counts:?}"
+    );
     assert_eq!(arbiter("k", []), None);
 }
 
--- a/crates/gateway/src/leases.rs
+++ b/crates/gateway/src/leases.rs
@@ -46,11 +46,20 @@
 impl Issuer {
     /// `epoch`: of no other start of any receiver. `life`: how long a lease is good.
     pub fn new(epoch: u64, life: Micros) -> Issuer {
-        Issuer { epoch, life, next: 0, issued: VecDeque::new() }
+        Issuer {
+            epoch,
+            life,
+            next: 0,
+            issued: VecDeque::new(),
+        }
     }
 
     fn forget(&mut self, now: Micros) {
-        while self.issued.front().is_some_and(|(_, at)| now - at >= self.life) {
+        while self
+            .issued
+            .front()
+            .is_some_and(|(_, at)| now - at >= self.life)
+        {
             self.issued.pop_front();
         }
     }
@@ -64,7 +73,10 @@
         let number = self.next;
         self.next += 1;
         self.issued.push_back((number, now));
-        Some(Lease { epoch: self.epoch, number })
+        Some(Lease {
+            epoch: self.epoch,
+            number,
+        })
     }
 
     /// Whether a message with this lease may begin now.
--- a/crates/gateway/src/leases_tests.rs
+++ b/crates/gateway/src/leases_tests.rs
@@ -9,8 +9,14 @@
     let lease = far.issue(1_000).unwrap();
     assert_eq!(far.admit(1_000 + LIFE - 1, lease), Ok(()));
     assert_eq!(far.admit(1_000 + LIFE, lease), Err(Late::Over));
-    assert_eq!(far.admit(1_000, Lease { number: 9, ..lease }), Err(Late::Unknown));
-    assert_eq!(Issuer::new(8, LIFE).admit(1_000, lease), Err(Late::OtherStart));
+    assert_eq!(
+        far.admit(1_000, Lease { number: 9, ..lease }),
+        Err(Late::Unknown)
+    );
+    assert_eq!(
+        Issuer::new(8, LIFE).admit(1_000, lease),
+        Err(Late::OtherStart)
+    );
     let newer = far.issue(400_000).unwrap();
     assert_eq!(far.admit(600_000, lease), Err(Late::Over));
     assert_eq!(far.admit(600_000, newer), Ok(()));
@@ -32,7 +38,13 @@
     near.got(10, lease(3));
     assert_eq!(near.current(0, 100).map(|(l, _)| l), Some(lease(4)));
     assert_eq!(near.current(LIFE - 100, 100), None);
-    near.got(LIFE, Lease { epoch: 8, number: 0 });
+    near.got(
+        LIFE,
+        Lease {
+            epoch: 8,
+            number: 0,
+        },
+    );
     assert!(near.current(LIFE, 0).is_some(), "another start");
     near.lost();
     assert_eq!(near.current(LIFE, 0), None);
--- a/crates/lab/examples/cold.rs
+++ b/crates/lab/examples/cold.rs
@@ -45,7 +45,9 @@
 }
 
 fn list(cold: bool) -> Arc<[Entry]> {
-    (0..SERVERS).map(|s| entry(s, (cold && s % 2 == 1).then_some(BACK))).collect()
+    (0..SERVERS)
+        .map(|s| entry(s, (cold && s % 2 == 1).then_some(BACK)))
+        .collect()
 }
 
 struct Run {
@@ -55,16 +57,32 @@
 }
 
 fn play(nodes: usize, seed: u64) -> Run {
-    let set = Settings { nodes, ..Site { nodes, ..Site::default() }.settings() };
+    let set = Settings {
+        nodes,
+        ..Site {
+            nodes,
+            ..Site::default()
+        }
+        .settings()
+    };
     let node = |n: usize, start: u64, now: Micros| {
-        let set = Settings { number: Some(n as u64), ..set.clone() };
+        let set = Settings {
+            number: Some(n as u64),
+            ..set.clone()
+        };
         let seed = seed << 32 | start << 16 | n as u64;
         let mut node = Balancer::new(set, seed, now).expect("valid settings");
-        node.handle(now, Event::Servers(ListKind::Full, list(now >= BACK)), &mut Vec::new());
+        node.handle(
+            now,
+            Event::Servers(ListKind::Full, list(now >= BACK)),
+            &mut Vec::new(),
+        );
         node
     };
     let mut fleet: Vec<Balancer> = (0..nodes).map(|n| node(n, 0, 0)).collect();
-    let shares: Vec<f64> = (0..nodes).map(|n| if n % 5 == 0 { BUSY } else { 1.0 }).collect();
+    let shares: Vec<f64> = (0..nodes)
+        .map(|n| if n % 5 == 0 { BUSY } else { 1.0 })
+        .collect();
     let all: f64 = shares.iter().sum();
     let zipf = Zipf::new(KEYS, 1.0).expect("a valid law");
     let mut rng = StdRng::seed_from_u64(seed);
@@ -79,14 +97,22 @@
         }
         if now >= BACK && !std::mem::replace(&mut back, true) {
             for node in &mut fleet {
-                node.handle(now, Event::Servers(ListKind::Full, list(true)), &mut Vec::new());
+                node.handle(
+                    now,
+                    Event::Servers(ListKind::Full, list(true)),
+                    &mut Vec::new(),
+                );
             }
         }
         if now >= ANEW && !std::mem::replace(&mut anew, true) {
-            (0..nodes).filter(|n| n % 10 < 3).for_each(|n| fleet[n] = node(n, 1, now));
+            (0..nodes)
+                .filter(|n| n % 10 < 3)
+                .for_each(|n| fleet[n] = node(n, 1, now));
         }
         if now < next {
-            let Some(Reverse((_, n, id, server))) = due.pop() else { continue };
+            let Some(Reverse((_, n, id, server))) = due.pop() else {
+                continue;
+            };
             let event = Event::Outcome {
                 request: format!("r{id}").into(),
                 server: format!("s{server}").into(),
@@ -137,7 +163,9 @@
     fn budget(&self, now: Micros) -> f64 {
         let warm = (now - BACK) as f64 / self.set.cold as f64;
         let grown = (self.set.cold_from + (1.0 - self.set.cold_from) * warm).min(1.0);
-        self.set.fall_multiple * grown * RATE * self.set.fall as f64 / SECOND as f64 / SERVERS as f64
+        self.set.fall_multiple * grown * RATE * self.set.fall as f64
+            / SECOND as f64
+            / SERVERS as f64
     }
 
     /// For each quarter of a second that the zone is back: what each cold server was sent within the time to a fall, sorted.
@@ -174,7 +202,11 @@
             of += sums.len();
             given += sums[sums.len() / 2];
             able += budget / run.set.fall_multiple;
-            let row = ((end - BACK) as f64 / SECOND as f64, fullest / budget, allowed / budget);
+            let row = (
+                (end - BACK) as f64 / SECOND as f64,
+                fullest / budget,
+                allowed / budget,
+            );
             match rows.get_mut(n) {
                 Some(old) => old.1 = old.1.max(row.1),
                 None => rows.push(row),
@@ -196,7 +228,10 @@
     let most = rows().map(|r| r.1.max(r.2)).fold(0.0, f64::max) * 1.05;
     let last = rows().map(|r| r.0).fold(0.0, f64::max);
     let mut chart = ChartBuilder::on(&area)
-        .caption("What the fullest cold server is sent by all nodes", ("sans-serif", 20))
+        .caption(
+            "What the fullest cold server is sent by all nodes",
+            ("sans-serif", 20),
+        )
         .margin(12)
         .x_label_area_size(40)
         .y_label_area_size(60)
@@ -209,7 +244,10 @@
     for (n, (nodes, rows)) in all.iter().enumerate() {
         let colour = Palette99::pick(n).to_rgba();
         chart
-            .draw_series(LineSeries::new(rows.iter().map(|r| (r.0, r.1)), colour.stroke_width(2)))?
+            .draw_series(LineSeries::new(
+                rows.iter().map(|r| (r.0, r.1)),
+                colour.stroke_width(2),
+            ))?
             .label(format!("{nodes} nodes"))
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour.stroke_width(2)));
     }
@@ -218,13 +256,20 @@
         .draw_series(LineSeries::new(allowed, BLACK.mix(0.5)))?
         .label("N + 2 root of N + 2")
         .legend(|(x, y)| PathElement::new([(x, y), (x + 20, y)], BLACK.mix(0.5)));
-    chart.configure_series_labels().border_style(BLACK.mix(0.3)).background_style(WHITE).draw()?;
+    chart
+        .configure_series_labels()
+        .border_style(BLACK.mix(0.3))
+        .background_style(WHITE)
+        .draw()?;
     area.present()?;
     Ok(())
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let all: Vec<(usize, Vec<Row>)> = NODES.into_iter().map(|nodes| (nodes, rows(nodes))).collect();
+    let all: Vec<(usize, Vec<Row>)> = NODES
+        .into_iter()
+        .map(|nodes| (nodes, rows(nodes)))
+        .collect();
     match std::env::args().nth(1) {
         Some(file) => draw(&file, &all),
         None => Ok(()),
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -226,13 +226,24 @@
             cell: None,
         };
         let list: Arc<[Entry]> = (0..site.servers).map(entry).collect();
-        let numbered = |n: usize| Settings { number: Some(n as u64), ..set.clone() };
+        let numbered = |n: usize| Settings {
+            number: Some(n as u64),
+            ..set.clone()
+        };
         let node = |n: usize| {
-            let mut node = Balancer::new(numbered(n), seed << 16 | n as u64, 0).expect("valid settings");
-            node.handle(0, Event::Servers(ListKind::Full, list.clone()), &mut Vec::new());
+            let mut node =
+                Balancer::new(numbered(n), seed << 16 | n as u64, 0).expect("valid settings");
+            node.handle(
+                0,
+                Event::Servers(ListKind::Full, list.clone()),
+                &mut Vec::new(),
+            );
             node
         };
-        let server = |_| Server { kept: (0..site.keys).collect(), ..Server::default() };
+        let server = |_| Server {
+            kept: (0..site.keys).collect(),
+            ..Server::default()
+        };
         let mut model = Model {
             nodes: (0..site.nodes).map(node).collect(),
             servers: (0..site.servers).map(server).collect(),
@@ -270,13 +281,17 @@
             }
         }
         self.seconds.resize(seconds, Second::default());
-        self.seconds.iter().map(|s| f64::from(s.worth_served) / f64::from(s.worth_offered.max(1))).collect()
+        self.seconds
+            .iter()
+            .map(|s| f64::from(s.worth_served) / f64::from(s.worth_offered.max(1)))
+            .collect()
     }
 
     fn plan(&mut self, delay: Micros, due: Due) {
         self.serial += 1;
         self.events.insert(self.serial, due);
-        self.due.push(Reverse((self.now + delay.max(0), self.serial)));
+        self.due
+            .push(Reverse((self.now + delay.max(0), self.serial)));
     }
 
     fn second(&mut self) -> &mut Second {
@@ -298,8 +313,11 @@
                 let gap = self.exp(1e6 / self.site.rate);
                 self.plan(gap, Due::Arrival);
                 let mut key = self.zipf.sample(&mut self.rng) as usize - 1;
-                if let Some((_, share)) =
-                    self.site.hot.as_ref().filter(|(when, _)| when.contains(&self.now))
+                if let Some((_, share)) = self
+                    .site
+                    .hot
+                    .as_ref()
+                    .filter(|(when, _)| when.contains(&self.now))
                 {
                     if self.rng.random_bool(*share) {
                         key = self.site.keys - 1;
@@ -351,16 +369,27 @@
     }
 
     fn restart(&mut self) {
-        let Some((_, nodes)) = self.site.restarted else { return };
-        let fresh = Model::new(Site { restarted: None, ..self.site.clone() }, self.arm, 1 << 32 | 7);
+        let Some((_, nodes)) = self.site.restarted else {
+            return;
+        };
+        let fresh = Model::new(
+            Site {
+                restarted: None,
+                ..self.site.clone()
+            },
+            self.arm,
+            1 << 32 | 7,
+        );
         for (n, mut node) in fresh.nodes.into_iter().enumerate().take(nodes) {
             // What it held is lost with it; its connections end.
             let gone = |attempt: &Attempt| attempt.node == n && attempt.awaited;
-            let jobs: Vec<Job> =
-                (0..self.attempts.len()).filter(|job| gone(&self.attempts[*job])).collect();
+            let jobs: Vec<Job> = (0..self.attempts.len())
+                .filter(|job| gone(&self.attempts[*job]))
+                .collect();
             jobs.into_iter().for_each(|job| self.withdraw(job));
             self.open.retain(|_, open| open.node != n);
-            self.events.retain(|_, due| !matches!(due, Due::Timer(of, _) if *of == n));
+            self.events
+                .retain(|_, due| !matches!(due, Due::Timer(of, _) if *of == n));
             std::mem::swap(&mut self.nodes[n], &mut node);
         }
     }
@@ -369,7 +398,14 @@
         self.serial += 1;
         let id: RequestId = format!("r{}", self.serial).into();
         let class = if write { WRITE } else { READ };
-        let open = Open { node, write, key, arrived: self.now, first, attempts: Vec::new() };
+        let open = Open {
+            node,
+            write,
+            key,
+            arrived: self.now,
+            first,
+            attempts: Vec::new(),
+        };
         self.open.insert(id.clone(), open);
         let request = Request {
             id,
@@ -394,13 +430,20 @@
         let work = self.site.work;
         let wait = |s: &Server| (s.queue.len() + usize::from(s.core.is_some())) as f64 * work;
         let emptiest = |servers: &mut dyn Iterator<Item = (usize, &Server)>| {
-            servers.map(|(i, s)| (i, wait(s))).min_by(|a, b| a.1.total_cmp(&b.1))
+            servers
+                .map(|(i, s)| (i, wait(s)))
+                .min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let sound = || self.servers.iter().enumerate().skip(self.site.bad);
         let aim = AIMS[usize::from(write)] as f64 - 2.0 * work;
-        let keeper =
-            (!write).then(|| emptiest(&mut sound().filter(|(_, s)| s.kept.contains(&key)))).flatten();
-        let slow = if self.site.slow.contains(&self.now) { self.site.slower } else { 1.0 };
+        let keeper = (!write)
+            .then(|| emptiest(&mut sound().filter(|(_, s)| s.kept.contains(&key))))
+            .flatten();
+        let slow = if self.site.slow.contains(&self.now) {
+            self.site.slower
+        } else {
+            1.0
+        };
         let behind = self.origin.len() as f64 * 1e6 / self.site.origin_rate * slow;
         let at_origin = behind + self.site.origin_time as f64;
         let free = emptiest(&mut sound().filter(|(_, s)| s.fetches < self.site.fetches));
@@ -422,13 +465,20 @@
         self.nodes[node].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { request, server, timeout } => self.send(node, request, &server, timeout),
+                Action::Send {
+                    request,
+                    server,
+                    timeout,
+                } => self.send(node, request, &server, timeout),
                 Action::Refuse { request, .. } | Action::Fail { request } => {
                     *self.why.entry(self.nodes[node].why()).or_default() += 1;
                     self.given_up(&request);
                 }
                 Action::Cancel { request, attempt } => {
-                    let job = self.open.get(&request).and_then(|open| open.attempts.get(attempt));
+                    let job = self
+                        .open
+                        .get(&request)
+                        .and_then(|open| open.attempts.get(attempt));
                     let job = job.copied().or_else(|| self.closed(&request, attempt));
                     job.into_iter().for_each(|job| self.withdraw(job));
                 }
@@ -441,7 +491,9 @@
     /// An attempt of a request that has its final answer; it is among the last ones.
     fn closed(&self, request: &RequestId, number: usize) -> Option<Job> {
         let from = self.attempts.len().saturating_sub(20_000);
-        let found = self.attempts[from..].iter().rposition(|a| a.request == *request && a.number == number);
+        let found = self.attempts[from..]
+            .iter()
+            .rposition(|a| a.request == *request && a.number == number);
         found.map(|at| from + at)
     }
 
@@ -462,7 +514,13 @@
         }
     }
 
-    fn send(&mut self, node: usize, request: RequestId, server: &ServerId, timeout: Option<Micros>) {
+    fn send(
+        &mut self,
+        node: usize,
+        request: RequestId,
+        server: &ServerId,
+        timeout: Option<Micros>,
+    ) {
         let server: usize = server[1..].parse().expect("servers are numbered");
         let Some(open) = self.open.get_mut(&request) else {
             self.broken += 1;
@@ -499,7 +557,9 @@
 
     /// A server's core takes what waits first.
     fn next(&mut self, server: usize) {
-        let Some(job) = self.servers[server].queue.pop_front() else { return };
+        let Some(job) = self.servers[server].queue.pop_front() else {
+            return;
+        };
         let node = self.attempts[job].node;
         self.attempts[job].at = At::Core;
         let mut work = self.exp(self.site.work);
@@ -517,7 +577,9 @@
     }
 
     fn worked(&mut self, job: Job) {
-        let Attempt { server, key, write, .. } = self.attempts[job];
+        let Attempt {
+            server, key, write, ..
+        } = self.attempts[job];
         if server < self.site.bad {
             self.attempts[job].at = At::Done;
             return self.answer(job, Status::Error, None);
@@ -545,13 +607,23 @@
 
     /// The origin takes what waits first. It goes on with what nobody waits for any more.
     fn origin_begins(&mut self) {
-        let slow = if self.site.slow.contains(&self.now) { self.site.slower } else { 1.0 };
+        let slow = if self.site.slow.contains(&self.now) {
+            self.site.slower
+        } else {
+            1.0
+        };
         let each = self.exp(1e6 / self.site.origin_rate * slow);
         self.plan(each, Due::OriginDone);
     }
 
     fn fetched(&mut self, job: Job) {
-        let Attempt { server, key, write, at, .. } = self.attempts[job];
+        let Attempt {
+            server,
+            key,
+            write,
+            at,
+            ..
+        } = self.attempts[job];
         if write {
             self.servers.iter_mut().for_each(|s| {
                 s.kept.remove(&key);
@@ -597,7 +669,14 @@
     }
 
     fn outcome(&mut self, job: Job, status: Status, note: Option<Note>) {
-        let Attempt { node, ref request, number, server, sent, .. } = self.attempts[job];
+        let Attempt {
+            node,
+            ref request,
+            number,
+            server,
+            sent,
+            ..
+        } = self.attempts[job];
         let request = request.clone();
         let mut closed = false;
         if status == Status::Ok {
@@ -606,7 +685,11 @@
                 let in_time = self.now - open.arrived <= AIMS[usize::from(open.write)];
                 let second = self.second();
                 second.served += u32::from(in_time);
-                second.worth_served += if in_time { WORTH[usize::from(open.write)] } else { 0 };
+                second.worth_served += if in_time {
+                    WORTH[usize::from(open.write)]
+                } else {
+                    0
+                };
                 second.from_origin += u32::from(in_time && note == Some(Note::Miss));
             }
         }
@@ -645,7 +728,10 @@
             stream: false,
         };
         Settings {
-            classes: vec![class(READ, 1.0, Repeat::Free), class(WRITE, 10.0, Repeat::Keyed)],
+            classes: vec![
+                class(READ, 1.0, Repeat::Free),
+                class(WRITE, 10.0, Repeat::Keyed),
+            ],
             tenants: vec![],
             nodes: self.nodes,
             number: None,
--- a/crates/memcache/src/file.rs
+++ b/crates/memcache/src/file.rs
@@ -33,18 +33,36 @@
 
 const TOP: [&str; 5] = ["listen", "value_most", "ledger", "route", "box"];
 const LEDGER: [&str; 4] = ["entries", "remember_ms", "margin_ms", "clock_skew_ms"];
-const ROUTE: [&str; 6] = ["operation", "keys", "class", "tenant", "deadline_ms", "key_from"];
+const ROUTE: [&str; 6] = [
+    "operation",
+    "keys",
+    "class",
+    "tenant",
+    "deadline_ms",
+    "key_from",
+];
 
 /// Reads the file. `names` and `classes` are the node's settings, `memory` its memory in bytes.
 ///
 /// # Errors
 /// All that is wrong with it.
-pub fn parse(text: &str, names: &Names, classes: &[Class], memory: usize) -> Result<File, Vec<Problem>> {
+pub fn parse(
+    text: &str,
+    names: &Names,
+    classes: &[Class],
+    memory: usize,
+) -> Result<File, Vec<Problem>> {
     read(text, |r, top| {
         r.only(top, &TOP);
         let address = |text: &str| text.parse::<SocketAddr>().ok();
         let listen = top.has("listen").then(|| {
-            r.meaning(top, "listen", "an address with a port, like \"127.0.0.1:11211\"", None, address)
+            r.meaning(
+                top,
+                "listen",
+                "an address with a port, like \"127.0.0.1:11211\"",
+                None,
+                address,
+            )
         });
         let value_most = r.whole(top, "value_most", 1..=VALUE_MOST, Some(1 << 20));
         let ledger = r.section(top, "ledger");
@@ -58,7 +76,10 @@
                 "is missing: without a route every request is refused; allowed: [[route]]",
             );
         }
-        let routes: Vec<Option<Route>> = sections.iter().map(|s| route(r, *s, names, classes)).collect();
+        let routes: Vec<Option<Route>> = sections
+            .iter()
+            .map(|s| route(r, *s, names, classes))
+            .collect();
         let whole = routes.iter().all(Option::is_some);
         // The shortest window of what is set by a key holds for all of it.
         let keyed = routes.iter().zip(&sections).filter_map(|(route, section)| {
@@ -66,7 +87,11 @@
             (class.repeat == Repeat::Keyed).then_some((route.as_ref()?, class.window, *section))
         });
         let keyed: Vec<_> = keyed.collect();
-        limits.window = keyed.iter().map(|(_, window, _)| *window).min().unwrap_or(0);
+        limits.window = keyed
+            .iter()
+            .map(|(_, window, _)| *window)
+            .min()
+            .unwrap_or(0);
         if limits.remember < limits.window {
             let why = format!(
                 "is {}; boxes drop repeats for {} ms, and a repeat after that must still be known; allowed: no less",
@@ -75,7 +100,10 @@
             );
             r.wrong(ledger.unwrap_or(top), "remember_ms", why);
         }
-        for (_, _, section) in keyed.iter().filter(|(route, ..)| route.key_from == KeyFrom::Stamp) {
+        for (_, _, section) in keyed
+            .iter()
+            .filter(|(route, ..)| route.key_from == KeyFrom::Stamp)
+        {
             if limits.window <= margin + skew {
                 let why = format!(
                     "no stamp could be in time: boxes drop repeats for {} ms, and margin_ms and clock_skew_ms are {} ms",
@@ -128,7 +156,9 @@
         r.only(section, &LEDGER);
     }
     let ms = |n: Option<u32>| Micros::from(n.unwrap_or_default()) * 1000;
-    let entries = r.whole(section, "entries", 1..=1_000_000, Some(usual)).unwrap_or(usual) as usize;
+    let entries = r
+        .whole(section, "entries", 1..=1_000_000, Some(usual))
+        .unwrap_or(usual) as usize;
     let remember = ms(r.whole(section, "remember_ms", 1..=86_400_000, Some(600_000)));
     let margin = ms(r.whole(section, "margin_ms", 0..=60_000, Some(1_000)));
     let skew = ms(r.whole(section, "clock_skew_ms", 0..=60_000, Some(500)));
@@ -139,47 +169,83 @@
         );
         r.wrong(section, "entries", why);
     }
-    (Limits { entries, receipt: 0, window: 0, margin, remember }, skew)
+    (
+        Limits {
+            entries,
+            receipt: 0,
+            window: 0,
+            margin,
+            remember,
+        },
+        skew,
+    )
 }
 
 fn route(r: &mut Reader, section: Section, names: &Names, classes: &[Class]) -> Option<Route> {
     r.only(section, &ROUTE);
-    let operation = r.meaning(section, "operation", "\"get\" or \"set\"", None, |word| match word {
-        "get" => Some(Operation::Get),
-        "set" => Some(Operation::Set),
-        _ => None,
-    });
-    let keys = r.text(section, "keys", "a key, or the beginning of keys and *").and_then(|text| {
-        Pattern::read(text).map_err(|why| r.wrong(section, "keys", format!("{text:?} {why}"))).ok()
-    });
+    let operation = r.meaning(
+        section,
+        "operation",
+        "\"get\" or \"set\"",
+        None,
+        |word| match word {
+            "get" => Some(Operation::Get),
+            "set" => Some(Operation::Set),
+            _ => None,
+        },
+    );
+    let keys = r
+        .text(section, "keys", "a key, or the beginning of keys and *")
+        .and_then(|text| {
+            Pattern::read(text)
+                .map_err(|why| r.wrong(section, "keys", format!("{text:?} {why}")))
+                .ok()
+        });
     let class_name = r.text(section, "class", "a class of the node's settings");
     let class = class_name.and_then(|name| {
         let class = names.class(name);
         if class.is_none() {
-            r.wrong(section, "class", format!("{name:?} is no class of the node's settings"));
+            r.wrong(
+                section,
+                "class",
+                format!("{name:?} is no class of the node's settings"),
+            );
         }
         class
     });
-    let tenant_name =
-        section.has("tenant").then(|| r.text(section, "tenant", "a tenant (realm) of the settings"));
+    let tenant_name = section
+        .has("tenant")
+        .then(|| r.text(section, "tenant", "a tenant (realm) of the settings"));
     let tenant = tenant_name.flatten().and_then(|name| {
         let tenant = names.tenant(name);
         if tenant.is_none() {
-            r.wrong(section, "tenant", format!("{name:?} is no tenant (realm) of the node's settings"));
+            r.wrong(
+                section,
+                "tenant",
+                format!("{name:?} is no tenant (realm) of the node's settings"),
+            );
         }
         tenant
     });
-    let longest = class.and_then(|c| classes.get(c)).map_or(3_600_000, |c| c.deadline / 1000);
+    let longest = class
+        .and_then(|c| classes.get(c))
+        .map_or(3_600_000, |c| c.deadline / 1000);
     let longest = u32::try_from(longest).unwrap_or(u32::MAX).max(1);
     let deadline = r.whole(section, "deadline_ms", 1..=longest, Some(longest));
     let words = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
-    let key_from = r.meaning(section, "key_from", words, Some(KeyFrom::None), |word| match word {
-        "none" => Some(KeyFrom::None),
-        "digest" => Some(KeyFrom::Digest),
-        "prefix" => Some(KeyFrom::Prefix),
-        "stamp" => Some(KeyFrom::Stamp),
-        _ => None,
-    });
+    let key_from = r.meaning(
+        section,
+        "key_from",
+        words,
+        Some(KeyFrom::None),
+        |word| match word {
+            "none" => Some(KeyFrom::None),
+            "digest" => Some(KeyFrom::Digest),
+            "prefix" => Some(KeyFrom::Prefix),
+            "stamp" => Some(KeyFrom::Stamp),
+            _ => None,
+        },
+    );
     let mut fields = format!("c={}", class_name?);
     if let Some(name) = tenant_name.flatten() {
         fields += &format!(",t={name}");
--- a/crates/memcache/src/file_tests.rs
+++ b/crates/memcache/src/file_tests.rs
@@ -6,7 +6,8 @@
     let value: serde_json::Value = serde_json::from_str(node).unwrap();
     let object = Fields::of(&value["settings"], "settings").unwrap();
     let (set, names) = settings::parse(&object).unwrap();
-    parse(text, &names, &set.classes, 64 << 20).map_err(|list| list.iter().map(|p| p.to_string()).collect())
+    parse(text, &names, &set.classes, 64 << 20)
+        .map_err(|list| list.iter().map(|p| p.to_string()).collect())
 }
 
 #[test]
@@ -30,23 +31,45 @@
                 [[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n\
                 [[box]]\nmodel = \"m\"\nprotocol = \"text\"\n";
     let wrong = parsed(text).unwrap_err();
-    let lines = ["1: listen", "2: value_most", "4: ledger.entries", "5: ledger.remember_ms"];
-    let more = ["7: route[0].operation", "8: route[0].keys", "9: route[0].class", "16: box[0].protocol"];
+    let lines = [
+        "1: listen",
+        "2: value_most",
+        "4: ledger.entries",
+        "5: ledger.remember_ms",
+    ];
+    let more = [
+        "7: route[0].operation",
+        "8: route[0].keys",
+        "9: route[0].class",
+        "16: box[0].protocol",
+    ];
     let expected: Vec<&str> = lines.into_iter().chain(more).collect();
     let starts: Vec<String> = wrong
         .iter()
-        .map(|w| w["line ".len()..].splitn(3, ": ").take(2).collect::<Vec<_>>().join(": "))
+        .map(|w| {
+            w["line ".len()..]
+                .splitn(3, ": ")
+                .take(2)
+                .collect::<Vec<_>>()
+                .join(": ")
+        })
         .collect();
     assert_eq!(starts, expected);
     // What a table as a whole may not be is told once each line by itself is right.
-    let wrong =
-        parsed("[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n").unwrap_err();
-    assert_eq!(wrong, ["line 1: route[0].key_from: the class is keyed: say where its key comes from"]);
+    let wrong = parsed("[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n")
+        .unwrap_err();
+    assert_eq!(
+        wrong,
+        ["line 1: route[0].key_from: the class is keyed: say where its key comes from"]
+    );
     let stamp =
         "[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\nkey_from = \"stamp\"\n";
     assert!(parsed(stamp).is_ok());
     let wrong = parsed(&format!("[ledger]\nmargin_ms = 9500\n{stamp}")).unwrap_err();
-    assert!(wrong[0].starts_with("line 7: route[0].key_from: no stamp could be in time"), "{wrong:?}");
+    assert!(
+        wrong[0].starts_with("line 7: route[0].key_from: no stamp could be in time"),
+        "{wrong:?}"
+    );
     let wrong = parsed("listen = \"127.0.0.1:11211\"").unwrap_err();
     assert!(wrong[0].contains("every request is refused"), "{wrong:?}");
 }
--- a/crates/memcache/src/ledger.rs
+++ b/crates/memcache/src/ledger.rs
@@ -71,7 +71,11 @@
 
 impl Ledger {
     pub fn new(limits: Limits) -> Ledger {
-        Ledger { limits, entries: HashMap::new(), ends: VecDeque::new() }
+        Ledger {
+            limits,
+            entries: HashMap::new(),
+            ends: VecDeque::new(),
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -99,7 +103,9 @@
                 }
                 (false, Some(since)) if now < until(since) => {
                     entry.in_hand = true;
-                    Verdict::Repeat { until: until(since) }
+                    Verdict::Repeat {
+                        until: until(since),
+                    }
                 }
                 (false, Some(_)) => match &entry.served {
                     Some(Some(receipt)) => Verdict::Served(receipt.clone()),
@@ -113,7 +119,12 @@
         if self.entries.len() >= self.limits.entries {
             return Verdict::Full;
         }
-        let entry = Entry { ran_since: None, in_hand: true, served: None, ended: now };
+        let entry = Entry {
+            ran_since: None,
+            in_hand: true,
+            served: None,
+            ended: now,
+        };
         self.entries.insert(key.clone(), entry);
         Verdict::New
     }
@@ -128,7 +139,9 @@
     /// An attempt of the key leaves now and may run. False: it must not leave, the boxes may have forgotten it.
     #[must_use]
     pub fn send(&mut self, now: Micros, key: &Key) -> bool {
-        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.in_hand) else { return false };
+        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.in_hand) else {
+            return false;
+        };
         let since = *entry.ran_since.get_or_insert(now);
         now < since + self.limits.window - self.limits.margin || now == since
     }
@@ -136,14 +149,20 @@
     /// An attempt that was counted by [`Ledger::send`] is known not to have run; `others`: another of this key may
     /// have.
     pub fn never_ran(&mut self, key: &Key, others: bool) {
-        if let Some(entry) = self.entries.get_mut(key).filter(|e| !others && e.served.is_none()) {
+        if let Some(entry) = self
+            .entries
+            .get_mut(key)
+            .filter(|e| !others && e.served.is_none())
+        {
             entry.ran_since = None;
         }
     }
 
     /// The request in hand has ended; its receipt, if it was served. Whether it may have run is known from its sends.
     pub fn ended(&mut self, now: Micros, key: &Key, served: Option<Bytes>) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
         entry.in_hand = false;
         entry.ended = now;
         if let Some(receipt) = served {
@@ -166,10 +185,12 @@
     fn tidy(&mut self) {
         if self.ends.len() > 2 * self.limits.entries {
             let entries = &self.entries;
-            self.ends.retain(|(at, key)| entries.get(key).is_some_and(|e| e.ended == *at));
+            self.ends
+                .retain(|(at, key)| entries.get(key).is_some_and(|e| e.ended == *at));
             // Two ends in one instant are one.
             let mut last = None;
-            self.ends.retain(|end| last.replace(end.clone()).as_ref() != Some(end));
+            self.ends
+                .retain(|end| last.replace(end.clone()).as_ref() != Some(end));
         }
     }
 
@@ -180,7 +201,10 @@
             if now - at < self.limits.remember {
                 return;
             }
-            let over = self.entries.get(key).is_some_and(|e| !e.in_hand && e.ended == *at);
+            let over = self
+                .entries
+                .get(key)
+                .is_some_and(|e| !e.in_hand && e.ended == *at);
             if over {
                 self.entries.remove(key);
             }
--- a/crates/memcache/src/ledger_tests.rs
+++ b/crates/memcache/src/ledger_tests.rs
@@ -2,7 +2,13 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
-const LIMITS: Limits = Limits { entries: 4, receipt: 8, window: 10_000, margin: 1_000, remember: 100_000 };
+const LIMITS: Limits = Limits {
+    entries: 4,
+    receipt: 8,
+    window: 10_000,
+    margin: 1_000,
+    remember: 100_000,
+};
 
 fn key(n: usize) -> Key {
     format!("k{n}").into()
@@ -19,11 +25,17 @@
     assert!(l.send(100, &key(1)));
     assert_eq!(l.ask(150, &key(1), false), Verdict::InHand);
     l.ended(200, &key(1), served("receipt"));
-    assert_eq!(l.ask(9_099, &key(1), false), Verdict::Repeat { until: 9_100 });
+    assert_eq!(
+        l.ask(9_099, &key(1), false),
+        Verdict::Repeat { until: 9_100 }
+    );
     assert!(l.send(9_099, &key(1)));
     assert!(!l.send(9_100, &key(1)), "it would arrive too late");
     l.ended(9_200, &key(1), None);
-    assert_eq!(l.ask(9_300, &key(1), false), Verdict::Served(Bytes::from_static(b"receipt")));
+    assert_eq!(
+        l.ask(9_300, &key(1), false),
+        Verdict::Served(Bytes::from_static(b"receipt"))
+    );
 }
 
 #[test]
@@ -79,12 +91,18 @@
     assert_eq!(l.ask(0, &key(1), false), Verdict::New);
     assert!(l.send(0, &key(1)));
     l.ended(10, &key(1), served("ok"));
-    assert_eq!(l.ask(20_000, &key(1), true), Verdict::Served(Bytes::from_static(b"ok")));
+    assert_eq!(
+        l.ask(20_000, &key(1), true),
+        Verdict::Served(Bytes::from_static(b"ok"))
+    );
 }
 
 #[test]
 fn a_write_that_is_repeated_without_end_takes_the_room_of_one() {
-    let mut l = Ledger::new(Limits { window: 1_000_000, ..LIMITS });
+    let mut l = Ledger::new(Limits {
+        window: 1_000_000,
+        ..LIMITS
+    });
     for n in 0..1_000 {
         // Several in one instant, too.
         let now = n / 3;
--- a/crates/memcache/src/outcomes_tests.rs
+++ b/crates/memcache/src/outcomes_tests.rs
@@ -2,10 +2,18 @@
 
 #[test]
 fn only_what_is_certain_never_ran() {
-    let never: Vec<u16> = (0..=u16::MAX).filter(|s| outcome(Operation::Set, *s).never_ran()).collect();
+    let never: Vec<u16> = (0..=u16::MAX)
+        .filter(|s| outcome(Operation::Set, *s).never_ran())
+        .collect();
     assert_eq!(never, [0x03, 0x04, 0x07, 0x08, 0x09, 0x81, 0x83, 0x85]);
-    for status in [0x0001, 0x0002, 0x0005, 0x0006, 0x0082, 0x0084, 0x0086, 0x0099, 0xffff] {
-        assert_eq!(outcome(Operation::Set, status), Outcome::Not(Ended::Error), "{status:#x}");
+    for status in [
+        0x0001, 0x0002, 0x0005, 0x0006, 0x0082, 0x0084, 0x0086, 0x0099, 0xffff,
+    ] {
+        assert_eq!(
+            outcome(Operation::Set, status),
+            Outcome::Not(Ended::Error),
+            "{status:#x}"
+        );
     }
 }
 
--- a/crates/memcache/src/routes.rs
+++ b/crates/memcache/src/routes.rs
@@ -123,23 +123,42 @@
     pub fn new(routes: Vec<Route>, classes: &[Class], margin: Micros) -> Result<Table, Vec<Wrong>> {
         let mut wrong = Vec::new();
         for (i, route) in routes.iter().enumerate() {
-            let mut say = |field, why: &str| wrong.push(Wrong { route: i, field, why: why.to_string() });
+            let mut say = |field, why: &str| {
+                wrong.push(Wrong {
+                    route: i,
+                    field,
+                    why: why.to_string(),
+                })
+            };
             let Some(class) = classes.get(route.class) else {
                 say("class", "is none of the settings' classes");
                 continue;
             };
             match (route.operation, class.repeat, route.key_from) {
                 (Operation::Get, Repeat::Free, KeyFrom::None) => {}
-                (Operation::Get, Repeat::Free, _) => say("key_from", "a read has no idempotency key"),
-                (Operation::Get, ..) => say("class", "a read needs a class that may be repeated freely"),
+                (Operation::Get, Repeat::Free, _) => {
+                    say("key_from", "a read has no idempotency key")
+                }
+                (Operation::Get, ..) => {
+                    say("class", "a read needs a class that may be repeated freely")
+                }
                 (Operation::Set, Repeat::Free, _) => {
-                    say("class", "a write must not be of a class that may be repeated freely");
+                    say(
+                        "class",
+                        "a write must not be of a class that may be repeated freely",
+                    );
                 }
                 (Operation::Set, Repeat::Keyed, KeyFrom::None) => {
-                    say("key_from", "the class is keyed: say where its key comes from");
+                    say(
+                        "key_from",
+                        "the class is keyed: say where its key comes from",
+                    );
                 }
                 (Operation::Set, Repeat::Unsafe, _) if route.key_from != KeyFrom::None => {
-                    say("key_from", "the class may not be repeated: boxes drop nothing by this key");
+                    say(
+                        "key_from",
+                        "the class may not be repeated: boxes drop nothing by this key",
+                    );
                 }
                 (Operation::Set, Repeat::Keyed, _) if class.window <= margin => {
                     say("class", "boxes forget its repeats before one could arrive");
@@ -159,7 +178,10 @@
                 .iter()
                 .position(|r| r.operation == route.operation && r.keys.covers(&route.keys));
             if let Some(earlier) = earlier {
-                say("keys", &format!("no key comes here: route {} takes them all", earlier + 1));
+                say(
+                    "keys",
+                    &format!("no key comes here: route {} takes them all", earlier + 1),
+                );
             }
         }
         if wrong.is_empty() {
@@ -171,7 +193,9 @@
 
     /// The route of a request; none: it is refused.
     pub fn find(&self, operation: Operation, key: &[u8]) -> Option<&Route> {
-        self.routes.iter().find(|r| r.operation == operation && r.keys.fits(key))
+        self.routes
+            .iter()
+            .find(|r| r.operation == operation && r.keys.fits(key))
     }
 }
 
@@ -180,7 +204,10 @@
     let (ms, rest) = key.split_once('-')?;
     // Thirteen digits until the year 2286; anything else is some other number.
     let plain = ms.len() == 13 && ms.bytes().all(|b| b.is_ascii_digit()) && !rest.is_empty();
-    ms.parse::<Micros>().ok().filter(|_| plain).map(|ms| ms * 1000)
+    ms.parse::<Micros>()
+        .ok()
+        .filter(|_| plain)
+        .map(|ms| ms * 1000)
 }
 
 impl Route {
@@ -198,16 +225,24 @@
                 digest.update((key.len() as u64).to_be_bytes());
                 digest.update(key);
                 digest.update(value);
-                let hex: String = digest.finalize()[..16].iter().map(|b| format!("{b:02x}")).collect();
+                let hex: String = digest.finalize()[..16]
+                    .iter()
+                    .map(|b| format!("{b:02x}"))
+                    .collect();
                 Ok(Some(hex.into()))
             }
             KeyFrom::Prefix | KeyFrom::Stamp => {
                 let end = value.iter().take(PREFIX.end() + 1).position(|b| *b == b':');
-                let prefix = end.map(|end| &value[..end]).filter(|p| PREFIX.contains(&p.len()));
+                let prefix = end
+                    .map(|end| &value[..end])
+                    .filter(|p| PREFIX.contains(&p.len()));
                 // It travels in a list of fields: nothing that would end a field may stand in it.
                 let plain = |p: &&[u8]| p.iter().all(|b| b.is_ascii_alphanumeric() || *b == b'-');
-                let text = prefix.filter(plain).and_then(|p| std::str::from_utf8(p).ok());
-                if self.key_from == KeyFrom::Stamp && text.is_some_and(|text| stamp(text).is_none()) {
+                let text = prefix
+                    .filter(plain)
+                    .and_then(|p| std::str::from_utf8(p).ok());
+                if self.key_from == KeyFrom::Stamp && text.is_some_and(|text| stamp(text).is_none())
+                {
                     return Err(
                         "the idempotency key must begin with Unix time in milliseconds and a hyphen",
                     );
--- a/crates/memcache/src/routes_tests.rs
+++ b/crates/memcache/src/routes_tests.rs
@@ -16,17 +16,29 @@
 }
 
 fn classes() -> Vec<Class> {
-    [Repeat::Free, Repeat::Keyed, Repeat::Unsafe].map(class).to_vec()
+    [Repeat::Free, Repeat::Keyed, Repeat::Unsafe]
+        .map(class)
+        .to_vec()
 }
 
 fn route(operation: Operation, keys: &str, class: usize, key_from: KeyFrom) -> Route {
     let keys = Pattern::read(keys).unwrap();
     let fields = String::new();
-    Route { operation, keys, class, tenant: None, deadline: 300_000, key_from, fields }
+    Route {
+        operation,
+        keys,
+        class,
+        tenant: None,
+        deadline: 300_000,
+        key_from,
+        fields,
+    }
 }
 
 fn wrong(routes: &[Route]) -> Vec<(usize, &'static str)> {
-    let found = Table::new(routes.to_vec(), &classes(), 1_000_000).err().unwrap_or_default();
+    let found = Table::new(routes.to_vec(), &classes(), 1_000_000)
+        .err()
+        .unwrap_or_default();
     found.iter().map(|w| (w.route, w.field)).collect()
 }
 
@@ -50,21 +62,46 @@
 fn what_would_make_a_write_repeatable_is_refused() {
     use Operation::{Get, Set};
     assert_eq!(wrong(&[route(Set, "*", 0, KeyFrom::None)]), [(0, "class")]);
-    assert_eq!(wrong(&[route(Set, "*", 0, KeyFrom::Digest)]), [(0, "class")]);
-    assert_eq!(wrong(&[route(Set, "*", 1, KeyFrom::None)]), [(0, "key_from")]);
-    assert_eq!(wrong(&[route(Set, "*", 2, KeyFrom::Prefix)]), [(0, "key_from")]);
+    assert_eq!(
+        wrong(&[route(Set, "*", 0, KeyFrom::Digest)]),
+        [(0, "class")]
+    );
+    assert_eq!(
+        wrong(&[route(Set, "*", 1, KeyFrom::None)]),
+        [(0, "key_from")]
+    );
+    assert_eq!(
+        wrong(&[route(Set, "*", 2, KeyFrom::Prefix)]),
+        [(0, "key_from")]
+    );
     assert_eq!(wrong(&[route(Get, "*", 1, KeyFrom::None)]), [(0, "class")]);
-    assert_eq!(wrong(&[route(Get, "*", 0, KeyFrom::Digest)]), [(0, "key_from")]);
+    assert_eq!(
+        wrong(&[route(Get, "*", 0, KeyFrom::Digest)]),
+        [(0, "key_from")]
+    );
     assert_eq!(wrong(&[route(Get, "*", 9, KeyFrom::None)]), [(0, "class")]);
-    assert_eq!(wrong(&[route(Set, "*", 2, KeyFrom::None), route(Get, "*", 0, KeyFrom::None)]), []);
+    assert_eq!(
+        wrong(&[
+            route(Set, "*", 2, KeyFrom::None),
+            route(Get, "*", 0, KeyFrom::None)
+        ]),
+        []
+    );
     let mut late = route(Get, "*", 0, KeyFrom::None);
     late.deadline = 400_001;
     assert_eq!(wrong(&[late.clone()]), [(0, "deadline")]);
     late.deadline = 0;
     assert_eq!(wrong(&[late]), [(0, "deadline")]);
-    let short = Table::new(vec![route(Set, "*", 1, KeyFrom::Digest)], &classes(), 10_000_000);
+    let short = Table::new(
+        vec![route(Set, "*", 1, KeyFrom::Digest)],
+        &classes(),
+        10_000_000,
+    );
     assert_eq!(short.unwrap_err()[0].field, "class");
-    let part = Class { scope: Scope::Zone, ..class(Repeat::Keyed) };
+    let part = Class {
+        scope: Scope::Zone,
+        ..class(Repeat::Keyed)
+    };
     let part = Table::new(vec![route(Set, "*", 0, KeyFrom::Digest)], &[part], 0);
     assert_eq!(part.unwrap_err()[0].field, "class");
 }
@@ -73,7 +110,10 @@
 fn a_route_that_nothing_reaches_is_told() {
     let get = |keys| route(Operation::Get, keys, 0, KeyFrom::None);
     assert_eq!(wrong(&[get("logger/*"), get("logger/7")]), [(1, "keys")]);
-    assert_eq!(wrong(&[get("*"), get("a*"), get("b")]), [(1, "keys"), (2, "keys")]);
+    assert_eq!(
+        wrong(&[get("*"), get("a*"), get("b")]),
+        [(1, "keys"), (2, "keys")]
+    );
     assert_eq!(wrong(&[get("logger/7"), get("logger/*")]), []);
     for bad in ["", "a*b", "**", "*a"] {
         assert!(Pattern::read(bad).is_err(), "{bad:?}");
@@ -86,21 +126,45 @@
     let key = |k: &[u8], v: &[u8]| digest.key(k, v).unwrap().unwrap();
     assert_eq!(key(b"a", b"on"), key(b"a", b"on"));
     assert_eq!(key(b"a", b"on").len(), 32);
-    for (k, v) in [(&b"a"[..], &b"off"[..]), (b"b", b"on"), (b"ao", b"n"), (b"", b"aon")] {
+    for (k, v) in [
+        (&b"a"[..], &b"off"[..]),
+        (b"b", b"on"),
+        (b"ao", b"n"),
+        (b"", b"aon"),
+    ] {
         assert_ne!(key(b"a", b"on"), key(k, v));
     }
     let prefix = route(Operation::Set, "*", 1, KeyFrom::Prefix);
-    assert_eq!(prefix.key(b"a", b"5c0f6e1a-2b:level=7"), Ok(Some("5c0f6e1a-2b".into())));
-    for bad in [&b"level=7"[..], b"short:x", b"has,comma1:x", b"", b":x", &[b'a'; 80]] {
+    assert_eq!(
+        prefix.key(b"a", b"5c0f6e1a-2b:level=7"),
+        Ok(Some("5c0f6e1a-2b".into()))
+    );
+    for bad in [
+        &b"level=7"[..],
+        b"short:x",
+        b"has,comma1:x",
+        b"",
+        b":x",
+        &[b'a'; 80],
+    ] {
         assert!(prefix.key(b"a", bad).is_err(), "{bad:?}");
     }
-    assert_eq!(route(Operation::Set, "*", 2, KeyFrom::None).key(b"a", b"x"), Ok(None));
+    assert_eq!(
+        route(Operation::Set, "*", 2, KeyFrom::None).key(b"a", b"x"),
+        Ok(None)
+    );
     let stamped = route(Operation::Set, "*", 1, KeyFrom::Stamp);
     let key = stamped.key(b"a", b"1796116800123-7f:on").unwrap().unwrap();
-    assert_eq!((&*key, stamp(&key)), ("1796116800123-7f", Some(1_796_116_800_123_000)));
-    for bad in
-        [&b"1796116800-7f3a:on"[..], b"1796116800123:on", b"1796116800123-:on", b"+796116800123-7:on"]
-    {
+    assert_eq!(
+        (&*key, stamp(&key)),
+        ("1796116800123-7f", Some(1_796_116_800_123_000))
+    );
+    for bad in [
+        &b"1796116800-7f3a:on"[..],
+        b"1796116800123:on",
+        b"1796116800123-:on",
+        b"+796116800123-7:on",
+    ] {
         assert!(stamped.key(b"a", bad).is_err(), "{bad:?}");
     }
 }
--- a/crates/node/src/addresses.rs
+++ b/crates/node/src/addresses.rs
@@ -29,11 +29,15 @@
             let (server, at) = (&listed.entry.server, listed.address);
             let holder = self.held.get(&at).cloned();
             match (listed.entry.state, holder) {
-                (ServerState::Live, Some((other, boot))) if other != *server && listed.boot_ms > boot => {
+                (ServerState::Live, Some((other, boot)))
+                    if other != *server && listed.boot_ms > boot =>
+                {
                     lost.push((other, at));
                     self.held.insert(at, (server.clone(), listed.boot_ms));
                 }
-                (ServerState::Live, Some((other, boot))) if other != *server && listed.boot_ms < boot => {
+                (ServerState::Live, Some((other, boot)))
+                    if other != *server && listed.boot_ms < boot =>
+                {
                     lost.push((server.clone(), at));
                 }
                 // Equal starts tell nothing: both stay.
@@ -48,23 +52,39 @@
             }
         }
         for (server, address) in lost {
-            let found =
-                answer.targets.iter_mut().find(|l| l.entry.server == server && l.address == address);
+            let found = answer
+                .targets
+                .iter_mut()
+                .find(|l| l.entry.server == server && l.address == address);
             match found {
                 Some(listed) => listed.entry.state = ServerState::Gone,
                 None => answer.targets.push(gone(server, address)),
             }
         }
         if answer.all {
-            answer.targets.retain(|l| l.entry.state != ServerState::Gone);
+            answer
+                .targets
+                .retain(|l| l.entry.state != ServerState::Gone);
         }
     }
 }
 
 fn gone(server: ServerId, address: SocketAddr) -> Listed {
     let state = ServerState::Gone;
-    let entry = RawEntry { server, weight: 1.0, zone: None, kind: None, state, started: None, cell: None };
-    Listed { entry, address, boot_ms: 0 }
+    let entry = RawEntry {
+        server,
+        weight: 1.0,
+        zone: None,
+        kind: None,
+        state,
+        started: None,
+        cell: None,
+    };
+    Listed {
+        entry,
+        address,
+        boot_ms: 0,
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/addresses_tests.rs
+++ b/crates/node/src/addresses_tests.rs
@@ -7,11 +7,19 @@
         (listed.entry.state, listed.boot_ms) = (*state, *boot_ms);
         listed
     };
-    Answer { rev: 1, all, targets: entries.iter().map(listed).collect() }
+    Answer {
+        rev: 1,
+        all,
+        targets: entries.iter().map(listed).collect(),
+    }
 }
 
 fn states(answer: &Answer) -> Vec<(String, ServerState)> {
-    answer.targets.iter().map(|l| (l.entry.server.to_string(), l.entry.state)).collect()
+    answer
+        .targets
+        .iter()
+        .map(|l| (l.entry.server.to_string(), l.entry.state))
+        .collect()
 }
 
 fn settled(addresses: &mut Addresses, mut answer: Answer) -> Vec<(String, ServerState)> {
@@ -22,22 +30,46 @@
 #[test]
 fn the_later_start_has_the_address() {
     let mut a = Addresses::default();
-    settled(&mut a, list(true, &[("old", 1, Live, 0), ("b", 2, Live, 0)]));
+    settled(
+        &mut a,
+        list(true, &[("old", 1, Live, 0), ("b", 2, Live, 0)]),
+    );
     let got = settled(&mut a, list(false, &[("new", 1, Live, 9)]));
     assert_eq!(got, [("new".to_string(), Live), ("old".to_string(), Gone)]);
     // The list goes on naming the dead one.
-    assert_eq!(settled(&mut a, list(false, &[("old", 1, Live, 0)])), [("old".to_string(), Gone)]);
-    let both = list(true, &[("old", 1, Live, 0), ("new", 1, Live, 9), ("b", 2, Live, 0)]);
-    assert_eq!(settled(&mut a, both), [("new".to_string(), Live), ("b".to_string(), Live)]);
+    assert_eq!(
+        settled(&mut a, list(false, &[("old", 1, Live, 0)])),
+        [("old".to_string(), Gone)]
+    );
+    let both = list(
+        true,
+        &[("old", 1, Live, 0), ("new", 1, Live, 9), ("b", 2, Live, 0)],
+    );
+    assert_eq!(
+        settled(&mut a, both),
+        [("new".to_string(), Live), ("b".to_string(), Live)]
+    );
 }
 
 #[test]
 fn an_address_left_is_free_and_equal_starts_tell_nothing() {
     let mut a = Addresses::default();
     settled(&mut a, list(true, &[("a", 1, Live, 5)]));
-    assert_eq!(settled(&mut a, list(false, &[("a", 1, Draining, 5)])), [("a".to_string(), Draining)]);
-    assert_eq!(settled(&mut a, list(false, &[("b", 1, Live, 3)])), [("b".to_string(), Live)]);
-    assert_eq!(settled(&mut a, list(false, &[("c", 1, Live, 3)])), [("c".to_string(), Live)]);
+    assert_eq!(
+        settled(&mut a, list(false, &[("a", 1, Draining, 5)])),
+        [("a".to_string(), Draining)]
+    );
+    assert_eq!(
+        settled(&mut a, list(false, &[("b", 1, Live, 3)])),
+        [("b".to_string(), Live)]
+    );
+    assert_eq!(
+        settled(&mut a, list(false, &[("c", 1, Live, 3)])),
+        [("c".to_string(), Live)]
+    );
     // One server at one address, started again, loses nothing.
-    assert_eq!(settled(&mut a, list(false, &[("b", 1, Live, 8)])), [("b".to_string(), Live)]);
+    assert_eq!(
+        settled(&mut a, list(false, &[("b", 1, Live, 8)])),
+        [("b".to_string(), Live)]
+    );
 }
