--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -24,7 +24,11 @@
 impl fmt::Display for Found {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = if self.fatal { "problem" } else { "note" };
-        write!(f, "{kind}: {}: {}: {}; for example {}", self.field, self.value, self.why, self.example)
+        write!(
+            f,
+            "{kind}: {}: {}: {}; for example {}",
+            self.field, self.value, self.why, self.example
+        )
     }
 }
 
@@ -52,7 +56,9 @@
         match self {
             Want::Text => v.as_str().is_some_and(|t| !t.is_empty()),
             Want::Address => v.as_str().is_some_and(|t| t.parse::<SocketAddr>().is_ok()),
-            Want::Seed => v.as_str().is_some_and(|t| u64::from_str_radix(t, 16).is_ok()),
+            Want::Seed => v
+                .as_str()
+                .is_some_and(|t| u64::from_str_radix(t, 16).is_ok()),
             Want::Flag => v.is_boolean(),
             Want::Object => v.is_object(),
             Want::Number(low, high) => v.as_f64().is_some_and(|n| (low..=high).contains(&n)),
@@ -85,7 +91,14 @@
             Want::Seed => "\"8c1f30d27a5be964\"".to_string(),
             Want::Flag => "true".to_string(),
             Want::Object => "{}".to_string(),
-            Want::Number(low, high) => format!("{}", if high <= 1.0 { high / 2.0 } else { low.max(1.0) }),
+            Want::Number(low, high) => format!(
+                "{}",
+                if high <= 1.0 {
+                    high / 2.0
+                } else {
+                    low.max(1.0)
+                }
+            ),
             Want::Positive => "150.0".to_string(),
             Want::Whole(least) => format!("{}", least.max(1)),
             Want::Word(words) => format!("{:?}", words.first().unwrap_or(&"")),
@@ -110,13 +123,23 @@
     ("known", Want::Object, false),
     ("settings", Want::Object, false),
 ];
-const LIMITS: &[Rule] = &[("memory_mb", Want::Whole(32), false), ("sockets", Want::Whole(64), false)];
-const KNOWN: &[Rule] =
-    &[("rev", Want::Whole(i64::MIN), false), ("all", Want::Flag, false), ("targets", Want::Array, false)];
+const LIMITS: &[Rule] = &[
+    ("memory_mb", Want::Whole(32), false),
+    ("sockets", Want::Whole(64), false),
+];
+const KNOWN: &[Rule] = &[
+    ("rev", Want::Whole(i64::MIN), false),
+    ("all", Want::Flag, false),
+    ("targets", Want::Array, false),
+];
 const TARGET: &[Rule] = &[
     ("uid", Want::Text, false),
     ("endpoint", Want::Address, false),
-    ("state", Want::Word(&["in_service", "terminating", "terminated"]), false),
+    (
+        "state",
+        Want::Word(&["in_service", "terminating", "terminated"]),
+        false,
+    ),
     ("capacity_hint", ANY, true),
     ("az", Want::Text, true),
     ("model", Want::Text, true),
@@ -138,14 +161,24 @@
     ("name", Want::Text, false),
     ("aim", Want::Positive, false),
     ("deadline", Want::Positive, false),
-    ("repeat", Want::Word(&["free", "guarded", "single_shot"]), false),
+    (
+        "repeat",
+        Want::Word(&["free", "guarded", "single_shot"]),
+        false,
+    ),
     ("worth", ANY, true),
     ("late_share", Want::Number(0.0, 1.0), true),
     ("stream", Want::Flag, true),
 ];
-const GUARDED: &[Rule] =
-    &[("window", Want::Positive, false), ("dedup_scope", Want::Word(&["all", "zone", "cell"]), false)];
-const REALM: &[Rule] = &[("name", Want::Text, false), ("share", ANY, true), ("quota_per_s", ANY, true)];
+const GUARDED: &[Rule] = &[
+    ("window", Want::Positive, false),
+    ("dedup_scope", Want::Word(&["all", "zone", "cell"]), false),
+];
+const REALM: &[Rule] = &[
+    ("name", Want::Text, false),
+    ("share", ANY, true),
+    ("quota_per_s", ANY, true),
+];
 const POLICY: &[Rule] = &[
     ("try_limit", Want::Whole(1), false),
     ("second_copies", Want::Flag, false),
@@ -188,37 +221,71 @@
                 cut
             }
         });
-        self.found.push(Found { field: field.to_string(), value, why: why.into(), example, fatal });
+        self.found.push(Found {
+            field: field.to_string(),
+            value,
+            why: why.into(),
+            example,
+            fatal,
+        });
     }
 
     fn object(&mut self, path: &str, value: &Value, rules: &[Rule]) {
         if !value.is_object() {
-            return self.add(path, Some(value), Want::Object.words(), Want::Object.example(), true);
+            return self.add(
+                path,
+                Some(value),
+                Want::Object.words(),
+                Want::Object.example(),
+                true,
+            );
         }
         for (name, want, optional) in rules {
-            let field = if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+            let field = if path.is_empty() {
+                name.to_string()
+            } else {
+                format!("{path}.{name}")
+            };
             match value.get(name).filter(|v| !v.is_null()) {
                 None if *optional => {}
                 None => self.add(&field, None, "has to be there", want.example(), true),
-                Some(v) if !want.fits(v) => self.add(&field, Some(v), want.words(), want.example(), true),
+                Some(v) if !want.fits(v) => {
+                    self.add(&field, Some(v), want.words(), want.example(), true)
+                }
                 Some(_) => {}
             }
         }
     }
 
     fn each(&mut self, path: &str, list: Option<&Value>, rules: &[Rule]) {
-        for (i, item) in list.and_then(Value::as_array).into_iter().flatten().enumerate() {
+        for (i, item) in list
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .enumerate()
+        {
             self.object(&format!("{path}[{i}]"), item, rules);
         }
     }
 
     fn twice(&mut self, path: &str, list: Option<&Value>, name: &str) {
         let mut seen = std::collections::BTreeSet::new();
-        for (i, item) in list.and_then(Value::as_array).into_iter().flatten().enumerate() {
+        for (i, item) in list
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .enumerate()
+        {
             if let Some(v) = item.get(name) {
                 if !seen.insert(v.to_string()) {
                     let field = format!("{path}[{i}].{name}");
-                    self.add(&field, Some(v), "stands there twice", "another name".to_string(), true);
+                    self.add(
+                        &field,
+                        Some(v),
+                        "stands there twice",
+                        "another name".to_string(),
+                        true,
+                    );
                 }
             }
         }
@@ -254,10 +321,24 @@
     let classes = at(&["settings", "classes"]);
     c.each("settings.classes", classes, CLASS);
     c.twice("settings.classes", classes, "name");
-    if classes.and_then(Value::as_array).is_some_and(|list| list.is_empty()) {
-        c.add("settings.classes", classes, "there must be one at least", "[{...}]".into(), true);
+    if classes
+        .and_then(Value::as_array)
+        .is_some_and(|list| list.is_empty())
+    {
+        c.add(
+            "settings.classes",
+            classes,
+            "there must be one at least",
+            "[{...}]".into(),
+            true,
+        );
     }
-    for (i, class) in classes.and_then(Value::as_array).into_iter().flatten().enumerate() {
+    for (i, class) in classes
+        .and_then(Value::as_array)
+        .into_iter()
+        .flatten()
+        .enumerate()
+    {
         let path = format!("settings.classes[{i}]");
         if class.get("repeat").and_then(Value::as_str) == Some("guarded") {
             c.object(&path, class, GUARDED);
@@ -266,7 +347,13 @@
         if let (Some(aim), Some(deadline)) = (number("aim"), number("deadline")) {
             if aim > deadline {
                 let why = format!("lies beyond the deadline, {deadline}: nobody waits so long");
-                c.add(&format!("{path}.aim"), class.get("aim"), why, format!("{deadline}"), false);
+                c.add(
+                    &format!("{path}.aim"),
+                    class.get("aim"),
+                    why,
+                    format!("{deadline}"),
+                    false,
+                );
             }
         }
     }
@@ -280,13 +367,23 @@
     if at(&["settings", "discovery"]).and_then(Value::as_str) == Some("ask") {
         let rules = at(&["settings", "rules"]).filter(|v| v.is_object());
         if let Some(rules) = rules {
-            c.object("settings.rules", rules, &[("ask_within", Want::Positive, false)]);
+            c.object(
+                "settings.rules",
+                rules,
+                &[("ask_within", Want::Positive, false)],
+            );
         }
     }
     if let (Some(listen), Some(discovery)) = (at(&["listen"]), at(&["discovery"])) {
         if listen == discovery && Want::Address.fits(listen) {
             let why = "is the address of this node itself";
-            c.add("discovery", Some(discovery), why, "\"10.2.0.1:8500\"".into(), true);
+            c.add(
+                "discovery",
+                Some(discovery),
+                why,
+                "\"10.2.0.1:8500\"".into(),
+                true,
+            );
         }
     }
     for name in ["listen", "discovery"] {
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -102,7 +102,13 @@
 
 impl<S: Stream> Client<S> {
     /// `value_most`: longest value of a memcached client.
-    pub fn new(stream: S, serial: u64, now: Micros, protocol: Protocol, value_most: usize) -> Client<S> {
+    pub fn new(
+        stream: S,
+        serial: u64,
+        now: Micros,
+        protocol: Protocol,
+        value_most: usize,
+    ) -> Client<S> {
         let reader = match protocol {
             Protocol::Resp => Reader::Resp(CommandReader::default()),
             Protocol::Memcached => Reader::Memcached(RequestReader::default(), value_most),
@@ -155,7 +161,8 @@
     /// Whether what has not been sent for this client is not to be sent any more: it has closed its connection, or has
     /// ended its sending and has been waited for long enough. Which of the two shows only when something is written to it.
     pub fn abandoned(&self, now: Micros) -> bool {
-        self.end_since.is_some_and(|since| now - since >= HALF_CLOSED_MOST)
+        self.end_since
+            .is_some_and(|since| now - since >= HALF_CLOSED_MOST)
     }
 
     /// Its requests that have no answer yet.
@@ -189,10 +196,12 @@
                     Ok(command) => command.map(Input::Command),
                     Err(broken) => return Input::Broken(broken.0, None),
                 },
-                Reader::Memcached(reader, most) => match reader.next(&mut self.buf, budget, *most) {
-                    Ok(request) => request.map(Input::Request),
-                    Err(broken) => return Input::Broken(broken.why, broken.answer),
-                },
+                Reader::Memcached(reader, most) => {
+                    match reader.next(&mut self.buf, budget, *most) {
+                        Ok(request) => request.map(Input::Request),
+                        Err(broken) => return Input::Broken(broken.why, broken.answer),
+                    }
+                }
             };
             if let Some(input) = input {
                 self.active = now;
@@ -263,13 +272,16 @@
     }
 
     pub fn slot(&mut self, number: u64) -> Option<&mut Slot> {
-        self.slots.get_mut(usize::try_from(number.checked_sub(self.base)?).ok()?)
+        self.slots
+            .get_mut(usize::try_from(number.checked_sub(self.base)?).ok()?)
     }
 
     /// Moves answers that are next in order on their way out.
     pub fn advance(&mut self) {
         while let Some(Slot::Ready(chunks)) = self.slots.front_mut() {
-            std::mem::take(chunks).into_iter().for_each(|chunk| self.out.push(chunk));
+            std::mem::take(chunks)
+                .into_iter()
+                .for_each(|chunk| self.out.push(chunk));
             self.pop();
         }
     }
@@ -320,7 +332,8 @@
 
     /// Since when a command has been half there, unless the connection is ending.
     pub fn half_since(&self) -> Option<Micros> {
-        self.writing_since.filter(|_| self.closing == Closing::No && !self.ended)
+        self.writing_since
+            .filter(|_| self.closing == Closing::No && !self.ended)
     }
 
     /// When it was accepted, and when it last gave a whole command.
@@ -373,12 +386,17 @@
     /// One whose command waits in the kernel, unread as yet, has said something.
     pub fn stalled(&self, now: Micros) -> bool {
         let silent = self.asked.is_none() && now - self.active >= SILENT_MOST && self.quiet();
-        silent || self.stalled_since.is_some_and(|since| now - since >= READING_MOST)
+        silent
+            || self
+                .stalled_since
+                .is_some_and(|since| now - since >= READING_MOST)
     }
 
     /// It has taken far too long to write a command, and nothing more of it waits in the kernel.
     pub fn unfinished(&self, now: Micros) -> bool {
-        let long = self.writing_since.is_some_and(|since| now - since >= WRITING_MOST);
+        let long = self
+            .writing_since
+            .is_some_and(|since| now - since >= WRITING_MOST);
         self.closing == Closing::No && long && self.stream.quiet()
     }
 
--- a/crates/node/src/client_tests.rs
+++ b/crates/node/src/client_tests.rs
@@ -24,14 +24,18 @@
         if n == 0 && !script.input_ended {
             return Err(ErrorKind::WouldBlock.into());
         }
-        into.iter_mut().zip(script.input.drain(..n)).for_each(|(to, byte)| *to = byte);
+        into.iter_mut()
+            .zip(script.input.drain(..n))
+            .for_each(|(to, byte)| *to = byte);
         Ok(n)
     }
 
     fn write(&mut self, chunks: &[IoSlice]) -> io::Result<usize> {
         let mut script = self.0.borrow_mut();
         assert!(!script.output_ended, "written behind the end");
-        chunks.iter().for_each(|chunk| script.output.extend_from_slice(chunk));
+        chunks
+            .iter()
+            .for_each(|chunk| script.output.extend_from_slice(chunk));
         Ok(chunks.iter().map(|chunk| chunk.len()).sum())
     }
 
@@ -79,14 +83,23 @@
     pipe.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
     client.readable(false, 0);
     assert!(matches!(next(&mut client, 10 * MS), Input::Nothing));
-    assert!(pipe.quiet() && client.slots.is_empty(), "no unread bytes are left, and nothing is owed");
-    assert!(!client.finish(LINGER - 1) && client.finish(LINGER), "its client may write on for so long");
+    assert!(
+        pipe.quiet() && client.slots.is_empty(),
+        "no unread bytes are left, and nothing is owed"
+    );
+    assert!(
+        !client.finish(LINGER - 1) && client.finish(LINGER),
+        "its client may write on for so long"
+    );
     let (mut client, pipe) = self::client();
     client.close_after_answers();
     assert!(!client.finish(0));
     pipe.0.borrow_mut().input_ended = true;
     client.readable(true, 0);
-    assert!(matches!(next(&mut client, MS), Input::Nothing) && client.finish(MS), "both sides have ended");
+    assert!(
+        matches!(next(&mut client, MS), Input::Nothing) && client.finish(MS),
+        "both sides have ended"
+    );
 }
 
 #[test]
@@ -97,7 +110,10 @@
     // It was there earlier, as is found out later.
     client.ends(40 * MS);
     client.ends(60 * MS);
-    assert_eq!((client.newly_ended(), client.newly_ended()), (Some(40 * MS), None));
+    assert_eq!(
+        (client.newly_ended(), client.newly_ended()),
+        (Some(40 * MS), None)
+    );
     let by = 40 * MS + HALF_CLOSED_MOST;
     assert!(!client.abandoned(by - 1) && client.abandoned(by));
     const { assert!(HALF_CLOSED_MOST * 4 <= 100_000) };
@@ -117,8 +133,14 @@
 fn a_connection_that_is_cut_writes_out_what_is_under_way_and_owes_nothing_more() {
     let (mut client, pipe) = client();
     client.out.push(Bytes::from_static(b"$200000\r\nhalf"));
-    let (streamed, behind) =
-        (client.push(Slot::Stream { request: 1, conn: 2, head: None }), client.push(Slot::Waiting(3)));
+    let (streamed, behind) = (
+        client.push(Slot::Stream {
+            request: 1,
+            conn: 2,
+            head: None,
+        }),
+        client.push(Slot::Waiting(3)),
+    );
     assert_eq!(client.cut().len(), 2);
     assert!(client.slot(streamed).is_none() && client.slot(behind).is_none());
     pipe.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
@@ -126,5 +148,8 @@
     assert!(!client.finish(0) && !pipe.0.borrow().output_ended);
     client.flush(0).unwrap();
     assert!(!client.finish(0) && pipe.0.borrow().output_ended);
-    assert!(matches!(next(&mut client, MS), Input::Nothing) && pipe.quiet(), "nothing unread at the close");
+    assert!(
+        matches!(next(&mut client, MS), Input::Nothing) && pipe.quiet(),
+        "nothing unread at the close"
+    );
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,8 +44,8 @@
 const IDLE_USUAL: i64 = 10_000_000;
 
 pub fn read(path: &str) -> Result<Config, Bad> {
-    let text =
-        std::fs::read_to_string(path).map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
     parse(&text)
 }
 
@@ -68,11 +68,18 @@
     if let (None, Some(text)) = (config.ops, var("BALANCER_OPS")) {
         let ops = text.parse();
         config.ops =
-            Some(ops.map_err(|_| Bad::new("BALANCER_OPS", format!("{text:?} is no address and port")))?);
+            Some(ops.map_err(|_| {
+                Bad::new("BALANCER_OPS", format!("{text:?} is no address and port"))
+            })?);
     }
     if let Some(text) = var("BALANCER_ACCEPT_FD") {
         let fd = text.parse().ok().filter(|fd| *fd > 2);
-        let bad = || Bad::new("BALANCER_ACCEPT_FD", format!("{text:?} is no descriptor above 2"));
+        let bad = || {
+            Bad::new(
+                "BALANCER_ACCEPT_FD",
+                format!("{text:?} is no descriptor above 2"),
+            )
+        };
         config.accept_fd = Some(fd.ok_or_else(bad)?);
     }
     Ok(())
@@ -90,15 +97,17 @@
 /// # Errors
 /// The first field that is missing, of a wrong kind or beyond its bounds.
 pub fn parse(text: &str) -> Result<Config, Bad> {
-    let value: Value =
-        serde_json::from_str(text).map_err(|e| Bad::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
+    let value: Value = serde_json::from_str(text)
+        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
     let f = Fields::of(&value, "BALANCER_CONFIG")?;
     let address = |name: &str| {
         let text = f.text(name)?;
-        text.parse().map_err(|_| Bad::new(name, format!("{text:?} is no address and port")))
+        text.parse()
+            .map_err(|_| Bad::new(name, format!("{text:?} is no address and port")))
     };
     let seed = f.text("seed")?;
-    let seed = u64::from_str_radix(seed, 16).map_err(|_| Bad::new("seed", "is not 64 bits in hex"))?;
+    let seed =
+        u64::from_str_radix(seed, 16).map_err(|_| Bad::new("seed", "is not 64 bits in hex"))?;
     let limits = Fields::of(f.get("limits")?, "limits")?;
     let at_least = |name: &str, least: i64| match limits.int(name)? {
         n if n >= least => Ok(n as usize),
@@ -106,13 +115,17 @@
     };
     let object = Fields::of(f.get("settings")?, "settings")?;
     let (settings, names) = settings::parse(&object)?;
-    settings.validate().map_err(|e| Bad::new("settings", e.to_string()))?;
+    settings
+        .validate()
+        .map_err(|e| Bad::new("settings", e.to_string()))?;
     let idle = match object.opt("policy_limits") {
         Some(limits) => Fields::of(limits, "policy_limits")?.micros_or("conn_idle", IDLE_USUAL)?,
         None => IDLE_USUAL,
     };
     let probe_load = match object.opt("load_report") {
-        Some(report) => Fields::of(report, "load_report")?.opt("how").is_some_and(|how| how != "silent"),
+        Some(report) => Fields::of(report, "load_report")?
+            .opt("how")
+            .is_some_and(|how| how != "silent"),
         None => false,
     };
     Ok(Config {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -62,11 +62,21 @@
         if ask {
             let spread = (WATCH_MOST - WATCH_LEAST) as f64 * (1.0 - turn.clamp(0.0, 1.0));
             let wait = (WATCH_LEAST + spread as Micros) / 1000 * 1000;
-            return Times { wait, late: WATCH_LATE, again, grace };
+            return Times {
+                wait,
+                late: WATCH_LATE,
+                again,
+                grace,
+            };
         }
         // Nothing that the agent has may go unheard for longer than the grace: it counts as told at once.
         let wait = (grace / 2).clamp(PUSHED_LEAST, PUSHED_MOST) / 1000 * 1000;
-        Times { wait, late: again, again, grace }
+        Times {
+            wait,
+            late: again,
+            again,
+            grace,
+        }
     }
 }
 
@@ -88,13 +98,25 @@
 /// Reads an answer's JSON.
 pub fn answer(value: &Value) -> Result<Answer, Bad> {
     let f = Fields::of(value, "known")?;
-    let targets = f.array("targets")?.iter().map(listed).collect::<Result<Vec<_>, _>>()?;
-    Ok(Answer { rev: f.int("rev")?, all: f.flag("all")?, targets })
+    let targets = f
+        .array("targets")?
+        .iter()
+        .map(listed)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(Answer {
+        rev: f.int("rev")?,
+        all: f.flag("all")?,
+        targets,
+    })
 }
 
 fn listed(value: &Value) -> Result<Listed, Bad> {
     let f = Fields::of(value, "targets")?;
-    let text = |name| f.opt(name).map(|_| f.text(name).map(str::to_string)).transpose();
+    let text = |name| {
+        f.opt(name)
+            .map(|_| f.text(name).map(str::to_string))
+            .transpose()
+    };
     let state = match f.text("state")? {
         "in_service" => ServerState::Live,
         "terminating" => ServerState::Draining,
@@ -116,7 +138,11 @@
         started: None,
         cell: cell.and_then(|n| u32::try_from(n).ok()),
     };
-    Ok(Listed { entry, address, boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))? })
+    Ok(Listed {
+        entry,
+        address,
+        boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))?,
+    })
 }
 
 /// A start in Unix time on the node's clock, which began at `began` in Unix time; none for long ago.
@@ -172,7 +198,13 @@
 }
 
 impl<S: Stream> Discovery<S> {
-    pub fn new(address: SocketAddr, token: Token, pushed: bool, rev: i64, times: Times) -> Discovery<S> {
+    pub fn new(
+        address: SocketAddr,
+        token: Token,
+        pushed: bool,
+        rev: i64,
+        times: Times,
+    ) -> Discovery<S> {
         Discovery {
             address,
             token,
@@ -241,13 +273,29 @@
         };
         self.serial += 1;
         let opened = net.connect(self.address, self.token);
-        let Ok(stream) = opened else { return Some(self.failed("no connection", now, timers)) };
+        let Ok(stream) = opened else {
+            return Some(self.failed("no connection", now, timers));
+        };
         let mut out = Outbox::default();
         let host = self.address;
-        out.push(Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")));
-        timers.set(now + most, Due::Discovery { serial: self.serial });
+        out.push(Bytes::from(format!(
+            "GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n"
+        )));
+        timers.set(
+            now + most,
+            Due::Discovery {
+                serial: self.serial,
+            },
+        );
         let serial = self.serial;
-        self.call = Some(Call { stream, what, out, buf: BytesMut::new(), serial, began: now });
+        self.call = Some(Call {
+            stream,
+            what,
+            out,
+            buf: BytesMut::new(),
+            serial,
+            began: now,
+        });
         None
     }
 
@@ -301,9 +349,15 @@
     }
 
     fn answered(&mut self, body: &[u8], now: Micros, timers: &mut Timers) -> News {
-        let parsed = serde_json::from_slice(body).ok().and_then(|v: Value| answer(&v).ok());
-        let Some(list) = parsed else { return self.failed("answer is not a list", now, timers) };
-        let Some(call) = self.call.take() else { return News::Failed("no call") };
+        let parsed = serde_json::from_slice(body)
+            .ok()
+            .and_then(|v: Value| answer(&v).ok());
+        let Some(list) = parsed else {
+            return self.failed("answer is not a list", now, timers);
+        };
+        let Some(call) = self.call.take() else {
+            return News::Failed("no call");
+        };
         if call.what == What::Whole && !list.all {
             return self.failed("part of a list where all was asked for", now, timers);
         }
@@ -315,8 +369,16 @@
             self.doubted = true;
             self.whole_wanted = true;
             self.pause(now + self.times.again, timers);
-            let targets = list.targets.into_iter().filter(|t| t.entry.state != ServerState::Live).collect();
-            return News::List(Answer { rev: list.rev, all: false, targets });
+            let targets = list
+                .targets
+                .into_iter()
+                .filter(|t| t.entry.state != ServerState::Live)
+                .collect();
+            return News::List(Answer {
+                rev: list.rev,
+                all: false,
+                targets,
+            });
         }
         self.doubted = false;
         (self.owed_by, self.failed) = (None, 0);
@@ -349,7 +411,12 @@
     fn pause(&mut self, until: Micros, timers: &mut Timers) {
         self.not_before = until;
         self.serial += 1;
-        timers.set(until, Due::Discovery { serial: self.serial });
+        timers.set(
+            until,
+            Due::Discovery {
+                serial: self.serial,
+            },
+        );
     }
 }
 
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -36,12 +36,16 @@
 
 impl Figures {
     pub fn new(classes: usize) -> Figures {
-        Figures { ends: vec![Ends::default(); classes] }
+        Figures {
+            ends: vec![Ends::default(); classes],
+        }
     }
 
     /// A final answer was given.
     pub fn count(&mut self, class: usize, end: &Final) {
-        let Some(ends) = self.ends.get_mut(class) else { return };
+        let Some(ends) = self.ends.get_mut(class) else {
+            return;
+        };
         match end {
             Final::Value(_) | Final::NoValue => ends.answered += 1,
             Final::Busy(_) => ends.deferred += 1,
@@ -54,9 +58,11 @@
         let mut out = String::new();
         for (i, ends) in self.ends.iter().enumerate() {
             let class = class(i);
-            for (name, count) in
-                [("answered", ends.answered), ("deferred", ends.deferred), ("errored", ends.errored)]
-            {
+            for (name, count) in [
+                ("answered", ends.answered),
+                ("deferred", ends.deferred),
+                ("errored", ends.errored),
+            ] {
                 let _ = writeln!(out, "{name}.{class}={count}");
             }
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -64,8 +64,13 @@
                     memcache::put_status(&mut out, opcode as u8, opaque, Status::Ok);
                     vec![out.into()]
                 } else if value.len() <= WORD_MOST {
-                    let mut out = Vec::with_capacity(memcache::HEADER + 4 + key.len() + value.len());
-                    memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), value.len());
+                    let mut out =
+                        Vec::with_capacity(memcache::HEADER + 4 + key.len() + value.len());
+                    memcache::put_response_head(
+                        &mut out,
+                        &read_head(opcode, opaque, key),
+                        value.len(),
+                    );
                     out.extend_from_slice(&value);
                     vec![out.into()]
                 } else {
@@ -75,23 +80,34 @@
             (Asked::Memcached { .. }, Final::NoValue) => self.status(Status::KeyNotFound, None),
             (Asked::Memcached { .. }, Final::Busy(retry_after)) => match millis(retry_after) {
                 0 => self.status(Status::Busy, Some("busy; nothing has run; try again")),
-                ms => self
-                    .status(Status::Busy, Some(&format!("busy; nothing has run; try again after {ms} ms"))),
+                ms => self.status(
+                    Status::Busy,
+                    Some(&format!("busy; nothing has run; try again after {ms} ms")),
+                ),
             },
-            (Asked::Memcached { .. }, Final::Failed) => {
-                self.status(Status::InternalError, Some("failed; a write may have taken effect"))
-            }
+            (Asked::Memcached { .. }, Final::Failed) => self.status(
+                Status::InternalError,
+                Some("failed; a write may have taken effect"),
+            ),
         }
     }
 
     /// A memcached status with its own text, or another one.
     pub fn status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
-        let Asked::Memcached { opcode, opaque } = self else { return Vec::new() };
+        let Asked::Memcached { opcode, opaque } = self else {
+            return Vec::new();
+        };
         if opcode.silent_on(status) {
             return Vec::new();
         }
         let mut out = Vec::new();
-        memcache::put_text(&mut out, opcode as u8, opaque, status, text.unwrap_or(status.text()));
+        memcache::put_text(
+            &mut out,
+            opcode as u8,
+            opaque,
+            status,
+            text.unwrap_or(status.text()),
+        );
         vec![out.into()]
     }
 
@@ -125,9 +141,21 @@
 }
 
 fn read_head(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
-    let key = if opcode.loud() == Opcode::GetK { key.clone() } else { Bytes::new() };
+    let key = if opcode.loud() == Opcode::GetK {
+        key.clone()
+    } else {
+        Bytes::new()
+    };
     let (extras, value) = (Bytes::from_static(NO_FLAGS), Bytes::new());
-    Response { opcode: opcode as u8, status: Status::Ok as u16, opaque, cas: 0, extras, key, value }
+    Response {
+        opcode: opcode as u8,
+        status: Status::Ok as u16,
+        opaque,
+        cas: 0,
+        extras,
+        key,
+        value,
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/lifecycle_tests.rs
+++ b/crates/node/src/lifecycle_tests.rs
@@ -30,7 +30,10 @@
     assert!(life.tells(0) && life.evacuate(S) && life.tells(S) && !life.ready(S));
     life.stop(S, 2 * S);
     assert!(!life.tells(S), "the next one is there");
-    assert_eq!((life.accepts(S, true), life.accepts(S, false)), (Accept::No, Accept::Go));
+    assert_eq!(
+        (life.accepts(S, true), life.accepts(S, false)),
+        (Accept::No, Accept::Go)
+    );
     let mut blind = Lifecycle::new(true, false);
     assert!(!blind.ready(60 * S), "no list at all");
     blind.told();
@@ -43,9 +46,19 @@
     assert!(!life.lets_go(99 * S, 0, Some(98 * S)), "serving");
     assert!(life.evacuate(10 * S) && !life.ready(10 * S) && !life.says_yes() && life.leaving());
     assert!(life.evacuate(11 * S), "told twice: the first call counts");
-    assert_eq!(life.accepts(12 * S, true), Accept::Go, "connections still come and are answered");
-    assert!(life.lets_go(10 * S, 0, Some(10 * S)), "asked since, answered: now");
-    assert!(!life.lets_go(12 * S - 1, 0, Some(10 * S - 1)), "its client may be about to write");
+    assert_eq!(
+        life.accepts(12 * S, true),
+        Accept::Go,
+        "connections still come and are answered"
+    );
+    assert!(
+        life.lets_go(10 * S, 0, Some(10 * S)),
+        "asked since, answered: now"
+    );
+    assert!(
+        !life.lets_go(12 * S - 1, 0, Some(10 * S - 1)),
+        "its client may be about to write"
+    );
     assert!(life.lets_go(12 * S, 0, Some(10 * S - 1)) && life.lets_go(12 * S, 0, None));
     assert!(!life.lets_go(12 * S, 12 * S, None) && life.lets_go(13 * S, 12 * S, None));
     assert!(life.rejoin() && life.ready(13 * S) && !life.lets_go(99 * S, 0, None));
@@ -55,14 +68,26 @@
 // Seen to fail: with deadlines of 20 s the process meant to end after 20.6 s, and was killed after 3.7 s.
 #[test]
 fn the_last_answers_are_given_and_the_process_ends_before_the_kill_whatever_the_deadlines() {
-    for (longest, kill) in [(0, 700_000), (400_000, 1_100_000), (3 * S, 3_700_000), (20 * S, 3_700_000)] {
+    for (longest, kill) in [
+        (0, 700_000),
+        (400_000, 1_100_000),
+        (3 * S, 3_700_000),
+        (20 * S, 3_700_000),
+    ] {
         let mut life = Lifecycle::new(false, true);
-        assert_eq!(life.answer_by(), Micros::MAX, "nothing is cut short while it serves");
+        assert_eq!(
+            life.answer_by(),
+            Micros::MAX,
+            "nothing is cut short while it serves"
+        );
         life.stop(10 * S, longest);
         let by = life.answer_by();
         // Whatever was taken before, with the longest deadline that counts, has its whole time.
         assert!(by > 10 * S + longest.min(3 * S) && by < 10 * S + kill - 200_000);
-        assert!(life.lets_go(by, by, None), "also a connection that has just come");
+        assert!(
+            life.lets_go(by, by, None),
+            "also a connection that has just come"
+        );
         assert!(!life.over(by, true) && life.over(10 * S + kill - 100_000, true));
     }
 }
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -141,7 +141,11 @@
             Ok(0) => return Read1::Ended,
             Ok(n) => {
                 buf.extend_from_slice(&scratch[..n]);
-                return if n == scratch.len() { Read1::More } else { Read1::Some };
+                return if n == scratch.len() {
+                    Read1::More
+                } else {
+                    Read1::Some
+                };
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Read1::Empty,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -291,17 +291,22 @@
         }
         let ops = match config.ops {
             Some(at) => {
-                let listener =
-                    net.listen(at, OPS).map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
+                let listener = net
+                    .listen(at, OPS)
+                    .map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
                 Some(Ops::new(listener, |key| CALLER + key))
             }
             None => None,
         };
         let set = config.settings;
-        let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+        let (max_open, longest) = (
+            set.max_open,
+            set.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
+        );
         let (ask, connect_most, classes) = (set.ask, set.connect_timeout, set.classes.len());
         let times = Times::new(ask, set.drain_grace, config.turn);
-        let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
+        let balancer =
+            Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
         let shares = Shares::of(config.sockets, ops.is_some());
         let processes = if shared { PROCESSES } else { 1 };
@@ -368,7 +373,11 @@
     pub fn run(mut self) -> io::Result<()> {
         while let Some(due) = self.prepare() {
             let wait = (due - self.now()).max(0);
-            self.turn(if self.open.is_empty() { wait } else { wait.min(WAIT_OPEN) })?;
+            self.turn(if self.open.is_empty() {
+                wait
+            } else {
+                wait.min(WAIT_OPEN)
+            })?;
         }
         Ok(())
     }
@@ -381,7 +390,11 @@
             return None;
         }
         // A sweep is always due.
-        let due = self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0);
+        let due = self
+            .timers
+            .next()
+            .filter(|_| self.dirty.is_empty())
+            .unwrap_or(0);
         Some(self.sight.rests(self.net.now(), due))
     }
 
@@ -418,12 +431,16 @@
             OPS..FIRST => self.called(event, now),
             SIGNALS => self.signalled(now),
             DISCOVERY => {
-                let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
+                let news = self
+                    .discovery
+                    .ready(event, now, &mut self.scratch, &mut self.timers);
                 self.news(news);
             }
             token if (token - FIRST).is_multiple_of(2) => {
                 let key = (token - FIRST) / 2;
-                let Some(client) = self.clients.get_mut(key) else { return };
+                let Some(client) = self.clients.get_mut(key) else {
+                    return;
+                };
                 if event.error && client.gone() {
                     return self.drop_client(key);
                 }
@@ -469,7 +486,12 @@
             }
             self.actions = actions;
         }
-        for (server, step) in self.upstreams.steps.iter_mut().flat_map(|steps| steps.drain(..)) {
+        for (server, step) in self
+            .upstreams
+            .steps
+            .iter_mut()
+            .flat_map(|steps| steps.drain(..))
+        {
             self.trace.step(&mut self.net, &server, step);
         }
         let news = self.discovery.go_on(&mut self.net, &mut self.timers);
@@ -479,7 +501,11 @@
     fn due(&mut self, due: Due, now: Micros) {
         match due {
             Due::Module(token) => self.queue.push_back(Event::Timer(token)),
-            Due::Attempt { request, serial, attempt } => {
+            Due::Attempt {
+                request,
+                serial,
+                attempt,
+            } => {
                 if self.open.get(request).is_some_and(|o| o.serial == serial) {
                     self.cut_value(request, attempt, now);
                     self.give_up(request, attempt, Status::Timeout);
@@ -516,7 +542,9 @@
         }
         for key in look {
             self.let_go(key, now);
-            let Some(client) = self.clients.get(key) else { continue };
+            let Some(client) = self.clients.get(key) else {
+                continue;
+            };
             if client.stalled(now) {
                 self.drop_client(key);
             } else if client.unfinished(now) {
@@ -540,11 +568,19 @@
 
     /// The end of a planned stop is near: whatever is open gets its final answer now, so that it is written out before.
     fn last_answers(&mut self) {
-        let open: Vec<usize> = self.open.iter().filter(|(_, o)| !o.closed).map(|(key, _)| key).collect();
+        let open: Vec<usize> = self
+            .open
+            .iter()
+            .filter(|(_, o)| !o.closed)
+            .map(|(key, _)| key)
+            .collect();
         for key in open {
             self.no_more(key);
-            let attempts =
-                self.open.get(key).filter(|o| o.stream.is_none()).map_or(0, |o| o.attempts.len());
+            let attempts = self
+                .open
+                .get(key)
+                .filter(|o| o.stream.is_none())
+                .map_or(0, |o| o.attempts.len());
             (0..attempts).for_each(|attempt| self.give_up(key, attempt, Status::Cancelled));
         }
     }
@@ -557,11 +593,16 @@
     fn reload(&mut self) {
         match (self.source)() {
             Ok(config) => {
-                self.log.line(&mut self.net, &format!("reloaded: discovery at {}", config.discovery));
+                self.log.line(
+                    &mut self.net,
+                    &format!("reloaded: discovery at {}", config.discovery),
+                );
                 let now = self.now();
                 self.discovery.move_to(config.discovery, now);
             }
-            Err(bad) => self.log.line(&mut self.net, &format!("not reloaded: {bad}")),
+            Err(bad) => self
+                .log
+                .line(&mut self.net, &format!("not reloaded: {bad}")),
         }
     }
 
@@ -571,8 +612,13 @@
     /// sending them; then the accept queue is emptied, idle connections end and what is held is answered.
     fn stopped(&mut self) -> bool {
         let now = self.now();
-        self.doors.retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
-        if self.doors.iter().any(|door| self.life.accepts(now, door.inherited) == Accept::Last) {
+        self.doors
+            .retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
+        if self
+            .doors
+            .iter()
+            .any(|door| self.life.accepts(now, door.inherited) == Accept::Last)
+        {
             // Each closes right behind its last look: what comes up between the two is reset by the system.
             for at in (0..self.doors.len()).rev() {
                 self.doors[at].more = true;
@@ -629,10 +675,14 @@
 
     /// Ends a client's connection with an error behind the answers that it is owed.
     fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcache::Status)>) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         let mut out = Vec::new();
         match (client.protocol(), answer) {
-            (Protocol::Resp, _) => out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes()),
+            (Protocol::Resp, _) => {
+                out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes())
+            }
             (_, Some((opcode, opaque, status))) => {
                 memcache::put_text(&mut out, opcode, opaque, status, why);
             }
@@ -681,7 +731,8 @@
         let text = |bytes: &Bytes| std::str::from_utf8(bytes).map(Arc::<str>::from);
         let key = text(&words[1]).map_err(|_| err("-ERR key is not text\r\n"))?;
         let id = text(&words[2]).map_err(|_| err("-ERR id is not text\r\n"))?;
-        let fields = std::str::from_utf8(&words[3]).map_err(|_| err("-ERR fields are not text\r\n"))?;
+        let fields =
+            std::str::from_utf8(&words[3]).map_err(|_| err("-ERR fields are not text\r\n"))?;
         let request = self.request(id.clone(), key, fields, write).map_err(err)?;
         if self.ids.contains_key(&id) {
             return Err(err("-ERR id is in use\r\n"));
@@ -705,8 +756,12 @@
     /// Takes a request: from now on one final answer is owed to it.
     fn take(&mut self, client: usize, mut request: Request, taken: Taken, now: Micros) {
         // A node that stops has no more time than that.
-        request.budget = request.budget.min(self.life.answer_by().saturating_sub(now));
-        let Some(c) = self.clients.get_mut(client) else { return };
+        request.budget = request
+            .budget
+            .min(self.life.answer_by().saturating_sub(now));
+        let Some(c) = self.clients.get_mut(client) else {
+            return;
+        };
         self.serial += 1;
         let place = self.open.vacant_entry();
         let (open, slot) = (place.key(), c.push(Slot::Waiting(place.key())));
@@ -753,7 +808,11 @@
             retry: false,
             write,
         };
-        let number = |text: &str| text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        let number = |text: &str| {
+            text.parse()
+                .ok()
+                .filter(|n: &f64| n.is_finite() && *n >= 0.0)
+        };
         for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
             match name {
                 "c" => request.class = self.names.class(value).ok_or("-ERR unknown class\r\n")?,
@@ -777,7 +836,9 @@
 
     /// A client has gone: nothing is owed to it any more.
     fn drop_client(&mut self, key: usize) {
-        let Some(mut client) = self.clients.try_remove(key) else { return };
+        let Some(mut client) = self.clients.try_remove(key) else {
+            return;
+        };
         self.budget.give_back(client.reserved());
         self.disown(client.cut());
     }
@@ -789,7 +850,9 @@
                 Slot::Waiting(request) | Slot::Stream { request, .. } => request,
                 Slot::Ready(_) => continue,
             };
-            let Some(open) = self.open.get(request) else { continue };
+            let Some(open) = self.open.get(request) else {
+                continue;
+            };
             let (id, stream) = (open.id.clone(), open.stream);
             self.close(request);
             if let (Slot::Stream { conn, .. }, Some((attempt, _))) = (slot, stream) {
@@ -808,7 +871,9 @@
     fn flush_clients(&mut self) {
         for key in std::mem::take(&mut self.dirty) {
             let now = self.now();
-            let Some(client) = self.clients.get_mut(key) else { continue };
+            let Some(client) = self.clients.get_mut(key) else {
+                continue;
+            };
             client.dirty = false;
             client.advance();
             if client.flush(now).is_err() {
@@ -820,7 +885,9 @@
             if self.life.leaving() {
                 self.let_go(key, now);
             }
-            let Some(client) = self.clients.get_mut(key) else { continue };
+            let Some(client) = self.clients.get_mut(key) else {
+                continue;
+            };
             if client.finish(now) {
                 self.drop_client(key);
             }
@@ -832,8 +899,12 @@
     /// Passes on what has come of a long value, no more than its client takes.
     fn pump(&mut self, key: usize) {
         loop {
-            let Some(client) = self.clients.get_mut(key) else { return };
-            let Some(Slot::Stream { conn, head, .. }) = client.slots.front_mut() else { return };
+            let Some(client) = self.clients.get_mut(key) else {
+                return;
+            };
+            let Some(Slot::Stream { conn, head, .. }) = client.slots.front_mut() else {
+                return;
+            };
             if client.out.len() >= STREAM_MOST {
                 return;
             }
@@ -850,7 +921,9 @@
             if !some {
                 self.signals();
             }
-            let Some(client) = self.clients.get_mut(key) else { return };
+            let Some(client) = self.clients.get_mut(key) else {
+                return;
+            };
             client.advance();
             if client.flush(now).is_err() {
                 return self.drop_client(key);
@@ -880,11 +953,21 @@
             self.life.told();
         }
         self.addresses.settle(&mut answer);
-        let kind = kind.unwrap_or(if answer.all { ListKind::Full } else { ListKind::Delta });
+        let kind = kind.unwrap_or(if answer.all {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        });
         if kind != ListKind::Delta {
             let named = |s: &ServerId| answer.targets.iter().any(|t| t.entry.server == *s);
-            let gone: Vec<ServerId> = self.upstreams.servers().filter(|s| !named(s)).cloned().collect();
-            gone.iter().for_each(|server| self.upstreams.unlisted(server));
+            let gone: Vec<ServerId> = self
+                .upstreams
+                .servers()
+                .filter(|s| !named(s))
+                .cloned()
+                .collect();
+            gone.iter()
+                .for_each(|server| self.upstreams.unlisted(server));
         }
         let mut entries = Vec::with_capacity(answer.targets.len());
         for listed in answer.targets {
@@ -893,8 +976,13 @@
             } else {
                 let speaks = |m: &Memcached| m.speaks(listed.entry.kind.as_deref());
                 let memcached = self.memcached.as_ref().is_some_and(speaks);
-                let protocol = if memcached { Protocol::Memcached } else { Protocol::Resp };
-                self.upstreams.listed(&listed.entry.server, listed.address, protocol);
+                let protocol = if memcached {
+                    Protocol::Memcached
+                } else {
+                    Protocol::Resp
+                };
+                self.upstreams
+                    .listed(&listed.entry.server, listed.address, protocol);
             }
             let mut entry = self.names.entry(&listed.entry);
             entry.started = discovery::started(listed.boot_ms, self.net.began_unix(), now);
@@ -907,8 +995,15 @@
 
     fn act(&mut self, action: Action, now: Micros) {
         match action {
-            Action::Send { request, server, timeout } => self.send(&request, server, timeout, now),
-            Action::Refuse { request, retry_after } => self.end(&request, Final::Busy(retry_after)),
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => self.send(&request, server, timeout, now),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => self.end(&request, Final::Busy(retry_after)),
             Action::Fail { request } => self.end(&request, Final::Failed),
             Action::Cancel { request, attempt } => {
                 if let Some(open) = self.ids.get(&request).copied() {
@@ -916,7 +1011,8 @@
                 }
             }
             Action::Timer { delay, token } => {
-                self.timers.set(now.saturating_add(delay.max(0)), Due::Module(token));
+                self.timers
+                    .set(now.saturating_add(delay.max(0)), Due::Module(token));
             }
             Action::Probe(server) => self.probe(server, now),
             Action::Close(server) => self.upstreams.close_idle(&server),
@@ -927,7 +1023,9 @@
     }
 
     fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
-        let Some(key) = self.ids.get(id).copied() else { return };
+        let Some(key) = self.ids.get(id).copied() else {
+            return;
+        };
         // First: what the look brings may change where the server is.
         let heard = self.hears(self.open[key].client, self.open[key].client_serial);
         let protocol = self.upstreams.protocol(&server);
@@ -955,13 +1053,24 @@
             return self.ended(key, attempt, Status::Moot, None, None);
         }
         let written = self.worded(key, protocol, wait);
-        let job = Job::Attempt { request: key, serial, attempt };
-        let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
+        let job = Job::Attempt {
+            request: key,
+            serial,
+            attempt,
+        };
+        let started = self
+            .with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         match started {
             Ok(conn) => {
                 self.open[key].attempts[attempt].conn = Some(conn);
-                self.timers.set(now + wait, Due::Attempt { request: key, serial, attempt });
+                self.timers.set(
+                    now + wait,
+                    Due::Attempt {
+                        request: key,
+                        serial,
+                        attempt,
+                    },
+                );
             }
             Err(status) => self.ended(key, attempt, status, None, None),
         }
@@ -969,10 +1078,17 @@
 
     /// A request as its server gets it.
     fn worded(&mut self, key: usize, protocol: Protocol, wait: Micros) -> Written {
-        let sent = if protocol == Protocol::Memcached { self.count_sent() } else { 0 };
+        let sent = if protocol == Protocol::Memcached {
+            self.count_sent()
+        } else {
+            0
+        };
         let open = &self.open[key];
         match protocol {
-            Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
+            Protocol::Resp => Written {
+                chunks: forwarded(open, (wait + 999) / 1000),
+                tag: (0, 0),
+            },
             Protocol::Memcached => memcached::forwarded(open, sent),
         }
     }
@@ -982,12 +1098,16 @@
     fn go_up(&mut self) {
         while let Some((conn, job)) = self.upstreams.came_up() {
             let now = self.now();
-            let Some((key, attempt)) = self.find(job) else { continue };
+            let Some((key, attempt)) = self.find(job) else {
+                continue;
+            };
             let (client, serial) = (self.open[key].client, self.open[key].client_serial);
             let heard = self.hears(client, serial);
             let open = &self.open[key];
-            let (left, server) =
-                (open.attempts[attempt].until - now, open.attempts[attempt].server.clone());
+            let (left, server) = (
+                open.attempts[attempt].until - now,
+                open.attempts[attempt].server.clone(),
+            );
             let over = open.closed || open.no_more || left <= 0 || !heard;
             if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
                 self.give_up(key, attempt, Status::Moot);
@@ -1005,43 +1125,77 @@
             Protocol::Memcached => memcached::probe(serial),
             Protocol::Resp => {
                 let mut out = Vec::new();
-                let words: &[&[u8]] = if self.probe_load { &[b"INFO", b"load"] } else { &[b"PING"] };
+                let words: &[&[u8]] = if self.probe_load {
+                    &[b"INFO", b"load"]
+                } else {
+                    &[b"PING"]
+                };
                 put_head(&mut out, b'*', words.len());
                 words.iter().for_each(|word| put_bulk(&mut out, word));
-                Written { chunks: vec![out.into()], tag: (0, 0) }
+                Written {
+                    chunks: vec![out.into()],
+                    tag: (0, 0),
+                }
             }
         };
         self.probes.insert(serial, (server.clone(), now));
         let job = Job::Probe { serial };
-        let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
+        let started = self
+            .with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         if let Err(status) = started {
             self.probed(serial, status, None);
         }
     }
 
     fn probed(&mut self, serial: u64, status: Status, load: Option<Load>) {
-        let Some((server, sent)) = self.probes.remove(&serial) else { return };
+        let Some((server, sent)) = self.probes.remove(&serial) else {
+            return;
+        };
         let latency = self.now() - sent;
-        self.queue.push_back(Event::Probed { server, latency, status, load });
+        self.queue.push_back(Event::Probed {
+            server,
+            latency,
+            status,
+            load,
+        });
     }
 
     fn give_up(&mut self, request: usize, attempt: usize, status: Status) {
         let now = self.now();
-        let Some(open) = self.open.get(request) else { return };
+        let Some(open) = self.open.get(request) else {
+            return;
+        };
         let streaming = open.stream.is_some_and(|(a, _)| a == attempt);
-        let Some(conn) = open.attempts.get(attempt).and_then(|a| a.conn).filter(|_| !streaming) else {
+        let Some(conn) = open
+            .attempts
+            .get(attempt)
+            .and_then(|a| a.conn)
+            .filter(|_| !streaming)
+        else {
             return;
         };
         let may_have_run = self.upstreams.abandon(conn, now);
         // Its last byte was never written: it cannot have run, and it tells nothing of the server.
         let moot = status == Status::Timeout && !may_have_run;
-        self.ended(request, attempt, if moot { Status::Moot } else { status }, None, None);
+        self.ended(
+            request,
+            attempt,
+            if moot { Status::Moot } else { status },
+            None,
+            None,
+        );
     }
 
     /// A final answer that the module decides on.
     fn end(&mut self, id: &RequestId, end: Final) {
-        let Some(key) = self.ids.get(id).copied().filter(|key| !self.open[*key].closed) else { return };
+        let Some(key) = self
+            .ids
+            .get(id)
+            .copied()
+            .filter(|key| !self.open[*key].closed)
+        else {
+            return;
+        };
         self.answer(key, end);
         self.forget(key);
     }
@@ -1076,7 +1230,11 @@
 
     /// Drops a request that is answered and of which nothing is out.
     fn forget(&mut self, key: usize) {
-        if self.open.get(key).is_some_and(|open| open.closed && open.out == 0) {
+        if self
+            .open
+            .get(key)
+            .is_some_and(|open| open.closed && open.out == 0)
+        {
             let open = self.open.remove(key);
             self.ids.remove(&open.id);
             if let Some(keyed) = open.keyed {
@@ -1146,7 +1304,8 @@
                     }
                 }
                 Signal::Odd(server, why) => {
-                    self.log.line(&mut self.net, &format!("server {server}: {why}"));
+                    self.log
+                        .line(&mut self.net, &format!("server {server}: {why}"));
                 }
             }
         }
@@ -1154,14 +1313,23 @@
 
     /// The attempt of a job, if it is still out.
     fn find(&self, job: Job) -> Option<(usize, usize)> {
-        let Job::Attempt { request, serial, attempt } = job else { return None };
+        let Job::Attempt {
+            request,
+            serial,
+            attempt,
+        } = job
+        else {
+            return None;
+        };
         let open = self.open.get(request).filter(|o| o.serial == serial)?;
         open.attempts.get(attempt)?.conn?;
         Some((request, attempt))
     }
 
     fn replied(&mut self, job: Job, said: Said) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         let open = &self.open[key];
         let streamed = open.stream.is_some_and(|(a, _)| a == attempt);
         let (mut status, note, load) = verdict(&said, open.write);
@@ -1175,7 +1343,9 @@
     }
 
     fn broke(&mut self, job: Job, status: Status) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         if self.open[key].stream.is_some_and(|(a, _)| a == attempt) {
             self.end_stream(key, false);
             return self.ended(key, attempt, Status::Reset, None, None);
@@ -1185,22 +1355,38 @@
 
     /// A long value begins: from now on this attempt is the answer, and the others are of no use.
     fn begin(&mut self, job: Job, conn: usize, len: usize) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         let now = self.now();
         let open = &mut self.open[key];
         open.stream = Some((attempt, now - open.attempts[attempt].sent));
         let until = open.deadline.max(now + self.longest) + VALUE_SLACK;
         open.attempts[attempt].until = until;
-        self.timers.set(until, Due::Attempt { request: key, serial: open.serial, attempt });
+        self.timers.set(
+            until,
+            Due::Attempt {
+                request: key,
+                serial: open.serial,
+                attempt,
+            },
+        );
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         let head = open.asked.head(&open.key, len);
-        self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
+        self.queue.push_back(Event::Started {
+            request: open.id.clone(),
+            attempt,
+        });
         for other in (0..self.open[key].attempts.len()).filter(|a| *a != attempt) {
             self.give_up(key, other, Status::Cancelled);
         }
         if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
             if let Some(slot) = c.slot(slot) {
-                *slot = Slot::Stream { request: key, conn, head: Some(head) };
+                *slot = Slot::Stream {
+                    request: key,
+                    conn,
+                    head: Some(head),
+                };
             }
             self.mark(client);
         }
@@ -1208,10 +1394,21 @@
 
     /// A long value that has begun and is still not whole when its time is over is broken off.
     fn cut_value(&mut self, key: usize, attempt: usize, now: Micros) {
-        let Some(open) = self.open.get(key).filter(|o| o.stream.is_some_and(|(a, _)| a == attempt)) else {
+        let Some(open) = self
+            .open
+            .get(key)
+            .filter(|o| o.stream.is_some_and(|(a, _)| a == attempt))
+        else {
+            return;
+        };
+        let Attempt {
+            until,
+            conn: Some(conn),
+            ..
+        } = open.attempts[attempt]
+        else {
             return;
         };
-        let Attempt { until, conn: Some(conn), .. } = open.attempts[attempt] else { return };
         if now >= until {
             self.upstreams.abandon(conn, now);
             self.end_stream(key, false);
@@ -1239,7 +1436,11 @@
             self.figures.count(self.open[key].class, &Final::Failed);
             self.ready_answer(key, Vec::new());
             // Not closed at once: over commands that wait unread that would be a reset, and answers under way go with it.
-            let slots = self.clients.get_mut(client).map(Client::cut).unwrap_or_default();
+            let slots = self
+                .clients
+                .get_mut(client)
+                .map(Client::cut)
+                .unwrap_or_default();
             self.disown(slots);
         }
     }
@@ -1259,7 +1460,11 @@
         }
     }
     let mut out = Vec::with_capacity(128 + open.key.len() + fields.len());
-    let (words, name): (usize, &[u8]) = if open.value.is_some() { (5, b"C.SET") } else { (4, b"C.GET") };
+    let (words, name): (usize, &[u8]) = if open.value.is_some() {
+        (5, b"C.SET")
+    } else {
+        (4, b"C.GET")
+    };
     put_head(&mut out, b'*', words);
     for word in [name, &open.key, open.id.as_bytes(), &fields] {
         put_bulk(&mut out, word);
@@ -1282,7 +1487,11 @@
     let reply = match said {
         Said::Resp(reply) => reply,
         Said::Memcached(response) => {
-            let operation = if write { Operation::Set } else { Operation::Get };
+            let operation = if write {
+                Operation::Set
+            } else {
+                Operation::Get
+            };
             return match outcome(operation, response.status) {
                 Outcome::Served => (Status::Ok, None, None),
                 Outcome::NoValue => (Status::Ok, Some(Note::Miss), None),
@@ -1292,7 +1501,11 @@
     };
     match reply {
         Reply::Array(parts) => {
-            let status = if matches!(parts[0], Part::Bulk(_)) { Status::Ok } else { Status::Error };
+            let status = if matches!(parts[0], Part::Bulk(_)) {
+                Status::Ok
+            } else {
+                Status::Error
+            };
             let note = match parts.get(1) {
                 Some(Part::Bulk(word) | Part::Simple(word)) => match &word[..] {
                     b"hit" => Some(Note::Hit),
@@ -1305,7 +1518,11 @@
             (status, note, parts.get(2).and_then(load))
         }
         Reply::One(part @ Part::Error(line)) => {
-            let status = if line.starts_with(b"BUSY") { Status::Full } else { Status::Error };
+            let status = if line.starts_with(b"BUSY") {
+                Status::Full
+            } else {
+                Status::Error
+            };
             (status, None, load(part))
         }
         Reply::One(part) => (Status::Error, None, load(part)),
@@ -1328,7 +1545,9 @@
 }
 
 fn load(part: &Part) -> Option<Load> {
-    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else { return None };
+    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
+        return None;
+    };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
     let mut load = Load::default();
     let mut any = false;
--- a/crates/node/src/node/disconnects.rs
+++ b/crates/node/src/node/disconnects.rs
@@ -72,7 +72,11 @@
         // while the round before was at work.
         let sight = &mut self.sight;
         let waited = now - sight.rested >= LOOK;
-        sight.since = if waited { now.min(wake).max(sight.rested) } else { sight.from };
+        sight.since = if waited {
+            now.min(wake).max(sight.rested)
+        } else {
+            sight.from
+        };
         // A wait that a signal ended brings nothing, whatever has come: a process that stood still goes on with one.
         let all = !ready.is_empty() && ready.len() < MANY;
         sight.from = if all { now } else { sight.since };
@@ -90,7 +94,9 @@
 
     /// The serial of the client that a token stands for; 0 for all others.
     fn serial_at(&self, token: Token) -> u64 {
-        self.client_at(token).and_then(|key| self.clients.get(key)).map_or(0, |client| client.serial)
+        self.client_at(token)
+            .and_then(|key| self.clients.get(key))
+            .map_or(0, |client| client.serial)
     }
 
     fn client_at(&self, token: Token) -> Option<usize> {
@@ -120,14 +126,25 @@
             return self.ready(event);
         }
         let (from, queued, seen) = (self.sight.from, self.sight.queued, self.sight.seen);
-        if let Some(client) = self.client_at(event.token).and_then(|key| self.clients.get_mut(key)) {
+        if let Some(client) = self
+            .client_at(event.token)
+            .and_then(|key| self.clients.get_mut(key))
+        {
             if event.read_closed {
                 let since = if client.serial > seen { queued } else { from };
                 // Behind a reset nobody listens.
-                client.ends(if event.error { since - HALF_CLOSED_MOST } else { since });
+                client.ends(if event.error {
+                    since - HALF_CLOSED_MOST
+                } else {
+                    since
+                });
             }
         }
-        let held = self.sight.held.entry((event.token, self.serial_at(event.token))).or_insert(*event);
+        let held = self
+            .sight
+            .held
+            .entry((event.token, self.serial_at(event.token)))
+            .or_insert(*event);
         held.readable |= event.readable;
         held.writable |= event.writable;
         held.read_closed |= event.read_closed;
@@ -140,28 +157,50 @@
             self.look();
         }
         let now = self.now();
-        self.clients.get(client).is_some_and(|c| c.serial == serial && !c.abandoned(now))
+        self.clients
+            .get(client)
+            .is_some_and(|c| c.serial == serial && !c.abandoned(now))
     }
 
     /// A client's end has become known, if it has: what waits for it goes a little later.
     pub(super) fn watch_end(&mut self, key: usize) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         if let Some(since) = client.newly_ended() {
             let serial = client.serial;
-            self.timers.set(since + HALF_CLOSED_MOST, Due::Left { client: key, serial });
+            self.timers.set(
+                since + HALF_CLOSED_MOST,
+                Due::Left {
+                    client: key,
+                    serial,
+                },
+            );
         }
     }
 
     /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
     /// still listens has its final answer by that; the write shows whether anyone is there.
     pub(super) fn abandon(&mut self, client: usize) {
-        let waiting = self.clients.get(client).map(Client::waiting).unwrap_or_default();
-        waiting.into_iter().for_each(|request| self.no_more(request));
+        let waiting = self
+            .clients
+            .get(client)
+            .map(Client::waiting)
+            .unwrap_or_default();
+        waiting
+            .into_iter()
+            .for_each(|request| self.no_more(request));
     }
 
     /// Nothing more is sent for a request; what is out may still answer it.
     pub(super) fn no_more(&mut self, key: usize) {
-        let Some(open) = self.open.get_mut(key).filter(|o| !o.closed && o.stream.is_none()) else { return };
+        let Some(open) = self
+            .open
+            .get_mut(key)
+            .filter(|o| !o.closed && o.stream.is_none())
+        else {
+            return;
+        };
         if std::mem::replace(&mut open.no_more, true) {
             return;
         }
@@ -174,7 +213,10 @@
     pub(super) fn unsend(&mut self, key: usize) {
         let attempts = self.open.get(key).map_or(0, |open| open.attempts.len());
         for attempt in 0..attempts {
-            let conn = self.open.get(key).and_then(|open| open.attempts[attempt].conn);
+            let conn = self
+                .open
+                .get(key)
+                .and_then(|open| open.attempts[attempt].conn);
             if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
                 self.give_up(key, attempt, Status::Moot);
             }
--- a/crates/node/src/node/disconnects_tests.rs
+++ b/crates/node/src/node/disconnects_tests.rs
@@ -63,7 +63,9 @@
     fn write(&mut self, chunks: &[IoSlice]) -> io::Result<usize> {
         let mut w = self.world.borrow_mut();
         if self.client {
-            chunks.iter().for_each(|chunk| w.answers.extend_from_slice(chunk));
+            chunks
+                .iter()
+                .for_each(|chunk| w.answers.extend_from_slice(chunk));
         } else {
             let now = w.now;
             w.began.push(now);
@@ -83,7 +85,8 @@
 
     fn connected(&self) -> io::Result<()> {
         let up = *self.up.borrow();
-        up.then_some(()).ok_or_else(|| ErrorKind::NotConnected.into())
+        up.then_some(())
+            .ok_or_else(|| ErrorKind::NotConnected.into())
     }
 
     fn end(&mut self) -> io::Result<()> {
@@ -117,7 +120,11 @@
             return Err(ErrorKind::WouldBlock.into());
         }
         w.client = Some(token);
-        Ok(Conn { world: self.0.clone(), client: true, up: Rc::default() })
+        Ok(Conn {
+            world: self.0.clone(),
+            client: true,
+            up: Rc::default(),
+        })
     }
 
     fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<Conn> {
@@ -125,18 +132,33 @@
             return Err(ErrorKind::ConnectionRefused.into());
         }
         self.0.borrow_mut().opening.push(token);
-        Ok(Conn { world: self.0.clone(), client: false, up: Rc::new(RefCell::new(true)) })
+        Ok(Conn {
+            world: self.0.clone(),
+            client: false,
+            up: Rc::new(RefCell::new(true)),
+        })
     }
 
     fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
         ready.clear();
         let mut w = self.0.borrow_mut();
-        let event =
-            |token| Ready { token, readable: false, writable: true, read_closed: false, error: false };
+        let event = |token| Ready {
+            token,
+            readable: false,
+            writable: true,
+            read_closed: false,
+            error: false,
+        };
         ready.extend(std::mem::take(&mut w.opening).into_iter().map(event));
         if let Some(token) = w.client.filter(|_| w.now >= w.gone_at && !w.told_gone) {
             w.told_gone = true;
-            ready.push(Ready { token, readable: true, writable: true, read_closed: true, error: w.resets });
+            ready.push(Ready {
+                token,
+                readable: true,
+                writable: true,
+                read_closed: true,
+                error: w.resets,
+            });
         }
         if ready.is_empty() {
             w.now += wait;
@@ -153,7 +175,8 @@
 
 /// When attempts begin for a client that sends a hundred commands and goes so long after the node has begun with them.
 fn began(step: Micros, gone_after: Micros, resets: bool) -> (Rc<RefCell<World>>, Micros) {
-    let class = r#"{"name": "read", "aim": 20000.0, "deadline": 20000.0, "repeat": "free", "worth": 1.0}"#;
+    let class =
+        r#"{"name": "read", "aim": 20000.0, "deadline": 20000.0, "repeat": "free", "worth": 1.0}"#;
     let servers: Vec<String> = (0..8)
         .map(|n| {
             format!(
@@ -175,7 +198,10 @@
                         "fall": 2000.0, "grace_to_answer": 8.0, "ask_within": 200.0}}}}}}"#,
         servers.join(",")
     );
-    let world = Rc::new(RefCell::new(World { gone_at: Micros::MAX, ..World::default() }));
+    let world = Rc::new(RefCell::new(World {
+        gone_at: Micros::MAX,
+        ..World::default()
+    }));
     let config = move || config::parse(&text);
     let mut node = Node::new(config().unwrap(), Slow(world.clone()), Box::new(config)).unwrap();
     let turn = |node: &mut Node<Slow>| {
@@ -212,14 +238,30 @@
 fn however_long_a_round_is_nothing_begins_late_for_a_client_that_goes_in_the_middle() {
     for step in [100, 300, 1_000] {
         let (stays, far) = began(step, 1 << 50, false);
-        let stays: Vec<Micros> = stays.borrow().began.iter().map(|at| at - (far - (1 << 50))).collect();
+        let stays: Vec<Micros> = stays
+            .borrow()
+            .began
+            .iter()
+            .map(|at| at - (far - (1 << 50)))
+            .collect();
         assert!(stays.len() >= COMMANDS, "one that stays is sent on whole");
         for resets in [false, true] {
-            for gone_after in [0, stays[0], stays[10], stays[30], stays[60], stays[COMMANDS - 10]] {
+            for gone_after in [
+                0,
+                stays[0],
+                stays[10],
+                stays[30],
+                stays[60],
+                stays[COMMANDS - 10],
+            ] {
                 let (world, gone_at) = began(step, gone_after, resets);
                 let began = &world.borrow().began;
                 let last = began.iter().max().map_or(0, |at| at - gone_at);
-                assert!(last < LATE / 2, "{step} {gone_after} {resets}: {last} of {}", began.len());
+                assert!(
+                    last < LATE / 2,
+                    "{step} {gone_after} {resets}: {last} of {}",
+                    began.len()
+                );
             }
         }
     }
--- a/crates/node/src/node/doors.rs
+++ b/crates/node/src/node/doors.rs
@@ -49,11 +49,16 @@
 impl Shares {
     /// `ops`: operators call, too.
     pub(super) fn of(sockets: usize, ops: bool) -> Shares {
-        let kept =
-            SOCKETS_PROCESS + SOCKETS_DISCOVERY + SOCKETS_REFUSED + if ops { SOCKETS_OPS } else { 0 };
+        let kept = SOCKETS_PROCESS
+            + SOCKETS_DISCOVERY
+            + SOCKETS_REFUSED
+            + if ops { SOCKETS_OPS } else { 0 };
         let connections = sockets - kept;
         let upstream = connections * UPSTREAM_PART / 100;
-        Shares { upstream, clients: connections - upstream }
+        Shares {
+            upstream,
+            clients: connections - upstream,
+        }
     }
 }
 
@@ -78,7 +83,9 @@
     pub(super) fn accept_at(&mut self, at: usize) {
         let mut accepted = 0;
         while self.doors[at].more && accepted < ACCEPT_MOST {
-            let Some(placed) = self.room(self.now()) else { return };
+            let Some(placed) = self.room(self.now()) else {
+                return;
+            };
             let door = &mut self.doors[at];
             let (key, protocol) = (self.clients.vacant_key(), door.protocol);
             match self.net.accept(&mut door.listener, client_token(key)) {
@@ -86,7 +93,8 @@
                     stream.bound_sending(SEND_BUFFER);
                     self.serial += 1;
                     let value_most = self.memcached.as_ref().map_or(0, |m| m.file.value_most);
-                    let mut client = Client::new(stream, self.serial, self.now(), protocol, value_most);
+                    let mut client =
+                        Client::new(stream, self.serial, self.now(), protocol, value_most);
                     client.placed = placed;
                     self.clients.insert(client);
                     accepted += 1;
@@ -150,7 +158,9 @@
 
     /// Makes a place free: of those to which nothing is owed, whoever has gone longest without a whole command leaves.
     fn evict_client(&mut self, now: Micros) -> bool {
-        let Some(key) = self.longest_resting(true, now) else { return false };
+        let Some(key) = self.longest_resting(true, now) else {
+            return false;
+        };
         let client = &self.clients[key];
         if client.lingering() || client.half_since().is_none() && client.times().1.is_some() {
             // It has had its answers; what it asks next it asks on a new connection.
@@ -163,7 +173,9 @@
 
     /// Makes a descriptor free that is held without a place.
     fn clear(&mut self, now: Micros) -> bool {
-        let Some(key) = self.longest_resting(false, now) else { return false };
+        let Some(key) = self.longest_resting(false, now) else {
+            return false;
+        };
         if !self.clients[key].lingering() {
             self.shed(key);
             let client = &mut self.clients[key];
@@ -183,7 +195,9 @@
             let (came, asked) = c.times();
             match c.half_since() {
                 _ if c.lingering() => Some((false, came)),
-                Some(since) => (c.owed() == 0 && now - since >= HALF_COMMAND).then_some((true, since)),
+                Some(since) => {
+                    (c.owed() == 0 && now - since >= HALF_COMMAND).then_some((true, since))
+                }
                 None if !c.idle() || asked.is_none() && now - came < FIRST_BYTES => None,
                 None => Some((true, c.active)),
             }
@@ -191,15 +205,22 @@
         let all = self.clients.iter().filter(|(_, c)| c.placed == placed);
         let mut resting: Vec<_> = all.filter_map(|(key, c)| Some((since(c)?, key))).collect();
         resting.sort_unstable();
-        resting.into_iter().map(|(_, key)| key).find(|key| self.clients[*key].stream.quiet())
+        resting
+            .into_iter()
+            .map(|(_, key)| key)
+            .find(|key| self.clients[*key].stream.quiet())
     }
 
     /// Ends a client's connection by a refusal, which answers what it has not finished to write or is just writing.
     fn shed(&mut self, key: usize) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         client.placed = false;
         if client.protocol() == Protocol::Resp {
-            client.push(Slot::Ready(Asked::Resp.answer(&Bytes::new(), Final::Busy(0))));
+            client.push(Slot::Ready(
+                Asked::Resp.answer(&Bytes::new(), Final::Busy(0)),
+            ));
         }
         client.close_after_answers();
         self.mark(key);
--- a/crates/node/src/node/handover.rs
+++ b/crates/node/src/node/handover.rs
@@ -28,15 +28,23 @@
 impl Handover {
     pub(super) fn new(listen: SocketAddr, names: &Names, classes: usize) -> Handover {
         let classes: Vec<&str> = (0..classes).map(|class| names.class_name(class)).collect();
-        Handover { owner: format!("node {listen} classes {}", classes.join(" ")), next: EVERY }
+        Handover {
+            owner: format!("node {listen} classes {}", classes.join(" ")),
+            next: EVERY,
+        }
     }
 }
 
 /// The memory in a snapshot and its age, or why it is not to be believed.
 fn unpack(owner: &str, unix: Micros, snapshot: &[u8]) -> Result<(Memory, Micros), String> {
-    let expected = Expected { owner, version: VERSION, age_most: AGE_MOST };
+    let expected = Expected {
+        owner,
+        version: VERSION,
+        age_most: AGE_MOST,
+    };
     let (payload, age) = open(&expected, unix, snapshot).map_err(|refused| refused.to_string())?;
-    let memory: Memory = postcard::from_bytes(payload).map_err(|e| format!("cannot be read: {e}"))?;
+    let memory: Memory =
+        postcard::from_bytes(payload).map_err(|e| format!("cannot be read: {e}"))?;
     let memory = memory.checked().ok_or("holds what no node remembers")?;
     Ok((memory, age))
 }
@@ -44,7 +52,9 @@
 impl<N: Net, M: Module> Node<N, M> {
     /// Takes up what the process before this one knew, if that is there and to be believed.
     pub(super) fn take_over(&mut self) {
-        let Some(handover) = &self.handover else { return };
+        let Some(handover) = &self.handover else {
+            return;
+        };
         let now = self.net.now();
         let unix = self.net.began_unix() + now;
         let told = match self.net.kept() {
@@ -66,17 +76,26 @@
 
     /// Keeps what the next process needs, when it is time and there is something to tell.
     pub(super) fn hand_over(&mut self, now: Micros) {
-        let Some(handover) = self.handover.as_mut().filter(|h| now >= h.next) else { return };
+        let Some(handover) = self.handover.as_mut().filter(|h| now >= h.next) else {
+            return;
+        };
         if !self.life.tells(now) {
             return;
         }
         handover.next = now + EVERY;
-        let Some(memory) = self.module.remember(now) else { return };
-        let Ok(payload) = postcard::to_stdvec(&memory) else { return };
+        let Some(memory) = self.module.remember(now) else {
+            return;
+        };
+        let Ok(payload) = postcard::to_stdvec(&memory) else {
+            return;
+        };
         let unix = self.net.began_unix() + now;
-        let Some(snapshot) = seal(&handover.owner, VERSION, unix, &payload) else { return };
+        let Some(snapshot) = seal(&handover.owner, VERSION, unix, &payload) else {
+            return;
+        };
         if let Keeping::Failed(why) = self.net.keep(snapshot) {
-            self.log.line(&mut self.net, &format!("handover: not kept: {why}"));
+            self.log
+                .line(&mut self.net, &format!("handover: not kept: {why}"));
         }
     }
 }
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached.rs
@@ -40,7 +40,12 @@
 impl Memcached {
     pub(super) fn new(file: File, run: u64) -> Memcached {
         let ledger = Ledger::new(file.ledger);
-        Memcached { file, ledger, run, sent: 0 }
+        Memcached {
+            file,
+            ledger,
+            run,
+            sent: 0,
+        }
     }
 
     /// Whether boxes of a model speak the binary protocol.
@@ -61,7 +66,12 @@
         let reserved = request.reserved;
         let Some(opcode) = Opcode::from_code(request.opcode) else {
             let mut out = Vec::new();
-            memcache::put_status(&mut out, request.opcode, request.opaque, Status::UnknownCommand);
+            memcache::put_status(
+                &mut out,
+                request.opcode,
+                request.opaque,
+                Status::UnknownCommand,
+            );
             return self.say(client, vec![out.into()], reserved);
         };
         let opaque = request.opaque;
@@ -108,18 +118,36 @@
     fn stat(&self, opcode: Opcode, opaque: u32, name: &Bytes) -> Vec<Bytes> {
         let mut out = Vec::new();
         let mut put = |key: &'static str, value: String| {
-            let (extras, key, value) = (Bytes::new(), Bytes::from_static(key.as_bytes()), value.into());
+            let (extras, key, value) = (
+                Bytes::new(),
+                Bytes::from_static(key.as_bytes()),
+                value.into(),
+            );
             let (opcode, status) = (opcode as u8, Status::Ok as u16);
             memcache::put_response(
                 &mut out,
-                &memcache::Response { opcode, status, opaque, cas: 0, extras, key, value },
+                &memcache::Response {
+                    opcode,
+                    status,
+                    opaque,
+                    cas: 0,
+                    extras,
+                    key,
+                    value,
+                },
             );
         };
         if name.is_empty() {
             put("version", env!("CARGO_PKG_VERSION").to_string());
             put("curr_connections", self.clients.len().to_string());
             put("open_requests", self.open.len().to_string());
-            put("ledger_keys", self.memcached.as_ref().map_or(0, |m| m.ledger.len()).to_string());
+            put(
+                "ledger_keys",
+                self.memcached
+                    .as_ref()
+                    .map_or(0, |m| m.ledger.len())
+                    .to_string(),
+            );
         }
         // An empty one ends the list.
         put("", String::new());
@@ -136,9 +164,15 @@
     ) -> Result<(), Refused> {
         let unix = self.net.began_unix() + now;
         let full = self.turns_away(client, now);
-        let Some(m) = &mut self.memcached else { return Err(Refused::End(Final::Failed)) };
+        let Some(m) = &mut self.memcached else {
+            return Err(Refused::End(Final::Failed));
+        };
         let write = opcode.loud() == Opcode::Set;
-        let operation = if write { Operation::Set } else { Operation::Get };
+        let operation = if write {
+            Operation::Set
+        } else {
+            Operation::Get
+        };
         let bad = |why| Err(Refused::Status(Status::InvalidArguments, why));
         let Ok(key) = std::str::from_utf8(&request.key).map(Arc::<str>::from) else {
             return bad("the key is not text");
@@ -152,14 +186,20 @@
         if write {
             // Only a value is kept: what is lost without a word would come back as something else.
             if request.cas != 0 {
-                return Err(Refused::Status(Status::NotSupported, "CAS is not kept here; allowed: 0"));
+                return Err(Refused::Status(
+                    Status::NotSupported,
+                    "CAS is not kept here; allowed: 0",
+                ));
             }
             if request.extras.iter().any(|b| *b != 0) {
                 let why = "flags and expiration are not kept here; allowed: 0";
                 return Err(Refused::Status(Status::NotSupported, why));
             }
         }
-        let idem = match write.then(|| route.key(&request.key, &request.value)).transpose() {
+        let idem = match write
+            .then(|| route.key(&request.key, &request.value))
+            .transpose()
+        {
             Ok(idem) => idem.flatten(),
             Err(why) => return bad(why),
         };
@@ -231,7 +271,9 @@
     /// Counts an attempt of a keyed write as one that may run; false: boxes may have forgotten an earlier one.
     pub(super) fn may_leave(&mut self, request: usize, attempt: usize, now: Micros) -> bool {
         let open = &mut self.open[request];
-        let (Some(keyed), Some(m)) = (&mut open.keyed, &mut self.memcached) else { return true };
+        let (Some(keyed), Some(m)) = (&mut open.keyed, &mut self.memcached) else {
+            return true;
+        };
         let may = m.ledger.send(now, &keyed.key);
         open.attempts[attempt].counted = may;
         keyed.may_have_run += usize::from(may);
@@ -240,10 +282,13 @@
 
     /// An attempt that was counted has ended.
     pub(super) fn settle(&mut self, request: usize, status: Ended) {
-        let (Some(keyed), Some(m)) = (&mut self.open[request].keyed, &mut self.memcached) else { return };
+        let (Some(keyed), Some(m)) = (&mut self.open[request].keyed, &mut self.memcached) else {
+            return;
+        };
         if status.never_ran() {
             keyed.may_have_run -= 1;
-            m.ledger.never_ran(&keyed.key, keyed.before || keyed.may_have_run > 0);
+            m.ledger
+                .never_ran(&keyed.key, keyed.before || keyed.may_have_run > 0);
         }
         // Known even where the client has had its answer: a repeat is told so.
         keyed.served |= status == Ended::Ok;
@@ -253,7 +298,8 @@
     pub(super) fn written(&mut self, keyed: Keyed) {
         let now = self.net.now();
         let Some(m) = &mut self.memcached else { return };
-        m.ledger.ended(now, &keyed.key, keyed.served.then(Bytes::new));
+        m.ledger
+            .ended(now, &keyed.key, keyed.served.then(Bytes::new));
     }
 }
 
@@ -272,7 +318,9 @@
 
 /// FNV-1a of 32 bits.
 pub fn fnv(bytes: &[u8]) -> u32 {
-    bytes.iter().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193))
+    bytes.iter().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
+    })
 }
 
 /// Whether a box that speaks the binary protocol can be sent this: its key is short enough, and an idempotency key that
@@ -284,7 +332,9 @@
 }
 
 fn idempotency_key(open: &Open) -> Option<&[u8]> {
-    open.fields.split(|b| *b == b',').find_map(|field| field.strip_prefix(b"k="))
+    open.fields
+        .split(|b| *b == b',')
+        .find_map(|field| field.strip_prefix(b"k="))
 }
 
 /// The request as a box that speaks the binary protocol gets it. A write's value goes behind its idempotency key (a
@@ -295,8 +345,19 @@
         let opcode = Opcode::Get as u8;
         let mut out = Vec::with_capacity(HEADER + open.key.len());
         let key = open.key.clone();
-        put_request(&mut out, &memcache::Request { opcode, opaque, key, ..memcache::Request::default() });
-        return Written { chunks: vec![out.into()], tag: (opcode, opaque) };
+        put_request(
+            &mut out,
+            &memcache::Request {
+                opcode,
+                opaque,
+                key,
+                ..memcache::Request::default()
+            },
+        );
+        return Written {
+            chunks: vec![out.into()],
+            tag: (opcode, opaque),
+        };
     };
     let idem = idempotency_key(open).unwrap_or(b"-");
     let opcode = Opcode::Set as u8;
@@ -320,13 +381,26 @@
     } else {
         chunks.push(value.clone());
     }
-    Written { chunks, tag: (opcode, opaque) }
+    Written {
+        chunks,
+        tag: (opcode, opaque),
+    }
 }
 
 /// A sign of life.
 pub(super) fn probe(serial: u64) -> Written {
     let (opcode, opaque) = (Opcode::Noop as u8, serial as u32);
     let mut out = Vec::new();
-    put_request(&mut out, &memcache::Request { opcode, opaque, ..memcache::Request::default() });
-    Written { chunks: vec![out.into()], tag: (opcode, opaque) }
+    put_request(
+        &mut out,
+        &memcache::Request {
+            opcode,
+            opaque,
+            ..memcache::Request::default()
+        },
+    );
+    Written {
+        chunks: vec![out.into()],
+        tag: (opcode, opaque),
+    }
 }
--- a/crates/node/src/node/operating.rs
+++ b/crates/node/src/node/operating.rs
@@ -22,12 +22,16 @@
 
     /// Something happened on the operators' listener or on one of their connections.
     pub(super) fn called(&mut self, event: &Ready, now: Micros) {
-        let Some(mut ops) = self.ops.take() else { return };
+        let Some(mut ops) = self.ops.take() else {
+            return;
+        };
         match event.token {
             OPS => ops.waiting(),
             token => {
                 let mut scratch = std::mem::take(&mut self.scratch);
-                ops.ready(token - CALLER, event, now, &mut scratch, |call| self.answer_call(call, now));
+                ops.ready(token - CALLER, event, now, &mut scratch, |call| {
+                    self.answer_call(call, now)
+                });
                 self.scratch = scratch;
             }
         }
@@ -41,7 +45,11 @@
             Call::Ready => (503, "not ready\n".to_string()),
             Call::Telemetry => {
                 let held = self.held(now);
-                (200, self.figures.text(|class| self.names.class_name(class), held))
+                (
+                    200,
+                    self.figures
+                        .text(|class| self.names.class_name(class), held),
+                )
             }
             Call::Evacuate if self.life.evacuate(now) => {
                 self.log.line(&mut self.net, "told to send clients away");
@@ -56,7 +64,10 @@
     }
 
     fn held(&self, now: Micros) -> Held {
-        let avoided = self.upstreams.servers().filter(|server| self.module.avoids(now, server));
+        let avoided = self
+            .upstreams
+            .servers()
+            .filter(|server| self.module.avoids(now, server));
         Held {
             sends: self.upstreams.sends,
             current: self.clients.iter().map(|(_, client)| client.owed()).sum(),
@@ -69,22 +80,33 @@
 
     /// Listed servers that keep only part of their keys.
     fn outliers(&self) -> impl Iterator<Item = &ServerId> {
-        self.upstreams.servers().filter(|server| self.module.kept(server) < 1.0)
+        self.upstreams
+            .servers()
+            .filter(|server| self.module.kept(server) < 1.0)
     }
 
     /// Logs which servers have lost most of their keys, and which have all of them again, since it was asked last.
     /// What lies between is told in neither direction, or a server near the bar would fill the log.
     pub(super) fn tell_outliers(&mut self) {
         let told = &self.outliers;
-        let worse = |server: &&ServerId| told.contains(*server) || self.module.kept(server) < OUTLIER_TOLD;
+        let worse =
+            |server: &&ServerId| told.contains(*server) || self.module.kept(server) < OUTLIER_TOLD;
         let now: BTreeSet<ServerId> = self.outliers().filter(worse).cloned().collect();
         for server in now.difference(&self.outliers) {
-            self.log.line(&mut self.net, &format!("outlier: {server} has lost most of its keys"));
+            self.log.line(
+                &mut self.net,
+                &format!("outlier: {server} has lost most of its keys"),
+            );
         }
-        for server in
-            self.outliers.difference(&now).filter(|gone| self.upstreams.servers().any(|s| s == *gone))
+        for server in self
+            .outliers
+            .difference(&now)
+            .filter(|gone| self.upstreams.servers().any(|s| s == *gone))
         {
-            self.log.line(&mut self.net, &format!("outlier: {server} has all of its keys again"));
+            self.log.line(
+                &mut self.net,
+                &format!("outlier: {server} has all of its keys again"),
+            );
         }
         self.outliers = now;
     }
@@ -93,15 +115,20 @@
     pub(super) fn tell_jam(&mut self, now: Micros) {
         let jam = self.module.jam(now);
         if std::mem::replace(&mut self.jam, jam) != jam {
-            let line =
-                if jam { "origin: jam, fetches and writes hardly answered" } else { "origin: jam over" };
+            let line = if jam {
+                "origin: jam, fetches and writes hardly answered"
+            } else {
+                "origin: jam over"
+            };
             self.log.line(&mut self.net, line);
         }
     }
 
     /// Ends a connection on which nothing is owed, when the node is leaving and it is time for this one.
     pub(super) fn let_go(&mut self, key: usize, now: Micros) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         let (came, asked) = client.times();
         if self.life.lets_go(now, came, asked) && client.quiet() {
             client.close_after_answers();
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -57,7 +57,12 @@
 
 impl<N: Net> Ops<N> {
     pub fn new(listener: N::Listener, token: fn(usize) -> Token) -> Ops<N> {
-        Ops { listener, more: true, callers: Slab::new(), token }
+        Ops {
+            listener,
+            more: true,
+            callers: Slab::new(),
+            token,
+        }
     }
 
     /// Connections wait on the listener.
@@ -71,8 +76,13 @@
         while self.more && taken < CALLERS {
             taken += 1;
             if self.callers.len() >= CALLERS {
-                let oldest = self.callers.iter().min_by_key(|(_, c)| (c.answered.is_none(), c.came));
-                let Some(key) = oldest.map(|(key, _)| key) else { return };
+                let oldest = self
+                    .callers
+                    .iter()
+                    .min_by_key(|(_, c)| (c.answered.is_none(), c.came));
+                let Some(key) = oldest.map(|(key, _)| key) else {
+                    return;
+                };
                 self.callers.remove(key);
             }
             match net.accept(&mut self.listener, (self.token)(self.callers.vacant_key())) {
@@ -102,7 +112,9 @@
         scratch: &mut [u8],
         answer: impl FnOnce(Call) -> Answer,
     ) {
-        let Some(caller) = self.callers.get_mut(key) else { return };
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
         let mut ended = event.error;
         // Guards against a caller that writes without end: what is beyond this is left in the kernel, where it
         // holds up nobody, until the caller's time is over.
@@ -127,7 +139,10 @@
                     Err(refused) => refused,
                 },
                 Err(Refused::Unreadable) => (400, "this is no HTTP/1.1 request\n".to_string()),
-                Err(Refused::TooLong) => (431, format!("a head has {} bytes at most\n", http::HEAD_MOST)),
+                Err(Refused::TooLong) => (
+                    431,
+                    format!("a head has {} bytes at most\n", http::HEAD_MOST),
+                ),
             };
             caller.answer(status, &text, now);
         }
--- a/crates/node/src/os.rs
+++ b/crates/node/src/os.rs
@@ -68,7 +68,9 @@
     pub fn with_signals() -> io::Result<Os> {
         let mut os = Os::new()?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
-        os.poll.registry().register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
+        os.poll
+            .registry()
+            .register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
         os.signals = Some(signals);
         Ok(os)
     }
@@ -88,7 +90,10 @@
     /// # Errors
     /// The system's, when it has no room for a poll.
     pub fn remote(remote: Arc<Remote>) -> io::Result<Os> {
-        Ok(Os { remote: Some(remote), ..Os::new()? })
+        Ok(Os {
+            remote: Some(remote),
+            ..Os::new()?
+        })
     }
 
     /// For one of several threads: signals are left to others.
@@ -96,7 +101,9 @@
     /// # Errors
     /// The system's, when it has no room for a poll.
     pub fn new() -> io::Result<Os> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_micros() as i64);
         Ok(Os {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS),
@@ -144,7 +151,9 @@
             }
         };
         let mut listener = TcpListener::from_std(socket.into());
-        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
         Ok(listener)
     }
 
@@ -154,11 +163,16 @@
         let held = unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) }.try_clone_to_owned()?;
         let socket = socket2::Socket::from(held);
         if !rustix::net::sockopt::socket_acceptconn(&socket)? {
-            return Err(io::Error::new(ErrorKind::InvalidInput, "is no listening socket"));
+            return Err(io::Error::new(
+                ErrorKind::InvalidInput,
+                "is no listening socket",
+            ));
         }
         socket.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(socket.into());
-        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
         Ok(listener)
     }
 
@@ -167,7 +181,10 @@
         let _ = stream.set_nodelay(true);
         let both = Interest::READABLE | Interest::WRITABLE;
         // Not as a lack of descriptors: the connection is gone, and those behind it are asked for.
-        let registered = self.poll.registry().register(&mut stream, mio::Token(token), both);
+        let registered = self
+            .poll
+            .registry()
+            .register(&mut stream, mio::Token(token), both);
         registered.map_err(|_| io::Error::from(ErrorKind::ConnectionAborted))?;
         Ok(stream)
     }
@@ -176,13 +193,18 @@
         let mut stream = TcpStream::connect(to)?;
         let _ = stream.set_nodelay(true);
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, mio::Token(token), both)?;
+        self.poll
+            .registry()
+            .register(&mut stream, mio::Token(token), both)?;
         Ok(stream)
     }
 
     fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
         ready.clear();
-        match self.poll.poll(&mut self.events, Some(Duration::from_micros(wait.max(0) as u64))) {
+        match self.poll.poll(
+            &mut self.events,
+            Some(Duration::from_micros(wait.max(0) as u64)),
+        ) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
             done => done?,
         }
@@ -195,7 +217,13 @@
         }));
         if self.remote.as_ref().is_some_and(|remote| remote.waits()) {
             let token = SIGNALS;
-            ready.push(Ready { token, readable: true, writable: false, read_closed: false, error: false });
+            ready.push(Ready {
+                token,
+                readable: true,
+                writable: false,
+                read_closed: false,
+                error: false,
+            });
         }
         Ok(())
     }
@@ -210,17 +238,24 @@
         }
         let came = self.signals.iter_mut().flat_map(|s| s.pending());
         came.fold(Told::default(), |told, signal| match signal {
-            SIGHUP => Told { reload: true, ..told },
+            SIGHUP => Told {
+                reload: true,
+                ..told
+            },
             _ => Told { stop: true, ..told },
         })
     }
 
     fn kept(&mut self) -> io::Result<Option<Vec<u8>>> {
-        self.kept.as_ref().map_or(Ok(None), |(folder, _)| folder.read())
+        self.kept
+            .as_ref()
+            .map_or(Ok(None), |(folder, _)| folder.read())
     }
 
     fn keep(&mut self, snapshot: Vec<u8>) -> Keeping {
-        let Some((_, keeper)) = &self.kept else { return Keeping::Nowhere };
+        let Some((_, keeper)) = &self.kept else {
+            return Keeping::Nowhere;
+        };
         let taken = keeper.offer(snapshot);
         match keeper.trouble() {
             Some(why) => Keeping::Failed(why),
@@ -246,13 +281,24 @@
         if self.remote.is_some() {
             return;
         }
-        let mut line: String = line.chars().filter(|c| !c.is_control()).take(most).collect();
+        let mut line: String = line
+            .chars()
+            .filter(|c| !c.is_control())
+            .take(most)
+            .collect();
         line.push('\n');
         let stderr = io::stderr();
-        let mut ready = [rustix::event::PollFd::new(&stderr, rustix::event::PollFlags::OUT)];
-        let at_once = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut ready = [rustix::event::PollFd::new(
+            &stderr,
+            rustix::event::PollFlags::OUT,
+        )];
+        let at_once = rustix::event::Timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
         let polled = rustix::event::poll(&mut ready, Some(&at_once));
-        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT) {
+        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT)
+        {
             let _ = stderr.lock().write_all(line.as_bytes());
         }
     }
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timer.rs
@@ -14,7 +14,11 @@
     /// The module's own timer.
     Module(u64),
     /// The time-out of an attempt.
-    Attempt { request: usize, serial: u64, attempt: usize },
+    Attempt {
+        request: usize,
+        serial: u64,
+        attempt: usize,
+    },
     /// A connection that is still being opened, or a probe, has taken too long.
     Upstream { conn: usize, serial: u64 },
     /// A client has not been heard for long enough.
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -46,21 +46,39 @@
         }
         let text = match event {
             Event::Request(r) => {
-                format!("request id={} class={} write={}", r.id, r.class, u8::from(r.write))
+                format!(
+                    "request id={} class={} write={}",
+                    r.id,
+                    r.class,
+                    u8::from(r.write)
+                )
             }
-            Event::Outcome { request, server, attempt, latency, status, note, .. } => {
-                let mut text =
-                    format!("outcome id={request} n={attempt} server={server} us={latency} how={status:?}");
+            Event::Outcome {
+                request,
+                server,
+                attempt,
+                latency,
+                status,
+                note,
+                ..
+            } => {
+                let mut text = format!(
+                    "outcome id={request} n={attempt} server={server} us={latency} how={status:?}"
+                );
                 if let Some(note) = note {
                     let _ = write!(text, " note={note:?}");
                 }
                 text
             }
-            Event::Servers(kind, entries) => format!("list kind={kind:?} entries={}", entries.len()),
+            Event::Servers(kind, entries) => {
+                format!("list kind={kind:?} entries={}", entries.len())
+            }
             Event::ListFailed => "list kind=Failed entries=0".to_string(),
             Event::ClientLeft(id) => format!("left id={id}"),
             Event::NoMore(id) => format!("no-more id={id}"),
-            Event::Probed { server, status, .. } => format!("probed server={server} how={status:?}"),
+            Event::Probed { server, status, .. } => {
+                format!("probed server={server} how={status:?}")
+            }
             Event::Started { .. } | Event::Timer(_) | Event::Peer { .. } => return,
         };
         write(net, text);
@@ -72,7 +90,9 @@
             return;
         }
         let text = match action {
-            Action::Send { request, server, .. } => format!("send id={request} server={server}"),
+            Action::Send {
+                request, server, ..
+            } => format!("send id={request} server={server}"),
             Action::Refuse { request, .. } => format!("end id={request} how=refused why={why}"),
             Action::Fail { request } => format!("end id={request} how=failed why={why}"),
             Action::Subscribe(on) => format!("ask watch={}", u8::from(*on)),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -36,8 +36,14 @@
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Job {
-    Attempt { request: usize, serial: u64, attempt: usize },
-    Probe { serial: u64 },
+    Attempt {
+        request: usize,
+        serial: u64,
+        attempt: usize,
+    },
+    Probe {
+        serial: u64,
+    },
 }
 
 /// An answer, in its server's protocol.
@@ -114,7 +120,9 @@
                 Piece::Body(bytes) => Came::Body(bytes),
             }),
             Reader::Memcached(reader) => {
-                let Some(piece) = reader.next(buf, BODY_MOST).map_err(|_| ())? else { return Ok(None) };
+                let Some(piece) = reader.next(buf, BODY_MOST).map_err(|_| ())? else {
+                    return Ok(None);
+                };
                 Some(match piece {
                     memcache::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
                     // Only what a client asked for may be long.
@@ -210,7 +218,12 @@
 }
 
 impl<S: Stream> Upstreams<S> {
-    pub fn new(most: usize, server_idle: Micros, connect_most: Micros, traced: bool) -> Upstreams<S> {
+    pub fn new(
+        most: usize,
+        server_idle: Micros,
+        connect_most: Micros,
+        traced: bool,
+    ) -> Upstreams<S> {
         Upstreams {
             conns: Slab::new(),
             pools: BTreeMap::new(),
@@ -227,7 +240,13 @@
 
     /// A server is listed; what is open to an address that it has left is not used again.
     pub fn listed(&mut self, server: &ServerId, address: SocketAddr, protocol: Protocol) {
-        let fresh = || Pool { address, protocol, listed: true, idle: Vec::new(), open: 0 };
+        let fresh = || Pool {
+            address,
+            protocol,
+            listed: true,
+            idle: Vec::new(),
+            open: 0,
+        };
         let pool = self.pools.entry(server.clone()).or_insert_with(fresh);
         pool.listed = true;
         if (pool.address, pool.protocol) != (address, protocol) {
@@ -238,7 +257,9 @@
 
     /// What a server speaks.
     pub fn protocol(&self, server: &ServerId) -> Protocol {
-        self.pools.get(server).map_or(Protocol::Resp, |pool| pool.protocol)
+        self.pools
+            .get(server)
+            .map_or(Protocol::Resp, |pool| pool.protocol)
     }
 
     /// A server is gone: its attempts end as they will, its idle connections are of no more use.
@@ -252,18 +273,30 @@
 
     /// All servers that are listed now.
     pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
-        self.pools.iter().filter(|(_, pool)| pool.listed).map(|(server, _)| server)
+        self.pools
+            .iter()
+            .filter(|(_, pool)| pool.listed)
+            .map(|(server, _)| server)
     }
 
     fn forget_pool(&mut self, server: &ServerId) {
-        if self.pools.get(server).is_some_and(|p| !p.listed && p.open == 0) {
+        if self
+            .pools
+            .get(server)
+            .is_some_and(|p| !p.listed && p.open == 0)
+        {
             self.pools.remove(server);
         }
     }
 
     pub fn close_idle(&mut self, server: &ServerId) {
-        let idle = self.pools.get_mut(server).map(|pool| std::mem::take(&mut pool.idle));
-        idle.into_iter().flatten().for_each(|conn| self.close(conn, Step::Spare));
+        let idle = self
+            .pools
+            .get_mut(server)
+            .map(|pool| std::mem::take(&mut pool.idle));
+        idle.into_iter()
+            .flatten()
+            .for_each(|conn| self.close(conn, Step::Spare));
     }
 
     /// Starts a job. An error is its end: it never ran.
@@ -303,7 +336,10 @@
     /// long as that many connections last.
     fn rested_most(&mut self, server: &ServerId) -> Option<usize> {
         let conns = &self.conns;
-        let pool = self.pools.get_mut(server).filter(|pool| pool.open >= SERVER_MOST)?;
+        let pool = self
+            .pools
+            .get_mut(server)
+            .filter(|pool| pool.open >= SERVER_MOST)?;
         let at = (0..pool.idle.len()).min_by_key(|at| conns[pool.idle[*at]].answered)?;
         Some(pool.idle.remove(at))
     }
@@ -312,7 +348,10 @@
     fn idle(&mut self, server: &ServerId, now: Micros) -> Option<usize> {
         let conns = &self.conns;
         let pool = self.pools.get_mut(server)?;
-        let at = pool.idle.iter().rposition(|conn| !conns[*conn].rests(now))?;
+        let at = pool
+            .idle
+            .iter()
+            .rposition(|conn| !conns[*conn].rests(now))?;
         Some(pool.idle.remove(at))
     }
 
@@ -326,11 +365,15 @@
         server: &ServerId,
         around: &mut Around<impl Net<Stream = S>>,
     ) -> Result<usize, Status> {
-        let Some(pool) = self.pools.get(server) else { return Err(Status::Moot) };
+        let Some(pool) = self.pools.get(server) else {
+            return Err(Status::Moot);
+        };
         if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
             return Err(Status::Moot);
         }
-        let Pool { address, protocol, .. } = self.pools[server];
+        let Pool {
+            address, protocol, ..
+        } = self.pools[server];
         let token = |conns: &Slab<Conn<S>>| (around.token)(conns.vacant_key());
         let mut opened = around.net.connect(address, token(&self.conns));
         if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
@@ -369,7 +412,10 @@
             pool.open += 1;
         }
         self.step(conn, Step::Open);
-        around.timers.set(around.now + self.connect_most, Due::Upstream { conn, serial });
+        around.timers.set(
+            around.now + self.connect_most,
+            Due::Upstream { conn, serial },
+        );
         Ok(conn)
     }
 
@@ -384,9 +430,18 @@
         let c = &mut self.conns[conn];
         c.job = Some(job);
         c.tag = written.tag;
-        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        written
+            .chunks
+            .iter()
+            .for_each(|chunk| c.out.push(chunk.clone()));
         if let Job::Probe { .. } = job {
-            around.timers.set(around.now + PROBE_MOST, Due::Upstream { conn, serial: c.serial });
+            around.timers.set(
+                around.now + PROBE_MOST,
+                Due::Upstream {
+                    conn,
+                    serial: c.serial,
+                },
+            );
         }
         c.uncounted = matches!(job, Job::Attempt { .. });
         let good = c.connecting || c.out.flush(&mut c.stream).is_ok();
@@ -404,7 +459,9 @@
 
     /// The node no longer waits for the job of a connection. Tells whether it may have run.
     pub fn abandon(&mut self, conn: usize, now: Micros) -> bool {
-        let Some(c) = self.conns.get_mut(conn) else { return false };
+        let Some(c) = self.conns.get_mut(conn) else {
+            return false;
+        };
         let sent = c.sent();
         c.job = None;
         if c.waits() {
@@ -430,9 +487,9 @@
     /// Whether a connection still goes to where its server is listed, in the protocol that is spoken there.
     pub fn current(&self, conn: usize) -> bool {
         let c = &self.conns[conn];
-        self.pools
-            .get(&c.server)
-            .is_some_and(|p| p.listed && p.address == c.address && p.protocol == c.reader.protocol())
+        self.pools.get(&c.server).is_some_and(|p| {
+            p.listed && p.address == c.address && p.protocol == c.reader.protocol()
+        })
     }
 
     fn step(&mut self, conn: usize, step: Step) {
@@ -454,14 +511,24 @@
     /// Closes the connection that has been idle the longest.
     pub fn make_room(&mut self) -> bool {
         let oldest = self.pools.values().filter_map(|pool| pool.idle.first());
-        let oldest = oldest.min_by_key(|conn| self.conns[**conn].idle_since).copied();
+        let oldest = oldest
+            .min_by_key(|conn| self.conns[**conn].idle_since)
+            .copied();
         oldest.map(|conn| self.close(conn, Step::Spare)).is_some()
     }
 
     fn fail(&mut self, conn: usize) {
         let c = &mut self.conns[conn];
-        let status = if c.sent() { Status::Reset } else { Status::ConnectFailed };
-        let step = if c.connecting { Step::Refused } else { Step::Broke };
+        let status = if c.sent() {
+            Status::Reset
+        } else {
+            Status::ConnectFailed
+        };
+        let step = if c.connecting {
+            Step::Refused
+        } else {
+            Step::Broke
+        };
         if let Some(job) = c.job.take() {
             self.signals.push_back(Signal::Ended(job, status));
         }
@@ -480,7 +547,9 @@
 
     /// Something happened on a socket.
     pub fn ready(&mut self, conn: usize, event: &Ready, around: &mut Around<impl Net<Stream = S>>) {
-        let Some(c) = self.conns.get_mut(conn) else { return };
+        let Some(c) = self.conns.get_mut(conn) else {
+            return;
+        };
         if c.connecting {
             match (c.stream.take_error(), c.stream.connected()) {
                 (Ok(None), Ok(_)) => {
@@ -515,7 +584,10 @@
     /// A connection that has come up for an attempt, of which nothing is written before [`Upstreams::go`].
     pub fn came_up(&mut self) -> Option<(usize, Job)> {
         while let Some((conn, serial)) = self.up.pop_front() {
-            let up = self.conns.get(conn).filter(|c| c.serial == serial && c.held);
+            let up = self
+                .conns
+                .get(conn)
+                .filter(|c| c.serial == serial && c.held);
             if let Some(job) = up.and_then(|c| c.job) {
                 return Some((conn, job));
             }
@@ -525,9 +597,14 @@
 
     /// Writes the job of a connection that has come up, as it is worded now.
     pub fn go(&mut self, conn: usize, written: &Written) {
-        let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else { return };
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else {
+            return;
+        };
         (c.held, c.out, c.tag) = (false, Outbox::default(), written.tag);
-        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        written
+            .chunks
+            .iter()
+            .for_each(|chunk| c.out.push(chunk.clone()));
         // If it is broken, an event says so.
         let _ = c.out.flush(&mut c.stream);
         self.count(conn);
@@ -544,7 +621,9 @@
             match c.reader.next(&mut c.buf) {
                 Ok(Some(Came::Whole(said))) => self.replied(conn, said, around.now),
                 Ok(Some(Came::Begin(len, tag))) => {
-                    let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+                    let Some(job) = c.job else {
+                        return self.odd(conn, "answer to nothing");
+                    };
                     if !c.sent() {
                         return self.odd(conn, "answer before its request");
                     }
@@ -580,7 +659,9 @@
 
     fn replied(&mut self, conn: usize, said: Said, now: Micros) {
         let c = &mut self.conns[conn];
-        let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+        let Some(job) = c.job else {
+            return self.odd(conn, "answer to nothing");
+        };
         let known = match (&said, job) {
             (Said::Resp(Reply::Array(parts)), Job::Attempt { .. }) => {
                 c.body || matches!(parts[0], Part::Bulk(_))
@@ -610,7 +691,11 @@
     }
 
     /// The next bytes of a long value; none: not there yet, or a signal tells how it ended.
-    pub fn pull(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) -> Option<Bytes> {
+    pub fn pull(
+        &mut self,
+        conn: usize,
+        around: &mut Around<impl Net<Stream = S>>,
+    ) -> Option<Bytes> {
         loop {
             let c = self.conns.get_mut(conn).filter(|c| c.body)?;
             match c.reader.next(&mut c.buf) {
@@ -640,7 +725,9 @@
 
     /// The time for a connect or a probe is over.
     pub fn due(&mut self, conn: usize, serial: u64) {
-        let Some(c) = self.conns.get_mut(conn).filter(|c| c.serial == serial) else { return };
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.serial == serial) else {
+            return;
+        };
         match c.job {
             _ if c.connecting => self.fail(conn),
             Some(job @ Job::Probe { .. }) => {
@@ -654,12 +741,20 @@
     /// Closes what has stood idle too long, and ends long values that have stopped coming.
     pub fn sweep(&mut self, now: Micros) {
         let old = |c: &Conn<S>| c.job.is_none() && now - c.idle_since >= self.idle_most;
-        let stalled = |c: &Conn<S>| c.starved.is_some_and(|since| now - since >= BODY_PAUSE_MOST);
+        let stalled = |c: &Conn<S>| {
+            c.starved
+                .is_some_and(|since| now - since >= BODY_PAUSE_MOST)
+        };
         let find = |what: &dyn Fn(&Conn<S>) -> bool| -> Vec<usize> {
-            self.conns.iter().filter(|(_, c)| what(c)).map(|(conn, _)| conn).collect()
+            self.conns
+                .iter()
+                .filter(|(_, c)| what(c))
+                .map(|(conn, _)| conn)
+                .collect()
         };
         let (old, stalled) = (find(&old), find(&stalled));
-        old.into_iter().for_each(|conn| self.close(conn, Step::Idle));
+        old.into_iter()
+            .for_each(|conn| self.close(conn, Step::Idle));
         stalled.into_iter().for_each(|conn| self.fail(conn));
     }
 }
--- a/crates/node/tests/nodelay.rs
+++ b/crates/node/tests/nodelay.rs
@@ -15,7 +15,10 @@
     let begun = Instant::now();
     let (mut listener, address) = loop {
         // A port that was free a moment ago may have been taken.
-        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let free = std::net::TcpListener::bind("127.0.0.1:0")
+            .unwrap()
+            .local_addr()
+            .unwrap();
         match os.listen(free, 2) {
             Ok(listener) => break (listener, free),
             Err(e) => assert!(begun.elapsed() < Duration::from_secs(30), "{e}"),
@@ -26,7 +29,9 @@
         match os.accept(&mut listener, 3) {
             Ok(accepted) => break accepted,
             Err(e) => {
-                assert!(e.kind() == ErrorKind::WouldBlock && begun.elapsed() < Duration::from_secs(30))
+                assert!(
+                    e.kind() == ErrorKind::WouldBlock && begun.elapsed() < Duration::from_secs(30)
+                )
             }
         }
     };
--- a/crates/overload/src/jam.rs
+++ b/crates/overload/src/jam.rs
@@ -81,7 +81,10 @@
 
 impl Share {
     fn new(share: f64) -> Share {
-        Share { share, seen: ASSUMED }
+        Share {
+            share,
+            seen: ASSUMED,
+        }
     }
 
     fn note(&mut self, is: bool, jammed: bool) {
@@ -104,7 +107,12 @@
 
 impl Usual {
     fn new(needed: f64, late: f64, least: f64) -> Usual {
-        Usual { fetched: Share::new(0.0), needed: Share::new(needed), late: Share::new(late), least }
+        Usual {
+            fetched: Share::new(0.0),
+            needed: Share::new(needed),
+            late: Share::new(late),
+            least,
+        }
     }
 
     /// What this outcome says for a jam: the logarithm of its odds.
@@ -119,7 +127,9 @@
             // As far as such requests need the origin: where caches hold all, servers are what is late.
             Came::Late => {
                 let late = self.late.share.clamp(self.least, LATE_MOST);
-                ((late + (1.0 - late) * lost(&self.needed)) / late).ln().min(most)
+                ((late + (1.0 - late) * lost(&self.needed)) / late)
+                    .ln()
+                    .min(most)
             }
         }
     }
@@ -146,8 +156,17 @@
 impl Jam {
     /// A node that has just started. It knows of no jam, and of a little less calm than one that has seen some.
     pub fn new(now: Micros) -> Jam {
-        let usual = [Usual::new(0.01, 0.05, 0.02), Usual::new(0.7, 0.3, 0.05), Usual::new(1.0, 0.05, 0.01)];
-        Jam { sum: 0.0, at: now, on: false, usual }
+        let usual = [
+            Usual::new(0.01, 0.05, 0.02),
+            Usual::new(0.7, 0.3, 0.05),
+            Usual::new(1.0, 0.05, 0.01),
+        ];
+        Jam {
+            sum: 0.0,
+            at: now,
+            on: false,
+            usual,
+        }
     }
 
     /// Whether there is one.
@@ -168,8 +187,19 @@
     pub fn note(&mut self, now: Micros, need: Need, came: Came) {
         let on = self.on(now);
         let usual = &mut self.usual[need as usize];
-        let tells = usual.tells(came, if need == Need::Write { WRITE_MOST } else { READ_MOST });
-        let tells = if on && came == Came::Fetched { tells.min(ENDS) } else { tells };
+        let tells = usual.tells(
+            came,
+            if need == Need::Write {
+                WRITE_MOST
+            } else {
+                READ_MOST
+            },
+        );
+        let tells = if on && came == Came::Fetched {
+            tells.min(ENDS)
+        } else {
+            tells
+        };
         self.sum = (self.faded(now) + tells).clamp(LEAST, MOST);
         self.at = self.at.max(now);
         self.on = if on { self.sum > OVER } else { self.sum >= ON };
--- a/crates/overload/src/jam_tests.rs
+++ b/crates/overload/src/jam_tests.rs
@@ -24,13 +24,20 @@
 const UNKEPT: Sign = (Need::Known, Came::Late);
 const WRITTEN: Sign = (Need::Write, Came::Fetched);
 const UNWRITTEN: Sign = (Need::Write, Came::Late);
-const CALM: [Sign; 10] = [HIT, KEPT, FETCHED, HIT, KEPT, UNFETCHED, HIT, HIT, WRITTEN, HIT];
+const CALM: [Sign; 10] = [
+    HIT, KEPT, FETCHED, HIT, KEPT, UNFETCHED, HIT, HIT, WRITTEN, HIT,
+];
 /// Servers short of time: all is late alike.
-const BUSY: [Sign; 10] = [HIT, UNFETCHED, FETCHED, UNKEPT, HIT, UNFETCHED, HIT, UNKEPT, WRITTEN, UNFETCHED];
+const BUSY: [Sign; 10] = [
+    HIT, UNFETCHED, FETCHED, UNKEPT, HIT, UNFETCHED, HIT, UNKEPT, WRITTEN, UNFETCHED,
+];
 /// Half of the servers say nothing.
-const HALF: [Sign; 10] =
-    [HIT, UNFETCHED, FETCHED, UNKEPT, UNWRITTEN, UNFETCHED, HIT, UNKEPT, WRITTEN, UNFETCHED];
-const JAM: [Sign; 10] = [HIT, UNFETCHED, HIT, UNFETCHED, HIT, UNFETCHED, UNWRITTEN, UNKEPT, HIT, UNFETCHED];
+const HALF: [Sign; 10] = [
+    HIT, UNFETCHED, FETCHED, UNKEPT, UNWRITTEN, UNFETCHED, HIT, UNKEPT, WRITTEN, UNFETCHED,
+];
+const JAM: [Sign; 10] = [
+    HIT, UNFETCHED, HIT, UNFETCHED, HIT, UNFETCHED, UNWRITTEN, UNKEPT, HIT, UNFETCHED,
+];
 const LATE_JAM: [Sign; 5] = [UNFETCHED, UNFETCHED, UNFETCHED, UNWRITTEN, UNFETCHED];
 /// Caches hold all, nothing is written, and servers are so busy that a tenth is late.
 const KEPT_ALL: [Sign; 10] = [HIT, KEPT, HIT, HIT, UNKEPT, HIT, KEPT, HIT, HIT, HIT];
@@ -42,8 +49,15 @@
         assert_eq!(play(&mut jam, 0, calm, &CALM), None);
         let now = calm * 1_000_000;
         let known = play(&mut jam, now, 10, &JAM).expect("known");
-        assert!(known < 2_000_000, "after {known} us, {calm} s of calm before");
-        assert_eq!(play(&mut jam, now + 10_000_000, 30, &LATE_JAM), None, "it goes on");
+        assert!(
+            known < 2_000_000,
+            "after {known} us, {calm} s of calm before"
+        );
+        assert_eq!(
+            play(&mut jam, now + 10_000_000, 30, &LATE_JAM),
+            None,
+            "it goes on"
+        );
         let over = play(&mut jam, now + 40_000_000, 5, &CALM).expect("over");
         assert!(over < 2_000_000, "after {over} us");
     }
@@ -64,7 +78,11 @@
 #[test]
 fn where_nothing_is_fetched_there_is_no_jam() {
     for trouble in [KEPT_ALL, [HIT; 10], [KEPT; 10]] {
-        assert_eq!(play(&mut Jam::new(0), 0, 120, &trouble), None, "{trouble:?}");
+        assert_eq!(
+            play(&mut Jam::new(0), 0, 120, &trouble),
+            None,
+            "{trouble:?}"
+        );
     }
 }
 
@@ -75,7 +93,10 @@
     play(&mut jam, 0, 60, &CALM);
     assert!(play(&mut jam, 60_000_000, 5, &JAM).is_some());
     let hits = [KEPT, KEPT, KEPT, KEPT, KEPT, KEPT, KEPT, KEPT, KEPT, UNKEPT];
-    assert!(play(&mut jam, 65_000_000, 300, &hits).is_some(), "over though nothing is fetched any more");
+    assert!(
+        play(&mut jam, 65_000_000, 300, &hits).is_some(),
+        "over though nothing is fetched any more"
+    );
 }
 
 #[test]
--- a/crates/overload/src/opening.rs
+++ b/crates/overload/src/opening.rs
@@ -38,7 +38,12 @@
 impl Opening {
     /// Wide open.
     pub fn new(now: Micros) -> Opening {
-        Opening { share: 1.0, half: 1.0, jam: false, at: now }
+        Opening {
+            share: 1.0,
+            half: 1.0,
+            jam: false,
+            at: now,
+        }
     }
 
     /// The share to let through now, while there is a jam or none.
@@ -47,7 +52,11 @@
         self.at = self.at.max(now);
         if jam && !self.jam {
             // One jam in calm says nothing of the load that is usual; one that begins while the share still rises does.
-            self.half = if self.share >= 1.0 { 1.0 } else { self.share / 2.0 };
+            self.half = if self.share >= 1.0 {
+                1.0
+            } else {
+                self.share / 2.0
+            };
         }
         self.jam = jam;
         let by = match jam {
--- a/crates/rig/src/cachebox.rs
+++ b/crates/rig/src/cachebox.rs
@@ -140,7 +140,12 @@
 }
 
 enum Peer {
-    Node { reader: Reader, busy: bool, useless: bool, active: Micros },
+    Node {
+        reader: Reader,
+        busy: bool,
+        useless: bool,
+        active: Micros,
+    },
     Origin,
 }
 
@@ -214,7 +219,14 @@
         let began = port.now();
         port.set(began, Due::Origin);
         port.set(began + set.idle / 4, Due::Idle);
-        tap.tell(port.unix(), What::BoxStarted { at_box: set.number, cold: set.cold, speed: set.speed });
+        tap.tell(
+            port.unix(),
+            What::BoxStarted {
+                at_box: set.number,
+                cold: set.cold,
+                speed: set.speed,
+            },
+        );
         let rng = Rng::part(set.seed, "box", set.number);
         // No two boxes give one number.
         let attempts = (set.number as u64) << 40;
@@ -269,7 +281,14 @@
     fn read(&mut self, conn: usize) {
         loop {
             let (now, unix) = (self.port.now(), self.port.unix());
-            let Some(Peer::Node { reader, busy, useless, active, .. }) = self.peers.get_mut(&conn) else {
+            let Some(Peer::Node {
+                reader,
+                busy,
+                useless,
+                active,
+                ..
+            }) = self.peers.get_mut(&conn)
+            else {
                 return;
             };
             if *useless {
@@ -281,7 +300,9 @@
             if *busy {
                 return;
             }
-            let Some(line) = self.port.line(conn) else { return };
+            let Some(line) = self.port.line(conn) else {
+                return;
+            };
             let first_byte = line.since;
             let mut budget = Budget::new(VALUES_MOST);
             let first = line.buf.first().copied();
@@ -290,10 +311,12 @@
                     Ok(command) => Ok(command.map(Input::Command)),
                     Err(broken) => Err(broken.0),
                 },
-                Reader::Memcached(reader) => match reader.next(&mut line.buf, &mut budget, VALUES_MOST) {
-                    Ok(request) => Ok(request.map(Input::Request)),
-                    Err(broken) => Err(broken.why),
-                },
+                Reader::Memcached(reader) => {
+                    match reader.next(&mut line.buf, &mut budget, VALUES_MOST) {
+                        Ok(request) => Ok(request.map(Input::Request)),
+                        Err(broken) => Err(broken.why),
+                    }
+                }
             };
             if !line.buf.is_empty() {
                 line.since = unix;
@@ -311,7 +334,8 @@
                     // Whoever had the address before may have spoken the other protocol.
                     if first == Some(if self.set.memcached { b'*' } else { 0x80 }) {
                         let at_box = self.set.number;
-                        self.tap.tell(self.port.unix(), What::OtherProtocol { at_box });
+                        self.tap
+                            .tell(self.port.unix(), What::OtherProtocol { at_box });
                     } else {
                         self.odd(broken.to_string());
                     }
@@ -323,7 +347,13 @@
 
     /// A node sent what no client asks for.
     fn odd(&self, bytes: String) {
-        self.tap.tell(self.port.unix(), What::Syntax { at_box: self.set.number, bytes });
+        self.tap.tell(
+            self.port.unix(),
+            What::Syntax {
+                at_box: self.set.number,
+                bytes,
+            },
+        );
     }
 
     fn request(&mut self, conn: usize, r: &memcache::Request, first_byte: Micros) {
@@ -346,24 +376,48 @@
             _ => return self.odd(format!("{r:?}").chars().take(200).collect()),
         };
         let (id, opaque) = (short(r.opaque), Some(r.opaque));
-        let asked = Asked { id, key: key.into(), write, idem, wait: WAIT_MOST, opaque };
+        let asked = Asked {
+            id,
+            key: key.into(),
+            write,
+            idem,
+            wait: WAIT_MOST,
+            opaque,
+        };
         self.take(conn, asked, first_byte);
     }
 
     fn command(&mut self, conn: usize, command: &Command, first_byte: Micros) {
         let words = &command.words;
-        let text = |i: usize| words.get(i).and_then(|w| std::str::from_utf8(w).ok()).unwrap_or_default();
+        let text = |i: usize| {
+            words
+                .get(i)
+                .and_then(|w| std::str::from_utf8(w).ok())
+                .unwrap_or_default()
+        };
         match text(0) {
             "PING" => return self.port.send(conn, Bytes::from_static(b"+PONG\r\n")),
             "INFO" => return self.port.send(conn, Bytes::from_static(b"-NOPERM\r\n")),
             _ => {}
         }
         let write = text(0) == "C.SET";
-        let fields: HashMap<&str, &str> = text(3).split(',').filter_map(|f| f.split_once('=')).collect();
-        let wait = fields.get("d").and_then(|d| d.parse::<f64>().ok()).filter(|d| *d >= 0.0);
+        let fields: HashMap<&str, &str> = text(3)
+            .split(',')
+            .filter_map(|f| f.split_once('='))
+            .collect();
+        let wait = fields
+            .get("d")
+            .and_then(|d| d.parse::<f64>().ok())
+            .filter(|d| *d >= 0.0);
         let known = (write && words.len() == 5) || (text(0) == "C.GET" && words.len() == 4);
         let (Some(wait), true, true) = (wait, known, fields.contains_key("c")) else {
-            self.odd(words.iter().map(|w| String::from_utf8_lossy(w)).collect::<Vec<_>>().join(" "));
+            self.odd(
+                words
+                    .iter()
+                    .map(|w| String::from_utf8_lossy(w))
+                    .collect::<Vec<_>>()
+                    .join(" "),
+            );
             self.port.send(conn, Bytes::from_static(b"-SYNTAX\r\n"));
             return;
         };
@@ -382,7 +436,11 @@
         let write = asked.write;
         self.attempts += 1;
         let (now, unix) = (self.port.now(), self.port.unix());
-        let mean = if write { self.set.write_work } else { self.set.read_work } as f64;
+        let mean = if write {
+            self.set.write_work
+        } else {
+            self.set.read_work
+        } as f64;
         let work = (mean / 4.0 + self.rng.spread(mean * 0.75)) as Micros;
         let job = Job {
             conn,
@@ -432,7 +490,11 @@
             (None, Told::Busy) => Bytes::from_static(b"-BUSY\r\n"),
             (None, Told::Failed) => Bytes::from_static(b"-ERR failed\r\n"),
             (Some(opaque), told) => {
-                let failed = [Status::OutOfMemory, Status::InternalError, Status::TemporaryFailure];
+                let failed = [
+                    Status::OutOfMemory,
+                    Status::InternalError,
+                    Status::TemporaryFailure,
+                ];
                 let status = match told {
                     Told::Busy => Status::Busy,
                     Told::Failed => failed[self.rng.below(failed.len())],
@@ -448,7 +510,8 @@
 
     fn fate(&self, job: &Job, fate: Fate) {
         let (id, attempt) = (job.id.clone(), job.attempt);
-        self.tap.tell(self.port.unix(), What::Fate { id, attempt, fate });
+        self.tap
+            .tell(self.port.unix(), What::Fate { id, attempt, fate });
     }
 
     /// Counts work that came, and falls over when that is too much for a cold box.
@@ -456,8 +519,11 @@
         let now = self.port.now();
         self.received.push_back((now, work));
         self.received_sum += work;
-        while let Some((at, old)) =
-            self.received.front().copied().filter(|(at, _)| now - at > self.set.fall)
+        while let Some((at, old)) = self
+            .received
+            .front()
+            .copied()
+            .filter(|(at, _)| now - at > self.set.fall)
         {
             debug_assert!(at <= now);
             self.received_sum -= old;
@@ -466,7 +532,12 @@
         let cold = self.set.cold && now - self.began < self.set.warm_after;
         let most = self.set.fall_multiple * self.capacity() * self.set.fall as f64;
         if cold && self.set.fall_multiple > 0.0 && self.received_sum as f64 > most {
-            self.tap.tell(self.port.unix(), What::Fell { at_box: self.set.number });
+            self.tap.tell(
+                self.port.unix(),
+                What::Fell {
+                    at_box: self.set.number,
+                },
+            );
             self.stop();
         }
     }
@@ -484,7 +555,10 @@
         calls.sort_by_key(|(call, _)| *call);
         calls.iter().for_each(|(_, job)| self.fate(job, Fate::Cut));
         self.port.close_listeners();
-        self.port.conns().into_iter().for_each(|conn| self.port.close(conn));
+        self.port
+            .conns()
+            .into_iter()
+            .for_each(|conn| self.port.close(conn));
         self.peers.clear();
     }
 
@@ -508,7 +582,8 @@
         };
         self.core_number += 1;
         let time = work as f64 / self.capacity() * self.slow;
-        self.port.set(now + time as Micros, Due::Core(self.core_number));
+        self.port
+            .set(now + time as Micros, Due::Core(self.core_number));
         self.core = Some((self.core_number, job));
     }
 
@@ -541,7 +616,10 @@
         if self.set.cold || self.voided.contains(key) {
             return false;
         }
-        let void = self.void_parts.iter().any(|(part, salt)| hash(key, *salt) % 1000 < *part);
+        let void = self
+            .void_parts
+            .iter()
+            .any(|(part, salt)| hash(key, *salt) % 1000 < *part);
         !void && (hash(key, self.set.seed) % 1000) as f64 <= self.set.kept_before * 1000.0
     }
 
@@ -588,12 +666,18 @@
         match text(0) {
             Some("VOID") => self.void(text(1).unwrap_or_default()),
             Some("VOIDPART") => {
-                let (Some(part), Some(salt)) = (number(1), number(2)) else { return };
+                let (Some(part), Some(salt)) = (number(1), number(2)) else {
+                    return;
+                };
                 self.kept.retain(|key, _| hash(key, salt) % 1000 >= part);
                 self.void_parts.push((part, salt));
             }
             Some(tag) => {
-                let Some(job) = tag.parse().ok().and_then(|tag: u64| self.calls.remove(&tag)) else {
+                let Some(job) = tag
+                    .parse()
+                    .ok()
+                    .and_then(|tag: u64| self.calls.remove(&tag))
+                else {
                     return;
                 };
                 let Some(version) = number(1) else {
@@ -617,7 +701,9 @@
 
     /// A fetch has ended; whether others of its key are still out.
     fn fetched(&mut self, job: &Job) -> bool {
-        let Some(out) = self.fetching.get_mut(&job.key) else { return false };
+        let Some(out) = self.fetching.get_mut(&job.key) else {
+            return false;
+        };
         *out -= 1;
         let others = *out > 0;
         if !others {
@@ -633,8 +719,11 @@
         if self.rng.chance(self.errors) {
             return self.not_served(&job, Told::Failed);
         }
-        let length =
-            if self.rng.chance(0.02) { 1000 + self.rng.below(20_000) } else { 20 + self.rng.below(200) };
+        let length = if self.rng.chance(0.02) {
+            1000 + self.rng.below(20_000)
+        } else {
+            20 + self.rng.below(200)
+        };
         let mut value = format!("{}|{}|", job.id, job.key).into_bytes();
         value.resize(value.len() + length, b'.');
         let mut out = Vec::with_capacity(value.len() + 48);
@@ -678,14 +767,19 @@
             4 => b"*3\r\n$3\r\nabcdefgh\r\n$3\r\nhit\r\n$-1\r\n".to_vec(),
             _ => {
                 let serial = job.serial;
-                self.port.set(self.port.now() + 10_000, Due::Trickle(job.conn, serial));
+                self.port
+                    .set(self.port.now() + 10_000, Due::Trickle(job.conn, serial));
                 b"*3\r\n$3000000000\r\n".to_vec()
             }
         };
         if let Some(Peer::Node { useless, .. }) = self.peers.get_mut(&job.conn) {
             *useless = true;
         }
-        if self.port.line(job.conn).is_some_and(|l| l.serial == job.serial) {
+        if self
+            .port
+            .line(job.conn)
+            .is_some_and(|l| l.serial == job.serial)
+        {
             self.port.send(job.conn, out.into());
         }
     }
@@ -709,7 +803,8 @@
             4 => whole[..whole.len() / 2].to_vec(),
             _ => {
                 // A body of 4 GB.
-                self.port.set(self.port.now() + 10_000, Due::Trickle(job.conn, job.serial));
+                self.port
+                    .set(self.port.now() + 10_000, Due::Trickle(job.conn, job.serial));
                 whole[8..12].copy_from_slice(&[0xff; 4]);
                 whole
             }
@@ -742,7 +837,11 @@
                 self.fate(&job, Fate::Cut);
             }
         }
-        if self.core.as_ref().is_some_and(|(_, job)| job.as_ref().is_some_and(mine)) {
+        if self
+            .core
+            .as_ref()
+            .is_some_and(|(_, job)| job.as_ref().is_some_and(mine))
+        {
             if let Some((_, Some(job))) = self.core.take() {
                 self.fate(&job, Fate::Cut);
             }
@@ -751,7 +850,11 @@
     }
 
     fn opened(&mut self, conn: usize) {
-        let nodes = self.peers.values().filter(|p| matches!(p, Peer::Node { .. })).count();
+        let nodes = self
+            .peers
+            .values()
+            .filter(|p| matches!(p, Peer::Node { .. }))
+            .count();
         if nodes >= self.set.connections {
             // Over its cap it lets go at once.
             return self.port.close(conn);
@@ -762,14 +865,24 @@
         } else {
             Reader::Resp(CommandReader::default())
         };
-        self.peers.insert(conn, Peer::Node { reader, busy: false, useless: false, active });
+        self.peers.insert(
+            conn,
+            Peer::Node {
+                reader,
+                busy: false,
+                useless: false,
+                active,
+            },
+        );
         self.greetings += 1;
         self.start();
     }
 
     fn origin_bytes(&mut self, conn: usize) {
         loop {
-            let Some(line) = self.port.line(conn) else { return };
+            let Some(line) = self.port.line(conn) else {
+                return;
+            };
             match self.origin_reader.next(&mut line.buf) {
                 Ok(Some(Piece::Whole(Reply::Array(parts)))) => self.told(&parts),
                 Ok(Some(_)) => {}
@@ -815,8 +928,12 @@
                     whole
                         && matches!(p, Peer::Node { busy: false, useless: false, active, .. } if now - active > self.set.idle)
                 };
-                let mut idle: Vec<usize> =
-                    self.peers.iter().filter(|(_, p)| old(p)).map(|(conn, _)| *conn).collect();
+                let mut idle: Vec<usize> = self
+                    .peers
+                    .iter()
+                    .filter(|(_, p)| old(p))
+                    .map(|(conn, _)| *conn)
+                    .collect();
                 idle.sort_unstable();
                 idle.into_iter().for_each(|conn| self.close(conn));
                 self.port.set(now + self.set.idle / 4, Due::Idle);
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -193,12 +193,16 @@
             return self.rng.below(self.hot.0.max(1));
         }
         let at = self.rng.part_of_one() * self.cumulated.last().copied().unwrap_or(0.0);
-        self.cumulated.partition_point(|sum| *sum < at).min(self.set.keys.saturating_sub(1))
+        self.cumulated
+            .partition_point(|sum| *sum < at)
+            .min(self.set.keys.saturating_sub(1))
     }
 
     fn arrive(&mut self) {
         // Counted from when this one was due: a busy machine must not thin out the load.
-        self.due += (self.rng.spread(1e6 / (self.set.rate * self.rate).max(0.001))) as Micros;
+        self.due += (self
+            .rng
+            .spread(1e6 / (self.set.rate * self.rate).max(0.001))) as Micros;
         if self.due < self.set.until {
             self.port.set(self.due, Due::Arrival);
         }
@@ -214,9 +218,15 @@
         });
         let class = class.unwrap_or(0);
         let key = self.key();
-        let idem = self.set.classes[class].keyed.then(|| Id::from(format!("{:016x}", self.rng.word())));
+        let idem = self.set.classes[class]
+            .keyed
+            .then(|| Id::from(format!("{:016x}", self.rng.word())));
         let budget = self.set.classes[class].deadline as f64 * self.rng.between(0.7, 1.0);
-        let tenant = if self.by_key() { key % self.set.tenants.len() } else { tenant.unwrap_or(0) };
+        let tenant = if self.by_key() {
+            key % self.set.tenants.len()
+        } else {
+            tenant.unwrap_or(0)
+        };
         self.ask(None, class, tenant, key, idem, budget as Micros);
     }
 
@@ -237,7 +247,9 @@
         budget: Micros,
     ) {
         let nodes = self.up.len();
-        let node = (1..=nodes).map(|i| (self.turn + i) % nodes).find(|n| self.up[*n]);
+        let node = (1..=nodes)
+            .map(|i| (self.turn + i) % nodes)
+            .find(|n| self.up[*n]);
         // Nobody is up: the front has nowhere to send this.
         let Some(node) = node else { return };
         self.turn = node;
@@ -246,15 +258,21 @@
         let memcached = match self.set.speech {
             Clients::Resp | Clients::RespByKey => false,
             Clients::Memcached => true,
-            Clients::Both => {
-                first.as_ref().map_or(self.number.is_multiple_of(2), |(.., memcached)| *memcached)
-            }
+            Clients::Both => first
+                .as_ref()
+                .map_or(self.number.is_multiple_of(2), |(.., memcached)| *memcached),
         };
         let mut word = self.rng.word();
         let mut id = Id::from(format!("{word:016x}"));
         if self.set.short_names {
-            while self.shorts_used.front().is_some_and(|(at, _)| now - at > SHORT_KEPT) {
-                self.shorts_used.pop_front().map(|(_, short)| self.shorts.remove(&short));
+            while self
+                .shorts_used
+                .front()
+                .is_some_and(|(at, _)| now - at > SHORT_KEPT)
+            {
+                self.shorts_used
+                    .pop_front()
+                    .map(|(_, short)| self.shorts.remove(&short));
             }
             loop {
                 if memcached {
@@ -276,8 +294,12 @@
         let c = &self.set.classes[class];
         // Nobody tells a node how much of a wait is left where the key tells all: it begins anew.
         let budget = if self.by_key() { c.deadline } else { budget };
-        let mut fields =
-            format!("c={},t={},d={}", c.name, self.set.tenants[tenant].0, (budget + 999) / 1000);
+        let mut fields = format!(
+            "c={},t={},d={}",
+            c.name,
+            self.set.tenants[tenant].0,
+            (budget + 999) / 1000
+        );
         if let Some(idem) = &idem {
             fields += &format!(",k={idem}");
         }
@@ -302,13 +324,28 @@
         let mut out = Vec::with_capacity(160);
         if memcached {
             let opcode = if c.write { Opcode::Set } else { Opcode::Get };
-            let extras = if c.write { Bytes::from_static(&[0; 8]) } else { Bytes::new() };
-            let value = if c.write { Bytes::from(value) } else { Bytes::new() };
+            let extras = if c.write {
+                Bytes::from_static(&[0; 8])
+            } else {
+                Bytes::new()
+            };
+            let value = if c.write {
+                Bytes::from(value)
+            } else {
+                Bytes::new()
+            };
             let key = Bytes::from(key_name);
             let (opcode, opaque) = (opcode as u8, number as u32);
             memcache::put_request(
                 &mut out,
-                &memcache::Request { opcode, opaque, extras, key, value, ..memcache::Request::default() },
+                &memcache::Request {
+                    opcode,
+                    opaque,
+                    extras,
+                    key,
+                    value,
+                    ..memcache::Request::default()
+                },
             );
         } else {
             put_head(&mut out, b'*', if c.write { 5 } else { 4 });
@@ -363,7 +400,11 @@
         if self.open[door] >= CONNS_MOST {
             return self.waiting[door].push_back(number);
         }
-        let to = if memcached { self.set.memcached[node] } else { self.set.nodes[node] };
+        let to = if memcached {
+            self.set.memcached[node]
+        } else {
+            self.set.nodes[node]
+        };
         match self.port.connect(to) {
             Ok(conn) => {
                 self.open[door] += 1;
@@ -384,27 +425,45 @@
     }
 
     fn hold(&mut self, conn: usize, node: usize, job: Option<u64>, ping: bool) {
-        let memcached = job.and_then(|n| self.tries.get(&n)).is_some_and(|t| t.memcached);
+        let memcached = job
+            .and_then(|n| self.tries.get(&n))
+            .is_some_and(|t| t.memcached);
         let reader = if memcached {
             Reader::Memcached(ResponseReader::default())
         } else {
             Reader::Resp(ReplyReader::default())
         };
-        self.conns.insert(conn, Conn { node, up: false, done: 0, reader, job, ping, part: false });
+        self.conns.insert(
+            conn,
+            Conn {
+                node,
+                up: false,
+                done: 0,
+                reader,
+                job,
+                ping,
+                part: false,
+            },
+        );
         if let Some(t) = job.and_then(|n| self.tries.get_mut(&n)) {
             t.conn = Some(conn);
         }
     }
 
     fn write(&mut self, conn: usize, number: u64) {
-        let Some(t) = self.tries.get_mut(&number) else { return };
+        let Some(t) = self.tries.get_mut(&number) else {
+            return;
+        };
         t.conn = Some(conn);
         if let Some(c) = self.conns.get_mut(&conn) {
             c.job = Some(number);
         }
         let bytes = t.bytes.clone();
         let what = if t.resent {
-            What::Resent { id: t.id.clone(), node: t.node }
+            What::Resent {
+                id: t.id.clone(),
+                node: t.node,
+            }
         } else {
             What::Asked {
                 id: t.id.clone(),
@@ -423,8 +482,12 @@
 
     fn read(&mut self, conn: usize) {
         loop {
-            let Some(c) = self.conns.get_mut(&conn) else { return };
-            let Some(line) = self.port.line(conn) else { return };
+            let Some(c) = self.conns.get_mut(&conn) else {
+                return;
+            };
+            let Some(line) = self.port.line(conn) else {
+                return;
+            };
             let next = match &mut c.reader {
                 Reader::Resp(reader) => match reader.next(&mut line.buf) {
                     Ok(Some(Piece::Whole(reply))) => Ok(Some(Some(Said::Resp(reply)))),
@@ -433,7 +496,9 @@
                     Err(broken) => Err(broken.0),
                 },
                 Reader::Memcached(reader) => match reader.next(&mut line.buf, BODY_MOST) {
-                    Ok(Some(memcache::Piece::Whole(response))) => Ok(Some(Some(Said::Memcached(response)))),
+                    Ok(Some(memcache::Piece::Whole(response))) => {
+                        Ok(Some(Some(Said::Memcached(response))))
+                    }
                     Ok(Some(_)) => Ok(Some(None)),
                     Ok(None) => Ok(None),
                     Err(broken) => Err(broken.why),
@@ -452,7 +517,13 @@
                 }
                 Err(broken) => {
                     let bytes = broken.to_string();
-                    self.tap.tell(self.port.unix(), What::Unasked { node: c.node, bytes });
+                    self.tap.tell(
+                        self.port.unix(),
+                        What::Unasked {
+                            node: c.node,
+                            bytes,
+                        },
+                    );
                     return self.lost(conn);
                 }
             }
@@ -460,7 +531,9 @@
     }
 
     fn replied(&mut self, conn: usize, said: Said) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.conns.get_mut(&conn) else {
+            return;
+        };
         let node = c.node;
         if std::mem::take(&mut c.ping) {
             if matches!(&said, Said::Resp(Reply::One(Part::Simple(text))) if text == "PONG") {
@@ -481,24 +554,35 @@
         }
         let Some(number) = c.job.take() else {
             let bytes = format!("{said:?}").chars().take(120).collect();
-            self.tap.tell(self.port.unix(), What::Unasked { node, bytes });
+            self.tap
+                .tell(self.port.unix(), What::Unasked { node, bytes });
             return;
         };
         c.done += 1;
-        let Some(t) = self.tries.remove(&number) else { return };
+        let Some(t) = self.tries.remove(&number) else {
+            return;
+        };
         let write = self.set.classes[t.class].write;
         let how = match said {
             Said::Resp(reply) => resp_answer(&reply, &t.id, write),
             Said::Memcached(response) => memcached_answer(&response, &t.id, number as u32, write),
         };
-        self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how: how.clone() });
+        self.tap.tell(
+            self.port.unix(),
+            What::Answered {
+                id: t.id.clone(),
+                how: how.clone(),
+            },
+        );
         self.rest(conn);
         self.again(t, &how);
     }
 
     /// A connection is free.
     fn rest(&mut self, conn: usize) {
-        let Some(door) = self.door_of(conn) else { return };
+        let Some(door) = self.door_of(conn) else {
+            return;
+        };
         match self.waiting[door].pop_front() {
             Some(number) => self.write(conn, number),
             None => self.idle[door].push(conn),
@@ -531,11 +615,17 @@
     /// A connection has ended.
     fn lost(&mut self, conn: usize) {
         self.port.close(conn);
-        let Some(door) = self.door_of(conn) else { return };
-        let Some(c) = self.conns.remove(&conn) else { return };
+        let Some(door) = self.door_of(conn) else {
+            return;
+        };
+        let Some(c) = self.conns.remove(&conn) else {
+            return;
+        };
         self.idle[door].retain(|i| *i != conn);
         if c.ping {
-            return self.port.set(self.port.now() + PING_AGAIN, Due::Ping(c.node));
+            return self
+                .port
+                .set(self.port.now() + PING_AGAIN, Due::Ping(c.node));
         }
         self.open[door] -= 1;
         if let Some(number) = c.job {
@@ -556,15 +646,25 @@
 
     /// The connection of a try ended with no whole answer. `sent`: the try had been written to it.
     fn ended(&mut self, number: u64, part: bool, sent: bool) {
-        let Some(t) = self.tries.get_mut(&number) else { return };
+        let Some(t) = self.tries.get_mut(&number) else {
+            return;
+        };
         t.conn = None;
         if !sent {
             // It never left: the node is unreachable, and the client is free to ask elsewhere.
-            let Some(t) = self.tries.remove(&number) else { return };
+            let Some(t) = self.tries.remove(&number) else {
+                return;
+            };
             if t.resent {
                 // The first time it did leave.
                 let how = Answer::Ended { part: false };
-                self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how });
+                self.tap.tell(
+                    self.port.unix(),
+                    What::Answered {
+                        id: t.id.clone(),
+                        how,
+                    },
+                );
                 return self.again(t, &Answer::Failed);
             }
             return self.again(t, &Answer::Busy(None));
@@ -575,14 +675,24 @@
             // A node may close a connection between requests; what crossed that is sent once more.
             t.resent = true;
             let nodes = self.up.len();
-            let up = (0..nodes).map(|i| (t.node + i) % nodes).find(|n| self.up[*n]);
+            let up = (0..nodes)
+                .map(|i| (t.node + i) % nodes)
+                .find(|n| self.up[*n]);
             if let Some(node) = up {
                 t.node = node;
                 return self.dispatch(number);
             }
         }
-        let Some(t) = self.tries.remove(&number) else { return };
-        self.tap.tell(self.port.unix(), What::Answered { id: t.id.clone(), how: Answer::Ended { part } });
+        let Some(t) = self.tries.remove(&number) else {
+            return;
+        };
+        self.tap.tell(
+            self.port.unix(),
+            What::Answered {
+                id: t.id.clone(),
+                how: Answer::Ended { part },
+            },
+        );
         self.again(t, &Answer::Failed);
     }
 
@@ -603,7 +713,9 @@
                 }
             }
             Due::Leave(number) => {
-                let Some(conn) = self.tries.get(&number).and_then(|t| t.conn) else { return };
+                let Some(conn) = self.tries.get(&number).and_then(|t| t.conn) else {
+                    return;
+                };
                 let written = self.conns.get(&conn).is_some_and(|c| c.up);
                 if let Some(t) = self.tries.remove(&number).filter(|_| written) {
                     self.tap.tell(self.port.unix(), What::Left { id: t.id });
@@ -614,7 +726,9 @@
                 self.lost(conn);
             }
             Due::Retry(number) => {
-                let Some(t) = self.tries.remove(&number) else { return };
+                let Some(t) = self.tries.remove(&number) else {
+                    return;
+                };
                 let left = self.set.classes[t.class].deadline - (self.port.now() - t.begun_first);
                 if left > 0 {
                     let first = (t.first, t.begun_first, t.memcached);
@@ -629,10 +743,14 @@
     }
 
     fn connected(&mut self, conn: usize) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let Some(c) = self.conns.get_mut(&conn) else {
+            return;
+        };
         c.up = true;
         if c.ping {
-            return self.port.send(conn, Bytes::from_static(b"*1\r\n$4\r\nPING\r\n"));
+            return self
+                .port
+                .send(conn, Bytes::from_static(b"*1\r\n$4\r\nPING\r\n"));
         }
         match c.job.take() {
             Some(number) => self.write(conn, number),
@@ -674,7 +792,9 @@
         (Some(value), _) if value.is_empty() && write => Answer::Served,
         (Some(value), _) => made_for(value, id),
         (None, Reply::One(Part::Error(text))) if text.starts_with(b"BUSY") => {
-            let ms = std::str::from_utf8(text).ok().and_then(|t| t.split(' ').nth(1)?.parse().ok());
+            let ms = std::str::from_utf8(text)
+                .ok()
+                .and_then(|t| t.split(' ').nth(1)?.parse().ok());
             Answer::Busy(ms)
         }
         _ => Answer::Failed,
@@ -690,8 +810,9 @@
         Some(Status::Ok) => made_for(&r.value, id),
         Some(Status::Busy) => {
             let text = std::str::from_utf8(&r.value).unwrap_or_default();
-            let ms =
-                text.rsplit_once(" after ").and_then(|(_, rest)| rest.strip_suffix(" ms")?.parse().ok());
+            let ms = text
+                .rsplit_once(" after ")
+                .and_then(|(_, rest)| rest.strip_suffix(" ms")?.parse().ok());
             Answer::Busy(ms)
         }
         _ => Answer::Failed,
@@ -735,11 +856,17 @@
 
 /// What a rude client sends.
 const RUDE: [(&str, &[u8]); 9] = [
-    ("noise", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
+    (
+        "noise",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    ),
     ("negative length", b"*4\r\n$-9\r\n"),
     ("huge length", b"*4\r\n$99999999999999999999\r\n"),
     ("a number of words that lies", b"*1000000\r\n"),
-    ("an unknown class", b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr1\r\n$14\r\nc=nothing,d=50\r\n"),
+    (
+        "an unknown class",
+        b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr1\r\n$14\r\nc=nothing,d=50\r\n",
+    ),
     (
         "a deadline that is no number",
         b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr2\r\n$18\r\nc=trace-read,d=abc\r\n",
@@ -804,7 +931,19 @@
         let (port, rng) = (Port::new(net), Rng::part(seed, "rude", 0));
         let (rate, ticking, turn) = (0.0, false, 0);
         let (conns, came) = (HashMap::new(), Vec::new());
-        Rude { port, nodes, memcached, orders, tap, rng, rate, ticking, turn, conns, came }
+        Rude {
+            port,
+            nodes,
+            memcached,
+            orders,
+            tap,
+            rng,
+            rate,
+            ticking,
+            turn,
+            conns,
+            came,
+        }
     }
 
     fn next(&mut self) {
@@ -817,19 +956,40 @@
         self.turn = (self.turn + 1) % (self.nodes.len() + self.memcached.len());
         let memcached = self.turn >= self.nodes.len();
         let node = self.turn % self.nodes.len();
-        let to = if memcached { self.memcached[node] } else { self.nodes[node] };
+        let to = if memcached {
+            self.memcached[node]
+        } else {
+            self.nodes[node]
+        };
         if let Ok(conn) = self.port.connect(to) {
             let serial = self.port.line(conn).map_or(0, |l| l.serial);
             let all: &[_] = if memcached { &RUDE_MEMCACHED } else { &RUDE };
             let (what, since) = (all[self.rng.below(all.len())], self.port.now());
-            self.conns.insert(conn, RudeConn { serial, node, memcached, what, since });
+            self.conns.insert(
+                conn,
+                RudeConn {
+                    serial,
+                    node,
+                    memcached,
+                    what,
+                    since,
+                },
+            );
         }
     }
 
     fn over(&mut self, conn: usize, told: bool, served: bool) {
         if let Some(c) = self.conns.remove(&conn) {
             let after = self.port.now() - c.since;
-            self.tap.tell(self.port.unix(), What::RudeEnded { node: c.node, after, told, served });
+            self.tap.tell(
+                self.port.unix(),
+                What::RudeEnded {
+                    node: c.node,
+                    after,
+                    told,
+                    served,
+                },
+            );
         }
         self.port.close(conn);
     }
@@ -840,7 +1000,9 @@
         let mut came = std::mem::take(&mut self.came);
         self.port.poll(wait, &mut came)?;
         for (conn, what) in &came {
-            let (now, Some(c)) = (self.port.now(), self.conns.get_mut(conn)) else { continue };
+            let (now, Some(c)) = (self.port.now(), self.conns.get_mut(conn)) else {
+                continue;
+            };
             match what {
                 Came::Up => {
                     c.since = now;
@@ -851,7 +1013,9 @@
                 }
                 Came::Bytes => {
                     let memcached = c.memcached;
-                    let Some(line) = self.port.line(*conn) else { continue };
+                    let Some(line) = self.port.line(*conn) else {
+                        continue;
+                    };
                     let told = if memcached {
                         // A status other than success.
                         line.buf.len() >= 8 && line.buf[0] == 0x81 && line.buf[6..8] != [0, 0]
@@ -875,7 +1039,8 @@
                     if self.conns.get(&conn).is_some_and(|c| c.serial == serial) {
                         if let Some(c) = self.conns.remove(&conn) {
                             let what = c.what.0.to_string();
-                            self.tap.tell(self.port.unix(), What::RudeLeft { node: c.node, what });
+                            self.tap
+                                .tell(self.port.unix(), What::RudeLeft { node: c.node, what });
                         }
                         self.port.close(conn);
                     }
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -68,27 +68,33 @@
         let paused = Arc::new(AtomicBool::new(false));
         let (seen, stands, told) = (stop.clone(), paused.clone(), channel());
         let ready: Sender<io::Result<()>> = told.0;
-        let thread = std::thread::Builder::new().name(name.to_string()).spawn(move || {
-            // Its own clock began a moment later, so that it is never thought to be late.
-            let began = Instant::now();
-            let mut actor = match make() {
-                Ok(actor) => actor,
-                Err(e) => return drop(ready.send(Err(e))),
-            };
-            let _ = ready.send(Ok(()));
-            while !seen.load(Ordering::Relaxed) {
-                if stands.load(Ordering::Relaxed) {
-                    std::thread::sleep(Duration::from_micros(LOOK as u64));
-                    continue;
-                }
-                let Some(due) = actor.prepare() else { return };
-                let wait = (due - began.elapsed().as_micros() as Micros).clamp(0, LOOK);
-                if actor.turn(wait).is_err() {
-                    return;
+        let thread = std::thread::Builder::new()
+            .name(name.to_string())
+            .spawn(move || {
+                // Its own clock began a moment later, so that it is never thought to be late.
+                let began = Instant::now();
+                let mut actor = match make() {
+                    Ok(actor) => actor,
+                    Err(e) => return drop(ready.send(Err(e))),
+                };
+                let _ = ready.send(Ok(()));
+                while !seen.load(Ordering::Relaxed) {
+                    if stands.load(Ordering::Relaxed) {
+                        std::thread::sleep(Duration::from_micros(LOOK as u64));
+                        continue;
+                    }
+                    let Some(due) = actor.prepare() else { return };
+                    let wait = (due - began.elapsed().as_micros() as Micros).clamp(0, LOOK);
+                    if actor.turn(wait).is_err() {
+                        return;
+                    }
                 }
-            }
-        })?;
-        let served = Served { stop, paused, thread: Some(thread) };
+            })?;
+        let served = Served {
+            stop,
+            paused,
+            thread: Some(thread),
+        };
         match told.1.recv() {
             Ok(made) => made.map(|()| served),
             Err(_) => Err(io::Error::other("its thread ended")),
@@ -130,7 +136,9 @@
     fn pause(&self, paused: bool) {
         match self {
             Running::Thread(served, _) => served.paused.store(paused, Ordering::Relaxed),
-            Running::Process(process) => process.signal(if paused { Signal::STOP } else { Signal::CONT }),
+            Running::Process(process) => {
+                process.signal(if paused { Signal::STOP } else { Signal::CONT })
+            }
         }
     }
 }
@@ -208,11 +216,18 @@
 fn own_address() -> Ipv4Addr {
     static TAKEN: AtomicU32 = AtomicU32::new(0);
     let (pid, n) = (std::process::id(), TAKEN.fetch_add(1, Ordering::Relaxed));
-    Ipv4Addr::new(127, 201 + (n % 50) as u8, 1 + (pid / 250 % 250) as u8, 1 + (pid % 250) as u8)
+    Ipv4Addr::new(
+        127,
+        201 + (n % 50) as u8,
+        1 + (pid / 250 % 250) as u8,
+        1 + (pid % 250) as u8,
+    )
 }
 
 fn unix() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_micros() as Micros)
 }
 
 impl Threads {
@@ -228,12 +243,26 @@
     }
 
     fn run_discovery(&mut self, rev: i64) {
-        let at = self.discovery_at.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let at = self
+            .discovery_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         self.discovery_orders = Orders::default();
-        let (list, orders, tap) =
-            (self.roster.list.clone(), self.discovery_orders.clone(), self.tap.clone());
+        let (list, orders, tap) = (
+            self.roster.list.clone(),
+            self.discovery_orders.clone(),
+            self.tap.clone(),
+        );
         let made = Served::start("discovery", move || {
-            Ok(Box::new(Discovery::new(Os::new()?, &at, rev, &list, orders, tap)?))
+            Ok(Box::new(Discovery::new(
+                Os::new()?,
+                &at,
+                rev,
+                &list,
+                orders,
+                tap,
+            )?))
         });
         match made {
             Ok(served) => self.discovery = Some(served),
@@ -252,8 +281,15 @@
         let served = Served::start(&format!("box-{number}"), move || {
             Ok(Box::new(CacheBox::new(Os::new()?, set, its_orders, tap)?))
         });
-        let served = served.map_err(|e| self.said.push(format!("box {number} does not start: {e}"))).ok();
-        self.boxes.push(BoxThread { orders, cut: Cut::default(), vanished: false, served });
+        let served = served
+            .map_err(|e| self.said.push(format!("box {number} does not start: {e}")))
+            .ok();
+        self.boxes.push(BoxThread {
+            orders,
+            cut: Cut::default(),
+            vanished: false,
+            served,
+        });
     }
 
     fn kill_box(&mut self, number: usize) {
@@ -271,7 +307,9 @@
 
     fn listed(&self, number: usize, place: usize, zone: usize, told: Told) -> Listed {
         let told = match told {
-            Told::In { boot } if boot > 0 => Told::In { boot: self.epoch + boot },
+            Told::In { boot } if boot > 0 => Told::In {
+                boot: self.epoch + boot,
+            },
             other => other,
         };
         Listed {
@@ -314,29 +352,54 @@
         self.tell(What::NodeStopping { node });
         self.nodes[node].stopping = true;
         if let Some(running) = &mut self.nodes[node].served {
-            running.tell(Signals { reload: false, stop: true });
+            running.tell(Signals {
+                reload: false,
+                stop: true,
+            });
         }
     }
 
     fn pause_node(&mut self, node: usize) {
         self.tell(What::NodePaused { node });
-        self.nodes[node].served.iter().for_each(|running| running.pause(true));
+        self.nodes[node]
+            .served
+            .iter()
+            .for_each(|running| running.pause(true));
     }
 
     fn resume_node(&mut self, node: usize) {
-        self.nodes[node].served.iter().for_each(|running| running.pause(false));
+        self.nodes[node]
+            .served
+            .iter()
+            .for_each(|running| running.pause(false));
         self.tell(What::NodeResumed { node });
     }
 
     fn vanish_box(&mut self, number: usize) {
         self.order_box(number, cachebox::Order::Stall(Micros::MAX / 2));
-        self.order_box(number, cachebox::Order::Cut(Cut { inwards: true, outwards: true }));
-        self.boxes.iter_mut().skip(number).take(1).for_each(|b| b.vanished = true);
+        self.order_box(
+            number,
+            cachebox::Order::Cut(Cut {
+                inwards: true,
+                outwards: true,
+            }),
+        );
+        self.boxes
+            .iter_mut()
+            .skip(number)
+            .take(1)
+            .for_each(|b| b.vanished = true);
     }
 
     fn cut(&mut self, number: usize, from_box: bool, cut: bool) {
-        let Some(b) = self.boxes.get_mut(number).filter(|b| !b.vanished) else { return };
-        *(if from_box { &mut b.cut.outwards } else { &mut b.cut.inwards }) = cut;
+        let Some(b) = self.boxes.get_mut(number).filter(|b| !b.vanished) else {
+            return;
+        };
+        *(if from_box {
+            &mut b.cut.outwards
+        } else {
+            &mut b.cut.inwards
+        }) = cut;
         b.orders.give(cachebox::Order::Cut(b.cut));
     }
 
@@ -352,14 +415,22 @@
         let discovery = self.discovery_at.clone();
         let mine = move || discovery.lock().unwrap_or_else(PoisonError::into_inner)[node];
         let address = self.nodes[node].address;
-        let known = self.held[node].take().unwrap_or_else(|| self.roster.clone());
+        let known = self.held[node]
+            .take()
+            .unwrap_or_else(|| self.roster.clone());
         let known = (known.rev, &known.list[..]);
         let text = site::node_config(node, &self.scenario, address, mine(), rng.word(), known);
         let (speech, memcached) = (self.speech, self.nodes[node].memcached);
         self.tell(What::NodeStarted { node });
         if let Nodes::Processes(program) = &self.nodes_as {
             let file = speech.file(memcached);
-            match Process::start(program, &format!("node-{node}"), &text, file.as_deref(), address) {
+            match Process::start(
+                program,
+                &format!("node-{node}"),
+                &text,
+                file.as_deref(),
+                address,
+            ) {
                 Ok(process) => self.nodes[node].served = Some(Running::Process(process)),
                 Err(e) => self.said.push(format!("node {node} does not start: {e}")),
             }
@@ -369,7 +440,9 @@
         let its = remote.clone();
         let served = Served::start(&format!("node-{node}"), move || {
             let mut config = config::parse(&text).map_err(|e| io::Error::other(e.to_string()))?;
-            speech.configure(&mut config, memcached).map_err(io::Error::other)?;
+            speech
+                .configure(&mut config, memcached)
+                .map_err(io::Error::other)?;
             let source = Box::new(move || {
                 config::parse(&text).map(|mut config| {
                     config.discovery = mine();
@@ -385,24 +458,41 @@
     }
 
     fn move_discovery(&mut self) {
-        self.discovery_orders.give(discovery::Order::Retire(1_500_000));
+        self.discovery_orders
+            .give(discovery::Order::Retire(1_500_000));
         self.retired.extend(self.discovery.take());
         let fresh = self.free.some(self.nodes.len());
         match fresh {
-            Ok(fresh) => *self.discovery_at.lock().unwrap_or_else(PoisonError::into_inner) = fresh,
+            Ok(fresh) => {
+                *self
+                    .discovery_at
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner) = fresh
+            }
             Err(e) => return self.said.push(format!("discovery does not move: {e}")),
         }
         self.run_discovery(self.roster.rev);
-        let at = self.discovery_at.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        for (node, running) in
-            self.nodes.iter_mut().enumerate().filter_map(|(i, n)| Some((i, n.served.as_mut()?)))
+        let at = self
+            .discovery_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        for (node, running) in self
+            .nodes
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(i, n)| Some((i, n.served.as_mut()?)))
         {
             if let Running::Process(process) = running {
                 if let Err(e) = process.moves(at[node]) {
-                    self.said.push(format!("node {node} is not told where discovery is: {e}"));
+                    self.said
+                        .push(format!("node {node} is not told where discovery is: {e}"));
                 }
             }
-            running.tell(Signals { reload: true, stop: false });
+            running.tell(Signals {
+                reload: true,
+                stop: false,
+            });
         }
     }
 
@@ -439,12 +529,24 @@
     ///
     /// # Errors
     /// No addresses, threads or descriptors are to be had.
-    pub fn start(scenario: &Scenario, seed: u64, speech: Speech, nodes_as: Nodes) -> io::Result<Demo> {
+    pub fn start(
+        scenario: &Scenario,
+        seed: u64,
+        speech: Speech,
+        nodes_as: Nodes,
+    ) -> io::Result<Demo> {
         let (send, facts) = channel();
         let epoch = unix();
         let tap = Tap::new(send, epoch);
-        let on = if nodes_as == Nodes::Threads { Ipv4Addr::LOCALHOST } else { own_address() };
-        let mut free = Free { on, given: BTreeSet::new() };
+        let on = if nodes_as == Nodes::Threads {
+            Ipv4Addr::LOCALHOST
+        } else {
+            own_address()
+        };
+        let mut free = Free {
+            on,
+            given: BTreeSet::new(),
+        };
         let origin = free.one()?;
         let addresses = free.some(scenario.nodes)?;
         let memcached = free.some(scenario.nodes)?;
@@ -480,7 +582,10 @@
             discovery: None,
             retired: Vec::new(),
             discovery_orders: Orders::default(),
-            roster: Roster { rev: 40, list: Vec::new() },
+            roster: Roster {
+                rev: 40,
+                list: Vec::new(),
+            },
             held: vec![None; scenario.nodes],
             said: Vec::new(),
             _rest: Vec::new(),
@@ -498,14 +603,28 @@
         let until = (scenario.seconds * 1e6) as Micros;
         let front = matches!(speech.clients, Clients::Memcached | Clients::Both);
         let memcached = if front { memcached } else { Vec::new() };
-        let set = site::clients(addresses.clone(), memcached.clone(), speech, seed, scenario, until);
+        let set = site::clients(
+            addresses.clone(),
+            memcached.clone(),
+            speech,
+            seed,
+            scenario,
+            until,
+        );
         let its = tap.clone();
         let served = Served::start("clients", move || {
             Ok(Box::new(Crowd::new(Os::new()?, set, clients_orders, its)))
         })?;
         threads._rest.push(served);
         let served = Served::start("rude", move || {
-            Ok(Box::new(Rude::new(Os::new()?, addresses, memcached, seed, rude_orders, tap)))
+            Ok(Box::new(Rude::new(
+                Os::new()?,
+                addresses,
+                memcached,
+                seed,
+                rude_orders,
+                tap,
+            )))
         })?;
         threads._rest.push(served);
         Ok(Demo {
@@ -545,7 +664,11 @@
 
     /// Where the nodes listen for RESP2 and for the binary protocol.
     pub fn listening(&self) -> Vec<(SocketAddr, SocketAddr)> {
-        self.threads.nodes.iter().map(|n| (n.address, n.memcached)).collect()
+        self.threads
+            .nodes
+            .iter()
+            .map(|n| (n.address, n.memcached))
+            .collect()
     }
 
     fn see(&mut self, fact: Fact) {
@@ -557,15 +680,31 @@
     /// A process that has ended by itself is a request lost to all that it held.
     fn look_for_ends(&mut self, now: Micros) {
         for (node, n) in self.threads.nodes.iter_mut().enumerate() {
-            let Some(Running::Process(process)) = &mut n.served else { continue };
-            let Some(status) = process.ended() else { continue };
+            let Some(Running::Process(process)) = &mut n.served else {
+                continue;
+            };
+            let Some(status) = process.ended() else {
+                continue;
+            };
             let words = process.last_words();
             n.served = None;
             if !n.stopping || !status.success() {
                 let why = format!("node {node} ended unasked or badly ({status}): {words}");
-                self.judge.add(Breach { rule: Rule::NoneLost, at: now, id: None, why, around: Vec::new() });
+                self.judge.add(Breach {
+                    rule: Rule::NoneLost,
+                    at: now,
+                    id: None,
+                    why,
+                    around: Vec::new(),
+                });
             }
-            self.threads.tap.tell(unix(), What::NodeEnded { node, killed: false });
+            self.threads.tap.tell(
+                unix(),
+                What::NodeEnded {
+                    node,
+                    killed: false,
+                },
+            );
         }
     }
 
@@ -588,9 +727,21 @@
             }
         }
         let now = self.now();
-        for (node, _) in self.threads.nodes.iter().enumerate().filter(|(_, n)| runs(n)) {
+        for (node, _) in self
+            .threads
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, n)| runs(n))
+        {
             let why = format!("node {node} was told to end and has not");
-            self.judge.add(Breach { rule: Rule::GoodManners, at: now, id: None, why, around: Vec::new() });
+            self.judge.add(Breach {
+                rule: Rule::GoodManners,
+                at: now,
+                id: None,
+                why,
+                around: Vec::new(),
+            });
         }
         self.judge.finish(now);
         (self.judge, self.report)
--- a/crates/rig/src/director.rs
+++ b/crates/rig/src/director.rs
@@ -155,7 +155,12 @@
     /// The list as it stands.
     pub fn list(&self, stage: &dyn Stage) -> Vec<Listed> {
         let of = |(number, m): (usize, &Member)| stage.listed(number, m.place, m.zone, m.told);
-        self.boxes.iter().enumerate().map(of).filter(|l| l.told != Told::Gone).collect()
+        self.boxes
+            .iter()
+            .enumerate()
+            .map(of)
+            .filter(|l| l.told != Told::Gone)
+            .collect()
     }
 
     fn tell(&mut self, number: usize, told: Told, stage: &mut dyn Stage) {
@@ -177,8 +182,9 @@
 
     /// Boxes that are whole, picked by chance.
     fn pick(&mut self, count: usize) -> Vec<usize> {
-        let mut sound: Vec<usize> =
-            (0..self.boxes.len()).filter(|i| self.boxes[*i].alive && !self.boxes[*i].leaving).collect();
+        let mut sound: Vec<usize> = (0..self.boxes.len())
+            .filter(|i| self.boxes[*i].alive && !self.boxes[*i].leaving)
+            .collect();
         // Some box always remains.
         let most = sound.len().saturating_sub(1).min(count);
         let mut picked = Vec::new();
@@ -196,7 +202,13 @@
         });
         let number = self.boxes.len();
         let boot = self.now;
-        self.boxes.push(Member { place, zone, alive: true, leaving: false, told: Told::Gone });
+        self.boxes.push(Member {
+            place,
+            zone,
+            alive: true,
+            leaving: false,
+            told: Told::Gone,
+        });
         stage.start_box(number, place, zone, true);
         self.tell_later(number, Told::In { boot }, NOTICE);
     }
@@ -252,7 +264,9 @@
             "lose-zone" => {
                 let zone = self.rng.below(2);
                 let whole = |m: &Member| m.zone == zone && m.alive && !m.leaving;
-                let lost: Vec<usize> = (0..self.boxes.len()).filter(|i| whole(&self.boxes[*i])).collect();
+                let lost: Vec<usize> = (0..self.boxes.len())
+                    .filter(|i| whole(&self.boxes[*i]))
+                    .collect();
                 for number in lost {
                     self.vanish(number, fault.number("back"), stage);
                 }
@@ -260,7 +274,9 @@
             "bad-boxes" => {
                 for number in self.pick(count) {
                     stage.order_box(number, cachebox::Order::Errors(part));
-                    self.after(lasts, move |_, s| s.order_box(number, cachebox::Order::Errors(0.0)));
+                    self.after(lasts, move |_, s| {
+                        s.order_box(number, cachebox::Order::Errors(0.0))
+                    });
                 }
             }
             "stall-boxes" => {
@@ -271,7 +287,9 @@
             "slow-boxes" => {
                 for number in self.pick(count) {
                     stage.order_box(number, cachebox::Order::Slow(times));
-                    self.after(lasts, move |_, s| s.order_box(number, cachebox::Order::Slow(1.0)));
+                    self.after(lasts, move |_, s| {
+                        s.order_box(number, cachebox::Order::Slow(1.0))
+                    });
                 }
             }
             "spoil" => self.answers(part, lasts, cachebox::Order::Spoil, stage),
@@ -301,7 +319,9 @@
                 for node in self.pick_nodes(part) {
                     self.nodes_up[node] = false;
                     stage.kill_node(node);
-                    self.after(notice, move |_, s| s.order_clients(clients::Order::Down(node)));
+                    self.after(notice, move |_, s| {
+                        s.order_clients(clients::Order::Down(node))
+                    });
                     self.after(back.max(notice), move |d, s| d.start_node(node, s));
                 }
             }
@@ -315,7 +335,9 @@
                             return;
                         }
                         s.stop_node(node);
-                        d.after(FRONT_AFTER_STOP, move |_, s| s.order_clients(clients::Order::Down(node)));
+                        d.after(FRONT_AFTER_STOP, move |_, s| {
+                            s.order_clients(clients::Order::Down(node))
+                        });
                         d.after(STOP_MOST, move |d, s| d.start_node(node, s));
                     });
                 }
@@ -351,7 +373,9 @@
             "hot-keys" => {
                 let keys = fault.number("keys") as usize;
                 stage.order_clients(clients::Order::Hot { keys, part });
-                self.after(lasts, |_, s| s.order_clients(clients::Order::Hot { keys: 0, part: 0.0 }));
+                self.after(lasts, |_, s| {
+                    s.order_clients(clients::Order::Hot { keys: 0, part: 0.0 })
+                });
             }
             "load" => {
                 stage.order_clients(clients::Order::Rate(times));
@@ -359,7 +383,9 @@
             }
             "hang-ups" => {
                 stage.order_clients(clients::Order::Impatient(part));
-                self.after(lasts, |_, s| s.order_clients(clients::Order::Impatient(0.0)));
+                self.after(lasts, |_, s| {
+                    s.order_clients(clients::Order::Impatient(0.0))
+                });
             }
             "discovery-down" | "discovery-anew" => {
                 let anew = fault.name == "discovery-anew";
@@ -371,7 +397,9 @@
             }
             "discovery-fail" => {
                 stage.order_discovery(discovery::Order::Fail(true));
-                self.after(lasts, |_, s| s.order_discovery(discovery::Order::Fail(false)));
+                self.after(lasts, |_, s| {
+                    s.order_discovery(discovery::Order::Fail(false))
+                });
             }
             "discovery-late" => {
                 stage.order_discovery(discovery::Order::Late(micros(fault.number("by"))));
@@ -379,7 +407,9 @@
             }
             "discovery-stale" => {
                 stage.order_discovery(discovery::Order::Stale(true));
-                self.after(lasts, |_, s| s.order_discovery(discovery::Order::Stale(false)));
+                self.after(lasts, |_, s| {
+                    s.order_discovery(discovery::Order::Stale(false))
+                });
             }
             "discovery-moves" => stage.move_discovery(),
             "rude" => {
@@ -416,11 +446,19 @@
         }
     }
 
-    fn answers(&mut self, part: f64, lasts: f64, order: fn(f64) -> cachebox::Order, stage: &mut dyn Stage) {
+    fn answers(
+        &mut self,
+        part: f64,
+        lasts: f64,
+        order: fn(f64) -> cachebox::Order,
+        stage: &mut dyn Stage,
+    ) {
         for number in 0..self.boxes.len() {
             stage.order_box(number, order(part));
         }
-        self.after(lasts, move |d, s| (0..d.boxes.len()).for_each(|n| s.order_box(n, order(0.0))));
+        self.after(lasts, move |d, s| {
+            (0..d.boxes.len()).for_each(|n| s.order_box(n, order(0.0)))
+        });
     }
 
     fn reset(&mut self, part: f64, until: Micros, stage: &mut dyn Stage) {
@@ -437,7 +475,9 @@
         }
         self.tell(number, Told::Draining, stage);
         // It turns away what still comes once the time to stop sending is over.
-        self.after(2.0 + NOTICE.0, move |_, s| s.order_box(number, cachebox::Order::Drain));
+        self.after(2.0 + NOTICE.0, move |_, s| {
+            s.order_box(number, cachebox::Order::Drain)
+        });
         let zone = self.boxes[number].zone;
         self.succeed(None, zone, stage);
         self.after(grace + 2.0, move |d, s| {
@@ -457,9 +497,13 @@
     }
 
     fn pick_nodes_all(&mut self, part: f64) -> Vec<usize> {
-        let mut up: Vec<usize> = (0..self.nodes_up.len()).filter(|n| self.nodes_up[*n]).collect();
+        let mut up: Vec<usize> = (0..self.nodes_up.len())
+            .filter(|n| self.nodes_up[*n])
+            .collect();
         let count = ((part * self.nodes_up.len() as f64).ceil() as usize).min(up.len());
-        (0..count).map(|_| up.swap_remove(self.rng.below(up.len()))).collect()
+        (0..count)
+            .map(|_| up.swap_remove(self.rng.below(up.len())))
+            .collect()
     }
 
     fn start_node(&mut self, node: usize, stage: &mut dyn Stage) {
--- a/crates/rig/src/discovery.rs
+++ b/crates/rig/src/discovery.rs
@@ -95,7 +95,11 @@
 }
 
 /// The JSON of a list.
-pub fn list_json<'a>(rev: i64, all: bool, entries: impl Iterator<Item = &'a Listed>) -> serde_json::Value {
+pub fn list_json<'a>(
+    rev: i64,
+    all: bool,
+    entries: impl Iterator<Item = &'a Listed>,
+) -> serde_json::Value {
     let entries: Vec<_> = entries
         .map(|e| {
             let (state, boot) = match e.told {
@@ -133,7 +137,10 @@
             tap,
             rev,
             first: rev,
-            entries: list.iter().map(|e| (e.uid.clone(), (rev, e.clone()))).collect(),
+            entries: list
+                .iter()
+                .map(|e| (e.uid.clone(), (rev, e.clone())))
+                .collect(),
             frozen: None,
             nodes: HashMap::new(),
             watches: BTreeMap::new(),
@@ -145,7 +152,9 @@
     }
 
     fn read(&mut self, conn: usize) {
-        let Some(line) = self.port.line(conn) else { return };
+        let Some(line) = self.port.line(conn) else {
+            return;
+        };
         let (serial, buf) = (line.serial, &line.buf);
         let mut headers = [httparse::EMPTY_HEADER; 32];
         let mut request = httparse::Request::new(&mut headers);
@@ -158,7 +167,13 @@
         line.buf.clear();
         let query = path.split_once('?').map_or("", |(_, q)| q);
         let number = |name: &str| -> Option<i64> {
-            query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
+            query
+                .split('&')
+                .filter_map(|p| p.split_once('='))
+                .find(|(n, _)| *n == name)?
+                .1
+                .parse()
+                .ok()
         };
         if self.fail || !path.starts_with("/api/targets") {
             return self.reply(conn, "503 Service Unavailable", "");
@@ -202,15 +217,33 @@
         let body = list_json(rev, since.is_none(), told.iter()).to_string();
         // A whole list also tells who is gone.
         let gone: Vec<usize> = match since {
-            None => entries.values().filter(|(_, e)| e.told == Told::Gone).map(|(_, e)| e.number).collect(),
+            None => entries
+                .values()
+                .filter(|(_, e)| e.told == Told::Gone)
+                .map(|(_, e)| e.number)
+                .collect(),
             Some(_) => Vec::new(),
         };
         let unix = self.port.unix();
         for e in &told {
-            self.tap.tell(unix, What::Told { node, at_box: e.number, told: e.told });
+            self.tap.tell(
+                unix,
+                What::Told {
+                    node,
+                    at_box: e.number,
+                    told: e.told,
+                },
+            );
         }
         for at_box in gone {
-            self.tap.tell(unix, What::Told { node, at_box, told: Told::Gone });
+            self.tap.tell(
+                unix,
+                What::Told {
+                    node,
+                    at_box,
+                    told: Told::Gone,
+                },
+            );
         }
         self.reply(conn, "200 OK", &body);
     }
@@ -226,8 +259,12 @@
     /// Tells the watches what is new to them.
     fn changed(&mut self) {
         let rev = self.shown().0;
-        let due: Vec<usize> =
-            self.watches.iter().filter(|(_, since)| **since < rev).map(|(conn, _)| *conn).collect();
+        let due: Vec<usize> = self
+            .watches
+            .iter()
+            .filter(|(_, since)| **since < rev)
+            .map(|(conn, _)| *conn)
+            .collect();
         for conn in due {
             if let Some(since) = self.watches.remove(&conn) {
                 self.tell(conn, Some(since));
@@ -270,7 +307,11 @@
                         self.tell(conn, since);
                     }
                 }
-                Due::Retired => self.port.conns().into_iter().for_each(|conn| self.forget(conn)),
+                Due::Retired => self
+                    .port
+                    .conns()
+                    .into_iter()
+                    .for_each(|conn| self.forget(conn)),
             }
         }
         Ok(())
--- a/crates/rig/src/facts.rs
+++ b/crates/rig/src/facts.rs
@@ -220,7 +220,9 @@
     if let Some(opaque) = id.strip_prefix('%') {
         return u32::from_str_radix(opaque, 16).unwrap_or(0);
     }
-    id.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    id.bytes().fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
 }
 
 /// Gives facts the whole names of their requests, where a peer knew only the short ones: the latest request of that
@@ -266,7 +268,10 @@
     /// `unix`: the time of it, by the seer's clock.
     pub fn tell(&self, unix: Micros, what: What) {
         // The run may be over; nobody asks any more then.
-        let _ = self.to.send(Fact { at: unix - self.epoch, what });
+        let _ = self.to.send(Fact {
+            at: unix - self.epoch,
+            what,
+        });
     }
 
     pub fn since_start(&self, unix: Micros) -> Micros {
