--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -91,7 +91,11 @@
 
 impl Default for Options {
     fn default() -> Options {
-        let delay = Delay { same: 200, cross: 5_000, jitter: 0.2 };
+        let delay = Delay {
+            same: 200,
+            cross: 5_000,
+            jitter: 0.2,
+        };
         Options {
             watch: None,
             wrap: None,
@@ -123,7 +127,12 @@
         self.0.kept(server)
     }
 
-    fn goes(&self, now: Micros, request: &sloewick_decision::interface::RequestId, attempt: usize) -> bool {
+    fn goes(
+        &self,
+        now: Micros,
+        request: &sloewick_decision::interface::RequestId,
+        attempt: usize,
+    ) -> bool {
         self.0.goes(now, request, attempt)
     }
 }
@@ -196,10 +205,16 @@
     }
 
     fn run_discovery(&mut self, first_rev: i64) {
-        let at: Vec<SocketAddr> =
-            (0..self.scenario.nodes).map(|n| discovery_address(self.moves, n)).collect();
-        let host = self.hosts.world.borrow_mut().host(&format!("discovery-{}", self.moves), 0, MANY);
-        at.iter().for_each(|a| self.hosts.world.borrow_mut().address(host, *a));
+        let at: Vec<SocketAddr> = (0..self.scenario.nodes)
+            .map(|n| discovery_address(self.moves, n))
+            .collect();
+        let host =
+            self.hosts
+                .world
+                .borrow_mut()
+                .host(&format!("discovery-{}", self.moves), 0, MANY);
+        at.iter()
+            .for_each(|a| self.hosts.world.borrow_mut().address(host, *a));
         self.discovery_orders = Orders::default();
         let made = Discovery::new(
             self.hosts.net(host),
@@ -229,7 +244,11 @@
 impl Stage for Site {
     fn start_box(&mut self, number: usize, place: usize, zone: usize, cold: bool) {
         let at = box_address(place);
-        let host = self.hosts.world.borrow_mut().host(&format!("box-{number}"), zone, MANY);
+        let host = self
+            .hosts
+            .world
+            .borrow_mut()
+            .host(&format!("box-{number}"), zone, MANY);
         self.hosts.world.borrow_mut().address(host, at);
         let memcached = self.speech.box_speaks_memcached(number, &self.scenario);
         let mut set = site::cache_box(number, at, self.origin, cold, memcached, self.seed);
@@ -245,7 +264,9 @@
     }
 
     fn kill_box(&mut self, number: usize) {
-        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else {
+            return;
+        };
         self.hosts.come_back(host);
         self.tell(What::BoxEnded { at_box: number });
         self.hosts.end(host);
@@ -279,7 +300,10 @@
             self.roster.change(listed);
             match &mut self.stale {
                 Some(changed) => changed.push((listed.number, listed.told)),
-                None => self.tell(What::Had { at_box: listed.number, told: listed.told }),
+                None => self.tell(What::Had {
+                    at_box: listed.number,
+                    told: listed.told,
+                }),
             }
         }
         if self.discovery_up {
@@ -323,7 +347,13 @@
         self.held[node] = Some(self.roster.clone());
         self.tell(What::NodeStopping { node });
         self.stopping[node] = true;
-        self.hosts.world.borrow_mut().signal(self.nodes[node], Signals { reload: false, stop: true });
+        self.hosts.world.borrow_mut().signal(
+            self.nodes[node],
+            Signals {
+                reload: false,
+                stop: true,
+            },
+        );
     }
 
     fn start_node(&mut self, node: usize) {
@@ -332,8 +362,14 @@
         self.hosts.world.borrow_mut().revive(host);
         self.node_starts[node] += 1;
         self.stopping[node] = false;
-        let mut rng = Rng::part(self.seed, "node", node * 1000 + self.node_starts[node] as usize);
-        let known = self.held[node].take().unwrap_or_else(|| self.roster.clone());
+        let mut rng = Rng::part(
+            self.seed,
+            "node",
+            node * 1000 + self.node_starts[node] as usize,
+        );
+        let known = self.held[node]
+            .take()
+            .unwrap_or_else(|| self.roster.clone());
         let at = discovery_address(self.moves, node);
         let text = site::node_config(
             node,
@@ -355,7 +391,11 @@
         for listed in &known.list {
             // What runs since long ago is no start.
             if listed.told != (Told::In { boot: 0 }) {
-                self.tell(What::Known { node, at_box: listed.number, told: listed.told });
+                self.tell(What::Known {
+                    node,
+                    at_box: listed.number,
+                    told: listed.told,
+                });
             }
         }
         let mut config = match config::parse(&text) {
@@ -371,7 +411,8 @@
                 Boxed(wrap(node, balancer))
             })
             .map(|n| Box::new(n) as Box<dyn Actor>),
-            None => Node::new(config, self.hosts.net(host), source).map(|n| Box::new(n) as Box<dyn Actor>),
+            None => Node::new(config, self.hosts.net(host), source)
+                .map(|n| Box::new(n) as Box<dyn Actor>),
         };
         match made {
             Ok(actor) if self.node_starts[node] > 1 => {
@@ -386,7 +427,8 @@
         if !self.discovery_up {
             return;
         }
-        self.discovery_orders.give(discovery::Order::Retire(1_500_000));
+        self.discovery_orders
+            .give(discovery::Order::Retire(1_500_000));
         if let Some(old) = self.discovery.last().copied() {
             self.hosts.wake(old);
         }
@@ -395,10 +437,13 @@
         for node in 0..self.scenario.nodes {
             self.moved.borrow_mut()[node] = discovery_address(self.moves, node);
             if self.hosts.has(self.nodes[node]) {
-                self.hosts
-                    .world
-                    .borrow_mut()
-                    .signal(self.nodes[node], Signals { reload: true, stop: false });
+                self.hosts.world.borrow_mut().signal(
+                    self.nodes[node],
+                    Signals {
+                        reload: true,
+                        stop: false,
+                    },
+                );
             }
         }
     }
@@ -435,12 +480,16 @@
     }
 
     fn vanish_box(&mut self, number: usize) {
-        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else {
+            return;
+        };
         self.hosts.vanish(host);
     }
 
     fn cut(&mut self, number: usize, from_box: bool, cut: bool) {
-        let Some(host) = self.boxes.get(&number).map(|b| b.host) else { return };
+        let Some(host) = self.boxes.get(&number).map(|b| b.host) else {
+            return;
+        };
         for node in self.nodes.clone() {
             let (from, to) = if from_box { (host, node) } else { (node, host) };
             self.hosts.world.borrow_mut().cut(from, to, cut);
@@ -449,7 +498,10 @@
 
     fn reset_connections(&mut self, part: f64) {
         let boxes: Vec<HostId> = self.boxes.values().map(|b| b.host).collect();
-        self.hosts.world.borrow_mut().reset_some(&self.nodes, &boxes, part);
+        self.hosts
+            .world
+            .borrow_mut()
+            .reset_some(&self.nodes, &boxes, part);
     }
 
     fn refuse(&mut self, number: usize, refuses: bool) {
@@ -461,7 +513,9 @@
     fn partial(&mut self, part: f64) {
         let mut hosts: Vec<HostId> = self.boxes.values().map(|b| b.host).collect();
         hosts.extend(&self.nodes);
-        hosts.iter().for_each(|host| self.hosts.world.borrow_mut().set_partial(*host, part));
+        hosts
+            .iter()
+            .for_each(|host| self.hosts.world.borrow_mut().set_partial(*host, part));
     }
 
     fn idle(&mut self, count: usize) {
@@ -523,7 +577,11 @@
             tap,
             node_starts: vec![0; nodes.len()],
             stopping: vec![false; nodes.len()],
-            moved: Rc::new(RefCell::new((0..nodes.len()).map(|node| discovery_address(0, node)).collect())),
+            moved: Rc::new(RefCell::new(
+                (0..nodes.len())
+                    .map(|node| discovery_address(0, node))
+                    .collect(),
+            )),
             nodes,
             boxes: BTreeMap::new(),
             discovery: Vec::new(),
@@ -531,7 +589,10 @@
             discovery_orders: Orders::default(),
             discovery_up: false,
             stale: None,
-            roster: Roster { rev: 40, list: Vec::new() },
+            roster: Roster {
+                rev: 40,
+                list: Vec::new(),
+            },
             held: vec![None; scenario.nodes],
             origin_orders: Orders::default(),
             clients_orders: Orders::default(),
@@ -545,9 +606,12 @@
             origin_host,
         };
         let set = site::origin(origin, seed, scenario);
-        if let Ok(actor) =
-            Origin::new(site.hosts.net(origin_host), set, site.origin_orders.clone(), site.tap.clone())
-        {
+        if let Ok(actor) = Origin::new(
+            site.hosts.net(origin_host),
+            set,
+            site.origin_orders.clone(),
+            site.tap.clone(),
+        ) {
             site.hosts.place(origin_host, Box::new(actor));
         }
         let mut director = Director::new(scenario, seed);
@@ -560,10 +624,26 @@
             _ => Vec::new(),
         };
         let speech = options.speech;
-        let set = site::clients(addresses.clone(), memcached.clone(), speech, seed, scenario, until);
-        let crowd = Crowd::new(site.hosts.net(clients), set, site.clients_orders.clone(), site.tap.clone());
+        let set = site::clients(
+            addresses.clone(),
+            memcached.clone(),
+            speech,
+            seed,
+            scenario,
+            until,
+        );
+        let crowd = Crowd::new(
+            site.hosts.net(clients),
+            set,
+            site.clients_orders.clone(),
+            site.tap.clone(),
+        );
         site.hosts.place(clients, Box::new(crowd));
-        let idle_actor = Idle::new(site.hosts.net(idle), addresses.clone(), site.idle_orders.clone());
+        let idle_actor = Idle::new(
+            site.hosts.net(idle),
+            addresses.clone(),
+            site.idle_orders.clone(),
+        );
         site.hosts.place(idle, Box::new(idle_actor));
         let rude_actor = Rude::new(
             site.hosts.net(rude),
@@ -595,7 +675,9 @@
             self.settle();
             let mut next = self.site.hosts.next();
             if !self.ending {
-                next = next.min(self.director.next().unwrap_or(Micros::MAX)).max(self.site.hosts.now());
+                next = next
+                    .min(self.director.next().unwrap_or(Micros::MAX))
+                    .max(self.site.hosts.now());
             }
             if next > end {
                 break;
@@ -615,7 +697,10 @@
     /// A host's process has ended by itself.
     fn ended(&mut self, host: HostId) {
         if let Some(node) = self.site.nodes.iter().position(|h| *h == host) {
-            self.site.tell(What::NodeEnded { node, killed: false });
+            self.site.tell(What::NodeEnded {
+                node,
+                killed: false,
+            });
             if !self.site.stopping[node] {
                 self.found(Rule::NoneLost, format!("node {node} ended unasked"));
             }
@@ -624,7 +709,13 @@
 
     fn found(&mut self, rule: Rule, why: String) {
         let at = self.site.hosts.world.borrow().now;
-        self.judge.add(Breach { rule, at, id: None, why, around: Vec::new() });
+        self.judge.add(Breach {
+            rule,
+            at,
+            id: None,
+            why,
+            around: Vec::new(),
+        });
     }
 
     /// Takes up what the peers saw, and shows what the nodes logged.
@@ -672,12 +763,21 @@
             let (open, peak, most) = self.site.hosts.world.borrow().descriptors(host);
             descriptors = descriptors.max(peak);
             if self.site.hosts.has(host) {
-                self.found(Rule::GoodManners, format!("node {node} was told to end and has not"));
+                self.found(
+                    Rule::GoodManners,
+                    format!("node {node} was told to end and has not"),
+                );
             } else if open > 0 {
-                self.found(Rule::GoodManners, format!("node {node} left {open} descriptors open"));
+                self.found(
+                    Rule::GoodManners,
+                    format!("node {node} left {open} descriptors open"),
+                );
             }
             if peak > most {
-                self.found(Rule::GoodManners, format!("node {node} held {peak} of {most} descriptors"));
+                self.found(
+                    Rule::GoodManners,
+                    format!("node {node} held {peak} of {most} descriptors"),
+                );
             }
         }
         let wire = self.site.hosts.world.borrow().digest();
@@ -701,11 +801,25 @@
 
 /// The shortest schedule found that still breaks the rule: faults are left out one by one, then the run is cut
 /// short, as long as the same rule breaks under the same seed.
-pub fn shrink(scenario: &Scenario, seed: u64, rule: Rule, wrap: Option<Wrap>, speech: Speech) -> Scenario {
+pub fn shrink(
+    scenario: &Scenario,
+    seed: u64,
+    rule: Rule,
+    wrap: Option<Wrap>,
+    speech: Speech,
+) -> Scenario {
     let first = |s: &Scenario| {
-        let options = Options { wrap: wrap.clone(), speech, ..Options::default() };
+        let options = Options {
+            wrap: wrap.clone(),
+            speech,
+            ..Options::default()
+        };
         let outcome = play(s, seed, options);
-        outcome.breaches.iter().find(|b| b.rule == rule).map(|b| b.at)
+        outcome
+            .breaches
+            .iter()
+            .find(|b| b.rule == rule)
+            .map(|b| b.at)
     };
     let mut best = scenario.clone();
     let mut i = 0;
--- a/crates/rig/src/hosts.rs
+++ b/crates/rig/src/hosts.rs
@@ -30,7 +30,11 @@
 
 impl Hosts {
     pub fn new(world: World) -> Hosts {
-        Hosts { world: Rc::new(RefCell::new(world)), slots: BTreeMap::new(), touched: Vec::new() }
+        Hosts {
+            world: Rc::new(RefCell::new(world)),
+            slots: BTreeMap::new(),
+            touched: Vec::new(),
+        }
     }
 
     pub fn net(&self, host: HostId) -> VNet {
@@ -50,7 +54,16 @@
     pub fn place_late(&mut self, host: HostId, actor: Box<dyn Actor>, after: Micros) {
         let started = self.now();
         let begins = started + after;
-        self.slots.insert(host, Slot { actor: Some(actor), due: begins, started, frozen: false, begins });
+        self.slots.insert(
+            host,
+            Slot {
+                actor: Some(actor),
+                due: begins,
+                started,
+                frozen: false,
+                begins,
+            },
+        );
         self.wake(host);
     }
 
@@ -94,7 +107,10 @@
 
     /// A machine that had fallen silent is back; whether it was.
     pub fn come_back(&mut self, host: HostId) -> bool {
-        let back = self.slots.get_mut(&host).is_some_and(|s| std::mem::take(&mut s.frozen));
+        let back = self
+            .slots
+            .get_mut(&host)
+            .is_some_and(|s| std::mem::take(&mut s.frozen));
         if back {
             self.world.borrow_mut().come_back(host);
         }
@@ -107,7 +123,12 @@
             return self.now();
         }
         let event = self.world.borrow().next_event().unwrap_or(Micros::MAX);
-        let due = self.slots.values().filter(|s| !s.frozen).map(|s| s.due).min();
+        let due = self
+            .slots
+            .values()
+            .filter(|s| !s.frozen)
+            .map(|s| s.due)
+            .min();
         event.min(due.unwrap_or(Micros::MAX)).max(self.now())
     }
 
@@ -116,7 +137,12 @@
     pub fn advance(&mut self, to: Micros) -> Vec<HostId> {
         self.world.borrow_mut().advance(to);
         let mut awake = self.world.borrow_mut().take_awake();
-        awake.extend(self.slots.iter().filter(|(_, s)| s.due <= to).map(|(host, _)| *host));
+        awake.extend(
+            self.slots
+                .iter()
+                .filter(|(_, s)| s.due <= to)
+                .map(|(host, _)| *host),
+        );
         awake.append(&mut self.touched);
         awake.sort_unstable();
         awake.dedup();
@@ -135,10 +161,16 @@
     /// Lets a host act; whether it has ended.
     fn turn(&mut self, host: HostId) -> bool {
         let now = self.now();
-        let Some(slot) = self.slots.get_mut(&host).filter(|s| !s.frozen && s.begins <= now) else {
+        let Some(slot) = self
+            .slots
+            .get_mut(&host)
+            .filter(|s| !s.frozen && s.begins <= now)
+        else {
+            return false;
+        };
+        let Some(actor) = &mut slot.actor else {
             return false;
         };
-        let Some(actor) = &mut slot.actor else { return false };
         let turned = actor.turn(0);
         match turned.ok().and_then(|()| actor.prepare()) {
             Some(due) => {
--- a/crates/rig/src/idle.rs
+++ b/crates/rig/src/idle.rs
@@ -34,7 +34,16 @@
     pub fn new(net: N, nodes: Vec<SocketAddr>, orders: Orders<usize>) -> Idle<N> {
         let open = vec![0; nodes.len()];
         let (conns, came) = (HashMap::new(), Vec::new());
-        Idle { port: Port::new(net), nodes, orders, wanted: 0, open, conns, ticking: false, came }
+        Idle {
+            port: Port::new(net),
+            nodes,
+            orders,
+            wanted: 0,
+            open,
+            conns,
+            ticking: false,
+            came,
+        }
     }
 
     fn step(&mut self) {
@@ -68,7 +77,9 @@
         self.port.poll(wait, &mut came)?;
         for (conn, what) in &came {
             match what {
-                Came::Up => self.port.send(*conn, Bytes::from_static(b"*1\r\n$4\r\nPING\r\n")),
+                Came::Up => self
+                    .port
+                    .send(*conn, Bytes::from_static(b"*1\r\n$4\r\nPING\r\n")),
                 Came::Bytes => {
                     if let Some(line) = self.port.line(*conn) {
                         line.buf.clear();
@@ -90,7 +101,10 @@
             self.wanted = wanted;
             if wanted == 0 {
                 // In one order, whatever the map's.
-                self.port.conns().into_iter().for_each(|conn| self.over(conn));
+                self.port
+                    .conns()
+                    .into_iter()
+                    .for_each(|conn| self.over(conn));
             } else if !std::mem::replace(&mut self.ticking, true) {
                 self.port.set(self.port.now(), ());
             }
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -52,7 +52,13 @@
 
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.6} s: {}: {}", self.at as f64 / 1e6, self.rule, self.why)?;
+        write!(
+            f,
+            "{:.6} s: {}: {}",
+            self.at as f64 / 1e6,
+            self.rule,
+            self.why
+        )?;
         if let Some(id) = &self.id {
             write!(f, " (request {id})")?;
         }
@@ -274,8 +280,16 @@
     }
 
     fn breach(&mut self, rule: Rule, at: Micros, id: Option<&Id>, why: String) {
-        let around = id.and_then(|id| self.requests.get(id)).map_or(Vec::new(), |r| r.history.clone());
-        self.add(Breach { rule, at, id: id.cloned(), why, around });
+        let around = id
+            .and_then(|id| self.requests.get(id))
+            .map_or(Vec::new(), |r| r.history.clone());
+        self.add(Breach {
+            rule,
+            at,
+            id: id.cloned(),
+            why,
+            around,
+        });
     }
 
     /// Whether this node stands still.
@@ -285,7 +299,11 @@
 
     /// Whether it stood still for some of the time that bad clients have to be told within.
     fn stood_still(&self, node: usize, at: Micros) -> bool {
-        self.paused(node) || self.resumed.get(&node).is_some_and(|resumed| at - resumed <= RUDE_OWED)
+        self.paused(node)
+            || self
+                .resumed
+                .get(&node)
+                .is_some_and(|resumed| at - resumed <= RUDE_OWED)
     }
 
     /// Adds what was found outside the facts.
@@ -300,13 +318,25 @@
         self.checked += 1;
         self.pass(fact.at);
         if let Some(id) = request_of(&fact.what) {
-            if let Some(r) = self.requests.get_mut(id).filter(|r| r.history.len() < HISTORY_MOST) {
+            if let Some(r) = self
+                .requests
+                .get_mut(id)
+                .filter(|r| r.history.len() < HISTORY_MOST)
+            {
                 r.history.push(fact.clone());
             }
         }
         let at = fact.at;
         match &fact.what {
-            What::Asked { id, node, class, first, budget, idem, .. } => {
+            What::Asked {
+                id,
+                node,
+                class,
+                first,
+                budget,
+                idem,
+                ..
+            } => {
                 let request = Request {
                     node: *node,
                     class: *class,
@@ -325,12 +355,17 @@
                 self.requests.insert(id.clone(), request);
                 let owed = at + budget + self.figures.slack + 2 * self.figures.way;
                 self.due.entry(owed).or_default().push((id.clone(), false));
-                self.due.entry(at + REMEMBERED).or_default().push((id.clone(), true));
+                self.due
+                    .entry(at + REMEMBERED)
+                    .or_default()
+                    .push((id.clone(), true));
             }
             What::Resent { id, node } => self.resent(at, id, *node),
             What::Left { id } => {
-                if let Some(r) =
-                    self.requests.get_mut(id).filter(|r| r.left.is_none() && r.answered.is_none())
+                if let Some(r) = self
+                    .requests
+                    .get_mut(id)
+                    .filter(|r| r.left.is_none() && r.answered.is_none())
                 {
                     r.left = Some(at);
                     self.left.requests += 1;
@@ -338,7 +373,8 @@
             }
             What::Shut { id, node } => {
                 let unread = |r: &Request| r.attempts.is_empty() && !r.excused && r.left.is_none();
-                if self.requests.get(id).is_some_and(unread) && !self.node_ended.contains_key(node) {
+                if self.requests.get(id).is_some_and(unread) && !self.node_ended.contains_key(node)
+                {
                     self.shut += 1;
                 }
             }
@@ -347,12 +383,20 @@
                 let why = format!("node {node} answered what nobody asked: {bytes}");
                 self.breach(Rule::NoneLost, at, None, why);
             }
-            What::Attempt { id, attempt, at_box, first_byte, work, .. } => {
+            What::Attempt {
+                id,
+                attempt,
+                at_box,
+                first_byte,
+                work,
+                ..
+            } => {
                 self.attempt(at, id, *attempt, *at_box, *first_byte, *work);
             }
             What::Fate { id, attempt, fate } => {
                 let found = self.requests.get_mut(id);
-                let found = found.and_then(|r| r.attempts.iter_mut().find(|a| a.number == *attempt));
+                let found =
+                    found.and_then(|r| r.attempts.iter_mut().find(|a| a.number == *attempt));
                 if let Some(a) = found {
                     a.fate = Some(*fate);
                 }
@@ -369,33 +413,54 @@
                         self.knows_start.entry(key).or_insert(at);
                     }
                     Told::Draining | Told::Gone => {
-                        self.phantoms.entry(*at_box).and_modify(|over| *over = Some(at));
+                        self.phantoms
+                            .entry(*at_box)
+                            .and_modify(|over| *over = Some(at));
                         self.told.entry(key).or_insert(at);
                     }
                 }
             }
             What::Known { node, at_box, told } => match told {
                 Told::In { .. } => drop(self.knows_start.entry((*node, *at_box)).or_insert(at)),
-                Told::Draining | Told::Gone => drop(self.told.entry((*node, *at_box)).or_insert(at)),
+                Told::Draining | Told::Gone => {
+                    drop(self.told.entry((*node, *at_box)).or_insert(at))
+                }
             },
             What::Had { at_box, told } => {
                 // The first time counts, as for what is written: from draining to gone nothing is new.
                 let out = |told: &Told| !matches!(told, Told::In { .. });
-                let since = self.had.get(at_box).filter(|(_, was)| out(was) && out(told));
+                let since = self
+                    .had
+                    .get(at_box)
+                    .filter(|(_, was)| out(was) && out(told));
                 let since = since.map_or(at, |(since, _)| *since);
                 self.had.insert(*at_box, (since, *told));
             }
             // One that moves goes on.
             What::Reached { can } => self.reached = can.then(|| self.reached.unwrap_or(at)),
             What::Ready { node } => {
-                let start = self.restarts.iter_mut().rfind(|s| s.node == *node && s.watched.is_none());
+                let start = self
+                    .restarts
+                    .iter_mut()
+                    .rfind(|s| s.node == *node && s.watched.is_none());
                 if let Some(start) = start.filter(|s| s.took.is_none()) {
                     start.took = Some(at - start.at);
                 }
             }
             What::NodeStopping { node } => self.watched(*node, at),
-            What::BoxStarted { at_box, cold: true, speed } => {
-                self.cold.insert(*at_box, Started { at, speed: *speed, fell: false });
+            What::BoxStarted {
+                at_box,
+                cold: true,
+                speed,
+            } => {
+                self.cold.insert(
+                    *at_box,
+                    Started {
+                        at,
+                        speed: *speed,
+                        fell: false,
+                    },
+                );
             }
             What::BoxEnded { at_box } => {
                 self.box_ended.insert(*at_box);
@@ -404,7 +469,10 @@
             What::NodePaused { node } => {
                 self.watched(*node, at);
                 self.paused.insert(*node);
-                let held = self.requests.values_mut().filter(|r| r.node == *node && r.answered.is_none());
+                let held = self
+                    .requests
+                    .values_mut()
+                    .filter(|r| r.node == *node && r.answered.is_none());
                 held.for_each(|r| r.excused = true);
             }
             What::NodeResumed { node } => {
@@ -423,7 +491,12 @@
                 self.running.insert(*node);
                 self.watched(*node, at);
                 if self.began.insert(*node, at).is_some() {
-                    self.restarts.push(Restart { node: *node, at, took: None, watched: None });
+                    self.restarts.push(Restart {
+                        node: *node,
+                        at,
+                        took: None,
+                        watched: None,
+                    });
                 }
             }
             What::NodeEnded { node, killed } => {
@@ -432,8 +505,10 @@
                 self.running.remove(node);
                 if *killed {
                     // What a node held when it was killed is the client's to retry.
-                    let held =
-                        self.requests.values_mut().filter(|r| r.node == *node && r.answered.is_none());
+                    let held = self
+                        .requests
+                        .values_mut()
+                        .filter(|r| r.node == *node && r.answered.is_none());
                     held.for_each(|r| r.excused = true);
                 }
             }
@@ -446,23 +521,34 @@
                 let since = |node: &usize| self.knows_start.get(&(*node, *at_box)).copied();
                 let late = |since: &Micros| at - since > self.figures.grace + 2 * self.figures.way;
                 // Nor one whose list names a box that is no more as started later at some address.
-                let misled = self.phantoms.values().any(|over| over.is_none_or(|over| !late(&over)));
-                let all = self.running.iter().map(since).collect::<Option<Vec<Micros>>>();
+                let misled = self
+                    .phantoms
+                    .values()
+                    .any(|over| over.is_none_or(|over| !late(&over)));
+                let all = self
+                    .running
+                    .iter()
+                    .map(since)
+                    .collect::<Option<Vec<Micros>>>();
                 if !misled && all.is_some_and(|all| all.iter().all(late)) {
-                    let why =
-                        format!("box {at_box} was spoken to in the other protocol, and all nodes knew it");
+                    let why = format!(
+                        "box {at_box} was spoken to in the other protocol, and all nodes knew it"
+                    );
                     self.breach(Rule::GoodManners, at, None, why);
                 }
             }
-            What::RudeEnded { node, served: true, .. } => {
+            What::RudeEnded {
+                node, served: true, ..
+            } => {
                 let why = format!("node {node} served what can't be read");
                 self.breach(Rule::NoneLost, at, None, why);
             }
             What::RudeLeft { node, what }
                 if !self.node_ended.contains_key(node) && !self.stood_still(*node, at) =>
             {
-                let why =
-                    format!("node {node} left a client that sent {what} with neither an error nor a close");
+                let why = format!(
+                    "node {node} left a client that sent {what} with neither an error nor a close"
+                );
                 self.breach(Rule::GoodManners, at, None, why);
             }
             _ => {}
@@ -478,9 +564,15 @@
                     self.requests.remove(&id);
                     continue;
                 }
-                let Some(r) = self.requests.get(&id) else { continue };
+                let Some(r) = self.requests.get(&id) else {
+                    continue;
+                };
                 if r.answered.is_none() && r.left.is_none() && !r.excused {
-                    let why = format!("no answer from node {} within {} ms", r.node, r.budget / 1000);
+                    let why = format!(
+                        "no answer from node {} within {} ms",
+                        r.node,
+                        r.budget / 1000
+                    );
                     self.breach(Rule::NoneLost, at, Some(&id), why);
                 }
             }
@@ -514,12 +606,20 @@
             .iter()
             .filter_map(|s| {
                 let watched = s.watched.unwrap_or(now - s.at);
-                let most = if watched >= READY_MOST { READY_MOST } else { READY_MOST_CUT };
+                let most = if watched >= READY_MOST {
+                    READY_MOST
+                } else {
+                    READY_MOST_CUT
+                };
                 let known = s.took.is_some() || watched >= most;
                 known.then_some((s.node, s.took.is_none_or(|took| took > most)))
             })
             .collect();
-        let late: Vec<usize> = judged.iter().filter(|(_, late)| *late).map(|(node, _)| *node).collect();
+        let late: Vec<usize> = judged
+            .iter()
+            .filter(|(_, late)| *late)
+            .map(|(node, _)| *node)
+            .collect();
         if late.len() * 10 > judged.len() {
             let why = format!(
                 "of {} restarted processes {} were not ready within {} s: of nodes {late:?}",
@@ -532,11 +632,14 @@
     }
 
     fn resent(&mut self, at: Micros, id: &Id, node: usize) {
-        let Some(r) = self.requests.get_mut(id) else { return };
+        let Some(r) = self.requests.get_mut(id) else {
+            return;
+        };
         let read = !r.attempts.is_empty();
         let (old, excused) = (std::mem::replace(&mut r.node, node), r.excused);
         if read && !excused && !self.node_ended.contains_key(&old) {
-            let why = format!("node {old} sent it on and then closed its connection with no answer");
+            let why =
+                format!("node {old} sent it on and then closed its connection with no answer");
             self.breach(Rule::NoneLost, at, Some(id), why);
         }
         // Counted from now at the node that gets it next.
@@ -568,10 +671,20 @@
                 self.breach(Rule::NoneLost, at, Some(id), why);
             }
             Answer::Served if !served => {
-                self.breach(Rule::NoneLost, at, Some(id), "served, and no box has served it".into());
+                self.breach(
+                    Rule::NoneLost,
+                    at,
+                    Some(id),
+                    "served, and no box has served it".into(),
+                );
             }
             Answer::Busy(_) if ran && self.repeat(class) == Repeat::Unsafe => {
-                self.breach(Rule::NoEffectTwice, at, Some(id), "refused what may have run".into());
+                self.breach(
+                    Rule::NoEffectTwice,
+                    at,
+                    Some(id),
+                    "refused what may have run".into(),
+                );
             }
             // A value that broke off part way may be no fault of the node, and the client can tell.
             Answer::Ended { part: true } if served => {}
@@ -588,7 +701,11 @@
     }
 
     fn repeat(&self, class: usize) -> Repeat {
-        self.figures.classes.get(class).copied().unwrap_or(Repeat::Unsafe)
+        self.figures
+            .classes
+            .get(class)
+            .copied()
+            .unwrap_or(Repeat::Unsafe)
     }
 
     fn attempt(
@@ -605,20 +722,39 @@
         let sent = first_byte - way;
         let Some(r) = self.requests.get(id) else {
             if !self.visitors {
-                self.breach(Rule::NoneLost, at, Some(id), "sent on, and nobody asked for it".into());
+                self.breach(
+                    Rule::NoneLost,
+                    at,
+                    Some(id),
+                    "sent on, and nobody asked for it".into(),
+                );
             }
             return;
         };
         let node = r.node;
-        let earlier = r.attempts.iter().find(|a| a.fate != Some(Fate::TurnedAway)).map(|a| a.at);
-        let over = r.answered.as_ref().is_some_and(|(answered, _)| sent > *answered);
+        let earlier = r
+            .attempts
+            .iter()
+            .find(|a| a.fate != Some(Fate::TurnedAway))
+            .map(|a| a.at);
+        let over = r
+            .answered
+            .as_ref()
+            .is_some_and(|(answered, _)| sent > *answered);
         let repeat = self.repeat(r.class);
         // A node that stood still meanwhile learns of it when it goes on.
         let class = r.class;
-        let knew = r.left.map(|left| left.max(self.resumed.get(&node).copied().unwrap_or(left)));
+        let knew = r
+            .left
+            .map(|left| left.max(self.resumed.get(&node).copied().unwrap_or(left)));
         let behind = knew.map_or(0, |left| sent - way - left);
         if over {
-            self.breach(Rule::NoneLost, at, Some(id), "sent on after its final answer".into());
+            self.breach(
+                Rule::NoneLost,
+                at,
+                Some(id),
+                "sent on after its final answer".into(),
+            );
         }
         if behind > LEFT_MOST + SOCKET_SLACK {
             self.left.sent_on += 1;
@@ -639,11 +775,15 @@
         }
         match (repeat, earlier) {
             (Repeat::Unsafe, Some(_)) => {
-                let why = "another attempt of what may have run and may not be repeated".to_string();
+                let why =
+                    "another attempt of what may have run and may not be repeated".to_string();
                 self.breach(Rule::NoEffectTwice, at, Some(id), why);
             }
             (Repeat::Keyed(window), Some(first)) if sent - first > window => {
-                let why = format!("sent again {} ms after it may first have run", (at - first) / 1000);
+                let why = format!(
+                    "sent again {} ms after it may first have run",
+                    (at - first) / 1000
+                );
                 self.breach(Rule::NoEffectTwice, at, Some(id), why);
             }
             _ => {}
@@ -652,7 +792,11 @@
         let due = self.due_by(node, at_box, false);
         if let Some(told) = written.into_iter().chain(due).min() {
             if sent - told > self.figures.grace {
-                let how = if written == Some(told) { "was told" } else { "counts as told" };
+                let how = if written == Some(told) {
+                    "was told"
+                } else {
+                    "counts as told"
+                };
                 let why = format!(
                     "node {node} sent to box {at_box} {} ms after it {how} that this drains or is gone",
                     (sent - told) / 1000
@@ -662,20 +806,37 @@
         }
         let mean = self.figures.cold.work.get(class).copied().unwrap_or(work);
         let recent = self.work.entry(at_box).or_default();
-        recent.push_back(Work { at, node, drawn: work, mean });
-        while recent.front().is_some_and(|old| at - old.at > self.figures.fall) {
+        recent.push_back(Work {
+            at,
+            node,
+            drawn: work,
+            mean,
+        });
+        while recent
+            .front()
+            .is_some_and(|old| at - old.at > self.figures.fall)
+        {
             recent.pop_front();
         }
         self.weigh(at, at_box);
         if let Some(r) = self.requests.get_mut(id) {
-            r.attempts.push(Attempt { number, at, fate: None });
+            r.attempts.push(Attempt {
+                number,
+                at,
+                fate: None,
+            });
         }
     }
 
     fn effect(&mut self, at: Micros, id: &Id, idem: Option<&Id>) {
         let Some(r) = self.requests.get_mut(id) else {
             if !self.visitors {
-                self.breach(Rule::NoEffectTwice, at, Some(id), "an effect that nobody asked for".into());
+                self.breach(
+                    Rule::NoEffectTwice,
+                    at,
+                    Some(id),
+                    "an effect that nobody asked for".into(),
+                );
             }
             return;
         };
@@ -684,14 +845,32 @@
         let refused = matches!(r.answered, Some((_, Answer::Busy(_))));
         // An effect belongs to the first try: a client's retry of it is the same wish, by whatever key the origin was
         // told of it.
-        let wish = r.idem.clone().or(idem.cloned()).unwrap_or_else(|| r.first.clone());
+        let wish = r
+            .idem
+            .clone()
+            .or(idem.cloned())
+            .unwrap_or_else(|| r.first.clone());
         if effects > 1 {
-            self.breach(Rule::NoEffectTwice, at, Some(id), format!("took effect {effects} times"));
+            self.breach(
+                Rule::NoEffectTwice,
+                at,
+                Some(id),
+                format!("took effect {effects} times"),
+            );
         }
         if refused && self.repeat(class) == Repeat::Unsafe {
-            self.breach(Rule::NoEffectTwice, at, Some(id), "took effect though it was refused".into());
+            self.breach(
+                Rule::NoEffectTwice,
+                at,
+                Some(id),
+                "took effect though it was refused".into(),
+            );
         }
-        while self.effects_seen.front().is_some_and(|(seen, _)| at - seen > WISH_REMEMBERED) {
+        while self
+            .effects_seen
+            .front()
+            .is_some_and(|(seen, _)| at - seen > WISH_REMEMBERED)
+        {
             if let Some((_, old)) = self.effects_seen.pop_front() {
                 self.effects.remove(&old);
             }
@@ -710,7 +889,9 @@
     /// When the last state that discovery has of a box counts as told to a node, if it is one of these.
     fn due_by(&self, node: usize, at_box: usize, starts: bool) -> Option<Micros> {
         let (had, told) = self.had.get(&at_box)?;
-        let since = [self.began.get(&node), self.resumed.get(&node)].into_iter().flatten();
+        let since = [self.began.get(&node), self.resumed.get(&node)]
+            .into_iter()
+            .flatten();
         let since = since.copied().fold(self.reached?.max(*had), Micros::max);
         (matches!(told, Told::In { .. }) == starts).then_some(since + TOLD_AT_LATEST)
     }
@@ -723,10 +904,16 @@
     /// Whether a cold box is sent more by all nodes than it bears and chance allows, whatever it makes of it.
     fn weigh(&mut self, at: Micros, at_box: usize) {
         let cold = &self.figures.cold;
-        let Some(started) = self.cold.get(&at_box).filter(|b| !b.fell && at - b.at < cold.time) else {
+        let Some(started) = self
+            .cold
+            .get(&at_box)
+            .filter(|b| !b.fell && at - b.at < cold.time)
+        else {
+            return;
+        };
+        let Some(recent) = self.work.get(&at_box) else {
             return;
         };
-        let Some(recent) = self.work.get(&at_box) else { return };
         let borne = cold.borne(started.speed, at - started.at, self.figures.fall);
         let requests = recent.iter().map(|w| w.mean).sum::<Micros>() as f64 / cold.unit();
         self.fullest = self.fullest.max(requests / borne);
@@ -737,8 +924,13 @@
     }
 
     fn fell(&mut self, at: Micros, at_box: usize) {
-        let all: Micros = self.work.get(&at_box).map_or(0, |w| w.iter().map(|w| w.drawn).sum());
-        self.lay(at, at_box, &format!("{} ms of work", all / 1000), |work| work.drawn);
+        let all: Micros = self
+            .work
+            .get(&at_box)
+            .map_or(0, |w| w.iter().map(|w| w.drawn).sum());
+        self.lay(at, at_box, &format!("{} ms of work", all / 1000), |work| {
+            work.drawn
+        });
     }
 
     /// Lays the first fall of a box to those who had been told of its start, where they sent two thirds.
@@ -750,7 +942,10 @@
         }
         let sum = |told: bool| -> Micros {
             let recent = self.work.get(&at_box).into_iter().flatten();
-            recent.filter(|w| !told || self.told_of_start(w.node, at_box, at)).map(of).sum()
+            recent
+                .filter(|w| !told || self.told_of_start(w.node, at_box, at))
+                .map(of)
+                .sum()
         };
         let (all, told) = (sum(false), sum(true));
         if told * 3 >= all * 2 {
--- a/crates/rig/src/orders.rs
+++ b/crates/rig/src/orders.rs
@@ -21,10 +21,16 @@
 
 impl<T> Orders<T> {
     pub fn give(&self, order: T) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).push_back(order);
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push_back(order);
     }
 
     pub fn take(&self) -> Option<T> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .pop_front()
     }
 }
--- a/crates/rig/src/origin.rs
+++ b/crates/rig/src/origin.rs
@@ -114,26 +114,43 @@
 
     fn command(&mut self, conn: usize, words: &[Bytes]) {
         let text = |i: usize| -> Option<Id> {
-            words.get(i).and_then(|w| std::str::from_utf8(w).ok()).map(Id::from)
+            words
+                .get(i)
+                .and_then(|w| std::str::from_utf8(w).ok())
+                .map(Id::from)
+        };
+        let (Some(name), Some(tag), Some(key)) = (text(0), words.get(1).cloned(), text(2)) else {
+            return;
         };
-        let (Some(name), Some(tag), Some(key)) = (text(0), words.get(1).cloned(), text(2)) else { return };
         let job = match (&*name, text(3), text(4)) {
             ("O.GET", None, _) => Job::Get { key },
             ("O.SET", Some(id), Some(idem)) => {
                 let idem = Some(idem).filter(|idem| &**idem != "-");
                 let repeat = idem.as_ref().is_some_and(|idem| self.repeats(idem));
-                Job::Set { key, id, idem, repeat }
+                Job::Set {
+                    key,
+                    id,
+                    idem,
+                    repeat,
+                }
             }
             _ => return,
         };
         let serial = self.port.line(conn).map_or(0, |l| l.serial);
         if let Job::Get { key } = &job {
-            if let Some(waiting) = self.fetching.get_mut(key).filter(|_| self.set.share_fetches) {
+            if let Some(waiting) = self
+                .fetching
+                .get_mut(key)
+                .filter(|_| self.set.share_fetches)
+            {
                 waiting.push((conn, serial, tag));
-                return self.tap.tell(self.port.unix(), What::Fetch { shared: true });
+                return self
+                    .tap
+                    .tell(self.port.unix(), What::Fetch { shared: true });
             }
             self.fetching.entry(key.clone()).or_default();
-            self.tap.tell(self.port.unix(), What::Fetch { shared: false });
+            self.tap
+                .tell(self.port.unix(), What::Fetch { shared: false });
         }
         if self.queue.len() >= QUEUE_MOST {
             if let Job::Get { key } = &job {
@@ -141,7 +158,12 @@
             }
             return self.answer(conn, serial, &tag, None);
         }
-        self.queue.push_back(Call { conn, serial, tag, job });
+        self.queue.push_back(Call {
+            conn,
+            serial,
+            tag,
+            job,
+        });
         self.start();
     }
 
@@ -160,7 +182,9 @@
 
     fn start(&mut self) {
         while self.working.len() < self.set.workers {
-            let Some(call) = self.queue.pop_front() else { return };
+            let Some(call) = self.queue.pop_front() else {
+                return;
+            };
             let mean = match call.job {
                 Job::Get { .. } => self.set.fetch_mean,
                 Job::Set { .. } => self.set.write_mean,
@@ -181,7 +205,12 @@
                     self.answer(conn, serial, &tag, Some(version));
                 }
             }
-            Job::Set { key, id, idem, repeat } => {
+            Job::Set {
+                key,
+                id,
+                idem,
+                repeat,
+            } => {
                 let unix = self.port.unix();
                 match (repeat, idem) {
                     (true, Some(idem)) => self.tap.tell(unix, What::Dropped { id, idem }),
@@ -222,7 +251,9 @@
 
     fn read(&mut self, conn: usize) {
         let mut commands = Vec::new();
-        let Some(line) = self.port.line(conn) else { return };
+        let Some(line) = self.port.line(conn) else {
+            return;
+        };
         let reader = self.readers.entry(conn).or_default();
         let mut buf = BytesMut::new();
         std::mem::swap(&mut buf, &mut line.buf);
--- a/crates/rig/src/port.rs
+++ b/crates/rig/src/port.rs
@@ -256,7 +256,9 @@
 
     pub fn next_due(&self) -> Micros {
         // A stand-in with nothing to do still looks round now and then.
-        self.timers.peek().map_or(self.now() + 500_000, |Reverse((at, ..))| *at)
+        self.timers
+            .peek()
+            .map_or(self.now() + 500_000, |Reverse((at, ..))| *at)
     }
 
     pub fn pop_due(&mut self) -> Option<D> {
@@ -274,7 +276,11 @@
     pub fn poll(&mut self, wait: Micros, came: &mut Vec<(usize, Came)>) -> io::Result<()> {
         came.clear();
         for (conn, serial) in std::mem::take(&mut self.closes) {
-            if self.lines.get(conn).is_some_and(|line| line.serial == serial) {
+            if self
+                .lines
+                .get(conn)
+                .is_some_and(|line| line.serial == serial)
+            {
                 self.close(conn);
             }
         }
@@ -303,13 +309,20 @@
     fn accept(&mut self, number: usize, token: Token, came: &mut Vec<(usize, Came)>) {
         loop {
             let next = FIRST_CONN + self.lines.vacant_key();
-            let Some(Some(listener)) = self.listeners.get_mut(number) else { return };
+            let Some(Some(listener)) = self.listeners.get_mut(number) else {
+                return;
+            };
             match self.net.accept(listener, next) {
                 Ok(stream) => {
                     let conn = self.hold(stream, false, true);
                     came.push((conn, Came::Opened(number)));
-                    let all =
-                        Ready { token, readable: true, writable: true, read_closed: false, error: false };
+                    let all = Ready {
+                        token,
+                        readable: true,
+                        writable: true,
+                        read_closed: false,
+                        error: false,
+                    };
                     self.came(conn, &all, came);
                 }
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
@@ -320,7 +333,9 @@
 
     fn came(&mut self, conn: usize, event: &Ready, came: &mut Vec<(usize, Came)>) {
         let unix = self.unix();
-        let Some(line) = self.lines.get_mut(conn) else { return };
+        let Some(line) = self.lines.get_mut(conn) else {
+            return;
+        };
         if line.connecting {
             match (line.stream.take_error(), line.stream.connected()) {
                 (Ok(None), Ok(())) => {
@@ -329,7 +344,8 @@
                 }
                 (Ok(None), Err(e)) if e.kind() == ErrorKind::NotConnected => return,
                 (error, _) => {
-                    let refused = matches!(&error, Ok(Some(e)) if e.kind() == ErrorKind::ConnectionRefused);
+                    let refused =
+                        matches!(&error, Ok(Some(e)) if e.kind() == ErrorKind::ConnectionRefused);
                     self.close(conn);
                     return came.push((conn, Came::Broke { refused }));
                 }
@@ -366,7 +382,14 @@
         }
         if line.ended {
             let error = matches!(line.stream.take_error(), Ok(Some(_)) | Err(_));
-            came.push((conn, if broken || error { Came::Broke { refused: false } } else { Came::Ended }));
+            came.push((
+                conn,
+                if broken || error {
+                    Came::Broke { refused: false }
+                } else {
+                    Came::Ended
+                },
+            ));
             if broken || error {
                 // Its bytes may still be looked at in this round.
                 self.closes.push((conn, line.serial));
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -37,18 +37,30 @@
         let path = folder.path().join("config.json");
         fs::write(&path, config)?;
         let mut command = Command::new(program);
-        command.arg("run").env("BALANCER_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null());
-        command.env("TMPDIR", folder.path()).stderr(File::create(folder.path().join("log"))?);
+        command
+            .arg("run")
+            .env("BALANCER_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
+        command
+            .env("TMPDIR", folder.path())
+            .stderr(File::create(folder.path().join("log"))?);
         if let Some(text) = memcached {
             let path = folder.path().join("memcached.toml");
             fs::write(&path, text)?;
             command.arg("--memcached").arg(path);
         }
-        let mut process = Process { child: command.spawn()?, folder };
+        let mut process = Process {
+            child: command.spawn()?,
+            folder,
+        };
         let begun = Instant::now();
         while TcpStream::connect_timeout(&listen, READY).is_err() {
             if let Some(status) = process.ended() {
-                return Err(io::Error::other(format!("it ended ({status}): {}", process.last_words())));
+                return Err(io::Error::other(format!(
+                    "it ended ({status}): {}",
+                    process.last_words()
+                )));
             }
             if begun.elapsed() > READY {
                 return Err(io::ErrorKind::TimedOut.into());
@@ -89,7 +101,9 @@
     /// The end of its log.
     pub fn last_words(&self) -> String {
         let log = fs::read(self.file("log")).unwrap_or_default();
-        String::from_utf8_lossy(&log[log.len().saturating_sub(WORDS_MOST)..]).trim().to_string()
+        String::from_utf8_lossy(&log[log.len().saturating_sub(WORDS_MOST)..])
+            .trim()
+            .to_string()
     }
 }
 
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -37,20 +37,31 @@
 
 impl Span {
     fn new(classes: usize) -> Span {
-        Span { asked: vec![0; classes], in_time: vec![0; classes], ..Span::default() }
+        Span {
+            asked: vec![0; classes],
+            in_time: vec![0; classes],
+            ..Span::default()
+        }
     }
 
     /// Time to a served answer below which this part of them stays, in microseconds; 0 for none.
     pub fn quantile(&mut self, part: f64) -> Micros {
         self.latencies.sort_unstable();
         let at = (self.latencies.len() as f64 * part) as usize;
-        self.latencies.get(at.min(self.latencies.len().saturating_sub(1))).copied().unwrap_or(0)
+        self.latencies
+            .get(at.min(self.latencies.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Worth answered within the aim over worth asked for; 1 when nothing was asked.
     pub fn service(&self, classes: &[Class]) -> f64 {
         let sum = |counts: &[u64]| -> f64 {
-            counts.iter().zip(classes).map(|(n, class)| *n as f64 * class.worth).sum()
+            counts
+                .iter()
+                .zip(classes)
+                .map(|(n, class)| *n as f64 * class.worth)
+                .sum()
         };
         let asked = sum(&self.asked);
         if asked == 0.0 {
@@ -123,19 +134,27 @@
 
     fn second(&mut self, at: Micros) -> &mut Span {
         let classes = self.classes.len();
-        self.seconds.entry(at / 1_000_000).or_insert_with(|| Span::new(classes))
+        self.seconds
+            .entry(at / 1_000_000)
+            .or_insert_with(|| Span::new(classes))
     }
 
     pub fn see(&mut self, fact: &Fact) {
         let at = fact.at;
-        while self.asked.front().is_some_and(|(asked, _)| at - asked > REMEMBERED) {
+        while self
+            .asked
+            .front()
+            .is_some_and(|(asked, _)| at - asked > REMEMBERED)
+        {
             if let Some((_, id)) = self.asked.pop_front() {
                 self.open.remove(&id);
                 self.firsts.remove(&id);
             }
         }
         match &fact.what {
-            What::Asked { id, class, first, .. } => {
+            What::Asked {
+                id, class, first, ..
+            } => {
                 let span = self.second(at);
                 if id == first {
                     span.asked[*class] += 1;
@@ -144,10 +163,19 @@
                     span.retries += 1;
                 }
                 self.asked.push_back((at, id.clone()));
-                self.open.insert(id.clone(), Open { first: first.clone(), asked: at, class: *class });
+                self.open.insert(
+                    id.clone(),
+                    Open {
+                        first: first.clone(),
+                        asked: at,
+                        class: *class,
+                    },
+                );
             }
             What::Answered { id, how } => {
-                let Some(open) = self.open.remove(id) else { return };
+                let Some(open) = self.open.remove(id) else {
+                    return;
+                };
                 let aim = self.classes[open.class].aim;
                 let span = self.second(at);
                 match how {
@@ -189,7 +217,9 @@
     /// Everything between two times, in seconds.
     pub fn between(&self, from: i64, to: i64) -> Span {
         let mut all = Span::new(self.classes.len());
-        self.seconds.range(from..to).for_each(|(_, span)| all.add(span));
+        self.seconds
+            .range(from..to)
+            .for_each(|(_, span)| all.add(span));
         all
     }
 
@@ -200,8 +230,8 @@
     /// The lowest service of ten seconds in a row.
     pub fn worst_ten(&self) -> f64 {
         let last = self.seconds.keys().next_back().copied().unwrap_or(0);
-        let spans =
-            (0..=(last - 10).max(0)).map(|from| self.between(from, from + 10).service(&self.classes));
+        let spans = (0..=(last - 10).max(0))
+            .map(|from| self.between(from, from + 10).service(&self.classes));
         spans.fold(1.0, f64::min)
     }
 
@@ -211,8 +241,12 @@
         let (p50, p99) = (span.quantile(0.5), span.quantile(0.99));
         let asked: u64 = span.asked.iter().sum();
         // Writing to a string cannot fail.
-        let _ =
-            write!(out, "{:6.0} req/s  service {:.3}", asked as f64 / seconds, span.service(&self.classes));
+        let _ = write!(
+            out,
+            "{:6.0} req/s  service {:.3}",
+            asked as f64 / seconds,
+            span.service(&self.classes)
+        );
         for (i, class) in self.classes.iter().enumerate() {
             let _ = write!(out, "  {} {:.3}", class.name, span.of_class(i));
         }
@@ -235,7 +269,10 @@
             .iter()
             .enumerate()
             .map(|(i, c)| {
-                (c.name.clone(), serde_json::json!({"asked": span.asked[i], "in_time": span.in_time[i]}))
+                (
+                    c.name.clone(),
+                    serde_json::json!({"asked": span.asked[i], "in_time": span.in_time[i]}),
+                )
             })
             .collect();
         serde_json::json!({
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -30,19 +30,39 @@
 }
 
 const fn seconds(usual: f64) -> Kind {
-    Kind::Number { low: 0.0, high: 3600.0, usual, unit: "seconds" }
+    Kind::Number {
+        low: 0.0,
+        high: 3600.0,
+        usual,
+        unit: "seconds",
+    }
 }
 
 const fn part(usual: f64) -> Kind {
-    Kind::Number { low: 0.0, high: 1.0, usual, unit: "a part of one" }
+    Kind::Number {
+        low: 0.0,
+        high: 1.0,
+        usual,
+        unit: "a part of one",
+    }
 }
 
 const fn times(usual: f64) -> Kind {
-    Kind::Number { low: 0.01, high: 100.0, usual, unit: "times" }
+    Kind::Number {
+        low: 0.01,
+        high: 100.0,
+        usual,
+        unit: "times",
+    }
 }
 
 const fn count(usual: f64) -> Kind {
-    Kind::Number { low: 0.0, high: 200.0, usual, unit: "how many" }
+    Kind::Number {
+        low: 0.0,
+        high: 200.0,
+        usual,
+        unit: "how many",
+    }
 }
 
 /// All kinds of fault.
@@ -283,7 +303,11 @@
 
 impl Fault {
     pub fn usual(name: &str, at: f64) -> Option<Fault> {
-        spec(name).map(|s| Fault { at, name: s.name, set: Vec::new() })
+        spec(name).map(|s| Fault {
+            at,
+            name: s.name,
+            set: Vec::new(),
+        })
     }
 
     /// A number of this fault, or its usual value.
@@ -337,16 +361,40 @@
 /// The scenarios that come with the rig.
 pub const SHIPPED: &[(&str, &str)] = &[
     ("calm", include_str!("../scenarios/calm.toml")),
-    ("sprinkler-evening", include_str!("../scenarios/sprinkler-evening.toml")),
+    (
+        "sprinkler-evening",
+        include_str!("../scenarios/sprinkler-evening.toml"),
+    ),
     ("main-break", include_str!("../scenarios/main-break.toml")),
-    ("rolling-deploy", include_str!("../scenarios/rolling-deploy.toml")),
+    (
+        "rolling-deploy",
+        include_str!("../scenarios/rolling-deploy.toml"),
+    ),
     ("nodes-die", include_str!("../scenarios/nodes-die.toml")),
-    ("crawling-origin", include_str!("../scenarios/crawling-origin.toml")),
-    ("mass-invalidation", include_str!("../scenarios/mass-invalidation.toml")),
-    ("discovery-back", include_str!("../scenarios/discovery-back.toml")),
-    ("spoilt-answers", include_str!("../scenarios/spoilt-answers.toml")),
-    ("rude-clients", include_str!("../scenarios/rude-clients.toml")),
-    ("one-way-partition", include_str!("../scenarios/one-way-partition.toml")),
+    (
+        "crawling-origin",
+        include_str!("../scenarios/crawling-origin.toml"),
+    ),
+    (
+        "mass-invalidation",
+        include_str!("../scenarios/mass-invalidation.toml"),
+    ),
+    (
+        "discovery-back",
+        include_str!("../scenarios/discovery-back.toml"),
+    ),
+    (
+        "spoilt-answers",
+        include_str!("../scenarios/spoilt-answers.toml"),
+    ),
+    (
+        "rude-clients",
+        include_str!("../scenarios/rude-clients.toml"),
+    ),
+    (
+        "one-way-partition",
+        include_str!("../scenarios/one-way-partition.toml"),
+    ),
     ("restarts", include_str!("../scenarios/restarts.toml")),
 ];
 
@@ -365,10 +413,18 @@
     let line_at = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
     let table = DeTable::parse(text).map_err(|e| {
         let line = e.span().map_or(1, |s| line_at(s.start));
-        vec![Wrong { line, why: format!("is not TOML: {}", e.message()) }]
+        vec![Wrong {
+            line,
+            why: format!("is not TOML: {}", e.message()),
+        }]
     })?;
     let mut wrong = Vec::new();
-    let mut say = |at: usize, why: String| wrong.push(Wrong { line: line_at(at), why });
+    let mut say = |at: usize, why: String| {
+        wrong.push(Wrong {
+            line: line_at(at),
+            why,
+        })
+    };
     let mut scenario = Scenario {
         name: String::new(),
         about: String::new(),
@@ -397,20 +453,33 @@
             "fault" => value.get_ref().as_array().map(|list| {
                 for item in list.iter() {
                     match item.get_ref().as_table() {
-                        Some(table) => scenario.faults.extend(fault(item.span().start, table, &mut say)),
-                        None => say(item.span().start, "a fault is a table: [[fault]]".to_string()),
+                        Some(table) => {
+                            scenario
+                                .faults
+                                .extend(fault(item.span().start, table, &mut say))
+                        }
+                        None => say(
+                            item.span().start,
+                            "a fault is a table: [[fault]]".to_string(),
+                        ),
                     }
                 }
             }),
             _ => {
                 let known: Vec<&str> = TOP.iter().map(|(n, _)| *n).collect();
-                say(at, format!("unknown field {name:?}; allowed: {}", known.join(", ")));
+                say(
+                    at,
+                    format!("unknown field {name:?}; allowed: {}", known.join(", ")),
+                );
                 continue;
             }
         };
         if got.is_none() {
             let allowed = TOP.iter().find(|(n, _)| *n == name).map_or("", |(_, a)| a);
-            say(at, format!("{name}: is {}; allowed: {allowed}", shown(value)));
+            say(
+                at,
+                format!("{name}: is {}; allowed: {allowed}", shown(value)),
+            );
         }
     }
     for (field, allowed) in [("name", TOP[0].1), ("seconds", TOP[2].1)] {
@@ -418,11 +487,18 @@
             say(0, format!("field {field} is missing; allowed: {allowed}"));
         }
     }
-    let faults =
-        table.iter().find(|(key, _)| key.get_ref() == "fault").and_then(|(_, v)| v.get_ref().as_array());
+    let faults = table
+        .iter()
+        .find(|(key, _)| key.get_ref() == "fault")
+        .and_then(|(_, v)| v.get_ref().as_array());
     for item in faults.into_iter().flat_map(|list| list.iter()) {
-        let at = item.get_ref().as_table().and_then(|t| t.iter().find(|(key, _)| key.get_ref() == "at"));
-        if let Some((key, value)) = at.filter(|(_, v)| number(v).is_some_and(|n| n > scenario.seconds)) {
+        let at = item
+            .get_ref()
+            .as_table()
+            .and_then(|t| t.iter().find(|(key, _)| key.get_ref() == "at"));
+        if let Some((key, value)) =
+            at.filter(|(_, v)| number(v).is_some_and(|n| n > scenario.seconds))
+        {
             if scenario.seconds > 0.0 {
                 let why = format!(
                     "at is {}; the scenario is over after {} seconds",
@@ -454,46 +530,84 @@
     let field = |name: &str| table.iter().find(|(key, _)| key.get_ref() == name);
     let names = || FAULTS.iter().map(|s| s.name).collect::<Vec<_>>().join(", ");
     let Some((key, value)) = field("kind") else {
-        say(start, format!("a fault's field kind is missing; allowed: {}", names()));
+        say(
+            start,
+            format!("a fault's field kind is missing; allowed: {}", names()),
+        );
         return None;
     };
     let Some(spec) = value.get_ref().as_str().and_then(spec) else {
-        say(key.span().start, format!("unknown fault {}; allowed: {}", shown(value), names()));
+        say(
+            key.span().start,
+            format!("unknown fault {}; allowed: {}", shown(value), names()),
+        );
         return None;
     };
-    let mut fault = Fault { at: 0.0, name: spec.name, set: Vec::new() };
+    let mut fault = Fault {
+        at: 0.0,
+        name: spec.name,
+        set: Vec::new(),
+    };
     match field("at") {
-        None => say(start, format!("fault {}: field at is missing; allowed: seconds from 0", spec.name)),
+        None => say(
+            start,
+            format!(
+                "fault {}: field at is missing; allowed: seconds from 0",
+                spec.name
+            ),
+        ),
         Some((key, value)) => match number(value).filter(|n| (0.0..=3600.0).contains(n)) {
             Some(at) => fault.at = at,
             None => say(
                 key.span().start,
-                format!("fault {}: at is {}; allowed: seconds from 0 to 3600", spec.name, shown(value)),
+                format!(
+                    "fault {}: at is {}; allowed: seconds from 0 to 3600",
+                    spec.name,
+                    shown(value)
+                ),
             ),
         },
     }
-    for (key, value) in table.iter().filter(|(k, _)| !["kind", "at"].contains(&k.get_ref().as_ref())) {
+    for (key, value) in table
+        .iter()
+        .filter(|(k, _)| !["kind", "at"].contains(&k.get_ref().as_ref()))
+    {
         let (at, name): (usize, &str) = (key.span().start, key.get_ref());
         let Some((name, kind)) = spec.fields.iter().find(|(n, _)| *n == name) else {
             let mut known = vec!["kind", "at"];
             known.extend(spec.fields.iter().map(|(n, _)| *n));
-            say(at, format!("fault {}: unknown field {name:?}; allowed: {}", spec.name, known.join(", ")));
+            say(
+                at,
+                format!(
+                    "fault {}: unknown field {name:?}; allowed: {}",
+                    spec.name,
+                    known.join(", ")
+                ),
+            );
             continue;
         };
         let set = match kind {
-            Kind::Number { low, high, .. } => {
-                number(value).filter(|n| (*low..=*high).contains(n)).map(Set::Number)
-            }
+            Kind::Number { low, high, .. } => number(value)
+                .filter(|n| (*low..=*high).contains(n))
+                .map(Set::Number),
             Kind::Word(words) => {
                 let word = value.get_ref().as_str();
-                words.iter().find(|w| Some(**w) == word).map(|w| Set::Word(w))
+                words
+                    .iter()
+                    .find(|w| Some(**w) == word)
+                    .map(|w| Set::Word(w))
             }
         };
         match set {
             Some(set) => fault.set.push((name, set)),
             None => say(
                 at,
-                format!("fault {}: {name} is {}; allowed: {}", spec.name, shown(value), allowed(kind)),
+                format!(
+                    "fault {}: {name} is {}; allowed: {}",
+                    spec.name,
+                    shown(value),
+                    allowed(kind)
+                ),
             ),
         }
     }
@@ -504,8 +618,17 @@
 /// What a field takes, in words.
 pub fn allowed(kind: &Kind) -> String {
     match kind {
-        Kind::Number { low, high, usual, unit } => format!("{unit} from {low} to {high} (usually {usual})"),
-        Kind::Word(words) => format!("{} (usually {})", words.join(", "), words.first().unwrap_or(&"")),
+        Kind::Number {
+            low,
+            high,
+            usual,
+            unit,
+        } => format!("{unit} from {low} to {high} (usually {usual})"),
+        Kind::Word(words) => format!(
+            "{} (usually {})",
+            words.join(", "),
+            words.first().unwrap_or(&"")
+        ),
     }
 }
 
@@ -519,7 +642,11 @@
         s.name, s.about, s.seconds, s.nodes, s.boxes, s.rate
     );
     for fault in &s.faults {
-        let _ = write!(out, "\n[[fault]]\nat = {}\nkind = {:?}\n", fault.at, fault.name);
+        let _ = write!(
+            out,
+            "\n[[fault]]\nat = {}\nkind = {:?}\n",
+            fault.at, fault.name
+        );
         for (name, set) in &fault.set {
             let _ = match set {
                 Set::Number(n) => writeln!(out, "{name} = {n}"),
@@ -537,14 +664,26 @@
     let round = |n: f64| (n * 1000.0).round() / 1000.0;
     let mut faults = Vec::new();
     for _ in 0..2 + rng.below(4) {
-        let Some(spec) = rng.pick(&FAULTS[..MIXED]) else { continue };
+        let Some(spec) = rng.pick(&FAULTS[..MIXED]) else {
+            continue;
+        };
         let at = round(rng.between(0.5, seconds * 0.8));
-        let mut fault = Fault { at, name: spec.name, set: Vec::new() };
+        let mut fault = Fault {
+            at,
+            name: spec.name,
+            set: Vec::new(),
+        };
         for (name, kind) in spec.fields {
             let set = match kind {
-                Kind::Number { low, high, usual, .. } => {
+                Kind::Number {
+                    low, high, usual, ..
+                } => {
                     let n = usual * rng.between(0.2, 1.6);
-                    let n = if ["count", "keys"].contains(name) { n.ceil() } else { round(n) };
+                    let n = if ["count", "keys"].contains(name) {
+                        n.ceil()
+                    } else {
+                        round(n)
+                    };
                     Set::Number(n.clamp(*low, *high))
                 }
                 Kind::Word(words) => Set::Word(words[rng.below(words.len())]),
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -62,8 +62,12 @@
         write: true,
     },
 ];
-pub const TENANTS: [(&str, f64); 4] =
-    [("distribution", 0.37), ("leak-crew", 0.26), ("engineering", 0.21), ("customer-svc", 0.16)];
+pub const TENANTS: [(&str, f64); 4] = [
+    ("distribution", 0.37),
+    ("leak-crew", 0.26),
+    ("engineering", 0.21),
+    ("customer-svc", 0.16),
+];
 /// How long all boxes drop a keyed write's repeat.
 pub const WINDOW: Micros = 10_000_000;
 pub const LONGEST: Micros = 2_000_000;
@@ -147,9 +151,16 @@
     /// # Errors
     /// Never with the site's own figures.
     pub fn configure(self, config: &mut Config, listen: SocketAddr) -> Result<(), String> {
-        let Some(file) = self.file(listen) else { return Ok(()) };
-        sloewick_node::config::memcached(config, &file)
-            .map_err(|problems| problems.iter().map(|p| p.to_string()).collect::<Vec<_>>().join("; "))
+        let Some(file) = self.file(listen) else {
+            return Ok(());
+        };
+        sloewick_node::config::memcached(config, &file).map_err(|problems| {
+            problems
+                .iter()
+                .map(|p| p.to_string())
+                .collect::<Vec<_>>()
+                .join("; ")
+        })
     }
 }
 
@@ -165,13 +176,20 @@
             from: COLD_FROM,
             time: COLD,
             multiple: FALL_MULTIPLE,
-            work: CLASSES.iter().map(|c| if c.write { WRITE_WORK } else { READ_WORK }).collect(),
+            work: CLASSES
+                .iter()
+                .map(|c| if c.write { WRITE_WORK } else { READ_WORK })
+                .collect(),
         },
     }
 }
 
 pub fn report() -> report::Report {
-    let class = |c: &Class| report::Class { name: c.name.to_string(), aim: c.aim, worth: c.worth };
+    let class = |c: &Class| report::Class {
+        name: c.name.to_string(),
+        aim: c.aim,
+        worth: c.worth,
+    };
     report::Report::new(CLASSES.iter().map(class).collect())
 }
 
@@ -236,7 +254,11 @@
     for (n, (tenant, _)) in TENANTS.iter().enumerate() {
         for (c, class) in CLASSES.iter().enumerate() {
             let operation = if class.write { "set" } else { "get" };
-            let key_from = if matches!(class.repeat, Repeat::Keyed(_)) { "digest" } else { "none" };
+            let key_from = if matches!(class.repeat, Repeat::Keyed(_)) {
+                "digest"
+            } else {
+                "none"
+            };
             text += &format!(
                 "[[route]]\noperation = \"{operation}\"\nkeys = \"{}/{n}/*\"\nclass = \"{}\"\n\
                  tenant = \"{tenant}\"\nkey_from = \"{key_from}\"\n",
@@ -260,7 +282,11 @@
     seed: u64,
 ) -> cachebox::Settings {
     let mut rng = crate::rng::Rng::part(seed, "speed", number);
-    let speed = if slow_kind(number) { rng.between(0.51, 0.69) } else { rng.between(0.85, 1.1) };
+    let speed = if slow_kind(number) {
+        rng.between(0.51, 0.69)
+    } else {
+        rng.between(0.85, 1.1)
+    };
     cachebox::Settings {
         number,
         at,
@@ -326,7 +352,10 @@
                 free: c.repeat == Repeat::Free,
             })
             .collect(),
-        tenants: TENANTS.iter().map(|(name, share)| (name.to_string(), *share)).collect(),
+        tenants: TENANTS
+            .iter()
+            .map(|(name, share)| (name.to_string(), *share))
+            .collect(),
         rate: scenario.rate,
         keys: 3000,
         zipf: 0.9,
--- a/crates/rig/src/vnet.rs
+++ b/crates/rig/src/vnet.rs
@@ -55,9 +55,17 @@
     /// A connection is asked for.
     Syn { conn: usize, serial: u64 },
     /// Something arrives at one end: the next of what is under way to it.
-    Arrive { conn: usize, serial: u64, end: usize },
+    Arrive {
+        conn: usize,
+        serial: u64,
+        end: usize,
+    },
     /// A write that was turned away for a while may go on.
-    Room { conn: usize, serial: u64, end: usize },
+    Room {
+        conn: usize,
+        serial: u64,
+        end: usize,
+    },
 }
 
 #[derive(Debug)]
@@ -222,7 +230,10 @@
     }
 
     pub fn net(world: &Shared, host: HostId) -> VNet {
-        VNet { world: world.clone(), host }
+        VNet {
+            world: world.clone(),
+            host,
+        }
     }
 
     /// Puts an address on a machine; what listened there before keeps its open connections.
@@ -261,8 +272,12 @@
                 self.tidy(conn);
             }
         }
-        let ports: Vec<SocketAddr> =
-            self.ports.iter().filter(|(_, p)| p.host == host).map(|(at, _)| *at).collect();
+        let ports: Vec<SocketAddr> = self
+            .ports
+            .iter()
+            .filter(|(_, p)| p.host == host)
+            .map(|(at, _)| *at)
+            .collect();
         ports.iter().for_each(|at| self.close_port(*at));
         let h = &mut self.hosts[host];
         h.alive = false;
@@ -290,7 +305,8 @@
             self.cuts.insert((from, to));
         } else if self.cuts.remove(&(from, to)) {
             let (now, held) = (self.now, std::mem::take(&mut self.held));
-            let (free, held): (Vec<_>, Vec<_>) = held.into_iter().partition(|h| (h.0, h.1) == (from, to));
+            let (free, held): (Vec<_>, Vec<_>) =
+                held.into_iter().partition(|h| (h.0, h.1) == (from, to));
             self.held = held;
             // In order within a connection: all of one cut are sent again after the same pause.
             let pause = (self.rng.part_of_one() * RESEND_MOST) as Micros;
@@ -328,8 +344,12 @@
             let (a, b) = (&c.ends[0].host, &c.ends[1].host);
             (some.contains(a) && others.contains(b)) || (some.contains(b) && others.contains(a))
         };
-        let open: Vec<usize> =
-            self.conns.iter().filter(|(_, c)| between(c)).map(|(conn, _)| conn).collect();
+        let open: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| between(c))
+            .map(|(conn, _)| conn)
+            .collect();
         for conn in open {
             if self.rng.chance(part) {
                 (0..2).for_each(|end| self.send(conn, end, Parcel::Reset));
@@ -389,24 +409,38 @@
     }
 
     fn delay(&mut self, from: HostId, to: HostId) -> Micros {
-        let base =
-            if self.hosts[from].zone == self.hosts[to].zone { self.delay.same } else { self.delay.cross };
+        let base = if self.hosts[from].zone == self.hosts[to].zone {
+            self.delay.same
+        } else {
+            self.delay.cross
+        };
         base + (base as f64 * self.delay.jitter * self.rng.part_of_one()) as Micros
     }
 
     // ---- connections ----
 
     fn ends_of(&self, host: HostId) -> Vec<(usize, usize)> {
-        let ends = self.conns.iter().flat_map(|(conn, c)| [(conn, 0, &c.ends[0]), (conn, 1, &c.ends[1])]);
-        ends.filter(|(_, _, e)| e.host == host).map(|(conn, end, _)| (conn, end)).collect()
+        let ends = self
+            .conns
+            .iter()
+            .flat_map(|(conn, c)| [(conn, 0, &c.ends[0]), (conn, 1, &c.ends[1])]);
+        ends.filter(|(_, _, e)| e.host == host)
+            .map(|(conn, end, _)| (conn, end))
+            .collect()
     }
 
     /// Sends from one end to the other.
     fn send(&mut self, conn: usize, end: usize, parcel: Parcel) {
-        let (from, to) = (self.conns[conn].ends[end].host, self.conns[conn].ends[1 - end].host);
+        let (from, to) = (
+            self.conns[conn].ends[end].host,
+            self.conns[conn].ends[1 - end].host,
+        );
         let mut delay = self.delay(from, to);
         if matches!(parcel, Parcel::End | Parcel::Reset) {
-            delay += self.ends_late.filter(|(host, _)| *host == from).map_or(0, |(_, by)| by);
+            delay += self
+                .ends_late
+                .filter(|(host, _)| *host == from)
+                .map_or(0, |(_, by)| by);
         }
         let now = self.now;
         let c = &mut self.conns[conn];
@@ -418,15 +452,26 @@
             far.inbound_len += bytes.len();
         }
         far.inbound.push_back((at, parcel));
-        self.push(at, Event::Arrive { conn, serial, end: 1 - end });
+        self.push(
+            at,
+            Event::Arrive {
+                conn,
+                serial,
+                end: 1 - end,
+            },
+        );
     }
 
     fn happen(&mut self, event: Event) {
         let (conn, serial, end) = match event {
             Event::Syn { conn, serial } => (conn, serial, 1),
-            Event::Arrive { conn, serial, end } | Event::Room { conn, serial, end } => (conn, serial, end),
+            Event::Arrive { conn, serial, end } | Event::Room { conn, serial, end } => {
+                (conn, serial, end)
+            }
+        };
+        let Some(c) = self.conns.get(conn).filter(|c| c.serial == serial) else {
+            return;
         };
-        let Some(c) = self.conns.get(conn).filter(|c| c.serial == serial) else { return };
         if let Event::Room { .. } = event {
             return self.list(conn, end);
         }
@@ -482,8 +527,15 @@
     }
 
     fn arrive(&mut self, conn: usize, end: usize) {
-        let Some((_, parcel)) = self.conns[conn].ends[end].inbound.pop_front() else { return };
-        let mark = [conn as u8, end as u8, (self.now & 0xff) as u8, (self.now >> 8 & 0xff) as u8];
+        let Some((_, parcel)) = self.conns[conn].ends[end].inbound.pop_front() else {
+            return;
+        };
+        let mark = [
+            conn as u8,
+            end as u8,
+            (self.now & 0xff) as u8,
+            (self.now >> 8 & 0xff) as u8,
+        ];
         self.note(&mark);
         if let Parcel::Data(bytes, _) = &parcel {
             self.conns[conn].ends[end].inbound_len -= bytes.len();
@@ -613,7 +665,10 @@
 impl Drop for VStream {
     fn drop(&mut self) {
         let mut w = self.world.borrow_mut();
-        if w.conns.get(self.conn).is_some_and(|c| c.serial == self.serial) {
+        if w.conns
+            .get(self.conn)
+            .is_some_and(|c| c.serial == self.serial)
+        {
             w.close(self.conn, self.end);
         }
     }
@@ -649,14 +704,30 @@
             return Err(ErrorKind::AddrInUse.into());
         }
         w.take_descriptor(self.host)?;
-        w.ports.insert(at, Port { host: self.host, token, waiting: VecDeque::new(), told: false });
+        w.ports.insert(
+            at,
+            Port {
+                host: self.host,
+                token,
+                waiting: VecDeque::new(),
+                told: false,
+            },
+        );
         let started = w.hosts[self.host].started;
-        Ok(VListener { world: self.world.clone(), at, host: self.host, started })
+        Ok(VListener {
+            world: self.world.clone(),
+            at,
+            host: self.host,
+            started,
+        })
     }
 
     fn accept(&mut self, listener: &mut VListener, token: Token) -> io::Result<VStream> {
         let mut w = self.world.borrow_mut();
-        let waits = w.ports.get(&listener.at).is_some_and(|p| !p.waiting.is_empty());
+        let waits = w
+            .ports
+            .get(&listener.at)
+            .is_some_and(|p| !p.waiting.is_empty());
         if !waits {
             if let Some(port) = w.ports.get_mut(&listener.at) {
                 port.told = false;
@@ -664,7 +735,10 @@
             return Err(ErrorKind::WouldBlock.into());
         }
         w.take_descriptor(self.host)?;
-        let conn = w.ports.get_mut(&listener.at).and_then(|p| p.waiting.pop_front());
+        let conn = w
+            .ports
+            .get_mut(&listener.at)
+            .and_then(|p| p.waiting.pop_front());
         let Some(conn) = conn.filter(|conn| w.conns.contains(*conn)) else {
             w.hosts[self.host].descriptors -= 1;
             return Err(ErrorKind::ConnectionAborted.into());
@@ -672,7 +746,12 @@
         w.conns[conn].ends[1].token = Some(token);
         let serial = w.conns[conn].serial;
         w.list(conn, 1);
-        Ok(VStream { world: self.world.clone(), conn, end: 1, serial })
+        Ok(VStream {
+            world: self.world.clone(),
+            conn,
+            end: 1,
+            serial,
+        })
     }
 
     fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<VStream> {
@@ -692,7 +771,12 @@
         let at = w.now + delay;
         w.conns[conn].ends[1].last = at;
         w.push(at, Event::Syn { conn, serial });
-        Ok(VStream { world: self.world.clone(), conn, end: 0, serial })
+        Ok(VStream {
+            world: self.world.clone(),
+            conn,
+            end: 0,
+            serial,
+        })
     }
 
     fn poll(&mut self, ready: &mut Vec<Ready>, _wait: Micros) -> io::Result<()> {
@@ -700,7 +784,13 @@
         let mut w = self.world.borrow_mut();
         if std::mem::take(&mut w.hosts[self.host].signalled) {
             let token = SIGNALS;
-            ready.push(Ready { token, readable: true, writable: false, read_closed: false, error: false });
+            ready.push(Ready {
+                token,
+                readable: true,
+                writable: false,
+                read_closed: false,
+                error: false,
+            });
         }
         for at in std::mem::take(&mut w.hosts[self.host].listeners_ready) {
             if let Some(port) = w.ports.get(&at) {
@@ -715,7 +805,9 @@
             }
         }
         for (conn, end) in std::mem::take(&mut w.hosts[self.host].ready) {
-            let Some(c) = w.conns.get_mut(conn) else { continue };
+            let Some(c) = w.conns.get_mut(conn) else {
+                continue;
+            };
             let e = &mut c.ends[end];
             if e.host != self.host || e.closed {
                 continue;
@@ -742,7 +834,11 @@
 
     fn log(&mut self, line: &str) {
         let mut w = self.world.borrow_mut();
-        let line = format!("{:10.6} {} {line}", w.now as f64 / 1e6, w.hosts[self.host].name);
+        let line = format!(
+            "{:10.6} {} {line}",
+            w.now as f64 / 1e6,
+            w.hosts[self.host].name
+        );
         w.hosts[self.host].log.push(line);
     }
 }
@@ -807,8 +903,10 @@
             if part > 0.0 && all > 1 {
                 if w.rng.chance(part / 2.0) {
                     room = 0;
-                    let (at, serial) =
-                        (w.now + 1_000 + w.rng.below(20_000) as Micros, w.conns[conn].serial);
+                    let (at, serial) = (
+                        w.now + 1_000 + w.rng.below(20_000) as Micros,
+                        w.conns[conn].serial,
+                    );
                     w.push(at, Event::Room { conn, serial, end });
                 } else if w.rng.chance(part) {
                     room = room.min(1 + w.rng.below(all));
@@ -873,6 +971,11 @@
 
 impl Sight for VNet {
     fn sent(&self, stream: &VStream) -> Option<Micros> {
-        stream.with(None, |w, conn, end| w.conns[conn].ends[end].rx.front().map(|(_, sent)| EPOCH + sent))
+        stream.with(None, |w, conn, end| {
+            w.conns[conn].ends[end]
+                .rx
+                .front()
+                .map(|(_, sent)| EPOCH + sent)
+        })
     }
 }
--- a/crates/rig/tests/defects.rs
+++ b/crates/rig/tests/defects.rs
@@ -44,30 +44,43 @@
 impl Module for Planted {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match &event {
-            Event::Request(request) => drop(self.state.classes.insert(request.id.clone(), request.class)),
+            Event::Request(request) => {
+                drop(self.state.classes.insert(request.id.clone(), request.class))
+            }
             Event::Servers(_, entries) => {
                 for entry in entries.iter() {
-                    self.state.servers.insert(entry.server.clone(), entry.clone());
+                    self.state
+                        .servers
+                        .insert(entry.server.clone(), entry.clone());
                 }
             }
             _ => {}
         }
         let mut events = (self.hear)(&mut self.state, now, event);
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.state.late).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.state.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
         self.state.late = later;
         events.extend(due.into_iter().map(|(_, event)| event));
         let mut said = Vec::new();
         for event in events {
             self.balancer.handle(now, event, &mut said);
         }
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.state.held).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.state.held)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
         self.state.held = later;
         actions.extend(due.into_iter().map(|(_, action)| action));
         for action in said {
-            if let Action::Send { request, server, .. } = &action {
-                self.state.sent.entry(request.clone()).or_default().push(server.clone());
+            if let Action::Send {
+                request, server, ..
+            } = &action
+            {
+                self.state
+                    .sent
+                    .entry(request.clone())
+                    .or_default()
+                    .push(server.clone());
             }
             actions.extend((self.say)(&mut self.state, now, action));
         }
@@ -92,7 +105,10 @@
 }
 
 fn unsafe_class(state: &State, id: &RequestId) -> bool {
-    state.classes.get(id).is_some_and(|class| CLASSES[*class].name == "alarm-ack")
+    state
+        .classes
+        .get(id)
+        .is_some_and(|class| CLASSES[*class].name == "alarm-ack")
 }
 
 /// Boxes die under load, so that the cold ones that follow would be pushed over by their share.
@@ -118,7 +134,13 @@
 
 #[test]
 fn without_a_defect_the_same_scenarios_are_clean() {
-    for name in ["crashes", "crawling-origin", "one-way-partition", "spoilt-answers", "rolling-deploy"] {
+    for name in [
+        "crashes",
+        "crawling-origin",
+        "one-way-partition",
+        "spoilt-answers",
+        "rolling-deploy",
+    ] {
         for seed in 1..4 {
             let outcome = fleet::play(&scenario_of(name), seed, Options::default());
             let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
@@ -137,21 +159,43 @@
 
 fn planted(hear: Hear, say: Say) -> Wrap {
     Rc::new(move |_, balancer| {
-        Box::new(Planted { balancer, state: State::default(), hear, say }) as Box<dyn Module>
+        Box::new(Planted {
+            balancer,
+            state: State::default(),
+            hear,
+            say,
+        }) as Box<dyn Module>
     })
 }
 
 /// The same for a defect of any kind; `words`: what the judge has to say of it.
-fn found_in(name: &str, scenario: &Scenario, rule: Rule, words: &str, options: &dyn Fn() -> Options) {
+fn found_in(
+    name: &str,
+    scenario: &Scenario,
+    rule: Rule,
+    words: &str,
+    options: &dyn Fn() -> Options,
+) {
     for seed in 1..=SEEDS {
         let outcome = fleet::play(scenario, seed, options());
-        let others: Vec<String> =
-            outcome.breaches.iter().filter(|b| b.rule != rule).map(|b| b.to_string()).collect();
-        if outcome.breaches.iter().any(|b| b.rule == rule && b.why.contains(words)) {
+        let others: Vec<String> = outcome
+            .breaches
+            .iter()
+            .filter(|b| b.rule != rule)
+            .map(|b| b.to_string())
+            .collect();
+        if outcome
+            .breaches
+            .iter()
+            .any(|b| b.rule == rule && b.why.contains(words))
+        {
             println!("{name}: seed {seed} of {}", scenario.name);
             return;
         }
-        assert!(others.is_empty(), "{name}, seed {seed}: another rule than {rule}: {others:?}");
+        assert!(
+            others.is_empty(),
+            "{name}, seed {seed}: another rule than {rule}: {others:?}"
+        );
     }
     panic!("{name}: {SEEDS} seeds of {} do not show it", scenario.name);
 }
@@ -160,39 +204,64 @@
 
 #[test]
 fn an_answer_that_is_forgotten() {
-    found("forgotten answer", "crawling-origin", Rule::NoneLost, hear_all, |state, _, action| {
-        let ends = matches!(action, Action::Fail { .. } | Action::Refuse { .. });
-        if ends && every(state, 40) {
-            vec![]
-        } else {
-            vec![action]
-        }
-    });
+    found(
+        "forgotten answer",
+        "crawling-origin",
+        Rule::NoneLost,
+        hear_all,
+        |state, _, action| {
+            let ends = matches!(action, Action::Fail { .. } | Action::Refuse { .. });
+            if ends && every(state, 40) {
+                vec![]
+            } else {
+                vec![action]
+            }
+        },
+    );
 }
 
 #[test]
 fn an_answer_that_comes_too_late() {
-    found("late answer", "crawling-origin", Rule::NoneLost, hear_all, |state, now, action| {
-        if matches!(action, Action::Fail { .. }) {
-            state.held.push((now + 2_500_000, action));
-            vec![]
-        } else {
-            vec![action]
-        }
-    });
+    found(
+        "late answer",
+        "crawling-origin",
+        Rule::NoneLost,
+        hear_all,
+        |state, now, action| {
+            if matches!(action, Action::Fail { .. }) {
+                state.held.push((now + 2_500_000, action));
+                vec![]
+            } else {
+                vec![action]
+            }
+        },
+    );
 }
 
 #[test]
 fn a_time_that_is_not_heard() {
     fn hear(state: &mut State, _: Micros, event: Event) -> Vec<Event> {
-        let time = matches!(event, Event::Timer(_) | Event::Outcome { status: Status::Timeout, .. });
+        let time = matches!(
+            event,
+            Event::Timer(_)
+                | Event::Outcome {
+                    status: Status::Timeout,
+                    ..
+                }
+        );
         if time && every(state, 2) {
             vec![]
         } else {
             vec![event]
         }
     }
-    found("time not heard", "one-way-partition", Rule::NoneLost, hear, say_all);
+    found(
+        "time not heard",
+        "one-way-partition",
+        Rule::NoneLost,
+        hear,
+        say_all,
+    );
 }
 
 /// Much fails and is tried again while half of the clients leave early.
@@ -216,20 +285,41 @@
 #[test]
 fn clients_that_are_heard_to_leave_late() {
     let scenario = scenario::parse(LEAVING).unwrap();
-    let options =
-        |ends_late| Options { defect: Defect { ends_late, ..Defect::default() }, ..Options::default() };
-    found_in("leaving heard late", &scenario, Rule::NoneLost, "had left, the attempt number", &|| {
-        options(200_000)
-    });
+    let options = |ends_late| Options {
+        defect: Defect {
+            ends_late,
+            ..Defect::default()
+        },
+        ..Options::default()
+    };
+    found_in(
+        "leaving heard late",
+        &scenario,
+        Rule::NoneLost,
+        "had left, the attempt number",
+        &|| options(200_000),
+    );
 }
 
 #[test]
 fn new_connections_that_are_closed_unread() {
     let mut scenario = scenario::parse(LEAVING).unwrap();
     scenario.faults.truncate(1);
-    let defect = Defect { shut_of: 5, ..Defect::default() };
-    let options = || Options { defect, ..Options::default() };
-    found_in("closed unread", &scenario, Rule::NoneLost, "their new connection closed", &options);
+    let defect = Defect {
+        shut_of: 5,
+        ..Defect::default()
+    };
+    let options = || Options {
+        defect,
+        ..Options::default()
+    };
+    found_in(
+        "closed unread",
+        &scenario,
+        Rule::NoneLost,
+        "their new connection closed",
+        &options,
+    );
 }
 
 /// Idle clients fill the descriptors while discovery is down, and boxes drain when it is back.
@@ -261,7 +351,11 @@
         let outcome = fleet::play(&scenario, seed, Options::default());
         let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
-        assert!(outcome.descriptors > 300, "seed {seed}: {} descriptors at most", outcome.descriptors);
+        assert!(
+            outcome.descriptors > 300,
+            "seed {seed}: {} descriptors at most",
+            outcome.descriptors
+        );
     }
 }
 
@@ -269,16 +363,29 @@
 
 #[test]
 fn a_second_copy_of_what_may_not_be_repeated() {
-    found("second copy", "calm", Rule::NoEffectTwice, hear_all, |state, _, action| {
-        if let Action::Send { request, timeout, .. } = &action {
-            if unsafe_class(state, request) && every(state, 10) {
-                let other = state.servers.keys().next().cloned().unwrap();
-                let copy = Action::Send { request: request.clone(), server: other, timeout: *timeout };
-                return vec![action, copy];
+    found(
+        "second copy",
+        "calm",
+        Rule::NoEffectTwice,
+        hear_all,
+        |state, _, action| {
+            if let Action::Send {
+                request, timeout, ..
+            } = &action
+            {
+                if unsafe_class(state, request) && every(state, 10) {
+                    let other = state.servers.keys().next().cloned().unwrap();
+                    let copy = Action::Send {
+                        request: request.clone(),
+                        server: other,
+                        timeout: *timeout,
+                    };
+                    return vec![action, copy];
+                }
             }
-        }
-        vec![action]
-    });
+            vec![action]
+        },
+    );
 }
 
 #[test]
@@ -286,15 +393,39 @@
     fn hear(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
         // An error is taken for a turning away: the module believes that nothing has run.
         match event {
-            Event::Outcome { request, server, attempt, latency, status, closed, note, load } => {
+            Event::Outcome {
+                request,
+                server,
+                attempt,
+                latency,
+                status,
+                closed,
+                note,
+                load,
+            } => {
                 let lie = matches!(status, Status::Error | Status::Reset | Status::Timeout);
                 let status = if lie { Status::Full } else { status };
-                vec![Event::Outcome { request, server, attempt, latency, status, closed, note, load }]
+                vec![Event::Outcome {
+                    request,
+                    server,
+                    attempt,
+                    latency,
+                    status,
+                    closed,
+                    note,
+                    load,
+                }]
             }
             other => vec![other],
         }
     }
-    found("failure taken for a refusal", "spoilt-answers", Rule::NoEffectTwice, hear, say_all);
+    found(
+        "failure taken for a refusal",
+        "spoilt-answers",
+        Rule::NoEffectTwice,
+        hear,
+        say_all,
+    );
 }
 
 #[test]
@@ -306,7 +437,10 @@
         hear_all,
         |state, _, action| match action {
             Action::Fail { request } if unsafe_class(state, &request) => {
-                vec![Action::Refuse { request, retry_after: 0 }]
+                vec![Action::Refuse {
+                    request,
+                    retry_after: 0,
+                }]
             }
             other => vec![other],
         },
@@ -315,15 +449,28 @@
 
 #[test]
 fn a_shed_request_that_was_sent_on() {
-    found("sent on and shed", "crawling-origin", Rule::NoEffectTwice, hear_all, |state, _, action| {
-        match &action {
+    found(
+        "sent on and shed",
+        "crawling-origin",
+        Rule::NoEffectTwice,
+        hear_all,
+        |state, _, action| match &action {
             Action::Refuse { request, .. } if unsafe_class(state, request) => {
-                let Some(server) = state.servers.keys().next().cloned() else { return vec![action] };
-                vec![Action::Send { request: request.clone(), server, timeout: None }, action]
+                let Some(server) = state.servers.keys().next().cloned() else {
+                    return vec![action];
+                };
+                vec![
+                    Action::Send {
+                        request: request.clone(),
+                        server,
+                        timeout: None,
+                    },
+                    action,
+                ]
             }
             _ => vec![action],
-        }
-    });
+        },
+    );
 }
 
 // ---- drains are kept ----
@@ -333,13 +480,22 @@
     fn hear(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
         match event {
             Event::Servers(kind, entries) => {
-                let heard = entries.iter().filter(|e| e.state != ServerState::Draining).cloned();
+                let heard = entries
+                    .iter()
+                    .filter(|e| e.state != ServerState::Draining)
+                    .cloned();
                 vec![Event::Servers(kind, heard.collect())]
             }
             other => vec![other],
         }
     }
-    found("drain not heard", "rolling-deploy", Rule::DrainsKept, hear, say_all);
+    found(
+        "drain not heard",
+        "rolling-deploy",
+        Rule::DrainsKept,
+        hear,
+        say_all,
+    );
 }
 
 #[test]
@@ -347,28 +503,52 @@
     fn hear(state: &mut State, now: Micros, event: Event) -> Vec<Event> {
         match event {
             Event::Servers(ListKind::Delta, entries) => {
-                state.late.push((now + 2_500_000, Event::Servers(ListKind::Delta, entries)));
+                state
+                    .late
+                    .push((now + 2_500_000, Event::Servers(ListKind::Delta, entries)));
                 vec![]
             }
             other => vec![other],
         }
     }
-    found("drain heard late", "rolling-deploy", Rule::DrainsKept, hear, say_all);
+    found(
+        "drain heard late",
+        "rolling-deploy",
+        Rule::DrainsKept,
+        hear,
+        say_all,
+    );
 }
 
 #[test]
 fn a_drain_that_is_forgotten_now_and_then() {
-    found("drain forgotten", "rolling-deploy", Rule::DrainsKept, hear_all, |state, _, action| {
-        if let Action::Send { request, timeout, .. } = &action {
-            let draining = state.servers.values().find(|e| e.state == ServerState::Draining);
-            if let Some(server) = draining.map(|e| e.server.clone()) {
-                if every(state, 20) {
-                    return vec![Action::Send { request: request.clone(), server, timeout: *timeout }];
+    found(
+        "drain forgotten",
+        "rolling-deploy",
+        Rule::DrainsKept,
+        hear_all,
+        |state, _, action| {
+            if let Action::Send {
+                request, timeout, ..
+            } = &action
+            {
+                let draining = state
+                    .servers
+                    .values()
+                    .find(|e| e.state == ServerState::Draining);
+                if let Some(server) = draining.map(|e| e.server.clone()) {
+                    if every(state, 20) {
+                        return vec![Action::Send {
+                            request: request.clone(),
+                            server,
+                            timeout: *timeout,
+                        }];
+                    }
                 }
             }
-        }
-        vec![action]
-    });
+            vec![action]
+        },
+    );
 }
 
 /// Calls to discovery fail for a second, and boxes begin to drain right after, long before they end.
@@ -404,8 +584,17 @@
         }
         vec![event]
     };
-    let options = || Options { wrap: Some(planted(hear, say)), ..Options::default() };
-    found_in("not asked again", &scenario, Rule::DrainsKept, "counts as told", &options);
+    let options = || Options {
+        wrap: Some(planted(hear, say)),
+        ..Options::default()
+    };
+    found_in(
+        "not asked again",
+        &scenario,
+        Rule::DrainsKept,
+        "counts as told",
+        &options,
+    );
 }
 
 // ---- no cold box is pushed over ----
@@ -413,8 +602,11 @@
 /// Boxes that never fall: only the judge's sum tells what was too much.
 #[test]
 fn a_start_that_is_not_believed_is_found_by_the_sum() {
-    let options =
-        || Options { wrap: Some(planted(unbelieving, say_all)), sturdy: true, ..Options::default() };
+    let options = || Options {
+        wrap: Some(planted(unbelieving, say_all)),
+        sturdy: true,
+        ..Options::default()
+    };
     let crashes = scenario_of("crashes");
     found_in(
         "start not believed, sum",
@@ -424,10 +616,20 @@
         &options,
     );
     for seed in 1..4 {
-        let outcome = fleet::play(&crashes, seed, Options { sturdy: true, ..Options::default() });
+        let outcome = fleet::play(
+            &crashes,
+            seed,
+            Options {
+                sturdy: true,
+                ..Options::default()
+            },
+        );
         let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
-        assert!(outcome.fullest > 0.0, "seed {seed}: no cold box was sent anything");
+        assert!(
+            outcome.fullest > 0.0,
+            "seed {seed}: no cold box was sent anything"
+        );
     }
 }
 
@@ -435,7 +637,10 @@
 fn unbelieving(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
     match event {
         Event::Servers(kind, entries) => {
-            let warm = |e: &Entry| Entry { started: None, ..e.clone() };
+            let warm = |e: &Entry| Entry {
+                started: None,
+                ..e.clone()
+            };
             let entries: Arc<[Entry]> = entries.iter().map(warm).collect();
             vec![Event::Servers(kind, entries)]
         }
@@ -445,7 +650,13 @@
 
 #[test]
 fn a_start_that_is_not_believed() {
-    found("start not believed", "crashes", Rule::NoColdBoxPushedOver, unbelieving, say_all);
+    found(
+        "start not believed",
+        "crashes",
+        Rule::NoColdBoxPushedOver,
+        unbelieving,
+        say_all,
+    );
 }
 
 #[test]
@@ -456,13 +667,30 @@
         Rule::NoColdBoxPushedOver,
         hear_all,
         |state, _, action| {
-            if let Action::Send { request, server, timeout } = &action {
-                let live = || state.servers.values().filter(|e| e.state == ServerState::Live);
+            if let Action::Send {
+                request,
+                server,
+                timeout,
+            } = &action
+            {
+                let live = || {
+                    state
+                        .servers
+                        .values()
+                        .filter(|e| e.state == ServerState::Live)
+                };
                 let neighbour = live().find(|e| e.started.is_none()).map(|e| &e.server);
-                let newest = live().filter(|e| e.started.is_some()).max_by_key(|e| e.started);
+                let newest = live()
+                    .filter(|e| e.started.is_some())
+                    .max_by_key(|e| e.started);
                 if let Some(newest) = newest.filter(|_| neighbour == Some(server)) {
-                    let (request, server, timeout) = (request.clone(), newest.server.clone(), *timeout);
-                    return vec![Action::Send { request, server, timeout }];
+                    let (request, server, timeout) =
+                        (request.clone(), newest.server.clone(), *timeout);
+                    return vec![Action::Send {
+                        request,
+                        server,
+                        timeout,
+                    }];
                 }
             }
             vec![action]
@@ -472,18 +700,36 @@
 
 #[test]
 fn a_newcomer_that_is_given_what_others_cannot_take() {
-    found("newcomer overrun", "rolling-deploy", Rule::NoColdBoxPushedOver, hear_all, |state, _, action| {
-        if let Action::Send { request, timeout, .. } = &action {
-            let live = state.servers.values().filter(|e| e.state == ServerState::Live);
-            let newest = live.filter(|e| e.started.is_some()).max_by_key(|e| e.started);
-            if let Some(server) = newest.map(|e| e.server.clone()) {
-                if every(state, 4) {
-                    return vec![Action::Send { request: request.clone(), server, timeout: *timeout }];
+    found(
+        "newcomer overrun",
+        "rolling-deploy",
+        Rule::NoColdBoxPushedOver,
+        hear_all,
+        |state, _, action| {
+            if let Action::Send {
+                request, timeout, ..
+            } = &action
+            {
+                let live = state
+                    .servers
+                    .values()
+                    .filter(|e| e.state == ServerState::Live);
+                let newest = live
+                    .filter(|e| e.started.is_some())
+                    .max_by_key(|e| e.started);
+                if let Some(server) = newest.map(|e| e.server.clone()) {
+                    if every(state, 4) {
+                        return vec![Action::Send {
+                            request: request.clone(),
+                            server,
+                            timeout: *timeout,
+                        }];
+                    }
                 }
             }
-        }
-        vec![action]
-    });
+            vec![action]
+        },
+    );
 }
 
 // ---- good manners ----
@@ -491,9 +737,21 @@
 #[test]
 fn processes_that_come_up_late() {
     let scenario = scenario_of("restarts");
-    let defect = Defect { starts_late: 10_500_000, ..Defect::default() };
-    let options = || Options { defect, ..Options::default() };
-    found_in("up late", &scenario, Rule::GoodManners, "were not ready", &options);
+    let defect = Defect {
+        starts_late: 10_500_000,
+        ..Defect::default()
+    };
+    let options = || Options {
+        defect,
+        ..Options::default()
+    };
+    found_in(
+        "up late",
+        &scenario,
+        Rule::GoodManners,
+        "were not ready",
+        &options,
+    );
 }
 
 #[test]
@@ -525,13 +783,27 @@
         other => vec![other],
     };
     let wrap: Wrap = Rc::new(move |_, balancer| {
-        Box::new(Planted { balancer, state: State::default(), hear: hear_all, say }) as Box<dyn Module>
+        Box::new(Planted {
+            balancer,
+            state: State::default(),
+            hear: hear_all,
+            say,
+        }) as Box<dyn Module>
     });
-    let short = fleet::shrink(&scenario, 3, Rule::NoneLost, Some(wrap.clone()), Speech::default());
+    let short = fleet::shrink(
+        &scenario,
+        3,
+        Rule::NoneLost,
+        Some(wrap.clone()),
+        Speech::default(),
+    );
     let names: Vec<&str> = short.faults.iter().map(|f| f.name).collect();
     assert_eq!(names, ["errors"]);
     assert!(short.seconds < scenario.seconds, "{}", short.seconds);
-    let options = Options { wrap: Some(wrap), ..Options::default() };
+    let options = Options {
+        wrap: Some(wrap),
+        ..Options::default()
+    };
     let outcome = fleet::play(&short, 3, options);
     assert!(outcome.breaches.iter().any(|b| b.rule == Rule::NoneLost));
 }
--- a/crates/rig/tests/hard.rs
+++ b/crates/rig/tests/hard.rs
@@ -34,7 +34,13 @@
     hosts.play_to(30 * WAY);
     assert_eq!(client.text(), "+PONG\r\n");
     client.script.borrow_mut().seen.clear();
-    Scene { hosts, node, client, cache, discovery }
+    Scene {
+        hosts,
+        node,
+        client,
+        cache,
+        discovery,
+    }
 }
 
 impl Scene {
@@ -67,7 +73,10 @@
         s.cache.send(&mut s.hosts, 0, served("r1|value"));
         s.after(100 * WAY);
         let text = s.client.text();
-        assert!(text == "$8\r\nr1|value\r\n" || text == "-ERR failed\r\n", "{early}: {text:?}");
+        assert!(
+            text == "$8\r\nr1|value\r\n" || text == "-ERR failed\r\n",
+            "{early}: {text:?}"
+        );
         answers.push(text.starts_with('$'));
     }
     // In time it is served, after it it has failed; the instant itself falls to the answer.
@@ -102,7 +111,13 @@
     let second = get("r2", "trace-read", 400);
     s.client.send(&mut s.hosts, 0, &second[..second.len() / 2]);
     s.after(5 * WAY);
-    s.hosts.world.borrow_mut().signal(s.node, Told { reload: false, stop: true });
+    s.hosts.world.borrow_mut().signal(
+        s.node,
+        Told {
+            reload: false,
+            stop: true,
+        },
+    );
     s.after(50 * WAY);
     s.cache.send(&mut s.hosts, 0, served("r1|value"));
     // By now nothing new is accepted, and idle connections have been ended.
@@ -112,7 +127,14 @@
     s.client.send(&mut s.hosts, 0, &second[second.len() / 2..]);
     s.after(20 * WAY);
     assert_eq!(s.cache.text().matches("r2").count(), 1);
-    let conn = s.cache.seen().iter().rev().find(|(_, seen)| matches!(seen, Seen::Bytes(_))).unwrap().0;
+    let conn = s
+        .cache
+        .seen()
+        .iter()
+        .rev()
+        .find(|(_, seen)| matches!(seen, Seen::Bytes(_)))
+        .unwrap()
+        .0;
     s.cache.send(&mut s.hosts, conn, served("r2|value"));
     s.after(3_000_000);
     assert_eq!(s.client.text(), "$8\r\nr1|value\r\n$8\r\nr2|value\r\n");
@@ -126,7 +148,13 @@
     let command = get("r1", "trace-read", 400);
     s.client.send(&mut s.hosts, 0, &command[..20]);
     s.after(5 * WAY);
-    s.hosts.world.borrow_mut().signal(s.node, Told { reload: false, stop: true });
+    s.hosts.world.borrow_mut().signal(
+        s.node,
+        Told {
+            reload: false,
+            stop: true,
+        },
+    );
     // The longest deadline and 0.7 s.
     s.after(2_700_000);
     assert!(!s.hosts.has(s.node), "it has ended");
@@ -161,19 +189,36 @@
     s.after(1_000_000);
     let sent = reborn.text().matches("C.GET").count();
     // The bound for a cold box lets about half through at this age; to a warm one all would go.
-    assert!((1..=30).contains(&sent), "{sent} of 40 went to a box that has just started");
+    assert!(
+        (1..=30).contains(&sent),
+        "{sent} of 40 went to a box that has just started"
+    );
 }
 
 /// Answers the call that waits at discovery.
 fn answer_discovery(s: &mut Scene, body: &str) {
-    let conn =
-        s.discovery.seen().iter().rev().find(|(_, seen)| *seen == Seen::Opened).map(|(conn, _)| *conn);
+    let conn = s
+        .discovery
+        .seen()
+        .iter()
+        .rev()
+        .find(|(_, seen)| *seen == Seen::Opened)
+        .map(|(conn, _)| *conn);
     // Lists are asked for by the node's own clock; give it time for that.
     let conn = conn.unwrap_or_else(|| {
         s.after(6_000_000);
-        s.discovery.seen().iter().rev().find(|(_, seen)| *seen == Seen::Opened).unwrap().0
+        s.discovery
+            .seen()
+            .iter()
+            .rev()
+            .find(|(_, seen)| *seen == Seen::Opened)
+            .unwrap()
+            .0
     });
-    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     s.discovery.send(&mut s.hosts, conn, text);
     s.after(5 * WAY);
 }
@@ -187,16 +232,29 @@
             address(1, 80)
         )
     };
-    let list =
-        |rev: u32, state: &str| format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, entry(state));
+    let list = |rev: u32, state: &str| {
+        format!(
+            r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#,
+            entry(state)
+        )
+    };
     answer_discovery(&mut s, &list(42, "terminating"));
     answer_discovery(&mut s, &list(43, "terminated"));
     s.after(2_100_000);
     let before = s.cache.text().matches("C.GET").count();
     s.client.send(&mut s.hosts, 0, get("r1", "trace-read", 400));
     s.after(500_000);
-    assert_eq!(s.cache.text().matches("C.GET").count(), before, "nothing new to what has gone");
-    assert_eq!(s.client.text().matches('\n').count(), 1, "answered all the same: {}", s.client.text());
+    assert_eq!(
+        s.cache.text().matches("C.GET").count(),
+        before,
+        "nothing new to what has gone"
+    );
+    assert_eq!(
+        s.client.text().matches('\n').count(),
+        1,
+        "answered all the same: {}",
+        s.client.text()
+    );
     answer_discovery(&mut s, &list(44, "in_service"));
     s.client.send(&mut s.hosts, 0, get("r2", "trace-read", 400));
     s.after(50 * WAY);
@@ -215,7 +273,13 @@
     };
     // Known is version 41.
     answer_discovery(&mut s, &list(true));
-    let opened = |s: &Scene| s.discovery.seen().iter().filter(|(_, seen)| *seen == Seen::Opened).count();
+    let opened = |s: &Scene| {
+        s.discovery
+            .seen()
+            .iter()
+            .filter(|(_, seen)| *seen == Seen::Opened)
+            .count()
+    };
     let calls = opened(&s);
     s.after(600_000);
     assert_eq!(opened(&s), calls + 1, "asked again at once");
@@ -228,7 +292,8 @@
 #[test]
 fn a_node_killed_between_taking_a_request_and_sending_it_sends_nothing() {
     let mut s = scene();
-    s.client.send(&mut s.hosts, 0, set("r1", "alarm-ack", 2000, None));
+    s.client
+        .send(&mut s.hosts, 0, set("r1", "alarm-ack", 2000, None));
     // It is at the node after one way; the process dies in that instant, before it acts.
     let now = s.hosts.now();
     s.hosts.play_to(now + WAY - 1);
@@ -239,11 +304,25 @@
     // Started again it knows nothing of it, and serves.
     s.hosts.world.borrow_mut().revive(s.node);
     let known = [listed(0, address(1, 80))];
-    start_node(&mut s.hosts, s.node, address(NODE.0, NODE.1), address(2, 80), &known);
+    start_node(
+        &mut s.hosts,
+        s.node,
+        address(NODE.0, NODE.1),
+        address(2, 80),
+        &known,
+    );
     s.client.connect(&mut s.hosts, address(NODE.0, NODE.1));
     s.after(10 * WAY);
-    let conn = s.client.seen().iter().rev().find(|(_, seen)| *seen == Seen::Up).unwrap().0;
-    s.client.send(&mut s.hosts, conn, get("r2", "trace-read", 400));
+    let conn = s
+        .client
+        .seen()
+        .iter()
+        .rev()
+        .find(|(_, seen)| *seen == Seen::Up)
+        .unwrap()
+        .0;
+    s.client
+        .send(&mut s.hosts, conn, get("r2", "trace-read", 400));
     s.after(10 * WAY);
     assert_eq!(s.cache.text().matches("r2").count(), 1);
     assert!(!s.cache.text().contains("r1"));
@@ -255,9 +334,15 @@
     s.ask(get("r1", "trace-read", 400));
     s.hosts.vanish(s.cache.host);
     s.client.send(&mut s.hosts, 0, get("r2", "trace-read", 300));
-    s.client.send(&mut s.hosts, 0, set("w1", "alarm-ack", 1000, None));
+    s.client
+        .send(&mut s.hosts, 0, set("w1", "alarm-ack", 1000, None));
     s.after(2_000_000);
-    assert_eq!(s.client.text().matches("\r\n").count(), 3, "{:?}", s.client.text());
+    assert_eq!(
+        s.client.text().matches("\r\n").count(),
+        3,
+        "{:?}",
+        s.client.text()
+    );
     // The last of them was written to a connection that never came up, or may have run.
     assert!(!s.client.text().contains('$'));
 }
@@ -280,11 +365,17 @@
         hosts.play_to(now + 6 * WAY);
         let got = |peer: &Peer| {
             let script = peer.script.borrow();
-            let found =
-                script.seen.iter().find(|(_, _, s)| matches!(s, Seen::Bytes(text) if text.contains(id)));
+            let found = script
+                .seen
+                .iter()
+                .find(|(_, _, s)| matches!(s, Seen::Bytes(text) if text.contains(id)));
             found.map(|(_, conn, _)| *conn)
         };
-        let (at, conn) = boxes.iter().enumerate().find_map(|(n, peer)| Some((n, got(peer)?))).expect(id);
+        let (at, conn) = boxes
+            .iter()
+            .enumerate()
+            .find_map(|(n, peer)| Some((n, got(peer)?)))
+            .expect(id);
         let before = client.text().len();
         if breaks {
             boxes[at].close(&mut hosts, conn);
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -17,7 +17,10 @@
 fn rules(history: &[(i64, What)]) -> Vec<Rule> {
     let mut judge = Judge::new(site::figures(WAY));
     for (ms, what) in history {
-        judge.see(&Fact { at: ms * 1000, what: what.clone() });
+        judge.see(&Fact {
+            at: ms * 1000,
+            what: what.clone(),
+        });
     }
     judge.finish(60_000_000);
     judge.breaches.iter().map(|b| b.rule).collect()
@@ -30,7 +33,16 @@
 fn asked_again(name: &str, class: usize, first: &str) -> What {
     let idem = (class == SET).then(|| id(&format!("key-{first}")));
     let budget = if class == READ { 400_000 } else { 2_000_000 };
-    What::Asked { id: id(name), node: 0, class, tenant: 0, key: 1, idem, first: id(first), budget }
+    What::Asked {
+        id: id(name),
+        node: 0,
+        class,
+        tenant: 0,
+        key: 1,
+        idem,
+        first: id(first),
+        budget,
+    }
 }
 
 fn attempt(name: &str, number: u64, at_box: usize, ms: i64) -> (i64, What) {
@@ -46,7 +58,11 @@
 }
 
 fn fate(name: &str, number: u64, fate: Fate) -> What {
-    What::Fate { id: id(name), attempt: number, fate }
+    What::Fate {
+        id: id(name),
+        attempt: number,
+        fate,
+    }
 }
 
 fn answered(name: &str, how: Answer) -> What {
@@ -54,7 +70,10 @@
 }
 
 fn effect(name: &str, key: Option<&str>) -> What {
-    What::Effect { id: id(name), idem: key.map(id) }
+    What::Effect {
+        id: id(name),
+        idem: key.map(id),
+    }
 }
 
 fn served_read() -> Vec<(i64, What)> {
@@ -70,10 +89,25 @@
 fn good_histories_break_nothing() {
     assert_eq!(rules(&served_read()), []);
     // Refused unseen; failed in time; left; killed with its node.
-    assert_eq!(rules(&[(0, asked("a", ACK)), (5, answered("a", Answer::Busy(Some(5))))]), []);
-    assert_eq!(rules(&[(0, asked("a", READ)), (450, answered("a", Answer::Failed))]), []);
-    assert_eq!(rules(&[(0, asked("a", READ)), (50, What::Left { id: id("a") })]), []);
-    let killed = What::NodeEnded { node: 0, killed: true };
+    assert_eq!(
+        rules(&[
+            (0, asked("a", ACK)),
+            (5, answered("a", Answer::Busy(Some(5))))
+        ]),
+        []
+    );
+    assert_eq!(
+        rules(&[(0, asked("a", READ)), (450, answered("a", Answer::Failed))]),
+        []
+    );
+    assert_eq!(
+        rules(&[(0, asked("a", READ)), (50, What::Left { id: id("a") })]),
+        []
+    );
+    let killed = What::NodeEnded {
+        node: 0,
+        killed: true,
+    };
     assert_eq!(rules(&[(0, asked("a", READ)), (50, killed.clone())]), []);
     assert_eq!(rules(&[(0, killed), (1, asked("a", READ))]), []);
     // Turned away by one box, run by the next.
@@ -94,7 +128,13 @@
         (30, effect("a", Some("key-a"))),
         (31, fate("a", 1, Fate::Cut)),
         attempt("a", 2, 1, 300),
-        (320, What::Dropped { id: id("a"), idem: id("key-a") }),
+        (
+            320,
+            What::Dropped {
+                id: id("a"),
+                idem: id("key-a"),
+            },
+        ),
         (320, fate("a", 2, Fate::Ran)),
         (322, answered("a", Answer::Served)),
     ];
@@ -105,24 +145,56 @@
 fn lost_requests_are_seen() {
     let lost = [Rule::NoneLost];
     assert_eq!(rules(&[(0, asked("a", READ))]), lost, "never answered");
-    assert_eq!(rules(&[(0, asked("a", READ)), (470, answered("a", Answer::Failed))]), lost, "late");
+    assert_eq!(
+        rules(&[(0, asked("a", READ)), (470, answered("a", Answer::Failed))]),
+        lost,
+        "late"
+    );
     let mut twice = served_read();
     twice.push((40, answered("a", Answer::Failed)));
     assert_eq!(rules(&twice), lost, "two answers");
     let mut foreign = served_read();
     foreign[3].1 = answered("a", Answer::Foreign("b|x".into()));
     assert_eq!(rules(&foreign), lost, "another request's value");
-    assert_eq!(rules(&[(0, asked("a", READ)), (9, answered("a", Answer::Served))]), lost, "made by nobody");
-    assert_eq!(rules(&[(0, answered("a", Answer::Failed))]), lost, "asked by nobody");
-    let unasked = What::Unasked { node: 0, bytes: "+OK".into() };
+    assert_eq!(
+        rules(&[(0, asked("a", READ)), (9, answered("a", Answer::Served))]),
+        lost,
+        "made by nobody"
+    );
+    assert_eq!(
+        rules(&[(0, answered("a", Answer::Failed))]),
+        lost,
+        "asked by nobody"
+    );
+    let unasked = What::Unasked {
+        node: 0,
+        bytes: "+OK".into(),
+    };
     assert_eq!(rules(&[(0, unasked)]), lost, "unasked");
     let mut after = served_read();
     after.push(attempt("a", 2, 1, 40));
     assert_eq!(rules(&after), lost, "sent on after the answer");
-    assert_eq!(rules(&[attempt("a", 1, 0, 0)]), lost, "sent on, asked by nobody");
-    let ended = [(0, asked("a", READ)), (9, answered("a", Answer::Ended { part: false }))];
+    assert_eq!(
+        rules(&[attempt("a", 1, 0, 0)]),
+        lost,
+        "sent on, asked by nobody"
+    );
+    let ended = [
+        (0, asked("a", READ)),
+        (9, answered("a", Answer::Ended { part: false })),
+    ];
     assert_eq!(rules(&ended), lost, "closed on");
-    let resent = [(0, asked("a", READ)), attempt("a", 1, 0, 2), (9, What::Resent { id: id("a"), node: 0 })];
+    let resent = [
+        (0, asked("a", READ)),
+        attempt("a", 1, 0, 2),
+        (
+            9,
+            What::Resent {
+                id: id("a"),
+                node: 0,
+            },
+        ),
+    ];
     assert_eq!(rules(&resent), lost, "read, sent on and closed on");
 }
 
@@ -148,7 +220,11 @@
     let mut refused = ran("a", ACK);
     refused.push((40, answered("a", Answer::Busy(None))));
     assert_eq!(rules(&refused), twice, "refused what has run");
-    let mut cut = vec![(0, asked("a", ACK)), attempt("a", 1, 0, 2), (9, fate("a", 1, Fate::Cut))];
+    let mut cut = vec![
+        (0, asked("a", ACK)),
+        attempt("a", 1, 0, 2),
+        (9, fate("a", 1, Fate::Cut)),
+    ];
     cut.push((40, answered("a", Answer::Busy(None))));
     assert_eq!(rules(&cut), twice, "refused what may have run");
     let mut again = ran("a", ACK);
@@ -179,15 +255,25 @@
     keyed.push((1_900, answered("a", Answer::Failed)));
     keyed.push(attempt("a", 2, 1, 10_050));
     let found = rules(&keyed);
-    assert!(found.contains(&Rule::NoEffectTwice), "after the window: {found:?}");
+    assert!(
+        found.contains(&Rule::NoEffectTwice),
+        "after the window: {found:?}"
+    );
 }
 
 #[test]
 fn drains_that_are_not_kept_are_seen() {
-    let told = |told: Told| What::Told { node: 0, at_box: 3, told };
+    let told = |told: Told| What::Told {
+        node: 0,
+        at_box: 3,
+        told,
+    };
     let sent = |told_what: Told, ms: i64| {
-        let mut history =
-            vec![(1_000, told(told_what)), (ms - 2, asked("a", READ)), attempt("a", 1, 3, ms)];
+        let mut history = vec![
+            (1_000, told(told_what)),
+            (ms - 2, asked("a", READ)),
+            attempt("a", 1, 3, ms),
+        ];
         history.push((ms + 20, fate("a", 1, Fate::Ran)));
         history.push((ms + 22, answered("a", Answer::Served)));
         rules(&history)
@@ -211,10 +297,23 @@
 #[test]
 fn a_cold_box_pushed_over_is_laid_to_those_who_knew() {
     let fall = |knew: bool, node_of_rest: usize| {
-        let mut history: Vec<(i64, What)> =
-            vec![(0, What::BoxStarted { at_box: 3, cold: true, speed: 1.0 })];
+        let mut history: Vec<(i64, What)> = vec![(
+            0,
+            What::BoxStarted {
+                at_box: 3,
+                cold: true,
+                speed: 1.0,
+            },
+        )];
         if knew {
-            history.push((1, What::Told { node: 0, at_box: 3, told: Told::In { boot: 1 } }));
+            history.push((
+                1,
+                What::Told {
+                    node: 0,
+                    at_box: 3,
+                    told: Told::In { boot: 1 },
+                },
+            ));
         }
         for n in 0..30i64 {
             let name = format!("r{n}");
@@ -246,7 +345,10 @@
         let mut history = vec![(0, reached(true)), (0, What::NodeStarted { node: 0 })];
         history.extend_from_slice(before);
         history.extend([(ms - 2, asked("a", READ)), attempt("a", 1, 3, ms)]);
-        history.extend([(ms + 20, fate("a", 1, Fate::Ran)), (ms + 22, answered("a", Answer::Served))]);
+        history.extend([
+            (ms + 20, fate("a", 1, Fate::Ran)),
+            (ms + 22, answered("a", Answer::Served)),
+        ]);
         history.sort_by_key(|(at, _)| *at);
         rules(&history)
     };
@@ -257,30 +359,63 @@
     assert_eq!(sent(std::slice::from_ref(&drains), 9_060), broken);
     assert_eq!(sent(&[(1_000, had(Told::In { boot: 0 }))], 20_000), []);
     // That it is gone later is no news, and that it is told in service again is.
-    assert_eq!(sent(&[drains.clone(), (5_000, had(Told::Gone))], 9_060), broken);
-    assert_eq!(sent(&[drains.clone(), (5_000, had(Told::In { boot: 0 }))], 9_060), []);
+    assert_eq!(
+        sent(&[drains.clone(), (5_000, had(Told::Gone))], 9_060),
+        broken
+    );
+    assert_eq!(
+        sent(&[drains.clone(), (5_000, had(Told::In { boot: 0 }))], 9_060),
+        []
+    );
     // While discovery is down the node learns nothing; moved, it is reached all along.
     let down = [drains.clone(), (4_000, reached(false))];
     assert_eq!(sent(&down, 30_000), []);
-    let back = [drains.clone(), (4_000, reached(false)), (5_000, reached(true))];
+    let back = [
+        drains.clone(),
+        (4_000, reached(false)),
+        (5_000, reached(true)),
+    ];
     assert_eq!(sent(&back, 13_050), []);
     assert_eq!(sent(&back, 13_060), broken);
-    assert_eq!(sent(&[drains.clone(), (4_000, reached(true))], 9_060), broken);
+    assert_eq!(
+        sent(&[drains.clone(), (4_000, reached(true))], 9_060),
+        broken
+    );
     // Nor can a process know more that started or stood still meanwhile, and what its list said it knows at once.
-    let anew = [(3_000, What::NodeStarted { node: 0 }), (3_001, What::Ready { node: 0 })];
+    let anew = [
+        (3_000, What::NodeStarted { node: 0 }),
+        (3_001, What::Ready { node: 0 }),
+    ];
     assert_eq!(sent(&[&[drains.clone()][..], &anew].concat(), 11_050), []);
-    assert_eq!(sent(&[&[drains.clone()][..], &anew].concat(), 11_060), broken);
-    let still = [(2_000, What::NodePaused { node: 0 }), (4_000, What::NodeResumed { node: 0 })];
+    assert_eq!(
+        sent(&[&[drains.clone()][..], &anew].concat(), 11_060),
+        broken
+    );
+    let still = [
+        (2_000, What::NodePaused { node: 0 }),
+        (4_000, What::NodeResumed { node: 0 }),
+    ];
     assert_eq!(sent(&[&[drains.clone()][..], &still].concat(), 12_050), []);
     assert_eq!(sent(&[&[drains][..], &still].concat(), 12_060), broken);
-    let known = What::Known { node: 0, at_box: 3, told: Told::Draining };
+    let known = What::Known {
+        node: 0,
+        at_box: 3,
+        told: Told::Draining,
+    };
     assert_eq!(sent(&[(1_000, known.clone())], 3_050), []);
     assert_eq!(sent(&[(1_000, known)], 3_060), broken);
 }
 
 /// Requests at a box that is cold from 0 on, ten a millisecond, as many of ten from the first node as given.
 fn poured(count: i64, of_ten: i64, begin: i64, before: &[(i64, What)]) -> Vec<Rule> {
-    let mut history: Vec<(i64, What)> = vec![(0, What::BoxStarted { at_box: 3, cold: true, speed: 1.0 })];
+    let mut history: Vec<(i64, What)> = vec![(
+        0,
+        What::BoxStarted {
+            at_box: 3,
+            cold: true,
+            speed: 1.0,
+        },
+    )];
     history.extend_from_slice(before);
     for n in 0..count {
         let (name, at) = (format!("r{n}"), begin + n / 10);
@@ -299,7 +434,16 @@
 
 #[test]
 fn a_cold_box_is_pushed_over_by_the_sum_of_all_that_it_is_sent() {
-    let told = |node: usize| (1, What::Told { node, at_box: 3, told: Told::In { boot: 1 } });
+    let told = |node: usize| {
+        (
+            1,
+            What::Told {
+                node,
+                at_box: 3,
+                told: Told::In { boot: 1 },
+            },
+        )
+    };
     let both = [told(0), told(1)];
     let broken = [Rule::NoColdBoxPushedOver];
     // A second after its start it has 0.166 of its capacity, and bears 2.5 times that in 2 s: 59.4 reads of 14 ms, and
@@ -310,10 +454,22 @@
     assert_eq!(poured(78, 7, 1_000, &[told(0)]), broken);
     assert_eq!(poured(78, 6, 1_000, &[told(0)]), []);
     // Known from the list that a process began with, or told 6 s after discovery had it.
-    let known = [0, 1].map(|node| (1, What::Known { node, at_box: 3, told: Told::In { boot: 1 } }));
+    let known = [0, 1].map(|node| {
+        (
+            1,
+            What::Known {
+                node,
+                at_box: 3,
+                told: Told::In { boot: 1 },
+            },
+        )
+    });
     assert_eq!(poured(78, 5, 1_000, &known), broken);
     let had = |ms: i64| {
-        let had = What::Had { at_box: 3, told: Told::In { boot: 1 } };
+        let had = What::Had {
+            at_box: 3,
+            told: Told::In { boot: 1 },
+        };
         [(0, What::Reached { can: true }), (ms, had)]
     };
     // At 8 s it bears 150.3 and 26.5 by chance.
@@ -358,13 +514,36 @@
 
 #[test]
 fn bad_manners_are_seen() {
-    let left = What::RudeLeft { node: 0, what: "noise".into() };
+    let left = What::RudeLeft {
+        node: 0,
+        what: "noise".into(),
+    };
     assert_eq!(rules(&[(0, left.clone())]), [Rule::GoodManners]);
-    assert_eq!(rules(&[(0, What::NodeEnded { node: 0, killed: true }), (1, left)]), []);
-    let ended = |served: bool| What::RudeEnded { node: 0, after: 5, told: !served, served };
+    assert_eq!(
+        rules(&[
+            (
+                0,
+                What::NodeEnded {
+                    node: 0,
+                    killed: true
+                }
+            ),
+            (1, left)
+        ]),
+        []
+    );
+    let ended = |served: bool| What::RudeEnded {
+        node: 0,
+        after: 5,
+        told: !served,
+        served,
+    };
     assert_eq!(rules(&[(0, ended(false))]), []);
     assert_eq!(rules(&[(0, ended(true))]), [Rule::NoneLost]);
-    let syntax = What::Syntax { at_box: 1, bytes: "C.GET".into() };
+    let syntax = What::Syntax {
+        at_box: 1,
+        bytes: "C.GET".into(),
+    };
     assert_eq!(rules(&[(0, syntax)]), [Rule::GoodManners]);
 }
 
@@ -374,21 +553,32 @@
     let mut history = served_read();
     history.push((40, answered("a", Answer::Failed)));
     for (ms, what) in history {
-        judge.see(&Fact { at: ms * 1000, what });
+        judge.see(&Fact {
+            at: ms * 1000,
+            what,
+        });
     }
     let text = judge.breaches[0].to_string();
     assert!(
         text.starts_with("0.040000 s: no request is lost: a second final answer (request a)"),
         "{text}"
     );
-    assert!(text.contains("0.012000 Attempt") && text.contains("at_box: 0"), "{text}");
+    assert!(
+        text.contains("0.012000 Attempt") && text.contains("at_box: 0"),
+        "{text}"
+    );
 }
 
 #[test]
 fn what_is_sent_on_for_a_client_that_has_left_is_found() {
     let history = |ms: i64| {
         let left = What::Left { id: id("a") };
-        vec![(0, asked("a", READ)), attempt("a", 1, 0, 5), (100, left), attempt("a", 2, 1, ms)]
+        vec![
+            (0, asked("a", READ)),
+            attempt("a", 1, 0, 5),
+            (100, left),
+            attempt("a", 2, 1, ms),
+        ]
     };
     // 0.3 s, 50 ms longer on sockets; what had begun to leave the node before is no fault.
     assert_eq!(rules(&history(440)), []);
@@ -404,9 +594,15 @@
     assert_eq!(rules(&still), []);
     let mut judge = Judge::new(site::figures(WAY));
     for (ms, what) in history(470) {
-        judge.see(&Fact { at: ms * 1000, what });
+        judge.see(&Fact {
+            at: ms * 1000,
+            what,
+        });
     }
-    assert_eq!((judge.left.requests, judge.left.late, judge.left.sent_on), (1, 1, 1));
+    assert_eq!(
+        (judge.left.requests, judge.left.late, judge.left.sent_on),
+        (1, 1, 1)
+    );
 }
 
 #[test]
@@ -416,7 +612,11 @@
         let of = |(n, ms): (usize, &i64)| {
             let (name, at) = (format!("r{n}"), 1_000 * n as i64);
             let left = What::Left { id: id(&name) };
-            vec![(at, asked(&name, READ)), (at + 10, left), attempt(&name, n as u64, 0, at + 10 + ms)]
+            vec![
+                (at, asked(&name, READ)),
+                (at + 10, left),
+                attempt(&name, n as u64, 0, at + 10 + ms),
+            ]
         };
         late.iter().enumerate().flat_map(of).collect::<Vec<_>>()
     };
@@ -424,7 +624,10 @@
     assert_eq!(rules(&history(&[103, 103])), []);
     assert_eq!(rules(&history(&[103, 103, 102])), []);
     assert_eq!(rules(&history(&[103, 103, 103])), [Rule::NoneLost]);
-    assert_eq!(rules(&history(&[103, 200, 103, 340])), [Rule::NoneLost, Rule::NoneLost]);
+    assert_eq!(
+        rules(&history(&[103, 200, 103, 340])),
+        [Rule::NoneLost, Rule::NoneLost]
+    );
     // Beyond 0.35 s each one is, and only once.
     assert_eq!(rules(&history(&[360])), [Rule::NoneLost]);
     assert_eq!(rules(&history(&[103, 103, 360])), [Rule::NoneLost]);
@@ -442,8 +645,20 @@
                 if begun {
                     history.push(attempt(&name, n as u64, 0, at + 1));
                 }
-                history.push((at + 1, What::Shut { id: id(&name), node: 0 }));
-                history.push((at + 1, What::Resent { id: id(&name), node: 1 }));
+                history.push((
+                    at + 1,
+                    What::Shut {
+                        id: id(&name),
+                        node: 0,
+                    },
+                ));
+                history.push((
+                    at + 1,
+                    What::Resent {
+                        id: id(&name),
+                        node: 1,
+                    },
+                ));
             }
             history.push((at + 2, answered(&name, Answer::Busy(None))));
         }
@@ -452,6 +667,20 @@
     assert_eq!(history(2, 400, &[], false), []);
     assert_eq!(history(3, 400, &[], false), [Rule::NoneLost]);
     // Those of a node that had died are no fault, and what was sent on is lost in any number.
-    assert_eq!(history(30, 400, &[(0, What::NodeEnded { node: 0, killed: true })], false), []);
+    assert_eq!(
+        history(
+            30,
+            400,
+            &[(
+                0,
+                What::NodeEnded {
+                    node: 0,
+                    killed: true
+                }
+            )],
+            false
+        ),
+        []
+    );
     assert_eq!(history(1, 400, &[], true), [Rule::NoneLost]);
 }
--- a/crates/rig/tests/memcached.rs
+++ b/crates/rig/tests/memcached.rs
@@ -57,33 +57,65 @@
     }
     let mut nodes = Vec::new();
     for n in [100, 101] {
-        let host = hosts.world.borrow_mut().host(&format!("node-{n}"), 0, site::SOCKETS);
+        let host = hosts
+            .world
+            .borrow_mut()
+            .host(&format!("node-{n}"), 0, site::SOCKETS);
         let mut file = site::memcached_file(Some(mc_port(n)));
         change(&mut file);
-        start_node_with(&mut hosts, host, resp_port(n), address(2, 80), &known, Some(&file));
+        start_node_with(
+            &mut hosts,
+            host,
+            resp_port(n),
+            address(2, 80),
+            &known,
+            Some(&file),
+        );
         nodes.push(host);
     }
     let client = Peer::new(&mut hosts, "client", None);
     client.connect(&mut hosts, mc_port(100));
     hosts.play_to(20 * WAY);
     assert_eq!(client.seen(), [(0, Seen::Up)]);
-    Scene { hosts, nodes, client, cache, known, _discovery: discovery }
+    Scene {
+        hosts,
+        nodes,
+        client,
+        cache,
+        known,
+        _discovery: discovery,
+    }
 }
 
 fn request(opcode: Opcode, opaque: u32, key: &str, value: &str) -> Vec<u8> {
-    let extras = if opcode.loud() == Opcode::Set { Bytes::from_static(&[0; 8]) } else { Bytes::new() };
+    let extras = if opcode.loud() == Opcode::Set {
+        Bytes::from_static(&[0; 8])
+    } else {
+        Bytes::new()
+    };
     let mut out = Vec::new();
     let (key, value) = (key.to_string().into(), value.to_string().into());
     put_request(
         &mut out,
-        &Request { opcode: opcode as u8, opaque, extras, key, value, ..Request::default() },
+        &Request {
+            opcode: opcode as u8,
+            opaque,
+            extras,
+            key,
+            value,
+            ..Request::default()
+        },
     );
     out
 }
 
 fn response(opcode: Opcode, status: u16, opaque: u32, value: &[u8]) -> Vec<u8> {
     let get = opcode == Opcode::Get && status == 0;
-    let extras = if get { Bytes::from_static(&[0; 4]) } else { Bytes::new() };
+    let extras = if get {
+        Bytes::from_static(&[0; 4])
+    } else {
+        Bytes::new()
+    };
     let mut out = Vec::new();
     put_response(
         &mut out,
@@ -104,15 +136,32 @@
 type Told = (u32, u16, String, String);
 
 fn told(peer: &Peer, conn: usize) -> Vec<Told> {
-    let raw = peer.script.borrow().raw.get(&conn).cloned().unwrap_or_default();
-    let (mut reader, mut buf, mut out, mut long) =
-        (ResponseReader::default(), BytesMut::from(&raw[..]), Vec::new(), Vec::new());
-    while let Some(piece) = reader.next(&mut buf, 5 << 20).expect("answers that can be read") {
+    let raw = peer
+        .script
+        .borrow()
+        .raw
+        .get(&conn)
+        .cloned()
+        .unwrap_or_default();
+    let (mut reader, mut buf, mut out, mut long) = (
+        ResponseReader::default(),
+        BytesMut::from(&raw[..]),
+        Vec::new(),
+        Vec::new(),
+    );
+    while let Some(piece) = reader
+        .next(&mut buf, 5 << 20)
+        .expect("answers that can be read")
+    {
         match piece {
             Piece::Begin(..) => {}
             Piece::Body(bytes) => long.extend_from_slice(&bytes),
             Piece::Whole(r) => {
-                let value = if r.value.is_empty() { std::mem::take(&mut long) } else { r.value.to_vec() };
+                let value = if r.value.is_empty() {
+                    std::mem::take(&mut long)
+                } else {
+                    r.value.to_vec()
+                };
                 let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
                 out.push((r.opaque, r.status, text(&r.key), text(&value)));
             }
@@ -124,9 +173,22 @@
 
 /// What a memcached box was sent: opcode, opaque, key, value.
 fn asked(peer: &Peer, conn: usize) -> Vec<(u8, u32, String, String)> {
-    let raw = peer.script.borrow().raw.get(&conn).cloned().unwrap_or_default();
-    let (mut reader, mut buf, mut out) = (RequestReader::default(), BytesMut::from(&raw[..]), Vec::new());
-    while let Some(r) = reader.next(&mut buf, &mut Budget::new(1 << 20), 1 << 20).unwrap() {
+    let raw = peer
+        .script
+        .borrow()
+        .raw
+        .get(&conn)
+        .cloned()
+        .unwrap_or_default();
+    let (mut reader, mut buf, mut out) = (
+        RequestReader::default(),
+        BytesMut::from(&raw[..]),
+        Vec::new(),
+    );
+    while let Some(r) = reader
+        .next(&mut buf, &mut Budget::new(1 << 20), 1 << 20)
+        .unwrap()
+    {
         assert_eq!(r.fault, None);
         let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
         out.push((r.opcode, r.opaque, text(&r.key), text(&r.value)));
@@ -158,7 +220,11 @@
 
     /// Another connection of the client, to a node.
     fn connect(&mut self, node: u8) -> usize {
-        let to = if node == 0 { mc_port(100) } else { mc_port(100 + node) };
+        let to = if node == 0 {
+            mc_port(100)
+        } else {
+            mc_port(100 + node)
+        };
         let before = self.client.script.borrow().seen.len();
         self.client.connect(&mut self.hosts, to);
         self.after(10 * WAY);
@@ -177,7 +243,12 @@
     fn last_key(&self) -> Option<String> {
         let text = self.cache.text();
         let from = text.rfind(",k=")? + 3;
-        Some(text[from..].chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '-').collect())
+        Some(
+            text[from..]
+                .chars()
+                .take_while(|c| c.is_ascii_alphanumeric() || *c == '-')
+                .collect(),
+        )
     }
 }
 
@@ -186,11 +257,20 @@
     let mut s = scene(false);
     s.say(0, request(Opcode::GetK, 0xabcd, "logger/1/7", ""));
     let text = s.cache.text();
-    assert!(text.starts_with("*4\r\n$5\r\nC.GET\r\n$10\r\nlogger/1/7\r\n"), "{text:?}");
+    assert!(
+        text.starts_with("*4\r\n$5\r\nC.GET\r\n$10\r\nlogger/1/7\r\n"),
+        "{text:?}"
+    );
     assert!(text.contains("c=trace-read,t=leak-crew,d="), "{text:?}");
-    assert!(text.contains("-0000abcd\r\n"), "the opaque ends the id: {text:?}");
+    assert!(
+        text.contains("-0000abcd\r\n"),
+        "the opaque ends the id: {text:?}"
+    );
     s.answer(0, served("4.2 bar"));
-    assert_eq!(told(&s.client, 0), [(0xabcd, 0, "logger/1/7".into(), "4.2 bar".into())]);
+    assert_eq!(
+        told(&s.client, 0),
+        [(0xabcd, 0, "logger/1/7".into(), "4.2 bar".into())]
+    );
 }
 
 #[test]
@@ -206,10 +286,17 @@
     burst.extend(request(Opcode::Noop, 7, "", ""));
     s.say(0, burst);
     // Each attempt has a connection of its own; the box answers the last first.
-    let at = |s: &Scene, opaque: u32| (0..5).find(|c| asked(&s.cache, *c)[0].1 & 0xffff == opaque).unwrap();
-    for (opaque, opcode, status) in
-        [(5, Opcode::Get, 0x84), (4, Opcode::Set, 0), (3, Opcode::Get, 0), (2, Opcode::Get, 1)]
-    {
+    let at = |s: &Scene, opaque: u32| {
+        (0..5)
+            .find(|c| asked(&s.cache, *c)[0].1 & 0xffff == opaque)
+            .unwrap()
+    };
+    for (opaque, opcode, status) in [
+        (5, Opcode::Get, 0x84),
+        (4, Opcode::Set, 0),
+        (3, Opcode::Get, 0),
+        (2, Opcode::Get, 1),
+    ] {
         let conn = at(&s, opaque);
         let its = s.opaque(conn);
         s.answer(conn, response(opcode, status, its, b"v"));
@@ -222,7 +309,11 @@
     s.after(SECOND);
     let said = told(&s.client, 0);
     let numbers: Vec<(u32, u16)> = said.iter().map(|t| (t.0, t.1)).collect();
-    assert_eq!(numbers, [(1, 0), (3, 0), (5, 0x85), (6, 0), (7, 0)], "{said:?}");
+    assert_eq!(
+        numbers,
+        [(1, 0), (3, 0), (5, 0x85), (6, 0), (7, 0)],
+        "{said:?}"
+    );
     assert_eq!((&said[1].2[..], &said[1].3[..]), ("logger/0/c", "v"));
 }
 
@@ -237,7 +328,18 @@
         let extras = Bytes::from_static(extras);
         let mut out = Vec::new();
         let opcode = Opcode::Set as u8;
-        put_request(&mut out, &Request { opcode, opaque, cas, extras, key, value, ..Request::default() });
+        put_request(
+            &mut out,
+            &Request {
+                opcode,
+                opaque,
+                cas,
+                extras,
+                key,
+                value,
+                ..Request::default()
+            },
+        );
         out
     };
     burst.extend(set(&[0; 8], 9, 3));
@@ -254,8 +356,16 @@
     s.say(0, burst);
     let said: Vec<(u32, u16)> = told(&s.client, 0).iter().map(|t| (t.0, t.1)).collect();
     let stats = [(9, 0); 5];
-    let mut expected =
-        vec![(1, 0x83), (2, 0x83), (3, 0x83), (4, 0x83), (5, 4), (6, 0x81), (7, 0x81), (8, 0x81)];
+    let mut expected = vec![
+        (1, 0x83),
+        (2, 0x83),
+        (3, 0x83),
+        (4, 0x83),
+        (5, 4),
+        (6, 0x81),
+        (7, 0x81),
+        (8, 0x81),
+    ];
     expected.extend(stats);
     expected.push((10, 0));
     assert_eq!(said, expected);
@@ -284,7 +394,10 @@
     }
     // Half a request, and binary bytes at the RESP2 port: within 3 s.
     let mut s = scene(false);
-    s.say(0, request(Opcode::Set, 3, "ack/0/1", "value")[..30].to_vec());
+    s.say(
+        0,
+        request(Opcode::Set, 3, "ack/0/1", "value")[..30].to_vec(),
+    );
     s.client.connect(&mut s.hosts, resp_port(100));
     s.after(10 * WAY);
     s.say(1, request(Opcode::Get, 3, "logger/0/1", ""));
@@ -311,7 +424,10 @@
     }
     let said = told(&s.client, 0);
     assert_eq!((said.len(), said[0].1), (1, 0x85), "{said:?}");
-    assert!(said[0].3.starts_with("busy; nothing has run; try again"), "{said:?}");
+    assert!(
+        said[0].3.starts_with("busy; nothing has run; try again"),
+        "{said:?}"
+    );
 }
 
 #[test]
@@ -343,9 +459,15 @@
     assert_eq!(s.at_box(), before);
     assert_eq!(
         told(&s.client, 0)[2..],
-        [(3, 0, String::new(), String::new()), (4, 0, String::new(), String::new())]
+        [
+            (3, 0, String::new(), String::new()),
+            (4, 0, String::new(), String::new())
+        ]
+    );
+    assert_eq!(
+        told(&s.client, other),
+        [(5, 0, String::new(), String::new())]
     );
-    assert_eq!(told(&s.client, other), [(5, 0, String::new(), String::new())]);
     // Another value is another wish.
     s.say(other, request(Opcode::Set, 6, "alarm/0/1", "low"));
     assert!(s.at_box() > before);
@@ -477,7 +599,14 @@
     s.hosts.world.borrow_mut().revive(host);
     let mut file = site::memcached_file(Some(mc_port(100)));
     stamped(&mut file);
-    start_node_with(&mut s.hosts, host, resp_port(100), address(2, 80), &s.known, Some(&file));
+    start_node_with(
+        &mut s.hosts,
+        host,
+        resp_port(100),
+        address(2, 80),
+        &s.known,
+        Some(&file),
+    );
     s.after(5 * SECOND);
     let conn = s.connect(0);
     let before = s.at_box();
@@ -490,13 +619,20 @@
     assert!(s.hosts.has(host));
     let other = s.connect(1);
     s.after(4 * SECOND);
-    let other = if s.client.seen().contains(&(other, Seen::Ended)) { s.connect(1) } else { other };
+    let other = if s.client.seen().contains(&(other, Seen::Ended)) {
+        s.connect(1)
+    } else {
+        other
+    };
     let before = s.at_box();
     s.say(other, request(Opcode::Set, 3, "alarm/0/1", &value));
     assert_eq!(s.at_box(), before, "too late: it is not sent as new");
     assert_eq!(told(&s.client, other)[0].1, 0x84);
     let made = (sloewick_rig::vnet::EPOCH + s.hosts.now()) / 1000 + 60_000;
-    s.say(other, request(Opcode::Set, 4, "alarm/0/1", &format!("{made}-a1:high")));
+    s.say(
+        other,
+        request(Opcode::Set, 4, "alarm/0/1", &format!("{made}-a1:high")),
+    );
     assert_eq!(told(&s.client, other)[1].1, 4, "a time in the future");
 }
 
@@ -526,11 +662,19 @@
     s.say(other, request(Opcode::Set, 2, "alarm/0/1", "high"));
     assert_eq!(told(&s.client, other)[0].1, 0x85, "the first is out");
     s.say(other, request(Opcode::Set, 3, "alarm/0/2", "high"));
-    assert_eq!(told(&s.client, other)[1].1, 0x85, "there is no room to remember it");
+    assert_eq!(
+        told(&s.client, other)[1].1,
+        0x85,
+        "there is no room to remember it"
+    );
     assert_eq!(s.at_box(), before);
     s.answer(0, served("ok"));
     s.say(other, request(Opcode::Set, 4, "alarm/0/2", "high"));
-    assert_eq!(told(&s.client, other)[2].1, 0x85, "what is remembered stays");
+    assert_eq!(
+        told(&s.client, other)[2].1,
+        0x85,
+        "what is remembered stays"
+    );
 }
 
 #[test]
@@ -542,7 +686,10 @@
     let got = asked(&s.cache, 0);
     assert_eq!(got.len(), 1);
     let (opcode, opaque, key, value) = got[0].clone();
-    assert_eq!((opcode, &key[..], &value[..]), (Opcode::Set as u8, "logger/1", "k77:value"));
+    assert_eq!(
+        (opcode, &key[..], &value[..]),
+        (Opcode::Set as u8, "logger/1", "k77:value")
+    );
     s.answer(0, response(Opcode::Set, 0, opaque, b""));
     assert_eq!(s.client.text(), "$0\r\n\r\n");
     s.say(1, set("r2", "alarm-ack", 2000, None).into_bytes());
@@ -562,12 +709,23 @@
     s.after(10 * WAY);
     // Cut at the first colon the key would be another's; a hyphen says that there is none.
     for (n, key) in ["a:b", "-", ""].into_iter().enumerate() {
-        s.say(1, set(&format!("r{n}"), "alarm-set", 500, Some(key)).into_bytes());
+        s.say(
+            1,
+            set(&format!("r{n}"), "alarm-set", 500, Some(key)).into_bytes(),
+        );
         s.after(SECOND);
-        assert_eq!(s.client.text().matches("-BUSY").count(), n + 1, "{:?}", s.client.text());
+        assert_eq!(
+            s.client.text().matches("-BUSY").count(),
+            n + 1,
+            "{:?}",
+            s.client.text()
+        );
     }
     let long = format!("logger/{}", "x".repeat(250));
-    s.say(1, command(&["C.GET", &long, "r9", "c=trace-read,t=distribution,d=300"]).into_bytes());
+    s.say(
+        1,
+        command(&["C.GET", &long, "r9", "c=trace-read,t=distribution,d=300"]).into_bytes(),
+    );
     s.after(SECOND);
     assert_eq!(s.client.text().matches("-BUSY").count(), 4);
     assert_eq!(s.at_box(), 0);
@@ -586,7 +744,10 @@
     let its = s.opaque(0);
     assert_eq!(its & 0xffff, 5);
     s.answer(0, response(Opcode::Get, 1, its, b"Not found"));
-    assert_eq!(told(&s.client, 0), [(5, 1, String::new(), "Not found".into())]);
+    assert_eq!(
+        told(&s.client, 0),
+        [(5, 1, String::new(), "Not found".into())]
+    );
 }
 
 #[test]
@@ -609,11 +770,18 @@
         let its = s.opaque(0);
         s.answer(0, spoilt(its));
         assert!(
-            s.cache.seen().iter().any(|(c, e)| *c == 0 && matches!(e, Seen::Ended | Seen::Broke { .. })),
+            s.cache
+                .seen()
+                .iter()
+                .any(|(c, e)| *c == 0 && matches!(e, Seen::Ended | Seen::Broke { .. })),
             "{n}"
         );
         let said = told(&s.client, 0);
-        assert_eq!((said.len(), said[0].1), (1, 0x84), "{n}: it may have run: {said:?}");
+        assert_eq!(
+            (said.len(), said[0].1),
+            (1, 0x84),
+            "{n}: it may have run: {said:?}"
+        );
     }
     // A surplus answer behind a good one: the next request does not get it.
     let mut s = scene(true);
@@ -676,7 +844,10 @@
         let text = s.client.text();
         assert!(text.starts_with("$200000\r\nxxx"));
         assert_eq!(text.len() == 9 + long.len() + 2, whole, "{}", text.len());
-        assert_eq!(s.client.saw(&Seen::Ended) || s.client.saw(&Seen::Broke { refused: false }), !whole);
+        assert_eq!(
+            s.client.saw(&Seen::Ended) || s.client.saw(&Seen::Broke { refused: false }),
+            !whole
+        );
     }
 }
 
@@ -685,7 +856,11 @@
     let mut s = scene(true);
     let mut burst = Vec::new();
     for n in 0..500u32 {
-        let key = if n % 2 == 0 { "logger/0/hot".to_string() } else { format!("logger/0/{n}") };
+        let key = if n % 2 == 0 {
+            "logger/0/hot".to_string()
+        } else {
+            format!("logger/0/{n}")
+        };
         burst.extend(request(Opcode::GetKQ, n, &key, ""));
     }
     burst.extend(request(Opcode::Noop, 1000, "", ""));
@@ -701,7 +876,11 @@
                 assert_eq!(*opcode, Opcode::Get as u8);
                 // Every third has no value.
                 let status = if (opaque & 0xffff) % 3 == 0 { 1 } else { 0 };
-                s.cache.send(&mut s.hosts, conn, response(Opcode::Get, status, *opaque, b"v"));
+                s.cache.send(
+                    &mut s.hosts,
+                    conn,
+                    response(Opcode::Get, status, *opaque, b"v"),
+                );
             }
             *done = got.len();
         }
@@ -726,7 +905,13 @@
     let mut s = scene(true);
     s.say(0, request(Opcode::Set, 1, "ack/0/1", "x"));
     let host = s.nodes[0];
-    s.hosts.world.borrow_mut().signal(host, sloewick_node::net::Told { reload: false, stop: true });
+    s.hosts.world.borrow_mut().signal(
+        host,
+        sloewick_node::net::Told {
+            reload: false,
+            stop: true,
+        },
+    );
     s.hosts.wake(host);
     s.after(450 * WAY);
     // The listener is still there for a while, then closed; what has come is still held then.
@@ -735,10 +920,16 @@
     s.after(200 * WAY);
     s.client.connect(&mut s.hosts, mc_port(100));
     s.after(10 * WAY);
-    assert_eq!(s.client.seen().last(), Some(&(2, Seen::Broke { refused: true })));
+    assert_eq!(
+        s.client.seen().last(),
+        Some(&(2, Seen::Broke { refused: true }))
+    );
     let its = s.opaque(1);
     s.answer(1, response(Opcode::Set, 0, its, b""));
-    assert_eq!(told(&s.client, late), [(2, 0, String::new(), String::new())]);
+    assert_eq!(
+        told(&s.client, late),
+        [(2, 0, String::new(), String::new())]
+    );
     s.after(3 * SECOND);
     assert_eq!(told(&s.client, 0).len(), 1);
     assert!(s.client.saw(&Seen::Ended));
@@ -751,7 +942,9 @@
 impl Module for Prober {
     fn handle(&mut self, _now: i64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Servers(_, list) => actions.extend(list.iter().map(|e| Action::Probe(e.server.clone()))),
+            Event::Servers(_, list) => {
+                actions.extend(list.iter().map(|e| Action::Probe(e.server.clone())))
+            }
             Event::Probed { status, .. } => self.0.borrow_mut().push(status),
             _ => {}
         }
@@ -765,7 +958,14 @@
         let cache = Peer::new(&mut hosts, "box", Some(address(1, 80)));
         let mut known = listed(0, address(1, 80));
         known.kind = site::KINDS_MEMCACHED[0].to_string();
-        let text = site::node_config(0, &calm(), address(9, 80), address(2, 80), 7, (41, &[known]));
+        let text = site::node_config(
+            0,
+            &calm(),
+            address(9, 80),
+            address(2, 80),
+            7,
+            (41, &[known]),
+        );
         let mut config = config::parse(&text).unwrap();
         config::memcached(&mut config, &site::memcached_file(None)).unwrap();
         let host = hosts.world.borrow_mut().host("node", 0, site::SOCKETS);
--- a/crates/rig/tests/network.rs
+++ b/crates/rig/tests/network.rs
@@ -95,8 +95,14 @@
     client.send(&mut hosts, 0, "there");
     server.send(&mut hosts, 0, "back");
     hosts.play_to(2_000_000);
-    assert_eq!((server.text().as_str(), client.text().as_str()), ("there", ""));
-    hosts.world.borrow_mut().cut(server.host, client.host, false);
+    assert_eq!(
+        (server.text().as_str(), client.text().as_str()),
+        ("there", "")
+    );
+    hosts
+        .world
+        .borrow_mut()
+        .cut(server.host, client.host, false);
     hosts.play_to(3_000_000);
     assert_eq!(client.text(), "back");
 }
@@ -145,7 +151,12 @@
         few.connect(&mut hosts, address(1, 80));
     }
     hosts.play_to(5 * WAY);
-    let up = |peer: &Peer| peer.seen().iter().filter(|(_, seen)| *seen == Seen::Up).count();
+    let up = |peer: &Peer| {
+        peer.seen()
+            .iter()
+            .filter(|(_, seen)| *seen == Seen::Up)
+            .count()
+    };
     assert_eq!(up(&few), 3);
     assert_eq!(hosts.world.borrow().descriptors(host), (3, 3, 3));
     few.close(&mut hosts, 0);
@@ -162,7 +173,10 @@
     let other = Peer::new(&mut hosts, "other", None);
     other.connect(&mut hosts, address(1, 80));
     hosts.play_to(8 * WAY);
-    hosts.world.borrow_mut().reset_some(&[client.host], &[server.host], 1.0);
+    hosts
+        .world
+        .borrow_mut()
+        .reset_some(&[client.host], &[server.host], 1.0);
     hosts.play_to(12 * WAY);
     assert!(client.saw(&Seen::Broke { refused: false }));
     assert_eq!(other.seen(), [(0, Seen::Up)]);
--- a/crates/rig/tests/play.rs
+++ b/crates/rig/tests/play.rs
@@ -4,15 +4,28 @@
 use sloewick_rig::scenario::{self, Scenario};
 
 fn shipped(name: &str) -> Scenario {
-    let text = scenario::SHIPPED.iter().find(|(n, _)| *n == name).unwrap().1;
+    let text = scenario::SHIPPED
+        .iter()
+        .find(|(n, _)| *n == name)
+        .unwrap()
+        .1;
     scenario::parse(text).unwrap()
 }
 
 fn clean(scenario: &Scenario, seed: u64) -> u64 {
     let outcome = fleet::play(scenario, seed, Options::default());
     let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
-    assert!(broken.is_empty(), "{} seed {seed}:\n{}", scenario.name, broken.join("\n"));
-    assert!(outcome.report.whole().served > 0, "{} seed {seed}: nothing was served", scenario.name);
+    assert!(
+        broken.is_empty(),
+        "{} seed {seed}:\n{}",
+        scenario.name,
+        broken.join("\n")
+    );
+    assert!(
+        outcome.report.whole().served > 0,
+        "{} seed {seed}: nothing was served",
+        scenario.name
+    );
     outcome.digest
 }
 
@@ -21,7 +34,14 @@
     let scenario = shipped(name);
     let first = clean(&scenario, 1);
     assert_eq!(first, clean(&scenario, 1), "{name}: one seed, two runs");
-    let other = fleet::play(&Scenario { seconds: 2.0, ..scenario }, 2, Options::default());
+    let other = fleet::play(
+        &Scenario {
+            seconds: 2.0,
+            ..scenario
+        },
+        2,
+        Options::default(),
+    );
     assert_ne!(first, other.digest);
 }
 
@@ -207,22 +227,44 @@
     let found: Vec<(usize, &str)> = wrong.iter().map(|w| (w.line, w.why.as_str())).collect();
     let expect = [
         (2, "seconds: is -4; allowed: a number from 1 to 3600"),
-        (3, "unknown field \"nods\"; allowed: name, about, seconds, nodes"),
+        (
+            3,
+            "unknown field \"nods\"; allowed: name, about, seconds, nodes",
+        ),
         (6, "unknown fault \"flood\"; allowed: crash-boxes, "),
         (11, "fault void: at is -2; allowed: seconds from 0 to 3600"),
-        (12, "fault void: part is 1.5; allowed: a part of one from 0 to 1"),
-        (13, "fault void: unknown field \"for\"; allowed: kind, at, part"),
+        (
+            12,
+            "fault void: part is 1.5; allowed: a part of one from 0 to 1",
+        ),
+        (
+            13,
+            "fault void: unknown field \"for\"; allowed: kind, at, part",
+        ),
         (15, "a fault's field kind is missing; allowed: crash-boxes"),
-        (18, "fault partition: field at is missing; allowed: seconds from 0"),
-        (20, "fault partition: way is \"sideways\"; allowed: from-boxes, to-boxes, both"),
+        (
+            18,
+            "fault partition: field at is missing; allowed: seconds from 0",
+        ),
+        (
+            20,
+            "fault partition: way is \"sideways\"; allowed: from-boxes, to-boxes, both",
+        ),
     ];
     assert_eq!(found.len(), expect.len(), "{found:#?}");
     for ((line, why), (at, begin)) in found.iter().zip(expect) {
-        assert!(*line == at && why.starts_with(begin), "line {line}: {why}, not line {at}: {begin}");
+        assert!(
+            *line == at && why.starts_with(begin),
+            "line {line}: {why}, not line {at}: {begin}"
+        );
     }
     let missing = scenario::parse("rate = 3").unwrap_err();
-    assert!(missing.iter().any(|w| w.why.starts_with("field name is missing")));
-    assert!(missing.iter().any(|w| w.why.starts_with("field seconds is missing")));
+    assert!(missing
+        .iter()
+        .any(|w| w.why.starts_with("field name is missing")));
+    assert!(missing
+        .iter()
+        .any(|w| w.why.starts_with("field seconds is missing")));
     let late = "name = \"x\"\nseconds = 3\n[[fault]]\nkind = \"void\"\nat = 4\n";
     let late = scenario::parse(late).unwrap_err();
     assert_eq!((late.len(), late[0].line), (1, 5), "{late:?}");
--- a/crates/rig/tests/protocols.rs
+++ b/crates/rig/tests/protocols.rs
@@ -32,14 +32,21 @@
             _ => {}
         }
     });
-    let options = Options { watch: Some(watch), speech, ..Options::default() };
+    let options = Options {
+        watch: Some(watch),
+        speech,
+        ..Options::default()
+    };
     let outcome = fleet::play(scenario, seed, options);
     let asked = std::mem::take(&mut seen.borrow_mut().0);
     (outcome, asked)
 }
 
 fn shipped() -> Vec<Scenario> {
-    scenario::SHIPPED.iter().map(|(_, text)| scenario::parse(text).unwrap()).collect()
+    scenario::SHIPPED
+        .iter()
+        .map(|(_, text)| scenario::parse(text).unwrap())
+        .collect()
 }
 
 #[test]
@@ -50,10 +57,23 @@
         .filter(|s| s.faults.iter().all(|f| f.name != "rude"))
         .map(|scenario| {
             std::thread::spawn(move || {
-                let play = |clients| played(&scenario, 1, Speech { clients, boxes: Boxes::Resp });
+                let play = |clients| {
+                    played(
+                        &scenario,
+                        1,
+                        Speech {
+                            clients,
+                            boxes: Boxes::Resp,
+                        },
+                    )
+                };
                 let ((one, by_resp), (other, by_memcached)) =
                     (play(Clients::RespByKey), play(Clients::Memcached));
-                assert!(one.breaches.is_empty() && other.breaches.is_empty(), "{}", scenario.name);
+                assert!(
+                    one.breaches.is_empty() && other.breaches.is_empty(),
+                    "{}",
+                    scenario.name
+                );
                 assert!(by_resp.len() > 1_000, "{}", scenario.name);
                 assert_eq!(by_resp.len(), by_memcached.len(), "{}", scenario.name);
                 for (n, (a, b)) in by_resp.iter().zip(&by_memcached).enumerate() {
@@ -70,8 +90,19 @@
     let count = seeds.end - seeds.start;
     let sum: f64 = seeds
         .map(|seed| {
-            let outcome = fleet::play(scenario, seed, Options { speech, ..Options::default() });
-            assert!(outcome.breaches.is_empty(), "seed {seed}: {}", outcome.breaches[0]);
+            let outcome = fleet::play(
+                scenario,
+                seed,
+                Options {
+                    speech,
+                    ..Options::default()
+                },
+            );
+            assert!(
+                outcome.breaches.is_empty(),
+                "seed {seed}: {}",
+                outcome.breaches[0]
+            );
             outcome.report.whole().service(&outcome.report.classes)
         })
         .sum();
@@ -85,11 +116,24 @@
         .map(|name| {
             std::thread::spawn(move || {
                 let scenario = shipped().into_iter().find(|s| s.name == name).unwrap();
-                let of = |boxes| service(&scenario, 1..6, Speech { clients: Clients::Both, boxes });
-                let (resp, mixed, memcached) = (of(Boxes::Resp), of(Boxes::Mixed), of(Boxes::Memcached));
+                let of = |boxes| {
+                    service(
+                        &scenario,
+                        1..6,
+                        Speech {
+                            clients: Clients::Both,
+                            boxes,
+                        },
+                    )
+                };
+                let (resp, mixed, memcached) =
+                    (of(Boxes::Resp), of(Boxes::Mixed), of(Boxes::Memcached));
                 println!("{name}: RESP2 {resp:.4}, mixed {mixed:.4}, memcached {memcached:.4}");
                 assert!((resp - mixed).abs() < 0.01, "{name}: {resp} {mixed}");
-                assert!((resp - memcached).abs() < 0.01, "{name}: {resp} {memcached}");
+                assert!(
+                    (resp - memcached).abs() < 0.01,
+                    "{name}: {resp} {memcached}"
+                );
             })
         })
         .collect();
@@ -98,9 +142,15 @@
 
 #[test]
 fn a_rolling_deploy_replaces_resp2_boxes_by_memcached_ones() {
-    let scenario = shipped().into_iter().find(|s| s.name == "rolling-deploy").unwrap();
+    let scenario = shipped()
+        .into_iter()
+        .find(|s| s.name == "rolling-deploy")
+        .unwrap();
     for clients in [Clients::Resp, Clients::Memcached] {
-        let speech = Speech { clients, boxes: Boxes::Later };
+        let speech = Speech {
+            clients,
+            boxes: Boxes::Later,
+        };
         let (outcome, asked) = played(&scenario, 5, speech);
         assert!(outcome.breaches.is_empty(), "{}", outcome.breaches[0]);
         assert!(asked.len() > 1_000);
@@ -115,10 +165,20 @@
         .map(|seeds| {
             std::thread::spawn(move || {
                 for seed in seeds {
-                    let speech = Speech { clients: Clients::Both, boxes: Boxes::Mixed };
-                    let options = Options { speech, ..Options::default() };
+                    let speech = Speech {
+                        clients: Clients::Both,
+                        boxes: Boxes::Mixed,
+                    };
+                    let options = Options {
+                        speech,
+                        ..Options::default()
+                    };
                     let outcome = fleet::play(&scenario::swarm(seed), seed, options);
-                    let first = outcome.breaches.first().map(|b| b.to_string()).unwrap_or_default();
+                    let first = outcome
+                        .breaches
+                        .first()
+                        .map(|b| b.to_string())
+                        .unwrap_or_default();
                     assert!(outcome.breaches.is_empty(), "seed {seed}: {first}");
                 }
             })
@@ -143,7 +203,14 @@
         budget: 1,
     };
     names.see(Fact { at: 0, what: asked });
-    let fate = |id: Id| Fact { at: 1, what: What::Fate { id, attempt: 1, fate: Fate::Ran } };
+    let fate = |id: Id| Fact {
+        at: 1,
+        what: What::Fate {
+            id,
+            attempt: 1,
+            fate: Fate::Ran,
+        },
+    };
     assert_eq!(names.see(fate(short(opaque_of(&id)))).what, fate(id).what);
     // A name that nobody has asked under stays as it is.
     assert_eq!(names.see(fate(short(7))).what, fate("#0007".into()).what);
--- a/crates/rig/tests/standins.rs
+++ b/crates/rig/tests/standins.rs
@@ -35,9 +35,17 @@
     edit(&mut set, &mut origin_set);
     let (orders, origin_orders) = (Orders::default(), Orders::default());
     let origin_host = hosts.world.borrow_mut().host("origin", 0, 1000);
-    hosts.world.borrow_mut().address(origin_host, address(2, 80));
-    let origin =
-        Origin::new(hosts.net(origin_host), origin_set, origin_orders.clone(), tap.clone()).unwrap();
+    hosts
+        .world
+        .borrow_mut()
+        .address(origin_host, address(2, 80));
+    let origin = Origin::new(
+        hosts.net(origin_host),
+        origin_set,
+        origin_orders.clone(),
+        tap.clone(),
+    )
+    .unwrap();
     hosts.place(origin_host, Box::new(origin));
     let cache = hosts.world.borrow_mut().host("box", 0, 1000);
     hosts.world.borrow_mut().address(cache, address(1, 80));
@@ -47,7 +55,15 @@
     hosts.play_to(20 * WAY);
     node.connect(&mut hosts, address(1, 80));
     hosts.play_to(60 * WAY);
-    Store { hosts, node, facts, orders, origin_orders, cache, seen: Vec::new() }
+    Store {
+        hosts,
+        node,
+        facts,
+        orders,
+        origin_orders,
+        cache,
+        seen: Vec::new(),
+    }
 }
 
 impl Store {
@@ -78,7 +94,13 @@
     }
 
     fn fates(&self) -> Vec<Fate> {
-        let fate = |w: &What| if let What::Fate { fate, .. } = w { Some(*fate) } else { None };
+        let fate = |w: &What| {
+            if let What::Fate { fate, .. } = w {
+                Some(*fate)
+            } else {
+                None
+            }
+        };
         self.seen.iter().filter_map(fate).collect()
     }
 }
@@ -89,10 +111,13 @@
     let how = |text: String| text.split("\r\n").nth(4).unwrap_or_default().to_string();
     assert_eq!(how(s.ask(get("r1", "trace-read", 900))), "miss");
     assert_eq!(how(s.ask(get("r2", "trace-read", 900))), "hit");
-    assert!(s.ask(set("w1", "alarm-set", 900, Some("k1"))).contains("w1|logger/1|"));
+    assert!(s
+        .ask(set("w1", "alarm-set", 900, Some("k1")))
+        .contains("w1|logger/1|"));
     assert_eq!(how(s.ask(get("r3", "trace-read", 900))), "miss");
     assert_eq!(s.count(|w| matches!(w, What::Fetch { .. })), 2);
-    s.origin_orders.give(origin::Order::Void { part: 1.0, salt: 9 });
+    s.origin_orders
+        .give(origin::Order::Void { part: 1.0, salt: 9 });
     s.after(600_000);
     assert_eq!(how(s.ask(get("r4", "trace-read", 900))), "miss");
 }
@@ -115,10 +140,15 @@
 fn a_keyed_write_takes_effect_once_within_the_window_and_again_after_it() {
     let mut s = store(|_, _| {});
     for id in ["w1", "w2"] {
-        assert!(s.ask(set(id, "alarm-set", 900, Some("k1"))).contains(&format!("{id}|")));
+        assert!(s
+            .ask(set(id, "alarm-set", 900, Some("k1")))
+            .contains(&format!("{id}|")));
     }
     let effects = |s: &Store| s.count(|w| matches!(w, What::Effect { .. }));
-    assert_eq!((effects(&s), s.count(|w| matches!(w, What::Dropped { .. }))), (1, 1));
+    assert_eq!(
+        (effects(&s), s.count(|w| matches!(w, What::Dropped { .. }))),
+        (1, 1)
+    );
     assert!(s.ask(set("w3", "alarm-ack", 900, None)).contains("w3|"));
     assert!(s.ask(set("w3", "alarm-ack", 900, None)).contains("w3|"));
     assert_eq!(effects(&s), 3, "what has no key is never dropped");
@@ -126,8 +156,16 @@
     // The box has closed the idle connection by now.
     s.node.connect(&mut s.hosts, address(1, 80));
     s.after(100_000);
-    let conn = s.node.seen().iter().rev().find(|(_, seen)| *seen == Seen::Up).unwrap().0;
-    s.node.send(&mut s.hosts, conn, set("w4", "alarm-set", 900, Some("k1")));
+    let conn = s
+        .node
+        .seen()
+        .iter()
+        .rev()
+        .find(|(_, seen)| *seen == Seen::Up)
+        .unwrap()
+        .0;
+    s.node
+        .send(&mut s.hosts, conn, set("w4", "alarm-set", 900, Some("k1")));
     s.after(1_000_000);
     assert_eq!(effects(&s), 4);
 }
@@ -140,11 +178,23 @@
     }
     s.after(60_000);
     for conn in 0..4 {
-        s.node.send(&mut s.hosts, conn, get(&format!("r{conn}"), "trace-read", 900));
+        s.node.send(
+            &mut s.hosts,
+            conn,
+            get(&format!("r{conn}"), "trace-read", 900),
+        );
     }
     s.after(1_000_000);
-    assert_eq!(s.node.text().matches("-BUSY\r\n").count(), 2, "{}", s.node.text());
-    assert_eq!(s.fates().iter().filter(|f| **f == Fate::TurnedAway).count(), 2);
+    assert_eq!(
+        s.node.text().matches("-BUSY\r\n").count(),
+        2,
+        "{}",
+        s.node.text()
+    );
+    assert_eq!(
+        s.fates().iter().filter(|f| **f == Fate::TurnedAway).count(),
+        2
+    );
     assert_eq!(s.fates().iter().filter(|f| **f == Fate::Ran).count(), 2);
 }
 
@@ -169,9 +219,20 @@
     let begun = s.hosts.now();
     s.node.send(&mut s.hosts, 0, get("r1", "trace-read", 900));
     s.after(1_000_000);
-    let answered =
-        s.node.script.borrow().seen.iter().find(|(_, _, seen)| matches!(seen, Seen::Bytes(_))).unwrap().0;
-    assert!(answered - begun > 45_000, "{} us behind a new connection", answered - begun);
+    let answered = s
+        .node
+        .script
+        .borrow()
+        .seen
+        .iter()
+        .find(|(_, _, seen)| matches!(seen, Seen::Bytes(_)))
+        .unwrap()
+        .0;
+    assert!(
+        answered - begun > 45_000,
+        "{} us behind a new connection",
+        answered - begun
+    );
     s.node.connect(&mut s.hosts, address(1, 80));
     s.after(10 * WAY);
     assert_eq!(s.node.seen().last(), Some(&(2, Seen::Ended)));
@@ -194,19 +255,30 @@
             .map(|s| s.0);
         at.unwrap() - begun
     };
-    assert!(time(true) > 2 * time(false), "{} {}", time(true), time(false));
+    assert!(
+        time(true) > 2 * time(false),
+        "{} {}",
+        time(true),
+        time(false)
+    );
     let mut s = store(|set, _| set.cold = true);
     // 13% of one core, two and a half times, for two seconds: 0.65 s of work.
     for n in 0..200 {
-        s.node.send(&mut s.hosts, 0, get(&format!("r{n}"), "trace-read", 900));
+        s.node
+            .send(&mut s.hosts, 0, get(&format!("r{n}"), "trace-read", 900));
     }
     s.after(30_000_000);
-    assert_eq!(s.count(|w| *w == What::Fell { at_box: 0 }), 0, "in turn they are no push");
+    assert_eq!(
+        s.count(|w| *w == What::Fell { at_box: 0 }),
+        0,
+        "in turn they are no push"
+    );
     let mut s = store(|set, _| set.cold = true);
     for n in 0..200 {
         s.node.connect(&mut s.hosts, address(1, 80));
         s.after(WAY);
-        s.node.send(&mut s.hosts, n, get(&format!("r{n}"), "trace-read", 900));
+        s.node
+            .send(&mut s.hosts, n, get(&format!("r{n}"), "trace-read", 900));
     }
     s.after(1_000_000);
     assert_eq!(s.count(|w| *w == What::Fell { at_box: 0 }), 1);
@@ -257,14 +329,24 @@
     assert!(s.node.text().contains("r3|"));
     s.order(cachebox::Order::Spoil(1.0));
     let spoilt = s.ask(get("r4", "trace-read", 900));
-    assert!(!spoilt.contains("$-1\r\n") || spoilt.contains("abcdefgh"), "{spoilt}");
-    assert_eq!(s.ask(get("r5", "trace-read", 900)), "", "the connection is of no further use");
+    assert!(
+        !spoilt.contains("$-1\r\n") || spoilt.contains("abcdefgh"),
+        "{spoilt}"
+    );
+    assert_eq!(
+        s.ask(get("r5", "trace-read", 900)),
+        "",
+        "the connection is of no further use"
+    );
 }
 
 #[test]
 fn what_no_client_sends_is_told() {
     let mut s = store(|_, _| {});
-    assert_eq!(s.ask(command(&["C.GET", "k", "id", "c=trace-read"])), "-SYNTAX\r\n");
+    assert_eq!(
+        s.ask(command(&["C.GET", "k", "id", "c=trace-read"])),
+        "-SYNTAX\r\n"
+    );
     assert_eq!(s.count(|w| matches!(w, What::Syntax { .. })), 1);
     assert_eq!(s.ask(command(&["PING"])), "+PONG\r\n");
     assert_eq!(s.ask(command(&["INFO", "load"])), "-NOPERM\r\n");
@@ -279,7 +361,15 @@
     hosts.world.borrow_mut().address(host, address(3, 80));
     let orders = Orders::default();
     let list = [listed(0, address(1, 80)), listed(1, address(1, 81))];
-    let actor = Discovery::new(hosts.net(host), &[address(3, 80)], 41, &list, orders.clone(), tap).unwrap();
+    let actor = Discovery::new(
+        hosts.net(host),
+        &[address(3, 80)],
+        41,
+        &list,
+        orders.clone(),
+        tap,
+    )
+    .unwrap();
     hosts.place(host, Box::new(actor));
     let node = Peer::new(&mut hosts, "node", None);
     node.connect(&mut hosts, address(3, 80));
@@ -299,10 +389,27 @@
 fn discovery_tells_the_whole_list_and_a_watch_waits_for_changes() {
     let (mut hosts, node, facts, orders, host) = discovery_scene();
     let whole = call(&mut hosts, &node, "/api/targets", 10 * WAY);
-    assert!(whole.contains(r#""all":true"#) && whole.contains(r#""rev":41"#), "{whole}");
+    assert!(
+        whole.contains(r#""all":true"#) && whole.contains(r#""rev":41"#),
+        "{whole}"
+    );
     assert!(whole.contains("s-0") && whole.contains("s-1"));
-    assert_eq!(facts.try_iter().filter(|f| matches!(f.what, What::Told { .. })).count(), 2);
-    assert_eq!(call(&mut hosts, &node, "/api/targets?since=41&timeout_ms=20000", 1_000_000), "");
+    assert_eq!(
+        facts
+            .try_iter()
+            .filter(|f| matches!(f.what, What::Told { .. }))
+            .count(),
+        2
+    );
+    assert_eq!(
+        call(
+            &mut hosts,
+            &node,
+            "/api/targets?since=41&timeout_ms=20000",
+            1_000_000
+        ),
+        ""
+    );
     let mut gone = listed(1, address(1, 81));
     gone.told = Told::Gone;
     orders.give(discovery::Order::Change(gone));
@@ -316,14 +423,27 @@
     );
     assert_eq!(
         facts.try_iter().map(|f| f.what).collect::<Vec<_>>(),
-        [What::Told { node: 0, at_box: 1, told: Told::Gone }]
+        [What::Told {
+            node: 0,
+            at_box: 1,
+            told: Told::Gone
+        }]
     );
     // A watch with nothing new ends with an empty change; one from an unknown version gets everything.
-    let empty = call(&mut hosts, &node, "/api/targets?since=42&timeout_ms=500", 600_000);
-    assert!(empty.contains(r#""targets":[]"#), "{empty}");
-    assert!(
-        call(&mut hosts, &node, "/api/targets?since=7&timeout_ms=500", 10 * WAY).contains(r#""all":true"#)
+    let empty = call(
+        &mut hosts,
+        &node,
+        "/api/targets?since=42&timeout_ms=500",
+        600_000,
     );
+    assert!(empty.contains(r#""targets":[]"#), "{empty}");
+    assert!(call(
+        &mut hosts,
+        &node,
+        "/api/targets?since=7&timeout_ms=500",
+        10 * WAY
+    )
+    .contains(r#""all":true"#));
 }
 
 #[test]
@@ -352,9 +472,13 @@
     give(&mut hosts, discovery::Order::Stale(false));
     assert!(call(&mut hosts, &node, "/api/targets", 10 * WAY).contains("terminating"));
     give(&mut hosts, discovery::Order::CountFrom(1));
-    assert!(
-        call(&mut hosts, &node, "/api/targets?since=42&timeout_ms=500", 10 * WAY).contains(r#""rev":1"#)
-    );
+    assert!(call(
+        &mut hosts,
+        &node,
+        "/api/targets?since=42&timeout_ms=500",
+        10 * WAY
+    )
+    .contains(r#""rev":1"#));
     give(&mut hosts, discovery::Order::Retire(100_000));
     let now = hosts.now();
     hosts.play_to(now + 200_000);
@@ -376,8 +500,14 @@
     let orders = Orders::default();
     let mut scenario = calm();
     scenario.rate = 50.0;
-    let mut set =
-        site::clients(vec![address(5, 80)], Vec::new(), Speech::default(), 3, &scenario, 10_000_000);
+    let mut set = site::clients(
+        vec![address(5, 80)],
+        Vec::new(),
+        Speech::default(),
+        3,
+        &scenario,
+        10_000_000,
+    );
     set.retries = 1.0;
     let crowd = clients::Crowd::new(hosts.net(host), set, orders.clone(), tap);
     hosts.place(host, Box::new(crowd));
@@ -389,11 +519,21 @@
 fn a_node_is_used_once_it_has_answered_ping() {
     let (mut hosts, node, facts, _orders) = crowd();
     hosts.play_to(1_000_000);
-    assert!(node.text().contains("PING") && !node.text().contains("C."), "{}", node.text());
+    assert!(
+        node.text().contains("PING") && !node.text().contains("C."),
+        "{}",
+        node.text()
+    );
     assert_eq!(facts.try_iter().count(), 0);
     node.send(&mut hosts, 0, "+PONG\r\n");
     hosts.play_to(2_000_000);
-    assert!(facts.try_iter().filter(|f| matches!(f.what, What::Asked { .. })).count() > 20);
+    assert!(
+        facts
+            .try_iter()
+            .filter(|f| matches!(f.what, What::Asked { .. }))
+            .count()
+            > 20
+    );
 }
 
 #[test]
@@ -411,8 +551,10 @@
     let (_, id, _) = asked(&facts).first().cloned().expect("one has asked");
     let conn = |node: &Peer, id: &str| {
         let script = node.script.borrow();
-        let found =
-            script.seen.iter().find(|(_, _, s)| matches!(s, Seen::Bytes(text) if text.contains(id)));
+        let found = script
+            .seen
+            .iter()
+            .find(|(_, _, s)| matches!(s, Seen::Bytes(text) if text.contains(id)));
         found.map(|(_, conn, _)| *conn).unwrap()
     };
     let at = conn(&node, &id);
@@ -422,13 +564,25 @@
     assert!(!asked(&facts).iter().any(|(_, _, first)| *first == id));
     hosts.play_to(refused + 110_000);
     let again = asked(&facts);
-    let (when, second, _) = again.iter().find(|(_, _, first)| *first == id).cloned().expect("asked again");
+    let (when, second, _) = again
+        .iter()
+        .find(|(_, _, first)| *first == id)
+        .cloned()
+        .expect("asked again");
     assert!(second != id && (refused + 100_000..refused + 110_000).contains(&when));
     // A value made for another request is told apart from its own.
     let at = conn(&node, &second);
     node.send(&mut hosts, at, "$7\r\nother|x\r\n");
     hosts.play_to(refused + 120_000);
-    let foreign = |f: Fact| matches!(f.what, What::Answered { how: Answer::Foreign(_), .. });
+    let foreign = |f: Fact| {
+        matches!(
+            f.what,
+            What::Answered {
+                how: Answer::Foreign(_),
+                ..
+            }
+        )
+    };
     assert!(facts.try_iter().any(foreign));
 }
 
@@ -437,12 +591,19 @@
     let (mut hosts, node, facts, _orders) = crowd();
     node.send(&mut hosts, 0, "+PONG\r\n");
     hosts.play_to(100 * WAY);
-    let first =
-        node.seen().iter().rev().find(|(_, s)| matches!(s, Seen::Bytes(t) if t.contains("C."))).cloned();
+    let first = node
+        .seen()
+        .iter()
+        .rev()
+        .find(|(_, s)| matches!(s, Seen::Bytes(t) if t.contains("C.")))
+        .cloned();
     let (conn, _) = first.expect("one has asked");
     node.close(&mut hosts, conn);
     let now = hosts.now();
     hosts.play_to(now + 20 * WAY);
     let seen: Vec<What> = facts.try_iter().map(|f| f.what).collect();
-    assert!(seen.iter().any(|w| matches!(w, What::Resent { .. })), "{seen:?}");
+    assert!(
+        seen.iter().any(|w| matches!(w, What::Resent { .. })),
+        "{seen:?}"
+    );
 }
--- a/crates/rig/tests/support/mod.rs
+++ b/crates/rig/tests/support/mod.rs
@@ -27,7 +27,14 @@
 }
 
 pub fn hosts() -> Hosts {
-    Hosts::new(World::new(1, Delay { same: WAY, cross: WAY, jitter: 0.0 }))
+    Hosts::new(World::new(
+        1,
+        Delay {
+            same: WAY,
+            cross: WAY,
+            jitter: 0.0,
+        },
+    ))
 }
 
 pub fn tap() -> (Tap, Receiver<Fact>) {
@@ -77,9 +84,16 @@
                 Came::Ended => Seen::Ended,
                 Came::Broke { refused } => Seen::Broke { refused: *refused },
                 Came::Bytes => {
-                    let Some(line) = self.port.line(*conn) else { continue };
+                    let Some(line) = self.port.line(*conn) else {
+                        continue;
+                    };
                     let bytes = line.buf.split();
-                    self.script.borrow_mut().raw.entry(*conn).or_default().extend_from_slice(&bytes);
+                    self.script
+                        .borrow_mut()
+                        .raw
+                        .entry(*conn)
+                        .or_default()
+                        .extend_from_slice(&bytes);
                     Seen::Bytes(String::from_utf8_lossy(&bytes).into_owned())
                 }
             };
@@ -126,7 +140,11 @@
             port.listen(at).unwrap();
         }
         let script = Handle::default();
-        let scripted = Scripted { port, script: script.clone(), came: Vec::new() };
+        let scripted = Scripted {
+            port,
+            script: script.clone(),
+            came: Vec::new(),
+        };
         hosts.place(host, Box::new(scripted));
         Peer { host, script }
     }
@@ -137,7 +155,10 @@
     }
 
     pub fn send(&self, hosts: &mut Hosts, conn: usize, bytes: impl AsRef<[u8]>) {
-        self.script.borrow_mut().send.push((conn, bytes.as_ref().to_vec()));
+        self.script
+            .borrow_mut()
+            .send
+            .push((conn, bytes.as_ref().to_vec()));
         hosts.wake(self.host);
     }
 
@@ -153,7 +174,12 @@
 
     /// Everything seen, without times.
     pub fn seen(&self) -> Vec<(usize, Seen)> {
-        self.script.borrow().seen.iter().map(|(_, conn, seen)| (*conn, seen.clone())).collect()
+        self.script
+            .borrow()
+            .seen
+            .iter()
+            .map(|(_, conn, seen)| (*conn, seen.clone()))
+            .collect()
     }
 
     /// All bytes that came, on any connection.
@@ -167,12 +193,19 @@
     }
 
     pub fn saw(&self, what: &Seen) -> bool {
-        self.script.borrow().seen.iter().any(|(_, _, seen)| seen == what)
+        self.script
+            .borrow()
+            .seen
+            .iter()
+            .any(|(_, _, seen)| seen == what)
     }
 }
 
 pub fn command(words: &[&str]) -> String {
-    let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    let words: String = words
+        .iter()
+        .map(|w| format!("${}\r\n{w}\r\n", w.len()))
+        .collect();
     format!("*{}\r\n{words}", words.matches('$').count())
 }
 
@@ -244,7 +277,10 @@
     let text = site::node_config(0, &calm(), at, discovery, 7, (41, known));
     let mut config = config::parse(&text).unwrap();
     if let Some(file) = memcached {
-        hosts.world.borrow_mut().address(host, SocketAddr::new(at.ip(), 11211));
+        hosts
+            .world
+            .borrow_mut()
+            .address(host, SocketAddr::new(at.ip(), 11211));
         config::memcached(&mut config, file).unwrap();
     }
     let source = Box::new(move || config::parse(&text));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -46,16 +46,28 @@
     text: &str,
     take: impl FnOnce(&mut Reader, Section) -> Option<T>,
 ) -> Result<T, Vec<Problem>> {
-    let mut reader = Reader { text, problems: Vec::new() };
+    let mut reader = Reader {
+        text,
+        problems: Vec::new(),
+    };
     let table = match DeTable::parse(text) {
         Ok(table) => table,
         Err(e) => {
             let at = e.span().map_or(0, |span| span.start);
-            reader.say(at, "(file)".to_string(), format!("is not TOML: {}", e.message()));
+            reader.say(
+                at,
+                "(file)".to_string(),
+                format!("is not TOML: {}", e.message()),
+            );
             return Err(reader.problems);
         }
     };
-    let top = Section { at: 0, path: "", number: None, table: table.get_ref() };
+    let top = Section {
+        at: 0,
+        path: "",
+        number: None,
+        table: table.get_ref(),
+    };
     let made = take(&mut reader, top);
     let mut problems = reader.problems;
     problems.sort_by_key(|p| p.line);
@@ -90,7 +102,10 @@
 
 impl<'a> Section<'a> {
     fn find(&self, name: &str) -> Option<&'a Spanned<DeValue<'a>>> {
-        self.table.iter().find(|(key, _)| key.get_ref() == name).map(|(_, value)| value)
+        self.table
+            .iter()
+            .find(|(key, _)| key.get_ref() == name)
+            .map(|(_, value)| value)
     }
 
     pub fn has(&self, name: &str) -> bool {
@@ -114,7 +129,9 @@
 
     /// Tells of a mistake in a field that is there, or in its table.
     pub fn wrong(&mut self, section: Section, name: &str, why: impl Into<String>) {
-        let at = section.find(name).map_or(section.at, |value| value.span().start);
+        let at = section
+            .find(name)
+            .map_or(section.at, |value| value.span().start);
         self.say(at, section.path(name), why.into());
     }
 
@@ -125,8 +142,13 @@
             if fields.contains(&name) {
                 continue;
             }
-            let near = fields.iter().map(|f| (strsim::damerau_levenshtein(f, name), f)).min();
-            let near = near.filter(|(far, _)| *far <= 3).map_or(String::new(), |(_, f)| format!("; {f}?"));
+            let near = fields
+                .iter()
+                .map(|f| (strsim::damerau_levenshtein(f, name), f))
+                .min();
+            let near = near
+                .filter(|(far, _)| *far <= 3)
+                .map_or(String::new(), |(_, f)| format!("; {f}?"));
             let why = format!("is no known field{near}; allowed: {}", fields.join(", "));
             self.say(key.span().start, section.path(name), why);
         }
@@ -143,7 +165,11 @@
     ) -> Option<T> {
         let Some(value) = section.find(name) else {
             if usual.is_none() {
-                self.say(section.at, section.path(name), format!("is missing; allowed: {allowed}"));
+                self.say(
+                    section.at,
+                    section.path(name),
+                    format!("is missing; allowed: {allowed}"),
+                );
             }
             return usual;
         };
@@ -157,7 +183,9 @@
 
     /// A text that has to be there.
     pub fn text<'a>(&mut self, section: Section<'a>, name: &str, allowed: &str) -> Option<&'a str> {
-        self.take(section, name, allowed, None, |v| v.as_str().filter(|text| !text.is_empty()))
+        self.take(section, name, allowed, None, |v| {
+            v.as_str().filter(|text| !text.is_empty())
+        })
     }
 
     /// What a text means, or `usual` where it is absent.
@@ -182,7 +210,8 @@
     ) -> Option<u32> {
         let allowed = format!("a whole number from {} to {}", bounds.start(), bounds.end());
         self.take(section, name, &allowed, usual, |v| {
-            let n = number(v).filter(|n| n.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(n))?;
+            let n = number(v)
+                .filter(|n| n.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(n))?;
             Some(n as u32).filter(|n| bounds.contains(n))
         })
     }
@@ -196,7 +225,12 @@
         for (n, item) in items.unwrap_or_default().iter().enumerate() {
             let at = item.span().start;
             match item.get_ref().as_table() {
-                Some(table) => tables.push(Section { at, path: name, number: Some(n), table }),
+                Some(table) => tables.push(Section {
+                    at,
+                    path: name,
+                    number: Some(n),
+                    table,
+                }),
                 None => self.say(
                     at,
                     section.path(name),
@@ -213,9 +247,18 @@
         let at = value.span().start;
         let table = value.get_ref().as_table();
         if table.is_none() {
-            self.say(at, section.path(name), format!("is {}; allowed: a table", shown(value.get_ref())));
+            self.say(
+                at,
+                section.path(name),
+                format!("is {}; allowed: a table", shown(value.get_ref())),
+            );
         }
-        table.map(|table| Section { at, path: name, number: None, table })
+        table.map(|table| Section {
+            at,
+            path: name,
+            number: None,
+            table,
+        })
     }
 }
 
--- a/crates/settings/src/lib_tests.rs
+++ b/crates/settings/src/lib_tests.rs
@@ -5,7 +5,9 @@
         r.only(top, &["name", "most", "kind", "part", "item"]);
         r.text(top, "name", "text");
         r.whole(top, "most", 1..=9, Some(3));
-        r.meaning(top, "kind", "a or b", Some(0), |word| ["a", "b"].iter().position(|w| *w == word));
+        r.meaning(top, "kind", "a or b", Some(0), |word| {
+            ["a", "b"].iter().position(|w| *w == word)
+        });
         if let Some(part) = r.section(top, "part") {
             r.whole(part, "size", 0..=u32::MAX, None);
         }
@@ -16,7 +18,11 @@
         }
         Some(())
     });
-    read.err().unwrap_or_default().iter().map(|p| p.to_string()).collect()
+    read.err()
+        .unwrap_or_default()
+        .iter()
+        .map(|p| p.to_string())
+        .collect()
 }
 
 #[test]
@@ -41,7 +47,13 @@
         "line 8: item[1].name: is bad",
     ];
     assert_eq!(all(text), expected);
-    assert_eq!(all("name = \"x\"\npart = 3\nitem = [1]")[0], "line 2: part: is 3; allowed: a table");
-    assert_eq!(all("name = \"x\"\nitem = [1]"), ["line 2: item: holds 1; allowed: tables"]);
+    assert_eq!(
+        all("name = \"x\"\npart = 3\nitem = [1]")[0],
+        "line 2: part: is 3; allowed: a table"
+    );
+    assert_eq!(
+        all("name = \"x\"\nitem = [1]"),
+        ["line 2: item: holds 1; allowed: tables"]
+    );
     assert!(all("name = \"x")[0].starts_with("line 1: (file): is not TOML"));
 }
