--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -31,27 +31,37 @@
 impl Host {
     /// Handles one batch; the reply is appended to `out`.
     fn batch(&mut self, line: &str, out: &mut String) -> Result<(), Bad> {
-        let value: Value =
-            serde_json::from_str(line).map_err(|e| Bad::new("line", format!("is not JSON: {e}")))?;
+        let value: Value = serde_json::from_str(line)
+            .map_err(|e| Bad::new("line", format!("is not JSON: {e}")))?;
         let fields = Fields::of(&value, "line")?;
         let now = fields.micros("ts")?;
         let items = fields.array("items")?;
         out.push_str("{\"do\":[");
         let mut first = true;
         for (i, item) in items.iter().enumerate() {
-            self.item(now, item, out, &mut first).map_err(|bad| bad.at(i))?;
+            self.item(now, item, out, &mut first)
+                .map_err(|bad| bad.at(i))?;
         }
         out.push_str("]}\n");
         Ok(())
     }
 
-    fn item(&mut self, now: i64, item: &Value, out: &mut String, first: &mut bool) -> Result<(), Bad> {
+    fn item(
+        &mut self,
+        now: i64,
+        item: &Value,
+        out: &mut String,
+        first: &mut bool,
+    ) -> Result<(), Bad> {
         let f = Fields::of(item, "items")?;
         let t = f.text("t")?;
         if t == "REGISTER" {
             let id = f.int("roster_id")?;
             let list = f.array("elements")?;
-            let entries = list.iter().map(wire::raw_entry).collect::<Result<Vec<_>, _>>()?;
+            let entries = list
+                .iter()
+                .map(wire::raw_entry)
+                .collect::<Result<Vec<_>, _>>()?;
             self.registers.insert(id, entries.into());
             return Ok(());
         }
@@ -68,11 +78,20 @@
             let (settings, names) = settings::parse(&options)?;
             let balancer = Balancer::new(settings, seed, now)
                 .map_err(|e| Bad::new("options", format!("cannot be used: {e}")))?;
-            self.instances.insert(node, Instance { balancer: Some(balancer), names });
+            self.instances.insert(
+                node,
+                Instance {
+                    balancer: Some(balancer),
+                    names,
+                },
+            );
             return Ok(());
         }
         let Some(instance) = self.instances.get_mut(&node) else {
-            return Err(Bad::new("node", format!("instance {node} was never created")));
+            return Err(Bad::new(
+                "node",
+                format!("instance {node} was never created"),
+            ));
         };
         if t == "KILL" {
             self.instances.remove(&node);
@@ -85,7 +104,10 @@
                 Some(kind) => {
                     let id = f.int("roster_id")?;
                     let Some(raw) = self.registers.get(&id) else {
-                        return Err(Bad::new("roster_id", format!("register {id} was never declared")));
+                        return Err(Bad::new(
+                            "roster_id",
+                            format!("register {id} was never declared"),
+                        ));
                     };
                     Event::Servers(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
                 }
@@ -93,7 +115,9 @@
         } else {
             wire::event(t, &f, &instance.names)?
         };
-        let Some(balancer) = instance.balancer.as_mut() else { return Ok(()) };
+        let Some(balancer) = instance.balancer.as_mut() else {
+            return Ok(());
+        };
         self.actions.clear();
         let actions = &mut self.actions;
         let outcome = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, actions)));
@@ -142,7 +166,11 @@
             eprintln!("input line {number}: {bad}");
             return ExitCode::from(2);
         }
-        if output.write_all(reply.as_bytes()).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(reply.as_bytes())
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             return ExitCode::from(3);
         }
     }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -25,7 +25,11 @@
 
 pub fn raw_entry(value: &Value) -> Result<RawEntry, Bad> {
     let f = Fields::of(value, "elements")?;
-    let text = |name| f.opt(name).map(|_| f.text(name).map(str::to_string)).transpose();
+    let text = |name| {
+        f.opt(name)
+            .map(|_| f.text(name).map(str::to_string))
+            .transpose()
+    };
     let state = match f.text("mode")? {
         "live" => ServerState::Live,
         "quiescing" => ServerState::Draining,
@@ -39,7 +43,11 @@
         kind: text("family_type")?,
         state,
         started: Some(f.micros_or("started_at", 0)?).filter(|t| *t > 0),
-        cell: f.opt("block").map(|_| f.int("block")).transpose()?.map(|n| n as u32),
+        cell: f
+            .opt("block")
+            .map(|_| f.int("block"))
+            .transpose()?
+            .map(|n| n as u32),
     })
 }
 
@@ -70,7 +78,9 @@
 }
 
 fn load(f: &Fields) -> Result<Option<Load>, Bad> {
-    let Some(value) = f.opt("telemetry") else { return Ok(None) };
+    let Some(value) = f.opt("telemetry") else {
+        return Ok(None);
+    };
     let r = Fields::of(value, "telemetry")?;
     Ok(Some(Load {
         in_flight: r.opt_number("active")?,
@@ -96,15 +106,25 @@
             class: names
                 .class(f.text("tier_class")?)
                 .ok_or_else(|| Bad::new("tier_class", "is no class of the settings"))?,
-            tenant: f.opt("owner").and_then(Value::as_str).and_then(|name| names.tenant(name)),
-            key: f.opt("key").map(|_| f.text("key")).transpose()?.map(Arc::from),
+            tenant: f
+                .opt("owner")
+                .and_then(Value::as_str)
+                .and_then(|name| names.tenant(name)),
+            key: f
+                .opt("key")
+                .map(|_| f.text("key"))
+                .transpose()?
+                .map(Arc::from),
             budget: f.micros("time_budget")?,
             work: f.opt_number("effort")?.map(|ms| ms * 1000.0),
             size: f.opt_number("bytes_hint")?,
             retry: f.flag_or("resent", false)?,
             write: f.flag_or("mutates", false)?,
         }),
-        "ACCEPTED" => Event::Started { request: f.text("req")?.into(), attempt: attempt(f)? },
+        "ACCEPTED" => Event::Started {
+            request: f.text("req")?.into(),
+            attempt: attempt(f)?,
+        },
         "OUTCOME" => Event::Outcome {
             request: f.text("req")?.into(),
             server: f.text("server")?.into(),
@@ -121,16 +141,21 @@
             load: load(f)?,
         },
         "CLIENT_LEFT" => Event::ClientLeft(f.text("req")?.into()),
-        "WAKE" => {
-            Event::Timer(f.get("ref")?.as_u64().ok_or_else(|| Bad::new("ref", "is not a whole number"))?)
-        }
+        "WAKE" => Event::Timer(
+            f.get("ref")?
+                .as_u64()
+                .ok_or_else(|| Bad::new("ref", "is not a whole number"))?,
+        ),
         "ECHO" => Event::Probed {
             server: f.text("server")?.into(),
             latency: f.micros("spent")?,
             status: status(f)?,
             load: load(f)?,
         },
-        "MESSAGE" => Event::Peer { from: f.seed("origin_peer")?, data: hex(f.text("payload")?)? },
+        "MESSAGE" => Event::Peer {
+            from: f.seed("origin_peer")?,
+            data: hex(f.text("payload")?)?,
+        },
         other => return Err(Bad::new("t", format!("{other:?} is no event"))),
     })
 }
@@ -172,7 +197,11 @@
 
 pub fn action(out: &mut String, node: i64, action: &Action) {
     match action {
-        Action::Send { request, server, timeout } => {
+        Action::Send {
+            request,
+            server,
+            timeout,
+        } => {
             open(out, "ISSUE", node);
             text_field(out, "req", request);
             text_field(out, "server", server);
@@ -180,7 +209,10 @@
                 time_field(out, "allow_for", *timeout);
             }
         }
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse {
+            request,
+            retry_after,
+        } => {
             open(out, "BOUNCE", node);
             text_field(out, "req", request);
             if *retry_after > 0 {
--- a/crates/simhost/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -53,20 +53,34 @@
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines[0], r#"{"do":[]}"#);
     let sent = actions(lines[2]);
-    assert!(sent.iter().any(|a| a["t"] == "ISSUE" && a["req"] == "q0" && a["node"] == 1));
-    assert!(actions(lines[3]).iter().any(|a| a["t"] == "BOUNCE" && a["req"] == "q0"));
+    assert!(sent
+        .iter()
+        .any(|a| a["t"] == "ISSUE" && a["req"] == "q0" && a["node"] == 1));
+    assert!(actions(lines[3])
+        .iter()
+        .any(|a| a["t"] == "BOUNCE" && a["req"] == "q0"));
 }
 
 #[test]
 fn a_stop_and_a_start_in_one_batch_leave_an_empty_instance() {
     let first = batch(0, &[create(1), LIST.into(), members(1), request(1, 0)]);
-    let again = batch(5, &[r#"{"t":"KILL","node":1}"#.into(), create(1), LIST.into(), members(1)]);
+    let again = batch(
+        5,
+        &[
+            r#"{"t":"KILL","node":1}"#.into(),
+            create(1),
+            LIST.into(),
+            members(1),
+        ],
+    );
     let old = r#"{"t":"OUTCOME","node":1,"req":"q0","spent":1.0,"server":"a","reason":5,"seq_no":0,"last":false}"#;
     let out = run(&(first + &again + &batch(6, &[old.into()])));
     assert!(out.status.success());
     let text = String::from_utf8(out.stdout).unwrap();
     // The old request is forgotten: its late outcome gets no further attempt and no answer.
-    assert!(actions(text.lines().last().unwrap()).iter().all(|a| a["t"] == "RECORD"));
+    assert!(actions(text.lines().last().unwrap())
+        .iter()
+        .all(|a| a["t"] == "RECORD"));
 }
 
 #[test]
@@ -100,17 +114,32 @@
         ("{\"items\":[]}\n".to_string(), "ts"),
         ("{\"ts\":1.0}\n".to_string(), "items"),
         (batch(1, &[request(7, 0)]), "node"),
-        (batch(1, &[request(1, 0).replace("300.0", "\"x\"")]), "time_budget"),
+        (
+            batch(1, &[request(1, 0).replace("300.0", "\"x\"")]),
+            "time_budget",
+        ),
         (batch(1, &[members(1).replace(":3,", ":4,")]), "roster_id"),
-        (batch(1, &[create(2).replace("\"cold\":9000.0,", "")]), "cold"),
-        (batch(1, &[create(2).replace("\"replicas_of_me\":2", "\"replicas_of_me\":0")]), "nodes"),
+        (
+            batch(1, &[create(2).replace("\"cold\":9000.0,", "")]),
+            "cold",
+        ),
+        (
+            batch(
+                1,
+                &[create(2).replace("\"replicas_of_me\":2", "\"replicas_of_me\":0")],
+            ),
+            "nodes",
+        ),
     ];
     for (line, field) in cases {
         let out = run(&(start.clone() + &line));
         let said = String::from_utf8(out.stderr).unwrap();
         assert_eq!(out.status.code(), Some(2), "{line}");
         assert_eq!(said.lines().count(), 1, "{said}");
-        assert!(said.contains("input line 2") && said.contains(field), "{said}");
+        assert!(
+            said.contains("input line 2") && said.contains(field),
+            "{said}"
+        );
         assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1);
     }
 }
@@ -121,5 +150,8 @@
     let out = run(&(batch(0, &[odd.clone(), odd.clone()]) + &batch(1, &[odd])));
     assert!(out.status.success());
     assert_eq!(String::from_utf8(out.stderr).unwrap().lines().count(), 1);
-    assert_eq!(String::from_utf8(out.stdout).unwrap(), "{\"do\":[]}\n{\"do\":[]}\n");
+    assert_eq!(
+        String::from_utf8(out.stdout).unwrap(),
+        "{\"do\":[]}\n{\"do\":[]}\n"
+    );
 }
--- a/crates/sloewick/benches/loopback.rs
+++ b/crates/sloewick/benches/loopback.rs
@@ -17,7 +17,10 @@
 const BOXES: usize = 4;
 
 fn setting(name: &str, usual: usize) -> usize {
-    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(usual)
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(usual)
 }
 
 /// A box that answers at once, one thread a connection; it lives as long as the process.
@@ -26,7 +29,13 @@
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || if memcached { serve_memcached(stream) } else { serve(stream) });
+            std::thread::spawn(move || {
+                if memcached {
+                    serve_memcached(stream)
+                } else {
+                    serve(stream)
+                }
+            });
         }
     });
     address
@@ -70,11 +79,15 @@
         }
         buf.extend_from_slice(&chunk[..n]);
         let found = commands(&buf);
-        let Some((_, end)) = found.last().cloned() else { continue };
+        let Some((_, end)) = found.last().cloned() else {
+            continue;
+        };
         let mut out = Vec::new();
         for (id, _) in found {
             let value = format!("{id}|{}", "v".repeat(180));
-            out.extend(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).bytes());
+            out.extend(
+                format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).bytes(),
+            );
         }
         buf.drain(..end);
         if stream.write_all(&out).is_err() {
@@ -89,9 +102,25 @@
     Some(24 + u32::from_be_bytes(body.try_into().expect("four bytes")) as usize)
 }
 
-fn put_packet(out: &mut Vec<u8>, magic: u8, key: &[u8], extras: &[u8], opaque: &[u8], value: &[u8]) {
+fn put_packet(
+    out: &mut Vec<u8>,
+    magic: u8,
+    key: &[u8],
+    extras: &[u8],
+    opaque: &[u8],
+    value: &[u8],
+) {
     let body = (key.len() + extras.len() + value.len()) as u32;
-    out.extend([magic, 0, (key.len() >> 8) as u8, key.len() as u8, extras.len() as u8, 0, 0, 0]);
+    out.extend([
+        magic,
+        0,
+        (key.len() >> 8) as u8,
+        key.len() as u8,
+        extras.len() as u8,
+        0,
+        0,
+        0,
+    ]);
     out.extend(body.to_be_bytes());
     out.extend(opaque);
     out.extend([0; 8]);
@@ -150,7 +179,10 @@
             })
         })
         .collect();
-    let mut all: Vec<u64> = threads.into_iter().flat_map(|t| t.join().expect("a client")).collect();
+    let mut all: Vec<u64> = threads
+        .into_iter()
+        .flat_map(|t| t.join().expect("a client"))
+        .collect();
     let took = began.elapsed();
     all.sort_unstable();
     (all, took)
@@ -179,17 +211,27 @@
                     // The end of a box's answer, and of a node's.
                     while !(got.ends_with(b"$-1\r\n") || got.ends_with(b"v\r\n")) {
                         let n = stream.read(&mut chunk).expect("an answer");
-                        assert!(n > 0 && !got.starts_with(b"-"), "{}", String::from_utf8_lossy(&got));
+                        assert!(
+                            n > 0 && !got.starts_with(b"-"),
+                            "{}",
+                            String::from_utf8_lossy(&got)
+                        );
                         got.extend_from_slice(&chunk[..n]);
                     }
-                    assert!(got.windows(16).any(|w| w == id.as_bytes()), "another's answer");
+                    assert!(
+                        got.windows(16).any(|w| w == id.as_bytes()),
+                        "another's answer"
+                    );
                     times.push(asked.elapsed().as_micros() as u64);
                 }
                 times
             })
         })
         .collect();
-    let mut all: Vec<u64> = threads.into_iter().flat_map(|t| t.join().expect("a client")).collect();
+    let mut all: Vec<u64> = threads
+        .into_iter()
+        .flat_map(|t| t.join().expect("a client"))
+        .collect();
     let took = began.elapsed();
     all.sort_unstable();
     (all, took)
@@ -206,9 +248,13 @@
 impl Node {
     /// `memcached`: memcached clients are listened for; `model` of the boxes.
     fn start(program: &Path, boxes: &[SocketAddr], memcached: bool, model: &str) -> Node {
-        let address = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
-        let text =
-            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/node.json"));
+        let address = TcpListener::bind("127.0.0.1:0")
+            .and_then(|l| l.local_addr())
+            .expect("an address");
+        let text = std::fs::read_to_string(concat!(
+            env!("CARGO_MANIFEST_DIR"),
+            "/../../examples/node.json"
+        ));
         let mut config: serde_json::Value =
             serde_json::from_str(&text.expect("the example")).expect("JSON");
         config["listen"] = address.to_string().into();
@@ -229,13 +275,20 @@
             .collect();
         config["known"]["targets"] = targets.into();
         let name = |kind: &str| {
-            let name = format!("sloewick-loopback-{}-{}.{kind}", std::process::id(), address.port());
+            let name = format!(
+                "sloewick-loopback-{}-{}.{kind}",
+                std::process::id(),
+                address.port()
+            );
             std::env::temp_dir().join(name)
         };
         let mut files = vec![name("json")];
         std::fs::write(&files[0], config.to_string()).expect("a file");
         let mut command = Command::new(program);
-        command.arg("run").env("BALANCER_CONFIG", &files[0]).stderr(Stdio::null());
+        command
+            .arg("run")
+            .env("BALANCER_CONFIG", &files[0])
+            .stderr(Stdio::null());
         let memcached = memcached.then(|| {
             let at = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
             let text = format!(
@@ -247,10 +300,18 @@
             command.arg("--memcached").arg(&files[1]);
             at
         });
-        let node = Node { child: command.spawn().expect("the program"), address, memcached, files };
+        let node = Node {
+            child: command.spawn().expect("the program"),
+            address,
+            memcached,
+            files,
+        };
         let began = Instant::now();
         while TcpStream::connect(address).is_err() {
-            assert!(began.elapsed() < Duration::from_secs(10), "the node does not listen");
+            assert!(
+                began.elapsed() < Duration::from_secs(10),
+                "the node does not listen"
+            );
             std::thread::sleep(Duration::from_millis(5));
         }
         node
@@ -258,15 +319,21 @@
 
     /// CPU used so far, in microseconds (nanoseconds of run time from schedstat, all its threads together).
     fn cpu(&self) -> u64 {
-        let text =
-            std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).unwrap_or_default();
-        text.split(' ').next().and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) / 1000
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))
+            .unwrap_or_default();
+        text.split(' ')
+            .next()
+            .and_then(|n| n.parse::<u64>().ok())
+            .unwrap_or(0)
+            / 1000
     }
 
     fn peak_kb(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .unwrap_or_default();
         let line = text.lines().find(|l| l.starts_with("VmHWM:"));
-        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -274,7 +341,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+        self.files
+            .iter()
+            .for_each(|file| drop(std::fs::remove_file(file)));
     }
 }
 
@@ -284,11 +353,16 @@
 }
 
 fn main() {
-    let (requests, rounds) = (setting("LOOPBACK_REQUESTS", 20_000), setting("LOOPBACK_ROUNDS", 5));
+    let (requests, rounds) = (
+        setting("LOOPBACK_REQUESTS", 20_000),
+        setting("LOOPBACK_ROUNDS", 5),
+    );
     let programs: Vec<(String, PathBuf)> = match std::env::var("LOOPBACK_NODES") {
         Ok(list) => {
             let pairs = list.split(',').filter_map(|pair| pair.split_once('='));
-            pairs.map(|(name, path)| (name.to_string(), path.into())).collect()
+            pairs
+                .map(|(name, path)| (name.to_string(), path.into()))
+                .collect()
         }
         Err(_) => vec![("node".to_string(), env!("CARGO_BIN_EXE_sloewick").into())],
     };
@@ -299,12 +373,22 @@
         .collect();
     if programs.len() == 1 {
         let program = &programs[0].1;
-        nodes.push(("mc-front".to_string(), Node::start(program, &boxes, true, "std-box")));
+        nodes.push((
+            "mc-front".to_string(),
+            Node::start(program, &boxes, true, "std-box"),
+        ));
         let boxes: Vec<SocketAddr> = (0..BOXES).map(|_| cache_box(true)).collect();
-        nodes.push(("mc-both".to_string(), Node::start(program, &boxes, true, "memcached-box")));
+        nodes.push((
+            "mc-both".to_string(),
+            Node::start(program, &boxes, true, "memcached-box"),
+        ));
     }
     let mut rows: Vec<(String, [Vec<f64>; 4])> = vec![("direct".to_string(), Default::default())];
-    rows.extend(nodes.iter().map(|(name, _)| (name.clone(), Default::default())));
+    rows.extend(
+        nodes
+            .iter()
+            .map(|(name, _)| (name.clone(), Default::default())),
+    );
     for round in 0..=rounds {
         for (row, (_, figures)) in rows.iter_mut().enumerate() {
             let node = row.checked_sub(1).map(|n| &nodes[n].1);
@@ -332,11 +416,17 @@
     for (row, (name, figures)) in rows.iter_mut().enumerate() {
         let [rate, cpu, p50, p99] = figures.each_mut().map(|f| median(f));
         let peak = row.checked_sub(1).map_or(0, |n| nodes[n].1.peak_kb());
-        println!("{name:10} {rate:10.0} {cpu:14.1} {p50:8.0} {p99:8.0} {:10.1}", peak as f64 / 1024.0);
+        println!(
+            "{name:10} {rate:10.0} {cpu:14.1} {p50:8.0} {p99:8.0} {:10.1}",
+            peak as f64 / 1024.0
+        );
     }
     for row in 2..rows.len() {
         let cpu = rows[1].1[1].iter().zip(&rows[row].1[1]).map(|(a, b)| b / a);
         let ratio = median(&mut cpu.collect::<Vec<f64>>());
-        println!("CPU a request, {} over {}: {ratio:.3}", rows[row].0, rows[1].0);
+        println!(
+            "CPU a request, {} over {}: {ratio:.3}",
+            rows[row].0, rows[1].0
+        );
     }
 }
--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -48,9 +48,15 @@
 fn memcached(text: &str, node: &str) -> Vec<Line> {
     let Ok(mut config) = config::parse(node) else {
         let text = "not judged: it needs a node's configuration that can be used".to_string();
-        return vec![Line { json: serde_json::json!({"why": text}), text, fatal: true }];
+        return vec![Line {
+            json: serde_json::json!({"why": text}),
+            text,
+            fatal: true,
+        }];
     };
-    let problems = config::memcached(&mut config, text).err().unwrap_or_default();
+    let problems = config::memcached(&mut config, text)
+        .err()
+        .unwrap_or_default();
     let mut lines: Vec<Line> = problems
         .iter()
         .map(|p| Line {
@@ -61,8 +67,13 @@
         .collect();
     let listen = config.memcached.and_then(|file| file.listen);
     if listen.is_some_and(|at| at == config.listen || at == config.discovery) {
-        let text = "problem: listen: is the address of the node's own listener or of discovery".to_string();
-        lines.push(Line { json: serde_json::json!({"field": "listen", "why": text}), text, fatal: true });
+        let text = "problem: listen: is the address of the node's own listener or of discovery"
+            .to_string();
+        lines.push(Line {
+            json: serde_json::json!({"field": "listen", "why": text}),
+            text,
+            fatal: true,
+        });
     }
     lines
 }
@@ -90,9 +101,14 @@
         let name = file.display();
         if args.json {
             let list: Vec<_> = found.iter().map(|f| f.json.clone()).collect();
-            out::line(format!("{}", serde_json::json!({"file": name.to_string(), "found": list})));
+            out::line(format!(
+                "{}",
+                serde_json::json!({"file": name.to_string(), "found": list})
+            ));
         } else {
-            found.iter().for_each(|f| out::line(format!("{name}: {}", f.text)));
+            found
+                .iter()
+                .for_each(|f| out::line(format!("{name}: {}", f.text)));
         }
         match found.iter().filter(|f| f.fatal).count() {
             0 if !args.json => out::line(format!("{name}: can be used")),
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -58,16 +58,31 @@
     let third = f64::from(args.seconds) / 3.0;
     let mut faults = Vec::new();
     if let Some(name) = &args.fault {
-        let playable = || FAULTS.iter().filter(|s| s.real).map(|s| s.name).collect::<Vec<_>>().join(", ");
+        let playable = || {
+            FAULTS
+                .iter()
+                .filter(|s| s.real)
+                .map(|s| s.name)
+                .collect::<Vec<_>>()
+                .join(", ")
+        };
         let Some(spec) = FAULTS.iter().find(|s| s.name == name && s.real) else {
             return Err(format!(
                 "--fault {name}: is no fault that real sockets can play; allowed: {}",
                 playable()
             ));
         };
-        let mut fault = Fault { at: third, name: spec.name, set: Vec::new() };
+        let mut fault = Fault {
+            at: third,
+            name: spec.name,
+            set: Vec::new(),
+        };
         // What lasts, lasts a third of the run at most; what is back, is back by then.
-        for (field, kind) in spec.fields.iter().filter(|(f, _)| ["for", "back", "over"].contains(f)) {
+        for (field, kind) in spec
+            .fields
+            .iter()
+            .filter(|(f, _)| ["for", "back", "over"].contains(f))
+        {
             if let Kind::Number { usual, .. } = kind {
                 fault.set.push((field, Set::Number(usual.min(third))));
             }
@@ -121,7 +136,9 @@
         ));
         if demo.memcached {
             for (node, (_, memcached)) in demo.listening().iter().enumerate() {
-                out::line(format!("node {node} listens for memcached clients at {memcached}"));
+                out::line(format!(
+                    "node {node} listens for memcached clients at {memcached}"
+                ));
             }
         }
     }
@@ -141,7 +158,11 @@
             line["faults"] = said.into();
             out::line(format!("{line}"));
         } else if second > 1 {
-            out::line(format!("{:4} s  {}", second - 1, demo.report.line(&mut span, 1.0)));
+            out::line(format!(
+                "{:4} s  {}",
+                second - 1,
+                demo.report.line(&mut span, 1.0)
+            ));
         }
     }
     demo.go_on(Duration::from_millis(2500));
@@ -153,10 +174,18 @@
         let mut line = report.json(&mut whole, asked_for);
         line["summary"] = true.into();
         line["worst_ten_seconds"] = report.worst_ten().into();
-        line["breaches"] = judge.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
+        line["breaches"] = judge
+            .breaches
+            .iter()
+            .map(|b| b.to_string())
+            .collect::<Vec<_>>()
+            .into();
         out::line(format!("{line}"));
     } else {
-        out::line(format!("\nwhole run  {}", report.line(&mut whole, asked_for)));
+        out::line(format!(
+            "\nwhole run  {}",
+            report.line(&mut whole, asked_for)
+        ));
         out::line(format!(
             "{} attempts, {} client retries, {} writes took effect, {} repeats dropped; worst ten seconds {:.3}",
             whole.attempts,
@@ -166,7 +195,11 @@
             report.worst_ten()
         ));
         out::line(format!("rules broken: {}", judge.breaches.len()));
-        judge.breaches.iter().take(5).for_each(|b| out::line(format!("BROKEN {b}")));
+        judge
+            .breaches
+            .iter()
+            .take(5)
+            .for_each(|b| out::line(format!("BROKEN {b}")));
     }
     ExitCode::from(u8::from(!judge.breaches.is_empty()))
 }
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -64,14 +64,20 @@
 
 /// A configuration that can be read and that means something: under a time of no length, or a share of 7, nothing is served.
 fn usable(text: &str) -> Result<config::Config, Bad> {
-    let found = sloewick_node::check::check(text).into_iter().find(|found| found.fatal);
+    let found = sloewick_node::check::check(text)
+        .into_iter()
+        .find(|found| found.fatal);
     match (config::parse(text), found) {
         (Ok(config), None) => Ok(config),
         // Told with its whole path, what stands there and what would do.
         (parsed, Some(found))
-            if parsed.is_ok() || found.field.starts_with("settings.") && found.value != "missing" =>
+            if parsed.is_ok()
+                || found.field.starts_with("settings.") && found.value != "missing" =>
         {
-            let why = format!("{}: {}; for example {}", found.value, found.why, found.example);
+            let why = format!(
+                "{}: {}; for example {}",
+                found.value, found.why, found.example
+            );
             Err(Bad::new(&found.field, why))
         }
         (parsed, _) => parsed,
@@ -79,14 +85,15 @@
 }
 
 fn run(args: &RunArgs) -> Result<(), Bad> {
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
-    let text =
-        std::fs::read_to_string(&path).map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
+    let path =
+        std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
     let mut config = usable(&text)?;
     if let Some(file) = &args.memcached {
         let name = file.display();
-        let text =
-            std::fs::read_to_string(file).map_err(|e| Bad::new("--memcached", format!("{name}: {e}")))?;
+        let text = std::fs::read_to_string(file)
+            .map_err(|e| Bad::new("--memcached", format!("{name}: {e}")))?;
         config::memcached(&mut config, &text).map_err(|problems| {
             let all: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
             Bad::new("--memcached", format!("{name}: {}", all.join("; ")))
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -62,7 +62,10 @@
         let about = scenario::parse(text).map(|s| s.about).unwrap_or_default();
         out::line(format!("  {name:20} {about}"));
     }
-    out::line(format!("  {:20} faults mixed by chance from the seed", "swarm"));
+    out::line(format!(
+        "  {:20} faults mixed by chance from the seed",
+        "swarm"
+    ));
     out::line("\nfaults (of [[fault]] tables: kind, at, and):");
     for spec in scenario::FAULTS {
         out::line(format!("  {:20} {}", spec.name, spec.about));
@@ -77,16 +80,24 @@
     if name == "swarm" {
         return Ok(scenario::swarm(seed));
     }
-    let shipped = scenario::SHIPPED.iter().find(|(shipped, _)| *shipped == name);
+    let shipped = scenario::SHIPPED
+        .iter()
+        .find(|(shipped, _)| *shipped == name);
     let text = match shipped {
         Some((_, text)) => text.to_string(),
         None => std::fs::read_to_string(name).map_err(|e| {
             let known: Vec<&str> = scenario::SHIPPED.iter().map(|(n, _)| *n).collect();
-            format!("{name}: {e}; it is no file and no shipped scenario (swarm, {})", known.join(", "))
+            format!(
+                "{name}: {e}; it is no file and no shipped scenario (swarm, {})",
+                known.join(", ")
+            )
         })?,
     };
     scenario::parse(&text).map_err(|wrong| {
-        let lines: Vec<String> = wrong.iter().map(|w| format!("{name}:{}: {}", w.line, w.why)).collect();
+        let lines: Vec<String> = wrong
+            .iter()
+            .map(|w| format!("{name}:{}: {}", w.line, w.why))
+            .collect();
         lines.join("\n")
     })
 }
@@ -120,8 +131,16 @@
     };
     // Facts are printed as they come: one run at a time.
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let jobs = if args.log { 1 } else { args.jobs.unwrap_or(cores) };
-    let stop = if args.runs > 1 { runs::interrupted() } else { Default::default() };
+    let jobs = if args.log {
+        1
+    } else {
+        args.jobs.unwrap_or(cores)
+    };
+    let stop = if args.runs > 1 {
+        runs::interrupted()
+    } else {
+        Default::default()
+    };
     let (mut played, mut broken, mut left, mut fullest) = (0.0, 0u64, Left::default(), 0.0f64);
     let told = runs::all(runs, jobs, &stop, run, |run: Run| {
         run.out.iter().for_each(out::line);
@@ -186,7 +205,10 @@
 }
 
 fn one(args: &Args, name: &str, seed: u64, scenario: &Scenario) -> Run {
-    let mut options = Options { speech: args.speech.speech(), ..Options::default() };
+    let mut options = Options {
+        speech: args.speech.speech(),
+        ..Options::default()
+    };
     if args.log {
         options.watch = Some(Box::new(|shown| match shown {
             Shown::Fact(fact) => out::line(fact.to_string()),
@@ -198,8 +220,22 @@
     let played = outcome.played as f64 / 1e6;
     let broken = !outcome.breaches.is_empty();
     let (left, fullest) = (outcome.left, outcome.fullest);
-    let (out, err) = tell(args, name, seed, scenario, outcome, began.elapsed().as_secs_f64());
-    Run { out, err, played, broken, left, fullest }
+    let (out, err) = tell(
+        args,
+        name,
+        seed,
+        scenario,
+        outcome,
+        began.elapsed().as_secs_f64(),
+    );
+    Run {
+        out,
+        err,
+        played,
+        broken,
+        left,
+        fullest,
+    }
 }
 
 fn tell(
@@ -224,7 +260,12 @@
         json["cold_most"] = outcome.fullest.into();
         json["left_sent_on"] = outcome.left.sent_on.into();
         json["worst_ten_seconds"] = report.worst_ten().into();
-        json["breaches"] = outcome.breaches.iter().map(|b| b.to_string()).collect::<Vec<_>>().into();
+        json["breaches"] = outcome
+            .breaches
+            .iter()
+            .map(|b| b.to_string())
+            .collect::<Vec<_>>()
+            .into();
         out.push(format!("{json}"));
     } else if args.runs == 1 || !outcome.breaches.is_empty() {
         out.push(format!(
@@ -253,10 +294,14 @@
     }
     if let Some(breach) = outcome.breaches.first() {
         let words = args.speech.words();
-        err.push(format!("replay: sloewick play {name} --seed {seed}{words} --log"));
+        err.push(format!(
+            "replay: sloewick play {name} --seed {seed}{words} --log"
+        ));
         if args.shrink {
             let less = fleet::shrink(scenario, seed, breach.rule, None, args.speech.speech());
-            err.push(format!("shortest schedule found (save it and play it with --seed {seed}{words}):"));
+            err.push(format!(
+                "shortest schedule found (save it and play it with --seed {seed}{words}):"
+            ));
             err.push(scenario::write(&less).trim_end().to_string());
         }
     }
--- a/crates/sloewick/src/runs.rs
+++ b/crates/sloewick/src/runs.rs
@@ -24,7 +24,12 @@
 
 impl Turns {
     fn new(end: u64, ahead: u64) -> Turns {
-        Turns { next: 0, end, told: 0, ahead }
+        Turns {
+            next: 0,
+            end,
+            told: 0,
+            ahead,
+        }
     }
 
     /// The next number; `Ok(None)`: none is left; `Err`: not yet.
@@ -115,7 +120,11 @@
     }
 }
 
-fn wait_for_turn(turns: &Mutex<Turns>, room: &std::sync::Condvar, stop: &AtomicBool) -> Option<u64> {
+fn wait_for_turn(
+    turns: &Mutex<Turns>,
+    room: &std::sync::Condvar,
+    stop: &AtomicBool,
+) -> Option<u64> {
     let mut turns = turns.lock().ok()?;
     loop {
         if stop.load(Ordering::Relaxed) {
@@ -131,7 +140,11 @@
 
 /// Shown on a terminal alone.
 fn progress(runs: u64) -> ProgressBar {
-    let target = if runs > 1 { ProgressDrawTarget::stderr() } else { ProgressDrawTarget::hidden() };
+    let target = if runs > 1 {
+        ProgressDrawTarget::stderr()
+    } else {
+        ProgressDrawTarget::hidden()
+    };
     let bar = ProgressBar::with_draw_target(Some(runs), target);
     let style = "{pos} of {len} runs, {msg}, {elapsed} so far, {eta} left";
     if let Ok(style) = ProgressStyle::with_template(style) {
--- a/crates/sloewick/src/runs_tests.rs
+++ b/crates/sloewick/src/runs_tests.rs
@@ -36,15 +36,27 @@
 #[test]
 #[should_panic(expected = "a scoped thread panicked")]
 fn a_run_that_panics_ends_all() {
-    all(1000, 3, &AtomicBool::new(false), |n| assert_ne!(n, 3), |()| false);
+    all(
+        1000,
+        3,
+        &AtomicBool::new(false),
+        |n| assert_ne!(n, 3),
+        |()| false,
+    );
 }
 
 #[test]
 fn no_run_is_far_ahead_of_the_first_that_is_not_told() {
     let mut turns = Turns::new(10, 4);
     let first: Vec<_> = (0..5).map(|_| turns.take()).collect();
-    assert_eq!(first, [Ok(Some(0)), Ok(Some(1)), Ok(Some(2)), Ok(Some(3)), Err(())]);
+    assert_eq!(
+        first,
+        [Ok(Some(0)), Ok(Some(1)), Ok(Some(2)), Ok(Some(3)), Err(())]
+    );
     turns.told = 7;
-    assert_eq!((0..6).filter_map(|_| turns.take().ok().flatten()).count(), 6);
+    assert_eq!(
+        (0..6).filter_map(|_| turns.take().ok().flatten()).count(),
+        6
+    );
     assert_eq!(turns.take(), Ok(None));
 }
--- a/crates/sloewick/src/trace.rs
+++ b/crates/sloewick/src/trace.rs
@@ -64,7 +64,9 @@
 impl Summary {
     /// Takes up a line; those that are no trace are passed over.
     fn line(&mut self, line: &str, window: (f64, f64), open: &mut Open) {
-        let Some((before, trace)) = line.split_once("trace t=") else { return };
+        let Some((before, trace)) = line.split_once("trace t=") else {
+            return;
+        };
         let mut words = trace.split_whitespace();
         let own = words.next().and_then(|t| t.parse::<u64>().ok());
         let (Some(own), Some(what)) = (own, words.next()) else {
@@ -84,7 +86,12 @@
             "send" => {
                 let sends = open.0.entry(field("id").to_string()).or_default();
                 *sends += 1;
-                format!("attempts, {}", ["first", "second"].get(*sends as usize - 1).unwrap_or(&"later"))
+                format!(
+                    "attempts, {}",
+                    ["first", "second"]
+                        .get(*sends as usize - 1)
+                        .unwrap_or(&"later")
+                )
             }
             "outcome" => format!("outcomes, {}", field("how")),
             "end" => {
@@ -101,7 +108,11 @@
                 return;
             }
         };
-        let at = before.trim().parse::<f64>().ok().filter(|t| t.is_finite() && *t >= 0.0);
+        let at = before
+            .trim()
+            .parse::<f64>()
+            .ok()
+            .filter(|t| t.is_finite() && *t >= 0.0);
         let at = at.unwrap_or(own as f64 / 1e6);
         if at < window.0 || at >= window.1 {
             return;
@@ -116,7 +127,12 @@
                 *counts.entry(key.clone()).or_default() += 1;
             }
         }
-        *self.seconds.entry(at as u64).or_default().entry(key).or_default() += 1;
+        *self
+            .seconds
+            .entry(at as u64)
+            .or_default()
+            .entry(key)
+            .or_default() += 1;
     }
 
     fn total(&self) -> Counts {
@@ -131,20 +147,39 @@
     fn ratios(&self) -> Vec<(&'static str, f64)> {
         let total = self.total();
         let sum = |start: &str| -> f64 {
-            total.iter().filter(|(key, _)| key.starts_with(start)).map(|(_, n)| *n).sum::<u64>() as f64
+            total
+                .iter()
+                .filter(|(key, _)| key.starts_with(start))
+                .map(|(_, n)| *n)
+                .sum::<u64>() as f64
         };
         let part = |of: f64, all: f64| if all > 0.0 { of / all } else { 0.0 };
         let (requests, first) = (sum("requests"), sum("attempts, first"));
         vec![
-            ("connections opened for 1,000 requests", 1000.0 * part(sum("connections, Open"), requests)),
+            (
+                "connections opened for 1,000 requests",
+                1000.0 * part(sum("connections, Open"), requests),
+            ),
             (
                 "connections that never came up, of those opened",
                 part(sum("connections, Refused"), sum("connections, Open")),
             ),
-            ("second and later attempts over first ones", part(sum("attempts") - first, first)),
-            ("attempts that timed out, of all that ended", part(sum("outcomes, Timeout"), sum("outcomes"))),
-            ("requests refused, of all", part(sum("ended, refused"), requests)),
-            ("requests failed, of all", part(sum("ended, failed"), requests)),
+            (
+                "second and later attempts over first ones",
+                part(sum("attempts") - first, first),
+            ),
+            (
+                "attempts that timed out, of all that ended",
+                part(sum("outcomes, Timeout"), sum("outcomes")),
+            ),
+            (
+                "requests refused, of all",
+                part(sum("ended, refused"), requests),
+            ),
+            (
+                "requests failed, of all",
+                part(sum("ended, failed"), requests),
+            ),
         ]
     }
 
@@ -163,7 +198,11 @@
 
 /// Counts one node's log.
 fn file(path: &Path, window: (f64, f64), summary: &mut Summary) -> std::io::Result<()> {
-    let (mut reader, mut open, mut line) = (BufReader::new(File::open(path)?), Open::default(), Vec::new());
+    let (mut reader, mut open, mut line) = (
+        BufReader::new(File::open(path)?),
+        Open::default(),
+        Vec::new(),
+    );
     loop {
         line.clear();
         // Guards against a file that is no log and has no end of line: it is read in pieces.
@@ -178,7 +217,9 @@
     let name = args.folder.display();
     let window = (args.from, args.to.unwrap_or(f64::INFINITY));
     if window.0.is_nan() || window.0 < 0.0 || window.1.is_nan() || window.1 <= window.0 {
-        return Err("--from, --to: must be seconds from 0 on, the second beyond the first".to_string());
+        return Err(
+            "--from, --to: must be seconds from 0 on, the second beyond the first".to_string(),
+        );
     }
     let read = std::fs::read_dir(&args.folder).map_err(|e| format!("{name}: {e}"))?;
     let mut files: Vec<PathBuf> = read.filter_map(|entry| Some(entry.ok()?.path())).collect();
@@ -189,18 +230,26 @@
         file(path, window, &mut summary).map_err(|e| format!("{}: {e}", path.display()))?;
     }
     if summary.seconds.is_empty() {
-        return Err(format!("{name}: no line of a trace in {} files; is `run --trace` on?", files.len()));
+        return Err(format!(
+            "{name}: no line of a trace in {} files; is `run --trace` on?",
+            files.len()
+        ));
     }
     Ok((summary, files.len()))
 }
 
 fn table(summary: &Summary, nodes: usize, servers: usize) {
-    out::line(format!("{nodes} nodes; seconds across, counts over all nodes"));
+    out::line(format!(
+        "{nodes} nodes; seconds across, counts over all nodes"
+    ));
     let head: String = summary.seconds.keys().map(|s| format!("{s:>6}")).collect();
     out::line(format!("{:<34}{head}{:>8}", "", "all"));
     for (key, all) in summary.total() {
-        let row: String =
-            summary.seconds.values().map(|c| format!("{:>6}", c.get(&key).unwrap_or(&0))).collect();
+        let row: String = summary
+            .seconds
+            .values()
+            .map(|c| format!("{:>6}", c.get(&key).unwrap_or(&0)))
+            .collect();
         out::line(format!("{key:<34}{row}{all:>8}"));
     }
     for (what, ratio) in summary.ratios() {
@@ -211,7 +260,10 @@
         out::line(format!("{server}: {}", text.join("; ")));
     }
     if summary.unread > 0 {
-        out::line(format!("{} lines of the trace could not be read", summary.unread));
+        out::line(format!(
+            "{} lines of the trace could not be read",
+            summary.unread
+        ));
     }
 }
 
--- a/crates/sloewick/src/trace_tests.rs
+++ b/crates/sloewick/src/trace_tests.rs
@@ -2,7 +2,9 @@
 
 fn count(lines: &[&str], window: (f64, f64)) -> Summary {
     let (mut summary, mut open) = (Summary::default(), Open::default());
-    lines.iter().for_each(|line| summary.line(line, window, &mut open));
+    lines
+        .iter()
+        .for_each(|line| summary.line(line, window, &mut open));
     summary
 }
 
@@ -20,8 +22,14 @@
 fn what_happened_is_counted_by_the_fleets_second() {
     let summary = count(&DAY, (0.0, f64::INFINITY));
     let at = |second: u64, key: &str| summary.seconds[&second].get(key).copied().unwrap_or(0);
-    assert_eq!((at(0, "requests of class 0"), at(0, "attempts, first")), (1, 1));
-    assert_eq!((at(1, "attempts, second"), at(1, "outcomes, Timeout")), (1, 1));
+    assert_eq!(
+        (at(0, "requests of class 0"), at(0, "attempts, first")),
+        (1, 1)
+    );
+    assert_eq!(
+        (at(1, "attempts, second"), at(1, "outcomes, Timeout")),
+        (1, 1)
+    );
     assert_eq!(at(1, "ended, refused by time"), 1);
     assert_eq!(summary.worst(1)[0].0, "s1");
     let ratios: HashMap<_, _> = summary.ratios().into_iter().collect();
@@ -41,7 +49,12 @@
 
 #[test]
 fn lines_that_cannot_be_read_are_counted_and_change_nothing() {
-    let bad = ["trace t=", "trace t=x send id=a", "1 trace t=1 dance", "9e9 trace t=1 ask watch=1"];
+    let bad = [
+        "trace t=",
+        "trace t=x send id=a",
+        "1 trace t=1 dance",
+        "9e9 trace t=1 ask watch=1",
+    ];
     let summary = count(&bad, (0.0, f64::INFINITY));
     assert_eq!((summary.unread, summary.seconds.len()), (4, 0));
     assert!(summary.ratios().iter().all(|(_, ratio)| *ratio == 0.0));
--- a/crates/sloewick/tests/descriptors.rs
+++ b/crates/sloewick/tests/descriptors.rs
@@ -28,9 +28,14 @@
 }
 
 fn node(sockets: usize, server: &TcpListener) -> Node {
-    Node::start_by(limited(sockets), settings(), &[target("s-1", server)], |config| {
-        config["limits"]["sockets"] = json!(sockets);
-    })
+    Node::start_by(
+        limited(sockets),
+        settings(),
+        &[target("s-1", server)],
+        |config| {
+            config["limits"]["sockets"] = json!(sockets);
+        },
+    )
 }
 
 fn ping(client: &mut Peer) {
@@ -74,7 +79,9 @@
     }
     let echo = command(&[b"PING", &[b'x'; 4000]]);
     for client in &deaf {
-        socket2::SockRef::from(&client.stream).set_recv_buffer_size(16 << 10).unwrap();
+        socket2::SockRef::from(&client.stream)
+            .set_recv_buffer_size(16 << 10)
+            .unwrap();
         client.stream.set_nonblocking(true).unwrap();
         // Until nothing is taken any more: what it is owed has filled all that is between.
         let (mut stuck, mut at) = (0, 0);
@@ -117,12 +124,18 @@
     crowd.iter_mut().for_each(refused);
     // Several commands behind each other are all answered.
     let mut client = node.client();
-    client.send((0..50).flat_map(|n| get(&format!("many-{n}"))).collect::<Vec<u8>>());
+    client.send(
+        (0..50)
+            .flat_map(|n| get(&format!("many-{n}")))
+            .collect::<Vec<u8>>(),
+    );
     (0..50).for_each(|_| assert_eq!(client.line(), BUSY));
     assert_eq!((client.end().as_str(), client.was_reset), ("", false));
     // What was there before is served, and then there are places again.
     answer_all(server);
-    clients.iter_mut().for_each(|client| assert_eq!(client.bulk(), VALUE));
+    clients
+        .iter_mut()
+        .for_each(|client| assert_eq!(client.bulk(), VALUE));
     drop(deaf);
     let mut next = node.client();
     next.send(get("next"));
@@ -191,10 +204,15 @@
     for (sockets, resting) in [(64, 50), (256, 180), (1024, 640)] {
         let servers = [listener(), listener()];
         let ops = close(listener());
-        let node = Node::start_by(limited(sockets), settings(), &[target("s-1", &servers[0])], |config| {
-            config["limits"]["sockets"] = json!(sockets);
-            config["ops"] = json!(ops.to_string());
-        });
+        let node = Node::start_by(
+            limited(sockets),
+            settings(),
+            &[target("s-1", &servers[0])],
+            |config| {
+                config["limits"]["sockets"] = json!(sockets);
+                config["ops"] = json!(ops.to_string());
+            },
+        );
         // The watch at the first address stays open, as silent as one that is down.
         let (_, _watch) = node.call();
         let mut crowd: Vec<Peer> = (0..resting).map(|_| node.client()).collect();
--- a/crates/sloewick/tests/endings.rs
+++ b/crates/sloewick/tests/endings.rs
@@ -61,7 +61,12 @@
 }
 
 fn get(class: &str, id: &str) -> Vec<u8> {
-    command(&[b"C.GET", b"k1", id.as_bytes(), format!("c={class},t=acme,d=20000").as_bytes()])
+    command(&[
+        b"C.GET",
+        b"k1",
+        id.as_bytes(),
+        format!("c={class},t=acme,d=20000").as_bytes(),
+    ])
 }
 
 /// A server whose machine lets nobody in: connections to it stay half-way until it is opened.
@@ -179,7 +184,10 @@
     conn.command();
     let mut client = leave(client, Leaves::HalfCloses, &mut trace, "r1").unwrap();
     conn.send(served(b"one"));
-    assert_eq!((client.bulk(), client.end().as_str()), (b"one".to_vec(), ""));
+    assert_eq!(
+        (client.bulk(), client.end().as_str()),
+        (b"one".to_vec(), "")
+    );
 }
 
 #[test]
@@ -188,10 +196,13 @@
     const COMMANDS: usize = 300;
     for how in ALL {
         let server = listener();
-        let (node, mut trace) =
-            traced_with(settings(), &[target("s-1", &server)], |c| c["limits"]["sockets"] = json!(64));
+        let (node, mut trace) = traced_with(settings(), &[target("s-1", &server)], |c| {
+            c["limits"]["sockets"] = json!(64)
+        });
         let mut client = node.client();
-        let all: Vec<u8> = (0..COMMANDS).flat_map(|i| get("read", &format!("r{i}"))).collect();
+        let all: Vec<u8> = (0..COMMANDS)
+            .flat_map(|i| get("read", &format!("r{i}")))
+            .collect();
         client.send(&all);
         let mut conn = accept(&server);
         let mut conns = vec![];
@@ -215,7 +226,10 @@
         }
         if let Some(client) = &mut listens {
             let all = client.end();
-            assert_eq!((all.matches("value").count(), all.matches(BUSY).count()), (sent, COMMANDS - sent));
+            assert_eq!(
+                (all.matches("value").count(), all.matches(BUSY).count()),
+                (sent, COMMANDS - sent)
+            );
         }
         let mut next = node.client();
         next.send(get("read", "next"));
@@ -288,7 +302,11 @@
     old.open();
     // It has not run, and one attempt is all that the settings allow.
     assert_eq!(client.line(), BUSY);
-    assert_eq!(accept(&old.listener).end(), "", "written to whoever is there now");
+    assert_eq!(
+        accept(&old.listener).end(),
+        "",
+        "written to whoever is there now"
+    );
     client.get("r2");
     assert_eq!(accept(&new).command()[2], "r2");
 }
@@ -305,11 +323,17 @@
     let mut conn = accept(&server.listener);
     let fields = conn.command().swap_remove(3);
     let waited = begun.elapsed();
-    let wait = fields.split(',').find_map(|field| field.strip_prefix("d=")).unwrap();
+    let wait = fields
+        .split(',')
+        .find_map(|field| field.strip_prefix("d="))
+        .unwrap();
     let told = Duration::from_millis(wait.parse().unwrap());
     // The system tries the connection again after a second.
     assert!(waited >= Duration::from_millis(900), "{waited:?}");
-    assert!(told <= Duration::from_millis(19_200), "{told:?} of 20 s after {waited:?}");
+    assert!(
+        told <= Duration::from_millis(19_200),
+        "{told:?} of 20 s after {waited:?}"
+    );
 }
 
 // ---- a planned stop ----
@@ -327,10 +351,18 @@
     node.signal("TERM");
     assert_eq!(holding.line(), FAILED);
     assert_eq!(holding.end(), "");
-    assert!(begun.elapsed() < Duration::from_millis(3700), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_millis(3700),
+        "{:?}",
+        begun.elapsed()
+    );
     drop(holding);
     assert!(node.wait().success());
-    assert!(begun.elapsed() < Duration::from_millis(3700), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_millis(3700),
+        "{:?}",
+        begun.elapsed()
+    );
 }
 
 #[test]
@@ -345,8 +377,15 @@
     holding.send(command(&[b"PING"]));
     let begun = Instant::now();
     node.signal("TERM");
-    assert_eq!((holding.line().as_str(), holding.line().as_str()), (BUSY, "+PONG"));
-    assert!(begun.elapsed() < Duration::from_millis(1100), "{:?}", begun.elapsed());
+    assert_eq!(
+        (holding.line().as_str(), holding.line().as_str()),
+        (BUSY, "+PONG")
+    );
+    assert!(
+        begun.elapsed() < Duration::from_millis(1100),
+        "{:?}",
+        begun.elapsed()
+    );
     drop(holding);
     assert!(node.wait().success());
 }
@@ -360,7 +399,12 @@
     trace.until("told to stop");
     client.get("r1");
     let fields = accept(&server).command().swap_remove(3);
-    let wait: i64 = fields.split(',').find_map(|f| f.strip_prefix("d=")).unwrap().parse().unwrap();
+    let wait: i64 = fields
+        .split(',')
+        .find_map(|f| f.strip_prefix("d="))
+        .unwrap()
+        .parse()
+        .unwrap();
     // Of 20 s; the last answers are given 3.4 s after the signal.
     assert!((1..=3400).contains(&wait), "{fields}");
 }
@@ -391,9 +435,15 @@
     assert!(node.wait().success());
     let asked = asker.join().unwrap();
     let answered = answers.lines().filter(|l| l.starts_with('-')).count();
-    assert!(answers.lines().all(|l| l == BUSY || l == FAILED), "{answers:?}");
+    assert!(
+        answers.lines().all(|l| l == BUSY || l == FAILED),
+        "{answers:?}"
+    );
     // What crossed the end of the connection is asked once more elsewhere; all that came well before was answered.
-    assert!(answered + 40 >= asked && answered > 200, "{answered} of {asked}");
+    assert!(
+        answered + 40 >= asked && answered > 200,
+        "{answered} of {asked}"
+    );
 }
 
 // ---- connections of clients that the node ends ----
@@ -404,7 +454,9 @@
 #[test]
 fn a_client_whose_command_waits_unread_is_not_evicted() {
     let server = listener();
-    let node = Node::start(settings(), &[target("s-1", &server)], |c| c["limits"]["sockets"] = json!(664));
+    let node = Node::start(settings(), &[target("s-1", &server)], |c| {
+        c["limits"]["sockets"] = json!(664)
+    });
     // All places for clients but one are taken, of three fifths of 640; the newcomer makes them full.
     let known = || {
         let mut client = node.client();
@@ -417,7 +469,9 @@
     node.stand_still();
     // A newcomer is heard of first; the oldest one's command is not among what is read in that round.
     let mut newcomer = node.client();
-    crowd[..CROWD].iter_mut().for_each(|client| client.send(command(&[b"PING"])));
+    crowd[..CROWD]
+        .iter_mut()
+        .for_each(|client| client.send(command(&[b"PING"])));
     oldest.get("r1");
     node.signal("CONT");
     let mut conn = accept(&server);
@@ -444,16 +498,26 @@
     assert_eq!(crowd[0].line(), "+PONG");
     node.stand_still();
     std::thread::sleep(Duration::from_millis(2600));
-    crowd.iter_mut().for_each(|client| client.send(command(&[b"PING"])));
+    crowd
+        .iter_mut()
+        .for_each(|client| client.send(command(&[b"PING"])));
     silent.get("r1");
     half.send("ET\r\n$2\r\nk1\r\n$2\r\nr2\r\n$14\r\nc=once,d=20000\r\n");
     node.signal("CONT");
     let mut conns = [accept(&server), accept(&server)];
-    let mut ids: Vec<String> = conns.iter_mut().map(|conn| conn.command()[2].clone()).collect();
+    let mut ids: Vec<String> = conns
+        .iter_mut()
+        .map(|conn| conn.command()[2].clone())
+        .collect();
     ids.sort();
     assert_eq!(ids, ["r1", "r2"]);
-    conns.iter_mut().for_each(|conn| conn.send(served(b"value")));
-    assert_eq!((silent.bulk(), half.bulk()), (b"value".to_vec(), b"value".to_vec()));
+    conns
+        .iter_mut()
+        .for_each(|conn| conn.send(served(b"value")));
+    assert_eq!(
+        (silent.bulk(), half.bulk()),
+        (b"value".to_vec(), b"value".to_vec())
+    );
 }
 
 // ---- answers ----
@@ -478,7 +542,11 @@
         any(&mut conns, &server).command();
         if conns.len() > 1 {
             conns[0].send(served(b"first"));
-            assert_eq!(conns[0].end(), "", "nothing but the first request is written there, and it ends");
+            assert_eq!(
+                conns[0].end(),
+                "",
+                "nothing but the first request is written there, and it ends"
+            );
             conns[1].send(served(b"next"));
             assert_eq!(next.bulk(), b"next");
             return;
@@ -493,14 +561,25 @@
 
 #[test]
 fn an_answer_before_the_last_byte_of_its_request_serves_nobody() {
-    for answer in [served(b"another's"), [&b"*3\r\n$100000\r\n"[..], &[b'v'; 100_000]].concat()] {
+    for answer in [
+        served(b"another's"),
+        [&b"*3\r\n$100000\r\n"[..], &[b'v'; 100_000]].concat(),
+    ] {
         let server = listener();
         let node = Node::with_server(&server);
         let mut client = node.client();
         // More than the kernel takes from the node while the server reads nothing.
-        socket2::SockRef::from(&server).set_recv_buffer_size(4096).unwrap();
+        socket2::SockRef::from(&server)
+            .set_recv_buffer_size(4096)
+            .unwrap();
         let value = vec![b'v'; 4 << 20];
-        client.send(command(&[b"C.SET", b"k1", b"r1", b"c=once,d=20000", &value]));
+        client.send(command(&[
+            b"C.SET",
+            b"k1",
+            b"r1",
+            b"c=once,d=20000",
+            &value,
+        ]));
         let mut conn = accept(&server);
         conn.until(b"C.SET");
         conn.send(answer);
@@ -594,12 +673,20 @@
     let told = Duration::from_millis(wait + 2000);
     for _ in 0..3 {
         let (path, mut peer) = node.call();
-        assert!(begun.elapsed() < told + Duration::from_millis(500), "{:?} of {told:?}", begun.elapsed());
+        assert!(
+            begun.elapsed() < told + Duration::from_millis(500),
+            "{:?} of {told:?}",
+            begun.elapsed()
+        );
         assert!(path.contains("since=41&"), "{path}");
         peer.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
     }
     let (_, mut watch) = node.call();
-    assert!(begun.elapsed() < told + Duration::from_millis(500), "{:?} of {told:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < told + Duration::from_millis(500),
+        "{:?} of {told:?}",
+        begun.elapsed()
+    );
     watch.answer_http(&list(42, false, &[]));
     drop(silent);
 }
--- a/crates/sloewick/tests/fleet.rs
+++ b/crates/sloewick/tests/fleet.rs
@@ -25,7 +25,10 @@
     let broken: Vec<String> = judge.breaches.iter().map(|b| b.to_string()).collect();
     assert!(broken.is_empty(), "{}", broken.join("\n"));
     for second in 0..scenario.seconds as i64 {
-        println!("{second:3}  {}", report.line(&mut report.between(second, second + 1), 1.0));
+        println!(
+            "{second:3}  {}",
+            report.line(&mut report.between(second, second + 1), 1.0)
+        );
     }
     report
 }
@@ -50,11 +53,19 @@
 }
 
 fn jam_at(fleet: &str, seconds: u32, faults: &[String]) -> Report {
-    let report = played(&format!("{fleet}seconds = {seconds}\n{JAM}{}", faults.concat()));
+    let report = played(&format!(
+        "{fleet}seconds = {seconds}\n{JAM}{}",
+        faults.concat()
+    ));
     let (before, jam) = (report.between(1, 3), report.between(4, 7));
     let after = report.between(i64::from(seconds) - 4, i64::from(seconds) - 1);
     assert!(in_time(&jam) < in_time(&before), "the jam does not bite");
-    assert!(in_time(&after) > 0.5 * in_time(&before), "{:.2} of {:.2}", in_time(&after), in_time(&before));
+    assert!(
+        in_time(&after) > 0.5 * in_time(&before),
+        "{:.2} of {:.2}",
+        in_time(&after),
+        in_time(&before)
+    );
     report
 }
 
@@ -66,7 +77,10 @@
 
 #[test]
 fn a_jam_ends_though_half_of_the_nodes_are_killed_in_it() {
-    jam_with(16, &[fault("kill-nodes", 4.0, "part = 0.5\nback = 2\nnotice = 1")]);
+    jam_with(
+        16,
+        &[fault("kill-nodes", 4.0, "part = 0.5\nback = 2\nnotice = 1")],
+    );
 }
 
 #[test]
@@ -75,7 +89,10 @@
     // Whoever was sent to a node that stood still had no answer.
     let answered = |s: &Span| s.served + s.busy + s.failed;
     let (still, before) = (report.between(4, 6), report.between(1, 3));
-    assert!(answered(&still) * 3 < answered(&before) * 2, "nodes did not stand still");
+    assert!(
+        answered(&still) * 3 < answered(&before) * 2,
+        "nodes did not stand still"
+    );
 }
 
 #[test]
--- a/crates/sloewick/tests/left.rs
+++ b/crates/sloewick/tests/left.rs
@@ -47,11 +47,18 @@
 }
 
 fn get(id: &str, deadline: u32) -> Vec<u8> {
-    command(&[b"C.GET", b"k1", id.as_bytes(), format!("c=read,t=acme,d={deadline}").as_bytes()])
+    command(&[
+        b"C.GET",
+        b"k1",
+        id.as_bytes(),
+        format!("c=read,t=acme,d={deadline}").as_bytes(),
+    ])
 }
 
 fn hundred(name: &str, deadline: u32) -> Vec<u8> {
-    (0..COMMANDS).flat_map(|n| get(&format!("{name}-{n}"), deadline)).collect()
+    (0..COMMANDS)
+        .flat_map(|n| get(&format!("{name}-{n}"), deadline))
+        .collect()
 }
 
 /// Up to now nothing but this has come to the server; it is the first of what is written there.
@@ -118,7 +125,11 @@
         node.signal("CONT");
         for mut client in listening {
             let all = client.end();
-            assert_eq!(all.lines().filter(|line| *line == BUSY).count(), COMMANDS, "{all}");
+            assert_eq!(
+                all.lines().filter(|line| *line == BUSY).count(),
+                COMMANDS,
+                "{all}"
+            );
         }
         only(&node, &server, "next", &how);
     }
@@ -135,7 +146,10 @@
         let mut conn = accept(&server);
         assert_eq!(conn.command()[2], format!("r{n}"));
         conn.send(served(b"one"));
-        assert_eq!((client.bulk(), client.end().as_str()), (b"one".to_vec(), ""));
+        assert_eq!(
+            (client.bulk(), client.end().as_str()),
+            (b"one".to_vec(), "")
+        );
         // The next one is sent on a connection of its own.
         conn.close();
     }
@@ -160,7 +174,12 @@
     assert_eq!(resting.end(), "");
     assert!(!resting.was_reset);
     server.set_nonblocking(true).unwrap();
-    assert!(server.accept().is_err_and(|e| e.kind() == ErrorKind::WouldBlock), "sent on");
+    assert!(
+        server
+            .accept()
+            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock),
+        "sent on"
+    );
 }
 
 #[test]
@@ -252,7 +271,13 @@
 impl Server {
     fn new(listener: TcpListener) -> Server {
         listener.set_nonblocking(true).unwrap();
-        Server { listener, conns: Vec::new(), asked: 0, came: HashMap::new(), looked: Instant::now() }
+        Server {
+            listener,
+            conns: Vec::new(),
+            asked: 0,
+            came: HashMap::new(),
+            looked: Instant::now(),
+        }
     }
 
     fn turn(&mut self) {
@@ -279,7 +304,10 @@
                 continue;
             }
             buf.clear();
-            self.came.entry(words[6].to_string()).or_default().push(self.looked);
+            self.came
+                .entry(words[6].to_string())
+                .or_default()
+                .push(self.looked);
             self.asked += 1;
             match self.asked % 3 {
                 0 => drop(stream.write_all(b"-ERR failed\r\n")),
@@ -305,8 +333,11 @@
 /// run and stopped in turn.
 fn count(how: Leaves, requests: usize, share: Option<(u64, u64)>) -> (usize, usize, Duration) {
     let listeners: Vec<TcpListener> = (0..4).map(|_| listener()).collect();
-    let known: Vec<Value> =
-        listeners.iter().enumerate().map(|(n, server)| target(&format!("s-{n}"), server)).collect();
+    let known: Vec<Value> = listeners
+        .iter()
+        .enumerate()
+        .map(|(n, server)| target(&format!("s-{n}"), server))
+        .collect();
     let node = Node::start(trying_again(), &known, |_| {});
     let over = AtomicBool::new(false);
     let (came, left) = std::thread::scope(|scope| {
@@ -352,16 +383,24 @@
         for client in &mut listening {
             client.stream.set_read_timeout(Some(PATIENCE)).unwrap();
             let all = client.end();
-            assert!(all.lines().filter(|line| !line.is_empty()).count() >= COMMANDS, "{all}");
+            assert!(
+                all.lines().filter(|line| !line.is_empty()).count() >= COMMANDS,
+                "{all}"
+            );
         }
         std::thread::sleep(Duration::from_millis(800));
         over.store(true, Ordering::Relaxed);
-        let came: Vec<_> = servers.into_iter().flat_map(|server| server.join().unwrap()).collect();
+        let came: Vec<_> = servers
+            .into_iter()
+            .flat_map(|server| server.join().unwrap())
+            .collect();
         (came, left)
     });
     let (mut attempts, mut late, mut worst) = (0, 0, Duration::ZERO);
     for (id, times) in came {
-        let Some(gone) = id.rsplit_once('-').and_then(|(name, _)| left.get(name)) else { continue };
+        let Some(gone) = id.rsplit_once('-').and_then(|(name, _)| left.get(name)) else {
+            continue;
+        };
         for at in times {
             attempts += 1;
             let behind = at.saturating_duration_since(*gone);
@@ -369,12 +408,17 @@
             late += usize::from(behind > LATE);
         }
     }
-    println!("{how:?} {share:?}: {requests} requests, {attempts} attempts, {late} late, worst {worst:?}");
+    println!(
+        "{how:?} {share:?}: {requests} requests, {attempts} attempts, {late} late, worst {worst:?}"
+    );
     (attempts, late, worst)
 }
 
 fn requests() -> usize {
-    std::env::var("LEFT_REQUESTS").ok().and_then(|text| text.parse().ok()).unwrap_or(500)
+    std::env::var("LEFT_REQUESTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(500)
 }
 
 #[test]
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -43,7 +43,11 @@
     let node = Node::start_by(program, settings(), &[known], |config| {
         config["limits"]["memory_mb"] = 32.into();
     });
-    Fleet { node, memcached, file }
+    Fleet {
+        node,
+        memcached,
+        file,
+    }
 }
 
 fn packet(
@@ -76,7 +80,12 @@
     let mut body = vec![0; number(8) as usize];
     stream.read_exact(&mut body).ok()?;
     let status = u16::from_be_bytes([head[6], head[7]]);
-    Some((head[1], status, number(12), body.split_off(head[4] as usize)))
+    Some((
+        head[1],
+        status,
+        number(12),
+        body.split_off(head[4] as usize),
+    ))
 }
 
 fn connect(at: SocketAddr) -> TcpStream {
@@ -102,8 +111,14 @@
     assert_eq!((&got[0][..], &got[1][..]), ("C.GET", "r/1"));
     assert!(got[3].starts_with("c=read,t=acme,d="), "{got:?}");
     conn.send(served(b"seven"));
-    assert_eq!(read_packet(&mut client), Some((0x0d, 0, 1, b"r/1seven".to_vec())));
-    assert_eq!(read_packet(&mut client), Some((0x04, 0x81, 2, b"Unknown command".to_vec())));
+    assert_eq!(
+        read_packet(&mut client),
+        Some((0x0d, 0, 1, b"r/1seven".to_vec()))
+    );
+    assert_eq!(
+        read_packet(&mut client),
+        Some((0x04, 0x81, 2, b"Unknown command".to_vec()))
+    );
     assert_eq!(read_packet(&mut client), Some((0x0a, 0, 3, Vec::new())));
 }
 
@@ -140,12 +155,23 @@
                 n += 1;
                 let key = format!("{}/{n}", if write { "w" } else { "r" });
                 if by_memcached {
-                    let (opcode, extras, value): (u8, &[u8], &[u8]) =
-                        if write { (SET, &[0; 8], b"value") } else { (GET, b"", b"") };
-                    memcached.write_all(&packet(0x80, opcode, 0, n, extras, &key, value)).unwrap();
+                    let (opcode, extras, value): (u8, &[u8], &[u8]) = if write {
+                        (SET, &[0; 8], b"value")
+                    } else {
+                        (GET, b"", b"")
+                    };
+                    memcached
+                        .write_all(&packet(0x80, opcode, 0, n, extras, &key, value))
+                        .unwrap();
                 } else if write {
                     let fields = b"c=once,t=acme,d=20000";
-                    resp.send(command(&[b"C.SET", key.as_bytes(), key.as_bytes(), fields, b"value"]));
+                    resp.send(command(&[
+                        b"C.SET",
+                        key.as_bytes(),
+                        key.as_bytes(),
+                        fields,
+                        b"value",
+                    ]));
                 } else {
                     let fields = b"c=read,t=acme,d=20000";
                     resp.send(command(&[b"C.GET", key.as_bytes(), key.as_bytes(), fields]));
@@ -196,21 +222,34 @@
     let server = listener();
     let fleet = fleet(&server, true);
     let mut resp = fleet.node.client();
-    resp.send(command(&[b"C.SET", b"w/1", b"id-1", b"c=once,t=acme,d=20000", b"value"]));
+    resp.send(command(&[
+        b"C.SET",
+        b"w/1",
+        b"id-1",
+        b"c=once,t=acme,d=20000",
+        b"value",
+    ]));
     server.set_nonblocking(false).unwrap();
     let (mut conn, _) = server.accept().unwrap();
     conn.set_read_timeout(Some(PATIENCE)).unwrap();
     let (opcode, _, opaque, body) = read_packet(&mut conn).unwrap();
     assert_eq!((opcode, &body[..]), (SET, &b"w/1-:value"[..]));
-    conn.write_all(&packet(0x81, SET, 0, opaque, b"", "", b"")).unwrap();
+    conn.write_all(&packet(0x81, SET, 0, opaque, b"", "", b""))
+        .unwrap();
     assert_eq!(resp.line(), "$0");
     assert_eq!(resp.line(), "");
     let mut client = connect(fleet.memcached);
-    client.write_all(&packet(0x80, GET, 0, 0, b"", "r/1", b"")).unwrap();
+    client
+        .write_all(&packet(0x80, GET, 0, 0, b"", "r/1", b""))
+        .unwrap();
     let (opcode, _, opaque, body) = read_packet(&mut conn).unwrap();
     assert_eq!((opcode, &body[..]), (GET, &b"r/1"[..]));
-    conn.write_all(&packet(0x81, GET, 0, opaque, &[0; 4], "", b"seven")).unwrap();
-    assert_eq!(read_packet(&mut client), Some((GET, 0, 0, b"seven".to_vec())));
+    conn.write_all(&packet(0x81, GET, 0, opaque, &[0; 4], "", b"seven"))
+        .unwrap();
+    assert_eq!(
+        read_packet(&mut client),
+        Some((GET, 0, 0, b"seven".to_vec()))
+    );
 }
 
 #[test]
@@ -232,7 +271,10 @@
     let mut bytes = packet(0x80, SET, 0, 7, &[0; 8], "w/1", b"");
     bytes[8..12].copy_from_slice(&u32::MAX.to_be_bytes());
     huge.write_all(&bytes).unwrap();
-    assert_eq!(read_packet(&mut huge).map(|p| (p.0, p.1, p.2)), Some((SET, 3, 7)));
+    assert_eq!(
+        read_packet(&mut huge).map(|p| (p.0, p.1, p.2)),
+        Some((SET, 3, 7))
+    );
     assert_eq!(read_packet(&mut huge), None, "closed");
     let grown = fleet.node.memory().saturating_sub(before);
     assert!(grown < 8, "{grown} MB for {} clients", clients.len());
--- a/crates/sloewick/tests/node.rs
+++ b/crates/sloewick/tests/node.rs
@@ -35,11 +35,20 @@
     client.send(command(&[b"C.SET", b"k1", b"id-1", fields, b"value"]));
     let mut conn = accept(&server);
     let got = conn.command();
-    assert_eq!((&got[..3], &got[4][..]), (&["C.SET".into(), "k1".into(), "id-1".into()][..], "value"));
+    assert_eq!(
+        (&got[..3], &got[4][..]),
+        (&["C.SET".into(), "k1".into(), "id-1".into()][..], "value")
+    );
     let (before, rest) = got[3].split_once("d=").unwrap();
     let (wait, after) = rest.split_once(',').unwrap();
-    assert_eq!((before, after), ("x=odd,r=1,size=7,h=900,", "t=acme,c=once,k=5c0f"));
-    assert!((1..=15_000).contains(&wait.parse::<i64>().unwrap()), "{wait}");
+    assert_eq!(
+        (before, after),
+        ("x=odd,r=1,size=7,h=900,", "t=acme,c=once,k=5c0f")
+    );
+    assert!(
+        (1..=15_000).contains(&wait.parse::<i64>().unwrap()),
+        "{wait}"
+    );
     conn.send(served(b"receipt"));
     assert_eq!(client.bulk(), b"receipt");
     // The connection is used again.
@@ -54,16 +63,21 @@
     for traced in [true, false] {
         let server = listener();
         let mut command = program();
-        command.args(traced.then_some("--trace")).stderr(Stdio::piped());
+        command
+            .args(traced.then_some("--trace"))
+            .stderr(Stdio::piped());
         let mut node = Node::start_by(command, settings(), &[target("s-1", &server)], |_| {});
         let mut client = node.client();
         drop(exchange(&mut client, &server, "id-1"));
         drop(client);
         let said = node.last_words();
         assert_eq!(said.contains("trace t="), traced, "{said}");
-        for part in
-            ["request id=id-1", "send id=id-1 server=s-1", "step=Up", "outcome id=id-1 n=0 server=s-1"]
-        {
+        for part in [
+            "request id=id-1",
+            "send id=id-1 server=s-1",
+            "step=Up",
+            "outcome id=id-1 n=0 server=s-1",
+        ] {
             assert_eq!(said.contains(part), traced, "{part}: {said}");
         }
     }
@@ -71,7 +85,10 @@
 
 #[test]
 fn error_answers() {
-    assert_eq!(outcome(|mut conn| conn.send("-ERR failed inflight=3,queue=1\r\n")), FAILED);
+    assert_eq!(
+        outcome(|mut conn| conn.send("-ERR failed inflight=3,queue=1\r\n")),
+        FAILED
+    );
     assert_eq!(outcome(|mut conn| conn.send("-BUSY\r\n")), BUSY);
 }
 
@@ -97,9 +114,17 @@
     let node = Node::with_server(&server);
     let mut client = node.client();
     // More than the kernel takes from the node while the server reads nothing.
-    socket2::SockRef::from(&server).set_recv_buffer_size(4096).unwrap();
+    socket2::SockRef::from(&server)
+        .set_recv_buffer_size(4096)
+        .unwrap();
     let value = vec![b'v'; 4 << 20];
-    client.send(command(&[b"C.SET", b"k1", b"r1", b"c=once,d=20000", &value]));
+    client.send(command(&[
+        b"C.SET",
+        b"k1",
+        b"r1",
+        b"c=once,d=20000",
+        &value,
+    ]));
     let mut conn = accept(&server);
     conn.until(b"C.SET");
     conn.reset();
@@ -130,13 +155,22 @@
     let fields = accept(&server).command().swap_remove(3);
     let wait = fields.split(',').find_map(|field| field.strip_prefix("d="));
     // The client waits 20 s, the module until the aim.
-    assert!((1..=5000).contains(&wait.unwrap().parse::<i64>().unwrap()), "{fields}");
+    assert!(
+        (1..=5000).contains(&wait.unwrap().parse::<i64>().unwrap()),
+        "{fields}"
+    );
 }
 
 #[test]
 fn nonsense_from_a_server_is_an_error_and_ends_the_connection() {
-    for nonsense in ["$5\r\nvalue\r\n", "+OK\r\n", "*1\r\n$-1\r\n", "-SYNTAX\r\n", "!\r\n", "*9999999\r\n"]
-    {
+    for nonsense in [
+        "$5\r\nvalue\r\n",
+        "+OK\r\n",
+        "*1\r\n$-1\r\n",
+        "-SYNTAX\r\n",
+        "!\r\n",
+        "*9999999\r\n",
+    ] {
         let answer = outcome(|mut conn| {
             conn.send(nonsense);
             assert_eq!(conn.end(), "", "{nonsense:?}");
@@ -189,7 +223,10 @@
     assert_eq!(second.command()[2], "r2");
     second.send(served(b"two"));
     first.send(served(b"one"));
-    assert_eq!((client.bulk(), client.bulk()), (b"one".to_vec(), b"two".to_vec()));
+    assert_eq!(
+        (client.bulk(), client.bulk()),
+        (b"one".to_vec(), b"two".to_vec())
+    );
     assert_eq!(client.line(), "+PONG");
 }
 
@@ -281,7 +318,12 @@
         // Three are open at once and all of them end; the server must be as good as new.
         let mut conns = Vec::new();
         for (i, client) in clients.iter_mut().enumerate() {
-            client.send(command(&[b"C.GET", b"k1", format!("r{round}-{i}").as_bytes(), b"c=once,d=20000"]));
+            client.send(command(&[
+                b"C.GET",
+                b"k1",
+                format!("r{round}-{i}").as_bytes(),
+                b"c=once,d=20000",
+            ]));
             let mut conn = accept(&server);
             conn.command();
             conns.push(conn);
@@ -322,13 +364,19 @@
     let begun = Instant::now();
     let mut conn = exchange(&mut client, &server, "r1");
     assert_eq!(conn.end(), "");
-    assert!(begun.elapsed() > Duration::from_millis(1000), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() > Duration::from_millis(1000),
+        "{:?}",
+        begun.elapsed()
+    );
 }
 
 #[test]
 fn idle_clients_make_room_for_new_ones() {
     let server = listener();
-    let node = Node::start(settings(), &[target("s-1", &server)], |c| c["limits"]["sockets"] = json!(64));
+    let node = Node::start(settings(), &[target("s-1", &server)], |c| {
+        c["limits"]["sockets"] = json!(64)
+    });
     let mut clients: Vec<Peer> = (0..80).map(|_| node.client()).collect();
     let last = clients.last_mut().unwrap();
     last.send(command(&[b"PING"]));
@@ -338,7 +386,9 @@
 #[test]
 fn values_beyond_the_memory_kept_for_them_are_turned_away_until_some_is_given_back() {
     let server = listener();
-    let node = Node::start(settings(), &[target("s-1", &server)], |c| c["limits"]["memory_mb"] = json!(32));
+    let node = Node::start(settings(), &[target("s-1", &server)], |c| {
+        c["limits"]["memory_mb"] = json!(32)
+    });
     let value = vec![b'v'; 3 << 20];
     let set = |id: &[u8]| command(&[b"C.SET", b"k1", id, b"c=once,d=20000", &value]);
     // The first one's length is announced, and counts, before its bytes have come.
@@ -365,7 +415,11 @@
 fn a_lack_of_descriptors_passes_when_some_are_free_again() {
     let server = listener();
     let mut shell = Command::new("sh");
-    shell.args(["-c", "ulimit -n 32; exec \"$0\" run", env!("CARGO_BIN_EXE_sloewick")]);
+    shell.args([
+        "-c",
+        "ulimit -n 32; exec \"$0\" run",
+        env!("CARGO_BIN_EXE_sloewick"),
+    ]);
     let node = Node::start_by(shell, settings(), &[target("s-1", &server)], |_| {});
     let clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
     let mut late = node.client();
@@ -401,9 +455,16 @@
     let begun = Instant::now();
     client.send("*4\r\n$5\r\nC.G");
     let said = client.end();
-    assert!(said.starts_with("-ERR protocol: ") && said.ends_with("\r\n"), "{said:?}");
+    assert!(
+        said.starts_with("-ERR protocol: ") && said.ends_with("\r\n"),
+        "{said:?}"
+    );
     // It is owed this within 3 s of connecting.
-    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        begun.elapsed()
+    );
 }
 
 #[test]
@@ -415,7 +476,11 @@
     assert_eq!(asked.line(), "+PONG");
     let begun = Instant::now();
     assert_eq!(node.client().end(), "");
-    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        begun.elapsed()
+    );
     asked.send(command(&[b"PING"]));
     assert_eq!(asked.line(), "+PONG");
 }
@@ -435,9 +500,14 @@
     // Each node has a wait of its own, always the same.
     let mut waits = std::collections::BTreeSet::new();
     let mut watch = |path: &str, rev: i64| {
-        let wait = path.strip_prefix(&format!("/api/targets?since={rev}&timeout_ms=")).expect(path);
+        let wait = path
+            .strip_prefix(&format!("/api/targets?since={rev}&timeout_ms="))
+            .expect(path);
         waits.insert(wait.parse::<u32>().unwrap());
-        assert!(waits.len() == 1 && waits.iter().all(|wait| (12_000..=20_000).contains(wait)), "{waits:?}");
+        assert!(
+            waits.len() == 1 && waits.iter().all(|wait| (12_000..=20_000).contains(wait)),
+            "{waits:?}"
+        );
     };
     let bad: [&[u8]; 7] = [
         b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
@@ -461,7 +531,11 @@
     let body = list(9, true, &[target("s-2", &new)]).to_string();
     let (a, b) = body.split_at(20);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    peer.send(format!("{head}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n", a.len(), b.len()));
+    peer.send(format!(
+        "{head}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n",
+        a.len(),
+        b.len()
+    ));
     let (path, _peer) = node.call();
     watch(&path, 9);
     node.client().get("r1");
@@ -533,7 +607,10 @@
     let line = accept(&moved).line();
     assert!(line.starts_with("GET /api/targets?since=7&"), "{line}");
     conn.send(served(b"one"));
-    assert_eq!((client.bulk(), client.line().as_str()), (b"one".to_vec(), "+PONG"));
+    assert_eq!(
+        (client.bulk(), client.line().as_str()),
+        (b"one".to_vec(), "+PONG")
+    );
     exchange(&mut client, &new, "r2");
 }
 
@@ -556,7 +633,10 @@
     assert_eq!(idle.end(), "");
     second.send(served(b"two"));
     first.send(served(b"one"));
-    assert_eq!((holding.bulk(), late.bulk()), (b"one".to_vec(), b"two".to_vec()));
+    assert_eq!(
+        (holding.bulk(), late.bulk()),
+        (b"one".to_vec(), b"two".to_vec())
+    );
     assert_eq!((holding.end(), late.end()), (String::new(), String::new()));
     drop((holding, late, idle));
     assert!(node.wait().success());
@@ -606,18 +686,37 @@
         let mut bad = good.clone();
         bad[field] = value;
         let said = run(&bad.to_string());
-        assert!(said.contains(&format!("field {named}: ")), "{field}: {said}");
+        assert!(
+            said.contains(&format!("field {named}: ")),
+            "{field}: {said}"
+        );
     }
     // What can be read but means nothing is named as well, with what is allowed.
     for (path, value, allowed) in [
         ("/settings/classes/0/aim", json!(0.0), "above 0"),
         ("/settings/classes/1/deadline", json!(-5.0), "above 0"),
         ("/settings/classes/1/repeat", json!("twice"), "repeat"),
-        ("/settings/policy_limits/connect_timeout", json!(0.0), "above 0"),
-        ("/settings/policy_limits/try_limit", json!(0), "whole number from 1"),
-        ("/settings/policy_limits/second_copies", json!("no"), "neither true nor false"),
+        (
+            "/settings/policy_limits/connect_timeout",
+            json!(0.0),
+            "above 0",
+        ),
+        (
+            "/settings/policy_limits/try_limit",
+            json!(0),
+            "whole number from 1",
+        ),
+        (
+            "/settings/policy_limits/second_copies",
+            json!("no"),
+            "neither true nor false",
+        ),
         ("/settings/rules/cold_from", json!(7.0), "to 1"),
-        ("/settings/rules/stop_sending_within", json!(1e300), "from 0 to 3000000000"),
+        (
+            "/settings/rules/stop_sending_within",
+            json!(1e300),
+            "from 0 to 3000000000",
+        ),
         ("/settings/rules/fall", json!(null), "missing"),
         ("/limits/memory_mb", json!(0), "below 32"),
     ] {
@@ -625,12 +724,17 @@
         *bad.pointer_mut(path).unwrap() = value;
         let said = run(&bad.to_string());
         let field = path.rsplit_once('/').unwrap().1;
-        assert!(said.contains(field) && said.contains(allowed), "{path}: {said}");
+        assert!(
+            said.contains(field) && said.contains(allowed),
+            "{path}: {said}"
+        );
     }
     run("not json");
     let mut program = program();
     let out = program.env_remove("BALANCER_CONFIG").output().unwrap();
-    assert!(String::from_utf8(out.stderr).unwrap().contains("BALANCER_CONFIG"));
+    assert!(String::from_utf8(out.stderr)
+        .unwrap()
+        .contains("BALANCER_CONFIG"));
     // An address that is taken is named too.
     let taken = listener();
     let mut config = good.clone();
@@ -669,7 +773,9 @@
     let since = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap() - Duration::from_secs(60);
     let boot_ms = since.as_millis() as i64;
     let mut targets = [target("s-1", &servers[0]), target("s-2", &servers[1])];
-    targets.iter_mut().for_each(|t| t["boot_ms"] = json!(boot_ms));
+    targets
+        .iter_mut()
+        .for_each(|t| t["boot_ms"] = json!(boot_ms));
     let node = Node::start(settings(), &targets, |_| {});
     let (_, mut watch) = node.call();
     let mut client = node.client();
@@ -692,7 +798,9 @@
     conn.send(served(b"three"));
     assert_eq!(client.bulk(), b"three");
     // One that has is new: nothing is known against it.
-    targets.iter_mut().for_each(|t| t["boot_ms"] = json!(boot_ms + 20_000));
+    targets
+        .iter_mut()
+        .for_each(|t| t["boot_ms"] = json!(boot_ms + 20_000));
     watch.answer_http(&list(43, false, &targets));
     let _watch = node.call();
     client.get("r4");
@@ -709,7 +817,12 @@
     let mut client = node.client();
     for i in 0..20 {
         let id = format!("r{i}");
-        client.send(command(&[b"C.GET", b"k1", id.as_bytes(), b"c=read,d=20000"]));
+        client.send(command(&[
+            b"C.GET",
+            b"k1",
+            id.as_bytes(),
+            b"c=read,d=20000",
+        ]));
         let (_, mut conn) = accept_either(&servers);
         conn.command();
         conn.reset();
--- a/crates/sloewick/tests/operating.rs
+++ b/crates/sloewick/tests/operating.rs
@@ -22,7 +22,9 @@
     let mut shell = Command::new("/bin/sh");
     let program = env!("CARGO_BIN_EXE_sloewick");
     shell.args(["-c", &format!("exec 3<&0 </dev/null; exec {program} run")]);
-    shell.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().unwrap())));
+    shell.stdin(Stdio::from(std::os::fd::OwnedFd::from(
+        socket.try_clone().unwrap(),
+    )));
     shell.env("BALANCER_ACCEPT_FD", "3");
     shell
 }
@@ -38,11 +40,16 @@
         assert!(begun.elapsed() < PATIENCE, "nobody takes calls");
     };
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes()).unwrap();
+    stream
+        .write_all(format!("{method} {path} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes())
+        .unwrap();
     let mut text = String::new();
     stream.read_to_string(&mut text).unwrap();
     let (head, body) = text.split_once("\r\n\r\n").unwrap();
-    (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_string())
+    (
+        head.split(' ').nth(1).unwrap().parse().unwrap(),
+        body.to_string(),
+    )
 }
 
 fn ready(ops: SocketAddr) -> bool {
@@ -51,7 +58,9 @@
 
 /// Whether a process that was told to stop says so, or has ended, at any moment of the call.
 fn stops(ops: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(ops) else { return true };
+    let Ok(mut stream) = TcpStream::connect(ops) else {
+        return true;
+    };
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     let mut text = String::new();
     let _ = stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: n\r\n\r\n");
@@ -61,8 +70,12 @@
 
 fn figure(ops: SocketAddr, name: &str) -> u64 {
     let text = call(ops, "GET", "/api/telemetry").1;
-    let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name}=")));
-    line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix(&format!("{name}=")));
+    line.unwrap_or_else(|| panic!("{name} in {text}"))
+        .parse()
+        .unwrap()
 }
 
 fn until(what: &str, mut done: impl FnMut() -> bool) {
@@ -137,8 +150,18 @@
     conn.send("-BUSY\r\n");
     assert_eq!(client.line(), "-BUSY");
     let name = |name: &str| figure(ops, name);
-    assert_eq!((name("answered.once"), name("errored.once"), name("deferred.once")), (1, 1, 1));
-    assert_eq!((name("sends"), name("current"), name("answered.read")), (3, 0, 0));
+    assert_eq!(
+        (
+            name("answered.once"),
+            name("errored.once"),
+            name("deferred.once")
+        ),
+        (1, 1, 1)
+    );
+    assert_eq!(
+        (name("sends"), name("current"), name("answered.read")),
+        (3, 0, 0)
+    );
     // A server that takes no connections is avoided.
     let conn_of = close(server);
     client.get("r4");
@@ -146,7 +169,9 @@
     client.line();
     client.get("r5");
     client.line();
-    until(&format!("{conn_of} is avoided"), || figure(ops, "cluster_unhealthy") == 1);
+    until(&format!("{conn_of} is avoided"), || {
+        figure(ops, "cluster_unhealthy") == 1
+    });
     assert_eq!(figure(ops, "cluster_size"), 1);
 }
 
@@ -172,9 +197,15 @@
     exchange(&mut used, &server, "r3");
     assert_eq!(used.end(), "");
     let lasted = begun.elapsed();
-    assert!(lasted < Duration::from_millis(1500), "behind the answer, not by time: {lasted:?}");
+    assert!(
+        lasted < Duration::from_millis(1500),
+        "behind the answer, not by time: {lasted:?}"
+    );
     assert_eq!(idle.end(), "");
-    assert!(begun.elapsed() > Duration::from_millis(1500), "its client had time to write");
+    assert!(
+        begun.elapsed() > Duration::from_millis(1500),
+        "its client had time to write"
+    );
     // What is owed is still answered.
     slow.send(served(b"two"));
     assert_eq!(held.bulk(), b"two");
@@ -214,7 +245,10 @@
         held.send(command(&[b"PING"]));
         assert_eq!(held.line(), "+PONG", "round {round}");
     }
-    assert_eq!((figure(ops, "answered.once"), figure(ops, "current")), (21, 0));
+    assert_eq!(
+        (figure(ops, "answered.once"), figure(ops, "current")),
+        (21, 0)
+    );
 }
 
 #[test]
@@ -227,7 +261,9 @@
     assert_eq!(conn.command()[2], "r1");
     assert_eq!(call(ops, "POST", "/api/evacuate").0, 200);
     node.signal("TERM");
-    until("the stop has begun", || call(ops, "POST", "/api/evacuate").0 == 409);
+    until("the stop has begun", || {
+        call(ops, "POST", "/api/evacuate").0 == 409
+    });
     assert_eq!(call(ops, "POST", "/api/rejoin").0, 409);
     conn.send(served(b"one"));
     assert_eq!(held.bulk(), b"one");
@@ -254,7 +290,9 @@
         let node = Node::start_by(heir(&socket), set, &[target("s-1", &server)], edit);
         // Its list from discovery makes it ready; the one it was started with alone does not, yet.
         assert!(!ready(ops));
-        node.call().1.answer_http(&list(42, true, &[target("s-1", &server)]));
+        node.call()
+            .1
+            .answer_http(&list(42, true, &[target("s-1", &server)]));
         until("the process is ready", || ready(ops));
         nodes.push(node);
         all_ops.push(ops);
@@ -266,15 +304,22 @@
         }
     }
     let mut old = nodes.remove(0);
-    let mut kept: Vec<Peer> = (0..8).map(|_| Peer::new(TcpStream::connect(address).unwrap())).collect();
-    until("all are accepted", || figure(all_ops[0], "answered.once") == 1);
+    let mut kept: Vec<Peer> = (0..8)
+        .map(|_| Peer::new(TcpStream::connect(address).unwrap()))
+        .collect();
+    until("all are accepted", || {
+        figure(all_ops[0], "answered.once") == 1
+    });
     old.signal("TERM");
     until("the old one says no", || stops(all_ops[0]));
     // Old connections are served, whichever process has them, and so are new ones, by the new process.
     for (i, client) in kept.iter_mut().enumerate() {
         exchange(client, &server, &format!("kept-{i}")).close();
     }
-    assert!(old.wait().success(), "it ends once its clients have been let go");
+    assert!(
+        old.wait().success(),
+        "it ends once its clients have been let go"
+    );
     for i in 0..8 {
         let mut client = Peer::new(TcpStream::connect(address).unwrap());
         exchange(&mut client, &server, &format!("new-{i}")).close();
@@ -287,13 +332,19 @@
 fn a_descriptor_or_an_address_that_can_not_be_used_is_told() {
     let run = |name: &str, value: &str| {
         let node = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/node.json");
-        let out = program().env("BALANCER_CONFIG", node).env(name, value).output().unwrap();
+        let out = program()
+            .env("BALANCER_CONFIG", node)
+            .env(name, value)
+            .output()
+            .unwrap();
         assert_eq!(out.status.code(), Some(2), "{name}={value}");
         String::from_utf8(out.stderr).unwrap()
     };
     assert!(run("BALANCER_ACCEPT_FD", "three").contains("\"three\" is no descriptor above 2"));
     assert!(run("BALANCER_ACCEPT_FD", "1").contains("is no descriptor above 2"));
-    assert!(run("BALANCER_ACCEPT_FD", "987").contains("inherited descriptor 987: Bad file descriptor"));
+    assert!(
+        run("BALANCER_ACCEPT_FD", "987").contains("inherited descriptor 987: Bad file descriptor")
+    );
     assert!(run("BALANCER_OPS", "here").contains("\"here\" is no address and port"));
 }
 
@@ -311,7 +362,9 @@
             config["listen"] = json!(socket.local_addr().unwrap().to_string());
         };
         let node = Node::start_by(command, settings(), &[target("s-1", &server)], edit);
-        node.call().1.answer_http(&list(42, true, &[target("s-1", &server)]));
+        node.call()
+            .1
+            .answer_http(&list(42, true, &[target("s-1", &server)]));
         node
     };
     let mut first = start();
@@ -319,15 +372,28 @@
     let snapshot = std::fs::read(&kept).unwrap();
     assert!(snapshot.len() < 64 << 10, "{} bytes", snapshot.len());
     let said = start().last_words();
-    assert!(said.contains("handover: 1 servers, 0 positions, "), "{said}");
+    assert!(
+        said.contains("handover: 1 servers, 0 positions, "),
+        "{said}"
+    );
     let said = first.last_words();
-    assert!(!said.contains("handover"), "the first one found nothing and could keep all: {said}");
+    assert!(
+        !said.contains("handover"),
+        "the first one found nothing and could keep all: {said}"
+    );
     // Nobody writes any more: what lies there is what was put there.
     let half = &snapshot[..snapshot.len() / 2];
-    for (bytes, why) in [(half, "is torn"), (&b"{}"[..], "is no snapshot"), (&snapshot[..0], "is torn")] {
+    for (bytes, why) in [
+        (half, "is torn"),
+        (&b"{}"[..], "is no snapshot"),
+        (&snapshot[..0], "is torn"),
+    ] {
         std::fs::write(&kept, bytes).unwrap();
         let said = start().last_words();
-        assert!(said.contains(&format!("handover: not taken up: {why}\n")), "{said}");
+        assert!(
+            said.contains(&format!("handover: not taken up: {why}\n")),
+            "{said}"
+        );
     }
 }
 
@@ -336,7 +402,9 @@
 fn a_long_value_half_way_through_an_evacuation_arrives_whole() {
     let server = listener();
     let (node, ops) = node(&server);
-    let value: Vec<u8> = (0..4 << 20).map(|i: u32| (i.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    let value: Vec<u8> = (0..4 << 20)
+        .map(|i: u32| (i.wrapping_mul(2_654_435_761) >> 24) as u8)
+        .collect();
     let mut client = node.client();
     client.get("r1");
     let mut conn = accept(&server);
@@ -374,11 +442,16 @@
         config["listen"] = json!(socket.local_addr().unwrap().to_string());
         config["ops"] = json!(ops.to_string());
     };
-    (Node::start_by(heir(socket), settings(), &[target("s-1", server)], edit), ops)
+    (
+        Node::start_by(heir(socket), settings(), &[target("s-1", server)], edit),
+        ops,
+    )
 }
 
 fn told(node: &Node, ops: SocketAddr, server: &TcpListener) {
-    node.call().1.answer_http(&list(42, true, &[target("s-1", server)]));
+    node.call()
+        .1
+        .answer_http(&list(42, true, &[target("s-1", server)]));
     until("the process is ready", || ready(ops));
 }
 
@@ -454,7 +527,11 @@
     told(&third, third_ops, &server);
     second.signal("TERM");
     conn.send(served(b"held"));
-    assert_eq!(held.bulk(), b"held", "the first one still answers what it has taken");
+    assert_eq!(
+        held.bulk(),
+        b"held",
+        "the first one still answers what it has taken"
+    );
     assert!(first.wait().success() && second.wait().success());
     serves(&socket, &server, "third");
     assert!(ready(third_ops));
--- a/crates/sloewick/tests/restarts.rs
+++ b/crates/sloewick/tests/restarts.rs
@@ -65,9 +65,9 @@
                     let _ = peer.stream.write_all(text.as_bytes());
                 }
                 Meets::TurnedAway => {
-                    let _ = peer
-                        .stream
-                        .write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                    let _ = peer.stream.write_all(
+                        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+                    );
                 }
                 _ => peer.answer_http(&list(42, true, &[])),
             }
@@ -78,7 +78,9 @@
 }
 
 fn ready(ops: SocketAddr) -> bool {
-    let Ok(stream) = TcpStream::connect(ops) else { return false };
+    let Ok(stream) = TcpStream::connect(ops) else {
+        return false;
+    };
     let mut caller = Peer::new(stream);
     caller.send("GET /api/ready HTTP/1.1\r\nHost: n1\r\n\r\n");
     caller.end().starts_with("HTTP/1.1 200 ")
@@ -119,11 +121,15 @@
             move || {
                 let (address, ops) = (close(listener()), close(listener()));
                 let start = || {
-                    Node::start(settings_of((n / ALL.len()).is_multiple_of(2)), targets, |config| {
-                        config["listen"] = json!(address.to_string());
-                        config["ops"] = json!(ops.to_string());
-                        config["discovery"] = json!(discovery(meets).to_string());
-                    })
+                    Node::start(
+                        settings_of((n / ALL.len()).is_multiple_of(2)),
+                        targets,
+                        |config| {
+                            config["listen"] = json!(address.to_string());
+                            config["ops"] = json!(ops.to_string());
+                            config["discovery"] = json!(discovery(meets).to_string());
+                        },
+                    )
                 };
                 let first = start();
                 assert!(ready_in_time(ops, Instant::now()), "{meets:?}");
@@ -142,7 +148,9 @@
             }
         };
         let all: Vec<_> = (0..64).map(|n| scope.spawn(one(n))).collect();
-        all.into_iter().filter_map(|one| one.join().unwrap()).collect::<Vec<Meets>>()
+        all.into_iter()
+            .filter_map(|one| one.join().unwrap())
+            .collect::<Vec<Meets>>()
     });
     assert!(late.is_empty(), "late: {late:?}");
 }
@@ -193,7 +201,10 @@
     });
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), config.to_string()).unwrap();
-    let out = program().env("BALANCER_CONFIG", file.path()).output().unwrap();
+    let out = program()
+        .env("BALANCER_CONFIG", file.path())
+        .output()
+        .unwrap();
     let text = String::from_utf8(out.stderr).unwrap();
     assert_eq!(out.status.code(), Some(2));
     assert!(text.contains("Address already in use"), "{text}");
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -19,7 +19,13 @@
 fn own_ip() -> IpAddr {
     let n = TAKEN.fetch_add(1, Ordering::Relaxed);
     let pid = std::process::id();
-    Ipv4Addr::new(127, 1 + (pid % 200) as u8, 1 + (pid / 200 % 200) as u8, 1 + (n % 250) as u8).into()
+    Ipv4Addr::new(
+        127,
+        1 + (pid % 200) as u8,
+        1 + (pid / 200 % 200) as u8,
+        1 + (n % 250) as u8,
+    )
+    .into()
 }
 
 pub fn listener() -> TcpListener {
@@ -108,7 +114,12 @@
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
         std::fs::write(&file, config.to_string()).unwrap();
         let child = command.env("BALANCER_CONFIG", &file).spawn().unwrap();
-        let node = Node { child, address, discovery, file };
+        let node = Node {
+            child,
+            address,
+            discovery,
+            file,
+        };
         let begun = Instant::now();
         while TcpStream::connect(address).is_err() {
             assert!(begun.elapsed() < PATIENCE, "the node does not listen");
@@ -122,7 +133,9 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let kill = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
         assert!(kill.unwrap().success());
     }
 
@@ -155,7 +168,12 @@
         self.signal("TERM");
         assert!(self.wait().success());
         let mut text = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        self.child
+            .stderr
+            .take()
+            .unwrap()
+            .read_to_string(&mut text)
+            .unwrap();
         text
     }
 
@@ -180,7 +198,12 @@
     pub fn memory(&self) -> usize {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
         let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
+        line.split_whitespace()
+            .nth(1)
+            .unwrap()
+            .parse::<usize>()
+            .unwrap()
+            / 1024
     }
 
     /// The next call to discovery: its path, and the connection to answer on.
@@ -255,7 +278,10 @@
     let begun = Instant::now();
     let mut others = Vec::new();
     for n in 0.. {
-        assert!(begun.elapsed() < PATIENCE, "the connection is not used again");
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "the connection is not used again"
+        );
         let id = format!("{id}-{n}");
         client.get(&id);
         let other = loop {
@@ -294,7 +320,11 @@
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_write_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
-        Peer { stream, buf: Vec::new(), was_reset: false }
+        Peer {
+            stream,
+            buf: Vec::new(),
+            was_reset: false,
+        }
     }
 
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
@@ -302,7 +332,12 @@
     }
 
     pub fn get(&mut self, id: &str) {
-        self.send(command(&[b"C.GET", b"k1", id.as_bytes(), b"c=once,t=acme,d=20000"]));
+        self.send(command(&[
+            b"C.GET",
+            b"k1",
+            id.as_bytes(),
+            b"c=once,t=acme,d=20000",
+        ]));
     }
 
     /// All up to and with this.
@@ -311,7 +346,11 @@
             if let Some(at) = self.buf.windows(end.len()).position(|w| w == end) {
                 return self.buf.drain(..at + end.len()).collect();
             }
-            assert!(self.more(), "the connection ended within a message: {:?}", self.text());
+            assert!(
+                self.more(),
+                "the connection ended within a message: {:?}",
+                self.text()
+            );
         }
     }
 
@@ -366,7 +405,11 @@
     /// A bulk string.
     pub fn bulk(&mut self) -> Vec<u8> {
         let head = self.line();
-        let len = head.strip_prefix('$').unwrap_or_else(|| panic!("{head:?}")).parse().unwrap();
+        let len = head
+            .strip_prefix('$')
+            .unwrap_or_else(|| panic!("{head:?}"))
+            .parse()
+            .unwrap();
         let bytes = self.exactly(len);
         assert_eq!(self.exactly(2), b"\r\n");
         bytes
@@ -375,8 +418,14 @@
     /// A command's words.
     pub fn command(&mut self) -> Vec<String> {
         let head = self.line();
-        let count = head.strip_prefix('*').unwrap_or_else(|| panic!("{head:?}")).parse().unwrap();
-        (0..count).map(|_| String::from_utf8_lossy(&self.bulk()).into_owned()).collect()
+        let count = head
+            .strip_prefix('*')
+            .unwrap_or_else(|| panic!("{head:?}"))
+            .parse()
+            .unwrap();
+        (0..count)
+            .map(|_| String::from_utf8_lossy(&self.bulk()).into_owned())
+            .collect()
     }
 
     /// Waits for the end of the other side's sending; all that came before it.
@@ -387,7 +436,10 @@
 
     pub fn answer_http(&mut self, body: &Value) {
         let body = body.to_string();
-        self.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        self.send(format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
     }
 
     /// Ends the connection at once, also where a program that another test is just starting holds a copy of it: the
@@ -398,7 +450,9 @@
 
     /// Breaks the connection as a process that dies does.
     pub fn reset(self) {
-        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        socket2::SockRef::from(&self.stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
     }
 }
 
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -22,7 +22,11 @@
 impl Folder {
     /// `name`: of the file; `longest`: bytes that a snapshot may have.
     pub fn new(path: &Path, name: &'static str, longest: usize) -> Folder {
-        Folder { path: path.to_path_buf(), name, longest }
+        Folder {
+            path: path.to_path_buf(),
+            name,
+            longest,
+        }
     }
 
     /// The file.
@@ -45,7 +49,9 @@
         }
         // It may grow while it is read.
         let mut bytes = Vec::with_capacity((about.len() as usize).min(self.longest));
-        File::open(self.file())?.take(self.longest as u64 + 1).read_to_end(&mut bytes)?;
+        File::open(self.file())?
+            .take(self.longest as u64 + 1)
+            .read_to_end(&mut bytes)?;
         if bytes.len() > self.longest {
             return Err(bad(format!("is longer than {} bytes", self.longest)));
         }
@@ -62,7 +68,9 @@
             return Err(io::Error::new(ErrorKind::InvalidInput, why));
         }
         // Two processes of one node write side by side during an upgrade.
-        let half = self.path.join(format!("{}.{}.half", self.name, std::process::id()));
+        let half = self
+            .path
+            .join(format!("{}.{}.half", self.name, std::process::id()));
         let written = File::create(&half)
             .and_then(|mut file| file.write_all(bytes))
             .and_then(|()| fs::rename(&half, self.file()));
@@ -74,10 +82,14 @@
 
     /// Takes away what processes that were killed have left half written.
     pub fn tidy(&self) {
-        let Ok(all) = fs::read_dir(&self.path) else { return };
+        let Ok(all) = fs::read_dir(&self.path) else {
+            return;
+        };
         for entry in all.take(LOOK_MOST).flatten() {
             let name = entry.file_name();
-            let ours = name.to_str().is_some_and(|n| n.starts_with(self.name) && n.ends_with(".half"));
+            let ours = name
+                .to_str()
+                .is_some_and(|n| n.starts_with(self.name) && n.ends_with(".half"));
             let changed = entry.metadata().and_then(|about| about.modified());
             let old = changed.is_ok_and(|at| at.elapsed().is_ok_and(|age| age > LEFT_OVER));
             if ours && old {
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -36,17 +36,26 @@
                 }
             }
         };
-        thread::Builder::new().name("keeper".into()).stack_size(STACK).spawn(work)?;
+        thread::Builder::new()
+            .name("keeper".into())
+            .stack_size(STACK)
+            .spawn(work)?;
         Ok(Keeper { to, trouble })
     }
 
     /// Hands a snapshot over; false: the one before is still being written, and this one is dropped.
     pub fn offer(&self, bytes: Vec<u8>) -> bool {
-        !matches!(self.to.try_send(bytes), Err(TrySendError::Full(_) | TrySendError::Disconnected(_)))
+        !matches!(
+            self.to.try_send(bytes),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
+        )
     }
 
     /// Why the last one that failed could not be written, once.
     pub fn trouble(&self) -> Option<String> {
-        self.trouble.lock().ok().and_then(|mut trouble| trouble.take())
+        self.trouble
+            .lock()
+            .ok()
+            .and_then(|mut trouble| trouble.take())
     }
 }
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -95,12 +95,18 @@
 ///
 /// # Errors
 /// The first reason against it.
-pub fn open<'a>(expected: &Expected, now: i64, bytes: &'a [u8]) -> Result<(&'a [u8], i64), Refused> {
+pub fn open<'a>(
+    expected: &Expected,
+    now: i64,
+    bytes: &'a [u8],
+) -> Result<(&'a [u8], i64), Refused> {
     let begun = bytes.len().min(MAGIC.len());
     if bytes[..begun] != MAGIC[..begun] {
         return Err(Refused::Foreign);
     }
-    let Some((head, rest)) = bytes.split_at_checked(HEAD) else { return Err(Refused::Torn) };
+    let Some((head, rest)) = bytes.split_at_checked(HEAD) else {
+        return Err(Refused::Torn);
+    };
     let (_, head) = head.split_at(MAGIC.len());
     let (version, head) = head.split_at(2);
     let version = u16::from_le_bytes([version[0], version[1]]);
--- a/crates/store/tests/snapshots.rs
+++ b/crates/store/tests/snapshots.rs
@@ -9,7 +9,11 @@
 use sloewick_store::{open, seal, Expected, Folder, Keeper, Refused, OVERHEAD};
 
 const NOW: i64 = 1_900_000_000_000_000;
-const EXPECTED: Expected = Expected { owner: "node 127.0.0.1:1", version: 3, age_most: 10_000_000 };
+const EXPECTED: Expected = Expected {
+    owner: "node 127.0.0.1:1",
+    version: 3,
+    age_most: 10_000_000,
+};
 
 fn sealed(taken: i64) -> Vec<u8> {
     seal(EXPECTED.owner, EXPECTED.version, taken, b"what is known").unwrap()
@@ -20,14 +24,21 @@
     let bytes = sealed(NOW - 5);
     assert_eq!(bytes.len(), b"what is known".len() + OVERHEAD);
     assert_eq!(open(&EXPECTED, NOW, &bytes), Ok((&b"what is known"[..], 5)));
-    assert_eq!(open(&EXPECTED, NOW, &seal(EXPECTED.owner, 3, NOW, b"").unwrap()), Ok((&b""[..], 0)));
+    assert_eq!(
+        open(&EXPECTED, NOW, &seal(EXPECTED.owner, 3, NOW, b"").unwrap()),
+        Ok((&b""[..], 0))
+    );
 }
 
 #[test]
 fn one_that_is_cut_at_any_byte_or_goes_on_is_torn() {
     let bytes = sealed(NOW);
     for end in 0..bytes.len() {
-        assert_eq!(open(&EXPECTED, NOW, &bytes[..end]), Err(Refused::Torn), "cut at {end}");
+        assert_eq!(
+            open(&EXPECTED, NOW, &bytes[..end]),
+            Err(Refused::Torn),
+            "cut at {end}"
+        );
     }
     let more = [&bytes[..], b"\0"].concat();
     assert_eq!(open(&EXPECTED, NOW, &more), Err(Refused::Torn));
@@ -53,16 +64,28 @@
 #[test]
 fn what_is_whole_and_not_to_be_believed_is_told_apart() {
     let with = |owner, version| seal(owner, version, NOW, b"x").unwrap();
-    assert_eq!(open(&EXPECTED, NOW, &with("node 127.0.0.1:2", 3)), Err(Refused::Owner));
-    assert_eq!(open(&EXPECTED, NOW, &with(EXPECTED.owner, 4)), Err(Refused::Version(4)));
+    assert_eq!(
+        open(&EXPECTED, NOW, &with("node 127.0.0.1:2", 3)),
+        Err(Refused::Owner)
+    );
+    assert_eq!(
+        open(&EXPECTED, NOW, &with(EXPECTED.owner, 4)),
+        Err(Refused::Version(4))
+    );
     assert!(open(&EXPECTED, NOW, &sealed(NOW - 10_000_000)).is_ok());
-    assert_eq!(open(&EXPECTED, NOW, &sealed(NOW - 10_000_001)), Err(Refused::Old(10_000_001)));
+    assert_eq!(
+        open(&EXPECTED, NOW, &sealed(NOW - 10_000_001)),
+        Err(Refused::Old(10_000_001))
+    );
     assert_eq!(
         open(&EXPECTED, NOW, &sealed(NOW + 1_000_000)).map(|o| o.1),
         Ok(0),
         "two clocks read in turn"
     );
-    assert_eq!(open(&EXPECTED, NOW, &sealed(NOW + 1_000_001)), Err(Refused::Future(1_000_001)));
+    assert_eq!(
+        open(&EXPECTED, NOW, &sealed(NOW + 1_000_001)),
+        Err(Refused::Future(1_000_001))
+    );
     for taken in [i64::MIN, i64::MAX] {
         assert!(open(&EXPECTED, NOW, &sealed(taken)).is_err());
     }
@@ -89,9 +112,20 @@
     folder.write(b"one").unwrap();
     folder.write(b"two").unwrap();
     assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
-    assert_eq!(fs::read_dir(dir.path()).unwrap().count(), 1, "nothing half written is left");
-    assert_eq!(folder.write(b"ninebytes").unwrap_err().kind(), ErrorKind::InvalidInput);
-    assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]), "the one before stands");
+    assert_eq!(
+        fs::read_dir(dir.path()).unwrap().count(),
+        1,
+        "nothing half written is left"
+    );
+    assert_eq!(
+        folder.write(b"ninebytes").unwrap_err().kind(),
+        ErrorKind::InvalidInput
+    );
+    assert_eq!(
+        folder.read().unwrap().as_deref(),
+        Some(&b"two"[..]),
+        "the one before stands"
+    );
 }
 
 #[test]
@@ -99,12 +133,19 @@
     let dir = tempfile::tempdir().unwrap();
     let folder = Folder::new(dir.path(), "kept", 8);
     fs::write(folder.file(), [0; 9]).unwrap();
-    assert_eq!(folder.read().unwrap_err().to_string(), "is longer than 8 bytes");
+    assert_eq!(
+        folder.read().unwrap_err().to_string(),
+        "is longer than 8 bytes"
+    );
     fs::remove_file(folder.file()).unwrap();
     fs::create_dir(folder.file()).unwrap();
     assert_eq!(folder.read().unwrap_err().to_string(), "is no file");
     assert!(folder.write(b"x").is_err(), "a folder is not replaced");
-    assert_eq!(fs::read_dir(dir.path()).unwrap().count(), 1, "nothing half written is left");
+    assert_eq!(
+        fs::read_dir(dir.path()).unwrap().count(),
+        1,
+        "nothing half written is left"
+    );
     fs::remove_dir(folder.file()).unwrap();
     symlink("/dev/zero", folder.file()).unwrap();
     assert_eq!(folder.read().unwrap_err().to_string(), "is no file");
@@ -124,7 +165,10 @@
     }
     fs::write(dir.path().join("kept.2.half"), "being written").unwrap();
     folder.tidy();
-    let mut left: Vec<_> = fs::read_dir(dir.path()).unwrap().map(|e| e.unwrap().file_name()).collect();
+    let mut left: Vec<_> = fs::read_dir(dir.path())
+        .unwrap()
+        .map(|e| e.unwrap().file_name())
+        .collect();
     left.sort();
     assert_eq!(left, ["kept", "kept.2.half", "other.1.half"]);
 }
@@ -143,7 +187,9 @@
     let folder = Folder::new(dir.path(), "kept", 8);
     let keeper = Keeper::start(folder.clone()).unwrap();
     until("it takes one", || keeper.offer(b"one".to_vec()));
-    until("and writes it", || folder.read().unwrap().as_deref() == Some(b"one"));
+    until("and writes it", || {
+        folder.read().unwrap().as_deref() == Some(b"one")
+    });
     assert_eq!(keeper.trouble(), None);
     until("it takes one that is too long", || keeper.offer(vec![0; 9]));
     let mut told = None;
@@ -154,5 +200,7 @@
     assert!(told.unwrap().ends_with("kept: 9 bytes, 8 are allowed"));
     assert_eq!(keeper.trouble(), None, "told once");
     until("it goes on", || keeper.offer(b"two".to_vec()));
-    until("and writes it", || folder.read().unwrap().as_deref() == Some(b"two"));
+    until("and writes it", || {
+        folder.read().unwrap().as_deref() == Some(b"two")
+    });
 }
--- a/crates/wire/benches/codecs.rs
+++ b/crates/wire/benches/codecs.rs
@@ -15,7 +15,13 @@
     let fields = b"c=trace-read,t=distribution,d=387,k=5c0f6e1a2b3d4c59";
     let mut out = Vec::new();
     put_head(&mut out, b'*', 5);
-    for word in [&b"C.SET"[..], b"logger/00417", b"7f3a9c21e0b4d655", fields, &vec![b'v'; value]] {
+    for word in [
+        &b"C.SET"[..],
+        b"logger/00417",
+        b"7f3a9c21e0b4d655",
+        fields,
+        &vec![b'v'; value],
+    ] {
         put_bulk(&mut out, word);
     }
     out
@@ -24,11 +30,13 @@
 #[divan::bench(args = [24, 4000, 60_000])]
 fn read_a_command(bencher: Bencher, value: usize) {
     let bytes = command(value);
-    bencher.counter(BytesCount::from(bytes.len())).bench_local(|| {
-        let (mut reader, mut buf) = (CommandReader::default(), BytesMut::from(&bytes[..]));
-        let read = reader.next(&mut buf, &mut Budget::new(1 << 20));
-        assert!(read.is_ok_and(|command| command.is_some()));
-    });
+    bencher
+        .counter(BytesCount::from(bytes.len()))
+        .bench_local(|| {
+            let (mut reader, mut buf) = (CommandReader::default(), BytesMut::from(&bytes[..]));
+            let read = reader.next(&mut buf, &mut Budget::new(1 << 20));
+            assert!(read.is_ok_and(|command| command.is_some()));
+        });
 }
 
 #[divan::bench(args = [200, 20_000])]
@@ -37,11 +45,13 @@
     put_head(&mut bytes, b'*', 3);
     put_bulk(&mut bytes, &vec![b'v'; value]);
     bytes.extend_from_slice(b"$3\r\nhit\r\n$-1\r\n");
-    bencher.counter(BytesCount::from(bytes.len())).bench_local(|| {
-        let (mut reader, mut buf) = (ReplyReader::default(), BytesMut::from(&bytes[..]));
-        let read = reader.next(&mut buf);
-        assert!(read.is_ok_and(|piece| piece.is_some()));
-    });
+    bencher
+        .counter(BytesCount::from(bytes.len()))
+        .bench_local(|| {
+            let (mut reader, mut buf) = (ReplyReader::default(), BytesMut::from(&bytes[..]));
+            let read = reader.next(&mut buf);
+            assert!(read.is_ok_and(|piece| piece.is_some()));
+        });
 }
 
 /// A packet of this many bytes in all.
@@ -49,7 +59,15 @@
     let mut out = Vec::new();
     let key = vec![b'k'; len - memcache::HEADER].into();
     let opcode = Opcode::Get as u8;
-    memcache::put_request(&mut out, &memcache::Request { opcode, opaque: 7, key, ..Default::default() });
+    memcache::put_request(
+        &mut out,
+        &memcache::Request {
+            opcode,
+            opaque: 7,
+            key,
+            ..Default::default()
+        },
+    );
     out
 }
 
@@ -57,15 +75,22 @@
 #[divan::bench(args = [40, 100, 200])]
 fn read_16_memcached_gets(bencher: Bencher, len: usize) {
     let bytes = get(len).repeat(16);
-    let input = || (RequestReader::default(), BytesMut::from(&bytes[..]), Budget::new(0));
-    bencher.counter(BytesCount::from(bytes.len())).with_inputs(input).bench_local_refs(
-        |(reader, buf, budget)| {
+    let input = || {
+        (
+            RequestReader::default(),
+            BytesMut::from(&bytes[..]),
+            Budget::new(0),
+        )
+    };
+    bencher
+        .counter(BytesCount::from(bytes.len()))
+        .with_inputs(input)
+        .bench_local_refs(|(reader, buf, budget)| {
             for _ in 0..16 {
                 let request = reader.next(buf, budget, 1 << 20);
                 assert!(black_box(request).is_ok_and(|r| r.is_some_and(|r| r.fault.is_none())));
             }
-        },
-    );
+        });
 }
 
 #[divan::bench(args = [200, 20_000])]
@@ -83,10 +108,14 @@
             value: vec![b'v'; value].into(),
         },
     );
-    bencher.counter(BytesCount::from(bytes.len())).bench_local(|| {
-        let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&bytes[..]));
-        assert!(reader.next(&mut buf, 1 << 20).is_ok_and(|piece| piece.is_some()));
-    });
+    bencher
+        .counter(BytesCount::from(bytes.len()))
+        .bench_local(|| {
+            let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&bytes[..]));
+            assert!(reader
+                .next(&mut buf, 1 << 20)
+                .is_ok_and(|piece| piece.is_some()));
+        });
 }
 
 #[divan::bench]
@@ -97,8 +126,13 @@
 #[divan::bench]
 fn read_an_http_answer(bencher: Bencher) {
     let body = "x".repeat(10_000);
-    let bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    bencher.counter(BytesCount::from(bytes.len())).bench_local(|| {
-        assert!(http::body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
-    });
+    let bytes = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    bencher
+        .counter(BytesCount::from(bytes.len()))
+        .bench_local(|| {
+            assert!(http::body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
+        });
 }
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -24,8 +24,13 @@
         return Err("status is not 200");
     }
     let header = |name: &str| {
-        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
+        let found = head
+            .headers
+            .iter()
+            .find(|h| h.name.eq_ignore_ascii_case(name));
+        found
+            .and_then(|h| std::str::from_utf8(h.value).ok())
+            .map(str::trim)
     };
     let rest = &buf[start..];
     if header("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().ends_with("chunked")) {
@@ -61,7 +66,9 @@
             return Err("answer too long");
         }
         let end = start + size as usize;
-        let Some(after) = rest.get(end..end + 2) else { return Ok(None) };
+        let Some(after) = rest.get(end..end + 2) else {
+            return Ok(None);
+        };
         if after != b"\r\n" {
             return Err("bad chunk");
         }
@@ -96,7 +103,10 @@
         Ok(httparse::Status::Complete(len)) if len > HEAD_MOST => Err(Refused::TooLong),
         Ok(httparse::Status::Complete(_)) => {
             let text = |t: Option<&str>| t.unwrap_or_default().to_string();
-            Ok(Some(Head { method: text(head.method), path: text(head.path) }))
+            Ok(Some(Head {
+                method: text(head.method),
+                path: text(head.path),
+            }))
         }
         Ok(httparse::Status::Partial) if buf.len() > HEAD_MOST => Err(Refused::TooLong),
         Ok(httparse::Status::Partial) if !ended => Ok(None),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -162,12 +162,18 @@
             out.put_u64(r.lease);
             out.put_u32(r.left);
             out.put_u8(u8::from(r.write) | u8::from(r.retry) << 1);
-            [&r.class, &r.tenant, &r.idem, &r.id].into_iter().for_each(|text| put_short(out, text));
+            [&r.class, &r.tenant, &r.idem, &r.id]
+                .into_iter()
+                .for_each(|text| put_short(out, text));
             out.put_u16(r.key.len() as u16);
             out.put_slice(&r.key);
             out.put_u32(r.value);
         }
-        Message::Head { ended, retry_after, value } => {
+        Message::Head {
+            ended,
+            retry_after,
+            value,
+        } => {
             out.put_u8(*ended as u8);
             out.put_u32(*retry_after);
             out.put_u32(*value);
@@ -245,7 +251,15 @@
                 return Err(Broken("too many nodes"));
             }
             let nodes = (0..count).map(|_| p.short()).collect::<Result<_, _>>()?;
-            Message::Hello(Hello { version, epoch, life, site, node, list, nodes })
+            Message::Hello(Hello {
+                version,
+                epoch,
+                life,
+                site,
+                node,
+                list,
+                nodes,
+            })
         }
         2 => {
             let (epoch, lease, left, flags) = (p.u64()?, p.u64()?, p.u32()?, p.u8()?);
@@ -279,7 +293,11 @@
                 4 => Ended::Late,
                 _ => return Err(Broken("unknown end")),
             };
-            Message::Head { ended, retry_after: p.u32()?, value: p.u32()? }
+            Message::Head {
+                ended,
+                retry_after: p.u32()?,
+                value: p.u32()?,
+            }
         }
         4 => Message::Body(p.rest()),
         5 => Message::Cancel,
@@ -289,9 +307,15 @@
             if echo > 1 {
                 return Err(Broken("unknown flags"));
             }
-            Message::Beat { echo: echo == 1, sent: p.u64()? }
+            Message::Beat {
+                echo: echo == 1,
+                sent: p.u64()?,
+            }
         }
-        8 => Message::Lease { epoch: p.u64()?, number: p.u64()? },
+        8 => Message::Lease {
+            epoch: p.u64()?,
+            number: p.u64()?,
+        },
         9 => Message::Claim(p.rest()),
         10 => {
             let claimed = match p.u8()? {
@@ -301,7 +325,10 @@
                 3 => Claimed::CantTell,
                 _ => return Err(Broken("unknown claim")),
             };
-            Message::Claimed { claimed, receipt: p.rest() }
+            Message::Claimed {
+                claimed,
+                receipt: p.rest(),
+            }
         }
         11 => Message::GoAway,
         _ => return Err(Broken("unknown kind of frame")),
@@ -324,7 +351,11 @@
     let len = usize::from(u16::from_be_bytes([buf[2], buf[3]]));
     let request = u32::from_be_bytes([buf[4], buf[5], buf[6], buf[7]]);
     if flags != 0 || len > BODY_MOST {
-        return Err(Broken(if flags != 0 { "unknown flags" } else { "a body is too long" }));
+        return Err(Broken(if flags != 0 {
+            "unknown flags"
+        } else {
+            "a body is too long"
+        }));
     }
     if buf.len() < HEADER + len {
         return Ok(None);
--- a/crates/wire/src/link_tests.rs
+++ b/crates/wire/src/link_tests.rs
@@ -24,35 +24,71 @@
 }
 
 fn any_message() -> impl Strategy<Value = Message> {
-    let hello =
-        (any::<(u16, u64, u16, u64)>(), text(256), text(256), prop::collection::vec(text(40), 0..5))
-            .prop_map(|((version, epoch, life, list), site, node, nodes)| {
-                Message::Hello(Hello { version, epoch, life, site, node, list, nodes })
-            });
-    let request = (any::<(u64, u64, u32, bool, bool, u32)>(), text(256), text(256), text(256), text(600))
-        .prop_map(|((epoch, lease, left, write, retry, value), class, tenant, idem, key)| {
-            let id = class.clone();
-            Message::Request(Request {
+    let hello = (
+        any::<(u16, u64, u16, u64)>(),
+        text(256),
+        text(256),
+        prop::collection::vec(text(40), 0..5),
+    )
+        .prop_map(|((version, epoch, life, list), site, node, nodes)| {
+            Message::Hello(Hello {
+                version,
                 epoch,
-                lease,
-                left,
-                write,
-                retry,
-                class,
-                tenant,
-                idem,
-                id,
-                key,
-                value,
+                life,
+                site,
+                node,
+                list,
+                nodes,
             })
         });
-    let ends = [Ended::Served, Ended::NoValue, Ended::Refused, Ended::Failed, Ended::Late];
-    let claims = [Claimed::Here, Claimed::Served, Claimed::Crossed, Claimed::CantTell];
+    let request = (
+        any::<(u64, u64, u32, bool, bool, u32)>(),
+        text(256),
+        text(256),
+        text(256),
+        text(600),
+    )
+        .prop_map(
+            |((epoch, lease, left, write, retry, value), class, tenant, idem, key)| {
+                let id = class.clone();
+                Message::Request(Request {
+                    epoch,
+                    lease,
+                    left,
+                    write,
+                    retry,
+                    class,
+                    tenant,
+                    idem,
+                    id,
+                    key,
+                    value,
+                })
+            },
+        );
+    let ends = [
+        Ended::Served,
+        Ended::NoValue,
+        Ended::Refused,
+        Ended::Failed,
+        Ended::Late,
+    ];
+    let claims = [
+        Claimed::Here,
+        Claimed::Served,
+        Claimed::Crossed,
+        Claimed::CantTell,
+    ];
     prop_oneof![
         hello,
         request,
-        (prop::sample::select(ends.to_vec()), any::<(u32, u32)>())
-            .prop_map(|(ended, (retry_after, value))| Message::Head { ended, retry_after, value }),
+        (prop::sample::select(ends.to_vec()), any::<(u32, u32)>()).prop_map(
+            |(ended, (retry_after, value))| Message::Head {
+                ended,
+                retry_after,
+                value
+            }
+        ),
         text(3_000).prop_map(Message::Body),
         Just(Message::Cancel),
         any::<u32>().prop_map(Message::Credit),
@@ -68,11 +104,32 @@
 #[test]
 fn frames_are_as_the_specification_shows_them() {
     let mut out = Vec::new();
-    put(&mut out, 0, &Message::Beat { echo: true, sent: 0x0102 });
-    assert_eq!(out, b"\x07\x00\x00\x09\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x01\x02");
+    put(
+        &mut out,
+        0,
+        &Message::Beat {
+            echo: true,
+            sent: 0x0102,
+        },
+    );
+    assert_eq!(
+        out,
+        b"\x07\x00\x00\x09\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x01\x02"
+    );
     out.clear();
-    put(&mut out, 9, &Message::Head { ended: Ended::Refused, retry_after: 120, value: 0 });
-    assert_eq!(out, b"\x03\x00\x00\x09\x00\x00\x00\x09\x02\x00\x00\x00\x78\x00\x00\x00\x00");
+    put(
+        &mut out,
+        9,
+        &Message::Head {
+            ended: Ended::Refused,
+            retry_after: 120,
+            value: 0,
+        },
+    );
+    assert_eq!(
+        out,
+        b"\x03\x00\x00\x09\x00\x00\x00\x09\x02\x00\x00\x00\x78\x00\x00\x00\x00"
+    );
 }
 
 #[test]
@@ -82,9 +139,18 @@
         (b"\x0c\x00\x00\x00\x00\x00\x00\x00", "unknown kind of frame"),
         (b"\x05\x01\x00\x00\x00\x00\x00\x00", "unknown flags"),
         (b"\x04\x00\x40\x01\x00\x00\x00\x00", "a body is too long"),
-        (b"\x05\x00\x00\x01\x00\x00\x00\x00x", "a body is longer than its parts"),
-        (b"\x06\x00\x00\x03\x00\x00\x00\x00abc", "a body is shorter than its parts"),
-        (b"\x03\x00\x00\x09\x00\x00\x00\x00\x09abcdefgh", "unknown end"),
+        (
+            b"\x05\x00\x00\x01\x00\x00\x00\x00x",
+            "a body is longer than its parts",
+        ),
+        (
+            b"\x06\x00\x00\x03\x00\x00\x00\x00abc",
+            "a body is shorter than its parts",
+        ),
+        (
+            b"\x03\x00\x00\x09\x00\x00\x00\x00\x09abcdefgh",
+            "unknown end",
+        ),
         (b"\x0a\x00\x00\x01\x00\x00\x00\x00\x04", "unknown claim"),
         (b"*4\r\n$5\r\nC.GET\r\n", "unknown kind of frame"),
     ];
--- a/crates/wire/src/memcache.rs
+++ b/crates/wire/src/memcache.rs
@@ -155,7 +155,9 @@
             Opcode::Get | Opcode::GetK | Opcode::Delete => (Empty, Some, Empty),
             Opcode::Set | Opcode::Add | Opcode::Replace => (Exactly(8), Some, Any),
             Opcode::Increment | Opcode::Decrement => (Exactly(20), Some, Empty),
-            Opcode::Quit | Opcode::Noop | Opcode::Version | Opcode::SaslList => (Empty, Empty, Empty),
+            Opcode::Quit | Opcode::Noop | Opcode::Version | Opcode::SaslList => {
+                (Empty, Empty, Empty)
+            }
             Opcode::Append | Opcode::Prepend => (Empty, Some, Any),
             Opcode::Stat => (Empty, Any, Empty),
             Opcode::Touch | Opcode::Gat => (Exactly(4), Some, Empty),
@@ -334,7 +336,10 @@
     }
 
     fn broken(&self, why: &'static str, status: Option<Status>) -> Broken {
-        Broken { why, answer: status.map(|status| (self.opcode, self.opaque, status)) }
+        Broken {
+            why,
+            answer: status.map(|status| (self.opcode, self.opaque, status)),
+        }
     }
 }
 
@@ -375,7 +380,10 @@
             if *left > 0 {
                 return Ok(None);
             }
-            let request = Request { fault: Some(*why), ..head.request() };
+            let request = Request {
+                fault: Some(*why),
+                ..head.request()
+            };
             self.skip = None;
             return Ok(Some(request));
         }
@@ -383,7 +391,10 @@
             Some(coming) => coming,
             None => {
                 if buf.first().is_some_and(|magic| *magic != REQUEST) {
-                    return Err(Broken { why: "magic is not 0x80", answer: None });
+                    return Err(Broken {
+                        why: "magic is not 0x80",
+                        answer: None,
+                    });
                 }
                 if buf.len() < HEADER {
                     return Ok(None);
@@ -421,7 +432,10 @@
             return Ok(None);
         }
         self.coming = None;
-        let mut request = Request { reserved, ..h.request() };
+        let mut request = Request {
+            reserved,
+            ..h.request()
+        };
         if h.body > 0 {
             let mut bytes = buf.split_to(h.body).freeze();
             // Each part that shares the bytes is counted: those that are not there need not be.
@@ -490,7 +504,10 @@
             Some(h) => h,
             None => {
                 if buf.first().is_some_and(|magic| *magic != RESPONSE) {
-                    return Err(Broken { why: "magic is not 0x81", answer: None });
+                    return Err(Broken {
+                        why: "magic is not 0x81",
+                        answer: None,
+                    });
                 }
                 if buf.len() < HEADER {
                     return Ok(None);
@@ -603,7 +620,18 @@
 pub fn put_text(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status, text: &str) {
     let value = Bytes::copy_from_slice(text.as_bytes());
     let (extras, key) = (Bytes::new(), Bytes::new());
-    put_response(out, &Response { opcode, status: status as u16, opaque, cas: 0, extras, key, value });
+    put_response(
+        out,
+        &Response {
+            opcode,
+            status: status as u16,
+            opaque,
+            cas: 0,
+            extras,
+            key,
+            value,
+        },
+    );
 }
 
 #[cfg(test)]
--- a/crates/wire/src/memcache_tests.rs
+++ b/crates/wire/src/memcache_tests.rs
@@ -55,12 +55,18 @@
     let get = b"\x80\x00\x00\x05\x00\x00\x00\x00\x00\x00\x00\x05\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00Hello";
     let (got, broken) = requests(get, &[], 0);
     assert_eq!((got.len(), broken), (1, None));
-    assert_eq!((got[0].opcode, &got[0].key[..]), (Opcode::Get as u8, &b"Hello"[..]));
+    assert_eq!(
+        (got[0].opcode, &got[0].key[..]),
+        (Opcode::Get as u8, &b"Hello"[..])
+    );
     let add = b"\x80\x02\x00\x05\x08\x00\x00\x00\x00\x00\x00\x12\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\xde\xad\xbe\xef\x00\x00\x0e\x10HelloWorld";
     let (got, broken) = requests(add, &[], 0);
     assert_eq!(broken, None);
     assert_eq!(&got[0].extras[..], b"\xde\xad\xbe\xef\x00\x00\x0e\x10");
-    assert_eq!((&got[0].key[..], &got[0].value[..], got[0].fault), (&b"Hello"[..], &b"World"[..], None));
+    assert_eq!(
+        (&got[0].key[..], &got[0].value[..], got[0].fault),
+        (&b"Hello"[..], &b"World"[..], None)
+    );
     let miss = b"\x81\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00Not found";
     let (got, broken) = responses(miss, &[]);
     assert_eq!(broken, None);
@@ -94,7 +100,11 @@
     let mut input = Vec::new();
     put_response(&mut input, &long);
     put_status(&mut input, Opcode::Noop as u8, 4, Status::Ok);
-    for cuts in [&[][..], &[10, 24, 27, 29, 30, 5_000, input.len() - 24], &[28]] {
+    for cuts in [
+        &[][..],
+        &[10, 24, 27, 29, 30, 5_000, input.len() - 24],
+        &[28],
+    ] {
         let (got, broken) = responses(&input, cuts);
         assert_eq!((got.len(), broken), (2, None));
         assert_eq!((&got[0], got[1].opaque), (&long, 4));
@@ -129,12 +139,18 @@
             let (got, broken) = requests(&input, &[cut], 1 << 20);
             assert!(got.is_empty());
             let answer = broken.expect("an error").answer;
-            assert_eq!(answer.map(|(_, opaque, status)| (opaque, status)), status.map(|s| (7, s)));
+            assert_eq!(
+                answer.map(|(_, opaque, status)| (opaque, status)),
+                status.map(|s| (7, s))
+            );
         }
     }
     let mut reader = RequestReader::default();
     let mut buf = BytesMut::from(&lying(1, 8, 60_000)[..]);
-    assert_eq!(reader.next(&mut buf, &mut Budget::new(1 << 20), MOST), Ok(None));
+    assert_eq!(
+        reader.next(&mut buf, &mut Budget::new(1 << 20), MOST),
+        Ok(None)
+    );
     assert!(buf.capacity() < 4096 && reader.midway());
     assert_eq!(reader.reserved(), 60_000 - 9);
 }
@@ -152,15 +168,25 @@
         };
         let mut out = Vec::new();
         put_request(&mut out, &request);
-        put_request(&mut out, &Request { opcode: Opcode::Noop as u8, ..Request::default() });
+        put_request(
+            &mut out,
+            &Request {
+                opcode: Opcode::Noop as u8,
+                ..Request::default()
+            },
+        );
         out
     };
-    for (len, room, fault) in
-        [(MOST + 1, 1 << 20, Status::ValueTooLarge), (5_000, 4_999, Status::OutOfMemory)]
-    {
+    for (len, room, fault) in [
+        (MOST + 1, 1 << 20, Status::ValueTooLarge),
+        (5_000, 4_999, Status::OutOfMemory),
+    ] {
         let (got, broken) = requests(&long(len), &[30, 2000], room);
         assert_eq!((got.len(), broken), (2, None));
-        assert_eq!((got[0].fault, got[0].opaque, got[0].reserved), (Some(fault), 9, 0));
+        assert_eq!(
+            (got[0].fault, got[0].opaque, got[0].reserved),
+            (Some(fault), 9, 0)
+        );
         assert_eq!((got[1].opcode, got[1].fault), (Opcode::Noop as u8, None));
     }
     let (got, _) = requests(&long(5_000), &[], 5_000);
@@ -172,10 +198,21 @@
     let mut out = Vec::new();
     let (key, extras) = (vec![b'k'; KEY_MOST].into(), Bytes::from_static(&[0; 8]));
     let (opcode, value) = (Opcode::Set as u8, vec![b'v'; VALUE_MOST].into());
-    put_request(&mut out, &Request { opcode, key, extras, value, ..Request::default() });
+    put_request(
+        &mut out,
+        &Request {
+            opcode,
+            key,
+            extras,
+            value,
+            ..Request::default()
+        },
+    );
     let mut buf = BytesMut::from(&out[..]);
     let read = RequestReader::default().next(&mut buf, &mut Budget::new(VALUE_MOST), VALUE_MOST);
-    assert!(read.unwrap().is_some_and(|r| r.fault.is_none() && r.value.len() == VALUE_MOST));
+    assert!(read
+        .unwrap()
+        .is_some_and(|r| r.fault.is_none() && r.value.len() == VALUE_MOST));
 }
 
 #[test]
@@ -184,7 +221,16 @@
         let mut out = Vec::new();
         let part = |len: usize| Bytes::from(vec![b'x'; len]);
         let (extras, key, value) = (part(extras), part(key), part(value));
-        put_request(&mut out, &Request { opcode: opcode as u8, extras, key, value, ..Request::default() });
+        put_request(
+            &mut out,
+            &Request {
+                opcode: opcode as u8,
+                extras,
+                key,
+                value,
+                ..Request::default()
+            },
+        );
         requests(&out, &[], 0).0[0].fault
     };
     assert_eq!(make(Opcode::Get, 0, 3, 0), None);
@@ -208,13 +254,23 @@
         assert!(!opcode.loud().quiet());
         for status in Status::ALL {
             let read = matches!(opcode, Opcode::GetQ | Opcode::GetKQ | Opcode::GatQ);
-            let silent = if read { status == Status::KeyNotFound } else { status == Status::Ok };
-            assert_eq!(opcode.silent_on(status), opcode.quiet() && silent, "{opcode:?} {status:?}");
+            let silent = if read {
+                status == Status::KeyNotFound
+            } else {
+                status == Status::Ok
+            };
+            assert_eq!(
+                opcode.silent_on(status),
+                opcode.quiet() && silent,
+                "{opcode:?} {status:?}"
+            );
         }
     }
     assert_eq!(Opcode::ALL.iter().filter(|o| o.quiet()).count(), 13);
     assert_eq!(Opcode::from_code(0x1f), None);
-    assert!(Status::ALL.iter().all(|s| Status::from_code(*s as u16) == Some(*s)));
+    assert!(Status::ALL
+        .iter()
+        .all(|s| Status::from_code(*s as u16) == Some(*s)));
 }
 
 fn bytes(most: usize) -> impl Strategy<Value = Bytes> {
--- a/crates/wire/src/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -47,7 +47,11 @@
 /// Takes one line off the buffer, without its end. `seen` remembers how far an incomplete one was scanned.
 fn line(buf: &mut BytesMut, seen: &mut usize) -> Result<Option<BytesMut>, Broken> {
     let from = seen.saturating_sub(1).min(buf.len());
-    match buf[from..].windows(2).position(|w| w == b"\r\n").map(|at| from + at) {
+    match buf[from..]
+        .windows(2)
+        .position(|w| w == b"\r\n")
+        .map(|at| from + at)
+    {
         Some(at) if at <= LINE_MOST => {
             *seen = 0;
             let line = buf.split_to(at);
@@ -63,8 +67,11 @@
 }
 
 fn number(digits: &[u8]) -> Result<i64, Broken> {
-    let text = std::str::from_utf8(digits).ok().filter(|t| !t.starts_with('+'));
-    text.and_then(|t| t.parse().ok()).ok_or(Broken("bad length"))
+    let text = std::str::from_utf8(digits)
+        .ok()
+        .filter(|t| !t.starts_with('+'));
+    text.and_then(|t| t.parse().ok())
+        .ok_or(Broken("bad length"))
 }
 
 fn bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, Broken> {
@@ -112,9 +119,15 @@
         self.command.reserved
     }
 
-    pub fn next(&mut self, buf: &mut BytesMut, budget: &mut Budget) -> Result<Option<Command>, Broken> {
+    pub fn next(
+        &mut self,
+        buf: &mut BytesMut,
+        budget: &mut Budget,
+    ) -> Result<Option<Command>, Broken> {
         while self.left == 0 {
-            let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+            let Some(head) = line(buf, &mut self.seen)? else {
+                return Ok(None);
+            };
             let count = match head.split_first() {
                 Some((b'*', digits)) => number(digits)?,
                 _ => return Err(Broken("expected an array")),
@@ -135,7 +148,9 @@
                 self.command.words.push(Bytes::new());
                 self.left -= 1;
             } else if let Some(len) = self.word {
-                let Some(bytes) = bulk(buf, len)? else { return Ok(None) };
+                let Some(bytes) = bulk(buf, len)? else {
+                    return Ok(None);
+                };
                 self.word = None;
                 self.command.words.push(bytes);
                 self.left -= 1;
@@ -143,14 +158,23 @@
             if self.left == 0 {
                 return Ok(Some(std::mem::take(&mut self.command)));
             }
-            let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+            let Some(head) = line(buf, &mut self.seen)? else {
+                return Ok(None);
+            };
             let len = match head.split_first() {
                 Some((b'$', digits)) => number(digits)?,
                 _ => return Err(Broken("expected a bulk string")),
             };
             // Only the fifth word, a write's value, may be long.
-            let most = if self.command.words.len() == 4 { VALUE_MOST } else { WORD_MOST };
-            let len = usize::try_from(len).ok().filter(|l| *l <= most).ok_or(Broken("bad length"))?;
+            let most = if self.command.words.len() == 4 {
+                VALUE_MOST
+            } else {
+                WORD_MOST
+            };
+            let len = usize::try_from(len)
+                .ok()
+                .filter(|l| *l <= most)
+                .ok_or(Broken("bad length"))?;
             if len > WORD_MOST && !budget.take(len) {
                 self.command.dropped = true;
                 self.skip = len + 2;
@@ -212,7 +236,12 @@
 
 impl Default for ReplyReader {
     fn default() -> ReplyReader {
-        ReplyReader { seen: 0, want: Want::Line, array: None, parts: Vec::new() }
+        ReplyReader {
+            seen: 0,
+            want: Want::Line,
+            array: None,
+            parts: Vec::new(),
+        }
     }
 }
 
@@ -226,7 +255,9 @@
         loop {
             let part = match self.want {
                 Want::Line => {
-                    let Some(head) = line(buf, &mut self.seen)? else { return Ok(None) };
+                    let Some(head) = line(buf, &mut self.seen)? else {
+                        return Ok(None);
+                    };
                     match self.head(head.freeze())? {
                         Some(part) => part,
                         None => match self.want {
@@ -236,7 +267,9 @@
                     }
                 }
                 Want::Bulk(len) => {
-                    let Some(bytes) = bulk(buf, len)? else { return Ok(None) };
+                    let Some(bytes) = bulk(buf, len)? else {
+                        return Ok(None);
+                    };
                     Part::Bulk(bytes)
                 }
                 Want::Body(left) if buf.is_empty() => {
@@ -246,7 +279,11 @@
                 Want::Body(left) => {
                     let bytes = buf.split_to(left.min(buf.len())).freeze();
                     let left = left - bytes.len();
-                    self.want = if left == 0 { Want::BodyEnd } else { Want::Body(left) };
+                    self.want = if left == 0 {
+                        Want::BodyEnd
+                    } else {
+                        Want::Body(left)
+                    };
                     return Ok(Some(Piece::Body(bytes)));
                 }
                 Want::BodyEnd => {
@@ -262,7 +299,9 @@
                 *left -= 1;
                 if *left == 0 {
                     self.array = None;
-                    return Ok(Some(Piece::Whole(Reply::Array(std::mem::take(&mut self.parts)))));
+                    return Ok(Some(Piece::Whole(Reply::Array(std::mem::take(
+                        &mut self.parts,
+                    )))));
                 }
             } else {
                 return Ok(Some(Piece::Whole(Reply::One(part))));
--- a/crates/wire/src/resp_tests.rs
+++ b/crates/wire/src/resp_tests.rs
@@ -61,7 +61,10 @@
     assert_eq!(whole[0].words[4], value);
     assert_eq!(whole[0].reserved, 9000);
     for cut in 0..input.len() {
-        assert_eq!(commands(&input, &[cut], 1 << 20), (commands(&input, &[], 1 << 20).0, None));
+        assert_eq!(
+            commands(&input, &[cut], 1 << 20),
+            (commands(&input, &[], 1 << 20).0, None)
+        );
     }
 }
 
@@ -94,7 +97,10 @@
     }
     let (mut reader, mut buf) = (CommandReader::default(), BytesMut::new());
     buf.extend_from_slice(b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$4194304\r\nxy");
-    assert_eq!(reader.next(&mut buf, &mut Budget::new(VALUE_MOST)), Ok(None));
+    assert_eq!(
+        reader.next(&mut buf, &mut Budget::new(VALUE_MOST)),
+        Ok(None)
+    );
     assert!(buf.capacity() < 4096);
 }
 
