--- a/crates/wire/benches/codecs.rs
+++ b/crates/codec/benches/codecs.rs
@@ -1,11 +1,11 @@
-//! `cargo bench -p sloewick-wire`: what it costs to read a command, a reply, a list.
+//! `cargo bench -p sloewick-codec`: what it costs to read a command, a reply, a list.
 
 use bytes::BytesMut;
 use divan::counter::BytesCount;
 use divan::{black_box, Bencher};
-use sloewick_wire::http;
-use sloewick_wire::memcache::{self, Opcode, RequestReader, ResponseReader};
-use sloewick_wire::resp::{put_bulk, put_head, Budget, CommandReader, ReplyReader};
+use sloewick_codec::http1;
+use sloewick_codec::memcached::{self, Opcode, RequestReader, ResponseReader};
+use sloewick_codec::resp2::{write_bulk, write_header, Budget, CommandReader, ReplyReader};
 
 fn main() {
     divan::main();
@@ -14,7 +14,7 @@
 fn command(value: usize) -> Vec<u8> {
     let fields = b"c=trace-read,t=distribution,d=387,k=5c0f6e1a2b3d4c59";
     let mut out = Vec::new();
-    put_head(&mut out, b'*', 5);
+    write_header(&mut out, b'*', 5);
     for word in [
         &b"C.SET"[..],
         b"logger/00417",
@@ -22,7 +22,7 @@
         fields,
         &vec![b'v'; value],
     ] {
-        put_bulk(&mut out, word);
+        write_bulk(&mut out, word);
     }
     out
 }
@@ -42,8 +42,8 @@
 #[divan::bench(args = [200, 20_000])]
 fn read_a_reply(bencher: Bencher, value: usize) {
     let mut bytes = Vec::new();
-    put_head(&mut bytes, b'*', 3);
-    put_bulk(&mut bytes, &vec![b'v'; value]);
+    write_header(&mut bytes, b'*', 3);
+    write_bulk(&mut bytes, &vec![b'v'; value]);
     bytes.extend_from_slice(b"$3\r\nhit\r\n$-1\r\n");
     bencher
         .counter(BytesCount::from(bytes.len()))
@@ -57,11 +57,11 @@
 /// A packet of this many bytes in all.
 fn get(len: usize) -> Vec<u8> {
     let mut out = Vec::new();
-    let key = vec![b'k'; len - memcache::HEADER].into();
+    let key = vec![b'k'; len - memcached::HEADER].into();
     let opcode = Opcode::Get as u8;
-    memcache::put_request(
+    memcached::write_request(
         &mut out,
-        &memcache::Request {
+        &memcached::Request {
             opcode,
             opaque: 7,
             key,
@@ -96,9 +96,9 @@
 #[divan::bench(args = [200, 20_000])]
 fn read_a_memcached_answer(bencher: Bencher, value: usize) {
     let mut bytes = Vec::new();
-    memcache::put_response(
+    memcached::write_response(
         &mut bytes,
-        &memcache::Response {
+        &memcached::Response {
             opcode: Opcode::Get as u8,
             status: 0,
             opaque: 7,
@@ -133,6 +133,6 @@
     bencher
         .counter(BytesCount::from(bytes.len()))
         .bench_local(|| {
-            assert!(http::body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
+            assert!(http1::body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
         });
 }
--- a/crates/wire/src/http.rs
+++ b/crates/codec/src/http1.rs
@@ -2,9 +2,9 @@
 //! body by length, by chunks or by the end of the connection; for operators one call on a connection.
 
 /// Longest body: over ten thousand servers.
-pub const BODY_MOST: usize = 4 << 20;
+pub const MAX_BODY: usize = 4 << 20;
 /// Longest head.
-pub const HEAD_MOST: usize = 16 << 10;
+pub const MAX_HEAD: usize = 16 << 10;
 const HEADERS: usize = 64;
 
 /// The body of a whole answer with status 200; none while it is still coming. `ended`: no more bytes will come.
@@ -17,7 +17,7 @@
     let start = match head.parse(buf) {
         Ok(httparse::Status::Complete(start)) => start,
         Ok(httparse::Status::Partial) if ended => return Err("answer cut off"),
-        Ok(httparse::Status::Partial) if buf.len() <= HEAD_MOST => return Ok(None),
+        Ok(httparse::Status::Partial) if buf.len() <= MAX_HEAD => return Ok(None),
         _ => return Err("answer is not HTTP"),
     };
     if head.code != Some(200) {
@@ -44,7 +44,7 @@
     };
     let length: usize = length.parse().map_err(|_| "bad content-length")?;
     match rest.get(..length) {
-        _ if length > BODY_MOST => Err("answer too long"),
+        _ if length > MAX_BODY => Err("answer too long"),
         Some(body) => Ok(Some(body.to_vec())),
         None if ended => Err("answer cut off"),
         None => Ok(None),
@@ -62,7 +62,7 @@
         if size == 0 {
             return Ok(Some(body));
         }
-        if size > BODY_MOST as u64 {
+        if size > MAX_BODY as u64 {
             return Err("answer too long");
         }
         let end = start + size as usize;
@@ -95,12 +95,12 @@
 /// where it is.
 ///
 /// # Errors
-/// The bytes are no head of HTTP/1.0 or 1.1, cannot become one, or are longer than [`HEAD_MOST`].
+/// The bytes are no head of HTTP/1.0 or 1.1, cannot become one, or are longer than [`MAX_HEAD`].
 pub fn request(buf: &[u8], ended: bool) -> Result<Option<Head>, Refused> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     match head.parse(buf) {
-        Ok(httparse::Status::Complete(len)) if len > HEAD_MOST => Err(Refused::TooLong),
+        Ok(httparse::Status::Complete(len)) if len > MAX_HEAD => Err(Refused::TooLong),
         Ok(httparse::Status::Complete(_)) => {
             let text = |t: Option<&str>| t.unwrap_or_default().to_string();
             Ok(Some(Head {
@@ -108,7 +108,7 @@
                 path: text(head.path),
             }))
         }
-        Ok(httparse::Status::Partial) if buf.len() > HEAD_MOST => Err(Refused::TooLong),
+        Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD => Err(Refused::TooLong),
         Ok(httparse::Status::Partial) if !ended => Ok(None),
         Err(httparse::Error::TooManyHeaders) => Err(Refused::TooLong),
         _ => Err(Refused::Unreadable),
@@ -135,5 +135,5 @@
 }
 
 #[cfg(test)]
-#[path = "http_tests.rs"]
+#[path = "http1_tests.rs"]
 mod tests;
--- a/crates/wire/src/http_tests.rs
+++ b/crates/codec/src/http1_tests.rs
@@ -42,7 +42,7 @@
         request(b"*1\r\n$4\r\nPING\r\n", false),
         Err(Refused::Unreadable)
     );
-    let long = format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(HEAD_MOST));
+    let long = format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(MAX_HEAD));
     assert_eq!(request(long.as_bytes(), false), Err(Refused::TooLong));
     let many = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(HEADERS + 1));
     assert_eq!(request(many.as_bytes(), false), Err(Refused::TooLong));
--- a/crates/wire/src/memcache.rs
+++ b/crates/codec/src/memcached.rs
@@ -7,19 +7,19 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::resp::{Budget, VALUE_MOST, WHOLE_MOST};
+use crate::resp2::{Budget, MAX_BUFFERED_VALUE, MAX_VALUE};
 
 /// Bytes of a header.
 pub const HEADER: usize = 24;
 /// Longest key (the protocol's own limit).
-pub const KEY_MOST: usize = 250;
+pub const MAX_KEY: usize = 250;
 /// Longest extras: Increment has 20, the longest of the protocol.
-pub const EXTRAS_MOST: usize = 20;
+pub const MAX_EXTRAS: usize = 20;
 /// Values up to this count as part of a connection; longer ones are taken from the budget.
 pub const VALUE_FREE: usize = 4096;
 /// Longest body that is let in, or thrown away rather than ending the connection: the longest value with what may stand
 /// before it.
-const BODY_MOST: usize = VALUE_MOST + 1024;
+const MAX_BODY: usize = MAX_VALUE + 1024;
 
 const REQUEST: u8 = 0x80;
 const RESPONSE: u8 = 0x81;
@@ -291,7 +291,7 @@
 
 /// The bytes can't be read on. `answer` is what a request that could still be told apart is owed.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Broken {
+pub struct DecodeError {
     pub why: &'static str,
     pub answer: Option<(u8, u32, Status)>,
 }
@@ -335,8 +335,8 @@
         }
     }
 
-    fn broken(&self, why: &'static str, status: Option<Status>) -> Broken {
-        Broken {
+    fn broken(&self, why: &'static str, status: Option<Status>) -> DecodeError {
+        DecodeError {
             why,
             answer: status.map(|status| (self.opcode, self.opaque, status)),
         }
@@ -354,7 +354,7 @@
 
 impl RequestReader {
     /// Whether part of a request has been taken off the buffer.
-    pub fn midway(&self) -> bool {
+    pub fn is_mid_message(&self) -> bool {
         self.coming.is_some() || self.skip.is_some()
     }
 
@@ -372,7 +372,7 @@
         buf: &mut BytesMut,
         budget: &mut Budget,
         value_most: usize,
-    ) -> Result<Option<Request>, Broken> {
+    ) -> Result<Option<Request>, DecodeError> {
         if let Some((left, head, why)) = &mut self.skip {
             let some = (*left).min(buf.len());
             buf.advance(some);
@@ -391,7 +391,7 @@
             Some(coming) => coming,
             None => {
                 if buf.first().is_some_and(|magic| *magic != REQUEST) {
-                    return Err(Broken {
+                    return Err(DecodeError {
                         why: "magic is not 0x80",
                         answer: None,
                     });
@@ -407,11 +407,11 @@
                     ));
                 }
                 let value = h.body - h.key - h.extras;
-                if h.body > BODY_MOST {
+                if h.body > MAX_BODY {
                     return Err(h.broken("body is too long", Some(Status::ValueTooLarge)));
                 }
                 buf.advance(HEADER);
-                let fault = if h.data_type != 0 || h.key > KEY_MOST || h.extras > EXTRAS_MOST {
+                let fault = if h.data_type != 0 || h.key > MAX_KEY || h.extras > MAX_EXTRAS {
                     Some(Status::InvalidArguments)
                 } else if value > value_most {
                     Some(Status::ValueTooLarge)
@@ -472,7 +472,7 @@
     Body(Bytes),
 }
 
-/// Cuts answers from a cache box's bytes. Values beyond [`WHOLE_MOST`] are passed on as they come.
+/// Cuts answers from a cache box's bytes. Values beyond [`MAX_BUFFERED_VALUE`] are passed on as they come.
 #[derive(Debug, Default)]
 pub struct ResponseReader {
     coming: Option<Head>,
@@ -482,7 +482,7 @@
 
 impl ResponseReader {
     /// Whether part of an answer has been taken off the buffer.
-    pub fn midway(&self) -> bool {
+    pub fn is_mid_message(&self) -> bool {
         self.coming.is_some() || self.body.is_some()
     }
 
@@ -491,7 +491,11 @@
     /// # Errors
     /// Another magic, a data type that is not raw bytes, a body shorter than its parts, or one longer than
     /// `body_most`.
-    pub fn next(&mut self, buf: &mut BytesMut, body_most: usize) -> Result<Option<Piece>, Broken> {
+    pub fn next(
+        &mut self,
+        buf: &mut BytesMut,
+        body_most: usize,
+    ) -> Result<Option<Piece>, DecodeError> {
         if let Some((_, left)) = &mut self.body {
             if *left > 0 {
                 let bytes = buf.split_to((*left).min(buf.len())).freeze();
@@ -504,7 +508,7 @@
             Some(h) => h,
             None => {
                 if buf.first().is_some_and(|magic| *magic != RESPONSE) {
-                    return Err(Broken {
+                    return Err(DecodeError {
                         why: "magic is not 0x81",
                         answer: None,
                     });
@@ -528,7 +532,7 @@
             }
         };
         let value = h.body - h.key - h.extras;
-        let long = value > WHOLE_MOST;
+        let long = value > MAX_BUFFERED_VALUE;
         let wanted = if long { h.key + h.extras } else { h.body };
         if buf.len() < wanted {
             return Ok(None);
@@ -568,7 +572,7 @@
 
 /// Appends a request up to its value, of `len` bytes, which is written behind it. Its key and extras must keep the
 /// protocol's lengths.
-pub fn put_request_head(out: &mut Vec<u8>, r: &Request, len: usize) {
+pub fn write_request_header(out: &mut Vec<u8>, r: &Request, len: usize) {
     let h = Head {
         magic: REQUEST,
         opcode: r.opcode,
@@ -584,19 +588,19 @@
 }
 
 /// Appends a request.
-pub fn put_request(out: &mut Vec<u8>, r: &Request) {
-    put_request_head(out, r, r.value.len());
+pub fn write_request(out: &mut Vec<u8>, r: &Request) {
+    write_request_header(out, r, r.value.len());
     out.extend_from_slice(&r.value);
 }
 
 /// Appends an answer.
-pub fn put_response(out: &mut Vec<u8>, r: &Response) {
-    put_response_head(out, r, r.value.len());
+pub fn write_response(out: &mut Vec<u8>, r: &Response) {
+    write_response_header(out, r, r.value.len());
     out.extend_from_slice(&r.value);
 }
 
 /// Appends the head of an answer whose value, of `len` bytes, is written behind it.
-pub fn put_response_head(out: &mut Vec<u8>, r: &Response, len: usize) {
+pub fn write_response_header(out: &mut Vec<u8>, r: &Response, len: usize) {
     let h = Head {
         magic: RESPONSE,
         opcode: r.opcode,
@@ -612,15 +616,15 @@
 }
 
 /// Appends an answer that holds nothing but a status and its text.
-pub fn put_status(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status) {
-    put_text(out, opcode, opaque, status, status.text());
+pub fn write_status(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status) {
+    write_text_response(out, opcode, opaque, status, status.text());
 }
 
 /// Appends an answer with a status and a text for people.
-pub fn put_text(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status, text: &str) {
+pub fn write_text_response(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status, text: &str) {
     let value = Bytes::copy_from_slice(text.as_bytes());
     let (extras, key) = (Bytes::new(), Bytes::new());
-    put_response(
+    write_response(
         out,
         &Response {
             opcode,
@@ -635,5 +639,5 @@
 }
 
 #[cfg(test)]
-#[path = "memcache_tests.rs"]
+#[path = "memcached_tests.rs"]
 mod tests;
--- a/crates/wire/src/memcache_tests.rs
+++ b/crates/codec/src/memcached_tests.rs
@@ -10,7 +10,7 @@
     at.windows(2).map(|w| &input[w[0]..w[1]]).collect()
 }
 
-fn requests(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Request>, Option<Broken>) {
+fn requests(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Request>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (RequestReader::default(), BytesMut::new(), Vec::new());
     let mut budget = Budget::new(room);
     for piece in pieces(input, cuts) {
@@ -26,7 +26,7 @@
     (out, None)
 }
 
-fn responses(input: &[u8], cuts: &[usize]) -> (Vec<Response>, Option<Broken>) {
+fn responses(input: &[u8], cuts: &[usize]) -> (Vec<Response>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (ResponseReader::default(), BytesMut::new(), Vec::new());
     let mut body = Vec::new();
     for piece in pieces(input, cuts) {
@@ -75,7 +75,7 @@
         (Some(Status::KeyNotFound), &b"Not found"[..])
     );
     let mut out = Vec::new();
-    put_status(&mut out, Opcode::Get as u8, 0, Status::KeyNotFound);
+    write_status(&mut out, Opcode::Get as u8, 0, Status::KeyNotFound);
     assert_eq!(out, miss);
     let hit = b"\x81\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x01\xde\xad\xbe\xefWorld";
     let (got, _) = responses(hit, &[]);
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_long_value_passes_through_as_it_comes() {
-    let value = Bytes::from(vec![b'v'; WHOLE_MOST + 1]);
+    let value = Bytes::from(vec![b'v'; MAX_BUFFERED_VALUE + 1]);
     let long = Response {
         opcode: Opcode::GetK as u8,
         status: 0,
@@ -98,8 +98,8 @@
         value,
     };
     let mut input = Vec::new();
-    put_response(&mut input, &long);
-    put_status(&mut input, Opcode::Noop as u8, 4, Status::Ok);
+    write_response(&mut input, &long);
+    write_status(&mut input, Opcode::Noop as u8, 4, Status::Ok);
     for cuts in [
         &[][..],
         &[10, 24, 27, 29, 30, 5_000, input.len() - 24],
@@ -111,8 +111,10 @@
     }
     let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&input[..]));
     let begin = reader.next(&mut buf, MOST * 4).unwrap().unwrap();
-    assert!(matches!(begin, Piece::Begin(r, len) if r.opaque == 3 && len == WHOLE_MOST + 1));
-    assert!(reader.midway());
+    assert!(
+        matches!(begin, Piece::Begin(r, len) if r.opaque == 3 && len == MAX_BUFFERED_VALUE + 1)
+    );
+    assert!(reader.is_mid_message());
 }
 
 fn lying(key: u16, extras: u8, body: u32) -> Vec<u8> {
@@ -151,7 +153,7 @@
         reader.next(&mut buf, &mut Budget::new(1 << 20), MOST),
         Ok(None)
     );
-    assert!(buf.capacity() < 4096 && reader.midway());
+    assert!(buf.capacity() < 4096 && reader.is_mid_message());
     assert_eq!(reader.reserved(), 60_000 - 9);
 }
 
@@ -167,8 +169,8 @@
             ..Request::default()
         };
         let mut out = Vec::new();
-        put_request(&mut out, &request);
-        put_request(
+        write_request(&mut out, &request);
+        write_request(
             &mut out,
             &Request {
                 opcode: Opcode::Noop as u8,
@@ -196,9 +198,9 @@
 #[test]
 fn a_value_of_the_longest_length_is_let_in() {
     let mut out = Vec::new();
-    let (key, extras) = (vec![b'k'; KEY_MOST].into(), Bytes::from_static(&[0; 8]));
-    let (opcode, value) = (Opcode::Set as u8, vec![b'v'; VALUE_MOST].into());
-    put_request(
+    let (key, extras) = (vec![b'k'; MAX_KEY].into(), Bytes::from_static(&[0; 8]));
+    let (opcode, value) = (Opcode::Set as u8, vec![b'v'; MAX_VALUE].into());
+    write_request(
         &mut out,
         &Request {
             opcode,
@@ -209,10 +211,10 @@
         },
     );
     let mut buf = BytesMut::from(&out[..]);
-    let read = RequestReader::default().next(&mut buf, &mut Budget::new(VALUE_MOST), VALUE_MOST);
+    let read = RequestReader::default().next(&mut buf, &mut Budget::new(MAX_VALUE), MAX_VALUE);
     assert!(read
         .unwrap()
-        .is_some_and(|r| r.fault.is_none() && r.value.len() == VALUE_MOST));
+        .is_some_and(|r| r.fault.is_none() && r.value.len() == MAX_VALUE));
 }
 
 #[test]
@@ -221,7 +223,7 @@
         let mut out = Vec::new();
         let part = |len: usize| Bytes::from(vec![b'x'; len]);
         let (extras, key, value) = (part(extras), part(key), part(value));
-        put_request(
+        write_request(
             &mut out,
             &Request {
                 opcode: opcode as u8,
@@ -244,7 +246,7 @@
     assert_eq!(make(Opcode::Get, 0, 3, 1), bad);
     assert_eq!(make(Opcode::Set, 4, 3, 1), bad);
     assert_eq!(make(Opcode::Noop, 0, 1, 0), bad);
-    assert_eq!(make(Opcode::Get, 0, KEY_MOST + 1, 0), bad);
+    assert_eq!(make(Opcode::Get, 0, MAX_KEY + 1, 0), bad);
 }
 
 #[test]
@@ -281,14 +283,14 @@
     #[test]
     fn requests_come_back_as_they_were_however_they_are_cut(
         list in prop::collection::vec((any::<u8>(), any::<u16>(), any::<u32>(), any::<u64>(),
-            bytes(EXTRAS_MOST + 1), bytes(KEY_MOST + 1), bytes(300)), 1..6),
+            bytes(MAX_EXTRAS + 1), bytes(MAX_KEY + 1), bytes(300)), 1..6),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
     ) {
         let mut input = Vec::new();
         let mut sent = Vec::new();
         for (opcode, vbucket, opaque, cas, extras, key, value) in list {
             let request = Request { opcode, vbucket, opaque, cas, extras, key, value, reserved: 0, fault: None };
-            put_request(&mut input, &request);
+            write_request(&mut input, &request);
             sent.push(request);
         }
         let (whole, broken) = requests(&input, &[], 0);
@@ -308,7 +310,7 @@
         let mut sent = Vec::new();
         for (opcode, status, opaque, cas, extras, key, value) in list {
             let response = Response { opcode, status, opaque, cas, extras, key, value };
-            put_response(&mut input, &response);
+            write_response(&mut input, &response);
             sent.push(response);
         }
         prop_assert_eq!(responses(&input, &cuts), (sent, None));
--- a/crates/wire/src/resp.rs
+++ b/crates/codec/src/resp2.rs
@@ -4,21 +4,21 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Longest value (PROTOCOL: 4 MiB); a longer claim is broken framing.
-pub const VALUE_MOST: usize = 4 << 20;
+pub const MAX_VALUE: usize = 4 << 20;
 /// Values up to this are passed on whole, longer ones as they come.
-pub const WHOLE_MOST: usize = 64 << 10;
+pub const MAX_BUFFERED_VALUE: usize = 64 << 10;
 /// Longest line: a length, a simple string or an error. A server's error with a load report is far shorter.
 const LINE_MOST: usize = 1024;
 /// Most words of a command: C.SET has five; client libraries greet with a few more.
 const WORDS_MOST: usize = 16;
 /// Longest word that is not a value: a name, key, id or list of fields.
-pub const WORD_MOST: usize = 4096;
+pub const MAX_ARGUMENT: usize = 4096;
 /// Most parts of a reply's array; the protocol has three.
 const PARTS_MOST: usize = 8;
 
 /// The bytes are no RESP2, or go beyond a limit: the connection cannot be read on.
 #[derive(Debug, PartialEq)]
-pub struct Broken(pub &'static str);
+pub struct DecodeError(pub &'static str);
 
 /// Lets long values into memory, as long as there is room for them. They are counted when announced.
 #[derive(Debug)]
@@ -45,7 +45,7 @@
 }
 
 /// Takes one line off the buffer, without its end. `seen` remembers how far an incomplete one was scanned.
-fn line(buf: &mut BytesMut, seen: &mut usize) -> Result<Option<BytesMut>, Broken> {
+fn line(buf: &mut BytesMut, seen: &mut usize) -> Result<Option<BytesMut>, DecodeError> {
     let from = seen.saturating_sub(1).min(buf.len());
     match buf[from..]
         .windows(2)
@@ -62,24 +62,24 @@
             *seen = buf.len();
             Ok(None)
         }
-        _ => Err(Broken("line too long")),
+        _ => Err(DecodeError("line too long")),
     }
 }
 
-fn number(digits: &[u8]) -> Result<i64, Broken> {
+fn number(digits: &[u8]) -> Result<i64, DecodeError> {
     let text = std::str::from_utf8(digits)
         .ok()
         .filter(|t| !t.starts_with('+'));
     text.and_then(|t| t.parse().ok())
-        .ok_or(Broken("bad length"))
+        .ok_or(DecodeError("bad length"))
 }
 
-fn bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, Broken> {
+fn bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, DecodeError> {
     if buf.len() < len + 2 {
         return Ok(None);
     }
     if &buf[len..len + 2] != b"\r\n" {
-        return Err(Broken("bulk string without its end"));
+        return Err(DecodeError("bulk string without its end"));
     }
     let bytes = buf.split_to(len).freeze();
     buf.advance(2);
@@ -110,7 +110,7 @@
 
 impl CommandReader {
     /// Whether part of a command has come.
-    pub fn midway(&self) -> bool {
+    pub fn is_mid_message(&self) -> bool {
         self.left > 0
     }
 
@@ -123,17 +123,17 @@
         &mut self,
         buf: &mut BytesMut,
         budget: &mut Budget,
-    ) -> Result<Option<Command>, Broken> {
+    ) -> Result<Option<Command>, DecodeError> {
         while self.left == 0 {
             let Some(head) = line(buf, &mut self.seen)? else {
                 return Ok(None);
             };
             let count = match head.split_first() {
                 Some((b'*', digits)) => number(digits)?,
-                _ => return Err(Broken("expected an array")),
+                _ => return Err(DecodeError("expected an array")),
             };
             if !(0..=WORDS_MOST as i64).contains(&count) {
-                return Err(Broken("bad number of words"));
+                return Err(DecodeError("bad number of words"));
             }
             self.left = count as usize;
         }
@@ -163,24 +163,24 @@
             };
             let len = match head.split_first() {
                 Some((b'$', digits)) => number(digits)?,
-                _ => return Err(Broken("expected a bulk string")),
+                _ => return Err(DecodeError("expected a bulk string")),
             };
             // Only the fifth word, a write's value, may be long.
             let most = if self.command.words.len() == 4 {
-                VALUE_MOST
+                MAX_VALUE
             } else {
-                WORD_MOST
+                MAX_ARGUMENT
             };
             let len = usize::try_from(len)
                 .ok()
                 .filter(|l| *l <= most)
-                .ok_or(Broken("bad length"))?;
-            if len > WORD_MOST && !budget.take(len) {
+                .ok_or(DecodeError("bad length"))?;
+            if len > MAX_ARGUMENT && !budget.take(len) {
                 self.command.dropped = true;
                 self.skip = len + 2;
                 continue;
             }
-            if len > WORD_MOST {
+            if len > MAX_ARGUMENT {
                 self.command.reserved += len;
             }
             self.word = Some(len);
@@ -247,11 +247,11 @@
 
 impl ReplyReader {
     /// Whether part of a reply has been taken off the buffer.
-    pub fn midway(&self) -> bool {
+    pub fn is_mid_message(&self) -> bool {
         self.array.is_some() || self.want != Want::Line
     }
 
-    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Piece>, Broken> {
+    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Piece>, DecodeError> {
         loop {
             let part = match self.want {
                 Want::Line => {
@@ -310,8 +310,8 @@
     }
 
     /// A line's part, or none where it announces more (`want` and `array` then tell what).
-    fn head(&mut self, head: Bytes) -> Result<Option<Part>, Broken> {
-        let kind = *head.first().ok_or(Broken("empty line"))?;
+    fn head(&mut self, head: Bytes) -> Result<Option<Part>, DecodeError> {
+        let kind = *head.first().ok_or(DecodeError("empty line"))?;
         let rest = head.slice(1..);
         Ok(match kind {
             b'+' => Some(Part::Simple(rest)),
@@ -319,19 +319,19 @@
             b':' => Some(Part::Int(number(&rest)?)),
             b'$' => match number(&rest)? {
                 -1 => Some(Part::Null),
-                len if len > WHOLE_MOST as i64 && len <= VALUE_MOST as i64 => {
+                len if len > MAX_BUFFERED_VALUE as i64 && len <= MAX_VALUE as i64 => {
                     // Only what a client asked for may be long: the first part.
                     if self.array.is_none() || !self.parts.is_empty() {
-                        return Err(Broken("long string out of place"));
+                        return Err(DecodeError("long string out of place"));
                     }
                     self.want = Want::Body(len as usize);
                     None
                 }
-                len if (0..=WHOLE_MOST as i64).contains(&len) => {
+                len if (0..=MAX_BUFFERED_VALUE as i64).contains(&len) => {
                     self.want = Want::Bulk(len as usize);
                     None
                 }
-                _ => return Err(Broken("bad length")),
+                _ => return Err(DecodeError("bad length")),
             },
             b'*' if self.array.is_none() => match number(&rest)? {
                 -1 => Some(Part::Null),
@@ -339,22 +339,22 @@
                     self.array = Some(count as usize);
                     None
                 }
-                _ => return Err(Broken("bad number of parts")),
+                _ => return Err(DecodeError("bad number of parts")),
             },
-            _ => return Err(Broken("unknown type")),
+            _ => return Err(DecodeError("unknown type")),
         })
     }
 }
 
 /// Appends a bulk string.
-pub fn put_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
-    put_head(out, b'$', bytes.len());
+pub fn write_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
+    write_header(out, b'$', bytes.len());
     out.extend_from_slice(bytes);
     out.extend_from_slice(b"\r\n");
 }
 
 /// Appends a line that announces a length.
-pub fn put_head(out: &mut Vec<u8>, kind: u8, n: usize) {
+pub fn write_header(out: &mut Vec<u8>, kind: u8, n: usize) {
     use std::io::Write;
     out.push(kind);
     // Writing to a vector cannot fail.
@@ -362,5 +362,5 @@
 }
 
 #[cfg(test)]
-#[path = "resp_tests.rs"]
+#[path = "resp2_tests.rs"]
 mod tests;
--- a/crates/wire/src/resp_tests.rs
+++ b/crates/codec/src/resp2_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use proptest::prelude::*;
 
-fn commands(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Command>, Option<Broken>) {
+fn commands(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Command>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (CommandReader::default(), BytesMut::new(), Vec::new());
     let mut budget = Budget::new(room);
     for piece in pieces(input, cuts) {
@@ -18,7 +18,7 @@
 }
 
 /// The replies, with a long value's bytes put together as one piece.
-fn replies(input: &[u8], cuts: &[usize]) -> (Vec<Piece>, Option<Broken>) {
+fn replies(input: &[u8], cuts: &[usize]) -> (Vec<Piece>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (ReplyReader::default(), BytesMut::new(), Vec::new());
     for piece in pieces(input, cuts) {
         buf.extend_from_slice(piece);
@@ -45,8 +45,8 @@
 
 fn command(words: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::new();
-    put_head(&mut out, b'*', words.len());
-    words.iter().for_each(|w| put_bulk(&mut out, w));
+    write_header(&mut out, b'*', words.len());
+    words.iter().for_each(|w| write_bulk(&mut out, w));
     out
 }
 
@@ -97,10 +97,7 @@
     }
     let (mut reader, mut buf) = (CommandReader::default(), BytesMut::new());
     buf.extend_from_slice(b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$4194304\r\nxy");
-    assert_eq!(
-        reader.next(&mut buf, &mut Budget::new(VALUE_MOST)),
-        Ok(None)
-    );
+    assert_eq!(reader.next(&mut buf, &mut Budget::new(MAX_VALUE)), Ok(None));
     assert!(buf.capacity() < 4096);
 }
 
@@ -136,7 +133,7 @@
                 3 => input.extend(b":12\r\n$-1\r\n"),
                 4 => {
                     input.extend(b"*3\r\n");
-                    put_bulk(&mut input, &vec![b'l'; WHOLE_MOST + 7]);
+                    write_bulk(&mut input, &vec![b'l'; MAX_BUFFERED_VALUE + 7]);
                     input.extend(b"$4\r\nmiss\r\n$-1\r\n");
                 }
                 _ => input.extend(b"*-1\r\n*1\r\n$0\r\n\r\n"),
--- a/crates/wire/src/link.rs
+++ b/crates/codec/src/site_link.rs
@@ -1,6 +1,6 @@
 //! The framing of the link between two sites, version 1; `docs/gateway-link.md` is its specification.
 //!
-//! Many requests share a connection: no frame is longer than [`BODY_MOST`], so that none holds the others up for long.
+//! Many requests share a connection: no frame is longer than [`MAX_BODY`], so that none holds the others up for long.
 //! The reader is incremental and bounded, and the same bytes give the same messages however they are cut.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -8,15 +8,15 @@
 /// Bytes before a frame's body.
 pub const HEADER: usize = 8;
 /// Longest body.
-pub const BODY_MOST: usize = 16 << 10;
+pub const MAX_BODY: usize = 16 << 10;
 /// The version that is spoken here.
 pub const VERSION: u16 = 1;
 /// Most nodes that a HELLO names.
-pub const NODES_MOST: usize = 512;
+pub const MAX_NODES: usize = 512;
 
 /// The bytes can't be read on: the connection is of no more use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Broken(pub &'static str);
+pub struct DecodeError(pub &'static str);
 
 /// How a request that crossed ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,7 +139,7 @@
 }
 
 /// Appends a message. `request`: the one that it belongs to, 0 for the link itself. A BODY must not exceed
-/// [`BODY_MOST`].
+/// [`MAX_BODY`].
 pub fn put(out: &mut Vec<u8>, request: u32, message: &Message) {
     let begin = out.len();
     out.put_u8(message.kind());
@@ -195,7 +195,7 @@
         }
     }
     let len = out.len() - begin - HEADER;
-    debug_assert!(len <= BODY_MOST, "a body of {len} bytes");
+    debug_assert!(len <= MAX_BODY, "a body of {len} bytes");
     out[begin + 2..begin + 4].copy_from_slice(&(len as u16).to_be_bytes());
 }
 
@@ -203,34 +203,34 @@
 struct Parts(Bytes);
 
 impl Parts {
-    fn has(&self, n: usize) -> Result<(), Broken> {
+    fn has(&self, n: usize) -> Result<(), DecodeError> {
         if self.0.len() < n {
-            return Err(Broken("a body is shorter than its parts"));
+            return Err(DecodeError("a body is shorter than its parts"));
         }
         Ok(())
     }
 
-    fn u8(&mut self) -> Result<u8, Broken> {
+    fn u8(&mut self) -> Result<u8, DecodeError> {
         self.has(1).map(|()| self.0.get_u8())
     }
 
-    fn u16(&mut self) -> Result<u16, Broken> {
+    fn u16(&mut self) -> Result<u16, DecodeError> {
         self.has(2).map(|()| self.0.get_u16())
     }
 
-    fn u32(&mut self) -> Result<u32, Broken> {
+    fn u32(&mut self) -> Result<u32, DecodeError> {
         self.has(4).map(|()| self.0.get_u32())
     }
 
-    fn u64(&mut self) -> Result<u64, Broken> {
+    fn u64(&mut self) -> Result<u64, DecodeError> {
         self.has(8).map(|()| self.0.get_u64())
     }
 
-    fn take(&mut self, n: usize) -> Result<Bytes, Broken> {
+    fn take(&mut self, n: usize) -> Result<Bytes, DecodeError> {
         self.has(n).map(|()| self.0.split_to(n))
     }
 
-    fn short(&mut self) -> Result<Bytes, Broken> {
+    fn short(&mut self) -> Result<Bytes, DecodeError> {
         let len = self.u8()?;
         self.take(usize::from(len))
     }
@@ -240,15 +240,15 @@
     }
 }
 
-fn message(kind: u8, body: Bytes) -> Result<Message, Broken> {
+fn message(kind: u8, body: Bytes) -> Result<Message, DecodeError> {
     let mut p = Parts(body);
     let message = match kind {
         1 => {
             let (version, epoch, life) = (p.u16()?, p.u64()?, p.u16()?);
             let (site, node, list) = (p.short()?, p.short()?, p.u64()?);
             let count = usize::from(p.u16()?);
-            if count > NODES_MOST {
-                return Err(Broken("too many nodes"));
+            if count > MAX_NODES {
+                return Err(DecodeError("too many nodes"));
             }
             let nodes = (0..count).map(|_| p.short()).collect::<Result<_, _>>()?;
             Message::Hello(Hello {
@@ -264,7 +264,7 @@
         2 => {
             let (epoch, lease, left, flags) = (p.u64()?, p.u64()?, p.u32()?, p.u8()?);
             if flags > 3 {
-                return Err(Broken("unknown flags"));
+                return Err(DecodeError("unknown flags"));
             }
             let (class, tenant, idem, id) = (p.short()?, p.short()?, p.short()?, p.short()?);
             let len = usize::from(p.u16()?);
@@ -291,7 +291,7 @@
                 2 => Ended::Refused,
                 3 => Ended::Failed,
                 4 => Ended::Late,
-                _ => return Err(Broken("unknown end")),
+                _ => return Err(DecodeError("unknown end")),
             };
             Message::Head {
                 ended,
@@ -305,7 +305,7 @@
         7 => {
             let echo = p.u8()?;
             if echo > 1 {
-                return Err(Broken("unknown flags"));
+                return Err(DecodeError("unknown flags"));
             }
             Message::Beat {
                 echo: echo == 1,
@@ -323,7 +323,7 @@
                 1 => Claimed::Served,
                 2 => Claimed::Crossed,
                 3 => Claimed::CantTell,
-                _ => return Err(Broken("unknown claim")),
+                _ => return Err(DecodeError("unknown claim")),
             };
             Message::Claimed {
                 claimed,
@@ -331,10 +331,10 @@
             }
         }
         11 => Message::GoAway,
-        _ => return Err(Broken("unknown kind of frame")),
+        _ => return Err(DecodeError("unknown kind of frame")),
     };
     if !p.0.is_empty() {
-        return Err(Broken("a body is longer than its parts"));
+        return Err(DecodeError("a body is longer than its parts"));
     }
     Ok(message)
 }
@@ -343,15 +343,15 @@
 ///
 /// # Errors
 /// A frame that version 1 does not have.
-pub fn next(buf: &mut BytesMut) -> Result<Option<(u32, Message)>, Broken> {
+pub fn next(buf: &mut BytesMut) -> Result<Option<(u32, Message)>, DecodeError> {
     if buf.len() < HEADER {
         return Ok(None);
     }
     let (kind, flags) = (buf[0], buf[1]);
     let len = usize::from(u16::from_be_bytes([buf[2], buf[3]]));
     let request = u32::from_be_bytes([buf[4], buf[5], buf[6], buf[7]]);
-    if flags != 0 || len > BODY_MOST {
-        return Err(Broken(if flags != 0 {
+    if flags != 0 || len > MAX_BODY {
+        return Err(DecodeError(if flags != 0 {
             "unknown flags"
         } else {
             "a body is too long"
@@ -365,5 +365,5 @@
 }
 
 #[cfg(test)]
-#[path = "link_tests.rs"]
+#[path = "site_link_tests.rs"]
 mod tests;
--- a/crates/wire/src/link_tests.rs
+++ b/crates/codec/src/site_link_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use proptest::prelude::*;
 
-fn read(input: &[u8], cuts: &[usize]) -> (Vec<(u32, Message)>, Option<Broken>) {
+fn read(input: &[u8], cuts: &[usize]) -> (Vec<(u32, Message)>, Option<DecodeError>) {
     let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
     at.extend([0, input.len()]);
     at.sort_unstable();
@@ -159,7 +159,7 @@
         let (got, broken) = read(input, &[3, 5]);
         assert!(got.is_empty());
         if input[0] != b'*' {
-            assert_eq!(broken, Some(Broken(why)), "{input:?}");
+            assert_eq!(broken, Some(DecodeError(why)), "{input:?}");
         } else {
             assert!(broken.is_some(), "{input:?}");
         }
--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -5,7 +5,7 @@
 
 use divan::counter::ItemsCount;
 use divan::Bencher;
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 fn main() {
@@ -13,47 +13,50 @@
 }
 
 fn settings() -> Settings {
-    let class = |repeat, worth| Class {
-        aim: 150_000,
-        aim_stretch: 0.0,
+    let class = |idempotency, priority_weight| Class {
+        latency_objective: 150_000,
+        objective_per_work: 0.0,
         deadline: 400_000,
-        repeat,
-        scope: Scope::All,
-        window: 10_000_000,
-        worth,
-        late_worth: 0.0,
+        idempotency,
+        deduplication_scope: DeduplicationScope::All,
+        deduplication_window: 10_000_000,
+        priority_weight,
+        late_weight: 0.0,
         stream: false,
     };
     Settings {
-        classes: vec![class(Repeat::Free, 1.0), class(Repeat::Keyed, 10.0)],
+        classes: vec![
+            class(Idempotency::Idempotent, 1.0),
+            class(Idempotency::Keyed, 10.0),
+        ],
         tenants: vec![Tenant {
             quota_per_s: 1e6,
             share: 1.0,
         }],
         nodes: 4,
-        number: None,
+        node_number: None,
         zone: Some(0),
-        ask: false,
-        ask_within: 0,
-        mode: Mode::Through,
+        poll: false,
+        poll_within: 0,
+        mode: CacheMode::ReadThrough,
         origin_kind: None,
-        origin_fall_multiple: 0.0,
-        weights: Weights::None,
-        by_work: false,
-        over_share_worth: 0.05,
+        origin_overload_multiple: 0.0,
+        weights: WeightMeaning::None,
+        weight_by_work: false,
+        over_quota_weight: 0.05,
         tick: 2_000,
         max_attempts: 5,
-        max_open: 100_000,
+        max_in_flight: 100_000,
         cancel: true,
         probes: false,
-        second_copies: true,
+        hedging: true,
         max_retry_after: 1_000_000,
         connect_timeout: 75_000,
         drain_grace: 2_000_000,
-        cold_from: 0.13,
-        cold: 24_000_000,
-        fall_multiple: 2.5,
-        fall: 2_000_000,
+        cold_capacity: 0.13,
+        warm_up_time: 24_000_000,
+        overload_multiple: 2.5,
+        overload_window: 2_000_000,
         answer_slack: 8_000,
         price_cross_zone: 0.01,
         price_origin: 0.0,
@@ -64,8 +67,8 @@
 /// A node that knows this many servers.
 fn listed(servers: usize) -> Balancer {
     let mut balancer = Balancer::new(settings(), 7, 0).expect("settings fit");
-    let entries: Arc<[Entry]> = (0..servers)
-        .map(|n| Entry {
+    let entries: Arc<[Endpoint]> = (0..servers)
+        .map(|n| Endpoint {
             server: format!("s-{n}").into(),
             weight: 1.0,
             zone: Some((n % 2) as u16),
@@ -75,7 +78,11 @@
             cell: None,
         })
         .collect();
-    balancer.handle(0, Event::Servers(ListKind::Full, entries), &mut Vec::new());
+    balancer.handle(
+        0,
+        Event::EndpointList(EndpointListKind::Full, entries),
+        &mut Vec::new(),
+    );
     balancer
 }
 
@@ -108,14 +115,14 @@
             _ => None,
         });
         let Some(server) = sent else { return };
-        let outcome = Event::Outcome {
+        let outcome = Event::AttemptEnded {
             request: id,
             server,
             attempt: 0,
             latency: 20_000,
             status: Status::Ok,
             closed: true,
-            note: Some(Note::Hit),
+            note: Some(CacheResult::Hit),
             load: None,
         };
         balancer.handle(now + 1, outcome, &mut actions);
@@ -135,5 +142,5 @@
 fn remember(bencher: Bencher, servers: usize) {
     let (mut balancer, mut serve) = (listed(servers), serve());
     (0..5_000).for_each(|_| serve(&mut balancer));
-    bencher.bench_local(move || balancer.remember(12_500_000));
+    bencher.bench_local(move || balancer.checkpoint(12_500_000));
 }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/api.rs
@@ -13,18 +13,18 @@
 
 /// What may be repeated in a class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
+pub enum Idempotency {
     /// Repeats are harmless.
-    Free,
+    Idempotent,
     /// Servers of one group drop repeats of a key for a while.
     Keyed,
     /// A second execution is a second effect.
-    Unsafe,
+    NonIdempotent,
 }
 
 /// The group of servers that drops repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
+pub enum DeduplicationScope {
     /// All servers.
     All,
     /// Those in the zone of the first server.
@@ -37,21 +37,21 @@
 #[derive(Clone, Debug)]
 pub struct Class {
     /// Answers within this earn full worth.
-    pub aim: Micros,
+    pub latency_objective: Micros,
     /// The aim grows by this multiple of the request's own work (0: not at all).
-    pub aim_stretch: f64,
+    pub objective_per_work: f64,
     /// The client's whole wait, over all tries.
     pub deadline: Micros,
     /// What may be repeated.
-    pub repeat: Repeat,
+    pub idempotency: Idempotency,
     /// Which servers drop repeats (keyed classes).
-    pub scope: Scope,
+    pub deduplication_scope: DeduplicationScope,
     /// How long they do, from the first send that may have run (keyed classes).
-    pub window: Micros,
+    pub deduplication_window: Micros,
     /// Worth of an answer in time.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Share of the worth for an answer after the aim.
-    pub late_worth: f64,
+    pub late_weight: f64,
     /// Whether answers are streamed.
     pub stream: bool,
 }
@@ -67,16 +67,16 @@
 
 /// How the cache servers get what they lack.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
+pub enum CacheMode {
     /// The server fetches from the origin itself.
-    Through,
+    ReadThrough,
     /// The server answers "miss" and the node asks the origin.
-    Aside,
+    CacheAside,
 }
 
 /// The meaning of a listed server's weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Weights {
+pub enum WeightMeaning {
     /// Fixed, says nothing.
     None,
     /// Registered or approximate size.
@@ -95,37 +95,37 @@
     /// Nodes that share the traffic, this one included.
     pub nodes: usize,
     /// This node's number among them, from 0. None: not told, its place among them is drawn.
-    pub number: Option<u64>,
+    pub node_number: Option<u64>,
     /// This node's zone, if known.
     pub zone: Option<u16>,
     /// True where the list must be asked for, false where changes arrive unasked.
-    pub ask: bool,
+    pub poll: bool,
     /// Without a subscription, having not asked this long counts as having been told.
-    pub ask_within: Micros,
+    pub poll_within: Micros,
     /// How misses are served.
-    pub mode: Mode,
+    pub mode: CacheMode,
     /// Kind of the list entries that are the origin (aside mode).
     pub origin_kind: Option<u16>,
     /// The origin stops when asked for over this multiple of its capacity (0: no limit).
-    pub origin_fall_multiple: f64,
+    pub origin_overload_multiple: f64,
     /// Meaning of the listed weights.
-    pub weights: Weights,
+    pub weights: WeightMeaning,
     /// Whether worth goes by work rather than by request.
-    pub by_work: bool,
+    pub weight_by_work: bool,
     /// Worth of a request beyond its tenant's share, as a part of the usual.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// Least time between two batches of events.
     pub tick: Micros,
     /// Most attempts for a request.
     pub max_attempts: usize,
     /// Most requests open at this node.
-    pub max_open: usize,
+    pub max_in_flight: usize,
     /// Whether attempts may be cancelled.
     pub cancel: bool,
     /// Whether probes are allowed.
     pub probes: bool,
     /// Whether two attempts of a request may be out at once.
-    pub second_copies: bool,
+    pub hedging: bool,
     /// Whether clients are told when to come back, and the longest wait they honour (0: no).
     pub max_retry_after: Micros,
     /// A connection not established within this time fails.
@@ -133,13 +133,13 @@
     /// Nothing new to a draining or gone server later than this after being told.
     pub drain_grace: Micros,
     /// A server starts at this share of its capacity, or above.
-    pub cold_from: f64,
+    pub cold_capacity: f64,
     /// And is warm no later than this.
-    pub cold: Micros,
+    pub warm_up_time: Micros,
     /// A cold server sent over this multiple of its present capacity ...
-    pub fall_multiple: f64,
+    pub overload_multiple: f64,
     /// ... for this long falls over.
-    pub fall: Micros,
+    pub overload_window: Micros,
     /// How long after the client's time a final answer still counts.
     pub answer_slack: Micros,
     /// Price of a request that crosses zones, in parts of the service.
@@ -150,36 +150,39 @@
 
 /// Settings that do not fit together.
 #[derive(Clone, Debug, PartialEq)]
-pub struct SettingsError {
+pub struct InvalidSettings {
     /// The setting.
     pub field: &'static str,
     /// Why it cannot be.
     pub why: &'static str,
 }
 
-impl fmt::Display for SettingsError {
+impl fmt::Display for InvalidSettings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "setting {}: {}", self.field, self.why)
     }
 }
 
-impl std::error::Error for SettingsError {}
+impl std::error::Error for InvalidSettings {}
 
 impl Settings {
     /// Refuses settings under which the rules cannot be kept.
-    pub fn validate(&self) -> Result<(), SettingsError> {
-        let err = |field, why| Err(SettingsError { field, why });
+    pub fn validate(&self) -> Result<(), InvalidSettings> {
+        let err = |field, why| Err(InvalidSettings { field, why });
         if self.classes.is_empty() {
             return err("classes", "there must be one at least");
         }
         for class in &self.classes {
-            if class.deadline <= 0 || class.aim <= 0 {
+            if class.deadline <= 0 || class.latency_objective <= 0 {
                 return err("classes", "aim and deadline must be above zero");
             }
-            if class.repeat == Repeat::Keyed && class.window <= 0 {
+            if class.idempotency == Idempotency::Keyed && class.deduplication_window <= 0 {
                 return err("classes", "a keyed class needs a window above zero");
             }
-            if !(class.worth >= 0.0 && class.late_worth >= 0.0 && class.aim_stretch >= 0.0) {
+            if !(class.priority_weight >= 0.0
+                && class.late_weight >= 0.0
+                && class.objective_per_work >= 0.0)
+            {
                 return err(
                     "classes",
                     "worth, late worth and stretch must not be negative",
@@ -195,20 +198,23 @@
         if self.tick < 0 || self.answer_slack < 0 || self.drain_grace < 0 {
             return err("tick, answer_slack, drain_grace", "must not be negative");
         }
-        if self.ask && self.ask_within <= 0 {
+        if self.poll && self.poll_within <= 0 {
             return err(
                 "ask_within",
                 "must be above zero where the list is asked for",
             );
         }
-        if !(self.cold_from > 0.0 && self.cold_from <= 1.0) {
+        if !(self.cold_capacity > 0.0 && self.cold_capacity <= 1.0) {
             return err("cold_from", "must be above zero and at most one");
         }
-        if self.cold < 0 || self.fall < 0 || self.fall_multiple.is_nan() || self.fall_multiple < 0.0
+        if self.warm_up_time < 0
+            || self.overload_window < 0
+            || self.overload_multiple.is_nan()
+            || self.overload_multiple < 0.0
         {
             return err("cold, fall, fall_multiple", "must not be negative");
         }
-        if self.mode == Mode::Aside && self.origin_kind.is_none() {
+        if self.mode == CacheMode::CacheAside && self.origin_kind.is_none() {
             return err("origin_kind", "aside mode needs the origin's kind");
         }
         Ok(())
@@ -223,15 +229,15 @@
     /// Finishes what it has; nothing new may be sent.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// One line of the server list.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
+pub struct Endpoint {
     /// The server.
     pub server: ServerId,
-    /// Listed weight, see [`Weights`].
+    /// Listed weight, see [`WeightMeaning`].
     pub weight: f64,
     /// Zone label, if told.
     pub zone: Option<u16>,
@@ -247,7 +253,7 @@
 
 /// What a list event holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListKind {
+pub enum EndpointListKind {
     /// Changed entries only.
     Delta,
     /// All; who is missing is gone.
@@ -264,7 +270,7 @@
     /// Error answer; may have run.
     Error,
     /// Turned away unseen.
-    Full,
+    Rejected,
     /// No answer in time; may have run.
     Timeout,
     /// No connection; never ran.
@@ -274,24 +280,42 @@
     /// Cancelled; may have run.
     Cancelled,
     /// Not sent.
-    Moot,
+    NotSent,
     /// No value kept there; never ran.
     Miss,
 }
 
+impl fmt::Display for Status {
+    /// The word that event traces and logs have had since their first version: programs read it, so it stays where a
+    /// variant's name changes.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Status::Ok => "Ok",
+            Status::Error => "Error",
+            Status::Rejected => "Full",
+            Status::Timeout => "Timeout",
+            Status::ConnectFailed => "ConnectFailed",
+            Status::Reset => "Reset",
+            Status::Cancelled => "Cancelled",
+            Status::NotSent => "Moot",
+            Status::Miss => "Miss",
+        })
+    }
+}
+
 impl Status {
     /// Whether this end proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(
             self,
-            Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss
+            Status::Rejected | Status::ConnectFailed | Status::NotSent | Status::Miss
         )
     }
 }
 
 /// A load report; fields that a site lacks are none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
+pub struct LoadReport {
     /// Requests in hand.
     pub in_flight: Option<f64>,
     /// Requests waiting.
@@ -312,7 +336,7 @@
 
 /// What a cache server said of a finished attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Note {
+pub enum CacheResult {
     /// Served from the cache.
     Hit,
     /// Fetched, or missing.
@@ -348,20 +372,20 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// News of the servers.
-    Servers(ListKind, Arc<[Entry]>),
+    EndpointList(EndpointListKind, Arc<[Endpoint]>),
     /// A call to the list failed, or the subscription dropped.
-    ListFailed,
+    EndpointListFailed,
     /// A request was taken; one final answer is owed.
     Request(Request),
     /// A streamed answer began.
-    Started {
+    ResponseStarted {
         /// Request.
         request: RequestId,
         /// Attempt, from 0.
         attempt: usize,
     },
     /// An attempt ended.
-    Outcome {
+    AttemptEnded {
         /// Request.
         request: RequestId,
         /// Server it was sent to.
@@ -375,19 +399,19 @@
         /// The request has its final answer.
         closed: bool,
         /// Hit or miss, if told.
-        note: Option<Note>,
+        note: Option<CacheResult>,
         /// Load report, if attached.
-        load: Option<Load>,
+        load: Option<LoadReport>,
     },
     /// The client left; nothing is owed.
-    ClientLeft(RequestId),
+    ClientDisconnected(RequestId),
     /// Nothing more may be sent for this request: its client seems to have left, or the node is about to end. What is out
     /// may still answer it, and its final answer is owed as ever.
-    NoMore(RequestId),
+    StopAttempts(RequestId),
     /// A timer set earlier is due.
-    Timer(u64),
+    TimerExpired(u64),
     /// A probe ended.
-    Probed {
+    ProbeEnded {
         /// Server.
         server: ServerId,
         /// Time since the probe.
@@ -395,10 +419,10 @@
         /// How it ended.
         status: Status,
         /// Load report, if attached.
-        load: Option<Load>,
+        load: Option<LoadReport>,
     },
     /// A message from another node.
-    Peer {
+    PeerMessage {
         /// Sender's number.
         from: u64,
         /// Content.
@@ -419,7 +443,7 @@
         timeout: Option<Micros>,
     },
     /// Final answer: refused, harmless to try again.
-    Refuse {
+    Reject {
         /// Request.
         request: RequestId,
         /// When the client ought to come back (0: no advice).
@@ -437,8 +461,8 @@
         /// Attempt.
         attempt: usize,
     },
-    /// Send back [`Event::Timer`] with this token after the delay.
-    Timer {
+    /// Send back [`Event::TimerExpired`] with this token after the delay.
+    SetTimer {
         /// Delay from now.
         delay: Micros,
         /// Token.
@@ -447,11 +471,11 @@
     /// Probe a server.
     Probe(ServerId),
     /// Close idle connections to a server.
-    Close(ServerId),
+    CloseIdleConnections(ServerId),
     /// Subscribe to the list, or end that.
     Subscribe(bool),
     /// Ask for the whole list once.
-    FetchList,
+    FetchEndpointList,
     /// A line for the operators.
     Log(String),
 }
--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/balancer.rs
@@ -6,18 +6,21 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::draw::{hash, mix, point, Rng};
-use crate::fates::Fates;
-use crate::interface::*;
-use crate::origin::{Origin, FALL, RISE};
-use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
-use crate::pace::Pace;
-use crate::quota::Quotas;
-use crate::warmth::Fleet;
-use held::{Attempt, Held};
-
-mod held;
-pub mod memory;
+use crate::api::*;
+use crate::hash::{hash, mix, unit_interval};
+use crate::latency::Pace;
+use crate::origin_health::{Origin, RISE};
+use crate::outlier_detection::{rendezvous, Asked, Outliers, TRIAL};
+use crate::rng::Rng;
+use crate::slow_start::Fleet;
+use crate::tenant_quota::Quotas;
+use crate::zone_health::Fates;
+use in_flight::{Attempt, Held};
+
+pub mod checkpoint;
+mod in_flight;
+mod membership;
+mod server_health;
 mod status;
 mod zones;
 
@@ -74,7 +77,7 @@
 
 /// A server on the line, or an origin entry.
 struct Server {
-    entry: Entry,
+    entry: Endpoint,
     order: u64,
     /// Right edge of its range.
     edge: f64,
@@ -97,7 +100,7 @@
 }
 
 impl Server {
-    fn new(entry: Entry) -> Server {
+    fn new(entry: Endpoint) -> Server {
         let order = hash(&entry.server);
         Server {
             entry,
@@ -364,16 +367,16 @@
     logged: u32,
     weights: Vec<f64>,
     /// What an earlier process learned, and when, until a list tells which servers are there.
-    recalled: Option<(Micros, memory::Memory)>,
+    recalled: Option<(Micros, checkpoint::Checkpoint)>,
     /// Which decision gave the last final answer.
     why: &'static str,
 }
 
 impl Balancer {
     /// A node's decisions from its settings, its seed and its clock.
-    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, InvalidSettings> {
         settings.validate()?;
-        let pace = Pace::new(settings.classes.iter().map(|c| c.aim));
+        let pace = Pace::new(settings.classes.iter().map(|c| c.latency_objective));
         Ok(Balancer {
             rng: Rng(seed),
             line: Line::default(),
@@ -407,13 +410,13 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Servers(kind, entries) => self.on_servers(now, kind, &entries, actions),
-            Event::ListFailed => {
+            Event::EndpointList(kind, entries) => self.on_servers(now, kind, &entries, actions),
+            Event::EndpointListFailed => {
                 self.list_failures += 1;
                 self.plan_list(actions);
             }
             Event::Request(request) => self.on_request(now, request, actions),
-            Event::Started { request, .. } => {
+            Event::ResponseStarted { request, .. } => {
                 if let Some(held) = self
                     .ids
                     .get(&request)
@@ -422,7 +425,7 @@
                     held.streaming = true;
                 }
             }
-            Event::Outcome {
+            Event::AttemptEnded {
                 request,
                 server,
                 attempt,
@@ -441,21 +444,23 @@
                     actions,
                 );
             }
-            Event::NoMore(request) => self.on_no_more(now, &request, actions),
-            Event::ClientLeft(request) => {
+            Event::StopAttempts(request) => self.on_no_more(now, &request, actions),
+            Event::ClientDisconnected(request) => {
                 if let Some(serial) = self.ids.get(&request).copied() {
                     self.cancel_pending(serial, false, actions);
                     self.forget(serial);
                 }
             }
-            Event::Timer(token) => self.on_timer(now, token, actions),
-            Event::Probed { server, status, .. } => self.judge(now, &server, Some(status), actions),
-            Event::Peer { .. } => {}
+            Event::TimerExpired(token) => self.on_timer(now, token, actions),
+            Event::ProbeEnded { server, status, .. } => {
+                self.judge(now, &server, Some(status), actions)
+            }
+            Event::PeerMessage { .. } => {}
         }
     }
 
     /// Whether a server that a list has named gets nothing now: it is sick, or it drains.
-    pub fn avoids(&self, now: Micros, server: &ServerId) -> bool {
+    pub fn is_unavailable(&self, now: Micros, server: &ServerId) -> bool {
         let near = self.line.index.get(server).map(|i| self.up(now, *i));
         let far = self
             .far
@@ -465,153 +470,8 @@
         near.or(far).is_none_or(|up| !up) && !self.origins.iter().any(|s| s.entry.server == *server)
     }
 
-    // ---- the list ----
-
-    fn on_servers(
-        &mut self,
-        now: Micros,
-        kind: ListKind,
-        entries: &[Entry],
-        actions: &mut Vec<Action>,
-    ) {
-        self.lay_out(kind, entries);
-        let first = self.line.servers.is_empty();
-        if kind != ListKind::Delta {
-            let named: HashMap<&str, ()> = entries.iter().map(|e| (&*e.server, ())).collect();
-            for line in [&mut self.line, &mut self.far] {
-                for p in (0..line.servers.len()).rev() {
-                    if !named.contains_key(&*line.servers[p].entry.server) {
-                        line.leave(p);
-                    }
-                }
-            }
-            self.origins
-                .retain(|s| named.contains_key(&*s.entry.server));
-        }
-        let changed = entries.iter().filter(|e| self.place(e)).count();
-        let changed = changed + self.part_zones();
-        self.line.reindex();
-        self.far.reindex();
-        self.outliers.retain(|id| self.line.index.contains_key(id));
-        self.fates.list(
-            self.line
-                .servers
-                .iter()
-                .chain(&self.far.servers)
-                .map(|s| s.entry.zone),
-        );
-        if changed > 0 || kind != ListKind::Delta {
-            self.weigh();
-            if first || changed * 2 > self.line.servers.len() {
-                self.line.update(&self.weights, 1.0);
-                self.line.updated = now;
-            }
-        }
-        match kind {
-            ListKind::Cached if self.set.ask => self.plan_list(actions),
-            _ => self.list_failures = 0,
-        }
-        let waiting: Vec<u64> = self
-            .held
-            .iter()
-            .filter(|(_, h)| h.attempts.is_empty())
-            .map(|(serial, _)| *serial)
-            .collect();
-        for serial in waiting {
-            self.send_next(now, serial, actions);
-        }
-    }
-
-    fn place(&mut self, entry: &Entry) -> bool {
-        let live = entry.state == ServerState::Live;
-        if self.set.mode == Mode::Aside
-            && entry.kind.is_some()
-            && entry.kind == self.set.origin_kind
-        {
-            self.origins.retain(|s| s.entry.server != entry.server);
-            if live {
-                self.origins.push(Server::new(entry.clone()));
-                self.origins
-                    .sort_by(|a, b| a.entry.server.cmp(&b.entry.server));
-            }
-            return false;
-        }
-        let here = |line: &Line| {
-            line.servers
-                .iter()
-                .position(|s| s.entry.server == entry.server)
-        };
-        let (near, far) = (here(&self.line), here(&self.far));
-        let (line, found) = if far.is_some() {
-            (&mut self.far, far)
-        } else {
-            (&mut self.line, near)
-        };
-        match (found, live) {
-            (Some(p), true) => {
-                let server = &mut line.servers[p];
-                if server.entry.started != entry.started {
-                    (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
-                    server.back = None;
-                    self.outliers.restarted(&entry.server);
-                    self.fates.reached(entry.zone);
-                }
-                server.entry = entry.clone();
-                false
-            }
-            (Some(p), false) => {
-                line.leave(p);
-                near.is_some()
-            }
-            (None, true) => {
-                line.join(Server::new(entry.clone()));
-                true
-            }
-            (None, false) => false,
-        }
-    }
-
-    fn part_zones(&mut self) -> usize {
-        let all = || self.line.servers.iter().chain(&self.far.servers);
-        let zones: std::collections::BTreeSet<_> = all().map(|s| s.entry.zone).collect();
-        let crossing = self.set.price_cross_zone * (1.0 - 1.0 / zones.len().max(1) as f64);
-        let at_home = all().filter(|s| s.entry.zone == self.set.zone).count();
-        let part = self.set.zone.is_some() && crossing > CROSSING_DEAR && at_home >= ZONE_LEAST;
-        let home = self.set.zone;
-        let mut moved = 0;
-        for stays in [true, false] {
-            let (line, far) = (&mut self.line, &mut self.far);
-            let (from, to) = if stays { (line, far) } else { (far, line) };
-            for p in (0..from.servers.len()).rev() {
-                if (!part || from.servers[p].entry.zone == home) != stays {
-                    let entry = from.servers[p].entry.clone();
-                    from.leave(p);
-                    to.join(Server::new(entry));
-                    moved += 1;
-                }
-            }
-        }
-        moved
-    }
-
-    fn plan_list(&mut self, actions: &mut Vec<Action>) {
-        if !self.set.ask || self.list_planned {
-            return;
-        }
-        self.list_planned = true;
-        let most = self.set.ask_within as f64 / 2.0;
-        let spread = (most / 16.0 * 2f64.powi(self.list_failures.min(4) as i32)).min(most);
-        let spread = if self.list_failures == 0 {
-            most
-        } else {
-            spread
-        };
-        let delay = (spread * (0.05 + 0.95 * self.rng.next())) as Micros;
-        actions.push(Action::Timer { delay, token: LIST });
-    }
-
     fn weigh(&mut self) {
-        let listed = self.set.weights == Weights::Size;
+        let listed = self.set.weights == WeightMeaning::Size;
         let speeds: Vec<f64> = self
             .line
             .servers
@@ -637,7 +497,7 @@
         let due = (self.line.window.len() / UPDATE_PART).max(UPDATE_LEAST);
         if self.line.since_update >= due && !self.line.servers.is_empty() {
             self.weigh();
-            let tau = (self.set.cold as f64 * BLEND_PART).max(1.0);
+            let tau = (self.set.warm_up_time as f64 * BLEND_PART).max(1.0);
             self.line.updates += 1.0;
             let alpha = (1.0 - (-((now - self.line.updated) as f64) / tau).exp())
                 .max(1.0 / self.line.updates);
@@ -651,13 +511,15 @@
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         let class = &self.set.classes[request.class];
         let key = request.key.as_deref().map(hash);
-        let at = key.map_or_else(|| self.rng.next(), point);
+        let at = key.map_or_else(|| self.rng.next(), unit_interval);
         let margin = 2 * self.set.tick;
-        let aim = (class.aim as f64 + class.aim_stretch * request.work.unwrap_or(0.0)) as Micros;
-        let useful = if class.late_worth > 0.0 {
+        let latency_objective = (class.latency_objective as f64
+            + class.objective_per_work * request.work.unwrap_or(0.0))
+            as Micros;
+        let useful = if class.late_weight > 0.0 {
             request.budget
         } else {
-            aim.min(class.deadline).min(request.budget)
+            latency_objective.min(class.deadline).min(request.budget)
         };
         let end = now + useful - margin;
         if self.fleet.look_due(now) {
@@ -678,8 +540,8 @@
         let over = self.quotas.over(now, request.tenant, self.line.arrivals);
         // Where servers tell a miss, only what goes to the origin is in doubt.
         let doubtful = match self.set.mode {
-            Mode::Aside => request.write,
-            Mode::Through => !key.is_some_and(|k| self.served.contains_key(&k)),
+            CacheMode::CacheAside => request.write,
+            CacheMode::ReadThrough => !key.is_some_and(|k| self.served.contains_key(&k)),
         };
         let serial = self.serial;
         self.serial += 1;
@@ -714,7 +576,7 @@
         if !why.is_empty() {
             return self.finish(now, serial, why, actions);
         }
-        actions.push(Action::Timer {
+        actions.push(Action::SetTimer {
             delay: end - now,
             token: serial << 2 | END,
         });
@@ -764,10 +626,10 @@
         }
         let class = &self.set.classes[held.request.class];
         let left = held.end - now;
-        let more =
-            held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
+        let more = held.attempts.len() + 1 < self.set.max_attempts
+            && class.idempotency != Idempotency::NonIdempotent;
         let trial = place == Place::Line && self.line.servers[i].sick();
-        let part = if more && !self.set.second_copies && trial {
+        let part = if more && !self.set.hedging && trial {
             left / 2
         } else {
             left
@@ -777,7 +639,7 @@
         let longest = class.deadline.min(held.request.budget) - (now - held.arrived);
         let timeout = Some(if stays { part.max(longest) } else { part }.max(self.set.tick));
         let hedge = self.pace.high[held.request.class] as Micros;
-        let hedge = hedge.clamp(class.aim / 8, class.aim * 5 / 8);
+        let hedge = hedge.clamp(class.latency_objective / 8, class.latency_objective * 5 / 8);
         let attempt = Attempt {
             server: server.entry.server.clone(),
             zone: server.entry.zone,
@@ -795,7 +657,7 @@
             timeout,
         });
         if hedge < left && place != Place::Origin {
-            actions.push(Action::Timer {
+            actions.push(Action::SetTimer {
                 delay: hedge,
                 token: serial << 2 | HEDGE,
             });
@@ -807,7 +669,7 @@
             self.fleet.use_up(&mut server.used, started, now);
         }
         if trial {
-            self.line.servers[i].trial_until = now + class.aim;
+            self.line.servers[i].trial_until = now + class.latency_objective;
         }
         let key = held.key;
         if let Some(seen) = key.and_then(|k| self.line.seen.get_mut(&k)) {
@@ -905,7 +767,7 @@
 
     /// The server for the next attempt.
     fn choose(&self, now: Micros, held: &Held) -> Option<(Place, usize)> {
-        let aside = self.set.mode == Mode::Aside;
+        let aside = self.set.mode == CacheMode::CacheAside;
         if aside && (held.request.write || held.missed) {
             let n = self.origins.len();
             return (n > 0).then(|| (Place::Origin, (held.at * n as f64) as usize % n));
@@ -933,7 +795,7 @@
                 }
             }
             if kept(home) < 1.0 {
-                let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
+                let drawn = unit_interval(mix(held.at.to_bits() ^ held.arrived as u64));
                 let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home]) >= 1.0;
                 let stays = ready && (self.off_middle(held.at, home) < kept(home) || drawn < TRIAL);
                 if let Some(i) = if stays {
@@ -1012,11 +874,17 @@
         now: Micros,
         id: &RequestId,
         server: &ServerId,
-        (attempt, latency, status, closed, note): (usize, Micros, Status, bool, Option<Note>),
-        _load: Option<Load>,
+        (attempt, latency, status, closed, note): (
+            usize,
+            Micros,
+            Status,
+            bool,
+            Option<CacheResult>,
+        ),
+        _load: Option<LoadReport>,
         actions: &mut Vec<Action>,
     ) {
-        let hit = note.is_none_or(|n| n == Note::Hit);
+        let hit = note.is_none_or(|n| n == CacheResult::Hit);
         let serial = self.ids.get(id).copied();
         self.judge(now, server, Some(status), actions);
         if matches!(status, Status::Ok | Status::Error | Status::Reset) {
@@ -1055,7 +923,7 @@
             .filter(|h| h.doubtful && (status == Status::Ok || failed))
         {
             // A late fetch counts as a failed one: the origin's queue shows before it fails.
-            let late = now - held.arrived > self.set.classes[held.request.class].aim;
+            let late = now - held.arrived > self.set.classes[held.request.class].latency_objective;
             if !quick {
                 self.doubtful_ended(!failed && !late);
             }
@@ -1085,7 +953,7 @@
             if let Some(key) = held.key.filter(|_| !held.request.write) {
                 self.served.insert(key, now);
                 if self.served.len() > SERVED_KEPT {
-                    let old = now - self.set.cold / 2;
+                    let old = now - self.set.warm_up_time / 2;
                     self.served.retain(|_, at| *at > old);
                     if self.served.len() > SERVED_KEPT / 2 {
                         self.served.clear();
@@ -1098,16 +966,16 @@
                     .learn(held.request.class, latency, held.request.work, entry, hit);
             }
         }
-        if attempt > 0 && (status == Status::Ok || failed || status == Status::Full) {
+        if attempt > 0 && (status == Status::Ok || failed || status == Status::Rejected) {
             let good = status == Status::Ok && now < held.end;
             self.again += (f64::from(u8::from(good)) - self.again) / LATE_SPAN;
         }
         if closed {
             let held = &self.held[&serial];
-            let aim = self.set.classes[held.request.class].aim;
+            let latency_objective = self.set.classes[held.request.class].latency_objective;
             // What was fetched is late by the origin's time, however little the servers have to do.
-            if hit || now - held.arrived <= aim {
-                self.note_end(status != Status::Ok || now - held.arrived > aim);
+            if hit || now - held.arrived <= latency_objective {
+                self.note_end(status != Status::Ok || now - held.arrived > latency_objective);
             }
             self.cancel_pending(serial, false, actions);
             self.forget(serial);
@@ -1139,7 +1007,8 @@
         } else {
             1.0
         };
-        if jammed && matches!(status, Status::Timeout | Status::Full | Status::Error) && !quick {
+        if jammed && matches!(status, Status::Timeout | Status::Rejected | Status::Error) && !quick
+        {
             // Another attempt would be another fetch, or the same write at the origin once more.
             self.finish(now, serial, "jam", actions);
         } else if self.retry_tokens < cost {
@@ -1151,84 +1020,6 @@
         }
     }
 
-    fn judge(
-        &mut self,
-        now: Micros,
-        server: &ServerId,
-        status: Option<Status>,
-        actions: &mut Vec<Action>,
-    ) {
-        self.note_fate(now, server, status, actions);
-        let line = if self.far.index.contains_key(server) {
-            &mut self.far
-        } else {
-            &mut self.line
-        };
-        let Some(i) = line.index.get(server).copied() else {
-            return;
-        };
-        let least = (SICK_PAUSE * self.set.connect_timeout).max(10 * self.set.tick);
-        let most = (self.set.cold / 2).max(least);
-        let s = &mut line.servers[i];
-        if status == Some(Status::Full) {
-            s.pass = (s.pass * (1.0 - FALL)).max(PASS_LEAST);
-        }
-        s.streak += match status {
-            Some(Status::Ok | Status::Miss) => {
-                (s.streak, s.pause) = (0.0, 0);
-                return;
-            }
-            // Refused: "not to this node", however many other servers did the same.
-            Some(Status::ConnectFailed) => SICK_ODDS.ln(),
-            // Guards against sound servers left out because kept connections end at all of them: two in a row
-            // look like a crash only where few break.
-            Some(Status::Reset) => (SICK_ODDS.ln() / 2.0).min(-self.broken.ln()),
-            None => -self.slow.max(SLOW_LEAST).ln(),
-            // Late time-outs and errors tell as much of the origin and the load as of the server.
-            Some(_) => return,
-        };
-        if s.streak < SICK_ODDS.ln() - 1e-9 || (s.sick() && now < s.sick_until) {
-            return;
-        }
-        s.pause = (s.pause * 2).clamp(least, most);
-        s.sick_until = now + s.pause;
-        s.trial_until = 0;
-        let why = status.map_or("silence".to_string(), |s| format!("{s:?}"));
-        let text = format!(
-            "sick: {} paused {} ms after {why}",
-            s.entry.server,
-            s.pause / 1000
-        );
-        self.log(text, actions);
-    }
-
-    /// Attempts of a request that passed their patience.
-    fn note_silence(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&serial).filter(|h| !h.streaming) else {
-            return;
-        };
-        let mut silent = Vec::new();
-        for a in &mut held.attempts {
-            if a.pending() && !a.silent && now >= a.sent + a.patience {
-                a.silent = true;
-                silent.push(a.server.clone());
-            }
-        }
-        let (fetch, asked) = (held.doubtful, held.asked());
-        for server in silent {
-            if let Some(i) = self.line.index.get(&server) {
-                if !fetch {
-                    let pass = &mut self.line.servers[*i].pass;
-                    *pass = (*pass * (1.0 - FALL)).max(PASS_LEAST);
-                }
-                self.outliers
-                    .note(now, &server, asked, true, self.line.servers.len());
-            }
-            self.slow += (1.0 - self.slow) / LATE_SPAN;
-            self.judge(now, &server, None, actions);
-        }
-    }
-
     /// Nothing more is sent for a request; with nothing out it has its final answer at once.
     fn on_no_more(&mut self, now: Micros, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(serial) = self.ids.get(id).copied() else {
@@ -1255,7 +1046,8 @@
         self.why = why;
         let request = held.request.id.clone();
         if held.may_refuse(&self.set) {
-            let late = now - held.arrived >= self.set.classes[held.request.class].aim / 2;
+            let late =
+                now - held.arrived >= self.set.classes[held.request.class].latency_objective / 2;
             let wait = self.set.max_retry_after;
             let retry_after = match why {
                 // Not all of them at one time.
@@ -1263,7 +1055,7 @@
                 _ if late => wait,
                 _ => 0,
             };
-            actions.push(Action::Refuse {
+            actions.push(Action::Reject {
                 request,
                 retry_after,
             });
@@ -1344,7 +1136,7 @@
                     return;
                 };
                 let jammed = self.origin.may_jam(now);
-                let copies = self.set.second_copies && !held.streaming && !held.missed && !jammed;
+                let copies = self.set.hedging && !held.streaming && !held.missed && !jammed;
                 if copies
                     && held.out() == 1
                     && self.retry_tokens >= 1.0
@@ -1370,5 +1162,5 @@
 }
 
 #[cfg(test)]
-#[path = "rules_tests.rs"]
+#[path = "balancer_tests.rs"]
 mod tests;
--- a/crates/decision/src/rules/memory.rs
+++ b/crates/decision/src/balancer/checkpoint.rs
@@ -2,7 +2,7 @@
 //! I/O, no clock: who keeps it tells how old it is.
 //!
 //! Guarantees: a memory that is taken up moves only servers that the first whole list names as live, in the order of the
-//! line; one that is damaged or beyond its bounds is refused whole ([`Memory::checked`]); nothing in it lets a
+//! line; one that is damaged or beyond its bounds is refused whole ([`Checkpoint::checked`]); nothing in it lets a
 //! request go to a server that no list has named. What was held against a server that has started since is
 //! dropped. Quotas and open requests are not in it: they belong to the process. Nor are the keys served lately: with them
 //! a new process was worse off than without (`docs/design/handover.md`).
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Balancer, Line, Seen, Server, RETRY_SAVED, WINDOW_KEPT};
-use crate::interface::{Entry, ListKind, Micros, ServerId, ServerState};
-use crate::pace::{slot, KIND_MEMORY};
+use crate::api::{Endpoint, EndpointListKind, Micros, ServerId, ServerState};
+use crate::latency::{slot, KIND_MEMORY};
 
 /// Servers, hot keys and classes at the most; more than any fleet that one node can hold connections to.
 const SERVERS_MOST: usize = 4096;
@@ -30,7 +30,7 @@
 
 /// See the module. Ages and times left are in microseconds, as of when it was taken.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Memory {
+pub struct Checkpoint {
     /// In the order of the line.
     servers: Vec<Known>,
     /// Positions on the line, the oldest first.
@@ -80,9 +80,9 @@
     count: Vec<f64>,
 }
 
-impl Memory {
-    /// The memory, if every part of it can be one that [`Balancer::remember`] took.
-    pub fn checked(self) -> Option<Memory> {
+impl Checkpoint {
+    /// The memory, if every part of it can be one that [`Balancer::checkpoint`] took.
+    pub fn checked(self) -> Option<Checkpoint> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let least = |x: f64| x.is_finite() && x >= 0.0;
         let counted = |n: u64| n <= COUNT_MOST;
@@ -143,7 +143,7 @@
 
 impl Balancer {
     /// What the next process of this node needs to go on as this one does. The same state gives the same memory.
-    pub fn remember(&self, now: Micros) -> Memory {
+    pub fn checkpoint(&self, now: Micros) -> Checkpoint {
         let label = |label: Option<u16>| label.map_or(0, |i| usize::from(i) + 1);
         let server = |s: &Server| Known {
             server: s.entry.server.to_string(),
@@ -178,7 +178,7 @@
         let mut seen: Vec<SeenKey> = self.line.seen.iter().map(key).collect();
         seen.sort_unstable_by_key(|s| s.key);
         let pace = &self.pace;
-        Memory {
+        Checkpoint {
             servers: self.line.servers.iter().map(server).collect(),
             window: self.line.window.iter().copied().collect(),
             arrivals,
@@ -200,7 +200,7 @@
 
     /// Takes up what a process of this node remembered `age` ago, before any list has come. The placement waits for
     /// the first whole list that names a server.
-    pub fn recall(&mut self, now: Micros, age: Micros, memory: Memory) {
+    pub fn restore(&mut self, now: Micros, age: Micros, memory: Checkpoint) {
         let classes = self.set.classes.len();
         let pace = memory.pace.clone();
         if [&pace.high, &pace.mean_log, &pace.count]
@@ -216,21 +216,21 @@
             memory.slow.max(super::SLOW_LEAST),
             memory.broken,
         );
-        self.origin.admit = memory.admit.max(crate::origin::LEAST);
+        self.origin.admit = memory.admit.max(crate::origin_health::LEAST);
         self.retry_tokens = memory.retry_tokens.min(RETRY_SAVED);
         let at = now - age;
         self.recalled = Some((at, memory));
     }
 
     /// Lays the servers out as they were remembered, for a first list to change.
-    pub(super) fn lay_out(&mut self, kind: ListKind, entries: &[Entry]) {
+    pub(super) fn lay_out(&mut self, kind: EndpointListKind, entries: &[Endpoint]) {
         let live = |name: &str| {
             entries
                 .iter()
                 .find(|e| &*e.server == name && e.state == ServerState::Live)
         };
-        let named = |memory: &Memory| memory.servers.iter().any(|s| live(&s.server).is_some());
-        let first = kind != ListKind::Delta && self.line.servers.is_empty();
+        let named = |memory: &Checkpoint| memory.servers.iter().any(|s| live(&s.server).is_some());
+        let first = kind != EndpointListKind::Delta && self.line.servers.is_empty();
         let Some((at, memory)) = self.recalled.take_if(|(_, memory)| first && named(memory)) else {
             return;
         };
@@ -238,12 +238,12 @@
             let id: ServerId = known.server.as_str().into();
             let started = known.started_ago.map(|ago| at - ago);
             // One that no list names as live is there for its range, which goes to its neighbours at once.
-            let gone = || Entry {
+            let gone = || Endpoint {
                 server: id.clone(),
                 weight: 1.0,
                 zone: None,
                 kind: None,
-                state: ServerState::Gone,
+                state: ServerState::Removed,
                 started,
                 cell: None,
             };
--- a/crates/decision/src/rules/held.rs
+++ b/crates/decision/src/balancer/in_flight.rs
@@ -4,10 +4,11 @@
 //! permits it beside every other attempt that may have run; a refusal only where another try is harmless.
 
 use super::Balancer;
-use crate::interface::{
-    Entry, Micros, Repeat, Request, RequestId, Scope, ServerId, Settings, Status,
+use crate::api::{
+    DeduplicationScope, Endpoint, Idempotency, Micros, Request, RequestId, ServerId, Settings,
+    Status,
 };
-use crate::outliers::Asked;
+use crate::outlier_detection::Asked;
 
 /// One attempt of a held request.
 pub(super) struct Attempt {
@@ -65,8 +66,8 @@
     }
 
     /// May another attempt go to this server now? Guards "no effect twice" for all classes.
-    pub fn may_send(&self, set: &Settings, to: &Entry, now: Micros) -> bool {
-        if self.attempts.len() >= set.max_attempts || (self.out() > 0 && !set.second_copies) {
+    pub fn may_send(&self, set: &Settings, to: &Endpoint, now: Micros) -> bool {
+        if self.attempts.len() >= set.max_attempts || (self.out() > 0 && !set.hedging) {
             return false;
         }
         self.may_write(set, to, now, self.attempts.len())
@@ -74,7 +75,7 @@
 
     /// May this attempt be written to its server now, whatever held when it was chosen? One that waited for its
     /// connection comes to this question late, when the others may have run.
-    pub fn may_write(&self, set: &Settings, to: &Entry, now: Micros, attempt: usize) -> bool {
+    pub fn may_write(&self, set: &Settings, to: &Endpoint, now: Micros, attempt: usize) -> bool {
         let class = &set.classes[self.request.class];
         if self.streaming || self.no_more || now >= self.end {
             return false;
@@ -85,15 +86,15 @@
             .enumerate()
             .filter(|(n, _)| *n != attempt);
         let mut ran = others.map(|(_, a)| a).filter(|a| a.may_have_run());
-        match class.repeat {
-            Repeat::Free => true,
-            Repeat::Unsafe => ran.next().is_none(),
-            Repeat::Keyed => ran.all(|a| {
-                now + set.tick < a.sent + class.window
-                    && match class.scope {
-                        Scope::All => true,
-                        Scope::Zone => a.zone.is_some() && a.zone == to.zone,
-                        Scope::Cell => a.cell.is_some() && a.cell == to.cell,
+        match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => ran.next().is_none(),
+            Idempotency::Keyed => ran.all(|a| {
+                now + set.tick < a.sent + class.deduplication_window
+                    && match class.deduplication_scope {
+                        DeduplicationScope::All => true,
+                        DeduplicationScope::Zone => a.zone.is_some() && a.zone == to.zone,
+                        DeduplicationScope::Cell => a.cell.is_some() && a.cell == to.cell,
                     }
             }),
         }
@@ -102,9 +103,9 @@
     /// May it be refused, which tells the client that another try is harmless?
     pub fn may_refuse(&self, set: &Settings) -> bool {
         let class = &set.classes[self.request.class];
-        match class.repeat {
-            Repeat::Free => true,
-            Repeat::Keyed if class.scope == Scope::All => true,
+        match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed if class.deduplication_scope == DeduplicationScope::All => true,
             _ => !self.attempts.iter().any(Attempt::may_have_run),
         }
     }
@@ -114,7 +115,7 @@
     /// Whether an attempt that has waited for its connection is to be written now. What held when it was chosen may hold
     /// no more: the request may be over, its server drain, be gone or have started anew, the memory of the group that
     /// drops its repeats be over.
-    pub fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+    pub fn may_start_attempt(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
         let Some(held) = self
             .ids
             .get(request)
--- a/crates/decision/src/rules/zones.rs
+++ b/crates/decision/src/balancer/zones.rs
@@ -1,8 +1,8 @@
 //! What a node does about a lost zone: it notes who is reached, and asks a lost zone again.
 
 use super::{Balancer, Server, ZONE};
-use crate::fates::{RESTART_TOLD, SILENT, UNREACHED};
-use crate::interface::{Action, Micros, ServerId, Status};
+use crate::api::{Action, Micros, ServerId, Status};
+use crate::zone_health::{RESTART_TOLD, SILENT, UNREACHED};
 
 impl Server {
     /// When it started, as far as is known: a zone that was lost and is let in again has most likely lost what it kept, and
@@ -37,7 +37,7 @@
         let lost = match status {
             Some(Status::ConnectFailed) => self.fates.unreached(now, zone, server, UNREACHED),
             None => self.fates.unreached(now, zone, server, SILENT),
-            Some(Status::Ok | Status::Miss | Status::Error | Status::Full) => {
+            Some(Status::Ok | Status::Miss | Status::Error | Status::Rejected) => {
                 if self.fates.reached(zone) {
                     // What was held against them was the zone's.
                     for s in line.servers.iter_mut().filter(|s| s.entry.zone == zone) {
@@ -58,7 +58,7 @@
     fn plan_look(&mut self, now: Micros, zone: Option<u16>, actions: &mut Vec<Action>) {
         if let Some(delay) = self.fates.plan(now, zone) {
             let token = zone.map_or(0, |z| u64::from(z) + 1) << 2 | ZONE;
-            actions.push(Action::Timer {
+            actions.push(Action::SetTimer {
                 delay: delay.max(self.set.tick),
                 token,
             });
--- a/crates/decision/src/rules_tests.rs
+++ b/crates/decision/src/balancer_tests.rs
@@ -1,10 +1,10 @@
 //! Parts of the module against small hand-worked cases.
 
 use super::*;
-use crate::fates::RESTART_TOLD;
+use crate::zone_health::RESTART_TOLD;
 
-fn entry(name: &str) -> Entry {
-    Entry {
+fn entry(name: &str) -> Endpoint {
+    Endpoint {
         server: name.into(),
         weight: 1.0,
         zone: Some(0),
@@ -138,7 +138,7 @@
         } else {
             (rng.next() * 1e9) as u64
         };
-        line.arrive(point(key), Some(key));
+        line.arrive(unit_interval(key), Some(key));
     }
     assert!(
         (3..=5).contains(&line.deal_width(77)),
@@ -167,41 +167,41 @@
 fn settings(price_cross_zone: f64) -> Settings {
     Settings {
         classes: vec![Class {
-            aim: 150_000,
-            aim_stretch: 0.0,
+            latency_objective: 150_000,
+            objective_per_work: 0.0,
             deadline: 600_000,
-            repeat: Repeat::Free,
-            scope: Scope::All,
-            window: 0,
-            worth: 1.0,
-            late_worth: 0.0,
+            idempotency: Idempotency::Idempotent,
+            deduplication_scope: DeduplicationScope::All,
+            deduplication_window: 0,
+            priority_weight: 1.0,
+            late_weight: 0.0,
             stream: false,
         }],
         tenants: vec![],
         nodes: 4,
-        number: None,
+        node_number: None,
         zone: Some(0),
-        ask: false,
-        ask_within: 0,
-        mode: Mode::Through,
+        poll: false,
+        poll_within: 0,
+        mode: CacheMode::ReadThrough,
         origin_kind: None,
-        origin_fall_multiple: 0.0,
-        weights: Weights::None,
-        by_work: false,
-        over_share_worth: 0.1,
+        origin_overload_multiple: 0.0,
+        weights: WeightMeaning::None,
+        weight_by_work: false,
+        over_quota_weight: 0.1,
         tick: 2_000,
         max_attempts: 4,
-        max_open: 1000,
+        max_in_flight: 1000,
         cancel: true,
         probes: false,
-        second_copies: false,
+        hedging: false,
         max_retry_after: 0,
         connect_timeout: 75_000,
         drain_grace: 500_000,
-        cold_from: 0.2,
-        cold: 10_000_000,
-        fall_multiple: 3.0,
-        fall: 2_000_000,
+        cold_capacity: 0.2,
+        warm_up_time: 10_000_000,
+        overload_multiple: 3.0,
+        overload_window: 2_000_000,
         answer_slack: 8_000,
         price_cross_zone,
         price_origin: 0.0,
@@ -211,12 +211,16 @@
 fn node(price_cross_zone: f64, servers: u16) -> Balancer {
     let mut node = Balancer::new(settings(price_cross_zone), 1, 0).unwrap();
     let list = (0..servers)
-        .map(|i| Entry {
+        .map(|i| Endpoint {
             zone: Some(i % 2),
             ..entry(&format!("s{i}"))
         })
         .collect();
-    node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
+    node.handle(
+        0,
+        Event::EndpointList(EndpointListKind::Full, list),
+        &mut Vec::new(),
+    );
     node
 }
 
@@ -242,7 +246,7 @@
 
 fn end(node: &mut Balancer, now: Micros, n: u32, server: &ServerId, status: Status) -> Vec<Action> {
     let mut actions = Vec::new();
-    let event = Event::Outcome {
+    let event = Event::AttemptEnded {
         request: format!("r{n}").into(),
         server: server.clone(),
         attempt: 0,
@@ -322,7 +326,7 @@
     for (took, least, most) in [(100_000, 1.0, 1.0), (400_000, 0.0, 0.5)] {
         let mut node = node(0.0, 8);
         all_fail(&mut node, 0.5);
-        node.set.classes[0].late_worth = 0.25;
+        node.set.classes[0].late_weight = 0.25;
         for n in 0..100 {
             let now = i64::from(n) * 1000;
             if let Some(server) = ask(&mut node, now, n) {
@@ -341,7 +345,7 @@
 fn a_jam_is_tried_now_and_then_and_failed_keys_are_no_longer_known() {
     let mut node = node(0.0, 8);
     all_fail(&mut node, 0.5);
-    node.origin.admit = crate::origin::LEAST;
+    node.origin.admit = crate::origin_health::LEAST;
     let sent = (0..100)
         .filter(|n| ask(&mut node, 700_000 * i64::from(*n), *n).is_some())
         .count();
@@ -398,7 +402,7 @@
     };
     node.handle(now, Event::Request(request), &mut sent);
     let token = (node.serial - 1) << 2 | END;
-    node.handle(now + 146_000, Event::Timer(token), &mut ended);
+    node.handle(now + 146_000, Event::TimerExpired(token), &mut ended);
     (sent, ended)
 }
 
@@ -411,7 +415,7 @@
     let refused = |actions: &[Action]| {
         actions
             .iter()
-            .filter(|a| matches!(a, Action::Refuse { .. }))
+            .filter(|a| matches!(a, Action::Reject { .. }))
             .count()
     };
     let timeout = |actions: &[Action]| {
@@ -469,12 +473,12 @@
                 break;
             };
             let server = held.attempts[attempt].server.clone();
-            let event = Event::Outcome {
+            let event = Event::AttemptEnded {
                 request: format!("r{n}").into(),
                 server,
                 attempt,
                 latency: 1_000,
-                status: Status::Full,
+                status: Status::Rejected,
                 closed: false,
                 note: None,
                 load: None,
@@ -491,7 +495,7 @@
 fn where_there_may_be_a_jam_no_second_copy_is_sent() {
     for may in [false, true] {
         let mut node = node(0.0, 8);
-        node.set.second_copies = true;
+        node.set.hedging = true;
         if may {
             (0..2).for_each(|_| node.origin.ended(0, Asked::Write, None, None));
         }
@@ -500,7 +504,7 @@
         let mut actions = Vec::new();
         node.handle(
             100_000,
-            Event::Timer((node.serial - 1) << 2 | HEDGE),
+            Event::TimerExpired((node.serial - 1) << 2 | HEDGE),
             &mut actions,
         );
         assert_eq!(
@@ -524,12 +528,16 @@
             !jam
         );
         assert_eq!(
-            actions.iter().any(|a| matches!(a, Action::Refuse { .. })),
+            actions.iter().any(|a| matches!(a, Action::Reject { .. })),
             jam
         );
         (0..3).for_each(|_| {
-            node.origin
-                .ended(100_000, Asked::Doubtful, Some(Status::Ok), Some(Note::Miss));
+            node.origin.ended(
+                100_000,
+                Asked::Doubtful,
+                Some(Status::Ok),
+                Some(CacheResult::Miss),
+            );
         });
         assert!(!node.origin.jams(100_000, Asked::Doubtful));
     }
@@ -543,7 +551,7 @@
         node.retry_tokens = 0.2;
         node.again = 0.0;
         let server = ask(&mut node, 0, 1).expect("sent");
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded {
             request: "r1".into(),
             server,
             attempt: 0,
@@ -585,14 +593,14 @@
         node.served.insert(hash(&format!("k{n}")), 1000);
         let server = ask(&mut node, 1000, n).expect("sent");
         node.retry_tokens = RETRY_SAVED;
-        end(&mut node, 1000, n, &server, Status::Full);
+        end(&mut node, 1000, n, &server, Status::Rejected);
         let second = node
             .held
             .values()
             .last()
             .map(|h| h.attempts[1].server.clone())
             .expect("sent again");
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded {
             request: format!("r{n}").into(),
             server: second,
             attempt: 1,
@@ -625,7 +633,7 @@
         let (serial, held) = node.held.iter_mut().last().unwrap();
         held.doubtful = !known;
         let token = *serial << 2 | HEDGE;
-        node.handle(now + 100_000, Event::Timer(token), &mut Vec::new());
+        node.handle(now + 100_000, Event::TimerExpired(token), &mut Vec::new());
         silent += 1;
         if node.line.servers[3].sick() {
             return Some(silent);
@@ -677,7 +685,7 @@
     let mut node = node(0.0, 8);
     node.line.servers[3].pass = 0.5;
     node.line.updates = 1e9; // the cuts stay
-    let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
+    let home = |node: &Balancer, n: u32| node.line.home(unit_interval(hash(&format!("k{n}"))));
     let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
     let id = node.line.servers[3].entry.server.clone();
     let stay = mine
@@ -719,7 +727,7 @@
         server.pass = 0.5;
         server.entry.started = (i == 3).then_some(0);
     }
-    let home = |node: &Balancer, n: u32| node.line.home(point(hash(&format!("k{n}"))));
+    let home = |node: &Balancer, n: u32| node.line.home(unit_interval(hash(&format!("k{n}"))));
     let mine: Vec<u32> = (0..2000).filter(|n| home(&node, *n) == 3).collect();
     let id = node.line.servers[3].entry.server.clone();
     let sent = mine
@@ -737,12 +745,16 @@
 fn nodes_that_learned_other_speeds_agree_on_most_homes() {
     let servers = |node: &mut Balancer| {
         let list = (0..80)
-            .map(|i| Entry {
+            .map(|i| Endpoint {
                 kind: Some(i % 2),
                 ..entry(&format!("s{i}"))
             })
             .collect();
-        node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
+        node.handle(
+            0,
+            Event::EndpointList(EndpointListKind::Full, list),
+            &mut Vec::new(),
+        );
     };
     let (mut a, mut b) = (node(0.0, 0), node(0.0, 0));
     servers(&mut a);
@@ -763,7 +775,7 @@
     (node.late, node.retry_tokens) = (0.5, 0.0);
     for n in 0..50 {
         if let Some(server) = ask(&mut node, 1000, n) {
-            let again = end(&mut node, 1000, n, &server, Status::Full);
+            let again = end(&mut node, 1000, n, &server, Status::Rejected);
             assert!(!again.iter().any(|a| matches!(a, Action::Send { .. })));
         }
     }
@@ -796,7 +808,7 @@
     assert_eq!(held.out(), 1);
     assert!(!held.may_send(&node.set, to, 1000));
     let copies = Settings {
-        second_copies: true,
+        hedging: true,
         ..node.set.clone()
     };
     assert!(held.may_send(&copies, to, 1000));
@@ -807,14 +819,14 @@
     let mut old = node(0.0, 4);
     let gone = old.line.servers[1].entry.server.clone();
     old.pace.kinds = vec![(0.0, 0.0), (50.0, 10.0)];
-    let memory = old.remember(0);
+    let memory = old.checkpoint(0);
     let mut next = Balancer::new(settings(0.0), 9, 0).unwrap();
-    next.recall(0, 0, memory);
-    let left: Vec<Entry> = old.line.servers.iter().map(|s| s.entry.clone()).collect();
-    let left: Vec<Entry> = left.into_iter().filter(|e| e.server != gone).collect();
+    next.restore(0, 0, memory);
+    let left: Vec<Endpoint> = old.line.servers.iter().map(|s| s.entry.clone()).collect();
+    let left: Vec<Endpoint> = left.into_iter().filter(|e| e.server != gone).collect();
     next.handle(
         0,
-        Event::Servers(ListKind::Full, left.into()),
+        Event::EndpointList(EndpointListKind::Full, left.into()),
         &mut Vec::new(),
     );
     // Those without a kind are in the first place: nobody has none.
@@ -840,13 +852,13 @@
     assert_eq!(tried.len(), 3, "{tried:?}");
     let timer = |actions: &[Action]| {
         actions.iter().find_map(|a| match a {
-            Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
+            Action::SetTimer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
             _ => None,
         })
     };
     let (token, delay) = timer(&actions).unwrap();
     actions.clear();
-    node.handle(200_000 + delay, Event::Timer(token), &mut actions);
+    node.handle(200_000 + delay, Event::TimerExpired(token), &mut actions);
     let asked = actions.iter().find_map(|a| match a {
         Action::Probe(server) => Some(server.clone()),
         _ => None,
@@ -855,7 +867,7 @@
         .filter(odd)
         .expect("a server of the lost zone is asked");
     assert!(timer(&actions).is_some(), "and again later");
-    let probed = Event::Probed {
+    let probed = Event::ProbeEnded {
         server: asked,
         latency: 1000,
         status: Status::Ok,
@@ -896,13 +908,13 @@
             !node.fates.lost(Some(0))
         );
         let timer = actions.iter().find_map(|a| match a {
-            Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
+            Action::SetTimer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
             _ => None,
         });
         let (token, delay) = timer.unwrap();
         let now = 200_000 + delay;
         actions.clear();
-        node.handle(now, Event::Timer(token), &mut actions);
+        node.handle(now, Event::TimerExpired(token), &mut actions);
         if let Some(Action::Probe(server)) = actions
             .iter()
             .find(|a| matches!(a, Action::Probe(_)))
@@ -910,7 +922,7 @@
         {
             node.handle(
                 now,
-                Event::Probed {
+                Event::ProbeEnded {
                     server,
                     latency: 1000,
                     status: Status::Ok,
@@ -928,7 +940,7 @@
             *sent.entry(server).or_insert(0.0) += 1.0;
         }
         let (set, all) = (&node.set, f64::from(2000 + 200));
-        let budget = set.fall_multiple * set.cold_from * all / 40.0;
+        let budget = set.overload_multiple * set.cold_capacity * all / 40.0;
         let most = sent.values().copied().fold(0.0, f64::max);
         assert!(
             !sent.is_empty() && most <= budget + 1.0,
@@ -955,7 +967,7 @@
     node.line.servers[3].entry.started = Some(0);
     let now = 4_000_000;
     let kept = |n: &u32| {
-        let at = point(hash(&format!("k{n}")));
+        let at = unit_interval(hash(&format!("k{n}")));
         node.line.home(at) == 3 && node.line.left_edge(3) < at && node.off_middle(at, 3) < 0.2
     };
     let key = (0..2000).find(kept).unwrap();
@@ -1010,12 +1022,16 @@
         let mut node = node(0.0, 0);
         node.set.probes = probes;
         let list = (0..40)
-            .map(|i| Entry {
+            .map(|i| Endpoint {
                 zone,
                 ..entry(&format!("s{i}"))
             })
             .collect();
-        node.handle(0, Event::Servers(ListKind::Full, list), &mut Vec::new());
+        node.handle(
+            0,
+            Event::EndpointList(EndpointListKind::Full, list),
+            &mut Vec::new(),
+        );
         let (mut silent, mut actions) = (std::collections::HashSet::new(), Vec::new());
         for n in 0..40 {
             let Some(server) = ask(&mut node, i64::from(n) * 1000, n).filter(|_| silent.len() < 8)
@@ -1036,7 +1052,7 @@
         );
         let timers = |actions: &[Action]| -> Vec<(u64, Micros)> {
             let of_zone = |a: &Action| match a {
-                Action::Timer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
+                Action::SetTimer { token, delay } if token & 3 == ZONE => Some((*token, *delay)),
                 _ => None,
             };
             actions.iter().filter_map(of_zone).collect()
@@ -1044,7 +1060,7 @@
         let planned = timers(&actions);
         assert!(!planned.is_empty(), "it is looked at");
         for (token, delay) in planned {
-            node.handle(40_000 + delay, Event::Timer(token), &mut actions);
+            node.handle(40_000 + delay, Event::TimerExpired(token), &mut actions);
         }
         let other = node
             .line
--- /dev/null
+++ b/crates/decision/src/hash.rs
@@ -0,0 +1,28 @@
+//! Hash functions that all nodes of a fleet agree on.
+//!
+//! Guarantees: the same input gives the same hash on every platform and in every version. Nodes choose home servers, phases
+//! and slots by these numbers without talking to each other, so two versions in one fleet have to compute the same.
+
+/// FNV-1a, 64 bits: offset basis and prime.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x100_0000_01b3;
+
+/// A name as 64 bits: FNV-1a over its bytes, finalised by [`mix`].
+pub fn hash(text: &str) -> u64 {
+    let fnv = text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    mix(fnv)
+}
+
+/// The finalizer of SplitMix64: every bit of the input affects every bit of the output.
+pub fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// A 64-bit hash as a number from 0 up to but not including 1, by its upper 53 bits.
+pub fn unit_interval(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/decision/src/pace.rs
+++ b/crates/decision/src/latency.rs
@@ -1,7 +1,7 @@
 //! What answers take: by class, by kind of machine, by zone. How long to wait for one, and how fast a kind is
 //! against the others, follow from it.
 
-use crate::interface::{Entry, Micros};
+use crate::api::{Endpoint, Micros};
 
 /// Samples that outweigh the assumption that all kinds are equally fast.
 const KIND_DOUBT: f64 = 10.0;
@@ -32,7 +32,9 @@
 impl Pace {
     /// Classes with these aims, before any answer.
     pub fn new(aims: impl Iterator<Item = Micros>) -> Pace {
-        let high: Vec<f64> = aims.map(|aim| aim as f64 / 2.0).collect();
+        let high: Vec<f64> = aims
+            .map(|latency_objective| latency_objective as f64 / 2.0)
+            .collect();
         let none = vec![0.0; high.len()];
         Pace {
             high,
@@ -47,7 +49,7 @@
         class: usize,
         latency: Micros,
         work: Option<f64>,
-        entry: &Entry,
+        entry: &Endpoint,
         hit: bool,
     ) {
         let latency = (latency as f64).max(1.0);
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,21 +1,22 @@
-//! sloewick decides for a proxy node which cache server gets each request, when to try again,
-//! when to hedge, when to refuse. It does no I/O: events go in, actions come out.
+//! The decisions of a gateway node: which cache server gets each request, when to retry, when to hedge, when to
+//! reject. No I/O and no clock: events go in, actions come out, time is an argument.
 //!
-//! [`interface`] holds the types, [`rules`] every decision, [`outliers`] which servers fail by
-//! themselves, [`rules::memory`] what the next process of a node is told, [`settings`] how all are told their settings.
+//! [`api`] holds the interface, [`balancer`] the decisions, [`outlier_detection`] finds servers that fail by themselves,
+//! [`balancer::checkpoint`] is what the next process of a node takes over, [`settings`] reads the settings.
 #![warn(missing_docs)]
 
-mod draw;
-mod fates;
-pub mod interface;
-mod origin;
-pub mod outliers;
-mod pace;
-mod quota;
-pub mod rules;
+pub mod api;
+pub mod balancer;
+pub mod hash;
+mod latency;
+mod origin_health;
+pub mod outlier_detection;
+pub mod rng;
 pub mod settings;
-mod warmth;
+mod slow_start;
+mod tenant_quota;
+mod zone_health;
 
-pub use interface::{Action, Event, Settings, SettingsError};
-pub use rules::memory::Memory;
-pub use rules::Balancer;
+pub use api::{Action, Event, InvalidSettings, Settings};
+pub use balancer::checkpoint::Checkpoint;
+pub use balancer::Balancer;
--- a/crates/decision/src/origin.rs
+++ b/crates/decision/src/origin_health.rs
@@ -10,8 +10,8 @@
 
 use sloewick_overload::{Came, Jam, Need, Opening};
 
-use crate::interface::{Micros, Mode, Note, Status};
-use crate::outliers::Asked;
+use crate::api::{CacheMode, CacheResult, Micros, Status};
+use crate::outlier_detection::Asked;
 
 /// Admission: its fall with each failed attempt, its rise with each answer, its floor. In balance about one
 /// attempt in six fails.
@@ -24,7 +24,7 @@
 const KNOWN_SPAN: f64 = 32.0;
 
 pub(crate) struct Origin {
-    mode: Mode,
+    mode: CacheMode,
     jam: Jam,
     opening: Opening,
     /// Share of attempts for keys served lately that were answered. In a jam writes void them one by one.
@@ -35,7 +35,7 @@
 }
 
 impl Origin {
-    pub fn new(mode: Mode, now: Micros) -> Origin {
+    pub fn new(mode: CacheMode, now: Micros) -> Origin {
         Origin {
             mode,
             jam: Jam::new(now),
@@ -57,21 +57,27 @@
     }
 
     /// An attempt ended so, or was given up without an outcome.
-    pub fn ended(&mut self, now: Micros, asked: Asked, status: Option<Status>, note: Option<Note>) {
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        asked: Asked,
+        status: Option<Status>,
+        note: Option<CacheResult>,
+    ) {
         if asked == Asked::Known
-            && status.is_none_or(|s| matches!(s, Status::Ok | Status::Timeout | Status::Full))
+            && status.is_none_or(|s| matches!(s, Status::Ok | Status::Timeout | Status::Rejected))
         {
             self.known +=
                 (f64::from(u8::from(status == Some(Status::Ok))) - self.known) / KNOWN_SPAN;
         }
         let came = match (status, note) {
             // Beside the caches the origin is asked by the node itself, and a fetch fills no cache by itself.
-            _ if self.mode == Mode::Aside => return,
+            _ if self.mode == CacheMode::CacheAside => return,
             (Some(Status::Ok), _) if asked == Asked::Write => Came::Fetched,
-            (Some(Status::Ok), Some(Note::Hit)) => Came::Kept,
+            (Some(Status::Ok), Some(CacheResult::Hit)) => Came::Kept,
             (Some(Status::Ok), Some(_)) => Came::Fetched,
             (Some(Status::Ok), None) => Came::Answered,
-            (None | Some(Status::Timeout | Status::Full | Status::Error), _) => Came::Late,
+            (None | Some(Status::Timeout | Status::Rejected | Status::Error), _) => Came::Late,
             _ => return,
         };
         let need = match asked {
@@ -121,7 +127,7 @@
     pub fn fetch_ended(&mut self, answered: bool, known_late: impl FnOnce() -> f64) {
         if answered {
             self.admit = (self.admit + RISE).min(1.0);
-        } else if self.mode == Mode::Aside || known_late() > KNOWN_LATE {
+        } else if self.mode == CacheMode::CacheAside || known_late() > KNOWN_LATE {
             self.admit = (self.admit * (1.0 - FALL)).max(LEAST);
         }
     }
--- a/crates/decision/src/outliers.rs
+++ b/crates/decision/src/outlier_detection.rs
@@ -12,7 +12,7 @@
 
 use std::collections::HashMap;
 
-use crate::interface::{Micros, ServerId};
+use crate::api::{Micros, ServerId};
 
 /// The time in which what is known of a server is forgotten to 1/e.
 const FADE: f64 = 20e6;
--- a/crates/decision/src/warmth.rs
+++ b/crates/decision/src/slow_start.rs
@@ -12,8 +12,8 @@
 
 use std::collections::VecDeque;
 
-use crate::draw::{mix, point};
-use crate::interface::{Micros, Settings};
+use crate::api::{Micros, Settings};
+use crate::hash::{mix, unit_interval};
 
 /// Part of the multiple at which a cold server falls over that it is given at most. The rest is slack for chance
 /// and for misses, which take more work than hits.
@@ -33,13 +33,13 @@
 
 /// How servers warm up here, and how warm the fleet is as a whole.
 pub struct Fleet {
-    cold: Micros,
-    cold_from: f64,
+    warm_up_time: Micros,
+    cold_capacity: f64,
     most: f64,
     mean: f64,
     looked: Option<Micros>,
-    fall: Micros,
-    fall_multiple: f64,
+    overload_window: Micros,
+    overload_multiple: f64,
     /// Arrivals at this node, each fading over `fall`; when the last one was, and the first.
     recent: f64,
     last: Micros,
@@ -51,21 +51,21 @@
 impl Fleet {
     /// A fleet of servers that are all warm.
     pub fn new(set: &Settings, seed: u64) -> Fleet {
-        let most = (FALL_PART * set.fall_multiple).max(1.0);
+        let most = (FALL_PART * set.overload_multiple).max(1.0);
         Fleet {
-            cold: set.cold,
-            cold_from: set.cold_from,
+            warm_up_time: set.warm_up_time,
+            cold_capacity: set.cold_capacity,
             most,
             mean: 1.0,
             looked: None,
-            fall: set.fall.max(1),
-            fall_multiple: set.fall_multiple.max(1.0),
+            overload_window: set.overload_window.max(1),
+            overload_multiple: set.overload_multiple.max(1.0),
             recent: 0.0,
             last: 0,
             first: None,
-            place: set
-                .number
-                .map_or(point(mix(seed)), |number| (number as f64 * GOLDEN).fract()),
+            place: set.node_number.map_or(unit_interval(mix(seed)), |number| {
+                (number as f64 * GOLDEN).fract()
+            }),
         }
     }
 
@@ -77,7 +77,7 @@
     }
 
     fn faded(&self, age: Micros) -> f64 {
-        (-(age.max(0) as f64) / self.fall as f64).exp()
+        (-(age.max(0) as f64) / self.overload_window as f64).exp()
     }
 
     /// First attempts that this node may send a server of this warmth within the time to a fall, on average over the
@@ -89,7 +89,7 @@
         // Neither the arrival that asks nor the one that began the count tells how many come: at a node that has
         // just started they would be most of what it counts. One at least, or a quiet node would send none.
         let others = (self.recent * self.faded(now - self.last) - 1.0 - begun).max(1.0);
-        self.fall_multiple * grown * others / seen / servers.max(1) as f64
+        self.overload_multiple * grown * others / seen / servers.max(1) as f64
     }
 
     /// First attempts that this node may send a server (its `order`, when it started) within the time to a fall: the whole
@@ -104,12 +104,13 @@
     pub fn quota(&self, right: f64, order: u64, started: Option<Micros>, now: Micros) -> f64 {
         let age = started.map_or(0, |started| (now - started).max(0));
         let (slot, since) = (
-            age / (SLOT_FALLS * self.fall),
-            age % (SLOT_FALLS * self.fall),
+            age / (SLOT_FALLS * self.overload_window),
+            age % (SLOT_FALLS * self.overload_window),
         );
         let left = right.fract();
-        let turn = |slot: i64| (self.place + point(mix(order ^ mix(slot as u64)))).fract() < left;
-        let turn = turn(slot) && (since >= self.fall || slot == 0 || turn(slot - 1));
+        let turn =
+            |slot: i64| (self.place + unit_interval(mix(order ^ mix(slot as u64)))).fract() < left;
+        let turn = turn(slot) && (since >= self.overload_window || slot == 0 || turn(slot - 1));
         right.floor() + f64::from(u8::from(turn))
     }
 
@@ -118,7 +119,10 @@
     /// Guards against a bound that holds on average only: what is not used up of one second may not be sent on top of the
     /// next one's. At most the right of the last times to a fall is kept.
     pub fn use_up(&self, used: &mut VecDeque<Micros>, started: Option<Micros>, now: Micros) {
-        while used.front().is_some_and(|at| *at + self.fall <= now) {
+        while used
+            .front()
+            .is_some_and(|at| *at + self.overload_window <= now)
+        {
             used.pop_front();
         }
         if self.grown(started, now) < 1.0 {
@@ -131,7 +135,7 @@
         let lately = used
             .iter()
             .rev()
-            .take_while(|at| **at + self.fall > now)
+            .take_while(|at| **at + self.overload_window > now)
             .count();
         lately as f64 + 1.0 <= quota
     }
@@ -140,10 +144,10 @@
     pub fn grown(&self, started: Option<Micros>, now: Micros) -> f64 {
         let Some(started) = started else { return 1.0 };
         let age = (now - started).max(0);
-        if age >= self.cold {
+        if age >= self.warm_up_time {
             return 1.0;
         }
-        self.cold_from + (1.0 - self.cold_from) * age as f64 / self.cold as f64
+        self.cold_capacity + (1.0 - self.cold_capacity) * age as f64 / self.warm_up_time as f64
     }
 
     /// Whether the last look is too long ago.
@@ -181,5 +185,5 @@
 }
 
 #[cfg(test)]
-#[path = "warmth_tests.rs"]
+#[path = "slow_start_tests.rs"]
 mod tests;
--- a/crates/decision/src/warmth_tests.rs
+++ b/crates/decision/src/slow_start_tests.rs
@@ -2,13 +2,13 @@
 
 fn fleet(mean: f64) -> Fleet {
     Fleet {
-        cold: 24_000_000,
-        cold_from: 0.13,
+        warm_up_time: 24_000_000,
+        cold_capacity: 0.13,
         most: FALL_PART * 2.5,
         mean,
         looked: None,
-        fall: 2_000_000,
-        fall_multiple: 2.5,
+        overload_window: 2_000_000,
+        overload_multiple: 2.5,
         recent: 0.0,
         last: 0,
         first: None,
@@ -77,12 +77,13 @@
         for from in &sent {
             let within = sent
                 .iter()
-                .filter(|at| (*from..from + fleet.fall).contains(at))
+                .filter(|at| (*from..from + fleet.overload_window).contains(at))
                 .count();
             assert!(within as f64 <= right, "{within} from {from}");
         }
         assert!(
-            sent.len() as f64 >= (right * (10_000_000 - pause) as f64 / fleet.fall as f64).floor()
+            sent.len() as f64
+                >= (right * (10_000_000 - pause) as f64 / fleet.overload_window as f64).floor()
         );
         assert!(used.len() as f64 <= right);
     }
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/tenant_quota.rs
@@ -7,7 +7,7 @@
 //! Not guaranteed: where all tenants ask for more than their quotas in the same measure, or there is one alone, none is
 //! beyond its share here; what servers can't bear is refused by other decisions.
 
-use crate::interface::{Micros, Settings};
+use crate::api::{Micros, Settings};
 
 /// Tokens that are saved up at most, and in seconds of the even part's rate besides.
 const SAVED: f64 = 2.0;
--- a/crates/decision/src/fates.rs
+++ b/crates/decision/src/zone_health.rs
@@ -7,7 +7,7 @@
 //! row of which none was reached; the last zone is never lost. While one is lost, one of its servers is asked
 //! again after a pause that doubles up to `PAUSE_MOST`, whatever the traffic. No clock: time is an argument.
 
-use crate::interface::{Micros, ServerId};
+use crate::api::{Micros, ServerId};
 
 /// Different servers that must fail in a row.
 const SERVERS_LEAST: usize = 3;
@@ -134,5 +134,5 @@
 }
 
 #[cfg(test)]
-#[path = "fates_tests.rs"]
+#[path = "zone_health_tests.rs"]
 mod tests;
--- a/crates/decision/src/fates_tests.rs
+++ b/crates/decision/src/zone_health_tests.rs
@@ -91,7 +91,7 @@
 #[test]
 fn a_zone_with_one_sound_server_costs_few_requests() {
     const SERVERS: usize = 36;
-    let (mut fates, mut rng) = (two(), crate::draw::Rng(7));
+    let (mut fates, mut rng) = (two(), crate::rng::Rng(7));
     let (mut met, mut failed) = (0, 0);
     for step in 0..600 {
         let now = step * 100_000;
--- a/crates/decision/tests/cold.rs
+++ b/crates/decision/tests/cold.rs
@@ -1,7 +1,7 @@
 //! Nodes before a cold server whose range holds keys that are popular at all of them, three busy ones to three hundred quiet
 //! ones. None of the quiet ones has sent it enough to know; together they must not push it over.
 
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 #[allow(dead_code, reason = "each test file uses its part")]
@@ -17,7 +17,7 @@
 fn settings() -> Settings {
     Settings {
         nodes: NODES as usize,
-        ask: false,
+        poll: false,
         ..support::settings()
     }
 }
@@ -32,18 +32,18 @@
         let started = cold
             .filter(|(name, _)| *name == &*warm.server)
             .map(|(_, at)| at);
-        Entry { started, ..warm }
+        Endpoint { started, ..warm }
     };
     let set = Settings {
         nodes: nodes as usize,
-        number: Some(seed),
+        node_number: Some(seed),
         ..settings()
     };
     let mut node = Balancer::new(set, seed, 0).unwrap();
-    let list: Vec<Entry> = (0..servers).map(entry).collect();
+    let list: Vec<Endpoint> = (0..servers).map(entry).collect();
     node.handle(
         0,
-        Event::Servers(ListKind::Full, list.into()),
+        Event::EndpointList(EndpointListKind::Full, list.into()),
         &mut Vec::new(),
     );
     node
@@ -69,7 +69,7 @@
         Action::Send { server, .. } => Some(server.clone()),
         _ => None,
     })?;
-    let outcome = Event::Outcome {
+    let outcome = Event::AttemptEnded {
         request,
         server: server.clone(),
         attempt: 0,
@@ -91,7 +91,7 @@
     for seed in 1..=NODES {
         let mut node = node(seed, Some((&home, ran - age)));
         let (mut now, mut n) = ((seed as Micros * EVERY) / NODES as Micros, 0u64);
-        while now < ran + set.fall {
+        while now < ran + set.overload_window {
             n += 1;
             let popular = now >= ran && n.is_multiple_of(POPULAR);
             let other = format!("o{seed}-{n}");
@@ -100,7 +100,7 @@
             now += EVERY;
         }
     }
-    let mean = NODES as f64 * (set.fall / EVERY) as f64 / SERVERS as f64;
+    let mean = NODES as f64 * (set.overload_window / EVERY) as f64 / SERVERS as f64;
     f64::from(sends) / mean
 }
 
@@ -115,10 +115,10 @@
         (4_000_000, 5_000_000),
     ] {
         let set = settings();
-        let warmed = (age + set.fall / 2) as f64 / set.cold as f64;
-        let grown = set.cold_from + (1.0 - set.cold_from) * warmed;
+        let warmed = (age + set.overload_window / 2) as f64 / set.warm_up_time as f64;
+        let grown = set.cold_capacity + (1.0 - set.cold_capacity) * warmed;
         // Servers have a quarter to spare over what an average one is sent.
-        let bound = set.fall_multiple * grown * 1.25;
+        let bound = set.overload_multiple * grown * 1.25;
         let most = (0..8)
             .map(|n| sent(&format!("popular{n}"), ran, age))
             .fold(0.0, f64::max);
@@ -155,9 +155,12 @@
     fn budget(&self, now: Micros) -> f64 {
         let set = settings();
         let age = now - self.ran + self.age;
-        let grown = set.cold_from + (1.0 - set.cold_from) * age as f64 / set.cold as f64;
-        let mean = (self.nodes * set.fall as u64) as f64 / self.every as f64 / self.servers as f64;
-        set.fall_multiple * grown.min(1.0) * mean
+        let grown =
+            set.cold_capacity + (1.0 - set.cold_capacity) * age as f64 / set.warm_up_time as f64;
+        let mean = (self.nodes * set.overload_window as u64) as f64
+            / self.every as f64
+            / self.servers as f64;
+        set.overload_multiple * grown.min(1.0) * mean
     }
 
     /// When all nodes together sent to the server, for some seconds after the keys became popular.
@@ -199,7 +202,7 @@
 
     /// The most sent within the time to a fall, beside what is allowed: the budget and what is put down to chance.
     fn most(&self, seconds: i64) -> (usize, f64) {
-        let (sent, fall) = (self.sent(seconds), settings().fall);
+        let (sent, fall) = (self.sent(seconds), settings().overload_window);
         let within = |end: &Micros| {
             sent.iter()
                 .filter(|at| (end - fall + 1..=*end).contains(*at))
@@ -313,7 +316,7 @@
         .into_iter()
         .filter(|at| *at >= case.ran + 2_000_000)
         .count();
-    let able = case.budget(case.ran + 3_000_000) / settings().fall_multiple;
+    let able = case.budget(case.ran + 3_000_000) / settings().overload_multiple;
     assert!(
         sent as f64 > 0.8 * able,
         "{sent} sent, {able:.0} are what it bears"
--- a/crates/decision/tests/memory.rs
+++ b/crates/decision/tests/memory.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use serde_json::json;
-use sloewick_decision::interface::*;
-use sloewick_decision::Memory;
+use sloewick_decision::api::*;
+use sloewick_decision::Checkpoint;
 use support::Fleet;
 
 const SERVERS: usize = 12;
@@ -33,7 +33,7 @@
 /// Requests of the next five seconds whose key has another first server than before.
 fn moved(
     mut fleet: Fleet,
-    told: Option<(Micros, Memory)>,
+    told: Option<(Micros, Checkpoint)>,
     list: &[(usize, Option<Micros>)],
 ) -> u32 {
     fleet.next_process(told);
@@ -185,7 +185,7 @@
     ] {
         let mut spoilt = text.clone();
         *spoilt.pointer_mut(at).unwrap_or_else(|| panic!("{at}")) = value.clone();
-        let spoilt: Memory = serde_json::from_value(spoilt).unwrap();
+        let spoilt: Checkpoint = serde_json::from_value(spoilt).unwrap();
         assert!(spoilt.checked().is_none(), "{at} {value}");
     }
 }
--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outliers.rs
@@ -6,8 +6,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use sloewick_decision::interface::*;
-use sloewick_decision::outliers::{rendezvous, Asked, Outliers};
+use sloewick_decision::api::*;
+use sloewick_decision::outlier_detection::{rendezvous, Asked, Outliers};
 use support::Fleet;
 
 const SERVERS: usize = 12;
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -5,60 +5,64 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
-fn class(repeat: Repeat, scope: Scope, late_worth: f64) -> Class {
+fn class(
+    idempotency: Idempotency,
+    deduplication_scope: DeduplicationScope,
+    late_weight: f64,
+) -> Class {
     Class {
-        aim: 150_000,
-        aim_stretch: 0.0,
+        latency_objective: 150_000,
+        objective_per_work: 0.0,
         deadline: 600_000,
-        repeat,
-        scope,
-        window: 200_000,
-        worth: 1.0,
-        late_worth,
+        idempotency,
+        deduplication_scope,
+        deduplication_window: 200_000,
+        priority_weight: 1.0,
+        late_weight,
         stream: false,
     }
 }
 
-fn settings(second_copies: bool, mode: Mode, ask: bool) -> Settings {
+fn settings(hedging: bool, mode: CacheMode, poll: bool) -> Settings {
     Settings {
         classes: vec![
-            class(Repeat::Free, Scope::All, 0.3),
-            class(Repeat::Keyed, Scope::All, 0.3),
-            class(Repeat::Keyed, Scope::Zone, 0.3),
-            class(Repeat::Keyed, Scope::Cell, 0.0),
-            class(Repeat::Unsafe, Scope::All, 0.3),
+            class(Idempotency::Idempotent, DeduplicationScope::All, 0.3),
+            class(Idempotency::Keyed, DeduplicationScope::All, 0.3),
+            class(Idempotency::Keyed, DeduplicationScope::Zone, 0.3),
+            class(Idempotency::Keyed, DeduplicationScope::Cell, 0.0),
+            class(Idempotency::NonIdempotent, DeduplicationScope::All, 0.3),
         ],
         tenants: vec![Tenant {
             quota_per_s: 20.0,
             share: 1.0,
         }],
         nodes: 2,
-        number: None,
+        node_number: None,
         zone: Some(0),
-        ask,
-        ask_within: 10_000_000,
+        poll,
+        poll_within: 10_000_000,
         mode,
-        origin_kind: (mode == Mode::Aside).then_some(1),
-        origin_fall_multiple: 0.0,
-        weights: Weights::None,
-        by_work: false,
-        over_share_worth: 0.1,
+        origin_kind: (mode == CacheMode::CacheAside).then_some(1),
+        origin_overload_multiple: 0.0,
+        weights: WeightMeaning::None,
+        weight_by_work: false,
+        over_quota_weight: 0.1,
         tick: 2_000,
         max_attempts: 4,
-        max_open: 1000,
+        max_in_flight: 1000,
         cancel: true,
         probes: false,
-        second_copies,
+        hedging,
         max_retry_after: 1_000_000,
         connect_timeout: 75_000,
         drain_grace: 500_000,
-        cold_from: 0.2,
-        cold: 10_000_000,
-        fall_multiple: 3.0,
-        fall: 2_000_000,
+        cold_capacity: 0.2,
+        warm_up_time: 10_000_000,
+        overload_multiple: 3.0,
+        overload_window: 2_000_000,
         answer_slack: 8_000,
         price_cross_zone: 0.0,
         price_origin: 0.0,
@@ -81,7 +85,7 @@
     open: BTreeMap<RequestId, Open>,
     timers: BTreeMap<(Micros, u64), u64>,
     serial: u64,
-    listed: HashMap<ServerId, Entry>,
+    listed: HashMap<ServerId, Endpoint>,
     told_off: HashMap<ServerId, Micros>,
     calls: usize,
 }
@@ -89,12 +93,12 @@
 const STATUSES: [Status; 9] = [
     Status::Ok,
     Status::Error,
-    Status::Full,
+    Status::Rejected,
     Status::Timeout,
     Status::ConnectFailed,
     Status::Reset,
     Status::Cancelled,
-    Status::Moot,
+    Status::NotSent,
     Status::Miss,
 ];
 
@@ -114,8 +118,8 @@
         }
     }
 
-    fn entry(&self, i: u32, state: ServerState) -> Entry {
-        Entry {
+    fn entry(&self, i: u32, state: ServerState) -> Endpoint {
+        Endpoint {
             server: format!("srv{i}").into(),
             weight: 1.0,
             zone: Some((i % 2) as u16),
@@ -126,8 +130,8 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
-        if kind != ListKind::Delta {
+    fn list(&mut self, kind: EndpointListKind, entries: Vec<Endpoint>) {
+        if kind != EndpointListKind::Delta {
             for (id, _) in self
                 .listed
                 .iter()
@@ -144,7 +148,7 @@
                 self.told_off.entry(e.server.clone()).or_insert(self.now);
             }
         }
-        self.give(Event::Servers(kind, entries.into()));
+        self.give(Event::EndpointList(kind, entries.into()));
     }
 
     fn request(&mut self, class: usize, key: u32, budget: Micros) {
@@ -192,7 +196,7 @@
         o.attempts[attempt].2 = Some(status);
         o.closed |= status == Status::Ok;
         let (closed, server) = (o.closed, o.attempts[attempt].0.clone());
-        self.give(Event::Outcome {
+        self.give(Event::AttemptEnded {
             request: id,
             server,
             attempt,
@@ -213,7 +217,7 @@
             self.timers.remove(&(due, n));
             // Batches come a tick apart: the timer is delivered up to one late.
             self.now = self.now.max(due + self.set.tick);
-            self.give(Event::Timer(token));
+            self.give(Event::TimerExpired(token));
         }
         self.now = self.now.max(until);
         for o in self.open.values() {
@@ -256,10 +260,7 @@
                     );
                 }
                 let pending = o.attempts.iter().filter(|a| a.2.is_none()).count();
-                assert!(
-                    pending == 0 || self.set.second_copies,
-                    "two attempts at once"
-                );
+                assert!(pending == 0 || self.set.hedging, "two attempts at once");
                 let class = &self.set.classes[o.class];
                 for a in o
                     .attempts
@@ -267,22 +268,25 @@
                     .filter(|a| !a.2.is_some_and(Status::never_ran))
                 {
                     let from = &self.listed[&a.0];
-                    match class.repeat {
-                        Repeat::Free => {}
-                        Repeat::Unsafe => panic!("unsafe request sent again"),
-                        Repeat::Keyed => {
-                            assert!(now <= a.1 + class.window, "sent again after the window");
-                            match class.scope {
-                                Scope::All => {}
-                                Scope::Zone => assert_eq!(from.zone, to.zone),
-                                Scope::Cell => assert_eq!(from.cell, to.cell),
+                    match class.idempotency {
+                        Idempotency::Idempotent => {}
+                        Idempotency::NonIdempotent => panic!("unsafe request sent again"),
+                        Idempotency::Keyed => {
+                            assert!(
+                                now <= a.1 + class.deduplication_window,
+                                "sent again after the window"
+                            );
+                            match class.deduplication_scope {
+                                DeduplicationScope::All => {}
+                                DeduplicationScope::Zone => assert_eq!(from.zone, to.zone),
+                                DeduplicationScope::Cell => assert_eq!(from.cell, to.cell),
                             }
                         }
                     }
                 }
                 o.attempts.push((server, now, None, false));
             }
-            Action::Refuse { request, .. } => {
+            Action::Reject { request, .. } => {
                 let o = self
                     .open
                     .get_mut(&request)
@@ -293,8 +297,9 @@
                     .attempts
                     .iter()
                     .any(|a| !a.2.is_some_and(Status::never_ran));
-                let harmless = class.repeat == Repeat::Free
-                    || (class.repeat == Repeat::Keyed && class.scope == Scope::All);
+                let harmless = class.idempotency == Idempotency::Idempotent
+                    || (class.idempotency == Idempotency::Keyed
+                        && class.deduplication_scope == DeduplicationScope::All);
                 assert!(harmless || !ran, "refused what may have run");
                 assert!(
                     now <= o.deadline + self.set.answer_slack,
@@ -320,14 +325,14 @@
                     "cancelled what was never sent"
                 );
             }
-            Action::Timer { delay, token } => {
+            Action::SetTimer { delay, token } => {
                 assert!(delay >= 0);
                 self.serial += 1;
                 self.timers.insert((now + delay, self.serial), token);
             }
-            Action::Subscribe(_) | Action::FetchList => self.calls += 1,
+            Action::Subscribe(_) | Action::FetchEndpointList => self.calls += 1,
             Action::Probe(_) => assert!(self.set.probes),
-            Action::Close(_) | Action::Log(_) => {}
+            Action::CloseIdleConnections(_) | Action::Log(_) => {}
         }
     }
 
@@ -344,15 +349,22 @@
                 4..=7 => self.outcome(a, b),
                 8 => self.pass(i64::from(a % if b % 3 == 0 { 900_000 } else { 60_000 })),
                 9 => {
-                    let state = [ServerState::Live, ServerState::Draining, ServerState::Gone];
+                    let state = [
+                        ServerState::Live,
+                        ServerState::Draining,
+                        ServerState::Removed,
+                    ];
                     let e = self.entry(b % 8, state[(a % 3) as usize]);
-                    self.list(ListKind::Delta, if a % 7 == 0 { vec![] } else { vec![e] });
+                    self.list(
+                        EndpointListKind::Delta,
+                        if a % 7 == 0 { vec![] } else { vec![e] },
+                    );
                 }
                 10 => {
                     let kind = if a % 2 == 0 {
-                        ListKind::Full
+                        EndpointListKind::Full
                     } else {
-                        ListKind::Cached
+                        EndpointListKind::Cached
                     };
                     let entries = (0..8).filter(|i| b >> i & 1 == 1);
                     let entries = entries.map(|i| self.entry(i, ServerState::Live)).collect();
@@ -363,16 +375,16 @@
                     if a % 3 == 1 && !ids.is_empty() {
                         let id = ids.swap_remove(b as usize % ids.len());
                         self.open.get_mut(&id).unwrap().no_more = true;
-                        self.give(Event::NoMore(id.clone()));
+                        self.give(Event::StopAttempts(id.clone()));
                         let o = &self.open[&id];
                         let out = o.attempts.iter().any(|a| a.2.is_none());
                         assert!(o.closed || out, "nothing is out, and it has no answer");
                     } else if a % 3 == 0 && !ids.is_empty() {
                         let id = ids.swap_remove(b as usize % ids.len());
                         self.open.get_mut(&id).unwrap().closed = true;
-                        self.give(Event::ClientLeft(id));
+                        self.give(Event::ClientDisconnected(id));
                     } else {
-                        self.give(Event::ListFailed);
+                        self.give(Event::EndpointListFailed);
                     }
                 }
             }
@@ -405,7 +417,11 @@
     );
     runner
         .run(&case, |(copies, aside, ask, seed, ops)| {
-            let mode = if aside { Mode::Aside } else { Mode::Through };
+            let mode = if aside {
+                CacheMode::CacheAside
+            } else {
+                CacheMode::ReadThrough
+            };
             Node::new(settings(copies, mode, ask), seed).play(&ops);
             Ok(())
         })
@@ -424,8 +440,8 @@
         word(&["all", "zone", "cell"]),
         (0.0..20.0, 0.0..1.0, any::<bool>()),
     );
-    let class = class.prop_map(|(name, (aim, deadline, window), repeat, scope, (worth, late, stream))| {
-        serde_json::json!({"name": name, "aim": aim, "deadline": deadline, "window": window, "repeat": repeat,
+    let class = class.prop_map(|(name, (latency_objective, deadline, window), repeat, scope, (worth, late, stream))| {
+        serde_json::json!({"name": name, "aim": latency_objective, "deadline": deadline, "window": window, "repeat": repeat,
             "dedup_scope": scope, "worth": worth, "late_share": late, "stream": stream})
     });
     let realm = ("[a-z]{1,6}", 0.0..500.0, 0.0..1.0).prop_map(
@@ -498,7 +514,7 @@
 
 #[test]
 fn no_servers_known_still_answers() {
-    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     node.request(4, 1, 600_000);
     node.pass(1_000_000);
     assert!(node
@@ -509,18 +525,18 @@
 
 #[test]
 fn held_requests_go_out_when_a_server_appears() {
-    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     node.request(0, 1, 600_000);
     let e = node.entry(0, ServerState::Live);
-    node.list(ListKind::Delta, vec![e]);
+    node.list(EndpointListKind::Delta, vec![e]);
     assert!(node.open.values().all(|o| o.attempts.len() == 1));
 }
 
 #[test]
 fn a_miss_beside_the_caches_goes_to_the_origin_and_so_do_writes() {
-    let mut node = Node::new(settings(true, Mode::Aside, false), 1);
+    let mut node = Node::new(settings(true, CacheMode::CacheAside, false), 1);
     let list = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
-    node.list(ListKind::Full, list);
+    node.list(EndpointListKind::Full, list);
     node.request(0, 1, 600_000);
     node.outcome(0, 8);
     node.request(0, 3, 600_000);
@@ -536,30 +552,30 @@
 
 #[test]
 fn a_failed_list_call_is_repeated_inside_ask_within() {
-    let mut node = Node::new(settings(true, Mode::Through, true), 1);
+    let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     let e = node.entry(0, ServerState::Live);
-    node.list(ListKind::Cached, vec![e]);
-    node.pass(node.set.ask_within / 2);
+    node.list(EndpointListKind::Cached, vec![e]);
+    node.pass(node.set.poll_within / 2);
     assert_eq!(node.calls, 1);
     for _ in 0..6 {
         let before = node.calls;
-        node.give(Event::ListFailed);
-        node.pass(node.set.ask_within / 2);
+        node.give(Event::EndpointListFailed);
+        node.pass(node.set.poll_within / 2);
         assert_eq!(node.calls, before + 1);
     }
 }
 
 #[test]
 fn a_cold_server_gets_no_more_than_its_warm_up_allows() {
-    let mut set = settings(true, Mode::Through, false);
+    let mut set = settings(true, CacheMode::ReadThrough, false);
     set.classes.truncate(1);
     let mut node = Node::new(set, 3);
-    let mut list: Vec<Entry> = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
+    let mut list: Vec<Endpoint> = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
     node.now = 1_000_000;
     for e in &mut list {
         e.started = (&*e.server == "srv2").then_some(node.now);
     }
-    node.list(ListKind::Full, list);
+    node.list(EndpointListKind::Full, list);
     let (mut cold, mut all) = (0.0, 0.0);
     for i in 0..3000 {
         node.serial += 1;
@@ -586,6 +602,6 @@
         }
     }
     // As busy as the seven others.
-    let able = all / 8.0 * node.set.cold_from / ((7.0 + node.set.cold_from) / 8.0);
+    let able = all / 8.0 * node.set.cold_capacity / ((7.0 + node.set.cold_capacity) / 8.0);
     assert!(cold > 0.5 * able && cold < 1.2 * able, "{cold} of {all}");
 }
--- a/crates/decision/tests/share.rs
+++ b/crates/decision/tests/share.rs
@@ -1,6 +1,6 @@
 //! What a tenant may ask for at one node: beyond its share it is refused while the node is late, and only then.
 
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 #[allow(dead_code, reason = "each test file uses its part")]
@@ -21,10 +21,10 @@
         ..support::settings()
     };
     let mut node = Balancer::new(set, 7, 0).unwrap();
-    let list: Vec<Entry> = (0..12).map(|i| support::entry(i, None)).collect();
+    let list: Vec<Endpoint> = (0..12).map(|i| support::entry(i, None)).collect();
     node.handle(
         0,
-        Event::Servers(ListKind::Full, list.into()),
+        Event::EndpointList(EndpointListKind::Full, list.into()),
         &mut Vec::new(),
     );
     node
@@ -32,7 +32,7 @@
 
 /// Asks for twenty seconds, so many requests a second, each answered late and with this note; `tenant` tells whose the
 /// n-th is. For each tenant what it asked in the second half, and what was refused of that as beyond its share.
-fn refused(per_s: u64, note: Note, tenant: impl Fn(u64) -> usize) -> [(u32, u32); 2] {
+fn refused(per_s: u64, note: CacheResult, tenant: impl Fn(u64) -> usize) -> [(u32, u32); 2] {
     let (mut node, mut counts) = (node(), [(0, 0); 2]);
     let (class, requests) = (support::settings().classes[0].clone(), 20 * per_s);
     for n in 0..requests {
@@ -55,10 +55,12 @@
         counts[whose].0 += u32::from(counted);
         for action in actions {
             match action {
-                Action::Refuse { .. } if counted && node.why() == "share" => counts[whose].1 += 1,
+                Action::Reject { .. } if counted && node.decision_reason() == "share" => {
+                    counts[whose].1 += 1
+                }
                 Action::Send { server, .. } => {
-                    let latency = class.aim + class.aim / 10;
-                    let outcome = Event::Outcome {
+                    let latency = class.latency_objective + class.latency_objective / 10;
+                    let outcome = Event::AttemptEnded {
                         request: request.clone(),
                         server,
                         attempt: 0,
@@ -86,7 +88,7 @@
 // 5,376 on one play, while the tenants asked for no more than they may.
 #[test]
 fn a_node_that_sees_half_of_all_requests_calls_none_beyond_its_share() {
-    let counts = refused(50, Note::Hit, by_quota);
+    let counts = refused(50, CacheResult::Hit, by_quota);
     assert!(counts.iter().all(|(asked, _)| *asked >= 200), "{counts:?}");
     assert_eq!(counts.map(|(_, refused)| refused), [0, 0], "{counts:?}");
 }
@@ -94,7 +96,7 @@
 // Guards against a share that nobody is held to: who takes the other's part is refused beyond its own.
 #[test]
 fn a_tenant_that_takes_more_than_its_part_of_a_late_node_is_refused_beyond_it() {
-    let counts = refused(50, Note::Hit, |n| usize::from(n % 10 >= 1));
+    let counts = refused(50, CacheResult::Hit, |n| usize::from(n % 10 >= 1));
     let (asked, refused) = counts[1];
     let kept = f64::from(asked - refused) / f64::from(counts[0].0 + asked);
     assert!(
@@ -109,11 +111,15 @@
 #[test]
 fn answers_that_are_late_by_a_fetch_do_not_make_a_node_refuse() {
     let flood = |_| 1;
-    let (asked, hits) = refused(50, Note::Hit, flood)[1];
+    let (asked, hits) = refused(50, CacheResult::Hit, flood)[1];
     assert!(hits > asked / 4, "late hits: {hits} of {asked}");
-    assert_eq!(refused(50, Note::Miss, flood)[1].1, 0, "late fetches");
     assert_eq!(
-        refused(50, Note::MissFetching, flood)[1].1,
+        refused(50, CacheResult::Miss, flood)[1].1,
+        0,
+        "late fetches"
+    );
+    assert_eq!(
+        refused(50, CacheResult::MissFetching, flood)[1].1,
         0,
         "late joined fetches"
     );
--- a/crates/decision/tests/size.rs
+++ b/crates/decision/tests/size.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn the_module_keeps_its_size() {
-    let text = include_str!("../src/rules.rs");
+    let text = include_str!("../src/balancer.rs");
     let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
     assert!(
         (300..=1200).contains(&lines),
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use sloewick_decision::interface::*;
-use sloewick_decision::{Balancer, Memory};
+use sloewick_decision::api::*;
+use sloewick_decision::{Balancer, Checkpoint};
 
 /// Keys asked for, evenly.
 const KEYS: u64 = 400;
@@ -47,10 +47,10 @@
 impl Fleet {
     pub fn new(servers: usize, seed: u64) -> Fleet {
         let mut balancer = Balancer::new(settings(), seed, 0).unwrap();
-        let entries: Vec<Entry> = (0..servers).map(|i| entry(i, None)).collect();
+        let entries: Vec<Endpoint> = (0..servers).map(|i| entry(i, None)).collect();
         balancer.handle(
             0,
-            Event::Servers(ListKind::Full, entries.into()),
+            Event::EndpointList(EndpointListKind::Full, entries.into()),
             &mut Vec::new(),
         );
         Fleet {
@@ -77,27 +77,27 @@
     }
 
     /// What the node would tell the next process.
-    pub fn memory(&self) -> Memory {
-        self.balancer.remember(self.now)
+    pub fn memory(&self) -> Checkpoint {
+        self.balancer.checkpoint(self.now)
     }
 
     /// Another process goes on for the node, with what it is told and how long ago that was remembered.
-    pub fn next_process(&mut self, told: Option<(Micros, Memory)>) {
+    pub fn next_process(&mut self, told: Option<(Micros, Checkpoint)>) {
         self.balancer = Balancer::new(settings(), 99, self.now).unwrap();
         self.open.clear();
         self.due.clear();
         if let Some((age, memory)) = told {
-            self.balancer.recall(self.now, age, memory);
+            self.balancer.restore(self.now, age, memory);
         }
     }
 
     /// The list names these servers, with when each last started.
     pub fn list(&mut self, servers: &[(usize, Option<Micros>)]) {
-        let entries: Vec<Entry> = servers
+        let entries: Vec<Endpoint> = servers
             .iter()
             .map(|(i, started)| entry(*i, *started))
             .collect();
-        let news = Event::Servers(ListKind::Full, entries.into());
+        let news = Event::EndpointList(EndpointListKind::Full, entries.into());
         self.balancer.handle(self.now, news, &mut Vec::new());
     }
 
@@ -108,15 +108,15 @@
 
     /// The list tells that this server is gone, and then that it is there as before.
     pub fn leave_and_return(&mut self, server: usize) {
-        self.news(Entry {
-            state: ServerState::Gone,
+        self.news(Endpoint {
+            state: ServerState::Removed,
             ..entry(server, None)
         });
         self.news(entry(server, None));
     }
 
-    fn news(&mut self, entry: Entry) {
-        let news = Event::Servers(ListKind::Delta, [entry].into());
+    fn news(&mut self, entry: Endpoint) {
+        let news = Event::EndpointList(EndpointListKind::Delta, [entry].into());
         self.balancer.handle(self.now, news, &mut Vec::new());
     }
 
@@ -190,7 +190,7 @@
 
     fn happen(&mut self, due: Due, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
         match due {
-            Due::Timer(token) => self.give(Event::Timer(token), answer),
+            Due::Timer(token) => self.give(Event::TimerExpired(token), answer),
             Due::Outcome(request, attempt, server, status, latency) => {
                 let open = self.open.get(&request).copied();
                 let closed = status == Status::Ok && open.is_some();
@@ -200,7 +200,7 @@
                     (self.served, self.ended) = (self.served + 1, self.ended + 1);
                 }
                 self.give(
-                    Event::Outcome {
+                    Event::AttemptEnded {
                         request,
                         server,
                         attempt,
@@ -253,11 +253,11 @@
                     let due = Due::Outcome(request, attempt, server, status, latency);
                     self.due.insert((self.now + latency, self.serial), due);
                 }
-                Action::Timer { delay, token } => {
+                Action::SetTimer { delay, token } => {
                     self.due
                         .insert((self.now + delay, self.serial), Due::Timer(token));
                 }
-                Action::Refuse { request, .. } | Action::Fail { request } => {
+                Action::Reject { request, .. } | Action::Fail { request } => {
                     self.open.remove(&request);
                     self.ended += 1;
                 }
@@ -268,7 +268,7 @@
 
     /// Servers that keep only part of their keys.
     pub fn outliers(&self) -> Vec<usize> {
-        let kept = |i: &usize| self.balancer.kept(&entry(*i, None).server);
+        let kept = |i: &usize| self.balancer.retained_fraction(&entry(*i, None).server);
         (0..self.first.len()).filter(|i| kept(i) < 1.0).collect()
     }
 
@@ -294,8 +294,8 @@
     }
 }
 
-pub fn entry(i: usize, started: Option<Micros>) -> Entry {
-    Entry {
+pub fn entry(i: usize, started: Option<Micros>) -> Endpoint {
+    Endpoint {
         server: format!("srv{i}").into(),
         weight: 1.0,
         zone: Some(0),
@@ -316,41 +316,41 @@
 pub fn settings() -> Settings {
     Settings {
         classes: vec![Class {
-            aim: 150_000,
-            aim_stretch: 0.0,
+            latency_objective: 150_000,
+            objective_per_work: 0.0,
             deadline: 400_000,
-            repeat: Repeat::Free,
-            scope: Scope::All,
-            window: 10_000_000,
-            worth: 1.0,
-            late_worth: 0.0,
+            idempotency: Idempotency::Idempotent,
+            deduplication_scope: DeduplicationScope::All,
+            deduplication_window: 10_000_000,
+            priority_weight: 1.0,
+            late_weight: 0.0,
             stream: false,
         }],
         tenants: Vec::new(),
         nodes: 2,
-        number: None,
+        node_number: None,
         zone: Some(0),
-        ask: true,
-        ask_within: 10_000_000,
-        mode: Mode::Through,
+        poll: true,
+        poll_within: 10_000_000,
+        mode: CacheMode::ReadThrough,
         origin_kind: None,
-        origin_fall_multiple: 0.0,
-        weights: Weights::None,
-        by_work: false,
-        over_share_worth: 0.05,
+        origin_overload_multiple: 0.0,
+        weights: WeightMeaning::None,
+        weight_by_work: false,
+        over_quota_weight: 0.05,
         tick: 1_000,
         max_attempts: 5,
-        max_open: 1000,
+        max_in_flight: 1000,
         cancel: true,
         probes: false,
-        second_copies: true,
+        hedging: true,
         max_retry_after: 1_000_000,
         connect_timeout: 75_000,
         drain_grace: 2_000_000,
-        cold_from: 0.13,
-        cold: 24_000_000,
-        fall_multiple: 2.5,
-        fall: 2_000_000,
+        cold_capacity: 0.13,
+        warm_up_time: 24_000_000,
+        overload_multiple: 2.5,
+        overload_window: 2_000_000,
         answer_slack: 8_000,
         price_cross_zone: 0.0,
         price_origin: 0.0,
--- a/crates/lab/examples/cold.rs
+++ b/crates/fleet_model/examples/cold.rs
@@ -1,8 +1,8 @@
 //! Counts what all nodes together send to each cold server, beside what the settings allow it, by number of nodes: a zone
 //! with half of the servers is back cold, and then three in ten nodes start anew. Draws the fullest server, where a file is named.
 //!
-//!     cargo run --release -p sloewick-lab --example cold
-//!     cargo run --release -p sloewick-lab --example cold -- docs/cold-servers.svg
+//!     cargo run --release -p sloewick-fleet-model --example cold
+//!     cargo run --release -p sloewick-fleet-model --example cold -- docs/cold-servers.svg
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,9 +13,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1, Zipf};
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
-use sloewick_lab::Site;
+use sloewick_fleet_model::Site;
 
 const NODES: [usize; 5] = [3, 20, 30, 100, 300];
 const SERVERS: usize = 40;
@@ -32,8 +32,8 @@
 /// Every fifth node sees so many times what another sees.
 const BUSY: f64 = 4.0;
 
-fn entry(server: usize, started: Option<Micros>) -> Entry {
-    Entry {
+fn entry(server: usize, started: Option<Micros>) -> Endpoint {
+    Endpoint {
         server: format!("s{server}").into(),
         weight: 1.0,
         zone: Some(server as u16 % 2),
@@ -44,7 +44,7 @@
     }
 }
 
-fn list(cold: bool) -> Arc<[Entry]> {
+fn list(cold: bool) -> Arc<[Endpoint]> {
     (0..SERVERS)
         .map(|s| entry(s, (cold && s % 2 == 1).then_some(BACK)))
         .collect()
@@ -67,14 +67,14 @@
     };
     let node = |n: usize, start: u64, now: Micros| {
         let set = Settings {
-            number: Some(n as u64),
+            node_number: Some(n as u64),
             ..set.clone()
         };
         let seed = seed << 32 | start << 16 | n as u64;
         let mut node = Balancer::new(set, seed, now).expect("valid settings");
         node.handle(
             now,
-            Event::Servers(ListKind::Full, list(now >= BACK)),
+            Event::EndpointList(EndpointListKind::Full, list(now >= BACK)),
             &mut Vec::new(),
         );
         node
@@ -99,7 +99,7 @@
             for node in &mut fleet {
                 node.handle(
                     now,
-                    Event::Servers(ListKind::Full, list(true)),
+                    Event::EndpointList(EndpointListKind::Full, list(true)),
                     &mut Vec::new(),
                 );
             }
@@ -113,7 +113,7 @@
             let Some(Reverse((_, n, id, server))) = due.pop() else {
                 continue;
             };
-            let event = Event::Outcome {
+            let event = Event::AttemptEnded {
                 request: format!("r{id}").into(),
                 server: format!("s{server}").into(),
                 attempt: 0,
@@ -161,9 +161,9 @@
 impl Run {
     /// What the settings allow a cold server within the time to a fall, counted from what an average one is sent.
     fn budget(&self, now: Micros) -> f64 {
-        let warm = (now - BACK) as f64 / self.set.cold as f64;
-        let grown = (self.set.cold_from + (1.0 - self.set.cold_from) * warm).min(1.0);
-        self.set.fall_multiple * grown * RATE * self.set.fall as f64
+        let warm = (now - BACK) as f64 / self.set.warm_up_time as f64;
+        let grown = (self.set.cold_capacity + (1.0 - self.set.cold_capacity) * warm).min(1.0);
+        self.set.overload_multiple * grown * RATE * self.set.overload_window as f64
             / SECOND as f64
             / SERVERS as f64
     }
@@ -171,7 +171,7 @@
     /// For each quarter of a second that the zone is back: what each cold server was sent within the time to a fall, sorted.
     fn sums(&self) -> Vec<(Micros, Vec<f64>)> {
         let count = |sent: &Vec<Micros>, end: Micros| {
-            let from = (end - self.set.fall).max(BACK);
+            let from = (end - self.set.overload_window).max(BACK);
             (sent.partition_point(|at| *at <= end) - sent.partition_point(|at| *at <= from)) as f64
         };
         let times = (BACK + SECOND / 4..END).step_by(SECOND as usize / 4);
@@ -201,7 +201,7 @@
             over += sums.iter().filter(|sum| **sum > allowed).count();
             of += sums.len();
             given += sums[sums.len() / 2];
-            able += budget / run.set.fall_multiple;
+            able += budget / run.set.overload_multiple;
             let row = (
                 (end - BACK) as f64 / SECOND as f64,
                 fullest / budget,
--- a/crates/lab/examples/jam.rs
+++ b/crates/fleet_model/examples/jam.rs
@@ -1,8 +1,8 @@
 //! Prints what a fleet serves while its origin is slow, and after; and under loads of half to four times the usual.
 //!
-//!     cargo run --release -p sloewick-lab --example jam
+//!     cargo run --release -p sloewick-fleet-model --example jam
 
-use sloewick_lab::{Arm, Model, Site};
+use sloewick_fleet_model::{Arm, Model, Site};
 
 const SECOND: i64 = 1_000_000;
 const SEEDS: u64 = 4;
@@ -60,7 +60,7 @@
             1,
         );
         model.play(60);
-        let sum = |of: fn(&sloewick_lab::Second) -> u32| {
+        let sum = |of: fn(&sloewick_fleet_model::Second) -> u32| {
             model.seconds[20..].iter().map(of).sum::<u32>() / 40
         };
         println!(
--- a/crates/lab/examples/load.rs
+++ b/crates/fleet_model/examples/load.rs
@@ -1,13 +1,13 @@
 //! Prints what a fleet serves of loads that it can't bear, beside a policy that sees all; and which decisions gave up the rest.
 //! Draws it, where a file is named.
 //!
-//!     cargo run --release -p sloewick-lab --example load
-//!     cargo run --release -p sloewick-lab --example load -- docs/overload-load.svg
+//!     cargo run --release -p sloewick-fleet-model --example load
+//!     cargo run --release -p sloewick-fleet-model --example load -- docs/overload-load.svg
 
 use std::error::Error;
 
 use plotters::prelude::*;
-use sloewick_lab::{Arm, Model, Second, Site};
+use sloewick_fleet_model::{Arm, Model, Second, Site};
 
 const LOADS: [f64; 10] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 6.0, 8.0];
 const SECONDS: usize = 40;
--- a/crates/lab/src/model.rs
+++ b/crates/fleet_model/src/model.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1, Zipf};
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 /// What is played. Times are microseconds, work is for a core of speed 1.
@@ -216,7 +216,7 @@
     /// A fleet whose caches hold all keys.
     pub fn new(site: Site, arm: Arm, seed: u64) -> Model {
         let set = site.settings();
-        let entry = |i: usize| Entry {
+        let entry = |i: usize| Endpoint {
             server: format!("s{i}").into(),
             weight: 1.0,
             zone: None,
@@ -225,9 +225,9 @@
             started: None,
             cell: None,
         };
-        let list: Arc<[Entry]> = (0..site.servers).map(entry).collect();
+        let list: Arc<[Endpoint]> = (0..site.servers).map(entry).collect();
         let numbered = |n: usize| Settings {
-            number: Some(n as u64),
+            node_number: Some(n as u64),
             ..set.clone()
         };
         let node = |n: usize| {
@@ -235,7 +235,7 @@
                 Balancer::new(numbered(n), seed << 16 | n as u64, 0).expect("valid settings");
             node.handle(
                 0,
-                Event::Servers(ListKind::Full, list.clone()),
+                Event::EndpointList(EndpointListKind::Full, list.clone()),
                 &mut Vec::new(),
             );
             node
@@ -335,7 +335,7 @@
                 self.ask(node, key, false, false);
             }
             Due::Timer(usize::MAX, _) => self.restart(),
-            Due::Timer(node, token) => self.give(node, Event::Timer(token)),
+            Due::Timer(node, token) => self.give(node, Event::TimerExpired(token)),
             Due::Worked(server, run) if self.servers[server].run == run => {
                 if let Some(job) = self.servers[server].core.take() {
                     self.worked(job);
@@ -435,7 +435,7 @@
                 .min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let sound = || self.servers.iter().enumerate().skip(self.site.bad);
-        let aim = AIMS[usize::from(write)] as f64 - 2.0 * work;
+        let latency_objective = AIMS[usize::from(write)] as f64 - 2.0 * work;
         let keeper = (!write)
             .then(|| emptiest(&mut sound().filter(|(_, s)| s.kept.contains(&key))))
             .flatten();
@@ -449,9 +449,12 @@
         let free = emptiest(&mut sound().filter(|(_, s)| s.fetches < self.site.fetches));
         let fetcher = free.filter(|(_, wait)| {
             let spare = write || behind < SPARE * AIMS[WRITE] as f64;
-            spare && wait + at_origin < aim.min(self.site.fetch_time as f64)
+            spare && wait + at_origin < latency_objective.min(self.site.fetch_time as f64)
         });
-        match keeper.filter(|(_, wait)| *wait < aim).or(fetcher) {
+        match keeper
+            .filter(|(_, wait)| *wait < latency_objective)
+            .or(fetcher)
+        {
             Some((server, _)) => self.send(node, id, &format!("s{server}").into(), None),
             None => self.given_up(&id),
         }
@@ -470,8 +473,11 @@
                     server,
                     timeout,
                 } => self.send(node, request, &server, timeout),
-                Action::Refuse { request, .. } | Action::Fail { request } => {
-                    *self.why.entry(self.nodes[node].why()).or_default() += 1;
+                Action::Reject { request, .. } | Action::Fail { request } => {
+                    *self
+                        .why
+                        .entry(self.nodes[node].decision_reason())
+                        .or_default() += 1;
                     self.given_up(&request);
                 }
                 Action::Cancel { request, attempt } => {
@@ -482,7 +488,7 @@
                     let job = job.copied().or_else(|| self.closed(&request, attempt));
                     job.into_iter().for_each(|job| self.withdraw(job));
                 }
-                Action::Timer { delay, token } => self.plan(delay, Due::Timer(node, token)),
+                Action::SetTimer { delay, token } => self.plan(delay, Due::Timer(node, token)),
                 _ => {}
             }
         }
@@ -547,7 +553,7 @@
         self.plan(timeout.unwrap_or(left).min(left), Due::Over(job));
         if self.servers[server].queue.len() >= self.site.queue {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Full, None);
+            return self.answer(job, Status::Rejected, None);
         }
         self.servers[server].queue.push_back(job);
         if self.servers[server].core.is_none() {
@@ -586,11 +592,11 @@
         }
         if !write && self.servers[server].kept.contains(&key) {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Ok, Some(Note::Hit));
+            return self.answer(job, Status::Ok, Some(CacheResult::Hit));
         }
         if self.servers[server].fetches >= self.site.fetches {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Full, None);
+            return self.answer(job, Status::Rejected, None);
         }
         if self.origin.len() >= self.site.origin_queue {
             self.attempts[job].at = At::Done;
@@ -638,7 +644,7 @@
         if !write {
             self.servers[server].kept.insert(key);
         }
-        self.answer(job, Status::Ok, Some(Note::Miss));
+        self.answer(job, Status::Ok, Some(CacheResult::Miss));
     }
 
     /// The connection of an attempt is closed: what waits is dropped, work stops, a fetch fills no cache.
@@ -659,7 +665,7 @@
     }
 
     /// A server answers; the connection stays.
-    fn answer(&mut self, job: Job, status: Status, note: Option<Note>) {
+    fn answer(&mut self, job: Job, status: Status, note: Option<CacheResult>) {
         if !std::mem::replace(&mut self.attempts[job].awaited, false) {
             return;
         }
@@ -668,7 +674,7 @@
         self.outcome(job, status, note);
     }
 
-    fn outcome(&mut self, job: Job, status: Status, note: Option<Note>) {
+    fn outcome(&mut self, job: Job, status: Status, note: Option<CacheResult>) {
         let Attempt {
             node,
             ref request,
@@ -690,7 +696,7 @@
                 } else {
                     0
                 };
-                second.from_origin += u32::from(in_time && note == Some(Note::Miss));
+                second.from_origin += u32::from(in_time && note == Some(CacheResult::Miss));
             }
         }
         if self.arm == Arm::Seeing {
@@ -699,7 +705,7 @@
             }
             return;
         }
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded {
             request,
             server: format!("s{server}").into(),
             attempt: number,
@@ -716,47 +722,47 @@
 impl Site {
     /// What its nodes are told.
     pub fn settings(&self) -> Settings {
-        let class = |class: usize, worth: f64, repeat: Repeat| Class {
-            aim: AIMS[class],
-            aim_stretch: 0.0,
+        let class = |class: usize, priority_weight: f64, idempotency: Idempotency| Class {
+            latency_objective: AIMS[class],
+            objective_per_work: 0.0,
             deadline: DEADLINES[class],
-            repeat,
-            scope: Scope::All,
-            window: 10_000_000,
-            worth,
-            late_worth: 0.0,
+            idempotency,
+            deduplication_scope: DeduplicationScope::All,
+            deduplication_window: 10_000_000,
+            priority_weight,
+            late_weight: 0.0,
             stream: false,
         };
         Settings {
             classes: vec![
-                class(READ, 1.0, Repeat::Free),
-                class(WRITE, 10.0, Repeat::Keyed),
+                class(READ, 1.0, Idempotency::Idempotent),
+                class(WRITE, 10.0, Idempotency::Keyed),
             ],
             tenants: vec![],
             nodes: self.nodes,
-            number: None,
+            node_number: None,
             zone: None,
-            ask: false,
-            ask_within: 0,
-            mode: Mode::Through,
+            poll: false,
+            poll_within: 0,
+            mode: CacheMode::ReadThrough,
             origin_kind: None,
-            origin_fall_multiple: 0.0,
-            weights: Weights::None,
-            by_work: false,
-            over_share_worth: 0.1,
+            origin_overload_multiple: 0.0,
+            weights: WeightMeaning::None,
+            weight_by_work: false,
+            over_quota_weight: 0.1,
             tick: 2_000,
             max_attempts: 5,
-            max_open: 1_000,
+            max_in_flight: 1_000,
             cancel: true,
             probes: false,
-            second_copies: true,
+            hedging: true,
             max_retry_after: 1_000_000,
             connect_timeout: 75_000,
             drain_grace: 2_000_000,
-            cold_from: 0.2,
-            cold: 20_000_000,
-            fall_multiple: 2.5,
-            fall: 2_000_000,
+            cold_capacity: 0.2,
+            warm_up_time: 20_000_000,
+            overload_multiple: 2.5,
+            overload_window: 2_000_000,
             answer_slack: 8_000,
             price_cross_zone: 0.0,
             price_origin: 0.0,
--- a/crates/lab/tests/jam.rs
+++ b/crates/fleet_model/tests/jam.rs
@@ -1,7 +1,7 @@
 //! A jam behind the origin ends when its cause does. Sixty nodes before forty servers (and other sizes), on virtual time, from
 //! seeds. Verdicts are shares of worth over whole seconds.
 
-use sloewick_lab::{Arm, Model, Second, Site};
+use sloewick_fleet_model::{Arm, Model, Second, Site};
 
 const SECOND: i64 = 1_000_000;
 
--- a/crates/gateway/src/breaker.rs
+++ b/crates/gateway/src/circuit_breaker.rs
@@ -1,7 +1,7 @@
 //! When to cross, and how to come home: a circuit breaker with trial requests, a budget of crossings, and a share of
 //! local requests that grows as the local fleet warms.
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// Figures of the breaker.
 #[derive(Clone, Copy, Debug)]
@@ -165,5 +165,5 @@
 }
 
 #[cfg(test)]
-#[path = "breaker_tests.rs"]
+#[path = "circuit_breaker_tests.rs"]
 mod tests;
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -7,8 +7,8 @@
 use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
-use sloewick_memcache::ledger::{self, Key, Ledger, Verdict};
+use sloewick_decision::api::Micros;
+use sloewick_memcached::idempotency_ledger::{self, Key, Ledger, Verdict};
 
 /// What an arbiter may hold.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +20,7 @@
     /// Keys that are barred at once.
     pub barred: usize,
     /// Writes that crossed.
-    pub ledger: ledger::Limits,
+    pub ledger: idempotency_ledger::Limits,
 }
 
 /// What a near node is told that has a marked retry of a key which it doesn't know.
@@ -127,7 +127,7 @@
         }
         match self.ledger.ask(now, key, false) {
             Verdict::New => Run::Begin,
-            Verdict::Repeat { until } => Run::Again { until },
+            Verdict::Idempotency { until } => Run::Again { until },
             Verdict::Served(receipt) => Run::Served(receipt),
             Verdict::Unknown => Run::Unknown,
             Verdict::InHand | Verdict::Full => Run::Refuse,
--- a/crates/gateway/src/claims_tests.rs
+++ b/crates/gateway/src/claims_tests.rs
@@ -8,7 +8,7 @@
     wish: WISH,
     life: LIFE,
     barred: 8,
-    ledger: ledger::Limits {
+    ledger: idempotency_ledger::Limits {
         entries: 8,
         receipt: 16,
         window: 10_000,
--- a/crates/gateway/src/delay.rs
+++ b/crates/gateway/src/deadline.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// Round trips that count.
 const KEPT: usize = 10;
@@ -40,5 +40,5 @@
 }
 
 #[cfg(test)]
-#[path = "delay_tests.rs"]
+#[path = "deadline_tests.rs"]
 mod tests;
--- a/crates/gateway/src/leases.rs
+++ b/crates/gateway/src/leases.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// How far two clocks may run apart, in parts of a million; quartz keeps within 100.
 pub const DRIFT_MOST: Micros = 500;
--- a/crates/memcache/src/file.rs
+++ b/crates/memcached/src/config.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
-use sloewick_decision::interface::{Class, Micros, Repeat};
+use sloewick_decision::api::{Class, Idempotency, Micros};
 use sloewick_decision::settings::Names;
-use sloewick_settings::{read, Problem, Reader, Section};
+use sloewick_toml_config::{read, Problem, Reader, Section};
 
-use crate::ledger::Limits;
-use crate::routes::{KeyFrom, Operation, Pattern, Route, Table};
+use crate::idempotency_ledger::Limits;
+use crate::routing::{KeyFrom, Operation, Pattern, Route, Table};
 
 /// Longest value that may be let in: the RESP2 protocol's own limit.
 const VALUE_MOST: u32 = 4 << 20;
@@ -84,7 +84,11 @@
         // The shortest window of what is set by a key holds for all of it.
         let keyed = routes.iter().zip(&sections).filter_map(|(route, section)| {
             let class = classes.get(route.as_ref()?.class)?;
-            (class.repeat == Repeat::Keyed).then_some((route.as_ref()?, class.window, *section))
+            (class.idempotency == Idempotency::Keyed).then_some((
+                route.as_ref()?,
+                class.deduplication_window,
+                *section,
+            ))
         });
         let keyed: Vec<_> = keyed.collect();
         limits.window = keyed
@@ -262,5 +266,5 @@
 }
 
 #[cfg(test)]
-#[path = "file_tests.rs"]
+#[path = "config_tests.rs"]
 mod tests;
--- a/crates/memcache/src/ledger.rs
+++ b/crates/memcached/src/idempotency_ledger.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// An idempotency key.
 pub type Key = Arc<str>;
@@ -39,7 +39,7 @@
     /// Nothing of it is known to have run: pass it on.
     New,
     /// It may have run; the boxes drop it until then (on the node's clock): pass it on, no later.
-    Repeat { until: Micros },
+    Idempotency { until: Micros },
     /// It has been served, and the boxes may have forgotten it: answer with the receipt.
     Served(Bytes),
     /// It has been served, or may have run, with nothing more known, and the boxes may have forgotten it: fail.
@@ -86,7 +86,7 @@
         self.entries.is_empty()
     }
 
-    /// A request of this key has come. On [`Verdict::New`] and [`Verdict::Repeat`] it is in hand until
+    /// A request of this key has come. On [`Verdict::New`] and [`Verdict::Idempotency`] it is in hand until
     /// [`Ledger::ended`] is told.
     ///
     /// `old`: the key itself tells that it was made so long ago that boxes may have forgotten it. If nothing is known
@@ -103,7 +103,7 @@
                 }
                 (false, Some(since)) if now < until(since) => {
                     entry.in_hand = true;
-                    Verdict::Repeat {
+                    Verdict::Idempotency {
                         until: until(since),
                     }
                 }
@@ -214,5 +214,5 @@
 }
 
 #[cfg(test)]
-#[path = "ledger_tests.rs"]
+#[path = "idempotency_ledger_tests.rs"]
 mod tests;
--- a/crates/memcache/src/ledger_tests.rs
+++ b/crates/memcached/src/idempotency_ledger_tests.rs
@@ -27,7 +27,7 @@
     l.ended(200, &key(1), served("receipt"));
     assert_eq!(
         l.ask(9_099, &key(1), false),
-        Verdict::Repeat { until: 9_100 }
+        Verdict::Idempotency { until: 9_100 }
     );
     assert!(l.send(9_099, &key(1)));
     assert!(!l.send(9_100, &key(1)), "it would arrive too late");
@@ -137,7 +137,7 @@
             match what {
                 0..=2 if !in_hand.contains_key(&k) => {
                     let verdict = ledger.ask(now, &key(k), false);
-                    if matches!(verdict, Verdict::New | Verdict::Repeat { .. }) {
+                    if matches!(verdict, Verdict::New | Verdict::Idempotency { .. }) {
                         in_hand.insert(k, false);
                     }
                 }
--- a/crates/memcache/src/routes.rs
+++ b/crates/memcached/src/routing.rs
@@ -7,9 +7,9 @@
 use std::fmt;
 
 use sha2::{Digest, Sha256};
-use sloewick_decision::interface::{Class, Micros, Repeat, Scope};
+use sloewick_decision::api::{Class, DeduplicationScope, Idempotency, Micros};
 
-use crate::ledger::Key;
+use crate::idempotency_ledger::Key;
 
 /// Shortest and longest key that a client may put before a value, in bytes.
 pub const PREFIX: std::ops::RangeInclusive<usize> = 8..=64;
@@ -134,36 +134,40 @@
                 say("class", "is none of the settings' classes");
                 continue;
             };
-            match (route.operation, class.repeat, route.key_from) {
-                (Operation::Get, Repeat::Free, KeyFrom::None) => {}
-                (Operation::Get, Repeat::Free, _) => {
+            match (route.operation, class.idempotency, route.key_from) {
+                (Operation::Get, Idempotency::Idempotent, KeyFrom::None) => {}
+                (Operation::Get, Idempotency::Idempotent, _) => {
                     say("key_from", "a read has no idempotency key")
                 }
                 (Operation::Get, ..) => {
                     say("class", "a read needs a class that may be repeated freely")
                 }
-                (Operation::Set, Repeat::Free, _) => {
+                (Operation::Set, Idempotency::Idempotent, _) => {
                     say(
                         "class",
                         "a write must not be of a class that may be repeated freely",
                     );
                 }
-                (Operation::Set, Repeat::Keyed, KeyFrom::None) => {
+                (Operation::Set, Idempotency::Keyed, KeyFrom::None) => {
                     say(
                         "key_from",
                         "the class is keyed: say where its key comes from",
                     );
                 }
-                (Operation::Set, Repeat::Unsafe, _) if route.key_from != KeyFrom::None => {
+                (Operation::Set, Idempotency::NonIdempotent, _)
+                    if route.key_from != KeyFrom::None =>
+                {
                     say(
                         "key_from",
                         "the class may not be repeated: boxes drop nothing by this key",
                     );
                 }
-                (Operation::Set, Repeat::Keyed, _) if class.window <= margin => {
+                (Operation::Set, Idempotency::Keyed, _) if class.deduplication_window <= margin => {
                     say("class", "boxes forget its repeats before one could arrive");
                 }
-                (Operation::Set, Repeat::Keyed, _) if class.scope != Scope::All => {
+                (Operation::Set, Idempotency::Keyed, _)
+                    if class.deduplication_scope != DeduplicationScope::All =>
+                {
                     say(
                         "class",
                         "only part of the boxes drops its repeats: one on another connection may miss it",
@@ -256,5 +260,5 @@
 }
 
 #[cfg(test)]
-#[path = "routes_tests.rs"]
+#[path = "routing_tests.rs"]
 mod tests;
--- a/crates/memcache/src/routes_tests.rs
+++ b/crates/memcached/src/routing_tests.rs
@@ -1,24 +1,28 @@
 use super::*;
 use proptest::prelude::*;
 
-fn class(repeat: Repeat) -> Class {
+fn class(idempotency: Idempotency) -> Class {
     Class {
-        aim: 100_000,
-        aim_stretch: 0.0,
+        latency_objective: 100_000,
+        objective_per_work: 0.0,
         deadline: 400_000,
-        repeat,
-        scope: Scope::All,
-        window: 10_000_000,
-        worth: 1.0,
-        late_worth: 0.0,
+        idempotency,
+        deduplication_scope: DeduplicationScope::All,
+        deduplication_window: 10_000_000,
+        priority_weight: 1.0,
+        late_weight: 0.0,
         stream: false,
     }
 }
 
 fn classes() -> Vec<Class> {
-    [Repeat::Free, Repeat::Keyed, Repeat::Unsafe]
-        .map(class)
-        .to_vec()
+    [
+        Idempotency::Idempotent,
+        Idempotency::Keyed,
+        Idempotency::NonIdempotent,
+    ]
+    .map(class)
+    .to_vec()
 }
 
 fn route(operation: Operation, keys: &str, class: usize, key_from: KeyFrom) -> Route {
@@ -99,8 +103,8 @@
     );
     assert_eq!(short.unwrap_err()[0].field, "class");
     let part = Class {
-        scope: Scope::Zone,
-        ..class(Repeat::Keyed)
+        deduplication_scope: DeduplicationScope::Zone,
+        ..class(Idempotency::Keyed)
     };
     let part = Table::new(vec![route(Set, "*", 0, KeyFrom::Digest)], &[part], 0);
     assert_eq!(part.unwrap_err()[0].field, "class");
--- a/crates/memcache/src/outcomes.rs
+++ b/crates/memcached/src/status.rs
@@ -2,9 +2,9 @@
 //!
 //! The table errs to one side: where the specification leaves open whether a write took effect, it may have run.
 
-use sloewick_decision::interface::Status as Ended;
+use sloewick_decision::api::Status as Ended;
 
-use crate::routes::Operation;
+use crate::routing::Operation;
 
 /// How an attempt at a box that speaks the binary protocol ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +31,7 @@
         // A read-through box has asked the origin: there is none.
         (Operation::Get, 0x0001) => Outcome::NoValue,
         // Busy: turned away before it was looked at.
-        (_, 0x0085) => Outcome::Not(Ended::Full),
+        (_, 0x0085) => Outcome::Not(Ended::Rejected),
         // The box has read the request and will not do it: no such command, not supported, wrong arguments, too
         // large, another vbucket's, or not allowed. Nothing has run, and here it never will.
         (_, 0x0003 | 0x0004 | 0x0007 | 0x0008 | 0x0009 | 0x0081 | 0x0083) => {
@@ -44,5 +44,5 @@
 }
 
 #[cfg(test)]
-#[path = "outcomes_tests.rs"]
+#[path = "status_tests.rs"]
 mod tests;
--- a/crates/memcache/src/outcomes_tests.rs
+++ b/crates/memcached/src/status_tests.rs
@@ -21,6 +21,6 @@
 fn a_read_without_a_value_is_answered() {
     assert_eq!(outcome(Operation::Get, 1), Outcome::NoValue);
     assert_eq!(outcome(Operation::Get, 0), Outcome::Served);
-    assert_eq!(outcome(Operation::Get, 0x85), Outcome::Not(Ended::Full));
+    assert_eq!(outcome(Operation::Get, 0x85), Outcome::Not(Ended::Rejected));
     assert_eq!(outcome(Operation::Get, 0x82), Outcome::Not(Ended::Error));
 }
--- a/crates/node/src/addresses.rs
+++ b/crates/node/src/address_table.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use sloewick_decision::interface::{ServerId, ServerState};
-use sloewick_decision::settings::RawEntry;
+use sloewick_decision::api::{ServerId, ServerState};
+use sloewick_decision::settings::RawEndpoint;
 
 use crate::discovery::{Answer, Listed};
 
@@ -57,21 +57,21 @@
                 .iter_mut()
                 .find(|l| l.entry.server == server && l.address == address);
             match found {
-                Some(listed) => listed.entry.state = ServerState::Gone,
+                Some(listed) => listed.entry.state = ServerState::Removed,
                 None => answer.targets.push(gone(server, address)),
             }
         }
         if answer.all {
             answer
                 .targets
-                .retain(|l| l.entry.state != ServerState::Gone);
+                .retain(|l| l.entry.state != ServerState::Removed);
         }
     }
 }
 
 fn gone(server: ServerId, address: SocketAddr) -> Listed {
-    let state = ServerState::Gone;
-    let entry = RawEntry {
+    let state = ServerState::Removed;
+    let entry = RawEndpoint {
         server,
         weight: 1.0,
         zone: None,
@@ -88,5 +88,5 @@
 }
 
 #[cfg(test)]
-#[path = "addresses_tests.rs"]
+#[path = "address_table_tests.rs"]
 mod tests;
--- a/crates/node/src/addresses_tests.rs
+++ b/crates/node/src/address_table_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ServerState::{Draining, Gone, Live};
+use ServerState::{Draining, Live, Removed};
 
 fn list(all: bool, entries: &[(&str, u16, ServerState, i64)]) -> Answer {
     let listed = |(server, port, state, boot_ms): &(&str, u16, ServerState, i64)| {
@@ -35,11 +35,14 @@
         list(true, &[("old", 1, Live, 0), ("b", 2, Live, 0)]),
     );
     let got = settled(&mut a, list(false, &[("new", 1, Live, 9)]));
-    assert_eq!(got, [("new".to_string(), Live), ("old".to_string(), Gone)]);
+    assert_eq!(
+        got,
+        [("new".to_string(), Live), ("old".to_string(), Removed)]
+    );
     // The list goes on naming the dead one.
     assert_eq!(
         settled(&mut a, list(false, &[("old", 1, Live, 0)])),
-        [("old".to_string(), Gone)]
+        [("old".to_string(), Removed)]
     );
     let both = list(
         true,
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/admin.rs
@@ -5,30 +5,30 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_decision::interface::Micros;
-use sloewick_wire::http::{self, Refused};
+use sloewick_codec::http1::{self, Refused};
+use sloewick_decision::api::Micros;
 
-use crate::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
+use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
 
 /// Callers at a time; one more takes the place of the one that has been there longest without a whole call.
 pub const CALLERS: usize = 16;
 /// Time for a call, and for reading its answer.
 const CALL_MOST: Micros = 3_000_000;
 const READING_MOST: Micros = 1_000_000;
-/// Reads from one caller for one event; each brings up to [`crate::net::READ_MOST`] bytes.
+/// Reads from one caller for one event; each brings up to [`crate::transport::READ_MOST`] bytes.
 const READS_MOST: usize = 8;
 
 /// What operators may ask for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Call {
-    Ready,
+    ReadyEvent,
     Telemetry,
     Evacuate,
     Rejoin,
 }
 
 const CALLS: [(&str, &str, Call); 4] = [
-    ("GET", "/api/ready", Call::Ready),
+    ("GET", "/api/ready", Call::ReadyEvent),
     ("GET", "/api/telemetry", Call::Telemetry),
     ("POST", "/api/evacuate", Call::Evacuate),
     ("POST", "/api/rejoin", Call::Rejoin),
@@ -37,7 +37,7 @@
 struct Caller<S> {
     stream: S,
     buf: BytesMut,
-    out: Outbox,
+    out: WriteQueue,
     came: Micros,
     /// Answered then; from then on what comes is read and thrown away.
     answered: Option<Micros>,
@@ -45,7 +45,7 @@
 }
 
 /// The operators' listener and those who call.
-pub struct Ops<N: Net> {
+pub struct Ops<N: Transport> {
     listener: N::Listener,
     more: bool,
     callers: Slab<Caller<N::Stream>>,
@@ -55,7 +55,7 @@
 /// An answer's status and its text.
 pub type Answer = (u16, String);
 
-impl<N: Net> Ops<N> {
+impl<N: Transport> Ops<N> {
     pub fn new(listener: N::Listener, token: fn(usize) -> Token) -> Ops<N> {
         Ops {
             listener,
@@ -90,7 +90,7 @@
                     self.callers.insert(Caller {
                         stream,
                         buf: BytesMut::new(),
-                        out: Outbox::default(),
+                        out: WriteQueue::default(),
                         came: now,
                         answered: None,
                         ending: false,
@@ -107,7 +107,7 @@
     pub fn ready(
         &mut self,
         key: usize,
-        event: &Ready,
+        event: &ReadyEvent,
         now: Micros,
         scratch: &mut [u8],
         answer: impl FnOnce(Call) -> Answer,
@@ -120,19 +120,19 @@
         // holds up nobody, until the caller's time is over.
         for _ in 0..READS_MOST {
             match fill(&mut caller.stream, &mut caller.buf, scratch) {
-                Read1::Ended | Read1::Broke => ended = true,
-                Read1::Empty => {}
+                ReadOutcome::Ended | ReadOutcome::Broke => ended = true,
+                ReadOutcome::Empty => {}
                 _ if caller.answered.is_some() => {
                     caller.buf.clear();
                     continue;
                 }
-                _ if caller.buf.len() > http::HEAD_MOST => {}
+                _ if caller.buf.len() > http1::MAX_HEAD => {}
                 _ => continue,
             }
             break;
         }
         if caller.answered.is_none() {
-            let (status, text) = match http::request(&caller.buf, ended) {
+            let (status, text) = match http1::request(&caller.buf, ended) {
                 Ok(None) => return,
                 Ok(Some(head)) => match find(&head.method, &head.path) {
                     Ok(call) => answer(call),
@@ -141,7 +141,7 @@
                 Err(Refused::Unreadable) => (400, "this is no HTTP/1.1 request\n".to_string()),
                 Err(Refused::TooLong) => (
                     431,
-                    format!("a head has {} bytes at most\n", http::HEAD_MOST),
+                    format!("a head has {} bytes at most\n", http1::MAX_HEAD),
                 ),
             };
             caller.answer(status, &text, now);
@@ -177,7 +177,7 @@
     fn answer(&mut self, status: u16, text: &str, now: Micros) {
         self.answered = Some(now);
         self.buf.clear();
-        self.out.push(Bytes::from(http::answer(status, text)));
+        self.out.push(Bytes::from(http1::answer(status, text)));
     }
 
     /// Writes on; true when the connection is done with.
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -3,12 +3,12 @@
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::front::Protocol;
-use crate::net::{fill, Outbox, Read1, Stream};
-use sloewick_wire::memcache::{self, RequestReader};
-use sloewick_wire::resp::{Budget, Command, CommandReader};
+use crate::transport::{fill, ReadOutcome, Stream, WriteQueue};
+use sloewick_codec::memcached::{self, RequestReader};
+use sloewick_codec::resp2::{Budget, Command, CommandReader};
 
 /// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
 const PIPELINE_MOST: usize = 128;
@@ -33,7 +33,7 @@
 pub enum Slot {
     /// The request (its place) is being served.
     Waiting(usize),
-    Ready(Vec<Bytes>),
+    ReadyEvent(Vec<Bytes>),
     /// A long value passes through from an upstream connection; its first line, until that is written.
     Stream {
         request: usize,
@@ -63,7 +63,7 @@
     pub serial: u64,
     buf: BytesMut,
     reader: Reader,
-    pub out: Outbox,
+    pub out: WriteQueue,
     pub slots: VecDeque<Slot>,
     /// Number of the first slot.
     base: u64,
@@ -94,10 +94,10 @@
 /// What came of reading from a client.
 pub enum Input {
     Command(Command),
-    Request(memcache::Request),
+    Request(memcached::Request),
     Nothing,
     /// What comes can't be read on; the answer to what could still be told apart.
-    Broken(&'static str, Option<(u8, u32, memcache::Status)>),
+    DecodeError(&'static str, Option<(u8, u32, memcached::Status)>),
 }
 
 impl<S: Stream> Client<S> {
@@ -118,7 +118,7 @@
             serial,
             buf: BytesMut::new(),
             reader,
-            out: Outbox::default(),
+            out: WriteQueue::default(),
             slots: VecDeque::new(),
             base: 0,
             unread: true,
@@ -194,12 +194,12 @@
             let input = match &mut self.reader {
                 Reader::Resp(reader) => match reader.next(&mut self.buf, budget) {
                     Ok(command) => command.map(Input::Command),
-                    Err(broken) => return Input::Broken(broken.0, None),
+                    Err(broken) => return Input::DecodeError(broken.0, None),
                 },
                 Reader::Memcached(reader, most) => {
                     match reader.next(&mut self.buf, budget, *most) {
                         Ok(request) => request.map(Input::Request),
-                        Err(broken) => return Input::Broken(broken.why, broken.answer),
+                        Err(broken) => return Input::DecodeError(broken.why, broken.answer),
                     }
                 }
             };
@@ -213,21 +213,21 @@
                 break;
             }
             match fill(&mut self.stream, &mut self.buf, scratch) {
-                Read1::More => {}
+                ReadOutcome::More => {}
                 // A short read emptied the socket, but of an end behind it there is no second event.
-                Read1::Some => self.unread = self.closed,
-                Read1::Empty => {
+                ReadOutcome::Some => self.unread = self.closed,
+                ReadOutcome::Empty => {
                     self.unread = false;
                     break;
                 }
-                Read1::Ended | Read1::Broke => {
+                ReadOutcome::Ended | ReadOutcome::Broke => {
                     (self.unread, self.ended) = (false, true);
                     self.end_since.get_or_insert(now);
                     break;
                 }
             }
         }
-        if self.midway() {
+        if self.is_mid_message() {
             self.writing_since.get_or_insert(now);
         } else {
             // Idle connections hold no buffers.
@@ -236,10 +236,10 @@
         Input::Nothing
     }
 
-    fn midway(&self) -> bool {
+    fn is_mid_message(&self) -> bool {
         let reading = match &self.reader {
-            Reader::Resp(reader) => reader.midway(),
-            Reader::Memcached(reader, _) => reader.midway(),
+            Reader::Resp(reader) => reader.is_mid_message(),
+            Reader::Memcached(reader, _) => reader.is_mid_message(),
         };
         reading || !self.buf.is_empty()
     }
@@ -278,7 +278,7 @@
 
     /// Moves answers that are next in order on their way out.
     pub fn advance(&mut self) {
-        while let Some(Slot::Ready(chunks)) = self.slots.front_mut() {
+        while let Some(Slot::ReadyEvent(chunks)) = self.slots.front_mut() {
             std::mem::take(chunks)
                 .into_iter()
                 .for_each(|chunk| self.out.push(chunk));
@@ -321,7 +321,7 @@
 
     /// Nothing is owed to it, and it has not begun a command that this node has seen.
     pub fn idle(&self) -> bool {
-        self.closing == Closing::No && !self.ended && self.settled() && !self.midway()
+        self.closing == Closing::No && !self.ended && self.settled() && !self.is_mid_message()
     }
 
     /// Nothing is owed to it, and nothing of it waits in the kernel either. Guards against ending a connection
@@ -372,9 +372,11 @@
     fn drop_input(&mut self, scratch: &mut [u8]) {
         while self.unread {
             match fill(&mut self.stream, &mut self.buf, scratch) {
-                Read1::More | Read1::Some => self.buf.clear(),
-                Read1::Empty => self.unread = false,
-                Read1::Ended | Read1::Broke => (self.unread, self.ended) = (false, true),
+                ReadOutcome::More | ReadOutcome::Some => self.buf.clear(),
+                ReadOutcome::Empty => self.unread = false,
+                ReadOutcome::Ended | ReadOutcome::Broke => {
+                    (self.unread, self.ended) = (false, true)
+                }
             }
         }
     }
--- a/crates/node/src/client_tests.rs
+++ b/crates/node/src/client_tests.rs
@@ -72,7 +72,7 @@
 #[test]
 fn what_is_read_behind_the_end_of_sending_is_thrown_away_and_the_connection_ends_in_time() {
     let (mut client, pipe) = client();
-    client.push(Slot::Ready(vec![Bytes::from_static(b"+PONG\r\n")]));
+    client.push(Slot::ReadyEvent(vec![Bytes::from_static(b"+PONG\r\n")]));
     client.close_after_answers();
     client.advance();
     assert!(!client.finish(0), "its answer comes first");
@@ -121,7 +121,7 @@
     pipe.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
     pipe.0.borrow_mut().input_ended = true;
     assert!(matches!(next(&mut client, 50 * MS), Input::Command(_)));
-    client.push(Slot::Ready(vec![Bytes::from_static(b"+PONG\r\n")]));
+    client.push(Slot::ReadyEvent(vec![Bytes::from_static(b"+PONG\r\n")]));
     assert!(matches!(next(&mut client, 50 * MS), Input::Nothing));
     assert!(!client.finish(50 * MS), "its answer is owed");
     client.advance();
