--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use serde_json::Value;
-use sloewick_decision::settings::{self, Bad, Fields, Names};
+use sloewick_decision::settings::{self, Fields, Names, SettingsError};
 use sloewick_decision::Settings;
-use sloewick_memcache::file::{self, File};
-use sloewick_settings::Problem;
+use sloewick_memcached::config::{self as memcached_config, File};
+use sloewick_toml_config::Problem;
 
 use crate::discovery::{self, Answer};
 
@@ -43,9 +43,9 @@
 /// Used where the settings do not tell how long servers keep idle connections.
 const IDLE_USUAL: i64 = 10_000_000;
 
-pub fn read(path: &str) -> Result<Config, Bad> {
+pub fn read(path: &str) -> Result<Config, SettingsError> {
     let text = std::fs::read_to_string(path)
-        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
+        .map_err(|e| SettingsError::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
     parse(&text)
 }
 
@@ -54,7 +54,8 @@
 /// # Errors
 /// All that is wrong with it.
 pub fn memcached(config: &mut Config, text: &str) -> Result<(), Vec<Problem>> {
-    let file = file::parse(text, &config.names, &config.settings.classes, config.memory)?;
+    let file =
+        memcached_config::parse(text, &config.names, &config.settings.classes, config.memory)?;
     config.memcached = Some(file);
     Ok(())
 }
@@ -64,18 +65,20 @@
 ///
 /// # Errors
 /// The variable that is no address, or no descriptor beyond the standard streams.
-pub fn surroundings(config: &mut Config, var: impl Fn(&str) -> Option<String>) -> Result<(), Bad> {
+pub fn surroundings(
+    config: &mut Config,
+    var: impl Fn(&str) -> Option<String>,
+) -> Result<(), SettingsError> {
     if let (None, Some(text)) = (config.ops, var("BALANCER_OPS")) {
         let ops = text.parse();
-        config.ops =
-            Some(ops.map_err(|_| {
-                Bad::new("BALANCER_OPS", format!("{text:?} is no address and port"))
-            })?);
+        config.ops = Some(ops.map_err(|_| {
+            SettingsError::new("BALANCER_OPS", format!("{text:?} is no address and port"))
+        })?);
     }
     if let Some(text) = var("BALANCER_ACCEPT_FD") {
         let fd = text.parse().ok().filter(|fd| *fd > 2);
         let bad = || {
-            Bad::new(
+            SettingsError::new(
                 "BALANCER_ACCEPT_FD",
                 format!("{text:?} is no descriptor above 2"),
             )
@@ -86,7 +89,7 @@
 }
 
 /// Turns of neighbouring numbers lie far apart, and any number of nodes shares the time evenly. Without a number it is drawn.
-fn turn(settings: &Fields, seed: u64) -> Result<f64, Bad> {
+fn turn(settings: &Fields, seed: u64) -> Result<f64, SettingsError> {
     const GOLDEN: f64 = 0.618_033_988_749_894_9;
     let number = settings.opt("me").map(|_| settings.int("me")).transpose()?;
     Ok((number.map_or((seed >> 40) as f64, |n| n as f64) * GOLDEN).rem_euclid(1.0))
@@ -96,28 +99,28 @@
 ///
 /// # Errors
 /// The first field that is missing, of a wrong kind or beyond its bounds.
-pub fn parse(text: &str) -> Result<Config, Bad> {
+pub fn parse(text: &str) -> Result<Config, SettingsError> {
     let value: Value = serde_json::from_str(text)
-        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
+        .map_err(|e| SettingsError::new("BALANCER_CONFIG", format!("is not JSON: {e}")))?;
     let f = Fields::of(&value, "BALANCER_CONFIG")?;
     let address = |name: &str| {
         let text = f.text(name)?;
         text.parse()
-            .map_err(|_| Bad::new(name, format!("{text:?} is no address and port")))
+            .map_err(|_| SettingsError::new(name, format!("{text:?} is no address and port")))
     };
     let seed = f.text("seed")?;
-    let seed =
-        u64::from_str_radix(seed, 16).map_err(|_| Bad::new("seed", "is not 64 bits in hex"))?;
+    let seed = u64::from_str_radix(seed, 16)
+        .map_err(|_| SettingsError::new("seed", "is not 64 bits in hex"))?;
     let limits = Fields::of(f.get("limits")?, "limits")?;
     let at_least = |name: &str, least: i64| match limits.int(name)? {
         n if n >= least => Ok(n as usize),
-        n => Err(Bad::new(name, format!("{n} is below {least}"))),
+        n => Err(SettingsError::new(name, format!("{n} is below {least}"))),
     };
     let object = Fields::of(f.get("settings")?, "settings")?;
     let (settings, names) = settings::parse(&object)?;
     settings
         .validate()
-        .map_err(|e| Bad::new("settings", e.to_string()))?;
+        .map_err(|e| SettingsError::new("settings", e.to_string()))?;
     let idle = match object.opt("policy_limits") {
         Some(limits) => Fields::of(limits, "policy_limits")?.micros_or("conn_idle", IDLE_USUAL)?,
         None => IDLE_USUAL,
--- a/crates/node/src/check.rs
+++ b/crates/node/src/config_check.rs
@@ -344,8 +344,8 @@
             c.object(&path, class, GUARDED);
         }
         let number = |name: &str| class.get(name).and_then(Value::as_f64);
-        if let (Some(aim), Some(deadline)) = (number("aim"), number("deadline")) {
-            if aim > deadline {
+        if let (Some(latency_objective), Some(deadline)) = (number("aim"), number("deadline")) {
+            if latency_objective > deadline {
                 let why = format!("lies beyond the deadline, {deadline}: nobody waits so long");
                 c.add(
                     &format!("{path}.aim"),
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,12 +8,12 @@
 
 use bytes::{Bytes, BytesMut};
 use serde_json::Value;
-use sloewick_decision::interface::{Micros, ServerId, ServerState};
-use sloewick_decision::settings::{Bad, Fields, RawEntry};
-use sloewick_wire::http;
+use sloewick_codec::http1;
+use sloewick_decision::api::{Micros, ServerId, ServerState};
+use sloewick_decision::settings::{Fields, RawEndpoint, SettingsError};
 
-use crate::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
-use crate::timer::{Due, Timers};
+use crate::timers::{Due, Timers};
+use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
 
 /// How long a watch may wait at one service for all nodes, at the least and at the most. A call is dear to it, and silence
 /// shows only after the wait. Each node has a wait of its own between the two: silence that begins at all of them at once
@@ -55,11 +55,11 @@
 }
 
 impl Times {
-    /// `ask`: one service for all nodes; otherwise an agent beside each. `turn`: this node's part of what is spread over all
+    /// `poll`: one service for all nodes; otherwise an agent beside each. `turn`: this node's part of what is spread over all
     /// nodes, from 0 to 1.
-    pub fn new(ask: bool, grace: Micros, turn: f64) -> Times {
+    pub fn new(poll: bool, grace: Micros, turn: f64) -> Times {
         let again = (grace / 4).clamp(20_000, AGAIN_MOST);
-        if ask {
+        if poll {
             let spread = (WATCH_MOST - WATCH_LEAST) as f64 * (1.0 - turn.clamp(0.0, 1.0));
             let wait = (WATCH_LEAST + spread as Micros) / 1000 * 1000;
             return Times {
@@ -82,7 +82,7 @@
 
 /// One list entry and where it is reached from here.
 pub struct Listed {
-    pub entry: RawEntry,
+    pub entry: RawEndpoint,
     pub address: SocketAddr,
     /// Unix time of its last start in milliseconds; 0: long ago.
     pub boot_ms: i64,
@@ -96,7 +96,7 @@
 }
 
 /// Reads an answer's JSON.
-pub fn answer(value: &Value) -> Result<Answer, Bad> {
+pub fn answer(value: &Value) -> Result<Answer, SettingsError> {
     let f = Fields::of(value, "known")?;
     let targets = f
         .array("targets")?
@@ -110,7 +110,7 @@
     })
 }
 
-fn listed(value: &Value) -> Result<Listed, Bad> {
+fn listed(value: &Value) -> Result<Listed, SettingsError> {
     let f = Fields::of(value, "targets")?;
     let text = |name| {
         f.opt(name)
@@ -120,16 +120,21 @@
     let state = match f.text("state")? {
         "in_service" => ServerState::Live,
         "terminating" => ServerState::Draining,
-        "terminated" => ServerState::Gone,
-        other => return Err(Bad::new("state", format!("{other:?} is no server state"))),
+        "terminated" => ServerState::Removed,
+        other => {
+            return Err(SettingsError::new(
+                "state",
+                format!("{other:?} is no server state"),
+            ))
+        }
     };
     let server: ServerId = f.text("uid")?.into();
     let endpoint = f.text("endpoint")?;
-    let address = endpoint
-        .parse()
-        .map_err(|_| Bad::new("endpoint", format!("{endpoint:?} is no address and port")))?;
+    let address = endpoint.parse().map_err(|_| {
+        SettingsError::new("endpoint", format!("{endpoint:?} is no address and port"))
+    })?;
     let cell = f.opt("pod_group").map(|_| f.int("pod_group")).transpose()?;
-    let entry = RawEntry {
+    let entry = RawEndpoint {
         server,
         weight: f.number_or("capacity_hint", 1.0)?,
         zone: text("az")?,
@@ -169,7 +174,7 @@
 struct Call<S> {
     stream: S,
     what: What,
-    out: Outbox,
+    out: WriteQueue,
     buf: BytesMut,
     serial: u64,
     began: Micros,
@@ -257,7 +262,11 @@
     }
 
     /// Makes the call that is wanted, unless one is out.
-    pub fn go_on(&mut self, net: &mut impl Net<Stream = S>, timers: &mut Timers) -> Option<News> {
+    pub fn go_on(
+        &mut self,
+        net: &mut impl Transport<Stream = S>,
+        timers: &mut Timers,
+    ) -> Option<News> {
         let now = net.now();
         if self.call.is_some() || now < self.not_before || !(self.watching || self.whole_wanted) {
             return None;
@@ -276,7 +285,7 @@
         let Ok(stream) = opened else {
             return Some(self.failed("no connection", now, timers));
         };
-        let mut out = Outbox::default();
+        let mut out = WriteQueue::default();
         let host = self.address;
         out.push(Bytes::from(format!(
             "GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n"
@@ -313,7 +322,7 @@
 
     pub fn ready(
         &mut self,
-        event: &Ready,
+        event: &ReadyEvent,
         now: Micros,
         scratch: &mut [u8],
         timers: &mut Timers,
@@ -329,10 +338,10 @@
         let mut ended = false;
         loop {
             match fill(&mut call.stream, &mut call.buf, scratch) {
-                Read1::Ended => ended = true,
-                Read1::Broke => broke = true,
-                Read1::Empty => {}
-                _ if call.buf.len() > http::HEAD_MOST + http::BODY_MOST => {
+                ReadOutcome::Ended => ended = true,
+                ReadOutcome::Broke => broke = true,
+                ReadOutcome::Empty => {}
+                _ if call.buf.len() > http1::MAX_HEAD + http1::MAX_BODY => {
                     return Some(self.failed("answer too long", now, timers));
                 }
                 _ => continue,
@@ -340,7 +349,7 @@
             break;
         }
         // Guards against a cut list: a reset is no end, so that only an answer which tells where it ends can be whole.
-        match http::body(&call.buf, ended && !broke) {
+        match http1::body(&call.buf, ended && !broke) {
             Ok(None) if broke => Some(self.failed("connection broke", now, timers)),
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
--- a/crates/node/src/discovery_tests.rs
+++ b/crates/node/src/discovery_tests.rs
@@ -33,7 +33,7 @@
         let whole =
             format!("HTTP/1.1 200 OK\r\n{told}Connection: close\r\n\r\n{text}").into_bytes();
         let list = |bytes: &[u8]| {
-            let body = http::body(bytes, true).ok().flatten()?;
+            let body = http1::body(bytes, true).ok().flatten()?;
             answer(&serde_json::from_slice(&body).ok()?).ok()
         };
         assert_eq!(
@@ -54,7 +54,7 @@
 use std::io::{self, IoSlice};
 use std::rc::Rc;
 
-use crate::net::Told;
+use crate::transport::PendingSignals;
 
 const MS: Micros = 1_000;
 #[derive(Default)]
@@ -129,7 +129,7 @@
     opened: Vec<Rc<RefCell<Line>>>,
 }
 
-impl Net for FakeNet {
+impl Transport for FakeNet {
     type Stream = FakeStream;
     type Listener = ();
 
@@ -137,7 +137,7 @@
         self.now
     }
 
-    fn began_unix(&self) -> Micros {
+    fn unix_time_at_start(&self) -> Micros {
         0
     }
 
@@ -155,12 +155,12 @@
         Ok(FakeStream(line))
     }
 
-    fn poll(&mut self, _ready: &mut Vec<Ready>, _wait: Micros) -> io::Result<()> {
+    fn poll(&mut self, _ready: &mut Vec<ReadyEvent>, _wait: Micros) -> io::Result<()> {
         Ok(())
     }
 
-    fn told(&mut self) -> Told {
-        Told::default()
+    fn told(&mut self) -> PendingSignals {
+        PendingSignals::default()
     }
 
     fn log(&mut self, _line: &str) {}
@@ -181,7 +181,7 @@
         line.answer.extend(answer.bytes());
         (line.up, line.ended, line.broke) = (true, ended, broke);
     }
-    let event = Ready {
+    let event = ReadyEvent {
         token: 7,
         readable: true,
         writable: true,
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/event_trace.rs
@@ -6,9 +6,9 @@
 
 use std::fmt::Write as _;
 
-use sloewick_decision::interface::{Action, Event, Micros, ServerId};
+use sloewick_decision::api::{Action, Event, Micros, ServerId};
 
-use crate::net::Net;
+use crate::transport::Transport;
 
 /// What became of a connection to a cache server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,7 +40,7 @@
     }
 
     /// An event that goes into the module.
-    pub fn event<N: Net>(&self, net: &mut N, event: &Event) {
+    pub fn event<N: Transport>(&self, net: &mut N, event: &Event) {
         if !self.on {
             return;
         }
@@ -53,7 +53,7 @@
                     u8::from(r.write)
                 )
             }
-            Event::Outcome {
+            Event::AttemptEnded {
                 request,
                 server,
                 attempt,
@@ -63,29 +63,31 @@
                 ..
             } => {
                 let mut text = format!(
-                    "outcome id={request} n={attempt} server={server} us={latency} how={status:?}"
+                    "outcome id={request} n={attempt} server={server} us={latency} how={status}"
                 );
                 if let Some(note) = note {
                     let _ = write!(text, " note={note:?}");
                 }
                 text
             }
-            Event::Servers(kind, entries) => {
+            Event::EndpointList(kind, entries) => {
                 format!("list kind={kind:?} entries={}", entries.len())
             }
-            Event::ListFailed => "list kind=Failed entries=0".to_string(),
-            Event::ClientLeft(id) => format!("left id={id}"),
-            Event::NoMore(id) => format!("no-more id={id}"),
-            Event::Probed { server, status, .. } => {
-                format!("probed server={server} how={status:?}")
+            Event::EndpointListFailed => "list kind=Failed entries=0".to_string(),
+            Event::ClientDisconnected(id) => format!("left id={id}"),
+            Event::StopAttempts(id) => format!("no-more id={id}"),
+            Event::ProbeEnded { server, status, .. } => {
+                format!("probed server={server} how={status}")
+            }
+            Event::ResponseStarted { .. } | Event::TimerExpired(_) | Event::PeerMessage { .. } => {
+                return
             }
-            Event::Started { .. } | Event::Timer(_) | Event::Peer { .. } => return,
         };
         write(net, text);
     }
 
     /// An action of the module, and which of its decisions ended a request.
-    pub fn action<N: Net>(&self, net: &mut N, action: &Action, why: &str) {
+    pub fn action<N: Transport>(&self, net: &mut N, action: &Action, why: &str) {
         if !self.on {
             return;
         }
@@ -93,17 +95,17 @@
             Action::Send {
                 request, server, ..
             } => format!("send id={request} server={server}"),
-            Action::Refuse { request, .. } => format!("end id={request} how=refused why={why}"),
+            Action::Reject { request, .. } => format!("end id={request} how=refused why={why}"),
             Action::Fail { request } => format!("end id={request} how=failed why={why}"),
             Action::Subscribe(on) => format!("ask watch={}", u8::from(*on)),
-            Action::FetchList => "ask watch=0".to_string(),
+            Action::FetchEndpointList => "ask watch=0".to_string(),
             _ => return,
         };
         write(net, text);
     }
 
     /// What became of a connection.
-    pub fn step<N: Net>(&self, net: &mut N, server: &ServerId, step: Step) {
+    pub fn step<N: Transport>(&self, net: &mut N, server: &ServerId, step: Step) {
         let text = match step {
             Step::Up(took) => format!("conn server={server} step=Up us={took}"),
             step => format!("conn server={server} step={step:?}"),
@@ -112,7 +114,7 @@
     }
 }
 
-fn write<N: Net>(net: &mut N, text: String) {
+fn write<N: Transport>(net: &mut N, text: String) {
     let now = net.now();
     net.trace(&format!("trace t={now} {text}"));
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,9 +1,9 @@
 //! What a client's protocol makes of a final answer. The node decides what the answer is; here it is worded.
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
-use sloewick_wire::memcache::{self, Opcode, Response, Status};
-use sloewick_wire::resp::{put_bulk, put_head, WORD_MOST};
+use sloewick_codec::memcached::{self, Opcode, Response, Status};
+use sloewick_codec::resp2::{write_bulk, write_header, MAX_ARGUMENT};
+use sloewick_decision::api::Micros;
 
 /// The protocol that a peer speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,9 +42,9 @@
     /// The answer's bytes; nothing where the protocol has the client hear nothing.
     pub fn answer(self, key: &Bytes, end: Final) -> Vec<Bytes> {
         match (self, end) {
-            (Asked::Resp, Final::Value(value)) if value.len() <= WORD_MOST => {
+            (Asked::Resp, Final::Value(value)) if value.len() <= MAX_ARGUMENT => {
                 let mut out = Vec::with_capacity(16 + value.len());
-                put_bulk(&mut out, &value);
+                write_bulk(&mut out, &value);
                 vec![out.into()]
             }
             (Asked::Resp, Final::Value(value)) => {
@@ -61,12 +61,12 @@
                     Vec::new()
                 } else if !reads(opcode) {
                     let mut out = Vec::new();
-                    memcache::put_status(&mut out, opcode as u8, opaque, Status::Ok);
+                    memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
                     vec![out.into()]
-                } else if value.len() <= WORD_MOST {
+                } else if value.len() <= MAX_ARGUMENT {
                     let mut out =
-                        Vec::with_capacity(memcache::HEADER + 4 + key.len() + value.len());
-                    memcache::put_response_head(
+                        Vec::with_capacity(memcached::HEADER + 4 + key.len() + value.len());
+                    memcached::write_response_header(
                         &mut out,
                         &read_head(opcode, opaque, key),
                         value.len(),
@@ -101,7 +101,7 @@
             return Vec::new();
         }
         let mut out = Vec::new();
-        memcache::put_text(
+        memcached::write_text_response(
             &mut out,
             opcode as u8,
             opaque,
@@ -115,9 +115,9 @@
     pub fn head(self, key: &Bytes, len: usize) -> Bytes {
         let mut out = Vec::new();
         match self {
-            Asked::Resp => put_head(&mut out, b'$', len),
+            Asked::Resp => write_header(&mut out, b'$', len),
             Asked::Memcached { opcode, opaque } => {
-                memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), len);
+                memcached::write_response_header(&mut out, &read_head(opcode, opaque, key), len);
             }
         }
         out.into()
--- a/crates/node/src/front_tests.rs
+++ b/crates/node/src/front_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use bytes::BytesMut;
-use sloewick_wire::memcache::{Piece, ResponseReader};
+use sloewick_codec::memcached::{Piece, ResponseReader};
 
 fn told(opcode: Opcode, end: Final) -> Option<(u16, Vec<u8>, Vec<u8>)> {
     let asked = Asked::Memcached { opcode, opaque: 77 };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,19 +3,19 @@
 //! Everything that decides is in `sloewick-decision`; everything here does what that says and tells it what
 //! came of it.
 
-pub mod check;
 pub mod config;
+pub mod config_check;
 pub mod discovery;
-pub mod net;
+pub mod mio_transport;
 pub mod node;
-pub mod os;
+pub mod transport;
 
-mod addresses;
+mod address_table;
+mod admin;
 mod client;
-mod figures;
+mod event_trace;
 mod front;
 mod lifecycle;
-mod ops;
-pub mod timer;
-mod trace;
+mod metrics;
+pub mod timers;
 mod upstream;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -4,7 +4,7 @@
 //! bounded quiet time if nothing is asked on it; one that stops ends by a stated time whatever its clients do;
 //! a stop is never taken back, an evacuation can be.
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// How long connections are still accepted after SIGTERM where nobody else listens: they go on coming for 0.4 s.
 const ACCEPT_AFTER_STOP: Micros = 500_000;
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/metrics.rs
@@ -82,5 +82,5 @@
 }
 
 #[cfg(test)]
-#[path = "figures_tests.rs"]
+#[path = "metrics_tests.rs"]
 mod tests;
--- a/crates/node/src/os.rs
+++ b/crates/node/src/mio_transport.rs
@@ -11,10 +11,12 @@
 use mio::{Events, Interest, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use sloewick_decision::interface::Micros;
-use sloewick_store::{Folder, Keeper};
+use sloewick_decision::api::Micros;
+use sloewick_snapshot::{SnapshotFile, SnapshotWriter};
 
-use crate::net::{Keeping, Net, Ready, Stream, Token, Told, SIGNALS};
+use crate::transport::{
+    PendingSignals, ReadyEvent, SnapshotSave, Stream, Token, Transport, SIGNALS,
+};
 
 const BACKLOG: i32 = 1024;
 /// How long an address that is taken is waited for, and how often it is looked at. The process before may be ending still:
@@ -33,13 +35,13 @@
 
 /// Tells a node on a thread of its own what a process is told by signals. It is heard at the next poll.
 #[derive(Debug, Default)]
-pub struct Remote {
+pub struct RemoteSignals {
     reload: AtomicBool,
     stop: AtomicBool,
 }
 
-impl Remote {
-    pub fn tell(&self, told: Told) {
+impl RemoteSignals {
+    pub fn tell(&self, told: PendingSignals) {
         self.reload.fetch_or(told.reload, Ordering::Relaxed);
         self.stop.fetch_or(told.stop, Ordering::Relaxed);
     }
@@ -50,23 +52,23 @@
 }
 
 /// The system, for one process or one of its threads.
-pub struct Os {
+pub struct MioTransport {
     poll: Poll,
     events: Events,
     signals: Option<Signals>,
-    remote: Option<Arc<Remote>>,
-    kept: Option<(Folder, Keeper)>,
+    remote: Option<Arc<RemoteSignals>>,
+    kept: Option<(SnapshotFile, SnapshotWriter)>,
     began: Instant,
-    began_unix: Micros,
+    unix_time_at_start: Micros,
 }
 
-impl Os {
+impl MioTransport {
     /// For a process of its own: SIGHUP, SIGTERM and SIGINT are taken.
     ///
     /// # Errors
     /// The system's, when it has no room for a poll or for the signals.
-    pub fn with_signals() -> io::Result<Os> {
-        let mut os = Os::new()?;
+    pub fn with_signals() -> io::Result<MioTransport> {
+        let mut os = MioTransport::new()?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
         os.poll
             .registry()
@@ -80,8 +82,8 @@
     /// # Errors
     /// The system's, when it has no room for a thread.
     pub fn keep_in(&mut self, folder: &Path) -> io::Result<()> {
-        let folder = Folder::new(folder, KEPT_NAME, KEPT_MOST);
-        self.kept = Some((folder.clone(), Keeper::start(folder)?));
+        let folder = SnapshotFile::new(folder, KEPT_NAME, KEPT_MOST);
+        self.kept = Some((folder.clone(), SnapshotWriter::start(folder)?));
         Ok(())
     }
 
@@ -89,10 +91,10 @@
     ///
     /// # Errors
     /// The system's, when it has no room for a poll.
-    pub fn remote(remote: Arc<Remote>) -> io::Result<Os> {
-        Ok(Os {
+    pub fn remote(remote: Arc<RemoteSignals>) -> io::Result<MioTransport> {
+        Ok(MioTransport {
             remote: Some(remote),
-            ..Os::new()?
+            ..MioTransport::new()?
         })
     }
 
@@ -100,18 +102,18 @@
     ///
     /// # Errors
     /// The system's, when it has no room for a poll.
-    pub fn new() -> io::Result<Os> {
+    pub fn new() -> io::Result<MioTransport> {
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |d| d.as_micros() as i64);
-        Ok(Os {
+        Ok(MioTransport {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS),
             signals: None,
             remote: None,
             kept: None,
             began: Instant::now(),
-            began_unix: unix,
+            unix_time_at_start: unix,
         })
     }
 }
@@ -127,7 +129,7 @@
     Ok(socket)
 }
 
-impl Net for Os {
+impl Transport for MioTransport {
     type Stream = TcpStream;
     type Listener = TcpListener;
 
@@ -135,8 +137,8 @@
         self.began.elapsed().as_micros() as Micros
     }
 
-    fn began_unix(&self) -> Micros {
-        self.began_unix
+    fn unix_time_at_start(&self) -> Micros {
+        self.unix_time_at_start
     }
 
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<TcpListener> {
@@ -199,7 +201,7 @@
         Ok(stream)
     }
 
-    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
+    fn poll(&mut self, ready: &mut Vec<ReadyEvent>, wait: Micros) -> io::Result<()> {
         ready.clear();
         match self.poll.poll(
             &mut self.events,
@@ -208,7 +210,7 @@
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
             done => done?,
         }
-        ready.extend(self.events.iter().map(|e| Ready {
+        ready.extend(self.events.iter().map(|e| ReadyEvent {
             token: e.token().0,
             readable: e.is_readable(),
             writable: e.is_writable(),
@@ -217,7 +219,7 @@
         }));
         if self.remote.as_ref().is_some_and(|remote| remote.waits()) {
             let token = SIGNALS;
-            ready.push(Ready {
+            ready.push(ReadyEvent {
                 token,
                 readable: true,
                 writable: false,
@@ -228,21 +230,21 @@
         Ok(())
     }
 
-    fn told(&mut self) -> Told {
+    fn told(&mut self) -> PendingSignals {
         if let Some(remote) = &self.remote {
             let (reload, stop) = (&remote.reload, &remote.stop);
-            return Told {
+            return PendingSignals {
                 reload: reload.swap(false, Ordering::Relaxed),
                 stop: stop.swap(false, Ordering::Relaxed),
             };
         }
         let came = self.signals.iter_mut().flat_map(|s| s.pending());
-        came.fold(Told::default(), |told, signal| match signal {
-            SIGHUP => Told {
+        came.fold(PendingSignals::default(), |told, signal| match signal {
+            SIGHUP => PendingSignals {
                 reload: true,
                 ..told
             },
-            _ => Told { stop: true, ..told },
+            _ => PendingSignals { stop: true, ..told },
         })
     }
 
@@ -252,15 +254,15 @@
             .map_or(Ok(None), |(folder, _)| folder.read())
     }
 
-    fn keep(&mut self, snapshot: Vec<u8>) -> Keeping {
+    fn keep(&mut self, snapshot: Vec<u8>) -> SnapshotSave {
         let Some((_, keeper)) = &self.kept else {
-            return Keeping::Nowhere;
+            return SnapshotSave::Nowhere;
         };
         let taken = keeper.offer(snapshot);
         match keeper.trouble() {
-            Some(why) => Keeping::Failed(why),
-            None if taken => Keeping::Begun,
-            None => Keeping::Busy,
+            Some(why) => SnapshotSave::Failed(why),
+            None if taken => SnapshotSave::Begun,
+            None => SnapshotSave::Busy,
         }
     }
 
@@ -275,7 +277,7 @@
     }
 }
 
-impl Os {
+impl MioTransport {
     /// A line to standard error, unless that would wait.
     fn put_line(&mut self, line: &str, most: usize) {
         if self.remote.is_some() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,39 +10,40 @@
 
 use bytes::Bytes;
 use slab::Slab;
-use sloewick_decision::interface::{
-    Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
+use sloewick_decision::api::{
+    Action, CacheResult, EndpointListKind, Event, LoadReport, Micros, Request, RequestId, ServerId,
+    ServerState, Status,
 };
-use sloewick_decision::settings::{Bad, Names};
-use sloewick_decision::{Balancer, Memory};
+use sloewick_decision::settings::{Names, SettingsError};
+use sloewick_decision::{Balancer, Checkpoint};
 
-use crate::addresses::Addresses;
+use crate::address_table::Addresses;
+use crate::admin::{Ops, CALLERS};
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News, Times};
-use crate::figures::Figures;
+use crate::event_trace::Trace;
 use crate::front::{Asked, Final, Protocol};
 use crate::lifecycle::{Accept, Lifecycle};
-use crate::net::{Log, Net, Ready, Token, READ_MOST, SIGNALS};
-use crate::ops::{Ops, CALLERS};
-use crate::timer::{Due, Timers};
-use crate::trace::Trace;
+use crate::metrics::Figures;
+use crate::timers::{Due, Timers};
+use crate::transport::{Log, ReadyEvent, Token, Transport, READ_MOST, SIGNALS};
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
-use sloewick_memcache::outcomes::{outcome, Outcome};
-use sloewick_memcache::routes::Operation;
-use sloewick_wire::memcache;
-use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
+use sloewick_codec::memcached;
+use sloewick_codec::resp2::{write_bulk, write_header, Budget, Command, Part, Reply, MAX_ARGUMENT};
+use sloewick_memcached::routing::Operation;
+use sloewick_memcached::status::{outcome, Outcome};
 
 mod disconnects;
 mod doors;
 mod handover;
-mod memcached;
+mod memcached_requests;
 mod operating;
 
 use disconnects::{Sight, WAIT_OPEN};
 use doors::{Door, Shares, PROCESSES};
 use handover::Handover;
-use memcached::{Keyed, Memcached};
+use memcached_requests::{Keyed, Memcached};
 
 const LISTENER: Token = 0;
 const DISCOVERY: Token = 2;
@@ -122,82 +123,82 @@
 }
 
 /// Where the configuration comes from when it is read again.
-pub type Source = Box<dyn FnMut() -> Result<Config, Bad>>;
+pub type Source = Box<dyn FnMut() -> Result<Config, SettingsError>>;
 
 /// What decides: events in, actions out, time as an argument, no I/O.
-pub trait Module {
+pub trait DecisionEngine {
     /// Takes up an event at this time; what is to be done is added to `actions`.
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
 
     /// Whether a listed server gets nothing now. A module that does not tell avoids none.
-    fn avoids(&self, _now: Micros, _server: &ServerId) -> bool {
+    fn is_unavailable(&self, _now: Micros, _server: &ServerId) -> bool {
         false
     }
 
     /// Part of its keys that a listed server keeps. A module that does not tell leaves all to each.
-    fn kept(&self, _server: &ServerId) -> f64 {
+    fn retained_fraction(&self, _server: &ServerId) -> f64 {
         1.0
     }
 
     /// Whether it takes the origin behind the servers for jammed. A module that does not tell never does.
-    fn jam(&self, _now: Micros) -> bool {
+    fn origin_overloaded(&self, _now: Micros) -> bool {
         false
     }
 
     /// Which decision gave the last final answer. A module that does not tell gives none.
-    fn why(&self) -> &'static str {
+    fn decision_reason(&self) -> &'static str {
         "untold"
     }
 
     /// Whether an attempt that has waited for its connection is to be written now. A module that does not tell lets all go.
-    fn goes(&self, _now: Micros, _request: &RequestId, _attempt: usize) -> bool {
+    fn may_start_attempt(&self, _now: Micros, _request: &RequestId, _attempt: usize) -> bool {
         true
     }
 
     /// What the next process of this node is told. A module that does not tell leaves it to learn all anew.
-    fn remember(&self, _now: Micros) -> Option<Memory> {
+    fn checkpoint(&self, _now: Micros) -> Option<Checkpoint> {
         None
     }
 
     /// Takes up what an earlier process remembered so long ago, before any list has come.
-    fn recall(&mut self, _now: Micros, _age: Micros, _memory: Memory) {}
+    fn restore(&mut self, _now: Micros, _age: Micros, _memory: Checkpoint) {}
 }
 
-impl Module for Balancer {
+impl DecisionEngine for Balancer {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
 
-    fn avoids(&self, now: Micros, server: &ServerId) -> bool {
-        Balancer::avoids(self, now, server)
+    fn is_unavailable(&self, now: Micros, server: &ServerId) -> bool {
+        Balancer::is_unavailable(self, now, server)
     }
 
-    fn kept(&self, server: &ServerId) -> f64 {
-        Balancer::kept(self, server)
+    fn retained_fraction(&self, server: &ServerId) -> f64 {
+        Balancer::retained_fraction(self, server)
     }
 
-    fn jam(&self, now: Micros) -> bool {
-        Balancer::jam(self, now)
+    fn origin_overloaded(&self, now: Micros) -> bool {
+        Balancer::origin_overloaded(self, now)
     }
 
-    fn why(&self) -> &'static str {
-        Balancer::why(self)
+    fn decision_reason(&self) -> &'static str {
+        Balancer::decision_reason(self)
     }
 
-    fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
-        Balancer::goes(self, now, request, attempt)
+    fn may_start_attempt(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+        Balancer::may_start_attempt(self, now, request, attempt)
     }
 
-    fn remember(&self, now: Micros) -> Option<Memory> {
-        Some(Balancer::remember(self, now))
+    fn checkpoint(&self, now: Micros) -> Option<Checkpoint> {
+        Some(Balancer::checkpoint(self, now))
     }
 
-    fn recall(&mut self, now: Micros, age: Micros, memory: Memory) {
-        Balancer::recall(self, now, age, memory);
+    fn restore(&mut self, now: Micros, age: Micros, memory: Checkpoint) {
+        Balancer::restore(self, now, age, memory);
     }
 }
 
-pub struct Node<N: Net, M: Module = Balancer> {
+pub struct Node<N: Transport, M: DecisionEngine = Balancer> {
     net: N,
     /// Read again on SIGHUP.
     source: Source,
@@ -205,10 +206,10 @@
     ops: Option<Ops<N>>,
     figures: Figures,
     memcached: Option<Memcached>,
-    ready: Vec<Ready>,
+    ready: Vec<ReadyEvent>,
     module: M,
     names: Names,
-    max_open: usize,
+    max_in_flight: usize,
     longest: Micros,
     probe_load: bool,
     queue: VecDeque<Event>,
@@ -233,7 +234,7 @@
     /// Servers that were logged as outliers.
     outliers: BTreeSet<ServerId>,
     /// Whether a jam was logged that was not over then.
-    jam: bool,
+    origin_overloaded: bool,
     /// Where two processes may serve side by side: what the next one is told.
     handover: Option<Handover>,
     trace: Trace,
@@ -247,22 +248,22 @@
     FIRST + 2 * key + 1
 }
 
-impl<N: Net> Node<N> {
+impl<N: Transport> Node<N> {
     /// A node that listens and holds the list that it was told; [`Node::run`] or [`Node::turn`] serve.
     ///
     /// # Errors
     /// Its address cannot be listened on, or its settings do not fit together.
     pub fn new(config: Config, net: N, source: Source) -> io::Result<Node<N>> {
-        Node::with_module(config, net, source, |balancer| balancer)
+        Node::with_engine(config, net, source, |balancer| balancer)
     }
 }
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// A node whose decisions pass through what `wrap` makes of the module.
     ///
     /// # Errors
     /// As [`Node::new`].
-    pub fn with_module(
+    pub fn with_engine(
         config: Config,
         mut net: N,
         source: Source,
@@ -299,11 +300,11 @@
             None => None,
         };
         let set = config.settings;
-        let (max_open, longest) = (
-            set.max_open,
+        let (max_in_flight, longest) = (
+            set.max_in_flight,
             set.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
         );
-        let (ask, connect_most, classes) = (set.ask, set.connect_timeout, set.classes.len());
+        let (ask, connect_most, classes) = (set.poll, set.connect_timeout, set.classes.len());
         let times = Times::new(ask, set.drain_grace, config.turn);
         let balancer =
             Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
@@ -312,7 +313,7 @@
         let processes = if shared { PROCESSES } else { 1 };
         let memory = config.memory / processes;
         // No two starts of any two nodes may give one id.
-        let run = config.seed ^ net.began_unix() as u64;
+        let run = config.seed ^ net.unix_time_at_start() as u64;
         let handover = shared.then(|| Handover::new(config.listen, &config.names, classes));
         let memcached = config.memcached.map(|file| Memcached::new(file, run));
         let mut node = Node {
@@ -325,7 +326,7 @@
             ready: Vec::new(),
             module,
             names: config.names,
-            max_open: max_open.min(memory / REQUESTS_PART / REQUEST_MEMORY),
+            max_in_flight: max_in_flight.min(memory / REQUESTS_PART / REQUEST_MEMORY),
             longest,
             probe_load: config.probe_load,
             queue: VecDeque::new(),
@@ -352,12 +353,12 @@
             sight: Sight::default(),
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
-            jam: false,
+            origin_overloaded: false,
             handover,
             trace: Trace::new(config.trace),
         };
         node.take_over();
-        node.list(config.known, Some(ListKind::Cached));
+        node.list(config.known, Some(EndpointListKind::Cached));
         node.timers.set(SWEEP, Due::Sweep);
         Ok(node)
     }
@@ -421,7 +422,7 @@
         Ok(())
     }
 
-    fn ready(&mut self, event: &Ready) {
+    fn ready(&mut self, event: &ReadyEvent) {
         let now = self.now();
         match event.token {
             LISTENER | MEMCACHED => {
@@ -481,7 +482,8 @@
             self.trace.event(&mut self.net, &event);
             self.module.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.trace.action(&mut self.net, &action, self.module.why());
+                self.trace
+                    .action(&mut self.net, &action, self.module.decision_reason());
                 self.act(action, now);
             }
             self.actions = actions;
@@ -500,7 +502,7 @@
 
     fn due(&mut self, due: Due, now: Micros) {
         match due {
-            Due::Module(token) => self.queue.push_back(Event::Timer(token)),
+            Due::DecisionEngine(token) => self.queue.push_back(Event::TimerExpired(token)),
             Due::Attempt {
                 request,
                 serial,
@@ -654,7 +656,7 @@
                 Input::Command(command) => self.command(key, command, now),
                 Input::Request(request) => self.memcached(key, request, now),
                 Input::Nothing => break,
-                Input::Broken(why, answer) => {
+                Input::DecodeError(why, answer) => {
                     self.turn_out(key, why, answer);
                     break;
                 }
@@ -667,14 +669,14 @@
     /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
     /// there to hear of it, or the node is about to end. Nothing has run, so trying again is harmless.
     fn turns_away(&mut self, client: usize, now: Micros) -> bool {
-        self.open.len() >= self.max_open
+        self.open.len() >= self.max_in_flight
             || now >= self.life.answer_by()
             || self.clients.get(client).is_some_and(|c| c.abandoned(now))
             || !self.has_place(client, now)
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
-    fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcache::Status)>) {
+    fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcached::Status)>) {
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
@@ -684,12 +686,12 @@
                 out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes())
             }
             (_, Some((opcode, opaque, status))) => {
-                memcache::put_text(&mut out, opcode, opaque, status, why);
+                memcached::write_text_response(&mut out, opcode, opaque, status, why);
             }
             // No request can be told apart: there is nothing that an answer could belong to.
             (_, None) => {}
         }
-        client.push(Slot::Ready(vec![out.into()]));
+        client.push(Slot::ReadyEvent(vec![out.into()]));
         client.close_after_answers();
         self.mark(key);
     }
@@ -699,7 +701,7 @@
         if let Err(text) = self.try_command(client, command, now) {
             self.budget.give_back(reserved);
             if let Some(c) = self.clients.get_mut(client) {
-                c.push(Slot::Ready(vec![text]));
+                c.push(Slot::ReadyEvent(vec![text]));
                 self.mark(client);
             }
         }
@@ -717,7 +719,7 @@
                 None => err("+PONG\r\n"),
                 Some(text) => {
                     let mut out = Vec::new();
-                    put_bulk(&mut out, text);
+                    write_bulk(&mut out, text);
                     out.into()
                 }
             });
@@ -848,7 +850,7 @@
         for slot in slots {
             let request = match slot {
                 Slot::Waiting(request) | Slot::Stream { request, .. } => request,
-                Slot::Ready(_) => continue,
+                Slot::ReadyEvent(_) => continue,
             };
             let Some(open) = self.open.get(request) else {
                 continue;
@@ -861,7 +863,7 @@
                 self.upstreams.abandon(conn, now);
                 self.ended(request, attempt, Status::Cancelled, None, None);
             } else {
-                self.queue.push_back(Event::ClientLeft(id));
+                self.queue.push_back(Event::ClientDisconnected(id));
                 self.unsend(request);
                 self.forget(request);
             }
@@ -941,24 +943,24 @@
             Some(News::List(answer)) => self.list(answer, None),
             Some(News::Failed(why)) => {
                 self.log.line(&mut self.net, &format!("list: {why}"));
-                self.queue.push_back(Event::ListFailed);
+                self.queue.push_back(Event::EndpointListFailed);
             }
             None => {}
         }
     }
 
-    fn list(&mut self, mut answer: Answer, kind: Option<ListKind>) {
+    fn list(&mut self, mut answer: Answer, kind: Option<EndpointListKind>) {
         let now = self.now();
         if kind.is_none() {
             self.life.told();
         }
         self.addresses.settle(&mut answer);
         let kind = kind.unwrap_or(if answer.all {
-            ListKind::Full
+            EndpointListKind::Full
         } else {
-            ListKind::Delta
+            EndpointListKind::Delta
         });
-        if kind != ListKind::Delta {
+        if kind != EndpointListKind::Delta {
             let named = |s: &ServerId| answer.targets.iter().any(|t| t.entry.server == *s);
             let gone: Vec<ServerId> = self
                 .upstreams
@@ -971,7 +973,7 @@
         }
         let mut entries = Vec::with_capacity(answer.targets.len());
         for listed in answer.targets {
-            if listed.entry.state == ServerState::Gone {
+            if listed.entry.state == ServerState::Removed {
                 self.upstreams.unlisted(&listed.entry.server);
             } else {
                 let speaks = |m: &Memcached| m.speaks(listed.entry.kind.as_deref());
@@ -985,10 +987,11 @@
                     .listed(&listed.entry.server, listed.address, protocol);
             }
             let mut entry = self.names.entry(&listed.entry);
-            entry.started = discovery::started(listed.boot_ms, self.net.began_unix(), now);
+            entry.started = discovery::started(listed.boot_ms, self.net.unix_time_at_start(), now);
             entries.push(entry);
         }
-        self.queue.push_back(Event::Servers(kind, entries.into()));
+        self.queue
+            .push_back(Event::EndpointList(kind, entries.into()));
     }
 
     // ---- actions ----
@@ -1000,7 +1003,7 @@
                 server,
                 timeout,
             } => self.send(&request, server, timeout, now),
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => self.end(&request, Final::Busy(retry_after)),
@@ -1010,14 +1013,14 @@
                     self.give_up(open, attempt, Status::Cancelled);
                 }
             }
-            Action::Timer { delay, token } => {
+            Action::SetTimer { delay, token } => {
                 self.timers
-                    .set(now.saturating_add(delay.max(0)), Due::Module(token));
+                    .set(now.saturating_add(delay.max(0)), Due::DecisionEngine(token));
             }
             Action::Probe(server) => self.probe(server, now),
-            Action::Close(server) => self.upstreams.close_idle(&server),
+            Action::CloseIdleConnections(server) => self.upstreams.close_idle(&server),
             Action::Subscribe(on) => self.discovery.subscribe(on),
-            Action::FetchList => self.discovery.fetch(),
+            Action::FetchEndpointList => self.discovery.fetch(),
             Action::Log(text) => self.log.line(&mut self.net, &text),
         }
     }
@@ -1043,14 +1046,14 @@
             counted: false,
         });
         open.out += 1;
-        let fits = protocol == Protocol::Resp || memcached::fits(open);
+        let fits = protocol == Protocol::Resp || memcached_requests::fits(open);
         let over = open.closed || open.no_more || open.stream.is_some() || wait <= 0;
         if !heard {
             // Before the outcome, or the module would send it to another server.
             self.no_more(key);
         }
         if over || !heard || !fits || !self.may_leave(key, attempt, now) {
-            return self.ended(key, attempt, Status::Moot, None, None);
+            return self.ended(key, attempt, Status::NotSent, None, None);
         }
         let written = self.worded(key, protocol, wait);
         let job = Job::Attempt {
@@ -1089,7 +1092,7 @@
                 chunks: forwarded(open, (wait + 999) / 1000),
                 tag: (0, 0),
             },
-            Protocol::Memcached => memcached::forwarded(open, sent),
+            Protocol::Memcached => memcached_requests::forwarded(open, sent),
         }
     }
 
@@ -1109,8 +1112,11 @@
                 open.attempts[attempt].server.clone(),
             );
             let over = open.closed || open.no_more || left <= 0 || !heard;
-            if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
-                self.give_up(key, attempt, Status::Moot);
+            if over
+                || !self.upstreams.current(conn)
+                || !self.module.may_start_attempt(now, &open.id, attempt)
+            {
+                self.give_up(key, attempt, Status::NotSent);
                 continue;
             }
             let written = self.worded(key, self.upstreams.protocol(&server), left);
@@ -1122,7 +1128,7 @@
         self.serial += 1;
         let serial = self.serial;
         let written = match self.upstreams.protocol(&server) {
-            Protocol::Memcached => memcached::probe(serial),
+            Protocol::Memcached => memcached_requests::probe(serial),
             Protocol::Resp => {
                 let mut out = Vec::new();
                 let words: &[&[u8]] = if self.probe_load {
@@ -1130,8 +1136,8 @@
                 } else {
                     &[b"PING"]
                 };
-                put_head(&mut out, b'*', words.len());
-                words.iter().for_each(|word| put_bulk(&mut out, word));
+                write_header(&mut out, b'*', words.len());
+                words.iter().for_each(|word| write_bulk(&mut out, word));
                 Written {
                     chunks: vec![out.into()],
                     tag: (0, 0),
@@ -1147,12 +1153,12 @@
         }
     }
 
-    fn probed(&mut self, serial: u64, status: Status, load: Option<Load>) {
+    fn probed(&mut self, serial: u64, status: Status, load: Option<LoadReport>) {
         let Some((server, sent)) = self.probes.remove(&serial) else {
             return;
         };
         let latency = self.now() - sent;
-        self.queue.push_back(Event::Probed {
+        self.queue.push_back(Event::ProbeEnded {
             server,
             latency,
             status,
@@ -1180,7 +1186,7 @@
         self.ended(
             request,
             attempt,
-            if moot { Status::Moot } else { status },
+            if moot { Status::NotSent } else { status },
             None,
             None,
         );
@@ -1214,7 +1220,7 @@
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
             if let Some(slot) = c.slot(slot) {
-                *slot = Slot::Ready(chunks);
+                *slot = Slot::ReadyEvent(chunks);
             }
             self.mark(client);
         }
@@ -1251,8 +1257,8 @@
         key: usize,
         attempt: usize,
         status: Status,
-        note: Option<Note>,
-        load: Option<Load>,
+        note: Option<CacheResult>,
+        load: Option<LoadReport>,
     ) {
         let now = self.now();
         let open = &mut self.open[key];
@@ -1270,7 +1276,7 @@
         };
         let server = a.server.clone();
         let (request, closed) = (open.id.clone(), open.closed);
-        self.queue.push_back(Event::Outcome {
+        self.queue.push_back(Event::AttemptEnded {
             request,
             server,
             attempt,
@@ -1373,7 +1379,7 @@
         );
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         let head = open.asked.head(&open.key, len);
-        self.queue.push_back(Event::Started {
+        self.queue.push_back(Event::ResponseStarted {
             request: open.id.clone(),
             attempt,
         });
@@ -1465,25 +1471,25 @@
     } else {
         (4, b"C.GET")
     };
-    put_head(&mut out, b'*', words);
+    write_header(&mut out, b'*', words);
     for word in [name, &open.key, open.id.as_bytes(), &fields] {
-        put_bulk(&mut out, word);
+        write_bulk(&mut out, word);
     }
     match &open.value {
         None => vec![out.into()],
-        Some(value) if value.len() <= WORD_MOST => {
-            put_bulk(&mut out, value);
+        Some(value) if value.len() <= MAX_ARGUMENT => {
+            write_bulk(&mut out, value);
             vec![out.into()]
         }
         Some(value) => {
-            put_head(&mut out, b'$', value.len());
+            write_header(&mut out, b'$', value.len());
             vec![out.into(), value.clone(), Bytes::from_static(b"\r\n")]
         }
     }
 }
 
 /// What an answer says: how the attempt ended, how the read went, the load report.
-fn verdict(said: &Said, write: bool) -> (Status, Option<Note>, Option<Load>) {
+fn verdict(said: &Said, write: bool) -> (Status, Option<CacheResult>, Option<LoadReport>) {
     let reply = match said {
         Said::Resp(reply) => reply,
         Said::Memcached(response) => {
@@ -1494,7 +1500,7 @@
             };
             return match outcome(operation, response.status) {
                 Outcome::Served => (Status::Ok, None, None),
-                Outcome::NoValue => (Status::Ok, Some(Note::Miss), None),
+                Outcome::NoValue => (Status::Ok, Some(CacheResult::Miss), None),
                 Outcome::Not(status) => (status, None, None),
             };
         }
@@ -1508,9 +1514,9 @@
             };
             let note = match parts.get(1) {
                 Some(Part::Bulk(word) | Part::Simple(word)) => match &word[..] {
-                    b"hit" => Some(Note::Hit),
-                    b"miss" => Some(Note::Miss),
-                    b"pending" => Some(Note::MissFetching),
+                    b"hit" => Some(CacheResult::Hit),
+                    b"miss" => Some(CacheResult::Miss),
+                    b"pending" => Some(CacheResult::MissFetching),
                     _ => None,
                 },
                 _ => None,
@@ -1519,7 +1525,7 @@
         }
         Reply::One(part @ Part::Error(line)) => {
             let status = if line.starts_with(b"BUSY") {
-                Status::Full
+                Status::Rejected
             } else {
                 Status::Error
             };
@@ -1537,19 +1543,19 @@
             _ => Final::NoValue,
         },
         Said::Resp(Reply::One(_)) => Final::Failed,
-        Said::Memcached(response) if response.status == memcache::Status::KeyNotFound as u16 => {
+        Said::Memcached(response) if response.status == memcached::Status::KeyNotFound as u16 => {
             Final::NoValue
         }
         Said::Memcached(response) => Final::Value(response.value),
     }
 }
 
-fn load(part: &Part) -> Option<Load> {
+fn load(part: &Part) -> Option<LoadReport> {
     let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
         return None;
     };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
-    let mut load = Load::default();
+    let mut load = LoadReport::default();
     let mut any = false;
     for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
         let value = value.parse().ok().filter(|v: &f64| v.is_finite());
--- a/crates/node/src/node/disconnects.rs
+++ b/crates/node/src/node/disconnects.rs
@@ -7,12 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use sloewick_decision::interface::{Event, Micros, Status};
+use sloewick_decision::api::{Event, Micros, Status};
 
-use super::{Module, Node, DISCOVERY, FIRST};
+use super::{DecisionEngine, Node, DISCOVERY, FIRST};
 use crate::client::{Client, HALF_CLOSED_MOST};
-use crate::net::{Net, Ready, Token};
-use crate::timer::Due;
+use crate::timers::Due;
+use crate::transport::{ReadyEvent, Token, Transport};
 
 /// How old the last look at the sockets may be when an attempt begins: a twentieth of the 0.1 s, and a poll each 5 ms of
 /// work costs next to nothing.
@@ -37,7 +37,7 @@
     /// Clients up to this serial were there at the last look.
     seen: u64,
     /// News that a look met, for the next round; of each socket (and client) one, which bounds it.
-    held: BTreeMap<(Token, u64), Ready>,
+    held: BTreeMap<(Token, u64), ReadyEvent>,
 }
 
 impl Sight {
@@ -60,9 +60,13 @@
 /// news is shows only from the end of the wait on.
 pub(super) const WAIT_OPEN: Micros = HALF_CLOSED_MOST;
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// Waits so long for news; what looks have met already comes first.
-    pub(super) fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> std::io::Result<()> {
+    pub(super) fn poll(
+        &mut self,
+        ready: &mut Vec<ReadyEvent>,
+        wait: Micros,
+    ) -> std::io::Result<()> {
         let held = std::mem::take(&mut self.sight.held);
         let wake = self.now() + if held.is_empty() { wait } else { 0 };
         let wait = wake - self.now();
@@ -120,7 +124,7 @@
         }
     }
 
-    fn met(&mut self, event: &Ready) {
+    fn met(&mut self, event: &ReadyEvent) {
         // Not kept: the call that it belongs to may be another one by the next round.
         if event.token == DISCOVERY {
             return self.ready(event);
@@ -205,7 +209,7 @@
             return;
         }
         // Before the outcomes: the module must not send it to another server for them.
-        self.queue.push_back(Event::NoMore(open.id.clone()));
+        self.queue.push_back(Event::StopAttempts(open.id.clone()));
         self.unsend(key);
     }
 
@@ -218,7 +222,7 @@
                 .get(key)
                 .and_then(|open| open.attempts[attempt].conn);
             if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
-                self.give_up(key, attempt, Status::Moot);
+                self.give_up(key, attempt, Status::NotSent);
             }
         }
     }
--- a/crates/node/src/node/disconnects_tests.rs
+++ b/crates/node/src/node/disconnects_tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::config;
-use crate::net::{Stream, Told};
+use crate::transport::{PendingSignals, Stream};
 
 const LISTEN: &str = "127.0.0.1:7001";
 const DISCOVERY_AT: &str = "127.0.0.1:7002";
@@ -96,7 +96,7 @@
     fn bound_sending(&mut self, _bytes: usize) {}
 }
 
-impl Net for Slow {
+impl Transport for Slow {
     type Stream = Conn;
     type Listener = ();
 
@@ -106,7 +106,7 @@
         w.now
     }
 
-    fn began_unix(&self) -> Micros {
+    fn unix_time_at_start(&self) -> Micros {
         1_700_000_000_000_000
     }
 
@@ -139,10 +139,10 @@
         })
     }
 
-    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
+    fn poll(&mut self, ready: &mut Vec<ReadyEvent>, wait: Micros) -> io::Result<()> {
         ready.clear();
         let mut w = self.0.borrow_mut();
-        let event = |token| Ready {
+        let event = |token| ReadyEvent {
             token,
             readable: false,
             writable: true,
@@ -152,7 +152,7 @@
         ready.extend(std::mem::take(&mut w.opening).into_iter().map(event));
         if let Some(token) = w.client.filter(|_| w.now >= w.gone_at && !w.told_gone) {
             w.told_gone = true;
-            ready.push(Ready {
+            ready.push(ReadyEvent {
                 token,
                 readable: true,
                 writable: true,
@@ -166,8 +166,8 @@
         Ok(())
     }
 
-    fn told(&mut self) -> Told {
-        Told::default()
+    fn told(&mut self) -> PendingSignals {
+        PendingSignals::default()
     }
 
     fn log(&mut self, _line: &str) {}
@@ -217,9 +217,9 @@
         for n in 0..COMMANDS {
             let (key, id, fields) = (format!("k{n}"), format!("r{n}"), "c=read,t=acme,d=20000");
             let mut out = Vec::new();
-            sloewick_wire::resp::put_head(&mut out, b'*', 4);
+            sloewick_codec::resp2::write_header(&mut out, b'*', 4);
             for word in ["C.GET", &key, &id, fields] {
-                sloewick_wire::resp::put_bulk(&mut out, word.as_bytes());
+                sloewick_codec::resp2::write_bulk(&mut out, word.as_bytes());
             }
             w.commands.extend(out);
         }
--- a/crates/node/src/node/doors.rs
+++ b/crates/node/src/node/doors.rs
@@ -8,13 +8,13 @@
 use std::io::ErrorKind;
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
-use super::{client_token, Module, Node};
+use super::{client_token, DecisionEngine, Node};
+use crate::admin::CALLERS;
 use crate::client::{Client, Slot};
 use crate::front::{Asked, Final, Protocol};
-use crate::net::{out_of_sockets, Net, Stream, Token};
-use crate::ops::CALLERS;
+use crate::transport::{is_descriptor_limit, Stream, Token, Transport};
 
 /// Descriptors of the process itself: standard streams, poll, signals, listeners, files that are read or kept, and some room.
 const SOCKETS_PROCESS: usize = 14;
@@ -73,7 +73,7 @@
     pub(super) more: bool,
 }
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     pub(super) fn accept(&mut self) {
         for at in 0..self.doors.len() {
             self.accept_at(at);
@@ -105,7 +105,7 @@
                 // Guards against a lack of descriptors: with an edge-triggered poll nobody would say again
                 // that connections wait, so they are asked for again in the next round, at the latest with
                 // the next sweep. An idle upstream connection makes room for one.
-                Err(e) if out_of_sockets(&e) => {
+                Err(e) if is_descriptor_limit(&e) => {
                     if !self.upstreams.make_room() {
                         return;
                     }
@@ -218,7 +218,7 @@
         };
         client.placed = false;
         if client.protocol() == Protocol::Resp {
-            client.push(Slot::Ready(
+            client.push(Slot::ReadyEvent(
                 Asked::Resp.answer(&Bytes::new(), Final::Busy(0)),
             ));
         }
--- a/crates/node/src/node/handover.rs
+++ b/crates/node/src/node/handover.rs
@@ -3,15 +3,15 @@
 
 use std::net::SocketAddr;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 use sloewick_decision::settings::Names;
-use sloewick_decision::Memory;
-use sloewick_store::{open, seal, Expected};
+use sloewick_decision::Checkpoint;
+use sloewick_snapshot::{open, seal, Expected};
 
-use super::{Module, Node};
-use crate::net::{Keeping, Net};
+use super::{DecisionEngine, Node};
+use crate::transport::{SnapshotSave, Transport};
 
-/// Version of what is kept. It changes with [`Memory`] and with the meaning of anything in it.
+/// Version of what is kept. It changes with [`Checkpoint`] and with the meaning of anything in it.
 const VERSION: u16 = 1;
 /// How often it is kept.
 const EVERY: Micros = 1_000_000;
@@ -36,27 +36,27 @@
 }
 
 /// The memory in a snapshot and its age, or why it is not to be believed.
-fn unpack(owner: &str, unix: Micros, snapshot: &[u8]) -> Result<(Memory, Micros), String> {
+fn unpack(owner: &str, unix: Micros, snapshot: &[u8]) -> Result<(Checkpoint, Micros), String> {
     let expected = Expected {
         owner,
         version: VERSION,
         age_most: AGE_MOST,
     };
     let (payload, age) = open(&expected, unix, snapshot).map_err(|refused| refused.to_string())?;
-    let memory: Memory =
+    let memory: Checkpoint =
         postcard::from_bytes(payload).map_err(|e| format!("cannot be read: {e}"))?;
     let memory = memory.checked().ok_or("holds what no node remembers")?;
     Ok((memory, age))
 }
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// Takes up what the process before this one knew, if that is there and to be believed.
     pub(super) fn take_over(&mut self) {
         let Some(handover) = &self.handover else {
             return;
         };
         let now = self.net.now();
-        let unix = self.net.began_unix() + now;
+        let unix = self.net.unix_time_at_start() + now;
         let told = match self.net.kept() {
             Ok(None) => return,
             Ok(Some(snapshot)) => unpack(&handover.owner, unix, &snapshot),
@@ -65,7 +65,7 @@
         let line = match told {
             Ok((memory, age)) => {
                 let (servers, window) = memory.size();
-                self.module.recall(now, age, memory);
+                self.module.restore(now, age, memory);
                 let ms = age / 1000;
                 format!("handover: {servers} servers, {window} positions, {ms} ms old")
             }
@@ -83,17 +83,17 @@
             return;
         }
         handover.next = now + EVERY;
-        let Some(memory) = self.module.remember(now) else {
+        let Some(memory) = self.module.checkpoint(now) else {
             return;
         };
         let Ok(payload) = postcard::to_stdvec(&memory) else {
             return;
         };
-        let unix = self.net.began_unix() + now;
+        let unix = self.net.unix_time_at_start() + now;
         let Some(snapshot) = seal(&handover.owner, VERSION, unix, &payload) else {
             return;
         };
-        if let Keeping::Failed(why) = self.net.keep(snapshot) {
+        if let SnapshotSave::Failed(why) = self.net.keep(snapshot) {
             self.log
                 .line(&mut self.net, &format!("handover: not kept: {why}"));
         }
--- a/crates/node/src/node/handover_tests.rs
+++ b/crates/node/src/node/handover_tests.rs
@@ -1,12 +1,12 @@
 use super::*;
 
-fn sealed(memory: &Memory) -> Vec<u8> {
+fn sealed(memory: &Checkpoint) -> Vec<u8> {
     seal("me", VERSION, 0, &postcard::to_stdvec(memory).unwrap()).unwrap()
 }
 
 #[test]
 fn a_whole_snapshot_that_no_node_can_have_kept_is_refused() {
-    let none = Memory::default();
+    let none = Checkpoint::default();
     assert_eq!(unpack("me", 5, &sealed(&none)), Ok((none.clone(), 5)));
     let mut text = serde_json::to_value(&none).unwrap();
     text["late"] = 2.0.into();
--- a/crates/node/src/node/memcached.rs
+++ b/crates/node/src/node/memcached_requests.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sloewick_decision::interface::{Micros, Request, Status as Ended};
-use sloewick_memcache::file::File;
-use sloewick_memcache::ledger::{Key, Ledger, Verdict};
-use sloewick_memcache::routes::{self, Operation};
-use sloewick_wire::memcache::{self, put_request, Opcode, Status, HEADER, KEY_MOST};
-use sloewick_wire::resp::WORD_MOST;
+use sloewick_codec::memcached::{self, write_request, Opcode, Status, HEADER, MAX_KEY};
+use sloewick_codec::resp2::MAX_ARGUMENT;
+use sloewick_decision::api::{Micros, Request, Status as Ended};
+use sloewick_memcached::config::File;
+use sloewick_memcached::idempotency_ledger::{Key, Ledger, Verdict};
+use sloewick_memcached::routing::{self, Operation};
 
-use super::{Module, Node, Open, Taken};
+use super::{DecisionEngine, Node, Open, Taken};
 use crate::client::Slot;
 use crate::front::{Asked, Final};
-use crate::net::Net;
+use crate::transport::Transport;
 use crate::upstream::Written;
 
 /// What the node holds for it.
@@ -60,13 +60,13 @@
     End(Final),
 }
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// Takes up what a memcached client sent.
-    pub(super) fn memcached(&mut self, client: usize, request: memcache::Request, now: Micros) {
+    pub(super) fn memcached(&mut self, client: usize, request: memcached::Request, now: Micros) {
         let reserved = request.reserved;
         let Some(opcode) = Opcode::from_code(request.opcode) else {
             let mut out = Vec::new();
-            memcache::put_status(
+            memcached::write_status(
                 &mut out,
                 request.opcode,
                 request.opaque,
@@ -109,7 +109,7 @@
     fn say(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
         self.budget.give_back(reserved);
         if let Some(c) = self.clients.get_mut(client) {
-            c.push(Slot::Ready(chunks));
+            c.push(Slot::ReadyEvent(chunks));
             self.mark(client);
         }
     }
@@ -124,9 +124,9 @@
                 value.into(),
             );
             let (opcode, status) = (opcode as u8, Status::Ok as u16);
-            memcache::put_response(
+            memcached::write_response(
                 &mut out,
-                &memcache::Response {
+                &memcached::Response {
                     opcode,
                     status,
                     opaque,
@@ -159,10 +159,10 @@
         &mut self,
         client: usize,
         opcode: Opcode,
-        request: memcache::Request,
+        request: memcached::Request,
         now: Micros,
     ) -> Result<(), Refused> {
-        let unix = self.net.began_unix() + now;
+        let unix = self.net.unix_time_at_start() + now;
         let full = self.turns_away(client, now);
         let Some(m) = &mut self.memcached else {
             return Err(Refused::End(Final::Failed));
@@ -209,7 +209,7 @@
         let mut keyed = None;
         if let Some(idem) = &idem {
             let limits = m.file.ledger;
-            let age = routes::stamp(idem).filter(|_| route.key_from == routes::KeyFrom::Stamp);
+            let age = routing::stamp(idem).filter(|_| route.key_from == routing::KeyFrom::Stamp);
             let age = age.map_or(0, |made| unix - made);
             if age < -m.file.skew {
                 return bad("the idempotency key's time lies in the future");
@@ -219,7 +219,7 @@
                 key: idem.clone(),
                 before: match m.ledger.ask(now, idem, old) {
                     Verdict::New => false,
-                    Verdict::Repeat { .. } => true,
+                    Verdict::Idempotency { .. } => true,
                     Verdict::Served(receipt) => return Err(Refused::End(Final::Value(receipt))),
                     Verdict::Unknown => return Err(Refused::End(Final::Failed)),
                     Verdict::InHand | Verdict::Full => return Err(Refused::End(Final::Busy(0))),
@@ -327,7 +327,7 @@
 /// stands before the value does not end early or look like none, which would let a repeat take effect.
 pub(super) fn fits(open: &Open) -> bool {
     let idem = idempotency_key(open);
-    open.key.len() <= KEY_MOST
+    open.key.len() <= MAX_KEY
         && idem.is_none_or(|idem| !idem.is_empty() && idem != b"-" && !idem.contains(&b':'))
 }
 
@@ -345,13 +345,13 @@
         let opcode = Opcode::Get as u8;
         let mut out = Vec::with_capacity(HEADER + open.key.len());
         let key = open.key.clone();
-        put_request(
+        write_request(
             &mut out,
-            &memcache::Request {
+            &memcached::Request {
                 opcode,
                 opaque,
                 key,
-                ..memcache::Request::default()
+                ..memcached::Request::default()
             },
         );
         return Written {
@@ -361,20 +361,20 @@
     };
     let idem = idempotency_key(open).unwrap_or(b"-");
     let opcode = Opcode::Set as u8;
-    let request = memcache::Request {
+    let request = memcached::Request {
         opcode,
         opaque,
         extras: Bytes::from_static(&[0; 8]),
         key: open.key.clone(),
-        ..memcache::Request::default()
+        ..memcached::Request::default()
     };
     let mut out = Vec::with_capacity(HEADER + 8 + open.key.len() + idem.len() + 1);
     let more = idem.len() + 1 + value.len();
-    memcache::put_request_head(&mut out, &request, more);
+    memcached::write_request_header(&mut out, &request, more);
     out.extend_from_slice(idem);
     out.push(b':');
     let mut chunks = vec![Bytes::from(out)];
-    if value.len() <= WORD_MOST {
+    if value.len() <= MAX_ARGUMENT {
         let mut whole = Vec::from(std::mem::take(&mut chunks[0]));
         whole.extend_from_slice(value);
         chunks[0] = whole.into();
@@ -391,12 +391,12 @@
 pub(super) fn probe(serial: u64) -> Written {
     let (opcode, opaque) = (Opcode::Noop as u8, serial as u32);
     let mut out = Vec::new();
-    put_request(
+    write_request(
         &mut out,
-        &memcache::Request {
+        &memcached::Request {
             opcode,
             opaque,
-            ..memcache::Request::default()
+            ..memcached::Request::default()
         },
     );
     Written {
--- a/crates/node/src/node/operating.rs
+++ b/crates/node/src/node/operating.rs
@@ -2,17 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use sloewick_decision::interface::{Micros, ServerId};
+use sloewick_decision::api::{Micros, ServerId};
 
-use super::{Module, Node, CALLER, OPS};
-use crate::figures::Held;
-use crate::net::{Net, Ready};
-use crate::ops::{Answer, Call};
+use super::{DecisionEngine, Node, CALLER, OPS};
+use crate::admin::{Answer, Call};
+use crate::metrics::Held;
+use crate::transport::{ReadyEvent, Transport};
 
 /// A server that keeps less than this part of its keys is logged.
 const OUTLIER_TOLD: f64 = 0.5;
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     pub(super) fn accept_callers(&mut self) {
         let now = self.now();
         if let Some(ops) = &mut self.ops {
@@ -21,7 +21,7 @@
     }
 
     /// Something happened on the operators' listener or on one of their connections.
-    pub(super) fn called(&mut self, event: &Ready, now: Micros) {
+    pub(super) fn called(&mut self, event: &ReadyEvent, now: Micros) {
         let Some(mut ops) = self.ops.take() else {
             return;
         };
@@ -41,8 +41,8 @@
     fn answer_call(&mut self, call: Call, now: Micros) -> Answer {
         let yes = |text: &str| (200, text.to_string());
         match call {
-            Call::Ready if self.life.ready(now) => yes("ready\n"),
-            Call::Ready => (503, "not ready\n".to_string()),
+            Call::ReadyEvent if self.life.ready(now) => yes("ready\n"),
+            Call::ReadyEvent => (503, "not ready\n".to_string()),
             Call::Telemetry => {
                 let held = self.held(now);
                 (
@@ -67,14 +67,14 @@
         let avoided = self
             .upstreams
             .servers()
-            .filter(|server| self.module.avoids(now, server));
+            .filter(|server| self.module.is_unavailable(now, server));
         Held {
             sends: self.upstreams.sends,
             current: self.clients.iter().map(|(_, client)| client.owed()).sum(),
             cluster_size: self.upstreams.servers().count(),
             cluster_unhealthy: avoided.count(),
             cluster_outliers: self.outliers().count(),
-            origin_jam: self.module.jam(now),
+            origin_jam: self.module.origin_overloaded(now),
         }
     }
 
@@ -82,15 +82,16 @@
     fn outliers(&self) -> impl Iterator<Item = &ServerId> {
         self.upstreams
             .servers()
-            .filter(|server| self.module.kept(server) < 1.0)
+            .filter(|server| self.module.retained_fraction(server) < 1.0)
     }
 
     /// Logs which servers have lost most of their keys, and which have all of them again, since it was asked last.
     /// What lies between is told in neither direction, or a server near the bar would fill the log.
     pub(super) fn tell_outliers(&mut self) {
         let told = &self.outliers;
-        let worse =
-            |server: &&ServerId| told.contains(*server) || self.module.kept(server) < OUTLIER_TOLD;
+        let worse = |server: &&ServerId| {
+            told.contains(*server) || self.module.retained_fraction(server) < OUTLIER_TOLD
+        };
         let now: BTreeSet<ServerId> = self.outliers().filter(worse).cloned().collect();
         for server in now.difference(&self.outliers) {
             self.log.line(
@@ -113,9 +114,9 @@
 
     /// Logs when the origin is taken for jammed, and when no more.
     pub(super) fn tell_jam(&mut self, now: Micros) {
-        let jam = self.module.jam(now);
-        if std::mem::replace(&mut self.jam, jam) != jam {
-            let line = if jam {
+        let origin_overloaded = self.module.origin_overloaded(now);
+        if std::mem::replace(&mut self.origin_overloaded, origin_overloaded) != origin_overloaded {
+            let line = if origin_overloaded {
                 "origin: jam, fetches and writes hardly answered"
             } else {
                 "origin: jam over"
--- a/crates/node/src/node_tests.rs
+++ b/crates/node/src/node_tests.rs
@@ -6,9 +6,9 @@
     let verdict = |reply| verdict(&Said::Resp(reply), false);
     let served = |how: Part| verdict(Reply::Array(vec![bulk("value"), how, Part::Null]));
     for (word, note) in [
-        ("hit", Note::Hit),
-        ("miss", Note::Miss),
-        ("pending", Note::MissFetching),
+        ("hit", CacheResult::Hit),
+        ("miss", CacheResult::Miss),
+        ("pending", CacheResult::MissFetching),
     ] {
         assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
     }
@@ -26,7 +26,7 @@
     let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
     assert_eq!(verdict(error("ERR failed")), (Status::Error, None, None));
     let (status, _, load) = verdict(error("BUSY latency_ms=1.5,x0=nan"));
-    assert_eq!(status, Status::Full);
+    assert_eq!(status, Status::Rejected);
     assert_eq!(
         (load.unwrap().service, load.unwrap().hits),
         (Some(1500.0), None)
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timers.rs
@@ -6,13 +6,13 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// What is due. Keys are slab places, serials tell whether the place still holds the same thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     /// The module's own timer.
-    Module(u64),
+    DecisionEngine(u64),
     /// The time-out of an attempt.
     Attempt {
         request: usize,
@@ -55,5 +55,5 @@
 }
 
 #[cfg(test)]
-#[path = "timer_tests.rs"]
+#[path = "timers_tests.rs"]
 mod tests;
--- a/crates/node/src/net.rs
+++ b/crates/node/src/transport.rs
@@ -1,7 +1,7 @@
 //! The seam to sockets, clock and polling, and what all connections share above it: reading, queued writing,
 //! and the log.
 //!
-//! Whatever serves over a [`Net`] does so on real sockets ([`crate::os::Os`]) and on a virtual network alike.
+//! Whatever serves over a [`Transport`] does so on real sockets ([`crate::mio_transport::MioTransport`]) and on a virtual network alike.
 //! Readiness is edge-triggered: an event says that something has come since the last one, and what is not
 //! taken then is not told again.
 
@@ -10,16 +10,16 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// Which connection or listener an event is about; chosen by whoever opened it.
 pub type Token = usize;
-/// Events that [`Net`] gives of itself: signals came.
+/// Events that [`Transport`] gives of itself: signals came.
 pub const SIGNALS: Token = 1;
 
 /// What has happened on a connection or listener since the last event.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ready {
+pub struct ReadyEvent {
     pub token: Token,
     pub readable: bool,
     pub writable: bool,
@@ -30,7 +30,7 @@
 
 /// What the process was told by signals since it was last asked.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Told {
+pub struct PendingSignals {
     /// Take up the configuration anew.
     pub reload: bool,
     /// End, with what is held answered.
@@ -39,7 +39,7 @@
 
 /// What became of a snapshot that was to be kept.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Keeping {
+pub enum SnapshotSave {
     /// There is no place for it.
     Nowhere,
     /// It is being written.
@@ -70,13 +70,13 @@
 }
 
 /// The only way to sockets, clock and polling.
-pub trait Net {
+pub trait Transport {
     type Stream: Stream;
     type Listener;
     /// Time since this process began.
     fn now(&self) -> Micros;
     /// Unix time at that beginning, read once.
-    fn began_unix(&self) -> Micros;
+    fn unix_time_at_start(&self) -> Micros;
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<Self::Listener>;
     /// Listens on a socket that this process was started with, by its descriptor.
     ///
@@ -90,10 +90,10 @@
     /// Begins to open a connection.
     fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<Self::Stream>;
     /// Waits until something happens or the time is over (at once for 0); `ready` is emptied first.
-    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()>;
+    fn poll(&mut self, ready: &mut Vec<ReadyEvent>, wait: Micros) -> io::Result<()>;
     /// A line of the trace. Where none is kept it goes nowhere.
     fn trace(&mut self, _line: &str) {}
-    fn told(&mut self) -> Told;
+    fn told(&mut self) -> PendingSignals;
     /// What a process of this node kept for the next one; none where nothing is kept.
     ///
     /// # Errors
@@ -102,15 +102,15 @@
         Ok(None)
     }
     /// Keeps this in place of what was kept before, without waiting for it.
-    fn keep(&mut self, _snapshot: Vec<u8>) -> Keeping {
-        Keeping::Nowhere
+    fn keep(&mut self, _snapshot: Vec<u8>) -> SnapshotSave {
+        SnapshotSave::Nowhere
     }
     /// Writes a line for the operators, or drops it if that would block.
     fn log(&mut self, line: &str);
 }
 
 /// Whether descriptors have run out.
-pub fn out_of_sockets(e: &io::Error) -> bool {
+pub fn is_descriptor_limit(e: &io::Error) -> bool {
     // EMFILE and ENFILE.
     matches!(e.raw_os_error(), Some(24 | 23))
 }
@@ -122,7 +122,7 @@
 
 /// What a read brought.
 #[derive(Debug, PartialEq)]
-pub enum Read1 {
+pub enum ReadOutcome {
     /// Bytes, and the socket may hold more.
     More,
     /// Bytes, and the socket is empty.
@@ -135,33 +135,33 @@
 }
 
 /// One read into `buf` by way of the shared scratch space, so that idle connections hold no buffer.
-pub fn fill<S: Stream>(stream: &mut S, buf: &mut BytesMut, scratch: &mut [u8]) -> Read1 {
+pub fn fill<S: Stream>(stream: &mut S, buf: &mut BytesMut, scratch: &mut [u8]) -> ReadOutcome {
     loop {
         match stream.read(scratch) {
-            Ok(0) => return Read1::Ended,
+            Ok(0) => return ReadOutcome::Ended,
             Ok(n) => {
                 buf.extend_from_slice(&scratch[..n]);
                 return if n == scratch.len() {
-                    Read1::More
+                    ReadOutcome::More
                 } else {
-                    Read1::Some
+                    ReadOutcome::Some
                 };
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Read1::Empty,
-            Err(_) => return Read1::Broke,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadOutcome::Empty,
+            Err(_) => return ReadOutcome::Broke,
         }
     }
 }
 
 /// Bytes on their way out.
 #[derive(Default)]
-pub struct Outbox {
+pub struct WriteQueue {
     chunks: VecDeque<Bytes>,
     len: usize,
 }
 
-impl Outbox {
+impl WriteQueue {
     pub fn push(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
             self.len += bytes.len();
@@ -222,7 +222,7 @@
 const LOG_LINES_A_SECOND: u32 = 20;
 
 impl Log {
-    pub fn line<N: Net>(&mut self, net: &mut N, text: &str) {
+    pub fn line<N: Transport>(&mut self, net: &mut N, text: &str) {
         let second = net.now() / 1_000_000;
         if second != self.second {
             (self.second, self.lines) = (second, 0);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -7,14 +7,16 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_decision::interface::{Micros, ServerId, Status};
+use sloewick_decision::api::{Micros, ServerId, Status};
 
+use crate::event_trace::Step;
 use crate::front::Protocol;
-use crate::net::{fill, out_of_sockets, Net, Outbox, Read1, Ready, Stream, Token};
-use crate::timer::{Due, Timers};
-use crate::trace::Step;
-use sloewick_wire::memcache::{self, Opcode, Response, ResponseReader};
-use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader, VALUE_MOST};
+use crate::timers::{Due, Timers};
+use crate::transport::{
+    fill, is_descriptor_limit, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue,
+};
+use sloewick_codec::memcached::{self, Opcode, Response, ResponseReader};
+use sloewick_codec::resp2::{Part, Piece, Reply, ReplyReader, MAX_VALUE};
 
 /// Most connections to one server. How many a server holds of all nodes together is told by no setting; a single node that
 /// has so many requests out at one server has found it full or hanging, and more could only wait there.
@@ -29,7 +31,7 @@
 /// what it answers. No setting tells how late; connections across zones vary by some milliseconds themselves.
 const REST: Micros = 30_000;
 /// Longest body of a memcached answer: a value with its key and flags.
-const BODY_MOST: usize = VALUE_MOST + 1024;
+const MAX_BODY: usize = MAX_VALUE + 1024;
 /// The page on long values has a server pause one for 0.1 s at most, whatever the customer; silent this much longer, it is gone.
 const BODY_PAUSE_MOST: Micros = 1_500_000;
 
@@ -105,10 +107,10 @@
         }
     }
 
-    fn midway(&self) -> bool {
+    fn is_mid_message(&self) -> bool {
         match self {
-            Reader::Resp(reader) => reader.midway(),
-            Reader::Memcached(reader) => reader.midway(),
+            Reader::Resp(reader) => reader.is_mid_message(),
+            Reader::Memcached(reader) => reader.is_mid_message(),
         }
     }
 
@@ -120,15 +122,15 @@
                 Piece::Body(bytes) => Came::Body(bytes),
             }),
             Reader::Memcached(reader) => {
-                let Some(piece) = reader.next(buf, BODY_MOST).map_err(|_| ())? else {
+                let Some(piece) = reader.next(buf, MAX_BODY).map_err(|_| ())? else {
                     return Ok(None);
                 };
                 Some(match piece {
-                    memcache::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
+                    memcached::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
                     // Only what a client asked for may be long.
-                    memcache::Piece::Begin(r, _) if r.status != 0 => return Err(()),
-                    memcache::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
-                    memcache::Piece::Body(bytes) => Came::Body(bytes),
+                    memcached::Piece::Begin(r, _) if r.status != 0 => return Err(()),
+                    memcached::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
+                    memcached::Piece::Body(bytes) => Came::Body(bytes),
                 })
             }
         })
@@ -146,7 +148,7 @@
     job: Option<Job>,
     /// What an answer to the job carries (memcached).
     tag: (u8, u32),
-    out: Outbox,
+    out: WriteQueue,
     buf: BytesMut,
     reader: Reader,
     /// In the middle of a long value: read only as it is passed on.
@@ -305,7 +307,7 @@
         job: Job,
         server: &ServerId,
         written: &Written,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> Result<usize, Status> {
         while let Some(conn) = self.idle(server, around.now) {
             if self.reusable(conn, around.now) && self.give(conn, job, written, around) {
@@ -320,14 +322,17 @@
                 self.give(conn, job, written, around);
                 Ok(conn)
             }
-            Err(Status::Moot) => self.rested_most(server).map_or(Err(Status::Moot), |conn| {
-                let good = self.reusable(conn, around.now) && self.give(conn, job, written, around);
-                if !good {
-                    self.conns[conn].job = None;
-                    self.close(conn, Step::Broke);
-                }
-                good.then_some(conn).ok_or(Status::Moot)
-            }),
+            Err(Status::NotSent) => self
+                .rested_most(server)
+                .map_or(Err(Status::NotSent), |conn| {
+                    let good =
+                        self.reusable(conn, around.now) && self.give(conn, job, written, around);
+                    if !good {
+                        self.conns[conn].job = None;
+                        self.close(conn, Step::Broke);
+                    }
+                    good.then_some(conn).ok_or(Status::NotSent)
+                }),
             Err(status) => Err(status),
         }
     }
@@ -363,25 +368,25 @@
     fn open(
         &mut self,
         server: &ServerId,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> Result<usize, Status> {
         let Some(pool) = self.pools.get(server) else {
-            return Err(Status::Moot);
+            return Err(Status::NotSent);
         };
         if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
-            return Err(Status::Moot);
+            return Err(Status::NotSent);
         }
         let Pool {
             address, protocol, ..
         } = self.pools[server];
         let token = |conns: &Slab<Conn<S>>| (around.token)(conns.vacant_key());
         let mut opened = around.net.connect(address, token(&self.conns));
-        if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
+        if opened.as_ref().is_err_and(is_descriptor_limit) && self.make_room() {
             opened = around.net.connect(address, token(&self.conns));
         }
         let stream = opened.map_err(|e| match e.kind() {
             ErrorKind::ConnectionRefused => Status::ConnectFailed,
-            _ => Status::Moot,
+            _ => Status::NotSent,
         })?;
         self.serial += 1;
         let place = self.conns.vacant_entry();
@@ -395,7 +400,7 @@
             held: false,
             job: None,
             tag: (0, 0),
-            out: Outbox::default(),
+            out: WriteQueue::default(),
             buf: BytesMut::new(),
             reader: Reader::new(protocol),
             body: false,
@@ -425,7 +430,7 @@
         conn: usize,
         job: Job,
         written: &Written,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> bool {
         let c = &mut self.conns[conn];
         c.job = Some(job);
@@ -465,7 +470,7 @@
         let sent = c.sent();
         c.job = None;
         if c.waits() {
-            (c.out, c.held) = (Outbox::default(), false);
+            (c.out, c.held) = (WriteQueue::default(), false);
             self.rest(conn, now);
         } else {
             self.close(conn, Step::GivenUp);
@@ -546,7 +551,12 @@
     }
 
     /// Something happened on a socket.
-    pub fn ready(&mut self, conn: usize, event: &Ready, around: &mut Around<impl Net<Stream = S>>) {
+    pub fn ready(
+        &mut self,
+        conn: usize,
+        event: &ReadyEvent,
+        around: &mut Around<impl Transport<Stream = S>>,
+    ) {
         let Some(c) = self.conns.get_mut(conn) else {
             return;
         };
@@ -600,7 +610,7 @@
         let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else {
             return;
         };
-        (c.held, c.out, c.tag) = (false, Outbox::default(), written.tag);
+        (c.held, c.out, c.tag) = (false, WriteQueue::default(), written.tag);
         written
             .chunks
             .iter()
@@ -616,7 +626,7 @@
     }
 
     /// Reads replies until the socket is empty or a long value begins.
-    fn read(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) {
+    fn read(&mut self, conn: usize, around: &mut Around<impl Transport<Stream = S>>) {
         while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
             match c.reader.next(&mut c.buf) {
                 Ok(Some(Came::Whole(said))) => self.replied(conn, said, around.now),
@@ -635,7 +645,7 @@
                 }
                 Ok(Some(Came::Body(_))) => return self.odd(conn, "value out of place"),
                 // Guards against an answer that begins with what came unasked behind the one before it.
-                Ok(None) if c.job.is_none() && (c.reader.midway() || !c.buf.is_empty()) => {
+                Ok(None) if c.job.is_none() && (c.reader.is_mid_message() || !c.buf.is_empty()) => {
                     return self.odd(conn, "answer to nothing");
                 }
                 Ok(None) if !c.unread => {
@@ -646,11 +656,11 @@
                     return;
                 }
                 Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
-                    Read1::More => {}
+                    ReadOutcome::More => {}
                     // A short read emptied the socket, but of an end behind it there is no second event.
-                    Read1::Some => c.unread = c.closed,
-                    Read1::Empty => c.unread = false,
-                    Read1::Ended | Read1::Broke => return self.fail(conn),
+                    ReadOutcome::Some => c.unread = c.closed,
+                    ReadOutcome::Empty => c.unread = false,
+                    ReadOutcome::Ended | ReadOutcome::Broke => return self.fail(conn),
                 },
                 Err(()) => return self.odd(conn, "broken reply"),
             }
@@ -694,7 +704,7 @@
     pub fn pull(
         &mut self,
         conn: usize,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> Option<Bytes> {
         loop {
             let c = self.conns.get_mut(conn).filter(|c| c.body)?;
@@ -714,10 +724,10 @@
                     return None;
                 }
                 Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
-                    Read1::More => {}
-                    Read1::Some => c.unread = c.closed,
-                    Read1::Empty => c.unread = false,
-                    Read1::Ended | Read1::Broke => self.fail(conn),
+                    ReadOutcome::More => {}
+                    ReadOutcome::Some => c.unread = c.closed,
+                    ReadOutcome::Empty => c.unread = false,
+                    ReadOutcome::Ended | ReadOutcome::Broke => self.fail(conn),
                 },
             }
         }
--- a/crates/node/tests/nodelay.rs
+++ b/crates/node/tests/nodelay.rs
@@ -3,13 +3,13 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use sloewick_node::net::Net;
-use sloewick_node::os::Os;
+use sloewick_node::mio_transport::MioTransport;
+use sloewick_node::transport::Transport;
 
 #[test]
 fn connections_that_are_accepted_and_opened_hold_back_no_small_writes() {
     let there = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut os = Os::new().unwrap();
+    let mut os = MioTransport::new().unwrap();
     let opened = os.connect(there.local_addr().unwrap(), 1).unwrap();
     assert!(opened.nodelay().unwrap(), "opened");
     let begun = Instant::now();
--- a/crates/overload/src/opening.rs
+++ b/crates/overload/src/admission_ramp.rs
@@ -7,7 +7,7 @@
 //! where the last one began in calm, as long as requests come: it moves by a second's worth at most between two of them, so that a
 //! process that was stopped wakes with what it believed, and opens from there. With no time passing it does not move.
 
-use crate::jam::Micros;
+use crate::detector::Micros;
 
 /// The least share: what still goes to see whether it is over. All nodes together then ask for a fiftieth of the usual.
 const LEAST: f64 = 0.02;
@@ -71,5 +71,5 @@
 }
 
 #[cfg(test)]
-#[path = "opening_tests.rs"]
+#[path = "admission_ramp_tests.rs"]
 mod tests;
--- a/crates/overload/src/jam.rs
+++ b/crates/overload/src/detector.rs
@@ -208,5 +208,5 @@
 }
 
 #[cfg(test)]
-#[path = "jam_tests.rs"]
+#[path = "detector_tests.rs"]
 mod tests;
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -2,8 +2,8 @@
 //! [`Jam`], and the [`Opening`] that is left meanwhile. No I/O, no clock: outcomes go in, time is an argument.
 #![warn(missing_docs)]
 
-mod jam;
-mod opening;
+mod admission_ramp;
+mod detector;
 
-pub use jam::{Came, Jam, Micros, Need};
-pub use opening::Opening;
+pub use admission_ramp::Opening;
+pub use detector::{Came, Jam, Micros, Need};
--- a/crates/simhost/src/main.rs
+++ b/crates/simulator_adapter/src/main.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use serde_json::Value;
-use sloewick_decision::interface::{Action, Event};
-use sloewick_decision::settings::{self, Bad, Fields, Names, RawEntry};
+use sloewick_decision::api::{Action, Event};
+use sloewick_decision::settings::{self, Fields, Names, RawEndpoint, SettingsError};
 use sloewick_decision::Balancer;
 
 /// One node: its module and the names it was given.
@@ -23,16 +23,16 @@
 #[derive(Default)]
 struct Host {
     instances: BTreeMap<i64, Instance>,
-    registers: BTreeMap<i64, Arc<[RawEntry]>>,
+    registers: BTreeMap<i64, Arc<[RawEndpoint]>>,
     unknown: BTreeSet<String>,
     actions: Vec<Action>,
 }
 
 impl Host {
     /// Handles one batch; the reply is appended to `out`.
-    fn batch(&mut self, line: &str, out: &mut String) -> Result<(), Bad> {
+    fn batch(&mut self, line: &str, out: &mut String) -> Result<(), SettingsError> {
         let value: Value = serde_json::from_str(line)
-            .map_err(|e| Bad::new("line", format!("is not JSON: {e}")))?;
+            .map_err(|e| SettingsError::new("line", format!("is not JSON: {e}")))?;
         let fields = Fields::of(&value, "line")?;
         let now = fields.micros("ts")?;
         let items = fields.array("items")?;
@@ -52,7 +52,7 @@
         item: &Value,
         out: &mut String,
         first: &mut bool,
-    ) -> Result<(), Bad> {
+    ) -> Result<(), SettingsError> {
         let f = Fields::of(item, "items")?;
         let t = f.text("t")?;
         if t == "REGISTER" {
@@ -77,7 +77,7 @@
             let options = Fields::of(f.get("options")?, "options")?;
             let (settings, names) = settings::parse(&options)?;
             let balancer = Balancer::new(settings, seed, now)
-                .map_err(|e| Bad::new("options", format!("cannot be used: {e}")))?;
+                .map_err(|e| SettingsError::new("options", format!("cannot be used: {e}")))?;
             self.instances.insert(
                 node,
                 Instance {
@@ -88,7 +88,7 @@
             return Ok(());
         }
         let Some(instance) = self.instances.get_mut(&node) else {
-            return Err(Bad::new(
+            return Err(SettingsError::new(
                 "node",
                 format!("instance {node} was never created"),
             ));
@@ -100,16 +100,16 @@
         let event = if t == "MEMBERSHIP" {
             let mode = f.text("mode")?;
             match wire::list_kind(mode)? {
-                None => Event::ListFailed,
+                None => Event::EndpointListFailed,
                 Some(kind) => {
                     let id = f.int("roster_id")?;
                     let Some(raw) = self.registers.get(&id) else {
-                        return Err(Bad::new(
+                        return Err(SettingsError::new(
                             "roster_id",
                             format!("register {id} was never declared"),
                         ));
                     };
-                    Event::Servers(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
+                    Event::EndpointList(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
                 }
             }
         } else {
@@ -160,7 +160,7 @@
         }
         reply.clear();
         let done = std::str::from_utf8(&line)
-            .map_err(|e| Bad::new("line", format!("is not UTF-8: {e}")))
+            .map_err(|e| SettingsError::new("line", format!("is not UTF-8: {e}")))
             .and_then(|text| host.batch(text, &mut reply));
         if let Err(bad) = done {
             eprintln!("input line {number}: {bad}");
--- a/crates/simhost/src/wire.rs
+++ b/crates/simulator_adapter/src/wire.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use serde_json::Value;
-use sloewick_decision::interface::{
-    Action, Event, ListKind, Load, Micros, Note, Request, ServerState, Status,
+use sloewick_decision::api::{
+    Action, CacheResult, EndpointListKind, Event, LoadReport, Micros, Request, ServerState, Status,
 };
-use sloewick_decision::settings::{Bad, Fields, Names, RawEntry};
+use sloewick_decision::settings::{Fields, Names, RawEndpoint, SettingsError};
 
 /// Events this adapter understands, besides the register of lists.
 pub const KNOWN: [&str; 10] = [
@@ -23,7 +23,7 @@
     "MESSAGE",
 ];
 
-pub fn raw_entry(value: &Value) -> Result<RawEntry, Bad> {
+pub fn raw_entry(value: &Value) -> Result<RawEndpoint, SettingsError> {
     let f = Fields::of(value, "elements")?;
     let text = |name| {
         f.opt(name)
@@ -33,10 +33,15 @@
     let state = match f.text("mode")? {
         "live" => ServerState::Live,
         "quiescing" => ServerState::Draining,
-        "dead" => ServerState::Gone,
-        other => return Err(Bad::new("mode", format!("{other:?} is no server state"))),
+        "dead" => ServerState::Removed,
+        other => {
+            return Err(SettingsError::new(
+                "mode",
+                format!("{other:?} is no server state"),
+            ))
+        }
     };
-    Ok(RawEntry {
+    Ok(RawEndpoint {
         server: f.text("server")?.into(),
         weight: f.number_or("power_hint", 1.0)?,
         zone: text("site")?,
@@ -52,37 +57,45 @@
 }
 
 /// None stands for a failed call.
-pub fn list_kind(mode: &str) -> Result<Option<ListKind>, Bad> {
+pub fn list_kind(mode: &str) -> Result<Option<EndpointListKind>, SettingsError> {
     match mode {
-        "Partial" => Ok(Some(ListKind::Delta)),
-        "Complete" => Ok(Some(ListKind::Full)),
-        "Persisted" => Ok(Some(ListKind::Cached)),
+        "Partial" => Ok(Some(EndpointListKind::Delta)),
+        "Complete" => Ok(Some(EndpointListKind::Full)),
+        "Persisted" => Ok(Some(EndpointListKind::Cached)),
         "Error" => Ok(None),
-        other => Err(Bad::new("mode", format!("{other:?} is no kind of list"))),
+        other => Err(SettingsError::new(
+            "mode",
+            format!("{other:?} is no kind of list"),
+        )),
     }
 }
 
-fn status(f: &Fields) -> Result<Status, Bad> {
+fn status(f: &Fields) -> Result<Status, SettingsError> {
     Ok(match f.int("reason")? {
         0 => Status::Error,
         1 => Status::Ok,
-        2 => Status::Full,
+        2 => Status::Rejected,
         3 => Status::Timeout,
         4 => Status::ConnectFailed,
         5 => Status::Reset,
         6 => Status::Cancelled,
-        7 => Status::Moot,
+        7 => Status::NotSent,
         8 => Status::Miss,
-        other => return Err(Bad::new("reason", format!("{other} is no outcome"))),
+        other => {
+            return Err(SettingsError::new(
+                "reason",
+                format!("{other} is no outcome"),
+            ))
+        }
     })
 }
 
-fn load(f: &Fields) -> Result<Option<Load>, Bad> {
+fn load(f: &Fields) -> Result<Option<LoadReport>, SettingsError> {
     let Some(value) = f.opt("telemetry") else {
         return Ok(None);
     };
     let r = Fields::of(value, "telemetry")?;
-    Ok(Some(Load {
+    Ok(Some(LoadReport {
         in_flight: r.opt_number("active")?,
         queue: r.opt_number("waiting")?,
         util: r.opt_number("cpu")?,
@@ -94,18 +107,18 @@
     }))
 }
 
-fn attempt(f: &Fields) -> Result<usize, Bad> {
-    usize::try_from(f.int("seq_no")?).map_err(|_| Bad::new("seq_no", "is below zero"))
+fn attempt(f: &Fields) -> Result<usize, SettingsError> {
+    usize::try_from(f.int("seq_no")?).map_err(|_| SettingsError::new("seq_no", "is below zero"))
 }
 
 /// An event other than of a list, a start or a stop.
-pub fn event(t: &str, f: &Fields, names: &Names) -> Result<Event, Bad> {
+pub fn event(t: &str, f: &Fields, names: &Names) -> Result<Event, SettingsError> {
     Ok(match t {
         "REQUEST" => Event::Request(Request {
             id: f.text("req")?.into(),
             class: names
                 .class(f.text("tier_class")?)
-                .ok_or_else(|| Bad::new("tier_class", "is no class of the settings"))?,
+                .ok_or_else(|| SettingsError::new("tier_class", "is no class of the settings"))?,
             tenant: f
                 .opt("owner")
                 .and_then(Value::as_str)
@@ -121,11 +134,11 @@
             retry: f.flag_or("resent", false)?,
             write: f.flag_or("mutates", false)?,
         }),
-        "ACCEPTED" => Event::Started {
+        "ACCEPTED" => Event::ResponseStarted {
             request: f.text("req")?.into(),
             attempt: attempt(f)?,
         },
-        "OUTCOME" => Event::Outcome {
+        "OUTCOME" => Event::AttemptEnded {
             request: f.text("req")?.into(),
             server: f.text("server")?.into(),
             attempt: attempt(f)?,
@@ -133,35 +146,35 @@
             status: status(f)?,
             closed: f.flag("last")?,
             note: match f.opt("remark").map(|_| f.int("remark")).transpose()? {
-                Some(1) => Some(Note::Hit),
-                Some(2) => Some(Note::Miss),
-                Some(3) => Some(Note::MissFetching),
+                Some(1) => Some(CacheResult::Hit),
+                Some(2) => Some(CacheResult::Miss),
+                Some(3) => Some(CacheResult::MissFetching),
                 _ => None,
             },
             load: load(f)?,
         },
-        "CLIENT_LEFT" => Event::ClientLeft(f.text("req")?.into()),
-        "WAKE" => Event::Timer(
+        "CLIENT_LEFT" => Event::ClientDisconnected(f.text("req")?.into()),
+        "WAKE" => Event::TimerExpired(
             f.get("ref")?
                 .as_u64()
-                .ok_or_else(|| Bad::new("ref", "is not a whole number"))?,
+                .ok_or_else(|| SettingsError::new("ref", "is not a whole number"))?,
         ),
-        "ECHO" => Event::Probed {
+        "ECHO" => Event::ProbeEnded {
             server: f.text("server")?.into(),
             latency: f.micros("spent")?,
             status: status(f)?,
             load: load(f)?,
         },
-        "MESSAGE" => Event::Peer {
+        "MESSAGE" => Event::PeerMessage {
             from: f.seed("origin_peer")?,
             data: hex(f.text("payload")?)?,
         },
-        other => return Err(Bad::new("t", format!("{other:?} is no event"))),
+        other => return Err(SettingsError::new("t", format!("{other:?} is no event"))),
     })
 }
 
-fn hex(text: &str) -> Result<Arc<[u8]>, Bad> {
-    let bad = || Bad::new("payload", "is not hex digits");
+fn hex(text: &str) -> Result<Arc<[u8]>, SettingsError> {
+    let bad = || SettingsError::new("payload", "is not hex digits");
     if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return Err(bad());
     }
@@ -209,7 +222,7 @@
                 time_field(out, "allow_for", *timeout);
             }
         }
-        Action::Refuse {
+        Action::Reject {
             request,
             retry_after,
         } => {
@@ -228,7 +241,7 @@
             text_field(out, "req", request);
             let _ = write!(out, ",\"seq_no\":{attempt}");
         }
-        Action::Timer { delay, token } => {
+        Action::SetTimer { delay, token } => {
             open(out, "DEFER", node);
             time_field(out, "from_now", *delay);
             let _ = write!(out, ",\"ref\":{token}");
@@ -237,7 +250,7 @@
             open(out, "SAMPLE", node);
             text_field(out, "server", server);
         }
-        Action::Close(server) => {
+        Action::CloseIdleConnections(server) => {
             open(out, "CLOSE", node);
             text_field(out, "server", server);
         }
@@ -245,7 +258,7 @@
             open(out, "TRACK", node);
             let _ = write!(out, ",\"active\":{on}");
         }
-        Action::FetchList => open(out, "QUERY_ALL", node),
+        Action::FetchEndpointList => open(out, "QUERY_ALL", node),
         Action::Log(text) => {
             open(out, "RECORD", node);
             text_field(out, "what", text);
--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Args as ClapArgs;
-use sloewick_node::{check, config};
+use sloewick_node::{config, config_check};
 
 use crate::out;
 
@@ -35,14 +35,14 @@
 }
 
 fn node(text: &str) -> Vec<Line> {
-    let line = |f: &check::Found| Line {
+    let line = |f: &config_check::Found| Line {
         text: f.to_string(),
         json: serde_json::json!({
             "field": f.field, "value": f.value, "why": f.why, "example": f.example, "fatal": f.fatal,
         }),
         fatal: f.fatal,
     };
-    check::check(text).iter().map(line).collect()
+    config_check::check(text).iter().map(line).collect()
 }
 
 fn memcached(text: &str, node: &str) -> Vec<Line> {
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use clap::Args as ClapArgs;
-use sloewick_rig::demo::{Demo, Nodes};
-use sloewick_rig::scenario::{Fault, Kind, Scenario, Set, FAULTS};
+use sloewick_testbed::demo::{Demo, Nodes};
+use sloewick_testbed::scenario::{Fault, Kind, Scenario, Set, FAULTS};
 
 use crate::out;
 use crate::speech::SpeechArgs;
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -13,9 +13,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use sloewick_decision::settings::Bad;
+use sloewick_decision::settings::SettingsError;
 use sloewick_node::node::Node;
-use sloewick_node::{config, os::Os};
+use sloewick_node::{config, mio_transport::MioTransport};
 
 /// A gateway before a read cache: takes requests, decides for each where it goes, and gives each exactly one
 /// final answer.
@@ -63,8 +63,8 @@
 }
 
 /// A configuration that can be read and that means something: under a time of no length, or a share of 7, nothing is served.
-fn usable(text: &str) -> Result<config::Config, Bad> {
-    let found = sloewick_node::check::check(text)
+fn usable(text: &str) -> Result<config::Config, SettingsError> {
+    let found = sloewick_node::config_check::check(text)
         .into_iter()
         .find(|found| found.fatal);
     match (config::parse(text), found) {
@@ -78,31 +78,32 @@
                 "{}: {}; for example {}",
                 found.value, found.why, found.example
             );
-            Err(Bad::new(&found.field, why))
+            Err(SettingsError::new(&found.field, why))
         }
         (parsed, _) => parsed,
     }
 }
 
-fn run(args: &RunArgs) -> Result<(), Bad> {
-    let path =
-        std::env::var("BALANCER_CONFIG").map_err(|_| Bad::new("BALANCER_CONFIG", "is not set"))?;
+fn run(args: &RunArgs) -> Result<(), SettingsError> {
+    let path = std::env::var("BALANCER_CONFIG")
+        .map_err(|_| SettingsError::new("BALANCER_CONFIG", "is not set"))?;
     let text = std::fs::read_to_string(&path)
-        .map_err(|e| Bad::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
+        .map_err(|e| SettingsError::new("BALANCER_CONFIG", format!("{path}: {e}")))?;
     let mut config = usable(&text)?;
     if let Some(file) = &args.memcached {
         let name = file.display();
         let text = std::fs::read_to_string(file)
-            .map_err(|e| Bad::new("--memcached", format!("{name}: {e}")))?;
+            .map_err(|e| SettingsError::new("--memcached", format!("{name}: {e}")))?;
         config::memcached(&mut config, &text).map_err(|problems| {
             let all: Vec<String> = problems.iter().map(|p| p.to_string()).collect();
-            Bad::new("--memcached", format!("{name}: {}", all.join("; ")))
+            SettingsError::new("--memcached", format!("{name}: {}", all.join("; ")))
         })?;
     }
     config::surroundings(&mut config, |name| std::env::var(name).ok())?;
     config.trace = args.trace;
     let listen = config.listen;
-    let mut os = Os::with_signals().map_err(|e| Bad::new("signals", e.to_string()))?;
+    let mut os =
+        MioTransport::with_signals().map_err(|e| SettingsError::new("signals", e.to_string()))?;
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
         // The next process learns anew then; this one serves all the same.
         if let Err(e) = os.keep_in(folder.as_ref()) {
@@ -110,8 +111,9 @@
         }
     }
     let node = Node::new(config, os, Box::new(move || config::read(&path)));
-    let node = node.map_err(|e| Bad::new("listen", format!("{listen}: {e}")))?;
-    node.run().map_err(|e| Bad::new("poll", e.to_string()))
+    let node = node.map_err(|e| SettingsError::new("listen", format!("{listen}: {e}")))?;
+    node.run()
+        .map_err(|e| SettingsError::new("poll", e.to_string()))
 }
 
 fn main() -> ExitCode {
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -4,9 +4,9 @@
 use std::time::Instant;
 
 use clap::Args as ClapArgs;
-use sloewick_rig::fleet::{self, Options, Outcome, Shown};
-use sloewick_rig::judge::Left;
-use sloewick_rig::scenario::{self, Scenario};
+use sloewick_testbed::fleet::{self, Options, Outcome, Shown};
+use sloewick_testbed::judge::Left;
+use sloewick_testbed::scenario::{self, Scenario};
 
 use crate::out;
 use crate::runs;
--- a/crates/sloewick/src/speech.rs
+++ b/crates/sloewick/src/speech.rs
@@ -1,7 +1,7 @@
 //! Options that say which protocols a fleet's clients and boxes speak.
 
 use clap::{Args, ValueEnum};
-use sloewick_rig::site::{Boxes, Clients, Speech};
+use sloewick_testbed::site::{Boxes, Clients, Speech};
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Front {
--- a/crates/sloewick/tests/fleet.rs
+++ b/crates/sloewick/tests/fleet.rs
@@ -5,10 +5,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use sloewick_rig::demo::{Demo, Nodes};
-use sloewick_rig::report::{Report, Span};
-use sloewick_rig::scenario;
-use sloewick_rig::site::Speech;
+use sloewick_testbed::demo::{Demo, Nodes};
+use sloewick_testbed::report::{Report, Span};
+use sloewick_testbed::scenario;
+use sloewick_testbed::site::Speech;
 
 /// Plays a schedule with real processes; no rule is broken.
 fn played(text: &str) -> Report {
--- a/crates/store/src/folder.rs
+++ b/crates/snapshot/src/file.rs
@@ -13,16 +13,16 @@
 
 /// A folder that holds one snapshot.
 #[derive(Clone, Debug)]
-pub struct Folder {
+pub struct SnapshotFile {
     path: PathBuf,
     name: &'static str,
     longest: usize,
 }
 
-impl Folder {
+impl SnapshotFile {
     /// `name`: of the file; `longest`: bytes that a snapshot may have.
-    pub fn new(path: &Path, name: &'static str, longest: usize) -> Folder {
-        Folder {
+    pub fn new(path: &Path, name: &'static str, longest: usize) -> SnapshotFile {
+        SnapshotFile {
             path: path.to_path_buf(),
             name,
             longest,
--- a/crates/store/src/snapshot.rs
+++ b/crates/snapshot/src/format.rs
@@ -37,7 +37,7 @@
 
 /// Why a snapshot is not believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum SnapshotError {
     /// It does not begin as a snapshot does.
     Foreign,
     /// Its format is of this version.
@@ -54,21 +54,23 @@
     Future(i64),
 }
 
-impl fmt::Display for Refused {
+impl fmt::Display for SnapshotError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Refused::Foreign => write!(f, "is no snapshot"),
-            Refused::Version(version) => write!(f, "is of version {version}"),
-            Refused::Owner => write!(f, "is another node's"),
-            Refused::Torn => write!(f, "is torn"),
-            Refused::Damaged => write!(f, "is damaged: its checksum does not fit"),
-            Refused::Old(age) => write!(f, "is too old: {} s", age / 1_000_000),
-            Refused::Future(ahead) => write!(f, "is {} s ahead of the clock", ahead / 1_000_000),
+            SnapshotError::Foreign => write!(f, "is no snapshot"),
+            SnapshotError::Version(version) => write!(f, "is of version {version}"),
+            SnapshotError::Owner => write!(f, "is another node's"),
+            SnapshotError::Torn => write!(f, "is torn"),
+            SnapshotError::Damaged => write!(f, "is damaged: its checksum does not fit"),
+            SnapshotError::Old(age) => write!(f, "is too old: {} s", age / 1_000_000),
+            SnapshotError::Future(ahead) => {
+                write!(f, "is {} s ahead of the clock", ahead / 1_000_000)
+            }
         }
     }
 }
 
-impl std::error::Error for Refused {}
+impl std::error::Error for SnapshotError {}
 
 fn owner(text: &str) -> [u8; OWNER] {
     let mut short = [0; OWNER];
@@ -99,40 +101,40 @@
     expected: &Expected,
     now: i64,
     bytes: &'a [u8],
-) -> Result<(&'a [u8], i64), Refused> {
+) -> Result<(&'a [u8], i64), SnapshotError> {
     let begun = bytes.len().min(MAGIC.len());
     if bytes[..begun] != MAGIC[..begun] {
-        return Err(Refused::Foreign);
+        return Err(SnapshotError::Foreign);
     }
     let Some((head, rest)) = bytes.split_at_checked(HEAD) else {
-        return Err(Refused::Torn);
+        return Err(SnapshotError::Torn);
     };
     let (_, head) = head.split_at(MAGIC.len());
     let (version, head) = head.split_at(2);
     let version = u16::from_le_bytes([version[0], version[1]]);
     if version != expected.version {
-        return Err(Refused::Version(version));
+        return Err(SnapshotError::Version(version));
     }
     let (whose, head) = head.split_at(OWNER);
     let (taken, length) = head.split_at(8);
     let number = |bytes: &[u8]| bytes.iter().rev().fold(0u64, |n, b| n << 8 | u64::from(*b));
     let (taken, length) = (number(taken) as i64, number(length) as usize);
     if rest.len() != length.saturating_add(SUM) {
-        return Err(Refused::Torn);
+        return Err(SnapshotError::Torn);
     }
     let (all, sum) = bytes.split_at(HEAD + length);
     if Sha256::digest(all)[..] != *sum {
-        return Err(Refused::Damaged);
+        return Err(SnapshotError::Damaged);
     }
     if whose != owner(expected.owner) {
-        return Err(Refused::Owner);
+        return Err(SnapshotError::Owner);
     }
     let age = now.saturating_sub(taken);
     if age > expected.age_most {
-        return Err(Refused::Old(age));
+        return Err(SnapshotError::Old(age));
     }
     if age < -AHEAD_MOST {
-        return Err(Refused::Future(age.saturating_neg()));
+        return Err(SnapshotError::Future(age.saturating_neg()));
     }
     Ok((&all[HEAD..], age.max(0)))
 }
--- a/crates/store/src/keeper.rs
+++ b/crates/snapshot/src/writer.rs
@@ -5,24 +5,24 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use crate::Folder;
+use crate::SnapshotFile;
 
 /// The thread needs little.
 const STACK: usize = 128 << 10;
 
 /// See the module. The thread ends when this is dropped; what it writes then it finishes, if the process lives.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct SnapshotWriter {
     to: SyncSender<Vec<u8>>,
     trouble: Arc<Mutex<Option<String>>>,
 }
 
-impl Keeper {
+impl SnapshotWriter {
     /// Starts the thread.
     ///
     /// # Errors
     /// The system's, when it has no room for a thread.
-    pub fn start(folder: Folder) -> std::io::Result<Keeper> {
+    pub fn start(folder: SnapshotFile) -> std::io::Result<SnapshotWriter> {
         let (to, from) = sync_channel::<Vec<u8>>(0);
         let trouble = Arc::new(Mutex::new(None));
         let told = trouble.clone();
@@ -40,7 +40,7 @@
             .name("keeper".into())
             .stack_size(STACK)
             .spawn(work)?;
-        Ok(Keeper { to, trouble })
+        Ok(SnapshotWriter { to, trouble })
     }
 
     /// Hands a snapshot over; false: the one before is still being written, and this one is dropped.
--- a/crates/store/tests/snapshots.rs
+++ b/crates/snapshot/tests/snapshots.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use proptest::prelude::*;
-use sloewick_store::{open, seal, Expected, Folder, Keeper, Refused, OVERHEAD};
+use sloewick_snapshot::{
+    open, seal, Expected, SnapshotError, SnapshotFile, SnapshotWriter, OVERHEAD,
+};
 
 const NOW: i64 = 1_900_000_000_000_000;
 const EXPECTED: Expected = Expected {
@@ -36,12 +38,12 @@
     for end in 0..bytes.len() {
         assert_eq!(
             open(&EXPECTED, NOW, &bytes[..end]),
-            Err(Refused::Torn),
+            Err(SnapshotError::Torn),
             "cut at {end}"
         );
     }
     let more = [&bytes[..], b"\0"].concat();
-    assert_eq!(open(&EXPECTED, NOW, &more), Err(Refused::Torn));
+    assert_eq!(open(&EXPECTED, NOW, &more), Err(SnapshotError::Torn));
 }
 
 #[test]
@@ -52,10 +54,10 @@
         spoilt[at / 8] ^= 1 << (at % 8);
         let refused = open(&EXPECTED, NOW, &spoilt).unwrap_err();
         let expected = match at / 8 {
-            0..4 => refused == Refused::Foreign,
-            4..6 => matches!(refused, Refused::Version(_)),
-            30..34 => refused == Refused::Torn,
-            _ => refused == Refused::Damaged,
+            0..4 => refused == SnapshotError::Foreign,
+            4..6 => matches!(refused, SnapshotError::Version(_)),
+            30..34 => refused == SnapshotError::Torn,
+            _ => refused == SnapshotError::Damaged,
         };
         assert!(expected, "bit {at}: {refused}");
     }
@@ -66,16 +68,16 @@
     let with = |owner, version| seal(owner, version, NOW, b"x").unwrap();
     assert_eq!(
         open(&EXPECTED, NOW, &with("node 127.0.0.1:2", 3)),
-        Err(Refused::Owner)
+        Err(SnapshotError::Owner)
     );
     assert_eq!(
         open(&EXPECTED, NOW, &with(EXPECTED.owner, 4)),
-        Err(Refused::Version(4))
+        Err(SnapshotError::Version(4))
     );
     assert!(open(&EXPECTED, NOW, &sealed(NOW - 10_000_000)).is_ok());
     assert_eq!(
         open(&EXPECTED, NOW, &sealed(NOW - 10_000_001)),
-        Err(Refused::Old(10_000_001))
+        Err(SnapshotError::Old(10_000_001))
     );
     assert_eq!(
         open(&EXPECTED, NOW, &sealed(NOW + 1_000_000)).map(|o| o.1),
@@ -84,12 +86,12 @@
     );
     assert_eq!(
         open(&EXPECTED, NOW, &sealed(NOW + 1_000_001)),
-        Err(Refused::Future(1_000_001))
+        Err(SnapshotError::Future(1_000_001))
     );
     for taken in [i64::MIN, i64::MAX] {
         assert!(open(&EXPECTED, NOW, &sealed(taken)).is_err());
     }
-    assert_eq!(open(&EXPECTED, NOW, b"{}"), Err(Refused::Foreign));
+    assert_eq!(open(&EXPECTED, NOW, b"{}"), Err(SnapshotError::Foreign));
 }
 
 proptest! {
@@ -107,7 +109,7 @@
 #[test]
 fn a_folder_gives_back_what_was_written_last() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = Folder::new(dir.path(), "kept", 8);
+    let folder = SnapshotFile::new(dir.path(), "kept", 8);
     assert_eq!(folder.read().unwrap(), None);
     folder.write(b"one").unwrap();
     folder.write(b"two").unwrap();
@@ -131,7 +133,7 @@
 #[test]
 fn a_file_that_is_too_long_or_no_file_is_told() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = Folder::new(dir.path(), "kept", 8);
+    let folder = SnapshotFile::new(dir.path(), "kept", 8);
     fs::write(folder.file(), [0; 9]).unwrap();
     assert_eq!(
         folder.read().unwrap_err().to_string(),
@@ -149,7 +151,7 @@
     fs::remove_dir(folder.file()).unwrap();
     symlink("/dev/zero", folder.file()).unwrap();
     assert_eq!(folder.read().unwrap_err().to_string(), "is no file");
-    let nowhere = Folder::new(&dir.path().join("gone"), "kept", 8);
+    let nowhere = SnapshotFile::new(&dir.path().join("gone"), "kept", 8);
     assert_eq!(nowhere.read().unwrap(), None);
     assert!(nowhere.write(b"x").is_err());
 }
@@ -157,7 +159,7 @@
 #[test]
 fn old_half_written_files_are_taken_away_and_no_others() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = Folder::new(dir.path(), "kept", 8);
+    let folder = SnapshotFile::new(dir.path(), "kept", 8);
     let hour_ago = SystemTime::now() - Duration::from_secs(3600);
     for name in ["kept.1.half", "kept", "other.1.half"] {
         let file = fs::File::create(dir.path().join(name)).unwrap();
@@ -184,8 +186,8 @@
 #[test]
 fn a_keeper_writes_what_it_takes_and_tells_what_it_could_not() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = Folder::new(dir.path(), "kept", 8);
-    let keeper = Keeper::start(folder.clone()).unwrap();
+    let folder = SnapshotFile::new(dir.path(), "kept", 8);
+    let keeper = SnapshotWriter::start(folder.clone()).unwrap();
     until("it takes one", || keeper.offer(b"one".to_vec()));
     until("and writes it", || {
         folder.read().unwrap().as_deref() == Some(b"one")
--- a/crates/rig/src/cachebox.rs
+++ b/crates/testbed/src/cachebox.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
-use sloewick_wire::memcache::{self, Opcode, RequestReader, Status};
-use sloewick_wire::resp::{
-    put_bulk, put_head, Budget, Command, CommandReader, Part, Piece, Reply, ReplyReader,
+use sloewick_codec::memcached::{self, Opcode, RequestReader, Status};
+use sloewick_codec::resp2::{
+    write_bulk, write_header, Budget, Command, CommandReader, Part, Piece, Reply, ReplyReader,
 };
+use sloewick_decision::api::Micros;
 
 use crate::facts::{short, Fate, Id, Tap, What};
 use crate::orders::Orders;
@@ -125,7 +125,7 @@
 
 enum Input {
     Command(Command),
-    Request(memcache::Request),
+    Request(memcached::Request),
 }
 
 /// How long a box works on what tells no time: longer than any node waits.
@@ -191,9 +191,9 @@
         true => (Opcode::Set, &[][..], Vec::new()),
         false => (Opcode::Get, &[0; 4][..], value),
     };
-    memcache::put_response(
+    memcached::write_response(
         out,
-        &memcache::Response {
+        &memcached::Response {
             opcode: opcode as u8,
             status: Status::Ok as u16,
             opaque,
@@ -356,14 +356,14 @@
         );
     }
 
-    fn request(&mut self, conn: usize, r: &memcache::Request, first_byte: Micros) {
+    fn request(&mut self, conn: usize, r: &memcached::Request, first_byte: Micros) {
         let key = std::str::from_utf8(&r.key).unwrap_or_default();
         let plain = r.fault.is_none() && r.cas == 0 && r.extras.iter().all(|b| *b == 0);
         let (write, idem) = match Opcode::from_code(r.opcode).filter(|_| plain) {
             Some(Opcode::Get) => (false, None),
             Some(Opcode::Noop) => {
                 let mut out = Vec::new();
-                memcache::put_status(&mut out, r.opcode, r.opaque, Status::Ok);
+                memcached::write_status(&mut out, r.opcode, r.opaque, Status::Ok);
                 return self.port.send(conn, out.into());
             }
             Some(Opcode::Set) => {
@@ -501,7 +501,7 @@
                 };
                 let opcode = if job.write { Opcode::Set } else { Opcode::Get };
                 let mut out = Vec::new();
-                memcache::put_status(&mut out, opcode as u8, opaque, status);
+                memcached::write_status(&mut out, opcode as u8, opaque, status);
                 out.into()
             }
         };
@@ -642,15 +642,15 @@
         let mut out = Vec::new();
         if write {
             let idem = job.idem.as_deref().unwrap_or("-");
-            put_head(&mut out, b'*', 5);
+            write_header(&mut out, b'*', 5);
             for word in ["O.SET", &tag, &job.key, &job.id, idem] {
-                put_bulk(&mut out, word.as_bytes());
+                write_bulk(&mut out, word.as_bytes());
             }
         } else {
             *self.fetching.entry(job.key.clone()).or_default() += 1;
-            put_head(&mut out, b'*', 3);
+            write_header(&mut out, b'*', 3);
             for word in ["O.GET", &tag, &job.key] {
-                put_bulk(&mut out, word.as_bytes());
+                write_bulk(&mut out, word.as_bytes());
             }
         }
         self.port.send(origin, out.into());
@@ -730,12 +730,12 @@
         if let Some(opaque) = job.opaque {
             put_answer(&mut out, &job, opaque, value);
         } else {
-            put_head(&mut out, b'*', 3);
-            put_bulk(&mut out, &value);
+            write_header(&mut out, b'*', 3);
+            write_bulk(&mut out, &value);
             if how.is_empty() {
                 out.extend_from_slice(b"$-1\r\n");
             } else {
-                put_bulk(&mut out, how.as_bytes());
+                write_bulk(&mut out, how.as_bytes());
             }
             out.extend_from_slice(b"$-1\r\n");
         }
--- a/crates/rig/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
-use sloewick_wire::memcache::{self, Opcode, ResponseReader, Status};
-use sloewick_wire::resp::{put_bulk, put_head, Part, Piece, Reply, ReplyReader};
+use sloewick_codec::memcached::{self, Opcode, ResponseReader, Status};
+use sloewick_codec::resp2::{write_bulk, write_header, Part, Piece, Reply, ReplyReader};
+use sloewick_decision::api::Micros;
 
 use crate::facts::{named_by, opaque_of, short, Answer, Id, Tap, What};
 use crate::orders::Orders;
@@ -336,24 +336,24 @@
             };
             let key = Bytes::from(key_name);
             let (opcode, opaque) = (opcode as u8, number as u32);
-            memcache::put_request(
+            memcached::write_request(
                 &mut out,
-                &memcache::Request {
+                &memcached::Request {
                     opcode,
                     opaque,
                     extras,
                     key,
                     value,
-                    ..memcache::Request::default()
+                    ..memcached::Request::default()
                 },
             );
         } else {
-            put_head(&mut out, b'*', if c.write { 5 } else { 4 });
+            write_header(&mut out, b'*', if c.write { 5 } else { 4 });
             for word in [name, key_name.as_bytes(), id.as_bytes(), fields.as_bytes()] {
-                put_bulk(&mut out, word);
+                write_bulk(&mut out, word);
             }
             if c.write {
-                put_bulk(&mut out, &value);
+                write_bulk(&mut out, &value);
             }
         }
         let is_first = first.is_none();
@@ -495,8 +495,8 @@
                     Ok(None) => Ok(None),
                     Err(broken) => Err(broken.0),
                 },
-                Reader::Memcached(reader) => match reader.next(&mut line.buf, BODY_MOST) {
-                    Ok(Some(memcache::Piece::Whole(response))) => {
+                Reader::Memcached(reader) => match reader.next(&mut line.buf, MAX_BODY) {
+                    Ok(Some(memcached::Piece::Whole(response))) => {
                         Ok(Some(Some(Said::Memcached(response))))
                     }
                     Ok(Some(_)) => Ok(Some(None)),
@@ -508,11 +508,11 @@
                 Ok(Some(Some(said))) => self.replied(conn, said),
                 Ok(Some(None)) => c.part = true,
                 Ok(None) => {
-                    let midway = match &c.reader {
-                        Reader::Resp(reader) => reader.midway(),
-                        Reader::Memcached(reader) => reader.midway(),
+                    let is_mid_message = match &c.reader {
+                        Reader::Resp(reader) => reader.is_mid_message(),
+                        Reader::Memcached(reader) => reader.is_mid_message(),
                     };
-                    c.part = midway || !line.buf.is_empty();
+                    c.part = is_mid_message || !line.buf.is_empty();
                     return;
                 }
                 Err(broken) => {
@@ -538,7 +538,7 @@
         if std::mem::take(&mut c.ping) {
             if matches!(&said, Said::Resp(Reply::One(Part::Simple(text))) if text == "PONG") {
                 self.up[node] = true;
-                self.tap.tell(self.port.unix(), What::Ready { node });
+                self.tap.tell(self.port.unix(), What::ReadyEvent { node });
                 if self.by_key() {
                     // Pings go to the RESP2 door; no protocol is to have a connection before the other.
                     self.port.close(conn);
@@ -760,12 +760,12 @@
 }
 
 /// Longest body of an answer.
-const BODY_MOST: usize = 5 << 20;
+const MAX_BODY: usize = 5 << 20;
 
 #[derive(Debug)]
 enum Said {
     Resp(Reply),
-    Memcached(memcache::Response),
+    Memcached(memcached::Response),
 }
 
 /// What a value says: it was made for this request, or for another.
@@ -801,7 +801,7 @@
     }
 }
 
-fn memcached_answer(r: &memcache::Response, id: &Id, opaque: u32, write: bool) -> Answer {
+fn memcached_answer(r: &memcached::Response, id: &Id, opaque: u32, write: bool) -> Answer {
     if r.opaque != opaque {
         return Answer::Foreign(format!("opaque {:08x} for {opaque:08x}", r.opaque));
     }
--- a/crates/rig/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -13,11 +13,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rustix::process::Signal;
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 use sloewick_node::config;
-use sloewick_node::net::Told as Signals;
+use sloewick_node::mio_transport::{MioTransport, RemoteSignals};
 use sloewick_node::node::Node;
-use sloewick_node::os::{Os, Remote};
+use sloewick_node::transport::PendingSignals as Signals;
 
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
@@ -113,7 +113,7 @@
 
 /// A node that runs.
 enum Running {
-    Thread(Served, Arc<Remote>),
+    Thread(Served, Arc<RemoteSignals>),
     Process(Process),
 }
 
@@ -256,7 +256,7 @@
         );
         let made = Served::start("discovery", move || {
             Ok(Box::new(Discovery::new(
-                Os::new()?,
+                MioTransport::new()?,
                 &at,
                 rev,
                 &list,
@@ -279,7 +279,12 @@
         let set = site::cache_box(number, at, self.origin, cold, memcached, self.seed);
         let (its_orders, tap) = (orders.clone(), self.tap.clone());
         let served = Served::start(&format!("box-{number}"), move || {
-            Ok(Box::new(CacheBox::new(Os::new()?, set, its_orders, tap)?))
+            Ok(Box::new(CacheBox::new(
+                MioTransport::new()?,
+                set,
+                its_orders,
+                tap,
+            )?))
         });
         let served = served
             .map_err(|e| self.said.push(format!("box {number} does not start: {e}")))
@@ -436,7 +441,7 @@
             }
             return;
         }
-        let remote = Arc::new(Remote::default());
+        let remote = Arc::new(RemoteSignals::default());
         let its = remote.clone();
         let served = Served::start(&format!("node-{node}"), move || {
             let mut config = config::parse(&text).map_err(|e| io::Error::other(e.to_string()))?;
@@ -449,7 +454,11 @@
                     config
                 })
             });
-            Ok(Box::new(Node::new(config, Os::remote(its)?, source)?))
+            Ok(Box::new(Node::new(
+                config,
+                MioTransport::remote(its)?,
+                source,
+            )?))
         });
         match served {
             Ok(served) => self.nodes[node].served = Some(Running::Thread(served, remote)),
@@ -592,7 +601,12 @@
         };
         let (set, its) = (site::origin(origin, seed, scenario), tap.clone());
         let served = Served::start("origin", move || {
-            Ok(Box::new(Origin::new(Os::new()?, set, origin_orders, its)?))
+            Ok(Box::new(Origin::new(
+                MioTransport::new()?,
+                set,
+                origin_orders,
+                its,
+            )?))
         })?;
         threads._rest.push(served);
         let mut director = Director::new(scenario, seed);
@@ -613,12 +627,17 @@
         );
         let its = tap.clone();
         let served = Served::start("clients", move || {
-            Ok(Box::new(Crowd::new(Os::new()?, set, clients_orders, its)))
+            Ok(Box::new(Crowd::new(
+                MioTransport::new()?,
+                set,
+                clients_orders,
+                its,
+            )))
         })?;
         threads._rest.push(served);
         let served = Served::start("rude", move || {
             Ok(Box::new(Rude::new(
-                Os::new()?,
+                MioTransport::new()?,
                 addresses,
                 memcached,
                 seed,
--- a/crates/rig/src/director.rs
+++ b/crates/testbed/src/director.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::cachebox;
 use crate::clients;
--- a/crates/rig/src/discovery.rs
+++ b/crates/testbed/src/discovery.rs
@@ -5,14 +5,14 @@
 use std::io;
 use std::net::SocketAddr;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::facts::{Tap, Told, What};
 use crate::orders::Orders;
 use crate::port::{Actor, Came, Port, Sight};
 
 /// Longest request that is read.
-const HEAD_MOST: usize = 8 << 10;
+const MAX_HEAD: usize = 8 << 10;
 
 /// One box as it is listed.
 #[derive(Clone, Debug, PartialEq)]
@@ -160,7 +160,7 @@
         let mut request = httparse::Request::new(&mut headers);
         match request.parse(buf) {
             Ok(httparse::Status::Complete(_)) => {}
-            Ok(httparse::Status::Partial) if buf.len() < HEAD_MOST => return,
+            Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD => return,
             _ => return self.port.close(conn),
         }
         let path = request.path.unwrap_or_default().to_string();
--- a/crates/rig/src/facts.rs
+++ b/crates/testbed/src/facts.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 pub type Id = Arc<str>;
 
@@ -152,7 +152,7 @@
         node: usize,
     },
     /// The node has answered PING after it was started.
-    Ready {
+    ReadyEvent {
         node: usize,
     },
     /// The node was told to end.
--- a/crates/rig/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -7,11 +7,11 @@
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver};
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 use sloewick_decision::Balancer;
 use sloewick_node::config;
-use sloewick_node::net::Told as Signals;
-use sloewick_node::node::{Module, Node};
+use sloewick_node::node::{DecisionEngine, Node};
+use sloewick_node::transport::PendingSignals as Signals;
 
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
@@ -38,7 +38,7 @@
 const ENDING: Micros = 4_000_000;
 
 /// Wraps the module of each node (its number given), for tests that plant defects.
-pub type Wrap = Rc<dyn Fn(usize, Balancer) -> Box<dyn Module>>;
+pub type Wrap = Rc<dyn Fn(usize, Balancer) -> Box<dyn DecisionEngine>>;
 
 /// What a watcher of a run is shown.
 pub enum Shown<'a> {
@@ -107,9 +107,9 @@
     }
 }
 
-struct Boxed(Box<dyn Module>);
+struct Boxed(Box<dyn DecisionEngine>);
 
-impl Module for Boxed {
+impl DecisionEngine for Boxed {
     fn handle(
         &mut self,
         now: Micros,
@@ -119,21 +119,21 @@
         self.0.handle(now, event, actions);
     }
 
-    fn avoids(&self, now: Micros, server: &sloewick_decision::interface::ServerId) -> bool {
-        self.0.avoids(now, server)
+    fn is_unavailable(&self, now: Micros, server: &sloewick_decision::api::ServerId) -> bool {
+        self.0.is_unavailable(now, server)
     }
 
-    fn kept(&self, server: &sloewick_decision::interface::ServerId) -> f64 {
-        self.0.kept(server)
+    fn retained_fraction(&self, server: &sloewick_decision::api::ServerId) -> f64 {
+        self.0.retained_fraction(server)
     }
 
-    fn goes(
+    fn may_start_attempt(
         &self,
         now: Micros,
-        request: &sloewick_decision::interface::RequestId,
+        request: &sloewick_decision::api::RequestId,
         attempt: usize,
     ) -> bool {
-        self.0.goes(now, request, attempt)
+        self.0.may_start_attempt(now, request, attempt)
     }
 }
 
@@ -407,7 +407,7 @@
         }
         let wrap = self.wrap.clone();
         let made: Result<Box<dyn Actor>, _> = match wrap {
-            Some(wrap) => Node::with_module(config, self.hosts.net(host), source, |balancer| {
+            Some(wrap) => Node::with_engine(config, self.hosts.net(host), source, |balancer| {
                 Boxed(wrap(node, balancer))
             })
             .map(|n| Box::new(n) as Box<dyn Actor>),
--- a/crates/rig/src/hosts.rs
+++ b/crates/testbed/src/hosts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::port::Actor;
 use crate::vnet::{HostId, Shared, VNet, World};
--- a/crates/rig/src/idle.rs
+++ b/crates/testbed/src/idle.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::orders::Orders;
 use crate::port::{Actor, Came, Port, Sight};
--- a/crates/rig/src/judge.rs
+++ b/crates/testbed/src/judge.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fmt;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::clients::RUDE_OWED;
 use crate::facts::{Answer, Fact, Fate, Id, Told, What};
@@ -421,9 +421,11 @@
                 }
             }
             What::Known { node, at_box, told } => match told {
-                Told::In { .. } => drop(self.knows_start.entry((*node, *at_box)).or_insert(at)),
+                Told::In { .. } => {
+                    self.knows_start.entry((*node, *at_box)).or_insert(at);
+                }
                 Told::Draining | Told::Gone => {
-                    drop(self.told.entry((*node, *at_box)).or_insert(at))
+                    self.told.entry((*node, *at_box)).or_insert(at);
                 }
             },
             What::Had { at_box, told } => {
@@ -438,7 +440,7 @@
             }
             // One that moves goes on.
             What::Reached { can } => self.reached = can.then(|| self.reached.unwrap_or(at)),
-            What::Ready { node } => {
+            What::ReadyEvent { node } => {
                 let start = self
                     .restarts
                     .iter_mut()
--- a/crates/rig/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,6 +1,6 @@
 //! A fleet that can be made to fail on purpose, the same way every time.
 //!
-//! Stand-ins (cache box, origin, discovery, clients) serve over a [`sloewick_node::net::Net`], on real sockets
+//! Stand-ins (cache box, origin, discovery, clients) serve over a [`sloewick_node::transport::Transport`], on real sockets
 //! and on the virtual network alike. [`fleet`] plays a scenario on virtual time; [`judge`] says from what passed
 //! whether the rules were kept. `docs/rig.md` tells how to use it.
 
--- a/crates/rig/src/origin.rs
+++ b/crates/testbed/src/origin.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use sloewick_decision::interface::Micros;
-use sloewick_wire::resp::{put_bulk, put_head, Budget, CommandReader};
+use sloewick_codec::resp2::{write_bulk, write_header, Budget, CommandReader};
+use sloewick_decision::api::Micros;
 
 use crate::facts::{Id, Tap, What};
 use crate::orders::Orders;
@@ -229,10 +229,10 @@
     fn answer(&mut self, conn: usize, serial: u64, tag: &Bytes, version: Option<u64>) {
         if self.port.line(conn).is_some_and(|l| l.serial == serial) {
             let mut out = Vec::new();
-            put_head(&mut out, b'*', 2);
-            put_bulk(&mut out, tag);
+            write_header(&mut out, b'*', 2);
+            write_bulk(&mut out, tag);
             match version {
-                Some(version) => put_bulk(&mut out, version.to_string().as_bytes()),
+                Some(version) => write_bulk(&mut out, version.to_string().as_bytes()),
                 None => out.extend_from_slice(b"$-1\r\n"),
             }
             self.port.send(conn, out.into());
@@ -241,8 +241,8 @@
 
     fn tell_all(&mut self, words: &[&[u8]]) {
         let mut out = Vec::new();
-        put_head(&mut out, b'*', words.len());
-        words.iter().for_each(|word| put_bulk(&mut out, word));
+        write_header(&mut out, b'*', words.len());
+        words.iter().for_each(|word| write_bulk(&mut out, word));
         let out = Bytes::from(out);
         for conn in self.port.conns() {
             self.port.send(conn, out.clone());
--- a/crates/rig/src/port.rs
+++ b/crates/testbed/src/port.rs
@@ -1,4 +1,4 @@
-//! What all stand-ins share: connections with their bytes in and out, listeners and timers over a [`Net`].
+//! What all stand-ins share: connections with their bytes in and out, listeners and timers over a [`Transport`].
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -7,8 +7,10 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_decision::interface::Micros;
-use sloewick_node::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
+use sloewick_decision::api::Micros;
+use sloewick_node::transport::{
+    fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue,
+};
 
 /// Bytes of one connection that may wait to be taken up; what sends more without end is closed.
 const UNREAD_MOST: usize = 8 << 20;
@@ -27,7 +29,9 @@
     fn prepare(&mut self) -> Option<Micros>;
 }
 
-impl<N: Net, M: sloewick_node::node::Module> Actor for sloewick_node::node::Node<N, M> {
+impl<N: Transport, M: sloewick_node::node::DecisionEngine> Actor
+    for sloewick_node::node::Node<N, M>
+{
     fn turn(&mut self, wait: Micros) -> io::Result<()> {
         sloewick_node::node::Node::turn(self, wait)
     }
@@ -38,14 +42,14 @@
 }
 
 /// A net that may know when bytes left their sender.
-pub trait Sight: Net {
+pub trait Sight: Transport {
     /// Unix time at which the next bytes of a connection were sent; none where nobody can tell.
     fn sent(&self, _stream: &Self::Stream) -> Option<Micros> {
         None
     }
 }
 
-impl Sight for sloewick_node::os::Os {}
+impl Sight for sloewick_node::mio_transport::MioTransport {}
 
 /// What came on a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,7 +71,7 @@
     stream: S,
     pub serial: u64,
     pub buf: BytesMut,
-    out: Outbox,
+    out: WriteQueue,
     connecting: bool,
     ended: bool,
     /// End it when all is written.
@@ -95,7 +99,7 @@
     listeners: Vec<Option<N::Listener>>,
     lines: Slab<Line<N::Stream>>,
     serial: u64,
-    ready: Vec<Ready>,
+    ready: Vec<ReadyEvent>,
     scratch: Vec<u8>,
     timers: BinaryHeap<Reverse<(Micros, u64, D)>>,
     set: u64,
@@ -103,7 +107,7 @@
     closes: Vec<(usize, u64)>,
     cut: Cut,
     /// News of cut connections and listeners, told when the way is whole again; one for each at the most.
-    unheard: BTreeMap<Token, Ready>,
+    unheard: BTreeMap<Token, ReadyEvent>,
 }
 
 impl<N: Sight, D: Ord> Port<N, D> {
@@ -128,7 +132,7 @@
     }
 
     pub fn unix(&self) -> Micros {
-        self.net.began_unix() + self.net.now()
+        self.net.unix_time_at_start() + self.net.now()
     }
 
     /// Listens; the number of the listener (63 at most).
@@ -183,7 +187,7 @@
     fn hold(&mut self, stream: N::Stream, connecting: bool, accepted: bool) -> usize {
         self.serial += 1;
         let (serial, since) = (self.serial, self.unix());
-        let (buf, out) = (BytesMut::new(), Outbox::default());
+        let (buf, out) = (BytesMut::new(), WriteQueue::default());
         self.lines.insert(Line {
             stream,
             serial,
@@ -316,7 +320,7 @@
                 Ok(stream) => {
                     let conn = self.hold(stream, false, true);
                     came.push((conn, Came::Opened(number)));
-                    let all = Ready {
+                    let all = ReadyEvent {
                         token,
                         readable: true,
                         writable: true,
@@ -331,7 +335,7 @@
         }
     }
 
-    fn came(&mut self, conn: usize, event: &Ready, came: &mut Vec<(usize, Came)>) {
+    fn came(&mut self, conn: usize, event: &ReadyEvent, came: &mut Vec<(usize, Came)>) {
         let unix = self.unix();
         let Some(line) = self.lines.get_mut(conn) else {
             return;
@@ -365,9 +369,9 @@
                 line.since = self.net.sent(&line.stream).unwrap_or(unix);
             }
             match fill(&mut line.stream, &mut line.buf, &mut self.scratch) {
-                Read1::More | Read1::Some => some = true,
-                Read1::Empty => break,
-                Read1::Ended | Read1::Broke => {
+                ReadOutcome::More | ReadOutcome::Some => some = true,
+                ReadOutcome::Empty => break,
+                ReadOutcome::Ended | ReadOutcome::Broke => {
                     line.ended = true;
                     break;
                 }
--- a/crates/rig/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt::Write;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 use crate::facts::{Answer, Fact, Id, What};
 
--- a/crates/rig/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -519,11 +519,11 @@
 }
 
 fn number(value: &Spanned<DeValue>) -> Option<f64> {
-    sloewick_settings::number(value.get_ref())
+    sloewick_toml_config::number(value.get_ref())
 }
 
 fn shown(value: &Spanned<DeValue>) -> String {
-    sloewick_settings::shown(value.get_ref())
+    sloewick_toml_config::shown(value.get_ref())
 }
 
 fn fault(start: usize, table: &DeTable, say: &mut impl FnMut(usize, String)) -> Option<Fault> {
--- a/crates/rig/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use serde_json::{json, Value};
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 use sloewick_node::config::Config;
 
 use crate::discovery::{list_json, Listed};
--- a/crates/rig/src/vnet.rs
+++ b/crates/testbed/src/vnet.rs
@@ -15,8 +15,8 @@
 
 use bytes::{Buf, Bytes};
 use slab::Slab;
-use sloewick_decision::interface::Micros;
-use sloewick_node::net::{Net, Ready, Stream, Token, Told, SIGNALS};
+use sloewick_decision::api::Micros;
+use sloewick_node::transport::{PendingSignals, ReadyEvent, Stream, Token, Transport, SIGNALS};
 
 use crate::port::Sight;
 use crate::rng::Rng;
@@ -153,7 +153,7 @@
     /// Where its clock stands against virtual time.
     started: Micros,
     skew: Micros,
-    told: Told,
+    told: PendingSignals,
     signalled: bool,
     ready: Vec<(usize, usize)>,
     listeners_ready: Vec<SocketAddr>,
@@ -284,7 +284,7 @@
         h.descriptors = 0;
         h.ready.clear();
         h.listeners_ready.clear();
-        (h.told, h.signalled) = (Told::default(), false);
+        (h.told, h.signalled) = (PendingSignals::default(), false);
     }
 
     /// A process starts on the machine of one that died.
@@ -362,7 +362,7 @@
         self.hosts[host].vanished = false;
     }
 
-    pub fn signal(&mut self, host: HostId, told: Told) {
+    pub fn signal(&mut self, host: HostId, told: PendingSignals) {
         let h = &mut self.hosts[host];
         h.told.reload |= told.reload;
         h.told.stop |= told.stop;
@@ -684,7 +684,7 @@
     }
 }
 
-impl Net for VNet {
+impl Transport for VNet {
     type Stream = VStream;
     type Listener = VListener;
 
@@ -693,7 +693,7 @@
         w.now - w.hosts[self.host].started
     }
 
-    fn began_unix(&self) -> Micros {
+    fn unix_time_at_start(&self) -> Micros {
         let w = self.world.borrow();
         EPOCH + w.hosts[self.host].started + w.hosts[self.host].skew
     }
@@ -779,12 +779,12 @@
         })
     }
 
-    fn poll(&mut self, ready: &mut Vec<Ready>, _wait: Micros) -> io::Result<()> {
+    fn poll(&mut self, ready: &mut Vec<ReadyEvent>, _wait: Micros) -> io::Result<()> {
         ready.clear();
         let mut w = self.world.borrow_mut();
         if std::mem::take(&mut w.hosts[self.host].signalled) {
             let token = SIGNALS;
-            ready.push(Ready {
+            ready.push(ReadyEvent {
                 token,
                 readable: true,
                 writable: false,
@@ -795,7 +795,7 @@
         for at in std::mem::take(&mut w.hosts[self.host].listeners_ready) {
             if let Some(port) = w.ports.get(&at) {
                 let token = port.token;
-                ready.push(Ready {
+                ready.push(ReadyEvent {
                     token,
                     readable: true,
                     writable: false,
@@ -817,7 +817,7 @@
             let failed = e.error.is_some();
             let up = e.up;
             let (some, ended) = (e.rx_len > 0, e.ended);
-            ready.push(Ready {
+            ready.push(ReadyEvent {
                 token,
                 readable: some || ended || failed,
                 writable: failed || (up && w.room(conn, end) > 0),
@@ -828,7 +828,7 @@
         Ok(())
     }
 
-    fn told(&mut self) -> Told {
+    fn told(&mut self) -> PendingSignals {
         std::mem::take(&mut self.world.borrow_mut().hosts[self.host].told)
     }
 
--- a/crates/rig/tests/defects.rs
+++ b/crates/testbed/tests/defects.rs
@@ -5,16 +5,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use sloewick_decision::interface::{
-    Action, Entry, Event, ListKind, Micros, RequestId, ServerId, ServerState, Status,
+use sloewick_decision::api::{
+    Action, Endpoint, EndpointListKind, Event, Micros, RequestId, ServerId, ServerState, Status,
 };
 use sloewick_decision::Balancer;
-use sloewick_node::node::Module;
-use sloewick_rig::fleet::{self, Defect, Options, Wrap};
-use sloewick_rig::judge::Rule;
-use sloewick_rig::scenario::{self, Scenario};
-use sloewick_rig::site::Speech;
-use sloewick_rig::site::CLASSES;
+use sloewick_node::node::DecisionEngine;
+use sloewick_testbed::fleet::{self, Defect, Options, Wrap};
+use sloewick_testbed::judge::Rule;
+use sloewick_testbed::scenario::{self, Scenario};
+use sloewick_testbed::site::Speech;
+use sloewick_testbed::site::CLASSES;
 
 const SEEDS: u64 = 50;
 
@@ -25,7 +25,7 @@
     classes: HashMap<RequestId, usize>,
     sent: HashMap<RequestId, Vec<ServerId>>,
     held: Vec<(Micros, Action)>,
-    servers: BTreeMap<ServerId, Entry>,
+    servers: BTreeMap<ServerId, Endpoint>,
     late: Vec<(Micros, Event)>,
     /// When a call to the list last failed.
     failed: Option<Micros>,
@@ -41,13 +41,13 @@
     say: Say,
 }
 
-impl Module for Planted {
+impl DecisionEngine for Planted {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match &event {
             Event::Request(request) => {
-                drop(self.state.classes.insert(request.id.clone(), request.class))
+                self.state.classes.insert(request.id.clone(), request.class);
             }
-            Event::Servers(_, entries) => {
+            Event::EndpointList(_, entries) => {
                 for entry in entries.iter() {
                     self.state
                         .servers
@@ -86,8 +86,8 @@
         }
     }
 
-    fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
-        self.balancer.goes(now, request, attempt)
+    fn may_start_attempt(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+        self.balancer.may_start_attempt(now, request, attempt)
     }
 }
 
@@ -164,7 +164,7 @@
             state: State::default(),
             hear,
             say,
-        }) as Box<dyn Module>
+        }) as Box<dyn DecisionEngine>
     })
 }
 
@@ -210,7 +210,7 @@
         Rule::NoneLost,
         hear_all,
         |state, _, action| {
-            let ends = matches!(action, Action::Fail { .. } | Action::Refuse { .. });
+            let ends = matches!(action, Action::Fail { .. } | Action::Reject { .. });
             if ends && every(state, 40) {
                 vec![]
             } else {
@@ -243,8 +243,8 @@
     fn hear(state: &mut State, _: Micros, event: Event) -> Vec<Event> {
         let time = matches!(
             event,
-            Event::Timer(_)
-                | Event::Outcome {
+            Event::TimerExpired(_)
+                | Event::AttemptEnded {
                     status: Status::Timeout,
                     ..
                 }
@@ -393,7 +393,7 @@
     fn hear(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
         // An error is taken for a turning away: the module believes that nothing has run.
         match event {
-            Event::Outcome {
+            Event::AttemptEnded {
                 request,
                 server,
                 attempt,
@@ -404,8 +404,8 @@
                 load,
             } => {
                 let lie = matches!(status, Status::Error | Status::Reset | Status::Timeout);
-                let status = if lie { Status::Full } else { status };
-                vec![Event::Outcome {
+                let status = if lie { Status::Rejected } else { status };
+                vec![Event::AttemptEnded {
                     request,
                     server,
                     attempt,
@@ -437,7 +437,7 @@
         hear_all,
         |state, _, action| match action {
             Action::Fail { request } if unsafe_class(state, &request) => {
-                vec![Action::Refuse {
+                vec![Action::Reject {
                     request,
                     retry_after: 0,
                 }]
@@ -455,7 +455,7 @@
         Rule::NoEffectTwice,
         hear_all,
         |state, _, action| match &action {
-            Action::Refuse { request, .. } if unsafe_class(state, request) => {
+            Action::Reject { request, .. } if unsafe_class(state, request) => {
                 let Some(server) = state.servers.keys().next().cloned() else {
                     return vec![action];
                 };
@@ -479,12 +479,12 @@
 fn a_drain_that_is_not_heard() {
     fn hear(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
         match event {
-            Event::Servers(kind, entries) => {
+            Event::EndpointList(kind, entries) => {
                 let heard = entries
                     .iter()
                     .filter(|e| e.state != ServerState::Draining)
                     .cloned();
-                vec![Event::Servers(kind, heard.collect())]
+                vec![Event::EndpointList(kind, heard.collect())]
             }
             other => vec![other],
         }
@@ -502,10 +502,11 @@
 fn a_drain_that_is_heard_late() {
     fn hear(state: &mut State, now: Micros, event: Event) -> Vec<Event> {
         match event {
-            Event::Servers(ListKind::Delta, entries) => {
-                state
-                    .late
-                    .push((now + 2_500_000, Event::Servers(ListKind::Delta, entries)));
+            Event::EndpointList(EndpointListKind::Delta, entries) => {
+                state.late.push((
+                    now + 2_500_000,
+                    Event::EndpointList(EndpointListKind::Delta, entries),
+                ));
                 vec![]
             }
             other => vec![other],
@@ -572,14 +573,14 @@
 fn a_list_that_is_not_asked_for_again_soon_after_a_failed_call() {
     let scenario = scenario::parse(FAILED_CALLS).unwrap();
     let say: Say = |state, now, action| {
-        let asks = matches!(action, Action::FetchList | Action::Subscribe(true));
+        let asks = matches!(action, Action::FetchEndpointList | Action::Subscribe(true));
         match asks && state.failed.is_some_and(|at| now - at < 14_000_000) {
             true => vec![],
             false => vec![action],
         }
     };
     let hear: Hear = |state, now, event| {
-        if matches!(event, Event::ListFailed) {
+        if matches!(event, Event::EndpointListFailed) {
             state.failed = Some(now);
         }
         vec![event]
@@ -636,13 +637,13 @@
 /// Takes all servers for such as run since long ago.
 fn unbelieving(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
     match event {
-        Event::Servers(kind, entries) => {
-            let warm = |e: &Entry| Entry {
+        Event::EndpointList(kind, entries) => {
+            let warm = |e: &Endpoint| Endpoint {
                 started: None,
                 ..e.clone()
             };
-            let entries: Arc<[Entry]> = entries.iter().map(warm).collect();
-            vec![Event::Servers(kind, entries)]
+            let entries: Arc<[Endpoint]> = entries.iter().map(warm).collect();
+            vec![Event::EndpointList(kind, entries)]
         }
         other => vec![other],
     }
@@ -788,7 +789,7 @@
             state: State::default(),
             hear: hear_all,
             say,
-        }) as Box<dyn Module>
+        }) as Box<dyn DecisionEngine>
     });
     let short = fleet::shrink(
         &scenario,
--- a/crates/rig/tests/hard.rs
+++ b/crates/testbed/tests/hard.rs
@@ -4,9 +4,9 @@
 
 use support::*;
 
-use sloewick_node::net::Told;
-use sloewick_rig::hosts::Hosts;
-use sloewick_rig::vnet::HostId;
+use sloewick_node::transport::PendingSignals;
+use sloewick_testbed::hosts::Hosts;
+use sloewick_testbed::vnet::HostId;
 
 const NODE: (u8, u16) = (100, 6379);
 
@@ -113,7 +113,7 @@
     s.after(5 * WAY);
     s.hosts.world.borrow_mut().signal(
         s.node,
-        Told {
+        PendingSignals {
             reload: false,
             stop: true,
         },
@@ -150,7 +150,7 @@
     s.after(5 * WAY);
     s.hosts.world.borrow_mut().signal(
         s.node,
-        Told {
+        PendingSignals {
             reload: false,
             stop: true,
         },
--- a/crates/rig/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -1,8 +1,8 @@
 //! The judge on histories written by hand: for each rule some that keep it and some that break it.
 
-use sloewick_rig::facts::{Answer, Fact, Fate, Id, Told, What};
-use sloewick_rig::judge::{Judge, Rule};
-use sloewick_rig::site;
+use sloewick_testbed::facts::{Answer, Fact, Fate, Id, Told, What};
+use sloewick_testbed::judge::{Judge, Rule};
+use sloewick_testbed::site;
 
 const WAY: i64 = 1_000;
 const READ: usize = 0;
@@ -384,7 +384,7 @@
     // Nor can a process know more that started or stood still meanwhile, and what its list said it knows at once.
     let anew = [
         (3_000, What::NodeStarted { node: 0 }),
-        (3_001, What::Ready { node: 0 }),
+        (3_001, What::ReadyEvent { node: 0 }),
     ];
     assert_eq!(sent(&[&[drains.clone()][..], &anew].concat(), 11_050), []);
     assert_eq!(
@@ -489,7 +489,7 @@
             history.push((0, What::NodeStarted { node }));
             history.push((500, What::NodeEnded { node, killed: true }));
             history.push((1_000, What::NodeStarted { node }));
-            history.extend(took.map(|took| (1_000 + took, What::Ready { node })));
+            history.extend(took.map(|took| (1_000 + took, What::ReadyEvent { node })));
         }
         history.extend_from_slice(more);
         history.sort_by_key(|(at, _)| *at);
--- a/crates/rig/tests/memcached.rs
+++ b/crates/testbed/tests/memcached.rs
@@ -8,18 +8,18 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use sloewick_decision::interface::Status as Ended;
+use sloewick_codec::memcached::{
+    write_request, write_response, Opcode, Piece, Request, RequestReader, Response, ResponseReader,
+};
+use sloewick_codec::resp2::Budget;
+use sloewick_decision::api::Status as Ended;
 use sloewick_decision::{Action, Event};
 use sloewick_node::config;
-use sloewick_node::node::{Module, Node};
-use sloewick_rig::discovery::Listed;
-use sloewick_rig::hosts::Hosts;
-use sloewick_rig::site;
-use sloewick_rig::vnet::HostId;
-use sloewick_wire::memcache::{
-    put_request, put_response, Opcode, Piece, Request, RequestReader, Response, ResponseReader,
-};
-use sloewick_wire::resp::Budget;
+use sloewick_node::node::{DecisionEngine, Node};
+use sloewick_testbed::discovery::Listed;
+use sloewick_testbed::hosts::Hosts;
+use sloewick_testbed::site;
+use sloewick_testbed::vnet::HostId;
 use support::*;
 
 const SECOND: i64 = 1_000_000;
@@ -95,7 +95,7 @@
     };
     let mut out = Vec::new();
     let (key, value) = (key.to_string().into(), value.to_string().into());
-    put_request(
+    write_request(
         &mut out,
         &Request {
             opcode: opcode as u8,
@@ -117,7 +117,7 @@
         Bytes::new()
     };
     let mut out = Vec::new();
-    put_response(
+    write_response(
         &mut out,
         &Response {
             opcode: opcode as u8,
@@ -328,7 +328,7 @@
         let extras = Bytes::from_static(extras);
         let mut out = Vec::new();
         let opcode = Opcode::Set as u8;
-        put_request(
+        write_request(
             &mut out,
             &Request {
                 opcode,
@@ -588,7 +588,7 @@
 fn a_key_with_its_time_is_not_taken_for_new_by_a_node_that_never_saw_it() {
     let stamped = |file: &mut String| *file = file.replace("\"digest\"", "\"stamp\"");
     let mut s = scene_with(false, stamped);
-    let made = (sloewick_rig::vnet::EPOCH + s.hosts.now()) / 1000;
+    let made = (sloewick_testbed::vnet::EPOCH + s.hosts.now()) / 1000;
     let value = format!("{made}-a1:high");
     s.say(0, request(Opcode::Set, 1, "alarm/0/1", &value));
     assert_eq!(s.last_key(), Some(format!("{made}-a1")));
@@ -628,7 +628,7 @@
     s.say(other, request(Opcode::Set, 3, "alarm/0/1", &value));
     assert_eq!(s.at_box(), before, "too late: it is not sent as new");
     assert_eq!(told(&s.client, other)[0].1, 0x84);
-    let made = (sloewick_rig::vnet::EPOCH + s.hosts.now()) / 1000 + 60_000;
+    let made = (sloewick_testbed::vnet::EPOCH + s.hosts.now()) / 1000 + 60_000;
     s.say(
         other,
         request(Opcode::Set, 4, "alarm/0/1", &format!("{made}-a1:high")),
@@ -907,7 +907,7 @@
     let host = s.nodes[0];
     s.hosts.world.borrow_mut().signal(
         host,
-        sloewick_node::net::Told {
+        sloewick_node::transport::PendingSignals {
             reload: false,
             stop: true,
         },
@@ -939,13 +939,13 @@
 /// A module that probes what it is told of, and keeps what came of it.
 struct Prober(Rc<RefCell<Vec<Ended>>>);
 
-impl Module for Prober {
+impl DecisionEngine for Prober {
     fn handle(&mut self, _now: i64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Servers(_, list) => {
+            Event::EndpointList(_, list) => {
                 actions.extend(list.iter().map(|e| Action::Probe(e.server.clone())))
             }
-            Event::Probed { status, .. } => self.0.borrow_mut().push(status),
+            Event::ProbeEnded { status, .. } => self.0.borrow_mut().push(status),
             _ => {}
         }
     }
@@ -953,7 +953,11 @@
 
 #[test]
 fn a_memcached_box_is_probed_by_a_noop() {
-    for (status, expected) in [(0, Ended::Ok), (0x85, Ended::Full), (0x84, Ended::Error)] {
+    for (status, expected) in [
+        (0, Ended::Ok),
+        (0x85, Ended::Rejected),
+        (0x84, Ended::Error),
+    ] {
         let mut hosts = hosts();
         let cache = Peer::new(&mut hosts, "box", Some(address(1, 80)));
         let mut known = listed(0, address(1, 80));
@@ -973,7 +977,7 @@
         let seen = Rc::new(RefCell::new(Vec::new()));
         let module = Prober(seen.clone());
         let source = Box::new(move || config::parse(&text));
-        let node = Node::with_module(config, hosts.net(host), source, |_| module).unwrap();
+        let node = Node::with_engine(config, hosts.net(host), source, |_| module).unwrap();
         hosts.place(host, Box::new(node));
         hosts.play_to(20 * WAY);
         let got = asked(&cache, 0);
--- a/crates/rig/tests/play.rs
+++ b/crates/testbed/tests/play.rs
@@ -1,7 +1,7 @@
 //! Scenarios and the swarm: no broken rule, and the same seed is the same run, byte for byte.
 
-use sloewick_rig::fleet::{self, Options};
-use sloewick_rig::scenario::{self, Scenario};
+use sloewick_testbed::fleet::{self, Options};
+use sloewick_testbed::scenario::{self, Scenario};
 
 fn shipped(name: &str) -> Scenario {
     let text = scenario::SHIPPED
--- a/crates/rig/tests/protocols.rs
+++ b/crates/testbed/tests/protocols.rs
@@ -4,11 +4,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use sloewick_decision::interface::Micros;
-use sloewick_rig::facts::{Answer, Id, Names, What};
-use sloewick_rig::fleet::{self, Options, Outcome, Shown};
-use sloewick_rig::scenario::{self, Scenario};
-use sloewick_rig::site::{Boxes, Clients, Speech};
+use sloewick_decision::api::Micros;
+use sloewick_testbed::facts::{Answer, Id, Names, What};
+use sloewick_testbed::fleet::{self, Options, Outcome, Shown};
+use sloewick_testbed::scenario::{self, Scenario};
+use sloewick_testbed::site::{Boxes, Clients, Speech};
 
 /// Each request in the order of their asking: when, of which class and key, answered when and how.
 type Asked = Vec<(Micros, usize, usize, Option<(Micros, Answer)>)>;
@@ -189,7 +189,7 @@
 
 #[test]
 fn requests_known_by_16_bits_get_their_whole_names() {
-    use sloewick_rig::facts::{named_by, opaque_of, short, Fact, Fate};
+    use sloewick_testbed::facts::{named_by, opaque_of, short, Fact, Fate};
     let id: Id = "0123456789abcdef".into();
     let mut names = Names::default();
     let asked = What::Asked {
--- a/crates/rig/tests/standins.rs
+++ b/crates/testbed/tests/standins.rs
@@ -4,14 +4,14 @@
 
 use std::sync::mpsc::Receiver;
 
-use sloewick_rig::cachebox::{self, CacheBox};
-use sloewick_rig::discovery::{self, Discovery};
-use sloewick_rig::facts::{Answer, Fact, Fate, Told, What};
-use sloewick_rig::hosts::Hosts;
-use sloewick_rig::orders::Orders;
-use sloewick_rig::origin::{self, Origin};
-use sloewick_rig::site::Speech;
-use sloewick_rig::{clients, site};
+use sloewick_testbed::cachebox::{self, CacheBox};
+use sloewick_testbed::discovery::{self, Discovery};
+use sloewick_testbed::facts::{Answer, Fact, Fate, Told, What};
+use sloewick_testbed::hosts::Hosts;
+use sloewick_testbed::orders::Orders;
+use sloewick_testbed::origin::{self, Origin};
+use sloewick_testbed::site::Speech;
+use sloewick_testbed::{clients, site};
 use support::*;
 
 struct Store {
--- a/crates/rig/tests/support/mod.rs
+++ b/crates/testbed/tests/support/mod.rs
@@ -8,16 +8,16 @@
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver};
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 use sloewick_node::config;
 use sloewick_node::node::Node;
-use sloewick_rig::discovery::Listed;
-use sloewick_rig::facts::{Fact, Tap, Told};
-use sloewick_rig::hosts::Hosts;
-use sloewick_rig::port::{Actor, Came, Port};
-use sloewick_rig::scenario::Scenario;
-use sloewick_rig::site;
-use sloewick_rig::vnet::{Delay, HostId, VNet, World, EPOCH};
+use sloewick_testbed::discovery::Listed;
+use sloewick_testbed::facts::{Fact, Tap, Told};
+use sloewick_testbed::hosts::Hosts;
+use sloewick_testbed::port::{Actor, Came, Port};
+use sloewick_testbed::scenario::Scenario;
+use sloewick_testbed::site;
+use sloewick_testbed::vnet::{Delay, HostId, VNet, World, EPOCH};
 
 /// One way of everything here, with no chance in it.
 pub const WAY: Micros = 1_000;
