--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -3,7 +3,6 @@
 //!
 //! [`api`] holds the interface, [`balancer`] the decisions, [`outlier_detection`] finds servers that fail by themselves,
 //! [`balancer::checkpoint`] is what the next process of a node takes over, [`settings`] reads the settings.
-#![warn(missing_docs)]
 
 pub mod api;
 pub mod balancer;
--- a/crates/fleet_model/src/lib.rs
+++ b/crates/fleet_model/src/lib.rs
@@ -5,7 +5,6 @@
 //! What is modelled: queues and work at servers, handshakes, fetches with a time limit that are dropped or kept when
 //! nobody waits, places for fetches, an origin that answers in order and goes on with what nobody waits for, writes that void kept
 //! copies, clients that come again. What is not: discovery, zones, connection limits, bytes.
-#![warn(missing_docs)]
 
 mod model;
 
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -1,6 +1,5 @@
 //! Overload of what the whole fleet shares, as one node sees it that meets little of the traffic: whether there is a
 //! [`Jam`], and the [`Opening`] that is left meanwhile. No I/O, no clock: outcomes go in, time is an argument.
-#![warn(missing_docs)]
 
 mod admission_ramp;
 mod detector;
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -3,7 +3,6 @@
 //!
 //! A snapshot is believed only whole, from the same kind of node, in this version of its format, and while it is
 //! young enough; all else is told apart by [`SnapshotError`].
-#![warn(missing_docs)]
 
 mod file;
 mod format;
