--- a/crates/decision/src/rules.rs
+++ b/crates/decision/src/balancer.rs
@@ -6,18 +6,21 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::draw::{hash, mix, point, Rng};
-use crate::fates::Fates;
-use crate::interface::*;
-use crate::origin::{Origin, FALL, RISE};
-use crate::outliers::{rendezvous, Asked, Outliers, TRIAL};
-use crate::pace::Pace;
-use crate::quota::Quotas;
-use crate::warmth::Fleet;
-use held::{Attempt, Held};
-
-mod held;
-pub mod memory;
+use crate::api::*;
+use crate::hash::{hash, mix, unit_interval};
+use crate::latency::Pace;
+use crate::origin_health::{Origin, RISE};
+use crate::outlier_detection::{rendezvous, Asked, Outliers, TRIAL};
+use crate::rng::Rng;
+use crate::slow_start::Fleet;
+use crate::tenant_quota::Quotas;
+use crate::zone_health::Fates;
+use in_flight::{Attempt, Held};
+
+pub mod checkpoint;
+mod in_flight;
+mod membership;
+mod server_health;
 mod status;
 mod zones;
 
@@ -74,7 +77,7 @@
 
 /// A server on the line, or an origin entry.
 struct Server {
-    entry: Entry,
+    entry: Endpoint,
     order: u64,
     /// Right edge of its range.
     edge: f64,
@@ -97,7 +100,7 @@
 }
 
 impl Server {
-    fn new(entry: Entry) -> Server {
+    fn new(entry: Endpoint) -> Server {
         let order = hash(&entry.server);
         Server {
             entry,
@@ -130,7 +133,10 @@
 impl Seen {
     fn now(&self, spans: [f64; 2], arrivals: u64) -> [f64; 2] {
         let age = (arrivals - self.at) as f64;
-        [self.counts[0] * (-age / spans[0]).exp(), self.counts[1] * (-age / spans[1]).exp()]
+        [
+            self.counts[0] * (-age / spans[0]).exp(),
+            self.counts[1] * (-age / spans[1]).exp(),
+        ]
     }
 }
 
@@ -183,21 +189,31 @@
         self.since_update += 1;
         let Some(key) = key else { return };
         let (now, spans) = (self.arrivals, self.spans());
-        let fresh = || Seen { counts: [0.0; 2], at: now, turn: (now % 64) as usize };
+        let fresh = || Seen {
+            counts: [0.0; 2],
+            at: now,
+            turn: (now % 64) as usize,
+        };
         let seen = self.seen.entry(key).or_insert_with(fresh);
         seen.counts = seen.now(spans, now).map(|c| c + 1.0);
         seen.at = now;
         if self.seen.len() > 4 * spans[1] as usize {
-            self.seen.retain(|_, s| ((now - s.at) as f64) < 2.0 * spans[1]);
+            self.seen
+                .retain(|_, s| ((now - s.at) as f64) < 2.0 * spans[1]);
         }
     }
 
     fn spans(&self) -> [f64; 2] {
-        [HOT_SPAN, (WARM_SPAN * self.servers.len() as f64).max(HOT_SPAN)]
+        [
+            HOT_SPAN,
+            (WARM_SPAN * self.servers.len() as f64).max(HOT_SPAN),
+        ]
     }
 
     fn deal_width(&self, key: u64) -> usize {
-        let Some(seen) = self.seen.get(&key) else { return 1 };
+        let Some(seen) = self.seen.get(&key) else {
+            return 1;
+        };
         let (spans, n) = (self.spans(), self.servers.len() as f64);
         let counts = seen.now(spans, self.arrivals);
         let mut width = 1;
@@ -211,7 +227,9 @@
     }
 
     fn home(&self, at: f64) -> usize {
-        self.servers.partition_point(|s| s.edge < at).min(self.servers.len().saturating_sub(1))
+        self.servers
+            .partition_point(|s| s.edge < at)
+            .min(self.servers.len().saturating_sub(1))
     }
 
     fn left_edge(&self, i: usize) -> f64 {
@@ -250,7 +268,12 @@
     }
 
     fn reindex(&mut self) {
-        self.index = self.servers.iter().enumerate().map(|(i, s)| (s.entry.server.clone(), i)).collect();
+        self.index = self
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(i, s)| (s.entry.server.clone(), i))
+            .collect();
     }
 }
 
@@ -344,16 +367,16 @@
     logged: u32,
     weights: Vec<f64>,
     /// What an earlier process learned, and when, until a list tells which servers are there.
-    recalled: Option<(Micros, memory::Memory)>,
+    recalled: Option<(Micros, checkpoint::Checkpoint)>,
     /// Which decision gave the last final answer.
     why: &'static str,
 }
 
 impl Balancer {
     /// A node's decisions from its settings, its seed and its clock.
-    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, SettingsError> {
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Balancer, InvalidSettings> {
         settings.validate()?;
-        let pace = Pace::new(settings.classes.iter().map(|c| c.aim));
+        let pace = Pace::new(settings.classes.iter().map(|c| c.latency_objective));
         Ok(Balancer {
             rng: Rng(seed),
             line: Line::default(),
@@ -387,18 +410,31 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Servers(kind, entries) => self.on_servers(now, kind, &entries, actions),
-            Event::ListFailed => {
+            Event::EndpointList(kind, entries) => self.on_servers(now, kind, &entries, actions),
+            Event::EndpointListFailed => {
                 self.list_failures += 1;
                 self.plan_list(actions);
             }
             Event::Request(request) => self.on_request(now, request, actions),
-            Event::Started { request, .. } => {
-                if let Some(held) = self.ids.get(&request).and_then(|serial| self.held.get_mut(serial)) {
+            Event::ResponseStarted { request, .. } => {
+                if let Some(held) = self
+                    .ids
+                    .get(&request)
+                    .and_then(|serial| self.held.get_mut(serial))
+                {
                     held.streaming = true;
                 }
             }
-            Event::Outcome { request, server, attempt, latency, status, closed, note, load } => {
+            Event::AttemptEnded {
+                request,
+                server,
+                attempt,
+                latency,
+                status,
+                closed,
+                note,
+                load,
+            } => {
                 self.on_outcome(
                     now,
                     &request,
@@ -408,146 +444,49 @@
                     actions,
                 );
             }
-            Event::NoMore(request) => self.on_no_more(now, &request, actions),
-            Event::ClientLeft(request) => {
+            Event::StopAttempts(request) => self.on_no_more(now, &request, actions),
+            Event::ClientDisconnected(request) => {
                 if let Some(serial) = self.ids.get(&request).copied() {
                     self.cancel_pending(serial, false, actions);
                     self.forget(serial);
                 }
             }
-            Event::Timer(token) => self.on_timer(now, token, actions),
-            Event::Probed { server, status, .. } => self.judge(now, &server, Some(status), actions),
-            Event::Peer { .. } => {}
+            Event::TimerExpired(token) => self.on_timer(now, token, actions),
+            Event::ProbeEnded { server, status, .. } => {
+                self.judge(now, &server, Some(status), actions)
+            }
+            Event::PeerMessage { .. } => {}
         }
     }
 
     /// Whether a server that a list has named gets nothing now: it is sick, or it drains.
-    pub fn avoids(&self, now: Micros, server: &ServerId) -> bool {
+    pub fn is_unavailable(&self, now: Micros, server: &ServerId) -> bool {
         let near = self.line.index.get(server).map(|i| self.up(now, *i));
-        let far = self.far.index.get(server).map(|i| now >= self.far.servers[*i].sick_until);
+        let far = self
+            .far
+            .index
+            .get(server)
+            .map(|i| now >= self.far.servers[*i].sick_until);
         near.or(far).is_none_or(|up| !up) && !self.origins.iter().any(|s| s.entry.server == *server)
     }
 
-    // ---- the list ----
-
-    fn on_servers(&mut self, now: Micros, kind: ListKind, entries: &[Entry], actions: &mut Vec<Action>) {
-        self.lay_out(kind, entries);
-        let first = self.line.servers.is_empty();
-        if kind != ListKind::Delta {
-            let named: HashMap<&str, ()> = entries.iter().map(|e| (&*e.server, ())).collect();
-            for line in [&mut self.line, &mut self.far] {
-                for p in (0..line.servers.len()).rev() {
-                    if !named.contains_key(&*line.servers[p].entry.server) {
-                        line.leave(p);
-                    }
-                }
-            }
-            self.origins.retain(|s| named.contains_key(&*s.entry.server));
-        }
-        let changed = entries.iter().filter(|e| self.place(e)).count();
-        let changed = changed + self.part_zones();
-        self.line.reindex();
-        self.far.reindex();
-        self.outliers.retain(|id| self.line.index.contains_key(id));
-        self.fates.list(self.line.servers.iter().chain(&self.far.servers).map(|s| s.entry.zone));
-        if changed > 0 || kind != ListKind::Delta {
-            self.weigh();
-            if first || changed * 2 > self.line.servers.len() {
-                self.line.update(&self.weights, 1.0);
-                self.line.updated = now;
-            }
-        }
-        match kind {
-            ListKind::Cached if self.set.ask => self.plan_list(actions),
-            _ => self.list_failures = 0,
-        }
-        let waiting: Vec<u64> =
-            self.held.iter().filter(|(_, h)| h.attempts.is_empty()).map(|(serial, _)| *serial).collect();
-        for serial in waiting {
-            self.send_next(now, serial, actions);
-        }
-    }
-
-    fn place(&mut self, entry: &Entry) -> bool {
-        let live = entry.state == ServerState::Live;
-        if self.set.mode == Mode::Aside && entry.kind.is_some() && entry.kind == self.set.origin_kind {
-            self.origins.retain(|s| s.entry.server != entry.server);
-            if live {
-                self.origins.push(Server::new(entry.clone()));
-                self.origins.sort_by(|a, b| a.entry.server.cmp(&b.entry.server));
-            }
-            return false;
-        }
-        let here = |line: &Line| line.servers.iter().position(|s| s.entry.server == entry.server);
-        let (near, far) = (here(&self.line), here(&self.far));
-        let (line, found) = if far.is_some() { (&mut self.far, far) } else { (&mut self.line, near) };
-        match (found, live) {
-            (Some(p), true) => {
-                let server = &mut line.servers[p];
-                if server.entry.started != entry.started {
-                    (server.streak, server.pause, server.sick_until) = (0.0, 0, 0);
-                    server.back = None;
-                    self.outliers.restarted(&entry.server);
-                    self.fates.reached(entry.zone);
-                }
-                server.entry = entry.clone();
-                false
-            }
-            (Some(p), false) => {
-                line.leave(p);
-                near.is_some()
-            }
-            (None, true) => {
-                line.join(Server::new(entry.clone()));
-                true
-            }
-            (None, false) => false,
-        }
-    }
-
-    fn part_zones(&mut self) -> usize {
-        let all = || self.line.servers.iter().chain(&self.far.servers);
-        let zones: std::collections::BTreeSet<_> = all().map(|s| s.entry.zone).collect();
-        let crossing = self.set.price_cross_zone * (1.0 - 1.0 / zones.len().max(1) as f64);
-        let at_home = all().filter(|s| s.entry.zone == self.set.zone).count();
-        let part = self.set.zone.is_some() && crossing > CROSSING_DEAR && at_home >= ZONE_LEAST;
-        let home = self.set.zone;
-        let mut moved = 0;
-        for stays in [true, false] {
-            let (line, far) = (&mut self.line, &mut self.far);
-            let (from, to) = if stays { (line, far) } else { (far, line) };
-            for p in (0..from.servers.len()).rev() {
-                if (!part || from.servers[p].entry.zone == home) != stays {
-                    let entry = from.servers[p].entry.clone();
-                    from.leave(p);
-                    to.join(Server::new(entry));
-                    moved += 1;
-                }
-            }
-        }
-        moved
-    }
-
-    fn plan_list(&mut self, actions: &mut Vec<Action>) {
-        if !self.set.ask || self.list_planned {
-            return;
-        }
-        self.list_planned = true;
-        let most = self.set.ask_within as f64 / 2.0;
-        let spread = (most / 16.0 * 2f64.powi(self.list_failures.min(4) as i32)).min(most);
-        let spread = if self.list_failures == 0 { most } else { spread };
-        let delay = (spread * (0.05 + 0.95 * self.rng.next())) as Micros;
-        actions.push(Action::Timer { delay, token: LIST });
-    }
-
     fn weigh(&mut self) {
-        let listed = self.set.weights == Weights::Size;
-        let speeds: Vec<f64> = self.line.servers.iter().map(|s| self.pace.speed(s.entry.kind)).collect();
+        let listed = self.set.weights == WeightMeaning::Size;
+        let speeds: Vec<f64> = self
+            .line
+            .servers
+            .iter()
+            .map(|s| self.pace.speed(s.entry.kind))
+            .collect();
         let mean = speeds.iter().sum::<f64>() / speeds.len().max(1) as f64;
         let mut moved = 0.0;
         self.weights.clear();
         for (server, speed) in self.line.servers.iter().zip(speeds) {
-            let size = if listed { server.entry.weight.clamp(0.01, 1e6) } else { 1.0 };
+            let size = if listed {
+                server.entry.weight.clamp(0.01, 1e6)
+            } else {
+                1.0
+            };
             let part = (speed / mean - GIVEN_BACK * moved).max(0.2);
             moved += part - 1.0;
             self.weights.push(size * part);
@@ -558,10 +497,10 @@
         let due = (self.line.window.len() / UPDATE_PART).max(UPDATE_LEAST);
         if self.line.since_update >= due && !self.line.servers.is_empty() {
             self.weigh();
-            let tau = (self.set.cold as f64 * BLEND_PART).max(1.0);
+            let tau = (self.set.warm_up_time as f64 * BLEND_PART).max(1.0);
             self.line.updates += 1.0;
-            let alpha =
-                (1.0 - (-((now - self.line.updated) as f64) / tau).exp()).max(1.0 / self.line.updates);
+            let alpha = (1.0 - (-((now - self.line.updated) as f64) / tau).exp())
+                .max(1.0 / self.line.updates);
             self.line.update(&self.weights, alpha);
             self.line.updated = now;
         }
@@ -572,18 +511,22 @@
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         let class = &self.set.classes[request.class];
         let key = request.key.as_deref().map(hash);
-        let at = key.map_or_else(|| self.rng.next(), point);
+        let at = key.map_or_else(|| self.rng.next(), unit_interval);
         let margin = 2 * self.set.tick;
-        let aim = (class.aim as f64 + class.aim_stretch * request.work.unwrap_or(0.0)) as Micros;
-        let useful = if class.late_worth > 0.0 {
+        let latency_objective = (class.latency_objective as f64
+            + class.objective_per_work * request.work.unwrap_or(0.0))
+            as Micros;
+        let useful = if class.late_weight > 0.0 {
             request.budget
         } else {
-            aim.min(class.deadline).min(request.budget)
+            latency_objective.min(class.deadline).min(request.budget)
         };
         let end = now + useful - margin;
         if self.fleet.look_due(now) {
             let working = self.line.servers.iter().filter(|s| !s.sick());
-            let grown: Vec<f64> = working.map(|s| self.fleet.grown(s.started(now), now)).collect();
+            let grown: Vec<f64> = working
+                .map(|s| self.fleet.grown(s.started(now), now))
+                .collect();
             self.fleet.look(now, grown.into_iter());
         }
         self.line.arrive(at, key);
@@ -597,8 +540,8 @@
         let over = self.quotas.over(now, request.tenant, self.line.arrivals);
         // Where servers tell a miss, only what goes to the origin is in doubt.
         let doubtful = match self.set.mode {
-            Mode::Aside => request.write,
-            Mode::Through => !key.is_some_and(|k| self.served.contains_key(&k)),
+            CacheMode::CacheAside => request.write,
+            CacheMode::ReadThrough => !key.is_some_and(|k| self.served.contains_key(&k)),
         };
         let serial = self.serial;
         self.serial += 1;
@@ -633,7 +576,10 @@
         if !why.is_empty() {
             return self.finish(now, serial, why, actions);
         }
-        actions.push(Action::Timer { delay: end - now, token: serial << 2 | END });
+        actions.push(Action::SetTimer {
+            delay: end - now,
+            token: serial << 2 | END,
+        });
         self.send_next(now, serial, actions);
     }
 
@@ -641,9 +587,12 @@
     /// nothing is answered. While attempts fail, keys not served lately, which would be fetched, are let
     /// through rarely, known keys and writes longer; now and then one goes to see whether it is over.
     fn admitted(&mut self, now: Micros, serial: u64) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
         let deadline = self.set.classes[held.request.class].deadline;
-        self.origin.admits(now, held.asked(), deadline, || self.rng.next())
+        self.origin
+            .admits(now, held.asked(), deadline, || self.rng.next())
     }
 
     /// An attempt for a key not served lately ended: what came of it says how the origin fares.
@@ -661,8 +610,12 @@
 
     /// Sends the next attempt of a request if there is a server that it may go to.
     fn send_next(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
-        let Some((place, i)) = self.choose(now, held) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
+        let Some((place, i)) = self.choose(now, held) else {
+            return false;
+        };
         let server = match place {
             Place::Line => &self.line.servers[i],
             Place::Far => &self.far.servers[i],
@@ -673,15 +626,20 @@
         }
         let class = &self.set.classes[held.request.class];
         let left = held.end - now;
-        let more = held.attempts.len() + 1 < self.set.max_attempts && class.repeat != Repeat::Unsafe;
+        let more = held.attempts.len() + 1 < self.set.max_attempts
+            && class.idempotency != Idempotency::NonIdempotent;
         let trial = place == Place::Line && self.line.servers[i].sick();
-        let part = if more && !self.set.second_copies && trial { left / 2 } else { left };
+        let part = if more && !self.set.hedging && trial {
+            left / 2
+        } else {
+            left
+        };
         // Given up with its request, a fetch would be dropped: in a jam no cache would ever be filled again.
         let stays = !held.request.write && self.origin.jams(now, held.asked());
         let longest = class.deadline.min(held.request.budget) - (now - held.arrived);
         let timeout = Some(if stays { part.max(longest) } else { part }.max(self.set.tick));
         let hedge = self.pace.high[held.request.class] as Micros;
-        let hedge = hedge.clamp(class.aim / 8, class.aim * 5 / 8);
+        let hedge = hedge.clamp(class.latency_objective / 8, class.latency_objective * 5 / 8);
         let attempt = Attempt {
             server: server.entry.server.clone(),
             zone: server.entry.zone,
@@ -693,9 +651,16 @@
             status: None,
         };
         let id = held.request.id.clone();
-        actions.push(Action::Send { request: id, server: attempt.server.clone(), timeout });
+        actions.push(Action::Send {
+            request: id,
+            server: attempt.server.clone(),
+            timeout,
+        });
         if hedge < left && place != Place::Origin {
-            actions.push(Action::Timer { delay: hedge, token: serial << 2 | HEDGE });
+            actions.push(Action::SetTimer {
+                delay: hedge,
+                token: serial << 2 | HEDGE,
+            });
         }
         if place == Place::Line {
             let server = &mut self.line.servers[i];
@@ -704,7 +669,7 @@
             self.fleet.use_up(&mut server.used, started, now);
         }
         if trial {
-            self.line.servers[i].trial_until = now + class.aim;
+            self.line.servers[i].trial_until = now + class.latency_objective;
         }
         let key = held.key;
         if let Some(seen) = key.and_then(|k| self.line.seen.get_mut(&k)) {
@@ -729,7 +694,11 @@
         if !self.up(now, i) {
             return 0.0;
         }
-        let pass = if server.pass >= PASS_SOUND { 1.0 } else { server.pass };
+        let pass = if server.pass >= PASS_SOUND {
+            1.0
+        } else {
+            server.pass
+        };
         self.warmth(now, server) * pass * self.outliers.kept(&server.entry.server)
     }
 
@@ -744,11 +713,19 @@
     /// sound neighbour takes is refused at once, the same keys first.
     /// A cold home that no sound neighbour relieves is spared in any case: it would fall over.
     fn overrun(&self, now: Micros, serial: u64) -> bool {
-        let Some(held) = self.held.get(&serial) else { return false };
-        let Some((Place::Line, i)) = self.choose(now, held) else { return false };
+        let Some(held) = self.held.get(&serial) else {
+            return false;
+        };
+        let Some((Place::Line, i)) = self.choose(now, held) else {
+            return false;
+        };
         let server = &self.line.servers[i];
         let (pass, grown) = (server.pass, self.fleet.grown(server.started(now), now));
-        let off = if i == self.line.home(held.at) { self.off_middle(held.at, i) } else { 0.0 };
+        let off = if i == self.line.home(held.at) {
+            self.off_middle(held.at, i)
+        } else {
+            0.0
+        };
         (pass < PASS_SOUND && self.late > LATE_SOME && off >= pass)
             || (grown < 1.0 && !self.bears(now, held, i, self.fleet.spared(grown)))
     }
@@ -758,7 +735,10 @@
         let grown = self.fleet.grown(self.line.servers[i].started(now), now);
         // Of a kind that is slower than the average one, it can do less by as much.
         let mean = self.weights.iter().sum::<f64>() / self.weights.len().max(1) as f64;
-        let able = self.weights.get(i).map_or(1.0, |weight| (weight / mean).min(1.0));
+        let able = self
+            .weights
+            .get(i)
+            .map_or(1.0, |weight| (weight / mean).min(1.0));
         self.fleet.right(grown * able, now, self.line.servers.len())
     }
 
@@ -771,8 +751,11 @@
             return part >= 1.0 || self.off_middle(held.at, i) < part;
         }
         let right = self.right(now, i);
-        let (place, right) =
-            if right < 1.0 { (0.0, right.min(part)) } else { (self.off_middle(held.at, i), right) };
+        let (place, right) = if right < 1.0 {
+            (0.0, right.min(part))
+        } else {
+            (self.off_middle(held.at, i), right)
+        };
         let quota = self.fleet.quota(right, server.order, started, now);
         place < part && self.fleet.room(&server.used, quota, now)
     }
@@ -784,7 +767,7 @@
 
     /// The server for the next attempt.
     fn choose(&self, now: Micros, held: &Held) -> Option<(Place, usize)> {
-        let aside = self.set.mode == Mode::Aside;
+        let aside = self.set.mode == CacheMode::CacheAside;
         if aside && (held.request.write || held.missed) {
             let n = self.origins.len();
             return (n > 0).then(|| (Place::Origin, (held.at * n as f64) as usize % n));
@@ -799,7 +782,10 @@
         if held.attempts.is_empty() {
             let width = held.key.map_or(1, |k| self.line.deal_width(k));
             if width > 1 {
-                let turn = held.key.and_then(|k| self.line.seen.get(&k)).map_or(0, |s| s.turn);
+                let turn = held
+                    .key
+                    .and_then(|k| self.line.seen.get(&k))
+                    .map_or(0, |s| s.turn);
                 let start = (home + n - width / 2) % n;
                 for step in 0..width {
                     let i = (start + (turn + step) % width) % n;
@@ -809,10 +795,14 @@
                 }
             }
             if kept(home) < 1.0 {
-                let drawn = point(mix(held.at.to_bits() ^ held.arrived as u64));
+                let drawn = unit_interval(mix(held.at.to_bits() ^ held.arrived as u64));
                 let ready = self.up(now, home) && self.warmth(now, &self.line.servers[home]) >= 1.0;
                 let stays = ready && (self.off_middle(held.at, home) < kept(home) || drawn < TRIAL);
-                if let Some(i) = if stays { Some(home) } else { self.second_home(now, held, up) } {
+                if let Some(i) = if stays {
+                    Some(home)
+                } else {
+                    self.second_home(now, held, up)
+                } {
                     return Some((Place::Line, i));
                 }
             }
@@ -830,9 +820,12 @@
             let best = self.second_home(now, held, |i| self.fitness(now, i) >= 1.0);
             return Some((Place::Line, best.unwrap_or(home)));
         }
-        let near = self.second_home(now, held, up).or_else(|| self.second_home(now, held, |_| true));
+        let near = self
+            .second_home(now, held, up)
+            .or_else(|| self.second_home(now, held, |_| true));
         let far = || self.far_choice(now, held).map(|i| (Place::Far, i));
-        let again = (self.warmth(now, &self.line.servers[home]) >= 1.0).then_some((Place::Line, home));
+        let again =
+            (self.warmth(now, &self.line.servers[home]) >= 1.0).then_some((Place::Line, home));
         near.map(|i| (Place::Line, i)).or_else(far).or(again)
     }
 
@@ -843,13 +836,18 @@
         let may = |i: &usize| {
             let entry = &server(*i).entry;
             let tried = held.attempts.iter().any(|a| a.server == entry.server);
-            fit(*i) && !tried && self.warmth(now, server(*i)) >= 1.0 && held.may_send(&self.set, entry, now)
+            fit(*i)
+                && !tried
+                && self.warmth(now, server(*i)) >= 1.0
+                && held.may_send(&self.set, entry, now)
         };
         let worth = |i: &usize| {
             let weight = self.weights.get(*i).map_or(1.0, |w| w * server(*i).pass);
             rendezvous(mix(held.at.to_bits() ^ server(*i).order), weight)
         };
-        (0..self.line.servers.len()).filter(may).max_by(|a, b| worth(a).total_cmp(&worth(b)))
+        (0..self.line.servers.len())
+            .filter(may)
+            .max_by(|a, b| worth(a).total_cmp(&worth(b)))
     }
 
     /// A warm server of another zone, by the key's point.
@@ -858,7 +856,10 @@
         let start = (held.at * n as f64) as usize;
         (0..n).map(|step| (start + step) % n).find(|i| {
             let server = &self.far.servers[*i];
-            let tried = held.attempts.iter().any(|a| a.server == server.entry.server);
+            let tried = held
+                .attempts
+                .iter()
+                .any(|a| a.server == server.entry.server);
             let fit = now >= server.sick_until && self.warmth(now, server) >= 1.0;
             fit && !tried
                 && !self.fates.lost(server.entry.zone)
@@ -873,11 +874,17 @@
         now: Micros,
         id: &RequestId,
         server: &ServerId,
-        (attempt, latency, status, closed, note): (usize, Micros, Status, bool, Option<Note>),
-        _load: Option<Load>,
+        (attempt, latency, status, closed, note): (
+            usize,
+            Micros,
+            Status,
+            bool,
+            Option<CacheResult>,
+        ),
+        _load: Option<LoadReport>,
         actions: &mut Vec<Action>,
     ) {
-        let hit = note.is_none_or(|n| n == Note::Hit);
+        let hit = note.is_none_or(|n| n == CacheResult::Hit);
         let serial = self.ids.get(id).copied();
         self.judge(now, server, Some(status), actions);
         if matches!(status, Status::Ok | Status::Error | Status::Reset) {
@@ -885,33 +892,45 @@
         }
         let Some(serial) = serial else { return };
         let failed = matches!(status, Status::Error | Status::Timeout);
-        let patience =
-            self.held.get(&serial).and_then(|h| h.attempts.get(attempt)).map_or(0, |a| a.patience);
+        let patience = self
+            .held
+            .get(&serial)
+            .and_then(|h| h.attempts.get(attempt))
+            .map_or(0, |a| a.patience);
         let took = (latency as f64 / patience.max(1) as f64).clamp(COST_LEAST, 1.0);
         let quick = status == Status::Error && took < QUICK_PART;
         // What was silent too long is held against the server already.
         let own = quick || matches!(status, Status::Ok | Status::Miss) && latency < patience;
         let asked = self.held.get(&serial).map_or(Asked::Doubtful, Held::asked);
         if own && self.line.index.contains_key(server) {
-            self.outliers.note(now, server, asked, quick, self.line.servers.len());
+            self.outliers
+                .note(now, server, asked, quick, self.line.servers.len());
         }
-        let known = self.held.get(&serial).filter(|h| !h.doubtful).and_then(|h| h.key);
+        let known = self
+            .held
+            .get(&serial)
+            .filter(|h| !h.doubtful)
+            .and_then(|h| h.key);
         if let Some(key) = known.filter(|_| status == Status::Ok || failed) {
             self.note_known(server, failed && !quick);
             if failed && !quick {
                 self.served.remove(&key);
             }
         }
-        if let Some(held) =
-            self.held.get(&serial).filter(|h| h.doubtful && (status == Status::Ok || failed))
+        if let Some(held) = self
+            .held
+            .get(&serial)
+            .filter(|h| h.doubtful && (status == Status::Ok || failed))
         {
             // A late fetch counts as a failed one: the origin's queue shows before it fails.
-            let late = now - held.arrived > self.set.classes[held.request.class].aim;
+            let late = now - held.arrived > self.set.classes[held.request.class].latency_objective;
             if !quick {
                 self.doubtful_ended(!failed && !late);
             }
         }
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         // What fails for one request, however often it is tried, is one failure.
         if !quick && (attempt == 0 || status == Status::Ok) {
             self.origin.ended(now, held.asked(), Some(status), note);
@@ -934,7 +953,7 @@
             if let Some(key) = held.key.filter(|_| !held.request.write) {
                 self.served.insert(key, now);
                 if self.served.len() > SERVED_KEPT {
-                    let old = now - self.set.cold / 2;
+                    let old = now - self.set.warm_up_time / 2;
                     self.served.retain(|_, at| *at > old);
                     if self.served.len() > SERVED_KEPT / 2 {
                         self.served.clear();
@@ -943,19 +962,20 @@
             }
             if let Some(i) = self.line.index.get(server) {
                 let entry = &self.line.servers[*i].entry;
-                self.pace.learn(held.request.class, latency, held.request.work, entry, hit);
+                self.pace
+                    .learn(held.request.class, latency, held.request.work, entry, hit);
             }
         }
-        if attempt > 0 && (status == Status::Ok || failed || status == Status::Full) {
+        if attempt > 0 && (status == Status::Ok || failed || status == Status::Rejected) {
             let good = status == Status::Ok && now < held.end;
             self.again += (f64::from(u8::from(good)) - self.again) / LATE_SPAN;
         }
         if closed {
             let held = &self.held[&serial];
-            let aim = self.set.classes[held.request.class].aim;
+            let latency_objective = self.set.classes[held.request.class].latency_objective;
             // What was fetched is late by the origin's time, however little the servers have to do.
-            if hit || now - held.arrived <= aim {
-                self.note_end(status != Status::Ok || now - held.arrived > aim);
+            if hit || now - held.arrived <= latency_objective {
+                self.note_end(status != Status::Ok || now - held.arrived > latency_objective);
             }
             self.cancel_pending(serial, false, actions);
             self.forget(serial);
@@ -968,7 +988,9 @@
                 return;
             }
         }
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         if held.streaming || held.out() > 0 {
             return;
         }
@@ -985,7 +1007,8 @@
         } else {
             1.0
         };
-        if jammed && matches!(status, Status::Timeout | Status::Full | Status::Error) && !quick {
+        if jammed && matches!(status, Status::Timeout | Status::Rejected | Status::Error) && !quick
+        {
             // Another attempt would be another fetch, or the same write at the origin once more.
             self.finish(now, serial, "jam", actions);
         } else if self.retry_tokens < cost {
@@ -997,69 +1020,14 @@
         }
     }
 
-    fn judge(&mut self, now: Micros, server: &ServerId, status: Option<Status>, actions: &mut Vec<Action>) {
-        self.note_fate(now, server, status, actions);
-        let line = if self.far.index.contains_key(server) { &mut self.far } else { &mut self.line };
-        let Some(i) = line.index.get(server).copied() else { return };
-        let least = (SICK_PAUSE * self.set.connect_timeout).max(10 * self.set.tick);
-        let most = (self.set.cold / 2).max(least);
-        let s = &mut line.servers[i];
-        if status == Some(Status::Full) {
-            s.pass = (s.pass * (1.0 - FALL)).max(PASS_LEAST);
-        }
-        s.streak += match status {
-            Some(Status::Ok | Status::Miss) => {
-                (s.streak, s.pause) = (0.0, 0);
-                return;
-            }
-            // Refused: "not to this node", however many other servers did the same.
-            Some(Status::ConnectFailed) => SICK_ODDS.ln(),
-            // Guards against sound servers left out because kept connections end at all of them: two in a row
-            // look like a crash only where few break.
-            Some(Status::Reset) => (SICK_ODDS.ln() / 2.0).min(-self.broken.ln()),
-            None => -self.slow.max(SLOW_LEAST).ln(),
-            // Late time-outs and errors tell as much of the origin and the load as of the server.
-            Some(_) => return,
-        };
-        if s.streak < SICK_ODDS.ln() - 1e-9 || (s.sick() && now < s.sick_until) {
-            return;
-        }
-        s.pause = (s.pause * 2).clamp(least, most);
-        s.sick_until = now + s.pause;
-        s.trial_until = 0;
-        let why = status.map_or("silence".to_string(), |s| format!("{s:?}"));
-        let text = format!("sick: {} paused {} ms after {why}", s.entry.server, s.pause / 1000);
-        self.log(text, actions);
-    }
-
-    /// Attempts of a request that passed their patience.
-    fn note_silence(&mut self, now: Micros, serial: u64, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&serial).filter(|h| !h.streaming) else { return };
-        let mut silent = Vec::new();
-        for a in &mut held.attempts {
-            if a.pending() && !a.silent && now >= a.sent + a.patience {
-                a.silent = true;
-                silent.push(a.server.clone());
-            }
-        }
-        let (fetch, asked) = (held.doubtful, held.asked());
-        for server in silent {
-            if let Some(i) = self.line.index.get(&server) {
-                if !fetch {
-                    let pass = &mut self.line.servers[*i].pass;
-                    *pass = (*pass * (1.0 - FALL)).max(PASS_LEAST);
-                }
-                self.outliers.note(now, &server, asked, true, self.line.servers.len());
-            }
-            self.slow += (1.0 - self.slow) / LATE_SPAN;
-            self.judge(now, &server, None, actions);
-        }
-    }
-
     /// Nothing more is sent for a request; with nothing out it has its final answer at once.
     fn on_no_more(&mut self, now: Micros, id: &RequestId, actions: &mut Vec<Action>) {
-        let Some(serial) = self.ids.get(id).copied() else { return };
-        let Some(held) = self.held.get_mut(&serial) else { return };
+        let Some(serial) = self.ids.get(id).copied() else {
+            return;
+        };
+        let Some(held) = self.held.get_mut(&serial) else {
+            return;
+        };
         held.no_more = true;
         if !held.streaming && held.out() == 0 {
             self.finish(now, serial, "no more", actions);
@@ -1072,11 +1040,14 @@
 
     /// Ends a request with a refusal where that is allowed, with a failure otherwise.
     fn finish(&mut self, now: Micros, serial: u64, why: &'static str, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get(&serial) else { return };
+        let Some(held) = self.held.get(&serial) else {
+            return;
+        };
         self.why = why;
         let request = held.request.id.clone();
         if held.may_refuse(&self.set) {
-            let late = now - held.arrived >= self.set.classes[held.request.class].aim / 2;
+            let late =
+                now - held.arrived >= self.set.classes[held.request.class].latency_objective / 2;
             let wait = self.set.max_retry_after;
             let retry_after = match why {
                 // Not all of them at one time.
@@ -1084,7 +1055,10 @@
                 _ if late => wait,
                 _ => 0,
             };
-            actions.push(Action::Refuse { request, retry_after });
+            actions.push(Action::Reject {
+                request,
+                retry_after,
+            });
         } else {
             actions.push(Action::Fail { request });
         }
@@ -1099,7 +1073,9 @@
         } else if unanswered {
             let pending = self.held[&serial].attempts.iter().filter(|a| a.pending());
             let servers: Vec<ServerId> = pending.map(|a| a.server.clone()).collect();
-            servers.iter().for_each(|server| self.note_known(server, true));
+            servers
+                .iter()
+                .for_each(|server| self.note_known(server, true));
         }
         // What its client left, or the node's end cut short, tells nothing of the load.
         if tried && !self.held[&serial].no_more {
@@ -1113,13 +1089,18 @@
     }
 
     fn cancel_pending(&mut self, serial: u64, leave: bool, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get(&serial) else { return };
+        let Some(held) = self.held.get(&serial) else {
+            return;
+        };
         if !self.set.cancel {
             return;
         }
         for (attempt, a) in held.attempts.iter().enumerate() {
             if a.pending() && !(leave && a.stays) {
-                actions.push(Action::Cancel { request: held.request.id.clone(), attempt });
+                actions.push(Action::Cancel {
+                    request: held.request.id.clone(),
+                    attempt,
+                });
             }
         }
     }
@@ -1143,13 +1124,19 @@
                 actions.push(Action::Subscribe(true));
             }
             ZONE => {
-                self.look_at(now, serial.checked_sub(1).and_then(|z| u16::try_from(z).ok()), actions);
+                self.look_at(
+                    now,
+                    serial.checked_sub(1).and_then(|z| u16::try_from(z).ok()),
+                    actions,
+                );
             }
             HEDGE => {
                 self.note_silence(now, serial, actions);
-                let Some(held) = self.held.get(&serial) else { return };
+                let Some(held) = self.held.get(&serial) else {
+                    return;
+                };
                 let jammed = self.origin.may_jam(now);
-                let copies = self.set.second_copies && !held.streaming && !held.missed && !jammed;
+                let copies = self.set.hedging && !held.streaming && !held.missed && !jammed;
                 if copies
                     && held.out() == 1
                     && self.retry_tokens >= 1.0
@@ -1175,5 +1162,5 @@
 }
 
 #[cfg(test)]
-#[path = "rules_tests.rs"]
+#[path = "balancer_tests.rs"]
 mod tests;
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/tenant_quota.rs
@@ -7,7 +7,7 @@
 //! Not guaranteed: where all tenants ask for more than their quotas in the same measure, or there is one alone, none is
 //! beyond its share here; what servers can't bear is refused by other decisions.
 
-use crate::interface::{Micros, Settings};
+use crate::api::{Micros, Settings};
 
 /// Tokens that are saved up at most, and in seconds of the even part's rate besides.
 const SAVED: f64 = 2.0;
@@ -42,7 +42,9 @@
 
     /// Takes a token of the tenant's; true when there is none. `arrivals`: at this node so far, of all tenants.
     pub fn over(&mut self, now: Micros, tenant: Option<usize>, arrivals: u64) -> bool {
-        let Some(quota) = tenant.and_then(|t| self.0.get_mut(t)) else { return false };
+        let Some(quota) = tenant.and_then(|t| self.0.get_mut(t)) else {
+            return false;
+        };
         let by_time = quota.rate * (now - quota.filled) as f64 / 1e6;
         let by_part = quota.part * arrivals.saturating_sub(quota.arrivals) as f64;
         quota.tokens = (quota.tokens + by_time.max(by_part)).min(SAVED + SAVED * quota.rate);
--- a/crates/decision/tests/share.rs
+++ b/crates/decision/tests/share.rs
@@ -1,6 +1,6 @@
 //! What a tenant may ask for at one node: beyond its share it is refused while the node is late, and only then.
 
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 #[allow(dead_code, reason = "each test file uses its part")]
@@ -11,18 +11,28 @@
 const QUOTAS: [f64; 2] = [60.0, 40.0];
 
 fn node() -> Balancer {
-    let tenant = |quota_per_s| Tenant { quota_per_s, share: 0.5 };
-    let set =
-        Settings { nodes: NODES, tenants: QUOTAS.into_iter().map(tenant).collect(), ..support::settings() };
+    let tenant = |quota_per_s| Tenant {
+        quota_per_s,
+        share: 0.5,
+    };
+    let set = Settings {
+        nodes: NODES,
+        tenants: QUOTAS.into_iter().map(tenant).collect(),
+        ..support::settings()
+    };
     let mut node = Balancer::new(set, 7, 0).unwrap();
-    let list: Vec<Entry> = (0..12).map(|i| support::entry(i, None)).collect();
-    node.handle(0, Event::Servers(ListKind::Full, list.into()), &mut Vec::new());
+    let list: Vec<Endpoint> = (0..12).map(|i| support::entry(i, None)).collect();
+    node.handle(
+        0,
+        Event::EndpointList(EndpointListKind::Full, list.into()),
+        &mut Vec::new(),
+    );
     node
 }
 
 /// Asks for twenty seconds, so many requests a second, each answered late and with this note; `tenant` tells whose the
 /// n-th is. For each tenant what it asked in the second half, and what was refused of that as beyond its share.
-fn refused(per_s: u64, note: Note, tenant: impl Fn(u64) -> usize) -> [(u32, u32); 2] {
+fn refused(per_s: u64, note: CacheResult, tenant: impl Fn(u64) -> usize) -> [(u32, u32); 2] {
     let (mut node, mut counts) = (node(), [(0, 0); 2]);
     let (class, requests) = (support::settings().classes[0].clone(), 20 * per_s);
     for n in 0..requests {
@@ -45,10 +55,12 @@
         counts[whose].0 += u32::from(counted);
         for action in actions {
             match action {
-                Action::Refuse { .. } if counted && node.why() == "share" => counts[whose].1 += 1,
+                Action::Reject { .. } if counted && node.decision_reason() == "share" => {
+                    counts[whose].1 += 1
+                }
                 Action::Send { server, .. } => {
-                    let latency = class.aim + class.aim / 10;
-                    let outcome = Event::Outcome {
+                    let latency = class.latency_objective + class.latency_objective / 10;
+                    let outcome = Event::AttemptEnded {
                         request: request.clone(),
                         server,
                         attempt: 0,
@@ -76,7 +88,7 @@
 // 5,376 on one play, while the tenants asked for no more than they may.
 #[test]
 fn a_node_that_sees_half_of_all_requests_calls_none_beyond_its_share() {
-    let counts = refused(50, Note::Hit, by_quota);
+    let counts = refused(50, CacheResult::Hit, by_quota);
     assert!(counts.iter().all(|(asked, _)| *asked >= 200), "{counts:?}");
     assert_eq!(counts.map(|(_, refused)| refused), [0, 0], "{counts:?}");
 }
@@ -84,10 +96,13 @@
 // Guards against a share that nobody is held to: who takes the other's part is refused beyond its own.
 #[test]
 fn a_tenant_that_takes_more_than_its_part_of_a_late_node_is_refused_beyond_it() {
-    let counts = refused(50, Note::Hit, |n| usize::from(n % 10 >= 1));
+    let counts = refused(50, CacheResult::Hit, |n| usize::from(n % 10 >= 1));
     let (asked, refused) = counts[1];
     let kept = f64::from(asked - refused) / f64::from(counts[0].0 + asked);
-    assert!(refused > 0 && (0.35..0.5).contains(&kept), "{counts:?}: {kept} of all, 0.4 are its part");
+    assert!(
+        refused > 0 && (0.35..0.5).contains(&kept),
+        "{counts:?}: {kept} of all, 0.4 are its part"
+    );
     assert_eq!(counts[0].1, 0, "{counts:?}");
 }
 
@@ -96,8 +111,16 @@
 #[test]
 fn answers_that_are_late_by_a_fetch_do_not_make_a_node_refuse() {
     let flood = |_| 1;
-    let (asked, hits) = refused(50, Note::Hit, flood)[1];
+    let (asked, hits) = refused(50, CacheResult::Hit, flood)[1];
     assert!(hits > asked / 4, "late hits: {hits} of {asked}");
-    assert_eq!(refused(50, Note::Miss, flood)[1].1, 0, "late fetches");
-    assert_eq!(refused(50, Note::MissFetching, flood)[1].1, 0, "late joined fetches");
+    assert_eq!(
+        refused(50, CacheResult::Miss, flood)[1].1,
+        0,
+        "late fetches"
+    );
+    assert_eq!(
+        refused(50, CacheResult::MissFetching, flood)[1].1,
+        0,
+        "late joined fetches"
+    );
 }
--- a/crates/lab/src/model.rs
+++ b/crates/fleet_model/src/model.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1, Zipf};
-use sloewick_decision::interface::*;
+use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
 
 /// What is played. Times are microseconds, work is for a core of speed 1.
@@ -216,7 +216,7 @@
     /// A fleet whose caches hold all keys.
     pub fn new(site: Site, arm: Arm, seed: u64) -> Model {
         let set = site.settings();
-        let entry = |i: usize| Entry {
+        let entry = |i: usize| Endpoint {
             server: format!("s{i}").into(),
             weight: 1.0,
             zone: None,
@@ -225,14 +225,25 @@
             started: None,
             cell: None,
         };
-        let list: Arc<[Entry]> = (0..site.servers).map(entry).collect();
-        let numbered = |n: usize| Settings { number: Some(n as u64), ..set.clone() };
+        let list: Arc<[Endpoint]> = (0..site.servers).map(entry).collect();
+        let numbered = |n: usize| Settings {
+            node_number: Some(n as u64),
+            ..set.clone()
+        };
         let node = |n: usize| {
-            let mut node = Balancer::new(numbered(n), seed << 16 | n as u64, 0).expect("valid settings");
-            node.handle(0, Event::Servers(ListKind::Full, list.clone()), &mut Vec::new());
+            let mut node =
+                Balancer::new(numbered(n), seed << 16 | n as u64, 0).expect("valid settings");
+            node.handle(
+                0,
+                Event::EndpointList(EndpointListKind::Full, list.clone()),
+                &mut Vec::new(),
+            );
             node
         };
-        let server = |_| Server { kept: (0..site.keys).collect(), ..Server::default() };
+        let server = |_| Server {
+            kept: (0..site.keys).collect(),
+            ..Server::default()
+        };
         let mut model = Model {
             nodes: (0..site.nodes).map(node).collect(),
             servers: (0..site.servers).map(server).collect(),
@@ -270,13 +281,17 @@
             }
         }
         self.seconds.resize(seconds, Second::default());
-        self.seconds.iter().map(|s| f64::from(s.worth_served) / f64::from(s.worth_offered.max(1))).collect()
+        self.seconds
+            .iter()
+            .map(|s| f64::from(s.worth_served) / f64::from(s.worth_offered.max(1)))
+            .collect()
     }
 
     fn plan(&mut self, delay: Micros, due: Due) {
         self.serial += 1;
         self.events.insert(self.serial, due);
-        self.due.push(Reverse((self.now + delay.max(0), self.serial)));
+        self.due
+            .push(Reverse((self.now + delay.max(0), self.serial)));
     }
 
     fn second(&mut self) -> &mut Second {
@@ -298,8 +313,11 @@
                 let gap = self.exp(1e6 / self.site.rate);
                 self.plan(gap, Due::Arrival);
                 let mut key = self.zipf.sample(&mut self.rng) as usize - 1;
-                if let Some((_, share)) =
-                    self.site.hot.as_ref().filter(|(when, _)| when.contains(&self.now))
+                if let Some((_, share)) = self
+                    .site
+                    .hot
+                    .as_ref()
+                    .filter(|(when, _)| when.contains(&self.now))
                 {
                     if self.rng.random_bool(*share) {
                         key = self.site.keys - 1;
@@ -317,7 +335,7 @@
                 self.ask(node, key, false, false);
             }
             Due::Timer(usize::MAX, _) => self.restart(),
-            Due::Timer(node, token) => self.give(node, Event::Timer(token)),
+            Due::Timer(node, token) => self.give(node, Event::TimerExpired(token)),
             Due::Worked(server, run) if self.servers[server].run == run => {
                 if let Some(job) = self.servers[server].core.take() {
                     self.worked(job);
@@ -351,16 +369,27 @@
     }
 
     fn restart(&mut self) {
-        let Some((_, nodes)) = self.site.restarted else { return };
-        let fresh = Model::new(Site { restarted: None, ..self.site.clone() }, self.arm, 1 << 32 | 7);
+        let Some((_, nodes)) = self.site.restarted else {
+            return;
+        };
+        let fresh = Model::new(
+            Site {
+                restarted: None,
+                ..self.site.clone()
+            },
+            self.arm,
+            1 << 32 | 7,
+        );
         for (n, mut node) in fresh.nodes.into_iter().enumerate().take(nodes) {
             // What it held is lost with it; its connections end.
             let gone = |attempt: &Attempt| attempt.node == n && attempt.awaited;
-            let jobs: Vec<Job> =
-                (0..self.attempts.len()).filter(|job| gone(&self.attempts[*job])).collect();
+            let jobs: Vec<Job> = (0..self.attempts.len())
+                .filter(|job| gone(&self.attempts[*job]))
+                .collect();
             jobs.into_iter().for_each(|job| self.withdraw(job));
             self.open.retain(|_, open| open.node != n);
-            self.events.retain(|_, due| !matches!(due, Due::Timer(of, _) if *of == n));
+            self.events
+                .retain(|_, due| !matches!(due, Due::Timer(of, _) if *of == n));
             std::mem::swap(&mut self.nodes[n], &mut node);
         }
     }
@@ -369,7 +398,14 @@
         self.serial += 1;
         let id: RequestId = format!("r{}", self.serial).into();
         let class = if write { WRITE } else { READ };
-        let open = Open { node, write, key, arrived: self.now, first, attempts: Vec::new() };
+        let open = Open {
+            node,
+            write,
+            key,
+            arrived: self.now,
+            first,
+            attempts: Vec::new(),
+        };
         self.open.insert(id.clone(), open);
         let request = Request {
             id,
@@ -394,21 +430,31 @@
         let work = self.site.work;
         let wait = |s: &Server| (s.queue.len() + usize::from(s.core.is_some())) as f64 * work;
         let emptiest = |servers: &mut dyn Iterator<Item = (usize, &Server)>| {
-            servers.map(|(i, s)| (i, wait(s))).min_by(|a, b| a.1.total_cmp(&b.1))
+            servers
+                .map(|(i, s)| (i, wait(s)))
+                .min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let sound = || self.servers.iter().enumerate().skip(self.site.bad);
-        let aim = AIMS[usize::from(write)] as f64 - 2.0 * work;
-        let keeper =
-            (!write).then(|| emptiest(&mut sound().filter(|(_, s)| s.kept.contains(&key)))).flatten();
-        let slow = if self.site.slow.contains(&self.now) { self.site.slower } else { 1.0 };
+        let latency_objective = AIMS[usize::from(write)] as f64 - 2.0 * work;
+        let keeper = (!write)
+            .then(|| emptiest(&mut sound().filter(|(_, s)| s.kept.contains(&key))))
+            .flatten();
+        let slow = if self.site.slow.contains(&self.now) {
+            self.site.slower
+        } else {
+            1.0
+        };
         let behind = self.origin.len() as f64 * 1e6 / self.site.origin_rate * slow;
         let at_origin = behind + self.site.origin_time as f64;
         let free = emptiest(&mut sound().filter(|(_, s)| s.fetches < self.site.fetches));
         let fetcher = free.filter(|(_, wait)| {
             let spare = write || behind < SPARE * AIMS[WRITE] as f64;
-            spare && wait + at_origin < aim.min(self.site.fetch_time as f64)
+            spare && wait + at_origin < latency_objective.min(self.site.fetch_time as f64)
         });
-        match keeper.filter(|(_, wait)| *wait < aim).or(fetcher) {
+        match keeper
+            .filter(|(_, wait)| *wait < latency_objective)
+            .or(fetcher)
+        {
             Some((server, _)) => self.send(node, id, &format!("s{server}").into(), None),
             None => self.given_up(&id),
         }
@@ -422,17 +468,27 @@
         self.nodes[node].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { request, server, timeout } => self.send(node, request, &server, timeout),
-                Action::Refuse { request, .. } | Action::Fail { request } => {
-                    *self.why.entry(self.nodes[node].why()).or_default() += 1;
+                Action::Send {
+                    request,
+                    server,
+                    timeout,
+                } => self.send(node, request, &server, timeout),
+                Action::Reject { request, .. } | Action::Fail { request } => {
+                    *self
+                        .why
+                        .entry(self.nodes[node].decision_reason())
+                        .or_default() += 1;
                     self.given_up(&request);
                 }
                 Action::Cancel { request, attempt } => {
-                    let job = self.open.get(&request).and_then(|open| open.attempts.get(attempt));
+                    let job = self
+                        .open
+                        .get(&request)
+                        .and_then(|open| open.attempts.get(attempt));
                     let job = job.copied().or_else(|| self.closed(&request, attempt));
                     job.into_iter().for_each(|job| self.withdraw(job));
                 }
-                Action::Timer { delay, token } => self.plan(delay, Due::Timer(node, token)),
+                Action::SetTimer { delay, token } => self.plan(delay, Due::Timer(node, token)),
                 _ => {}
             }
         }
@@ -441,7 +497,9 @@
     /// An attempt of a request that has its final answer; it is among the last ones.
     fn closed(&self, request: &RequestId, number: usize) -> Option<Job> {
         let from = self.attempts.len().saturating_sub(20_000);
-        let found = self.attempts[from..].iter().rposition(|a| a.request == *request && a.number == number);
+        let found = self.attempts[from..]
+            .iter()
+            .rposition(|a| a.request == *request && a.number == number);
         found.map(|at| from + at)
     }
 
@@ -462,7 +520,13 @@
         }
     }
 
-    fn send(&mut self, node: usize, request: RequestId, server: &ServerId, timeout: Option<Micros>) {
+    fn send(
+        &mut self,
+        node: usize,
+        request: RequestId,
+        server: &ServerId,
+        timeout: Option<Micros>,
+    ) {
         let server: usize = server[1..].parse().expect("servers are numbered");
         let Some(open) = self.open.get_mut(&request) else {
             self.broken += 1;
@@ -489,7 +553,7 @@
         self.plan(timeout.unwrap_or(left).min(left), Due::Over(job));
         if self.servers[server].queue.len() >= self.site.queue {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Full, None);
+            return self.answer(job, Status::Rejected, None);
         }
         self.servers[server].queue.push_back(job);
         if self.servers[server].core.is_none() {
@@ -499,7 +563,9 @@
 
     /// A server's core takes what waits first.
     fn next(&mut self, server: usize) {
-        let Some(job) = self.servers[server].queue.pop_front() else { return };
+        let Some(job) = self.servers[server].queue.pop_front() else {
+            return;
+        };
         let node = self.attempts[job].node;
         self.attempts[job].at = At::Core;
         let mut work = self.exp(self.site.work);
@@ -517,18 +583,20 @@
     }
 
     fn worked(&mut self, job: Job) {
-        let Attempt { server, key, write, .. } = self.attempts[job];
+        let Attempt {
+            server, key, write, ..
+        } = self.attempts[job];
         if server < self.site.bad {
             self.attempts[job].at = At::Done;
             return self.answer(job, Status::Error, None);
         }
         if !write && self.servers[server].kept.contains(&key) {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Ok, Some(Note::Hit));
+            return self.answer(job, Status::Ok, Some(CacheResult::Hit));
         }
         if self.servers[server].fetches >= self.site.fetches {
             self.attempts[job].at = At::Done;
-            return self.answer(job, Status::Full, None);
+            return self.answer(job, Status::Rejected, None);
         }
         if self.origin.len() >= self.site.origin_queue {
             self.attempts[job].at = At::Done;
@@ -545,13 +613,23 @@
 
     /// The origin takes what waits first. It goes on with what nobody waits for any more.
     fn origin_begins(&mut self) {
-        let slow = if self.site.slow.contains(&self.now) { self.site.slower } else { 1.0 };
+        let slow = if self.site.slow.contains(&self.now) {
+            self.site.slower
+        } else {
+            1.0
+        };
         let each = self.exp(1e6 / self.site.origin_rate * slow);
         self.plan(each, Due::OriginDone);
     }
 
     fn fetched(&mut self, job: Job) {
-        let Attempt { server, key, write, at, .. } = self.attempts[job];
+        let Attempt {
+            server,
+            key,
+            write,
+            at,
+            ..
+        } = self.attempts[job];
         if write {
             self.servers.iter_mut().for_each(|s| {
                 s.kept.remove(&key);
@@ -566,7 +644,7 @@
         if !write {
             self.servers[server].kept.insert(key);
         }
-        self.answer(job, Status::Ok, Some(Note::Miss));
+        self.answer(job, Status::Ok, Some(CacheResult::Miss));
     }
 
     /// The connection of an attempt is closed: what waits is dropped, work stops, a fetch fills no cache.
@@ -587,7 +665,7 @@
     }
 
     /// A server answers; the connection stays.
-    fn answer(&mut self, job: Job, status: Status, note: Option<Note>) {
+    fn answer(&mut self, job: Job, status: Status, note: Option<CacheResult>) {
         if !std::mem::replace(&mut self.attempts[job].awaited, false) {
             return;
         }
@@ -596,8 +674,15 @@
         self.outcome(job, status, note);
     }
 
-    fn outcome(&mut self, job: Job, status: Status, note: Option<Note>) {
-        let Attempt { node, ref request, number, server, sent, .. } = self.attempts[job];
+    fn outcome(&mut self, job: Job, status: Status, note: Option<CacheResult>) {
+        let Attempt {
+            node,
+            ref request,
+            number,
+            server,
+            sent,
+            ..
+        } = self.attempts[job];
         let request = request.clone();
         let mut closed = false;
         if status == Status::Ok {
@@ -606,8 +691,12 @@
                 let in_time = self.now - open.arrived <= AIMS[usize::from(open.write)];
                 let second = self.second();
                 second.served += u32::from(in_time);
-                second.worth_served += if in_time { WORTH[usize::from(open.write)] } else { 0 };
-                second.from_origin += u32::from(in_time && note == Some(Note::Miss));
+                second.worth_served += if in_time {
+                    WORTH[usize::from(open.write)]
+                } else {
+                    0
+                };
+                second.from_origin += u32::from(in_time && note == Some(CacheResult::Miss));
             }
         }
         if self.arm == Arm::Seeing {
@@ -616,7 +705,7 @@
             }
             return;
         }
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded {
             request,
             server: format!("s{server}").into(),
             attempt: number,
@@ -633,44 +722,47 @@
 impl Site {
     /// What its nodes are told.
     pub fn settings(&self) -> Settings {
-        let class = |class: usize, worth: f64, repeat: Repeat| Class {
-            aim: AIMS[class],
-            aim_stretch: 0.0,
+        let class = |class: usize, priority_weight: f64, idempotency: Idempotency| Class {
+            latency_objective: AIMS[class],
+            objective_per_work: 0.0,
             deadline: DEADLINES[class],
-            repeat,
-            scope: Scope::All,
-            window: 10_000_000,
-            worth,
-            late_worth: 0.0,
+            idempotency,
+            deduplication_scope: DeduplicationScope::All,
+            deduplication_window: 10_000_000,
+            priority_weight,
+            late_weight: 0.0,
             stream: false,
         };
         Settings {
-            classes: vec![class(READ, 1.0, Repeat::Free), class(WRITE, 10.0, Repeat::Keyed)],
+            classes: vec![
+                class(READ, 1.0, Idempotency::Idempotent),
+                class(WRITE, 10.0, Idempotency::Keyed),
+            ],
             tenants: vec![],
             nodes: self.nodes,
-            number: None,
+            node_number: None,
             zone: None,
-            ask: false,
-            ask_within: 0,
-            mode: Mode::Through,
+            poll: false,
+            poll_within: 0,
+            mode: CacheMode::ReadThrough,
             origin_kind: None,
-            origin_fall_multiple: 0.0,
-            weights: Weights::None,
-            by_work: false,
-            over_share_worth: 0.1,
+            origin_overload_multiple: 0.0,
+            weights: WeightMeaning::None,
+            weight_by_work: false,
+            over_quota_weight: 0.1,
             tick: 2_000,
             max_attempts: 5,
-            max_open: 1_000,
+            max_in_flight: 1_000,
             cancel: true,
             probes: false,
-            second_copies: true,
+            hedging: true,
             max_retry_after: 1_000_000,
             connect_timeout: 75_000,
             drain_grace: 2_000_000,
-            cold_from: 0.2,
-            cold: 20_000_000,
-            fall_multiple: 2.5,
-            fall: 2_000_000,
+            cold_capacity: 0.2,
+            warm_up_time: 20_000_000,
+            overload_multiple: 2.5,
+            overload_window: 2_000_000,
             answer_slack: 8_000,
             price_cross_zone: 0.0,
             price_origin: 0.0,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,12 +8,12 @@
 
 use bytes::{Bytes, BytesMut};
 use serde_json::Value;
-use sloewick_decision::interface::{Micros, ServerId, ServerState};
-use sloewick_decision::settings::{Bad, Fields, RawEntry};
-use sloewick_wire::http;
+use sloewick_codec::http1;
+use sloewick_decision::api::{Micros, ServerId, ServerState};
+use sloewick_decision::settings::{Fields, RawEndpoint, SettingsError};
 
-use crate::net::{fill, Net, Outbox, Read1, Ready, Stream, Token};
-use crate::timer::{Due, Timers};
+use crate::timers::{Due, Timers};
+use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
 
 /// How long a watch may wait at one service for all nodes, at the least and at the most. A call is dear to it, and silence
 /// shows only after the wait. Each node has a wait of its own between the two: silence that begins at all of them at once
@@ -55,24 +55,34 @@
 }
 
 impl Times {
-    /// `ask`: one service for all nodes; otherwise an agent beside each. `turn`: this node's part of what is spread over all
+    /// `poll`: one service for all nodes; otherwise an agent beside each. `turn`: this node's part of what is spread over all
     /// nodes, from 0 to 1.
-    pub fn new(ask: bool, grace: Micros, turn: f64) -> Times {
+    pub fn new(poll: bool, grace: Micros, turn: f64) -> Times {
         let again = (grace / 4).clamp(20_000, AGAIN_MOST);
-        if ask {
+        if poll {
             let spread = (WATCH_MOST - WATCH_LEAST) as f64 * (1.0 - turn.clamp(0.0, 1.0));
             let wait = (WATCH_LEAST + spread as Micros) / 1000 * 1000;
-            return Times { wait, late: WATCH_LATE, again, grace };
+            return Times {
+                wait,
+                late: WATCH_LATE,
+                again,
+                grace,
+            };
         }
         // Nothing that the agent has may go unheard for longer than the grace: it counts as told at once.
         let wait = (grace / 2).clamp(PUSHED_LEAST, PUSHED_MOST) / 1000 * 1000;
-        Times { wait, late: again, again, grace }
+        Times {
+            wait,
+            late: again,
+            again,
+            grace,
+        }
     }
 }
 
 /// One list entry and where it is reached from here.
 pub struct Listed {
-    pub entry: RawEntry,
+    pub entry: RawEndpoint,
     pub address: SocketAddr,
     /// Unix time of its last start in milliseconds; 0: long ago.
     pub boot_ms: i64,
@@ -86,28 +96,45 @@
 }
 
 /// Reads an answer's JSON.
-pub fn answer(value: &Value) -> Result<Answer, Bad> {
+pub fn answer(value: &Value) -> Result<Answer, SettingsError> {
     let f = Fields::of(value, "known")?;
-    let targets = f.array("targets")?.iter().map(listed).collect::<Result<Vec<_>, _>>()?;
-    Ok(Answer { rev: f.int("rev")?, all: f.flag("all")?, targets })
+    let targets = f
+        .array("targets")?
+        .iter()
+        .map(listed)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(Answer {
+        rev: f.int("rev")?,
+        all: f.flag("all")?,
+        targets,
+    })
 }
 
-fn listed(value: &Value) -> Result<Listed, Bad> {
+fn listed(value: &Value) -> Result<Listed, SettingsError> {
     let f = Fields::of(value, "targets")?;
-    let text = |name| f.opt(name).map(|_| f.text(name).map(str::to_string)).transpose();
+    let text = |name| {
+        f.opt(name)
+            .map(|_| f.text(name).map(str::to_string))
+            .transpose()
+    };
     let state = match f.text("state")? {
         "in_service" => ServerState::Live,
         "terminating" => ServerState::Draining,
-        "terminated" => ServerState::Gone,
-        other => return Err(Bad::new("state", format!("{other:?} is no server state"))),
+        "terminated" => ServerState::Removed,
+        other => {
+            return Err(SettingsError::new(
+                "state",
+                format!("{other:?} is no server state"),
+            ))
+        }
     };
     let server: ServerId = f.text("uid")?.into();
     let endpoint = f.text("endpoint")?;
-    let address = endpoint
-        .parse()
-        .map_err(|_| Bad::new("endpoint", format!("{endpoint:?} is no address and port")))?;
+    let address = endpoint.parse().map_err(|_| {
+        SettingsError::new("endpoint", format!("{endpoint:?} is no address and port"))
+    })?;
     let cell = f.opt("pod_group").map(|_| f.int("pod_group")).transpose()?;
-    let entry = RawEntry {
+    let entry = RawEndpoint {
         server,
         weight: f.number_or("capacity_hint", 1.0)?,
         zone: text("az")?,
@@ -116,7 +143,11 @@
         started: None,
         cell: cell.and_then(|n| u32::try_from(n).ok()),
     };
-    Ok(Listed { entry, address, boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))? })
+    Ok(Listed {
+        entry,
+        address,
+        boot_ms: f.opt("boot_ms").map_or(Ok(0), |_| f.int("boot_ms"))?,
+    })
 }
 
 /// A start in Unix time on the node's clock, which began at `began` in Unix time; none for long ago.
@@ -143,7 +174,7 @@
 struct Call<S> {
     stream: S,
     what: What,
-    out: Outbox,
+    out: WriteQueue,
     buf: BytesMut,
     serial: u64,
     began: Micros,
@@ -172,7 +203,13 @@
 }
 
 impl<S: Stream> Discovery<S> {
-    pub fn new(address: SocketAddr, token: Token, pushed: bool, rev: i64, times: Times) -> Discovery<S> {
+    pub fn new(
+        address: SocketAddr,
+        token: Token,
+        pushed: bool,
+        rev: i64,
+        times: Times,
+    ) -> Discovery<S> {
         Discovery {
             address,
             token,
@@ -225,7 +262,11 @@
     }
 
     /// Makes the call that is wanted, unless one is out.
-    pub fn go_on(&mut self, net: &mut impl Net<Stream = S>, timers: &mut Timers) -> Option<News> {
+    pub fn go_on(
+        &mut self,
+        net: &mut impl Transport<Stream = S>,
+        timers: &mut Timers,
+    ) -> Option<News> {
         let now = net.now();
         if self.call.is_some() || now < self.not_before || !(self.watching || self.whole_wanted) {
             return None;
@@ -241,13 +282,29 @@
         };
         self.serial += 1;
         let opened = net.connect(self.address, self.token);
-        let Ok(stream) = opened else { return Some(self.failed("no connection", now, timers)) };
-        let mut out = Outbox::default();
+        let Ok(stream) = opened else {
+            return Some(self.failed("no connection", now, timers));
+        };
+        let mut out = WriteQueue::default();
         let host = self.address;
-        out.push(Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")));
-        timers.set(now + most, Due::Discovery { serial: self.serial });
+        out.push(Bytes::from(format!(
+            "GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n"
+        )));
+        timers.set(
+            now + most,
+            Due::Discovery {
+                serial: self.serial,
+            },
+        );
         let serial = self.serial;
-        self.call = Some(Call { stream, what, out, buf: BytesMut::new(), serial, began: now });
+        self.call = Some(Call {
+            stream,
+            what,
+            out,
+            buf: BytesMut::new(),
+            serial,
+            began: now,
+        });
         None
     }
 
@@ -265,7 +322,7 @@
 
     pub fn ready(
         &mut self,
-        event: &Ready,
+        event: &ReadyEvent,
         now: Micros,
         scratch: &mut [u8],
         timers: &mut Timers,
@@ -281,10 +338,10 @@
         let mut ended = false;
         loop {
             match fill(&mut call.stream, &mut call.buf, scratch) {
-                Read1::Ended => ended = true,
-                Read1::Broke => broke = true,
-                Read1::Empty => {}
-                _ if call.buf.len() > http::HEAD_MOST + http::BODY_MOST => {
+                ReadOutcome::Ended => ended = true,
+                ReadOutcome::Broke => broke = true,
+                ReadOutcome::Empty => {}
+                _ if call.buf.len() > http1::MAX_HEAD + http1::MAX_BODY => {
                     return Some(self.failed("answer too long", now, timers));
                 }
                 _ => continue,
@@ -292,7 +349,7 @@
             break;
         }
         // Guards against a cut list: a reset is no end, so that only an answer which tells where it ends can be whole.
-        match http::body(&call.buf, ended && !broke) {
+        match http1::body(&call.buf, ended && !broke) {
             Ok(None) if broke => Some(self.failed("connection broke", now, timers)),
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
@@ -301,9 +358,15 @@
     }
 
     fn answered(&mut self, body: &[u8], now: Micros, timers: &mut Timers) -> News {
-        let parsed = serde_json::from_slice(body).ok().and_then(|v: Value| answer(&v).ok());
-        let Some(list) = parsed else { return self.failed("answer is not a list", now, timers) };
-        let Some(call) = self.call.take() else { return News::Failed("no call") };
+        let parsed = serde_json::from_slice(body)
+            .ok()
+            .and_then(|v: Value| answer(&v).ok());
+        let Some(list) = parsed else {
+            return self.failed("answer is not a list", now, timers);
+        };
+        let Some(call) = self.call.take() else {
+            return News::Failed("no call");
+        };
         if call.what == What::Whole && !list.all {
             return self.failed("part of a list where all was asked for", now, timers);
         }
@@ -315,8 +378,16 @@
             self.doubted = true;
             self.whole_wanted = true;
             self.pause(now + self.times.again, timers);
-            let targets = list.targets.into_iter().filter(|t| t.entry.state != ServerState::Live).collect();
-            return News::List(Answer { rev: list.rev, all: false, targets });
+            let targets = list
+                .targets
+                .into_iter()
+                .filter(|t| t.entry.state != ServerState::Live)
+                .collect();
+            return News::List(Answer {
+                rev: list.rev,
+                all: false,
+                targets,
+            });
         }
         self.doubted = false;
         (self.owed_by, self.failed) = (None, 0);
@@ -349,7 +420,12 @@
     fn pause(&mut self, until: Micros, timers: &mut Timers) {
         self.not_before = until;
         self.serial += 1;
-        timers.set(until, Due::Discovery { serial: self.serial });
+        timers.set(
+            until,
+            Due::Discovery {
+                serial: self.serial,
+            },
+        );
     }
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,9 +1,9 @@
 //! What a client's protocol makes of a final answer. The node decides what the answer is; here it is worded.
 
 use bytes::Bytes;
-use sloewick_decision::interface::Micros;
-use sloewick_wire::memcache::{self, Opcode, Response, Status};
-use sloewick_wire::resp::{put_bulk, put_head, WORD_MOST};
+use sloewick_codec::memcached::{self, Opcode, Response, Status};
+use sloewick_codec::resp2::{write_bulk, write_header, MAX_ARGUMENT};
+use sloewick_decision::api::Micros;
 
 /// The protocol that a peer speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,9 +42,9 @@
     /// The answer's bytes; nothing where the protocol has the client hear nothing.
     pub fn answer(self, key: &Bytes, end: Final) -> Vec<Bytes> {
         match (self, end) {
-            (Asked::Resp, Final::Value(value)) if value.len() <= WORD_MOST => {
+            (Asked::Resp, Final::Value(value)) if value.len() <= MAX_ARGUMENT => {
                 let mut out = Vec::with_capacity(16 + value.len());
-                put_bulk(&mut out, &value);
+                write_bulk(&mut out, &value);
                 vec![out.into()]
             }
             (Asked::Resp, Final::Value(value)) => {
@@ -61,11 +61,16 @@
                     Vec::new()
                 } else if !reads(opcode) {
                     let mut out = Vec::new();
-                    memcache::put_status(&mut out, opcode as u8, opaque, Status::Ok);
+                    memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
                     vec![out.into()]
-                } else if value.len() <= WORD_MOST {
-                    let mut out = Vec::with_capacity(memcache::HEADER + 4 + key.len() + value.len());
-                    memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), value.len());
+                } else if value.len() <= MAX_ARGUMENT {
+                    let mut out =
+                        Vec::with_capacity(memcached::HEADER + 4 + key.len() + value.len());
+                    memcached::write_response_header(
+                        &mut out,
+                        &read_head(opcode, opaque, key),
+                        value.len(),
+                    );
                     out.extend_from_slice(&value);
                     vec![out.into()]
                 } else {
@@ -75,23 +80,34 @@
             (Asked::Memcached { .. }, Final::NoValue) => self.status(Status::KeyNotFound, None),
             (Asked::Memcached { .. }, Final::Busy(retry_after)) => match millis(retry_after) {
                 0 => self.status(Status::Busy, Some("busy; nothing has run; try again")),
-                ms => self
-                    .status(Status::Busy, Some(&format!("busy; nothing has run; try again after {ms} ms"))),
+                ms => self.status(
+                    Status::Busy,
+                    Some(&format!("busy; nothing has run; try again after {ms} ms")),
+                ),
             },
-            (Asked::Memcached { .. }, Final::Failed) => {
-                self.status(Status::InternalError, Some("failed; a write may have taken effect"))
-            }
+            (Asked::Memcached { .. }, Final::Failed) => self.status(
+                Status::InternalError,
+                Some("failed; a write may have taken effect"),
+            ),
         }
     }
 
     /// A memcached status with its own text, or another one.
     pub fn status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
-        let Asked::Memcached { opcode, opaque } = self else { return Vec::new() };
+        let Asked::Memcached { opcode, opaque } = self else {
+            return Vec::new();
+        };
         if opcode.silent_on(status) {
             return Vec::new();
         }
         let mut out = Vec::new();
-        memcache::put_text(&mut out, opcode as u8, opaque, status, text.unwrap_or(status.text()));
+        memcached::write_text_response(
+            &mut out,
+            opcode as u8,
+            opaque,
+            status,
+            text.unwrap_or(status.text()),
+        );
         vec![out.into()]
     }
 
@@ -99,9 +115,9 @@
     pub fn head(self, key: &Bytes, len: usize) -> Bytes {
         let mut out = Vec::new();
         match self {
-            Asked::Resp => put_head(&mut out, b'$', len),
+            Asked::Resp => write_header(&mut out, b'$', len),
             Asked::Memcached { opcode, opaque } => {
-                memcache::put_response_head(&mut out, &read_head(opcode, opaque, key), len);
+                memcached::write_response_header(&mut out, &read_head(opcode, opaque, key), len);
             }
         }
         out.into()
@@ -125,9 +141,21 @@
 }
 
 fn read_head(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
-    let key = if opcode.loud() == Opcode::GetK { key.clone() } else { Bytes::new() };
+    let key = if opcode.loud() == Opcode::GetK {
+        key.clone()
+    } else {
+        Bytes::new()
+    };
     let (extras, value) = (Bytes::from_static(NO_FLAGS), Bytes::new());
-    Response { opcode: opcode as u8, status: Status::Ok as u16, opaque, cas: 0, extras, key, value }
+    Response {
+        opcode: opcode as u8,
+        status: Status::Ok as u16,
+        opaque,
+        cas: 0,
+        extras,
+        key,
+        value,
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/os.rs
+++ b/crates/node/src/mio_transport.rs
@@ -11,10 +11,12 @@
 use mio::{Events, Interest, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use sloewick_decision::interface::Micros;
-use sloewick_store::{Folder, Keeper};
+use sloewick_decision::api::Micros;
+use sloewick_snapshot::{SnapshotFile, SnapshotWriter};
 
-use crate::net::{Keeping, Net, Ready, Stream, Token, Told, SIGNALS};
+use crate::transport::{
+    PendingSignals, ReadyEvent, SnapshotSave, Stream, Token, Transport, SIGNALS,
+};
 
 const BACKLOG: i32 = 1024;
 /// How long an address that is taken is waited for, and how often it is looked at. The process before may be ending still:
@@ -33,13 +35,13 @@
 
 /// Tells a node on a thread of its own what a process is told by signals. It is heard at the next poll.
 #[derive(Debug, Default)]
-pub struct Remote {
+pub struct RemoteSignals {
     reload: AtomicBool,
     stop: AtomicBool,
 }
 
-impl Remote {
-    pub fn tell(&self, told: Told) {
+impl RemoteSignals {
+    pub fn tell(&self, told: PendingSignals) {
         self.reload.fetch_or(told.reload, Ordering::Relaxed);
         self.stop.fetch_or(told.stop, Ordering::Relaxed);
     }
@@ -50,25 +52,27 @@
 }
 
 /// The system, for one process or one of its threads.
-pub struct Os {
+pub struct MioTransport {
     poll: Poll,
     events: Events,
     signals: Option<Signals>,
-    remote: Option<Arc<Remote>>,
-    kept: Option<(Folder, Keeper)>,
+    remote: Option<Arc<RemoteSignals>>,
+    kept: Option<(SnapshotFile, SnapshotWriter)>,
     began: Instant,
-    began_unix: Micros,
+    unix_time_at_start: Micros,
 }
 
-impl Os {
+impl MioTransport {
     /// For a process of its own: SIGHUP, SIGTERM and SIGINT are taken.
     ///
     /// # Errors
     /// The system's, when it has no room for a poll or for the signals.
-    pub fn with_signals() -> io::Result<Os> {
-        let mut os = Os::new()?;
+    pub fn with_signals() -> io::Result<MioTransport> {
+        let mut os = MioTransport::new()?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
-        os.poll.registry().register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
+        os.poll
+            .registry()
+            .register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
         os.signals = Some(signals);
         Ok(os)
     }
@@ -78,8 +82,8 @@
     /// # Errors
     /// The system's, when it has no room for a thread.
     pub fn keep_in(&mut self, folder: &Path) -> io::Result<()> {
-        let folder = Folder::new(folder, KEPT_NAME, KEPT_MOST);
-        self.kept = Some((folder.clone(), Keeper::start(folder)?));
+        let folder = SnapshotFile::new(folder, KEPT_NAME, KEPT_MOST);
+        self.kept = Some((folder.clone(), SnapshotWriter::start(folder)?));
         Ok(())
     }
 
@@ -87,24 +91,29 @@
     ///
     /// # Errors
     /// The system's, when it has no room for a poll.
-    pub fn remote(remote: Arc<Remote>) -> io::Result<Os> {
-        Ok(Os { remote: Some(remote), ..Os::new()? })
+    pub fn remote(remote: Arc<RemoteSignals>) -> io::Result<MioTransport> {
+        Ok(MioTransport {
+            remote: Some(remote),
+            ..MioTransport::new()?
+        })
     }
 
     /// For one of several threads: signals are left to others.
     ///
     /// # Errors
     /// The system's, when it has no room for a poll.
-    pub fn new() -> io::Result<Os> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
-        Ok(Os {
+    pub fn new() -> io::Result<MioTransport> {
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_micros() as i64);
+        Ok(MioTransport {
             poll: Poll::new()?,
             events: Events::with_capacity(EVENTS),
             signals: None,
             remote: None,
             kept: None,
             began: Instant::now(),
-            began_unix: unix,
+            unix_time_at_start: unix,
         })
     }
 }
@@ -120,7 +129,7 @@
     Ok(socket)
 }
 
-impl Net for Os {
+impl Transport for MioTransport {
     type Stream = TcpStream;
     type Listener = TcpListener;
 
@@ -128,8 +137,8 @@
         self.began.elapsed().as_micros() as Micros
     }
 
-    fn began_unix(&self) -> Micros {
-        self.began_unix
+    fn unix_time_at_start(&self) -> Micros {
+        self.unix_time_at_start
     }
 
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<TcpListener> {
@@ -144,7 +153,9 @@
             }
         };
         let mut listener = TcpListener::from_std(socket.into());
-        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
         Ok(listener)
     }
 
@@ -154,11 +165,16 @@
         let held = unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) }.try_clone_to_owned()?;
         let socket = socket2::Socket::from(held);
         if !rustix::net::sockopt::socket_acceptconn(&socket)? {
-            return Err(io::Error::new(ErrorKind::InvalidInput, "is no listening socket"));
+            return Err(io::Error::new(
+                ErrorKind::InvalidInput,
+                "is no listening socket",
+            ));
         }
         socket.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(socket.into());
-        self.poll.registry().register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
         Ok(listener)
     }
 
@@ -167,7 +183,10 @@
         let _ = stream.set_nodelay(true);
         let both = Interest::READABLE | Interest::WRITABLE;
         // Not as a lack of descriptors: the connection is gone, and those behind it are asked for.
-        let registered = self.poll.registry().register(&mut stream, mio::Token(token), both);
+        let registered = self
+            .poll
+            .registry()
+            .register(&mut stream, mio::Token(token), both);
         registered.map_err(|_| io::Error::from(ErrorKind::ConnectionAborted))?;
         Ok(stream)
     }
@@ -176,17 +195,22 @@
         let mut stream = TcpStream::connect(to)?;
         let _ = stream.set_nodelay(true);
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, mio::Token(token), both)?;
+        self.poll
+            .registry()
+            .register(&mut stream, mio::Token(token), both)?;
         Ok(stream)
     }
 
-    fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> io::Result<()> {
+    fn poll(&mut self, ready: &mut Vec<ReadyEvent>, wait: Micros) -> io::Result<()> {
         ready.clear();
-        match self.poll.poll(&mut self.events, Some(Duration::from_micros(wait.max(0) as u64))) {
+        match self.poll.poll(
+            &mut self.events,
+            Some(Duration::from_micros(wait.max(0) as u64)),
+        ) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
             done => done?,
         }
-        ready.extend(self.events.iter().map(|e| Ready {
+        ready.extend(self.events.iter().map(|e| ReadyEvent {
             token: e.token().0,
             readable: e.is_readable(),
             writable: e.is_writable(),
@@ -195,37 +219,50 @@
         }));
         if self.remote.as_ref().is_some_and(|remote| remote.waits()) {
             let token = SIGNALS;
-            ready.push(Ready { token, readable: true, writable: false, read_closed: false, error: false });
+            ready.push(ReadyEvent {
+                token,
+                readable: true,
+                writable: false,
+                read_closed: false,
+                error: false,
+            });
         }
         Ok(())
     }
 
-    fn told(&mut self) -> Told {
+    fn told(&mut self) -> PendingSignals {
         if let Some(remote) = &self.remote {
             let (reload, stop) = (&remote.reload, &remote.stop);
-            return Told {
+            return PendingSignals {
                 reload: reload.swap(false, Ordering::Relaxed),
                 stop: stop.swap(false, Ordering::Relaxed),
             };
         }
         let came = self.signals.iter_mut().flat_map(|s| s.pending());
-        came.fold(Told::default(), |told, signal| match signal {
-            SIGHUP => Told { reload: true, ..told },
-            _ => Told { stop: true, ..told },
+        came.fold(PendingSignals::default(), |told, signal| match signal {
+            SIGHUP => PendingSignals {
+                reload: true,
+                ..told
+            },
+            _ => PendingSignals { stop: true, ..told },
         })
     }
 
     fn kept(&mut self) -> io::Result<Option<Vec<u8>>> {
-        self.kept.as_ref().map_or(Ok(None), |(folder, _)| folder.read())
+        self.kept
+            .as_ref()
+            .map_or(Ok(None), |(folder, _)| folder.read())
     }
 
-    fn keep(&mut self, snapshot: Vec<u8>) -> Keeping {
-        let Some((_, keeper)) = &self.kept else { return Keeping::Nowhere };
+    fn keep(&mut self, snapshot: Vec<u8>) -> SnapshotSave {
+        let Some((_, keeper)) = &self.kept else {
+            return SnapshotSave::Nowhere;
+        };
         let taken = keeper.offer(snapshot);
         match keeper.trouble() {
-            Some(why) => Keeping::Failed(why),
-            None if taken => Keeping::Begun,
-            None => Keeping::Busy,
+            Some(why) => SnapshotSave::Failed(why),
+            None if taken => SnapshotSave::Begun,
+            None => SnapshotSave::Busy,
         }
     }
 
@@ -240,19 +277,30 @@
     }
 }
 
-impl Os {
+impl MioTransport {
     /// A line to standard error, unless that would wait.
     fn put_line(&mut self, line: &str, most: usize) {
         if self.remote.is_some() {
             return;
         }
-        let mut line: String = line.chars().filter(|c| !c.is_control()).take(most).collect();
+        let mut line: String = line
+            .chars()
+            .filter(|c| !c.is_control())
+            .take(most)
+            .collect();
         line.push('\n');
         let stderr = io::stderr();
-        let mut ready = [rustix::event::PollFd::new(&stderr, rustix::event::PollFlags::OUT)];
-        let at_once = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let mut ready = [rustix::event::PollFd::new(
+            &stderr,
+            rustix::event::PollFlags::OUT,
+        )];
+        let at_once = rustix::event::Timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
         let polled = rustix::event::poll(&mut ready, Some(&at_once));
-        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT) {
+        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT)
+        {
             let _ = stderr.lock().write_all(line.as_bytes());
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,39 +10,40 @@
 
 use bytes::Bytes;
 use slab::Slab;
-use sloewick_decision::interface::{
-    Action, Event, ListKind, Load, Micros, Note, Request, RequestId, ServerId, ServerState, Status,
+use sloewick_decision::api::{
+    Action, CacheResult, EndpointListKind, Event, LoadReport, Micros, Request, RequestId, ServerId,
+    ServerState, Status,
 };
-use sloewick_decision::settings::{Bad, Names};
-use sloewick_decision::{Balancer, Memory};
+use sloewick_decision::settings::{Names, SettingsError};
+use sloewick_decision::{Balancer, Checkpoint};
 
-use crate::addresses::Addresses;
+use crate::address_table::Addresses;
+use crate::admin::{Ops, CALLERS};
 use crate::client::{Client, Input, Slot};
 use crate::config::Config;
 use crate::discovery::{self, Answer, Discovery, News, Times};
-use crate::figures::Figures;
+use crate::event_trace::Trace;
 use crate::front::{Asked, Final, Protocol};
 use crate::lifecycle::{Accept, Lifecycle};
-use crate::net::{Log, Net, Ready, Token, READ_MOST, SIGNALS};
-use crate::ops::{Ops, CALLERS};
-use crate::timer::{Due, Timers};
-use crate::trace::Trace;
+use crate::metrics::Figures;
+use crate::timers::{Due, Timers};
+use crate::transport::{Log, ReadyEvent, Token, Transport, READ_MOST, SIGNALS};
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
-use sloewick_memcache::outcomes::{outcome, Outcome};
-use sloewick_memcache::routes::Operation;
-use sloewick_wire::memcache;
-use sloewick_wire::resp::{put_bulk, put_head, Budget, Command, Part, Reply, WORD_MOST};
+use sloewick_codec::memcached;
+use sloewick_codec::resp2::{write_bulk, write_header, Budget, Command, Part, Reply, MAX_ARGUMENT};
+use sloewick_memcached::routing::Operation;
+use sloewick_memcached::status::{outcome, Outcome};
 
 mod disconnects;
 mod doors;
 mod handover;
-mod memcached;
+mod memcached_requests;
 mod operating;
 
 use disconnects::{Sight, WAIT_OPEN};
 use doors::{Door, Shares, PROCESSES};
 use handover::Handover;
-use memcached::{Keyed, Memcached};
+use memcached_requests::{Keyed, Memcached};
 
 const LISTENER: Token = 0;
 const DISCOVERY: Token = 2;
@@ -122,82 +123,82 @@
 }
 
 /// Where the configuration comes from when it is read again.
-pub type Source = Box<dyn FnMut() -> Result<Config, Bad>>;
+pub type Source = Box<dyn FnMut() -> Result<Config, SettingsError>>;
 
 /// What decides: events in, actions out, time as an argument, no I/O.
-pub trait Module {
+pub trait DecisionEngine {
     /// Takes up an event at this time; what is to be done is added to `actions`.
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
 
     /// Whether a listed server gets nothing now. A module that does not tell avoids none.
-    fn avoids(&self, _now: Micros, _server: &ServerId) -> bool {
+    fn is_unavailable(&self, _now: Micros, _server: &ServerId) -> bool {
         false
     }
 
     /// Part of its keys that a listed server keeps. A module that does not tell leaves all to each.
-    fn kept(&self, _server: &ServerId) -> f64 {
+    fn retained_fraction(&self, _server: &ServerId) -> f64 {
         1.0
     }
 
     /// Whether it takes the origin behind the servers for jammed. A module that does not tell never does.
-    fn jam(&self, _now: Micros) -> bool {
+    fn origin_overloaded(&self, _now: Micros) -> bool {
         false
     }
 
     /// Which decision gave the last final answer. A module that does not tell gives none.
-    fn why(&self) -> &'static str {
+    fn decision_reason(&self) -> &'static str {
         "untold"
     }
 
     /// Whether an attempt that has waited for its connection is to be written now. A module that does not tell lets all go.
-    fn goes(&self, _now: Micros, _request: &RequestId, _attempt: usize) -> bool {
+    fn may_start_attempt(&self, _now: Micros, _request: &RequestId, _attempt: usize) -> bool {
         true
     }
 
     /// What the next process of this node is told. A module that does not tell leaves it to learn all anew.
-    fn remember(&self, _now: Micros) -> Option<Memory> {
+    fn checkpoint(&self, _now: Micros) -> Option<Checkpoint> {
         None
     }
 
     /// Takes up what an earlier process remembered so long ago, before any list has come.
-    fn recall(&mut self, _now: Micros, _age: Micros, _memory: Memory) {}
+    fn restore(&mut self, _now: Micros, _age: Micros, _memory: Checkpoint) {}
 }
 
-impl Module for Balancer {
+impl DecisionEngine for Balancer {
     fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
 
-    fn avoids(&self, now: Micros, server: &ServerId) -> bool {
-        Balancer::avoids(self, now, server)
+    fn is_unavailable(&self, now: Micros, server: &ServerId) -> bool {
+        Balancer::is_unavailable(self, now, server)
     }
 
-    fn kept(&self, server: &ServerId) -> f64 {
-        Balancer::kept(self, server)
+    fn retained_fraction(&self, server: &ServerId) -> f64 {
+        Balancer::retained_fraction(self, server)
     }
 
-    fn jam(&self, now: Micros) -> bool {
-        Balancer::jam(self, now)
+    fn origin_overloaded(&self, now: Micros) -> bool {
+        Balancer::origin_overloaded(self, now)
     }
 
-    fn why(&self) -> &'static str {
-        Balancer::why(self)
+    fn decision_reason(&self) -> &'static str {
+        Balancer::decision_reason(self)
     }
 
-    fn goes(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
-        Balancer::goes(self, now, request, attempt)
+    fn may_start_attempt(&self, now: Micros, request: &RequestId, attempt: usize) -> bool {
+        Balancer::may_start_attempt(self, now, request, attempt)
     }
 
-    fn remember(&self, now: Micros) -> Option<Memory> {
-        Some(Balancer::remember(self, now))
+    fn checkpoint(&self, now: Micros) -> Option<Checkpoint> {
+        Some(Balancer::checkpoint(self, now))
     }
 
-    fn recall(&mut self, now: Micros, age: Micros, memory: Memory) {
-        Balancer::recall(self, now, age, memory);
+    fn restore(&mut self, now: Micros, age: Micros, memory: Checkpoint) {
+        Balancer::restore(self, now, age, memory);
     }
 }
 
-pub struct Node<N: Net, M: Module = Balancer> {
+pub struct Node<N: Transport, M: DecisionEngine = Balancer> {
     net: N,
     /// Read again on SIGHUP.
     source: Source,
@@ -205,10 +206,10 @@
     ops: Option<Ops<N>>,
     figures: Figures,
     memcached: Option<Memcached>,
-    ready: Vec<Ready>,
+    ready: Vec<ReadyEvent>,
     module: M,
     names: Names,
-    max_open: usize,
+    max_in_flight: usize,
     longest: Micros,
     probe_load: bool,
     queue: VecDeque<Event>,
@@ -233,7 +234,7 @@
     /// Servers that were logged as outliers.
     outliers: BTreeSet<ServerId>,
     /// Whether a jam was logged that was not over then.
-    jam: bool,
+    origin_overloaded: bool,
     /// Where two processes may serve side by side: what the next one is told.
     handover: Option<Handover>,
     trace: Trace,
@@ -247,22 +248,22 @@
     FIRST + 2 * key + 1
 }
 
-impl<N: Net> Node<N> {
+impl<N: Transport> Node<N> {
     /// A node that listens and holds the list that it was told; [`Node::run`] or [`Node::turn`] serve.
     ///
     /// # Errors
     /// Its address cannot be listened on, or its settings do not fit together.
     pub fn new(config: Config, net: N, source: Source) -> io::Result<Node<N>> {
-        Node::with_module(config, net, source, |balancer| balancer)
+        Node::with_engine(config, net, source, |balancer| balancer)
     }
 }
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// A node whose decisions pass through what `wrap` makes of the module.
     ///
     /// # Errors
     /// As [`Node::new`].
-    pub fn with_module(
+    pub fn with_engine(
         config: Config,
         mut net: N,
         source: Source,
@@ -291,23 +292,28 @@
         }
         let ops = match config.ops {
             Some(at) => {
-                let listener =
-                    net.listen(at, OPS).map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
+                let listener = net
+                    .listen(at, OPS)
+                    .map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
                 Some(Ops::new(listener, |key| CALLER + key))
             }
             None => None,
         };
         let set = config.settings;
-        let (max_open, longest) = (set.max_open, set.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
-        let (ask, connect_most, classes) = (set.ask, set.connect_timeout, set.classes.len());
+        let (max_in_flight, longest) = (
+            set.max_in_flight,
+            set.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
+        );
+        let (ask, connect_most, classes) = (set.poll, set.connect_timeout, set.classes.len());
         let times = Times::new(ask, set.drain_grace, config.turn);
-        let balancer = Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
+        let balancer =
+            Balancer::new(set, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let module = wrap(balancer);
         let shares = Shares::of(config.sockets, ops.is_some());
         let processes = if shared { PROCESSES } else { 1 };
         let memory = config.memory / processes;
         // No two starts of any two nodes may give one id.
-        let run = config.seed ^ net.began_unix() as u64;
+        let run = config.seed ^ net.unix_time_at_start() as u64;
         let handover = shared.then(|| Handover::new(config.listen, &config.names, classes));
         let memcached = config.memcached.map(|file| Memcached::new(file, run));
         let mut node = Node {
@@ -320,7 +326,7 @@
             ready: Vec::new(),
             module,
             names: config.names,
-            max_open: max_open.min(memory / REQUESTS_PART / REQUEST_MEMORY),
+            max_in_flight: max_in_flight.min(memory / REQUESTS_PART / REQUEST_MEMORY),
             longest,
             probe_load: config.probe_load,
             queue: VecDeque::new(),
@@ -347,12 +353,12 @@
             sight: Sight::default(),
             life: Lifecycle::new(shared, !config.known.targets.is_empty()),
             outliers: BTreeSet::new(),
-            jam: false,
+            origin_overloaded: false,
             handover,
             trace: Trace::new(config.trace),
         };
         node.take_over();
-        node.list(config.known, Some(ListKind::Cached));
+        node.list(config.known, Some(EndpointListKind::Cached));
         node.timers.set(SWEEP, Due::Sweep);
         Ok(node)
     }
@@ -368,7 +374,11 @@
     pub fn run(mut self) -> io::Result<()> {
         while let Some(due) = self.prepare() {
             let wait = (due - self.now()).max(0);
-            self.turn(if self.open.is_empty() { wait } else { wait.min(WAIT_OPEN) })?;
+            self.turn(if self.open.is_empty() {
+                wait
+            } else {
+                wait.min(WAIT_OPEN)
+            })?;
         }
         Ok(())
     }
@@ -381,7 +391,11 @@
             return None;
         }
         // A sweep is always due.
-        let due = self.timers.next().filter(|_| self.dirty.is_empty()).unwrap_or(0);
+        let due = self
+            .timers
+            .next()
+            .filter(|_| self.dirty.is_empty())
+            .unwrap_or(0);
         Some(self.sight.rests(self.net.now(), due))
     }
 
@@ -408,7 +422,7 @@
         Ok(())
     }
 
-    fn ready(&mut self, event: &Ready) {
+    fn ready(&mut self, event: &ReadyEvent) {
         let now = self.now();
         match event.token {
             LISTENER | MEMCACHED => {
@@ -418,12 +432,16 @@
             OPS..FIRST => self.called(event, now),
             SIGNALS => self.signalled(now),
             DISCOVERY => {
-                let news = self.discovery.ready(event, now, &mut self.scratch, &mut self.timers);
+                let news = self
+                    .discovery
+                    .ready(event, now, &mut self.scratch, &mut self.timers);
                 self.news(news);
             }
             token if (token - FIRST).is_multiple_of(2) => {
                 let key = (token - FIRST) / 2;
-                let Some(client) = self.clients.get_mut(key) else { return };
+                let Some(client) = self.clients.get_mut(key) else {
+                    return;
+                };
                 if event.error && client.gone() {
                     return self.drop_client(key);
                 }
@@ -464,12 +482,18 @@
             self.trace.event(&mut self.net, &event);
             self.module.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.trace.action(&mut self.net, &action, self.module.why());
+                self.trace
+                    .action(&mut self.net, &action, self.module.decision_reason());
                 self.act(action, now);
             }
             self.actions = actions;
         }
-        for (server, step) in self.upstreams.steps.iter_mut().flat_map(|steps| steps.drain(..)) {
+        for (server, step) in self
+            .upstreams
+            .steps
+            .iter_mut()
+            .flat_map(|steps| steps.drain(..))
+        {
             self.trace.step(&mut self.net, &server, step);
         }
         let news = self.discovery.go_on(&mut self.net, &mut self.timers);
@@ -478,8 +502,12 @@
 
     fn due(&mut self, due: Due, now: Micros) {
         match due {
-            Due::Module(token) => self.queue.push_back(Event::Timer(token)),
-            Due::Attempt { request, serial, attempt } => {
+            Due::DecisionEngine(token) => self.queue.push_back(Event::TimerExpired(token)),
+            Due::Attempt {
+                request,
+                serial,
+                attempt,
+            } => {
                 if self.open.get(request).is_some_and(|o| o.serial == serial) {
                     self.cut_value(request, attempt, now);
                     self.give_up(request, attempt, Status::Timeout);
@@ -516,7 +544,9 @@
         }
         for key in look {
             self.let_go(key, now);
-            let Some(client) = self.clients.get(key) else { continue };
+            let Some(client) = self.clients.get(key) else {
+                continue;
+            };
             if client.stalled(now) {
                 self.drop_client(key);
             } else if client.unfinished(now) {
@@ -540,11 +570,19 @@
 
     /// The end of a planned stop is near: whatever is open gets its final answer now, so that it is written out before.
     fn last_answers(&mut self) {
-        let open: Vec<usize> = self.open.iter().filter(|(_, o)| !o.closed).map(|(key, _)| key).collect();
+        let open: Vec<usize> = self
+            .open
+            .iter()
+            .filter(|(_, o)| !o.closed)
+            .map(|(key, _)| key)
+            .collect();
         for key in open {
             self.no_more(key);
-            let attempts =
-                self.open.get(key).filter(|o| o.stream.is_none()).map_or(0, |o| o.attempts.len());
+            let attempts = self
+                .open
+                .get(key)
+                .filter(|o| o.stream.is_none())
+                .map_or(0, |o| o.attempts.len());
             (0..attempts).for_each(|attempt| self.give_up(key, attempt, Status::Cancelled));
         }
     }
@@ -557,11 +595,16 @@
     fn reload(&mut self) {
         match (self.source)() {
             Ok(config) => {
-                self.log.line(&mut self.net, &format!("reloaded: discovery at {}", config.discovery));
+                self.log.line(
+                    &mut self.net,
+                    &format!("reloaded: discovery at {}", config.discovery),
+                );
                 let now = self.now();
                 self.discovery.move_to(config.discovery, now);
             }
-            Err(bad) => self.log.line(&mut self.net, &format!("not reloaded: {bad}")),
+            Err(bad) => self
+                .log
+                .line(&mut self.net, &format!("not reloaded: {bad}")),
         }
     }
 
@@ -571,8 +614,13 @@
     /// sending them; then the accept queue is emptied, idle connections end and what is held is answered.
     fn stopped(&mut self) -> bool {
         let now = self.now();
-        self.doors.retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
-        if self.doors.iter().any(|door| self.life.accepts(now, door.inherited) == Accept::Last) {
+        self.doors
+            .retain(|door| self.life.accepts(now, door.inherited) != Accept::No);
+        if self
+            .doors
+            .iter()
+            .any(|door| self.life.accepts(now, door.inherited) == Accept::Last)
+        {
             // Each closes right behind its last look: what comes up between the two is reset by the system.
             for at in (0..self.doors.len()).rev() {
                 self.doors[at].more = true;
@@ -608,7 +656,7 @@
                 Input::Command(command) => self.command(key, command, now),
                 Input::Request(request) => self.memcached(key, request, now),
                 Input::Nothing => break,
-                Input::Broken(why, answer) => {
+                Input::DecodeError(why, answer) => {
                     self.turn_out(key, why, answer);
                     break;
                 }
@@ -621,25 +669,29 @@
     /// Whether a request that comes now is answered at once, before anything is known of it: there is no room, nobody is
     /// there to hear of it, or the node is about to end. Nothing has run, so trying again is harmless.
     fn turns_away(&mut self, client: usize, now: Micros) -> bool {
-        self.open.len() >= self.max_open
+        self.open.len() >= self.max_in_flight
             || now >= self.life.answer_by()
             || self.clients.get(client).is_some_and(|c| c.abandoned(now))
             || !self.has_place(client, now)
     }
 
     /// Ends a client's connection with an error behind the answers that it is owed.
-    fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcache::Status)>) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+    fn turn_out(&mut self, key: usize, why: &str, answer: Option<(u8, u32, memcached::Status)>) {
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         let mut out = Vec::new();
         match (client.protocol(), answer) {
-            (Protocol::Resp, _) => out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes()),
+            (Protocol::Resp, _) => {
+                out.extend_from_slice(format!("-ERR protocol: {why}\r\n").as_bytes())
+            }
             (_, Some((opcode, opaque, status))) => {
-                memcache::put_text(&mut out, opcode, opaque, status, why);
+                memcached::write_text_response(&mut out, opcode, opaque, status, why);
             }
             // No request can be told apart: there is nothing that an answer could belong to.
             (_, None) => {}
         }
-        client.push(Slot::Ready(vec![out.into()]));
+        client.push(Slot::ReadyEvent(vec![out.into()]));
         client.close_after_answers();
         self.mark(key);
     }
@@ -649,7 +701,7 @@
         if let Err(text) = self.try_command(client, command, now) {
             self.budget.give_back(reserved);
             if let Some(c) = self.clients.get_mut(client) {
-                c.push(Slot::Ready(vec![text]));
+                c.push(Slot::ReadyEvent(vec![text]));
                 self.mark(client);
             }
         }
@@ -667,7 +719,7 @@
                 None => err("+PONG\r\n"),
                 Some(text) => {
                     let mut out = Vec::new();
-                    put_bulk(&mut out, text);
+                    write_bulk(&mut out, text);
                     out.into()
                 }
             });
@@ -681,7 +733,8 @@
         let text = |bytes: &Bytes| std::str::from_utf8(bytes).map(Arc::<str>::from);
         let key = text(&words[1]).map_err(|_| err("-ERR key is not text\r\n"))?;
         let id = text(&words[2]).map_err(|_| err("-ERR id is not text\r\n"))?;
-        let fields = std::str::from_utf8(&words[3]).map_err(|_| err("-ERR fields are not text\r\n"))?;
+        let fields =
+            std::str::from_utf8(&words[3]).map_err(|_| err("-ERR fields are not text\r\n"))?;
         let request = self.request(id.clone(), key, fields, write).map_err(err)?;
         if self.ids.contains_key(&id) {
             return Err(err("-ERR id is in use\r\n"));
@@ -705,8 +758,12 @@
     /// Takes a request: from now on one final answer is owed to it.
     fn take(&mut self, client: usize, mut request: Request, taken: Taken, now: Micros) {
         // A node that stops has no more time than that.
-        request.budget = request.budget.min(self.life.answer_by().saturating_sub(now));
-        let Some(c) = self.clients.get_mut(client) else { return };
+        request.budget = request
+            .budget
+            .min(self.life.answer_by().saturating_sub(now));
+        let Some(c) = self.clients.get_mut(client) else {
+            return;
+        };
         self.serial += 1;
         let place = self.open.vacant_entry();
         let (open, slot) = (place.key(), c.push(Slot::Waiting(place.key())));
@@ -753,7 +810,11 @@
             retry: false,
             write,
         };
-        let number = |text: &str| text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        let number = |text: &str| {
+            text.parse()
+                .ok()
+                .filter(|n: &f64| n.is_finite() && *n >= 0.0)
+        };
         for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
             match name {
                 "c" => request.class = self.names.class(value).ok_or("-ERR unknown class\r\n")?,
@@ -777,7 +838,9 @@
 
     /// A client has gone: nothing is owed to it any more.
     fn drop_client(&mut self, key: usize) {
-        let Some(mut client) = self.clients.try_remove(key) else { return };
+        let Some(mut client) = self.clients.try_remove(key) else {
+            return;
+        };
         self.budget.give_back(client.reserved());
         self.disown(client.cut());
     }
@@ -787,9 +850,11 @@
         for slot in slots {
             let request = match slot {
                 Slot::Waiting(request) | Slot::Stream { request, .. } => request,
-                Slot::Ready(_) => continue,
+                Slot::ReadyEvent(_) => continue,
+            };
+            let Some(open) = self.open.get(request) else {
+                continue;
             };
-            let Some(open) = self.open.get(request) else { continue };
             let (id, stream) = (open.id.clone(), open.stream);
             self.close(request);
             if let (Slot::Stream { conn, .. }, Some((attempt, _))) = (slot, stream) {
@@ -798,7 +863,7 @@
                 self.upstreams.abandon(conn, now);
                 self.ended(request, attempt, Status::Cancelled, None, None);
             } else {
-                self.queue.push_back(Event::ClientLeft(id));
+                self.queue.push_back(Event::ClientDisconnected(id));
                 self.unsend(request);
                 self.forget(request);
             }
@@ -808,7 +873,9 @@
     fn flush_clients(&mut self) {
         for key in std::mem::take(&mut self.dirty) {
             let now = self.now();
-            let Some(client) = self.clients.get_mut(key) else { continue };
+            let Some(client) = self.clients.get_mut(key) else {
+                continue;
+            };
             client.dirty = false;
             client.advance();
             if client.flush(now).is_err() {
@@ -820,7 +887,9 @@
             if self.life.leaving() {
                 self.let_go(key, now);
             }
-            let Some(client) = self.clients.get_mut(key) else { continue };
+            let Some(client) = self.clients.get_mut(key) else {
+                continue;
+            };
             if client.finish(now) {
                 self.drop_client(key);
             }
@@ -832,8 +901,12 @@
     /// Passes on what has come of a long value, no more than its client takes.
     fn pump(&mut self, key: usize) {
         loop {
-            let Some(client) = self.clients.get_mut(key) else { return };
-            let Some(Slot::Stream { conn, head, .. }) = client.slots.front_mut() else { return };
+            let Some(client) = self.clients.get_mut(key) else {
+                return;
+            };
+            let Some(Slot::Stream { conn, head, .. }) = client.slots.front_mut() else {
+                return;
+            };
             if client.out.len() >= STREAM_MOST {
                 return;
             }
@@ -850,7 +923,9 @@
             if !some {
                 self.signals();
             }
-            let Some(client) = self.clients.get_mut(key) else { return };
+            let Some(client) = self.clients.get_mut(key) else {
+                return;
+            };
             client.advance();
             if client.flush(now).is_err() {
                 return self.drop_client(key);
@@ -868,66 +943,92 @@
             Some(News::List(answer)) => self.list(answer, None),
             Some(News::Failed(why)) => {
                 self.log.line(&mut self.net, &format!("list: {why}"));
-                self.queue.push_back(Event::ListFailed);
+                self.queue.push_back(Event::EndpointListFailed);
             }
             None => {}
         }
     }
 
-    fn list(&mut self, mut answer: Answer, kind: Option<ListKind>) {
+    fn list(&mut self, mut answer: Answer, kind: Option<EndpointListKind>) {
         let now = self.now();
         if kind.is_none() {
             self.life.told();
         }
         self.addresses.settle(&mut answer);
-        let kind = kind.unwrap_or(if answer.all { ListKind::Full } else { ListKind::Delta });
-        if kind != ListKind::Delta {
+        let kind = kind.unwrap_or(if answer.all {
+            EndpointListKind::Full
+        } else {
+            EndpointListKind::Delta
+        });
+        if kind != EndpointListKind::Delta {
             let named = |s: &ServerId| answer.targets.iter().any(|t| t.entry.server == *s);
-            let gone: Vec<ServerId> = self.upstreams.servers().filter(|s| !named(s)).cloned().collect();
-            gone.iter().for_each(|server| self.upstreams.unlisted(server));
+            let gone: Vec<ServerId> = self
+                .upstreams
+                .servers()
+                .filter(|s| !named(s))
+                .cloned()
+                .collect();
+            gone.iter()
+                .for_each(|server| self.upstreams.unlisted(server));
         }
         let mut entries = Vec::with_capacity(answer.targets.len());
         for listed in answer.targets {
-            if listed.entry.state == ServerState::Gone {
+            if listed.entry.state == ServerState::Removed {
                 self.upstreams.unlisted(&listed.entry.server);
             } else {
                 let speaks = |m: &Memcached| m.speaks(listed.entry.kind.as_deref());
                 let memcached = self.memcached.as_ref().is_some_and(speaks);
-                let protocol = if memcached { Protocol::Memcached } else { Protocol::Resp };
-                self.upstreams.listed(&listed.entry.server, listed.address, protocol);
+                let protocol = if memcached {
+                    Protocol::Memcached
+                } else {
+                    Protocol::Resp
+                };
+                self.upstreams
+                    .listed(&listed.entry.server, listed.address, protocol);
             }
             let mut entry = self.names.entry(&listed.entry);
-            entry.started = discovery::started(listed.boot_ms, self.net.began_unix(), now);
+            entry.started = discovery::started(listed.boot_ms, self.net.unix_time_at_start(), now);
             entries.push(entry);
         }
-        self.queue.push_back(Event::Servers(kind, entries.into()));
+        self.queue
+            .push_back(Event::EndpointList(kind, entries.into()));
     }
 
     // ---- actions ----
 
     fn act(&mut self, action: Action, now: Micros) {
         match action {
-            Action::Send { request, server, timeout } => self.send(&request, server, timeout, now),
-            Action::Refuse { request, retry_after } => self.end(&request, Final::Busy(retry_after)),
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => self.send(&request, server, timeout, now),
+            Action::Reject {
+                request,
+                retry_after,
+            } => self.end(&request, Final::Busy(retry_after)),
             Action::Fail { request } => self.end(&request, Final::Failed),
             Action::Cancel { request, attempt } => {
                 if let Some(open) = self.ids.get(&request).copied() {
                     self.give_up(open, attempt, Status::Cancelled);
                 }
             }
-            Action::Timer { delay, token } => {
-                self.timers.set(now.saturating_add(delay.max(0)), Due::Module(token));
+            Action::SetTimer { delay, token } => {
+                self.timers
+                    .set(now.saturating_add(delay.max(0)), Due::DecisionEngine(token));
             }
             Action::Probe(server) => self.probe(server, now),
-            Action::Close(server) => self.upstreams.close_idle(&server),
+            Action::CloseIdleConnections(server) => self.upstreams.close_idle(&server),
             Action::Subscribe(on) => self.discovery.subscribe(on),
-            Action::FetchList => self.discovery.fetch(),
+            Action::FetchEndpointList => self.discovery.fetch(),
             Action::Log(text) => self.log.line(&mut self.net, &text),
         }
     }
 
     fn send(&mut self, id: &RequestId, server: ServerId, timeout: Option<Micros>, now: Micros) {
-        let Some(key) = self.ids.get(id).copied() else { return };
+        let Some(key) = self.ids.get(id).copied() else {
+            return;
+        };
         // First: what the look brings may change where the server is.
         let heard = self.hears(self.open[key].client, self.open[key].client_serial);
         let protocol = self.upstreams.protocol(&server);
@@ -945,23 +1046,34 @@
             counted: false,
         });
         open.out += 1;
-        let fits = protocol == Protocol::Resp || memcached::fits(open);
+        let fits = protocol == Protocol::Resp || memcached_requests::fits(open);
         let over = open.closed || open.no_more || open.stream.is_some() || wait <= 0;
         if !heard {
             // Before the outcome, or the module would send it to another server.
             self.no_more(key);
         }
         if over || !heard || !fits || !self.may_leave(key, attempt, now) {
-            return self.ended(key, attempt, Status::Moot, None, None);
+            return self.ended(key, attempt, Status::NotSent, None, None);
         }
         let written = self.worded(key, protocol, wait);
-        let job = Job::Attempt { request: key, serial, attempt };
-        let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
+        let job = Job::Attempt {
+            request: key,
+            serial,
+            attempt,
+        };
+        let started = self
+            .with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         match started {
             Ok(conn) => {
                 self.open[key].attempts[attempt].conn = Some(conn);
-                self.timers.set(now + wait, Due::Attempt { request: key, serial, attempt });
+                self.timers.set(
+                    now + wait,
+                    Due::Attempt {
+                        request: key,
+                        serial,
+                        attempt,
+                    },
+                );
             }
             Err(status) => self.ended(key, attempt, status, None, None),
         }
@@ -969,11 +1081,18 @@
 
     /// A request as its server gets it.
     fn worded(&mut self, key: usize, protocol: Protocol, wait: Micros) -> Written {
-        let sent = if protocol == Protocol::Memcached { self.count_sent() } else { 0 };
+        let sent = if protocol == Protocol::Memcached {
+            self.count_sent()
+        } else {
+            0
+        };
         let open = &self.open[key];
         match protocol {
-            Protocol::Resp => Written { chunks: forwarded(open, (wait + 999) / 1000), tag: (0, 0) },
-            Protocol::Memcached => memcached::forwarded(open, sent),
+            Protocol::Resp => Written {
+                chunks: forwarded(open, (wait + 999) / 1000),
+                tag: (0, 0),
+            },
+            Protocol::Memcached => memcached_requests::forwarded(open, sent),
         }
     }
 
@@ -982,15 +1101,22 @@
     fn go_up(&mut self) {
         while let Some((conn, job)) = self.upstreams.came_up() {
             let now = self.now();
-            let Some((key, attempt)) = self.find(job) else { continue };
+            let Some((key, attempt)) = self.find(job) else {
+                continue;
+            };
             let (client, serial) = (self.open[key].client, self.open[key].client_serial);
             let heard = self.hears(client, serial);
             let open = &self.open[key];
-            let (left, server) =
-                (open.attempts[attempt].until - now, open.attempts[attempt].server.clone());
+            let (left, server) = (
+                open.attempts[attempt].until - now,
+                open.attempts[attempt].server.clone(),
+            );
             let over = open.closed || open.no_more || left <= 0 || !heard;
-            if over || !self.upstreams.current(conn) || !self.module.goes(now, &open.id, attempt) {
-                self.give_up(key, attempt, Status::Moot);
+            if over
+                || !self.upstreams.current(conn)
+                || !self.module.may_start_attempt(now, &open.id, attempt)
+            {
+                self.give_up(key, attempt, Status::NotSent);
                 continue;
             }
             let written = self.worded(key, self.upstreams.protocol(&server), left);
@@ -1002,46 +1128,80 @@
         self.serial += 1;
         let serial = self.serial;
         let written = match self.upstreams.protocol(&server) {
-            Protocol::Memcached => memcached::probe(serial),
+            Protocol::Memcached => memcached_requests::probe(serial),
             Protocol::Resp => {
                 let mut out = Vec::new();
-                let words: &[&[u8]] = if self.probe_load { &[b"INFO", b"load"] } else { &[b"PING"] };
-                put_head(&mut out, b'*', words.len());
-                words.iter().for_each(|word| put_bulk(&mut out, word));
-                Written { chunks: vec![out.into()], tag: (0, 0) }
+                let words: &[&[u8]] = if self.probe_load {
+                    &[b"INFO", b"load"]
+                } else {
+                    &[b"PING"]
+                };
+                write_header(&mut out, b'*', words.len());
+                words.iter().for_each(|word| write_bulk(&mut out, word));
+                Written {
+                    chunks: vec![out.into()],
+                    tag: (0, 0),
+                }
             }
         };
         self.probes.insert(serial, (server.clone(), now));
         let job = Job::Probe { serial };
-        let started =
-            self.with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
+        let started = self
+            .with_upstreams(|upstreams, around| upstreams.start(job, &server, &written, around));
         if let Err(status) = started {
             self.probed(serial, status, None);
         }
     }
 
-    fn probed(&mut self, serial: u64, status: Status, load: Option<Load>) {
-        let Some((server, sent)) = self.probes.remove(&serial) else { return };
+    fn probed(&mut self, serial: u64, status: Status, load: Option<LoadReport>) {
+        let Some((server, sent)) = self.probes.remove(&serial) else {
+            return;
+        };
         let latency = self.now() - sent;
-        self.queue.push_back(Event::Probed { server, latency, status, load });
+        self.queue.push_back(Event::ProbeEnded {
+            server,
+            latency,
+            status,
+            load,
+        });
     }
 
     fn give_up(&mut self, request: usize, attempt: usize, status: Status) {
         let now = self.now();
-        let Some(open) = self.open.get(request) else { return };
+        let Some(open) = self.open.get(request) else {
+            return;
+        };
         let streaming = open.stream.is_some_and(|(a, _)| a == attempt);
-        let Some(conn) = open.attempts.get(attempt).and_then(|a| a.conn).filter(|_| !streaming) else {
+        let Some(conn) = open
+            .attempts
+            .get(attempt)
+            .and_then(|a| a.conn)
+            .filter(|_| !streaming)
+        else {
             return;
         };
         let may_have_run = self.upstreams.abandon(conn, now);
         // Its last byte was never written: it cannot have run, and it tells nothing of the server.
         let moot = status == Status::Timeout && !may_have_run;
-        self.ended(request, attempt, if moot { Status::Moot } else { status }, None, None);
+        self.ended(
+            request,
+            attempt,
+            if moot { Status::NotSent } else { status },
+            None,
+            None,
+        );
     }
 
     /// A final answer that the module decides on.
     fn end(&mut self, id: &RequestId, end: Final) {
-        let Some(key) = self.ids.get(id).copied().filter(|key| !self.open[*key].closed) else { return };
+        let Some(key) = self
+            .ids
+            .get(id)
+            .copied()
+            .filter(|key| !self.open[*key].closed)
+        else {
+            return;
+        };
         self.answer(key, end);
         self.forget(key);
     }
@@ -1060,7 +1220,7 @@
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
             if let Some(slot) = c.slot(slot) {
-                *slot = Slot::Ready(chunks);
+                *slot = Slot::ReadyEvent(chunks);
             }
             self.mark(client);
         }
@@ -1076,7 +1236,11 @@
 
     /// Drops a request that is answered and of which nothing is out.
     fn forget(&mut self, key: usize) {
-        if self.open.get(key).is_some_and(|open| open.closed && open.out == 0) {
+        if self
+            .open
+            .get(key)
+            .is_some_and(|open| open.closed && open.out == 0)
+        {
             let open = self.open.remove(key);
             self.ids.remove(&open.id);
             if let Some(keyed) = open.keyed {
@@ -1093,8 +1257,8 @@
         key: usize,
         attempt: usize,
         status: Status,
-        note: Option<Note>,
-        load: Option<Load>,
+        note: Option<CacheResult>,
+        load: Option<LoadReport>,
     ) {
         let now = self.now();
         let open = &mut self.open[key];
@@ -1112,7 +1276,7 @@
         };
         let server = a.server.clone();
         let (request, closed) = (open.id.clone(), open.closed);
-        self.queue.push_back(Event::Outcome {
+        self.queue.push_back(Event::AttemptEnded {
             request,
             server,
             attempt,
@@ -1146,7 +1310,8 @@
                     }
                 }
                 Signal::Odd(server, why) => {
-                    self.log.line(&mut self.net, &format!("server {server}: {why}"));
+                    self.log
+                        .line(&mut self.net, &format!("server {server}: {why}"));
                 }
             }
         }
@@ -1154,14 +1319,23 @@
 
     /// The attempt of a job, if it is still out.
     fn find(&self, job: Job) -> Option<(usize, usize)> {
-        let Job::Attempt { request, serial, attempt } = job else { return None };
+        let Job::Attempt {
+            request,
+            serial,
+            attempt,
+        } = job
+        else {
+            return None;
+        };
         let open = self.open.get(request).filter(|o| o.serial == serial)?;
         open.attempts.get(attempt)?.conn?;
         Some((request, attempt))
     }
 
     fn replied(&mut self, job: Job, said: Said) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         let open = &self.open[key];
         let streamed = open.stream.is_some_and(|(a, _)| a == attempt);
         let (mut status, note, load) = verdict(&said, open.write);
@@ -1175,7 +1349,9 @@
     }
 
     fn broke(&mut self, job: Job, status: Status) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         if self.open[key].stream.is_some_and(|(a, _)| a == attempt) {
             self.end_stream(key, false);
             return self.ended(key, attempt, Status::Reset, None, None);
@@ -1185,22 +1361,38 @@
 
     /// A long value begins: from now on this attempt is the answer, and the others are of no use.
     fn begin(&mut self, job: Job, conn: usize, len: usize) {
-        let Some((key, attempt)) = self.find(job) else { return };
+        let Some((key, attempt)) = self.find(job) else {
+            return;
+        };
         let now = self.now();
         let open = &mut self.open[key];
         open.stream = Some((attempt, now - open.attempts[attempt].sent));
         let until = open.deadline.max(now + self.longest) + VALUE_SLACK;
         open.attempts[attempt].until = until;
-        self.timers.set(until, Due::Attempt { request: key, serial: open.serial, attempt });
+        self.timers.set(
+            until,
+            Due::Attempt {
+                request: key,
+                serial: open.serial,
+                attempt,
+            },
+        );
         let (client, serial, slot) = (open.client, open.client_serial, open.slot);
         let head = open.asked.head(&open.key, len);
-        self.queue.push_back(Event::Started { request: open.id.clone(), attempt });
+        self.queue.push_back(Event::ResponseStarted {
+            request: open.id.clone(),
+            attempt,
+        });
         for other in (0..self.open[key].attempts.len()).filter(|a| *a != attempt) {
             self.give_up(key, other, Status::Cancelled);
         }
         if let Some(c) = self.clients.get_mut(client).filter(|c| c.serial == serial) {
             if let Some(slot) = c.slot(slot) {
-                *slot = Slot::Stream { request: key, conn, head: Some(head) };
+                *slot = Slot::Stream {
+                    request: key,
+                    conn,
+                    head: Some(head),
+                };
             }
             self.mark(client);
         }
@@ -1208,10 +1400,21 @@
 
     /// A long value that has begun and is still not whole when its time is over is broken off.
     fn cut_value(&mut self, key: usize, attempt: usize, now: Micros) {
-        let Some(open) = self.open.get(key).filter(|o| o.stream.is_some_and(|(a, _)| a == attempt)) else {
+        let Some(open) = self
+            .open
+            .get(key)
+            .filter(|o| o.stream.is_some_and(|(a, _)| a == attempt))
+        else {
+            return;
+        };
+        let Attempt {
+            until,
+            conn: Some(conn),
+            ..
+        } = open.attempts[attempt]
+        else {
             return;
         };
-        let Attempt { until, conn: Some(conn), .. } = open.attempts[attempt] else { return };
         if now >= until {
             self.upstreams.abandon(conn, now);
             self.end_stream(key, false);
@@ -1239,7 +1442,11 @@
             self.figures.count(self.open[key].class, &Final::Failed);
             self.ready_answer(key, Vec::new());
             // Not closed at once: over commands that wait unread that would be a reset, and answers under way go with it.
-            let slots = self.clients.get_mut(client).map(Client::cut).unwrap_or_default();
+            let slots = self
+                .clients
+                .get_mut(client)
+                .map(Client::cut)
+                .unwrap_or_default();
             self.disown(slots);
         }
     }
@@ -1259,45 +1466,57 @@
         }
     }
     let mut out = Vec::with_capacity(128 + open.key.len() + fields.len());
-    let (words, name): (usize, &[u8]) = if open.value.is_some() { (5, b"C.SET") } else { (4, b"C.GET") };
-    put_head(&mut out, b'*', words);
+    let (words, name): (usize, &[u8]) = if open.value.is_some() {
+        (5, b"C.SET")
+    } else {
+        (4, b"C.GET")
+    };
+    write_header(&mut out, b'*', words);
     for word in [name, &open.key, open.id.as_bytes(), &fields] {
-        put_bulk(&mut out, word);
+        write_bulk(&mut out, word);
     }
     match &open.value {
         None => vec![out.into()],
-        Some(value) if value.len() <= WORD_MOST => {
-            put_bulk(&mut out, value);
+        Some(value) if value.len() <= MAX_ARGUMENT => {
+            write_bulk(&mut out, value);
             vec![out.into()]
         }
         Some(value) => {
-            put_head(&mut out, b'$', value.len());
+            write_header(&mut out, b'$', value.len());
             vec![out.into(), value.clone(), Bytes::from_static(b"\r\n")]
         }
     }
 }
 
 /// What an answer says: how the attempt ended, how the read went, the load report.
-fn verdict(said: &Said, write: bool) -> (Status, Option<Note>, Option<Load>) {
+fn verdict(said: &Said, write: bool) -> (Status, Option<CacheResult>, Option<LoadReport>) {
     let reply = match said {
         Said::Resp(reply) => reply,
         Said::Memcached(response) => {
-            let operation = if write { Operation::Set } else { Operation::Get };
+            let operation = if write {
+                Operation::Set
+            } else {
+                Operation::Get
+            };
             return match outcome(operation, response.status) {
                 Outcome::Served => (Status::Ok, None, None),
-                Outcome::NoValue => (Status::Ok, Some(Note::Miss), None),
+                Outcome::NoValue => (Status::Ok, Some(CacheResult::Miss), None),
                 Outcome::Not(status) => (status, None, None),
             };
         }
     };
     match reply {
         Reply::Array(parts) => {
-            let status = if matches!(parts[0], Part::Bulk(_)) { Status::Ok } else { Status::Error };
+            let status = if matches!(parts[0], Part::Bulk(_)) {
+                Status::Ok
+            } else {
+                Status::Error
+            };
             let note = match parts.get(1) {
                 Some(Part::Bulk(word) | Part::Simple(word)) => match &word[..] {
-                    b"hit" => Some(Note::Hit),
-                    b"miss" => Some(Note::Miss),
-                    b"pending" => Some(Note::MissFetching),
+                    b"hit" => Some(CacheResult::Hit),
+                    b"miss" => Some(CacheResult::Miss),
+                    b"pending" => Some(CacheResult::MissFetching),
                     _ => None,
                 },
                 _ => None,
@@ -1305,7 +1524,11 @@
             (status, note, parts.get(2).and_then(load))
         }
         Reply::One(part @ Part::Error(line)) => {
-            let status = if line.starts_with(b"BUSY") { Status::Full } else { Status::Error };
+            let status = if line.starts_with(b"BUSY") {
+                Status::Rejected
+            } else {
+                Status::Error
+            };
             (status, None, load(part))
         }
         Reply::One(part) => (Status::Error, None, load(part)),
@@ -1320,17 +1543,19 @@
             _ => Final::NoValue,
         },
         Said::Resp(Reply::One(_)) => Final::Failed,
-        Said::Memcached(response) if response.status == memcache::Status::KeyNotFound as u16 => {
+        Said::Memcached(response) if response.status == memcached::Status::KeyNotFound as u16 => {
             Final::NoValue
         }
         Said::Memcached(response) => Final::Value(response.value),
     }
 }
 
-fn load(part: &Part) -> Option<Load> {
-    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else { return None };
+fn load(part: &Part) -> Option<LoadReport> {
+    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
+        return None;
+    };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
-    let mut load = Load::default();
+    let mut load = LoadReport::default();
     let mut any = false;
     for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
         let value = value.parse().ok().filter(|v: &f64| v.is_finite());
--- a/crates/node/src/node/disconnects.rs
+++ b/crates/node/src/node/disconnects.rs
@@ -7,12 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use sloewick_decision::interface::{Event, Micros, Status};
+use sloewick_decision::api::{Event, Micros, Status};
 
-use super::{Module, Node, DISCOVERY, FIRST};
+use super::{DecisionEngine, Node, DISCOVERY, FIRST};
 use crate::client::{Client, HALF_CLOSED_MOST};
-use crate::net::{Net, Ready, Token};
-use crate::timer::Due;
+use crate::timers::Due;
+use crate::transport::{ReadyEvent, Token, Transport};
 
 /// How old the last look at the sockets may be when an attempt begins: a twentieth of the 0.1 s, and a poll each 5 ms of
 /// work costs next to nothing.
@@ -37,7 +37,7 @@
     /// Clients up to this serial were there at the last look.
     seen: u64,
     /// News that a look met, for the next round; of each socket (and client) one, which bounds it.
-    held: BTreeMap<(Token, u64), Ready>,
+    held: BTreeMap<(Token, u64), ReadyEvent>,
 }
 
 impl Sight {
@@ -60,9 +60,13 @@
 /// news is shows only from the end of the wait on.
 pub(super) const WAIT_OPEN: Micros = HALF_CLOSED_MOST;
 
-impl<N: Net, M: Module> Node<N, M> {
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// Waits so long for news; what looks have met already comes first.
-    pub(super) fn poll(&mut self, ready: &mut Vec<Ready>, wait: Micros) -> std::io::Result<()> {
+    pub(super) fn poll(
+        &mut self,
+        ready: &mut Vec<ReadyEvent>,
+        wait: Micros,
+    ) -> std::io::Result<()> {
         let held = std::mem::take(&mut self.sight.held);
         let wake = self.now() + if held.is_empty() { wait } else { 0 };
         let wait = wake - self.now();
@@ -72,7 +76,11 @@
         // while the round before was at work.
         let sight = &mut self.sight;
         let waited = now - sight.rested >= LOOK;
-        sight.since = if waited { now.min(wake).max(sight.rested) } else { sight.from };
+        sight.since = if waited {
+            now.min(wake).max(sight.rested)
+        } else {
+            sight.from
+        };
         // A wait that a signal ended brings nothing, whatever has come: a process that stood still goes on with one.
         let all = !ready.is_empty() && ready.len() < MANY;
         sight.from = if all { now } else { sight.since };
@@ -90,7 +98,9 @@
 
     /// The serial of the client that a token stands for; 0 for all others.
     fn serial_at(&self, token: Token) -> u64 {
-        self.client_at(token).and_then(|key| self.clients.get(key)).map_or(0, |client| client.serial)
+        self.client_at(token)
+            .and_then(|key| self.clients.get(key))
+            .map_or(0, |client| client.serial)
     }
 
     fn client_at(&self, token: Token) -> Option<usize> {
@@ -114,20 +124,31 @@
         }
     }
 
-    fn met(&mut self, event: &Ready) {
+    fn met(&mut self, event: &ReadyEvent) {
         // Not kept: the call that it belongs to may be another one by the next round.
         if event.token == DISCOVERY {
             return self.ready(event);
         }
         let (from, queued, seen) = (self.sight.from, self.sight.queued, self.sight.seen);
-        if let Some(client) = self.client_at(event.token).and_then(|key| self.clients.get_mut(key)) {
+        if let Some(client) = self
+            .client_at(event.token)
+            .and_then(|key| self.clients.get_mut(key))
+        {
             if event.read_closed {
                 let since = if client.serial > seen { queued } else { from };
                 // Behind a reset nobody listens.
-                client.ends(if event.error { since - HALF_CLOSED_MOST } else { since });
+                client.ends(if event.error {
+                    since - HALF_CLOSED_MOST
+                } else {
+                    since
+                });
             }
         }
-        let held = self.sight.held.entry((event.token, self.serial_at(event.token))).or_insert(*event);
+        let held = self
+            .sight
+            .held
+            .entry((event.token, self.serial_at(event.token)))
+            .or_insert(*event);
         held.readable |= event.readable;
         held.writable |= event.writable;
         held.read_closed |= event.read_closed;
@@ -140,33 +161,55 @@
             self.look();
         }
         let now = self.now();
-        self.clients.get(client).is_some_and(|c| c.serial == serial && !c.abandoned(now))
+        self.clients
+            .get(client)
+            .is_some_and(|c| c.serial == serial && !c.abandoned(now))
     }
 
     /// A client's end has become known, if it has: what waits for it goes a little later.
     pub(super) fn watch_end(&mut self, key: usize) {
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
         if let Some(since) = client.newly_ended() {
             let serial = client.serial;
-            self.timers.set(since + HALF_CLOSED_MOST, Due::Left { client: key, serial });
+            self.timers.set(
+                since + HALF_CLOSED_MOST,
+                Due::Left {
+                    client: key,
+                    serial,
+                },
+            );
         }
     }
 
     /// A client has ended its sending some time ago, or has gone: what was not sent for it is answered at once. One that
     /// still listens has its final answer by that; the write shows whether anyone is there.
     pub(super) fn abandon(&mut self, client: usize) {
-        let waiting = self.clients.get(client).map(Client::waiting).unwrap_or_default();
-        waiting.into_iter().for_each(|request| self.no_more(request));
+        let waiting = self
+            .clients
+            .get(client)
+            .map(Client::waiting)
+            .unwrap_or_default();
+        waiting
+            .into_iter()
+            .for_each(|request| self.no_more(request));
     }
 
     /// Nothing more is sent for a request; what is out may still answer it.
     pub(super) fn no_more(&mut self, key: usize) {
-        let Some(open) = self.open.get_mut(key).filter(|o| !o.closed && o.stream.is_none()) else { return };
+        let Some(open) = self
+            .open
+            .get_mut(key)
+            .filter(|o| !o.closed && o.stream.is_none())
+        else {
+            return;
+        };
         if std::mem::replace(&mut open.no_more, true) {
             return;
         }
         // Before the outcomes: the module must not send it to another server for them.
-        self.queue.push_back(Event::NoMore(open.id.clone()));
+        self.queue.push_back(Event::StopAttempts(open.id.clone()));
         self.unsend(key);
     }
 
@@ -174,9 +217,12 @@
     pub(super) fn unsend(&mut self, key: usize) {
         let attempts = self.open.get(key).map_or(0, |open| open.attempts.len());
         for attempt in 0..attempts {
-            let conn = self.open.get(key).and_then(|open| open.attempts[attempt].conn);
+            let conn = self
+                .open
+                .get(key)
+                .and_then(|open| open.attempts[attempt].conn);
             if conn.is_some_and(|conn| self.upstreams.waits(conn)) {
-                self.give_up(key, attempt, Status::Moot);
+                self.give_up(key, attempt, Status::NotSent);
             }
         }
     }
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timers.rs
@@ -6,15 +6,19 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use sloewick_decision::interface::Micros;
+use sloewick_decision::api::Micros;
 
 /// What is due. Keys are slab places, serials tell whether the place still holds the same thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     /// The module's own timer.
-    Module(u64),
+    DecisionEngine(u64),
     /// The time-out of an attempt.
-    Attempt { request: usize, serial: u64, attempt: usize },
+    Attempt {
+        request: usize,
+        serial: u64,
+        attempt: usize,
+    },
     /// A connection that is still being opened, or a probe, has taken too long.
     Upstream { conn: usize, serial: u64 },
     /// A client has not been heard for long enough.
@@ -51,5 +55,5 @@
 }
 
 #[cfg(test)]
-#[path = "timer_tests.rs"]
+#[path = "timers_tests.rs"]
 mod tests;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -7,14 +7,16 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_decision::interface::{Micros, ServerId, Status};
+use sloewick_decision::api::{Micros, ServerId, Status};
 
+use crate::event_trace::Step;
 use crate::front::Protocol;
-use crate::net::{fill, out_of_sockets, Net, Outbox, Read1, Ready, Stream, Token};
-use crate::timer::{Due, Timers};
-use crate::trace::Step;
-use sloewick_wire::memcache::{self, Opcode, Response, ResponseReader};
-use sloewick_wire::resp::{Part, Piece, Reply, ReplyReader, VALUE_MOST};
+use crate::timers::{Due, Timers};
+use crate::transport::{
+    fill, is_descriptor_limit, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue,
+};
+use sloewick_codec::memcached::{self, Opcode, Response, ResponseReader};
+use sloewick_codec::resp2::{Part, Piece, Reply, ReplyReader, MAX_VALUE};
 
 /// Most connections to one server. How many a server holds of all nodes together is told by no setting; a single node that
 /// has so many requests out at one server has found it full or hanging, and more could only wait there.
@@ -29,15 +31,21 @@
 /// what it answers. No setting tells how late; connections across zones vary by some milliseconds themselves.
 const REST: Micros = 30_000;
 /// Longest body of a memcached answer: a value with its key and flags.
-const BODY_MOST: usize = VALUE_MOST + 1024;
+const MAX_BODY: usize = MAX_VALUE + 1024;
 /// The page on long values has a server pause one for 0.1 s at most, whatever the customer; silent this much longer, it is gone.
 const BODY_PAUSE_MOST: Micros = 1_500_000;
 
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Job {
-    Attempt { request: usize, serial: u64, attempt: usize },
-    Probe { serial: u64 },
+    Attempt {
+        request: usize,
+        serial: u64,
+        attempt: usize,
+    },
+    Probe {
+        serial: u64,
+    },
 }
 
 /// An answer, in its server's protocol.
@@ -99,10 +107,10 @@
         }
     }
 
-    fn midway(&self) -> bool {
+    fn is_mid_message(&self) -> bool {
         match self {
-            Reader::Resp(reader) => reader.midway(),
-            Reader::Memcached(reader) => reader.midway(),
+            Reader::Resp(reader) => reader.is_mid_message(),
+            Reader::Memcached(reader) => reader.is_mid_message(),
         }
     }
 
@@ -114,13 +122,15 @@
                 Piece::Body(bytes) => Came::Body(bytes),
             }),
             Reader::Memcached(reader) => {
-                let Some(piece) = reader.next(buf, BODY_MOST).map_err(|_| ())? else { return Ok(None) };
+                let Some(piece) = reader.next(buf, MAX_BODY).map_err(|_| ())? else {
+                    return Ok(None);
+                };
                 Some(match piece {
-                    memcache::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
+                    memcached::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
                     // Only what a client asked for may be long.
-                    memcache::Piece::Begin(r, _) if r.status != 0 => return Err(()),
-                    memcache::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
-                    memcache::Piece::Body(bytes) => Came::Body(bytes),
+                    memcached::Piece::Begin(r, _) if r.status != 0 => return Err(()),
+                    memcached::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
+                    memcached::Piece::Body(bytes) => Came::Body(bytes),
                 })
             }
         })
@@ -138,7 +148,7 @@
     job: Option<Job>,
     /// What an answer to the job carries (memcached).
     tag: (u8, u32),
-    out: Outbox,
+    out: WriteQueue,
     buf: BytesMut,
     reader: Reader,
     /// In the middle of a long value: read only as it is passed on.
@@ -210,7 +220,12 @@
 }
 
 impl<S: Stream> Upstreams<S> {
-    pub fn new(most: usize, server_idle: Micros, connect_most: Micros, traced: bool) -> Upstreams<S> {
+    pub fn new(
+        most: usize,
+        server_idle: Micros,
+        connect_most: Micros,
+        traced: bool,
+    ) -> Upstreams<S> {
         Upstreams {
             conns: Slab::new(),
             pools: BTreeMap::new(),
@@ -227,7 +242,13 @@
 
     /// A server is listed; what is open to an address that it has left is not used again.
     pub fn listed(&mut self, server: &ServerId, address: SocketAddr, protocol: Protocol) {
-        let fresh = || Pool { address, protocol, listed: true, idle: Vec::new(), open: 0 };
+        let fresh = || Pool {
+            address,
+            protocol,
+            listed: true,
+            idle: Vec::new(),
+            open: 0,
+        };
         let pool = self.pools.entry(server.clone()).or_insert_with(fresh);
         pool.listed = true;
         if (pool.address, pool.protocol) != (address, protocol) {
@@ -238,7 +259,9 @@
 
     /// What a server speaks.
     pub fn protocol(&self, server: &ServerId) -> Protocol {
-        self.pools.get(server).map_or(Protocol::Resp, |pool| pool.protocol)
+        self.pools
+            .get(server)
+            .map_or(Protocol::Resp, |pool| pool.protocol)
     }
 
     /// A server is gone: its attempts end as they will, its idle connections are of no more use.
@@ -252,18 +275,30 @@
 
     /// All servers that are listed now.
     pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
-        self.pools.iter().filter(|(_, pool)| pool.listed).map(|(server, _)| server)
+        self.pools
+            .iter()
+            .filter(|(_, pool)| pool.listed)
+            .map(|(server, _)| server)
     }
 
     fn forget_pool(&mut self, server: &ServerId) {
-        if self.pools.get(server).is_some_and(|p| !p.listed && p.open == 0) {
+        if self
+            .pools
+            .get(server)
+            .is_some_and(|p| !p.listed && p.open == 0)
+        {
             self.pools.remove(server);
         }
     }
 
     pub fn close_idle(&mut self, server: &ServerId) {
-        let idle = self.pools.get_mut(server).map(|pool| std::mem::take(&mut pool.idle));
-        idle.into_iter().flatten().for_each(|conn| self.close(conn, Step::Spare));
+        let idle = self
+            .pools
+            .get_mut(server)
+            .map(|pool| std::mem::take(&mut pool.idle));
+        idle.into_iter()
+            .flatten()
+            .for_each(|conn| self.close(conn, Step::Spare));
     }
 
     /// Starts a job. An error is its end: it never ran.
@@ -272,7 +307,7 @@
         job: Job,
         server: &ServerId,
         written: &Written,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> Result<usize, Status> {
         while let Some(conn) = self.idle(server, around.now) {
             if self.reusable(conn, around.now) && self.give(conn, job, written, around) {
@@ -287,14 +322,17 @@
                 self.give(conn, job, written, around);
                 Ok(conn)
             }
-            Err(Status::Moot) => self.rested_most(server).map_or(Err(Status::Moot), |conn| {
-                let good = self.reusable(conn, around.now) && self.give(conn, job, written, around);
-                if !good {
-                    self.conns[conn].job = None;
-                    self.close(conn, Step::Broke);
-                }
-                good.then_some(conn).ok_or(Status::Moot)
-            }),
+            Err(Status::NotSent) => self
+                .rested_most(server)
+                .map_or(Err(Status::NotSent), |conn| {
+                    let good =
+                        self.reusable(conn, around.now) && self.give(conn, job, written, around);
+                    if !good {
+                        self.conns[conn].job = None;
+                        self.close(conn, Step::Broke);
+                    }
+                    good.then_some(conn).ok_or(Status::NotSent)
+                }),
             Err(status) => Err(status),
         }
     }
@@ -303,7 +341,10 @@
     /// long as that many connections last.
     fn rested_most(&mut self, server: &ServerId) -> Option<usize> {
         let conns = &self.conns;
-        let pool = self.pools.get_mut(server).filter(|pool| pool.open >= SERVER_MOST)?;
+        let pool = self
+            .pools
+            .get_mut(server)
+            .filter(|pool| pool.open >= SERVER_MOST)?;
         let at = (0..pool.idle.len()).min_by_key(|at| conns[pool.idle[*at]].answered)?;
         Some(pool.idle.remove(at))
     }
@@ -312,7 +353,10 @@
     fn idle(&mut self, server: &ServerId, now: Micros) -> Option<usize> {
         let conns = &self.conns;
         let pool = self.pools.get_mut(server)?;
-        let at = pool.idle.iter().rposition(|conn| !conns[*conn].rests(now))?;
+        let at = pool
+            .idle
+            .iter()
+            .rposition(|conn| !conns[*conn].rests(now))?;
         Some(pool.idle.remove(at))
     }
 
@@ -324,21 +368,25 @@
     fn open(
         &mut self,
         server: &ServerId,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> Result<usize, Status> {
-        let Some(pool) = self.pools.get(server) else { return Err(Status::Moot) };
+        let Some(pool) = self.pools.get(server) else {
+            return Err(Status::NotSent);
+        };
         if pool.open >= SERVER_MOST || (self.conns.len() >= self.most && !self.make_room()) {
-            return Err(Status::Moot);
+            return Err(Status::NotSent);
         }
-        let Pool { address, protocol, .. } = self.pools[server];
+        let Pool {
+            address, protocol, ..
+        } = self.pools[server];
         let token = |conns: &Slab<Conn<S>>| (around.token)(conns.vacant_key());
         let mut opened = around.net.connect(address, token(&self.conns));
-        if opened.as_ref().is_err_and(out_of_sockets) && self.make_room() {
+        if opened.as_ref().is_err_and(is_descriptor_limit) && self.make_room() {
             opened = around.net.connect(address, token(&self.conns));
         }
         let stream = opened.map_err(|e| match e.kind() {
             ErrorKind::ConnectionRefused => Status::ConnectFailed,
-            _ => Status::Moot,
+            _ => Status::NotSent,
         })?;
         self.serial += 1;
         let place = self.conns.vacant_entry();
@@ -352,7 +400,7 @@
             held: false,
             job: None,
             tag: (0, 0),
-            out: Outbox::default(),
+            out: WriteQueue::default(),
             buf: BytesMut::new(),
             reader: Reader::new(protocol),
             body: false,
@@ -369,7 +417,10 @@
             pool.open += 1;
         }
         self.step(conn, Step::Open);
-        around.timers.set(around.now + self.connect_most, Due::Upstream { conn, serial });
+        around.timers.set(
+            around.now + self.connect_most,
+            Due::Upstream { conn, serial },
+        );
         Ok(conn)
     }
 
@@ -379,14 +430,23 @@
         conn: usize,
         job: Job,
         written: &Written,
-        around: &mut Around<impl Net<Stream = S>>,
+        around: &mut Around<impl Transport<Stream = S>>,
     ) -> bool {
         let c = &mut self.conns[conn];
         c.job = Some(job);
         c.tag = written.tag;
-        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        written
+            .chunks
+            .iter()
+            .for_each(|chunk| c.out.push(chunk.clone()));
         if let Job::Probe { .. } = job {
-            around.timers.set(around.now + PROBE_MOST, Due::Upstream { conn, serial: c.serial });
+            around.timers.set(
+                around.now + PROBE_MOST,
+                Due::Upstream {
+                    conn,
+                    serial: c.serial,
+                },
+            );
         }
         c.uncounted = matches!(job, Job::Attempt { .. });
         let good = c.connecting || c.out.flush(&mut c.stream).is_ok();
@@ -404,11 +464,13 @@
 
     /// The node no longer waits for the job of a connection. Tells whether it may have run.
     pub fn abandon(&mut self, conn: usize, now: Micros) -> bool {
-        let Some(c) = self.conns.get_mut(conn) else { return false };
+        let Some(c) = self.conns.get_mut(conn) else {
+            return false;
+        };
         let sent = c.sent();
         c.job = None;
         if c.waits() {
-            (c.out, c.held) = (Outbox::default(), false);
+            (c.out, c.held) = (WriteQueue::default(), false);
             self.rest(conn, now);
         } else {
             self.close(conn, Step::GivenUp);
@@ -430,9 +492,9 @@
     /// Whether a connection still goes to where its server is listed, in the protocol that is spoken there.
     pub fn current(&self, conn: usize) -> bool {
         let c = &self.conns[conn];
-        self.pools
-            .get(&c.server)
-            .is_some_and(|p| p.listed && p.address == c.address && p.protocol == c.reader.protocol())
+        self.pools.get(&c.server).is_some_and(|p| {
+            p.listed && p.address == c.address && p.protocol == c.reader.protocol()
+        })
     }
 
     fn step(&mut self, conn: usize, step: Step) {
@@ -454,14 +516,24 @@
     /// Closes the connection that has been idle the longest.
     pub fn make_room(&mut self) -> bool {
         let oldest = self.pools.values().filter_map(|pool| pool.idle.first());
-        let oldest = oldest.min_by_key(|conn| self.conns[**conn].idle_since).copied();
+        let oldest = oldest
+            .min_by_key(|conn| self.conns[**conn].idle_since)
+            .copied();
         oldest.map(|conn| self.close(conn, Step::Spare)).is_some()
     }
 
     fn fail(&mut self, conn: usize) {
         let c = &mut self.conns[conn];
-        let status = if c.sent() { Status::Reset } else { Status::ConnectFailed };
-        let step = if c.connecting { Step::Refused } else { Step::Broke };
+        let status = if c.sent() {
+            Status::Reset
+        } else {
+            Status::ConnectFailed
+        };
+        let step = if c.connecting {
+            Step::Refused
+        } else {
+            Step::Broke
+        };
         if let Some(job) = c.job.take() {
             self.signals.push_back(Signal::Ended(job, status));
         }
@@ -479,8 +551,15 @@
     }
 
     /// Something happened on a socket.
-    pub fn ready(&mut self, conn: usize, event: &Ready, around: &mut Around<impl Net<Stream = S>>) {
-        let Some(c) = self.conns.get_mut(conn) else { return };
+    pub fn ready(
+        &mut self,
+        conn: usize,
+        event: &ReadyEvent,
+        around: &mut Around<impl Transport<Stream = S>>,
+    ) {
+        let Some(c) = self.conns.get_mut(conn) else {
+            return;
+        };
         if c.connecting {
             match (c.stream.take_error(), c.stream.connected()) {
                 (Ok(None), Ok(_)) => {
@@ -515,7 +594,10 @@
     /// A connection that has come up for an attempt, of which nothing is written before [`Upstreams::go`].
     pub fn came_up(&mut self) -> Option<(usize, Job)> {
         while let Some((conn, serial)) = self.up.pop_front() {
-            let up = self.conns.get(conn).filter(|c| c.serial == serial && c.held);
+            let up = self
+                .conns
+                .get(conn)
+                .filter(|c| c.serial == serial && c.held);
             if let Some(job) = up.and_then(|c| c.job) {
                 return Some((conn, job));
             }
@@ -525,9 +607,14 @@
 
     /// Writes the job of a connection that has come up, as it is worded now.
     pub fn go(&mut self, conn: usize, written: &Written) {
-        let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else { return };
-        (c.held, c.out, c.tag) = (false, Outbox::default(), written.tag);
-        written.chunks.iter().for_each(|chunk| c.out.push(chunk.clone()));
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.held) else {
+            return;
+        };
+        (c.held, c.out, c.tag) = (false, WriteQueue::default(), written.tag);
+        written
+            .chunks
+            .iter()
+            .for_each(|chunk| c.out.push(chunk.clone()));
         // If it is broken, an event says so.
         let _ = c.out.flush(&mut c.stream);
         self.count(conn);
@@ -539,12 +626,14 @@
     }
 
     /// Reads replies until the socket is empty or a long value begins.
-    fn read(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) {
+    fn read(&mut self, conn: usize, around: &mut Around<impl Transport<Stream = S>>) {
         while let Some(c) = self.conns.get_mut(conn).filter(|c| !c.body) {
             match c.reader.next(&mut c.buf) {
                 Ok(Some(Came::Whole(said))) => self.replied(conn, said, around.now),
                 Ok(Some(Came::Begin(len, tag))) => {
-                    let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+                    let Some(job) = c.job else {
+                        return self.odd(conn, "answer to nothing");
+                    };
                     if !c.sent() {
                         return self.odd(conn, "answer before its request");
                     }
@@ -556,7 +645,7 @@
                 }
                 Ok(Some(Came::Body(_))) => return self.odd(conn, "value out of place"),
                 // Guards against an answer that begins with what came unasked behind the one before it.
-                Ok(None) if c.job.is_none() && (c.reader.midway() || !c.buf.is_empty()) => {
+                Ok(None) if c.job.is_none() && (c.reader.is_mid_message() || !c.buf.is_empty()) => {
                     return self.odd(conn, "answer to nothing");
                 }
                 Ok(None) if !c.unread => {
@@ -567,11 +656,11 @@
                     return;
                 }
                 Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
-                    Read1::More => {}
+                    ReadOutcome::More => {}
                     // A short read emptied the socket, but of an end behind it there is no second event.
-                    Read1::Some => c.unread = c.closed,
-                    Read1::Empty => c.unread = false,
-                    Read1::Ended | Read1::Broke => return self.fail(conn),
+                    ReadOutcome::Some => c.unread = c.closed,
+                    ReadOutcome::Empty => c.unread = false,
+                    ReadOutcome::Ended | ReadOutcome::Broke => return self.fail(conn),
                 },
                 Err(()) => return self.odd(conn, "broken reply"),
             }
@@ -580,7 +669,9 @@
 
     fn replied(&mut self, conn: usize, said: Said, now: Micros) {
         let c = &mut self.conns[conn];
-        let Some(job) = c.job else { return self.odd(conn, "answer to nothing") };
+        let Some(job) = c.job else {
+            return self.odd(conn, "answer to nothing");
+        };
         let known = match (&said, job) {
             (Said::Resp(Reply::Array(parts)), Job::Attempt { .. }) => {
                 c.body || matches!(parts[0], Part::Bulk(_))
@@ -610,7 +701,11 @@
     }
 
     /// The next bytes of a long value; none: not there yet, or a signal tells how it ended.
-    pub fn pull(&mut self, conn: usize, around: &mut Around<impl Net<Stream = S>>) -> Option<Bytes> {
+    pub fn pull(
+        &mut self,
+        conn: usize,
+        around: &mut Around<impl Transport<Stream = S>>,
+    ) -> Option<Bytes> {
         loop {
             let c = self.conns.get_mut(conn).filter(|c| c.body)?;
             match c.reader.next(&mut c.buf) {
@@ -629,10 +724,10 @@
                     return None;
                 }
                 Ok(None) => match fill(&mut c.stream, &mut c.buf, around.scratch) {
-                    Read1::More => {}
-                    Read1::Some => c.unread = c.closed,
-                    Read1::Empty => c.unread = false,
-                    Read1::Ended | Read1::Broke => self.fail(conn),
+                    ReadOutcome::More => {}
+                    ReadOutcome::Some => c.unread = c.closed,
+                    ReadOutcome::Empty => c.unread = false,
+                    ReadOutcome::Ended | ReadOutcome::Broke => self.fail(conn),
                 },
             }
         }
@@ -640,7 +735,9 @@
 
     /// The time for a connect or a probe is over.
     pub fn due(&mut self, conn: usize, serial: u64) {
-        let Some(c) = self.conns.get_mut(conn).filter(|c| c.serial == serial) else { return };
+        let Some(c) = self.conns.get_mut(conn).filter(|c| c.serial == serial) else {
+            return;
+        };
         match c.job {
             _ if c.connecting => self.fail(conn),
             Some(job @ Job::Probe { .. }) => {
@@ -654,12 +751,20 @@
     /// Closes what has stood idle too long, and ends long values that have stopped coming.
     pub fn sweep(&mut self, now: Micros) {
         let old = |c: &Conn<S>| c.job.is_none() && now - c.idle_since >= self.idle_most;
-        let stalled = |c: &Conn<S>| c.starved.is_some_and(|since| now - since >= BODY_PAUSE_MOST);
+        let stalled = |c: &Conn<S>| {
+            c.starved
+                .is_some_and(|since| now - since >= BODY_PAUSE_MOST)
+        };
         let find = |what: &dyn Fn(&Conn<S>) -> bool| -> Vec<usize> {
-            self.conns.iter().filter(|(_, c)| what(c)).map(|(conn, _)| conn).collect()
+            self.conns
+                .iter()
+                .filter(|(_, c)| what(c))
+                .map(|(conn, _)| conn)
+                .collect()
         };
         let (old, stalled) = (find(&old), find(&stalled));
-        old.into_iter().for_each(|conn| self.close(conn, Step::Idle));
+        old.into_iter()
+            .for_each(|conn| self.close(conn, Step::Idle));
         stalled.into_iter().for_each(|conn| self.fail(conn));
     }
 }
--- a/crates/overload/src/opening.rs
+++ b/crates/overload/src/admission_ramp.rs
@@ -7,7 +7,7 @@
 //! where the last one began in calm, as long as requests come: it moves by a second's worth at most between two of them, so that a
 //! process that was stopped wakes with what it believed, and opens from there. With no time passing it does not move.
 
-use crate::jam::Micros;
+use crate::detector::Micros;
 
 /// The least share: what still goes to see whether it is over. All nodes together then ask for a fiftieth of the usual.
 const LEAST: f64 = 0.02;
@@ -38,7 +38,12 @@
 impl Opening {
     /// Wide open.
     pub fn new(now: Micros) -> Opening {
-        Opening { share: 1.0, half: 1.0, jam: false, at: now }
+        Opening {
+            share: 1.0,
+            half: 1.0,
+            jam: false,
+            at: now,
+        }
     }
 
     /// The share to let through now, while there is a jam or none.
@@ -47,7 +52,11 @@
         self.at = self.at.max(now);
         if jam && !self.jam {
             // One jam in calm says nothing of the load that is usual; one that begins while the share still rises does.
-            self.half = if self.share >= 1.0 { 1.0 } else { self.share / 2.0 };
+            self.half = if self.share >= 1.0 {
+                1.0
+            } else {
+                self.share / 2.0
+            };
         }
         self.jam = jam;
         let by = match jam {
@@ -62,5 +71,5 @@
 }
 
 #[cfg(test)]
-#[path = "opening_tests.rs"]
+#[path = "admission_ramp_tests.rs"]
 mod tests;
--- a/crates/simhost/src/main.rs
+++ b/crates/simulator_adapter/src/main.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use serde_json::Value;
-use sloewick_decision::interface::{Action, Event};
-use sloewick_decision::settings::{self, Bad, Fields, Names, RawEntry};
+use sloewick_decision::api::{Action, Event};
+use sloewick_decision::settings::{self, Fields, Names, RawEndpoint, SettingsError};
 use sloewick_decision::Balancer;
 
 /// One node: its module and the names it was given.
@@ -23,35 +23,45 @@
 #[derive(Default)]
 struct Host {
     instances: BTreeMap<i64, Instance>,
-    registers: BTreeMap<i64, Arc<[RawEntry]>>,
+    registers: BTreeMap<i64, Arc<[RawEndpoint]>>,
     unknown: BTreeSet<String>,
     actions: Vec<Action>,
 }
 
 impl Host {
     /// Handles one batch; the reply is appended to `out`.
-    fn batch(&mut self, line: &str, out: &mut String) -> Result<(), Bad> {
-        let value: Value =
-            serde_json::from_str(line).map_err(|e| Bad::new("line", format!("is not JSON: {e}")))?;
+    fn batch(&mut self, line: &str, out: &mut String) -> Result<(), SettingsError> {
+        let value: Value = serde_json::from_str(line)
+            .map_err(|e| SettingsError::new("line", format!("is not JSON: {e}")))?;
         let fields = Fields::of(&value, "line")?;
         let now = fields.micros("ts")?;
         let items = fields.array("items")?;
         out.push_str("{\"do\":[");
         let mut first = true;
         for (i, item) in items.iter().enumerate() {
-            self.item(now, item, out, &mut first).map_err(|bad| bad.at(i))?;
+            self.item(now, item, out, &mut first)
+                .map_err(|bad| bad.at(i))?;
         }
         out.push_str("]}\n");
         Ok(())
     }
 
-    fn item(&mut self, now: i64, item: &Value, out: &mut String, first: &mut bool) -> Result<(), Bad> {
+    fn item(
+        &mut self,
+        now: i64,
+        item: &Value,
+        out: &mut String,
+        first: &mut bool,
+    ) -> Result<(), SettingsError> {
         let f = Fields::of(item, "items")?;
         let t = f.text("t")?;
         if t == "REGISTER" {
             let id = f.int("roster_id")?;
             let list = f.array("elements")?;
-            let entries = list.iter().map(wire::raw_entry).collect::<Result<Vec<_>, _>>()?;
+            let entries = list
+                .iter()
+                .map(wire::raw_entry)
+                .collect::<Result<Vec<_>, _>>()?;
             self.registers.insert(id, entries.into());
             return Ok(());
         }
@@ -67,12 +77,21 @@
             let options = Fields::of(f.get("options")?, "options")?;
             let (settings, names) = settings::parse(&options)?;
             let balancer = Balancer::new(settings, seed, now)
-                .map_err(|e| Bad::new("options", format!("cannot be used: {e}")))?;
-            self.instances.insert(node, Instance { balancer: Some(balancer), names });
+                .map_err(|e| SettingsError::new("options", format!("cannot be used: {e}")))?;
+            self.instances.insert(
+                node,
+                Instance {
+                    balancer: Some(balancer),
+                    names,
+                },
+            );
             return Ok(());
         }
         let Some(instance) = self.instances.get_mut(&node) else {
-            return Err(Bad::new("node", format!("instance {node} was never created")));
+            return Err(SettingsError::new(
+                "node",
+                format!("instance {node} was never created"),
+            ));
         };
         if t == "KILL" {
             self.instances.remove(&node);
@@ -81,19 +100,24 @@
         let event = if t == "MEMBERSHIP" {
             let mode = f.text("mode")?;
             match wire::list_kind(mode)? {
-                None => Event::ListFailed,
+                None => Event::EndpointListFailed,
                 Some(kind) => {
                     let id = f.int("roster_id")?;
                     let Some(raw) = self.registers.get(&id) else {
-                        return Err(Bad::new("roster_id", format!("register {id} was never declared")));
+                        return Err(SettingsError::new(
+                            "roster_id",
+                            format!("register {id} was never declared"),
+                        ));
                     };
-                    Event::Servers(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
+                    Event::EndpointList(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
                 }
             }
         } else {
             wire::event(t, &f, &instance.names)?
         };
-        let Some(balancer) = instance.balancer.as_mut() else { return Ok(()) };
+        let Some(balancer) = instance.balancer.as_mut() else {
+            return Ok(());
+        };
         self.actions.clear();
         let actions = &mut self.actions;
         let outcome = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, actions)));
@@ -136,13 +160,17 @@
         }
         reply.clear();
         let done = std::str::from_utf8(&line)
-            .map_err(|e| Bad::new("line", format!("is not UTF-8: {e}")))
+            .map_err(|e| SettingsError::new("line", format!("is not UTF-8: {e}")))
             .and_then(|text| host.batch(text, &mut reply));
         if let Err(bad) = done {
             eprintln!("input line {number}: {bad}");
             return ExitCode::from(2);
         }
-        if output.write_all(reply.as_bytes()).and_then(|()| output.flush()).is_err() {
+        if output
+            .write_all(reply.as_bytes())
+            .and_then(|()| output.flush())
+            .is_err()
+        {
             return ExitCode::from(3);
         }
     }
