--- a/crates/decision/src/slow_start_tests.rs
+++ b/crates/decision/src/slow_start_tests.rs
@@ -174,3 +174,42 @@
         assert!((30..=90).contains(&turns), "{turns} of 300 servers");
     }
 }
+
+/// Nodes that share a cold server's quota must agree on whose phase and slot it is, also across versions.
+#[test]
+fn phases_of_numbered_nodes_are_stable() {
+    let expected = [
+        0.0,
+        0.618_033_988_749_894_9,
+        0.236_067_977_499_789_8,
+        0.854_101_966_249_684_7,
+        0.472_135_954_999_579_6,
+    ];
+    for (number, phase) in expected.into_iter().enumerate() {
+        assert_eq!((number as f64 * GOLDEN).fract(), phase, "node {number}");
+    }
+}
+
+#[test]
+fn slots_in_which_a_node_sends_one_more_are_stable() {
+    let node = Fleet {
+        place: 0.854_101_966_249_684_7,
+        ..fleet(1.0)
+    };
+    let slots = |server: &str, offset: Micros| -> Vec<i64> {
+        let order = crate::hash::hash(server);
+        (0..20)
+            .filter(|slot| {
+                let now = slot * 12_000_000 + offset;
+                node.quota(0.4, order, Some(0), now) >= 1.0
+            })
+            .collect()
+    };
+    assert_eq!(slots("srv0", 1_000_000), [9, 10, 11, 12, 18, 19]);
+    assert_eq!(
+        slots("srv0", 2_000_000),
+        [6, 8, 9, 10, 11, 12, 14, 17, 18, 19]
+    );
+    assert!(slots("srv1", 1_000_000).is_empty());
+    assert_eq!(slots("srv1", 2_000_000), [3, 5, 7, 13]);
+}
