node: files stand where their modules will be

Need: the split of the node by ownership (docs/ARCHITECTURE.md's layout) would lose the history of its files if it moved and rewrote them in one commit. Change: git mv only, with `#[path]` lines for the modules; no line of code differs. Result: 22 tests of the package green.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery/client.rs
@@ -430,5 +430,5 @@
 }
 
 #[cfg(test)]
-#[path = "discovery_tests.rs"]
+#[path = "client_tests.rs"]
 mod tests;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/event_loop.rs
@@ -34,10 +34,15 @@
 use sloewick_memcached::routing::Operation;
 use sloewick_memcached::status::{outcome, Outcome};
 
+#[path = "event_loop/disconnects.rs"]
 mod disconnects;
+#[path = "frontend/acceptor.rs"]
 mod doors;
+#[path = "hot_restart.rs"]
 mod handover;
+#[path = "frontend/memcached.rs"]
 mod memcached_requests;
+#[path = "admin/handlers.rs"]
 mod operating;
 
 use disconnects::{Sight, WAIT_OPEN};
@@ -1578,5 +1583,5 @@
 }
 
 #[cfg(test)]
-#[path = "node_tests.rs"]
+#[path = "upstream/response_tests.rs"]
 mod tests;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -408,5 +408,5 @@
 }
 
 #[cfg(test)]
-#[path = "client_tests.rs"]
+#[path = "connection_tests.rs"]
 mod tests;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/frontend/response.rs
@@ -159,5 +159,5 @@
 }
 
 #[cfg(test)]
-#[path = "front_tests.rs"]
+#[path = "response_tests.rs"]
 mod tests;
--- a/crates/node/src/node/handover.rs
+++ b/crates/node/src/hot_restart.rs
@@ -101,5 +101,5 @@
 }
 
 #[cfg(test)]
-#[path = "handover_tests.rs"]
+#[path = "hot_restart_tests.rs"]
 mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,17 +5,23 @@
 
 pub mod config;
 pub mod config_check;
+#[path = "discovery/client.rs"]
 pub mod discovery;
 pub mod mio_transport;
+#[path = "event_loop.rs"]
 pub mod node;
 pub mod transport;
 
 mod address_table;
+#[path = "admin/server.rs"]
 mod admin;
+#[path = "frontend/connection.rs"]
 mod client;
 mod event_trace;
+#[path = "frontend/response.rs"]
 mod front;
 mod lifecycle;
 mod metrics;
 pub mod timers;
+#[path = "upstream/pool.rs"]
 mod upstream;
