--- a/crates/node/src/admin/handlers.rs
+++ b/crates/node/src/admin/handlers.rs
@@ -1,143 +1,124 @@
-//! What operators ask of the node: calls, figures, and letting clients go when it leaves.
+//! Answers admin requests, and logs what operators should know about outliers and the origin.
 
 use std::collections::BTreeSet;
 
 use sloewick_decision::api::{Micros, ServerId};
 
-use super::{DecisionEngine, Node, CALLER, OPS};
-use crate::admin::{Answer, Call};
-use crate::metrics::Held;
-use crate::transport::{ReadyEvent, Transport};
+use crate::admin::server::{AdminRequest, AdminResponse};
+use crate::admin::Admin;
+use crate::engine::{DecisionEngine, EngineQueue};
+use crate::io::Io;
+use crate::lifecycle::Lifecycle;
+use crate::metrics::Gauges;
+use crate::transport::{Stream, Transport};
+use crate::upstream::pool::UpstreamPools;
 
-/// A server that keeps less than this part of its keys is logged.
-const OUTLIER_TOLD: f64 = 0.5;
+/// A server that retains less than this fraction of its keys is logged.
+const LOGGED_OUTLIER_FRACTION: f64 = 0.5;
 
-impl<N: Transport, M: DecisionEngine> Node<N, M> {
-    pub(super) fn accept_callers(&mut self) {
-        let now = self.now();
-        if let Some(ops) = &mut self.ops {
-            ops.accept(&mut self.net, now);
-        }
-    }
+/// What the metrics are read from.
+pub(crate) struct GaugeSources<'a, S, M> {
+    pub(crate) upstreams: &'a UpstreamPools<S>,
+    pub(crate) engine: &'a EngineQueue<M>,
+    /// Requests whose responses have not been written completely.
+    pub(crate) unfinished_responses: usize,
+}
 
-    /// Something happened on the operators' listener or on one of their connections.
-    pub(super) fn called(&mut self, event: &ReadyEvent, now: Micros) {
-        let Some(mut ops) = self.ops.take() else {
-            return;
-        };
-        match event.token {
-            OPS => ops.waiting(),
-            token => {
-                let mut scratch = std::mem::take(&mut self.scratch);
-                ops.ready(token - CALLER, event, now, &mut scratch, |call| {
-                    self.answer_call(call, now)
-                });
-                self.scratch = scratch;
-            }
+impl<S: Stream, M: DecisionEngine> GaugeSources<'_, S, M> {
+    fn read(&self, now: Micros) -> Gauges {
+        let decision = &self.engine.decision;
+        let servers = || self.upstreams.servers();
+        Gauges {
+            sends: self.upstreams.sends,
+            current: self.unfinished_responses,
+            cluster_size: servers().count(),
+            cluster_unhealthy: servers()
+                .filter(|server| decision.is_unavailable(now, server))
+                .count(),
+            cluster_outliers: outliers(self.upstreams, decision).count(),
+            origin_overloaded: decision.origin_overloaded(now),
         }
-        self.ops = Some(ops);
     }
+}
+
+/// Listed servers that retain only a fraction of their keys.
+fn outliers<'a, S: Stream, M: DecisionEngine>(
+    upstreams: &'a UpstreamPools<S>,
+    decision: &'a M,
+) -> impl Iterator<Item = &'a ServerId> {
+    upstreams
+        .servers()
+        .filter(|server| decision.retained_fraction(server) < 1.0)
+}
 
-    fn answer_call(&mut self, call: Call, now: Micros) -> Answer {
-        let yes = |text: &str| (200, text.to_string());
-        match call {
-            Call::ReadyEvent if self.life.ready(now) => yes("ready\n"),
-            Call::ReadyEvent => (503, "not ready\n".to_string()),
-            Call::Telemetry => {
-                let held = self.held(now);
-                (
-                    200,
-                    self.figures
-                        .text(|class| self.names.class_name(class), held),
-                )
+impl<N: Transport> Admin<N> {
+    /// Answers a request.
+    pub(crate) fn answer<M: DecisionEngine>(
+        &self,
+        request: AdminRequest,
+        now: Micros,
+        lifecycle: &mut Lifecycle,
+        io: &mut Io<N>,
+        sources: &GaugeSources<'_, N::Stream, M>,
+    ) -> AdminResponse {
+        match request {
+            AdminRequest::Ready if lifecycle.is_ready(now) => AdminResponse::new(200, "ready\n"),
+            AdminRequest::Ready => AdminResponse::new(503, "not ready\n"),
+            AdminRequest::Telemetry => {
+                let names = &sources.engine.names;
+                let gauges = sources.read(now);
+                let class_name = |class| names.class_name(class);
+                AdminResponse::new(200, self.metrics.text(class_name, &gauges))
             }
-            Call::Evacuate if self.life.evacuate(now) => {
-                self.log.line(&mut self.net, "told to send clients away");
-                yes("evacuating\n")
+            AdminRequest::Evacuate if lifecycle.evacuate(now) => {
+                io.log("told to send clients away");
+                AdminResponse::new(200, "evacuating\n")
             }
-            Call::Rejoin if self.life.rejoin() => {
-                self.log.line(&mut self.net, "told to take clients");
-                yes("serving\n")
+            AdminRequest::Rejoin if lifecycle.rejoin() => {
+                io.log("told to take clients");
+                AdminResponse::new(200, "serving\n")
+            }
+            AdminRequest::Evacuate | AdminRequest::Rejoin => {
+                AdminResponse::new(409, "this process is stopping\n")
             }
-            Call::Evacuate | Call::Rejoin => (409, "this process is stopping\n".to_string()),
-        }
-    }
-
-    fn held(&self, now: Micros) -> Held {
-        let avoided = self
-            .upstreams
-            .servers()
-            .filter(|server| self.module.is_unavailable(now, server));
-        Held {
-            sends: self.upstreams.sends,
-            current: self.clients.iter().map(|(_, client)| client.owed()).sum(),
-            cluster_size: self.upstreams.servers().count(),
-            cluster_unhealthy: avoided.count(),
-            cluster_outliers: self.outliers().count(),
-            origin_jam: self.module.origin_overloaded(now),
         }
     }
 
-    /// Listed servers that keep only part of their keys.
-    fn outliers(&self) -> impl Iterator<Item = &ServerId> {
-        self.upstreams
-            .servers()
-            .filter(|server| self.module.retained_fraction(server) < 1.0)
-    }
-
-    /// Logs which servers have lost most of their keys, and which have all of them again, since it was asked last.
-    /// What lies between is told in neither direction, or a server near the bar would fill the log.
-    pub(super) fn tell_outliers(&mut self) {
-        let told = &self.outliers;
-        let worse = |server: &&ServerId| {
-            told.contains(*server) || self.module.retained_fraction(server) < OUTLIER_TOLD
+    /// Logs which servers have lost most of their keys, and which have all of them again, since the last call. What lies
+    /// between is logged in neither direction, or a server near the limit would fill the log.
+    pub(crate) fn log_outliers<M: DecisionEngine>(
+        &mut self,
+        upstreams: &UpstreamPools<N::Stream>,
+        decision: &M,
+        io: &mut Io<N>,
+    ) {
+        let logged = &self.logged_outliers;
+        let is_severe = |server: &&ServerId| {
+            logged.contains(*server) || decision.retained_fraction(server) < LOGGED_OUTLIER_FRACTION
         };
-        let now: BTreeSet<ServerId> = self.outliers().filter(worse).cloned().collect();
-        for server in now.difference(&self.outliers) {
-            self.log.line(
-                &mut self.net,
-                &format!("outlier: {server} has lost most of its keys"),
-            );
+        let current: BTreeSet<ServerId> = outliers(upstreams, decision)
+            .filter(is_severe)
+            .cloned()
+            .collect();
+        for server in current.difference(logged) {
+            io.log(&format!("outlier: {server} has lost most of its keys"));
         }
-        for server in self
-            .outliers
-            .difference(&now)
-            .filter(|gone| self.upstreams.servers().any(|s| s == *gone))
-        {
-            self.log.line(
-                &mut self.net,
-                &format!("outlier: {server} has all of its keys again"),
-            );
+        let is_listed = |server: &&ServerId| upstreams.servers().any(|s| s == *server);
+        for server in logged.difference(&current).filter(is_listed) {
+            io.log(&format!("outlier: {server} has all of its keys again"));
         }
-        self.outliers = now;
+        self.logged_outliers = current;
     }
 
-    /// Logs when the origin is taken for jammed, and when no more.
-    pub(super) fn tell_jam(&mut self, now: Micros) {
-        let origin_overloaded = self.module.origin_overloaded(now);
-        if std::mem::replace(&mut self.origin_overloaded, origin_overloaded) != origin_overloaded {
-            let line = if origin_overloaded {
+    /// Logs when the origin becomes overloaded, and when that is over.
+    pub(crate) fn log_origin_overload(&mut self, is_overloaded: bool, io: &mut Io<N>) {
+        if self.logged_origin_overload != is_overloaded {
+            self.logged_origin_overload = is_overloaded;
+            io.log(if is_overloaded {
                 "origin: jam, fetches and writes hardly answered"
             } else {
                 "origin: jam over"
-            };
-            self.log.line(&mut self.net, line);
-        }
-    }
-
-    /// Ends a connection on which nothing is owed, when the node is leaving and it is time for this one.
-    pub(super) fn let_go(&mut self, key: usize, now: Micros) {
-        let Some(client) = self.clients.get_mut(key) else {
-            return;
-        };
-        let (came, asked) = client.times();
-        if self.life.lets_go(now, came, asked) && client.quiet() {
-            client.close_after_answers();
-            // At once: what comes between the look and the end of sending would be read and not be answered.
-            if client.finish(now) {
-                return self.drop_client(key);
-            }
-            self.mark(key);
+            });
         }
     }
 }
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -1,195 +1,246 @@
-//! The operators' calls over HTTP/1.1 (RFC 9112): one call on a connection, which ends with its answer.
+//! The HTTP/1.1 server of the admin interface (RFC 9112): one request on a connection, which is closed behind its response.
 //!
-//! Guaranteed: at most [`CALLERS`] connections, each for a bounded time and with a bounded buffer; a caller
-//! that does not finish its call never keeps another one waiting.
+//! Guarantees: at most [`MAX_ADMIN_CLIENTS`] connections, each for a bounded time and with a bounded buffer; a client that
+//! does not complete its request never blocks another one.
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
 use sloewick_codec::http1::{self, Refused};
 use sloewick_decision::api::Micros;
 
-use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
+use crate::tokens::admin_client_token;
+use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Transport, WriteQueue};
 
-/// Callers at a time; one more takes the place of the one that has been there longest without a whole call.
-pub const CALLERS: usize = 16;
-/// Time for a call, and for reading its answer.
-const CALL_MOST: Micros = 3_000_000;
-const READING_MOST: Micros = 1_000_000;
-/// Reads from one caller for one event; each brings up to [`crate::transport::READ_MOST`] bytes.
-const READS_MOST: usize = 8;
+/// Clients at a time; one more replaces the one that has been there longest without a complete request.
+pub(crate) const MAX_ADMIN_CLIENTS: usize = 16;
+/// Time for writing a request, and for reading its response.
+const MAX_REQUEST_TIME: Micros = 3_000_000;
+const MAX_RESPONSE_TIME: Micros = 1_000_000;
+/// Reads from one client for one event; each takes up to [`crate::transport::MAX_READ`] bytes.
+const MAX_READS_PER_EVENT: usize = 8;
 
-/// What operators may ask for.
+/// What an admin client asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Call {
-    ReadyEvent,
+pub(crate) enum AdminRequest {
+    /// Whether the process is ready to serve.
+    Ready,
+    /// The metrics.
     Telemetry,
+    /// Send the clients away.
     Evacuate,
+    /// End an evacuation.
     Rejoin,
 }
 
-const CALLS: [(&str, &str, Call); 4] = [
-    ("GET", "/api/ready", Call::ReadyEvent),
-    ("GET", "/api/telemetry", Call::Telemetry),
-    ("POST", "/api/evacuate", Call::Evacuate),
-    ("POST", "/api/rejoin", Call::Rejoin),
+/// Method and path of a request.
+struct Route {
+    method: &'static str,
+    path: &'static str,
+    request: AdminRequest,
+}
+
+const ROUTES: [Route; 4] = [
+    Route {
+        method: "GET",
+        path: "/api/ready",
+        request: AdminRequest::Ready,
+    },
+    Route {
+        method: "GET",
+        path: "/api/telemetry",
+        request: AdminRequest::Telemetry,
+    },
+    Route {
+        method: "POST",
+        path: "/api/evacuate",
+        request: AdminRequest::Evacuate,
+    },
+    Route {
+        method: "POST",
+        path: "/api/rejoin",
+        request: AdminRequest::Rejoin,
+    },
 ];
 
-struct Caller<S> {
+/// A response: its HTTP status and text.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct AdminResponse {
+    pub(crate) status: u16,
+    pub(crate) text: String,
+}
+
+impl AdminResponse {
+    pub(crate) fn new(status: u16, text: impl Into<String>) -> AdminResponse {
+        AdminResponse {
+            status,
+            text: text.into(),
+        }
+    }
+}
+
+struct AdminClient<S> {
     stream: S,
     buf: BytesMut,
     out: WriteQueue,
-    came: Micros,
-    /// Answered then; from then on what comes is read and thrown away.
+    accepted: Micros,
+    /// When the response was given; from then on input is discarded.
     answered: Option<Micros>,
+    /// Sending has ended.
     ending: bool,
 }
 
-/// The operators' listener and those who call.
-pub struct Ops<N: Transport> {
+/// The admin listener and its clients.
+pub(crate) struct AdminServer<N: Transport> {
     listener: N::Listener,
-    more: bool,
-    callers: Slab<Caller<N::Stream>>,
-    token: fn(usize) -> Token,
+    /// Connections may wait to be accepted.
+    has_waiting: bool,
+    clients: Slab<AdminClient<N::Stream>>,
 }
 
-/// An answer's status and its text.
-pub type Answer = (u16, String);
-
-impl<N: Transport> Ops<N> {
-    pub fn new(listener: N::Listener, token: fn(usize) -> Token) -> Ops<N> {
-        Ops {
+impl<N: Transport> AdminServer<N> {
+    pub(crate) fn new(listener: N::Listener) -> AdminServer<N> {
+        AdminServer {
             listener,
-            more: true,
-            callers: Slab::new(),
-            token,
+            has_waiting: true,
+            clients: Slab::new(),
         }
     }
 
-    /// Connections wait on the listener.
-    pub fn waiting(&mut self) {
-        self.more = true;
+    /// An event on the listener.
+    pub(crate) fn listener_ready(&mut self) {
+        self.has_waiting = true;
     }
 
-    /// Takes in the callers that wait.
-    pub fn accept(&mut self, net: &mut N, now: Micros) {
-        let mut taken = 0;
-        while self.more && taken < CALLERS {
-            taken += 1;
-            if self.callers.len() >= CALLERS {
-                let oldest = self
-                    .callers
-                    .iter()
-                    .min_by_key(|(_, c)| (c.answered.is_none(), c.came));
-                let Some(key) = oldest.map(|(key, _)| key) else {
-                    return;
-                };
-                self.callers.remove(key);
+    /// Accepts the clients that wait.
+    pub(crate) fn accept(&mut self, net: &mut N, now: Micros) {
+        let mut accepted = 0;
+        while self.has_waiting && accepted < MAX_ADMIN_CLIENTS {
+            accepted += 1;
+            if self.clients.len() >= MAX_ADMIN_CLIENTS && !self.drop_oldest() {
+                return;
             }
-            match net.accept(&mut self.listener, (self.token)(self.callers.vacant_key())) {
+            let token = admin_client_token(self.clients.vacant_key());
+            match net.accept(&mut self.listener, token) {
                 Ok(stream) => {
-                    self.callers.insert(Caller {
+                    self.clients.insert(AdminClient {
                         stream,
                         buf: BytesMut::new(),
                         out: WriteQueue::default(),
-                        came: now,
+                        accepted: now,
                         answered: None,
                         ending: false,
                     });
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => self.more = false,
-                // A lack of descriptors, or the caller has gone: asked again in the next round.
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => self.has_waiting = false,
+                // No descriptor is free, or the client has disconnected: tried again in the next round.
                 Err(_) => return,
             }
         }
     }
 
-    /// Something happened on a caller's connection: `answer` is asked for what a whole call gets.
-    pub fn ready(
+    fn drop_oldest(&mut self) -> bool {
+        let clients = self.clients.iter();
+        let oldest = clients.min_by_key(|(_, c)| (c.answered.is_none(), c.accepted));
+        let oldest = oldest.map(|(key, _)| key);
+        oldest.map(|key| self.clients.remove(key)).is_some()
+    }
+
+    /// An event on a client's connection; `answer` is called with a complete request.
+    pub(crate) fn ready(
         &mut self,
         key: usize,
         event: &ReadyEvent,
         now: Micros,
         scratch: &mut [u8],
-        answer: impl FnOnce(Call) -> Answer,
+        answer: impl FnOnce(AdminRequest) -> AdminResponse,
     ) {
-        let Some(caller) = self.callers.get_mut(key) else {
+        let Some(client) = self.clients.get_mut(key) else {
             return;
         };
-        let mut ended = event.error;
-        // Guards against a caller that writes without end: what is beyond this is left in the kernel, where it
-        // holds up nobody, until the caller's time is over.
-        for _ in 0..READS_MOST {
-            match fill(&mut caller.stream, &mut caller.buf, scratch) {
-                ReadOutcome::Ended | ReadOutcome::Broke => ended = true,
-                ReadOutcome::Empty => {}
-                _ if caller.answered.is_some() => {
-                    caller.buf.clear();
-                    continue;
-                }
-                _ if caller.buf.len() > http1::MAX_HEAD => {}
-                _ => continue,
-            }
-            break;
-        }
-        if caller.answered.is_none() {
-            let (status, text) = match http1::request(&caller.buf, ended) {
+        let has_ended = client.read(scratch) || event.error;
+        if client.answered.is_none() {
+            let response = match http1::request(&client.buf, has_ended) {
                 Ok(None) => return,
-                Ok(Some(head)) => match find(&head.method, &head.path) {
-                    Ok(call) => answer(call),
-                    Err(refused) => refused,
-                },
-                Err(Refused::Unreadable) => (400, "this is no HTTP/1.1 request\n".to_string()),
-                Err(Refused::TooLong) => (
+                Ok(Some(head)) => find_route(&head.method, &head.path).map_or_else(|e| e, answer),
+                Err(Refused::Unreadable) => {
+                    AdminResponse::new(400, "this is no HTTP/1.1 request\n")
+                }
+                Err(Refused::TooLong) => AdminResponse::new(
                     431,
                     format!("a head has {} bytes at most\n", http1::MAX_HEAD),
                 ),
             };
-            caller.answer(status, &text, now);
+            client.answer(&response, now);
         }
-        if caller.go_on(ended) {
-            self.callers.remove(key);
+        if client.write(has_ended) {
+            self.clients.remove(key);
         }
     }
 
-    /// Ends what has taken too long.
-    pub fn sweep(&mut self, now: Micros) {
-        self.callers.retain(|_, caller| match caller.answered {
-            Some(at) => now - at < READING_MOST,
-            None => now - caller.came < CALL_MOST,
+    /// Closes connections whose time is over.
+    pub(crate) fn sweep(&mut self, now: Micros) {
+        self.clients.retain(|_, client| match client.answered {
+            Some(at) => now - at < MAX_RESPONSE_TIME,
+            None => now - client.accepted < MAX_REQUEST_TIME,
         });
     }
 }
 
-fn find(method: &str, path: &str) -> Result<Call, Answer> {
+/// The request with this method and path, or the response to one that does not exist.
+fn find_route(method: &str, path: &str) -> Result<AdminRequest, AdminResponse> {
     let path = path.split('?').next().unwrap_or(path);
-    let known = CALLS.iter().find(|(_, p, _)| *p == path);
-    let Some((wanted, _, call)) = known else {
-        let all: Vec<&str> = CALLS.iter().map(|(_, p, _)| *p).collect();
-        return Err((404, format!("no such call; there are {}\n", all.join(", "))));
+    let Some(route) = ROUTES.iter().find(|route| route.path == path) else {
+        let all: Vec<&str> = ROUTES.iter().map(|route| route.path).collect();
+        let text = format!("no such call; there are {}\n", all.join(", "));
+        return Err(AdminResponse::new(404, text));
     };
-    if method != *wanted {
-        return Err((405, format!("{path} is called by {wanted}\n")));
+    if method != route.method {
+        let text = format!("{path} is called by {}\n", route.method);
+        return Err(AdminResponse::new(405, text));
     }
-    Ok(*call)
+    Ok(route.request)
 }
 
-impl<S: Stream> Caller<S> {
-    fn answer(&mut self, status: u16, text: &str, now: Micros) {
+impl<S: Stream> AdminClient<S> {
+    /// Reads what has arrived; true if the connection has ended.
+    ///
+    /// Guards against a client that writes without end: input beyond the bound stays in the kernel, where it blocks nobody,
+    /// until the client's time is over.
+    fn read(&mut self, scratch: &mut [u8]) -> bool {
+        for _ in 0..MAX_READS_PER_EVENT {
+            match fill(&mut self.stream, &mut self.buf, scratch) {
+                ReadOutcome::Closed | ReadOutcome::Failed => return true,
+                ReadOutcome::Empty => return false,
+                ReadOutcome::More | ReadOutcome::Drained if self.answered.is_some() => {
+                    self.buf.clear();
+                }
+                ReadOutcome::More | ReadOutcome::Drained => {
+                    if self.buf.len() > http1::MAX_HEAD {
+                        return false;
+                    }
+                }
+            }
+        }
+        false
+    }
+
+    fn answer(&mut self, response: &AdminResponse, now: Micros) {
         self.answered = Some(now);
         self.buf.clear();
-        self.out.push(Bytes::from(http1::answer(status, text)));
+        self.out
+            .push(Bytes::from(http1::answer(response.status, &response.text)));
     }
 
-    /// Writes on; true when the connection is done with.
-    fn go_on(&mut self, ended: bool) -> bool {
+    /// Writes; true when the connection can be closed.
+    fn write(&mut self, has_ended: bool) -> bool {
         if self.out.flush(&mut self.stream).is_err() {
             return true;
         }
         if self.out.is_empty() && !self.ending {
-            // Closing with unread input would send a reset, which can destroy the answer under way.
+            // Closing with unread input would send a reset, which can destroy the response under way.
             self.ending = true;
-            return self.stream.end().is_err() || ended;
+            return self.stream.shutdown_write().is_err() || has_ended;
         }
-        ended && self.out.is_empty()
+        has_ended && self.out.is_empty()
     }
 }
--- a/crates/node/src/config_check.rs
+++ b/crates/node/src/config_check.rs
@@ -1,27 +1,35 @@
-//! Judges a configuration without using it. It does not stop at the first problem; each names the field, its
-//! value, what is wrong and a value that would do.
+//! Checks a configuration without using it. All problems are reported, not only the first; each names the field, its value,
+//! what is wrong and a value that would do.
 
+mod rules;
+
+use std::collections::BTreeSet;
 use std::fmt;
-use std::net::SocketAddr;
 
 use serde_json::Value;
 
 use crate::config;
+use rules::{
+    Expected, FieldRule, CLASS, GUARDED, KNOWN, LIMITS, POLICY, POLLING_RULES, REALM, RULES,
+    SETTINGS, TARGET, TOP,
+};
 
-/// Something found in a configuration.
+/// A problem or an oddity in a configuration.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Found {
+pub struct Finding {
     /// Path of the field, like `settings.classes[1].window`.
     pub field: String,
-    /// What stands there; `missing` if nothing does.
+    /// Its value; `missing` if there is none.
     pub value: String,
+    /// What is wrong.
     pub why: String,
+    /// A value that would do.
     pub example: String,
-    /// It cannot be used; otherwise a note.
+    /// The configuration cannot be used; otherwise a note.
     pub fatal: bool,
 }
 
-impl fmt::Display for Found {
+impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = if self.fatal { "problem" } else { "note" };
         write!(
@@ -32,175 +40,56 @@
     }
 }
 
-/// Longest value that is quoted.
-const QUOTED_MOST: usize = 60;
-
-#[derive(Clone, Copy)]
-enum Want {
-    Text,
-    Address,
-    Seed,
-    Flag,
-    Object,
-    /// At least, at most.
-    Number(f64, f64),
-    /// Above zero.
-    Positive,
-    Whole(i64),
-    Word(&'static [&'static str]),
-    Array,
-}
-
-impl Want {
-    fn fits(self, v: &Value) -> bool {
-        match self {
-            Want::Text => v.as_str().is_some_and(|t| !t.is_empty()),
-            Want::Address => v.as_str().is_some_and(|t| t.parse::<SocketAddr>().is_ok()),
-            Want::Seed => v
-                .as_str()
-                .is_some_and(|t| u64::from_str_radix(t, 16).is_ok()),
-            Want::Flag => v.is_boolean(),
-            Want::Object => v.is_object(),
-            Want::Number(low, high) => v.as_f64().is_some_and(|n| (low..=high).contains(&n)),
-            Want::Positive => v.as_f64().is_some_and(|n| n > 0.0 && n <= TIME_MOST),
-            Want::Whole(least) => v.as_i64().is_some_and(|n| n >= least),
-            Want::Word(words) => v.as_str().is_some_and(|t| words.contains(&t)),
-            Want::Array => v.is_array(),
-        }
-    }
-
-    fn words(self) -> String {
-        match self {
-            Want::Text => "is not a text".to_string(),
-            Want::Address => "is no address with a port".to_string(),
-            Want::Seed => "is not 64 bits in hex".to_string(),
-            Want::Flag => "is neither true nor false".to_string(),
-            Want::Object => "is not an object".to_string(),
-            Want::Number(low, high) => format!("is not a number from {low} to {high}"),
-            Want::Positive => format!("is not a number above 0, up to {TIME_MOST}"),
-            Want::Whole(least) => format!("is not a whole number from {least}"),
-            Want::Word(words) => format!("is none of {}", words.join(", ")),
-            Want::Array => "is not an array".to_string(),
-        }
-    }
+/// Longest value that is quoted, in characters.
+const MAX_QUOTED: usize = 60;
 
-    fn example(self) -> String {
-        match self {
-            Want::Text => "\"n3\"".to_string(),
-            Want::Address => "\"10.0.0.4:6379\"".to_string(),
-            Want::Seed => "\"8c1f30d27a5be964\"".to_string(),
-            Want::Flag => "true".to_string(),
-            Want::Object => "{}".to_string(),
-            Want::Number(low, high) => format!(
-                "{}",
-                if high <= 1.0 {
-                    high / 2.0
-                } else {
-                    low.max(1.0)
-                }
-            ),
-            Want::Positive => "150.0".to_string(),
-            Want::Whole(least) => format!("{}", least.max(1)),
-            Want::Word(words) => format!("{:?}", words.first().unwrap_or(&"")),
-            Want::Array => "[]".to_string(),
+/// All that is wrong with a configuration, and notes on what is odd.
+pub fn check(text: &str) -> Vec<Finding> {
+    let mut checker = Checker {
+        findings: Vec::new(),
+    };
+    match serde_json::from_str(text) {
+        Ok(root) => {
+            checker.check_objects(&root);
+            checker.check_classes(&root);
+            checker.check_tenants_and_rules(&root);
+            checker.check_addresses(&root);
+            checker.check_by_parsing(text);
         }
+        Err(e) => checker.problem(
+            "(file)",
+            None,
+            format!("is not JSON: {e}"),
+            "{\"listen\": \"10.0.0.4:6379\", ...}",
+        ),
     }
+    checker.findings
 }
 
-/// Longest time or largest number that means anything here, in milliseconds: over a month.
-const TIME_MOST: f64 = 3e9;
-const ANY: Want = Want::Number(0.0, TIME_MOST);
+/// The value at a path.
+fn at<'a>(root: &'a Value, path: &[&str]) -> Option<&'a Value> {
+    path.iter().try_fold(root, |value, name| value.get(name))
+}
 
-/// Field, what it must be, whether it may be absent.
-type Rule = (&'static str, Want, bool);
+fn items(list: Option<&Value>) -> impl Iterator<Item = (usize, &Value)> {
+    list.and_then(Value::as_array)
+        .into_iter()
+        .flatten()
+        .enumerate()
+}
 
-const TOP: &[Rule] = &[
-    ("listen", Want::Address, false),
-    ("discovery", Want::Address, false),
-    ("ops", Want::Address, true),
-    ("seed", Want::Seed, false),
-    ("limits", Want::Object, false),
-    ("known", Want::Object, false),
-    ("settings", Want::Object, false),
-];
-const LIMITS: &[Rule] = &[
-    ("memory_mb", Want::Whole(32), false),
-    ("sockets", Want::Whole(64), false),
-];
-const KNOWN: &[Rule] = &[
-    ("rev", Want::Whole(i64::MIN), false),
-    ("all", Want::Flag, false),
-    ("targets", Want::Array, false),
-];
-const TARGET: &[Rule] = &[
-    ("uid", Want::Text, false),
-    ("endpoint", Want::Address, false),
-    (
-        "state",
-        Want::Word(&["in_service", "terminating", "terminated"]),
-        false,
-    ),
-    ("capacity_hint", ANY, true),
-    ("az", Want::Text, true),
-    ("model", Want::Text, true),
-    ("boot_ms", Want::Whole(0), true),
-];
-const SETTINGS: &[Rule] = &[
-    ("classes", Want::Array, false),
-    ("discovery", Want::Word(&["ask", "push"]), false),
-    ("replicas_of_me", Want::Whole(1), false),
-    ("policy_limits", Want::Object, false),
-    ("rules", Want::Object, false),
-    ("realms", Want::Array, true),
-    ("zones", Want::Array, true),
-    ("kinds", Want::Array, true),
-    ("period", ANY, true),
-    ("over_share_worth", ANY, true),
-];
-const CLASS: &[Rule] = &[
-    ("name", Want::Text, false),
-    ("aim", Want::Positive, false),
-    ("deadline", Want::Positive, false),
-    (
-        "repeat",
-        Want::Word(&["free", "guarded", "single_shot"]),
-        false,
-    ),
-    ("worth", ANY, true),
-    ("late_share", Want::Number(0.0, 1.0), true),
-    ("stream", Want::Flag, true),
-];
-const GUARDED: &[Rule] = &[
-    ("window", Want::Positive, false),
-    ("dedup_scope", Want::Word(&["all", "zone", "cell"]), false),
-];
-const REALM: &[Rule] = &[
-    ("name", Want::Text, false),
-    ("share", ANY, true),
-    ("quota_per_s", ANY, true),
-];
-const POLICY: &[Rule] = &[
-    ("try_limit", Want::Whole(1), false),
-    ("second_copies", Want::Flag, false),
-    ("cancel", Want::Flag, true),
-    ("probes", Want::Flag, true),
-    ("retry_after", Want::Flag, true),
-    ("max_retry_after", ANY, true),
-    ("connect_timeout", Want::Positive, true),
-    ("conn_idle", Want::Positive, true),
-    ("max_open", Want::Whole(1), true),
-];
-const RULES: &[Rule] = &[
-    ("stop_sending_within", ANY, false),
-    ("cold_from", Want::Number(0.000_001, 1.0), false),
-    ("cold", ANY, false),
-    ("fall_multiple", ANY, false),
-    ("fall", ANY, false),
-    ("grace_to_answer", ANY, false),
-];
+fn quote(value: &Value) -> String {
+    let text = value.to_string();
+    let start: String = text.chars().take(MAX_QUOTED).collect();
+    if start.len() < text.len() {
+        start + "..."
+    } else {
+        start
+    }
+}
 
 struct Checker {
-    found: Vec<Found>,
+    findings: Vec<Finding>,
 }
 
 impl Checker {
@@ -209,202 +98,169 @@
         field: &str,
         value: Option<&Value>,
         why: impl Into<String>,
-        example: String,
+        example: impl Into<String>,
         fatal: bool,
     ) {
-        let value = value.map_or("missing".to_string(), |v| {
-            let text = v.to_string();
-            let cut: String = text.chars().take(QUOTED_MOST).collect();
-            if cut.len() < text.len() {
-                cut + "..."
-            } else {
-                cut
-            }
-        });
-        self.found.push(Found {
+        self.findings.push(Finding {
             field: field.to_string(),
-            value,
+            value: value.map_or("missing".to_string(), quote),
             why: why.into(),
-            example,
+            example: example.into(),
             fatal,
         });
     }
 
-    fn object(&mut self, path: &str, value: &Value, rules: &[Rule]) {
+    /// The configuration cannot be used.
+    fn problem(
+        &mut self,
+        field: &str,
+        value: Option<&Value>,
+        why: impl Into<String>,
+        example: impl Into<String>,
+    ) {
+        self.add(field, value, why, example, true);
+    }
+
+    fn note(
+        &mut self,
+        field: &str,
+        value: Option<&Value>,
+        why: impl Into<String>,
+        example: impl Into<String>,
+    ) {
+        self.add(field, value, why, example, false);
+    }
+
+    /// Checks the fields of an object.
+    fn object(&mut self, path: &str, value: &Value, rules: &[FieldRule]) {
         if !value.is_object() {
-            return self.add(
-                path,
-                Some(value),
-                Want::Object.words(),
-                Want::Object.example(),
-                true,
-            );
+            let expected = Expected::Object;
+            return self.problem(path, Some(value), expected.problem(), expected.example());
         }
-        for (name, want, optional) in rules {
+        for rule in rules {
             let field = if path.is_empty() {
-                name.to_string()
+                rule.name.to_string()
             } else {
-                format!("{path}.{name}")
+                format!("{path}.{}", rule.name)
             };
-            match value.get(name).filter(|v| !v.is_null()) {
-                None if *optional => {}
-                None => self.add(&field, None, "has to be there", want.example(), true),
-                Some(v) if !want.fits(v) => {
-                    self.add(&field, Some(v), want.words(), want.example(), true)
+            let expected = rule.expected;
+            match value.get(rule.name).filter(|v| !v.is_null()) {
+                None if rule.is_optional => {}
+                None => self.problem(&field, None, "has to be there", expected.example()),
+                Some(v) if !expected.matches(v) => {
+                    self.problem(&field, Some(v), expected.problem(), expected.example());
                 }
                 Some(_) => {}
             }
         }
     }
 
-    fn each(&mut self, path: &str, list: Option<&Value>, rules: &[Rule]) {
-        for (i, item) in list
-            .and_then(Value::as_array)
-            .into_iter()
-            .flatten()
-            .enumerate()
-        {
+    /// Checks the objects of an array.
+    fn each(&mut self, path: &str, list: Option<&Value>, rules: &[FieldRule]) {
+        for (i, item) in items(list) {
             self.object(&format!("{path}[{i}]"), item, rules);
         }
     }
 
-    fn twice(&mut self, path: &str, list: Option<&Value>, name: &str) {
-        let mut seen = std::collections::BTreeSet::new();
-        for (i, item) in list
-            .and_then(Value::as_array)
-            .into_iter()
-            .flatten()
-            .enumerate()
-        {
-            if let Some(v) = item.get(name) {
-                if !seen.insert(v.to_string()) {
-                    let field = format!("{path}[{i}].{name}");
-                    self.add(
-                        &field,
-                        Some(v),
-                        "stands there twice",
-                        "another name".to_string(),
-                        true,
-                    );
-                }
+    /// Checks that no two objects of an array have the same value in a field.
+    fn unique(&mut self, path: &str, list: Option<&Value>, name: &str) {
+        let mut seen = BTreeSet::new();
+        for (i, item) in items(list) {
+            let Some(value) = item.get(name) else {
+                continue;
+            };
+            if !seen.insert(value.to_string()) {
+                let field = format!("{path}[{i}].{name}");
+                self.problem(&field, Some(value), "stands there twice", "another name");
             }
         }
     }
-}
 
-/// All that is wrong with a configuration, and notes on what is odd.
-pub fn check(text: &str) -> Vec<Found> {
-    let mut c = Checker { found: Vec::new() };
-    let value: Value = match serde_json::from_str(text) {
-        Ok(value) => value,
-        Err(e) => {
-            c.add(
-                "(file)",
-                None,
-                format!("is not JSON: {e}"),
-                "{\"listen\": \"10.0.0.4:6379\", ...}".into(),
-                true,
-            );
-            return c.found;
-        }
-    };
-    c.object("", &value, TOP);
-    let at = |path: &[&str]| path.iter().try_fold(&value, |v, name| v.get(name));
-    for (path, rules) in [("limits", LIMITS), ("known", KNOWN), ("settings", SETTINGS)] {
-        if let Some(v) = at(&[path]).filter(|v| v.is_object()) {
-            c.object(path, v, rules);
+    fn check_objects(&mut self, root: &Value) {
+        self.object("", root, TOP);
+        for (name, rules) in [("limits", LIMITS), ("known", KNOWN), ("settings", SETTINGS)] {
+            if let Some(value) = at(root, &[name]).filter(|v| v.is_object()) {
+                self.object(name, value, rules);
+            }
         }
+        let targets = at(root, &["known", "targets"]);
+        self.each("known.targets", targets, TARGET);
+        self.unique("known.targets", targets, "uid");
     }
-    let targets = at(&["known", "targets"]);
-    c.each("known.targets", targets, TARGET);
-    c.twice("known.targets", targets, "uid");
-    let classes = at(&["settings", "classes"]);
-    c.each("settings.classes", classes, CLASS);
-    c.twice("settings.classes", classes, "name");
-    if classes
-        .and_then(Value::as_array)
-        .is_some_and(|list| list.is_empty())
-    {
-        c.add(
-            "settings.classes",
-            classes,
-            "there must be one at least",
-            "[{...}]".into(),
-            true,
-        );
-    }
-    for (i, class) in classes
-        .and_then(Value::as_array)
-        .into_iter()
-        .flatten()
-        .enumerate()
-    {
-        let path = format!("settings.classes[{i}]");
-        if class.get("repeat").and_then(Value::as_str) == Some("guarded") {
-            c.object(&path, class, GUARDED);
+
+    fn check_classes(&mut self, root: &Value) {
+        let classes = at(root, &["settings", "classes"]);
+        self.each("settings.classes", classes, CLASS);
+        self.unique("settings.classes", classes, "name");
+        let list = classes.and_then(Value::as_array);
+        if list.is_some_and(Vec::is_empty) {
+            let why = "there must be one at least";
+            self.problem("settings.classes", classes, why, "[{...}]");
+        }
+        for (i, class) in items(classes) {
+            let path = format!("settings.classes[{i}]");
+            if class.get("repeat").and_then(Value::as_str) == Some("guarded") {
+                self.object(&path, class, GUARDED);
+            }
+            self.check_latency_objective(&path, class);
         }
+    }
+
+    fn check_latency_objective(&mut self, path: &str, class: &Value) {
         let number = |name: &str| class.get(name).and_then(Value::as_f64);
         if let (Some(latency_objective), Some(deadline)) = (number("aim"), number("deadline")) {
             if latency_objective > deadline {
                 let why = format!("lies beyond the deadline, {deadline}: nobody waits so long");
-                c.add(
-                    &format!("{path}.aim"),
-                    class.get("aim"),
-                    why,
-                    format!("{deadline}"),
-                    false,
-                );
+                let field = format!("{path}.aim");
+                self.note(&field, class.get("aim"), why, format!("{deadline}"));
             }
         }
     }
-    c.each("settings.realms", at(&["settings", "realms"]), REALM);
-    c.twice("settings.realms", at(&["settings", "realms"]), "name");
-    for (name, rules) in [("policy_limits", POLICY), ("rules", RULES)] {
-        if let Some(v) = at(&["settings", name]).filter(|v| v.is_object()) {
-            c.object(&format!("settings.{name}"), v, rules);
+
+    fn check_tenants_and_rules(&mut self, root: &Value) {
+        let tenants = at(root, &["settings", "realms"]);
+        self.each("settings.realms", tenants, REALM);
+        self.unique("settings.realms", tenants, "name");
+        for (name, rules) in [("policy_limits", POLICY), ("rules", RULES)] {
+            if let Some(value) = at(root, &["settings", name]).filter(|v| v.is_object()) {
+                self.object(&format!("settings.{name}"), value, rules);
+            }
         }
-    }
-    if at(&["settings", "discovery"]).and_then(Value::as_str) == Some("ask") {
-        let rules = at(&["settings", "rules"]).filter(|v| v.is_object());
-        if let Some(rules) = rules {
-            c.object(
-                "settings.rules",
-                rules,
-                &[("ask_within", Want::Positive, false)],
-            );
+        if at(root, &["settings", "discovery"]).and_then(Value::as_str) == Some("ask") {
+            let rules = at(root, &["settings", "rules"]).filter(|v| v.is_object());
+            if let Some(rules) = rules {
+                self.object("settings.rules", rules, POLLING_RULES);
+            }
         }
     }
-    if let (Some(listen), Some(discovery)) = (at(&["listen"]), at(&["discovery"])) {
-        if listen == discovery && Want::Address.fits(listen) {
-            let why = "is the address of this node itself";
-            c.add(
-                "discovery",
-                Some(discovery),
-                why,
-                "\"10.2.0.1:8500\"".into(),
-                true,
-            );
+
+    /// Checks that the node's own addresses differ from each other and from discovery's.
+    fn check_addresses(&mut self, root: &Value) {
+        let address = |name| at(root, &[name]);
+        if let (Some(listen), Some(discovery)) = (address("listen"), address("discovery")) {
+            if listen == discovery && Expected::Address.matches(listen) {
+                let why = "is the address of this node itself";
+                self.problem("discovery", Some(discovery), why, "\"10.2.0.1:8500\"");
+            }
         }
-    }
-    for name in ["listen", "discovery"] {
-        if let (Some(ops), Some(other)) = (at(&["ops"]), at(&[name])) {
-            if ops == other && Want::Address.fits(ops) {
-                let why = format!("is the address that {name} has");
-                c.add("ops", Some(ops), why, "\"127.0.0.1:15000\"".into(), true);
+        for name in ["listen", "discovery"] {
+            if let (Some(ops), Some(other)) = (address("ops"), address(name)) {
+                if ops == other && Expected::Address.matches(ops) {
+                    let why = format!("is the address that {name} has");
+                    self.problem("ops", Some(ops), why, "\"127.0.0.1:15000\"");
+                }
             }
         }
     }
-    if !c.found.iter().any(|f| f.fatal) {
-        // What the node itself would refuse, in its words.
-        if let Err(bad) = config::parse(text) {
-            c.add(
-                "(file)",
-                None,
-                bad.to_string(),
-                "a value of the kind that the message names".into(),
-                true,
-            );
+
+    /// Reports what the node itself would reject, in its words, if nothing was found before.
+    fn check_by_parsing(&mut self, text: &str) {
+        if self.findings.iter().any(|finding| finding.fatal) {
+            return;
+        }
+        if let Err(error) = config::parse(text) {
+            let example = "a value of the kind that the message names";
+            self.problem("(file)", None, error.to_string(), example);
         }
     }
-    c.found
 }
--- /dev/null
+++ b/crates/node/src/discovery/endpoints.rs
@@ -0,0 +1,115 @@
+//! The endpoint list as discovery sends it. No state.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use sloewick_decision::api::{Micros, ServerId, ServerState};
+use sloewick_decision::settings::{Fields, RawEndpoint, SettingsError};
+
+/// An entry of the list with the address of its server.
+pub struct ListedEndpoint {
+    /// The entry as the decision module reads it.
+    pub entry: RawEndpoint,
+    /// Where the server is reached.
+    pub address: SocketAddr,
+    /// Unix time of the server's last start in milliseconds; 0: long ago.
+    pub boot_ms: i64,
+}
+
+/// An answer of discovery.
+pub struct EndpointList {
+    /// Revision of the list.
+    pub rev: i64,
+    /// All endpoints are listed; otherwise those that have changed.
+    pub all: bool,
+    /// The endpoints.
+    pub targets: Vec<ListedEndpoint>,
+}
+
+/// Reads an answer from its JSON.
+///
+/// # Errors
+/// The first field that is missing or of a wrong kind.
+pub fn parse_endpoint_list(value: &Value) -> Result<EndpointList, SettingsError> {
+    let fields = Fields::of(value, "known")?;
+    let targets = fields
+        .array("targets")?
+        .iter()
+        .map(parse_endpoint)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(EndpointList {
+        rev: fields.int("rev")?,
+        all: fields.flag("all")?,
+        targets,
+    })
+}
+
+fn parse_endpoint(value: &Value) -> Result<ListedEndpoint, SettingsError> {
+    let fields = Fields::of(value, "targets")?;
+    let optional_text = |name| {
+        fields
+            .opt(name)
+            .map(|_| fields.text(name).map(str::to_string))
+            .transpose()
+    };
+    let state = parse_state(fields.text("state")?)?;
+    let server: ServerId = fields.text("uid")?.into();
+    let endpoint = fields.text("endpoint")?;
+    let address = endpoint.parse().map_err(|_| {
+        SettingsError::new("endpoint", format!("{endpoint:?} is no address and port"))
+    })?;
+    let cell = fields
+        .opt("pod_group")
+        .map(|_| fields.int("pod_group"))
+        .transpose()?;
+    let entry = RawEndpoint {
+        server,
+        weight: fields.number_or("capacity_hint", 1.0)?,
+        zone: optional_text("az")?,
+        kind: optional_text("model")?,
+        state,
+        started: None,
+        cell: cell.and_then(|n| u32::try_from(n).ok()),
+    };
+    Ok(ListedEndpoint {
+        entry,
+        address,
+        boot_ms: fields
+            .opt("boot_ms")
+            .map_or(Ok(0), |_| fields.int("boot_ms"))?,
+    })
+}
+
+fn parse_state(text: &str) -> Result<ServerState, SettingsError> {
+    match text {
+        "in_service" => Ok(ServerState::Live),
+        "terminating" => Ok(ServerState::Draining),
+        "terminated" => Ok(ServerState::Removed),
+        other => Err(SettingsError::new(
+            "state",
+            format!("{other:?} is no server state"),
+        )),
+    }
+}
+
+/// A server's start on the node's clock, from Unix time in milliseconds; none for long ago. `process_start`: when the node's
+/// clock began, in Unix time.
+///
+/// The result must not vary between two lists, to the microsecond, or the server would seem to have started again. Two clocks
+/// that are read anew each time never agree so well, hence the single reading of `process_start`.
+pub(crate) fn start_on_node_clock(
+    boot_ms: i64,
+    process_start: Micros,
+    now: Micros,
+) -> Option<Micros> {
+    if boot_ms <= 0 {
+        return None;
+    }
+    let start = boot_ms.saturating_mul(1000).saturating_sub(process_start);
+    // A server's clock may be ahead of this one; a start cannot lie in the future.
+    Some(start.min(now))
+}
+
+#[cfg(test)]
+#[path = "endpoints_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/event_loop/accepting.rs
@@ -0,0 +1,163 @@
+//! Accepts clients, and closes idle ones for new ones where slots or descriptors run out.
+
+use std::io::ErrorKind;
+
+use bytes::Bytes;
+use sloewick_decision::api::Micros;
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::frontend::acceptor::{
+    CLIENT_SEND_BUFFER, MAX_ACCEPTS_PER_ROUND, REJECTED_CLIENT_DESCRIPTORS,
+};
+use crate::frontend::connection::{ClientConnection, PendingResponse};
+use crate::frontend::memcached::MemcachedFrontend;
+use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
+use crate::tokens::client_token;
+use crate::transport::{is_descriptor_limit, Stream, Transport};
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    pub(super) fn accept_clients(&mut self) {
+        for index in 0..self.frontends.listeners.len() {
+            self.accept_from(index);
+        }
+    }
+
+    /// Accepts the connections that wait on a listener, up to the bound of one round.
+    pub(super) fn accept_from(&mut self, index: usize) {
+        let mut accepted = 0;
+        while self.frontends.listeners[index].has_waiting && accepted < MAX_ACCEPTS_PER_ROUND {
+            let now = self.io.now();
+            let Some(has_slot) = self.reserve_connection(now) else {
+                return;
+            };
+            let token = client_token(self.frontends.clients.vacant_key());
+            let listener = &mut self.frontends.listeners[index];
+            match self.io.net.accept(&mut listener.socket, token) {
+                Ok(stream) => {
+                    let protocol = listener.protocol;
+                    self.add_client(stream, protocol, has_slot);
+                    accepted += 1;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => listener.has_waiting = false,
+                // Guards against a lack of descriptors: an edge-triggered poll reports no second time that connections wait,
+                // so they are accepted in the next round, at the latest with the next sweep. An idle upstream connection is
+                // closed for one.
+                Err(e) if is_descriptor_limit(&e) => {
+                    if !self.upstreams.close_longest_idle() {
+                        return;
+                    }
+                }
+                // The client has disconnected while it waited.
+                Err(_) => accepted += 1,
+            }
+        }
+    }
+
+    fn add_client(&mut self, mut stream: N::Stream, protocol: Protocol, has_slot: bool) {
+        stream.limit_send_buffer(CLIENT_SEND_BUFFER);
+        let serial = self.serials.next();
+        let memcached = self.frontends.memcached.as_ref();
+        let max_value = memcached.map_or(0, MemcachedFrontend::max_value);
+        let now = self.io.now();
+        let mut client = ClientConnection::new(stream, serial, now, protocol, max_value);
+        client.has_slot = has_slot;
+        let key = self.frontends.clients.insert(client);
+        self.frontends.mark_dirty(key);
+        self.read_client(key);
+    }
+
+    /// Whether one more connection may be accepted, and if so, whether it gets a slot. Without one its requests are rejected.
+    fn reserve_connection(&mut self, now: Micros) -> Option<bool> {
+        let max_clients = self.frontends.max_clients;
+        if self.frontends.clients.len() < max_clients {
+            return Some(true);
+        }
+        let has_slot = self.reserve_slot(now);
+        let has_descriptor = self.frontends.clients.len()
+            < max_clients + REJECTED_CLIENT_DESCRIPTORS
+            || self.close_client_without_slot(now);
+        has_descriptor.then_some(has_slot)
+    }
+
+    /// Whether a slot is free, or can be freed.
+    fn reserve_slot(&mut self, now: Micros) -> bool {
+        self.frontends.occupied_slots() < self.frontends.max_clients || self.free_slot(now)
+    }
+
+    /// Whether a client has a slot, possibly only now.
+    pub(super) fn ensure_slot(&mut self, key: usize, now: Micros) -> bool {
+        let client = self.frontends.clients.get(key);
+        if client.is_none_or(|client| client.has_slot) {
+            return true;
+        }
+        let has_slot = self.reserve_slot(now);
+        if let Some(client) = self.frontends.clients.get_mut(key) {
+            client.has_slot = has_slot;
+        }
+        has_slot
+    }
+
+    /// Closes the connection of a client without a slot, behind the responses to all its requests.
+    pub(super) fn close_rejected_client(&mut self, key: usize, now: Micros) {
+        let is_rejected = |client: &ClientConnection<N::Stream>| {
+            !client.has_slot && client.last_request().is_some() && client.is_idle_without_input()
+        };
+        let client = self.frontends.clients.get(key);
+        if !client.is_some_and(is_rejected) || self.ensure_slot(key, now) {
+            return;
+        }
+        if let Some(client) = self.frontends.clients.get_mut(key) {
+            client.close_after_responses();
+            self.frontends.mark_dirty(key);
+        }
+    }
+
+    /// Frees a slot: of the idle clients, the one that has gone longest without a complete request is closed.
+    fn free_slot(&mut self, now: Micros) -> bool {
+        let Some(key) = self.frontends.longest_idle(true, now) else {
+            return false;
+        };
+        let client = &self.frontends.clients[key];
+        let has_responses =
+            client.partial_request_since().is_none() && client.last_request().is_some();
+        if client.is_lingering() || has_responses {
+            // It has its responses; its next request comes on a new connection.
+            self.drop_client(key);
+        } else {
+            self.reject_client(key);
+        }
+        true
+    }
+
+    /// Frees the descriptor of a client without a slot.
+    fn close_client_without_slot(&mut self, now: Micros) -> bool {
+        let Some(key) = self.frontends.longest_idle(false, now) else {
+            return false;
+        };
+        if !self.frontends.clients[key].is_lingering() {
+            self.reject_client(key);
+            let client = &mut self.frontends.clients[key];
+            client.queue_ready_responses();
+            // Broken or not, it is dropped.
+            let _ = client.flush(now);
+            client.advance_closing(now);
+        }
+        self.drop_client(key);
+        true
+    }
+
+    /// Closes a client's connection with a rejection, which answers a request that is incomplete or just being written.
+    fn reject_client(&mut self, key: usize) {
+        let Some(client) = self.frontends.clients.get_mut(key) else {
+            return;
+        };
+        client.has_slot = false;
+        if client.protocol() == Protocol::Resp2 {
+            let busy = RequestProtocol::Resp2.encode(&Bytes::new(), FinalResponse::Busy(0));
+            client.push_response(PendingResponse::Ready(busy));
+        }
+        client.close_after_responses();
+        self.frontends.mark_dirty(key);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/admin.rs
@@ -0,0 +1,45 @@
+//! Carries events between the admin interface and the owners that it reports on or controls.
+
+use sloewick_decision::api::Micros;
+
+use super::Node;
+use crate::admin::handlers::GaugeSources;
+use crate::engine::DecisionEngine;
+use crate::transport::{ReadyEvent, Transport};
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    pub(super) fn accept_admin_clients(&mut self) {
+        let now = self.io.now();
+        if let Some(server) = &mut self.admin.server {
+            server.accept(&mut self.io.net, now);
+        }
+    }
+
+    /// Handles an event on the connection of an admin client.
+    pub(super) fn admin_client_ready(&mut self, key: usize, event: &ReadyEvent, now: Micros) {
+        let Some(mut server) = self.admin.server.take() else {
+            return;
+        };
+        let mut scratch = std::mem::take(&mut self.io.scratch);
+        let sources = GaugeSources {
+            upstreams: &self.upstreams,
+            engine: &self.engine,
+            unfinished_responses: self.frontends.unfinished_responses(),
+        };
+        let (admin, lifecycle, io) = (&self.admin, &mut self.lifecycle, &mut self.io);
+        server.ready(key, event, now, &mut scratch, |request| {
+            admin.answer(request, now, lifecycle, io, &sources)
+        });
+        self.io.scratch = scratch;
+        self.admin.server = Some(server);
+    }
+
+    /// Saves a snapshot for the next process, if one is due.
+    pub(super) fn save_snapshot(&mut self, now: Micros) {
+        let hot_restart = self.hot_restart.as_mut().filter(|h| h.is_due(now));
+        let Some(hot_restart) = hot_restart.filter(|_| self.lifecycle.saves_snapshots(now)) else {
+            return;
+        };
+        hot_restart.save(now, &mut self.io, &self.engine.decision);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/attempts.rs
@@ -0,0 +1,172 @@
+//! Starts, confirms, abandons and ends attempts: between the request table and the upstream pools.
+
+use sloewick_decision::api::{Event, Micros, RequestId, ServerId, Status};
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::frontend::memcached::MemcachedFrontend;
+use crate::frontend::response::Protocol;
+use crate::request_table::{Attempt, PendingRequest};
+use crate::timers::TimerEvent;
+use crate::transport::Transport;
+use crate::upstream::connection::{EncodedRequest, Exchange};
+use crate::upstream::request::{encode_memcached, encode_resp2, fits_memcached};
+use crate::upstream::response::AttemptResult;
+
+/// Whether an attempt of a request may start at a server of this protocol, with this much time left.
+fn may_start(request: &PendingRequest, protocol: Protocol, wait: Micros) -> bool {
+    let is_over = request.closed || request.attempts_stopped || request.stream.is_some();
+    let is_encodable = protocol == Protocol::Resp2 || fits_memcached(request);
+    !is_over && wait > 0 && is_encodable
+}
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// Starts an attempt of a request. If that is not possible, the attempt ends at once as not sent.
+    pub(super) fn start_attempt(
+        &mut self,
+        id: &RequestId,
+        server: &ServerId,
+        timeout: Option<Micros>,
+        now: Micros,
+    ) {
+        let Some(key) = self.requests.key_of(id) else {
+            return;
+        };
+        // First: polling may bring a list that changes the server's address.
+        let is_connected = self.is_client_connected(self.requests[key].respond_to);
+        let protocol = self.upstreams.protocol(server);
+        let request = &mut self.requests[key];
+        let (attempt, serial) = (request.attempts.len(), request.serial);
+        let remaining = request.deadline - now;
+        // Guards against servers working for nobody: they get this time as the deadline and drop what has expired.
+        let wait = timeout.unwrap_or(remaining).min(remaining);
+        request.attempts.push(Attempt {
+            server: server.clone(),
+            started: now,
+            until: now + wait,
+            connection: None,
+            counted: false,
+        });
+        request.attempts_in_flight += 1;
+        let may_start = may_start(request, protocol, wait);
+        if !is_connected {
+            // Before the outcome, or the decision engine would start another attempt.
+            self.stop_attempts(key);
+        }
+        if !may_start || !is_connected || !self.start_in_ledger(key, attempt, now) {
+            return self.end_attempt(key, attempt, AttemptResult::of(Status::NotSent));
+        }
+        let encoded = self.encode_request(key, protocol, wait);
+        let exchange = Exchange::Attempt {
+            request: key,
+            serial,
+            attempt,
+        };
+        let started = self.with_upstreams(|upstreams, context| {
+            upstreams.start(exchange, server, &encoded, context)
+        });
+        match started {
+            Ok(connection) => {
+                self.requests[key].attempts[attempt].connection = Some(connection);
+                let event = TimerEvent::Attempt {
+                    request: key,
+                    serial,
+                    attempt,
+                };
+                self.timers.set(now + wait, event);
+            }
+            Err(status) => self.end_attempt(key, attempt, AttemptResult::of(status)),
+        }
+    }
+
+    /// Encodes a request for its server.
+    fn encode_request(&mut self, key: usize, protocol: Protocol, wait: Micros) -> EncodedRequest {
+        match protocol {
+            Protocol::Resp2 => encode_resp2(&self.requests[key], wait),
+            Protocol::Memcached => {
+                let frontend = self.frontends.memcached.as_mut();
+                let sequence = frontend.map_or(0, MemcachedFrontend::next_upstream_request);
+                encode_memcached(&self.requests[key], sequence)
+            }
+        }
+    }
+
+    /// Writes the attempts whose connections were established in this round, or abandons them: meanwhile the client may have
+    /// disconnected, the request have ended, the server be draining or have moved. Called when all events of the round have
+    /// been handled.
+    pub(super) fn write_confirmed_attempts(&mut self) {
+        while let Some((connection, exchange)) = self.upstreams.next_established() {
+            let now = self.io.now();
+            let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+                continue;
+            };
+            let is_connected = self.is_client_connected(self.requests[key].respond_to);
+            let request = &self.requests[key];
+            let remaining = request.attempts[attempt].until - now;
+            let server = request.attempts[attempt].server.clone();
+            let is_over =
+                request.closed || request.attempts_stopped || remaining <= 0 || !is_connected;
+            if is_over
+                || !self.upstreams.is_current(connection)
+                || !self
+                    .engine
+                    .decision
+                    .may_start_attempt(now, &request.id, attempt)
+            {
+                self.abandon_attempt(key, attempt, Status::NotSent);
+                continue;
+            }
+            let protocol = self.upstreams.protocol(&server);
+            let encoded = self.encode_request(key, protocol, remaining);
+            self.upstreams.write_confirmed(connection, &encoded);
+        }
+    }
+
+    /// Abandons an attempt in flight, unless its value is being streamed.
+    pub(super) fn abandon_attempt(&mut self, key: usize, attempt: usize, status: Status) {
+        let now = self.io.now();
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let connection = request.attempts.get(attempt).and_then(|a| a.connection);
+        let Some(connection) = connection.filter(|_| !request.streams(attempt)) else {
+            return;
+        };
+        let may_have_run = self.upstreams.abandon(connection, now);
+        // If its last byte was never written, it cannot have run, and the timeout says nothing about the server.
+        let status = if status == Status::Timeout && !may_have_run {
+            Status::NotSent
+        } else {
+            status
+        };
+        self.end_attempt(key, attempt, AttemptResult::of(status));
+    }
+
+    /// Reports the end of an attempt to the decision engine; each attempt ends once.
+    pub(super) fn end_attempt(&mut self, key: usize, attempt: usize, result: AttemptResult) {
+        let now = self.io.now();
+        let request = &mut self.requests[key];
+        let ended = &mut request.attempts[attempt];
+        ended.connection = None;
+        let is_counted = std::mem::take(&mut ended.counted);
+        request.attempts_in_flight -= 1;
+        if is_counted {
+            self.end_in_ledger(key, result.status);
+        }
+        let request = &self.requests[key];
+        let ended = &request.attempts[attempt];
+        let stream = request.stream.filter(|stream| stream.attempt == attempt);
+        let latency = stream.map_or(now - ended.started, |stream| stream.latency);
+        self.engine.push(Event::AttemptEnded {
+            request: request.id.clone(),
+            server: ended.server.clone(),
+            attempt,
+            latency,
+            status: result.status,
+            closed: request.closed,
+            note: result.cache_result,
+            load: result.load,
+        });
+        self.remove_finished(key);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/clients.rs
@@ -0,0 +1,310 @@
+//! Carries requests from the client connections to the request table, and responses back.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use sloewick_codec::memcached;
+use sloewick_codec::resp2::Command;
+use sloewick_decision::api::{Event, Micros, Request, Status};
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::frontend::connection::{ClientInput, ErrorHeader, PendingResponse};
+use crate::frontend::resp2::{encode_pong, parse_command, CommandError, ParsedCommand};
+use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
+use crate::request_table::{NewRequest, ParsedRequest, ResponseAddress};
+use crate::transport::{ReadyEvent, Transport, MAX_READ};
+use crate::upstream::response::AttemptResult;
+
+/// Bytes of a long value that wait for its client; beyond it the server is held back.
+const MAX_STREAMED_BYTES: usize = MAX_READ;
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// Handles an event on a client's connection.
+    pub(super) fn client_ready(&mut self, key: usize, event: &ReadyEvent) {
+        let Some(client) = self.frontends.clients.get_mut(key) else {
+            return;
+        };
+        if event.error && client.has_failed() {
+            return self.drop_client(key);
+        }
+        if event.readable || event.read_closed {
+            client.input_available(event.read_closed, self.freshness.events_since());
+        }
+        self.frontends.mark_dirty(key);
+        self.read_client(key);
+    }
+
+    /// Reads and accepts the requests of a client.
+    pub(super) fn read_client(&mut self, key: usize) {
+        let now = self.io.now();
+        while let Some(client) = self.frontends.clients.get_mut(key) {
+            let budget = &mut self.requests.value_memory;
+            match client.next_input(now, budget, &mut self.io.scratch) {
+                ClientInput::Command(command) => self.handle_command(key, &command, now),
+                ClientInput::Request(request) => self.handle_memcached(key, request, now),
+                ClientInput::Nothing => break,
+                ClientInput::Malformed { reason, respond_to } => {
+                    self.close_with_error(key, reason, respond_to);
+                    break;
+                }
+            }
+        }
+        self.set_disconnect_timer(key);
+        self.close_rejected_client(key, now);
+    }
+
+    /// Whether a request that arrives now is rejected, before anything else is checked: the node is at its limits, its client
+    /// has disconnected, or the node is about to end. Nothing has run, so a retry is harmless.
+    pub(super) fn rejects_requests(&mut self, client: usize, now: Micros) -> bool {
+        let connection = self.frontends.clients.get(client);
+        self.requests.is_full()
+            || now >= self.lifecycle.respond_by()
+            || connection.is_some_and(|connection| connection.is_disconnected(now))
+            || !self.ensure_slot(client, now)
+    }
+
+    /// Closes a client's connection with an error, behind the responses to its earlier requests.
+    pub(super) fn close_with_error(
+        &mut self,
+        key: usize,
+        reason: &str,
+        respond_to: Option<ErrorHeader>,
+    ) {
+        let Some(client) = self.frontends.clients.get_mut(key) else {
+            return;
+        };
+        let mut out = Vec::new();
+        match (client.protocol(), respond_to) {
+            (Protocol::Resp2, _) => {
+                out.extend_from_slice(format!("-ERR protocol: {reason}\r\n").as_bytes());
+            }
+            (Protocol::Memcached, Some(header)) => memcached::write_text_response(
+                &mut out,
+                header.opcode,
+                header.opaque,
+                header.status,
+                reason,
+            ),
+            // No request is recognisable that a response could belong to.
+            (Protocol::Memcached, None) => {}
+        }
+        client.push_response(PendingResponse::Ready(vec![out.into()]));
+        client.close_after_responses();
+        self.frontends.mark_dirty(key);
+    }
+
+    /// Handles a RESP2 command.
+    fn handle_command(&mut self, client: usize, command: &Command, now: Micros) {
+        if let Some(response) = self.respond_or_accept(client, command, now) {
+            self.requests.value_memory.give_back(command.reserved);
+            self.frontends.push_ready(client, vec![response]);
+        }
+    }
+
+    /// The response to a command that is known at once; none: the command was accepted as a request.
+    fn respond_or_accept(
+        &mut self,
+        client: usize,
+        command: &Command,
+        now: Micros,
+    ) -> Option<Bytes> {
+        let words = &command.words;
+        let request = match parse_command(words, &self.engine.names) {
+            Ok(ParsedCommand::Ping(text)) => {
+                return Some(encode_pong(text.as_ref(), self.lifecycle.answers_ping()));
+            }
+            Ok(ParsedCommand::Request(request)) => request,
+            Err(error) => return Some(error.encode()),
+        };
+        if self.requests.key_of(&request.id).is_some() {
+            return Some(CommandError::IdInUse.encode());
+        }
+        if command.dropped || self.rejects_requests(client, now) {
+            self.admin
+                .metrics
+                .count(request.class, &FinalResponse::Busy(0));
+            return Some(Bytes::from_static(b"-BUSY\r\n"));
+        }
+        let parsed = ParsedRequest {
+            protocol: RequestProtocol::Resp2,
+            keyed: None,
+            key: words[1].clone(),
+            fields: words[3].clone(),
+            value: words.get(4).cloned(),
+            reserved: command.reserved,
+        };
+        self.accept_request(client, request, parsed, now);
+        None
+    }
+
+    /// Accepts a request: from now on it is owed one final response.
+    pub(super) fn accept_request(
+        &mut self,
+        client: usize,
+        mut request: Request,
+        parsed: ParsedRequest,
+        now: Micros,
+    ) {
+        // During a shutdown no more time is left than that.
+        let remaining = self.lifecycle.respond_by().saturating_sub(now);
+        request.budget = request.budget.min(remaining);
+        let Some(connection) = self.frontends.clients.get_mut(client) else {
+            return;
+        };
+        let waiting = PendingResponse::Waiting(self.requests.vacant_key());
+        let respond_to = ResponseAddress {
+            client,
+            client_serial: connection.serial,
+            slot: connection.push_response(waiting),
+        };
+        let new = NewRequest {
+            id: request.id.clone(),
+            serial: self.serials.next(),
+            class: request.class,
+            write: request.write,
+            deadline: now + request.budget,
+            respond_to,
+        };
+        self.requests.insert(new, parsed);
+        self.engine.push(Event::Request(request));
+    }
+
+    /// Drops a client that has disconnected, and cancels its requests.
+    pub(super) fn drop_client(&mut self, key: usize) {
+        let Some(mut client) = self.frontends.clients.try_remove(key) else {
+            return;
+        };
+        self.requests.value_memory.give_back(client.reserved());
+        self.cancel_requests(client.cancel_responses());
+    }
+
+    /// Cancels the requests whose responses cannot be given any more.
+    pub(super) fn cancel_requests(&mut self, responses: VecDeque<PendingResponse>) {
+        for response in responses {
+            match response {
+                PendingResponse::Waiting(request) => self.cancel_request(request),
+                PendingResponse::Stream {
+                    request,
+                    connection,
+                    ..
+                } => self.cancel_stream(request, connection),
+                PendingResponse::Ready(_) => {}
+            }
+        }
+    }
+
+    fn cancel_request(&mut self, key: usize) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let id = request.id.clone();
+        self.requests.close(key);
+        self.engine.push(Event::ClientDisconnected(id));
+        self.abandon_unwritten_attempts(key);
+        self.remove_finished(key);
+    }
+
+    /// Cancels a request whose value is being streamed. The decision engine does not cancel such an attempt itself.
+    fn cancel_stream(&mut self, key: usize, connection: usize) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let Some(stream) = request.stream else {
+            return self.cancel_request(key);
+        };
+        self.requests.close(key);
+        let now = self.io.now();
+        self.upstreams.abandon(connection, now);
+        self.end_attempt(key, stream.attempt, AttemptResult::of(Status::Cancelled));
+    }
+
+    /// Serves the clients that were marked in this round: writes their responses and reads their requests.
+    pub(super) fn flush_clients(&mut self) {
+        for key in self.frontends.take_dirty() {
+            let now = self.io.now();
+            let Some(client) = self.frontends.clients.get_mut(key) else {
+                continue;
+            };
+            client.dirty = false;
+            client.queue_ready_responses();
+            if client.flush(now).is_err() {
+                self.drop_client(key);
+                continue;
+            }
+            self.stream_value(key);
+            self.read_client(key);
+            if self.lifecycle.is_closing_clients() {
+                self.close_idle_client(key, now);
+            }
+            let Some(client) = self.frontends.clients.get_mut(key) else {
+                continue;
+            };
+            if client.advance_closing(now) {
+                self.drop_client(key);
+            }
+            // Events of this client are handled before those of the next one.
+            self.handle_events();
+        }
+    }
+
+    /// Writes what has arrived of a long value to its client, no more than the client takes.
+    fn stream_value(&mut self, key: usize) {
+        loop {
+            let Some(client) = self.frontends.clients.get_mut(key) else {
+                return;
+            };
+            let Some(PendingResponse::Stream {
+                connection, header, ..
+            }) = client.responses.front_mut()
+            else {
+                return;
+            };
+            if client.out.len() >= MAX_STREAMED_BYTES {
+                return;
+            }
+            let connection = *connection;
+            if let Some(header) = header.take() {
+                client.out.push(header);
+            }
+            let bytes =
+                self.with_upstreams(|upstreams, context| upstreams.read_value(connection, context));
+            let now = self.io.now();
+            let has_more = bytes.is_some();
+            if let (Some(bytes), Some(client)) = (bytes, self.frontends.clients.get_mut(key)) {
+                client.out.push(bytes);
+            }
+            if !has_more {
+                self.handle_upstream_events();
+            }
+            let Some(client) = self.frontends.clients.get_mut(key) else {
+                return;
+            };
+            client.queue_ready_responses();
+            if client.flush(now).is_err() {
+                return self.drop_client(key);
+            }
+            if !has_more {
+                return;
+            }
+        }
+    }
+
+    /// Closes clients that are stalled or too slow.
+    pub(super) fn sweep_clients(&mut self, now: Micros) {
+        let keys: Vec<usize> = self.frontends.clients.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.close_idle_client(key, now);
+            let Some(client) = self.frontends.clients.get(key) else {
+                continue;
+            };
+            if client.has_stalled(now) {
+                self.drop_client(key);
+            } else if client.is_request_overdue(now) {
+                self.close_with_error(key, "command not finished", None);
+            } else if client.is_lingering() {
+                self.frontends.mark_dirty(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -0,0 +1,81 @@
+//! Carries endpoint lists from discovery to the upstream pools and the decision engine.
+
+use sloewick_decision::api::{EndpointListKind, Event, ServerId, ServerState};
+
+use super::Node;
+use crate::discovery::client::DiscoveryEvent;
+use crate::discovery::endpoints::{start_on_node_clock, EndpointList, ListedEndpoint};
+use crate::engine::DecisionEngine;
+use crate::frontend::response::Protocol;
+use crate::transport::Transport;
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    pub(super) fn handle_discovery(&mut self, event: Option<DiscoveryEvent>) {
+        match event {
+            Some(DiscoveryEvent::List(list)) => self.apply_endpoint_list(list, None),
+            Some(DiscoveryEvent::Failed(error)) => {
+                self.io.log(&format!("list: {error}"));
+                self.engine.push(Event::EndpointListFailed);
+            }
+            None => {}
+        }
+    }
+
+    /// Applies a list; `kind`: none for one that has just come from discovery.
+    pub(super) fn apply_endpoint_list(
+        &mut self,
+        mut list: EndpointList,
+        kind: Option<EndpointListKind>,
+    ) {
+        let now = self.io.now();
+        if kind.is_none() {
+            self.lifecycle.endpoint_list_received();
+        }
+        self.discovery.addresses.apply(&mut list);
+        let kind = kind.unwrap_or(if list.all {
+            EndpointListKind::Full
+        } else {
+            EndpointListKind::Delta
+        });
+        if kind != EndpointListKind::Delta {
+            self.remove_unlisted_servers(&list);
+        }
+        let mut entries = Vec::with_capacity(list.targets.len());
+        for listed in list.targets {
+            self.update_pool(&listed);
+            let process_start = self.io.net.unix_time_at_start();
+            let mut entry = self.engine.names.entry(&listed.entry);
+            entry.started = start_on_node_clock(listed.boot_ms, process_start, now);
+            entries.push(entry);
+        }
+        self.engine.push(Event::EndpointList(kind, entries.into()));
+    }
+
+    fn remove_unlisted_servers(&mut self, list: &EndpointList) {
+        let is_listed = |server: &ServerId| list.targets.iter().any(|t| t.entry.server == *server);
+        let unlisted: Vec<ServerId> = self
+            .upstreams
+            .servers()
+            .filter(|server| !is_listed(server))
+            .cloned()
+            .collect();
+        for server in &unlisted {
+            self.upstreams.remove_server(server);
+        }
+    }
+
+    fn update_pool(&mut self, listed: &ListedEndpoint) {
+        let server = &listed.entry.server;
+        if listed.entry.state == ServerState::Removed {
+            return self.upstreams.remove_server(server);
+        }
+        let memcached = self.frontends.memcached.as_ref();
+        let model = listed.entry.kind.as_deref();
+        let protocol = if memcached.is_some_and(|memcached| memcached.is_memcached_model(model)) {
+            Protocol::Memcached
+        } else {
+            Protocol::Resp2
+        };
+        self.upstreams.add_server(server, listed.address, protocol);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/memcached_requests.rs
@@ -0,0 +1,163 @@
+//! Carries requests of memcached clients to the frontend's routes and ledger, and on to the request table.
+
+use bytes::Bytes;
+use sloewick_codec::memcached::{self, Opcode, Status};
+use sloewick_decision::api::{Micros, Request, Status as AttemptStatus};
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::frontend::memcached::{encode_stat, Admission, MemcachedFrontend, Rejection};
+use crate::frontend::response::{FinalResponse, RequestProtocol};
+use crate::request_table::ParsedRequest;
+use crate::transport::Transport;
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// Handles a request of a memcached client.
+    pub(super) fn handle_memcached(
+        &mut self,
+        client: usize,
+        request: memcached::Request,
+        now: Micros,
+    ) {
+        let reserved = request.reserved;
+        let opaque = request.opaque;
+        let Some(opcode) = Opcode::from_code(request.opcode) else {
+            let mut out = Vec::new();
+            let status = Status::UnknownCommand;
+            memcached::write_status(&mut out, request.opcode, opaque, status);
+            return self.respond_at_once(client, vec![out.into()], reserved);
+        };
+        let protocol = RequestProtocol::Memcached { opcode, opaque };
+        let chunks = match (request.fault, opcode.loud()) {
+            // Rejected before anything else is checked: nothing has run, so a retry is harmless.
+            (Some(Status::OutOfMemory), _) => protocol.encode(&request.key, FinalResponse::Busy(0)),
+            (Some(status), _) => protocol.encode_status(status, None),
+            (None, Opcode::Get | Opcode::GetK | Opcode::Set) => {
+                let key = request.key.clone();
+                match self.accept_memcached(client, opcode, request, now) {
+                    Ok(()) => return,
+                    Err(rejection) => encode_rejection(protocol, &key, rejection),
+                }
+            }
+            (None, Opcode::Noop) => protocol.encode_status(Status::Ok, None),
+            (None, Opcode::Version) => {
+                protocol.encode_status(Status::Ok, Some(env!("CARGO_PKG_VERSION")))
+            }
+            (None, Opcode::Stat) => vec![self.encode_statistics(opcode, opaque, &request.key)],
+            (None, Opcode::Quit) => {
+                let chunks = protocol.encode_status(Status::Ok, None);
+                self.respond_at_once(client, chunks, reserved);
+                if let Some(connection) = self.frontends.clients.get_mut(client) {
+                    connection.close_after_responses();
+                }
+                return;
+            }
+            _ => protocol.encode_status(Status::UnknownCommand, None),
+        };
+        self.respond_at_once(client, chunks, reserved);
+    }
+
+    /// Responds to a request that was not accepted, behind the responses to earlier ones.
+    fn respond_at_once(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
+        self.requests.value_memory.give_back(reserved);
+        self.frontends.push_ready(client, chunks);
+    }
+
+    /// The response to STAT: a few statistics, and none if a group of them is asked for by `name`.
+    fn encode_statistics(&self, opcode: Opcode, opaque: u32, name: &Bytes) -> Bytes {
+        if !name.is_empty() {
+            return encode_stat(opcode, opaque, &[]);
+        }
+        let memcached = self.frontends.memcached.as_ref();
+        let ledger_keys = memcached.map_or(0, MemcachedFrontend::ledger_len);
+        let statistics = [
+            ("version", env!("CARGO_PKG_VERSION").to_string()),
+            ("curr_connections", self.frontends.clients.len().to_string()),
+            ("open_requests", self.requests.len().to_string()),
+            ("ledger_keys", ledger_keys.to_string()),
+        ];
+        encode_stat(opcode, opaque, &statistics)
+    }
+
+    /// Routes a request and accepts it.
+    fn accept_memcached(
+        &mut self,
+        client: usize,
+        opcode: Opcode,
+        request: memcached::Request,
+        now: Micros,
+    ) -> Result<(), Rejection> {
+        let admission = Admission {
+            now,
+            unix_time: self.io.net.unix_time_at_start() + now,
+            is_full: self.rejects_requests(client, now),
+        };
+        let Some(frontend) = &mut self.frontends.memcached else {
+            return Err(Rejection::Answered(FinalResponse::Failed));
+        };
+        let routed = frontend.route(opcode, &request, admission)?;
+        let opaque = request.opaque;
+        let accepted = Request {
+            id: frontend.request_id(self.serials.next(), opaque).into(),
+            class: routed.class,
+            tenant: routed.tenant,
+            retry: routed.is_retry(),
+            key: Some(routed.key),
+            budget: routed.deadline,
+            work: None,
+            size: None,
+            write: routed.write,
+        };
+        let parsed = ParsedRequest {
+            protocol: RequestProtocol::Memcached { opcode, opaque },
+            keyed: routed.keyed,
+            key: request.key,
+            fields: routed.fields.into(),
+            value: routed.write.then_some(request.value),
+            reserved: request.reserved,
+        };
+        self.accept_request(client, accepted, parsed, now);
+        Ok(())
+    }
+
+    /// Counts an attempt of a keyed write in the ledger; false: it must not start.
+    pub(super) fn start_in_ledger(&mut self, key: usize, attempt: usize, now: Micros) -> bool {
+        let request = &mut self.requests[key];
+        let (Some(keyed), Some(frontend)) = (&mut request.keyed, &mut self.frontends.memcached)
+        else {
+            return true;
+        };
+        let may_start = frontend.start_attempt(keyed, now);
+        request.attempts[attempt].counted = may_start;
+        may_start
+    }
+
+    /// An attempt that the ledger has counted has ended.
+    pub(super) fn end_in_ledger(&mut self, key: usize, status: AttemptStatus) {
+        let request = &mut self.requests[key];
+        if let (Some(keyed), Some(frontend)) = (&mut request.keyed, &mut self.frontends.memcached) {
+            frontend.end_attempt(keyed, status);
+        }
+    }
+
+    /// Removes a request that has its final response and no attempt in flight.
+    pub(super) fn remove_finished(&mut self, key: usize) {
+        let Some(keyed) = self.requests.remove_finished(key).and_then(|r| r.keyed) else {
+            return;
+        };
+        let now = self.io.now();
+        if let Some(frontend) = &mut self.frontends.memcached {
+            frontend.end_write(&keyed, now);
+        }
+    }
+}
+
+fn encode_rejection(protocol: RequestProtocol, key: &Bytes, rejection: Rejection) -> Vec<Bytes> {
+    match (rejection.status(), rejection) {
+        (_, Rejection::Answered(response)) => protocol.encode(key, response),
+        (status, rejection) => {
+            let status = status.unwrap_or(Status::InvalidArguments);
+            protocol.encode_status(status, Some(&rejection.to_string()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -0,0 +1,182 @@
+//! Carries outcomes from the upstream pools to the request table, and final responses on to the frontends.
+
+use bytes::Bytes;
+use sloewick_decision::api::{Event, Micros, Status};
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::frontend::connection::{ClientConnection, PendingResponse};
+use crate::frontend::response::FinalResponse;
+use crate::request_table::ValueStream;
+use crate::timers::TimerEvent;
+use crate::transport::Transport;
+use crate::upstream::connection::Exchange;
+use crate::upstream::pool::UpstreamEvent;
+use crate::upstream::response::{final_response, interpret, interpret_probe, AttemptResult};
+use crate::upstream::response_reader::ServerReply;
+
+/// A long value that has begun may go on until its request's deadline, or for the longest deadline, and this much more; after
+/// that it counts as lost. Guards against one that arrives too slowly to ever end.
+const VALUE_TIME_MARGIN: Micros = 500_000;
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// Handles what has happened on upstream connections.
+    pub(super) fn handle_upstream_events(&mut self) {
+        while let Some(event) = self.upstreams.events.pop_front() {
+            match event {
+                UpstreamEvent::Reply(Exchange::Probe { serial }, reply) => {
+                    let result = interpret_probe(&reply);
+                    self.end_probe(serial, result.status, result.load);
+                }
+                UpstreamEvent::Ended(Exchange::Probe { serial }, status) => {
+                    self.end_probe(serial, status, None);
+                }
+                UpstreamEvent::Reply(exchange, reply) => self.attempt_answered(exchange, reply),
+                UpstreamEvent::Ended(exchange, status) => self.attempt_failed(exchange, status),
+                UpstreamEvent::ValueStarted {
+                    exchange,
+                    connection,
+                    len,
+                } => self.start_stream(exchange, connection, len),
+                UpstreamEvent::ValueAvailable(exchange) => {
+                    if let Some((key, _)) = self.requests.find_attempt(exchange) {
+                        let client = self.requests[key].respond_to.client;
+                        self.frontends.mark_dirty(client);
+                    }
+                }
+                UpstreamEvent::ProtocolError(server, error) => {
+                    self.io.log(&format!("server {server}: {error}"));
+                }
+            }
+        }
+    }
+
+    fn attempt_answered(&mut self, exchange: Exchange, reply: ServerReply) {
+        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+            return;
+        };
+        let request = &self.requests[key];
+        let mut result = interpret(&reply, request.write);
+        if request.streams(attempt) {
+            result.status = Status::Ok;
+            self.end_stream(key, true);
+        } else if result.status == Status::Ok && !request.closed {
+            self.respond(key, final_response(reply));
+        }
+        self.end_attempt(key, attempt, result);
+    }
+
+    fn attempt_failed(&mut self, exchange: Exchange, status: Status) {
+        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+            return;
+        };
+        let status = if self.requests[key].streams(attempt) {
+            self.end_stream(key, false);
+            Status::Reset
+        } else {
+            status
+        };
+        self.end_attempt(key, attempt, AttemptResult::of(status));
+    }
+
+    /// Gives the final response.
+    pub(super) fn respond(&mut self, key: usize, response: FinalResponse) {
+        let request = &self.requests[key];
+        self.admin.metrics.count(request.class, &response);
+        let chunks = request.protocol.encode(&request.key, response);
+        self.respond_encoded(key, chunks);
+    }
+
+    /// Gives the final response: no request gets a second one.
+    fn respond_encoded(&mut self, key: usize, chunks: Vec<Bytes>) {
+        self.requests.close(key);
+        let to = self.requests[key].respond_to;
+        self.frontends
+            .set_response(to, PendingResponse::Ready(chunks));
+    }
+
+    /// A long value starts: from now on this attempt gives the response, and the others are cancelled.
+    fn start_stream(&mut self, exchange: Exchange, connection: usize, len: usize) {
+        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+            return;
+        };
+        let now = self.io.now();
+        let longest_deadline = self.requests.longest_deadline;
+        let request = &mut self.requests[key];
+        let streamed = &mut request.attempts[attempt];
+        request.stream = Some(ValueStream {
+            attempt,
+            latency: now - streamed.started,
+        });
+        let until = request.deadline.max(now + longest_deadline) + VALUE_TIME_MARGIN;
+        streamed.until = until;
+        let event = TimerEvent::Attempt {
+            request: key,
+            serial: request.serial,
+            attempt,
+        };
+        self.timers.set(until, event);
+        let header = request.protocol.encode_value_header(&request.key, len);
+        let to = request.respond_to;
+        self.engine.push(Event::ResponseStarted {
+            request: request.id.clone(),
+            attempt,
+        });
+        let attempts = request.attempts.len();
+        for other in (0..attempts).filter(|other| *other != attempt) {
+            self.abandon_attempt(key, other, Status::Cancelled);
+        }
+        let stream = PendingResponse::Stream {
+            request: key,
+            connection,
+            header: Some(header),
+        };
+        self.frontends.set_response(to, stream);
+    }
+
+    /// Ends a long value that is not complete when its time is over.
+    pub(super) fn cut_value(&mut self, key: usize, attempt: usize, now: Micros) {
+        let request = self.requests.get(key);
+        let Some(request) = request.filter(|request| request.streams(attempt)) else {
+            return;
+        };
+        let streamed = &request.attempts[attempt];
+        let Some(connection) = streamed.connection.filter(|_| now >= streamed.until) else {
+            return;
+        };
+        self.upstreams.abandon(connection, now);
+        self.end_stream(key, false);
+        self.end_attempt(key, attempt, AttemptResult::of(Status::Reset));
+    }
+
+    /// A long value is complete, or has broken off. A client that has got a part of it must see that it is incomplete, which
+    /// only the end of the connection can show.
+    fn end_stream(&mut self, key: usize, is_complete: bool) {
+        let request = &self.requests[key];
+        let (to, class, protocol) = (request.respond_to, request.class, request.protocol);
+        let Some(connection) = self.frontends.connection_for(to) else {
+            return self.requests.close(key);
+        };
+        let is_unstarted = matches!(
+            connection.response_mut(to.slot),
+            Some(PendingResponse::Stream {
+                header: Some(_),
+                ..
+            })
+        );
+        if is_complete {
+            // Served; the value itself has been streamed.
+            self.admin.metrics.count(class, &FinalResponse::NoValue);
+            self.respond_encoded(key, protocol.encode_value_trailer());
+        } else if is_unstarted {
+            self.respond(key, FinalResponse::Failed);
+        } else {
+            self.admin.metrics.count(class, &FinalResponse::Failed);
+            self.respond_encoded(key, Vec::new());
+            // Not closed at once: with unread requests that would be a reset, which destroys responses under way.
+            let connection = self.frontends.clients.get_mut(to.client);
+            let responses = connection.map(ClientConnection::cancel_responses);
+            self.cancel_requests(responses.unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -0,0 +1,105 @@
+//! Signals, reload, and the steps of a graceful shutdown.
+
+use sloewick_decision::api::{Micros, Status};
+
+use super::Node;
+use crate::engine::DecisionEngine;
+use crate::lifecycle::Accept;
+use crate::timers::TimerEvent;
+use crate::transport::Transport;
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    pub(super) fn handle_signals(&mut self, now: Micros) {
+        let signals = self.io.net.take_signals();
+        if signals.reload {
+            self.reload();
+        }
+        let longest_deadline = self.requests.longest_deadline;
+        if signals.stop && self.lifecycle.stop(now, longest_deadline) {
+            self.timers
+                .set(self.lifecycle.respond_by(), TimerEvent::FinalResponses);
+            self.io.log("told to stop");
+        }
+    }
+
+    /// Reads the configuration again and applies the address of discovery. All else stays as it was at the start.
+    ///
+    /// Guards against a file that cannot be used: the node goes on with the previous configuration.
+    fn reload(&mut self) {
+        match (self.config_source)() {
+            Ok(config) => {
+                self.io
+                    .log(&format!("reloaded: discovery at {}", config.discovery));
+                let now = self.io.now();
+                self.discovery.client.change_address(config.discovery, now);
+            }
+            Err(error) => self.io.log(&format!("not reloaded: {error}")),
+        }
+    }
+
+    /// The end of a graceful shutdown is near: each open request gets its final response now, so that it is written before.
+    pub(super) fn give_final_responses(&mut self) {
+        for key in self.requests.open_keys() {
+            self.stop_attempts(key);
+            let request = self.requests.get(key);
+            let request = request.filter(|request| request.stream.is_none());
+            let attempts = request.map_or(0, |request| request.attempts.len());
+            for attempt in 0..attempts {
+                self.abandon_attempt(key, attempt, Status::Cancelled);
+            }
+        }
+    }
+
+    /// Advances a graceful shutdown; true when the node has ended.
+    ///
+    /// Connections are accepted for a while, since a load balancer in front goes on sending them; then the accept queues are
+    /// emptied, idle connections are closed and open requests are answered.
+    pub(super) fn is_stopped(&mut self) -> bool {
+        let now = self.io.now();
+        let lifecycle = &self.lifecycle;
+        let listeners = &mut self.frontends.listeners;
+        listeners.retain(|listener| lifecycle.accepts(now, listener.inherited) != Accept::No);
+        let is_last = listeners
+            .iter()
+            .any(|listener| lifecycle.accepts(now, listener.inherited) == Accept::Last);
+        if is_last && !self.close_listeners() {
+            return false;
+        }
+        if self.frontends.listeners.is_empty() {
+            self.lifecycle.listeners_closed();
+        }
+        self.lifecycle
+            .is_over(now, !self.frontends.clients.is_empty())
+    }
+
+    /// Closes each listener whose accept queue is empty; true if all are closed. Each is closed right behind its last accept:
+    /// the system resets connections that are established between the two.
+    fn close_listeners(&mut self) -> bool {
+        for index in (0..self.frontends.listeners.len()).rev() {
+            self.frontends.listeners[index].has_waiting = true;
+            self.accept_from(index);
+            if !self.frontends.listeners[index].has_waiting {
+                self.frontends.listeners.remove(index);
+            }
+        }
+        self.frontends.listeners.is_empty()
+    }
+
+    /// Closes an idle connection, if the node is evacuating or shutting down and it is time for this one.
+    pub(super) fn close_idle_client(&mut self, key: usize, now: Micros) {
+        let Some(client) = self.frontends.clients.get_mut(key) else {
+            return;
+        };
+        let closes = self
+            .lifecycle
+            .closes_idle(now, client.accepted(), client.last_request());
+        if closes && client.is_idle_without_input() {
+            client.close_after_responses();
+            // At once: a request that arrives between the check and the end of sending would not be answered.
+            if client.advance_closing(now) {
+                return self.drop_client(key);
+            }
+            self.frontends.mark_dirty(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/start.rs
@@ -0,0 +1,173 @@
+//! Construction of a node from its configuration.
+
+use std::io;
+
+use sloewick_decision::api::EndpointListKind;
+use sloewick_decision::Balancer;
+
+use super::{ConfigSource, Node, SerialNumbers, SWEEP_INTERVAL};
+use crate::address_table::AddressTable;
+use crate::admin::server::AdminServer;
+use crate::admin::Admin;
+use crate::config::Config;
+use crate::discovery::client::DiscoveryClient;
+use crate::discovery::schedule::PollSchedule;
+use crate::discovery::Discovery;
+use crate::engine::{DecisionEngine, EngineQueue};
+use crate::event_trace::Trace;
+use crate::frontend::acceptor::{DescriptorShares, Listener, PROCESSES_PER_INHERITED_LISTENER};
+use crate::frontend::disconnects::SocketFreshness;
+use crate::frontend::memcached::MemcachedFrontend;
+use crate::frontend::response::Protocol;
+use crate::frontend::Frontends;
+use crate::hot_restart::HotRestart;
+use crate::io::Io;
+use crate::lifecycle::Lifecycle;
+use crate::request_table::RequestTable;
+use crate::timers::{TimerEvent, Timers};
+use crate::tokens::{ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER};
+use crate::transport::Transport;
+use crate::upstream::pool::UpstreamPools;
+use crate::upstream::probes::Probes;
+
+impl<N: Transport> Node<N> {
+    /// A node that listens and knows the endpoint list of its configuration; [`Node::run`] or [`Node::run_once`] serve.
+    ///
+    /// # Errors
+    /// An address cannot be listened on, or the settings contradict each other.
+    pub fn new(config: Config, net: N, source: ConfigSource) -> io::Result<Node<N>> {
+        Node::with_engine(config, net, source, |balancer| balancer)
+    }
+}
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// A node with the decision engine that `wrap` makes of the balancer.
+    ///
+    /// # Errors
+    /// As [`Node::new`].
+    pub fn with_engine(
+        config: Config,
+        mut net: N,
+        source: ConfigSource,
+        wrap: impl FnOnce(Balancer) -> M,
+    ) -> io::Result<Node<N, M>> {
+        let is_inherited = config.accept_fd.is_some();
+        let listeners = open_client_listeners(&config, &mut net)?;
+        let admin_server = open_admin_listener(&config, &mut net)?;
+        let settings = config.settings;
+        let classes = settings.classes.len();
+        let (polls_discovery, connect_timeout) = (settings.poll, settings.connect_timeout);
+        let schedule = PollSchedule::new(polls_discovery, settings.drain_grace, config.phase);
+        let deadlines = settings.classes.iter().map(|class| class.deadline);
+        let longest_deadline = deadlines.max().unwrap_or(0);
+        let processes = processes_per_limit(is_inherited);
+        let memory = config.memory / processes;
+        let requests = RequestTable::new(memory, settings.max_in_flight, longest_deadline);
+        let balancer =
+            Balancer::new(settings, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
+        let decision = wrap(balancer);
+        let shares = DescriptorShares::of(config.sockets, admin_server.is_some());
+        // No two processes of any two nodes may give the same request id.
+        let process = config.seed ^ net.unix_time_at_start() as u64;
+        let hot_restart =
+            is_inherited.then(|| HotRestart::new(config.listen, &config.names, classes));
+        let memcached = config
+            .memcached
+            .map(|file| MemcachedFrontend::new(file, process));
+        let discovery = DiscoveryClient::new(
+            config.discovery,
+            DISCOVERY,
+            !polls_discovery,
+            config.known.rev,
+            schedule,
+        );
+        let mut node = Node {
+            io: Io::new(net),
+            engine: EngineQueue::new(decision, config.names, Trace::new(config.trace)),
+            requests,
+            frontends: Frontends::new(listeners, shares.clients, memcached),
+            upstreams: UpstreamPools::new(
+                shares.upstream / processes,
+                config.server_idle,
+                connect_timeout,
+                config.trace,
+            ),
+            probes: Probes::new(config.probe_load),
+            discovery: Discovery {
+                client: discovery,
+                addresses: AddressTable::default(),
+            },
+            admin: Admin::new(admin_server, classes),
+            lifecycle: Lifecycle::new(is_inherited, !config.known.targets.is_empty()),
+            hot_restart,
+            timers: Timers::default(),
+            freshness: SocketFreshness::default(),
+            serials: SerialNumbers::default(),
+            config_source: source,
+        };
+        node.restore_snapshot();
+        node.apply_endpoint_list(config.known, Some(EndpointListKind::Cached));
+        node.timers.set(SWEEP_INTERVAL, TimerEvent::Sweep);
+        Ok(node)
+    }
+
+    fn restore_snapshot(&mut self) {
+        if let Some(hot_restart) = &self.hot_restart {
+            hot_restart.restore(&mut self.io, &mut self.engine.decision);
+        }
+    }
+}
+
+/// Number of processes that share the limits of the configuration.
+fn processes_per_limit(is_inherited: bool) -> usize {
+    if is_inherited {
+        PROCESSES_PER_INHERITED_LISTENER
+    } else {
+        1
+    }
+}
+
+fn open_client_listeners<N: Transport>(
+    config: &Config,
+    net: &mut N,
+) -> io::Result<Vec<Listener<N::Listener>>> {
+    let socket = match config.accept_fd {
+        Some(fd) => net
+            .inherit(fd, RESP2_LISTENER)
+            .map_err(|e| io::Error::new(e.kind(), format!("inherited descriptor {fd}: {e}")))?,
+        None => net.listen(config.listen, RESP2_LISTENER)?,
+    };
+    let mut listeners = vec![Listener {
+        socket,
+        token: RESP2_LISTENER,
+        inherited: config.accept_fd.is_some(),
+        protocol: Protocol::Resp2,
+        has_waiting: true,
+    }];
+    if let Some(at) = config.memcached.as_ref().and_then(|file| file.listen) {
+        let socket = net
+            .listen(at, MEMCACHED_LISTENER)
+            .map_err(|e| io::Error::new(e.kind(), format!("memcached {at}: {e}")))?;
+        listeners.push(Listener {
+            socket,
+            token: MEMCACHED_LISTENER,
+            inherited: false,
+            protocol: Protocol::Memcached,
+            has_waiting: true,
+        });
+    }
+    Ok(listeners)
+}
+
+fn open_admin_listener<N: Transport>(
+    config: &Config,
+    net: &mut N,
+) -> io::Result<Option<AdminServer<N>>> {
+    let Some(at) = config.ops else {
+        return Ok(None);
+    };
+    let listener = net
+        .listen(at, ADMIN_LISTENER)
+        .map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
+    Ok(Some(AdminServer::new(listener)))
+}
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -1,298 +1,363 @@
-//! Connections from clients: commands come in, answers leave in the order of the commands.
+//! Client connections: requests come in, responses go out in the order of the requests.
+//!
+//! Guarantees: a connection takes no further request while [`MAX_PIPELINED_REQUESTS`] wait for their responses or
+//! [`MAX_UNSENT_BYTES`] wait to be read by the client; a client that neither writes nor reads is closed after a bounded time;
+//! a response is never lost to a reset because unread input was left at the close.
 
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
 use sloewick_decision::api::Micros;
 
-use crate::front::Protocol;
+use crate::frontend::response::Protocol;
 use crate::transport::{fill, ReadOutcome, Stream, WriteQueue};
 use sloewick_codec::memcached::{self, RequestReader};
 use sloewick_codec::resp2::{Budget, Command, CommandReader};
 
-/// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
-const PIPELINE_MOST: usize = 128;
-/// Answers that a client has not read; beyond it no more of its commands are taken.
-const UNSENT_MOST: usize = 256 << 10;
-/// A client may take 2 s to write a command, and one that will not is owed an error within 3 s of connecting.
-const WRITING_MOST: Micros = 2_500_000;
-/// So is one that says nothing; a connection may be closed when it has had no request for 2 s.
-const SILENT_MOST: Micros = 2_500_000;
-/// A client that reads nothing of what waits for it for so long has stalled for good. It follows from no setting: the time
-/// of its requests is over by their own deadlines, and this bounds the memory that their answers hold.
-const READING_MOST: Micros = 10_000_000;
-/// How long the end of a client's bytes is taken for that of its sending alone: what came with it is sent, also where a
-/// connection has to be opened first. What waits then is not sent on any more: 0.1 s after a client has closed nothing may
-/// be, and a starved node knows of it late and is slow in sending.
-pub const HALF_CLOSED_MOST: Micros = 20_000;
-/// After the end of sending, how long the client's last bytes are read and thrown away: closing with unread
-/// input would send a reset, which can destroy the answer that is under way.
-const LINGER: Micros = 1_000_000;
-
-/// What stands for a command until its answer has gone out.
-pub enum Slot {
-    /// The request (its place) is being served.
+/// Requests of one connection that may wait for their responses; more stay in the kernel.
+const MAX_PIPELINED_REQUESTS: usize = 128;
+/// Bytes of responses that a client has not read; beyond it no more of its requests are taken.
+const MAX_UNSENT_BYTES: usize = 256 << 10;
+/// A client may take 2 s to write a request; one that does not finish gets an error within 3 s of connecting.
+const MAX_REQUEST_TIME: Micros = 2_500_000;
+/// The same for a client that writes nothing; a connection may be closed when it has had no request for 2 s.
+const MAX_SILENT_TIME: Micros = 2_500_000;
+/// A client that reads none of its responses for so long counts as stalled. It follows from no setting: the time of its
+/// requests is bounded by their own deadlines, and this bounds how long their responses hold memory.
+const MAX_STALLED_TIME: Micros = 10_000_000;
+/// How long the end of a client's input is taken for a half-close: requests that came before it are forwarded, also if a
+/// connection has to be opened first. What still waits then is not forwarded any more. 0.1 s after a client has closed,
+/// nothing may be forwarded for it, and a node without enough CPU time notices late and sends slowly.
+pub(crate) const MAX_HALF_CLOSED_TIME: Micros = 20_000;
+/// How long input is read and discarded after the end of sending: closing with unread input would send a reset, which can
+/// destroy the response under way.
+const MAX_LINGER: Micros = 1_000_000;
+
+/// The response to a request, until it has been queued for writing.
+pub(crate) enum PendingResponse {
+    /// The request with this key is being served.
     Waiting(usize),
-    ReadyEvent(Vec<Bytes>),
-    /// A long value passes through from an upstream connection; its first line, until that is written.
+    /// The response is known.
+    Ready(Vec<Bytes>),
+    /// A long value is streamed from an upstream connection; its header, until that has been queued.
     Stream {
         request: usize,
-        conn: usize,
-        head: Option<Bytes>,
+        connection: usize,
+        header: Option<Bytes>,
     },
 }
 
 #[derive(Clone, Copy, PartialEq)]
 enum Closing {
     No,
-    /// No more commands are read; the connection ends when all answers are out.
-    AfterAnswers,
-    /// Sending has ended; the rest is read and thrown away until then.
+    /// No more requests are read; the connection ends when all responses are written.
+    AfterResponses,
+    /// Sending has ended; input is discarded until then.
     Lingering(Micros),
 }
 
-/// Cuts what a client sends, in its protocol.
+/// Splits the input into requests, in the protocol of the client.
 enum Reader {
-    Resp(CommandReader),
-    /// With the longest value that is let in.
-    Memcached(RequestReader, usize),
+    Resp2(CommandReader),
+    Memcached {
+        reader: RequestReader,
+        /// Longest value that is accepted, in bytes.
+        max_value: usize,
+    },
+}
+
+/// The header of the response to a malformed memcached request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ErrorHeader {
+    pub(crate) opcode: u8,
+    pub(crate) opaque: u32,
+    pub(crate) status: memcached::Status,
 }
 
-pub struct Client<S> {
-    pub stream: S,
-    pub serial: u64,
+/// The next input of a client.
+pub(crate) enum ClientInput {
+    Command(Command),
+    Request(memcached::Request),
+    /// Nothing complete is there.
+    Nothing,
+    /// The input cannot be parsed any further. `respond_to`: the request that the error belongs to, if one is recognisable.
+    Malformed {
+        reason: &'static str,
+        respond_to: Option<ErrorHeader>,
+    },
+}
+
+/// A client's connection.
+pub(crate) struct ClientConnection<S> {
+    pub(crate) stream: S,
+    pub(crate) serial: u64,
     buf: BytesMut,
     reader: Reader,
-    pub out: WriteQueue,
-    pub slots: VecDeque<Slot>,
-    /// Number of the first slot.
-    base: u64,
-    /// The kernel may hold bytes that were not read yet.
+    pub(crate) out: WriteQueue,
+    pub(crate) responses: VecDeque<PendingResponse>,
+    /// Number of the first of `responses`.
+    first_response: u64,
+    /// The kernel may hold unread input.
     unread: bool,
-    /// The end of the client's bytes is known to be in the kernel; it has been read. The client may still
-    /// wait for answers.
-    closed: bool,
-    ended: bool,
-    /// Since when the end of the client's bytes is known, at the earliest that it can have come.
+    /// The end of the client's input is known to be in the kernel. The client may still wait for responses.
+    input_closed: bool,
+    /// The end of the client's input has been read.
+    input_ended: bool,
+    /// The earliest time at which the known end of the client's input can have come.
     end_since: Option<Micros>,
-    /// Somebody will look again when it has been known for long enough.
-    end_told: bool,
+    /// A timer is set for the end of the client's input.
+    end_reported: bool,
     closing: Closing,
-    /// Since when a command has been half there; since when answers have waited unread; last sign of life.
-    writing_since: Option<Micros>,
+    /// Since when a request has been incomplete.
+    partial_since: Option<Micros>,
+    /// Since when responses have waited without being read.
     stalled_since: Option<Micros>,
-    pub active: Micros,
-    came: Micros,
-    /// When it last gave a whole command.
-    asked: Option<Micros>,
-    /// It has one of the places for clients. Without one it is let in for a refusal.
-    pub placed: bool,
-    /// It is on the list of those to be served in this round.
-    pub dirty: bool,
-}
-
-/// What came of reading from a client.
-pub enum Input {
-    Command(Command),
-    Request(memcached::Request),
-    Nothing,
-    /// What comes can't be read on; the answer to what could still be told apart.
-    DecodeError(&'static str, Option<(u8, u32, memcached::Status)>),
+    /// When a request was last read or a response written.
+    pub(crate) last_active: Micros,
+    accepted: Micros,
+    last_request: Option<Micros>,
+    /// It has one of the slots for clients. Without one its requests are rejected.
+    pub(crate) has_slot: bool,
+    /// It is to be served in this round.
+    pub(crate) dirty: bool,
 }
 
-impl<S: Stream> Client<S> {
-    /// `value_most`: longest value of a memcached client.
-    pub fn new(
+impl<S: Stream> ClientConnection<S> {
+    /// `max_value`: longest value of a memcached client, in bytes.
+    pub(crate) fn new(
         stream: S,
         serial: u64,
         now: Micros,
         protocol: Protocol,
-        value_most: usize,
-    ) -> Client<S> {
+        max_value: usize,
+    ) -> ClientConnection<S> {
         let reader = match protocol {
-            Protocol::Resp => Reader::Resp(CommandReader::default()),
-            Protocol::Memcached => Reader::Memcached(RequestReader::default(), value_most),
+            Protocol::Resp2 => Reader::Resp2(CommandReader::default()),
+            Protocol::Memcached => Reader::Memcached {
+                reader: RequestReader::default(),
+                max_value,
+            },
         };
-        Client {
+        ClientConnection {
             stream,
             serial,
             buf: BytesMut::new(),
             reader,
             out: WriteQueue::default(),
-            slots: VecDeque::new(),
-            base: 0,
+            responses: VecDeque::new(),
+            first_response: 0,
             unread: true,
-            closed: false,
-            ended: false,
+            input_closed: false,
+            input_ended: false,
             end_since: None,
-            end_told: false,
+            end_reported: false,
             closing: Closing::No,
-            writing_since: None,
+            partial_since: None,
             stalled_since: None,
-            active: now,
-            came: now,
-            asked: None,
-            placed: true,
+            last_active: now,
+            accepted: now,
+            last_request: None,
+            has_slot: true,
             dirty: false,
         }
     }
 
-    /// There is something to read; `closed` if the client has ended its sending behind it, at `since` at the earliest.
-    pub fn readable(&mut self, closed: bool, since: Micros) {
+    /// There is input to read; `closed`: the client has ended its sending behind it, at `since` at the earliest.
+    pub(crate) fn input_available(&mut self, closed: bool, since: Micros) {
         self.unread = true;
         if closed {
-            self.ends(since);
+            self.observe_end(since);
         }
     }
 
-    /// The end of the client's bytes is in the kernel, and has come at `since` at the earliest.
-    pub fn ends(&mut self, since: Micros) {
-        self.closed = true;
+    /// The end of the client's input is in the kernel, and has come at `since` at the earliest.
+    pub(crate) fn observe_end(&mut self, since: Micros) {
+        self.input_closed = true;
         self.end_since = Some(self.end_since.map_or(since, |known| known.min(since)));
     }
 
-    /// Whether the end of the client's bytes has become known since this was asked last, and since when it stands.
-    pub fn newly_ended(&mut self) -> Option<Micros> {
-        let since = self.end_since.filter(|_| !self.end_told)?;
-        self.end_told = true;
+    /// The time of the end of the client's input, once, when it has become known.
+    pub(crate) fn take_observed_end(&mut self) -> Option<Micros> {
+        let since = self.end_since.filter(|_| !self.end_reported)?;
+        self.end_reported = true;
         Some(since)
     }
 
-    /// Whether what has not been sent for this client is not to be sent any more: it has closed its connection, or has
-    /// ended its sending and has been waited for long enough. Which of the two shows only when something is written to it.
-    pub fn abandoned(&self, now: Micros) -> bool {
+    /// Whether no attempt may be started for this client any more: it has disconnected, or has half-closed the connection
+    /// for long enough. Which of the two shows only when something is written to it.
+    pub(crate) fn is_disconnected(&self, now: Micros) -> bool {
         self.end_since
-            .is_some_and(|since| now - since >= HALF_CLOSED_MOST)
+            .is_some_and(|since| now - since >= MAX_HALF_CLOSED_TIME)
     }
 
-    /// Its requests that have no answer yet.
-    pub fn waiting(&self) -> Vec<usize> {
-        let waits = |slot: &Slot| match slot {
-            Slot::Waiting(request) => Some(*request),
+    /// The requests of this client that have no response yet.
+    pub(crate) fn waiting_requests(&self) -> Vec<usize> {
+        let waiting = |response: &PendingResponse| match response {
+            PendingResponse::Waiting(request) => Some(*request),
             _ => None,
         };
-        self.slots.iter().filter_map(waits).collect()
+        self.responses.iter().filter_map(waiting).collect()
     }
 
-    /// The next command. Nothing is taken while too much waits: what is not read holds the client back.
-    pub fn next(&mut self, now: Micros, budget: &mut Budget, scratch: &mut [u8]) -> Input {
+    /// Reads the next request. None is taken while too much waits: unread input holds the client back.
+    pub(crate) fn next_input(
+        &mut self,
+        now: Micros,
+        budget: &mut Budget,
+        scratch: &mut [u8],
+    ) -> ClientInput {
         if let Closing::Lingering(_) = self.closing {
-            self.drop_input(scratch);
-            return Input::Nothing;
+            self.discard_input(scratch);
+            return ClientInput::Nothing;
         }
         loop {
-            // Behind a long value that has begun nothing is taken: if it breaks off, the connection must end, and what was
-            // taken behind it could not be answered.
-            let streams = matches!(self.slots.front(), Some(Slot::Stream { head: None, .. }));
-            if self.closing != Closing::No
-                || streams
-                || self.slots.len() >= PIPELINE_MOST
-                || self.out.len() > UNSENT_MOST
-            {
-                return Input::Nothing;
+            if !self.takes_requests() {
+                return ClientInput::Nothing;
             }
-            let input = match &mut self.reader {
-                Reader::Resp(reader) => match reader.next(&mut self.buf, budget) {
-                    Ok(command) => command.map(Input::Command),
-                    Err(broken) => return Input::DecodeError(broken.0, None),
-                },
-                Reader::Memcached(reader, most) => {
-                    match reader.next(&mut self.buf, budget, *most) {
-                        Ok(request) => request.map(Input::Request),
-                        Err(broken) => return Input::DecodeError(broken.why, broken.answer),
-                    }
+            match self.parse(budget) {
+                ClientInput::Nothing => {}
+                malformed @ ClientInput::Malformed { .. } => return malformed,
+                input => {
+                    self.last_active = now;
+                    self.last_request = Some(now);
+                    self.partial_since = None;
+                    return input;
                 }
-            };
-            if let Some(input) = input {
-                self.active = now;
-                self.asked = Some(now);
-                self.writing_since = None;
-                return input;
             }
-            if !self.unread {
+            if !self.unread || !self.read(now, scratch) {
                 break;
             }
-            match fill(&mut self.stream, &mut self.buf, scratch) {
-                ReadOutcome::More => {}
-                // A short read emptied the socket, but of an end behind it there is no second event.
-                ReadOutcome::Some => self.unread = self.closed,
-                ReadOutcome::Empty => {
-                    self.unread = false;
-                    break;
-                }
-                ReadOutcome::Ended | ReadOutcome::Broke => {
-                    (self.unread, self.ended) = (false, true);
-                    self.end_since.get_or_insert(now);
-                    break;
-                }
-            }
         }
         if self.is_mid_message() {
-            self.writing_since.get_or_insert(now);
+            self.partial_since.get_or_insert(now);
         } else {
             // Idle connections hold no buffers.
             self.buf = BytesMut::new();
         }
-        Input::Nothing
+        ClientInput::Nothing
+    }
+
+    fn takes_requests(&self) -> bool {
+        // Nothing is taken behind a long value that is being streamed: if it breaks off, the connection must end, and a
+        // request taken behind it could not be answered.
+        self.closing == Closing::No
+            && !self.is_streaming()
+            && self.responses.len() < MAX_PIPELINED_REQUESTS
+            && self.out.len() <= MAX_UNSENT_BYTES
+    }
+
+    /// Parses what has been read so far.
+    fn parse(&mut self, budget: &mut Budget) -> ClientInput {
+        match &mut self.reader {
+            Reader::Resp2(reader) => match reader.next(&mut self.buf, budget) {
+                Ok(command) => command.map_or(ClientInput::Nothing, ClientInput::Command),
+                Err(error) => ClientInput::Malformed {
+                    reason: error.0,
+                    respond_to: None,
+                },
+            },
+            Reader::Memcached { reader, max_value } => {
+                match reader.next(&mut self.buf, budget, *max_value) {
+                    Ok(request) => request.map_or(ClientInput::Nothing, ClientInput::Request),
+                    Err(error) => ClientInput::Malformed {
+                        reason: error.why,
+                        respond_to: error.answer.map(|(opcode, opaque, status)| ErrorHeader {
+                            opcode,
+                            opaque,
+                            status,
+                        }),
+                    },
+                }
+            }
+        }
+    }
+
+    /// Reads from the socket once; false if there is nothing new to parse.
+    fn read(&mut self, now: Micros, scratch: &mut [u8]) -> bool {
+        match fill(&mut self.stream, &mut self.buf, scratch) {
+            ReadOutcome::More => true,
+            ReadOutcome::Drained => {
+                // A short read emptied the socket, but there is no second event for an end behind it.
+                self.unread = self.input_closed;
+                true
+            }
+            ReadOutcome::Empty => {
+                self.unread = false;
+                false
+            }
+            ReadOutcome::Closed | ReadOutcome::Failed => {
+                (self.unread, self.input_ended) = (false, true);
+                self.end_since.get_or_insert(now);
+                false
+            }
+        }
     }
 
     fn is_mid_message(&self) -> bool {
-        let reading = match &self.reader {
-            Reader::Resp(reader) => reader.is_mid_message(),
-            Reader::Memcached(reader, _) => reader.is_mid_message(),
+        let in_message = match &self.reader {
+            Reader::Resp2(reader) => reader.is_mid_message(),
+            Reader::Memcached { reader, .. } => reader.is_mid_message(),
         };
-        reading || !self.buf.is_empty()
+        in_message || !self.buf.is_empty()
     }
 
-    /// What its unfinished command holds of the budget.
-    pub fn reserved(&self) -> usize {
+    /// Whether the header of a long value has been queued and its end has not.
+    fn is_streaming(&self) -> bool {
+        matches!(
+            self.responses.front(),
+            Some(PendingResponse::Stream { header: None, .. })
+        )
+    }
+
+    /// Bytes of the budget that its incomplete request holds.
+    pub(crate) fn reserved(&self) -> usize {
         match &self.reader {
-            Reader::Resp(reader) => reader.reserved(),
-            Reader::Memcached(reader, _) => reader.reserved(),
+            Reader::Resp2(reader) => reader.reserved(),
+            Reader::Memcached { reader, .. } => reader.reserved(),
         }
     }
 
-    pub fn protocol(&self) -> Protocol {
+    pub(crate) fn protocol(&self) -> Protocol {
         match self.reader {
-            Reader::Resp(_) => Protocol::Resp,
-            Reader::Memcached(..) => Protocol::Memcached,
+            Reader::Resp2(_) => Protocol::Resp2,
+            Reader::Memcached { .. } => Protocol::Memcached,
         }
     }
 
-    /// Guards against both a client that has gone and one that has only ended its sending: the end of its
-    /// bytes looks the same. Until a write shows that nobody is there, its requests are still owed answers.
-    pub fn gone(&self) -> bool {
+    /// Whether the connection has failed. The mere end of the client's input does not show whether the client has
+    /// disconnected or only half-closed the connection: until a write fails, its requests are answered.
+    pub(crate) fn has_failed(&self) -> bool {
         matches!(self.stream.take_error(), Ok(Some(_)) | Err(_))
     }
 
-    /// A new slot's number.
-    pub fn push(&mut self, slot: Slot) -> u64 {
-        self.slots.push_back(slot);
-        self.base + self.slots.len() as u64 - 1
+    /// Appends a response and returns its number.
+    pub(crate) fn push_response(&mut self, response: PendingResponse) -> u64 {
+        self.responses.push_back(response);
+        self.first_response + self.responses.len() as u64 - 1
     }
 
-    pub fn slot(&mut self, number: u64) -> Option<&mut Slot> {
-        self.slots
-            .get_mut(usize::try_from(number.checked_sub(self.base)?).ok()?)
+    /// The response with this number, unless it has been queued for writing.
+    pub(crate) fn response_mut(&mut self, number: u64) -> Option<&mut PendingResponse> {
+        let index = usize::try_from(number.checked_sub(self.first_response)?).ok()?;
+        self.responses.get_mut(index)
     }
 
-    /// Moves answers that are next in order on their way out.
-    pub fn advance(&mut self) {
-        while let Some(Slot::ReadyEvent(chunks)) = self.slots.front_mut() {
-            std::mem::take(chunks)
-                .into_iter()
-                .for_each(|chunk| self.out.push(chunk));
-            self.pop();
+    /// Queues the responses that are next in order and ready.
+    pub(crate) fn queue_ready_responses(&mut self) {
+        while let Some(PendingResponse::Ready(chunks)) = self.responses.front_mut() {
+            for chunk in std::mem::take(chunks) {
+                self.out.push(chunk);
+            }
+            self.responses.pop_front();
+            self.first_response += 1;
         }
     }
 
-    pub fn pop(&mut self) {
-        self.slots.pop_front();
-        self.base += 1;
-    }
-
-    /// Writes; an error means that the client has gone.
-    pub fn flush(&mut self, now: Micros) -> std::io::Result<()> {
+    /// Writes queued bytes.
+    ///
+    /// # Errors
+    /// The client has disconnected.
+    pub(crate) fn flush(&mut self, now: Micros) -> std::io::Result<()> {
         let written = self.out.flush(&mut self.stream)?;
         if self.out.is_empty() {
             self.stalled_since = None;
@@ -300,109 +365,118 @@
             self.stalled_since = Some(now);
         }
         if written > 0 {
-            self.active = now;
+            self.last_active = now;
         }
         Ok(())
     }
 
-    /// Ends the connection once its answers are out.
-    pub fn close_after_answers(&mut self) {
+    /// Closes the connection once its responses are written.
+    pub(crate) fn close_after_responses(&mut self) {
         if self.closing == Closing::No {
-            self.closing = Closing::AfterAnswers;
+            self.closing = Closing::AfterResponses;
         }
     }
 
-    /// Ends the connection behind what is on its way out already: what could not be answered on it any more.
-    pub fn cut(&mut self) -> VecDeque<Slot> {
-        self.base += self.slots.len() as u64;
-        self.close_after_answers();
-        std::mem::take(&mut self.slots)
+    /// Closes the connection behind the bytes that are queued already, and returns the responses that cannot be given on it.
+    pub(crate) fn cancel_responses(&mut self) -> VecDeque<PendingResponse> {
+        self.first_response += self.responses.len() as u64;
+        self.close_after_responses();
+        std::mem::take(&mut self.responses)
+    }
+
+    /// Whether no response is pending and the input read so far holds no part of a request.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.closing == Closing::No
+            && !self.input_ended
+            && self.has_no_output()
+            && !self.is_mid_message()
     }
 
-    /// Nothing is owed to it, and it has not begun a command that this node has seen.
-    pub fn idle(&self) -> bool {
-        self.closing == Closing::No && !self.ended && self.settled() && !self.is_mid_message()
+    /// Whether it is idle and the kernel holds no input either. Prevents closing a connection on which the next request has
+    /// already arrived.
+    pub(crate) fn is_idle_without_input(&self) -> bool {
+        self.is_idle() && self.stream.has_no_input()
     }
 
-    /// Nothing is owed to it, and nothing of it waits in the kernel either. Guards against ending a connection
-    /// on which the next command has come already.
-    pub fn quiet(&self) -> bool {
-        self.idle() && self.stream.quiet()
+    /// Since when a request has been incomplete, unless the connection is closing.
+    pub(crate) fn partial_request_since(&self) -> Option<Micros> {
+        self.partial_since
+            .filter(|_| self.closing == Closing::No && !self.input_ended)
     }
 
-    /// Since when a command has been half there, unless the connection is ending.
-    pub fn half_since(&self) -> Option<Micros> {
-        self.writing_since
-            .filter(|_| self.closing == Closing::No && !self.ended)
+    /// When it was accepted.
+    pub(crate) fn accepted(&self) -> Micros {
+        self.accepted
     }
 
-    /// When it was accepted, and when it last gave a whole command.
-    pub fn times(&self) -> (Micros, Option<Micros>) {
-        (self.came, self.asked)
+    /// When its last complete request was read.
+    pub(crate) fn last_request(&self) -> Option<Micros> {
+        self.last_request
     }
 
-    /// Commands whose answers have not left whole.
-    pub fn owed(&self) -> usize {
-        // A long value that is under way keeps its place until it has gone.
-        let under_way = matches!(self.slots.front(), Some(Slot::Stream { head: None, .. }));
-        self.slots.len() + usize::from(!self.out.is_empty() && !under_way)
+    /// Requests whose responses have not been written completely.
+    pub(crate) fn unfinished_responses(&self) -> usize {
+        // A long value that is being streamed stays in `responses` until it is complete.
+        self.responses.len() + usize::from(!self.out.is_empty() && !self.is_streaming())
     }
 
-    fn settled(&self) -> bool {
-        self.slots.is_empty() && self.out.is_empty()
+    fn has_no_output(&self) -> bool {
+        self.responses.is_empty() && self.out.is_empty()
     }
 
-    /// Goes on with an ending that has begun; true when the connection can be dropped.
-    pub fn finish(&mut self, now: Micros) -> bool {
+    /// Advances the closing of the connection; true when it can be dropped.
+    pub(crate) fn advance_closing(&mut self, now: Micros) -> bool {
         match self.closing {
-            Closing::Lingering(until) => self.ended || now >= until,
-            _ if !self.settled() => false,
-            _ if self.ended => true,
+            Closing::Lingering(until) => self.input_ended || now >= until,
+            _ if !self.has_no_output() => false,
+            _ if self.input_ended => true,
             Closing::No => false,
-            Closing::AfterAnswers => {
-                if self.stream.end().is_err() {
+            Closing::AfterResponses => {
+                if self.stream.shutdown_write().is_err() {
                     return true;
                 }
-                (self.closing, self.unread) = (Closing::Lingering(now + LINGER), true);
+                (self.closing, self.unread) = (Closing::Lingering(now + MAX_LINGER), true);
                 false
             }
         }
     }
 
-    fn drop_input(&mut self, scratch: &mut [u8]) {
+    fn discard_input(&mut self, scratch: &mut [u8]) {
         while self.unread {
             match fill(&mut self.stream, &mut self.buf, scratch) {
-                ReadOutcome::More | ReadOutcome::Some => self.buf.clear(),
+                ReadOutcome::More | ReadOutcome::Drained => self.buf.clear(),
                 ReadOutcome::Empty => self.unread = false,
-                ReadOutcome::Ended | ReadOutcome::Broke => {
-                    (self.unread, self.ended) = (false, true)
+                ReadOutcome::Closed | ReadOutcome::Failed => {
+                    (self.unread, self.input_ended) = (false, true);
                 }
             }
         }
     }
 
-    /// Reads nothing of what it is owed, or has said nothing since it came.
+    /// Whether the client reads none of its responses, or has sent nothing since it connected.
     ///
-    /// Guards against clients that connect by hundreds and say nothing: they would hold descriptors until
-    /// these run short, and usual clients would be turned out with them.
-    /// One whose command waits in the kernel, unread as yet, has said something.
-    pub fn stalled(&self, now: Micros) -> bool {
-        let silent = self.asked.is_none() && now - self.active >= SILENT_MOST && self.quiet();
-        silent
+    /// Guards against clients that connect by the hundreds and send nothing: they would hold descriptors until these run
+    /// out, and others would be closed with them. Input that waits unread in the kernel counts as sent.
+    pub(crate) fn has_stalled(&self, now: Micros) -> bool {
+        let is_silent = self.last_request.is_none()
+            && now - self.last_active >= MAX_SILENT_TIME
+            && self.is_idle_without_input();
+        is_silent
             || self
                 .stalled_since
-                .is_some_and(|since| now - since >= READING_MOST)
+                .is_some_and(|since| now - since >= MAX_STALLED_TIME)
     }
 
-    /// It has taken far too long to write a command, and nothing more of it waits in the kernel.
-    pub fn unfinished(&self, now: Micros) -> bool {
-        let long = self
-            .writing_since
-            .is_some_and(|since| now - since >= WRITING_MOST);
-        self.closing == Closing::No && long && self.stream.quiet()
+    /// Whether the client has taken too long to write a request, and no more of it waits in the kernel.
+    pub(crate) fn is_request_overdue(&self, now: Micros) -> bool {
+        let is_late = self
+            .partial_since
+            .is_some_and(|since| now - since >= MAX_REQUEST_TIME);
+        self.closing == Closing::No && is_late && self.stream.has_no_input()
     }
 
-    pub fn lingering(&self) -> bool {
+    /// Whether sending has ended and only input is being discarded.
+    pub(crate) fn is_lingering(&self) -> bool {
         matches!(self.closing, Closing::Lingering(_))
     }
 }
--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -1,406 +1,282 @@
-//! The memcached side of the node: requests of clients that speak the binary protocol, the ledger of their keyed
-//! writes, and what boxes that speak it are sent.
+//! The frontend for clients of the memcached binary protocol: its routes, and the idempotency ledger of their writes.
+//!
+//! Its state is the ledger and two counters. The ledger guarantees that a write with an idempotency key is not executed again
+//! while cache servers may have forgotten an earlier attempt.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sloewick_codec::memcached::{self, write_request, Opcode, Status, HEADER, MAX_KEY};
-use sloewick_codec::resp2::MAX_ARGUMENT;
-use sloewick_decision::api::{Micros, Request, Status as Ended};
+use sloewick_codec::memcached::{self, Opcode, Status};
+use sloewick_decision::api::{Micros, Status as AttemptStatus};
 use sloewick_memcached::config::File;
 use sloewick_memcached::idempotency_ledger::{Key, Ledger, Verdict};
-use sloewick_memcached::routing::{self, Operation};
+use sloewick_memcached::routing::{self, KeyFrom, Operation, Route};
+use thiserror::Error;
 
-use super::{DecisionEngine, Node, Open, Taken};
-use crate::client::Slot;
-use crate::front::{Asked, Final};
-use crate::transport::Transport;
-use crate::upstream::Written;
+use crate::frontend::response::FinalResponse;
 
-/// What the node holds for it.
-pub(super) struct Memcached {
-    pub(super) file: File,
+/// The state of the memcached frontend.
+pub(crate) struct MemcachedFrontend {
+    config: File,
     ledger: Ledger,
-    /// Begins the ids that this start of the node gives.
-    run: u64,
-    /// Counts what boxes are sent.
-    sent: u16,
+    /// Begins the request ids of this process; no two processes of any nodes share it.
+    process: u64,
+    /// Counts the requests to cache servers of this protocol.
+    upstream_requests: u16,
 }
 
-/// A write that the ledger keeps.
-pub(super) struct Keyed {
+/// A write with an idempotency key.
+pub(crate) struct KeyedWrite {
     key: Key,
-    /// An earlier request of the key may have run.
-    before: bool,
-    /// Attempts of this one that may have run, or are out.
+    /// An earlier request with the same key may have run.
+    earlier_may_have_run: bool,
+    /// Attempts of this request that may have run, or are in flight.
     may_have_run: usize,
     served: bool,
 }
 
-impl Memcached {
-    pub(super) fn new(file: File, run: u64) -> Memcached {
-        let ledger = Ledger::new(file.ledger);
-        Memcached {
-            file,
-            ledger,
-            run,
-            sent: 0,
+/// Why a request is answered without being accepted. The text is that of the response.
+#[derive(Debug, Error)]
+pub(crate) enum Rejection {
+    #[error("the key is not text")]
+    KeyNotText,
+    #[error("no route is set for this key and operation")]
+    NoRoute,
+    #[error("CAS is not kept here; allowed: 0")]
+    CasNotSupported,
+    #[error("flags and expiration are not kept here; allowed: 0")]
+    FlagsNotSupported,
+    /// The value holds no idempotency key where its route expects one.
+    #[error("{0}")]
+    NoIdempotencyKey(String),
+    #[error("the idempotency key's time lies in the future")]
+    FutureIdempotencyKey,
+    /// The response is known without an attempt.
+    #[error("answered without an attempt")]
+    Answered(FinalResponse),
+}
+
+impl Rejection {
+    /// The status of an error response; none where the response is known.
+    pub(crate) fn status(&self) -> Option<Status> {
+        match self {
+            Rejection::KeyNotText
+            | Rejection::NoIdempotencyKey(_)
+            | Rejection::FutureIdempotencyKey => Some(Status::InvalidArguments),
+            Rejection::NoRoute | Rejection::CasNotSupported | Rejection::FlagsNotSupported => {
+                Some(Status::NotSupported)
+            }
+            Rejection::Answered(_) => None,
         }
     }
+}
 
-    /// Whether boxes of a model speak the binary protocol.
-    pub(super) fn speaks(&self, model: Option<&str>) -> bool {
-        model.is_some_and(|model| self.file.models.iter().any(|m| m == model))
-    }
+/// The times at which a request is routed, and whether there is capacity for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Admission {
+    pub(crate) now: Micros,
+    pub(crate) unix_time: Micros,
+    /// No more requests are accepted now.
+    pub(crate) is_full: bool,
 }
 
-/// A request that is answered without being taken.
-enum Refused {
-    Status(Status, &'static str),
-    End(Final),
+/// A request with what its route says about it.
+pub(crate) struct RoutedRequest {
+    pub(crate) key: Arc<str>,
+    pub(crate) class: usize,
+    pub(crate) tenant: Option<usize>,
+    pub(crate) deadline: Micros,
+    /// The field argument for cache servers that speak RESP2.
+    pub(crate) fields: String,
+    pub(crate) keyed: Option<KeyedWrite>,
+    pub(crate) write: bool,
 }
 
-impl<N: Transport, M: DecisionEngine> Node<N, M> {
-    /// Takes up what a memcached client sent.
-    pub(super) fn memcached(&mut self, client: usize, request: memcached::Request, now: Micros) {
-        let reserved = request.reserved;
-        let Some(opcode) = Opcode::from_code(request.opcode) else {
-            let mut out = Vec::new();
-            memcached::write_status(
-                &mut out,
-                request.opcode,
-                request.opaque,
-                Status::UnknownCommand,
-            );
-            return self.say(client, vec![out.into()], reserved);
-        };
-        let opaque = request.opaque;
-        let asked = Asked::Memcached { opcode, opaque };
-        let chunks = match (request.fault, opcode.loud()) {
-            (Some(Status::OutOfMemory), _) => {
-                // Shed before anything is known of it: nothing has run, so trying again is harmless.
-                asked.answer(&request.key, Final::Busy(0))
-            }
-            (Some(status), _) => asked.status(status, None),
-            (None, Opcode::Get | Opcode::GetK | Opcode::Set) => {
-                let key = request.key.clone();
-                match self.route(client, opcode, request, now) {
-                    Ok(()) => return,
-                    Err(Refused::Status(status, why)) => asked.status(status, Some(why)),
-                    Err(Refused::End(end)) => asked.answer(&key, end),
-                }
-            }
-            (None, Opcode::Noop) => asked.status(Status::Ok, None),
-            (None, Opcode::Version) => asked.status(Status::Ok, Some(env!("CARGO_PKG_VERSION"))),
-            (None, Opcode::Stat) => self.stat(opcode, opaque, &request.key),
-            (None, Opcode::Quit) => {
-                self.say(client, asked.status(Status::Ok, None), reserved);
-                if let Some(c) = self.clients.get_mut(client) {
-                    c.close_after_answers();
-                }
-                return;
-            }
-            _ => asked.status(Status::UnknownCommand, None),
-        };
-        self.say(client, chunks, reserved);
+impl RoutedRequest {
+    /// Whether an earlier request with the same idempotency key may have run.
+    pub(crate) fn is_retry(&self) -> bool {
+        let keyed = self.keyed.as_ref();
+        keyed.is_some_and(|keyed| keyed.earlier_may_have_run)
     }
+}
 
-    /// Answers a request that was not taken, in its turn.
-    fn say(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
-        self.budget.give_back(reserved);
-        if let Some(c) = self.clients.get_mut(client) {
-            c.push(Slot::ReadyEvent(chunks));
-            self.mark(client);
+impl MemcachedFrontend {
+    pub(crate) fn new(config: File, process: u64) -> MemcachedFrontend {
+        let ledger = Ledger::new(config.ledger);
+        MemcachedFrontend {
+            config,
+            ledger,
+            process,
+            upstream_requests: 0,
         }
     }
 
-    /// A few statistics; none under any name but the general one.
-    fn stat(&self, opcode: Opcode, opaque: u32, name: &Bytes) -> Vec<Bytes> {
-        let mut out = Vec::new();
-        let mut put = |key: &'static str, value: String| {
-            let (extras, key, value) = (
-                Bytes::new(),
-                Bytes::from_static(key.as_bytes()),
-                value.into(),
-            );
-            let (opcode, status) = (opcode as u8, Status::Ok as u16);
-            memcached::write_response(
-                &mut out,
-                &memcached::Response {
-                    opcode,
-                    status,
-                    opaque,
-                    cas: 0,
-                    extras,
-                    key,
-                    value,
-                },
-            );
-        };
-        if name.is_empty() {
-            put("version", env!("CARGO_PKG_VERSION").to_string());
-            put("curr_connections", self.clients.len().to_string());
-            put("open_requests", self.open.len().to_string());
-            put(
-                "ledger_keys",
-                self.memcached
-                    .as_ref()
-                    .map_or(0, |m| m.ledger.len())
-                    .to_string(),
-            );
-        }
-        // An empty one ends the list.
-        put("", String::new());
-        vec![out.into()]
+    /// Whether cache servers of this model speak the memcached binary protocol.
+    pub(crate) fn is_memcached_model(&self, model: Option<&str>) -> bool {
+        model.is_some_and(|model| self.config.models.iter().any(|m| m == model))
+    }
+
+    /// Longest value that is accepted, in bytes.
+    pub(crate) fn max_value(&self) -> usize {
+        self.config.value_most
+    }
+
+    /// Number of idempotency keys in the ledger.
+    pub(crate) fn ledger_len(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// The id of a request; `serial` is unique within the process.
+    pub(crate) fn request_id(&self, serial: u64, opaque: u32) -> String {
+        format!("m{:x}.{serial:x}-{opaque:08x}", self.process)
+    }
+
+    /// The number of the next request to a cache server of this protocol.
+    pub(crate) fn next_upstream_request(&mut self) -> u16 {
+        self.upstream_requests = self.upstream_requests.wrapping_add(1);
+        self.upstream_requests
     }
 
-    /// Gives a request what its route says and takes it.
-    fn route(
+    /// Routes a request, and reserves its idempotency key in the ledger if it has one.
+    ///
+    /// # Errors
+    /// The request cannot be accepted, or its response is known already.
+    pub(crate) fn route(
         &mut self,
-        client: usize,
         opcode: Opcode,
-        request: memcached::Request,
-        now: Micros,
-    ) -> Result<(), Refused> {
-        let unix = self.net.unix_time_at_start() + now;
-        let full = self.turns_away(client, now);
-        let Some(m) = &mut self.memcached else {
-            return Err(Refused::End(Final::Failed));
-        };
+        request: &memcached::Request,
+        admission: Admission,
+    ) -> Result<RoutedRequest, Rejection> {
         let write = opcode.loud() == Opcode::Set;
         let operation = if write {
             Operation::Set
         } else {
             Operation::Get
         };
-        let bad = |why| Err(Refused::Status(Status::InvalidArguments, why));
-        let Ok(key) = std::str::from_utf8(&request.key).map(Arc::<str>::from) else {
-            return bad("the key is not text");
-        };
-        let Some(route) = m.file.routes.find(operation, &request.key) else {
-            return Err(Refused::Status(
-                Status::NotSupported,
-                "no route is set for this key and operation",
-            ));
-        };
-        if write {
-            // Only a value is kept: what is lost without a word would come back as something else.
-            if request.cas != 0 {
-                return Err(Refused::Status(
-                    Status::NotSupported,
-                    "CAS is not kept here; allowed: 0",
-                ));
-            }
-            if request.extras.iter().any(|b| *b != 0) {
-                let why = "flags and expiration are not kept here; allowed: 0";
-                return Err(Refused::Status(Status::NotSupported, why));
-            }
-        }
-        let idem = match write
-            .then(|| route.key(&request.key, &request.value))
-            .transpose()
-        {
-            Ok(idem) => idem.flatten(),
-            Err(why) => return bad(why),
+        let key = std::str::from_utf8(&request.key).map_err(|_| Rejection::KeyNotText)?;
+        let route = self.config.routes.find(operation, &request.key);
+        let route = route.ok_or(Rejection::NoRoute)?;
+        let idempotency_key = if write {
+            check_set(request)?;
+            let found = route.key(&request.key, &request.value);
+            found.map_err(|why| Rejection::NoIdempotencyKey(why.to_string()))?
+        } else {
+            None
         };
-        if full {
-            return Err(Refused::End(Final::Busy(0)));
-        }
-        let mut keyed = None;
-        if let Some(idem) = &idem {
-            let limits = m.file.ledger;
-            let age = routing::stamp(idem).filter(|_| route.key_from == routing::KeyFrom::Stamp);
-            let age = age.map_or(0, |made| unix - made);
-            if age < -m.file.skew {
-                return bad("the idempotency key's time lies in the future");
-            }
-            let old = age + m.file.skew >= limits.window - limits.margin;
-            keyed = Some(Keyed {
-                key: idem.clone(),
-                before: match m.ledger.ask(now, idem, old) {
-                    Verdict::New => false,
-                    Verdict::Idempotency { .. } => true,
-                    Verdict::Served(receipt) => return Err(Refused::End(Final::Value(receipt))),
-                    Verdict::Unknown => return Err(Refused::End(Final::Failed)),
-                    Verdict::InHand | Verdict::Full => return Err(Refused::End(Final::Busy(0))),
-                },
-                may_have_run: 0,
-                served: false,
-            });
+        if admission.is_full {
+            return Err(Rejection::Answered(FinalResponse::Busy(0)));
         }
-        self.serial += 1;
-        let opaque = request.opaque;
-        let id = format!("m{:x}.{:x}-{opaque:08x}", m.run, self.serial);
-        let mut fields = route.fields.clone() + ",d=0";
-        if let Some(idem) = &idem {
-            fields += &format!(",k={idem}");
-        }
-        let decide = Request {
-            id: id.into(),
+        let mut routed = RoutedRequest {
+            key: key.into(),
             class: route.class,
             tenant: route.tenant,
-            key: Some(key),
-            budget: route.deadline,
-            work: None,
-            size: None,
-            retry: keyed.as_ref().is_some_and(|k| k.before),
+            deadline: route.deadline,
+            fields: route.fields.clone() + ",d=0",
+            keyed: None,
             write,
         };
-        let taken = Taken {
-            asked: Asked::Memcached { opcode, opaque },
-            keyed,
-            key: request.key,
-            fields: fields.into(),
-            value: write.then_some(request.value),
-            reserved: request.reserved,
-        };
-        self.take(client, decide, taken, now);
-        Ok(())
-    }
-
-    /// The number of what is sent to a box now.
-    pub(super) fn count_sent(&mut self) -> u16 {
-        self.memcached.as_mut().map_or(0, |m| {
-            m.sent = m.sent.wrapping_add(1);
-            m.sent
-        })
+        if let Some(key) = idempotency_key {
+            routed.fields += ",k=";
+            routed.fields += &key;
+            routed.keyed = Some(reserve(
+                &mut self.ledger,
+                &self.config,
+                route,
+                key,
+                admission,
+            )?);
+        }
+        Ok(routed)
     }
 
-    // ---- the ledger ----
-
-    /// Counts an attempt of a keyed write as one that may run; false: boxes may have forgotten an earlier one.
-    pub(super) fn may_leave(&mut self, request: usize, attempt: usize, now: Micros) -> bool {
-        let open = &mut self.open[request];
-        let (Some(keyed), Some(m)) = (&mut open.keyed, &mut self.memcached) else {
-            return true;
-        };
-        let may = m.ledger.send(now, &keyed.key);
-        open.attempts[attempt].counted = may;
-        keyed.may_have_run += usize::from(may);
-        may
+    /// Counts an attempt of a keyed write as one that may run; false: it must not start, since cache servers may have
+    /// forgotten an earlier one.
+    pub(crate) fn start_attempt(&mut self, keyed: &mut KeyedWrite, now: Micros) -> bool {
+        let may_start = self.ledger.send(now, &keyed.key);
+        keyed.may_have_run += usize::from(may_start);
+        may_start
     }
 
     /// An attempt that was counted has ended.
-    pub(super) fn settle(&mut self, request: usize, status: Ended) {
-        let (Some(keyed), Some(m)) = (&mut self.open[request].keyed, &mut self.memcached) else {
-            return;
-        };
+    pub(crate) fn end_attempt(&mut self, keyed: &mut KeyedWrite, status: AttemptStatus) {
         if status.never_ran() {
             keyed.may_have_run -= 1;
-            m.ledger
-                .never_ran(&keyed.key, keyed.before || keyed.may_have_run > 0);
+            let others_may_have_run = keyed.earlier_may_have_run || keyed.may_have_run > 0;
+            self.ledger.never_ran(&keyed.key, others_may_have_run);
         }
-        // Known even where the client has had its answer: a repeat is told so.
-        keyed.served |= status == Ended::Ok;
+        // Also if the client has its response already: a duplicate gets the receipt.
+        keyed.served |= status == AttemptStatus::Ok;
     }
 
-    /// A keyed write has ended, with nothing of it out.
-    pub(super) fn written(&mut self, keyed: Keyed) {
-        let now = self.net.now();
-        let Some(m) = &mut self.memcached else { return };
-        m.ledger
-            .ended(now, &keyed.key, keyed.served.then(Bytes::new));
+    /// A keyed write has ended, with no attempt in flight.
+    pub(crate) fn end_write(&mut self, keyed: &KeyedWrite, now: Micros) {
+        let receipt = keyed.served.then(Bytes::new);
+        self.ledger.ended(now, &keyed.key, receipt);
     }
 }
 
-// ---- boxes ----
-
-/// The opaque of what a box is sent. Its upper half counts what this node sends, so that an answer to something earlier
-/// is told apart whatever a client makes of its own opaques (some are always 0). Its lower half is that of the client's
-/// own, or of what is made of the request's id, so that the request can be found in a box's log.
-fn opaque(open: &Open, sent: u16) -> u32 {
-    let lower = match open.asked {
-        Asked::Memcached { opaque, .. } => opaque,
-        Asked::Resp => fnv(open.id.as_bytes()),
-    };
-    u32::from(sent) << 16 | (lower & 0xffff)
+/// Checks that a SET asks for nothing but a value: what would be dropped silently is rejected.
+fn check_set(request: &memcached::Request) -> Result<(), Rejection> {
+    if request.cas != 0 {
+        return Err(Rejection::CasNotSupported);
+    }
+    if request.extras.iter().any(|b| *b != 0) {
+        return Err(Rejection::FlagsNotSupported);
+    }
+    Ok(())
 }
 
-/// FNV-1a of 32 bits.
-pub fn fnv(bytes: &[u8]) -> u32 {
-    bytes.iter().fold(0x811c_9dc5, |hash, byte| {
-        (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
+/// Reserves an idempotency key in the ledger.
+fn reserve(
+    ledger: &mut Ledger,
+    config: &File,
+    route: &Route,
+    key: Key,
+    admission: Admission,
+) -> Result<KeyedWrite, Rejection> {
+    let made = routing::stamp(&key).filter(|_| route.key_from == KeyFrom::Stamp);
+    let age = made.map_or(0, |made| admission.unix_time - made);
+    if age < -config.skew {
+        return Err(Rejection::FutureIdempotencyKey);
+    }
+    let limits = &config.ledger;
+    let is_old = age + config.skew >= limits.window - limits.margin;
+    let earlier_may_have_run = match ledger.ask(admission.now, &key, is_old) {
+        Verdict::New => false,
+        Verdict::Idempotency { .. } => true,
+        Verdict::Served(receipt) => {
+            return Err(Rejection::Answered(FinalResponse::Value(receipt)));
+        }
+        Verdict::Unknown => return Err(Rejection::Answered(FinalResponse::Failed)),
+        Verdict::InHand | Verdict::Full => {
+            return Err(Rejection::Answered(FinalResponse::Busy(0)));
+        }
+    };
+    Ok(KeyedWrite {
+        key,
+        earlier_may_have_run,
+        may_have_run: 0,
+        served: false,
     })
 }
 
-/// Whether a box that speaks the binary protocol can be sent this: its key is short enough, and an idempotency key that
-/// stands before the value does not end early or look like none, which would let a repeat take effect.
-pub(super) fn fits(open: &Open) -> bool {
-    let idem = idempotency_key(open);
-    open.key.len() <= MAX_KEY
-        && idem.is_none_or(|idem| !idem.is_empty() && idem != b"-" && !idem.contains(&b':'))
-}
-
-fn idempotency_key(open: &Open) -> Option<&[u8]> {
-    open.fields
-        .split(|b| *b == b',')
-        .find_map(|field| field.strip_prefix(b"k="))
-}
-
-/// The request as a box that speaks the binary protocol gets it. A write's value goes behind its idempotency key (a
-/// hyphen where it has none) and a colon: the protocol has no field for it, and the box must have it to drop repeats.
-pub(super) fn forwarded(open: &Open, sent: u16) -> Written {
-    let opaque = opaque(open, sent);
-    let Some(value) = &open.value else {
-        let opcode = Opcode::Get as u8;
-        let mut out = Vec::with_capacity(HEADER + open.key.len());
-        let key = open.key.clone();
-        write_request(
+/// The statistics for STAT: pairs of a name and a value.
+pub(crate) fn encode_stat(opcode: Opcode, opaque: u32, statistics: &[(&str, String)]) -> Bytes {
+    let mut out = Vec::new();
+    let end_of_list = ("", String::new());
+    for (name, value) in statistics.iter().chain(std::iter::once(&end_of_list)) {
+        memcached::write_response(
             &mut out,
-            &memcached::Request {
-                opcode,
+            &memcached::Response {
+                opcode: opcode as u8,
+                status: Status::Ok as u16,
                 opaque,
-                key,
-                ..memcached::Request::default()
+                cas: 0,
+                extras: Bytes::new(),
+                key: Bytes::copy_from_slice(name.as_bytes()),
+                value: value.clone().into(),
             },
         );
-        return Written {
-            chunks: vec![out.into()],
-            tag: (opcode, opaque),
-        };
-    };
-    let idem = idempotency_key(open).unwrap_or(b"-");
-    let opcode = Opcode::Set as u8;
-    let request = memcached::Request {
-        opcode,
-        opaque,
-        extras: Bytes::from_static(&[0; 8]),
-        key: open.key.clone(),
-        ..memcached::Request::default()
-    };
-    let mut out = Vec::with_capacity(HEADER + 8 + open.key.len() + idem.len() + 1);
-    let more = idem.len() + 1 + value.len();
-    memcached::write_request_header(&mut out, &request, more);
-    out.extend_from_slice(idem);
-    out.push(b':');
-    let mut chunks = vec![Bytes::from(out)];
-    if value.len() <= MAX_ARGUMENT {
-        let mut whole = Vec::from(std::mem::take(&mut chunks[0]));
-        whole.extend_from_slice(value);
-        chunks[0] = whole.into();
-    } else {
-        chunks.push(value.clone());
-    }
-    Written {
-        chunks,
-        tag: (opcode, opaque),
-    }
-}
-
-/// A sign of life.
-pub(super) fn probe(serial: u64) -> Written {
-    let (opcode, opaque) = (Opcode::Noop as u8, serial as u32);
-    let mut out = Vec::new();
-    write_request(
-        &mut out,
-        &memcached::Request {
-            opcode,
-            opaque,
-            ..memcached::Request::default()
-        },
-    );
-    Written {
-        chunks: vec![out.into()],
-        tag: (opcode, opaque),
     }
+    out.into()
 }
