--- a/crates/node/src/frontend/response.rs
+++ b/crates/node/src/frontend/response.rs
@@ -1,100 +1,122 @@
-//! What a client's protocol makes of a final answer. The node decides what the answer is; here it is worded.
+//! Encodes final responses in the protocol of the client: RESP2, or the memcached binary protocol.
+//!
+//! Which response a request gets is decided elsewhere; this module has no state.
 
 use bytes::Bytes;
 use sloewick_codec::memcached::{self, Opcode, Response, Status};
 use sloewick_codec::resp2::{write_bulk, write_header, MAX_ARGUMENT};
 use sloewick_decision::api::Micros;
 
-/// The protocol that a peer speaks.
+/// The protocol spoken on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Protocol {
-    Resp,
+pub(crate) enum Protocol {
+    Resp2,
     Memcached,
 }
 
-/// What is kept of a request for wording its answer.
+/// The protocol of a request, with what its response repeats of it.
 #[derive(Clone, Copy, Debug)]
-pub enum Asked {
-    Resp,
+pub(crate) enum RequestProtocol {
+    Resp2,
     Memcached { opcode: Opcode, opaque: u32 },
 }
 
-/// A final answer.
+/// The one final response of a request.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Final {
-    /// The value, or a write's receipt.
+pub(crate) enum FinalResponse {
+    /// The value, or the receipt of a write.
     Value(Bytes),
-    /// Served: there is no value of this key.
+    /// Served; the key has no value.
     NoValue,
-    /// Refused; when to come back (0: no advice).
+    /// Rejected, with the time after which to retry (0: no advice).
     Busy(Micros),
+    /// Failed; a write may have taken effect.
     Failed,
 }
 
-/// Items carry no flags here: a read-through box makes its values itself.
+/// Values carry no flags here: read-through cache servers make their values themselves.
 const NO_FLAGS: &[u8] = &[0; 4];
 
 fn bytes(text: &'static str) -> Bytes {
     Bytes::from_static(text.as_bytes())
 }
 
-impl Asked {
-    /// The answer's bytes; nothing where the protocol has the client hear nothing.
-    pub fn answer(self, key: &Bytes, end: Final) -> Vec<Bytes> {
-        match (self, end) {
-            (Asked::Resp, Final::Value(value)) if value.len() <= MAX_ARGUMENT => {
+impl RequestProtocol {
+    /// The bytes of a response; none where the protocol suppresses it (the quiet memcached opcodes).
+    pub(crate) fn encode(self, key: &Bytes, response: FinalResponse) -> Vec<Bytes> {
+        match self {
+            RequestProtocol::Resp2 => self.encode_resp2(key, response),
+            RequestProtocol::Memcached { opcode, opaque } => {
+                self.encode_memcached(opcode, opaque, key, response)
+            }
+        }
+    }
+
+    fn encode_resp2(self, key: &Bytes, response: FinalResponse) -> Vec<Bytes> {
+        match response {
+            FinalResponse::Value(value) if value.len() <= MAX_ARGUMENT => {
                 let mut out = Vec::with_capacity(16 + value.len());
                 write_bulk(&mut out, &value);
                 vec![out.into()]
             }
-            (Asked::Resp, Final::Value(value)) => {
-                vec![self.head(key, value.len()), value, bytes("\r\n")]
+            FinalResponse::Value(value) => {
+                vec![
+                    self.encode_value_header(key, value.len()),
+                    value,
+                    bytes("\r\n"),
+                ]
             }
-            (Asked::Resp, Final::NoValue) => vec![bytes("$-1\r\n")],
-            (Asked::Resp, Final::Busy(retry_after)) => vec![match millis(retry_after) {
+            FinalResponse::NoValue => vec![bytes("$-1\r\n")],
+            FinalResponse::Busy(retry_after) => vec![match millis_rounded_up(retry_after) {
                 0 => bytes("-BUSY\r\n"),
                 ms => format!("-BUSY {ms}\r\n").into(),
             }],
-            (Asked::Resp, Final::Failed) => vec![bytes("-ERR failed\r\n")],
-            (Asked::Memcached { opcode, opaque }, Final::Value(value)) => {
-                if opcode.silent_on(Status::Ok) {
-                    Vec::new()
-                } else if !reads(opcode) {
-                    let mut out = Vec::new();
-                    memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
-                    vec![out.into()]
-                } else if value.len() <= MAX_ARGUMENT {
-                    let mut out =
-                        Vec::with_capacity(memcached::HEADER + 4 + key.len() + value.len());
-                    memcached::write_response_header(
-                        &mut out,
-                        &read_head(opcode, opaque, key),
-                        value.len(),
-                    );
-                    out.extend_from_slice(&value);
-                    vec![out.into()]
-                } else {
-                    vec![self.head(key, value.len()), value]
-                }
+            FinalResponse::Failed => vec![bytes("-ERR failed\r\n")],
+        }
+    }
+
+    fn encode_memcached(
+        self,
+        opcode: Opcode,
+        opaque: u32,
+        key: &Bytes,
+        response: FinalResponse,
+    ) -> Vec<Bytes> {
+        match response {
+            FinalResponse::Value(_) if opcode.silent_on(Status::Ok) => Vec::new(),
+            FinalResponse::Value(_) if !is_read(opcode) => {
+                let mut out = Vec::new();
+                memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
+                vec![out.into()]
+            }
+            FinalResponse::Value(value) if value.len() <= MAX_ARGUMENT => {
+                let header = read_response_header(opcode, opaque, key);
+                let mut out = Vec::with_capacity(memcached::HEADER + 4 + key.len() + value.len());
+                memcached::write_response_header(&mut out, &header, value.len());
+                out.extend_from_slice(&value);
+                vec![out.into()]
+            }
+            FinalResponse::Value(value) => {
+                vec![self.encode_value_header(key, value.len()), value]
             }
-            (Asked::Memcached { .. }, Final::NoValue) => self.status(Status::KeyNotFound, None),
-            (Asked::Memcached { .. }, Final::Busy(retry_after)) => match millis(retry_after) {
-                0 => self.status(Status::Busy, Some("busy; nothing has run; try again")),
-                ms => self.status(
+            FinalResponse::NoValue => self.encode_status(Status::KeyNotFound, None),
+            FinalResponse::Busy(retry_after) => match millis_rounded_up(retry_after) {
+                0 => self.encode_status(Status::Busy, Some("busy; nothing has run; try again")),
+                ms => self.encode_status(
                     Status::Busy,
                     Some(&format!("busy; nothing has run; try again after {ms} ms")),
                 ),
             },
-            (Asked::Memcached { .. }, Final::Failed) => self.status(
+            FinalResponse::Failed => self.encode_status(
                 Status::InternalError,
                 Some("failed; a write may have taken effect"),
             ),
         }
     }
 
-    /// A memcached status with its own text, or another one.
-    pub fn status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
-        let Asked::Memcached { opcode, opaque } = self else {
+    /// A memcached status with `text`, or with the usual text of the status. Nothing in RESP2.
+    pub(crate) fn encode_status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
+        let RequestProtocol::Memcached { opcode, opaque } = self else {
             return Vec::new();
         };
         if opcode.silent_on(status) {
@@ -111,50 +133,50 @@
         vec![out.into()]
     }
 
-    /// What precedes a long value.
-    pub fn head(self, key: &Bytes, len: usize) -> Bytes {
+    /// What precedes a value of `len` bytes that is streamed.
+    pub(crate) fn encode_value_header(self, key: &Bytes, len: usize) -> Bytes {
         let mut out = Vec::new();
         match self {
-            Asked::Resp => write_header(&mut out, b'$', len),
-            Asked::Memcached { opcode, opaque } => {
-                memcached::write_response_header(&mut out, &read_head(opcode, opaque, key), len);
+            RequestProtocol::Resp2 => write_header(&mut out, b'$', len),
+            RequestProtocol::Memcached { opcode, opaque } => {
+                let header = read_response_header(opcode, opaque, key);
+                memcached::write_response_header(&mut out, &header, len);
             }
         }
         out.into()
     }
 
-    /// What follows a long value.
-    pub fn tail(self) -> Vec<Bytes> {
+    /// What follows a value that was streamed.
+    pub(crate) fn encode_value_trailer(self) -> Vec<Bytes> {
         match self {
-            Asked::Resp => vec![bytes("\r\n")],
-            Asked::Memcached { .. } => Vec::new(),
+            RequestProtocol::Resp2 => vec![bytes("\r\n")],
+            RequestProtocol::Memcached { .. } => Vec::new(),
         }
     }
 }
 
-fn millis(time: Micros) -> Micros {
+fn millis_rounded_up(time: Micros) -> Micros {
     (time.max(0) + 999) / 1000
 }
 
-fn reads(opcode: Opcode) -> bool {
+fn is_read(opcode: Opcode) -> bool {
     matches!(opcode.loud(), Opcode::Get | Opcode::GetK)
 }
 
-fn read_head(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
+fn read_response_header(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
     let key = if opcode.loud() == Opcode::GetK {
         key.clone()
     } else {
         Bytes::new()
     };
-    let (extras, value) = (Bytes::from_static(NO_FLAGS), Bytes::new());
     Response {
         opcode: opcode as u8,
         status: Status::Ok as u16,
         opaque,
         cas: 0,
-        extras,
+        extras: Bytes::from_static(NO_FLAGS),
         key,
-        value,
+        value: Bytes::new(),
     }
 }
 
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -1,105 +1,131 @@
-//! What a process tells the next one of its node, where the two share the clients' socket: once a second the
-//! module's memory is kept as a snapshot, and a new process takes up the last one before it serves.
+//! Hot restart: how the next process of a node takes over the state of this one, where two share the clients' listener.
+//!
+//! Once a second the decision module's checkpoint is saved as a snapshot, and a new process restores the last one before it
+//! serves. A snapshot that is too old, of another node or not readable is not restored.
 
 use std::net::SocketAddr;
 
 use sloewick_decision::api::Micros;
 use sloewick_decision::settings::Names;
 use sloewick_decision::Checkpoint;
-use sloewick_snapshot::{open, seal, Expected};
+use sloewick_snapshot::{open, seal, Expected, SnapshotError};
+use thiserror::Error;
 
-use super::{DecisionEngine, Node};
+use crate::engine::DecisionEngine;
+use crate::io::Io;
 use crate::transport::{SnapshotSave, Transport};
 
-/// Version of what is kept. It changes with [`Checkpoint`] and with the meaning of anything in it.
+/// Version of the snapshot's content. It changes with [`Checkpoint`] and with the meaning of anything in it.
 const VERSION: u16 = 1;
-/// How often it is kept.
-const EVERY: Micros = 1_000_000;
-/// The oldest that is believed: what a process that was killed has left serves its successor a moment later,
-/// not one that starts after a pause.
-const AGE_MOST: Micros = 10_000_000;
+/// How often a snapshot is saved.
+const SAVE_INTERVAL: Micros = 1_000_000;
+/// The oldest snapshot that is restored: that of a process that was killed serves a successor that starts a moment later, not
+/// one that starts after a pause.
+const MAX_AGE: Micros = 10_000_000;
 
-/// See the module.
-pub(super) struct Handover {
+/// Why a snapshot is not restored. The text is that of the log line.
+#[derive(Debug, Error)]
+enum RestoreError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Snapshot(SnapshotError),
+    #[error("cannot be read: {0}")]
+    Malformed(#[from] postcard::Error),
+    #[error("holds what no node remembers")]
+    Invalid,
+}
+
+/// Saves and restores snapshots.
+pub(crate) struct HotRestart {
+    /// Identifies the node whose snapshots are restored.
     owner: String,
-    next: Micros,
+    next_save: Micros,
 }
 
-impl Handover {
-    pub(super) fn new(listen: SocketAddr, names: &Names, classes: usize) -> Handover {
+impl HotRestart {
+    /// For a node that listens at `listen` and serves the first `classes` classes of `names`.
+    pub(crate) fn new(listen: SocketAddr, names: &Names, classes: usize) -> HotRestart {
         let classes: Vec<&str> = (0..classes).map(|class| names.class_name(class)).collect();
-        Handover {
+        HotRestart {
             owner: format!("node {listen} classes {}", classes.join(" ")),
-            next: EVERY,
+            next_save: SAVE_INTERVAL,
         }
     }
-}
 
-/// The memory in a snapshot and its age, or why it is not to be believed.
-fn unpack(owner: &str, unix: Micros, snapshot: &[u8]) -> Result<(Checkpoint, Micros), String> {
-    let expected = Expected {
-        owner,
-        version: VERSION,
-        age_most: AGE_MOST,
-    };
-    let (payload, age) = open(&expected, unix, snapshot).map_err(|refused| refused.to_string())?;
-    let memory: Checkpoint =
-        postcard::from_bytes(payload).map_err(|e| format!("cannot be read: {e}"))?;
-    let memory = memory.checked().ok_or("holds what no node remembers")?;
-    Ok((memory, age))
-}
-
-impl<N: Transport, M: DecisionEngine> Node<N, M> {
-    /// Takes up what the process before this one knew, if that is there and to be believed.
-    pub(super) fn take_over(&mut self) {
-        let Some(handover) = &self.handover else {
-            return;
-        };
-        let now = self.net.now();
-        let unix = self.net.unix_time_at_start() + now;
-        let told = match self.net.kept() {
+    /// Restores the checkpoint of the previous process, if there is one that is valid.
+    pub(crate) fn restore<N: Transport, M: DecisionEngine>(
+        &self,
+        io: &mut Io<N>,
+        decision: &mut M,
+    ) {
+        let now = io.net.now();
+        let unix_time = io.net.unix_time_at_start() + now;
+        let restored = match io.net.load_snapshot() {
             Ok(None) => return,
-            Ok(Some(snapshot)) => unpack(&handover.owner, unix, &snapshot),
-            Err(e) => Err(e.to_string()),
+            Ok(Some(snapshot)) => unpack(&self.owner, unix_time, &snapshot),
+            Err(e) => Err(e.into()),
         };
-        let line = match told {
-            Ok((memory, age)) => {
-                let (servers, window) = memory.size();
-                self.module.restore(now, age, memory);
+        let line = match restored {
+            Ok(AgedCheckpoint { checkpoint, age }) => {
+                let (servers, positions) = checkpoint.size();
+                decision.restore(now, age, checkpoint);
                 let ms = age / 1000;
-                format!("handover: {servers} servers, {window} positions, {ms} ms old")
+                format!("handover: {servers} servers, {positions} positions, {ms} ms old")
             }
             Err(why) => format!("handover: not taken up: {why}"),
         };
-        self.log.line(&mut self.net, &line);
+        io.log(&line);
     }
 
-    /// Keeps what the next process needs, when it is time and there is something to tell.
-    pub(super) fn hand_over(&mut self, now: Micros) {
-        let Some(handover) = self.handover.as_mut().filter(|h| now >= h.next) else {
-            return;
-        };
-        if !self.life.tells(now) {
-            return;
-        }
-        handover.next = now + EVERY;
-        let Some(memory) = self.module.checkpoint(now) else {
+    /// Whether the next snapshot is due.
+    pub(crate) fn is_due(&self, now: Micros) -> bool {
+        now >= self.next_save
+    }
+
+    /// Saves a snapshot of the engine's checkpoint, if it has one.
+    pub(crate) fn save<N: Transport, M: DecisionEngine>(
+        &mut self,
+        now: Micros,
+        io: &mut Io<N>,
+        decision: &M,
+    ) {
+        self.next_save = now + SAVE_INTERVAL;
+        let Some(checkpoint) = decision.checkpoint(now) else {
             return;
         };
-        let Ok(payload) = postcard::to_stdvec(&memory) else {
+        let Ok(payload) = postcard::to_stdvec(&checkpoint) else {
             return;
         };
-        let unix = self.net.unix_time_at_start() + now;
-        let Some(snapshot) = seal(&handover.owner, VERSION, unix, &payload) else {
+        let unix_time = io.net.unix_time_at_start() + now;
+        let Some(snapshot) = seal(&self.owner, VERSION, unix_time, &payload) else {
             return;
         };
-        if let SnapshotSave::Failed(why) = self.net.keep(snapshot) {
-            self.log
-                .line(&mut self.net, &format!("handover: not kept: {why}"));
+        if let SnapshotSave::Failed(why) = io.net.save_snapshot(snapshot) {
+            io.log(&format!("handover: not kept: {why}"));
         }
     }
 }
 
+#[derive(Debug, PartialEq)]
+struct AgedCheckpoint {
+    checkpoint: Checkpoint,
+    age: Micros,
+}
+
+/// The checkpoint in a snapshot and its age at `unix_time`.
+fn unpack(owner: &str, unix_time: Micros, snapshot: &[u8]) -> Result<AgedCheckpoint, RestoreError> {
+    let expected = Expected {
+        owner,
+        version: VERSION,
+        age_most: MAX_AGE,
+    };
+    let (payload, age) = open(&expected, unix_time, snapshot).map_err(RestoreError::Snapshot)?;
+    let checkpoint: Checkpoint = postcard::from_bytes(payload)?;
+    let checkpoint = checkpoint.checked().ok_or(RestoreError::Invalid)?;
+    Ok(AgedCheckpoint { checkpoint, age })
+}
+
 #[cfg(test)]
 #[path = "hot_restart_tests.rs"]
 mod tests;
--- a/crates/node/src/hot_restart_tests.rs
+++ b/crates/node/src/hot_restart_tests.rs
@@ -1,22 +1,27 @@
 use super::*;
 
-fn sealed(memory: &Checkpoint) -> Vec<u8> {
-    seal("me", VERSION, 0, &postcard::to_stdvec(memory).unwrap()).unwrap()
+fn sealed(checkpoint: &Checkpoint) -> Vec<u8> {
+    let payload = postcard::to_stdvec(checkpoint).unwrap();
+    seal("me", VERSION, 0, &payload).unwrap()
 }
 
 #[test]
-fn a_whole_snapshot_that_no_node_can_have_kept_is_refused() {
-    let none = Checkpoint::default();
-    assert_eq!(unpack("me", 5, &sealed(&none)), Ok((none.clone(), 5)));
-    let mut text = serde_json::to_value(&none).unwrap();
-    text["late"] = 2.0.into();
-    let spoilt = serde_json::from_value(text).unwrap();
+fn intact_snapshot_with_impossible_content_is_not_restored() {
+    let empty = Checkpoint::default();
+    let restored = unpack("me", 5, &sealed(&empty)).unwrap();
     assert_eq!(
-        unpack("me", 5, &sealed(&spoilt)),
-        Err("holds what no node remembers".to_string())
+        restored,
+        AgedCheckpoint {
+            checkpoint: empty.clone(),
+            age: 5
+        }
     );
+    let mut impossible = serde_json::to_value(&empty).unwrap();
+    impossible["late"] = 2.0.into();
+    let impossible = serde_json::from_value(impossible).unwrap();
+    let error = unpack("me", 5, &sealed(&impossible)).unwrap_err();
+    assert_eq!(error.to_string(), "holds what no node remembers");
     let short = seal("me", VERSION, 0, &[1, 2]).unwrap();
-    assert!(unpack("me", 5, &short)
-        .unwrap_err()
-        .starts_with("cannot be read: "));
+    let error = unpack("me", 5, &short).unwrap_err();
+    assert!(error.to_string().starts_with("cannot be read: "));
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,27 +1,35 @@
-//! The running node: fronts, open requests, upstream pools, discovery and timers around the decision module.
+//! The running node: frontends, the request table, upstream pools, discovery and timers around the decision module.
 //!
-//! Everything that decides is in `sloewick-decision`; everything here does what that says and tells it what
-//! came of it.
+//! The decision module (`sloewick-decision`) decides and performs no I/O; this package performs I/O and decides nothing. The
+//! [`Node`] is an event loop that carries events between the owners of its state:
+//!
+//! - the request table alone knows which response is owed to which client;
+//! - frontends turn bytes into requests and final responses into bytes;
+//! - upstream pools turn attempts into outcomes;
+//! - discovery, the admin interface, hot restart and the lifecycle each own their own state.
+//!
+//! Owners do not know the event loop. One that needs a second owner takes it as an argument.
 
 pub mod config;
 pub mod config_check;
-#[path = "discovery/client.rs"]
 pub mod discovery;
 pub mod mio_transport;
-#[path = "event_loop.rs"]
-pub mod node;
+pub mod timers;
 pub mod transport;
 
 mod address_table;
-#[path = "admin/server.rs"]
 mod admin;
-#[path = "frontend/connection.rs"]
-mod client;
+mod engine;
+mod event_loop;
 mod event_trace;
-#[path = "frontend/response.rs"]
-mod front;
+mod frontend;
+mod hot_restart;
+mod io;
 mod lifecycle;
 mod metrics;
-pub mod timers;
-#[path = "upstream/pool.rs"]
+mod request_table;
+mod tokens;
 mod upstream;
+
+pub use engine::DecisionEngine;
+pub use event_loop::{ConfigSource, Node};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,80 +1,85 @@
-//! What operators read of a node: counts since the process began, and what is held now.
+//! The node's metrics: counters since the process started, and gauges read at the moment of the request.
 
 use std::fmt::Write;
 
-use crate::front::Final;
+use crate::frontend::response::FinalResponse;
 
-/// Final answers of one class.
+/// Final responses of one class.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Ends {
-    pub answered: u64,
-    pub deferred: u64,
-    pub errored: u64,
+struct ClassCounters {
+    answered: u64,
+    deferred: u64,
+    errored: u64,
 }
 
-/// Counts since the process began. One entry a class, so bounded by the settings.
+/// Counters since the process started. One entry for each class, so bounded by the settings.
 #[derive(Debug, Default)]
-pub struct Figures {
-    ends: Vec<Ends>,
+pub(crate) struct Metrics {
+    classes: Vec<ClassCounters>,
 }
 
-/// What the node holds at the moment of the call.
+/// The state of the node at the moment of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Held {
-    /// Attempts written whole to cache servers since the process began.
-    pub sends: u64,
-    /// Requests taken whose answers have not left whole.
-    pub current: usize,
-    /// Cache servers in the list, and those of them that are avoided.
-    pub cluster_size: usize,
-    pub cluster_unhealthy: usize,
-    /// Those that keep only part of their keys, since they fail or are slow by themselves.
-    pub cluster_outliers: usize,
-    /// The origin behind the servers is taken for jammed.
-    pub origin_jam: bool,
+pub(crate) struct Gauges {
+    /// Attempts written completely to cache servers since the process started.
+    pub(crate) sends: u64,
+    /// Requests whose responses have not been written completely.
+    pub(crate) current: usize,
+    /// Cache servers in the endpoint list.
+    pub(crate) cluster_size: usize,
+    /// Cache servers in the endpoint list that get no requests now.
+    pub(crate) cluster_unhealthy: usize,
+    /// Cache servers that retain only a fraction of their keys, being outliers.
+    pub(crate) cluster_outliers: usize,
+    /// The origin behind the cache servers counts as overloaded. The metric is named `origin_jam`.
+    pub(crate) origin_overloaded: bool,
 }
 
-impl Figures {
-    pub fn new(classes: usize) -> Figures {
-        Figures {
-            ends: vec![Ends::default(); classes],
+impl Metrics {
+    pub(crate) fn new(classes: usize) -> Metrics {
+        Metrics {
+            classes: vec![ClassCounters::default(); classes],
         }
     }
 
-    /// A final answer was given.
-    pub fn count(&mut self, class: usize, end: &Final) {
-        let Some(ends) = self.ends.get_mut(class) else {
+    /// Counts a final response.
+    pub(crate) fn count(&mut self, class: usize, response: &FinalResponse) {
+        let Some(counters) = self.classes.get_mut(class) else {
             return;
         };
-        match end {
-            Final::Value(_) | Final::NoValue => ends.answered += 1,
-            Final::Busy(_) => ends.deferred += 1,
-            Final::Failed => ends.errored += 1,
+        match response {
+            FinalResponse::Value(_) | FinalResponse::NoValue => counters.answered += 1,
+            FinalResponse::Busy(_) => counters.deferred += 1,
+            FinalResponse::Failed => counters.errored += 1,
         }
     }
 
-    /// One line a figure: `name=number`, a class's figures under `name.CLASS`.
-    pub fn text<'a>(&self, class: impl Fn(usize) -> &'a str, held: Held) -> String {
+    /// One line for each metric: `name=number`, those of a class as `name.CLASS=number`.
+    pub(crate) fn text<'a>(
+        &self,
+        class_name: impl Fn(usize) -> &'a str,
+        gauges: &Gauges,
+    ) -> String {
         let mut out = String::new();
-        for (i, ends) in self.ends.iter().enumerate() {
-            let class = class(i);
+        for (i, counters) in self.classes.iter().enumerate() {
+            let class = class_name(i);
             for (name, count) in [
-                ("answered", ends.answered),
-                ("deferred", ends.deferred),
-                ("errored", ends.errored),
+                ("answered", counters.answered),
+                ("deferred", counters.deferred),
+                ("errored", counters.errored),
             ] {
                 let _ = writeln!(out, "{name}.{class}={count}");
             }
         }
-        let rest = [
-            ("sends", held.sends),
-            ("current", held.current as u64),
-            ("cluster_size", held.cluster_size as u64),
-            ("cluster_unhealthy", held.cluster_unhealthy as u64),
-            ("cluster_outliers", held.cluster_outliers as u64),
-            ("origin_jam", u64::from(held.origin_jam)),
+        let gauges = [
+            ("sends", gauges.sends),
+            ("current", gauges.current as u64),
+            ("cluster_size", gauges.cluster_size as u64),
+            ("cluster_unhealthy", gauges.cluster_unhealthy as u64),
+            ("cluster_outliers", gauges.cluster_outliers as u64),
+            ("origin_jam", u64::from(gauges.origin_overloaded)),
         ];
-        for (name, count) in rest {
+        for (name, count) in gauges {
             let _ = writeln!(out, "{name}={count}");
         }
         out
--- a/crates/node/src/metrics_tests.rs
+++ b/crates/node/src/metrics_tests.rs
@@ -2,26 +2,26 @@
 use bytes::Bytes;
 
 #[test]
-fn each_end_counts_once_under_its_class() {
-    let mut figures = Figures::new(2);
-    for (class, end) in [
-        (0, Final::Value(Bytes::new())),
-        (0, Final::NoValue),
-        (0, Final::Busy(5)),
-        (1, Final::Failed),
-        (7, Final::Failed),
+fn each_final_response_counts_once_under_its_class() {
+    let mut metrics = Metrics::new(2);
+    for (class, response) in [
+        (0, FinalResponse::Value(Bytes::new())),
+        (0, FinalResponse::NoValue),
+        (0, FinalResponse::Busy(5)),
+        (1, FinalResponse::Failed),
+        (7, FinalResponse::Failed),
     ] {
-        figures.count(class, &end);
+        metrics.count(class, &response);
     }
-    let held = Held {
+    let gauges = Gauges {
         sends: 9,
         current: 4,
         cluster_size: 20,
         cluster_unhealthy: 3,
         cluster_outliers: 2,
-        origin_jam: true,
+        origin_overloaded: true,
     };
-    let text = figures.text(|i| ["trace-read", "alarm-set"][i], held);
+    let text = metrics.text(|i| ["trace-read", "alarm-set"][i], &gauges);
     assert_eq!(
         text,
         "answered.trace-read=2\ndeferred.trace-read=1\nerrored.trace-read=0\nanswered.alarm-set=0\n\
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -1,4 +1,4 @@
-//! Real sockets, the system's clocks, signals and standard error, by mio.
+//! The [`Transport`] of a real process: sockets, the system's clocks, signals and standard error, by way of mio.
 
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -19,21 +19,23 @@
 };
 
 const BACKLOG: i32 = 1024;
-/// How long an address that is taken is waited for, and how often it is looked at. The process before may be ending still:
-/// it lets go of its listener 0.5 s after it was told to, or by its end after 3.6 s at the latest.
-const ADDRESS_MOST: Duration = Duration::from_secs(5);
-const ADDRESS_AGAIN: Duration = Duration::from_millis(20);
-/// Longest log line; a pipe that is ready takes this much without blocking (PIPE_BUF is 4,096).
-const LOG_LINE_MOST: usize = 400;
-/// Longest line of a trace; ids are at most this long together.
-const TRACE_LINE_MOST: usize = 400;
+/// How long to wait for an address that is in use. The previous process may still be shutting down: it closes its listener
+/// 0.5 s after it was asked to, or by its end after 3.6 s at the latest.
+const MAX_WAIT_FOR_ADDRESS: Duration = Duration::from_secs(5);
+const ADDRESS_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest log line in bytes; a pipe that is ready takes this much without blocking (`PIPE_BUF` is 4,096).
+const MAX_LOG_LINE: usize = 400;
+/// Bytes of a character in UTF-8.
+const MAX_CHARACTER: usize = 4;
+/// Longest line of a trace in characters; its ids are at most this long together.
+const MAX_TRACE_LINE: usize = 400;
 /// Events taken by one poll; more wait for the next.
-const EVENTS: usize = 256;
-/// The file that holds a snapshot, and its bytes at the most.
-const KEPT_NAME: &str = "sloewick-handover";
-const KEPT_MOST: usize = 1 << 20;
+const MAX_EVENTS: usize = 256;
+/// The name of the file with a snapshot, and its longest content in bytes.
+const SNAPSHOT_NAME: &str = "sloewick-handover";
+const MAX_SNAPSHOT: usize = 1 << 20;
 
-/// Tells a node on a thread of its own what a process is told by signals. It is heard at the next poll.
+/// Takes the place of signals for a node that runs on a thread: another thread sends them. They arrive with the next poll.
 #[derive(Debug, Default)]
 pub struct RemoteSignals {
     reload: AtomicBool,
@@ -41,14 +43,28 @@
 }
 
 impl RemoteSignals {
-    pub fn tell(&self, told: PendingSignals) {
-        self.reload.fetch_or(told.reload, Ordering::Relaxed);
-        self.stop.fetch_or(told.stop, Ordering::Relaxed);
+    /// Sends signals to the node.
+    pub fn send(&self, signals: PendingSignals) {
+        self.reload.fetch_or(signals.reload, Ordering::Relaxed);
+        self.stop.fetch_or(signals.stop, Ordering::Relaxed);
     }
 
-    fn waits(&self) -> bool {
+    fn are_pending(&self) -> bool {
         self.reload.load(Ordering::Relaxed) || self.stop.load(Ordering::Relaxed)
     }
+
+    fn take(&self) -> PendingSignals {
+        PendingSignals {
+            reload: self.reload.swap(false, Ordering::Relaxed),
+            stop: self.stop.swap(false, Ordering::Relaxed),
+        }
+    }
+}
+
+/// Where snapshots are read and written.
+struct Snapshots {
+    file: SnapshotFile,
+    writer: SnapshotWriter,
 }
 
 /// The system, for one process or one of its threads.
@@ -57,40 +73,43 @@
     events: Events,
     signals: Option<Signals>,
     remote: Option<Arc<RemoteSignals>>,
-    kept: Option<(SnapshotFile, SnapshotWriter)>,
-    began: Instant,
+    snapshots: Option<Snapshots>,
+    started: Instant,
     unix_time_at_start: Micros,
 }
 
 impl MioTransport {
-    /// For a process of its own: SIGHUP, SIGTERM and SIGINT are taken.
+    /// For a process of its own: SIGHUP, SIGTERM and SIGINT are handled.
     ///
     /// # Errors
-    /// The system's, when it has no room for a poll or for the signals.
+    /// The system's, if it has no resources for a poll or for the signals.
     pub fn with_signals() -> io::Result<MioTransport> {
-        let mut os = MioTransport::new()?;
+        let mut transport = MioTransport::new()?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
-        os.poll
-            .registry()
-            .register(&mut signals, mio::Token(SIGNALS), Interest::READABLE)?;
-        os.signals = Some(signals);
-        Ok(os)
+        transport.poll.registry().register(
+            &mut signals,
+            mio::Token(SIGNALS),
+            Interest::READABLE,
+        )?;
+        transport.signals = Some(signals);
+        Ok(transport)
     }
 
-    /// Keeps snapshots for the next process in this folder, which the two share.
+    /// Saves snapshots for the next process in this folder, and loads them from there.
     ///
     /// # Errors
-    /// The system's, when it has no room for a thread.
-    pub fn keep_in(&mut self, folder: &Path) -> io::Result<()> {
-        let folder = SnapshotFile::new(folder, KEPT_NAME, KEPT_MOST);
-        self.kept = Some((folder.clone(), SnapshotWriter::start(folder)?));
+    /// The system's, if it has no resources for a thread.
+    pub fn save_snapshots_in(&mut self, folder: &Path) -> io::Result<()> {
+        let file = SnapshotFile::new(folder, SNAPSHOT_NAME, MAX_SNAPSHOT);
+        let writer = SnapshotWriter::start(file.clone())?;
+        self.snapshots = Some(Snapshots { file, writer });
         Ok(())
     }
 
-    /// For one of several threads, told by `remote` instead of signals; it logs nothing.
+    /// For one of several threads, with `remote` in place of signals; it logs nothing.
     ///
     /// # Errors
-    /// The system's, when it has no room for a poll.
+    /// The system's, if it has no resources for a poll.
     pub fn remote(remote: Arc<RemoteSignals>) -> io::Result<MioTransport> {
         Ok(MioTransport {
             remote: Some(remote),
@@ -101,27 +120,74 @@
     /// For one of several threads: signals are left to others.
     ///
     /// # Errors
-    /// The system's, when it has no room for a poll.
+    /// The system's, if it has no resources for a poll.
     pub fn new() -> io::Result<MioTransport> {
-        let unix = SystemTime::now()
+        let unix_time_at_start = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |d| d.as_micros() as i64);
         Ok(MioTransport {
             poll: Poll::new()?,
-            events: Events::with_capacity(EVENTS),
+            events: Events::with_capacity(MAX_EVENTS),
             signals: None,
             remote: None,
-            kept: None,
-            began: Instant::now(),
-            unix_time_at_start: unix,
+            snapshots: None,
+            started: Instant::now(),
+            unix_time_at_start,
         })
     }
+
+    fn register_listener(
+        &mut self,
+        socket: socket2::Socket,
+        token: Token,
+    ) -> io::Result<TcpListener> {
+        let mut listener = TcpListener::from_std(socket.into());
+        self.poll
+            .registry()
+            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
+        Ok(listener)
+    }
+
+    fn register_stream(&mut self, stream: &mut TcpStream, token: Token) -> io::Result<()> {
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll
+            .registry()
+            .register(stream, mio::Token(token), both)
+    }
+
+    /// Writes a line to standard error, unless that would block.
+    fn write_line(&mut self, line: &str, max_characters: usize) {
+        if self.remote.is_some() {
+            return;
+        }
+        let mut line: String = line
+            .chars()
+            .filter(|c| !c.is_control())
+            .take(max_characters)
+            .collect();
+        line.push('\n');
+        let stderr = io::stderr();
+        if is_writable(&stderr) {
+            let _ = stderr.lock().write_all(line.as_bytes());
+        }
+    }
+}
+
+fn is_writable(stderr: &io::Stderr) -> bool {
+    use rustix::event::{poll, PollFd, PollFlags, Timespec};
+    let mut ready = [PollFd::new(stderr, PollFlags::OUT)];
+    let at_once = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    let polled = poll(&mut ready, Some(&at_once));
+    polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(PollFlags::OUT)
 }
 
-fn listening(at: SocketAddr) -> io::Result<socket2::Socket> {
+fn open_listener(at: SocketAddr) -> io::Result<socket2::Socket> {
     use socket2::{Domain, Socket, Type};
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
-    // A restarted node finds its address still held by connections of the one before.
+    // After a restart the address is still in use by connections of the previous process.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&at.into())?;
@@ -134,7 +200,7 @@
     type Listener = TcpListener;
 
     fn now(&self) -> Micros {
-        self.began.elapsed().as_micros() as Micros
+        self.started.elapsed().as_micros() as Micros
     }
 
     fn unix_time_at_start(&self) -> Micros {
@@ -142,28 +208,27 @@
     }
 
     fn listen(&mut self, at: SocketAddr, token: Token) -> io::Result<TcpListener> {
-        let begun = Instant::now();
+        let started = Instant::now();
         let socket = loop {
-            match listening(at) {
-                // Guards against a restart that fails for good because the process before has a little to do yet.
-                Err(e) if e.kind() == ErrorKind::AddrInUse && begun.elapsed() < ADDRESS_MOST => {
-                    std::thread::sleep(ADDRESS_AGAIN);
+            match open_listener(at) {
+                // Guards against a restart that fails for good because the previous process is still shutting down.
+                Err(e)
+                    if e.kind() == ErrorKind::AddrInUse
+                        && started.elapsed() < MAX_WAIT_FOR_ADDRESS =>
+                {
+                    std::thread::sleep(ADDRESS_RETRY_PAUSE);
                 }
                 done => break done?,
             }
         };
-        let mut listener = TcpListener::from_std(socket.into());
-        self.poll
-            .registry()
-            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
-        Ok(listener)
+        self.register_listener(socket, token)
     }
 
     fn inherit(&mut self, fd: i32, token: Token) -> io::Result<TcpListener> {
         // SAFETY: the number is only duplicated, and the descriptor is not closed meanwhile: whoever started
         // this process opened it, and nothing here owns it. One that is not open gives EBADF.
-        let held = unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) }.try_clone_to_owned()?;
-        let socket = socket2::Socket::from(held);
+        let inherited = unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) }.try_clone_to_owned()?;
+        let socket = socket2::Socket::from(inherited);
         if !rustix::net::sockopt::socket_acceptconn(&socket)? {
             return Err(io::Error::new(
                 ErrorKind::InvalidInput,
@@ -171,42 +236,29 @@
             ));
         }
         socket.set_nonblocking(true)?;
-        let mut listener = TcpListener::from_std(socket.into());
-        self.poll
-            .registry()
-            .register(&mut listener, mio::Token(token), Interest::READABLE)?;
-        Ok(listener)
+        self.register_listener(socket, token)
     }
 
     fn accept(&mut self, listener: &mut TcpListener, token: Token) -> io::Result<TcpStream> {
         let (mut stream, _) = listener.accept()?;
         let _ = stream.set_nodelay(true);
-        let both = Interest::READABLE | Interest::WRITABLE;
-        // Not as a lack of descriptors: the connection is gone, and those behind it are asked for.
-        let registered = self
-            .poll
-            .registry()
-            .register(&mut stream, mio::Token(token), both);
-        registered.map_err(|_| io::Error::from(ErrorKind::ConnectionAborted))?;
+        // Not reported as a lack of descriptors: this connection is lost, and those behind it are accepted.
+        self.register_stream(&mut stream, token)
+            .map_err(|_| io::Error::from(ErrorKind::ConnectionAborted))?;
         Ok(stream)
     }
 
     fn connect(&mut self, to: SocketAddr, token: Token) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect(to)?;
         let _ = stream.set_nodelay(true);
-        let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll
-            .registry()
-            .register(&mut stream, mio::Token(token), both)?;
+        self.register_stream(&mut stream, token)?;
         Ok(stream)
     }
 
     fn poll(&mut self, ready: &mut Vec<ReadyEvent>, wait: Micros) -> io::Result<()> {
         ready.clear();
-        match self.poll.poll(
-            &mut self.events,
-            Some(Duration::from_micros(wait.max(0) as u64)),
-        ) {
+        let timeout = Duration::from_micros(wait.max(0) as u64);
+        match self.poll.poll(&mut self.events, Some(timeout)) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
             done => done?,
         }
@@ -217,10 +269,10 @@
             read_closed: e.is_read_closed(),
             error: e.is_error(),
         }));
-        if self.remote.as_ref().is_some_and(|remote| remote.waits()) {
-            let token = SIGNALS;
+        let remote = self.remote.as_ref();
+        if remote.is_some_and(|remote| remote.are_pending()) {
             ready.push(ReadyEvent {
-                token,
+                token: SIGNALS,
                 readable: true,
                 writable: false,
                 read_closed: false,
@@ -230,79 +282,47 @@
         Ok(())
     }
 
-    fn told(&mut self) -> PendingSignals {
+    fn take_signals(&mut self) -> PendingSignals {
         if let Some(remote) = &self.remote {
-            let (reload, stop) = (&remote.reload, &remote.stop);
-            return PendingSignals {
-                reload: reload.swap(false, Ordering::Relaxed),
-                stop: stop.swap(false, Ordering::Relaxed),
-            };
+            return remote.take();
         }
-        let came = self.signals.iter_mut().flat_map(|s| s.pending());
-        came.fold(PendingSignals::default(), |told, signal| match signal {
-            SIGHUP => PendingSignals {
-                reload: true,
-                ..told
-            },
-            _ => PendingSignals { stop: true, ..told },
-        })
+        let mut pending = PendingSignals::default();
+        for signal in self.signals.iter_mut().flat_map(Signals::pending) {
+            match signal {
+                SIGHUP => pending.reload = true,
+                _ => pending.stop = true,
+            }
+        }
+        pending
     }
 
-    fn kept(&mut self) -> io::Result<Option<Vec<u8>>> {
-        self.kept
-            .as_ref()
-            .map_or(Ok(None), |(folder, _)| folder.read())
+    fn load_snapshot(&mut self) -> io::Result<Option<Vec<u8>>> {
+        match &self.snapshots {
+            Some(snapshots) => snapshots.file.read(),
+            None => Ok(None),
+        }
     }
 
-    fn keep(&mut self, snapshot: Vec<u8>) -> SnapshotSave {
-        let Some((_, keeper)) = &self.kept else {
-            return SnapshotSave::Nowhere;
+    fn save_snapshot(&mut self, snapshot: Vec<u8>) -> SnapshotSave {
+        let Some(snapshots) = &self.snapshots else {
+            return SnapshotSave::Disabled;
         };
-        let taken = keeper.offer(snapshot);
-        match keeper.trouble() {
+        let is_accepted = snapshots.writer.offer(snapshot);
+        match snapshots.writer.trouble() {
             Some(why) => SnapshotSave::Failed(why),
-            None if taken => SnapshotSave::Begun,
+            None if is_accepted => SnapshotSave::Started,
             None => SnapshotSave::Busy,
         }
     }
 
-    /// Guards against a reader of the log that stops reading: a line that the pipe has no room for is
-    /// dropped, since a write that blocks would hold up every request.
+    /// Guards against a reader of the log that stops reading: a line that the pipe does not take is dropped, since a write
+    /// that blocks would hold up every request.
     fn log(&mut self, line: &str) {
-        self.put_line(line, LOG_LINE_MOST / 4);
+        self.write_line(line, MAX_LOG_LINE / MAX_CHARACTER);
     }
 
     fn trace(&mut self, line: &str) {
-        self.put_line(line, TRACE_LINE_MOST);
-    }
-}
-
-impl MioTransport {
-    /// A line to standard error, unless that would wait.
-    fn put_line(&mut self, line: &str, most: usize) {
-        if self.remote.is_some() {
-            return;
-        }
-        let mut line: String = line
-            .chars()
-            .filter(|c| !c.is_control())
-            .take(most)
-            .collect();
-        line.push('\n');
-        let stderr = io::stderr();
-        let mut ready = [rustix::event::PollFd::new(
-            &stderr,
-            rustix::event::PollFlags::OUT,
-        )];
-        let at_once = rustix::event::Timespec {
-            tv_sec: 0,
-            tv_nsec: 0,
-        };
-        let polled = rustix::event::poll(&mut ready, Some(&at_once));
-        if polled.is_ok_and(|n| n > 0) && ready[0].revents().contains(rustix::event::PollFlags::OUT)
-        {
-            let _ = stderr.lock().write_all(line.as_bytes());
-        }
+        self.write_line(line, MAX_TRACE_LINE);
     }
 }
 
@@ -311,11 +331,11 @@
         Read::read(self, into)
     }
 
-    fn write(&mut self, chunks: &[IoSlice]) -> io::Result<usize> {
+    fn write(&mut self, chunks: &[IoSlice<'_>]) -> io::Result<usize> {
         self.write_vectored(chunks)
     }
 
-    fn quiet(&self) -> bool {
+    fn has_no_input(&self) -> bool {
         matches!(self.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
@@ -323,15 +343,15 @@
         TcpStream::take_error(self)
     }
 
-    fn connected(&self) -> io::Result<()> {
+    fn check_connected(&self) -> io::Result<()> {
         self.peer_addr().map(|_| ())
     }
 
-    fn end(&mut self) -> io::Result<()> {
+    fn shutdown_write(&mut self) -> io::Result<()> {
         self.shutdown(Shutdown::Write)
     }
 
-    fn bound_sending(&mut self, bytes: usize) {
+    fn limit_send_buffer(&mut self, bytes: usize) {
         let _ = socket2::SockRef::from(&*self).set_send_buffer_size(bytes);
     }
 }
--- /dev/null
+++ b/crates/node/src/request_table.rs
@@ -0,0 +1,244 @@
+//! The requests that were accepted: each is owed exactly one final response.
+//!
+//! The table alone knows which response belongs to which client, which attempts of a request are in flight, and how much
+//! memory the values of writes hold. A request stays until its final response has been given (or its client has
+//! disconnected) and its last attempt has ended.
+//!
+//! Bounds: the number of requests by `max_in_flight`, the memory for values by [`Budget`].
+
+use std::collections::HashMap;
+use std::ops::{Index, IndexMut};
+
+use bytes::Bytes;
+use slab::Slab;
+use sloewick_codec::resp2::Budget;
+use sloewick_decision::api::{Micros, RequestId, ServerId};
+
+use crate::frontend::memcached::KeyedWrite;
+use crate::frontend::response::RequestProtocol;
+use crate::upstream::connection::Exchange;
+
+/// The fraction of the memory for the values of writes, which are kept while another attempt may need them: one in eight
+/// (a buffer that grew with its value may be twice its size).
+const VALUE_MEMORY_FRACTION: usize = 8;
+/// Upper bound of the memory for one request with its timers, attempts and the arguments that no budget counts, in bytes.
+const REQUEST_MEMORY: usize = 12 << 10;
+/// The fraction of the memory for requests: one in four.
+const REQUEST_MEMORY_FRACTION: usize = 4;
+
+/// One try to get a response from a server.
+pub(crate) struct Attempt {
+    pub(crate) server: ServerId,
+    pub(crate) started: Micros,
+    /// When it is abandoned.
+    pub(crate) until: Micros,
+    /// Its upstream connection while it is in flight.
+    pub(crate) connection: Option<usize>,
+    /// The idempotency ledger counts it as one that may have run.
+    pub(crate) counted: bool,
+}
+
+/// The attempt whose long value is being streamed to the client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ValueStream {
+    pub(crate) attempt: usize,
+    /// Time to the first byte of the value.
+    pub(crate) latency: Micros,
+}
+
+/// The arguments of a request, as its frontend parsed them.
+pub(crate) struct ParsedRequest {
+    pub(crate) protocol: RequestProtocol,
+    /// Set for a write with an idempotency key of the memcached frontend.
+    pub(crate) keyed: Option<KeyedWrite>,
+    pub(crate) key: Bytes,
+    pub(crate) fields: Bytes,
+    pub(crate) value: Option<Bytes>,
+    /// Bytes of `value` that are counted in the budget.
+    pub(crate) reserved: usize,
+}
+
+/// Where the final response of a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ResponseAddress {
+    /// Key of the client connection.
+    pub(crate) client: usize,
+    /// Serial number of that connection, which tells whether the key still stands for the same one.
+    pub(crate) client_serial: u64,
+    /// Number of the response among those of the connection.
+    pub(crate) slot: u64,
+}
+
+/// A request without its final response, or with attempts still in flight.
+pub(crate) struct PendingRequest {
+    pub(crate) id: RequestId,
+    pub(crate) serial: u64,
+    pub(crate) class: usize,
+    pub(crate) respond_to: ResponseAddress,
+    pub(crate) protocol: RequestProtocol,
+    pub(crate) keyed: Option<KeyedWrite>,
+    pub(crate) key: Bytes,
+    pub(crate) fields: Bytes,
+    pub(crate) write: bool,
+    /// The value of a write, until the request is closed.
+    pub(crate) value: Option<Bytes>,
+    reserved: usize,
+    pub(crate) deadline: Micros,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) attempts_in_flight: usize,
+    /// The final response was given, or the client has disconnected.
+    pub(crate) closed: bool,
+    /// No further attempt is started.
+    pub(crate) attempts_stopped: bool,
+    pub(crate) stream: Option<ValueStream>,
+}
+
+impl PendingRequest {
+    /// Whether the value of this attempt is being streamed to the client.
+    pub(crate) fn streams(&self, attempt: usize) -> bool {
+        self.stream.is_some_and(|stream| stream.attempt == attempt)
+    }
+}
+
+/// What [`RequestTable::insert`] is told of a request beside its arguments.
+pub(crate) struct NewRequest {
+    pub(crate) id: RequestId,
+    pub(crate) serial: u64,
+    pub(crate) class: usize,
+    pub(crate) write: bool,
+    pub(crate) deadline: Micros,
+    pub(crate) respond_to: ResponseAddress,
+}
+
+/// All requests that are owed a response or have attempts in flight. See the module.
+pub(crate) struct RequestTable {
+    requests: Slab<PendingRequest>,
+    keys: HashMap<RequestId, usize>,
+    /// Memory for the values of writes.
+    pub(crate) value_memory: Budget,
+    max_in_flight: usize,
+    /// The longest deadline of any class.
+    pub(crate) longest_deadline: Micros,
+}
+
+impl RequestTable {
+    /// A table that keeps to `max_in_flight` requests and to its fraction of `memory` bytes.
+    pub(crate) fn new(memory: usize, max_in_flight: usize, longest_deadline: Micros) -> Self {
+        RequestTable {
+            requests: Slab::new(),
+            keys: HashMap::new(),
+            value_memory: Budget::new(memory / VALUE_MEMORY_FRACTION),
+            max_in_flight: max_in_flight.min(memory / REQUEST_MEMORY_FRACTION / REQUEST_MEMORY),
+            longest_deadline,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.requests.len() >= self.max_in_flight
+    }
+
+    pub(crate) fn get(&self, key: usize) -> Option<&PendingRequest> {
+        self.requests.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: usize) -> Option<&mut PendingRequest> {
+        self.requests.get_mut(key)
+    }
+
+    /// The key of the request with this id.
+    pub(crate) fn key_of(&self, id: &RequestId) -> Option<usize> {
+        self.keys.get(id).copied()
+    }
+
+    /// The requests that have no final response yet.
+    pub(crate) fn open_keys(&self) -> Vec<usize> {
+        let open = self.requests.iter().filter(|(_, request)| !request.closed);
+        open.map(|(key, _)| key).collect()
+    }
+
+    /// The key that the next request gets.
+    pub(crate) fn vacant_key(&self) -> usize {
+        self.requests.vacant_key()
+    }
+
+    /// Adds a request; from now on it is owed one final response.
+    pub(crate) fn insert(&mut self, new: NewRequest, parsed: ParsedRequest) {
+        let id = new.id.clone();
+        let key = self.requests.insert(PendingRequest {
+            id: new.id,
+            serial: new.serial,
+            class: new.class,
+            respond_to: new.respond_to,
+            protocol: parsed.protocol,
+            keyed: parsed.keyed,
+            key: parsed.key,
+            fields: parsed.fields,
+            write: new.write,
+            value: parsed.value,
+            reserved: parsed.reserved,
+            deadline: new.deadline,
+            attempts: Vec::new(),
+            attempts_in_flight: 0,
+            closed: false,
+            attempts_stopped: false,
+            stream: None,
+        });
+        self.keys.insert(id, key);
+    }
+
+    /// Marks the final response as given and releases the memory of the value, which no other attempt can need now.
+    pub(crate) fn close(&mut self, key: usize) {
+        let request = &mut self.requests[key];
+        request.closed = true;
+        request.value = None;
+        self.value_memory
+            .give_back(std::mem::take(&mut request.reserved));
+    }
+
+    /// Removes a request that is closed and has no attempt in flight.
+    pub(crate) fn remove_finished(&mut self, key: usize) -> Option<PendingRequest> {
+        self.requests
+            .get(key)
+            .filter(|request| request.closed && request.attempts_in_flight == 0)?;
+        let request = self.requests.remove(key);
+        self.keys.remove(&request.id);
+        Some(request)
+    }
+
+    /// The request and attempt of an exchange, if that attempt is still in flight.
+    pub(crate) fn find_attempt(&self, exchange: Exchange) -> Option<(usize, usize)> {
+        let Exchange::Attempt {
+            request: key,
+            serial,
+            attempt,
+        } = exchange
+        else {
+            return None;
+        };
+        let request = self.get(key).filter(|request| request.serial == serial)?;
+        request.attempts.get(attempt)?.connection?;
+        Some((key, attempt))
+    }
+}
+
+impl Index<usize> for RequestTable {
+    type Output = PendingRequest;
+
+    fn index(&self, key: usize) -> &PendingRequest {
+        &self.requests[key]
+    }
+}
+
+impl IndexMut<usize> for RequestTable {
+    fn index_mut(&mut self, key: usize) -> &mut PendingRequest {
+        &mut self.requests[key]
+    }
+}
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -1,56 +1,75 @@
-//! Deadlines: what is due when, earliest first.
+//! The node's timers, earliest first.
 //!
-//! A deadline cannot be taken back; whoever set it ignores it when it no longer matters, as the module does
-//! with its timers. Each request sets a bounded number and all pass within its time, which bounds the heap.
+//! A timer cannot be cancelled; whoever set it ignores it when it no longer matters, as the decision module does with its
+//! own. Each request sets a bounded number of timers and all of them expire within its time, which bounds the heap.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 use sloewick_decision::api::Micros;
 
-/// What is due. Keys are slab places, serials tell whether the place still holds the same thing.
+/// What a timer was set for. Keys are slab keys; serials tell whether a key still stands for the same thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Due {
-    /// The module's own timer.
+pub enum TimerEvent {
+    /// A timer of the decision module, by its token.
     DecisionEngine(u64),
-    /// The time-out of an attempt.
+    /// An attempt times out.
     Attempt {
+        /// Key of the request.
         request: usize,
+        /// Serial of the request.
         serial: u64,
+        /// Number of the attempt within the request.
         attempt: usize,
     },
-    /// A connection that is still being opened, or a probe, has taken too long.
-    Upstream { conn: usize, serial: u64 },
-    /// A client has not been heard for long enough.
-    Left { client: usize, serial: u64 },
-    /// A planned stop: what is open gets its final answer now.
-    LastAnswers,
-    /// A list call is over its time, or the next one is due.
-    Discovery { serial: u64 },
-    /// Time for a look at all that waits with no deadline of its own.
+    /// An upstream connection has taken too long to open, or a probe to be answered.
+    Upstream {
+        /// Key of the connection.
+        connection: usize,
+        /// Serial of the connection.
+        serial: u64,
+    },
+    /// A client that has ended its sending counts as disconnected from now on.
+    ClientDisconnected {
+        /// Key of the client connection.
+        client: usize,
+        /// Serial of the client connection.
+        serial: u64,
+    },
+    /// During a graceful shutdown: all open requests get their final response now.
+    FinalResponses,
+    /// A request to discovery has taken too long, or the next one is due.
+    Discovery {
+        /// Serial of the request.
+        serial: u64,
+    },
+    /// Connections without a deadline of their own are checked.
     Sweep,
 }
 
-/// The heap of deadlines; equal times keep the order in which they were set.
+/// The heap of timers; timers for the same time keep the order in which they were set.
 #[derive(Default)]
 pub struct Timers {
-    heap: BinaryHeap<Reverse<(Micros, u64, Due)>>,
-    set: u64,
+    heap: BinaryHeap<Reverse<(Micros, u64, TimerEvent)>>,
+    set_count: u64,
 }
 
 impl Timers {
-    pub fn set(&mut self, at: Micros, due: Due) {
-        self.set += 1;
-        self.heap.push(Reverse((at, self.set, due)));
+    /// Sets a timer.
+    pub fn set(&mut self, at: Micros, event: TimerEvent) {
+        self.set_count += 1;
+        self.heap.push(Reverse((at, self.set_count, event)));
     }
 
+    /// The time of the earliest timer.
     pub fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|Reverse((at, ..))| *at)
     }
 
-    pub fn pop_due(&mut self, now: Micros) -> Option<Due> {
+    /// Takes the earliest timer that has expired by `now`.
+    pub fn pop_expired(&mut self, now: Micros) -> Option<TimerEvent> {
         self.next().filter(|at| *at <= now)?;
-        self.heap.pop().map(|Reverse((.., due))| due)
+        self.heap.pop().map(|Reverse((.., event))| event)
     }
 }
 
--- a/crates/node/src/timers_tests.rs
+++ b/crates/node/src/timers_tests.rs
@@ -1,15 +1,15 @@
 use super::*;
 
 #[test]
-fn due_in_order_of_time_then_of_setting() {
+fn timers_expire_in_order_of_time_then_of_setting() {
     let mut timers = Timers::default();
     for (at, token) in [(30, 1), (10, 2), (10, 3), (40, 4)] {
-        timers.set(at, Due::DecisionEngine(token));
+        timers.set(at, TimerEvent::DecisionEngine(token));
     }
-    let mut due = Vec::new();
-    while let Some(d) = timers.pop_due(30) {
-        due.push(d);
+    let mut expired = Vec::new();
+    while let Some(event) = timers.pop_expired(30) {
+        expired.push(event);
     }
-    assert_eq!(due, [2, 3, 1].map(Due::DecisionEngine));
+    assert_eq!(expired, [2, 3, 1].map(TimerEvent::DecisionEngine));
     assert_eq!(timers.next(), Some(40));
 }
--- /dev/null
+++ b/crates/node/src/tokens.rs
@@ -0,0 +1,68 @@
+//! The tokens under which the node registers its sockets with the [`Transport`](crate::transport::Transport).
+//!
+//! Single sockets have fixed tokens. Connections follow from [`FIRST_CONNECTION`] on: clients have even tokens, upstream
+//! connections odd ones.
+
+use crate::admin::server::MAX_ADMIN_CLIENTS;
+use crate::transport::{Token, SIGNALS};
+
+/// The listener for RESP2 clients.
+pub(crate) const RESP2_LISTENER: Token = 0;
+/// The connection to discovery.
+pub(crate) const DISCOVERY: Token = 2;
+/// The listener for memcached clients.
+pub(crate) const MEMCACHED_LISTENER: Token = 3;
+/// The listener of the admin interface.
+pub(crate) const ADMIN_LISTENER: Token = 4;
+const FIRST_ADMIN_CLIENT: Token = 5;
+const FIRST_CONNECTION: Token = 32;
+const _: () = assert!(
+    FIRST_ADMIN_CLIENT + MAX_ADMIN_CLIENTS <= FIRST_CONNECTION
+        && FIRST_CONNECTION.is_multiple_of(2)
+);
+
+/// What a token was registered for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum TokenOwner {
+    /// One of the listeners for clients.
+    ClientListener,
+    Signals,
+    Discovery,
+    AdminListener,
+    /// An admin client, by its key.
+    AdminClient(usize),
+    /// A client connection, by its key.
+    Client(usize),
+    /// An upstream connection, by its key.
+    Upstream(usize),
+}
+
+impl TokenOwner {
+    pub(crate) fn of(token: Token) -> TokenOwner {
+        match token {
+            RESP2_LISTENER | MEMCACHED_LISTENER => TokenOwner::ClientListener,
+            SIGNALS => TokenOwner::Signals,
+            DISCOVERY => TokenOwner::Discovery,
+            ADMIN_LISTENER => TokenOwner::AdminListener,
+            FIRST_ADMIN_CLIENT..FIRST_CONNECTION => {
+                TokenOwner::AdminClient(token - FIRST_ADMIN_CLIENT)
+            }
+            _ if (token - FIRST_CONNECTION).is_multiple_of(2) => {
+                TokenOwner::Client((token - FIRST_CONNECTION) / 2)
+            }
+            _ => TokenOwner::Upstream((token - FIRST_CONNECTION) / 2),
+        }
+    }
+}
+
+pub(crate) fn admin_client_token(key: usize) -> Token {
+    FIRST_ADMIN_CLIENT + key
+}
+
+pub(crate) fn client_token(key: usize) -> Token {
+    FIRST_CONNECTION + 2 * key
+}
+
+pub(crate) fn upstream_token(key: usize) -> Token {
+    FIRST_CONNECTION + 2 * key + 1
+}
--- /dev/null
+++ b/crates/node/src/upstream/response.rs
@@ -0,0 +1,153 @@
+//! Interprets the responses of cache servers: how the attempt ended, the cache result, the load report. No state.
+
+use sloewick_codec::memcached;
+use sloewick_codec::resp2::{Part, Reply};
+use sloewick_decision::api::{CacheResult, LoadReport, Status};
+use sloewick_memcached::routing::Operation;
+use sloewick_memcached::status::{outcome, Outcome};
+
+use crate::frontend::response::FinalResponse;
+use crate::upstream::response_reader::ServerReply;
+
+/// What a response says about its attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct AttemptResult {
+    pub(crate) status: Status,
+    pub(crate) cache_result: Option<CacheResult>,
+    pub(crate) load: Option<LoadReport>,
+}
+
+impl AttemptResult {
+    /// A result without cache result and load report.
+    pub(crate) fn of(status: Status) -> AttemptResult {
+        AttemptResult {
+            status,
+            cache_result: None,
+            load: None,
+        }
+    }
+}
+
+/// What a response says about its attempt; `write`: the request was a write.
+pub(crate) fn interpret(reply: &ServerReply, write: bool) -> AttemptResult {
+    match reply {
+        ServerReply::Resp2(reply) => interpret_resp2(reply),
+        ServerReply::Memcached(response) => interpret_memcached(response, write),
+    }
+}
+
+fn interpret_memcached(response: &memcached::Response, write: bool) -> AttemptResult {
+    let operation = if write {
+        Operation::Set
+    } else {
+        Operation::Get
+    };
+    match outcome(operation, response.status) {
+        Outcome::Served => AttemptResult::of(Status::Ok),
+        Outcome::NoValue => AttemptResult {
+            cache_result: Some(CacheResult::Miss),
+            ..AttemptResult::of(Status::Ok)
+        },
+        Outcome::Not(status) => AttemptResult::of(status),
+    }
+}
+
+fn interpret_resp2(reply: &Reply) -> AttemptResult {
+    match reply {
+        Reply::Array(parts) => {
+            let status = if matches!(parts[0], Part::Bulk(_)) {
+                Status::Ok
+            } else {
+                Status::Error
+            };
+            AttemptResult {
+                status,
+                cache_result: parts.get(1).and_then(parse_cache_result),
+                load: parts.get(2).and_then(parse_load_report),
+            }
+        }
+        Reply::One(part) => {
+            let status = match part {
+                Part::Error(line) if line.starts_with(b"BUSY") => Status::Rejected,
+                _ => Status::Error,
+            };
+            AttemptResult {
+                load: parse_load_report(part),
+                ..AttemptResult::of(status)
+            }
+        }
+    }
+}
+
+/// What a response says about a probe: a server that answers it with a text is alive.
+pub(crate) fn interpret_probe(reply: &ServerReply) -> AttemptResult {
+    let result = interpret(reply, false);
+    match reply {
+        ServerReply::Resp2(Reply::One(Part::Simple(_) | Part::Bulk(_))) => AttemptResult {
+            status: Status::Ok,
+            ..result
+        },
+        _ => result,
+    }
+}
+
+/// The final response that a served attempt gives.
+pub(crate) fn final_response(reply: ServerReply) -> FinalResponse {
+    match reply {
+        ServerReply::Resp2(Reply::Array(mut parts)) => match parts.swap_remove(0) {
+            Part::Bulk(value) => FinalResponse::Value(value),
+            _ => FinalResponse::NoValue,
+        },
+        ServerReply::Resp2(Reply::One(_)) => FinalResponse::Failed,
+        ServerReply::Memcached(response)
+            if response.status == memcached::Status::KeyNotFound as u16 =>
+        {
+            FinalResponse::NoValue
+        }
+        ServerReply::Memcached(response) => FinalResponse::Value(response.value),
+    }
+}
+
+fn parse_cache_result(part: &Part) -> Option<CacheResult> {
+    let (Part::Bulk(word) | Part::Simple(word)) = part else {
+        return None;
+    };
+    match &word[..] {
+        b"hit" => Some(CacheResult::Hit),
+        b"miss" => Some(CacheResult::Miss),
+        b"pending" => Some(CacheResult::MissFetching),
+        _ => None,
+    }
+}
+
+/// The load report at the end of a text: `name=value` pairs separated by commas.
+fn parse_load_report(part: &Part) -> Option<LoadReport> {
+    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
+        return None;
+    };
+    let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
+    let mut load = LoadReport::default();
+    let mut has_value = false;
+    for (name, value) in text.split(',').filter_map(|field| field.split_once('=')) {
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        let field = match name {
+            "inflight" | "active" => &mut load.in_flight,
+            "queue" | "waiting" => &mut load.queue,
+            "util" | "cpu" => &mut load.util,
+            "latency_ms" | "avg_ms" => &mut load.service,
+            "qps" | "rps" => &mut load.qps,
+            "eps" | "err_rps" => &mut load.eps,
+            "x0" => &mut load.hits,
+            "x1" => &mut load.fetches,
+            _ => continue,
+        };
+        *field = value;
+        has_value |= value.is_some();
+    }
+    load.service = load.service.map(|ms| ms * 1000.0);
+    has_value.then_some(load)
+}
+
+#[cfg(test)]
+#[path = "response_tests.rs"]
+mod tests;
--- a/crates/node/src/upstream/response_tests.rs
+++ b/crates/node/src/upstream/response_tests.rs
@@ -1,34 +1,43 @@
 use super::*;
+use bytes::Bytes;
+
+fn result(status: Status, cache_result: Option<CacheResult>) -> AttemptResult {
+    AttemptResult {
+        status,
+        cache_result,
+        load: None,
+    }
+}
 
 #[test]
-fn replies_mean_what_the_protocol_says() {
+fn replies_mean_what_the_protocol_specification_says() {
     let bulk = |text: &'static str| Part::Bulk(Bytes::from_static(text.as_bytes()));
-    let verdict = |reply| verdict(&Said::Resp(reply), false);
-    let served = |how: Part| verdict(Reply::Array(vec![bulk("value"), how, Part::Null]));
-    for (word, note) in [
+    let interpret = |reply| interpret(&ServerReply::Resp2(reply), false);
+    let served = |how: Part| interpret(Reply::Array(vec![bulk("value"), how, Part::Null]));
+    for (word, cache_result) in [
         ("hit", CacheResult::Hit),
         ("miss", CacheResult::Miss),
         ("pending", CacheResult::MissFetching),
     ] {
-        assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
+        assert_eq!(served(bulk(word)), result(Status::Ok, Some(cache_result)));
     }
-    assert_eq!(served(Part::Null), (Status::Ok, None, None));
+    assert_eq!(served(Part::Null), result(Status::Ok, None));
     let report = Reply::Array(vec![
         bulk("value"),
         Part::Null,
         bulk("inflight=7,queue=2,util=0.61"),
     ]);
-    let load = verdict(report).2.unwrap();
+    let load = interpret(report).load.unwrap();
     assert_eq!(
         (load.in_flight, load.queue, load.util),
         (Some(7.0), Some(2.0), Some(0.61))
     );
     let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
-    assert_eq!(verdict(error("ERR failed")), (Status::Error, None, None));
-    let (status, _, load) = verdict(error("BUSY latency_ms=1.5,x0=nan"));
-    assert_eq!(status, Status::Rejected);
+    assert_eq!(interpret(error("ERR failed")), result(Status::Error, None));
+    let rejected = interpret(error("BUSY latency_ms=1.5,x0=nan"));
+    assert_eq!(rejected.status, Status::Rejected);
     assert_eq!(
-        (load.unwrap().service, load.unwrap().hits),
+        (rejected.load.unwrap().service, rejected.load.unwrap().hits),
         (Some(1500.0), None)
     );
 }
--- a/crates/node/tests/nodelay.rs
+++ b/crates/node/tests/nodelay.rs
@@ -1,4 +1,4 @@
-//! No small write is held back by the system: it would be lost with a connection that is reset behind it.
+//! Small writes are not delayed by the system: they would be lost with a connection that is reset behind them.
 
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
@@ -7,10 +7,10 @@
 use sloewick_node::transport::Transport;
 
 #[test]
-fn connections_that_are_accepted_and_opened_hold_back_no_small_writes() {
-    let there = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut os = MioTransport::new().unwrap();
-    let opened = os.connect(there.local_addr().unwrap(), 1).unwrap();
+fn accepted_and_opened_connections_have_nodelay_set() {
+    let server = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut transport = MioTransport::new().unwrap();
+    let opened = transport.connect(server.local_addr().unwrap(), 1).unwrap();
     assert!(opened.nodelay().unwrap(), "opened");
     let begun = Instant::now();
     let (mut listener, address) = loop {
@@ -19,19 +19,19 @@
             .unwrap()
             .local_addr()
             .unwrap();
-        match os.listen(free, 2) {
+        match transport.listen(free, 2) {
             Ok(listener) => break (listener, free),
             Err(e) => assert!(begun.elapsed() < Duration::from_secs(30), "{e}"),
         }
     };
     let _client = std::net::TcpStream::connect(address).unwrap();
     let accepted = loop {
-        match os.accept(&mut listener, 3) {
+        match transport.accept(&mut listener, 3) {
             Ok(accepted) => break accepted,
             Err(e) => {
                 assert!(
                     e.kind() == ErrorKind::WouldBlock && begun.elapsed() < Duration::from_secs(30)
-                )
+                );
             }
         }
     };
--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -35,7 +35,7 @@
 }
 
 fn node(text: &str) -> Vec<Line> {
-    let line = |f: &config_check::Found| Line {
+    let line = |f: &config_check::Finding| Line {
         text: f.to_string(),
         json: serde_json::json!({
             "field": f.field, "value": f.value, "why": f.why, "example": f.example, "fatal": f.fatal,
--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -14,7 +14,7 @@
 
 use clap::{Parser, Subcommand};
 use sloewick_decision::settings::SettingsError;
-use sloewick_node::node::Node;
+use sloewick_node::Node;
 use sloewick_node::{config, mio_transport::MioTransport};
 
 /// A gateway before a read cache: takes requests, decides for each where it goes, and gives each exactly one
@@ -99,14 +99,14 @@
             SettingsError::new("--memcached", format!("{name}: {}", all.join("; ")))
         })?;
     }
-    config::surroundings(&mut config, |name| std::env::var(name).ok())?;
+    config::apply_environment(&mut config, |name| std::env::var(name).ok())?;
     config.trace = args.trace;
     let listen = config.listen;
     let mut os =
         MioTransport::with_signals().map_err(|e| SettingsError::new("signals", e.to_string()))?;
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
         // The next process learns anew then; this one serves all the same.
-        if let Err(e) = os.keep_in(folder.as_ref()) {
+        if let Err(e) = os.save_snapshots_in(folder.as_ref()) {
             let _ = writeln!(std::io::stderr(), "handover: not kept: {e}");
         }
     }
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -16,7 +16,7 @@
 use sloewick_decision::api::Micros;
 use sloewick_node::config;
 use sloewick_node::mio_transport::{MioTransport, RemoteSignals};
-use sloewick_node::node::Node;
+use sloewick_node::Node;
 use sloewick_node::transport::PendingSignals as Signals;
 
 use crate::cachebox::{self, CacheBox};
@@ -121,7 +121,7 @@
     /// Signals that go astray are seen by what does not happen then.
     fn tell(&mut self, told: Signals) {
         match self {
-            Running::Thread(_, remote) => remote.tell(told),
+            Running::Thread(_, remote) => remote.send(told),
             Running::Process(process) => {
                 if told.reload {
                     process.signal(Signal::HUP);
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -10,7 +10,7 @@
 use sloewick_decision::api::Micros;
 use sloewick_decision::Balancer;
 use sloewick_node::config;
-use sloewick_node::node::{DecisionEngine, Node};
+use sloewick_node::{DecisionEngine, Node};
 use sloewick_node::transport::PendingSignals as Signals;
 
 use crate::cachebox::{self, CacheBox};
--- a/crates/testbed/src/port.rs
+++ b/crates/testbed/src/port.rs
@@ -29,15 +29,15 @@
     fn prepare(&mut self) -> Option<Micros>;
 }
 
-impl<N: Transport, M: sloewick_node::node::DecisionEngine> Actor
-    for sloewick_node::node::Node<N, M>
+impl<N: Transport, M: sloewick_node::DecisionEngine> Actor
+    for sloewick_node::Node<N, M>
 {
     fn turn(&mut self, wait: Micros) -> io::Result<()> {
-        sloewick_node::node::Node::turn(self, wait)
+        sloewick_node::Node::run_once(self, wait)
     }
 
     fn prepare(&mut self) -> Option<Micros> {
-        sloewick_node::node::Node::prepare(self)
+        sloewick_node::Node::prepare(self)
     }
 }
 
@@ -249,7 +249,7 @@
     /// Ends this side's sending only.
     pub fn end(&mut self, conn: usize) {
         if let Some(line) = self.lines.get_mut(conn) {
-            let _ = line.stream.end();
+            let _ = line.stream.shutdown_write();
         }
     }
 
@@ -341,7 +341,7 @@
             return;
         };
         if line.connecting {
-            match (line.stream.take_error(), line.stream.connected()) {
+            match (line.stream.take_error(), line.stream.check_connected()) {
                 (Ok(None), Ok(())) => {
                     line.connecting = false;
                     came.push((conn, Came::Up));
@@ -369,9 +369,9 @@
                 line.since = self.net.sent(&line.stream).unwrap_or(unix);
             }
             match fill(&mut line.stream, &mut line.buf, &mut self.scratch) {
-                ReadOutcome::More | ReadOutcome::Some => some = true,
+                ReadOutcome::More | ReadOutcome::Drained => some = true,
                 ReadOutcome::Empty => break,
-                ReadOutcome::Ended | ReadOutcome::Broke => {
+                ReadOutcome::Closed | ReadOutcome::Failed => {
                     line.ended = true;
                     break;
                 }
--- a/crates/testbed/src/vnet.rs
+++ b/crates/testbed/src/vnet.rs
@@ -828,7 +828,7 @@
         Ok(())
     }
 
-    fn told(&mut self) -> PendingSignals {
+    fn take_signals(&mut self) -> PendingSignals {
         std::mem::take(&mut self.world.borrow_mut().hosts[self.host].told)
     }
 
@@ -927,7 +927,7 @@
         })
     }
 
-    fn quiet(&self) -> bool {
+    fn has_no_input(&self) -> bool {
         self.with(false, |w, conn, end| {
             let e = &w.conns[conn].ends[end];
             e.rx_len == 0 && !e.ended && e.error.is_none()
@@ -943,7 +943,7 @@
         })
     }
 
-    fn connected(&self) -> io::Result<()> {
+    fn check_connected(&self) -> io::Result<()> {
         self.with(Err(ErrorKind::NotConnected.into()), |w, conn, end| {
             let e = &w.conns[conn].ends[end];
             match e.error {
@@ -954,7 +954,7 @@
         })
     }
 
-    fn end(&mut self) -> io::Result<()> {
+    fn shutdown_write(&mut self) -> io::Result<()> {
         self.with(Err(ErrorKind::NotConnected.into()), |w, conn, end| {
             if w.conns[conn].ends[end].error.is_some() {
                 return Err(ErrorKind::NotConnected.into());
@@ -966,7 +966,7 @@
         })
     }
 
-    fn bound_sending(&mut self, _bytes: usize) {}
+    fn limit_send_buffer(&mut self, _bytes: usize) {}
 }
 
 impl Sight for VNet {
--- a/crates/testbed/tests/defects.rs
+++ b/crates/testbed/tests/defects.rs
@@ -9,7 +9,7 @@
     Action, Endpoint, EndpointListKind, Event, Micros, RequestId, ServerId, ServerState, Status,
 };
 use sloewick_decision::Balancer;
-use sloewick_node::node::DecisionEngine;
+use sloewick_node::DecisionEngine;
 use sloewick_testbed::fleet::{self, Defect, Options, Wrap};
 use sloewick_testbed::judge::Rule;
 use sloewick_testbed::scenario::{self, Scenario};
--- a/crates/testbed/tests/memcached.rs
+++ b/crates/testbed/tests/memcached.rs
@@ -15,7 +15,7 @@
 use sloewick_decision::api::Status as Ended;
 use sloewick_decision::{Action, Event};
 use sloewick_node::config;
-use sloewick_node::node::{DecisionEngine, Node};
+use sloewick_node::{DecisionEngine, Node};
 use sloewick_testbed::discovery::Listed;
 use sloewick_testbed::hosts::Hosts;
 use sloewick_testbed::site;
--- a/crates/testbed/tests/support/mod.rs
+++ b/crates/testbed/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use sloewick_decision::api::Micros;
 use sloewick_node::config;
-use sloewick_node::node::Node;
+use sloewick_node::Node;
 use sloewick_testbed::discovery::Listed;
 use sloewick_testbed::facts::{Fact, Tap, Told};
 use sloewick_testbed::hosts::Hosts;
