--- /dev/null
+++ b/crates/node/src/frontend/memcached.rs
@@ -0,0 +1,282 @@
+//! The frontend for clients of the memcached binary protocol: its routes, and the idempotency ledger of their writes.
+//!
+//! Its state is the ledger and two counters. The ledger guarantees that a write with an idempotency key is not executed again
+//! while cache servers may have forgotten an earlier attempt.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sloewick_codec::memcached::{self, Opcode, Status};
+use sloewick_decision::api::{Micros, Status as AttemptStatus};
+use sloewick_memcached::config::File;
+use sloewick_memcached::idempotency_ledger::{Key, Ledger, Verdict};
+use sloewick_memcached::routing::{self, KeyFrom, Operation, Route};
+use thiserror::Error;
+
+use crate::frontend::response::FinalResponse;
+
+/// The state of the memcached frontend.
+pub(crate) struct MemcachedFrontend {
+    config: File,
+    ledger: Ledger,
+    /// Begins the request ids of this process; no two processes of any nodes share it.
+    process: u64,
+    /// Counts the requests to cache servers of this protocol.
+    upstream_requests: u16,
+}
+
+/// A write with an idempotency key.
+pub(crate) struct KeyedWrite {
+    key: Key,
+    /// An earlier request with the same key may have run.
+    earlier_may_have_run: bool,
+    /// Attempts of this request that may have run, or are in flight.
+    may_have_run: usize,
+    served: bool,
+}
+
+/// Why a request is answered without being accepted. The text is that of the response.
+#[derive(Debug, Error)]
+pub(crate) enum Rejection {
+    #[error("the key is not text")]
+    KeyNotText,
+    #[error("no route is set for this key and operation")]
+    NoRoute,
+    #[error("CAS is not kept here; allowed: 0")]
+    CasNotSupported,
+    #[error("flags and expiration are not kept here; allowed: 0")]
+    FlagsNotSupported,
+    /// The value holds no idempotency key where its route expects one.
+    #[error("{0}")]
+    NoIdempotencyKey(String),
+    #[error("the idempotency key's time lies in the future")]
+    FutureIdempotencyKey,
+    /// The response is known without an attempt.
+    #[error("answered without an attempt")]
+    Answered(FinalResponse),
+}
+
+impl Rejection {
+    /// The status of an error response; none where the response is known.
+    pub(crate) fn status(&self) -> Option<Status> {
+        match self {
+            Rejection::KeyNotText
+            | Rejection::NoIdempotencyKey(_)
+            | Rejection::FutureIdempotencyKey => Some(Status::InvalidArguments),
+            Rejection::NoRoute | Rejection::CasNotSupported | Rejection::FlagsNotSupported => {
+                Some(Status::NotSupported)
+            }
+            Rejection::Answered(_) => None,
+        }
+    }
+}
+
+/// The times at which a request is routed, and whether there is capacity for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Admission {
+    pub(crate) now: Micros,
+    pub(crate) unix_time: Micros,
+    /// No more requests are accepted now.
+    pub(crate) is_full: bool,
+}
+
+/// A request with what its route says about it.
+pub(crate) struct RoutedRequest {
+    pub(crate) key: Arc<str>,
+    pub(crate) class: usize,
+    pub(crate) tenant: Option<usize>,
+    pub(crate) deadline: Micros,
+    /// The field argument for cache servers that speak RESP2.
+    pub(crate) fields: String,
+    pub(crate) keyed: Option<KeyedWrite>,
+    pub(crate) write: bool,
+}
+
+impl RoutedRequest {
+    /// Whether an earlier request with the same idempotency key may have run.
+    pub(crate) fn is_retry(&self) -> bool {
+        let keyed = self.keyed.as_ref();
+        keyed.is_some_and(|keyed| keyed.earlier_may_have_run)
+    }
+}
+
+impl MemcachedFrontend {
+    pub(crate) fn new(config: File, process: u64) -> MemcachedFrontend {
+        let ledger = Ledger::new(config.ledger);
+        MemcachedFrontend {
+            config,
+            ledger,
+            process,
+            upstream_requests: 0,
+        }
+    }
+
+    /// Whether cache servers of this model speak the memcached binary protocol.
+    pub(crate) fn is_memcached_model(&self, model: Option<&str>) -> bool {
+        model.is_some_and(|model| self.config.models.iter().any(|m| m == model))
+    }
+
+    /// Longest value that is accepted, in bytes.
+    pub(crate) fn max_value(&self) -> usize {
+        self.config.value_most
+    }
+
+    /// Number of idempotency keys in the ledger.
+    pub(crate) fn ledger_len(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// The id of a request; `serial` is unique within the process.
+    pub(crate) fn request_id(&self, serial: u64, opaque: u32) -> String {
+        format!("m{:x}.{serial:x}-{opaque:08x}", self.process)
+    }
+
+    /// The number of the next request to a cache server of this protocol.
+    pub(crate) fn next_upstream_request(&mut self) -> u16 {
+        self.upstream_requests = self.upstream_requests.wrapping_add(1);
+        self.upstream_requests
+    }
+
+    /// Routes a request, and reserves its idempotency key in the ledger if it has one.
+    ///
+    /// # Errors
+    /// The request cannot be accepted, or its response is known already.
+    pub(crate) fn route(
+        &mut self,
+        opcode: Opcode,
+        request: &memcached::Request,
+        admission: Admission,
+    ) -> Result<RoutedRequest, Rejection> {
+        let write = opcode.loud() == Opcode::Set;
+        let operation = if write {
+            Operation::Set
+        } else {
+            Operation::Get
+        };
+        let key = std::str::from_utf8(&request.key).map_err(|_| Rejection::KeyNotText)?;
+        let route = self.config.routes.find(operation, &request.key);
+        let route = route.ok_or(Rejection::NoRoute)?;
+        let idempotency_key = if write {
+            check_set(request)?;
+            let found = route.key(&request.key, &request.value);
+            found.map_err(|why| Rejection::NoIdempotencyKey(why.to_string()))?
+        } else {
+            None
+        };
+        if admission.is_full {
+            return Err(Rejection::Answered(FinalResponse::Busy(0)));
+        }
+        let mut routed = RoutedRequest {
+            key: key.into(),
+            class: route.class,
+            tenant: route.tenant,
+            deadline: route.deadline,
+            fields: route.fields.clone() + ",d=0",
+            keyed: None,
+            write,
+        };
+        if let Some(key) = idempotency_key {
+            routed.fields += ",k=";
+            routed.fields += &key;
+            routed.keyed = Some(reserve(
+                &mut self.ledger,
+                &self.config,
+                route,
+                key,
+                admission,
+            )?);
+        }
+        Ok(routed)
+    }
+
+    /// Counts an attempt of a keyed write as one that may run; false: it must not start, since cache servers may have
+    /// forgotten an earlier one.
+    pub(crate) fn start_attempt(&mut self, keyed: &mut KeyedWrite, now: Micros) -> bool {
+        let may_start = self.ledger.send(now, &keyed.key);
+        keyed.may_have_run += usize::from(may_start);
+        may_start
+    }
+
+    /// An attempt that was counted has ended.
+    pub(crate) fn end_attempt(&mut self, keyed: &mut KeyedWrite, status: AttemptStatus) {
+        if status.never_ran() {
+            keyed.may_have_run -= 1;
+            let others_may_have_run = keyed.earlier_may_have_run || keyed.may_have_run > 0;
+            self.ledger.never_ran(&keyed.key, others_may_have_run);
+        }
+        // Also if the client has its response already: a duplicate gets the receipt.
+        keyed.served |= status == AttemptStatus::Ok;
+    }
+
+    /// A keyed write has ended, with no attempt in flight.
+    pub(crate) fn end_write(&mut self, keyed: &KeyedWrite, now: Micros) {
+        let receipt = keyed.served.then(Bytes::new);
+        self.ledger.ended(now, &keyed.key, receipt);
+    }
+}
+
+/// Checks that a SET asks for nothing but a value: what would be dropped silently is rejected.
+fn check_set(request: &memcached::Request) -> Result<(), Rejection> {
+    if request.cas != 0 {
+        return Err(Rejection::CasNotSupported);
+    }
+    if request.extras.iter().any(|b| *b != 0) {
+        return Err(Rejection::FlagsNotSupported);
+    }
+    Ok(())
+}
+
+/// Reserves an idempotency key in the ledger.
+fn reserve(
+    ledger: &mut Ledger,
+    config: &File,
+    route: &Route,
+    key: Key,
+    admission: Admission,
+) -> Result<KeyedWrite, Rejection> {
+    let made = routing::stamp(&key).filter(|_| route.key_from == KeyFrom::Stamp);
+    let age = made.map_or(0, |made| admission.unix_time - made);
+    if age < -config.skew {
+        return Err(Rejection::FutureIdempotencyKey);
+    }
+    let limits = &config.ledger;
+    let is_old = age + config.skew >= limits.window - limits.margin;
+    let earlier_may_have_run = match ledger.ask(admission.now, &key, is_old) {
+        Verdict::New => false,
+        Verdict::Idempotency { .. } => true,
+        Verdict::Served(receipt) => {
+            return Err(Rejection::Answered(FinalResponse::Value(receipt)));
+        }
+        Verdict::Unknown => return Err(Rejection::Answered(FinalResponse::Failed)),
+        Verdict::InHand | Verdict::Full => {
+            return Err(Rejection::Answered(FinalResponse::Busy(0)));
+        }
+    };
+    Ok(KeyedWrite {
+        key,
+        earlier_may_have_run,
+        may_have_run: 0,
+        served: false,
+    })
+}
+
+/// The statistics for STAT: pairs of a name and a value.
+pub(crate) fn encode_stat(opcode: Opcode, opaque: u32, statistics: &[(&str, String)]) -> Bytes {
+    let mut out = Vec::new();
+    let end_of_list = ("", String::new());
+    for (name, value) in statistics.iter().chain(std::iter::once(&end_of_list)) {
+        memcached::write_response(
+            &mut out,
+            &memcached::Response {
+                opcode: opcode as u8,
+                status: Status::Ok as u16,
+                opaque,
+                cas: 0,
+                extras: Bytes::new(),
+                key: Bytes::copy_from_slice(name.as_bytes()),
+                value: value.clone().into(),
+            },
+        );
+    }
+    out.into()
+}
