--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use sloewick_decision::api::Micros;
-use sloewick_memcached::idempotency_ledger::{self, Key, Ledger, Verdict};
+use sloewick_memcached::idempotency_ledger::{
+    self, IdempotencyKey, IdempotencyLedger, RecordedWrite, Verdict,
+};
 
 /// What an arbiter may hold.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +22,7 @@
     /// Keys that are barred at once.
     pub barred: usize,
     /// Writes that crossed.
-    pub ledger: idempotency_ledger::Limits,
+    pub ledger: idempotency_ledger::LedgerLimits,
 }
 
 /// What a near node is told that has a marked retry of a key which it doesn't know.
@@ -58,16 +60,16 @@
     limits: Limits,
     /// Since when it knows of all that crosses with its keys.
     since: Micros,
-    ledger: Ledger,
+    ledger: IdempotencyLedger,
     /// Until when a key runs at its own site only.
-    barred: HashMap<Key, Micros>,
-    bars: VecDeque<(Micros, Key)>,
+    barred: HashMap<IdempotencyKey, Micros>,
+    bars: VecDeque<(Micros, IdempotencyKey)>,
 }
 
 impl Arbiter {
     /// An arbiter that starts now.
     pub fn new(now: Micros, limits: Limits) -> Arbiter {
-        let ledger = Ledger::new(limits.ledger);
+        let ledger = IdempotencyLedger::new(limits.ledger);
         Arbiter {
             limits,
             since: now,
@@ -98,10 +100,12 @@
     }
 
     /// A near node has a marked retry of a key.
-    pub fn claim(&mut self, now: Micros, key: &Key) -> Claim {
+    pub fn claim(&mut self, now: Micros, key: &IdempotencyKey) -> Claim {
         self.forget(now);
-        if let Some(known) = self.ledger.known(key) {
-            return known.map_or(Claim::Crossed, Claim::Served);
+        match self.ledger.recorded(key) {
+            Some(RecordedWrite::Served(receipt)) => return Claim::Served(receipt),
+            Some(RecordedWrite::MayHaveRun) => return Claim::Crossed,
+            None => {}
         }
         // Barred already: by another node's claim, which was told the same.
         let barred = self.barred.contains_key(key);
@@ -120,22 +124,22 @@
     }
 
     /// A write has crossed, and its lease is good.
-    pub fn run(&mut self, now: Micros, key: &Key) -> Run {
+    pub fn run(&mut self, now: Micros, key: &IdempotencyKey) -> Run {
         self.forget(now);
         if self.barred.contains_key(key) {
             return Run::Refuse;
         }
-        match self.ledger.ask(now, key, false) {
+        match self.ledger.begin(now, key, false) {
             Verdict::New => Run::Begin,
-            Verdict::Idempotency { until } => Run::Again { until },
+            Verdict::Repeat { until } => Run::Again { until },
             Verdict::Served(receipt) => Run::Served(receipt),
             Verdict::Unknown => Run::Unknown,
-            Verdict::InHand | Verdict::Full => Run::Refuse,
+            Verdict::InFlight | Verdict::Full => Run::Refuse,
         }
     }
 
     /// The ledger of what crossed, for sends and ends.
-    pub fn ledger(&mut self) -> &mut Ledger {
+    pub fn ledger(&mut self) -> &mut IdempotencyLedger {
         &mut self.ledger
     }
 }
--- a/crates/gateway/src/claims_tests.rs
+++ b/crates/gateway/src/claims_tests.rs
@@ -8,16 +8,16 @@
     wish: WISH,
     life: LIFE,
     barred: 8,
-    ledger: idempotency_ledger::Limits {
-        entries: 8,
-        receipt: 16,
-        window: 10_000,
+    ledger: idempotency_ledger::LedgerLimits {
+        max_entries: 8,
+        max_receipt_bytes: 16,
+        deduplication_window: 10_000,
         margin: 1_000,
-        remember: 60_000,
+        retention: 60_000,
     },
 };
 
-fn key(n: usize) -> Key {
+fn key(n: usize) -> IdempotencyKey {
     format!("k{n}").into()
 }
 
@@ -44,11 +44,11 @@
     assert_eq!(a.run(0, &key(1)), Run::Begin);
     assert_eq!(a.claim(1, &key(1)), Claim::Crossed, "it is out");
     assert!(a.ledger().send(2, &key(1)));
-    a.ledger().ended(50, &key(1), None);
+    a.ledger().finish(50, &key(1), None);
     assert_eq!(a.claim(60, &key(1)), Claim::Crossed, "it may have run");
     assert_eq!(a.run(70, &key(1)), Run::Again { until: 9_002 });
     a.ledger()
-        .ended(80, &key(1), Some(Bytes::from_static(b"receipt")));
+        .finish(80, &key(1), Some(Bytes::from_static(b"receipt")));
     assert_eq!(
         a.claim(90, &key(1)),
         Claim::Served(Bytes::from_static(b"receipt"))
@@ -57,7 +57,7 @@
     assert_eq!(a.run(100, &key(2)), Run::Begin);
     assert!(a.ledger().send(101, &key(2)));
     a.ledger().never_ran(&key(2), false);
-    a.ledger().ended(102, &key(2), None);
+    a.ledger().finish(102, &key(2), None);
     assert_eq!(a.claim(103, &key(2)), Claim::Here);
 }
 
@@ -135,7 +135,7 @@
                 if let Run::Begin | Run::Again { .. } = arbiter.run(c.arrives.max(now), &k) {
                     let _ = arbiter.ledger().send(now, &k);
                     far.insert(c.wish);
-                    arbiter.ledger().ended(now, &k, None);
+                    arbiter.ledger().finish(now, &k, None);
                 }
             }
             let wish = number[slot] * 4 + slot;
--- a/crates/memcached/src/config.rs
+++ b/crates/memcached/src/config.rs
@@ -1,4 +1,9 @@
-//! The file that switches the memcached front and boxes on; `docs/memcached.md` describes its fields.
+//! The configuration file of the memcached frontend and of the cache servers that speak the memcached binary protocol;
+//! `docs/memcached.md` describes its fields.
+//!
+//! [`parse`] reports all errors of the file at once, each with its line and its field, and guarantees that a
+//! [`MemcachedConfig`] is consistent with the node's settings: each route's class and tenant exist, the ledger fits into
+//! its share of the node's memory, and it remembers a write for at least as long as cache servers deduplicate it.
 
 use std::net::SocketAddr;
 
@@ -6,34 +11,30 @@
 use sloewick_decision::settings::Names;
 use sloewick_toml_config::{read, Problem, Reader, Section};
 
-use crate::idempotency_ledger::Limits;
-use crate::routing::{KeyFrom, Operation, Pattern, Route, Table};
+use crate::idempotency_ledger::LedgerLimits;
+use crate::routing::{KeySource, Operation, Pattern, Route, RoutingTable};
 
-/// Longest value that may be let in: the RESP2 protocol's own limit.
-const VALUE_MOST: u32 = 4 << 20;
-/// What one entry of the ledger takes at the most: its key (64 bytes) thrice, with what holds them.
-pub const ENTRY_MEMORY: usize = 512;
-/// The ledger may take this part of the node's memory (one in sixteen).
-pub const LEDGER_PART: usize = 16;
+/// Longest value that may be configured, in bytes: the limit of the RESP2 protocol.
+const MAX_VALUE_BYTES: u32 = 4 << 20;
+/// Longest value unless configured, in bytes.
+const DEFAULT_MAX_VALUE_BYTES: u32 = 1 << 20;
+/// Upper bound of the memory that an entry of the ledger takes, in bytes: three copies of its key (64 bytes) and the
+/// collections that hold them.
+pub const LEDGER_ENTRY_BYTES: usize = 512;
+/// The ledger may take the node's memory divided by this.
+pub const LEDGER_MEMORY_DIVISOR: usize = 16;
+/// Most entries of the ledger that may be configured.
+const MAX_LEDGER_ENTRIES: u32 = 1_000_000;
+/// Entries of the ledger unless configured, if the node's memory allows.
+const DEFAULT_LEDGER_ENTRIES: usize = 4096;
+/// Longest retention of the ledger that may be configured, in milliseconds: a day.
+const MAX_RETENTION_MS: u32 = 86_400_000;
+/// Longest deadline of a route whose class is unknown, in milliseconds: an hour.
+const MAX_DEADLINE_MS: Micros = 3_600_000;
 
-/// What the file sets.
-#[derive(Clone, Debug, PartialEq)]
-pub struct File {
-    /// Where clients that speak the binary protocol are listened for; none: nowhere.
-    pub listen: Option<SocketAddr>,
-    /// Longest value that is let in, in bytes.
-    pub value_most: usize,
-    pub routes: Table,
-    pub ledger: Limits,
-    /// How far a client's clock may be off (keys that carry a time).
-    pub skew: Micros,
-    /// Models of boxes, as the list names them, that speak the binary protocol.
-    pub models: Vec<String>,
-}
-
-const TOP: [&str; 5] = ["listen", "value_most", "ledger", "route", "box"];
-const LEDGER: [&str; 4] = ["entries", "remember_ms", "margin_ms", "clock_skew_ms"];
-const ROUTE: [&str; 6] = [
+const TOP_LEVEL_FIELDS: [&str; 5] = ["listen", "value_most", "ledger", "route", "box"];
+const LEDGER_FIELDS: [&str; 4] = ["entries", "remember_ms", "margin_ms", "clock_skew_ms"];
+const ROUTE_FIELDS: [&str; 6] = [
     "operation",
     "keys",
     "class",
@@ -42,229 +43,354 @@
     "key_from",
 ];
 
-/// Reads the file. `names` and `classes` are the node's settings, `memory` its memory in bytes.
+/// The contents of the configuration file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemcachedConfig {
+    /// The address at which memcached clients are accepted; `None` if only cache servers speak the protocol.
+    pub listen: Option<SocketAddr>,
+    /// Longest value that a client may set, in bytes.
+    pub max_value_bytes: usize,
+    /// The routes of requests.
+    pub routes: RoutingTable,
+    /// The limits of the idempotency ledger.
+    pub ledger: LedgerLimits,
+    /// How far the clock of a client may be off, in microseconds (idempotency keys that carry a time).
+    pub max_clock_skew: Micros,
+    /// The models of cache servers, as the endpoint list names them, that speak the binary protocol.
+    pub models: Vec<String>,
+}
+
+/// The `[ledger]` section.
+struct LedgerSettings {
+    limits: LedgerLimits,
+    max_clock_skew: Micros,
+}
+
+/// A route whose class has idempotency keys.
+struct KeyedRoute<'a> {
+    route: &'a Route,
+    deduplication_window: Micros,
+    section: Section<'a>,
+}
+
+/// Parses the configuration file. `names` and `classes` come from the node's settings; `memory` is the node's memory in
+/// bytes.
 ///
 /// # Errors
-/// All that is wrong with it.
+/// All errors of the file, in the order of their lines.
 pub fn parse(
     text: &str,
     names: &Names,
     classes: &[Class],
     memory: usize,
-) -> Result<File, Vec<Problem>> {
-    read(text, |r, top| {
-        r.only(top, &TOP);
-        let address = |text: &str| text.parse::<SocketAddr>().ok();
-        let listen = top.has("listen").then(|| {
-            r.meaning(
-                top,
-                "listen",
-                "an address with a port, like \"127.0.0.1:11211\"",
-                None,
-                address,
-            )
-        });
-        let value_most = r.whole(top, "value_most", 1..=VALUE_MOST, Some(1 << 20));
-        let ledger = r.section(top, "ledger");
-        let (mut limits, skew) = ledger_of(r, ledger.unwrap_or(top), ledger.is_some(), memory);
-        let margin = limits.margin;
-        let sections = r.list(top, "route");
-        if listen.is_some() && sections.is_empty() {
-            r.wrong(
+) -> Result<MemcachedConfig, Vec<Problem>> {
+    read(text, |reader, top| {
+        reader.only(top, &TOP_LEVEL_FIELDS);
+        let listen = read_listen_address(reader, top);
+        let max_value_bytes = reader.whole(
+            top,
+            "value_most",
+            1..=MAX_VALUE_BYTES,
+            Some(DEFAULT_MAX_VALUE_BYTES),
+        );
+        let ledger_section = reader.section(top, "ledger");
+        let mut ledger = read_ledger(reader, top, ledger_section, memory);
+        let route_sections = reader.list(top, "route");
+        if top.has("listen") && route_sections.is_empty() {
+            reader.wrong(
                 top,
                 "route",
                 "is missing: without a route every request is refused; allowed: [[route]]",
             );
         }
-        let routes: Vec<Option<Route>> = sections
+        let routes: Vec<Option<Route>> = route_sections
             .iter()
-            .map(|s| route(r, *s, names, classes))
+            .map(|section| read_route(reader, *section, names, classes))
             .collect();
-        let whole = routes.iter().all(Option::is_some);
-        // The shortest window of what is set by a key holds for all of it.
-        let keyed = routes.iter().zip(&sections).filter_map(|(route, section)| {
-            let class = classes.get(route.as_ref()?.class)?;
-            (class.idempotency == Idempotency::Keyed).then_some((
-                route.as_ref()?,
-                class.deduplication_window,
-                *section,
-            ))
-        });
-        let keyed: Vec<_> = keyed.collect();
-        limits.window = keyed
+        let keyed_routes = keyed_routes(&routes, &route_sections, classes);
+        // One window holds for all keys: the shortest.
+        ledger.limits.deduplication_window = keyed_routes
             .iter()
-            .map(|(_, window, _)| *window)
+            .map(|keyed| keyed.deduplication_window)
             .min()
             .unwrap_or(0);
-        if limits.remember < limits.window {
-            let why = format!(
-                "is {}; boxes drop repeats for {} ms, and a repeat after that must still be known; allowed: no less",
-                limits.remember / 1000,
-                limits.window / 1000
-            );
-            r.wrong(ledger.unwrap_or(top), "remember_ms", why);
-        }
-        for (_, _, section) in keyed
-            .iter()
-            .filter(|(route, ..)| route.key_from == KeyFrom::Stamp)
-        {
-            if limits.window <= margin + skew {
-                let why = format!(
-                    "no stamp could be in time: boxes drop repeats for {} ms, and margin_ms and clock_skew_ms are {} ms",
-                    limits.window / 1000,
-                    (margin + skew) / 1000
-                );
-                r.wrong(*section, "key_from", why);
-            }
-        }
-        let table = match Table::new(routes.into_iter().flatten().collect(), classes, margin) {
-            Ok(table) => Some(table),
-            Err(wrong) => {
-                // Their places are true only if none was left out.
-                for w in wrong.into_iter().filter(|_| whole) {
-                    r.wrong(sections[w.route], w.field, w.why);
-                }
-                None
-            }
-        };
-        let mut models = Vec::new();
-        for section in r.list(top, "box") {
-            r.only(section, &["model", "protocol"]);
-            let protocol = r.meaning(section, "protocol", "\"memcached\"", None, |word| {
-                (word == "memcached").then_some(())
-            });
-            let model = r.text(section, "model", "a model of the list's entries");
-            if let (Some(model), Some(())) = (model, protocol) {
-                if models.iter().any(|m| m == model) {
-                    r.wrong(section, "model", "stands there twice");
-                }
-                models.push(model.to_string());
-            }
-        }
-        Some(File {
-            listen: listen.flatten(),
-            value_most: value_most? as usize,
-            routes: table?,
-            ledger: limits,
-            skew,
+        check_retention(reader, ledger_section.unwrap_or(top), &ledger.limits);
+        check_timestamp_routes(reader, &keyed_routes, &ledger);
+        let margin = ledger.limits.margin;
+        let routes = make_table(reader, routes, &route_sections, classes, margin);
+        let models = read_models(reader, top);
+        Some(MemcachedConfig {
+            listen,
+            max_value_bytes: max_value_bytes? as usize,
+            routes: routes?,
+            ledger: ledger.limits,
+            max_clock_skew: ledger.max_clock_skew,
             models,
         })
     })
 }
 
-fn ledger_of(r: &mut Reader, section: Section, there: bool, memory: usize) -> (Limits, Micros) {
-    let room = memory / LEDGER_PART / ENTRY_MEMORY;
-    let usual = 4096.min(room) as u32;
-    // Without a section the usual values hold; the top level has none of these names.
-    if there {
-        r.only(section, &LEDGER);
+fn read_listen_address(reader: &mut Reader<'_>, top: Section<'_>) -> Option<SocketAddr> {
+    if !top.has("listen") {
+        return None;
     }
-    let ms = |n: Option<u32>| Micros::from(n.unwrap_or_default()) * 1000;
-    let entries = r
-        .whole(section, "entries", 1..=1_000_000, Some(usual))
-        .unwrap_or(usual) as usize;
-    let remember = ms(r.whole(section, "remember_ms", 1..=86_400_000, Some(600_000)));
-    let margin = ms(r.whole(section, "margin_ms", 0..=60_000, Some(1_000)));
-    let skew = ms(r.whole(section, "clock_skew_ms", 0..=60_000, Some(500)));
-    if entries > room {
+    reader.meaning(
+        top,
+        "listen",
+        "an address with a port, like \"127.0.0.1:11211\"",
+        None,
+        |text| text.parse::<SocketAddr>().ok(),
+    )
+}
+
+/// Reads the `[ledger]` section, or its defaults where there is none. The deduplication window is not known yet.
+fn read_ledger(
+    reader: &mut Reader<'_>,
+    top: Section<'_>,
+    ledger_section: Option<Section<'_>>,
+    memory: usize,
+) -> LedgerSettings {
+    let max_entries = memory / LEDGER_MEMORY_DIVISOR / LEDGER_ENTRY_BYTES;
+    let default_entries = DEFAULT_LEDGER_ENTRIES.min(max_entries) as u32;
+    if let Some(section) = ledger_section {
+        reader.only(section, &LEDGER_FIELDS);
+    }
+    // Without a section the defaults apply: the top level has no field of these names.
+    let section = ledger_section.unwrap_or(top);
+    let entries = reader
+        .whole(
+            section,
+            "entries",
+            1..=MAX_LEDGER_ENTRIES,
+            Some(default_entries),
+        )
+        .unwrap_or(default_entries) as usize;
+    let retention = reader.whole(section, "remember_ms", 1..=MAX_RETENTION_MS, Some(600_000));
+    let margin = reader.whole(section, "margin_ms", 0..=60_000, Some(1_000));
+    let max_clock_skew = reader.whole(section, "clock_skew_ms", 0..=60_000, Some(500));
+    if entries > max_entries {
         let why = format!(
-            "is {entries}; with {ENTRY_MEMORY} bytes each that is over one part in {LEDGER_PART} of memory_mb; \
-             allowed: up to {room}"
+            "is {entries}; with {LEDGER_ENTRY_BYTES} bytes each that is over one part in {LEDGER_MEMORY_DIVISOR} of memory_mb; \
+             allowed: up to {max_entries}"
         );
-        r.wrong(section, "entries", why);
+        reader.wrong(section, "entries", why);
     }
-    (
-        Limits {
-            entries,
-            receipt: 0,
-            window: 0,
-            margin,
-            remember,
+    let micros = |millis: Option<u32>| Micros::from(millis.unwrap_or_default()) * 1000;
+    LedgerSettings {
+        limits: LedgerLimits {
+            max_entries: entries,
+            max_receipt_bytes: 0,
+            deduplication_window: 0,
+            margin: micros(margin),
+            retention: micros(retention),
         },
-        skew,
-    )
+        max_clock_skew: micros(max_clock_skew),
+    }
 }
 
-fn route(r: &mut Reader, section: Section, names: &Names, classes: &[Class]) -> Option<Route> {
-    r.only(section, &ROUTE);
-    let operation = r.meaning(
-        section,
-        "operation",
-        "\"get\" or \"set\"",
-        None,
-        |word| match word {
-            "get" => Some(Operation::Get),
-            "set" => Some(Operation::Set),
-            _ => None,
-        },
-    );
-    let keys = r
-        .text(section, "keys", "a key, or the beginning of keys and *")
-        .and_then(|text| {
-            Pattern::read(text)
-                .map_err(|why| r.wrong(section, "keys", format!("{text:?} {why}")))
-                .ok()
-        });
-    let class_name = r.text(section, "class", "a class of the node's settings");
-    let class = class_name.and_then(|name| {
-        let class = names.class(name);
-        if class.is_none() {
-            r.wrong(
-                section,
-                "class",
-                format!("{name:?} is no class of the node's settings"),
-            );
-        }
-        class
-    });
-    let tenant_name = section
-        .has("tenant")
-        .then(|| r.text(section, "tenant", "a tenant (realm) of the settings"));
-    let tenant = tenant_name.flatten().and_then(|name| {
-        let tenant = names.tenant(name);
-        if tenant.is_none() {
-            r.wrong(
-                section,
-                "tenant",
-                format!("{name:?} is no tenant (realm) of the node's settings"),
-            );
-        }
-        tenant
-    });
-    let longest = class
-        .and_then(|c| classes.get(c))
-        .map_or(3_600_000, |c| c.deadline / 1000);
-    let longest = u32::try_from(longest).unwrap_or(u32::MAX).max(1);
-    let deadline = r.whole(section, "deadline_ms", 1..=longest, Some(longest));
-    let words = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
-    let key_from = r.meaning(
+/// Reads a `[[route]]` section; `None` if it has errors.
+fn read_route(
+    reader: &mut Reader<'_>,
+    section: Section<'_>,
+    names: &Names,
+    classes: &[Class],
+) -> Option<Route> {
+    reader.only(section, &ROUTE_FIELDS);
+    let operation = read_operation(reader, section);
+    let keys = read_pattern(reader, section);
+    let class_name = reader.text(section, "class", "a class of the node's settings");
+    let class = class_name.and_then(|name| find_class(reader, section, names, name));
+    let tenant_name = if section.has("tenant") {
+        reader.text(section, "tenant", "a tenant (realm) of the settings")
+    } else {
+        None
+    };
+    let tenant = tenant_name.and_then(|name| find_tenant(reader, section, names, name));
+    let max_deadline_ms = class
+        .and_then(|index| classes.get(index))
+        .map_or(MAX_DEADLINE_MS, |class| class.deadline / 1000);
+    let max_deadline_ms = u32::try_from(max_deadline_ms).unwrap_or(u32::MAX).max(1);
+    let deadline_ms = reader.whole(
         section,
-        "key_from",
-        words,
-        Some(KeyFrom::None),
-        |word| match word {
-            "none" => Some(KeyFrom::None),
-            "digest" => Some(KeyFrom::Digest),
-            "prefix" => Some(KeyFrom::Prefix),
-            "stamp" => Some(KeyFrom::Stamp),
-            _ => None,
-        },
+        "deadline_ms",
+        1..=max_deadline_ms,
+        Some(max_deadline_ms),
     );
+    let key_source = read_key_source(reader, section);
     let mut fields = format!("c={}", class_name?);
-    if let Some(name) = tenant_name.flatten() {
-        fields += &format!(",t={name}");
+    if let Some(name) = tenant_name {
+        fields.push_str(",t=");
+        fields.push_str(name);
     }
     Some(Route {
         operation: operation?,
         keys: keys?,
         class: class?,
         tenant,
-        deadline: Micros::from(deadline?) * 1000,
-        key_from: key_from?,
+        deadline: Micros::from(deadline_ms?) * 1000,
+        key_source: key_source?,
         fields,
     })
 }
 
+fn read_operation(reader: &mut Reader<'_>, section: Section<'_>) -> Option<Operation> {
+    let parse = |word: &str| match word {
+        "get" => Some(Operation::Get),
+        "set" => Some(Operation::Set),
+        _ => None,
+    };
+    reader.meaning(section, "operation", "\"get\" or \"set\"", None, parse)
+}
+
+fn read_pattern(reader: &mut Reader<'_>, section: Section<'_>) -> Option<Pattern> {
+    let text = reader.text(section, "keys", "a key, or the beginning of keys and *")?;
+    match Pattern::parse(text) {
+        Ok(pattern) => Some(pattern),
+        Err(error) => {
+            reader.wrong(section, "keys", format!("{text:?} {error}"));
+            None
+        }
+    }
+}
+
+fn find_class(
+    reader: &mut Reader<'_>,
+    section: Section<'_>,
+    names: &Names,
+    name: &str,
+) -> Option<usize> {
+    let class = names.class(name);
+    if class.is_none() {
+        let why = format!("{name:?} is no class of the node's settings");
+        reader.wrong(section, "class", why);
+    }
+    class
+}
+
+fn find_tenant(
+    reader: &mut Reader<'_>,
+    section: Section<'_>,
+    names: &Names,
+    name: &str,
+) -> Option<usize> {
+    let tenant = names.tenant(name);
+    if tenant.is_none() {
+        let why = format!("{name:?} is no tenant (realm) of the node's settings");
+        reader.wrong(section, "tenant", why);
+    }
+    tenant
+}
+
+fn read_key_source(reader: &mut Reader<'_>, section: Section<'_>) -> Option<KeySource> {
+    let parse = |word: &str| match word {
+        "none" => Some(KeySource::None),
+        "digest" => Some(KeySource::Digest),
+        "prefix" => Some(KeySource::Prefix),
+        "stamp" => Some(KeySource::Timestamp),
+        _ => None,
+    };
+    let allowed = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
+    reader.meaning(section, "key_from", allowed, Some(KeySource::None), parse)
+}
+
+/// The routes without errors whose class has idempotency keys, with their sections.
+fn keyed_routes<'a>(
+    routes: &'a [Option<Route>],
+    sections: &[Section<'a>],
+    classes: &[Class],
+) -> Vec<KeyedRoute<'a>> {
+    let keyed = |(route, section): (&'a Option<Route>, &Section<'a>)| {
+        let route = route.as_ref()?;
+        let class = classes.get(route.class)?;
+        (class.idempotency == Idempotency::Keyed).then_some(KeyedRoute {
+            route,
+            deduplication_window: class.deduplication_window,
+            section: *section,
+        })
+    };
+    routes.iter().zip(sections).filter_map(keyed).collect()
+}
+
+/// Reports a retention shorter than the deduplication window: a retry after the window must still be recognized.
+fn check_retention(reader: &mut Reader<'_>, section: Section<'_>, limits: &LedgerLimits) {
+    if limits.retention >= limits.deduplication_window {
+        return;
+    }
+    let why = format!(
+        "is {}; boxes drop repeats for {} ms, and a repeat after that must still be known; allowed: no less",
+        limits.retention / 1000,
+        limits.deduplication_window / 1000
+    );
+    reader.wrong(section, "remember_ms", why);
+}
+
+/// Reports routes with timestamps if margin and clock skew leave nothing of the deduplication window.
+fn check_timestamp_routes(
+    reader: &mut Reader<'_>,
+    keyed_routes: &[KeyedRoute<'_>],
+    ledger: &LedgerSettings,
+) {
+    let window = ledger.limits.deduplication_window;
+    let lost = ledger.limits.margin + ledger.max_clock_skew;
+    if window > lost {
+        return;
+    }
+    for keyed in keyed_routes {
+        if keyed.route.key_source != KeySource::Timestamp {
+            continue;
+        }
+        let why = format!(
+            "no stamp could be in time: boxes drop repeats for {} ms, and margin_ms and clock_skew_ms are {} ms",
+            window / 1000,
+            lost / 1000
+        );
+        reader.wrong(keyed.section, "key_from", why);
+    }
+}
+
+/// Makes the table of the routes without errors; `None` if the routes do not go together.
+fn make_table(
+    reader: &mut Reader<'_>,
+    routes: Vec<Option<Route>>,
+    sections: &[Section<'_>],
+    classes: &[Class],
+    margin: Micros,
+) -> Option<RoutingTable> {
+    let complete = routes.iter().all(Option::is_some);
+    let routes = routes.into_iter().flatten().collect();
+    match RoutingTable::new(routes, classes, margin) {
+        Ok(table) => Some(table),
+        Err(problems) => {
+            // Indices of routes are those of sections only if no route was left out.
+            for problem in problems.iter().filter(|_| complete) {
+                let section = sections[problem.route];
+                reader.wrong(section, problem.error.field(), problem.error.to_string());
+            }
+            None
+        }
+    }
+}
+
+/// Reads the `[[box]]` sections: the models of cache servers that speak the binary protocol.
+fn read_models(reader: &mut Reader<'_>, top: Section<'_>) -> Vec<String> {
+    let mut models = Vec::new();
+    for section in reader.list(top, "box") {
+        reader.only(section, &["model", "protocol"]);
+        let protocol = reader.meaning(section, "protocol", "\"memcached\"", None, |word| {
+            (word == "memcached").then_some(())
+        });
+        let model = reader.text(section, "model", "a model of the list's entries");
+        let (Some(model), Some(())) = (model, protocol) else {
+            continue;
+        };
+        if models.iter().any(|known| known == model) {
+            reader.wrong(section, "model", "stands there twice");
+        }
+        models.push(model.to_string());
+    }
+    models
+}
+
 #[cfg(test)]
 #[path = "config_tests.rs"]
 mod tests;
--- a/crates/memcached/src/config_tests.rs
+++ b/crates/memcached/src/config_tests.rs
@@ -1,75 +1,90 @@
 use super::*;
 use sloewick_decision::settings::{self, Fields};
 
-fn parsed(text: &str) -> Result<File, Vec<String>> {
-    let node = include_str!("../../../examples/node.json");
-    let value: serde_json::Value = serde_json::from_str(node).unwrap();
-    let object = Fields::of(&value["settings"], "settings").unwrap();
-    let (set, names) = settings::parse(&object).unwrap();
-    parse(text, &names, &set.classes, 64 << 20)
-        .map_err(|list| list.iter().map(|p| p.to_string()).collect())
+/// Parses a file for a node with the example settings and 64 MiB of memory.
+fn parse_config(text: &str) -> Result<MemcachedConfig, Vec<String>> {
+    let node_config = include_str!("../../../examples/node.json");
+    let json: serde_json::Value = serde_json::from_str(node_config).unwrap();
+    let object = Fields::of(&json["settings"], "settings").unwrap();
+    let (settings, names) = settings::parse(&object).unwrap();
+    parse(text, &names, &settings.classes, 64 << 20)
+        .map_err(|list| list.iter().map(ToString::to_string).collect())
 }
 
 #[test]
-fn the_shipped_file_can_be_used() {
-    let file = parsed(include_str!("../../../deploy/memcached.toml")).unwrap();
-    assert!(file.listen.is_some());
-    assert!(file.routes.find(Operation::Get, b"logger/00001").is_some());
-    assert!(file.routes.find(Operation::Set, b"logger/00001").is_none());
+fn shipped_config_file_is_valid() {
+    let config = parse_config(include_str!("../../../deploy/memcached.toml")).unwrap();
+    assert!(config.listen.is_some());
+    assert!(config
+        .routes
+        .find(Operation::Get, b"logger/00001")
+        .is_some());
+    assert!(config
+        .routes
+        .find(Operation::Set, b"logger/00001")
+        .is_none());
 }
 
 #[test]
-fn nothing_but_boxes_needs_no_listener() {
-    let file = parsed("[[box]]\nmodel = \"new\"\nprotocol = \"memcached\"\n").unwrap();
-    assert_eq!((file.listen, file.models), (None, vec!["new".to_string()]));
+fn config_with_cache_server_models_only_needs_no_listener() {
+    let config = parse_config("[[box]]\nmodel = \"new\"\nprotocol = \"memcached\"\n").unwrap();
+    assert_eq!(
+        (config.listen, config.models),
+        (None, vec!["new".to_string()])
+    );
 }
 
 #[test]
-fn every_mistake_is_told_at_once() {
+fn all_config_errors_are_reported_at_once() {
     let text = "listen = \"here\"\nvalue_most = 0\n[ledger]\nentries = 90000\nremember_ms = 5\n\
                 [[route]]\noperation = \"touch\"\nkeys = \"a*b\"\nclass = \"no\"\n\
                 [[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n\
                 [[box]]\nmodel = \"m\"\nprotocol = \"text\"\n";
-    let wrong = parsed(text).unwrap_err();
-    let lines = [
+    let problems = parse_config(text).unwrap_err();
+    let top_level_and_ledger = [
         "1: listen",
         "2: value_most",
         "4: ledger.entries",
         "5: ledger.remember_ms",
     ];
-    let more = [
+    let lists = [
         "7: route[0].operation",
         "8: route[0].keys",
         "9: route[0].class",
         "16: box[0].protocol",
     ];
-    let expected: Vec<&str> = lines.into_iter().chain(more).collect();
-    let starts: Vec<String> = wrong
+    let expected: Vec<&str> = top_level_and_ledger.into_iter().chain(lists).collect();
+    let lines_and_fields: Vec<String> = problems
         .iter()
-        .map(|w| {
-            w["line ".len()..]
+        .map(|problem| {
+            problem["line ".len()..]
                 .splitn(3, ": ")
                 .take(2)
                 .collect::<Vec<_>>()
                 .join(": ")
         })
         .collect();
-    assert_eq!(starts, expected);
-    // What a table as a whole may not be is told once each line by itself is right.
-    let wrong = parsed("[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n")
-        .unwrap_err();
+    assert_eq!(lines_and_fields, expected);
+    // Errors of the table are reported once each route by itself is valid.
+    let problems =
+        parse_config("[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\n")
+            .unwrap_err();
     assert_eq!(
-        wrong,
+        problems,
         ["line 1: route[0].key_from: the class is keyed: say where its key comes from"]
     );
-    let stamp =
+    let timestamp_route =
         "[[route]]\noperation = \"set\"\nkeys = \"x\"\nclass = \"alarm-set\"\nkey_from = \"stamp\"\n";
-    assert!(parsed(stamp).is_ok());
-    let wrong = parsed(&format!("[ledger]\nmargin_ms = 9500\n{stamp}")).unwrap_err();
+    assert!(parse_config(timestamp_route).is_ok());
+    let problems =
+        parse_config(&format!("[ledger]\nmargin_ms = 9500\n{timestamp_route}")).unwrap_err();
+    assert!(
+        problems[0].starts_with("line 7: route[0].key_from: no stamp could be in time"),
+        "{problems:?}"
+    );
+    let problems = parse_config("listen = \"127.0.0.1:11211\"").unwrap_err();
     assert!(
-        wrong[0].starts_with("line 7: route[0].key_from: no stamp could be in time"),
-        "{wrong:?}"
+        problems[0].contains("every request is refused"),
+        "{problems:?}"
     );
-    let wrong = parsed("listen = \"127.0.0.1:11211\"").unwrap_err();
-    assert!(wrong[0].contains("every request is refused"), "{wrong:?}");
 }
--- a/crates/memcached/src/idempotency_ledger.rs
+++ b/crates/memcached/src/idempotency_ledger.rs
@@ -1,13 +1,19 @@
-//! The ledger of keyed writes at a node: which may have run, since when, and how they ended.
+//! The idempotency ledger of a node: which writes with an idempotency key may have run, since when, and how they ended.
 //!
-//! It guarantees, for as long as it remembers a key: a write that may have run is passed on again only while the
-//! boxes drop its repeats; after that it is answered from what is known, or fails; it is never sent as new. While
-//! an attempt is out, no second request of the same key is passed on beside it.
+//! # Guarantees
 //!
-//! It is bounded: [`Limits::entries`] keys, each with a receipt of at most [`Limits::receipt`] bytes, for
-//! [`Limits::remember`]. A key that is remembered is not forgotten to make room: when there is none, new keys are
-//! refused, which is harmless, since nothing of them has run. After a restart it is empty; see `docs/design/memcache.md`
-//! for what that costs.
+//! For as long as the ledger remembers a key:
+//!
+//! - a write that may have run is forwarded again only while the cache servers deduplicate it. After that window it is
+//!   answered with the recorded receipt, or fails; it is never forwarded as a new write;
+//! - while a request of a key is in flight, no second request of the same key is forwarded.
+//!
+//! # Bounds
+//!
+//! The ledger holds [`LedgerLimits::max_entries`] keys, each with a receipt of at most
+//! [`LedgerLimits::max_receipt_bytes`], for [`LedgerLimits::retention`]. It does not evict a remembered key to make room
+//! for another: when it is full, new keys are rejected, which is safe because nothing of them has run. It lives in memory
+//! only and is empty after a restart; `docs/design/memcache.md` describes the consequences.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -16,196 +22,217 @@
 use sloewick_decision::api::Micros;
 
 /// An idempotency key.
-pub type Key = Arc<str>;
+pub type IdempotencyKey = Arc<str>;
 
-/// What the ledger may hold.
+/// Bounds and durations of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Limits {
-    /// Keys at the most.
-    pub entries: usize,
-    /// Longest receipt that is kept, in bytes; a longer one counts as served with no receipt known.
-    pub receipt: usize,
-    /// How long the boxes drop a repeat, from the first send that may have run.
-    pub window: Micros,
-    /// What is taken off the window at its end for the way to the box: what leaves by then arrives in time.
+pub struct LedgerLimits {
+    /// Maximum number of keys.
+    pub max_entries: usize,
+    /// Maximum size of a recorded receipt, in bytes. A write with a longer one counts as served without a receipt.
+    pub max_receipt_bytes: usize,
+    /// How long the cache servers deduplicate a write, from the first send that may have run, in microseconds.
+    pub deduplication_window: Micros,
+    /// Time a message may take to the cache server, in microseconds. It is subtracted from the end of the window, so that
+    /// whatever is sent before that arrives within the window.
     pub margin: Micros,
-    /// How long a key is remembered after its last end.
-    pub remember: Micros,
+    /// How long a key is remembered after its last request ended, in microseconds.
+    pub retention: Micros,
+}
+
+impl LedgerLimits {
+    /// The time after which a write whose first send was at `first_sent` must not be sent again.
+    fn last_send(&self, first_sent: Micros) -> Micros {
+        first_sent + self.deduplication_window - self.margin
+    }
 }
 
-/// How a keyed write is to be served.
+/// What is to be done with a request that has an idempotency key.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
-    /// Nothing of it is known to have run: pass it on.
+    /// The write is not known to have run: forward it.
     New,
-    /// It may have run; the boxes drop it until then (on the node's clock): pass it on, no later.
-    Idempotency { until: Micros },
-    /// It has been served, and the boxes may have forgotten it: answer with the receipt.
+    /// The write may have run, and the cache servers still deduplicate it: forward it.
+    Repeat {
+        /// When it must have been sent, on the clock of the node.
+        until: Micros,
+    },
+    /// The write has been served, and the deduplication window is over: answer with the recorded receipt.
     Served(Bytes),
-    /// It has been served, or may have run, with nothing more known, and the boxes may have forgotten it: fail.
+    /// The write may have run, no receipt is recorded, and the deduplication window is over: fail the request.
     Unknown,
-    /// Another request of the same key is out: refuse, nothing of this one has run.
-    InHand,
-    /// There is no room to remember it: refuse, nothing of it has run.
+    /// Another request of the key is in flight: reject this one, nothing of it has run.
+    InFlight,
+    /// The ledger is full: reject the request, nothing of it has run.
     Full,
 }
 
+/// What the ledger records of a write that is in flight or may have run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RecordedWrite {
+    /// It is in flight or may have run, and no receipt is recorded.
+    MayHaveRun,
+    /// It has been served, with this receipt.
+    Served(Bytes),
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
-    /// Since when something of it may have run.
-    ran_since: Option<Micros>,
-    in_hand: bool,
-    /// Served; with its receipt, if that could be kept.
-    served: Option<Option<Bytes>>,
-    ended: Micros,
+    /// When the first attempt that may have run was sent.
+    first_sent: Option<Micros>,
+    in_flight: bool,
+    served: bool,
+    /// The receipt of a served write, unless it was too long to be recorded.
+    receipt: Option<Bytes>,
+    /// When the last request of the key ended.
+    last_end: Micros,
 }
 
-/// See the module.
+/// The ledger; the module describes its guarantees and bounds.
 #[derive(Debug)]
-pub struct Ledger {
-    limits: Limits,
-    entries: HashMap<Key, Entry>,
-    /// Ends in the order in which they came, for forgetting; an entry that ended again stands twice.
-    ends: VecDeque<(Micros, Key)>,
+pub struct IdempotencyLedger {
+    limits: LedgerLimits,
+    entries: HashMap<IdempotencyKey, Entry>,
+    /// Ends of requests in chronological order, for expiry. A key whose requests ended several times appears as often;
+    /// only its last end counts.
+    ends: VecDeque<(Micros, IdempotencyKey)>,
 }
 
-impl Ledger {
-    pub fn new(limits: Limits) -> Ledger {
-        Ledger {
+impl IdempotencyLedger {
+    /// An empty ledger.
+    pub fn new(limits: LedgerLimits) -> IdempotencyLedger {
+        IdempotencyLedger {
             limits,
             entries: HashMap::new(),
             ends: VecDeque::new(),
         }
     }
 
+    /// The number of remembered keys.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Whether no key is remembered.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// A request of this key has come. On [`Verdict::New`] and [`Verdict::Idempotency`] it is in hand until
-    /// [`Ledger::ended`] is told.
+    /// Registers a request of a key. After [`Verdict::New`] and [`Verdict::Repeat`] it is in flight until
+    /// [`IdempotencyLedger::finish`]; after any other verdict it must not be forwarded.
     ///
-    /// `old`: the key itself tells that it was made so long ago that boxes may have forgotten it. If nothing is known
-    /// of it here, it may have run through another node, or before this one started.
-    pub fn ask(&mut self, now: Micros, key: &Key, old: bool) -> Verdict {
-        self.forget(now);
-        let until = |since: Micros| since + self.limits.window - self.limits.margin;
+    /// `expired` says that the key itself carries a time so long ago that the cache servers may no longer deduplicate it.
+    /// An expired key that the ledger does not have may have run through another node, or before this one started.
+    pub fn begin(&mut self, now: Micros, key: &IdempotencyKey, expired: bool) -> Verdict {
+        self.remove_expired(now);
         if let Some(entry) = self.entries.get_mut(key) {
-            return match (entry.in_hand, entry.ran_since) {
-                (true, _) => Verdict::InHand,
-                (false, None) => {
-                    entry.in_hand = true;
-                    Verdict::New
-                }
-                (false, Some(since)) if now < until(since) => {
-                    entry.in_hand = true;
-                    Verdict::Idempotency {
-                        until: until(since),
-                    }
-                }
-                (false, Some(_)) => match &entry.served {
-                    Some(Some(receipt)) => Verdict::Served(receipt.clone()),
-                    _ => Verdict::Unknown,
-                },
-            };
+            return entry.begin(now, &self.limits);
         }
-        if old {
+        if expired {
             return Verdict::Unknown;
         }
-        if self.entries.len() >= self.limits.entries {
+        if self.entries.len() >= self.limits.max_entries {
             return Verdict::Full;
         }
         let entry = Entry {
-            ran_since: None,
-            in_hand: true,
-            served: None,
-            ended: now,
+            first_sent: None,
+            in_flight: true,
+            served: false,
+            receipt: None,
+            last_end: now,
         };
         self.entries.insert(key.clone(), entry);
         Verdict::New
     }
 
-    /// What is known of a key that is out, has been served or may have run, with its receipt if there is one; none:
-    /// nothing of it is known to have run.
-    pub fn known(&self, key: &Key) -> Option<Option<Bytes>> {
+    /// What is recorded of a key that is in flight or may have run; `None` if it is not known to have run.
+    pub fn recorded(&self, key: &IdempotencyKey) -> Option<RecordedWrite> {
         let entry = self.entries.get(key)?;
-        (entry.in_hand || entry.ran_since.is_some()).then(|| entry.served.clone().flatten())
+        if !entry.in_flight && entry.first_sent.is_none() {
+            return None;
+        }
+        let recorded = match &entry.receipt {
+            Some(receipt) => RecordedWrite::Served(receipt.clone()),
+            None => RecordedWrite::MayHaveRun,
+        };
+        Some(recorded)
     }
 
-    /// An attempt of the key leaves now and may run. False: it must not leave, the boxes may have forgotten it.
+    /// Records that an attempt of the key is sent now and may run. Returns false if it must not be sent, since the cache
+    /// servers may no longer deduplicate it.
     #[must_use]
-    pub fn send(&mut self, now: Micros, key: &Key) -> bool {
-        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.in_hand) else {
+    pub fn send(&mut self, now: Micros, key: &IdempotencyKey) -> bool {
+        let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.in_flight) else {
             return false;
         };
-        let since = *entry.ran_since.get_or_insert(now);
-        now < since + self.limits.window - self.limits.margin || now == since
+        let first_sent = *entry.first_sent.get_or_insert(now);
+        now < self.limits.last_send(first_sent) || now == first_sent
     }
 
-    /// An attempt that was counted by [`Ledger::send`] is known not to have run; `others`: another of this key may
-    /// have.
-    pub fn never_ran(&mut self, key: &Key, others: bool) {
-        if let Some(entry) = self
-            .entries
-            .get_mut(key)
-            .filter(|e| !others && e.served.is_none())
-        {
-            entry.ran_since = None;
+    /// Records that an attempt counted by [`IdempotencyLedger::send`] certainly did not run. `others_may_have_run` says
+    /// whether another attempt of the key may have.
+    pub fn never_ran(&mut self, key: &IdempotencyKey, others_may_have_run: bool) {
+        if others_may_have_run {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(key).filter(|entry| !entry.served) {
+            entry.first_sent = None;
         }
     }
 
-    /// The request in hand has ended; its receipt, if it was served. Whether it may have run is known from its sends.
-    pub fn ended(&mut self, now: Micros, key: &Key, served: Option<Bytes>) {
+    /// Records that the request in flight has ended, with its receipt if it was served. A write of which no attempt may
+    /// have run is forgotten.
+    pub fn finish(&mut self, now: Micros, key: &IdempotencyKey, receipt: Option<Bytes>) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        entry.in_hand = false;
-        entry.ended = now;
-        if let Some(receipt) = served {
-            entry.ran_since.get_or_insert(now);
-            let kept = (receipt.len() <= self.limits.receipt).then_some(receipt);
-            // What was served once stays so, with the receipt that is known.
-            let known = entry.served.take().flatten();
-            entry.served = Some(kept.or(known));
+        entry.in_flight = false;
+        entry.last_end = now;
+        if let Some(receipt) = receipt {
+            entry.first_sent.get_or_insert(now);
+            entry.served = true;
+            // An earlier receipt stays if this one is too long.
+            if receipt.len() <= self.limits.max_receipt_bytes {
+                entry.receipt = Some(receipt);
+            }
         }
-        if entry.ran_since.is_none() {
+        if entry.first_sent.is_none() {
             self.entries.remove(key);
         } else {
             self.ends.push_back((now, key.clone()));
-            self.tidy();
+            self.compact_ends();
         }
     }
 
-    /// Drops ends that later ones of their keys have replaced, when they have become as many as the keys: a client
-    /// that repeats one write without end must not fill the memory.
-    fn tidy(&mut self) {
-        if self.ends.len() > 2 * self.limits.entries {
-            let entries = &self.entries;
-            self.ends
-                .retain(|(at, key)| entries.get(key).is_some_and(|e| e.ended == *at));
-            // Two ends in one instant are one.
-            let mut last = None;
-            self.ends
-                .retain(|end| last.replace(end.clone()).as_ref() != Some(end));
+    /// Removes superseded ends once there are more than twice as many as keys may be, so that a client that repeats one
+    /// write again and again cannot exhaust the memory.
+    fn compact_ends(&mut self) {
+        if self.ends.len() <= 2 * self.limits.max_entries {
+            return;
         }
+        let entries = &self.entries;
+        self.ends.retain(|(ended_at, key)| {
+            entries
+                .get(key)
+                .is_some_and(|entry| entry.last_end == *ended_at)
+        });
+        // Ends of one key in the same microsecond are equal; one of them is enough.
+        let mut previous = None;
+        self.ends
+            .retain(|end| previous.replace(end.clone()).as_ref() != Some(end));
     }
 
-    /// Drops what has been remembered long enough.
-    fn forget(&mut self, now: Micros) {
-        // A key that ended several times stands here as often; only its last end counts.
-        while let Some((at, key)) = self.ends.front() {
-            if now - at < self.limits.remember {
+    /// Removes the keys whose retention is over.
+    fn remove_expired(&mut self, now: Micros) {
+        while let Some((ended_at, key)) = self.ends.front() {
+            if now - ended_at < self.limits.retention {
                 return;
             }
-            let over = self
+            let expired = self
                 .entries
                 .get(key)
-                .is_some_and(|e| !e.in_hand && e.ended == *at);
-            if over {
+                .is_some_and(|entry| !entry.in_flight && entry.last_end == *ended_at);
+            if expired {
                 self.entries.remove(key);
             }
             self.ends.pop_front();
@@ -213,6 +240,28 @@
     }
 }
 
+impl Entry {
+    /// The verdict on another request of this key, which is in flight afterwards if it may be forwarded.
+    fn begin(&mut self, now: Micros, limits: &LedgerLimits) -> Verdict {
+        if self.in_flight {
+            return Verdict::InFlight;
+        }
+        let Some(first_sent) = self.first_sent else {
+            self.in_flight = true;
+            return Verdict::New;
+        };
+        let until = limits.last_send(first_sent);
+        if now < until {
+            self.in_flight = true;
+            return Verdict::Repeat { until };
+        }
+        match &self.receipt {
+            Some(receipt) => Verdict::Served(receipt.clone()),
+            None => Verdict::Unknown,
+        }
+    }
+}
+
 #[cfg(test)]
 #[path = "idempotency_ledger_tests.rs"]
 mod tests;
--- a/crates/memcached/src/lib.rs
+++ b/crates/memcached/src/lib.rs
@@ -1,8 +1,17 @@
-//! What a front for the memcached binary protocol has to decide, without I/O: time is an argument.
+//! The decisions of the memcached frontend: what a request of the memcached binary protocol means to the gateway.
 //!
-//! A standard client sends neither class, deadline, id nor idempotency key. [`idempotency_ledger`] keeps what is known of each
-//! keyed write, so that a repeat goes to the boxes only while they drop it and is never sent as new afterwards;
-//! [`routing`] gives a request what its client does not send; [`config`] reads the settings of all that; [`status`] says what a box's status means.
+//! The package performs no I/O and reads no clock; times are arguments, in microseconds ([`Micros`]). A standard
+//! memcached client sends neither a request class nor a tenant, a deadline or an idempotency key:
+//!
+//! - [`routing`] derives them from the operation, the key and the value of a request;
+//! - [`idempotency_ledger`] remembers writes that have an idempotency key, so that a retry never takes effect twice;
+//! - [`status`] translates the response status of a cache server into the outcome of an attempt;
+//! - [`config`] reads the configuration file of all these.
+//!
+//! The protocol followed is `BinaryProtocolRevamped` of the memcached project; `docs/memcached.md` describes what users
+//! see, `docs/design/memcache.md` the reasons.
+//!
+//! [`Micros`]: sloewick_decision::api::Micros
 
 pub mod config;
 pub mod idempotency_ledger;
--- a/crates/memcached/src/routing.rs
+++ b/crates/memcached/src/routing.rs
@@ -1,261 +1,385 @@
-//! The table that gives a standard client's request what the client does not send: class, tenant, deadline and, for
-//! a write, where its idempotency key comes from.
+//! The routing table: derives from a memcached request what a standard client does not send, namely its class, tenant
+//! and deadline and, for a write, its idempotency key.
 //!
-//! It guarantees that nothing becomes repeatable by a guess: a request that no route fits is refused, a write's route
-//! names a class for which its repeats are provided, and a key that can't be made is an error to the client.
+//! It guarantees that no write is retried by a guess: a request that matches no route is rejected, the route of a write
+//! names a class whose retries are safe, and a value without the required idempotency key is an error to the client.
+//! The table is immutable after [`RoutingTable::new`]. `docs/memcached.md` describes its fields.
 
-use std::fmt;
+use std::fmt::Write;
 
 use sha2::{Digest, Sha256};
 use sloewick_decision::api::{Class, DeduplicationScope, Idempotency, Micros};
+use thiserror::Error;
 
-use crate::idempotency_ledger::Key;
+use crate::idempotency_ledger::IdempotencyKey;
 
-/// Shortest and longest key that a client may put before a value, in bytes.
-pub const PREFIX: std::ops::RangeInclusive<usize> = 8..=64;
+/// Allowed length of an idempotency key that a client puts before a value, in bytes.
+pub const KEY_PREFIX_LENGTH: std::ops::RangeInclusive<usize> = 8..=64;
+/// Bytes of the SHA-256 digest that make an idempotency key.
+const DIGEST_KEY_BYTES: usize = 16;
+/// Decimal digits of Unix time in milliseconds, until the year 2286.
+const TIMESTAMP_DIGITS: usize = 13;
 
 /// What a request does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Operation {
+    /// Reads a value.
     Get,
+    /// Writes a value.
     Set,
 }
 
-/// Which keys a route is for.
+/// A text that is not a pattern. The message continues the quoted text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PatternError {
+    /// The text is empty.
+    #[error("is empty; * stands for all keys")]
+    Empty,
+    /// A star stands elsewhere than at the end.
+    #[error("has a star that is not its last character")]
+    MisplacedStar,
+}
+
+/// The keys that a route is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Pattern {
-    Exactly(Vec<u8>),
-    /// All keys that begin so; nothing: all.
-    Begins(Vec<u8>),
+    /// One key.
+    Exact(Vec<u8>),
+    /// All keys that begin with these bytes; all keys if there are none.
+    Prefix(Vec<u8>),
 }
 
 impl Pattern {
-    /// `logger/*` is all that begins with `logger/`; without a star it is one key. Only the last character may be
-    /// a star.
+    /// Parses a pattern: `logger/*` stands for all keys that begin with `logger/`; a text without a star is one key.
     ///
     /// # Errors
-    /// A star elsewhere, or nothing at all.
-    pub fn read(text: &str) -> Result<Pattern, &'static str> {
-        match text.strip_suffix('*') {
-            _ if text.is_empty() => Err("is empty; * stands for all keys"),
-            Some(begin) if begin.contains('*') => Err("has a star that is not its last character"),
-            None if text.contains('*') => Err("has a star that is not its last character"),
-            Some(begin) => Ok(Pattern::Begins(begin.as_bytes().to_vec())),
-            None => Ok(Pattern::Exactly(text.as_bytes().to_vec())),
+    /// The text is empty, or a star is not its last character.
+    pub fn parse(text: &str) -> Result<Pattern, PatternError> {
+        if text.is_empty() {
+            return Err(PatternError::Empty);
         }
+        let prefix = text.strip_suffix('*');
+        if prefix.unwrap_or(text).contains('*') {
+            return Err(PatternError::MisplacedStar);
+        }
+        Ok(match prefix {
+            Some(prefix) => Pattern::Prefix(prefix.as_bytes().to_vec()),
+            None => Pattern::Exact(text.as_bytes().to_vec()),
+        })
     }
 
-    pub fn fits(&self, key: &[u8]) -> bool {
+    /// Whether a key is one of the pattern's.
+    pub fn matches(&self, key: &[u8]) -> bool {
         match self {
-            Pattern::Exactly(whole) => whole == key,
-            Pattern::Begins(begin) => key.starts_with(begin),
+            Pattern::Exact(exact) => exact == key,
+            Pattern::Prefix(prefix) => key.starts_with(prefix),
         }
     }
 
-    /// Whether every key that fits the other fits this one.
+    /// Whether every key that matches the other pattern matches this one.
     fn covers(&self, other: &Pattern) -> bool {
         match (self, other) {
-            (Pattern::Begins(begin), Pattern::Begins(more) | Pattern::Exactly(more)) => {
-                more.starts_with(begin)
+            (Pattern::Prefix(prefix), Pattern::Prefix(longer) | Pattern::Exact(longer)) => {
+                longer.starts_with(prefix)
             }
-            (Pattern::Exactly(a), Pattern::Exactly(b)) => a == b,
-            (Pattern::Exactly(_), Pattern::Begins(_)) => false,
+            (Pattern::Exact(key), Pattern::Exact(other_key)) => key == other_key,
+            (Pattern::Exact(_), Pattern::Prefix(_)) => false,
         }
     }
 }
 
-/// Where a write's idempotency key comes from.
+/// Where the idempotency key of a write comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyFrom {
-    /// There is none: the write is not repeated.
+pub enum KeySource {
+    /// The write has none and is not retried.
     None,
-    /// The digest of class, key and value: the same value for the same key is the same wish.
+    /// The digest of class, key and value: two writes of the same value to the same key are one operation.
     Digest,
-    /// What stands in the value before the first colon; it stays part of the value.
+    /// The value begins with it, up to the first colon; it stays in the value.
     Prefix,
-    /// The same, and it begins with the time of the wish (Unix time in milliseconds) and a hyphen, so that a repeat
-    /// that comes too late is known to be one by any node, also after a restart.
-    Stamp,
+    /// Like [`KeySource::Prefix`], and the idempotency key begins with the time of the operation (Unix time in
+    /// milliseconds) and a hyphen. Any node recognizes a retry that comes too late, even after a restart.
+    Timestamp,
+}
+
+/// A value that does not have the idempotency key that its route requires. The message is shown to the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum KeyError {
+    /// The value does not begin with an idempotency key.
+    #[error("{}", self.message())]
+    MissingPrefix,
+    /// The idempotency key does not begin with a time.
+    #[error("{}", self.message())]
+    MissingTimestamp,
+}
+
+impl KeyError {
+    /// The message shown to the client.
+    pub fn message(self) -> &'static str {
+        match self {
+            KeyError::MissingPrefix => {
+                "the value must begin with an idempotency key of 8 to 64 letters, digits or -, and a colon"
+            }
+            KeyError::MissingTimestamp => {
+                "the idempotency key must begin with Unix time in milliseconds and a hyphen"
+            }
+        }
+    }
 }
 
-/// One line of the table.
+/// One route of the table.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
+    /// The operation that the route is for.
     pub operation: Operation,
+    /// The keys that the route is for.
     pub keys: Pattern,
-    /// Index into the settings' classes.
+    /// The class of the request: an index into the classes of the node's settings.
     pub class: usize,
-    /// Index into the settings' tenants.
+    /// The tenant of the request: an index into the tenants of the node's settings.
     pub tenant: Option<usize>,
-    /// How long the client is taken to wait.
+    /// How long the client is assumed to wait, in microseconds.
     pub deadline: Micros,
-    pub key_from: KeyFrom,
-    /// Class and tenant as the RESP2 protocol writes them.
+    /// Where the idempotency key of a write comes from.
+    pub key_source: KeySource,
+    /// Class and tenant in the form of a RESP2 request's list of fields.
     pub fields: String,
 }
 
-/// Something wrong with a line of the table.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Wrong {
-    /// Its place, from 0.
-    pub route: usize,
-    pub field: &'static str,
-    pub why: String,
+impl Route {
+    /// The idempotency key of a write; `None` if the route has none.
+    ///
+    /// # Errors
+    /// The value does not begin with the idempotency key that the route requires.
+    pub fn idempotency_key(
+        &self,
+        key: &[u8],
+        value: &[u8],
+    ) -> Result<Option<IdempotencyKey>, KeyError> {
+        match self.key_source {
+            KeySource::None => Ok(None),
+            KeySource::Digest => Ok(Some(self.digest_key(key, value))),
+            KeySource::Prefix => {
+                let prefix = key_prefix(value).ok_or(KeyError::MissingPrefix)?;
+                Ok(Some(prefix.into()))
+            }
+            KeySource::Timestamp => {
+                let prefix = key_prefix(value).ok_or(KeyError::MissingPrefix)?;
+                key_timestamp(prefix).ok_or(KeyError::MissingTimestamp)?;
+                Ok(Some(prefix.into()))
+            }
+        }
+    }
+
+    /// The idempotency key made of class, key and value.
+    fn digest_key(&self, key: &[u8], value: &[u8]) -> IdempotencyKey {
+        let mut digest = Sha256::new();
+        // The length of the key comes first, so that no two pairs of key and value make the same bytes.
+        digest.update((self.class as u64).to_be_bytes());
+        digest.update((key.len() as u64).to_be_bytes());
+        digest.update(key);
+        digest.update(value);
+        let mut hex = String::with_capacity(2 * DIGEST_KEY_BYTES);
+        for byte in &digest.finalize()[..DIGEST_KEY_BYTES] {
+            // Writing to a string does not fail.
+            let _ = write!(hex, "{byte:02x}");
+        }
+        hex.into()
+    }
+}
+
+/// The idempotency key at the beginning of a value, if there is one of the allowed length and characters.
+fn key_prefix(value: &[u8]) -> Option<&str> {
+    let end = value
+        .iter()
+        .take(KEY_PREFIX_LENGTH.end() + 1)
+        .position(|byte| *byte == b':')?;
+    let prefix = &value[..end];
+    // It travels in a list of fields: none of its characters may end a field.
+    let allowed = prefix
+        .iter()
+        .all(|byte| byte.is_ascii_alphanumeric() || *byte == b'-');
+    if !KEY_PREFIX_LENGTH.contains(&prefix.len()) || !allowed {
+        return None;
+    }
+    std::str::from_utf8(prefix).ok()
 }
 
-impl fmt::Display for Wrong {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "route {}: {}: {}", self.route + 1, self.field, self.why)
+/// The time in an idempotency key of [`KeySource::Timestamp`], in microseconds of Unix time.
+pub fn key_timestamp(key: &str) -> Option<Micros> {
+    let (digits, rest) = key.split_once('-')?;
+    let valid = digits.len() == TIMESTAMP_DIGITS
+        && digits.bytes().all(|byte| byte.is_ascii_digit())
+        && !rest.is_empty();
+    if !valid {
+        return None;
     }
+    digits.parse::<Micros>().ok().map(|millis| millis * 1000)
 }
 
-/// The routes, the first that fits counting.
+/// Why a route cannot be used. The messages are shown to users, after the name of the field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RouteError {
+    /// The index of the class is out of range.
+    #[error("is none of the settings' classes")]
+    UnknownClass,
+    /// A route of reads has a source of idempotency keys.
+    #[error("a read has no idempotency key")]
+    ReadWithKey,
+    /// A route of reads has a class of writes.
+    #[error("a read needs a class that may be repeated freely")]
+    ReadOfWriteClass,
+    /// A route of writes has a class whose requests are retried without an idempotency key.
+    #[error("a write must not be of a class that may be repeated freely")]
+    WriteOfReadClass,
+    /// The class needs idempotency keys and the route has no source of them.
+    #[error("the class is keyed: say where its key comes from")]
+    MissingKeySource,
+    /// The class has no idempotency keys and the route has a source of them.
+    #[error("the class may not be repeated: boxes drop nothing by this key")]
+    KeyOfNonIdempotentClass,
+    /// The deduplication window of the class is not longer than the margin.
+    #[error("boxes forget its repeats before one could arrive")]
+    WindowTooShort,
+    /// Not all cache servers deduplicate the class.
+    #[error("only part of the boxes drops its repeats: one on another connection may miss it")]
+    PartialDeduplication,
+    /// The deadline is not positive, or longer than that of the class.
+    #[error("must be above zero and within the class's own")]
+    DeadlineOutOfRange,
+    /// An earlier route matches all the route's keys.
+    #[error("no key comes here: route {} takes them all", .earlier + 1)]
+    Unreachable {
+        /// Index of the earlier route.
+        earlier: usize,
+    },
+}
+
+impl RouteError {
+    /// The field of the route that has to be changed, as the configuration file names it.
+    pub fn field(self) -> &'static str {
+        match self {
+            RouteError::UnknownClass
+            | RouteError::ReadOfWriteClass
+            | RouteError::WriteOfReadClass
+            | RouteError::WindowTooShort
+            | RouteError::PartialDeduplication => "class",
+            RouteError::ReadWithKey
+            | RouteError::MissingKeySource
+            | RouteError::KeyOfNonIdempotentClass => "key_from",
+            RouteError::DeadlineOutOfRange => "deadline",
+            RouteError::Unreachable { .. } => "keys",
+        }
+    }
+}
+
+/// An error in one route of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("route {}: {}: {error}", .route + 1, .error.field())]
+pub struct RouteProblem {
+    /// Index of the route.
+    pub route: usize,
+    /// What is wrong with it.
+    pub error: RouteError,
+}
+
+/// The routes in order of precedence: the first one that matches a request counts.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Table {
+pub struct RoutingTable {
     routes: Vec<Route>,
 }
 
-impl Table {
-    /// A table that can't make anything repeatable that is not.
+impl RoutingTable {
+    /// Checks routes against the classes of the node's settings and makes a table of them. `margin` is the time a
+    /// message may take to a cache server, in microseconds.
     ///
     /// # Errors
-    /// All that is wrong with it.
-    pub fn new(routes: Vec<Route>, classes: &[Class], margin: Micros) -> Result<Table, Vec<Wrong>> {
-        let mut wrong = Vec::new();
-        for (i, route) in routes.iter().enumerate() {
-            let mut say = |field, why: &str| {
-                wrong.push(Wrong {
-                    route: i,
-                    field,
-                    why: why.to_string(),
-                })
-            };
-            let Some(class) = classes.get(route.class) else {
-                say("class", "is none of the settings' classes");
-                continue;
-            };
-            match (route.operation, class.idempotency, route.key_from) {
-                (Operation::Get, Idempotency::Idempotent, KeyFrom::None) => {}
-                (Operation::Get, Idempotency::Idempotent, _) => {
-                    say("key_from", "a read has no idempotency key")
-                }
-                (Operation::Get, ..) => {
-                    say("class", "a read needs a class that may be repeated freely")
-                }
-                (Operation::Set, Idempotency::Idempotent, _) => {
-                    say(
-                        "class",
-                        "a write must not be of a class that may be repeated freely",
-                    );
-                }
-                (Operation::Set, Idempotency::Keyed, KeyFrom::None) => {
-                    say(
-                        "key_from",
-                        "the class is keyed: say where its key comes from",
-                    );
-                }
-                (Operation::Set, Idempotency::NonIdempotent, _)
-                    if route.key_from != KeyFrom::None =>
-                {
-                    say(
-                        "key_from",
-                        "the class may not be repeated: boxes drop nothing by this key",
-                    );
-                }
-                (Operation::Set, Idempotency::Keyed, _) if class.deduplication_window <= margin => {
-                    say("class", "boxes forget its repeats before one could arrive");
-                }
-                (Operation::Set, Idempotency::Keyed, _)
-                    if class.deduplication_scope != DeduplicationScope::All =>
-                {
-                    say(
-                        "class",
-                        "only part of the boxes drops its repeats: one on another connection may miss it",
-                    );
-                }
-                (Operation::Set, ..) => {}
-            }
-            if route.deadline <= 0 || route.deadline > class.deadline {
-                say("deadline", "must be above zero and within the class's own");
-            }
-            let earlier = routes[..i]
-                .iter()
-                .position(|r| r.operation == route.operation && r.keys.covers(&route.keys));
-            if let Some(earlier) = earlier {
-                say(
-                    "keys",
-                    &format!("no key comes here: route {} takes them all", earlier + 1),
-                );
-            }
+    /// All problems of all routes, in the order of the routes.
+    pub fn new(
+        routes: Vec<Route>,
+        classes: &[Class],
+        margin: Micros,
+    ) -> Result<RoutingTable, Vec<RouteProblem>> {
+        let mut problems = Vec::new();
+        for (index, route) in routes.iter().enumerate() {
+            let errors = route_errors(route, &routes[..index], classes, margin);
+            problems.extend(errors.map(|error| RouteProblem {
+                route: index,
+                error,
+            }));
         }
-        if wrong.is_empty() {
-            Ok(Table { routes })
+        if problems.is_empty() {
+            Ok(RoutingTable { routes })
         } else {
-            Err(wrong)
+            Err(problems)
         }
     }
 
-    /// The route of a request; none: it is refused.
+    /// The route of a request; a request without one is rejected.
     pub fn find(&self, operation: Operation, key: &[u8]) -> Option<&Route> {
         self.routes
             .iter()
-            .find(|r| r.operation == operation && r.keys.fits(key))
+            .find(|route| route.operation == operation && route.keys.matches(key))
     }
 }
 
-/// The time that stands in a stamped key, in microseconds of Unix time.
-pub fn stamp(key: &str) -> Option<Micros> {
-    let (ms, rest) = key.split_once('-')?;
-    // Thirteen digits until the year 2286; anything else is some other number.
-    let plain = ms.len() == 13 && ms.bytes().all(|b| b.is_ascii_digit()) && !rest.is_empty();
-    ms.parse::<Micros>()
-        .ok()
-        .filter(|_| plain)
-        .map(|ms| ms * 1000)
+/// All errors of a route, given the routes before it.
+fn route_errors(
+    route: &Route,
+    earlier_routes: &[Route],
+    classes: &[Class],
+    margin: Micros,
+) -> impl Iterator<Item = RouteError> {
+    let checks = match classes.get(route.class) {
+        None => [Err(RouteError::UnknownClass), Ok(()), Ok(())],
+        Some(class) => [
+            check_class(route, class, margin),
+            check_deadline(route, class),
+            check_reachable(route, earlier_routes),
+        ],
+    };
+    checks.into_iter().filter_map(Result::err)
 }
 
-impl Route {
-    /// The idempotency key of a write; none where its route has none.
-    ///
-    /// # Errors
-    /// The value does not begin with a key though the route says so.
-    pub fn key(&self, key: &[u8], value: &[u8]) -> Result<Option<Key>, &'static str> {
-        match self.key_from {
-            KeyFrom::None => Ok(None),
-            KeyFrom::Digest => {
-                let mut digest = Sha256::new();
-                // Lengths first, so that no two pairs of key and value run together to one text.
-                digest.update((self.class as u64).to_be_bytes());
-                digest.update((key.len() as u64).to_be_bytes());
-                digest.update(key);
-                digest.update(value);
-                let hex: String = digest.finalize()[..16]
-                    .iter()
-                    .map(|b| format!("{b:02x}"))
-                    .collect();
-                Ok(Some(hex.into()))
-            }
-            KeyFrom::Prefix | KeyFrom::Stamp => {
-                let end = value.iter().take(PREFIX.end() + 1).position(|b| *b == b':');
-                let prefix = end
-                    .map(|end| &value[..end])
-                    .filter(|p| PREFIX.contains(&p.len()));
-                // It travels in a list of fields: nothing that would end a field may stand in it.
-                let plain = |p: &&[u8]| p.iter().all(|b| b.is_ascii_alphanumeric() || *b == b'-');
-                let text = prefix
-                    .filter(plain)
-                    .and_then(|p| std::str::from_utf8(p).ok());
-                if self.key_from == KeyFrom::Stamp && text.is_some_and(|text| stamp(text).is_none())
-                {
-                    return Err(
-                        "the idempotency key must begin with Unix time in milliseconds and a hyphen",
-                    );
-                }
-                text.map(|text| Some(text.into())).ok_or(
-                    "the value must begin with an idempotency key of 8 to 64 letters, digits or -, and a colon",
-                )
-            }
+/// Whether the class of a route makes the route's retries safe.
+fn check_class(route: &Route, class: &Class, margin: Micros) -> Result<(), RouteError> {
+    let has_key = route.key_source != KeySource::None;
+    match (route.operation, class.idempotency) {
+        (Operation::Get, Idempotency::Idempotent) if has_key => Err(RouteError::ReadWithKey),
+        (Operation::Get, Idempotency::Idempotent) => Ok(()),
+        (Operation::Get, _) => Err(RouteError::ReadOfWriteClass),
+        (Operation::Set, Idempotency::Idempotent) => Err(RouteError::WriteOfReadClass),
+        (Operation::Set, Idempotency::NonIdempotent) if has_key => {
+            Err(RouteError::KeyOfNonIdempotentClass)
+        }
+        (Operation::Set, Idempotency::Keyed) if !has_key => Err(RouteError::MissingKeySource),
+        (Operation::Set, Idempotency::Keyed) if class.deduplication_window <= margin => {
+            Err(RouteError::WindowTooShort)
+        }
+        (Operation::Set, Idempotency::Keyed)
+            if class.deduplication_scope != DeduplicationScope::All =>
+        {
+            Err(RouteError::PartialDeduplication)
         }
+        (Operation::Set, Idempotency::NonIdempotent | Idempotency::Keyed) => Ok(()),
+    }
+}
+
+fn check_deadline(route: &Route, class: &Class) -> Result<(), RouteError> {
+    if (1..=class.deadline).contains(&route.deadline) {
+        Ok(())
+    } else {
+        Err(RouteError::DeadlineOutOfRange)
+    }
+}
+
+fn check_reachable(route: &Route, earlier_routes: &[Route]) -> Result<(), RouteError> {
+    let covering = earlier_routes.iter().position(|earlier| {
+        earlier.operation == route.operation && earlier.keys.covers(&route.keys)
+    });
+    match covering {
+        Some(earlier) => Err(RouteError::Unreachable { earlier }),
+        None => Ok(()),
     }
 }
 
--- a/crates/memcached/src/routing_tests.rs
+++ b/crates/memcached/src/routing_tests.rs
@@ -25,8 +25,8 @@
     .to_vec()
 }
 
-fn route(operation: Operation, keys: &str, class: usize, key_from: KeyFrom) -> Route {
-    let keys = Pattern::read(keys).unwrap();
+fn route(operation: Operation, keys: &str, class: usize, key_source: KeySource) -> Route {
+    let keys = Pattern::parse(keys).unwrap();
     let fields = String::new();
     Route {
         operation,
@@ -34,27 +34,31 @@
         class,
         tenant: None,
         deadline: 300_000,
-        key_from,
+        key_source,
         fields,
     }
 }
 
-fn wrong(routes: &[Route]) -> Vec<(usize, &'static str)> {
-    let found = Table::new(routes.to_vec(), &classes(), 1_000_000)
+/// The index and the field of each problem that a table of these routes has.
+fn problem_fields(routes: &[Route]) -> Vec<(usize, &'static str)> {
+    let found = RoutingTable::new(routes.to_vec(), &classes(), 1_000_000)
         .err()
         .unwrap_or_default();
-    found.iter().map(|w| (w.route, w.field)).collect()
+    found
+        .iter()
+        .map(|problem| (problem.route, problem.error.field()))
+        .collect()
 }
 
 #[test]
-fn the_first_route_that_fits_counts_and_nothing_is_guessed() {
+fn first_matching_route_counts_and_unmatched_requests_have_none() {
     use Operation::{Get, Set};
     let routes = vec![
-        route(Get, "logger/7", 0, KeyFrom::None),
-        route(Get, "logger/*", 0, KeyFrom::None),
-        route(Set, "alarm/*", 1, KeyFrom::Digest),
+        route(Get, "logger/7", 0, KeySource::None),
+        route(Get, "logger/*", 0, KeySource::None),
+        route(Set, "alarm/*", 1, KeySource::Digest),
     ];
-    let table = Table::new(routes.clone(), &classes(), 0).unwrap();
+    let table = RoutingTable::new(routes.clone(), &classes(), 0).unwrap();
     assert_eq!(table.find(Get, b"logger/7"), Some(&routes[0]));
     assert_eq!(table.find(Get, b"logger/70"), Some(&routes[1]));
     assert_eq!(table.find(Set, b"alarm/7"), Some(&routes[2]));
@@ -63,71 +67,83 @@
 }
 
 #[test]
-fn what_would_make_a_write_repeatable_is_refused() {
+fn routes_that_would_make_unsafe_retries_are_rejected() {
     use Operation::{Get, Set};
-    assert_eq!(wrong(&[route(Set, "*", 0, KeyFrom::None)]), [(0, "class")]);
     assert_eq!(
-        wrong(&[route(Set, "*", 0, KeyFrom::Digest)]),
+        problem_fields(&[route(Set, "*", 0, KeySource::None)]),
         [(0, "class")]
     );
     assert_eq!(
-        wrong(&[route(Set, "*", 1, KeyFrom::None)]),
+        problem_fields(&[route(Set, "*", 0, KeySource::Digest)]),
+        [(0, "class")]
+    );
+    assert_eq!(
+        problem_fields(&[route(Set, "*", 1, KeySource::None)]),
         [(0, "key_from")]
     );
     assert_eq!(
-        wrong(&[route(Set, "*", 2, KeyFrom::Prefix)]),
+        problem_fields(&[route(Set, "*", 2, KeySource::Prefix)]),
         [(0, "key_from")]
     );
-    assert_eq!(wrong(&[route(Get, "*", 1, KeyFrom::None)]), [(0, "class")]);
     assert_eq!(
-        wrong(&[route(Get, "*", 0, KeyFrom::Digest)]),
+        problem_fields(&[route(Get, "*", 1, KeySource::None)]),
+        [(0, "class")]
+    );
+    assert_eq!(
+        problem_fields(&[route(Get, "*", 0, KeySource::Digest)]),
         [(0, "key_from")]
     );
-    assert_eq!(wrong(&[route(Get, "*", 9, KeyFrom::None)]), [(0, "class")]);
     assert_eq!(
-        wrong(&[
-            route(Set, "*", 2, KeyFrom::None),
-            route(Get, "*", 0, KeyFrom::None)
+        problem_fields(&[route(Get, "*", 9, KeySource::None)]),
+        [(0, "class")]
+    );
+    assert_eq!(
+        problem_fields(&[
+            route(Set, "*", 2, KeySource::None),
+            route(Get, "*", 0, KeySource::None)
         ]),
         []
     );
-    let mut late = route(Get, "*", 0, KeyFrom::None);
-    late.deadline = 400_001;
-    assert_eq!(wrong(&[late.clone()]), [(0, "deadline")]);
-    late.deadline = 0;
-    assert_eq!(wrong(&[late]), [(0, "deadline")]);
-    let short = Table::new(
-        vec![route(Set, "*", 1, KeyFrom::Digest)],
+    let mut too_long = route(Get, "*", 0, KeySource::None);
+    too_long.deadline = 400_001;
+    assert_eq!(problem_fields(&[too_long.clone()]), [(0, "deadline")]);
+    too_long.deadline = 0;
+    assert_eq!(problem_fields(&[too_long]), [(0, "deadline")]);
+    let short_window = RoutingTable::new(
+        vec![route(Set, "*", 1, KeySource::Digest)],
         &classes(),
         10_000_000,
     );
-    assert_eq!(short.unwrap_err()[0].field, "class");
-    let part = Class {
+    assert_eq!(short_window.unwrap_err()[0].error.field(), "class");
+    let zone_only = Class {
         deduplication_scope: DeduplicationScope::Zone,
         ..class(Idempotency::Keyed)
     };
-    let part = Table::new(vec![route(Set, "*", 0, KeyFrom::Digest)], &[part], 0);
-    assert_eq!(part.unwrap_err()[0].field, "class");
+    let table = RoutingTable::new(vec![route(Set, "*", 0, KeySource::Digest)], &[zone_only], 0);
+    assert_eq!(table.unwrap_err()[0].error.field(), "class");
 }
 
 #[test]
-fn a_route_that_nothing_reaches_is_told() {
-    let get = |keys| route(Operation::Get, keys, 0, KeyFrom::None);
-    assert_eq!(wrong(&[get("logger/*"), get("logger/7")]), [(1, "keys")]);
+fn unreachable_route_is_reported() {
+    let get = |keys| route(Operation::Get, keys, 0, KeySource::None);
     assert_eq!(
-        wrong(&[get("*"), get("a*"), get("b")]),
+        problem_fields(&[get("logger/*"), get("logger/7")]),
+        [(1, "keys")]
+    );
+    assert_eq!(
+        problem_fields(&[get("*"), get("a*"), get("b")]),
         [(1, "keys"), (2, "keys")]
     );
-    assert_eq!(wrong(&[get("logger/7"), get("logger/*")]), []);
-    for bad in ["", "a*b", "**", "*a"] {
-        assert!(Pattern::read(bad).is_err(), "{bad:?}");
+    assert_eq!(problem_fields(&[get("logger/7"), get("logger/*")]), []);
+    for invalid in ["", "a*b", "**", "*a"] {
+        assert!(Pattern::parse(invalid).is_err(), "{invalid:?}");
     }
 }
 
 #[test]
-fn keys_are_made_as_the_route_says() {
-    let digest = route(Operation::Set, "*", 1, KeyFrom::Digest);
-    let key = |k: &[u8], v: &[u8]| digest.key(k, v).unwrap().unwrap();
+fn idempotency_key_comes_from_the_source_of_the_route() {
+    let digest = route(Operation::Set, "*", 1, KeySource::Digest);
+    let key = |k: &[u8], v: &[u8]| digest.idempotency_key(k, v).unwrap().unwrap();
     assert_eq!(key(b"a", b"on"), key(b"a", b"on"));
     assert_eq!(key(b"a", b"on").len(), 32);
     for (k, v) in [
@@ -138,12 +154,12 @@
     ] {
         assert_ne!(key(b"a", b"on"), key(k, v));
     }
-    let prefix = route(Operation::Set, "*", 1, KeyFrom::Prefix);
+    let prefix = route(Operation::Set, "*", 1, KeySource::Prefix);
     assert_eq!(
-        prefix.key(b"a", b"5c0f6e1a-2b:level=7"),
+        prefix.idempotency_key(b"a", b"5c0f6e1a-2b:level=7"),
         Ok(Some("5c0f6e1a-2b".into()))
     );
-    for bad in [
+    for invalid in [
         &b"level=7"[..],
         b"short:x",
         b"has,comma1:x",
@@ -151,36 +167,69 @@
         b":x",
         &[b'a'; 80],
     ] {
-        assert!(prefix.key(b"a", bad).is_err(), "{bad:?}");
+        assert!(
+            prefix.idempotency_key(b"a", invalid).is_err(),
+            "{invalid:?}"
+        );
     }
     assert_eq!(
-        route(Operation::Set, "*", 2, KeyFrom::None).key(b"a", b"x"),
+        route(Operation::Set, "*", 2, KeySource::None).idempotency_key(b"a", b"x"),
         Ok(None)
     );
-    let stamped = route(Operation::Set, "*", 1, KeyFrom::Stamp);
-    let key = stamped.key(b"a", b"1796116800123-7f:on").unwrap().unwrap();
+    let stamped = route(Operation::Set, "*", 1, KeySource::Timestamp);
+    let key = stamped
+        .idempotency_key(b"a", b"1796116800123-7f:on")
+        .unwrap()
+        .unwrap();
     assert_eq!(
-        (&*key, stamp(&key)),
+        (&*key, key_timestamp(&key)),
         ("1796116800123-7f", Some(1_796_116_800_123_000))
     );
-    for bad in [
+    for invalid in [
         &b"1796116800-7f3a:on"[..],
         b"1796116800123:on",
         b"1796116800123-:on",
         b"+796116800123-7:on",
     ] {
-        assert!(stamped.key(b"a", bad).is_err(), "{bad:?}");
+        assert!(
+            stamped.idempotency_key(b"a", invalid).is_err(),
+            "{invalid:?}"
+        );
     }
 }
 
+#[test]
+fn messages_to_users_keep_their_words() {
+    let problem = RouteProblem {
+        route: 1,
+        error: RouteError::Unreachable { earlier: 0 },
+    };
+    assert_eq!(
+        problem.to_string(),
+        "route 2: keys: no key comes here: route 1 takes them all"
+    );
+    assert_eq!(
+        PatternError::Empty.to_string(),
+        "is empty; * stands for all keys"
+    );
+    assert_eq!(
+        KeyError::MissingTimestamp.to_string(),
+        "the idempotency key must begin with Unix time in milliseconds and a hyphen"
+    );
+    assert_eq!(
+        KeyError::MissingPrefix.to_string(),
+        "the value must begin with an idempotency key of 8 to 64 letters, digits or -, and a colon"
+    );
+}
+
 proptest! {
     #[test]
-    fn a_pattern_that_covers_another_fits_all_that_the_other_fits(
+    fn covering_pattern_matches_all_keys_of_the_covered_one(
         a in "[ab]{0,3}\\*?", b in "[ab]{0,3}\\*?", key in "[ab]{0,5}",
     ) {
-        if let (Ok(a), Ok(b)) = (Pattern::read(&a), Pattern::read(&b)) {
-            if a.covers(&b) && b.fits(key.as_bytes()) {
-                prop_assert!(a.fits(key.as_bytes()));
+        if let (Ok(a), Ok(b)) = (Pattern::parse(&a), Pattern::parse(&b)) {
+            if a.covers(&b) && b.matches(key.as_bytes()) {
+                prop_assert!(a.matches(key.as_bytes()));
             }
         }
     }
--- a/crates/memcached/src/status.rs
+++ b/crates/memcached/src/status.rs
@@ -1,45 +1,54 @@
-//! What a cache box's status means: how the attempt ended, and whether it has run.
+//! Translates the response status of a cache server into the outcome of an attempt (memcached binary protocol, section
+//! "Response Status").
 //!
-//! The table errs to one side: where the specification leaves open whether a write took effect, it may have run.
+//! The translation is conservative and holds no state: where the specification leaves open whether a write took effect,
+//! the outcome says that it may have run.
 
-use sloewick_decision::api::Status as Ended;
+use sloewick_decision::api::Status;
 
 use crate::routing::Operation;
 
-/// How an attempt at a box that speaks the binary protocol ended.
+/// Response status 0x0000: no error.
+const NO_ERROR: u16 = 0x0000;
+/// Response status 0x0001: key not found.
+const KEY_NOT_FOUND: u16 = 0x0001;
+/// Response status 0x0085: busy.
+const BUSY: u16 = 0x0085;
+
+/// How an attempt ended at a cache server that speaks the binary protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// Served: the value or receipt is the answer.
+    /// Served: the value, or the receipt of the write, is the response.
     Served,
-    /// Served: there is no value of this key. It is an answer, and no failure of the box.
+    /// Served: the key has no value. This is a response, not a failure of the cache server.
     NoValue,
-    /// Not served; this is what the decision module is told.
-    Not(Ended),
+    /// Not served, with the status that is reported to the decision engine.
+    NotServed(Status),
 }
 
 impl Outcome {
-    /// Whether nothing has run, for certain.
+    /// Whether the attempt certainly had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Not(ended) if ended.never_ran())
+        matches!(self, Outcome::NotServed(status) if status.never_ran())
     }
 }
 
-/// What a status means; `docs/design/memcache.md` has the reasons.
-pub fn outcome(operation: Operation, status: u16) -> Outcome {
-    match (operation, status) {
-        (_, 0x0000) => Outcome::Served,
-        // A read-through box has asked the origin: there is none.
-        (Operation::Get, 0x0001) => Outcome::NoValue,
-        // Busy: turned away before it was looked at.
-        (_, 0x0085) => Outcome::Not(Ended::Rejected),
-        // The box has read the request and will not do it: no such command, not supported, wrong arguments, too
-        // large, another vbucket's, or not allowed. Nothing has run, and here it never will.
+/// The outcome that a response status stands for; `docs/design/memcache.md` has the reasons.
+pub fn outcome(operation: Operation, response_status: u16) -> Outcome {
+    match (operation, response_status) {
+        (_, NO_ERROR) => Outcome::Served,
+        // A read-through cache server has asked the origin: there is no value.
+        (Operation::Get, KEY_NOT_FOUND) => Outcome::NoValue,
+        // Rejected before the request was processed.
+        (_, BUSY) => Outcome::NotServed(Status::Rejected),
+        // The server has parsed the request and will not execute it: unknown command, not supported, invalid arguments,
+        // value too large, another server's vbucket, or not authorized. Nothing has run, and a retry there is futile.
         (_, 0x0003 | 0x0004 | 0x0007 | 0x0008 | 0x0009 | 0x0081 | 0x0083) => {
-            Outcome::Not(Ended::ConnectFailed)
+            Outcome::NotServed(Status::ConnectFailed)
         }
-        // Out of memory, internal error, temporary failure: a write-through box may have passed the write to the
-        // origin before it ran into this. Anything else, known or not, tells no more.
-        _ => Outcome::Not(Ended::Error),
+        // Out of memory, internal error, temporary failure: a write-through server may have forwarded the write to the
+        // origin before it failed. Unknown statuses are treated alike.
+        _ => Outcome::NotServed(Status::Error),
     }
 }
 
--- a/crates/memcached/src/status_tests.rs
+++ b/crates/memcached/src/status_tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 
 #[test]
-fn only_what_is_certain_never_ran() {
+fn only_statuses_of_unprocessed_requests_never_ran() {
     let never: Vec<u16> = (0..=u16::MAX)
-        .filter(|s| outcome(Operation::Set, *s).never_ran())
+        .filter(|status| outcome(Operation::Set, *status).never_ran())
         .collect();
     assert_eq!(never, [0x03, 0x04, 0x07, 0x08, 0x09, 0x81, 0x83, 0x85]);
     for status in [
@@ -11,16 +11,22 @@
     ] {
         assert_eq!(
             outcome(Operation::Set, status),
-            Outcome::Not(Ended::Error),
+            Outcome::NotServed(Status::Error),
             "{status:#x}"
         );
     }
 }
 
 #[test]
-fn a_read_without_a_value_is_answered() {
+fn read_of_a_missing_key_is_a_response() {
     assert_eq!(outcome(Operation::Get, 1), Outcome::NoValue);
     assert_eq!(outcome(Operation::Get, 0), Outcome::Served);
-    assert_eq!(outcome(Operation::Get, 0x85), Outcome::Not(Ended::Rejected));
-    assert_eq!(outcome(Operation::Get, 0x82), Outcome::Not(Ended::Error));
+    assert_eq!(
+        outcome(Operation::Get, 0x85),
+        Outcome::NotServed(Status::Rejected)
+    );
+    assert_eq!(
+        outcome(Operation::Get, 0x82),
+        Outcome::NotServed(Status::Error)
+    );
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use sloewick_decision::settings::{self, Fields, Names, SettingsError};
 use sloewick_decision::Settings;
-use sloewick_memcached::config::{self as memcached_config, File};
+use sloewick_memcached::config::{self as memcached_config, MemcachedConfig};
 use sloewick_toml_config::Problem;
 
 use crate::discovery::{self, Answer};
@@ -32,7 +32,7 @@
     /// What a probe asks: a load report where reports come with probes, else a mere sign of life.
     pub probe_load: bool,
     /// The memcached front and boxes, where they are switched on.
-    pub memcached: Option<File>,
+    pub memcached: Option<MemcachedConfig>,
     /// A line for each event goes to the log. Not a field of the configuration: the command line says so.
     pub trace: bool,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1501,7 +1501,7 @@
             return match outcome(operation, response.status) {
                 Outcome::Served => (Status::Ok, None, None),
                 Outcome::NoValue => (Status::Ok, Some(CacheResult::Miss), None),
-                Outcome::Not(status) => (status, None, None),
+                Outcome::NotServed(status) => (status, None, None),
             };
         }
     };
--- a/crates/node/src/node/doors.rs
+++ b/crates/node/src/node/doors.rs
@@ -92,7 +92,10 @@
                 Ok(mut stream) => {
                     stream.bound_sending(SEND_BUFFER);
                     self.serial += 1;
-                    let value_most = self.memcached.as_ref().map_or(0, |m| m.file.value_most);
+                    let value_most = self
+                        .memcached
+                        .as_ref()
+                        .map_or(0, |m| m.file.max_value_bytes);
                     let mut client =
                         Client::new(stream, self.serial, self.now(), protocol, value_most);
                     client.placed = placed;
--- a/crates/node/src/node/memcached_requests.rs
+++ b/crates/node/src/node/memcached_requests.rs
@@ -7,8 +7,8 @@
 use sloewick_codec::memcached::{self, write_request, Opcode, Status, HEADER, MAX_KEY};
 use sloewick_codec::resp2::MAX_ARGUMENT;
 use sloewick_decision::api::{Micros, Request, Status as Ended};
-use sloewick_memcached::config::File;
-use sloewick_memcached::idempotency_ledger::{Key, Ledger, Verdict};
+use sloewick_memcached::config::MemcachedConfig;
+use sloewick_memcached::idempotency_ledger::{IdempotencyKey, IdempotencyLedger, Verdict};
 use sloewick_memcached::routing::{self, Operation};
 
 use super::{DecisionEngine, Node, Open, Taken};
@@ -19,8 +19,8 @@
 
 /// What the node holds for it.
 pub(super) struct Memcached {
-    pub(super) file: File,
-    ledger: Ledger,
+    pub(super) file: MemcachedConfig,
+    ledger: IdempotencyLedger,
     /// Begins the ids that this start of the node gives.
     run: u64,
     /// Counts what boxes are sent.
@@ -29,7 +29,7 @@
 
 /// A write that the ledger keeps.
 pub(super) struct Keyed {
-    key: Key,
+    key: IdempotencyKey,
     /// An earlier request of the key may have run.
     before: bool,
     /// Attempts of this one that may have run, or are out.
@@ -38,8 +38,8 @@
 }
 
 impl Memcached {
-    pub(super) fn new(file: File, run: u64) -> Memcached {
-        let ledger = Ledger::new(file.ledger);
+    pub(super) fn new(file: MemcachedConfig, run: u64) -> Memcached {
+        let ledger = IdempotencyLedger::new(file.ledger);
         Memcached {
             file,
             ledger,
@@ -197,11 +197,11 @@
             }
         }
         let idem = match write
-            .then(|| route.key(&request.key, &request.value))
+            .then(|| route.idempotency_key(&request.key, &request.value))
             .transpose()
         {
             Ok(idem) => idem.flatten(),
-            Err(why) => return bad(why),
+            Err(error) => return bad(error.message()),
         };
         if full {
             return Err(Refused::End(Final::Busy(0)));
@@ -209,20 +209,21 @@
         let mut keyed = None;
         if let Some(idem) = &idem {
             let limits = m.file.ledger;
-            let age = routing::stamp(idem).filter(|_| route.key_from == routing::KeyFrom::Stamp);
+            let age = routing::key_timestamp(idem)
+                .filter(|_| route.key_source == routing::KeySource::Timestamp);
             let age = age.map_or(0, |made| unix - made);
-            if age < -m.file.skew {
+            if age < -m.file.max_clock_skew {
                 return bad("the idempotency key's time lies in the future");
             }
-            let old = age + m.file.skew >= limits.window - limits.margin;
+            let old = age + m.file.max_clock_skew >= limits.deduplication_window - limits.margin;
             keyed = Some(Keyed {
                 key: idem.clone(),
-                before: match m.ledger.ask(now, idem, old) {
+                before: match m.ledger.begin(now, idem, old) {
                     Verdict::New => false,
-                    Verdict::Idempotency { .. } => true,
+                    Verdict::Repeat { .. } => true,
                     Verdict::Served(receipt) => return Err(Refused::End(Final::Value(receipt))),
                     Verdict::Unknown => return Err(Refused::End(Final::Failed)),
-                    Verdict::InHand | Verdict::Full => return Err(Refused::End(Final::Busy(0))),
+                    Verdict::InFlight | Verdict::Full => return Err(Refused::End(Final::Busy(0))),
                 },
                 may_have_run: 0,
                 served: false,
@@ -299,7 +300,7 @@
         let now = self.net.now();
         let Some(m) = &mut self.memcached else { return };
         m.ledger
-            .ended(now, &keyed.key, keyed.served.then(Bytes::new));
+            .finish(now, &keyed.key, keyed.served.then(Bytes::new));
     }
 }
 
