gateway: standard names, lease errors as an enum, documentation on every public item

Need: the package used words of its own (wish, bars, homecoming, late). Change: LeaseIssuer, LeaseHolder, CurrentLease, LeaseError (thiserror), CircuitBreaker (closed, open, half open), CrossingOutcome, RecoveryRamp (its state is an enum, not a time with a sentinel), Arbiter with reservations, RunVerdict, LinkDelay::far_site_budget; tuples of the leases are structs. The proptest of the claims delivers messages in a function of its own; what is checked and generated is the same. No node uses the package.

Renamed tests, old and new: it_opens_after_failures_in_a_row_and_lets_one_trial_through -> breaker_opens_after_consecutive_failures_and_admits_one_probe_request refusals_use_the_budget_up_and_successes_earn_it -> rejections_exhaust_the_budget_and_successes_refill_it what_comes_in_late_does_not_close_it -> late_success_does_not_close_an_open_breaker traffic_comes_home_as_the_fleet_warms -> near_fleet_gets_a_growing_fraction_after_an_outage a_claim_bars_the_key_for_as_long_as_the_wish_can_be_about -> granted_claim_reserves_the_key_for_as_long_as_messages_can_arrive what_crossed_is_not_given_back -> claim_of_a_write_that_may_have_run_is_not_granted an_arbiter_that_may_not_know_says_so -> arbiter_without_knowledge_or_capacity_is_undecided every_near_node_finds_the_same_arbiter_and_few_keys_move -> near_nodes_select_the_same_arbiter_and_a_leaving_node_moves_its_keys_only no_wish_runs_at_both_sites -> no_write_runs_at_both_sites what_is_left_is_less_both_ways_and_the_margin -> far_site_budget_excludes_both_directions_and_the_margin a_lease_is_good_for_its_life_and_one_start -> lease_is_admitted_within_its_ttl_by_its_own_incarnation_only no_more_are_out_than_are_kept -> number_of_unexpired_leases_is_bounded a_sender_without_a_new_lease_sends_nothing -> sender_without_an_unexpired_lease_cannot_send nothing_begins_after_the_sender_knows_that_it_can_not -> no_message_begins_after_its_lease_is_over_for_the_sender

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -1,163 +1,195 @@
-//! Claims: one node of the far side, the arbiter of a key, both runs what crosses with that key and remembers it, so
-//! that a retry which reaches another near node is not run at both sites.
+//! Claims: they ensure that a write with an idempotency key does not run at both sites, whichever nodes its retries reach.
 //!
-//! It guarantees, for wishes no older than [`Limits::wish`]: after [`Claim::Here`] nothing of the key runs through this
-//! arbiter while the wish can be about; after a run that may have begun no claim is told [`Claim::Here`].
+//! One node of the far site is the arbiter of a key ([`select_arbiter`]). It runs the writes of that key that cross the
+//! link and remembers them. A near node that gets a retry of a write it does not know claims the key from the arbiter
+//! before it does anything.
+//!
+//! For writes that clients retry no longer than [`ArbiterLimits::max_retry_duration`], it is guaranteed that
+//!
+//! - after [`Claim::Granted`], nothing of the key runs through the arbiter while a message of the write can be under way;
+//! - after a run that may have begun, no claim of the key is granted.
+//!
+//! An [`Arbiter`] holds the ledger of the writes that crossed and at most [`ArbiterLimits::max_reservations`] keys
+//! reserved for the near site.
 
 use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
 use sloewick_decision::api::Micros;
 use sloewick_memcached::idempotency_ledger::{
-    self, IdempotencyKey, IdempotencyLedger, RecordedWrite, Verdict,
+    IdempotencyKey, IdempotencyLedger, LedgerLimits, RecordedWrite, Verdict,
 };
 
-/// What an arbiter may hold.
+/// Bounds and durations of an arbiter.
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// How long a client goes on with one wish, over all its tries.
-    pub wish: Micros,
-    /// How long a message may be about before it is refused as late: the life of a lease.
-    pub life: Micros,
-    /// Keys that are barred at once.
-    pub barred: usize,
-    /// Writes that crossed.
-    pub ledger: idempotency_ledger::LedgerLimits,
+pub struct ArbiterLimits {
+    /// How long a client retries a write, from its first attempt, in microseconds.
+    pub max_retry_duration: Micros,
+    /// How long a message may be under way before it is rejected: the time to live of a lease, in microseconds.
+    pub lease_ttl: Micros,
+    /// Maximum number of keys reserved for the near site at once.
+    pub max_reservations: usize,
+    /// The limits of the ledger of writes that crossed.
+    pub ledger: LedgerLimits,
 }
 
-/// What a near node is told that has a marked retry of a key which it doesn't know.
+/// The response to a near node that claims the key of a retried write.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Claim {
-    /// Nothing of it has run here, nor will: it may run at its own site.
-    Here,
-    /// It has been served here, with this receipt.
+    /// Nothing of the write has run at the far site, nor will: it may run at the near site.
+    Granted,
+    /// The write has been served at the far site, with this receipt.
     Served(Bytes),
-    /// It may have run here: it must not run at its own site. It may be passed here, whose boxes drop it, or fails.
-    Crossed,
-    /// This arbiter has started, or the set of arbiters has changed, so shortly before that it may not know.
-    CantTell,
+    /// The write may have run at the far site and must not run at the near one. It may cross again, since the far site
+    /// deduplicates it, or it fails.
+    MayHaveRun,
+    /// The arbiter cannot know: it started, or the set of arbiters changed, too recently, or it has no capacity.
+    Undecided,
 }
 
-/// What the arbiter does with a write that has crossed.
+/// What an arbiter does with a write that has crossed.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Run {
+pub enum RunVerdict {
     /// Run it.
-    Begin,
-    /// Run it, no later than this: the boxes drop it if it has run.
-    Again {
+    Run,
+    /// Run it again: if it has run, the cache servers deduplicate it.
+    Repeat {
+        /// When it must have been sent, on the clock of the arbiter.
         until: Micros,
     },
+    /// It has been served, with this receipt.
     Served(Bytes),
-    /// It may have run, and the boxes may have forgotten it.
+    /// It may have run, and the cache servers may no longer deduplicate it.
     Unknown,
-    /// It runs at its own site, or is out here, or there is no room: nothing of this one runs.
-    Refuse,
+    /// It is reserved for the near site, in flight here, or the ledger is full: nothing of this attempt runs.
+    Reject,
 }
 
-/// One arbiter.
+/// An arbiter.
 #[derive(Debug)]
 pub struct Arbiter {
-    limits: Limits,
-    /// Since when it knows of all that crosses with its keys.
-    since: Micros,
+    limits: ArbiterLimits,
+    /// Since when it has seen all writes of its keys that cross.
+    responsible_since: Micros,
     ledger: IdempotencyLedger,
-    /// Until when a key runs at its own site only.
-    barred: HashMap<IdempotencyKey, Micros>,
-    bars: VecDeque<(Micros, IdempotencyKey)>,
+    /// Until when each key is reserved for the near site.
+    reservations: HashMap<IdempotencyKey, Micros>,
+    /// Ends of reservations in chronological order; a key that was claimed several times appears as often.
+    reservation_ends: VecDeque<(Micros, IdempotencyKey)>,
 }
 
 impl Arbiter {
     /// An arbiter that starts now.
-    pub fn new(now: Micros, limits: Limits) -> Arbiter {
-        let ledger = IdempotencyLedger::new(limits.ledger);
+    pub fn new(now: Micros, limits: ArbiterLimits) -> Arbiter {
         Arbiter {
             limits,
-            since: now,
-            ledger,
-            barred: HashMap::new(),
-            bars: VecDeque::new(),
+            responsible_since: now,
+            ledger: IdempotencyLedger::new(limits.ledger),
+            reservations: HashMap::new(),
+            reservation_ends: VecDeque::new(),
         }
     }
 
-    /// The set of arbiters has changed: some keys were another's until now.
-    pub fn set_changed(&mut self, now: Micros) {
-        self.since = now;
+    /// The set of arbiters has changed: some keys had another arbiter until now.
+    pub fn arbiters_changed(&mut self, now: Micros) {
+        self.responsible_since = now;
     }
 
-    /// How long a wish and anything late of it can be about.
-    fn about(&self) -> Micros {
-        self.limits.wish + self.limits.life
+    /// The longest time between a write's first attempt and the delivery of its last message.
+    fn max_write_duration(&self) -> Micros {
+        self.limits.max_retry_duration + self.limits.lease_ttl
     }
 
-    fn forget(&mut self, now: Micros) {
-        while let Some((until, key)) = self.bars.front().filter(|(until, _)| *until <= now) {
-            if self.barred.get(key).is_some_and(|until| *until <= now) {
-                self.barred.remove(key);
+    fn remove_expired(&mut self, now: Micros) {
+        while let Some((until, key)) = self
+            .reservation_ends
+            .front()
+            .filter(|(until, _)| *until <= now)
+        {
+            if self
+                .reservations
+                .get(key)
+                .is_some_and(|until| *until <= now)
+            {
+                self.reservations.remove(key);
             }
             debug_assert!(*until <= now);
-            self.bars.pop_front();
+            self.reservation_ends.pop_front();
         }
     }
 
-    /// A near node has a marked retry of a key.
+    /// Claims a key for a near node that has a retry of a write it does not know.
     pub fn claim(&mut self, now: Micros, key: &IdempotencyKey) -> Claim {
-        self.forget(now);
+        self.remove_expired(now);
         match self.ledger.recorded(key) {
             Some(RecordedWrite::Served(receipt)) => return Claim::Served(receipt),
-            Some(RecordedWrite::MayHaveRun) => return Claim::Crossed,
+            Some(RecordedWrite::MayHaveRun) => return Claim::MayHaveRun,
             None => {}
         }
-        // Barred already: by another node's claim, which was told the same.
-        let barred = self.barred.contains_key(key);
-        if !barred && (now - self.since < self.about() || self.barred.len() >= self.limits.barred) {
-            return Claim::CantTell;
+        // Several near nodes may hold the claim of one key: the write runs at their site.
+        if !self.reservations.contains_key(key) && !self.can_reserve(now) {
+            return Claim::Undecided;
         }
-        let until = now + self.about();
-        self.barred.insert(key.clone(), until);
-        self.bars.push_back((until, key.clone()));
-        if self.bars.len() > 2 * self.limits.barred {
-            let barred = &self.barred;
-            self.bars
-                .retain(|(until, key)| barred.get(key) == Some(until));
+        self.reserve(now, key);
+        Claim::Granted
+    }
+
+    /// Whether the arbiter knows of all writes that may be under way, and has capacity for another reservation.
+    fn can_reserve(&self, now: Micros) -> bool {
+        now - self.responsible_since >= self.max_write_duration()
+            && self.reservations.len() < self.limits.max_reservations
+    }
+
+    fn reserve(&mut self, now: Micros, key: &IdempotencyKey) {
+        let until = now + self.max_write_duration();
+        self.reservations.insert(key.clone(), until);
+        self.reservation_ends.push_back((until, key.clone()));
+        if self.reservation_ends.len() > 2 * self.limits.max_reservations {
+            let reservations = &self.reservations;
+            self.reservation_ends
+                .retain(|(until, key)| reservations.get(key) == Some(until));
         }
-        Claim::Here
     }
 
-    /// A write has crossed, and its lease is good.
-    pub fn run(&mut self, now: Micros, key: &IdempotencyKey) -> Run {
-        self.forget(now);
-        if self.barred.contains_key(key) {
-            return Run::Refuse;
+    /// Decides on a write that has crossed with a valid lease. After [`RunVerdict::Run`] and [`RunVerdict::Repeat`] its
+    /// sends and its end are to be recorded in [`Arbiter::ledger`].
+    pub fn run(&mut self, now: Micros, key: &IdempotencyKey) -> RunVerdict {
+        self.remove_expired(now);
+        if self.reservations.contains_key(key) {
+            return RunVerdict::Reject;
         }
         match self.ledger.begin(now, key, false) {
-            Verdict::New => Run::Begin,
-            Verdict::Repeat { until } => Run::Again { until },
-            Verdict::Served(receipt) => Run::Served(receipt),
-            Verdict::Unknown => Run::Unknown,
-            Verdict::InFlight | Verdict::Full => Run::Refuse,
+            Verdict::New => RunVerdict::Run,
+            Verdict::Repeat { until } => RunVerdict::Repeat { until },
+            Verdict::Served(receipt) => RunVerdict::Served(receipt),
+            Verdict::Unknown => RunVerdict::Unknown,
+            Verdict::InFlight | Verdict::Full => RunVerdict::Reject,
         }
     }
 
-    /// The ledger of what crossed, for sends and ends.
+    /// The ledger of the writes that crossed.
     pub fn ledger(&mut self) -> &mut IdempotencyLedger {
         &mut self.ledger
     }
 }
 
-/// The arbiter of a key among these nodes, by rendezvous hash: each near node that has the same set finds the same, and
-/// a node that comes or goes moves only its own keys.
-pub fn arbiter<'a>(key: &str, nodes: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    let weigh = |node: &str| {
-        // FNV-1a of 64 bits, finished as splitmix64 does: neighbouring names must not weigh alike.
-        let bytes = node.bytes().chain([0]).chain(key.bytes());
-        let mut x = bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| {
-            (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
-        });
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
-    };
-    nodes.into_iter().max_by_key(|node| (weigh(node), *node))
+/// The arbiter of a key among these nodes, by rendezvous hashing: near nodes with the same set select the same arbiter,
+/// and a node that joins or leaves changes the arbiter of its own keys only. `None` if there are no nodes.
+pub fn select_arbiter<'a>(key: &str, nodes: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    nodes
+        .into_iter()
+        .max_by_key(|node| (rendezvous_weight(node, key), *node))
+}
+
+/// FNV-1a (64 bits) of node and key, then the finalizer of `SplitMix64`: similar names must not have similar weights.
+fn rendezvous_weight(node: &str, key: &str) -> u64 {
+    let bytes = node.bytes().chain([0]).chain(key.bytes());
+    let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/claims_tests.rs
+++ b/crates/gateway/src/claims_tests.rs
@@ -2,13 +2,13 @@
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-const WISH: Micros = 2_000;
-const LIFE: Micros = 500;
-const LIMITS: Limits = Limits {
-    wish: WISH,
-    life: LIFE,
-    barred: 8,
-    ledger: idempotency_ledger::LedgerLimits {
+const RETRY_DURATION: Micros = 2_000;
+const LEASE_TTL: Micros = 500;
+const LIMITS: ArbiterLimits = ArbiterLimits {
+    max_retry_duration: RETRY_DURATION,
+    lease_ttl: LEASE_TTL,
+    max_reservations: 8,
+    ledger: LedgerLimits {
         max_entries: 8,
         max_receipt_bytes: 16,
         deduplication_window: 10_000,
@@ -21,156 +21,200 @@
     format!("k{n}").into()
 }
 
-fn old() -> Arbiter {
+/// An arbiter that started long before the test.
+fn established_arbiter() -> Arbiter {
     Arbiter::new(-100_000, LIMITS)
 }
 
 #[test]
-fn a_claim_bars_the_key_for_as_long_as_the_wish_can_be_about() {
-    let mut a = old();
-    assert_eq!(a.claim(0, &key(1)), Claim::Here);
+fn granted_claim_reserves_the_key_for_as_long_as_messages_can_arrive() {
+    let mut arbiter = established_arbiter();
+    assert_eq!(arbiter.claim(0, &key(1)), Claim::Granted);
     assert_eq!(
-        a.run(WISH + LIFE - 1, &key(1)),
-        Run::Refuse,
-        "its first try was delivered late"
+        arbiter.run(RETRY_DURATION + LEASE_TTL - 1, &key(1)),
+        RunVerdict::Reject,
+        "its first attempt was delivered late"
+    );
+    assert_eq!(
+        arbiter.claim(100, &key(1)),
+        Claim::Granted,
+        "another node's claim"
+    );
+    assert_eq!(
+        arbiter.run(100 + RETRY_DURATION + LEASE_TTL, &key(1)),
+        RunVerdict::Run
     );
-    assert_eq!(a.claim(100, &key(1)), Claim::Here, "another node's claim");
-    assert_eq!(a.run(100 + WISH + LIFE, &key(1)), Run::Begin);
 }
 
 #[test]
-fn what_crossed_is_not_given_back() {
-    let mut a = old();
-    assert_eq!(a.run(0, &key(1)), Run::Begin);
-    assert_eq!(a.claim(1, &key(1)), Claim::Crossed, "it is out");
-    assert!(a.ledger().send(2, &key(1)));
-    a.ledger().finish(50, &key(1), None);
-    assert_eq!(a.claim(60, &key(1)), Claim::Crossed, "it may have run");
-    assert_eq!(a.run(70, &key(1)), Run::Again { until: 9_002 });
-    a.ledger()
+fn claim_of_a_write_that_may_have_run_is_not_granted() {
+    let mut arbiter = established_arbiter();
+    assert_eq!(arbiter.run(0, &key(1)), RunVerdict::Run);
+    assert_eq!(
+        arbiter.claim(1, &key(1)),
+        Claim::MayHaveRun,
+        "it is in flight"
+    );
+    assert!(arbiter.ledger().send(2, &key(1)));
+    arbiter.ledger().finish(50, &key(1), None);
+    assert_eq!(
+        arbiter.claim(60, &key(1)),
+        Claim::MayHaveRun,
+        "it may have run"
+    );
+    assert_eq!(
+        arbiter.run(70, &key(1)),
+        RunVerdict::Repeat { until: 9_002 }
+    );
+    arbiter
+        .ledger()
         .finish(80, &key(1), Some(Bytes::from_static(b"receipt")));
     assert_eq!(
-        a.claim(90, &key(1)),
+        arbiter.claim(90, &key(1)),
         Claim::Served(Bytes::from_static(b"receipt"))
     );
-    // Turned away: nothing has run.
-    assert_eq!(a.run(100, &key(2)), Run::Begin);
-    assert!(a.ledger().send(101, &key(2)));
-    a.ledger().never_ran(&key(2), false);
-    a.ledger().finish(102, &key(2), None);
-    assert_eq!(a.claim(103, &key(2)), Claim::Here);
+    // Rejected by the cache server: nothing has run.
+    assert_eq!(arbiter.run(100, &key(2)), RunVerdict::Run);
+    assert!(arbiter.ledger().send(101, &key(2)));
+    arbiter.ledger().never_ran(&key(2), false);
+    arbiter.ledger().finish(102, &key(2), None);
+    assert_eq!(arbiter.claim(103, &key(2)), Claim::Granted);
 }
 
 #[test]
-fn an_arbiter_that_may_not_know_says_so() {
-    let mut a = Arbiter::new(0, LIMITS);
-    assert_eq!(a.claim(WISH + LIFE - 1, &key(1)), Claim::CantTell);
-    assert_eq!(a.claim(WISH + LIFE, &key(1)), Claim::Here);
-    a.set_changed(10_000);
-    assert_eq!(a.claim(10_001, &key(2)), Claim::CantTell);
-    // No room for more bars: nothing is promised.
-    let mut a = old();
-    (0..8).for_each(|n| assert_eq!(a.claim(0, &key(n)), Claim::Here));
-    assert_eq!(a.claim(0, &key(9)), Claim::CantTell);
-    (0..100).for_each(|n| assert_eq!(a.claim(n, &key(3)), Claim::Here));
-    assert!(a.bars.len() <= 17);
+fn arbiter_without_knowledge_or_capacity_is_undecided() {
+    let mut arbiter = Arbiter::new(0, LIMITS);
+    assert_eq!(
+        arbiter.claim(RETRY_DURATION + LEASE_TTL - 1, &key(1)),
+        Claim::Undecided
+    );
+    assert_eq!(
+        arbiter.claim(RETRY_DURATION + LEASE_TTL, &key(1)),
+        Claim::Granted
+    );
+    arbiter.arbiters_changed(10_000);
+    assert_eq!(arbiter.claim(10_001, &key(2)), Claim::Undecided);
+    // No capacity for more reservations.
+    let mut arbiter = established_arbiter();
+    (0..8).for_each(|n| assert_eq!(arbiter.claim(0, &key(n)), Claim::Granted));
+    assert_eq!(arbiter.claim(0, &key(9)), Claim::Undecided);
+    (0..100).for_each(|n| assert_eq!(arbiter.claim(n, &key(3)), Claim::Granted));
+    assert!(arbiter.reservation_ends.len() <= 17);
 }
 
 #[test]
-fn every_near_node_finds_the_same_arbiter_and_few_keys_move() {
+fn near_nodes_select_the_same_arbiter_and_a_leaving_node_moves_its_keys_only() {
     let nodes = ["n0", "n1", "n2", "n3", "n4"];
-    let of = |n: usize, nodes: &[&'static str]| arbiter(&format!("k{n}"), nodes.iter().copied());
+    let select =
+        |n: usize, nodes: &[&'static str]| select_arbiter(&format!("k{n}"), nodes.iter().copied());
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
     for n in 0..5_000 {
-        let mut turned = nodes;
-        turned.reverse();
-        assert_eq!(of(n, &nodes), of(n, &turned));
-        *counts.entry(of(n, &nodes).unwrap()).or_default() += 1;
+        let mut reversed = nodes;
+        reversed.reverse();
+        assert_eq!(select(n, &nodes), select(n, &reversed));
+        *counts.entry(select(n, &nodes).unwrap()).or_default() += 1;
         let fewer: Vec<&str> = nodes.into_iter().filter(|node| *node != "n2").collect();
-        if of(n, &nodes) != Some("n2") {
-            assert_eq!(of(n, &nodes), of(n, &fewer));
+        if select(n, &nodes) != Some("n2") {
+            assert_eq!(select(n, &nodes), select(n, &fewer));
         }
     }
     assert!(
         counts.values().all(|n| (850..1_150).contains(n)),
         "{counts:?}"
     );
-    assert_eq!(arbiter("k", []), None);
+    assert_eq!(select_arbiter("k", []), None);
 }
 
-/// What may be under way towards the arbiter.
+/// A message of a write on its way to the arbiter.
 #[derive(Clone, Copy, Debug)]
-struct Crossing {
-    wish: usize,
-    arrives: Micros,
-    lease_until: Micros,
+struct Message {
+    write: usize,
+    arrives_at: Micros,
+    lease_over_at: Micros,
+}
+
+impl Message {
+    fn new(write: usize, now: Micros, delay: Micros) -> Message {
+        Message {
+            write,
+            arrives_at: now + delay,
+            lease_over_at: now + LEASE_TTL,
+        }
+    }
+}
+
+/// Delivers the messages that have arrived to the arbiter, and returns the writes that it ran.
+fn deliver(arbiter: &mut Arbiter, in_transit: &mut Vec<Message>, now: Micros) -> Vec<usize> {
+    in_transit.sort_by_key(|message| message.arrives_at);
+    let (arrived, rest): (Vec<Message>, Vec<Message>) = in_transit
+        .iter()
+        .partition(|message| message.arrives_at <= now);
+    *in_transit = rest;
+    let mut ran = Vec::new();
+    for message in arrived {
+        if message.arrives_at >= message.lease_over_at {
+            continue;
+        }
+        let key = key(message.write);
+        let verdict = arbiter.run(message.arrives_at.max(now), &key);
+        if matches!(verdict, RunVerdict::Run | RunVerdict::Repeat { .. }) {
+            let _ = arbiter.ledger().send(now, &key);
+            ran.push(message.write);
+            arbiter.ledger().finish(now, &key, None);
+        }
+    }
+    ran
 }
 
 proptest! {
-    /// Wishes are tried at any near node: a first try runs at home or crosses; marked retries ask. Messages are late
-    /// and overtake each other, the arbiter restarts. No wish runs at both sites.
+    /// Clients send writes to any near node: a first attempt runs at the near site or crosses, a marked retry claims the
+    /// key. Messages are late and overtake each other, and the arbiter restarts. No write runs at both sites.
     #[test]
-    fn no_wish_runs_at_both_sites(
+    fn no_write_runs_at_both_sites(
         steps in prop::collection::vec((0usize..6, 0usize..4, 0i64..400, 0i64..900, any::<bool>()), 1..150),
     ) {
-        let mut arbiter = old();
+        let mut arbiter = established_arbiter();
         let mut now: Micros = 0;
-        // By wish: when it began; which runs at home and far may have begun.
-        let mut began: BTreeMap<usize, Micros> = BTreeMap::new();
-        let (mut home, mut far) = (BTreeSet::new(), BTreeSet::new());
-        let mut under_way: Vec<Crossing> = Vec::new();
-        // Each wish has a life of its own: its number grows when it is over.
-        let mut number = [0usize; 4];
-        for (what, slot, pause, way, at_home) in steps {
+        // By write: when its first attempt was, and at which sites it may have run.
+        let mut first_attempts: BTreeMap<usize, Micros> = BTreeMap::new();
+        let (mut ran_near, mut ran_far) = (BTreeSet::new(), BTreeSet::new());
+        let mut in_transit: Vec<Message> = Vec::new();
+        // Each of four clients has one write at a time; this counts the writes of each.
+        let mut generations = [0usize; 4];
+        for (action, client, pause, delay, near) in steps {
             now += pause;
-            // What arrives by now, in the order of arrival.
-            under_way.sort_by_key(|c| c.arrives);
-            let due: Vec<Crossing> = under_way.iter().copied().filter(|c| c.arrives <= now).collect();
-            under_way.retain(|c| c.arrives > now);
-            for c in due {
-                if c.arrives >= c.lease_until {
-                    continue;
-                }
-                let k = key(c.wish);
-                if let Run::Begin | Run::Again { .. } = arbiter.run(c.arrives.max(now), &k) {
-                    let _ = arbiter.ledger().send(now, &k);
-                    far.insert(c.wish);
-                    arbiter.ledger().finish(now, &k, None);
+            ran_far.extend(deliver(&mut arbiter, &mut in_transit, now));
+            let write = generations[client] * 4 + client;
+            match (action, first_attempts.get(&write).copied()) {
+                // The client retries the write no longer.
+                (_, Some(first_attempt)) if now - first_attempt >= RETRY_DURATION => {
+                    generations[client] += 1;
                 }
-            }
-            let wish = number[slot] * 4 + slot;
-            match (what, began.get(&wish).copied()) {
-                // The client gives a wish up.
-                (_, Some(at)) if now - at >= WISH => {
-                    number[slot] += 1;
-                }
-                // First tries are not marked: the node runs them or lets them cross.
+                // A first attempt has no mark: the near node runs it or forwards it.
                 (0..=3, None) => {
-                    began.insert(wish, now);
-                    if at_home {
-                        home.insert(wish);
+                    first_attempts.insert(write, now);
+                    if near {
+                        ran_near.insert(write);
                     } else {
-                        under_way.push(Crossing { wish, arrives: now + way, lease_until: now + LIFE });
+                        in_transit.push(Message::new(write, now, delay));
                     }
                 }
-                // A marked retry at a node that doesn't know the key asks before it does anything.
-                (0..=4, Some(_)) => match arbiter.claim(now, &key(wish)) {
-                    Claim::Here => {
-                        home.insert(wish);
-                    }
-                    Claim::Crossed => {
-                        under_way.push(Crossing { wish, arrives: now + way, lease_until: now + LIFE });
+                // A marked retry at a node that does not know the key.
+                (0..=4, Some(_)) => match arbiter.claim(now, &key(write)) {
+                    Claim::Granted => {
+                        ran_near.insert(write);
                     }
-                    Claim::Served(_) | Claim::CantTell => {}
+                    Claim::MayHaveRun => in_transit.push(Message::new(write, now, delay)),
+                    Claim::Served(_) | Claim::Undecided => {}
                 },
-                // It starts again, with an empty memory and another epoch: nothing under way is admitted.
-                (5, _) if at_home => {
+                // The arbiter restarts with an empty ledger and another epoch: no message in transit is admitted.
+                (5, _) if near => {
                     arbiter = Arbiter::new(now, LIMITS);
-                    under_way.clear();
+                    in_transit.clear();
                 }
                 _ => {}
             }
-            let both: Vec<_> = home.intersection(&far).collect();
+            let both: Vec<_> = ran_near.intersection(&ran_far).collect();
             prop_assert!(both.is_empty(), "at both sites: {both:?}");
         }
     }
--- a/crates/gateway/src/deadline.rs
+++ b/crates/gateway/src/deadline.rs
@@ -1,41 +1,49 @@
-//! What is left of a request's time behind the link. There is no shared clock: what crosses is a span, counted by the
-//! far side from arrival.
+//! The time that a request has left behind the link.
+//!
+//! The sites have no common clock. A request therefore crosses with a duration, which the far site counts from the
+//! arrival; [`LinkDelay`] estimates what the link itself takes from the last [`MAX_ROUND_TRIPS`] heartbeats, which are
+//! its only state. The estimate errs to the long side.
 
 use std::collections::VecDeque;
 
 use sloewick_decision::api::Micros;
 
-/// Round trips that count.
-const KEPT: usize = 10;
+/// The number of recent round trips that the estimate is based on.
+pub const MAX_ROUND_TRIPS: usize = 10;
 
 /// The measured delay of a link.
 #[derive(Debug, Default)]
-pub struct Delay {
+pub struct LinkDelay {
     round_trips: VecDeque<Micros>,
 }
 
-impl Delay {
-    /// A heartbeat came back.
-    pub fn measured(&mut self, round_trip: Micros) {
+impl LinkDelay {
+    /// Records the round trip of a heartbeat, in microseconds.
+    pub fn record_round_trip(&mut self, round_trip: Micros) {
         self.round_trips.push_back(round_trip.max(0));
-        if self.round_trips.len() > KEPT {
+        if self.round_trips.len() > MAX_ROUND_TRIPS {
             self.round_trips.pop_front();
         }
     }
 
-    /// One way, on the safe side: half of the last round trip, and no less than half of the least of late. None before
-    /// the first heartbeat.
+    /// The delay of one direction, in microseconds: half of the last round trip, at least half of the shortest recent
+    /// one. `None` before the first heartbeat.
     pub fn one_way(&self) -> Option<Micros> {
         let last = self.round_trips.back()?;
-        let least = self.round_trips.iter().min()?;
-        Some((*last).max(*least) / 2 + 1)
+        let shortest = self.round_trips.iter().min()?;
+        Some((*last).max(*shortest) / 2 + 1)
     }
 
-    /// What the far side may use of a request's time, so that its answer is back `margin` before it is over; none if
-    /// that is less than `least`.
-    pub fn left(&self, remaining: Micros, margin: Micros, least: Micros) -> Option<Micros> {
-        let left = remaining - 2 * self.one_way()? - margin;
-        (left >= least.max(1)).then_some(left)
+    /// How much of a request's `remaining` time the far site may use, so that the response is back `margin` before the
+    /// deadline. `None` if that is less than `minimum`, or the delay of the link is unknown. All in microseconds.
+    pub fn far_site_budget(
+        &self,
+        remaining: Micros,
+        margin: Micros,
+        minimum: Micros,
+    ) -> Option<Micros> {
+        let budget = remaining - 2 * self.one_way()? - margin;
+        (budget >= minimum.max(1)).then_some(budget)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,8 +1,15 @@
-//! What a gateway between two sites has to decide, without I/O: time is an argument. `docs/design/gateway.md` has the
-//! reasons; nothing of it is wired into a node yet.
+//! The decisions of a gateway between two sites: when requests cross the link to the other site and how a write takes
+//! effect at one site only. The near site accepts the requests; the far site executes those that cross.
 //!
-//! [`leases`] let a receiver refuse what is delivered too late; [`claims`] keep a write's effect at one site; [`deadline`]
-//! says what is left of a request's time behind the link; [`circuit_breaker`] says when to cross and how to come home.
+//! The package performs no I/O and reads no clock; times are arguments, in microseconds ([`Micros`]). No node uses it
+//! yet; `docs/design/gateway.md` describes the design.
+//!
+//! - [`leases`]: the far site rejects messages that are delivered too late;
+//! - [`claims`]: a write with an idempotency key runs at one site only;
+//! - [`deadline`]: the time that a request has left behind the link;
+//! - [`circuit_breaker`]: when requests may cross, and how traffic returns to the near site.
+//!
+//! [`Micros`]: sloewick_decision::api::Micros
 
 pub mod circuit_breaker;
 pub mod claims;
