--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use sloewick_decision::settings::{self, Fields, Names, SettingsError};
 use sloewick_decision::Settings;
-use sloewick_memcached::config::{self as memcached_config, File};
+use sloewick_memcached::config::{self as memcached_config, MemcachedConfig};
 use sloewick_toml_config::Problem;
 
 use crate::discovery::endpoints::{parse_endpoint_list, EndpointList};
@@ -40,7 +40,7 @@
     /// Probes ask for a load report; otherwise for a mere sign of life.
     pub probe_load: bool,
     /// The memcached frontend and cache servers, where they are switched on.
-    pub memcached: Option<File>,
+    pub memcached: Option<MemcachedConfig>,
     /// The event trace is written to the log. Not a field of the configuration: the command line says so.
     pub trace: bool,
 }
--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -8,17 +8,17 @@
 use bytes::Bytes;
 use sloewick_codec::memcached::{self, Opcode, Status};
 use sloewick_decision::api::{Micros, Status as AttemptStatus};
-use sloewick_memcached::config::File;
-use sloewick_memcached::idempotency_ledger::{Key, Ledger, Verdict};
-use sloewick_memcached::routing::{self, KeyFrom, Operation, Route};
+use sloewick_memcached::config::MemcachedConfig;
+use sloewick_memcached::idempotency_ledger::{IdempotencyKey, IdempotencyLedger, Verdict};
+use sloewick_memcached::routing::{self, KeySource, Operation, Route};
 use thiserror::Error;
 
 use crate::frontend::response::FinalResponse;
 
 /// The state of the memcached frontend.
 pub(crate) struct MemcachedFrontend {
-    config: File,
-    ledger: Ledger,
+    config: MemcachedConfig,
+    ledger: IdempotencyLedger,
     /// Begins the request ids of this process; no two processes of any nodes share it.
     process: u64,
     /// Counts the requests to cache servers of this protocol.
@@ -27,7 +27,7 @@
 
 /// A write with an idempotency key.
 pub(crate) struct KeyedWrite {
-    key: Key,
+    key: IdempotencyKey,
     /// An earlier request with the same key may have run.
     earlier_may_have_run: bool,
     /// Attempts of this request that may have run, or are in flight.
@@ -101,8 +101,8 @@
 }
 
 impl MemcachedFrontend {
-    pub(crate) fn new(config: File, process: u64) -> MemcachedFrontend {
-        let ledger = Ledger::new(config.ledger);
+    pub(crate) fn new(config: MemcachedConfig, process: u64) -> MemcachedFrontend {
+        let ledger = IdempotencyLedger::new(config.ledger);
         MemcachedFrontend {
             config,
             ledger,
@@ -118,7 +118,7 @@
 
     /// Longest value that is accepted, in bytes.
     pub(crate) fn max_value(&self) -> usize {
-        self.config.value_most
+        self.config.max_value_bytes
     }
 
     /// Number of idempotency keys in the ledger.
@@ -158,7 +158,7 @@
         let route = route.ok_or(Rejection::NoRoute)?;
         let idempotency_key = if write {
             check_set(request)?;
-            let found = route.key(&request.key, &request.value);
+            let found = route.idempotency_key(&request.key, &request.value);
             found.map_err(|why| Rejection::NoIdempotencyKey(why.to_string()))?
         } else {
             None
@@ -211,7 +211,7 @@
     /// A keyed write has ended, with no attempt in flight.
     pub(crate) fn end_write(&mut self, keyed: &KeyedWrite, now: Micros) {
         let receipt = keyed.served.then(Bytes::new);
-        self.ledger.ended(now, &keyed.key, receipt);
+        self.ledger.finish(now, &keyed.key, receipt);
     }
 }
 
@@ -228,27 +228,27 @@
 
 /// Reserves an idempotency key in the ledger.
 fn reserve(
-    ledger: &mut Ledger,
-    config: &File,
+    ledger: &mut IdempotencyLedger,
+    config: &MemcachedConfig,
     route: &Route,
-    key: Key,
+    key: IdempotencyKey,
     admission: Admission,
 ) -> Result<KeyedWrite, Rejection> {
-    let made = routing::stamp(&key).filter(|_| route.key_from == KeyFrom::Stamp);
+    let made = routing::key_timestamp(&key).filter(|_| route.key_source == KeySource::Timestamp);
     let age = made.map_or(0, |made| admission.unix_time - made);
-    if age < -config.skew {
+    if age < -config.max_clock_skew {
         return Err(Rejection::FutureIdempotencyKey);
     }
     let limits = &config.ledger;
-    let is_old = age + config.skew >= limits.window - limits.margin;
-    let earlier_may_have_run = match ledger.ask(admission.now, &key, is_old) {
+    let is_old = age + config.max_clock_skew >= limits.deduplication_window - limits.margin;
+    let earlier_may_have_run = match ledger.begin(admission.now, &key, is_old) {
         Verdict::New => false,
-        Verdict::Idempotency { .. } => true,
+        Verdict::Repeat { .. } => true,
         Verdict::Served(receipt) => {
             return Err(Rejection::Answered(FinalResponse::Value(receipt)));
         }
         Verdict::Unknown => return Err(Rejection::Answered(FinalResponse::Failed)),
-        Verdict::InHand | Verdict::Full => {
+        Verdict::InFlight | Verdict::Full => {
             return Err(Rejection::Answered(FinalResponse::Busy(0)));
         }
     };
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -48,7 +48,7 @@
             cache_result: Some(CacheResult::Miss),
             ..AttemptResult::of(Status::Ok)
         },
-        Outcome::Not(status) => AttemptResult::of(status),
+        Outcome::NotServed(status) => AttemptResult::of(status),
     }
 }
 
