--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -10,7 +10,7 @@
 use sloewick_decision::api::{Micros, Status as AttemptStatus};
 use sloewick_memcached::config::MemcachedConfig;
 use sloewick_memcached::idempotency_ledger::{IdempotencyKey, IdempotencyLedger, Verdict};
-use sloewick_memcached::routing::{self, KeySource, Operation, Route};
+use sloewick_memcached::routing::{self, KeyError, KeySource, Operation, Route};
 use thiserror::Error;
 
 use crate::frontend::response::FinalResponse;
@@ -48,7 +48,7 @@
     FlagsNotSupported,
     /// The value holds no idempotency key where its route expects one.
     #[error("{0}")]
-    NoIdempotencyKey(String),
+    NoIdempotencyKey(KeyError),
     #[error("the idempotency key's time lies in the future")]
     FutureIdempotencyKey,
     /// The response is known without an attempt.
@@ -159,7 +159,7 @@
         let idempotency_key = if write {
             check_set(request)?;
             let found = route.idempotency_key(&request.key, &request.value);
-            found.map_err(|why| Rejection::NoIdempotencyKey(why.to_string()))?
+            found.map_err(Rejection::NoIdempotencyKey)?
         } else {
             None
         };
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -16,8 +16,8 @@
 use sloewick_decision::api::Micros;
 use sloewick_node::config;
 use sloewick_node::mio_transport::{MioTransport, RemoteSignals};
-use sloewick_node::Node;
 use sloewick_node::transport::PendingSignals as Signals;
+use sloewick_node::Node;
 
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -10,8 +10,8 @@
 use sloewick_decision::api::Micros;
 use sloewick_decision::Balancer;
 use sloewick_node::config;
-use sloewick_node::{DecisionEngine, Node};
 use sloewick_node::transport::PendingSignals as Signals;
+use sloewick_node::{DecisionEngine, Node};
 
 use crate::cachebox::{self, CacheBox};
 use crate::clients::{self, Crowd, Rude};
--- a/crates/testbed/src/port.rs
+++ b/crates/testbed/src/port.rs
@@ -29,9 +29,7 @@
     fn prepare(&mut self) -> Option<Micros>;
 }
 
-impl<N: Transport, M: sloewick_node::DecisionEngine> Actor
-    for sloewick_node::Node<N, M>
-{
+impl<N: Transport, M: sloewick_node::DecisionEngine> Actor for sloewick_node::Node<N, M> {
     fn turn(&mut self, wait: Micros) -> io::Result<()> {
         sloewick_node::Node::run_once(self, wait)
     }
