--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -5,24 +5,24 @@
 
 use divan::counter::ItemsCount;
 use divan::Bencher;
-use sloewick_decision::api::*;
+use sloewick_decision::api::{
+    Action, CacheResult, Class, Endpoint, EndpointListKind, Event, Idempotency, Request, RequestId,
+    ServerState, Settings, Status, Tenant,
+};
 use sloewick_decision::Balancer;
 
 fn main() {
     divan::main();
 }
 
+#[path = "../tests/support/settings.rs"]
+mod shared_settings;
+
 fn settings() -> Settings {
     let class = |idempotency, priority_weight| Class {
-        latency_objective: 150_000,
-        objective_per_work: 0.0,
-        deadline: 400_000,
         idempotency,
-        deduplication_scope: DeduplicationScope::All,
-        deduplication_window: 10_000_000,
         priority_weight,
-        late_weight: 0.0,
-        stream: false,
+        ..shared_settings::class()
     };
     Settings {
         classes: vec![
@@ -34,37 +34,16 @@
             share: 1.0,
         }],
         nodes: 4,
-        node_number: None,
-        zone: Some(0),
         poll: false,
         poll_within: 0,
-        mode: CacheMode::ReadThrough,
-        origin_kind: None,
-        origin_overload_multiple: 0.0,
-        weights: WeightMeaning::None,
-        weight_by_work: false,
-        over_quota_weight: 0.05,
         tick: 2_000,
-        max_attempts: 5,
         max_in_flight: 100_000,
-        cancel: true,
-        probes: false,
-        hedging: true,
-        max_retry_after: 1_000_000,
-        connect_timeout: 75_000,
-        drain_grace: 2_000_000,
-        cold_capacity: 0.13,
-        warm_up_time: 24_000_000,
-        overload_multiple: 2.5,
-        overload_window: 2_000_000,
-        answer_slack: 8_000,
         price_cross_zone: 0.01,
-        price_origin: 0.0,
+        ..shared_settings::settings()
     }
 }
 
-/// One request, its answer, and the timers that have come due.
-/// A node that knows this many servers.
+/// A node with this many listed servers.
 fn listed(servers: usize) -> Balancer {
     let mut balancer = Balancer::new(settings(), 7, 0).expect("settings fit");
     let entries: Arc<[Endpoint]> = (0..servers)
@@ -130,16 +109,16 @@
 }
 
 #[divan::bench(args = [5, 20, 91, 400])]
-fn request_and_outcome(bencher: Bencher, servers: usize) {
+fn request_and_outcome(bencher: Bencher<'_, '_>, servers: usize) {
     let (mut balancer, mut serve) = (listed(servers), serve());
     bencher
         .counter(ItemsCount::new(1usize))
         .bench_local(move || serve(&mut balancer));
 }
 
-/// What the next process is told, once a second, by a node with a full window.
+/// The checkpoint for the next process, once a second, of a node with a full window.
 #[divan::bench(args = [5, 20, 91, 400])]
-fn remember(bencher: Bencher, servers: usize) {
+fn checkpoint(bencher: Bencher<'_, '_>, servers: usize) {
     let (mut balancer, mut serve) = (listed(servers), serve());
     (0..5_000).for_each(|_| serve(&mut balancer));
     bencher.bench_local(move || balancer.checkpoint(12_500_000));
--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -28,7 +28,7 @@
         if over_quota && self.averages.late > OVER_QUOTA_LATE_FRACTION {
             return Some(DecisionReason::OverQuota);
         }
-        if self.origin_health.sheds(now, kind, || self.rng.next()) {
+        if self.origin_health.sheds(now, kind, || self.rng.next_unit()) {
             return Some(DecisionReason::OriginOverload);
         }
         if !self.is_admitted(now, serial) {
@@ -45,7 +45,7 @@
         let request = &self.in_flight.requests[&serial];
         let deadline = self.settings.classes[request.request.class].deadline;
         self.origin_health
-            .admits(now, request.kind(), deadline, || self.rng.next())
+            .admits(now, request.kind(), deadline, || self.rng.next_unit())
     }
 
     /// Guards against queues that make every answer late: what an overrun home server cannot answer in time
@@ -105,7 +105,7 @@
         match reason {
             // Not all of them at one time.
             DecisionReason::OriginOverload => {
-                longest - (longest as f64 * self.rng.next() / 2.0) as Micros
+                longest - (longest as f64 * self.rng.next_unit() / 2.0) as Micros
             }
             _ if waited_long => longest,
             _ => 0,
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -1,4 +1,5 @@
-//! The types between a node and the decision module: settings, events, actions, ids.
+//! The interface between a node and its decisions: settings, events, actions, identifiers.
+//!
 //! All times are integer microseconds on the node's monotonic clock; nothing here does I/O.
 
 use std::fmt;
@@ -8,21 +9,21 @@
 pub type Micros = i64;
 /// A request as the node names it; ids are never reused.
 pub type RequestId = Arc<str>;
-/// A server as the list names it; opaque, equal at all nodes.
+/// A server as the endpoint list names it; opaque, equal at all nodes.
 pub type ServerId = Arc<str>;
 
-/// What may be repeated in a class.
+/// Which retries a class permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
-    /// Repeats are harmless.
+    /// Retries are harmless.
     Idempotent,
-    /// Servers of one group drop repeats of a key for a while.
+    /// Servers of one group deduplicate retries by an idempotency key for a while.
     Keyed,
     /// A second execution is a second effect.
     NonIdempotent,
 }
 
-/// The group of servers that drops repeats of a keyed request.
+/// The group of servers that deduplicates the retries of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeduplicationScope {
     /// All servers.
@@ -36,30 +37,30 @@
 /// One class of requests.
 #[derive(Clone, Debug)]
 pub struct Class {
-    /// Answers within this earn full worth.
+    /// Answers within this have the full priority weight.
     pub latency_objective: Micros,
-    /// The aim grows by this multiple of the request's own work (0: not at all).
+    /// The latency objective grows by this multiple of the request's own work (0: not at all).
     pub objective_per_work: f64,
-    /// The client's whole wait, over all tries.
+    /// The client's whole wait, over all its retries.
     pub deadline: Micros,
-    /// What may be repeated.
+    /// Which retries are permitted.
     pub idempotency: Idempotency,
-    /// Which servers drop repeats (keyed classes).
+    /// Which servers deduplicate (keyed classes).
     pub deduplication_scope: DeduplicationScope,
-    /// How long they do, from the first send that may have run (keyed classes).
+    /// How long they do, from the first attempt that may have run (keyed classes).
     pub deduplication_window: Micros,
-    /// Worth of an answer in time.
+    /// Weight of an answer in time.
     pub priority_weight: f64,
-    /// Share of the worth for an answer after the aim.
+    /// Fraction of the weight of an answer after the latency objective.
     pub late_weight: f64,
     /// Whether answers are streamed.
     pub stream: bool,
 }
 
-/// One tenant's share.
+/// One tenant's quota and share.
 #[derive(Clone, Debug)]
 pub struct Tenant {
-    /// Requests a second over all nodes that are within its share.
+    /// Requests a second over all nodes that are within its quota.
     pub quota_per_s: f64,
     /// Share of the service.
     pub share: f64,
@@ -70,7 +71,7 @@
 pub enum CacheMode {
     /// The server fetches from the origin itself.
     ReadThrough,
-    /// The server answers "miss" and the node asks the origin.
+    /// The server answers "miss" and the node sends the request to the origin.
     CacheAside,
 }
 
@@ -81,11 +82,11 @@
     None,
     /// Registered or approximate size.
     Size,
-    /// Size over load, changing between lists.
+    /// Size over load, changing between endpoint lists.
     Live,
 }
 
-/// Everything the module is told at its start.
+/// Everything that the decisions depend on from the start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Classes, by index.
@@ -94,154 +95,161 @@
     pub tenants: Vec<Tenant>,
     /// Nodes that share the traffic, this one included.
     pub nodes: usize,
-    /// This node's number among them, from 0. None: not told, its place among them is drawn.
+    /// This node's number among them, from 0. None: unknown, its phase among them is drawn.
     pub node_number: Option<u64>,
     /// This node's zone, if known.
     pub zone: Option<u16>,
-    /// True where the list must be asked for, false where changes arrive unasked.
+    /// True where the endpoint list must be polled, false where watch events arrive.
     pub poll: bool,
-    /// Without a subscription, having not asked this long counts as having been told.
+    /// Without a subscription, the list must be polled within this time.
     pub poll_within: Micros,
     /// How misses are served.
     pub mode: CacheMode,
-    /// Kind of the list entries that are the origin (aside mode).
+    /// Kind of the endpoints that are the origin (cache-aside).
     pub origin_kind: Option<u16>,
-    /// The origin stops when asked for over this multiple of its capacity (0: no limit).
+    /// The origin fails under requests beyond this multiple of its capacity (0: no limit).
     pub origin_overload_multiple: f64,
     /// Meaning of the listed weights.
     pub weights: WeightMeaning,
-    /// Whether worth goes by work rather than by request.
+    /// Whether weights go by work rather than by request.
     pub weight_by_work: bool,
-    /// Worth of a request beyond its tenant's share, as a part of the usual.
+    /// Weight of a request beyond its tenant's quota, as a fraction of the usual.
     pub over_quota_weight: f64,
     /// Least time between two batches of events.
     pub tick: Micros,
     /// Most attempts for a request.
     pub max_attempts: usize,
-    /// Most requests open at this node.
+    /// Most requests in flight at this node.
     pub max_in_flight: usize,
     /// Whether attempts may be cancelled.
     pub cancel: bool,
-    /// Whether probes are allowed.
+    /// Whether probe requests are allowed.
     pub probes: bool,
-    /// Whether two attempts of a request may be out at once.
+    /// Whether two attempts of a request may be in flight at once.
     pub hedging: bool,
-    /// Whether clients are told when to come back, and the longest wait they honour (0: no).
+    /// The longest Retry-After that clients honour (0: none is sent).
     pub max_retry_after: Micros,
     /// A connection not established within this time fails.
     pub connect_timeout: Micros,
-    /// Nothing new to a draining or gone server later than this after being told.
+    /// Nothing new to a draining or removed server later than this after it was announced.
     pub drain_grace: Micros,
-    /// A server starts at this share of its capacity, or above.
+    /// A server starts at this fraction of its capacity, or above.
     pub cold_capacity: f64,
     /// And is warm no later than this.
     pub warm_up_time: Micros,
-    /// A cold server sent over this multiple of its present capacity ...
+    /// A server that warms up and is sent over this multiple of its present capacity ...
     pub overload_multiple: f64,
-    /// ... for this long falls over.
+    /// ... for this long is overloaded.
     pub overload_window: Micros,
-    /// How long after the client's time a final answer still counts.
+    /// How long after the client's deadline a final answer still counts.
     pub answer_slack: Micros,
-    /// Price of a request that crosses zones, in parts of the service.
+    /// Cost of a request that crosses zones, as a fraction of the service.
     pub price_cross_zone: f64,
-    /// Price of an origin fetch for each request, in parts of the service.
+    /// Cost of an origin fetch for each request, as a fraction of the service.
     pub price_origin: f64,
 }
 
 /// Settings that do not fit together.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("setting {field}: {reason}")]
 pub struct InvalidSettings {
-    /// The setting.
+    /// The setting, by its name in the settings object.
     pub field: &'static str,
     /// Why it cannot be.
-    pub why: &'static str,
-}
-
-impl fmt::Display for InvalidSettings {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "setting {}: {}", self.field, self.why)
-    }
+    pub reason: &'static str,
 }
 
-impl std::error::Error for InvalidSettings {}
-
 impl Settings {
-    /// Refuses settings under which the rules cannot be kept.
+    /// Rejects settings under which the rules cannot be kept.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidSettings`] with the first setting that cannot be.
     pub fn validate(&self) -> Result<(), InvalidSettings> {
-        let err = |field, why| Err(InvalidSettings { field, why });
         if self.classes.is_empty() {
-            return err("classes", "there must be one at least");
-        }
-        for class in &self.classes {
-            if class.deadline <= 0 || class.latency_objective <= 0 {
-                return err("classes", "aim and deadline must be above zero");
-            }
-            if class.idempotency == Idempotency::Keyed && class.deduplication_window <= 0 {
-                return err("classes", "a keyed class needs a window above zero");
-            }
-            if !(class.priority_weight >= 0.0
-                && class.late_weight >= 0.0
-                && class.objective_per_work >= 0.0)
-            {
-                return err(
-                    "classes",
-                    "worth, late worth and stretch must not be negative",
-                );
-            }
+            return invalid("classes", "there must be one at least");
         }
+        self.classes.iter().try_for_each(Class::validate)?;
         if self.nodes == 0 {
-            return err("nodes", "there must be one at least");
+            return invalid("nodes", "there must be one at least");
         }
         if self.max_attempts == 0 {
-            return err("max_attempts", "there must be one at least");
+            return invalid("max_attempts", "there must be one at least");
         }
         if self.tick < 0 || self.answer_slack < 0 || self.drain_grace < 0 {
-            return err("tick, answer_slack, drain_grace", "must not be negative");
+            return invalid("tick, answer_slack, drain_grace", "must not be negative");
         }
         if self.poll && self.poll_within <= 0 {
-            return err(
+            return invalid(
                 "ask_within",
                 "must be above zero where the list is asked for",
             );
         }
         if !(self.cold_capacity > 0.0 && self.cold_capacity <= 1.0) {
-            return err("cold_from", "must be above zero and at most one");
+            return invalid("cold_from", "must be above zero and at most one");
         }
         if self.warm_up_time < 0
             || self.overload_window < 0
             || self.overload_multiple.is_nan()
             || self.overload_multiple < 0.0
         {
-            return err("cold, fall, fall_multiple", "must not be negative");
+            return invalid("cold, fall, fall_multiple", "must not be negative");
         }
         if self.mode == CacheMode::CacheAside && self.origin_kind.is_none() {
-            return err("origin_kind", "aside mode needs the origin's kind");
+            return invalid("origin_kind", "aside mode needs the origin's kind");
         }
         Ok(())
     }
 }
 
+impl Class {
+    fn validate(&self) -> Result<(), InvalidSettings> {
+        if self.deadline <= 0 || self.latency_objective <= 0 {
+            return invalid("classes", "aim and deadline must be above zero");
+        }
+        if self.idempotency == Idempotency::Keyed && self.deduplication_window <= 0 {
+            return invalid("classes", "a keyed class needs a window above zero");
+        }
+        let weights = [
+            self.priority_weight,
+            self.late_weight,
+            self.objective_per_work,
+        ];
+        if !weights.into_iter().all(|weight| weight >= 0.0) {
+            return invalid(
+                "classes",
+                "worth, late worth and stretch must not be negative",
+            );
+        }
+        Ok(())
+    }
+}
+
+fn invalid(field: &'static str, reason: &'static str) -> Result<(), InvalidSettings> {
+    Err(InvalidSettings { field, reason })
+}
+
 /// State of a listed server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
-    /// Takes work.
+    /// Takes requests.
     Live,
-    /// Finishes what it has; nothing new may be sent.
+    /// Finishes the requests in flight; nothing new may be sent.
     Draining,
     /// Removed.
     Removed,
 }
 
-/// One line of the server list.
+/// One entry of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
     /// The server.
     pub server: ServerId,
     /// Listed weight, see [`WeightMeaning`].
     pub weight: f64,
-    /// Zone label, if told.
+    /// Zone label, if announced.
     pub zone: Option<u16>,
-    /// Kind label, if told.
+    /// Kind label, if announced.
     pub kind: Option<u16>,
     /// State.
     pub state: ServerState,
@@ -251,14 +259,14 @@
     pub cell: Option<u32>,
 }
 
-/// What a list event holds.
+/// What an endpoint list holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointListKind {
     /// Changed entries only.
     Delta,
-    /// All; who is missing is gone.
+    /// All entries; a server that is missing is removed.
     Full,
-    /// All as this node last held it, perhaps old.
+    /// All entries as this node last had them, perhaps old.
     Cached,
 }
 
@@ -269,7 +277,7 @@
     Ok,
     /// Error answer; may have run.
     Error,
-    /// Turned away unseen.
+    /// Rejected unseen.
     Rejected,
     /// No answer in time; may have run.
     Timeout,
@@ -281,7 +289,7 @@
     Cancelled,
     /// Not sent.
     NotSent,
-    /// No value kept there; never ran.
+    /// No value cached there; never ran.
     Miss,
 }
 
@@ -316,11 +324,11 @@
 /// A load report; fields that a site lacks are none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
-    /// Requests in hand.
+    /// Requests in flight.
     pub in_flight: Option<f64>,
     /// Requests waiting.
     pub queue: Option<f64>,
-    /// Busy share of its cores.
+    /// Busy fraction of its cores.
     pub util: Option<f64>,
     /// Recent service time, without waiting, in microseconds.
     pub service: Option<f64>,
@@ -328,9 +336,9 @@
     pub qps: Option<f64>,
     /// Errors a second.
     pub eps: Option<f64>,
-    /// Recent share of hits.
+    /// Recent fraction of hits.
     pub hits: Option<f64>,
-    /// Fetches out.
+    /// Fetches in flight.
     pub fetches: Option<f64>,
 }
 
@@ -341,7 +349,7 @@
     Hit,
     /// Fetched, or missing.
     Miss,
-    /// Missing, and another request was told to fetch it.
+    /// Missing, and another request is fetching it.
     MissFetching,
 }
 
@@ -356,13 +364,13 @@
     pub tenant: Option<usize>,
     /// Its subject.
     pub key: Option<Arc<str>>,
-    /// Time left until the client gives this try up.
+    /// Time left until the client gives this request up.
     pub budget: Micros,
-    /// Expected work in standard-core microseconds, if told.
+    /// Expected work in standard-core microseconds, if known.
     pub work: Option<f64>,
-    /// Size of the value in bytes, if told.
+    /// Size of the value in bytes, if known.
     pub size: Option<f64>,
-    /// Known to be a client's repeat.
+    /// Known to be a client's retry.
     pub retry: bool,
     /// A write.
     pub write: bool,
@@ -371,11 +379,11 @@
 /// What happens to a node.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// News of the servers.
+    /// An endpoint list, or changes to it.
     EndpointList(EndpointListKind, Arc<[Endpoint]>),
-    /// A call to the list failed, or the subscription dropped.
+    /// A poll of the endpoint list failed, or the subscription dropped.
     EndpointListFailed,
-    /// A request was taken; one final answer is owed.
+    /// A request was accepted; it needs exactly one final answer.
     Request(Request),
     /// A streamed answer began.
     ResponseStarted {
@@ -398,15 +406,15 @@
         status: Status,
         /// The request has its final answer.
         closed: bool,
-        /// Hit or miss, if told.
+        /// Cache result, if known.
         note: Option<CacheResult>,
         /// Load report, if attached.
         load: Option<LoadReport>,
     },
-    /// The client left; nothing is owed.
+    /// The client disconnected; no answer is needed any more.
     ClientDisconnected(RequestId),
-    /// Nothing more may be sent for this request: its client seems to have left, or the node is about to end.
-    /// What is out may still answer it, and its final answer is owed as ever.
+    /// Nothing more may be sent for this request: its client seems to be disconnected, or the node is about
+    /// to end. Pending attempts may still answer it, and it needs its final answer as ever.
     StopAttempts(RequestId),
     /// A timer set earlier is due.
     TimerExpired(u64),
@@ -445,11 +453,11 @@
         /// Time-out of the attempt; none: until the client gives up.
         timeout: Option<Micros>,
     },
-    /// Final answer: refused, harmless to try again.
+    /// Final answer: rejected, a retry is harmless.
     Reject {
         /// Request.
         request: RequestId,
-        /// When the client ought to come back (0: no advice).
+        /// Retry-After (0: none).
         retry_after: Micros,
     },
     /// Final answer: failed, no promise.
@@ -464,7 +472,7 @@
         /// Attempt.
         attempt: usize,
     },
-    /// Send back [`Event::TimerExpired`] with this token after the delay.
+    /// Deliver [`Event::TimerExpired`] with this token after the delay.
     SetTimer {
         /// Delay from now.
         delay: Micros,
@@ -475,9 +483,9 @@
     Probe(ServerId),
     /// Close idle connections to a server.
     CloseIdleConnections(ServerId),
-    /// Subscribe to the list, or end that.
+    /// Subscribe to the endpoint list, or end that.
     Subscribe(bool),
-    /// Ask for the whole list once.
+    /// Fetch the complete endpoint list once.
     FetchEndpointList,
     /// A line for the operators.
     Log(String),
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -4,8 +4,8 @@
 //! Guarantees: the same settings, seed and events at the same times give the same actions. No I/O and no
 //! clock.
 //!
-//! [`crate::partition`] and [`crate::hot_keys`] place keys, [`crate::selection`] chooses servers,
-//! [`crate::retry`] sends attempts, [`crate::admission`] rejects, [`crate::in_flight`] holds requests and
+//! `partition` and `hot_keys` place keys, `selection` chooses servers,
+//! `retry` sends attempts, `admission` rejects, `in_flight` holds requests and
 //! what the rules allow for them; health of servers, zones and origin, slow start, quotas and membership
 //! stand beside these.
 
@@ -138,7 +138,7 @@
 
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Actions) {
         let key = request.key.as_deref().map(hash);
-        let position = key.map_or_else(|| self.rng.next(), unit_interval);
+        let position = key.map_or_else(|| self.rng.next_unit(), unit_interval);
         self.update_slow_start(now);
         self.partition.record_arrival(position, key);
         self.slow_start.record_arrival(now);
--- a/crates/decision/src/hash.rs
+++ b/crates/decision/src/hash.rs
@@ -1,14 +1,23 @@
 //! Hash functions that all nodes of a fleet agree on.
 //!
-//! Guarantees: the same input gives the same hash on every platform and in every version. Nodes choose home
-//! servers, phases and slots by these numbers without talking to each other, so two versions in one fleet
-//! have to compute the same.
+//! Guarantees: the same input gives the same hash on every platform and in every version
+//! (`tests/stable_numbers.rs`). Nodes choose home servers, phases and slots by these numbers without
+//! messages, so two versions in one fleet have to compute the same. Other packages that need a hash of this
+//! sort use these in place of one of their own. Not for secrets, nor against inputs that are chosen to
+//! collide.
+//!
+//! ```
+//! use sloewick_decision::hash::{hash, unit_interval};
+//!
+//! let position = unit_interval(hash("logger/17"));
+//! assert!((0.0..1.0).contains(&position));
+//! ```
 
 /// FNV-1a, 64 bits: offset basis and prime.
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x100_0000_01b3;
 
-/// A name as 64 bits: FNV-1a over its bytes, finalised by [`mix`].
+/// A name as 64 bits: FNV-1a (Fowler, Noll and Vo) over its bytes, finalised by [`mix`].
 pub fn hash(text: &str) -> u64 {
     let fnv = text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
@@ -16,7 +25,8 @@
     mix(fnv)
 }
 
-/// The finalizer of SplitMix64: every bit of the input affects every bit of the output.
+/// The finalizer of `SplitMix64` (variant 13 of Stafford): a bijection in which every bit of the input
+/// affects every bit of the output. Combine two hashes by mixing their exclusive or.
 pub fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/decision/src/in_flight.rs
+++ b/crates/decision/src/in_flight.rs
@@ -171,12 +171,7 @@
 
     /// A request is no longer in flight: its pending attempts are cancelled, if that is allowed; not those
     /// that outlive it, if so wished.
-    pub(crate) fn end_request(
-        &mut self,
-        serial: u64,
-        spare_outliving: bool,
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn end_request(&mut self, serial: u64, keep_outliving: bool, actions: &mut Actions) {
         let Some(request) = self.in_flight.remove(serial) else {
             return;
         };
@@ -186,7 +181,7 @@
             .enumerate()
             .filter(|(_, a)| a.is_pending())
         {
-            if self.settings.cancel && !(spare_outliving && attempt.outlives_request) {
+            if self.settings.cancel && !(keep_outliving && attempt.outlives_request) {
                 actions.push(Action::Cancel {
                     request: request.request.id.clone(),
                     attempt: number,
--- a/crates/decision/src/membership.rs
+++ b/crates/decision/src/membership.rs
@@ -200,7 +200,7 @@
         } else {
             (longest * FIRST_RETRY_FRACTION * 2f64.powi(doublings)).min(longest)
         };
-        let drawn = MIN_SPREAD_FRACTION + (1.0 - MIN_SPREAD_FRACTION) * self.rng.next();
+        let drawn = MIN_SPREAD_FRACTION + (1.0 - MIN_SPREAD_FRACTION) * self.rng.next_unit();
         actions.push(TimerToken::EndpointList.after((spread * drawn) as Micros));
     }
 }
--- a/crates/decision/src/origin_health_tests.rs
+++ b/crates/decision/src/origin_health_tests.rs
@@ -93,20 +93,20 @@
 
 #[test]
 fn failures_of_a_few_servers_lower_no_admission_and_those_of_all_do() {
-    for (bad, jam) in [(2, false), (8, true)] {
+    for (failing, lowered) in [(2, false), (8, true)] {
         let mut node = node(0.0, 8);
         node.partition
             .servers
             .iter_mut()
-            .take(bad)
+            .take(failing)
             .for_each(|s| s.failing_fraction = 0.9);
         for n in 0..100 {
             node.record_fetch(n % 4 != 0);
         }
         assert_eq!(
             node.origin_health.admitted_fraction < 0.9,
-            jam,
-            "{bad} of 8: {}",
+            lowered,
+            "{failing} of 8: {}",
             node.origin_health.admitted_fraction
         );
     }
@@ -152,7 +152,7 @@
     };
     let (sent, ended) = unanswered(&mut node, 0, 0);
     assert!(cancels(&ended) && refused(&ended) == 1 && timeout(&sent).unwrap() < 150_000);
-    let jam_at = (1..100).find(|n| {
+    let overloaded_at = (1..100).find(|n| {
         unanswered(&mut node, 150_000 * i64::from(*n), *n);
         node.origin_health.is_overloaded_for(
             150_000 * i64::from(*n) + 146_000,
@@ -160,8 +160,8 @@
         )
     });
     assert!(
-        jam_at.is_some_and(|n| n > 3),
-        "a jam after {jam_at:?} requests without an answer"
+        overloaded_at.is_some_and(|n| n > 3),
+        "an overload after {overloaded_at:?} requests without an answer"
     );
     // Most are rejected at once now, with a Retry-After, and a fraction is admitted.
     let now = 20_000_000;
--- a/crates/decision/src/outlier_detection.rs
+++ b/crates/decision/src/outlier_detection.rs
@@ -8,8 +8,8 @@
 //! detects an outlier after two or three of them: what is usual it has learned from the others.
 //!
 //! Guarantees: where half of the servers look like outliers none is ejected, nor where all fail alike; at
-//! most [`MAX_EJECTED_FRACTION`] of the servers are ejected at a time, the worst first; an ejected server
-//! retains at least [`PROBE_FRACTION`] of its first attempts, and the evidence against it decays with time.
+//! most `MAX_EJECTED_FRACTION` of the servers are ejected at a time, the worst first; an ejected server
+//! retains at least `PROBE_FRACTION` of its first attempts, and the evidence against it decays with time.
 //! Records are held for listed servers alone ([`OutlierDetector::retain`]). No clock and no random numbers of
 //! its own: time and draws are arguments.
 
@@ -118,7 +118,7 @@
     /// Logarithm of the odds of being an outlier before any evidence.
     prior_log_odds: f64,
     /// Ejected servers, with the fraction of their keys that they retain. Bounded by
-    /// [`MAX_EJECTED_FRACTION`].
+    /// `MAX_EJECTED_FRACTION`.
     ejected: HashMap<ServerId, f64>,
     outcomes_since_evaluation: u32,
 }
--- a/crates/decision/src/partition.rs
+++ b/crates/decision/src/partition.rs
@@ -120,7 +120,7 @@
         let lower = self.lower_bound(index);
         let removed = self.servers.remove(index);
         if index > 0 && index < self.servers.len() {
-            self.servers[index - 1].upper_bound = (lower + removed.upper_bound) / 2.0;
+            self.servers[index - 1].upper_bound = f64::midpoint(lower, removed.upper_bound);
         } else if index > 0 {
             self.servers[index - 1].upper_bound = 1.0;
         }
@@ -153,9 +153,9 @@
         bounds.push(if excess <= 0.0 && even_mass >= 1.0 {
             ((goal - k as f64) / even_mass).clamp(previous(k), position(k))
         } else if excess < 0.5 {
-            (previous(k).max(position(k) - gap) + position(k)) / 2.0
+            f64::midpoint(previous(k).max(position(k) - gap), position(k))
         } else {
-            (position(k) + position(k + 1).min(position(k) + gap)) / 2.0
+            f64::midpoint(position(k), position(k + 1).min(position(k) + gap))
         });
     }
     if let Some(last) = bounds.last_mut() {
--- a/crates/decision/src/partition_tests.rs
+++ b/crates/decision/src/partition_tests.rs
@@ -128,7 +128,7 @@
         let key = if i % 3 == 0 {
             77
         } else {
-            (rng.next() * 1e9) as u64
+            (rng.next_unit() * 1e9) as u64
         };
         partition.record_arrival(unit_interval(key), Some(key));
     }
@@ -145,8 +145,8 @@
     let (mut a, mut b) = (partition(40), partition(40));
     let mut rng = Rng(5);
     for _ in 0..200 {
-        a.record_arrival(rng.next(), None);
-        b.record_arrival(rng.next(), None);
+        a.record_arrival(rng.next_unit(), None);
+        b.record_arrival(rng.next_unit(), None);
     }
     a.blend_bounds(&[1.0; 40], 1.0);
     b.blend_bounds(&[1.0; 40], 1.0);
--- a/crates/decision/src/recently_served.rs
+++ b/crates/decision/src/recently_served.rs
@@ -1,7 +1,7 @@
 //! Keys that were served recently: likely a server still caches them, so that a request for one needs no
 //! fetch.
 //!
-//! Guarantees: at most [`MAX_KEYS`] keys are remembered. No clock: time is an argument.
+//! Guarantees: at most `MAX_KEYS` keys are remembered. No clock: time is an argument.
 
 use std::collections::HashMap;
 
--- a/crates/decision/src/retry.rs
+++ b/crates/decision/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retries and hedged requests: the retry budget, the hedging delay, and sending the next attempt.
 //!
-//! Guarantees: retries are at most a fraction of the requests ([`TOKENS_PER_REQUEST`]) and a bounded number
+//! Guarantees: retries are at most a fraction of the requests (`TOKENS_PER_REQUEST`) and a bounded number
 //! besides, and less where they are not answered either, or where answers are late.
 
 use crate::api::{Action, Actions, Idempotency, Micros, RequestId, Status};
@@ -16,8 +16,8 @@
 pub(crate) const MAX_TOKENS: f64 = 10.0;
 /// Fraction of retries answered in time from which requests add their whole tokens, below which they add the
 /// least, and the fraction of the tokens that this least is.
-const GOOD_SUCCESS_FRACTION: f64 = 0.9;
-const BAD_SUCCESS_FRACTION: f64 = 0.5;
+const MAX_SUCCESS_FRACTION: f64 = 0.9;
+const MIN_SUCCESS_FRACTION: f64 = 0.5;
 const MIN_REFILL_FRACTION: f64 = 0.1;
 /// Tokens for a retry after an attempt whose connection broke or was not established: that says nothing of
 /// the load, and leaves the server less to do; after one that was rejected unseen; for a hedged request or
@@ -46,8 +46,8 @@
     /// A request arrived. Where retries are not answered either, they only add to the load that is the
     /// reason; a few go all the same, or it would never be noticed that they are answered again.
     pub(crate) fn refill(&mut self, late_fraction: f64) {
-        let success = (self.success_fraction - BAD_SUCCESS_FRACTION)
-            / (GOOD_SUCCESS_FRACTION - BAD_SUCCESS_FRACTION);
+        let success = (self.success_fraction - MIN_SUCCESS_FRACTION)
+            / (MAX_SUCCESS_FRACTION - MIN_SUCCESS_FRACTION);
         let fraction = success.clamp(MIN_REFILL_FRACTION, 1.0);
         let refill = TOKENS_PER_REQUEST * fraction * (1.0 - 2.0 * late_fraction).max(0.0);
         self.tokens = (self.tokens + refill).min(MAX_TOKENS);
--- a/crates/decision/src/retry_tests.rs
+++ b/crates/decision/src/retry_tests.rs
@@ -14,7 +14,7 @@
         if may {
             (0..2).for_each(|_| {
                 node.origin_health
-                    .record_attempt(0, RequestKind::Write, None, None)
+                    .record_attempt(0, RequestKind::Write, None, None);
             });
         }
         assert!(
@@ -37,23 +37,23 @@
 
 #[test]
 fn no_fetch_is_retried_while_the_origin_is_overloaded_and_answered_fetches_end_that() {
-    for jam in [false, true] {
+    for overloaded in [false, true] {
         let mut node = node(0.0, 8);
-        if jam {
+        if overloaded {
             (0..30).for_each(|_| {
                 node.origin_health
-                    .record_attempt(0, RequestKind::LikelyUncached, None, None)
+                    .record_attempt(0, RequestKind::LikelyUncached, None, None);
             });
         }
         let server = send_request(&mut node, 1000, 1).expect("sent");
         let actions = end_attempt(&mut node, 100_000, 1, &server, Status::Timeout);
         assert_eq!(
             actions.iter().any(|a| matches!(a, Action::Send { .. })),
-            !jam
+            !overloaded
         );
         assert_eq!(
             actions.iter().any(|a| matches!(a, Action::Reject { .. })),
-            jam
+            overloaded
         );
         (0..3).for_each(|_| {
             node.origin_health.record_attempt(
--- a/crates/decision/src/selection.rs
+++ b/crates/decision/src/selection.rs
@@ -58,8 +58,8 @@
         let within_range =
             || self.is_within_range(now, request, home, self.usable_fraction(now, home));
         self.among_spread(now, request, home)
-            .or_else(|| self.beside_outlier(now, request, home))
-            .or_else(|| self.beside_busy(now, request, home))
+            .or_else(|| self.outlier_relief(now, request, home))
+            .or_else(|| self.busy_relief(now, request, home))
             .or_else(|| within_range().then_some(home))
             .or_else(|| self.secondary(now, request, |i| self.usable_fraction(now, i) >= 1.0))
             .unwrap_or(home)
@@ -84,7 +84,7 @@
     }
 
     /// Where the home is ejected: the home for what it retains and for probes, else the secondary.
-    fn beside_outlier(&self, now: Micros, request: &InFlightRequest, home: usize) -> Option<usize> {
+    fn outlier_relief(&self, now: Micros, request: &InFlightRequest, home: usize) -> Option<usize> {
         let retained = self.retained(home);
         if retained >= 1.0 {
             return None;
@@ -100,7 +100,7 @@
     }
 
     /// Where the home has far more attempts than others: a less busy secondary, for keys likely cached.
-    fn beside_busy(&self, now: Micros, request: &InFlightRequest, home: usize) -> Option<usize> {
+    fn busy_relief(&self, now: Micros, request: &InFlightRequest, home: usize) -> Option<usize> {
         let servers = &self.partition.servers;
         let pending = servers[home].pending_attempts;
         let average = self.in_flight.requests.len() as f64 / servers.len() as f64;
@@ -119,7 +119,7 @@
             .or_else(|| self.secondary(now, request, |_| true))
             .map(Target::Partition)
             .or_else(|| self.select_other_zone(now, request))
-            .or_else(|| home_is_warm().then(|| Target::Partition(home)))
+            .or_else(|| home_is_warm().then_some(Target::Partition(home)))
     }
 
     /// A key's secondary: a warm server that is suitable and has had no attempt yet. Nodes differ in it only
--- a/crates/decision/src/server_health_tests.rs
+++ b/crates/decision/src/server_health_tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn silent_server_is_ejected_unless_many_are_silent() {
     assert!(
-        (2..=3).contains(&silent_attempts_until_ejected(&mut node(0.0, 8), true).expect("sick"))
+        (2..=3).contains(&silent_attempts_until_ejected(&mut node(0.0, 8), true).expect("ejected"))
     );
     let mut slow = node(0.0, 8);
     slow.averages.silent = 0.7;
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -1,8 +1,10 @@
-//! The settings object of an instance, and the names it uses: one reading for the bench's wire and for a
-//! real node's configuration.
+//! Reads the settings object of an instance, and the names that it uses: one reader for the messages of a
+//! simulator and for the configuration of a node.
+//!
+//! Guarantees: whatever a rule depends on must be there; an error names the field and what is wrong with it.
+//! Labels that are met are numbered in the order in which they come, at most `MAX_LABELS` of each sort.
 
 use std::cell::RefCell;
-use std::fmt;
 use std::sync::Arc;
 
 use serde_json::{Map, Value};
@@ -12,45 +14,47 @@
     Tenant, WeightMeaning,
 };
 
-/// What is wrong with a line: the field and why.
-#[derive(Debug)]
+/// A field that is missing, or holds something else than it should.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("{}field {field}: {reason}", .item.map_or(String::new(), |item| format!("item {item}: ")))]
 pub struct SettingsError {
     field: String,
-    why: String,
+    reason: String,
+    /// Number of the item in its batch, if it is one.
     item: Option<usize>,
 }
 
 impl SettingsError {
     /// A field and what is wrong with it.
-    pub fn new(field: &str, why: impl Into<String>) -> SettingsError {
+    pub fn new(field: &str, reason: impl Into<String>) -> SettingsError {
         SettingsError {
             field: field.to_string(),
-            why: why.into(),
+            reason: reason.into(),
             item: None,
         }
     }
 
+    fn unknown_value(field: &str, value: &str) -> SettingsError {
+        SettingsError::new(field, format!("{value:?} is not known"))
+    }
+
     /// Names the item of a batch, unless one is named already.
+    #[must_use]
     pub fn at(mut self, item: usize) -> SettingsError {
         self.item.get_or_insert(item);
         self
     }
 }
 
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let Some(item) = self.item {
-            write!(f, "item {item}: ")?;
-        }
-        write!(f, "field {}: {}", self.field, self.why)
-    }
-}
-
 /// Typed access to the fields of an object.
 pub struct Fields<'a>(&'a Map<String, Value>);
 
 impl<'a> Fields<'a> {
     /// The fields of a value that has to be an object.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the value is something else.
     pub fn of(value: &'a Value, name: &str) -> Result<Fields<'a>, SettingsError> {
         value
             .as_object()
@@ -58,32 +62,48 @@
             .ok_or_else(|| SettingsError::new(name, "is not an object"))
     }
 
-    /// The field unless absent or null.
+    /// The field, unless it is absent or null.
     pub fn opt(&self, name: &str) -> Option<&'a Value> {
         self.0.get(name).filter(|v| !v.is_null())
     }
 
     /// The field, which has to be there.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn get(&self, name: &str) -> Result<&'a Value, SettingsError> {
         self.opt(name)
             .ok_or_else(|| SettingsError::new(name, "is missing"))
     }
 
-    /// Text.
+    /// The field as text.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn text(&self, name: &str) -> Result<&'a str, SettingsError> {
         self.get(name)?
             .as_str()
             .ok_or_else(|| SettingsError::new(name, "is not text"))
     }
 
-    /// A whole number.
+    /// The field as a whole number.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn int(&self, name: &str) -> Result<i64, SettingsError> {
         self.get(name)?
             .as_i64()
             .ok_or_else(|| SettingsError::new(name, "is not a whole number"))
     }
 
-    /// A whole number of 64 bits, signed or not.
+    /// The field as a whole number of 64 bits, signed or not.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn seed(&self, name: &str) -> Result<u64, SettingsError> {
         let v = self.get(name)?;
         v.as_u64()
@@ -91,46 +111,78 @@
             .ok_or_else(|| SettingsError::new(name, "is not a whole number"))
     }
 
-    /// A number.
+    /// The field as a number.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn number(&self, name: &str) -> Result<f64, SettingsError> {
         self.get(name)?
             .as_f64()
             .ok_or_else(|| SettingsError::new(name, "is not a number"))
     }
 
-    /// A number, or the default where it is absent.
+    /// The field as a number, or the default where it is absent.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn number_or(&self, name: &str, default: f64) -> Result<f64, SettingsError> {
         self.opt(name).map_or(Ok(default), |_| self.number(name))
     }
 
-    /// A number, if there.
+    /// The field as a number, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn opt_number(&self, name: &str) -> Result<Option<f64>, SettingsError> {
         self.opt(name).map(|_| self.number(name)).transpose()
     }
 
-    /// Wire milliseconds to microseconds.
+    /// The field, in milliseconds, as microseconds.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn micros(&self, name: &str) -> Result<Micros, SettingsError> {
         Ok((self.number(name)? * 1000.0).round() as Micros)
     }
 
-    /// Wire milliseconds to microseconds, or the default.
+    /// The field, in milliseconds, as microseconds, or the default (in microseconds) where it is absent.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn micros_or(&self, name: &str, default: Micros) -> Result<Micros, SettingsError> {
         self.opt(name).map_or(Ok(default), |_| self.micros(name))
     }
 
-    /// True or false.
+    /// The field as true or false.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn flag(&self, name: &str) -> Result<bool, SettingsError> {
         self.get(name)?
             .as_bool()
             .ok_or_else(|| SettingsError::new(name, "is not true or false"))
     }
 
-    /// True or false, or the default where it is absent.
+    /// The field as true or false, or the default where it is absent.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn flag_or(&self, name: &str, default: bool) -> Result<bool, SettingsError> {
         self.opt(name).map_or(Ok(default), |_| self.flag(name))
     }
 
-    /// An array.
+    /// The field as an array.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] where the field is missing or holds something else.
     pub fn array(&self, name: &str) -> Result<&'a Vec<Value>, SettingsError> {
         self.get(name)?
             .as_array()
@@ -138,25 +190,26 @@
     }
 }
 
-/// A list entry with its labels still as names.
+/// An entry of an endpoint list with its labels still as names.
 pub struct RawEndpoint {
     /// Server.
     pub server: Arc<str>,
     /// Listed weight.
     pub weight: f64,
-    /// Zone, if told.
+    /// Zone, if announced.
     pub zone: Option<String>,
-    /// Kind, if told.
+    /// Kind of machine, if announced.
     pub kind: Option<String>,
     /// State.
     pub state: ServerState,
     /// When it last started; none: long ago.
     pub started: Option<Micros>,
-    /// Cell, if told.
+    /// Cell, if announced.
     pub cell: Option<u32>,
 }
 
-/// Names of one instance, numbered as the settings list them; new labels are added as met.
+/// Names of one instance, numbered as the settings list them; labels of zones and kinds are added as they are
+/// met.
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
@@ -164,27 +217,29 @@
     kinds: RefCell<Vec<String>>,
 }
 
-fn find(list: &[String], name: &str) -> Option<usize> {
-    list.iter().position(|n| n == name)
+/// Labels numbered beside those that the settings list. No fleet has as many zones or kinds of machine; what
+/// lists make up beyond that shares one number, so that it costs neither memory nor time.
+const MAX_LABELS: usize = 4096;
+
+fn find(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
 }
 
-/// Labels kept beside those that the settings list. No fleet has as many zones or kinds of machine; what
-/// lists make up beyond that shares one number, so that it costs neither memory nor time.
-const LABELS_MOST: usize = 4096;
-
-fn label(list: &RefCell<Vec<String>>, name: &str) -> u16 {
-    let mut list = list.borrow_mut();
-    let at = find(&list, name).or_else(|| {
-        (list.len() < LABELS_MOST).then(|| {
-            list.push(name.to_string());
-            list.len() - 1
+fn number_label(labels: &RefCell<Vec<String>>, name: &str) -> u16 {
+    let mut labels = labels.borrow_mut();
+    let index = find(&labels, name).or_else(|| {
+        (labels.len() < MAX_LABELS).then(|| {
+            labels.push(name.to_string());
+            labels.len() - 1
         })
     });
-    at.and_then(|at| u16::try_from(at).ok()).unwrap_or(u16::MAX)
+    index
+        .and_then(|index| u16::try_from(index).ok())
+        .unwrap_or(u16::MAX)
 }
 
 impl Names {
-    /// The name of a class by its place.
+    /// The name of a class by its number; empty where there is none.
     pub fn class_name(&self, class: usize) -> &str {
         self.classes.get(class).map_or("", |name| name)
     }
@@ -201,11 +256,12 @@
 
     /// An entry with its labels numbered.
     pub fn entry(&self, raw: &RawEndpoint) -> Endpoint {
+        let number = |labels, name: Option<&str>| name.map(|name| number_label(labels, name));
         Endpoint {
             server: raw.server.clone(),
             weight: raw.weight,
-            zone: raw.zone.as_deref().map(|name| label(&self.zones, name)),
-            kind: raw.kind.as_deref().map(|name| label(&self.kinds, name)),
+            zone: number(&self.zones, raw.zone.as_deref()),
+            kind: number(&self.kinds, raw.kind.as_deref()),
             state: raw.state,
             started: raw.started,
             cell: raw.cell,
@@ -213,177 +269,184 @@
     }
 }
 
-fn names(f: &Fields, field: &str) -> Result<Vec<String>, SettingsError> {
-    let Some(value) = f.opt(field) else {
+fn names(fields: &Fields<'_>, field: &str) -> Result<Vec<String>, SettingsError> {
+    let Some(value) = fields.opt(field) else {
         return Ok(Vec::new());
     };
     let list = value
         .as_array()
         .ok_or_else(|| SettingsError::new(field, "is not an array"))?;
+    let name = |value: &Value| value.as_str().map(str::to_string);
     list.iter()
-        .map(|v| {
-            v.as_str()
-                .map(str::to_string)
-                .ok_or_else(|| SettingsError::new(field, "holds something not text"))
+        .map(|value| {
+            name(value).ok_or_else(|| SettingsError::new(field, "holds something not text"))
         })
         .collect()
 }
 
 fn class(value: &Value) -> Result<(String, Class), SettingsError> {
-    let f = Fields::of(value, "classes")?;
-    let repeat = match f.text("repeat")? {
+    let fields = Fields::of(value, "classes")?;
+    let idempotency = match fields.text("repeat")? {
         "free" => Idempotency::Idempotent,
         "guarded" => Idempotency::Keyed,
         "single_shot" => Idempotency::NonIdempotent,
-        other => {
-            return Err(SettingsError::new(
-                "repeat",
-                format!("{other:?} is not known"),
-            ))
-        }
+        other => return Err(SettingsError::unknown_value("repeat", other)),
     };
-    let keyed = repeat == Idempotency::Keyed;
-    let scope = match if keyed { f.text("dedup_scope")? } else { "all" } {
+    let keyed = idempotency == Idempotency::Keyed;
+    let scope = if keyed {
+        fields.text("dedup_scope")?
+    } else {
+        "all"
+    };
+    let deduplication_scope = match scope {
         "all" => DeduplicationScope::All,
         "zone" => DeduplicationScope::Zone,
         "cell" => DeduplicationScope::Cell,
-        other => {
-            return Err(SettingsError::new(
-                "dedup_scope",
-                format!("{other:?} is not known"),
-            ))
-        }
+        other => return Err(SettingsError::unknown_value("dedup_scope", other)),
     };
     let class = Class {
-        latency_objective: f.micros("aim")?,
-        objective_per_work: f.number_or("aim_stretch", 0.0)?,
-        deadline: f.micros("deadline")?,
-        idempotency: repeat,
-        deduplication_scope: scope,
+        latency_objective: fields.micros("aim")?,
+        objective_per_work: fields.number_or("aim_stretch", 0.0)?,
+        deadline: fields.micros("deadline")?,
+        idempotency,
+        deduplication_scope,
         deduplication_window: if keyed {
-            f.micros("window")?
+            fields.micros("window")?
         } else {
-            f.micros_or("window", 0)?
+            fields.micros_or("window", 0)?
         },
-        priority_weight: f.number_or("worth", 1.0)?,
-        late_weight: f.number_or("late_share", 0.0)?,
-        stream: f.flag_or("stream", false)?,
+        priority_weight: fields.number_or("worth", 1.0)?,
+        late_weight: fields.number_or("late_share", 0.0)?,
+        stream: fields.flag_or("stream", false)?,
     };
-    Ok((f.text("name")?.to_string(), class))
+    Ok((fields.text("name")?.to_string(), class))
 }
 
-/// Used where the settings do not tell by when a connection is given up: what deployments have that leave it
-/// out.
-const CONNECT_USUAL: Micros = 250_000;
-
-/// Settings and names from the wire's object; what a rule depends on must be there.
-pub fn parse(f: &Fields) -> Result<(Settings, Names), SettingsError> {
-    let (class_names, classes) = f
-        .array("classes")?
-        .iter()
-        .map(class)
-        .collect::<Result<Vec<_>, _>>()?
-        .into_iter()
-        .unzip();
-    let mut tenants = Vec::new();
-    let mut tenant_names = Vec::new();
-    if let Some(list) = f.opt("realms") {
-        for value in list
-            .as_array()
-            .ok_or_else(|| SettingsError::new("realms", "is not an array"))?
-        {
-            let t = Fields::of(value, "realms")?;
-            tenant_names.push(t.text("name")?.to_string());
-            tenants.push(Tenant {
-                quota_per_s: t.number_or("quota_per_s", 0.0)?,
-                share: t.number_or("share", 0.0)?,
-            });
-        }
-    }
-    let zones = names(f, "zones")?;
-    let kinds = names(f, "kinds")?;
-    let limits = Fields::of(f.get("policy_limits")?, "policy_limits")?;
-    let rules = Fields::of(f.get("rules")?, "rules")?;
-    let empty = Value::Object(Default::default());
-    let sub = |name| Fields::of(f.opt(name).unwrap_or(&empty), name);
-    let (prices, domain) = (sub("prices")?, sub("domain")?);
-    let ask = match f.text("discovery")? {
-        "push" => false,
-        "ask" => true,
-        other => {
-            return Err(SettingsError::new(
-                "discovery",
-                format!("{other:?} is not known"),
-            ))
-        }
+fn classes(fields: &Fields<'_>) -> Result<(Vec<String>, Vec<Class>), SettingsError> {
+    let list = fields.array("classes")?;
+    let classes: Vec<(String, Class)> = list.iter().map(class).collect::<Result<_, _>>()?;
+    Ok(classes.into_iter().unzip())
+}
+
+fn tenants(fields: &Fields<'_>) -> Result<(Vec<String>, Vec<Tenant>), SettingsError> {
+    let (mut names, mut tenants) = (Vec::new(), Vec::new());
+    let Some(value) = fields.opt("realms") else {
+        return Ok((names, tenants));
     };
-    let mode = match domain
+    let list = value
+        .as_array()
+        .ok_or_else(|| SettingsError::new("realms", "is not an array"))?;
+    for value in list {
+        let tenant = Fields::of(value, "realms")?;
+        names.push(tenant.text("name")?.to_string());
+        tenants.push(Tenant {
+            quota_per_s: tenant.number_or("quota_per_s", 0.0)?,
+            share: tenant.number_or("share", 0.0)?,
+        });
+    }
+    Ok((names, tenants))
+}
+
+/// Whether the endpoint list has to be polled.
+fn polls(fields: &Fields<'_>) -> Result<bool, SettingsError> {
+    match fields.text("discovery")? {
+        "push" => Ok(false),
+        "ask" => Ok(true),
+        other => Err(SettingsError::unknown_value("discovery", other)),
+    }
+}
+
+fn cache_mode(domain: &Fields<'_>) -> Result<CacheMode, SettingsError> {
+    let mode = domain
         .opt("mode")
         .map(|_| domain.text("mode"))
-        .transpose()?
-    {
-        Some("aside") => CacheMode::CacheAside,
-        Some("through") | None => CacheMode::ReadThrough,
-        Some(other) => {
-            return Err(SettingsError::new(
-                "domain.mode",
-                format!("{other:?} is not known"),
-            ))
-        }
-    };
-    let weights = match f.opt("weights").and_then(Value::as_str) {
-        Some("nominal") | Some("rough") => WeightMeaning::Size,
+        .transpose()?;
+    match mode {
+        Some("aside") => Ok(CacheMode::CacheAside),
+        Some("through") | None => Ok(CacheMode::ReadThrough),
+        Some(other) => Err(SettingsError::unknown_value("domain.mode", other)),
+    }
+}
+
+fn weight_meaning(fields: &Fields<'_>) -> WeightMeaning {
+    match fields.opt("weights").and_then(Value::as_str) {
+        Some("nominal" | "rough") => WeightMeaning::Size,
         Some("live") => WeightMeaning::Live,
         _ => WeightMeaning::None,
-    };
+    }
+}
+
+fn node_count(fields: &Fields<'_>) -> Result<usize, SettingsError> {
+    usize::try_from(fields.int("replicas_of_me")?)
+        .map_err(|_| SettingsError::new("replicas_of_me", "is below zero"))
+}
+
+fn opt_int(fields: &Fields<'_>, field: &str) -> Result<Option<i64>, SettingsError> {
+    fields.opt(field).map(|_| fields.int(field)).transpose()
+}
+
+fn max_in_flight(limits: &Fields<'_>) -> usize {
+    let limit = limits.opt("max_open").and_then(Value::as_u64);
+    limit.unwrap_or(u64::MAX) as usize
+}
+
+/// The longest Retry-After that clients honour; 0 where they don't.
+fn max_retry_after(limits: &Fields<'_>) -> Result<Micros, SettingsError> {
+    if limits.flag_or("retry_after", false)? {
+        limits.micros_or("max_retry_after", 0)
+    } else {
+        Ok(0)
+    }
+}
+
+/// Used where the settings do not say by when a connection is given up: what deployments have that leave it
+/// out.
+const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
+
+/// Settings and names from their object; what a rule depends on must be there.
+///
+/// # Errors
+///
+/// [`SettingsError`] at the first field that is missing or holds something else than it should.
+pub fn parse(fields: &Fields<'_>) -> Result<(Settings, Names), SettingsError> {
+    let (class_names, classes) = classes(fields)?;
+    let (tenant_names, tenants) = tenants(fields)?;
+    let zones = names(fields, "zones")?;
+    let kinds = names(fields, "kinds")?;
+    let limits = Fields::of(fields.get("policy_limits")?, "policy_limits")?;
+    let rules = Fields::of(fields.get("rules")?, "rules")?;
+    let empty = Value::Object(Map::new());
+    let optional = |name| Fields::of(fields.opt(name).unwrap_or(&empty), name);
+    let (prices, domain) = (optional("prices")?, optional("domain")?);
+    let poll = polls(fields)?;
+    let mode = cache_mode(&domain)?;
+    let zone = fields.opt("zone").and_then(Value::as_str);
     let settings = Settings {
         classes,
         tenants,
-        nodes: usize::try_from(f.int("replicas_of_me")?)
-            .map_err(|_| SettingsError::new("replicas_of_me", "is below zero"))?,
-        node_number: f
-            .opt("me")
-            .map(|_| f.int("me"))
-            .transpose()?
-            .and_then(|n| u64::try_from(n).ok()),
-        zone: match f.opt("zone").and_then(Value::as_str) {
-            Some(name) => find(&zones, name).map(|i| i as u16),
-            None => None,
-        },
-        poll: ask,
-        poll_within: if ask {
+        nodes: node_count(fields)?,
+        node_number: opt_int(fields, "me")?.and_then(|n| u64::try_from(n).ok()),
+        zone: zone.and_then(|name| find(&zones, name)).map(|i| i as u16),
+        poll,
+        poll_within: if poll {
             rules.micros("ask_within")?
         } else {
             rules.micros_or("ask_within", 0)?
         },
         mode,
-        origin_kind: match domain
-            .opt("origin_kind")
-            .map(|_| domain.int("origin_kind"))
-            .transpose()?
-        {
-            Some(kind) if kind >= 0 => u16::try_from(kind).ok(),
-            _ => None,
-        },
+        origin_kind: opt_int(&domain, "origin_kind")?.and_then(|kind| u16::try_from(kind).ok()),
         origin_overload_multiple: domain.number_or("origin_fall_multiple", 0.0)?,
-        weights,
-        weight_by_work: f.opt("value_by").and_then(Value::as_str) == Some("work"),
-        over_quota_weight: f.number_or("over_share_worth", 1.0)?,
-        tick: f.micros_or("period", 1000)?,
+        weights: weight_meaning(fields),
+        weight_by_work: fields.opt("value_by").and_then(Value::as_str) == Some("work"),
+        over_quota_weight: fields.number_or("over_share_worth", 1.0)?,
+        tick: fields.micros_or("period", 1000)?,
         max_attempts: usize::try_from(limits.int("try_limit")?).unwrap_or(0),
-        max_in_flight: limits
-            .opt("max_open")
-            .and_then(Value::as_u64)
-            .unwrap_or(u64::MAX) as usize,
+        max_in_flight: max_in_flight(&limits),
         cancel: limits.flag_or("cancel", false)?,
         probes: limits.flag_or("probes", false)?,
         hedging: limits.flag("second_copies")?,
-        max_retry_after: if limits.flag_or("retry_after", false)? {
-            limits.micros_or("max_retry_after", 0)?
-        } else {
-            0
-        },
-        connect_timeout: limits.micros_or("connect_timeout", CONNECT_USUAL)?,
+        max_retry_after: max_retry_after(&limits)?,
+        connect_timeout: limits.micros_or("connect_timeout", DEFAULT_CONNECT_TIMEOUT)?,
         drain_grace: rules.micros("stop_sending_within")?,
         cold_capacity: rules.number("cold_from")?,
         warm_up_time: rules.micros("cold")?,
--- a/crates/decision/src/slow_start.rs
+++ b/crates/decision/src/slow_start.rs
@@ -1,6 +1,6 @@
 //! Slow start: what a server that has just started is given of its range, beside the others of its fleet.
 //!
-//! Guarantees: the range fraction of a server that warms up is never above [`MAX_OVERLOAD_FRACTION`] of the
+//! Guarantees: the range fraction of a server that warms up is never above `MAX_OVERLOAD_FRACTION` of the
 //! multiple at which it is overloaded, counted from the least capacity that its settings allow it; a warm one
 //! has all of its range. And whatever the popularity of its keys and however many nodes there are: within any
 //! overload window the first attempts that all nodes together send it come to the overload multiple at most,
--- a/crates/decision/src/zone_health.rs
+++ b/crates/decision/src/zone_health.rs
@@ -5,9 +5,9 @@
 //! unreachable would cost it a request and a wait for each, and again at the end of each one's ejection. Here
 //! it is detected after the third.
 //!
-//! Guarantees: no zone counts as lost while one of its servers answers; it takes [`MIN_SERVERS`] different
+//! Guarantees: no zone counts as lost while one of its servers answers; it takes `MIN_SERVERS` different
 //! servers in a row of which none was reached; the last zone is never lost. While one is lost, one of its
-//! servers is probed after a backoff that doubles up to [`MAX_BACKOFF`], whatever the traffic. No clock: time
+//! servers is probed after a backoff that doubles up to `MAX_BACKOFF`, whatever the traffic. No clock: time
 //! is an argument.
 
 use crate::api::{Action, Actions, Micros, ServerId, Status};
@@ -226,7 +226,7 @@
     /// the next request for it finds out.
     pub(crate) fn probe_zone(&mut self, now: Micros, zone: Option<u16>, actions: &mut Actions) {
         self.zone_health.timer_expired(zone);
-        let drawn = self.rng.next();
+        let drawn = self.rng.next_unit();
         if self.zone_health.begin_probe(now, zone, drawn) {
             let listed = self
                 .partition
--- a/crates/decision/src/zone_health_tests.rs
+++ b/crates/decision/src/zone_health_tests.rs
@@ -1,3 +1,5 @@
+use std::collections::{HashMap, HashSet};
+
 use super::*;
 use crate::api::{Endpoint, EndpointListKind, Event};
 use crate::test_support::{entry, node, send_request};
@@ -104,7 +106,7 @@
     let (mut met, mut failed) = (0, 0);
     for step in 0..600 {
         let now = step * 100_000;
-        let mut draw = || (rng.next() * SERVERS as f64) as usize;
+        let mut draw = || (rng.next_unit() * SERVERS as f64) as usize;
         let (probed, asked) = (draw(), draw());
         let probes_begun = zone_health.begin_probe(now, Some(1), 0.5);
         if probes_begun && probed == 0 {
@@ -189,56 +191,10 @@
 #[test]
 fn recovered_zone_counts_as_just_started() {
     for probes in [true, false] {
-        let mut node = node(0.0, 40);
-        node.settings.probes = probes;
-        let odd = |server: &ServerId| server[1..].parse::<u32>().unwrap() % 2 == 1;
-        let mut actions = Vec::new();
-        for n in 0..200 {
-            let now = i64::from(n) * 1000;
-            let Some(server) = send_request(&mut node, now, n).filter(odd) else {
-                continue;
-            };
-            node.observe_server(now, &server, Some(Status::ConnectFailed), &mut actions);
-        }
-        assert!(
-            node.zone_health.is_lost(Some(1)),
-            "and not the other: {}",
-            !node.zone_health.is_lost(Some(0))
-        );
-        let timer = actions.iter().find_map(|a| match a {
-            Action::SetTimer { token, delay } if is_zone_probe(*token) => Some((*token, *delay)),
-            _ => None,
-        });
-        let (token, delay) = timer.unwrap();
-        let now = 200_000 + delay;
-        actions.clear();
-        node.handle(now, Event::TimerExpired(token), &mut actions);
-        if let Some(Action::Probe(server)) = actions
-            .iter()
-            .find(|a| matches!(a, Action::Probe(_)))
-            .cloned()
-        {
-            node.handle(
-                now,
-                Event::ProbeEnded {
-                    server,
-                    latency: 1000,
-                    status: Status::Ok,
-                    load: None,
-                },
-                &mut actions,
-            );
-        }
-        assert!(!node.zone_health.is_lost(Some(1)));
-        let mut sent = std::collections::HashMap::new();
-        for server in (1000..3000)
-            .filter_map(|n| send_request(&mut node, now, n))
-            .filter(odd)
-        {
-            *sent.entry(server).or_insert(0.0) += 1.0;
-        }
-        let (set, all) = (&node.settings, f64::from(2000 + 200));
-        let budget = set.overload_multiple * set.cold_capacity * all / 40.0;
+        let (mut node, now) = node_with_recovered_zone(probes);
+        let sent = sends_by_server(&mut node, now, 1000..3000);
+        let (settings, all) = (&node.settings, f64::from(2000 + 200));
+        let budget = settings.overload_multiple * settings.cold_capacity * all / 40.0;
         let most = sent.values().copied().fold(0.0, f64::max);
         assert!(
             !sent.is_empty() && most <= budget + 1.0,
@@ -246,17 +202,82 @@
         );
         // No start was announced: the caches are as they were.
         let later = now + RESTART_ANNOUNCED_WITHIN;
-        let again = (4000..4200)
-            .filter_map(|n| send_request(&mut node, later, n))
-            .filter(odd)
-            .count();
+        let again: f64 = sends_by_server(&mut node, later, 4000..4200).values().sum();
         assert!(
-            again > 60,
+            again > 60.0,
             "{again} of 200 go to the zone that answers again"
         );
     }
 }
 
+/// Whether a server stands in zone 1.
+fn is_odd(server: &ServerId) -> bool {
+    server[1..].parse::<u32>().unwrap() % 2 == 1
+}
+
+/// Requests that go to servers of zone 1, by server.
+fn sends_by_server(
+    node: &mut Balancer,
+    now: Micros,
+    keys: std::ops::Range<u32>,
+) -> HashMap<ServerId, f64> {
+    let mut sent = HashMap::new();
+    for server in keys
+        .filter_map(|n| send_request(node, now, n))
+        .filter(is_odd)
+    {
+        *sent.entry(server).or_insert(0.0) += 1.0;
+    }
+    sent
+}
+
+/// A node whose zone 1 was lost and has recovered just now.
+fn node_with_recovered_zone(probes: bool) -> (Balancer, Micros) {
+    let mut node = node(0.0, 40);
+    node.settings.probes = probes;
+    let mut actions = Vec::new();
+    for n in 0..200 {
+        let now = i64::from(n) * 1000;
+        let Some(server) = send_request(&mut node, now, n).filter(is_odd) else {
+            continue;
+        };
+        node.observe_server(now, &server, Some(Status::ConnectFailed), &mut actions);
+    }
+    assert!(
+        node.zone_health.is_lost(Some(1)),
+        "and not the other: {}",
+        !node.zone_health.is_lost(Some(0))
+    );
+    let (token, delay) = zone_probe_timers(&actions)[0];
+    let now = 200_000 + delay;
+    actions.clear();
+    node.handle(now, Event::TimerExpired(token), &mut actions);
+    let probed = actions.iter().find_map(|action| match action {
+        Action::Probe(server) => Some(server.clone()),
+        _ => None,
+    });
+    if let Some(server) = probed {
+        let answered = Event::ProbeEnded {
+            server,
+            latency: 1000,
+            status: Status::Ok,
+            load: None,
+        };
+        node.handle(now, answered, &mut actions);
+    }
+    assert!(!node.zone_health.is_lost(Some(1)));
+    (node, now)
+}
+
+/// Tokens and delays of the timers for probes of a zone.
+fn zone_probe_timers(actions: &[Action]) -> Vec<(u64, Micros)> {
+    let of_zone = |action: &Action| match action {
+        Action::SetTimer { token, delay } if is_zone_probe(*token) => Some((*token, *delay)),
+        _ => None,
+    };
+    actions.iter().filter_map(of_zone).collect()
+}
+
 /// Some servers of a fleet without zones fell silent; the first answer of any other made the whole fleet
 /// count as just started for 6 s (0.88 of a day served, then 0.70, where a fifth of the servers vanished).
 #[test]
@@ -269,62 +290,36 @@
     ] {
         let mut node = node(0.0, 0);
         node.settings.probes = probes;
-        let list = (0..40)
-            .map(|i| Endpoint {
-                zone,
-                ..entry(&format!("s{i}"))
-            })
-            .collect();
-        node.handle(
-            0,
-            Event::EndpointList(EndpointListKind::Full, list),
-            &mut Vec::new(),
-        );
-        let (mut silent, mut actions) = (std::collections::HashSet::new(), Vec::new());
-        for n in 0..40 {
-            let Some(server) =
-                send_request(&mut node, i64::from(n) * 1000, n).filter(|_| silent.len() < 8)
-            else {
+        let zoned = |i| Endpoint {
+            zone,
+            ..entry(&format!("s{i}"))
+        };
+        let list = Event::EndpointList(EndpointListKind::Full, (0..40).map(zoned).collect());
+        node.handle(0, list, &mut Vec::new());
+        let (mut silent, mut actions) = (HashSet::new(), Vec::new());
+        for now in (0..40).map(|n| n * 1000) {
+            let sent = send_request(&mut node, now, (now / 1000) as u32);
+            let Some(server) = sent.filter(|_| silent.len() < 8) else {
                 break;
             };
             silent.insert(server.clone());
-            node.observe_server(
-                i64::from(n) * 1000,
-                &server,
-                Some(Status::ConnectFailed),
-                &mut actions,
-            );
+            node.observe_server(now, &server, Some(Status::ConnectFailed), &mut actions);
         }
         assert!(
             silent.len() >= 3,
             "as many as make a zone count as lost: {silent:?}"
         );
-        let timers = |actions: &[Action]| -> Vec<(u64, Micros)> {
-            let of_zone = |a: &Action| match a {
-                Action::SetTimer { token, delay } if is_zone_probe(*token) => {
-                    Some((*token, *delay))
-                }
-                _ => None,
-            };
-            actions.iter().filter_map(of_zone).collect()
-        };
-        let planned = timers(&actions);
-        assert!(!planned.is_empty(), "it is looked at");
+        let planned = zone_probe_timers(&actions);
+        assert!(!planned.is_empty(), "it is probed");
         for (token, delay) in planned {
             node.handle(40_000 + delay, Event::TimerExpired(token), &mut actions);
         }
-        let other = node
-            .partition
-            .servers
-            .iter()
-            .map(|s| s.entry.server.clone())
-            .find(|s| !silent.contains(s));
-        node.observe_server(
-            3_000_000,
-            &other.expect("one that is reached"),
-            Some(Status::Ok),
-            &mut actions,
-        );
+        let servers = node.partition.servers.iter();
+        let mut ids = servers.map(|s| s.entry.server.clone());
+        let other = ids
+            .find(|id| !silent.contains(id))
+            .expect("one that is reached");
+        node.observe_server(3_000_000, &other, Some(Status::Ok), &mut actions);
         let cold = node
             .partition
             .servers
--- a/crates/decision/tests/checkpoint_format.rs
+++ b/crates/decision/tests/checkpoint_format.rs
@@ -53,12 +53,12 @@
     let (read, rest): (Checkpoint, &[u8]) = postcard::take_from_bytes(&bytes).expect("readable");
     assert!(rest.is_empty());
     assert_eq!(read.size(), (3, 10));
-    assert_eq!(read, fleet_of_the_fixture().memory());
+    assert_eq!(read, fleet_of_the_fixture().checkpoint());
     assert!(read.validated().is_some());
 }
 
 #[test]
 fn checkpoint_is_written_in_the_bytes_of_the_version_before() {
-    let written = postcard::to_stdvec(&fleet_of_the_fixture().memory()).expect("written");
+    let written = postcard::to_stdvec(&fleet_of_the_fixture().checkpoint()).expect("written");
     assert_eq!(written, fixture());
 }
--- a/crates/decision/tests/outliers.rs
+++ b/crates/decision/tests/outlier_detection.rs
@@ -1,4 +1,5 @@
-//! Servers that fail a few at a time: what first attempts and second ones do, on virtual time.
+//! Outlier detection where a few servers fail or are slow: where first attempts and retries go, on virtual
+//! time.
 
 #[allow(dead_code, reason = "each test file uses its part")]
 mod support;
@@ -17,54 +18,54 @@
 }
 
 /// An answer within 5 to 25 ms.
-fn sound(n: u64) -> (Status, Micros) {
+fn healthy(n: u64) -> (Status, Micros) {
     (
         Status::Ok,
         5_000 + (n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as i64 % 20_000,
     )
 }
 
-/// Fails every attempt at the servers before `bad`, after 5 ms.
-fn failing(bad: usize) -> impl FnMut(usize, u64) -> (Status, Micros) {
+/// Fails every attempt at the servers before this one, after 5 ms.
+fn failing(failing_server: usize) -> impl FnMut(usize, u64) -> (Status, Micros) {
     move |server, n| {
-        if server < bad {
+        if server < failing_server {
             (Status::Error, 5_000)
         } else {
-            sound(n)
+            healthy(n)
         }
     }
 }
 
 #[test]
-fn first_attempts_leave_servers_that_fail_and_spread_over_all_others() {
+fn first_attempts_leave_failing_servers_and_spread_over_all_others() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     fleet.run(2, failing(2));
     fleet.first_attempts();
     fleet.clear_ends();
     fleet.run(5, failing(2));
     let ejected = fleet.first_attempts();
-    for bad in 0..2 {
+    for failing_server in 0..2 {
         assert!(
-            ejected[bad] * 4 < calm[bad],
-            "server {bad}: {} first attempts, {} in calm",
-            ejected[bad],
-            calm[bad]
+            ejected[failing_server] * 4 < calm[failing_server],
+            "server {failing_server}: {} first attempts, {} in calm",
+            ejected[failing_server],
+            calm[failing_server]
         );
     }
-    for sound in 2..SERVERS {
-        let more = ejected[sound] as f64 / calm[sound] as f64;
-        assert!(more < 1.6, "server {sound} got {more:.2} times as much");
+    for healthy in 2..SERVERS {
+        let more = f64::from(ejected[healthy]) / f64::from(calm[healthy]);
+        assert!(more < 1.6, "server {healthy} got {more:.2} times as much");
     }
     let (served, ended) = fleet.ends();
     assert!(served * 1000 >= ended * 995, "{served} of {ended} served");
 }
 
 #[test]
-fn a_server_that_fails_every_second_request_is_cut_too() {
+fn server_that_fails_every_second_request_is_ejected_too() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     let mut turn = 0;
     let mut every_second = |server: usize, n| {
@@ -72,7 +73,7 @@
         if server == 3 && turn % 2 == 0 {
             (Status::Error, 5_000)
         } else {
-            sound(n)
+            healthy(n)
         }
     };
     fleet.run(2, &mut every_second);
@@ -88,9 +89,9 @@
 }
 
 #[test]
-fn a_cut_server_is_tried_with_any_of_its_keys() {
+fn ejected_server_is_probed_with_any_of_its_keys() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let all = fleet.first_keys[0].len();
     fleet.run(3, failing(1));
     fleet.first_keys[0].clear();
@@ -100,7 +101,7 @@
 }
 
 #[test]
-fn the_second_home_of_a_key_is_the_same_at_every_node() {
+fn secondary_of_a_key_is_the_same_at_every_node() {
     let homes = |seed| {
         let mut fleet = Fleet::new(SERVERS, seed);
         fleet.run(5, failing(1));
@@ -119,66 +120,69 @@
 }
 
 #[test]
-fn a_server_that_answers_again_wins_its_keys_back() {
+fn server_that_answers_again_regains_its_keys() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     fleet.run(5, failing(2));
-    fleet.run(10, |_, n| sound(n));
+    fleet.run(10, |_, n| healthy(n));
     fleet.first_attempts();
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let back = fleet.first_attempts();
-    for bad in 0..2 {
+    for failing_server in 0..2 {
         assert!(
-            back[bad] * 10 >= calm[bad] * 8,
-            "server {bad}: {} of {}",
-            back[bad],
-            calm[bad]
+            back[failing_server] * 10 >= calm[failing_server] * 8,
+            "server {failing_server}: {} of {}",
+            back[failing_server],
+            calm[failing_server]
         );
     }
 }
 
 #[test]
-fn nobody_is_cut_when_half_of_the_servers_fail_or_all_fail_a_little() {
-    for (bad, one_in) in [(SERVERS / 2, 1), (SERVERS, 5)] {
+fn no_server_is_ejected_when_half_of_the_servers_fail_or_all_fail_a_little() {
+    for (failing_server, one_in) in [(SERVERS / 2, 1), (SERVERS, 5)] {
         let mut fleet = Fleet::new(SERVERS, 7);
-        fleet.run(5, |_, n| sound(n));
+        fleet.run(5, |_, n| healthy(n));
         let calm = fleet.first_attempts();
         let half = move |server: usize, n: u64| {
-            if server < bad && n.is_multiple_of(one_in) {
+            if server < failing_server && n.is_multiple_of(one_in) {
                 (Status::Error, 5_000)
             } else {
-                sound(n)
+                healthy(n)
             }
         };
         fleet.run(5, half);
         let now = fleet.first_attempts();
-        let (before, after): (u32, u32) = (calm[..bad].iter().sum(), now[..bad].iter().sum());
+        let (before, after): (u32, u32) = (
+            calm[..failing_server].iter().sum(),
+            now[..failing_server].iter().sum(),
+        );
         assert!(
             after * 10 >= before * 8,
-            "{bad} servers, one in {one_in}: {after} of {before}"
+            "{failing_server} servers, one in {one_in}: {after} of {before}"
         );
     }
 }
 
 #[test]
-fn a_hot_key_is_dealt_also_while_its_home_is_cut() {
+fn hot_key_is_spread_while_its_home_is_ejected() {
     let hot = 77;
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(2, |_, n| sound(n));
+    fleet.run(2, |_, n| healthy(n));
     let home = fleet.burst(&[hot])[0];
-    let mut bad = |server: usize, n| {
+    let mut failing_server = |server: usize, n| {
         if server == home {
             (Status::Error, 5_000)
         } else {
-            sound(n)
+            healthy(n)
         }
     };
-    fleet.run(3, &mut bad);
+    fleet.run(3, &mut failing_server);
     fleet.hot = Some(hot);
-    fleet.run(2, &mut bad);
+    fleet.run(2, &mut failing_server);
     fleet.first_attempts();
-    fleet.run(5, &mut bad);
+    fleet.run(5, &mut failing_server);
     let first = fleet.first_attempts();
     let (most, all): (u32, u32) = (*first.iter().max().unwrap(), first.iter().sum());
     assert!(most * 4 < all, "one server has {most} of {all}: {first:?}");
@@ -189,14 +193,14 @@
 }
 
 #[test]
-fn nothing_is_kept_of_a_server_that_the_list_tells_is_gone() {
+fn nothing_is_remembered_of_a_removed_server() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     fleet.run(5, failing(1));
     fleet.leave_and_return(0);
     fleet.first_attempts();
-    fleet.run(1, |_, n| sound(n));
+    fleet.run(1, |_, n| healthy(n));
     let back = fleet.first_attempts();
     assert!(
         back[0] * 5 * 2 > calm[0],
@@ -207,8 +211,8 @@
 }
 
 #[test]
-fn second_attempts_pass_by_servers_that_fail() {
-    // All but the first two are slow, so that second attempts go out.
+fn retries_avoid_failing_servers() {
+    // All but the first two are slow, so that hedged requests are sent.
     let mut fleet = Fleet::new(SERVERS, 7);
     let mut slow = |server: usize, _| {
         if server < 2 {
@@ -221,19 +225,22 @@
     fleet.second_attempts();
     fleet.run(5, &mut slow);
     let second = fleet.second_attempts();
-    let (bad, all): (u32, u32) = (second[..2].iter().sum(), second.iter().sum());
-    assert!(all > 50 && bad * 50 < all, "{bad} of {all} second attempts");
+    let (failing_server, all): (u32, u32) = (second[..2].iter().sum(), second.iter().sum());
+    assert!(
+        all > 50 && failing_server * 50 < all,
+        "{failing_server} of {all} second attempts"
+    );
 }
 
 #[test]
-fn a_restarted_server_has_its_keys_at_once() {
+fn restarted_server_has_its_keys_at_once() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     fleet.run(5, failing(1));
     fleet.restart(0);
     fleet.first_attempts();
-    fleet.run(1, |_, n| sound(n));
+    fleet.run(1, |_, n| healthy(n));
     let back = fleet.first_attempts();
     assert!(
         back[0] * 5 * 2 > calm[0],
@@ -243,41 +250,41 @@
     );
 }
 
-/// Answers late at the servers before `slow`: 120 ms, with an aim of 150 ms.
+/// Answers late at the servers before `slow`: 120 ms, with a latency objective of 150 ms.
 fn slow(slow: usize) -> impl FnMut(usize, u64) -> (Status, Micros) {
     move |server, n| {
         if server < slow {
             (Status::Ok, 120_000)
         } else {
-            sound(n)
+            healthy(n)
         }
     }
 }
 
 #[test]
-fn first_attempts_leave_servers_that_are_slow() {
+fn first_attempts_leave_slow_servers() {
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm = fleet.first_attempts();
     fleet.run(3, slow(2));
     fleet.first_attempts();
     fleet.run(5, slow(2));
     let now = fleet.first_attempts();
-    for bad in 0..2 {
+    for failing_server in 0..2 {
         assert!(
-            now[bad] * 4 < calm[bad],
-            "server {bad}: {} first attempts, {} in calm",
-            now[bad],
-            calm[bad]
+            now[failing_server] * 4 < calm[failing_server],
+            "server {failing_server}: {} first attempts, {} in calm",
+            now[failing_server],
+            calm[failing_server]
         );
     }
 }
 
 #[test]
-fn the_slowest_are_left_also_when_all_are_slow_now_and_then() {
-    // Every fourth answer is late everywhere, so that nobody is sound; at the first two all are.
+fn slowest_servers_are_left_when_all_are_slow_now_and_then() {
+    // Every fourth answer is late everywhere, so that no server is healthy; at the first two all are.
     let answer = |server: usize, n: u64| {
-        let (status, soon) = sound(n);
+        let (status, soon) = healthy(n);
         (
             status,
             if server < 2 || n.is_multiple_of(4) {
@@ -288,7 +295,7 @@
         )
     };
     let mut fleet = Fleet::new(SERVERS, 7);
-    fleet.run(5, |_, n| sound(n));
+    fleet.run(5, |_, n| healthy(n));
     let calm: u32 = fleet.first_attempts()[..2].iter().sum();
     fleet.run(5, answer);
     fleet.first_attempts();
@@ -298,18 +305,18 @@
 }
 
 #[test]
-fn the_second_attempt_goes_to_the_same_server_at_every_node() {
+fn retry_goes_to_the_same_server_at_every_node() {
     let second = |seed| {
         let mut fleet = Fleet::new(SERVERS, seed);
-        fleet.run(2, |_, n| sound(n));
+        fleet.run(2, |_, n| healthy(n));
         let mut turn = 0;
-        // Now and then an attempt fails anywhere: too few to cut anybody.
+        // Now and then an attempt fails anywhere: too few to eject a server.
         let mut now_and_then = |_: usize, n| {
             turn += 1;
             if turn % 9 == 0 {
                 (Status::Error, 5_000)
             } else {
-                sound(n)
+                healthy(n)
             }
         };
         fleet.run(10, &mut now_and_then);
@@ -326,13 +333,13 @@
 }
 
 #[test]
-fn a_busy_home_passes_on_known_keys_and_no_others() {
+fn busy_home_is_relieved_of_recently_served_keys_only() {
     let calm = || {
         let mut fleet = Fleet::new(SERVERS, 7);
-        fleet.run(5, |_, n| sound(n));
+        fleet.run(5, |_, n| healthy(n));
         fleet
     };
-    // Where keys live that nobody asked for yet, found one by one; then ten of one home at once.
+    // Homes of keys that were not requested yet, found one by one; then ten keys of one home at once.
     let mut fleet = calm();
     let mut homes: Vec<(usize, u64)> = Vec::new();
     for key in 1000..1200 {
@@ -355,7 +362,7 @@
         unknown >= 8,
         "{unknown} of ten keys that nobody was served yet stayed at home"
     );
-    fleet.run(1, |_, n| sound(n));
+    fleet.run(1, |_, n| healthy(n));
     let known = at_home(fleet.burst(&keys));
     assert!(
         (1..=5).contains(&known),
@@ -370,7 +377,7 @@
 }
 
 #[test]
-fn no_more_than_a_third_is_cut_the_worst_first() {
+fn no_more_than_a_third_is_ejected_the_worst_first() {
     let mut outliers = OutlierDetector::default();
     for server in 0..5 {
         record(&mut outliers, server, true, 40 - server);
@@ -383,7 +390,7 @@
 }
 
 #[test]
-fn another_process_begins_without_what_was_held_against_the_last_one() {
+fn evidence_against_a_server_is_dropped_when_it_restarts_or_is_removed() {
     let mut outliers = OutlierDetector::default();
     record(&mut outliers, 0, true, 24);
     assert_eq!(outliers.retained_fraction(&id(0)), 0.0);
@@ -395,7 +402,7 @@
 }
 
 #[test]
-fn what_is_held_against_a_server_fades() {
+fn evidence_against_a_server_decays() {
     let mut outliers = OutlierDetector::default();
     record(&mut outliers, 0, true, 24);
     assert!(outliers.retained_fraction(&id(0)) < 1.0);
@@ -407,13 +414,13 @@
             RequestKind::LikelyCached,
             false,
             SERVERS,
-        )
+        );
     });
     assert_eq!(outliers.retained_fraction(&id(0)), 1.0);
 }
 
 #[test]
-fn rendezvous_follows_weights_and_moves_only_what_a_weight_loses() {
+fn rendezvous_follows_weights_and_moves_only_keys_of_the_changed_weight() {
     let mixed = |key: u64, server: u64| {
         let mut hasher = DefaultHasher::new();
         (key, server).hash(&mut hasher);
@@ -442,12 +449,13 @@
     );
 }
 
-/// At a quiet node a slow server has few attempts out, so it is not taken for a busy one: its silence counts.
+/// At a quiet node a slow server has few attempts in flight, so it is not taken for a busy one: its silence
+/// counts.
 #[test]
-fn servers_that_are_slow_lose_keys_at_a_quiet_node_too_and_have_them_back_later() {
+fn slow_servers_lose_keys_at_a_quiet_node_too_and_regain_them_later() {
     let mut fleet = Fleet::new(SERVERS, 7);
     fleet.every = 40_000;
-    fleet.run(40, |_, n| sound(n));
+    fleet.run(40, |_, n| healthy(n));
     assert!(fleet.outliers().is_empty());
     let calm: u32 = fleet.first_attempts()[..2].iter().sum();
     fleet.run(10, slow(2));
@@ -456,15 +464,15 @@
     fleet.run(40, slow(2));
     let now: u32 = fleet.first_attempts()[..2].iter().sum();
     assert!(now * 2 < calm, "{now} first attempts, {calm} in calm");
-    fleet.run(60, |_, n| sound(n));
+    fleet.run(60, |_, n| healthy(n));
     assert!(fleet.outliers().is_empty(), "all answer in time again");
 }
 
 #[test]
-fn nobody_is_an_outlier_when_half_of_the_servers_are_slow() {
+fn no_server_is_an_outlier_when_half_of_the_servers_are_slow() {
     for seed in [7, 8, 9] {
         let mut fleet = Fleet::new(SERVERS, seed);
-        fleet.run(5, |_, n| sound(n));
+        fleet.run(5, |_, n| healthy(n));
         let mut ejected = 0;
         for _ in 0..20 {
             fleet.run(1, slow(SERVERS / 2));
@@ -476,15 +484,15 @@
 
 /// What is usual is learned over all servers: where the origin is slow, fetches are slow at each of them.
 #[test]
-fn servers_keep_their_keys_when_fetches_are_slow_at_all() {
+fn servers_retain_their_keys_when_fetches_are_slow_everywhere() {
     let mut fleet = Fleet::new(SERVERS, 7);
     fleet.fresh = Some((0, 20_000));
-    fleet.run(10, |_, n| sound(n));
+    fleet.run(10, |_, n| healthy(n));
     let calm: u32 = fleet.first_attempts().iter().sum();
     fleet.fresh = Some((0, 130_000));
     let mut ejected = 0;
     for _ in 0..10 {
-        fleet.run(1, |_, n| sound(n));
+        fleet.run(1, |_, n| healthy(n));
         ejected += fleet.outliers().len();
     }
     assert!(
@@ -495,26 +503,26 @@
     assert!(now * 10 >= calm * 9, "{now} first attempts, {calm} in calm");
 }
 
-/// At a node with few requests nearly every key is one that was not served lately. A hundred such nodes kept
-/// sending to servers that answered none of them.
+/// At a node with few requests nearly every key is one that was not served recently. A hundred such nodes
+/// went on sending to servers that answered none of them.
 #[test]
-fn servers_that_answer_nothing_are_left_within_seconds_at_a_quiet_node() {
+fn silent_servers_are_left_within_seconds_at_a_quiet_node() {
     const MANY: usize = 60;
     let mut fleet = Fleet::new(MANY, 7);
     fleet.every = 60_000;
     fleet.fresh = Some((0, 25_000));
-    fleet.run(20, |_, n| sound(n));
+    fleet.run(20, |_, n| healthy(n));
     fleet.first_attempts();
-    let bad = |server: usize, n| {
+    let failing_server = |server: usize, n| {
         if server < MANY / 5 {
             (Status::Ok, 3_000_000)
         } else {
-            sound(n)
+            healthy(n)
         }
     };
-    fleet.run(20, bad);
+    fleet.run(20, failing_server);
     fleet.first_attempts();
-    fleet.run(20, bad);
+    fleet.run(20, failing_server);
     let first = fleet.first_attempts();
     let (at_bad, all): (u32, u32) = (first[..MANY / 5].iter().sum(), first.iter().sum());
     // One in five, if nothing were learned.
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -5,24 +5,27 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sloewick_decision::api::*;
+use sloewick_decision::api::{
+    Action, CacheMode, Class, DeduplicationScope, Endpoint, EndpointListKind, Event, Idempotency,
+    Micros, Request, RequestId, ServerId, ServerState, Settings, Status, Tenant,
+};
 use sloewick_decision::Balancer;
 
+#[path = "support/settings.rs"]
+mod shared_settings;
+
 fn class(
     idempotency: Idempotency,
     deduplication_scope: DeduplicationScope,
     late_weight: f64,
 ) -> Class {
     Class {
-        latency_objective: 150_000,
-        objective_per_work: 0.0,
         deadline: 600_000,
         idempotency,
         deduplication_scope,
         deduplication_window: 200_000,
-        priority_weight: 1.0,
         late_weight,
-        stream: false,
+        ..shared_settings::class()
     }
 }
 
@@ -39,33 +42,31 @@
             quota_per_s: 20.0,
             share: 1.0,
         }],
-        nodes: 2,
-        node_number: None,
-        zone: Some(0),
         poll,
-        poll_within: 10_000_000,
         mode,
         origin_kind: (mode == CacheMode::CacheAside).then_some(1),
-        origin_overload_multiple: 0.0,
-        weights: WeightMeaning::None,
-        weight_by_work: false,
         over_quota_weight: 0.1,
         tick: 2_000,
         max_attempts: 4,
-        max_in_flight: 1000,
-        cancel: true,
-        probes: false,
         hedging,
-        max_retry_after: 1_000_000,
-        connect_timeout: 75_000,
         drain_grace: 500_000,
         cold_capacity: 0.2,
         warm_up_time: 10_000_000,
         overload_multiple: 3.0,
-        overload_window: 2_000_000,
-        answer_slack: 8_000,
-        price_cross_zone: 0.0,
-        price_origin: 0.0,
+        ..shared_settings::settings()
+    }
+}
+
+/// An attempt as the node knows it.
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    status: Option<Status>,
+}
+
+impl Attempt {
+    fn may_have_run(&self) -> bool {
+        !self.status.is_some_and(Status::never_ran)
     }
 }
 
@@ -73,20 +74,20 @@
     class: usize,
     deadline: Micros,
     closed: bool,
-    no_more: bool,
-    attempts: Vec<(ServerId, Micros, Option<Status>, bool)>,
+    attempts_stopped: bool,
+    attempts: Vec<Attempt>,
 }
 
 /// A node around the module that knows only events and actions, and checks the rules.
 struct Node {
-    set: Settings,
+    settings: Settings,
     balancer: Balancer,
     now: Micros,
     open: BTreeMap<RequestId, Open>,
     timers: BTreeMap<(Micros, u64), u64>,
     serial: u64,
     listed: HashMap<ServerId, Endpoint>,
-    told_off: HashMap<ServerId, Micros>,
+    removed: HashMap<ServerId, Micros>,
     calls: usize,
 }
 
@@ -106,14 +107,14 @@
     fn new(set: Settings, seed: u64) -> Node {
         let balancer = Balancer::new(set.clone(), seed, 0).unwrap();
         Node {
-            set,
+            settings: set,
             balancer,
             now: 0,
             open: BTreeMap::new(),
             timers: BTreeMap::new(),
             serial: 0,
             listed: HashMap::new(),
-            told_off: HashMap::new(),
+            removed: HashMap::new(),
             calls: 0,
         }
     }
@@ -137,15 +138,15 @@
                 .iter()
                 .filter(|(id, _)| !entries.iter().any(|e| e.server == **id))
             {
-                self.told_off.entry(id.clone()).or_insert(self.now);
+                self.removed.entry(id.clone()).or_insert(self.now);
             }
         }
         for e in &entries {
             self.listed.insert(e.server.clone(), e.clone());
             if e.state == ServerState::Live {
-                self.told_off.remove(&e.server);
+                self.removed.remove(&e.server);
             } else {
-                self.told_off.entry(e.server.clone()).or_insert(self.now);
+                self.removed.entry(e.server.clone()).or_insert(self.now);
             }
         }
         self.give(Event::EndpointList(kind, entries.into()));
@@ -158,7 +159,7 @@
             class,
             deadline: self.now + budget,
             closed: false,
-            no_more: false,
+            attempts_stopped: false,
             attempts: vec![],
         };
         self.open.insert(id.clone(), open);
@@ -183,7 +184,7 @@
                 o.attempts
                     .iter()
                     .enumerate()
-                    .filter(|(_, a)| a.2.is_none())
+                    .filter(|(_, a)| a.status.is_none())
                     .map(|(i, _)| (id.clone(), i))
             })
             .collect();
@@ -193,9 +194,9 @@
         let (id, attempt) = pending[pick as usize % pending.len()].clone();
         let status = STATUSES[status as usize % STATUSES.len()];
         let o = self.open.get_mut(&id).unwrap();
-        o.attempts[attempt].2 = Some(status);
+        o.attempts[attempt].status = Some(status);
         o.closed |= status == Status::Ok;
-        let (closed, server) = (o.closed, o.attempts[attempt].0.clone());
+        let (closed, server) = (o.closed, o.attempts[attempt].server.clone());
         self.give(Event::AttemptEnded {
             request: id,
             server,
@@ -216,13 +217,14 @@
             }
             self.timers.remove(&(due, n));
             // Batches come a tick apart: the timer is delivered up to one late.
-            self.now = self.now.max(due + self.set.tick);
+            self.now = self.now.max(due + self.settings.tick);
             self.give(Event::TimerExpired(token));
         }
         self.now = self.now.max(until);
         for o in self.open.values() {
             assert!(
-                o.closed || self.now <= o.deadline + self.set.answer_slack + self.set.tick,
+                o.closed
+                    || self.now <= o.deadline + self.settings.answer_slack + self.settings.tick,
                 "unanswered"
             );
         }
@@ -237,88 +239,24 @@
     }
 
     fn check(&mut self, action: Action) {
-        let now = self.now;
         match action {
             Action::Send {
                 request, server, ..
-            } => {
-                let o = self
-                    .open
-                    .get_mut(&request)
-                    .expect("send for a request never given");
-                assert!(!o.closed, "send after the end");
-                assert!(!o.no_more, "sent on though its client has left");
-                assert!(
-                    o.attempts.len() < self.set.max_attempts,
-                    "too many attempts"
-                );
-                let to = self.listed.get(&server).expect("server never listed");
-                if let Some(told) = self.told_off.get(&server) {
-                    assert!(
-                        now - told <= self.set.drain_grace,
-                        "sent to a server that drains or is gone"
-                    );
-                }
-                let pending = o.attempts.iter().filter(|a| a.2.is_none()).count();
-                assert!(pending == 0 || self.set.hedging, "two attempts at once");
-                let class = &self.set.classes[o.class];
-                for a in o
-                    .attempts
-                    .iter()
-                    .filter(|a| !a.2.is_some_and(Status::never_ran))
-                {
-                    let from = &self.listed[&a.0];
-                    match class.idempotency {
-                        Idempotency::Idempotent => {}
-                        Idempotency::NonIdempotent => panic!("unsafe request sent again"),
-                        Idempotency::Keyed => {
-                            assert!(
-                                now <= a.1 + class.deduplication_window,
-                                "sent again after the window"
-                            );
-                            match class.deduplication_scope {
-                                DeduplicationScope::All => {}
-                                DeduplicationScope::Zone => assert_eq!(from.zone, to.zone),
-                                DeduplicationScope::Cell => assert_eq!(from.cell, to.cell),
-                            }
-                        }
-                    }
-                }
-                o.attempts.push((server, now, None, false));
-            }
+            } => self.check_send(&request, server),
             Action::Reject { request, .. } => {
-                let o = self
+                let open = self
                     .open
-                    .get_mut(&request)
-                    .expect("refusal of a request never given");
-                assert!(!o.closed, "two final answers");
-                let class = &self.set.classes[o.class];
-                let ran = o
-                    .attempts
-                    .iter()
-                    .any(|a| !a.2.is_some_and(Status::never_ran));
+                    .get(&request)
+                    .expect("rejection of a request never given");
+                let class = &self.settings.classes[open.class];
+                let ran = open.attempts.iter().any(Attempt::may_have_run);
                 let harmless = class.idempotency == Idempotency::Idempotent
                     || (class.idempotency == Idempotency::Keyed
                         && class.deduplication_scope == DeduplicationScope::All);
-                assert!(harmless || !ran, "refused what may have run");
-                assert!(
-                    now <= o.deadline + self.set.answer_slack,
-                    "answered too late"
-                );
-                o.closed = true;
-            }
-            Action::Fail { request } => {
-                let o = self
-                    .open
-                    .get_mut(&request)
-                    .expect("failure of a request never given");
-                assert!(!o.closed, "two final answers");
-                assert!(
-                    now <= o.deadline + self.set.answer_slack,
-                    "answered too late"
-                );
-                o.closed = true;
+                assert!(harmless || !ran, "rejected what may have run");
+                self.check_final_answer(&request);
             }
+            Action::Fail { request } => self.check_final_answer(&request),
             Action::Cancel { request, attempt } => {
                 assert!(
                     self.open[&request].attempts.len() > attempt,
@@ -328,20 +266,86 @@
             Action::SetTimer { delay, token } => {
                 assert!(delay >= 0);
                 self.serial += 1;
-                self.timers.insert((now + delay, self.serial), token);
+                self.timers.insert((self.now + delay, self.serial), token);
             }
             Action::Subscribe(_) | Action::FetchEndpointList => self.calls += 1,
-            Action::Probe(_) => assert!(self.set.probes),
+            Action::Probe(_) => assert!(self.settings.probes),
             Action::CloseIdleConnections(_) | Action::Log(_) => {}
         }
     }
 
+    fn check_send(&mut self, request: &RequestId, server: ServerId) {
+        let now = self.now;
+        let open = self
+            .open
+            .get_mut(request)
+            .expect("send for a request never given");
+        assert!(!open.closed, "send after the end");
+        assert!(
+            !open.attempts_stopped,
+            "sent though its client has disconnected"
+        );
+        assert!(
+            open.attempts.len() < self.settings.max_attempts,
+            "too many attempts"
+        );
+        let to = self.listed.get(&server).expect("server never listed");
+        if let Some(removed) = self.removed.get(&server) {
+            assert!(
+                now - removed <= self.settings.drain_grace,
+                "sent to a server that is draining or removed"
+            );
+        }
+        let pending = open.attempts.iter().filter(|a| a.status.is_none()).count();
+        assert!(
+            pending == 0 || self.settings.hedging,
+            "two attempts at once"
+        );
+        let class = &self.settings.classes[open.class];
+        for other in open.attempts.iter().filter(|a| a.may_have_run()) {
+            let from = &self.listed[&other.server];
+            match class.idempotency {
+                Idempotency::Idempotent => {}
+                Idempotency::NonIdempotent => panic!("request without idempotency sent again"),
+                Idempotency::Keyed => {
+                    assert!(
+                        now <= other.sent + class.deduplication_window,
+                        "sent again after the window"
+                    );
+                    match class.deduplication_scope {
+                        DeduplicationScope::All => {}
+                        DeduplicationScope::Zone => assert_eq!(from.zone, to.zone),
+                        DeduplicationScope::Cell => assert_eq!(from.cell, to.cell),
+                    }
+                }
+            }
+        }
+        open.attempts.push(Attempt {
+            server,
+            sent: now,
+            status: None,
+        });
+    }
+
+    fn check_final_answer(&mut self, request: &RequestId) {
+        let open = self
+            .open
+            .get_mut(request)
+            .expect("final answer to a request never given");
+        assert!(!open.closed, "two final answers");
+        assert!(
+            self.now <= open.deadline + self.settings.answer_slack,
+            "answered too late"
+        );
+        open.closed = true;
+    }
+
     fn play(&mut self, ops: &[(u8, u32, u32)]) {
         for &(op, a, b) in ops {
             match op % 12 {
                 0..=3 => {
                     self.request(
-                        a as usize % self.set.classes.len(),
+                        a as usize % self.settings.classes.len(),
                         b,
                         [600_000, 200_000, 40_000, 3_000][(a / 5 % 4) as usize],
                     );
@@ -374,11 +378,14 @@
                     let mut ids: Vec<RequestId> = self.open.keys().cloned().collect();
                     if a % 3 == 1 && !ids.is_empty() {
                         let id = ids.swap_remove(b as usize % ids.len());
-                        self.open.get_mut(&id).unwrap().no_more = true;
+                        self.open.get_mut(&id).unwrap().attempts_stopped = true;
                         self.give(Event::StopAttempts(id.clone()));
                         let o = &self.open[&id];
-                        let out = o.attempts.iter().any(|a| a.2.is_none());
-                        assert!(o.closed || out, "nothing is out, and it has no answer");
+                        let out = o.attempts.iter().any(|a| a.status.is_none());
+                        assert!(
+                            o.closed || out,
+                            "no attempt is pending, and it has no answer"
+                        );
                     } else if a % 3 == 0 && !ids.is_empty() {
                         let id = ids.swap_remove(b as usize % ids.len());
                         self.open.get_mut(&id).unwrap().closed = true;
@@ -416,21 +423,21 @@
         ops,
     );
     runner
-        .run(&case, |(copies, aside, ask, seed, ops)| {
+        .run(&case, |(hedging, aside, poll, seed, ops)| {
             let mode = if aside {
                 CacheMode::CacheAside
             } else {
                 CacheMode::ReadThrough
             };
-            Node::new(settings(copies, mode, ask), seed).play(&ops);
+            Node::new(settings(hedging, mode, poll), seed).play(&ops);
             Ok(())
         })
         .unwrap();
 }
 
-/// Settings that no deployment has and any could: names, effects, groups, times from milliseconds to a
-/// minute, with and without zones, tenants, second copies, cancelling.
-fn drawn() -> impl Strategy<Value = serde_json::Value> {
+/// Settings that no deployment has and any could: names, idempotency, groups, times from milliseconds to a
+/// minute, with and without zones, tenants, hedging, cancelling.
+fn arbitrary_settings() -> impl Strategy<Value = serde_json::Value> {
     let times = || prop_oneof![1.0..50.0, 50.0..2_000.0, 2_000.0..60_000.0];
     let word = |words: &'static [&'static str]| prop::sample::select(words);
     let class = (
@@ -476,14 +483,14 @@
     );
     (lists, limits, rules, rest).prop_map(|((classes, realms), limits, rules, rest)| {
         let (discovery, weights, mode, zone, (nodes, period, crossing)) = rest;
-        let (tries, copies, cancel, retry, connect, after) = limits;
+        let (tries, hedging, cancel, retry, connect, after) = limits;
         let (grace, from, cold, multiple, fall, within) = rules;
         serde_json::json!({
             "classes": classes, "realms": realms, "discovery": discovery, "weights": weights, "zone": zone,
             "zones": ["z0", "z1"], "kinds": ["m0", "m1"], "replicas_of_me": nodes, "period": period,
             "domain": {"mode": mode, "origin_kind": if mode == "aside" { 1 } else { -1 }},
             "prices": {"cross_zone": crossing},
-            "policy_limits": {"try_limit": tries, "second_copies": copies, "cancel": cancel, "retry_after": retry,
+            "policy_limits": {"try_limit": tries, "second_copies": hedging, "cancel": cancel, "retry_after": retry,
                 "max_retry_after": after, "connect_timeout": connect},
             "rules": {"stop_sending_within": grace, "cold_from": from, "cold": cold, "fall_multiple": multiple,
                 "fall": fall, "ask_within": within, "grace_to_answer": 4.0 * period},
@@ -502,18 +509,21 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ops = prop::collection::vec((any::<u8>(), any::<u32>(), any::<u32>()), 0..200);
     runner
-        .run(&(drawn(), any::<u64>(), ops), |(value, seed, ops)| {
-            let fields = sloewick_decision::settings::Fields::of(&value, "settings").unwrap();
-            let (set, _) = sloewick_decision::settings::parse(&fields).unwrap();
-            set.validate().unwrap();
-            Node::new(set, seed).play(&ops);
-            Ok(())
-        })
+        .run(
+            &(arbitrary_settings(), any::<u64>(), ops),
+            |(value, seed, ops)| {
+                let fields = sloewick_decision::settings::Fields::of(&value, "settings").unwrap();
+                let (set, _) = sloewick_decision::settings::parse(&fields).unwrap();
+                set.validate().unwrap();
+                Node::new(set, seed).play(&ops);
+                Ok(())
+            },
+        )
         .unwrap();
 }
 
 #[test]
-fn no_servers_known_still_answers() {
+fn request_without_any_server_is_answered() {
     let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     node.request(4, 1, 600_000);
     node.pass(1_000_000);
@@ -524,7 +534,7 @@
 }
 
 #[test]
-fn held_requests_go_out_when_a_server_appears() {
+fn waiting_requests_are_sent_when_a_server_joins() {
     let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     node.request(0, 1, 600_000);
     let e = node.entry(0, ServerState::Live);
@@ -533,7 +543,7 @@
 }
 
 #[test]
-fn a_miss_beside_the_caches_goes_to_the_origin_and_so_do_writes() {
+fn misses_and_writes_go_to_the_origin_in_cache_aside_mode() {
     let mut node = Node::new(settings(true, CacheMode::CacheAside, false), 1);
     let list = (0..8).map(|i| node.entry(i, ServerState::Live)).collect();
     node.list(EndpointListKind::Full, list);
@@ -543,7 +553,7 @@
     let sent: Vec<Vec<&str>> = node
         .open
         .values()
-        .map(|o| o.attempts.iter().map(|a| &*a.0).collect())
+        .map(|o| o.attempts.iter().map(|a| &*a.server).collect())
         .collect();
     let origin = |s: &str| s == "srv6" || s == "srv7";
     assert!(!origin(sent[0][0]) && origin(sent[0][1]), "{sent:?}");
@@ -551,22 +561,22 @@
 }
 
 #[test]
-fn a_failed_list_call_is_repeated_inside_ask_within() {
+fn failed_poll_of_the_endpoint_list_is_repeated_within_its_bound() {
     let mut node = Node::new(settings(true, CacheMode::ReadThrough, true), 1);
     let e = node.entry(0, ServerState::Live);
     node.list(EndpointListKind::Cached, vec![e]);
-    node.pass(node.set.poll_within / 2);
+    node.pass(node.settings.poll_within / 2);
     assert_eq!(node.calls, 1);
     for _ in 0..6 {
         let before = node.calls;
         node.give(Event::EndpointListFailed);
-        node.pass(node.set.poll_within / 2);
+        node.pass(node.settings.poll_within / 2);
         assert_eq!(node.calls, before + 1);
     }
 }
 
 #[test]
-fn a_cold_server_gets_no_more_than_its_warm_up_allows() {
+fn server_that_warms_up_gets_no_more_than_its_capacity() {
     let mut set = settings(true, CacheMode::ReadThrough, false);
     set.classes.truncate(1);
     let mut node = Node::new(set, 3);
@@ -602,6 +612,7 @@
         }
     }
     // As busy as the seven others.
-    let able = all / 8.0 * node.set.cold_capacity / ((7.0 + node.set.cold_capacity) / 8.0);
+    let able =
+        all / 8.0 * node.settings.cold_capacity / ((7.0 + node.settings.cold_capacity) / 8.0);
     assert!(cold > 0.5 * able && cold < 1.2 * able, "{cold} of {all}");
 }
--- a/crates/decision/tests/cold.rs
+++ b/crates/decision/tests/slow_start.rs
@@ -1,6 +1,5 @@
-//! Nodes before a cold server whose range holds keys that are popular at all of them, three busy ones to
-//! three hundred quiet ones. None of the quiet ones has sent it enough to know; together they must not push
-//! it over.
+//! Slow start of a server whose range holds keys that are popular at all nodes, three busy ones to three
+//! hundred quiet ones. None of the quiet ones sends it enough to notice; together they must not overload it.
 
 use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
@@ -51,7 +50,7 @@
 }
 
 /// Sends a request and answers it at once. Where it went.
-fn ask(node: &mut Balancer, now: Micros, id: u64, key: &str) -> Option<ServerId> {
+fn send_request(node: &mut Balancer, now: Micros, id: u64, key: &str) -> Option<ServerId> {
     let request: RequestId = format!("r{id}").into();
     let asked = Request {
         id: request.clone(),
@@ -84,11 +83,11 @@
     Some(server)
 }
 
-/// What the cold home of a key that becomes popular at all nodes is sent within the time to a fall, beside
-/// what an average server is sent: the nodes ran for `ran` before, and it started so long before the key
-/// became popular.
+/// What the home of a key that becomes popular at all nodes is sent within the overload window while it warms
+/// up, beside what an average server is sent: the nodes ran for `ran` before, and it started `age` before the
+/// key became popular.
 fn sent(key: &str, ran: Micros, age: Micros) -> f64 {
-    let home = ask(&mut node(0, None), 0, 0, key).expect("a warm server takes its key");
+    let home = send_request(&mut node(0, None), 0, 0, key).expect("a warm server takes its key");
     let (set, mut sends) = (settings(), 0u32);
     for seed in 1..=NODES {
         let mut node = node(seed, Some((&home, ran - age)));
@@ -97,7 +96,7 @@
             n += 1;
             let popular = now >= ran && n.is_multiple_of(POPULAR);
             let other = format!("o{seed}-{n}");
-            let to = ask(&mut node, now, n, if popular { key } else { &other });
+            let to = send_request(&mut node, now, n, if popular { key } else { &other });
             sends += u32::from(now >= ran && to.as_ref() == Some(&home));
             now += EVERY;
         }
@@ -107,9 +106,9 @@
 }
 
 // Seen to fail: a node just restarted, or one that meets a new popular key, sends the first requests for it
-// to its home, cold or not; 300 nodes do so at once.
+// to its home, warm or not; 300 nodes do so at once.
 #[test]
-fn a_key_popular_at_all_nodes_does_not_push_its_cold_home_over() {
+fn key_popular_at_all_nodes_does_not_overload_its_home_that_warms_up() {
     for (ran, age) in [
         (0, 2_000_000),
         (0, 5_000_000),
@@ -119,7 +118,7 @@
         let set = settings();
         let warmed = (age + set.overload_window / 2) as f64 / set.warm_up_time as f64;
         let grown = set.cold_capacity + (1.0 - set.cold_capacity) * warmed;
-        // Servers have a quarter to spare over what an average one is sent.
+        // Servers have a margin of a quarter over what an average one is sent.
         let bound = set.overload_multiple * grown * 1.25;
         let most = (0..8)
             .map(|n| sent(&format!("popular{n}"), ran, age))
@@ -131,21 +130,21 @@
     }
 }
 
-// Guards against a bound that leaves a cold server without work: it warms up by it.
+// Guards against a bound that leaves a server without work while it warms up: it warms up by it.
 #[test]
-fn a_cold_server_is_given_work_all_the_same() {
+fn server_that_warms_up_is_given_work_all_the_same() {
     let given = sent("popular0", 4_000_000, 5_000_000);
     assert!(given > 0.1, "{given} of an average server's load");
 }
 
-/// A fleet, and what its clients ask for.
+/// A fleet, and what its clients request.
 #[derive(Clone, Copy, Debug)]
 struct Case {
     nodes: u64,
     servers: usize,
     /// Between two requests of a node.
     every: Micros,
-    /// Every so manieth request is for a key whose home is cold.
+    /// One request in so many is for a key whose home warms up.
     popular: u64,
     /// How long the nodes ran before those became popular, and how old the server was then.
     ran: Micros,
@@ -153,7 +152,7 @@
 }
 
 impl Case {
-    /// What the settings allow the server within the time to a fall that ends then, counted from what an
+    /// What the settings allow the server within the overload window that ends then, counted from what an
     /// average one is sent.
     fn budget(&self, now: Micros) -> f64 {
         let set = settings();
@@ -171,7 +170,7 @@
         let mut warm = one_of(self.nodes, self.servers, 0, None);
         let homes = (0..)
             .map(|n| (format!("popular{n}"), n))
-            .map(|(key, n)| (ask(&mut warm, 0, n, &key), key));
+            .map(|(key, n)| (send_request(&mut warm, 0, n, &key), key));
         let cold: ServerId = "srv1".into();
         let keys: Vec<String> = homes
             .filter(|(to, _)| *to == Some(cold.clone()))
@@ -192,7 +191,7 @@
                 let popular = now >= self.ran && n.is_multiple_of(self.popular);
                 let other = format!("o{number}-{n}");
                 let key = &keys[((n / self.popular) as usize + number as usize) % keys.len()];
-                let to = ask(&mut node, now, n, if popular { key } else { &other });
+                let to = send_request(&mut node, now, n, if popular { key } else { &other });
                 if to.as_ref() == Some(&cold) && now >= self.ran {
                     sent.push(now);
                 }
@@ -203,8 +202,7 @@
         sent
     }
 
-    /// The most sent within the time to a fall, beside what is allowed: the budget and what is put down to
-    /// chance.
+    /// The most sent within the overload window, beside what is allowed: the budget and a margin for chance.
     fn most(&self, seconds: i64) -> (usize, f64) {
         let (sent, fall) = (self.sent(seconds), settings().overload_window);
         let within = |end: &Micros| {
@@ -230,9 +228,9 @@
     );
 }
 
-// Seen to fail: each node may send one, whatever its right, so that thirty send thirty.
+// Seen to fail: each node may send one, whatever its quota, so that thirty send thirty.
 #[test]
-fn thirty_nodes_with_a_request_each_in_the_time_to_a_fall() {
+fn thirty_nodes_with_a_request_each_in_the_overload_window_stay_within_the_budget() {
     for (every, popular) in [(2_000_000, 1), (1_000_000, 2), (200_000, 2)] {
         for (ran, age) in [(0, 500_000), (8_000_000, 500_000), (8_000_000, 7_000_000)] {
             holds(Case {
@@ -248,7 +246,7 @@
 }
 
 #[test]
-fn three_hundred_nodes() {
+fn three_hundred_quiet_nodes_stay_within_the_budget() {
     for popular in [2, 6] {
         let case = Case {
             nodes: 300,
@@ -267,7 +265,7 @@
 }
 
 #[test]
-fn nodes_that_all_have_just_started() {
+fn nodes_that_have_all_just_started_stay_within_the_budget() {
     for (nodes, servers, every) in [
         (300, 150, EVERY),
         (100, 40, 200_000),
@@ -286,7 +284,7 @@
 }
 
 #[test]
-fn twenty_nodes_with_some_requests_each() {
+fn twenty_nodes_with_some_requests_each_stay_within_the_budget() {
     for (every, age) in [
         (100_000, 1_000_000),
         (50_000, 4_000_000),
@@ -303,9 +301,9 @@
     }
 }
 
-// Guards against a bound that leaves a cold server without work at nodes that could fill it.
+// Guards against a bound that leaves a server that warms up without work at nodes that could fill it.
 #[test]
-fn three_busy_nodes_still_fill_it() {
+fn three_busy_nodes_use_the_budget() {
     let case = Case {
         nodes: 3,
         servers: 10,
--- a/crates/decision/tests/stable_numbers.rs
+++ b/crates/decision/tests/stable_numbers.rs
@@ -73,7 +73,7 @@
         ),
     ] {
         let mut rng = Rng(seed);
-        let numbers: [f64; 4] = std::array::from_fn(|_| rng.next());
+        let numbers: [f64; 4] = std::array::from_fn(|_| rng.next_unit());
         assert_eq!(numbers, expected, "seed {seed}");
     }
 }
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A node's decisions before a fleet of servers that do as they are told, on virtual time.
+//! A node's decisions with a fleet of scripted servers, on virtual time.
 
 mod settings;
 
@@ -7,50 +7,50 @@
 use sloewick_decision::api::*;
 use sloewick_decision::{Balancer, Checkpoint};
 
-pub use settings::settings;
+pub(crate) use settings::settings;
 
-/// Keys asked for, evenly.
+/// Keys that are requested, evenly.
 const KEYS: u64 = 400;
 
-enum Due {
+enum Pending {
     Timer(u64),
     Outcome(RequestId, usize, ServerId, Status, Micros),
 }
 
-pub struct Fleet {
+pub(crate) struct Fleet {
     balancer: Balancer,
     now: Micros,
-    due: BTreeMap<(Micros, u64), Due>,
+    due: BTreeMap<(Micros, u64), Pending>,
     serial: u64,
-    asked: u64,
-    /// Attempts so far and key of each open request.
-    open: HashMap<RequestId, (usize, u64)>,
+    requests_sent: u64,
+    /// Attempts so far and key of each request in flight.
+    in_flight: HashMap<RequestId, (usize, u64)>,
     first: Vec<u32>,
     second: Vec<u32>,
     /// Keys whose first attempt went to each server.
-    pub first_keys: Vec<HashSet<u64>>,
+    pub(crate) first_keys: Vec<HashSet<u64>>,
     /// Where the last second attempt for a key went.
-    pub second_to: HashMap<u64, usize>,
+    pub(crate) second_to: HashMap<u64, usize>,
     /// Time between two requests.
-    pub every: Micros,
-    /// Every third request is for a key that nobody has asked for yet; at this server the answer takes so
+    pub(crate) every: Micros,
+    /// Every third request is for a key that was never requested; at this server the answer takes so
     /// long.
-    pub fresh: Option<(usize, Micros)>,
-    /// A key that every second request asks for.
-    pub hot: Option<u64>,
-    /// Who answered a key last.
-    pub served_by: HashMap<u64, usize>,
-    /// Asks for low keys much more often than for high ones.
-    pub skewed: bool,
+    pub(crate) fresh: Option<(usize, Micros)>,
+    /// A key that every second request is for.
+    pub(crate) hot: Option<u64>,
+    /// Which server answered a key last.
+    pub(crate) served_by: HashMap<u64, usize>,
+    /// Low keys are requested much more often than high ones.
+    pub(crate) skewed: bool,
     /// Where the first attempt for a key went last, and how many went elsewhere than the one before.
     home: HashMap<u64, usize>,
-    pub moved: u32,
+    pub(crate) moved: u32,
     served: u64,
     ended: u64,
 }
 
 impl Fleet {
-    pub fn new(servers: usize, seed: u64) -> Fleet {
+    pub(crate) fn new(servers: usize, seed: u64) -> Fleet {
         let mut balancer = Balancer::new(settings(), seed, 0).unwrap();
         let entries: Vec<Endpoint> = (0..servers).map(|i| entry(i, None)).collect();
         balancer.handle(
@@ -63,8 +63,8 @@
             now: 0,
             due: BTreeMap::new(),
             serial: 0,
-            asked: seed << 32,
-            open: HashMap::new(),
+            requests_sent: seed << 32,
+            in_flight: HashMap::new(),
             first: vec![0; servers],
             second: vec![0; servers],
             first_keys: vec![HashSet::new(); servers],
@@ -81,52 +81,56 @@
         }
     }
 
-    /// What the node would tell the next process.
-    pub fn memory(&self) -> Checkpoint {
+    /// The checkpoint for the next process.
+    pub(crate) fn checkpoint(&self) -> Checkpoint {
         self.balancer.checkpoint(self.now)
     }
 
-    /// Another process goes on for the node, with what it is told and how long ago that was remembered.
-    pub fn next_process(&mut self, told: Option<(Micros, Checkpoint)>) {
+    /// Another process goes on for the node, with a checkpoint and its age.
+    pub(crate) fn next_process(&mut self, restored: Option<(Micros, Checkpoint)>) {
         self.balancer = Balancer::new(settings(), 99, self.now).unwrap();
-        self.open.clear();
+        self.in_flight.clear();
         self.due.clear();
-        if let Some((age, memory)) = told {
-            self.balancer.restore(self.now, age, memory);
+        if let Some((age, checkpoint)) = restored {
+            self.balancer.restore(self.now, age, checkpoint);
         }
     }
 
-    /// The list names these servers, with when each last started.
-    pub fn list(&mut self, servers: &[(usize, Option<Micros>)]) {
+    /// An endpoint list with these servers, and when each last started.
+    pub(crate) fn list(&mut self, servers: &[(usize, Option<Micros>)]) {
         let entries: Vec<Endpoint> = servers
             .iter()
             .map(|(i, started)| entry(*i, *started))
             .collect();
-        let news = Event::EndpointList(EndpointListKind::Full, entries.into());
-        self.balancer.handle(self.now, news, &mut Vec::new());
+        let list_change = Event::EndpointList(EndpointListKind::Full, entries.into());
+        self.balancer.handle(self.now, list_change, &mut Vec::new());
     }
 
     /// Another process runs now where this server was, warm already.
-    pub fn restart(&mut self, server: usize) {
-        self.news(entry(server, Some(self.now - 60_000_000)));
+    pub(crate) fn restart(&mut self, server: usize) {
+        self.list_change(entry(server, Some(self.now - 60_000_000)));
     }
 
-    /// The list tells that this server is gone, and then that it is there as before.
-    pub fn leave_and_return(&mut self, server: usize) {
-        self.news(Endpoint {
+    /// The server is removed from the endpoint list, and then listed as before.
+    pub(crate) fn leave_and_return(&mut self, server: usize) {
+        self.list_change(Endpoint {
             state: ServerState::Removed,
             ..entry(server, None)
         });
-        self.news(entry(server, None));
+        self.list_change(entry(server, None));
     }
 
-    fn news(&mut self, entry: Endpoint) {
-        let news = Event::EndpointList(EndpointListKind::Delta, [entry].into());
-        self.balancer.handle(self.now, news, &mut Vec::new());
+    fn list_change(&mut self, entry: Endpoint) {
+        let list_change = Event::EndpointList(EndpointListKind::Delta, [entry].into());
+        self.balancer.handle(self.now, list_change, &mut Vec::new());
     }
 
-    /// Asks for some seconds; `answer` tells what an attempt at a server comes to, and after how long.
-    pub fn run(&mut self, seconds: i64, mut answer: impl FnMut(usize, u64) -> (Status, Micros)) {
+    /// Sends requests for some seconds; `answer` gives how an attempt at a server ends, and after how long.
+    pub(crate) fn run(
+        &mut self,
+        seconds: i64,
+        mut answer: impl FnMut(usize, u64) -> (Status, Micros),
+    ) {
         let end = self.now + seconds * 1_000_000;
         let mut next = self.now;
         while next < end {
@@ -134,51 +138,55 @@
                 Some(at) if at.0 <= next => {
                     let due = self.due.remove(&at).unwrap();
                     self.now = at.0;
-                    self.happen(due, &mut answer);
+                    self.deliver(due, &mut answer);
                 }
                 _ => {
                     self.now = next;
                     next += self.every;
-                    self.ask(&mut answer);
+                    self.send_request(&mut answer);
                 }
             }
         }
     }
 
-    fn ask(&mut self, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
-        self.asked += 1;
-        let key = (self.asked.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % KEYS;
-        let hot = self.hot.filter(|_| self.asked.is_multiple_of(2));
+    fn send_request(&mut self, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+        self.requests_sent += 1;
+        let key = (self.requests_sent.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) % KEYS;
+        let hot = self.hot.filter(|_| self.requests_sent.is_multiple_of(2));
         let part = key as f64 / KEYS as f64;
         let key = if self.skewed {
             (part * part * KEYS as f64) as u64
         } else {
             key
         };
-        let key = if self.fresh.is_some() && self.asked.is_multiple_of(3) {
-            KEYS + self.asked
+        let key = if self.fresh.is_some() && self.requests_sent.is_multiple_of(3) {
+            KEYS + self.requests_sent
         } else {
             key
         };
-        self.ask_key(hot.unwrap_or(key), answer);
+        self.send_request_for(hot.unwrap_or(key), answer);
     }
 
-    /// Asks for keys all at once, each answered after 20 ms; where the first attempt for each went.
-    pub fn burst(&mut self, keys: &[u64]) -> Vec<usize> {
+    /// Requests keys all at once, each answered after 20 ms; where the first attempt for each went.
+    pub(crate) fn burst(&mut self, keys: &[u64]) -> Vec<usize> {
         let mut went = Vec::new();
         for key in keys {
-            self.asked += 1;
+            self.requests_sent += 1;
             let before = self.first.clone();
-            self.ask_key(*key, &mut |_, _| (Status::Ok, 20_000));
+            self.send_request_for(*key, &mut |_, _| (Status::Ok, 20_000));
             let to = (0..before.len()).find(|i| self.first[*i] > before[*i]);
             went.push(to.expect("the first attempt goes out at once"));
         }
         went
     }
 
-    fn ask_key(&mut self, key: u64, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
-        let id: RequestId = format!("r{}", self.asked).into();
-        self.open.insert(id.clone(), (0, key));
+    fn send_request_for(
+        &mut self,
+        key: u64,
+        answer: &mut impl FnMut(usize, u64) -> (Status, Micros),
+    ) {
+        let id: RequestId = format!("r{}", self.requests_sent).into();
+        self.in_flight.insert(id.clone(), (0, key));
         let request = Request {
             id,
             class: 0,
@@ -190,21 +198,21 @@
             retry: false,
             write: false,
         };
-        self.give(Event::Request(request), answer);
+        self.handle(Event::Request(request), answer);
     }
 
-    fn happen(&mut self, due: Due, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+    fn deliver(&mut self, due: Pending, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
         match due {
-            Due::Timer(token) => self.give(Event::TimerExpired(token), answer),
-            Due::Outcome(request, attempt, server, status, latency) => {
-                let open = self.open.get(&request).copied();
-                let closed = status == Status::Ok && open.is_some();
-                if let Some((_, key)) = open.filter(|_| closed) {
+            Pending::Timer(token) => self.handle(Event::TimerExpired(token), answer),
+            Pending::Outcome(request, attempt, server, status, latency) => {
+                let in_flight = self.in_flight.get(&request).copied();
+                let closed = status == Status::Ok && in_flight.is_some();
+                if let Some((_, key)) = in_flight.filter(|_| closed) {
                     self.served_by.insert(key, number(&server));
-                    self.open.remove(&request);
+                    self.in_flight.remove(&request);
                     (self.served, self.ended) = (self.served + 1, self.ended + 1);
                 }
-                self.give(
+                self.handle(
                     Event::AttemptEnded {
                         request,
                         server,
@@ -221,7 +229,7 @@
         }
     }
 
-    fn give(&mut self, event: Event, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
+    fn handle(&mut self, event: Event, answer: &mut impl FnMut(usize, u64) -> (Status, Micros)) {
         let mut actions = Vec::new();
         self.balancer.handle(self.now, event, &mut actions);
         for action in actions {
@@ -230,12 +238,12 @@
                 Action::Send {
                     request, server, ..
                 } => {
-                    let open = self
-                        .open
+                    let in_flight = self
+                        .in_flight
                         .get_mut(&request)
                         .expect("only open requests are sent");
-                    let (attempt, which) = (open.0, number(&server));
-                    open.0 += 1;
+                    let (attempt, which) = (in_flight.0, number(&server));
+                    in_flight.0 += 1;
                     let counts = if attempt == 0 {
                         &mut self.first
                     } else {
@@ -243,27 +251,27 @@
                     };
                     counts[which] += 1;
                     if attempt == 0 {
-                        self.first_keys[which].insert(open.1);
-                        let before = self.home.insert(open.1, which);
+                        self.first_keys[which].insert(in_flight.1);
+                        let before = self.home.insert(in_flight.1, which);
                         self.moved += u32::from(before.is_some_and(|before| before != which));
                     } else {
-                        self.second_to.insert(open.1, which);
+                        self.second_to.insert(in_flight.1, which);
                     }
-                    let key = open.1;
+                    let key = in_flight.1;
                     let (status, latency) =
                         match self.fresh.filter(|(from, _)| which >= *from && key >= KEYS) {
                             Some((_, fetch)) => (Status::Ok, fetch),
                             None => answer(which, self.serial),
                         };
-                    let due = Due::Outcome(request, attempt, server, status, latency);
+                    let due = Pending::Outcome(request, attempt, server, status, latency);
                     self.due.insert((self.now + latency, self.serial), due);
                 }
                 Action::SetTimer { delay, token } => {
                     self.due
-                        .insert((self.now + delay, self.serial), Due::Timer(token));
+                        .insert((self.now + delay, self.serial), Pending::Timer(token));
                 }
                 Action::Reject { request, .. } | Action::Fail { request } => {
-                    self.open.remove(&request);
+                    self.in_flight.remove(&request);
                     self.ended += 1;
                 }
                 _ => {}
@@ -271,35 +279,35 @@
         }
     }
 
-    /// Servers that keep only part of their keys.
-    pub fn outliers(&self) -> Vec<usize> {
+    /// Servers that retain only a fraction of their keys.
+    pub(crate) fn outliers(&self) -> Vec<usize> {
         let kept = |i: &usize| self.balancer.retained_fraction(&entry(*i, None).server);
         (0..self.first.len()).filter(|i| kept(i) < 1.0).collect()
     }
 
     /// First attempts at each server since the last call.
-    pub fn first_attempts(&mut self) -> Vec<u32> {
+    pub(crate) fn first_attempts(&mut self) -> Vec<u32> {
         let none = vec![0; self.first.len()];
         std::mem::replace(&mut self.first, none)
     }
 
     /// Later attempts at each server since the last call.
-    pub fn second_attempts(&mut self) -> Vec<u32> {
+    pub(crate) fn second_attempts(&mut self) -> Vec<u32> {
         let none = vec![0; self.second.len()];
         std::mem::replace(&mut self.second, none)
     }
 
     /// Requests served, and all that ended, since `clear_ends`.
-    pub fn ends(&self) -> (u64, u64) {
+    pub(crate) fn ends(&self) -> (u64, u64) {
         (self.served, self.ended)
     }
 
-    pub fn clear_ends(&mut self) {
+    pub(crate) fn clear_ends(&mut self) {
         (self.served, self.ended) = (0, 0);
     }
 }
 
-pub fn entry(i: usize, started: Option<Micros>) -> Endpoint {
+pub(crate) fn entry(i: usize, started: Option<Micros>) -> Endpoint {
     Endpoint {
         server: format!("srv{i}").into(),
         weight: 1.0,
--- a/crates/decision/tests/support/settings.rs
+++ b/crates/decision/tests/support/settings.rs
@@ -6,7 +6,7 @@
 };
 
 /// An idempotent class with a latency objective of 150 ms and a deadline of 400 ms.
-pub fn class() -> Class {
+pub(crate) fn class() -> Class {
     Class {
         latency_objective: 150_000,
         objective_per_work: 0.0,
@@ -21,7 +21,7 @@
 }
 
 /// Two nodes that poll the endpoint list, read-through caches, no tenants.
-pub fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     Settings {
         classes: vec![class()],
         tenants: Vec::new(),
--- a/crates/decision/tests/share.rs
+++ b/crates/decision/tests/tenant_quota.rs
@@ -1,5 +1,4 @@
-//! What a tenant may ask for at one node: beyond its share it is refused while the node is late, and only
-//! then.
+//! Tenant quotas at one node: requests over the quota are rejected while the node is late, and only then.
 
 use sloewick_decision::api::*;
 use sloewick_decision::Balancer;
@@ -8,7 +7,7 @@
 mod support;
 
 const NODES: usize = 6;
-/// Requests a second that the tenants may ask of all nodes together.
+/// Requests a second that the tenants may send to all nodes together.
 const QUOTAS: [f64; 2] = [60.0, 40.0];
 
 fn node() -> Balancer {
@@ -31,10 +30,14 @@
     node
 }
 
-/// Asks for twenty seconds, so many requests a second, each answered late and with this note; `tenant` tells
-/// whose the n-th is. For each tenant what it asked in the second half, and what was refused of that as
-/// beyond its share.
-fn refused(per_s: u64, note: CacheResult, tenant: impl Fn(u64) -> usize) -> [(u32, u32); 2] {
+/// Sends so many requests a second for twenty seconds, each answered late and with this cache result;
+/// `tenant` gives the tenant of the n-th. For each tenant its requests in the second half, and those rejected
+/// as over its quota.
+fn rejected_over_quota(
+    per_s: u64,
+    note: CacheResult,
+    tenant: impl Fn(u64) -> usize,
+) -> [(u32, u32); 2] {
     let (mut node, mut counts) = (node(), [(0, 0); 2]);
     let (class, requests) = (support::settings().classes[0].clone(), 20 * per_s);
     for n in 0..requests {
@@ -58,7 +61,7 @@
         for action in actions {
             match action {
                 Action::Reject { .. } if counted && node.decision_reason() == "share" => {
-                    counts[whose].1 += 1
+                    counts[whose].1 += 1;
                 }
                 Action::Send { server, .. } => {
                     let latency = class.latency_objective + class.latency_objective / 10;
@@ -86,23 +89,27 @@
     usize::from(n % 10 >= 6)
 }
 
-// Seen to fail: with an even part of each quota a node that half of all requests come to refused most of
+// Seen to fail: with an even part of each quota a node that half of all requests come to rejected most of
 // them, 3,486 of 5,376 on one play, while the tenants asked for no more than they may.
 #[test]
-fn a_node_that_sees_half_of_all_requests_calls_none_beyond_its_share() {
-    let counts = refused(50, CacheResult::Hit, by_quota);
+fn node_with_half_of_all_requests_rejects_no_tenant_within_its_quota() {
+    let counts = rejected_over_quota(50, CacheResult::Hit, by_quota);
     assert!(counts.iter().all(|(asked, _)| *asked >= 200), "{counts:?}");
-    assert_eq!(counts.map(|(_, refused)| refused), [0, 0], "{counts:?}");
+    assert_eq!(
+        counts.map(|(_, rejected_over_quota)| rejected_over_quota),
+        [0, 0],
+        "{counts:?}"
+    );
 }
 
-// Guards against a share that nobody is held to: who takes the other's part is refused beyond its own.
+// Guards against a quota that is not enforced: a tenant that takes another's part is rejected beyond its own.
 #[test]
-fn a_tenant_that_takes_more_than_its_part_of_a_late_node_is_refused_beyond_it() {
-    let counts = refused(50, CacheResult::Hit, |n| usize::from(n % 10 >= 1));
-    let (asked, refused) = counts[1];
-    let kept = f64::from(asked - refused) / f64::from(counts[0].0 + asked);
+fn tenant_over_its_quota_at_a_late_node_is_rejected_beyond_it() {
+    let counts = rejected_over_quota(50, CacheResult::Hit, |n| usize::from(n % 10 >= 1));
+    let (asked, rejected_over_quota) = counts[1];
+    let kept = f64::from(asked - rejected_over_quota) / f64::from(counts[0].0 + asked);
     assert!(
-        refused > 0 && (0.35..0.5).contains(&kept),
+        rejected_over_quota > 0 && (0.35..0.5).contains(&kept),
         "{counts:?}: {kept} of all, 0.4 are its part"
     );
     assert_eq!(counts[0].1, 0, "{counts:?}");
@@ -111,17 +118,17 @@
 // Seen to fail: answers that had to be fetched come late however little the servers have to do, and the node
 // took that for too much load.
 #[test]
-fn answers_that_are_late_by_a_fetch_do_not_make_a_node_refuse() {
+fn answers_that_are_late_by_a_fetch_cause_no_rejections() {
     let flood = |_| 1;
-    let (asked, hits) = refused(50, CacheResult::Hit, flood)[1];
+    let (asked, hits) = rejected_over_quota(50, CacheResult::Hit, flood)[1];
     assert!(hits > asked / 4, "late hits: {hits} of {asked}");
     assert_eq!(
-        refused(50, CacheResult::Miss, flood)[1].1,
+        rejected_over_quota(50, CacheResult::Miss, flood)[1].1,
         0,
         "late fetches"
     );
     assert_eq!(
-        refused(50, CacheResult::MissFetching, flood)[1].1,
+        rejected_over_quota(50, CacheResult::MissFetching, flood)[1].1,
         0,
         "late joined fetches"
     );
--- a/crates/overload/src/admission_ramp.rs
+++ b/crates/overload/src/admission_ramp.rs
@@ -5,7 +5,7 @@
 //! of the fleet's load, however many nodes there are and however uneven their traffic is. Each node lowers
 //! and raises its own by its own evidence, so not all of them do so at one instant.
 //!
-//! Guarantees: the fraction lies between [`MIN_FRACTION`] and 1. From the minimum it reaches 1 within five
+//! Guarantees: the fraction lies between `MIN_FRACTION` and 1. From the minimum it reaches 1 within five
 //! seconds without an overload, and within two if the last overload began while it was 1, as long as requests
 //! come: between two requests it moves by a second's worth at most, so that a process that was stopped
 //! resumes with the state that it had, and continues from there. While no time passes it does not move.
@@ -19,7 +19,7 @@
 /// half of what it can still bears a quarter of the usual fetches; a fifth lets its queue run empty, while
 /// caches hold popular keys.
 const FAST_FALL_ABOVE: f64 = 0.2;
-/// The time in which the fraction falls to 1/e: about what detection takes; and below [`FAST_FALL_ABOVE`],
+/// The time in which the fraction falls to 1/e: about what detection takes; and below `FAST_FALL_ABOVE`,
 /// which only a load that stays too high reaches.
 const FALL_TIME: f64 = 1_000_000.0;
 const SLOW_FALL_TIME: f64 = 20_000_000.0;
--- a/crates/overload/src/detector.rs
+++ b/crates/overload/src/detector.rs
@@ -13,12 +13,12 @@
 //! and a read that was not answered, which may have waited for a server, is weak evidence.
 //!
 //! The test is a cumulative sum of log likelihood ratios (Page, "Continuous inspection schemes", Biometrika
-//! 41, 1954) of "one fetch in [`FETCHES_PER_ANSWERED`] is still answered" against the baseline of this node,
+//! 41, 1954) of "one fetch in `FETCHES_PER_ANSWERED` is still answered" against the baseline of this node,
 //! for each kind of request by itself. The baseline is learned fast in normal operation, and slowly during an
 //! overload.
 //!
 //! Guarantees: only failures and hits begin an overload, and at least four outcomes are needed; answered
-//! fetches end it within two; without outcomes an overload is forgotten within three times [`DECAY_TIME`].
+//! fetches end it within two; without outcomes an overload is forgotten within three times `DECAY_TIME`.
 //! State is bounded.
 
 /// Microseconds.
--- a/crates/overload/src/detector_tests.rs
+++ b/crates/overload/src/detector_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use proptest::prelude::*;
 
-/// A node with 17 requests a second: of ten, what comes of them, in turn.
+/// A node with 17 requests a second, whose outcomes come in this order again and again; when the state changed.
 fn feed(
     detector: &mut OverloadDetector,
     from: Micros,
@@ -41,7 +41,7 @@
     WRITE_SERVED,
     CACHED_HIT,
 ];
-/// Servers short of time: all is late alike.
+/// Servers are short of CPU time: hits and fetches are late alike.
 const BUSY: [Event; 10] = [
     CACHED_HIT,
     UNCACHED_LATE,
@@ -54,7 +54,7 @@
     WRITE_SERVED,
     UNCACHED_LATE,
 ];
-/// Half of the servers say nothing.
+/// Half of the servers are silent.
 const HALF_SILENT: [Event; 10] = [
     CACHED_HIT,
     UNCACHED_LATE,
@@ -86,7 +86,7 @@
     WRITE_LATE,
     UNCACHED_LATE,
 ];
-/// Caches hold all, nothing is written, and servers are so busy that a tenth is late.
+/// Caches hold every key, nothing is written, and servers are so busy that a tenth is late.
 const ALL_CACHED: [Event; 10] = [
     CACHED_HIT,
     UNCACHED_HIT,
@@ -135,7 +135,7 @@
     }
 }
 
-// Guards against hits alone that make a jam for ever: nothing is fetched that could end it.
+// Guards against an overload for ever by hits alone: nothing is fetched that could end it.
 #[test]
 fn hits_alone_are_no_overload() {
     for load in [ALL_CACHED, [CACHED_HIT; 10], [UNCACHED_HIT; 10]] {
@@ -147,7 +147,7 @@
     }
 }
 
-// A trouble that never ends is what is usual here: nothing is kept up by what was usual long ago.
+// A state that never ends is the normal operation here: it must not be judged by a baseline of long ago.
 #[test]
 fn overload_that_lasts_for_minutes_becomes_the_baseline_and_ends() {
     let mut detector = OverloadDetector::new(0);
