node: owners without cycles, tests share one fake transport, tests for what had none

Need: request table, upstream pools and timers named attempts by three loose integers and depended on each other; three test files had a stream of their own; tokens, schedule, trace words, RESP2 parsing had no unit test. Change: AttemptId and descriptors.rs (division of the descriptors) are modules of their own; ResponseAddress stands with the connections; the admin server gets its tokens as an argument. Dependencies of files point down only. test_support.rs holds the fake connection, transport and configuration. Log lines that no test, page or program reads: "reloaded: discovery at A" -> "config_reloaded: discovery=A", "not reloaded: E" -> "config_reload_failed: error=E", "told to send clients away" -> "evacuation_started: requested_by=admin", "told to take clients" -> "evacuation_ended: requested_by=admin". No test renamed; the fake streams of two test files became one, which keeps the check that nothing is written behind the end of sending.

--- a/crates/node/src/admin/handlers.rs
+++ b/crates/node/src/admin/handlers.rs
@@ -71,11 +71,11 @@
                 AdminResponse::new(200, self.metrics.text(class_name, &gauges))
             }
             AdminRequest::Evacuate if lifecycle.evacuate(now) => {
-                io.log("told to send clients away");
+                io.log("evacuation_started: requested_by=admin");
                 AdminResponse::new(200, "evacuating\n")
             }
             AdminRequest::Rejoin if lifecycle.rejoin() => {
-                io.log("told to take clients");
+                io.log("evacuation_ended: requested_by=admin");
                 AdminResponse::new(200, "serving\n")
             }
             AdminRequest::Evacuate | AdminRequest::Rejoin => {
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -8,8 +8,7 @@
 use sloewick_codec::http1::{self, Refused};
 use sloewick_decision::api::Micros;
 
-use crate::tokens::admin_client_token;
-use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Transport, WriteQueue};
+use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
 
 /// Clients at a time; one more replaces the one that has been there longest without a complete request.
 pub(crate) const MAX_ADMIN_CLIENTS: usize = 16;
@@ -95,14 +94,17 @@
     /// Connections may wait to be accepted.
     has_waiting: bool,
     clients: Slab<AdminClient<N::Stream>>,
+    /// The token of a client, by its key.
+    token: fn(usize) -> Token,
 }
 
 impl<N: Transport> AdminServer<N> {
-    pub(crate) fn new(listener: N::Listener) -> AdminServer<N> {
+    pub(crate) fn new(listener: N::Listener, token: fn(usize) -> Token) -> AdminServer<N> {
         AdminServer {
             listener,
             has_waiting: true,
             clients: Slab::new(),
+            token,
         }
     }
 
@@ -119,7 +121,7 @@
             if self.clients.len() >= MAX_ADMIN_CLIENTS && !self.drop_oldest() {
                 return;
             }
-            let token = admin_client_token(self.clients.vacant_key());
+            let token = (self.token)(self.clients.vacant_key());
             match net.accept(&mut self.listener, token) {
                 Ok(stream) => {
                     self.clients.insert(AdminClient {
--- a/crates/node/src/discovery/client_tests.rs
+++ b/crates/node/src/discovery/client_tests.rs
@@ -1,11 +1,5 @@
 use super::*;
-
-use std::cell::RefCell;
-use std::collections::VecDeque;
-use std::io::{self, IoSlice};
-use std::rc::Rc;
-
-use crate::transport::PendingSignals;
+use crate::test_support::FakeTransport;
 
 // Guards against a cut answer that drops the servers which it no longer names: wherever the connection ends, it
 // is no list, whether its length was stated or its end is that of the connection.
@@ -42,122 +36,21 @@
 }
 
 const MS: Micros = 1_000;
-#[derive(Default)]
-struct FakeConnection {
-    up: bool,
-    requested: Vec<u8>,
-    answer: VecDeque<u8>,
-    ended: bool,
-    broke: bool,
-    closed: bool,
-}
-
-struct FakeStream(Rc<RefCell<FakeConnection>>);
-
-impl Drop for FakeStream {
-    fn drop(&mut self) {
-        self.0.borrow_mut().closed = true;
-    }
-}
-
-impl Stream for FakeStream {
-    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        let mut connection = self.0.borrow_mut();
-        let n = connection.answer.len().min(into.len());
-        connection
-            .answer
-            .drain(..n)
-            .zip(into)
-            .for_each(|(from, to)| *to = from);
-        match (n, connection.broke, connection.ended) {
-            (0, true, _) => Err(ErrorKind::ConnectionReset.into()),
-            (0, false, false) => Err(ErrorKind::WouldBlock.into()),
-            _ => Ok(n),
-        }
-    }
-
-    fn write(&mut self, chunks: &[IoSlice<'_>]) -> io::Result<usize> {
-        let mut connection = self.0.borrow_mut();
-        for chunk in chunks {
-            connection.requested.extend_from_slice(chunk);
-        }
-        Ok(chunks.iter().map(|chunk| chunk.len()).sum())
-    }
-
-    fn has_no_input(&self) -> bool {
-        self.0.borrow().answer.is_empty()
-    }
-
-    // The reset arrives behind this check and before the read.
-    fn take_error(&self) -> io::Result<Option<io::Error>> {
-        Ok(None)
-    }
-
-    fn check_connected(&self) -> io::Result<()> {
-        if self.0.borrow().up {
-            Ok(())
-        } else {
-            Err(ErrorKind::NotConnected.into())
-        }
-    }
-
-    fn shutdown_write(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn limit_send_buffer(&mut self, _bytes: usize) {}
-}
-
-/// The network as one node sees it: its clock, and the connections that it opens.
-#[derive(Default)]
-struct FakeNet {
-    now: Micros,
-    opened: Vec<Rc<RefCell<FakeConnection>>>,
-}
-
-impl Transport for FakeNet {
-    type Stream = FakeStream;
-    type Listener = ();
-
-    fn now(&self) -> Micros {
-        self.now
-    }
-
-    fn unix_time_at_start(&self) -> Micros {
-        0
-    }
-
-    fn listen(&mut self, _at: SocketAddr, _token: Token) -> io::Result<()> {
-        Err(ErrorKind::Unsupported.into())
-    }
-
-    fn accept(&mut self, _listener: &mut (), _token: Token) -> io::Result<FakeStream> {
-        Err(ErrorKind::Unsupported.into())
-    }
-
-    fn connect(&mut self, _to: SocketAddr, _token: Token) -> io::Result<FakeStream> {
-        let connection = Rc::new(RefCell::new(FakeConnection::default()));
-        self.opened.push(connection.clone());
-        Ok(FakeStream(connection))
-    }
-
-    fn poll(&mut self, _ready: &mut Vec<ReadyEvent>, _wait: Micros) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn take_signals(&mut self) -> PendingSignals {
-        PendingSignals::default()
-    }
-
-    fn log(&mut self, _connection: &str) {}
-}
 
 fn host(n: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, n], 80))
 }
 
-/// The event that an answer to the first watch of a node leads to; `end`: whether its connection ended, and whether it broke.
-fn answer_to_watch(answer: &str, (ended, broke): (bool, bool)) -> Option<DiscoveryEvent> {
+/// What follows an answer on its connection.
+#[derive(Clone, Copy, PartialEq)]
+enum AnswerEnd {
+    Open,
+    Closed,
+    Reset,
+}
+
+/// The event that an answer to the first watch of a node leads to.
+fn answer_to_watch(answer: &str, end: AnswerEnd) -> Option<DiscoveryEvent> {
     let mut discovery = DiscoveryClient::new(
         host(1),
         7,
@@ -165,13 +58,15 @@
         41,
         PollSchedule::new(true, 400 * MS, 0.5),
     );
-    let (mut net, mut timers) = (FakeNet::default(), Timers::default());
+    let (mut net, mut timers) = (FakeTransport::default(), Timers::default());
     discovery.subscribe(true);
     assert!(discovery.start_request(&mut net, &mut timers).is_none());
     {
-        let mut connection = net.opened[0].borrow_mut();
-        connection.answer.extend(answer.bytes());
-        (connection.up, connection.ended, connection.broke) = (true, ended, broke);
+        let mut connection = net.opened[0].0.borrow_mut();
+        connection.input.extend(answer.bytes());
+        connection.connecting = false;
+        connection.input_ended = end == AnswerEnd::Closed;
+        connection.is_reset = end == AnswerEnd::Reset;
     }
     let event = ReadyEvent {
         token: 7,
@@ -183,16 +78,16 @@
     discovery.ready(&event, 0, &mut [0; 4096], &mut timers)
 }
 
-// The reset arrives behind the check for an error: only the read tells it from an end.
+// The reset arrives behind the check for an error: only the read reports it.
 #[test]
 fn reset_behind_a_list_without_length_fails_the_request() {
     let body = r#"{"rev":42,"all":false,"targets":[]}"#;
     let open = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
     assert!(
-        matches!(answer_to_watch(&open, (true, false)), Some(DiscoveryEvent::List(list)) if list.rev == 42)
+        matches!(answer_to_watch(&open, AnswerEnd::Closed), Some(DiscoveryEvent::List(list)) if list.rev == 42)
     );
     assert!(matches!(
-        answer_to_watch(&open, (false, true)),
+        answer_to_watch(&open, AnswerEnd::Reset),
         Some(DiscoveryEvent::Failed(DiscoveryError::ConnectionFailed))
     ));
     // An answer that states its end is complete, whatever comes behind it.
@@ -204,13 +99,13 @@
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n{body}\r\n0\r\n\r\n");
     for complete in [&length, &chunked] {
         assert!(
-            matches!(answer_to_watch(complete, (false, true)), Some(DiscoveryEvent::List(list)) if list.rev == 42),
+            matches!(answer_to_watch(complete, AnswerEnd::Reset), Some(DiscoveryEvent::List(list)) if list.rev == 42),
             "{complete}"
         );
         for cut in 0..complete.len() - 2 {
             assert!(
                 matches!(
-                    answer_to_watch(&complete[..cut], (false, true)),
+                    answer_to_watch(&complete[..cut], AnswerEnd::Reset),
                     Some(DiscoveryEvent::Failed(_))
                 ),
                 "{complete} at {cut}"
@@ -229,6 +124,6 @@
         body.len()
     );
     assert!(
-        matches!(answer_to_watch(&text, (false, false)), Some(DiscoveryEvent::List(list)) if list.targets.len() == 1)
+        matches!(answer_to_watch(&text, AnswerEnd::Open), Some(DiscoveryEvent::List(list)) if list.targets.len() == 1)
     );
 }
--- a/crates/node/src/discovery/schedule.rs
+++ b/crates/node/src/discovery/schedule.rs
@@ -59,3 +59,7 @@
 fn whole_millis(time: Micros) -> Micros {
     time / 1000 * 1000
 }
+
+#[cfg(test)]
+#[path = "schedule_tests.rs"]
+mod tests;
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -203,15 +203,11 @@
     fn timer_expired(&mut self, event: TimerEvent, now: Micros) {
         match event {
             TimerEvent::DecisionEngine(token) => self.engine.push(Event::TimerExpired(token)),
-            TimerEvent::Attempt {
-                request,
-                serial,
-                attempt,
-            } => {
-                let pending = self.requests.get(request);
-                if pending.is_some_and(|pending| pending.serial == serial) {
-                    self.cut_value(request, attempt, now);
-                    self.abandon_attempt(request, attempt, Status::Timeout);
+            TimerEvent::Attempt(id) => {
+                let request = self.requests.get(id.request);
+                if request.is_some_and(|request| request.serial == id.serial) {
+                    self.cut_value(id.request, id.attempt, now);
+                    self.abandon_attempt(id.request, id.attempt, Status::Timeout);
                 }
             }
             TimerEvent::ClientDisconnected { client, serial } => {
--- a/crates/node/src/event_loop/accepting.rs
+++ b/crates/node/src/event_loop/accepting.rs
@@ -6,10 +6,9 @@
 use sloewick_decision::api::Micros;
 
 use super::Node;
+use crate::descriptors::REJECTED_CLIENT_DESCRIPTORS;
 use crate::engine::DecisionEngine;
-use crate::frontend::acceptor::{
-    CLIENT_SEND_BUFFER, MAX_ACCEPTS_PER_ROUND, REJECTED_CLIENT_DESCRIPTORS,
-};
+use crate::frontend::acceptor::{CLIENT_SEND_BUFFER, MAX_ACCEPTS_PER_ROUND};
 use crate::frontend::connection::{ClientConnection, PendingResponse};
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -3,6 +3,7 @@
 use sloewick_decision::api::{Event, Micros, RequestId, ServerId, Status};
 
 use super::Node;
+use crate::attempt_id::AttemptId;
 use crate::engine::DecisionEngine;
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::response::Protocol;
@@ -36,7 +37,12 @@
         let is_connected = self.is_client_connected(self.requests[key].respond_to);
         let protocol = self.upstreams.protocol(server);
         let request = &mut self.requests[key];
-        let (attempt, serial) = (request.attempts.len(), request.serial);
+        let attempt = request.attempts.len();
+        let attempt_id = AttemptId {
+            request: key,
+            serial: request.serial,
+            attempt,
+        };
         let remaining = request.deadline - now;
         // Guards against servers working for nobody: they get this time as the deadline and drop what has expired.
         let wait = timeout.unwrap_or(remaining).min(remaining);
@@ -57,23 +63,14 @@
             return self.end_attempt(key, attempt, AttemptResult::of(Status::NotSent));
         }
         let encoded = self.encode_request(key, protocol, wait);
-        let exchange = Exchange::Attempt {
-            request: key,
-            serial,
-            attempt,
-        };
+        let exchange = Exchange::Attempt(attempt_id);
         let started = self.with_upstreams(|upstreams, context| {
             upstreams.start(exchange, server, &encoded, context)
         });
         match started {
             Ok(connection) => {
                 self.requests[key].attempts[attempt].connection = Some(connection);
-                let event = TimerEvent::Attempt {
-                    request: key,
-                    serial,
-                    attempt,
-                };
-                self.timers.set(now + wait, event);
+                self.timers.set(now + wait, TimerEvent::Attempt(attempt_id));
             }
             Err(status) => self.end_attempt(key, attempt, AttemptResult::of(status)),
         }
@@ -97,9 +94,13 @@
     pub(super) fn write_confirmed_attempts(&mut self) {
         while let Some((connection, exchange)) = self.upstreams.next_established() {
             let now = self.io.now();
-            let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+            let Exchange::Attempt(id) = exchange else {
                 continue;
             };
+            if !self.requests.is_in_flight(id) {
+                continue;
+            }
+            let (key, attempt) = (id.request, id.attempt);
             let is_connected = self.is_client_connected(self.requests[key].respond_to);
             let request = &self.requests[key];
             let remaining = request.attempts[attempt].until - now;
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -9,10 +9,10 @@
 
 use super::Node;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientInput, ErrorHeader, PendingResponse};
+use crate::frontend::connection::{ClientInput, ErrorHeader, PendingResponse, ResponseAddress};
 use crate::frontend::resp2::{encode_pong, parse_command, CommandError, ParsedCommand};
 use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
-use crate::request_table::{NewRequest, ParsedRequest, ResponseAddress};
+use crate::request_table::{NewRequest, ParsedRequest};
 use crate::transport::{ReadyEvent, Transport, MAX_READ};
 use crate::upstream::response::AttemptResult;
 
--- a/crates/node/src/event_loop/disconnects.rs
+++ b/crates/node/src/event_loop/disconnects.rs
@@ -5,9 +5,8 @@
 
 use super::Node;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientConnection, MAX_HALF_CLOSED_TIME};
+use crate::frontend::connection::{ClientConnection, ResponseAddress, MAX_HALF_CLOSED_TIME};
 use crate::frontend::disconnects::MAX_POLLS_WITHIN_ROUND;
-use crate::request_table::ResponseAddress;
 use crate::timers::TimerEvent;
 use crate::tokens::{TokenOwner, DISCOVERY};
 use crate::transport::{ReadyEvent, Token, Transport};
--- a/crates/node/src/event_loop/disconnects_tests.rs
+++ b/crates/node/src/event_loop/disconnects_tests.rs
@@ -9,10 +9,9 @@
 
 use super::*;
 use crate::config;
+use crate::test_support::{config_text, DISCOVERY_AT};
 use crate::transport::{PendingSignals, Stream};
 
-const LISTEN: &str = "127.0.0.1:7001";
-const DISCOVERY_AT: &str = "127.0.0.1:7002";
 /// How long after a disconnect attempts may start at most.
 const MAX_DELAY: Micros = 100_000;
 const REQUESTS: usize = 100;
@@ -179,33 +178,6 @@
     fn log(&mut self, _line: &str) {}
 }
 
-/// The configuration of a node with eight servers.
-fn config_text() -> String {
-    let class =
-        r#"{"name": "read", "aim": 20000.0, "deadline": 20000.0, "repeat": "free", "worth": 1.0}"#;
-    let servers: Vec<String> = (0..8)
-        .map(|n| {
-            format!(
-                r#"{{"uid": "s-{n}", "endpoint": "127.0.0.2:{}", "az": "a", "model": "m", "pod_group": 0,
-                    "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}}"#,
-                7100 + n
-            )
-        })
-        .collect();
-    format!(
-        r#"{{"name": "n1", "listen": "{LISTEN}", "discovery": "{DISCOVERY_AT}", "seed": "8c1f30d27a5be964",
-            "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 1024}},
-            "known": {{"rev": 41, "all": true, "targets": [{}]}},
-            "settings": {{"classes": [{class}], "discovery": "push", "replicas_of_me": 1,
-              "realms": [{{"name": "acme", "quota_per_s": 1000.0, "share": 1.0}}],
-              "policy_limits": {{"try_limit": 3, "second_copies": true, "cancel": true, "connect_timeout": 5000.0,
-                                "conn_idle": 60000.0}},
-              "rules": {{"stop_sending_within": 2000.0, "cold_from": 0.13, "cold": 24000.0, "fall_multiple": 2.5,
-                        "fall": 2000.0, "grace_to_answer": 8.0, "ask_within": 200.0}}}}}}"#,
-        servers.join(",")
-    )
-}
-
 /// A hundred requests for values.
 fn requests() -> Vec<u8> {
     let mut out = Vec::new();
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -4,6 +4,7 @@
 use sloewick_decision::api::{Event, Micros, Status};
 
 use super::Node;
+use crate::attempt_id::AttemptId;
 use crate::engine::DecisionEngine;
 use crate::frontend::connection::{ClientConnection, PendingResponse};
 use crate::frontend::response::FinalResponse;
@@ -31,19 +32,25 @@
                 UpstreamEvent::Ended(Exchange::Probe { serial }, status) => {
                     self.end_probe(serial, status, None);
                 }
-                UpstreamEvent::Reply(exchange, reply) => self.attempt_answered(exchange, reply),
-                UpstreamEvent::Ended(exchange, status) => self.attempt_failed(exchange, status),
+                UpstreamEvent::Reply(Exchange::Attempt(id), reply) => {
+                    self.attempt_answered(id, reply);
+                }
+                UpstreamEvent::Ended(Exchange::Attempt(id), status) => {
+                    self.attempt_failed(id, status);
+                }
                 UpstreamEvent::ValueStarted {
-                    exchange,
+                    exchange: Exchange::Attempt(id),
                     connection,
                     len,
-                } => self.start_stream(exchange, connection, len),
-                UpstreamEvent::ValueAvailable(exchange) => {
-                    if let Some((key, _)) = self.requests.find_attempt(exchange) {
-                        let client = self.requests[key].respond_to.client;
+                } => self.start_stream(id, connection, len),
+                UpstreamEvent::ValueAvailable(Exchange::Attempt(id)) => {
+                    if self.requests.is_in_flight(id) {
+                        let client = self.requests[id.request].respond_to.client;
                         self.frontends.mark_dirty(client);
                     }
                 }
+                // A probe has no client for a long value: it ends by its timeout.
+                UpstreamEvent::ValueStarted { .. } | UpstreamEvent::ValueAvailable(_) => {}
                 UpstreamEvent::ProtocolError(server, error) => {
                     self.io.log(&format!("server {server}: {error}"));
                 }
@@ -51,32 +58,32 @@
         }
     }
 
-    fn attempt_answered(&mut self, exchange: Exchange, reply: ServerReply) {
-        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+    fn attempt_answered(&mut self, id: AttemptId, reply: ServerReply) {
+        if !self.requests.is_in_flight(id) {
             return;
-        };
-        let request = &self.requests[key];
+        }
+        let request = &self.requests[id.request];
         let mut result = interpret(&reply, request.write);
-        if request.streams(attempt) {
+        if request.streams(id.attempt) {
             result.status = Status::Ok;
-            self.end_stream(key, true);
+            self.end_stream(id.request, true);
         } else if result.status == Status::Ok && !request.closed {
-            self.respond(key, final_response(reply));
+            self.respond(id.request, final_response(reply));
         }
-        self.end_attempt(key, attempt, result);
+        self.end_attempt(id.request, id.attempt, result);
     }
 
-    fn attempt_failed(&mut self, exchange: Exchange, status: Status) {
-        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+    fn attempt_failed(&mut self, id: AttemptId, status: Status) {
+        if !self.requests.is_in_flight(id) {
             return;
-        };
-        let status = if self.requests[key].streams(attempt) {
-            self.end_stream(key, false);
+        }
+        let status = if self.requests[id.request].streams(id.attempt) {
+            self.end_stream(id.request, false);
             Status::Reset
         } else {
             status
         };
-        self.end_attempt(key, attempt, AttemptResult::of(status));
+        self.end_attempt(id.request, id.attempt, AttemptResult::of(status));
     }
 
     /// Gives the final response.
@@ -96,10 +103,11 @@
     }
 
     /// A long value starts: from now on this attempt gives the response, and the others are cancelled.
-    fn start_stream(&mut self, exchange: Exchange, connection: usize, len: usize) {
-        let Some((key, attempt)) = self.requests.find_attempt(exchange) else {
+    fn start_stream(&mut self, id: AttemptId, connection: usize, len: usize) {
+        if !self.requests.is_in_flight(id) {
             return;
-        };
+        }
+        let (key, attempt) = (id.request, id.attempt);
         let now = self.io.now();
         let longest_deadline = self.requests.longest_deadline;
         let request = &mut self.requests[key];
@@ -110,12 +118,7 @@
         });
         let until = request.deadline.max(now + longest_deadline) + VALUE_TIME_MARGIN;
         streamed.until = until;
-        let event = TimerEvent::Attempt {
-            request: key,
-            serial: request.serial,
-            attempt,
-        };
-        self.timers.set(until, event);
+        self.timers.set(until, TimerEvent::Attempt(id));
         let header = request.protocol.encode_value_header(&request.key, len);
         let to = request.respond_to;
         self.engine.push(Event::ResponseStarted {
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -29,11 +29,11 @@
         match (self.config_source)() {
             Ok(config) => {
                 self.io
-                    .log(&format!("reloaded: discovery at {}", config.discovery));
+                    .log(&format!("config_reloaded: discovery={}", config.discovery));
                 let now = self.io.now();
                 self.discovery.client.change_address(config.discovery, now);
             }
-            Err(error) => self.io.log(&format!("not reloaded: {error}")),
+            Err(error) => self.io.log(&format!("config_reload_failed: error={error}")),
         }
     }
 
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -10,12 +10,13 @@
 use crate::admin::server::AdminServer;
 use crate::admin::Admin;
 use crate::config::Config;
+use crate::descriptors::{DescriptorShares, PROCESSES_PER_INHERITED_LISTENER};
 use crate::discovery::client::DiscoveryClient;
 use crate::discovery::schedule::PollSchedule;
 use crate::discovery::Discovery;
 use crate::engine::{DecisionEngine, EngineQueue};
 use crate::event_trace::Trace;
-use crate::frontend::acceptor::{DescriptorShares, Listener, PROCESSES_PER_INHERITED_LISTENER};
+use crate::frontend::acceptor::Listener;
 use crate::frontend::disconnects::SocketFreshness;
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::response::Protocol;
@@ -25,7 +26,9 @@
 use crate::lifecycle::Lifecycle;
 use crate::request_table::RequestTable;
 use crate::timers::{TimerEvent, Timers};
-use crate::tokens::{ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER};
+use crate::tokens::{
+    admin_client_token, ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER,
+};
 use crate::transport::Transport;
 use crate::upstream::pool::UpstreamPools;
 use crate::upstream::probes::Probes;
@@ -169,5 +172,5 @@
     let listener = net
         .listen(at, ADMIN_LISTENER)
         .map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
-    Ok(Some(AdminServer::new(listener)))
+    Ok(Some(AdminServer::new(listener, admin_client_token)))
 }
--- a/crates/node/src/event_trace.rs
+++ b/crates/node/src/event_trace.rs
@@ -160,3 +160,7 @@
     let now = net.now();
     net.trace(&format!("trace t={now} {text}"));
 }
+
+#[cfg(test)]
+#[path = "event_trace_tests.rs"]
+mod tests;
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -13,10 +13,9 @@
 use bytes::Bytes;
 use slab::Slab;
 
-use crate::request_table::ResponseAddress;
 use crate::transport::Transport;
 use acceptor::Listener;
-use connection::{ClientConnection, PendingResponse};
+use connection::{ClientConnection, PendingResponse, ResponseAddress};
 use memcached::MemcachedFrontend;
 
 /// The listeners, the client connections and the state of the memcached frontend.
--- a/crates/node/src/frontend/acceptor.rs
+++ b/crates/node/src/frontend/acceptor.rs
@@ -1,31 +1,15 @@
-//! Listeners for clients, how the process's descriptors are divided, and which client is closed for another one.
+//! Listeners for clients, and which client is closed for another one.
 //!
-//! Guarantees: clients never hold a descriptor that is reserved for something else; a new client gets a slot as long as any
-//! client is idle or stays incomplete for too long, and otherwise a rejection; a connection with unread input is never closed
-//! for another one.
+//! Guarantees: a new client gets a slot as long as any client is idle or leaves its request incomplete for too long, and
+//! otherwise a rejection; a connection with unread input is never closed for another one.
 
 use sloewick_decision::api::Micros;
 
 use super::Frontends;
-use crate::admin::server::MAX_ADMIN_CLIENTS;
 use crate::frontend::connection::ClientConnection;
 use crate::frontend::response::Protocol;
 use crate::transport::{Stream, Token, Transport};
 
-/// Descriptors of the process itself: standard streams, poll, signals, listeners, files, and a few to spare.
-const PROCESS_DESCRIPTORS: usize = 14;
-/// For requests to discovery: one at a time, and one that replaces it.
-const DISCOVERY_DESCRIPTORS: usize = 2;
-/// For clients without a slot: new ones that are rejected, and those that were closed with a response, until they have read
-/// it. None holds one for long, so that a few serve any number of newcomers.
-pub(crate) const REJECTED_CLIENT_DESCRIPTORS: usize = 8;
-/// For the admin listener and its clients.
-const ADMIN_DESCRIPTORS: usize = MAX_ADMIN_CLIENTS + 1;
-/// Processes that serve an inherited listener during an upgrade, under the limits of one.
-pub(crate) const PROCESSES_PER_INHERITED_LISTENER: usize = 2;
-/// The share of upstream connections in the remaining descriptors, in percent. A client's connection is mostly idle, an
-/// upstream connection carries one attempt.
-const UPSTREAM_PERCENT: usize = 40;
 /// Connections accepted from one listener in one round, so that a flood of them leaves time for the existing ones.
 pub(crate) const MAX_ACCEPTS_PER_ROUND: usize = 64;
 /// A new client's first bytes come right behind its handshake: it is not closed for others while they may be on their way.
@@ -35,32 +19,6 @@
 /// What the kernel buffers for a client that does not read; by itself it would grow to megabytes for each.
 pub(crate) const CLIENT_SEND_BUFFER: usize = 128 << 10;
 
-/// How the descriptors that remain for connections are divided.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct DescriptorShares {
-    pub(crate) upstream: usize,
-    pub(crate) clients: usize,
-}
-
-impl DescriptorShares {
-    /// Divides `descriptors`, the limit of the process.
-    pub(crate) fn of(descriptors: usize, has_admin_listener: bool) -> DescriptorShares {
-        let admin = if has_admin_listener {
-            ADMIN_DESCRIPTORS
-        } else {
-            0
-        };
-        let reserved =
-            PROCESS_DESCRIPTORS + DISCOVERY_DESCRIPTORS + REJECTED_CLIENT_DESCRIPTORS + admin;
-        let connections = descriptors - reserved;
-        let upstream = connections * UPSTREAM_PERCENT / 100;
-        DescriptorShares {
-            upstream,
-            clients: connections - upstream,
-        }
-    }
-}
-
 /// A listener for clients of one protocol.
 pub(crate) struct Listener<L> {
     pub(crate) socket: L,
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -47,6 +47,17 @@
     },
 }
 
+/// Where the final response of a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ResponseAddress {
+    /// Key of the client connection.
+    pub(crate) client: usize,
+    /// Serial number of that connection, which tells whether the key still stands for the same one.
+    pub(crate) client_serial: u64,
+    /// Number of the response among those of the connection.
+    pub(crate) slot: u64,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Closing {
     No,
--- a/crates/node/src/frontend/resp2.rs
+++ b/crates/node/src/frontend/resp2.rs
@@ -137,3 +137,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "resp2_tests.rs"]
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,11 +14,12 @@
 pub mod config_check;
 pub mod discovery;
 pub mod mio_transport;
-pub mod timers;
 pub mod transport;
 
 mod address_table;
 mod admin;
+mod attempt_id;
+mod descriptors;
 mod engine;
 mod event_loop;
 mod event_trace;
@@ -28,6 +29,9 @@
 mod lifecycle;
 mod metrics;
 mod request_table;
+#[cfg(test)]
+mod test_support;
+mod timers;
 mod tokens;
 mod upstream;
 
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -14,9 +14,10 @@
 use sloewick_codec::resp2::Budget;
 use sloewick_decision::api::{Micros, RequestId, ServerId};
 
+use crate::attempt_id::AttemptId;
+use crate::frontend::connection::ResponseAddress;
 use crate::frontend::memcached::KeyedWrite;
 use crate::frontend::response::RequestProtocol;
-use crate::upstream::connection::Exchange;
 
 /// The fraction of the memory for the values of writes, which are kept while another attempt may need them: one in eight
 /// (a buffer that grew with its value may be twice its size).
@@ -58,17 +59,6 @@
     pub(crate) reserved: usize,
 }
 
-/// Where the final response of a request goes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ResponseAddress {
-    /// Key of the client connection.
-    pub(crate) client: usize,
-    /// Serial number of that connection, which tells whether the key still stands for the same one.
-    pub(crate) client_serial: u64,
-    /// Number of the response among those of the connection.
-    pub(crate) slot: u64,
-}
-
 /// A request without its final response, or with attempts still in flight.
 pub(crate) struct PendingRequest {
     pub(crate) id: RequestId,
@@ -213,19 +203,13 @@
         Some(request)
     }
 
-    /// The request and attempt of an exchange, if that attempt is still in flight.
-    pub(crate) fn find_attempt(&self, exchange: Exchange) -> Option<(usize, usize)> {
-        let Exchange::Attempt {
-            request: key,
-            serial,
-            attempt,
-        } = exchange
-        else {
-            return None;
-        };
-        let request = self.get(key).filter(|request| request.serial == serial)?;
-        request.attempts.get(attempt)?.connection?;
-        Some((key, attempt))
+    /// Whether an attempt is still in flight.
+    pub(crate) fn is_in_flight(&self, id: AttemptId) -> bool {
+        let request = self
+            .get(id.request)
+            .filter(|request| request.serial == id.serial);
+        let attempt = request.and_then(|request| request.attempts.get(id.attempt));
+        attempt.is_some_and(|attempt| attempt.connection.is_some())
     }
 }
 
@@ -242,3 +226,7 @@
         &mut self.requests[key]
     }
 }
+
+#[cfg(test)]
+#[path = "request_table_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/request_table_tests.rs
@@ -0,0 +1,84 @@
+use super::*;
+
+const VALUE: usize = 100;
+
+/// A table with one request, a write whose value is counted in the budget.
+fn table_with_write() -> (RequestTable, usize) {
+    let mut table = RequestTable::new(1 << 20, 10, 1_000_000);
+    assert!(table.value_memory.take(VALUE));
+    let key = table.vacant_key();
+    let new = NewRequest {
+        id: "r1".into(),
+        serial: 1,
+        class: 0,
+        write: true,
+        deadline: 1_000_000,
+        respond_to: ResponseAddress {
+            client: 0,
+            client_serial: 1,
+            slot: 0,
+        },
+    };
+    let parsed = ParsedRequest {
+        protocol: RequestProtocol::Resp2,
+        keyed: None,
+        key: Bytes::from_static(b"k"),
+        fields: Bytes::new(),
+        value: Some(vec![b'v'; VALUE].into()),
+        reserved: VALUE,
+    };
+    table.insert(new, parsed);
+    (table, key)
+}
+
+fn start_attempt(table: &mut RequestTable, key: usize) -> AttemptId {
+    let request = &mut table[key];
+    request.attempts.push(Attempt {
+        server: "s-1".into(),
+        started: 0,
+        until: 1_000_000,
+        connection: Some(5),
+        counted: false,
+    });
+    request.attempts_in_flight += 1;
+    AttemptId {
+        request: key,
+        serial: request.serial,
+        attempt: request.attempts.len() - 1,
+    }
+}
+
+#[test]
+fn request_stays_until_it_is_closed_and_its_last_attempt_has_ended() {
+    let (mut table, key) = table_with_write();
+    start_attempt(&mut table, key);
+    assert_eq!(table.open_keys(), [key]);
+    assert!(table.remove_finished(key).is_none(), "without a response");
+    table.close(key);
+    assert!(table.open_keys().is_empty() && table.remove_finished(key).is_none());
+    table[key].attempts_in_flight = 0;
+    assert!(table.remove_finished(key).is_some());
+    assert!(table.is_empty() && table.key_of(&"r1".into()).is_none());
+}
+
+#[test]
+fn closing_a_request_releases_the_memory_of_its_value_once() {
+    let (mut table, key) = table_with_write();
+    let limit = (1 << 20) / VALUE_MEMORY_FRACTION;
+    assert!(!table.value_memory.take(limit), "the value is counted");
+    table.close(key);
+    table.close(key);
+    assert!(table[key].value.is_none());
+    assert!(table.value_memory.take(limit) && !table.value_memory.take(1));
+}
+
+#[test]
+fn attempt_is_in_flight_only_under_the_serial_of_its_request() {
+    let (mut table, key) = table_with_write();
+    let id = start_attempt(&mut table, key);
+    assert!(table.is_in_flight(id));
+    assert!(!table.is_in_flight(AttemptId { serial: 2, ..id }));
+    assert!(!table.is_in_flight(AttemptId { attempt: 1, ..id }));
+    table[key].attempts[id.attempt].connection = None;
+    assert!(!table.is_in_flight(id));
+}
--- /dev/null
+++ b/crates/node/src/test_support.rs
@@ -0,0 +1,158 @@
+//! What unit tests share: a connection whose input the test writes and whose output it reads, a transport of such connections,
+//! and a configuration.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use sloewick_decision::api::Micros;
+
+use crate::transport::{PendingSignals, ReadyEvent, Stream, Token, Transport};
+
+/// The state of a [`FakeStream`], shared with the test.
+#[derive(Default)]
+pub(crate) struct FakeConnection {
+    pub(crate) input: VecDeque<u8>,
+    /// The peer has ended its sending behind the input.
+    pub(crate) input_ended: bool,
+    /// The connection is reset behind the input. Only a read reports it, as if it came behind the check for an error.
+    pub(crate) is_reset: bool,
+    pub(crate) output: Vec<u8>,
+    pub(crate) output_ended: bool,
+    /// The connection is not established yet.
+    pub(crate) connecting: bool,
+}
+
+/// One end of a [`FakeConnection`].
+#[derive(Clone, Default)]
+pub(crate) struct FakeStream(pub(crate) Rc<RefCell<FakeConnection>>);
+
+impl Stream for FakeStream {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        let mut connection = self.0.borrow_mut();
+        let n = into.len().min(connection.input.len());
+        for (to, byte) in into.iter_mut().zip(connection.input.drain(..n)) {
+            *to = byte;
+        }
+        match n {
+            0 if connection.is_reset => Err(ErrorKind::ConnectionReset.into()),
+            0 if !connection.input_ended => Err(ErrorKind::WouldBlock.into()),
+            _ => Ok(n),
+        }
+    }
+
+    fn write(&mut self, chunks: &[IoSlice<'_>]) -> io::Result<usize> {
+        let mut connection = self.0.borrow_mut();
+        assert!(!connection.output_ended, "written behind the end");
+        for chunk in chunks {
+            connection.output.extend_from_slice(chunk);
+        }
+        Ok(chunks.iter().map(|chunk| chunk.len()).sum())
+    }
+
+    fn has_no_input(&self) -> bool {
+        let connection = self.0.borrow();
+        connection.input.is_empty() && !connection.input_ended
+    }
+
+    fn take_error(&self) -> io::Result<Option<io::Error>> {
+        Ok(None)
+    }
+
+    fn check_connected(&self) -> io::Result<()> {
+        if self.0.borrow().connecting {
+            return Err(ErrorKind::NotConnected.into());
+        }
+        Ok(())
+    }
+
+    fn shutdown_write(&mut self) -> io::Result<()> {
+        self.0.borrow_mut().output_ended = true;
+        Ok(())
+    }
+
+    fn limit_send_buffer(&mut self, _bytes: usize) {}
+}
+
+/// The network as one node sees it: its clock, the connections that it opens, and its trace.
+#[derive(Default)]
+pub(crate) struct FakeTransport {
+    pub(crate) now: Micros,
+    pub(crate) opened: Vec<FakeStream>,
+    pub(crate) traced: Vec<String>,
+}
+
+impl Transport for FakeTransport {
+    type Stream = FakeStream;
+    type Listener = ();
+
+    fn now(&self) -> Micros {
+        self.now
+    }
+
+    fn unix_time_at_start(&self) -> Micros {
+        0
+    }
+
+    fn listen(&mut self, _at: SocketAddr, _token: Token) -> io::Result<()> {
+        Err(ErrorKind::Unsupported.into())
+    }
+
+    fn accept(&mut self, _listener: &mut (), _token: Token) -> io::Result<FakeStream> {
+        Err(ErrorKind::Unsupported.into())
+    }
+
+    fn connect(&mut self, _to: SocketAddr, _token: Token) -> io::Result<FakeStream> {
+        let stream = FakeStream::default();
+        stream.0.borrow_mut().connecting = true;
+        self.opened.push(stream.clone());
+        Ok(stream)
+    }
+
+    fn poll(&mut self, _ready: &mut Vec<ReadyEvent>, _wait: Micros) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn trace(&mut self, line: &str) {
+        self.traced.push(line.to_string());
+    }
+
+    fn take_signals(&mut self) -> PendingSignals {
+        PendingSignals::default()
+    }
+
+    fn log(&mut self, _line: &str) {}
+}
+
+const LISTEN: &str = "127.0.0.1:7001";
+/// The address of discovery in [`config_text`].
+pub(crate) const DISCOVERY_AT: &str = "127.0.0.1:7002";
+
+/// The configuration of a node with eight servers, a class `read` and a tenant `acme`.
+pub(crate) fn config_text() -> String {
+    let class =
+        r#"{"name": "read", "aim": 20000.0, "deadline": 20000.0, "repeat": "free", "worth": 1.0}"#;
+    let servers: Vec<String> = (0..8)
+        .map(|n| {
+            format!(
+                r#"{{"uid": "s-{n}", "endpoint": "127.0.0.2:{}", "az": "a", "model": "m", "pod_group": 0,
+                    "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}}"#,
+                7100 + n
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"name": "n1", "listen": "{LISTEN}", "discovery": "{DISCOVERY_AT}", "seed": "8c1f30d27a5be964",
+            "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 1024}},
+            "known": {{"rev": 41, "all": true, "targets": [{}]}},
+            "settings": {{"classes": [{class}], "discovery": "push", "replicas_of_me": 1,
+              "realms": [{{"name": "acme", "quota_per_s": 1000.0, "share": 1.0}}],
+              "policy_limits": {{"try_limit": 3, "second_copies": true, "cancel": true, "connect_timeout": 5000.0,
+                                "conn_idle": 60000.0}},
+              "rules": {{"stop_sending_within": 2000.0, "cold_from": 0.13, "cold": 24000.0, "fall_multiple": 2.5,
+                        "fall": 2000.0, "grace_to_answer": 8.0, "ask_within": 200.0}}}}}}"#,
+        servers.join(",")
+    )
+}
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -8,20 +8,15 @@
 
 use sloewick_decision::api::Micros;
 
+use crate::attempt_id::AttemptId;
+
 /// What a timer was set for. Keys are slab keys; serials tell whether a key still stands for the same thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum TimerEvent {
+pub(crate) enum TimerEvent {
     /// A timer of the decision module, by its token.
     DecisionEngine(u64),
     /// An attempt times out.
-    Attempt {
-        /// Key of the request.
-        request: usize,
-        /// Serial of the request.
-        serial: u64,
-        /// Number of the attempt within the request.
-        attempt: usize,
-    },
+    Attempt(AttemptId),
     /// An upstream connection has taken too long to open, or a probe to be answered.
     Upstream {
         /// Key of the connection.
@@ -49,25 +44,25 @@
 
 /// The heap of timers; timers for the same time keep the order in which they were set.
 #[derive(Default)]
-pub struct Timers {
+pub(crate) struct Timers {
     heap: BinaryHeap<Reverse<(Micros, u64, TimerEvent)>>,
     set_count: u64,
 }
 
 impl Timers {
     /// Sets a timer.
-    pub fn set(&mut self, at: Micros, event: TimerEvent) {
+    pub(crate) fn set(&mut self, at: Micros, event: TimerEvent) {
         self.set_count += 1;
         self.heap.push(Reverse((at, self.set_count, event)));
     }
 
     /// The time of the earliest timer.
-    pub fn next(&self) -> Option<Micros> {
+    pub(crate) fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|Reverse((at, ..))| *at)
     }
 
     /// Takes the earliest timer that has expired by `now`.
-    pub fn pop_expired(&mut self, now: Micros) -> Option<TimerEvent> {
+    pub(crate) fn pop_expired(&mut self, now: Micros) -> Option<TimerEvent> {
         self.next().filter(|at| *at <= now)?;
         self.heap.pop().map(|Reverse((.., event))| event)
     }
--- a/crates/node/src/tokens.rs
+++ b/crates/node/src/tokens.rs
@@ -66,3 +66,7 @@
 pub(crate) fn upstream_token(key: usize) -> Token {
     FIRST_CONNECTION + 2 * key + 1
 }
+
+#[cfg(test)]
+#[path = "tokens_tests.rs"]
+mod tests;
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -6,9 +6,10 @@
 use bytes::{Bytes, BytesMut};
 use sloewick_decision::api::{Micros, ServerId};
 
+use crate::attempt_id::AttemptId;
 use crate::frontend::response::Protocol;
 use crate::transport::WriteQueue;
-use crate::upstream::response_reader::ResponseReader;
+use crate::upstream::response_reader::{RequestTag, ResponseReader};
 
 /// How long a connection is not reused after a response, in case an erroneous second one follows some milliseconds later:
 /// RESP2 responses do not say which request they answer. No setting states the time; connections across zones vary by some
@@ -19,25 +20,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Exchange {
     /// An attempt of a request.
-    Attempt {
-        /// Key of the request.
-        request: usize,
-        /// Serial of the request.
-        serial: u64,
-        /// Number of the attempt within the request.
-        attempt: usize,
-    },
+    Attempt(AttemptId),
     /// A probe request.
     Probe { serial: u64 },
 }
 
-/// What the response to a memcached request repeats of it; zero in RESP2.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct RequestTag {
-    pub(crate) opcode: u8,
-    pub(crate) opaque: u32,
-}
-
 /// A request as it is written to a cache server.
 pub(crate) struct EncodedRequest {
     pub(crate) chunks: Vec<Bytes>,
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -9,9 +9,9 @@
 
 use crate::event_trace::ConnectionStep;
 use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Transport, WriteQueue};
-use crate::upstream::connection::{EncodedRequest, Exchange, RequestTag, UpstreamConnection};
+use crate::upstream::connection::{EncodedRequest, Exchange, UpstreamConnection};
 use crate::upstream::pool::{ProtocolError, UpstreamContext, UpstreamEvent, UpstreamPools};
-use crate::upstream::response_reader::{ResponsePart, ServerReply};
+use crate::upstream::response_reader::{RequestTag, ResponsePart, ServerReply};
 
 impl<S: Stream> UpstreamPools<S> {
     /// An event on the socket of a connection.
@@ -52,7 +52,7 @@
         match (c.stream.take_error(), c.stream.check_connected()) {
             (Ok(None), Ok(())) => {
                 c.connecting = false;
-                if let Some(Exchange::Attempt { .. }) = c.exchange {
+                if let Some(Exchange::Attempt(_)) = c.exchange {
                     c.unconfirmed = true;
                     self.established.push_back((connection, c.serial));
                 }
@@ -283,7 +283,7 @@
 /// Whether a response can belong to the exchange of its connection.
 fn is_expected<S>(c: &UpstreamConnection<S>, exchange: Exchange, reply: &ServerReply) -> bool {
     match (reply, exchange) {
-        (ServerReply::Resp2(Reply::Array(parts)), Exchange::Attempt { .. }) => {
+        (ServerReply::Resp2(Reply::Array(parts)), Exchange::Attempt(_)) => {
             c.streaming || matches!(parts[0], Part::Bulk(_))
         }
         (ServerReply::Resp2(Reply::One(Part::Error(line))), _) => !line.starts_with(b"SYNTAX"),
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -330,7 +330,7 @@
                 TimerEvent::Upstream { connection, serial },
             );
         }
-        c.uncounted = matches!(exchange, Exchange::Attempt { .. });
+        c.uncounted = matches!(exchange, Exchange::Attempt(_));
         let is_usable = c.connecting || c.out.flush(&mut c.stream).is_ok();
         self.count_if_written(connection);
         is_usable
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -7,7 +7,8 @@
 
 use crate::frontend::response::RequestProtocol;
 use crate::request_table::PendingRequest;
-use crate::upstream::connection::{EncodedRequest, RequestTag};
+use crate::upstream::connection::EncodedRequest;
+use crate::upstream::response_reader::RequestTag;
 
 /// Written in place of the idempotency key of a write that has none.
 const NO_IDEMPOTENCY_KEY: &[u8] = b"-";
--- a/crates/node/src/upstream/response_reader.rs
+++ b/crates/node/src/upstream/response_reader.rs
@@ -6,11 +6,17 @@
 use thiserror::Error;
 
 use crate::frontend::response::Protocol;
-use crate::upstream::connection::RequestTag;
 
 /// Longest body of a memcached response: a value with its key and flags.
 const MAX_BODY: usize = MAX_VALUE + 1024;
 
+/// What the response to a memcached request repeats of it; zero in RESP2.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RequestTag {
+    pub(crate) opcode: u8,
+    pub(crate) opaque: u32,
+}
+
 /// A complete response, in the protocol of its server.
 #[derive(Debug)]
 pub(crate) enum ServerReply {
