--- a/crates/node/src/address_table.rs
+++ b/crates/node/src/address_table.rs
@@ -76,7 +76,7 @@
                 Some(other.server)
             }
             Some(other) if listed.boot_ms < other.boot_ms => Some(server.clone()),
-            // Equal starts do not tell: both stay.
+            // Equal starts decide nothing: both stay.
             Some(_) => None,
         }
     }
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -29,7 +29,7 @@
 use crate::tokens::{
     admin_client_token, ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER,
 };
-use crate::transport::Transport;
+use crate::transport::{Stream, Transport};
 use crate::upstream::pool::UpstreamPools;
 use crate::upstream::probes::Probes;
 
@@ -57,10 +57,13 @@
         let is_inherited = config.accept_fd.is_some();
         let listeners = open_client_listeners(&config, &mut net)?;
         let admin_server = open_admin_listener(&config, &mut net)?;
+        let discovery = Discovery {
+            client: discovery_client(&config),
+            addresses: AddressTable::default(),
+        };
         let settings = config.settings;
         let classes = settings.classes.len();
-        let (polls_discovery, connect_timeout) = (settings.poll, settings.connect_timeout);
-        let schedule = PollSchedule::new(polls_discovery, settings.drain_grace, config.phase);
+        let connect_timeout = settings.connect_timeout;
         let deadlines = settings.classes.iter().map(|class| class.deadline);
         let longest_deadline = deadlines.max().unwrap_or(0);
         let processes = processes_per_limit(is_inherited);
@@ -77,13 +80,6 @@
         let memcached = config
             .memcached
             .map(|file| MemcachedFrontend::new(file, process));
-        let discovery = DiscoveryClient::new(
-            config.discovery,
-            DISCOVERY,
-            !polls_discovery,
-            config.known.rev,
-            schedule,
-        );
         let mut node = Node {
             io: Io::new(net),
             engine: EngineQueue::new(decision, config.names, Trace::new(config.trace)),
@@ -96,10 +92,7 @@
                 config.trace,
             ),
             probes: Probes::new(config.probe_load),
-            discovery: Discovery {
-                client: discovery,
-                addresses: AddressTable::default(),
-            },
+            discovery,
             admin: Admin::new(admin_server, classes),
             lifecycle: Lifecycle::new(is_inherited, !config.known.targets.is_empty()),
             hot_restart,
@@ -121,6 +114,14 @@
     }
 }
 
+/// The client of discovery; without polling, an agent beside the node has lists pushed to it.
+fn discovery_client<S: Stream>(config: &Config) -> DiscoveryClient<S> {
+    let polls = config.settings.poll;
+    let schedule = PollSchedule::new(polls, config.settings.drain_grace, config.phase);
+    let revision = config.known.rev;
+    DiscoveryClient::new(config.discovery, DISCOVERY, !polls, revision, schedule)
+}
+
 /// Number of processes that share the limits of the configuration.
 fn processes_per_limit(is_inherited: bool) -> usize {
     if is_inherited {
--- a/crates/node/src/frontend/connection_tests.rs
+++ b/crates/node/src/frontend/connection_tests.rs
@@ -27,7 +27,7 @@
     client.flush(0).unwrap();
     assert!(!client.advance_closing(0), "read out before it is closed");
     assert!(stream.0.borrow().output_ended && stream.0.borrow().output == b"+PONG\r\n");
-    // A request that has crossed the end: nothing is sent on of it.
+    // A request that has crossed the end of sending is not forwarded.
     stream.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
     client.input_available(false, 0);
     assert!(matches!(next(&mut client, 10 * MS), ClientInput::Nothing));
@@ -65,7 +65,7 @@
     let by = 40 * MS + MAX_HALF_CLOSED_TIME;
     assert!(!client.is_disconnected(by - 1) && client.is_disconnected(by));
     const { assert!(MAX_HALF_CLOSED_TIME * 4 <= 100_000) };
-    // What came before the end is taken, and its answer goes out.
+    // A request before the end is accepted, and its response is written.
     stream.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
     stream.0.borrow_mut().input_ended = true;
     assert!(matches!(
--- a/crates/node/src/lifecycle_tests.rs
+++ b/crates/node/src/lifecycle_tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn node_with_own_listener_is_ready_with_a_list_and_accepts_for_a_while_when_stopping() {
     let mut lifecycle = Lifecycle::new(false, false);
-    assert!(!lifecycle.is_ready(0), "nowhere to send a request");
+    assert!(!lifecycle.is_ready(0), "no endpoint list yet");
     lifecycle.endpoint_list_received();
     assert!(lifecycle.is_ready(0) && lifecycle.answers_ping());
     assert!(lifecycle.stop(10 * S, 2 * S) && !lifecycle.stop(11 * S, 2 * S));
@@ -69,7 +69,7 @@
     );
     assert!(
         lifecycle.evacuate(11 * S),
-        "told twice: the first call counts"
+        "requested twice: the first request counts"
     );
     assert_eq!(
         lifecycle.accepts(12 * S, true),
@@ -97,7 +97,7 @@
     assert!(lifecycle.rejoin());
 }
 
-// Seen to fail: with deadlines of 20 s the process meant to end after 20.6 s, and was killed after 3.7 s.
+// Guards against long deadlines: with 20 s the process would end after 20.6 s, and is killed after 3.7 s.
 #[test]
 fn final_responses_are_given_and_the_process_ends_before_the_kill_for_any_deadline() {
     for (longest, kill) in [
@@ -114,7 +114,7 @@
         );
         lifecycle.stop(10 * S, longest);
         let by = lifecycle.respond_by();
-        // Whatever was taken before, with the longest deadline that counts, has its whole time.
+        // Requests accepted before, with the longest deadline that counts, have their full time.
         assert!(by > 10 * S + longest.min(3 * S) && by < 10 * S + kill - 200_000);
         assert!(
             lifecycle.closes_idle(by, by, None),
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -90,7 +90,7 @@
     }
 }
 
-/// What [`RequestTable::insert`] is told of a request beside its arguments.
+/// The part of a request that the event loop adds to its arguments for [`RequestTable::insert`].
 pub(crate) struct NewRequest {
     pub(crate) id: RequestId,
     pub(crate) serial: u64,
