--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -256,7 +256,7 @@
     }
 }
 
-/// Writes log lines, at most [`MAX_LOG_LINES_PER_SECOND`]; more are dropped.
+/// Writes log lines, at most `MAX_LOG_LINES_PER_SECOND`; more are dropped.
 #[derive(Default)]
 pub struct Log {
     second: i64,
