--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -10,12 +10,13 @@
 use crate::admin::server::AdminServer;
 use crate::admin::Admin;
 use crate::config::Config;
+use crate::descriptors::{DescriptorShares, PROCESSES_PER_INHERITED_LISTENER};
 use crate::discovery::client::DiscoveryClient;
 use crate::discovery::schedule::PollSchedule;
 use crate::discovery::Discovery;
 use crate::engine::{DecisionEngine, EngineQueue};
 use crate::event_trace::Trace;
-use crate::frontend::acceptor::{DescriptorShares, Listener, PROCESSES_PER_INHERITED_LISTENER};
+use crate::frontend::acceptor::Listener;
 use crate::frontend::disconnects::SocketFreshness;
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::response::Protocol;
@@ -25,8 +26,10 @@
 use crate::lifecycle::Lifecycle;
 use crate::request_table::RequestTable;
 use crate::timers::{TimerEvent, Timers};
-use crate::tokens::{ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER};
-use crate::transport::Transport;
+use crate::tokens::{
+    admin_client_token, ADMIN_LISTENER, DISCOVERY, MEMCACHED_LISTENER, RESP2_LISTENER,
+};
+use crate::transport::{Stream, Transport};
 use crate::upstream::pool::UpstreamPools;
 use crate::upstream::probes::Probes;
 
@@ -54,10 +57,13 @@
         let is_inherited = config.accept_fd.is_some();
         let listeners = open_client_listeners(&config, &mut net)?;
         let admin_server = open_admin_listener(&config, &mut net)?;
+        let discovery = Discovery {
+            client: discovery_client(&config),
+            addresses: AddressTable::default(),
+        };
         let settings = config.settings;
         let classes = settings.classes.len();
-        let (polls_discovery, connect_timeout) = (settings.poll, settings.connect_timeout);
-        let schedule = PollSchedule::new(polls_discovery, settings.drain_grace, config.phase);
+        let connect_timeout = settings.connect_timeout;
         let deadlines = settings.classes.iter().map(|class| class.deadline);
         let longest_deadline = deadlines.max().unwrap_or(0);
         let processes = processes_per_limit(is_inherited);
@@ -74,13 +80,6 @@
         let memcached = config
             .memcached
             .map(|file| MemcachedFrontend::new(file, process));
-        let discovery = DiscoveryClient::new(
-            config.discovery,
-            DISCOVERY,
-            !polls_discovery,
-            config.known.rev,
-            schedule,
-        );
         let mut node = Node {
             io: Io::new(net),
             engine: EngineQueue::new(decision, config.names, Trace::new(config.trace)),
@@ -93,10 +92,7 @@
                 config.trace,
             ),
             probes: Probes::new(config.probe_load),
-            discovery: Discovery {
-                client: discovery,
-                addresses: AddressTable::default(),
-            },
+            discovery,
             admin: Admin::new(admin_server, classes),
             lifecycle: Lifecycle::new(is_inherited, !config.known.targets.is_empty()),
             hot_restart,
@@ -118,6 +114,14 @@
     }
 }
 
+/// The client of discovery; without polling, an agent beside the node has lists pushed to it.
+fn discovery_client<S: Stream>(config: &Config) -> DiscoveryClient<S> {
+    let polls = config.settings.poll;
+    let schedule = PollSchedule::new(polls, config.settings.drain_grace, config.phase);
+    let revision = config.known.rev;
+    DiscoveryClient::new(config.discovery, DISCOVERY, !polls, revision, schedule)
+}
+
 /// Number of processes that share the limits of the configuration.
 fn processes_per_limit(is_inherited: bool) -> usize {
     if is_inherited {
@@ -169,5 +173,5 @@
     let listener = net
         .listen(at, ADMIN_LISTENER)
         .map_err(|e| io::Error::new(e.kind(), format!("ops {at}: {e}")))?;
-    Ok(Some(AdminServer::new(listener)))
+    Ok(Some(AdminServer::new(listener, admin_client_token)))
 }
