--- a/crates/memcached/src/config.rs
+++ b/crates/memcached/src/config.rs
@@ -53,10 +53,10 @@
     memory: usize,
 ) -> Result<File, Vec<Problem>> {
     read(text, |r, top| {
-        r.only(top, &TOP);
+        r.reject_unknown_fields(top, &TOP);
         let address = |text: &str| text.parse::<SocketAddr>().ok();
         let listen = top.has("listen").then(|| {
-            r.meaning(
+            r.parsed_text(
                 top,
                 "listen",
                 "an address with a port, like \"127.0.0.1:11211\"",
@@ -64,13 +64,13 @@
                 address,
             )
         });
-        let value_most = r.whole(top, "value_most", 1..=VALUE_MOST, Some(1 << 20));
+        let value_most = r.integer(top, "value_most", 1..=VALUE_MOST, Some(1 << 20));
         let ledger = r.section(top, "ledger");
         let (mut limits, skew) = ledger_of(r, ledger.unwrap_or(top), ledger.is_some(), memory);
         let margin = limits.margin;
         let sections = r.list(top, "route");
         if listen.is_some() && sections.is_empty() {
-            r.wrong(
+            r.report(
                 top,
                 "route",
                 "is missing: without a route every request is refused; allowed: [[route]]",
@@ -102,7 +102,7 @@
                 limits.remember / 1000,
                 limits.window / 1000
             );
-            r.wrong(ledger.unwrap_or(top), "remember_ms", why);
+            r.report(ledger.unwrap_or(top), "remember_ms", why);
         }
         for (_, _, section) in keyed
             .iter()
@@ -114,7 +114,7 @@
                     limits.window / 1000,
                     (margin + skew) / 1000
                 );
-                r.wrong(*section, "key_from", why);
+                r.report(*section, "key_from", why);
             }
         }
         let table = match Table::new(routes.into_iter().flatten().collect(), classes, margin) {
@@ -122,21 +122,21 @@
             Err(wrong) => {
                 // Their places are true only if none was left out.
                 for w in wrong.into_iter().filter(|_| whole) {
-                    r.wrong(sections[w.route], w.field, w.why);
+                    r.report(sections[w.route], w.field, w.why);
                 }
                 None
             }
         };
         let mut models = Vec::new();
         for section in r.list(top, "box") {
-            r.only(section, &["model", "protocol"]);
-            let protocol = r.meaning(section, "protocol", "\"memcached\"", None, |word| {
+            r.reject_unknown_fields(section, &["model", "protocol"]);
+            let protocol = r.parsed_text(section, "protocol", "\"memcached\"", None, |word| {
                 (word == "memcached").then_some(())
             });
             let model = r.text(section, "model", "a model of the list's entries");
             if let (Some(model), Some(())) = (model, protocol) {
                 if models.iter().any(|m| m == model) {
-                    r.wrong(section, "model", "stands there twice");
+                    r.report(section, "model", "stands there twice");
                 }
                 models.push(model.to_string());
             }
@@ -157,21 +157,21 @@
     let usual = 4096.min(room) as u32;
     // Without a section the usual values hold; the top level has none of these names.
     if there {
-        r.only(section, &LEDGER);
+        r.reject_unknown_fields(section, &LEDGER);
     }
     let ms = |n: Option<u32>| Micros::from(n.unwrap_or_default()) * 1000;
     let entries = r
-        .whole(section, "entries", 1..=1_000_000, Some(usual))
+        .integer(section, "entries", 1..=1_000_000, Some(usual))
         .unwrap_or(usual) as usize;
-    let remember = ms(r.whole(section, "remember_ms", 1..=86_400_000, Some(600_000)));
-    let margin = ms(r.whole(section, "margin_ms", 0..=60_000, Some(1_000)));
-    let skew = ms(r.whole(section, "clock_skew_ms", 0..=60_000, Some(500)));
+    let remember = ms(r.integer(section, "remember_ms", 1..=86_400_000, Some(600_000)));
+    let margin = ms(r.integer(section, "margin_ms", 0..=60_000, Some(1_000)));
+    let skew = ms(r.integer(section, "clock_skew_ms", 0..=60_000, Some(500)));
     if entries > room {
         let why = format!(
             "is {entries}; with {ENTRY_MEMORY} bytes each that is over one part in {LEDGER_PART} of memory_mb; \
              allowed: up to {room}"
         );
-        r.wrong(section, "entries", why);
+        r.report(section, "entries", why);
     }
     (
         Limits {
@@ -186,8 +186,8 @@
 }
 
 fn route(r: &mut Reader, section: Section, names: &Names, classes: &[Class]) -> Option<Route> {
-    r.only(section, &ROUTE);
-    let operation = r.meaning(
+    r.reject_unknown_fields(section, &ROUTE);
+    let operation = r.parsed_text(
         section,
         "operation",
         "\"get\" or \"set\"",
@@ -202,14 +202,14 @@
         .text(section, "keys", "a key, or the beginning of keys and *")
         .and_then(|text| {
             Pattern::read(text)
-                .map_err(|why| r.wrong(section, "keys", format!("{text:?} {why}")))
+                .map_err(|why| r.report(section, "keys", format!("{text:?} {why}")))
                 .ok()
         });
     let class_name = r.text(section, "class", "a class of the node's settings");
     let class = class_name.and_then(|name| {
         let class = names.class(name);
         if class.is_none() {
-            r.wrong(
+            r.report(
                 section,
                 "class",
                 format!("{name:?} is no class of the node's settings"),
@@ -223,7 +223,7 @@
     let tenant = tenant_name.flatten().and_then(|name| {
         let tenant = names.tenant(name);
         if tenant.is_none() {
-            r.wrong(
+            r.report(
                 section,
                 "tenant",
                 format!("{name:?} is no tenant (realm) of the node's settings"),
@@ -235,9 +235,9 @@
         .and_then(|c| classes.get(c))
         .map_or(3_600_000, |c| c.deadline / 1000);
     let longest = u32::try_from(longest).unwrap_or(u32::MAX).max(1);
-    let deadline = r.whole(section, "deadline_ms", 1..=longest, Some(longest));
+    let deadline = r.integer(section, "deadline_ms", 1..=longest, Some(longest));
     let words = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
-    let key_from = r.meaning(
+    let key_from = r.parsed_text(
         section,
         "key_from",
         words,
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -259,8 +259,8 @@
             return SnapshotSave::Nowhere;
         };
         let taken = keeper.offer(snapshot);
-        match keeper.trouble() {
-            Some(why) => SnapshotSave::Failed(why),
+        match keeper.take_last_error() {
+            Some(error) => SnapshotSave::Failed(error.to_string()),
             None if taken => SnapshotSave::Begun,
             None => SnapshotSave::Busy,
         }
--- a/crates/node/src/node/handover.rs
+++ b/crates/node/src/node/handover.rs
@@ -6,7 +6,7 @@
 use sloewick_decision::api::Micros;
 use sloewick_decision::settings::Names;
 use sloewick_decision::Checkpoint;
-use sloewick_snapshot::{open, seal, Expected};
+use sloewick_snapshot::{decode, encode, Requirements, Snapshot};
 
 use super::{DecisionEngine, Node};
 use crate::transport::{SnapshotSave, Transport};
@@ -37,12 +37,13 @@
 
 /// The memory in a snapshot and its age, or why it is not to be believed.
 fn unpack(owner: &str, unix: Micros, snapshot: &[u8]) -> Result<(Checkpoint, Micros), String> {
-    let expected = Expected {
+    let expected = Requirements {
         owner,
         version: VERSION,
-        age_most: AGE_MOST,
+        max_age: AGE_MOST,
     };
-    let (payload, age) = open(&expected, unix, snapshot).map_err(|refused| refused.to_string())?;
+    let Snapshot { payload, age } =
+        decode(&expected, unix, snapshot).map_err(|refused| refused.to_string())?;
     let memory: Checkpoint =
         postcard::from_bytes(payload).map_err(|e| format!("cannot be read: {e}"))?;
     let memory = memory.checked().ok_or("holds what no node remembers")?;
@@ -90,7 +91,7 @@
             return;
         };
         let unix = self.net.unix_time_at_start() + now;
-        let Some(snapshot) = seal(&handover.owner, VERSION, unix, &payload) else {
+        let Ok(snapshot) = encode(&handover.owner, VERSION, unix, &payload) else {
             return;
         };
         if let SnapshotSave::Failed(why) = self.net.keep(snapshot) {
--- a/crates/node/src/node/handover_tests.rs
+++ b/crates/node/src/node/handover_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn sealed(memory: &Checkpoint) -> Vec<u8> {
-    seal("me", VERSION, 0, &postcard::to_stdvec(memory).unwrap()).unwrap()
+    encode("me", VERSION, 0, &postcard::to_stdvec(memory).unwrap()).unwrap()
 }
 
 #[test]
@@ -15,7 +15,7 @@
         unpack("me", 5, &sealed(&spoilt)),
         Err("holds what no node remembers".to_string())
     );
-    let short = seal("me", VERSION, 0, &[1, 2]).unwrap();
+    let short = encode("me", VERSION, 0, &[1, 2]).unwrap();
     assert!(unpack("me", 5, &short)
         .unwrap_err()
         .starts_with("cannot be read: "));
--- a/crates/snapshot/src/file.rs
+++ b/crates/snapshot/src/file.rs
@@ -1,100 +1,107 @@
-//! Where snapshots lie: one file, replaced whole by a rename, so that a reader finds the one before or the one
-//! after and never a part.
+//! The file that holds a snapshot. It is replaced by a rename, so that a reader finds either the previous snapshot
+//! or the next one, never a partial one. The only state is the file system's.
 
-use std::fs::{self, File};
+use std::fs::{self, DirEntry, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// What a process that was killed has left half written is taken away after this time.
-const LEFT_OVER: Duration = Duration::from_secs(60);
-/// Files of a folder that are looked at for that.
-const LOOK_MOST: usize = 1024;
+/// Temporary files of other processes are removed at this age: a process that still writes one is faster.
+const MAX_TEMPORARY_FILE_AGE: Duration = Duration::from_secs(60);
+/// Entries of the directory that are examined for temporary files.
+const MAX_ENTRIES_EXAMINED: usize = 1024;
+/// The end of a temporary file's name.
+const TEMPORARY_SUFFIX: &str = ".half";
 
-/// A folder that holds one snapshot.
+/// A file that holds one snapshot of bounded size.
 #[derive(Clone, Debug)]
 pub struct SnapshotFile {
-    path: PathBuf,
+    directory: PathBuf,
     name: &'static str,
-    longest: usize,
+    max_len: usize,
 }
 
 impl SnapshotFile {
-    /// `name`: of the file; `longest`: bytes that a snapshot may have.
-    pub fn new(path: &Path, name: &'static str, longest: usize) -> SnapshotFile {
+    /// The file `name` in `directory`, of up to `max_len` bytes. Nothing is read or created.
+    pub fn new(directory: &Path, name: &'static str, max_len: usize) -> SnapshotFile {
         SnapshotFile {
-            path: path.to_path_buf(),
+            directory: directory.to_path_buf(),
             name,
-            longest,
+            max_len,
         }
     }
 
-    /// The file.
-    pub fn file(&self) -> PathBuf {
-        self.path.join(self.name)
+    /// The file's path.
+    pub fn path(&self) -> PathBuf {
+        self.directory.join(self.name)
     }
 
-    /// Its bytes; none if there is no such file.
+    /// The file's bytes, or `None` if there is no such file.
     ///
     /// # Errors
-    /// The system's; [`ErrorKind::InvalidData`] if it is longer than allowed, or no file.
+    /// Those of the operating system; [`ErrorKind::InvalidData`] if it is longer than allowed or no regular file.
     pub fn read(&self) -> io::Result<Option<Vec<u8>>> {
-        let about = match fs::symlink_metadata(self.file()) {
+        let metadata = match fs::symlink_metadata(self.path()) {
             Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
-            about => about?,
+            metadata => metadata?,
         };
-        let bad = |why: String| io::Error::new(ErrorKind::InvalidData, why);
-        if !about.is_file() {
-            return Err(bad("is no file".into()));
+        let invalid = |reason: String| io::Error::new(ErrorKind::InvalidData, reason);
+        if !metadata.is_file() {
+            return Err(invalid("is no file".into()));
         }
-        // It may grow while it is read.
-        let mut bytes = Vec::with_capacity((about.len() as usize).min(self.longest));
-        File::open(self.file())?
-            .take(self.longest as u64 + 1)
+        // The file may grow while it is read, hence the bound on what is read as well.
+        let mut bytes = Vec::with_capacity((metadata.len() as usize).min(self.max_len));
+        File::open(self.path())?
+            .take(self.max_len as u64 + 1)
             .read_to_end(&mut bytes)?;
-        if bytes.len() > self.longest {
-            return Err(bad(format!("is longer than {} bytes", self.longest)));
+        if bytes.len() > self.max_len {
+            return Err(invalid(format!("is longer than {} bytes", self.max_len)));
         }
         Ok(Some(bytes))
     }
 
-    /// Replaces the snapshot.
+    /// Replaces the snapshot. If that fails, the previous one stays.
     ///
     /// # Errors
-    /// The system's; the one before stands then. [`ErrorKind::InvalidInput`] if it is longer than allowed.
+    /// Those of the operating system; [`ErrorKind::InvalidInput`] if `bytes` is longer than allowed.
     pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        if bytes.len() > self.longest {
-            let why = format!("{} bytes, {} are allowed", bytes.len(), self.longest);
-            return Err(io::Error::new(ErrorKind::InvalidInput, why));
+        if bytes.len() > self.max_len {
+            let reason = format!("{} bytes, {} are allowed", bytes.len(), self.max_len);
+            return Err(io::Error::new(ErrorKind::InvalidInput, reason));
         }
-        // Two processes of one node write side by side during an upgrade.
-        let half = self
-            .path
-            .join(format!("{}.{}.half", self.name, std::process::id()));
-        let written = File::create(&half)
+        // Two processes of one node write at the same time during a hot restart: each has its own temporary file.
+        let process = std::process::id();
+        let temporary_name = format!("{}.{process}{TEMPORARY_SUFFIX}", self.name);
+        let temporary = self.directory.join(temporary_name);
+        let written = File::create(&temporary)
             .and_then(|mut file| file.write_all(bytes))
-            .and_then(|()| fs::rename(&half, self.file()));
+            .and_then(|()| fs::rename(&temporary, self.path()));
         if written.is_err() {
-            let _ = fs::remove_file(&half);
+            let _ = fs::remove_file(&temporary);
         }
         written
     }
 
-    /// Takes away what processes that were killed have left half written.
-    pub fn tidy(&self) {
-        let Ok(all) = fs::read_dir(&self.path) else {
+    /// Removes the temporary files that killed processes have left. Errors are ignored: the files do no harm.
+    pub fn remove_temporary_files(&self) {
+        let Ok(entries) = fs::read_dir(&self.directory) else {
             return;
         };
-        for entry in all.take(LOOK_MOST).flatten() {
-            let name = entry.file_name();
-            let ours = name
-                .to_str()
-                .is_some_and(|n| n.starts_with(self.name) && n.ends_with(".half"));
-            let changed = entry.metadata().and_then(|about| about.modified());
-            let old = changed.is_ok_and(|at| at.elapsed().is_ok_and(|age| age > LEFT_OVER));
-            if ours && old {
+        for entry in entries.take(MAX_ENTRIES_EXAMINED).flatten() {
+            if self.is_abandoned_temporary_file(&entry) {
                 let _ = fs::remove_file(entry.path());
             }
         }
     }
+
+    fn is_abandoned_temporary_file(&self, entry: &DirEntry) -> bool {
+        let modified = entry.metadata().and_then(|metadata| metadata.modified());
+        let is_old =
+            modified.is_ok_and(|time| time.elapsed().is_ok_and(|age| age > MAX_TEMPORARY_FILE_AGE));
+        let is_temporary = entry
+            .file_name()
+            .to_str()
+            .is_some_and(|name| name.starts_with(self.name) && name.ends_with(TEMPORARY_SUFFIX));
+        is_temporary && is_old
+    }
 }
--- a/crates/snapshot/src/format.rs
+++ b/crates/snapshot/src/format.rs
@@ -1,140 +1,170 @@
-//! A snapshot's bytes. All numbers are little-endian:
+//! The bytes of a snapshot. It holds no state and performs no I/O. All numbers are little-endian:
 //!
-//! | bytes | |
+//! | bytes | field |
 //! | --- | --- |
 //! | 4 | `SLWS` |
 //! | 2 | version of the payload's format |
-//! | 16 | whose it is: the first bytes of the SHA-256 of a text that names the node |
+//! | 16 | owner: the first bytes of the SHA-256 of a text that names the node |
 //! | 8 | when it was taken, Unix time in microseconds |
 //! | 4 | length of the payload |
 //! | n | payload |
-//! | 32 | SHA-256 (FIPS 180-4) of all before |
-
-use std::fmt;
+//! | 32 | SHA-256 (FIPS 180-4) of all preceding bytes |
 
 use sha2::{Digest, Sha256};
+use thiserror::Error;
 
 const MAGIC: &[u8; 4] = b"SLWS";
-const OWNER: usize = 16;
-const HEAD: usize = 4 + 2 + OWNER + 8 + 4;
-const SUM: usize = 32;
-/// Bytes of a snapshot beside its payload.
-pub const OVERHEAD: usize = HEAD + SUM;
-/// Clocks of one machine that were read one after the other differ by less; a snapshot that is further ahead was not
-/// taken under this clock.
-const AHEAD_MOST: i64 = 1_000_000;
+/// Bytes of the field that holds the version.
+const VERSION_LEN: usize = 2;
+/// Bytes of the field that identifies the owner.
+const OWNER_LEN: usize = 16;
+/// Bytes of the field that holds the time.
+const TIME_LEN: usize = 8;
+/// Bytes of the field that holds the payload's length.
+const LENGTH_LEN: usize = 4;
+/// Bytes before the payload.
+const HEADER_LEN: usize = MAGIC.len() + VERSION_LEN + OWNER_LEN + TIME_LEN + LENGTH_LEN;
+/// Bytes of the checksum behind the payload.
+const CHECKSUM_LEN: usize = 32;
+/// Bytes of a snapshot in addition to its payload.
+pub const OVERHEAD: usize = HEADER_LEN + CHECKSUM_LEN;
+/// How far ahead of the clock a snapshot may be, in microseconds. Clocks of one machine that are read one after the
+/// other differ by less; a snapshot that is further ahead was not taken under this clock.
+const MAX_AHEAD: i64 = 1_000_000;
 
-/// What a snapshot has to be in order to be believed.
+/// What a snapshot has to fulfil to be accepted.
 #[derive(Clone, Copy, Debug)]
-pub struct Expected<'a> {
+pub struct Requirements<'a> {
     /// The text that names the node.
     pub owner: &'a str,
     /// Version of the payload's format.
     pub version: u16,
-    /// The oldest that is believed, in microseconds.
-    pub age_most: i64,
+    /// The greatest age that is accepted, in microseconds.
+    pub max_age: i64,
 }
 
-/// Why a snapshot is not believed.
+/// A snapshot that was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SnapshotError {
-    /// It does not begin as a snapshot does.
-    Foreign,
-    /// Its format is of this version.
-    Version(u16),
-    /// Another node's.
-    Owner,
-    /// It ends early, or goes on behind its end.
-    Torn,
-    /// Its checksum does not fit.
-    Damaged,
-    /// It was taken so long ago, in microseconds.
-    Old(i64),
-    /// It was taken so far ahead of the clock, in microseconds.
-    Future(i64),
+pub struct Snapshot<'a> {
+    /// The payload, as it was given to [`encode`].
+    pub payload: &'a [u8],
+    /// Its age in microseconds, never negative.
+    pub age: i64,
 }
 
-impl fmt::Display for SnapshotError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SnapshotError::Foreign => write!(f, "is no snapshot"),
-            SnapshotError::Version(version) => write!(f, "is of version {version}"),
-            SnapshotError::Owner => write!(f, "is another node's"),
-            SnapshotError::Torn => write!(f, "is torn"),
-            SnapshotError::Damaged => write!(f, "is damaged: its checksum does not fit"),
-            SnapshotError::Old(age) => write!(f, "is too old: {} s", age / 1_000_000),
-            SnapshotError::Future(ahead) => {
-                write!(f, "is {} s ahead of the clock", ahead / 1_000_000)
-            }
-        }
-    }
+/// Why a snapshot is not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SnapshotError {
+    /// It does not begin with the snapshots' magic bytes.
+    #[error("is no snapshot")]
+    NotASnapshot,
+    /// Its payload's format is of this version.
+    #[error("is of version {0}")]
+    VersionMismatch(u16),
+    /// Another node wrote it.
+    #[error("is another node's")]
+    OwnerMismatch,
+    /// It is shorter or longer than its header announces.
+    #[error("is torn")]
+    LengthMismatch,
+    /// Its checksum does not match its bytes.
+    #[error("is damaged: its checksum does not fit")]
+    ChecksumMismatch,
+    /// It is too old; its age in microseconds.
+    #[error("is too old: {} s", .0 / 1_000_000)]
+    TooOld(i64),
+    /// It was taken this many microseconds ahead of the clock.
+    #[error("is {} s ahead of the clock", .0 / 1_000_000)]
+    FromFuture(i64),
 }
 
-impl std::error::Error for SnapshotError {}
+/// The payload is longer than the header's length field can express (4 GiB).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("a payload of {0} bytes is too long for a snapshot")]
+pub struct PayloadTooLong(pub usize);
 
-fn owner(text: &str) -> [u8; OWNER] {
-    let mut short = [0; OWNER];
-    short.copy_from_slice(&Sha256::digest(text.as_bytes())[..OWNER]);
-    short
+fn owner_digest(owner: &str) -> [u8; OWNER_LEN] {
+    let mut digest = [0; OWNER_LEN];
+    digest.copy_from_slice(&Sha256::digest(owner.as_bytes())[..OWNER_LEN]);
+    digest
 }
 
-/// A snapshot with this payload, taken at this Unix time in microseconds; none if it is longer than 4 GiB.
-pub fn seal(owner_text: &str, version: u16, taken: i64, payload: &[u8]) -> Option<Vec<u8>> {
-    let length = u32::try_from(payload.len()).ok()?;
+/// The bytes of a snapshot with this payload, taken at `taken` (Unix time in microseconds).
+///
+/// # Errors
+/// [`PayloadTooLong`] if the payload exceeds 4 GiB.
+pub fn encode(
+    owner: &str,
+    version: u16,
+    taken: i64,
+    payload: &[u8],
+) -> Result<Vec<u8>, PayloadTooLong> {
+    let length = u32::try_from(payload.len()).map_err(|_| PayloadTooLong(payload.len()))?;
     let mut out = Vec::with_capacity(payload.len() + OVERHEAD);
     out.extend_from_slice(MAGIC);
     out.extend_from_slice(&version.to_le_bytes());
-    out.extend_from_slice(&owner(owner_text));
+    out.extend_from_slice(&owner_digest(owner));
     out.extend_from_slice(&taken.to_le_bytes());
     out.extend_from_slice(&length.to_le_bytes());
     out.extend_from_slice(payload);
-    let sum = Sha256::digest(&out);
-    out.extend_from_slice(&sum);
-    Some(out)
+    let checksum = Sha256::digest(&out);
+    out.extend_from_slice(&checksum);
+    Ok(out)
+}
+
+/// An unsigned number from up to eight little-endian bytes.
+fn little_endian(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .rev()
+        .fold(0, |number, byte| number << 8 | u64::from(*byte))
 }
 
-/// The payload of a snapshot and its age in microseconds at this Unix time, if it is to be believed.
+/// Checks a snapshot at the time `now` (Unix time in microseconds) and returns its payload and age.
 ///
 /// # Errors
-/// The first reason against it.
-pub fn open<'a>(
-    expected: &Expected,
+/// The first requirement that the snapshot does not fulfil.
+pub fn decode<'a>(
+    requirements: &Requirements<'_>,
     now: i64,
     bytes: &'a [u8],
-) -> Result<(&'a [u8], i64), SnapshotError> {
-    let begun = bytes.len().min(MAGIC.len());
-    if bytes[..begun] != MAGIC[..begun] {
-        return Err(SnapshotError::Foreign);
+) -> Result<Snapshot<'a>, SnapshotError> {
+    let magic_len = bytes.len().min(MAGIC.len());
+    if bytes[..magic_len] != MAGIC[..magic_len] {
+        return Err(SnapshotError::NotASnapshot);
     }
-    let Some((head, rest)) = bytes.split_at_checked(HEAD) else {
-        return Err(SnapshotError::Torn);
+    let Some((header, rest)) = bytes.split_at_checked(HEADER_LEN) else {
+        return Err(SnapshotError::LengthMismatch);
     };
-    let (_, head) = head.split_at(MAGIC.len());
-    let (version, head) = head.split_at(2);
+    let (_, header) = header.split_at(MAGIC.len());
+    let (version, header) = header.split_at(VERSION_LEN);
     let version = u16::from_le_bytes([version[0], version[1]]);
-    if version != expected.version {
-        return Err(SnapshotError::Version(version));
+    if version != requirements.version {
+        return Err(SnapshotError::VersionMismatch(version));
     }
-    let (whose, head) = head.split_at(OWNER);
-    let (taken, length) = head.split_at(8);
-    let number = |bytes: &[u8]| bytes.iter().rev().fold(0u64, |n, b| n << 8 | u64::from(*b));
-    let (taken, length) = (number(taken) as i64, number(length) as usize);
-    if rest.len() != length.saturating_add(SUM) {
-        return Err(SnapshotError::Torn);
+    let (owner, header) = header.split_at(OWNER_LEN);
+    let (taken, length) = header.split_at(TIME_LEN);
+    let taken = little_endian(taken) as i64;
+    let length = little_endian(length) as usize;
+    if rest.len() != length.saturating_add(CHECKSUM_LEN) {
+        return Err(SnapshotError::LengthMismatch);
     }
-    let (all, sum) = bytes.split_at(HEAD + length);
-    if Sha256::digest(all)[..] != *sum {
-        return Err(SnapshotError::Damaged);
+    let (content, checksum) = bytes.split_at(HEADER_LEN + length);
+    if Sha256::digest(content)[..] != *checksum {
+        return Err(SnapshotError::ChecksumMismatch);
     }
-    if whose != owner(expected.owner) {
-        return Err(SnapshotError::Owner);
+    if owner != owner_digest(requirements.owner) {
+        return Err(SnapshotError::OwnerMismatch);
     }
     let age = now.saturating_sub(taken);
-    if age > expected.age_most {
-        return Err(SnapshotError::Old(age));
+    if age > requirements.max_age {
+        return Err(SnapshotError::TooOld(age));
     }
-    if age < -AHEAD_MOST {
-        return Err(SnapshotError::Future(age.saturating_neg()));
+    if age < -MAX_AHEAD {
+        return Err(SnapshotError::FromFuture(age.saturating_neg()));
     }
-    Ok((&all[HEAD..], age.max(0)))
+    Ok(Snapshot {
+        payload: &content[HEADER_LEN..],
+        age: age.max(0),
+    })
 }
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -1,13 +1,16 @@
-//! Snapshots that outlive a process: what is in one ([`seal`], [`open`]: no I/O), the folder that holds it
-//! ([`SnapshotFile`]), and a thread that writes it ([`SnapshotWriter`]), so that a slow disk holds nobody up.
+//! Snapshots that outlive a process.
 //!
-//! A snapshot is believed only whole, from the same kind of node, in this version of its format, and while it is
-//! young enough; all else is told apart by [`SnapshotError`].
+//! - [`encode`] and [`decode`] define the bytes of a snapshot and perform no I/O.
+//! - [`SnapshotFile`] is the file that holds one snapshot, replaced atomically.
+//! - [`SnapshotWriter`] is a thread that writes the file, so that a slow disk does not delay the caller.
+//!
+//! A snapshot is accepted only if it is complete, undamaged, written by the same owner in the expected version of
+//! the payload's format, and recent enough. [`SnapshotError`] names the reason for any other.
 
 mod file;
 mod format;
 mod writer;
 
 pub use file::SnapshotFile;
-pub use format::{open, seal, Expected, SnapshotError, OVERHEAD};
-pub use writer::SnapshotWriter;
+pub use format::{decode, encode, PayloadTooLong, Requirements, Snapshot, SnapshotError, OVERHEAD};
+pub use writer::{SnapshotWriter, WriteError};
--- a/crates/snapshot/src/writer.rs
+++ b/crates/snapshot/src/writer.rs
@@ -1,61 +1,78 @@
-//! A thread that writes snapshots. Whoever takes them is never held up: one that comes while the one before is
-//! still being written is dropped, so at most two are in memory.
+//! A thread that writes snapshots. The caller never waits for it: a snapshot that is offered while the previous one
+//! is still being written is dropped, so that at most two are in memory.
 
-use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+use std::io;
+use std::path::PathBuf;
+use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use thiserror::Error;
+
 use crate::SnapshotFile;
 
-/// The thread needs little.
-const STACK: usize = 128 << 10;
+/// Stack of the thread in bytes; it calls little more than the file system.
+const STACK_SIZE: usize = 128 << 10;
+
+/// A snapshot could not be written.
+#[derive(Debug, Error)]
+#[error("{}: {source}", .path.display())]
+pub struct WriteError {
+    /// The file that was to be replaced.
+    pub path: PathBuf,
+    /// The operating system's error, or that the snapshot is too long.
+    pub source: io::Error,
+}
 
-/// See the module. The thread ends when this is dropped; what it writes then it finishes, if the process lives.
+/// A thread that writes a [`SnapshotFile`]. It ends when this handle is dropped, after the write that is in progress.
 #[derive(Debug)]
 pub struct SnapshotWriter {
-    to: SyncSender<Vec<u8>>,
-    trouble: Arc<Mutex<Option<String>>>,
+    snapshots: SyncSender<Vec<u8>>,
+    last_error: Arc<Mutex<Option<WriteError>>>,
 }
 
 impl SnapshotWriter {
-    /// Starts the thread.
+    /// Starts the thread, which removes abandoned temporary files first.
     ///
     /// # Errors
-    /// The system's, when it has no room for a thread.
-    pub fn start(folder: SnapshotFile) -> std::io::Result<SnapshotWriter> {
-        let (to, from) = sync_channel::<Vec<u8>>(0);
-        let trouble = Arc::new(Mutex::new(None));
-        let told = trouble.clone();
-        let work = move || {
-            folder.tidy();
-            while let Ok(bytes) = from.recv() {
-                if let Err(e) = folder.write(&bytes) {
-                    if let Ok(mut told) = told.lock() {
-                        *told = Some(format!("{}: {e}", folder.file().display()));
+    /// The operating system's, if it cannot start a thread.
+    pub fn start(file: SnapshotFile) -> io::Result<SnapshotWriter> {
+        // Without a buffer, a snapshot is taken only while the thread waits for one.
+        let (sender, receiver) = sync_channel::<Vec<u8>>(0);
+        let last_error = Arc::new(Mutex::new(None));
+        let thread_error = last_error.clone();
+        let write_all = move || {
+            file.remove_temporary_files();
+            while let Ok(bytes) = receiver.recv() {
+                if let Err(source) = file.write(&bytes) {
+                    if let Ok(mut error) = thread_error.lock() {
+                        let path = file.path();
+                        *error = Some(WriteError { path, source });
                     }
                 }
             }
         };
         thread::Builder::new()
             .name("keeper".into())
-            .stack_size(STACK)
-            .spawn(work)?;
-        Ok(SnapshotWriter { to, trouble })
+            .stack_size(STACK_SIZE)
+            .spawn(write_all)?;
+        Ok(SnapshotWriter {
+            snapshots: sender,
+            last_error,
+        })
     }
 
-    /// Hands a snapshot over; false: the one before is still being written, and this one is dropped.
+    /// Hands a snapshot to the thread. Returns `false` if the previous one is still being written; this one is
+    /// dropped then.
     pub fn offer(&self, bytes: Vec<u8>) -> bool {
-        !matches!(
-            self.to.try_send(bytes),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
-        )
+        self.snapshots.try_send(bytes).is_ok()
     }
 
-    /// Why the last one that failed could not be written, once.
-    pub fn trouble(&self) -> Option<String> {
-        self.trouble
+    /// The most recent error since the last call, if there was one.
+    pub fn take_last_error(&self) -> Option<WriteError> {
+        self.last_error
             .lock()
             .ok()
-            .and_then(|mut trouble| trouble.take())
+            .and_then(|mut error| error.take())
     }
 }
--- a/crates/snapshot/tests/snapshots.rs
+++ b/crates/snapshot/tests/snapshots.rs
@@ -1,4 +1,4 @@
-//! Snapshots that are cut, spoilt, foreign, old, too long or not there.
+//! Snapshots that are truncated, damaged, of another owner, old, too long or absent, and the thread that writes them.
 
 use std::fs;
 use std::io::ErrorKind;
@@ -7,166 +7,204 @@
 
 use proptest::prelude::*;
 use sloewick_snapshot::{
-    open, seal, Expected, SnapshotError, SnapshotFile, SnapshotWriter, OVERHEAD,
+    decode, encode, Requirements, Snapshot, SnapshotError, SnapshotFile, SnapshotWriter, OVERHEAD,
 };
 
 const NOW: i64 = 1_900_000_000_000_000;
-const EXPECTED: Expected = Expected {
+const REQUIREMENTS: Requirements<'_> = Requirements {
     owner: "node 127.0.0.1:1",
     version: 3,
-    age_most: 10_000_000,
+    max_age: 10_000_000,
 };
 
-fn sealed(taken: i64) -> Vec<u8> {
-    seal(EXPECTED.owner, EXPECTED.version, taken, b"what is known").unwrap()
+fn snapshot_taken_at(taken: i64) -> Vec<u8> {
+    encode(
+        REQUIREMENTS.owner,
+        REQUIREMENTS.version,
+        taken,
+        b"what is known",
+    )
+    .unwrap()
 }
 
 #[test]
-fn a_whole_snapshot_is_opened_with_its_age() {
-    let bytes = sealed(NOW - 5);
+fn complete_snapshot_is_decoded_with_its_age() {
+    let bytes = snapshot_taken_at(NOW - 5);
     assert_eq!(bytes.len(), b"what is known".len() + OVERHEAD);
-    assert_eq!(open(&EXPECTED, NOW, &bytes), Ok((&b"what is known"[..], 5)));
     assert_eq!(
-        open(&EXPECTED, NOW, &seal(EXPECTED.owner, 3, NOW, b"").unwrap()),
-        Ok((&b""[..], 0))
+        decode(&REQUIREMENTS, NOW, &bytes),
+        Ok(Snapshot {
+            payload: &b"what is known"[..],
+            age: 5
+        })
     );
+    assert_eq!(
+        decode(
+            &REQUIREMENTS,
+            NOW,
+            &encode(REQUIREMENTS.owner, 3, NOW, b"").unwrap()
+        ),
+        Ok(Snapshot {
+            payload: &b""[..],
+            age: 0
+        })
+    );
+}
+
+/// Nodes of other versions read and write these bytes: they must not change.
+#[test]
+fn bytes_of_a_snapshot_stay_as_published() {
+    let published = b"SLWS\x03\x00\x76\xe5\xcc\x67\x79\x4b\xd4\xa1\x0f\x69\x9f\x07\x37\x75\x70\x25\
+        \x00\xc0\x12\x39\x0a\xc0\x06\x00\x0d\x00\x00\x00what is known\
+        \xf6\xeb\x09\xda\xb7\x84\x8e\x3b\xd4\xe9\x2d\x97\x87\x11\xbe\xa7\
+        \x6b\xaf\xa9\x83\x16\x35\xe0\xa1\xa7\xee\x9e\xf2\xb4\xa6\x2e\x14";
+    assert_eq!(snapshot_taken_at(NOW), published);
+    let decoded = decode(&REQUIREMENTS, NOW, published).unwrap();
+    assert_eq!((decoded.payload, decoded.age), (&b"what is known"[..], 0));
 }
 
 #[test]
-fn one_that_is_cut_at_any_byte_or_goes_on_is_torn() {
-    let bytes = sealed(NOW);
+fn snapshot_of_another_length_than_announced_is_rejected() {
+    let bytes = snapshot_taken_at(NOW);
     for end in 0..bytes.len() {
         assert_eq!(
-            open(&EXPECTED, NOW, &bytes[..end]),
-            Err(SnapshotError::Torn),
+            decode(&REQUIREMENTS, NOW, &bytes[..end]),
+            Err(SnapshotError::LengthMismatch),
             "cut at {end}"
         );
     }
     let more = [&bytes[..], b"\0"].concat();
-    assert_eq!(open(&EXPECTED, NOW, &more), Err(SnapshotError::Torn));
+    assert_eq!(
+        decode(&REQUIREMENTS, NOW, &more),
+        Err(SnapshotError::LengthMismatch)
+    );
 }
 
 #[test]
-fn any_flipped_bit_is_refused() {
-    let bytes = sealed(NOW);
-    for at in 0..bytes.len() * 8 {
-        let mut spoilt = bytes.clone();
-        spoilt[at / 8] ^= 1 << (at % 8);
-        let refused = open(&EXPECTED, NOW, &spoilt).unwrap_err();
-        let expected = match at / 8 {
-            0..4 => refused == SnapshotError::Foreign,
-            4..6 => matches!(refused, SnapshotError::Version(_)),
-            30..34 => refused == SnapshotError::Torn,
-            _ => refused == SnapshotError::Damaged,
+fn any_flipped_bit_is_rejected() {
+    let bytes = snapshot_taken_at(NOW);
+    for bit in 0..bytes.len() * 8 {
+        let mut damaged = bytes.clone();
+        damaged[bit / 8] ^= 1 << (bit % 8);
+        let error = decode(&REQUIREMENTS, NOW, &damaged).unwrap_err();
+        let is_expected = match bit / 8 {
+            0..4 => error == SnapshotError::NotASnapshot,
+            4..6 => matches!(error, SnapshotError::VersionMismatch(_)),
+            30..34 => error == SnapshotError::LengthMismatch,
+            _ => error == SnapshotError::ChecksumMismatch,
         };
-        assert!(expected, "bit {at}: {refused}");
+        assert!(is_expected, "bit {bit}: {error}");
     }
 }
 
 #[test]
-fn what_is_whole_and_not_to_be_believed_is_told_apart() {
-    let with = |owner, version| seal(owner, version, NOW, b"x").unwrap();
+fn each_unfulfilled_requirement_has_its_own_error() {
+    let with = |owner, version| encode(owner, version, NOW, b"x").unwrap();
     assert_eq!(
-        open(&EXPECTED, NOW, &with("node 127.0.0.1:2", 3)),
-        Err(SnapshotError::Owner)
+        decode(&REQUIREMENTS, NOW, &with("node 127.0.0.1:2", 3)),
+        Err(SnapshotError::OwnerMismatch)
     );
     assert_eq!(
-        open(&EXPECTED, NOW, &with(EXPECTED.owner, 4)),
-        Err(SnapshotError::Version(4))
+        decode(&REQUIREMENTS, NOW, &with(REQUIREMENTS.owner, 4)),
+        Err(SnapshotError::VersionMismatch(4))
     );
-    assert!(open(&EXPECTED, NOW, &sealed(NOW - 10_000_000)).is_ok());
+    assert!(decode(&REQUIREMENTS, NOW, &snapshot_taken_at(NOW - 10_000_000)).is_ok());
     assert_eq!(
-        open(&EXPECTED, NOW, &sealed(NOW - 10_000_001)),
-        Err(SnapshotError::Old(10_000_001))
+        decode(&REQUIREMENTS, NOW, &snapshot_taken_at(NOW - 10_000_001)),
+        Err(SnapshotError::TooOld(10_000_001))
     );
     assert_eq!(
-        open(&EXPECTED, NOW, &sealed(NOW + 1_000_000)).map(|o| o.1),
+        decode(&REQUIREMENTS, NOW, &snapshot_taken_at(NOW + 1_000_000))
+            .map(|snapshot| snapshot.age),
         Ok(0),
         "two clocks read in turn"
     );
     assert_eq!(
-        open(&EXPECTED, NOW, &sealed(NOW + 1_000_001)),
-        Err(SnapshotError::Future(1_000_001))
+        decode(&REQUIREMENTS, NOW, &snapshot_taken_at(NOW + 1_000_001)),
+        Err(SnapshotError::FromFuture(1_000_001))
     );
     for taken in [i64::MIN, i64::MAX] {
-        assert!(open(&EXPECTED, NOW, &sealed(taken)).is_err());
+        assert!(decode(&REQUIREMENTS, NOW, &snapshot_taken_at(taken)).is_err());
     }
-    assert_eq!(open(&EXPECTED, NOW, b"{}"), Err(SnapshotError::Foreign));
+    assert_eq!(
+        decode(&REQUIREMENTS, NOW, b"{}"),
+        Err(SnapshotError::NotASnapshot)
+    );
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(2000) })]
 
     #[test]
-    fn bytes_that_nobody_sealed_are_refused(mut bytes: Vec<u8>, ours: bool) {
+    fn arbitrary_bytes_are_rejected(mut bytes: Vec<u8>, ours: bool) {
         if ours {
             bytes.splice(0..0, *b"SLWS\x03\x00");
         }
-        prop_assert!(open(&EXPECTED, NOW, &bytes).is_err());
+        prop_assert!(decode(&REQUIREMENTS, NOW, &bytes).is_err());
     }
 }
 
 #[test]
-fn a_folder_gives_back_what_was_written_last() {
+fn file_holds_the_snapshot_written_last() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = SnapshotFile::new(dir.path(), "kept", 8);
-    assert_eq!(folder.read().unwrap(), None);
-    folder.write(b"one").unwrap();
-    folder.write(b"two").unwrap();
-    assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
+    let file = SnapshotFile::new(dir.path(), "kept", 8);
+    assert_eq!(file.read().unwrap(), None);
+    file.write(b"one").unwrap();
+    file.write(b"two").unwrap();
+    assert_eq!(file.read().unwrap().as_deref(), Some(&b"two"[..]));
     assert_eq!(
         fs::read_dir(dir.path()).unwrap().count(),
         1,
-        "nothing half written is left"
+        "no temporary file is left"
     );
     assert_eq!(
-        folder.write(b"ninebytes").unwrap_err().kind(),
+        file.write(b"ninebytes").unwrap_err().kind(),
         ErrorKind::InvalidInput
     );
     assert_eq!(
-        folder.read().unwrap().as_deref(),
+        file.read().unwrap().as_deref(),
         Some(&b"two"[..]),
-        "the one before stands"
+        "the previous one stays"
     );
 }
 
 #[test]
-fn a_file_that_is_too_long_or_no_file_is_told() {
+fn file_too_long_or_not_regular_is_an_error() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = SnapshotFile::new(dir.path(), "kept", 8);
-    fs::write(folder.file(), [0; 9]).unwrap();
+    let file = SnapshotFile::new(dir.path(), "kept", 8);
+    fs::write(file.path(), [0; 9]).unwrap();
     assert_eq!(
-        folder.read().unwrap_err().to_string(),
+        file.read().unwrap_err().to_string(),
         "is longer than 8 bytes"
     );
-    fs::remove_file(folder.file()).unwrap();
-    fs::create_dir(folder.file()).unwrap();
-    assert_eq!(folder.read().unwrap_err().to_string(), "is no file");
-    assert!(folder.write(b"x").is_err(), "a folder is not replaced");
+    fs::remove_file(file.path()).unwrap();
+    fs::create_dir(file.path()).unwrap();
+    assert_eq!(file.read().unwrap_err().to_string(), "is no file");
+    assert!(file.write(b"x").is_err(), "a file is not replaced");
     assert_eq!(
         fs::read_dir(dir.path()).unwrap().count(),
         1,
-        "nothing half written is left"
+        "no temporary file is left"
     );
-    fs::remove_dir(folder.file()).unwrap();
-    symlink("/dev/zero", folder.file()).unwrap();
-    assert_eq!(folder.read().unwrap_err().to_string(), "is no file");
-    let nowhere = SnapshotFile::new(&dir.path().join("gone"), "kept", 8);
-    assert_eq!(nowhere.read().unwrap(), None);
-    assert!(nowhere.write(b"x").is_err());
+    fs::remove_dir(file.path()).unwrap();
+    symlink("/dev/zero", file.path()).unwrap();
+    assert_eq!(file.read().unwrap_err().to_string(), "is no file");
+    let in_missing_directory = SnapshotFile::new(&dir.path().join("gone"), "kept", 8);
+    assert_eq!(in_missing_directory.read().unwrap(), None);
+    assert!(in_missing_directory.write(b"x").is_err());
 }
 
 #[test]
-fn old_half_written_files_are_taken_away_and_no_others() {
+fn only_abandoned_temporary_files_are_removed() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = SnapshotFile::new(dir.path(), "kept", 8);
+    let file = SnapshotFile::new(dir.path(), "kept", 8);
     let hour_ago = SystemTime::now() - Duration::from_secs(3600);
     for name in ["kept.1.half", "kept", "other.1.half"] {
-        let file = fs::File::create(dir.path().join(name)).unwrap();
-        file.set_modified(hour_ago).unwrap();
+        let created = fs::File::create(dir.path().join(name)).unwrap();
+        created.set_modified(hour_ago).unwrap();
     }
     fs::write(dir.path().join("kept.2.half"), "being written").unwrap();
-    folder.tidy();
+    file.remove_temporary_files();
     let mut left: Vec<_> = fs::read_dir(dir.path())
         .unwrap()
         .map(|e| e.unwrap().file_name())
@@ -175,34 +213,39 @@
     assert_eq!(left, ["kept", "kept.2.half", "other.1.half"]);
 }
 
-fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !done() {
-        assert!(begun.elapsed() < Duration::from_secs(20), "{what}");
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < Duration::from_secs(20), "{what}");
         std::thread::yield_now();
     }
 }
 
 #[test]
-fn a_keeper_writes_what_it_takes_and_tells_what_it_could_not() {
+fn writer_writes_accepted_snapshots_and_reports_errors_once() {
     let dir = tempfile::tempdir().unwrap();
-    let folder = SnapshotFile::new(dir.path(), "kept", 8);
-    let keeper = SnapshotWriter::start(folder.clone()).unwrap();
-    until("it takes one", || keeper.offer(b"one".to_vec()));
-    until("and writes it", || {
-        folder.read().unwrap().as_deref() == Some(b"one")
+    let file = SnapshotFile::new(dir.path(), "kept", 8);
+    let writer = SnapshotWriter::start(file.clone()).unwrap();
+    wait_until("it accepts one", || writer.offer(b"one".to_vec()));
+    wait_until("it writes it", || {
+        file.read().unwrap().as_deref() == Some(b"one")
     });
-    assert_eq!(keeper.trouble(), None);
-    until("it takes one that is too long", || keeper.offer(vec![0; 9]));
-    let mut told = None;
-    until("and says so", || {
-        told = keeper.trouble();
-        told.is_some()
+    assert!(writer.take_last_error().is_none());
+    wait_until("it accepts one that is too long", || {
+        writer.offer(vec![0; 9])
     });
-    assert!(told.unwrap().ends_with("kept: 9 bytes, 8 are allowed"));
-    assert_eq!(keeper.trouble(), None, "told once");
-    until("it goes on", || keeper.offer(b"two".to_vec()));
-    until("and writes it", || {
-        folder.read().unwrap().as_deref() == Some(b"two")
+    let mut reported = None;
+    wait_until("it reports the error", || {
+        reported = writer.take_last_error();
+        reported.is_some()
+    });
+    assert!(reported
+        .unwrap()
+        .to_string()
+        .ends_with("kept: 9 bytes, 8 are allowed"));
+    assert!(writer.take_last_error().is_none(), "reported once");
+    wait_until("it accepts the next one", || writer.offer(b"two".to_vec()));
+    wait_until("it writes it", || {
+        file.read().unwrap().as_deref() == Some(b"two")
     });
 }
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -523,7 +523,7 @@
 }
 
 fn shown(value: &Spanned<DeValue>) -> String {
-    sloewick_toml_config::shown(value.get_ref())
+    sloewick_toml_config::display_value(value.get_ref())
 }
 
 fn fault(start: usize, table: &DeTable, say: &mut impl FnMut(usize, String)) -> Option<Fault> {
--- a/crates/toml_config/src/lib.rs
+++ b/crates/toml_config/src/lib.rs
@@ -1,34 +1,40 @@
-//! Reads TOML that people write. It does not stop at the first mistake: each is told with its line, its field, what
-//! is wrong and what is allowed.
+//! Reads TOML that people write and reports every mistake, not just the first: each with its line, its field, what
+//! is wrong and what is allowed. It performs no I/O.
+//!
+//! [`read`] parses a text and passes a [`Reader`] with the top-level [`Section`] to a closure, which fetches the
+//! values field by field. The reader owns the mistakes found so far; the closure's result counts only if there are
+//! none.
 
-use std::fmt;
 use std::ops::RangeInclusive;
 
+use thiserror::Error;
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
 
-/// A mistake.
-#[derive(Clone, Debug, PartialEq)]
+/// Unknown fields within this Damerau-Levenshtein distance of an allowed one are reported with it as a suggestion.
+const MAX_SUGGESTION_DISTANCE: usize = 3;
+
+/// A mistake in the text.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[error("line {line}: {field}: {why}")]
 pub struct Problem {
-    /// Counted from 1.
+    /// Its line, counted from 1.
     pub line: usize,
-    /// Its path, like `route[1].class`.
+    /// The field's path, like `route[1].class`.
     pub field: String,
+    /// What is wrong with the field and what is allowed.
     pub why: String,
 }
 
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: {}: {}", self.line, self.field, self.why)
-    }
-}
-
 /// A table of the text.
 #[derive(Clone, Copy)]
 pub struct Section<'a> {
-    at: usize,
+    /// Byte offset of the table in the text.
+    offset: usize,
+    /// Name of the field that holds the table; empty for the top level.
     path: &'a str,
-    number: Option<usize>,
+    /// The table's index, if it is one of a list.
+    index: Option<usize>,
     table: &'a DeTable<'a>,
 }
 
@@ -38,13 +44,13 @@
     problems: Vec<Problem>,
 }
 
-/// Reads a text by `take`; its value counts only if nothing was wrong.
+/// Reads a text by `convert`, whose value counts only if there are no mistakes.
 ///
 /// # Errors
 /// All mistakes, in the order of their lines.
 pub fn read<T>(
     text: &str,
-    take: impl FnOnce(&mut Reader, Section) -> Option<T>,
+    convert: impl FnOnce(&mut Reader<'_>, Section<'_>) -> Option<T>,
 ) -> Result<T, Vec<Problem>> {
     let mut reader = Reader {
         text,
@@ -53,51 +59,48 @@
     let table = match DeTable::parse(text) {
         Ok(table) => table,
         Err(e) => {
-            let at = e.span().map_or(0, |span| span.start);
-            reader.say(
-                at,
-                "(file)".to_string(),
-                format!("is not TOML: {}", e.message()),
-            );
+            let offset = e.span().map_or(0, |span| span.start);
+            let why = format!("is not TOML: {}", e.message());
+            reader.add_problem(offset, "(file)".to_string(), why);
             return Err(reader.problems);
         }
     };
     let top = Section {
-        at: 0,
+        offset: 0,
         path: "",
-        number: None,
+        index: None,
         table: table.get_ref(),
     };
-    let made = take(&mut reader, top);
+    let converted = convert(&mut reader, top);
     let mut problems = reader.problems;
-    problems.sort_by_key(|p| p.line);
-    match made {
-        Some(made) if problems.is_empty() => Ok(made),
+    problems.sort_by_key(|problem| problem.line);
+    match converted {
+        Some(value) if problems.is_empty() => Ok(value),
         _ => Err(problems),
     }
 }
 
-/// A value as a message shows it.
-pub fn shown(value: &DeValue) -> String {
+/// A value as messages show it.
+pub fn display_value(value: &DeValue<'_>) -> String {
     match value {
         DeValue::String(text) => format!("{text:?}"),
-        DeValue::Integer(n) => n.as_str().to_string(),
-        DeValue::Float(n) => n.as_str().to_string(),
-        DeValue::Boolean(b) => b.to_string(),
+        DeValue::Integer(number) => number.as_str().to_string(),
+        DeValue::Float(number) => number.as_str().to_string(),
+        DeValue::Boolean(boolean) => boolean.to_string(),
         DeValue::Datetime(_) => "a date".to_string(),
         DeValue::Array(_) => "a list".to_string(),
         DeValue::Table(_) => "a table".to_string(),
     }
 }
 
-/// A number, whole or not.
-pub fn number(value: &DeValue) -> Option<f64> {
+/// The value of an integer or a finite float; `None` for anything else.
+pub fn number(value: &DeValue<'_>) -> Option<f64> {
     let text = match value {
-        DeValue::Integer(n) => n.as_str(),
-        DeValue::Float(n) => n.as_str(),
+        DeValue::Integer(number) => number.as_str(),
+        DeValue::Float(number) => number.as_str(),
         _ => return None,
     };
-    text.parse().ok().filter(|n: &f64| n.is_finite())
+    text.parse().ok().filter(|number: &f64| number.is_finite())
 }
 
 impl<'a> Section<'a> {
@@ -108,13 +111,14 @@
             .map(|(_, value)| value)
     }
 
+    /// Whether the table has a field of this name.
     pub fn has(&self, name: &str) -> bool {
         self.find(name).is_some()
     }
 
     fn path(&self, name: &str) -> String {
-        match self.number {
-            Some(n) => format!("{}[{n}].{name}", self.path),
+        match self.index {
+            Some(index) => format!("{}[{index}].{name}", self.path),
             None if self.path.is_empty() => name.to_string(),
             None => format!("{}.{name}", self.path),
         }
@@ -122,141 +126,145 @@
 }
 
 impl Reader<'_> {
-    fn say(&mut self, at: usize, field: String, why: String) {
-        let line = self.text[..at.min(self.text.len())].matches('\n').count() + 1;
+    fn add_problem(&mut self, offset: usize, field: String, why: String) {
+        let before = &self.text[..offset.min(self.text.len())];
+        let line = before.matches('\n').count() + 1;
         self.problems.push(Problem { line, field, why });
     }
 
-    /// Tells of a mistake in a field that is there, or in its table.
-    pub fn wrong(&mut self, section: Section, name: &str, why: impl Into<String>) {
-        let at = section
+    /// Reports a mistake in a field, at the field's line or, if it is absent, at its table's.
+    pub fn report(&mut self, section: Section<'_>, name: &str, why: impl Into<String>) {
+        let offset = section
             .find(name)
-            .map_or(section.at, |value| value.span().start);
-        self.say(at, section.path(name), why.into());
+            .map_or(section.offset, |value| value.span().start);
+        self.add_problem(offset, section.path(name), why.into());
     }
 
-    /// Tells of every field that is none of these.
-    pub fn only(&mut self, section: Section, fields: &[&str]) {
-        for (key, _) in section.table.iter() {
+    /// Reports every field that is not among `fields`, with the most similar one as a suggestion.
+    pub fn reject_unknown_fields(&mut self, section: Section<'_>, fields: &[&str]) {
+        for (key, _) in section.table {
             let name: &str = key.get_ref();
             if fields.contains(&name) {
                 continue;
             }
-            let near = fields
+            let most_similar = fields
                 .iter()
-                .map(|f| (strsim::damerau_levenshtein(f, name), f))
+                .map(|field| (strsim::damerau_levenshtein(field, name), field))
                 .min();
-            let near = near
-                .filter(|(far, _)| *far <= 3)
-                .map_or(String::new(), |(_, f)| format!("; {f}?"));
-            let why = format!("is no known field{near}; allowed: {}", fields.join(", "));
-            self.say(key.span().start, section.path(name), why);
+            let suggestion = most_similar
+                .filter(|(distance, _)| *distance <= MAX_SUGGESTION_DISTANCE)
+                .map_or(String::new(), |(_, field)| format!("; {field}?"));
+            let allowed = fields.join(", ");
+            let why = format!("is no known field{suggestion}; allowed: {allowed}");
+            self.add_problem(key.span().start, section.path(name), why);
         }
     }
 
-    /// What `take` makes of a field's value; none, and a mistake unless the field is absent and `usual` is there.
-    fn take<'a, T>(
+    /// Converts a field's value by `convert`. `None`, with a mistake reported, if it cannot be converted, or if the
+    /// field is absent and has no `default`.
+    fn convert<'a, T>(
         &mut self,
         section: Section<'a>,
         name: &str,
         allowed: &str,
-        usual: Option<T>,
-        take: impl FnOnce(&'a DeValue<'a>) -> Option<T>,
+        default: Option<T>,
+        convert: impl FnOnce(&'a DeValue<'a>) -> Option<T>,
     ) -> Option<T> {
         let Some(value) = section.find(name) else {
-            if usual.is_none() {
-                self.say(
-                    section.at,
-                    section.path(name),
-                    format!("is missing; allowed: {allowed}"),
-                );
+            if default.is_none() {
+                let why = format!("is missing; allowed: {allowed}");
+                self.add_problem(section.offset, section.path(name), why);
             }
-            return usual;
+            return default;
         };
-        let taken = take(value.get_ref());
-        if taken.is_none() {
-            let why = format!("is {}; allowed: {allowed}", shown(value.get_ref()));
-            self.say(value.span().start, section.path(name), why);
+        let converted = convert(value.get_ref());
+        if converted.is_none() {
+            let displayed = display_value(value.get_ref());
+            let why = format!("is {displayed}; allowed: {allowed}");
+            self.add_problem(value.span().start, section.path(name), why);
         }
-        taken
+        converted
     }
 
-    /// A text that has to be there.
+    /// A text that is required and not empty. `allowed` describes it in messages.
     pub fn text<'a>(&mut self, section: Section<'a>, name: &str, allowed: &str) -> Option<&'a str> {
-        self.take(section, name, allowed, None, |v| {
-            v.as_str().filter(|text| !text.is_empty())
+        self.convert(section, name, allowed, None, |value| {
+            value.as_str().filter(|text| !text.is_empty())
         })
     }
 
-    /// What a text means, or `usual` where it is absent.
-    pub fn meaning<T>(
+    /// A text as `parse` understands it, or `default` if it is absent; without a default it is required. `allowed`
+    /// describes the texts that `parse` accepts.
+    pub fn parsed_text<T>(
         &mut self,
-        section: Section,
+        section: Section<'_>,
         name: &str,
         allowed: &str,
-        usual: Option<T>,
-        mean: impl FnOnce(&str) -> Option<T>,
+        default: Option<T>,
+        parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        self.take(section, name, allowed, usual, |v| v.as_str().and_then(mean))
+        self.convert(section, name, allowed, default, |value| {
+            value.as_str().and_then(parse)
+        })
     }
 
-    /// A whole number within bounds, or `usual` where it is absent.
-    pub fn whole(
+    /// An integer within bounds, or `default` if it is absent; without a default it is required.
+    pub fn integer(
         &mut self,
-        section: Section,
+        section: Section<'_>,
         name: &str,
         bounds: RangeInclusive<u32>,
-        usual: Option<u32>,
+        default: Option<u32>,
     ) -> Option<u32> {
         let allowed = format!("a whole number from {} to {}", bounds.start(), bounds.end());
-        self.take(section, name, &allowed, usual, |v| {
-            let n = number(v)
-                .filter(|n| n.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(n))?;
-            Some(n as u32).filter(|n| bounds.contains(n))
+        self.convert(section, name, &allowed, default, |value| {
+            let representable = 0.0..=f64::from(u32::MAX);
+            number(value)
+                .filter(|number| number.fract() == 0.0 && representable.contains(number))
+                .map(|number| number as u32)
+                .filter(|number| bounds.contains(number))
         })
     }
 
-    /// The tables of a list, none where it is absent.
+    /// The tables of a list; empty if it is absent. Items that are no tables are reported and left out.
     pub fn list<'a>(&mut self, section: Section<'a>, name: &'a str) -> Vec<Section<'a>> {
-        let items = self.take(section, name, "tables, as by [[...]]", Some(&[][..]), |v| {
-            v.as_array().map(|items| &items[..])
+        let allowed = "tables, as by [[...]]";
+        let items = self.convert(section, name, allowed, Some(&[][..]), |value| {
+            value.as_array().map(|items| &items[..])
         });
         let mut tables = Vec::new();
-        for (n, item) in items.unwrap_or_default().iter().enumerate() {
-            let at = item.span().start;
-            match item.get_ref().as_table() {
-                Some(table) => tables.push(Section {
-                    at,
-                    path: name,
-                    number: Some(n),
-                    table,
-                }),
-                None => self.say(
-                    at,
-                    section.path(name),
-                    format!("holds {}; allowed: tables", shown(item.get_ref())),
-                ),
-            }
+        for (index, item) in items.unwrap_or_default().iter().enumerate() {
+            let offset = item.span().start;
+            let Some(table) = item.get_ref().as_table() else {
+                let displayed = display_value(item.get_ref());
+                let why = format!("holds {displayed}; allowed: tables");
+                self.add_problem(offset, section.path(name), why);
+                continue;
+            };
+            tables.push(Section {
+                offset,
+                path: name,
+                index: Some(index),
+                table,
+            });
         }
         tables
     }
 
-    /// A table, none where it is absent.
+    /// A table; `None` if it is absent. A value of another type is reported.
     pub fn section<'a>(&mut self, section: Section<'a>, name: &'a str) -> Option<Section<'a>> {
         let value = section.find(name)?;
-        let at = value.span().start;
-        let table = value.get_ref().as_table();
-        if table.is_none() {
-            self.say(
-                at,
-                section.path(name),
-                format!("is {}; allowed: a table", shown(value.get_ref())),
-            );
-        }
-        table.map(|table| Section {
-            at,
+        let offset = value.span().start;
+        let Some(table) = value.get_ref().as_table() else {
+            let displayed = display_value(value.get_ref());
+            let why = format!("is {displayed}; allowed: a table");
+            self.add_problem(offset, section.path(name), why);
+            return None;
+        };
+        Some(Section {
+            offset,
             path: name,
-            number: None,
+            index: None,
             table,
         })
     }
--- a/crates/toml_config/src/lib_tests.rs
+++ b/crates/toml_config/src/lib_tests.rs
@@ -1,41 +1,43 @@
 use super::*;
 
-fn all(text: &str) -> Vec<String> {
-    let read = read(text, |r, top| {
-        r.only(top, &["name", "most", "kind", "part", "item"]);
-        r.text(top, "name", "text");
-        r.whole(top, "most", 1..=9, Some(3));
-        r.meaning(top, "kind", "a or b", Some(0), |word| {
+/// All messages about a text.
+fn messages(text: &str) -> Vec<String> {
+    let result = read(text, |reader, top| {
+        reader.reject_unknown_fields(top, &["name", "most", "kind", "part", "item"]);
+        reader.text(top, "name", "text");
+        reader.integer(top, "most", 1..=9, Some(3));
+        reader.parsed_text(top, "kind", "a or b", Some(0), |word| {
             ["a", "b"].iter().position(|w| *w == word)
         });
-        if let Some(part) = r.section(top, "part") {
-            r.whole(part, "size", 0..=u32::MAX, None);
+        if let Some(part) = reader.section(top, "part") {
+            reader.integer(part, "size", 0..=u32::MAX, None);
         }
-        for item in r.list(top, "item") {
-            if r.text(item, "name", "text") == Some("bad") {
-                r.wrong(item, "name", "is bad");
+        for item in reader.list(top, "item") {
+            if reader.text(item, "name", "text") == Some("bad") {
+                reader.report(item, "name", "is bad");
             }
         }
         Some(())
     });
-    read.err()
+    result
+        .err()
         .unwrap_or_default()
         .iter()
-        .map(|p| p.to_string())
+        .map(ToString::to_string)
         .collect()
 }
 
 #[test]
-fn a_text_without_mistakes_is_read() {
-    assert_eq!(all("name = \"x\""), [""; 0]);
+fn text_without_mistakes_is_read() {
+    assert_eq!(messages("name = \"x\""), [""; 0]);
     assert_eq!(
-        all("name = \"x\"\nmost = 9\nkind = \"b\"\n[part]\nsize = 0\n[[item]]\nname = \"y\""),
+        messages("name = \"x\"\nmost = 9\nkind = \"b\"\n[part]\nsize = 0\n[[item]]\nname = \"y\""),
         [""; 0]
     );
 }
 
 #[test]
-fn every_mistake_is_told_with_line_field_and_what_is_allowed() {
+fn every_mistake_is_reported_with_line_field_and_allowed_values() {
     let text = "nam = 1\nmost = 10\nkind = \"c\"\n[part]\nsize = 1.5\n[[item]]\n[[item]]\nname = \"bad\"\n";
     let expected = [
         "line 1: nam: is no known field; name?; allowed: name, most, kind, part, item",
@@ -46,14 +48,14 @@
         "line 6: item[0].name: is missing; allowed: text",
         "line 8: item[1].name: is bad",
     ];
-    assert_eq!(all(text), expected);
+    assert_eq!(messages(text), expected);
     assert_eq!(
-        all("name = \"x\"\npart = 3\nitem = [1]")[0],
+        messages("name = \"x\"\npart = 3\nitem = [1]")[0],
         "line 2: part: is 3; allowed: a table"
     );
     assert_eq!(
-        all("name = \"x\"\nitem = [1]"),
+        messages("name = \"x\"\nitem = [1]"),
         ["line 2: item: holds 1; allowed: tables"]
     );
-    assert!(all("name = \"x")[0].starts_with("line 1: (file): is not TOML"));
+    assert!(messages("name = \"x")[0].starts_with("line 1: (file): is not TOML"));
 }
