--- a/crates/simulator_adapter/src/main.rs
+++ b/crates/simulator_adapter/src/main.rs
@@ -1,8 +1,13 @@
-//! Adapter between the bench's wire and the decision module: one JSON line in, one out.
-//! It holds no decision; each instance has a `Balancer` of its own.
+//! Adapter between the simulator and the decision code: the program `sloewick-simhost`.
+//!
+//! Each line of the standard input is a batch of events in JSON, each line of the standard output the actions that
+//! they caused. The adapter makes no decision: every instance has a `Balancer` of its own, and instances share
+//! nothing but the endpoint lists that the simulator has registered. Input that cannot be read ends the program with
+//! status 2 and a message that names the line and the field; output that cannot be written, with status 3.
 
-mod wire;
+mod messages;
 
+use std::any::Any;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -14,164 +19,205 @@
 use sloewick_decision::settings::{self, Fields, Names, RawEndpoint, SettingsError};
 use sloewick_decision::Balancer;
 
-/// One node: its module and the names it was given.
+use crate::messages::Reply;
+
+/// Bytes of the buffer before the standard input.
+const INPUT_BUFFER: usize = 1 << 20;
+/// Exit status if the input cannot be read or understood.
+const EXIT_BAD_INPUT: u8 = 2;
+/// Exit status if the output cannot be written.
+const EXIT_OUTPUT_FAILED: u8 = 3;
+
+/// One node: its decision code and the names in its settings.
 struct Instance {
+    /// `None` after a panic: the instance ignores all further events.
     balancer: Option<Balancer>,
     names: Names,
 }
 
+/// All instances of this process, and the endpoint lists that they may be given.
 #[derive(Default)]
 struct Host {
     instances: BTreeMap<i64, Instance>,
     registers: BTreeMap<i64, Arc<[RawEndpoint]>>,
+    /// Kinds of events that were skipped, each of which is reported once.
     unknown: BTreeSet<String>,
+    /// Reused for every event.
     actions: Vec<Action>,
 }
 
 impl Host {
-    /// Handles one batch; the reply is appended to `out`.
-    fn batch(&mut self, line: &str, out: &mut String) -> Result<(), SettingsError> {
+    /// Handles one batch and appends the reply to `out`.
+    fn handle_batch(&mut self, line: &str, out: &mut String) -> Result<(), SettingsError> {
         let value: Value = serde_json::from_str(line)
             .map_err(|e| SettingsError::new("line", format!("is not JSON: {e}")))?;
         let fields = Fields::of(&value, "line")?;
         let now = fields.micros("ts")?;
         let items = fields.array("items")?;
-        out.push_str("{\"do\":[");
-        let mut first = true;
-        for (i, item) in items.iter().enumerate() {
-            self.item(now, item, out, &mut first)
-                .map_err(|bad| bad.at(i))?;
+        let mut reply = Reply::begin(out);
+        for (index, item) in items.iter().enumerate() {
+            self.handle_item(now, item, &mut reply)
+                .map_err(|error| error.at(index))?;
         }
-        out.push_str("]}\n");
+        reply.end();
         Ok(())
     }
 
-    fn item(
+    /// Handles one item of a batch at the time `now`, in microseconds.
+    fn handle_item(
         &mut self,
         now: i64,
         item: &Value,
-        out: &mut String,
-        first: &mut bool,
+        reply: &mut Reply<'_>,
     ) -> Result<(), SettingsError> {
-        let f = Fields::of(item, "items")?;
-        let t = f.text("t")?;
-        if t == "REGISTER" {
-            let id = f.int("roster_id")?;
-            let list = f.array("elements")?;
-            let entries = list
-                .iter()
-                .map(wire::raw_entry)
-                .collect::<Result<Vec<_>, _>>()?;
-            self.registers.insert(id, entries.into());
-            return Ok(());
+        let fields = Fields::of(item, "items")?;
+        let kind = fields.text("t")?;
+        if kind == "REGISTER" {
+            return self.register_list(&fields);
         }
-        if !wire::KNOWN.contains(&t) {
-            if self.unknown.insert(t.to_string()) {
-                eprintln!("unknown event {t:?} skipped");
+        if !messages::EVENT_KINDS.contains(&kind) {
+            if self.unknown.insert(kind.to_string()) {
+                eprintln!("unknown event {kind:?} skipped");
             }
             return Ok(());
         }
-        let node = f.int("node")?;
-        if t == "CREATE" {
-            let seed = f.seed("random_seed")?;
-            let options = Fields::of(f.get("options")?, "options")?;
-            let (settings, names) = settings::parse(&options)?;
-            let balancer = Balancer::new(settings, seed, now)
-                .map_err(|e| SettingsError::new("options", format!("cannot be used: {e}")))?;
-            self.instances.insert(
-                node,
-                Instance {
-                    balancer: Some(balancer),
-                    names,
-                },
-            );
-            return Ok(());
+        let node = fields.int("node")?;
+        if kind == "CREATE" {
+            return self.create_instance(now, node, &fields);
         }
         let Some(instance) = self.instances.get_mut(&node) else {
-            return Err(SettingsError::new(
-                "node",
-                format!("instance {node} was never created"),
-            ));
+            let reason = format!("instance {node} was never created");
+            return Err(SettingsError::new("node", reason));
         };
-        if t == "KILL" {
+        if kind == "KILL" {
             self.instances.remove(&node);
             return Ok(());
         }
-        let event = if t == "MEMBERSHIP" {
-            let mode = f.text("mode")?;
-            match wire::list_kind(mode)? {
-                None => Event::EndpointListFailed,
-                Some(kind) => {
-                    let id = f.int("roster_id")?;
-                    let Some(raw) = self.registers.get(&id) else {
-                        return Err(SettingsError::new(
-                            "roster_id",
-                            format!("register {id} was never declared"),
-                        ));
-                    };
-                    Event::EndpointList(kind, raw.iter().map(|e| instance.names.entry(e)).collect())
-                }
-            }
+        let event = if kind == "MEMBERSHIP" {
+            endpoint_list_event(&fields, &self.registers, &instance.names)?
         } else {
-            wire::event(t, &f, &instance.names)?
+            messages::event(kind, &fields, &instance.names)?
         };
-        let Some(balancer) = instance.balancer.as_mut() else {
-            return Ok(());
+        deliver(now, node, instance, event, &mut self.actions, reply);
+        Ok(())
+    }
+
+    fn register_list(&mut self, fields: &Fields<'_>) -> Result<(), SettingsError> {
+        let id = fields.int("roster_id")?;
+        let endpoints = fields
+            .array("elements")?
+            .iter()
+            .map(messages::raw_endpoint)
+            .collect::<Result<Vec<_>, _>>()?;
+        self.registers.insert(id, endpoints.into());
+        Ok(())
+    }
+
+    fn create_instance(
+        &mut self,
+        now: i64,
+        node: i64,
+        fields: &Fields<'_>,
+    ) -> Result<(), SettingsError> {
+        let seed = fields.seed("random_seed")?;
+        let options = Fields::of(fields.get("options")?, "options")?;
+        let (settings, names) = settings::parse(&options)?;
+        let balancer = Balancer::new(settings, seed, now)
+            .map_err(|e| SettingsError::new("options", format!("cannot be used: {e}")))?;
+        let instance = Instance {
+            balancer: Some(balancer),
+            names,
         };
-        self.actions.clear();
-        let actions = &mut self.actions;
-        let outcome = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, actions)));
-        if let Err(panic) = outcome {
-            let text = panic
-                .downcast_ref::<String>()
-                .cloned()
-                .or_else(|| panic.downcast_ref::<&str>().map(|s| s.to_string()))
-                .unwrap_or_else(|| "panic".to_string());
-            wire::separator(out, first);
-            wire::bug(out, node, &text);
-            instance.balancer = None;
-            return Ok(());
-        }
-        for action in self.actions.drain(..) {
-            wire::separator(out, first);
-            wire::action(out, node, &action);
-        }
+        self.instances.insert(node, instance);
         Ok(())
     }
 }
 
+/// The event of a list that was fetched, or could not be.
+fn endpoint_list_event(
+    fields: &Fields<'_>,
+    registers: &BTreeMap<i64, Arc<[RawEndpoint]>>,
+    names: &Names,
+) -> Result<Event, SettingsError> {
+    let Some(kind) = messages::list_kind(fields.text("mode")?)? else {
+        return Ok(Event::EndpointListFailed);
+    };
+    let id = fields.int("roster_id")?;
+    let Some(endpoints) = registers.get(&id) else {
+        let reason = format!("register {id} was never declared");
+        return Err(SettingsError::new("roster_id", reason));
+    };
+    let endpoints = endpoints.iter().map(|raw| names.entry(raw)).collect();
+    Ok(Event::EndpointList(kind, endpoints))
+}
+
+/// Passes an event to an instance and appends its actions to the reply. A panic is reported in their place and ends
+/// the instance, not the process: the simulator counts it against this instance alone.
+fn deliver(
+    now: i64,
+    node: i64,
+    instance: &mut Instance,
+    event: Event,
+    actions: &mut Vec<Action>,
+    reply: &mut Reply<'_>,
+) {
+    let Some(balancer) = instance.balancer.as_mut() else {
+        return;
+    };
+    actions.clear();
+    let outcome = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, actions)));
+    if let Err(panic) = outcome {
+        reply.add_panic(node, &panic_message(panic.as_ref()));
+        instance.balancer = None;
+        return;
+    }
+    for action in actions.drain(..) {
+        reply.add_action(node, &action);
+    }
+}
+
+/// The message of a panic, as [`std::panic::catch_unwind`] returns it.
+fn panic_message(panic: &(dyn Any + Send)) -> String {
+    panic
+        .downcast_ref::<String>()
+        .cloned()
+        .or_else(|| panic.downcast_ref::<&str>().map(ToString::to_string))
+        .unwrap_or_else(|| "panic".to_string())
+}
+
 fn main() -> ExitCode {
     let stdin = std::io::stdin();
-    let mut input = std::io::BufReader::with_capacity(1 << 20, stdin.lock());
+    let mut input = std::io::BufReader::with_capacity(INPUT_BUFFER, stdin.lock());
     let stdout = std::io::stdout();
     let mut output = stdout.lock();
     let mut host = Host::default();
-    let (mut line, mut reply, mut number) = (Vec::new(), String::new(), 0u64);
+    let mut line = Vec::new();
+    let mut reply = String::new();
+    let mut line_number = 0u64;
     loop {
         line.clear();
-        number += 1;
+        line_number += 1;
         match input.read_until(b'\n', &mut line) {
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(e) => {
-                eprintln!("input line {number}: cannot be read: {e}");
-                return ExitCode::from(2);
+                eprintln!("input line {line_number}: cannot be read: {e}");
+                return ExitCode::from(EXIT_BAD_INPUT);
             }
         }
         reply.clear();
-        let done = std::str::from_utf8(&line)
+        let handled = std::str::from_utf8(&line)
             .map_err(|e| SettingsError::new("line", format!("is not UTF-8: {e}")))
-            .and_then(|text| host.batch(text, &mut reply));
-        if let Err(bad) = done {
-            eprintln!("input line {number}: {bad}");
-            return ExitCode::from(2);
+            .and_then(|text| host.handle_batch(text, &mut reply));
+        if let Err(error) = handled {
+            eprintln!("input line {line_number}: {error}");
+            return ExitCode::from(EXIT_BAD_INPUT);
         }
-        if output
+        let written = output
             .write_all(reply.as_bytes())
-            .and_then(|()| output.flush())
-            .is_err()
-        {
-            return ExitCode::from(3);
+            .and_then(|()| output.flush());
+        if written.is_err() {
+            return ExitCode::from(EXIT_OUTPUT_FAILED);
         }
     }
 }
--- a/crates/simulator_adapter/tests/adapter.rs
+++ b/crates/simulator_adapter/tests/adapter.rs
@@ -1,4 +1,4 @@
-//! The adapter on transcripts of the project's own: replies, bad input, splits over processes.
+//! The adapter's replies to small transcripts, to invalid input, and with instances in one or two processes.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -10,7 +10,7 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    // The adapter may end before it has read everything; its verdict is what is tested.
+    // The adapter may end before it has read everything; its exit status and output are what is tested.
     let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
     child.wait_with_output().unwrap()
 }
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_request_is_sent_and_ended_in_time() {
+fn request_is_sent_and_ended_before_its_deadline() {
     let first = batch(0, &[create(1), LIST.into(), members(1)]);
     let wake = batch(299, &[r#"{"t":"WAKE","node":1,"ref":0}"#.into()]);
     let out = run(&(batch(0, &[]) + &first + &batch(1, &[request(1, 0)]) + &wake));
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_stop_and_a_start_in_one_batch_leave_an_empty_instance() {
+fn instance_killed_and_created_in_one_batch_has_no_requests() {
     let first = batch(0, &[create(1), LIST.into(), members(1), request(1, 0)]);
     let again = batch(
         5,
@@ -77,7 +77,7 @@
     let out = run(&(first + &again + &batch(6, &[old.into()])));
     assert!(out.status.success());
     let text = String::from_utf8(out.stdout).unwrap();
-    // The old request is forgotten: its late outcome gets no further attempt and no answer.
+    // The old request is forgotten: its late outcome causes no further attempt and no response.
     assert!(actions(text.lines().last().unwrap())
         .iter()
         .all(|a| a["t"] == "RECORD"));
@@ -85,7 +85,7 @@
 
 #[test]
 fn instances_act_alike_in_one_process_and_in_two() {
-    let day = |nodes: &[u32]| {
+    let play = |nodes: &[u32]| {
         let mut items: Vec<String> = vec![];
         for n in nodes {
             items.extend([create(*n), LIST.into(), members(*n)]);
@@ -98,16 +98,16 @@
         let text = String::from_utf8(run(&input).stdout).unwrap();
         text.lines().flat_map(actions).collect::<Vec<_>>()
     };
-    let both = day(&[1, 2]);
+    let both = play(&[1, 2]);
     for node in [1, 2] {
-        let alone = day(&[node]);
-        let part: Vec<_> = both.iter().filter(|a| a["node"] == node).cloned().collect();
-        assert_eq!(alone, part);
+        let alone = play(&[node]);
+        let its_actions: Vec<_> = both.iter().filter(|a| a["node"] == node).cloned().collect();
+        assert_eq!(alone, its_actions);
     }
 }
 
 #[test]
-fn bad_input_is_named_in_one_line_and_ends_the_run() {
+fn invalid_input_ends_the_program_with_one_line_that_names_the_field() {
     let start = batch(0, &[create(1), LIST.into(), members(1)]);
     let cases = [
         ("nonsense\n".to_string(), "line"),
@@ -133,21 +133,21 @@
     ];
     for (line, field) in cases {
         let out = run(&(start.clone() + &line));
-        let said = String::from_utf8(out.stderr).unwrap();
+        let message = String::from_utf8(out.stderr).unwrap();
         assert_eq!(out.status.code(), Some(2), "{line}");
-        assert_eq!(said.lines().count(), 1, "{said}");
+        assert_eq!(message.lines().count(), 1, "{message}");
         assert!(
-            said.contains("input line 2") && said.contains(field),
-            "{said}"
+            message.contains("input line 2") && message.contains(field),
+            "{message}"
         );
         assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1);
     }
 }
 
 #[test]
-fn unknown_events_are_skipped_and_said_once() {
-    let odd = r#"{"t":"NOVELTY","node":9}"#.to_string();
-    let out = run(&(batch(0, &[odd.clone(), odd.clone()]) + &batch(1, &[odd])));
+fn unknown_events_are_skipped_and_reported_once() {
+    let unknown = r#"{"t":"NOVELTY","node":9}"#.to_string();
+    let out = run(&(batch(0, &[unknown.clone(), unknown.clone()]) + &batch(1, &[unknown])));
     assert!(out.status.success());
     assert_eq!(String::from_utf8(out.stderr).unwrap().lines().count(), 1);
     assert_eq!(
