--- a/crates/codec/benches/codecs.rs
+++ b/crates/codec/benches/codecs.rs
@@ -1,11 +1,11 @@
-//! `cargo bench -p sloewick-codec`: what it costs to read a command, a reply, a list.
+//! `cargo bench -p sloewick-codec`: the time to read and write a command, a reply, a packet and a list.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use divan::counter::BytesCount;
 use divan::{black_box, Bencher};
 use sloewick_codec::http1;
 use sloewick_codec::memcached::{self, Opcode, RequestReader, ResponseReader};
-use sloewick_codec::resp2::{write_bulk, write_header, Budget, CommandReader, ReplyReader};
+use sloewick_codec::resp2::{write_bulk, write_header, ByteBudget, CommandReader, ReplyReader};
 
 fn main() {
     divan::main();
@@ -28,19 +28,19 @@
 }
 
 #[divan::bench(args = [24, 4000, 60_000])]
-fn read_a_command(bencher: Bencher, value: usize) {
+fn read_a_command(bencher: Bencher<'_, '_>, value: usize) {
     let bytes = command(value);
     bencher
         .counter(BytesCount::from(bytes.len()))
         .bench_local(|| {
             let (mut reader, mut buf) = (CommandReader::default(), BytesMut::from(&bytes[..]));
-            let read = reader.next(&mut buf, &mut Budget::new(1 << 20));
+            let read = reader.next(&mut buf, &mut ByteBudget::new(1 << 20));
             assert!(read.is_ok_and(|command| command.is_some()));
         });
 }
 
 #[divan::bench(args = [200, 20_000])]
-fn read_a_reply(bencher: Bencher, value: usize) {
+fn read_a_reply(bencher: Bencher<'_, '_>, value: usize) {
     let mut bytes = Vec::new();
     write_header(&mut bytes, b'*', 3);
     write_bulk(&mut bytes, &vec![b'v'; value]);
@@ -54,7 +54,7 @@
         });
 }
 
-/// A packet of this many bytes in all.
+/// A `Get` of this many bytes in total.
 fn get(len: usize) -> Vec<u8> {
     let mut out = Vec::new();
     let key = vec![b'k'; len - memcached::HEADER].into();
@@ -65,21 +65,21 @@
             opcode,
             opaque: 7,
             key,
-            ..Default::default()
+            ..memcached::Request::default()
         },
     );
     out
 }
 
-/// Sixteen at once, as they come from a pipeline: what copying them in costs is not counted.
+/// Sixteen pipelined requests in one buffer; copying them into the buffer is not measured.
 #[divan::bench(args = [40, 100, 200])]
-fn read_16_memcached_gets(bencher: Bencher, len: usize) {
+fn read_16_memcached_gets(bencher: Bencher<'_, '_>, len: usize) {
     let bytes = get(len).repeat(16);
     let input = || {
         (
             RequestReader::default(),
             BytesMut::from(&bytes[..]),
-            Budget::new(0),
+            ByteBudget::new(0),
         )
     };
     bencher
@@ -94,7 +94,7 @@
 }
 
 #[divan::bench(args = [200, 20_000])]
-fn read_a_memcached_answer(bencher: Bencher, value: usize) {
+fn read_a_memcached_answer(bencher: Bencher<'_, '_>, value: usize) {
     let mut bytes = Vec::new();
     memcached::write_response(
         &mut bytes,
@@ -104,7 +104,7 @@
             opaque: 7,
             cas: 0,
             extras: vec![0; 4].into(),
-            key: Default::default(),
+            key: Bytes::new(),
             value: vec![b'v'; value].into(),
         },
     );
@@ -119,12 +119,12 @@
 }
 
 #[divan::bench]
-fn write_a_command(bencher: Bencher) {
+fn write_a_command(bencher: Bencher<'_, '_>) {
     bencher.bench_local(|| black_box(command(24)));
 }
 
 #[divan::bench]
-fn read_an_http_answer(bencher: Bencher) {
+fn read_an_http_answer(bencher: Bencher<'_, '_>) {
     let body = "x".repeat(10_000);
     let bytes = format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
@@ -133,6 +133,6 @@
     bencher
         .counter(BytesCount::from(bytes.len()))
         .bench_local(|| {
-            assert!(http1::body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
+            assert!(http1::response_body(bytes.as_bytes(), false).is_ok_and(|body| body.is_some()));
         });
 }
--- a/crates/codec/src/memcached.rs
+++ b/crates/codec/src/memcached.rs
@@ -1,641 +1,578 @@
-//! The memcached binary protocol, from "Memcached Binary Protocol" (draft-stone-memcache-binary, and the
-//! project's own page `BinaryProtocolRevamped`): a header of 24 bytes, then extras, key and value.
+//! The memcached binary protocol, as its specification describes it ("Memcached Binary Protocol",
+//! draft-stone-memcache-binary, and the project's page `BinaryProtocolRevamped`, whose headings are cited here): a
+//! header of 24 bytes, then extras, key and value. Numbers are big-endian.
 //!
-//! Readers are incremental and bounded: nothing is allocated for what a peer only claims to send, nothing is
-//! scanned twice, and the same bytes give the same packets however they are cut. What can't be read on is told
-//! with the status that an answer to it would have.
+//! Readers are incremental: they own the state of the packet that is being received, allocate nothing for what a peer
+//! merely announces, and yield the same packets however the bytes are split into reads. A request that cannot be
+//! served is delivered with a [`Request::fault`] as long as the position of the next one is known; otherwise the
+//! [`DecodeError`] holds the response to it.
+
+mod opcode;
+mod status;
 
 use bytes::{Buf, Bytes, BytesMut};
+use thiserror::Error;
+
+pub use opcode::Opcode;
+pub use status::Status;
 
-use crate::resp2::{Budget, MAX_BUFFERED_VALUE, MAX_VALUE};
+use crate::resp2::{ByteBudget, MAX_BUFFERED_VALUE, MAX_VALUE};
 
-/// Bytes of a header.
+/// Bytes of a packet's header ("Packet Structure").
 pub const HEADER: usize = 24;
-/// Longest key (the protocol's own limit).
+/// Longest key in bytes; the limit is the protocol's.
 pub const MAX_KEY: usize = 250;
-/// Longest extras: Increment has 20, the longest of the protocol.
+/// Longest extras in bytes: those of `Increment`, the longest of the protocol.
 pub const MAX_EXTRAS: usize = 20;
-/// Values up to this count as part of a connection; longer ones are taken from the budget.
-pub const VALUE_FREE: usize = 4096;
-/// Longest body that is let in, or thrown away rather than ending the connection: the longest value with what may stand
-/// before it.
+/// Longest value in bytes that needs no reservation in the budget: it counts as a part of its connection.
+pub const MAX_UNRESERVED_VALUE: usize = 4096;
+/// Longest body in bytes that is accepted, or discarded rather than ending the connection: the longest value with what
+/// may precede it.
 const MAX_BODY: usize = MAX_VALUE + 1024;
 
-const REQUEST: u8 = 0x80;
-const RESPONSE: u8 = 0x81;
-
-/// What a request asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[repr(u8)]
-pub enum Opcode {
-    Get = 0x00,
-    Set = 0x01,
-    Add = 0x02,
-    Replace = 0x03,
-    Delete = 0x04,
-    Increment = 0x05,
-    Decrement = 0x06,
-    Quit = 0x07,
-    Flush = 0x08,
-    GetQ = 0x09,
-    Noop = 0x0a,
-    Version = 0x0b,
-    GetK = 0x0c,
-    GetKQ = 0x0d,
-    Append = 0x0e,
-    Prepend = 0x0f,
-    Stat = 0x10,
-    SetQ = 0x11,
-    AddQ = 0x12,
-    ReplaceQ = 0x13,
-    DeleteQ = 0x14,
-    IncrementQ = 0x15,
-    DecrementQ = 0x16,
-    QuitQ = 0x17,
-    FlushQ = 0x18,
-    AppendQ = 0x19,
-    PrependQ = 0x1a,
-    Verbosity = 0x1b,
-    Touch = 0x1c,
-    Gat = 0x1d,
-    GatQ = 0x1e,
-    SaslList = 0x20,
-    SaslAuth = 0x21,
-    SaslStep = 0x22,
-}
-
-impl Opcode {
-    /// All that are known here, in the order of their codes.
-    pub const ALL: [Opcode; 34] = [
-        Opcode::Get,
-        Opcode::Set,
-        Opcode::Add,
-        Opcode::Replace,
-        Opcode::Delete,
-        Opcode::Increment,
-        Opcode::Decrement,
-        Opcode::Quit,
-        Opcode::Flush,
-        Opcode::GetQ,
-        Opcode::Noop,
-        Opcode::Version,
-        Opcode::GetK,
-        Opcode::GetKQ,
-        Opcode::Append,
-        Opcode::Prepend,
-        Opcode::Stat,
-        Opcode::SetQ,
-        Opcode::AddQ,
-        Opcode::ReplaceQ,
-        Opcode::DeleteQ,
-        Opcode::IncrementQ,
-        Opcode::DecrementQ,
-        Opcode::QuitQ,
-        Opcode::FlushQ,
-        Opcode::AppendQ,
-        Opcode::PrependQ,
-        Opcode::Verbosity,
-        Opcode::Touch,
-        Opcode::Gat,
-        Opcode::GatQ,
-        Opcode::SaslList,
-        Opcode::SaslAuth,
-        Opcode::SaslStep,
-    ];
-
-    pub fn from_code(code: u8) -> Option<Opcode> {
-        // By place in a table: a request is not to cost more the later its opcode was added.
-        const TABLE: [Option<Opcode>; 64] = {
-            let (mut table, mut i) = ([None; 64], 0);
-            while i < Opcode::ALL.len() {
-                table[Opcode::ALL[i] as usize] = Some(Opcode::ALL[i]);
-                i += 1;
-            }
-            table
-        };
-        TABLE.get(usize::from(code)).copied().flatten()
-    }
-
-    /// The opcode that does the same and speaks of every outcome; itself where it does.
-    pub fn loud(self) -> Opcode {
-        match self {
-            Opcode::GetQ => Opcode::Get,
-            Opcode::GetKQ => Opcode::GetK,
-            Opcode::SetQ => Opcode::Set,
-            Opcode::AddQ => Opcode::Add,
-            Opcode::ReplaceQ => Opcode::Replace,
-            Opcode::DeleteQ => Opcode::Delete,
-            Opcode::IncrementQ => Opcode::Increment,
-            Opcode::DecrementQ => Opcode::Decrement,
-            Opcode::QuitQ => Opcode::Quit,
-            Opcode::FlushQ => Opcode::Flush,
-            Opcode::AppendQ => Opcode::Append,
-            Opcode::PrependQ => Opcode::Prepend,
-            Opcode::GatQ => Opcode::Gat,
-            loud => loud,
-        }
-    }
-
-    pub fn quiet(self) -> bool {
-        self.loud() != self
-    }
-
-    /// Quiet reads say nothing of a miss; other quiet requests say nothing of success. Everything else speaks.
-    pub fn silent_on(self, status: Status) -> bool {
-        match self {
-            Opcode::GetQ | Opcode::GetKQ | Opcode::GatQ => status == Status::KeyNotFound,
-            _ => self.quiet() && status == Status::Ok,
-        }
-    }
-
-    /// The lengths that a request's parts must have: extras, key, value.
-    fn shape(self) -> (Part, Part, Part) {
-        use Part::{Any, Empty, Exactly, Some};
-        match self.loud() {
-            Opcode::Get | Opcode::GetK | Opcode::Delete => (Empty, Some, Empty),
-            Opcode::Set | Opcode::Add | Opcode::Replace => (Exactly(8), Some, Any),
-            Opcode::Increment | Opcode::Decrement => (Exactly(20), Some, Empty),
-            Opcode::Quit | Opcode::Noop | Opcode::Version | Opcode::SaslList => {
-                (Empty, Empty, Empty)
-            }
-            Opcode::Append | Opcode::Prepend => (Empty, Some, Any),
-            Opcode::Stat => (Empty, Any, Empty),
-            Opcode::Touch | Opcode::Gat => (Exactly(4), Some, Empty),
-            Opcode::Verbosity => (Exactly(4), Empty, Empty),
-            Opcode::SaslAuth | Opcode::SaslStep => (Empty, Some, Any),
-            // Flush may tell a time.
-            _ => (Any, Empty, Empty),
-        }
-    }
-}
-
-#[derive(Clone, Copy)]
-enum Part {
-    Empty,
-    Some,
-    Exactly(usize),
-    Any,
-}
-
-impl Part {
-    fn fits(self, len: usize) -> bool {
-        match self {
-            Part::Empty => len == 0,
-            Part::Some => len > 0,
-            Part::Exactly(n) => len == n,
-            Part::Any => true,
-        }
-    }
-}
-
-/// How a request went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[repr(u16)]
-pub enum Status {
-    Ok = 0x0000,
-    KeyNotFound = 0x0001,
-    KeyExists = 0x0002,
-    ValueTooLarge = 0x0003,
-    InvalidArguments = 0x0004,
-    NotStored = 0x0005,
-    NotNumeric = 0x0006,
-    VbucketElsewhere = 0x0007,
-    AuthError = 0x0008,
-    AuthContinue = 0x0009,
-    UnknownCommand = 0x0081,
-    OutOfMemory = 0x0082,
-    NotSupported = 0x0083,
-    InternalError = 0x0084,
-    Busy = 0x0085,
-    TemporaryFailure = 0x0086,
-}
+/// The first byte of a request ("Magic Byte").
+const REQUEST_MAGIC: u8 = 0x80;
+/// The first byte of a response ("Magic Byte").
+const RESPONSE_MAGIC: u8 = 0x81;
+/// Raw bytes, the only data type ("Data Types").
+const RAW_BYTES: u8 = 0;
 
-impl Status {
-    pub const ALL: [Status; 16] = [
-        Status::Ok,
-        Status::KeyNotFound,
-        Status::KeyExists,
-        Status::ValueTooLarge,
-        Status::InvalidArguments,
-        Status::NotStored,
-        Status::NotNumeric,
-        Status::VbucketElsewhere,
-        Status::AuthError,
-        Status::AuthContinue,
-        Status::UnknownCommand,
-        Status::OutOfMemory,
-        Status::NotSupported,
-        Status::InternalError,
-        Status::Busy,
-        Status::TemporaryFailure,
-    ];
-
-    pub fn from_code(code: u16) -> Option<Status> {
-        Status::ALL.into_iter().find(|s| *s as u16 == code)
-    }
-
-    /// The text that memcached puts into the body of an answer with this status.
-    pub fn text(self) -> &'static str {
-        match self {
-            Status::Ok => "",
-            Status::KeyNotFound => "Not found",
-            Status::KeyExists => "Data exists for key.",
-            Status::ValueTooLarge => "Too large.",
-            Status::InvalidArguments => "Invalid arguments",
-            Status::NotStored => "Not stored.",
-            Status::NotNumeric => "Non-numeric server-side value for incr or decr",
-            Status::VbucketElsewhere => "I'm not responsible for this vbucket",
-            Status::AuthError => "Auth failure.",
-            Status::AuthContinue => "Auth continue",
-            Status::UnknownCommand => "Unknown command",
-            Status::OutOfMemory => "Out of memory",
-            Status::NotSupported => "Not supported",
-            Status::InternalError => "Internal error",
-            Status::Busy => "Busy",
-            Status::TemporaryFailure => "Temporary failure",
-        }
-    }
-}
-
-/// A request as it came.
+/// A request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
-    /// As it came: it may be none that is known.
+    /// The opcode's code, which may be unknown ([`Opcode::from_code`]).
     pub opcode: u8,
+    /// The virtual bucket.
     pub vbucket: u16,
-    /// Goes back with the answer, untouched.
+    /// An arbitrary number that is copied into the response.
     pub opaque: u32,
+    /// The version that the key must have; 0 for any.
     pub cas: u64,
+    /// Parameters of the opcode.
     pub extras: Bytes,
+    /// The key.
     pub key: Bytes,
+    /// The value.
     pub value: Bytes,
-    /// Bytes taken from the budget for its value.
+    /// Bytes reserved in the budget for its value; the receiver of the request releases them.
     pub reserved: usize,
-    /// What an answer to it has to say since it can't be served: its parts have wrong lengths, or there was no
-    /// room for its value, which was thrown away.
+    /// The status of the response to it, if it cannot be served: its parts have lengths that its opcode does not
+    /// allow, or there was no room for its value, which was discarded.
     pub fault: Option<Status>,
 }
 
-/// An answer as it came.
+/// A response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Response {
+    /// The opcode's code, which may be unknown ([`Opcode::from_code`]).
     pub opcode: u8,
-    /// As it came: it may be none that is known.
+    /// The status's code, which may be unknown ([`Status::from_code`]).
     pub status: u16,
+    /// The number that the request had.
     pub opaque: u32,
+    /// The version of the key.
     pub cas: u64,
+    /// Parameters of the opcode.
     pub extras: Bytes,
+    /// The key, if the opcode has one in its responses.
     pub key: Bytes,
+    /// The value, or the text of an error.
     pub value: Bytes,
 }
 
-/// The bytes can't be read on. `answer` is what a request that could still be told apart is owed.
-#[derive(Clone, Debug, PartialEq)]
+/// Why bytes are no packet that can be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{}", self.message())]
+pub enum DecodeErrorKind {
+    /// The first byte is not that of a request.
+    NoRequestMagic,
+    /// The first byte is not that of a response.
+    NoResponseMagic,
+    /// Extras and key are longer than the body that holds them.
+    PartsExceedBody,
+    /// The body exceeds the limit.
+    BodyTooLong,
+    /// The data type is unknown.
+    UnknownDataType,
+}
+
+impl DecodeErrorKind {
+    /// The error as a text, as it is sent to the peer.
+    pub fn message(self) -> &'static str {
+        match self {
+            DecodeErrorKind::NoRequestMagic => "magic is not 0x80",
+            DecodeErrorKind::NoResponseMagic => "magic is not 0x81",
+            DecodeErrorKind::PartsExceedBody => "key and extras are longer than the body",
+            DecodeErrorKind::BodyTooLong => "body is too long",
+            DecodeErrorKind::UnknownDataType => "data type is not raw bytes",
+        }
+    }
+}
+
+/// The response to a request that could not be read completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ErrorResponse {
+    /// The opcode's code in the request.
+    pub opcode: u8,
+    /// The number that the request had.
+    pub opaque: u32,
+    /// The status of the response.
+    pub status: Status,
+}
+
+/// The bytes cannot be read, and the position of the next packet is unknown: the connection cannot be used any
+/// further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{kind}")]
 pub struct DecodeError {
-    pub why: &'static str,
-    pub answer: Option<(u8, u32, Status)>,
+    /// What cannot be read.
+    pub kind: DecodeErrorKind,
+    /// The response to the request, if its header could be read.
+    pub response: Option<ErrorResponse>,
+}
+
+impl From<DecodeErrorKind> for DecodeError {
+    fn from(kind: DecodeErrorKind) -> DecodeError {
+        DecodeError {
+            kind,
+            response: None,
+        }
+    }
 }
 
+/// A packet's header. Lengths are in bytes.
 #[derive(Clone, Copy, Debug)]
-struct Head {
+struct Header {
     magic: u8,
     opcode: u8,
-    key: usize,
-    extras: usize,
+    key_len: usize,
+    extras_len: usize,
     data_type: u8,
-    status: u16,
-    body: usize,
+    /// The vbucket of a request, the status of a response.
+    vbucket_or_status: u16,
+    body_len: usize,
     opaque: u32,
     cas: u64,
 }
 
-fn head(mut bytes: &[u8]) -> Head {
-    Head {
-        magic: bytes.get_u8(),
-        opcode: bytes.get_u8(),
-        key: usize::from(bytes.get_u16()),
-        extras: usize::from(bytes.get_u8()),
-        data_type: bytes.get_u8(),
-        status: bytes.get_u16(),
-        body: bytes.get_u32() as usize,
-        opaque: bytes.get_u32(),
-        cas: bytes.get_u64(),
+impl Header {
+    /// The header in these 24 bytes.
+    fn parse(mut bytes: &[u8]) -> Header {
+        Header {
+            magic: bytes.get_u8(),
+            opcode: bytes.get_u8(),
+            key_len: usize::from(bytes.get_u16()),
+            extras_len: usize::from(bytes.get_u8()),
+            data_type: bytes.get_u8(),
+            vbucket_or_status: bytes.get_u16(),
+            body_len: bytes.get_u32() as usize,
+            opaque: bytes.get_u32(),
+            cas: bytes.get_u64(),
+        }
+    }
+
+    /// Appends the header, with room for the extras and the key behind it.
+    fn write(&self, out: &mut Vec<u8>) {
+        out.reserve(HEADER + self.key_len + self.extras_len);
+        out.extend_from_slice(&[self.magic, self.opcode]);
+        out.extend_from_slice(&(self.key_len as u16).to_be_bytes());
+        out.extend_from_slice(&[self.extras_len as u8, self.data_type]);
+        out.extend_from_slice(&self.vbucket_or_status.to_be_bytes());
+        out.extend_from_slice(&(self.body_len as u32).to_be_bytes());
+        out.extend_from_slice(&self.opaque.to_be_bytes());
+        out.extend_from_slice(&self.cas.to_be_bytes());
+    }
+
+    /// The value's length, which is what extras and key leave of the body; they must not exceed it.
+    fn value_len(&self) -> usize {
+        self.body_len - self.key_len - self.extras_len
+    }
+
+    fn has_consistent_lengths(&self) -> bool {
+        self.key_len + self.extras_len <= self.body_len
     }
-}
 
-impl Head {
     /// The request without its body.
     fn request(&self) -> Request {
         Request {
             opcode: self.opcode,
-            vbucket: self.status,
+            vbucket: self.vbucket_or_status,
             opaque: self.opaque,
             cas: self.cas,
             ..Request::default()
         }
     }
 
-    fn broken(&self, why: &'static str, status: Option<Status>) -> DecodeError {
+    /// The request with its body, which the buffer must hold completely.
+    fn request_with_body(&self, buf: &mut BytesMut, reserved: usize) -> Request {
+        let mut request = self.request();
+        request.reserved = reserved;
+        if self.body_len > 0 {
+            let mut body = buf.split_to(self.body_len).freeze();
+            // Each part that shares the body's memory counts a reference: empty parts are left as they are.
+            if self.extras_len > 0 {
+                request.extras = body.split_to(self.extras_len);
+            }
+            if self.key_len > 0 && self.key_len < body.len() {
+                request.key = body.split_to(self.key_len);
+                request.value = body;
+            } else if self.key_len > 0 {
+                request.key = body;
+            } else {
+                request.value = body;
+            }
+        }
+        let has_allowed_lengths = Opcode::from_code(self.opcode).is_none_or(|opcode| {
+            opcode.allows_lengths(self.extras_len, self.key_len, request.value.len())
+        });
+        if !has_allowed_lengths {
+            request.fault = Some(Status::InvalidArguments);
+        }
+        request
+    }
+
+    /// An error with a response to the request that this header begins.
+    fn error(&self, kind: DecodeErrorKind, status: Status) -> DecodeError {
         DecodeError {
-            why,
-            answer: status.map(|status| (self.opcode, self.opaque, status)),
+            kind,
+            response: Some(ErrorResponse {
+                opcode: self.opcode,
+                opaque: self.opaque,
+                status,
+            }),
         }
     }
 }
 
-/// Cuts requests from a client's bytes.
+/// What a [`RequestReader`] expects next.
+#[derive(Debug, Default)]
+enum RequestState {
+    /// A header.
+    #[default]
+    Header,
+    /// The body of a request, for which so many bytes are reserved in the budget.
+    Body { header: Header, reserved: usize },
+    /// The remaining bytes of a body that is discarded, because of this fault.
+    Discarding {
+        header: Header,
+        remaining: usize,
+        fault: Status,
+    },
+}
+
+/// Reads requests from a client's bytes.
 #[derive(Debug, Default)]
 pub struct RequestReader {
-    /// The request whose body is coming, and what it holds of the budget.
-    coming: Option<(Head, usize)>,
-    /// Bytes of a body that is thrown away, the request that it belongs to, and why.
-    skip: Option<(usize, Head, Status)>,
+    state: RequestState,
 }
 
 impl RequestReader {
-    /// Whether part of a request has been taken off the buffer.
+    /// Whether the header of a request has been taken off the buffer, but not yet its body.
     pub fn is_mid_message(&self) -> bool {
-        self.coming.is_some() || self.skip.is_some()
+        !matches!(self.state, RequestState::Header)
     }
 
-    /// What the unfinished request holds of the budget.
+    /// Bytes that the incomplete request has reserved in the budget.
     pub fn reserved(&self) -> usize {
-        self.coming.map_or(0, |(_, reserved)| reserved)
+        match self.state {
+            RequestState::Body { reserved, .. } => reserved,
+            _ => 0,
+        }
     }
 
-    /// The next request, none while it is still coming. `value_most`: longest value that is let in.
+    /// Takes the next request off the buffer; `None` while it is incomplete. `max_value`: longest value that is
+    /// accepted, in bytes; a request with a longer one is delivered without it.
     ///
     /// # Errors
-    /// Another magic, a body shorter than its parts, or one that is too long to be thrown away.
+    /// Another magic byte, a body shorter than its parts, or one that is too long to be discarded.
     pub fn next(
         &mut self,
         buf: &mut BytesMut,
-        budget: &mut Budget,
-        value_most: usize,
+        budget: &mut ByteBudget,
+        max_value: usize,
     ) -> Result<Option<Request>, DecodeError> {
-        if let Some((left, head, why)) = &mut self.skip {
-            let some = (*left).min(buf.len());
-            buf.advance(some);
-            *left -= some;
-            if *left > 0 {
-                return Ok(None);
-            }
-            let request = Request {
-                fault: Some(*why),
-                ..head.request()
-            };
-            self.skip = None;
-            return Ok(Some(request));
-        }
-        let (h, reserved) = match self.coming {
-            Some(coming) => coming,
-            None => {
-                if buf.first().is_some_and(|magic| *magic != REQUEST) {
-                    return Err(DecodeError {
-                        why: "magic is not 0x80",
-                        answer: None,
-                    });
-                }
-                if buf.len() < HEADER {
-                    return Ok(None);
+        loop {
+            match &mut self.state {
+                RequestState::Header => {
+                    let Some(header) = take_request_header(buf)? else {
+                        return Ok(None);
+                    };
+                    self.state = begin_body(header, budget, max_value);
                 }
-                let h = head(&buf[..HEADER]);
-                if h.key + h.extras > h.body {
-                    return Err(h.broken(
-                        "key and extras are longer than the body",
-                        Some(Status::InvalidArguments),
-                    ));
+                RequestState::Body { header, reserved } => {
+                    if buf.len() < header.body_len {
+                        return Ok(None);
+                    }
+                    let request = header.request_with_body(buf, *reserved);
+                    self.state = RequestState::Header;
+                    return Ok(Some(request));
                 }
-                let value = h.body - h.key - h.extras;
-                if h.body > MAX_BODY {
-                    return Err(h.broken("body is too long", Some(Status::ValueTooLarge)));
+                RequestState::Discarding {
+                    header,
+                    remaining,
+                    fault,
+                } => {
+                    let received = (*remaining).min(buf.len());
+                    buf.advance(received);
+                    *remaining -= received;
+                    if *remaining > 0 {
+                        return Ok(None);
+                    }
+                    let mut request = header.request();
+                    request.fault = Some(*fault);
+                    self.state = RequestState::Header;
+                    return Ok(Some(request));
                 }
-                buf.advance(HEADER);
-                let fault = if h.data_type != 0 || h.key > MAX_KEY || h.extras > MAX_EXTRAS {
-                    Some(Status::InvalidArguments)
-                } else if value > value_most {
-                    Some(Status::ValueTooLarge)
-                } else if value > VALUE_FREE && !budget.take(value) {
-                    Some(Status::OutOfMemory)
-                } else {
-                    None
-                };
-                if let Some(why) = fault {
-                    self.skip = Some((h.body, h, why));
-                    return self.next(buf, budget, value_most);
-                }
-                (h, if value > VALUE_FREE { value } else { 0 })
-            }
-        };
-        if buf.len() < h.body {
-            self.coming = Some((h, reserved));
-            return Ok(None);
-        }
-        self.coming = None;
-        let mut request = Request {
-            reserved,
-            ..h.request()
-        };
-        if h.body > 0 {
-            let mut bytes = buf.split_to(h.body).freeze();
-            // Each part that shares the bytes is counted: those that are not there need not be.
-            if h.extras > 0 {
-                request.extras = bytes.split_to(h.extras);
-            }
-            if h.key > 0 && h.key < bytes.len() {
-                request.key = bytes.split_to(h.key);
-                request.value = bytes;
-            } else if h.key > 0 {
-                request.key = bytes;
-            } else {
-                request.value = bytes;
             }
         }
-        if let Some(opcode) = Opcode::from_code(request.opcode) {
-            let (e, k, v) = opcode.shape();
-            if !(e.fits(h.extras) && k.fits(h.key) && v.fits(request.value.len())) {
-                request.fault = Some(Status::InvalidArguments);
-            }
-        }
-        Ok(Some(request))
     }
 }
 
-/// What has come of an answer.
+/// Takes the header of a request off the buffer; `None` while it is incomplete. Bytes behind an error are not taken.
+fn take_request_header(buf: &mut BytesMut) -> Result<Option<Header>, DecodeError> {
+    if buf.first().is_some_and(|magic| *magic != REQUEST_MAGIC) {
+        return Err(DecodeErrorKind::NoRequestMagic.into());
+    }
+    if buf.len() < HEADER {
+        return Ok(None);
+    }
+    let header = Header::parse(&buf[..HEADER]);
+    if !header.has_consistent_lengths() {
+        let kind = DecodeErrorKind::PartsExceedBody;
+        return Err(header.error(kind, Status::InvalidArguments));
+    }
+    if header.body_len > MAX_BODY {
+        return Err(header.error(DecodeErrorKind::BodyTooLong, Status::ValueTooLarge));
+    }
+    buf.advance(HEADER);
+    Ok(Some(header))
+}
+
+/// Decides whether the body of a request is accepted, with its value reserved in the budget, or discarded.
+fn begin_body(header: Header, budget: &mut ByteBudget, max_value: usize) -> RequestState {
+    let value_len = header.value_len();
+    let needs_reservation = value_len > MAX_UNRESERVED_VALUE;
+    let has_invalid_header =
+        header.data_type != RAW_BYTES || header.key_len > MAX_KEY || header.extras_len > MAX_EXTRAS;
+    let fault = if has_invalid_header {
+        Status::InvalidArguments
+    } else if value_len > max_value {
+        Status::ValueTooLarge
+    } else if needs_reservation && !budget.try_reserve(value_len) {
+        Status::OutOfMemory
+    } else {
+        let reserved = if needs_reservation { value_len } else { 0 };
+        return RequestState::Body { header, reserved };
+    };
+    RequestState::Discarding {
+        header,
+        remaining: header.body_len,
+        fault,
+    }
+}
+
+/// What a [`ResponseReader`] has read.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Piece {
-    /// An answer; the value of one that was streamed is empty.
-    Whole(Response),
-    /// An answer whose long value (of so many bytes) follows.
-    Begin(Response, usize),
-    /// Bytes of the long value.
-    Body(Bytes),
+pub enum DecodeEvent {
+    /// A complete response; the value is empty if it has been streamed.
+    Complete(Response),
+    /// A response whose long value follows, and the value's length in bytes.
+    ValueStart(Response, usize),
+    /// The next bytes of the long value.
+    ValueChunk(Bytes),
 }
 
-/// Cuts answers from a cache box's bytes. Values beyond [`MAX_BUFFERED_VALUE`] are passed on as they come.
+/// What a [`ResponseReader`] expects next.
+#[derive(Debug, Default)]
+enum ResponseState {
+    /// A header.
+    #[default]
+    Header,
+    /// The body of a response, or what precedes a long value.
+    Body(Header),
+    /// The remaining bytes of a long value.
+    Value {
+        response: Response,
+        remaining: usize,
+    },
+}
+
+/// Reads responses from a cache server's bytes. Values of more than [`MAX_BUFFERED_VALUE`] bytes are streamed.
 #[derive(Debug, Default)]
 pub struct ResponseReader {
-    coming: Option<Head>,
-    /// The answer whose long value is coming, and the bytes left of it.
-    body: Option<(Response, usize)>,
+    state: ResponseState,
 }
 
 impl ResponseReader {
-    /// Whether part of an answer has been taken off the buffer.
+    /// Whether a part of a response has been taken off the buffer.
     pub fn is_mid_message(&self) -> bool {
-        self.coming.is_some() || self.body.is_some()
+        !matches!(self.state, ResponseState::Header)
     }
 
-    /// The next piece, none while it is still coming.
+    /// Takes the next event off the buffer; `None` until more bytes arrive. `max_body`: longest body that is accepted,
+    /// in bytes.
     ///
     /// # Errors
-    /// Another magic, a data type that is not raw bytes, a body shorter than its parts, or one longer than
-    /// `body_most`.
+    /// Another magic byte, an unknown data type, a body shorter than its parts, or one longer than `max_body`.
     pub fn next(
         &mut self,
         buf: &mut BytesMut,
-        body_most: usize,
-    ) -> Result<Option<Piece>, DecodeError> {
-        if let Some((_, left)) = &mut self.body {
-            if *left > 0 {
-                let bytes = buf.split_to((*left).min(buf.len())).freeze();
-                *left -= bytes.len();
-                return Ok((!bytes.is_empty()).then_some(Piece::Body(bytes)));
+        max_body: usize,
+    ) -> Result<Option<DecodeEvent>, DecodeError> {
+        let header = match &mut self.state {
+            ResponseState::Value { remaining, .. } if *remaining > 0 => {
+                let bytes = buf.split_to((*remaining).min(buf.len())).freeze();
+                *remaining -= bytes.len();
+                return Ok((!bytes.is_empty()).then_some(DecodeEvent::ValueChunk(bytes)));
             }
-            return Ok(self.body.take().map(|(response, _)| Piece::Whole(response)));
-        }
-        let h = match self.coming {
-            Some(h) => h,
-            None => {
-                if buf.first().is_some_and(|magic| *magic != RESPONSE) {
-                    return Err(DecodeError {
-                        why: "magic is not 0x81",
-                        answer: None,
-                    });
-                }
-                if buf.len() < HEADER {
+            ResponseState::Value { .. } => return Ok(self.take_streamed_response()),
+            ResponseState::Body(header) => *header,
+            ResponseState::Header => {
+                let Some(header) = take_response_header(buf, max_body)? else {
                     return Ok(None);
-                }
-                let h = head(&buf[..HEADER]);
-                if h.key + h.extras > h.body {
-                    return Err(h.broken("key and extras are longer than the body", None));
-                }
-                if h.body > body_most {
-                    return Err(h.broken("body is too long", None));
-                }
-                if h.data_type != 0 {
-                    return Err(h.broken("data type is not raw bytes", None));
-                }
-                buf.advance(HEADER);
-                self.coming = Some(h);
-                h
+                };
+                self.state = ResponseState::Body(header);
+                header
             }
         };
-        let value = h.body - h.key - h.extras;
-        let long = value > MAX_BUFFERED_VALUE;
-        let wanted = if long { h.key + h.extras } else { h.body };
-        if buf.len() < wanted {
-            return Ok(None);
+        Ok(self.read_body(header, buf))
+    }
+
+    /// The response whose long value has been streamed completely.
+    fn take_streamed_response(&mut self) -> Option<DecodeEvent> {
+        match std::mem::take(&mut self.state) {
+            ResponseState::Value { response, .. } => Some(DecodeEvent::Complete(response)),
+            _ => None,
         }
-        self.coming = None;
-        let mut bytes = buf.split_to(wanted).freeze();
-        let (extras, key) = (bytes.split_to(h.extras), bytes.split_to(h.key));
+    }
+
+    /// Reads the body of a response, or what precedes a long value; `None` while that is incomplete.
+    fn read_body(&mut self, header: Header, buf: &mut BytesMut) -> Option<DecodeEvent> {
+        let value_len = header.value_len();
+        let is_streamed = value_len > MAX_BUFFERED_VALUE;
+        let needed = if is_streamed {
+            header.key_len + header.extras_len
+        } else {
+            header.body_len
+        };
+        if buf.len() < needed {
+            return None;
+        }
+        let mut body = buf.split_to(needed).freeze();
+        let extras = body.split_to(header.extras_len);
+        let key = body.split_to(header.key_len);
         let response = Response {
-            opcode: h.opcode,
-            status: h.status,
-            opaque: h.opaque,
-            cas: h.cas,
+            opcode: header.opcode,
+            status: header.vbucket_or_status,
+            opaque: header.opaque,
+            cas: header.cas,
             extras,
             key,
-            value: bytes,
+            value: body,
         };
-        if long {
-            self.body = Some((response.clone(), value));
-            return Ok(Some(Piece::Begin(response, value)));
+        if !is_streamed {
+            self.state = ResponseState::Header;
+            return Some(DecodeEvent::Complete(response));
         }
-        Ok(Some(Piece::Whole(response)))
+        self.state = ResponseState::Value {
+            response: response.clone(),
+            remaining: value_len,
+        };
+        Some(DecodeEvent::ValueStart(response, value_len))
     }
 }
 
-fn put(out: &mut Vec<u8>, h: Head, extras: &[u8], key: &[u8]) {
-    out.reserve(HEADER + h.key + h.extras);
-    out.extend_from_slice(&[h.magic, h.opcode]);
-    out.extend_from_slice(&(h.key as u16).to_be_bytes());
-    out.extend_from_slice(&[h.extras as u8, h.data_type]);
-    out.extend_from_slice(&h.status.to_be_bytes());
-    out.extend_from_slice(&(h.body as u32).to_be_bytes());
-    out.extend_from_slice(&h.opaque.to_be_bytes());
-    out.extend_from_slice(&h.cas.to_be_bytes());
-    out.extend_from_slice(extras);
-    out.extend_from_slice(key);
+/// Takes the header of a response off the buffer; `None` while it is incomplete. Bytes behind an error are not taken.
+fn take_response_header(
+    buf: &mut BytesMut,
+    max_body: usize,
+) -> Result<Option<Header>, DecodeErrorKind> {
+    if buf.first().is_some_and(|magic| *magic != RESPONSE_MAGIC) {
+        return Err(DecodeErrorKind::NoResponseMagic);
+    }
+    if buf.len() < HEADER {
+        return Ok(None);
+    }
+    let header = Header::parse(&buf[..HEADER]);
+    if !header.has_consistent_lengths() {
+        return Err(DecodeErrorKind::PartsExceedBody);
+    }
+    if header.body_len > max_body {
+        return Err(DecodeErrorKind::BodyTooLong);
+    }
+    if header.data_type != RAW_BYTES {
+        return Err(DecodeErrorKind::UnknownDataType);
+    }
+    buf.advance(HEADER);
+    Ok(Some(header))
 }
 
-/// Appends a request up to its value, of `len` bytes, which is written behind it. Its key and extras must keep the
-/// protocol's lengths.
-pub fn write_request_header(out: &mut Vec<u8>, r: &Request, len: usize) {
-    let h = Head {
-        magic: REQUEST,
-        opcode: r.opcode,
-        key: r.key.len(),
-        extras: r.extras.len(),
-        data_type: 0,
-        status: r.vbucket,
-        body: r.extras.len() + r.key.len() + len,
-        opaque: r.opaque,
-        cas: r.cas,
+/// Appends a request up to its value, of `value_len` bytes, which the caller appends. Its key and extras must have
+/// lengths that the header can express.
+pub fn write_request_header(out: &mut Vec<u8>, request: &Request, value_len: usize) {
+    let header = Header {
+        magic: REQUEST_MAGIC,
+        opcode: request.opcode,
+        key_len: request.key.len(),
+        extras_len: request.extras.len(),
+        data_type: RAW_BYTES,
+        vbucket_or_status: request.vbucket,
+        body_len: request.extras.len() + request.key.len() + value_len,
+        opaque: request.opaque,
+        cas: request.cas,
     };
-    put(out, h, &r.extras, &r.key);
+    header.write(out);
+    out.extend_from_slice(&request.extras);
+    out.extend_from_slice(&request.key);
 }
 
 /// Appends a request.
-pub fn write_request(out: &mut Vec<u8>, r: &Request) {
-    write_request_header(out, r, r.value.len());
-    out.extend_from_slice(&r.value);
+pub fn write_request(out: &mut Vec<u8>, request: &Request) {
+    write_request_header(out, request, request.value.len());
+    out.extend_from_slice(&request.value);
 }
 
-/// Appends an answer.
-pub fn write_response(out: &mut Vec<u8>, r: &Response) {
-    write_response_header(out, r, r.value.len());
-    out.extend_from_slice(&r.value);
+/// Appends a response up to its value, of `value_len` bytes, which the caller appends.
+pub fn write_response_header(out: &mut Vec<u8>, response: &Response, value_len: usize) {
+    let header = Header {
+        magic: RESPONSE_MAGIC,
+        opcode: response.opcode,
+        key_len: response.key.len(),
+        extras_len: response.extras.len(),
+        data_type: RAW_BYTES,
+        vbucket_or_status: response.status,
+        body_len: response.extras.len() + response.key.len() + value_len,
+        opaque: response.opaque,
+        cas: response.cas,
+    };
+    header.write(out);
+    out.extend_from_slice(&response.extras);
+    out.extend_from_slice(&response.key);
 }
 
-/// Appends the head of an answer whose value, of `len` bytes, is written behind it.
-pub fn write_response_header(out: &mut Vec<u8>, r: &Response, len: usize) {
-    let h = Head {
-        magic: RESPONSE,
-        opcode: r.opcode,
-        key: r.key.len(),
-        extras: r.extras.len(),
-        data_type: 0,
-        status: r.status,
-        body: r.extras.len() + r.key.len() + len,
-        opaque: r.opaque,
-        cas: r.cas,
-    };
-    put(out, h, &r.extras, &r.key);
+/// Appends a response.
+pub fn write_response(out: &mut Vec<u8>, response: &Response) {
+    write_response_header(out, response, response.value.len());
+    out.extend_from_slice(&response.value);
 }
 
-/// Appends an answer that holds nothing but a status and its text.
+/// Appends a response that consists of a status and the text that memcached has for it.
 pub fn write_status(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status) {
     write_text_response(out, opcode, opaque, status, status.text());
 }
 
-/// Appends an answer with a status and a text for people.
+/// Appends a response that consists of a status and a text for people.
 pub fn write_text_response(out: &mut Vec<u8>, opcode: u8, opaque: u32, status: Status, text: &str) {
-    let value = Bytes::copy_from_slice(text.as_bytes());
-    let (extras, key) = (Bytes::new(), Bytes::new());
-    write_response(
-        out,
-        &Response {
-            opcode,
-            status: status as u16,
-            opaque,
-            cas: 0,
-            extras,
-            key,
-            value,
-        },
-    );
+    let response = Response {
+        opcode,
+        status: status as u16,
+        opaque,
+        cas: 0,
+        extras: Bytes::new(),
+        key: Bytes::new(),
+        value: Bytes::copy_from_slice(text.as_bytes()),
+    };
+    write_response(out, &response);
 }
 
 #[cfg(test)]
--- a/crates/codec/src/memcached_tests.rs
+++ b/crates/codec/src/memcached_tests.rs
@@ -1,25 +1,27 @@
 use super::*;
 use proptest::prelude::*;
 
-const MOST: usize = 64 << 10;
+/// Longest value that the readers of these tests accept.
+const MAX_TEST_VALUE: usize = 64 << 10;
 
-fn pieces<'a>(input: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+/// The parts of `input` between these positions, each taken modulo its length.
+fn split<'a>(input: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
     let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
     at.extend([0, input.len()]);
     at.sort_unstable();
     at.windows(2).map(|w| &input[w[0]..w[1]]).collect()
 }
 
-fn requests(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Request>, Option<DecodeError>) {
+fn requests(input: &[u8], cuts: &[usize], bytes: usize) -> (Vec<Request>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (RequestReader::default(), BytesMut::new(), Vec::new());
-    let mut budget = Budget::new(room);
-    for piece in pieces(input, cuts) {
-        buf.extend_from_slice(piece);
+    let mut budget = ByteBudget::new(bytes);
+    for part in split(input, cuts) {
+        buf.extend_from_slice(part);
         loop {
-            match reader.next(&mut buf, &mut budget, MOST) {
+            match reader.next(&mut buf, &mut budget, MAX_TEST_VALUE) {
                 Ok(Some(request)) => out.push(request),
                 Ok(None) => break,
-                Err(broken) => return (out, Some(broken)),
+                Err(error) => return (out, Some(error)),
             }
         }
     }
@@ -29,47 +31,47 @@
 fn responses(input: &[u8], cuts: &[usize]) -> (Vec<Response>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (ResponseReader::default(), BytesMut::new(), Vec::new());
     let mut body = Vec::new();
-    for piece in pieces(input, cuts) {
-        buf.extend_from_slice(piece);
+    for part in split(input, cuts) {
+        buf.extend_from_slice(part);
         loop {
-            match reader.next(&mut buf, MOST * 4) {
-                // A long value is put together again.
-                Ok(Some(Piece::Whole(response))) if body.is_empty() => out.push(response),
-                Ok(Some(Piece::Whole(mut response))) => {
+            match reader.next(&mut buf, MAX_TEST_VALUE * 4) {
+                // The chunks of a long value are joined.
+                Ok(Some(DecodeEvent::Complete(response))) if body.is_empty() => out.push(response),
+                Ok(Some(DecodeEvent::Complete(mut response))) => {
                     response.value = std::mem::take(&mut body).into();
                     out.push(response);
                 }
-                Ok(Some(Piece::Begin(..))) => assert!(body.is_empty()),
-                Ok(Some(Piece::Body(bytes))) => body.extend_from_slice(&bytes),
+                Ok(Some(DecodeEvent::ValueStart(..))) => assert!(body.is_empty()),
+                Ok(Some(DecodeEvent::ValueChunk(bytes))) => body.extend_from_slice(&bytes),
                 Ok(None) => break,
-                Err(broken) => return (out, Some(broken)),
+                Err(error) => return (out, Some(error)),
             }
         }
     }
     (out, None)
 }
 
-/// The packets of the protocol's own page, as bytes.
+/// The examples on the protocol's page, as bytes.
 #[test]
-fn packets_of_the_specification() {
+fn packets_of_the_specification_are_read_and_written() {
     let get = b"\x80\x00\x00\x05\x00\x00\x00\x00\x00\x00\x00\x05\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00Hello";
-    let (got, broken) = requests(get, &[], 0);
-    assert_eq!((got.len(), broken), (1, None));
+    let (got, error) = requests(get, &[], 0);
+    assert_eq!((got.len(), error), (1, None));
     assert_eq!(
         (got[0].opcode, &got[0].key[..]),
         (Opcode::Get as u8, &b"Hello"[..])
     );
     let add = b"\x80\x02\x00\x05\x08\x00\x00\x00\x00\x00\x00\x12\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\xde\xad\xbe\xef\x00\x00\x0e\x10HelloWorld";
-    let (got, broken) = requests(add, &[], 0);
-    assert_eq!(broken, None);
+    let (got, error) = requests(add, &[], 0);
+    assert_eq!(error, None);
     assert_eq!(&got[0].extras[..], b"\xde\xad\xbe\xef\x00\x00\x0e\x10");
     assert_eq!(
         (&got[0].key[..], &got[0].value[..], got[0].fault),
         (&b"Hello"[..], &b"World"[..], None)
     );
     let miss = b"\x81\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00Not found";
-    let (got, broken) = responses(miss, &[]);
-    assert_eq!(broken, None);
+    let (got, error) = responses(miss, &[]);
+    assert_eq!(error, None);
     assert_eq!(
         (Status::from_code(got[0].status), &got[0].value[..]),
         (Some(Status::KeyNotFound), &b"Not found"[..])
@@ -86,7 +88,7 @@
 }
 
 #[test]
-fn a_long_value_passes_through_as_it_comes() {
+fn long_value_is_streamed_as_it_arrives() {
     let value = Bytes::from(vec![b'v'; MAX_BUFFERED_VALUE + 1]);
     let long = Response {
         opcode: Opcode::GetK as u8,
@@ -105,20 +107,21 @@
         &[10, 24, 27, 29, 30, 5_000, input.len() - 24],
         &[28],
     ] {
-        let (got, broken) = responses(&input, cuts);
-        assert_eq!((got.len(), broken), (2, None));
+        let (got, error) = responses(&input, cuts);
+        assert_eq!((got.len(), error), (2, None));
         assert_eq!((&got[0], got[1].opaque), (&long, 4));
     }
     let (mut reader, mut buf) = (ResponseReader::default(), BytesMut::from(&input[..]));
-    let begin = reader.next(&mut buf, MOST * 4).unwrap().unwrap();
+    let begin = reader.next(&mut buf, MAX_TEST_VALUE * 4).unwrap().unwrap();
     assert!(
-        matches!(begin, Piece::Begin(r, len) if r.opaque == 3 && len == MAX_BUFFERED_VALUE + 1)
+        matches!(begin, DecodeEvent::ValueStart(r, len) if r.opaque == 3 && len == MAX_BUFFERED_VALUE + 1)
     );
     assert!(reader.is_mid_message());
 }
 
-fn lying(key: u16, extras: u8, body: u32) -> Vec<u8> {
-    let mut out = vec![REQUEST, Opcode::Set as u8];
+/// The header of a `Set` request with these lengths, without a body.
+fn set_header(key: u16, extras: u8, body: u32) -> Vec<u8> {
+    let mut out = vec![REQUEST_MAGIC, Opcode::Set as u8];
     out.extend(key.to_be_bytes());
     out.extend([extras, 0, 0, 0]);
     out.extend(body.to_be_bytes());
@@ -128,29 +131,29 @@
 }
 
 #[test]
-fn lengths_that_lie_end_in_an_error_and_take_no_memory() {
+fn inconsistent_lengths_are_errors_and_take_no_memory() {
     let cases = [
-        (lying(10, 8, 17), Some(Status::InvalidArguments)),
-        (lying(u16::MAX, 255, 3), Some(Status::InvalidArguments)),
-        (lying(1, 8, u32::MAX), Some(Status::ValueTooLarge)),
+        (set_header(10, 8, 17), Some(Status::InvalidArguments)),
+        (set_header(u16::MAX, 255, 3), Some(Status::InvalidArguments)),
+        (set_header(1, 8, u32::MAX), Some(Status::ValueTooLarge)),
         (b"GET / HTTP/1.1\r\n".to_vec(), None),
-        (vec![RESPONSE; 30], None),
+        (vec![RESPONSE_MAGIC; 30], None),
     ];
     for (input, status) in cases {
         for cut in 0..input.len() {
-            let (got, broken) = requests(&input, &[cut], 1 << 20);
+            let (got, error) = requests(&input, &[cut], 1 << 20);
             assert!(got.is_empty());
-            let answer = broken.expect("an error").answer;
+            let response = error.expect("an error").response;
             assert_eq!(
-                answer.map(|(_, opaque, status)| (opaque, status)),
+                response.map(|response| (response.opaque, response.status)),
                 status.map(|s| (7, s))
             );
         }
     }
     let mut reader = RequestReader::default();
-    let mut buf = BytesMut::from(&lying(1, 8, 60_000)[..]);
+    let mut buf = BytesMut::from(&set_header(1, 8, 60_000)[..]);
     assert_eq!(
-        reader.next(&mut buf, &mut Budget::new(1 << 20), MOST),
+        reader.next(&mut buf, &mut ByteBudget::new(1 << 20), MAX_TEST_VALUE),
         Ok(None)
     );
     assert!(buf.capacity() < 4096 && reader.is_mid_message());
@@ -158,7 +161,7 @@
 }
 
 #[test]
-fn what_has_no_room_is_thrown_away_and_the_next_is_read() {
+fn value_without_room_is_discarded_and_the_next_request_read() {
     let long = |len: usize| {
         let request = Request {
             opcode: Opcode::Set as u8,
@@ -179,12 +182,12 @@
         );
         out
     };
-    for (len, room, fault) in [
-        (MOST + 1, 1 << 20, Status::ValueTooLarge),
+    for (len, bytes, fault) in [
+        (MAX_TEST_VALUE + 1, 1 << 20, Status::ValueTooLarge),
         (5_000, 4_999, Status::OutOfMemory),
     ] {
-        let (got, broken) = requests(&long(len), &[30, 2000], room);
-        assert_eq!((got.len(), broken), (2, None));
+        let (got, error) = requests(&long(len), &[30, 2000], bytes);
+        assert_eq!((got.len(), error), (2, None));
         assert_eq!(
             (got[0].fault, got[0].opaque, got[0].reserved),
             (Some(fault), 9, 0)
@@ -196,7 +199,7 @@
 }
 
 #[test]
-fn a_value_of_the_longest_length_is_let_in() {
+fn value_of_maximum_length_is_accepted() {
     let mut out = Vec::new();
     let (key, extras) = (vec![b'k'; MAX_KEY].into(), Bytes::from_static(&[0; 8]));
     let (opcode, value) = (Opcode::Set as u8, vec![b'v'; MAX_VALUE].into());
@@ -204,21 +207,21 @@
         &mut out,
         &Request {
             opcode,
-            key,
             extras,
+            key,
             value,
             ..Request::default()
         },
     );
     let mut buf = BytesMut::from(&out[..]);
-    let read = RequestReader::default().next(&mut buf, &mut Budget::new(MAX_VALUE), MAX_VALUE);
+    let read = RequestReader::default().next(&mut buf, &mut ByteBudget::new(MAX_VALUE), MAX_VALUE);
     assert!(read
         .unwrap()
         .is_some_and(|r| r.fault.is_none() && r.value.len() == MAX_VALUE));
 }
 
 #[test]
-fn parts_that_an_opcode_does_not_have_are_a_fault() {
+fn parts_that_an_opcode_does_not_allow_are_a_fault() {
     let make = |opcode: Opcode, extras: usize, key: usize, value: usize| {
         let mut out = Vec::new();
         let part = |len: usize| Bytes::from(vec![b'x'; len]);
@@ -240,50 +243,50 @@
     assert_eq!(make(Opcode::SetQ, 8, 3, 0), None);
     assert_eq!(make(Opcode::Stat, 0, 0, 0), None);
     assert_eq!(make(Opcode::Flush, 4, 0, 0), None);
-    let bad = Some(Status::InvalidArguments);
-    assert_eq!(make(Opcode::Get, 0, 0, 0), bad);
-    assert_eq!(make(Opcode::Get, 4, 3, 0), bad);
-    assert_eq!(make(Opcode::Get, 0, 3, 1), bad);
-    assert_eq!(make(Opcode::Set, 4, 3, 1), bad);
-    assert_eq!(make(Opcode::Noop, 0, 1, 0), bad);
-    assert_eq!(make(Opcode::Get, 0, MAX_KEY + 1, 0), bad);
+    let invalid = Some(Status::InvalidArguments);
+    assert_eq!(make(Opcode::Get, 0, 0, 0), invalid);
+    assert_eq!(make(Opcode::Get, 4, 3, 0), invalid);
+    assert_eq!(make(Opcode::Get, 0, 3, 1), invalid);
+    assert_eq!(make(Opcode::Set, 4, 3, 1), invalid);
+    assert_eq!(make(Opcode::Noop, 0, 1, 0), invalid);
+    assert_eq!(make(Opcode::Get, 0, MAX_KEY + 1, 0), invalid);
 }
 
 #[test]
-fn quiet_opcodes_are_silent_as_the_specification_has_it() {
+fn quiet_opcodes_suppress_the_responses_that_the_specification_names() {
     for opcode in Opcode::ALL {
         assert_eq!(Opcode::from_code(opcode as u8), Some(opcode));
-        assert!(!opcode.loud().quiet());
+        assert!(!opcode.without_quiet().is_quiet());
         for status in Status::ALL {
             let read = matches!(opcode, Opcode::GetQ | Opcode::GetKQ | Opcode::GatQ);
-            let silent = if read {
+            let is_suppressed = if read {
                 status == Status::KeyNotFound
             } else {
                 status == Status::Ok
             };
             assert_eq!(
-                opcode.silent_on(status),
-                opcode.quiet() && silent,
+                opcode.suppresses_response(status),
+                opcode.is_quiet() && is_suppressed,
                 "{opcode:?} {status:?}"
             );
         }
     }
-    assert_eq!(Opcode::ALL.iter().filter(|o| o.quiet()).count(), 13);
+    assert_eq!(Opcode::ALL.iter().filter(|o| o.is_quiet()).count(), 13);
     assert_eq!(Opcode::from_code(0x1f), None);
     assert!(Status::ALL
         .iter()
         .all(|s| Status::from_code(*s as u16) == Some(*s)));
 }
 
-fn bytes(most: usize) -> impl Strategy<Value = Bytes> {
-    prop::collection::vec(any::<u8>(), 0..most).prop_map(Bytes::from)
+fn any_bytes(max_len: usize) -> impl Strategy<Value = Bytes> {
+    prop::collection::vec(any::<u8>(), 0..max_len).prop_map(Bytes::from)
 }
 
 proptest! {
     #[test]
-    fn requests_come_back_as_they_were_however_they_are_cut(
+    fn requests_are_read_as_written_however_they_are_split(
         list in prop::collection::vec((any::<u8>(), any::<u16>(), any::<u32>(), any::<u64>(),
-            bytes(MAX_EXTRAS + 1), bytes(MAX_KEY + 1), bytes(300)), 1..6),
+            any_bytes(MAX_EXTRAS + 1), any_bytes(MAX_KEY + 1), any_bytes(300)), 1..6),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
     ) {
         let mut input = Vec::new();
@@ -293,17 +296,17 @@
             write_request(&mut input, &request);
             sent.push(request);
         }
-        let (whole, broken) = requests(&input, &[], 0);
-        prop_assert_eq!(broken, None);
+        let (whole, error) = requests(&input, &[], 0);
+        prop_assert_eq!(error, None);
         prop_assert_eq!(&requests(&input, &cuts, 0).0, &whole);
         let plain: Vec<Request> = whole.into_iter().map(|r| Request { fault: None, ..r }).collect();
         prop_assert_eq!(plain, sent);
     }
 
     #[test]
-    fn answers_come_back_as_they_were_however_they_are_cut(
+    fn responses_are_read_as_written_however_they_are_split(
         list in prop::collection::vec((any::<u8>(), any::<u16>(), any::<u32>(), any::<u64>(),
-            bytes(30), bytes(300), bytes(300)), 1..6),
+            any_bytes(30), any_bytes(300), any_bytes(300)), 1..6),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
     ) {
         let mut input = Vec::new();
@@ -317,17 +320,17 @@
     }
 
     #[test]
-    fn noise_never_panics_and_is_cut_alike(
+    fn arbitrary_bytes_never_panic_and_are_read_alike_however_split(
         mut input in prop::collection::vec(any::<u8>(), 0..200),
         small in any::<bool>(),
         cuts in prop::collection::vec(any::<usize>(), 0..5),
     ) {
-        for (magic, at) in [(REQUEST, 0), (RESPONSE, 0)] {
+        for (magic, at) in [(REQUEST_MAGIC, 0), (RESPONSE_MAGIC, 0)] {
             if let Some(first) = input.get_mut(at) {
                 *first = magic;
             }
             if small {
-                // Lengths that may fit.
+                // Small lengths, which may be consistent.
                 input.iter_mut().skip(8).take(3).for_each(|b| *b = 0);
             }
             prop_assert_eq!(requests(&input, &[], 50), requests(&input, &cuts, 50));
--- a/crates/codec/src/resp2.rs
+++ b/crates/codec/src/resp2.rs
@@ -1,348 +1,477 @@
-//! RESP2, read as its bytes come. Nothing is allocated for what a peer only claims to send, and nothing is
-//! scanned twice, however the bytes are cut.
+//! RESP2, the Redis serialization protocol (Redis documentation, "Redis serialization protocol specification"):
+//! readers for commands and replies, and writers for bulk strings and headers.
+//!
+//! Readers are incremental: they own the state of the message that is being received, allocate nothing for what a
+//! peer merely announces, scan no byte twice, and yield the same messages however the bytes are split into reads.
+//! Values of up to [`MAX_BUFFERED_VALUE`] bytes are delivered at once; longer ones, in replies, as they arrive.
+
+use std::io::Write;
 
 use bytes::{Buf, Bytes, BytesMut};
+use thiserror::Error;
 
-/// Longest value (PROTOCOL: 4 MiB); a longer claim is broken framing.
+/// Longest value in bytes (4 MiB); an announcement of a longer one is an error.
 pub const MAX_VALUE: usize = 4 << 20;
-/// Values up to this are passed on whole, longer ones as they come.
+/// Longest value in a reply that is delivered at once, in bytes. Longer ones are streamed.
 pub const MAX_BUFFERED_VALUE: usize = 64 << 10;
-/// Longest line: a length, a simple string or an error. A server's error with a load report is far shorter.
-const LINE_MOST: usize = 1024;
-/// Most words of a command: C.SET has five; client libraries greet with a few more.
-const WORDS_MOST: usize = 16;
-/// Longest word that is not a value: a name, key, id or list of fields.
+/// Longest argument that is not a value, in bytes: a name, key, id or list of fields.
 pub const MAX_ARGUMENT: usize = 4096;
-/// Most parts of a reply's array; the protocol has three.
-const PARTS_MOST: usize = 8;
+/// Longest line in bytes: a header, a simple string or an error. An error with a load report is far shorter.
+const MAX_LINE: usize = 1024;
+/// Most words of a command: `C.SET` has five; client libraries greet with a few more.
+const MAX_WORDS: usize = 16;
+/// Most elements of a reply's array; the protocol of the cache servers has three.
+const MAX_ELEMENTS: usize = 8;
+/// Position of the one word that may be longer than [`MAX_ARGUMENT`]: the value of `C.SET`.
+const VALUE_POSITION: usize = 4;
+/// The end of a line and of a bulk string.
+const CRLF: &[u8; 2] = b"\r\n";
 
-/// The bytes are no RESP2, or go beyond a limit: the connection cannot be read on.
-#[derive(Debug, PartialEq)]
-pub struct DecodeError(pub &'static str);
+/// The bytes are not RESP2 or exceed a limit. The position of the next message is unknown: the connection cannot be
+/// used any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{}", self.message())]
+pub enum DecodeError {
+    /// A line is longer than the limit.
+    LineTooLong,
+    /// A length is no number, or not within its bounds.
+    InvalidLength,
+    /// A bulk string is not followed by CRLF.
+    MissingBulkEnd,
+    /// A command does not begin with the header of an array.
+    ExpectedArray,
+    /// A command has too many words, or a negative number of them.
+    InvalidWordCount,
+    /// A word of a command is no bulk string.
+    ExpectedBulkString,
+    /// A reply has an empty line where an element should begin.
+    EmptyLine,
+    /// A value that would have to be streamed is not the first element of a reply's array.
+    MisplacedLongString,
+    /// A reply's array has too many elements, or none.
+    InvalidElementCount,
+    /// An element of a reply has no type that is known, or is an array within an array.
+    UnknownType,
+}
 
-/// Lets long values into memory, as long as there is room for them. They are counted when announced.
+impl DecodeError {
+    /// The error as a text, as it is sent to the peer.
+    pub fn message(self) -> &'static str {
+        match self {
+            DecodeError::LineTooLong => "line too long",
+            DecodeError::InvalidLength => "bad length",
+            DecodeError::MissingBulkEnd => "bulk string without its end",
+            DecodeError::ExpectedArray => "expected an array",
+            DecodeError::InvalidWordCount => "bad number of words",
+            DecodeError::ExpectedBulkString => "expected a bulk string",
+            DecodeError::EmptyLine => "empty line",
+            DecodeError::MisplacedLongString => "long string out of place",
+            DecodeError::InvalidElementCount => "bad number of parts",
+            DecodeError::UnknownType => "unknown type",
+        }
+    }
+}
+
+/// A bound on the memory that long values of all connections take together. A value is reserved when it is announced,
+/// before its bytes arrive, and counts until it is released.
 #[derive(Debug)]
-pub struct Budget {
-    left: usize,
+pub struct ByteBudget {
+    available: usize,
 }
 
-impl Budget {
-    pub fn new(bytes: usize) -> Budget {
-        Budget { left: bytes }
+impl ByteBudget {
+    /// A budget of this many bytes.
+    pub fn new(bytes: usize) -> ByteBudget {
+        ByteBudget { available: bytes }
     }
 
-    /// Guards against memory running out under writes with long values: what is let in counts until it is
-    /// given back.
-    pub fn take(&mut self, bytes: usize) -> bool {
-        let left = self.left.checked_sub(bytes);
-        self.left = left.unwrap_or(self.left);
-        left.is_some()
+    /// Reserves bytes. Returns `false`, and reserves nothing, if fewer are available.
+    pub fn try_reserve(&mut self, bytes: usize) -> bool {
+        let Some(available) = self.available.checked_sub(bytes) else {
+            return false;
+        };
+        self.available = available;
+        true
     }
 
-    pub fn give_back(&mut self, bytes: usize) {
-        self.left += bytes;
+    /// Returns reserved bytes to the budget.
+    pub fn release(&mut self, bytes: usize) {
+        self.available += bytes;
     }
 }
 
-/// Takes one line off the buffer, without its end. `seen` remembers how far an incomplete one was scanned.
-fn line(buf: &mut BytesMut, seen: &mut usize) -> Result<Option<BytesMut>, DecodeError> {
-    let from = seen.saturating_sub(1).min(buf.len());
-    match buf[from..]
-        .windows(2)
-        .position(|w| w == b"\r\n")
-        .map(|at| from + at)
-    {
-        Some(at) if at <= LINE_MOST => {
-            *seen = 0;
-            let line = buf.split_to(at);
-            buf.advance(2);
+/// Takes a line off the buffer, without its end; `None` while it is incomplete. `scanned` remembers how much of an
+/// incomplete line has been searched for its end.
+fn take_line(buf: &mut BytesMut, scanned: &mut usize) -> Result<Option<BytesMut>, DecodeError> {
+    // The last byte that was searched may be the first one of the line's end.
+    let from = scanned.saturating_sub(1).min(buf.len());
+    let end = buf[from..]
+        .windows(CRLF.len())
+        .position(|window| window == CRLF)
+        .map(|at| from + at);
+    match end {
+        Some(end) if end <= MAX_LINE => {
+            *scanned = 0;
+            let line = buf.split_to(end);
+            buf.advance(CRLF.len());
             Ok(Some(line))
         }
-        None if buf.len() < LINE_MOST + 2 => {
-            *seen = buf.len();
+        None if buf.len() < MAX_LINE + CRLF.len() => {
+            *scanned = buf.len();
             Ok(None)
         }
-        _ => Err(DecodeError("line too long")),
+        _ => Err(DecodeError::LineTooLong),
     }
 }
 
-fn number(digits: &[u8]) -> Result<i64, DecodeError> {
-    let text = std::str::from_utf8(digits)
+fn parse_number(digits: &[u8]) -> Result<i64, DecodeError> {
+    std::str::from_utf8(digits)
         .ok()
-        .filter(|t| !t.starts_with('+'));
-    text.and_then(|t| t.parse().ok())
-        .ok_or(DecodeError("bad length"))
+        // Rust's parser accepts a plus sign, the protocol has none in lengths.
+        .filter(|text| !text.starts_with('+'))
+        .and_then(|text| text.parse().ok())
+        .ok_or(DecodeError::InvalidLength)
 }
 
-fn bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, DecodeError> {
-    if buf.len() < len + 2 {
+/// Takes the content of a bulk string off the buffer; `None` while it is incomplete.
+fn take_bulk(buf: &mut BytesMut, len: usize) -> Result<Option<Bytes>, DecodeError> {
+    if buf.len() < len + CRLF.len() {
         return Ok(None);
     }
-    if &buf[len..len + 2] != b"\r\n" {
-        return Err(DecodeError("bulk string without its end"));
+    if &buf[len..len + CRLF.len()] != CRLF {
+        return Err(DecodeError::MissingBulkEnd);
     }
     let bytes = buf.split_to(len).freeze();
-    buf.advance(2);
+    buf.advance(CRLF.len());
     Ok(Some(bytes))
 }
 
-/// A client's command.
+/// A client's command: an array of bulk strings.
 #[derive(Debug, Default, PartialEq)]
 pub struct Command {
+    /// The command's name and its arguments.
     pub words: Vec<Bytes>,
-    /// Bytes taken from the budget for its value.
+    /// Bytes reserved in the budget for its value; the receiver of the command releases them.
     pub reserved: usize,
-    /// There was no room for its value, which was thrown away.
+    /// The budget had no room for its value, which was discarded: that word is empty.
     pub dropped: bool,
 }
 
-/// Cuts commands from a client's bytes.
+/// What a [`CommandReader`] expects next within a command.
+#[derive(Clone, Copy, Debug, Default)]
+enum WordState {
+    /// The header of a word.
+    #[default]
+    Header,
+    /// The content of a word, of this many bytes.
+    Content(usize),
+    /// The remaining bytes of a word that is discarded, its end included.
+    Discarding(usize),
+}
+
+/// Reads commands from a client's bytes.
 #[derive(Debug, Default)]
 pub struct CommandReader {
-    seen: usize,
-    left: usize,
-    /// Length of the word that is coming.
-    word: Option<usize>,
-    /// Bytes of a dropped value still to be thrown away.
-    skip: usize,
+    /// Bytes of the buffer that have been searched for the end of a line.
+    scanned: usize,
+    /// Words that the current command still lacks; 0 between commands.
+    missing_words: usize,
+    state: WordState,
+    /// The words received so far.
     command: Command,
 }
 
 impl CommandReader {
-    /// Whether part of a command has come.
+    /// Whether the header of a command has been read, but not yet all its words.
     pub fn is_mid_message(&self) -> bool {
-        self.left > 0
+        self.missing_words > 0
     }
 
-    /// What the unfinished command holds of the budget.
+    /// Bytes that the incomplete command has reserved in the budget.
     pub fn reserved(&self) -> usize {
         self.command.reserved
     }
 
+    /// Takes the next command off the buffer; `None` while it is incomplete. Empty arrays are skipped.
+    ///
+    /// # Errors
+    /// The bytes are no command, or exceed a limit.
     pub fn next(
         &mut self,
         buf: &mut BytesMut,
-        budget: &mut Budget,
+        budget: &mut ByteBudget,
     ) -> Result<Option<Command>, DecodeError> {
-        while self.left == 0 {
-            let Some(head) = line(buf, &mut self.seen)? else {
+        while self.missing_words == 0 {
+            let Some(line) = take_line(buf, &mut self.scanned)? else {
                 return Ok(None);
             };
-            let count = match head.split_first() {
-                Some((b'*', digits)) => number(digits)?,
-                _ => return Err(DecodeError("expected an array")),
-            };
-            if !(0..=WORDS_MOST as i64).contains(&count) {
-                return Err(DecodeError("bad number of words"));
-            }
-            self.left = count as usize;
+            self.missing_words = word_count(&line)?;
         }
         loop {
-            if self.skip > 0 {
-                let some = self.skip.min(buf.len());
-                buf.advance(some);
-                self.skip -= some;
-                if self.skip > 0 {
-                    return Ok(None);
-                }
-                self.command.words.push(Bytes::new());
-                self.left -= 1;
-            } else if let Some(len) = self.word {
-                let Some(bytes) = bulk(buf, len)? else {
-                    return Ok(None);
-                };
-                self.word = None;
-                self.command.words.push(bytes);
-                self.left -= 1;
+            if !self.read_content(buf)? {
+                return Ok(None);
             }
-            if self.left == 0 {
+            if self.missing_words == 0 {
                 return Ok(Some(std::mem::take(&mut self.command)));
             }
-            let Some(head) = line(buf, &mut self.seen)? else {
+            let Some(line) = take_line(buf, &mut self.scanned)? else {
                 return Ok(None);
             };
-            let len = match head.split_first() {
-                Some((b'$', digits)) => number(digits)?,
-                _ => return Err(DecodeError("expected a bulk string")),
-            };
-            // Only the fifth word, a write's value, may be long.
-            let most = if self.command.words.len() == 4 {
-                MAX_VALUE
-            } else {
-                MAX_ARGUMENT
-            };
-            let len = usize::try_from(len)
-                .ok()
-                .filter(|l| *l <= most)
-                .ok_or(DecodeError("bad length"))?;
-            if len > MAX_ARGUMENT && !budget.take(len) {
-                self.command.dropped = true;
-                self.skip = len + 2;
-                continue;
+            self.begin_word(&line, budget)?;
+        }
+    }
+
+    /// Reads the content of the current word, if one has begun. Returns `false` while it is incomplete.
+    fn read_content(&mut self, buf: &mut BytesMut) -> Result<bool, DecodeError> {
+        let word = match self.state {
+            WordState::Header => return Ok(true),
+            WordState::Content(len) => {
+                let Some(word) = take_bulk(buf, len)? else {
+                    return Ok(false);
+                };
+                word
             }
-            if len > MAX_ARGUMENT {
-                self.command.reserved += len;
+            WordState::Discarding(remaining) => {
+                let received = remaining.min(buf.len());
+                buf.advance(received);
+                if received < remaining {
+                    self.state = WordState::Discarding(remaining - received);
+                    return Ok(false);
+                }
+                Bytes::new()
+            }
+        };
+        self.state = WordState::Header;
+        self.command.words.push(word);
+        self.missing_words -= 1;
+        Ok(true)
+    }
+
+    /// Begins a word by its header. A long one is discarded if the budget has no room for it.
+    fn begin_word(&mut self, line: &[u8], budget: &mut ByteBudget) -> Result<(), DecodeError> {
+        let len = match line.split_first() {
+            Some((b'$', digits)) => parse_number(digits)?,
+            _ => return Err(DecodeError::ExpectedBulkString),
+        };
+        let max_len = if self.command.words.len() == VALUE_POSITION {
+            MAX_VALUE
+        } else {
+            MAX_ARGUMENT
+        };
+        let len = usize::try_from(len)
+            .ok()
+            .filter(|len| *len <= max_len)
+            .ok_or(DecodeError::InvalidLength)?;
+        if len > MAX_ARGUMENT {
+            if !budget.try_reserve(len) {
+                self.command.dropped = true;
+                self.state = WordState::Discarding(len + CRLF.len());
+                return Ok(());
             }
-            self.word = Some(len);
+            self.command.reserved += len;
         }
+        self.state = WordState::Content(len);
+        Ok(())
     }
 }
 
-/// A part of a reply.
+/// The number of words that a command's header announces.
+fn word_count(line: &[u8]) -> Result<usize, DecodeError> {
+    let count = match line.split_first() {
+        Some((b'*', digits)) => parse_number(digits)?,
+        _ => return Err(DecodeError::ExpectedArray),
+    };
+    usize::try_from(count)
+        .ok()
+        .filter(|count| *count <= MAX_WORDS)
+        .ok_or(DecodeError::InvalidWordCount)
+}
+
+/// A value of RESP2 that is no array.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Part {
+pub enum Element {
+    /// A simple string.
     Simple(Bytes),
+    /// A simple error: its kind and message.
     Error(Bytes),
-    Int(i64),
+    /// An integer.
+    Integer(i64),
+    /// A bulk string.
     Bulk(Bytes),
+    /// A null bulk string or a null array.
     Null,
 }
 
-/// A cache server's reply. The first part of an array whose long value was streamed is `Null`.
+/// A cache server's reply.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    One(Part),
-    Array(Vec<Part>),
+    /// A reply that is no array.
+    Single(Element),
+    /// An array. Its first element is [`Element::Null`] if that was a long value, which has been streamed.
+    Array(Vec<Element>),
 }
 
-/// What has come of a reply.
+/// What a [`ReplyReader`] has read.
 #[derive(Debug, PartialEq)]
-pub enum Piece {
-    Whole(Reply),
-    /// A long value begins; its bytes follow.
-    Begin(usize),
-    /// Bytes of the long value.
-    Body(Bytes),
+pub enum DecodeEvent {
+    /// A complete reply.
+    Complete(Reply),
+    /// The beginning of a long value of this many bytes.
+    ValueStart(usize),
+    /// The next bytes of the long value.
+    ValueChunk(Bytes),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Want {
+/// What a [`ReplyReader`] expects next.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+enum ReplyState {
+    /// A line: the header of a bulk string or array, or a complete element.
+    #[default]
     Line,
+    /// The content of a bulk string, of this many bytes.
     Bulk(usize),
-    /// Bytes left of a long value, without its line end.
-    Body(usize),
-    BodyEnd,
+    /// The remaining bytes of a long value.
+    Value(usize),
+    /// The CRLF behind a long value.
+    ValueEnd,
 }
 
-/// Cuts replies from a cache server's bytes.
-#[derive(Debug)]
-pub struct ReplyReader {
-    seen: usize,
-    want: Want,
-    /// Parts still to come of the array that is being read.
-    array: Option<usize>,
-    parts: Vec<Part>,
+/// The result of one step of a [`ReplyReader`].
+enum Step {
+    /// Nothing can be read until more bytes arrive.
+    NeedMoreBytes,
+    /// A header has been read; the reader's state says what follows it.
+    Header,
+    /// An element is complete.
+    Element(Element),
+    /// A part of a long value, or its beginning.
+    Value(DecodeEvent),
 }
 
-impl Default for ReplyReader {
-    fn default() -> ReplyReader {
-        ReplyReader {
-            seen: 0,
-            want: Want::Line,
-            array: None,
-            parts: Vec::new(),
-        }
-    }
+/// Reads replies from a cache server's bytes.
+#[derive(Debug, Default)]
+pub struct ReplyReader {
+    /// Bytes of the buffer that have been searched for the end of a line.
+    scanned: usize,
+    state: ReplyState,
+    /// Elements that the current array still lacks; `None` outside an array.
+    missing_elements: Option<usize>,
+    /// The elements of the current array.
+    elements: Vec<Element>,
 }
 
 impl ReplyReader {
-    /// Whether part of a reply has been taken off the buffer.
+    /// Whether a part of a reply has been taken off the buffer.
     pub fn is_mid_message(&self) -> bool {
-        self.array.is_some() || self.want != Want::Line
+        self.missing_elements.is_some() || self.state != ReplyState::Line
     }
 
-    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Piece>, DecodeError> {
+    /// Takes the next event off the buffer; `None` until more bytes arrive.
+    ///
+    /// # Errors
+    /// The bytes are no reply that a cache server sends, or exceed a limit.
+    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<DecodeEvent>, DecodeError> {
         loop {
-            let part = match self.want {
-                Want::Line => {
-                    let Some(head) = line(buf, &mut self.seen)? else {
-                        return Ok(None);
-                    };
-                    match self.head(head.freeze())? {
-                        Some(part) => part,
-                        None => match self.want {
-                            Want::Body(len) => return Ok(Some(Piece::Begin(len))),
-                            _ => continue,
-                        },
+            match self.step(buf)? {
+                Step::NeedMoreBytes => return Ok(None),
+                Step::Header => {}
+                Step::Value(event) => return Ok(Some(event)),
+                Step::Element(element) => {
+                    self.state = ReplyState::Line;
+                    if let Some(reply) = self.add_element(element) {
+                        return Ok(Some(DecodeEvent::Complete(reply)));
                     }
                 }
-                Want::Bulk(len) => {
-                    let Some(bytes) = bulk(buf, len)? else {
-                        return Ok(None);
-                    };
-                    Part::Bulk(bytes)
-                }
-                Want::Body(left) if buf.is_empty() => {
-                    debug_assert!(left > 0);
-                    return Ok(None);
-                }
-                Want::Body(left) => {
-                    let bytes = buf.split_to(left.min(buf.len())).freeze();
-                    let left = left - bytes.len();
-                    self.want = if left == 0 {
-                        Want::BodyEnd
-                    } else {
-                        Want::Body(left)
-                    };
-                    return Ok(Some(Piece::Body(bytes)));
-                }
-                Want::BodyEnd => {
-                    if bulk(buf, 0)?.is_none() {
-                        return Ok(None);
-                    }
-                    Part::Null
-                }
-            };
-            self.want = Want::Line;
-            if let Some(left) = &mut self.array {
-                self.parts.push(part);
-                *left -= 1;
-                if *left == 0 {
-                    self.array = None;
-                    return Ok(Some(Piece::Whole(Reply::Array(std::mem::take(
-                        &mut self.parts,
-                    )))));
-                }
-            } else {
-                return Ok(Some(Piece::Whole(Reply::One(part))));
             }
         }
     }
 
-    /// A line's part, or none where it announces more (`want` and `array` then tell what).
-    fn head(&mut self, head: Bytes) -> Result<Option<Part>, DecodeError> {
-        let kind = *head.first().ok_or(DecodeError("empty line"))?;
-        let rest = head.slice(1..);
-        Ok(match kind {
-            b'+' => Some(Part::Simple(rest)),
-            b'-' => Some(Part::Error(rest)),
-            b':' => Some(Part::Int(number(&rest)?)),
-            b'$' => match number(&rest)? {
-                -1 => Some(Part::Null),
-                len if len > MAX_BUFFERED_VALUE as i64 && len <= MAX_VALUE as i64 => {
-                    // Only what a client asked for may be long: the first part.
-                    if self.array.is_none() || !self.parts.is_empty() {
-                        return Err(DecodeError("long string out of place"));
-                    }
-                    self.want = Want::Body(len as usize);
-                    None
-                }
-                len if (0..=MAX_BUFFERED_VALUE as i64).contains(&len) => {
-                    self.want = Want::Bulk(len as usize);
-                    None
-                }
-                _ => return Err(DecodeError("bad length")),
-            },
-            b'*' if self.array.is_none() => match number(&rest)? {
-                -1 => Some(Part::Null),
-                count if (1..=PARTS_MOST as i64).contains(&count) => {
-                    self.array = Some(count as usize);
-                    None
-                }
-                _ => return Err(DecodeError("bad number of parts")),
+    fn step(&mut self, buf: &mut BytesMut) -> Result<Step, DecodeError> {
+        match self.state {
+            ReplyState::Line => match take_line(buf, &mut self.scanned)? {
+                Some(line) => self.read_line(&line.freeze()),
+                None => Ok(Step::NeedMoreBytes),
             },
-            _ => return Err(DecodeError("unknown type")),
-        })
+            ReplyState::Bulk(len) => {
+                let bulk = take_bulk(buf, len)?;
+                Ok(bulk.map_or(Step::NeedMoreBytes, |bytes| {
+                    Step::Element(Element::Bulk(bytes))
+                }))
+            }
+            ReplyState::Value(_) if buf.is_empty() => Ok(Step::NeedMoreBytes),
+            ReplyState::Value(remaining) => {
+                debug_assert!(remaining > 0);
+                let bytes = buf.split_to(remaining.min(buf.len())).freeze();
+                self.state = match remaining - bytes.len() {
+                    0 => ReplyState::ValueEnd,
+                    remaining => ReplyState::Value(remaining),
+                };
+                Ok(Step::Value(DecodeEvent::ValueChunk(bytes)))
+            }
+            ReplyState::ValueEnd => {
+                let end = take_bulk(buf, 0)?;
+                Ok(end.map_or(Step::NeedMoreBytes, |_| Step::Element(Element::Null)))
+            }
+        }
+    }
+
+    /// Adds an element to the current array, if there is one. Returns the reply if it is complete.
+    fn add_element(&mut self, element: Element) -> Option<Reply> {
+        let Some(missing) = &mut self.missing_elements else {
+            return Some(Reply::Single(element));
+        };
+        self.elements.push(element);
+        *missing -= 1;
+        if *missing > 0 {
+            return None;
+        }
+        self.missing_elements = None;
+        Some(Reply::Array(std::mem::take(&mut self.elements)))
+    }
+
+    fn read_line(&mut self, line: &Bytes) -> Result<Step, DecodeError> {
+        let kind = *line.first().ok_or(DecodeError::EmptyLine)?;
+        let content = line.slice(1..);
+        match kind {
+            b'+' => Ok(Step::Element(Element::Simple(content))),
+            b'-' => Ok(Step::Element(Element::Error(content))),
+            b':' => Ok(Step::Element(Element::Integer(parse_number(&content)?))),
+            b'$' => self.begin_bulk(parse_number(&content)?),
+            b'*' if self.missing_elements.is_none() => self.begin_array(parse_number(&content)?),
+            _ => Err(DecodeError::UnknownType),
+        }
+    }
+
+    fn begin_bulk(&mut self, len: i64) -> Result<Step, DecodeError> {
+        if len == -1 {
+            return Ok(Step::Element(Element::Null));
+        }
+        let len = usize::try_from(len)
+            .ok()
+            .filter(|len| *len <= MAX_VALUE)
+            .ok_or(DecodeError::InvalidLength)?;
+        if len <= MAX_BUFFERED_VALUE {
+            self.state = ReplyState::Bulk(len);
+            return Ok(Step::Header);
+        }
+        // Only the value that a client has requested may be long: the first element.
+        if self.missing_elements.is_none() || !self.elements.is_empty() {
+            return Err(DecodeError::MisplacedLongString);
+        }
+        self.state = ReplyState::Value(len);
+        Ok(Step::Value(DecodeEvent::ValueStart(len)))
+    }
+
+    fn begin_array(&mut self, count: i64) -> Result<Step, DecodeError> {
+        if count == -1 {
+            return Ok(Step::Element(Element::Null));
+        }
+        let count = usize::try_from(count)
+            .ok()
+            .filter(|count| (1..=MAX_ELEMENTS).contains(count))
+            .ok_or(DecodeError::InvalidElementCount)?;
+        self.missing_elements = Some(count);
+        Ok(Step::Header)
     }
 }
 
@@ -350,15 +479,14 @@
 pub fn write_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
     write_header(out, b'$', bytes.len());
     out.extend_from_slice(bytes);
-    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(CRLF);
 }
 
-/// Appends a line that announces a length.
-pub fn write_header(out: &mut Vec<u8>, kind: u8, n: usize) {
-    use std::io::Write;
+/// Appends the header of an array (`kind` is `*`) or of a bulk string (`$`): the line that announces its length.
+pub fn write_header(out: &mut Vec<u8>, kind: u8, len: usize) {
     out.push(kind);
     // Writing to a vector cannot fail.
-    let _ = write!(out, "{n}\r\n");
+    let _ = write!(out, "{len}\r\n");
 }
 
 #[cfg(test)]
--- a/crates/codec/src/resp2_tests.rs
+++ b/crates/codec/src/resp2_tests.rs
@@ -1,65 +1,68 @@
 use super::*;
 use proptest::prelude::*;
 
-fn commands(input: &[u8], cuts: &[usize], room: usize) -> (Vec<Command>, Option<DecodeError>) {
+fn commands(input: &[u8], cuts: &[usize], bytes: usize) -> (Vec<Command>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (CommandReader::default(), BytesMut::new(), Vec::new());
-    let mut budget = Budget::new(room);
-    for piece in pieces(input, cuts) {
-        buf.extend_from_slice(piece);
+    let mut budget = ByteBudget::new(bytes);
+    for part in split(input, cuts) {
+        buf.extend_from_slice(part);
         loop {
             match reader.next(&mut buf, &mut budget) {
                 Ok(Some(command)) => out.push(command),
                 Ok(None) => break,
-                Err(broken) => return (out, Some(broken)),
+                Err(error) => return (out, Some(error)),
             }
         }
     }
     (out, None)
 }
 
-/// The replies, with a long value's bytes put together as one piece.
-fn replies(input: &[u8], cuts: &[usize]) -> (Vec<Piece>, Option<DecodeError>) {
+/// The events of the replies in `input`, with all chunks of a long value joined.
+fn replies(input: &[u8], cuts: &[usize]) -> (Vec<DecodeEvent>, Option<DecodeError>) {
     let (mut reader, mut buf, mut out) = (ReplyReader::default(), BytesMut::new(), Vec::new());
-    for piece in pieces(input, cuts) {
-        buf.extend_from_slice(piece);
+    for part in split(input, cuts) {
+        buf.extend_from_slice(part);
         loop {
             match (reader.next(&mut buf), out.last_mut()) {
-                (Ok(Some(Piece::Body(more))), Some(Piece::Body(bytes))) => {
+                (Ok(Some(DecodeEvent::ValueChunk(more))), Some(DecodeEvent::ValueChunk(bytes))) => {
                     *bytes = [&bytes[..], &more[..]].concat().into();
                 }
-                (Ok(Some(piece)), _) => out.push(piece),
+                (Ok(Some(event)), _) => out.push(event),
                 (Ok(None), _) => break,
-                (Err(broken), _) => return (out, Some(broken)),
+                (Err(error), _) => return (out, Some(error)),
             }
         }
     }
     (out, None)
 }
 
-fn pieces<'a>(input: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+/// The parts of `input` between these positions, each taken modulo its length.
+fn split<'a>(input: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
     let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
     at.extend([0, input.len()]);
-    at.sort();
+    at.sort_unstable();
     at.windows(2).map(|w| &input[w[0]..w[1]]).collect()
 }
 
 fn command(words: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::new();
     write_header(&mut out, b'*', words.len());
-    words.iter().for_each(|w| write_bulk(&mut out, w));
+    for word in words {
+        write_bulk(&mut out, word);
+    }
     out
 }
 
 #[test]
-fn commands_are_cut_alike_at_every_byte() {
+fn commands_split_at_any_byte_are_read_alike() {
     let value = vec![b'v'; 9000];
     let mut input = command(&[b"C.SET", b"key", b"id", b"c=put", &value]);
     input.extend(b"*0\r\n");
     input.extend(command(&[b"PING"]));
-    let (whole, broken) = commands(&input, &[], 1 << 20);
-    assert_eq!((whole.len(), broken), (2, None));
-    assert_eq!(whole[0].words[4], value);
-    assert_eq!(whole[0].reserved, 9000);
+    let (complete, error) = commands(&input, &[], 1 << 20);
+    assert_eq!((complete.len(), error), (2, None));
+    assert_eq!(complete[0].words[4], value);
+    assert_eq!(complete[0].reserved, 9000);
     for cut in 0..input.len() {
         assert_eq!(
             commands(&input, &[cut], 1 << 20),
@@ -69,17 +72,17 @@
 }
 
 #[test]
-fn a_value_without_room_is_dropped_and_the_next_command_read() {
+fn value_beyond_the_budget_is_dropped_and_the_next_command_read() {
     let mut input = command(&[b"C.SET", b"key", b"id", b"c=put", &[b'v'; 9000]]);
     input.extend(command(&[b"PING"]));
-    let (got, broken) = commands(&input, &[5000], 8999);
-    assert_eq!(broken, None);
+    let (got, error) = commands(&input, &[5000], 8999);
+    assert_eq!(error, None);
     assert!(got[0].dropped && got[0].reserved == 0 && got[0].words[4].is_empty());
     assert_eq!(got[1].words, ["PING"]);
 }
 
 #[test]
-fn what_is_only_claimed_takes_no_memory_and_ends_in_an_error() {
+fn announced_lengths_take_no_memory_and_invalid_ones_are_errors() {
     let long_line = [b'x'; 2000];
     let cases: [&[u8]; 9] = [
         b"*99999999\r\n",
@@ -97,13 +100,16 @@
     }
     let (mut reader, mut buf) = (CommandReader::default(), BytesMut::new());
     buf.extend_from_slice(b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$4194304\r\nxy");
-    assert_eq!(reader.next(&mut buf, &mut Budget::new(MAX_VALUE)), Ok(None));
+    assert_eq!(
+        reader.next(&mut buf, &mut ByteBudget::new(MAX_VALUE)),
+        Ok(None)
+    );
     assert!(buf.capacity() < 4096);
 }
 
 proptest! {
     #[test]
-    fn commands_do_not_depend_on_how_bytes_are_cut(
+    fn commands_do_not_depend_on_how_bytes_are_split(
         lists in prop::collection::vec(prop::collection::vec(
             prop::collection::vec(any::<u8>(), 0..40), 1..6), 1..5),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
@@ -112,15 +118,15 @@
         for words in &lists {
             input.extend(command(&words.iter().map(|w| &w[..]).collect::<Vec<_>>()));
         }
-        let (got, broken) = commands(&input, &cuts, 0);
-        prop_assert_eq!(broken, None);
+        let (got, error) = commands(&input, &cuts, 0);
+        prop_assert_eq!(error, None);
         let words: Vec<Vec<Vec<u8>>> =
             got.iter().map(|c| c.words.iter().map(|w| w.to_vec()).collect()).collect();
         prop_assert_eq!(words, lists);
     }
 
     #[test]
-    fn replies_do_not_depend_on_how_bytes_are_cut(
+    fn replies_do_not_depend_on_how_bytes_are_split(
         parts in prop::collection::vec(0usize..6, 1..8),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
     ) {
@@ -139,13 +145,13 @@
                 _ => input.extend(b"*-1\r\n*1\r\n$0\r\n\r\n"),
             }
         }
-        let (whole, broken) = replies(&input, &[]);
-        prop_assert_eq!(broken, None);
-        prop_assert_eq!(replies(&input, &cuts), (whole, None));
+        let (complete, error) = replies(&input, &[]);
+        prop_assert_eq!(error, None);
+        prop_assert_eq!(replies(&input, &cuts), (complete, None));
     }
 
     #[test]
-    fn noise_never_panics(
+    fn arbitrary_bytes_never_panic_and_are_read_alike_however_split(
         input in prop::collection::vec(prop::sample::select(b"*$+-:\r\n0123459x".to_vec()), 0..80),
         cuts in prop::collection::vec(any::<usize>(), 0..5),
     ) {
--- a/crates/codec/src/site_link.rs
+++ b/crates/codec/src/site_link.rs
@@ -1,367 +1,483 @@
-//! The framing of the link between two sites, version 1; `docs/gateway-link.md` is its specification.
+//! The frames of the link between two sites, version 1. The specification is `docs/gateway-link.md`; names in capitals
+//! are those of its section "Frames".
 //!
-//! Many requests share a connection: no frame is longer than [`MAX_BODY`], so that none holds the others up for long.
-//! The reader is incremental and bounded, and the same bytes give the same messages however they are cut.
+//! Many requests share a connection: no frame's body is longer than [`MAX_BODY`], so that none delays the others for
+//! long. Reading and writing hold no state; a frame is read once it is complete, and the same bytes give the same
+//! frames however they are split into reads.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use thiserror::Error;
 
 /// Bytes before a frame's body.
 pub const HEADER: usize = 8;
-/// Longest body.
+/// Longest body of a frame in bytes.
 pub const MAX_BODY: usize = 16 << 10;
-/// The version that is spoken here.
+/// The version of the protocol that this module implements.
 pub const VERSION: u16 = 1;
 /// Most nodes that a HELLO names.
 pub const MAX_NODES: usize = 512;
+/// Longest short text in bytes: its length takes one byte.
+const MAX_SHORT_TEXT: usize = 255;
+/// The flag of a REQUEST that writes.
+const WRITE_FLAG: u8 = 1;
+/// The flag of a REQUEST that its client has marked as a retry.
+const RETRY_FLAG: u8 = 2;
 
-/// The bytes can't be read on: the connection is of no more use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DecodeError(pub &'static str);
+/// The bytes are no frame of version 1. The position of the next frame is unknown: the connection cannot be used any
+/// further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum DecodeError {
+    /// The kind of the frame is unknown.
+    #[error("unknown kind of frame")]
+    UnknownKind,
+    /// A flag is set that version 1 does not define.
+    #[error("unknown flags")]
+    UnknownFlags,
+    /// The body exceeds [`MAX_BODY`].
+    #[error("a body is too long")]
+    BodyTooLong,
+    /// The body ends before its last field.
+    #[error("a body is shorter than its parts")]
+    BodyTooShort,
+    /// The body goes on behind its last field.
+    #[error("a body is longer than its parts")]
+    TrailingBytes,
+    /// A HELLO names more than [`MAX_NODES`] nodes.
+    #[error("too many nodes")]
+    TooManyNodes,
+    /// The outcome in a HEAD is unknown.
+    #[error("unknown end")]
+    UnknownOutcome,
+    /// The verdict in a CLAIMED is unknown.
+    #[error("unknown claim")]
+    UnknownVerdict,
+}
 
-/// How a request that crossed ended.
+/// How a request that was forwarded over the link has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
-pub enum Ended {
-    /// Served: so many bytes of value follow in BODY frames.
+pub enum Outcome {
+    /// Served; a value follows in BODY frames.
     Served = 0,
-    /// Served: there is no value.
+    /// Served; there is no value.
     NoValue = 1,
-    /// Refused: nothing of it has run.
-    Refused = 2,
-    /// Failed: no promise.
+    /// Rejected; nothing of it has run.
+    Rejected = 2,
+    /// Failed; it may have run.
     Failed = 3,
-    /// It came too late, or by a lease of another start: nothing of it has run.
+    /// It arrived too late, or by a lease of another incarnation; nothing of it has run.
     Late = 4,
 }
 
-/// What an arbiter says of a key.
+impl Outcome {
+    fn from_code(code: u8) -> Result<Outcome, DecodeError> {
+        match code {
+            0 => Ok(Outcome::Served),
+            1 => Ok(Outcome::NoValue),
+            2 => Ok(Outcome::Rejected),
+            3 => Ok(Outcome::Failed),
+            4 => Ok(Outcome::Late),
+            _ => Err(DecodeError::UnknownOutcome),
+        }
+    }
+}
+
+/// What an arbiter has decided about the claim of an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
-pub enum Claimed {
+pub enum ClaimVerdict {
+    /// The request is to be served at this site.
     Here = 0,
+    /// The request has been served; its receipt is attached.
     Served = 1,
+    /// The request has been forwarded to the other site.
     Crossed = 2,
+    /// The arbiter does not know.
     CantTell = 3,
 }
 
-/// A request as it crosses.
+impl ClaimVerdict {
+    fn from_code(code: u8) -> Result<ClaimVerdict, DecodeError> {
+        match code {
+            0 => Ok(ClaimVerdict::Here),
+            1 => Ok(ClaimVerdict::Served),
+            2 => Ok(ClaimVerdict::Crossed),
+            3 => Ok(ClaimVerdict::CantTell),
+            _ => Err(DecodeError::UnknownVerdict),
+        }
+    }
+}
+
+/// The body of a REQUEST.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
-    /// The lease by which it may begin.
-    pub epoch: u64,
-    pub lease: u64,
-    /// What the far side may use, from arrival, in microseconds.
-    pub left: u32,
-    pub write: bool,
-    /// Marked by its client as a repeat.
-    pub retry: bool,
+    /// The incarnation of the node that has issued the lease.
+    pub lease_epoch: u64,
+    /// The number of the lease by which the request may begin.
+    pub lease_number: u64,
+    /// Time that the receiver may use, from arrival, in microseconds.
+    pub time_left: u32,
+    /// Whether it writes.
+    pub is_write: bool,
+    /// Whether its client has marked it as a retry.
+    pub is_retry: bool,
+    /// Name of its class.
     pub class: Bytes,
+    /// Name of its tenant.
     pub tenant: Bytes,
-    /// Its idempotency key; empty: none.
-    pub idem: Bytes,
+    /// Its idempotency key; empty if it has none.
+    pub idempotency_key: Bytes,
+    /// Its id.
     pub id: Bytes,
+    /// The key that it reads or writes.
     pub key: Bytes,
-    /// Bytes of a write's value, which follow in BODY frames.
-    pub value: u32,
+    /// Bytes of the value to write, which follows in BODY frames.
+    pub value_len: u32,
 }
 
-/// What an end says of itself first.
+/// The body of a HELLO, with which each side begins.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Hello {
+    /// The version of the protocol.
     pub version: u16,
-    /// This start of the node: no other start of any node has it.
+    /// The node's incarnation; no other start of any node has the same.
     pub epoch: u64,
-    /// How long its leases are good, in milliseconds.
-    pub life: u16,
+    /// How long its leases are valid, in milliseconds.
+    pub lease_lifetime: u16,
+    /// Name of its site.
     pub site: Bytes,
+    /// Name of the node.
     pub node: Bytes,
-    /// The nodes of its site, and the number of that list.
-    pub list: u64,
+    /// Version of the list of nodes.
+    pub node_list_version: u64,
+    /// Names of the nodes of its site.
     pub nodes: Vec<Bytes>,
 }
 
-/// A message of the link.
+/// The content of a frame.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message {
+    /// HELLO.
     Hello(Hello),
+    /// REQUEST.
     Request(Request),
-    /// The answer's beginning; when to come back, in milliseconds (refusals); bytes of value that follow.
-    Head {
-        ended: Ended,
+    /// HEAD: the beginning of a response.
+    ResponseHead {
+        /// How the request has ended.
+        outcome: Outcome,
+        /// Retry-After of a rejection, in milliseconds.
         retry_after: u32,
-        value: u32,
+        /// Bytes of the value, which follows in BODY frames.
+        value_len: u32,
     },
+    /// BODY: bytes of a value.
     Body(Bytes),
+    /// CANCEL: the response is no longer needed.
     Cancel,
-    /// So many more bytes of BODY may be sent, for this request or (request 0) on this connection.
+    /// CREDIT: bytes of BODY that may be sent in addition, for this request or (request 0) on this connection.
     Credit(u32),
-    /// Comes back as it is, with `echo` set.
-    Beat {
-        echo: bool,
+    /// BEAT: a heartbeat, which its receiver returns with `is_echo` set.
+    Heartbeat {
+        /// Whether this is the reply.
+        is_echo: bool,
+        /// A number that the reply repeats.
         sent: u64,
     },
+    /// LEASE: the right to begin a request.
     Lease {
+        /// The incarnation of the node that issues it.
         epoch: u64,
+        /// Its number.
         number: u64,
     },
+    /// CLAIM: asks the arbiter of this idempotency key for its verdict.
     Claim(Bytes),
-    Claimed {
-        claimed: Claimed,
+    /// CLAIMED: the arbiter's response.
+    ClaimResponse {
+        /// What the arbiter has decided.
+        verdict: ClaimVerdict,
+        /// The receipt of a request that has been served.
         receipt: Bytes,
     },
-    /// No new requests: this end stops.
+    /// GOAWAY: this side is draining, no new requests are to be sent to it.
     GoAway,
 }
 
+/// A frame.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Frame {
+    /// The request that it belongs to; 0 for the connection itself.
+    pub request: u32,
+    /// Its content.
+    pub message: Message,
+}
+
 impl Message {
+    /// The code of the frame's kind.
     fn kind(&self) -> u8 {
         match self {
             Message::Hello(_) => 1,
             Message::Request(_) => 2,
-            Message::Head { .. } => 3,
+            Message::ResponseHead { .. } => 3,
             Message::Body(_) => 4,
             Message::Cancel => 5,
             Message::Credit(_) => 6,
-            Message::Beat { .. } => 7,
+            Message::Heartbeat { .. } => 7,
             Message::Lease { .. } => 8,
             Message::Claim(_) => 9,
-            Message::Claimed { .. } => 10,
+            Message::ClaimResponse { .. } => 10,
             Message::GoAway => 11,
         }
     }
+
+    fn encode_body(&self, out: &mut Vec<u8>) {
+        match self {
+            Message::Hello(hello) => hello.encode(out),
+            Message::Request(request) => request.encode(out),
+            Message::ResponseHead {
+                outcome,
+                retry_after,
+                value_len,
+            } => {
+                out.put_u8(*outcome as u8);
+                out.put_u32(*retry_after);
+                out.put_u32(*value_len);
+            }
+            Message::Body(bytes) | Message::Claim(bytes) => out.put_slice(bytes),
+            Message::Cancel | Message::GoAway => {}
+            Message::Credit(bytes) => out.put_u32(*bytes),
+            Message::Heartbeat { is_echo, sent } => {
+                out.put_u8(u8::from(*is_echo));
+                out.put_u64(*sent);
+            }
+            Message::Lease { epoch, number } => {
+                out.put_u64(*epoch);
+                out.put_u64(*number);
+            }
+            Message::ClaimResponse { verdict, receipt } => {
+                out.put_u8(*verdict as u8);
+                out.put_slice(receipt);
+            }
+        }
+    }
+
+    fn decode(kind: u8, body: Bytes) -> Result<Message, DecodeError> {
+        let mut body = BodyReader(body);
+        let message = match kind {
+            1 => Message::Hello(Hello::decode(&mut body)?),
+            2 => Message::Request(Request::decode(&mut body)?),
+            3 => Message::ResponseHead {
+                outcome: Outcome::from_code(body.u8()?)?,
+                retry_after: body.u32()?,
+                value_len: body.u32()?,
+            },
+            4 => Message::Body(body.take_remaining()),
+            5 => Message::Cancel,
+            6 => Message::Credit(body.u32()?),
+            7 => Message::Heartbeat {
+                is_echo: match body.u8()? {
+                    0 => false,
+                    1 => true,
+                    _ => return Err(DecodeError::UnknownFlags),
+                },
+                sent: body.u64()?,
+            },
+            8 => Message::Lease {
+                epoch: body.u64()?,
+                number: body.u64()?,
+            },
+            9 => Message::Claim(body.take_remaining()),
+            10 => Message::ClaimResponse {
+                verdict: ClaimVerdict::from_code(body.u8()?)?,
+                receipt: body.take_remaining(),
+            },
+            11 => Message::GoAway,
+            _ => return Err(DecodeError::UnknownKind),
+        };
+        body.end()?;
+        Ok(message)
+    }
+}
+
+impl Hello {
+    fn encode(&self, out: &mut Vec<u8>) {
+        out.put_u16(self.version);
+        out.put_u64(self.epoch);
+        out.put_u16(self.lease_lifetime);
+        encode_short_text(out, &self.site);
+        encode_short_text(out, &self.node);
+        out.put_u64(self.node_list_version);
+        out.put_u16(self.nodes.len() as u16);
+        for node in &self.nodes {
+            encode_short_text(out, node);
+        }
+    }
+
+    fn decode(body: &mut BodyReader) -> Result<Hello, DecodeError> {
+        let mut hello = Hello {
+            version: body.u16()?,
+            epoch: body.u64()?,
+            lease_lifetime: body.u16()?,
+            site: body.short_text()?,
+            node: body.short_text()?,
+            node_list_version: body.u64()?,
+            nodes: Vec::new(),
+        };
+        let count = usize::from(body.u16()?);
+        if count > MAX_NODES {
+            return Err(DecodeError::TooManyNodes);
+        }
+        for _ in 0..count {
+            hello.nodes.push(body.short_text()?);
+        }
+        Ok(hello)
+    }
+}
+
+impl Request {
+    fn encode(&self, out: &mut Vec<u8>) {
+        let write_flag = if self.is_write { WRITE_FLAG } else { 0 };
+        let retry_flag = if self.is_retry { RETRY_FLAG } else { 0 };
+        out.put_u64(self.lease_epoch);
+        out.put_u64(self.lease_number);
+        out.put_u32(self.time_left);
+        out.put_u8(write_flag | retry_flag);
+        encode_short_text(out, &self.class);
+        encode_short_text(out, &self.tenant);
+        encode_short_text(out, &self.idempotency_key);
+        encode_short_text(out, &self.id);
+        out.put_u16(self.key.len() as u16);
+        out.put_slice(&self.key);
+        out.put_u32(self.value_len);
+    }
+
+    fn decode(body: &mut BodyReader) -> Result<Request, DecodeError> {
+        let lease_epoch = body.u64()?;
+        let lease_number = body.u64()?;
+        let time_left = body.u32()?;
+        let flags = body.u8()?;
+        if flags & !(WRITE_FLAG | RETRY_FLAG) != 0 {
+            return Err(DecodeError::UnknownFlags);
+        }
+        Ok(Request {
+            lease_epoch,
+            lease_number,
+            time_left,
+            is_write: flags & WRITE_FLAG != 0,
+            is_retry: flags & RETRY_FLAG != 0,
+            class: body.short_text()?,
+            tenant: body.short_text()?,
+            idempotency_key: body.short_text()?,
+            id: body.short_text()?,
+            key: body.long_text()?,
+            value_len: body.u32()?,
+        })
+    }
 }
 
-/// Appends a short text: its length in one byte. Longer ones are cut, which no caller lets happen.
-fn put_short(out: &mut Vec<u8>, text: &[u8]) {
-    let text = &text[..text.len().min(255)];
+/// Appends a short text: its length in one byte, then its bytes. Callers bound their texts; a longer one is truncated.
+fn encode_short_text(out: &mut Vec<u8>, text: &[u8]) {
+    let text = &text[..text.len().min(MAX_SHORT_TEXT)];
     out.put_u8(text.len() as u8);
     out.put_slice(text);
 }
 
-/// Appends a message. `request`: the one that it belongs to, 0 for the link itself. A BODY must not exceed
+/// Appends a frame. `request`: the one that it belongs to, 0 for the connection itself. Callers bound the body to
 /// [`MAX_BODY`].
-pub fn put(out: &mut Vec<u8>, request: u32, message: &Message) {
-    let begin = out.len();
+pub fn encode(out: &mut Vec<u8>, request: u32, message: &Message) {
+    let start = out.len();
     out.put_u8(message.kind());
+    // Version 1 has no flags. The length is filled in below.
     out.put_u8(0);
     out.put_u16(0);
     out.put_u32(request);
-    match message {
-        Message::Hello(h) => {
-            out.put_u16(h.version);
-            out.put_u64(h.epoch);
-            out.put_u16(h.life);
-            put_short(out, &h.site);
-            put_short(out, &h.node);
-            out.put_u64(h.list);
-            out.put_u16(h.nodes.len() as u16);
-            h.nodes.iter().for_each(|node| put_short(out, node));
-        }
-        Message::Request(r) => {
-            out.put_u64(r.epoch);
-            out.put_u64(r.lease);
-            out.put_u32(r.left);
-            out.put_u8(u8::from(r.write) | u8::from(r.retry) << 1);
-            [&r.class, &r.tenant, &r.idem, &r.id]
-                .into_iter()
-                .for_each(|text| put_short(out, text));
-            out.put_u16(r.key.len() as u16);
-            out.put_slice(&r.key);
-            out.put_u32(r.value);
-        }
-        Message::Head {
-            ended,
-            retry_after,
-            value,
-        } => {
-            out.put_u8(*ended as u8);
-            out.put_u32(*retry_after);
-            out.put_u32(*value);
-        }
-        Message::Body(bytes) | Message::Claim(bytes) => out.put_slice(bytes),
-        Message::Cancel | Message::GoAway => {}
-        Message::Credit(bytes) => out.put_u32(*bytes),
-        Message::Beat { echo, sent } => {
-            out.put_u8(u8::from(*echo));
-            out.put_u64(*sent);
-        }
-        Message::Lease { epoch, number } => {
-            out.put_u64(*epoch);
-            out.put_u64(*number);
-        }
-        Message::Claimed { claimed, receipt } => {
-            out.put_u8(*claimed as u8);
-            out.put_slice(receipt);
-        }
-    }
-    let len = out.len() - begin - HEADER;
+    message.encode_body(out);
+    let len = out.len() - start - HEADER;
     debug_assert!(len <= MAX_BODY, "a body of {len} bytes");
-    out[begin + 2..begin + 4].copy_from_slice(&(len as u16).to_be_bytes());
+    out[start + 2..start + 4].copy_from_slice(&(len as u16).to_be_bytes());
 }
 
-/// Takes parts off a body.
-struct Parts(Bytes);
+/// Reads the fields of a frame's body.
+struct BodyReader(Bytes);
 
-impl Parts {
-    fn has(&self, n: usize) -> Result<(), DecodeError> {
-        if self.0.len() < n {
-            return Err(DecodeError("a body is shorter than its parts"));
+impl BodyReader {
+    fn require(&self, len: usize) -> Result<(), DecodeError> {
+        if self.0.len() < len {
+            return Err(DecodeError::BodyTooShort);
         }
         Ok(())
     }
 
     fn u8(&mut self) -> Result<u8, DecodeError> {
-        self.has(1).map(|()| self.0.get_u8())
+        self.require(1).map(|()| self.0.get_u8())
     }
 
     fn u16(&mut self) -> Result<u16, DecodeError> {
-        self.has(2).map(|()| self.0.get_u16())
+        self.require(2).map(|()| self.0.get_u16())
     }
 
     fn u32(&mut self) -> Result<u32, DecodeError> {
-        self.has(4).map(|()| self.0.get_u32())
+        self.require(4).map(|()| self.0.get_u32())
     }
 
     fn u64(&mut self) -> Result<u64, DecodeError> {
-        self.has(8).map(|()| self.0.get_u64())
+        self.require(8).map(|()| self.0.get_u64())
     }
 
-    fn take(&mut self, n: usize) -> Result<Bytes, DecodeError> {
-        self.has(n).map(|()| self.0.split_to(n))
+    fn take(&mut self, len: usize) -> Result<Bytes, DecodeError> {
+        self.require(len).map(|()| self.0.split_to(len))
     }
 
-    fn short(&mut self) -> Result<Bytes, DecodeError> {
+    /// A text behind its length in one byte.
+    fn short_text(&mut self) -> Result<Bytes, DecodeError> {
         let len = self.u8()?;
         self.take(usize::from(len))
     }
 
-    fn rest(&mut self) -> Bytes {
+    /// A text behind its length in two bytes.
+    fn long_text(&mut self) -> Result<Bytes, DecodeError> {
+        let len = self.u16()?;
+        self.take(usize::from(len))
+    }
+
+    fn take_remaining(&mut self) -> Bytes {
         std::mem::take(&mut self.0)
     }
-}
 
-fn message(kind: u8, body: Bytes) -> Result<Message, DecodeError> {
-    let mut p = Parts(body);
-    let message = match kind {
-        1 => {
-            let (version, epoch, life) = (p.u16()?, p.u64()?, p.u16()?);
-            let (site, node, list) = (p.short()?, p.short()?, p.u64()?);
-            let count = usize::from(p.u16()?);
-            if count > MAX_NODES {
-                return Err(DecodeError("too many nodes"));
-            }
-            let nodes = (0..count).map(|_| p.short()).collect::<Result<_, _>>()?;
-            Message::Hello(Hello {
-                version,
-                epoch,
-                life,
-                site,
-                node,
-                list,
-                nodes,
-            })
-        }
-        2 => {
-            let (epoch, lease, left, flags) = (p.u64()?, p.u64()?, p.u32()?, p.u8()?);
-            if flags > 3 {
-                return Err(DecodeError("unknown flags"));
-            }
-            let (class, tenant, idem, id) = (p.short()?, p.short()?, p.short()?, p.short()?);
-            let len = usize::from(p.u16()?);
-            let (key, value) = (p.take(len)?, p.u32()?);
-            let (write, retry) = (flags & 1 > 0, flags & 2 > 0);
-            Message::Request(Request {
-                epoch,
-                lease,
-                left,
-                write,
-                retry,
-                class,
-                tenant,
-                idem,
-                id,
-                key,
-                value,
-            })
-        }
-        3 => {
-            let ended = match p.u8()? {
-                0 => Ended::Served,
-                1 => Ended::NoValue,
-                2 => Ended::Refused,
-                3 => Ended::Failed,
-                4 => Ended::Late,
-                _ => return Err(DecodeError("unknown end")),
-            };
-            Message::Head {
-                ended,
-                retry_after: p.u32()?,
-                value: p.u32()?,
-            }
-        }
-        4 => Message::Body(p.rest()),
-        5 => Message::Cancel,
-        6 => Message::Credit(p.u32()?),
-        7 => {
-            let echo = p.u8()?;
-            if echo > 1 {
-                return Err(DecodeError("unknown flags"));
-            }
-            Message::Beat {
-                echo: echo == 1,
-                sent: p.u64()?,
-            }
-        }
-        8 => Message::Lease {
-            epoch: p.u64()?,
-            number: p.u64()?,
-        },
-        9 => Message::Claim(p.rest()),
-        10 => {
-            let claimed = match p.u8()? {
-                0 => Claimed::Here,
-                1 => Claimed::Served,
-                2 => Claimed::Crossed,
-                3 => Claimed::CantTell,
-                _ => return Err(DecodeError("unknown claim")),
-            };
-            Message::Claimed {
-                claimed,
-                receipt: p.rest(),
-            }
+    /// Checks that all fields have been read.
+    fn end(&self) -> Result<(), DecodeError> {
+        if self.0.is_empty() {
+            Ok(())
+        } else {
+            Err(DecodeError::TrailingBytes)
         }
-        11 => Message::GoAway,
-        _ => return Err(DecodeError("unknown kind of frame")),
-    };
-    if !p.0.is_empty() {
-        return Err(DecodeError("a body is longer than its parts"));
     }
-    Ok(message)
 }
 
-/// The next message and the request that it belongs to, none while it is still coming. It holds nothing between calls.
+/// Takes the next frame off the buffer; `None` while it is incomplete.
 ///
 /// # Errors
-/// A frame that version 1 does not have.
-pub fn next(buf: &mut BytesMut) -> Result<Option<(u32, Message)>, DecodeError> {
+/// The bytes are no frame of version 1.
+pub fn decode(buf: &mut BytesMut) -> Result<Option<Frame>, DecodeError> {
     if buf.len() < HEADER {
         return Ok(None);
     }
-    let (kind, flags) = (buf[0], buf[1]);
-    let len = usize::from(u16::from_be_bytes([buf[2], buf[3]]));
+    let kind = buf[0];
+    let flags = buf[1];
+    let body_len = usize::from(u16::from_be_bytes([buf[2], buf[3]]));
     let request = u32::from_be_bytes([buf[4], buf[5], buf[6], buf[7]]);
-    if flags != 0 || len > MAX_BODY {
-        return Err(DecodeError(if flags != 0 {
-            "unknown flags"
-        } else {
-            "a body is too long"
-        }));
+    if flags != 0 {
+        return Err(DecodeError::UnknownFlags);
+    }
+    if body_len > MAX_BODY {
+        return Err(DecodeError::BodyTooLong);
     }
-    if buf.len() < HEADER + len {
+    if buf.len() < HEADER + body_len {
         return Ok(None);
     }
     buf.advance(HEADER);
-    message(kind, buf.split_to(len).freeze()).map(|message| Some((request, message)))
+    let message = Message::decode(kind, buf.split_to(body_len).freeze())?;
+    Ok(Some(Frame { request, message }))
 }
 
 #[cfg(test)]
--- a/crates/codec/src/site_link_tests.rs
+++ b/crates/codec/src/site_link_tests.rs
@@ -1,131 +1,130 @@
 use super::*;
 use proptest::prelude::*;
 
-fn read(input: &[u8], cuts: &[usize]) -> (Vec<(u32, Message)>, Option<DecodeError>) {
+/// The frames in `input`, which arrives in parts between the positions in `cuts` (each taken modulo its length).
+fn read(input: &[u8], cuts: &[usize]) -> (Vec<Frame>, Option<DecodeError>) {
     let mut at: Vec<usize> = cuts.iter().map(|c| c % (input.len() + 1)).collect();
     at.extend([0, input.len()]);
     at.sort_unstable();
     let (mut buf, mut out) = (BytesMut::new(), Vec::new());
-    for piece in at.windows(2) {
-        buf.extend_from_slice(&input[piece[0]..piece[1]]);
+    for part in at.windows(2) {
+        buf.extend_from_slice(&input[part[0]..part[1]]);
         loop {
-            match next(&mut buf) {
-                Ok(Some(message)) => out.push(message),
+            match decode(&mut buf) {
+                Ok(Some(frame)) => out.push(frame),
                 Ok(None) => break,
-                Err(broken) => return (out, Some(broken)),
+                Err(error) => return (out, Some(error)),
             }
         }
     }
     (out, None)
 }
 
-fn text(most: usize) -> impl Strategy<Value = Bytes> {
-    prop::collection::vec(any::<u8>(), 0..most).prop_map(Bytes::from)
+fn any_text(max_len: usize) -> impl Strategy<Value = Bytes> {
+    prop::collection::vec(any::<u8>(), 0..max_len).prop_map(Bytes::from)
 }
 
-fn any_message() -> impl Strategy<Value = Message> {
-    let hello = (
-        any::<(u16, u64, u16, u64)>(),
-        text(256),
-        text(256),
-        prop::collection::vec(text(40), 0..5),
-    )
-        .prop_map(|((version, epoch, life, list), site, node, nodes)| {
-            Message::Hello(Hello {
-                version,
-                epoch,
-                life,
-                site,
-                node,
-                list,
-                nodes,
-            })
-        });
-    let request = (
-        any::<(u64, u64, u32, bool, bool, u32)>(),
-        text(256),
-        text(256),
-        text(256),
-        text(600),
-    )
-        .prop_map(
-            |((epoch, lease, left, write, retry, value), class, tenant, idem, key)| {
-                let id = class.clone();
-                Message::Request(Request {
-                    epoch,
-                    lease,
-                    left,
-                    write,
-                    retry,
-                    class,
-                    tenant,
-                    idem,
-                    id,
-                    key,
-                    value,
-                })
-            },
-        );
-    let ends = [
-        Ended::Served,
-        Ended::NoValue,
-        Ended::Refused,
-        Ended::Failed,
-        Ended::Late,
+fn any_hello() -> impl Strategy<Value = Message> {
+    let numbers = any::<(u16, u64, u16, u64)>();
+    let nodes = prop::collection::vec(any_text(40), 0..5);
+    (numbers, any_text(256), any_text(256), nodes).prop_map(|(numbers, site, node, nodes)| {
+        let (version, epoch, lease_lifetime, node_list_version) = numbers;
+        Message::Hello(Hello {
+            version,
+            epoch,
+            lease_lifetime,
+            site,
+            node,
+            node_list_version,
+            nodes,
+        })
+    })
+}
+
+fn any_request() -> impl Strategy<Value = Message> {
+    let numbers = any::<(u64, u64, u32, bool, bool, u32)>();
+    let texts = (any_text(256), any_text(256), any_text(256), any_text(600));
+    (numbers, texts).prop_map(|(numbers, (class, tenant, idempotency_key, key))| {
+        let (lease_epoch, lease_number, time_left, is_write, is_retry, value_len) = numbers;
+        Message::Request(Request {
+            lease_epoch,
+            lease_number,
+            time_left,
+            is_write,
+            is_retry,
+            id: class.clone(),
+            class,
+            tenant,
+            idempotency_key,
+            key,
+            value_len,
+        })
+    })
+}
+
+fn any_response_head() -> impl Strategy<Value = Message> {
+    let outcomes = vec![
+        Outcome::Served,
+        Outcome::NoValue,
+        Outcome::Rejected,
+        Outcome::Failed,
+        Outcome::Late,
     ];
-    let claims = [
-        Claimed::Here,
-        Claimed::Served,
-        Claimed::Crossed,
-        Claimed::CantTell,
+    (prop::sample::select(outcomes), any::<(u32, u32)>()).prop_map(
+        |(outcome, (retry_after, value_len))| Message::ResponseHead {
+            outcome,
+            retry_after,
+            value_len,
+        },
+    )
+}
+
+fn any_claim_response() -> impl Strategy<Value = Message> {
+    let verdicts = vec![
+        ClaimVerdict::Here,
+        ClaimVerdict::Served,
+        ClaimVerdict::Crossed,
+        ClaimVerdict::CantTell,
     ];
+    (prop::sample::select(verdicts), any_text(300))
+        .prop_map(|(verdict, receipt)| Message::ClaimResponse { verdict, receipt })
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
     prop_oneof![
-        hello,
-        request,
-        (prop::sample::select(ends.to_vec()), any::<(u32, u32)>()).prop_map(
-            |(ended, (retry_after, value))| Message::Head {
-                ended,
-                retry_after,
-                value
-            }
-        ),
-        text(3_000).prop_map(Message::Body),
+        any_hello(),
+        any_request(),
+        any_response_head(),
+        any_text(3_000).prop_map(Message::Body),
         Just(Message::Cancel),
         any::<u32>().prop_map(Message::Credit),
-        any::<(bool, u64)>().prop_map(|(echo, sent)| Message::Beat { echo, sent }),
+        any::<(bool, u64)>().prop_map(|(is_echo, sent)| Message::Heartbeat { is_echo, sent }),
         any::<(u64, u64)>().prop_map(|(epoch, number)| Message::Lease { epoch, number }),
-        text(256).prop_map(Message::Claim),
-        (prop::sample::select(claims.to_vec()), text(300))
-            .prop_map(|(claimed, receipt)| Message::Claimed { claimed, receipt }),
+        any_text(256).prop_map(Message::Claim),
+        any_claim_response(),
         Just(Message::GoAway),
     ]
 }
 
 #[test]
-fn frames_are_as_the_specification_shows_them() {
+fn frames_are_encoded_as_the_specification_says() {
     let mut out = Vec::new();
-    put(
-        &mut out,
-        0,
-        &Message::Beat {
-            echo: true,
-            sent: 0x0102,
-        },
-    );
+    let heartbeat = Message::Heartbeat {
+        is_echo: true,
+        sent: 0x0102,
+    };
+    encode(&mut out, 0, &heartbeat);
     assert_eq!(
         out,
         b"\x07\x00\x00\x09\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x01\x02"
     );
     out.clear();
-    put(
-        &mut out,
-        9,
-        &Message::Head {
-            ended: Ended::Refused,
-            retry_after: 120,
-            value: 0,
-        },
-    );
+    let rejection = Message::ResponseHead {
+        outcome: Outcome::Rejected,
+        retry_after: 120,
+        value_len: 0,
+    };
+    encode(&mut out, 9, &rejection);
     assert_eq!(
         out,
         b"\x03\x00\x00\x09\x00\x00\x00\x09\x02\x00\x00\x00\x78\x00\x00\x00\x00"
@@ -133,7 +132,49 @@
 }
 
 #[test]
-fn what_version_1_does_not_have_is_broken() {
+fn request_and_hello_are_encoded_as_the_specification_says() {
+    let request = Message::Request(Request {
+        lease_epoch: 1,
+        lease_number: 2,
+        time_left: 3,
+        is_write: true,
+        is_retry: true,
+        class: Bytes::from_static(b"c"),
+        tenant: Bytes::from_static(b"t"),
+        idempotency_key: Bytes::new(),
+        id: Bytes::from_static(b"i"),
+        key: Bytes::from_static(b"key"),
+        value_len: 4,
+    });
+    let mut out = Vec::new();
+    encode(&mut out, 5, &request);
+    assert_eq!(
+        out,
+        b"\x02\x00\x00\x25\x00\x00\x00\x05\
+        \x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x02\x00\x00\x00\x03\x03\
+        \x01c\x01t\x00\x01i\x00\x03key\x00\x00\x00\x04"
+    );
+    let hello = Message::Hello(Hello {
+        version: VERSION,
+        epoch: 2,
+        lease_lifetime: 3,
+        site: Bytes::from_static(b"s"),
+        node: Bytes::from_static(b"n"),
+        node_list_version: 4,
+        nodes: vec![Bytes::from_static(b"n")],
+    });
+    out.clear();
+    encode(&mut out, 0, &hello);
+    assert_eq!(
+        out,
+        b"\x01\x00\x00\x1c\x00\x00\x00\x00\
+        \x00\x01\x00\x00\x00\x00\x00\x00\x00\x02\x00\x03\x01s\x01n\
+        \x00\x00\x00\x00\x00\x00\x00\x04\x00\x01\x01n"
+    );
+}
+
+#[test]
+fn frames_that_version_1_does_not_have_are_errors() {
     let cases: [(&[u8], &str); 9] = [
         (b"\x00\x00\x00\x00\x00\x00\x00\x00", "unknown kind of frame"),
         (b"\x0c\x00\x00\x00\x00\x00\x00\x00", "unknown kind of frame"),
@@ -152,33 +193,34 @@
             "unknown end",
         ),
         (b"\x0a\x00\x00\x01\x00\x00\x00\x00\x04", "unknown claim"),
-        (b"*4\r\n$5\r\nC.GET\r\n", "unknown kind of frame"),
+        // RESP2 in place of a frame: its second byte is read as flags.
+        (b"*4\r\n$5\r\nC.GET\r\n", "unknown flags"),
     ];
-    for (input, why) in cases {
-        // The last one is RESP2: its first four bytes claim a body, which is waited for or refused.
-        let (got, broken) = read(input, &[3, 5]);
-        assert!(got.is_empty());
-        if input[0] != b'*' {
-            assert_eq!(broken, Some(DecodeError(why)), "{input:?}");
-        } else {
-            assert!(broken.is_some(), "{input:?}");
-        }
+    for (input, message) in cases {
+        let (frames, error) = read(input, &[3, 5]);
+        assert!(frames.is_empty());
+        let error = error.map(|error| error.to_string());
+        assert_eq!(error.as_deref(), Some(message), "{input:?}");
     }
 }
 
 proptest! {
     #[test]
-    fn messages_come_back_as_they_were_however_they_are_cut(
+    fn frames_are_read_as_written_however_they_are_split(
         list in prop::collection::vec((any::<u32>(), any_message()), 1..8),
         cuts in prop::collection::vec(any::<usize>(), 0..20),
     ) {
         let mut input = Vec::new();
-        list.iter().for_each(|(request, message)| put(&mut input, *request, message));
-        prop_assert_eq!(read(&input, &cuts), (list, None));
+        let mut frames = Vec::new();
+        for (request, message) in list {
+            encode(&mut input, request, &message);
+            frames.push(Frame { request, message });
+        }
+        prop_assert_eq!(read(&input, &cuts), (frames, None));
     }
 
     #[test]
-    fn noise_never_panics_and_is_cut_alike(
+    fn arbitrary_bytes_never_panic_and_are_read_alike_however_split(
         mut input in prop::collection::vec(any::<u8>(), 0..200),
         kind in 0u8..13,
         cuts in prop::collection::vec(any::<usize>(), 0..5),
--- a/crates/memcached/src/config.rs
+++ b/crates/memcached/src/config.rs
@@ -187,17 +187,18 @@
 
 fn route(r: &mut Reader, section: Section, names: &Names, classes: &[Class]) -> Option<Route> {
     r.reject_unknown_fields(section, &ROUTE);
-    let operation = r.parsed_text(
-        section,
-        "operation",
-        "\"get\" or \"set\"",
-        None,
-        |word| match word {
-            "get" => Some(Operation::Get),
-            "set" => Some(Operation::Set),
-            _ => None,
-        },
-    );
+    let operation =
+        r.parsed_text(
+            section,
+            "operation",
+            "\"get\" or \"set\"",
+            None,
+            |word| match word {
+                "get" => Some(Operation::Get),
+                "set" => Some(Operation::Set),
+                _ => None,
+            },
+        );
     let keys = r
         .text(section, "keys", "a key, or the beginning of keys and *")
         .and_then(|text| {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_codec::http1::{self, Refused};
+use sloewick_codec::http1::{self, RequestError};
 use sloewick_decision::api::Micros;
 
 use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
@@ -132,14 +132,14 @@
             break;
         }
         if caller.answered.is_none() {
-            let (status, text) = match http1::request(&caller.buf, ended) {
+            let (status, text) = match http1::request_head(&caller.buf, ended) {
                 Ok(None) => return,
                 Ok(Some(head)) => match find(&head.method, &head.path) {
                     Ok(call) => answer(call),
                     Err(refused) => refused,
                 },
-                Err(Refused::Unreadable) => (400, "this is no HTTP/1.1 request\n".to_string()),
-                Err(Refused::TooLong) => (
+                Err(RequestError::Unreadable) => (400, "this is no HTTP/1.1 request\n".to_string()),
+                Err(RequestError::TooLong) => (
                     431,
                     format!("a head has {} bytes at most\n", http1::MAX_HEAD),
                 ),
@@ -177,7 +177,8 @@
     fn answer(&mut self, status: u16, text: &str, now: Micros) {
         self.answered = Some(now);
         self.buf.clear();
-        self.out.push(Bytes::from(http1::answer(status, text)));
+        self.out
+            .push(Bytes::from(http1::text_response(status, text)));
     }
 
     /// Writes on; true when the connection is done with.
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -8,7 +8,7 @@
 use crate::front::Protocol;
 use crate::transport::{fill, ReadOutcome, Stream, WriteQueue};
 use sloewick_codec::memcached::{self, RequestReader};
-use sloewick_codec::resp2::{Budget, Command, CommandReader};
+use sloewick_codec::resp2::{ByteBudget, Command, CommandReader};
 
 /// Commands of one connection that may wait for their answers; more stay in the kernel until some have gone.
 const PIPELINE_MOST: usize = 128;
@@ -175,7 +175,7 @@
     }
 
     /// The next command. Nothing is taken while too much waits: what is not read holds the client back.
-    pub fn next(&mut self, now: Micros, budget: &mut Budget, scratch: &mut [u8]) -> Input {
+    pub fn next(&mut self, now: Micros, budget: &mut ByteBudget, scratch: &mut [u8]) -> Input {
         if let Closing::Lingering(_) = self.closing {
             self.drop_input(scratch);
             return Input::Nothing;
@@ -194,12 +194,15 @@
             let input = match &mut self.reader {
                 Reader::Resp(reader) => match reader.next(&mut self.buf, budget) {
                     Ok(command) => command.map(Input::Command),
-                    Err(broken) => return Input::DecodeError(broken.0, None),
+                    Err(error) => return Input::DecodeError(error.message(), None),
                 },
                 Reader::Memcached(reader, most) => {
                     match reader.next(&mut self.buf, budget, *most) {
                         Ok(request) => request.map(Input::Request),
-                        Err(broken) => return Input::DecodeError(broken.why, broken.answer),
+                        Err(error) => {
+                            let response = error.response.map(|r| (r.opcode, r.opaque, r.status));
+                            return Input::DecodeError(error.kind.message(), response);
+                        }
                     }
                 }
             };
--- a/crates/node/src/client_tests.rs
+++ b/crates/node/src/client_tests.rs
@@ -66,7 +66,7 @@
 }
 
 fn next(client: &mut Client<Pipe>, now: Micros) -> Input {
-    client.next(now, &mut Budget::new(1 << 20), &mut [0; 4096])
+    client.next(now, &mut ByteBudget::new(1 << 20), &mut [0; 4096])
 }
 
 #[test]
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -349,11 +349,11 @@
             break;
         }
         // Guards against a cut list: a reset is no end, so that only an answer which tells where it ends can be whole.
-        match http1::body(&call.buf, ended && !broke) {
+        match http1::response_body(&call.buf, ended && !broke) {
             Ok(None) if broke => Some(self.failed("connection broke", now, timers)),
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
-            Err(why) => Some(self.failed(why, now, timers)),
+            Err(error) => Some(self.failed(error.message(), now, timers)),
         }
     }
 
--- a/crates/node/src/discovery_tests.rs
+++ b/crates/node/src/discovery_tests.rs
@@ -33,7 +33,7 @@
         let whole =
             format!("HTTP/1.1 200 OK\r\n{told}Connection: close\r\n\r\n{text}").into_bytes();
         let list = |bytes: &[u8]| {
-            let body = http1::body(bytes, true).ok().flatten()?;
+            let body = http1::response_body(bytes, true).ok().flatten()?;
             answer(&serde_json::from_slice(&body).ok()?).ok()
         };
         assert_eq!(
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -57,7 +57,7 @@
             }],
             (Asked::Resp, Final::Failed) => vec![bytes("-ERR failed\r\n")],
             (Asked::Memcached { opcode, opaque }, Final::Value(value)) => {
-                if opcode.silent_on(Status::Ok) {
+                if opcode.suppresses_response(Status::Ok) {
                     Vec::new()
                 } else if !reads(opcode) {
                     let mut out = Vec::new();
@@ -97,7 +97,7 @@
         let Asked::Memcached { opcode, opaque } = self else {
             return Vec::new();
         };
-        if opcode.silent_on(status) {
+        if opcode.suppresses_response(status) {
             return Vec::new();
         }
         let mut out = Vec::new();
@@ -137,11 +137,11 @@
 }
 
 fn reads(opcode: Opcode) -> bool {
-    matches!(opcode.loud(), Opcode::Get | Opcode::GetK)
+    matches!(opcode.without_quiet(), Opcode::Get | Opcode::GetK)
 }
 
 fn read_head(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
-    let key = if opcode.loud() == Opcode::GetK {
+    let key = if opcode.without_quiet() == Opcode::GetK {
         key.clone()
     } else {
         Bytes::new()
--- a/crates/node/src/front_tests.rs
+++ b/crates/node/src/front_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use bytes::BytesMut;
-use sloewick_codec::memcached::{Piece, ResponseReader};
+use sloewick_codec::memcached::{DecodeEvent, ResponseReader};
 
 fn told(opcode: Opcode, end: Final) -> Option<(u16, Vec<u8>, Vec<u8>)> {
     let asked = Asked::Memcached { opcode, opaque: 77 };
@@ -8,7 +8,7 @@
     let mut buf = BytesMut::new();
     chunks.iter().for_each(|chunk| buf.extend_from_slice(chunk));
     let piece = ResponseReader::default().next(&mut buf, 1 << 20).unwrap()?;
-    let Piece::Whole(r) = piece else {
+    let DecodeEvent::Complete(r) = piece else {
         panic!("a long value")
     };
     assert_eq!((r.opcode, r.opaque, buf.len()), (opcode as u8, 77, 0));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,7 +30,9 @@
 use crate::transport::{Log, ReadyEvent, Token, Transport, READ_MOST, SIGNALS};
 use crate::upstream::{Around, Job, Said, Signal, Upstreams, Written};
 use sloewick_codec::memcached;
-use sloewick_codec::resp2::{write_bulk, write_header, Budget, Command, Part, Reply, MAX_ARGUMENT};
+use sloewick_codec::resp2::{
+    write_bulk, write_header, ByteBudget, Command, Element, Reply, MAX_ARGUMENT,
+};
 use sloewick_memcached::routing::Operation;
 use sloewick_memcached::status::{outcome, Outcome};
 
@@ -220,7 +222,7 @@
     clients: Slab<Client<N::Stream>>,
     clients_most: usize,
     dirty: Vec<usize>,
-    budget: Budget,
+    budget: ByteBudget,
     upstreams: Upstreams<N::Stream>,
     probes: HashMap<u64, (ServerId, Micros)>,
     discovery: Discovery<N::Stream>,
@@ -337,7 +339,7 @@
             clients: Slab::new(),
             clients_most: shares.clients,
             dirty: Vec::new(),
-            budget: Budget::new(memory / VALUES_PART),
+            budget: ByteBudget::new(memory / VALUES_PART),
             upstreams: Upstreams::new(
                 shares.upstream / processes,
                 config.server_idle,
@@ -699,7 +701,7 @@
     fn command(&mut self, client: usize, command: Command, now: Micros) {
         let reserved = command.reserved;
         if let Err(text) = self.try_command(client, command, now) {
-            self.budget.give_back(reserved);
+            self.budget.release(reserved);
             if let Some(c) = self.clients.get_mut(client) {
                 c.push(Slot::ReadyEvent(vec![text]));
                 self.mark(client);
@@ -841,7 +843,7 @@
         let Some(mut client) = self.clients.try_remove(key) else {
             return;
         };
-        self.budget.give_back(client.reserved());
+        self.budget.release(client.reserved());
         self.disown(client.cut());
     }
 
@@ -1231,7 +1233,7 @@
         open.closed = true;
         // No other attempt can need the value now.
         open.value = None;
-        self.budget.give_back(std::mem::take(&mut open.reserved));
+        self.budget.release(std::mem::take(&mut open.reserved));
     }
 
     /// Drops a request that is answered and of which nothing is out.
@@ -1295,7 +1297,9 @@
                 Signal::Reply(Job::Probe { serial }, said) => {
                     let (status, _, load) = verdict(&said, false);
                     let status = match said {
-                        Said::Resp(Reply::One(Part::Simple(_) | Part::Bulk(_))) => Status::Ok,
+                        Said::Resp(Reply::Single(Element::Simple(_) | Element::Bulk(_))) => {
+                            Status::Ok
+                        }
                         _ => status,
                     };
                     self.probed(serial, status, load);
@@ -1507,13 +1511,13 @@
     };
     match reply {
         Reply::Array(parts) => {
-            let status = if matches!(parts[0], Part::Bulk(_)) {
+            let status = if matches!(parts[0], Element::Bulk(_)) {
                 Status::Ok
             } else {
                 Status::Error
             };
             let note = match parts.get(1) {
-                Some(Part::Bulk(word) | Part::Simple(word)) => match &word[..] {
+                Some(Element::Bulk(word) | Element::Simple(word)) => match &word[..] {
                     b"hit" => Some(CacheResult::Hit),
                     b"miss" => Some(CacheResult::Miss),
                     b"pending" => Some(CacheResult::MissFetching),
@@ -1523,7 +1527,7 @@
             };
             (status, note, parts.get(2).and_then(load))
         }
-        Reply::One(part @ Part::Error(line)) => {
+        Reply::Single(part @ Element::Error(line)) => {
             let status = if line.starts_with(b"BUSY") {
                 Status::Rejected
             } else {
@@ -1531,7 +1535,7 @@
             };
             (status, None, load(part))
         }
-        Reply::One(part) => (Status::Error, None, load(part)),
+        Reply::Single(part) => (Status::Error, None, load(part)),
     }
 }
 
@@ -1539,10 +1543,10 @@
 fn value(said: Said) -> Final {
     match said {
         Said::Resp(Reply::Array(mut parts)) => match parts.swap_remove(0) {
-            Part::Bulk(value) => Final::Value(value),
+            Element::Bulk(value) => Final::Value(value),
             _ => Final::NoValue,
         },
-        Said::Resp(Reply::One(_)) => Final::Failed,
+        Said::Resp(Reply::Single(_)) => Final::Failed,
         Said::Memcached(response) if response.status == memcached::Status::KeyNotFound as u16 => {
             Final::NoValue
         }
@@ -1550,8 +1554,8 @@
     }
 }
 
-fn load(part: &Part) -> Option<LoadReport> {
-    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
+fn load(part: &Element) -> Option<LoadReport> {
+    let (Element::Bulk(text) | Element::Simple(text) | Element::Error(text)) = part else {
         return None;
     };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
--- a/crates/node/src/node/memcached_requests.rs
+++ b/crates/node/src/node/memcached_requests.rs
@@ -76,7 +76,7 @@
         };
         let opaque = request.opaque;
         let asked = Asked::Memcached { opcode, opaque };
-        let chunks = match (request.fault, opcode.loud()) {
+        let chunks = match (request.fault, opcode.without_quiet()) {
             (Some(Status::OutOfMemory), _) => {
                 // Shed before anything is known of it: nothing has run, so trying again is harmless.
                 asked.answer(&request.key, Final::Busy(0))
@@ -107,7 +107,7 @@
 
     /// Answers a request that was not taken, in its turn.
     fn say(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
-        self.budget.give_back(reserved);
+        self.budget.release(reserved);
         if let Some(c) = self.clients.get_mut(client) {
             c.push(Slot::ReadyEvent(chunks));
             self.mark(client);
@@ -167,7 +167,7 @@
         let Some(m) = &mut self.memcached else {
             return Err(Refused::End(Final::Failed));
         };
-        let write = opcode.loud() == Opcode::Set;
+        let write = opcode.without_quiet() == Opcode::Set;
         let operation = if write {
             Operation::Set
         } else {
--- a/crates/node/src/node_tests.rs
+++ b/crates/node/src/node_tests.rs
@@ -2,9 +2,9 @@
 
 #[test]
 fn replies_mean_what_the_protocol_says() {
-    let bulk = |text: &'static str| Part::Bulk(Bytes::from_static(text.as_bytes()));
+    let bulk = |text: &'static str| Element::Bulk(Bytes::from_static(text.as_bytes()));
     let verdict = |reply| verdict(&Said::Resp(reply), false);
-    let served = |how: Part| verdict(Reply::Array(vec![bulk("value"), how, Part::Null]));
+    let served = |how: Element| verdict(Reply::Array(vec![bulk("value"), how, Element::Null]));
     for (word, note) in [
         ("hit", CacheResult::Hit),
         ("miss", CacheResult::Miss),
@@ -12,10 +12,10 @@
     ] {
         assert_eq!(served(bulk(word)), (Status::Ok, Some(note), None));
     }
-    assert_eq!(served(Part::Null), (Status::Ok, None, None));
+    assert_eq!(served(Element::Null), (Status::Ok, None, None));
     let report = Reply::Array(vec![
         bulk("value"),
-        Part::Null,
+        Element::Null,
         bulk("inflight=7,queue=2,util=0.61"),
     ]);
     let load = verdict(report).2.unwrap();
@@ -23,7 +23,8 @@
         (load.in_flight, load.queue, load.util),
         (Some(7.0), Some(2.0), Some(0.61))
     );
-    let error = |text: &'static str| Reply::One(Part::Error(Bytes::from_static(text.as_bytes())));
+    let error =
+        |text: &'static str| Reply::Single(Element::Error(Bytes::from_static(text.as_bytes())));
     assert_eq!(verdict(error("ERR failed")), (Status::Error, None, None));
     let (status, _, load) = verdict(error("BUSY latency_ms=1.5,x0=nan"));
     assert_eq!(status, Status::Rejected);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -16,7 +16,7 @@
     fill, is_descriptor_limit, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue,
 };
 use sloewick_codec::memcached::{self, Opcode, Response, ResponseReader};
-use sloewick_codec::resp2::{Part, Piece, Reply, ReplyReader, MAX_VALUE};
+use sloewick_codec::resp2::{DecodeEvent, Element, Reply, ReplyReader, MAX_VALUE};
 
 /// Most connections to one server. How many a server holds of all nodes together is told by no setting; a single node that
 /// has so many requests out at one server has found it full or hanging, and more could only wait there.
@@ -117,20 +117,24 @@
     fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Came>, ()> {
         Ok(match self {
             Reader::Resp(reader) => reader.next(buf).map_err(|_| ())?.map(|piece| match piece {
-                Piece::Whole(reply) => Came::Whole(Said::Resp(reply)),
-                Piece::Begin(len) => Came::Begin(len, None),
-                Piece::Body(bytes) => Came::Body(bytes),
+                DecodeEvent::Complete(reply) => Came::Whole(Said::Resp(reply)),
+                DecodeEvent::ValueStart(len) => Came::Begin(len, None),
+                DecodeEvent::ValueChunk(bytes) => Came::Body(bytes),
             }),
             Reader::Memcached(reader) => {
                 let Some(piece) = reader.next(buf, MAX_BODY).map_err(|_| ())? else {
                     return Ok(None);
                 };
                 Some(match piece {
-                    memcached::Piece::Whole(response) => Came::Whole(Said::Memcached(response)),
+                    memcached::DecodeEvent::Complete(response) => {
+                        Came::Whole(Said::Memcached(response))
+                    }
                     // Only what a client asked for may be long.
-                    memcached::Piece::Begin(r, _) if r.status != 0 => return Err(()),
-                    memcached::Piece::Begin(r, len) => Came::Begin(len, Some((r.opcode, r.opaque))),
-                    memcached::Piece::Body(bytes) => Came::Body(bytes),
+                    memcached::DecodeEvent::ValueStart(r, _) if r.status != 0 => return Err(()),
+                    memcached::DecodeEvent::ValueStart(r, len) => {
+                        Came::Begin(len, Some((r.opcode, r.opaque)))
+                    }
+                    memcached::DecodeEvent::ValueChunk(bytes) => Came::Body(bytes),
                 })
             }
         })
@@ -674,10 +678,13 @@
         };
         let known = match (&said, job) {
             (Said::Resp(Reply::Array(parts)), Job::Attempt { .. }) => {
-                c.body || matches!(parts[0], Part::Bulk(_))
+                c.body || matches!(parts[0], Element::Bulk(_))
             }
-            (Said::Resp(Reply::One(Part::Error(line))), _) => !line.starts_with(b"SYNTAX"),
-            (Said::Resp(Reply::One(Part::Simple(_) | Part::Bulk(_))), Job::Probe { .. }) => true,
+            (Said::Resp(Reply::Single(Element::Error(line))), _) => !line.starts_with(b"SYNTAX"),
+            (
+                Said::Resp(Reply::Single(Element::Simple(_) | Element::Bulk(_))),
+                Job::Probe { .. },
+            ) => true,
             (Said::Memcached(response), _) => (response.opcode, response.opaque) == c.tag,
             _ => false,
         };
--- a/crates/testbed/src/cachebox.rs
+++ b/crates/testbed/src/cachebox.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use sloewick_codec::memcached::{self, Opcode, RequestReader, Status};
 use sloewick_codec::resp2::{
-    write_bulk, write_header, Budget, Command, CommandReader, Part, Piece, Reply, ReplyReader,
+    write_bulk, write_header, ByteBudget, Command, CommandReader, DecodeEvent, Element, Reply,
+    ReplyReader,
 };
 use sloewick_decision::api::Micros;
 
@@ -304,17 +305,17 @@
                 return;
             };
             let first_byte = line.since;
-            let mut budget = Budget::new(VALUES_MOST);
+            let mut budget = ByteBudget::new(VALUES_MOST);
             let first = line.buf.first().copied();
             let next = match reader {
                 Reader::Resp(reader) => match reader.next(&mut line.buf, &mut budget) {
                     Ok(command) => Ok(command.map(Input::Command)),
-                    Err(broken) => Err(broken.0),
+                    Err(broken) => Err(broken.message()),
                 },
                 Reader::Memcached(reader) => {
                     match reader.next(&mut line.buf, &mut budget, VALUES_MOST) {
                         Ok(request) => Ok(request.map(Input::Request)),
-                        Err(broken) => Err(broken.why),
+                        Err(broken) => Err(broken.kind.message()),
                     }
                 }
             };
@@ -657,9 +658,9 @@
         self.calls.insert(self.call, job);
     }
 
-    fn told(&mut self, parts: &[Part]) {
+    fn told(&mut self, parts: &[Element]) {
         let text = |i: usize| match parts.get(i) {
-            Some(Part::Bulk(bytes)) => std::str::from_utf8(bytes).ok(),
+            Some(Element::Bulk(bytes)) => std::str::from_utf8(bytes).ok(),
             _ => None,
         };
         let number = |i: usize| text(i).and_then(|t| t.parse::<u64>().ok());
@@ -884,7 +885,7 @@
                 return;
             };
             match self.origin_reader.next(&mut line.buf) {
-                Ok(Some(Piece::Whole(Reply::Array(parts)))) => self.told(&parts),
+                Ok(Some(DecodeEvent::Complete(Reply::Array(parts)))) => self.told(&parts),
                 Ok(Some(_)) => {}
                 Ok(None) => return,
                 Err(_) => return self.origin_lost(),
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use sloewick_codec::memcached::{self, Opcode, ResponseReader, Status};
-use sloewick_codec::resp2::{write_bulk, write_header, Part, Piece, Reply, ReplyReader};
+use sloewick_codec::resp2::{write_bulk, write_header, DecodeEvent, Element, Reply, ReplyReader};
 use sloewick_decision::api::Micros;
 
 use crate::facts::{named_by, opaque_of, short, Answer, Id, Tap, What};
@@ -490,18 +490,18 @@
             };
             let next = match &mut c.reader {
                 Reader::Resp(reader) => match reader.next(&mut line.buf) {
-                    Ok(Some(Piece::Whole(reply))) => Ok(Some(Some(Said::Resp(reply)))),
+                    Ok(Some(DecodeEvent::Complete(reply))) => Ok(Some(Some(Said::Resp(reply)))),
                     Ok(Some(_)) => Ok(Some(None)),
                     Ok(None) => Ok(None),
-                    Err(broken) => Err(broken.0),
+                    Err(broken) => Err(broken.message()),
                 },
                 Reader::Memcached(reader) => match reader.next(&mut line.buf, MAX_BODY) {
-                    Ok(Some(memcached::Piece::Whole(response))) => {
+                    Ok(Some(memcached::DecodeEvent::Complete(response))) => {
                         Ok(Some(Some(Said::Memcached(response))))
                     }
                     Ok(Some(_)) => Ok(Some(None)),
                     Ok(None) => Ok(None),
-                    Err(broken) => Err(broken.why),
+                    Err(broken) => Err(broken.kind.message()),
                 },
             };
             match next {
@@ -536,7 +536,7 @@
         };
         let node = c.node;
         if std::mem::take(&mut c.ping) {
-            if matches!(&said, Said::Resp(Reply::One(Part::Simple(text))) if text == "PONG") {
+            if matches!(&said, Said::Resp(Reply::Single(Element::Simple(text))) if text == "PONG") {
                 self.up[node] = true;
                 self.tap.tell(self.port.unix(), What::ReadyEvent { node });
                 if self.by_key() {
@@ -780,18 +780,18 @@
 
 fn resp_answer(reply: &Reply, id: &Id, write: bool) -> Answer {
     let value = match reply {
-        Reply::One(Part::Bulk(value)) => Some(value),
+        Reply::Single(Element::Bulk(value)) => Some(value),
         Reply::Array(parts) => match parts.first() {
-            Some(Part::Bulk(value)) => Some(value),
+            Some(Element::Bulk(value)) => Some(value),
             _ => None,
         },
-        Reply::One(_) => None,
+        Reply::Single(_) => None,
     };
     match (value, reply) {
         // A box of the binary protocol gives no receipt.
         (Some(value), _) if value.is_empty() && write => Answer::Served,
         (Some(value), _) => made_for(value, id),
-        (None, Reply::One(Part::Error(text))) if text.starts_with(b"BUSY") => {
+        (None, Reply::Single(Element::Error(text))) if text.starts_with(b"BUSY") => {
             let ms = std::str::from_utf8(text)
                 .ok()
                 .and_then(|t| t.split(' ').nth(1)?.parse().ok());
--- a/crates/testbed/src/origin.rs
+++ b/crates/testbed/src/origin.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use sloewick_codec::resp2::{write_bulk, write_header, Budget, CommandReader};
+use sloewick_codec::resp2::{write_bulk, write_header, ByteBudget, CommandReader};
 use sloewick_decision::api::Micros;
 
 use crate::facts::{Id, Tap, What};
@@ -257,7 +257,7 @@
         let reader = self.readers.entry(conn).or_default();
         let mut buf = BytesMut::new();
         std::mem::swap(&mut buf, &mut line.buf);
-        while let Ok(Some(command)) = reader.next(&mut buf, &mut Budget::new(0)) {
+        while let Ok(Some(command)) = reader.next(&mut buf, &mut ByteBudget::new(0)) {
             commands.push(command.words);
         }
         line.buf = buf;
--- a/crates/testbed/tests/memcached.rs
+++ b/crates/testbed/tests/memcached.rs
@@ -9,9 +9,10 @@
 
 use bytes::{Bytes, BytesMut};
 use sloewick_codec::memcached::{
-    write_request, write_response, Opcode, Piece, Request, RequestReader, Response, ResponseReader,
+    write_request, write_response, DecodeEvent, Opcode, Request, RequestReader, Response,
+    ResponseReader,
 };
-use sloewick_codec::resp2::Budget;
+use sloewick_codec::resp2::ByteBudget;
 use sloewick_decision::api::Status as Ended;
 use sloewick_decision::{Action, Event};
 use sloewick_node::config;
@@ -88,7 +89,7 @@
 }
 
 fn request(opcode: Opcode, opaque: u32, key: &str, value: &str) -> Vec<u8> {
-    let extras = if opcode.loud() == Opcode::Set {
+    let extras = if opcode.without_quiet() == Opcode::Set {
         Bytes::from_static(&[0; 8])
     } else {
         Bytes::new()
@@ -154,9 +155,9 @@
         .expect("answers that can be read")
     {
         match piece {
-            Piece::Begin(..) => {}
-            Piece::Body(bytes) => long.extend_from_slice(&bytes),
-            Piece::Whole(r) => {
+            DecodeEvent::ValueStart(..) => {}
+            DecodeEvent::ValueChunk(bytes) => long.extend_from_slice(&bytes),
+            DecodeEvent::Complete(r) => {
                 let value = if r.value.is_empty() {
                     std::mem::take(&mut long)
                 } else {
@@ -186,7 +187,7 @@
         Vec::new(),
     );
     while let Some(r) = reader
-        .next(&mut buf, &mut Budget::new(1 << 20), 1 << 20)
+        .next(&mut buf, &mut ByteBudget::new(1 << 20), 1 << 20)
         .unwrap()
     {
         assert_eq!(r.fault, None);
