The errors of the memcached codec have a file of their own

Result: 23 tests of the codec and 5 of the adapter pass; the workspace type-checks without warnings.

--- a/crates/codec/src/memcached.rs
+++ b/crates/codec/src/memcached.rs
@@ -7,12 +7,13 @@
 //! served is delivered with a [`Request::fault`] as long as the position of the next one is known; otherwise the
 //! [`DecodeError`] holds the response to it.
 
+mod error;
 mod opcode;
 mod status;
 
 use bytes::{Buf, Bytes, BytesMut};
-use thiserror::Error;
 
+pub use error::{DecodeError, DecodeErrorKind, ErrorResponse};
 pub use opcode::Opcode;
 pub use status::Status;
 
@@ -80,66 +81,6 @@
     pub value: Bytes,
 }
 
-/// Why bytes are no packet that can be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("{}", self.message())]
-pub enum DecodeErrorKind {
-    /// The first byte is not that of a request.
-    NoRequestMagic,
-    /// The first byte is not that of a response.
-    NoResponseMagic,
-    /// Extras and key are longer than the body that holds them.
-    PartsExceedBody,
-    /// The body exceeds the limit.
-    BodyTooLong,
-    /// The data type is unknown.
-    UnknownDataType,
-}
-
-impl DecodeErrorKind {
-    /// The error as a text, as it is sent to the peer.
-    pub fn message(self) -> &'static str {
-        match self {
-            DecodeErrorKind::NoRequestMagic => "magic is not 0x80",
-            DecodeErrorKind::NoResponseMagic => "magic is not 0x81",
-            DecodeErrorKind::PartsExceedBody => "key and extras are longer than the body",
-            DecodeErrorKind::BodyTooLong => "body is too long",
-            DecodeErrorKind::UnknownDataType => "data type is not raw bytes",
-        }
-    }
-}
-
-/// The response to a request that could not be read completely.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ErrorResponse {
-    /// The opcode's code in the request.
-    pub opcode: u8,
-    /// The number that the request had.
-    pub opaque: u32,
-    /// The status of the response.
-    pub status: Status,
-}
-
-/// The bytes cannot be read, and the position of the next packet is unknown: the connection cannot be used any
-/// further.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("{kind}")]
-pub struct DecodeError {
-    /// What cannot be read.
-    pub kind: DecodeErrorKind,
-    /// The response to the request, if its header could be read.
-    pub response: Option<ErrorResponse>,
-}
-
-impl From<DecodeErrorKind> for DecodeError {
-    fn from(kind: DecodeErrorKind) -> DecodeError {
-        DecodeError {
-            kind,
-            response: None,
-        }
-    }
-}
-
 /// A packet's header. Lengths are in bytes.
 #[derive(Clone, Copy, Debug)]
 struct Header {
@@ -351,17 +292,17 @@
 /// Decides whether the body of a request is accepted, with its value reserved in the budget, or discarded.
 fn begin_body(header: Header, budget: &mut ByteBudget, max_value: usize) -> RequestState {
     let value_len = header.value_len();
-    let needs_reservation = value_len > MAX_UNRESERVED_VALUE;
+    let is_long_value = value_len > MAX_UNRESERVED_VALUE;
     let has_invalid_header =
         header.data_type != RAW_BYTES || header.key_len > MAX_KEY || header.extras_len > MAX_EXTRAS;
     let fault = if has_invalid_header {
         Status::InvalidArguments
     } else if value_len > max_value {
         Status::ValueTooLarge
-    } else if needs_reservation && !budget.try_reserve(value_len) {
+    } else if is_long_value && !budget.try_reserve(value_len) {
         Status::OutOfMemory
     } else {
-        let reserved = if needs_reservation { value_len } else { 0 };
+        let reserved = if is_long_value { value_len } else { 0 };
         return RequestState::Body { header, reserved };
     };
     RequestState::Discarding {
--- a/crates/simulator_adapter/src/main.rs
+++ b/crates/simulator_adapter/src/main.rs
@@ -24,7 +24,7 @@
 /// Bytes of the buffer before the standard input.
 const INPUT_BUFFER: usize = 1 << 20;
 /// Exit status if the input cannot be read or understood.
-const EXIT_BAD_INPUT: u8 = 2;
+const EXIT_INVALID_INPUT: u8 = 2;
 /// Exit status if the output cannot be written.
 const EXIT_OUTPUT_FAILED: u8 = 3;
 
@@ -202,7 +202,7 @@
             Ok(_) => {}
             Err(e) => {
                 eprintln!("input line {line_number}: cannot be read: {e}");
-                return ExitCode::from(EXIT_BAD_INPUT);
+                return ExitCode::from(EXIT_INVALID_INPUT);
             }
         }
         reply.clear();
@@ -211,7 +211,7 @@
             .and_then(|text| host.handle_batch(text, &mut reply));
         if let Err(error) = handled {
             eprintln!("input line {line_number}: {error}");
-            return ExitCode::from(EXIT_BAD_INPUT);
+            return ExitCode::from(EXIT_INVALID_INPUT);
         }
         let written = output
             .write_all(reply.as_bytes())
