--- a/crates/memcached/src/config.rs
+++ b/crates/memcached/src/config.rs
@@ -85,9 +85,9 @@
     memory: usize,
 ) -> Result<MemcachedConfig, Vec<Problem>> {
     read(text, |reader, top| {
-        reader.only(top, &TOP_LEVEL_FIELDS);
+        reader.reject_unknown_fields(top, &TOP_LEVEL_FIELDS);
         let listen = read_listen_address(reader, top);
-        let max_value_bytes = reader.whole(
+        let max_value_bytes = reader.integer(
             top,
             "value_most",
             1..=MAX_VALUE_BYTES,
@@ -97,7 +97,7 @@
         let mut ledger = read_ledger(reader, top, ledger_section, memory);
         let route_sections = reader.list(top, "route");
         if top.has("listen") && route_sections.is_empty() {
-            reader.wrong(
+            reader.report(
                 top,
                 "route",
                 "is missing: without a route every request is refused; allowed: [[route]]",
@@ -134,7 +134,7 @@
     if !top.has("listen") {
         return None;
     }
-    reader.meaning(
+    reader.parsed_text(
         top,
         "listen",
         "an address with a port, like \"127.0.0.1:11211\"",
@@ -153,27 +153,27 @@
     let max_entries = memory / LEDGER_MEMORY_DIVISOR / LEDGER_ENTRY_BYTES;
     let default_entries = DEFAULT_LEDGER_ENTRIES.min(max_entries) as u32;
     if let Some(section) = ledger_section {
-        reader.only(section, &LEDGER_FIELDS);
+        reader.reject_unknown_fields(section, &LEDGER_FIELDS);
     }
     // Without a section the defaults apply: the top level has no field of these names.
     let section = ledger_section.unwrap_or(top);
     let entries = reader
-        .whole(
+        .integer(
             section,
             "entries",
             1..=MAX_LEDGER_ENTRIES,
             Some(default_entries),
         )
         .unwrap_or(default_entries) as usize;
-    let retention = reader.whole(section, "remember_ms", 1..=MAX_RETENTION_MS, Some(600_000));
-    let margin = reader.whole(section, "margin_ms", 0..=60_000, Some(1_000));
-    let max_clock_skew = reader.whole(section, "clock_skew_ms", 0..=60_000, Some(500));
+    let retention = reader.integer(section, "remember_ms", 1..=MAX_RETENTION_MS, Some(600_000));
+    let margin = reader.integer(section, "margin_ms", 0..=60_000, Some(1_000));
+    let max_clock_skew = reader.integer(section, "clock_skew_ms", 0..=60_000, Some(500));
     if entries > max_entries {
         let why = format!(
             "is {entries}; with {LEDGER_ENTRY_BYTES} bytes each that is over one part in {LEDGER_MEMORY_DIVISOR} of memory_mb; \
              allowed: up to {max_entries}"
         );
-        reader.wrong(section, "entries", why);
+        reader.report(section, "entries", why);
     }
     let micros = |millis: Option<u32>| Micros::from(millis.unwrap_or_default()) * 1000;
     LedgerSettings {
@@ -195,7 +195,7 @@
     names: &Names,
     classes: &[Class],
 ) -> Option<Route> {
-    reader.only(section, &ROUTE_FIELDS);
+    reader.reject_unknown_fields(section, &ROUTE_FIELDS);
     let operation = read_operation(reader, section);
     let keys = read_pattern(reader, section);
     let class_name = reader.text(section, "class", "a class of the node's settings");
@@ -210,7 +210,7 @@
         .and_then(|index| classes.get(index))
         .map_or(MAX_DEADLINE_MS, |class| class.deadline / 1000);
     let max_deadline_ms = u32::try_from(max_deadline_ms).unwrap_or(u32::MAX).max(1);
-    let deadline_ms = reader.whole(
+    let deadline_ms = reader.integer(
         section,
         "deadline_ms",
         1..=max_deadline_ms,
@@ -239,7 +239,7 @@
         "set" => Some(Operation::Set),
         _ => None,
     };
-    reader.meaning(section, "operation", "\"get\" or \"set\"", None, parse)
+    reader.parsed_text(section, "operation", "\"get\" or \"set\"", None, parse)
 }
 
 fn read_pattern(reader: &mut Reader<'_>, section: Section<'_>) -> Option<Pattern> {
@@ -247,7 +247,7 @@
     match Pattern::parse(text) {
         Ok(pattern) => Some(pattern),
         Err(error) => {
-            reader.wrong(section, "keys", format!("{text:?} {error}"));
+            reader.report(section, "keys", format!("{text:?} {error}"));
             None
         }
     }
@@ -262,7 +262,7 @@
     let class = names.class(name);
     if class.is_none() {
         let why = format!("{name:?} is no class of the node's settings");
-        reader.wrong(section, "class", why);
+        reader.report(section, "class", why);
     }
     class
 }
@@ -276,7 +276,7 @@
     let tenant = names.tenant(name);
     if tenant.is_none() {
         let why = format!("{name:?} is no tenant (realm) of the node's settings");
-        reader.wrong(section, "tenant", why);
+        reader.report(section, "tenant", why);
     }
     tenant
 }
@@ -290,7 +290,7 @@
         _ => None,
     };
     let allowed = "\"none\", \"digest\", \"prefix\" or \"stamp\"";
-    reader.meaning(section, "key_from", allowed, Some(KeySource::None), parse)
+    reader.parsed_text(section, "key_from", allowed, Some(KeySource::None), parse)
 }
 
 /// The routes without errors whose class has idempotency keys, with their sections.
@@ -321,7 +321,7 @@
         limits.retention / 1000,
         limits.deduplication_window / 1000
     );
-    reader.wrong(section, "remember_ms", why);
+    reader.report(section, "remember_ms", why);
 }
 
 /// Reports routes with timestamps if margin and clock skew leave nothing of the deduplication window.
@@ -344,7 +344,7 @@
             window / 1000,
             lost / 1000
         );
-        reader.wrong(keyed.section, "key_from", why);
+        reader.report(keyed.section, "key_from", why);
     }
 }
 
@@ -364,7 +364,7 @@
             // Indices of routes are those of sections only if no route was left out.
             for problem in problems.iter().filter(|_| complete) {
                 let section = sections[problem.route];
-                reader.wrong(section, problem.error.field(), problem.error.to_string());
+                reader.report(section, problem.error.field(), problem.error.to_string());
             }
             None
         }
@@ -375,8 +375,8 @@
 fn read_models(reader: &mut Reader<'_>, top: Section<'_>) -> Vec<String> {
     let mut models = Vec::new();
     for section in reader.list(top, "box") {
-        reader.only(section, &["model", "protocol"]);
-        let protocol = reader.meaning(section, "protocol", "\"memcached\"", None, |word| {
+        reader.reject_unknown_fields(section, &["model", "protocol"]);
+        let protocol = reader.parsed_text(section, "protocol", "\"memcached\"", None, |word| {
             (word == "memcached").then_some(())
         });
         let model = reader.text(section, "model", "a model of the list's entries");
@@ -384,7 +384,7 @@
             continue;
         };
         if models.iter().any(|known| known == model) {
-            reader.wrong(section, "model", "stands there twice");
+            reader.report(section, "model", "stands there twice");
         }
         models.push(model.to_string());
     }
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use slab::Slab;
-use sloewick_codec::http1::{self, Refused};
+use sloewick_codec::http1::{self, RequestError};
 use sloewick_decision::api::Micros;
 
 use crate::transport::{fill, ReadOutcome, ReadyEvent, Stream, Token, Transport, WriteQueue};
@@ -161,13 +161,13 @@
         };
         let has_ended = client.read(scratch) || event.error;
         if client.answered.is_none() {
-            let response = match http1::request(&client.buf, has_ended) {
+            let response = match http1::request_head(&client.buf, has_ended) {
                 Ok(None) => return,
                 Ok(Some(head)) => find_route(&head.method, &head.path).map_or_else(|e| e, answer),
-                Err(Refused::Unreadable) => {
+                Err(RequestError::Unreadable) => {
                     AdminResponse::new(400, "this is no HTTP/1.1 request\n")
                 }
-                Err(Refused::TooLong) => AdminResponse::new(
+                Err(RequestError::TooLong) => AdminResponse::new(
                     431,
                     format!("a head has {} bytes at most\n", http1::MAX_HEAD),
                 ),
@@ -229,8 +229,10 @@
     fn answer(&mut self, response: &AdminResponse, now: Micros) {
         self.answered = Some(now);
         self.buf.clear();
-        self.out
-            .push(Bytes::from(http1::answer(response.status, &response.text)));
+        self.out.push(Bytes::from(http1::text_response(
+            response.status,
+            &response.text,
+        )));
     }
 
     /// Writes; true when the connection can be closed.
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -46,8 +46,8 @@
     #[error("connection broke")]
     ConnectionFailed,
     /// The answer is no HTTP/1.1, or no success.
-    #[error("{0}")]
-    Http(String),
+    #[error(transparent)]
+    Http(http1::ResponseError),
     #[error("answer is not a list")]
     NotAList,
     #[error("no call")]
@@ -260,13 +260,13 @@
             break;
         }
         // Guards against a cut list: a reset is no end, so that only an answer which states its end can be complete.
-        match http1::body(&pending.buf, has_ended && !has_failed) {
+        match http1::response_body(&pending.buf, has_ended && !has_failed) {
             Ok(None) if has_failed => {
                 Some(self.fail(DiscoveryError::ConnectionFailed, now, timers))
             }
             Ok(None) => None,
             Ok(Some(body)) => Some(self.answered(&body, now, timers)),
-            Err(why) => Some(self.fail(DiscoveryError::Http(why.to_string()), now, timers)),
+            Err(why) => Some(self.fail(DiscoveryError::Http(why), now, timers)),
         }
     }
 
--- a/crates/node/src/discovery/client_tests.rs
+++ b/crates/node/src/discovery/client_tests.rs
@@ -18,7 +18,7 @@
         let complete = format!("HTTP/1.1 200 OK\r\n{length_header}Connection: close\r\n\r\n{text}")
             .into_bytes();
         let list = |bytes: &[u8]| {
-            let body = http1::body(bytes, true).ok().flatten()?;
+            let body = http1::response_body(bytes, true).ok().flatten()?;
             parse_endpoint_list(&serde_json::from_slice(&body).ok()?).ok()
         };
         assert_eq!(
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -3,13 +3,13 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use sloewick_codec::memcached;
+use sloewick_codec::memcached::{self, ErrorResponse};
 use sloewick_codec::resp2::Command;
 use sloewick_decision::api::{Event, Micros, Request, Status};
 
 use super::Node;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientInput, ErrorHeader, PendingResponse, ResponseAddress};
+use crate::frontend::connection::{ClientInput, PendingResponse, ResponseAddress};
 use crate::frontend::resp2::{encode_pong, parse_command, CommandError, ParsedCommand};
 use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
 use crate::request_table::{NewRequest, ParsedRequest};
@@ -69,7 +69,7 @@
         &mut self,
         key: usize,
         reason: &str,
-        respond_to: Option<ErrorHeader>,
+        respond_to: Option<ErrorResponse>,
     ) {
         let Some(client) = self.frontends.clients.get_mut(key) else {
             return;
@@ -97,7 +97,7 @@
     /// Handles a RESP2 command.
     fn handle_command(&mut self, client: usize, command: &Command, now: Micros) {
         if let Some(response) = self.respond_or_accept(client, command, now) {
-            self.requests.value_memory.give_back(command.reserved);
+            self.requests.value_memory.release(command.reserved);
             self.frontends.push_ready(client, vec![response]);
         }
     }
@@ -175,7 +175,7 @@
         let Some(mut client) = self.frontends.clients.try_remove(key) else {
             return;
         };
-        self.requests.value_memory.give_back(client.reserved());
+        self.requests.value_memory.release(client.reserved());
         self.cancel_requests(client.cancel_responses());
     }
 
--- a/crates/node/src/event_loop/memcached_requests.rs
+++ b/crates/node/src/event_loop/memcached_requests.rs
@@ -28,7 +28,7 @@
             return self.respond_at_once(client, vec![out.into()], reserved);
         };
         let protocol = RequestProtocol::Memcached { opcode, opaque };
-        let chunks = match (request.fault, opcode.loud()) {
+        let chunks = match (request.fault, opcode.without_quiet()) {
             // Rejected before anything else is checked: nothing has run, so a retry is harmless.
             (Some(Status::OutOfMemory), _) => protocol.encode(&request.key, FinalResponse::Busy(0)),
             (Some(status), _) => protocol.encode_status(status, None),
@@ -59,7 +59,7 @@
 
     /// Responds to a request that was not accepted, behind the responses to earlier ones.
     fn respond_at_once(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
-        self.requests.value_memory.give_back(reserved);
+        self.requests.value_memory.release(reserved);
         self.frontends.push_ready(client, chunks);
     }
 
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -11,8 +11,8 @@
 
 use crate::frontend::response::Protocol;
 use crate::transport::{fill, ReadOutcome, Stream, WriteQueue};
-use sloewick_codec::memcached::{self, RequestReader};
-use sloewick_codec::resp2::{Budget, Command, CommandReader};
+use sloewick_codec::memcached::{self, ErrorResponse, RequestReader};
+use sloewick_codec::resp2::{ByteBudget, Command, CommandReader};
 
 /// Requests of one connection that may wait for their responses; more stay in the kernel.
 const MAX_PIPELINED_REQUESTS: usize = 128;
@@ -77,14 +77,6 @@
     },
 }
 
-/// The header of the response to a malformed memcached request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ErrorHeader {
-    pub(crate) opcode: u8,
-    pub(crate) opaque: u32,
-    pub(crate) status: memcached::Status,
-}
-
 /// The next input of a client.
 pub(crate) enum ClientInput {
     Command(Command),
@@ -94,7 +86,7 @@
     /// The input cannot be parsed any further. `respond_to`: the request that the error belongs to, if one is recognisable.
     Malformed {
         reason: &'static str,
-        respond_to: Option<ErrorHeader>,
+        respond_to: Option<ErrorResponse>,
     },
 }
 
@@ -214,7 +206,7 @@
     pub(crate) fn next_input(
         &mut self,
         now: Micros,
-        budget: &mut Budget,
+        budget: &mut ByteBudget,
         scratch: &mut [u8],
     ) -> ClientInput {
         if let Closing::Lingering(_) = self.closing {
@@ -258,12 +250,12 @@
     }
 
     /// Parses what has been read so far.
-    fn parse(&mut self, budget: &mut Budget) -> ClientInput {
+    fn parse(&mut self, budget: &mut ByteBudget) -> ClientInput {
         match &mut self.reader {
             Reader::Resp2(reader) => match reader.next(&mut self.buf, budget) {
                 Ok(command) => command.map_or(ClientInput::Nothing, ClientInput::Command),
                 Err(error) => ClientInput::Malformed {
-                    reason: error.0,
+                    reason: error.message(),
                     respond_to: None,
                 },
             },
@@ -271,12 +263,8 @@
                 match reader.next(&mut self.buf, budget, *max_value) {
                     Ok(request) => request.map_or(ClientInput::Nothing, ClientInput::Request),
                     Err(error) => ClientInput::Malformed {
-                        reason: error.why,
-                        respond_to: error.answer.map(|(opcode, opaque, status)| ErrorHeader {
-                            opcode,
-                            opaque,
-                            status,
-                        }),
+                        reason: error.kind.message(),
+                        respond_to: error.response,
                     },
                 }
             }
--- a/crates/node/src/frontend/connection_tests.rs
+++ b/crates/node/src/frontend/connection_tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn next(client: &mut ClientConnection<FakeStream>, now: Micros) -> ClientInput {
-    client.next_input(now, &mut Budget::new(1 << 20), &mut [0; 4096])
+    client.next_input(now, &mut ByteBudget::new(1 << 20), &mut [0; 4096])
 }
 
 #[test]
--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -147,7 +147,7 @@
         request: &memcached::Request,
         admission: Admission,
     ) -> Result<RoutedRequest, Rejection> {
-        let write = opcode.loud() == Opcode::Set;
+        let write = opcode.without_quiet() == Opcode::Set;
         let operation = if write {
             Operation::Set
         } else {
--- a/crates/node/src/frontend/response.rs
+++ b/crates/node/src/frontend/response.rs
@@ -83,7 +83,7 @@
         response: FinalResponse,
     ) -> Vec<Bytes> {
         match response {
-            FinalResponse::Value(_) if opcode.silent_on(Status::Ok) => Vec::new(),
+            FinalResponse::Value(_) if opcode.suppresses_response(Status::Ok) => Vec::new(),
             FinalResponse::Value(_) if !is_read(opcode) => {
                 let mut out = Vec::new();
                 memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
@@ -119,7 +119,7 @@
         let RequestProtocol::Memcached { opcode, opaque } = self else {
             return Vec::new();
         };
-        if opcode.silent_on(status) {
+        if opcode.suppresses_response(status) {
             return Vec::new();
         }
         let mut out = Vec::new();
@@ -160,11 +160,11 @@
 }
 
 fn is_read(opcode: Opcode) -> bool {
-    matches!(opcode.loud(), Opcode::Get | Opcode::GetK)
+    matches!(opcode.without_quiet(), Opcode::Get | Opcode::GetK)
 }
 
 fn read_response_header(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
-    let key = if opcode.loud() == Opcode::GetK {
+    let key = if opcode.without_quiet() == Opcode::GetK {
         key.clone()
     } else {
         Bytes::new()
--- a/crates/node/src/frontend/response_tests.rs
+++ b/crates/node/src/frontend/response_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use bytes::BytesMut;
-use sloewick_codec::memcached::{Piece, ResponseReader};
+use sloewick_codec::memcached::{DecodeEvent, ResponseReader};
 
 fn response_to(opcode: Opcode, response: FinalResponse) -> Option<(u16, Vec<u8>, Vec<u8>)> {
     let protocol = RequestProtocol::Memcached { opcode, opaque: 77 };
@@ -10,7 +10,7 @@
         buf.extend_from_slice(chunk);
     }
     let piece = ResponseReader::default().next(&mut buf, 1 << 20).unwrap()?;
-    let Piece::Whole(r) = piece else {
+    let DecodeEvent::Complete(r) = piece else {
         panic!("a long value")
     };
     assert_eq!((r.opcode, r.opaque, buf.len()), (opcode as u8, 77, 0));
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -8,7 +8,7 @@
 use sloewick_decision::api::Micros;
 use sloewick_decision::settings::Names;
 use sloewick_decision::Checkpoint;
-use sloewick_snapshot::{open, seal, Expected, SnapshotError};
+use sloewick_snapshot::{decode, encode, Requirements, Snapshot, SnapshotError};
 use thiserror::Error;
 
 use crate::engine::DecisionEngine;
@@ -98,7 +98,7 @@
             return;
         };
         let unix_time = io.net.unix_time_at_start() + now;
-        let Some(snapshot) = seal(&self.owner, VERSION, unix_time, &payload) else {
+        let Ok(snapshot) = encode(&self.owner, VERSION, unix_time, &payload) else {
             return;
         };
         if let SnapshotSave::Failed(why) = io.net.save_snapshot(snapshot) {
@@ -115,12 +115,13 @@
 
 /// The checkpoint in a snapshot and its age at `unix_time`.
 fn unpack(owner: &str, unix_time: Micros, snapshot: &[u8]) -> Result<AgedCheckpoint, RestoreError> {
-    let expected = Expected {
+    let expected = Requirements {
         owner,
         version: VERSION,
-        age_most: MAX_AGE,
+        max_age: MAX_AGE,
     };
-    let (payload, age) = open(&expected, unix_time, snapshot).map_err(RestoreError::Snapshot)?;
+    let Snapshot { payload, age } =
+        decode(&expected, unix_time, snapshot).map_err(RestoreError::Snapshot)?;
     let checkpoint: Checkpoint = postcard::from_bytes(payload)?;
     let checkpoint = checkpoint.validated().ok_or(RestoreError::Invalid)?;
     Ok(AgedCheckpoint { checkpoint, age })
--- a/crates/node/src/hot_restart_tests.rs
+++ b/crates/node/src/hot_restart_tests.rs
@@ -2,7 +2,7 @@
 
 fn sealed(checkpoint: &Checkpoint) -> Vec<u8> {
     let payload = postcard::to_stdvec(checkpoint).unwrap();
-    seal("me", VERSION, 0, &payload).unwrap()
+    encode("me", VERSION, 0, &payload).unwrap()
 }
 
 #[test]
@@ -21,7 +21,7 @@
     let impossible = serde_json::from_value(impossible).unwrap();
     let error = unpack("me", 5, &sealed(&impossible)).unwrap_err();
     assert_eq!(error.to_string(), "holds what no node remembers");
-    let short = seal("me", VERSION, 0, &[1, 2]).unwrap();
+    let short = encode("me", VERSION, 0, &[1, 2]).unwrap();
     let error = unpack("me", 5, &short).unwrap_err();
     assert!(error.to_string().starts_with("cannot be read: "));
 }
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -308,8 +308,8 @@
             return SnapshotSave::Disabled;
         };
         let is_accepted = snapshots.writer.offer(snapshot);
-        match snapshots.writer.trouble() {
-            Some(why) => SnapshotSave::Failed(why),
+        match snapshots.writer.take_last_error() {
+            Some(error) => SnapshotSave::Failed(error.to_string()),
             None if is_accepted => SnapshotSave::Started,
             None => SnapshotSave::Busy,
         }
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -4,14 +4,14 @@
 //! memory the values of writes hold. A request stays until its final response has been given (or its client has
 //! disconnected) and its last attempt has ended.
 //!
-//! Bounds: the number of requests by `max_in_flight`, the memory for values by [`Budget`].
+//! Bounds: the number of requests by `max_in_flight`, the memory for values by [`ByteBudget`].
 
 use std::collections::HashMap;
 use std::ops::{Index, IndexMut};
 
 use bytes::Bytes;
 use slab::Slab;
-use sloewick_codec::resp2::Budget;
+use sloewick_codec::resp2::ByteBudget;
 use sloewick_decision::api::{Micros, RequestId, ServerId};
 
 use crate::attempt_id::AttemptId;
@@ -105,7 +105,7 @@
     requests: Slab<PendingRequest>,
     keys: HashMap<RequestId, usize>,
     /// Memory for the values of writes.
-    pub(crate) value_memory: Budget,
+    pub(crate) value_memory: ByteBudget,
     max_in_flight: usize,
     /// The longest deadline of any class.
     pub(crate) longest_deadline: Micros,
@@ -117,7 +117,7 @@
         RequestTable {
             requests: Slab::new(),
             keys: HashMap::new(),
-            value_memory: Budget::new(memory / VALUE_MEMORY_FRACTION),
+            value_memory: ByteBudget::new(memory / VALUE_MEMORY_FRACTION),
             max_in_flight: max_in_flight.min(memory / REQUEST_MEMORY_FRACTION / REQUEST_MEMORY),
             longest_deadline,
         }
@@ -190,7 +190,7 @@
         request.closed = true;
         request.value = None;
         self.value_memory
-            .give_back(std::mem::take(&mut request.reserved));
+            .release(std::mem::take(&mut request.reserved));
     }
 
     /// Removes a request that is closed and has no attempt in flight.
--- a/crates/node/src/request_table_tests.rs
+++ b/crates/node/src/request_table_tests.rs
@@ -5,7 +5,7 @@
 /// A table with one request, a write whose value is counted in the budget.
 fn table_with_write() -> (RequestTable, usize) {
     let mut table = RequestTable::new(1 << 20, 10, 1_000_000);
-    assert!(table.value_memory.take(VALUE));
+    assert!(table.value_memory.try_reserve(VALUE));
     let key = table.vacant_key();
     let new = NewRequest {
         id: "r1".into(),
@@ -65,11 +65,14 @@
 fn closing_a_request_releases_the_memory_of_its_value_once() {
     let (mut table, key) = table_with_write();
     let limit = (1 << 20) / VALUE_MEMORY_FRACTION;
-    assert!(!table.value_memory.take(limit), "the value is counted");
+    assert!(
+        !table.value_memory.try_reserve(limit),
+        "the value is counted"
+    );
     table.close(key);
     table.close(key);
     assert!(table[key].value.is_none());
-    assert!(table.value_memory.take(limit) && !table.value_memory.take(1));
+    assert!(table.value_memory.try_reserve(limit) && !table.value_memory.try_reserve(1));
 }
 
 #[test]
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sloewick_codec::memcached::Opcode;
-use sloewick_codec::resp2::{Part, Reply};
+use sloewick_codec::resp2::{Element, Reply};
 use sloewick_decision::api::{Micros, Status};
 
 use crate::event_trace::ConnectionStep;
@@ -284,11 +284,13 @@
 fn is_expected<S>(c: &UpstreamConnection<S>, exchange: Exchange, reply: &ServerReply) -> bool {
     match (reply, exchange) {
         (ServerReply::Resp2(Reply::Array(parts)), Exchange::Attempt(_)) => {
-            c.streaming || matches!(parts[0], Part::Bulk(_))
+            c.streaming || matches!(parts[0], Element::Bulk(_))
+        }
+        (ServerReply::Resp2(Reply::Single(Element::Error(line))), _) => {
+            !line.starts_with(b"SYNTAX")
         }
-        (ServerReply::Resp2(Reply::One(Part::Error(line))), _) => !line.starts_with(b"SYNTAX"),
         (
-            ServerReply::Resp2(Reply::One(Part::Simple(_) | Part::Bulk(_))),
+            ServerReply::Resp2(Reply::Single(Element::Simple(_) | Element::Bulk(_))),
             Exchange::Probe { .. },
         ) => true,
         (ServerReply::Memcached(response), _) => {
--- a/crates/node/src/upstream/response.rs
+++ b/crates/node/src/upstream/response.rs
@@ -1,7 +1,7 @@
 //! Interprets the responses of cache servers: how the attempt ended, the cache result, the load report. No state.
 
 use sloewick_codec::memcached;
-use sloewick_codec::resp2::{Part, Reply};
+use sloewick_codec::resp2::{Element, Reply};
 use sloewick_decision::api::{CacheResult, LoadReport, Status};
 use sloewick_memcached::routing::Operation;
 use sloewick_memcached::status::{outcome, Outcome};
@@ -55,7 +55,7 @@
 fn interpret_resp2(reply: &Reply) -> AttemptResult {
     match reply {
         Reply::Array(parts) => {
-            let status = if matches!(parts[0], Part::Bulk(_)) {
+            let status = if matches!(parts[0], Element::Bulk(_)) {
                 Status::Ok
             } else {
                 Status::Error
@@ -66,9 +66,9 @@
                 load: parts.get(2).and_then(parse_load_report),
             }
         }
-        Reply::One(part) => {
+        Reply::Single(part) => {
             let status = match part {
-                Part::Error(line) if line.starts_with(b"BUSY") => Status::Rejected,
+                Element::Error(line) if line.starts_with(b"BUSY") => Status::Rejected,
                 _ => Status::Error,
             };
             AttemptResult {
@@ -83,7 +83,7 @@
 pub(crate) fn interpret_probe(reply: &ServerReply) -> AttemptResult {
     let result = interpret(reply, false);
     match reply {
-        ServerReply::Resp2(Reply::One(Part::Simple(_) | Part::Bulk(_))) => AttemptResult {
+        ServerReply::Resp2(Reply::Single(Element::Simple(_) | Element::Bulk(_))) => AttemptResult {
             status: Status::Ok,
             ..result
         },
@@ -95,10 +95,10 @@
 pub(crate) fn final_response(reply: ServerReply) -> FinalResponse {
     match reply {
         ServerReply::Resp2(Reply::Array(mut parts)) => match parts.swap_remove(0) {
-            Part::Bulk(value) => FinalResponse::Value(value),
+            Element::Bulk(value) => FinalResponse::Value(value),
             _ => FinalResponse::NoValue,
         },
-        ServerReply::Resp2(Reply::One(_)) => FinalResponse::Failed,
+        ServerReply::Resp2(Reply::Single(_)) => FinalResponse::Failed,
         ServerReply::Memcached(response)
             if response.status == memcached::Status::KeyNotFound as u16 =>
         {
@@ -108,8 +108,8 @@
     }
 }
 
-fn parse_cache_result(part: &Part) -> Option<CacheResult> {
-    let (Part::Bulk(word) | Part::Simple(word)) = part else {
+fn parse_cache_result(part: &Element) -> Option<CacheResult> {
+    let (Element::Bulk(word) | Element::Simple(word)) = part else {
         return None;
     };
     match &word[..] {
@@ -121,8 +121,8 @@
 }
 
 /// The load report at the end of a text: `name=value` pairs separated by commas.
-fn parse_load_report(part: &Part) -> Option<LoadReport> {
-    let (Part::Bulk(text) | Part::Simple(text) | Part::Error(text)) = part else {
+fn parse_load_report(part: &Element) -> Option<LoadReport> {
+    let (Element::Bulk(text) | Element::Simple(text) | Element::Error(text)) = part else {
         return None;
     };
     let text = std::str::from_utf8(text).ok()?.rsplit(' ').next()?;
--- a/crates/node/src/upstream/response_reader.rs
+++ b/crates/node/src/upstream/response_reader.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sloewick_codec::memcached::{self, Response};
-use sloewick_codec::resp2::{Piece, Reply, ReplyReader, MAX_VALUE};
+use sloewick_codec::resp2::{DecodeEvent, Reply, ReplyReader, MAX_VALUE};
 use thiserror::Error;
 
 use crate::frontend::response::Protocol;
@@ -79,9 +79,11 @@
             ResponseReader::Resp2(reader) => {
                 let piece = reader.next(buf).map_err(|_| MalformedResponse)?;
                 Ok(piece.map(|piece| match piece {
-                    Piece::Whole(reply) => ResponsePart::Complete(ServerReply::Resp2(reply)),
-                    Piece::Begin(len) => ResponsePart::ValueStart { len, tag: None },
-                    Piece::Body(bytes) => ResponsePart::ValueBytes(bytes),
+                    DecodeEvent::Complete(reply) => {
+                        ResponsePart::Complete(ServerReply::Resp2(reply))
+                    }
+                    DecodeEvent::ValueStart(len) => ResponsePart::ValueStart { len, tag: None },
+                    DecodeEvent::ValueChunk(bytes) => ResponsePart::ValueBytes(bytes),
                 }))
             }
             ResponseReader::Memcached(reader) => {
@@ -92,20 +94,22 @@
     }
 }
 
-fn memcached_part(piece: memcached::Piece) -> Result<ResponsePart, MalformedResponse> {
+fn memcached_part(piece: memcached::DecodeEvent) -> Result<ResponsePart, MalformedResponse> {
     match piece {
-        memcached::Piece::Whole(response) => {
+        memcached::DecodeEvent::Complete(response) => {
             Ok(ResponsePart::Complete(ServerReply::Memcached(response)))
         }
         // Only a value may be long.
-        memcached::Piece::Begin(header, _) if header.status != 0 => Err(MalformedResponse),
-        memcached::Piece::Begin(header, len) => Ok(ResponsePart::ValueStart {
+        memcached::DecodeEvent::ValueStart(header, _) if header.status != 0 => {
+            Err(MalformedResponse)
+        }
+        memcached::DecodeEvent::ValueStart(header, len) => Ok(ResponsePart::ValueStart {
             len,
             tag: Some(RequestTag {
                 opcode: header.opcode,
                 opaque: header.opaque,
             }),
         }),
-        memcached::Piece::Body(bytes) => Ok(ResponsePart::ValueBytes(bytes)),
+        memcached::DecodeEvent::ValueChunk(bytes) => Ok(ResponsePart::ValueBytes(bytes)),
     }
 }
