Tests of the command line: one support module, names that say what is expected

Change: tests/support is split into process, cache_server, discovery, client, peer, config, admin and trace; NodeBuilder starts nodes, ForwardedRequest stands for the set-up that most tests share, CacheServer is the one cache server emulator, DiscoveryBehavior the one discovery emulator. Files by subject: node.rs and endings.rs are now request_forwarding, partial_responses, client_connections, client_disconnects (with left.rs), discovery and graceful_shutdown; operating.rs is admin and hot_restart; descriptors.rs is descriptor_limits; restarts.rs is startup.

No assertion is weaker and no bound or time was changed. Stricter: requests are asserted by id where they were only read; new clients among unfinished commands have to be served within the 30 s of every wait, where the loop had no end; a node without BALANCER_CONFIG has to end with code 2. The configuration's test of 76 lines is three tests. New: trace_reads_logs_of_the_version_before.

Old and new names:

request_forwarding.rs a_request_goes_on_unchanged_but_for_the_wait_and_the_value_comes_back = request_is_forwarded_unchanged_but_for_its_deadline_and_the_value_is_returned a_trace_tells_a_requests_way_and_none_is_written_unasked = trace_has_each_step_of_a_request_and_is_written_only_with_the_option error_answers = server_error_is_reported_as_failed_and_server_busy_as_busy a_break_after_the_last_byte_may_have_run = connection_lost_after_the_request_was_sent_is_reported_as_failed a_refused_connection_never_ran = refused_connection_is_reported_as_busy a_break_before_the_last_byte_never_ran = connection_lost_before_the_request_was_sent_is_reported_as_busy silence_ends_at_the_deadline_and_gives_the_attempt_up = attempt_without_a_reply_ends_at_the_deadline an_attempt_waits_no_longer_than_the_module_says = attempt_has_the_deadline_that_the_balancer_decided answers_leave_in_the_order_of_commands = replies_are_sent_in_the_order_of_commands connections_to_a_server_are_counted_up_and_down = server_whose_connections_all_ended_is_used_again a_stale_pooled_connection_is_not_used = stale_pooled_connection_is_not_used an_idle_connection_is_retired_before_the_server_does_it = idle_upstream_connection_is_closed_before_the_server_does_it a_log_that_nobody_reads_holds_nothing_up = unread_log_does_not_block_requests what_waits_for_its_connection_is_not_sent_to_a_server_that_drains_meanwhile = request_waiting_for_its_connection_is_not_sent_to_a_server_that_began_draining what_waits_for_its_connection_is_not_sent_to_where_its_server_was = request_waiting_for_its_connection_is_not_sent_to_the_previous_address what_waits_for_its_connection_tells_the_server_the_time_that_is_left = request_that_waited_for_its_connection_is_sent_with_the_remaining_deadline a_single_reset_does_not_move_a_key = single_reset_does_not_change_a_keys_home_server a_server_that_is_listed_again_and_has_not_started_again_stays_left_out = ejected_server_listed_again_without_a_restart_stays_ejected broken_connections_are_retried_as_long_as_they_are_few = broken_connections_are_retried_while_they_are_few

partial_responses.rs nonsense_from_a_server_is_an_error_and_ends_the_connection = malformed_reply_is_reported_as_failed_and_closes_the_connection an_answer_unasked_ends_the_connection_and_serves_nobody = unsolicited_reply_closes_the_connection_and_serves_no_request the_beginning_of_an_answer_unasked_is_not_put_before_the_next_one = start_of_an_unsolicited_reply_is_not_prepended_to_the_next_one a_long_value_that_breaks_off_is_seen_to_be_cut = truncated_long_value_is_visible_to_the_client half_a_line_from_a_server_whose_connection_ends_serves_nobody = partial_reply_before_a_disconnect_serves_no_request a_long_value_that_goes_on_by_drops_gets_an_end = long_value_that_trickles_in_is_cut_off a_long_value_that_breaks_off_takes_no_answer_before_it_along = truncated_long_value_does_not_lose_the_reply_before_it a_second_answer_that_comes_late_is_not_given_to_the_next_client = late_second_reply_is_not_given_to_the_next_client an_answer_before_the_last_byte_of_its_request_serves_nobody = reply_before_the_request_was_sent_completely_serves_no_request behind_a_long_value_that_has_begun_nothing_is_taken_that_could_not_be_answered = command_behind_a_truncated_long_value_is_not_accepted behind_a_long_value_that_ends_well_the_next_command_is_taken = command_behind_a_complete_long_value_is_served

client_connections.rs bad_commands_are_named_and_the_connection_lives_on = invalid_commands_are_reported_and_the_connection_stays_open broken_framing_is_told_after_the_answers_that_are_owed_and_ends_the_connection = protocol_error_is_reported_after_pending_replies_and_closes_the_connection idle_clients_make_room_for_new_ones = idle_clients_are_evicted_for_new_ones values_beyond_the_memory_kept_for_them_are_turned_away_until_some_is_given_back = values_over_the_memory_limit_are_rejected_until_memory_is_released a_lack_of_descriptors_passes_when_some_are_free_again = accepting_resumes_when_descriptors_are_free_again a_command_that_is_never_finished_ends_its_connection = connection_with_an_unfinished_command_is_closed a_client_that_says_nothing_is_closed_and_one_that_has_asked_stays = silent_client_is_closed_and_one_that_sent_a_command_stays a_client_whose_command_waits_unread_is_not_evicted = client_with_an_unread_command_is_not_evicted a_client_whose_first_command_waits_unread_is_not_taken_for_silent = client_with_an_unread_first_command_is_not_closed_as_silent

client_disconnects.rs a_client_that_has_only_ended_its_sending_is_answered = half_closed_client_receives_its_reply a_client_that_has_gone_ends_its_attempts = attempts_of_a_disconnected_client_are_cancelled what_waits_for_its_connection_is_not_sent_for_a_client_that_has_left = request_waiting_for_its_connection_is_not_sent_for_a_disconnected_client no_further_attempt_is_made_for_a_client_that_has_left = disconnected_client_gets_no_retry what_is_out_when_a_client_ends_its_sending_is_answered_if_it_comes = reply_in_flight_reaches_a_client_that_half_closed commands_that_wait_behind_others_are_not_sent_for_a_client_that_has_left = queued_commands_are_not_sent_for_a_disconnected_client what_waits_goes_far_inside_the_bound = waiting_request_is_dropped_well_within_the_allowed_delay nothing_is_sent_of_commands_that_waited_with_their_connections_while_the_node_stood_still = commands_of_clients_that_disconnected_while_the_node_was_paused_are_not_sent a_client_that_ends_its_sending_behind_a_command_is_served = client_that_half_closes_after_its_command_is_served no_attempt_begins_late_for_clients_that_go = no_attempt_begins_late_for_disconnected_clients no_attempt_begins_late_for_clients_that_go_at_a_tenth_of_a_core = no_attempt_begins_late_for_disconnected_clients_at_a_tenth_of_a_core

discovery.rs each_failure_of_discovery_is_asked_again_and_good_news_taken = each_discovery_failure_is_retried_and_the_next_valid_list_is_applied the_watch_goes_on_at_once_and_an_endpoint_may_move = watch_continues_at_once_and_an_endpoint_may_change_its_address a_silent_call_is_given_up = discovery_request_without_a_response_times_out a_pushed_list_is_watched_unasked_through_failures = pushed_list_is_watched_again_after_a_failure a_new_configuration_moves_the_list_to_its_discovery_and_loses_nothing = reload_switches_to_the_new_discovery_and_loses_no_request a_pushed_list_that_falls_silent_is_asked_for_again_within_the_grace = silent_push_watch_is_requested_again_within_the_grace_period a_watch_that_falls_silent_is_asked_for_again_before_it_counts_as_told = silent_watch_is_requested_again_before_its_list_counts_as_observed

graceful_shutdown.rs a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on = request_that_crosses_the_close_of_an_idle_connection_is_not_forwarded at_a_planned_stop_what_is_open_has_its_final_answer_before_the_kill = request_in_flight_at_shutdown_gets_its_final_response_before_the_kill at_a_planned_stop_what_waits_for_a_server_is_refused_before_the_kill = request_without_a_server_at_shutdown_is_rejected_before_the_kill at_a_planned_stop_servers_are_told_no_more_time_than_the_node_has = deadline_sent_to_servers_at_shutdown_is_within_the_nodes_remaining_time up_to_the_end_of_a_planned_stop_whatever_is_asked_is_answered = every_request_until_the_end_of_a_shutdown_gets_a_response a_planned_stop_serves_what_is_held_and_what_still_comes = shutdown_serves_requests_in_flight_and_new_ones a_planned_stop_serves_what_waits_in_the_accept_queue = shutdown_serves_connections_in_the_accept_queue

admin.rs calls_are_answered_and_what_is_none_is_told = admin_requests_are_served_and_invalid_ones_are_reported callers_that_do_not_finish_keep_nobody_waiting_and_are_ended = unfinished_admin_requests_block_nobody_and_are_closed figures_count_each_answer_and_attempt_once = metrics_count_each_response_and_attempt_once figures_are_told_while_every_place_for_callers_hangs = metrics_are_served_while_all_admin_connections_hang an_evacuated_node_says_no_lets_its_clients_go_and_comes_back = evacuated_node_is_not_ready_closes_its_clients_and_rejoins a_rejoin_right_after_each_of_twenty_evacuations_leaves_a_node_that_serves = node_serves_after_twenty_evacuations_each_followed_by_a_rejoin a_stop_during_an_evacuation_answers_what_is_held_and_ends = shutdown_during_an_evacuation_completes_requests_in_flight a_long_value_half_way_through_an_evacuation_arrives_whole = long_value_in_transfer_during_an_evacuation_arrives_complete

hot_restart.rs a_second_process_takes_over_the_inherited_socket_and_loses_nothing = second_process_takes_over_the_inherited_socket_without_losing_requests a_second_process_takes_up_what_the_first_one_kept_and_nothing_that_is_spoilt = second_process_loads_the_snapshot_of_the_first_and_ignores_damaged_ones a_new_process_that_never_becomes_ready_or_is_killed_leaves_the_old_one_serving = old_process_still_serves_when_the_new_one_is_never_ready_or_is_killed a_new_process_that_dies_when_the_old_one_stops_costs_no_request_that_was_taken = death_of_the_new_process_while_the_old_one_stops_loses_no_accepted_request a_second_upgrade_during_the_first_leaves_one_process_and_loses_nothing = second_upgrade_during_the_first_leaves_one_process_and_loses_no_request

descriptor_limits.rs a_new_client_that_finds_no_place_is_refused_with_an_answer = new_client_without_a_free_slot_is_rejected_with_a_response new_clients_in_a_crowd_are_served_or_refused_and_never_closed_unheard = each_of_many_new_clients_is_served_or_rejected_with_a_response half_commands_make_room_for_new_clients = clients_with_unfinished_commands_are_evicted_for_new_ones discovery_operators_servers_and_new_clients_find_descriptors_among_resting_clients = discovery_admin_servers_and_new_clients_get_descriptors_despite_idle_clients

startup.rs processes_that_are_killed_and_start_again_at_once_are_ready_whatever_discovery_does = killed_processes_that_restart_at_once_are_ready_whatever_discovery_does a_process_waits_for_the_address_that_the_one_before_is_about_to_leave = process_waits_for_an_address_that_its_predecessor_is_about_to_release an_address_that_stays_taken_is_told = address_that_stays_in_use_ends_the_process_with_the_reason a_bad_configuration_is_named_in_one_line = invalid_configuration_is_reported_in_one_line a_descriptor_or_an_address_that_can_not_be_used_is_told = unusable_descriptor_or_address_is_reported

memcached.rs a_pipeline_is_answered_in_order_and_fenced_by_a_noop = pipeline_is_answered_in_order_up_to_its_noop the_same_requests_end_alike_through_both_protocols = same_requests_have_the_same_outcome_in_both_protocols a_box_that_speaks_the_protocol_serves_clients_of_both = memcached_cache_server_serves_clients_of_both_protocols lengths_that_lie_take_no_memory = announced_lengths_reserve_no_memory

cli.rs help_has_examples_and_the_version_is_told = help_has_examples_and_version_is_printed traces_of_a_folder_are_counted_and_other_input_is_refused = traces_in_a_folder_are_counted_and_other_input_is_rejected the_example_configuration_can_be_used = example_configuration_passes_the_check each_problem_of_a_configuration_is_told_with_field_value_reason_and_example = each_configuration_problem_is_reported_with_field_value_reason_and_example what_is_no_configuration_at_all_is_said = input_that_is_not_a_configuration_is_reported a_scenario_that_cannot_be_played_is_told_by_file_and_line = invalid_scenario_is_reported_with_file_and_line one_seed_is_one_run_in_two_processes_too = same_seed_gives_the_same_run_in_two_processes many_runs_are_told_in_order_however_many_go_side_by_side = parallel_runs_are_printed_in_the_order_of_their_seeds an_interrupt_tells_what_was_played = interrupt_ends_the_runs_and_prints_the_summary shown_scenarios_can_be_played_again = scenarios_printed_by_show_can_be_played the_demo_serves_and_ends_and_names_its_faults = demo_serves_requests_ends_and_lists_its_faults a_memcached_file_is_judged_beside_the_configuration_and_run_refuses_a_bad_one = memcached_file_is_checked_with_the_configuration_and_an_invalid_one_stops_run fleets_that_speak_memcached_are_played = fleets_with_memcached_clients_and_servers_are_played

fleet.rs without_a_fault_nearly_all_is_served = nearly_all_requests_are_served_without_a_fault a_jam_ends_though_half_of_the_nodes_are_killed_in_it = overload_ends_although_half_of_the_nodes_are_killed_during_it a_jam_ends_though_half_of_the_nodes_stand_still_for_three_seconds_and_wake_in_it = overload_ends_although_half_of_the_nodes_are_paused_for_three_seconds_during_it a_jam_ends_though_boxes_are_cut_off_one_way_and_replaced_and_nodes_restart = overload_ends_although_servers_are_partitioned_one_way_and_replaced_and_nodes_restart a_jam_ends_though_boxes_vanish_and_others_fail_in_it = overload_ends_although_servers_vanish_and_others_fail_during_it a_jam_ends_though_a_zone_is_lost_in_it_and_back_cold = overload_ends_although_a_zone_is_lost_and_returns_cold_during_it a_jam_ends_though_a_hot_key_begins_while_cuts_blend_and_one_box_fails = overload_ends_although_a_hot_key_begins_during_a_range_migration_and_a_server_fails one_node_before_one_box_comes_out_of_a_jam = one_node_before_one_server_recovers_from_an_overload

startup.rs (out of a_bad_configuration_is_named_in_one_line) = value_out_of_range_is_reported_with_the_allowed_range (out of the same) = missing_configuration_and_address_in_use_are_reported

cli.rs (new) = trace_reads_logs_of_the_version_before

--- a/crates/sloewick/tests/cli.rs
+++ b/crates/sloewick/tests/cli.rs
@@ -1,7 +1,7 @@
-//! The command line as a user meets it: what it prints, and what it says to input that can't be used.
+//! The command line as a user meets it: output, exit codes, and errors for input that can't be used.
 
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
 fn sloewick(args: &[&str]) -> Output {
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn help_has_examples_and_the_version_is_told() {
+fn help_has_examples_and_version_is_printed() {
     for args in [
         vec!["--help"],
         vec!["demo", "--help"],
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn traces_of_a_folder_are_counted_and_other_input_is_refused() {
+fn traces_in_a_folder_are_counted_and_other_input_is_rejected() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().to_str().unwrap();
     let none = sloewick(&["trace", path]);
@@ -79,8 +79,41 @@
     }
 }
 
+/// Lines as the version before wrote them, with the collector's seconds in front; beside them lines of the log.
+const LOG_OF_THE_VERSION_BEFORE: &str = "\
+14.141 trace t=14126395 request id=c90dc84a76dc11b6 class=2 write=1
+14.141 trace t=14126422 send id=c90dc84a76dc11b6 server=s-28553951
+14.142 trace t=14127001 conn server=s-28553951 step=Open
+14.150 sick: s-28553951 paused 750 ms after silence
+14.150 list: revision 42, 15 servers
+15.640 trace t=15625004 send id=c90dc84a76dc11b6 server=s-28553952
+15.700 trace t=15685000 outcome id=c90dc84a76dc11b6 n=1 server=s-28553952 us=59996 how=Timeout
+15.710 trace t=15695000 list kind=Delta
+15.710 trace t=15695010 ask watch=1
+15.711 trace t=15696000 probed server=s-28553951 how=Served
+15.712 trace t=15697000 left id=c90dc84a76dc11b6
+15.714 trace t=15699637 end id=c90dc84a76dc11b6 how=refused why=time
+";
+
+#[test]
+fn trace_reads_logs_of_the_version_before() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("n0.log"), LOG_OF_THE_VERSION_BEFORE).unwrap();
+    let out = sloewick(&["trace", folder.path().to_str().unwrap(), "--json"]);
+    assert_eq!(out.status.code(), Some(0));
+    let counted: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!(counted["unread"], 0);
+    let expected = serde_json::json!({
+        "14": {"requests of class 2": 1, "attempts, first": 1, "connections, Open": 1},
+        "15": {"attempts, second": 1, "outcomes, Timeout": 1, "lists, Delta": 1, "calls to discovery": 1,
+               "probes, Served": 1, "clients that left": 1, "ended, refused by time": 1},
+    });
+    assert_eq!(counted["seconds"], expected);
+    assert_eq!(counted["ratios"]["requests refused, of all"], 1.0);
+}
+
 #[test]
-fn the_example_configuration_can_be_used() {
+fn example_configuration_passes_the_check() {
     let path = file("good.json", &example());
     let out = sloewick(&["check", path.to_str().unwrap()]);
     assert!(
@@ -92,7 +125,7 @@
 }
 
 #[test]
-fn each_problem_of_a_configuration_is_told_with_field_value_reason_and_example() {
+fn each_configuration_problem_is_reported_with_field_value_reason_and_example() {
     let mut v: serde_json::Value = serde_json::from_str(&example()).unwrap();
     v["listen"] = "here".into();
     v["seed"] = 7.into();
@@ -108,7 +141,7 @@
     let path = file("bad.json", &v.to_string());
     let out = sloewick(&["check", path.to_str().unwrap()]);
     assert_eq!(out.status.code(), Some(2));
-    let said = text(&out.stdout);
+    let output = text(&out.stdout);
     for line in [
         "listen: \"here\": is no address with a port; for example \"10.0.0.4:6379\"",
         "seed: 7: is not 64 bits in hex",
@@ -119,14 +152,14 @@
         "settings.rules.cold_from: 1.5: is not a number from 0.000001 to 1",
         "settings.policy_limits.try_limit: missing: has to be there",
     ] {
-        assert!(said.contains(line), "{line:?} not in:\n{said}");
+        assert!(output.contains(line), "{line:?} not in:\n{output}");
     }
     assert!(
         text(&out.stderr).contains("8 problem(s)"),
         "{}",
         text(&out.stderr)
     );
-    // The node refuses the same file.
+    // The node rejects the same file.
     let run = Command::new(env!("CARGO_BIN_EXE_sloewick"))
         .arg("run")
         .env("BALANCER_CONFIG", &path)
@@ -136,7 +169,7 @@
 }
 
 #[test]
-fn what_is_no_configuration_at_all_is_said() {
+fn input_that_is_not_a_configuration_is_reported() {
     let path = file("cut.json", "{\"listen\": ");
     let out = sloewick(&["check", path.to_str().unwrap()]);
     assert_eq!(out.status.code(), Some(2));
@@ -152,17 +185,17 @@
 }
 
 #[test]
-fn a_scenario_that_cannot_be_played_is_told_by_file_and_line() {
+fn invalid_scenario_is_reported_with_file_and_line() {
     let path = file(
         "bad.toml",
         "name = \"x\"\nseconds = 5\n[[fault]]\nkind = \"flood\"\nat = -1\n",
     );
     let out = sloewick(&["play", path.to_str().unwrap()]);
     assert_eq!(out.status.code(), Some(2));
-    let said = text(&out.stderr);
+    let output = text(&out.stderr);
     assert!(
-        said.contains("bad.toml:4: unknown fault \"flood\"; allowed: crash-boxes"),
-        "{said}"
+        output.contains("bad.toml:4: unknown fault \"flood\"; allowed: crash-boxes"),
+        "{output}"
     );
     let none = sloewick(&["play", "no-such-thing"]);
     assert_eq!(none.status.code(), Some(2));
@@ -171,7 +204,7 @@
 }
 
 #[test]
-fn one_seed_is_one_run_in_two_processes_too() {
+fn same_seed_gives_the_same_run_in_two_processes() {
     let path = file(
         "short.toml",
         "name = \"short\"\nseconds = 3\nboxes = 5\nrate = 80\n[[fault]]\nkind = \"crash-boxes\"\nat = 1\n",
@@ -179,7 +212,7 @@
     let play = || {
         let out = sloewick(&["play", path.to_str().unwrap(), "--seed", "5", "--log"]);
         assert!(out.status.success(), "{}", text(&out.stderr));
-        // The speed is of this machine.
+        // The speed differs from run to run.
         let lines: Vec<String> = text(&out.stdout).lines().map(str::to_string).collect();
         lines
             .into_iter()
@@ -195,9 +228,9 @@
     assert!(first == play());
 }
 
-/// Runs on several threads say the same, in the order of their seeds.
+/// Runs on several threads print the same, in the order of their seeds.
 #[test]
-fn many_runs_are_told_in_order_however_many_go_side_by_side() {
+fn parallel_runs_are_printed_in_the_order_of_their_seeds() {
     let path = file(
         "many.toml",
         "name = \"many\"\nseconds = 2\nboxes = 4\nnodes = 1\nrate = 40\n",
@@ -239,9 +272,8 @@
     );
 }
 
-/// An interrupt ends the runs, and what was seen is told.
 #[test]
-fn an_interrupt_tells_what_was_played() {
+fn interrupt_ends_the_runs_and_prints_the_summary() {
     let mut play = Command::new(env!("CARGO_BIN_EXE_sloewick"));
     play.args(["play", "swarm", "--runs", "1000000", "--json"])
         .stdout(Stdio::piped());
@@ -264,7 +296,7 @@
 }
 
 #[test]
-fn shown_scenarios_can_be_played_again() {
+fn scenarios_printed_by_show_can_be_played() {
     let shown = text(&sloewick(&["play", "swarm", "--seed", "9", "--show"]).stdout);
     let path = file("shown.toml", &shown);
     let again = text(&sloewick(&["play", path.to_str().unwrap(), "--show"]).stdout);
@@ -272,7 +304,7 @@
 }
 
 #[test]
-fn the_demo_serves_and_ends_and_names_its_faults() {
+fn demo_serves_requests_ends_and_lists_its_faults() {
     let out = sloewick(&[
         "demo",
         "--seconds",
@@ -285,58 +317,54 @@
         "60",
         "--json",
     ]);
-    let said = text(&out.stdout);
-    let last: serde_json::Value = serde_json::from_str(said.lines().last().unwrap()).unwrap();
+    let output = text(&out.stdout);
+    let last: serde_json::Value = serde_json::from_str(output.lines().last().unwrap()).unwrap();
     assert_eq!(last["summary"], true);
-    assert!(last["served"].as_u64().unwrap() > 50, "{said}");
-    let bad = sloewick(&["demo", "--fault", "skew"]);
-    assert_eq!(bad.status.code(), Some(2));
+    assert!(last["served"].as_u64().unwrap() > 50, "{output}");
+    let invalid = sloewick(&["demo", "--fault", "skew"]);
+    assert_eq!(invalid.status.code(), Some(2));
     assert!(
-        text(&bad.stderr).contains("allowed: crash-boxes"),
+        text(&invalid.stderr).contains("allowed: crash-boxes"),
         "{}",
-        text(&bad.stderr)
+        text(&invalid.stderr)
     );
     assert_eq!(sloewick(&["demo", "--seconds", "0"]).status.code(), Some(2));
 }
 
+/// `sloewick check` of a node's configuration together with this memcached file.
+fn check_with_memcached(node: &Path, file: &Path) -> Output {
+    let (node, file) = (node.to_str().unwrap(), file.to_str().unwrap());
+    sloewick(&["check", node, "--memcached", file])
+}
+
 #[test]
-fn a_memcached_file_is_judged_beside_the_configuration_and_run_refuses_a_bad_one() {
+fn memcached_file_is_checked_with_the_configuration_and_an_invalid_one_stops_run() {
     let node = file("mc-node.json", &example());
-    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/memcached.toml");
-    let out = sloewick(&["check", node.to_str().unwrap(), "--memcached", shipped]);
+    let shipped = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/memcached.toml");
+    let out = check_with_memcached(&node, &shipped);
     assert!(
         out.status.success(),
         "{}{}",
         text(&out.stdout),
         text(&out.stderr)
     );
-    let bad = "listen = \"127.0.0.1:6379\"\n[[route]]\noperation = \"set\"\nkeys = \"*\"\nclass = \"trace-read\"\n";
-    let path = file("mc-bad.toml", bad);
-    let out = sloewick(&[
-        "check",
-        node.to_str().unwrap(),
-        "--memcached",
-        path.to_str().unwrap(),
-    ]);
+    let invalid = "listen = \"127.0.0.1:6379\"\n[[route]]\noperation = \"set\"\nkeys = \"*\"\nclass = \"trace-read\"\n";
+    let path = file("mc-bad.toml", invalid);
+    let out = check_with_memcached(&node, &path);
     assert_eq!(out.status.code(), Some(2));
     assert!(text(&out.stdout).contains("line 5: route[0].class: a write must not be of a class"));
     let path = file("mc-same.toml", "listen = \"127.0.0.1:6379\"\n[[route]]\noperation = \"get\"\nkeys = \"*\"\nclass = \"trace-read\"\n");
-    let out = sloewick(&[
-        "check",
-        node.to_str().unwrap(),
-        "--memcached",
-        path.to_str().unwrap(),
-    ]);
+    let out = check_with_memcached(&node, &path);
     assert_eq!(out.status.code(), Some(2));
     assert!(text(&out.stdout).contains("is the address of the node's own listener"));
-    // A node does not start with what check refuses.
+    // A node does not start with a file that the check rejects.
     let mut run = Command::new(env!("CARGO_BIN_EXE_sloewick"));
-    // A long path must not push the reason out of the message.
-    let bad = file(
+    // A long path must not truncate the reason.
+    let invalid = file(
         &format!("mc-bad2-{}.toml", "long".repeat(40)),
         "listn = \"127.0.0.1:0\"\n",
     );
-    run.args(["run", "--memcached", bad.to_str().unwrap()])
+    run.args(["run", "--memcached", invalid.to_str().unwrap()])
         .env("BALANCER_CONFIG", &node);
     let out = run.output().unwrap();
     assert_eq!(out.status.code(), Some(2));
@@ -348,7 +376,7 @@
 }
 
 #[test]
-fn fleets_that_speak_memcached_are_played() {
+fn fleets_with_memcached_clients_and_servers_are_played() {
     let args = [
         "play", "calm", "--front", "both", "--cache", "mixed", "--seed", "4",
     ];
@@ -359,15 +387,15 @@
         text(&out.stdout),
         text(&out.stderr)
     );
-    let said = text(&out.stdout);
-    let service = said
+    let output = text(&out.stdout);
+    let service = output
         .split("service ")
         .nth(1)
         .and_then(|rest| rest.split(' ').next());
     let service: f64 = service
         .and_then(|n| n.parse().ok())
         .expect("the report tells the service");
-    assert!((0.9..=1.0).contains(&service), "{said}");
+    assert!((0.9..=1.0).contains(&service), "{output}");
     assert_eq!(
         sloewick(&["play", "calm", "--front", "text"]).status.code(),
         Some(2)
--- /dev/null
+++ b/crates/sloewick/tests/hot_restart.rs
@@ -0,0 +1,211 @@
+//! A second process beside the first on an inherited socket: upgrades lose no request.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Stdio;
+
+use support::*;
+
+/// A builder of a process that inherits its clients' socket.
+fn heir(socket: &TcpListener, server: &TcpListener) -> NodeBuilder {
+    Node::before(server)
+        .command(program_inheriting(socket))
+        .listen(socket.local_addr().unwrap())
+}
+
+/// A process that inherits its clients' socket, and the address of its admin interface.
+fn start_heir(socket: &TcpListener, server: &TcpListener) -> (Node, SocketAddr) {
+    let admin = free_address();
+    (heir(socket, server).admin(admin).start(), admin)
+}
+
+/// A process's discovery responds with a complete list of this server.
+fn send_list(node: &Node, server: &TcpListener) {
+    let list = endpoint_list(42, true, &[target("s-1", server)]);
+    node.accept_discovery().1.send_http_json(&list);
+}
+
+/// Sends the list and waits until the process is ready.
+fn make_ready(node: &Node, admin: SocketAddr, server: &TcpListener) {
+    send_list(node, server);
+    wait_until("the process is ready", || is_ready(admin));
+}
+
+/// Requests on connections of their own, which whichever process accepts them has to answer.
+fn assert_serves(socket: &TcpListener, server: &TcpListener, ids: &str) {
+    for i in 0..6 {
+        let mut client = Peer::new(TcpStream::connect(socket.local_addr().unwrap()).unwrap());
+        exchange(&mut client, server, &format!("{ids}-{i}")).close();
+    }
+}
+
+#[test]
+fn second_process_takes_over_the_inherited_socket_without_losing_requests() {
+    let server = listener();
+    let socket = listener();
+    let address = socket.local_addr().unwrap();
+    let mut nodes = Vec::new();
+    let mut admins = Vec::new();
+    for _ in 0..2 {
+        let admin = free_address();
+        let node = heir(&socket, &server)
+            .settings(settings_with_deadline(2000.0))
+            .admin(admin)
+            .start();
+        // Its list from discovery makes it ready; the one it was started with alone does not, yet.
+        assert!(!is_ready(admin));
+        make_ready(&node, admin, &server);
+        nodes.push(node);
+        admins.push(admin);
+        if nodes.len() == 1 {
+            // Only the first process runs so far: it accepts this client.
+            let mut client = Peer::new(TcpStream::connect(address).unwrap());
+            let conn = exchange(&mut client, &server, "r1");
+            drop((client, conn));
+        }
+    }
+    let mut old = nodes.remove(0);
+    let mut clients: Vec<Peer> = (0..8)
+        .map(|_| Peer::new(TcpStream::connect(address).unwrap()))
+        .collect();
+    wait_until("all are accepted", || {
+        metric(admins[0], "answered.once") == 1
+    });
+    old.signal("TERM");
+    wait_until("the old one says no", || is_stopping(admins[0]));
+    // Old connections are served, whichever process has them, and so are new ones, by the new process.
+    for (i, client) in clients.iter_mut().enumerate() {
+        exchange(client, &server, &format!("kept-{i}")).close();
+    }
+    assert!(
+        old.wait().success(),
+        "it ends once its clients have been let go"
+    );
+    for i in 0..8 {
+        let mut client = Peer::new(TcpStream::connect(address).unwrap());
+        exchange(&mut client, &server, &format!("new-{i}")).close();
+    }
+    assert!(metric(admins[1], "answered.once") >= 8);
+    assert!(is_ready(admins[1]));
+}
+
+/// The next process loads what the first one learned; a file that is no snapshot of this node is discarded.
+#[test]
+fn second_process_loads_the_snapshot_of_the_first_and_ignores_damaged_ones() {
+    let server = listener();
+    let socket = listener();
+    let folder = tempfile::tempdir().unwrap();
+    let snapshot_file = folder.path().join("sloewick-handover");
+    let start = || {
+        let mut command = program_inheriting(&socket);
+        command.env("TMPDIR", folder.path()).stderr(Stdio::piped());
+        let node = heir(&socket, &server).command(command).start();
+        send_list(&node, &server);
+        node
+    };
+    let mut first = start();
+    wait_until("the first one keeps what it knows", || {
+        snapshot_file.exists()
+    });
+    let snapshot = std::fs::read(&snapshot_file).unwrap();
+    assert!(snapshot.len() < 64 << 10, "{} bytes", snapshot.len());
+    let stderr = start().shut_down_and_read_stderr();
+    assert!(
+        stderr.contains("handover: 1 servers, 0 positions, "),
+        "{stderr}"
+    );
+    let stderr = first.shut_down_and_read_stderr();
+    assert!(
+        !stderr.contains("handover"),
+        "the first one found nothing and could keep all: {stderr}"
+    );
+    // No process writes the file any more.
+    let half = &snapshot[..snapshot.len() / 2];
+    for (bytes, why) in [
+        (half, "is torn"),
+        (&b"{}"[..], "is no snapshot"),
+        (&snapshot[..0], "is torn"),
+    ] {
+        std::fs::write(&snapshot_file, bytes).unwrap();
+        let stderr = start().shut_down_and_read_stderr();
+        assert!(
+            stderr.contains(&format!("handover: not taken up: {why}\n")),
+            "{stderr}"
+        );
+    }
+}
+
+#[test]
+fn old_process_still_serves_when_the_new_one_is_never_ready_or_is_killed() {
+    let (server, socket) = (listener(), listener());
+    let (old, old_admin) = start_heir(&socket, &server);
+    make_ready(&old, old_admin, &server);
+    // Discovery accepts its request and does not respond: it is not ready, and serves what it accepts all the same.
+    let (new, new_admin) = start_heir(&socket, &server);
+    let _unanswered = new.accept_discovery();
+    assert!(!is_ready(new_admin));
+    assert_serves(&socket, &server, "beside");
+    drop(new);
+    assert!(is_ready(old_admin));
+    assert_serves(&socket, &server, "alone");
+    assert!(is_ready(old_admin));
+}
+
+/// The old process responds to what it has accepted, whatever happens to the new one.
+#[test]
+fn death_of_the_new_process_while_the_old_one_stops_loses_no_accepted_request() {
+    let (server, socket) = (listener(), listener());
+    let (mut old, old_admin) = start_heir(&socket, &server);
+    make_ready(&old, old_admin, &server);
+    let mut waiting: Vec<Peer> = (0..4).map(|_| old.client()).collect();
+    let mut conns: Vec<(String, Peer)> = Vec::new();
+    for (i, client) in waiting.iter_mut().enumerate() {
+        client.send_get(&format!("held-{i}"));
+        let mut conn = accept(&server);
+        conns.push((conn.read_command()[2].clone(), conn));
+    }
+    let (new, new_admin) = start_heir(&socket, &server);
+    make_ready(&new, new_admin, &server);
+    old.signal("TERM");
+    wait_until("the old one stops", || is_stopping(old_admin));
+    drop(new);
+    for (id, conn) in &mut conns {
+        conn.send(hit_reply(id.as_bytes()));
+    }
+    for (i, client) in waiting.iter_mut().enumerate() {
+        assert_eq!(client.read_bulk(), format!("held-{i}").into_bytes());
+        assert_eq!(client.read_to_end(), "");
+    }
+    assert!(old.wait().success());
+    // A third one finds the clients' socket as it was.
+    let (third, third_admin) = start_heir(&socket, &server);
+    make_ready(&third, third_admin, &server);
+    assert_serves(&socket, &server, "third");
+}
+
+#[test]
+fn second_upgrade_during_the_first_leaves_one_process_and_loses_no_request() {
+    let (server, socket) = (listener(), listener());
+    let (mut first, first_admin) = start_heir(&socket, &server);
+    make_ready(&first, first_admin, &server);
+    let mut waiting = first.client();
+    waiting.send_get("held");
+    let mut conn = accept_request(&server, "held");
+    let (mut second, second_admin) = start_heir(&socket, &server);
+    make_ready(&second, second_admin, &server);
+    first.signal("TERM");
+    let (third, third_admin) = start_heir(&socket, &server);
+    make_ready(&third, third_admin, &server);
+    second.signal("TERM");
+    conn.send(hit_reply(b"held"));
+    assert_eq!(
+        waiting.read_bulk(),
+        b"held",
+        "the first one still answers what it has taken"
+    );
+    assert!(first.wait().success() && second.wait().success());
+    assert_serves(&socket, &server, "third");
+    assert!(is_ready(third_admin));
+    assert_eq!(metric(third_admin, "answered.once"), 6);
+}
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -23,14 +23,19 @@
 
 /// A node that knows one server and listens for memcached clients, too: `r/...` is read, `w/...` written.
 fn fleet(server: &TcpListener, memcached_box: bool) -> Fleet {
-    let memcached = close(listener());
-    let mut text = format!("listen = \"{memcached}\"\n");
-    for (operation, keys, class) in [("get", "r/*", "read"), ("set", "w/*", "once")] {
-        text += &format!(
+    let memcached = free_address();
+    let route = |operation: &str, keys: &str, class: &str| {
+        format!(
             "[[route]]\noperation = \"{operation}\"\nkeys = \"{keys}\"\nclass = \"{class}\"\ntenant = \"acme\"\n"
-        );
-    }
-    text += "[[box]]\nmodel = \"mc\"\nprotocol = \"memcached\"\n";
+        )
+    };
+    let text = [
+        format!("listen = \"{memcached}\"\n"),
+        route("get", "r/*", "read"),
+        route("set", "w/*", "once"),
+        "[[box]]\nmodel = \"mc\"\nprotocol = \"memcached\"\n".to_string(),
+    ]
+    .concat();
     let name = memcached.to_string().replace([':', '.'], "-");
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
     std::fs::write(&file, text).unwrap();
@@ -40,9 +45,11 @@
     if memcached_box {
         known["model"] = json!("mc");
     }
-    let node = Node::start_by(program, settings(), &[known], |config| {
-        config["limits"]["memory_mb"] = 32.into();
-    });
+    let node = Node::builder()
+        .command(program)
+        .targets(&[known])
+        .set("/limits/memory_mb", 32)
+        .start();
     Fleet {
         node,
         memcached,
@@ -90,7 +97,7 @@
 
 fn connect(at: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(at).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     stream
 }
 
@@ -98,7 +105,7 @@
 const SET: u8 = 0x01;
 
 #[test]
-fn a_pipeline_is_answered_in_order_and_fenced_by_a_noop() {
+fn pipeline_is_answered_in_order_up_to_its_noop() {
     let server = listener();
     let fleet = fleet(&server, false);
     let mut client = connect(fleet.memcached);
@@ -107,10 +114,10 @@
     burst.extend(packet(0x80, 0x0a, 0, 3, b"", "", b""));
     client.write_all(&burst).unwrap();
     let mut conn = accept(&server);
-    let got = conn.command();
+    let got = conn.read_command();
     assert_eq!((&got[0][..], &got[1][..]), ("C.GET", "r/1"));
     assert!(got[3].starts_with("c=read,t=acme,d="), "{got:?}");
-    conn.send(served(b"seven"));
+    conn.send(hit_reply(b"seven"));
     assert_eq!(
         read_packet(&mut client),
         Some((0x0d, 0, 1, b"r/1seven".to_vec()))
@@ -124,101 +131,152 @@
 
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug)]
-enum Does {
-    Serves,
-    IsBusy,
-    Fails,
-    Cuts,
-    AnswersWrongly,
+enum ServerAction {
+    Serve,
+    Reject,
+    Fail,
+    Disconnect,
+    ReplyMalformed,
 }
 
+impl ServerAction {
+    const ALL: [ServerAction; 5] = [
+        ServerAction::Serve,
+        ServerAction::Reject,
+        ServerAction::Fail,
+        ServerAction::Disconnect,
+        ServerAction::ReplyMalformed,
+    ];
+
+    /// Replies, if at all, and closes the connection.
+    fn apply(self, mut conn: Peer) {
+        match self {
+            ServerAction::Serve => conn.send(hit_reply(b"made")),
+            ServerAction::Reject => conn.send("-BUSY\r\n"),
+            ServerAction::Fail => conn.send("-ERR failed\r\n"),
+            ServerAction::ReplyMalformed => conn.send("*3\r\n$-7\r\n"),
+            ServerAction::Disconnect => {}
+        }
+    }
+}
+
+/// The final response to a request, whatever the protocol.
 #[derive(Debug, PartialEq)]
-enum Final {
+enum FinalResponse {
     Served(Vec<u8>),
     Busy,
     Failed,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum Operation {
+    Read,
+    Write,
+}
+
+impl Operation {
+    fn key(self, number: u32) -> String {
+        match self {
+            Operation::Read => format!("r/{number}"),
+            Operation::Write => format!("w/{number}"),
+        }
+    }
+
+    fn words(self) -> usize {
+        match self {
+            Operation::Read => 4,
+            Operation::Write => 5,
+        }
+    }
+
+    fn send_memcached(self, client: &mut TcpStream, key: &str, opaque: u32) {
+        let bytes = match self {
+            Operation::Read => packet(0x80, GET, 0, opaque, b"", key, b""),
+            Operation::Write => packet(0x80, SET, 0, opaque, &[0; 8], key, b"value"),
+        };
+        client.write_all(&bytes).unwrap();
+    }
+
+    fn memcached_response(self, client: &mut TcpStream, sent_opaque: u32) -> FinalResponse {
+        let (opcode, status, opaque, body) = read_packet(client).unwrap();
+        let sent_opcode = match self {
+            Operation::Read => GET,
+            Operation::Write => SET,
+        };
+        assert_eq!((opcode, opaque), (sent_opcode, sent_opaque));
+        match (status, self) {
+            (0, Operation::Write) => FinalResponse::Served(b"made".to_vec()),
+            (0, Operation::Read) => FinalResponse::Served(body),
+            (0x85, _) => FinalResponse::Busy,
+            (0x84, _) => FinalResponse::Failed,
+            _ => panic!("{status:#x}"),
+        }
+    }
+
+    fn send_resp(self, client: &mut Peer, key: &str) {
+        let key = key.as_bytes();
+        client.send(match self {
+            Operation::Read => command(&[b"C.GET", key, key, b"c=read,t=acme,d=20000"]),
+            Operation::Write => command(&[b"C.SET", key, key, b"c=once,t=acme,d=20000", b"value"]),
+        });
+    }
+}
+
+fn resp_response(client: &mut Peer) -> FinalResponse {
+    match client.read_line() {
+        line if line.starts_with('$') => {
+            assert_eq!(line, "$4");
+            FinalResponse::Served(client.read_line().into_bytes())
+        }
+        line if line.starts_with(BUSY) => FinalResponse::Busy,
+        line => {
+            assert_eq!(line, FAILED);
+            FinalResponse::Failed
+        }
+    }
+}
+
+/// The server receives the request with this key on a connection of its own.
+fn serve_request(server: &TcpListener, operation: Operation, key: &str, action: ServerAction) {
+    let mut conn = accept(server);
+    let words = conn.read_command();
+    assert_eq!((&words[1][..], words.len()), (key, operation.words()));
+    action.apply(conn);
+}
+
 #[test]
-fn the_same_requests_end_alike_through_both_protocols() {
-    use Does::{AnswersWrongly, Cuts, Fails, IsBusy, Serves};
-    let mut n = 0;
-    for does in [Serves, IsBusy, Fails, Cuts, AnswersWrongly] {
-        for write in [false, true] {
-            let mut ends = Vec::new();
-            for by_memcached in [false, true] {
-                // Each on a node of its own: one that has seen its server fail sends nothing there for a while.
+fn same_requests_have_the_same_outcome_in_both_protocols() {
+    let mut number = 0;
+    for action in ServerAction::ALL {
+        for operation in [Operation::Read, Operation::Write] {
+            // Each on a node of its own: one that has seen its server fail sends nothing there for a while.
+            let resp = {
+                let server = listener();
+                let fleet = fleet(&server, false);
+                let mut client = fleet.node.client();
+                number += 1;
+                let key = operation.key(number);
+                operation.send_resp(&mut client, &key);
+                serve_request(&server, operation, &key, action);
+                resp_response(&mut client)
+            };
+            let memcached = {
                 let server = listener();
                 let fleet = fleet(&server, false);
-                let mut memcached = connect(fleet.memcached);
-                let mut resp = fleet.node.client();
-                n += 1;
-                let key = format!("{}/{n}", if write { "w" } else { "r" });
-                if by_memcached {
-                    let (opcode, extras, value): (u8, &[u8], &[u8]) = if write {
-                        (SET, &[0; 8], b"value")
-                    } else {
-                        (GET, b"", b"")
-                    };
-                    memcached
-                        .write_all(&packet(0x80, opcode, 0, n, extras, &key, value))
-                        .unwrap();
-                } else if write {
-                    let fields = b"c=once,t=acme,d=20000";
-                    resp.send(command(&[
-                        b"C.SET",
-                        key.as_bytes(),
-                        key.as_bytes(),
-                        fields,
-                        b"value",
-                    ]));
-                } else {
-                    let fields = b"c=read,t=acme,d=20000";
-                    resp.send(command(&[b"C.GET", key.as_bytes(), key.as_bytes(), fields]));
-                }
-                // A connection for each attempt: the server closes each when it is done.
-                let mut conn = accept(&server);
-                let got = conn.command();
-                assert_eq!((&got[1], got.len()), (&key, if write { 5 } else { 4 }));
-                match does {
-                    Serves => conn.send(served(b"made")),
-                    IsBusy => conn.send("-BUSY\r\n"),
-                    Fails => conn.send("-ERR failed\r\n"),
-                    AnswersWrongly => conn.send("*3\r\n$-7\r\n"),
-                    Cuts => {}
-                }
-                drop(conn);
-                ends.push(if by_memcached {
-                    let (opcode, status, opaque, body) = read_packet(&mut memcached).unwrap();
-                    assert_eq!((opcode, opaque), (u8::from(write), n));
-                    match status {
-                        0 if write => Final::Served(b"made".to_vec()),
-                        0 => Final::Served(body),
-                        0x85 => Final::Busy,
-                        0x84 => Final::Failed,
-                        _ => panic!("{status:#x}"),
-                    }
-                } else {
-                    match resp.line() {
-                        line if line.starts_with('$') => {
-                            assert_eq!(line, "$4");
-                            Final::Served(resp.line().into_bytes())
-                        }
-                        line if line.starts_with("-BUSY") => Final::Busy,
-                        line => {
-                            assert_eq!(line, "-ERR failed");
-                            Final::Failed
-                        }
-                    }
-                });
-            }
-            assert_eq!(ends[0], ends[1], "{does:?}, write: {write}");
+                let mut client = connect(fleet.memcached);
+                number += 1;
+                let key = operation.key(number);
+                operation.send_memcached(&mut client, &key, number);
+                serve_request(&server, operation, &key, action);
+                operation.memcached_response(&mut client, number)
+            };
+            assert_eq!(resp, memcached, "{action:?}, {operation:?}");
         }
     }
 }
 
 #[test]
-fn a_box_that_speaks_the_protocol_serves_clients_of_both() {
+fn memcached_cache_server_serves_clients_of_both_protocols() {
     let server = listener();
     let fleet = fleet(&server, true);
     let mut resp = fleet.node.client();
@@ -231,13 +289,13 @@
     ]));
     server.set_nonblocking(false).unwrap();
     let (mut conn, _) = server.accept().unwrap();
-    conn.set_read_timeout(Some(PATIENCE)).unwrap();
+    conn.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     let (opcode, _, opaque, body) = read_packet(&mut conn).unwrap();
     assert_eq!((opcode, &body[..]), (SET, &b"w/1-:value"[..]));
     conn.write_all(&packet(0x81, SET, 0, opaque, b"", "", b""))
         .unwrap();
-    assert_eq!(resp.line(), "$0");
-    assert_eq!(resp.line(), "");
+    assert_eq!(resp.read_line(), "$0");
+    assert_eq!(resp.read_line(), "");
     let mut client = connect(fleet.memcached);
     client
         .write_all(&packet(0x80, GET, 0, 0, b"", "r/1", b""))
@@ -253,11 +311,11 @@
 }
 
 #[test]
-fn lengths_that_lie_take_no_memory() {
+fn announced_lengths_reserve_no_memory() {
     let server = listener();
     let fleet = fleet(&server, false);
-    let before = fleet.node.memory();
-    // Each claims the longest value that is let in, and sends the first bytes of it.
+    let before = fleet.node.memory_mb();
+    // Each announces the longest value that is accepted, and sends its first bytes.
     let clients: Vec<TcpStream> = (0..100)
         .map(|n| {
             let mut client = connect(fleet.memcached);
@@ -276,6 +334,10 @@
         Some((SET, 3, 7))
     );
     assert_eq!(read_packet(&mut huge), None, "closed");
-    let grown = fleet.node.memory().saturating_sub(before);
-    assert!(grown < 8, "{grown} MB for {} clients", clients.len());
+    let growth_mb = fleet.node.memory_mb().saturating_sub(before);
+    assert!(
+        growth_mb < 8,
+        "{growth_mb} MB for {} clients",
+        clients.len()
+    );
 }
--- /dev/null
+++ b/crates/sloewick/tests/startup.rs
@@ -0,0 +1,238 @@
+//! Start of processes: readiness whatever discovery does, addresses in use, and configuration that cannot be used.
+
+mod support;
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use support::*;
+
+/// A restarted process has to be ready within this; nine in ten would do.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
+const BEHAVIORS: [DiscoveryBehavior; 8] = DiscoveryBehavior::ALL;
+
+/// Waits until a process is ready; whether that was in time.
+fn ready_in_time(admin: SocketAddr, begun: Instant) -> bool {
+    while !listens_and_is_ready(admin) {
+        if begun.elapsed() > WAIT_LIMIT {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    begun.elapsed() < READY_LIMIT
+}
+
+#[test]
+fn killed_processes_that_restart_at_once_are_ready_whatever_discovery_does() {
+    // The list that they know names nothing but dead servers.
+    let dead = free_address();
+    let known = |uid: &str| target_at(uid, &dead.to_string());
+    let targets = [known("s-1"), known("s-2")];
+    let late = std::thread::scope(|scope| {
+        let one = |n: usize| {
+            let (targets, behavior) = (&targets, BEHAVIORS[n % BEHAVIORS.len()]);
+            move || {
+                let (address, admin) = (free_address(), free_address());
+                let start = || {
+                    let polls = (n / BEHAVIORS.len()).is_multiple_of(2);
+                    Node::builder()
+                        .settings(if polls {
+                            polling_settings()
+                        } else {
+                            settings()
+                        })
+                        .targets(targets)
+                        .listen(address)
+                        .admin(admin)
+                        .set("/discovery", behavior.spawn().to_string())
+                        .start()
+                };
+                let first = start();
+                assert!(ready_in_time(admin, Instant::now()), "{behavior:?}");
+                // Killed with open connections, which still use its addresses; it restarts there.
+                let mut client = first.client();
+                client.send(command(&[b"PING"]));
+                assert_eq!(client.read_line(), "+PONG");
+                drop(first);
+                let begun = Instant::now();
+                let second = start();
+                let in_time = ready_in_time(admin, begun);
+                let mut client = second.client();
+                client.send(command(&[b"PING"]));
+                assert_eq!(client.read_line(), "+PONG", "{behavior:?}");
+                (!in_time).then_some(behavior)
+            }
+        };
+        let all: Vec<_> = (0..64).map(|n| scope.spawn(one(n))).collect();
+        all.into_iter()
+            .filter_map(|one| one.join().unwrap())
+            .collect::<Vec<DiscoveryBehavior>>()
+    });
+    assert!(late.is_empty(), "late: {late:?}");
+}
+
+/// The predecessor still has the listener and a pending response when the next process starts.
+#[test]
+fn process_waits_for_an_address_that_its_predecessor_is_about_to_release() {
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                let server = listener();
+                let (address, admin) = (free_address(), free_address());
+                let builder = || Node::before(&server).listen(address);
+                let mut first = builder().start();
+                let mut client = first.client();
+                client.send_get("r1");
+                let mut conn = accept_request(&server, "r1");
+                first.signal("TERM");
+                let begun = Instant::now();
+                let second = builder().admin(admin).start();
+                assert!(ready_in_time(admin, begun));
+                conn.send(hit_reply(b"one"));
+                assert_eq!(client.read_bulk(), b"one");
+                assert!(first.wait().success());
+                let mut next = second.client();
+                exchange(&mut next, &server, "r2");
+            });
+        }
+    });
+}
+
+#[test]
+fn address_that_stays_in_use_ends_the_process_with_the_reason() {
+    let in_use = listener();
+    let discovery = listener();
+    let config = json!({
+        "name": "n1", "listen": in_use.local_addr().unwrap().to_string(),
+        "discovery": discovery.local_addr().unwrap().to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": endpoint_list(41, true, &[]), "settings": settings(),
+    });
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), config.to_string()).unwrap();
+    let out = program()
+        .env("BALANCER_CONFIG", file.path())
+        .output()
+        .unwrap();
+    let text = String::from_utf8(out.stderr).unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(text.contains("Address already in use"), "{text}");
+}
+
+/// What a node prints that is started with this text as its configuration, and rejects it: one line.
+fn rejection_of(text: &str) -> String {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text).unwrap();
+    let out = program()
+        .env("BALANCER_CONFIG", file.path())
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2), "{text}");
+    let stderr = String::from_utf8(out.stderr).unwrap();
+    assert_eq!(stderr.lines().count(), 1, "{stderr}");
+    stderr
+}
+
+/// A configuration that a node would start with if its addresses were free.
+fn valid_config() -> Value {
+    json!({
+        "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
+        "limits": {"memory_mb": 192, "sockets": 1024}, "known": endpoint_list(1, true, &[]),
+        "settings": settings(),
+    })
+}
+
+#[test]
+fn invalid_configuration_is_reported_in_one_line() {
+    for (field, value, named) in [
+        ("listen", json!("here"), "listen"),
+        ("discovery", json!(null), "discovery"),
+        ("seed", json!("x"), "seed"),
+        ("limits", json!({"memory_mb": 192, "sockets": 3}), "sockets"),
+        ("known", json!({"rev": 1, "all": true}), "targets"),
+        ("settings", json!({"classes": []}), "policy_limits"),
+    ] {
+        let mut invalid = valid_config();
+        invalid[field] = value;
+        let stderr = rejection_of(&invalid.to_string());
+        assert!(
+            stderr.contains(&format!("field {named}: ")),
+            "{field}: {stderr}"
+        );
+    }
+    rejection_of("not json");
+}
+
+#[test]
+fn value_out_of_range_is_reported_with_the_allowed_range() {
+    let (zero, above_0) = (json!(0.0), "above 0");
+    for (path, value, allowed) in [
+        ("/settings/classes/0/aim", zero.clone(), above_0),
+        ("/settings/classes/1/deadline", json!(-5.0), above_0),
+        ("/settings/classes/1/repeat", json!("twice"), "repeat"),
+        ("/settings/policy_limits/connect_timeout", zero, above_0),
+        (
+            "/settings/policy_limits/try_limit",
+            json!(0),
+            "whole number from 1",
+        ),
+        (
+            "/settings/policy_limits/second_copies",
+            json!("no"),
+            "neither true nor false",
+        ),
+        ("/settings/rules/cold_from", json!(7.0), "to 1"),
+        (
+            "/settings/rules/stop_sending_within",
+            json!(1e300),
+            "from 0 to 3000000000",
+        ),
+        ("/settings/rules/fall", json!(null), "missing"),
+        ("/limits/memory_mb", json!(0), "below 32"),
+    ] {
+        let mut invalid = valid_config();
+        *invalid.pointer_mut(path).unwrap() = value;
+        let stderr = rejection_of(&invalid.to_string());
+        let field = path.rsplit_once('/').unwrap().1;
+        assert!(
+            stderr.contains(field) && stderr.contains(allowed),
+            "{path}: {stderr}"
+        );
+    }
+}
+
+#[test]
+fn missing_configuration_and_address_in_use_are_reported() {
+    let out = program().env_remove("BALANCER_CONFIG").output().unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(String::from_utf8(out.stderr)
+        .unwrap()
+        .contains("BALANCER_CONFIG"));
+    let in_use = listener();
+    let mut config = valid_config();
+    config["listen"] = json!(in_use.local_addr().unwrap().to_string());
+    assert!(rejection_of(&config.to_string()).contains("listen"));
+    assert!(TcpStream::connect(in_use.local_addr().unwrap()).is_ok());
+}
+
+#[test]
+fn unusable_descriptor_or_address_is_reported() {
+    let run = |name: &str, value: &str| {
+        let node = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/node.json");
+        let out = program()
+            .env("BALANCER_CONFIG", node)
+            .env(name, value)
+            .output()
+            .unwrap();
+        assert_eq!(out.status.code(), Some(2), "{name}={value}");
+        String::from_utf8(out.stderr).unwrap()
+    };
+    assert!(run("BALANCER_ACCEPT_FD", "three").contains("\"three\" is no descriptor above 2"));
+    assert!(run("BALANCER_ACCEPT_FD", "1").contains("is no descriptor above 2"));
+    assert!(
+        run("BALANCER_ACCEPT_FD", "987").contains("inherited descriptor 987: Bad file descriptor")
+    );
+    assert!(run("BALANCER_OPS", "here").contains("\"here\" is no address and port"));
+}
--- /dev/null
+++ b/crates/sloewick/tests/support/process.rs
@@ -0,0 +1,249 @@
+//! The program as a process of its own.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use super::{accept, endpoint_list, free_address, listener, settings, target, Peer, WAIT_LIMIT};
+
+/// The program as a node.
+pub(crate) fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_sloewick"));
+    program.arg("run");
+    program
+}
+
+/// The program as a node with no more descriptors than this.
+pub(crate) fn program_with_descriptor_limit(descriptors: usize) -> Command {
+    let mut shell = Command::new("sh");
+    let script = format!("ulimit -n {descriptors} && exec \"$0\" run");
+    shell.args(["-c", &script, env!("CARGO_BIN_EXE_sloewick")]);
+    shell
+}
+
+/// The program as a node with the clients' socket as descriptor 3, as the platform starts it at upgrades.
+pub(crate) fn program_inheriting(socket: &TcpListener) -> Command {
+    let mut shell = Command::new("/bin/sh");
+    let program = env!("CARGO_BIN_EXE_sloewick");
+    shell.args(["-c", &format!("exec 3<&0 </dev/null; exec {program} run")]);
+    shell.stdin(Stdio::from(std::os::fd::OwnedFd::from(
+        socket.try_clone().unwrap(),
+    )));
+    shell.env("BALANCER_ACCEPT_FD", "3");
+    shell
+}
+
+/// A node process, killed when dropped.
+pub(crate) struct Node {
+    child: Child,
+    pub(crate) address: SocketAddr,
+    pub(crate) discovery: TcpListener,
+    file: PathBuf,
+}
+
+/// Configuration of a node, and the command that starts it.
+pub(crate) struct NodeBuilder {
+    command: Command,
+    settings: Value,
+    targets: Vec<Value>,
+    admin: Option<SocketAddr>,
+    edits: Vec<(&'static str, Value)>,
+}
+
+impl NodeBuilder {
+    /// Which command to start, in place of [`program`].
+    pub(crate) fn command(mut self, command: Command) -> NodeBuilder {
+        self.command = command;
+        self
+    }
+
+    pub(crate) fn settings(mut self, settings: Value) -> NodeBuilder {
+        self.settings = settings;
+        self
+    }
+
+    /// The endpoints that the node knows when it starts.
+    pub(crate) fn targets(mut self, targets: &[Value]) -> NodeBuilder {
+        self.targets = targets.to_vec();
+        self
+    }
+
+    /// Listens for clients at this address rather than at a free one.
+    pub(crate) fn listen(self, address: SocketAddr) -> NodeBuilder {
+        self.set("/listen", address.to_string())
+    }
+
+    /// Serves the admin interface at this address.
+    pub(crate) fn admin(mut self, address: SocketAddr) -> NodeBuilder {
+        self.admin = Some(address);
+        self
+    }
+
+    /// Sets a field that the configuration has, named as a JSON pointer.
+    pub(crate) fn set(mut self, pointer: &'static str, value: impl Into<Value>) -> NodeBuilder {
+        self.edits.push((pointer, value.into()));
+        self
+    }
+
+    /// Starts the node and waits until it listens.
+    pub(crate) fn start(mut self) -> Node {
+        let discovery = listener();
+        let mut config = json!({
+            "name": "n1", "listen": free_address().to_string(),
+            "discovery": discovery.local_addr().unwrap().to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": endpoint_list(41, true, &self.targets), "settings": self.settings,
+        });
+        if let Some(admin) = self.admin {
+            config["ops"] = json!(admin.to_string());
+        }
+        for (pointer, value) in self.edits {
+            *config.pointer_mut(pointer).expect(pointer) = value;
+        }
+        let address: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+        let name = format!("{}-{}", config["discovery"].as_str().unwrap(), address);
+        let name = name.replace([':', '.'], "-");
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let child = self.command.env("BALANCER_CONFIG", &file).spawn().unwrap();
+        let node = Node {
+            child,
+            address,
+            discovery,
+            file,
+        };
+        let begun = Instant::now();
+        while TcpStream::connect(address).is_err() {
+            assert!(begun.elapsed() < WAIT_LIMIT, "the node does not listen");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        node
+    }
+}
+
+impl Node {
+    /// A node that knows no endpoint and has [`settings`].
+    pub(crate) fn builder() -> NodeBuilder {
+        NodeBuilder {
+            command: program(),
+            settings: settings(),
+            targets: Vec::new(),
+            admin: None,
+            edits: Vec::new(),
+        }
+    }
+
+    /// A builder of a node that knows one server.
+    pub(crate) fn before(server: &TcpListener) -> NodeBuilder {
+        Node::builder().targets(&[target("s-1", server)])
+    }
+
+    /// A running node that knows one server.
+    pub(crate) fn with_server(server: &TcpListener) -> Node {
+        Node::before(server).start()
+    }
+
+    /// A running node that knows one server, and the address of its admin interface.
+    pub(crate) fn with_admin(server: &TcpListener) -> (Node, SocketAddr) {
+        let admin = free_address();
+        (Node::before(server).admin(admin).start(), admin)
+    }
+
+    pub(crate) fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let kill = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
+        assert!(kill.unwrap().success());
+    }
+
+    /// Pauses the process and returns once it is stopped: all that happens from now on is met by it at once.
+    pub(crate) fn pause(&self) {
+        self.signal("STOP");
+        let begun = Instant::now();
+        let state = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        while !state().rsplit_once(')').unwrap().1.starts_with(" T") {
+            assert!(begun.elapsed() < WAIT_LIMIT, "the process is not stopped");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Replaces the configuration file atomically and signals the node to reload it.
+    pub(crate) fn reload(&self, text: &str) {
+        let next = self.file.with_extension("next");
+        std::fs::write(&next, text).unwrap();
+        std::fs::rename(&next, &self.file).unwrap();
+        self.signal("HUP");
+    }
+
+    /// The text of the node's configuration.
+    pub(crate) fn config(&self) -> String {
+        std::fs::read_to_string(&self.file).unwrap()
+    }
+
+    /// Shuts the node down; all that it has written on standard error, which was piped.
+    pub(crate) fn shut_down_and_read_stderr(&mut self) -> String {
+        self.signal("TERM");
+        assert!(self.wait().success());
+        let mut text = String::new();
+        self.child
+            .stderr
+            .take()
+            .unwrap()
+            .read_to_string(&mut text)
+            .unwrap();
+        text
+    }
+
+    /// The node's standard error, which was piped.
+    pub(crate) fn stderr(&mut self) -> std::process::ChildStderr {
+        self.child.stderr.take().unwrap()
+    }
+
+    /// Waits for the process to exit by itself.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        let begun = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(begun.elapsed() < WAIT_LIMIT, "the node does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Resident memory in megabytes.
+    pub(crate) fn memory_mb(&self) -> usize {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace()
+            .nth(1)
+            .unwrap()
+            .parse::<usize>()
+            .unwrap()
+            / 1024
+    }
+
+    /// The next request to discovery: its path, and the connection to respond on.
+    pub(crate) fn accept_discovery(&self) -> (String, Peer) {
+        let mut peer = accept(&self.discovery);
+        let head = peer.read_until(b"\r\n\r\n");
+        let text = String::from_utf8(head).unwrap();
+        (text.split(' ').nth(1).unwrap().to_string(), peer)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
