--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -1,14 +1,18 @@
-//! `sloewick check`: reads a node's configuration and judges it.
+//! `sloewick check`: reads a node's configuration and reports every problem in it.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Args as ClapArgs;
+use serde_json::json;
 use sloewick_node::{config, config_check};
+use thiserror::Error;
 
-use crate::out;
+use crate::output::{print_line, reject_input};
 
-#[derive(ClapArgs)]
+use crate::exit_code;
+
+/// Arguments of `sloewick check`.
+#[derive(clap::Args)]
 #[command(after_help = "\
 Examples:
   sloewick check node.json
@@ -16,40 +20,118 @@
   sloewick check examples/node.json --memcached deploy/memcached.toml
 
 Exit codes: 0 can be used (notes may be printed), 2 can't be used.")]
-pub struct Args {
-    /// The configuration, as BALANCER_CONFIG would name it
+pub(crate) struct Args {
+    /// The configuration, as `BALANCER_CONFIG` would name it
     file: PathBuf,
-    /// Also judge this file beside it, as `run --memcached` would use it
+    /// Also check this file with it, as `run --memcached` would use it
     #[arg(long, value_name = "FILE")]
     memcached: Option<PathBuf>,
-    /// Print what was found as JSON
+    /// Print the findings as JSON
     #[arg(long)]
     json: bool,
 }
 
-/// What was found in a file: where, what, and whether it forbids its use.
-struct Line {
+/// A file that cannot be read.
+#[derive(Debug, Error)]
+#[error("{path}: {error}")]
+struct UnreadableFile {
+    path: String,
+    error: std::io::Error,
+}
+
+/// Something found in a file.
+struct Finding {
     text: String,
     json: serde_json::Value,
+    /// Whether the file cannot be used.
     fatal: bool,
 }
 
-fn node(text: &str) -> Vec<Line> {
-    let line = |f: &config_check::Found| Line {
-        text: f.to_string(),
-        json: serde_json::json!({
-            "field": f.field, "value": f.value, "why": f.why, "example": f.example, "fatal": f.fatal,
+/// Findings in one file.
+struct CheckedFile<'a> {
+    path: &'a Path,
+    findings: Vec<Finding>,
+}
+
+impl CheckedFile<'_> {
+    /// Prints the findings; whether the file can be used.
+    fn report(&self, as_json: bool) -> bool {
+        let name = self.path.display();
+        if as_json {
+            let found: Vec<_> = self.findings.iter().map(|f| f.json.clone()).collect();
+            print_line(json!({"file": name.to_string(), "found": found}).to_string());
+        } else {
+            for finding in &self.findings {
+                print_line(format!("{name}: {}", finding.text));
+            }
+        }
+        let problems = self.findings.iter().filter(|f| f.fatal).count();
+        if problems > 0 {
+            eprintln!("{name}: can't be used: {problems} problem(s)");
+        } else if !as_json {
+            print_line(format!("{name}: can be used"));
+        }
+        problems == 0
+    }
+}
+
+/// Checks the files and reports what was found.
+pub(crate) fn check(args: &Args) -> ExitCode {
+    let files = match check_files(args) {
+        Ok(files) => files,
+        Err(error) => return reject_input(&error),
+    };
+    let mut usable = true;
+    for file in files {
+        usable &= file.report(args.json);
+    }
+    if usable {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(exit_code::UNUSABLE_INPUT)
+    }
+}
+
+fn check_files(args: &Args) -> Result<Vec<CheckedFile<'_>>, UnreadableFile> {
+    let node = read(&args.file)?;
+    let mut files = vec![CheckedFile {
+        path: &args.file,
+        findings: check_node(&node),
+    }];
+    if let Some(path) = &args.memcached {
+        files.push(CheckedFile {
+            path,
+            findings: check_memcached(&read(path)?, &node),
+        });
+    }
+    Ok(files)
+}
+
+fn read(path: &Path) -> Result<String, UnreadableFile> {
+    std::fs::read_to_string(path).map_err(|error| UnreadableFile {
+        path: path.display().to_string(),
+        error,
+    })
+}
+
+fn check_node(text: &str) -> Vec<Finding> {
+    let finding = |found: &config_check::Found| Finding {
+        text: found.to_string(),
+        json: json!({
+            "field": found.field, "value": found.value, "why": found.why, "example": found.example,
+            "fatal": found.fatal,
         }),
-        fatal: f.fatal,
+        fatal: found.fatal,
     };
-    config_check::check(text).iter().map(line).collect()
+    config_check::check(text).iter().map(finding).collect()
 }
 
-fn memcached(text: &str, node: &str) -> Vec<Line> {
+/// Checks a memcached file together with the node's configuration that it would be used with.
+fn check_memcached(text: &str, node: &str) -> Vec<Finding> {
     let Ok(mut config) = config::parse(node) else {
         let text = "not judged: it needs a node's configuration that can be used".to_string();
-        return vec![Line {
-            json: serde_json::json!({"why": text}),
+        return vec![Finding {
+            json: json!({"why": text}),
             text,
             fatal: true,
         }];
@@ -57,11 +139,13 @@
     let problems = config::memcached(&mut config, text)
         .err()
         .unwrap_or_default();
-    let mut lines: Vec<Line> = problems
+    let mut findings: Vec<Finding> = problems
         .iter()
-        .map(|p| Line {
-            text: format!("problem: {p}"),
-            json: serde_json::json!({"line": p.line, "field": p.field, "why": p.why, "fatal": true}),
+        .map(|problem| Finding {
+            text: format!("problem: {problem}"),
+            json: json!({
+                "line": problem.line, "field": problem.field, "why": problem.why, "fatal": true,
+            }),
             fatal: true,
         })
         .collect();
@@ -69,55 +153,11 @@
     if listen.is_some_and(|at| at == config.listen || at == config.discovery) {
         let text = "problem: listen: is the address of the node's own listener or of discovery"
             .to_string();
-        lines.push(Line {
-            json: serde_json::json!({"field": "listen", "why": text}),
+        findings.push(Finding {
+            json: json!({"field": "listen", "why": text}),
             text,
             fatal: true,
         });
     }
-    lines
-}
-
-pub fn check(args: &Args) -> ExitCode {
-    let node_text = match std::fs::read_to_string(&args.file) {
-        Ok(text) => text,
-        Err(e) => {
-            eprintln!("{}: {e}", args.file.display());
-            return ExitCode::from(2);
-        }
-    };
-    let mut files = vec![(&args.file, node(&node_text))];
-    if let Some(file) = &args.memcached {
-        match std::fs::read_to_string(file) {
-            Ok(text) => files.push((file, memcached(&text, &node_text))),
-            Err(e) => {
-                eprintln!("{}: {e}", file.display());
-                return ExitCode::from(2);
-            }
-        }
-    }
-    let mut usable = true;
-    for (file, found) in files {
-        let name = file.display();
-        if args.json {
-            let list: Vec<_> = found.iter().map(|f| f.json.clone()).collect();
-            out::line(format!(
-                "{}",
-                serde_json::json!({"file": name.to_string(), "found": list})
-            ));
-        } else {
-            found
-                .iter()
-                .for_each(|f| out::line(format!("{name}: {}", f.text)));
-        }
-        match found.iter().filter(|f| f.fatal).count() {
-            0 if !args.json => out::line(format!("{name}: can be used")),
-            0 => {}
-            problems => {
-                eprintln!("{name}: can't be used: {problems} problem(s)");
-                usable = false;
-            }
-        }
-    }
-    ExitCode::from(if usable { 0 } else { 2 })
+    findings
 }
--- a/crates/sloewick/src/demo.rs
+++ b/crates/sloewick/src/demo.rs
@@ -1,18 +1,28 @@
-//! `sloewick demo`: a whole fleet on loopback, with live lines of what it does.
+//! `sloewick demo`: a complete fleet on loopback, with a live line for each second.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use clap::Args as ClapArgs;
 use sloewick_testbed::demo::{Demo, Nodes};
+use sloewick_testbed::judge::Judge;
+use sloewick_testbed::report::Report;
 use sloewick_testbed::scenario::{Fault, Kind, Scenario, Set, FAULTS};
+use thiserror::Error;
 
-use crate::out;
-use crate::speech::SpeechArgs;
+use crate::exit_code;
+use crate::output::{print_line, reject_input};
+use crate::protocol_options::ProtocolArgs;
 
-#[derive(ClapArgs)]
+/// Time after the last request in which the outcomes of requests become known.
+const OUTCOME_DELAY: Duration = Duration::from_millis(2500);
+/// Violations that are printed without `--json`.
+const MAX_VIOLATIONS_SHOWN: usize = 5;
+
+/// Arguments of `sloewick demo`.
+#[derive(clap::Args)]
 #[command(after_help = "\
 Examples:
   sloewick demo
@@ -22,14 +32,14 @@
   sloewick demo --front memcached --cache mixed
 
 All traffic stays on loopback: 127.0.0.1, or another address of 127.0.0.0/8 with --processes. `sloewick play --list` describes the faults.")]
-pub struct Args {
-    /// How long clients ask, in seconds
+pub(crate) struct Args {
+    /// How long clients send requests, in seconds
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u32).range(3..=3600))]
     seconds: u32,
-    /// Cache boxes
+    /// Number of cache servers
     #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u32).range(2..=100))]
     boxes: u32,
-    /// Nodes
+    /// Number of nodes
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..=8))]
     nodes: u32,
     /// Requests a second over all nodes
@@ -38,15 +48,15 @@
     /// A fault, begun after a third of the time and over after two thirds
     #[arg(long)]
     fault: Option<String>,
-    /// The seed of all that is drawn by chance (real sockets and clocks add chance of their own)
+    /// Seed of all random choices (real sockets and clocks add randomness of their own)
     #[arg(long, default_value_t = 1)]
     seed: u64,
     #[command(flatten)]
-    speech: SpeechArgs,
+    protocols: ProtocolArgs,
     /// Start each node as a process of its own, so that faults are signals to it
     #[arg(long)]
     processes: bool,
-    /// Others may ask the nodes, too: requests that are not of the fleet's own clients are not judged
+    /// Accept requests of other clients than the fleet's own; they are not checked against the rules
     #[arg(long)]
     visitors: bool,
     /// Print lines of JSON
@@ -54,40 +64,83 @@
     json: bool,
 }
 
-fn scenario(args: &Args) -> Result<Scenario, String> {
+/// Why a demo cannot be played as asked for.
+#[derive(Debug, Error)]
+enum DemoError {
+    #[error("--fault {name}: is no fault that real sockets can play; allowed: {allowed}")]
+    UnknownFault { name: String, allowed: String },
+    #[error("--processes: this program can't be found: {0}")]
+    NoProgram(std::io::Error),
+}
+
+/// Plays the demo until its time is over or it is interrupted.
+pub(crate) fn demo(args: &Args) -> ExitCode {
+    let scenario = match scenario(args) {
+        Ok(scenario) => scenario,
+        Err(error) => return reject_input(&error),
+    };
+    let interrupted = interrupt_flag();
+    let nodes = match nodes(args) {
+        Ok(nodes) => nodes,
+        Err(error) => return reject_input(&error),
+    };
+    let protocols = args.protocols.for_testbed();
+    let mut demo = match Demo::start(&scenario, args.seed, protocols, nodes) {
+        Ok(demo) => demo,
+        Err(error) => {
+            eprintln!("the fleet does not start: {error}");
+            return ExitCode::from(exit_code::RULE_BROKEN);
+        }
+    };
+    demo.judge.visitors = args.visitors;
+    if !args.json {
+        print_start(&demo, &scenario);
+    }
+    let mut second = 0;
+    while second < i64::from(args.seconds) && !interrupted.load(Ordering::Relaxed) {
+        second += 1;
+        play_second(&mut demo, second, args.json);
+    }
+    demo.go_on(OUTCOME_DELAY);
+    // An interrupt does not stop the clients at once.
+    let seconds = (demo.now() as f64 / 1e6).min(scenario.seconds);
+    let (judge, report) = demo.end();
+    if args.json {
+        print_json_summary(&judge, &report, seconds);
+    } else {
+        print_summary(&judge, &report, seconds);
+    }
+    if judge.breaches.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(exit_code::RULE_BROKEN)
+    }
+}
+
+/// A flag that is set by SIGINT and SIGTERM.
+fn interrupt_flag() -> Arc<AtomicBool> {
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        // Without a handler an interrupt ends the process at once, which leaves nothing behind either.
+        let _ = signal_hook::flag::register(signal, interrupted.clone());
+    }
+    interrupted
+}
+
+fn nodes(args: &Args) -> Result<Nodes, DemoError> {
+    let program: std::io::Result<PathBuf> = std::env::current_exe();
+    if args.processes {
+        program.map(Nodes::Processes).map_err(DemoError::NoProgram)
+    } else {
+        Ok(Nodes::Threads)
+    }
+}
+
+fn scenario(args: &Args) -> Result<Scenario, DemoError> {
     let third = f64::from(args.seconds) / 3.0;
     let mut faults = Vec::new();
     if let Some(name) = &args.fault {
-        let playable = || {
-            FAULTS
-                .iter()
-                .filter(|s| s.real)
-                .map(|s| s.name)
-                .collect::<Vec<_>>()
-                .join(", ")
-        };
-        let Some(spec) = FAULTS.iter().find(|s| s.name == name && s.real) else {
-            return Err(format!(
-                "--fault {name}: is no fault that real sockets can play; allowed: {}",
-                playable()
-            ));
-        };
-        let mut fault = Fault {
-            at: third,
-            name: spec.name,
-            set: Vec::new(),
-        };
-        // What lasts, lasts a third of the run at most; what is back, is back by then.
-        for (field, kind) in spec
-            .fields
-            .iter()
-            .filter(|(f, _)| ["for", "back", "over"].contains(f))
-        {
-            if let Kind::Number { usual, .. } = kind {
-                fault.set.push((field, Set::Number(usual.min(third))));
-            }
-        }
-        faults.push(fault);
+        faults.push(fault(name, third)?);
     }
     Ok(Scenario {
         name: args.fault.clone().unwrap_or_else(|| "calm".to_string()),
@@ -100,106 +153,95 @@
     })
 }
 
-pub fn demo(args: &Args) -> ExitCode {
-    let scenario = match scenario(args) {
-        Ok(scenario) => scenario,
-        Err(why) => {
-            eprintln!("{why}");
-            return ExitCode::from(2);
-        }
-    };
-    let interrupted = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
-        // Without it an interrupt ends the process at once, which leaves nothing behind either.
-        let _ = signal_hook::flag::register(signal, interrupted.clone());
-    }
-    let nodes = match std::env::current_exe() {
-        Ok(program) if args.processes => Nodes::Processes(program),
-        Err(e) if args.processes => {
-            eprintln!("--processes: this program can't be found: {e}");
-            return ExitCode::from(2);
-        }
-        _ => Nodes::Threads,
+/// The fault of this name, begun after a third of the run.
+fn fault(name: &str, third: f64) -> Result<Fault, DemoError> {
+    let playable = || FAULTS.iter().filter(|spec| spec.real);
+    let Some(spec) = playable().find(|spec| spec.name == name) else {
+        let allowed: Vec<_> = playable().map(|spec| spec.name).collect();
+        return Err(DemoError::UnknownFault {
+            name: name.to_string(),
+            allowed: allowed.join(", "),
+        });
     };
-    let mut demo = match Demo::start(&scenario, args.seed, args.speech.speech(), nodes) {
-        Ok(demo) => demo,
-        Err(e) => {
-            eprintln!("the fleet does not start: {e}");
-            return ExitCode::from(1);
-        }
-    };
-    demo.judge.visitors = args.visitors;
-    if !args.json {
-        out::line(format!(
-            "{} nodes, {} boxes, {} requests a second on loopback; fault: {}",
-            scenario.nodes, scenario.boxes, scenario.rate, scenario.name
-        ));
-        if demo.memcached {
-            for (node, (_, memcached)) in demo.listening().iter().enumerate() {
-                out::line(format!(
-                    "node {node} listens for memcached clients at {memcached}"
-                ));
-            }
+    // Durations are a third of the run at most; what comes back is back by then.
+    let durations = spec
+        .fields
+        .iter()
+        .filter(|(field, _)| ["for", "back", "over"].contains(field));
+    let mut set = Vec::new();
+    for (field, kind) in durations {
+        if let Kind::Number { usual, .. } = kind {
+            set.push((*field, Set::Number(usual.min(third))));
         }
     }
-    let mut second = 0;
-    while second < i64::from(args.seconds) && !interrupted.load(Ordering::Relaxed) {
-        second += 1;
-        let left = (second * 1_000_000 - demo.now()).max(0);
-        let said = demo.go_on(Duration::from_micros(left as u64));
-        for text in said.iter().filter(|_| !args.json) {
-            out::line(format!("{second:4} s  -- {text}"));
-        }
-        // A request's fate is known a moment later: lines are of the second before.
-        let mut span = demo.report.between(second - 2, second - 1);
-        if args.json {
-            let mut line = demo.report.json(&mut span, 1.0);
-            line["second"] = (second - 1).into();
-            line["faults"] = said.into();
-            out::line(format!("{line}"));
-        } else if second > 1 {
-            out::line(format!(
-                "{:4} s  {}",
-                second - 1,
-                demo.report.line(&mut span, 1.0)
+    Ok(Fault {
+        at: third,
+        name: spec.name,
+        set,
+    })
+}
+
+fn print_start(demo: &Demo, scenario: &Scenario) {
+    print_line(format!(
+        "{} nodes, {} boxes, {} requests a second on loopback; fault: {}",
+        scenario.nodes, scenario.boxes, scenario.rate, scenario.name
+    ));
+    if demo.memcached {
+        for (node, (_, memcached)) in demo.listening().iter().enumerate() {
+            print_line(format!(
+                "node {node} listens for memcached clients at {memcached}"
             ));
         }
     }
-    demo.go_on(Duration::from_millis(2500));
-    // An early end does not stop the clients at once.
-    let asked_for = (demo.now() as f64 / 1e6).min(scenario.seconds);
-    let (judge, report) = demo.end();
-    let mut whole = report.whole();
-    if args.json {
-        let mut line = report.json(&mut whole, asked_for);
-        line["summary"] = true.into();
-        line["worst_ten_seconds"] = report.worst_ten().into();
-        line["breaches"] = judge
-            .breaches
-            .iter()
-            .map(|b| b.to_string())
-            .collect::<Vec<_>>()
-            .into();
-        out::line(format!("{line}"));
-    } else {
-        out::line(format!(
-            "\nwhole run  {}",
-            report.line(&mut whole, asked_for)
-        ));
-        out::line(format!(
-            "{} attempts, {} client retries, {} writes took effect, {} repeats dropped; worst ten seconds {:.3}",
-            whole.attempts,
-            whole.retries,
-            whole.effects,
-            whole.dropped_repeats,
-            report.worst_ten()
+}
+
+/// Plays until the end of this second and prints what is known by then.
+fn play_second(demo: &mut Demo, second: i64, json: bool) {
+    let remaining = (second * 1_000_000 - demo.now()).max(0);
+    let announcements = demo.go_on(Duration::from_micros(remaining as u64));
+    // The outcome of a request is known a moment later: lines are of the second before.
+    let mut span = demo.report.between(second - 2, second - 1);
+    if json {
+        let mut line = demo.report.json(&mut span, 1.0);
+        line["second"] = (second - 1).into();
+        line["faults"] = announcements.into();
+        print_line(line.to_string());
+        return;
+    }
+    for text in &announcements {
+        print_line(format!("{second:4} s  -- {text}"));
+    }
+    if second > 1 {
+        print_line(format!(
+            "{:4} s  {}",
+            second - 1,
+            demo.report.line(&mut span, 1.0)
         ));
-        out::line(format!("rules broken: {}", judge.breaches.len()));
-        judge
-            .breaches
-            .iter()
-            .take(5)
-            .for_each(|b| out::line(format!("BROKEN {b}")));
     }
-    ExitCode::from(u8::from(!judge.breaches.is_empty()))
+}
+
+fn print_json_summary(judge: &Judge, report: &Report, seconds: f64) {
+    let breaches: Vec<_> = judge.breaches.iter().map(ToString::to_string).collect();
+    let mut line = report.json(&mut report.whole(), seconds);
+    line["summary"] = true.into();
+    line["worst_ten_seconds"] = report.worst_ten().into();
+    line["breaches"] = breaches.into();
+    print_line(line.to_string());
+}
+
+fn print_summary(judge: &Judge, report: &Report, seconds: f64) {
+    let mut total = report.whole();
+    print_line(format!("\nwhole run  {}", report.line(&mut total, seconds)));
+    print_line(format!(
+        "{} attempts, {} client retries, {} writes took effect, {} repeats dropped; worst ten seconds {:.3}",
+        total.attempts,
+        total.retries,
+        total.effects,
+        total.dropped_repeats,
+        report.worst_ten()
+    ));
+    print_line(format!("rules broken: {}", judge.breaches.len()));
+    for breach in judge.breaches.iter().take(MAX_VIOLATIONS_SHOWN) {
+        print_line(format!("BROKEN {breach}"));
+    }
 }
--- a/crates/sloewick/src/play.rs
+++ b/crates/sloewick/src/play.rs
@@ -1,21 +1,25 @@
-//! `sloewick play`: scenarios on virtual time.
+//! `sloewick play`: scenarios on virtual time, one run for each seed, checked against the rules.
 
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 use std::time::Instant;
 
-use clap::Args as ClapArgs;
 use sloewick_testbed::fleet::{self, Options, Outcome, Shown};
-use sloewick_testbed::judge::Left;
+use sloewick_testbed::judge::{Breach, Left};
 use sloewick_testbed::scenario::{self, Scenario};
+use thiserror::Error;
 
-use crate::out;
-use crate::runs;
-use crate::speech::SpeechArgs;
+use crate::exit_code;
+use crate::output::{print_line, reject_input};
+use crate::parallel_runs;
+use crate::protocol_options::ProtocolArgs;
 
-/// Exit code where an interrupt ended the runs and no rule was broken: as of a shell's Ctrl-C.
-const INTERRUPTED: u8 = 130;
+/// The name of the scenario whose faults are drawn from the seed.
+const SWARM: &str = "swarm";
 
-#[derive(ClapArgs)]
+/// Arguments of `sloewick play`.
+#[derive(clap::Args)]
 #[command(after_help = "\
 Examples:
   sloewick play main-break --seed 3
@@ -24,28 +28,28 @@
   sloewick play my-evening.toml --shrink
   sloewick play rolling-deploy --front memcached --cache later
 
-A scenario is the name of a shipped one (--list), `swarm` (faults mixed by chance from the seed), or a TOML file.")]
-pub struct Args {
+A scenario is the name of a shipped one (--list), `swarm` (faults drawn at random from the seed), or a TOML file.")]
+pub(crate) struct Args {
     /// A shipped scenario, `swarm`, or a file
     scenario: Option<String>,
-    /// The seed that all chance comes from
+    /// Seed of all random choices
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// How many seeds to play, one after another from --seed; Ctrl-C ends early and tells what was seen
+    /// How many seeds to play, one after another from --seed; Ctrl-C ends early and prints the summary so far
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..))]
     runs: u64,
     /// Runs at a time; without it one for each core
     #[arg(long, value_parser = clap::builder::RangedU64ValueParser::<usize>::new().range(1..=1024))]
     jobs: Option<usize>,
     #[command(flatten)]
-    speech: SpeechArgs,
-    /// Print every fact that the peers saw, and what the nodes logged
+    protocols: ProtocolArgs,
+    /// Print everything that clients, cache servers and discovery observed, and the nodes' log lines
     #[arg(long)]
     log: bool,
     /// Print the result as JSON
     #[arg(long)]
     json: bool,
-    /// When a rule breaks, look for a shorter schedule that still breaks it
+    /// When a rule is broken, search for a shorter schedule that still breaks it
     #[arg(long)]
     shrink: bool,
     /// Print the scenario as TOML and play nothing
@@ -56,254 +60,322 @@
     list: bool,
 }
 
+/// Why there is nothing to play.
+#[derive(Debug, Error)]
+enum PlayError {
+    #[error("no scenario; --list names the shipped ones")]
+    NoScenario,
+    #[error("{name}: {error}; it is no file and no shipped scenario ({SWARM}, {shipped})")]
+    NotFound {
+        name: String,
+        error: std::io::Error,
+        shipped: String,
+    },
+    /// One line for each problem of a file.
+    #[error("{0}")]
+    Invalid(String),
+}
+
+/// Plays what the arguments ask for.
+pub(crate) fn play(args: &Args) -> ExitCode {
+    if args.list {
+        list();
+        return ExitCode::SUCCESS;
+    }
+    let Some(name) = &args.scenario else {
+        return reject_input(&PlayError::NoScenario);
+    };
+    let result = if args.show {
+        show(args, name)
+    } else {
+        play_runs(args, name)
+    };
+    result.unwrap_or_else(|error| reject_input(&error))
+}
+
 fn list() {
-    out::line("scenarios:");
+    print_line("scenarios:");
     for (name, text) in scenario::SHIPPED {
-        let about = scenario::parse(text).map(|s| s.about).unwrap_or_default();
-        out::line(format!("  {name:20} {about}"));
+        let about = scenario::parse(text)
+            .map(|scenario| scenario.about)
+            .unwrap_or_default();
+        print_line(format!("  {name:20} {about}"));
     }
-    out::line(format!(
-        "  {:20} faults mixed by chance from the seed",
-        "swarm"
-    ));
-    out::line("\nfaults (of [[fault]] tables: kind, at, and):");
+    print_line(format!("  {SWARM:20} faults mixed by chance from the seed"));
+    print_line("\nfaults (of [[fault]] tables: kind, at, and):");
     for spec in scenario::FAULTS {
-        out::line(format!("  {:20} {}", spec.name, spec.about));
+        print_line(format!("  {:20} {}", spec.name, spec.about));
         for (name, kind) in spec.fields {
-            out::line(format!("      {name}: {}", scenario::allowed(kind)));
+            print_line(format!("      {name}: {}", scenario::allowed(kind)));
         }
     }
 }
 
-/// The scenario that a word or a file stands for.
-pub fn find(name: &str, seed: u64) -> Result<Scenario, String> {
-    if name == "swarm" {
+/// The scenario with this name, or in this file.
+fn find(name: &str, seed: u64) -> Result<Scenario, PlayError> {
+    if name == SWARM {
         return Ok(scenario::swarm(seed));
     }
     let shipped = scenario::SHIPPED
         .iter()
         .find(|(shipped, _)| *shipped == name);
     let text = match shipped {
-        Some((_, text)) => text.to_string(),
-        None => std::fs::read_to_string(name).map_err(|e| {
-            let known: Vec<&str> = scenario::SHIPPED.iter().map(|(n, _)| *n).collect();
-            format!(
-                "{name}: {e}; it is no file and no shipped scenario (swarm, {})",
-                known.join(", ")
-            )
+        Some((_, text)) => (*text).to_string(),
+        None => std::fs::read_to_string(name).map_err(|error| {
+            let names: Vec<&str> = scenario::SHIPPED.iter().map(|(name, _)| *name).collect();
+            PlayError::NotFound {
+                name: name.to_string(),
+                error,
+                shipped: names.join(", "),
+            }
         })?,
     };
-    scenario::parse(&text).map_err(|wrong| {
-        let lines: Vec<String> = wrong
+    scenario::parse(&text).map_err(|problems| {
+        let lines: Vec<String> = problems
             .iter()
-            .map(|w| format!("{name}:{}: {}", w.line, w.why))
+            .map(|problem| format!("{name}:{}: {}", problem.line, problem.why))
             .collect();
-        lines.join("\n")
+        PlayError::Invalid(lines.join("\n"))
     })
 }
 
-pub fn play(args: &Args) -> ExitCode {
-    if args.list {
-        list();
-        return ExitCode::SUCCESS;
-    }
-    let Some(name) = &args.scenario else {
-        eprintln!("no scenario; --list names the shipped ones");
-        return ExitCode::from(2);
-    };
-    if args.show {
-        return show(args, name);
+fn show(args: &Args, name: &str) -> Result<ExitCode, PlayError> {
+    for seed in args.seed..args.seed.saturating_add(args.runs) {
+        print_line(scenario::write(&find(name, seed)?).trim_end());
     }
-    // A scenario that can't be read is told before anything is played; a swarm's differs with each seed.
-    let read = match find(name, args.seed) {
-        Ok(scenario) => scenario,
-        Err(why) => {
-            eprintln!("{why}");
-            return ExitCode::from(2);
-        }
-    };
+    Ok(ExitCode::SUCCESS)
+}
+
+fn play_runs(args: &Args, name: &str) -> Result<ExitCode, PlayError> {
+    // Problems of a scenario are reported before anything is played; a swarm differs with each seed.
+    let scenario = find(name, args.seed)?;
     let begun = Instant::now();
     let runs = args.runs.min((u64::MAX - args.seed).saturating_add(1));
-    let run = |n: u64| {
-        let seed = args.seed + n;
-        let swarm = (name == "swarm").then(|| scenario::swarm(seed));
-        one(args, name, seed, swarm.as_ref().unwrap_or(&read))
-    };
-    // Facts are printed as they come: one run at a time.
-    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let jobs = if args.log {
-        1
-    } else {
-        args.jobs.unwrap_or(cores)
+    let run = |number: u64| {
+        let seed = args.seed + number;
+        let swarm = (name == SWARM).then(|| scenario::swarm(seed));
+        play_seed(args, name, seed, swarm.as_ref().unwrap_or(&scenario))
     };
     let stop = if args.runs > 1 {
-        runs::interrupted()
+        parallel_runs::interrupt_flag()
     } else {
-        Default::default()
+        Arc::new(AtomicBool::new(false))
     };
-    let (mut played, mut broken, mut left, mut fullest) = (0.0, 0u64, Left::default(), 0.0f64);
-    let told = runs::all(runs, jobs, &stop, run, |run: Run| {
-        run.out.iter().for_each(out::line);
-        run.err.iter().for_each(|line| eprintln!("{line}"));
-        played += run.played;
-        broken += u64::from(run.broken);
-        left.requests += run.left.requests;
-        left.late += run.left.late;
-        left.sent_on += run.left.sent_on;
-        fullest = fullest.max(run.fullest);
-        run.broken
+    let mut summary = Summary::default();
+    let played = parallel_runs::run_all(runs, jobs(args), &stop, run, |run: Run| {
+        run.stdout.iter().for_each(print_line);
+        run.stderr.iter().for_each(|line| eprintln!("{line}"));
+        summary.add(&run);
+        run.rule_broken
     });
+    let interrupted = played < runs;
     if args.runs > 1 {
-        let took = begun.elapsed().as_secs_f64();
-        let summary = format!(
-            "{told} runs, {broken} with a broken rule; {played:.0} fleet-seconds in {took:.1} s: {:.0} a second; \
-             {} requests whose client left, {} sent on over 0.1 s later and {} over 0.35 s; a cold box was sent {fullest:.2} \
-             of what it bears at most",
-            played / took,
-            left.requests,
-            left.late,
-            left.sent_on
-        );
-        if told < runs {
-            let next = args.seed + told;
-            out::line(format!(
-                "interrupted: {summary}; {} of {runs} not played, from seed {next}",
-                runs - told
+        let text = summary.text(played, begun.elapsed().as_secs_f64());
+        if interrupted {
+            let next = args.seed + played;
+            print_line(format!(
+                "interrupted: {text}; {} of {runs} not played, from seed {next}",
+                runs - played
             ));
         } else {
-            out::line(summary);
+            print_line(text);
         }
     }
-    match (broken, told < runs) {
-        (0, false) => ExitCode::SUCCESS,
-        (0, true) => ExitCode::from(INTERRUPTED),
-        _ => ExitCode::from(1),
+    Ok(if summary.broken > 0 {
+        ExitCode::from(exit_code::RULE_BROKEN)
+    } else if interrupted {
+        ExitCode::from(exit_code::INTERRUPTED)
+    } else {
+        ExitCode::SUCCESS
+    })
+}
+
+/// Runs at a time. With `--log` observations are printed at once: one run at a time.
+fn jobs(args: &Args) -> usize {
+    if args.log {
+        return 1;
     }
+    let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    args.jobs.unwrap_or(cores)
 }
 
-fn show(args: &Args, name: &str) -> ExitCode {
-    for seed in args.seed..args.seed.saturating_add(args.runs) {
-        match find(name, seed) {
-            Ok(scenario) => out::line(scenario::write(&scenario).trim_end()),
-            Err(why) => {
-                eprintln!("{why}");
-                return ExitCode::from(2);
-            }
-        }
+/// Totals over all runs.
+#[derive(Default)]
+struct Summary {
+    /// Seconds of virtual time.
+    fleet_seconds: f64,
+    /// Runs in which a rule was broken.
+    broken: u64,
+    /// Requests whose client disconnected.
+    disconnects: Left,
+    /// The largest load of a server that was warming up, as a fraction of its capacity.
+    max_warming_load: f64,
+}
+
+impl Summary {
+    fn add(&mut self, run: &Run) {
+        self.fleet_seconds += run.fleet_seconds;
+        self.broken += u64::from(run.rule_broken);
+        self.disconnects.requests += run.disconnects.requests;
+        self.disconnects.late += run.disconnects.late;
+        self.disconnects.sent_on += run.disconnects.sent_on;
+        self.max_warming_load = self.max_warming_load.max(run.max_warming_load);
+    }
+
+    /// `seconds`: real time that the runs took.
+    fn text(&self, runs: u64, seconds: f64) -> String {
+        format!(
+            "{runs} runs, {} with a broken rule; {:.0} fleet-seconds in {seconds:.1} s: {:.0} a second; \
+             {} requests whose client left, {} sent on over 0.1 s later and {} over 0.35 s; a cold box was sent {:.2} \
+             of what it bears at most",
+            self.broken,
+            self.fleet_seconds,
+            self.fleet_seconds / seconds,
+            self.disconnects.requests,
+            self.disconnects.late,
+            self.disconnects.sent_on,
+            self.max_warming_load
+        )
     }
-    ExitCode::SUCCESS
 }
 
-/// What a run came to: its lines, how much was played, whether a rule broke.
+/// The result of one run.
 struct Run {
-    out: Vec<String>,
-    err: Vec<String>,
-    played: f64,
-    broken: bool,
-    left: Left,
-    fullest: f64,
+    stdout: Vec<String>,
+    stderr: Vec<String>,
+    fleet_seconds: f64,
+    rule_broken: bool,
+    disconnects: Left,
+    max_warming_load: f64,
 }
 
-fn one(args: &Args, name: &str, seed: u64, scenario: &Scenario) -> Run {
+fn play_seed(args: &Args, name: &str, seed: u64, scenario: &Scenario) -> Run {
     let mut options = Options {
-        speech: args.speech.speech(),
+        speech: args.protocols.for_testbed(),
         ..Options::default()
     };
     if args.log {
         options.watch = Some(Box::new(|shown| match shown {
-            Shown::Fact(fact) => out::line(fact.to_string()),
-            Shown::Logged(line) => out::line(format!("{line} (logged)")),
+            Shown::Fact(fact) => print_line(fact.to_string()),
+            Shown::Logged(line) => print_line(format!("{line} (logged)")),
         }));
     }
-    let began = Instant::now();
+    let begun = Instant::now();
     let outcome = fleet::play(scenario, seed, options);
-    let played = outcome.played as f64 / 1e6;
-    let broken = !outcome.breaches.is_empty();
-    let (left, fullest) = (outcome.left, outcome.fullest);
-    let (out, err) = tell(
+    let played = PlayedSeed {
         args,
         name,
         seed,
         scenario,
         outcome,
-        began.elapsed().as_secs_f64(),
-    );
+        seconds: begun.elapsed().as_secs_f64(),
+    };
     Run {
-        out,
-        err,
-        played,
-        broken,
-        left,
-        fullest,
+        stdout: played.report(),
+        stderr: played.violations(),
+        fleet_seconds: played.fleet_seconds(),
+        rule_broken: !played.outcome.breaches.is_empty(),
+        disconnects: played.outcome.left,
+        max_warming_load: played.outcome.fullest,
     }
 }
 
-fn tell(
-    args: &Args,
-    name: &str,
+/// A run that has ended, and what it was played with.
+struct PlayedSeed<'a> {
+    args: &'a Args,
+    name: &'a str,
     seed: u64,
-    scenario: &Scenario,
+    scenario: &'a Scenario,
     outcome: Outcome,
-    took: f64,
-) -> (Vec<String>, Vec<String>) {
-    let (mut out, mut err) = (Vec::new(), Vec::new());
-    let seconds = scenario.seconds;
-    let report = &outcome.report;
-    let mut whole = report.whole();
-    let mut json = report.json(&mut whole, seconds);
-    if args.json {
-        json["scenario"] = scenario.name.clone().into();
-        json["seed"] = seed.into();
+    /// Real time that the run took.
+    seconds: f64,
+}
+
+impl PlayedSeed<'_> {
+    fn fleet_seconds(&self) -> f64 {
+        self.outcome.played as f64 / 1e6
+    }
+
+    /// Lines for standard output.
+    fn report(&self) -> Vec<String> {
+        if self.args.json {
+            vec![self.json()]
+        } else if self.args.runs == 1 || !self.outcome.breaches.is_empty() {
+            self.text()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn json(&self) -> String {
+        let outcome = &self.outcome;
+        let report = &outcome.report;
+        let breaches: Vec<_> = outcome.breaches.iter().map(Breach::to_string).collect();
+        let mut json = report.json(&mut report.whole(), self.scenario.seconds);
+        json["scenario"] = self.scenario.name.clone().into();
+        json["seed"] = self.seed.into();
         json["digest"] = format!("{:016x}", outcome.digest).into();
         json["left"] = outcome.left.requests.into();
         json["left_late"] = outcome.left.late.into();
         json["cold_most"] = outcome.fullest.into();
         json["left_sent_on"] = outcome.left.sent_on.into();
         json["worst_ten_seconds"] = report.worst_ten().into();
-        json["breaches"] = outcome
-            .breaches
-            .iter()
-            .map(|b| b.to_string())
-            .collect::<Vec<_>>()
-            .into();
-        out.push(format!("{json}"));
-    } else if args.runs == 1 || !outcome.breaches.is_empty() {
-        out.push(format!(
-            "{} seed {seed}: {} nodes, {} boxes; digest {:016x}; {:.0} fleet-seconds a second",
-            scenario.name,
-            scenario.nodes,
-            scenario.boxes,
-            outcome.digest,
-            outcome.played as f64 / 1e6 / took
-        ));
-        out.push(format!("  {}", report.line(&mut whole, seconds)));
-        out.push(format!(
-            "  worst ten seconds {:.3}; {} attempts, {} retries, {} effects, {} repeats dropped, {} descriptors at most, \
-             a cold box was sent {:.2} of what it bears",
-            report.worst_ten(),
-            whole.attempts,
-            whole.retries,
-            whole.effects,
-            whole.dropped_repeats,
-            outcome.descriptors,
-            outcome.fullest
-        ));
+        json["breaches"] = breaches.into();
+        json.to_string()
     }
-    for breach in &outcome.breaches {
-        err.push(format!("BROKEN {breach}"));
+
+    fn text(&self) -> Vec<String> {
+        let (scenario, outcome) = (self.scenario, &self.outcome);
+        let report = &outcome.report;
+        let mut total = report.whole();
+        vec![
+            format!(
+                "{} seed {}: {} nodes, {} boxes; digest {:016x}; {:.0} fleet-seconds a second",
+                scenario.name,
+                self.seed,
+                scenario.nodes,
+                scenario.boxes,
+                outcome.digest,
+                self.fleet_seconds() / self.seconds
+            ),
+            format!("  {}", report.line(&mut total, scenario.seconds)),
+            format!(
+                "  worst ten seconds {:.3}; {} attempts, {} retries, {} effects, {} repeats dropped, {} descriptors at \
+                 most, a cold box was sent {:.2} of what it bears",
+                report.worst_ten(),
+                total.attempts,
+                total.retries,
+                total.effects,
+                total.dropped_repeats,
+                outcome.descriptors,
+                outcome.fullest
+            ),
+        ]
     }
-    if let Some(breach) = outcome.breaches.first() {
-        let words = args.speech.words();
-        err.push(format!(
-            "replay: sloewick play {name} --seed {seed}{words} --log"
+
+    /// Lines for standard error: broken rules, and how to replay them.
+    fn violations(&self) -> Vec<String> {
+        let breaches = &self.outcome.breaches;
+        let mut lines: Vec<String> = breaches
+            .iter()
+            .map(|breach| format!("BROKEN {breach}"))
+            .collect();
+        let Some(first) = breaches.first() else {
+            return lines;
+        };
+        let (name, seed) = (self.name, self.seed);
+        let options = self.args.protocols.command_line();
+        lines.push(format!(
+            "replay: sloewick play {name} --seed {seed}{options} --log"
         ));
-        if args.shrink {
-            let less = fleet::shrink(scenario, seed, breach.rule, None, args.speech.speech());
-            err.push(format!(
-                "shortest schedule found (save it and play it with --seed {seed}{words}):"
+        if self.args.shrink {
+            let protocols = self.args.protocols.for_testbed();
+            let shortest = fleet::shrink(self.scenario, seed, first.rule, None, protocols);
+            lines.push(format!(
+                "shortest schedule found (save it and play it with --seed {seed}{options}):"
             ));
-            err.push(scenario::write(&less).trim_end().to_string());
+            lines.push(scenario::write(&shortest).trim_end().to_string());
         }
+        lines
     }
-    (out, err)
 }
--- /dev/null
+++ b/crates/sloewick/src/protocol_options.rs
@@ -0,0 +1,79 @@
+//! Options that select the protocols of a fleet's clients and cache servers.
+
+use clap::{Args, ValueEnum};
+use sloewick_testbed::site::{Boxes, Clients, Speech};
+
+#[derive(Clone, Copy, ValueEnum)]
+enum ClientProtocol {
+    /// RESP2
+    Resp,
+    /// The memcached binary protocol
+    Memcached,
+    /// Requests alternate between the two protocols
+    Both,
+    /// RESP2 by clients that send no more than memcached clients can
+    RespByKey,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum CacheProtocol {
+    /// RESP2
+    Resp,
+    /// The memcached binary protocol
+    Memcached,
+    /// Every second cache server the memcached binary protocol
+    Mixed,
+    /// Cache servers that are started during the run the memcached binary protocol
+    Later,
+}
+
+/// The options `--front` and `--cache`.
+#[derive(Args)]
+pub(crate) struct ProtocolArgs {
+    /// Protocol of the clients
+    #[arg(long, value_enum, default_value = "resp")]
+    front: ClientProtocol,
+    /// Protocol of the cache servers
+    #[arg(long, value_enum, default_value = "resp")]
+    cache: CacheProtocol,
+}
+
+impl ProtocolArgs {
+    /// The options as the testbed takes them.
+    pub(crate) fn for_testbed(&self) -> Speech {
+        Speech {
+            clients: match self.front {
+                ClientProtocol::Resp => Clients::Resp,
+                ClientProtocol::Memcached => Clients::Memcached,
+                ClientProtocol::Both => Clients::Both,
+                ClientProtocol::RespByKey => Clients::RespByKey,
+            },
+            boxes: match self.cache {
+                CacheProtocol::Resp => Boxes::Resp,
+                CacheProtocol::Memcached => Boxes::Memcached,
+                CacheProtocol::Mixed => Boxes::Mixed,
+                CacheProtocol::Later => Boxes::Later,
+            },
+        }
+    }
+
+    /// The options on a command line that repeats a run; those with their default are left out.
+    pub(crate) fn command_line(&self) -> String {
+        let mut text = String::new();
+        if !matches!(self.front, ClientProtocol::Resp) {
+            text += " --front ";
+            text += &option_value(&self.front);
+        }
+        if !matches!(self.cache, CacheProtocol::Resp) {
+            text += " --cache ";
+            text += &option_value(&self.cache);
+        }
+        text
+    }
+}
+
+fn option_value(value: &impl ValueEnum) -> String {
+    value
+        .to_possible_value()
+        .map_or_else(String::new, |value| value.get_name().to_string())
+}
--- /dev/null
+++ b/crates/sloewick/src/run.rs
@@ -0,0 +1,135 @@
+//! `sloewick run`: a node of the gateway, until it is signalled to stop.
+//!
+//! The configuration is read, checked and completed from the environment before a socket is opened; a node never
+//! starts on one under which nothing could be served.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use sloewick_decision::settings::SettingsError;
+use sloewick_node::config::Config;
+use sloewick_node::mio_transport::MioTransport;
+use sloewick_node::node::Node;
+use sloewick_node::{config, config_check};
+use thiserror::Error;
+
+use crate::exit_code;
+
+/// The environment variable that names the configuration file.
+const CONFIG_VARIABLE: &str = "BALANCER_CONFIG";
+
+/// Arguments of `sloewick run`.
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// Serve memcached clients and use memcached cache servers, as this TOML file configures (see docs/memcached.md)
+    #[arg(long, value_name = "FILE")]
+    memcached: Option<PathBuf>,
+    /// Write a line for each event to standard error, for `sloewick trace` (see docs/fleet-size.md)
+    #[arg(long)]
+    trace: bool,
+}
+
+/// Why a node does not start, or has ended.
+#[derive(Debug, Error)]
+enum RunError {
+    #[error("field BALANCER_CONFIG: is not set")]
+    NoConfiguration,
+    #[error("field BALANCER_CONFIG: {path}: {error}")]
+    UnreadableConfiguration { path: String, error: std::io::Error },
+    #[error("{0}")]
+    Configuration(SettingsError),
+    #[error("field --memcached: {path}: {reason}")]
+    Memcached { path: String, reason: String },
+    #[error("field signals: {0}")]
+    Signals(std::io::Error),
+    #[error("field listen: {address}: {error}")]
+    Listen {
+        address: std::net::SocketAddr,
+        error: std::io::Error,
+    },
+    #[error("field poll: {0}")]
+    EventLoop(std::io::Error),
+}
+
+/// Runs a node until it is signalled to stop.
+pub(crate) fn run(args: &Args) -> ExitCode {
+    match run_node(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            // Not as a line of the log: that is truncated, and the end of this one says what to do.
+            let _ = writeln!(std::io::stderr(), "{error}");
+            ExitCode::from(exit_code::UNUSABLE_INPUT)
+        }
+    }
+}
+
+fn run_node(args: &Args) -> Result<(), RunError> {
+    let path = std::env::var(CONFIG_VARIABLE).map_err(|_| RunError::NoConfiguration)?;
+    let config = read_config(&path, args)?;
+    let listen = config.listen;
+    let mut transport = MioTransport::with_signals().map_err(RunError::Signals)?;
+    if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
+        // Without a snapshot the next process learns anew; this one serves all the same.
+        if let Err(error) = transport.keep_in(folder.as_ref()) {
+            let _ = writeln!(std::io::stderr(), "handover: not kept: {error}");
+        }
+    }
+    let reload = Box::new(move || config::read(&path));
+    let node = Node::new(config, transport, reload).map_err(|error| RunError::Listen {
+        address: listen,
+        error,
+    })?;
+    node.run().map_err(RunError::EventLoop)
+}
+
+/// The configuration of files, environment and options.
+fn read_config(path: &str, args: &Args) -> Result<Config, RunError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| RunError::UnreadableConfiguration {
+            path: path.to_string(),
+            error,
+        })?;
+    let mut config = parse_checked(&text).map_err(RunError::Configuration)?;
+    if let Some(file) = &args.memcached {
+        read_memcached(&mut config, file)?;
+    }
+    config::surroundings(&mut config, |name| std::env::var(name).ok())
+        .map_err(RunError::Configuration)?;
+    config.trace = args.trace;
+    Ok(config)
+}
+
+fn read_memcached(config: &mut Config, file: &Path) -> Result<(), RunError> {
+    let unusable = |reason: String| RunError::Memcached {
+        path: file.display().to_string(),
+        reason,
+    };
+    let text = std::fs::read_to_string(file).map_err(|error| unusable(error.to_string()))?;
+    config::memcached(config, &text).map_err(|problems| {
+        let all: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        unusable(all.join("; "))
+    })
+}
+
+/// Parses a configuration, which also has to be meaningful: with a timeout of 0, or a share of 7, nothing is served.
+fn parse_checked(text: &str) -> Result<Config, SettingsError> {
+    let problem = config_check::check(text)
+        .into_iter()
+        .find(|found| found.fatal);
+    match (config::parse(text), problem) {
+        (Ok(config), None) => Ok(config),
+        // The check names the complete path, the value and an example.
+        (parsed, Some(problem))
+            if parsed.is_ok()
+                || problem.field.starts_with("settings.") && problem.value != "missing" =>
+        {
+            let why = format!(
+                "{}: {}; for example {}",
+                problem.value, problem.why, problem.example
+            );
+            Err(SettingsError::new(&problem.field, why))
+        }
+        (parsed, _) => parsed,
+    }
+}
--- a/crates/sloewick/src/trace.rs
+++ b/crates/sloewick/src/trace.rs
@@ -1,16 +1,20 @@
-//! `sloewick trace`: counts the traces of a fleet's nodes together, second by second.
+//! `sloewick trace`: counts the events in the traces of a fleet's nodes, second by second.
+//!
+//! Reads the logs that this version and the one before write; memory is bounded whatever the files hold.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Args as ClapArgs;
+use thiserror::Error;
 
-use crate::out;
+use crate::output::{print_line, reject_input};
 
-#[derive(ClapArgs)]
+/// Arguments of `sloewick trace`.
+#[derive(clap::Args)]
 #[command(after_help = "\
 Examples:
   sloewick trace logs
@@ -21,7 +25,7 @@
 as a collector of logs may put it, is the fleet's time; without it the node's own time counts.
 
 Exit codes: 0 done, 2 input that can't be used.")]
-pub struct Args {
+pub(crate) struct Args {
     /// The folder with the nodes' logs
     folder: PathBuf,
     /// Count from this second on
@@ -30,7 +34,7 @@
     /// Count until this second
     #[arg(long, value_name = "SECONDS")]
     to: Option<f64>,
-    /// Also list so many servers, those with the most attempts not answered first
+    /// Also list this many servers, those with the most attempts without a reply first
     #[arg(long, value_name = "N", default_value_t = 0)]
     servers: usize,
     /// Print the counts as JSON
@@ -38,64 +42,123 @@
     json: bool,
 }
 
-/// Longest line that is read; the node writes none over 400 characters.
-const LINE_MOST: u64 = 4096;
-/// Seconds, and servers, that are told apart at the most; what lies beyond is left out and said.
-const SECONDS_MOST: u64 = 100_000;
-const SERVERS_MOST: usize = 10_000;
+/// Longest line that is read, in bytes; the node writes none over 400 characters.
+const MAX_LINE_BYTES: u64 = 4096;
+/// Seconds that are counted; later lines are reported as unread.
+const MAX_SECONDS: u64 = 100_000;
+/// Servers that are counted.
+const MAX_SERVERS: usize = 10_000;
 /// Requests of one node that are followed at a time.
-const REQUESTS_MOST: usize = 100_000;
+const MAX_OPEN_REQUESTS: usize = 100_000;
+
+/// What begins a line of the trace, behind the collector's time.
+const TRACE_MARK: &str = "trace t=";
+/// Stands for a field that a line does not have.
+const MISSING_FIELD: &str = "untold";
 
 type Counts = BTreeMap<String, u64>;
 
-/// What was counted.
-#[derive(Default)]
-struct Summary {
-    seconds: BTreeMap<u64, Counts>,
-    servers: HashMap<String, Counts>,
-    /// Lines of the trace that could not be read, or lay beyond the bounds.
-    unread: u64,
+/// Why nothing can be counted.
+#[derive(Debug, Error)]
+enum TraceError {
+    #[error("--from, --to: must be seconds from 0 on, the second beyond the first")]
+    Window,
+    #[error("{path}: {error}")]
+    Unreadable { path: String, error: std::io::Error },
+    #[error("{folder}: no line of a trace in {files} files; is `run --trace` on?")]
+    NoTrace { folder: String, files: usize },
 }
 
-/// Sends so far of each of a node's open requests.
-#[derive(Default)]
-struct Open(HashMap<String, u32>);
+/// The seconds that are counted: from `from` on, before `to`.
+#[derive(Clone, Copy)]
+struct Window {
+    from: f64,
+    to: f64,
+}
 
-impl Summary {
-    /// Takes up a line; those that are no trace are passed over.
-    fn line(&mut self, line: &str, window: (f64, f64), open: &mut Open) {
-        let Some((before, trace)) = line.split_once("trace t=") else {
-            return;
-        };
+impl Window {
+    fn new(from: f64, to: f64) -> Result<Window, TraceError> {
+        if from.is_nan() || from < 0.0 || to.is_nan() || to <= from {
+            return Err(TraceError::Window);
+        }
+        Ok(Window { from, to })
+    }
+
+    fn contains(self, second: f64) -> bool {
+        second >= self.from && second < self.to
+    }
+}
+
+/// A line of the trace.
+struct Event<'a> {
+    /// Seconds: the collector's time if it stands in front, else the node's own.
+    second: f64,
+    kind: &'a str,
+    fields: HashMap<&'a str, &'a str>,
+}
+
+impl<'a> Event<'a> {
+    /// Parses the text in front of the mark, and the text behind it.
+    fn parse(before: &str, trace: &'a str) -> Option<Event<'a>> {
         let mut words = trace.split_whitespace();
-        let own = words.next().and_then(|t| t.parse::<u64>().ok());
-        let (Some(own), Some(what)) = (own, words.next()) else {
-            self.unread += 1;
-            return;
-        };
-        let fields: HashMap<&str, &str> = words.filter_map(|word| word.split_once('=')).collect();
-        let field = |name: &str| fields.get(name).copied().unwrap_or("untold");
-        let key = match what {
+        let node_time = words.next()?.parse::<u64>().ok()?;
+        let kind = words.next()?;
+        let collector_time = before
+            .trim()
+            .parse::<f64>()
+            .ok()
+            .filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+        Some(Event {
+            second: collector_time.unwrap_or(node_time as f64 / 1e6),
+            kind,
+            fields: words.filter_map(|word| word.split_once('=')).collect(),
+        })
+    }
+
+    fn field(&self, name: &str) -> &'a str {
+        self.fields.get(name).copied().unwrap_or(MISSING_FIELD)
+    }
+}
+
+/// Attempts so far of each request of one node that has not ended.
+#[derive(Default)]
+struct OpenRequests(HashMap<String, u32>);
+
+impl OpenRequests {
+    fn begin(&mut self, id: &str) {
+        if self.0.len() >= MAX_OPEN_REQUESTS {
+            self.0.clear();
+        }
+        self.0.insert(id.to_string(), 0);
+    }
+
+    /// Counts an attempt; its ordinal.
+    fn attempt(&mut self, id: &str) -> &'static str {
+        let attempts = self.0.entry(id.to_string()).or_default();
+        *attempts += 1;
+        match *attempts {
+            1 => "first",
+            2 => "second",
+            _ => "later",
+        }
+    }
+
+    fn end(&mut self, id: &str) {
+        self.0.remove(id);
+    }
+
+    /// The row that counts this event; none for an unknown kind.
+    fn row(&mut self, event: &Event<'_>) -> Option<String> {
+        let field = |name: &str| event.field(name);
+        Some(match event.kind {
             "request" => {
-                if open.0.len() >= REQUESTS_MOST {
-                    open.0.clear();
-                }
-                open.0.insert(field("id").to_string(), 0);
+                self.begin(field("id"));
                 format!("requests of class {}", field("class"))
             }
-            "send" => {
-                let sends = open.0.entry(field("id").to_string()).or_default();
-                *sends += 1;
-                format!(
-                    "attempts, {}",
-                    ["first", "second"]
-                        .get(*sends as usize - 1)
-                        .unwrap_or(&"later")
-                )
-            }
+            "send" => format!("attempts, {}", self.attempt(field("id"))),
             "outcome" => format!("outcomes, {}", field("how")),
             "end" => {
-                open.0.remove(field("id"));
+                self.end(field("id"));
                 format!("ended, {} by {}", field("how"), field("why"))
             }
             "conn" => format!("connections, {}", field("step")),
@@ -103,36 +166,52 @@
             "ask" => "calls to discovery".to_string(),
             "probed" => format!("probes, {}", field("how")),
             "left" => "clients that left".to_string(),
-            _ => {
-                self.unread += 1;
-                return;
-            }
+            _ => return None,
+        })
+    }
+}
+
+/// Counts over all nodes.
+#[derive(Default)]
+struct Summary {
+    seconds: BTreeMap<u64, Counts>,
+    servers: HashMap<String, Counts>,
+    /// Lines of the trace that could not be parsed, or lay beyond the bounds.
+    unread: u64,
+}
+
+impl Summary {
+    /// Counts a line of a log; those that are not of the trace are skipped.
+    fn add_line(&mut self, line: &str, window: Window, open: &mut OpenRequests) {
+        let Some((before, trace)) = line.split_once(TRACE_MARK) else {
+            return;
         };
-        let at = before
-            .trim()
-            .parse::<f64>()
-            .ok()
-            .filter(|t| t.is_finite() && *t >= 0.0);
-        let at = at.unwrap_or(own as f64 / 1e6);
-        if at < window.0 || at >= window.1 {
+        let event = Event::parse(before, trace);
+        let row = event.as_ref().and_then(|event| open.row(event));
+        let (Some(event), Some(row)) = (event, row) else {
+            self.unread += 1;
+            return;
+        };
+        if !window.contains(event.second) {
             return;
         }
-        if at >= SECONDS_MOST as f64 {
+        if event.second >= MAX_SECONDS as f64 {
             self.unread += 1;
             return;
         }
-        if let ("outcome" | "conn", Some(server)) = (what, fields.get("server")) {
-            if self.servers.len() < SERVERS_MOST || self.servers.contains_key(*server) {
-                let counts = self.servers.entry((*server).to_string()).or_default();
-                *counts.entry(key.clone()).or_default() += 1;
-            }
+        self.count_server(&event, &row);
+        let counts = self.seconds.entry(event.second as u64).or_default();
+        *counts.entry(row).or_default() += 1;
+    }
+
+    fn count_server(&mut self, event: &Event<'_>, row: &str) {
+        let ("outcome" | "conn", Some(server)) = (event.kind, event.fields.get("server")) else {
+            return;
+        };
+        if self.servers.len() < MAX_SERVERS || self.servers.contains_key(*server) {
+            let counts = self.servers.entry((*server).to_string()).or_default();
+            *counts.entry(row.to_string()).or_default() += 1;
         }
-        *self
-            .seconds
-            .entry(at as u64)
-            .or_default()
-            .entry(key)
-            .or_default() += 1;
     }
 
     fn total(&self) -> Counts {
@@ -143,7 +222,7 @@
         total
     }
 
-    /// Figures beside each other, over the whole.
+    /// Ratios over all seconds, with their names.
     fn ratios(&self) -> Vec<(&'static str, f64)> {
         let total = self.total();
         let sum = |start: &str| -> f64 {
@@ -153,141 +232,158 @@
                 .map(|(_, n)| *n)
                 .sum::<u64>() as f64
         };
-        let part = |of: f64, all: f64| if all > 0.0 { of / all } else { 0.0 };
+        let fraction = |of: f64, all: f64| if all > 0.0 { of / all } else { 0.0 };
         let (requests, first) = (sum("requests"), sum("attempts, first"));
         vec![
             (
                 "connections opened for 1,000 requests",
-                1000.0 * part(sum("connections, Open"), requests),
+                1000.0 * fraction(sum("connections, Open"), requests),
             ),
             (
                 "connections that never came up, of those opened",
-                part(sum("connections, Refused"), sum("connections, Open")),
+                fraction(sum("connections, Refused"), sum("connections, Open")),
             ),
             (
                 "second and later attempts over first ones",
-                part(sum("attempts") - first, first),
+                fraction(sum("attempts") - first, first),
             ),
             (
                 "attempts that timed out, of all that ended",
-                part(sum("outcomes, Timeout"), sum("outcomes")),
+                fraction(sum("outcomes, Timeout"), sum("outcomes")),
             ),
             (
                 "requests refused, of all",
-                part(sum("ended, refused"), requests),
+                fraction(sum("ended, refused"), requests),
             ),
             (
                 "requests failed, of all",
-                part(sum("ended, failed"), requests),
+                fraction(sum("ended, failed"), requests),
             ),
         ]
     }
 
-    /// Servers with the most attempts that were not answered first.
-    fn worst(&self, most: usize) -> Vec<(&String, &Counts)> {
+    /// At most `max` servers, those with the most attempts without a reply first.
+    fn worst_servers(&self, max: usize) -> Vec<(&String, &Counts)> {
         let lost = |counts: &Counts| -> u64 {
             let count = |key: &str| counts.get(key).copied().unwrap_or(0);
             count("outcomes, Timeout") + count("outcomes, ConnectFailed") + count("outcomes, Error")
         };
         let mut all: Vec<_> = self.servers.iter().collect();
         all.sort_by(|a, b| lost(b.1).cmp(&lost(a.1)).then_with(|| a.0.cmp(b.0)));
-        all.truncate(most);
+        all.truncate(max);
         all
     }
 }
 
 /// Counts one node's log.
-fn file(path: &Path, window: (f64, f64), summary: &mut Summary) -> std::io::Result<()> {
-    let (mut reader, mut open, mut line) = (
-        BufReader::new(File::open(path)?),
-        Open::default(),
-        Vec::new(),
-    );
+fn read_log(path: &Path, window: Window, summary: &mut Summary) -> std::io::Result<()> {
+    let mut reader = BufReader::new(File::open(path)?);
+    let mut open = OpenRequests::default();
+    let mut line = Vec::new();
     loop {
         line.clear();
-        // Guards against a file that is no log and has no end of line: it is read in pieces.
-        if (&mut reader).take(LINE_MOST).read_until(b'\n', &mut line)? == 0 {
+        // A file that is no log and has no end of line is read in pieces.
+        if (&mut reader)
+            .take(MAX_LINE_BYTES)
+            .read_until(b'\n', &mut line)?
+            == 0
+        {
             return Ok(());
         }
-        summary.line(&String::from_utf8_lossy(&line), window, &mut open);
+        summary.add_line(&String::from_utf8_lossy(&line), window, &mut open);
     }
 }
 
-fn folder(args: &Args) -> Result<(Summary, usize), String> {
-    let name = args.folder.display();
-    let window = (args.from, args.to.unwrap_or(f64::INFINITY));
-    if window.0.is_nan() || window.0 < 0.0 || window.1.is_nan() || window.1 <= window.0 {
-        return Err(
-            "--from, --to: must be seconds from 0 on, the second beyond the first".to_string(),
-        );
-    }
-    let read = std::fs::read_dir(&args.folder).map_err(|e| format!("{name}: {e}"))?;
-    let mut files: Vec<PathBuf> = read.filter_map(|entry| Some(entry.ok()?.path())).collect();
+/// Counts over a folder of logs.
+struct FolderSummary {
+    counts: Summary,
+    nodes: usize,
+}
+
+fn read_folder(args: &Args) -> Result<FolderSummary, TraceError> {
+    let window = Window::new(args.from, args.to.unwrap_or(f64::INFINITY))?;
+    let unreadable = |path: &Path, error| TraceError::Unreadable {
+        path: path.display().to_string(),
+        error,
+    };
+    let entries =
+        std::fs::read_dir(&args.folder).map_err(|error| unreadable(&args.folder, error))?;
+    let mut files: Vec<PathBuf> = entries
+        .filter_map(|entry| Some(entry.ok()?.path()))
+        .collect();
     files.retain(|path| path.is_file());
     files.sort();
-    let mut summary = Summary::default();
+    let mut counts = Summary::default();
     for path in &files {
-        file(path, window, &mut summary).map_err(|e| format!("{}: {e}", path.display()))?;
+        read_log(path, window, &mut counts).map_err(|error| unreadable(path, error))?;
     }
-    if summary.seconds.is_empty() {
-        return Err(format!(
-            "{name}: no line of a trace in {} files; is `run --trace` on?",
-            files.len()
-        ));
+    if counts.seconds.is_empty() {
+        return Err(TraceError::NoTrace {
+            folder: args.folder.display().to_string(),
+            files: files.len(),
+        });
     }
-    Ok((summary, files.len()))
+    Ok(FolderSummary {
+        counts,
+        nodes: files.len(),
+    })
 }
 
-fn table(summary: &Summary, nodes: usize, servers: usize) {
-    out::line(format!(
+fn print_table(folder: &FolderSummary, servers: usize) {
+    let (summary, nodes) = (&folder.counts, folder.nodes);
+    print_line(format!(
         "{nodes} nodes; seconds across, counts over all nodes"
     ));
-    let head: String = summary.seconds.keys().map(|s| format!("{s:>6}")).collect();
-    out::line(format!("{:<34}{head}{:>8}", "", "all"));
+    let mut head = String::new();
+    for second in summary.seconds.keys() {
+        let _ = write!(head, "{second:>6}");
+    }
+    print_line(format!("{:<34}{head}{:>8}", "", "all"));
     for (key, all) in summary.total() {
-        let row: String = summary
-            .seconds
-            .values()
-            .map(|c| format!("{:>6}", c.get(&key).unwrap_or(&0)))
-            .collect();
-        out::line(format!("{key:<34}{row}{all:>8}"));
+        let mut row = String::new();
+        for counts in summary.seconds.values() {
+            let _ = write!(row, "{:>6}", counts.get(&key).unwrap_or(&0));
+        }
+        print_line(format!("{key:<34}{row}{all:>8}"));
     }
     for (what, ratio) in summary.ratios() {
-        out::line(format!("{what}: {ratio:.3}"));
+        print_line(format!("{what}: {ratio:.3}"));
     }
-    for (server, counts) in summary.worst(servers) {
+    for (server, counts) in summary.worst_servers(servers) {
         let text: Vec<String> = counts.iter().map(|(key, n)| format!("{key} {n}")).collect();
-        out::line(format!("{server}: {}", text.join("; ")));
+        print_line(format!("{server}: {}", text.join("; ")));
     }
     if summary.unread > 0 {
-        out::line(format!(
+        print_line(format!(
             "{} lines of the trace could not be read",
             summary.unread
         ));
     }
 }
 
-pub fn trace(args: &Args) -> ExitCode {
-    match folder(args) {
-        Ok((summary, nodes)) if args.json => {
-            let ratios: BTreeMap<_, _> = summary.ratios().into_iter().collect();
-            let servers: BTreeMap<_, _> = summary.worst(args.servers).into_iter().collect();
-            let all = serde_json::json!({
-                "nodes": nodes, "seconds": summary.seconds, "all": summary.total(),
-                "ratios": ratios, "servers": servers, "unread": summary.unread,
-            });
-            out::line(all.to_string());
-            ExitCode::SUCCESS
-        }
-        Ok((summary, nodes)) => {
-            table(&summary, nodes, args.servers);
-            ExitCode::SUCCESS
-        }
-        Err(why) => {
-            eprintln!("{why}");
-            ExitCode::from(2)
-        }
+fn print_json(folder: &FolderSummary, servers: usize) {
+    let summary = &folder.counts;
+    let ratios: BTreeMap<_, _> = summary.ratios().into_iter().collect();
+    let servers: BTreeMap<_, _> = summary.worst_servers(servers).into_iter().collect();
+    let json = serde_json::json!({
+        "nodes": folder.nodes, "seconds": summary.seconds, "all": summary.total(),
+        "ratios": ratios, "servers": servers, "unread": summary.unread,
+    });
+    print_line(json.to_string());
+}
+
+/// Counts and prints the traces in a folder.
+pub(crate) fn trace(args: &Args) -> ExitCode {
+    let folder = match read_folder(args) {
+        Ok(folder) => folder,
+        Err(error) => return reject_input(&error),
+    };
+    if args.json {
+        print_json(&folder, args.servers);
+    } else {
+        print_table(&folder, args.servers);
     }
+    ExitCode::SUCCESS
 }
 
 #[cfg(test)]
