loopback benchmark: one client loop and one server loop for both protocols

Need: the loops of clients and cache servers stood twice, Node::start had 67 lines and main 76.

Change: a trait for the request of a protocol, one `drive` and one `serve`; a row of results is a struct. What is sent, measured and printed is the same.

--- a/crates/sloewick/benches/loopback.rs
+++ b/crates/sloewick/benches/loopback.rs
@@ -1,11 +1,12 @@
-//! `cargo bench -p sloewick --bench loopback`: the node between clients and boxes on loopback, beside the same
-//! clients on the same boxes directly. Prints requests a second, the node's CPU for a request, p50, p99 and peak
-//! memory, each run once for warmth and then in turns, so that what the machine does meanwhile hits all alike.
+//! `cargo bench -p sloewick --bench loopback`: the node between clients and cache servers on loopback, and the same
+//! clients connected to the cache servers directly. Prints requests a second, the node's CPU time for each request, p50, p99
+//! and peak memory. Each row runs once to warm up and then in turns with the others, so that load of the machine affects
+//! all alike.
 //!
-//! Beside them the same node with memcached clients, and with boxes that speak the protocol, too.
+//! Two more rows are the same node with memcached clients, and with memcached cache servers too.
 //!
 //! `LOOPBACK_NODES=before=/path/one,after=/path/two` compares built programs; without it the one just built runs
-//! alone. `LOOPBACK_REQUESTS` and `LOOPBACK_ROUNDS` set how much (20,000 and 5).
+//! alone. `LOOPBACK_REQUESTS` and `LOOPBACK_ROUNDS` set requests and rounds (20,000 and 5).
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,34 +15,63 @@
 use std::time::{Duration, Instant};
 
 const CLIENTS: usize = 8;
-const BOXES: usize = 4;
+const CACHE_SERVERS: usize = 4;
+/// Bytes of a value behind the id or key that it begins with.
+const VALUE_BYTES: usize = 180;
+/// Bytes of a memcached header.
+const HEADER_BYTES: usize = 24;
 
-fn setting(name: &str, usual: usize) -> usize {
+#[derive(Clone, Copy)]
+enum Protocol {
+    Resp,
+    Memcached,
+}
+
+fn setting(name: &str, default: usize) -> usize {
     std::env::var(name)
         .ok()
         .and_then(|v| v.parse().ok())
-        .unwrap_or(usual)
+        .unwrap_or(default)
 }
 
-/// A box that answers at once, one thread a connection; it lives as long as the process.
-fn cache_box(memcached: bool) -> SocketAddr {
+/// A cache server that replies at once, one thread for each connection; it lives as long as the process.
+fn start_cache_server(protocol: Protocol) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                if memcached {
-                    serve_memcached(stream)
-                } else {
-                    serve(stream)
-                }
+            std::thread::spawn(move || match protocol {
+                Protocol::Resp => serve(stream, reply_resp),
+                Protocol::Memcached => serve(stream, reply_memcached),
             });
         }
     });
     address
 }
 
-/// Whole commands in `bytes`, each with its id and end.
+fn start_cache_servers(protocol: Protocol) -> Vec<SocketAddr> {
+    (0..CACHE_SERVERS)
+        .map(|_| start_cache_server(protocol))
+        .collect()
+}
+
+/// Serves a connection. `reply` removes the complete requests from the buffer and returns the replies.
+fn serve(mut stream: TcpStream, reply: impl Fn(&mut Vec<u8>) -> Vec<u8>) {
+    let _ = stream.set_nodelay(true);
+    let (mut buffer, mut chunk) = (Vec::new(), [0; 65536]);
+    while let Ok(n) = stream.read(&mut chunk) {
+        if n == 0 {
+            return;
+        }
+        buffer.extend_from_slice(&chunk[..n]);
+        let replies = reply(&mut buffer);
+        if !replies.is_empty() && stream.write_all(&replies).is_err() {
+            return;
+        }
+    }
+}
+
+/// Complete commands in `bytes`, each with its id and end.
 fn commands(bytes: &[u8]) -> Vec<(String, usize)> {
     let (mut found, mut at) = (Vec::new(), 0);
     loop {
@@ -70,236 +100,231 @@
     }
 }
 
-fn serve(mut stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let (mut buf, mut chunk) = (Vec::new(), [0; 65536]);
-    while let Ok(n) = stream.read(&mut chunk) {
-        if n == 0 {
-            return;
-        }
-        buf.extend_from_slice(&chunk[..n]);
-        let found = commands(&buf);
-        let Some((_, end)) = found.last().cloned() else {
-            continue;
-        };
-        let mut out = Vec::new();
-        for (id, _) in found {
-            let value = format!("{id}|{}", "v".repeat(180));
-            out.extend(
-                format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).bytes(),
-            );
-        }
-        buf.drain(..end);
-        if stream.write_all(&out).is_err() {
-            return;
-        }
+fn reply_resp(buffer: &mut Vec<u8>) -> Vec<u8> {
+    let found = commands(buffer);
+    let Some(&(_, end)) = found.last() else {
+        return Vec::new();
+    };
+    let mut replies = Vec::new();
+    for (id, _) in found {
+        let value = format!("{id}|{}", "v".repeat(VALUE_BYTES));
+        replies
+            .extend(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).bytes());
     }
+    buffer.drain(..end);
+    replies
 }
 
-/// The length of the packet that begins here, if its header is there.
-fn packet(bytes: &[u8]) -> Option<usize> {
+/// The length of the memcached packet that begins here, if its header is there.
+fn packet_len(bytes: &[u8]) -> Option<usize> {
     let body = bytes.get(8..12)?;
-    Some(24 + u32::from_be_bytes(body.try_into().expect("four bytes")) as usize)
+    Some(HEADER_BYTES + u32::from_be_bytes(body.try_into().expect("four bytes")) as usize)
 }
 
-fn put_packet(
-    out: &mut Vec<u8>,
+/// A memcached packet with opcode 0 (get).
+struct Packet<'a> {
     magic: u8,
-    key: &[u8],
-    extras: &[u8],
-    opaque: &[u8],
-    value: &[u8],
-) {
-    let body = (key.len() + extras.len() + value.len()) as u32;
-    out.extend([
-        magic,
-        0,
-        (key.len() >> 8) as u8,
-        key.len() as u8,
-        extras.len() as u8,
-        0,
-        0,
-        0,
-    ]);
-    out.extend(body.to_be_bytes());
-    out.extend(opaque);
-    out.extend([0; 8]);
-    for part in [extras, key, value] {
-        out.extend(part);
+    key: &'a [u8],
+    extras: &'a [u8],
+    opaque: &'a [u8],
+    value: &'a [u8],
+}
+
+impl Packet<'_> {
+    fn write_to(&self, out: &mut Vec<u8>) {
+        let body = (self.key.len() + self.extras.len() + self.value.len()) as u32;
+        out.extend([self.magic, 0]);
+        out.extend((self.key.len() as u16).to_be_bytes());
+        out.extend([self.extras.len() as u8, 0, 0, 0]);
+        out.extend(body.to_be_bytes());
+        out.extend(self.opaque);
+        out.extend([0; 8]);
+        for part in [self.extras, self.key, self.value] {
+            out.extend(part);
+        }
     }
 }
 
-fn serve_memcached(mut stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let (mut buf, mut chunk) = (Vec::new(), [0; 65536]);
-    while let Ok(n) = stream.read(&mut chunk) {
-        if n == 0 {
-            return;
+fn reply_memcached(buffer: &mut Vec<u8>) -> Vec<u8> {
+    let mut replies = Vec::new();
+    while let Some(len) = packet_len(buffer).filter(|len| *len <= buffer.len()) {
+        // The key is returned in the value, so that the client can tell whose reply it is.
+        let value = [&buffer[HEADER_BYTES..len], b"|", &[b'v'; VALUE_BYTES]].concat();
+        let packet = Packet {
+            magic: 0x81,
+            key: b"",
+            extras: &[0; 4],
+            opaque: &buffer[12..16],
+            value: &value,
+        };
+        packet.write_to(&mut replies);
+        buffer.drain(..len);
+    }
+    replies
+}
+
+/// One client's request number `n`, and how its reply is recognised.
+trait ClientRequest {
+    fn new(client: usize, n: usize) -> Self;
+    fn bytes(&self) -> Vec<u8>;
+    fn is_complete(&self, reply: &[u8]) -> bool;
+    /// Panics if the reply belongs to another request or is an error.
+    fn check(&self, reply: &[u8]);
+}
+
+fn key(n: usize) -> String {
+    format!("logger/{:05}", n * 7919 % 2000)
+}
+
+struct MemcachedRequest {
+    key: String,
+    opaque: [u8; 4],
+}
+
+impl ClientRequest for MemcachedRequest {
+    fn new(client: usize, n: usize) -> MemcachedRequest {
+        MemcachedRequest {
+            key: key(n),
+            opaque: ((client << 24) as u32 + n as u32).to_be_bytes(),
         }
-        buf.extend_from_slice(&chunk[..n]);
-        let mut out = Vec::new();
-        while let Some(len) = packet(&buf).filter(|len| *len <= buf.len()) {
-            // The key comes back in the value, so that the client can tell whose answer it is.
-            let value = [&buf[24..len], b"|", &[b'v'; 180]].concat();
-            put_packet(&mut out, 0x81, b"", &[0; 4], &buf[12..16], &value);
-            buf.drain(..len);
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let packet = Packet {
+            magic: 0x80,
+            key: self.key.as_bytes(),
+            extras: b"",
+            opaque: &self.opaque,
+            value: b"",
+        };
+        packet.write_to(&mut bytes);
+        bytes
+    }
+
+    fn is_complete(&self, reply: &[u8]) -> bool {
+        packet_len(reply).is_some_and(|len| reply.len() >= len)
+    }
+
+    fn check(&self, reply: &[u8]) {
+        assert!(
+            reply[6..8] == [0, 0] && reply[12..16] == self.opaque,
+            "{reply:?}"
+        );
+    }
+}
+
+struct RespRequest {
+    key: String,
+    id: String,
+}
+
+impl ClientRequest for RespRequest {
+    fn new(client: usize, n: usize) -> RespRequest {
+        RespRequest {
+            key: key(n),
+            id: format!("{client:04x}{n:012x}"),
         }
-        if stream.write_all(&out).is_err() {
-            return;
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let fields = "c=trace-read,t=distribution,d=4000";
+        let mut bytes = b"*4\r\n".to_vec();
+        for word in ["C.GET", &self.key, &self.id, fields] {
+            bytes.extend(format!("${}\r\n{word}\r\n", word.len()).bytes());
         }
+        bytes
+    }
+
+    fn is_complete(&self, reply: &[u8]) -> bool {
+        assert!(
+            !reply.starts_with(b"-"),
+            "{}",
+            String::from_utf8_lossy(reply)
+        );
+        // The end of a cache server's reply, and of a node's.
+        reply.ends_with(b"$-1\r\n") || reply.ends_with(b"v\r\n")
+    }
+
+    fn check(&self, reply: &[u8]) {
+        assert!(
+            reply.windows(16).any(|w| w == self.id.as_bytes()),
+            "another's reply"
+        );
     }
 }
 
-/// The same requests by a memcached client.
-fn drive_memcached(at: SocketAddr, requests: usize) -> (Vec<u64>, Duration) {
-    let began = Instant::now();
-    let threads: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            std::thread::spawn(move || {
-                let mut stream = TcpStream::connect(at).expect("connect");
-                let _ = stream.set_nodelay(true);
-                let (mut times, mut chunk) = (Vec::new(), [0; 4096]);
-                for n in 0..requests / CLIENTS {
-                    let key = format!("logger/{:05}", n * 7919 % 2000);
-                    let opaque = ((client << 24) as u32 + n as u32).to_be_bytes();
-                    let mut out = Vec::new();
-                    put_packet(&mut out, 0x80, key.as_bytes(), b"", &opaque, b"");
-                    let asked = Instant::now();
-                    stream.write_all(&out).expect("write");
-                    let mut got = Vec::new();
-                    while packet(&got).is_none_or(|len| got.len() < len) {
-                        let n = stream.read(&mut chunk).expect("an answer");
-                        assert!(n > 0, "the node closed");
-                        got.extend_from_slice(&chunk[..n]);
-                    }
-                    assert!(got[6..8] == [0, 0] && got[12..16] == opaque, "{got:?}");
-                    times.push(asked.elapsed().as_micros() as u64);
-                }
-                times
-            })
-        })
-        .collect();
-    let mut all: Vec<u64> = threads
-        .into_iter()
-        .flat_map(|t| t.join().expect("a client"))
-        .collect();
-    let took = began.elapsed();
-    all.sort_unstable();
-    (all, took)
+/// The measurement of all clients together.
+struct Latencies {
+    /// Microseconds, ascending.
+    sorted: Vec<u64>,
+    elapsed: Duration,
 }
 
-/// Asks one after another on its connections, one thread each; all latencies in microseconds.
-fn drive(at: SocketAddr, requests: usize) -> (Vec<u64>, Duration) {
+/// Sends requests one after another on each of the clients' connections, one thread each.
+fn drive<Request: ClientRequest>(at: SocketAddr, requests: usize) -> Latencies {
     let began = Instant::now();
     let threads: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            std::thread::spawn(move || {
-                let mut stream = TcpStream::connect(at).expect("connect");
-                let _ = stream.set_nodelay(true);
-                let (mut times, mut chunk) = (Vec::new(), [0; 4096]);
-                for n in 0..requests / CLIENTS {
-                    let id = format!("{client:04x}{n:012x}");
-                    let key = format!("logger/{:05}", n * 7919 % 2000);
-                    let fields = "c=trace-read,t=distribution,d=4000";
-                    let mut out = String::from("*4\r\n");
-                    for word in ["C.GET", &key, &id, fields] {
-                        out += &format!("${}\r\n{word}\r\n", word.len());
-                    }
-                    let asked = Instant::now();
-                    stream.write_all(out.as_bytes()).expect("write");
-                    let mut got = Vec::new();
-                    // The end of a box's answer, and of a node's.
-                    while !(got.ends_with(b"$-1\r\n") || got.ends_with(b"v\r\n")) {
-                        let n = stream.read(&mut chunk).expect("an answer");
-                        assert!(
-                            n > 0 && !got.starts_with(b"-"),
-                            "{}",
-                            String::from_utf8_lossy(&got)
-                        );
-                        got.extend_from_slice(&chunk[..n]);
-                    }
-                    assert!(
-                        got.windows(16).any(|w| w == id.as_bytes()),
-                        "another's answer"
-                    );
-                    times.push(asked.elapsed().as_micros() as u64);
-                }
-                times
-            })
+            std::thread::spawn(move || run_client::<Request>(at, client, requests / CLIENTS))
         })
         .collect();
-    let mut all: Vec<u64> = threads
+    let mut sorted: Vec<u64> = threads
         .into_iter()
         .flat_map(|t| t.join().expect("a client"))
         .collect();
-    let took = began.elapsed();
-    all.sort_unstable();
-    (all, took)
+    let elapsed = began.elapsed();
+    sorted.sort_unstable();
+    Latencies { sorted, elapsed }
+}
+
+/// The latencies of one client's requests, in microseconds.
+fn run_client<Request: ClientRequest>(at: SocketAddr, client: usize, requests: usize) -> Vec<u64> {
+    let mut stream = TcpStream::connect(at).expect("connect");
+    let _ = stream.set_nodelay(true);
+    let (mut latencies, mut chunk) = (Vec::new(), [0; 4096]);
+    for n in 0..requests {
+        let request = Request::new(client, n);
+        let bytes = request.bytes();
+        let sent = Instant::now();
+        stream.write_all(&bytes).expect("write");
+        let mut reply = Vec::new();
+        while !request.is_complete(&reply) {
+            let n = stream.read(&mut chunk).expect("a reply");
+            assert!(n > 0, "the node closed");
+            reply.extend_from_slice(&chunk[..n]);
+        }
+        request.check(&reply);
+        latencies.push(sent.elapsed().as_micros() as u64);
+    }
+    latencies
 }
 
 struct Node {
     child: Child,
     address: SocketAddr,
-    /// Where memcached clients are listened for.
+    /// The listener for memcached clients.
     memcached: Option<SocketAddr>,
     files: Vec<PathBuf>,
 }
 
 impl Node {
-    /// `memcached`: memcached clients are listened for; `model` of the boxes.
-    fn start(program: &Path, boxes: &[SocketAddr], memcached: bool, model: &str) -> Node {
-        let address = TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("an address");
-        let text = std::fs::read_to_string(concat!(
-            env!("CARGO_MANIFEST_DIR"),
-            "/../../examples/node.json"
-        ));
-        let mut config: serde_json::Value =
-            serde_json::from_str(&text.expect("the example")).expect("JSON");
-        config["listen"] = address.to_string().into();
-        config["settings"]["classes"][0]["aim"] = 4000.0.into();
-        config["settings"]["classes"][0]["deadline"] = 4000.0.into();
-        config["settings"]["realms"][0]["quota_per_s"] = 1e9.into();
-        let target = config["known"]["targets"][0].clone();
-        let targets: Vec<_> = boxes
-            .iter()
-            .enumerate()
-            .map(|(n, at)| {
-                let mut t = target.clone();
-                t["uid"] = format!("s-{n}").into();
-                t["endpoint"] = at.to_string().into();
-                t["model"] = model.into();
-                t
-            })
-            .collect();
-        config["known"]["targets"] = targets.into();
-        let name = |kind: &str| {
-            let name = format!(
-                "sloewick-loopback-{}-{}.{kind}",
-                std::process::id(),
-                address.port()
-            );
-            std::env::temp_dir().join(name)
-        };
-        let mut files = vec![name("json")];
-        std::fs::write(&files[0], config.to_string()).expect("a file");
+    /// Starts a node in front of cache servers of this model, with a listener for memcached clients if asked for.
+    fn start(program: &Path, servers: &[SocketAddr], memcached: bool, model: &str) -> Node {
+        let address = free_address();
+        let memcached = memcached.then(free_address);
+        let mut files = vec![temporary_file(address, "json")];
+        std::fs::write(&files[0], node_config(address, servers, model)).expect("a file");
         let mut command = Command::new(program);
         command
             .arg("run")
             .env("BALANCER_CONFIG", &files[0])
             .stderr(Stdio::null());
-        let memcached = memcached.then(|| {
-            let at = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
-            let text = format!(
-                "listen = \"{at}\"\n[[route]]\noperation = \"get\"\nkeys = \"logger/*\"\nclass = \"trace-read\"\n\
-                 tenant = \"distribution\"\n[[box]]\nmodel = \"memcached-box\"\nprotocol = \"memcached\"\n"
-            );
-            files.push(name("toml"));
-            std::fs::write(&files[1], text).expect("a file");
+        if let Some(listen) = memcached {
+            files.push(temporary_file(address, "toml"));
+            std::fs::write(&files[1], memcached_config(listen)).expect("a file");
             command.arg("--memcached").arg(&files[1]);
-            at
-        });
+        }
         let node = Node {
             child: command.spawn().expect("the program"),
             address,
@@ -317,8 +342,15 @@
         node
     }
 
-    /// CPU used so far, in microseconds (nanoseconds of run time from schedstat, all its threads together).
-    fn cpu(&self) -> u64 {
+    fn run_clients(&self, requests: usize) -> Latencies {
+        match self.memcached {
+            Some(listener) => drive::<MemcachedRequest>(listener, requests),
+            None => drive::<RespRequest>(self.address, requests),
+        }
+    }
+
+    /// CPU time used so far, in microseconds (from the nanoseconds of schedstat).
+    fn cpu_us(&self) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))
             .unwrap_or_default();
         text.split(' ')
@@ -328,6 +360,7 @@
             / 1000
     }
 
+    /// Peak resident memory in kilobytes.
     fn peak_kb(&self) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
             .unwrap_or_default();
@@ -347,86 +380,176 @@
     }
 }
 
-fn median(list: &mut [f64]) -> f64 {
-    list.sort_by(f64::total_cmp);
-    list.get(list.len() / 2).copied().unwrap_or(0.0)
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("an address")
 }
 
-fn main() {
-    let (requests, rounds) = (
-        setting("LOOPBACK_REQUESTS", 20_000),
-        setting("LOOPBACK_ROUNDS", 5),
-    );
-    let programs: Vec<(String, PathBuf)> = match std::env::var("LOOPBACK_NODES") {
-        Ok(list) => {
-            let pairs = list.split(',').filter_map(|pair| pair.split_once('='));
-            pairs
-                .map(|(name, path)| (name.to_string(), path.into()))
-                .collect()
+fn temporary_file(address: SocketAddr, extension: &str) -> PathBuf {
+    let (pid, port) = (std::process::id(), address.port());
+    std::env::temp_dir().join(format!("sloewick-loopback-{pid}-{port}.{extension}"))
+}
+
+/// The example configuration with these addresses, and with deadlines and quotas that the load does not reach.
+fn node_config(listen: SocketAddr, servers: &[SocketAddr], model: &str) -> String {
+    let text = std::fs::read_to_string(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../examples/node.json"
+    ));
+    let mut config: serde_json::Value =
+        serde_json::from_str(&text.expect("the example")).expect("JSON");
+    config["listen"] = listen.to_string().into();
+    config["settings"]["classes"][0]["aim"] = 4000.0.into();
+    config["settings"]["classes"][0]["deadline"] = 4000.0.into();
+    config["settings"]["realms"][0]["quota_per_s"] = 1e9.into();
+    let example = config["known"]["targets"][0].clone();
+    let target = |(n, address): (usize, &SocketAddr)| {
+        let mut target = example.clone();
+        target["uid"] = format!("s-{n}").into();
+        target["endpoint"] = address.to_string().into();
+        target["model"] = model.into();
+        target
+    };
+    let targets: Vec<_> = servers.iter().enumerate().map(target).collect();
+    config["known"]["targets"] = targets.into();
+    config.to_string()
+}
+
+fn memcached_config(listen: SocketAddr) -> String {
+    format!(
+        "listen = \"{listen}\"\n[[route]]\noperation = \"get\"\nkeys = \"logger/*\"\nclass = \"trace-read\"\n\
+         tenant = \"distribution\"\n[[box]]\nmodel = \"memcached-box\"\nprotocol = \"memcached\"\n"
+    )
+}
+
+fn median(values: &mut [f64]) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// What is measured, by name: a node, or none for the cache servers directly. One value for each round.
+struct Row {
+    name: String,
+    node: Option<Node>,
+    rates: Vec<f64>,
+    cpu_us: Vec<f64>,
+    p50_us: Vec<f64>,
+    p99_us: Vec<f64>,
+}
+
+impl Row {
+    fn new(name: &str, node: Option<Node>) -> Row {
+        Row {
+            name: name.to_string(),
+            node,
+            rates: Vec::new(),
+            cpu_us: Vec::new(),
+            p50_us: Vec::new(),
+            p99_us: Vec::new(),
         }
-        Err(_) => vec![("node".to_string(), env!("CARGO_BIN_EXE_sloewick").into())],
+    }
+
+    /// Runs the clients once; `record`: whether the result counts.
+    fn run(&mut self, server: SocketAddr, requests: usize, record: bool) {
+        let cpu_us = |node: &Option<Node>| node.as_ref().map_or(0, Node::cpu_us);
+        let before = cpu_us(&self.node);
+        let Latencies { sorted, elapsed } = match &self.node {
+            Some(node) => node.run_clients(requests),
+            None => drive::<RespRequest>(server, requests),
+        };
+        if !record {
+            return;
+        }
+        let used = cpu_us(&self.node) - before;
+        self.rates.push(sorted.len() as f64 / elapsed.as_secs_f64());
+        self.cpu_us.push(used as f64 / sorted.len() as f64);
+        self.p50_us.push(sorted[sorted.len() / 2] as f64);
+        self.p99_us.push(sorted[sorted.len() * 99 / 100] as f64);
+    }
+
+    fn print(&mut self) {
+        let peak = self.node.as_ref().map_or(0, Node::peak_kb);
+        println!(
+            "{:10} {:10.0} {:14.1} {:8.0} {:8.0} {:10.1}",
+            self.name,
+            median(&mut self.rates),
+            median(&mut self.cpu_us.clone()),
+            median(&mut self.p50_us),
+            median(&mut self.p99_us),
+            peak as f64 / 1024.0
+        );
+    }
+}
+
+struct Program {
+    name: String,
+    path: PathBuf,
+}
+
+/// The programs to compare.
+fn programs() -> Vec<Program> {
+    let Ok(list) = std::env::var("LOOPBACK_NODES") else {
+        return vec![Program {
+            name: "node".to_string(),
+            path: env!("CARGO_BIN_EXE_sloewick").into(),
+        }];
     };
-    let boxes: Vec<SocketAddr> = (0..BOXES).map(|_| cache_box(false)).collect();
-    let mut nodes: Vec<(String, Node)> = programs
-        .iter()
-        .map(|(name, path)| (name.clone(), Node::start(path, &boxes, false, "std-box")))
-        .collect();
-    if programs.len() == 1 {
-        let program = &programs[0].1;
-        nodes.push((
-            "mc-front".to_string(),
-            Node::start(program, &boxes, true, "std-box"),
-        ));
-        let boxes: Vec<SocketAddr> = (0..BOXES).map(|_| cache_box(true)).collect();
-        nodes.push((
-            "mc-both".to_string(),
-            Node::start(program, &boxes, true, "memcached-box"),
-        ));
+    list.split(',')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, path)| Program {
+            name: name.to_string(),
+            path: path.into(),
+        })
+        .collect()
+}
+
+/// The cache servers directly, a node for each program, and with one program its memcached variants.
+fn rows(servers: &[SocketAddr]) -> Vec<Row> {
+    let programs = programs();
+    let mut rows = vec![Row::new("direct", None)];
+    for program in &programs {
+        let node = Node::start(&program.path, servers, false, "std-box");
+        rows.push(Row::new(&program.name, Some(node)));
     }
-    let mut rows: Vec<(String, [Vec<f64>; 4])> = vec![("direct".to_string(), Default::default())];
-    rows.extend(
-        nodes
-            .iter()
-            .map(|(name, _)| (name.clone(), Default::default())),
-    );
+    if let [program] = &programs[..] {
+        let front = Node::start(&program.path, servers, true, "std-box");
+        rows.push(Row::new("mc-front", Some(front)));
+        let servers = start_cache_servers(Protocol::Memcached);
+        let both = Node::start(&program.path, &servers, true, "memcached-box");
+        rows.push(Row::new("mc-both", Some(both)));
+    }
+    rows
+}
+
+fn main() {
+    let requests = setting("LOOPBACK_REQUESTS", 20_000);
+    let rounds = setting("LOOPBACK_ROUNDS", 5);
+    let servers = start_cache_servers(Protocol::Resp);
+    let mut rows = rows(&servers);
     for round in 0..=rounds {
-        for (row, (_, figures)) in rows.iter_mut().enumerate() {
-            let node = row.checked_sub(1).map(|n| &nodes[n].1);
-            let at = node.map_or(boxes[0], |n| n.address);
-            let before = node.map_or(0, Node::cpu);
-            let (times, took) = match node.and_then(|n| n.memcached) {
-                Some(at) => drive_memcached(at, requests),
-                None => drive(at, requests),
-            };
-            if round == 0 {
-                continue;
-            }
-            let cpu = node.map_or(0, Node::cpu) - before;
-            figures[0].push(times.len() as f64 / took.as_secs_f64());
-            figures[1].push(cpu as f64 / times.len() as f64);
-            figures[2].push(times[times.len() / 2] as f64);
-            figures[3].push(times[times.len() * 99 / 100] as f64);
+        for row in &mut rows {
+            // The first round warms up.
+            row.run(servers[0], requests, round > 0);
         }
     }
-    println!("medians of {rounds} rounds of {requests} requests, {CLIENTS} clients, {BOXES} boxes");
+    println!(
+        "medians of {rounds} rounds of {requests} requests, {CLIENTS} clients, {CACHE_SERVERS} boxes"
+    );
     println!(
         "{:10} {:>10} {:>14} {:>8} {:>8} {:>10}",
         "", "req/s", "CPU us/req", "p50 us", "p99 us", "peak MB"
     );
-    for (row, (name, figures)) in rows.iter_mut().enumerate() {
-        let [rate, cpu, p50, p99] = figures.each_mut().map(|f| median(f));
-        let peak = row.checked_sub(1).map_or(0, |n| nodes[n].1.peak_kb());
-        println!(
-            "{name:10} {rate:10.0} {cpu:14.1} {p50:8.0} {p99:8.0} {:10.1}",
-            peak as f64 / 1024.0
-        );
-    }
-    for row in 2..rows.len() {
-        let cpu = rows[1].1[1].iter().zip(&rows[row].1[1]).map(|(a, b)| b / a);
-        let ratio = median(&mut cpu.collect::<Vec<f64>>());
+    rows.iter_mut().for_each(Row::print);
+    let Some((first, others)) = rows[1..].split_first() else {
+        return;
+    };
+    for row in others {
+        let ratios = first.cpu_us.iter().zip(&row.cpu_us).map(|(a, b)| b / a);
+        let ratio = median(&mut ratios.collect::<Vec<f64>>());
         println!(
             "CPU a request, {} over {}: {ratio:.3}",
-            rows[row].0, rows[1].0
+            row.name, first.name
         );
     }
 }
