--- a/crates/sloewick/src/check.rs
+++ b/crates/sloewick/src/check.rs
@@ -115,7 +115,7 @@
 }
 
 fn check_node(text: &str) -> Vec<Finding> {
-    let finding = |found: &config_check::Found| Finding {
+    let finding = |found: &config_check::Finding| Finding {
         text: found.to_string(),
         json: json!({
             "field": found.field, "value": found.value, "why": found.why, "example": found.example,
--- a/crates/sloewick/src/run.rs
+++ b/crates/sloewick/src/run.rs
@@ -10,7 +10,7 @@
 use sloewick_decision::settings::SettingsError;
 use sloewick_node::config::Config;
 use sloewick_node::mio_transport::MioTransport;
-use sloewick_node::node::Node;
+use sloewick_node::Node;
 use sloewick_node::{config, config_check};
 use thiserror::Error;
 
@@ -71,7 +71,7 @@
     let mut transport = MioTransport::with_signals().map_err(RunError::Signals)?;
     if let Some(folder) = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some()) {
         // Without a snapshot the next process learns anew; this one serves all the same.
-        if let Err(error) = transport.keep_in(folder.as_ref()) {
+        if let Err(error) = transport.save_snapshots_in(folder.as_ref()) {
             let _ = writeln!(std::io::stderr(), "handover: not kept: {error}");
         }
     }
@@ -94,7 +94,7 @@
     if let Some(file) = &args.memcached {
         read_memcached(&mut config, file)?;
     }
-    config::surroundings(&mut config, |name| std::env::var(name).ok())
+    config::apply_environment(&mut config, |name| std::env::var(name).ok())
         .map_err(RunError::Configuration)?;
     config.trace = args.trace;
     Ok(config)
