--- a/crates/sloewick/tests/architecture.rs
+++ b/crates/sloewick/tests/architecture.rs
@@ -30,6 +30,12 @@
         .collect()
 }
 
+fn is_rust_file(word: &str) -> bool {
+    Path::new(word)
+        .extension()
+        .is_some_and(|extension| extension == "rs")
+}
+
 fn is_identifier(word: &str) -> bool {
     !word.is_empty() && word.chars().all(|c| c.is_ascii_alphanumeric() || c == '_')
 }
@@ -63,7 +69,7 @@
     rust_files(crates, &mut files);
     let mut missing = Vec::new();
     for word in code_words(page) {
-        let is_path = word.ends_with(".rs") || word.ends_with("/src");
+        let is_path = is_rust_file(word) || word.ends_with("/src");
         if is_path && !crates.join(word).exists() {
             missing.push(format!("file {word}"));
         }
@@ -96,7 +102,7 @@
     let page = fs::read_to_string(root().join("docs/ARCHITECTURE.md")).unwrap();
     let paths = code_words(&page)
         .iter()
-        .filter(|word| word.ends_with(".rs"))
+        .filter(|word| is_rust_file(word))
         .count();
     assert!(
         paths >= 20,
