The end of an attempt is a struct, AttemptOutcome; the arbiter uses the shared hash

The eight fields of the event were spelled out at sixteen places, and the decisions had a struct of their own with seven of them. Event::AttemptEnded carries an AttemptOutcome now, whose field note is cache_result. gateway's hand-made FNV-1a and finalizer go: decision::hash has both, with the same numbers.

--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -6,8 +6,8 @@
 use divan::counter::ItemsCount;
 use divan::Bencher;
 use sloewick_decision::api::{
-    Action, CacheResult, Class, Endpoint, EndpointListKind, Event, Idempotency, Request, RequestId,
-    ServerState, Settings, Status, Tenant,
+    Action, AttemptOutcome, CacheResult, Class, Endpoint, EndpointListKind, Event, Idempotency,
+    Request, RequestId, ServerState, Settings, Status, Tenant,
 };
 use sloewick_decision::Balancer;
 
@@ -94,16 +94,16 @@
             _ => None,
         });
         let Some(server) = sent else { return };
-        let outcome = Event::AttemptEnded {
+        let outcome = Event::AttemptEnded(AttemptOutcome {
             request: id,
             server,
             attempt: 0,
             latency: 20_000,
             status: Status::Ok,
             closed: true,
-            note: Some(CacheResult::Hit),
+            cache_result: Some(CacheResult::Hit),
             load: None,
-        };
+        });
         balancer.handle(now + 1, outcome, &mut actions);
     }
 }
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -376,6 +376,35 @@
     pub write: bool,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct AttemptOutcome {
+    /// The request.
+    pub request: RequestId,
+    /// The server that the attempt was sent to.
+    pub server: ServerId,
+    /// Number of the attempt, from 0.
+    pub attempt: usize,
+    /// Time since it was sent.
+    pub latency: Micros,
+    /// How it ended.
+    pub status: Status,
+    /// The request has its final answer.
+    pub closed: bool,
+    /// Whether the server answered from its cache, if known.
+    pub cache_result: Option<CacheResult>,
+    /// Load report, if attached.
+    pub load: Option<LoadReport>,
+}
+
+impl AttemptOutcome {
+    /// Not fetched from the origin, as far as is known.
+    pub(crate) fn is_hit(&self) -> bool {
+        self.cache_result
+            .is_none_or(|result| result == CacheResult::Hit)
+    }
+}
+
 /// What happens to a node.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -393,24 +422,7 @@
         attempt: usize,
     },
     /// An attempt ended.
-    AttemptEnded {
-        /// Request.
-        request: RequestId,
-        /// Server it was sent to.
-        server: ServerId,
-        /// Attempt, from 0.
-        attempt: usize,
-        /// Time since the send.
-        latency: Micros,
-        /// How it ended.
-        status: Status,
-        /// The request has its final answer.
-        closed: bool,
-        /// Cache result, if known.
-        note: Option<CacheResult>,
-        /// Load report, if attached.
-        load: Option<LoadReport>,
-    },
+    AttemptEnded(AttemptOutcome),
     /// The client disconnected; no answer is needed any more.
     ClientDisconnected(RequestId),
     /// Nothing more may be sent for this request: its client seems to be disconnected, or the node is about
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -9,7 +9,9 @@
 //! what the rules allow for them; health of servers, zones and origin, slow start, quotas and membership
 //! stand beside these.
 
-use crate::api::{Actions, CacheMode, Event, InvalidSettings, Micros, Request, Settings, Status};
+use crate::api::{
+    Actions, AttemptOutcome, CacheMode, Event, InvalidSettings, Micros, Request, Settings, Status,
+};
 use crate::checkpoint::RestoredCheckpoint;
 use crate::hash::{hash, unit_interval};
 use crate::in_flight::{InFlightRequest, InFlightRequests};
@@ -21,7 +23,7 @@
 use crate::recently_served::RecentlyServed;
 use crate::retry::RetryBudget;
 use crate::rng::Rng;
-use crate::server_health::{AttemptEvidence, AttemptReport, FailureAverages, Server};
+use crate::server_health::{AttemptEvidence, FailureAverages, Server};
 use crate::slow_start::SlowStart;
 use crate::status::DecisionReason;
 use crate::tenant_quota::TenantQuotas;
@@ -101,27 +103,7 @@
                     request.streaming = true;
                 }
             }
-            Event::AttemptEnded {
-                request,
-                server,
-                attempt,
-                latency,
-                status,
-                closed,
-                note,
-                load: _,
-            } => {
-                let report = AttemptReport {
-                    request: &request,
-                    server: &server,
-                    attempt,
-                    latency,
-                    status,
-                    closed,
-                    cache_result: note,
-                };
-                self.on_attempt_ended(now, &report, actions);
-            }
+            Event::AttemptEnded(outcome) => self.on_attempt_ended(now, &outcome, actions),
             Event::StopAttempts(request) => self.stop_attempts(now, &request, actions),
             Event::ClientDisconnected(request) => {
                 if let Some(serial) = self.in_flight.serial(&request) {
@@ -191,27 +173,27 @@
         }
     }
 
-    fn on_attempt_ended(&mut self, now: Micros, report: &AttemptReport<'_>, actions: &mut Actions) {
-        self.observe_attempt_end(now, report, actions);
-        let Some(serial) = self.in_flight.serial(report.request) else {
+    fn on_attempt_ended(&mut self, now: Micros, outcome: &AttemptOutcome, actions: &mut Actions) {
+        self.observe_attempt_end(now, outcome, actions);
+        let Some(serial) = self.in_flight.serial(&outcome.request) else {
             return;
         };
         let request = &self.in_flight.requests[&serial];
-        let evidence = AttemptEvidence::new(now, report, request, &self.settings);
-        self.record_server_evidence(now, report, &evidence);
-        self.record_origin_evidence(now, report, &evidence);
-        self.end_attempt(serial, report);
-        if report.status == Status::Ok {
-            self.record_served(now, serial, report);
+        let evidence = AttemptEvidence::new(now, outcome, request, &self.settings);
+        self.record_server_evidence(now, outcome, &evidence);
+        self.record_origin_evidence(now, outcome, &evidence);
+        self.end_attempt(serial, outcome);
+        if outcome.status == Status::Ok {
+            self.record_served(now, serial, outcome);
         }
-        self.record_retry(now, serial, report);
-        if report.closed {
-            self.record_answer(report, &evidence);
+        self.record_retry(now, serial, outcome);
+        if outcome.closed {
+            self.record_answer(outcome, &evidence);
             self.end_request(serial, false, actions);
-        } else if report.status == Status::Miss && !self.admit_fetch(now, serial) {
+        } else if outcome.status == Status::Miss && !self.admit_fetch(now, serial) {
             self.finish(now, serial, DecisionReason::Admission, actions);
         } else if self.is_idle(serial) {
-            self.retry_or_finish(now, serial, report, &evidence, actions);
+            self.retry_or_finish(now, serial, outcome, &evidence, actions);
         }
     }
 
--- a/crates/decision/src/hash.rs
+++ b/crates/decision/src/hash.rs
@@ -17,12 +17,16 @@
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x100_0000_01b3;
 
-/// A name as 64 bits: FNV-1a (Fowler, Noll and Vo) over its bytes, finalised by [`mix`].
-pub fn hash(text: &str) -> u64 {
-    let fnv = text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
+/// FNV-1a (Fowler, Noll and Vo), 64 bits, over a sequence of bytes.
+pub fn fnv1a(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    bytes.into_iter().fold(FNV_OFFSET_BASIS, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    mix(fnv)
+    })
+}
+
+/// A name as 64 bits: FNV-1a over its bytes, finalised by [`mix`].
+pub fn hash(text: &str) -> u64 {
+    mix(fnv1a(text.bytes()))
 }
 
 /// The finalizer of `SplitMix64` (variant 13 of Stafford): a bijection in which every bit of the input
--- a/crates/decision/src/origin_health.rs
+++ b/crates/decision/src/origin_health.rs
@@ -14,9 +14,9 @@
 
 use sloewick_overload::{AdmissionRamp, Outcome, OverloadDetector, RequestKind};
 
-use crate::api::{CacheMode, CacheResult, Micros, Status};
+use crate::api::{AttemptOutcome, CacheMode, CacheResult, Micros, Status};
 use crate::balancer::Balancer;
-use crate::server_health::{AttemptEvidence, AttemptReport, Server};
+use crate::server_health::{AttemptEvidence, Server};
 
 /// Admitted fraction: its fall with each failed attempt, its rise with each answer, its minimum. In balance
 /// about one attempt in six fails.
@@ -172,10 +172,10 @@
     pub(crate) fn record_origin_evidence(
         &mut self,
         now: Micros,
-        report: &AttemptReport<'_>,
+        outcome: &AttemptOutcome,
         evidence: &AttemptEvidence,
     ) {
-        let status = report.status;
+        let status = outcome.status;
         if evidence.quick_error {
             return;
         }
@@ -184,12 +184,12 @@
             self.record_fetch(!evidence.failed && !evidence.past_objective);
         }
         // A request that fails, however many attempts it has, is one failure.
-        if report.attempt == 0 || status == Status::Ok {
+        if outcome.attempt == 0 || status == Status::Ok {
             self.origin_health.record_attempt(
                 now,
                 evidence.kind,
                 Some(status),
-                report.cache_result,
+                outcome.cache_result,
             );
         }
     }
--- a/crates/decision/src/origin_health_tests.rs
+++ b/crates/decision/src/origin_health_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::api::{Action, Event, Request};
+use crate::api::{Action, AttemptOutcome, Event, Request};
 use crate::hash::hash;
 use crate::retry::MAX_TOKENS;
 use crate::test_support::{end_attempt, node, send_request, set_failing_fraction};
@@ -208,16 +208,16 @@
                 break;
             };
             let server = held.attempts[attempt].server.clone();
-            let event = Event::AttemptEnded {
+            let event = Event::AttemptEnded(AttemptOutcome {
                 request: format!("r{n}").into(),
                 server,
                 attempt,
                 latency: 1_000,
                 status: Status::Rejected,
                 closed: false,
-                note: None,
+                cache_result: None,
                 load: None,
-            };
+            });
             node.in_flight
                 .requests
                 .values_mut()
--- a/crates/decision/src/retry.rs
+++ b/crates/decision/src/retry.rs
@@ -3,11 +3,11 @@
 //! Guarantees: retries are at most a fraction of the requests (`TOKENS_PER_REQUEST`) and a bounded number
 //! besides, and less where they are not answered either, or where answers are late.
 
-use crate::api::{Action, Actions, Idempotency, Micros, RequestId, Status};
+use crate::api::{Action, Actions, AttemptOutcome, Idempotency, Micros, RequestId, Status};
 use crate::balancer::Balancer;
 use crate::in_flight::{Attempt, InFlightRequest};
 use crate::selection::Target;
-use crate::server_health::{AttemptEvidence, AttemptReport, AVERAGING_SPAN};
+use crate::server_health::{AttemptEvidence, AVERAGING_SPAN};
 use crate::status::DecisionReason;
 use crate::timer_token::TimerToken;
 
@@ -74,17 +74,17 @@
 
 impl Balancer {
     /// Counts the end of a retry or a hedged request.
-    pub(crate) fn record_retry(&mut self, now: Micros, serial: u64, report: &AttemptReport<'_>) {
+    pub(crate) fn record_retry(&mut self, now: Micros, serial: u64, outcome: &AttemptOutcome) {
         let conclusive = matches!(
-            report.status,
+            outcome.status,
             Status::Ok | Status::Error | Status::Timeout | Status::Rejected
         );
-        if report.attempt == 0 || !conclusive {
+        if outcome.attempt == 0 || !conclusive {
             return;
         }
         let useful_until = self.in_flight.requests[&serial].useful_until;
         self.retry_budget
-            .record(report.status == Status::Ok && now < useful_until);
+            .record(outcome.status == Status::Ok && now < useful_until);
     }
 
     /// An attempt ended without an answer and no other is pending: sends the next one, or ends the request.
@@ -92,11 +92,11 @@
         &mut self,
         now: Micros,
         serial: u64,
-        report: &AttemptReport<'_>,
+        outcome: &AttemptOutcome,
         evidence: &AttemptEvidence,
         actions: &mut Actions,
     ) {
-        let status = report.status;
+        let status = outcome.status;
         let cost = retry_cost(status, evidence);
         let may_be_origin = matches!(status, Status::Timeout | Status::Rejected | Status::Error)
             && !evidence.quick_error;
--- a/crates/decision/src/retry_tests.rs
+++ b/crates/decision/src/retry_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::api::{CacheResult, Event, Settings};
+use crate::api::{AttemptOutcome, CacheResult, Event, Settings};
 use crate::hash::hash;
 use crate::outlier_detection::RequestKind;
 use crate::test_support::{end_attempt, node, send_request, set_failing_fraction};
@@ -77,16 +77,16 @@
         node.retry_budget.tokens = 0.2;
         node.retry_budget.success_fraction = 0.0;
         let server = send_request(&mut node, 0, 1).expect("sent");
-        let event = Event::AttemptEnded {
+        let event = Event::AttemptEnded(AttemptOutcome {
             request: "r1".into(),
             server,
             attempt: 0,
             latency,
             status: Status::Error,
             closed: false,
-            note: None,
+            cache_result: None,
             load: None,
-        };
+        });
         let mut actions = Vec::new();
         node.handle(latency, event, &mut actions);
         assert_eq!(
@@ -129,16 +129,16 @@
             .last()
             .map(|h| h.attempts[1].server.clone())
             .expect("sent again");
-        let event = Event::AttemptEnded {
+        let event = Event::AttemptEnded(AttemptOutcome {
             request: format!("r{n}").into(),
             server: second,
             attempt: 1,
             latency: 1000,
             status: if n < 100 { Status::Timeout } else { Status::Ok },
             closed: n >= 100,
-            note: None,
+            cache_result: None,
             load: None,
-        };
+        });
         node.handle(1000, event, &mut Vec::new());
         node.averages.late = 0.0;
         if n == 99 {
--- a/crates/decision/src/server_health.rs
+++ b/crates/decision/src/server_health.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use crate::api::{Actions, CacheResult, Endpoint, Micros, RequestId, ServerId, Settings, Status};
+use crate::api::{Actions, AttemptOutcome, Endpoint, Micros, ServerId, Settings, Status};
 use crate::balancer::Balancer;
 use crate::hash::hash;
 use crate::in_flight::{Attempt, InFlightRequest};
@@ -158,28 +158,6 @@
     }
 }
 
-/// How an attempt ended, as the node reports it.
-pub(crate) struct AttemptReport<'a> {
-    pub(crate) request: &'a RequestId,
-    pub(crate) server: &'a ServerId,
-    /// Number of the attempt, from 0.
-    pub(crate) attempt: usize,
-    /// Time since it was sent.
-    pub(crate) latency: Micros,
-    pub(crate) status: Status,
-    /// The request has its final answer.
-    pub(crate) closed: bool,
-    pub(crate) cache_result: Option<CacheResult>,
-}
-
-impl AttemptReport<'_> {
-    /// Not fetched from the origin, as far as is known.
-    pub(crate) fn is_hit(&self) -> bool {
-        self.cache_result
-            .is_none_or(|result| result == CacheResult::Hit)
-    }
-}
-
 /// What the end of an attempt says, by its request as it was then.
 pub(crate) struct AttemptEvidence {
     pub(crate) kind: RequestKind,
@@ -200,19 +178,19 @@
 impl AttemptEvidence {
     pub(crate) fn new(
         now: Micros,
-        report: &AttemptReport<'_>,
+        outcome: &AttemptOutcome,
         request: &InFlightRequest,
         settings: &Settings,
     ) -> AttemptEvidence {
         let objective = settings.classes[request.request.class].latency_objective;
-        let attempt = request.attempts.get(report.attempt);
+        let attempt = request.attempts.get(outcome.attempt);
         let expected = attempt.map_or(0, |a| a.expected_latency);
-        let status = report.status;
+        let status = outcome.status;
         let latency_fraction =
-            (report.latency as f64 / expected.max(1) as f64).clamp(MIN_LATENCY_FRACTION, 1.0);
+            (outcome.latency as f64 / expected.max(1) as f64).clamp(MIN_LATENCY_FRACTION, 1.0);
         let quick_error = status == Status::Error && latency_fraction < QUICK_FRACTION;
         // Silence for too long is evidence already when the expected latency passes.
-        let answered = matches!(status, Status::Ok | Status::Miss) && report.latency < expected;
+        let answered = matches!(status, Status::Ok | Status::Miss) && outcome.latency < expected;
         AttemptEvidence {
             kind: request.kind(),
             likely_uncached: request.likely_uncached,
@@ -324,33 +302,33 @@
     pub(crate) fn observe_attempt_end(
         &mut self,
         now: Micros,
-        report: &AttemptReport<'_>,
+        outcome: &AttemptOutcome,
         actions: &mut Actions,
     ) {
-        self.observe_server(now, report.server, Some(report.status), actions);
-        self.averages.record_connection(report.status);
+        self.observe_server(now, &outcome.server, Some(outcome.status), actions);
+        self.averages.record_connection(outcome.status);
     }
 
     /// What an attempt of a request in flight says of its server beside all others.
     pub(crate) fn record_server_evidence(
         &mut self,
         now: Micros,
-        report: &AttemptReport<'_>,
+        outcome: &AttemptOutcome,
         evidence: &AttemptEvidence,
     ) {
         let servers = self.partition.servers.len();
-        if evidence.attributed_to_server && self.partition.index.contains_key(report.server) {
+        if evidence.attributed_to_server && self.partition.index.contains_key(&outcome.server) {
             let failed = evidence.quick_error;
             self.outliers
-                .record(now, report.server, evidence.kind, failed, servers);
+                .record(now, &outcome.server, evidence.kind, failed, servers);
         }
         let cached_key = evidence.key.filter(|_| !evidence.likely_uncached);
-        let Some(key) = cached_key.filter(|_| report.status == Status::Ok || evidence.failed)
+        let Some(key) = cached_key.filter(|_| outcome.status == Status::Ok || evidence.failed)
         else {
             return;
         };
         let failed = evidence.failed && !evidence.quick_error;
-        self.record_cached_attempt(report.server, failed);
+        self.record_cached_attempt(&outcome.server, failed);
         if failed {
             self.recently_served.remove(key);
         }
@@ -372,31 +350,31 @@
     }
 
     /// A request has its final answer.
-    pub(crate) fn record_answer(&mut self, report: &AttemptReport<'_>, evidence: &AttemptEvidence) {
+    pub(crate) fn record_answer(&mut self, outcome: &AttemptOutcome, evidence: &AttemptEvidence) {
         let late = evidence.past_objective;
         // What was fetched is late by the origin's time, however little the servers have to do.
-        if report.is_hit() || !late {
+        if outcome.is_hit() || !late {
             self.averages
-                .record_request(report.status != Status::Ok || late);
+                .record_request(outcome.status != Status::Ok || late);
         }
     }
 
     /// Closes the attempt that a report is about, and counts it as timely where it is.
-    pub(crate) fn end_attempt(&mut self, serial: u64, report: &AttemptReport<'_>) {
+    pub(crate) fn end_attempt(&mut self, serial: u64, outcome: &AttemptOutcome) {
         let Some(request) = self.in_flight.requests.get_mut(&serial) else {
             return;
         };
         let likely_uncached = request.likely_uncached;
-        let Some(attempt) = request.attempts.get_mut(report.attempt) else {
+        let Some(attempt) = request.attempts.get_mut(outcome.attempt) else {
             return;
         };
         let was_pending = attempt.is_pending();
-        attempt.status = Some(report.status);
-        let timely = !attempt.silent && matches!(report.status, Status::Ok | Status::Miss);
+        attempt.status = Some(outcome.status);
+        let timely = !attempt.silent && matches!(outcome.status, Status::Ok | Status::Miss);
         if timely {
             self.averages.record_answered();
         }
-        let Some(server) = self.partition_server(report.server) else {
+        let Some(server) = self.partition_server(&outcome.server) else {
             return;
         };
         if was_pending {
@@ -408,7 +386,7 @@
     }
 
     /// A server served a request: what it took, and that the key is likely cached now.
-    pub(crate) fn record_served(&mut self, now: Micros, serial: u64, report: &AttemptReport<'_>) {
+    pub(crate) fn record_served(&mut self, now: Micros, serial: u64, outcome: &AttemptOutcome) {
         let Some(request) = self.in_flight.requests.get(&serial) else {
             return;
         };
@@ -416,13 +394,13 @@
             let max_age = self.settings.warm_up_time / 2;
             self.recently_served.record(key, now, max_age);
         }
-        if let Some(index) = self.partition.index.get(report.server) {
+        if let Some(index) = self.partition.index.get(&outcome.server) {
             self.latencies.record(&LatencySample {
                 class: request.request.class,
-                latency: report.latency,
+                latency: outcome.latency,
                 work: request.request.work,
                 server: &self.partition.servers[*index].entry,
-                hit: report.is_hit(),
+                hit: outcome.is_hit(),
             });
         }
     }
--- a/crates/decision/src/test_support.rs
+++ b/crates/decision/src/test_support.rs
@@ -1,8 +1,8 @@
 //! Shared set-up of the tests: a node with servers, its requests and their outcomes.
 
 use crate::api::{
-    Action, Class, Endpoint, EndpointListKind, Event, Micros, Request, ServerId, ServerState,
-    Settings, Status,
+    Action, AttemptOutcome, Class, Endpoint, EndpointListKind, Event, Micros, Request, ServerId,
+    ServerState, Settings, Status,
 };
 use crate::balancer::Balancer;
 use crate::latency::KindEstimate;
@@ -96,7 +96,7 @@
     status: Status,
 ) -> Vec<Action> {
     let mut actions = Vec::new();
-    let event = Event::AttemptEnded {
+    let event = Event::AttemptEnded(AttemptOutcome {
         request: format!("r{n}").into(),
         server: server.clone(),
         attempt: 0,
@@ -108,9 +108,9 @@
         },
         status,
         closed: status == Status::Ok,
-        note: None,
+        cache_result: None,
         load: None,
-    };
+    });
     node.handle(now, event, &mut actions);
     actions
 }
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -6,8 +6,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sloewick_decision::api::{
-    Action, CacheMode, Class, DeduplicationScope, Endpoint, EndpointListKind, Event, Idempotency,
-    Micros, Request, RequestId, ServerId, ServerState, Settings, Status, Tenant,
+    Action, AttemptOutcome, CacheMode, Class, DeduplicationScope, Endpoint, EndpointListKind,
+    Event, Idempotency, Micros, Request, RequestId, ServerId, ServerState, Settings, Status,
+    Tenant,
 };
 use sloewick_decision::Balancer;
 
@@ -197,16 +198,16 @@
         o.attempts[attempt].status = Some(status);
         o.closed |= status == Status::Ok;
         let (closed, server) = (o.closed, o.attempts[attempt].server.clone());
-        self.give(Event::AttemptEnded {
+        self.give(Event::AttemptEnded(AttemptOutcome {
             request: id,
             server,
             attempt,
             latency: 5_000,
             status,
             closed,
-            note: None,
+            cache_result: None,
             load: None,
-        });
+        }));
     }
 
     fn pass(&mut self, time: Micros) {
--- a/crates/decision/tests/slow_start.rs
+++ b/crates/decision/tests/slow_start.rs
@@ -69,16 +69,16 @@
         Action::Send { server, .. } => Some(server.clone()),
         _ => None,
     })?;
-    let outcome = Event::AttemptEnded {
+    let outcome = Event::AttemptEnded(AttemptOutcome {
         request,
         server: server.clone(),
         attempt: 0,
         latency: 20_000,
         status: Status::Ok,
         closed: true,
-        note: None,
+        cache_result: None,
         load: None,
-    };
+    });
     node.handle(now, outcome, &mut Vec::new());
     Some(server)
 }
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -213,16 +213,16 @@
                     (self.served, self.ended) = (self.served + 1, self.ended + 1);
                 }
                 self.handle(
-                    Event::AttemptEnded {
+                    Event::AttemptEnded(AttemptOutcome {
                         request,
                         server,
                         attempt,
                         latency,
                         status,
                         closed,
-                        note: None,
+                        cache_result: None,
                         load: None,
-                    },
+                    }),
                     answer,
                 );
             }
--- a/crates/decision/tests/tenant_quota.rs
+++ b/crates/decision/tests/tenant_quota.rs
@@ -65,16 +65,16 @@
                 }
                 Action::Send { server, .. } => {
                     let latency = class.latency_objective + class.latency_objective / 10;
-                    let outcome = Event::AttemptEnded {
+                    let outcome = Event::AttemptEnded(AttemptOutcome {
                         request: request.clone(),
                         server,
                         attempt: 0,
                         latency,
                         status: Status::Ok,
                         closed: true,
-                        note: Some(note),
+                        cache_result: Some(note),
                         load: None,
-                    };
+                    });
                     node.handle(now + latency, outcome, &mut Vec::new());
                 }
                 _ => {}
--- a/crates/fleet_model/examples/cold.rs
+++ b/crates/fleet_model/examples/cold.rs
@@ -113,16 +113,16 @@
             let Some(Reverse((_, n, id, server))) = due.pop() else {
                 continue;
             };
-            let event = Event::AttemptEnded {
+            let event = Event::AttemptEnded(AttemptOutcome {
                 request: format!("r{id}").into(),
                 server: format!("s{server}").into(),
                 attempt: 0,
                 latency: ANSWER,
                 status: Status::Ok,
                 closed: true,
-                note: None,
+                cache_result: None,
                 load: None,
-            };
+            });
             fleet[n].handle(now, event, &mut Vec::new());
             continue;
         }
--- a/crates/fleet_model/src/model.rs
+++ b/crates/fleet_model/src/model.rs
@@ -705,16 +705,16 @@
             }
             return;
         }
-        let event = Event::AttemptEnded {
+        let event = Event::AttemptEnded(AttemptOutcome {
             request,
             server: format!("s{server}").into(),
             attempt: number,
             latency: self.now - sent,
             status,
             closed,
-            note,
+            cache_result: note,
             load: None,
-        };
+        });
         self.give(node, event);
     }
 }
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use sloewick_decision::api::Micros;
+use sloewick_decision::hash::{fnv1a, mix};
 use sloewick_memcached::idempotency_ledger::{
     IdempotencyKey, IdempotencyLedger, LedgerLimits, RecordedWrite, Verdict,
 };
@@ -181,15 +182,10 @@
         .max_by_key(|node| (rendezvous_weight(node, key), *node))
 }
 
-/// FNV-1a (64 bits) of node and key, then the finalizer of `SplitMix64`: similar names must not have similar weights.
+/// A hash of node and key, mixed: similar names must not have similar weights.
 fn rendezvous_weight(node: &str, key: &str) -> u64 {
     let bytes = node.bytes().chain([0]).chain(key.bytes());
-    let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    mix(fnv1a(bytes))
 }
 
 #[cfg(test)]
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -1,6 +1,6 @@
 //! Starts, confirms, abandons and ends attempts: between the request table and the upstream pools.
 
-use sloewick_decision::api::{Event, Micros, RequestId, ServerId, Status};
+use sloewick_decision::api::{AttemptOutcome, Event, Micros, RequestId, ServerId, Status};
 
 use super::Node;
 use crate::attempt_id::AttemptId;
@@ -158,16 +158,16 @@
         let ended = &request.attempts[attempt];
         let stream = request.stream.filter(|stream| stream.attempt == attempt);
         let latency = stream.map_or(now - ended.started, |stream| stream.latency);
-        self.engine.push(Event::AttemptEnded {
+        self.engine.push(Event::AttemptEnded(AttemptOutcome {
             request: request.id.clone(),
             server: ended.server.clone(),
             attempt,
             latency,
             status: result.status,
             closed: request.closed,
-            note: result.cache_result,
+            cache_result: result.cache_result,
             load: result.load,
-        });
+        }));
         self.remove_finished(key);
     }
 }
--- a/crates/node/src/event_trace.rs
+++ b/crates/node/src/event_trace.rs
@@ -7,7 +7,7 @@
 use std::fmt::Write as _;
 
 use sloewick_decision::api::{
-    Action, CacheResult, EndpointListKind, Event, Micros, RequestId, ServerId, Status,
+    Action, AttemptOutcome, CacheResult, EndpointListKind, Event, Micros, ServerId,
 };
 
 use crate::transport::Transport;
@@ -70,15 +70,7 @@
                     u8::from(r.write)
                 )
             }
-            Event::AttemptEnded {
-                request,
-                server,
-                attempt,
-                latency,
-                status,
-                note,
-                ..
-            } => attempt_ended(request, server, *attempt, *latency, *status, *note),
+            Event::AttemptEnded(outcome) => attempt_ended(outcome),
             Event::EndpointList(kind, entries) => {
                 let kind = list_kind_name(*kind);
                 format!("list kind={kind} entries={}", entries.len())
@@ -124,17 +116,18 @@
     }
 }
 
-fn attempt_ended(
-    request: &RequestId,
-    server: &ServerId,
-    attempt: usize,
-    latency: Micros,
-    status: Status,
-    cache_result: Option<CacheResult>,
-) -> String {
+fn attempt_ended(outcome: &AttemptOutcome) -> String {
+    let AttemptOutcome {
+        request,
+        server,
+        attempt,
+        latency,
+        status,
+        ..
+    } = outcome;
     let mut text =
         format!("outcome id={request} n={attempt} server={server} us={latency} how={status}");
-    if let Some(cache_result) = cache_result {
+    if let Some(cache_result) = outcome.cache_result {
         let _ = write!(text, " note={}", cache_result_name(cache_result));
     }
     text
--- a/crates/node/src/event_trace_tests.rs
+++ b/crates/node/src/event_trace_tests.rs
@@ -1,3 +1,5 @@
+use sloewick_decision::api::Status;
+
 use super::*;
 use crate::test_support::FakeTransport;
 
@@ -27,9 +29,18 @@
     for (kind, word) in kinds {
         assert_eq!(list_kind_name(kind), word);
     }
-    let server: ServerId = "s-7".into();
-    let line =
-        |cache_result| attempt_ended(&"r1".into(), &server, 2, 512, Status::Ok, cache_result);
+    let line = |cache_result| {
+        attempt_ended(&AttemptOutcome {
+            request: "r1".into(),
+            server: "s-7".into(),
+            attempt: 2,
+            latency: 512,
+            status: Status::Ok,
+            closed: true,
+            cache_result,
+            load: None,
+        })
+    };
     assert_eq!(line(None), "outcome id=r1 n=2 server=s-7 us=512 how=Ok");
     for (result, word) in [
         (CacheResult::Hit, "Hit"),
--- a/crates/simulator_adapter/src/messages.rs
+++ b/crates/simulator_adapter/src/messages.rs
@@ -7,7 +7,8 @@
 
 use serde_json::Value;
 use sloewick_decision::api::{
-    Action, CacheResult, EndpointListKind, Event, LoadReport, Micros, Request, ServerState, Status,
+    Action, AttemptOutcome, CacheResult, EndpointListKind, Event, LoadReport, Micros, Request,
+    ServerState, Status,
 };
 use sloewick_decision::settings::{Fields, Names, RawEndpoint, SettingsError};
 
@@ -155,14 +156,14 @@
             request: fields.text("req")?.into(),
             attempt: attempt(fields)?,
         },
-        "OUTCOME" => Event::AttemptEnded {
+        "OUTCOME" => Event::AttemptEnded(AttemptOutcome {
             request: fields.text("req")?.into(),
             server: fields.text("server")?.into(),
             attempt: attempt(fields)?,
             latency: fields.micros("spent")?,
             status: status(fields)?,
             closed: fields.flag("last")?,
-            note: match fields
+            cache_result: match fields
                 .opt("remark")
                 .map(|_| fields.int("remark"))
                 .transpose()?
@@ -173,7 +174,7 @@
                 _ => None,
             },
             load: load_report(fields)?,
-        },
+        }),
         "CLIENT_LEFT" => Event::ClientDisconnected(fields.text("req")?.into()),
         "WAKE" => Event::TimerExpired(
             fields
--- a/crates/testbed/tests/defects.rs
+++ b/crates/testbed/tests/defects.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use sloewick_decision::api::{
-    Action, Endpoint, EndpointListKind, Event, Micros, RequestId, ServerId, ServerState, Status,
+    Action, AttemptOutcome, Endpoint, EndpointListKind, Event, Micros, RequestId, ServerId,
+    ServerState, Status,
 };
 use sloewick_decision::Balancer;
 use sloewick_node::DecisionEngine;
@@ -244,10 +245,10 @@
         let time = matches!(
             event,
             Event::TimerExpired(_)
-                | Event::AttemptEnded {
+                | Event::AttemptEnded(AttemptOutcome {
                     status: Status::Timeout,
                     ..
-                }
+                })
         );
         if time && every(state, 2) {
             vec![]
@@ -393,28 +394,28 @@
     fn hear(_: &mut State, _: Micros, event: Event) -> Vec<Event> {
         // An error is taken for a turning away: the module believes that nothing has run.
         match event {
-            Event::AttemptEnded {
+            Event::AttemptEnded(AttemptOutcome {
                 request,
                 server,
                 attempt,
                 latency,
                 status,
                 closed,
-                note,
+                cache_result: note,
                 load,
-            } => {
+            }) => {
                 let lie = matches!(status, Status::Error | Status::Reset | Status::Timeout);
                 let status = if lie { Status::Rejected } else { status };
-                vec![Event::AttemptEnded {
+                vec![Event::AttemptEnded(AttemptOutcome {
                     request,
                     server,
                     attempt,
                     latency,
                     status,
                     closed,
-                    note,
+                    cache_result: note,
                     load,
-                }]
+                })]
             }
             other => vec![other],
         }
