--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -31,6 +31,7 @@
 mod selection;
 mod server_health;
 pub mod settings;
+mod settings_validation;
 mod slow_start;
 mod status;
 mod tenant_quota;
