--- /dev/null
+++ b/crates/node/src/discovery/client_tests.rs
@@ -0,0 +1,129 @@
+use super::*;
+use crate::test_support::FakeTransport;
+
+// Guards against a cut answer that drops the servers which it no longer names: wherever the connection ends, it
+// is no list, whether its length was stated or its end is that of the connection.
+#[test]
+fn answer_that_is_cut_at_any_byte_is_no_list() {
+    let target = |uid| {
+        format!(r#"{{"uid":"{uid}","endpoint":"10.1.0.18:6379","state":"in_service","boot_ms":0}}"#)
+    };
+    let text = format!(
+        r#"{{"rev":41,"all":true,"targets":[{},{}]}}"#,
+        target("s-1"),
+        target("s-2")
+    );
+    let length = format!("Content-Length: {}\r\n", text.len());
+    for length_header in ["", &length] {
+        let complete = format!("HTTP/1.1 200 OK\r\n{length_header}Connection: close\r\n\r\n{text}")
+            .into_bytes();
+        let list = |bytes: &[u8]| {
+            let body = http1::response_body(bytes, true).ok().flatten()?;
+            parse_endpoint_list(&serde_json::from_slice(&body).ok()?).ok()
+        };
+        assert_eq!(
+            list(&complete).map(|list| list.targets.len()),
+            Some(2),
+            "{length_header}"
+        );
+        for cut in 0..complete.len() {
+            assert!(
+                list(&complete[..cut]).is_none(),
+                "{length_header} cut at {cut}"
+            );
+        }
+    }
+}
+
+const MS: Micros = 1_000;
+
+fn host(n: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, n], 80))
+}
+
+/// What follows an answer on its connection.
+#[derive(Clone, Copy, PartialEq)]
+enum AnswerEnd {
+    Open,
+    Closed,
+    Reset,
+}
+
+/// The event that an answer to the first watch of a node leads to.
+fn answer_to_watch(answer: &str, end: AnswerEnd) -> Option<DiscoveryEvent> {
+    let mut discovery = DiscoveryClient::new(
+        host(1),
+        7,
+        false,
+        41,
+        PollSchedule::new(true, 400 * MS, 0.5),
+    );
+    let (mut net, mut timers) = (FakeTransport::default(), Timers::default());
+    discovery.subscribe(true);
+    assert!(discovery.start_request(&mut net, &mut timers).is_none());
+    {
+        let mut connection = net.opened[0].0.borrow_mut();
+        connection.input.extend(answer.bytes());
+        connection.connecting = false;
+        connection.input_ended = end == AnswerEnd::Closed;
+        connection.is_reset = end == AnswerEnd::Reset;
+    }
+    let event = ReadyEvent {
+        token: 7,
+        readable: true,
+        writable: true,
+        read_closed: true,
+        error: false,
+    };
+    discovery.ready(&event, 0, &mut [0; 4096], &mut timers)
+}
+
+// The reset arrives behind the check for an error: only the read reports it.
+#[test]
+fn reset_behind_a_list_without_length_fails_the_request() {
+    let body = r#"{"rev":42,"all":false,"targets":[]}"#;
+    let open = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
+    assert!(
+        matches!(answer_to_watch(&open, AnswerEnd::Closed), Some(DiscoveryEvent::List(list)) if list.rev == 42)
+    );
+    assert!(matches!(
+        answer_to_watch(&open, AnswerEnd::Reset),
+        Some(DiscoveryEvent::Failed(DiscoveryError::ConnectionFailed))
+    ));
+    // An answer that states its end is complete, whatever comes behind it.
+    let length = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let chunked =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n{body}\r\n0\r\n\r\n");
+    for complete in [&length, &chunked] {
+        assert!(
+            matches!(answer_to_watch(complete, AnswerEnd::Reset), Some(DiscoveryEvent::List(list)) if list.rev == 42),
+            "{complete}"
+        );
+        for cut in 0..complete.len() - 2 {
+            assert!(
+                matches!(
+                    answer_to_watch(&complete[..cut], AnswerEnd::Reset),
+                    Some(DiscoveryEvent::Failed(_))
+                ),
+                "{complete} at {cut}"
+            );
+        }
+    }
+}
+
+#[test]
+fn indented_list_is_read() {
+    let body =
+        "{\n  \"rev\": 42,\n  \"all\": true,\n  \"targets\": [\n    {\n      \"uid\": \"s-1\",\n      \
+                \"endpoint\": \"10.1.0.18:6379\",\n      \"state\": \"in_service\"\n    }\n  ]\n}\n";
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    assert!(
+        matches!(answer_to_watch(&text, AnswerEnd::Open), Some(DiscoveryEvent::List(list)) if list.targets.len() == 1)
+    );
+}
--- /dev/null
+++ b/crates/node/src/event_loop.rs
@@ -0,0 +1,249 @@
+//! The event loop of the node: the only place where events go into the decision module and actions come out.
+//!
+//! It owns the owners of all state and holds none itself but what orders its rounds. A round polls the sockets, handles what
+//! they report, accepts connections, and handles expired timers; effects that are known at once become events in the engine's
+//! queue. The submodules carry events between two or more owners.
+//!
+//! Gossip messages of other nodes are not received: the decision module has none yet.
+
+mod accepting;
+mod admin;
+mod attempts;
+mod clients;
+mod disconnects;
+mod dispatch;
+mod endpoint_list;
+mod memcached_requests;
+mod outcomes;
+mod shutdown;
+mod start;
+
+use std::io;
+
+use sloewick_decision::api::{Event, Micros, Status};
+use sloewick_decision::settings::SettingsError;
+use sloewick_decision::Balancer;
+
+use crate::admin::Admin;
+use crate::config::Config;
+use crate::discovery::Discovery;
+use crate::engine::{DecisionEngine, EngineQueue};
+use crate::event_trace::Trace;
+use crate::frontend::disconnects::{SocketFreshness, MAX_WAIT_WITH_OPEN_REQUESTS};
+use crate::frontend::Frontends;
+use crate::hot_restart::HotRestart;
+use crate::io::Io;
+use crate::lifecycle::Lifecycle;
+use crate::request_table::RequestTable;
+use crate::timers::{TimerEvent, Timers};
+use crate::tokens::TokenOwner;
+use crate::transport::{ReadyEvent, Transport};
+use crate::upstream::pool::{UpstreamContext, UpstreamPools};
+use crate::upstream::probes::Probes;
+
+/// How often stalled and idle connections are checked.
+const SWEEP_INTERVAL: Micros = 100_000;
+
+/// Where the configuration comes from when it is read again.
+pub type ConfigSource = Box<dyn FnMut() -> Result<Config, SettingsError>>;
+
+/// Numbers for clients, requests and probes, which tell whether a reused key still stands for the same one.
+#[derive(Default)]
+struct SerialNumbers {
+    last: u64,
+}
+
+impl SerialNumbers {
+    fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    fn last(&self) -> u64 {
+        self.last
+    }
+}
+
+/// A node: serves clients from cache servers, as its decision engine decides.
+pub struct Node<N: Transport, M: DecisionEngine = Balancer> {
+    io: Io<N>,
+    engine: EngineQueue<M>,
+    requests: RequestTable,
+    frontends: Frontends<N>,
+    upstreams: UpstreamPools<N::Stream>,
+    probes: Probes,
+    discovery: Discovery<N::Stream>,
+    admin: Admin<N>,
+    lifecycle: Lifecycle,
+    /// Present where two processes may serve side by side.
+    hot_restart: Option<HotRestart>,
+    timers: Timers,
+    freshness: SocketFreshness,
+    serials: SerialNumbers,
+    /// Read again on SIGHUP.
+    config_source: ConfigSource,
+}
+
+impl<N: Transport, M: DecisionEngine> Node<N, M> {
+    /// Serves until a graceful shutdown is over.
+    ///
+    /// # Errors
+    /// The system's, if polling fails.
+    pub fn run(mut self) -> io::Result<()> {
+        while let Some(until) = self.prepare() {
+            let wait = (until - self.io.now()).max(0);
+            self.run_once(if self.requests.is_empty() {
+                wait
+            } else {
+                wait.min(MAX_WAIT_WITH_OPEN_REQUESTS)
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Does all that can be done without new events. Returns until when nothing more is to be done; none: the node has ended.
+    pub fn prepare(&mut self) -> Option<Micros> {
+        self.handle_events();
+        self.flush_clients();
+        if self.is_stopped() {
+            return None;
+        }
+        // The timer for a sweep is always set.
+        let next_timer = self
+            .timers
+            .next()
+            .filter(|_| !self.frontends.has_dirty())
+            .unwrap_or(0);
+        Some(self.freshness.loop_idle(self.io.now(), next_timer))
+    }
+
+    /// One round: waits for events for at most `wait` microseconds and handles them.
+    ///
+    /// # Errors
+    /// The system's, if polling fails.
+    pub fn run_once(&mut self, wait: Micros) -> io::Result<()> {
+        let mut ready = std::mem::take(&mut self.io.ready);
+        self.poll(&mut ready, wait)?;
+        // Sockets before timers: on a node without enough CPU a response that came in time must not count as late.
+        for event in &ready {
+            self.ready(event);
+        }
+        self.io.ready = ready;
+        self.accept_admin_clients();
+        self.accept_clients();
+        self.handle_events();
+        self.write_confirmed_attempts();
+        let now = self.io.now();
+        while let Some(event) = self.timers.pop_expired(now) {
+            self.timer_expired(event, now);
+        }
+        Ok(())
+    }
+
+    /// Handles an event of the transport.
+    fn ready(&mut self, event: &ReadyEvent) {
+        let now = self.io.now();
+        match TokenOwner::of(event.token) {
+            TokenOwner::ClientListener => self.frontends.listener_ready(event.token),
+            TokenOwner::AdminListener => {
+                if let Some(server) = &mut self.admin.server {
+                    server.listener_ready();
+                }
+            }
+            TokenOwner::AdminClient(key) => self.admin_client_ready(key, event, now),
+            TokenOwner::Signals => self.handle_signals(now),
+            TokenOwner::Discovery => {
+                let (scratch, timers) = (&mut self.io.scratch, &mut self.timers);
+                let event = self.discovery.client.ready(event, now, scratch, timers);
+                self.handle_discovery(event);
+            }
+            TokenOwner::Client(key) => self.client_ready(key, event),
+            TokenOwner::Upstream(key) => {
+                self.with_upstreams(|upstreams, context| upstreams.ready(key, event, context));
+                self.handle_upstream_events();
+            }
+        }
+    }
+
+    /// Calls the upstream pools with what they use of the node.
+    fn with_upstreams<T>(
+        &mut self,
+        call: impl FnOnce(&mut UpstreamPools<N::Stream>, &mut UpstreamContext<'_, N>) -> T,
+    ) -> T {
+        let mut context = UpstreamContext {
+            now: self.io.now(),
+            net: &mut self.io.net,
+            timers: &mut self.timers,
+            scratch: &mut self.io.scratch,
+        };
+        call(&mut self.upstreams, &mut context)
+    }
+
+    /// Has the decision engine handle all queued events, and performs its actions.
+    fn handle_events(&mut self) {
+        while let Some(event) = self.engine.next_event() {
+            let now = self.io.now();
+            let mut actions = self.engine.handle(&mut self.io.net, now, event);
+            for action in actions.drain(..) {
+                self.engine.trace_action(&mut self.io.net, &action);
+                self.perform(action, now);
+            }
+            self.engine.recycle(actions);
+        }
+        let steps = self.upstreams.steps.iter_mut();
+        for (server, step) in steps.flat_map(|steps| steps.drain(..)) {
+            Trace::connection(&mut self.io.net, &server, step);
+        }
+        let discovery = &mut self.discovery.client;
+        let event = discovery.start_request(&mut self.io.net, &mut self.timers);
+        self.handle_discovery(event);
+    }
+
+    /// Handles a timer that has expired.
+    fn timer_expired(&mut self, event: TimerEvent, now: Micros) {
+        match event {
+            TimerEvent::DecisionEngine(token) => self.engine.push(Event::TimerExpired(token)),
+            TimerEvent::Attempt(id) => {
+                let request = self.requests.get(id.request);
+                if request.is_some_and(|request| request.serial == id.serial) {
+                    self.cut_value(id.request, id.attempt, now);
+                    self.abandon_attempt(id.request, id.attempt, Status::Timeout);
+                }
+            }
+            TimerEvent::ClientDisconnected { client, serial } => {
+                let connection = self.frontends.clients.get(client);
+                if connection.is_some_and(|connection| connection.serial == serial) {
+                    self.stop_attempts_of_client(client);
+                }
+            }
+            TimerEvent::FinalResponses => self.give_final_responses(),
+            TimerEvent::Upstream { connection, serial } => {
+                self.upstreams.timer_expired(connection, serial);
+                self.handle_upstream_events();
+            }
+            TimerEvent::Discovery { serial } => {
+                let discovery = &mut self.discovery.client;
+                let event = discovery.timer_expired(serial, now, &mut self.timers);
+                self.handle_discovery(event);
+            }
+            TimerEvent::Sweep => self.sweep(now),
+        }
+    }
+
+    /// Checks what has no timer of its own.
+    fn sweep(&mut self, now: Micros) {
+        self.timers.set(now + SWEEP_INTERVAL, TimerEvent::Sweep);
+        let decision = &self.engine.decision;
+        self.admin
+            .log_outliers(&self.upstreams, decision, &mut self.io);
+        let is_overloaded = decision.origin_overloaded(now);
+        self.admin.log_origin_overload(is_overloaded, &mut self.io);
+        self.save_snapshot(now);
+        self.upstreams.sweep(now);
+        self.handle_upstream_events();
+        if let Some(server) = &mut self.admin.server {
+            server.sweep(now);
+        }
+        self.sweep_clients(now);
+    }
+}
--- /dev/null
+++ b/crates/node/src/frontend/connection_tests.rs
@@ -0,0 +1,108 @@
+use super::*;
+use crate::test_support::FakeStream;
+
+const MS: Micros = 1000;
+
+fn client() -> (ClientConnection<FakeStream>, FakeStream) {
+    let stream = FakeStream::default();
+    (
+        ClientConnection::new(stream.clone(), 1, 0, Protocol::Resp2, 0),
+        stream,
+    )
+}
+
+fn next(client: &mut ClientConnection<FakeStream>, now: Micros) -> ClientInput {
+    client.next_input(now, &mut ByteBudget::new(1 << 20), &mut [0; 4096])
+}
+
+#[test]
+fn input_after_the_end_of_sending_is_discarded_and_the_connection_ends_in_time() {
+    let (mut client, stream) = client();
+    client.push_response(PendingResponse::Ready(vec![Bytes::from_static(
+        b"+PONG\r\n",
+    )]));
+    client.close_after_responses();
+    client.queue_ready_responses();
+    assert!(!client.advance_closing(0), "its answer comes first");
+    client.flush(0).unwrap();
+    assert!(!client.advance_closing(0), "read out before it is closed");
+    assert!(stream.0.borrow().output_ended && stream.0.borrow().output == b"+PONG\r\n");
+    // A request that has crossed the end of sending is not forwarded.
+    stream.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
+    client.input_available(false, 0);
+    assert!(matches!(next(&mut client, 10 * MS), ClientInput::Nothing));
+    assert!(
+        stream.has_no_input() && client.responses.is_empty(),
+        "no unread bytes are left, and nothing is owed"
+    );
+    assert!(
+        !client.advance_closing(MAX_LINGER - 1) && client.advance_closing(MAX_LINGER),
+        "its client may write on for so long"
+    );
+    let (mut client, stream) = self::client();
+    client.close_after_responses();
+    assert!(!client.advance_closing(0));
+    stream.0.borrow_mut().input_ended = true;
+    client.input_available(true, 0);
+    assert!(
+        matches!(next(&mut client, MS), ClientInput::Nothing) && client.advance_closing(MS),
+        "both sides have ended"
+    );
+}
+
+#[test]
+fn half_closed_client_counts_as_disconnected_well_within_the_bound() {
+    let (mut client, stream) = client();
+    assert!(!client.is_disconnected(1 << 50) && client.take_observed_end().is_none());
+    client.input_available(true, 50 * MS);
+    // It was there earlier, as is found out later.
+    client.observe_end(40 * MS);
+    client.observe_end(60 * MS);
+    assert_eq!(
+        (client.take_observed_end(), client.take_observed_end()),
+        (Some(40 * MS), None)
+    );
+    let by = 40 * MS + MAX_HALF_CLOSED_TIME;
+    assert!(!client.is_disconnected(by - 1) && client.is_disconnected(by));
+    const { assert!(MAX_HALF_CLOSED_TIME * 4 <= 100_000) };
+    // A request before the end is accepted, and its response is written.
+    stream.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
+    stream.0.borrow_mut().input_ended = true;
+    assert!(matches!(
+        next(&mut client, 50 * MS),
+        ClientInput::Command(_)
+    ));
+    client.push_response(PendingResponse::Ready(vec![Bytes::from_static(
+        b"+PONG\r\n",
+    )]));
+    assert!(matches!(next(&mut client, 50 * MS), ClientInput::Nothing));
+    assert!(!client.advance_closing(50 * MS), "its answer is owed");
+    client.queue_ready_responses();
+    client.flush(50 * MS).unwrap();
+    assert!(client.advance_closing(50 * MS) && stream.0.borrow().output == b"+PONG\r\n");
+}
+
+#[test]
+fn cancelled_connection_writes_queued_bytes_and_takes_no_further_request() {
+    let (mut client, stream) = client();
+    client.out.push(Bytes::from_static(b"$200000\r\nhalf"));
+    let (streamed, behind) = (
+        client.push_response(PendingResponse::Stream {
+            request: 1,
+            connection: 2,
+            header: None,
+        }),
+        client.push_response(PendingResponse::Waiting(3)),
+    );
+    assert_eq!(client.cancel_responses().len(), 2);
+    assert!(client.response_mut(streamed).is_none() && client.response_mut(behind).is_none());
+    stream.0.borrow_mut().input.extend(b"*1\r\n$4\r\nPING\r\n");
+    assert!(matches!(next(&mut client, 0), ClientInput::Nothing));
+    assert!(!client.advance_closing(0) && !stream.0.borrow().output_ended);
+    client.flush(0).unwrap();
+    assert!(!client.advance_closing(0) && stream.0.borrow().output_ended);
+    assert!(
+        matches!(next(&mut client, MS), ClientInput::Nothing) && stream.has_no_input(),
+        "nothing unread at the close"
+    );
+}
--- /dev/null
+++ b/crates/node/src/frontend/response.rs
@@ -0,0 +1,185 @@
+//! Encodes final responses in the protocol of the client: RESP2, or the memcached binary protocol.
+//!
+//! Which response a request gets is decided elsewhere; this module has no state.
+
+use bytes::Bytes;
+use sloewick_codec::memcached::{self, Opcode, Response, Status};
+use sloewick_codec::resp2::{write_bulk, write_header, MAX_ARGUMENT};
+use sloewick_decision::api::Micros;
+
+/// The protocol spoken on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Protocol {
+    Resp2,
+    Memcached,
+}
+
+/// The protocol of a request, with what its response repeats of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RequestProtocol {
+    Resp2,
+    Memcached { opcode: Opcode, opaque: u32 },
+}
+
+/// The one final response of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum FinalResponse {
+    /// The value, or the receipt of a write.
+    Value(Bytes),
+    /// Served; the key has no value.
+    NoValue,
+    /// Rejected, with the time after which to retry (0: no advice).
+    Busy(Micros),
+    /// Failed; a write may have taken effect.
+    Failed,
+}
+
+/// Values carry no flags here: read-through cache servers make their values themselves.
+const NO_FLAGS: &[u8] = &[0; 4];
+
+fn bytes(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+impl RequestProtocol {
+    /// The bytes of a response; none where the protocol suppresses it (the quiet memcached opcodes).
+    pub(crate) fn encode(self, key: &Bytes, response: FinalResponse) -> Vec<Bytes> {
+        match self {
+            RequestProtocol::Resp2 => self.encode_resp2(key, response),
+            RequestProtocol::Memcached { opcode, opaque } => {
+                self.encode_memcached(opcode, opaque, key, response)
+            }
+        }
+    }
+
+    fn encode_resp2(self, key: &Bytes, response: FinalResponse) -> Vec<Bytes> {
+        match response {
+            FinalResponse::Value(value) if value.len() <= MAX_ARGUMENT => {
+                let mut out = Vec::with_capacity(16 + value.len());
+                write_bulk(&mut out, &value);
+                vec![out.into()]
+            }
+            FinalResponse::Value(value) => {
+                vec![
+                    self.encode_value_header(key, value.len()),
+                    value,
+                    bytes("\r\n"),
+                ]
+            }
+            FinalResponse::NoValue => vec![bytes("$-1\r\n")],
+            FinalResponse::Busy(retry_after) => vec![match millis_rounded_up(retry_after) {
+                0 => bytes("-BUSY\r\n"),
+                ms => format!("-BUSY {ms}\r\n").into(),
+            }],
+            FinalResponse::Failed => vec![bytes("-ERR failed\r\n")],
+        }
+    }
+
+    fn encode_memcached(
+        self,
+        opcode: Opcode,
+        opaque: u32,
+        key: &Bytes,
+        response: FinalResponse,
+    ) -> Vec<Bytes> {
+        match response {
+            FinalResponse::Value(_) if opcode.suppresses_response(Status::Ok) => Vec::new(),
+            FinalResponse::Value(_) if !is_read(opcode) => {
+                let mut out = Vec::new();
+                memcached::write_status(&mut out, opcode as u8, opaque, Status::Ok);
+                vec![out.into()]
+            }
+            FinalResponse::Value(value) if value.len() <= MAX_ARGUMENT => {
+                let header = read_response_header(opcode, opaque, key);
+                let mut out = Vec::with_capacity(memcached::HEADER + 4 + key.len() + value.len());
+                memcached::write_response_header(&mut out, &header, value.len());
+                out.extend_from_slice(&value);
+                vec![out.into()]
+            }
+            FinalResponse::Value(value) => {
+                vec![self.encode_value_header(key, value.len()), value]
+            }
+            FinalResponse::NoValue => self.encode_status(Status::KeyNotFound, None),
+            FinalResponse::Busy(retry_after) => match millis_rounded_up(retry_after) {
+                0 => self.encode_status(Status::Busy, Some("busy; nothing has run; try again")),
+                ms => self.encode_status(
+                    Status::Busy,
+                    Some(&format!("busy; nothing has run; try again after {ms} ms")),
+                ),
+            },
+            FinalResponse::Failed => self.encode_status(
+                Status::InternalError,
+                Some("failed; a write may have taken effect"),
+            ),
+        }
+    }
+
+    /// A memcached status with `text`, or with the usual text of the status. Nothing in RESP2.
+    pub(crate) fn encode_status(self, status: Status, text: Option<&str>) -> Vec<Bytes> {
+        let RequestProtocol::Memcached { opcode, opaque } = self else {
+            return Vec::new();
+        };
+        if opcode.suppresses_response(status) {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        memcached::write_text_response(
+            &mut out,
+            opcode as u8,
+            opaque,
+            status,
+            text.unwrap_or(status.text()),
+        );
+        vec![out.into()]
+    }
+
+    /// What precedes a value of `len` bytes that is streamed.
+    pub(crate) fn encode_value_header(self, key: &Bytes, len: usize) -> Bytes {
+        let mut out = Vec::new();
+        match self {
+            RequestProtocol::Resp2 => write_header(&mut out, b'$', len),
+            RequestProtocol::Memcached { opcode, opaque } => {
+                let header = read_response_header(opcode, opaque, key);
+                memcached::write_response_header(&mut out, &header, len);
+            }
+        }
+        out.into()
+    }
+
+    /// What follows a value that was streamed.
+    pub(crate) fn encode_value_trailer(self) -> Vec<Bytes> {
+        match self {
+            RequestProtocol::Resp2 => vec![bytes("\r\n")],
+            RequestProtocol::Memcached { .. } => Vec::new(),
+        }
+    }
+}
+
+fn millis_rounded_up(time: Micros) -> Micros {
+    (time.max(0) + 999) / 1000
+}
+
+fn is_read(opcode: Opcode) -> bool {
+    matches!(opcode.without_quiet(), Opcode::Get | Opcode::GetK)
+}
+
+fn read_response_header(opcode: Opcode, opaque: u32, key: &Bytes) -> Response {
+    let key = if opcode.without_quiet() == Opcode::GetK {
+        key.clone()
+    } else {
+        Bytes::new()
+    };
+    Response {
+        opcode: opcode as u8,
+        status: Status::Ok as u16,
+        opaque,
+        cas: 0,
+        extras: Bytes::from_static(NO_FLAGS),
+        key,
+        value: Bytes::new(),
+    }
+}
+
+#[cfg(test)]
+#[path = "response_tests.rs"]
+mod tests;
