Fleet model in modules of one job each, in standard names, with the workspace's lints

Need: the model was one file of 771 lines in the withdrawn words, its examples repeated the chart and the endpoints, and its manifest made exceptions from the workspace's lints.

Change: `model.rs` becomes `site` (sizes, faults, the one `Settings` literal), `node`, `server`, `attempt`, `event_queue` and `model` (with `requests`, `upstream` and `omniscient` below it). The manifest has the workspace's lints alone. A restart of nodes is an event of its own, not a timer of a node with the largest number, and the event queue skips cancelled events. Captions and labels of the examples' output are in the new words, their figures are the same.

--- /dev/null
+++ b/crates/fleet_model/examples/cold_servers.rs
@@ -0,0 +1,374 @@
+//! Counts what all nodes together send to each warming server, beside what the settings allow it, by number of nodes: a zone
+//! with half of the servers returns with empty caches, and then three in ten nodes restart. Draws the most loaded server as
+//! well if a file is named.
+//!
+//!     cargo run --release -p sloewick-fleet-model --example cold_servers
+//!     cargo run --release -p sloewick-fleet-model --example cold_servers -- docs/cold-servers.svg
+
+mod support;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::error::Error;
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp1, Zipf};
+use sloewick_decision::api::{
+    Action, Endpoint, EndpointListKind, Event, Micros, Request, Settings, Status,
+};
+use sloewick_decision::Balancer;
+use sloewick_fleet_model::{
+    endpoint, server_number, start_balancer, Site, MICROS_PER_SECOND as SECOND,
+};
+use support::{Chart, Line, ReferenceLine};
+
+/// Numbers of nodes of the fleets.
+const FLEET_SIZES: [usize; 5] = [3, 20, 30, 100, 300];
+const SERVERS: usize = 40;
+/// Requests per second, whatever the number of nodes: 15 at a server.
+const REQUEST_RATE: f64 = 600.0;
+const KEYS: f64 = 3_000.0;
+/// When the zone returns.
+const ZONE_RETURN: Micros = 8 * SECOND;
+/// When some of the nodes restart.
+const NODE_RESTART: Micros = 14 * SECOND;
+const END: Micros = 28 * SECOND;
+const LATENCY: Micros = 20_000;
+const REQUEST_BUDGET: Micros = 400_000;
+const SEEDS: u64 = 5;
+/// Every fifth node receives so many times the requests of another.
+const BUSY_NODE_LOAD: f64 = 4.0;
+/// Times between two counts.
+const COUNT_INTERVAL: Micros = SECOND / 4;
+
+/// Servers with odd numbers are in the zone that returns.
+fn in_returning_zone(server: usize) -> bool {
+    server % 2 == 1
+}
+
+fn endpoint_list(returned: bool) -> Arc<[Endpoint]> {
+    (0..SERVERS)
+        .map(|server| Endpoint {
+            zone: Some(server as u16 % 2),
+            started: (returned && in_returning_zone(server)).then_some(ZONE_RETURN),
+            ..endpoint(server)
+        })
+        .collect()
+}
+
+/// An answer on its way; answers are ordered by their time.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Answer {
+    at: Micros,
+    node: usize,
+    request: usize,
+    server: usize,
+}
+
+/// A fleet under way.
+struct Fleet {
+    settings: Settings,
+    seed: u64,
+    nodes: Vec<Balancer>,
+    /// Load of each node, relative to one that is not busy.
+    node_loads: Vec<f64>,
+    rng: StdRng,
+    answers: BinaryHeap<Reverse<Answer>>,
+    /// When requests were sent to each server.
+    sent: Vec<Vec<Micros>>,
+    requests: usize,
+    next_arrival: Micros,
+    zone_returned: bool,
+    nodes_restarted: bool,
+}
+
+impl Fleet {
+    fn new(nodes: usize, seed: u64) -> Fleet {
+        let site = Site {
+            nodes,
+            ..Site::default()
+        };
+        let load = |node| if node % 5 == 0 { BUSY_NODE_LOAD } else { 1.0 };
+        let mut fleet = Fleet {
+            settings: site.settings(),
+            seed,
+            nodes: Vec::new(),
+            node_loads: (0..nodes).map(load).collect(),
+            rng: StdRng::seed_from_u64(seed),
+            answers: BinaryHeap::new(),
+            sent: vec![Vec::new(); SERVERS],
+            requests: 0,
+            next_arrival: 0,
+            zone_returned: false,
+            nodes_restarted: false,
+        };
+        fleet.nodes = (0..nodes).map(|node| fleet.start_node(node, 0)).collect();
+        fleet
+    }
+
+    fn start_node(&self, node: usize, now: Micros) -> Balancer {
+        let incarnation = u64::from(now > 0);
+        let seed = self.seed << 32 | incarnation << 16 | node as u64;
+        let endpoints = endpoint_list(now >= ZONE_RETURN);
+        start_balancer(&self.settings, node, seed, now, endpoints)
+    }
+
+    fn play(mut self) -> Sent {
+        let key_popularity = Zipf::new(KEYS, 1.0).expect("a valid law");
+        loop {
+            let answer = self.answers.peek().map(|Reverse(answer)| answer.at);
+            let now = answer.map_or(self.next_arrival, |at| self.next_arrival.min(at));
+            if now >= END {
+                return Sent {
+                    settings: self.settings,
+                    times: self.sent,
+                };
+            }
+            self.apply_changes(now);
+            if now < self.next_arrival {
+                self.next_answer(now);
+            } else {
+                self.request_arrives(now, &key_popularity);
+            }
+        }
+    }
+
+    /// Returns the zone and restarts nodes, each once.
+    fn apply_changes(&mut self, now: Micros) {
+        if now >= ZONE_RETURN && !std::mem::replace(&mut self.zone_returned, true) {
+            for node in &mut self.nodes {
+                let list = Event::EndpointList(EndpointListKind::Full, endpoint_list(true));
+                node.handle(now, list, &mut Vec::new());
+            }
+        }
+        if now >= NODE_RESTART && !std::mem::replace(&mut self.nodes_restarted, true) {
+            for node in (0..self.nodes.len()).filter(|node| node % 10 < 3) {
+                self.nodes[node] = self.start_node(node, now);
+            }
+        }
+    }
+
+    fn next_answer(&mut self, now: Micros) {
+        let Some(Reverse(answer)) = self.answers.pop() else {
+            return;
+        };
+        let event = Event::AttemptEnded {
+            request: format!("r{}", answer.request).into(),
+            server: endpoint(answer.server).server,
+            attempt: 0,
+            latency: LATENCY,
+            status: Status::Ok,
+            closed: true,
+            note: None,
+            load: None,
+        };
+        self.nodes[answer.node].handle(now, event, &mut Vec::new());
+    }
+
+    fn request_arrives(&mut self, now: Micros, key_popularity: &Zipf<f64>) {
+        let gap: f64 = Exp1.sample(&mut self.rng);
+        self.next_arrival += (gap / REQUEST_RATE * SECOND as f64) as Micros + 1;
+        self.requests += 1;
+        let node = self.draw_node();
+        let request = Request {
+            id: format!("r{}", self.requests).into(),
+            class: 0,
+            tenant: None,
+            key: Some(format!("k{}", key_popularity.sample(&mut self.rng)).into()),
+            budget: REQUEST_BUDGET,
+            work: None,
+            size: None,
+            retry: false,
+            write: false,
+        };
+        let mut actions = Vec::new();
+        self.nodes[node].handle(now, Event::Request(request), &mut actions);
+        for action in actions {
+            if let Action::Send { server, .. } = action {
+                let server = server_number(&server);
+                self.sent[server].push(now);
+                self.answers.push(Reverse(Answer {
+                    at: now + LATENCY,
+                    node,
+                    request: self.requests,
+                    server,
+                }));
+            }
+        }
+    }
+
+    /// Draws a node with a probability in proportion to its load.
+    fn draw_node(&mut self) -> usize {
+        let total: f64 = self.node_loads.iter().sum();
+        let mut drawn = self.rng.random::<f64>() * total;
+        let found = self.node_loads.iter().position(|load| {
+            drawn -= load;
+            drawn < 0.0
+        });
+        found.unwrap_or(self.nodes.len() - 1)
+    }
+}
+
+/// What a fleet has sent.
+struct Sent {
+    settings: Settings,
+    /// When requests were sent to each server.
+    times: Vec<Vec<Micros>>,
+}
+
+/// What each warming server was sent within the overload window before a time.
+struct WindowCounts {
+    end: Micros,
+    /// By server, in ascending order.
+    sums: Vec<f64>,
+}
+
+impl Sent {
+    /// What the settings allow a warming server within the overload window, in proportion to what an average one is sent.
+    fn budget(&self, now: Micros) -> f64 {
+        let settings = &self.settings;
+        let warm_up = (now - ZONE_RETURN) as f64 / settings.warm_up_time as f64;
+        let cold_capacity = settings.cold_capacity;
+        let capacity = (cold_capacity + (1.0 - cold_capacity) * warm_up).min(1.0);
+        settings.overload_multiple * capacity * REQUEST_RATE * settings.overload_window as f64
+            / SECOND as f64
+            / SERVERS as f64
+    }
+
+    fn window_counts(&self, end: Micros) -> WindowCounts {
+        let start = (end - self.settings.overload_window).max(ZONE_RETURN);
+        let count = |times: &Vec<Micros>| {
+            (times.partition_point(|at| *at <= end) - times.partition_point(|at| *at <= start))
+                as f64
+        };
+        let warming = self.times.iter().enumerate();
+        let mut sums: Vec<f64> = warming
+            .filter(|(server, _)| in_returning_zone(*server))
+            .map(|(_, times)| count(times))
+            .collect();
+        sums.sort_by(f64::total_cmp);
+        WindowCounts { end, sums }
+    }
+}
+
+/// The most loaded server at one time.
+struct Point {
+    /// Since the zone has returned.
+    seconds: f64,
+    /// Its sum over its budget.
+    most_loaded: f64,
+    /// The budget with a margin for chance, over the budget.
+    allowed: f64,
+}
+
+/// Counts of all seeds at one fleet size.
+#[derive(Default)]
+struct FleetResult {
+    nodes: usize,
+    points: Vec<Point>,
+    /// Largest sum over what is allowed.
+    max_used: f64,
+    exceeded: usize,
+    counted: usize,
+    median_sent: f64,
+    /// What an average server is sent, times the capacity of a warming one.
+    median_capacity: f64,
+}
+
+impl FleetResult {
+    fn play(nodes: usize) -> FleetResult {
+        let mut result = FleetResult {
+            nodes,
+            ..FleetResult::default()
+        };
+        for seed in 1..=SEEDS {
+            let sent = Fleet::new(nodes, seed).play();
+            let times = (ZONE_RETURN + COUNT_INTERVAL..END).step_by(COUNT_INTERVAL as usize);
+            for (number, end) in times.enumerate() {
+                result.add(number, &sent.window_counts(end), &sent);
+            }
+        }
+        result
+    }
+
+    fn add(&mut self, number: usize, counts: &WindowCounts, sent: &Sent) {
+        let sums = &counts.sums;
+        let budget = sent.budget(counts.end);
+        let allowed = budget + 2.0 * budget.sqrt() + 2.0;
+        let most_loaded = sums[sums.len() - 1];
+        self.max_used = self.max_used.max(most_loaded / allowed);
+        self.exceeded += sums.iter().filter(|sum| **sum > allowed).count();
+        self.counted += sums.len();
+        self.median_sent += sums[sums.len() / 2];
+        self.median_capacity += budget / sent.settings.overload_multiple;
+        let point = Point {
+            seconds: (counts.end - ZONE_RETURN) as f64 / SECOND as f64,
+            most_loaded: most_loaded / budget,
+            allowed: allowed / budget,
+        };
+        match self.points.get_mut(number) {
+            Some(earlier) => earlier.most_loaded = earlier.most_loaded.max(point.most_loaded),
+            None => self.points.push(point),
+        }
+    }
+
+    fn print(&self) {
+        println!(
+            "{:4} nodes: most loaded {:.2} of what is allowed, exceeded in {} of {}; \
+             the median one is sent {:.2} of an average server's load, in proportion to its capacity",
+            self.nodes,
+            self.max_used,
+            self.exceeded,
+            self.counted,
+            self.median_sent / self.median_capacity
+        );
+    }
+}
+
+fn draw(file: &str, results: &[FleetResult]) -> Result<(), Box<dyn Error>> {
+    let points = || results.iter().flat_map(|result| &result.points);
+    let y_max = points()
+        .map(|point| point.most_loaded.max(point.allowed))
+        .fold(0.0, f64::max)
+        * 1.05;
+    let lines = results.iter().map(|result| Line {
+        label: format!("{} nodes", result.nodes),
+        points: result
+            .points
+            .iter()
+            .map(|point| (point.seconds, point.most_loaded))
+            .collect(),
+    });
+    let allowed = results[0].points.iter();
+    let chart = Chart {
+        caption: "What the most loaded warming server is sent by all nodes",
+        x_description: "seconds since it started; three in ten nodes restart at 6",
+        y_description: "sum within 2 s, over the budget N",
+        x_max: points().map(|point| point.seconds).fold(0.0, f64::max),
+        y_max,
+        lines: lines.collect(),
+        reference: ReferenceLine {
+            label: Some("N + 2 root of N + 2"),
+            points: allowed
+                .map(|point| (point.seconds, point.allowed))
+                .collect(),
+            opacity: 0.5,
+        },
+    };
+    chart.write_svg(file)
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut results = Vec::new();
+    for nodes in FLEET_SIZES {
+        let result = FleetResult::play(nodes);
+        result.print();
+        results.push(result);
+    }
+    match std::env::args().nth(1) {
+        Some(file) => draw(&file, &results),
+        None => Ok(()),
+    }
+}
--- a/crates/fleet_model/examples/load.rs
+++ b/crates/fleet_model/examples/load.rs
@@ -1,119 +1,117 @@
-//! Prints what a fleet serves of loads that it can't bear, beside a policy that sees all; and which decisions gave up the rest.
-//! Draws it, where a file is named.
+//! Prints what a fleet serves under loads up to eight times the usual, beside the omniscient policy, and for which reasons the
+//! balancers rejected the rest. Draws it as well if a file is named.
 //!
 //!     cargo run --release -p sloewick-fleet-model --example load
 //!     cargo run --release -p sloewick-fleet-model --example load -- docs/overload-load.svg
 
+mod support;
+
 use std::error::Error;
 
-use plotters::prelude::*;
-use sloewick_fleet_model::{Arm, Model, Second, Site};
+use sloewick_fleet_model::{Model, Policy, SecondCounts, Site};
+use support::{Chart, Line, ReferenceLine};
 
+/// Multiples of the usual load.
 const LOADS: [f64; 10] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 6.0, 8.0];
 const SECONDS: usize = 40;
-/// The first seconds count for nothing: nodes have just started.
-const FROM: usize = 10;
+/// First second that is counted; before it the nodes have just started.
+const FIRST_SECOND: usize = 10;
 const SEEDS: u64 = 2;
 
-/// Worth a second.
-struct Row {
+/// Priority weight per second at one load.
+struct LoadResult {
+    /// Multiple of the usual load.
     load: f64,
     offered: f64,
     served: f64,
 }
 
-fn play(site: &Site, arm: Arm, load: f64) -> Row {
-    let (mut offered, mut served) = (0, 0);
+/// Results of one policy, by load.
+struct Series {
+    name: &'static str,
+    results: Vec<LoadResult>,
+}
+
+fn play(site: &Site, policy: Policy, load: f64) -> LoadResult {
+    let mut offered = 0;
+    let mut served = 0;
     for seed in 1..=SEEDS {
-        let mut model = Model::new(
-            Site {
-                rate: site.rate * load,
-                ..site.clone()
-            },
-            arm,
-            seed,
-        );
+        let site = Site {
+            request_rate: site.request_rate * load,
+            ..site.clone()
+        };
+        let mut model = Model::new(site, policy, seed);
         model.play(SECONDS);
-        let sum = |of: fn(&Second) -> u32| model.seconds[FROM..].iter().map(of).sum::<u32>();
-        offered += sum(|s| s.worth_offered);
-        served += sum(|s| s.worth_served);
+        let counts: SecondCounts = model.seconds[FIRST_SECOND..].iter().sum();
+        offered += counts.offered_weight;
+        served += counts.served_weight;
         println!(
-            "{:8} {load:4} seed {seed}: given up {:?}",
-            format!("{arm:?}"),
-            model.why
+            "{:10} {load:4} seed {seed}: rejected {:?}",
+            format!("{policy:?}"),
+            model.reject_reasons
         );
     }
-    let of = (SECONDS - FROM) as f64 * SEEDS as f64;
-    Row {
+    let seconds = (SECONDS - FIRST_SECOND) as f64 * SEEDS as f64;
+    LoadResult {
         load,
-        offered: f64::from(offered) / of,
-        served: f64::from(served) / of,
+        offered: f64::from(offered) / seconds,
+        served: f64::from(served) / seconds,
     }
 }
 
-fn draw(file: &str, all: &[(&str, Vec<Row>)]) -> Result<(), Box<dyn Error>> {
-    let area = SVGBackend::new(file, (760, 440)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let most = all
-        .iter()
-        .flat_map(|(_, rows)| rows)
-        .map(|r| r.served)
-        .fold(0.0, f64::max)
-        * 1.1;
-    let mut chart = ChartBuilder::on(&area)
-        .caption("Worth served by load", ("sans-serif", 20))
-        .margin(12)
-        .x_label_area_size(40)
-        .y_label_area_size(60)
-        .build_cartesian_2d(0.0..8.2, 0.0..most)?;
-    chart
-        .configure_mesh()
-        .x_desc("load, times the usual")
-        .y_desc("worth a second")
-        .draw()?;
-    for (n, (name, rows)) in all.iter().enumerate() {
-        let colour = Palette99::pick(n).to_rgba();
-        let points = || rows.iter().map(|r| (r.load, r.served));
-        chart
-            .draw_series(LineSeries::new(points(), colour.stroke_width(2)))?
-            .label(*name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour.stroke_width(2)));
+fn play_series(name: &'static str, site: &Site, policy: Policy) -> Series {
+    Series {
+        name,
+        results: LOADS.map(|load| play(site, policy, load)).into(),
     }
-    let offered = all[0]
-        .1
-        .iter()
-        .map(|r| (r.load, r.offered))
-        .take_while(|p| p.1 < most);
-    chart.draw_series(LineSeries::new(offered, BLACK.mix(0.3)))?;
-    chart
-        .configure_series_labels()
-        .border_style(BLACK.mix(0.3))
-        .background_style(WHITE)
-        .draw()?;
-    area.present()?;
-    Ok(())
+}
+
+fn draw(file: &str, all: &[Series]) -> Result<(), Box<dyn Error>> {
+    let results = all.iter().flat_map(|series| &series.results);
+    let y_max = results.map(|result| result.served).fold(0.0, f64::max) * 1.1;
+    let lines = all.iter().map(|series| Line {
+        label: series.name.to_string(),
+        points: series.results.iter().map(|r| (r.load, r.served)).collect(),
+    });
+    let offered = all[0].results.iter().map(|r| (r.load, r.offered));
+    let chart = Chart {
+        caption: "Priority weight served by load",
+        x_description: "load, multiple of the usual",
+        y_description: "priority weight per second",
+        x_max: 8.2,
+        y_max,
+        lines: lines.collect(),
+        reference: ReferenceLine {
+            label: None,
+            points: offered
+                .take_while(|(_, offered)| *offered < y_max)
+                .collect(),
+            opacity: 0.3,
+        },
+    };
+    chart.write_svg(file)
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let still = Site {
-        writes: 0.0,
+    let usual = Site::default();
+    let without_writes = Site {
+        write_fraction: 0.0,
         ..Site::default()
     };
-    let all: Vec<(&str, Vec<Row>)> = [
-        ("nodes", Site::default(), Arm::Module),
-        ("seeing all", Site::default(), Arm::Seeing),
-        ("nodes, nothing written", still.clone(), Arm::Module),
-        ("seeing all, nothing written", still, Arm::Seeing),
-    ]
-    .into_iter()
-    .map(|(name, site, arm)| (name, LOADS.map(|load| play(&site, arm, load)).into()))
-    .collect();
-    println!("worth a second, seconds {FROM} to {SECONDS}, mean of {SEEDS} seeds");
-    for (name, rows) in &all {
-        for row in rows {
+    let all = [
+        play_series("nodes", &usual, Policy::Balancer),
+        play_series("omniscient", &usual, Policy::Omniscient),
+        play_series("nodes, no writes", &without_writes, Policy::Balancer),
+        play_series("omniscient, no writes", &without_writes, Policy::Omniscient),
+    ];
+    println!(
+        "priority weight per second, seconds {FIRST_SECOND} to {SECONDS}, mean of {SEEDS} seeds"
+    );
+    for series in &all {
+        for result in &series.results {
             println!(
-                "{name:28} {:4} offered {:6.0} served {:6.0}",
-                row.load, row.offered, row.served
+                "{:28} {:4} offered {:6.0} served {:6.0}",
+                series.name, result.load, result.offered, result.served
             );
         }
     }
--- /dev/null
+++ b/crates/fleet_model/src/model/requests.rs
@@ -0,0 +1,205 @@
+//! Requests from arrival to their final response: events to the nodes' balancers, their actions, and the outcomes of attempts.
+
+use rand::Rng;
+use sloewick_decision::api::{
+    Action, CacheResult, Event, Micros, Request, RequestId, ServerId, Status,
+};
+
+use super::{Model, Policy};
+use crate::attempt::{Attempt, AttemptIndex, PendingRequest, Stage};
+use crate::event_queue::FleetEvent;
+use crate::node::{server_id, server_number};
+use crate::site::class_limits;
+
+/// Time from a rejection to the client's retry.
+const CLIENT_RETRY_DELAY: Micros = 60_000;
+/// Number of latest attempts that are searched for one whose request has its final response.
+const MAX_SEARCHED_ATTEMPTS: usize = 20_000;
+
+impl Model {
+    /// A request arrives at a node.
+    pub(super) fn start_request(&mut self, node: usize, key: usize, write: bool, first: bool) {
+        let id: RequestId = format!("r{}", self.events.next_serial()).into();
+        let limits = class_limits(write);
+        let pending = PendingRequest {
+            node,
+            write,
+            key,
+            arrived_at: self.now,
+            first,
+            attempts: Vec::new(),
+        };
+        self.pending.insert(id.clone(), pending);
+        if self.policy == Policy::Omniscient {
+            return match self.omniscient_selection(key, write) {
+                Some(server) => self.send(node, id, &server_id(server), None),
+                None => self.reject(&id),
+            };
+        }
+        let request = Request {
+            id,
+            class: limits.index,
+            tenant: None,
+            key: Some(format!("k{key}").into()),
+            budget: limits.deadline,
+            work: None,
+            size: None,
+            retry: !first,
+            write,
+        };
+        self.notify_node(node, Event::Request(request));
+    }
+
+    /// Passes an event to a node's balancer and carries out its actions.
+    pub(super) fn notify_node(&mut self, node: usize, event: Event) {
+        if self.policy == Policy::Omniscient {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.nodes[node].handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => self.send(node, request, &server, timeout),
+            Action::Reject { request, .. } | Action::Fail { request } => {
+                let reason = self.nodes[node].decision_reason();
+                *self.reject_reasons.entry(reason).or_default() += 1;
+                self.reject(&request);
+            }
+            Action::Cancel { request, attempt } => {
+                if let Some(index) = self.find_attempt(&request, attempt) {
+                    self.cancel_attempt(index);
+                }
+            }
+            Action::SetTimer { delay, token } => {
+                self.schedule(delay, FleetEvent::NodeTimer { node, token });
+            }
+            _ => {}
+        }
+    }
+
+    /// An attempt by its request and number; the request may have had its final response.
+    fn find_attempt(&self, request: &RequestId, number: usize) -> Option<AttemptIndex> {
+        let pending = self.pending.get(request);
+        pending
+            .and_then(|pending| pending.attempts.get(number).copied())
+            .or_else(|| self.find_recent_attempt(request, number))
+    }
+
+    fn find_recent_attempt(&self, request: &RequestId, number: usize) -> Option<AttemptIndex> {
+        let first = self.attempts.len().saturating_sub(MAX_SEARCHED_ATTEMPTS);
+        self.attempts[first..]
+            .iter()
+            .rposition(|attempt| attempt.request == *request && attempt.number == number)
+            .map(|position| first + position)
+    }
+
+    /// The final response of a request is a rejection or an error.
+    fn reject(&mut self, request: &RequestId) {
+        let Some(pending) = self.pending.remove(request) else {
+            self.violations += 1;
+            return;
+        };
+        self.counts().rejected += 1;
+        if self.now > pending.arrived_at + class_limits(pending.write).deadline {
+            self.violations += 1;
+        }
+        if self.policy == Policy::CancelFetches {
+            for attempt in pending.attempts {
+                self.cancel_attempt(attempt);
+            }
+        }
+        if pending.first && !pending.write && self.rng.random_bool(self.site.retry_probability) {
+            self.schedule(CLIENT_RETRY_DELAY, FleetEvent::ClientRetry(pending.key));
+        }
+    }
+
+    fn send(
+        &mut self,
+        node: usize,
+        request: RequestId,
+        server: &ServerId,
+        timeout: Option<Micros>,
+    ) {
+        let server = server_number(server);
+        let index = self.attempts.len();
+        let Some(pending) = self.pending.get_mut(&request) else {
+            self.violations += 1;
+            return;
+        };
+        let number = pending.attempts.len();
+        pending.attempts.push(index);
+        let attempt = Attempt {
+            node,
+            request,
+            number,
+            server,
+            key: pending.key,
+            write: pending.write,
+            sent_at: self.now,
+            stage: Stage::Queued,
+            awaited: true,
+        };
+        let deadline = pending.arrived_at + class_limits(pending.write).deadline;
+        let remaining = deadline - self.now;
+        self.counts().attempts += 1;
+        self.attempts.push(attempt);
+        let timeout = timeout.unwrap_or(remaining).min(remaining);
+        self.schedule(timeout, FleetEvent::AttemptTimeout(index));
+        self.enqueue(index);
+    }
+
+    /// An attempt has ended: a success is the final response of its request.
+    pub(super) fn attempt_ended(
+        &mut self,
+        index: AttemptIndex,
+        status: Status,
+        cache_result: Option<CacheResult>,
+    ) {
+        let attempt = &self.attempts[index];
+        let (node, server, number) = (attempt.node, attempt.server, attempt.number);
+        let latency = self.now - attempt.sent_at;
+        let request = attempt.request.clone();
+        let closed = status == Status::Ok && self.final_response(&request, cache_result);
+        if self.policy == Policy::Omniscient {
+            if !closed && self.pending.contains_key(&request) {
+                self.reject(&request);
+            }
+            return;
+        }
+        let event = Event::AttemptEnded {
+            request,
+            server: server_id(server),
+            attempt: number,
+            latency,
+            status,
+            closed,
+            note: cache_result,
+            load: None,
+        };
+        self.notify_node(node, event);
+    }
+
+    /// Counts the success of a request; false if it had its final response before.
+    fn final_response(&mut self, request: &RequestId, cache_result: Option<CacheResult>) -> bool {
+        let Some(pending) = self.pending.remove(request) else {
+            return false;
+        };
+        let limits = class_limits(pending.write);
+        if self.now - pending.arrived_at <= limits.latency_objective {
+            let counts = self.counts();
+            counts.served += 1;
+            counts.served_weight += limits.priority_weight;
+            counts.from_origin += u32::from(cache_result == Some(CacheResult::Miss));
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/fleet_model/src/node_tests.rs
@@ -0,0 +1,10 @@
+//! Names of servers.
+
+use crate::node::{endpoint, server_number};
+
+#[test]
+fn server_number_is_read_back_from_the_name() {
+    for server in [0, 9, 123] {
+        assert_eq!(server_number(&endpoint(server).server), server);
+    }
+}
