--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/emulators/clients.rs
@@ -1,5 +1,8 @@
-//! Stand-ins for clients: a crowd behind a front that deals out connections and notices late that a node has
-//! died, with retries, impatience and hang-ups; and rude clients that send what can't be read.
+//! Emulator of well-behaved clients behind a load balancer.
+//!
+//! The load balancer spreads requests over the nodes round robin and notices late that a node has died. Clients retry
+//! once, give up after their deadline and may disconnect early. Every request and its outcome is reported to the
+//! checker.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
@@ -10,11 +13,11 @@
 use sloewick_codec::resp2::{write_bulk, write_header, DecodeEvent, Element, Reply, ReplyReader};
 use sloewick_decision::api::Micros;
 
-use crate::facts::{named_by, opaque_of, short, Answer, Id, Tap, What};
-use crate::orders::Orders;
+use crate::checker::observations::{named_by, opaque_of, short, Answer, Event, Id, Recorder};
+use crate::commands::CommandQueue;
 use crate::port::{Actor, Came, Port, Sight};
+use crate::protocol_options::{Clients, KEYS};
 use crate::rng::Rng;
-use crate::site::{Clients, KEYS};
 
 /// Connections to one node for requests.
 const CONNS_MOST: usize = 80;
@@ -66,7 +69,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub enum Order {
+pub enum ControlCommand {
     /// So many times the usual rate.
     Rate(f64),
     /// So many keys take this part of all requests; none: as usual.
@@ -127,8 +130,8 @@
 pub struct Crowd<N: Sight> {
     port: Port<N, Due>,
     set: Settings,
-    orders: Orders<Order>,
-    tap: Tap,
+    command_queue: CommandQueue<ControlCommand>,
+    recorder: Recorder,
     rng: Rng,
     rate: f64,
     /// When the next first try is due.
@@ -151,7 +154,12 @@
 }
 
 impl<N: Sight> Crowd<N> {
-    pub fn new(net: N, set: Settings, orders: Orders<Order>, tap: Tap) -> Crowd<N> {
+    pub fn new(
+        net: N,
+        set: Settings,
+        command_queue: CommandQueue<ControlCommand>,
+        recorder: Recorder,
+    ) -> Crowd<N> {
         let mut port = Port::new(net);
         let nodes = set.nodes.len();
         let mut sum = 0.0;
@@ -167,8 +175,8 @@
         Crowd {
             port,
             set,
-            orders,
-            tap,
+            command_queue,
+            recorder,
             rng,
             rate: 1.0,
             due: 0,
@@ -246,13 +254,8 @@
         idem: Option<Id>,
         budget: Micros,
     ) {
-        let nodes = self.up.len();
-        let node = (1..=nodes)
-            .map(|i| (self.turn + i) % nodes)
-            .find(|n| self.up[*n]);
-        // Nobody is up: the front has nowhere to send this.
-        let Some(node) = node else { return };
-        self.turn = node;
+        // No node is up: the load balancer has nowhere to send this.
+        let Some(node) = self.next_node() else { return };
         let now = self.port.now();
         self.number += 1;
         let memcached = match self.set.speech {
@@ -262,100 +265,29 @@
                 .as_ref()
                 .map_or(self.number.is_multiple_of(2), |(.., memcached)| *memcached),
         };
-        let mut word = self.rng.word();
-        let mut id = Id::from(format!("{word:016x}"));
-        if self.set.short_names {
-            while self
-                .shorts_used
-                .front()
-                .is_some_and(|(at, _)| now - at > SHORT_KEPT)
-            {
-                self.shorts_used
-                    .pop_front()
-                    .map(|(_, short)| self.shorts.remove(&short));
-            }
-            loop {
-                if memcached {
-                    id = named_by(self.number as u32);
-                }
-                let short = opaque_of(&id) as u16;
-                // All in use: no day here asks so much.
-                if self.shorts.insert(short) || self.shorts.len() > usize::from(u16::MAX) {
-                    self.shorts_used.push_back((now, short));
-                    break;
-                }
-                // No draw more than the others take: the same seed is to give the same day.
-                word = word.wrapping_add(1);
-                id = Id::from(format!("{word:016x}"));
-                self.number += 1;
-            }
-        }
+        let id = self.new_id(now, memcached);
         let number = self.number;
-        let c = &self.set.classes[class];
-        // Nobody tells a node how much of a wait is left where the key tells all: it begins anew.
-        let budget = if self.by_key() { c.deadline } else { budget };
-        let mut fields = format!(
-            "c={},t={},d={}",
-            c.name,
-            self.set.tenants[tenant].0,
-            (budget + 999) / 1000
-        );
-        if let Some(idem) = &idem {
-            fields += &format!(",k={idem}");
-        }
-        if first.is_some() && !self.by_key() {
-            fields += ",r=1";
-        }
-        let name: &[u8] = if c.write { b"C.SET" } else { b"C.GET" };
+        // No protocol field holds the remaining time where the key selects the class: it begins anew.
+        let budget = if self.by_key() {
+            self.set.classes[class].deadline
+        } else {
+            budget
+        };
+        let value = self.value(class, idem.as_ref());
         let key_name = if self.by_key() {
             format!("{}/{tenant}/{key:05}", KEYS[class])
         } else {
             format!("logger/{key:05}")
         };
-        // A wish tells itself from others by its value where nothing else does: each try of it has the same.
-        let wish = idem.clone().filter(|_| self.by_key()).unwrap_or_default();
-        let long = match wish.is_empty() {
-            false => wish.starts_with("0"),
-            true => c.write && self.rng.chance(0.05),
-        };
-        let length = if long { 6_000 } else { 24 };
-        let mut value = wish.as_bytes().to_vec();
-        value.resize(length, b'w');
-        let mut out = Vec::with_capacity(160);
-        if memcached {
-            let opcode = if c.write { Opcode::Set } else { Opcode::Get };
-            let extras = if c.write {
-                Bytes::from_static(&[0; 8])
-            } else {
-                Bytes::new()
-            };
-            let value = if c.write {
-                Bytes::from(value)
-            } else {
-                Bytes::new()
-            };
-            let key = Bytes::from(key_name);
-            let (opcode, opaque) = (opcode as u8, number as u32);
-            memcached::write_request(
-                &mut out,
-                &memcached::Request {
-                    opcode,
-                    opaque,
-                    extras,
-                    key,
-                    value,
-                    ..memcached::Request::default()
-                },
-            );
+        let out = if memcached {
+            self.memcached_request(class, number, key_name, value)
         } else {
-            write_header(&mut out, b'*', if c.write { 5 } else { 4 });
-            for word in [name, key_name.as_bytes(), id.as_bytes(), fields.as_bytes()] {
-                write_bulk(&mut out, word);
-            }
-            if c.write {
-                write_bulk(&mut out, &value);
+            let mut fields = self.fields(class, tenant, idem.as_ref(), budget);
+            if first.is_some() && !self.by_key() {
+                fields += ",r=1";
             }
-        }
+            self.resp_request(class, &[&key_name, &id, &fields], &value)
+        };
         let is_first = first.is_none();
         let (first, begun_first, _) = first.unwrap_or((id.clone(), now, memcached));
         let (bytes, conn, resent) = (Bytes::from(out), None, false);
@@ -386,6 +318,115 @@
         self.dispatch(number);
     }
 
+    /// The fields of a RESP2 request.
+    fn fields(&self, class: usize, tenant: usize, idem: Option<&Id>, budget: Micros) -> String {
+        let mut fields = format!(
+            "c={},t={},d={}",
+            self.set.classes[class].name,
+            self.set.tenants[tenant].0,
+            (budget + 999) / 1000
+        );
+        if let Some(idem) = idem {
+            fields.push_str(",k=");
+            fields.push_str(idem);
+        }
+        fields
+    }
+
+    /// The next node that is up, round robin.
+    fn next_node(&mut self) -> Option<usize> {
+        let nodes = self.up.len();
+        let node = (1..=nodes)
+            .map(|i| (self.turn + i) % nodes)
+            .find(|n| self.up[*n])?;
+        self.turn = node;
+        Some(node)
+    }
+
+    /// An id for a new request; its short name was not used lately, where some peer sees only that.
+    fn new_id(&mut self, now: Micros, memcached: bool) -> Id {
+        let mut word = self.rng.word();
+        let mut id = Id::from(format!("{word:016x}"));
+        if self.set.short_names {
+            while self
+                .shorts_used
+                .front()
+                .is_some_and(|(at, _)| now - at > SHORT_KEPT)
+            {
+                self.shorts_used
+                    .pop_front()
+                    .map(|(_, short)| self.shorts.remove(&short));
+            }
+            loop {
+                if memcached {
+                    id = named_by(self.number as u32);
+                }
+                let short = opaque_of(&id) as u16;
+                // All in use: no day here asks so much.
+                if self.shorts.insert(short) || self.shorts.len() > usize::from(u16::MAX) {
+                    self.shorts_used.push_back((now, short));
+                    break;
+                }
+                // No draw more than the others take: the same seed is to give the same day.
+                word = word.wrapping_add(1);
+                id = Id::from(format!("{word:016x}"));
+                self.number += 1;
+            }
+        }
+        id
+    }
+
+    /// The value of a write. Where requests are told apart by their values only, each request for the same thing has
+    /// the same.
+    fn value(&mut self, class: usize, idem: Option<&Id>) -> Vec<u8> {
+        let distinct = idem.cloned().filter(|_| self.by_key()).unwrap_or_default();
+        let long = if distinct.is_empty() {
+            self.set.classes[class].write && self.rng.chance(0.05)
+        } else {
+            distinct.starts_with('0')
+        };
+        let length = if long { 6_000 } else { 24 };
+        let mut value = distinct.as_bytes().to_vec();
+        value.resize(length, b'w');
+        value
+    }
+
+    fn memcached_request(&self, class: usize, number: u64, key: String, value: Vec<u8>) -> Vec<u8> {
+        let write = self.set.classes[class].write;
+        let (opcode, extras, value) = if write {
+            let flags_and_expiry = Bytes::from_static(&[0; 8]);
+            (Opcode::Set, flags_and_expiry, Bytes::from(value))
+        } else {
+            (Opcode::Get, Bytes::new(), Bytes::new())
+        };
+        let request = memcached::Request {
+            opcode: opcode as u8,
+            opaque: number as u32,
+            extras,
+            key: Bytes::from(key),
+            value,
+            ..memcached::Request::default()
+        };
+        let mut out = Vec::with_capacity(160);
+        memcached::write_request(&mut out, &request);
+        out
+    }
+
+    /// `words`: key, id and fields.
+    fn resp_request(&self, class: usize, words: &[&str; 3], value: &[u8]) -> Vec<u8> {
+        let write = self.set.classes[class].write;
+        let mut out = Vec::with_capacity(160);
+        write_header(&mut out, b'*', if write { 5 } else { 4 });
+        write_bulk(&mut out, if write { b"C.SET" } else { b"C.GET" });
+        for word in words {
+            write_bulk(&mut out, word.as_bytes());
+        }
+        if write {
+            write_bulk(&mut out, value);
+        }
+        out
+    }
+
     /// Sends a try on an idle connection, on a new one, or when one is free.
     fn dispatch(&mut self, number: u64) {
         let Some((node, memcached)) = self.tries.get(&number).map(|t| (t.node, t.memcached)) else {
@@ -460,12 +501,12 @@
         }
         let bytes = t.bytes.clone();
         let what = if t.resent {
-            What::Resent {
+            Event::Resent {
                 id: t.id.clone(),
                 node: t.node,
             }
         } else {
-            What::Asked {
+            Event::Asked {
                 id: t.id.clone(),
                 node: t.node,
                 class: t.class,
@@ -476,7 +517,7 @@
                 budget: t.budget,
             }
         };
-        self.tap.tell(self.port.unix(), what);
+        self.recorder.tell(self.port.unix(), what);
         self.port.send(conn, bytes);
     }
 
@@ -517,9 +558,9 @@
                 }
                 Err(broken) => {
                     let bytes = broken.to_string();
-                    self.tap.tell(
+                    self.recorder.tell(
                         self.port.unix(),
-                        What::Unasked {
+                        Event::Unasked {
                             node: c.node,
                             bytes,
                         },
@@ -538,7 +579,8 @@
         if std::mem::take(&mut c.ping) {
             if matches!(&said, Said::Resp(Reply::Single(Element::Simple(text))) if text == "PONG") {
                 self.up[node] = true;
-                self.tap.tell(self.port.unix(), What::ReadyEvent { node });
+                self.recorder
+                    .tell(self.port.unix(), Event::ReadyEvent { node });
                 if self.by_key() {
                     // Pings go to the RESP2 door; no protocol is to have a connection before the other.
                     self.port.close(conn);
@@ -554,8 +596,8 @@
         }
         let Some(number) = c.job.take() else {
             let bytes = format!("{said:?}").chars().take(120).collect();
-            self.tap
-                .tell(self.port.unix(), What::Unasked { node, bytes });
+            self.recorder
+                .tell(self.port.unix(), Event::Unasked { node, bytes });
             return;
         };
         c.done += 1;
@@ -567,9 +609,9 @@
             Said::Resp(reply) => resp_answer(&reply, &t.id, write),
             Said::Memcached(response) => memcached_answer(&response, &t.id, number as u32, write),
         };
-        self.tap.tell(
+        self.recorder.tell(
             self.port.unix(),
-            What::Answered {
+            Event::Answered {
                 id: t.id.clone(),
                 how: how.clone(),
             },
@@ -632,7 +674,8 @@
             if c.up && !c.part && c.done == 0 {
                 if let Some(t) = self.tries.get(&number) {
                     let (id, node) = (t.id.clone(), t.node);
-                    self.tap.tell(self.port.unix(), What::Shut { id, node });
+                    self.recorder
+                        .tell(self.port.unix(), Event::Shut { id, node });
                 }
             }
             self.ended(number, c.part, c.up);
@@ -658,9 +701,9 @@
             if t.resent {
                 // The first time it did leave.
                 let how = Answer::Ended { part: false };
-                self.tap.tell(
+                self.recorder.tell(
                     self.port.unix(),
-                    What::Answered {
+                    Event::Answered {
                         id: t.id.clone(),
                         how,
                     },
@@ -686,9 +729,9 @@
         let Some(t) = self.tries.remove(&number) else {
             return;
         };
-        self.tap.tell(
+        self.recorder.tell(
             self.port.unix(),
-            What::Answered {
+            Event::Answered {
                 id: t.id.clone(),
                 how: Answer::Ended { part },
             },
@@ -718,7 +761,8 @@
                 };
                 let written = self.conns.get(&conn).is_some_and(|c| c.up);
                 if let Some(t) = self.tries.remove(&number).filter(|_| written) {
-                    self.tap.tell(self.port.unix(), What::Left { id: t.id });
+                    self.recorder
+                        .tell(self.port.unix(), Event::Left { id: t.id });
                 }
                 if let Some(c) = self.conns.get_mut(&conn) {
                     c.job = None;
@@ -839,223 +883,13 @@
     }
 
     fn prepare(&mut self) -> Option<Micros> {
-        while let Some(order) = self.orders.take() {
+        while let Some(order) = self.command_queue.take() {
             match order {
-                Order::Rate(times) => self.rate = times,
-                Order::Hot { keys, part } => self.hot = (keys, part),
-                Order::Impatient(part) => self.set.impatient = part,
-                Order::Down(node) => self.up[node] = false,
-                Order::Up(node) => self.port.set(self.port.now(), Due::Ping(node)),
-            }
-        }
-        Some(self.port.next_due())
-    }
-}
-
-// ---- rude clients ----
-
-/// What a rude client sends.
-const RUDE: [(&str, &[u8]); 9] = [
-    (
-        "noise",
-        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
-    ),
-    ("negative length", b"*4\r\n$-9\r\n"),
-    ("huge length", b"*4\r\n$99999999999999999999\r\n"),
-    ("a number of words that lies", b"*1000000\r\n"),
-    (
-        "an unknown class",
-        b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr1\r\n$14\r\nc=nothing,d=50\r\n",
-    ),
-    (
-        "a deadline that is no number",
-        b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nr2\r\n$18\r\nc=trace-read,d=abc\r\n",
-    ),
-    ("no id", b"*2\r\n$5\r\nC.GET\r\n$1\r\nk\r\n"),
-    ("half a command", b"*4\r\n$5\r\nC.GET\r\n$1\r\nk"),
-    ("nothing", b""),
-];
-/// What one sends to the listener for the binary protocol.
-const RUDE_MEMCACHED: [(&str, &[u8]); 7] = [
-    ("noise", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"),
-    ("RESP2", b"*1\r\n$4\r\nPING\r\n"),
-    ("a body shorter than its key", b"\x80\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00k"),
-    ("a body of 4 GB", b"\x80\x01\x00\x01\x08\x00\x00\x00\xff\xff\xff\xff\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00"),
-    ("a key that no route fits", b"\x80\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x07\x00\x00\x00\x00\x00\x00\x00\x00k"),
-    ("half a header", b"\x80\x00\x00\x01\x00"),
-    ("nothing", b""),
-];
-/// Within this a rude client is owed an error or a close.
-pub const RUDE_OWED: Micros = 3_000_000;
-
-/// Clients that send what can't be read, at a node each in turn.
-pub struct Rude<N: Sight> {
-    port: Port<N, RudeDue>,
-    nodes: Vec<SocketAddr>,
-    /// Every second one goes there, where there is such a listener.
-    memcached: Vec<SocketAddr>,
-    orders: Orders<f64>,
-    tap: Tap,
-    rng: Rng,
-    rate: f64,
-    ticking: bool,
-    turn: usize,
-    conns: HashMap<usize, RudeConn>,
-    came: Vec<(usize, Came)>,
-}
-
-struct RudeConn {
-    serial: u64,
-    node: usize,
-    memcached: bool,
-    what: (&'static str, &'static [u8]),
-    since: Micros,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum RudeDue {
-    Next,
-    Owed(usize, u64),
-}
-
-impl<N: Sight> Rude<N> {
-    /// `orders`: how many come in a second.
-    pub fn new(
-        net: N,
-        nodes: Vec<SocketAddr>,
-        memcached: Vec<SocketAddr>,
-        seed: u64,
-        orders: Orders<f64>,
-        tap: Tap,
-    ) -> Rude<N> {
-        let (port, rng) = (Port::new(net), Rng::part(seed, "rude", 0));
-        let (rate, ticking, turn) = (0.0, false, 0);
-        let (conns, came) = (HashMap::new(), Vec::new());
-        Rude {
-            port,
-            nodes,
-            memcached,
-            orders,
-            tap,
-            rng,
-            rate,
-            ticking,
-            turn,
-            conns,
-            came,
-        }
-    }
-
-    fn next(&mut self) {
-        self.ticking = self.rate > 0.0;
-        if !self.ticking {
-            return;
-        }
-        let pause = self.rng.spread(1e6 / self.rate) as Micros;
-        self.port.set(self.port.now() + pause, RudeDue::Next);
-        self.turn = (self.turn + 1) % (self.nodes.len() + self.memcached.len());
-        let memcached = self.turn >= self.nodes.len();
-        let node = self.turn % self.nodes.len();
-        let to = if memcached {
-            self.memcached[node]
-        } else {
-            self.nodes[node]
-        };
-        if let Ok(conn) = self.port.connect(to) {
-            let serial = self.port.line(conn).map_or(0, |l| l.serial);
-            let all: &[_] = if memcached { &RUDE_MEMCACHED } else { &RUDE };
-            let (what, since) = (all[self.rng.below(all.len())], self.port.now());
-            self.conns.insert(
-                conn,
-                RudeConn {
-                    serial,
-                    node,
-                    memcached,
-                    what,
-                    since,
-                },
-            );
-        }
-    }
-
-    fn over(&mut self, conn: usize, told: bool, served: bool) {
-        if let Some(c) = self.conns.remove(&conn) {
-            let after = self.port.now() - c.since;
-            self.tap.tell(
-                self.port.unix(),
-                What::RudeEnded {
-                    node: c.node,
-                    after,
-                    told,
-                    served,
-                },
-            );
-        }
-        self.port.close(conn);
-    }
-}
-
-impl<N: Sight> Actor for Rude<N> {
-    fn turn(&mut self, wait: Micros) -> io::Result<()> {
-        let mut came = std::mem::take(&mut self.came);
-        self.port.poll(wait, &mut came)?;
-        for (conn, what) in &came {
-            let (now, Some(c)) = (self.port.now(), self.conns.get_mut(conn)) else {
-                continue;
-            };
-            match what {
-                Came::Up => {
-                    c.since = now;
-                    let serial = c.serial;
-                    let bytes = Bytes::from_static(c.what.1);
-                    self.port.send(*conn, bytes);
-                    self.port.set(now + RUDE_OWED, RudeDue::Owed(*conn, serial));
-                }
-                Came::Bytes => {
-                    let memcached = c.memcached;
-                    let Some(line) = self.port.line(*conn) else {
-                        continue;
-                    };
-                    let told = if memcached {
-                        // A status other than success.
-                        line.buf.len() >= 8 && line.buf[0] == 0x81 && line.buf[6..8] != [0, 0]
-                    } else {
-                        line.buf.first() == Some(&b'-')
-                    };
-                    self.over(*conn, told, !told);
-                }
-                Came::Ended => self.over(*conn, false, false),
-                Came::Broke { .. } => {
-                    self.conns.remove(conn);
-                }
-                Came::Opened(_) => {}
-            }
-        }
-        self.came = came;
-        while let Some(due) = self.port.pop_due() {
-            match due {
-                RudeDue::Next => self.next(),
-                RudeDue::Owed(conn, serial) => {
-                    if self.conns.get(&conn).is_some_and(|c| c.serial == serial) {
-                        if let Some(c) = self.conns.remove(&conn) {
-                            let what = c.what.0.to_string();
-                            self.tap
-                                .tell(self.port.unix(), What::RudeLeft { node: c.node, what });
-                        }
-                        self.port.close(conn);
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn prepare(&mut self) -> Option<Micros> {
-        while let Some(rate) = self.orders.take() {
-            self.rate = rate;
-            if !self.ticking && rate > 0.0 {
-                self.ticking = true;
-                self.port.set(self.port.now(), RudeDue::Next);
+                ControlCommand::Rate(times) => self.rate = times,
+                ControlCommand::Hot { keys, part } => self.hot = (keys, part),
+                ControlCommand::Impatient(part) => self.set.impatient = part,
+                ControlCommand::Down(node) => self.up[node] = false,
+                ControlCommand::Up(node) => self.port.set(self.port.now(), Due::Ping(node)),
             }
         }
         Some(self.port.next_due())
--- a/crates/testbed/src/hosts.rs
+++ b/crates/testbed/src/network/hosts.rs
@@ -6,8 +6,8 @@
 
 use sloewick_decision::api::Micros;
 
+use crate::network::{HostId, Shared, VNet, World};
 use crate::port::Actor;
-use crate::vnet::{HostId, Shared, VNet, World};
 
 struct Slot {
     actor: Option<Box<dyn Actor>>,
@@ -172,16 +172,13 @@
             return false;
         };
         let turned = actor.turn(0);
-        match turned.ok().and_then(|()| actor.prepare()) {
-            Some(due) => {
-                slot.due = due.saturating_add(slot.started);
-                false
-            }
-            None => {
-                slot.actor = None;
-                self.end(host);
-                true
-            }
+        if let Some(due) = turned.ok().and_then(|()| actor.prepare()) {
+            slot.due = due.saturating_add(slot.started);
+            false
+        } else {
+            slot.actor = None;
+            self.end(host);
+            true
         }
     }
 }
--- a/crates/testbed/tests/defects.rs
+++ b/crates/testbed/tests/defects.rs
@@ -11,11 +11,11 @@
 };
 use sloewick_decision::Balancer;
 use sloewick_node::DecisionEngine;
-use sloewick_testbed::fleet::{self, Defect, Options, Wrap};
-use sloewick_testbed::judge::Rule;
-use sloewick_testbed::scenario::{self, Scenario};
+use sloewick_testbed::checker::Rule;
+use sloewick_testbed::faults::scenario::{self, Scenario};
 use sloewick_testbed::site::Speech;
 use sloewick_testbed::site::CLASSES;
+use sloewick_testbed::virtual_fleet::{self, Defect, Options, Wrap};
 
 const SEEDS: u64 = 50;
 
@@ -143,8 +143,12 @@
         "rolling-deploy",
     ] {
         for seed in 1..4 {
-            let outcome = fleet::play(&scenario_of(name), seed, Options::default());
-            let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
+            let outcome = virtual_fleet::play(&scenario_of(name), seed, Options::default());
+            let broken: Vec<String> = outcome
+                .violations
+                .iter()
+                .map(std::string::ToString::to_string)
+                .collect();
             assert!(broken.is_empty(), "{name} seed {seed}: {broken:?}");
         }
     }
@@ -178,15 +182,15 @@
     options: &dyn Fn() -> Options,
 ) {
     for seed in 1..=SEEDS {
-        let outcome = fleet::play(scenario, seed, options());
+        let outcome = virtual_fleet::play(scenario, seed, options());
         let others: Vec<String> = outcome
-            .breaches
+            .violations
             .iter()
             .filter(|b| b.rule != rule)
-            .map(|b| b.to_string())
+            .map(std::string::ToString::to_string)
             .collect();
         if outcome
-            .breaches
+            .violations
             .iter()
             .any(|b| b.rule == rule && b.why.contains(words))
         {
@@ -349,8 +353,12 @@
 fn without_a_defect_idle_clients_fill_the_descriptors_and_break_no_rule() {
     let scenario = scenario::parse(FILLED).unwrap();
     for seed in 1..4 {
-        let outcome = fleet::play(&scenario, seed, Options::default());
-        let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
+        let outcome = virtual_fleet::play(&scenario, seed, Options::default());
+        let broken: Vec<String> = outcome
+            .violations
+            .iter()
+            .map(std::string::ToString::to_string)
+            .collect();
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
         assert!(
             outcome.descriptors > 300,
@@ -575,9 +583,10 @@
     let scenario = scenario::parse(FAILED_CALLS).unwrap();
     let say: Say = |state, now, action| {
         let asks = matches!(action, Action::FetchEndpointList | Action::Subscribe(true));
-        match asks && state.failed.is_some_and(|at| now - at < 14_000_000) {
-            true => vec![],
-            false => vec![action],
+        if asks && state.failed.is_some_and(|at| now - at < 14_000_000) {
+            vec![]
+        } else {
+            vec![action]
         }
     };
     let hear: Hear = |state, now, event| {
@@ -618,7 +627,7 @@
         &options,
     );
     for seed in 1..4 {
-        let outcome = fleet::play(
+        let outcome = virtual_fleet::play(
             &crashes,
             seed,
             Options {
@@ -626,7 +635,11 @@
                 ..Options::default()
             },
         );
-        let broken: Vec<String> = outcome.breaches.iter().map(|b| b.to_string()).collect();
+        let broken: Vec<String> = outcome
+            .violations
+            .iter()
+            .map(std::string::ToString::to_string)
+            .collect();
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
         assert!(
             outcome.fullest > 0.0,
@@ -792,13 +805,7 @@
             say,
         }) as Box<dyn DecisionEngine>
     });
-    let short = fleet::shrink(
-        &scenario,
-        3,
-        Rule::NoneLost,
-        Some(wrap.clone()),
-        Speech::default(),
-    );
+    let short = virtual_fleet::shrink(&scenario, 3, Rule::NoneLost, Some(&wrap), Speech::default());
     let names: Vec<&str> = short.faults.iter().map(|f| f.name).collect();
     assert_eq!(names, ["errors"]);
     assert!(short.seconds < scenario.seconds, "{}", short.seconds);
@@ -806,6 +813,6 @@
         wrap: Some(wrap),
         ..Options::default()
     };
-    let outcome = fleet::play(&short, 3, options);
-    assert!(outcome.breaches.iter().any(|b| b.rule == Rule::NoneLost));
+    let outcome = virtual_fleet::play(&short, 3, options);
+    assert!(outcome.violations.iter().any(|b| b.rule == Rule::NoneLost));
 }
