--- a/crates/fleet_model/src/model/requests.rs
+++ b/crates/fleet_model/src/model/requests.rs
@@ -182,7 +182,7 @@
             latency,
             status,
             closed,
-            cache_result: cache_result,
+            cache_result,
             load: None,
         });
         self.notify_node(node, event);
--- a/crates/testbed/src/checker/mod.rs
+++ b/crates/testbed/src/checker/mod.rs
@@ -47,7 +47,7 @@
 pub struct Checker {
     history: History,
     checks: Vec<Box<dyn Check>>,
-    /// Violations so far, at most [`MAX_VIOLATIONS`].
+    /// Violations so far, at most `MAX_VIOLATIONS`.
     pub violations: Vec<Violation>,
     /// Observations so far.
     pub checked: u64,
--- a/crates/testbed/src/faults/scenario.rs
+++ b/crates/testbed/src/faults/scenario.rs
@@ -1,6 +1,6 @@
 //! Scenarios: a fleet, and its faults with their times and values.
 //!
-//! Scenarios are written as TOML; see [`parse`] and [`write`].
+//! Scenarios are written as TOML; see [`parse`] and [`write()`].
 
 use std::fmt::Write;
 
