--- a/crates/testbed/tests/play.rs
+++ b/crates/testbed/tests/play.rs
@@ -117,7 +117,7 @@
 }
 
 // A fourth seed of the same kind, which still fails: at 18.9 s box 22 gets 854 ms of work in 2 s, all of it from nodes that
-// know of its start. Cause, by a trace: `SlowStart::right` counts all arrivals at a node, rejected requests among them, so the
+// know of its start. Cause, by a trace: `SlowStart::quota` counts all arrivals at a node, rejected requests among them, so the
 // four nodes together may send 159 attempts where the settings allow about 52, and the bound holds nothing back. The emulator
 // falls at N with no allowance for chance: the sum of mean work was 0.94 of what the page allows. Ruled out (0 attempts of
 // the 60): second homes, hedges, retries, spread keys, servers of other zones; nodes that did not know of the start; probe
