The highest rendezvous draw gives the highest score, not minus infinity

Callers saw nothing that was noticed: for one hash of key and server in 2^53 the key's secondary was chosen last in place of first.

Cause: 53 bits and a half round to 1, whose logarithm is 0, and minus the weight by 0 is minus infinity.

Why this mend holds: the draw is bounded by the largest number below 1; the next lower draw rounds to less than that, so that all other scores are what they were.

--- a/crates/decision/src/outlier_detection.rs
+++ b/crates/decision/src/outlier_detection.rs
@@ -258,10 +258,14 @@
     }
 }
 
+/// The largest number below 1.
+const MAX_DRAW: f64 = 1.0 - f64::EPSILON / 2.0;
+
 /// The score of a candidate as a key's secondary, by weighted rendezvous hashing (Thaler and Ravishankar; the
 /// logarithmic form for weights): the candidate with the highest is chosen. A weight that changes moves only
 /// keys of its own share. `mixed` is a hash of key and server.
 pub fn rendezvous(mixed: u64, weight: f64) -> f64 {
     let drawn = ((mixed >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    -weight.max(1e-9) / drawn.ln()
+    // The highest draw rounds to 1, whose logarithm is 0.
+    -weight.max(1e-9) / drawn.min(MAX_DRAW).ln()
 }
--- a/crates/decision/tests/stable_numbers.rs
+++ b/crates/decision/tests/stable_numbers.rs
@@ -137,3 +137,29 @@
     ];
     assert_eq!(secondaries, expected);
 }
+
+// A server whose draw is the highest there is was chosen last and not first: 53 bits and a half round to 1, whose logarithm is
+// 0, so that its score was minus infinity (one hash in 2^53). The score itself showed it: `rendezvous(u64::MAX, 1.0)` was -inf.
+#[test]
+fn rendezvous_score_grows_with_the_draw_up_to_the_highest_one() {
+    let draws = [
+        0,
+        1 << 11,
+        1 << 62,
+        u64::MAX - (1 << 12),
+        u64::MAX - (1 << 11),
+        u64::MAX,
+    ];
+    for weight in [0.0, 0.5, 1.0, 40.0] {
+        let scores = draws.map(|draw| rendezvous(draw, weight));
+        assert!(
+            scores.iter().all(|score| score.is_finite() && *score > 0.0),
+            "{scores:?}"
+        );
+        assert!(
+            scores.windows(2).all(|pair| pair[0] <= pair[1]),
+            "{scores:?}"
+        );
+        assert!(scores[3] < scores[5], "{scores:?}");
+    }
+}
