sloewick soak: planned restarts of real processes, drawn from seeds and checked

Nothing played real processes through restarts again and again while clients go on using every open connection.

Change: restart_soak draws a plan from a seed (nodes, servers, deadlines, descriptors, connections, restarts, signals in series, held nodes, a crowd, discovery that is down, moves or drains) and plays it with the fleet of `demo`, which moves to real_fleet in modules of one job each. PersistentClients use each connection until its end, one request at a time, pipelined or seldom. Checks besides the usual ones: unanswered_at_close, a node that rejects all that it gets for 4 s, exit code 0 by the time of the kill, limits of descriptors and memory. A violation comes with the request's lines of all logs and the command that plays its seed again. Not in it: an upgrade beside a running process, discovery named by a HUP to one node alone.

The tests of fleets of processes pass on the modules that were split.

--- a/crates/sloewick/src/main.rs
+++ b/crates/sloewick/src/main.rs
@@ -8,6 +8,7 @@
 mod play;
 mod protocol_options;
 mod run;
+mod soak;
 mod trace;
 
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
   BALANCER_CONFIG=node.json sloewick run --memcached deploy/memcached.toml
   sloewick play rolling-deploy --seed 7
   sloewick play --list
+  sloewick soak --seeds 1..4
   sloewick trace logs
 
 Exit codes: 0 done, 1 a rule was broken, 2 input that can't be used, 130 interrupted.";
@@ -45,6 +47,8 @@
     Demo(demo::Args),
     /// Play a scenario on virtual time and check it against the rules
     Play(play::Args),
+    /// Restart real processes again and again under load and check them against the rules
+    Soak(soak::Args),
     /// Summarise the traces of a fleet's nodes
     Trace(trace::Args),
 }
@@ -55,6 +59,7 @@
         Command::Check(args) => check::check(&args),
         Command::Demo(args) => demo::demo(&args),
         Command::Play(args) => play::play(&args),
+        Command::Soak(args) => soak::soak(&args),
         Command::Trace(args) => trace::trace(&args),
     }
 }
--- a/crates/testbed/src/checker/mod.rs
+++ b/crates/testbed/src/checker/mod.rs
@@ -69,6 +69,11 @@
         self.history.allows_unknown_requests = allow;
     }
 
+    /// A node that rejects all that it gets is a violation from now on.
+    pub fn require_service(&mut self) {
+        self.checks.push(rules::service());
+    }
+
     /// Whether this node's process is stopped by a signal.
     pub fn is_paused(&self, node: usize) -> bool {
         self.history.is_paused(node)
--- a/crates/testbed/src/checker/rules/mod.rs
+++ b/crates/testbed/src/checker/rules/mod.rs
@@ -16,6 +16,7 @@
 mod malformed_request_ignored;
 mod malformed_request_served;
 mod rejection_after_execution;
+mod rejects_everything;
 mod repeated_attempt;
 mod repeated_effect;
 mod resent_after_forwarding;
@@ -86,6 +87,11 @@
     fn collect(&self, _statistics: &mut Statistics) {}
 }
 
+/// The check that nodes serve, for runs in which a node that rejects everything has no excuse.
+pub(crate) fn service() -> Box<dyn Check> {
+    Box::new(rejects_everything::RejectsEverything::default())
+}
+
 /// All checks. Violations by one observation are reported in this order.
 pub(crate) fn all() -> Vec<Box<dyn Check>> {
     vec![
--- a/crates/testbed/src/emulators/clients.rs
+++ b/crates/testbed/src/emulators/clients.rs
@@ -304,7 +304,6 @@
         };
         let is_first = first.is_none();
         let (first, begun_first, _) = first.unwrap_or((id.clone(), now, memcached));
-        let (bytes, conn) = (Bytes::from(out), None);
         self.tries.insert(
             number,
             Try {
@@ -319,19 +318,25 @@
                 idem,
                 budget,
                 begun_first,
-                conn,
+                conn: None,
                 written: None,
                 resent: false,
                 closed: None,
-                bytes,
+                bytes: out.into(),
             },
         );
+        self.set_end(number, budget);
+        self.dispatch(number);
+    }
+
+    /// Sets when a client gives up, and when it leaves if it is impatient.
+    fn set_end(&mut self, number: u64, budget: Micros) {
+        let now = self.port.now();
         self.port.set(now + budget + LISTEN_ON, Due::GiveUp(number));
         if self.rng.chance(self.set.impatient) {
             let early = self.rng.part_of_one() * budget as f64 * 0.5;
             self.port.set(now + early as Micros, Due::Leave(number));
         }
-        self.dispatch(number);
     }
 
     /// The fields of a RESP2 request.
@@ -629,7 +634,7 @@
         };
         let write = self.set.classes[t.class].write;
         let how = match said {
-            Said::Resp(reply) => resp_answer(&reply, &t.id, write),
+            Said::Resp(reply) => answer_of(&reply, &t.id, write),
             Said::Memcached(response) => memcached_answer(&response, &t.id, number as u32, write),
         };
         self.recorder.tell(
@@ -868,7 +873,8 @@
     }
 }
 
-fn resp_answer(reply: &Reply, id: &Id, write: bool) -> Answer {
+/// What a RESP2 reply says about a request.
+pub(crate) fn answer_of(reply: &Reply, id: &Id, write: bool) -> Answer {
     let value = match reply {
         Reply::Single(Element::Bulk(value)) => Some(value),
         Reply::Array(parts) => match parts.first() {
--- a/crates/testbed/src/emulators/mod.rs
+++ b/crates/testbed/src/emulators/mod.rs
@@ -9,3 +9,4 @@
 pub mod idle_clients;
 pub mod misbehaving_clients;
 pub mod origin;
+pub mod persistent_clients;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -19,9 +19,11 @@
 pub mod port;
 mod process_fleet;
 pub mod protocol_options;
+mod real_fleet;
 #[allow(missing_docs)] // Not gone through yet.
 pub mod report;
 pub mod requirements;
+pub mod restart_soak;
 pub mod rng;
 #[allow(missing_docs)] // Not gone through yet.
 pub mod site;
