Soak and real fleet: standard names for what was touched

Change: names only. The part `crowd` of the soak is `descriptors`; the fleet on real sockets records events, sends signals, and holds server addresses, last rosters and emulator threads.

--- a/crates/sloewick/tests/restart_soak.rs
+++ b/crates/sloewick/tests/restart_soak.rs
@@ -52,7 +52,7 @@
     let stderr = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2));
     assert!(
-        stderr.contains("servers, signals, crowd, discovery, holds"),
+        stderr.contains("servers, signals, descriptors, discovery, holds"),
         "{stderr}"
     );
 }
--- a/crates/testbed/src/emulators/persistent_clients.rs
+++ b/crates/testbed/src/emulators/persistent_clients.rs
@@ -58,7 +58,7 @@
     /// Mean pause between a connection's answers and its next requests.
     pub think_time: Micros,
     /// The same for a connection that rests.
-    pub rest_time: Micros,
+    pub resting_interval: Micros,
     /// Part of the times in which a client disconnects behind its requests.
     pub impatient: f64,
     /// No requests after this.
@@ -143,7 +143,7 @@
         }
     }
 
-    fn tell(&mut self, event: Event) {
+    fn record(&mut self, event: Event) {
         self.recorder.tell(self.port.unix(), event);
     }
 
@@ -267,7 +267,7 @@
             sent: now,
             due,
         });
-        self.tell(Event::Asked {
+        self.record(Event::Asked {
             first: id.clone(),
             id,
             node,
@@ -309,7 +309,7 @@
                 }
                 Err(error) => {
                     let (node, bytes) = (connection.node, error.message().to_string());
-                    self.tell(Event::Unasked { node, bytes });
+                    self.record(Event::Unasked { node, bytes });
                     return self.closed(key);
                 }
             }
@@ -326,13 +326,13 @@
         }
         let Some(request) = connection.pending.pop_front() else {
             let bytes = format!("{reply:?}").chars().take(120).collect();
-            return self.tell(Event::Unasked { node, bytes });
+            return self.record(Event::Unasked { node, bytes });
         };
         connection.answers += 1;
         let (serial, is_idle) = (connection.serial, connection.pending.is_empty());
         let usage = self.connections.get(&key).and_then(|c| self.usage(c));
         let how = answer_of(reply, &request.id, request.write);
-        self.tell(Event::Answered {
+        self.record(Event::Answered {
             id: request.id,
             how,
         });
@@ -343,7 +343,7 @@
             return self.disconnect(key);
         }
         let mean = if usage == Some(Usage::Resting) {
-            self.settings.rest_time
+            self.settings.resting_interval
         } else {
             self.settings.think_time
         };
@@ -359,7 +359,7 @@
             return self.open_again(node, None);
         }
         self.is_listed[node] = true;
-        self.tell(Event::ReadyEvent { node });
+        self.record(Event::ReadyEvent { node });
         for position in 0..self.settings.connections.len() {
             self.open(node, Some(position));
         }
@@ -371,7 +371,7 @@
             return;
         };
         for request in &connection.pending {
-            self.tell(Event::Left {
+            self.record(Event::Left {
                 id: request.id.clone(),
             });
         }
@@ -388,10 +388,10 @@
         let now = self.port.now();
         let node = connection.node;
         if !connection.is_up && connection.position.is_some() && self.is_listed[node] {
-            self.tell(Event::ConnectionRefused { node });
+            self.record(Event::ConnectionRefused { node });
         }
         for (index, request) in connection.pending.iter().enumerate() {
-            self.tell(Event::ClosedUnanswered {
+            self.record(Event::ClosedUnanswered {
                 id: request.id.clone(),
                 node,
                 after: now - request.sent,
--- a/crates/testbed/src/real_fleet/mod.rs
+++ b/crates/testbed/src/real_fleet/mod.rs
@@ -79,7 +79,7 @@
     epoch: Micros,
     pub(crate) nodes: Vec<NodeSlot>,
     servers: Vec<ServerSlot>,
-    places: Vec<SocketAddr>,
+    server_addresses: Vec<SocketAddr>,
     origin: SocketAddr,
     origin_commands: CommandQueue<origin::ControlCommand>,
     clients_commands: CommandQueue<clients::ControlCommand>,
@@ -93,9 +93,9 @@
     discovery_commands: CommandQueue<discovery::ControlCommand>,
     roster: Roster,
     /// What each node held when it last ended: it starts with that.
-    held: Vec<Option<Roster>>,
+    last_rosters: Vec<Option<Roster>>,
     pub(crate) announcements: Vec<String>,
-    rest: Vec<ServingThread>,
+    emulator_threads: Vec<ServingThread>,
 }
 
 /// Unix time in microseconds.
@@ -106,15 +106,15 @@
 }
 
 impl RealFleet {
-    pub(crate) fn tell(&self, event: Event) {
+    pub(crate) fn record(&self, event: Event) {
         self.recorder.tell(unix(), event);
     }
 
     fn place(&mut self, place: usize) -> Option<SocketAddr> {
-        while self.places.len() <= place {
-            self.places.push(self.free.one().ok()?);
+        while self.server_addresses.len() <= place {
+            self.server_addresses.push(self.free.one().ok()?);
         }
-        Some(self.places[place])
+        Some(self.server_addresses[place])
     }
 
     fn run_discovery(&mut self, rev: i64) {
@@ -190,7 +190,7 @@
             epoch,
             nodes,
             servers: Vec::new(),
-            places: Vec::new(),
+            server_addresses: Vec::new(),
             origin,
             origin_commands: CommandQueue::default(),
             clients_commands: CommandQueue::default(),
@@ -205,9 +205,9 @@
                 rev: 40,
                 list: Vec::new(),
             },
-            held: vec![None; scenario.nodes],
+            last_rosters: vec![None; scenario.nodes],
             announcements: Vec::new(),
-            rest: Vec::new(),
+            emulator_threads: Vec::new(),
         })
     }
 
@@ -227,7 +227,7 @@
                 recorder,
             )?))
         })?;
-        self.rest.push(served);
+        self.emulator_threads.push(served);
         Ok(())
     }
 
@@ -260,7 +260,7 @@
             let net = MioTransport::new()?;
             Ok(Box::new(Crowd::new(net, set, commands, recorder)))
         })?;
-        self.rest.push(served);
+        self.emulator_threads.push(served);
         Ok(())
     }
 
@@ -275,7 +275,7 @@
             let clients = PersistentClients::new(net, settings, commands, recorder);
             Ok(Box::new(clients))
         })?;
-        self.rest.push(served);
+        self.emulator_threads.push(served);
         Ok(())
     }
 
@@ -289,7 +289,7 @@
             let clients = Rude::new(net, addresses, memcached, seed, commands, recorder);
             Ok(Box::new(clients))
         })?;
-        self.rest.push(served);
+        self.emulator_threads.push(served);
         Ok(())
     }
 
@@ -303,7 +303,7 @@
                 commands,
             )))
         })?;
-        self.rest.push(served);
+        self.emulator_threads.push(served);
         Ok(())
     }
 
@@ -337,7 +337,7 @@
         self.nodes[node].starts += 1;
         self.nodes[node].stopping = false;
         let mut rng = Rng::part(self.seed, "node", node * 1000 + self.nodes[node].starts);
-        let known = self.held[node]
+        let known = self.last_rosters[node]
             .take()
             .unwrap_or_else(|| self.roster.clone());
         let known = (known.rev, &known.list[..]);
@@ -355,7 +355,7 @@
     /// Starts a node as a process, and does not wait until it listens.
     pub(crate) fn spawn_node(&mut self, node: usize) {
         let text = self.next_configuration(node);
-        self.tell(Event::NodeStarted { node });
+        self.record(Event::NodeStarted { node });
         self.spawn_process(node, &text);
     }
 
@@ -424,8 +424,8 @@
         let classes = config["settings"]["classes"].as_array_mut();
         for class in classes.into_iter().flatten() {
             for time in ["deadline", "aim"] {
-                let usual = class[time].as_f64().unwrap_or_default();
-                class[time] = (usual * self.deadline_factor).into();
+                let site_value = class[time].as_f64().unwrap_or_default();
+                class[time] = (site_value * self.deadline_factor).into();
             }
         }
         config.to_string()
@@ -462,7 +462,7 @@
     }
 
     fn kill_server(&mut self, number: usize) {
-        self.tell(Event::BoxEnded { at_box: number });
+        self.record(Event::BoxEnded { at_box: number });
         if let Some(b) = self.servers.get_mut(number) {
             b.served = None;
         }
@@ -484,7 +484,11 @@
         Listed {
             number,
             uid: format!("s-{number:04}"),
-            endpoint: self.places.get(place).copied().unwrap_or(self.origin),
+            endpoint: self
+                .server_addresses
+                .get(place)
+                .copied()
+                .unwrap_or(self.origin),
             zone: site::ZONES[zone % 2].to_string(),
             kind: self.speech.model(number, &self.scenario).to_string(),
             told,
@@ -515,17 +519,17 @@
     }
 
     fn kill_node(&mut self, node: usize) {
-        self.held[node] = Some(self.roster.clone());
-        self.tell(Event::NodeEnded { node, killed: true });
+        self.last_rosters[node] = Some(self.roster.clone());
+        self.record(Event::NodeEnded { node, killed: true });
         self.nodes[node].served = None;
     }
 
     fn stop_node(&mut self, node: usize) {
-        self.held[node] = Some(self.roster.clone());
-        self.tell(Event::NodeStopping { node });
+        self.last_rosters[node] = Some(self.roster.clone());
+        self.record(Event::NodeStopping { node });
         self.nodes[node].stopping = true;
         if let Some(running) = &mut self.nodes[node].served {
-            running.tell(Signals {
+            running.send_signals(Signals {
                 reload: false,
                 stop: true,
             });
@@ -533,7 +537,7 @@
     }
 
     fn pause_node(&mut self, node: usize) {
-        self.tell(Event::NodePaused { node });
+        self.record(Event::NodePaused { node });
         self.nodes[node]
             .served
             .iter()
@@ -545,7 +549,7 @@
             .served
             .iter()
             .for_each(|running| running.pause(false));
-        self.tell(Event::NodeResumed { node });
+        self.record(Event::NodeResumed { node });
     }
 
     fn isolate_server(&mut self, number: usize) {
@@ -583,7 +587,7 @@
 
     fn start_node(&mut self, node: usize) {
         let text = self.next_configuration(node);
-        self.tell(Event::NodeStarted { node });
+        self.record(Event::NodeStarted { node });
         if self.nodes_as != Nodes::Threads {
             self.spawn_process(node, &text);
             return self.wait_until_listening(node);
@@ -654,7 +658,7 @@
                         .push(format!("node {node} is not told where discovery is: {e}"));
                 }
             }
-            running.tell(Signals {
+            running.send_signals(Signals {
                 reload: true,
                 stop: false,
             });
@@ -672,6 +676,6 @@
 
     fn say(&mut self, text: String) {
         self.announcements.push(text.clone());
-        self.tell(Event::Fault(text));
+        self.record(Event::Fault(text));
     }
 }
--- a/crates/testbed/src/real_fleet/serving.rs
+++ b/crates/testbed/src/real_fleet/serving.rs
@@ -85,14 +85,14 @@
 
 impl RunningNode {
     /// Signals that go astray are seen by what does not happen then.
-    pub(crate) fn tell(&mut self, told: Signals) {
+    pub(crate) fn send_signals(&mut self, signals: Signals) {
         match self {
-            RunningNode::Thread(_, remote) => remote.send(told),
+            RunningNode::Thread(_, remote) => remote.send(signals),
             RunningNode::Process(process) => {
-                if told.reload {
+                if signals.reload {
                     process.signal(Signal::HUP);
                 }
-                if told.stop {
+                if signals.stop {
                     process.signal(Signal::TERM);
                 }
             }
--- a/crates/testbed/src/restart_soak/mod.rs
+++ b/crates/testbed/src/restart_soak/mod.rs
@@ -41,7 +41,7 @@
 const UNREADABLE_FOR: Micros = 200_000;
 /// Least mean pause of a connection between an answer and its next requests, and the pause of one that rests.
 const MIN_THINK_TIME: Micros = 60_000;
-const REST_TIME: Micros = 1_500_000;
+const RESTING_INTERVAL: Micros = 1_500_000;
 /// Lines of the nodes' logs that are shown of a play.
 const MAX_LOG_LINES: usize = 60;
 
@@ -253,9 +253,9 @@
             let (node, lasts) = (hold.node, hold.lasts);
             self.at(hold.at, Task::Hold { node, lasts });
         }
-        if let Some(crowd) = self.plan.crowd {
-            self.at(crowd.from, Task::IdleClients(crowd.idle_clients));
-            self.at(crowd.to, Task::IdleClients(0));
+        if let Some(pressure) = self.plan.descriptor_pressure {
+            self.at(pressure.from, Task::IdleClients(pressure.idle_clients));
+            self.at(pressure.to, Task::IdleClients(0));
         }
     }
 
@@ -434,7 +434,7 @@
                 self.violate(Rule::NoneLost, now, why);
             }
             self.ended.extend(self.fleet.take_process(node));
-            self.fleet.tell(Event::NodeEnded {
+            self.fleet.record(Event::NodeEnded {
                 node,
                 killed: false,
             });
@@ -582,7 +582,7 @@
         keys: usual.keys,
         connections: plan.connections.clone(),
         think_time: think_time.max(MIN_THINK_TIME),
-        rest_time: REST_TIME,
+        resting_interval: RESTING_INTERVAL,
         impatient: 0.0,
         until,
         seed: plan.seed,
--- a/crates/testbed/src/restart_soak/plan.rs
+++ b/crates/testbed/src/restart_soak/plan.rs
@@ -29,8 +29,8 @@
 const DESCRIPTORS: [usize; 4] = [64, 128, 256, 512];
 /// One seed in so many has a large fleet.
 const SEEDS_PER_LARGE_FLEET: usize = 12;
-/// One seed in so many has a crowd.
-const SEEDS_PER_CROWD: usize = 3;
+/// One seed in so many has clients that fill the descriptors.
+const SEEDS_PER_DESCRIPTOR_PRESSURE: usize = 3;
 /// Requests a second for each server; about half of what it can do.
 const RATE_PER_SERVER: f64 = 30.0;
 /// When the first node is restarted, in seconds.
@@ -46,7 +46,7 @@
     /// Signals in series.
     Signals,
     /// Idle clients that fill the descriptors, floods and half commands.
-    Crowd,
+    DescriptorPressure,
     /// Discovery that is down, moves or drains servers.
     Discovery,
     /// Nodes that are held up for a moment.
@@ -58,7 +58,7 @@
     pub const ALL: [Part; 5] = [
         Part::Servers,
         Part::Signals,
-        Part::Crowd,
+        Part::DescriptorPressure,
         Part::Discovery,
         Part::Holds,
     ];
@@ -68,7 +68,7 @@
         match self {
             Part::Servers => "servers",
             Part::Signals => "signals",
-            Part::Crowd => "crowd",
+            Part::DescriptorPressure => "descriptors",
             Part::Discovery => "discovery",
             Part::Holds => "holds",
         }
@@ -140,7 +140,7 @@
 
 /// Clients that fill the descriptors of all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Crowd {
+pub struct DescriptorPressure {
     /// When it comes.
     pub from: Micros,
     /// When it goes.
@@ -169,7 +169,7 @@
     /// Held nodes by time.
     pub holds: Vec<Hold>,
     /// In a third of the seeds.
-    pub crowd: Option<Crowd>,
+    pub descriptor_pressure: Option<DescriptorPressure>,
 }
 
 impl Plan {
@@ -196,7 +196,12 @@
             descriptors,
             connections,
             holds: draw_holds(&mut rng, nodes, last_restart),
-            crowd: draw_crowd(&mut rng, seed, descriptors, last_restart),
+            descriptor_pressure: draw_descriptor_pressure(
+                &mut rng,
+                seed,
+                descriptors,
+                last_restart,
+            ),
             restarts,
             scenario: Scenario {
                 name: "restart soak".to_string(),
@@ -208,7 +213,11 @@
                 faults: Vec::new(),
             },
         };
-        let faults = draw_faults(&mut rng, seconds - CALM_END, plan.crowd.is_some());
+        let faults = draw_faults(
+            &mut rng,
+            seconds - CALM_END,
+            plan.descriptor_pressure.is_some(),
+        );
         plan.scenario.faults = faults
             .into_iter()
             .filter(|(part, _)| parts.contains(part))
@@ -226,8 +235,8 @@
                 restart.terminated_at_start = None;
             }
         }
-        if !parts.contains(&Part::Crowd) {
-            self.crowd = None;
+        if !parts.contains(&Part::DescriptorPressure) {
+            self.descriptor_pressure = None;
         }
         if !parts.contains(&Part::Holds) {
             self.holds.clear();
@@ -339,10 +348,15 @@
     holds
 }
 
-fn draw_crowd(rng: &mut Rng, seed: u64, descriptors: usize, until: Micros) -> Option<Crowd> {
+fn draw_descriptor_pressure(
+    rng: &mut Rng,
+    seed: u64,
+    descriptors: usize,
+    until: Micros,
+) -> Option<DescriptorPressure> {
     let from = micros(rng.between(1.0, 2.5));
     let idle_clients = descriptors + rng.below(descriptors / 2);
-    (seed.is_multiple_of(SEEDS_PER_CROWD as u64)).then_some(Crowd {
+    (seed.is_multiple_of(SEEDS_PER_DESCRIPTOR_PRESSURE as u64)).then_some(DescriptorPressure {
         from,
         to: until.max(from + 1_000_000),
         idle_clients,
@@ -385,10 +399,10 @@
         self.add(Part::Servers, name, &fields);
     }
 
-    fn add_discovery_faults(&mut self, has_crowd: bool) {
+    fn add_discovery_faults(&mut self, has_pressure: bool) {
         let lasts = self.rng.between(1.0, 4.0);
-        // A crowd always finds discovery down.
-        let kinds = if has_crowd { 2 } else { 5 };
+        // Clients that fill the descriptors always find discovery down.
+        let kinds = if has_pressure { 2 } else { 5 };
         match self.rng.below(kinds) {
             0 => self.add(Part::Discovery, "discovery-down", &[("for", lasts)]),
             1 => self.add(Part::Discovery, "discovery-fail", &[("for", lasts)]),
@@ -403,7 +417,7 @@
 }
 
 /// Faults of servers, discovery and clients, each over before `until`.
-fn draw_faults(rng: &mut Rng, until: f64, has_crowd: bool) -> Vec<(Part, Fault)> {
+fn draw_faults(rng: &mut Rng, until: f64, has_pressure: bool) -> Vec<(Part, Fault)> {
     let mut draws = FaultDraws {
         rng,
         until,
@@ -412,10 +426,14 @@
     for _ in 0..=draws.rng.below(3) {
         draws.add_server_fault();
     }
-    if has_crowd {
-        draws.add(Part::Crowd, "rude", &[("for", 4.0), ("rate", 20.0)]);
+    if has_pressure {
+        draws.add(
+            Part::DescriptorPressure,
+            "rude",
+            &[("for", 4.0), ("rate", 20.0)],
+        );
     }
-    draws.add_discovery_faults(has_crowd);
+    draws.add_discovery_faults(has_pressure);
     if draws.rng.below(3) == 0 {
         draws.add(Part::Servers, "hang-ups", &[("for", 4.0), ("part", 0.1)]);
     }
--- a/crates/testbed/src/restart_soak/plan_tests.rs
+++ b/crates/testbed/src/restart_soak/plan_tests.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn plans_stay_within_the_stated_ranges() {
-    let (mut crowds, mut large) = (0, 0);
+    let (mut pressures, mut large) = (0, 0);
     for plan in plans() {
         let nodes = plan.scenario.nodes;
         assert!((2..=6).contains(&nodes) || (20..=30).contains(&nodes));
@@ -42,10 +42,10 @@
             assert!(restart.signals.iter().all(|(at, _)| at.abs() <= 600_000));
         }
         assert!(plan.holds.iter().all(|hold| hold.lasts <= 150_000));
-        crowds += usize::from(plan.crowd.is_some());
+        pressures += usize::from(plan.descriptor_pressure.is_some());
         large += usize::from(nodes > 6);
     }
-    assert_eq!(crowds, 100, "a third of the seeds");
+    assert_eq!(pressures, 100, "a third of the seeds");
     assert!((10..50).contains(&large), "{large}");
 }
 
@@ -53,7 +53,11 @@
 fn parts_that_are_not_named_are_not_played() {
     for seed in 1..=60 {
         let plan = Plan::draw(seed, USUAL, &[]);
-        assert!(plan.crowd.is_none() && plan.holds.is_empty() && plan.scenario.faults.is_empty());
+        assert!(
+            plan.descriptor_pressure.is_none()
+                && plan.holds.is_empty()
+                && plan.scenario.faults.is_empty()
+        );
         assert!(plan
             .restarts
             .iter()
@@ -71,6 +75,6 @@
     let error = "hold".parse::<Part>().unwrap_err().to_string();
     assert_eq!(
         error,
-        "\"hold\" is no part of the soak; allowed: servers, signals, crowd, discovery, holds"
+        "\"hold\" is no part of the soak; allowed: servers, signals, descriptors, discovery, holds"
     );
 }
