Review case 1: a write with a key takes effect twice, past the window of its repeats

A server dies under a long write that it has begun. The node repeats the write within the window, but lets the repeat run past it: its last byte comes 2,235 to 2,255 ms after the first one's, where repeats are dropped for 2,000 ms.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,202 +1,180 @@
-//! A slow historian and some long values: does each request that a cache server got receive an answer?
+//! A cache server dies under writes that it has run: does one of them take effect a second time, when the cache servers have
+//! forgotten the first?
 
 #[path = "../standin/mod.rs"]
 mod standin;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use standin::*;
 
-/// When the historian is slow, after the start of the load, and for how long (the pages: 7.7 to 19 s).
-const SLOW_FROM: Duration = Duration::from_secs(10);
-const SLOW_FOR: Duration = Duration::from_secs(19);
-/// How much slower it is (the pages: 2 to 7.9 times).
-const SLOWDOWN: f64 = 7.5;
-/// How long the load lasts.
-const LOAD: Duration = Duration::from_secs(36);
-/// A fetch and a write at the historian when it is well, and what a cache server of each kind needs itself: 18 ms of work (the
-/// pages: 13 to 23) at speeds of 0.95 and 0.6.
-const FETCH: Duration = Duration::from_millis(36);
-const WRITE: Duration = Duration::from_millis(90);
-const HIT: [Duration; 2] = [Duration::from_millis(19), Duration::from_millis(30)];
-/// Clients that keep a connection, and the pause of each after an answer: some 270 requests a second together.
-const CLIENTS: usize = 10;
-const PAUSE: Duration = Duration::from_millis(10);
-/// Loggers that the screens show all the time, and all loggers. Each fourth has a long value.
-const POPULAR: u64 = 300;
-const LOGGERS: u64 = 20_000;
-const LONG: usize = 100 << 10;
-const SHORT: usize = 200;
-/// An answer up to half a second after its time only earns nothing.
-const GRACE_MS: u64 = 500;
+/// Templates that are saved at once, each on a connection of its own, and their length.
+const SAVES: usize = 12;
+const TEMPLATE: usize = 1 << 20;
+/// How long a client's try lasts: 0.8 of the class's deadline of 3 s.
+const TRY_MS: u64 = 2400;
+/// How long the two servers of the kind `old` take to read such a value; the third reads it at once.
+const READING: Duration = Duration::from_millis(2220);
+/// Work of a save at a cache server. It has passed the write on to the historian when the work begins.
+const WORK: Duration = Duration::from_millis(90);
+/// When the third server dies after it has begun its first save: all that reached it by then have run or are running.
+const DIES_AFTER: Duration = Duration::from_millis(30);
+/// How long the cache servers drop a repeat, and the slack of time limits on sockets.
+const WINDOW_MS: f64 = 2000.0;
+const SLACK_MS: f64 = 50.0;
 
-const TENANTS: [&str; 4] = ["distribution", "leak-crew", "engineering", "customer-svc"];
+const KINDS: [&str; 3] = ["standard", "old", "old"];
 
-/// The cache servers together: what each keeps, and which requests they were sent.
-struct Fleet {
-    started: Instant,
-    slow: bool,
-    kept: Mutex<Vec<HashSet<String>>>,
-    seen: Mutex<HashMap<String, usize>>,
-    record: Record,
+fn unix_micros() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros()
 }
 
-impl Fleet {
-    fn historian(&self, usual: Duration) -> Duration {
-        let since = self.started.elapsed();
-        let is_slow = self.slow && since >= SLOW_FROM && since < SLOW_FROM + SLOW_FOR;
-        usual.mul_f64(if is_slow { SLOWDOWN } else { 1.0 })
-    }
+/// A cache server is a process of its own: it prints its address, then a line for each write whose last byte has come.
+fn serve_as_process(pace: Option<Duration>) {
+    let serve: Serve = Arc::new(|request: &Request| {
+        if request.write {
+            println!("{} {} {}", unix_micros(), request.fields["k"], request.fields["d"]);
+        }
+        let value = value_for(&request.key, &request.id, 60);
+        vec![(if request.write { WORK } else { ms(60) }, Act::Write(served(&value, "hit")))]
+    });
+    println!("{}", start_paced_cache_server(serve, pace));
+    // Ends with its parent: its standard input is a pipe that ends then.
+    let _ = std::io::stdin().lock().read_line(&mut String::new());
+}
 
-    fn serve(&self, server: usize, request: &Request) -> Vec<(Duration, Act)> {
-        self.seen.lock().unwrap().entry(request.id.clone()).or_insert(server);
-        let mut kept = self.kept.lock().unwrap();
-        let hit = HIT[server % 2];
-        let (work, how) = if request.write {
-            kept.iter_mut().for_each(|kept| {
-                kept.remove(&request.key);
-            });
-            (hit + self.historian(WRITE), "hit")
-        } else if kept[server].contains(&request.key) {
-            (hit, "hit")
-        } else {
-            kept[server].insert(request.key.clone());
-            (hit + self.historian(FETCH), "miss")
-        };
-        let number: u64 = request.key[7..].parse().unwrap_or(0);
-        let length = if !request.write && number % 4 == 0 { LONG } else { SHORT };
-        let line = format!("server {server} {} {} d={} work {} ms, {length} bytes", request.key, request.id, request.fields["d"],
-            work.as_millis());
-        self.record.line(&line);
-        vec![(work, Act::Write(served(&value_for(&request.key, &request.id, length), how)))]
-    }
+/// The writes that ran, by idempotency key: when the last byte had come, and at which server.
+type Ran = Arc<Mutex<BTreeMap<String, Vec<(u128, usize)>>>>;
+
+struct CacheServer {
+    process: Child,
+    address: String,
 }
 
-struct Random(u64);
+fn start_server(number: usize, ran: &Ran, record: &Record) -> CacheServer {
+    let program = std::env::current_exe().expect("this program");
+    let mut process = Command::new(program)
+        .args(["serve", KINDS[number]])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("a cache server");
+    let mut lines = BufReader::new(process.stdout.take().expect("its output")).lines();
+    let address = lines.next().expect("its address").expect("its address");
+    let (ran, record) = (ran.clone(), record.clone());
+    thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            let words: Vec<&str> = line.split(' ').collect();
+            let at: u128 = words[0].parse().unwrap_or(0);
+            record.line(&format!("server {number} ({}) runs write k={} d={}", KINDS[number], words[1], words[2]));
+            ran.lock().unwrap().entry(words[1].to_string()).or_default().push((at, number));
+        }
+    });
+    CacheServer { process, address }
+}
 
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) % n
+impl Drop for CacheServer {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
-#[derive(Default)]
-struct Counts {
-    served: AtomicU64,
-    refused: AtomicU64,
-    failed: AtomicU64,
-    ended: AtomicU64,
-    lost: AtomicU64,
-    wrong: AtomicU64,
+fn save_template(number: usize, listen: &str, id: &str, record: &Record) -> Reply {
+    let key = format!("template/{number}");
+    let fields = format!("c=template-save,d={TRY_MS},k=k{id}");
+    let value = value_for(&key, id, TEMPLATE);
+    let Ok(mut client) = Client::connect(listen) else {
+        return Reply::Closed;
+    };
+    client.timeout(ms(TRY_MS + 500));
+    record.line(&format!("client {number} sends {id} {key} {fields}"));
+    let sent = client.send(&[b"C.SET", key.as_bytes(), id.as_bytes(), fields.as_bytes(), &value]);
+    let reply = if sent.is_ok() { client.reply() } else { Reply::Closed };
+    record.line(&format!("client {number} gets {id} {}", reply.name()));
+    reply
 }
 
-fn run_client(number: usize, listen: &str, ids: &Ids, fleet: &Fleet, counts: &Counts) {
-    let mut random = Random(0x9e37_79b9_7f4a_7c15 ^ (number as u64 + 1) * 0x1234_5678_9abc);
-    let tenant = TENANTS[number % TENANTS.len()];
-    let mut client = Client::connect(listen).ok();
-    while fleet.started.elapsed() < LOAD {
-        let number_of_key = if random.below(100) < 85 { random.below(POPULAR) } else { random.below(LOGGERS) };
-        let (key, id) = (format!("logger/{number_of_key}"), ids.next());
-        let write = random.below(100) < 8;
-        let deadline_ms = if write { 2000 } else { 400 };
-        let Some(open) = client.as_mut() else {
-            client = Client::connect(listen).ok();
-            continue;
-        };
-        open.timeout(ms(deadline_ms + GRACE_MS));
-        let sent = if write {
-            open.set(&key, &id, tenant, deadline_ms, b"level=4")
-        } else {
-            open.get(&key, &id, tenant, deadline_ms)
-        };
-        fleet.record.line(&format!("client {number} sends {id} {key} write={write}"));
-        let reply = if sent.is_ok() { open.reply() } else { Reply::Closed };
-        fleet.record.line(&format!("client {number} gets {id} {}", reply.name()));
-        match &reply {
-            Reply::Value(value) if value.starts_with(format!("{key}|{id}|").as_bytes()) => add(&counts.served),
-            Reply::Value(_) | Reply::Line(_) => add(&counts.wrong),
-            Reply::Error(line) if line.starts_with("BUSY") => add(&counts.refused),
-            Reply::Error(_) | Reply::Null => add(&counts.failed),
-            Reply::Partial(_) | Reply::Closed | Reply::Silence => {
-                // A request that crossed the end of its connection unread is no loss: no cache server got it.
-                add(&counts.ended);
-                let server = fleet.seen.lock().unwrap().get(&id).copied();
-                if let Some(server) = server {
-                    add(&counts.lost);
-                    fleet.record.say(&format!("LOST: {id} (write={write}) had been sent to server {server}, and the client got {}",
-                        reply.name()));
-                }
-                client = None;
-            }
+/// The effects of one write: a repeat within the window after the last effect is dropped.
+fn effects(runs: &[(u128, usize)]) -> Vec<(u128, usize)> {
+    let mut effects: Vec<(u128, usize)> = Vec::new();
+    for run in runs {
+        let is_remembered = |last: &(u128, usize)| (run.0 - last.0) as f64 / 1000.0 <= WINDOW_MS + SLACK_MS;
+        if !effects.last().is_some_and(is_remembered) {
+            effects.push(*run);
         }
-        thread::sleep(PAUSE);
     }
-}
-
-fn add(counter: &AtomicU64) {
-    counter.fetch_add(1, Ordering::Relaxed);
+    effects
 }
 
 fn run(root: &Path, record: &Record) -> i32 {
-    let fleet = Arc::new(Fleet {
-        started: Instant::now(),
-        slow: trouble(),
-        kept: Mutex::new(vec![HashSet::new(); 4]),
-        seen: Mutex::new(HashMap::new()),
-        record: record.clone(),
-    });
-    let targets: Vec<Target> = (0..4)
-        .map(|server| {
-            let fleet = fleet.clone();
-            Target {
-                uid: format!("s-{server:04}"),
-                endpoint: start_cache_server(Arc::new(move |request: &Request| fleet.serve(server, request))),
-                zone: ["ops-center", "eastside-plant"][server / 2],
-                kind: ["std-box", "slow-box"][server % 2],
-                state: "in_service",
-            }
+    let ran: Ran = Arc::default();
+    let mut servers: Vec<CacheServer> = (0..KINDS.len()).map(|number| start_server(number, &ran, record)).collect();
+    let targets: Vec<Target> = servers
+        .iter()
+        .enumerate()
+        .map(|(number, server)| Target {
+            uid: format!("s-{number:04}"),
+            endpoint: server.address.clone(),
+            zone: "catania-nord",
+            kind: KINDS[number],
+            state: "in_service",
         })
         .collect();
     let discovery = start_discovery(targets.clone());
-    let mut node = Node::start(root, &discovery, &targets, Limits { memory_mb: 64, sockets: 512 });
-    watchdog(Duration::from_secs(100), node.pid());
+    let mut node = Node::start(root, &discovery, &targets, Limits { memory_mb: 128, sockets: 512, settings: CATANIA });
+    watchdog(Duration::from_secs(60), node.pid());
     if !node.wait_until_ready() {
         record.say("the node did not get ready");
         return COULD_NOT_RUN;
     }
-    let (counts, ids) = (Arc::new(Counts::default()), Arc::new(Ids::new()));
-    let clients: Vec<_> = (0..CLIENTS)
+    let ids = Ids::new();
+    let clients: Vec<_> = (0..SAVES)
         .map(|number| {
-            let (listen, ids, fleet, counts) = (node.listen.clone(), ids.clone(), fleet.clone(), counts.clone());
-            thread::spawn(move || run_client(number, &listen, &ids, &fleet, &counts))
+            let (listen, id, record) = (node.listen.clone(), ids.next(), record.clone());
+            thread::spawn(move || save_template(number, &listen, &id, &record))
         })
         .collect();
-    for client in clients {
-        let _ = client.join();
+    let has_begun = || ran.lock().unwrap().values().flatten().any(|(_, server)| *server == 0);
+    let begun = wait_until(ms(1000), has_begun);
+    if trouble() && begun {
+        thread::sleep(DIES_AFTER);
+        record.say("server 0 dies");
+        drop(servers.remove(0));
     }
-    let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-    record.say(&format!(
-        "served {}, refused {}, failed {}, wrong {}, connections ended under a request {}, of these lost {}",
-        count(&counts.served), count(&counts.refused), count(&counts.failed), count(&counts.wrong), count(&counts.ended),
-        count(&counts.lost)
-    ));
+    let replies: Vec<Reply> = clients.into_iter().map(|client| client.join().unwrap_or(Reply::Closed)).collect();
+    thread::sleep(ms(500));
+    let served = replies.iter().filter(|reply| matches!(reply, Reply::Value(_))).count();
+    let mut twice = 0;
+    for (key, runs) in ran.lock().unwrap().iter_mut() {
+        runs.sort_unstable();
+        let effects = effects(runs);
+        if effects.len() > 1 {
+            twice += 1;
+            let after = (effects[1].0 - effects[0].0) as f64 / 1000.0;
+            record.say(&format!("TWICE: the write {key} ran at server {}, and {after:.0} ms later at server {}", effects[0].1, effects[1].1));
+        }
+    }
+    record.say(&format!("{SAVES} saves: {served} served, {} otherwise, {twice} took effect twice", SAVES - served));
     record.line(&format!("log of the node:\n{}", node.log_tail(30)));
     if !node.is_running() {
         record.say("the node has ended");
         return BROKEN;
     }
-    if count(&counts.lost) + count(&counts.wrong) > 0 { BROKEN } else if count(&counts.served) < 1000 { COULD_NOT_RUN } else { HELD }
+    if twice > 0 { BROKEN } else if !begun || ran.lock().unwrap().is_empty() { COULD_NOT_RUN } else { HELD }
 }
 
 fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    if arguments.get(1).is_some_and(|word| word == "serve") {
+        return serve_as_process((arguments[2] == "old").then_some(READING));
+    }
     let folder = case_folder();
     let record = Record::create(&folder);
     let root = std::env::current_dir().expect("the root");
