Review: the cases end with their parent and share their start

A case that is ended early takes its node and servers with it, and a panic counts as a case that could not run. The stand-ins build without warnings.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -5,7 +5,7 @@
 mod standin;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -42,7 +42,7 @@
             println!("{} {} {}", unix_micros(), request.fields["k"], request.fields["d"]);
         }
         let value = value_for(&request.key, &request.id, 60);
-        vec![(if request.write { WORK } else { ms(60) }, Act::Write(served(&value, "hit")))]
+        vec![(if request.write { WORK } else { ms(60) }, served(&value, "hit"))]
     });
     println!("{}", start_paced_cache_server(serve, pace));
     // Ends with its parent: its standard input is a pipe that ends then.
@@ -175,10 +175,5 @@
     if arguments.get(1).is_some_and(|word| word == "serve") {
         return serve_as_process((arguments[2] == "old").then_some(READING));
     }
-    let folder = case_folder();
-    let record = Record::create(&folder);
-    let root = std::env::current_dir().expect("the root");
-    let code = run(&root, &record);
-    record.say(&format!("exit {code}"));
-    std::process::exit(code);
+    main_of_case(run)
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -53,7 +53,7 @@
         usual.mul_f64(if is_slow { SLOWDOWN } else { 1.0 })
     }
 
-    fn serve(&self, server: usize, request: &Request) -> Vec<(Duration, Act)> {
+    fn serve(&self, server: usize, request: &Request) -> Vec<(Duration, Vec<u8>)> {
         self.seen.lock().unwrap().entry(request.id.clone()).or_insert(server);
         let mut kept = self.kept.lock().unwrap();
         let hit = HIT[server % 2];
@@ -73,7 +73,7 @@
         let line = format!("server {server} {} {} d={} work {} ms, {length} bytes", request.key, request.id, request.fields["d"],
             work.as_millis());
         self.record.line(&line);
-        vec![(work, Act::Write(served(&value_for(&request.key, &request.id, length), how)))]
+        vec![(work, served(&value_for(&request.key, &request.id, length), how))]
     }
 }
 
@@ -197,10 +197,5 @@
 }
 
 fn main() {
-    let folder = case_folder();
-    let record = Record::create(&folder);
-    let root = std::env::current_dir().expect("the root");
-    let code = run(&root, &record);
-    record.say(&format!("exit {code}"));
-    std::process::exit(code);
+    main_of_case(run)
 }
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,7 +7,4 @@
     echo "build first: cargo build --release --locked && review/build.sh"
     exit 2
 fi
-"$case_program" review/2
-code=$?
-[ "$code" -le 1 ] || code=2
-exit "$code"
+exec "$case_program" review/2
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -34,7 +34,7 @@
 }
 
 impl CacheServer {
-    fn serve(&self, request: &Request) -> Vec<(Duration, Act)> {
+    fn serve(&self, request: &Request) -> Vec<(Duration, Vec<u8>)> {
         let ended = {
             let mut busy_until = self.busy_until.lock().unwrap();
             *busy_until = (*busy_until).max(request.at + LINK) + WORK;
@@ -44,16 +44,16 @@
         let arrives = ended + LINK - request.at;
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         self.record.line(&format!("a server runs {} {}", request.key, request.id));
-        let mut acts = vec![(arrives, Act::Write(answer.clone()))];
+        let mut writes = vec![(arrives, answer.clone())];
         // The node has the answer one link later and what it sends then is here another link later: until then nothing else
         // waits on this connection, so the second copy goes out.
         if self.twice && number % ONE_IN == 0 {
             let late = ms(LATE[(number / ONE_IN) as usize % LATE.len()]);
             assert!(late < 2 * LINK);
             self.record.line(&format!("server answers {} twice, {} ms late", request.id, late.as_millis()));
-            acts.push((arrives + late, Act::Write(answer)));
+            writes.push((arrives + late, answer));
         }
-        acts
+        writes
     }
 }
 
@@ -155,10 +155,5 @@
 }
 
 fn main() {
-    let folder = case_folder();
-    let record = Record::create(&folder);
-    let root = std::env::current_dir().expect("the root");
-    let code = run(&root, &record);
-    record.say(&format!("exit {code}"));
-    std::process::exit(code);
+    main_of_case(run)
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 mkdir -p target
 for case in */case.rs; do
-    rustc --edition 2021 -O -A warnings -o "target/case-$(dirname "$case")" "$case"
+    rustc --edition 2021 -O -o "target/case-$(dirname "$case")" "$case"
 done
--- a/review/standin/mod.rs
+++ b/review/standin/mod.rs
@@ -5,12 +5,13 @@
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::os::unix::process::CommandExt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{self, RecvTimeoutError};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -118,7 +119,10 @@
         let text = config_json(&listen, discovery, &ops, targets, &limits);
         fs::write(&config, text).expect("the configuration");
         let log = File::create(folder.join("log")).expect("the log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: the closure makes one system call and allocates nothing. The node is killed when this process ends.
+        unsafe { command.pre_exec(die_with_parent) };
+        let child = command
             .arg("-c")
             .arg(run_command(root))
             .current_dir(root)
@@ -191,6 +195,17 @@
     }
 }
 
+fn die_with_parent() -> io::Result<()> {
+    extern "C" {
+        fn prctl(option: i32, signal: u64) -> i32;
+    }
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the call takes two numbers.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    Ok(())
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.kill();
@@ -308,14 +323,8 @@
     pub at: Instant,
 }
 
-/// What a cache server does on a connection, so long after the request had come.
-pub enum Act {
-    Write(Vec<u8>),
-    /// Ends the connection with a reset, as a process that dies does.
-    Reset,
-}
-
-pub type Serve = Arc<dyn Fn(&Request) -> Vec<(Duration, Act)> + Send + Sync>;
+/// What a cache server writes on a connection, each so long after the request had come.
+pub type Serve = Arc<dyn Fn(&Request) -> Vec<(Duration, Vec<u8>)> + Send + Sync>;
 
 /// The array with which a cache server serves a request.
 pub fn served(value: &[u8], how: &str) -> Vec<u8> {
@@ -360,10 +369,10 @@
 fn serve_connection(stream: TcpStream, serve: &Serve, pace: Option<Duration>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
-    let (acts, queue) = mpsc::channel::<(Instant, Act)>();
+    let (writes, queue) = mpsc::channel::<(Instant, Vec<u8>)>();
     let ended = Arc::new(AtomicBool::new(false));
     let writer_ended = ended.clone();
-    let writer = thread::spawn(move || write_acts(stream, &queue, &writer_ended));
+    let writer = thread::spawn(move || write_in_time(stream, &queue, &writer_ended));
     while let Ok(Some(words)) = read_command(&mut reader, pace) {
         // A request whose connection has ended by now is cancelled: it is not begun.
         if pace.is_some() && has_ended(reader.get_ref()) {
@@ -372,65 +381,33 @@
         let at = Instant::now();
         let plan = match parse_request(&words, at) {
             Some(request) => serve(&request),
-            None if words[0].eq_ignore_ascii_case(b"PING") => vec![(ms(0), Act::Write(b"+PONG\r\n".to_vec()))],
-            None => vec![(ms(0), Act::Write(b"-SYNTAX\r\n".to_vec()))],
+            None if words[0].eq_ignore_ascii_case(b"PING") => vec![(ms(0), b"+PONG\r\n".to_vec())],
+            None => vec![(ms(0), b"-SYNTAX\r\n".to_vec())],
         };
-        for (delay, act) in plan {
-            let _ = acts.send((at + delay, act));
+        for (delay, bytes) in plan {
+            let _ = writes.send((at + delay, bytes));
         }
     }
     ended.store(true, Ordering::Relaxed);
-    drop(acts);
+    drop(writes);
     let _ = writer.join();
     Ok(())
 }
 
-fn write_acts(mut stream: TcpStream, queue: &mpsc::Receiver<(Instant, Act)>, ended: &AtomicBool) {
-    while let Ok((at, act)) = queue.recv() {
+fn write_in_time(mut stream: TcpStream, queue: &mpsc::Receiver<(Instant, Vec<u8>)>, ended: &AtomicBool) {
+    while let Ok((at, bytes)) = queue.recv() {
         while Instant::now() < at && !ended.load(Ordering::Relaxed) {
             thread::sleep((at - Instant::now().min(at)).min(ms(2)));
         }
         if ended.load(Ordering::Relaxed) {
             return;
         }
-        match act {
-            Act::Write(bytes) => {
-                if stream.write_all(&bytes).is_err() {
-                    return;
-                }
-            }
-            Act::Reset => {
-                reset(&stream);
-                return;
-            }
+        if stream.write_all(&bytes).is_err() {
+            return;
         }
     }
 }
 
-/// Ends a connection with a reset: `SO_LINGER` of 0 and a shutdown of both sides.
-pub fn reset(stream: &TcpStream) {
-    use std::os::fd::AsRawFd;
-    #[repr(C)]
-    struct Linger {
-        on: i32,
-        seconds: i32,
-    }
-    extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, len: u32) -> i32;
-        fn connect(fd: i32, address: *const [u8; 16], len: u32) -> i32;
-    }
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let linger = Linger { on: 1, seconds: 0 };
-    // SAFETY: both calls get a descriptor that `stream` keeps open, and memory of the lengths that they are told. To connect
-    // to the family AF_UNSPEC (0) disconnects the socket, which sends a reset.
-    unsafe {
-        setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8);
-        connect(stream.as_raw_fd(), &[0u8; 16], 16);
-    }
-    let _ = stream.shutdown(Shutdown::Both);
-}
-
 fn parse_request(words: &[Vec<u8>], at: Instant) -> Option<Request> {
     let text = |index: usize| words.get(index).map(|word| String::from_utf8_lossy(word).into_owned());
     let write = match (words[0].as_slice(), words.len()) {
@@ -659,8 +636,7 @@
     }
 }
 
-/// Ends the process with 2 if the case is still running after so long. The node ends with it: its connections break, and the
-/// kernel is told to end it by `run.sh`.
+/// Ends the process, and with it the node, with 2 if the case is still running after so long.
 pub fn watchdog(limit: Duration, pid: u32) {
     thread::spawn(move || {
         thread::sleep(limit);
@@ -670,7 +646,7 @@
     });
 }
 
-/// Waits for a condition under a lock; kept here so that the cases need no other imports.
+/// Waits for a condition, at most so long. Returns whether it holds.
 pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + limit;
     while Instant::now() < until {
@@ -682,5 +658,11 @@
     condition()
 }
 
-#[allow(unused)]
-type Unused = (Condvar, RecvTimeoutError);
+/// Runs a case in the folder that the first argument names, from the root of the repository, and ends the process with its code.
+pub fn main_of_case(run: fn(&Path, &Record) -> i32) -> ! {
+    let record = Record::create(&case_folder());
+    let root = std::env::current_dir().expect("the root");
+    let code = catch_unwind(AssertUnwindSafe(|| run(&root, &record))).unwrap_or(COULD_NOT_RUN);
+    record.say(&format!("exit {code}"));
+    std::process::exit(code)
+}
