A keyed write that is still on its way when its window ends is reset, not run again

Cause: the window was a condition for starting an attempt (may_write), not for its arrival. What counts is when the last byte comes to the server's program; bytes in the kernels arrive after the start, after a close, and after the end of the process.

Change: the decision module knows for each attempt when the servers forget the others (deduplication.rs) and then cancels it unless its server has certainly read it: a short request, and an attempt written after it has been answered. Connections that carry a write are reset by closing (SO_LINGER 0), also when the process ends. Earlier requests of a memcached key bind the attempts of later ones. A write that may have run is rejected only if the client's retry comes within the window, and fails otherwise. The reset, not the close, ends it: an orderly close still delivers what the kernel holds. The checker counts an attempt from its last byte.

--- a/crates/decision/benches/module.rs
+++ b/crates/decision/benches/module.rs
@@ -86,6 +86,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: n % 12 == 0,
         };
         actions.clear();
--- a/crates/decision/src/admission.rs
+++ b/crates/decision/src/admission.rs
@@ -87,17 +87,18 @@
         let request = &self.in_flight.requests[&serial];
         self.last_reason = reason;
         let (id, kind) = (request.request.id.clone(), request.kind());
-        let rejected = request.may_reject(&self.settings);
         let waited = now - request.arrived;
         let objective = self.settings.classes[request.request.class].latency_objective;
-        actions.push(if rejected {
-            let retry_after = self.retry_after(reason, waited >= objective / 2);
-            Action::Reject {
+        let may_reject = request.may_reject(&self.settings, now, 0);
+        let retry_after = may_reject.then(|| self.retry_after(reason, waited >= objective / 2));
+        let request = &self.in_flight.requests[&serial];
+        let is_harmless = |wait: &Micros| request.may_reject(&self.settings, now, *wait);
+        actions.push(match retry_after.filter(is_harmless) {
+            Some(retry_after) => Action::Reject {
                 request: id,
                 retry_after,
-            }
-        } else {
-            Action::Fail { request: id }
+            },
+            None => Action::Fail { request: id },
         });
         self.record_unanswered(now, serial);
         let overloaded = self.origin_health.is_overloaded_for(now, kind);
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -298,6 +298,9 @@
     pub is_client_retry: bool,
     /// Whether it is a write.
     pub write: bool,
+    /// When an earlier request with the same idempotency key was first sent, if it may have run. None if there is none, or if
+    /// the frontend does not record idempotency keys.
+    pub earlier_request_sent: Option<Micros>,
 }
 
 /// How an attempt ended.
@@ -408,6 +411,15 @@
         /// Number of the attempt, from 0.
         attempt: usize,
     },
+    /// Cancel a pending attempt unless its server has certainly received the request completely: the servers that would
+    /// deduplicate it are about to forget the other attempts. Bytes of the request that have not left this machine must not be
+    /// sent any more. A host whose attempts reach their servers at once has nothing to do.
+    CancelUnreceived {
+        /// Id of the request.
+        request: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: usize,
+    },
     /// Deliver [`Event::TimerExpired`] with this token after the delay.
     SetTimer {
         /// Delay from now.
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -224,6 +224,9 @@
                 }
             }
             TimerToken::Hedge(serial) => self.on_hedge_timer(now, serial, actions),
+            TimerToken::DeduplicationWindow(serial) => {
+                self.on_deduplication_timer(now, serial, actions);
+            }
             TimerToken::EndpointList => self.poll_endpoint_list(actions),
             TimerToken::ZoneProbe(zone) => self.probe_zone(now, zone, actions),
         }
--- a/crates/decision/src/in_flight.rs
+++ b/crates/decision/src/in_flight.rs
@@ -7,8 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::api::{
-    Action, Actions, DeduplicationScope, Endpoint, Idempotency, Micros, Request, RequestId,
-    ServerId, Settings, Status,
+    Action, Actions, Endpoint, Idempotency, Micros, Request, RequestId, ServerId, Settings, Status,
 };
 use crate::balancer::Balancer;
 use crate::outlier_detection::RequestKind;
@@ -34,7 +33,7 @@
         self.status.is_none()
     }
 
-    fn may_have_run(&self) -> bool {
+    pub(crate) fn may_have_run(&self) -> bool {
         !self.status.is_some_and(Status::never_ran)
     }
 }
@@ -89,33 +88,10 @@
         if self.streaming || self.attempts_stopped || now >= self.useful_until {
             return false;
         }
-        let mut others = self
-            .attempts
-            .iter()
-            .enumerate()
-            .filter(|(number, other)| *number != attempt && other.may_have_run())
-            .map(|(_, other)| other);
         match class.idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => others.next().is_none(),
-            Idempotency::Keyed => others.all(|other| {
-                now + settings.tick < other.sent + class.deduplication_window
-                    && match class.deduplication_scope {
-                        DeduplicationScope::All => true,
-                        DeduplicationScope::Zone => other.zone.is_some() && other.zone == to.zone,
-                        DeduplicationScope::Cell => other.cell.is_some() && other.cell == to.cell,
-                    }
-            }),
-        }
-    }
-
-    /// Whether it may be rejected, which tells the client that a retry is harmless.
-    pub(crate) fn may_reject(&self, settings: &Settings) -> bool {
-        let class = &settings.classes[self.request.class];
-        match class.idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::Keyed if class.deduplication_scope == DeduplicationScope::All => true,
-            _ => !self.attempts.iter().any(Attempt::may_have_run),
+            Idempotency::NonIdempotent => self.others_that_may_have_run(attempt).next().is_none(),
+            Idempotency::Keyed => self.is_deduplicated(settings, to, now, attempt),
         }
     }
 }
@@ -183,9 +159,16 @@
             .enumerate()
             .filter(|(_, a)| a.is_pending())
         {
+            let id = request.request.id.clone();
             if self.settings.cancel && !(keep_outliving && attempt.outlives_request) {
                 actions.push(Action::Cancel {
-                    request: request.request.id.clone(),
+                    request: id,
+                    attempt: number,
+                });
+            } else if request.forgotten_at(&self.settings, number).is_some() {
+                // The timers of the request no longer stop the attempt when the others are forgotten.
+                actions.push(Action::CancelUnreceived {
+                    request: id,
                     attempt: number,
                 });
             }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod api;
 pub mod balancer;
 pub mod checkpoint;
+mod deduplication;
 pub mod hash;
 mod hot_keys;
 mod in_flight;
--- a/crates/decision/src/origin_health_tests.rs
+++ b/crates/decision/src/origin_health_tests.rs
@@ -124,6 +124,7 @@
         work: None,
         size: None,
         is_client_retry: false,
+        earlier_request_sent: None,
         write: false,
     };
     node.handle(now, Event::Request(request), &mut sent);
--- a/crates/decision/src/retry.rs
+++ b/crates/decision/src/retry.rs
@@ -173,6 +173,7 @@
             actions.push(TimerToken::Hedge(serial).after(hedging_delay));
         }
         self.record_sent(now, serial, target, attempt);
+        self.set_deduplication_timers(now, serial, actions);
         true
     }
 
--- a/crates/decision/src/test_support.rs
+++ b/crates/decision/src/test_support.rs
@@ -82,6 +82,7 @@
         work: None,
         size: None,
         is_client_retry: false,
+        earlier_request_sent: None,
         write: false,
     };
     let mut actions = Vec::new();
--- a/crates/decision/src/timer_token.rs
+++ b/crates/decision/src/timer_token.rs
@@ -4,11 +4,12 @@
 use crate::api::{Action, Micros};
 
 /// The low bits of a token that encode the timer's purpose, and the codes of the purposes.
-const PURPOSE_BITS: u32 = 2;
+const PURPOSE_BITS: u32 = 3;
 const DEADLINE: u64 = 0;
 const HEDGE: u64 = 1;
 const ENDPOINT_LIST: u64 = 2;
 const ZONE_PROBE: u64 = 3;
+const DEDUPLICATION_WINDOW: u64 = 4;
 
 /// The purpose of a timer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     Deadline(u64),
     /// The hedging delay of the request with this serial number has passed.
     Hedge(u64),
+    /// The servers forget an attempt of the request with this serial number.
+    DeduplicationWindow(u64),
     /// A poll of the endpoint list is due.
     EndpointList,
     /// A probe of this lost zone is due. None: the servers without a zone label.
@@ -38,6 +41,7 @@
         let (value, purpose) = match token {
             TimerToken::Deadline(serial) => (serial, DEADLINE),
             TimerToken::Hedge(serial) => (serial, HEDGE),
+            TimerToken::DeduplicationWindow(serial) => (serial, DEDUPLICATION_WINDOW),
             TimerToken::EndpointList => (0, ENDPOINT_LIST),
             TimerToken::ZoneProbe(zone) => (zone.map_or(0, |zone| u64::from(zone) + 1), ZONE_PROBE),
         };
@@ -51,6 +55,7 @@
         match token & ((1 << PURPOSE_BITS) - 1) {
             DEADLINE => TimerToken::Deadline(value),
             HEDGE => TimerToken::Hedge(value),
+            DEDUPLICATION_WINDOW => TimerToken::DeduplicationWindow(value),
             ENDPOINT_LIST => TimerToken::EndpointList,
             _ => {
                 let zone = value.checked_sub(1);
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -190,6 +190,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: key.is_multiple_of(3),
         }));
     }
@@ -271,16 +272,24 @@
             Action::Send {
                 request, server, ..
             } => self.check_send(&request, server),
-            Action::Reject { request, .. } => {
+            Action::Reject {
+                request,
+                retry_after,
+            } => {
                 let record = self
                     .requests
                     .get(&request)
                     .expect("only requests that the balancer was given are rejected");
                 let class = &self.settings.classes[record.class];
                 let may_have_run = record.attempts.iter().any(Attempt::may_have_run);
+                let ran = record.attempts.iter().filter(|a| a.may_have_run());
+                let first_sent = ran.map(|attempt| attempt.sent).min();
+                let is_remembered = first_sent
+                    .is_none_or(|sent| self.now + retry_after < sent + class.deduplication_window);
                 let is_retry_harmless = class.idempotency == Idempotency::Idempotent
                     || (class.idempotency == Idempotency::Keyed
-                        && class.deduplication_scope == DeduplicationScope::All);
+                        && class.deduplication_scope == DeduplicationScope::All
+                        && is_remembered);
                 assert!(
                     is_retry_harmless || !may_have_run,
                     "{request} was rejected although it may have run and a retry may not be harmless"
@@ -288,7 +297,7 @@
                 self.check_final_response(&request);
             }
             Action::Fail { request } => self.check_final_response(&request),
-            Action::Cancel { request, attempt } => {
+            Action::Cancel { request, attempt } | Action::CancelUnreceived { request, attempt } => {
                 assert!(
                     self.requests[&request].attempts.len() > attempt,
                     "attempt {attempt} of {request} was cancelled but never sent"
@@ -652,6 +661,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: false,
         };
         node.balancer
--- a/crates/decision/tests/slow_start.rs
+++ b/crates/decision/tests/slow_start.rs
@@ -65,6 +65,7 @@
         work: None,
         size: None,
         is_client_retry: false,
+        earlier_request_sent: None,
         write: false,
     });
     let mut actions = Vec::new();
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -217,6 +217,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: false,
         };
         self.handle(Event::Request(request), answer);
--- a/crates/decision/tests/tenant_quota.rs
+++ b/crates/decision/tests/tenant_quota.rs
@@ -55,6 +55,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: false,
         };
         let mut actions = Vec::new();
--- a/crates/fleet_model/examples/cold_servers.rs
+++ b/crates/fleet_model/examples/cold_servers.rs
@@ -184,6 +184,7 @@
             work: None,
             size: None,
             is_client_retry: false,
+            earlier_request_sent: None,
             write: false,
         };
         let mut actions = Vec::new();
--- a/crates/fleet_model/src/model/requests.rs
+++ b/crates/fleet_model/src/model/requests.rs
@@ -46,6 +46,7 @@
             work: None,
             size: None,
             is_client_retry: !first_try,
+            earlier_request_sent: None,
             write,
         };
         self.notify_node(node, Event::Request(request));
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -165,7 +165,7 @@
         }
         match self.ledger.begin(now, key, false) {
             Verdict::New => WriteVerdict::Run,
-            Verdict::Retry { send_before } => WriteVerdict::Retry { send_before },
+            Verdict::Retry { send_before, .. } => WriteVerdict::Retry { send_before },
             Verdict::Served(receipt) => WriteVerdict::Served(receipt),
             Verdict::UnknownOutcome => WriteVerdict::UnknownOutcome,
             Verdict::InFlight | Verdict::Full => WriteVerdict::Reject,
--- a/crates/memcached/src/idempotency_ledger.rs
+++ b/crates/memcached/src/idempotency_ledger.rs
@@ -55,7 +55,9 @@
     New,
     /// The write may have run, and the cache servers still deduplicate it: forward it.
     Retry {
-        /// The request must be sent before this time, on the clock of the node in microseconds.
+        /// When the first attempt that may have run was sent, on the clock of the node in microseconds.
+        first_sent: Micros,
+        /// The request must be sent before this time, on the same clock.
         send_before: Micros,
     },
     /// The write has been served, and the deduplication window is over: answer with the recorded receipt.
@@ -256,7 +258,10 @@
         let send_before = limits.send_deadline(first_sent);
         if now < send_before {
             self.in_flight = true;
-            return Verdict::Retry { send_before };
+            return Verdict::Retry {
+                first_sent,
+                send_before,
+            };
         }
         match &self.receipt {
             Some(receipt) => Verdict::Served(receipt.clone()),
--- a/crates/memcached/src/idempotency_ledger_tests.rs
+++ b/crates/memcached/src/idempotency_ledger_tests.rs
@@ -27,7 +27,10 @@
     ledger.finish(200, &key(1), Some(receipt("receipt")));
     assert_eq!(
         ledger.begin(9_099, &key(1), false),
-        Verdict::Retry { send_before: 9_100 }
+        Verdict::Retry {
+            first_sent: 100,
+            send_before: 9_100
+        }
     );
     assert!(ledger.record_send(9_099, &key(1)));
     assert!(
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -146,6 +146,21 @@
         self.end_attempt(key, attempt, AttemptResult::with_status(status));
     }
 
+    /// Abandons an attempt in flight unless its server has certainly read the request.
+    pub(super) fn cancel_unreceived_attempt(&mut self, key: usize, attempt: usize) {
+        let attempts = self.requests.get(key).map(|request| &request.attempts);
+        let connection = attempts.and_then(|attempts| attempts.get(attempt)?.connection);
+        let Some(connection) = connection.filter(|c| !self.upstreams.has_received(*c)) else {
+            return;
+        };
+        let status = if self.upstreams.is_written(connection) {
+            Status::Cancelled
+        } else {
+            Status::NotSent
+        };
+        self.abandon_attempt(key, attempt, status);
+    }
+
     /// Reports the end of an attempt to the decision engine. Called exactly once for each attempt.
     pub(super) fn end_attempt(&mut self, key: usize, attempt: usize, result: AttemptResult) {
         let now = self.io.now();
--- a/crates/node/src/event_loop/disconnects_tests.rs
+++ b/crates/node/src/event_loop/disconnects_tests.rs
@@ -97,6 +97,8 @@
         Ok(())
     }
 
+    fn set_reset_on_close(&mut self, _reset: bool) {}
+
     fn limit_send_buffer(&mut self, _bytes: usize) {}
 }
 
--- a/crates/node/src/event_loop/dispatch.rs
+++ b/crates/node/src/event_loop/dispatch.rs
@@ -29,6 +29,11 @@
                     self.abandon_attempt(key, attempt, Status::Cancelled);
                 }
             }
+            Action::CancelUnreceived { request, attempt } => {
+                if let Some(key) = self.requests.key_of(&request) {
+                    self.cancel_unreceived_attempt(key, attempt);
+                }
+            }
             Action::SetTimer { delay, token } => {
                 let at = now.saturating_add(delay.max(0));
                 self.timers.set(at, TimerEvent::DecisionEngine(token));
--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -28,8 +28,8 @@
 /// A write with an idempotency key.
 pub(crate) struct KeyedWrite {
     key: IdempotencyKey,
-    /// An earlier request with the same key may have run.
-    earlier_request_may_have_run: bool,
+    /// When an earlier request with the same key was first sent, if that request may have run.
+    earlier_request_sent: Option<Micros>,
     /// Number of attempts of this request that may have run or are in flight.
     attempts_may_have_run: usize,
     /// Whether an attempt of this request was served.
@@ -97,10 +97,9 @@
 }
 
 impl RoutedRequest {
-    /// Whether an earlier request with the same idempotency key may have run.
-    pub(crate) fn is_retry(&self) -> bool {
-        let keyed = self.keyed.as_ref();
-        keyed.is_some_and(|keyed| keyed.earlier_request_may_have_run)
+    /// When an earlier request with the same idempotency key was first sent, if that request may have run.
+    pub(crate) fn earlier_request_sent(&self) -> Option<Micros> {
+        self.keyed.as_ref()?.earlier_request_sent
     }
 }
 
@@ -206,7 +205,7 @@
         if status.never_ran() {
             keyed.attempts_may_have_run -= 1;
             let others_may_have_run =
-                keyed.earlier_request_may_have_run || keyed.attempts_may_have_run > 0;
+                keyed.earlier_request_sent.is_some() || keyed.attempts_may_have_run > 0;
             self.ledger
                 .record_never_ran(&keyed.key, others_may_have_run);
         }
@@ -251,9 +250,9 @@
     }
     let limits = &config.ledger;
     let is_old = age + config.max_clock_skew >= limits.deduplication_window - limits.margin;
-    let earlier_request_may_have_run = match ledger.begin(context.now, &key, is_old) {
-        Verdict::New => false,
-        Verdict::Retry { .. } => true,
+    let earlier_request_sent = match ledger.begin(context.now, &key, is_old) {
+        Verdict::New => None,
+        Verdict::Retry { first_sent, .. } => Some(first_sent),
         Verdict::Served(receipt) => {
             return Err(Rejection::Answered(FinalResponse::Value(receipt)));
         }
@@ -264,7 +263,7 @@
     };
     Ok(KeyedWrite {
         key,
-        earlier_request_may_have_run,
+        earlier_request_sent,
         attempts_may_have_run: 0,
         served: false,
     })
--- a/crates/node/src/frontend/resp2.rs
+++ b/crates/node/src/frontend/resp2.rs
@@ -98,6 +98,7 @@
         work: None,
         size: None,
         is_client_retry: false,
+        earlier_request_sent: None,
         write,
     };
     for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -412,6 +412,11 @@
         self.shutdown(Shutdown::Write)
     }
 
+    fn set_reset_on_close(&mut self, reset: bool) {
+        // With a linger time of zero, close() discards unsent data and sends a reset (socket(7), SO_LINGER; RFC 9293, 3.10.5).
+        let _ = socket2::SockRef::from(&*self).set_linger(reset.then_some(Duration::ZERO));
+    }
+
     fn limit_send_buffer(&mut self, bytes: usize) {
         let _ = socket2::SockRef::from(&*self).set_send_buffer_size(bytes);
     }
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -88,6 +88,9 @@
     /// # Errors
     /// Returns the operating system's error if the connection has failed.
     fn shutdown_write(&mut self) -> io::Result<()>;
+    /// Sets whether closing the connection, also by the end of the process, resets it: bytes that the peer's machine does not
+    /// have yet are then dropped, where an orderly close would still deliver them.
+    fn set_reset_on_close(&mut self, reset: bool);
     /// Limits the number of bytes that the kernel buffers for a peer that does not read.
     fn limit_send_buffer(&mut self, bytes: usize);
 }
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -10,7 +10,7 @@
 
 use crate::attempt_id::AttemptId;
 use crate::frontend::response::Protocol;
-use crate::transport::WriteQueue;
+use crate::transport::{Stream, WriteQueue};
 use crate::upstream::response_reader::{RequestTag, ResponseReader};
 
 /// How long a connection is not reused after a RESP2 response. A faulty server may send a second response some milliseconds
@@ -31,6 +31,14 @@
 pub(crate) struct EncodedRequest {
     pub(crate) chunks: Vec<Bytes>,
     pub(crate) tag: RequestTag,
+    /// Whether it is a write, which must not reach its server any more once it is abandoned.
+    pub(crate) write: bool,
+}
+
+impl EncodedRequest {
+    fn len(&self) -> usize {
+        self.chunks.iter().map(Bytes::len).sum()
+    }
 }
 
 /// An upstream connection.
@@ -65,6 +73,12 @@
     pub(crate) value_stalled_since: Option<Micros>,
     /// The exchange is an attempt that has not been added to the number of sends yet.
     pub(crate) send_count_pending: bool,
+    /// Length of the last request, in bytes.
+    pub(crate) request_len: usize,
+    /// Number of the last attempt among all attempts of the node, in the order in which they were written completely.
+    pub(crate) write_number: u64,
+    /// Closing the connection resets it, since the request in progress is a write.
+    resets_on_close: bool,
 }
 
 /// The server, address and protocol of an upstream connection.
@@ -75,7 +89,7 @@
     pub(crate) protocol: Protocol,
 }
 
-impl<S> UpstreamConnection<S> {
+impl<S: Stream> UpstreamConnection<S> {
     /// A connection that is being opened.
     pub(crate) fn new(stream: S, to: Destination, serial: u64, now: Micros) -> Self {
         UpstreamConnection {
@@ -97,6 +111,9 @@
             last_untagged_response: None,
             value_stalled_since: None,
             send_count_pending: false,
+            request_len: 0,
+            write_number: 0,
+            resets_on_close: false,
         }
     }
 
@@ -120,8 +137,18 @@
     /// Queues a request for writing.
     pub(crate) fn queue(&mut self, request: &EncodedRequest) {
         self.tag = request.tag;
+        self.request_len = request.len();
+        self.reset_on_close(request.write);
         for chunk in &request.chunks {
             self.write_queue.push(chunk.clone());
         }
     }
+
+    /// Sets whether closing the connection resets it.
+    pub(crate) fn reset_on_close(&mut self, reset: bool) {
+        if reset != self.resets_on_close {
+            self.resets_on_close = reset;
+            self.stream.set_reset_on_close(reset);
+        }
+    }
 }
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -213,6 +213,7 @@
             return Err(ProtocolError::TagMismatch);
         }
         (c.streaming, c.value_stalled_since) = (true, None);
+        self.record_answer(connection);
         self.events.push_back(UpstreamEvent::ValueStarted {
             exchange,
             connection,
@@ -238,6 +239,9 @@
         c.exchange = None;
         c.streaming = false;
         c.last_untagged_response = matches!(reply, ServerReply::Resp2(_)).then_some(now);
+        if !is_early {
+            self.record_answer(connection);
+        }
         self.events.push_back(UpstreamEvent::Reply(exchange, reply));
         if is_early {
             self.close(connection, ConnectionStep::Broken);
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -35,6 +35,9 @@
 /// 0.1 s.
 const VALUE_STALL_TIMEOUT: Micros = 1_500_000;
 
+/// Longest request, in bytes, that a server reads at once. A longer one may be read in pieces, over seconds.
+const MAX_SHORT_REQUEST_BYTES: usize = 4 << 10;
+
 /// A violation of the protocol by a server. The text is written to the log.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub(crate) enum ProtocolError {
@@ -84,6 +87,8 @@
     idle: Vec<usize>,
     /// Number of connections, idle or in use.
     open_count: usize,
+    /// The highest [`UpstreamConnection::write_number`] of an attempt that the server has answered.
+    last_answered_write: u64,
 }
 
 /// All connections to cache servers.
@@ -150,6 +155,7 @@
             listed: true,
             idle: Vec::new(),
             open_count: 0,
+            last_answered_write: 0,
         };
         let pool = self.pools.entry(server.clone()).or_insert_with(new_pool);
         pool.listed = true;
@@ -353,12 +359,41 @@
         if c.send_count_pending && c.exchange.is_some() && c.is_written() {
             c.send_count_pending = false;
             self.attempts_written += 1;
+            c.write_number = self.attempts_written;
+        }
+    }
+
+    /// Records that the server of a connection answers the request in progress.
+    pub(super) fn record_answer(&mut self, connection: usize) {
+        let c = &self.connections[connection];
+        if let Some(pool) = self.pools.get_mut(&c.server) {
+            pool.last_answered_write = pool.last_answered_write.max(c.write_number);
         }
     }
 
+    /// Whether the program of the server has certainly read the request in progress on a connection: the kernel has accepted it,
+    /// it is too short to be read in pieces, and the server has answered an attempt that was written after it.
+    pub(crate) fn has_received(&self, connection: usize) -> bool {
+        let Some(c) = self.connections.get(connection) else {
+            return false;
+        };
+        let pool = self.pools.get(&c.server);
+        c.is_written()
+            && c.request_len <= MAX_SHORT_REQUEST_BYTES
+            && pool.is_some_and(|pool| pool.last_answered_write > c.write_number)
+    }
+
+    /// Whether the kernel has accepted the request in progress on a connection completely.
+    pub(crate) fn is_written(&self, connection: usize) -> bool {
+        self.connections
+            .get(connection)
+            .is_some_and(UpstreamConnection::is_written)
+    }
+
     /// Abandons the exchange of a connection. Returns whether the server may have executed the request.
     ///
-    /// The connection is closed, unless nothing of the request has been written.
+    /// The connection is closed, unless nothing of the request has been written. If the request is a write, the connection is
+    /// reset, so that bytes that its server does not have yet never reach it.
     pub(crate) fn abandon(&mut self, connection: usize, now: Micros) -> bool {
         let Some(c) = self.connections.get_mut(connection) else {
             return false;
@@ -382,6 +417,7 @@
         }
         let c = &mut self.connections[connection];
         c.idle_since = now;
+        c.reset_on_close(false);
         if let Some(pool) = self.pools.get_mut(&c.server) {
             pool.idle.push(connection);
         }
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -41,6 +41,7 @@
     EncodedRequest {
         chunks,
         tag: RequestTag::default(),
+        write: request.write,
     }
 }
 
@@ -106,6 +107,7 @@
     EncodedRequest {
         chunks: vec![out.into()],
         tag: RequestTag { opcode, opaque },
+        write: false,
     }
 }
 
@@ -133,6 +135,7 @@
     EncodedRequest {
         chunks,
         tag: RequestTag { opcode, opaque },
+        write: true,
     }
 }
 
@@ -171,6 +174,7 @@
     EncodedRequest {
         chunks: vec![out.into()],
         tag: RequestTag::default(),
+        write: false,
     }
 }
 
@@ -189,5 +193,6 @@
     EncodedRequest {
         chunks: vec![out.into()],
         tag: RequestTag { opcode, opaque },
+        write: false,
     }
 }
--- a/crates/simulator_adapter/src/messages.rs
+++ b/crates/simulator_adapter/src/messages.rs
@@ -139,6 +139,7 @@
         work: fields.opt_number("effort")?.map(|ms| ms * 1000.0),
         size: fields.opt_number("bytes_hint")?,
         is_client_retry: fields.flag_or("resent", false)?,
+        earlier_request_sent: None,
         write: fields.flag_or("mutates", false)?,
     })
 }
@@ -261,7 +262,10 @@
 
     /// Appends an action that a node's decision code requested.
     pub(crate) fn add_action(&mut self, node: i64, action: &Action) {
-        let out = self.begin_item(action_kind(action), node);
+        let Some(kind) = action_kind(action) else {
+            return;
+        };
+        let out = self.begin_item(kind, node);
         match action {
             Action::Send {
                 request,
@@ -298,16 +302,16 @@
             Action::Subscribe(active) => {
                 let _ = write!(out, ",\"active\":{active}");
             }
-            Action::FetchEndpointList => {}
+            Action::FetchEndpointList | Action::CancelUnreceived { .. } => {}
             Action::Log(text) => write_text_field(out, "what", text),
         }
         out.push('}');
     }
 }
 
-/// The simulator's name for the kind of an action.
-fn action_kind(action: &Action) -> &'static str {
-    match action {
+/// The simulator's name for the kind of an action. None if it has no such action: there, an attempt reaches its server at once.
+fn action_kind(action: &Action) -> Option<&'static str> {
+    Some(match action {
         Action::Send { .. } => "ISSUE",
         Action::Reject { .. } => "BOUNCE",
         Action::Fail { .. } => "END_FAILED",
@@ -318,5 +322,6 @@
         Action::Subscribe(_) => "TRACK",
         Action::FetchEndpointList => "QUERY_ALL",
         Action::Log(_) => "RECORD",
-    }
+        Action::CancelUnreceived { .. } => return None,
+    })
 }
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -5,8 +5,9 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{json, Value};
 use support::*;
 
 /// A node with a listener for memcached clients.
@@ -27,6 +28,17 @@
 /// Starts a node in front of one cache server, which speaks memcached if `memcached_server`, else RESP2. Memcached clients may
 /// read keys `r/...` and write keys `w/...`.
 fn start_node(server: &TcpListener, memcached_server: bool) -> MemcachedNode {
+    let servers = std::slice::from_ref(server);
+    start_node_with(servers, memcached_server, settings(), "")
+}
+
+/// The same with several servers, these settings, and this text at the end of the route of writes.
+fn start_node_with(
+    servers: &[TcpListener],
+    memcached_server: bool,
+    settings: Value,
+    write_route: &str,
+) -> MemcachedNode {
     let memcached = free_address();
     let route = |operation: &str, keys: &str, class: &str| {
         format!(
@@ -37,6 +49,7 @@
         format!("listen = \"{memcached}\"\n"),
         route("get", "r/*", "read"),
         route("set", "w/*", "once"),
+        write_route.to_string(),
         "[[box]]\nmodel = \"mc\"\nprotocol = \"memcached\"\n".to_string(),
     ]
     .concat();
@@ -45,13 +58,18 @@
     std::fs::write(&file, text).unwrap();
     let mut program = program();
     program.arg("--memcached").arg(&file);
-    let mut server_target = target("s-1", server);
-    if memcached_server {
-        server_target["model"] = json!("mc");
-    }
+    let server_target = |(number, server)| {
+        let mut server_target = target(&format!("s-{number}"), server);
+        if memcached_server {
+            server_target["model"] = json!("mc");
+        }
+        server_target
+    };
+    let targets: Vec<Value> = (1..).zip(servers).map(server_target).collect();
     let node = Node::builder()
         .command(program)
-        .targets(&[server_target])
+        .settings(settings)
+        .targets(&targets)
         .set("/limits/memory_mb", 32)
         .start();
     MemcachedNode {
@@ -352,3 +370,61 @@
         clients.len()
     );
 }
+
+// Guards against a second effect: the retry of a client is bound by the window of its earlier request, also while it is written.
+#[test]
+fn retry_of_a_client_does_not_reach_a_slow_reader_after_the_window_of_its_first_request() {
+    const WINDOW: Duration = Duration::from_millis(2_000);
+    // The window, and by how much time limits are longer on sockets and for a node that is held up.
+    const AFTER_WINDOW: Duration = Duration::from_millis(2_200);
+    let mut keyed = settings();
+    keyed["classes"][1]["repeat"] = json!("guarded");
+    keyed["classes"][1]["dedup_scope"] = json!("all");
+    keyed["classes"][1]["window"] = json!(WINDOW.as_millis() as f64);
+    keyed["classes"][1]["late_share"] = json!(0.5);
+    for (memcached_server, len) in [(false, 100), (false, 1 << 19), (true, 100), (true, 1 << 19)] {
+        let servers = [listener(), listener()];
+        for server in &servers {
+            let socket = socket2::SockRef::from(server);
+            socket.set_recv_buffer_size(4096).unwrap();
+        }
+        let route = "key_from = \"digest\"\n";
+        let memcached_node = start_node_with(&servers, memcached_server, keyed.clone(), route);
+        let value = vec![b'v'; len];
+        let set = |opaque| encode_packet(0x80, SET, 0, opaque, &[0; 8], "w/1", &value);
+        let mut client = connect(memcached_node.memcached);
+        client.write_all(&set(1)).unwrap();
+        let (_, mut first) = accept_either(&servers);
+        let ran = Instant::now();
+        read_long_request(&mut first, len);
+        first.reset();
+        let (_, status, ..) = read_packet(&mut client).unwrap();
+        assert!([0x84, 0x85].contains(&status), "failed or busy: {status}");
+        client.write_all(&set(2)).unwrap();
+        let (_, mut retry) = accept_either(&servers);
+        std::thread::sleep((ran + AFTER_WINDOW).saturating_duration_since(Instant::now()));
+        assert!(
+            !read_long_request(&mut retry, len),
+            "{memcached_server} {len}"
+        );
+        let (_, status, ..) = read_packet(&mut client).unwrap();
+        assert_eq!(status, 0x84, "failed");
+    }
+}
+
+/// Reads a request until no more arrives or the connection has ended. Returns whether all of it came and the connection has not
+/// ended, so that the server runs it.
+fn read_long_request(conn: &mut Peer, len: usize) -> bool {
+    conn.stream
+        .set_read_timeout(Some(Duration::from_millis(100)))
+        .unwrap();
+    let mut received = 0;
+    let mut buffer = [0; 65536];
+    loop {
+        match conn.stream.read(&mut buffer) {
+            Ok(n @ 1..) => received += n,
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return received >= len,
+            _ => return false,
+        }
+    }
+}
--- a/crates/testbed/src/network/mod.rs
+++ b/crates/testbed/src/network/mod.rs
@@ -115,6 +115,8 @@
     write_blocked: bool,
     /// The connection is reset when the first bytes arrive at this end.
     reset_on_data: bool,
+    /// The connection is reset when this end is closed.
+    resets_on_close: bool,
     /// This end is in its host's `ready`.
     is_ready: bool,
 }
@@ -137,6 +139,7 @@
             last_arrival: 0,
             write_blocked: false,
             reset_on_data: false,
+            resets_on_close: false,
             is_ready: false,
         }
     }
@@ -642,14 +645,17 @@
         if std::mem::replace(&mut e.closed, true) {
             return;
         }
-        let (host, unread) = (e.host, e.received_len > 0);
+        let (host, unread, resets_on_close) = (e.host, e.received_len > 0, e.resets_on_close);
         let has_failed = e.error.is_some();
         e.received.clear();
         e.received_len = 0;
         let fin_sent = e.fin_sent;
         self.hosts[host].descriptors = self.hosts[host].descriptors.saturating_sub(1);
+        // To a far end that has read all bytes, a reset is the same as an orderly close.
+        let far = &self.conns[conn].ends[1 - end];
+        let resets = unread || (resets_on_close && far.inbound_len + far.received_len > 0);
         if !has_failed {
-            if unread {
+            if resets {
                 self.send(conn, end, Segment::Reset);
             } else if !fin_sent {
                 self.send(conn, end, Segment::Fin);
@@ -1043,6 +1049,12 @@
         })
     }
 
+    fn set_reset_on_close(&mut self, reset: bool) {
+        self.with((), |w, conn, end| {
+            w.conns[conn].ends[end].resets_on_close = reset;
+        });
+    }
+
     fn limit_send_buffer(&mut self, _bytes: usize) {}
 }
 
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -273,6 +273,18 @@
         found.contains(&Rule::NoEffectTwice),
         "retry after the deduplication window: {found:?}"
     );
+    // Sent within the window, and read by the server after it.
+    for (received, is_violation) in [(10_100, false), (10_250, true)] {
+        let mut slow = ran("a", SET);
+        slow.push((1_900, answered("a", Answer::Failed)));
+        let (at, mut event) = attempt("a", 2, 1, received);
+        if let Event::Attempt { first_byte, .. } = &mut event {
+            *first_byte = 9_000_000;
+        }
+        slow.push((at, event));
+        let found = check(&slow).contains(&Rule::NoEffectTwice);
+        assert_eq!(found, is_violation, "received at {received} ms");
+    }
 }
 
 #[test]
