A late long value for a closed request ends its attempt, not the connection of its client

Cause: start_stream made a late value the stream of a request that had its final response already; nobody read it, and when its time was over, end_stream took that for a value that broke off under its client and cancelled every request of the connection.

Change: a long value for a closed request ends its attempt at once; the decision module gets the outcome and its latency. end_stream touches the client's connection only if the stream is the response that the client waits for. A final response that the decision module chooses does not replace a stream.

--- a/crates/node/src/event_loop/dispatch.rs
+++ b/crates/node/src/event_loop/dispatch.rs
@@ -46,10 +46,14 @@
         }
     }
 
-    /// Gives a request the final response that the decision engine has chosen, unless the request is closed already.
+    /// Gives a request the final response that the decision engine has chosen, unless the request is closed already or its
+    /// response is being streamed.
     fn end_request(&mut self, id: &RequestId, response: FinalResponse) {
-        let key = self.requests.key_of(id);
-        let Some(key) = key.filter(|key| !self.requests[*key].closed) else {
+        let is_open = |key: &usize| {
+            let request = &self.requests[*key];
+            !request.closed && request.stream.is_none()
+        };
+        let Some(key) = self.requests.key_of(id).filter(is_open) else {
             return;
         };
         self.respond(key, response);
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -109,6 +109,9 @@
             return;
         }
         let (key, attempt) = (id.request, id.attempt);
+        if self.requests[key].closed {
+            return self.end_late_value(key, attempt, connection);
+        }
         let now = self.io.now();
         let longest_deadline = self.requests.longest_deadline;
         let request = &mut self.requests[key];
@@ -140,6 +143,14 @@
         self.frontends.set_response(to, stream);
     }
 
+    /// Ends an attempt whose long value starts after its request got its final response: nobody would read it. The decision engine
+    /// gets the outcome, since it learns from it how long the server takes.
+    fn end_late_value(&mut self, key: usize, attempt: usize, connection: usize) {
+        let now = self.io.now();
+        self.upstreams.abandon(connection, now);
+        self.end_attempt(key, attempt, AttemptResult::with_status(Status::Ok));
+    }
+
     /// Ends a streamed value that is still incomplete when its time is over.
     pub(super) fn end_overdue_stream(&mut self, key: usize, attempt: usize, now: Micros) {
         let request = self.requests.get(key);
@@ -160,30 +171,53 @@
     fn end_stream(&mut self, key: usize, is_complete: bool) {
         let request = &self.requests[key];
         let (to, class, protocol) = (request.respond_to, request.class, request.protocol);
-        let Some(connection) = self.frontends.connection_for(to) else {
-            return self.requests.close(key);
-        };
-        let is_header_pending = matches!(
-            connection.response_mut(to.response_number),
+        match self.stream_progress(key) {
+            // The client does not wait for this value any more: its connection is left alone.
+            StreamProgress::Ended => self.requests.close(key),
+            _ if is_complete => {
+                // Counts as served; the value itself has been streamed.
+                self.admin.metrics.count(class, &FinalResponse::NoValue);
+                self.respond_encoded(key, protocol.encode_value_trailer());
+            }
+            StreamProgress::NotBegun => self.respond(key, FinalResponse::Failed),
+            StreamProgress::Begun => {
+                self.admin.metrics.count(class, &FinalResponse::Failed);
+                self.respond_encoded(key, Vec::new());
+                // The connection is not closed at once: if unread requests were left, closing would send a reset, which destroys
+                // responses that are still on their way.
+                let connection = self.frontends.clients.get_mut(to.client);
+                let responses = connection.map(ClientConnection::cancel_responses);
+                self.cancel_requests(responses.unwrap_or_default());
+            }
+        }
+    }
+
+    /// How far the streamed value of a request has been passed to its client.
+    fn stream_progress(&mut self, key: usize) -> StreamProgress {
+        let to = self.requests[key].respond_to;
+        let connection = self.frontends.connection_for(to);
+        let response = connection.and_then(|c| c.response_mut(to.response_number));
+        match response {
             Some(PendingResponse::Stream {
-                header: Some(_),
-                ..
-            })
-        );
-        if is_complete {
-            // Counts as served; the value itself has been streamed.
-            self.admin.metrics.count(class, &FinalResponse::NoValue);
-            self.respond_encoded(key, protocol.encode_value_trailer());
-        } else if is_header_pending {
-            self.respond(key, FinalResponse::Failed);
-        } else {
-            self.admin.metrics.count(class, &FinalResponse::Failed);
-            self.respond_encoded(key, Vec::new());
-            // The connection is not closed at once: if unread requests were left, closing would send a reset, which destroys
-            // responses that are still on their way.
-            let connection = self.frontends.clients.get_mut(to.client);
-            let responses = connection.map(ClientConnection::cancel_responses);
-            self.cancel_requests(responses.unwrap_or_default());
+                request, header, ..
+            }) if *request == key => {
+                if header.is_some() {
+                    StreamProgress::NotBegun
+                } else {
+                    StreamProgress::Begun
+                }
+            }
+            _ => StreamProgress::Ended,
         }
     }
 }
+
+/// How far a streamed value has been passed to its client.
+enum StreamProgress {
+    /// Its header has not been queued for writing.
+    NotBegun,
+    /// Its header has been queued for writing.
+    Begun,
+    /// It is not, or no longer, the client's response.
+    Ended,
+}
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -374,7 +374,7 @@
 // Guards against a second effect: the retry of a client is bound by the window of its earlier request, also while it is written.
 #[test]
 fn retry_of_a_client_does_not_reach_a_slow_reader_after_the_window_of_its_first_request() {
-    const WINDOW: Duration = Duration::from_millis(2_000);
+    const WINDOW: Duration = Duration::from_secs(2);
     // The window, and by how much time limits are longer on sockets and for a node that is held up.
     const AFTER_WINDOW: Duration = Duration::from_millis(2_200);
     let mut keyed = settings();
--- a/crates/sloewick/tests/support/peer.rs
+++ b/crates/sloewick/tests/support/peer.rs
@@ -33,6 +33,19 @@
         self.stream.write_all(bytes.as_ref()).unwrap();
     }
 
+    /// Sends bytes that the node may not take all, because it closes the connection.
+    pub(crate) fn try_send(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
+    /// Reads a RESP2 command. None if the node has closed the connection.
+    pub(crate) fn read_to_command(&mut self) -> Option<Vec<String>> {
+        if self.buffer.is_empty() && !self.fill() {
+            return None;
+        }
+        Some(self.read_command())
+    }
+
     /// Sends a read of key `k1` in class `once` with a deadline of 20 s.
     pub(crate) fn send_get(&mut self, id: &str) {
         self.send(get_command("once", id, 20_000));
