A long value with responses behind it is collected first: its end loses none of them

Cause: a value is passed on as it comes, and only the end of the connection tells a client that it broke off. Requests taken before the value began stand behind it and end with the connection.

Change: such a value is collected in the memory for values, until its client's deadline; without memory it stays unread with its server. A streamed value is always the last response of its connection. Other ways weighed: to fetch the value again and go on where it broke off (another server need not give the same bytes), to forward nothing behind a read (costs every pipeline).

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -11,6 +11,7 @@
 mod admin;
 mod attempts;
 mod clients;
+mod collected_values;
 mod disconnects;
 mod dispatch;
 mod endpoint_list;
@@ -27,6 +28,7 @@
 use crate::admin::Admin;
 use crate::discovery::Discovery;
 use crate::engine::{DecisionEngine, EngineQueue};
+use crate::event_loop::collected_values::LongValue;
 use crate::event_trace::Trace;
 use crate::frontend::disconnects::{SocketFreshness, MAX_WAIT_WITH_OPEN_REQUESTS};
 use crate::frontend::Frontends;
@@ -79,6 +81,8 @@
     freshness: SocketFreshness,
     serials: SerialNumbers,
     reload: Reload,
+    /// Long values that wait, unread, for memory in which they can be collected. Bounded by the upstream connections.
+    waiting_values: Vec<LongValue>,
 }
 
 impl<N: Transport, M: DecisionEngine> Node<N, M> {
@@ -103,6 +107,7 @@
     pub fn process_pending(&mut self) -> Option<Micros> {
         self.handle_engine_events();
         self.flush_clients();
+        self.collect_waiting_values();
         if self.advance_shutdown() {
             return None;
         }
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -55,6 +55,7 @@
             expires_at: now + wait,
             connection: None,
             counted_in_ledger: false,
+            reserved: 0,
         });
         request.attempts_in_flight += 1;
         let may_start = may_start(request, protocol, wait);
@@ -168,6 +169,9 @@
         let ended = &mut request.attempts[attempt];
         ended.connection = None;
         let is_counted = std::mem::take(&mut ended.counted_in_ledger);
+        let reserved = std::mem::take(&mut ended.reserved);
+        self.requests.value_memory.release(reserved);
+        let request = &mut self.requests[key];
         request.attempts_in_flight -= 1;
         if is_counted {
             self.end_attempt_in_ledger(key, result.status);
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -191,6 +191,9 @@
                     connection,
                     ..
                 } => self.cancel_stream(request, connection),
+                PendingResponse::Collected { reserved, .. } => {
+                    self.requests.value_memory.release(reserved);
+                }
                 PendingResponse::Ready(_) => {}
             }
         }
@@ -200,6 +203,11 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
+        let collecting = request.stream.filter(|stream| stream.is_collected);
+        let connection = collecting.and_then(|stream| request.attempts[stream.attempt].connection);
+        if let Some(connection) = connection {
+            return self.cancel_stream(key, connection);
+        }
         let id = request.id.clone();
         self.requests.close(key);
         self.engine.push(Event::ClientDisconnected(id));
@@ -239,6 +247,7 @@
                 self.drop_client(key);
                 continue;
             }
+            self.requests.value_memory.release(client.take_released());
             self.stream_value(key);
             self.read_client(key);
             if self.lifecycle.closes_clients() {
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use sloewick_decision::api::{Event, Micros, Status};
 
+use super::collected_values::LongValue;
 use super::Node;
 use crate::attempt_id::AttemptId;
 use crate::engine::DecisionEngine;
@@ -64,11 +65,12 @@
         }
         let request = &self.requests[id.request];
         let mut result = interpret(&reply, request.write);
-        if request.is_streaming(id.attempt) {
+        if request.is_streaming(id.attempt) && !request.is_collecting() {
             result.status = Status::Ok;
             self.end_stream(id.request, true);
         } else if result.status == Status::Ok && !request.closed {
             self.respond(id.request, final_response(reply));
+            self.keep_reservation(id);
         }
         self.end_attempt(id.request, id.attempt, result);
     }
@@ -102,8 +104,8 @@
             .set_response(to, PendingResponse::Ready(chunks));
     }
 
-    /// Starts to stream a long value of `len` bytes to the client. Its attempt provides the response from now on, and the
-    /// other attempts of the request are cancelled.
+    /// Starts to stream a long value of `len` bytes to the client, or to collect it if the client waits for responses behind it.
+    /// Its attempt provides the response from now on, and the other attempts of the request are cancelled.
     fn start_stream(&mut self, id: AttemptId, connection: usize, len: usize) {
         if !self.requests.is_in_flight(id) {
             return;
@@ -112,6 +114,7 @@
         if self.requests[key].closed {
             return self.end_late_value(key, attempt, connection);
         }
+        let is_collected = self.has_responses_behind(key);
         let now = self.io.now();
         let longest_deadline = self.requests.longest_deadline;
         let request = &mut self.requests[key];
@@ -119,8 +122,13 @@
         request.stream = Some(ValueStream {
             attempt,
             latency: now - streamed.started,
+            is_collected,
         });
-        let expires_at = request.deadline.max(now + longest_deadline) + STREAM_TIME_MARGIN;
+        let expires_at = if is_collected {
+            request.deadline
+        } else {
+            request.deadline.max(now + longest_deadline) + STREAM_TIME_MARGIN
+        };
         streamed.expires_at = expires_at;
         self.timers.set(expires_at, TimerEvent::Attempt(id));
         let header = request
@@ -135,6 +143,13 @@
         for other in (0..attempts).filter(|other| *other != attempt) {
             self.abandon_attempt(key, other, Status::Cancelled);
         }
+        if is_collected {
+            return self.collect_value(LongValue {
+                attempt: id,
+                connection,
+                len,
+            });
+        }
         let stream = PendingResponse::Stream {
             request: key,
             connection,
@@ -145,7 +160,7 @@
 
     /// Ends an attempt whose long value starts after its request got its final response: nobody would read it. The decision engine
     /// gets the outcome, since it learns from it how long the server takes.
-    fn end_late_value(&mut self, key: usize, attempt: usize, connection: usize) {
+    pub(super) fn end_late_value(&mut self, key: usize, attempt: usize, connection: usize) {
         let now = self.io.now();
         self.upstreams.abandon(connection, now);
         self.end_attempt(key, attempt, AttemptResult::with_status(Status::Ok));
@@ -194,7 +209,11 @@
 
     /// How far the streamed value of a request has been passed to its client.
     fn stream_progress(&mut self, key: usize) -> StreamProgress {
-        let to = self.requests[key].respond_to;
+        let request = &self.requests[key];
+        let to = request.respond_to;
+        if request.is_collecting() && !request.closed {
+            return StreamProgress::NotBegun;
+        }
         let connection = self.frontends.connection_for(to);
         let response = connection.and_then(|c| c.response_mut(to.response_number));
         match response {
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -60,6 +60,7 @@
     /// response while there is time to write it. Streamed values continue.
     pub(super) fn force_final_responses(&mut self) {
         for key in self.requests.open_keys() {
+            self.end_collected_value(key);
             self.stop_attempts(key);
             let request = self.requests.get(key);
             let request = request.filter(|request| request.stream.is_none());
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -104,6 +104,7 @@
             freshness: SocketFreshness::default(),
             serials: SerialNumbers::default(),
             reload: Reload::new(source),
+            waiting_values: Vec::new(),
         };
         node.restore_snapshot();
         node.apply_endpoint_list(config.initial_endpoints, Some(EndpointListKind::Cached));
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -41,6 +41,8 @@
     Waiting(usize),
     /// The encoded response.
     Ready(Vec<Bytes>),
+    /// The encoded response with a long value that was collected; `reserved`: its bytes in the [`ByteBudget`].
+    Collected { chunks: Vec<Bytes>, reserved: usize },
     /// A long value is streamed from the upstream connection with the key `connection`. `header`: the encoded header until it
     /// has been queued for writing.
     Stream {
@@ -50,6 +52,16 @@
     },
 }
 
+impl PendingResponse {
+    /// Adds the memory that is reserved for the value of a complete response.
+    pub(crate) fn reserve(&mut self, reserved: usize) {
+        if let PendingResponse::Ready(chunks) = self {
+            let chunks = std::mem::take(chunks);
+            *self = PendingResponse::Collected { chunks, reserved };
+        }
+    }
+}
+
 /// Where the final response of a request goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ResponseAddress {
@@ -103,6 +115,8 @@
     reader: Reader,
     pub(crate) out: WriteQueue,
     pub(crate) responses: VecDeque<PendingResponse>,
+    /// Bytes in the [`ByteBudget`] of collected values that are queued in `out`.
+    reserved_output: usize,
     /// Number of the first entry of `responses` among all responses of the connection.
     first_response_number: u64,
     /// The kernel may hold unread input.
@@ -153,6 +167,7 @@
             reader,
             out: WriteQueue::default(),
             responses: VecDeque::new(),
+            reserved_output: 0,
             first_response_number: 0,
             unread: true,
             input_ended: false,
@@ -246,10 +261,12 @@
     }
 
     fn accepts_requests(&self) -> bool {
-        // No request is accepted while a long value is being streamed: if the value breaks off, the connection must end, and
-        // a request accepted after it could not be answered.
+        // No request is accepted behind a long value that is or will be streamed: if the value breaks off, the connection must
+        // end, and the request could not be answered.
+        let ends_with_stream =
+            matches!(self.responses.back(), Some(PendingResponse::Stream { .. }));
         self.closing == Closing::No
-            && !self.is_streaming()
+            && !ends_with_stream
             && self.responses.len() < MAX_PIPELINED_REQUESTS
             && self.out.len() <= MAX_UNSENT_BYTES
     }
@@ -308,12 +325,13 @@
         )
     }
 
-    /// Bytes that the incomplete request has reserved in the [`ByteBudget`].
+    /// Bytes in the [`ByteBudget`] that the incomplete request and the output have reserved.
     pub(crate) fn reserved(&self) -> usize {
-        match &self.reader {
+        let request = match &self.reader {
             Reader::Resp2(reader) => reader.reserved(),
             Reader::Memcached { reader, .. } => reader.reserved(),
-        }
+        };
+        request + self.reserved_output
     }
 
     pub(crate) fn protocol(&self) -> Protocol {
@@ -341,10 +359,23 @@
         self.responses.get_mut(index)
     }
 
+    /// Whether the client waits for responses behind the one with this number.
+    pub(crate) fn has_responses_behind(&self, number: u64) -> bool {
+        number + 1 < self.first_response_number + self.responses.len() as u64
+    }
+
     /// Queues complete responses for writing, up to the first one that is not complete.
     pub(crate) fn queue_ready_responses(&mut self) {
-        while let Some(PendingResponse::Ready(chunks)) = self.responses.front_mut() {
-            for chunk in std::mem::take(chunks) {
+        loop {
+            let chunks = match self.responses.front_mut() {
+                Some(PendingResponse::Ready(chunks)) => std::mem::take(chunks),
+                Some(PendingResponse::Collected { chunks, reserved }) => {
+                    self.reserved_output += *reserved;
+                    std::mem::take(chunks)
+                }
+                _ => return,
+            };
+            for chunk in chunks {
                 self.out.push(chunk);
             }
             self.responses.pop_front();
@@ -352,6 +383,15 @@
         }
     }
 
+    /// Takes the bytes of collected values in the [`ByteBudget`] that the client has received.
+    pub(crate) fn take_released(&mut self) -> usize {
+        if self.out.is_empty() {
+            std::mem::take(&mut self.reserved_output)
+        } else {
+            0
+        }
+    }
+
     /// Writes as many of the queued bytes as the kernel takes.
     ///
     /// # Errors
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -42,14 +42,18 @@
     pub(crate) connection: Option<usize>,
     /// Whether the idempotency ledger counts it as an attempt that may have run.
     pub(crate) counted_in_ledger: bool,
+    /// Bytes that are reserved in the [`ByteBudget`] for its long value, which is being collected.
+    pub(crate) reserved: usize,
 }
 
-/// The attempt whose long value is being streamed to the client.
+/// The attempt whose long value is being streamed to the client, or collected for it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ValueStream {
     pub(crate) attempt: usize,
     /// Time from the start of the attempt to the start of the value.
     pub(crate) latency: Micros,
+    /// Whether the value is collected, and given to the client once it is complete.
+    pub(crate) is_collected: bool,
 }
 
 /// The arguments of a request, as parsed by its frontend.
@@ -86,15 +90,20 @@
     pub(crate) closed: bool,
     /// No further attempt may be started.
     pub(crate) attempts_stopped: bool,
-    /// Set once a long value is being streamed as the response.
+    /// Set once a long value is being streamed or collected as the response.
     pub(crate) stream: Option<ValueStream>,
 }
 
 impl PendingRequest {
-    /// Whether the value of this attempt is being streamed to the client.
+    /// Whether the value of this attempt is being streamed to the client, or collected for it.
     pub(crate) fn is_streaming(&self, attempt: usize) -> bool {
         self.stream.is_some_and(|stream| stream.attempt == attempt)
     }
+
+    /// Whether a long value is being collected as the response.
+    pub(crate) fn is_collecting(&self) -> bool {
+        self.stream.is_some_and(|stream| stream.is_collected)
+    }
 }
 
 /// The properties of a request that the event loop adds to a [`ParsedRequest`] for [`RequestTable::insert`].
--- a/crates/node/src/request_table_tests.rs
+++ b/crates/node/src/request_table_tests.rs
@@ -39,6 +39,7 @@
         expires_at: 1_000_000,
         connection: Some(5),
         counted_in_ledger: false,
+        reserved: 0,
     });
     request.attempts_in_flight += 1;
     AttemptId {
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -61,6 +61,8 @@
     pub(crate) reader: ResponseReader,
     /// The response in progress is a long value, which is read only as fast as the client reads it.
     pub(crate) streaming: bool,
+    /// The bytes of the long value so far, if the value is collected in place of being read by its client.
+    pub(crate) collected: Option<BytesMut>,
     /// The socket was reported as readable, and has not been read until it was empty.
     pub(crate) is_readable: bool,
     /// When the connection began to be opened.
@@ -105,6 +107,7 @@
             read_buffer: BytesMut::new(),
             reader: ResponseReader::new(to.protocol),
             streaming: false,
+            collected: None,
             is_readable: false,
             connect_started: now,
             idle_since: now,
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -35,6 +35,7 @@
         if event.readable || event.read_closed || event.error {
             c.is_readable = true;
             match (c.streaming, c.exchange) {
+                (true, _) if c.collected.is_some() => self.read_collected(connection, context),
                 (true, Some(exchange)) => self
                     .events
                     .push_back(UpstreamEvent::ValueAvailable(exchange)),
@@ -222,9 +223,39 @@
         Ok(())
     }
 
+    /// Collects the long value of `len` bytes that has started on a connection; its response then contains it.
+    pub(crate) fn collect_value(
+        &mut self,
+        connection: usize,
+        len: usize,
+        context: &mut UpstreamContext<'_, impl Transport<Stream = S>>,
+    ) {
+        if let Some(c) = self.connections.get_mut(connection).filter(|c| c.streaming) {
+            c.collected = Some(BytesMut::with_capacity(len));
+            self.read_collected(connection, context);
+        }
+    }
+
+    /// Reads what has arrived of a long value that is collected.
+    fn read_collected(
+        &mut self,
+        connection: usize,
+        context: &mut UpstreamContext<'_, impl Transport<Stream = S>>,
+    ) {
+        while let Some(bytes) = self.read_value(connection, context) {
+            let c = &mut self.connections[connection];
+            if let Some(collected) = &mut c.collected {
+                collected.extend_from_slice(&bytes);
+            }
+        }
+    }
+
     /// Ends the exchange of a connection with a complete response.
-    fn complete_exchange(&mut self, connection: usize, reply: ServerReply, now: Micros) {
+    fn complete_exchange(&mut self, connection: usize, mut reply: ServerReply, now: Micros) {
         let c = &mut self.connections[connection];
+        if let Some(value) = c.collected.take() {
+            reply.set_value(value.freeze());
+        }
         let Some(exchange) = c.exchange else {
             return self.end_with_protocol_error(connection, ProtocolError::Unsolicited);
         };
--- a/crates/node/src/upstream/response_reader.rs
+++ b/crates/node/src/upstream/response_reader.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sloewick_codec::memcached::{self, Response};
-use sloewick_codec::resp2::{DecodeEvent, Reply, ReplyReader, MAX_VALUE_BYTES};
+use sloewick_codec::resp2::{DecodeEvent, Element, Reply, ReplyReader, MAX_VALUE_BYTES};
 use thiserror::Error;
 
 use crate::frontend::response::Protocol;
@@ -24,6 +24,21 @@
     Memcached(Response),
 }
 
+impl ServerReply {
+    /// Adds the value to the end of a response whose long value has been read in parts.
+    pub(crate) fn set_value(&mut self, value: Bytes) {
+        match self {
+            ServerReply::Resp2(Reply::Array(elements)) => {
+                if let Some(first) = elements.first_mut() {
+                    *first = Element::Bulk(value);
+                }
+            }
+            ServerReply::Resp2(Reply::Single(_)) => {}
+            ServerReply::Memcached(response) => response.value = value,
+        }
+    }
+}
+
 /// A part of a response, in the order in which it arrives.
 pub(crate) enum ResponsePart {
     /// A complete response, or the end of a long value.
