--- a/crates/testbed/src/emulators/cache_server/mod.rs
+++ b/crates/testbed/src/emulators/cache_server/mod.rs
@@ -14,6 +14,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use requests::Reader;
 use sloewick_codec::resp2::ReplyReader;
 use sloewick_decision::api::Micros;
@@ -78,6 +79,8 @@
     Spoil(f64),
     /// Sets the fraction of the responses that are followed by surplus bytes.
     Surplus(f64),
+    /// Sets the fraction of the responses that are sent again some milliseconds later, if the connection is idle then.
+    LateSurplus(f64),
     /// Sets the fraction of the responses that are errors.
     Errors(f64),
     /// Cuts the links to and from its nodes, for a network that can't do that itself.
@@ -99,6 +102,8 @@
     StallOver,
     /// The next piece of an endless value is sent on this connection (its index and serial number).
     Trickle(usize, u64),
+    /// The second copy of the last response is sent on this connection (its index and serial number).
+    LateSurplus(usize, u64),
 }
 
 /// An attempt that the server has received and not yet answered.
@@ -180,6 +185,9 @@
     slowdown: f64,
     corrupted_fraction: f64,
     surplus_fraction: f64,
+    late_surplus_fraction: f64,
+    /// Second copies that are due, by index and serial number of their connection.
+    late_surplus: HashMap<(usize, u64), Bytes>,
     error_fraction: f64,
     has_crashed: bool,
     events: Vec<(usize, ConnectionEvent)>,
@@ -241,6 +249,8 @@
             slowdown: 1.0,
             corrupted_fraction: 0.0,
             surplus_fraction: 0.0,
+            late_surplus_fraction: 0.0,
+            late_surplus: HashMap::new(),
             error_fraction: 0.0,
             has_crashed: false,
             events: Vec::new(),
@@ -254,6 +264,7 @@
             Timer::ConnectOrigin => self.connect_origin(),
             Timer::CloseIdle => self.close_idle(),
             Timer::Trickle(conn, serial) => self.send_trickle(conn, serial),
+            Timer::LateSurplus(conn, serial) => self.send_late_surplus(conn, serial),
         }
     }
 }
@@ -300,6 +311,7 @@
                 ControlCommand::Slow(times) => self.slowdown = times,
                 ControlCommand::Spoil(fraction) => self.corrupted_fraction = fraction,
                 ControlCommand::Surplus(fraction) => self.surplus_fraction = fraction,
+                ControlCommand::LateSurplus(fraction) => self.late_surplus_fraction = fraction,
                 ControlCommand::Errors(fraction) => self.error_fraction = fraction,
                 ControlCommand::Cut(cut) => self.port.set_cut(cut),
                 ControlCommand::Refuse(true) => self.port.close_listeners(),
--- a/crates/testbed/src/emulators/cache_server/responses.rs
+++ b/crates/testbed/src/emulators/cache_server/responses.rs
@@ -39,6 +39,8 @@
 
 /// Pause between two pieces of an endless value.
 const TRICKLE_INTERVAL: Micros = 10_000;
+/// A second copy of a response is sent less than this many microseconds after the first.
+const MAX_LATE_SURPLUS: usize = 10_000;
 /// Unsent bytes of an endless value from which the server stops sending it.
 const MAX_UNSENT_BYTES: usize = 1 << 16;
 
@@ -124,7 +126,28 @@
             };
             out.extend_from_slice(surplus);
         }
-        self.send_response(job.conn, job.serial, out.into());
+        let out = Bytes::from(out);
+        if self.late_surplus_fraction > 0.0 && self.rng.chance(self.late_surplus_fraction) {
+            let at = self.port.now() + 1 + self.rng.below(MAX_LATE_SURPLUS) as Micros;
+            self.late_surplus
+                .insert((job.conn, job.serial), out.clone());
+            self.port
+                .set_timer(at, Timer::LateSurplus(job.conn, job.serial));
+        }
+        self.send_response(job.conn, job.serial, out);
+    }
+
+    /// Sends the second copy of a response, unless its connection has closed or carries another attempt.
+    pub(super) fn send_late_surplus(&mut self, conn: usize, serial: u64) {
+        let Some(copy) = self.late_surplus.remove(&(conn, serial)) else {
+            return;
+        };
+        let connection = self.port.connection(conn);
+        let is_same = connection.is_some_and(|connection| connection.serial == serial);
+        let is_idle = matches!(self.peers.get(&conn), Some(Peer::Node { busy: false, .. }));
+        if is_same && is_idle {
+            self.port.send(conn, copy);
+        }
     }
 
     /// Sends a response that cannot be decoded, of one of several kinds, and stops reading from the connection.
--- a/crates/testbed/src/faults/kinds.rs
+++ b/crates/testbed/src/faults/kinds.rs
@@ -318,10 +318,19 @@
         supports_real_sockets: false,
         begin: clients::hold_idle_connections,
     },
+    FaultSpec {
+        name: "late-surplus",
+        about: "a fraction of the responses is sent again some milliseconds later",
+        fields: &[("part", fraction(0.05)), ("for", seconds(10.0))],
+        supports_real_sockets: true,
+        begin: servers::repeat_responses_late,
+    },
 ];
 
 /// A swarm draws from this many faults at the beginning of [`FAULTS`]. Another number would change the run of each seed.
-pub(super) const SWARM_FAULT_COUNT: usize = FAULTS.len() - 1;
+pub(super) const SWARM_FAULT_COUNT: usize = FAULTS.len() - 2;
+/// The fault that some swarms meet in addition.
+pub(super) const ADDITIONAL_SWARM_FAULT: &str = "late-surplus";
 
 /// The kind of fault of this name.
 pub fn fault_spec(name: &str) -> Option<&'static FaultSpec> {
--- a/crates/testbed/src/faults/servers.rs
+++ b/crates/testbed/src/faults/servers.rs
@@ -153,6 +153,23 @@
     );
 }
 
+/// `late-surplus`: sends a fraction of the responses of all cache servers twice, the second time some milliseconds late.
+pub(super) fn repeat_responses_late(
+    scheduler: &mut FaultScheduler,
+    fault: &Fault,
+    environment: &mut dyn FaultEnvironment,
+) {
+    let fraction = fault.number("part");
+    let duration = fault.number("for");
+    command_all(
+        scheduler,
+        fraction,
+        duration,
+        cache_server::ControlCommand::LateSurplus,
+        environment,
+    );
+}
+
 /// `errors`: makes all cache servers answer a fraction of the attempts with an error after execution.
 pub(super) fn fail_attempts_everywhere(
     scheduler: &mut FaultScheduler,
