Memcached: a key without a time is not too old where margin and skew fill the window

What callers saw: each write of a route with key_from = "digest" failed at once, without an attempt, if the deduplication window is not longer than margin_ms and clock_skew_ms together. Found while the test of a client's retry was written.

Cause: reserve_key compared the age of the key's time with the window for keys that carry none (age 0) too.

Change: only keys with a time can be too old. Result: the regression test is green; before, its write got status 0x84 and no server a request (seen with the same route in a draft of the test before it).

--- a/crates/node/src/frontend/memcached.rs
+++ b/crates/node/src/frontend/memcached.rs
@@ -249,7 +249,8 @@
         return Err(Rejection::FutureIdempotencyKey);
     }
     let limits = &config.ledger;
-    let is_old = age + config.max_clock_skew >= limits.deduplication_window - limits.margin;
+    let is_old = key_time.is_some()
+        && age + config.max_clock_skew >= limits.deduplication_window - limits.margin;
     let earlier_request_sent = match ledger.begin(context.now, &key, is_old) {
         Verdict::New => None,
         Verdict::Retry { first_sent, .. } => Some(first_sent),
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -428,3 +428,20 @@
         }
     }
 }
+
+// Guards against failed writes: a key without a time counted as too old where margin and clock skew take up the window.
+#[test]
+fn write_with_a_digest_key_is_forwarded_where_margin_and_skew_take_up_the_window() {
+    let mut keyed = settings();
+    keyed["classes"][1]["repeat"] = json!("guarded");
+    keyed["classes"][1]["dedup_scope"] = json!("all");
+    keyed["classes"][1]["window"] = json!(1_200.0);
+    let server = listener();
+    let servers = std::slice::from_ref(&server);
+    let memcached_node = start_node_with(servers, false, keyed, "key_from = \"digest\"\n");
+    let mut client = connect(memcached_node.memcached);
+    let set = encode_packet(0x80, SET, 0, 1, &[0; 8], "w/1", b"value");
+    client.write_all(&set).unwrap();
+    serve_request(&server, Operation::Write, "w/1", ServerAction::Serve);
+    assert_eq!(read_packet(&mut client), Some((SET, 0, 1, Vec::new())));
+}
