No server is told a deadline that is over by the time its request is written

Cause: since attempts may wait for a connection, connect_attempt takes the time left from a clock that it reads after the check of the attempt; a process that is held up in between finds the time over and wrote a negative deadline.

Change: the time left is checked where it is written. The soak is the regression test; a test on the node's slow virtual transport was tried and did not fail before the change, so it is not kept.

--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -81,6 +81,10 @@
         let (key, attempt, now) = (id.request, id.attempt, self.io.now());
         let started = &self.requests[key].attempts[attempt];
         let (server, wait) = (started.server.clone(), started.expires_at - now);
+        // The clock may have run on since the attempt was checked: no server is told a deadline that is over.
+        if wait <= 0 {
+            return self.end_attempt(key, attempt, AttemptResult::with_status(Status::NotSent));
+        }
         let protocol = self.upstreams.protocol(&server);
         let encoded = self.encode_request(key, protocol, wait);
         let exchange = Exchange::Attempt(id);
