Tests: silent first attempt, late value reported, copy behind a long value

Need: points of the three classes that were held by reading alone.

Change: a hedged request behind a silent first attempt, windows that last until the deadline, the outcome of a late long value, and a copy behind a long value.

--- a/crates/decision/src/deduplication_tests.rs
+++ b/crates/decision/src/deduplication_tests.rs
@@ -167,3 +167,17 @@
     };
     assert_eq!(actions, [cancelled]);
 }
+
+#[test]
+fn repeat_is_not_cancelled_where_the_window_lasts_until_the_deadline() {
+    for window in [BUDGET, 2 * BUDGET] {
+        let mut node = keyed_node();
+        node.settings.classes[0].deduplication_window = window;
+        let mut set = timers(1000, &send_write(&mut node, 1000, None));
+        let repeated = end_attempt(&mut node, 101_000, 0, Status::Reset);
+        assert!(sent_to(&repeated).is_some(), "{window}");
+        set.extend(timers(101_000, &repeated));
+        let cancelled = cancelled_unreceived(&mut node, &set, 1000 + BUDGET);
+        assert!(cancelled.is_empty(), "{window}: {cancelled:?}");
+    }
+}
--- a/crates/sloewick/tests/deduplication_window.rs
+++ b/crates/sloewick/tests/deduplication_window.rs
@@ -211,6 +211,28 @@
     }
 }
 
+// The first attempt may have run at a server that is silent: its hedged request is bound by its window.
+#[test]
+fn hedged_request_does_not_arrive_after_the_window_of_a_silent_first_attempt() {
+    let mut settings = keyed_settings();
+    settings["policy_limits"]["second_copies"] = json!(true);
+    let mut site = Site::new(settings);
+    for _ in 0..WRITES_BEFORE_HEDGING {
+        site.serve_other(b"C.SET");
+    }
+    site.send_write("w1", "k1", HEDGED);
+    let (first, mut silent) = accept_either(&site.servers);
+    let socket = socket2::SockRef::from(&silent.stream);
+    socket.set_recv_buffer_size(HEDGED).unwrap();
+    silent.read_command();
+    let ran = Instant::now();
+    let mut hedged = accept(&site.servers[1 - first]);
+    sleep_until(ran + AFTER_WINDOW);
+    assert!(!receives_all(&mut hedged, HEDGED));
+    // The first attempt, which the server has read, is bound by the window of the hedged request: it ends as well.
+    assert_eq!(site.client.read_line(), FAILED);
+}
+
 // A repeat that was read within the window keeps its time: its server has answered a request that was written later.
 #[test]
 fn repeat_that_its_server_has_read_is_answered_after_the_window() {
--- a/crates/sloewick/tests/late_outcomes.rs
+++ b/crates/sloewick/tests/late_outcomes.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::TcpListener;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -39,8 +40,13 @@
 
 impl Site {
     fn new() -> Site {
+        Site::with_program(program())
+    }
+
+    fn with_program(program: Command) -> Site {
         let (servers, targets) = two_servers();
         let node = Node::builder()
+            .command(program)
             .settings(hedging_settings())
             .targets(&targets)
             .start();
@@ -223,3 +229,29 @@
         }
     }
 }
+
+// What a late answer teaches about its server reaches the decision module, also if nobody reads the value.
+#[test]
+fn late_long_value_is_reported_as_an_answer_with_its_latency() {
+    const LATE: Duration = Duration::from_millis(100);
+    let mut traced = program();
+    traced.arg("--trace").stderr(Stdio::piped());
+    let mut site = Site::with_program(traced);
+    let mut client = site.node.client();
+    let mut losing = site.request_with_losing_attempt(&mut client);
+    let id = format!("r{}", site.requests);
+    std::thread::sleep(LATE);
+    losing.try_send(&hit_reply(&[b'v'; LONG]));
+    losing.read_to_end();
+    drop(client);
+    let stderr = site.node.shut_down_and_read_stderr();
+    let outcome = format!("outcome id={id} n=0 ");
+    let line = stderr.lines().find(|line| line.contains(&outcome)).unwrap();
+    assert!(line.contains("how=Ok"), "{line}");
+    let latency = line
+        .split("us=")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next());
+    let latency: u128 = latency.unwrap().parse().unwrap();
+    assert!(latency >= LATE.as_micros(), "{line}");
+}
--- a/crates/sloewick/tests/surplus_responses.rs
+++ b/crates/sloewick/tests/surplus_responses.rs
@@ -195,6 +195,26 @@
     assert!(server.most_open.load(Ordering::Relaxed) <= CONNECTIONS as u64);
 }
 
+// A copy behind a long value comes when the client has its value: the connection rests after it as after a short one.
+#[test]
+fn copy_behind_a_long_value_reaches_no_other_request() {
+    let server = listener();
+    let node = Node::with_server(&server);
+    let mut client = node.client();
+    let long = hit_reply(&[b'v'; 200_000]);
+    client.send_get("long");
+    let mut conn = accept_request(&server, "long");
+    conn.send(&long);
+    assert_eq!(client.read_bulk().len(), 200_000);
+    client.send_get("next");
+    std::thread::sleep(Duration::from_millis(4));
+    conn.try_send(&hit_reply(b"copy"));
+    assert_eq!(conn.read_to_end(), "");
+    let mut next = accept_request(&server, "next");
+    next.send(hit_reply(b"next"));
+    assert_eq!(client.read_bulk(), b"next");
+}
+
 /// Plays that CI draws. `SURPLUS_SEEDS` sets another number, for a long run by hand.
 const DEFAULT_SEEDS: u64 = 6;
 
