Reserved connections and pending responses get files; a collected non-value fails

Change: upstream/reservation.rs, frontend/pending_response.rs; command_all reads the fields. A collected value whose response turned out to be none would have left its request without an answer; it fails. No response of the two protocols leads there, so no test does.

--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -130,9 +130,9 @@
         }
     }
 
-    /// Writes the attempts whose connections were established in this round, or whose quarantine has ended, or abandons them if they must not start any
-    /// more: while the connection was being opened, the client may have disconnected, the request may have ended, or the
-    /// server may have started draining or changed its address. Called when all events of the round have been handled.
+    /// Writes the attempts whose connections were established in this round, or whose quarantine has ended. Abandons them if they
+    /// must not start any more: meanwhile the client may have disconnected, the request may have ended, or the server may have
+    /// started draining or changed its address. Called when all events of the round have been handled.
     pub(super) fn write_confirmed_attempts(&mut self) {
         while let Some((connection, exchange)) = self.upstreams.next_established() {
             let now = self.io.now();
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -9,7 +9,8 @@
 
 use super::Node;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientInput, PendingResponse, ResponseAddress};
+use crate::frontend::connection::ClientInput;
+use crate::frontend::pending_response::{PendingResponse, ResponseAddress};
 use crate::frontend::resp2::{encode_pong, parse_command, CommandError, ParsedCommand};
 use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
 use crate::request_table::{NewRequest, ParsedRequest};
--- a/crates/node/src/event_loop/collected_values.rs
+++ b/crates/node/src/event_loop/collected_values.rs
@@ -53,11 +53,11 @@
         let to = self.requests[value.attempt.request].respond_to;
         let connection = self.frontends.connection_for(to);
         let is_next = connection.is_some_and(|c| c.is_next_response(to.response_number));
-        let kept_free = if is_next { 0 } else { MAX_VALUE_BYTES };
+        let free_for_next = if is_next { 0 } else { MAX_VALUE_BYTES };
         let memory = &mut self.requests.value_memory;
-        let is_reserved = memory.try_reserve(value.len + kept_free);
+        let is_reserved = memory.try_reserve(value.len + free_for_next);
         if is_reserved {
-            memory.release(kept_free);
+            memory.release(free_for_next);
         }
         is_reserved
     }
--- a/crates/node/src/event_loop/disconnects.rs
+++ b/crates/node/src/event_loop/disconnects.rs
@@ -5,8 +5,9 @@
 
 use super::Node;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientConnection, ResponseAddress, MAX_HALF_CLOSED_TIME};
+use crate::frontend::connection::{ClientConnection, MAX_HALF_CLOSED_TIME};
 use crate::frontend::disconnects::MAX_POLLS_WITHIN_ROUND;
+use crate::frontend::pending_response::ResponseAddress;
 use crate::timers::TimerEvent;
 use crate::tokens::{TokenOwner, DISCOVERY};
 use crate::transport::{ReadyEvent, Token, Transport};
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -7,7 +7,8 @@
 use super::Node;
 use crate::attempt_id::AttemptId;
 use crate::engine::DecisionEngine;
-use crate::frontend::connection::{ClientConnection, PendingResponse};
+use crate::frontend::connection::ClientConnection;
+use crate::frontend::pending_response::PendingResponse;
 use crate::frontend::response::FinalResponse;
 use crate::request_table::ValueStream;
 use crate::timers::TimerEvent;
@@ -75,6 +76,8 @@
         } else if result.status == Status::Ok && !request.closed {
             self.respond(id.request, final_response(reply));
             self.keep_reservation(id);
+        } else if request.is_collecting() && !request.closed {
+            self.respond(id.request, FinalResponse::Failed);
         }
         self.end_attempt(id.request, id.attempt, result);
     }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -7,6 +7,7 @@
 pub(crate) mod connection;
 pub(crate) mod disconnects;
 pub(crate) mod memcached;
+pub(crate) mod pending_response;
 pub(crate) mod resp2;
 pub(crate) mod response;
 
@@ -15,8 +16,9 @@
 
 use crate::transport::Transport;
 use acceptor::Listener;
-use connection::{ClientConnection, PendingResponse, ResponseAddress};
+use connection::ClientConnection;
 use memcached::MemcachedFrontend;
+use pending_response::{PendingResponse, ResponseAddress};
 
 /// The listeners, the client connections and the state of the memcached frontend.
 pub(crate) struct Frontends<N: Transport> {
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -6,9 +6,10 @@
 
 use std::collections::VecDeque;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use sloewick_decision::api::Micros;
 
+use crate::frontend::pending_response::PendingResponse;
 use crate::frontend::response::Protocol;
 use crate::transport::{is_buffer_shortage, read_into, ReadOutcome, Stream, WriteQueue};
 use sloewick_codec::memcached::{self, ErrorResponse, RequestReader};
@@ -35,44 +36,6 @@
 /// destroy a response that is still on its way.
 const MAX_LINGER: Micros = 1_000_000;
 
-/// The response to a request, until it has been queued for writing.
-pub(crate) enum PendingResponse {
-    /// The request with this slab key has no final response yet.
-    Waiting(usize),
-    /// The encoded response.
-    Ready(Vec<Bytes>),
-    /// The encoded response with a long value that was collected; `reserved`: its bytes in the [`ByteBudget`].
-    Collected { chunks: Vec<Bytes>, reserved: usize },
-    /// A long value is streamed from the upstream connection with the key `connection`. `header`: the encoded header until it
-    /// has been queued for writing.
-    Stream {
-        request: usize,
-        connection: usize,
-        header: Option<Bytes>,
-    },
-}
-
-impl PendingResponse {
-    /// Adds the memory that is reserved for the value of a complete response.
-    pub(crate) fn reserve(&mut self, reserved: usize) {
-        if let PendingResponse::Ready(chunks) = self {
-            let chunks = std::mem::take(chunks);
-            *self = PendingResponse::Collected { chunks, reserved };
-        }
-    }
-}
-
-/// Where the final response of a request goes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ResponseAddress {
-    /// Key of the client connection.
-    pub(crate) client: usize,
-    /// Serial number of that connection, which shows whether the key still refers to it.
-    pub(crate) client_serial: u64,
-    /// Number of the response among those of the connection.
-    pub(crate) response_number: u64,
-}
-
 /// How far the closing of a connection has advanced.
 #[derive(Clone, Copy, PartialEq)]
 enum Closing {
--- a/crates/node/src/frontend/connection_tests.rs
+++ b/crates/node/src/frontend/connection_tests.rs
@@ -1,3 +1,5 @@
+use bytes::Bytes;
+
 use super::*;
 use crate::test_support::FakeStream;
 
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -18,8 +18,8 @@
 use sloewick_decision::api::{Micros, RequestId, ServerId};
 
 use crate::attempt_id::AttemptId;
-use crate::frontend::connection::ResponseAddress;
 use crate::frontend::memcached::KeyedWrite;
+use crate::frontend::pending_response::ResponseAddress;
 use crate::frontend::response::RequestProtocol;
 
 /// One part in this many of the memory limit is available for the values of writes, which are retained while another attempt
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -7,5 +7,6 @@
 pub(crate) mod pool;
 pub(crate) mod probes;
 pub(crate) mod request;
+mod reservation;
 pub(crate) mod response;
 pub(crate) mod response_reader;
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -25,15 +25,13 @@
 /// Bounds the connections to one server, since no setting states how many a server accepts from all nodes together. If one
 /// node has this many requests in flight at a server, the server is full or hanging, and further requests would only wait
 /// there.
-const MAX_CONNECTIONS_PER_SERVER: usize = 64;
+pub(super) const MAX_CONNECTIONS_PER_SERVER: usize = 64;
 /// The percentage of the server's idle timeout after which a connection is no longer reused. The server's timer started
 /// earlier than this node's, and a request that is sent while the server closes the connection is reset.
 const IDLE_TIMEOUT_PERCENT: i64 = 80;
-/// A server that has answered within this time is expected to free a connection soon.
-const MAX_ANSWER_AGE: Micros = 60_000;
 /// Timeout of a probe request; a server that answers probes at all answers at once. No setting states how long servers take
 /// for one, and the decision module sends them only to a lost zone.
-const PROBE_TIMEOUT: Micros = 250_000;
+pub(super) const PROBE_TIMEOUT: Micros = 250_000;
 /// How long no bytes of a long value may arrive before the connection counts as failed. A working server pauses for at most
 /// 0.1 s.
 const VALUE_STALL_TIMEOUT: Micros = 1_500_000;
@@ -82,27 +80,27 @@
 }
 
 /// The connections to one server.
-struct Pool {
+pub(super) struct Pool {
     address: SocketAddr,
     protocol: Protocol,
     /// The server is in the endpoint list.
     listed: bool,
     /// Keys of the idle connections, longest idle first. The most recently used one is reused first, so that the others
     /// reach the idle timeout and are closed.
-    idle: Vec<usize>,
+    pub(super) idle: Vec<usize>,
     /// Number of connections, idle or in use.
-    open_count: usize,
+    pub(super) open_count: usize,
     /// The highest [`UpstreamConnection::write_number`] of an attempt that the server has answered.
     last_answered_write: u64,
     /// When the server last answered.
-    last_answer: Option<Micros>,
+    pub(super) last_answer: Option<Micros>,
 }
 
 /// All connections to cache servers.
 pub(crate) struct UpstreamPools<S> {
     pub(super) connections: Slab<UpstreamConnection<S>>,
     /// Ordered by server, so that the choice of the connection that is closed for a new one is deterministic.
-    pools: BTreeMap<ServerId, Pool>,
+    pub(super) pools: BTreeMap<ServerId, Pool>,
     max_connections: usize,
     /// Serial number of the connection that was opened last.
     serial: u64,
@@ -250,83 +248,6 @@
         Some(pool.idle.remove(index))
     }
 
-    /// Starts an exchange when no connection can be added and all idle ones are quarantined: reserves the one that has rested
-    /// longest.
-    fn start_at_limit(
-        &mut self,
-        exchange: Exchange,
-        server: &ServerId,
-        request: &EncodedRequest,
-        context: &mut UpstreamContext<'_, impl Transport<Stream = S>>,
-    ) -> Result<usize, Status> {
-        while let Some(connection) = self.take_longest_quarantined(server) {
-            if self.is_reusable(connection, context.now) {
-                self.reserve(connection, exchange, request, context);
-                return Ok(connection);
-            }
-            self.close(connection, ConnectionStep::Broken);
-        }
-        Err(Status::NotSent)
-    }
-
-    /// Whether a connection to a server that has as many as it may have is likely to be free soon, since the server answers.
-    pub(crate) fn is_connection_expected(&self, server: &ServerId, now: Micros) -> bool {
-        self.pools.get(server).is_some_and(|pool| {
-            let last_answer = pool.last_answer.unwrap_or(now - MAX_ANSWER_AGE);
-            pool.open_count >= MAX_CONNECTIONS_PER_SERVER && now - last_answer < MAX_ANSWER_AGE
-        })
-    }
-
-    /// Reserves a quarantined connection for an exchange, whose request is written when the quarantine ends.
-    fn reserve(
-        &mut self,
-        connection: usize,
-        exchange: Exchange,
-        request: &EncodedRequest,
-        context: &mut UpstreamContext<'_, impl Transport<Stream = S>>,
-    ) {
-        let c = &mut self.connections[connection];
-        c.exchange = Some(exchange);
-        c.exchange_started = context.now;
-        c.awaits_confirmation = true;
-        c.send_count_pending = matches!(exchange, Exchange::Attempt(_));
-        c.queue(request);
-        let serial = c.serial;
-        let event = TimerEvent::Upstream { connection, serial };
-        context
-            .timers
-            .set(c.quarantine_end().unwrap_or(context.now), event);
-        if let Exchange::Probe { .. } = exchange {
-            let event = TimerEvent::Upstream { connection, serial };
-            context.timers.set(context.now + PROBE_TIMEOUT, event);
-        }
-    }
-
-    /// Takes the idle connection that has been quarantined longest out of the server's pool.
-    fn take_longest_quarantined(&mut self, server: &ServerId) -> Option<usize> {
-        let connections = &self.connections;
-        let pool = self.pools.get_mut(server)?;
-        let index = (0..pool.idle.len())
-            .min_by_key(|index| connections[pool.idle[*index]].last_untagged_response)?;
-        Some(pool.idle.remove(index))
-    }
-
-    /// Whether something has arrived on a connection that is reserved for an exchange: surplus bytes, or its end.
-    pub(crate) fn is_reservation_broken(&self, connection: usize) -> bool {
-        self.connections
-            .get(connection)
-            .is_some_and(|c| c.is_reserved() && !c.stream.has_no_input())
-    }
-
-    /// Closes a connection that is reserved for an exchange, which another connection has to carry.
-    pub(crate) fn break_reservation(&mut self, connection: usize) {
-        let c = &mut self.connections[connection];
-        if let Some(exchange) = c.exchange.take() {
-            self.events.push_back(UpstreamEvent::Unwritten(exchange));
-        }
-        self.close(connection, ConnectionStep::Broken);
-    }
-
     /// Starts an exchange on an idle connection. Returns false if the connection was stale and had to be closed, which does
     /// not count as a failure of the server.
     fn try_reuse(
@@ -345,7 +266,7 @@
         reused
     }
 
-    fn is_reusable(&self, connection: usize, now: Micros) -> bool {
+    pub(super) fn is_reusable(&self, connection: usize, now: Micros) -> bool {
         let c = &self.connections[connection];
         now - c.idle_since < self.max_idle && (c.connecting || c.stream.has_no_input())
     }
--- a/crates/testbed/src/faults/servers.rs
+++ b/crates/testbed/src/faults/servers.rs
@@ -125,12 +125,9 @@
     fault: &Fault,
     environment: &mut dyn FaultEnvironment,
 ) {
-    let fraction = fault.number("part");
-    let duration = fault.number("for");
     command_all(
         scheduler,
-        fraction,
-        duration,
+        fault,
         cache_server::ControlCommand::Spoil,
         environment,
     );
@@ -142,12 +139,9 @@
     fault: &Fault,
     environment: &mut dyn FaultEnvironment,
 ) {
-    let fraction = fault.number("part");
-    let duration = fault.number("for");
     command_all(
         scheduler,
-        fraction,
-        duration,
+        fault,
         cache_server::ControlCommand::Surplus,
         environment,
     );
@@ -159,12 +153,9 @@
     fault: &Fault,
     environment: &mut dyn FaultEnvironment,
 ) {
-    let fraction = fault.number("part");
-    let duration = fault.number("for");
     command_all(
         scheduler,
-        fraction,
-        duration,
+        fault,
         cache_server::ControlCommand::LateSurplus,
         environment,
     );
@@ -176,12 +167,9 @@
     fault: &Fault,
     environment: &mut dyn FaultEnvironment,
 ) {
-    let fraction = fault.number("part");
-    let duration = fault.number("for");
     command_all(
         scheduler,
-        fraction,
-        duration,
+        fault,
         cache_server::ControlCommand::Errors,
         environment,
     );
@@ -229,11 +217,12 @@
 /// Sends all servers a command with this fraction, and with 0 at the end of the fault.
 fn command_all(
     scheduler: &mut FaultScheduler,
-    fraction: f64,
-    duration: f64,
+    fault: &Fault,
     command: fn(f64) -> cache_server::ControlCommand,
     environment: &mut dyn FaultEnvironment,
 ) {
+    let fraction = fault.number("part");
+    let duration = fault.number("for");
     for number in 0..scheduler.servers.len() {
         environment.command_server(number, command(fraction));
     }
