--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,31 @@
+//! The cases of the review: `cases N FOLDER` runs case N and writes its record into FOLDER.
+
+mod case_cell;
+mod case_drain;
+mod case_evacuate;
+mod case_paused;
+mod case_value;
+mod common;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let folder = std::path::PathBuf::from(&arguments[2]);
+    let record = common::Record::new(&folder);
+    let case = match arguments[1].as_str() {
+        "cell" => case_cell::run,
+        "drain" => case_drain::run,
+        "value" => case_value::run,
+        "evacuate" => case_evacuate::run,
+        "paused" => case_paused::run,
+        _ => std::process::exit(common::COULD_NOT_RUN),
+    };
+    // A stand-in that panics must not count as a broken rule.
+    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&record)));
+    let code = outcome.unwrap_or(common::COULD_NOT_RUN);
+    record.note(match code {
+        common::HELD => "RESULT: the rule held",
+        common::BROKEN => "RESULT: the rule was broken",
+        _ => "RESULT: the case could not run",
+    });
+    std::process::exit(code);
+}
