--- a/review/stand-ins-2/case_value.rs
+++ b/review/stand-ins-2/case_value.rs
@@ -26,7 +26,7 @@
             let fast = if trouble { VALUE - SLOW_REST } else { VALUE };
             out.extend_from_slice(&value[..fast]);
             let mut written = 0;
-            let mut write = |stream: &mut std::net::TcpStream, bytes: &[u8], of_value: usize| {
+            let mut write = |stream: &mut &std::net::TcpStream, bytes: &[u8], of_value: usize| {
                 let is_ok = stream.write_all(bytes).is_ok();
                 written += if is_ok { of_value } else { 0 };
                 is_ok
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering};
@@ -16,6 +17,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
 /// The exit status of a case.
@@ -68,9 +70,19 @@
         .map_or(0, |d| d.as_millis() as i64)
 }
 
-/// A loopback address with a free port.
+static ADDRESSES: AtomicUsize = AtomicUsize::new(1);
+
+/// A loopback address of its own with a free port. No other process uses the address, so that the port stays free.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
+    let process = std::process::id();
+    let number = ADDRESSES.fetch_add(1, Ordering::SeqCst);
+    let host = [
+        127,
+        64 + (process >> 8 & 127) as u8,
+        (process & 255) as u8,
+        number as u8,
+    ];
+    TcpListener::bind((Ipv4Addr::from(host), 0))
         .and_then(|listener| listener.local_addr())
         .expect("a free port")
 }
@@ -161,23 +173,32 @@
     Answer::Value(value)
 }
 
+/// The reading side of a connection.
+pub struct Input(pub Arc<TcpStream>);
+
+impl Read for Input {
+    fn read(&mut self, into: &mut [u8]) -> std::io::Result<usize> {
+        (&*self.0).read(into)
+    }
+}
+
 /// A client's connection to a node.
 pub struct Client {
-    pub stream: TcpStream,
-    pub input: BufReader<TcpStream>,
+    pub stream: Arc<TcpStream>,
+    pub input: BufReader<Input>,
 }
 
 impl Client {
     pub fn connect(to: SocketAddr) -> std::io::Result<Client> {
-        let stream = TcpStream::connect(to)?;
+        let stream = Arc::new(TcpStream::connect(to)?);
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(30)))?;
-        let input = BufReader::new(stream.try_clone()?);
+        let input = BufReader::new(Input(stream.clone()));
         Ok(Client { stream, input })
     }
 
     pub fn send(&mut self, words: &[&str]) -> std::io::Result<()> {
-        self.stream.write_all(&encode_command(words))
+        (&*self.stream).write_all(&encode_command(words))
     }
 
     pub fn ask(&mut self, words: &[&str]) -> Answer {
@@ -200,7 +221,7 @@
 // Cache servers
 
 /// What a cache server does with a command, and its answer.
-pub type Handler = Arc<dyn Fn(&ServerInfo, &mut TcpStream, &[String]) -> bool + Send + Sync>;
+pub type Handler = Arc<dyn Fn(&ServerInfo, &mut &TcpStream, &[String]) -> bool + Send + Sync>;
 
 #[derive(Clone)]
 pub struct ServerInfo {
@@ -212,7 +233,7 @@
 
 /// A cache server: a thread for each connection.
 pub struct Server {
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<Vec<Arc<TcpStream>>>>,
     stopped: Arc<AtomicBool>,
 }
 
@@ -221,7 +242,7 @@
     pub fn start(info: ServerInfo, handler: Handler) -> Server {
         let listener = TcpListener::bind(info.address).expect("the server's address is free");
         listener.set_nonblocking(true).unwrap();
-        let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let connections: Arc<Mutex<Vec<Arc<TcpStream>>>> = Arc::default();
         let stopped: Arc<AtomicBool> = Arc::default();
         let (held, is_stopped, about) = (connections.clone(), stopped.clone(), info.clone());
         thread::spawn(move || {
@@ -232,9 +253,16 @@
                 };
                 stream.set_nonblocking(false).unwrap();
                 let _ = stream.set_nodelay(true);
-                held.lock().unwrap().push(stream.try_clone().unwrap());
+                let stream = Arc::new(stream);
+                held.lock().unwrap().push(stream.clone());
                 let (handler, about) = (handler.clone(), about.clone());
-                thread::spawn(move || serve_connection(&about, stream, &handler));
+                let held = held.clone();
+                thread::spawn(move || {
+                    serve_connection(&about, &stream, &handler);
+                    held.lock()
+                        .unwrap()
+                        .retain(|other| !Arc::ptr_eq(other, &stream));
+                });
             }
         });
         Server {
@@ -253,8 +281,9 @@
     }
 }
 
-fn serve_connection(info: &ServerInfo, mut stream: TcpStream, handler: &Handler) {
-    let mut input = BufReader::new(stream.try_clone().unwrap());
+fn serve_connection(info: &ServerInfo, stream: &Arc<TcpStream>, handler: &Handler) {
+    let mut input = BufReader::new(Input(stream.clone()));
+    let mut stream = &**stream;
     while let Some(command) = read_command(&mut input) {
         let goes_on = match command[0].as_str() {
             "PING" => stream.write_all(b"+PONG\r\n").is_ok(),
@@ -537,31 +566,74 @@
         .to_string()
 }
 
+/// Writes the configuration of a node; returns the path of the file.
+pub fn write_configuration(
+    name: &str,
+    address: SocketAddr,
+    settings: &Settings,
+    discovery: &Discovery,
+) -> PathBuf {
+    let config = temporary_folder().join(format!("{name}.json"));
+    let text = format!(
+        "{{\"name\":\"n1\",\"listen\":\"{address}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
+\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"peer_listen\":\"{address}\",\"peers\":[\"{address}\"],\"known\":{},\"settings\":{}}}",
+        discovery.address,
+        discovery.known(),
+        settings.json()
+    );
+    fs::write(&config, text).unwrap();
+    config
+}
+
 impl Node {
     /// Starts a node as the platform does, and waits until it answers PING.
     pub fn start(name: &str, settings: &Settings, discovery: &Discovery, record: &Record) -> Node {
-        let (address, operators) = (free_address(), free_address());
+        let address = free_address();
+        let config = write_configuration(name, address, settings, discovery);
+        let node = Node::spawn(name, &config, address, None, record);
+        node.wait_for_pong(record, name);
+        node
+    }
+
+    /// Starts a process of a node whose clients' socket is held by the platform. Processes of a node share the configuration and
+    /// the folder for temporary files.
+    pub fn spawn_inheriting(
+        name: &str,
+        config: &Path,
+        socket: &TcpListener,
+        record: &Record,
+    ) -> Node {
+        let address = socket.local_addr().unwrap();
+        Node::spawn(name, config, address, Some(socket), record)
+    }
+
+    fn spawn(
+        name: &str,
+        config: &Path,
+        address: SocketAddr,
+        socket: Option<&TcpListener>,
+        record: &Record,
+    ) -> Node {
+        let operators = free_address();
         let folder = temporary_folder();
-        let config = folder.join(format!("{name}.json"));
-        let text = format!(
-            "{{\"name\":\"{name}\",\"listen\":\"{address}\",\"discovery\":\"{}\",\"ops\":\"{operators}\",\"seed\":\"8c1f30d27a5be964\",\
-\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"peer_listen\":\"{address}\",\"peers\":[\"{address}\"],\"known\":{},\"settings\":{}}}",
-            discovery.address,
-            discovery.known(),
-            settings.json()
-        );
-        fs::write(&config, text).unwrap();
-        let private = folder.join(format!("{name}.tmp"));
+        let private = folder.join("node.tmp");
         fs::create_dir_all(&private).unwrap();
         let log = File::create(folder.join(format!("{name}.log"))).unwrap();
-        let child = Command::new("/bin/sh")
-            .args(["-c", &run_command()])
-            .env("BALANCER_NAME", name)
+        let mut command = Command::new("/bin/sh");
+        let run = run_command();
+        match socket {
+            None => command.args(["-c", &run]).stdin(Stdio::null()),
+            Some(socket) => command
+                .args(["-c", &format!("exec 3<&0 </dev/null; {run}")])
+                .env("BALANCER_ACCEPT_FD", "3")
+                .stdin(Stdio::from(OwnedFd::from(socket.try_clone().unwrap()))),
+        };
+        let child = command
+            .env("BALANCER_NAME", "n1")
             .env("BALANCER_LISTEN", address.to_string())
-            .env("BALANCER_DISCOVERY", discovery.address.to_string())
-            .env("BALANCER_CONFIG", &config)
+            .env("BALANCER_CONFIG", config)
+            .env("BALANCER_OPS", operators.to_string())
             .env("TMPDIR", &private)
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::from(log))
             .spawn()
@@ -571,24 +643,38 @@
         known.push_str(&format!("{}\n", child.id()));
         fs::write(&pids, known).unwrap();
         record.note(format!("node {name}: started, listens on {address}"));
-        let node = Node {
+        Node {
             child,
             address,
             operators,
-        };
+        }
+    }
+
+    fn wait_for_pong(&self, record: &Record, name: &str) {
         for _ in 0..1500 {
-            let client = Client::connect(address);
+            let client = Client::connect(self.address);
             if client.is_ok_and(|mut client| {
                 client.ask(&["PING"]) == Answer::Failed("+PONG".to_string())
             }) {
-                record.note(format!("node {name}: ready"));
-                return node;
+                return record.note(format!("node {name}: ready"));
+            }
+            sleep_ms(20);
+        }
+        panic!("the node is not ready after 30 s");
+    }
+
+    /// Waits until the process says at the operators' address that it is ready; returns false after so many seconds.
+    pub fn wait_until_ready(&self, record: &Record, name: &str, seconds: f64) -> bool {
+        let until = record.now() + seconds;
+        while record.now() < until {
+            let status = call_operators(self.operators, "GET", "/api/ready");
+            if status.is_some_and(|status| status.contains(" 200 ")) {
+                record.note(format!("node {name}: says that it is ready"));
+                return true;
             }
             sleep_ms(20);
         }
-        eprintln!("the node is not ready after 30 s");
-        drop(node);
-        std::process::exit(COULD_NOT_RUN);
+        false
     }
 
     pub fn signal(&self, signal: i32) {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,8 +2,8 @@
 
 mod case_cell;
 mod case_drain;
-mod case_evacuate;
 mod case_paused;
+mod case_upgrade;
 mod case_value;
 mod common;
 
@@ -15,8 +15,8 @@
         "cell" => case_cell::run,
         "drain" => case_drain::run,
         "value" => case_value::run,
-        "evacuate" => case_evacuate::run,
         "paused" => case_paused::run,
+        "upgrade" => case_upgrade::run,
         _ => std::process::exit(common::COULD_NOT_RUN),
     };
     // A stand-in that panics must not count as a broken rule.
--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -21,6 +21,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
+ulimit -n 4096 2>/dev/null
 timeout -k 2 110 "$program" "$1" "$2"
 code=$?
 tail -n 3 "$2/record.txt"
