Review, case 7: a planned restart cuts long values and drops answers behind them

The node ends 2.5 s after SIGTERM though it holds answers that its clients are still reading: long values with a request behind them are not counted as streams. 6 of 6 values are cut off and 6 of 6 writes that have run get no answer; all are answered without SIGTERM.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,8 +3,8 @@
 mod case_cell;
 mod case_drain;
 mod case_paused;
+mod case_shutdown;
 mod case_upgrade;
-mod case_value;
 mod common;
 
 fn main() {
@@ -14,8 +14,8 @@
     let case = match arguments[1].as_str() {
         "cell" => case_cell::run,
         "drain" => case_drain::run,
-        "value" => case_value::run,
         "paused" => case_paused::run,
+        "shutdown" => case_shutdown::run,
         "upgrade" => case_upgrade::run,
         _ => std::process::exit(common::COULD_NOT_RUN),
     };
