--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,7 +1,7 @@
 //! The cases of the review: `cases N FOLDER` runs case N and writes its record into FOLDER.
 
 mod case_cell;
-mod case_drain;
+mod case_linger;
 mod case_paused;
 mod case_shutdown;
 mod case_upgrade;
@@ -13,7 +13,7 @@
     let record = common::Record::new(&folder);
     let case = match arguments[1].as_str() {
         "cell" => case_cell::run,
-        "drain" => case_drain::run,
+        "linger" => case_linger::run,
         "paused" => case_paused::run,
         "shutdown" => case_shutdown::run,
         "upgrade" => case_upgrade::run,
