--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -352,10 +352,6 @@
     pub address: SocketAddr,
     pub state: Mutex<(i64, Vec<Target>)>,
     pub mode: AtomicUsize,
-    /// So many of the next calls of the node are refused with 503, since discovery has too many callers.
-    pub refuse_next: AtomicUsize,
-    /// Number of calls of the node that were refused while discovery was down.
-    pub refused_down: AtomicUsize,
     record: Record,
 }
 
@@ -366,8 +362,6 @@
             address: listener.local_addr().unwrap(),
             state: Mutex::new((41, targets)),
             mode: AtomicUsize::new(UP),
-            refuse_next: AtomicUsize::new(0),
-            refused_down: AtomicUsize::new(0),
             record: record.clone(),
         });
         let shared = discovery.clone();
@@ -410,7 +404,6 @@
         };
         while read_line(&mut input).is_some_and(|line| !line.is_empty()) {}
         let path = line.split(' ').nth(1).unwrap_or("").to_string();
-        let is_control = path.contains("control");
         let reply = |stream: &mut TcpStream, status: &str, body: &str| {
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
@@ -425,31 +418,12 @@
                 .split('&')
                 .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
-        let note = |text: String| {
-            if !is_control {
-                self.record.note(text);
-            }
-        };
+        let note = |text: String| self.record.note(text);
         let since = number("since");
         let until =
             Instant::now() + Duration::from_millis(number("timeout_ms").unwrap_or(0) as u64);
         if self.mode.load(Ordering::SeqCst) == DOWN {
             note(format!("discovery: is down, answers 503 to {path}"));
-            if !is_control {
-                self.refused_down.fetch_add(1, Ordering::SeqCst);
-            }
-            return reply(&mut stream, "503 Service Unavailable", "");
-        }
-        let take = |left: usize| left.checked_sub(1);
-        if !is_control
-            && self
-                .refuse_next
-                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
-                .is_ok()
-        {
-            note(format!(
-                "discovery: has too many callers, answers 503 to {path}"
-            ));
             return reply(&mut stream, "503 Service Unavailable", "");
         }
         loop {
@@ -476,21 +450,6 @@
     }
 }
 
-/// Asks discovery for the whole list as another caller does; returns the status line and the body.
-pub fn ask_discovery(address: SocketAddr) -> Option<(String, String)> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
-    stream
-        .write_all(
-            b"GET /api/targets?control HTTP/1.1\r\nHost: discovery\r\nConnection: close\r\n\r\n",
-        )
-        .ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let status = text.lines().next()?.to_string();
-    Some((status, text))
-}
-
 /// An HTTP call at a node's operators' address; returns the status line.
 pub fn call_operators(address: SocketAddr, method: &str, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
