--- a/review/stand-ins-2/case_paused.rs
+++ b/review/stand-ins-2/case_paused.rs
@@ -79,7 +79,8 @@
         .map(|number| {
             let (record, address) = (record.clone(), node.address);
             let (whole, refused, cut) = (whole.clone(), refused.clone(), cut.clone());
-            sleep_ms(2);
+            // 250 a second, and 50 short ones at the most (200 to 320 a second come to a node).
+            sleep_ms(4);
             thread::spawn(move || {
                 let mut client = Client::connect(address).expect("the node takes a connection");
                 let (key, id) = (format!("item/long{number}"), new_id());
--- a/review/stand-ins-2/case_shutdown.rs
+++ b/review/stand-ins-2/case_shutdown.rs
@@ -1,5 +1,6 @@
 //! A planned restart cuts off a long value that its client is reading, and the answer to the write behind it, which has run.
 
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -16,11 +17,14 @@
 
 pub fn run(record: &Record) -> i32 {
     let trouble = !without_trouble();
+    // The writes that a server has got: only these can count as lost.
+    let run: Arc<Mutex<HashSet<String>>> = Arc::default();
     let handler: Handler = {
-        let record = record.clone();
+        let (run, record) = (run.clone(), record.clone());
         Arc::new(move |server, stream, command| {
             sleep_ms(30);
             if command[0] == "C.SET" {
+                run.lock().unwrap().insert(command[2].clone());
                 record.note(format!(
                     "server {}: write {} RUNS and is answered",
                     server.uid, command[2]
@@ -61,7 +65,7 @@
     let mut node = Node::start("n1", &Settings::marlow(1, 0), &discovery, record);
 
     // What each client got: the whole value or not, and the answer behind it.
-    let results: Arc<Mutex<Vec<(bool, Answer)>>> = Arc::default();
+    let results: Arc<Mutex<Vec<(bool, String, Answer)>>> = Arc::default();
     let readers: Vec<_> = (0..READERS)
         .map(|number| {
             let (record, results, address) = (record.clone(), results.clone(), node.address);
@@ -107,7 +111,7 @@
                     "client {number}: write {write} -> {}",
                     answer.text()
                 ));
-                results.lock().unwrap().push((is_whole, answer));
+                results.lock().unwrap().push((is_whole, write, answer));
             })
         })
         .collect();
@@ -134,10 +138,12 @@
     }
     node.record_log("n1", record);
     let results = results.lock().unwrap();
-    let cut = results.iter().filter(|(is_whole, _)| !is_whole).count();
+    let cut = results.iter().filter(|(is_whole, _, _)| !is_whole).count();
     let unanswered = results
         .iter()
-        .filter(|(_, answer)| matches!(answer, Answer::Ended(_)))
+        .filter(|(_, write, answer)| {
+            matches!(answer, Answer::Ended(_)) && run.lock().unwrap().contains(write)
+        })
         .count();
     record.note(format!(
         "{} of {READERS} clients got the head of their long value; {cut} values CUT OFF, {unanswered} writes behind them WITHOUT AN ANSWER",
--- a/review/stand-ins-2/case_upgrade.rs
+++ b/review/stand-ins-2/case_upgrade.rs
@@ -59,7 +59,7 @@
     let address = socket.local_addr().unwrap();
     // The list in the configuration is that of the start; the new process is started with the same configuration.
     let config = write_configuration("n1", address, &Settings::marlow(1, 0), &discovery);
-    let mut old = Node::spawn_inheriting("old", &config, &socket, record);
+    let mut old = Node::spawn_inheriting("old", &config, &socket, &discovery, record);
     if !old.wait_until_ready(record, "old", 10.0) {
         return COULD_NOT_RUN;
     }
@@ -112,7 +112,7 @@
         discovery.mode.store(DOWN, Ordering::SeqCst);
     }
     sleep_ms(500);
-    let mut new = Node::spawn_inheriting("new", &config, &socket, record);
+    let mut new = Node::spawn_inheriting("new", &config, &socket, &discovery, record);
     if !new.wait_until_ready(record, "new", 6.0) {
         return COULD_NOT_RUN;
     }
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -549,7 +549,7 @@
     pub fn start(name: &str, settings: &Settings, discovery: &Discovery, record: &Record) -> Node {
         let address = free_address();
         let config = write_configuration(name, address, settings, discovery);
-        let node = Node::spawn(name, &config, address, None, record);
+        let node = Node::spawn(name, &config, address, None, discovery, record);
         node.wait_for_pong(record, name);
         node
     }
@@ -560,10 +560,11 @@
         name: &str,
         config: &Path,
         socket: &TcpListener,
+        discovery: &Discovery,
         record: &Record,
     ) -> Node {
         let address = socket.local_addr().unwrap();
-        Node::spawn(name, config, address, Some(socket), record)
+        Node::spawn(name, config, address, Some(socket), discovery, record)
     }
 
     fn spawn(
@@ -571,6 +572,7 @@
         config: &Path,
         address: SocketAddr,
         socket: Option<&TcpListener>,
+        discovery: &Discovery,
         record: &Record,
     ) -> Node {
         let operators = free_address();
@@ -590,6 +592,7 @@
         let child = command
             .env("BALANCER_NAME", "n1")
             .env("BALANCER_LISTEN", address.to_string())
+            .env("BALANCER_DISCOVERY", discovery.address.to_string())
             .env("BALANCER_CONFIG", config)
             .env("BALANCER_OPS", operators.to_string())
             .env("TMPDIR", &private)
--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -10,19 +10,21 @@
 fi
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
-# Nodes that the program could not end itself, since it was ended before.
+# Ends nodes that the program could not end itself, since it was ended before. An id may stand for another process by then.
 finish() {
     if [ -f "$CASE_TMP/pids" ]; then
         while read -r pid; do
-            kill -KILL "$pid" 2>/dev/null
+            grep -aqs sloewick "/proc/$pid/cmdline" && kill -KILL "$pid" 2>/dev/null
         done <"$CASE_TMP/pids"
     fi
     rm -rf "$CASE_TMP"
 }
 trap finish EXIT
-trap 'exit 2' INT TERM
 ulimit -n 4096 2>/dev/null
-timeout -k 2 110 "$program" "$1" "$2"
+timeout -k 2 110 "$program" "$1" "$2" &
+child=$!
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' INT TERM
+wait "$child"
 code=$?
 tail -n 3 "$2/record.txt"
 case $code in
