A process that ends after SIGTERM delivers what its clients are owed

Cause: at exit_by the process asked only whether a value was being streamed. Collected values, the responses behind them, output that waits in the node and output that the system holds did not count. By the same mistake a lingering connection was closed after 1 s, whether or not its output had been acknowledged.

Now one place, frontend/delivery.rs, says what a connection owes; the process stays for it until the client's machine has acknowledged it (SIOCOUTQ), has taken nothing for the time of a stall, or 30 s are over. Meanwhile no input is read behind output that waits; each connection gets a last turn, then its sending ends and further input is discarded, so that it neither holds up the end nor makes a close destroy output. A process that owes nothing ends when it did.

--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -45,7 +45,9 @@
     /// Reads the requests of a client and handles them.
     pub(super) fn read_client(&mut self, key: usize) {
         let now = self.io.now();
-        if self.frontends.clients.get(key).is_some_and(|c| c.is_queued) {
+        if self.frontends.clients.get(key).is_some_and(|c| c.is_queued)
+            || self.defers_input(key, now)
+        {
             return;
         }
         loop {
@@ -290,8 +292,12 @@
             let released = client.take_released();
             self.memory.release(MemoryUse::Values, released);
             self.frontends.recharge(key, &mut self.memory);
+            let is_last_turn = self.is_last_turn(key, now);
             self.stream_value(key);
             self.read_client(key);
+            if is_last_turn {
+                self.close_after_last_turn(key);
+            }
             if self.lifecycle.closes_clients() {
                 self.close_idle_client(key, now);
             }
@@ -399,9 +405,13 @@
         let keys: Vec<usize> = self.frontends.clients.iter().map(|(key, _)| key).collect();
         for key in keys {
             self.close_idle_client(key, now);
-            let Some(client) = self.frontends.clients.get(key) else {
+            let is_exit_due = self.lifecycle.is_exit_due(now);
+            let Some(client) = self.frontends.clients.get_mut(key) else {
                 continue;
             };
+            if is_exit_due || client.awaits_delivery() {
+                client.observe_delivery(now);
+            }
             if client.has_stalled(now) {
                 self.log_closed_client(key, "stalled");
                 self.drop_client(key);
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -4,6 +4,7 @@
 
 use super::Node;
 use crate::engine::DecisionEngine;
+use crate::frontend::connection::ClientConnection;
 use crate::lifecycle::AcceptMode;
 use crate::reload::ReloadOutcome;
 use crate::timers::TimerEvent;
@@ -84,20 +85,41 @@
             .iter()
             .any(|listener| lifecycle.accepts(now, listener.inherited) == AcceptMode::DrainQueue);
         if accepts_are_last && !self.close_listeners() {
-            let streams = self.has_stream_at_exit(now);
-            return self.lifecycle.should_exit(now, true, streams);
+            let owes_output = self.owes_output_at_exit(now);
+            return self.lifecycle.should_exit(now, true, owes_output);
         }
         if self.frontends.listeners.is_empty() {
             self.lifecycle.listeners_closed();
         }
-        let streams = self.has_stream_at_exit(now);
+        let owes_output = self.owes_output_at_exit(now);
         self.lifecycle
-            .should_exit(now, !self.frontends.clients.is_empty(), streams)
+            .should_exit(now, !self.frontends.clients.is_empty(), owes_output)
     }
 
-    /// Whether a long value is being streamed when the process is to exit.
-    fn has_stream_at_exit(&self, now: Micros) -> bool {
-        now >= self.lifecycle.exit_by() && self.frontends.is_streaming()
+    /// Whether a client is still owed output when the process is to exit.
+    fn owes_output_at_exit(&self, now: Micros) -> bool {
+        self.lifecycle.is_exit_due(now) && self.frontends.owes_output()
+    }
+
+    /// Whether the input of a client waits until its output is written, since the process only stays to deliver that.
+    pub(super) fn defers_input(&self, key: usize, now: Micros) -> bool {
+        let client = self.frontends.clients.get(key);
+        self.lifecycle.is_exit_due(now) && client.is_some_and(|client| !client.has_no_output())
+    }
+
+    /// Whether a client that is served now has its last turn: all its output is written, and the process only stays for what
+    /// clients have not received.
+    pub(super) fn is_last_turn(&self, key: usize, now: Micros) -> bool {
+        let client = self.frontends.clients.get(key);
+        self.lifecycle.is_exit_due(now) && client.is_some_and(ClientConnection::has_no_output)
+    }
+
+    /// Closes a client's connection after the responses to what has been read in its last turn.
+    pub(super) fn close_after_last_turn(&mut self, key: usize) {
+        if let Some(client) = self.frontends.clients.get_mut(key) {
+            client.close_after_responses();
+            self.frontends.mark_dirty(key);
+        }
     }
 
     /// Closes each listener whose accept queue is empty. Returns true if all are closed. A listener is closed immediately after
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -8,6 +8,7 @@
 pub(crate) mod connection;
 mod connection_input;
 mod connection_memory;
+mod delivery;
 pub(crate) mod disconnects;
 pub(crate) mod input_turns;
 pub(crate) mod memcached;
@@ -131,10 +132,10 @@
         }
     }
 
-    /// Whether a long value is being streamed to a client.
-    pub(crate) fn is_streaming(&self) -> bool {
+    /// Whether a client is owed anything that the end of the process would destroy.
+    pub(crate) fn owes_output(&self) -> bool {
         let mut clients = self.clients.iter();
-        clients.any(|(_, client)| client.is_streaming())
+        clients.any(|(_, client)| client.owes())
     }
 
     /// Number of requests whose responses have not been written completely.
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -10,6 +10,7 @@
 use sloewick_decision::api::Micros;
 
 use crate::frontend::client_liveness::ClientLiveness;
+use crate::frontend::delivery::Delivery;
 use crate::frontend::input_turns::InputTurn;
 use crate::frontend::pending_response::PendingResponse;
 use crate::frontend::response::Protocol;
@@ -35,8 +36,8 @@
 /// a client has closed its connection, nothing may be forwarded for it, and a node short of CPU time notices the close late and
 /// sends slowly.
 pub(crate) const MAX_HALF_CLOSED_TIME: Micros = 20_000;
-/// How long input is read and discarded after sending has ended. Closing with unread input would send a reset, which can
-/// destroy a response that is still on its way.
+/// How long input is read and discarded at least after sending has ended, unless the client ends its sending too. Closing with
+/// unread input would send a reset, which can destroy a response that is still on its way.
 const MAX_LINGER: Micros = 1_000_000;
 
 /// How far the closing of a connection has advanced.
@@ -45,7 +46,7 @@
     No,
     /// No more requests are read; sending ends when all responses are written.
     AfterResponses,
-    /// Sending has ended; input is read and discarded until this time.
+    /// Sending has ended; input is read and discarded until this time, and until the client's machine has acknowledged all output.
     Lingering(Micros),
 }
 
@@ -119,6 +120,8 @@
     pub(super) missing_value_bytes: Option<usize>,
     /// Whether the client reads the responses that wait.
     pub(super) output_progress: TransferProgress,
+    /// Whether the client's machine has acknowledged what was written.
+    pub(super) delivery: Delivery,
     /// When a request was last read or a response written.
     pub(crate) last_active: Micros,
     /// When the connection was accepted.
@@ -179,6 +182,7 @@
             partial_since: None,
             missing_value_bytes: None,
             output_progress: TransferProgress::default(),
+            delivery: Delivery::default(),
             last_active: now,
             accepted: now,
             last_request: None,
@@ -314,6 +318,7 @@
         if written > 0 {
             self.last_active = now;
             self.liveness.record_write(now, written);
+            self.delivery.record_write(written);
         }
         Ok(())
     }
@@ -380,14 +385,17 @@
         self.responses.len() + usize::from(!self.out.is_empty() && !self.is_streaming())
     }
 
-    pub(super) fn has_no_output(&self) -> bool {
+    /// Whether no response is pending and no output waits to be written.
+    pub(crate) fn has_no_output(&self) -> bool {
         self.responses.is_empty() && self.out.is_empty()
     }
 
     /// Advances the closing of the connection. Returns true when the connection can be dropped.
     pub(crate) fn advance_closing(&mut self, now: Micros) -> bool {
         match self.closing {
-            Closing::Lingering(until) => self.input_ended || now >= until,
+            Closing::Lingering(until) => {
+                self.input_ended || now >= until && !self.is_output_in_transit()
+            }
             _ if !self.has_no_output() => false,
             _ if self.input_ended => true,
             Closing::No => false,
@@ -410,7 +418,9 @@
         let is_silent = self.last_request.is_none()
             && now - self.last_active >= MAX_SILENT_TIME
             && self.is_idle_without_input();
-        is_silent || self.output_progress.has_stalled(now, MAX_STALLED_TIME)
+        is_silent
+            || self.output_progress.has_stalled(now, MAX_STALLED_TIME)
+            || self.delivery.has_stalled(now, MAX_STALLED_TIME)
     }
 
     /// Whether the client has not written a request, or its long value, for [`MAX_REQUEST_TIME`], or has taken
--- a/crates/node/src/frontend/connection_input.rs
+++ b/crates/node/src/frontend/connection_input.rs
@@ -90,7 +90,8 @@
     /// Whether the client may have closed the connection too long ago for an attempt to start for it.
     pub(crate) fn is_uncertain(&mut self, now: Micros) -> bool {
         let stream = &self.stream;
-        self.liveness.is_uncertain(now, || stream.unacknowledged())
+        self.liveness
+            .is_uncertain(now, || stream.unacknowledged().unwrap_or(usize::MAX))
     }
 
     fn request_completed(&mut self) {
--- /dev/null
+++ b/crates/node/src/frontend/delivery.rs
@@ -0,0 +1,85 @@
+//! What a connection still owes its client: responses that are not complete, output that is not written, and bytes that the
+//! client's machine has not acknowledged.
+//!
+//! Output that the system has accepted is not delivered yet: if the connection is closed and anything arrives on it, the system
+//! answers with a reset and drops what it still holds (RFC 9293, section 3.10.7). So whoever closes a connection, or ends the
+//! process, asks [`ClientConnection::owes`] first.
+//!
+//! No event reports that bytes were acknowledged, so the system is asked. It is asked about the connections that somebody waits to
+//! close, and by the sweep until these have delivered their output or have stalled.
+
+use sloewick_decision::api::Micros;
+
+use crate::frontend::connection::ClientConnection;
+use crate::transfer_progress::TransferProgress;
+use crate::transport::Stream;
+
+/// How far the client's machine has acknowledged what was written to it.
+#[derive(Debug, Default)]
+pub(crate) struct Delivery {
+    /// Bytes that were written to the connection.
+    written: u64,
+    /// Bytes that were acknowledged when this was last observed.
+    acknowledged: u64,
+    /// Whether bytes are being acknowledged, since the first time that somebody waited for it.
+    progress: TransferProgress,
+}
+
+impl Delivery {
+    /// Records bytes that were written.
+    pub(crate) fn record_write(&mut self, bytes: usize) {
+        self.written += bytes as u64;
+    }
+
+    /// Records how many bytes are not acknowledged now.
+    fn observe(&mut self, now: Micros, unacknowledged: usize) {
+        if unacknowledged == 0 {
+            return self.progress.end();
+        }
+        let acknowledged = self.written.saturating_sub(unacknowledged as u64);
+        let moved = acknowledged.saturating_sub(self.acknowledged);
+        self.acknowledged += moved;
+        if self.progress.since().is_none() {
+            self.progress.begin(now);
+        } else {
+            self.progress.record(now, moved as usize);
+        }
+    }
+
+    /// Whether delivery is being observed and is not complete.
+    fn is_awaited(&self) -> bool {
+        self.progress.since().is_some()
+    }
+
+    /// Whether next to nothing has been acknowledged for `limit`.
+    pub(crate) fn has_stalled(&self, now: Micros, limit: Micros) -> bool {
+        self.progress.has_stalled(now, limit)
+    }
+}
+
+impl<S: Stream> ClientConnection<S> {
+    /// Whether the client is owed anything that the end of this connection, or of the process, could destroy.
+    pub(crate) fn owes(&self) -> bool {
+        !self.has_no_output() || self.is_output_in_transit()
+    }
+
+    /// Whether the system holds output that the client's machine has not acknowledged. False if the system does not tell.
+    pub(crate) fn is_output_in_transit(&self) -> bool {
+        self.stream.unacknowledged().is_some_and(|bytes| bytes > 0)
+    }
+
+    /// Observes how far the output has been delivered, for a connection that somebody waits to close.
+    pub(crate) fn observe_delivery(&mut self, now: Micros) {
+        let unacknowledged = self.stream.unacknowledged();
+        self.delivery.observe(now, unacknowledged.unwrap_or(0));
+    }
+
+    /// Whether somebody waits for the output to be delivered.
+    pub(crate) fn awaits_delivery(&self) -> bool {
+        self.is_lingering() || self.delivery.is_awaited()
+    }
+}
+
+#[cfg(test)]
+#[path = "delivery_tests.rs"]
+mod tests;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -17,8 +17,8 @@
 /// Time from the longest deadline until all open requests get their final response. The time from then until the process exits
 /// is for writing the responses.
 const FINAL_RESPONSE_MARGIN: Micros = 400_000;
-/// How much longer the process stays while a long value is being streamed, if it is not killed.
-const MAX_STREAM_TIME_STOPPING: Micros = 10_000_000;
+/// How much longer the process stays, if it is not killed, while clients still read what they are owed. Long values take seconds.
+const MAX_DELIVERY_TIME_STOPPING: Micros = 30_000_000;
 /// How long a connection may stay open without a request during an evacuation. No connection may be left 4 s after the
 /// evacuation was requested. docs/operating.md states the times for evacuation and readiness, which are the same for all nodes.
 const MAX_IDLE_EVACUATING: Micros = 2_000_000;
@@ -196,12 +196,17 @@
         self.phase != Phase::Serving
     }
 
-    /// Whether the process exits at `now`. `streams`: whether a long value is being streamed.
-    pub(crate) fn should_exit(&self, now: Micros, has_clients: bool, streams: bool) -> bool {
+    /// Whether the process only stays for what clients are still owed: no further request is read behind that.
+    pub(crate) fn is_exit_due(&self, now: Micros) -> bool {
+        now >= self.exit_by
+    }
+
+    /// Whether the process exits at `now`. `owes_output`: whether a client has not received all that it is owed.
+    pub(crate) fn should_exit(&self, now: Micros, has_clients: bool, owes_output: bool) -> bool {
         // At `exit_by` the process exits even if connections are waiting for which it has no capacity: waiting until it is
-        // killed would not answer them either. A long value may still be completed until then.
-        let exit_by = if streams {
-            self.exit_by.saturating_add(MAX_STREAM_TIME_STOPPING)
+        // killed would not answer them either. What has been answered may still be delivered until then.
+        let exit_by = if owes_output {
+            self.exit_by.saturating_add(MAX_DELIVERY_TIME_STOPPING)
         } else {
             self.exit_by
         };
--- a/crates/node/src/lifecycle_tests.rs
+++ b/crates/node/src/lifecycle_tests.rs
@@ -158,13 +158,13 @@
 }
 
 #[test]
-fn shutdown_waits_a_bounded_time_for_streamed_values() {
+fn shutdown_waits_a_bounded_time_for_output_that_clients_are_owed() {
     let mut lifecycle = Lifecycle::new(false, true);
     lifecycle.stop(0, 2 * S);
     lifecycle.listeners_closed();
     let exit_by = lifecycle.exit_by();
     assert!(lifecycle.should_exit(exit_by, true, false));
     assert!(!lifecycle.should_exit(exit_by, true, true));
-    assert!(lifecycle.should_exit(exit_by + MAX_STREAM_TIME_STOPPING, true, true));
+    assert!(lifecycle.should_exit(exit_by + MAX_DELIVERY_TIME_STOPPING, true, true));
     assert!(lifecycle.should_exit(S, false, false));
 }
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -450,15 +450,11 @@
         let _ = socket2::SockRef::from(&*self).set_linger(reset.then_some(Duration::ZERO));
     }
 
-    fn unacknowledged(&self) -> usize {
+    fn unacknowledged(&self) -> Option<usize> {
         let mut bytes: libc::c_int = 0;
         // SAFETY: SIOCOUTQ, which has the number of TIOCOUTQ, writes one int (tcp(7)); the descriptor is open.
         let result = unsafe { libc::ioctl(self.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
-        if result == 0 {
-            bytes.max(0) as usize
-        } else {
-            usize::MAX
-        }
+        (result == 0).then_some(bytes.max(0) as usize)
     }
 
     fn limit_send_buffer(&mut self, bytes: usize) {
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -91,9 +91,10 @@
     /// Sets whether closing the connection, also by the end of the process, resets it: bytes that the peer's machine does not
     /// have yet are then dropped, where an orderly close would still deliver them.
     fn set_reset_on_close(&mut self, reset: bool);
-    /// Number of bytes written that the peer's machine has not acknowledged.
-    fn unacknowledged(&self) -> usize {
-        0
+    /// Number of bytes written that the peer's machine has not acknowledged, among them the end of sending; None if the system does
+    /// not tell.
+    fn unacknowledged(&self) -> Option<usize> {
+        Some(0)
     }
     /// Limits the number of bytes that the kernel buffers for a peer that does not read.
     fn limit_send_buffer(&mut self, bytes: usize);
--- a/crates/sloewick/tests/memcached.rs
+++ b/crates/sloewick/tests/memcached.rs
@@ -445,3 +445,54 @@
     serve_request(&server, Operation::Write, "w/1", ServerAction::Serve);
     assert_eq!(read_packet(&mut client), Some((SET, 0, 1, Vec::new())));
 }
+
+/// Reads at a pace.
+struct PacedStream {
+    stream: TcpStream,
+    pace: Pace,
+}
+
+impl Read for PacedStream {
+    fn read(&mut self, into: &mut [u8]) -> std::io::Result<usize> {
+        let len = into.len().min(self.pace.bytes);
+        let n = self.stream.read(&mut into[..len])?;
+        let fraction = n as f64 / self.pace.bytes as f64;
+        std::thread::sleep(self.pace.pause.mul_f64(fraction));
+        Ok(n)
+    }
+}
+
+// The process ended 3.5 s after SIGTERM with a collected value, and the packets behind it, in its memory.
+#[test]
+fn long_values_and_the_packets_behind_them_outlive_sigterm() {
+    const LEN: usize = 600 << 10;
+    let server = listener();
+    let memcached_node = start_node(&server, false);
+    let mut client = connect(memcached_node.memcached);
+    let mut burst = Vec::new();
+    for opaque in [1, 2] {
+        burst.extend(encode_packet(0x80, GET, 0, opaque, b"", "r/1", b""));
+    }
+    burst.extend(encode_packet(0x80, 0x0a, 0, 3, b"", "", b""));
+    client.write_all(&burst).unwrap();
+    for _ in 0..2 {
+        let mut connection = accept(&server);
+        connection.read_command();
+        std::thread::spawn(move || {
+            connection.send(hit_reply(&[b'v'; LEN]));
+            connection.read_to_command();
+        });
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    memcached_node.node.signal("TERM");
+    let pace = Pace::within(2 * LEN, Duration::from_secs(6), 100);
+    let mut client = PacedStream {
+        stream: client,
+        pace,
+    };
+    for opaque in [1, 2] {
+        let (opcode, status, echoed, body) = read_packet(&mut client).expect("a whole value");
+        assert_eq!((opcode, status, echoed, body.len()), (GET, 0, opaque, LEN));
+    }
+    assert_eq!(read_packet(&mut client), Some((0x0a, 0, 3, Vec::new())));
+}
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -10,11 +10,13 @@
 mod config;
 mod crowd;
 mod discovery;
+mod draw;
 mod paced_server;
 mod peer;
 mod preload;
 mod process;
 mod scripted_discovery;
+mod slow_client;
 mod trace;
 mod traffic;
 
@@ -28,11 +30,13 @@
 pub(crate) use config::*;
 pub(crate) use crowd::*;
 pub(crate) use discovery::*;
+pub(crate) use draw::*;
 pub(crate) use paced_server::*;
 pub(crate) use peer::*;
 pub(crate) use preload::*;
 pub(crate) use process::*;
 pub(crate) use scripted_discovery::*;
+pub(crate) use slow_client::*;
 pub(crate) use trace::*;
 pub(crate) use traffic::*;
 
--- a/crates/sloewick/tests/support/process.rs
+++ b/crates/sloewick/tests/support/process.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// Whether the process has ended by itself.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// The process id.
     pub(crate) fn id(&self) -> u32 {
         self.child.id()
