Replies to commands that are no requests do not hold up a shutdown

Traced: eight clients that read nothing count as owed until they have stalled.

PING and what can't be parsed are no requests, and nobody loses one when their replies are dropped. They are marked as such (PendingResponse::Control); a connection owes its output up to the end of the last response to a request.

--- a/crates/node/src/event_loop/accepting.rs
+++ b/crates/node/src/event_loop/accepting.rs
@@ -165,7 +165,7 @@
         client.has_slot = false;
         if client.protocol() == Protocol::Resp2 {
             let busy = RequestProtocol::Resp2.encode(&Bytes::new(), FinalResponse::Busy(0));
-            client.push_response(PendingResponse::Ready(busy));
+            client.push_response(PendingResponse::Control(busy));
         }
         client.close_after_responses();
         self.frontends.mark_dirty(key);
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -109,7 +109,7 @@
             // No request was recognised that a response could refer to.
             (Protocol::Memcached, None) => {}
         }
-        client.push_response(PendingResponse::Ready(vec![out.into()]));
+        client.push_response(PendingResponse::Control(vec![out.into()]));
         client.close_after_responses();
         self.frontends.mark_dirty(key);
     }
@@ -118,7 +118,7 @@
     fn handle_command(&mut self, client: usize, command: &Command, now: Micros) {
         if let Some(response) = self.respond_or_accept(client, command, now) {
             self.memory.release(MemoryUse::Values, command.reserved);
-            self.frontends.push_ready(client, vec![response]);
+            self.frontends.push_complete(client, response);
             self.frontends.recharge(client, &mut self.memory);
         }
     }
@@ -129,17 +129,19 @@
         client: usize,
         command: &Command,
         now: Micros,
-    ) -> Option<Bytes> {
+    ) -> Option<PendingResponse> {
         let words = &command.arguments;
         let request = match parse_command(words, &self.engine.names) {
             Ok(ParsedCommand::Ping(text)) => {
-                return Some(encode_pong(text.as_ref(), self.lifecycle.answers_ping()));
+                let pong = encode_pong(text.as_ref(), self.lifecycle.answers_ping());
+                return Some(PendingResponse::Control(vec![pong]));
             }
             Ok(ParsedCommand::Request(request)) => request,
-            Err(error) => return Some(error.encode()),
+            Err(error) => return Some(PendingResponse::Control(vec![error.encode()])),
         };
         if self.requests.key_of(&request.id).is_some() || self.may_have_run(&request) {
-            return Some(CommandError::IdInUse.encode());
+            let error = CommandError::IdInUse.encode();
+            return Some(PendingResponse::Ready(vec![error]));
         }
         if command.value_discarded || self.rejects_requests(client, now) {
             return Some(self.reject(request.class));
@@ -174,9 +176,9 @@
     }
 
     /// Counts a request that is rejected on arrival, and returns the response.
-    fn reject(&mut self, class: usize) -> Bytes {
+    fn reject(&mut self, class: usize) -> PendingResponse {
         self.admin.metrics.count(class, &FinalResponse::Busy(0));
-        Bytes::from_static(b"-BUSY\r\n")
+        PendingResponse::Ready(vec![Bytes::from_static(b"-BUSY\r\n")])
     }
 
     /// Accepts a request. From now on it needs exactly one final response.
@@ -236,7 +238,7 @@
                 PendingResponse::Collected { reserved, .. } => {
                     self.memory.release(MemoryUse::Values, reserved);
                 }
-                PendingResponse::Ready(_) => {}
+                PendingResponse::Ready(_) | PendingResponse::Control(_) => {}
             }
         }
     }
--- a/crates/node/src/event_loop/memcached_requests.rs
+++ b/crates/node/src/event_loop/memcached_requests.rs
@@ -9,6 +9,7 @@
 use crate::engine::DecisionEngine;
 use crate::executed_ids::digest;
 use crate::frontend::memcached::{encode_stat, MemcachedFrontend, Rejection, RoutingContext};
+use crate::frontend::pending_response::PendingResponse;
 use crate::frontend::response::{FinalResponse, RequestProtocol};
 use crate::memory::MemoryUse;
 use crate::request_table::{ParsedRequest, KEY_COPIES, REQUEST_OVERHEAD};
@@ -28,7 +29,11 @@
             let mut out = Vec::new();
             let status = Status::UnknownCommand;
             memcached::write_status(&mut out, request.opcode, opaque, status);
-            return self.respond_at_once(client, vec![out.into()], reserved);
+            return self.respond_at_once(
+                client,
+                PendingResponse::Control(vec![out.into()]),
+                reserved,
+            );
         };
         let protocol = RequestProtocol::Memcached { opcode, opaque };
         let chunks = match (request.error_status, opcode.without_quiet()) {
@@ -49,7 +54,7 @@
             (None, Opcode::Stat) => vec![self.encode_statistics(opcode, opaque, &request.key)],
             (None, Opcode::Quit) => {
                 let chunks = protocol.encode_status(Status::Ok, None);
-                self.respond_at_once(client, chunks, reserved);
+                self.respond_at_once(client, PendingResponse::Control(chunks), reserved);
                 if let Some(connection) = self.frontends.clients.get_mut(client) {
                     connection.close_after_responses();
                 }
@@ -57,13 +62,20 @@
             }
             _ => protocol.encode_status(Status::UnknownCommand, None),
         };
-        self.respond_at_once(client, chunks, reserved);
+        // NOOP ends a sequence of quiet requests, whose responses it stands for.
+        let response = match opcode.without_quiet() {
+            Opcode::Get | Opcode::GetK | Opcode::Set | Opcode::Noop => {
+                PendingResponse::Ready(chunks)
+            }
+            _ => PendingResponse::Control(chunks),
+        };
+        self.respond_at_once(client, response, reserved);
     }
 
     /// Responds to a request that was not accepted, after the responses to earlier requests.
-    fn respond_at_once(&mut self, client: usize, chunks: Vec<Bytes>, reserved: usize) {
+    fn respond_at_once(&mut self, client: usize, response: PendingResponse, reserved: usize) {
         self.memory.release(MemoryUse::Values, reserved);
-        self.frontends.push_ready(client, chunks);
+        self.frontends.push_complete(client, response);
         self.frontends.recharge(client, &mut self.memory);
     }
 
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -16,7 +16,6 @@
 pub(crate) mod resp2;
 pub(crate) mod response;
 
-use bytes::Bytes;
 use slab::Slab;
 use sloewick_decision::api::Micros;
 
@@ -125,9 +124,9 @@
     }
 
     /// Appends a response that is complete already.
-    pub(crate) fn push_ready(&mut self, client: usize, chunks: Vec<Bytes>) {
+    pub(crate) fn push_complete(&mut self, client: usize, response: PendingResponse) {
         if let Some(connection) = self.clients.get_mut(client) {
-            connection.push_response(PendingResponse::Ready(chunks));
+            connection.push_response(response);
             self.mark_dirty(client);
         }
     }
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -282,8 +282,11 @@
     pub(crate) fn queue_ready_responses(&mut self) {
         loop {
             let held = self.responses.front().map_or(0, PendingResponse::held);
+            let is_owed = self.responses.front().is_some_and(PendingResponse::is_owed);
             let chunks = match self.responses.front_mut() {
-                Some(PendingResponse::Ready(chunks)) => std::mem::take(chunks),
+                Some(PendingResponse::Ready(chunks) | PendingResponse::Control(chunks)) => {
+                    std::mem::take(chunks)
+                }
                 Some(PendingResponse::Collected { chunks, reserved }) => {
                     self.reserved_output += *reserved;
                     std::mem::take(chunks)
@@ -293,6 +296,9 @@
             for chunk in chunks {
                 self.out.push(chunk);
             }
+            if is_owed {
+                self.delivery.record_owed(self.out.len());
+            }
             self.response_bytes -= held;
             self.responses.pop_front();
             self.first_response_number += 1;
--- a/crates/node/src/frontend/delivery.rs
+++ b/crates/node/src/frontend/delivery.rs
@@ -1,5 +1,5 @@
-//! What a connection still owes its client: responses that are not complete, output that is not written, and bytes that the
-//! client's machine has not acknowledged.
+//! What a connection still owes its client: responses to requests that are not complete, not written, or not acknowledged by the
+//! client's machine. Replies to other commands, such as PING, are not owed.
 //!
 //! Output that the system has accepted is not delivered yet: if the connection is closed and anything arrives on it, the system
 //! answers with a reset and drops what it still holds (RFC 9293, section 3.10.7). So whoever closes a connection, or ends the
@@ -11,6 +11,7 @@
 use sloewick_decision::api::Micros;
 
 use crate::frontend::connection::ClientConnection;
+use crate::frontend::pending_response::PendingResponse;
 use crate::transfer_progress::TransferProgress;
 use crate::transport::Stream;
 
@@ -19,6 +20,8 @@
 pub(crate) struct Delivery {
     /// Bytes that were written to the connection.
     written: u64,
+    /// Bytes of the connection's output up to the end of the last response to a request.
+    owed: u64,
     /// Bytes that were acknowledged when this was last observed.
     acknowledged: u64,
     /// Whether bytes are being acknowledged, since the first time that somebody waited for it.
@@ -31,6 +34,16 @@
         self.written += bytes as u64;
     }
 
+    /// Records that the response to a request has been queued; `queued`: bytes that wait to be written up to its end.
+    pub(crate) fn record_owed(&mut self, queued: usize) {
+        self.owed = self.written + queued as u64;
+    }
+
+    /// Whether a response to a request has not been acknowledged completely.
+    fn is_owed(&self, unacknowledged: usize) -> bool {
+        self.owed > self.written.saturating_sub(unacknowledged as u64)
+    }
+
     /// Records how many bytes are not acknowledged now.
     fn observe(&mut self, now: Micros, unacknowledged: usize) {
         if unacknowledged == 0 {
@@ -58,9 +71,11 @@
 }
 
 impl<S: Stream> ClientConnection<S> {
-    /// Whether the client is owed anything that the end of this connection, or of the process, could destroy.
+    /// Whether the client has not received all responses to its requests: the end of this connection, or of the process, could
+    /// destroy them.
     pub(crate) fn owes(&self) -> bool {
-        !self.has_no_output() || self.is_output_in_transit()
+        let unacknowledged = self.stream.unacknowledged().unwrap_or(0);
+        self.responses.iter().any(PendingResponse::is_owed) || self.delivery.is_owed(unacknowledged)
     }
 
     /// Whether the system holds output that the client's machine has not acknowledged. False if the system does not tell.
--- a/crates/node/src/frontend/delivery_tests.rs
+++ b/crates/node/src/frontend/delivery_tests.rs
@@ -2,6 +2,17 @@
 
 const S: Micros = 1_000_000;
 
+#[test]
+fn response_is_owed_until_it_is_acknowledged_and_what_follows_is_not() {
+    let mut delivery = Delivery::default();
+    delivery.record_owed(100);
+    assert!(delivery.is_owed(0), "it is not written");
+    delivery.record_write(60);
+    assert!(delivery.is_owed(0));
+    delivery.record_write(50);
+    assert!(delivery.is_owed(11) && !delivery.is_owed(10));
+}
+
 #[test]
 fn delivery_has_stalled_only_while_nothing_is_acknowledged() {
     let mut delivery = Delivery::default();
--- a/crates/node/src/frontend/pending_response.rs
+++ b/crates/node/src/frontend/pending_response.rs
@@ -9,6 +9,8 @@
     Waiting(usize),
     /// The encoded response.
     Ready(Vec<Bytes>),
+    /// The encoded reply to a command that is no request, such as PING. The end of the process does not wait for it.
+    Control(Vec<Bytes>),
     /// The encoded response with a long value that was collected; `reserved`: its bytes in the [`ByteBudget`].
     Collected { chunks: Vec<Bytes>, reserved: usize },
     /// A long value is streamed from the upstream connection with the key `connection`. `header`: the encoded header until it
@@ -27,7 +29,7 @@
     /// Bytes of memory that it holds, without those that are reserved for a collected value.
     pub(crate) fn held(&self) -> usize {
         let bytes = match self {
-            PendingResponse::Ready(chunks) => chunks
+            PendingResponse::Ready(chunks) | PendingResponse::Control(chunks) => chunks
                 .iter()
                 .map(|chunk| chunk.len() + RESPONSE_OVERHEAD)
                 .sum(),
@@ -38,6 +40,11 @@
         RESPONSE_OVERHEAD + bytes
     }
 
+    /// Whether it is the response to a request.
+    pub(crate) fn is_owed(&self) -> bool {
+        !matches!(self, PendingResponse::Control(_))
+    }
+
     /// Adds the memory that is reserved for the value of a complete response.
     pub(crate) fn reserve(&mut self, reserved: usize) {
         if let PendingResponse::Ready(chunks) = self {
