No long value that has begun is ended for another request

Cause: a request that found no free connection to a server ended the transfer whose client had read nothing for 2 s (end_resting_transfer). A value that has begun is owed; the request could have been rejected.

Now none is ended. So that paused clients don't take every connection from short reads, long values hold three quarters of the connections to a server, and of all, at the most; a value that starts beyond that is abandoned before its client has anything, and is attempted elsewhere or rejected. For the same reason memory is no longer taken from clients that are owed output. A transfer has stalled when less than 1 KiB has moved for 12 s from a server and 15 s to a client: 400 bytes each 0.7 s were taken for a stall, and clients pause for up to 10 s.

--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -346,8 +346,7 @@
                 return self.frontends.mark_dirty(key);
             }
             if client.out.len() >= MAX_UNSENT_STREAM_BYTES {
-                let now = self.io.now();
-                return self.upstreams.pause_value(connection, now);
+                return self.upstreams.pause_value(connection);
             }
             if let Some(header) = header.take() {
                 client.out.push(header);
@@ -356,8 +355,7 @@
             let max_read = self.memory.read_allowance(client.held());
             client.waits_for_memory = max_read == 0;
             if client.waits_for_memory {
-                let now = self.io.now();
-                self.upstreams.pause_value(connection, now);
+                self.upstreams.pause_value(connection);
                 return self.wait_for_memory(key);
             }
             let bytes = self.with_upstreams(|upstreams, context| {
--- a/crates/node/src/event_loop/memory.rs
+++ b/crates/node/src/event_loop/memory.rs
@@ -1,5 +1,5 @@
-//! Resumes what waits for memory, observes the resident size of the process, and ends the client that holds most when memory
-//! stays short.
+//! Resumes what waits for memory, observes the resident size of the process, and ends the client that holds most within an
+//! incomplete request when memory stays short.
 
 use sloewick_decision::api::Micros;
 
@@ -102,11 +102,13 @@
         }
     }
 
-    /// Ends the connection of the client that holds most memory among those that have moved nothing for [`MIN_STALL_TIME`].
-    /// Returns false if there is none.
+    /// Ends the connection of the client that holds most memory among those that have moved nothing for [`MIN_STALL_TIME`] and wait
+    /// for no response. Returns false if there is none.
     fn end_heaviest_client(&mut self, now: Micros) -> bool {
         let clients = self.frontends.clients.iter();
-        let stalled = clients.filter(|(_, client)| now - client.last_moved() >= MIN_STALL_TIME);
+        let stalled = clients.filter(|(_, client)| {
+            client.has_no_output() && now - client.last_moved() >= MIN_STALL_TIME
+        });
         let held = |client: &ClientConnection<N::Stream>| client.held() + client.reserved();
         let heaviest = stalled.max_by_key(|(_, client)| held(client));
         let heaviest = heaviest.filter(|(_, client)| self.memory.is_heavy(held(client)));
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -96,7 +96,7 @@
     }
 
     /// Logs that a long value has broken off, and why: its server has stalled (timeout), has ended the connection (reset) or has
-    /// sent something else (error), or the connection was needed for other requests (cancelled).
+    /// sent something else (error), or it waited for memory on a connection that another request needs (cancelled).
     fn log_broken_value(&mut self, id: AttemptId, status: Status) {
         let request = &self.requests[id.request];
         let server = &request.attempts[id.attempt].server;
@@ -132,6 +132,9 @@
         if self.requests[key].closed {
             return self.end_late_value(key, attempt, connection);
         }
+        if !self.upstreams.may_pass_on_value(connection) {
+            return self.abandon_attempt(key, attempt, Status::Cancelled);
+        }
         let is_collected = self.has_responses_behind(key);
         let now = self.io.now();
         let request = &mut self.requests[key];
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -28,9 +28,9 @@
 const MAX_VALUE_TIME: Micros = 30_000_000;
 /// How long a new client may send nothing. A connection may be closed when it has had no request for 2 s.
 const MAX_SILENT_TIME: Micros = 2_500_000;
-/// A client that reads next to nothing of its responses for this long counts as stalled. The value follows from no setting: the time of
-/// requests is bounded by their own deadlines, and this bounds how long their responses occupy memory.
-const MAX_STALLED_TIME: Micros = 10_000_000;
+/// A client that reads next to nothing of its responses for this long counts as stalled. Sound clients pause for seconds, and their
+/// machines may acknowledge only after some seconds of reading that they have room again.
+const MAX_STALLED_TIME: Micros = 15_000_000;
 /// How long the end of a client's input is treated as a half-close: requests that arrived before it are forwarded, even if a
 /// connection has to be opened first. Requests that still wait after this time are no longer forwarded. Later than 0.1 s after
 /// a client has closed its connection, nothing may be forwarded for it, and a node short of CPU time notices the close late and
--- a/crates/node/src/transfer_progress.rs
+++ b/crates/node/src/transfer_progress.rs
@@ -4,7 +4,7 @@
 use sloewick_decision::api::Micros;
 
 /// Bytes that have to be moved before a transfer counts as moving again.
-const MIN_PROGRESS: usize = 4 << 10;
+const MIN_PROGRESS: usize = 1 << 10;
 
 /// Since when a transfer has moved next to nothing.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -5,6 +5,7 @@
 pub(crate) mod connection;
 mod exchange;
 mod expiry;
+pub(crate) mod long_values;
 pub(crate) mod memory;
 pub(crate) mod pool;
 pub(crate) mod probes;
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -87,8 +87,6 @@
     pub(crate) last_untagged_response: Option<Micros>,
     /// Whether the server writes the long value that is being received.
     pub(crate) value_progress: TransferProgress,
-    /// Since when the long value has not been read because its client does not read; None while it is read.
-    pub(crate) value_paused_since: Option<Micros>,
     /// The exchange is an attempt that has not been added to the number of sends yet.
     pub(crate) send_count_pending: bool,
     /// Length of the last request, in bytes.
@@ -135,7 +133,6 @@
             idle_since: now,
             last_untagged_response: None,
             value_progress: TransferProgress::default(),
-            value_paused_since: None,
             send_count_pending: false,
             request_len: 0,
             write_number: 0,
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -330,7 +330,6 @@
                 .connections
                 .get_mut(connection)
                 .filter(|c| c.streaming)?;
-            c.value_paused_since = None;
             match c.reader.next(&mut c.read_buffer) {
                 Ok(Some(ResponsePart::ValueBytes(bytes))) => {
                     c.value_progress.record(context.now, bytes.len());
--- a/crates/node/src/upstream/expiry.rs
+++ b/crates/node/src/upstream/expiry.rs
@@ -9,7 +9,7 @@
 
 /// How long next to no bytes of a long value may arrive before the connection counts as failed. Servers may take seconds between
 /// two pieces.
-const VALUE_STALL_TIMEOUT: Micros = 5_000_000;
+const VALUE_STALL_TIMEOUT: Micros = 12_000_000;
 
 impl<S: Stream> UpstreamPools<S> {
     /// Handles a timer of a connection: its opening or its probe request has timed out, or its quarantine has ended.
--- a/crates/node/src/upstream/memory.rs
+++ b/crates/node/src/upstream/memory.rs
@@ -4,7 +4,7 @@
 //! response whose length is known is read only if there is memory for all of it, so that responses which are received in part do
 //! not keep each other from being completed.
 
-use sloewick_decision::api::{Micros, ServerId, Status};
+use sloewick_decision::api::{ServerId, Status};
 
 use crate::event_trace::ConnectionStep;
 use crate::memory::{MemoryAccount, MemoryUse};
@@ -15,9 +15,6 @@
 /// Memory for a connection besides its buffers, in bytes.
 const CONNECTION_BYTES: usize = 2 << 10;
 
-/// How long the client of a long value must have read nothing before the value may be ended for another request.
-const MIN_PAUSE: Micros = 2_000_000;
-
 /// A connection whose response waits for memory.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeldBack {
@@ -109,20 +106,16 @@
         }
     }
 
-    /// Ends an exchange to free its connection for another one: one whose response waits for memory, else the one whose client has
-    /// read nothing for longest. `server`: None for a connection to any server. Returns false if there is none.
-    pub(super) fn end_resting_transfer(&mut self, server: Option<&ServerId>, now: Micros) -> bool {
-        let at_server = |c: &UpstreamConnection<S>| server.is_none_or(|server| *server == c.server);
-        let mut connections = self.connections.iter().filter(|(_, c)| at_server(c));
-        let waiting = connections.find(|(_, c)| c.is_held_back || c.awaits_collection);
-        let connections = self.connections.iter().filter(|(_, c)| at_server(c));
-        let is_paused = |c: &UpstreamConnection<S>| {
-            c.value_paused_since
-                .is_some_and(|since| now - since >= MIN_PAUSE)
-        };
-        let paused = connections.filter(|(_, c)| is_paused(c));
-        let longest_paused = paused.min_by_key(|(_, c)| c.value_paused_since);
-        let Some((connection, _)) = waiting.or(longest_paused) else {
+    /// Ends an exchange whose response waits for memory, to free its connection for another one. Nothing of such a response has
+    /// been passed on: its request is attempted again, rejected or failed. `server`: None for a connection to any server. Returns
+    /// false if there is none.
+    pub(super) fn end_waiting_response(&mut self, server: Option<&ServerId>) -> bool {
+        let mut connections = self.connections.iter();
+        let waiting = connections.find(|(_, c)| {
+            let is_at_server = server.is_none_or(|server| *server == c.server);
+            is_at_server && (c.is_held_back || c.awaits_collection)
+        });
+        let Some((connection, _)) = waiting else {
             return false;
         };
         self.end_exchange(connection, Status::Cancelled);
@@ -139,11 +132,10 @@
     }
 
     /// Records that a long value is not read, since its client does not read.
-    pub(crate) fn pause_value(&mut self, connection: usize, now: Micros) {
+    pub(crate) fn pause_value(&mut self, connection: usize) {
         let c = self.connections.get_mut(connection);
         if let Some(c) = c.filter(|c| c.streaming) {
             c.value_progress.end();
-            c.value_paused_since.get_or_insert(now);
         }
     }
 
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -102,7 +102,7 @@
     pub(super) connections: Slab<UpstreamConnection<S>>,
     /// Ordered by server, so that the choice of the connection that is closed for a new one is deterministic.
     pub(super) pools: BTreeMap<ServerId, Pool>,
-    max_connections: usize,
+    pub(super) max_connections: usize,
     /// Serial number of the connection that was opened last.
     serial: u64,
     /// How long a connection may be idle before it is closed.
@@ -306,11 +306,11 @@
             protocol: pool.protocol,
         };
         let is_server_full = pool.open_count >= MAX_CONNECTIONS_PER_SERVER;
-        if is_server_full && !self.end_resting_transfer(Some(server), context.now) {
+        if is_server_full && !self.end_waiting_response(Some(server)) {
             return Err(Status::NotSent);
         }
         let is_full = self.connections.len() >= self.max_connections;
-        if is_full && !self.close_longest_idle() && !self.end_resting_transfer(None, context.now) {
+        if is_full && !self.close_longest_idle() && !self.end_waiting_response(None) {
             return Err(Status::NotSent);
         }
         let stream = self.connect(to.address, context.net)?;
--- a/crates/sloewick/tests/support/paced_server.rs
+++ b/crates/sloewick/tests/support/paced_server.rs
@@ -290,3 +290,19 @@
     let number = std::str::from_utf8(&rest[1..end]).unwrap().parse().unwrap();
     Some((at + end + 2, number))
 }
+
+/// Starts servers whose keys begin with the length of their values, which they write at this pace.
+pub(crate) fn start_value_servers(count: usize, pace: Pace) -> Vec<PacedServer> {
+    let log = ReceivedLog::default();
+    let reply_to: Arc<ReplyTo> = Arc::new(move |received| {
+        let len = received.key.split('/').find_map(|part| part.parse().ok());
+        Some(PacedReply::value(len.unwrap_or(10)).paced(pace))
+    });
+    let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
+    (1..=count).map(start).collect()
+}
+
+/// The entries of an endpoint list for these servers.
+pub(crate) fn targets_of(servers: &[PacedServer]) -> Vec<Value> {
+    servers.iter().map(|server| server.target.clone()).collect()
+}
