No client whose output is in transit is closed for another one

Cause: bytes that the system had accepted counted as delivered. Whatever arrives after a close makes the system answer with a reset and drop what it still holds.

--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -148,10 +148,11 @@
         }
     }
 
-    /// Closes the oldest connection, answered ones first. Returns false if there is none.
+    /// Closes the oldest connection: among those whose response was delivered if there are any, otherwise among those without a
+    /// complete request. Returns false if there is none.
     fn drop_oldest(&mut self) -> bool {
         let clients = self.clients.iter();
-        let oldest = clients.min_by_key(|(_, c)| (c.answered_at.is_none(), c.accepted_at));
+        let oldest = clients.min_by_key(|(_, c)| (c.close_rank(), c.accepted_at));
         let oldest = oldest.map(|(key, _)| key);
         oldest.map(|key| self.clients.remove(key)).is_some()
     }
@@ -219,7 +220,28 @@
     Ok(route.request)
 }
 
+/// The order in which connections are closed for new ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum CloseRank {
+    /// The client's machine has acknowledged the response.
+    Delivered,
+    /// The request is not complete.
+    Unanswered,
+    /// The response has not been acknowledged.
+    InTransit,
+}
+
 impl<S: Stream> AdminClient<S> {
+    fn close_rank(&self) -> CloseRank {
+        let is_in_transit =
+            !self.output.is_empty() || self.stream.unacknowledged().is_some_and(|bytes| bytes > 0);
+        match self.answered_at {
+            None => CloseRank::Unanswered,
+            Some(_) if is_in_transit => CloseRank::InTransit,
+            Some(_) => CloseRank::Delivered,
+        }
+    }
+
     /// Reads the input that has arrived. Returns true if the connection has ended.
     ///
     /// Guards against a client that sends without end: input beyond the bound stays in the kernel, where it blocks no other
--- a/crates/node/src/frontend/acceptor.rs
+++ b/crates/node/src/frontend/acceptor.rs
@@ -1,7 +1,8 @@
 //! Listeners for clients, and the selection of the idle client that is closed in favour of another one.
 //!
 //! Guarantees: a new client gets a slot as long as any client is idle or has left its request incomplete for too long, and is
-//! rejected otherwise; a connection with unread input is never closed in favour of another one.
+//! rejected otherwise; a connection with unread input, or with output that its client's machine has not acknowledged, is never closed
+//! in favour of another one.
 
 use sloewick_decision::api::Micros;
 
@@ -50,9 +51,9 @@
     }
 
     /// Selects the client to close in favour of another one, among the clients with a slot (or those without one) that are
-    /// idle and have no unread input: a lingering one if there is any, otherwise the one that has gone longest without a
-    /// complete request.
-    pub(crate) fn longest_idle(&self, has_slot: bool, now: Micros) -> Option<usize> {
+    /// idle, have received all output and have no unread input: a lingering one if there is any, otherwise the one that has gone
+    /// longest without a complete request.
+    pub(crate) fn longest_idle(&mut self, has_slot: bool, now: Micros) -> Option<usize> {
         let clients = self.clients.iter();
         let mut idle: Vec<_> = clients
             .filter(|(_, client)| client.has_slot == has_slot)
@@ -61,7 +62,7 @@
         idle.sort_unstable();
         idle.into_iter()
             .map(|(_, key)| key)
-            .find(|key| self.clients[*key].stream.has_no_input())
+            .find(|key| self.clients[*key].is_delivered_without_input(now))
     }
 }
 
--- a/crates/node/src/frontend/delivery.rs
+++ b/crates/node/src/frontend/delivery.rs
@@ -89,6 +89,16 @@
         self.delivery.observe(now, unacknowledged.unwrap_or(0));
     }
 
+    /// Whether nothing would be lost if the connection were closed now: the client has received all output, and the kernel holds no
+    /// input. While output is in transit the sweep observes it, and the system is not asked again.
+    pub(crate) fn is_delivered_without_input(&mut self, now: Micros) -> bool {
+        if self.delivery.is_awaited() || !self.stream.has_no_input() {
+            return false;
+        }
+        self.observe_delivery(now);
+        !self.delivery.is_awaited()
+    }
+
     /// Whether somebody waits for the output to be delivered.
     pub(crate) fn awaits_delivery(&self) -> bool {
         self.is_lingering() || self.delivery.is_awaited()
