A connection with commands under way ends in time after an evacuation

Cause: only idle connections are closed, and such a connection is never idle. Now, from 2 s after the call on, it is closed behind the responses to what has been read; unread commands cross the close, and their client sends them once more.

connection_with_commands_under_way_ends_in_time_after_an_evacuation failed on ("the connection is held") and passes now.

--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -136,14 +136,20 @@
     }
 
     /// Closes a client's connection if it is idle, the node is evacuating or shutting down, and the connection's idle time is
-    /// over.
+    /// over; or after its responses, if its time during an evacuation is over.
     pub(super) fn close_idle_client(&mut self, key: usize, now: Micros) {
         let Some(client) = self.frontends.clients.get_mut(key) else {
             return;
         };
-        let closes =
-            self.lifecycle
-                .should_close_idle(now, client.accepted(), client.last_request());
+        let accepted = client.accepted();
+        if self.lifecycle.ends_busy_connections(now, accepted) && client.is_between_requests() {
+            client.close_after_responses();
+            self.frontends.mark_dirty(key);
+            return;
+        }
+        let closes = self
+            .lifecycle
+            .should_close_idle(now, accepted, client.last_request());
         if closes && client.is_idle_without_input() {
             client.close_after_responses();
             // Sending ends at once: a request that arrived between the check and the end of sending would not be answered.
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -353,6 +353,11 @@
             && !self.is_mid_message()
     }
 
+    /// Whether responses are pending and the input read so far holds no part of a further request.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        self.closing == Closing::No && !self.has_no_output() && !self.is_mid_message()
+    }
+
     /// Whether the connection is idle and the kernel holds no input. Prevents closing a connection on which the next request
     /// has already arrived.
     pub(crate) fn is_idle_without_input(&self) -> bool {
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -191,6 +191,17 @@
             || now >= (since + max_idle).max(accepted + MAX_IDLE_NEW)
     }
 
+    /// Whether a connection that was accepted at `accepted` is closed after the responses to what has been read, although further
+    /// requests arrive on it. Without this, a connection on which requests are always under way would outlive an evacuation.
+    pub(crate) fn ends_busy_connections(&self, now: Micros, accepted: Micros) -> bool {
+        match self.phase {
+            Phase::Evacuating(since) => {
+                now >= (since + MAX_IDLE_EVACUATING).max(accepted + MAX_IDLE_NEW)
+            }
+            _ => false,
+        }
+    }
+
     /// Whether client connections are being closed, so that each one has to be checked after a response.
     pub(crate) fn closes_clients(&self) -> bool {
         self.phase != Phase::Serving
--- a/crates/node/src/lifecycle_tests.rs
+++ b/crates/node/src/lifecycle_tests.rs
@@ -104,8 +104,14 @@
         !lifecycle.should_close_idle(12 * S, 12 * S, None)
             && lifecycle.should_close_idle(13 * S, 12 * S, None)
     );
+    assert!(
+        !lifecycle.ends_busy_connections(12 * S - 1, 0)
+            && lifecycle.ends_busy_connections(12 * S, 0)
+            && !lifecycle.ends_busy_connections(13 * S, 13 * S)
+    );
     assert!(
         lifecycle.rejoin()
+            && !lifecycle.ends_busy_connections(99 * S, 0)
             && lifecycle.is_ready(13 * S)
             && !lifecycle.should_close_idle(99 * S, 0, None)
     );
--- a/crates/sloewick/tests/delivered_output.rs
+++ b/crates/sloewick/tests/delivered_output.rs
@@ -5,8 +5,10 @@
 
 mod support;
 
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -199,3 +201,38 @@
     }
     drop(holders);
 }
+
+// A connection on which commands are always under way outlived the call.
+#[test]
+fn connection_with_commands_under_way_ends_in_time_after_an_evacuation() {
+    let log = ReceivedLog::default();
+    let reply_to: Arc<ReplyTo> =
+        Arc::new(|_| Some(PacedReply::value(7).after(Duration::from_millis(30))));
+    let servers = [PacedServer::start(1, Pace::UNLIMITED, &log, reply_to)];
+    let admin = free_address();
+    let node = node_before(&servers).admin(admin).start();
+    let stream = TcpStream::connect(node.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut writer = stream.try_clone().unwrap();
+    let over = Arc::clone(&is_over);
+    let sender = std::thread::spawn(move || {
+        for number in 0.. {
+            let request = read_of(7, &format!("r-{number}"));
+            if over.load(Ordering::Relaxed) || writer.write_all(&request).is_err() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    evacuate(admin);
+    let called = Instant::now();
+    let (mut bytes, mut reader) = ([0; 65536], stream);
+    while reader.read(&mut bytes).is_ok_and(|n| n > 0) {
+        assert!(called.elapsed() < EVACUATION_TIME, "the connection is held");
+    }
+    is_over.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+}
