--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -158,10 +158,11 @@
     }
 
     /// Bytes of memory that the clients hold.
-    pub(crate) fn held(&self) -> usize {
+    pub(crate) fn memory_used(&self) -> usize {
         let clients = self.clients.iter();
-        let held = clients.map(|(_, client)| client.input.capacity() + client.output.held());
-        held.sum()
+        let memory_used =
+            clients.map(|(_, client)| client.input.capacity() + client.output.memory_used());
+        memory_used.sum()
     }
 
     /// Handles an event on a client's connection. Calls `answer` once the request is complete.
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -106,7 +106,7 @@
     }
 
     /// Bytes of memory that the response in progress holds: the bytes read, and as many again when its body is taken from them.
-    pub(crate) fn held(&self) -> usize {
+    pub(crate) fn memory_used(&self) -> usize {
         let pending = self.pending.as_ref();
         2 * pending.map_or(0, |pending| pending.read_buffer.capacity())
     }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -177,9 +177,9 @@
             }
             TokenOwner::Client(key) => self.client_ready(key, event),
             TokenOwner::Upstream(key) => {
-                let held_by_client = self.held_by_client_of(key);
+                let client_memory = self.client_memory_of(key);
                 self.with_upstreams(|upstreams, context| {
-                    context.held_by_client = held_by_client;
+                    context.client_memory = client_memory;
                     upstreams.ready(key, event, context);
                 });
                 self.handle_upstream_events();
@@ -198,7 +198,7 @@
             timers: &mut self.timers,
             scratch: &mut self.io.scratch,
             memory: &mut self.memory,
-            held_by_client: 0,
+            client_memory: 0,
             max_read: MAX_READ,
         };
         let result = call(&mut self.upstreams, &mut context);
--- a/crates/node/src/event_loop/admin.rs
+++ b/crates/node/src/event_loop/admin.rs
@@ -37,7 +37,7 @@
         self.io.scratch = scratch;
         let charged = &mut self.admin.charged;
         self.memory
-            .recharge(MemoryUse::Admin, charged, server.held());
+            .recharge(MemoryUse::Admin, charged, server.memory_used());
         self.admin.server = Some(server);
     }
 
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -218,13 +218,13 @@
         let Some(connection) = connection.filter(|_| !request.is_streaming(attempt)) else {
             return;
         };
-        let is_held_back = self.upstreams.is_held_back(connection);
+        let awaits_memory = self.upstreams.awaits_memory(connection);
         let may_have_run = self.upstreams.abandon(connection, now);
         // The timeout must not count against the server if the last byte was never written, since the attempt cannot have run
         // then, nor if this node had no memory to read the response.
         let status = match status {
             Status::Timeout if !may_have_run => Status::NotSent,
-            Status::Timeout if is_held_back => Status::Cancelled,
+            Status::Timeout if awaits_memory => Status::Cancelled,
             status => status,
         };
         self.end_attempt(key, attempt, AttemptResult::with_status(status));
--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -352,7 +352,7 @@
                 client.out.push(header);
             }
             client.recharge(&mut self.memory);
-            let max_read = self.memory.read_allowance(client.held());
+            let max_read = self.memory.read_allowance(client.memory_used());
             client.waits_for_memory = max_read == 0;
             if client.waits_for_memory {
                 self.upstreams.pause_value(connection);
@@ -393,9 +393,9 @@
         if client.last_request().is_none() && client.partial_request_since().is_none() {
             return;
         }
-        let held = client.held() + client.reserved();
+        let memory_used = client.memory_used() + client.reserved();
         let pending = client.unfinished_responses();
-        let line = format!("client_closed: reason={reason} held={held} pending={pending}");
+        let line = format!("client_closed: reason={reason} held={memory_used} pending={pending}");
         self.io.log(&line);
     }
 
--- a/crates/node/src/event_loop/memory.rs
+++ b/crates/node/src/event_loop/memory.rs
@@ -18,12 +18,12 @@
 
 impl<N: Transport, M: DecisionEngine> Node<N, M> {
     /// Bytes that the client holds whose response arrives on an upstream connection.
-    pub(super) fn held_by_client_of(&mut self, connection: usize) -> usize {
+    pub(super) fn client_memory_of(&mut self, connection: usize) -> usize {
         match self.upstreams.exchange_of(connection) {
             Some(Exchange::Attempt(id)) if self.requests.is_in_flight(id) => {
                 let to = self.requests[id.request].respond_to;
                 let client = self.frontends.connection_for(to);
-                client.map_or(0, |client| client.held())
+                client.map_or(0, |client| client.memory_used())
             }
             _ => 0,
         }
@@ -32,10 +32,10 @@
     /// Whether a client may hold the memory of one more request.
     pub(super) fn may_hold_request(&mut self, client: usize, bytes: usize) -> bool {
         let connection = self.frontends.clients.get(client);
-        let held = connection.map_or(0, ClientConnection::held);
-        let may_hold = self.memory.may_hold(held, bytes);
+        let memory_used = connection.map_or(0, ClientConnection::memory_used);
+        let may_hold = self.memory.may_hold(memory_used, bytes);
         if !may_hold {
-            self.memory.record_refusal(held);
+            self.memory.record_refusal(memory_used);
         }
         may_hold
     }
@@ -61,7 +61,7 @@
         for client in std::mem::take(&mut self.clients_waiting_for_memory) {
             self.frontends.mark_dirty(client);
         }
-        for waiting in self.upstreams.take_held_back() {
+        for waiting in self.upstreams.take_awaiting_memory() {
             let event = ReadyEvent {
                 token: upstream_token(waiting.connection),
                 readable: true,
@@ -75,9 +75,10 @@
 
     /// Charges what the response of discovery holds now.
     pub(super) fn recharge_discovery(&mut self) {
-        let held = self.discovery.client.held();
+        let memory_used = self.discovery.client.memory_used();
         let charged = &mut self.discovery.charged;
-        self.memory.recharge(MemoryUse::Discovery, charged, held);
+        self.memory
+            .recharge(MemoryUse::Discovery, charged, memory_used);
     }
 
     /// Compares the account with the resident size of the process, and ends clients that hold most and move nothing while memory
@@ -109,9 +110,10 @@
         let stalled = clients.filter(|(_, client)| {
             client.has_no_output() && now - client.last_moved() >= MIN_STALL_TIME
         });
-        let held = |client: &ClientConnection<N::Stream>| client.held() + client.reserved();
-        let heaviest = stalled.max_by_key(|(_, client)| held(client));
-        let heaviest = heaviest.filter(|(_, client)| self.memory.is_heavy(held(client)));
+        let memory_used =
+            |client: &ClientConnection<N::Stream>| client.memory_used() + client.reserved();
+        let heaviest = stalled.max_by_key(|(_, client)| memory_used(client));
+        let heaviest = heaviest.filter(|(_, client)| self.memory.is_heavy(memory_used(client)));
         let Some((key, _)) = heaviest else {
             return false;
         };
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -85,20 +85,25 @@
             .iter()
             .any(|listener| lifecycle.accepts(now, listener.inherited) == AcceptMode::DrainQueue);
         if accepts_are_last && !self.close_listeners() {
-            let owes_output = self.owes_output_at_exit(now);
-            return self.lifecycle.should_exit(now, true, owes_output);
+            let has_undelivered_responses = self.awaits_delivery_at_exit(now);
+            return self
+                .lifecycle
+                .should_exit(now, true, has_undelivered_responses);
         }
         if self.frontends.listeners.is_empty() {
             self.lifecycle.listeners_closed();
         }
-        let owes_output = self.owes_output_at_exit(now);
-        self.lifecycle
-            .should_exit(now, !self.frontends.clients.is_empty(), owes_output)
+        let has_undelivered_responses = self.awaits_delivery_at_exit(now);
+        self.lifecycle.should_exit(
+            now,
+            !self.frontends.clients.is_empty(),
+            has_undelivered_responses,
+        )
     }
 
     /// Whether a client is still owed output when the process is to exit.
-    fn owes_output_at_exit(&self, now: Micros) -> bool {
-        self.lifecycle.is_exit_due(now) && self.frontends.owes_output()
+    fn awaits_delivery_at_exit(&self, now: Micros) -> bool {
+        self.lifecycle.is_exit_due(now) && self.frontends.has_undelivered_responses()
     }
 
     /// Whether the input of a client waits until its output is written, since the process only stays to deliver that.
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -132,9 +132,9 @@
     }
 
     /// Whether a client is owed anything that the end of the process would destroy.
-    pub(crate) fn owes_output(&self) -> bool {
+    pub(crate) fn has_undelivered_responses(&self) -> bool {
         let mut clients = self.clients.iter();
-        clients.any(|(_, client)| client.owes())
+        clients.any(|(_, client)| client.has_undelivered_response())
     }
 
     /// Number of requests whose responses have not been written completely.
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -257,7 +257,7 @@
 
     /// Appends a response and returns its number.
     pub(crate) fn push_response(&mut self, response: PendingResponse) -> u64 {
-        self.response_bytes += response.held();
+        self.response_bytes += response.memory_used();
         self.responses.push_back(response);
         self.first_response_number + self.responses.len() as u64 - 1
     }
@@ -281,8 +281,14 @@
     /// Queues complete responses for writing, up to the first one that is not complete.
     pub(crate) fn queue_ready_responses(&mut self) {
         loop {
-            let held = self.responses.front().map_or(0, PendingResponse::held);
-            let is_owed = self.responses.front().is_some_and(PendingResponse::is_owed);
+            let memory_used = self
+                .responses
+                .front()
+                .map_or(0, PendingResponse::memory_used);
+            let is_final = self
+                .responses
+                .front()
+                .is_some_and(PendingResponse::is_final_response);
             let chunks = match self.responses.front_mut() {
                 Some(PendingResponse::Ready(chunks) | PendingResponse::Control(chunks)) => {
                     std::mem::take(chunks)
@@ -296,10 +302,10 @@
             for chunk in chunks {
                 self.out.push(chunk);
             }
-            if is_owed {
-                self.delivery.record_owed(self.out.len());
+            if is_final {
+                self.delivery.record_response(self.out.len());
             }
-            self.response_bytes -= held;
+            self.response_bytes -= memory_used;
             self.responses.pop_front();
             self.first_response_number += 1;
         }
--- a/crates/node/src/frontend/connection_input.rs
+++ b/crates/node/src/frontend/connection_input.rs
@@ -133,7 +133,7 @@
             && !ends_with_stream
             && self.responses.len() < limits.pipelined
             && self.out.len() <= MAX_UNSENT_BYTES
-            && (!self.has_pending_output() || self.held() <= memory.share())
+            && (!self.has_pending_output() || self.memory_used() <= memory.share())
     }
 
     /// Parses the next request from the bytes that have been read.
@@ -160,10 +160,10 @@
 
     /// Reads from the socket once. Returns false if no new bytes were read.
     fn read_socket(&mut self, now: Micros, memory: &mut MemoryAccount, scratch: &mut [u8]) -> bool {
-        let allowance = memory.read_allowance(self.held()).min(scratch.len());
+        let allowance = memory.read_allowance(self.memory_used()).min(scratch.len());
         self.waits_for_memory = allowance == 0;
         if self.waits_for_memory {
-            memory.record_refusal(self.held());
+            memory.record_refusal(self.memory_used());
             return false;
         }
         let before = self.buf.len();
--- a/crates/node/src/frontend/connection_memory.rs
+++ b/crates/node/src/frontend/connection_memory.rs
@@ -22,19 +22,19 @@
     }
 
     /// Bytes of memory that the connection holds, without those that are reserved for long values.
-    pub(crate) fn held(&self) -> usize {
+    pub(crate) fn memory_used(&self) -> usize {
         let request = match &self.reader {
             Reader::Resp2(reader) => reader.unreserved(),
             Reader::Memcached { reader, .. } => reader.unreserved(),
         };
-        let output = self.out.held().saturating_sub(self.reserved_output);
+        let output = self.out.memory_used().saturating_sub(self.reserved_output);
         CONNECTION_BYTES + self.buf_allocated + request + self.response_bytes + output
     }
 
     /// Charges what the connection holds now.
     pub(crate) fn recharge(&mut self, memory: &mut MemoryAccount) {
-        let held = self.held();
-        memory.recharge(MemoryUse::Clients, &mut self.charged, held);
+        let memory_used = self.memory_used();
+        memory.recharge(MemoryUse::Clients, &mut self.charged, memory_used);
     }
 
     /// Releases all that is charged for the connection, which is being dropped.
@@ -54,12 +54,12 @@
 
     /// Replaces the response with this number, unless it has been queued for writing.
     pub(crate) fn set_response(&mut self, number: u64, response: PendingResponse) {
-        let held = response.held();
+        let memory_used = response.memory_used();
         let Some(pending) = self.response_mut(number) else {
             return;
         };
         let before = std::mem::replace(pending, response);
-        self.response_bytes = self.response_bytes + held - before.held();
+        self.response_bytes = self.response_bytes + memory_used - before.memory_used();
     }
 
     /// Keeps memory reserved for a complete response until the client has received it. Returns false if there is no such
@@ -68,10 +68,10 @@
         let Some(response) = self.response_mut(number) else {
             return false;
         };
-        let before = response.held();
+        let before = response.memory_used();
         response.reserve(reserved);
-        let held = response.held();
-        self.response_bytes = self.response_bytes + held - before;
+        let memory_used = response.memory_used();
+        self.response_bytes = self.response_bytes + memory_used - before;
         true
     }
 
--- a/crates/node/src/frontend/delivery.rs
+++ b/crates/node/src/frontend/delivery.rs
@@ -1,9 +1,9 @@
-//! What a connection still owes its client: responses to requests that are not complete, not written, or not acknowledged by the
-//! client's machine. Replies to other commands, such as PING, are not owed.
+//! What a client has not received yet of its responses: those to requests that are not complete, not written, or not acknowledged by the
+//! client's machine. Replies to other commands, such as PING, do not count.
 //!
 //! Output that the system has accepted is not delivered yet: if the connection is closed and anything arrives on it, the system
 //! answers with a reset and drops what it still holds (RFC 9293, section 3.10.7). So whoever closes a connection, or ends the
-//! process, asks [`ClientConnection::owes`] first.
+//! process, asks [`ClientConnection::has_undelivered_response`] first.
 //!
 //! No event reports that bytes were acknowledged, so the system is asked. It is asked about the connections that somebody waits to
 //! close, and by the sweep until these have delivered their output or have stalled.
@@ -21,7 +21,7 @@
     /// Bytes that were written to the connection.
     written: u64,
     /// Bytes of the connection's output up to the end of the last response to a request.
-    owed: u64,
+    response_end: u64,
     /// Bytes that were acknowledged when this was last observed.
     acknowledged: u64,
     /// Whether bytes are being acknowledged, since the first time that somebody waited for it.
@@ -35,13 +35,13 @@
     }
 
     /// Records that the response to a request has been queued; `queued`: bytes that wait to be written up to its end.
-    pub(crate) fn record_owed(&mut self, queued: usize) {
-        self.owed = self.written + queued as u64;
+    pub(crate) fn record_response(&mut self, queued: usize) {
+        self.response_end = self.written + queued as u64;
     }
 
     /// Whether a response to a request has not been acknowledged completely.
-    fn is_owed(&self, unacknowledged: usize) -> bool {
-        self.owed > self.written.saturating_sub(unacknowledged as u64)
+    fn is_undelivered(&self, unacknowledged: usize) -> bool {
+        self.response_end > self.written.saturating_sub(unacknowledged as u64)
     }
 
     /// Records how many bytes are not acknowledged now.
@@ -73,9 +73,12 @@
 impl<S: Stream> ClientConnection<S> {
     /// Whether the client has not received all responses to its requests: the end of this connection, or of the process, could
     /// destroy them.
-    pub(crate) fn owes(&self) -> bool {
+    pub(crate) fn has_undelivered_response(&self) -> bool {
         let unacknowledged = self.stream.unacknowledged().unwrap_or(0);
-        self.responses.iter().any(PendingResponse::is_owed) || self.delivery.is_owed(unacknowledged)
+        self.responses
+            .iter()
+            .any(PendingResponse::is_final_response)
+            || self.delivery.is_undelivered(unacknowledged)
     }
 
     /// Whether the system holds output that the client's machine has not acknowledged. False if the system does not tell.
--- a/crates/node/src/frontend/delivery_tests.rs
+++ b/crates/node/src/frontend/delivery_tests.rs
@@ -3,14 +3,14 @@
 const S: Micros = 1_000_000;
 
 #[test]
-fn response_is_owed_until_it_is_acknowledged_and_what_follows_is_not() {
+fn response_is_undelivered_until_it_is_acknowledged_whatever_follows() {
     let mut delivery = Delivery::default();
-    delivery.record_owed(100);
-    assert!(delivery.is_owed(0), "it is not written");
+    delivery.record_response(100);
+    assert!(delivery.is_undelivered(0), "it is not written");
     delivery.record_write(60);
-    assert!(delivery.is_owed(0));
+    assert!(delivery.is_undelivered(0));
     delivery.record_write(50);
-    assert!(delivery.is_owed(11) && !delivery.is_owed(10));
+    assert!(delivery.is_undelivered(11) && !delivery.is_undelivered(10));
 }
 
 #[test]
--- a/crates/node/src/frontend/pending_response.rs
+++ b/crates/node/src/frontend/pending_response.rs
@@ -27,7 +27,7 @@
 
 impl PendingResponse {
     /// Bytes of memory that it holds, without those that are reserved for a collected value.
-    pub(crate) fn held(&self) -> usize {
+    pub(crate) fn memory_used(&self) -> usize {
         let bytes = match self {
             PendingResponse::Ready(chunks) | PendingResponse::Control(chunks) => chunks
                 .iter()
@@ -41,7 +41,7 @@
     }
 
     /// Whether it is the response to a request.
-    pub(crate) fn is_owed(&self) -> bool {
+    pub(crate) fn is_final_response(&self) -> bool {
         !matches!(self, PendingResponse::Control(_))
     }
 
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -212,11 +212,16 @@
         now >= self.exit_by
     }
 
-    /// Whether the process exits at `now`. `owes_output`: whether a client has not received all that it is owed.
-    pub(crate) fn should_exit(&self, now: Micros, has_clients: bool, owes_output: bool) -> bool {
+    /// Whether the process exits at `now`. `has_undelivered_responses`: whether a client has not received all that it is owed.
+    pub(crate) fn should_exit(
+        &self,
+        now: Micros,
+        has_clients: bool,
+        has_undelivered_responses: bool,
+    ) -> bool {
         // At `exit_by` the process exits even if connections are waiting for which it has no capacity: waiting until it is
         // killed would not answer them either. What has been answered may still be delivered until then.
-        let exit_by = if owes_output {
+        let exit_by = if has_undelivered_responses {
             self.exit_by.saturating_add(MAX_DELIVERY_TIME_STOPPING)
         } else {
             self.exit_by
--- a/crates/node/src/lifecycle_tests.rs
+++ b/crates/node/src/lifecycle_tests.rs
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn shutdown_waits_a_bounded_time_for_output_that_clients_are_owed() {
+fn shutdown_waits_a_bounded_time_for_undelivered_responses() {
     let mut lifecycle = Lifecycle::new(false, true);
     lifecycle.stop(0, 2 * S);
     lifecycle.listeners_closed();
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -124,12 +124,12 @@
     }
 
     /// Replaces a charge by another one.
-    pub(crate) fn recharge(&mut self, what: MemoryUse, charged: &mut usize, held: usize) {
-        let before = std::mem::replace(charged, held);
-        if held >= before {
-            self.charge(what, held - before);
+    pub(crate) fn recharge(&mut self, what: MemoryUse, charged: &mut usize, memory_used: usize) {
+        let before = std::mem::replace(charged, memory_used);
+        if memory_used >= before {
+            self.charge(what, memory_used - before);
         } else {
-            self.release(what, before - held);
+            self.release(what, before - memory_used);
         }
     }
 
@@ -157,19 +157,19 @@
     }
 
     /// Whether a connection that holds `held` bytes may hold `more`.
-    pub(crate) fn may_hold(&self, held: usize, more: usize) -> bool {
-        let is_small = held + more <= MAX_SMALL;
+    pub(crate) fn may_hold(&self, memory_used: usize, more: usize) -> bool {
+        let is_small = memory_used + more <= MAX_SMALL;
         let reserve = if is_small { 0 } else { self.small_reserve() };
-        let holds_little = held <= MIN_READ;
-        more + reserve <= self.free() && (held + more <= self.share() || holds_little)
+        let holds_little = memory_used <= MIN_READ;
+        more + reserve <= self.free() && (memory_used + more <= self.share() || holds_little)
     }
 
     /// How many bytes may be read for a connection that holds `held` bytes; 0 if it has to wait.
-    pub(crate) fn read_allowance(&self, held: usize) -> usize {
-        let allowance = self.share().saturating_sub(held).min(MAX_READ);
+    pub(crate) fn read_allowance(&self, memory_used: usize) -> usize {
+        let allowance = self.share().saturating_sub(memory_used).min(MAX_READ);
         if allowance >= MIN_READ {
             allowance
-        } else if self.may_hold(held, MIN_READ) {
+        } else if self.may_hold(memory_used, MIN_READ) {
             MIN_READ
         } else {
             0
@@ -177,13 +177,13 @@
     }
 
     /// Whether so many bytes are much for one connection.
-    pub(crate) fn is_heavy(&self, held: usize) -> bool {
-        held > MAX_SMALL.max(self.share())
+    pub(crate) fn is_heavy(&self, memory_used: usize) -> bool {
+        memory_used > MAX_SMALL.max(self.share())
     }
 
     /// Records that a connection that holds `held` bytes has to wait for memory.
-    pub(crate) fn record_refusal(&mut self, held: usize) {
-        self.has_refused |= held <= MIN_READ;
+    pub(crate) fn record_refusal(&mut self, memory_used: usize) {
+        self.has_refused |= memory_used <= MIN_READ;
     }
 
     /// Whether a connection that holds next to nothing has had to wait since the last call.
--- a/crates/node/src/memory_tests.rs
+++ b/crates/node/src/memory_tests.rs
@@ -11,14 +11,14 @@
 #[test]
 fn many_connections_that_take_all_they_may_leave_room_for_small_amounts() {
     let mut account = account();
-    let mut held = vec![0; 600];
+    let mut memory_used = vec![0; 600];
     loop {
         let before = account.free();
-        for held in &mut held {
-            let read = account.read_allowance(*held);
-            if *held + read > MAX_SMALL || *held <= MAX_SMALL - MIN_READ {
+        for memory_used in &mut memory_used {
+            let read = account.read_allowance(*memory_used);
+            if *memory_used + read > MAX_SMALL || *memory_used <= MAX_SMALL - MIN_READ {
                 account.charge(USES, read);
-                *held += read;
+                *memory_used += read;
             }
         }
         if account.free() == before {
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -252,7 +252,7 @@
     }
 
     /// Bytes of memory that the queue holds.
-    pub fn held(&self) -> usize {
+    pub fn memory_used(&self) -> usize {
         self.len + self.front_written + self.chunks.len() * CHUNK_OVERHEAD
     }
 
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -66,11 +66,11 @@
     /// Bytes for which there is memory, of the response that is being received.
     pub(crate) reserved_for_response: usize,
     /// The response waits for memory.
-    pub(crate) is_held_back: bool,
+    pub(crate) awaits_memory: bool,
     /// The response is a long value that waits for memory in which it can be collected.
     pub(crate) awaits_collection: bool,
     /// Bytes that count for this connection in the sum of all connections.
-    pub(crate) recorded_held: usize,
+    pub(crate) recorded_memory: usize,
     /// The response in progress is a long value, which is read only as fast as the client reads it.
     pub(crate) streaming: bool,
     /// The bytes of the long value so far, if the value is collected in place of being read by its client.
@@ -121,9 +121,9 @@
             read_buffer: BytesMut::new(),
             read_buffer_allocated: 0,
             reserved_for_response: 0,
-            is_held_back: false,
+            awaits_memory: false,
             awaits_collection: false,
-            recorded_held: 0,
+            recorded_memory: 0,
             reader: ResponseReader::new(to.protocol),
             streaming: false,
             collected: None,
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -198,7 +198,7 @@
                 c.read_buffer = BytesMut::from(&c.read_buffer[..]);
                 c.read_buffer_allocated = c.read_buffer.len();
             }
-            self.update_held(connection);
+            self.update_memory(connection);
         }
     }
 
@@ -218,7 +218,7 @@
         match read_into(&mut c.stream, &mut c.read_buffer, scratch) {
             ReadOutcome::More => {
                 c.read_buffer_allocated = c.read_buffer_allocated.max(c.read_buffer.capacity());
-                self.update_held(connection);
+                self.update_memory(connection);
                 self.recharge(context.memory);
             }
             ReadOutcome::Empty => c.is_readable = false,
--- a/crates/node/src/upstream/memory.rs
+++ b/crates/node/src/upstream/memory.rs
@@ -17,14 +17,14 @@
 
 /// A connection whose response waits for memory.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct HeldBack {
+pub(crate) struct AwaitingMemory {
     pub(crate) connection: usize,
     pub(crate) serial: u64,
 }
 
 impl<S> UpstreamConnection<S> {
     /// Bytes of memory that the connection holds.
-    fn held(&self) -> usize {
+    fn memory_used(&self) -> usize {
         let collected = if self.collected.is_some() {
             0
         } else {
@@ -49,19 +49,19 @@
         if c.streaming {
             return context.max_read;
         }
-        let (memory, held) = (&*context.memory, c.held() - CONNECTION_BYTES);
+        let (memory, memory_used) = (&*context.memory, c.memory_used() - CONNECTION_BYTES);
         let expected = c.reader.expected_len();
-        let held_by_client = context.held_by_client + held;
+        let client_memory = context.client_memory + memory_used;
         let allowance = match expected {
-            Some(len) if memory.may_hold(context.held_by_client, len) => {
+            Some(len) if memory.may_hold(context.client_memory, len) => {
                 c.reserved_for_response = len;
                 MAX_READ
             }
             Some(_) => 0,
-            None => memory.read_allowance(held_by_client),
+            None => memory.read_allowance(client_memory),
         };
         if allowance == 0 {
-            context.memory.record_refusal(context.held_by_client);
+            context.memory.record_refusal(context.client_memory);
             self.hold_back(connection);
         }
         allowance
@@ -69,8 +69,8 @@
 
     fn hold_back(&mut self, connection: usize) {
         let c = &mut self.connections[connection];
-        if !std::mem::replace(&mut c.is_held_back, true) {
-            self.held_back.push(HeldBack {
+        if !std::mem::replace(&mut c.awaits_memory, true) {
+            self.awaiting_memory.push(AwaitingMemory {
                 connection,
                 serial: c.serial,
             });
@@ -78,12 +78,12 @@
     }
 
     /// Takes the connections whose responses wait for memory, to try them again.
-    pub(crate) fn take_held_back(&mut self) -> Vec<HeldBack> {
-        let mut waiting = std::mem::take(&mut self.held_back);
+    pub(crate) fn take_awaiting_memory(&mut self) -> Vec<AwaitingMemory> {
+        let mut waiting = std::mem::take(&mut self.awaiting_memory);
         waiting.retain(|waiting| {
             let connection = self.connections.get_mut(waiting.connection);
             let connection = connection.filter(|c| c.serial == waiting.serial);
-            connection.is_some_and(|c| std::mem::take(&mut c.is_held_back))
+            connection.is_some_and(|c| std::mem::take(&mut c.awaits_memory))
         });
         waiting
     }
@@ -94,9 +94,9 @@
     }
 
     /// Whether the response on a connection waits for memory.
-    pub(crate) fn is_held_back(&self, connection: usize) -> bool {
+    pub(crate) fn awaits_memory(&self, connection: usize) -> bool {
         let c = self.connections.get(connection);
-        c.is_some_and(|c| c.is_held_back)
+        c.is_some_and(|c| c.awaits_memory)
     }
 
     /// Records whether the long value on a connection waits for memory in which it can be collected.
@@ -113,7 +113,7 @@
         let mut connections = self.connections.iter();
         let waiting = connections.find(|(_, c)| {
             let is_at_server = server.is_none_or(|server| *server == c.server);
-            is_at_server && (c.is_held_back || c.awaits_collection)
+            is_at_server && (c.awaits_memory || c.awaits_collection)
         });
         let Some((connection, _)) = waiting else {
             return false;
@@ -140,16 +140,17 @@
     }
 
     /// Records what a connection holds now.
-    pub(super) fn update_held(&mut self, connection: usize) {
+    pub(super) fn update_memory(&mut self, connection: usize) {
         let Some(c) = self.connections.get_mut(connection) else {
             return;
         };
-        let held = c.held();
-        self.held = self.held + held - std::mem::replace(&mut c.recorded_held, held);
+        let memory_used = c.memory_used();
+        self.memory_used =
+            self.memory_used + memory_used - std::mem::replace(&mut c.recorded_memory, memory_used);
     }
 
     /// Charges what all connections hold now.
     pub(crate) fn recharge(&mut self, memory: &mut MemoryAccount) {
-        memory.recharge(MemoryUse::Upstream, &mut self.charged, self.held);
+        memory.recharge(MemoryUse::Upstream, &mut self.charged, self.memory_used);
     }
 }
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -21,7 +21,7 @@
 use crate::tokens::upstream_token;
 use crate::transport::{is_descriptor_limit, Stream, Transport, WriteQueue};
 use crate::upstream::connection::{Destination, EncodedRequest, Exchange, UpstreamConnection};
-use crate::upstream::memory::HeldBack;
+use crate::upstream::memory::AwaitingMemory;
 use crate::upstream::response_reader::ServerReply;
 
 /// Bounds the connections to one server, since no setting states how many a server accepts from all nodes together. If one
@@ -116,9 +116,9 @@
     /// Connection steps for the event trace; None if the trace is off. The event loop empties it in each round.
     pub(crate) connection_steps: Option<Vec<(ServerId, ConnectionStep)>>,
     /// The connections whose responses wait for memory.
-    pub(super) held_back: Vec<HeldBack>,
+    pub(super) awaiting_memory: Vec<AwaitingMemory>,
     /// Bytes of memory that the connections hold.
-    pub(super) held: usize,
+    pub(super) memory_used: usize,
     /// Bytes that are charged for them.
     pub(super) charged: usize,
 }
@@ -132,7 +132,7 @@
     pub(crate) scratch: &'a mut [u8],
     pub(crate) memory: &'a mut MemoryAccount,
     /// Bytes that the client holds whose response is read.
-    pub(crate) held_by_client: usize,
+    pub(crate) client_memory: usize,
     /// Most bytes of a streamed value that are read now.
     pub(crate) max_read: usize,
 }
@@ -157,8 +157,8 @@
             established: VecDeque::new(),
             attempts_written: 0,
             connection_steps: traced.then(Vec::new),
-            held_back: Vec::new(),
-            held: 0,
+            awaiting_memory: Vec::new(),
+            memory_used: 0,
             charged: 0,
         }
     }
@@ -322,7 +322,7 @@
         if let Some(pool) = self.pools.get_mut(server) {
             pool.open_count += 1;
         }
-        self.update_held(connection);
+        self.update_memory(connection);
         self.record_step(connection, ConnectionStep::Opening);
         context.timers.set(
             context.now + self.connect_timeout,
@@ -460,7 +460,7 @@
     pub(super) fn close(&mut self, connection: usize, step: ConnectionStep) {
         self.record_step(connection, step);
         let c = self.connections.remove(connection);
-        self.held -= c.recorded_held;
+        self.memory_used -= c.recorded_memory;
         if let Some(pool) = self.pools.get_mut(&c.server) {
             pool.open_count -= 1;
             pool.idle.retain(|idle| *idle != connection);
--- a/crates/sloewick/tests/slow_transfers.rs
+++ b/crates/sloewick/tests/slow_transfers.rs
@@ -36,18 +36,12 @@
 
 impl Transfer {
     fn draw(number: u64) -> Transfer {
-        // SplitMix64 (Steele, Lea, Flood: Fast splittable pseudorandom number generators).
-        let mut state = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let mut next = |bound: u64| {
-            state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-            let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-            (mixed ^ (mixed >> 27)) % bound
-        };
-        let scale = [1 << 17, 1 << 20, MAX_VALUE][next(3) as usize];
-        let len = (MIN_VALUE as u64 + next(scale as u64 - MIN_VALUE as u64)) as usize;
-        let time = Duration::from_millis(2600 + next(5000));
+        let mut draw = Draw::new(number);
+        let scale = draw.pick(&[1 << 17, 1 << 20, MAX_VALUE]);
+        let len = draw.within(MIN_VALUE..scale);
+        let time = draw.millis(2600..7600);
         let fewest = (time.as_millis() / MAX_PAUSE.as_millis()) as u32 + 1;
-        let steps = fewest + [0, 20, 200][next(3) as usize];
+        let steps = fewest + draw.pick(&[0, 20, 200]);
         Transfer { len, time, steps }
     }
 
