Near the end of a process, the system takes all output that waits

A SIGKILL may come 0.2 s after the process was to exit.

When the last responses are given, the send buffer of each client that has output waiting is made large enough for it: the memory moves from the process to the system, which delivers it after a kill too. The rest of a streamed value is left out: the system would take more than the process may hold.

A unit test holds which connections get the room.

--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -287,6 +287,9 @@
             };
             client.dirty = false;
             client.queue_ready_responses();
+            if now >= self.lifecycle.respond_by() {
+                client.make_room_for_output();
+            }
             if client.flush(now).is_err() {
                 self.drop_client(key);
                 continue;
--- a/crates/node/src/frontend/connection_tests.rs
+++ b/crates/node/src/frontend/connection_tests.rs
@@ -103,6 +103,26 @@
     assert!(client.advance_closing(50 * MS) && stream.0.borrow().output == b"+PONG\r\n");
 }
 
+// SIGKILL may come 0.2 s after the process was to exit, while the client still reads.
+#[test]
+fn system_takes_all_output_near_the_end_but_that_of_a_streamed_value() {
+    let (mut client, stream) = client();
+    client.make_room_for_output();
+    assert_eq!(stream.0.borrow().send_buffer, None, "there is no output");
+    client.out.push(Bytes::from_static(&[b'v'; 300_000]));
+    client.make_room_for_output();
+    let send_buffer = stream.0.borrow().send_buffer;
+    assert!(send_buffer.is_some_and(|bytes| bytes >= 300_000));
+    stream.0.borrow_mut().send_buffer = None;
+    client.push_response(PendingResponse::Stream {
+        request: 1,
+        connection: 2,
+        header: None,
+    });
+    client.make_room_for_output();
+    assert_eq!(stream.0.borrow().send_buffer, None);
+}
+
 #[test]
 fn cancelled_connection_writes_queued_bytes_and_takes_no_further_request() {
     let (mut client, stream) = client();
--- a/crates/node/src/frontend/delivery.rs
+++ b/crates/node/src/frontend/delivery.rs
@@ -10,6 +10,7 @@
 
 use sloewick_decision::api::Micros;
 
+use crate::frontend::acceptor::CLIENT_SEND_BUFFER;
 use crate::frontend::connection::ClientConnection;
 use crate::frontend::pending_response::PendingResponse;
 use crate::transfer_progress::TransferProgress;
@@ -86,6 +87,15 @@
         self.stream.unacknowledged().is_some_and(|bytes| bytes > 0)
     }
 
+    /// Has the system take all output that waits here, which it delivers even if the process is killed. The output of a value that is
+    /// still streamed stays bounded, since the system would take more of it than the process may use memory for.
+    pub(crate) fn make_room_for_output(&mut self) {
+        if !self.out.is_empty() && !self.is_streaming() {
+            self.stream
+                .limit_send_buffer(CLIENT_SEND_BUFFER + self.out.len());
+        }
+    }
+
     /// Observes how far the output has been delivered, for a connection that somebody waits to close.
     pub(crate) fn observe_delivery(&mut self, now: Micros) {
         let unacknowledged = self.stream.unacknowledged();
--- a/crates/node/src/test_support.rs
+++ b/crates/node/src/test_support.rs
@@ -47,6 +47,8 @@
     pub(crate) output_ended: bool,
     /// Whether the connection is still being established.
     pub(crate) connecting: bool,
+    /// The limit on the bytes that the kernel buffers, if one was set.
+    pub(crate) send_buffer: Option<usize>,
 }
 
 /// The node's end of a [`FakeConnection`].
@@ -99,7 +101,9 @@
 
     fn set_reset_on_close(&mut self, _reset: bool) {}
 
-    fn limit_send_buffer(&mut self, _bytes: usize) {}
+    fn limit_send_buffer(&mut self, bytes: usize) {
+        self.0.borrow_mut().send_buffer = Some(bytes);
+    }
 }
 
 /// The transport of one node: its clock, the connections that it has opened, and the lines of its trace.
--- a/crates/sloewick/tests/shutdown_delivery.rs
+++ b/crates/sloewick/tests/shutdown_delivery.rs
@@ -136,6 +136,30 @@
     assert!(node.wait().success());
 }
 
+#[test]
+fn response_that_is_forced_at_the_end_comes_behind_the_value_that_is_still_read() {
+    const LEN: usize = 1 << 20;
+    let log = ReceivedLog::default();
+    let reply_to: Arc<ReplyTo> = Arc::new(|received| {
+        let is_silent = received.id.contains("silent");
+        (!is_silent).then(|| PacedReply::value(LEN))
+    });
+    let servers = [PacedServer::start(1, Pace::UNLIMITED, &log, reply_to)];
+    // The deadlines are so long that the end of the process comes first.
+    let node = node_before(&servers, 192).settings(settings()).start();
+    let reading = Reading::paced(Pace::within(LEN, Duration::from_secs(6), 100));
+    let mut client = SlowClient::connect(node.address, reading);
+    client.send([read_of(LEN, "r1"), write_of("silent"), read_of(LEN, "r2")].concat());
+    std::thread::sleep(Duration::from_millis(300));
+    node.signal("TERM");
+    let expected = [
+        Response::Value(LEN),
+        Response::Line(FAILED.to_string()),
+        Response::Value(LEN),
+    ];
+    assert_eq!(client.read_responses(3), expected);
+}
+
 #[test]
 fn clients_that_are_owed_nothing_do_not_hold_up_a_shutdown() {
     let servers = start_servers();
