--- a/crates/sloewick/tests/slow_transfers.rs
+++ b/crates/sloewick/tests/slow_transfers.rs
@@ -272,6 +272,21 @@
     assert_eq!(ids.len(), received, "a request reached servers twice");
 }
 
+// A server that wrote less than 4 KiB in 5 s counted as stalled.
+#[test]
+fn long_value_whose_server_pauses_for_ten_seconds_is_passed_on_whole() {
+    const LEN: usize = 200 << 10;
+    let pace = Pace {
+        bytes: LEN / 2,
+        pause: Duration::from_secs(10),
+    };
+    let servers = start_value_servers(1, pace);
+    let node = start_node(&servers, 32);
+    let mut client = connect(node.address);
+    client.write_all(&encode_reads("r", 1, LEN, 400)).unwrap();
+    assert_eq!(read_value(&mut client, Pace::UNLIMITED), (LEN, LEN));
+}
+
 /// Lets `act` happen 0.3 s after the start of a value that takes 4 s, and asserts that its client gets all of it.
 fn assert_value_outlives(act: impl FnOnce(&Node, SocketAddr)) {
     const LEN: usize = 400 << 10;
