--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -248,6 +248,7 @@
             TimerEvent::ClientAcknowledgement { client, serial } => {
                 self.retry_acknowledgement(client, serial);
             }
+            TimerEvent::Accept => self.retry_accept(),
             TimerEvent::FinalResponses => {
                 self.force_final_responses();
                 self.sweep_clients(now);
--- a/crates/node/src/event_loop/accepting.rs
+++ b/crates/node/src/event_loop/accepting.rs
@@ -10,9 +10,11 @@
 use crate::engine::DecisionEngine;
 use crate::frontend::acceptor::{CLIENT_SEND_BUFFER, MAX_ACCEPTS_PER_ROUND};
 use crate::frontend::connection::ClientConnection;
+use crate::frontend::delivery::DELIVERY_CHECK_INTERVAL;
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::pending_response::PendingResponse;
 use crate::frontend::response::{FinalResponse, Protocol, RequestProtocol};
+use crate::timers::TimerEvent;
 use crate::tokens::client_token;
 use crate::transport::{is_descriptor_limit, Stream, Transport};
 
@@ -31,7 +33,7 @@
         {
             let now = self.io.now();
             let Some(has_slot) = self.reserve_connection(now) else {
-                return;
+                return self.set_accept_timer(now);
             };
             let token = client_token(self.frontends.clients.vacant_key());
             let listener = &mut self.frontends.listeners[index];
@@ -58,6 +60,21 @@
         }
     }
 
+    /// Accepts connections soon if they may only wait until the output of a client is delivered, which no event reports.
+    fn set_accept_timer(&mut self, now: Micros) {
+        let frontends = &mut self.frontends;
+        if !frontends.has_accept_timer && frontends.has_observed_output_in_transit() {
+            frontends.has_accept_timer = true;
+            self.timers
+                .set(now + DELIVERY_CHECK_INTERVAL, TimerEvent::Accept);
+        }
+    }
+
+    pub(super) fn retry_accept(&mut self) {
+        self.frontends.has_accept_timer = false;
+        self.accept_clients();
+    }
+
     fn add_client(&mut self, mut stream: N::Stream, protocol: Protocol, has_slot: bool) {
         stream.limit_send_buffer(CLIENT_SEND_BUFFER);
         let serial = self.serials.next();
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -8,7 +8,7 @@
 pub(crate) mod connection;
 mod connection_input;
 mod connection_memory;
-mod delivery;
+pub(crate) mod delivery;
 pub(crate) mod disconnects;
 pub(crate) mod input_turns;
 pub(crate) mod memcached;
@@ -37,6 +37,8 @@
     pub(crate) memcached: Option<MemcachedFrontend>,
     /// Keys of the clients that are to be served in this round, without duplicates.
     dirty: Vec<usize>,
+    /// A timer is set at which connections are accepted that could not be accepted before.
+    pub(crate) has_accept_timer: bool,
     /// Clients whose turns were over before all their input was read.
     pub(crate) input_queue: InputQueue,
 }
@@ -53,6 +55,7 @@
             max_clients,
             memcached,
             dirty: Vec::new(),
+            has_accept_timer: false,
             input_queue: InputQueue::default(),
         }
     }
@@ -131,7 +134,13 @@
         }
     }
 
-    /// Whether a client is owed anything that the end of the process would destroy.
+    /// Whether the output of a client was in transit when it was last observed.
+    pub(crate) fn has_observed_output_in_transit(&self) -> bool {
+        let mut clients = self.clients.iter();
+        clients.any(|(_, client)| client.has_observed_output_in_transit())
+    }
+
+    /// Whether a client has not received a response, which the end of the process could destroy.
     pub(crate) fn has_undelivered_responses(&self) -> bool {
         let mut clients = self.clients.iter();
         clients.any(|(_, client)| client.has_undelivered_response())
--- a/crates/node/src/frontend/delivery.rs
+++ b/crates/node/src/frontend/delivery.rs
@@ -6,7 +6,7 @@
 //! process, asks [`ClientConnection::has_undelivered_response`] first.
 //!
 //! No event reports that bytes were acknowledged, so the system is asked. It is asked about the connections that somebody waits to
-//! close, and by the sweep until these have delivered their output or have stalled.
+//! close, and by the sweep until these have delivered their output or have stalled; if a new connection waits for it, more often.
 
 use sloewick_decision::api::Micros;
 
@@ -16,6 +16,9 @@
 use crate::transfer_progress::TransferProgress;
 use crate::transport::Stream;
 
+/// How often the system is asked about a connection that another one waits to replace. A machine may delay an acknowledgement by 40 ms.
+pub(crate) const DELIVERY_CHECK_INTERVAL: Micros = 5_000;
+
 /// How far the client's machine has acknowledged what was written to it.
 #[derive(Debug, Default)]
 pub(crate) struct Delivery {
@@ -25,6 +28,8 @@
     response_end: u64,
     /// Bytes that were acknowledged when this was last observed.
     acknowledged: u64,
+    /// When this was last observed.
+    observed_at: Micros,
     /// Whether bytes are being acknowledged, since the first time that somebody waited for it.
     progress: TransferProgress,
 }
@@ -47,6 +52,7 @@
 
     /// Records how many bytes are not acknowledged now.
     fn observe(&mut self, now: Micros, unacknowledged: usize) {
+        self.observed_at = now;
         if unacknowledged == 0 {
             return self.progress.end();
         }
@@ -103,15 +109,21 @@
     }
 
     /// Whether nothing would be lost if the connection were closed now: the client has received all output, and the kernel holds no
-    /// input. While output is in transit the sweep observes it, and the system is not asked again.
+    /// input. While output is in transit the system is not asked again before [`DELIVERY_CHECK_INTERVAL`] is over.
     pub(crate) fn is_delivered_without_input(&mut self, now: Micros) -> bool {
-        if self.delivery.is_awaited() || !self.stream.has_no_input() {
+        let is_known = now - self.delivery.observed_at < DELIVERY_CHECK_INTERVAL;
+        if self.delivery.is_awaited() && is_known || !self.stream.has_no_input() {
             return false;
         }
         self.observe_delivery(now);
         !self.delivery.is_awaited()
     }
 
+    /// Whether output was in transit when this was last observed.
+    pub(crate) fn has_observed_output_in_transit(&self) -> bool {
+        self.delivery.is_awaited()
+    }
+
     /// Whether somebody waits for the output to be delivered.
     pub(crate) fn awaits_delivery(&self) -> bool {
         self.is_lingering() || self.delivery.is_awaited()
--- a/crates/node/src/timers.rs
+++ b/crates/node/src/timers.rs
@@ -34,6 +34,8 @@
         /// Serial of the client connection.
         serial: u64,
     },
+    /// Connections are accepted that waited until a client's output was delivered.
+    Accept,
     /// A client's machine may have acknowledged what was written to it.
     ClientAcknowledgement {
         /// Key of the client connection.
