The processes of a node share the endpoint list, in an outage of discovery too

Cause: what discovery tells one process stayed with that process. The new one applied `known` of its configuration, however old. The same cause made a drain told to the old process after the start of the new one, or to the new one while the old one still sent, bind only one of them, and made a restarted server warm to the new process.

Revisions are compared in one numbering only; otherwise the list told later holds, and a later drain always does.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 pub use crate::settings_validation::InvalidSettings;
 
 /// Microseconds: a point in time on the node's clock, or a duration.
@@ -154,7 +156,7 @@
 }
 
 /// State of a listed server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// Accepts requests.
     Live,
--- a/crates/decision/src/settings.rs
+++ b/crates/decision/src/settings.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 use crate::api::{
@@ -199,6 +200,7 @@
 }
 
 /// An entry of an endpoint list, with its labels as text.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RawEndpoint {
     /// Name of the server.
     pub server: Arc<str>,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod client;
 pub mod endpoints;
+pub(crate) mod list_replica;
 pub(crate) mod request;
 pub(crate) mod schedule;
 pub(crate) mod server_starts;
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -23,6 +23,7 @@
 use sloewick_decision::api::{Micros, ServerState};
 
 use crate::discovery::endpoints::{parse_endpoint_list_text, EndpointList};
+use crate::discovery::list_replica::{RevisionSequence, ToldAs};
 use crate::discovery::request::{
     DiscoveryError, DiscoveryRequest, Failures, PendingRequest, RequestFailure,
 };
@@ -40,12 +41,20 @@
 /// A response may take one part in this many of the memory of the process.
 const RESPONSE_MEMORY_DIVISOR: usize = 16;
 
+/// Longest response that a process with this many bytes of memory reads, in bytes.
+pub(crate) fn max_response_bytes(memory: usize) -> usize {
+    MAX_RESPONSE_BYTES.min(memory / RESPONSE_MEMORY_DIVISOR)
+}
+
 /// The start or the result of a request to discovery.
 pub(crate) enum DiscoveryEvent {
     /// A request has been started, other than one that continues a watch whose last request was answered.
     Requested(DiscoveryRequest),
     /// The full endpoint list, or the entries that have changed, possibly none.
-    List(EndpointList),
+    List {
+        list: EndpointList,
+        told_as: ToldAs,
+    },
     Failed(RequestFailure),
 }
 
@@ -102,7 +111,26 @@
 
     /// Limits the response to a fraction of this many bytes of memory.
     pub(crate) fn limit_memory(&mut self, memory: usize) {
-        self.max_response_bytes = MAX_RESPONSE_BYTES.min(memory / RESPONSE_MEMORY_DIVISOR);
+        self.max_response_bytes = max_response_bytes(memory);
+    }
+
+    /// Continues from a list that another process of the node has got. If it is one of another service, its revision means nothing
+    /// here.
+    pub(crate) fn continue_from(&mut self, sequence: RevisionSequence, revision: i64) {
+        if sequence.service == self.address {
+            self.revision = Some(revision);
+        }
+    }
+
+    /// Starts from a list that another process of the node has got, before the first request.
+    pub(crate) fn start_from(&mut self, sequence: RevisionSequence, revision: i64) {
+        self.revision = None;
+        self.continue_from(sequence, revision);
+    }
+
+    /// Requests the full list once, after the request in flight.
+    pub(crate) fn confirm_list(&mut self) {
+        self.needs_full_list = true;
     }
 
     /// Bytes of memory that the response in progress holds: the bytes read, and as many again when its body is taken from them.
@@ -283,6 +311,12 @@
         if is_older && !(list.all && self.is_revision_suspect) {
             return self.accept_drains_of_older_list(list, now, timers);
         }
+        let told_as = match self.revision {
+            Some(_) if !is_older => ToldAs::Next,
+            _ => ToldAs::NewSequence {
+                service: self.address,
+            },
+        };
         self.is_revision_suspect = false;
         self.failures = Failures::default();
         let is_newer = self.revision.is_none_or(|known| list.rev > known);
@@ -299,7 +333,7 @@
             self.immediate_empty_responses = self.immediate_empty_responses.saturating_add(1);
             self.delay_request(now + (WATCH_BACKOFF << doublings), timers);
         }
-        DiscoveryEvent::List(list)
+        DiscoveryEvent::List { list, told_as }
     }
 
     /// Handles a list that is older than the known one. Applying it would bring back servers that were removed, so only its
@@ -321,11 +355,14 @@
             .targets
             .into_iter()
             .filter(|target| target.entry.state != ServerState::Live);
-        DiscoveryEvent::List(EndpointList {
-            rev: list.rev,
-            all: false,
-            targets: not_live.collect(),
-        })
+        DiscoveryEvent::List {
+            list: EndpointList {
+                rev: list.rev,
+                all: false,
+                targets: not_live.collect(),
+            },
+            told_as: ToldAs::OlderEntries,
+        }
     }
 
     /// Ends the request with an error, and sets the time of the next one.
--- a/crates/node/src/discovery/client_tests.rs
+++ b/crates/node/src/discovery/client_tests.rs
@@ -81,7 +81,7 @@
     let body = r#"{"rev":42,"all":false,"targets":[]}"#;
     let open = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
     assert!(
-        matches!(respond_to_watch(&open, ResponseEnd::Closed), Some(DiscoveryEvent::List(list)) if list.rev == 42)
+        matches!(respond_to_watch(&open, ResponseEnd::Closed), Some(DiscoveryEvent::List { list, .. }) if list.rev == 42)
     );
     assert!(matches!(
         respond_to_watch(&open, ResponseEnd::Reset),
@@ -99,7 +99,7 @@
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n{body}\r\n0\r\n\r\n");
     for complete in [&length, &chunked] {
         assert!(
-            matches!(respond_to_watch(complete, ResponseEnd::Reset), Some(DiscoveryEvent::List(list)) if list.rev == 42),
+            matches!(respond_to_watch(complete, ResponseEnd::Reset), Some(DiscoveryEvent::List { list, .. }) if list.rev == 42),
             "{complete}"
         );
         for cut in 0..complete.len() - 2 {
@@ -124,7 +124,7 @@
         body.len()
     );
     assert!(
-        matches!(respond_to_watch(&text, ResponseEnd::Open), Some(DiscoveryEvent::List(list)) if list.targets.len() == 1)
+        matches!(respond_to_watch(&text, ResponseEnd::Open), Some(DiscoveryEvent::List { list, .. }) if list.targets.len() == 1)
     );
 }
 
--- a/crates/node/src/discovery/endpoints.rs
+++ b/crates/node/src/discovery/endpoints.rs
@@ -3,12 +3,14 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use serde::de::{self, Deserialize, Deserializer, SeqAccess, Visitor};
+use serde::de::{self, Deserializer, SeqAccess, Visitor};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sloewick_decision::api::{ServerId, ServerState};
 use sloewick_decision::settings::{Fields, RawEndpoint, SettingsError};
 
 /// An entry of the endpoint list, with the address and the start time of its server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
     /// The fields that the decision module uses.
     pub entry: RawEndpoint,
--- a/crates/node/src/discovery/fleet_tests.rs
+++ b/crates/node/src/discovery/fleet_tests.rs
@@ -182,7 +182,7 @@
     /// Handles an event of the discovery client.
     fn handle_discovery(&mut self, now: Micros, event: Option<DiscoveryEvent>) {
         match event {
-            Some(DiscoveryEvent::List(list)) => {
+            Some(DiscoveryEvent::List { list, .. }) => {
                 if list.rev > 41 {
                     self.change_received_at.get_or_insert(now);
                 }
--- a/crates/node/src/discovery/server_starts.rs
+++ b/crates/node/src/discovery/server_starts.rs
@@ -62,6 +62,20 @@
         started
     }
 
+    /// Takes over the start time of a server, on the node's clock, from another process of the node.
+    pub(crate) fn restore(&mut self, listed: &ListedEndpoint, started: Micros) {
+        let start = KnownStart {
+            boot_ms: listed.boot_ms,
+            started: Some(started),
+        };
+        self.known.insert(listed.entry.server.clone(), start);
+    }
+
+    /// Takes over when another process of the node got its last list, on the node's clock.
+    pub(crate) fn restore_last_list(&mut self, at: Micros) {
+        self.last_list = self.last_list.max(Some(at));
+    }
+
     /// Records that a list has been applied, and forgets the servers that it has removed.
     pub(crate) fn list_applied(
         &mut self,
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -15,6 +15,7 @@
 mod disconnects;
 mod dispatch;
 mod endpoint_list;
+mod endpoint_list_exchange;
 mod memcached_requests;
 mod memory;
 mod outcomes;
@@ -38,6 +39,7 @@
 use crate::hot_restart::HotRestart;
 use crate::io::Io;
 use crate::lifecycle::Lifecycle;
+use crate::list_exchange::ListExchange;
 use crate::memory::MemoryAccount;
 use crate::reload::Reload;
 use crate::request_table::RequestTable;
@@ -82,6 +84,8 @@
     lifecycle: Lifecycle,
     /// Present if the listener was inherited, so that two processes of this node may serve at the same time.
     hot_restart: Option<HotRestart>,
+    /// Present under the same condition: the endpoint list is exchanged with the other processes.
+    list_exchange: Option<ListExchange>,
     timers: Timers,
     freshness: SocketFreshness,
     serials: SerialNumbers,
@@ -291,6 +295,7 @@
         let is_overloaded = decision.origin_overloaded(now);
         self.admin.log_origin_overload(is_overloaded, &mut self.io);
         self.save_snapshot(now);
+        self.exchange_endpoint_lists();
         self.purge_timers();
         self.requests.shrink_if_empty();
         self.observe_memory();
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -15,9 +15,11 @@
             Some(DiscoveryEvent::Requested(request)) => {
                 self.io.log(&format!("discovery_request: {request}"));
             }
-            Some(DiscoveryEvent::List(list)) => {
+            Some(DiscoveryEvent::List { list, told_as }) => {
                 self.log_endpoint_list(&list);
+                self.record_told_list(&list, told_as);
                 self.apply_endpoint_list(list, None);
+                self.publish_endpoint_list();
             }
             Some(DiscoveryEvent::Failed(failure)) => {
                 self.io.log(&format!("discovery_failed: {failure}"));
@@ -65,6 +67,7 @@
             entries.push(entry);
         }
         self.discovery.start_times.list_applied(&list, kind, now);
+        self.record_starts(&entries);
         self.engine.push(Event::EndpointList(kind, entries.into()));
     }
 
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use sloewick_decision::api::{EndpointListKind, Idempotency};
+use sloewick_decision::api::{EndpointListKind, Idempotency, Micros};
 use sloewick_decision::{Balancer, Settings};
 
 use super::{Node, SerialNumbers, SWEEP_INTERVAL};
@@ -11,7 +11,8 @@
 use crate::admin::Admin;
 use crate::config::Config;
 use crate::descriptors::{DescriptorShares, PROCESSES_PER_INHERITED_LISTENER};
-use crate::discovery::client::DiscoveryClient;
+use crate::discovery::client::{max_response_bytes, DiscoveryClient};
+use crate::discovery::list_replica::ListReplica;
 use crate::discovery::schedule::PollSchedule;
 use crate::discovery::server_starts::ServerStartTimes;
 use crate::discovery::Discovery;
@@ -26,6 +27,7 @@
 use crate::hot_restart::HotRestart;
 use crate::io::Io;
 use crate::lifecycle::Lifecycle;
+use crate::list_exchange::{self, ListExchange};
 use crate::memory::MemoryAccount;
 use crate::reload::{ConfigSource, Reload};
 use crate::request_table::RequestTable;
@@ -64,14 +66,9 @@
         let admin_server = open_admin_listener(&config, &mut net)?;
         let processes = processes_per_limit(is_inherited);
         let memory = config.memory_bytes / processes;
-        let mut discovery_client = discovery_client(&config);
-        discovery_client.limit_memory(memory);
-        let discovery = Discovery {
-            client: discovery_client,
-            charged: 0,
-            addresses: AddressTable::default(),
-            start_times: ServerStartTimes::new(net.unix_time_at_start()),
-        };
+        let boot_id = net.boot_id();
+        let list_exchange = is_inherited.then(|| list_exchange(&config, &boot_id, memory));
+        let discovery = discovery(&config, memory, net.unix_time_at_start());
         let settings = config.settings;
         let classes = settings.classes.len();
         let connect_timeout = settings.connect_timeout;
@@ -82,8 +79,8 @@
         let shares = DescriptorShares::divide(config.max_descriptors, admin_server.is_some());
         // Request ids must be unique among all processes of all nodes.
         let request_id_prefix = config.seed ^ net.unix_time_at_start() as u64;
-        let hot_restart = is_inherited
-            .then(|| HotRestart::new(config.listen, &config.names, classes, &net.boot_id()));
+        let hot_restart =
+            is_inherited.then(|| HotRestart::new(config.listen, &config.names, classes, &boot_id));
         let memcached = config
             .memcached
             .map(|file| MemcachedFrontend::new(file, request_id_prefix));
@@ -105,6 +102,7 @@
             admin: Admin::new(admin_server, classes),
             lifecycle: Lifecycle::new(is_inherited, !config.initial_endpoints.targets.is_empty()),
             hot_restart,
+            list_exchange,
             timers: Timers::default(),
             freshness: SocketFreshness::default(),
             serials: SerialNumbers::default(),
@@ -114,16 +112,35 @@
             executed_ids: ExecutedIds::new(memory),
             waiting_values: Vec::new(),
         };
-        node.restore_snapshot();
-        node.apply_endpoint_list(config.initial_endpoints, Some(EndpointListKind::Cached));
+        let is_restored = node.restore_snapshot();
+        let endpoints = node.take_over_endpoint_list(config.initial_endpoints, is_restored);
+        node.apply_endpoint_list(endpoints, Some(EndpointListKind::Cached));
+        node.publish_endpoint_list();
         node.timers.set(SWEEP_INTERVAL, TimerEvent::Sweep);
         Ok(node)
     }
 
-    fn restore_snapshot(&mut self) {
-        if let Some(hot_restart) = &self.hot_restart {
-            hot_restart.restore(&mut self.io, &mut self.engine.engine);
-        }
+    /// Restores the checkpoint of the process before this one. Returns false if there is none.
+    fn restore_snapshot(&mut self) -> bool {
+        let hot_restart = self.hot_restart.as_ref();
+        hot_restart
+            .is_some_and(|hot_restart| hot_restart.restore(&mut self.io, &mut self.engine.engine))
+    }
+}
+
+/// Creates the client of discovery and the empty tables of what it tells. `memory`: that of the process in bytes.
+fn discovery<S: Stream>(
+    config: &Config,
+    memory: usize,
+    unix_time_at_start: Micros,
+) -> Discovery<S> {
+    let mut client = discovery_client(config);
+    client.limit_memory(memory);
+    Discovery {
+        client,
+        charged: 0,
+        addresses: AddressTable::default(),
+        start_times: ServerStartTimes::new(unix_time_at_start),
     }
 }
 
@@ -136,6 +153,16 @@
     DiscoveryClient::new(config.discovery, DISCOVERY, revision, schedule)
 }
 
+/// The exchange of endpoint lists with the other processes, which begins with the list in the configuration. `memory`: that of
+/// the process in bytes.
+fn list_exchange(config: &Config, boot_id: &str, memory: usize) -> ListExchange {
+    ListExchange::new(
+        list_exchange::owner(config.listen, boot_id),
+        ListReplica::from_configuration(&config.initial_endpoints, config.discovery),
+        max_response_bytes(memory),
+    )
+}
+
 fn request_table(settings: &Settings, memory: usize) -> RequestTable {
     let deadlines = settings.classes.iter().map(|class| class.deadline);
     let longest_deadline = deadlines.max().unwrap_or(0);
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use sloewick_decision::api::Micros;
 use sloewick_decision::settings::Names;
 use sloewick_decision::Checkpoint;
@@ -23,9 +24,9 @@
 /// later, but not to one that starts after a pause.
 const MAX_AGE: Micros = 10_000_000;
 
-/// The reason why a snapshot is not restored. Its text is part of the log line.
+/// The reason why what another process has stored cannot be used. Its text is part of the log line.
 #[derive(Debug, Error)]
-enum RestoreError {
+pub(crate) enum RestoreError {
     #[error("{0}")]
     Io(#[from] std::io::Error),
     #[error("{0}")]
@@ -62,19 +63,20 @@
         }
     }
 
-    /// Restores the checkpoint of the previous process if there is a valid one.
+    /// Restores the checkpoint of the previous process. Returns false if there is no valid one.
     pub(crate) fn restore<N: Transport, M: DecisionEngine>(
         &self,
         io: &mut Io<N>,
         decision: &mut M,
-    ) {
+    ) -> bool {
         let now = io.transport.now();
         let monotonic_time = io.transport.monotonic_time();
         let restored = match io.transport.load_snapshot() {
-            Ok(None) => return,
+            Ok(None) => return false,
             Ok(Some(snapshot)) => unpack(&self.owner, monotonic_time, &snapshot),
             Err(e) => Err(e.into()),
         };
+        let is_restored = restored.is_ok();
         let line = match restored {
             Ok(AgedCheckpoint { checkpoint, age }) => {
                 let (servers, positions) = checkpoint.size();
@@ -85,6 +87,7 @@
             Err(error) => format!("handover: not taken up: {error}"),
         };
         io.log(&line);
+        is_restored
     }
 
     /// Whether the next snapshot is due.
@@ -124,6 +127,20 @@
     age: Micros,
 }
 
+/// Decodes the payload of a snapshot, and computes the snapshot's age at `monotonic_time`.
+///
+/// # Errors
+/// The requirement that the snapshot does not fulfil, or that its payload is malformed.
+pub(crate) fn read_payload<T: DeserializeOwned>(
+    requirements: &Requirements<'_>,
+    monotonic_time: Micros,
+    snapshot: &[u8],
+) -> Result<(T, Micros), RestoreError> {
+    let Snapshot { payload, age } =
+        decode(requirements, monotonic_time, snapshot).map_err(RestoreError::Snapshot)?;
+    Ok((postcard::from_bytes(payload)?, age))
+}
+
 /// Decodes and validates the checkpoint in a snapshot, and computes its age at `monotonic_time`.
 fn unpack(
     owner: &str,
@@ -135,9 +152,7 @@
         version: VERSION,
         max_age: MAX_AGE,
     };
-    let Snapshot { payload, age } =
-        decode(&expected, monotonic_time, snapshot).map_err(RestoreError::Snapshot)?;
-    let checkpoint: Checkpoint = postcard::from_bytes(payload)?;
+    let (checkpoint, age) = read_payload::<Checkpoint>(&expected, monotonic_time, snapshot)?;
     let checkpoint = checkpoint.validated().ok_or(RestoreError::Invalid)?;
     Ok(AgedCheckpoint { checkpoint, age })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,8 @@
 mod id_journal;
 mod io;
 mod lifecycle;
+mod list_exchange;
+mod list_files;
 mod memory;
 mod metrics;
 mod reload;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -87,6 +87,11 @@
         (self.has_list_from_discovery, self.has_endpoint_list) = (true, true);
     }
 
+    /// Records that the node has the endpoint list of the process before it.
+    pub(crate) fn endpoint_list_taken_over(&mut self) {
+        self.has_endpoint_list = true;
+    }
+
     /// Whether PING gets a positive response. It does not during an evacuation, so that a load balancer in front of the node
     /// stops sending to it; on a shutdown the platform notifies the load balancer.
     pub(crate) fn answers_ping(&self) -> bool {
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -18,6 +18,7 @@
 
 use crate::allocator;
 use crate::id_journal::IdJournal;
+use crate::list_files::ListFiles;
 use crate::startup_retry::retry_transient;
 use crate::transport::{
     PendingSignals, ReadyEvent, SnapshotSave, Stream, Token, Transport, SIGNALS_TOKEN,
@@ -106,6 +107,7 @@
     is_log_disabled: bool,
     snapshots: Option<Snapshots>,
     id_journal: Option<IdJournal>,
+    list_files: Option<ListFiles>,
     /// Connections that the next accept of their listener returns first; at most one for each listener.
     unregistered: Vec<UnregisteredConnection>,
     started: Instant,
@@ -147,6 +149,17 @@
         self.id_journal = Some(IdJournal::open(folder, self.unix_time_at_start));
     }
 
+    /// Exchanges the endpoint list with other processes of the node that listens on `listen`, through files in `folder`.
+    ///
+    /// # Errors
+    /// Returns the operating system's error if it has no resources for the thread that writes the list.
+    pub fn share_endpoint_lists_in(&mut self, folder: &Path, listen: SocketAddr) -> io::Result<()> {
+        let node = format!("{listen} {}", self.boot_id());
+        let start = self.unix_time_at_start;
+        self.list_files = Some(retry_transient(|| ListFiles::open(folder, &node, start))?);
+        Ok(())
+    }
+
     /// Creates the transport of a node on one of several threads. It gets its signals from another thread and drops log and
     /// trace lines.
     ///
@@ -176,6 +189,7 @@
             is_log_disabled: false,
             snapshots: None,
             id_journal: None,
+            list_files: None,
             unregistered: Vec::new(),
             started: Instant::now(),
             unix_time_at_start,
@@ -399,6 +413,21 @@
         journal.map_or_else(Vec::new, IdJournal::read_peers)
     }
 
+    fn changed_endpoint_lists(&mut self, max_len: usize) -> Vec<io::Result<Vec<u8>>> {
+        let files = self.list_files.as_mut();
+        files.map_or_else(Vec::new, |files| files.read_changed(max_len))
+    }
+
+    fn publish_endpoint_list(&mut self, list: Vec<u8>) -> bool {
+        let files = self.list_files.as_ref();
+        files.is_none_or(|files| files.publish(list))
+    }
+
+    fn take_publication_error(&mut self) -> Option<String> {
+        let files = self.list_files.as_ref();
+        files.and_then(ListFiles::take_write_error)
+    }
+
     fn resident_memory(&self) -> Option<usize> {
         let text = std::fs::read_to_string(MEMORY_FILE).ok()?;
         let pages: usize = text.split(' ').nth(1)?.parse().ok()?;
--- a/crates/node/src/test_support.rs
+++ b/crates/node/src/test_support.rs
@@ -106,12 +106,28 @@
     }
 }
 
-/// The transport of one node: its clock, the connections that it has opened, and the lines of its trace.
+/// The transport of one node: its clock, the connections that it has opened, the lines of its trace and its log, and the endpoint
+/// lists that it exchanges with other processes.
 #[derive(Default)]
 pub(crate) struct FakeTransport {
     pub(crate) now: Micros,
     pub(crate) opened: Vec<FakeStream>,
     pub(crate) traced: Vec<String>,
+    pub(crate) log: Vec<String>,
+    /// The lists that this process has published.
+    pub(crate) published: Vec<Vec<u8>>,
+    /// The lists of other processes that have not been read.
+    pub(crate) peer_lists: Vec<Vec<u8>>,
+    /// Why the last list could not be published.
+    pub(crate) publication_error: Option<String>,
+}
+
+/// The transport of a process beside others that have published these lists.
+pub(crate) fn published_transport(peer_lists: Vec<Vec<u8>>) -> FakeTransport {
+    FakeTransport {
+        peer_lists,
+        ..FakeTransport::default()
+    }
 }
 
 impl Transport for FakeTransport {
@@ -161,7 +177,22 @@
         PendingSignals::default()
     }
 
-    fn log(&mut self, _line: &str) {}
+    fn log(&mut self, line: &str) {
+        self.log.push(line.to_string());
+    }
+
+    fn changed_endpoint_lists(&mut self, _max_len: usize) -> Vec<io::Result<Vec<u8>>> {
+        self.peer_lists.drain(..).map(Ok).collect()
+    }
+
+    fn publish_endpoint_list(&mut self, list: Vec<u8>) -> bool {
+        self.published.push(list);
+        true
+    }
+
+    fn take_publication_error(&mut self) -> Option<String> {
+        self.publication_error.take()
+    }
 }
 
 const LISTEN: &str = "127.0.0.1:7001";
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -170,6 +170,19 @@
     fn peer_ids(&mut self) -> Vec<u128> {
         Vec::new()
     }
+    /// The endpoint lists that other processes of this node have published since the last call, each up to `max_len` bytes.
+    fn changed_endpoint_lists(&mut self, _max_len: usize) -> Vec<io::Result<Vec<u8>>> {
+        Vec::new()
+    }
+    /// Publishes the endpoint list of this process to the others, without waiting. Returns false if that has to be tried again,
+    /// because the previous list is still being written.
+    fn publish_endpoint_list(&mut self, _list: Vec<u8>) -> bool {
+        true
+    }
+    /// Why a list could not be published, if that has happened since the last call.
+    fn take_publication_error(&mut self) -> Option<String> {
+        None
+    }
     /// Writes a log line, or drops it if that would block.
     fn log(&mut self, line: &str);
 }
--- a/crates/sloewick/src/run.rs
+++ b/crates/sloewick/src/run.rs
@@ -4,6 +4,7 @@
 //! start with a configuration under which it could serve no request.
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -45,7 +46,7 @@
     Signals(std::io::Error),
     #[error("field listen: {address}: {error}")]
     Listen {
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         error: std::io::Error,
     },
     #[error("field poll: {0}")]
@@ -72,11 +73,7 @@
     if let Some(directory) =
         std::env::var_os("TMPDIR").filter(|_| config.inherited_listener_fd.is_some())
     {
-        transport.share_ids_in(directory.as_ref());
-        // The node serves without snapshots, but the next process then has to learn its state again.
-        if let Err(error) = transport.save_snapshots_in(directory.as_ref()) {
-            let _ = writeln!(std::io::stderr(), "handover: not kept: {error}");
-        }
+        share_state_in(directory.as_ref(), listen, &mut transport);
     }
     let reload = Box::new(move || config::read_file(&path));
     let node = Node::new(config, transport, reload).map_err(|error| RunError::Listen {
@@ -86,6 +83,18 @@
     node.run().map_err(RunError::EventLoop)
 }
 
+/// Shares the state of the node with its other processes through files in `directory`. The node serves without them, but the next
+/// process then has to learn its state again.
+fn share_state_in(directory: &Path, listen: SocketAddr, transport: &mut MioTransport) {
+    transport.share_ids_in(directory);
+    let shared = transport
+        .share_endpoint_lists_in(directory, listen)
+        .and_then(|()| transport.save_snapshots_in(directory));
+    if let Err(error) = shared {
+        let _ = writeln!(std::io::stderr(), "handover: not kept: {error}");
+    }
+}
+
 /// Reads the configuration from files, environment and options.
 fn read_config(path: &str, args: &Args) -> Result<Config, RunError> {
     let text = retry_transient(|| std::fs::read_to_string(path)).map_err(|error| {
--- a/crates/sloewick/tests/hot_restart.rs
+++ b/crates/sloewick/tests/hot_restart.rs
@@ -174,10 +174,10 @@
     }
 }
 
-/// The first system calls that write the snapshot fail. The first save without a failure succeeds, and no partly written file
-/// remains.
+/// The first system calls that write the snapshot or the endpoint list fail. The first save of each without a failure succeeds, and
+/// no partly written file remains.
 #[test]
-fn snapshot_is_saved_once_its_folder_can_be_written_again() {
+fn snapshot_and_endpoint_list_are_saved_once_their_folder_can_be_written_again() {
     const ENOSPC: i32 = 28;
     const EIO: i32 = 5;
     const FAILURES: usize = 2;
@@ -189,13 +189,21 @@
         let_calls_fail(&mut command, call, errno, FAILURES);
         let mut node = inheriting_node(&socket, &server).command(command).start();
         send_list(&node, &server);
-        let files = || -> Vec<_> {
+        let files = || -> Vec<String> {
             let entries = std::fs::read_dir(folder.path()).unwrap();
-            entries.map(|entry| entry.unwrap().file_name()).collect()
+            let names = entries.map(|entry| entry.unwrap().file_name().into_string().unwrap());
+            let mut names: Vec<String> = names.collect();
+            names.sort();
+            names
         };
-        wait_until("the folder contains only the snapshot", || {
-            files() == ["sloewick-handover"]
-        });
+        let is_list = |name: &str| name.starts_with("sloewick-endpoints-") && !name.contains('.');
+        wait_until(
+            "the folder contains only the list and the snapshot",
+            || match &files()[..] {
+                [list, snapshot] => is_list(list) && snapshot == "sloewick-handover",
+                _ => false,
+            },
+        );
         assert_serves(&socket, &server, "still");
         let stderr = node.shut_down_and_read_stderr();
         let failures = stderr.matches("handover: not kept: ").count();
--- a/crates/sloewick/tests/support/mod.rs
+++ b/crates/sloewick/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod config;
 mod crowd;
 mod discovery;
+mod discovery_service;
 mod draw;
 mod paced_server;
 mod peer;
@@ -19,6 +20,7 @@
 mod slow_client;
 mod trace;
 mod traffic;
+mod upgraded_node;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -30,6 +32,7 @@
 pub(crate) use config::*;
 pub(crate) use crowd::*;
 pub(crate) use discovery::*;
+pub(crate) use discovery_service::*;
 pub(crate) use draw::*;
 pub(crate) use paced_server::*;
 pub(crate) use peer::*;
@@ -39,6 +42,7 @@
 pub(crate) use slow_client::*;
 pub(crate) use trace::*;
 pub(crate) use traffic::*;
+pub(crate) use upgraded_node::*;
 
 /// Longest time that a test waits for a condition.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/sloewick/tests/support/peer.rs
+++ b/crates/sloewick/tests/support/peer.rs
@@ -53,15 +53,23 @@
 
     /// Reads up to `end`, and returns all including `end`.
     pub(crate) fn read_until(&mut self, end: &[u8]) -> Vec<u8> {
+        self.try_read_until(end).unwrap_or_else(|| {
+            panic!(
+                "the connection ended within a message: {:?}",
+                self.buffered_text()
+            )
+        })
+    }
+
+    /// Reads up to `end`, and returns all including `end`; None if the connection ends before.
+    pub(crate) fn try_read_until(&mut self, end: &[u8]) -> Option<Vec<u8>> {
         loop {
             if let Some(at) = self.buffer.windows(end.len()).position(|w| w == end) {
-                return self.buffer.drain(..at + end.len()).collect();
+                return Some(self.buffer.drain(..at + end.len()).collect());
+            }
+            if !self.fill() {
+                return None;
             }
-            assert!(
-                self.fill(),
-                "the connection ended within a message: {:?}",
-                self.buffered_text()
-            );
         }
     }
 
--- a/crates/sloewick/tests/support/scripted_discovery.rs
+++ b/crates/sloewick/tests/support/scripted_discovery.rs
@@ -239,19 +239,19 @@
     }
 }
 
-fn http_response(list: &Value) -> String {
+pub(crate) fn http_response(list: &Value) -> String {
     let body = list.to_string();
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 /// Sends to the node, which may have closed the connection.
-fn send_if_open(peer: &mut Peer, bytes: &[u8]) {
+pub(crate) fn send_if_open(peer: &mut Peer, bytes: &[u8]) {
     let _ = peer.stream.write_all(bytes);
 }
 
 /// The number after `name` (which ends with `=`) in the query of a path.
-fn query_number(path: &str, name: &str) -> Option<i64> {
+pub(crate) fn query_number(path: &str, name: &str) -> Option<i64> {
     let (_, value) = path.split_once(name)?;
     let digits = value.split('&').next()?;
     digits.parse().ok()
--- a/crates/snapshot/src/file.rs
+++ b/crates/snapshot/src/file.rs
@@ -18,23 +18,23 @@
 #[derive(Clone, Debug)]
 pub struct SnapshotFile {
     directory: PathBuf,
-    name: &'static str,
+    name: String,
     max_len: usize,
 }
 
 impl SnapshotFile {
     /// Describes the file `name` in `directory`, of up to `max_len` bytes. Reads and creates nothing.
-    pub fn new(directory: &Path, name: &'static str, max_len: usize) -> SnapshotFile {
+    pub fn new(directory: &Path, name: &str, max_len: usize) -> SnapshotFile {
         SnapshotFile {
             directory: directory.to_path_buf(),
-            name,
+            name: name.to_string(),
             max_len,
         }
     }
 
     /// Returns the file's path.
     pub fn path(&self) -> PathBuf {
-        self.directory.join(self.name)
+        self.directory.join(&self.name)
     }
 
     /// Reads the file. Returns `None` if it does not exist.
@@ -104,7 +104,7 @@
         let is_temporary = entry
             .file_name()
             .to_str()
-            .is_some_and(|name| name.starts_with(self.name) && name.ends_with(TEMPORARY_SUFFIX));
+            .is_some_and(|name| name.starts_with(&self.name) && name.ends_with(TEMPORARY_SUFFIX));
         is_temporary && is_old
     }
 }
--- a/crates/snapshot/src/format.rs
+++ b/crates/snapshot/src/format.rs
@@ -22,8 +22,8 @@
 const TIME_LEN: usize = 8;
 /// Length of the field that holds the payload's length, in bytes.
 const LENGTH_LEN: usize = 4;
-/// Length of all fields before the payload, in bytes.
-const HEADER_LEN: usize = MAGIC.len() + VERSION_LEN + OWNER_LEN + TIME_LEN + LENGTH_LEN;
+/// Length of all fields before the payload, in bytes. They differ between any two snapshots that were taken at different times.
+pub const HEADER_LEN: usize = MAGIC.len() + VERSION_LEN + OWNER_LEN + TIME_LEN + LENGTH_LEN;
 /// Length of the checksum after the payload, in bytes.
 const CHECKSUM_LEN: usize = 32;
 /// Length of a snapshot without its payload, in bytes.
@@ -113,6 +113,13 @@
     Ok(out)
 }
 
+/// The time at which a snapshot was taken, as its header says; None if `bytes` do not begin with a header. Nothing is checked.
+pub fn taken_at(bytes: &[u8]) -> Option<i64> {
+    let start = MAGIC.len() + VERSION_LEN + OWNER_LEN;
+    let field = bytes.get(start..start + TIME_LEN)?;
+    Some(decode_little_endian(field) as i64)
+}
+
 /// Decodes an unsigned number of up to eight little-endian bytes.
 fn decode_little_endian(bytes: &[u8]) -> u64 {
     bytes
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -12,5 +12,8 @@
 mod writer;
 
 pub use file::SnapshotFile;
-pub use format::{decode, encode, PayloadTooLong, Requirements, Snapshot, SnapshotError, OVERHEAD};
+pub use format::{
+    decode, encode, taken_at, PayloadTooLong, Requirements, Snapshot, SnapshotError, HEADER_LEN,
+    OVERHEAD,
+};
 pub use writer::{SnapshotWriter, WriteError};
