An attempt waits for a client that was last heard of 60 ms ago

Cause, from traces (`no-more`, then `nowhere`): a client that is not known to be there counted as gone, when an attempt was to start a moment after its request was read, and on arrival while responses were not acknowledged yet.

The attempt now waits, 60 ms at most, by the means of one that waits for a connection; no request is read while an acknowledgement is expected.

--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -2,6 +2,7 @@
 
 use sloewick_decision::api::{AttemptOutcome, Event, Micros, RequestId, ServerId, Status};
 
+use super::disconnects::ClientPresence;
 use super::Node;
 use crate::attempt_id::AttemptId;
 use crate::engine::DecisionEngine;
@@ -15,7 +16,8 @@
 use crate::upstream::request::{encode_memcached, encode_resp2, fits_memcached};
 use crate::upstream::response::AttemptResult;
 
-/// How long an attempt waits at most for a connection to a server that has as many as it may have.
+/// How long an attempt waits at most: for a connection to a server that has as many as it may have, or until its client is known to
+/// be connected.
 const MAX_CONNECTION_WAIT: Micros = 60_000;
 /// How often an attempt that waits looks for a connection.
 const CONNECTION_RETRY_INTERVAL: Micros = 3_000;
@@ -42,7 +44,7 @@
         };
         // Must come before the server is looked up: the check may poll the sockets, and an endpoint list that arrives may
         // change the server's address.
-        let is_connected = self.is_client_connected(self.requests[key].respond_to);
+        let presence = self.client_presence(self.requests[key].respond_to);
         let protocol = self.upstreams.protocol(server);
         let request = &mut self.requests[key];
         let attempt = request.attempts.len();
@@ -66,15 +68,27 @@
         });
         request.attempts_in_flight += 1;
         let may_start = may_start(request, protocol, wait);
-        if !is_connected {
+        let is_disconnected = presence == ClientPresence::Disconnected;
+        if is_disconnected {
             // Must come before the outcome, or else the decision engine would start another attempt.
             self.stop_attempts(key);
         }
-        if !may_start || !is_connected || !self.count_attempt_in_ledger(key, attempt, now) {
+        if !may_start || is_disconnected || !self.count_attempt_in_ledger(key, attempt, now) {
             return self.end_attempt(key, attempt, AttemptResult::with_status(Status::NotSent));
         }
         self.timers.set(now + wait, TimerEvent::Attempt(attempt_id));
-        self.connect_attempt(attempt_id, Some(now + MAX_CONNECTION_WAIT));
+        let wait_until = now + MAX_CONNECTION_WAIT;
+        if presence == ClientPresence::Uncertain {
+            return self.postpone_attempt(attempt_id, wait_until, now);
+        }
+        self.connect_attempt(attempt_id, Some(wait_until));
+    }
+
+    /// Has an attempt wait until its client is known to be connected, or a connection to its server can be used.
+    fn postpone_attempt(&mut self, id: AttemptId, wait_until: Micros, now: Micros) {
+        self.requests[id.request].attempts[id.attempt].waits_until = Some(wait_until);
+        let at = now + CONNECTION_RETRY_INTERVAL;
+        self.timers.set(at, TimerEvent::AwaitedConnection(id));
     }
 
     /// Writes an attempt on a connection to its server, or has it wait for one. `wait_until`: how long it may wait.
@@ -92,16 +106,16 @@
         let started = self.with_upstreams(|upstreams, context| {
             upstreams.start(exchange, &server, &encoded, context)
         });
-        let may_wait = wait_until.is_some_and(|until| now < until)
-            && self.upstreams.is_connection_expected(&server, now);
-        match started {
-            Ok(connection) => self.requests[key].attempts[attempt].connection = Some(connection),
-            Err(Status::NotSent) if may_wait => {
-                self.requests[key].attempts[attempt].waits_until = wait_until;
-                let at = now + CONNECTION_RETRY_INTERVAL;
-                self.timers.set(at, TimerEvent::AwaitedConnection(id));
+        let may_wait = self.upstreams.is_connection_expected(&server, now);
+        let wait_until = wait_until.filter(|until| may_wait && now < *until);
+        match (started, wait_until) {
+            (Ok(connection), _) => {
+                self.requests[key].attempts[attempt].connection = Some(connection);
             }
-            Err(status) => self.end_attempt(key, attempt, AttemptResult::with_status(status)),
+            (Err(Status::NotSent), Some(wait_until)) => {
+                self.postpone_attempt(id, wait_until, now);
+            }
+            (Err(status), _) => self.end_attempt(key, attempt, AttemptResult::with_status(status)),
         }
     }
 
@@ -144,13 +158,13 @@
                 continue;
             }
             let (key, attempt) = (id.request, id.attempt);
-            let is_connected = self.is_client_connected(self.requests[key].respond_to);
+            let presence = self.client_presence(self.requests[key].respond_to);
             let request = &self.requests[key];
             let remaining = request.attempts[attempt].expires_at - now;
             let server = request.attempts[attempt].server.clone();
-            let is_over =
-                request.closed || request.attempts_stopped || remaining <= 0 || !is_connected;
+            let is_over = request.closed || request.attempts_stopped || remaining <= 0;
             if is_over
+                || presence != ClientPresence::Connected
                 || !self.upstreams.is_current(connection)
                 || !self
                     .engine
@@ -184,21 +198,30 @@
     /// Connects an attempt of which nothing has been written, if it may still start.
     fn reconnect_attempt(&mut self, id: AttemptId, now: Micros, wait_until: Option<Micros>) {
         let (key, attempt) = (id.request, id.attempt);
-        let is_connected = self.is_client_connected(self.requests[key].respond_to);
+        let presence = self.client_presence(self.requests[key].respond_to);
         let request = &self.requests[key];
         let started = &request.attempts[attempt];
         let protocol = self.upstreams.protocol(&started.server);
-        let may_start = is_connected
-            && may_start(request, protocol, started.expires_at - now)
+        let may_start = may_start(request, protocol, started.expires_at - now)
             && self
                 .engine
                 .engine
                 .may_start_attempt(now, &request.id, attempt);
-        if may_start {
-            self.connect_attempt(id, wait_until);
-        } else {
-            self.end_attempt(key, attempt, AttemptResult::with_status(Status::NotSent));
+        let wait_longer = wait_until.filter(|until| now < *until);
+        match (presence, wait_longer) {
+            (ClientPresence::Connected, _) if may_start => {
+                return self.connect_attempt(id, wait_until);
+            }
+            (ClientPresence::Uncertain, Some(wait_until)) if may_start => {
+                return self.postpone_attempt(id, wait_until, now);
+            }
+            // Must come before the outcome, or else the decision engine would start another attempt.
+            (ClientPresence::Uncertain | ClientPresence::Disconnected, _) => {
+                self.stop_attempts(key);
+            }
+            (ClientPresence::Connected, _) => {}
         }
+        self.end_attempt(key, attempt, AttemptResult::with_status(Status::NotSent));
     }
 
     /// Abandons an attempt in flight and ends it with `status`, unless its value is being streamed.
--- a/crates/node/src/event_loop/disconnects.rs
+++ b/crates/node/src/event_loop/disconnects.rs
@@ -12,6 +12,15 @@
 use crate::tokens::{TokenOwner, DISCOVERY};
 use crate::transport::{ReadyEvent, Token, Transport};
 
+/// What is known of the client of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientPresence {
+    Connected,
+    /// It may have closed its connection; what its machine acknowledges next will show.
+    Uncertain,
+    Disconnected,
+}
+
 /// How often a client is tried again whose requests are not read until its machine acknowledges what was written.
 const ACKNOWLEDGEMENT_INTERVAL: Micros = 5_000;
 
@@ -89,17 +98,23 @@
         self.freshness.defer(event, serial);
     }
 
-    /// Whether the client of a response is connected, so that an attempt may start for it now. Polls the sockets first if the
+    /// Whether the client of a response is connected. An attempt may start for it only if it is. Polls the sockets first if the
     /// last poll is too old.
-    pub(super) fn is_client_connected(&mut self, to: ResponseAddress) -> bool {
+    pub(super) fn client_presence(&mut self, to: ResponseAddress) -> ClientPresence {
         if self.freshness.is_stale(|| self.io.now(), to.client_serial) {
             self.poll_within_round();
         }
         let now = self.io.now();
-        let connection = self.frontends.connection_for(to);
-        connection.is_some_and(|connection| {
-            !connection.is_disconnected(now) && !connection.is_uncertain(now)
-        })
+        match self.frontends.connection_for(to) {
+            Some(connection) if !connection.is_disconnected(now) => {
+                if connection.is_uncertain(now) {
+                    ClientPresence::Uncertain
+                } else {
+                    ClientPresence::Connected
+                }
+            }
+            _ => ClientPresence::Disconnected,
+        }
     }
 
     /// Has a client tried again soon whose requests are not read until its machine acknowledges what was written.
--- a/crates/node/src/frontend/connection_input.rs
+++ b/crates/node/src/frontend/connection_input.rs
@@ -48,7 +48,7 @@
             if self.turn.is_over() {
                 return ClientInput::Nothing;
             }
-            self.awaits_acknowledgement = self.has_pending_output() && self.is_uncertain(now);
+            self.awaits_acknowledgement = self.is_uncertain(now) && self.expects_acknowledgement();
             if self.awaits_acknowledgement || !self.accepts_requests(limits, memory) {
                 self.read_ahead(now, memory, scratch);
                 return ClientInput::Nothing;
@@ -94,6 +94,11 @@
             .is_uncertain(now, || stream.unacknowledged().unwrap_or(usize::MAX))
     }
 
+    /// Whether the client's machine will acknowledge something that has been or will be written.
+    fn expects_acknowledgement(&self) -> bool {
+        self.has_pending_output() || self.stream.unacknowledged().is_some_and(|bytes| bytes > 0)
+    }
+
     fn request_completed(&mut self) {
         self.input_progress.end();
         self.partial_since = None;
--- a/crates/sloewick/tests/unread_requests.rs
+++ b/crates/sloewick/tests/unread_requests.rs
@@ -150,3 +150,52 @@
     }
     sending.join().unwrap();
 }
+
+// Guards against a rejection of a request that was read when its client was just known to be there, and starts a moment later.
+#[test]
+fn request_that_is_read_when_its_client_was_last_heard_of_60_ms_ago_is_served() {
+    const WINDOW: u32 = 128;
+    const WINDOWS: u32 = 90;
+    let log = ReceivedLog::default();
+    let reply_to: Arc<ReplyTo> = Arc::new(|received| {
+        let number: u32 = received.id.rsplit('-').next().unwrap().parse().unwrap();
+        let blocked = Duration::from_millis(56) + Duration::from_micros(50) * (number / WINDOW);
+        let is_first = number.is_multiple_of(WINDOW);
+        let after = if is_first {
+            blocked
+        } else {
+            Duration::from_millis(5)
+        };
+        Some(PacedReply::value(10).after(after))
+    });
+    let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
+    let servers: Vec<PacedServer> = (1..=4).map(start).collect();
+    let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
+    let node = Node::builder()
+        .settings(site_settings())
+        .targets(&targets)
+        .start();
+    let mut client = node.client();
+    let mut sender = client.stream.try_clone().unwrap();
+    let sent = (WINDOW * WINDOWS) as usize;
+    let sending = std::thread::spawn(move || {
+        sender
+            .write_all(&encode_reads("c", sent, 10, 20_000))
+            .unwrap();
+    });
+    let mut rejected = Vec::new();
+    for number in 0..sent {
+        let line = client.read_line();
+        if line == BUSY {
+            rejected.push(number);
+        } else {
+            client.read_line();
+        }
+    }
+    sending.join().unwrap();
+    assert!(
+        rejected.is_empty(),
+        "{} rejected: {rejected:?}",
+        rejected.len()
+    );
+}
