A long write that takes more than 60 ms to arrive is forwarded

Cause: with more than 16 KiB at once an end could stand behind unread bytes, so nothing heard within the write showed that its client was there, and the request was handled before one more read would have shown it.

That read is made now, and a request of a client that is not known to be there is no longer rejected on arrival: its attempt waits, 60 ms at most.

--- a/crates/node/src/event_loop/clients.rs
+++ b/crates/node/src/event_loop/clients.rs
@@ -79,7 +79,7 @@
         let connection = self.frontends.clients.get_mut(client);
         self.requests.is_full()
             || now >= self.lifecycle.respond_by()
-            || connection.is_some_and(|c| c.is_disconnected(now) || c.is_uncertain(now))
+            || connection.is_some_and(|c| c.is_disconnected(now))
             || !self.ensure_slot(client, now)
     }
 
--- a/crates/node/src/frontend/connection_input.rs
+++ b/crates/node/src/frontend/connection_input.rs
@@ -57,6 +57,7 @@
                 ClientInput::Nothing => {}
                 malformed @ ClientInput::Malformed { .. } => return malformed,
                 input => {
+                    self.read_behind_message(now, memory, scratch);
                     self.last_active = now;
                     self.last_request = Some(now);
                     self.request_completed();
@@ -87,6 +88,15 @@
         self.waits_for_memory = false;
     }
 
+    /// Reads on behind a message if that may show whether the client is there: an end that was sent with the message would be read
+    /// now.
+    fn read_behind_message(&mut self, now: Micros, memory: &mut MemoryAccount, scratch: &mut [u8]) {
+        if self.unread && self.is_uncertain(now) {
+            self.read_socket(now, memory, scratch);
+            self.waits_for_memory = false;
+        }
+    }
+
     /// Whether the client may have closed the connection too long ago for an attempt to start for it.
     pub(crate) fn is_uncertain(&mut self, now: Micros) -> bool {
         let stream = &self.stream;
--- a/crates/sloewick/tests/unread_requests.rs
+++ b/crates/sloewick/tests/unread_requests.rs
@@ -199,3 +199,34 @@
         rejected.len()
     );
 }
+
+// Guards against a rejection of a long write as from a client that may have gone, since nothing else was heard of it meanwhile.
+#[test]
+fn long_write_that_arrives_for_longer_than_60_ms_without_a_pause_is_forwarded() {
+    const PIECE: usize = 64 << 10;
+    const PIECES: usize = 64;
+    let log = ReceivedLog::default();
+    let reply_to: Arc<ReplyTo> = Arc::new(|_| Some(PacedReply::value(10)));
+    let server = PacedServer::start(1, Pace::UNLIMITED, &log, reply_to);
+    let node = Node::builder()
+        .settings(site_settings())
+        .targets(std::slice::from_ref(&server.target))
+        .start();
+    // What follows at once: nothing, a complete request, the beginning of one.
+    let next = read_request("next");
+    for (round, behind) in [&[][..], &next, &next[..9]].into_iter().enumerate() {
+        let value = vec![b'v'; PIECE * PIECES];
+        let id = format!("long-{round}");
+        let mut output = command(&[b"C.SET", b"k1", id.as_bytes(), b"c=once,d=20000", &value]);
+        output.extend_from_slice(behind);
+        let mut client = node.client();
+        let started = Instant::now();
+        for (number, piece) in output.chunks(PIECE).enumerate() {
+            client.send(piece);
+            let due = Duration::from_millis(2) * number as u32;
+            std::thread::sleep(due.saturating_sub(started.elapsed()));
+        }
+        let reply = client.read_line();
+        assert!(reply.starts_with('$'), "{id}: {reply}");
+    }
+}
