A drain kept against a newer list is confirmed by the full list

Need, found on reading the merge again: where a newer list of a configuration says that a server is in service which discovery had told to drain, the server stays drained until discovery says otherwise, but the watch that goes on from the newer revision brings no change that names it. The same held for a list of another process that was newer by revision and told earlier.

A merge now says that it needs confirmation, and the full list is asked for, as it was already where another process's drain was taken over.

Also: a running process takes no drains from a list that only another one's configuration has, at another service.

The drawn orders start some processes with discovery's present list.

--- a/crates/node/src/discovery/list_replica.rs
+++ b/crates/node/src/discovery/list_replica.rs
@@ -80,6 +80,9 @@
     pub(crate) changes: Vec<ListedEndpoint>,
     /// Whether the other list was newer, so that its revision holds now.
     pub(crate) is_newer: bool,
+    /// Whether a draining or removed server was kept against the newer list. Discovery has to be asked for the full list, since no
+    /// change that follows may name the server.
+    pub(crate) needs_confirmation: bool,
 }
 
 impl ListReplica {
@@ -158,19 +161,22 @@
             }
         };
         if !is_newer {
+            let kept = self.keep_later_drains(other, scope);
             return Merged {
-                changes: self.keep_later_drains(other),
+                needs_confirmation: !kept.is_empty(),
+                changes: kept,
                 is_newer,
             };
         }
         let before = std::mem::replace(self, other.clone());
-        self.keep_later_drains(&before);
+        let kept = self.keep_later_drains(&before, scope);
         self.told_at = self
             .told_at
             .map(|told_at| told_at.max(before.told_at.unwrap_or_default()));
         Merged {
             changes: self.changes_since(&before),
             is_newer,
+            needs_confirmation: !kept.is_empty(),
         }
     }
 
@@ -195,8 +201,9 @@
 
     /// Takes over the draining and removed servers of an older list that were told after discovery's last answer to this one.
     /// Returns the entries that have changed.
-    fn keep_later_drains(&mut self, older: &ListReplica) -> Vec<ListedEndpoint> {
-        let is_from_newer_configuration = older.told_at.is_none()
+    fn keep_later_drains(&mut self, older: &ListReplica, scope: MergeScope) -> Vec<ListedEndpoint> {
+        let is_from_newer_configuration = scope == MergeScope::AnySequence
+            && older.told_at.is_none()
             && older.sequence.service != self.sequence.service
             && older.revision > self.revision;
         let is_later = |entry: &ReplicaEntry| {
--- a/crates/node/src/discovery/list_replica_tests.rs
+++ b/crates/node/src/discovery/list_replica_tests.rs
@@ -146,7 +146,7 @@
     );
     other.told(&list(3, false, &["b=terminated"]), ToldAs::Next, 3 * SECOND);
     let merged = own.merge(&other, MergeScope::SameSequence);
-    assert!(!merged.is_newer);
+    assert!(!merged.is_newer && merged.needs_confirmation);
     assert_eq!(own.revision(), 42);
     assert_eq!((state(&own, "a"), state(&own, "b")), (LIVE, REMOVED));
     assert_eq!((state(&own, "c"), state(&own, "d")), (DRAINING, None));
@@ -161,7 +161,11 @@
         Merged::default()
     );
     let mut started = newer;
-    started.merge(&own, MergeScope::AnySequence);
+    assert!(
+        started
+            .merge(&own, MergeScope::AnySequence)
+            .needs_confirmation
+    );
     assert_eq!(started.revision(), 60);
     assert_eq!(
         (state(&started, "a"), state(&started, "c")),
@@ -179,11 +183,32 @@
     for (rev, expected) in [(60, DRAINING), (30, LIVE)] {
         let known = full(rev, &["a=terminating", "b=in_service"]);
         let mut started = ListReplica::from_configuration(&known, service(2));
-        started.merge(&told, MergeScope::AnySequence);
+        let configured = started.clone();
+        let merged = started.merge(&told, MergeScope::AnySequence);
         assert_eq!((started.revision(), state(&started, "a")), (42, expected));
+        assert_eq!(merged.needs_confirmation, expected == DRAINING);
+        // A process that runs already goes on without the configuration of another one.
+        let mut running = told.clone();
+        let merged = running.merge(&configured, MergeScope::SameSequence);
+        assert_eq!(merged, Merged::default());
     }
 }
 
+#[test]
+fn drain_that_is_kept_against_a_newer_list_of_the_same_sequence_has_to_be_confirmed() {
+    let mut own = told(42, &["a=in_service"], SECOND);
+    let mut newer = own.clone();
+    newer.told(&list(44, false, &[]), ToldAs::Next, 2 * SECOND);
+    own.told(
+        &list(43, false, &["a=terminating"]),
+        ToldAs::Next,
+        3 * SECOND,
+    );
+    let merged = own.merge(&newer, MergeScope::SameSequence);
+    assert!(merged.is_newer && merged.needs_confirmation);
+    assert_eq!((own.revision(), state(&own, "a")), (44, DRAINING));
+}
+
 #[test]
 fn entries_of_an_older_answer_change_neither_the_revision_nor_the_time_of_the_last_answer() {
     let mut replica = told(42, &["a=in_service", "b=in_service"], SECOND);
--- a/crates/node/src/event_loop/endpoint_list_exchange.rs
+++ b/crates/node/src/event_loop/endpoint_list_exchange.rs
@@ -20,8 +20,9 @@
         let Some(exchange) = &mut self.list_exchange else {
             return configured;
         };
-        match exchange.take_over(&mut self.io) {
-            TakeOver::Merged => {}
+        let outcome = exchange.take_over(&mut self.io);
+        match outcome {
+            TakeOver::Merged | TakeOver::MergedUnconfirmed => {}
             TakeOver::Unusable => return configured,
             TakeOver::Nothing => {
                 if has_checkpoint {
@@ -36,6 +37,9 @@
         let (sequence, revision) = (replica.sequence(), replica.revision());
         let (told_at, list) = (replica.told_at(), replica.to_list());
         self.discovery.client.start_from(sequence, revision);
+        if outcome == TakeOver::MergedUnconfirmed {
+            self.discovery.client.confirm_list();
+        }
         if told_at.is_some() || !list.targets.is_empty() {
             self.lifecycle.endpoint_list_taken_over();
         }
@@ -94,8 +98,8 @@
         let (sequence, revision) = (exchange.replica.sequence(), exchange.replica.revision());
         if merged.is_newer {
             self.discovery.client.continue_from(sequence, revision);
-        } else {
-            // Discovery may have told this process already that these servers are in service.
+        }
+        if merged.needs_confirmation {
             self.discovery.client.confirm_list();
         }
         let servers = merged.changes.len();
--- a/crates/node/src/list_exchange.rs
+++ b/crates/node/src/list_exchange.rs
@@ -38,6 +38,8 @@
     Unusable,
     /// A list was merged with that of the configuration.
     Merged,
+    /// The same, and discovery has to be asked for the full list; see [`Merged::needs_confirmation`].
+    MergedUnconfirmed,
 }
 
 /// The replica of this process, and whether the others can read it. See the module documentation.
@@ -72,8 +74,13 @@
         for published in io.transport.changed_endpoint_lists(self.max_bytes) {
             match self.read(published, io) {
                 Ok(other) => {
-                    self.replica.merge(&other, MergeScope::AnySequence);
-                    outcome = TakeOver::Merged;
+                    let merged = self.replica.merge(&other, MergeScope::AnySequence);
+                    let was_unconfirmed = outcome == TakeOver::MergedUnconfirmed;
+                    outcome = if merged.needs_confirmation || was_unconfirmed {
+                        TakeOver::MergedUnconfirmed
+                    } else {
+                        TakeOver::Merged
+                    };
                 }
                 Err(error) => {
                     io.log(&format!("handover: endpoint list not taken up: {error}"));
@@ -83,7 +90,7 @@
                 }
             }
         }
-        if outcome == TakeOver::Merged {
+        if matches!(outcome, TakeOver::Merged | TakeOver::MergedUnconfirmed) {
             let (revision, servers) = (self.replica.revision(), self.replica.live_count());
             let told_at = self.replica.told_at();
             let age = told_at.map_or("never told".to_string(), |told_at| {
--- a/crates/sloewick/tests/support/discovery_service.rs
+++ b/crates/sloewick/tests/support/discovery_service.rs
@@ -185,6 +185,15 @@
         self.state().told.clone()
     }
 
+    /// The current revision and the servers that are not gone.
+    pub(crate) fn present_list(&self) -> (i64, Vec<Value>) {
+        let state = self.state();
+        let servers = state.servers.values();
+        let present = servers.filter(|server| server.target["state"] != "terminated");
+        let targets = present.map(|server| server.target.clone());
+        (state.rev, targets.collect())
+    }
+
     /// The current revision.
     pub(crate) fn rev(&self) -> i64 {
         self.state().rev
--- a/crates/sloewick/tests/upgrade_during_outage.rs
+++ b/crates/sloewick/tests/upgrade_during_outage.rs
@@ -198,6 +198,22 @@
     }
 }
 
+#[test]
+fn server_drained_against_a_newer_list_in_the_configuration_is_served_once_discovery_confirms_it() {
+    let mut node = node_with_drain_in_outage();
+    node.tell(0, "in_service");
+    let options = ProcessOptions {
+        known: Some((node.discovery.rev(), node.targets.clone())),
+        ..ProcessOptions::default()
+    };
+    upgrade_with(&mut node, options);
+    observe(&node, "newer configuration");
+    node.discovery.set_mode(ServiceMode::Up);
+    let since = Instant::now();
+    wait_until("the server is served", || node.received_since(0, since) > 0);
+    node.assert_rules("confirmed");
+}
+
 #[test]
 fn newer_list_in_the_configuration_of_a_broken_off_upgrade_does_not_reach_the_old_process() {
     let mut node = running_node();
--- a/crates/sloewick/tests/upgrade_orders.rs
+++ b/crates/sloewick/tests/upgrade_orders.rs
@@ -28,7 +28,10 @@
     Tell(usize, &'static str),
     Discovery(ServiceMode),
     RestartNumbering,
-    StartProcess,
+    /// A process starts with the configuration of the first one, or with one that has discovery's present list.
+    StartProcess {
+        knows_present_list: bool,
+    },
     /// The newest process is killed, if an older one runs.
     BreakOff,
     /// The oldest process ends, once a newer one is ready.
@@ -52,7 +55,9 @@
         }
         5..=8 => Step::Discovery(draw.pick(&MODES)),
         9 => Step::RestartNumbering,
-        10..=12 => Step::StartProcess,
+        10..=12 => Step::StartProcess {
+            knows_present_list: draw.below(3) == 0,
+        },
         13 => Step::BreakOff,
         14..=16 => Step::StopOldest,
         _ => Step::Reload,
@@ -77,8 +82,12 @@
                 self.node.discovery.set_mode(ServiceMode::Down);
                 self.node.discovery.restart_numbering();
             }
-            Step::StartProcess if self.running.len() < MAX_PROCESSES => {
-                let process = self.node.start_process(ProcessOptions::default());
+            Step::StartProcess { knows_present_list } if self.running.len() < MAX_PROCESSES => {
+                let options = ProcessOptions {
+                    known: knows_present_list.then(|| self.node.discovery.present_list()),
+                    ..ProcessOptions::default()
+                };
+                let process = self.node.start_process(options);
                 self.running.push(process);
             }
             Step::BreakOff if self.running.len() > 1 => {
@@ -93,7 +102,7 @@
                 self.node.stop_process(oldest);
             }
             Step::Reload => self.reload(),
-            Step::StartProcess | Step::BreakOff | Step::StopOldest => {}
+            Step::StartProcess { .. } | Step::BreakOff | Step::StopOldest => {}
         }
     }
 
