--- a/crates/sloewick/tests/unread_requests.rs
+++ b/crates/sloewick/tests/unread_requests.rs
@@ -40,6 +40,22 @@
     settings
 }
 
+/// Starts a node before this many servers that reply so.
+fn start_node(
+    servers: usize,
+    log: &ReceivedLog,
+    reply_to: &Arc<ReplyTo>,
+) -> (Node, Vec<PacedServer>) {
+    let start = |number| PacedServer::start(number, Pace::UNLIMITED, log, Arc::clone(reply_to));
+    let servers: Vec<PacedServer> = (1..=servers).map(start).collect();
+    let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
+    let node = Node::builder()
+        .settings(site_settings())
+        .targets(&targets)
+        .start();
+    (node, servers)
+}
+
 /// Sends requests as fast as the connection takes them and reads the responses, until the time has come to close. Returns
 /// when the connection was closed.
 fn run_client(node: &Node, name: &str, close: Close) -> Instant {
@@ -77,13 +93,7 @@
         let after = fastest * (1 + number % 5);
         Some(PacedReply::value(10).after(after))
     });
-    let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
-    let servers: Vec<PacedServer> = (1..=4).map(start).collect();
-    let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
-    let node = Node::builder()
-        .settings(site_settings())
-        .targets(&targets)
-        .start();
+    let (node, _servers) = start_node(4, &log, &reply_to);
     let (mut late, mut longest) = (0, Duration::ZERO);
     for round in 0..rounds {
         let name = format!("c{round}");
@@ -130,13 +140,7 @@
         let after = Duration::from_millis(10) * (1 + number % 8);
         Some(PacedReply::value(number as usize).after(after))
     });
-    let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
-    let servers: Vec<PacedServer> = (1..=4).map(start).collect();
-    let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
-    let node = Node::builder()
-        .settings(site_settings())
-        .targets(&targets)
-        .start();
+    let (node, _servers) = start_node(4, &log, &reply_to);
     let mut client = node.client();
     let mut sender = client.stream.try_clone().unwrap();
     let sending = std::thread::spawn(move || {
@@ -168,13 +172,7 @@
         };
         Some(PacedReply::value(10).after(after))
     });
-    let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
-    let servers: Vec<PacedServer> = (1..=4).map(start).collect();
-    let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
-    let node = Node::builder()
-        .settings(site_settings())
-        .targets(&targets)
-        .start();
+    let (node, _servers) = start_node(4, &log, &reply_to);
     let mut client = node.client();
     let mut sender = client.stream.try_clone().unwrap();
     let sent = (WINDOW * WINDOWS) as usize;
@@ -207,11 +205,7 @@
     const PIECES: usize = 64;
     let log = ReceivedLog::default();
     let reply_to: Arc<ReplyTo> = Arc::new(|_| Some(PacedReply::value(10)));
-    let server = PacedServer::start(1, Pace::UNLIMITED, &log, reply_to);
-    let node = Node::builder()
-        .settings(site_settings())
-        .targets(std::slice::from_ref(&server.target))
-        .start();
+    let (node, _servers) = start_node(1, &log, &reply_to);
     // What follows at once: nothing, a complete request, the beginning of one.
     let next = read_request("next");
     for (round, behind) in [&[][..], &next, &next[..9]].into_iter().enumerate() {
--- a/crates/sloewick/tests/upgrade_during_outage.rs
+++ b/crates/sloewick/tests/upgrade_during_outage.rs
@@ -21,6 +21,15 @@
 /// Time in which a process has seen what another one has published.
 const EXCHANGE_TIME: Duration = Duration::from_millis(300);
 
+/// Plays each case on a thread of its own, since most of the time is spent waiting.
+fn in_parallel<Case: Send>(cases: impl IntoIterator<Item = Case>, play: impl Fn(Case) + Sync) {
+    std::thread::scope(|scope| {
+        for case in cases {
+            scope.spawn(|| play(case));
+        }
+    });
+}
+
 /// A node with one process that watches discovery, and clients that send.
 fn running_node() -> UpgradedNode {
     let mut node = UpgradedNode::new();
@@ -66,14 +75,14 @@
 #[test]
 fn server_told_to_drain_or_removed_before_an_upgrade_in_an_outage_gets_nothing_from_the_new_process(
 ) {
-    for state in ["terminating", "terminated"] {
+    in_parallel(["terminating", "terminated"], |state| {
         let mut node = running_node();
         node.tell(0, state);
         std::thread::sleep(EXCHANGE_TIME);
         node.discovery.set_mode(ServiceMode::Down);
         upgrade(&mut node);
         observe(&node, state);
-    }
+    });
 }
 
 #[test]
@@ -180,7 +189,7 @@
 #[test]
 fn list_in_the_configuration_wins_only_if_its_revision_is_newer() {
     // Older than what the node was told, and newer: there another server drains, and a third one is missing.
-    for (rev, late_drain) in [(40, false), (60, true)] {
+    in_parallel([(40, false), (60, true)], |(rev, is_newer)| {
         let mut node = node_with_drain_in_outage();
         let mut known = with_states(&node.targets, &[(1, "terminating")]);
         known.remove(2);
@@ -192,10 +201,10 @@
         let since = Instant::now();
         observe(&node, "known");
         assert_eq!(node.received_since(0, since), 0, "rev {rev}");
-        assert_eq!(node.received_since(1, since) == 0, late_drain, "rev {rev}");
-        assert_eq!(node.received_since(2, since) == 0, late_drain, "rev {rev}");
+        assert_eq!(node.received_since(1, since) == 0, is_newer, "rev {rev}");
+        assert_eq!(node.received_since(2, since) == 0, is_newer, "rev {rev}");
         assert!(node.received_since(3, since) > 0, "rev {rev}");
-    }
+    });
 }
 
 #[test]
@@ -278,7 +287,8 @@
 
 #[test]
 fn stale_cut_and_missing_answers_to_the_new_process_bring_no_drained_server_back() {
-    for mode in [ServiceMode::Stale, ServiceMode::SilentToNewRequests] {
+    let modes = [ServiceMode::Stale, ServiceMode::SilentToNewRequests];
+    in_parallel(modes, |mode| {
         let mut node = running_node();
         node.tell(0, "terminating");
         node.tell(1, "terminated");
@@ -286,7 +296,7 @@
         node.discovery.set_mode(mode);
         upgrade(&mut node);
         observe(&node, &format!("{mode:?}"));
-    }
+    });
 }
 
 #[test]
@@ -320,19 +330,16 @@
 
 #[test]
 fn server_told_to_have_restarted_is_cold_to_the_new_process_whatever_its_wall_clock_says() {
-    std::thread::scope(|scope| {
-        for step in [None, Some(3_600), Some(-3_600)] {
-            scope.spawn(move || upgrade_after_the_restart_of_a_server(step));
-        }
-    });
+    let steps = [None, Some(3_600), Some(-3_600)];
+    in_parallel(steps, upgrade_after_the_restart_of_a_server);
 }
 
-/// The files in which the processes of a node have published their endpoint lists.
-fn list_files(node: &UpgradedNode) -> Vec<PathBuf> {
+/// The file in which the only process of a node has published its endpoint list.
+fn list_file(node: &UpgradedNode) -> PathBuf {
     let entries = std::fs::read_dir(node.folder.path()).unwrap();
-    let paths = entries.map(|entry| entry.unwrap().path());
+    let mut paths = entries.map(|entry| entry.unwrap().path());
     let is_list = |path: &PathBuf| path.to_string_lossy().contains("sloewick-endpoints-");
-    paths.filter(is_list).collect()
+    paths.find(is_list).expect("a list is published")
 }
 
 /// A damage of a file, and the reason that the log gives.
@@ -350,23 +357,18 @@
 
 #[test]
 fn damaged_list_is_reported_in_one_line_and_the_rest_of_the_state_is_taken_over() {
-    let mut node = UpgradedNode::new();
-    node.start_watching_process();
-    std::thread::sleep(SNAPSHOT_TIME);
-    node.discovery.set_mode(ServiceMode::Down);
-    let path = list_files(&node).remove(0);
-    let published = std::fs::read(&path).unwrap();
-    node.kill_process(0);
-    for (damage, reason) in DAMAGES {
-        for path in list_files(&node) {
-            std::fs::remove_file(path).unwrap();
-        }
-        let mut bytes = published.clone();
+    in_parallel(DAMAGES, |(damage, reason)| {
+        let mut node = UpgradedNode::new();
+        node.start_watching_process();
+        std::thread::sleep(SNAPSHOT_TIME);
+        node.discovery.set_mode(ServiceMode::Down);
+        node.kill_process(0);
+        let path = list_file(&node);
+        let mut bytes = std::fs::read(&path).unwrap();
         damage(&mut bytes);
         std::fs::write(&path, bytes).unwrap();
         let new = node.start_process(ProcessOptions::default());
         node.wait_until_ready(new);
-        std::thread::sleep(SNAPSHOT_TIME);
         let log = node.processes[new].node.shut_down_and_read_stderr();
         let line = format!("handover: endpoint list not taken up: {reason}\n");
         assert!(log.contains(&line), "{log}");
@@ -376,7 +378,7 @@
             "{log}"
         );
         assert!(log.contains("handover: 4 servers, "), "{log}");
-    }
+    });
 }
 
 #[test]
