Shared endpoint list: names of the field in place of withdrawn words

Change: ListRelation, receive, received_at, state_received_at, retain_later_drains, is_unconfirmed, requires_full_list; the log says `received N ms ago` or `never received`. No change of behaviour; the published form has no names in it. The tests of upgrades say how a process that does not get ready has ended, and what it logged.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -23,7 +23,7 @@
 use sloewick_decision::api::{Micros, ServerState};
 
 use crate::discovery::endpoints::{parse_endpoint_list_text, EndpointList};
-use crate::discovery::list_replica::{RevisionSequence, ToldAs};
+use crate::discovery::list_replica::{ListRelation, RevisionSequence};
 use crate::discovery::request::{
     DiscoveryError, DiscoveryRequest, Failures, PendingRequest, RequestFailure,
 };
@@ -53,7 +53,7 @@
     /// The full endpoint list, or the entries that have changed, possibly none.
     List {
         list: EndpointList,
-        told_as: ToldAs,
+        relation: ListRelation,
     },
     Failed(RequestFailure),
 }
@@ -65,7 +65,7 @@
     /// Revision of the known list; None if discovery has moved since.
     revision: Option<i64>,
     watching: bool,
-    needs_full_list: bool,
+    requires_full_list: bool,
     stage: WatchStage,
     /// A response was older than the known list: the next request is for the full list, which is accepted even if it is
     /// older.
@@ -96,7 +96,7 @@
             token,
             revision: Some(revision),
             watching: true,
-            needs_full_list: false,
+            requires_full_list: false,
             stage: WatchStage::Started,
             is_revision_suspect: false,
             next_request_at: 0,
@@ -130,7 +130,7 @@
 
     /// Requests the full list once, after the request in flight.
     pub(crate) fn confirm_list(&mut self) {
-        self.needs_full_list = true;
+        self.requires_full_list = true;
     }
 
     /// Bytes of memory that the response in progress holds: the bytes read, and as many again when its body is taken from them.
@@ -149,7 +149,7 @@
 
     /// Requests the full list once. A watch request in flight is cancelled, and the watch continues afterwards.
     pub(crate) fn request_full_list(&mut self) {
-        self.needs_full_list = true;
+        self.requires_full_list = true;
         self.cancel_watch();
     }
 
@@ -167,7 +167,7 @@
             self.next_request_at = 0;
             self.failures = Failures::default();
             self.pending = None;
-            self.needs_full_list = true;
+            self.requires_full_list = true;
         }
     }
 
@@ -178,7 +178,7 @@
         timers: &mut Timers,
     ) -> Option<DiscoveryEvent> {
         let now = net.now();
-        let is_needed = self.watching || self.needs_full_list;
+        let is_needed = self.watching || self.requires_full_list;
         if self.pending.is_some() || now < self.next_request_at || !is_needed {
             return None;
         }
@@ -213,7 +213,7 @@
     }
 
     fn next_request(&self) -> DiscoveryRequest {
-        let accepts_changes = !self.needs_full_list && !self.is_revision_suspect;
+        let accepts_changes = !self.requires_full_list && !self.is_revision_suspect;
         match self.revision.filter(|_| accepts_changes) {
             Some(since) => DiscoveryRequest::Watch {
                 since,
@@ -311,9 +311,9 @@
         if is_older && !(list.all && self.is_revision_suspect) {
             return self.accept_drains_of_older_list(list, now, timers);
         }
-        let told_as = match self.revision {
-            Some(_) if !is_older => ToldAs::Next,
-            _ => ToldAs::NewSequence {
+        let relation = match self.revision {
+            Some(_) if !is_older => ListRelation::Next,
+            _ => ListRelation::NewSequence {
                 service: self.address,
             },
         };
@@ -321,7 +321,7 @@
         self.failures = Failures::default();
         let is_newer = self.revision.is_none_or(|known| list.rev > known);
         self.revision = Some(list.rev);
-        self.needs_full_list &= !list.all;
+        self.requires_full_list &= !list.all;
         let brings_change = is_newer && !list.targets.is_empty();
         self.stage = self.stage.after_response(brings_change);
         if brings_change || now - pending.started >= WATCH_BACKOFF {
@@ -333,7 +333,7 @@
             self.immediate_empty_responses = self.immediate_empty_responses.saturating_add(1);
             self.delay_request(now + (WATCH_BACKOFF << doublings), timers);
         }
-        DiscoveryEvent::List { list, told_as }
+        DiscoveryEvent::List { list, relation }
     }
 
     /// Handles a list that is older than the known one. Applying it would bring back servers that were removed, so only its
@@ -349,7 +349,7 @@
     ) -> DiscoveryEvent {
         self.is_revision_suspect = true;
         self.stage = WatchStage::Recovering;
-        self.needs_full_list = true;
+        self.requires_full_list = true;
         self.delay_request(now + self.schedule.retry_pause, timers);
         let not_live = list
             .targets
@@ -361,7 +361,7 @@
                 all: false,
                 targets: not_live.collect(),
             },
-            told_as: ToldAs::OlderEntries,
+            relation: ListRelation::OlderEntries,
         }
     }
 
--- a/crates/node/src/discovery/list_replica.rs
+++ b/crates/node/src/discovery/list_replica.rs
@@ -6,9 +6,9 @@
 //!
 //! Which list holds:
 //! - Revisions are compared only within one [`RevisionSequence`]; the higher one is newer.
-//! - Between two sequences, the list that discovery told later is newer. A list from the configuration was told by nobody, and is
-//!   older than any that discovery has told.
-//! - Whichever list is newer, a server that was told to drain, or was removed, after discovery's last answer to the process with
+//! - Between two sequences, the list that discovery sent later is newer. A list from the configuration was sent by nobody, and is
+//!   older than any that discovery has sent.
+//! - Whichever list is newer, a server that was announced as draining or removed, after discovery's last answer to the process with
 //!   the newer list stays so, since it is safe to send a server nothing. The next answer of discovery decides.
 
 use std::collections::{BTreeMap, HashSet};
@@ -31,14 +31,14 @@
     pub(crate) began: Micros,
 }
 
-/// How a list that discovery has told relates to the list before it.
+/// How a list that discovery has sent relates to the list before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ToldAs {
+pub(crate) enum ListRelation {
     /// Its revision follows in the same sequence.
     Next,
     /// It begins a new sequence: discovery has moved, or numbers its revisions anew.
     NewSequence {
-        /// The service that has told the list.
+        /// The service that has sent the list.
         service: SocketAddr,
     },
     /// It is older than the known list; only these entries are applied, and the revision stays.
@@ -50,7 +50,7 @@
 pub(crate) enum MergeScope {
     /// All, also one from a configuration: this process has not begun to ask discovery.
     AnySequence,
-    /// Those that discovery has told in the sequence of this list.
+    /// Those that discovery has sent in the sequence of this list.
     SameSequence,
 }
 
@@ -59,8 +59,8 @@
 struct ReplicaEntry {
     /// The entry as discovery sent it, with the start of the server on the machine's monotonic clock.
     listed: ListedEndpoint,
-    /// When discovery told the state; 0 if the configuration has it.
-    state_told_at: Micros,
+    /// When discovery announced the state; 0 if the configuration has it.
+    state_received_at: Micros,
 }
 
 /// The endpoint list of a process. See the module documentation.
@@ -69,7 +69,7 @@
     sequence: RevisionSequence,
     revision: i64,
     /// When discovery last answered a process whose list this is; None if the list is that of a configuration.
-    told_at: Option<Micros>,
+    received_at: Option<Micros>,
     servers: BTreeMap<ServerId, ReplicaEntry>,
 }
 
@@ -82,7 +82,7 @@
     pub(crate) is_newer: bool,
     /// Whether a draining or removed server was kept against the newer list. Discovery has to be asked for the full list, since no
     /// change that follows may name the server.
-    pub(crate) needs_confirmation: bool,
+    pub(crate) is_unconfirmed: bool,
 }
 
 impl ListReplica {
@@ -91,7 +91,7 @@
         let mut replica = ListReplica {
             sequence: RevisionSequence { service, began: 0 },
             revision: list.rev,
-            told_at: None,
+            received_at: None,
             servers: BTreeMap::new(),
         };
         replica.update(&list.targets, 0);
@@ -107,8 +107,8 @@
     }
 
     /// When discovery last answered a process whose list this is; None if it never did.
-    pub(crate) fn told_at(&self) -> Option<Micros> {
-        self.told_at
+    pub(crate) fn received_at(&self) -> Option<Micros> {
+        self.received_at
     }
 
     /// Number of servers that are neither draining nor removed.
@@ -117,7 +117,7 @@
         entries.filter(|entry| entry.is_live()).count()
     }
 
-    /// Whether the values are ones that [`ListReplica::told`] can have stored.
+    /// Whether the values are ones that [`ListReplica::receive`] can have stored.
     pub(crate) fn is_valid(&self) -> bool {
         self.servers.iter().all(|(server, entry)| {
             *server == entry.listed.entry.server && entry.listed.entry.weight.is_finite()
@@ -125,22 +125,27 @@
     }
 
     /// Records an answer of discovery. Returns whether it has changed the list or its revision.
-    pub(crate) fn told(&mut self, list: &EndpointList, told_as: ToldAs, now: Micros) -> bool {
+    pub(crate) fn receive(
+        &mut self,
+        list: &EndpointList,
+        relation: ListRelation,
+        now: Micros,
+    ) -> bool {
         let mut changed = self.update(&list.targets, now);
-        if told_as == ToldAs::OlderEntries {
+        if relation == ListRelation::OlderEntries {
             return changed;
         }
         if list.all {
             changed |= self.remove_unlisted(&list.targets, now);
         }
-        if let ToldAs::NewSequence { service } = told_as {
+        if let ListRelation::NewSequence { service } = relation {
             let began = now;
             self.sequence = RevisionSequence { service, began };
             changed = true;
         }
         changed |= self.revision != list.rev;
         self.revision = list.rev;
-        self.told_at = Some(now);
+        self.received_at = Some(now);
         changed
     }
 
@@ -157,26 +162,26 @@
             MergeScope::AnySequence => self.is_older_than(other),
             MergeScope::SameSequence => {
                 let is_same_sequence = self.sequence == other.sequence;
-                is_same_sequence && self.revision < other.revision && other.told_at.is_some()
+                is_same_sequence && self.revision < other.revision && other.received_at.is_some()
             }
         };
         if !is_newer {
-            let kept = self.keep_later_drains(other, scope);
+            let retained = self.retain_later_drains(other, scope);
             return Merged {
-                needs_confirmation: !kept.is_empty(),
-                changes: kept,
+                is_unconfirmed: !retained.is_empty(),
+                changes: retained,
                 is_newer,
             };
         }
         let before = std::mem::replace(self, other.clone());
-        let kept = self.keep_later_drains(&before, scope);
-        self.told_at = self
-            .told_at
-            .map(|told_at| told_at.max(before.told_at.unwrap_or_default()));
+        let retained = self.retain_later_drains(&before, scope);
+        self.received_at = self
+            .received_at
+            .map(|received_at| received_at.max(before.received_at.unwrap_or_default()));
         Merged {
             changes: self.changes_since(&before),
             is_newer,
-            needs_confirmation: !kept.is_empty(),
+            is_unconfirmed: !retained.is_empty(),
         }
     }
 
@@ -190,24 +195,29 @@
         }
     }
 
-    /// Whether this list is older than `other`. Of two with the same revision, the one that discovery told later is newer.
+    /// Whether this list is older than `other`. Of two with the same revision, the one that discovery sent later is newer.
     fn is_older_than(&self, other: &ListReplica) -> bool {
         if self.sequence == other.sequence {
-            (self.revision, self.told_at) < (other.revision, other.told_at)
+            (self.revision, self.received_at) < (other.revision, other.received_at)
         } else {
-            self.told_at < other.told_at
+            self.received_at < other.received_at
         }
     }
 
-    /// Takes over the draining and removed servers of an older list that were told after discovery's last answer to this one.
+    /// Takes over the draining and removed servers of an older list that were announced after discovery's last answer to this one.
     /// Returns the entries that have changed.
-    fn keep_later_drains(&mut self, older: &ListReplica, scope: MergeScope) -> Vec<ListedEndpoint> {
+    fn retain_later_drains(
+        &mut self,
+        older: &ListReplica,
+        scope: MergeScope,
+    ) -> Vec<ListedEndpoint> {
         let is_from_newer_configuration = scope == MergeScope::AnySequence
-            && older.told_at.is_none()
+            && older.received_at.is_none()
             && older.sequence.service != self.sequence.service
             && older.revision > self.revision;
         let is_later = |entry: &ReplicaEntry| {
-            is_from_newer_configuration || entry.state_told_at > self.told_at.unwrap_or_default()
+            is_from_newer_configuration
+                || entry.state_received_at > self.received_at.unwrap_or_default()
         };
         let later: Vec<(&ServerId, &ReplicaEntry)> = older
             .servers
@@ -250,11 +260,11 @@
         for listed in targets {
             let old = self.servers.get(&listed.entry.server);
             let same_state = old.filter(|old| {
-                old.state_told_at > 0 && old.listed.entry.state == listed.entry.state
+                old.state_received_at > 0 && old.listed.entry.state == listed.entry.state
             });
             let mut entry = ReplicaEntry {
                 listed: listed.clone(),
-                state_told_at: same_state.map_or(now, |old| old.state_told_at),
+                state_received_at: same_state.map_or(now, |old| old.state_received_at),
             };
             let same_process = old.filter(|old| old.listed.boot_ms == listed.boot_ms);
             entry.listed.entry.started = same_process.and_then(|old| old.listed.entry.started);
@@ -275,7 +285,7 @@
         for (server, entry) in &mut self.servers {
             if entry.listed.entry.state != ServerState::Removed && !listed.contains(server) {
                 entry.listed.entry.state = ServerState::Removed;
-                entry.state_told_at = now;
+                entry.state_received_at = now;
                 has_changed = true;
             }
         }
@@ -289,7 +299,7 @@
             .servers
             .values()
             .filter(is_removed)
-            .map(|entry| (entry.state_told_at, entry.listed.entry.server.clone()))
+            .map(|entry| (entry.state_received_at, entry.listed.entry.server.clone()))
             .collect();
         let surplus = removed.len().saturating_sub(MAX_REMOVED);
         if surplus > 0 {
--- a/crates/node/src/discovery/list_replica_tests.rs
+++ b/crates/node/src/discovery/list_replica_tests.rs
@@ -29,9 +29,9 @@
     ListReplica::from_configuration(&full(rev, servers), service(1))
 }
 
-fn told(rev: i64, servers: &[&str], at: Micros) -> ListReplica {
+fn received(rev: i64, servers: &[&str], at: Micros) -> ListReplica {
     let mut replica = configured(1, servers);
-    replica.told(&full(rev, servers), ToldAs::Next, at);
+    replica.receive(&full(rev, servers), ListRelation::Next, at);
     replica
 }
 
@@ -60,8 +60,8 @@
 
 #[test]
 fn higher_revision_wins_in_one_sequence_whichever_is_merged_into_the_other() {
-    let old = told(42, &["a=in_service", "b=in_service"], SECOND);
-    let new = told(43, &["a=in_service", "c=in_service"], 2 * SECOND);
+    let old = received(42, &["a=in_service", "b=in_service"], SECOND);
+    let new = received(43, &["a=in_service", "c=in_service"], 2 * SECOND);
     for (mut into, other) in [(old.clone(), &new), (new.clone(), &old)] {
         into.merge(other, MergeScope::AnySequence);
         assert_eq!(into.revision(), 43);
@@ -72,16 +72,16 @@
 
 #[test]
 fn returned_server_stays_in_service_when_the_list_from_before_is_merged() {
-    let mut before = told(42, &["a=in_service"], SECOND);
-    before.told(
+    let mut before = received(42, &["a=in_service"], SECOND);
+    before.receive(
         &list(43, false, &["a=terminating"]),
-        ToldAs::Next,
+        ListRelation::Next,
         2 * SECOND,
     );
     let mut after = before.clone();
-    after.told(
+    after.receive(
         &list(44, false, &["a=in_service"]),
-        ToldAs::Next,
+        ListRelation::Next,
         3 * SECOND,
     );
     assert_eq!(
@@ -96,9 +96,9 @@
 
 #[test]
 fn server_that_a_complete_list_lacks_is_removed_and_stays_so_in_an_older_list() {
-    let mut old = told(42, &["a=in_service", "b=in_service"], SECOND);
+    let mut old = received(42, &["a=in_service", "b=in_service"], SECOND);
     let mut new = old.clone();
-    new.told(&full(43, &["a=in_service"]), ToldAs::Next, 2 * SECOND);
+    new.receive(&full(43, &["a=in_service"]), ListRelation::Next, 2 * SECOND);
     assert_eq!(state(&new, "b"), REMOVED);
     let merged = old.merge(&new, MergeScope::SameSequence);
     let removed = merged.changes.iter().map(|listed| listed.entry.state);
@@ -108,11 +108,11 @@
 
 #[test]
 fn later_told_sequence_wins_over_a_higher_revision() {
-    let old = told(90, &["a=in_service"], SECOND);
+    let old = received(90, &["a=in_service"], SECOND);
     for began in [service(1), service(2)] {
         let mut new = old.clone();
-        let told_as = ToldAs::NewSequence { service: began };
-        new.told(&full(3, &["a=terminating"]), told_as, 2 * SECOND);
+        let relation = ListRelation::NewSequence { service: began };
+        new.receive(&full(3, &["a=terminating"]), relation, 2 * SECOND);
         for (mut into, other) in [(old.clone(), &new), (new.clone(), &old)] {
             into.merge(other, MergeScope::AnySequence);
             assert_eq!((into.revision(), into.sequence()), (3, new.sequence()));
@@ -123,13 +123,13 @@
 
 #[test]
 fn running_process_takes_only_later_drains_from_another_sequence() {
-    let mut own = told(
+    let mut own = received(
         42,
         &["a=in_service", "b=in_service", "c=terminating"],
         2 * SECOND,
     );
     let mut other = own.clone();
-    let told_as = ToldAs::NewSequence {
+    let relation = ListRelation::NewSequence {
         service: service(2),
     };
     let servers = [
@@ -138,15 +138,23 @@
         "c=in_service",
         "d=in_service",
     ];
-    other.told(&full(1, &servers), told_as, SECOND);
-    other.told(&list(2, false, &["a=terminating"]), ToldAs::Next, SECOND);
+    other.receive(&full(1, &servers), relation, SECOND);
+    other.receive(
+        &list(2, false, &["a=terminating"]),
+        ListRelation::Next,
+        SECOND,
+    );
     assert_eq!(
         own.merge(&other, MergeScope::SameSequence),
         Merged::default()
     );
-    other.told(&list(3, false, &["b=terminated"]), ToldAs::Next, 3 * SECOND);
+    other.receive(
+        &list(3, false, &["b=terminated"]),
+        ListRelation::Next,
+        3 * SECOND,
+    );
     let merged = own.merge(&other, MergeScope::SameSequence);
-    assert!(!merged.is_newer && merged.needs_confirmation);
+    assert!(!merged.is_newer && merged.is_unconfirmed);
     assert_eq!(own.revision(), 42);
     assert_eq!((state(&own, "a"), state(&own, "b")), (LIVE, REMOVED));
     assert_eq!((state(&own, "c"), state(&own, "d")), (DRAINING, None));
@@ -154,18 +162,14 @@
 
 #[test]
 fn configured_list_never_replaces_that_of_a_running_process_and_frees_no_told_drain() {
-    let mut own = told(42, &["a=terminating", "b=in_service"], SECOND);
+    let mut own = received(42, &["a=terminating", "b=in_service"], SECOND);
     let newer = configured(60, &["a=in_service", "b=in_service", "c=in_service"]);
     assert_eq!(
         own.merge(&newer, MergeScope::SameSequence),
         Merged::default()
     );
     let mut started = newer;
-    assert!(
-        started
-            .merge(&own, MergeScope::AnySequence)
-            .needs_confirmation
-    );
+    assert!(started.merge(&own, MergeScope::AnySequence).is_unconfirmed);
     assert_eq!(started.revision(), 60);
     assert_eq!(
         (state(&started, "a"), state(&started, "c")),
@@ -179,16 +183,16 @@
 
 #[test]
 fn drains_of_a_newer_list_in_a_configuration_that_names_another_service_hold() {
-    let told = told(42, &["a=in_service", "b=in_service"], SECOND);
+    let received = received(42, &["a=in_service", "b=in_service"], SECOND);
     for (rev, expected) in [(60, DRAINING), (30, LIVE)] {
         let known = full(rev, &["a=terminating", "b=in_service"]);
         let mut started = ListReplica::from_configuration(&known, service(2));
         let configured = started.clone();
-        let merged = started.merge(&told, MergeScope::AnySequence);
+        let merged = started.merge(&received, MergeScope::AnySequence);
         assert_eq!((started.revision(), state(&started, "a")), (42, expected));
-        assert_eq!(merged.needs_confirmation, expected == DRAINING);
+        assert_eq!(merged.is_unconfirmed, expected == DRAINING);
         // A process that runs already goes on without the configuration of another one.
-        let mut running = told.clone();
+        let mut running = received.clone();
         let merged = running.merge(&configured, MergeScope::SameSequence);
         assert_eq!(merged, Merged::default());
     }
@@ -196,25 +200,28 @@
 
 #[test]
 fn drain_that_is_kept_against_a_newer_list_of_the_same_sequence_has_to_be_confirmed() {
-    let mut own = told(42, &["a=in_service"], SECOND);
+    let mut own = received(42, &["a=in_service"], SECOND);
     let mut newer = own.clone();
-    newer.told(&list(44, false, &[]), ToldAs::Next, 2 * SECOND);
-    own.told(
+    newer.receive(&list(44, false, &[]), ListRelation::Next, 2 * SECOND);
+    own.receive(
         &list(43, false, &["a=terminating"]),
-        ToldAs::Next,
+        ListRelation::Next,
         3 * SECOND,
     );
     let merged = own.merge(&newer, MergeScope::SameSequence);
-    assert!(merged.is_newer && merged.needs_confirmation);
+    assert!(merged.is_newer && merged.is_unconfirmed);
     assert_eq!((own.revision(), state(&own, "a")), (44, DRAINING));
 }
 
 #[test]
 fn entries_of_an_older_answer_change_neither_the_revision_nor_the_time_of_the_last_answer() {
-    let mut replica = told(42, &["a=in_service", "b=in_service"], SECOND);
+    let mut replica = received(42, &["a=in_service", "b=in_service"], SECOND);
     let older = list(40, false, &["a=terminating"]);
-    assert!(replica.told(&older, ToldAs::OlderEntries, 2 * SECOND));
-    assert_eq!((replica.revision(), replica.told_at()), (42, Some(SECOND)));
+    assert!(replica.receive(&older, ListRelation::OlderEntries, 2 * SECOND));
+    assert_eq!(
+        (replica.revision(), replica.received_at()),
+        (42, Some(SECOND))
+    );
     assert_eq!(
         (state(&replica, "a"), state(&replica, "b")),
         (DRAINING, LIVE)
@@ -223,13 +230,13 @@
 
 #[test]
 fn only_changes_have_to_be_published() {
-    let mut replica = told(42, &["a=in_service"], SECOND);
+    let mut replica = received(42, &["a=in_service"], SECOND);
     replica.set_start(&"a".into(), Some(5));
     let empty = list(42, false, &[]);
-    assert!(!replica.told(&empty, ToldAs::Next, 2 * SECOND));
-    assert!(!replica.told(&full(42, &["a=in_service"]), ToldAs::Next, 3 * SECOND));
-    assert_eq!(replica.told_at(), Some(3 * SECOND));
-    assert!(replica.told(&list(43, false, &[]), ToldAs::Next, 4 * SECOND));
+    assert!(!replica.receive(&empty, ListRelation::Next, 2 * SECOND));
+    assert!(!replica.receive(&full(42, &["a=in_service"]), ListRelation::Next, 3 * SECOND));
+    assert_eq!(replica.received_at(), Some(3 * SECOND));
+    assert!(replica.receive(&list(43, false, &[]), ListRelation::Next, 4 * SECOND));
     let started = replica.to_list().targets[0].entry.started;
     assert_eq!(started, Some(5));
 }
@@ -239,10 +246,10 @@
     let names: Vec<String> = (0..=MAX_REMOVED)
         .map(|n| format!("s{n}=terminated"))
         .collect();
-    let mut replica = told(42, &["a=in_service"], SECOND);
+    let mut replica = received(42, &["a=in_service"], SECOND);
     for (at, name) in names.iter().enumerate() {
         let change = list(43, false, &[name]);
-        replica.told(&change, ToldAs::Next, SECOND + at as Micros);
+        replica.receive(&change, ListRelation::Next, SECOND + at as Micros);
     }
     assert_eq!(replica.servers.len(), MAX_REMOVED + 1);
     assert_eq!(
@@ -253,7 +260,7 @@
 
 #[test]
 fn list_without_servers_is_taken_over_as_it_is() {
-    let empty = told(43, &[], 2 * SECOND);
+    let empty = received(43, &[], 2 * SECOND);
     let mut started = configured(42, &["a=in_service"]);
     started.merge(&empty, MergeScope::AnySequence);
     assert_eq!((started.revision(), started.live_count()), (43, 0));
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -17,9 +17,9 @@
             Some(DiscoveryEvent::Requested(request)) => {
                 self.io.log(&format!("discovery_request: {request}"));
             }
-            Some(DiscoveryEvent::List { list, told_as }) => {
+            Some(DiscoveryEvent::List { list, relation }) => {
                 self.log_endpoint_list(&list);
-                self.record_told_list(&list, told_as);
+                self.record_received_list(&list, relation);
                 self.apply_endpoint_list(list, None);
                 self.publish_endpoint_list();
             }
--- a/crates/node/src/event_loop/endpoint_list_exchange.rs
+++ b/crates/node/src/event_loop/endpoint_list_exchange.rs
@@ -4,7 +4,7 @@
 
 use super::Node;
 use crate::discovery::endpoints::{EndpointList, ListedEndpoint};
-use crate::discovery::list_replica::{Merged, ToldAs};
+use crate::discovery::list_replica::{ListRelation, Merged};
 use crate::engine::DecisionEngine;
 use crate::list_exchange::TakeOver;
 use crate::transport::Transport;
@@ -35,27 +35,27 @@
         }
         let replica = &exchange.replica;
         let (sequence, revision) = (replica.sequence(), replica.revision());
-        let (told_at, list) = (replica.told_at(), replica.to_list());
+        let (received_at, list) = (replica.received_at(), replica.to_list());
         self.discovery.client.start_from(sequence, revision);
         if outcome == TakeOver::MergedUnconfirmed {
             self.discovery.client.confirm_list();
         }
-        if told_at.is_some() || !list.targets.is_empty() {
+        if received_at.is_some() || !list.targets.is_empty() {
             self.lifecycle.endpoint_list_taken_over();
         }
         self.restore_start_times(&list.targets);
-        if let Some(told_at) = told_at {
-            let last_list = told_at - self.clock_offset();
+        if let Some(received_at) = received_at {
+            let last_list = received_at - self.clock_offset();
             self.discovery.start_times.restore_last_list(last_list);
         }
         list
     }
 
-    /// Records what discovery has told this process.
-    pub(super) fn record_told_list(&mut self, list: &EndpointList, told_as: ToldAs) {
+    /// Records a list that discovery has sent to this process.
+    pub(super) fn record_received_list(&mut self, list: &EndpointList, relation: ListRelation) {
         let now = self.io.transport.monotonic_time();
         if let Some(exchange) = &mut self.list_exchange {
-            if exchange.replica.told(list, told_as, now) {
+            if exchange.replica.receive(list, relation, now) {
                 exchange.changed();
             }
         }
@@ -99,7 +99,7 @@
         if merged.is_newer {
             self.discovery.client.continue_from(sequence, revision);
         }
-        if merged.needs_confirmation {
+        if merged.is_unconfirmed {
             self.discovery.client.confirm_list();
         }
         let servers = merged.changes.len();
--- a/crates/node/src/frontend/client_liveness.rs
+++ b/crates/node/src/frontend/client_liveness.rs
@@ -97,10 +97,10 @@
 
     /// Whether the client may have closed the connection without the kernel knowing of it.
     fn may_hide_end(&self, now: Micros) -> bool {
-        let is_quiet = self
+        let is_idle = self
             .drained_at
             .is_some_and(|at| now - at >= MAX_TRANSIT_TIME);
-        self.burst > MAX_BYTES_IN_WINDOW && !is_quiet
+        self.burst > MAX_BYTES_IN_WINDOW && !is_idle
     }
 
     /// Whether it is too long ago that the connection was known to be open. `unacknowledged`: returns the number of written bytes
--- a/crates/node/src/list_exchange.rs
+++ b/crates/node/src/list_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges the endpoint list with the other processes of the node, if several may run at the same time.
 //!
-//! For the rules, the processes of a node count as one: what discovery has told one of them binds the others too. A process
+//! For the rules, the processes of a node count as one: what discovery has announced to one of them binds the others too. A process
 //! therefore publishes its [`ListReplica`] whenever that has changed, takes over what others have published before it serves, and
 //! looks for changes with each sweep. A list does not expire: an outage of discovery may last any time.
 
@@ -38,7 +38,7 @@
     Unusable,
     /// A list was merged with that of the configuration.
     Merged,
-    /// The same, and discovery has to be asked for the full list; see [`Merged::needs_confirmation`].
+    /// The same, and discovery has to be asked for the full list; see [`Merged::is_unconfirmed`].
     MergedUnconfirmed,
 }
 
@@ -76,7 +76,7 @@
                 Ok(other) => {
                     let merged = self.replica.merge(&other, MergeScope::AnySequence);
                     let was_unconfirmed = outcome == TakeOver::MergedUnconfirmed;
-                    outcome = if merged.needs_confirmation || was_unconfirmed {
+                    outcome = if merged.is_unconfirmed || was_unconfirmed {
                         TakeOver::MergedUnconfirmed
                     } else {
                         TakeOver::Merged
@@ -92,10 +92,10 @@
         }
         if matches!(outcome, TakeOver::Merged | TakeOver::MergedUnconfirmed) {
             let (revision, servers) = (self.replica.revision(), self.replica.live_count());
-            let told_at = self.replica.told_at();
-            let age = told_at.map_or("never told".to_string(), |told_at| {
-                let ms = (io.transport.monotonic_time() - told_at) / MICROS_PER_MILLISECOND;
-                format!("told {ms} ms ago")
+            let received_at = self.replica.received_at();
+            let age = received_at.map_or("never received".to_string(), |received_at| {
+                let ms = (io.transport.monotonic_time() - received_at) / MICROS_PER_MILLISECOND;
+                format!("received {ms} ms ago")
             });
             io.log(&format!(
                 "handover: endpoint list rev={revision} servers={servers}, {age}"
--- a/crates/node/src/list_exchange_tests.rs
+++ b/crates/node/src/list_exchange_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::discovery::endpoints::parse_endpoint_list;
-use crate::discovery::list_replica::ToldAs;
+use crate::discovery::list_replica::ListRelation;
 use crate::test_support::{published_transport, FakeTransport};
 use serde_json::json;
 
@@ -18,11 +18,11 @@
     json!({"rev": 42, "all": true, "targets": (0..count).map(target).collect::<Vec<_>>()})
 }
 
-/// The exchange of a process that discovery has told a list of this many servers.
+/// The exchange of a process that discovery has sent a list of this many servers.
 fn told_exchange(count: usize) -> ListExchange {
     let list = parse_endpoint_list(&servers(count)).unwrap();
     let mut replica = ListReplica::from_configuration(&list, service());
-    replica.told(&list, ToldAs::Next, 1);
+    replica.receive(&list, ListRelation::Next, 1);
     ListExchange::new("me".into(), replica, MAX_BYTES)
 }
 
@@ -51,7 +51,7 @@
         assert!(bytes.len() < 128 + 96 * count, "{count}: {}", bytes.len());
         let (started, log) = taken_over(vec![bytes]);
         assert_eq!(started.replica, exchange.replica);
-        let line = format!("handover: endpoint list rev=42 servers={count}, told ");
+        let line = format!("handover: endpoint list rev=42 servers={count}, received ");
         assert!(log[0].starts_with(&line), "{log:?}");
     }
 }
--- a/crates/node/src/list_files.rs
+++ b/crates/node/src/list_files.rs
@@ -113,8 +113,8 @@
         let files = entries.take(MAX_ENTRIES_EXAMINED).flatten().filter(is_file);
         let names = files.filter_map(|entry| entry.file_name().into_string().ok());
         let is_peer = |name: &String| {
-            let rest = name.strip_prefix(&self.prefix);
-            rest.is_some_and(|rest| !rest.contains('.')) && *name != self.own_name
+            let suffix = name.strip_prefix(&self.prefix);
+            suffix.is_some_and(|suffix| !suffix.contains('.')) && *name != self.own_name
         };
         names.filter(is_peer).collect()
     }
--- a/crates/sloewick/tests/support/upgraded_node.rs
+++ b/crates/sloewick/tests/support/upgraded_node.rs
@@ -178,12 +178,18 @@
         self.processes.len() - 1
     }
 
-    pub(crate) fn wait_until_ready(&self, process: usize) {
+    pub(crate) fn wait_until_ready(&mut self, number: usize) {
         let started = Instant::now();
-        while !listens_and_is_ready(self.processes[process].admin) {
+        let process = &mut self.processes[number];
+        while !listens_and_is_ready(process.admin) {
+            if process.node.has_ended() {
+                let status = process.node.wait();
+                let log = std::io::read_to_string(process.node.stderr()).unwrap();
+                panic!("process {number} has ended: {status}: {log}");
+            }
             assert!(
                 started.elapsed() < READY_LIMIT,
-                "process {process} is not ready"
+                "process {number} is not ready"
             );
             std::thread::sleep(Duration::from_millis(20));
         }
--- a/crates/sloewick/tests/upgrade_during_outage.rs
+++ b/crates/sloewick/tests/upgrade_during_outage.rs
@@ -140,7 +140,7 @@
     let log = node.processes[new].node.shut_down_and_read_stderr();
     assert!(log.contains("handover: not taken up: is too old"), "{log}");
     assert!(
-        log.contains("handover: endpoint list rev=42 servers=3, told 1"),
+        log.contains("handover: endpoint list rev=42 servers=3, received 1"),
         "{log}"
     );
 }
