A signal while a process reads its configuration no longer kills it

What callers saw: in a run of all tests of upgrades, the process that SIGHUP was sent to at its start was not ready within 10 s. Since the test reports how a process has ended: signal 1, nothing logged, in 1 of 72 runs of that test, 24 at a time.

Cause: `run` installed its handlers only after the configuration had been read and checked; until then a signal has the system's default action.

Change: the handlers come first; a signal that arrives meanwhile is handled when the event loop begins. The regression test reads the configuration from a pipe and was red before (ended by SIGHUP). What comes before the program itself runs cannot be caught, so the tests wait for the handler in the system's mask of caught signals before they send SIGHUP: the rule they check, that a reload beside an upgrade changes no drain, is as before.

--- a/crates/sloewick/src/run.rs
+++ b/crates/sloewick/src/run.rs
@@ -66,10 +66,11 @@
 }
 
 fn run_node(args: &Args) -> Result<(), RunError> {
+    // First, since a signal without a handler would end the process.
+    let mut transport = MioTransport::with_signals().map_err(RunError::Signals)?;
     let path = std::env::var(CONFIG_VARIABLE).map_err(|_| RunError::NoConfiguration)?;
     let config = read_config(&path, args)?;
     let listen = config.listen;
-    let mut transport = MioTransport::with_signals().map_err(RunError::Signals)?;
     if let Some(directory) =
         std::env::var_os("TMPDIR").filter(|_| config.inherited_listener_fd.is_some())
     {
--- a/crates/sloewick/tests/startup.rs
+++ b/crates/sloewick/tests/startup.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use std::fs::{File, OpenOptions};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -242,3 +245,43 @@
         .contains("inherited descriptor 987: Bad file descriptor"));
     assert!(error_with("BALANCER_OPS", "here").contains("\"here\" is no address and port"));
 }
+
+/// A process that reads its configuration from a named pipe, and the end of the pipe to which that is written.
+fn process_that_reads_its_configuration(folder: &tempfile::TempDir) -> (Child, File) {
+    let path = folder.path().join("node.json");
+    assert!(Command::new("mkfifo")
+        .arg(&path)
+        .status()
+        .unwrap()
+        .success());
+    let process = program().env("BALANCER_CONFIG", &path).spawn().unwrap();
+    // Waits until the process has opened the pipe.
+    let pipe = OpenOptions::new().write(true).open(&path).unwrap();
+    std::fs::remove_file(path).unwrap();
+    (process, pipe)
+}
+
+#[test]
+fn signal_while_a_process_reads_its_configuration_does_not_kill_it() {
+    for signal in ["HUP", "TERM"] {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut process, mut pipe) = process_that_reads_its_configuration(&folder);
+        let address = free_address();
+        let mut config = valid_config();
+        config["listen"] = json!(address.to_string());
+        // What a reload reads.
+        std::fs::write(folder.path().join("node.json"), config.to_string()).unwrap();
+        send_signal(process.id(), signal);
+        pipe.write_all(config.to_string().as_bytes()).unwrap();
+        drop(pipe);
+        if signal == "HUP" {
+            wait_until("the process listens", || {
+                let has_ended = process.try_wait().unwrap();
+                assert_eq!(has_ended, None, "SIGHUP while it reads its configuration");
+                TcpStream::connect(address).is_ok()
+            });
+            send_signal(process.id(), "TERM");
+        }
+        assert_eq!(process.wait().unwrap().code(), Some(0), "SIG{signal}");
+    }
+}
--- a/crates/sloewick/tests/support/process.rs
+++ b/crates/sloewick/tests/support/process.rs
@@ -8,7 +8,12 @@
 
 use serde_json::{json, Value};
 
-use super::{accept, endpoint_list, free_address, listener, settings, target, Peer, WAIT_LIMIT};
+use super::{
+    accept, endpoint_list, free_address, listener, settings, target, wait_until, Peer, WAIT_LIMIT,
+};
+
+/// The bit of SIGHUP in the system's masks of signals.
+const HANGUP_BIT: u64 = 1;
 
 /// The command that runs the built program as a node.
 pub(crate) fn program() -> Command {
@@ -49,6 +54,14 @@
     setrlimit(Resource::Nofile, raised).unwrap();
 }
 
+/// Sends a signal to a process of the test.
+pub(crate) fn send_signal(process: u32, name: &str) {
+    let kill = Command::new("kill")
+        .args([&format!("-{name}"), &process.to_string()])
+        .status();
+    assert!(kill.unwrap().success());
+}
+
 /// A node process, killed when dropped.
 pub(crate) struct Node {
     child: Child,
@@ -176,10 +189,7 @@
 
     /// Sends the process this signal, named as for `kill`.
     pub(crate) fn signal(&self, name: &str) {
-        let kill = Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status();
-        assert!(kill.unwrap().success());
+        send_signal(self.child.id(), name);
     }
 
     /// Stops the process with SIGSTOP and waits until it has stopped. When it continues, it finds all events that happened
@@ -197,9 +207,16 @@
     /// Replaces the configuration file atomically and signals the node (SIGHUP) to reload it.
     pub(crate) fn reload(&self, text: &str) {
         self.replace_config(text);
+        wait_until("SIGHUP is handled", || self.handles_hangup());
         self.signal("HUP");
     }
 
+    /// Whether the program has installed its handler of SIGHUP. Before that, the signal ends any process.
+    fn handles_hangup(&self) -> bool {
+        let caught = self.status_field("SigCgt:").unwrap_or_default();
+        u64::from_str_radix(&caught, 16).is_ok_and(|caught| caught & HANGUP_BIT != 0)
+    }
+
     /// Replaces the configuration file atomically, without a signal.
     pub(crate) fn replace_config(&self, text: &str) {
         let next = self.file.with_extension("next");
@@ -269,9 +286,14 @@
     }
 
     fn status_kilobytes(&self, field: &str) -> usize {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = text.lines().find(|l| l.starts_with(field)).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+        self.status_field(field).unwrap().parse().unwrap()
+    }
+
+    /// The first word of a field in the system's status of the process.
+    fn status_field(&self, field: &str) -> Option<String> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find(|line| line.starts_with(field))?;
+        line.split_whitespace().nth(1).map(str::to_string)
     }
 
     /// Accepts the node's next request to discovery; returns its path and the connection to respond on.
