An idle connection goes to the waiting client with the fewest open requests

Cause: an attempt that waits looked for a connection every 3 ms; one that became idle in between went to whichever request was decided next. First in, first out would not mend it: the others have thousands that wait.

Change: WaitingAttempts knows who waits. Before the new requests of a round are decided, an idle connection goes to the waiting client with the fewest open requests, to the longest waiting of several. The timers stay, and each attempt has one that counts, so that a look in between adds none.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -21,6 +21,7 @@
 mod outcomes;
 mod shutdown;
 mod start;
+mod waiting_attempts;
 
 use std::collections::BTreeSet;
 use std::io;
@@ -48,6 +49,7 @@
 use crate::transport::{ReadyEvent, Transport, MAX_READ};
 use crate::upstream::pool::{UpstreamContext, UpstreamPools};
 use crate::upstream::probes::Probes;
+use crate::upstream::waiting_attempts::WaitingAttempts;
 
 /// Interval between two checks for stalled and idle connections.
 const SWEEP_INTERVAL: Micros = 100_000;
@@ -97,6 +99,7 @@
     executed_ids: ExecutedIds,
     /// Long values that wait, unread, for memory in which they can be collected. Bounded by the upstream connections.
     waiting_values: Vec<LongValue>,
+    waiting_attempts: WaitingAttempts,
 }
 
 impl<N: Transport, M: DecisionEngine> Node<N, M> {
@@ -154,6 +157,7 @@
         self.io.ready_events = ready;
         self.accept_admin_clients();
         self.accept_clients();
+        self.start_waiting_attempts();
         self.handle_engine_events();
         self.write_confirmed_attempts();
         let now = self.io.now();
@@ -244,7 +248,7 @@
                     self.abandon_attempt(id.request, id.attempt, Status::Timeout);
                 }
             }
-            TimerEvent::AwaitedConnection(id) => self.retry_connection(id),
+            TimerEvent::AwaitedConnection(id) => self.awaited_connection_due(id, now),
             TimerEvent::ClientDisconnected { client, serial } => {
                 let connection = self.frontends.clients.get(client);
                 if connection.is_some_and(|connection| connection.serial == serial) {
@@ -299,6 +303,7 @@
         self.save_snapshot(now);
         self.exchange_endpoint_lists();
         self.purge_timers();
+        self.purge_waiting_attempts();
         self.requests.shrink_if_empty();
         self.observe_memory();
         self.resume_waiting_for_memory();
--- a/crates/node/src/event_loop/attempts.rs
+++ b/crates/node/src/event_loop/attempts.rs
@@ -19,8 +19,6 @@
 /// How long an attempt waits at most: for a connection to a server that has as many as it may have, or until its client is known to
 /// be connected.
 const MAX_CONNECTION_WAIT: Micros = 60_000;
-/// How often an attempt that waits looks for a connection.
-const CONNECTION_RETRY_INTERVAL: Micros = 3_000;
 
 /// Whether an attempt of `request` may start at a server that speaks `protocol`, with `wait` as its timeout.
 fn may_start(request: &PendingRequest, protocol: Protocol, wait: Micros) -> bool {
@@ -63,6 +61,7 @@
             expires_at: now + wait,
             connection: None,
             waits_until: None,
+            retry_at: 0,
             counted_in_ledger: false,
             reserved: 0,
         });
@@ -84,13 +83,6 @@
         self.connect_attempt(attempt_id, Some(wait_until));
     }
 
-    /// Has an attempt wait until its client is known to be connected, or a connection to its server can be used.
-    fn postpone_attempt(&mut self, id: AttemptId, wait_until: Micros, now: Micros) {
-        self.requests[id.request].attempts[id.attempt].waits_until = Some(wait_until);
-        let at = now + CONNECTION_RETRY_INTERVAL;
-        self.timers.set(at, TimerEvent::AwaitedConnection(id));
-    }
-
     /// Writes an attempt on a connection to its server, or has it wait for one. `wait_until`: how long it may wait.
     fn connect_attempt(&mut self, id: AttemptId, wait_until: Option<Micros>) {
         let (key, attempt, now) = (id.request, id.attempt, self.io.now());
@@ -113,26 +105,14 @@
                 self.requests[key].attempts[attempt].connection = Some(connection);
             }
             (Err(Status::NotSent), Some(wait_until)) => {
+                let client = self.requests[key].respond_to.client;
+                self.waiting_attempts.add(&server, client, id);
                 self.postpone_attempt(id, wait_until, now);
             }
             (Err(status), _) => self.end_attempt(key, attempt, AttemptResult::with_status(status)),
         }
     }
 
-    /// Tries again to find a connection for an attempt that waits for one.
-    pub(super) fn retry_connection(&mut self, id: AttemptId) {
-        let (key, attempt, now) = (id.request, id.attempt, self.io.now());
-        let request = self
-            .requests
-            .get_mut(key)
-            .filter(|request| request.serial == id.serial);
-        let waiting = request.and_then(|request| request.attempts.get_mut(attempt));
-        let Some(wait_until) = waiting.and_then(|waiting| waiting.waits_until.take()) else {
-            return;
-        };
-        self.reconnect_attempt(id, now, Some(wait_until));
-    }
-
     /// Encodes a request for its server. `wait` is the deadline that a RESP2 server gets.
     fn encode_request(&mut self, key: usize, protocol: Protocol, wait: Micros) -> EncodedRequest {
         match protocol {
@@ -196,7 +176,12 @@
     }
 
     /// Connects an attempt of which nothing has been written, if it may still start.
-    fn reconnect_attempt(&mut self, id: AttemptId, now: Micros, wait_until: Option<Micros>) {
+    pub(super) fn reconnect_attempt(
+        &mut self,
+        id: AttemptId,
+        now: Micros,
+        wait_until: Option<Micros>,
+    ) {
         let (key, attempt) = (id.request, id.attempt);
         let presence = self.client_presence(self.requests[key].respond_to);
         let request = &self.requests[key];
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -38,6 +38,7 @@
 use crate::transport::{Stream, Transport};
 use crate::upstream::pool::UpstreamPools;
 use crate::upstream::probes::Probes;
+use crate::upstream::waiting_attempts::WaitingAttempts;
 
 impl<N: Transport> Node<N> {
     /// Creates a node that listens on its addresses and has applied the endpoint list of its configuration. It serves when
@@ -111,6 +112,7 @@
             round: 0,
             executed_ids: ExecutedIds::new(memory),
             waiting_values: Vec::new(),
+            waiting_attempts: WaitingAttempts::default(),
         };
         let is_restored = node.restore_snapshot();
         let endpoints = node.take_over_endpoint_list(config.initial_endpoints, is_restored);
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -47,6 +47,8 @@
     pub(crate) connection: Option<usize>,
     /// Until when it waits for a connection, if all connections to its server are in use.
     pub(crate) waits_until: Option<Micros>,
+    /// When it next looks for a connection by itself.
+    pub(crate) retry_at: Micros,
     /// Whether the idempotency ledger counts it as an attempt that may have run.
     pub(crate) counted_in_ledger: bool,
     /// Bytes that are reserved for its long value, which is being collected.
@@ -302,11 +304,22 @@
 
     /// Whether an attempt is still in flight.
     pub(crate) fn is_in_flight(&self, id: AttemptId) -> bool {
+        let attempt = self.attempt(id);
+        attempt.is_some_and(|attempt| attempt.connection.is_some())
+    }
+
+    /// Whether an attempt waits for a connection, or for its client.
+    pub(crate) fn is_waiting(&self, id: AttemptId) -> bool {
+        let attempt = self.attempt(id);
+        attempt.is_some_and(|attempt| attempt.waits_until.is_some())
+    }
+
+    /// An attempt, if its request is open still.
+    pub(crate) fn attempt(&self, id: AttemptId) -> Option<&Attempt> {
         let request = self
             .get(id.request)
-            .filter(|request| request.serial == id.serial);
-        let attempt = request.and_then(|request| request.attempts.get(id.attempt));
-        attempt.is_some_and(|attempt| attempt.connection.is_some())
+            .filter(|request| request.serial == id.serial)?;
+        request.attempts.get(id.attempt)
     }
 }
 
--- a/crates/node/src/request_table_tests.rs
+++ b/crates/node/src/request_table_tests.rs
@@ -43,6 +43,7 @@
         expires_at: 1_000_000,
         connection: Some(5),
         waits_until: None,
+        retry_at: 0,
         counted_in_ledger: false,
         reserved: 0,
     });
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -13,3 +13,4 @@
 mod reservation;
 pub(crate) mod response;
 pub(crate) mod response_reader;
+pub(crate) mod waiting_attempts;
--- a/crates/node/src/upstream/reservation.rs
+++ b/crates/node/src/upstream/reservation.rs
@@ -35,6 +35,13 @@
         Err(Status::NotSent)
     }
 
+    /// Whether a connection to a server is idle or may be added.
+    pub(crate) fn has_free_connection(&self, server: &ServerId) -> bool {
+        self.pools.get(server).is_some_and(|pool| {
+            !pool.idle.is_empty() || pool.open_count < MAX_CONNECTIONS_PER_SERVER
+        })
+    }
+
     /// Whether a connection to a server that has as many as it may have is likely to be free soon, since the server answers.
     pub(crate) fn is_connection_expected(&self, server: &ServerId, now: Micros) -> bool {
         self.pools.get(server).is_some_and(|pool| {
--- a/crates/sloewick/tests/fairness.rs
+++ b/crates/sloewick/tests/fairness.rs
@@ -24,6 +24,11 @@
 /// Bytes that a flood writes at once.
 const WRITE_BYTES: usize = 256 << 10;
 
+/// How long servers take for a reply where their connections are to be in use all the time, and how many floods see to that.
+const SLOW_REPLY_TIME: Duration = Duration::from_millis(25);
+const FLOODS_OF_SLOW_SERVERS: usize = 8;
+const USUAL_CLIENTS: usize = 10;
+
 /// Held by the test that runs: floods of several would keep each other's usual clients waiting.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -201,9 +206,10 @@
     _servers: Vec<PacedServer>,
 }
 
-fn start_node() -> FloodedNode {
+/// Starts a node whose servers reply after this time.
+fn start_node(reply_time: Duration) -> FloodedNode {
     let log = ReceivedLog::default();
-    let reply_to: Arc<ReplyTo> = Arc::new(|_| Some(PacedReply::value(10)));
+    let reply_to: Arc<ReplyTo> = Arc::new(move |_| Some(PacedReply::value(10).after(reply_time)));
     let start = |number| PacedServer::start(number, Pace::UNLIMITED, &log, Arc::clone(&reply_to));
     let servers: Vec<PacedServer> = (1..=4).map(start).collect();
     let targets: Vec<Value> = servers.iter().map(|s| s.target.clone()).collect();
@@ -234,7 +240,7 @@
 
 /// Lets floods meet a node, each on `connections` connections, beside a usual client.
 fn assert_others_are_served(flood: Flood, connections: usize) {
-    let flooded = start_node();
+    let flooded = start_node(Duration::ZERO);
     let node = &flooded.node;
     let before_kb = node.memory_kb();
     let address = if flood.is_memcached() {
@@ -293,3 +299,44 @@
         assert_others_are_served(flood, 20);
     }
 }
+
+/// Guards against new attempts of clients with many requests that take each connection before the attempt that waits for one.
+#[test]
+fn client_with_one_request_gets_a_connection_beside_clients_with_many() {
+    let _turn = wait_for_turn();
+    let flooded = start_node(SLOW_REPLY_TIME);
+    let address = flooded.node.address;
+    let stop = AtomicBool::new(false);
+    let (answered, rejected) = std::thread::scope(|scope| {
+        for _ in 0..FLOODS_OF_SLOW_SERVERS {
+            scope.spawn(|| run_flood(address, Flood::LongDeadlines, &stop));
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        let until = Instant::now() + 2 * FLOOD_TIME;
+        let usual: Vec<_> = (0..USUAL_CLIENTS)
+            .map(|number| scope.spawn(move || count_responses(address, number, until)))
+            .collect();
+        let counts = usual.into_iter().map(|client| client.join().unwrap());
+        let sum = counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1));
+        stop.store(true, Ordering::Relaxed);
+        sum
+    });
+    println!("{answered} answered, {rejected} of them rejected");
+    assert_eq!(rejected, 0, "of {answered} requests");
+}
+
+/// Sends one request after the other, and returns the number of responses and of rejections among them.
+fn count_responses(node: SocketAddr, client: usize, until: Instant) -> (usize, usize) {
+    let mut peer = Peer::new(TcpStream::connect(node).unwrap());
+    let (mut answered, mut rejected) = (0, 0);
+    while Instant::now() < until {
+        let name = format!("usual-{client}-{answered}");
+        peer.send(encode_reads(&name, 1, 10, DEADLINE_MS));
+        answered += 1;
+        match peer.read_line().as_str() {
+            BUSY => rejected += 1,
+            _ => assert_eq!(peer.read_line().len(), 10),
+        }
+    }
+    (answered, rejected)
+}
