Emulated servers send no second copy later than their bound where writes are refused

Change: the emulator sends a copy once the response itself is written, and discards what the connection has not accepted 10 ms after the copy was due, so that it leaves 20 ms late at most. The checker and its rule are as they were.

--- a/crates/testbed/src/emulators/cache_server/mod.rs
+++ b/crates/testbed/src/emulators/cache_server/mod.rs
@@ -104,6 +104,8 @@
     Trickle(usize, u64),
     /// The second copy of the last response is sent on this connection (its index and serial number).
     LateSurplus(usize, u64),
+    /// What the connection has not accepted of that copy is discarded.
+    LateSurplusOver(usize, u64),
 }
 
 /// An attempt that the server has received and not yet answered.
@@ -265,6 +267,7 @@
             Timer::CloseIdle => self.close_idle(),
             Timer::Trickle(conn, serial) => self.send_trickle(conn, serial),
             Timer::LateSurplus(conn, serial) => self.send_late_surplus(conn, serial),
+            Timer::LateSurplusOver(conn, serial) => self.end_late_surplus(conn, serial),
         }
     }
 }
--- a/crates/testbed/src/emulators/cache_server/responses.rs
+++ b/crates/testbed/src/emulators/cache_server/responses.rs
@@ -39,8 +39,11 @@
 
 /// Pause between two pieces of an endless value.
 const TRICKLE_INTERVAL: Micros = 10_000;
-/// A second copy of a response is sent less than this many microseconds after the first.
+/// A second copy of a response is sent less than this many microseconds after the first, and discarded if the connection has not
+/// accepted it after as many more.
 const MAX_LATE_SURPLUS: usize = 10_000;
+/// Pause before a copy is sent again whose response the connection has not accepted yet.
+const LATE_SURPLUS_RETRY_INTERVAL: Micros = 1_000;
 /// Unsent bytes of an endless value from which the server stops sending it.
 const MAX_UNSENT_BYTES: usize = 1 << 16;
 
@@ -137,17 +140,39 @@
         self.send_response(job.conn, job.serial, out);
     }
 
-    /// Sends the second copy of a response, unless its connection has closed or carries another attempt.
+    /// Sends the second copy of a response, unless its connection has closed or carries another attempt. Waits for the response if
+    /// the connection has not accepted that yet.
     pub(super) fn send_late_surplus(&mut self, conn: usize, serial: u64) {
         let Some(copy) = self.late_surplus.remove(&(conn, serial)) else {
             return;
         };
+        if !self.is_idle_connection(conn, serial) {
+            return;
+        }
+        let now = self.port.now();
+        if self.port.unsent(conn) > 0 {
+            self.late_surplus.insert((conn, serial), copy);
+            let again = now + LATE_SURPLUS_RETRY_INTERVAL;
+            return self.port.set_timer(again, Timer::LateSurplus(conn, serial));
+        }
+        self.port.send(conn, copy);
+        let over = now + MAX_LATE_SURPLUS as Micros;
+        self.port
+            .set_timer(over, Timer::LateSurplusOver(conn, serial));
+    }
+
+    /// Discards what its connection has not accepted of a second copy, since it would be later than servers are.
+    pub(super) fn end_late_surplus(&mut self, conn: usize, serial: u64) {
+        if self.is_idle_connection(conn, serial) {
+            self.port.discard_unsent(conn);
+        }
+    }
+
+    /// Whether a connection is open still and carries no attempt.
+    fn is_idle_connection(&mut self, conn: usize, serial: u64) -> bool {
         let connection = self.port.connection(conn);
         let is_same = connection.is_some_and(|connection| connection.serial == serial);
-        let is_idle = matches!(self.peers.get(&conn), Some(Peer::Node { busy: false, .. }));
-        if is_same && is_idle {
-            self.port.send(conn, copy);
-        }
+        is_same && matches!(self.peers.get(&conn), Some(Peer::Node { busy: false, .. }))
     }
 
     /// Sends a response that cannot be decoded, of one of several kinds, and stops reading from the connection.
--- a/crates/testbed/src/port.rs
+++ b/crates/testbed/src/port.rs
@@ -258,6 +258,13 @@
             .map_or(0, |connection| connection.out.len())
     }
 
+    /// Discards the bytes that are queued and not written yet.
+    pub fn discard_unsent(&mut self, conn: usize) {
+        if let Some(connection) = self.connections.get_mut(conn) {
+            connection.out = WriteQueue::default();
+        }
+    }
+
     pub fn close(&mut self, conn: usize) {
         self.connections.try_remove(conn);
     }
--- a/crates/testbed/tests/play.rs
+++ b/crates/testbed/tests/play.rs
@@ -104,6 +104,13 @@
     swarm(25..26);
 }
 
+/// The fault `partial` held the second copies of responses back until their connections carried the next request.
+#[test]
+fn late_copy_is_no_later_where_writes_are_refused() {
+    swarm(106_853..106_854);
+    swarm(109_517..109_518);
+}
+
 #[test]
 fn swarm_seeds_26_to_50_violate_no_rule() {
     swarm(26..51);
