A server to which no connection was open is not trusted to deduplicate

Cause: only a broken connection made the process of a server unknown. That nothing was seen was taken for a sign that nothing had happened.

Change: from the end of the last connection, however it ended, the process is unknown; from the first one after that on for the connect time-out and 6 s, by when a change would have been announced, or until the list names the server. One event, ConnectionsChanged, says lost, closed or resumed.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -334,6 +334,17 @@
     }
 }
 
+/// How the connections to a server have changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChange {
+    /// The last one has broken, or could not be established: the process of the server may have ended.
+    Lost,
+    /// The last one was closed: what becomes of the process of the server is not seen.
+    Closed,
+    /// One is opened, where none has been open since the last one ended.
+    Resumed,
+}
+
 /// An event that a node reports to its decision code.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -370,8 +381,8 @@
         /// Load report, if the response carried one.
         load: Option<LoadReport>,
     },
-    /// The last connection to a server has broken: its process may have ended.
-    ConnectionsLost(ServerId),
+    /// The last connection to a server has ended, or the first one after that is opened.
+    ConnectionsChanged(ServerId, ConnectionChange),
     /// A message from another node.
     PeerMessage {
         /// Number of the sending node.
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -117,7 +117,7 @@
             Event::ProbeEnded { server, status, .. } => {
                 self.observe_server(now, &server, Some(status), actions);
             }
-            Event::ConnectionsLost(server) => self.on_connections_lost(now, &server),
+            Event::ConnectionsChanged(id, change) => self.on_connections_changed(now, &id, change),
             Event::PeerMessage { .. } => {}
         }
     }
--- a/crates/node/src/event_loop/outcomes.rs
+++ b/crates/node/src/event_loop/outcomes.rs
@@ -53,8 +53,8 @@
                 }
                 // A streamed value in response to a probe has no client that it could go to: the probe ends by its timeout.
                 UpstreamEvent::ValueStarted { .. } | UpstreamEvent::ValueAvailable(_) => {}
-                UpstreamEvent::ConnectionsLost(server) => {
-                    self.engine.push(Event::ConnectionsLost(server));
+                UpstreamEvent::ConnectionsChanged(server, change) => {
+                    self.engine.push(Event::ConnectionsChanged(server, change));
                 }
                 UpstreamEvent::ProtocolError(server, error) => {
                     self.io.log(&format!("server {server}: {error}"));
--- a/crates/node/src/event_trace.rs
+++ b/crates/node/src/event_trace.rs
@@ -8,7 +8,8 @@
 use std::fmt::Write as _;
 
 use sloewick_decision::api::{
-    Action, AttemptOutcome, CacheResult, EndpointListKind, Event, Micros, ServerId,
+    Action, AttemptOutcome, CacheResult, ConnectionChange, EndpointListKind, Event, Micros,
+    ServerId,
 };
 
 use crate::transport::Transport;
@@ -82,7 +83,14 @@
             Event::ProbeEnded { server, status, .. } => {
                 format!("probed server={server} how={status}")
             }
-            Event::ConnectionsLost(server) => format!("unconnected server={server}"),
+            Event::ConnectionsChanged(server, change) => {
+                let change = match change {
+                    ConnectionChange::Lost => "unconnected",
+                    ConnectionChange::Closed => "disconnected",
+                    ConnectionChange::Resumed => "reconnected",
+                };
+                format!("{change} server={server}")
+            }
             Event::ResponseStarted { .. } | Event::TimerExpired(_) | Event::PeerMessage { .. } => {
                 return
             }
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 use slab::Slab;
-use sloewick_decision::api::{Micros, ServerId, Status};
+use sloewick_decision::api::{ConnectionChange, Micros, ServerId, Status};
 use thiserror::Error;
 
 use crate::event_trace::ConnectionStep;
@@ -74,8 +74,8 @@
     },
     /// More of a long value can be read with [`UpstreamPools::read_value`].
     ValueAvailable(Exchange),
-    /// The last connection to the server has broken, or could not be established.
-    ConnectionsLost(ServerId),
+    /// The last connection to the server has ended, or the first one after that is opened.
+    ConnectionsChanged(ServerId, ConnectionChange),
     /// The server has violated its protocol. The event loop writes this to the log.
     ProtocolError(ServerId, ProtocolError),
 }
@@ -91,6 +91,8 @@
     pub(super) idle: Vec<usize>,
     /// Number of connections, idle or in use.
     pub(super) open_count: usize,
+    /// Whether no connection has been open since the last one ended.
+    has_lost_all: bool,
     /// The highest [`UpstreamConnection::write_number`] of an attempt that the server has answered.
     last_answered_write: u64,
     /// When the server last answered.
@@ -176,6 +178,7 @@
             listed: true,
             idle: Vec::new(),
             open_count: 0,
+            has_lost_all: false,
             last_answered_write: 0,
             last_answer: None,
         };
@@ -321,6 +324,11 @@
                 .insert(UpstreamConnection::new(stream, to, serial, context.now));
         if let Some(pool) = self.pools.get_mut(server) {
             pool.open_count += 1;
+            if std::mem::take(&mut pool.has_lost_all) {
+                let change = ConnectionChange::Resumed;
+                let resumed = UpstreamEvent::ConnectionsChanged(server.clone(), change);
+                self.events.push_back(resumed);
+            }
         }
         self.update_memory(connection);
         self.record_step(connection, ConnectionStep::Opening);
@@ -465,9 +473,15 @@
             pool.open_count -= 1;
             pool.idle.retain(|idle| *idle != connection);
             let is_broken = matches!(step, ConnectionStep::Broken | ConnectionStep::Refused);
-            if is_broken && pool.open_count == 0 {
-                let lost = UpstreamEvent::ConnectionsLost(c.server.clone());
-                self.events.push_back(lost);
+            if pool.open_count == 0 {
+                pool.has_lost_all = true;
+                let change = if is_broken {
+                    ConnectionChange::Lost
+                } else {
+                    ConnectionChange::Closed
+                };
+                let ended = UpstreamEvent::ConnectionsChanged(c.server.clone(), change);
+                self.events.push_back(ended);
             }
         }
         self.remove_unused_pool(&c.server);
