Test support: the connection that finds a node listening ends before the test goes on

A process that another test of the same file is starting holds a copy of the descriptor until it executes its program, so the node still has a client, for which it accounts 1,024 bytes, while the test expects 0. Shutting the connection down acts on the socket and not on one descriptor.

--- a/crates/sloewick/tests/support/process.rs
+++ b/crates/sloewick/tests/support/process.rs
@@ -1,7 +1,7 @@
 //! Node processes: the commands that start them, their configuration, and control of running ones.
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -54,6 +54,17 @@
     setrlimit(Resource::Nofile, raised).unwrap();
 }
 
+/// Whether the node accepts connections. The one that finds it out is shut down, not only closed: a process that another
+/// test is starting may hold a copy of its descriptor, which would leave it open.
+fn listens(address: SocketAddr) -> bool {
+    let Ok(connection) = TcpStream::connect(address) else {
+        return false;
+    };
+    // Fails only if the node has reset the connection.
+    let _ = connection.shutdown(Shutdown::Both);
+    true
+}
+
 /// Sends a signal to a process of the test.
 pub(crate) fn send_signal(process: u32, name: &str) {
     let kill = Command::new("kill")
@@ -146,7 +157,7 @@
             file,
         };
         let started = Instant::now();
-        while TcpStream::connect(address).is_err() {
+        while !listens(address) {
             assert!(started.elapsed() < WAIT_LIMIT, "the node does not listen");
             std::thread::sleep(Duration::from_millis(5));
         }
