A client is known to be there once the first byte of a write is acknowledged

Cause, from a trace that prints what is not acknowledged: writes within 4 ms count as one, which counted as acknowledged with its last byte. Of 2,176 bytes written, 1,904 were acknowledged after 0.1 ms and the last 272 after 214 ms, since machines delay the acknowledgement of little data. No request was read until then; by then the news was 214 ms old and one was rejected to find out.

Change: a write counts as acknowledged from its first byte on. That byte arrived at an open connection no earlier than the write, which is all that the last one shows, so no attempt may begin later than before.

--- a/crates/node/src/frontend/client_liveness.rs
+++ b/crates/node/src/frontend/client_liveness.rs
@@ -17,15 +17,16 @@
 const MAX_AGE: Micros = 60_000;
 /// Most writes that are remembered, the newest ones.
 const MAX_WRITES: usize = 16;
-/// Writes within this time count as one.
+/// Writes within this time count as one, at the time of the first.
 const MIN_WRITE_INTERVAL: Micros = 4_000;
 
-/// Bytes that were written to a client.
+/// Bytes that were written to a client within [`MIN_WRITE_INTERVAL`].
 #[derive(Clone, Copy, Debug)]
 struct Write {
+    /// When the first of them were written.
     at: Micros,
-    /// All bytes written to the connection so far.
-    total: u64,
+    /// Bytes that were written to the connection before.
+    offset: u64,
 }
 
 /// What is known of the client's end of a connection. See the module documentation.
@@ -38,7 +39,7 @@
     /// When the input was last read to its end; None while there may be unread input.
     drained_at: Option<Micros>,
     written: u64,
-    /// Writes that have not been acknowledged, oldest first.
+    /// Writes of which no byte has been acknowledged, oldest first.
     writes: VecDeque<Write>,
 }
 
@@ -80,16 +81,13 @@
 
     /// Records bytes that were written.
     pub(crate) fn record_write(&mut self, now: Micros, bytes: usize) {
+        let offset = self.written;
         self.written += bytes as u64;
-        let total = self.written;
-        if let Some(last) = self.writes.back_mut() {
-            if now - last.at < MIN_WRITE_INTERVAL {
-                // The bytes count as written at the earlier time.
-                last.total = total;
-                return;
-            }
+        let last = self.writes.back();
+        if last.is_some_and(|last| now - last.at < MIN_WRITE_INTERVAL) {
+            return;
         }
-        self.writes.push_back(Write { at: now, total });
+        self.writes.push_back(Write { at: now, offset });
         if self.writes.len() > MAX_WRITES {
             self.writes.pop_front();
         }
@@ -104,7 +102,8 @@
     }
 
     /// Whether it is too long ago that the connection was known to be open. `unacknowledged`: returns the number of written bytes
-    /// that the client's machine has not acknowledged.
+    /// that the client's machine has not acknowledged. The first byte of a write shows it: a machine may acknowledge the last ones
+    /// 0.2 s later (delayed acknowledgements, RFC 9293, section 3.8.6.3).
     pub(crate) fn is_uncertain(
         &mut self,
         now: Micros,
@@ -114,7 +113,7 @@
             return false;
         }
         let acknowledged = self.written.saturating_sub(unacknowledged() as u64);
-        while let Some(write) = self.writes.front().filter(|w| w.total <= acknowledged) {
+        while let Some(write) = self.writes.front().filter(|w| w.offset < acknowledged) {
             self.known_open = self.known_open.max(write.at);
             self.writes.pop_front();
         }
--- a/crates/node/src/frontend/client_liveness_tests.rs
+++ b/crates/node/src/frontend/client_liveness_tests.rs
@@ -35,6 +35,23 @@
     assert!(liveness.is_uncertain(165 * MS, || 10));
 }
 
+// Guards against waiting for the delayed acknowledgement of the last bytes of a write.
+#[test]
+fn first_bytes_of_a_write_that_are_acknowledged_show_that_the_client_is_there() {
+    let mut liveness = flooding_client();
+    liveness.record_write(100 * MS, 1904);
+    liveness.record_write(100 * MS + MIN_WRITE_INTERVAL - 1, 272);
+    assert!(liveness.is_uncertain(105 * MS, || 1904 + 272));
+    assert!(!liveness.is_uncertain(105 * MS, || 272));
+    assert!(!liveness.is_uncertain(100 * MS + MAX_AGE, || 272));
+    assert!(liveness.is_uncertain(100 * MS + MAX_AGE + 1, || 272));
+    // What is written after that counts by itself.
+    liveness.record_write(200 * MS, 10);
+    assert!(liveness.is_uncertain(201 * MS, || 272 + 10));
+    assert!(liveness.is_uncertain(201 * MS, || 10));
+    assert!(!liveness.is_uncertain(201 * MS, || 9));
+}
+
 #[test]
 fn client_whose_input_is_read_to_its_end_is_not_uncertain() {
     let mut liveness = ClientLiveness::new(0);
