Split the virtual network and the connection pools into smaller modules

Now the state of hosts and connections, the faults and the transport of a host stand in modules of their own, and so do the servers of the endpoint list. Code is moved, not changed.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -13,4 +13,5 @@
 mod reservation;
 pub(crate) mod response;
 pub(crate) mod response_reader;
+mod servers;
 pub(crate) mod waiting_attempts;
