--- a/crates/testbed/src/emulators/cache_server/mod.rs
+++ b/crates/testbed/src/emulators/cache_server/mod.rs
@@ -55,8 +55,8 @@
     pub cold_from: f64,
     /// Time from the start of a cold server until it has its whole capacity.
     pub warm_after: Micros,
-    /// A cold server crashes when the work received during `fall` exceeds this multiple of its capacity in that time.
-    /// 0: it does not crash.
+    /// A cold server crashes when the mean work of the requests received during `fall` exceeds this multiple of its capacity in
+    /// that time by more than an allowance for chance. 0: it does not crash.
     pub fall_multiple: f64,
     /// The length of the time window for `fall_multiple`.
     pub fall: Micros,
@@ -178,7 +178,7 @@
     invalidated: HashSet<Id>,
     /// Invalidations of a fraction of all keys: keys per thousand, and the salt of the hash that selects them.
     invalidated_fractions: Vec<(u64, u64)>,
-    /// Time and work of each attempt received within `Settings::fall`.
+    /// Time and mean work of each attempt received within `Settings::fall`.
     recent_work: VecDeque<(Micros, Micros)>,
     recent_work_sum: Micros,
     draining: bool,
--- a/crates/testbed/src/emulators/cache_server/requests.rs
+++ b/crates/testbed/src/emulators/cache_server/requests.rs
@@ -233,11 +233,12 @@
         let write = request.write;
         self.last_attempt += 1;
         let (now, unix) = (self.port.now(), self.port.unix());
-        let mean = if write {
+        let mean_work = if write {
             self.settings.write_work
         } else {
             self.settings.read_work
-        } as f64;
+        };
+        let mean = mean_work as f64;
         let work = (mean / 4.0 + self.rng.exponential(mean * 0.75)) as Micros;
         let job = Job {
             conn,
@@ -262,7 +263,7 @@
                 work,
             },
         );
-        self.count_received_work(work);
+        self.count_received_work(mean_work);
         if self.has_crashed {
             return;
         }
--- a/crates/testbed/src/emulators/cache_server/work.rs
+++ b/crates/testbed/src/emulators/cache_server/work.rs
@@ -5,6 +5,7 @@
 use super::{CacheServer, Job, Timer};
 use crate::checker::observations::{AttemptOutcome, Event};
 use crate::port::SendTimes;
+use crate::requirements::with_allowance_for_chance;
 
 impl<N: SendTimes> CacheServer<N> {
     /// Returns the current speed of the core, relative to a standard core.
@@ -19,11 +20,11 @@
         self.settings.speed * warm
     }
 
-    /// Counts the work of a received attempt. A cold server that has received too much crashes.
-    pub(super) fn count_received_work(&mut self, work: Micros) {
+    /// Counts the mean work of a received attempt. A cold server that has received too much crashes.
+    pub(super) fn count_received_work(&mut self, mean_work: Micros) {
         let now = self.port.now();
-        self.recent_work.push_back((now, work));
-        self.recent_work_sum += work;
+        self.recent_work.push_back((now, mean_work));
+        self.recent_work_sum += mean_work;
         while let Some((at, old)) = self
             .recent_work
             .front()
@@ -35,7 +36,9 @@
             self.recent_work.pop_front();
         }
         let is_cold = self.settings.cold && now - self.started_at < self.settings.warm_after;
-        let limit = self.settings.fall_multiple * self.capacity() * self.settings.fall as f64;
+        let least_work = self.settings.read_work.min(self.settings.write_work).max(1) as f64;
+        let budget = self.settings.fall_multiple * self.capacity() * self.settings.fall as f64;
+        let limit = with_allowance_for_chance(budget / least_work) * least_work;
         if is_cold && self.settings.fall_multiple > 0.0 && self.recent_work_sum as f64 > limit {
             self.recorder.record(
                 self.port.unix(),
--- a/crates/testbed/src/requirements.rs
+++ b/crates/testbed/src/requirements.rs
@@ -36,6 +36,12 @@
     pub cold: ColdServerLimits,
 }
 
+/// The number of requests that a cold server bears if it can process `budget` requests of mean work: two standard deviations and
+/// two requests more, since nodes that share a budget without coordination exceed it by chance.
+pub(crate) fn with_allowance_for_chance(budget: f64) -> f64 {
+    budget + 2.0 * budget.sqrt() + 2.0
+}
+
 /// The load that a server can process during its slow start.
 #[derive(Clone, Debug)]
 pub struct ColdServerLimits {
@@ -43,7 +49,7 @@
     pub initial_fraction: f64,
     /// Time from its start until it is warm.
     pub warm_up_time: Micros,
-    /// The server fails if the work of the overload window exceeds this multiple of its capacity.
+    /// The server fails if the work of the overload window exceeds this multiple of its capacity, with an allowance for chance.
     pub overload_multiple: f64,
     /// Mean processing time of a request on a standard core, by class.
     pub mean_work: Vec<Micros>,
@@ -58,7 +64,7 @@
             .min(1.0);
         let budget =
             self.overload_multiple * speed * warm_fraction * window as f64 / self.least_work();
-        budget + 2.0 * budget.sqrt() + 2.0
+        with_allowance_for_chance(budget)
     }
 
     /// The least mean work of all classes, in microseconds.
