Two processes of an upgrade together hold no more descriptors than the limit

Cause: reserved descriptors and slots for clients were computed for one process from the limit of the node. Half of the slots for each would not do, since a process is alone nearly always and clients may hold a third of the descriptors.

Change: reserved descriptors are counted for both processes. Of the slots for clients an eighth is each process's own, the others are shared: each is a lock on a byte of a file in TMPDIR (fcntl(2), open file description locks), which the system releases however a process ends. The standard library, rustix and the crates in use lock whole files only, so the call is made through libc, which the crate uses already. Without TMPDIR each process has half.

The price: of 256 descriptors a lone process with the admin interface has 93 slots for clients (129 before) and 34 for servers (43).

--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -1,4 +1,4 @@
-//! Divides the process's file descriptors among their uses. Stateless.
+//! Divides the file descriptors of the node's processes among their uses. Stateless.
 //!
 //! Guarantee: clients never hold a descriptor that is reserved for another use.
 
@@ -19,18 +19,22 @@
 /// they are mostly idle, whereas an upstream connection carries one attempt.
 const UPSTREAM_PERCENT: usize = 40;
 
-/// Numbers of descriptors for the connections of the node, without the reserved ones.
+/// Numbers of descriptors for connections, without the reserved ones.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct DescriptorShares {
-    /// For connections to cache servers.
+    /// For connections of each process to cache servers.
     pub(crate) upstream: usize,
-    /// For connections of clients with a slot.
+    /// For connections of clients with a slot, at all processes together.
     pub(crate) clients: usize,
 }
 
 impl DescriptorShares {
-    /// Divides `descriptors`, the limit on the descriptors of the process.
-    pub(crate) fn divide(descriptors: usize, has_admin_listener: bool) -> DescriptorShares {
+    /// Divides `descriptors`, the limit on the descriptors of so many processes together.
+    pub(crate) fn divide(
+        descriptors: usize,
+        processes: usize,
+        has_admin_listener: bool,
+    ) -> DescriptorShares {
         let admin = if has_admin_listener {
             ADMIN_DESCRIPTORS
         } else {
@@ -38,11 +42,14 @@
         };
         let reserved =
             PROCESS_DESCRIPTORS + DISCOVERY_DESCRIPTORS + REJECTED_CLIENT_DESCRIPTORS + admin;
-        let connections = descriptors - reserved;
-        let upstream = connections * UPSTREAM_PERCENT / 100;
+        // Under a small limit several processes would have next to nothing left: then half of what a lone one has is used,
+        // since the reserved descriptors are hardly all open at the same time.
+        let least = (descriptors - reserved) / processes;
+        let connections = descriptors.saturating_sub(processes * reserved).max(least);
+        let upstream = connections * UPSTREAM_PERCENT / 100 / processes;
         DescriptorShares {
             upstream,
-            clients: connections - upstream,
+            clients: connections - processes * upstream,
         }
     }
 }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -164,6 +164,7 @@
         while let Some(event) = self.timers.pop_expired(now) {
             self.timer_expired(event, now);
         }
+        self.frontends.release_unused_slots(&mut self.io.transport);
         Ok(())
     }
 
--- a/crates/node/src/event_loop/accepting.rs
+++ b/crates/node/src/event_loop/accepting.rs
@@ -93,20 +93,21 @@
     /// Makes room for one more connection, if necessary by closing an idle one. Returns `None` if no connection may be
     /// accepted now, otherwise whether the new connection gets a slot. The requests of a client without a slot are rejected.
     fn reserve_connection(&mut self, now: Micros) -> Option<bool> {
-        let max_clients = self.frontends.max_clients;
-        if self.frontends.clients.len() < max_clients {
+        if self.frontends.clients.len() < self.frontends.slots.limit() {
             return Some(true);
         }
         let has_slot = self.reserve_slot(now);
-        let has_descriptor = self.frontends.clients.len()
-            < max_clients + REJECTED_CLIENT_DESCRIPTORS
-            || self.close_client_without_slot(now);
+        let max_connections = self.frontends.slots.limit() + REJECTED_CLIENT_DESCRIPTORS;
+        let has_descriptor =
+            self.frontends.clients.len() < max_connections || self.close_client_without_slot(now);
         has_descriptor.then_some(has_slot)
     }
 
-    /// Whether a slot is free, if necessary after closing an idle client.
+    /// Whether a slot is free, if necessary after taking one that the processes share or closing an idle client.
     fn reserve_slot(&mut self, now: Micros) -> bool {
-        self.frontends.occupied_slots() < self.frontends.max_clients || self.free_slot(now)
+        self.frontends.occupied_slots() < self.frontends.slots.limit()
+            || self.frontends.slots.extend(&mut self.io.transport)
+            || self.free_slot(now)
     }
 
     /// Whether a client has a slot. A client without one gets one now if a slot is free or can be freed.
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -20,6 +20,7 @@
 use crate::event_trace::Trace;
 use crate::executed_ids::ExecutedIds;
 use crate::frontend::acceptor::Listener;
+use crate::frontend::client_slots::ClientSlots;
 use crate::frontend::disconnects::SocketFreshness;
 use crate::frontend::memcached::MemcachedFrontend;
 use crate::frontend::response::Protocol;
@@ -77,7 +78,9 @@
         let balancer =
             Balancer::new(settings, config.seed, 0).map_err(|e| io::Error::other(e.to_string()))?;
         let decision = wrap(balancer);
-        let shares = DescriptorShares::divide(config.max_descriptors, admin_server.is_some());
+        let shares =
+            DescriptorShares::divide(config.max_descriptors, processes, admin_server.is_some());
+        let slots = ClientSlots::divide(shares.clients, processes, &mut net);
         // Request ids must be unique among all processes of all nodes.
         let request_id_prefix = config.seed ^ net.unix_time_at_start() as u64;
         let hot_restart =
@@ -91,9 +94,9 @@
             memory: MemoryAccount::new(memory, baseline),
             engine: EngineQueue::new(decision, config.names, Trace::new(config.trace)),
             requests,
-            frontends: Frontends::new(listeners, shares.clients, memcached),
+            frontends: Frontends::new(listeners, slots, memcached),
             upstreams: UpstreamPools::new(
-                shares.upstream / processes,
+                shares.upstream,
                 config.server_idle_timeout,
                 connect_timeout,
                 config.trace,
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod acceptor;
 mod client_liveness;
+pub(crate) mod client_slots;
 pub(crate) mod connection;
 mod connection_input;
 mod connection_memory;
@@ -22,6 +23,7 @@
 use crate::memory::MemoryAccount;
 use crate::transport::Transport;
 use acceptor::Listener;
+use client_slots::ClientSlots;
 use connection::ClientConnection;
 use input_turns::InputQueue;
 use memcached::MemcachedFrontend;
@@ -31,8 +33,8 @@
 pub(crate) struct Frontends<N: Transport> {
     pub(crate) listeners: Vec<Listener<N::Listener>>,
     pub(crate) clients: Slab<ClientConnection<N::Stream>>,
-    /// Number of client slots, that is, of connections whose requests are served at the same time.
-    pub(crate) max_clients: usize,
+    /// Client slots, that is, connections whose requests are served at the same time.
+    pub(crate) slots: ClientSlots,
     /// Present if the memcached protocol is configured.
     pub(crate) memcached: Option<MemcachedFrontend>,
     /// Keys of the clients that are to be served in this round, without duplicates.
@@ -46,13 +48,13 @@
 impl<N: Transport> Frontends<N> {
     pub(crate) fn new(
         listeners: Vec<Listener<N::Listener>>,
-        max_clients: usize,
+        slots: ClientSlots,
         memcached: Option<MemcachedFrontend>,
     ) -> Frontends<N> {
         Frontends {
             listeners,
             clients: Slab::new(),
-            max_clients,
+            slots,
             memcached,
             dirty: Vec::new(),
             has_accept_timer: false,
@@ -69,6 +71,11 @@
         }
     }
 
+    /// Leaves the shared slots that no client needs any longer to the other processes of the node.
+    pub(crate) fn release_unused_slots(&mut self, transport: &mut N) {
+        self.slots.release_unused(self.clients.len(), transport);
+    }
+
     /// Whether clients are to be served although no event arrives.
     pub(crate) fn has_work(&self) -> bool {
         !self.dirty.is_empty() || !self.input_queue.is_empty()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config_check;
 pub mod discovery;
 pub mod mio_transport;
+mod slot_locks;
 pub mod startup_retry;
 pub mod transport;
 
--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -19,6 +19,7 @@
 use crate::allocator;
 use crate::id_journal::IdJournal;
 use crate::list_files::ListFiles;
+use crate::slot_locks::SlotLocks;
 use crate::startup_retry::retry_transient;
 use crate::transport::{
     PendingSignals, ReadyEvent, SnapshotSave, Stream, Token, Transport, SIGNALS_TOKEN,
@@ -108,6 +109,7 @@
     snapshots: Option<Snapshots>,
     id_journal: Option<IdJournal>,
     list_files: Option<ListFiles>,
+    slot_locks: Option<SlotLocks>,
     /// Connections that the next accept of their listener returns first; at most one for each listener.
     unregistered: Vec<UnregisteredConnection>,
     started: Instant,
@@ -160,6 +162,11 @@
         Ok(())
     }
 
+    /// Shares slots for clients with other processes of the node that listens on `listen`, through a file in `folder`.
+    pub fn share_slots_in(&mut self, folder: &Path, listen: SocketAddr) {
+        self.slot_locks = Some(SlotLocks::new(folder, listen));
+    }
+
     /// Creates the transport of a node on one of several threads. It gets its signals from another thread and drops log and
     /// trace lines.
     ///
@@ -190,6 +197,7 @@
             snapshots: None,
             id_journal: None,
             list_files: None,
+            slot_locks: None,
             unregistered: Vec::new(),
             started: Instant::now(),
             unix_time_at_start,
@@ -434,6 +442,22 @@
         files.and_then(ListFiles::take_write_error)
     }
 
+    fn share_slots(&mut self, count: usize) -> bool {
+        let locks = self.slot_locks.as_mut();
+        locks.map(|locks| locks.set_count(count)).is_some()
+    }
+
+    fn acquire_shared_slot(&mut self) -> bool {
+        let locks = self.slot_locks.as_mut();
+        locks.is_some_and(SlotLocks::acquire)
+    }
+
+    fn release_shared_slot(&mut self) {
+        if let Some(locks) = &mut self.slot_locks {
+            locks.release();
+        }
+    }
+
     fn resident_memory(&self) -> Option<usize> {
         let text = std::fs::read_to_string(MEMORY_FILE).ok()?;
         let pages: usize = text.split(' ').nth(1)?.parse().ok()?;
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -185,6 +185,16 @@
     fn take_publication_error(&mut self) -> Option<String> {
         None
     }
+    /// Shares `count` slots for clients with the other processes of this node. Returns false if that is not possible.
+    fn share_slots(&mut self, _count: usize) -> bool {
+        false
+    }
+    /// Takes one of the shared slots. Returns false if none is free.
+    fn acquire_shared_slot(&mut self) -> bool {
+        false
+    }
+    /// Returns one of the shared slots that this process holds.
+    fn release_shared_slot(&mut self) {}
     /// Writes a log line, or drops it if that would block.
     fn log(&mut self, line: &str);
 }
--- a/crates/sloewick/src/run.rs
+++ b/crates/sloewick/src/run.rs
@@ -88,6 +88,7 @@
 /// process then has to learn its state again.
 fn share_state_in(directory: &Path, listen: SocketAddr, transport: &mut MioTransport) {
     transport.share_ids_in(directory);
+    transport.share_slots_in(directory, listen);
     let shared = transport
         .share_endpoint_lists_in(directory, listen)
         .and_then(|()| transport.save_snapshots_in(directory));
