Tests of discovery run in one program, drawn upgrades side by side

Change: the three test programs of discovery are modules of one, with their tests as they were; the drawn upgrades of the descriptors are played four at a time.

--- a/crates/sloewick/tests/descriptors_of_upgrade.rs
+++ b/crates/sloewick/tests/descriptors_of_upgrade.rs
@@ -18,6 +18,8 @@
 const DESCRIPTORS: usize = 256;
 /// Number of seeds that are played by default.
 const DEFAULT_SEEDS: u64 = 4;
+/// Number of seeds that are played at the same time.
+const PARALLEL_SEEDS: usize = 4;
 
 /// Number of open descriptors of a node's process; 0 if it has ended, or does not run the program yet and has copies of those of this
 /// test.
@@ -195,11 +197,13 @@
 fn processes_of_drawn_upgrades_together_stay_within_the_limit_on_descriptors() {
     raise_descriptor_limit();
     let mut exceeded = Vec::new();
-    for seed in seeds("DESCRIPTOR_SEEDS", DEFAULT_SEEDS) {
-        let (limit, greatest) = play_upgrades(seed);
-        println!("seed {seed}: limit {limit}, greatest {greatest}");
-        if greatest > limit {
-            exceeded.push((seed, limit, greatest));
+    let seeds: Vec<u64> = seeds("DESCRIPTOR_SEEDS", DEFAULT_SEEDS).collect();
+    for batch in seeds.chunks(PARALLEL_SEEDS) {
+        for (seed, (limit, greatest)) in batch.iter().zip(play_in_parallel(batch)) {
+            println!("seed {seed}: limit {limit}, greatest {greatest}");
+            if greatest > limit {
+                exceeded.push((seed, limit, greatest));
+            }
         }
     }
     assert!(
@@ -207,3 +211,15 @@
         "seeds, limits, and numbers of descriptors that the processes hold: {exceeded:?}"
     );
 }
+
+/// Plays each seed on a thread of its own, since most of the time is spent waiting.
+fn play_in_parallel(seeds: &[u64]) -> Vec<(usize, usize)> {
+    std::thread::scope(|scope| {
+        let plays: Vec<_> = seeds
+            .iter()
+            .map(|seed| scope.spawn(|| play_upgrades(*seed)))
+            .collect();
+        let results = plays.into_iter().map(|play| play.join().unwrap());
+        results.collect()
+    })
+}
--- a/crates/sloewick/tests/discovery_changes.rs
+++ b/crates/sloewick/tests/discovery/changes.rs
@@ -1,14 +1,12 @@
 //! Changes of the endpoint list are applied in time, whichever faults keep the node from reading them: after the allowed time
 //! a draining server gets no more requests.
 
-mod support;
-
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use crate::support::DiscoveryFault::*;
+use crate::support::*;
 use serde_json::{json, Value};
-use support::DiscoveryFault::*;
-use support::*;
 
 /// A change counts as announced this long after discovery had it, regardless of requests that failed or timed out.
 const ANNOUNCED_AFTER: Duration = Duration::from_secs(6);
--- a/crates/sloewick/tests/discovery_outage.rs
+++ b/crates/sloewick/tests/discovery/outage.rs
@@ -6,13 +6,11 @@
 //! After a reset, a 503, a truncated or an unreadable response, the first request reached discovery 13.9 to 14.0 s after its
 //! return with `ask_within` of 30 s, and 0.6 to 4.0 s after it with 10 s.
 
-mod support;
-
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
+use crate::support::*;
 use serde_json::{json, Value};
-use support::*;
 
 /// A change counts as announced this long after discovery had it and could be reached.
 const ANNOUNCED_AFTER: Duration = Duration::from_secs(6);
--- a/crates/sloewick/tests/discovery.rs
+++ b/crates/sloewick/tests/discovery/requests.rs
@@ -1,11 +1,9 @@
 //! The endpoint list: requests to discovery, watches, failures and reloads.
 
-mod support;
-
 use std::time::{Duration, Instant};
 
+use crate::support::*;
 use serde_json::json;
-use support::*;
 
 #[test]
 fn each_discovery_failure_is_retried_and_the_next_valid_list_is_applied() {
