Where slots cannot be shared, each process of an upgrade has half of them

Need: with a folder that cannot be written a process had only its own eighth of the slots for clients, although it is alone nearly always: 15 of 126 at 256 descriptors. An outage of the folder would have turned clients away.

Change: the file of the shared slots is opened, and locked once, at the start. If that fails, the log says so and each process has half of the slots, as without TMPDIR; two processes that cannot use the folder stay within the limit together. The retries with each further slot, and the separate path for file systems without locks, go.

--- a/crates/node/src/mio_transport.rs
+++ b/crates/node/src/mio_transport.rs
@@ -163,8 +163,12 @@
     }
 
     /// Shares slots for clients with other processes of the node that listens on `listen`, through a file in `folder`.
-    pub fn share_slots_in(&mut self, folder: &Path, listen: SocketAddr) {
-        self.slot_locks = Some(SlotLocks::new(folder, listen));
+    ///
+    /// # Errors
+    /// Returns the operating system's error if the file cannot be opened or locked.
+    pub fn share_slots_in(&mut self, folder: &Path, listen: SocketAddr) -> io::Result<()> {
+        self.slot_locks = Some(retry_transient(|| SlotLocks::open(folder, listen))?);
+        Ok(())
     }
 
     /// Creates the transport of a node on one of several threads. It gets its signals from another thread and drops log and
--- a/crates/node/src/slot_locks.rs
+++ b/crates/node/src/slot_locks.rs
@@ -10,7 +10,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 /// The name of the file begins with this; the address of the node follows.
 const NAME_PREFIX: &str = "sloewick-slots-";
@@ -20,9 +20,6 @@
 const UPPER_END_BYTE: usize = 1;
 /// The byte of the first slot.
 const FIRST_SLOT_BYTE: usize = 2;
-/// Number of processes among which the slots are divided if the file system has no locks.
-const PROCESSES_WITHOUT_LOCKS: usize = 2;
-
 /// The end of the range of slots from which a process takes them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum End {
@@ -41,30 +38,31 @@
 
 /// The slots that this process holds.
 pub(crate) struct SlotLocks {
-    path: PathBuf,
+    file: File,
     /// Number of slots that the processes share.
     count: usize,
-    /// None until the file could be opened.
-    file: Option<File>,
     /// None until an end was free.
     end: Option<End>,
     acquired: usize,
-    /// The file system has no locks, so that each process may hold an equal part of the slots.
-    has_no_locks: bool,
 }
 
 impl SlotLocks {
     /// Shares slots with the other processes of the node that listens on `listen`, through a file in `folder`: none until
-    /// [`SlotLocks::set_count`] is called. The file is opened when the first slot is needed; a failure is repeated with the next.
-    pub(crate) fn new(folder: &Path, listen: SocketAddr) -> SlotLocks {
-        SlotLocks {
-            path: folder.join(format!("{NAME_PREFIX}{listen}")),
+    /// [`SlotLocks::set_count`] is called.
+    ///
+    /// # Errors
+    /// The operating system's error if the file cannot be opened, or its file system has no locks.
+    pub(crate) fn open(folder: &Path, listen: SocketAddr) -> io::Result<SlotLocks> {
+        let mut options = OpenOptions::new();
+        let options = options.read(true).write(true).create(true).truncate(false);
+        let file = options.open(folder.join(format!("{NAME_PREFIX}{listen}")))?;
+        let end = free_end(&file)?;
+        Ok(SlotLocks {
+            file,
             count: 0,
-            file: None,
-            end: None,
+            end,
             acquired: 0,
-            has_no_locks: false,
-        }
+        })
     }
 
     /// Sets the number of slots that the processes share, before the first is taken.
@@ -74,40 +72,26 @@
 
     /// Takes one more slot. Returns false if none is free.
     pub(crate) fn acquire(&mut self) -> bool {
-        let is_acquired = self.acquired < self.limit() && self.lock_next();
+        if self.acquired == self.count {
+            return false;
+        }
+        if self.end.is_none() {
+            self.end = free_end(&self.file).unwrap_or(None);
+        }
+        let byte = self.end.map(|end| self.slot_byte(end));
+        let is_acquired = byte.is_some_and(|byte| try_lock(&self.file, byte).unwrap_or(false));
         self.acquired += usize::from(is_acquired);
         is_acquired
     }
 
-    /// Releases a slot.
+    /// Releases the slot that was taken last.
     pub(crate) fn release(&mut self) {
         self.acquired = self.acquired.saturating_sub(1);
-        if let (Some(file), Some(end)) = (&self.file, self.end) {
-            let _ = set_lock(file, self.slot_byte(end), libc::F_UNLCK);
+        if let Some(end) = self.end {
+            let _ = set_lock(&self.file, self.slot_byte(end), libc::F_UNLCK);
         }
     }
 
-    /// Greatest number of slots that this process may hold.
-    fn limit(&self) -> usize {
-        if self.has_no_locks {
-            self.count / PROCESSES_WITHOUT_LOCKS
-        } else {
-            self.count
-        }
-    }
-
-    /// Locks the slot next to those that this process has.
-    fn lock_next(&mut self) -> bool {
-        if self.has_no_locks {
-            return true;
-        }
-        let Some(end) = self.find_end() else {
-            return false;
-        };
-        let byte = self.slot_byte(end);
-        self.try_lock(byte)
-    }
-
     /// The byte of the slot next to those that this process has.
     fn slot_byte(&self, end: End) -> usize {
         match end {
@@ -115,33 +99,26 @@
             End::Upper => FIRST_SLOT_BYTE + self.count - 1 - self.acquired,
         }
     }
+}
 
-    /// The end from which this process takes slots; None if other processes use both, or if the file cannot be opened.
-    fn find_end(&mut self) -> Option<End> {
-        if self.file.is_none() {
-            let mut options = OpenOptions::new();
-            let options = options.read(true).write(true).create(true).truncate(false);
-            self.file = options.open(&self.path).ok();
+/// Takes an end of the slots; None if other processes have both.
+fn free_end(file: &File) -> io::Result<Option<End>> {
+    for end in [End::Lower, End::Upper] {
+        if try_lock(file, end.byte())? {
+            return Ok(Some(end));
         }
-        if self.end.is_none() {
-            let mut ends = [End::Lower, End::Upper].into_iter();
-            self.end = ends.find(|end| self.try_lock(end.byte()));
-        }
-        self.end
     }
+    Ok(None)
+}
 
-    fn try_lock(&mut self, byte: usize) -> bool {
-        let Some(file) = &self.file else {
-            return false;
-        };
-        match set_lock(file, byte, libc::F_WRLCK) {
-            Ok(()) => true,
-            Err(error) => {
-                let is_taken = [ErrorKind::WouldBlock, ErrorKind::PermissionDenied];
-                self.has_no_locks = !is_taken.contains(&error.kind());
-                false
-            }
-        }
+/// Locks a byte of the file. Returns false if another process has locked it.
+fn try_lock(file: &File, byte: usize) -> io::Result<bool> {
+    match set_lock(file, byte, libc::F_WRLCK) {
+        Ok(()) => Ok(true),
+        Err(error) => match error.kind() {
+            ErrorKind::WouldBlock | ErrorKind::PermissionDenied => Ok(false),
+            _ => Err(error),
+        },
     }
 }
 
--- a/crates/sloewick/src/run.rs
+++ b/crates/sloewick/src/run.rs
@@ -88,13 +88,18 @@
 /// process then has to learn its state again.
 fn share_state_in(directory: &Path, listen: SocketAddr, transport: &mut MioTransport) {
     transport.share_ids_in(directory);
-    transport.share_slots_in(directory, listen);
     let shared = transport
         .share_endpoint_lists_in(directory, listen)
         .and_then(|()| transport.save_snapshots_in(directory));
     if let Err(error) = shared {
         let _ = writeln!(std::io::stderr(), "handover: not kept: {error}");
     }
+    if let Err(error) = transport.share_slots_in(directory, listen) {
+        let _ = writeln!(
+            std::io::stderr(),
+            "handover: slots for clients not shared: {error}"
+        );
+    }
 }
 
 /// Reads the configuration from files, environment and options.
